--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# wheatseam: `make demo` and `make test` are all a fresh clone needs.
+GO ?= go
+STATICCHECK_VERSION := v0.8.2
+
+.PHONY: build test demo demo-up demo-down lint generate bench
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+lint:
+	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$out" ]; then echo "gofmt would change: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: lint build
+	$(GO) test -race -timeout 480s ./...
+
+demo: build
+	./scripts/demo.sh run
+
+demo-up: build
+	./scripts/demo.sh up
+
+demo-down:
+	./scripts/demo.sh down
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+# generate needs protoc and protoc-gen-go; its output is committed.
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative wire/*.proto
--- /dev/null
+++ b/core/request/ports.go
@@ -0,0 +1,152 @@
+package request
+
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/record"
+)
+
+// Query asks a Router for one upstream for one attempt at one stage.
+type Query struct {
+	Request  string
+	Customer string
+	Pool     string
+	Stage    string
+	Kind     bundle.StageKind
+	// Attempt counts from 1.
+	Attempt int
+	// Prefix is a hash of the prompt's shared prefix; 0 when there is none.
+	Prefix uint64
+	// Tried names the upstreams that earlier attempts used; they are avoided.
+	Tried []string
+	// TriedDomains names the failure domains of earlier attempts; others are
+	// preferred.
+	TriedDomains []string
+	// Budget is the time left for this stage.
+	Budget time.Duration
+}
+
+// Choice is the upstream that a Router picked. It counts as in flight there
+// until Done is called for it.
+type Choice struct {
+	Pool          string
+	Upstream      string
+	Address       string
+	FailureDomain string
+}
+
+// CallResult says how a call to an upstream ended.
+type CallResult uint8
+
+// The call results.
+const (
+	CallOK CallResult = iota
+	// CallFailed is a transport failure, a timeout or a 5xx answer.
+	CallFailed
+	// CallRefused is an answer that the upstream is busy or leaving.
+	CallRefused
+	// CallCancelled is a call that this side gave up; it blames nobody.
+	CallCancelled
+)
+
+// Outcome reports the end of a call to the Router that picked its upstream.
+type Outcome struct {
+	Choice Choice
+	Stage  string
+	Result CallResult
+	// Latency is the time from sending to the last byte.
+	Latency time.Duration
+	// FirstByte is the time from sending to the first byte or token.
+	FirstByte time.Duration
+	Tokens    int
+}
+
+// Router picks upstreams. Implementations are safe for concurrent use, do no
+// I/O and read no clock.
+type Router interface {
+	// Pick chooses an upstream and counts the call as in flight. It adds its
+	// reasons to rec. The error is of kind problem.NoUpstream.
+	Pick(now time.Time, q Query, rec record.Recorder) (Choice, *problem.Error)
+	// Done ends a picked call.
+	Done(now time.Time, o Outcome)
+	// Expect returns the measured latency of a stage of a pool at quantile
+	// (0 to 1), and false while too few calls were measured.
+	Expect(pool, stage string, quantile float64) (time.Duration, bool)
+}
+
+// Need is what one stage of a plan asks of its pool.
+type Need struct {
+	Stage string
+	Pool  string
+	// Expected is the expected service time.
+	Expected time.Duration
+}
+
+// Plan is a whole request as admission sees it on arrival.
+type Plan struct {
+	Request  string
+	Customer string
+	Pipeline string
+	Deadline time.Time
+	Needs    []Need
+}
+
+// Ticket asks for one slot of a pool for one call.
+type Ticket struct {
+	Request  string
+	Attempt  int
+	Stage    string
+	Pool     string
+	Customer string
+	Deadline time.Time
+	// Expected is the expected service time of this stage.
+	Expected time.Duration
+	// After is the expected time of all later stages: the slot is of use only
+	// if it is granted before Deadline - After - Expected.
+	After time.Duration
+}
+
+// Verdict is the answer to a Ticket.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Granted Verdict = iota
+	Queued
+	Refused
+)
+
+// Grant ends the wait of a queued ticket: Err is nil when the slot is granted.
+type Grant struct {
+	Ticket Ticket
+	Err    *problem.Error
+}
+
+// Admitter limits what enters the system and each pool. Implementations are
+// safe for concurrent use, do no I/O and read no clock.
+type Admitter interface {
+	// Arrive admits or refuses a whole request.
+	Arrive(now time.Time, p Plan, rec record.Recorder) *problem.Error
+	// Leave ends an admitted request, whatever became of it.
+	Leave(now time.Time, p Plan, attained bool)
+	// Acquire asks for a slot. A queued ticket is answered by a later Grant.
+	Acquire(now time.Time, t Ticket, rec record.Recorder) (Verdict, *problem.Error)
+	// Abandon takes a queued ticket out of its queue.
+	Abandon(now time.Time, t Ticket)
+	// Release returns a granted slot and reports how the call went.
+	Release(now time.Time, t Ticket, r CallResult, latency time.Duration) []Grant
+	// Tick ends the waits that can no longer succeed. It is called every
+	// 10 ms or so.
+	Tick(now time.Time) []Grant
+}
+
+// Budget bounds retries or hedges to a share of the calls.
+// Implementations are safe for concurrent use.
+type Budget interface {
+	// Deposit counts one first attempt.
+	Deposit(now time.Time)
+	// Withdraw takes one extra attempt, or returns false.
+	Withdraw(now time.Time) bool
+}
--- /dev/null
+++ b/problem/problem.go
@@ -0,0 +1,133 @@
+// Package problem is the closed list of error kinds and the one table from a
+// kind to the answer that a caller gets (RFC 9457 problem documents).
+package problem
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Kind is one entry of the closed list of error kinds.
+type Kind string
+
+// The error kinds.
+const (
+	BadRequest       Kind = "bad_request"
+	TooLarge         Kind = "too_large"
+	Unauthorized     Kind = "unauthorized"
+	Forbidden        Kind = "forbidden"
+	UnknownPipeline  Kind = "unknown_pipeline"
+	KeyRequired      Kind = "key_required"
+	KeyInvalid       Kind = "key_invalid"
+	KeyExpired       Kind = "key_expired"
+	KeyReused        Kind = "key_reused"
+	InProgress       Kind = "in_progress"
+	OutcomeUnknown   Kind = "outcome_unknown"
+	RateLimited      Kind = "rate_limited"
+	Overloaded       Kind = "overloaded"
+	DeadlineTooShort Kind = "deadline_too_short"
+	DeadlineExceeded Kind = "deadline_exceeded"
+	NoUpstream       Kind = "no_upstream"
+	UpstreamFailed   Kind = "upstream_failed"
+	UpstreamRefused  Kind = "upstream_refused"
+	NoMajority       Kind = "no_majority"
+	NotReady         Kind = "not_ready"
+	Draining         Kind = "draining"
+	CallerGone       Kind = "caller_gone"
+	Internal         Kind = "internal"
+)
+
+// Execution says whether any non-repeatable stage of the request was run.
+type Execution string
+
+// The executions.
+const (
+	NotRun     Execution = "not_run"
+	MayHaveRun Execution = "may_have_run"
+	Ran        Execution = "ran"
+)
+
+// Row is what the table holds for a kind.
+type Row struct {
+	Kind   Kind
+	Status int
+	Title  string
+	// Retry says that coming back later may help; the answer then carries
+	// Retry-After.
+	Retry bool
+}
+
+// Table has one row for each kind, in the order of the documentation.
+var Table = []Row{
+	{BadRequest, http.StatusBadRequest, "The request is malformed", false},
+	{TooLarge, http.StatusRequestEntityTooLarge, "The request is too large", false},
+	{Unauthorized, http.StatusUnauthorized, "The API key is missing or unknown", false},
+	{Forbidden, http.StatusForbidden, "The customer may not use this pipeline", false},
+	{UnknownPipeline, http.StatusNotFound, "There is no such pipeline", false},
+	{KeyRequired, http.StatusBadRequest, "The pipeline needs an Idempotency-Key", false},
+	{KeyInvalid, http.StatusBadRequest, "The Idempotency-Key is not a UUIDv7 of about now", false},
+	{KeyExpired, http.StatusGone, "The Idempotency-Key is older than the retention window", false},
+	{KeyReused, http.StatusUnprocessableEntity, "The Idempotency-Key was used for another request", false},
+	{InProgress, http.StatusConflict, "A request with this Idempotency-Key is still running", true},
+	{OutcomeUnknown, http.StatusConflict, "It is not known whether the request has run", true},
+	{RateLimited, http.StatusTooManyRequests, "The customer is over its limit", true},
+	{Overloaded, http.StatusServiceUnavailable, "There is no capacity within the deadline", true},
+	{DeadlineTooShort, http.StatusBadRequest, "The deadline is shorter than the pipeline needs", false},
+	{DeadlineExceeded, http.StatusGatewayTimeout, "The deadline passed", true},
+	{NoUpstream, http.StatusServiceUnavailable, "No upstream of the pool is available", true},
+	{UpstreamFailed, http.StatusBadGateway, "The upstream failed", true},
+	{UpstreamRefused, http.StatusBadGateway, "The upstream refused the request", false},
+	{NoMajority, http.StatusServiceUnavailable, "Too few claim holders can be reached", true},
+	{NotReady, http.StatusServiceUnavailable, "The host is not ready", true},
+	{Draining, http.StatusServiceUnavailable, "The host is leaving", true},
+	{CallerGone, 499, "The caller went away", false},
+	{Internal, http.StatusInternalServerError, "An internal error", true},
+}
+
+// Lookup returns the row of k; an unknown kind gets the row of Internal.
+func Lookup(k Kind) Row {
+	for _, r := range Table {
+		if r.Kind == k {
+			return r
+		}
+	}
+	return Lookup(Internal)
+}
+
+// Error is the one typed error that reaches a caller.
+type Error struct {
+	Kind      Kind
+	Execution Execution
+	// RetryAfter is when coming back may help; zero leaves it out.
+	RetryAfter time.Duration
+	Detail     string
+	Err        error
+}
+
+// New returns an error of kind k under which nothing was run.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Execution: NotRun, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Kind, e.Detail, e.Err)
+	}
+	return fmt.Sprintf("%s: %s", e.Kind, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Of returns err as an *Error; any other error becomes Internal, under which
+// it is unknown whether something ran.
+func Of(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: Internal, Execution: MayHaveRun, Detail: "unexpected error", Err: err}
+}
