Carry messages between daemons: yamux over mutual TLS, one stream per call

Cause: claims, membership, fair shares and configuration all need one bounded, identified way to call a fellow daemon. Design: a greeting (one envelope each way) binds a connection to a host name that its certificate must carry and to the process's incarnation; one session per pair, used both ways; crossing dials are settled by host name; calls in flight, waiting, message sizes, handlers and sessions are bounded. Ruled out: yamux keep-alives (409 idle sessions would each ping; a call that times out in silence tells the same), stream deadlines alone (opening a stream and writing do not end with a context, so each exchange has a goroutine of its own). Conclusion: tests with real loopback connections pass with -race, among them a frozen peer, a restarted one, crossing dials, foreign certificates, big messages.

--- /dev/null
+++ b/certs/certs.go
@@ -0,0 +1,191 @@
+// Package certs makes the keys for mutual TLS between daemons: an authority and
+// one key pair per host, each certificate valid for the host's name as server
+// and as client. It serves demos, tests and small installations; an
+// installation with an authority of its own does not need it.
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// The names of the authority's files in a directory of keys.
+const (
+	AuthorityCert = "ca.pem"
+	AuthorityKey  = "ca-key.pem"
+)
+
+const (
+	typeCertificate = "CERTIFICATE"
+	typeKey         = "PRIVATE KEY"
+	// backdate covers hosts whose clocks are behind.
+	backdate = time.Hour
+)
+
+// Pair is a certificate with its private key, both in PEM.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// Authority signs the certificates of hosts. It is safe for concurrent use.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pair Pair
+}
+
+// NewAuthority makes an authority whose certificate is valid for lifetime from
+// now on.
+func NewAuthority(now time.Time, lifetime time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("certs: key: %w", err)
+	}
+	template, err := newTemplate("wheatseam authority", now, lifetime)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("certs: authority: %w", err)
+	}
+	return newAuthority(der, key)
+}
+
+func newAuthority(der []byte, key *ecdsa.PrivateKey) (*Authority, error) {
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("certs: authority: %w", err)
+	}
+	pair, err := encodePair(der, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{cert: cert, key: key, pair: pair}, nil
+}
+
+// Pair returns the authority's own certificate and key.
+func (a *Authority) Pair() Pair { return a.pair }
+
+// Issue makes a key pair for a host or an operator's client, valid for the
+// name and the given IP addresses.
+func (a *Authority) Issue(name string, now time.Time, lifetime time.Duration, ips ...net.IP) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, fmt.Errorf("certs: key: %w", err)
+	}
+	template, err := newTemplate(name, now, lifetime)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.DNSNames = []string{name}
+	template.IPAddresses = ips
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("certs: certificate of %s: %w", name, err)
+	}
+	return encodePair(der, key)
+}
+
+func newTemplate(name string, now time.Time, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return nil, fmt.Errorf("certs: serial: %w", err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+func encodePair(der []byte, key *ecdsa.PrivateKey) (Pair, error) {
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("certs: key: %w", err)
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: typeCertificate, Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: typeKey, Bytes: keyDER}),
+	}, nil
+}
+
+// Files returns the paths of a host's certificate and key in dir.
+func Files(dir, name string) (cert, key string) {
+	return filepath.Join(dir, name+".pem"), filepath.Join(dir, name+"-key.pem")
+}
+
+// Write writes a pair to two files; the key is readable by its owner only.
+func (p Pair) Write(certFile, keyFile string) error {
+	if err := os.WriteFile(certFile, p.Cert, 0o644); err != nil {
+		return fmt.Errorf("certs: %w", err)
+	}
+	if err := os.WriteFile(keyFile, p.Key, 0o600); err != nil {
+		return fmt.Errorf("certs: %w", err)
+	}
+	return nil
+}
+
+// OpenAuthority reads the authority in dir, or makes one there if there is
+// none.
+func OpenAuthority(dir string, now time.Time, lifetime time.Duration) (*Authority, error) {
+	certFile, keyFile := filepath.Join(dir, AuthorityCert), filepath.Join(dir, AuthorityKey)
+	a, err := readAuthority(certFile, keyFile)
+	if !errors.Is(err, os.ErrNotExist) {
+		return a, err
+	}
+	if a, err = NewAuthority(now, lifetime); err != nil {
+		return nil, err
+	}
+	return a, a.pair.Write(certFile, keyFile)
+}
+
+func readAuthority(certFile, keyFile string) (*Authority, error) {
+	cert, err := readBlock(certFile, typeCertificate)
+	if err != nil {
+		return nil, err
+	}
+	keyDER, err := readBlock(keyFile, typeKey)
+	if err != nil {
+		return nil, err
+	}
+	key, err := x509.ParsePKCS8PrivateKey(keyDER)
+	if err != nil {
+		return nil, fmt.Errorf("certs: %s: %w", keyFile, err)
+	}
+	ec, ok := key.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, fmt.Errorf("certs: %s: want an ECDSA key, have %T", keyFile, key)
+	}
+	return newAuthority(cert, ec)
+}
+
+func readBlock(file, kind string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("certs: %w", err)
+	}
+	block, _ := pem.Decode(data)
+	if block == nil || block.Type != kind {
+		return nil, fmt.Errorf("certs: %s: no PEM block %q", file, kind)
+	}
+	return block.Bytes, nil
+}
--- /dev/null
+++ b/peer/failure_test.go
@@ -0,0 +1,226 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/peer"
+)
+
+var _ = Describe("failures", func() {
+	var f *fleet
+	BeforeEach(func() { f = newFleet(GinkgoT().TempDir()) })
+
+	It("dials anew after a peer has restarted", func() {
+		a := f.start(f.config("a"))
+		b := f.start(f.config("b"))
+		Expect(echo(a, "b", "1", time.Second)).To(Equal("a:1"))
+		Expect(b.Close()).To(Succeed())
+		_, err := echo(a, "b", "2", time.Second)
+		Expect(err).To(MatchError(peer.ErrUnreachable))
+		cfg := f.config("b")
+		f.start(cfg)
+		Eventually(func() (string, error) { return echo(a, "b", "3", time.Second) }).Should(Equal("a:3"))
+		Expect(a.Sessions()).To(HaveExactElements(HaveField("Incarnation", cfg.Incarnation)))
+	})
+
+	It("fails at once while the backoff of a dead peer lasts", func() {
+		cfg := f.config("a")
+		cfg.MinBackoff, cfg.MaxBackoff = time.Hour, time.Hour
+		a := f.start(cfg)
+		b := f.start(f.config("b"))
+		Expect(b.Close()).To(Succeed())
+		for range 100 {
+			_, err := echo(a, "b", "x", time.Second)
+			Expect(err).To(MatchError(peer.ErrUnreachable))
+			Expect(peer.Unsent(err)).To(BeTrue())
+		}
+		failed := cfg.Metrics.GetOrCreateCounter(`wheatseam_peer_dials_total{result="failed"}`)
+		Expect(failed.Get()).To(BeEquivalentTo(1))
+
+		By("the host's replacement at another address is dialled at once")
+		f.start(f.config("b"))
+		Expect(echo(a, "b", "x", time.Second)).To(Equal("a:x"))
+	})
+
+	It("drops the session of a frozen peer and uses a new one", func() {
+		cfg := f.config("a")
+		a := f.start(cfg)
+		b := f.start(f.config("b"))
+		relay := newRelay(b.Addr())
+		f.set("b", relay.Addr())
+		Expect(echo(a, "b", "1", time.Second)).To(Equal("a:1"))
+		relay.Freeze()
+		silent := cfg.Metrics.GetOrCreateCounter("wheatseam_peer_silent_sessions_total")
+		Eventually(func() uint64 {
+			_, err := echo(a, "b", "2", 20*time.Millisecond)
+			Expect(err).To(HaveOccurred())
+			return silent.Get()
+		}).Should(BeEquivalentTo(1))
+		f.set("b", b.Addr())
+		Eventually(func() (string, error) { return echo(a, "b", "3", time.Second) }).Should(Equal("a:3"))
+	})
+
+	It("gives up a peer that accepts connections and says nothing", func() {
+		cfg := f.config("a")
+		cfg.DialTimeout = 50 * time.Millisecond
+		a := f.start(cfg)
+		f.set("b", silentListener().Addr().String())
+		_, err := echo(a, "b", "x", 2*time.Second)
+		Expect(err).To(MatchError(peer.ErrUnreachable))
+		_, err = echo(a, "b", "x", 10*time.Millisecond)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("gives up a caller that sends slowly and keeps serving others", func() {
+		cfg := f.config("b")
+		cfg.Plaintext, cfg.DialTimeout = true, 50*time.Millisecond
+		b := f.start(cfg)
+		conn, err := net.Dial("tcp", b.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write([]byte{200}) // the start of a length, and no more
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(ContainSubstring("EOF")), "closed by the server")
+	})
+
+	It("closes sessions that were idle for long", func() {
+		ac, bc := f.config("a"), f.config("b")
+		ac.IdleTimeout = 40 * time.Millisecond
+		a := f.start(ac)
+		b := f.start(bc)
+		Expect(echo(a, "b", "1", time.Second)).To(Equal("a:1"))
+		Eventually(a.Sessions).Should(BeEmpty())
+		Eventually(b.Sessions).Should(BeEmpty())
+		Expect(echo(b, "a", "2", time.Second)).To(Equal("b:2"))
+	})
+
+	It("comes to one session when both sides dial at once", func() {
+		for range 10 {
+			a, b := f.start(f.config("a")), f.start(f.config("b"))
+			done := make(chan error, 2)
+			go func() { _, err := echo(a, "b", "x", time.Second); done <- err }()
+			go func() { _, err := echo(b, "a", "x", time.Second); done <- err }()
+			Expect(<-done).To(Succeed())
+			Expect(<-done).To(Succeed())
+			Eventually(func() int { return len(a.Sessions()) + len(b.Sessions()) }).Should(Equal(2))
+			Expect(echo(a, "b", "y", time.Second)).To(Equal("a:y"))
+			Expect(echo(b, "a", "y", time.Second)).To(Equal("b:y"))
+			Expect(a.Close()).To(Succeed())
+			Expect(b.Close()).To(Succeed())
+		}
+	})
+
+	It("finishes the calls being served on shutdown", func() {
+		cfg := f.config("b")
+		release, running := make(chan struct{}), make(chan struct{})
+		peer.Handle(cfg.Mux, "slow", func(context.Context, peer.Sender, *text) (*text, error) {
+			close(running)
+			<-release
+			return &text{}, nil
+		})
+		a, b := f.start(f.config("a")), f.start(cfg)
+		called := make(chan error, 1)
+		go func() { called <- a.Call(context.Background(), "b", "slow", &text{}, &text{}) }()
+		<-running
+		down := make(chan error, 1)
+		go func() { down <- b.Shutdown(context.Background()) }()
+		Consistently(down, "50ms").ShouldNot(Receive())
+		close(release)
+		Eventually(called).Should(Receive(BeNil()))
+		Eventually(down).Should(Receive(BeNil()))
+	})
+})
+
+var _ = Describe("identity", func() {
+	var f *fleet
+	BeforeEach(func() { f = newFleet(GinkgoT().TempDir()) })
+
+	It("refuses a peer that answers under another name", func() {
+		a := f.start(f.config("a"))
+		c := f.start(f.config("c"))
+		f.set("b", c.Addr())
+		_, err := echo(a, "b", "x", time.Second)
+		Expect(err).To(MatchError(peer.ErrIdentity))
+		Expect(err).To(MatchError(peer.ErrUnreachable))
+	})
+
+	It("refuses a caller whose certificate is for another name", func() {
+		b := f.start(f.config("b"))
+		cfg := f.config("a")
+		cfg.TLS = f.files("mallory")
+		_, err := peer.NewTransport(cfg)
+		Expect(err).To(MatchError(peer.ErrIdentity), "own name is checked at the start")
+
+		conn := dialTLS(b.Addr(), "b", cfg.TLS)
+		defer conn.Close()
+		answer := greetAs(conn, "a")
+		Expect(answer.ErrorCode).To(Equal("identity"))
+		Expect(b.Sessions()).To(BeEmpty())
+	})
+
+	It("refuses certificates of another authority at both sides", func() {
+		other := newFleet(GinkgoT().TempDir())
+		a := f.start(f.config("a"))
+		b := other.start(other.config("b"))
+		f.set("b", b.Addr())
+		_, err := echo(a, "b", "x", time.Second)
+		Expect(err).To(MatchError(peer.ErrIdentity), "the server's")
+
+		cfg := f.config("a")
+		cfg.TLS = other.files("a")
+		cfg.TLS.CAFile = filepath.Join(f.dir, "ca.pem")
+		f.set("c", f.start(f.config("c")).Addr())
+		_, err = echo(f.start(cfg), "c", "x", time.Second)
+		Expect(err).To(MatchError(peer.ErrUnreachable), "the client's")
+	})
+
+	It("refuses a plaintext connection when TLS is on", func() {
+		b := f.start(f.config("b"))
+		conn, err := net.Dial("tcp", b.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write(greeting("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Consistently(b.Sessions, "50ms").Should(BeEmpty())
+	})
+
+	It("allows plaintext on loopback addresses only", func() {
+		cfg := f.config("a")
+		cfg.Plaintext, cfg.TLS = true, peer.TLSFiles{}
+		cfg.Listen = "0.0.0.0:0"
+		_, err := peer.NewTransport(cfg)
+		Expect(err).To(MatchError(peer.ErrPlaintext))
+
+		cfg.Listen = "127.0.0.1:0"
+		a := f.start(cfg)
+		f.set("b", "192.0.2.1:7000")
+		_, err = echo(a, "b", "x", time.Second)
+		Expect(err).To(MatchError(peer.ErrPlaintext))
+		Expect(peer.Unsent(err)).To(BeTrue())
+
+		bc := f.config("b")
+		bc.Plaintext = true
+		f.start(bc)
+		Eventually(func() (string, error) { return echo(a, "b", "x", time.Second) }).Should(Equal("a:x"))
+	})
+
+	It("refuses an old version and takes a newer one", func() {
+		cfg := f.config("b")
+		cfg.Plaintext = true
+		b := f.start(cfg)
+		for version, code := range map[uint32]string{0: "version", peer.ProtocolVersion + 1: ""} {
+			conn, err := net.Dial("tcp", b.Addr())
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			Expect(greetWith(conn, "a", version).ErrorCode).To(Equal(code))
+		}
+	})
+})
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+// ProtocolVersion is the release of the protocol that this daemon speaks, and
+// MinVersion the oldest that it takes.
+const (
+	ProtocolVersion = 1
+	MinVersion      = 1
+)
+
+// readBuffer is the size of the buffer that a frame is read through.
+const readBuffer = 1024
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
+// envelope returns an envelope of this daemon, sent now.
+func (t *Transport) envelope() *wire.Envelope {
+	return &wire.Envelope{
+		Version:     ProtocolVersion,
+		From:        t.cfg.Host,
+		Incarnation: t.cfg.Incarnation,
+		SentUnixMs:  time.Now().UnixMilli(),
+	}
+}
+
+// encode serialises env with its length before it, within limit bytes.
+func encode(env *wire.Envelope, limit int) ([]byte, error) {
+	if n := proto.Size(env); n > limit {
+		return nil, fmt.Errorf("%w: %d bytes, bound %d", ErrTooLarge, n, limit)
+	}
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, env); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return buf.Bytes(), nil
+}
+
+// readFrame reads one envelope of at most limit bytes and returns its size. It
+// may read on beyond the envelope.
+func readFrame(r io.Reader, limit int) (*wire.Envelope, int, error) {
+	br := readers.Get().(*bufio.Reader)
+	br.Reset(r)
+	defer func() { br.Reset(nil); readers.Put(br) }()
+	return decode(br, limit)
+}
+
+// decode reads one envelope of at most limit bytes, and nothing beyond it if r
+// does not buffer.
+func decode(r protodelim.Reader, limit int) (*wire.Envelope, int, error) {
+	env := &wire.Envelope{}
+	err := protodelim.UnmarshalOptions{MaxSize: int64(limit)}.UnmarshalFrom(r, env)
+	var large *protodelim.SizeTooLargeError
+	switch {
+	case errors.As(err, &large):
+		return nil, 0, fmt.Errorf("%w: %w", ErrTooLarge, err)
+	case errors.Is(err, proto.Error):
+		return nil, 0, fmt.Errorf("%w: %w", ErrMalformed, err)
+	case err != nil:
+		return nil, 0, err
+	}
+	return env, proto.Size(env), nil
+}
+
+// senderOf returns the sender that env names.
+func senderOf(env *wire.Envelope) Sender {
+	return Sender{Host: env.From, Incarnation: env.Incarnation, SentAt: time.UnixMilli(env.SentUnixMs)}
+}
+
+// byteReader reads single bytes without reading ahead.
+type byteReader struct{ io.Reader }
+
+// ReadByte implements io.ByteReader.
+func (r byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r.Reader, b[:])
+	return b[0], err
+}
--- /dev/null
+++ b/peer/mux.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Sender says where a request came from. Host is verified by certificate (on
+// plaintext sessions it is only claimed).
+type Sender struct {
+	Host string
+	// Incarnation is the start of the sending process in Unix milliseconds.
+	Incarnation uint64
+	// SentAt is the sender's wall clock when it sent.
+	SentAt time.Time
+}
+
+// handler serves one serialised request and returns the serialised answer.
+type handler func(ctx context.Context, from Sender, payload []byte) ([]byte, error)
+
+// Mux holds the methods that a daemon serves. Methods are registered before or
+// while the transport serves; any number of goroutines may use one.
+type Mux struct {
+	mu       sync.RWMutex
+	handlers map[string]handler
+}
+
+// NewMux returns a mux without methods.
+func NewMux() *Mux { return &Mux{handlers: make(map[string]handler)} }
+
+// Handle registers h for method. It panics when the method is registered
+// already, as that is a fault of the program. The handler runs in a goroutine
+// of its own, many at a time; its context ends with the caller's deadline.
+func Handle[Req, Resp proto.Message](m *Mux, method string, h func(ctx context.Context, from Sender, req Req) (Resp, error)) {
+	var zero Req
+	newRequest := func() Req { return zero.ProtoReflect().New().Interface().(Req) }
+	m.add(method, func(ctx context.Context, from Sender, payload []byte) ([]byte, error) {
+		req := newRequest()
+		if err := proto.Unmarshal(payload, req); err != nil {
+			return nil, fmt.Errorf("%w: request of %s: %w", ErrMalformed, method, err)
+		}
+		resp, err := h(ctx, from, req)
+		if err != nil {
+			return nil, &handlerError{err}
+		}
+		return proto.Marshal(resp)
+	})
+}
+
+func (m *Mux) add(method string, h handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.handlers[method]; ok {
+		panic("peer: method registered twice: " + method)
+	}
+	m.handlers[method] = h
+}
+
+// lookup returns the handler of method, or nil.
+func (m *Mux) lookup(method string) handler {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.handlers[method]
+}
--- /dev/null
+++ b/peer/serve.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+// serveSession serves the peer's calls until the session ends.
+func (t *Transport) serveSession(h *hostState, s *session) {
+	defer t.removeSession(s)
+	defer h.forget(s)
+	defer s.close()
+	limit := int32(2 * t.cfg.MaxInFlight)
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.touch()
+		if s.serving.Add(1) > limit {
+			t.answer(stream, "", nil, fmt.Errorf("%w: over %d on one session", ErrBusy, limit))
+			s.serving.Add(-1)
+			continue
+		}
+		go func() {
+			defer s.serving.Add(-1)
+			defer s.touch()
+			t.serveStream(s, stream)
+		}()
+	}
+}
+
+// serveStream serves the one call of a stream.
+func (t *Transport) serveStream(s *session, stream *yamux.Stream) {
+	// A peer that sends slowly is given up like one that does not send.
+	_ = stream.SetDeadline(time.Now().Add(t.cfg.CallTimeout)) // fails only on a closed stream
+	env, n, err := readFrame(stream, t.cfg.MaxMessage)
+	if err != nil {
+		if codeOf(err) != "" {
+			t.answer(stream, "", nil, err)
+			return
+		}
+		stream.Close()
+		return
+	}
+	payload, err := t.serveCall(s, env)
+	method := t.knownMethod(env.Method)
+	t.counters.countReceived(method, roleServer, n)
+	t.counters.countServed(method, err)
+	_ = stream.SetDeadline(time.Now().Add(t.cfg.CallTimeout))
+	t.answer(stream, method, payload, err)
+}
+
+// serveCall checks an envelope and runs its method.
+func (t *Transport) serveCall(s *session, env *wire.Envelope) ([]byte, error) {
+	if err := checkVersion(env); err != nil {
+		return nil, err
+	}
+	if env.From != s.peer.Host || env.Incarnation != s.peer.Incarnation {
+		return nil, fmt.Errorf("%w: call of %q on a session of %q", ErrIdentity, env.From, s.peer.Host)
+	}
+	timeout := t.cfg.CallTimeout
+	if env.TimeoutMs > 0 {
+		timeout = time.Duration(env.TimeoutMs) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
+	defer cancel()
+	select {
+	case t.handlers <- struct{}{}:
+		defer func() { <-t.handlers }()
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: no free handler", ErrBusy)
+	}
+	payload, err := t.dispatch(ctx, senderOf(env), env.Method, env.Payload)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, fmt.Errorf("%w: %w", ErrTimeout, err)
+	}
+	return payload, err
+}
+
+// dispatch runs the handler of method. A panic of one is logged and becomes an
+// error, so that one message can't end the daemon.
+func (t *Transport) dispatch(ctx context.Context, from Sender, method string, payload []byte) (answer []byte, err error) {
+	h := t.cfg.Mux.lookup(method)
+	if h == nil {
+		return nil, fmt.Errorf("%w: %q", ErrUnknownMethod, method)
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			t.counters.panics.Inc()
+			t.cfg.Logger.Error("peer handler panicked", zap.String("method", method),
+				zap.String("peer", from.Host), zap.Any("panic", r), zap.ByteString("stack", debug.Stack()))
+			err = fmt.Errorf("handler of %s panicked", method)
+		}
+	}()
+	return h(ctx, from, payload)
+}
+
+// answer writes the one answer of a stream and closes it.
+func (t *Transport) answer(stream *yamux.Stream, method string, payload []byte, err error) {
+	defer stream.Close()
+	env := t.envelope()
+	if err == nil {
+		env.Payload = payload
+	} else {
+		env.Error, env.ErrorCode = err.Error(), codeOf(err)
+	}
+	frame, err := encode(env, t.cfg.MaxMessage)
+	if err != nil {
+		env.Payload, env.Error, env.ErrorCode = nil, err.Error(), codeOf(err)
+		if frame, err = encode(env, t.cfg.MaxMessage); err != nil {
+			return
+		}
+	}
+	if _, err := stream.Write(frame); err == nil {
+		t.counters.countSent(method, roleServer, len(frame))
+	}
+}
+
+// knownMethod returns method, or "unknown" so that peers can't name series.
+func (t *Transport) knownMethod(method string) string {
+	if t.cfg.Mux.lookup(method) == nil {
+		return methodUnknown
+	}
+	return method
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+)
+
+// session is one connection to one process of one host, for calls both ways.
+type session struct {
+	t       *Transport
+	peer    Sender
+	dialled bool // by this side
+	opened  time.Time
+	mux     *yamux.Session
+	meter   *meteredConn
+
+	places   chan struct{} // one per call in flight from this side
+	waiting  atomic.Int32  // calls that wait for a place
+	serving  atomic.Int32  // calls from the peer being served
+	lastUsed atomic.Int64  // Unix nanoseconds
+	retired  atomic.Bool   // takes no new calls
+}
+
+// start runs a session over a greeted connection.
+func (t *Transport) start(conn net.Conn, meter *meteredConn, from Sender, dialled bool) error {
+	open := yamux.Server
+	if dialled {
+		open = yamux.Client
+	}
+	mux, err := open(&frameConn{Conn: conn}, t.yamux)
+	if err != nil {
+		return err
+	}
+	s := &session{
+		t: t, peer: from, dialled: dialled, opened: time.Now(), mux: mux, meter: meter,
+		places: make(chan struct{}, t.cfg.MaxInFlight),
+	}
+	s.touch()
+	if err := t.register(s); err != nil {
+		mux.Close()
+		return err
+	}
+	t.cfg.Logger.Debug("peer session opened", zap.String("peer", from.Host),
+		zap.Uint64("incarnation", from.Incarnation), zap.Bool("dialled", dialled))
+	return nil
+}
+
+// usable says whether new calls may use the session.
+func (s *session) usable() bool { return !s.retired.Load() && !s.mux.IsClosed() }
+
+func (s *session) touch() { s.lastUsed.Store(time.Now().UnixNano()) }
+
+// idle says whether the session has had no call for timeout.
+func (s *session) idle(now time.Time, timeout time.Duration) bool {
+	busy := len(s.places) > 0 || s.serving.Load() > 0
+	return !busy && now.UnixNano()-s.lastUsed.Load() > int64(timeout)
+}
+
+// close ends the session at once; calls in flight fail.
+func (s *session) close() {
+	s.retired.Store(true)
+	// yamux closes the connection; the error would be of the parting word.
+	_ = s.mux.Close()
+}
+
+// retire lets the calls in flight finish and then closes the session.
+func (s *session) retire() {
+	if s.retired.Swap(true) {
+		return
+	}
+	_ = s.mux.GoAway() // a broken session has nothing to finish
+	limit := time.Now().Add(s.t.cfg.CallTimeout)
+	s.t.wg.Go(func() {
+		tick := time.NewTicker(20 * time.Millisecond)
+		defer tick.Stop()
+		for time.Now().Before(limit) && s.mux.NumStreams() > 0 {
+			select {
+			case <-s.mux.CloseChan():
+				return
+			case <-tick.C:
+			}
+		}
+		s.close()
+	})
+}
+
+// checkSilence drops the session when nothing arrived for SilenceTimeout
+// though a call was waiting: the peer is frozen, or the connection half-open.
+func (s *session) checkSilence() {
+	since := s.meter.waitingSince.Load()
+	if since == 0 || time.Now().UnixNano()-since < int64(s.t.cfg.SilenceTimeout) {
+		return
+	}
+	if s.retired.Swap(true) {
+		return
+	}
+	s.t.counters.silent.Inc()
+	s.t.cfg.Logger.Warn("peer session dropped as silent", zap.String("peer", s.peer.Host),
+		zap.Duration("silence", s.t.cfg.SilenceTimeout))
+	// The connection is closed first, as the parting word of yamux would wait
+	// for a peer that takes no data.
+	s.meter.Close()
+	s.close()
+}
+
+// meteredConn counts the bytes on the wire and notes since when an answer is
+// awaited in silence.
+type meteredConn struct {
+	net.Conn
+	counters     *counters
+	waitingSince atomic.Int64 // Unix nanoseconds; 0 while nothing is awaited
+}
+
+// await notes that an answer is awaited from now on.
+func (c *meteredConn) await(now time.Time) {
+	c.waitingSince.CompareAndSwap(0, now.UnixNano())
+}
+
+// Read implements net.Conn.
+func (c *meteredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.waitingSince.Store(0)
+		c.counters.wireReceived.Add(n)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counters.wireSent.Add(n)
+	return n, err
+}
+
+// SessionInfo describes a session in a state dump.
+type SessionInfo struct {
+	Host        string    `json:"host"`
+	Incarnation uint64    `json:"incarnation"`
+	Address     string    `json:"address"`
+	Dialled     bool      `json:"dialled"`
+	Opened      time.Time `json:"opened"`
+	LastUsed    time.Time `json:"last_used"`
+	InFlight    int       `json:"in_flight"`
+	Waiting     int       `json:"waiting"`
+	Serving     int       `json:"serving"`
+	Retired     bool      `json:"retired"`
+}
+
+// Sessions lists the live sessions, in no order.
+func (t *Transport) Sessions() []SessionInfo {
+	t.mu.Lock()
+	live := t.liveSessions()
+	t.mu.Unlock()
+	infos := make([]SessionInfo, 0, len(live))
+	for _, s := range live {
+		infos = append(infos, SessionInfo{
+			Host: s.peer.Host, Incarnation: s.peer.Incarnation,
+			Address: s.meter.RemoteAddr().String(), Dialled: s.dialled,
+			Opened: s.opened, LastUsed: time.Unix(0, s.lastUsed.Load()),
+			InFlight: len(s.places), Waiting: int(s.waiting.Load()),
+			Serving: int(s.serving.Load()), Retired: s.retired.Load(),
+		})
+	}
+	return infos
+}
+
+// countSessions counts the live sessions, for the gauge.
+func (t *Transport) countSessions() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(len(t.sessions))
+}
