Hold the identity of callers and handlers' errors by test

Cause: with the guards taken out on a scratch copy (greeting's name compared, handler's error hidden) the suite still passed; these two specs now fail there.

--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -61,7 +61,7 @@
 	It("gives typed errors for unknown methods, hosts and handlers' errors", func() {
 		cfg := f.config("b")
 		peer.Handle(cfg.Mux, "fail", func(context.Context, peer.Sender, *text) (*text, error) {
-			return nil, fmt.Errorf("no: %w", peer.ErrUnreachable)
+			return nil, fmt.Errorf("no: %w", peer.ErrBusy)
 		})
 		peer.Handle(cfg.Mux, "panic", func(context.Context, peer.Sender, *text) (*text, error) {
 			panic("boom")
@@ -80,7 +80,7 @@
 		var remote *peer.RemoteError
 		Expect(errors.As(err, &remote)).To(BeTrue())
 		Expect(remote.Message).To(HavePrefix("no: "))
-		Expect(err).NotTo(MatchError(peer.ErrUnreachable), "an error of the handler's own call is not this call's")
+		Expect(err).NotTo(MatchError(peer.ErrBusy), "an error of the handler's own call is not this call's")
 		Expect(call("b", "panic")).To(MatchError(ContainSubstring("panicked")))
 		Expect(echo(a, "b", "x", time.Second)).To(Equal("a:x"))
 	})
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -152,6 +153,27 @@
 		Expect(err).To(MatchError(peer.ErrUnreachable))
 	})
 
+	It("refuses a peer of another name without TLS too", func() {
+		ac, cc := f.config("a"), f.config("c")
+		ac.Plaintext, cc.Plaintext = true, true
+		a, c := f.start(ac), f.start(cc)
+		f.set("b", c.Addr())
+		_, err := echo(a, "b", "x", time.Second)
+		Expect(err).To(MatchError(peer.ErrIdentity))
+	})
+
+	It("refuses a call in another host's name on a greeted session", func() {
+		b := f.start(f.config("b"))
+		conn := dialTLS(b.Addr(), "b", f.files("a"))
+		defer conn.Close()
+		Expect(greetAs(conn, "a").ErrorCode).To(BeEmpty())
+		session, err := yamux.Client(conn, nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer session.Close()
+		Expect(callAs(session, "a").ErrorCode).To(BeEmpty())
+		Expect(callAs(session, "c").ErrorCode).To(Equal("identity"))
+	})
+
 	It("refuses a caller whose certificate is for another name", func() {
 		b := f.start(f.config("b"))
 		cfg := f.config("a")
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -95,6 +96,20 @@
 	return greetWith(conn, from, peer.ProtocolVersion)
 }
 
+// callAs makes a call to "echo" by hand in the name of from.
+func callAs(session *yamux.Session, from string) *wire.Envelope {
+	stream, err := session.Open()
+	Expect(err).NotTo(HaveOccurred())
+	defer stream.Close()
+	_, err = protodelim.MarshalTo(stream, &wire.Envelope{
+		Version: peer.ProtocolVersion, From: from, Incarnation: 1, Method: "echo",
+	})
+	Expect(err).NotTo(HaveOccurred())
+	env := &wire.Envelope{}
+	Expect(protodelim.UnmarshalFrom(bufio.NewReader(stream), env)).To(Succeed())
+	return env
+}
+
 // greetWith opens a connection by hand and returns the answer.
 func greetWith(conn net.Conn, from string, version uint32) *wire.Envelope {
 	_, err := conn.Write(greetingOf(from, version))
