Retire a session without cutting the peer's calls

Ruled out: retrying after a reset (a reset also follows a stream that was served). Change: the retiring side asks the peer by a call to stop using the session, waits until no call was in flight for 100 ms, then closes; shutdown does the same.

--- a/peer/call.go
+++ b/peer/call.go
@@ -122,8 +122,8 @@
 	var sent atomic.Bool
 	done := make(chan exchanged, 1)
 	go func() {
-		defer s.freePlace()
 		env, err := s.exchange(ctx, method, frame, &sent)
+		s.freePlace() // before the answer, for the caller's next call
 		done <- exchanged{env, err}
 	}()
 	select {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -67,6 +67,10 @@
 	if env.From != s.peer.Host || env.Incarnation != s.peer.Incarnation {
 		return nil, fmt.Errorf("%w: call of %q on a session of %q", ErrIdentity, env.From, s.peer.Host)
 	}
+	if env.Method == methodRetire {
+		s.retired.Store(true)
+		return nil, nil
+	}
 	timeout := t.cfg.CallTimeout
 	if env.TimeoutMs > 0 {
 		timeout = time.Duration(env.TimeoutMs) * time.Millisecond
@@ -127,7 +131,7 @@
 
 // knownMethod returns method, or "unknown" so that peers can't name series.
 func (t *Transport) knownMethod(method string) string {
-	if t.cfg.Mux.lookup(method) == nil {
+	if method != methodRetire && t.cfg.Mux.lookup(method) == nil {
 		return methodUnknown
 	}
 	return method
--- a/peer/session.go
+++ b/peer/session.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,14 @@
 	"go.uber.org/zap"
 )
 
+// methodRetire is the method by which a peer asks for no new calls on the
+// session that carries the request.
+const methodRetire = "peer.retire"
+
+// quietTime is how long a retired session waits for calls that were under way
+// when it was retired.
+const quietTime = 100 * time.Millisecond
+
 // session is one connection to one process of one host, for calls both ways.
 type session struct {
 	t       *Transport
@@ -67,27 +76,38 @@
 	_ = s.mux.Close()
 }
 
-// retire lets the calls in flight finish and then closes the session.
+// retire asks the peer to make no new calls on the session, lets the calls in
+// flight finish both ways and then closes it. yamux's own GoAway is of no use
+// here: it resets the calls that the peer sends before it hears of it.
 func (s *session) retire() {
 	if s.retired.Swap(true) {
 		return
 	}
-	_ = s.mux.GoAway() // a broken session has nothing to finish
-	limit := time.Now().Add(s.t.cfg.CallTimeout)
 	s.t.wg.Go(func() {
-		tick := time.NewTicker(20 * time.Millisecond)
-		defer tick.Stop()
-		for time.Now().Before(limit) && s.mux.NumStreams() > 0 {
-			select {
-			case <-s.mux.CloseChan():
-				return
-			case <-tick.C:
-			}
+		defer s.close()
+		ctx, cancel := context.WithTimeout(s.t.ctx, s.t.cfg.CallTimeout)
+		defer cancel()
+		if _, _, err := s.call(ctx, methodRetire, nil); err != nil {
+			return // broken: nothing can finish on it
 		}
-		s.close()
+		s.waitQuiet()
 	})
 }
 
+// waitQuiet waits until no call was in flight for quietTime. Each call has a
+// deadline of its own, so the wait ends.
+func (s *session) waitQuiet() {
+	tick := time.NewTicker(quietTime / 4)
+	defer tick.Stop()
+	for !s.idle(time.Now(), quietTime) {
+		select {
+		case <-s.mux.CloseChan():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // checkSilence drops the session when nothing arrived for SilenceTimeout
 // though a call was waiting: the peer is frozen, or the connection half-open.
 func (s *session) checkSilence() {
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -114,7 +114,7 @@
 // Addr returns the address that peers reach.
 func (t *Transport) Addr() string { return t.listener.Addr().String() }
 
-// Shutdown stops taking calls, waits until those being served are answered or
+// Shutdown stops taking calls, waits until those in flight are answered or
 // ctx ends, and closes the transport.
 func (t *Transport) Shutdown(ctx context.Context) error {
 	t.mu.Lock()
@@ -123,37 +123,24 @@
 	t.mu.Unlock()
 	t.listener.Close()
 	for _, s := range live {
-		_ = s.mux.GoAway() // a broken session has nothing to drain
+		s.retire()
 	}
-	err := t.waitServed(ctx)
+	err := t.waitSessions(ctx)
 	return errors.Join(err, t.Close())
 }
 
-// waitServed polls until no call is being served.
-func (t *Transport) waitServed(ctx context.Context) error {
+// waitSessions polls until no session is left.
+func (t *Transport) waitSessions(ctx context.Context) error {
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
-	for {
-		if t.serving() == 0 {
-			return nil
-		}
+	for t.countSessions() > 0 {
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("peer: shutdown with %d calls being served: %w", t.serving(), ctx.Err())
+			return fmt.Errorf("peer: shutdown cut %.0f sessions: %w", t.countSessions(), ctx.Err())
 		case <-tick.C:
 		}
 	}
-}
-
-// serving counts the calls being served.
-func (t *Transport) serving() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for s := range t.sessions {
-		n += int(s.serving.Load())
-	}
-	return n
+	return nil
 }
 
 // Close ends all sessions at once and waits for their goroutines; handlers
