--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"context"
 	"time"
 
 	"github.com/wheatseam/wheatseam/bundle"
@@ -74,6 +75,8 @@
 	// Expect returns the measured latency of a stage of a pool at quantile
 	// (0 to 1), and false while too few calls were measured.
 	Expect(pool, stage string, quantile float64) (time.Duration, bool)
+	// ExpectFirstByte is Expect for the time to the first byte or token.
+	ExpectFirstByte(pool, stage string, quantile float64) (time.Duration, bool)
 }
 
 // Need is what one stage of a plan asks of its pool.
@@ -150,3 +153,27 @@
 	// Withdraw takes one extra attempt, or returns false.
 	Withdraw(now time.Time) bool
 }
+
+// Claimer is what carries out Claim, Release and Record actions. It does I/O
+// and is used by the runtime, never by a Machine. Implementations are safe for
+// concurrent use.
+type Claimer interface {
+	// Acquire claims key for the request, which arrived at the given time, and
+	// waits for the decision until ctx ends. digest identifies the pipeline
+	// and input: the same key with another digest is problem.KeyReused. A key
+	// with a recorded result gives that result. A key that another request
+	// has claimed is waited for; without a result in time the error is
+	// problem.OutcomeUnknown with MayHaveRun.
+	Acquire(ctx context.Context, key ClaimKey, request string, arrived time.Time, digest [32]byte) ClaimDecided
+	// Release gives up a claim under which nothing was sent. From then on the
+	// holders refuse every attempt at key that arrived before the release, so
+	// that a NotRun answer stays true when a paused daemon wakes.
+	Release(ctx context.Context, key ClaimKey, request string) error
+	// Void makes a NotRun answer true for a request that is refused before it
+	// claimed: it places the same mark as Release does, unless the key is
+	// claimed or recorded, and reports whether nothing has run or will run for
+	// attempts that arrived before now.
+	Void(ctx context.Context, key ClaimKey, arrived time.Time) (notRun bool, err error)
+	// Record stores the result at a majority of the holders.
+	Record(ctx context.Context, key ClaimKey, request string, result []byte) error
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,115 @@
+// Package engine calls model engines over the HTTP chat/completions form, whole
+// or streamed.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wheatseam/wheatseam/internal/httpbody"
+	"github.com/wheatseam/wheatseam/service"
+)
+
+// Client calls the engines of one pool. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	now  func() time.Time
+}
+
+// NewClient returns a client that holds at most maxConns connections to one
+// engine. now is the clock that NotAfter is checked against.
+func NewClient(maxConns int, now func() time.Time) *Client {
+	return &Client{http: &http.Client{Transport: httpbody.NewTransport(maxConns)}, now: now}
+}
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Generation is one attempt at a generate stage.
+type Generation struct {
+	Address   string
+	Model     string
+	RequestID string
+	Attempt   int
+	Customer  string
+	Messages  []Message
+	MaxTokens int
+	// Priority is passed on to engines that honour it; higher runs first.
+	Priority int
+	NotAfter time.Time
+}
+
+// Output is a whole generation.
+type Output struct {
+	Text   string
+	Tokens int
+}
+
+type chatBody struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Priority  int       `json:"priority,omitempty"`
+	User      string    `json:"user"`
+}
+
+// Generate runs a generation and calls token for each part as it comes. The
+// output is whole only if the error is nil; a stream that ends without its
+// last mark is an error. The error is a *service.Error.
+func (c *Client) Generate(ctx context.Context, g Generation, token func(string)) (Output, error) {
+	req, err := newRequest(ctx, g)
+	if err != nil {
+		return Output{}, &service.Error{NotExecuted: true, Err: err}
+	}
+	if !c.now().Before(g.NotAfter) {
+		return Output{}, &service.Error{NotExecuted: true, Err: httpbody.ErrTooLate}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Output{}, &service.Error{
+			NotExecuted: httpbody.NotSent(err), Err: fmt.Errorf("call %s: %w", g.Address, err),
+		}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Output{}, &service.Error{
+			Status:      resp.StatusCode,
+			NotExecuted: resp.Header.Get(httpbody.HeaderNotExecuted) == "true",
+			Err:         fmt.Errorf("%s answered %d", g.Address, resp.StatusCode),
+		}
+	}
+	out, err := readStream(resp.Body, g, token)
+	if err != nil {
+		return out, &service.Error{Status: http.StatusOK, Err: fmt.Errorf("stream of %s: %w", g.Address, err)}
+	}
+	return out, nil
+}
+
+func newRequest(ctx context.Context, g Generation) (*http.Request, error) {
+	body, err := json.Marshal(chatBody{
+		Model: g.Model, Messages: g.Messages, Stream: true,
+		MaxTokens: g.MaxTokens, Priority: g.Priority, User: g.Customer,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode generation: %w", err)
+	}
+	target := "http://" + g.Address + "/v1/chat/completions"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build generation: %w", err)
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(httpbody.HeaderRequestID, g.RequestID)
+	req.Header.Set(httpbody.HeaderAttempt, strconv.Itoa(g.Attempt))
+	return req, nil
+}
--- /dev/null
+++ b/internal/httpbody/upstream.go
@@ -0,0 +1,62 @@
+package httpbody
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Headers that bind an answer to the attempt that asked for it.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderAttempt   = "X-Attempt"
+	// HeaderNotExecuted is set to "true" by an upstream that refused a call
+	// without executing it.
+	HeaderNotExecuted = "X-Not-Executed"
+)
+
+// Timeouts and pool bounds of connections to upstreams.
+const (
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = 90 * time.Second
+	keepAlive       = 15 * time.Second
+)
+
+// NewTransport returns an HTTP transport that holds at most maxConns
+// connections to one upstream; 0 is no bound.
+func NewTransport(maxConns int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, &DialError{Err: err}
+			}
+			return conn, nil
+		},
+		MaxIdleConnsPerHost: max(maxConns, 64),
+		MaxConnsPerHost:     maxConns,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// DialError is a failure to connect: nothing of the request was sent.
+type DialError struct{ Err error }
+
+// Error implements error.
+func (e *DialError) Error() string { return "dial: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Err }
+
+// NotSent reports whether err means that no byte of a request has left.
+func NotSent(err error) bool {
+	var d *DialError
+	return errors.As(err, &d) || errors.Is(err, ErrTooLate)
+}
+
+// ErrTooLate is returned for a call whose deadline passed before it was sent.
+var ErrTooLate = errors.New("deadline passed before the call was sent")
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -103,7 +103,9 @@
 	// RetryAfter is when coming back may help; zero leaves it out.
 	RetryAfter time.Duration
 	Detail     string
-	Err        error
+	// StagesRun names the stages known to have run.
+	StagesRun []string
+	Err       error
 }
 
 // New returns an error of kind k under which nothing was run.
