Serve callers: HTTP API, runtime of the request machines, daemon command

The core learns that an abandoned ticket may have been granted meanwhile: the slot would have leaked. Not measured yet.

--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,139 @@
+// Package caller is the HTTP/JSON API towards callers. It authenticates,
+// bounds and decodes requests, and writes answers, streams and refusals.
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// Submission is an authenticated request.
+type Submission struct {
+	RequestID string
+	Bundle    *bundle.Bundle
+	Customer  *bundle.Customer
+	Pipeline  *bundle.Pipeline
+	Arrived   time.Time
+	Deadline  time.Time
+	Key       string
+	Stream    bool
+	Prefix    string
+	Input     json.RawMessage
+}
+
+// Sink takes what a streaming caller gets before its answer. It is called by
+// one goroutine at a time.
+type Sink interface {
+	// Token delivers the next part of the text.
+	Token(text string)
+	// Reset tells the caller to discard the text delivered so far.
+	Reset()
+}
+
+// Backend serves submissions.
+type Backend interface {
+	// Bundle returns the configuration in force, or nil.
+	Bundle() *bundle.Bundle
+	// Admittable returns why the host takes no requests, or nil.
+	Admittable() *problem.Error
+	// NewRequestID returns an id that no other request has.
+	NewRequestID() string
+	// Now is the clock.
+	Now() time.Time
+	// Serve runs a request to its end. The end of ctx means that the caller
+	// went away.
+	Serve(ctx context.Context, s Submission, sink Sink) (*request.Answer, *problem.Error)
+	// Refused takes note of a request that was refused before it was served.
+	Refused(requestID string, e *problem.Error)
+}
+
+// Config configures a Server.
+type Config struct {
+	Backend Backend
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+}
+
+// Server is the http.Handler of the callers' listener.
+type Server struct {
+	cfg Config
+	mux *http.ServeMux
+}
+
+// NewServer returns a server.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /v1/pipelines/{name}", s.servePipeline)
+	s.mux.HandleFunc("/", s.serveUnknown)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Server) serveUnknown(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, s.cfg.Backend.NewRequestID(), problem.New(problem.NotFound, "there is no %s %s", r.Method, r.URL.Path))
+}
+
+func (s *Server) servePipeline(w http.ResponseWriter, r *http.Request) {
+	id := s.cfg.Backend.NewRequestID()
+	sub, err := s.decode(r, id)
+	if err != nil {
+		s.refuse(w, id, err)
+		return
+	}
+	if sub.Stream {
+		s.serveStream(w, r, sub)
+		return
+	}
+	answer, perr := s.cfg.Backend.Serve(r.Context(), sub, discard{})
+	if perr != nil {
+		writeProblem(w, id, perr)
+		return
+	}
+	writeJSON(w, answer)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, id string, err *problem.Error) {
+	s.cfg.Backend.Refused(id, err)
+	writeProblem(w, id, err)
+}
+
+// discard is the sink of callers that do not stream.
+type discard struct{}
+
+func (discard) Token(string) {}
+func (discard) Reset()       {}
+
+// findCustomer returns the customer whose API key the request bears.
+func findCustomer(b *bundle.Bundle, r *http.Request) (*bundle.Customer, *problem.Error) {
+	const scheme = "Bearer "
+	header := r.Header.Get("Authorization")
+	if len(header) <= len(scheme) || !strings.EqualFold(header[:len(scheme)], scheme) {
+		return nil, problem.New(problem.Unauthorized, "the Authorization header bears no API key")
+	}
+	sum := sha256.Sum256([]byte(header[len(scheme):]))
+	got := []byte(hex.EncodeToString(sum[:]))
+	var found *bundle.Customer
+	for i := range b.Customers {
+		for _, want := range b.Customers[i].KeyHashes {
+			if subtle.ConstantTimeCompare(got, []byte(strings.ToLower(want))) == 1 {
+				found = &b.Customers[i]
+			}
+		}
+	}
+	if found == nil {
+		return nil, problem.New(problem.Unauthorized, "the API key is unknown")
+	}
+	return found, nil
+}
--- /dev/null
+++ b/cmd/wheatseamd/main.go
@@ -0,0 +1,93 @@
+// Command wheatseamd is the entry daemon: it stands between callers and
+// upstreams on an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+
+	"github.com/wheatseam/wheatseam/daemon"
+	"github.com/wheatseam/wheatseam/settings"
+)
+
+func main() {
+	if err := newRoot().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "wheatseamd:", err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use:           "wheatseamd",
+		Short:         "Entry daemon of wheatseam",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			return run(path)
+		},
+	}
+	root.PersistentFlags().StringVar(&path, "settings", "settings.yaml", "the daemon's settings file")
+	root.AddCommand(&cobra.Command{
+		Use:   "check",
+		Short: "Check the settings and exit",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := settings.Load(path); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return nil
+		},
+	})
+	return root
+}
+
+func run(path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	ctx, cut := notifyContexts()
+	return daemon.New(s, log.With(zap.String("host", s.Host))).Run(ctx, cut)
+}
+
+// notifyContexts returns a context that ends at the first signal and one that
+// ends at the second.
+func notifyContexts() (first, second context.Context) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	first, stopFirst := context.WithCancel(context.Background())
+	second, stopSecond := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		stopFirst()
+		<-signals
+		stopSecond()
+	}()
+	return first, second
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoder), zapcore.Lock(os.Stderr), l)), nil
+}
--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -194,7 +194,7 @@
 	switch a.state {
 	case attemptQueued:
 		a.state = attemptEnded
-		m.deps.Admitter.Abandon(now, a.ticket)
+		m.notify(m.deps.Admitter.Abandon(now, a.ticket))
 	case attemptSent:
 		a.cancelled = true
 		m.note(now, "cancel", a.number, a.choice.Upstream)
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -136,8 +136,9 @@
 	Leave(now time.Time, p Plan, attained bool)
 	// Acquire asks for a slot. A queued ticket is answered by a later Grant.
 	Acquire(now time.Time, t Ticket, rec record.Recorder) (Verdict, *problem.Error)
-	// Abandon takes a queued ticket out of its queue.
-	Abandon(now time.Time, t Ticket)
+	// Abandon gives up a ticket that was queued. If its slot was granted
+	// meanwhile and the Grant is still on its way, the slot is returned.
+	Abandon(now time.Time, t Ticket) []Grant
 	// Release returns a granted slot and reports how the call went.
 	Release(now time.Time, t Ticket, r CallResult, latency time.Duration) []Grant
 	// Tick ends the waits that can no longer succeed. It is called every
--- /dev/null
+++ b/daemon/call.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/engine"
+	"github.com/wheatseam/wheatseam/service"
+)
+
+// call runs one attempt and reports its end.
+func (d *Daemon) call(ctx context.Context, s *session, c request.Call) {
+	defer s.cancel(c.Attempt)
+	if c.Stage.Kind == bundle.StageGenerate {
+		d.deliver(s, d.generate(ctx, s, c))
+		return
+	}
+	d.deliver(s, d.callService(ctx, s, c))
+}
+
+// pathOf is the URL path of a stage at a plain service.
+func pathOf(stage bundle.Stage) string {
+	if stage.Path != "" {
+		return stage.Path
+	}
+	return "/v1/" + string(stage.Kind)
+}
+
+func (d *Daemon) callService(ctx context.Context, s *session, c request.Call) request.CallEnded {
+	client := s.clients.services[c.Stage.Pool]
+	began := d.Now()
+	output, err := client.Do(ctx, service.Call{
+		Address: c.Choice.Address, Path: pathOf(c.Stage), RequestID: s.id, Attempt: c.Attempt,
+		Customer: s.sub.Customer.Name, Stage: c.Stage.Name, Key: c.Key, Input: c.Input, NotAfter: c.NotAfter,
+	})
+	ended := callEnded(ctx, c.Attempt, err)
+	ended.Output, ended.FirstByte = output, d.Now().Sub(began)
+	return ended
+}
+
+func (d *Daemon) generate(ctx context.Context, s *session, c request.Call) request.CallEnded {
+	client := s.clients.engines[c.Stage.Pool]
+	began := d.Now()
+	var first time.Duration
+	out, err := client.Generate(ctx, d.generation(s, c), func(text string) {
+		if first == 0 {
+			first = d.Now().Sub(began)
+			d.deliver(s, request.FirstToken{Attempt: c.Attempt})
+		}
+		if s.forward.Load() == int64(c.Attempt) {
+			s.pass(ctx, outputPart{text: text})
+		}
+	})
+	ended := callEnded(ctx, c.Attempt, err)
+	ended.FirstByte, ended.Tokens = first, out.Tokens
+	if err == nil {
+		ended.Output = textResult(out.Text)
+	}
+	return ended
+}
+
+func textResult(text string) json.RawMessage {
+	raw, err := json.Marshal(struct {
+		Text string `json:"text"`
+	}{text})
+	if err != nil {
+		return json.RawMessage(`{"text":""}`)
+	}
+	return raw
+}
+
+func (d *Daemon) generation(s *session, c request.Call) engine.Generation {
+	var messages []engine.Message
+	if s.sub.Prefix != "" {
+		messages = append(messages, engine.Message{Role: "system", Content: s.sub.Prefix})
+	}
+	messages = append(messages, engine.Message{Role: "user", Content: textOf(c.Input)})
+	return engine.Generation{
+		Address: c.Choice.Address, Model: s.clients.pools[c.Stage.Pool].Model,
+		RequestID: s.id, Attempt: c.Attempt, Customer: s.sub.Customer.Name,
+		Messages: messages, MaxTokens: c.Stage.MaxTokens, NotAfter: c.NotAfter,
+	}
+}
+
+// callEnded translates the error of a client.
+func callEnded(ctx context.Context, attempt int, err error) request.CallEnded {
+	if err == nil {
+		return request.CallEnded{Attempt: attempt, Result: request.CallOK}
+	}
+	ended := request.CallEnded{Attempt: attempt, Result: request.CallFailed, Detail: err.Error()}
+	var e *service.Error
+	if errors.As(err, &e) {
+		ended.NotExecuted, ended.Rejected = e.NotExecuted, e.Rejected()
+		if e.NotExecuted && e.Status != 0 {
+			ended.Result = request.CallRefused
+		}
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		ended.Result = request.CallCancelled
+	}
+	return ended
+}
+
+// lookUpTimeout bounds a status look-up.
+const lookUpTimeout = time.Second
+
+func (d *Daemon) lookUp(s *session, a request.LookUp) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookUpTimeout)
+	defer cancel()
+	status, err := s.clients.services[a.Choice.Pool].LookUp(ctx, a.Choice.Address, a.Key)
+	d.deliver(s, request.StatusAnswered{
+		Known: err == nil && status.State == service.StatusDone, Output: status.Result,
+	})
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,188 @@
+// Package daemon wires the parts of an entry daemon together: it carries out
+// the actions of the request machines and feeds their events back.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/settings"
+)
+
+// tickEvery is how often waits that can no longer succeed are ended.
+const tickEvery = 10 * time.Millisecond
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	bundle   atomic.Pointer[bundle.Bundle]
+	upstream atomic.Pointer[clients]
+	draining atomic.Bool
+
+	table    *request.Table
+	sessions sessions
+	deps     request.Deps
+	claimer  request.Claimer
+	// appliers get every bundle that comes into force.
+	appliers []applier
+}
+
+// applier takes a new bundle. Apply is called by one goroutine at a time.
+type applier interface{ Apply(b *bundle.Bundle) }
+
+// New returns a daemon that has not started.
+func New(s *settings.Settings, log *zap.Logger) *Daemon {
+	d := &Daemon{settings: s, log: log, table: request.NewTable()}
+	d.sessions.init()
+	d.addDecisionParts()
+	return d
+}
+
+// Run serves until ctx ends, then drains: requests in flight are finished, at
+// the longest for the drain bound of the settings or until cut ends.
+func (d *Daemon) Run(ctx, cut context.Context) error {
+	listener, err := net.Listen("tcp", d.settings.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	server := d.callerServer()
+	d.log.Info("listening", zap.String("callers", listener.Addr().String()))
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	group.Go(func() error { d.watchBundle(running); return nil })
+	group.Go(func() error { d.tick(running); return nil })
+	<-ctx.Done()
+	d.drain(cut)
+	shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := server.Shutdown(shutdown); err != nil {
+		_ = server.Close()
+	}
+	stop()
+	return group.Wait()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) callerServer() *http.Server {
+	limits := d.settings.Limits
+	return &http.Server{
+		Handler:           caller.NewServer(caller.Config{Backend: d, MaxBodyBytes: limits.MaxBodyBytes}),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: limits.ReadHeaderTimeout,
+		ReadTimeout:       limits.ReadTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+	}
+}
+
+// drainPoll is how often a draining daemon looks whether it is done.
+const drainPoll = 10 * time.Millisecond
+
+func (d *Daemon) drain(cut context.Context) {
+	d.draining.Store(true)
+	d.log.Info("draining", zap.Int("in_flight", d.table.Len()))
+	bound, cancel := context.WithTimeout(cut, d.settings.Drain.Bound)
+	defer cancel()
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for d.table.Len() > 0 {
+		select {
+		case <-bound.Done():
+			d.logCut()
+			return
+		case <-poll.C:
+		}
+	}
+	d.log.Info("drained")
+}
+
+// maxCutLogged bounds the requests named in the log when a drain is cut.
+const maxCutLogged = 100
+
+func (d *Daemon) logCut() {
+	for _, o := range d.table.Overviews(maxCutLogged) {
+		d.log.Warn("cut", zap.String("request", o.ID), zap.String("pipeline", o.Pipeline), zap.String("stage", o.Stage))
+	}
+}
+
+// tick ends waits that can no longer succeed.
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, g := range d.deps.Admitter.Tick(d.Now()) {
+				d.notify(g)
+			}
+		}
+	}
+}
+
+// apply puts a bundle into force. Requests in flight keep theirs.
+func (d *Daemon) apply(b *bundle.Bundle) {
+	d.upstream.Store(newClients(b, d.Now))
+	for _, a := range d.appliers {
+		a.Apply(b)
+	}
+	d.bundle.Store(b)
+	d.log.Info("bundle in force", zap.Uint64("version", b.Version))
+}
+
+// Bundle implements caller.Backend.
+func (d *Daemon) Bundle() *bundle.Bundle { return d.bundle.Load() }
+
+// Now implements caller.Backend.
+func (d *Daemon) Now() time.Time { return time.Now() }
+
+// NewRequestID implements caller.Backend. The id names the host, so that any
+// host knows whom to ask about it.
+func (d *Daemon) NewRequestID() string {
+	return d.settings.Host + "." + uuid.Must(uuid.NewV7()).String()
+}
+
+// retryElsewhere is told to callers that should go to another host.
+const retryElsewhere = time.Second
+
+// Admittable implements caller.Backend.
+func (d *Daemon) Admittable() *problem.Error {
+	var e *problem.Error
+	switch {
+	case d.draining.Load():
+		e = problem.New(problem.Draining, "host %s is leaving", d.settings.Host)
+	case d.bundle.Load() == nil:
+		e = problem.New(problem.NotReady, "no configuration is in force yet")
+	default:
+		return nil
+	}
+	e.RetryAfter = retryElsewhere
+	return e
+}
+
+// Refused implements caller.Backend.
+func (d *Daemon) Refused(id string, e *problem.Error) {
+	d.log.Info("refused", zap.String("request", id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
+}
--- /dev/null
+++ b/daemon/perform.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+const (
+	// settleTimeout bounds the time that a refusal waits for its claim to be
+	// settled.
+	settleTimeout = 250 * time.Millisecond
+	// detachedTimeout is how long a sent non-repeatable call is seen through
+	// after the deadline of its request.
+	detachedTimeout = 30 * time.Second
+	// recordTimeout bounds the wait for the holders to record a result.
+	recordTimeout = time.Second
+)
+
+// deliver passes an event to the request's machine and carries out its
+// actions.
+func (d *Daemon) deliver(s *session, ev request.Event) {
+	for _, a := range d.table.Deliver(d.Now(), s.id, ev) {
+		d.perform(s, a)
+	}
+}
+
+// notify carries a grant to the request that waits for it.
+func (d *Daemon) notify(g request.Grant) {
+	if s := d.sessions.get(g.Ticket.Request); s != nil {
+		d.deliver(s, request.SlotGranted{Attempt: g.Ticket.Attempt, Err: g.Err})
+	}
+}
+
+func (d *Daemon) perform(s *session, action request.Action) {
+	switch a := action.(type) {
+	case request.Call:
+		ctx := d.callContext(s, a)
+		go d.call(ctx, s, a)
+	case request.Cancel:
+		s.cancel(a.Attempt)
+	case request.Claim:
+		go d.claim(s, a)
+	case request.Release:
+		go d.release(s, a.Key)
+	case request.Record:
+		go d.record(s, a)
+	case request.LookUp:
+		go d.lookUp(s, a)
+	case request.Keep:
+		d.keep(s, a)
+	case request.Forward:
+		s.forward.Store(int64(a.Attempt))
+	case request.Reset:
+		s.forward.Store(0)
+		s.pass(context.Background(), outputPart{reset: true})
+	case request.SetTimer:
+		d.setTimer(s, a)
+	case request.Notify:
+		go d.notify(a.Grant)
+	case request.Finish:
+		d.finish(s, a)
+	default:
+		d.log.Error("unknown action", zap.String("request", s.id))
+	}
+}
+
+func (d *Daemon) setTimer(s *session, a request.SetTimer) {
+	s.addTimer(time.AfterFunc(a.At.Sub(d.Now()), func() {
+		d.deliver(s, request.TimerFired{Timer: a.Timer, Attempt: a.Attempt})
+	}))
+}
+
+// callContext makes the context of a call before the call starts, so that a
+// Cancel that follows at once finds it.
+func (d *Daemon) callContext(s *session, c request.Call) context.Context {
+	end := c.NotAfter
+	if c.Stage.NonRepeatable {
+		end = end.Add(detachedTimeout)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	s.addCancel(c.Attempt, cancel)
+	return ctx
+}
+
+func (d *Daemon) claim(s *session, a request.Claim) {
+	ctx, cancel := context.WithDeadline(context.Background(), s.sub.Deadline)
+	defer cancel()
+	d.deliver(s, d.claimer.Acquire(ctx, a.Key, s.id, s.sub.Arrived, s.digest))
+}
+
+func (d *Daemon) release(s *session, key request.ClaimKey) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if err := d.claimer.Release(ctx, key, s.id); err != nil {
+		d.log.Warn("claim not released", zap.String("request", s.id), zap.Error(err))
+	}
+}
+
+func (d *Daemon) record(s *session, a request.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	err := d.claimer.Record(ctx, a.Key, s.id, a.Result)
+	if err != nil {
+		d.log.Warn("result not recorded", zap.String("request", s.id), zap.Error(err))
+	}
+	d.deliver(s, request.Recorded{Err: err})
+}
+
+// finish answers the caller, once what makes the answer true is done.
+func (d *Daemon) finish(s *session, f request.Finish) {
+	if f.Settle == request.SettleNone {
+		s.final <- finalAnswer{answer: f.Answer, err: f.Err}
+		return
+	}
+	go func() {
+		if !d.settle(s, f) {
+			f.Err.Execution = problem.MayHaveRun
+		}
+		s.final <- finalAnswer{err: f.Err}
+	}()
+}
+
+// settle reports whether a refusal may say that the request has not run.
+func (d *Daemon) settle(s *session, f request.Finish) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if f.Settle == request.SettleRelease {
+		return d.claimer.Release(ctx, f.Key, s.id) == nil
+	}
+	notRun, err := d.claimer.Void(ctx, f.Key, s.sub.Arrived)
+	return err == nil && notRun
+}
+
+// keep stores a stage's result at fellow daemons.
+func (d *Daemon) keep(_ *session, _ request.Keep) {}
+
+// textOf returns the text of a JSON string or of a "text" field, or the JSON
+// itself.
+func textOf(raw json.RawMessage) string {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text
+	}
+	var object struct {
+		Text *string `json:"text"`
+	}
+	if json.Unmarshal(raw, &object) == nil && object.Text != nil {
+		return *object.Text
+	}
+	return string(raw)
+}
--- /dev/null
+++ b/daemon/serve.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// Serve implements caller.Backend.
+func (d *Daemon) Serve(ctx context.Context, sub caller.Submission, sink caller.Sink) (*request.Answer, *problem.Error) {
+	s := newSession(sub, digestOf(sub), d.upstream.Load())
+	d.sessions.insert(s)
+	m := request.New(specOf(sub), d.deps, d.recorder(sub.RequestID))
+	d.table.Insert(m)
+	d.deliver(s, request.Start{})
+	f := d.await(ctx, s, sink)
+	close(s.closed)
+	s.stopTimers()
+	d.sessions.remove(s.id)
+	d.logEnd(s, f)
+	return f.answer, f.err
+}
+
+func specOf(sub caller.Submission) request.Spec {
+	spec := request.Spec{
+		ID: sub.RequestID, Customer: sub.Customer.Name, Bundle: sub.Bundle, Pipeline: sub.Pipeline,
+		Arrived: sub.Arrived, Deadline: sub.Deadline, Key: sub.Key, Stream: sub.Stream, Input: sub.Input,
+	}
+	if sub.Prefix != "" {
+		spec.Prefix = xxhash.Sum64String(sub.Prefix)
+	}
+	return spec
+}
+
+// digestOf identifies what a request asks for: the same key must not be used
+// for anything else.
+func digestOf(sub caller.Submission) [32]byte {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(sub.Pipeline.Name), []byte(sub.Prefix), sub.Input} {
+		sum := sha256.Sum256(part)
+		h.Write(sum[:])
+	}
+	return [32]byte(h.Sum(nil))
+}
+
+// await passes the stream on until the request has its end.
+func (d *Daemon) await(ctx context.Context, s *session, sink caller.Sink) finalAnswer {
+	gone := ctx.Done()
+	for {
+		select {
+		case part := <-s.output:
+			writePart(sink, part)
+		case f := <-s.final:
+			drainOutput(s, sink)
+			return f
+		case <-gone:
+			gone = nil
+			d.deliver(s, request.CallerGone{})
+		}
+	}
+}
+
+func drainOutput(s *session, sink caller.Sink) {
+	for {
+		select {
+		case part := <-s.output:
+			writePart(sink, part)
+		default:
+			return
+		}
+	}
+}
+
+func writePart(sink caller.Sink, part outputPart) {
+	if part.reset {
+		sink.Reset()
+		return
+	}
+	sink.Token(part.text)
+}
+
+func (d *Daemon) logEnd(s *session, f finalAnswer) {
+	took := d.Now().Sub(s.sub.Arrived).Round(time.Microsecond)
+	fields := []zap.Field{
+		zap.String("request", s.id), zap.String("customer", s.sub.Customer.Name),
+		zap.String("pipeline", s.sub.Pipeline.Name), zap.Duration("took", took),
+	}
+	if f.err != nil {
+		fields = append(fields, zap.String("kind", string(f.err.Kind)),
+			zap.String("execution", string(f.err.Execution)), zap.String("detail", f.err.Detail))
+		d.log.Info("refused", fields...)
+		return
+	}
+	d.log.Info("answered", fields...)
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -15,6 +15,7 @@
 // The error kinds.
 const (
 	BadRequest       Kind = "bad_request"
+	NotFound         Kind = "not_found"
 	TooLarge         Kind = "too_large"
 	Unauthorized     Kind = "unauthorized"
 	Forbidden        Kind = "forbidden"
@@ -62,6 +63,7 @@
 // Table has one row for each kind, in the order of the documentation.
 var Table = []Row{
 	{BadRequest, http.StatusBadRequest, "The request is malformed", false},
+	{NotFound, http.StatusNotFound, "There is no such resource", false},
 	{TooLarge, http.StatusRequestEntityTooLarge, "The request is too large", false},
 	{Unauthorized, http.StatusUnauthorized, "The API key is missing or unknown", false},
 	{Forbidden, http.StatusForbidden, "The customer may not use this pipeline", false},
