--- /dev/null
+++ b/core/request/suite_test.go
@@ -0,0 +1,13 @@
+package request
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRequest(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core/request")
+}
