Check bundles whole: every fault at once, with path and line

Cause: the library's strict decoding stops at the first fault, turns 8.5 into 8 and the version 1.10 into the string 1.1, and knows nothing of names that refer to nothing. A daemon must not put such a bundle into force, so Parse runs the whole check and the tool shows the same list.

A walk over the library's syntax tree beside the struct types notes the line of each path and every unknown key, missing value and wrong kind; scalars are still converted by the library, single values still checked by validator tags. Then names (dangling, used twice), deadlines (stages that cannot fit; a claim forgotten while its request runs), kinds of stages against pools, and claim groups.

Ruled out: decoding with the library and searching the text for lines afterwards; anchors, aliases and tags, since a reviewed text must say what it means where it stands.

The limit is 1,000,000 bytes, the smaller reading of the platform's megabyte. Names are held to a-z, 0-9, '.', '_' and '-', since they stand in URLs, logs and metrics.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -45,22 +45,22 @@
 	// Version orders bundles; the highest validly signed version wins.
 	Version uint64 `yaml:"version" validate:"required"`
 	// Deployment names the installation, such as "firma-abierta".
-	Deployment string    `yaml:"deployment" validate:"required"`
+	Deployment string    `yaml:"deployment" validate:"required,name"`
 	Objective  Objective `yaml:"objective"`
 	Policy     Policy    `yaml:"policy" validate:"omitempty,oneof=adaptive round_robin least_requests"`
 	// FailureDomains lists every failure domain that hosts and upstreams name.
-	FailureDomains []FailureDomain `yaml:"failure_domains" validate:"required,dive"`
+	FailureDomains []FailureDomain `yaml:"failure_domains" validate:"required,gte=1,dive"`
 	// Hosts lists the entry hosts. A change of this list is a view change.
-	Hosts []Host `yaml:"hosts" validate:"required,dive"`
+	Hosts []Host `yaml:"hosts" validate:"required,gte=1,dive"`
 	// Views holds the host lists of earlier versions that may still hold
 	// claims, newest first. It must name the list that Hosts replaces.
 	Views     []View      `yaml:"views,omitempty" validate:"dive"`
 	Claims    ClaimPolicy `yaml:"claims"`
 	Retry     RetryPolicy `yaml:"retry"`
 	Hedge     HedgePolicy `yaml:"hedge"`
-	Pools     []Pool      `yaml:"pools" validate:"required,dive"`
-	Pipelines []Pipeline  `yaml:"pipelines" validate:"required,dive"`
-	Customers []Customer  `yaml:"customers" validate:"required,dive"`
+	Pools     []Pool      `yaml:"pools" validate:"required,gte=1,dive"`
+	Pipelines []Pipeline  `yaml:"pipelines" validate:"required,gte=1,dive"`
+	Customers []Customer  `yaml:"customers" validate:"required,gte=1,dive"`
 }
 
 // Objective weighs what the deployment cares about; both weights are >= 0.
@@ -71,22 +71,22 @@
 
 // FailureDomain is a set of hosts that fail together.
 type FailureDomain struct {
-	Name   string `yaml:"name" validate:"required"`
-	Region string `yaml:"region" validate:"required"`
+	Name   string `yaml:"name" validate:"required,name"`
+	Region string `yaml:"region" validate:"required,name"`
 }
 
 // Host is one entry host.
 type Host struct {
-	Name          string `yaml:"name" validate:"required"`
+	Name          string `yaml:"name" validate:"required,name"`
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
 	// PeerAddress is the ip:port where fellow daemons reach the host.
-	PeerAddress string `yaml:"peer_address" validate:"required,hostname_port"`
+	PeerAddress string `yaml:"peer_address" validate:"required,ip_port"`
 }
 
 // View is a host list as it stood at an earlier version.
 type View struct {
 	Version uint64 `yaml:"version" validate:"required"`
-	Hosts   []Host `yaml:"hosts" validate:"required,dive"`
+	Hosts   []Host `yaml:"hosts" validate:"required,gte=1,dive"`
 }
 
 // ClaimPolicy governs claims on requests that may not be repeated.
@@ -128,7 +128,7 @@
 
 // Pool is a set of upstreams that serve the same thing.
 type Pool struct {
-	Name string   `yaml:"name" validate:"required"`
+	Name string   `yaml:"name" validate:"required,name"`
 	Kind PoolKind `yaml:"kind" validate:"required,oneof=engine service"`
 	// Model is the model that an engine pool serves; empty for services.
 	Model    string   `yaml:"model,omitempty"`
@@ -142,28 +142,28 @@
 	Concurrency int `yaml:"concurrency" validate:"gte=1"`
 	// MaxConnections bounds one daemon's connections to one upstream.
 	MaxConnections int        `yaml:"max_connections" validate:"gte=0"`
-	Upstreams      []Upstream `yaml:"upstreams" validate:"required,dive"`
+	Upstreams      []Upstream `yaml:"upstreams" validate:"required,gte=1,dive"`
 }
 
 // Upstream is one replica of a pool.
 type Upstream struct {
-	Name          string `yaml:"name" validate:"required"`
+	Name          string `yaml:"name" validate:"required,name"`
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
 	// Address is the ip:port of the upstream's HTTP listener.
-	Address string `yaml:"address" validate:"required,hostname_port"`
+	Address string `yaml:"address" validate:"required,ip_port"`
 }
 
 // Pipeline is a chain of stages under one deadline.
 type Pipeline struct {
-	Name string `yaml:"name" validate:"required"`
+	Name string `yaml:"name" validate:"required,name"`
 	// Deadline is the longest deadline that a request may ask for.
-	Deadline time.Duration `yaml:"deadline" validate:"required"`
-	Stages   []Stage       `yaml:"stages" validate:"required,dive"`
+	Deadline time.Duration `yaml:"deadline" validate:"required,gt=0"`
+	Stages   []Stage       `yaml:"stages" validate:"required,gte=1,dive"`
 }
 
 // Stage is one step of a pipeline.
 type Stage struct {
-	Name string    `yaml:"name" validate:"required"`
+	Name string    `yaml:"name" validate:"required,name"`
 	Kind StageKind `yaml:"kind" validate:"required,oneof=encode retrieve rerank generate call"`
 	Pool string    `yaml:"pool" validate:"required"`
 	// Path is the URL path of a service call, such as "/v1/seal".
@@ -171,7 +171,7 @@
 	// NonRepeatable stages run at most once for an idempotency key.
 	NonRepeatable bool `yaml:"non_repeatable,omitempty"`
 	// Expected is the usual duration, used until latencies are measured.
-	Expected time.Duration `yaml:"expected" validate:"required"`
+	Expected time.Duration `yaml:"expected" validate:"required,gt=0"`
 	// MaxTokens bounds a generation.
 	MaxTokens int `yaml:"max_tokens,omitempty" validate:"gte=0"`
 	// KeepResult stores the stage's result at fellow daemons for the
@@ -181,12 +181,12 @@
 
 // Customer is one party that calls.
 type Customer struct {
-	Name string `yaml:"name" validate:"required"`
+	Name string `yaml:"name" validate:"required,name"`
 	// KeyHashes are the hex SHA-256 hashes of the customer's API keys.
-	KeyHashes []string `yaml:"key_hashes" validate:"required,dive,len=64,hexadecimal"`
+	KeyHashes []string `yaml:"key_hashes" validate:"required,gte=1,dive,len=64,hexadecimal"`
 	// Weight is the customer's fair share relative to the others'.
 	Weight float64 `yaml:"weight" validate:"gt=0"`
 	// RequestsPerSecond limits the customer over the whole fleet; 0 is none.
 	RequestsPerSecond float64  `yaml:"requests_per_second,omitempty" validate:"gte=0"`
-	Pipelines         []string `yaml:"pipelines" validate:"required"`
+	Pipelines         []string `yaml:"pipelines" validate:"required,gte=1"`
 }
--- /dev/null
+++ b/bundle/decode.go
@@ -0,0 +1,196 @@
+package bundle
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// decoder walks a document beside the type that it is read into. The walk
+// exists to name every fault at once, where the library stops at the first;
+// the library still reads the document and converts each scalar.
+type decoder struct {
+	problems
+}
+
+// parseDocument returns the root of the one document of raw, or nil after
+// noting why there is none.
+func (d *decoder) parseDocument(raw []byte) ast.Node {
+	file, err := parser.ParseBytes(raw, 0)
+	if err != nil {
+		d.list = append(d.list, syntaxProblem(err))
+		return nil
+	}
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+		d.add("", "want one YAML document, got none")
+		return nil
+	}
+	if len(file.Docs) > 1 {
+		d.note("", file.Docs[1])
+		d.add("", "want one YAML document, got %d", len(file.Docs))
+		return nil
+	}
+	return file.Docs[0].Body
+}
+
+func syntaxProblem(err error) Problem {
+	p := Problem{Message: err.Error()}
+	var located yaml.Error
+	if errors.As(err, &located) {
+		p.Message = located.GetMessage()
+		p.Line = located.GetToken().Position.Line
+	}
+	return p
+}
+
+// value reads node into v and notes the line of each path.
+func (d *decoder) value(node ast.Node, v reflect.Value, path string) {
+	d.note(path, node)
+	switch node.(type) {
+	case *ast.NullNode:
+		d.add(path, "has no value")
+		return
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		d.add(path, "anchors, aliases and tags are not allowed")
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.structure(node, v, path)
+	case reflect.Slice:
+		d.sequence(node, v, path)
+	default:
+		d.scalar(node, v, path)
+	}
+}
+
+// note keeps the first line seen for path: a key's line goes before that of
+// its value.
+func (d *decoder) note(path string, node ast.Node) {
+	if _, ok := d.lines[path]; ok {
+		return
+	}
+	if token := node.GetToken(); token != nil && token.Position != nil {
+		d.lines[path] = token.Position.Line
+	}
+}
+
+func (d *decoder) structure(node ast.Node, v reflect.Value, path string) {
+	var pairs []*ast.MappingValueNode
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		pairs = n.Values
+	case *ast.MappingValueNode:
+		pairs = []*ast.MappingValueNode{n}
+	default:
+		d.add(path, "want a mapping, got %s", kindOf(node))
+		return
+	}
+	fields := fieldsOf(v.Type())
+	for _, pair := range pairs {
+		key := pair.Key.GetToken().Value
+		child := join(path, key)
+		d.note(child, pair.Key)
+		index, known := fields[key]
+		if !known {
+			d.add(child, "unknown key")
+			continue
+		}
+		d.value(pair.Value, v.Field(index), child)
+	}
+}
+
+func (d *decoder) sequence(node ast.Node, v reflect.Value, path string) {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		d.add(path, "want a list, got %s", kindOf(node))
+		return
+	}
+	items := reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values))
+	for i, item := range list.Values {
+		d.value(item, items.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+	v.Set(items)
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// scalar reads one value. The library would turn a fraction into a whole
+// number or a number into a string, so that the node's kind is checked first.
+func (d *decoder) scalar(node ast.Node, v reflect.Value, path string) {
+	if !fits(node, v.Type()) {
+		d.add(path, "want %s, got %s", typeName(v.Type()), kindOf(node))
+		return
+	}
+	if err := yaml.NodeToValue(node, v.Addr().Interface(), yaml.Strict()); err != nil {
+		d.add(path, "want %s: %s", typeName(v.Type()), oneLine(err))
+	}
+}
+
+// fits says whether a node of this kind may be read into t.
+func fits(node ast.Node, t reflect.Type) bool {
+	switch node.(type) {
+	case *ast.StringNode:
+		return t.Kind() == reflect.String || t == durationType
+	case *ast.BoolNode:
+		return t.Kind() == reflect.Bool
+	case *ast.IntegerNode:
+		return t != durationType && t.Kind() != reflect.String && t.Kind() != reflect.Bool
+	case *ast.FloatNode:
+		return t.Kind() == reflect.Float64
+	default:
+		return false
+	}
+}
+
+// fieldsOf maps the YAML keys of a struct to its fields.
+func fieldsOf(t reflect.Type) map[string]int {
+	fields := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		fields[yamlKey(t.Field(i))] = i
+	}
+	return fields
+}
+
+func yamlKey(field reflect.StructField) string {
+	key, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return key
+}
+
+func kindOf(node ast.Node) string { return strings.ToLower(node.Type().YAMLName()) }
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t == durationType:
+		return "a duration with its unit, such as 250ms"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Float64:
+		return "a finite number"
+	case t.Kind() == reflect.String:
+		return "a string in quotes"
+	default:
+		return "a whole number"
+	}
+}
+
+func oneLine(err error) string {
+	var located yaml.Error
+	if errors.As(err, &located) {
+		return located.GetMessage()
+	}
+	return err.Error()
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
--- a/bundle/parse.go
+++ b/bundle/parse.go
@@ -2,16 +2,13 @@
 
 import (
 	"fmt"
+	"reflect"
 	"time"
-
-	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/parser"
 )
 
 // MaxSize bounds a signed bundle, in bytes: the configuration service holds
 // values of up to a megabyte.
-const MaxSize = 1 << 20
+const MaxSize = 1_000_000
 
 // The defaults of values that a bundle leaves out.
 const (
@@ -27,32 +24,44 @@
 	DefaultRole             = "mixed"
 )
 
-var structChecks = validator.New(validator.WithRequiredStructEnabled())
-
-// Parse reads one YAML document, signed or not, and applies the defaults. It
+// Parse reads one YAML document, signed or not, applies the defaults and
+// checks it. Its error is a *CheckError with every fault that was found. It
 // does not look at the signature; Open does. Any goroutine may call it.
 func Parse(raw []byte) (*Bundle, error) {
+	d := &decoder{problems{lines: map[string]int{}}}
 	if len(raw) > MaxSize {
-		return nil, fmt.Errorf("bundle: %d bytes, at most %d are allowed", len(raw), MaxSize)
-	}
-	file, err := parser.ParseBytes(raw, 0)
-	if err != nil {
-		return nil, fmt.Errorf("bundle: %w", err)
+		d.add("", "%d bytes, at most %d are allowed", len(raw), MaxSize)
+		return nil, d.err()
 	}
-	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		return nil, fmt.Errorf("bundle: want one YAML document, got %d", len(file.Docs))
+	root := d.parseDocument(raw)
+	if root == nil {
+		return nil, d.err()
 	}
 	b := withDefaults()
-	if err := yaml.NodeToValue(file.Docs[0].Body, b, yaml.Strict()); err != nil {
-		return nil, fmt.Errorf("bundle: %w", err)
-	}
+	d.value(root, reflect.ValueOf(b).Elem(), "")
 	b.applyListDefaults()
-	if err := structChecks.Struct(b); err != nil {
-		return nil, fmt.Errorf("bundle: %w", err)
+	checkFields(b, &d.problems)
+	checkMeaning(b, &d.problems)
+	if err := d.err(); err != nil {
+		return nil, err
 	}
 	return b, nil
 }
 
+// Locate fills in the lines of the problems from the document that the paths
+// refer to.
+func (e *CheckError) Locate(raw []byte) {
+	d := &decoder{problems{lines: map[string]int{}}}
+	root := d.parseDocument(raw)
+	if root == nil {
+		return
+	}
+	d.value(root, reflect.ValueOf(&Bundle{}).Elem(), "")
+	for i := range e.Problems {
+		e.Problems[i].Line = d.line(e.Problems[i].Path)
+	}
+}
+
 // withDefaults returns a bundle that holds the defaults of the top-level
 // sections; decoding overwrites what the document states, zeros included.
 func withDefaults() *Bundle {
@@ -81,3 +90,6 @@
 		}
 	}
 }
+
+// indexed returns "list[i]".
+func indexed(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
