Route: pick upstreams by filters, scorers and a picker over a pool's view

Cause: the daemon needs request.Router: in-flight counts, lagged load reports, locality, prefix affinity, ejection, and the two baselines to compare with.

Ruled out: one global lock; costs multiplied together (not explainable step by step in a record); remembering prefixes (memory, and daemons would disagree).

--- /dev/null
+++ b/core/route/config.go
@@ -0,0 +1,92 @@
+package route
+
+import "time"
+
+// Config parametrises a Router. The zero value of a field takes its default.
+type Config struct {
+	// FailureDomain is the failure domain of this daemon.
+	FailureDomain string
+	// Seed seeds the generators of the shards.
+	Seed uint64
+	// Choices is the number of random candidates of a pick, one of them of the
+	// own failure domain where there is one. Default 2.
+	Choices int
+	// SaturationFactor times the pool's concurrency is the number of calls at
+	// an upstream from which it gets no more. Default 2.
+	SaturationFactor float64
+	// ReportHalfLife is the age at which a load report counts half and the
+	// pool's mean the other half; the pool's usual latency where that is
+	// shorter. Default 1 s.
+	ReportHalfLife time.Duration
+	// CrossDomain and CrossRegion are the round trips that leaving the own
+	// failure domain or region adds. Defaults 1 ms and 20 ms.
+	CrossDomain time.Duration
+	CrossRegion time.Duration
+	// PrefixBonus is the cost that a cached prompt prefix saves. Default 0.5.
+	PrefixBonus float64
+	// PrefixBound is how far over the mean load the home of a prefix may
+	// be. Default 1.5.
+	PrefixBound float64
+	// LatencyWeight is the cost of each multiple of the usual latency.
+	// Default 0.5.
+	LatencyWeight float64
+	Ejection      EjectionConfig
+	// Window is the length of the two windows of the latency histograms.
+	// Default 15 s.
+	Window time.Duration
+}
+
+// EjectionConfig parametrises the ejection of failing and straggling upstreams.
+type EjectionConfig struct {
+	// ConsecutiveFailures eject an upstream. Default 3.
+	ConsecutiveFailures int
+	// FailureRate ejects an upstream, when at least MinCalls recent calls were
+	// counted and the rest of the pool is at under half that rate.
+	// Defaults 0.5 and 8.
+	FailureRate float64
+	MinCalls    float64
+	// SlowRatio is the smoothed multiple of the pool's median latency that
+	// ejects an upstream. Default 4.
+	SlowRatio float64
+	// Base is the first ejection time; it doubles up to Max with each that
+	// follows. Defaults 2 s and 60 s.
+	Base time.Duration
+	Max  time.Duration
+	// Ramp is the time in which a readmitted upstream returns to its full
+	// share. Default 10 s.
+	Ramp time.Duration
+	// MaxShare caps the share of a pool ejected for slowness or failure rate,
+	// MaxFailingShare that ejected for any reason. One upstream may always be
+	// ejected from a pool of two or more, never all. Defaults 0.3 and 0.6.
+	MaxShare        float64
+	MaxFailingShare float64
+}
+
+func orDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.Choices, 2)
+	orDefault(&c.SaturationFactor, 2)
+	orDefault(&c.ReportHalfLife, time.Second)
+	orDefault(&c.CrossDomain, time.Millisecond)
+	orDefault(&c.CrossRegion, 20*time.Millisecond)
+	orDefault(&c.PrefixBonus, 0.5)
+	orDefault(&c.PrefixBound, 1.5)
+	orDefault(&c.LatencyWeight, 0.5)
+	orDefault(&c.Window, 15*time.Second)
+	e := &c.Ejection
+	orDefault(&e.ConsecutiveFailures, 3)
+	orDefault(&e.FailureRate, 0.5)
+	orDefault(&e.MinCalls, 8)
+	orDefault(&e.SlowRatio, 4)
+	orDefault(&e.Base, 2*time.Second)
+	orDefault(&e.Max, time.Minute)
+	orDefault(&e.Ramp, 10*time.Second)
+	orDefault(&e.MaxShare, 0.3)
+	orDefault(&e.MaxFailingShare, 0.6)
+	return c
+}
--- /dev/null
+++ b/core/route/fleet_behaviour_test.go
@@ -0,0 +1,226 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/record"
+)
+
+var _ = Describe("ejection", func() {
+	const dead = "u3"
+	fail := func(upstream string) request.CallResult {
+		if upstream == dead {
+			return request.CallFailed
+		}
+		return request.CallOK
+	}
+
+	It("takes a dead upstream out after three failures, for longer each time", func() {
+		f := newFleet(1, 10, 100, bundle.PolicyAdaptive)
+		f.result = fail
+		f.service = func(u string) time.Duration {
+			if u == dead {
+				return time.Millisecond
+			}
+			return 100 * time.Millisecond
+		}
+		f.run(time.Second)
+		Expect(f.picked[dead]).To(BeNumerically("<=", 4))
+		f.run(59 * time.Second)
+		Expect(f.picked[dead]).To(BeNumerically("<=", 16), "one or two calls after each of 2, 4, 8, 16, 32 s")
+	})
+
+	DescribeTable("never takes out more than the cap, so that a pool that fails whole still gets calls",
+		func(upstreams, most int) {
+			f := newFleet(1, upstreams, 1000, bundle.PolicyAdaptive)
+			f.result = func(string) request.CallResult { return request.CallFailed }
+			f.onPick = func(string) {
+				Expect(f.routers[0].current.Load().pools[pool].ejected(f.now)).To(BeNumerically("<=", most))
+			}
+			f.run(time.Second)
+			Expect(f.errors).To(BeZero())
+			Expect(f.routers[0].current.Load().pools[pool].ejected(f.now)).To(Equal(most))
+		},
+		Entry("one upstream", 1, 0),
+		Entry("two upstreams", 2, 1),
+		Entry("ten upstreams", 10, 6),
+	)
+
+	It("takes out at most the share of stragglers that the cap leaves", func() {
+		f := newFleet(1, 10, 1000, bundle.PolicyAdaptive)
+		slow := map[string]bool{"u0": true, "u1": true, "u2": true, "u3": true, "u4": true}
+		f.run(time.Second)
+		f.service = func(u string) time.Duration {
+			if slow[u] {
+				return 900 * time.Millisecond
+			}
+			return 100 * time.Millisecond
+		}
+		most := 0
+		f.onPick = func(string) { most = max(most, f.routers[0].current.Load().pools[pool].ejected(f.now)) }
+		f.run(3 * time.Second)
+		Expect(most).To(Equal(3))
+	})
+
+	It("readmits at a growing share", func() {
+		f := newFleet(1, 10, 100, bundle.PolicyAdaptive)
+		f.run(2 * time.Second)
+		f.result = fail
+		f.run(time.Second)
+		f.result = func(string) request.CallResult { return request.CallOK }
+		view := f.routers[0].current.Load().pools[pool]
+		f.now = view.members[3].state.ejection.until
+		shareOver := func(d time.Duration) float64 {
+			clear(f.picked)
+			f.run(d)
+			total := 0
+			for _, n := range f.picked {
+				total += n
+			}
+			return float64(f.picked[dead]) / float64(total)
+		}
+		first := shareOver(time.Second)
+		shareOver(4 * time.Second)
+		middle := shareOver(time.Second)
+		shareOver(6 * time.Second)
+		last := shareOver(2 * time.Second)
+		Expect(first).To(BeNumerically(">", 0))
+		Expect(first).To(BeNumerically("<", 0.6*last))
+		Expect(middle).To(BeNumerically(">", first))
+		Expect(last).To(BeNumerically(">", 0.05))
+	})
+
+	It("does not blame a readmitted upstream for calls sent before its ejection", func() {
+		r := testRouter(testBundle(2, 100, bundle.PolicyAdaptive), 1)
+		var old []request.Choice
+		for len(old) < 6 {
+			if c := mustPick(r, start, query()); c.Upstream == "u0" {
+				old = append(old, c)
+			}
+		}
+		e := &r.current.Load().pools[pool].members[0].state.ejection
+		for _, c := range old[:5] {
+			done(r, start.Add(time.Second), c, request.CallFailed, time.Second)
+		}
+		until := e.until
+		Expect(e.active(start.Add(time.Second))).To(BeTrue())
+		done(r, start.Add(4*time.Second), old[5], request.CallFailed, 4*time.Second)
+		Expect(e.until).To(Equal(until))
+	})
+
+	It("ejects again at the first failure after readmission", func() {
+		c := Config{}.withDefaults().Ejection
+		p := &poolView{members: []member{{state: &state{}}, {state: &state{}}}}
+		s := p.members[0].state
+		s.ejection.start(start, ejectedFailures, c)
+		Expect(s.ejection.until).To(Equal(start.Add(2 * time.Second)))
+		back := start.Add(3 * time.Second)
+		s.count(back, false)
+		p.eject(back, s, c)
+		Expect(s.ejection.until).To(Equal(back.Add(4 * time.Second)))
+		Expect(s.ejection.share(back.Add(9*time.Second), c.Ramp)).To(BeNumerically("~", 0.55, 1e-9))
+	})
+})
+
+var _ = Describe("a straggler at ten times the usual latency", func() {
+	straggle := func(f *fleet) {
+		f.service = func(u string) time.Duration {
+			d := time.Duration(float64(100*time.Millisecond) * (0.5 + rand.New(rand.NewPCG(uint64(f.now.UnixNano()), 1)).ExpFloat64()/2))
+			if u == "u3" {
+				return 10 * d
+			}
+			return d
+		}
+	}
+	shareAfter := func(policy bundle.Policy, warmup time.Duration) float64 {
+		f := newFleet(1, 10, 64, policy)
+		f.every = 2 * time.Millisecond
+		f.run(2 * time.Second)
+		straggle(f)
+		f.run(warmup)
+		clear(f.picked)
+		f.run(10 * time.Second)
+		return float64(f.picked["u3"]) / 5000
+	}
+
+	It("is avoided after two seconds", func() {
+		Expect(shareAfter(bundle.PolicyAdaptive, 2*time.Second)).To(BeNumerically("<", 0.02))
+		Expect(shareAfter(bundle.PolicyRoundRobin, 2*time.Second)).To(BeNumerically("~", 0.1, 0.01))
+	})
+})
+
+var _ = Describe("an upstream whose calls hang", func() {
+	It("is refused although none ever ended", func() {
+		f := newFleet(1, 4, 1000, bundle.PolicyAdaptive)
+		f.run(2 * time.Second)
+		f.service = func(u string) time.Duration {
+			if u == "u0" {
+				return time.Hour
+			}
+			return 100 * time.Millisecond
+		}
+		f.run(time.Second)
+		var rec entries
+		_, err := f.routers[0].Pick(f.now, query(), &rec)
+		Expect(err).To(BeNil())
+		Expect(rec[0].Choices).To(ContainElement(record.Candidate{Upstream: "u0", Refused: "stalled: stalled"}))
+	})
+})
+
+var _ = Describe("many daemons that hear the same report", func() {
+	// peak returns the highest load of any upstream, in multiples of the mean,
+	// over three seconds in which all hear the same report each second.
+	peak := func(policy bundle.Policy, spoil func(*Router)) float64 {
+		f := newFleet(40, 20, 16, policy)
+		for _, r := range f.routers {
+			spoil(r)
+		}
+		f.run(500 * time.Millisecond)
+		worst := 0.0
+		f.onPick = func(u string) {
+			total := 0
+			for _, n := range f.running {
+				total += n
+			}
+			worst = max(worst, float64(f.running[u])*20/float64(total))
+		}
+		for range 3 {
+			f.report()
+			f.run(time.Second)
+		}
+		return worst
+	}
+
+	It("do not all choose the upstream that it shows idle", func() {
+		adaptive := peak(bundle.PolicyAdaptive, func(*Router) {})
+		naive := peak(bundle.PolicyAdaptive, func(r *Router) {
+			for _, p := range r.current.Load().pools {
+				p.steps.picker = leastReported{}
+			}
+		})
+		GinkgoWriter.Printf("peak over mean: adaptive %.2f, least by report %.2f\n", adaptive, naive)
+		Expect(adaptive).To(BeNumerically("<", 3))
+		Expect(naive).To(BeNumerically(">", 2*adaptive))
+	})
+})
+
+// leastReported is the naive picker: the least loaded of all by the report.
+type leastReported struct{}
+
+func (leastReported) Name() string { return "least_reported" }
+
+func (leastReported) Pick(v *View, eligible []int, _ *rand.Rand, drawn []scored) []scored {
+	best := eligible[0]
+	for _, i := range eligible {
+		if v.Candidates[i].Load() < v.Candidates[best].Load() {
+			best = i
+		}
+	}
+	return append(drawn, scored{index: best})
+}
--- /dev/null
+++ b/core/route/fleet_test.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/core/request"
+)
+
+// call is a call in flight of a fleet.
+type call struct {
+	ends   time.Time
+	began  time.Time
+	router int
+	choice request.Choice
+}
+
+type calls []call
+
+func (c calls) Len() int           { return len(c) }
+func (c calls) Less(i, j int) bool { return c[i].ends.Before(c[j].ends) }
+func (c calls) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
+func (c *calls) Push(x any)        { *c = append(*c, x.(call)) }
+func (c *calls) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+// fleet drives many routers over the same upstreams, open-loop, in its own
+// time: calls arrive evenly, each at a random router.
+type fleet struct {
+	rng     *rand.Rand
+	routers []*Router
+	now     time.Time
+	every   time.Duration // between arrivals
+	service func(upstream string) time.Duration
+	result  func(upstream string) request.CallResult
+
+	open    calls
+	running map[string]int
+	picked  map[string]int
+	errors  int
+	// onPick is called after each pick with the state of the upstreams.
+	onPick func(upstream string)
+}
+
+func newFleet(routers, upstreams, concurrency int, policy bundle.Policy) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(3, 4)), now: start, every: time.Millisecond,
+		running: map[string]int{}, picked: map[string]int{},
+		service: func(string) time.Duration { return 100 * time.Millisecond },
+		result:  func(string) request.CallResult { return request.CallOK },
+		onPick:  func(string) {},
+	}
+	for i := range routers {
+		r := New(Config{FailureDomain: fmt.Sprintf("d%d", i%4), Seed: uint64(i)})
+		r.Apply(testBundle(upstreams, concurrency, policy))
+		f.routers = append(f.routers, r)
+	}
+	return f
+}
+
+// run lets calls arrive for d.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(f.every) {
+		f.finish()
+		i := f.rng.IntN(len(f.routers))
+		c, err := f.routers[i].Pick(f.now, query(), nil)
+		if err != nil {
+			f.errors++
+			continue
+		}
+		f.running[c.Upstream]++
+		f.picked[c.Upstream]++
+		f.onPick(c.Upstream)
+		heap.Push(&f.open, call{f.now.Add(f.service(c.Upstream)), f.now, i, c})
+	}
+}
+
+// finish ends the calls that are due.
+func (f *fleet) finish() {
+	for len(f.open) > 0 && !f.open[0].ends.After(f.now) {
+		c := heap.Pop(&f.open).(call)
+		f.running[c.choice.Upstream]--
+		done(f.routers[c.router], c.ends, c.choice, f.result(c.choice.Upstream), c.ends.Sub(c.began))
+	}
+}
+
+// report tells all routers the true load of all upstreams.
+func (f *fleet) report() {
+	for _, r := range f.routers {
+		for i := range r.current.Load().pools[pool].members {
+			name := fmt.Sprintf("u%d", i)
+			r.Observe(load.Report{Upstream: name, AsOf: f.now, Running: f.running[name]})
+		}
+	}
+}
--- /dev/null
+++ b/core/route/note.go
@@ -0,0 +1,74 @@
+package route
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/wheatseam/wheatseam/record"
+)
+
+// StepPick is the decision step that a Router records.
+const StepPick record.Step = "route.pick"
+
+// maxRecorded bounds the candidates in one record entry.
+const maxRecorded = 16
+
+// note records the pick: first the candidates drawn, then refused ones.
+func (p *poolView) note(rec record.Recorder, v *View, outcome string, drawn []scored) {
+	if rec == nil {
+		return
+	}
+	s := p.shard
+	e := record.Entry{At: v.Now, Step: StepPick, Stage: v.Query.Stage, Attempt: v.Query.Attempt, Outcome: outcome}
+	e.Choices = make([]record.Candidate, 0, min(maxRecorded, len(v.Candidates)))
+	for _, d := range drawn {
+		e.Choices = append(e.Choices, record.Candidate{Upstream: v.Candidates[d.index].Name, Score: d.cost})
+	}
+	refused := 0
+	for i, set := range s.result.refusals {
+		if set == 0 || wasDrawn(drawn, i) {
+			continue
+		}
+		refused++
+		if len(e.Choices) < maxRecorded {
+			c := &v.Candidates[i]
+			e.Choices = append(e.Choices, record.Candidate{Upstream: c.Name, Refused: reasonOf(v, p.steps.filters, c)})
+		}
+	}
+	e.Fields = p.fields(v, refused, drawn)
+	rec.Add(e)
+}
+
+// fields returns the inputs that decided a pick.
+func (p *poolView) fields(v *View, refused int, drawn []scored) []record.Field {
+	fs := make([]record.Field, 0, 8+len(p.steps.scorers))
+	add := func(key, value string) { fs = append(fs, record.Field{Key: key, Value: value}) }
+	add("pool", p.name)
+	add("policy", string(p.steps.policy))
+	add("candidates", strconv.Itoa(len(v.Candidates)))
+	add("refused", strconv.Itoa(refused))
+	if r := p.shard.result.relaxed; r != Never {
+		add("relaxed", strconv.Itoa(int(r)))
+	}
+	if v.Home >= 0 {
+		add("prefix_home", v.Candidates[v.Home].Name)
+	}
+	if len(drawn) == 0 {
+		return fs
+	}
+	c := &v.Candidates[drawn[0].index]
+	add("own", strconv.Itoa(c.Own))
+	add("foreign", formatCost(c.Foreign))
+	add("believed", formatCost(c.Believed))
+	for _, s := range p.steps.scorers {
+		add("cost."+s.Name(), formatCost(s.Cost(v, c)))
+	}
+	return fs
+}
+
+func formatCost(x float64) string { return strconv.FormatFloat(x, 'f', 3, 64) }
+
+// wasDrawn says whether candidate i is among drawn: a refusal that was lifted.
+func wasDrawn(drawn []scored, i int) bool {
+	return slices.ContainsFunc(drawn, func(d scored) bool { return d.index == i })
+}
--- /dev/null
+++ b/core/route/picker.go
@@ -0,0 +1,109 @@
+package route
+
+import "math/rand/v2"
+
+// maxDrawn bounds the candidates that one pick scores.
+const maxDrawn = 16
+
+// scored is a drawn candidate and its cost.
+type scored struct {
+	index int
+	cost  float64
+}
+
+// Picker chooses among the eligible candidates (at least one). It appends the
+// ones it weighed to drawn, the chosen one first.
+type Picker interface {
+	Name() string
+	Pick(v *View, eligible []int, rng *rand.Rand, drawn []scored) []scored
+}
+
+// randomChoices draws one candidate at random from the own failure domain, the
+// other choices from everywhere, adds the home of the prefix, and takes the
+// cheapest. Drawing few keeps daemons that share a view from all choosing the
+// same upstream: of n daemons' calls the one that looks best gets about
+// choices times its even share, and no more.
+type randomChoices struct {
+	choices int
+	scorers []Scorer
+	local   []int
+}
+
+func (*randomChoices) Name() string { return "random_choices" }
+
+func (p *randomChoices) Pick(v *View, eligible []int, rng *rand.Rand, drawn []scored) []scored {
+	p.local = p.local[:0]
+	for _, i := range eligible {
+		if v.Candidates[i].Domain == v.Domain {
+			p.local = append(p.local, i)
+		}
+	}
+	drawn = p.draw(v, p.local, 1, rng, drawn)
+	drawn = p.draw(v, eligible, p.choices, rng, drawn)
+	if v.Home >= 0 {
+		drawn = p.add(v, v.Home, drawn)
+	}
+	best := 0
+	for i := range drawn {
+		if drawn[i].cost < drawn[best].cost {
+			best = i
+		}
+	}
+	drawn[0], drawn[best] = drawn[best], drawn[0]
+	return drawn
+}
+
+// draw adds members of from until want candidates are drawn.
+func (p *randomChoices) draw(v *View, from []int, want int, rng *rand.Rand, drawn []scored) []scored {
+	for k := 0; len(drawn) < want && k < len(from); k++ {
+		j := k + rng.IntN(len(from)-k)
+		from[k], from[j] = from[j], from[k]
+		drawn = p.add(v, from[k], drawn)
+	}
+	return drawn
+}
+
+// add scores candidate i unless it was drawn already.
+func (p *randomChoices) add(v *View, i int, drawn []scored) []scored {
+	for _, d := range drawn {
+		if d.index == i {
+			return drawn
+		}
+	}
+	if len(drawn) == maxDrawn {
+		return drawn
+	}
+	return append(drawn, scored{i, scoreOf(v, p.scorers, &v.Candidates[i])})
+}
+
+// roundRobin takes the eligible candidates in turn.
+type roundRobin struct{ next int }
+
+func (*roundRobin) Name() string { return "round_robin" }
+
+func (p *roundRobin) Pick(_ *View, eligible []int, _ *rand.Rand, drawn []scored) []scored {
+	i := eligible[p.next%len(eligible)]
+	p.next++
+	return append(drawn, scored{index: i})
+}
+
+// leastRequests takes the candidate with the fewest own calls in flight, a
+// random one among equals.
+type leastRequests struct{}
+
+func (leastRequests) Name() string { return "least_requests" }
+
+func (leastRequests) Pick(v *View, eligible []int, rng *rand.Rand, drawn []scored) []scored {
+	best, ties := eligible[0], 0
+	for _, i := range eligible {
+		switch own, least := v.Candidates[i].Own, v.Candidates[best].Own; {
+		case own < least:
+			best, ties = i, 1
+		case own == least:
+			if ties++; rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return append(drawn, scored{best, float64(v.Candidates[best].Own)})
+}
--- /dev/null
+++ b/core/route/prefix.go
@@ -0,0 +1,46 @@
+package route
+
+import "math"
+
+// prefixHome returns the index of the upstream whose cache should hold prefix:
+// the first in rendezvous order, among the eligible of this daemon's region
+// (of all, when it has none), whose load is within the bound. All daemons with
+// like views agree on it without telling each other, and no prefix is
+// remembered. It returns -1 when prefix is 0 or nothing is eligible.
+//
+// The bound is factor times the mean load, and never under half the
+// concurrency: an engine batches that much at little cost.
+func prefixHome(v *View, eligible []int, prefix uint64, factor float64) int {
+	if prefix == 0 || len(eligible) == 0 {
+		return -1
+	}
+	var total float64
+	regional := false
+	for _, i := range eligible {
+		total += v.Candidates[i].Load()
+		regional = regional || v.sameRegion(&v.Candidates[i])
+	}
+	bound := math.Ceil(factor * (total + 1) / float64(len(eligible)))
+	bound = max(bound, v.Concurrency/2)
+	home := -1
+	var best uint64
+	for _, i := range eligible {
+		c := &v.Candidates[i]
+		if regional && !v.sameRegion(c) || c.Load()+1 > bound {
+			continue
+		}
+		if rank := mix(prefix ^ c.Hash); home < 0 || rank > best {
+			home, best = i, rank
+		}
+	}
+	return home
+}
+
+// mix is the finaliser of splitmix64: it ranks a key's upstreams. The pinned
+// rendezvous library returns a key's first node only; the bound needs the next
+// ones too.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/core/route/router.go
@@ -0,0 +1,162 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/record"
+)
+
+// Retry hints of a refusal.
+const (
+	saturatedRetry = time.Second
+	emptyRetry     = 5 * time.Second
+)
+
+// Router implements request.Router. All methods may be called concurrently.
+type Router struct {
+	config Config
+	// mu serialises Apply and SetLeaving.
+	mu      sync.Mutex
+	leaving map[string]bool
+	current atomic.Pointer[snapshot]
+}
+
+var _ request.Router = (*Router)(nil)
+
+// New returns a Router that knows no upstream until Apply.
+func New(c Config) *Router {
+	r := &Router{config: c.withDefaults(), leaving: map[string]bool{}}
+	r.current.Store(&snapshot{pools: map[string]*poolView{}})
+	return r
+}
+
+// Pick implements request.Router. rec may be nil.
+func (r *Router) Pick(now time.Time, q request.Query, rec record.Recorder) (request.Choice, *problem.Error) {
+	snap := r.current.Load()
+	p := snap.pools[q.Pool]
+	if p == nil {
+		return request.Choice{}, problem.New(problem.NoUpstream, "no pool %q", q.Pool)
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	return p.pick(now, &q, &r.config, snap.region, rec)
+}
+
+// pick runs the steps; the shard is locked.
+func (p *poolView) pick(now time.Time, q *request.Query, c *Config, region string, rec record.Recorder) (request.Choice, *problem.Error) {
+	s := p.shard
+	v := p.fill(now, q, c, region)
+	runFilters(v, p.steps.filters, &s.result)
+	if len(s.result.eligible) == 0 {
+		err := p.refusal(v)
+		p.note(rec, v, "refused", nil)
+		return request.Choice{}, err
+	}
+	if q.Kind == bundle.StageGenerate && p.steps.policy == bundle.PolicyAdaptive {
+		v.Home = prefixHome(v, s.result.eligible, q.Prefix, c.PrefixBound)
+	}
+	s.drawn = p.steps.picker.Pick(v, s.result.eligible, s.rng, s.drawn[:0])
+	m := &p.members[s.drawn[0].index]
+	p.note(rec, v, m.name, s.drawn)
+	m.state.begin(now)
+	return request.Choice{Pool: p.name, Upstream: m.name, Address: m.address, FailureDomain: m.domain}, nil
+}
+
+// refusal explains why no upstream is left.
+func (p *poolView) refusal(v *View) *problem.Error {
+	saturated := 0
+	for i := range v.Candidates {
+		if c := &v.Candidates[i]; !c.Leaving && c.Load() >= v.Limit {
+			saturated++
+		}
+	}
+	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, the others leaving", p.name, len(v.Candidates), saturated)
+	err.RetryAfter = emptyRetry
+	if saturated > 0 {
+		err.RetryAfter = saturatedRetry
+	}
+	return err
+}
+
+// Done implements request.Router.
+func (r *Router) Done(now time.Time, o request.Outcome) {
+	p := r.current.Load().pools[o.Choice.Pool]
+	if p == nil {
+		return
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	p.done(now, &o, &r.config)
+}
+
+// done ends a call; the shard is locked.
+func (p *poolView) done(now time.Time, o *request.Outcome, c *Config) {
+	s := p.shard
+	st := s.states[upstreamKey{o.Choice.Upstream, o.Choice.Address}]
+	if st == nil {
+		return
+	}
+	st.end(now)
+	covered := st.ejection.covers(now.Add(-o.Latency), now)
+	switch o.Result {
+	case request.CallOK:
+		l := s.stage(now, o.Stage, c.Window)
+		slowness := l.slowness(o.Latency, o.Tokens, true)
+		l.done(now, o.Latency, o.FirstByte, o.Tokens)
+		if l.total.refreshed.Equal(now) {
+			s.measure()
+		}
+		if !covered {
+			p.judge(now, st, slowness, c)
+			st.count(now, true)
+		}
+	case request.CallFailed:
+		if !covered {
+			st.count(now, false)
+		}
+	case request.CallRefused:
+		st.refused(now)
+	case request.CallCancelled:
+		l := s.stage(now, o.Stage, c.Window)
+		slowness := l.slowness(o.Latency, o.Tokens, false)
+		l.gaveUp(now, o.Latency)
+		if !covered && slowness > st.slownessNow(now) {
+			p.judge(now, st, slowness, c)
+		}
+	}
+	if !covered {
+		p.eject(now, st, c.Ejection)
+	}
+}
+
+// judge takes a sample of slowness, 0 for none.
+func (p *poolView) judge(now time.Time, st *state, sample float64, c *Config) {
+	if sample <= 0 {
+		return
+	}
+	smoothing := slowSmoothing
+	if st.ejection.ramping(now, c.Ejection.Ramp) {
+		smoothing = rampSmoothing
+	}
+	st.slow(now, sample, smoothing)
+}
+
+// Expect implements request.Router.
+func (r *Router) Expect(pool, stage string, quantile float64) (time.Duration, bool) {
+	p := r.current.Load().pools[pool]
+	if p == nil {
+		return 0, false
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	l := p.shard.stages[stage]
+	if l == nil {
+		return 0, false
+	}
+	return l.total.quantile(quantile)
+}
--- /dev/null
+++ b/core/route/router_test.go
@@ -0,0 +1,191 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+var _ = Describe("Router", func() {
+	It("is deterministic for a seed", func() {
+		run := func() (names []string) {
+			r := testRouter(testBundle(10, 4, bundle.PolicyAdaptive), 7)
+			for i := range 100 {
+				c := mustPick(r, start, query())
+				if i%3 == 0 {
+					done(r, start, c, request.CallOK, time.Millisecond)
+				}
+				if i%8 == 7 {
+					r = testRouter(testBundle(10, 4, bundle.PolicyAdaptive), 7)
+				}
+				names = append(names, c.Upstream)
+			}
+			return names
+		}
+		Expect(run()).To(Equal(run()))
+	})
+
+	It("refuses unknown and empty pools as not run", func() {
+		r := New(Config{})
+		_, err := r.Pick(start, query(), nil)
+		Expect(err.Kind).To(Equal(problem.NoUpstream))
+		Expect(err.Execution).To(Equal(problem.NotRun))
+	})
+
+	DescribeTable("gives a leaving upstream no new work, and finishes its calls",
+		func(policy bundle.Policy) {
+			r := testRouter(testBundle(4, 100, policy), 1)
+			var open []request.Choice
+			for range 20 {
+				open = append(open, mustPick(r, start, query()))
+			}
+			r.SetLeaving([]string{"u1"}, start)
+			r.Observe(load.Report{Upstream: "u2", AsOf: start, Leaving: true})
+			r.Apply(testBundle(4, 100, policy))
+			for range 100 {
+				Expect(mustPick(r, start, query()).Upstream).To(BeElementOf("u0", "u3"))
+			}
+			for _, c := range open {
+				done(r, start, c, request.CallOK, time.Millisecond)
+			}
+			r.SetLeaving([]string{"u0", "u1", "u3"}, start)
+			_, err := r.Pick(start, query(), nil)
+			Expect(err.Kind).To(Equal(problem.NoUpstream))
+		},
+		Entry("adaptive", bundle.PolicyAdaptive),
+		Entry("round robin", bundle.PolicyRoundRobin),
+		Entry("least requests", bundle.PolicyLeastRequests),
+	)
+
+	It("does not let an older report undo that an upstream is leaving", func() {
+		r := testRouter(testBundle(2, 100, bundle.PolicyAdaptive), 1)
+		r.Observe(load.Report{Upstream: "u0", AsOf: start.Add(time.Second), Leaving: true})
+		r.Observe(load.Report{Upstream: "u0", AsOf: start})
+		for range 20 {
+			Expect(mustPick(r, start, query()).Upstream).To(Equal("u1"))
+		}
+	})
+
+	It("keeps counts over a new bundle by name and address, also of upstreams away for a while", func() {
+		r := testRouter(testBundle(1, 2, bundle.PolicyAdaptive), 1)
+		var open []request.Choice
+		for range 4 {
+			open = append(open, mustPick(r, start, query()))
+		}
+		saturated := func() bool {
+			c, err := r.Pick(start, query(), nil)
+			if err == nil {
+				done(r, start, c, request.CallCancelled, 0)
+			}
+			return err != nil
+		}
+		Expect(saturated()).To(BeTrue())
+		r.Apply(testBundle(1, 2, bundle.PolicyAdaptive))
+		Expect(saturated()).To(BeTrue())
+		without := testBundle(1, 2, bundle.PolicyAdaptive)
+		without.Pools = nil
+		r.Apply(without)
+		r.Apply(without)
+		Expect(saturated()).To(BeTrue())
+		r.Apply(testBundle(1, 2, bundle.PolicyAdaptive))
+		Expect(saturated()).To(BeTrue())
+		for _, c := range open {
+			done(r, start, c, request.CallOK, time.Millisecond)
+		}
+		Expect(saturated()).To(BeFalse())
+
+		moved := testBundle(1, 2, bundle.PolicyAdaptive)
+		for range 4 {
+			mustPick(r, start, query())
+		}
+		moved.Pools[0].Upstreams[0].Address = "127.0.0.1:9"
+		r.Apply(moved)
+		Expect(saturated()).To(BeFalse())
+	})
+
+	It("keeps the count of an upstream that a bundle dropped while its calls ran", func() {
+		r := testRouter(testBundle(2, 2, bundle.PolicyAdaptive), 1)
+		for range 8 {
+			mustPick(r, start, query())
+		}
+		r.Apply(testBundle(1, 2, bundle.PolicyAdaptive))
+		r.Apply(testBundle(2, 2, bundle.PolicyAdaptive))
+		_, err := r.Pick(start, query(), nil)
+		Expect(err).NotTo(BeNil())
+	})
+
+	It("goes to another failure domain on a retry", func() {
+		r := testRouter(testBundle(8, 4, bundle.PolicyAdaptive), 1)
+		q := query()
+		q.Tried, q.TriedDomains = []string{"u0"}, []string{"d0"}
+		for range 20 {
+			c := mustPick(r, start, q)
+			Expect(c.FailureDomain).NotTo(Equal("d0"))
+			done(r, start, c, request.CallOK, time.Millisecond)
+		}
+	})
+
+	It("records candidates, scores and reasons, 16 at most", func() {
+		r := testRouter(testBundle(40, 4, bundle.PolicyAdaptive), 1)
+		q := query()
+		for i := range 30 {
+			q.Tried = append(q.Tried, r.current.Load().pools[pool].members[i].name)
+		}
+		var rec entries
+		c, err := r.Pick(start, q, &rec)
+		Expect(err).To(BeNil())
+		Expect(rec).To(HaveLen(1))
+		e := rec[0]
+		Expect(e.Outcome).To(Equal(c.Upstream))
+		Expect(e.Choices).To(HaveLen(maxRecorded))
+		Expect(e.Choices[0].Upstream).To(Equal(c.Upstream))
+		Expect(e.Choices[0].Score).To(BeNumerically(">", 0))
+		Expect(e.Choices[maxRecorded-1].Refused).To(Equal("tried: tried"))
+	})
+
+	It("expects what it measured, and nothing before 20 calls", func() {
+		r := testRouter(testBundle(4, 100, bundle.PolicyAdaptive), 1)
+		_, known := r.Expect(pool, "generate", 0.5)
+		Expect(known).To(BeFalse())
+		for i := range 100 {
+			done(r, start.Add(time.Duration(i)*time.Second), mustPick(r, start, query()), request.CallOK, time.Duration(i+1)*time.Millisecond)
+		}
+		// The window holds the last 20 to 40 calls.
+		d, known := r.Expect(pool, "generate", 0.5)
+		Expect(known).To(BeTrue())
+		Expect(d).To(BeNumerically(">", 70*time.Millisecond))
+	})
+
+	It("is safe for concurrent use and loses no count", func() {
+		r := testRouter(testBundle(10, 1000, bundle.PolicyAdaptive), 1)
+		var wg sync.WaitGroup
+		for g := range 8 {
+			wg.Go(func() {
+				for i := range 200 {
+					c, err := r.Pick(start, query(), nil)
+					if err == nil {
+						done(r, start, c, request.CallOK, time.Millisecond)
+					}
+					switch {
+					case g == 0 && i%20 == 0:
+						r.Apply(testBundle(10, 1000, bundle.PolicyAdaptive))
+					case g == 1:
+						r.SetLeaving([]string{"u3"}, start)
+						r.Observe(load.Report{Upstream: "u1", AsOf: start.Add(time.Duration(i))})
+					case g == 2:
+						r.Expect(pool, "generate", 0.9)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		Expect(r.current.Load().pools[pool].shard.inFlight()).To(Equal(0))
+	})
+})
