Admit requests and slots by deadline, measured limit and fair share

Cause: without limits a pool at twice its capacity serves first come first served, so that nearly every answer is late.

core/admit implements request.Admitter. Baseline policies bypass it.

Windows hold 32 to 64 samples now, a limit that is not used up does not shrink, and it recovers to its start.

--- /dev/null
+++ b/core/admit/controller.go
@@ -0,0 +1,365 @@
+package admit
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/record"
+)
+
+// The steps of admission in decision records.
+const (
+	StepArrive  record.Step = "admit.arrive"
+	StepAcquire record.Step = "admit.acquire"
+)
+
+// Controller implements request.Admitter.
+type Controller struct {
+	cfg       Config
+	view      atomic.Pointer[view]
+	shares    atomic.Pointer[Shares]
+	customers customers
+
+	applying sync.Mutex // serialises Apply
+}
+
+var _ request.Admitter = (*Controller)(nil)
+
+// view is what admission needs of a bundle: immutable but for the pools,
+// which have locks of their own.
+type view struct {
+	unlimited bool // a baseline policy
+	margin    float64
+	customers map[string]*bundle.Customer
+	pools     map[string]*pool
+	// ordered holds the pools by name, so that equal inputs give equal answers.
+	ordered []*pool
+}
+
+func (v *view) weight(customer string) float64 {
+	if c := v.customers[customer]; c != nil && c.Weight > 0 {
+		return c.Weight
+	}
+	return 1
+}
+
+// New returns a Controller that refuses everything until Apply is called.
+func New(cfg Config) *Controller {
+	c := &Controller{cfg: cfg.withDefaults()}
+	c.view.Store(&view{})
+	c.SetShares(equalShares(0))
+	return c
+}
+
+// Apply puts b in force. Pools that stay keep their state. Shares fall back to
+// equal ones of the new host list until SetShares is called again.
+func (c *Controller) Apply(b *bundle.Bundle) {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	old := c.view.Load()
+	next := &view{
+		unlimited: b.Policy == bundle.PolicyRoundRobin || b.Policy == bundle.PolicyLeastRequests,
+		margin:    margin(b.Objective),
+		customers: make(map[string]*bundle.Customer, len(b.Customers)),
+		pools:     make(map[string]*pool, len(b.Pools)),
+	}
+	for i := range b.Customers {
+		next.customers[b.Customers[i].Name] = &b.Customers[i]
+	}
+	for i := range b.Pools {
+		next.pools[b.Pools[i].Name] = carryOver(old, &b.Pools[i])
+	}
+	for name, p := range old.pools {
+		p.mu.Lock()
+		if _, kept := next.pools[name]; !kept && !p.idle() {
+			next.pools[name] = p
+		}
+		p.mu.Unlock()
+	}
+	next.ordered = slices.SortedFunc(maps.Values(next.pools), func(a, b *pool) int {
+		return strings.Compare(a.name, b.name)
+	})
+	c.SetShares(equalShares(1 / float64(max(1, len(b.Hosts)))))
+	c.view.Store(next)
+}
+
+func carryOver(old *view, b *bundle.Pool) *pool {
+	p := old.pools[b.Name]
+	if p == nil {
+		return newPool(b)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limiter.configure(b)
+	return p
+}
+
+// SetShares makes s the shares in force.
+func (c *Controller) SetShares(s Shares) { c.shares.Store(&s) }
+
+func (c *Controller) fraction(now time.Time, pool string) float64 {
+	return (*c.shares.Load()).Pool(now, pool)
+}
+
+// Arrive implements request.Admitter. It refuses with problem.RateLimited,
+// problem.DeadlineTooShort or problem.Overloaded.
+func (c *Controller) Arrive(now time.Time, p request.Plan, rec record.Recorder) *problem.Error {
+	v := c.view.Load()
+	if err := c.takeRate(now, v, p.Customer); err != nil {
+		c.note(rec, now, StepArrive, "refused", err.Kind, nil)
+		return err
+	}
+	if v.unlimited {
+		return nil
+	}
+	f, err := c.plan(now, v, p)
+	if err != nil {
+		c.drop(v, p)
+	}
+	c.noteArrive(rec, now, f, err)
+	return err
+}
+
+func (c *Controller) takeRate(now time.Time, v *view, customer string) *problem.Error {
+	limit, limited := 0.0, false
+	if cust := v.customers[customer]; cust != nil && cust.RequestsPerSecond > 0 && !v.unlimited {
+		limited = true
+		limit = cust.RequestsPerSecond * (*c.shares.Load()).Customer(now, customer)
+	}
+	wait := c.customers.take(now, customer, limit, limited)
+	if wait <= 0 {
+		return nil
+	}
+	err := problem.New(problem.RateLimited, "customer %s is over its share of the limit on this host", customer)
+	err.RetryAfter = min(wait, c.cfg.MaxRetryAfter)
+	return err
+}
+
+// outlook is what admission foresees for a whole request.
+type outlook struct {
+	budget  time.Duration
+	service time.Duration
+	wait    time.Duration
+	allowed time.Duration
+	// tightest is the pool that the request waits for longest.
+	tightest  string
+	borrowing bool
+}
+
+// plan reserves the request's work at each of its pools and predicts when it
+// would finish. On an error the reservations stay; the caller drops them.
+func (c *Controller) plan(now time.Time, v *view, p request.Plan) (outlook, *problem.Error) {
+	o := outlook{budget: p.Deadline.Sub(now)}
+	at, longest := 0.0, 0.0
+	for _, n := range p.Needs {
+		o.service += n.Expected
+		shard := v.pools[n.Pool]
+		if shard == nil {
+			return o, problem.New(problem.NoUpstream, "there is no pool %s", n.Pool)
+		}
+		f := shard.reserve(now, planKeyOf(p, n), p.Customer, v.weight(p.Customer), n.Expected, c.fraction(now, n.Pool))
+		if wait := f.wait - at; wait > 0 {
+			o.wait += seconds(wait)
+			o.borrowing = o.borrowing || f.borrowing
+			at = f.wait
+			if wait > longest {
+				longest, o.tightest = wait, n.Pool
+			}
+		}
+		at += n.Expected.Seconds() * (1 + v.margin)
+	}
+	return o, c.judge(&o, v.margin)
+}
+
+// reserve plans one call and foresees its wait.
+func (p *pool) reserve(now time.Time, k planKey, customer string, weight float64, expected time.Duration, fraction float64) forecast {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.offered.add(now, expected.Seconds())
+	f := p.planned.foresee(customer, weight, p.slots(fraction), p.service(expected))
+	p.planned.add(k, customer, weight, expected)
+	return f
+}
+
+// judge compares the outlook with the deadline.
+func (c *Controller) judge(o *outlook, margin float64) *problem.Error {
+	needed := seconds(o.service.Seconds() * (1 + margin))
+	o.allowed = o.budget - needed
+	if o.allowed < 0 {
+		return problem.New(problem.DeadlineTooShort, "the stages need %v, the deadline leaves %v", needed, o.budget)
+	}
+	if o.borrowing {
+		o.allowed = seconds(o.allowed.Seconds() * borrowedReach)
+	}
+	if o.wait <= o.allowed {
+		return nil
+	}
+	err := problem.New(problem.Overloaded, "the wait for pool %s would be too long for the deadline", o.tightest)
+	err.RetryAfter = min(o.wait-o.allowed, c.cfg.MaxRetryAfter)
+	return err
+}
+
+// drop takes the request out of every pool's plan.
+func (c *Controller) drop(v *view, p request.Plan) {
+	for _, n := range p.Needs {
+		shard := v.pools[n.Pool]
+		if shard == nil {
+			continue
+		}
+		shard.mu.Lock()
+		shard.planned.remove(planKeyOf(p, n))
+		shard.mu.Unlock()
+	}
+}
+
+// Leave implements request.Admitter.
+func (c *Controller) Leave(_ time.Time, p request.Plan, _ bool) {
+	c.drop(c.view.Load(), p)
+}
+
+// Acquire implements request.Admitter. It refuses with problem.Overloaded.
+func (c *Controller) Acquire(now time.Time, t request.Ticket, rec record.Recorder) (request.Verdict, *problem.Error) {
+	v := c.view.Load()
+	p := v.pools[t.Pool]
+	if p == nil {
+		return request.Refused, problem.New(problem.NoUpstream, "there is no pool %s", t.Pool)
+	}
+	verdict, err := p.acquire(now, v, t, c.fraction(now, t.Pool), c.cfg)
+	switch verdict {
+	case request.Granted:
+		c.note(rec, now, StepAcquire, "granted", "", &t)
+	case request.Queued:
+		c.note(rec, now, StepAcquire, "queued", "", &t)
+	default:
+		c.note(rec, now, StepAcquire, "refused", err.Kind, &t)
+	}
+	return verdict, err
+}
+
+func (p *pool) acquire(now time.Time, v *view, t request.Ticket, fraction float64, cfg Config) (request.Verdict, *problem.Error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v.unlimited {
+		p.inFlight++
+		return request.Granted, nil
+	}
+	slots := p.slots(fraction)
+	startBy := t.Deadline.Add(-t.After - seconds(t.Expected.Seconds()*(1+v.margin)))
+	if startBy.Before(now) {
+		err := problem.New(problem.Overloaded, "stage %s can no longer finish within the deadline", t.Stage)
+		err.RetryAfter = min(p.drainTime(slots), cfg.MaxRetryAfter)
+		return request.Refused, err
+	}
+	if p.queue.len() == 0 && !p.full(slots) {
+		p.inFlight++
+		return request.Granted, nil
+	}
+	bound := max(cfg.MinQueue, int(slots)*cfg.QueuePerSlot)
+	if !p.enqueue(now, t, startBy, v.weight(t.Customer), bound) {
+		err := problem.New(problem.Overloaded, "the queue of pool %s is full", p.name)
+		err.RetryAfter = min(p.drainTime(slots), cfg.MaxRetryAfter)
+		return request.Refused, err
+	}
+	return request.Queued, nil
+}
+
+// Abandon implements request.Admitter. A ticket that is not queued is left as
+// it is: when it was granted meanwhile, the caller still owes its Release.
+func (c *Controller) Abandon(_ time.Time, t request.Ticket) {
+	p := c.view.Load().pools[t.Pool]
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if it := p.queue.byKey[keyOf(t)]; it != nil {
+		p.queue.remove(it)
+	}
+}
+
+// Release implements request.Admitter.
+func (c *Controller) Release(now time.Time, t request.Ticket, r request.CallResult, latency time.Duration) []request.Grant {
+	p := c.view.Load().pools[t.Pool]
+	if p == nil {
+		return nil
+	}
+	fraction := c.fraction(now, t.Pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slots := p.slots(fraction)
+	used := float64(p.inFlight) >= slots*usedFraction
+	p.inFlight--
+	p.finished.add(now, 1)
+	switch r {
+	case request.CallOK:
+		p.limiter.succeeded(now, t.Stage, latency, used)
+		p.planned.remove(planKey{t.Request, t.Stage})
+	case request.CallRefused:
+		p.limiter.refused(now)
+	}
+	slots = p.slots(fraction)
+	return p.pump(now, slots, min(p.drainTime(slots), c.cfg.MaxRetryAfter))
+}
+
+// Tick implements request.Admitter.
+func (c *Controller) Tick(now time.Time) []request.Grant {
+	var out []request.Grant
+	for _, p := range c.view.Load().ordered {
+		fraction := c.fraction(now, p.name)
+		p.mu.Lock()
+		if p.queue.len() > 0 || len(p.answered) > 0 {
+			slots := p.slots(fraction)
+			out = append(out, p.pump(now, slots, min(p.drainTime(slots), c.cfg.MaxRetryAfter))...)
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+func (c *Controller) noteArrive(rec record.Recorder, now time.Time, o outlook, err *problem.Error) {
+	if rec == nil {
+		return
+	}
+	fields := []record.Field{
+		{Key: "budget_ms", Value: millis(o.budget)},
+		{Key: "service_ms", Value: millis(o.service)},
+		{Key: "wait_ms", Value: millis(o.wait)},
+		{Key: "wait_allowed_ms", Value: millis(o.allowed)},
+		{Key: "tightest_pool", Value: o.tightest},
+		{Key: "borrowing", Value: strconv.FormatBool(o.borrowing)},
+	}
+	outcome := "admitted"
+	if err != nil {
+		outcome = "refused"
+		fields = append(fields, record.Field{Key: "kind", Value: string(err.Kind)})
+	}
+	rec.Add(record.Entry{At: now, Step: StepArrive, Outcome: outcome, Fields: fields})
+}
+
+func (c *Controller) note(rec record.Recorder, now time.Time, step record.Step, outcome string, kind problem.Kind, t *request.Ticket) {
+	if rec == nil {
+		return
+	}
+	e := record.Entry{At: now, Step: step, Outcome: outcome}
+	if kind != "" {
+		e.Fields = append(e.Fields, record.Field{Key: "kind", Value: string(kind)})
+	}
+	if t != nil {
+		e.Stage, e.Attempt = t.Stage, t.Attempt
+		e.Fields = append(e.Fields,
+			record.Field{Key: "pool", Value: t.Pool},
+			record.Field{Key: "budget_ms", Value: millis(t.Deadline.Sub(now))},
+			record.Field{Key: "after_ms", Value: millis(t.After)})
+	}
+	rec.Add(e)
+}
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- /dev/null
+++ b/core/admit/limit.go
@@ -0,0 +1,139 @@
+package admit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+)
+
+// Constants of the adaptive limit.
+const (
+	windowSamples    = 64
+	minWindowSamples = 32
+	minWindow        = 100 * time.Millisecond
+	baselineSpan     = 30 * time.Second
+	maxGrowth        = 4.0
+	growTolerance    = 1.1
+	serviceTolerance = 1.5
+	// engineTolerance is wider: an engine's token time grows with its batch.
+	engineTolerance  = 2.5
+	minGradient      = 0.7
+	refusalDecrease  = 0.9
+	usedFraction     = 0.8
+	growthOfRoot     = 0.25
+	latencySmoothing = 0.1
+)
+
+// limiter estimates how many calls a whole pool runs well at a time. It starts
+// at the bundle's concurrency, shrinks while the median latency of a window
+// stands well over the lowest median of the last half to full minute or while
+// upstreams refuse, recovers to its start otherwise, and grows beyond it while
+// it is used up and latency stays low.
+// It is guarded by the lock of its pool.
+type limiter struct {
+	estimate  float64
+	start     float64
+	tolerance float64
+	stages    map[string]*window
+	mean      float64 // smoothed latency of successful calls, seconds
+	cutAt     time.Time
+}
+
+// window collects the latencies of one stage, since stages that share a pool
+// may differ by orders of magnitude.
+type window struct {
+	since   time.Time
+	samples []float64
+	used    bool
+	// lowest holds the lowest median of the current and the previous span.
+	lowest  [2]float64
+	rotated time.Time
+}
+
+func newLimiter(p *bundle.Pool) *limiter {
+	start := float64(len(p.Upstreams) * max(p.Concurrency, 1))
+	l := &limiter{estimate: start, start: start, stages: map[string]*window{}}
+	l.configure(p)
+	return l
+}
+
+// configure takes over a changed pool and keeps what was learnt as a ratio.
+func (l *limiter) configure(p *bundle.Pool) {
+	start := float64(len(p.Upstreams) * max(p.Concurrency, 1))
+	l.estimate *= start / l.start
+	l.start = start
+	l.tolerance = serviceTolerance
+	if p.Kind == bundle.PoolEngine {
+		l.tolerance = engineTolerance
+	}
+}
+
+// refused notes that an upstream refused a call: the estimate shrinks, once
+// per window at most.
+func (l *limiter) refused(now time.Time) {
+	if now.Sub(l.cutAt) < minWindow {
+		return
+	}
+	l.cutAt = now
+	l.estimate = max(1, l.estimate*refusalDecrease)
+}
+
+// succeeded notes the latency of a call; used says that the limit was nearly
+// used up.
+func (l *limiter) succeeded(now time.Time, stage string, latency time.Duration, used bool) {
+	seconds := latency.Seconds()
+	if l.mean == 0 {
+		l.mean = seconds
+	}
+	l.mean += latencySmoothing * (seconds - l.mean)
+	w := l.stages[stage]
+	if w == nil {
+		w = &window{since: now, rotated: now, samples: make([]float64, 0, windowSamples)}
+		l.stages[stage] = w
+	}
+	w.samples = append(w.samples, seconds)
+	w.used = w.used || used
+	full := len(w.samples) == windowSamples
+	ripe := len(w.samples) >= minWindowSamples && now.Sub(w.since) >= minWindow
+	if full || ripe {
+		l.close(now, w)
+	}
+}
+
+// close ends a window and moves the estimate by it.
+func (l *limiter) close(now time.Time, w *window) {
+	slices.Sort(w.samples)
+	median := w.samples[len(w.samples)/2]
+	base := w.baseline(now, median)
+	used := w.used
+	w.samples, w.used, w.since = w.samples[:0], false, now
+	step := growthOfRoot * math.Sqrt(l.estimate)
+	switch {
+	case median > base*l.tolerance:
+		// A limit that is not used up is not what slows the pool down.
+		if used {
+			l.estimate *= max(minGradient, base*l.tolerance/median)
+		}
+	case l.estimate < l.start:
+		l.estimate = min(l.start, l.estimate+step)
+	case median <= base*growTolerance && used:
+		l.estimate += step
+	}
+	l.estimate = min(max(l.estimate, 1), l.start*maxGrowth)
+}
+
+// baseline returns the lowest median of the last one to two spans.
+func (w *window) baseline(now time.Time, median float64) float64 {
+	if now.Sub(w.rotated) >= baselineSpan {
+		w.lowest[1], w.lowest[0], w.rotated = w.lowest[0], 0, now
+	}
+	if w.lowest[0] == 0 || median < w.lowest[0] {
+		w.lowest[0] = median
+	}
+	if w.lowest[1] == 0 {
+		return w.lowest[0]
+	}
+	return min(w.lowest[0], w.lowest[1])
+}
--- /dev/null
+++ b/core/admit/plan.go
@@ -0,0 +1,119 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/request"
+)
+
+// borrowedReach is the share of its slack that a request may spend waiting
+// while its customer is over its fair share: the rest is left for customers
+// that come back for theirs, so that admitted work still finishes.
+const borrowedReach = 0.5
+
+// planKey names the call that a request has yet to make.
+type planKey struct {
+	request string
+	stage   string
+}
+
+// planned is the work that admitted requests still have to do at a pool.
+// It is guarded by the lock of its pool.
+type planned struct {
+	calls     map[planKey]plannedCall
+	customers map[string]*plannedCustomer
+	weights   float64 // sum over customers
+	seconds   float64 // sum of expected service times
+}
+
+type plannedCall struct {
+	customer string
+	seconds  float64
+}
+
+type plannedCustomer struct {
+	calls  int
+	weight float64
+}
+
+func newPlanned() *planned {
+	return &planned{calls: map[planKey]plannedCall{}, customers: map[string]*plannedCustomer{}}
+}
+
+func (p *planned) add(k planKey, customer string, weight float64, expected time.Duration) {
+	if _, ok := p.calls[k]; ok {
+		return
+	}
+	seconds := expected.Seconds()
+	p.calls[k] = plannedCall{customer, seconds}
+	p.seconds += seconds
+	c := p.customers[customer]
+	if c == nil {
+		c = &plannedCustomer{weight: weight}
+		p.customers[customer] = c
+		p.weights += weight
+	}
+	c.calls++
+}
+
+func (p *planned) remove(k planKey) {
+	call, ok := p.calls[k]
+	if !ok {
+		return
+	}
+	delete(p.calls, k)
+	p.seconds -= call.seconds
+	c := p.customers[call.customer]
+	c.calls--
+	if c.calls == 0 {
+		delete(p.customers, call.customer)
+		p.weights -= c.weight
+	}
+	if len(p.calls) == 0 {
+		p.seconds, p.weights = 0, 0
+	}
+}
+
+// forecast is what a pool foresees for one more call.
+type forecast struct {
+	// wait is the time until a slot is free for the call, in seconds, counted
+	// from now.
+	wait float64
+	// borrowing says that the customer is over its fair share of the pool.
+	borrowing bool
+	ahead     int
+}
+
+// foresee predicts the wait of one more call of customer, given slots that
+// each take service seconds a call. The call waits for everything planned
+// before it, or, where that is sooner, for its customer's own calls at the
+// customer's fair share of the slots.
+func (p *planned) foresee(customer string, weight, slots, service float64) forecast {
+	total := len(p.calls)
+	own, weights := 0, p.weights
+	if c := p.customers[customer]; c != nil {
+		own = c.calls
+	} else {
+		weights += weight
+	}
+	fair := slots * weight / weights
+	f := forecast{ahead: total, borrowing: float64(own)+1 > fair}
+	f.wait = waitFor(total, slots, service)
+	if !f.borrowing {
+		// The queue serves this customer at its next turn.
+		f.wait = min(f.wait, service/slots)
+		return f
+	}
+	f.wait = min(f.wait, waitFor(own, fair, service))
+	return f
+}
+
+// waitFor returns how long calls ahead keep all slots busy, in seconds.
+func waitFor(ahead int, slots, service float64) float64 {
+	return max(0, float64(ahead)-slots+1) * service / slots
+}
+
+// need ties a stage's place in a plan to its key.
+func planKeyOf(p request.Plan, n request.Need) planKey {
+	return planKey{p.Request, n.Stage}
+}
--- /dev/null
+++ b/core/admit/rate.go
@@ -0,0 +1,132 @@
+package admit
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+)
+
+const (
+	customerShards = 16
+	// demandSpan is the time constant of measured rates.
+	demandSpan = 2 * time.Second
+	// burstSpan is how much of its rate a customer may use at once.
+	burstSpan = time.Second
+)
+
+// decayed measures a rate a second with exponential decay over demandSpan.
+type decayed struct {
+	sum float64
+	at  time.Time
+}
+
+func (d *decayed) add(now time.Time, x float64) {
+	d.sum = d.value(now) + x
+	d.at = now
+}
+
+// value returns the decayed sum.
+func (d *decayed) value(now time.Time) float64 {
+	elapsed := now.Sub(d.at)
+	if d.sum == 0 || elapsed <= 0 {
+		return d.sum
+	}
+	return d.sum * math.Exp(-elapsed.Seconds()/demandSpan.Seconds())
+}
+
+// rate returns the sum a second.
+func (d *decayed) rate(now time.Time) float64 {
+	return d.value(now) / demandSpan.Seconds()
+}
+
+// customerShard holds the rate limits of some of the customers.
+type customerShard struct {
+	mu        sync.Mutex
+	customers map[string]*customerState
+}
+
+// customerState is guarded by the lock of its shard.
+type customerState struct {
+	arrivals decayed
+	// limiter is nil while the customer has no limit.
+	limiter *rate.Limiter
+	limit   float64
+}
+
+// customers is the sharded table of customers.
+type customers [customerShards]customerShard
+
+func (c *customers) shard(customer string) *customerShard {
+	return &c[xxhash.Sum64String(customer)%customerShards]
+}
+
+// take counts an arrival and takes it from the customer's limit, in requests
+// a second on this daemon; a limit of 0 is none. It returns how long the
+// customer has to wait for its next request, 0 when this one is within.
+func (c *customers) take(now time.Time, customer string, limit float64, limited bool) time.Duration {
+	s := c.shard(customer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.customers == nil {
+		s.customers = map[string]*customerState{}
+	}
+	state := s.customers[customer]
+	if state == nil {
+		state = &customerState{}
+		s.customers[customer] = state
+	}
+	state.arrivals.add(now, 1)
+	if !limited {
+		state.limiter = nil
+		return 0
+	}
+	state.set(now, limit)
+	r := state.limiter.ReserveN(now, 1)
+	if !r.OK() {
+		return rate.InfDuration
+	}
+	delay := r.DelayFrom(now)
+	if delay > 0 {
+		r.CancelAt(now)
+	}
+	return delay
+}
+
+// set makes limit the limit in force. What is saved up stays within the burst.
+func (s *customerState) set(now time.Time, limit float64) {
+	burst := int(math.Max(1, limit*burstSpan.Seconds()))
+	if s.limiter == nil {
+		s.limiter = rate.NewLimiter(rate.Limit(limit), burst)
+		s.limit = limit
+		return
+	}
+	if s.limit == limit {
+		return
+	}
+	s.limiter.SetLimitAt(now, rate.Limit(limit))
+	s.limiter.SetBurstAt(now, burst)
+	s.limit = limit
+}
+
+// demand returns the arrivals a second of each customer heard of lately
+// leaves out the others.
+func (c *customers) demand(now time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for i := range c {
+		s := &c[i]
+		s.mu.Lock()
+		for name, state := range s.customers {
+			if r := state.arrivals.rate(now); r > leastDemand {
+				out[name] = r
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// leastDemand is the rate a second under which a customer counts as idle.
+const leastDemand = 0.001
--- /dev/null
+++ b/core/admit/suite_test.go
@@ -0,0 +1,13 @@
+package admit
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestAdmit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Admit Suite")
+}
