Return slots that are granted to requests which have given up

Cause: a grant on its way to a request that ended meanwhile would have kept its slot for good. Ruled out: returning it in Abandon, since the admitter cannot tell a grant on its way from a refusal on its way. Whoever gets a grant now owes its release; a test in core/request fails without returnSlot. Routing learns ExpectFirstByte, which hedges of generations need.

--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -94,18 +94,27 @@
 }
 
 func (m *Machine) slotGranted(now time.Time, e SlotGranted) {
-	a := m.find(e.Attempt)
+	a := m.find(e.Grant.Ticket.Attempt)
 	if a == nil || a.state != attemptQueued {
+		m.returnSlot(now, e.Grant)
 		return
 	}
-	if e.Err != nil {
+	if e.Grant.Err != nil {
 		a.state = attemptEnded
-		m.attemptLost(now, a, e.Err)
+		m.attemptLost(now, a, e.Grant.Err)
 		return
 	}
 	m.send(now, a)
 }
 
+// returnSlot releases a slot that was granted to an attempt which had given up
+// its wait meanwhile.
+func (m *Machine) returnSlot(now time.Time, g Grant) {
+	if g.Err == nil {
+		m.notify(m.deps.Admitter.Release(now, g.Ticket, CallCancelled, 0))
+	}
+}
+
 // send picks an upstream for an attempt that has its slot and calls it.
 func (m *Machine) send(now time.Time, a *attempt) {
 	if a.stage != m.stage || m.phase != phaseRunning || !now.Before(m.spec.Deadline) {
@@ -194,7 +203,7 @@
 	switch a.state {
 	case attemptQueued:
 		a.state = attemptEnded
-		m.notify(m.deps.Admitter.Abandon(now, a.ticket))
+		m.deps.Admitter.Abandon(now, a.ticket)
 	case attemptSent:
 		a.cancelled = true
 		m.note(now, "cancel", a.number, a.choice.Upstream)
--- a/core/request/event.go
+++ b/core/request/event.go
@@ -13,12 +13,8 @@
 // Start begins the request.
 type Start struct{}
 
-// SlotGranted ends the wait of an attempt for a slot of its pool. Err is nil
-// when the slot is granted.
-type SlotGranted struct {
-	Attempt int
-	Err     *problem.Error
-}
+// SlotGranted ends the wait of an attempt for a slot of its pool.
+type SlotGranted struct{ Grant Grant }
 
 // ClaimDecided answers a Claim action. Exactly one of the fields is set.
 type ClaimDecided struct {
--- a/core/request/fakes_test.go
+++ b/core/request/fakes_test.go
@@ -73,14 +73,13 @@
 	return Queued, nil
 }
 
-func (a *fakeAdmitter) Abandon(_ time.Time, t Ticket) []Grant {
+func (a *fakeAdmitter) Abandon(_ time.Time, t Ticket) {
 	for i := range a.queue {
 		if a.queue[i].Attempt == t.Attempt {
 			a.queue = append(a.queue[:i], a.queue[i+1:]...)
-			return nil
+			return
 		}
 	}
-	return nil
 }
 
 func (a *fakeAdmitter) Release(time.Time, Ticket, CallResult, time.Duration) []Grant {
--- a/core/request/machine_test.go
+++ b/core/request/machine_test.go
@@ -127,6 +127,45 @@
 		Expect(h.finish().Answer.Stages[0].Reused).To(BeTrue())
 	})
 
+	Describe("waiting for a slot", func() {
+		BeforeEach(func() {
+			h = newHarness(false)
+			h.admit.slots = 0
+			h.step(Start{})
+			Expect(h.admit.queue).To(HaveLen(1))
+		})
+
+		grant := func(err *problem.Error) SlotGranted {
+			t := h.admit.queue[0]
+			h.admit.queue = nil
+			if err == nil {
+				h.admit.held++
+			}
+			return SlotGranted{Grant: Grant{Ticket: t, Err: err}}
+		}
+
+		It("goes on when the slot is granted", func() {
+			h.admit.slots = 1
+			h.step(grant(nil))
+			h.ok(1)
+			h.ok(2)
+			settled()
+		})
+
+		It("refuses at once when the wait cannot succeed", func() {
+			h.step(grant(problem.New(problem.Overloaded, "too late")))
+			settled()
+			Expect(h.finish().Err.Execution).To(Equal(problem.NotRun))
+		})
+
+		It("returns a slot that was granted to an attempt that gave up", func() {
+			g := grant(nil)
+			h.step(CallerGone{})
+			h.step(g)
+			settled()
+		})
+	})
+
 	Describe("hedging", func() {
 		hedged := func() {
 			h = newHarness(false)
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -136,9 +136,9 @@
 	Leave(now time.Time, p Plan, attained bool)
 	// Acquire asks for a slot. A queued ticket is answered by a later Grant.
 	Acquire(now time.Time, t Ticket, rec record.Recorder) (Verdict, *problem.Error)
-	// Abandon gives up a ticket that was queued. If its slot was granted
-	// meanwhile and the Grant is still on its way, the slot is returned.
-	Abandon(now time.Time, t Ticket) []Grant
+	// Abandon takes a queued ticket out of its queue. A ticket that was granted
+	// meanwhile is left: whoever gets its Grant owes the Release.
+	Abandon(now time.Time, t Ticket)
 	// Release returns a granted slot and reports how the call went.
 	Release(now time.Time, t Ticket, r CallResult, latency time.Duration) []Grant
 	// Tick ends the waits that can no longer succeed. It is called every
--- a/core/request/table.go
+++ b/core/request/table.go
@@ -44,22 +44,22 @@
 }
 
 // Deliver passes an event to a request and returns the actions. An event for a
-// request that is gone is dropped and counted.
-func (t *Table) Deliver(now time.Time, id string, ev Event) []Action {
+// request that is gone is dropped and counted, and false returned.
+func (t *Table) Deliver(now time.Time, id string, ev Event) ([]Action, bool) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.machines[id]
 	if !ok {
 		s.dropped++
-		return nil
+		return nil, false
 	}
 	actions := m.Step(now, ev)
 	if m.Finished() && m.Idle() {
 		s.dropped += uint64(m.Dropped())
 		delete(s.machines, id)
 	}
-	return actions
+	return actions, true
 }
 
 // Len returns the number of requests in flight, including those that are
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -148,6 +148,15 @@
 
 // Expect implements request.Router.
 func (r *Router) Expect(pool, stage string, quantile float64) (time.Duration, bool) {
+	return r.expect(pool, stage, func(l *stageLatency) *window { return l.total }, quantile)
+}
+
+// ExpectFirstByte implements request.Router.
+func (r *Router) ExpectFirstByte(pool, stage string, quantile float64) (time.Duration, bool) {
+	return r.expect(pool, stage, func(l *stageLatency) *window { return l.first }, quantile)
+}
+
+func (r *Router) expect(pool, stage string, of func(*stageLatency) *window, quantile float64) (time.Duration, bool) {
 	p := r.current.Load().pools[pool]
 	if p == nil {
 		return 0, false
@@ -158,5 +167,5 @@
 	if l == nil {
 		return 0, false
 	}
-	return l.total.quantile(quantile)
+	return of(l).quantile(quantile)
 }
--- a/daemon/perform.go
+++ b/daemon/perform.go
@@ -25,15 +25,31 @@
 // deliver passes an event to the request's machine and carries out its
 // actions.
 func (d *Daemon) deliver(s *session, ev request.Event) {
-	for _, a := range d.table.Deliver(d.Now(), s.id, ev) {
+	actions, _ := d.table.Deliver(d.Now(), s.id, ev)
+	d.performAll(s, actions)
+}
+
+func (d *Daemon) performAll(s *session, actions []request.Action) {
+	for _, a := range actions {
 		d.perform(s, a)
 	}
 }
 
-// notify carries a grant to the request that waits for it.
+// notify carries a grant to the request that waits for it. A slot granted to a
+// request that is gone is returned, which may grant it to the next one.
 func (d *Daemon) notify(g request.Grant) {
 	if s := d.sessions.get(g.Ticket.Request); s != nil {
-		d.deliver(s, request.SlotGranted{Attempt: g.Ticket.Attempt, Err: g.Err})
+		actions, ok := d.table.Deliver(d.Now(), s.id, request.SlotGranted{Grant: g})
+		if ok {
+			d.performAll(s, actions)
+			return
+		}
+	}
+	if g.Err != nil {
+		return
+	}
+	for _, next := range d.deps.Admitter.Release(d.Now(), g.Ticket, request.CallCancelled, 0) {
+		go d.notify(next)
 	}
 }
 
--- a/daemon/thin.go
+++ b/daemon/thin.go
@@ -65,7 +65,7 @@
 func (admitAll) Acquire(time.Time, request.Ticket, record.Recorder) (request.Verdict, *problem.Error) {
 	return request.Granted, nil
 }
-func (admitAll) Abandon(time.Time, request.Ticket) []request.Grant { return nil }
+func (admitAll) Abandon(time.Time, request.Ticket) {}
 func (admitAll) Release(time.Time, request.Ticket, request.CallResult, time.Duration) []request.Grant {
 	return nil
 }
