Read and write replay traces

JSON lines with a header, shared prefixes, requests, callers' retries and faults. Ruled out: one object per file (unreadable diffs), free-form maps (a misspelt member would change a measurement silently; every member must be known). Conclusion: every wrong line is reported at once with its number.

--- /dev/null
+++ b/replay/trace/parse.go
@@ -0,0 +1,286 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/google/uuid"
+)
+
+// maxLine bounds the bytes of one line.
+const maxLine = 1 << 20
+
+// maxRepeat bounds the repetitions of a text, maxText its length after them.
+const (
+	maxRepeat = 10_000
+	maxText   = 256 << 10
+)
+
+// LineError is an error in one line of a trace.
+type LineError struct {
+	// Line counts from 1.
+	Line int
+	Err  error
+}
+
+// Error implements error.
+func (e *LineError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
+
+// Unwrap returns the cause.
+func (e *LineError) Unwrap() error { return e.Err }
+
+// parser gathers the lines of one trace and every error in them.
+type parser struct {
+	trace    Trace
+	line     int
+	prefixes map[string]bool
+	requests map[string]Request
+	errs     []error
+}
+
+// Parse reads a trace. Its error joins one *LineError for each wrong line.
+func Parse(r io.Reader) (*Trace, error) {
+	p := &parser{prefixes: map[string]bool{}, requests: map[string]Request{}}
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		p.line++
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		if err := p.take(text); err != nil {
+			p.errs = append(p.errs, &LineError{Line: p.line, Err: err})
+		}
+	}
+	if err := lines.Err(); err != nil {
+		p.errs = append(p.errs, &LineError{Line: p.line + 1, Err: err})
+	}
+	if p.trace.Header.Version == 0 && len(p.errs) == 0 {
+		p.errs = append(p.errs, &LineError{Line: 1, Err: errors.New("the trace is empty")})
+	}
+	if len(p.errs) > 0 {
+		return nil, errors.Join(p.errs...)
+	}
+	slices.SortStableFunc(p.trace.Requests, func(a, b Request) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	slices.SortStableFunc(p.trace.Faults, func(a, b Fault) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	return &p.trace, nil
+}
+
+func (p *parser) take(text []byte) error {
+	var kind struct {
+		Type lineType `json:"type"`
+	}
+	if err := json.Unmarshal(text, &kind); err != nil {
+		return fmt.Errorf("not a JSON object: %w", err)
+	}
+	if kind.Type != typeTrace && p.trace.Header.Version == 0 {
+		p.trace.Header.Version = FormatVersion // report it once
+		return fmt.Errorf("the first line must be of type %q, not %q", typeTrace, kind.Type)
+	}
+	switch kind.Type {
+	case typeTrace:
+		return p.takeHeader(text)
+	case typePrefix:
+		return p.takePrefix(text)
+	case typeRequest:
+		return p.takeRequest(text)
+	case typeFault:
+		return p.takeFault(text)
+	default:
+		return fmt.Errorf("unknown type %q", kind.Type)
+	}
+}
+
+// decode reads one line, in which every member must be known.
+func decode(text []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("more than one JSON object on the line")
+	}
+	return nil
+}
+
+func (p *parser) takeHeader(text []byte) error {
+	if p.trace.Header.Version != 0 {
+		return errors.New("a second header")
+	}
+	p.trace.Header.Version = FormatVersion // report a wrong header once
+	var l headerLine
+	if err := decode(text, &l); err != nil {
+		return err
+	}
+	if l.Version != FormatVersion {
+		return fmt.Errorf("version %d is not supported, only %d", l.Version, FormatVersion)
+	}
+	if l.Name == "" {
+		return errors.New("name is missing")
+	}
+	p.trace.Header = l.Header
+	return nil
+}
+
+func (p *parser) takePrefix(text []byte) error {
+	var l prefixLine
+	if err := decode(text, &l); err != nil {
+		return err
+	}
+	if l.Name == "" || l.Text == "" {
+		return errors.New("a prefix needs name and text")
+	}
+	if p.prefixes[l.Name] {
+		return fmt.Errorf("prefix %q stands twice", l.Name)
+	}
+	if err := checkText(l.Text, l.Repeat); err != nil {
+		return err
+	}
+	p.prefixes[l.Name] = true
+	p.trace.Prefixes = append(p.trace.Prefixes, l.Prefix)
+	return nil
+}
+
+func (p *parser) takeRequest(text []byte) error {
+	var l requestLine
+	if err := decode(text, &l); err != nil {
+		return err
+	}
+	r := l.Request
+	if r.ID == "" {
+		return errors.New("id is missing")
+	}
+	if _, ok := p.requests[r.ID]; ok {
+		return fmt.Errorf("id %q stands twice", r.ID)
+	}
+	if len(p.requests) >= MaxRequests {
+		return fmt.Errorf("more than %d requests", MaxRequests)
+	}
+	if err := checkOffset(r.AtMS); err != nil {
+		return err
+	}
+	r, err := p.complete(r)
+	if err != nil {
+		return err
+	}
+	p.requests[r.ID] = r
+	p.trace.Requests = append(p.trace.Requests, r)
+	return nil
+}
+
+// complete checks a request and fills in defaults and, for a retry, the
+// members of the request that it repeats.
+func (p *parser) complete(r Request) (Request, error) {
+	if r.RetryOf != "" {
+		return p.completeRetry(r)
+	}
+	if r.When != "" {
+		return r, errors.New("when stands only beside retry_of")
+	}
+	if r.Customer == "" || r.Pipeline == "" {
+		return r, errors.New("a request needs customer and pipeline")
+	}
+	if r.DeadlineMS <= 0 {
+		return r, errors.New("deadline_ms must be positive")
+	}
+	if r.Key != "" && r.Key != AutoKey {
+		if _, err := uuid.Parse(r.Key); err != nil {
+			return r, fmt.Errorf("key is neither %q nor a UUID: %w", AutoKey, err)
+		}
+	}
+	if r.Prefix != "" && !p.prefixes[r.Prefix] {
+		return r, fmt.Errorf("prefix %q is not defined above", r.Prefix)
+	}
+	if err := checkText(r.Prompt, r.PromptRepeat); err != nil {
+		return r, err
+	}
+	return r, r.checkExpect()
+}
+
+func (r *Request) checkExpect() error {
+	switch r.Expect {
+	case "":
+		r.Expect = ExpectAny
+	case ExpectAny, ExpectAnswer, ExpectRefusal:
+	default:
+		return fmt.Errorf("unknown expectation %q", r.Expect)
+	}
+	return nil
+}
+
+func (p *parser) completeRetry(r Request) (Request, error) {
+	first, ok := p.requests[r.RetryOf]
+	if !ok {
+		return r, fmt.Errorf("retry_of %q is not defined above", r.RetryOf)
+	}
+	if first.RetryOf != "" {
+		return r, fmt.Errorf("retry_of %q is a retry itself; name the first try", r.RetryOf)
+	}
+	if r.AtMS < first.AtMS {
+		return r, errors.New("a retry comes before its first try")
+	}
+	if first.Key == "" {
+		return r, fmt.Errorf("retry_of %q has no key", r.RetryOf)
+	}
+	bare := Request{ID: r.ID, AtMS: r.AtMS, RetryOf: r.RetryOf, When: r.When}
+	if r != bare {
+		return r, errors.New("a retry states only id, at_ms, retry_of and when")
+	}
+	switch r.When {
+	case "":
+		r.When = RetryUnlessAnswered
+	case RetryUnlessAnswered, RetryAlways:
+	default:
+		return r, fmt.Errorf("unknown condition %q", r.When)
+	}
+	retry := first
+	retry.ID, retry.AtMS, retry.RetryOf, retry.When = r.ID, r.AtMS, r.RetryOf, r.When
+	return retry, nil
+}
+
+func (p *parser) takeFault(text []byte) error {
+	var l faultLine
+	if err := decode(text, &l); err != nil {
+		return err
+	}
+	if err := checkOffset(l.AtMS); err != nil {
+		return err
+	}
+	if l.Pool == "" {
+		return errors.New("pool is missing")
+	}
+	if slices.ContainsFunc(l.Replicas, func(i int) bool { return i < 0 }) {
+		return errors.New("replicas count from 0")
+	}
+	if !strings.HasPrefix(string(l.Body), "{") {
+		return errors.New("body must be a JSON object")
+	}
+	p.trace.Faults = append(p.trace.Faults, l.Fault)
+	return nil
+}
+
+func checkOffset(ms int64) error {
+	if ms < 0 || ms > MaxOffset.Milliseconds() {
+		return fmt.Errorf("at_ms %d lies outside 0 to %d", ms, MaxOffset.Milliseconds())
+	}
+	return nil
+}
+
+func checkText(text string, repeat int) error {
+	if repeat < 0 || repeat > maxRepeat {
+		return fmt.Errorf("repeat %d lies outside 0 to %d", repeat, maxRepeat)
+	}
+	if n := len(text) * max(repeat, 1); n > maxText {
+		return fmt.Errorf("text of %d bytes is longer than %d", n, maxText)
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/trace/write.go
@@ -0,0 +1,81 @@
+package trace
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"io"
+	"slices"
+)
+
+// The lines as they stand in a file.
+type (
+	headerLine struct {
+		Type lineType `json:"type"`
+		Header
+	}
+	prefixLine struct {
+		Type lineType `json:"type"`
+		Prefix
+	}
+	requestLine struct {
+		Type lineType `json:"type"`
+		Request
+	}
+	faultLine struct {
+		Type lineType `json:"type"`
+		Fault
+	}
+)
+
+// Write writes t so that Parse reads it back: header, prefixes, then requests
+// and faults by offset. Retries are written with their own members only.
+func Write(w io.Writer, t *Trace) error {
+	buffered := bufio.NewWriter(w)
+	enc := json.NewEncoder(buffered)
+	enc.SetEscapeHTML(false)
+	for _, line := range lines(t) {
+		if err := enc.Encode(line); err != nil {
+			return err
+		}
+	}
+	return buffered.Flush()
+}
+
+func lines(t *Trace) []any {
+	out := []any{headerLine{typeTrace, t.Header}}
+	for _, p := range t.Prefixes {
+		out = append(out, prefixLine{typePrefix, p})
+	}
+	type timed struct {
+		at   int64
+		line any
+	}
+	events := make([]timed, 0, len(t.Requests)+len(t.Faults))
+	for _, r := range t.Requests {
+		events = append(events, timed{r.AtMS, requestLine{typeRequest, r.written()}})
+	}
+	for _, f := range t.Faults {
+		events = append(events, timed{f.AtMS, faultLine{typeFault, f}})
+	}
+	slices.SortStableFunc(events, func(a, b timed) int { return cmp.Compare(a.at, b.at) })
+	for _, e := range events {
+		out = append(out, e.line)
+	}
+	return out
+}
+
+// written leaves out what Parse fills in.
+func (r Request) written() Request {
+	if r.RetryOf != "" {
+		r = Request{ID: r.ID, AtMS: r.AtMS, RetryOf: r.RetryOf, When: r.When}
+		if r.When == RetryUnlessAnswered {
+			r.When = ""
+		}
+		return r
+	}
+	if r.Expect == ExpectAny {
+		r.Expect = ""
+	}
+	return r
+}
