--- /dev/null
+++ b/replay/faults.go
@@ -0,0 +1,81 @@
+package replay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wheatseam/wheatseam/replay/trace"
+)
+
+// controlTimeout bounds one call to the control interface of a stand-in.
+const controlTimeout = 5 * time.Second
+
+// targets returns the addresses that f names.
+func targets(standIns map[string][]string, f trace.Fault) ([]string, error) {
+	addresses := standIns[f.Pool]
+	if len(addresses) == 0 {
+		return nil, fmt.Errorf("fault at %d ms: no stand-ins known for pool %q", f.AtMS, f.Pool)
+	}
+	if len(f.Replicas) == 0 {
+		return addresses, nil
+	}
+	var out []string
+	for _, i := range f.Replicas {
+		if i >= len(addresses) {
+			return nil, fmt.Errorf("fault at %d ms: pool %q has no replica %d", f.AtMS, f.Pool, i)
+		}
+		out = append(out, addresses[i])
+	}
+	return out, nil
+}
+
+// injectFaults posts every fault at its offset.
+func (r *runner) injectFaults(ctx context.Context) []FaultReport {
+	var out []FaultReport
+	for _, f := range r.trace.Faults {
+		if !r.waitUntil(ctx, r.offset(f.At())) {
+			return append(out, FaultReport{Fault: f, Err: ctx.Err()})
+		}
+		out = append(out, FaultReport{Fault: f, Err: r.inject(ctx, f)})
+	}
+	return out
+}
+
+func (r *runner) inject(ctx context.Context, f trace.Fault) error {
+	addresses, err := targets(r.cfg.StandIns, f)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, a := range addresses {
+		errs = append(errs, PostFault(ctx, r.cfg.Client, a, f.Body))
+	}
+	return errors.Join(errs...)
+}
+
+// PostFault replaces the faults of the stand-in at address by body, a JSON
+// object; an empty one clears them.
+func PostFault(ctx context.Context, client *http.Client, address string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/control/faults", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("injecting a fault: %w", err)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("injecting a fault at %s: status %d", address, resp.StatusCode)
+	}
+	return nil
+}
