--- a/replay/audit/audit_test.go
+++ b/replay/audit/audit_test.go
@@ -69,7 +69,9 @@
 	return ledger.Entry{Key: key, RequestID: id, Stage: stage, Customer: "clinic", State: s, StartedUnixMS: start.Add(at).UnixMilli()}
 }
 
-func seal(key, id string) ledger.Entry { return entry(key, id, "apply", 5*time.Millisecond, ledger.Done) }
+func seal(key, id string) ledger.Entry {
+	return entry(key, id, "apply", 5*time.Millisecond, ledger.Done)
+}
 
 func kinds(f audit.Finding) []audit.Kind {
 	out := []audit.Kind{}
--- /dev/null
+++ b/replay/report/cost.go
@@ -0,0 +1,192 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wheatseam/wheatseam/replay"
+	"github.com/wheatseam/wheatseam/replay/ledger"
+)
+
+// Spent is work of one sort.
+type Spent struct {
+	Calls         int     `json:"calls"`
+	EngineSeconds float64 `json:"engine_seconds"`
+	Tokens        int     `json:"tokens"`
+}
+
+func (s *Spent) add(e ledger.Entry) {
+	s.Calls++
+	s.EngineSeconds += e.EngineMS / 1000
+	s.Tokens += e.Tokens
+}
+
+// StageCost is what one stage cost and what share of it was wasted.
+type StageCost struct {
+	Stage string `json:"stage"`
+	All   Spent  `json:"all"`
+	// Retries is the work of attempts whose request was answered in time by
+	// another attempt, begun after they had ended.
+	Retries Spent `json:"retries"`
+	// Hedges is the work of attempts that ran beside the one that was used.
+	Hedges Spent `json:"hedges"`
+	// Late is work for requests that were not answered in time, Cancelled the
+	// part of such work that was given up on the way.
+	Late      Spent `json:"late"`
+	Cancelled Spent `json:"cancelled"`
+	// WastedShare is the share of the engine seconds, or of the calls where no
+	// engine seconds are known, that the four sorts above make up.
+	WastedShare float64 `json:"wasted_share"`
+}
+
+func (c *StageCost) finish() {
+	seconds, calls := 0.0, 0
+	for _, s := range []Spent{c.Retries, c.Hedges, c.Late, c.Cancelled} {
+		seconds += s.EngineSeconds
+		calls += s.Calls
+	}
+	switch {
+	case c.All.EngineSeconds > 0:
+		c.WastedShare = seconds / c.All.EngineSeconds
+	case c.All.Calls > 0:
+		c.WastedShare = float64(calls) / float64(c.All.Calls)
+	}
+}
+
+// use is what an execution was good for.
+type use uint8
+
+const (
+	useNeeded use = iota
+	useRetry
+	useHedge
+	useLate
+	useCancelled
+)
+
+// unit is all work for one stage of one request.
+type unit struct{ request, stage string }
+
+// costs sums up the entries by stage.
+func costs(calls []*replay.Call, entries []ledger.Entry) []StageCost {
+	attained := attainedRequests(calls)
+	units := map[unit][]ledger.Entry{}
+	for _, e := range entries {
+		u := unit{attained.requestOf(e), e.Stage}
+		units[u] = append(units[u], e)
+	}
+	stages := map[string]*StageCost{}
+	for u, work := range units {
+		if stages[u.stage] == nil {
+			stages[u.stage] = &StageCost{Stage: u.stage}
+		}
+		for i, s := range uses(work, attained.met[u.request]) {
+			stages[u.stage].take(work[i], s)
+		}
+	}
+	out := []StageCost{}
+	for _, c := range stages {
+		c.finish()
+		out = append(out, *c)
+	}
+	slices.SortFunc(out, func(a, b StageCost) int { return cmp.Compare(a.Stage, b.Stage) })
+	return out
+}
+
+func (c *StageCost) take(e ledger.Entry, s use) {
+	c.All.add(e)
+	switch s {
+	case useRetry:
+		c.Retries.add(e)
+	case useHedge:
+		c.Hedges.add(e)
+	case useLate:
+		c.Late.add(e)
+	case useCancelled:
+		c.Cancelled.add(e)
+	}
+}
+
+// requests tells which request an execution served and whether it was met.
+type requests struct {
+	byID  map[string]string
+	byKey map[[2]string]string
+	met   map[string]bool
+}
+
+func attainedRequests(calls []*replay.Call) requests {
+	r := requests{byID: map[string]string{}, byKey: map[[2]string]string{}, met: map[string]bool{}}
+	for _, c := range calls {
+		if id := c.RequestID(); id != "" {
+			r.byID[id] = c.Root
+		}
+		if c.Key != "" {
+			r.byKey[[2]string{c.Request.Customer, c.Key}] = c.Root
+		}
+		r.met[c.Root] = r.met[c.Root] || c.Attained()
+	}
+	return r
+}
+
+// requestOf returns the request that e served; one that no caller's answer
+// names stands for itself and is not met.
+func (r requests) requestOf(e ledger.Entry) string {
+	if root, ok := r.byKey[[2]string{e.Customer, e.Key}]; ok && e.Key != "" {
+		return root
+	}
+	if root, ok := r.byID[e.RequestID]; ok {
+		return root
+	}
+	return "unknown " + e.RequestID
+}
+
+// uses says what each execution for one stage of one request was good for.
+func uses(work []ledger.Entry, met bool) []use {
+	out := make([]use, len(work))
+	used := -1
+	for i, e := range work {
+		if e.State == ledger.Done && (used < 0 || e.FinishedUnixMS < work[used].FinishedUnixMS) {
+			used = i
+		}
+	}
+	for i, e := range work {
+		switch {
+		case !met && e.State == ledger.Cancelled:
+			out[i] = useCancelled
+		case !met:
+			out[i] = useLate
+		case i == used:
+			out[i] = useNeeded
+		case used >= 0 && overlap(e, work[used]):
+			out[i] = useHedge
+		default:
+			out[i] = useRetry
+		}
+	}
+	return out
+}
+
+// overlap says whether two executions ran at the same time.
+func overlap(a, b ledger.Entry) bool {
+	return a.StartedUnixMS < b.FinishedUnixMS && (b.StartedUnixMS < a.FinishedUnixMS || a.State == ledger.Running)
+}
+
+// Sum adds up the costs of several stages.
+func Sum(stages []StageCost) StageCost {
+	var out StageCost
+	for _, c := range stages {
+		out.All.merge(c.All)
+		out.Retries.merge(c.Retries)
+		out.Hedges.merge(c.Hedges)
+		out.Late.merge(c.Late)
+		out.Cancelled.merge(c.Cancelled)
+	}
+	out.finish()
+	return out
+}
+
+func (s *Spent) merge(o Spent) {
+	s.Calls += o.Calls
+	s.EngineSeconds += o.EngineSeconds
+	s.Tokens += o.Tokens
+}
--- /dev/null
+++ b/replay/verdict/verdict.go
@@ -0,0 +1,179 @@
+// Package verdict judges a report by stated outcomes.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/wheatseam/wheatseam/replay/report"
+)
+
+// Outcomes are what is asked of a run; see docs/REPLAY.md.
+type Outcomes struct {
+	// Trace is the name of the trace that the outcomes are stated for.
+	Trace    string    `yaml:"trace"`
+	Outcomes []Outcome `yaml:"outcomes"`
+}
+
+// Outcome asks one metric to lie within Min and Max.
+type Outcome struct {
+	Metric Metric `yaml:"metric"`
+	// Pipeline or Customer narrows the metrics of requests.
+	Pipeline string `yaml:"pipeline,omitempty"`
+	Customer string `yaml:"customer,omitempty"`
+	// Stage narrows the metrics of cost; empty sums up all stages.
+	Stage string `yaml:"stage,omitempty"`
+	// Kind narrows violations (lost, doubled, misdelivered, untrue_not_run).
+	Kind string `yaml:"kind,omitempty"`
+	// From and To narrow windowed_attainment to requests due in these seconds
+	// of the run, To left out.
+	From int      `yaml:"from_s,omitempty"`
+	To   int      `yaml:"to_s,omitempty"`
+	Min  *float64 `yaml:"min,omitempty"`
+	Max  *float64 `yaml:"max,omitempty"`
+}
+
+// Line is the judgement of one outcome.
+type Line struct {
+	Outcome Outcome
+	Value   float64
+	// Err says why there is no value; the outcome is then not met.
+	Err error
+	Met bool
+}
+
+// Verdict is the judgement of a report.
+type Verdict struct {
+	// Void lists why the run cannot be judged at all.
+	Void  []string
+	Lines []Line
+}
+
+// Parse reads outcomes and reports every error in them.
+func Parse(text []byte) (*Outcomes, error) {
+	var o Outcomes
+	if err := yaml.UnmarshalWithOptions(text, &o, yaml.Strict()); err != nil {
+		return nil, err
+	}
+	var errs []error
+	if len(o.Outcomes) == 0 {
+		errs = append(errs, errors.New("no outcomes are stated"))
+	}
+	for i, one := range o.Outcomes {
+		if err := one.check(); err != nil {
+			errs = append(errs, fmt.Errorf("outcomes[%d]: %w", i, err))
+		}
+	}
+	return &o, errors.Join(errs...)
+}
+
+func (o Outcome) check() error {
+	m, ok := metrics[o.Metric]
+	switch {
+	case !ok:
+		return fmt.Errorf("unknown metric %q", o.Metric)
+	case o.Min == nil && o.Max == nil:
+		return errors.New("neither min nor max is stated")
+	case o.Pipeline != "" && o.Customer != "":
+		return errors.New("pipeline and customer exclude each other")
+	case (o.Pipeline != "" || o.Customer != "") && m.scope != scopeRequests:
+		return fmt.Errorf("%s has no pipeline or customer", o.Metric)
+	case o.Stage != "" && m.scope != scopeStages:
+		return fmt.Errorf("%s has no stage", o.Metric)
+	case o.Kind != "" && m.scope != scopeViolations:
+		return fmt.Errorf("%s has no kind", o.Metric)
+	case (o.From != 0 || o.To != 0) != (m.scope == scopeWindow):
+		return fmt.Errorf("from_s and to_s stand beside %s only", WindowedAttainment)
+	default:
+		return nil
+	}
+}
+
+// Judge judges r.
+func (o *Outcomes) Judge(r *report.Report) Verdict {
+	var v Verdict
+	if o.Trace != "" && o.Trace != r.Trace {
+		v.Void = append(v.Void, fmt.Sprintf("the outcomes are for trace %s, not %s", o.Trace, r.Trace))
+	}
+	if r.NotSent > 0 {
+		v.Void = append(v.Void, fmt.Sprintf("%d requests could not be sent", r.NotSent))
+	}
+	for _, f := range r.Faults {
+		if f.Error != "" {
+			v.Void = append(v.Void, fmt.Sprintf("the fault at %d ms was not injected: %s", f.AtMS, f.Error))
+		}
+	}
+	for _, one := range o.Outcomes {
+		v.Lines = append(v.Lines, one.judge(r))
+	}
+	return v
+}
+
+func (o Outcome) judge(r *report.Report) Line {
+	value, err := metrics[o.Metric].value(r, o)
+	met := err == nil && (o.Min == nil || value >= *o.Min) && (o.Max == nil || value <= *o.Max)
+	return Line{Outcome: o, Value: value, Err: err, Met: met}
+}
+
+// Met says whether the run counts and every outcome is met.
+func (v Verdict) Met() bool {
+	for _, l := range v.Lines {
+		if !l.Met {
+			return false
+		}
+	}
+	return len(v.Void) == 0
+}
+
+// Write writes the verdict as text for people.
+func (v Verdict) Write(w io.Writer) error {
+	for _, why := range v.Void {
+		fmt.Fprintf(w, "void: %s\n", why)
+	}
+	for _, l := range v.Lines {
+		fmt.Fprintln(w, l)
+	}
+	result := "met"
+	if !v.Met() {
+		result = "NOT MET"
+	}
+	_, err := fmt.Fprintf(w, "verdict: %s\n", result)
+	return err
+}
+
+// String implements fmt.Stringer.
+func (l Line) String() string {
+	mark := "ok  "
+	if !l.Met {
+		mark = "FAIL"
+	}
+	text := fmt.Sprintf("%s %s%s", mark, l.Outcome.Metric, l.Outcome.selector())
+	if l.Err != nil {
+		return fmt.Sprintf("%s: %v", text, l.Err)
+	}
+	text += fmt.Sprintf(" = %.6g", l.Value)
+	if l.Outcome.Min != nil {
+		text += fmt.Sprintf(", min %g", *l.Outcome.Min)
+	}
+	if l.Outcome.Max != nil {
+		text += fmt.Sprintf(", max %g", *l.Outcome.Max)
+	}
+	return text
+}
+
+func (o Outcome) selector() string {
+	for _, s := range []struct{ name, value string }{
+		{"pipeline", o.Pipeline}, {"customer", o.Customer}, {"stage", o.Stage}, {"kind", o.Kind},
+	} {
+		if s.value != "" {
+			return fmt.Sprintf("{%s=%s}", s.name, s.value)
+		}
+	}
+	if o.Metric == WindowedAttainment {
+		return fmt.Sprintf("{%d s to %d s}", o.From, o.To)
+	}
+	return ""
+}
