--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,14 +17,21 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/core/retry"
+	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/record"
 	"github.com/wheatseam/wheatseam/settings"
 )
 
 // tickEvery is how often waits that can no longer succeed are ended.
 const tickEvery = 10 * time.Millisecond
 
+// recordBytes bounds the memory of the decision records.
+const recordBytes = 32 << 20
+
 // Daemon is one entry daemon.
 type Daemon struct {
 	settings *settings.Settings
@@ -36,6 +43,10 @@
 	table    *request.Table
 	sessions sessions
 	deps     request.Deps
+	router   *route.Router
+	admitter *admit.Controller
+	budgets  retry.Budgets
+	records  *record.Store
 	claimer  request.Claimer
 	// appliers get every bundle that comes into force.
 	appliers []applier
@@ -46,7 +57,7 @@
 
 // New returns a daemon that has not started.
 func New(s *settings.Settings, log *zap.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, table: request.NewTable()}
+	d := &Daemon{settings: s, log: log, table: request.NewTable(), records: record.NewStore(recordBytes)}
 	d.sessions.init()
 	d.addDecisionParts()
 	return d
--- /dev/null
+++ b/daemon/routing.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/admit"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/core/retry"
+	"github.com/wheatseam/wheatseam/core/route"
+)
+
+// budgetApplier sets the budgets' ratios by the bundle.
+type budgetApplier struct{ budgets retry.Budgets }
+
+// Apply implements applier.
+func (a budgetApplier) Apply(b *bundle.Bundle) {
+	a.budgets.Retry.SetRatio(b.Retry.BudgetRatio)
+	a.budgets.Hedge.SetRatio(b.Hedge.BudgetRatio)
+}
+
+// addDecisionParts makes the parts that the request machines decide with.
+func (d *Daemon) addDecisionParts() {
+	router := route.New(route.Config{
+		FailureDomain: d.settings.FailureDomain,
+		Seed:          xxhash.Sum64String(d.settings.Host) ^ uint64(d.Now().UnixNano()),
+	})
+	admitter := admit.New(admit.Config{})
+	budgets := retry.NewBudgets(0, 0)
+	d.router, d.admitter, d.budgets = router, admitter, budgets
+	d.appliers = append(d.appliers, router, admitter, budgetApplier{budgets})
+	d.deps = request.Deps{Router: router, Admitter: admitter, Retries: budgets.Retry, Hedges: budgets.Hedge}
+	d.claimer = &localClaims{claims: make(map[request.ClaimKey]*localClaim)}
+}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -17,7 +17,7 @@
 func (d *Daemon) Serve(ctx context.Context, sub caller.Submission, sink caller.Sink) (*request.Answer, *problem.Error) {
 	s := newSession(sub, digestOf(sub), d.upstream.Load())
 	d.sessions.insert(s)
-	m := request.New(specOf(sub), d.deps, d.recorder(sub.RequestID))
+	m := request.New(specOf(sub), d.deps, d.records.Begin(sub.RequestID))
 	d.table.Insert(m)
 	d.deliver(s, request.Start{})
 	f := d.await(ctx, s, sink)
--- a/daemon/thin.go
+++ b/daemon/thin.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,67 +14,11 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/problem"
-	"github.com/wheatseam/wheatseam/record"
 )
 
 // This file holds the naive parts of the thin path. Each is replaced by its
 // own package; until then claims hold within one daemon only.
 
-func (d *Daemon) addDecisionParts() {
-	router := &roundRobin{}
-	d.appliers = append(d.appliers, router)
-	d.deps = request.Deps{Router: router, Admitter: admitAll{}, Retries: unlimited{}, Hedges: unlimited{}}
-	d.claimer = &localClaims{claims: make(map[request.ClaimKey]*localClaim)}
-}
-
-func (d *Daemon) recorder(string) record.Recorder { return noRecord{} }
-
-type noRecord struct{}
-
-func (noRecord) Add(record.Entry) {}
-
-type roundRobin struct {
-	bundle atomic.Pointer[bundle.Bundle]
-	next   atomic.Uint64
-}
-
-func (r *roundRobin) Apply(b *bundle.Bundle) { r.bundle.Store(b) }
-
-func (r *roundRobin) Pick(_ time.Time, q request.Query, _ record.Recorder) (request.Choice, *problem.Error) {
-	for _, p := range r.bundle.Load().Pools {
-		if p.Name != q.Pool {
-			continue
-		}
-		u := p.Upstreams[r.next.Add(1)%uint64(len(p.Upstreams))]
-		return request.Choice{Pool: p.Name, Upstream: u.Name, Address: u.Address, FailureDomain: u.FailureDomain}, nil
-	}
-	return request.Choice{}, problem.New(problem.NoUpstream, "no pool %s", q.Pool)
-}
-
-func (r *roundRobin) Done(time.Time, request.Outcome) {}
-
-func (r *roundRobin) Expect(string, string, float64) (time.Duration, bool) { return 0, false }
-
-func (r *roundRobin) ExpectFirstByte(string, string, float64) (time.Duration, bool) { return 0, false }
-
-type admitAll struct{}
-
-func (admitAll) Arrive(time.Time, request.Plan, record.Recorder) *problem.Error { return nil }
-func (admitAll) Leave(time.Time, request.Plan, bool)                            {}
-func (admitAll) Acquire(time.Time, request.Ticket, record.Recorder) (request.Verdict, *problem.Error) {
-	return request.Granted, nil
-}
-func (admitAll) Abandon(time.Time, request.Ticket) {}
-func (admitAll) Release(time.Time, request.Ticket, request.CallResult, time.Duration) []request.Grant {
-	return nil
-}
-func (admitAll) Tick(time.Time) []request.Grant { return nil }
-
-type unlimited struct{}
-
-func (unlimited) Deposit(time.Time)       {}
-func (unlimited) Withdraw(time.Time) bool { return true }
-
 type localClaims struct {
 	mu     sync.Mutex
 	claims map[request.ClaimKey]*localClaim
