--- /dev/null
+++ b/internal/proctest/fleet.go
@@ -0,0 +1,245 @@
+package proctest
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/internal/standin"
+	"github.com/wheatseam/wheatseam/internal/standin/engine"
+	"github.com/wheatseam/wheatseam/internal/standin/fleet"
+	"github.com/wheatseam/wheatseam/internal/standin/platform"
+	"github.com/wheatseam/wheatseam/internal/standin/service"
+)
+
+// Options change a fleet before it starts.
+type Options struct {
+	// Hosts is the number of entry hosts. Default 3.
+	Hosts int
+	// Bundle changes the bundle, if set.
+	Bundle func(*bundle.Bundle)
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Bundle   *bundle.Bundle
+	Platform *platform.Platform
+	Upstream *fleet.Fleet
+	Daemons  []*Process
+
+	dir       string
+	program   string
+	key       ed25519.PrivateKey
+	platform  string
+	callers   []string
+	operators []string
+	stop      context.CancelFunc
+	serving   errgroup.Group
+}
+
+// operatorToken is the token of the operators' listeners.
+const operatorToken = "proctest-operator-token"
+
+// Start starts a fleet and waits until every daemon is ready.
+func Start(dir string, o Options) (*Fleet, error) {
+	if o.Hosts == 0 {
+		o.Hosts = 3
+	}
+	f := &Fleet{dir: dir, Daemons: make([]*Process, o.Hosts)}
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	if err := f.start(ctx, o); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, o Options) error {
+	addresses, err := reserve(3 * o.Hosts)
+	if err != nil {
+		return err
+	}
+	peers := addresses[:o.Hosts]
+	f.callers, f.operators = addresses[o.Hosts:2*o.Hosts], addresses[2*o.Hosts:]
+	if f.Bundle, err = newBundle(o.Hosts, peers); err != nil {
+		return err
+	}
+	if o.Bundle != nil {
+		o.Bundle(f.Bundle)
+	}
+	if f.program, err = daemonBinary(); err != nil {
+		return err
+	}
+	if err := f.startStandIns(ctx); err != nil {
+		return err
+	}
+	if err := f.writeKeys(); err != nil {
+		return err
+	}
+	if err := f.Publish(f.Bundle); err != nil {
+		return err
+	}
+	for i := range f.Daemons {
+		if err := f.StartDaemon(i); err != nil {
+			return err
+		}
+	}
+	return f.WaitReady(readyTimeout)
+}
+
+const readyTimeout = 20 * time.Second
+
+func (f *Fleet) startStandIns(ctx context.Context) error {
+	f.Platform = platform.New(platform.Config{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for the platform: %w", err)
+	}
+	f.platform = "http://" + l.Addr().String()
+	f.serving.Go(func() error { return standin.Serve(ctx, l, f.Platform) })
+	f.Upstream = fleet.New(fleet.Config{
+		Bundle:  f.Bundle,
+		Engine:  engine.Config{Seed: 1, TimeScale: 0.1},
+		Service: service.Config{Seed: 1},
+	})
+	out, in := io.Pipe()
+	f.serving.Go(func() error {
+		err := f.Upstream.Serve(ctx, "127.0.0.1:0", in)
+		_ = in.CloseWithError(err)
+		return err
+	})
+	return awaitLines(out, replicasPerPool*len(f.Bundle.Pools)+1)
+}
+
+// awaitLines reads n lines: one for each listener that is open.
+func awaitLines(r io.Reader, n int) error {
+	buffer := make([]byte, 1)
+	for n > 0 {
+		if _, err := r.Read(buffer); err != nil {
+			return fmt.Errorf("upstreams did not start: %w", err)
+		}
+		if buffer[0] == '\n' {
+			n--
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) writeKeys() error {
+	pub, key, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return fmt.Errorf("generate key: %w", err)
+	}
+	f.key = key
+	text, err := bundle.MarshalPublicKey(pub)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(f.dir, "bundle.pub"), text, 0o644); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(f.dir, "operator.token"), []byte(operatorToken+"\n"), 0o600)
+}
+
+// SignedBundle returns b as operators would publish it.
+func (f *Fleet) SignedBundle(b *bundle.Bundle) ([]byte, error) {
+	raw, err := yaml.Marshal(b)
+	if err != nil {
+		return nil, fmt.Errorf("encode bundle: %w", err)
+	}
+	if _, err := bundle.Parse(raw); err != nil {
+		return nil, fmt.Errorf("bundle: %w", err)
+	}
+	return bundle.Sign(raw, f.key), nil
+}
+
+// Publish puts b into the configuration service.
+func (f *Fleet) Publish(b *bundle.Bundle) error {
+	signed, err := f.SignedBundle(b)
+	if err != nil {
+		return err
+	}
+	f.Platform.SetValue("bundle", signed)
+	return nil
+}
+
+// StartDaemon starts daemon i, or starts it again after its end.
+func (f *Fleet) StartDaemon(i int) error {
+	path := filepath.Join(f.dir, hostName(i)+".yaml")
+	if err := os.WriteFile(path, []byte(f.settings(i)), 0o644); err != nil {
+		return err
+	}
+	p, err := startProcess(filepath.Join(f.dir, hostName(i)+".log"), f.program, "--settings", path)
+	if err != nil {
+		return err
+	}
+	f.Daemons[i] = p
+	return nil
+}
+
+func (f *Fleet) settings(i int) string {
+	host := f.Bundle.Hosts[i]
+	return fmt.Sprintf(`host: %s
+failure_domain: %s
+listen: {callers: %q, peers: %q, operators: %q}
+insecure_plaintext: true
+operators: {token_file: operator.token}
+platform: {config_service: %q, host_list: %q}
+bundle_public_keys: [bundle.pub]
+drain: {bound: 10s}
+`, host.Name, host.FailureDomain, f.callers[i], host.PeerAddress, f.operators[i], f.platform, f.platform)
+}
+
+// WaitReady waits until every running daemon says that it is ready.
+func (f *Fleet) WaitReady(timeout time.Duration) error {
+	end := time.Now().Add(timeout)
+	for i := range f.Daemons {
+		for !f.Ready(i) {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready after %v: %s", hostName(i), timeout, f.Daemons[i].Log())
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+	return nil
+}
+
+// pollEvery is the time between two looks at something awaited.
+const pollEvery = 10 * time.Millisecond
+
+// Ready reports whether daemon i says that it is ready.
+func (f *Fleet) Ready(i int) bool {
+	resp, err := f.operate(i, http.MethodGet, "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Close ends the fleet.
+func (f *Fleet) Close() {
+	for _, p := range f.Daemons {
+		if p != nil {
+			_ = p.Thaw()
+			p.Kill()
+		}
+	}
+	f.stop()
+	_ = f.serving.Wait()
+	if f.Upstream != nil {
+		f.Upstream.Close()
+		f.Platform.Close()
+	}
+}
