--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -53,7 +53,8 @@
 	// Hosts lists the entry hosts. A change of this list is a view change.
 	Hosts []Host `yaml:"hosts" validate:"required,gte=1,dive"`
 	// Views holds the host lists of earlier versions that may still hold
-	// claims, newest first. It must name the list that Hosts replaces.
+	// claims, newest first. It must name the list that Hosts replaces, and
+	// keeps its newest entry for good, since that numbers Hosts.
 	Views     []View      `yaml:"views,omitempty" validate:"dive"`
 	Claims    ClaimPolicy `yaml:"claims"`
 	Retry     RetryPolicy `yaml:"retry"`
@@ -80,11 +81,17 @@
 	Name          string `yaml:"name" validate:"required,name"`
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
 	// PeerAddress is the ip:port where fellow daemons reach the host.
-	PeerAddress string `yaml:"peer_address" validate:"required,ip_port"`
+	PeerAddress string `yaml:"peer_address" validate:"required,hostname_port"`
+	// EndedAt is set only in Views: the operators' word that the host's process
+	// had ended for good by then. It stands for the host's acknowledgement of
+	// the lists after it.
+	EndedAt time.Time `yaml:"ended_at,omitempty" validate:"omitempty"`
 }
 
-// View is a host list as it stood at an earlier version.
+// View is a host list that was in force before Hosts.
 type View struct {
+	// Version numbers the host lists from 1 in the order in which they were in
+	// force; it is the epoch of the list and not the version of a bundle.
 	Version uint64 `yaml:"version" validate:"required"`
 	Hosts   []Host `yaml:"hosts" validate:"required,gte=1,dive"`
 }
@@ -150,7 +157,7 @@
 	Name          string `yaml:"name" validate:"required,name"`
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
 	// Address is the ip:port of the upstream's HTTP listener.
-	Address string `yaml:"address" validate:"required,ip_port"`
+	Address string `yaml:"address" validate:"required,hostname_port"`
 }
 
 // Pipeline is a chain of stages under one deadline.
@@ -183,7 +190,7 @@
 type Customer struct {
 	Name string `yaml:"name" validate:"required,name"`
 	// KeyHashes are the hex SHA-256 hashes of the customer's API keys.
-	KeyHashes []string `yaml:"key_hashes" validate:"required,gte=1,dive,len=64,hexadecimal"`
+	KeyHashes []string `yaml:"key_hashes" validate:"required,gte=1,dive,len=64,hexadecimal" secret:"true"`
 	// Weight is the customer's fair share relative to the others'.
 	Weight float64 `yaml:"weight" validate:"gt=0"`
 	// RequestsPerSecond limits the customer over the whole fleet; 0 is none.
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"net/netip"
 	"strings"
 	"time"
 )
@@ -65,6 +66,17 @@
 	}
 }
 
+// address notes a fault when text is no ip:port that can be connected to.
+func (c *checker) address(text, path string) {
+	address, err := netip.ParseAddrPort(text)
+	if err == nil && address.Port() != 0 && !address.Addr().IsUnspecified() {
+		return
+	}
+	if !c.has(path) {
+		c.add(path, "want an address in the form ip:port")
+	}
+}
+
 // domain notes a fault when no failure domain has that name.
 func (c *checker) domain(name, path string) {
 	if name != "" && !c.domains[name] {
@@ -84,18 +96,22 @@
 		path := indexed("hosts", i)
 		names.check(c, h.Name, path+".name")
 		addresses.check(c, h.PeerAddress, path+".peer_address")
+		c.address(h.PeerAddress, path+".peer_address")
+		if !h.EndedAt.IsZero() {
+			c.add(path+".ended_at", "belongs to hosts in views")
+		}
 		c.domain(h.FailureDomain, path+".failure_domain")
 	}
 }
 
-// checkViews wants the earlier host lists newest first, each older than the
-// bundle. Their failure domains may be gone by now.
+// checkViews wants the earlier host lists newest first. There are never more
+// lists than versions of the bundle. Their failure domains may be gone by now.
 func (c *checker) checkViews() {
 	newer := c.b.Version
 	for i, v := range c.b.Views {
 		path := indexed("views", i)
 		if v.Version >= newer {
-			c.add(path+".version", "%d is not below %d: views are earlier than the bundle, newest first", v.Version, newer)
+			c.add(path+".version", "%d is not below %d: views stand newest first, below the bundle's version", v.Version, newer)
 		}
 		newer = v.Version
 		names := unique{}
@@ -141,6 +157,7 @@
 			upstream := indexed(path+".upstreams", j)
 			names.check(c, u.Name, upstream+".name")
 			addresses.check(c, u.Address, upstream+".address")
+			c.address(u.Address, upstream+".address")
 			c.domain(u.FailureDomain, upstream+".failure_domain")
 		}
 	}
--- a/bundle/check_test.go
+++ b/bundle/check_test.go
@@ -61,6 +61,7 @@
 		Entry("a mapping for a list", "requests_per_second: 50\n    pipelines: [contract-summary, seal]",
 			"requests_per_second: 50\n    pipelines: {a: b}", "customers[1].pipelines", "want a list"),
 		Entry("a duration without unit", "deadline: 10s", "deadline: 10", "pipelines[0].deadline", "unit"),
+		Entry("text for a duration", "deadline: 10s", "deadline: soon", "pipelines[0].deadline", "unit"),
 		Entry("a negative duration", "deadline: 10s", "deadline: -10s", "pipelines[0].deadline", "above 0"),
 		Entry("an anchor", "retention: 2m", "retention: &r 2m", "claims.retention", "anchors"),
 		Entry("a name with a space", "deployment: demo", "deployment: a demo", "deployment", "want a name"),
@@ -87,8 +88,10 @@
 		Entry("a claim group above the hosts", "group_size: 3", "group_size: 5", "claims.group_size", "more than the 3 hosts"),
 		Entry("a retention below the clocks' skew", "max_clock_skew: 250ms", "max_clock_skew: 0s", "claims.max_clock_skew", "above 0"),
 		Entry("an objective of nothing", "{attainment: 1, cost_by_stage: 0.2}", "{attainment: 0, cost_by_stage: 0}", "objective", "above 0"),
-		Entry("a view that is no earlier one", "deployment: demo", "deployment: demo\nviews: [{version: 1, hosts: [{name: a, failure_domain: b, peer_address: '127.0.0.1:1'}]}]",
+		Entry("a view that is no earlier one", "deployment: demo", "deployment: demo\nviews: [{version: 1, hosts: [{name: a, failure_domain: b, peer_address: '127.0.0.1:1', ended_at: 2026-01-31T12:00:00Z}]}]",
 			"views[0].version", "not below 1"),
+		Entry("an ended host in the list in force", "name: entry-2,", "name: entry-2, ended_at: 2026-01-31T12:00:00Z,", "hosts[1].ended_at", "views"),
+		Entry("a time without its zone", "name: entry-2,", "name: entry-2, ended_at: noon,", "hosts[1].ended_at", "RFC 3339"),
 		Entry("a second document", "customers:", "---\ncustomers:", "", "one YAML document"),
 	)
 
--- a/bundle/decode.go
+++ b/bundle/decode.go
@@ -60,13 +60,13 @@
 		d.add(path, "anchors, aliases and tags are not allowed")
 		return
 	}
-	switch v.Kind() {
-	case reflect.Struct:
+	switch {
+	case isScalar(v.Type()):
+		d.scalar(node, v, path)
+	case v.Kind() == reflect.Struct:
 		d.structure(node, v, path)
-	case reflect.Slice:
-		d.sequence(node, v, path)
 	default:
-		d.scalar(node, v, path)
+		d.sequence(node, v, path)
 	}
 }
 
@@ -119,7 +119,15 @@
 	v.Set(items)
 }
 
-var durationType = reflect.TypeFor[time.Duration]()
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	timeType     = reflect.TypeFor[time.Time]()
+)
+
+// isScalar says that t is read from one YAML scalar.
+func isScalar(t reflect.Type) bool {
+	return t == timeType || t.Kind() != reflect.Struct && t.Kind() != reflect.Slice
+}
 
 // scalar reads one value. The library would turn a fraction into a whole
 // number or a number into a string, so that the node's kind is checked first.
@@ -128,20 +136,31 @@
 		d.add(path, "want %s, got %s", typeName(v.Type()), kindOf(node))
 		return
 	}
-	if err := yaml.NodeToValue(node, v.Addr().Interface(), yaml.Strict()); err != nil {
+	if err := convert(node, v); err != nil {
 		d.add(path, "want %s: %s", typeName(v.Type()), oneLine(err))
 	}
 }
 
+// convert sets v from node. Times are read here, since the library takes any
+// text for the zero time.
+func convert(node ast.Node, v reflect.Value) error {
+	if v.Type() != timeType {
+		return yaml.NodeToValue(node, v.Addr().Interface(), yaml.Strict())
+	}
+	at, err := time.Parse(time.RFC3339, node.GetToken().Value)
+	v.Set(reflect.ValueOf(at))
+	return err
+}
+
 // fits says whether a node of this kind may be read into t.
 func fits(node ast.Node, t reflect.Type) bool {
 	switch node.(type) {
 	case *ast.StringNode:
-		return t.Kind() == reflect.String || t == durationType
+		return t.Kind() == reflect.String || t == durationType || t == timeType
 	case *ast.BoolNode:
 		return t.Kind() == reflect.Bool
 	case *ast.IntegerNode:
-		return t != durationType && t.Kind() != reflect.String && t.Kind() != reflect.Bool
+		return t != durationType && (t.Kind() == reflect.Float64 || t.Kind() == reflect.Int || t.Kind() == reflect.Uint64)
 	case *ast.FloatNode:
 		return t.Kind() == reflect.Float64
 	default:
@@ -169,6 +188,8 @@
 	switch {
 	case t == durationType:
 		return "a duration with its unit, such as 250ms"
+	case t == timeType:
+		return "a time in RFC 3339, such as 2026-01-31T12:00:00Z"
 	case t.Kind() == reflect.Bool:
 		return "true or false"
 	case t.Kind() == reflect.Float64:
--- a/bundle/fields.go
+++ b/bundle/fields.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/netip"
 	"reflect"
 	"regexp"
 	"strings"
@@ -22,10 +21,6 @@
 	must(v.RegisterValidation("name", func(f validator.FieldLevel) bool {
 		return namePattern.MatchString(f.Field().String())
 	}))
-	must(v.RegisterValidation("ip_port", func(f validator.FieldLevel) bool {
-		address, err := netip.ParseAddrPort(f.Field().String())
-		return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified()
-	}))
 	return v
 }
 
@@ -69,7 +64,7 @@
 		return "is needed"
 	case "name":
 		return "want a name of a-z, 0-9, '.', '_' and '-', at most 63 long"
-	case "ip_port":
+	case "hostname_port":
 		return "want an address in the form ip:port"
 	case "oneof":
 		return "want one of " + strings.ReplaceAll(fault.Param(), " ", ", ")
