Test the stand-ins; name the load reporter LoadReporter

Cause: the stand-ins are what tests and replays judge by, so each property that they promise needs its own proof.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -129,7 +129,7 @@
 	faults   *standin.Injector
 	answerer *standin.Answerer
 	ledger   *ledger.Ledger
-	report   *standin.Reporter
+	report   *standin.LoadReporter
 	events   *eventLog
 	orders   *orderBook
 	wake     chan struct{}
@@ -151,7 +151,7 @@
 		mux:     http.NewServeMux(),
 		ledger:  cfg.Ledger,
 		events:  newEventLog(cfg.EventLag, cfg.EventGap, cfg.Seed),
-		report:  standin.NewReporter(cfg.LoadLag, standin.Load{Slots: cfg.Slots, KVTotal: cfg.KVBlocks}),
+		report:  standin.NewLoadReporter(cfg.LoadLag, standin.Load{Slots: cfg.Slots, KVTotal: cfg.KVBlocks}),
 		wake:    make(chan struct{}, 1),
 		ctx:     ctx,
 		cancel:  cancel,
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,226 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/standin"
+	"github.com/wheatseam/wheatseam/internal/standin/ledger"
+	"github.com/wheatseam/wheatseam/internal/standin/platform"
+)
+
+const endless = 100_000
+
+var _ = Describe("Engine", func() {
+	var e *Engine
+	var server *httptest.Server
+
+	start := func(cfg Config) {
+		if cfg.TimeScale == 0 {
+			cfg.TimeScale = 0.02
+		}
+		e = New(cfg)
+		server = httptest.NewServer(e)
+		DeferCleanup(func() {
+			e.Close()
+			server.Close()
+		})
+	}
+	post := func(ctx context.Context, path, id string, body any) (*http.Response, error) {
+		raw, err := json.Marshal(body)
+		Expect(err).NotTo(HaveOccurred())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, bytes.NewReader(raw))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("X-Request-Id", id)
+		req.Header.Set("X-Attempt", "2")
+		return http.DefaultClient.Do(req)
+	}
+	chat := func(content string, maxTokens int) ChatRequest {
+		return ChatRequest{Model: "m", Messages: []Message{{Role: "user", Content: content}}, MaxTokens: maxTokens, User: "c"}
+	}
+	ask := func(ctx context.Context, id string, c ChatRequest) (int, []byte, error) {
+		resp, err := post(ctx, "/v1/chat/completions", id, c)
+		if err != nil {
+			return 0, nil, err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return resp.StatusCode, body, err
+	}
+	answerOf := func(id string, c ChatRequest) ChatAnswer {
+		status, body, err := ask(context.Background(), id, c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK), string(body))
+		var a ChatAnswer
+		Expect(json.Unmarshal(body, &a)).To(Succeed())
+		return a
+	}
+	inBackground := func(ctx context.Context, id string, c ChatRequest) <-chan error {
+		ended := make(chan error, 1)
+		go func() {
+			_, _, err := ask(ctx, id, c)
+			ended <- err
+		}()
+		return ended
+	}
+	load := func() standin.Load { return e.report.Report(time.Now()) }
+
+	It("answers whole, marked with the request, the same each time", func() {
+		start(Config{})
+		first := answerOf("r1", chat("what is a deed?", 20))
+		Expect(first.RequestID).To(Equal("r1"))
+		Expect(first.Attempt).To(Equal(2))
+		Expect(first.Choices[0].Message.Content).To(HavePrefix("[r1] "))
+		Expect(first.Usage.CompletionTokens).To(Equal(20))
+		Expect(answerOf("r1", chat("what is a deed?", 20))).To(Equal(first))
+		Expect(answerOf("r2", chat("what is a deed?", 20))).NotTo(Equal(first))
+		s := e.Ledger().Summary()
+		Expect(s.Total.Done).To(Equal(3))
+		Expect(s.Total.Tokens).To(Equal(60))
+		Expect(s.Total.EngineMS).To(BeNumerically(">", 0))
+		Expect(s.Total.WastedEngineMS).To(BeZero())
+	})
+
+	It("streams the same text, and ends it with [DONE]", func() {
+		start(Config{})
+		want := answerOf("r1", chat("hello", 10)).Choices[0].Message.Content
+		c := chat("hello", 10)
+		c.Stream = true
+		status, body, err := ask(context.Background(), "r1", c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		var text strings.Builder
+		events := strings.Split(strings.TrimSpace(string(body)), "\n\n")
+		Expect(events[len(events)-1]).To(Equal("data: [DONE]"))
+		for _, line := range events[:len(events)-1] {
+			var chunk ChatAnswer
+			Expect(json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk)).To(Succeed())
+			Expect(chunk.RequestID).To(Equal("r1"))
+			text.WriteString(chunk.Choices[0].Delta.Content)
+		}
+		Expect(text.String()).To(Equal(want))
+	})
+
+	It("frees the slot of a cancelled stream, and counts it as wasted", func() {
+		start(Config{Slots: 1, OutputMedian: endless, KVBlocks: endless})
+		ctx, cancel := context.WithCancel(context.Background())
+		c := chat("hello", endless)
+		c.Stream = true
+		resp, err := post(ctx, "/v1/chat/completions", "r1", c)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = bufio.NewReader(resp.Body).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		resp.Body.Close()
+		Expect(answerOf("r2", chat("next", 3)).RequestID).To(Equal("r2"))
+		s := e.Ledger().Summary()
+		Expect(s.Total.Cancelled).To(Equal(1))
+		Expect(s.Total.WastedEngineMS).To(BeNumerically(">", 0))
+	})
+
+	It("refuses what its queue cannot take, without executing it", func() {
+		start(Config{Slots: 1, Queue: 1, OutputMedian: endless, KVBlocks: endless})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		inBackground(ctx, "r1", chat("a", endless))
+		Eventually(func() int { return load().Running }).Should(Equal(1))
+		inBackground(ctx, "r2", chat("b", endless))
+		Eventually(func() int { return load().Queued }).Should(Equal(1))
+		resp, err := post(ctx, "/v1/chat/completions", "r3", chat("c", 1))
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusTooManyRequests))
+		Expect(resp.Header.Get(standin.HeaderNotExecuted)).To(Equal("true"))
+		Expect(e.Ledger().Entries()).To(HaveLen(2))
+	})
+
+	It("cuts running requests when it goes down", func() {
+		start(Config{OutputMedian: endless, KVBlocks: endless})
+		ended := inBackground(context.Background(), "r1", chat("a", endless))
+		Eventually(func() int { return load().Running }).Should(Equal(1))
+		e.Faults().Set(standin.Faults{Down: true})
+		Eventually(ended, 10*time.Second).Should(Receive(HaveOccurred()))
+		Eventually(func() int { return e.Ledger().Summary().Total.Failed }).Should(Equal(1))
+	})
+
+	It("reports its load late", func() {
+		start(Config{LoadLag: time.Hour, OutputMedian: endless, KVBlocks: endless})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		inBackground(ctx, "r1", chat("a", endless))
+		Eventually(func() int {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.batch.load().Running
+		}).Should(Equal(1))
+		Expect(load().Running).To(Equal(0))
+		Expect(e.report.Report(time.Now().Add(2 * time.Hour)).Running).To(Equal(1))
+	})
+
+	DescribeTable("an order with an old fencing number", func(check bool, status int, role string) {
+		start(Config{CheckFence: check})
+		order := func(id string, fence uint64, role string) int {
+			resp, err := post(context.Background(), "/v1/orders", "", Order{OrderID: id, Fence: fence, Kind: OrderSetRole, Role: role})
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+			return resp.StatusCode
+		}
+		Expect(order("o2", 2, "decode")).To(Equal(http.StatusOK))
+		Expect(order("o1", 1, "prefill")).To(Equal(status))
+		Eventually(func() []OrderState {
+			var pending []OrderState
+			for _, o := range e.orders.read().Orders {
+				if o.State == OrderRunning {
+					pending = append(pending, o.State)
+				}
+			}
+			return pending
+		}).Should(BeEmpty())
+		Expect(e.orders.read().Role).To(Equal(role))
+		Expect(e.orders.read().Fence).To(Equal(uint64(2)))
+	},
+		Entry("is refused when the engine checks", true, http.StatusConflict, "decode"),
+		Entry("is carried out when it does not", false, http.StatusOK, "prefill"),
+	)
+
+	It("loads a model from the weight store before it serves it", func() {
+		p := platform.New(platform.Config{WeightBytes: 1000})
+		store := httptest.NewServer(p)
+		DeferCleanup(store.Close)
+		start(Config{Model: "old", WeightStore: strings.TrimPrefix(store.URL, "http://")})
+		status, _, err := ask(context.Background(), "r1", chat("a", 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		load := Order{OrderID: "o1", Fence: 1, Kind: OrderLoadModel, Model: "m", Version: "7"}
+		for range 2 {
+			resp, err := post(context.Background(), "/v1/orders", "", load)
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+		}
+		Eventually(func() string { return e.orders.read().Version }, 10*time.Second).Should(Equal("7"))
+		Expect(e.orders.read().Orders).To(Equal([]OrderRecord{{Order: load, State: OrderDone}}))
+		Expect(p.Reads().Weights).To(Equal(1))
+		Expect(answerOf("r2", chat("a", 1)).RequestID).To(Equal("r2"))
+	})
+
+	It("fails a stream without [DONE]", func() {
+		start(Config{})
+		e.Faults().Set(standin.Faults{FailRate: 1})
+		c := chat("hello", 3)
+		c.Stream = true
+		_, body, err := ask(context.Background(), "r1", c)
+		Expect(err).To(HaveOccurred())
+		Expect(string(body)).NotTo(ContainSubstring("[DONE]"))
+		Expect(e.Ledger().Entries()[0].State).To(Equal(ledger.Failed))
+	})
+})
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -25,9 +25,9 @@
 	load  Load
 }
 
-// Reporter publishes a load as it stood a fixed lag ago. Its methods are safe
+// LoadReporter publishes a load as it stood a fixed lag ago. Its methods are safe
 // for concurrent use.
-type Reporter struct {
+type LoadReporter struct {
 	lag    time.Duration
 	bucket time.Duration
 
@@ -36,14 +36,14 @@
 	old     Load
 }
 
-// NewReporter returns a Reporter that lags by lag; first is reported until the
+// NewLoadReporter returns a LoadReporter that lags by lag; first is reported until the
 // first update is old enough.
-func NewReporter(lag time.Duration, first Load) *Reporter {
-	return &Reporter{lag: lag, bucket: max(lag/bucketsPerLag, time.Millisecond), old: first}
+func NewLoadReporter(lag time.Duration, first Load) *LoadReporter {
+	return &LoadReporter{lag: lag, bucket: max(lag/bucketsPerLag, time.Millisecond), old: first}
 }
 
 // Update tells the load that stands from now on.
-func (r *Reporter) Update(now time.Time, l Load) {
+func (r *LoadReporter) Update(now time.Time, l Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
@@ -56,7 +56,7 @@
 }
 
 // Report returns the load as it stood one lag ago.
-func (r *Reporter) Report(now time.Time) Load {
+func (r *LoadReporter) Report(now time.Time) Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
@@ -69,7 +69,7 @@
 }
 
 // expire moves the samples that are older than the lag into old.
-func (r *Reporter) expire(now time.Time) {
+func (r *LoadReporter) expire(now time.Time) {
 	seen := now.Add(-r.lag)
 	for len(r.samples) > 0 && !r.samples[0].until.After(seen) {
 		r.old = r.samples[0].load
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,138 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/standin"
+)
+
+var _ = Describe("Platform", func() {
+	var p *Platform
+	var server *httptest.Server
+
+	start := func(cfg Config) {
+		p = New(cfg)
+		server = httptest.NewServer(p)
+		DeferCleanup(func() {
+			p.Close()
+			server.Close()
+		})
+	}
+	get := func(path string) (int, string, string) {
+		resp, err := http.Get(server.URL + path)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode, string(body), resp.Header.Get(headerRevision)
+	}
+	hosts := func() HostList {
+		_, body, _ := get("/v1/hosts")
+		var list HostList
+		Expect(json.Unmarshal([]byte(body), &list)).To(Succeed())
+		return list
+	}
+
+	It("serves values, and wakes a watch when one changes", func() {
+		start(Config{})
+		status, _, _ := get("/v1/values/bundle")
+		Expect(status).To(Equal(http.StatusNotFound))
+		p.SetValue("bundle", []byte("one"))
+		_, body, revision := get("/v1/values/bundle")
+		Expect(body).To(Equal("one"))
+
+		woken := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body, _ := get("/v1/values/bundle?wait_ms=30000&after=" + revision)
+			woken <- body
+		}()
+		Eventually(func() int { return p.Reads().Watches }).Should(Equal(1))
+		req, err := http.NewRequest(http.MethodPut, server.URL+"/control/values/bundle", strings.NewReader("two"))
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		Eventually(woken, 10*time.Second).Should(Receive(Equal("two")))
+	})
+
+	It("answers 204 when a watch ends without a change", func() {
+		start(Config{})
+		p.SetValue("bundle", []byte("one"))
+		_, _, revision := get("/v1/values/bundle")
+		status, body, _ := get("/v1/values/bundle?wait_ms=1&after=" + revision)
+		Expect(status).To(Equal(http.StatusNoContent))
+		Expect(body).To(BeEmpty())
+	})
+
+	It("keeps serving the old value and host list while stale", func() {
+		start(Config{})
+		p.SetValue("bundle", []byte("old"))
+		p.SetHosts([]Host{{Name: "a"}})
+		Expect(hosts().Hosts).To(HaveLen(1))
+		p.Faults().Set(standin.Faults{Stale: true})
+		p.SetValue("bundle", []byte("new"))
+		p.SetHosts(nil)
+		_, body, _ := get("/v1/values/bundle")
+		Expect(body).To(Equal("old"))
+		Expect(hosts().Hosts).To(HaveLen(1))
+		p.Faults().Set(standin.Faults{})
+		_, body, _ = get("/v1/values/bundle")
+		Expect(body).To(Equal("new"))
+		Expect(hosts().Hosts).To(BeEmpty())
+	})
+
+	It("publishes a host list after its lag", func() {
+		start(Config{HostsLag: time.Hour})
+		p.SetHosts([]Host{{Name: "a", State: "live"}})
+		Expect(p.currentHosts(time.Now()).Hosts).To(BeEmpty())
+		Expect(p.currentHosts(time.Now().Add(2 * time.Hour)).Hosts).To(HaveLen(1))
+	})
+
+	It("cuts connections while down, waiting watches too", func() {
+		start(Config{})
+		p.SetValue("bundle", []byte("one"))
+		failed := make(chan error, 1)
+		go func() {
+			_, err := http.Get(server.URL + "/v1/values/bundle?wait_ms=30000&after=1000")
+			failed <- err
+		}()
+		Eventually(func() int { return p.Reads().Watches }).Should(Equal(1))
+		p.Faults().Set(standin.Faults{Down: true})
+		Eventually(failed, 10*time.Second).Should(Receive(HaveOccurred()))
+		_, err := http.Get(server.URL + "/v1/hosts")
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("limits reads and counts them", func() {
+		start(Config{ReadsPerSecond: 0.001})
+		p.SetValue("bundle", []byte("one"))
+		status, _, _ := get("/v1/values/bundle")
+		Expect(status).To(Equal(http.StatusOK))
+		status, _, _ = get("/v1/values/bundle")
+		Expect(status).To(Equal(http.StatusTooManyRequests))
+		Expect(p.Reads()).To(Equal(Reads{Values: 1, Limited: 1}))
+	})
+
+	It("shares the weight store's rate among readers", func() {
+		start(Config{WeightBytes: 3 * weightChunk, WeightRate: 0.001})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/v1/weights/m", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.ContentLength).To(Equal(int64(3 * weightChunk)))
+		Eventually(func() bool { return p.weights.Tokens() < 1 }).Should(BeTrue())
+	})
+})
--- a/internal/standin/service/slots.go
+++ b/internal/standin/service/slots.go
@@ -17,14 +17,14 @@
 	queued  int
 	limit   int
 	leaving bool
-	report  *standin.Reporter
+	report  *standin.LoadReporter
 }
 
 func newSlots(n, queue int, lag time.Duration) *slots {
 	return &slots{
 		free:   make(chan struct{}, n),
 		limit:  queue,
-		report: standin.NewReporter(lag, standin.Load{Slots: n}),
+		report: standin.NewLoadReporter(lag, standin.Load{Slots: n}),
 	}
 }
 
