--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -5,7 +5,6 @@
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 
 	"github.com/wheatseam/wheatseam/bundle"
@@ -50,18 +49,16 @@
 	return cmd
 }
 
-// readBundle reads an unsigned bundle; whether it makes sense is checked
-// elsewhere.
 func readBundle(file string) (*bundle.Bundle, error) {
 	body, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("read bundle: %w", err)
 	}
-	var b bundle.Bundle
-	if err := yaml.Unmarshal(body, &b); err != nil {
+	b, err := bundle.Parse(body)
+	if err != nil {
 		return nil, fmt.Errorf("parse bundle: %w", err)
 	}
-	return &b, nil
+	return b, nil
 }
 
 func parseMedians(in map[string]string) (map[string]time.Duration, error) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -166,7 +166,7 @@
 	e.mux.HandleFunc("GET /v1/cache-events", e.cacheEvents)
 	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("GET /v1/state", e.state)
-	e.mux.Handle("/control/ledger", e.ledger)
+	e.mux.Handle("/control/ledger", e.ledger.Of(cfg.Name))
 	e.mux.Handle("/control/faults", e.faults)
 	go e.run()
 	return e
--- a/internal/standin/ledger/http.go
+++ b/internal/standin/ledger/http.go
@@ -12,28 +12,36 @@
 }
 
 // ServeHTTP answers GET /control/ledger with a List, narrowed by the query
-// parameters key and request_id; with summary=1 it answers a Summary. DELETE
-// empties the ledger.
+// parameters key, request_id and upstream; with summary=1 it answers a Summary
+// over the same entries. DELETE empties the ledger.
 func (l *Ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	l.serve(w, r, filter{
+		key:      q.Get("key"),
+		request:  q.Get("request_id"),
+		upstream: q.Get("upstream"),
+	})
+}
+
+// Of returns the handler of one replica that shares the ledger with others: it
+// answers with the replica's own entries. Counts that are not of entries, and
+// DELETE, concern the whole ledger.
+func (l *Ledger) Of(upstream string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		l.serve(w, r, filter{key: q.Get("key"), request: q.Get("request_id"), upstream: upstream})
+	})
+}
+
+func (l *Ledger) serve(w http.ResponseWriter, r *http.Request, f filter) {
 	if r.Method == http.MethodDelete {
 		l.Reset()
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	q := r.URL.Query()
-	if q.Get("summary") != "" {
-		standin.WriteJSON(w, http.StatusOK, l.Summary())
+	if r.URL.Query().Get("summary") != "" {
+		standin.WriteJSON(w, http.StatusOK, l.summary(f))
 		return
 	}
-	list := List{Entries: []Entry{}}
-	for _, e := range l.Entries() {
-		if k := q.Get("key"); k != "" && k != e.Key {
-			continue
-		}
-		if id := q.Get("request_id"); id != "" && id != e.RequestID {
-			continue
-		}
-		list.Entries = append(list.Entries, e)
-	}
-	standin.WriteJSON(w, http.StatusOK, list)
+	standin.WriteJSON(w, http.StatusOK, List{Entries: l.filtered(f)})
 }
--- a/internal/standin/ledger/ledger.go
+++ b/internal/standin/ledger/ledger.go
@@ -108,12 +108,26 @@
 }
 
 // Entries returns a copy of all entries, oldest first.
-func (l *Ledger) Entries() []Entry {
+func (l *Ledger) Entries() []Entry { return l.filtered(filter{}) }
+
+// filter narrows the entries; an empty field matches all.
+type filter struct{ key, request, upstream string }
+
+func (f filter) matches(e *Entry) bool {
+	return (f.key == "" || f.key == e.Key) &&
+		(f.request == "" || f.request == e.RequestID) &&
+		(f.upstream == "" || f.upstream == e.Upstream)
+}
+
+// filtered returns copies of the entries that match f, oldest first.
+func (l *Ledger) filtered(f filter) []Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]Entry, 0, len(l.entries))
+	out := []Entry{}
 	for id := l.oldest(); id < l.next; id++ {
-		out = append(out, l.entries[l.slot(id)])
+		if e := &l.entries[l.slot(id)]; f.matches(e) {
+			out = append(out, *e)
+		}
 	}
 	return out
 }
--- a/internal/standin/ledger/ledger_test.go
+++ b/internal/standin/ledger/ledger_test.go
@@ -78,4 +78,15 @@
 		Expect(list.Entries).To(HaveLen(1))
 		Expect(list.Entries[0].Key).To(Equal("b"))
 	})
+
+	It("answers a replica that shares it with the replica's own entries", func() {
+		l := ledger.New(0)
+		l.Begin(ledger.Entry{Upstream: "a", Stage: "seal"})
+		l.Begin(ledger.Entry{Upstream: "b", Stage: "seal"})
+		w := httptest.NewRecorder()
+		l.Of("b").ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/control/ledger?summary=1", nil))
+		var s ledger.Summary
+		Expect(json.Unmarshal(w.Body.Bytes(), &s)).To(Succeed())
+		Expect(s.Total.Begun).To(Equal(1))
+	})
 })
--- a/internal/standin/ledger/summary.go
+++ b/internal/standin/ledger/summary.go
@@ -49,7 +49,9 @@
 type requestStage struct{ request, stage string }
 
 // Summary counts all entries.
-func (l *Ledger) Summary() Summary {
+func (l *Ledger) Summary() Summary { return l.summary(filter{}) }
+
+func (l *Ledger) summary(f filter) Summary {
 	l.mu.Lock()
 	s := Summary{
 		Stages:       map[string]Totals{},
@@ -61,7 +63,7 @@
 	keys := map[doubleKey]int{}
 	var order []doubleKey
 	requests := map[requestStage]bool{}
-	for _, e := range l.Entries() {
+	for _, e := range l.filtered(f) {
 		id := requestStage{e.RequestID, e.Stage}
 		stage := s.Stages[e.Stage]
 		stage.add(e, requests[id])
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -111,7 +111,7 @@
 	s.mux.HandleFunc("POST /v1/", s.call)
 	s.mux.HandleFunc("GET /v1/status/{key}", s.status)
 	s.mux.HandleFunc("GET /v1/load", s.load)
-	s.mux.Handle("/control/ledger", s.ledger)
+	s.mux.Handle("/control/ledger", s.ledger.Of(cfg.Name))
 	s.mux.Handle("/control/faults", s.faults)
 	return s
 }
