Rollout: the highest signed version wins, spread between daemons by parts

Cause: a bundle must be in force everywhere within 19 s and never revert, while the configuration service may be down, stale or reset, and takes few reads.

core/rollout is a deterministic machine. Every daemon polls the service at random times whose mean grows with the number of living hosts, so the fleet (or each cut-off part of it) reads about twice a second. Ruled out: designated watchers by rendezvous for each failure domain.

--- /dev/null
+++ b/core/rollout/fleet_test.go
@@ -0,0 +1,334 @@
+package rollout
+
+import (
+	"bytes"
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+// The tests' documents: blocks of blockSize bytes, the first of which holds
+// "VERSION signature padding".
+const blockSize = 4 << 10
+
+var errSignature = errors.New("bad signature")
+
+// document builds a signed document of a version. edit marks one block, so
+// that two documents of one version differ.
+func document(version uint64, blocks int, edit string) []byte {
+	out := bytes.Repeat([]byte{'.'}, blocks*blockSize)
+	for i := range blocks {
+		copy(out[i*blockSize:], strconv.Itoa(i))
+	}
+	copy(out[(blocks-1)*blockSize:], fmt.Sprintf("edit %d %s", version, edit))
+	copy(out, fmt.Sprintf("%d good ", version))
+	return out
+}
+
+func testCodec() Codec {
+	return Codec{
+		Open: func(signed []byte) (*bundle.Bundle, error) {
+			var version uint64
+			var signature string
+			if _, err := fmt.Sscan(string(signed[:min(len(signed), 64)]), &version, &signature); err != nil || signature != "good" {
+				return nil, errSignature
+			}
+			return &bundle.Bundle{Version: version}, nil
+		},
+		Split: func(signed []byte) [][]byte {
+			var out [][]byte
+			for len(signed) > 0 {
+				n := min(blockSize, len(signed))
+				out = append(out, signed[:n])
+				signed = signed[n:]
+			}
+			return out
+		},
+	}
+}
+
+// service is the configuration service.
+type service struct {
+	down     bool
+	revision uint64
+	value    []byte
+	reads    int
+	bytes    int
+}
+
+func (s *service) put(doc []byte) {
+	s.revision++
+	s.value = doc
+}
+
+// fleet runs both machines of each daemon over an in-memory network under a
+// virtual clock.
+type fleet struct {
+	now     time.Time
+	rng     *rand.Rand
+	service *service
+	nodes   map[string]*node
+	names   []string
+	queue   deliveries
+	order   uint64
+	hosts   []member.Host
+	cut     func(from, to string) bool
+	// cutService hides the service from some hosts.
+	cutService func(host string) bool
+}
+
+type node struct {
+	name    string
+	up      bool
+	member  *member.Machine
+	rollout *Machine
+	actions []Action
+	bytes   int // sent and received, from and to peers
+	sent    int // messages
+	history []uint64
+}
+
+type delivery struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].at.Equal(d[j].at) {
+		return d[i].order < d[j].order
+	}
+	return d[i].at.Before(d[j].at)
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+const (
+	latency         = 500 * time.Microsecond
+	serviceLatency  = 5 * time.Millisecond
+	messageOverhead = 60 + 3*(12+22+52+52) // as in core/member's tests
+)
+
+func newFleet(n, domains int, seed uint64) *fleet {
+	f := &fleet{
+		now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), service: &service{},
+		nodes: map[string]*node{}, cut: func(string, string) bool { return false },
+		cutService: func(string) bool { return false },
+	}
+	for i := range n {
+		f.hosts = append(f.hosts, member.Host{Name: fmt.Sprintf("entry-%03d", i), FailureDomain: fmt.Sprintf("domain-%d", i%domains)})
+	}
+	for _, h := range f.hosts {
+		f.names = append(f.names, h.Name)
+		f.start(h)
+	}
+	return f
+}
+
+// start begins a process of a host.
+func (f *fleet) start(h member.Host) *node {
+	cfg := member.DefaultConfig(h, uint64(f.now.UnixMilli()))
+	cfg.Extensions = []member.Extension{{ID: member.SlotBundle, MaxBytes: 32}}
+	mm, err := member.New(cfg, f.now, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
+	if err != nil {
+		panic(err)
+	}
+	n := &node{name: h.Name, up: true, member: mm}
+	n.rollout = New(DefaultConfig(testCodec()), f.now, rand.New(rand.NewPCG(f.rng.Uint64(), 3)))
+	f.nodes[h.Name] = n
+	f.memberStep(n, member.Configured{Hosts: f.hosts})
+	f.announce(n, &wire.BundleMark{}, false)
+	f.peersChanged(n)
+	return n
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, delivery{f.now.Add(d), f.order, run})
+}
+
+func (f *fleet) announce(n *node, m *wire.BundleMark, urgent bool) {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	f.memberStep(n, member.SetSlot{ID: member.SlotBundle, Value: raw, Urgent: urgent})
+}
+
+func (f *fleet) peersChanged(n *node) {
+	f.step(n, PeersChanged{Neighbours: n.member.Neighbours(), Living: n.member.Living()})
+}
+
+// send counts a message and delivers it unless a cut or a death is in the way.
+func (f *fleet) send(from *node, to string, msg proto.Message, arrive func(*node), lost func()) {
+	size := proto.Size(msg) + messageOverhead
+	from.bytes += size
+	from.sent++
+	dest := f.nodes[to]
+	if !dest.up || f.cut(from.name, to) {
+		f.after(time.Second, func() {
+			if from.up {
+				lost()
+			}
+		})
+		return
+	}
+	dest.bytes += size
+	f.after(latency+time.Duration(f.rng.Int64N(int64(latency))), func() {
+		if dest.up && f.nodes[to] == dest {
+			arrive(dest)
+		}
+	})
+}
+
+func (f *fleet) memberStep(n *node, e member.Event) {
+	for _, a := range n.member.Step(f.now, e) {
+		switch a := a.(type) {
+		case member.Send:
+			f.send(n, a.To, a.Msg,
+				func(d *node) { f.memberStep(d, member.Received{From: n.name, Msg: a.Msg}) },
+				func() { f.memberStep(n, member.Failed(a)) })
+		case member.SlotHeard:
+			m := &wire.BundleMark{}
+			if err := proto.Unmarshal(a.Value, m); err != nil {
+				panic(err)
+			}
+			f.step(n, PeerHeard{a.Host, m})
+		case member.Changed:
+			f.peersChanged(n)
+		}
+	}
+}
+
+func (f *fleet) step(n *node, e Event) {
+	for _, a := range n.rollout.Step(f.now, e) {
+		n.actions = append(n.actions, a)
+		switch a := a.(type) {
+		case PollService:
+			f.read(n, a.After)
+		case FetchManifest:
+			f.fetchManifest(n, a)
+		case FetchParts:
+			f.fetchParts(n, a)
+		case Announce:
+			f.announce(n, a.Mark, a.Urgent)
+		case Adopt:
+			n.history = append(n.history, a.InForce.Bundle.Version)
+		}
+	}
+}
+
+// read is one read of the service.
+func (f *fleet) read(n *node, after uint64) {
+	f.service.reads++
+	f.after(serviceLatency, func() {
+		switch {
+		case !n.up:
+		case f.service.down || f.cutService(n.name) || f.service.value == nil:
+			f.step(n, ServiceFailed{errors.New("down")})
+		case after != 0 && f.service.revision <= after:
+			f.step(n, ServiceUnchanged{})
+		default:
+			f.service.bytes += len(f.service.value)
+			f.step(n, ServiceAnswered{f.service.revision, f.service.value})
+		}
+	})
+}
+
+func (f *fleet) fetchManifest(n *node, a FetchManifest) {
+	lost := func() { f.step(n, FetchFailed{a.From, errors.New("lost")}) }
+	f.send(n, a.From, &wire.BundleManifestRequest{}, func(d *node) {
+		if d.rollout.Current() == nil {
+			lost()
+			return
+		}
+		m := d.rollout.Current().Manifest()
+		f.send(d, n.name, m, func(n *node) { f.step(n, ManifestArrived{d.name, m}) }, lost)
+	}, lost)
+}
+
+func (f *fleet) fetchParts(n *node, a FetchParts) {
+	lost := func() { f.step(n, FetchFailed{a.From, errors.New("lost")}) }
+	f.send(n, a.From, a.Request, func(d *node) {
+		parts := d.rollout.Current().Parts(a.Request)
+		f.send(d, n.name, parts, func(n *node) { f.step(n, PartsArrived{d.name, parts}) }, lost)
+	}, lost)
+}
+
+// run lets virtual time pass.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for f.now.Before(end) {
+		next := f.now.Add(member.TickInterval)
+		for len(f.queue) > 0 && f.queue[0].at.Before(next) {
+			x := heap.Pop(&f.queue).(delivery)
+			if x.at.After(f.now) {
+				f.now = x.at
+			}
+			x.run()
+		}
+		f.now = next
+		for _, name := range f.names {
+			if n := f.nodes[name]; n.up {
+				f.memberStep(n, member.Tick{})
+				f.step(n, Tick{})
+			}
+		}
+	}
+}
+
+// until runs until cond holds; false if it did not within limit.
+func (f *fleet) until(limit time.Duration, cond func() bool) (time.Duration, bool) {
+	begin := f.now
+	for !cond() {
+		if f.now.Sub(begin) >= limit {
+			return limit, false
+		}
+		f.run(member.TickInterval)
+	}
+	return f.now.Sub(begin), true
+}
+
+// inForce says whether every running daemon of those has the version.
+func (f *fleet) inForce(version uint64, names ...string) func() bool {
+	if len(names) == 0 {
+		names = f.names
+	}
+	return func() bool {
+		for _, name := range names {
+			if n := f.nodes[name]; n.up && n.rollout.version() != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// actionsOf returns the actions of one type at a node.
+func actionsOf[A Action](n *node) []A {
+	var out []A
+	for _, a := range n.actions {
+		if x, ok := a.(A); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/rollout/poll.go
@@ -0,0 +1,108 @@
+package rollout
+
+import "time"
+
+// maxPollBackoff bounds the doublings of the wait after failed reads. The
+// fleet's reads are few anyway, so it need not be long.
+const maxPollBackoff = 2
+
+// poll is the reading of the configuration service.
+type poll struct {
+	next     time.Time
+	deadline time.Time // of the read in flight; zero when there is none
+	done     int       // reads that ended
+	failures int       // in a row
+}
+
+// pollDue asks for a read when its time has come.
+func (m *Machine) pollDue(now time.Time) {
+	if !m.poll.deadline.IsZero() {
+		if !now.Before(m.poll.deadline) {
+			m.polled(now, ErrPollTimeout)
+		}
+		return
+	}
+	if now.Before(m.poll.next) {
+		return
+	}
+	m.poll.deadline = now.Add(m.cfg.PollTimeout)
+	m.stats.Polls++
+	after := m.revision
+	if after == 0 {
+		after = m.readRevision
+	}
+	if m.cfg.FullEvery > 0 && m.stats.Polls%uint64(m.cfg.FullEvery) == 0 {
+		after = 0
+	}
+	m.act(PollService{after})
+}
+
+// polled ends a read and sets the time of the next.
+func (m *Machine) polled(now time.Time, err error) {
+	m.poll.deadline = time.Time{}
+	m.poll.done++
+	m.poll.failures++
+	if err == nil {
+		m.poll.failures = 0
+	} else {
+		m.stats.PollsFailed++
+	}
+	m.poll.next = now.Add(m.pollWait())
+}
+
+// pollWait draws the wait until the next read: uniform around a mean that
+// grows with the fleet, so that the fleet's reads a second stay the same.
+func (m *Machine) pollWait() time.Duration {
+	mean := max(m.cfg.PollMin, time.Duration(m.living)*m.cfg.PollSpacing)
+	mean <<= min(m.poll.failures, maxPollBackoff)
+	if m.current == nil {
+		mean = m.cfg.PollMin
+	}
+	wait := mean/2 + time.Duration(m.rng.Int64N(int64(mean)))
+	return min(wait, m.cfg.PollMax)
+}
+
+// answered considers a document of the service.
+func (m *Machine) answered(now time.Time, e ServiceAnswered) {
+	m.polled(now, nil)
+	m.stats.Documents++
+	m.readRevision = e.Revision
+	if !m.consider(e.Signed, Source{}) {
+		return
+	}
+	if m.revision != e.Revision {
+		m.revision = e.Revision
+		m.announce(false)
+	}
+}
+
+// Dump is the state of a Machine for operators.
+type Dump struct {
+	Version  uint64            `json:"version"`
+	Digest   uint64            `json:"digest"`
+	Source   string            `json:"source"`
+	Revision uint64            `json:"service_revision"`
+	Ready    bool              `json:"ready"`
+	Fetching string            `json:"fetching_from,omitempty"`
+	Peers    map[string]uint64 `json:"peer_versions"`
+	PollIn   time.Duration     `json:"next_poll_in_ns"`
+	Stats    Stats             `json:"stats"`
+}
+
+// Dump returns the whole state.
+func (m *Machine) Dump(now time.Time) Dump {
+	d := Dump{
+		Version: m.version(), Digest: m.mark().GetDigest(), Source: m.source.String(), Revision: m.revision,
+		Ready: m.ready, Peers: map[string]uint64{}, PollIn: m.poll.next.Sub(now), Stats: m.stats,
+	}
+	if m.current == nil {
+		d.Source = ""
+	}
+	if m.fetch != nil {
+		d.Fetching = m.fetch.from
+	}
+	for host, p := range m.peers {
+		d.Peers[host] = p.mark.GetVersion()
+	}
+	return d
+}
