--- a/problem/problem.go
+++ b/problem/problem.go
@@ -15,6 +15,7 @@
 // The error kinds.
 const (
 	BadRequest       Kind = "bad_request"
+	NotFound         Kind = "not_found"
 	TooLarge         Kind = "too_large"
 	Unauthorized     Kind = "unauthorized"
 	Forbidden        Kind = "forbidden"
@@ -62,6 +63,7 @@
 // Table has one row for each kind, in the order of the documentation.
 var Table = []Row{
 	{BadRequest, http.StatusBadRequest, "The request is malformed", false},
+	{NotFound, http.StatusNotFound, "There is no such resource", false},
 	{TooLarge, http.StatusRequestEntityTooLarge, "The request is too large", false},
 	{Unauthorized, http.StatusUnauthorized, "The API key is missing or unknown", false},
 	{Forbidden, http.StatusForbidden, "The customer may not use this pipeline", false},
@@ -103,7 +105,9 @@
 	// RetryAfter is when coming back may help; zero leaves it out.
 	RetryAfter time.Duration
 	Detail     string
-	Err        error
+	// StagesRun names the stages known to have run.
+	StagesRun []string
+	Err       error
 }
 
 // New returns an error of kind k under which nothing was run.
