--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -187,7 +187,6 @@
 func (f *fleet) wake(name string) {
 	n := f.nodes[name]
 	n.paused = false
-	f.step(name, Tick{})
 	for _, x := range n.inbox {
 		f.step(name, x.event)
 	}
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -92,6 +92,10 @@
 // carry a monotonic reading and never go back.
 func (m *Machine) Step(now time.Time, event Event) []Action {
 	m.out = nil
+	// Any event may be the first after a pause: nothing is judged before.
+	if gap := now.Sub(m.lastAt); gap >= m.cfg.PauseAfter {
+		m.paused(now, gap)
+	}
 	switch e := event.(type) {
 	case Tick:
 		m.tick(now)
@@ -115,16 +119,15 @@
 	return m.out
 }
 
+// lateTick is the gap between two ticks that is a sign of a slow process.
+const lateTick = 5 * TickInterval
+
 // tick runs what is due.
 func (m *Machine) tick(now time.Time) {
-	gap := now.Sub(m.lastAt)
-	m.lastAt = now
-	switch {
-	case gap >= m.cfg.PauseAfter:
-		m.paused(now, gap)
-	case gap >= 5*TickInterval:
+	if now.Sub(m.lastAt) >= lateTick {
 		m.health.worsen()
 	}
+	m.lastAt = now
 	m.expireProbes(now)
 	m.expireSuspicions(now)
 	if !now.Before(m.nextAt) {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -98,8 +98,9 @@
 		// and reads the answer.
 		f.run(60 * time.Second)
 		Expect(f.nodes["entry-000"].m.rumors.queue).To(BeEmpty())
-		out := old.m.Step(f.now, SetSlot{})
-		Expect(out).To(HaveLen(1))
+		// It notices the pause with whatever comes first.
+		out := old.m.Step(f.now, SetSlot{ID: slotTest})
+		Expect(out).To(ConsistOf(Freshness{false}, BeAssignableToTypeOf(Refused{})))
 		ping := &wire.MemberPing{Seq: 9, Digest: old.m.digest(f.now, "entry-000", false)}
 		for _, a := range f.nodes["entry-000"].m.Step(f.now, Received{"entry-002", ping}) {
 			if s, ok := a.(Send); ok {
--- a/core/rollout/event.go
+++ b/core/rollout/event.go
@@ -56,7 +56,12 @@
 // ServiceFailed says that the service did not answer.
 type ServiceFailed struct{ Err error }
 
+// Woke says that the process stood still: it is not ready until it has heard
+// from its peers again.
+type Woke struct{}
+
 func (Tick) isEvent()             {}
+func (Woke) isEvent()             {}
 func (PeerHeard) isEvent()        {}
 func (PeersChanged) isEvent()     {}
 func (ManifestArrived) isEvent()  {}
--- a/core/rollout/machine.go
+++ b/core/rollout/machine.go
@@ -71,6 +71,8 @@
 	case Tick:
 		m.expireFetch(now)
 		m.pollDue(now)
+	case Woke:
+		m.woke(now)
 	case PeerHeard:
 		m.heard(e)
 	case PeersChanged:
@@ -96,6 +98,15 @@
 // act queues an action.
 func (m *Machine) act(a Action) { m.out = append(m.out, a) }
 
+// woke begins the start anew, with the bundle in force kept.
+func (m *Machine) woke(now time.Time) {
+	m.ready = false
+	m.started = now
+	m.peers = map[string]*peerMark{}
+	m.fetch = nil
+	m.poll = poll{next: now}
+}
+
 // heard notes a peer's mark.
 func (m *Machine) heard(e PeerHeard) {
 	p := m.peers[e.Host]
@@ -264,7 +275,8 @@
 // Current returns the bundle in force, or nil.
 func (m *Machine) Current() *InForce { return m.current }
 
-// Ready says whether the daemon held the newest bundle it could hear of once.
+// Ready says whether the daemon has held the newest bundle that it could hear
+// of since it started or woke.
 func (m *Machine) Ready() bool { return m.ready }
 
 // Stats returns the counts since the start.
