Route: expect first bytes; leave a pool that fails whole alone

Cause: the request machine hedges generations by their first byte. And three failures in a row ejected upstreams of a pool that failed as a whole, as under overload with every call timing out, until the 60% cap: it took capacity away where it was short. An upstream is now ejected for failures only while less than half the calls at the rest of its pool fail; of eight dead in ten, six are still ejected, of a dead failure domain all.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -38,7 +38,8 @@
 
 // EjectionConfig parametrises the ejection of failing and straggling upstreams.
 type EjectionConfig struct {
-	// ConsecutiveFailures eject an upstream. Default 3.
+	// ConsecutiveFailures eject an upstream, unless over half the calls at the
+	// rest of the pool fail too. Default 3.
 	ConsecutiveFailures int
 	// FailureRate ejects an upstream, when at least MinCalls recent calls were
 	// counted and the rest of the pool is at under half that rate.
--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -12,6 +12,11 @@
 	ejectedSlow     = "slow"
 )
 
+// wholePool is the failure rate of the other upstreams from which the pool as a
+// whole fails, by overload or by a fault behind it: an upstream is then not
+// ejected for failing like the others.
+const wholePool = 0.5
+
 // rampFloor is the share of its calls that a readmitted upstream starts with.
 const rampFloor = 0.1
 
@@ -70,8 +75,9 @@
 // verdictOn returns why the upstream s of a pool should be ejected now, or "".
 func (p *poolView) verdictOn(now time.Time, s *state, c EjectionConfig) string {
 	ramping := s.ejection.ramping(now, c.Ramp)
+	failing := s.failures >= c.ConsecutiveFailures || ramping && s.failures > 0
 	switch {
-	case s.failures >= c.ConsecutiveFailures, ramping && s.failures > 0:
+	case failing && p.failureRate(now, s) < wholePool:
 		return ejectedFailures
 	case s.slownessNow(now) >= c.SlowRatio:
 		return ejectedSlow
--- a/core/route/latency.go
+++ b/core/route/latency.go
@@ -48,7 +48,10 @@
 	}
 	// The value is in range, so that there is no error.
 	_ = w.current.RecordValue(min(max(d.Microseconds(), histogramLowest), histogramHighest))
-	if w.merged.TotalCount() < 2*minSamples || now.Sub(w.refreshed) >= refreshAfter {
+	if w.current.TotalCount()+w.previous.TotalCount() < minSamples {
+		return
+	}
+	if w.merged.TotalCount() < minSamples || now.Sub(w.refreshed) >= refreshAfter {
 		w.refresh(now)
 	}
 }
@@ -106,6 +109,13 @@
 	}
 }
 
+// gaveUpFirst is gaveUp for a call that was given up before its first byte.
+func (s *stageLatency) gaveUpFirst(now time.Time, latency time.Duration) {
+	if s.first.median > 0 && latency > s.first.median {
+		s.first.add(now, latency)
+	}
+}
+
 // slowness returns how many times the usual a call took, 0 when it can't be
 // said. For a call given up it is a lower bound.
 func (s *stageLatency) slowness(latency time.Duration, tokens int, whole bool) float64 {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -125,6 +125,9 @@
 		l := s.stage(now, o.Stage, c.Window)
 		slowness := l.slowness(o.Latency, o.Tokens, false)
 		l.gaveUp(now, o.Latency)
+		if o.FirstByte <= 0 {
+			l.gaveUpFirst(now, o.Latency)
+		}
 		if !covered && slowness > st.slownessNow(now) {
 			p.judge(now, st, slowness, c)
 		}
