Keep completed stages at fellow daemons in other failure domains

Cause: a retry after a host's death would do all stages again. Two copies at the hosts that a placement by key names, bound to customer, key and a digest of input and stage definitions; bounded memory, forgotten at the deadline. Ruled out: keeping at every host (cost grows with the fleet) and at one (a domain's loss takes it with the owner often enough). Wired in with the transport.

--- /dev/null
+++ b/results/results_test.go
@@ -0,0 +1,123 @@
+package results
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+func TestResults(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "results")
+}
+
+var epoch = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+// network connects services in one process.
+type network struct {
+	services map[string]*Service
+	down     map[string]bool
+	now      time.Time
+}
+
+func (n *network) Call(ctx context.Context, host, _ string, req, resp proto.Message) error {
+	if n.down[host] {
+		return errors.New("unreachable")
+	}
+	var answer proto.Message
+	var err error
+	switch r := req.(type) {
+	case *wire.KeepRequest:
+		answer, err = n.services[host].serveKeep(ctx, peer.Sender{}, r)
+	case *wire.FetchRequest:
+		answer, err = n.services[host].serveFetch(ctx, peer.Sender{}, r)
+	}
+	if err != nil {
+		return err
+	}
+	proto.Merge(resp, answer)
+	return nil
+}
+
+func newNetwork() *network {
+	n := &network{services: make(map[string]*Service), down: make(map[string]bool), now: epoch}
+	for i := range 3 {
+		name := fmt.Sprintf("h%d", i)
+		n.services[name] = NewService(Config{
+			Host: name, Caller: n, Store: NewStore(1 << 20), Now: func() time.Time { return n.now },
+			Place: func(string, string) []string { return []string{"h0", "h1", "h2"} },
+		}, peer.NewMux())
+	}
+	return n
+}
+
+var _ = Describe("Service", func() {
+	request := Request{Customer: "c", Key: "k", Digest: Digest{1}}
+	ctx := context.Background()
+	var n *network
+
+	BeforeEach(func() {
+		n = newNetwork()
+		kept, err := n.services["h0"].Keep(ctx, request, "generate", []byte("draft"), epoch.Add(time.Minute))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(kept).To(Equal(2))
+	})
+
+	It("survives the host that kept it and one more", func() {
+		n.down["h0"], n.down["h1"] = true, true
+		Expect(n.services["h2"].Fetch(ctx, request)).To(HaveKeyWithValue("generate", []byte("draft")))
+	})
+
+	DescribeTable("never gives a result to another request", func(other Request) {
+		for _, s := range n.services {
+			Expect(s.Fetch(ctx, other)).To(BeEmpty())
+		}
+	},
+		Entry("of another customer", Request{Customer: "d", Key: "k", Digest: Digest{1}}),
+		Entry("with another key", Request{Customer: "c", Key: "l", Digest: Digest{1}}),
+		Entry("for another input or stages", Request{Customer: "c", Key: "k", Digest: Digest{2}}),
+	)
+
+	It("forgets at the deadline", func() {
+		n.now = epoch.Add(time.Minute)
+		Expect(n.services["h1"].Fetch(ctx, request)).To(BeEmpty())
+		n.services["h1"].cfg.Store.Expire(n.now)
+		Expect(n.services["h1"].cfg.Store.Stats()).To(Equal(Stats{}))
+	})
+
+	It("reports hosts that it could not reach", func() {
+		n.down["h1"] = true
+		kept, err := n.services["h0"].Keep(ctx, request, "x", []byte("y"), epoch.Add(time.Minute))
+		Expect(kept).To(Equal(1))
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("refuses what is too large, and keeps within its memory", func() {
+		_, err := n.services["h0"].Keep(ctx, request, "x", make([]byte, MaxResultBytes+1), epoch.Add(time.Minute))
+		Expect(err).To(MatchError(ErrTooLarge))
+		store := NewStore(storeShards * 1000)
+		Expect(store.Put(epoch, request, "a", make([]byte, 500), epoch.Add(time.Second))).To(BeTrue())
+		Expect(store.Put(epoch, request, "b", make([]byte, 500), epoch.Add(time.Second))).To(BeFalse())
+		Expect(store.Put(epoch.Add(2*time.Second), request, "b", make([]byte, 500), epoch.Add(3*time.Second))).To(BeTrue())
+		Expect(store.Stats().Full).To(BeEquivalentTo(1))
+	})
+})
+
+func BenchmarkPutGet(b *testing.B) {
+	store := NewStore(64 << 20)
+	result := make([]byte, 2<<10)
+	for i := range b.N {
+		r := Request{Customer: "c", Key: fmt.Sprint(i % 4096), Digest: Digest{1}}
+		store.Put(epoch, r, "generate", result, epoch.Add(time.Minute))
+		store.Get(epoch, r)
+	}
+}
--- /dev/null
+++ b/results/service.go
@@ -0,0 +1,185 @@
+package results
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+// Methods between daemons.
+const (
+	methodKeep  = "results.keep"
+	methodFetch = "results.fetch"
+)
+
+// Bounds of what is kept.
+const (
+	// MaxResultBytes bounds one result; larger ones are not kept.
+	MaxResultBytes = 256 << 10
+	// copies is the number of fellow daemons that keep a result.
+	copies = 2
+	// maxTTL bounds how long a sender may have a result kept.
+	maxTTL = 5 * time.Minute
+)
+
+// Caller sends a request to a fellow daemon.
+type Caller interface {
+	Call(ctx context.Context, host, method string, req, resp proto.Message) error
+}
+
+// Placer says which hosts keep the results of a key: the same at every host
+// that has the same bundle, in order of preference and spread over failure
+// domains.
+type Placer func(customer, key string) []string
+
+// Config configures a Service.
+type Config struct {
+	// Host is the name of this host.
+	Host   string
+	Caller Caller
+	Place  Placer
+	Store  *Store
+	Now    func() time.Time
+}
+
+// Service keeps results at fellow daemons and for them. It is safe for
+// concurrent use.
+type Service struct{ cfg Config }
+
+// NewService returns a service and registers its methods.
+func NewService(cfg Config, mux *peer.Mux) *Service {
+	s := &Service{cfg: cfg}
+	peer.Handle(mux, methodKeep, s.serveKeep)
+	peer.Handle(mux, methodFetch, s.serveFetch)
+	return s
+}
+
+// ErrTooLarge is returned for a result over MaxResultBytes.
+var ErrTooLarge = errors.New("result too large to keep")
+
+// Keep stores a stage's result at other hosts until the given time and returns
+// the number of hosts that have it.
+func (s *Service) Keep(ctx context.Context, r Request, stage string, result []byte, until time.Time) (int, error) {
+	if len(result) > MaxResultBytes {
+		return 0, ErrTooLarge
+	}
+	ttl := until.Sub(s.cfg.Now())
+	if ttl <= 0 {
+		return 0, nil
+	}
+	req := &wire.KeepRequest{
+		Customer: r.Customer, Key: r.Key, Digest: r.Digest[:], Stage: stage,
+		Result: result, TtlMs: uint32(min(ttl, maxTTL).Milliseconds()),
+	}
+	return s.send(ctx, s.others(r), req)
+}
+
+// others returns the hosts that keep a copy: not this one, which dies with the
+// request.
+func (s *Service) others(r Request) []string {
+	var hosts []string
+	for _, h := range s.cfg.Place(r.Customer, r.Key) {
+		if h != s.cfg.Host && len(hosts) < copies {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+func (s *Service) send(ctx context.Context, hosts []string, req *wire.KeepRequest) (int, error) {
+	var (
+		wg   sync.WaitGroup
+		mu   sync.Mutex
+		kept int
+		errs []error
+	)
+	for _, h := range hosts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var resp wire.KeepResponse
+			err := s.cfg.Caller.Call(ctx, h, methodKeep, req, &resp)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				errs = append(errs, err)
+			} else if resp.Kept {
+				kept++
+			}
+		}()
+	}
+	wg.Wait()
+	return kept, errors.Join(errs...)
+}
+
+// Fetch asks the hosts that may keep results of r and returns what it has by
+// the end of ctx. Hosts that do not answer cost work, so errors are not told.
+func (s *Service) Fetch(ctx context.Context, r Request) map[string][]byte {
+	hosts := s.cfg.Place(r.Customer, r.Key)
+	answers := make(chan map[string][]byte, len(hosts))
+	for _, h := range hosts {
+		go func() { answers <- s.fetchFrom(ctx, h, r) }()
+	}
+	all := make(map[string][]byte)
+	for range hosts {
+		select {
+		case one := <-answers:
+			for stage, result := range one {
+				all[stage] = result
+			}
+		case <-ctx.Done():
+			return all
+		}
+	}
+	return all
+}
+
+func (s *Service) fetchFrom(ctx context.Context, host string, r Request) map[string][]byte {
+	if host == s.cfg.Host {
+		return s.cfg.Store.Get(s.cfg.Now(), r)
+	}
+	req := &wire.FetchRequest{Customer: r.Customer, Key: r.Key, Digest: r.Digest[:]}
+	var resp wire.FetchResponse
+	if err := s.cfg.Caller.Call(ctx, host, methodFetch, req, &resp); err != nil {
+		return nil
+	}
+	out := make(map[string][]byte, len(resp.Results))
+	for _, one := range resp.Results {
+		out[one.Stage] = one.Result
+	}
+	return out
+}
+
+// errDigest is answered to a request whose digest has a wrong length.
+var errDigest = errors.New("digest must have 32 bytes")
+
+func (s *Service) serveKeep(_ context.Context, _ peer.Sender, req *wire.KeepRequest) (*wire.KeepResponse, error) {
+	if len(req.Digest) != len(Digest{}) {
+		return nil, errDigest
+	}
+	if len(req.Result) > MaxResultBytes {
+		return nil, ErrTooLarge
+	}
+	now := s.cfg.Now()
+	until := now.Add(min(time.Duration(req.TtlMs)*time.Millisecond, maxTTL))
+	r := Request{Customer: req.Customer, Key: req.Key, Digest: Digest(req.Digest)}
+	return &wire.KeepResponse{Kept: s.cfg.Store.Put(now, r, req.Stage, req.Result, until)}, nil
+}
+
+func (s *Service) serveFetch(_ context.Context, _ peer.Sender, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	if len(req.Digest) != len(Digest{}) {
+		return nil, errDigest
+	}
+	r := Request{Customer: req.Customer, Key: req.Key, Digest: Digest(req.Digest)}
+	resp := &wire.FetchResponse{}
+	for stage, result := range s.cfg.Store.Get(s.cfg.Now(), r) {
+		resp.Results = append(resp.Results, &wire.StageResult{Stage: stage, Result: result})
+	}
+	return resp, nil
+}
