--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,7 +31,7 @@
     }
     print out $0
   }' examples/demo.yaml > "$RUN/bundle.yaml"
-  bin/wheatseam bundle keygen --out "$RUN/bundle" >/dev/null
+  bin/wheatseam bundle keygen --force --out "$RUN/bundle" >/dev/null
   bin/wheatseam bundle sign --key "$RUN/bundle.key" --out "$RUN/bundle.signed.yaml" "$RUN/bundle.yaml"
 }
 
