--- a/cmd/wheatseamd/main.go
+++ b/cmd/wheatseamd/main.go
@@ -27,22 +27,22 @@
 }
 
 func newRoot() *cobra.Command {
-	var path string
+	var flags settings.Flags
 	root := &cobra.Command{
 		Use:           "wheatseamd",
 		Short:         "Entry daemon of wheatseam",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
-			return run(path)
+			return run(&flags)
 		},
 	}
-	root.PersistentFlags().StringVar(&path, "settings", "settings.yaml", "the daemon's settings file")
+	flags.Add(root.PersistentFlags())
 	root.AddCommand(&cobra.Command{
 		Use:   "check",
 		Short: "Check the settings and exit",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := settings.Load(path); err != nil {
+			if _, err := flags.Load(); err != nil {
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -52,8 +52,8 @@
 	return root
 }
 
-func run(path string) error {
-	s, err := settings.Load(path)
+func run(flags *settings.Flags) error {
+	s, err := flags.Load()
 	if err != nil {
 		return err
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/internal/doccheck"
 	"github.com/wheatseam/wheatseam/settings"
 )
 
@@ -106,6 +108,27 @@
 		Expect(err).To(MatchError(ContainSubstring("excludes tls")))
 	})
 
+	It("puts flags over the file, and checks the outcome", func() {
+		load := func(args ...string) (*settings.Settings, error) {
+			var flags settings.Flags
+			fs := flag.NewFlagSet("wheatseamd", flag.ContinueOnError)
+			flags.Add(fs)
+			Expect(fs.Parse(append([]string{"-settings", "../examples/settings.yaml"}, args...))).To(Succeed())
+			return flags.Load()
+		}
+		s, err := load("-host", "entry-9", "-failure-domain", "lima-c", "-listen-callers", "127.0.0.1:0",
+			"-listen-peers", "127.0.0.2:0", "-listen-operators", "127.0.0.3:0", "-log-level", "debug")
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]string{s.Host, s.FailureDomain, s.Log.Level}).To(Equal([]string{"entry-9", "lima-c", "debug"}))
+		Expect(s.Listen).To(Equal(settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.2:0", Operators: "127.0.0.3:0"}))
+
+		s, err = load()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Host).To(Equal("entry-1"))
+		_, err = load("-listen-callers", "127.0.0.1:7401")
+		Expect(err).To(MatchError(ContainSubstring("is taken by")))
+	})
+
 	It("refuses a bundle that does not place the host where it stands", func() {
 		s, err := settings.Load("../examples/settings.yaml")
 		Expect(err).NotTo(HaveOccurred())
@@ -115,3 +138,11 @@
 		Expect(s.CheckBundle(b)).To(MatchError(ContainSubstring("not in the bundle")))
 	})
 })
+
+var _ = Describe("docs/CONFIGURATION.md", func() {
+	It("lists the keys of the settings, all and no other", func() {
+		listed, err := doccheck.ListedKeys("../docs/CONFIGURATION.md", "## Settings")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listed).To(ConsistOf(doccheck.Keys(settings.Settings{})))
+	})
+})
