Add wheatseam replay, replay compare and trace make

The stand-ins are found through their fleet's control listener or the bundle; their ledgers are emptied before and read after the run, and all faults are lifted whatever became of it. Ruled out: comparing means of unpaired runs (the machine's noise is larger than most effects): runs are paired, and a difference whose spread holds zero is no change. Scenarios take customers, pipelines and capacity from the bundle, so that a trace fits any bundle. Conclusion: tested without a fleet so far.

--- a/cmd/wheatseam/main.go
+++ b/cmd/wheatseam/main.go
@@ -14,7 +14,7 @@
 	if err == nil {
 		return
 	}
-	if !errors.Is(err, errRefused) {
+	if !errors.Is(err, errRefused) && !errors.Is(err, errNotMet) {
 		fmt.Fprintln(os.Stderr, "wheatseam:", err)
 	}
 	os.Exit(1)
@@ -28,6 +28,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newCallCommand())
+	root.AddCommand(newCallCommand(), newReplayCommand(), newTraceCommand())
 	return root
 }
--- /dev/null
+++ b/replay/compare/compare.go
@@ -0,0 +1,202 @@
+// Package compare sets reports of paired runs side by side: the same trace,
+// run by turns against several deployments, such as one for each policy.
+//
+// Runs are paired by their index. A difference counts as a change only if all
+// paired differences have the same sign, that is if zero lies outside of their
+// spread; all else is no change. Below MinPairs pairs nothing is claimed.
+package compare
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/wheatseam/wheatseam/replay/report"
+	"github.com/wheatseam/wheatseam/replay/verdict"
+)
+
+// MinPairs is the least number of paired runs from which a change is claimed.
+const MinPairs = 5
+
+// rows are the metrics that are set side by side.
+var rows = []verdict.Metric{
+	verdict.Attainment, verdict.Goodput, verdict.LatencyP50, verdict.LatencyP99, verdict.FirstTokenP50,
+	verdict.RefusedShare, verdict.RefusalP50, verdict.RefusalP99,
+	verdict.EngineSeconds, verdict.EngineSecondsEach, verdict.WastedShare, verdict.ViolationCount,
+}
+
+// Set is the runs of one deployment, in the order in which they were made.
+type Set struct {
+	Label   string
+	Reports []*report.Report
+}
+
+// Spread is the range of some figures.
+type Spread struct {
+	Median float64 `json:"median"`
+	Min    float64 `json:"min"`
+	Max    float64 `json:"max"`
+}
+
+// Judgement says what a paired difference shows.
+type Judgement string
+
+// The judgements.
+const (
+	NoChange Judgement = "no change"
+	Higher   Judgement = "higher"
+	Lower    Judgement = "lower"
+	// TooFew says that there are fewer than MinPairs pairs with a figure.
+	TooFew Judgement = "too few pairs"
+)
+
+// Cell is one metric of one set.
+type Cell struct {
+	Label string `json:"label"`
+	// Runs is the number of runs that have the figure.
+	Runs   int    `json:"runs"`
+	Values Spread `json:"values"`
+	// Difference is that to the first set, pair by pair; it and Judgement
+	// are empty for the first set itself.
+	Difference Spread    `json:"difference"`
+	Judgement  Judgement `json:"judgement,omitempty"`
+}
+
+// Row is one metric over all sets.
+type Row struct {
+	Metric verdict.Metric `json:"metric"`
+	Cells  []Cell         `json:"cells"`
+}
+
+// Comparison is several sets side by side; the first one is the base.
+type Comparison struct {
+	Trace string  `json:"trace"`
+	Speed float64 `json:"speed"`
+	Rows  []Row   `json:"rows"`
+}
+
+// New compares sets. They must hold equally many runs of the same trace.
+func New(sets []Set) (*Comparison, error) {
+	if err := check(sets); err != nil {
+		return nil, err
+	}
+	first := sets[0].Reports[0]
+	c := &Comparison{Trace: first.Trace, Speed: first.Speed}
+	for _, m := range rows {
+		row := Row{Metric: m}
+		base := values(sets[0], m)
+		for i, s := range sets {
+			row.Cells = append(row.Cells, newCell(s.Label, base, values(s, m), i == 0))
+		}
+		c.Rows = append(c.Rows, row)
+	}
+	return c, nil
+}
+
+func check(sets []Set) error {
+	if len(sets) < 2 {
+		return errors.New("a comparison needs two sets of runs or more")
+	}
+	first := sets[0]
+	for _, s := range sets {
+		if len(s.Reports) == 0 || len(s.Reports) != len(first.Reports) {
+			return fmt.Errorf("%s has %d runs, %s has %d: runs must be paired", first.Label, len(first.Reports), s.Label, len(s.Reports))
+		}
+		for _, r := range s.Reports {
+			base := first.Reports[0]
+			if r.Trace != base.Trace || r.Seed != base.Seed || r.Program != base.Program || r.Speed != base.Speed {
+				return fmt.Errorf("a run of %s is of another trace, seed or speed than those of %s", s.Label, first.Label)
+			}
+			if r.NotSent > 0 {
+				return fmt.Errorf("a run of %s is void: %d requests could not be sent", s.Label, r.NotSent)
+			}
+		}
+	}
+	return nil
+}
+
+// values returns the figure of each run; NaN where nothing was measured.
+func values(s Set, m verdict.Metric) []float64 {
+	out := make([]float64, len(s.Reports))
+	for i, r := range s.Reports {
+		v, err := verdict.Outcome{Metric: m}.Value(r)
+		if err != nil {
+			v = math.NaN()
+		}
+		out[i] = v
+	}
+	return out
+}
+
+func newCell(label string, base, own []float64, first bool) Cell {
+	known := slices.DeleteFunc(slices.Clone(own), math.IsNaN)
+	c := Cell{Label: label, Runs: len(known), Values: spread(known)}
+	if first {
+		return c
+	}
+	var differences []float64
+	for i := range own {
+		if d := own[i] - base[i]; !math.IsNaN(d) {
+			differences = append(differences, d)
+		}
+	}
+	c.Difference = spread(differences)
+	c.Judgement = judge(differences)
+	return c
+}
+
+func judge(differences []float64) Judgement {
+	s := spread(differences)
+	switch {
+	case len(differences) < MinPairs:
+		return TooFew
+	case s.Min > 0:
+		return Higher
+	case s.Max < 0:
+		return Lower
+	default:
+		return NoChange
+	}
+}
+
+func spread(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{}
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	median := sorted[middle]
+	if len(sorted)%2 == 0 {
+		median = (sorted[middle-1] + sorted[middle]) / 2
+	}
+	return Spread{Median: median, Min: sorted[0], Max: sorted[len(sorted)-1]}
+}
+
+// WriteTable writes c as text for people.
+func (c *Comparison) WriteTable(w io.Writer) error {
+	fmt.Fprintf(w, "trace %s, speed %g; median [min, max]; differences to the first, pair by pair\n", c.Trace, c.Speed)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, r := range c.Rows {
+		for _, cell := range r.Cells {
+			if cell.Runs == 0 {
+				fmt.Fprintf(t, "%s\t%s\tnot measured\t\t\n", r.Metric, cell.Label)
+				continue
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", r.Metric, cell.Label, cell.Values, cell.difference(), cell.Judgement)
+		}
+	}
+	return t.Flush()
+}
+
+func (c Cell) difference() string {
+	if c.Judgement == "" {
+		return ""
+	}
+	return c.Difference.String()
+}
+
+// String implements fmt.Stringer.
+func (s Spread) String() string { return fmt.Sprintf("%.4g [%.4g, %.4g]", s.Median, s.Min, s.Max) }
--- a/replay/ledger/ledger.go
+++ b/replay/ledger/ledger.go
@@ -125,7 +125,7 @@
 func own(entries []Entry, u Upstream) []Entry {
 	var out []Entry
 	for _, e := range entries {
-		if e.Upstream == "" || e.Upstream == u.Name {
+		if u.Name == "" || e.Upstream == "" || e.Upstream == u.Name {
 			out = append(out, e)
 		}
 	}
