--- /dev/null
+++ b/cmd/wheatseam/prepare.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/replay/fleetfiles"
+)
+
+func newPrepareCommand() *cobra.Command {
+	var cfg fleetfiles.Config
+	var bundleFile, policy string
+	c := &cobra.Command{
+		Use:   "prepare",
+		Short: "Write the files from which scripts/fleet.sh starts a fleet for measurements",
+		Long: "Write the files from which scripts/fleet.sh starts a fleet on loopback: the\n" +
+			"bundle moved to free ports, with fresh API keys and signed with a fresh key, and\n" +
+			"the settings of every entry host. Nothing is started.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var err error
+			if cfg.Bundle, err = readBundleFile(bundleFile); err != nil {
+				return err
+			}
+			cfg.Policy = bundle.Policy(policy)
+			if err := fleetfiles.Write(cfg); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), cfg.Dir)
+			return err
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&bundleFile, "bundle", "", "the bundle")
+	f.StringVar(&policy, "policy", "", "policy instead of the bundle's: adaptive, round_robin or least_requests")
+	f.StringVar(&cfg.Dir, "out", "", "directory to write to")
+	f.StringSliceVar(&cfg.StandInFlags, "standin-flags", nil, "further flags of `standin fleet`, such as --time-scale,0.1")
+	_ = c.MarkFlagRequired("bundle")
+	_ = c.MarkFlagRequired("out")
+	return c
+}
--- a/cmd/wheatseam/replay.go
+++ b/cmd/wheatseam/replay.go
@@ -67,7 +67,7 @@
 	for _, name := range []string{"trace", "keys", "callers"} {
 		_ = c.MarkFlagRequired(name)
 	}
-	c.AddCommand(newCompareCommand())
+	c.AddCommand(newCompareCommand(), newPrepareCommand())
 	return c
 }
 
--- /dev/null
+++ b/replay/fleetfiles/fleetfiles.go
@@ -0,0 +1,270 @@
+// Package fleetfiles writes the files from which a fleet for measurements is
+// started on loopback: a bundle moved to free ports and signed with a key made
+// for it, the settings of every entry host, the host list, API keys, and the
+// list of processes that scripts/fleet.sh starts.
+package fleetfiles
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/settings"
+)
+
+// The names of the files that Write makes.
+const (
+	FileBundle       = "bundle.yaml"
+	FileSigned       = "bundle.signed.yaml"
+	FilePublicKey    = "bundle.pub"
+	FileHostList     = "hosts.json"
+	FileToken        = "operator.token"
+	FileAPIKeys      = "keys.yaml"
+	FileProcesses    = "processes"
+	FileEnvironment  = "fleet.env"
+	directoryAllowed = 0o755
+	fileAllowed      = 0o644
+	secretAllowed    = 0o600
+)
+
+// Config says what fleet is wanted.
+type Config struct {
+	// Bundle is the checked bundle; Write leaves it as it is.
+	Bundle *bundle.Bundle
+	// Policy replaces the bundle's policy, unless it is empty.
+	Policy bundle.Policy
+	// Dir is the directory to write to; it is made.
+	Dir string
+	// StandInFlags are further flags of `standin fleet`.
+	StandInFlags []string
+}
+
+// fleet is what Write works on.
+type fleet struct {
+	Config
+	bundle   bundle.Bundle
+	ports    *ports
+	platform string
+	control  string
+	hosts    []entryHost
+}
+
+// entryHost is one daemon with its addresses.
+type entryHost struct {
+	bundle.Host
+	callers, operators string
+}
+
+// Write writes all files.
+func Write(cfg Config) error {
+	p, err := reservePorts(countPorts(cfg.Bundle))
+	if err != nil {
+		return err
+	}
+	f := &fleet{Config: cfg, bundle: *cfg.Bundle, ports: p}
+	f.move()
+	if err := os.MkdirAll(cfg.Dir, directoryAllowed); err != nil {
+		return err
+	}
+	return errors.Join(f.writeKeys(), f.writeBundle(), f.writeHostList(), f.writeSettings(), f.writeProcesses())
+}
+
+// countPorts counts the listeners of a fleet: three for each host, one for
+// each upstream, platform and control.
+func countPorts(b *bundle.Bundle) int {
+	n := 3*len(b.Hosts) + 2
+	for _, p := range b.Pools {
+		n += len(p.Upstreams)
+	}
+	return n
+}
+
+// ports are addresses that were free when they were reserved.
+type ports struct{ addresses []string }
+
+// reservePorts lets the kernel choose n ports, all at a time so that they
+// differ, and frees them again.
+func reservePorts(n int) (*ports, error) {
+	p := &ports{}
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("reserving a port: %w", err)
+		}
+		defer l.Close()
+		p.addresses = append(p.addresses, l.Addr().String())
+	}
+	return p, nil
+}
+
+func (p *ports) take() string {
+	a := p.addresses[0]
+	p.addresses = p.addresses[1:]
+	return a
+}
+
+// move gives every listener a free address.
+func (f *fleet) move() {
+	f.platform, f.control = f.ports.take(), f.ports.take()
+	if f.Policy != "" {
+		f.bundle.Policy = f.Policy
+	}
+	f.bundle.Hosts, f.bundle.Views = nil, nil
+	for _, h := range f.Config.Bundle.Hosts {
+		h.PeerAddress = f.ports.take()
+		f.bundle.Hosts = append(f.bundle.Hosts, h)
+		f.hosts = append(f.hosts, entryHost{Host: h, callers: f.ports.take(), operators: f.ports.take()})
+	}
+	f.bundle.Pools = nil
+	for _, p := range f.Config.Bundle.Pools {
+		upstreams := p.Upstreams
+		p.Upstreams = nil
+		for _, u := range upstreams {
+			u.Address = f.ports.take()
+			p.Upstreams = append(p.Upstreams, u)
+		}
+		f.bundle.Pools = append(f.bundle.Pools, p)
+	}
+}
+
+func (f *fleet) write(name string, text []byte, mode os.FileMode) error {
+	return os.WriteFile(filepath.Join(f.Dir, name), text, mode)
+}
+
+// writeKeys makes an API key for every customer, since a bundle holds hashes
+// only.
+func (f *fleet) writeKeys() error {
+	keys := struct {
+		Keys map[string]string `yaml:"keys"`
+	}{map[string]string{}}
+	f.bundle.Customers = nil
+	for _, c := range f.Config.Bundle.Customers {
+		key := rand.Text()
+		keys.Keys[c.Name] = key
+		hash := sha256.Sum256([]byte(key))
+		c.KeyHashes = []string{hex.EncodeToString(hash[:])}
+		f.bundle.Customers = append(f.bundle.Customers, c)
+	}
+	text, err := yaml.Marshal(keys)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.write(FileAPIKeys, text, secretAllowed), f.write(FileToken, []byte(rand.Text()+"\n"), secretAllowed))
+}
+
+func (f *fleet) writeBundle() error {
+	text, err := yaml.Marshal(f.bundle)
+	if err != nil {
+		return err
+	}
+	if _, err := bundle.Parse(text); err != nil {
+		return fmt.Errorf("the moved bundle: %w", err)
+	}
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return err
+	}
+	key, err := bundle.MarshalPublicKey(public)
+	if err != nil {
+		return err
+	}
+	return errors.Join(
+		f.write(FileBundle, text, fileAllowed),
+		f.write(FileSigned, bundle.Sign(text, private), fileAllowed),
+		f.write(FilePublicKey, key, fileAllowed),
+	)
+}
+
+func (f *fleet) writeHostList() error {
+	type host struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+		Role    string `json:"role"`
+		State   string `json:"state"`
+	}
+	list := struct {
+		Revision int    `json:"revision"`
+		Hosts    []host `json:"hosts"`
+	}{Revision: 1}
+	for _, h := range f.bundle.Hosts {
+		list.Hosts = append(list.Hosts, host{h.Name, h.PeerAddress, "entry", "live"})
+	}
+	for _, p := range f.bundle.Pools {
+		for _, u := range p.Upstreams {
+			list.Hosts = append(list.Hosts, host{u.Name, u.Address, "upstream", "live"})
+		}
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	return f.write(FileHostList, text, fileAllowed)
+}
+
+// writeSettings writes HOST.settings.yaml for every host. The daemons talk
+// without TLS: everything is on loopback.
+func (f *fleet) writeSettings() error {
+	for _, h := range f.hosts {
+		s := settings.Settings{
+			Host: h.Name, FailureDomain: h.FailureDomain,
+			Listen:            settings.Listen{Callers: h.callers, Peers: h.PeerAddress, Operators: h.operators},
+			InsecurePlaintext: true,
+			Operators:         settings.Operators{TokenFile: FileToken},
+			Platform:          settings.Platform{ConfigService: "http://" + f.platform, HostList: "http://" + f.platform, Key: settings.DefaultBundleKey},
+			BundlePublicKeys:  []string{FilePublicKey},
+			Limits: settings.Limits{
+				MaxBodyBytes: settings.DefaultMaxBodyBytes, MaxHeaderBytes: settings.DefaultMaxHeaderBytes,
+				ReadHeaderTimeout: settings.DefaultReadHeaderTimeout, ReadTimeout: settings.DefaultReadTimeout,
+				IdleTimeout: settings.DefaultIdleTimeout,
+			},
+			Drain: settings.Drain{Bound: settings.DefaultDrainBound},
+			Log:   settings.Log{Level: "warn"},
+		}
+		text, err := yaml.Marshal(s)
+		if err != nil {
+			return err
+		}
+		if err := f.write(settingsFile(h), text, fileAllowed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func settingsFile(h entryHost) string { return h.Name + ".settings.yaml" }
+
+// writeProcesses writes one line for each process: its name, a tab, and the
+// command, to be run in the directory's parent of bin/. The environment file
+// holds the addresses as shell variables.
+func (f *fleet) writeProcesses() error {
+	in := func(name string) string { return filepath.Join(f.Dir, name) }
+	flags := ""
+	if len(f.StandInFlags) > 0 {
+		flags = " " + strings.Join(f.StandInFlags, " ")
+	}
+	var out, callers, operators strings.Builder
+	fmt.Fprintf(&out, "platform\tbin/standin platform --listen %s --bundle %s --hosts %s\n", f.platform, in(FileSigned), in(FileHostList))
+	fmt.Fprintf(&out, "standins\tbin/standin fleet --bundle %s --control %s%s\n", in(FileBundle), f.control, flags)
+	for i, h := range f.hosts {
+		fmt.Fprintf(&out, "%s\tbin/wheatseamd --settings %s\n", h.Name, in(settingsFile(h)))
+		if i > 0 {
+			callers.WriteByte(',')
+			operators.WriteByte(',')
+		}
+		callers.WriteString(h.callers)
+		operators.WriteString(h.operators)
+	}
+	environment := fmt.Sprintf("CALLERS=%s\nOPERATORS=%s\nCONTROL=%s\nPLATFORM=%s\n", callers.String(), operators.String(), f.control, f.platform)
+	return errors.Join(f.write(FileProcesses, []byte(out.String()), fileAllowed), f.write(FileEnvironment, []byte(environment), fileAllowed))
+}
