--- a/cmd/wheatseam/call.go
+++ b/cmd/wheatseam/call.go
@@ -30,10 +30,6 @@
 	idFile   string
 }
 
-// errRefused makes the command exit with a status of 1 after the refusal was
-// printed.
-var errRefused = errors.New("the request was refused")
-
 func newCallCommand() *cobra.Command {
 	var o callOptions
 	c := &cobra.Command{
@@ -85,7 +81,7 @@
 	}
 	fmt.Fprint(out, string(raw))
 	if resp.StatusCode != http.StatusOK {
-		return errRefused
+		return errFound
 	}
 	return o.writeID(raw)
 }
@@ -146,7 +142,7 @@
 			return o.writeID([]byte(data))
 		case "error":
 			fmt.Fprintf(out, "\n%s\n", data)
-			return errRefused
+			return errFound
 		}
 	}
 	return errors.New("the stream was cut: this is no answer")
