--- a/service/client.go
+++ b/service/client.go
@@ -62,9 +62,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Rejected reports whether the service found the call itself invalid.
+// Rejected reports whether the service found the call itself invalid, which
+// means that it did not execute it. A conflict or a timeout says no such thing.
 func (e *Error) Rejected() bool {
-	return e.Status >= 400 && e.Status < 500 && e.Status != http.StatusTooManyRequests
+	switch e.Status {
+	case http.StatusRequestTimeout, http.StatusConflict, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false
+	}
+	return e.Status >= 400 && e.Status < 500
 }
 
 // ErrForeignAnswer is an answer that belongs to another request or attempt.
--- /dev/null
+++ b/service/client_test.go
@@ -0,0 +1,110 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/httpbody"
+)
+
+func TestService(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "service")
+}
+
+var _ = Describe("Client", func() {
+	now := time.Now()
+	client := NewClient(4, func() time.Time { return now })
+
+	do := func(address string, notAfter time.Time) (json.RawMessage, *Error) {
+		out, err := client.Do(context.Background(), Call{
+			Address: address, Path: "/v1/seal", RequestID: "r", Attempt: 2, Key: "k",
+			Input: json.RawMessage(`1`), NotAfter: notAfter,
+		})
+		if err == nil {
+			return out, nil
+		}
+		e, ok := err.(*Error)
+		Expect(ok).To(BeTrue())
+		return out, e
+	}
+
+	DescribeTable("judges what a service answered",
+		func(status int, header, body string, wantErr, notExecuted, rejected bool) {
+			calls := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls++
+				Expect(r.Header.Get("Idempotency-Key")).To(Equal("k"))
+				w.Header().Set(httpbody.HeaderNotExecuted, header)
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte(body))
+			}))
+			defer server.Close()
+			out, err := do(strings.TrimPrefix(server.URL, "http://"), now.Add(time.Second))
+			Expect(calls).To(Equal(1))
+			Expect(err != nil).To(Equal(wantErr))
+			if err == nil {
+				Expect(out).To(MatchJSON(`"ok"`))
+				return
+			}
+			Expect(err.NotExecuted).To(Equal(notExecuted))
+			Expect(err.Rejected()).To(Equal(rejected))
+		},
+		Entry("an answer", 200, "", `{"request_id":"r","attempt":2,"result":"ok"}`, false, false, false),
+		Entry("another request's", 200, "", `{"request_id":"x","attempt":2,"result":"ok"}`, true, false, false),
+		Entry("another attempt's", 200, "", `{"request_id":"r","attempt":1,"result":"ok"}`, true, false, false),
+		Entry("no JSON", 200, "", `ok`, true, false, false),
+		Entry("a failure", 500, "", `{}`, true, false, false),
+		Entry("busy, not executed", 503, "true", `{}`, true, true, false),
+		Entry("busy, saying nothing", 503, "", `{}`, true, false, false),
+		Entry("a conflict, which may have executed", 409, "", `{}`, true, false, false),
+		Entry("a refusal of the call", 422, "", `{}`, true, false, true),
+	)
+
+	It("knows that a call which found nobody was not executed", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		_, e := do(address, now.Add(time.Second))
+		Expect(e.NotExecuted).To(BeTrue())
+	})
+
+	It("does not send after the deadline", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { Fail("sent") }))
+		defer server.Close()
+		_, e := do(strings.TrimPrefix(server.URL, "http://"), now)
+		Expect(e.NotExecuted).To(BeTrue())
+		Expect(e).To(MatchError(httpbody.ErrTooLate))
+	})
+
+	It("is never sent twice by the transport when a kept connection breaks", func() {
+		calls := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			if calls == 1 {
+				_, _ = w.Write([]byte(`{"request_id":"r","attempt":2,"result":"ok"}`))
+				return
+			}
+			conn, _, err := w.(http.Hijacker).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_ = conn.Close()
+		}))
+		defer server.Close()
+		address := strings.TrimPrefix(server.URL, "http://")
+		_, err := do(address, now.Add(time.Second))
+		Expect(err).To(BeNil())
+		_, err = do(address, now.Add(time.Second))
+		Expect(err.NotExecuted).To(BeFalse())
+		Expect(calls).To(Equal(2))
+	})
+})
