--- /dev/null
+++ b/bundle/parse.go
@@ -0,0 +1,95 @@
+package bundle
+
+import (
+	"fmt"
+	"reflect"
+	"time"
+)
+
+// MaxSize bounds a signed bundle, in bytes: the configuration service holds
+// values of up to a megabyte.
+const MaxSize = 1_000_000
+
+// The defaults of values that a bundle leaves out.
+const (
+	DefaultGroupSize        = 3
+	DefaultRetention        = 2 * time.Minute
+	DefaultMaxClockSkew     = 250 * time.Millisecond
+	DefaultMaxKeyAhead      = time.Second
+	DefaultRetryBudgetRatio = 0.1
+	DefaultMaxAttempts      = 3
+	DefaultHedgeBudgetRatio = 0.05
+	DefaultHedgeQuantile    = 0.95
+	DefaultMaxConnections   = 64
+	DefaultRole             = "mixed"
+)
+
+// Parse reads one YAML document, signed or not, applies the defaults and
+// checks it. Its error is a *CheckError with every fault that was found. It
+// does not look at the signature; Open does. Any goroutine may call it.
+func Parse(raw []byte) (*Bundle, error) {
+	d := &decoder{problems{lines: map[string]int{}}}
+	if len(raw) > MaxSize {
+		d.add("", "%d bytes, at most %d are allowed", len(raw), MaxSize)
+		return nil, d.err()
+	}
+	root := d.parseDocument(raw)
+	if root == nil {
+		return nil, d.err()
+	}
+	b := withDefaults()
+	d.value(root, reflect.ValueOf(b).Elem(), "")
+	b.applyListDefaults()
+	checkFields(b, &d.problems)
+	checkMeaning(b, &d.problems)
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Locate fills in the lines of the problems from the document that the paths
+// refer to.
+func (e *CheckError) Locate(raw []byte) {
+	d := &decoder{problems{lines: map[string]int{}}}
+	root := d.parseDocument(raw)
+	if root == nil {
+		return
+	}
+	d.value(root, reflect.ValueOf(&Bundle{}).Elem(), "")
+	for i := range e.Problems {
+		e.Problems[i].Line = d.line(e.Problems[i].Path)
+	}
+}
+
+// withDefaults returns a bundle that holds the defaults of the top-level
+// sections; decoding overwrites what the document states, zeros included.
+func withDefaults() *Bundle {
+	return &Bundle{
+		Policy: PolicyAdaptive,
+		Claims: ClaimPolicy{
+			GroupSize:    DefaultGroupSize,
+			Retention:    DefaultRetention,
+			MaxClockSkew: DefaultMaxClockSkew,
+			MaxKeyAhead:  DefaultMaxKeyAhead,
+		},
+		Retry: RetryPolicy{BudgetRatio: DefaultRetryBudgetRatio, MaxAttempts: DefaultMaxAttempts},
+		Hedge: HedgePolicy{BudgetRatio: DefaultHedgeBudgetRatio, Quantile: DefaultHedgeQuantile},
+	}
+}
+
+// applyListDefaults fills the values that pools leave out.
+func (b *Bundle) applyListDefaults() {
+	for i := range b.Pools {
+		p := &b.Pools[i]
+		if p.MaxConnections == 0 {
+			p.MaxConnections = DefaultMaxConnections
+		}
+		if p.Kind == PoolEngine && p.Role == "" {
+			p.Role = DefaultRole
+		}
+	}
+}
+
+// indexed returns "list[i]".
+func indexed(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
