Operators' commands: health, dump, explain, drain, metrics, bundle-status, certs

Cause: the listener's JSON is for programs; who is on call wants a table, an exit code and a word on why. Exit codes as in the other commands: 1 is a host that is not ready, bundles that differ, a request of which no host has a record; 2 is a question not answered. Conclusion: tests run the commands against a listener on loopback; keys made by 'wheatseam certs' carry a mutual TLS call between two transports.

--- a/cmd/wheatseam/main.go
+++ b/cmd/wheatseam/main.go
@@ -57,8 +57,9 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newBundleCommand(), newCallCommand(), newErrorsCommand(),
+		newBundleCommand(), newCallCommand(), newCertsCommand(), newErrorsCommand(),
 		newReplayCommand(), newTraceCommand(),
 	)
+	root.AddCommand(newOperatorCommands()...)
 	return root
 }
