Move the strict YAML reader into a package and read settings by it too

Cause: bundle and settings read YAML by two ways, and the settings still had the library's lenient scalars and its stop at the first fault.

internal/strictyaml now reads both, with path and line.

No change of what a bundle may be.

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -4,12 +4,14 @@
 	"net/netip"
 	"strings"
 	"time"
+
+	"github.com/wheatseam/wheatseam/internal/strictyaml"
 )
 
 // checkMeaning checks what values mean beside each other: names that must
 // exist or must differ, and deadlines that can be kept.
-func checkMeaning(b *Bundle, ps *problems) {
-	c := &checker{problems: ps, b: b}
+func checkMeaning(b *Bundle, r *strictyaml.Report) {
+	c := &checker{Report: r, b: b}
 	c.index()
 	c.checkObjective()
 	c.checkHosts()
@@ -22,7 +24,7 @@
 
 // checker holds the names that a bundle defines.
 type checker struct {
-	*problems
+	*strictyaml.Report
 	b         *Bundle
 	domains   map[string]bool
 	pools     map[string]*Pool
@@ -38,7 +40,7 @@
 		return
 	}
 	if first, seen := u[value]; seen {
-		c.add(path, "%q is already used by %s", value, first)
+		c.Add(path, "%q is already used by %s", value, first)
 		return
 	}
 	u[value] = path
@@ -72,21 +74,21 @@
 	if err == nil && address.Port() != 0 && !address.Addr().IsUnspecified() {
 		return
 	}
-	if !c.has(path) {
-		c.add(path, "want an address in the form ip:port")
+	if !c.Has(path) {
+		c.Add(path, "want an address in the form ip:port")
 	}
 }
 
 // domain notes a fault when no failure domain has that name.
 func (c *checker) domain(name, path string) {
 	if name != "" && !c.domains[name] {
-		c.add(path, "there is no failure domain %q", name)
+		c.Add(path, "there is no failure domain %q", name)
 	}
 }
 
 func (c *checker) checkObjective() {
-	if c.b.Objective.Attainment == 0 && c.b.Objective.CostByStage == 0 && !c.has("objective") {
-		c.add("objective", "one of attainment and cost_by_stage must be above 0")
+	if c.b.Objective.Attainment == 0 && c.b.Objective.CostByStage == 0 && !c.Has("objective") {
+		c.Add("objective", "one of attainment and cost_by_stage must be above 0")
 	}
 }
 
@@ -98,7 +100,7 @@
 		addresses.check(c, h.PeerAddress, path+".peer_address")
 		c.address(h.PeerAddress, path+".peer_address")
 		if !h.EndedAt.IsZero() {
-			c.add(path+".ended_at", "belongs to hosts in views")
+			c.Add(path+".ended_at", "belongs to hosts in views")
 		}
 		c.domain(h.FailureDomain, path+".failure_domain")
 	}
@@ -111,7 +113,7 @@
 	for i, v := range c.b.Views {
 		path := indexed("views", i)
 		if v.Version >= newer {
-			c.add(path+".version", "%d is not below %d: views stand newest first, below the bundle's version", v.Version, newer)
+			c.Add(path+".version", "%d is not below %d: views stand newest first, below the bundle's version", v.Version, newer)
 		}
 		newer = v.Version
 		names := unique{}
@@ -125,20 +127,20 @@
 	p := c.b.Claims
 	switch {
 	case p.GroupSize < 1:
-		c.add("claims.group_size", "must be 1 or more")
+		c.Add("claims.group_size", "must be 1 or more")
 	case p.GroupSize%2 == 0:
-		c.add("claims.group_size", "%d is even: a majority of it is no safer than of %d", p.GroupSize, p.GroupSize-1)
+		c.Add("claims.group_size", "%d is even: a majority of it is no safer than of %d", p.GroupSize, p.GroupSize-1)
 	case p.GroupSize > len(c.b.Hosts):
-		c.add("claims.group_size", "%d is more than the %d hosts", p.GroupSize, len(c.b.Hosts))
+		c.Add("claims.group_size", "%d is more than the %d hosts", p.GroupSize, len(c.b.Hosts))
 	}
 	if p.MaxClockSkew <= 0 {
-		c.add("claims.max_clock_skew", "must be above 0")
+		c.Add("claims.max_clock_skew", "must be above 0")
 	}
 	if p.MaxKeyAhead < 0 {
-		c.add("claims.max_key_ahead", "must be 0 or more")
+		c.Add("claims.max_key_ahead", "must be 0 or more")
 	}
 	if p.Retention <= p.MaxClockSkew+p.MaxKeyAhead {
-		c.add("claims.retention", "must be above max_clock_skew + max_key_ahead (%s)", p.MaxClockSkew+p.MaxKeyAhead)
+		c.Add("claims.retention", "must be above max_clock_skew + max_key_ahead (%s)", p.MaxClockSkew+p.MaxKeyAhead)
 	}
 }
 
@@ -165,13 +167,13 @@
 
 func (c *checker) checkPoolKind(p Pool, path string) {
 	if p.Kind == PoolEngine && p.Model == "" {
-		c.add(path+".model", "an engine pool needs a model")
+		c.Add(path+".model", "an engine pool needs a model")
 	}
 	if p.Kind != PoolService {
 		return
 	}
 	if p.Model != "" || p.Version != "" || len(p.Adapters) > 0 || p.Role != "" {
-		c.add(path, "model, model_version, adapters and role belong to engine pools")
+		c.Add(path, "model, model_version, adapters and role belong to engine pools")
 	}
 }
 
@@ -198,37 +200,37 @@
 		nonRepeatable = nonRepeatable || s.NonRepeatable
 	}
 	if p.Deadline > 0 && expected > p.Deadline {
-		c.add(path+".deadline", "%s is impossible: the stages are expected to take %s", p.Deadline, expected)
+		c.Add(path+".deadline", "%s is impossible: the stages are expected to take %s", p.Deadline, expected)
 	}
 	claims := c.b.Claims
 	if nonRepeatable && p.Deadline+claims.MaxClockSkew+claims.MaxKeyAhead >= claims.Retention {
-		c.add(path+".deadline", "%s with max_clock_skew and max_key_ahead is not below claims.retention (%s), "+
+		c.Add(path+".deadline", "%s with max_clock_skew and max_key_ahead is not below claims.retention (%s), "+
 			"so a claim could be forgotten while its request runs", p.Deadline, claims.Retention)
 	}
 }
 
 func (c *checker) checkStage(s Stage, path string) {
 	if s.NonRepeatable && s.Kind != StageCall {
-		c.add(path+".non_repeatable", "only a stage of kind call can be non-repeatable, not %s", s.Kind)
+		c.Add(path+".non_repeatable", "only a stage of kind call can be non-repeatable, not %s", s.Kind)
 	}
 	if s.MaxTokens > 0 && s.Kind != StageGenerate {
-		c.add(path+".max_tokens", "belongs to stages of kind generate")
+		c.Add(path+".max_tokens", "belongs to stages of kind generate")
 	}
 	if s.Path != "" && !strings.HasPrefix(s.Path, "/") {
-		c.add(path+".path", "must start with /")
+		c.Add(path+".path", "must start with /")
 	}
 	if s.Path != "" && s.Kind == StageGenerate {
-		c.add(path+".path", "belongs to stages that call services")
+		c.Add(path+".path", "belongs to stages that call services")
 	}
 	pool, known := c.pools[s.Pool]
 	switch {
 	case s.Pool == "":
 	case !known:
-		c.add(path+".pool", "there is no pool %q", s.Pool)
+		c.Add(path+".pool", "there is no pool %q", s.Pool)
 	case s.Kind == StageGenerate && pool.Kind != PoolEngine:
-		c.add(path+".pool", "a generate stage needs an engine pool; %q is of kind %s", s.Pool, pool.Kind)
+		c.Add(path+".pool", "a generate stage needs an engine pool; %q is of kind %s", s.Pool, pool.Kind)
 	case s.Kind != StageGenerate && pool.Kind != PoolService:
-		c.add(path+".pool", "a stage of kind %s needs a service pool; %q is of kind %s", s.Kind, s.Pool, pool.Kind)
+		c.Add(path+".pool", "a stage of kind %s needs a service pool; %q is of kind %s", s.Kind, s.Pool, pool.Kind)
 	}
 }
 
@@ -245,7 +247,7 @@
 			pipeline := indexed(path+".pipelines", j)
 			pipelines.check(c, name, pipeline)
 			if name != "" && !c.pipelines[name] {
-				c.add(pipeline, "there is no pipeline %q", name)
+				c.Add(pipeline, "there is no pipeline %q", name)
 			}
 		}
 	}
@@ -256,7 +258,7 @@
 func (c *checker) checkKeyHash(seen unique, hash, path string) {
 	hash = strings.ToLower(hash)
 	if first, known := seen[hash]; known {
-		c.add(path, "key hash %s is already used by %s", shortHash(hash), first)
+		c.Add(path, "key hash %s is already used by %s", shortHash(hash), first)
 		return
 	}
 	seen[hash] = path
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/wheatseam/wheatseam/internal/strictyaml"
 )
 
 // ChangeKind says what happened to a value.
@@ -64,7 +66,7 @@
 func (d *differ) structure(path string, a, b reflect.Value) {
 	for i := range a.NumField() {
 		field := a.Type().Field(i)
-		d.value(join(path, yamlKey(field)), a.Field(i), b.Field(i), isSecret(field))
+		d.value(strictyaml.Join(path, strictyaml.Key(field)), a.Field(i), b.Field(i), isSecret(field))
 	}
 }
 
@@ -72,7 +74,7 @@
 	switch {
 	case a.Kind() == reflect.Slice:
 		d.list(path, a, b, secret)
-	case !isScalar(a.Type()):
+	case !strictyaml.IsScalar(a.Type()):
 		d.structure(path, a, b)
 	case a.Interface() != b.Interface():
 		d.add(Changed, path, flow(a, secret), flow(b, secret))
@@ -189,7 +191,7 @@
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
 		if !v.Field(i).IsZero() {
-			parts = append(parts, yamlKey(field)+": "+flow(v.Field(i), isSecret(field)))
+			parts = append(parts, strictyaml.Key(field)+": "+flow(v.Field(i), isSecret(field)))
 		}
 	}
 	return "{" + strings.Join(parts, ", ") + "}"
--- a/bundle/fields.go
+++ b/bundle/fields.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"github.com/wheatseam/wheatseam/internal/strictyaml"
 )
 
 // namePattern is the form of every name: names stand in URLs, logs and
@@ -17,7 +19,7 @@
 
 func newFieldChecks() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(yamlKey)
+	v.RegisterTagNameFunc(strictyaml.Key)
 	must(v.RegisterValidation("name", func(f validator.FieldLevel) bool {
 		return namePattern.MatchString(f.Field().String())
 	}))
@@ -31,31 +33,20 @@
 }
 
 // checkFields checks each value by itself, by the validate tags.
-func checkFields(b *Bundle, ps *problems) {
+func checkFields(b *Bundle, r *strictyaml.Report) {
 	err := fieldChecks.Struct(b)
 	var faults validator.ValidationErrors
 	if !errors.As(err, &faults) {
 		return
 	}
-	found := ps.list
+	found := strictyaml.Report{Problems: r.Problems}
 	for _, fault := range faults {
 		_, path, _ := strings.Cut(fault.Namespace(), ".")
-		before := problems{list: found}
-		if before.has(path) || before.hasWithin(path) {
+		if found.Has(path) || found.HasWithin(path) {
 			continue
 		}
-		ps.add(path, "%s", faultMessage(fault))
-	}
-}
-
-// hasWithin says that a fault was noted at something inside path.
-func (ps *problems) hasWithin(path string) bool {
-	for _, p := range ps.list {
-		if strings.HasPrefix(p.Path, path+".") || strings.HasPrefix(p.Path, path+"[") {
-			return true
-		}
+		r.Add(path, "%s", faultMessage(fault))
 	}
-	return false
 }
 
 func faultMessage(fault validator.FieldError) string {
--- a/bundle/parse.go
+++ b/bundle/parse.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"reflect"
 	"time"
+
+	"github.com/wheatseam/wheatseam/internal/strictyaml"
 )
 
 // MaxSize bounds a signed bundle, in bytes: the configuration service holds
@@ -28,40 +29,24 @@
 // checks it. Its error is a *CheckError with every fault that was found. It
 // does not look at the signature; Open does. Any goroutine may call it.
 func Parse(raw []byte) (*Bundle, error) {
-	d := &decoder{problems{lines: map[string]int{}}}
 	if len(raw) > MaxSize {
-		d.add("", "%d bytes, at most %d are allowed", len(raw), MaxSize)
-		return nil, d.err()
-	}
-	root := d.parseDocument(raw)
-	if root == nil {
-		return nil, d.err()
+		r := &strictyaml.Report{}
+		r.Add("", "%d bytes, at most %d are allowed", len(raw), MaxSize)
+		return nil, checkError(r)
 	}
 	b := withDefaults()
-	d.value(root, reflect.ValueOf(b).Elem(), "")
+	r := strictyaml.Decode(raw, b)
 	b.applyListDefaults()
-	checkFields(b, &d.problems)
-	checkMeaning(b, &d.problems)
-	if err := d.err(); err != nil {
+	if !r.Unreadable() {
+		checkFields(b, r)
+		checkMeaning(b, r)
+	}
+	if err := checkError(r); err != nil {
 		return nil, err
 	}
 	return b, nil
 }
 
-// Locate fills in the lines of the problems from the document that the paths
-// refer to.
-func (e *CheckError) Locate(raw []byte) {
-	d := &decoder{problems{lines: map[string]int{}}}
-	root := d.parseDocument(raw)
-	if root == nil {
-		return
-	}
-	d.value(root, reflect.ValueOf(&Bundle{}).Elem(), "")
-	for i := range e.Problems {
-		e.Problems[i].Line = d.line(e.Problems[i].Path)
-	}
-}
-
 // withDefaults returns a bundle that holds the defaults of the top-level
 // sections; decoding overwrites what the document states, zeros included.
 func withDefaults() *Bundle {
--- a/bundle/successor.go
+++ b/bundle/successor.go
@@ -1,6 +1,10 @@
 package bundle
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/wheatseam/wheatseam/internal/strictyaml"
+)
 
 // CheckSuccessor returns why next must not follow current: a version that is
 // no higher, another deployment, or a lineage of host lists that does not hold
@@ -10,15 +14,15 @@
 // A host list that vanished from the lineage would let two lists form two
 // majorities for one claim, so daemons refuse such a bundle too.
 func CheckSuccessor(current, next *Bundle) error {
-	ps := &problems{}
+	r := &strictyaml.Report{}
 	if next.Version <= current.Version {
-		ps.add("version", "%d is not above %d, the version in force", next.Version, current.Version)
+		r.Add("version", "%d is not above %d, the version in force", next.Version, current.Version)
 	}
 	if next.Deployment != current.Deployment {
-		ps.add("deployment", "%q is not %q, the deployment in force", next.Deployment, current.Deployment)
+		r.Add("deployment", "%q is not %q, the deployment in force", next.Deployment, current.Deployment)
 	}
-	checkLineage(current, next, ps)
-	return ps.err()
+	checkLineage(current, next, r)
+	return checkError(r)
 }
 
 // HostsEpoch numbers the host list in force: one more than the newest view's
@@ -32,15 +36,15 @@
 
 // checkLineage wants every host list to keep its epoch: the list in force now
 // must be the next bundle's list of the same epoch, and so must each view.
-func checkLineage(current, next *Bundle, ps *problems) {
+func checkLineage(current, next *Bundle, r *strictyaml.Report) {
 	epoch := current.HostsEpoch()
 	switch {
 	case next.HostsEpoch() < epoch:
-		ps.add("views", "the newest view must be %d or later: the host list in force is list %d", epoch-1, epoch)
+		r.Add("views", "the newest view must be %d or later: the host list in force is list %d", epoch-1, epoch)
 	case next.HostsEpoch() == epoch && !SameHosts(current.Hosts, next.Hosts):
-		ps.add("views", "the host list changed: put the list in force first, with version %d", epoch)
+		r.Add("views", "the host list changed: put the list in force first, with version %d", epoch)
 	case next.HostsEpoch() > epoch && !next.hasView(epoch):
-		ps.add("views", "the host list in force is missing: it is list %d", epoch)
+		r.Add("views", "the host list in force is missing: it is list %d", epoch)
 	}
 	known := map[uint64][]Host{epoch: current.Hosts}
 	for _, v := range current.Views {
@@ -49,7 +53,7 @@
 	for i, v := range next.Views {
 		hosts, ok := known[v.Version]
 		if ok && !SameHosts(hosts, v.Hosts) {
-			ps.add(indexed("views", i)+".hosts", "differ from the hosts of list %d", v.Version)
+			r.Add(indexed("views", i)+".hosts", "differ from the hosts of list %d", v.Version)
 		}
 	}
 }
--- a/bundle/decode.go
+++ b/internal/strictyaml/decode.go
@@ -1,4 +1,4 @@
-package bundle
+package strictyaml
 
 import (
 	"errors"
@@ -12,11 +12,29 @@
 	"github.com/goccy/go-yaml/parser"
 )
 
-// decoder walks a document beside the type that it is read into. The walk
-// exists to name every fault at once, where the library stops at the first;
-// the library still reads the document and converts each scalar.
+// Decode reads the one document of raw into the struct that v points to, and
+// reports every fault. What the document leaves out is left alone in v, so that
+// the caller may put defaults there; what is faulty is undefined.
+//
+// Mappings become structs, by their yaml tags; sequences become slices; scalars
+// become strings, booleans, int, int64, uint64, float64, time.Duration (with a unit)
+// and time.Time (RFC 3339). Keys that the struct lacks, keys without a value,
+// values of another kind, anchors, aliases, tags and further documents are
+// faults.
+func Decode(raw []byte, v any) *Report {
+	d := &decoder{&Report{lines: map[string]int{}}}
+	root := d.parseDocument(raw)
+	if root == nil {
+		d.unreadable = true
+		return d.Report
+	}
+	d.value(root, reflect.ValueOf(v).Elem(), "")
+	return d.Report
+}
+
+// decoder walks a document beside the type that it is read into.
 type decoder struct {
-	problems
+	*Report
 }
 
 // parseDocument returns the root of the one document of raw, or nil after
@@ -24,16 +42,16 @@
 func (d *decoder) parseDocument(raw []byte) ast.Node {
 	file, err := parser.ParseBytes(raw, 0)
 	if err != nil {
-		d.list = append(d.list, syntaxProblem(err))
+		d.Problems = append(d.Problems, syntaxProblem(err))
 		return nil
 	}
 	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
-		d.add("", "want one YAML document, got none")
+		d.Add("", "want one YAML document, got none")
 		return nil
 	}
 	if len(file.Docs) > 1 {
 		d.note("", file.Docs[1])
-		d.add("", "want one YAML document, got %d", len(file.Docs))
+		d.Add("", "want one YAML document, got %d", len(file.Docs))
 		return nil
 	}
 	return file.Docs[0].Body
@@ -54,14 +72,14 @@
 	d.note(path, node)
 	switch node.(type) {
 	case *ast.NullNode:
-		d.add(path, "has no value")
+		d.Add(path, "has no value")
 		return
 	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
-		d.add(path, "anchors, aliases and tags are not allowed")
+		d.Add(path, "anchors, aliases and tags are not allowed")
 		return
 	}
 	switch {
-	case isScalar(v.Type()):
+	case IsScalar(v.Type()):
 		d.scalar(node, v, path)
 	case v.Kind() == reflect.Struct:
 		d.structure(node, v, path)
@@ -89,17 +107,17 @@
 	case *ast.MappingValueNode:
 		pairs = []*ast.MappingValueNode{n}
 	default:
-		d.add(path, "want a mapping, got %s", kindOf(node))
+		d.Add(path, "want a mapping, got %s", kindOf(node))
 		return
 	}
 	fields := fieldsOf(v.Type())
 	for _, pair := range pairs {
 		key := pair.Key.GetToken().Value
-		child := join(path, key)
+		child := Join(path, key)
 		d.note(child, pair.Key)
 		index, known := fields[key]
 		if !known {
-			d.add(child, "unknown key")
+			d.Add(child, "unknown key")
 			continue
 		}
 		d.value(pair.Value, v.Field(index), child)
@@ -109,7 +127,7 @@
 func (d *decoder) sequence(node ast.Node, v reflect.Value, path string) {
 	list, ok := node.(*ast.SequenceNode)
 	if !ok {
-		d.add(path, "want a list, got %s", kindOf(node))
+		d.Add(path, "want a list, got %s", kindOf(node))
 		return
 	}
 	items := reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values))
@@ -124,8 +142,8 @@
 	timeType     = reflect.TypeFor[time.Time]()
 )
 
-// isScalar says that t is read from one YAML scalar.
-func isScalar(t reflect.Type) bool {
+// IsScalar says that t is read from one YAML scalar.
+func IsScalar(t reflect.Type) bool {
 	return t == timeType || t.Kind() != reflect.Struct && t.Kind() != reflect.Slice
 }
 
@@ -133,11 +151,11 @@
 // number or a number into a string, so that the node's kind is checked first.
 func (d *decoder) scalar(node ast.Node, v reflect.Value, path string) {
 	if !fits(node, v.Type()) {
-		d.add(path, "want %s, got %s", typeName(v.Type()), kindOf(node))
+		d.Add(path, "want %s, got %s", typeName(v.Type()), kindOf(node))
 		return
 	}
 	if err := convert(node, v); err != nil {
-		d.add(path, "want %s: %s", typeName(v.Type()), oneLine(err))
+		d.Add(path, "want %s: %s", typeName(v.Type()), oneLine(err))
 	}
 }
 
@@ -160,7 +178,7 @@
 	case *ast.BoolNode:
 		return t.Kind() == reflect.Bool
 	case *ast.IntegerNode:
-		return t != durationType && (t.Kind() == reflect.Float64 || t.Kind() == reflect.Int || t.Kind() == reflect.Uint64)
+		return t != durationType && (t.Kind() == reflect.Float64 || t.Kind() == reflect.Int || t.Kind() == reflect.Int64 || t.Kind() == reflect.Uint64)
 	case *ast.FloatNode:
 		return t.Kind() == reflect.Float64
 	default:
@@ -172,12 +190,15 @@
 func fieldsOf(t reflect.Type) map[string]int {
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
-		fields[yamlKey(t.Field(i))] = i
+		if key := Key(t.Field(i)); key != "" && key != "-" {
+			fields[key] = i
+		}
 	}
 	return fields
 }
 
-func yamlKey(field reflect.StructField) string {
+// Key returns the YAML key of a struct field; "-" is none.
+func Key(field reflect.StructField) string {
 	key, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
 	return key
 }
@@ -209,7 +230,8 @@
 	return err.Error()
 }
 
-func join(path, key string) string {
+// Join returns the path of a key inside path.
+func Join(path, key string) string {
 	if path == "" {
 		return key
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,13 +5,13 @@
 
 import (
 	"crypto/ed25519"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/parser"
+	"github.com/wheatseam/wheatseam/internal/strictyaml"
 )
 
 // Settings are the settings of one daemon. They do not change while it runs.
@@ -144,15 +144,13 @@
 	return s, nil
 }
 
+// decode reads raw into s; its error names every fault with path and line.
 func decode(raw []byte, s *Settings) error {
-	file, err := parser.ParseBytes(raw, 0)
-	if err != nil {
-		return err
-	}
-	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		return fmt.Errorf("want one YAML document, got %d", len(file.Docs))
+	var faults []error
+	for _, p := range strictyaml.Decode(raw, s).Problems {
+		faults = append(faults, errors.New(p.String()))
 	}
-	return yaml.NodeToValue(file.Docs[0].Body, s, yaml.Strict())
+	return errors.Join(faults...)
 }
 
 // Finish checks the settings and reads the public keys.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -65,7 +65,8 @@
 		_, err := settings.Load(write(strings.Replace(exampleText(), old, new, 1)))
 		Expect(err).To(MatchError(ContainSubstring(want)))
 	},
-		Entry("an unknown key", "host: entry-1", "hots: entry-1", `unknown field "hots"`),
+		Entry("an unknown key", "host: entry-1", "hots: entry-1", "line 2: hots: unknown key"),
+		Entry("a duration without unit", "bound: 30s", "bound: 30", "drain.bound: want a duration with its unit"),
 		Entry("a second document", "listen:", "---\nlisten:", "one YAML document"),
 		Entry("a host name as address", "127.0.0.1:7301", "localhost:7301", "listen.callers"),
 		Entry("one address twice", "127.0.0.1:7601", "127.0.0.1:7401", "is taken by listen.peers"),
