--- a/cmd/wheatseam/main.go
+++ b/cmd/wheatseam/main.go
@@ -20,9 +20,9 @@
 	exitFailed = 2
 )
 
-// errFound makes the command exit with exitFound after what was found has been
-// printed.
-var errFound = errors.New("problems were found")
+// errFound makes the command exit with exitFound after what was found (a
+// refusal, problems, outcomes not met) has been printed.
+var errFound = errors.New("the answer is no")
 
 func main() { os.Exit(run(newRoot(), os.Stderr)) }
 
@@ -32,7 +32,7 @@
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, errRefused), errors.Is(err, errFound):
+	case errors.Is(err, errFound):
 		return exitFound
 	default:
 		fmt.Fprintln(stderr, "wheatseam:", err)
@@ -56,6 +56,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBundleCommand(), newCallCommand(), newErrorsCommand())
+	root.AddCommand(
+		newBundleCommand(), newCallCommand(), newErrorsCommand(),
+		newReplayCommand(), newTraceCommand(),
+	)
 	return root
 }
