--- a/service/client_test.go
+++ b/service/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,9 +41,9 @@
 
 	DescribeTable("judges what a service answered",
 		func(status int, header, body string, wantErr, notExecuted, rejected bool) {
-			calls := 0
+			var calls atomic.Int32
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				calls++
+				calls.Add(1)
 				Expect(r.Header.Get("Idempotency-Key")).To(Equal("k"))
 				w.Header().Set(httpbody.HeaderNotExecuted, header)
 				w.WriteHeader(status)
@@ -50,7 +51,7 @@
 			}))
 			defer server.Close()
 			out, err := do(strings.TrimPrefix(server.URL, "http://"), now.Add(time.Second))
-			Expect(calls).To(Equal(1))
+			Expect(calls.Load()).To(BeEquivalentTo(1))
 			Expect(err != nil).To(Equal(wantErr))
 			if err == nil {
 				Expect(out).To(MatchJSON(`"ok"`))
@@ -88,10 +89,9 @@
 	})
 
 	It("is never sent twice by the transport when a kept connection breaks", func() {
-		calls := 0
+		var calls atomic.Int32
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			calls++
-			if calls == 1 {
+			if calls.Add(1) == 1 {
 				_, _ = w.Write([]byte(`{"request_id":"r","attempt":2,"result":"ok"}`))
 				return
 			}
@@ -105,6 +105,6 @@
 		Expect(err).To(BeNil())
 		_, err = do(address, now.Add(time.Second))
 		Expect(err.NotExecuted).To(BeFalse())
-		Expect(calls).To(Equal(2))
+		Expect(calls.Load()).To(BeEquivalentTo(2))
 	})
 })
