Wire peers, operators' listener, dump sections and metrics into the daemon

Cause: the demo and the process tests wait for readiness, explain and drain. The record of a request begins with what was asked and the bundle version; a refusal before service has a record too, but not one that anybody can cause without an API key (it would push out others').

--- a/cmd/wheatseamd/main.go
+++ b/cmd/wheatseamd/main.go
@@ -11,11 +11,9 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 
 	"github.com/wheatseam/wheatseam/daemon"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/settings"
 )
 
@@ -57,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(s.Log.Level)
+	log, err := logging.New(os.Stderr, s.Log.Level)
 	if err != nil {
 		return err
 	}
@@ -80,14 +78,3 @@
 	}()
 	return first, second
 }
-
-func newLogger(level string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, fmt.Errorf("log level: %w", err)
-	}
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	encoder.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoder), zapcore.Lock(os.Stderr), l)), nil
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,8 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/operator"
+	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
 	"github.com/wheatseam/wheatseam/settings"
@@ -48,6 +51,17 @@
 	budgets  retry.Budgets
 	records  *record.Store
 	claimer  request.Claimer
+
+	incarnation uint64 // start of the process in Unix milliseconds
+	hosts       hostBook
+	origin      atomic.Pointer[origin]
+	metrics     *metrics.Set
+	peerMux     *peer.Mux
+	peers       *peer.Transport
+	sections    *operator.Sections
+	operators   *operator.Server
+	// leave starts the way out; Run sets it.
+	leave context.CancelFunc
 	// appliers get every bundle that comes into force.
 	appliers []applier
 }
@@ -57,8 +71,13 @@
 
 // New returns a daemon that has not started.
 func New(s *settings.Settings, log *zap.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, table: request.NewTable(), records: record.NewStore(recordBytes)}
+	d := &Daemon{
+		settings: s, log: log, table: request.NewTable(), records: record.NewStore(recordBytes),
+		metrics: metrics.NewSet(), peerMux: peer.NewMux(), sections: operator.NewSections(),
+	}
+	d.incarnation = uint64(d.Now().UnixMilli())
 	d.sessions.init()
+	d.appliers = append(d.appliers, &d.hosts)
 	d.addDecisionParts()
 	return d
 }
@@ -66,16 +85,20 @@
 // Run serves until ctx ends, then drains: requests in flight are finished, at
 // the longest for the drain bound of the settings or until cut ends.
 func (d *Daemon) Run(ctx, cut context.Context) error {
-	listener, err := net.Listen("tcp", d.settings.Listen.Callers)
+	ctx, d.leave = context.WithCancel(ctx)
+	defer d.leave()
+	listener, err := d.open()
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
 	server := d.callerServer()
-	d.log.Info("listening", zap.String("callers", listener.Addr().String()))
+	d.log.Info("listening", zap.String("callers", listener.Addr().String()),
+		zap.String("peers", d.peers.Addr()), zap.String("operators", d.operators.Addr()))
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	group.Go(d.operators.Serve)
 	group.Go(func() error { d.watchBundle(running); return nil })
 	group.Go(func() error { d.tick(running); return nil })
 	<-ctx.Done()
@@ -86,9 +109,37 @@
 		_ = server.Close()
 	}
 	stop()
+	d.closeListeners(shutdown)
 	return group.Wait()
 }
 
+// open opens the three listeners, all or none.
+func (d *Daemon) open() (net.Listener, error) {
+	if err := d.openPeers(); err != nil {
+		return nil, err
+	}
+	if err := d.openOperators(); err != nil {
+		return nil, errors.Join(err, d.peers.Close())
+	}
+	listener, err := net.Listen("tcp", d.settings.Listen.Callers)
+	if err != nil {
+		err = fmt.Errorf("listen for callers: %w", err)
+		return nil, errors.Join(err, d.operators.Shutdown(context.Background()), d.peers.Close())
+	}
+	return listener, nil
+}
+
+// closeListeners ends the sessions with fellow daemons, then the operators'
+// listener, so that a waiting operator sees the end.
+func (d *Daemon) closeListeners(ctx context.Context) {
+	if err := d.peers.Shutdown(ctx); err != nil {
+		d.log.Warn("peers cut", zap.Error(err))
+	}
+	if err := d.operators.Shutdown(ctx); err != nil {
+		d.log.Warn("operators cut", zap.Error(err))
+	}
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -193,7 +244,25 @@
 	return e
 }
 
-// Refused implements caller.Backend.
+// The steps that this package records.
+const (
+	stepReceive record.Step = "receive"
+	stepRefuse  record.Step = "refuse"
+)
+
+// refusedEntry says why a request was not served at all.
+func refusedEntry(now time.Time, e *problem.Error) record.Entry {
+	return record.Entry{At: now, Step: stepRefuse, Outcome: string(e.Kind), Fields: []record.Field{
+		{Key: "execution", Value: string(e.Execution)}, {Key: "detail", Value: e.Detail},
+	}}
+}
+
+// Refused implements caller.Backend. What anybody can send without an API key
+// is logged and counted only: it must not push other requests' records out.
 func (d *Daemon) Refused(id string, e *problem.Error) {
+	d.countRefused(e)
+	if e.Kind != problem.Unauthorized && e.Kind != problem.NotFound {
+		d.records.Begin(id).Add(refusedEntry(d.Now(), e))
+	}
 	d.log.Info("refused", zap.String("request", id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
 }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,13 +12,16 @@
 	"github.com/wheatseam/wheatseam/caller"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/record"
 )
 
 // Serve implements caller.Backend.
 func (d *Daemon) Serve(ctx context.Context, sub caller.Submission, sink caller.Sink) (*request.Answer, *problem.Error) {
 	s := newSession(sub, digestOf(sub), d.upstream.Load())
 	d.sessions.insert(s)
-	m := request.New(specOf(sub), d.deps, d.records.Begin(sub.RequestID))
+	log := d.records.Begin(sub.RequestID)
+	log.Add(receivedEntry(sub))
+	m := request.New(specOf(sub), d.deps, log)
 	d.table.Insert(m)
 	d.deliver(s, request.Start{})
 	f := d.await(ctx, s, sink)
@@ -28,6 +32,18 @@
 	return f.answer, f.err
 }
 
+// receivedEntry says what a request is and under which bundle it is served.
+func receivedEntry(sub caller.Submission) record.Entry {
+	return record.Entry{At: sub.Arrived, Step: stepReceive, Outcome: "accepted", Fields: []record.Field{
+		{Key: "bundle", Value: strconv.FormatUint(sub.Bundle.Version, 10)},
+		{Key: "customer", Value: sub.Customer.Name},
+		{Key: "pipeline", Value: sub.Pipeline.Name},
+		{Key: "deadline", Value: sub.Deadline.Sub(sub.Arrived).String()},
+		{Key: "key", Value: sub.Key},
+		{Key: "stream", Value: strconv.FormatBool(sub.Stream)},
+	}}
+}
+
 func specOf(sub caller.Submission) request.Spec {
 	spec := request.Spec{
 		ID: sub.RequestID, Customer: sub.Customer.Name, Bundle: sub.Bundle, Pipeline: sub.Pipeline,
@@ -88,6 +104,7 @@
 
 func (d *Daemon) logEnd(s *session, f finalAnswer) {
 	took := d.Now().Sub(s.sub.Arrived).Round(time.Microsecond)
+	d.countRequest(s.sub.Customer.Name, s.sub.Pipeline.Name, f.err, took)
 	fields := []zap.Field{
 		zap.String("request", s.id), zap.String("customer", s.sub.Customer.Name),
 		zap.String("pipeline", s.sub.Pipeline.Name), zap.Duration("took", took),
--- a/daemon/thin.go
+++ b/daemon/thin.go
@@ -107,6 +107,7 @@
 		return fmt.Errorf("open bundle: %w", err)
 	}
 	if old := d.bundle.Load(); old == nil || b.Version > old.Version {
+		d.noteOrigin(raw, sourcePlatform)
 		d.apply(b)
 	}
 	return nil
