--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/operator"
 )
 
@@ -114,7 +115,7 @@
 		}
 	})
 	d.sections.Register("bundle", func() any { return d.dumpBundle() })
-	d.sections.Register("requests", func() any { return d.table.Overviews(maxDumpRequests) })
+	d.sections.Register("requests", func() any { return append([]request.Overview{}, d.table.Overviews(maxDumpRequests)...) })
 	d.sections.Register("records", func() any { return d.records.Stats() })
 	d.sections.Register("peers", func() any { return d.peers.Sessions() })
 	d.sections.Register("pools", func() any { return d.admitter.State(d.Now()) })
--- a/operator/server.go
+++ b/operator/server.go
@@ -188,7 +188,7 @@
 func (s *Server) serveDrain(w http.ResponseWriter, r *http.Request) {
 	s.cfg.Logger.Info("drain asked for by an operator", zap.String("address", r.RemoteAddr))
 	s.cfg.Local.Drain()
-	writeJSON(w, http.StatusAccepted, s.cfg.Local.Status())
+	writeJSON(w, http.StatusOK, s.cfg.Local.Status())
 }
 
 // ErrorBody is the answer of a request that failed.
