--- a/peer/frame.go
+++ b/peer/frame.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +9,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wheatseam/wheatseam/wire"
@@ -37,16 +37,20 @@
 	}
 }
 
-// encode serialises env with its length before it, within limit bytes.
+// encode serialises env with its length before it, within limit bytes: what
+// protodelim.MarshalTo writes, but in one slice for one write.
 func encode(env *wire.Envelope, limit int) ([]byte, error) {
-	if n := proto.Size(env); n > limit {
+	n := proto.Size(env)
+	if n > limit {
 		return nil, fmt.Errorf("%w: %d bytes, bound %d", ErrTooLarge, n, limit)
 	}
-	var buf bytes.Buffer
-	if _, err := protodelim.MarshalTo(&buf, env); err != nil {
+	frame := make([]byte, 0, n+protowire.SizeVarint(uint64(n)))
+	frame = protowire.AppendVarint(frame, uint64(n))
+	frame, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(frame, env)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return buf.Bytes(), nil
+	return frame, nil
 }
 
 // readFrame reads one envelope of at most limit bytes and returns its size. It
--- a/peer/frameconn.go
+++ b/peer/frameconn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync"
 )
 
 // The layout of a yamux header, as its specification fixes it: version, type,
@@ -19,22 +20,18 @@
 // from one goroutine; reads pass through.
 type frameConn struct {
 	net.Conn
-	held  []byte // a header whose body has yet to come
-	whole []byte // reused buffer of header and body
+	held []byte // a header whose body has yet to come
 }
 
+// maxPooled bounds the buffers that are kept for reuse, in bytes.
+const maxPooled = 64 << 10
+
+var joined = sync.Pool{New: func() any { return new([]byte) }}
+
 // Write implements net.Conn.
 func (c *frameConn) Write(b []byte) (int, error) {
 	if len(c.held) > 0 {
-		c.whole = append(append(c.whole[:0], c.held...), b...)
-		c.held = c.held[:0]
-		if _, err := c.Conn.Write(c.whole); err != nil {
-			return 0, err
-		}
-		if cap(c.whole) > readBuffer {
-			c.whole = nil // keep no large buffer in an idle session
-		}
-		return len(b), nil
+		return c.writeJoined(b)
 	}
 	if hasBody(b) {
 		c.held = append(c.held[:0], b...)
@@ -43,6 +40,21 @@
 	return c.Conn.Write(b)
 }
 
+// writeJoined writes the held header and its body.
+func (c *frameConn) writeJoined(body []byte) (int, error) {
+	buf := joined.Get().(*[]byte)
+	*buf = append(append((*buf)[:0], c.held...), body...)
+	c.held = c.held[:0]
+	_, err := c.Conn.Write(*buf)
+	if cap(*buf) <= maxPooled {
+		joined.Put(buf)
+	}
+	if err != nil {
+		return 0, err
+	}
+	return len(body), nil
+}
+
 // hasBody says whether b is the header of a data frame with a body.
 func hasBody(b []byte) bool {
 	return len(b) == headerSize && b[headerType] == typeData &&
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -91,7 +91,7 @@
 func yamuxConfig(cfg Config) *yamux.Config {
 	y := yamux.DefaultConfig()
 	// The caller's own bound is MaxInFlight, so the backlog is never exceeded
-	// by a peer with the same settings.
+	// by a peer with the same settings, also with streams just given up.
 	y.AcceptBacklog = 2 * cfg.MaxInFlight
 	y.EnableKeepAlive = false
 	y.ConnectionWriteTimeout = writeTimeout
