Load: who polls whom, and digests of load reports

Cause: at 610 replicas no daemon can hear all within its bytes a second. Each upstream is polled by a few daemons, by rendezvous hashing over the live hosts and spread over failure domains; reports travel in digests on heartbeats, the later as-of wins.

--- /dev/null
+++ b/core/load/table_test.go
@@ -0,0 +1,176 @@
+package load
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestLoad(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Load")
+}
+
+var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func testHosts(n int) []Host {
+	hosts := make([]Host, n)
+	for i := range hosts {
+		hosts[i] = Host{fmt.Sprintf("entry-%d", i), fmt.Sprintf("d%d", i%4)}
+	}
+	return hosts
+}
+
+func testUpstreams(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("upstream-%d", i)
+	}
+	return names
+}
+
+func testTable(self string, upstreams []string, hosts []Host) *Table {
+	t := NewTable(Config{Self: self})
+	t.Configure(start, upstreams, hosts)
+	return t
+}
+
+var _ = ginkgo.Describe("who polls whom", func() {
+	// pollersOf returns the hosts that poll each upstream.
+	pollersOf := func(hosts []Host, upstreams []string, k int) map[string][]Host {
+		by := map[string][]Host{}
+		for _, h := range hosts {
+			for _, u := range planFor(h.Name, hosts, upstreams, k) {
+				by[u] = append(by[u], h)
+			}
+		}
+		return by
+	}
+
+	ginkgo.DescribeTable("each upstream has its pollers, in different failure domains first",
+		func(hosts, k int) {
+			by := pollersOf(testHosts(hosts), testUpstreams(50), k)
+			Expect(by).To(HaveLen(50))
+			for _, pollers := range by {
+				Expect(pollers).To(HaveLen(k))
+				domains := map[string]bool{}
+				for _, p := range pollers {
+					domains[p.FailureDomain] = true
+				}
+				Expect(domains).To(HaveLen(min(k, 4, hosts)))
+			}
+		},
+		ginkgo.Entry("one host", 1, 1),
+		ginkgo.Entry("today", 7, 1),
+		ginkgo.Entry("today, three pollers", 7, 3),
+		ginkgo.Entry("more pollers than failure domains", 20, 6),
+	)
+
+	ginkgo.It("moves only a lost host's upstreams", func() {
+		hosts, upstreams := testHosts(20), testUpstreams(200)
+		before, after := pollersOf(hosts, upstreams, 1), pollersOf(hosts[:19], upstreams, 1)
+		for u, pollers := range before {
+			if pollers[0].Name != "entry-19" {
+				Expect(after[u]).To(Equal(pollers))
+			}
+		}
+	})
+
+	ginkgo.It("keeps to the poll rate and spreads the polls over the interval", func() {
+		t := testTable("entry-0", testUpstreams(60), testHosts(1))
+		polls, most := 0, 0
+		for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+			n := len(t.Due(now))
+			polls, most = polls+n, max(most, n)
+		}
+		Expect(polls).To(BeNumerically("~", 120, 6))
+		Expect(most).To(BeNumerically("<=", 6))
+		Expect(len(t.Due(start.Add(time.Hour)))).To(Equal(60))
+		Expect(t.Due(start.Add(time.Hour))).To(BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("Table", func() {
+	upstreams := testUpstreams(3)
+
+	ginkgo.It("lets the later as-of win, whichever way it came", func() {
+		a, b := testTable("entry-0", upstreams, testHosts(2)), testTable("entry-1", upstreams, testHosts(2))
+		now := start.Add(time.Second)
+		Expect(a.Polled(now, Report{Upstream: "upstream-0", AsOf: start, Running: 3, Queued: 2, Leaving: true})).To(BeTrue())
+		Expect(b.Polled(now, Report{Upstream: "upstream-0", AsOf: start.Add(500 * time.Millisecond), Running: 1})).To(BeTrue())
+		digest := a.Digest(now, 512)
+		Expect(b.Merge(now, digest)).To(BeEmpty())
+		news, err := a.Merge(now, b.Digest(now, 512))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(news).To(HaveLen(1))
+		Expect(a.Reports()).To(Equal(b.Reports()))
+		Expect(a.Polled(now, Report{Upstream: "upstream-0", AsOf: start})).To(BeFalse())
+
+		c := testTable("entry-2", upstreams, testHosts(3))
+		news, err = c.Merge(now, digest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(news).To(HaveExactElements(And(
+			HaveField("Upstream", "upstream-0"), HaveField("Running", 5), HaveField("Leaving", true),
+			HaveField("AsOf", BeTemporally("==", start)))))
+		Expect(c.Merge(now, digest)).To(BeEmpty(), "the same report is no news again")
+	})
+
+	ginkgo.It("keeps digests within their size, the least passed on first", func() {
+		t := testTable("entry-0", upstreams, testHosts(1))
+		for i, u := range upstreams {
+			t.Polled(start, Report{Upstream: u, AsOf: start.Add(time.Duration(i) * time.Second)})
+		}
+		now := start.Add(2 * time.Second)
+		seen := map[string]bool{}
+		for range 3 {
+			digest := t.Digest(now, 15)
+			Expect(digest).To(HaveLen(8))
+			seen[string(digest)] = true
+		}
+		Expect(seen).To(HaveLen(3))
+		Expect(t.Digest(now, 1000)).To(HaveLen(24))
+		Expect(t.Digest(now.Add(time.Minute), 1000)).To(BeEmpty())
+	})
+
+	ginkgo.It("takes no report from the far future, and is not silenced by one", func() {
+		t := testTable("entry-0", upstreams, testHosts(1))
+		Expect(t.Polled(start, Report{Upstream: "upstream-0", AsOf: start.Add(time.Hour)})).To(BeTrue())
+		Expect(t.Polled(start.Add(time.Second), Report{Upstream: "upstream-0", AsOf: start.Add(time.Second)})).To(BeTrue())
+		ahead := testTable("entry-1", upstreams, testHosts(1))
+		ahead.Polled(start.Add(time.Minute), Report{Upstream: "upstream-1", AsOf: start.Add(time.Minute)})
+		Expect(t.Merge(start, ahead.Digest(start.Add(time.Minute), 512))).To(BeEmpty())
+	})
+
+	ginkgo.It("passes over unknown upstreams and refuses a cut digest", func() {
+		t := testTable("entry-0", upstreams[:1], testHosts(1))
+		other := testTable("entry-1", upstreams, testHosts(1))
+		other.Polled(start, Report{Upstream: "upstream-2", AsOf: start})
+		digest := other.Digest(start, 512)
+		Expect(t.Merge(start, digest)).To(BeEmpty())
+		_, err := t.Merge(start, digest[:5])
+		Expect(err).To(MatchError(errDigest))
+	})
+})
+
+// TestEntry: what a digest carries is read back whole, whatever the as-of
+// within the age that is passed on.
+func TestEntry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start.Add(time.Duration(rapid.Int64Range(0, int64(300*24*time.Hour)).Draw(t, "now")))
+		age := time.Duration(rapid.Int64Range(-int64(maxAhead), int64(time.Minute)).Draw(t, "age"))
+		r := Report{
+			AsOf:    truncate(now.Add(-age)),
+			Running: rapid.IntRange(0, maxLoad).Draw(t, "running"),
+			Leaving: rapid.Bool().Draw(t, "leaving"),
+		}
+		hash := rapid.Uint32().Draw(t, "hash")
+		gotHash, got := readEntry(now, appendEntry(nil, hash, &r))
+		if gotHash != hash || !got.AsOf.Equal(r.AsOf) || got.Running != r.Running || got.Leaving != r.Leaving {
+			t.Fatalf("%+v came back as %+v", r, got)
+		}
+	})
+}
