Load: entries of 4 bytes in digests

Cause: the age of what daemons know is bound by entries a second. A place in the sorted list of upstreams (with the list's hash once), an as-of of one byte and a load of one byte halve the entry.

Ruled out: 4-byte name hashes, understood while bundles with other upstreams roll out; the list of upstreams changes seldom and for seconds.

--- a/core/load/table.go
+++ b/core/load/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -20,7 +21,8 @@
 	PollsPerSecond float64
 	// MaxPollers bounds the daemons that poll one upstream. Default 3.
 	MaxPollers int
-	// MaxAge is the age from which reports are not passed on. Default 20 s.
+	// MaxAge is the age from which reports are not passed on, 23 s at most.
+	// Default 20 s.
 	MaxAge time.Duration
 }
 
@@ -32,14 +34,14 @@
 	c.Interval = cmp.Or(c.Interval, time.Second)
 	c.PollsPerSecond = cmp.Or(c.PollsPerSecond, 6)
 	c.MaxPollers = cmp.Or(c.MaxPollers, 3)
-	c.MaxAge = cmp.Or(c.MaxAge, 20*time.Second)
+	c.MaxAge = min(cmp.Or(c.MaxAge, 20*time.Second), maxPassedAge)
 	return c
 }
 
 // entry is what a Table knows of one upstream.
 type entry struct {
 	name  string
-	hash  uint32
+	place uint16
 	known bool
 	// report is the newest one.
 	report Report
@@ -57,14 +59,14 @@
 	mu       sync.Mutex
 	entries  []*entry // by name
 	byName   map[string]*entry
-	byHash   map[uint32]*entry
+	list     uint32 // hash of the names in entries
 	interval time.Duration
 	order    []*entry // scratch of Digest
 }
 
 // NewTable returns a Table that knows no upstream until Configure.
 func NewTable(c Config) *Table {
-	return &Table{config: c.withDefaults(), byName: map[string]*entry{}, byHash: map[uint32]*entry{}}
+	return &Table{config: c.withDefaults(), byName: map[string]*entry{}}
 }
 
 // Configure sets the upstreams and the live hosts, self among them; the order
@@ -72,6 +74,7 @@
 // each new bundle and when the membership changes.
 func (t *Table) Configure(now time.Time, upstreams []string, hosts []Host) {
 	names := slices.Compact(slices.Sorted(slices.Values(upstreams)))
+	names = names[:min(len(names), maxUpstreams)]
 	pollers := t.config.pollers(len(hosts), len(names))
 	mine := planFor(t.config.Self, hosts, names, pollers)
 	t.mu.Lock()
@@ -93,29 +96,24 @@
 // setEntries keeps the entries of names and drops the others.
 func (t *Table) setEntries(names []string) {
 	old := t.byName
-	t.entries = t.entries[:0:0]
+	t.entries = make([]*entry, 0, len(names))
 	t.byName = make(map[string]*entry, len(names))
-	t.byHash = make(map[uint32]*entry, len(names))
-	for _, name := range names {
+	t.list = listHash(names)
+	for place, name := range names {
 		e := old[name]
 		if e == nil {
-			e = &entry{name: name, hash: uint32(xxhash.Sum64String(name))}
+			e = &entry{name: name}
 		}
+		e.place = uint16(place)
 		t.entries = append(t.entries, e)
 		t.byName[name] = e
-		if _, taken := t.byHash[e.hash]; taken {
-			// Two names with one hash: digests carry neither.
-			t.byHash[e.hash] = nil
-			continue
-		}
-		t.byHash[e.hash] = e
 	}
 }
 
 // phase spreads the polls of an upstream by several daemons, and of several
 // upstreams by one, over the interval.
 func (t *Table) phase(e *entry) time.Duration {
-	share := float64(mix(uint64(e.hash)^xxhash.Sum64String(t.config.Self))>>11) / (1 << 53)
+	share := float64(mix(xxhash.Sum64String(e.name)^xxhash.Sum64String(t.config.Self))>>11) / (1 << 53)
 	return time.Duration(share * float64(t.interval))
 }
 
@@ -165,38 +163,41 @@
 	defer t.mu.Unlock()
 	t.order = t.order[:0]
 	for _, e := range t.entries {
-		if e.known && t.byHash[e.hash] == e && now.Sub(e.report.AsOf) <= t.config.MaxAge {
+		if e.known && now.Sub(e.report.AsOf) <= t.config.MaxAge {
 			t.order = append(t.order, e)
 		}
 	}
 	slices.SortFunc(t.order, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), b.report.AsOf.Compare(a.report.AsOf), cmp.Compare(a.hash, b.hash))
+		return cmp.Or(cmp.Compare(a.sent, b.sent), b.report.AsOf.Compare(a.report.AsOf), cmp.Compare(a.place, b.place))
 	})
-	n := min(size/entryBytes, len(t.order))
-	digest := make([]byte, 0, n*entryBytes)
+	n := min(max(size-listBytes, 0)/entryBytes, len(t.order))
+	digest := make([]byte, 0, listBytes+n*entryBytes)
+	digest = binary.BigEndian.AppendUint32(digest, t.list)
 	for _, e := range t.order[:n] {
-		digest = appendEntry(digest, e.hash, &e.report)
+		digest = appendEntry(digest, e.place, &e.report)
 		e.sent++
 	}
 	return digest
 }
 
 // Merge takes the digest of a fellow daemon and returns the reports that were
-// news. Entries of unknown upstreams, as during a roll-out, are passed over;
-// those of a time too far ahead too.
+// news. A digest over another list of upstreams has none.
 func (t *Table) Merge(now time.Time, digest []byte) ([]Report, error) {
-	if len(digest)%entryBytes != 0 {
+	if len(digest) < listBytes || (len(digest)-listBytes)%entryBytes != 0 {
 		return nil, errDigest
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if binary.BigEndian.Uint32(digest) != t.list {
+		return nil, nil
+	}
 	var news []Report
-	for ; len(digest) > 0; digest = digest[entryBytes:] {
-		hash, r := readEntry(now, digest)
-		e := t.byHash[hash]
-		if e == nil || r.AsOf.After(now.Add(maxAhead)) {
+	for rest := digest[listBytes:]; len(rest) > 0; rest = rest[entryBytes:] {
+		place, r := readEntry(now, rest)
+		if int(place) >= len(t.entries) {
 			continue
 		}
+		e := t.entries[place]
 		r.Upstream = e.name
 		if e.take(r) {
 			news = append(news, r)
