--- a/core/load/fleet_bench_test.go
+++ b/core/load/fleet_bench_test.go
@@ -16,7 +16,7 @@
 	benchNeighbours = 8
 	// benchPollBytes is what one poll costs a daemon: request and answer of
 	// BenchmarkPollBytes in package upstreamload, payload of TCP.
-	benchPollBytes = 345
+	benchPollBytes = 295
 	benchStep      = 100 * time.Millisecond
 	benchWarmup    = 30 * time.Second
 	benchLength    = 60 * time.Second
