Daemon: poll upstreams' load and take digests of it

Cause: the router heard no load reports.

Digest and Heard stand ready for the heartbeats' load slot; nothing calls them yet besides the test.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,7 @@
 	sessions sessions
 	deps     request.Deps
 	router   *route.Router
+	loads    *loadView
 	admitter *admit.Controller
 	budgets  retry.Budgets
 	records  *record.Store
@@ -78,6 +79,7 @@
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	group.Go(func() error { d.watchBundle(running); return nil })
 	group.Go(func() error { d.tick(running); return nil })
+	group.Go(func() error { d.loads.Run(running); return nil })
 	<-ctx.Done()
 	d.drain(cut)
 	shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
--- /dev/null
+++ b/daemon/loadview_test.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/settings"
+)
+
+// TestLoadViewLeaving: an upstream that says by its load report that it leaves
+// gets no new work, neither from the daemon that polls it nor from a fellow
+// that hears of it by digest.
+func TestLoadViewLeaving(t *testing.T) {
+	g := NewWithT(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"as_of_unix_ms":%d,"running":1,"leaving":true}`, time.Now().UnixMilli())
+	}))
+	defer s.Close()
+	b := &bundle.Bundle{Pools: []bundle.Pool{{Name: "seals", Concurrency: 4, Upstreams: []bundle.Upstream{
+		{Name: "seal-1", FailureDomain: "a", Address: s.Listener.Addr().String()},
+		{Name: "seal-2", FailureDomain: "a", Address: "127.0.0.1:1"},
+	}}}}
+	hosts := []load.Host{{Name: "entry-1", FailureDomain: "a"}, {Name: "entry-2", FailureDomain: "b"}}
+	views := make([]*loadView, len(hosts))
+	for i, h := range hosts {
+		r := route.New(route.Config{FailureDomain: h.FailureDomain})
+		r.Apply(b)
+		views[i] = newLoadView(&settings.Settings{Host: h.Name, FailureDomain: h.FailureDomain}, r, zap.NewNop(), time.Now)
+		views[i].Apply(b)
+	}
+	picks := func(v *loadView) map[string]bool {
+		seen := map[string]bool{}
+		for range 30 {
+			c, err := v.router.Pick(time.Now(), request.Query{Pool: "seals", Stage: "seal"}, nil)
+			if err == nil {
+				seen[c.Upstream] = true
+				v.router.Done(time.Now(), request.Outcome{Choice: c, Stage: "seal"})
+			}
+		}
+		return seen
+	}
+	g.Expect(picks(views[1])).To(HaveKey("seal-1"))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); views[0].Run(ctx) }()
+	g.Eventually(func() int { return len(views[0].table.Reports()) }, "5s").Should(Equal(1))
+	cancel()
+	<-ended
+	g.Expect(picks(views[0])).NotTo(HaveKey("seal-1"))
+	g.Expect(views[1].Heard(views[0].Digest())).To(Succeed())
+	g.Expect(picks(views[1])).NotTo(HaveKey("seal-1"))
+	g.Expect(views[1].Heard([]byte{1})).NotTo(Succeed())
+}
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -28,7 +28,8 @@
 	admitter := admit.New(admit.Config{})
 	budgets := retry.NewBudgets(0, 0)
 	d.router, d.admitter, d.budgets = router, admitter, budgets
-	d.appliers = append(d.appliers, router, admitter, budgetApplier{budgets})
+	d.loads = newLoadView(d.settings, router, d.log, d.Now)
+	d.appliers = append(d.appliers, router, admitter, budgetApplier{budgets}, d.loads)
 	d.deps = request.Deps{Router: router, Admitter: admitter, Retries: budgets.Retry, Hedges: budgets.Hedge}
 	d.claimer = &localClaims{claims: make(map[request.ClaimKey]*localClaim)}
 }
