--- /dev/null
+++ b/core/route/dump.go
@@ -0,0 +1,89 @@
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// PoolState is a pool as the state dump shows it.
+type PoolState struct {
+	Pool      string          `json:"pool"`
+	Policy    string          `json:"policy"`
+	Limit     int             `json:"limit"`
+	Upstreams []UpstreamState `json:"upstreams"`
+	Stages    []StageState    `json:"stages"`
+}
+
+// UpstreamState is what a Router knows of one upstream.
+type UpstreamState struct {
+	Upstream      string `json:"upstream"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	// InFlight counts this daemon's calls, Reported all calls by the load
+	// report of ReportAge ago.
+	InFlight  int            `json:"in_flight"`
+	Reported  *int           `json:"reported,omitempty"`
+	ReportAge *time.Duration `json:"report_age_ns,omitempty"`
+	// Slowness is the smoothed multiple of the usual latency.
+	Slowness float64 `json:"slowness"`
+	Leaving  bool    `json:"leaving,omitempty"`
+	// Ejected says why the upstream is left out, until EjectedUntil.
+	Ejected      string     `json:"ejected,omitempty"`
+	EjectedUntil *time.Time `json:"ejected_until,omitempty"`
+	// Share is under 1 while the upstream is being readmitted.
+	Share float64 `json:"share"`
+}
+
+// StageState is what a Router measured of one stage; 0 is not measured yet.
+type StageState struct {
+	Stage        string        `json:"stage"`
+	Median       time.Duration `json:"median_ns"`
+	P95          time.Duration `json:"p95_ns"`
+	FirstByteP95 time.Duration `json:"first_byte_p95_ns"`
+}
+
+// Dump returns the state of all pools, by name.
+func (r *Router) Dump(now time.Time) []PoolState {
+	var pools []PoolState
+	for _, p := range r.current.Load().pools {
+		pools = append(pools, p.dump(now, &r.config))
+	}
+	slices.SortFunc(pools, func(a, b PoolState) int { return strings.Compare(a.Pool, b.Pool) })
+	return pools
+}
+
+func (p *poolView) dump(now time.Time, c *Config) PoolState {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	d := PoolState{Pool: p.name, Policy: string(p.steps.policy), Limit: int(p.limit)}
+	for i := range p.members {
+		d.Upstreams = append(d.Upstreams, p.members[i].dump(now, c))
+	}
+	for name, l := range p.shard.stages {
+		st := StageState{Stage: name, Median: l.total.median}
+		st.P95, _ = l.total.quantile(0.95)
+		st.FirstByteP95, _ = l.first.quantile(0.95)
+		d.Stages = append(d.Stages, st)
+	}
+	slices.SortFunc(d.Stages, func(a, b StageState) int { return strings.Compare(a.Stage, b.Stage) })
+	return d
+}
+
+func (m *member) dump(now time.Time, c *Config) UpstreamState {
+	s := m.state
+	u := UpstreamState{
+		Upstream: m.name, Address: m.address, FailureDomain: m.domain,
+		InFlight: s.own, Slowness: s.slownessNow(now), Leaving: s.leaving(),
+		Share: s.ejection.share(now, c.Ejection.Ramp),
+	}
+	if s.reported {
+		calls, age := s.report.Running+s.report.Queued, now.Sub(s.report.AsOf)
+		u.Reported, u.ReportAge = &calls, &age
+	}
+	if s.ejection.active(now) {
+		until := s.ejection.until
+		u.Ejected, u.EjectedUntil = s.ejection.reason, &until
+	}
+	return u
+}
--- a/core/route/router_test.go
+++ b/core/route/router_test.go
@@ -163,6 +163,24 @@
 		Expect(d).To(BeNumerically(">", 70*time.Millisecond))
 	})
 
+	It("dumps what it knows", func() {
+		r := testRouter(testBundle(2, 4, bundle.PolicyAdaptive), 1)
+		now := start.Add(time.Second)
+		r.Observe(load.Report{Upstream: "u1", AsOf: start, Running: 2, Queued: 1, Leaving: true})
+		mustPick(r, now, query())
+		for range 3 {
+			r.Done(now, request.Outcome{Choice: request.Choice{Pool: pool, Upstream: "u1", Address: "127.0.0.1:1001"}, Result: request.CallFailed})
+		}
+		d := r.Dump(now)
+		Expect(d).To(HaveLen(1))
+		Expect(d[0].Upstreams).To(HaveLen(2))
+		Expect(d[0].Upstreams[0]).To(And(HaveField("InFlight", 1), HaveField("Share", 1.0), HaveField("Reported", BeNil())))
+		u := d[0].Upstreams[1]
+		Expect(u).To(And(HaveField("Leaving", true), HaveField("Ejected", ejectedFailures), HaveField("Share", 0.0)))
+		Expect(*u.Reported).To(Equal(3))
+		Expect(*u.ReportAge).To(Equal(time.Second))
+	})
+
 	It("is safe for concurrent use and loses no count", func() {
 		r := testRouter(testBundle(10, 1000, bundle.PolicyAdaptive), 1)
 		var wg sync.WaitGroup
