Stand-ins: higher priorities first, status look-up only where supported

Cause: the engine client means higher priorities to run first, while the stand-in had taken the lower ones; a replay of priorities would have measured the reverse. A fleet also answered status look-ups for pools whose bundle says that they have none, so that a daemon that asks all the same went unnoticed. It answers 404 now; the test first saw 405, since the path is one of a call.

--- a/cmd/standin/upstreams.go
+++ b/cmd/standin/upstreams.go
@@ -70,6 +70,7 @@
 	f.StringVar(&cfg.Name, "name", "", "name of the replica")
 	f.IntVar(&cfg.Slots, "slots", service.DefaultSlots, "calls that run at a time")
 	f.BoolVar(&cfg.Deduplicate, "deduplicate", false, "answer a repeated idempotency key from its execution")
+	f.BoolVar(&cfg.NoStatusLookup, "no-status-lookup", false, "answer 404 to status look-ups")
 	f.BoolVar(&cfg.Cancellation, "cancellation", false, "end an execution when its caller goes away")
 	f.DurationVar(&cfg.Median, "median", service.DefaultMedian, "median service time")
 	f.Float64Var(&cfg.TimeScale, "time-scale", 1, "factor on all service times")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -58,7 +58,7 @@
 	// OutputSigma the standard deviation of its logarithm.
 	OutputMedian int
 	OutputSigma  float64
-	// Priority honours the priorities of requests in the queue; lower values
+	// Priority honours the priorities of requests in the queue; higher values
 	// go first. Otherwise the queue is first in, first out.
 	Priority bool
 	// NoCancellation runs sequences to their end when their caller is gone.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -105,6 +105,7 @@
 	s.Slots = p.Concurrency
 	s.Cancellation = p.Supports.Cancellation
 	s.Deduplicate = p.Supports.IdempotencyKeys
+	s.NoStatusLookup = !p.Supports.StatusLookup
 	s.Seed, s.Ledger, s.Keys = seed, f.ledger, keys
 	if m := medianOf(cfg, p.Name); m > 0 {
 		s.Median = m
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -87,6 +87,13 @@
 		Expect(f.Ledger().Summary().Deduplicated).To(Equal(1))
 	})
 
+	It("answers what a pool supports, and no more", func() {
+		resp, err := http.Get("http://" + address["s1"] + "/v1/status/k")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+	})
+
 	It("injects faults into one upstream by name", func() {
 		Expect(post(control+"/control/faults?upstream=s1", "", `{"refuse":true}`)).To(Equal(http.StatusOK))
 		Expect(post(control+"/control/faults?upstream=nobody", "", `{}`)).To(Equal(http.StatusNotFound))
--- a/internal/standin/service/http.go
+++ b/internal/standin/service/http.go
@@ -138,6 +138,10 @@
 }
 
 func (s *Service) status(w http.ResponseWriter, r *http.Request) {
+	if s.cfg.NoStatusLookup {
+		http.NotFound(w, r)
+		return
+	}
 	if s.faults.Gate(w, r) {
 		standin.WriteJSON(w, http.StatusOK, s.keys.status(r.PathValue("key")))
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -48,6 +48,8 @@
 	Deduplicate bool
 	// Cancellation ends an execution when its caller goes away.
 	Cancellation bool
+	// NoStatusLookup answers 404 to status look-ups.
+	NoStatusLookup bool
 	// Ledger and Keys may be shared among replicas; default own ones.
 	Ledger *ledger.Ledger
 	Keys   *Keys
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -108,6 +108,13 @@
 		Eventually(ended).Should(Receive(HaveOccurred()))
 		Expect(s.keys.status("k1").State).To(Equal(KeyRunning), "a broken execution may have had its effect")
 		Expect(states()).To(Equal([]ledger.State{ledger.Failed}))
+		s.Faults().Set(standin.Faults{})
+		resp, err := http.Get(server.URL + "/v1/status/k1")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		var got Status
+		Expect(json.NewDecoder(resp.Body).Decode(&got)).To(Succeed())
+		Expect(got.State).To(Equal(KeyRunning))
 	})
 
 	It("refuses what its queue cannot take, without executing it", func() {
