cluster: membership and rollout with the real clock, peers and platform

Cause: the machines need a daemon's side. Each has one goroutine that steps it; peers' calls, reads of the platform and timers post events. The host list is read as the bundle is: at random times whose mean grows with the fleet. Ruled out: one lock around both machines, since parsing a bundle would then hold up answers to probes.

--- /dev/null
+++ b/cluster/cluster_test.go
@@ -0,0 +1,253 @@
+package cluster_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/bundle/bundletest"
+	"github.com/wheatseam/wheatseam/cluster"
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/core/rollout"
+	"github.com/wheatseam/wheatseam/internal/standin"
+	standinplatform "github.com/wheatseam/wheatseam/internal/standin/platform"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+func TestCluster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cluster")
+}
+
+const (
+	slotTest  member.SlotID = 100
+	slotFleet member.SlotID = 101
+)
+
+// daemon is one host's part in the fleet.
+type daemon struct {
+	*cluster.Cluster
+	transport *peer.Transport
+	stop      context.CancelFunc
+	done      chan struct{}
+	versions  chan uint64
+}
+
+// fleet runs clusters over real sessions on loopback, with the platform's
+// stand-in.
+type fleet struct {
+	sizes     bundletest.Sizes
+	key       ed25519.PrivateKey
+	platform  *standinplatform.Platform
+	url       string
+	daemons   []*daemon
+	addresses []string
+}
+
+func newFleet(n int) *fleet {
+	_, private, err := ed25519.GenerateKey(nil)
+	Expect(err).NotTo(HaveOccurred())
+	f := &fleet{sizes: bundletest.Today, key: private, platform: standinplatform.New(standinplatform.Config{})}
+	f.sizes.Hosts = n
+	f.sizes.Domains = 3
+	server := httptest.NewServer(f.platform)
+	DeferCleanup(server.Close)
+	DeferCleanup(f.platform.Close)
+	f.url = server.URL
+	f.addresses = make([]string, n)
+	f.daemons = make([]*daemon, n)
+	for i := range n {
+		f.start(i, "127.0.0.1:0")
+	}
+	var hosts []standinplatform.Host
+	for i, a := range f.addresses {
+		hosts = append(hosts, standinplatform.Host{Name: bundletest.HostName(i), Address: a, Role: "entry", State: "live"})
+	}
+	f.platform.SetHosts(hosts)
+	return f
+}
+
+// start runs a process of host i.
+func (f *fleet) start(i int, listen string) *daemon {
+	host := member.Host{Name: bundletest.HostName(i), FailureDomain: fmt.Sprintf("domain-%d", i%f.sizes.Domains)}
+	incarnation := uint64(time.Now().UnixMilli())
+	mc := member.DefaultConfig(host, incarnation)
+	mc.Interval, mc.ProbeTimeout = 200*time.Millisecond, 100*time.Millisecond
+	mc.SuspicionMin, mc.SuspicionMax = time.Second, 2*time.Second
+	mc.SyncInterval = time.Second
+	mc.Extensions = []member.Extension{{ID: slotTest, MaxBytes: 16}, {ID: slotFleet, MaxBytes: 16, Fleet: true}}
+	rc := rollout.DefaultConfig(cluster.NewCodec([]ed25519.PublicKey{f.key.Public().(ed25519.PublicKey)}))
+	rc.PollMin = 300 * time.Millisecond
+	mux := peer.NewMux()
+	c, err := cluster.New(cluster.Config{
+		Member: mc, Rollout: rc, Mux: mux, Logger: zap.NewNop(),
+		Platform: platform.New(platform.Config{ConfigService: f.url, HostList: f.url, Key: "bundle"}),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	t, err := peer.NewTransport(peer.Config{
+		Host: host.Name, Incarnation: incarnation, Listen: listen, Plaintext: true, Resolve: c.Resolve, Mux: mux,
+		Metrics: metrics.NewSet(), Logger: zap.NewNop(), MaxBackoff: 200 * time.Millisecond,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	d := &daemon{Cluster: c, transport: t, done: make(chan struct{}), versions: make(chan uint64, 100)}
+	c.OnBundle(func(b *bundle.Bundle) { d.versions <- b.Version })
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	go func() {
+		defer close(d.done)
+		_ = c.Run(ctx, t)
+	}()
+	f.daemons[i] = d
+	f.addresses[i] = t.Addr()
+	DeferCleanup(d.end)
+	return d
+}
+
+// end stops the daemon; it may be called twice.
+func (d *daemon) end() {
+	d.stop()
+	<-d.done
+	_ = d.transport.Close()
+}
+
+// sign builds and signs a bundle of a version.
+func (f *fleet) sign(version uint64, customers int) []byte {
+	s := f.sizes
+	s.Customers = customers
+	text := string(bundletest.YAML(s, version))
+	for i, a := range f.addresses {
+		text = strings.Replace(text, fmt.Sprintf("10.1.0.%d:7400", i+1), a, 1)
+	}
+	return bundle.Sign([]byte(text), f.key)
+}
+
+func (f *fleet) put(version uint64) { f.platform.SetValue("bundle", f.sign(version, 5)) }
+
+// all polls until cond holds at every running daemon.
+func (f *fleet) all(within time.Duration, cond func(*daemon) bool) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		for _, d := range f.daemons {
+			select {
+			case <-d.done:
+				continue
+			default:
+			}
+			if !cond(d) {
+				return false
+			}
+		}
+		return true
+	}, within, 20*time.Millisecond).Should(BeTrue())
+}
+
+func inForce(version uint64) func(*daemon) bool {
+	return func(d *daemon) bool { return d.Ready() && d.Bundle().Version == version }
+}
+
+var _ = Describe("a fleet over real sessions", func() {
+	var f *fleet
+	BeforeEach(func() {
+		f = newFleet(5)
+		Expect(f.daemons[0].Ready()).To(BeFalse())
+		f.put(1)
+		f.all(15*time.Second, inForce(1))
+	})
+
+	It("puts versions into force everywhere, rising, and keeps a request's snapshot", func() {
+		held := f.daemons[2].Bundle()
+		f.put(2)
+		f.all(10*time.Second, inForce(2))
+		f.put(3)
+		f.all(10*time.Second, inForce(3))
+		Expect(held.Version).To(Equal(uint64(1)))
+		for _, d := range f.daemons {
+			last := uint64(0)
+			for len(d.versions) > 0 {
+				v := <-d.versions
+				Expect(v).To(BeNumerically(">", last))
+				last = v
+			}
+		}
+	})
+
+	It("restarts a daemon from its peers while the service is stale", func() {
+		f.put(2)
+		f.all(10*time.Second, inForce(2))
+		// The service goes back to an old value, under a new revision.
+		f.put(1)
+		address := f.addresses[1]
+		f.daemons[1].end()
+		d := f.start(1, address)
+		Eventually(d.Ready, 10*time.Second, 20*time.Millisecond).Should(BeTrue())
+		Expect(d.Bundle().Version).To(Equal(uint64(2)))
+		f.all(5*time.Second, inForce(2))
+	})
+
+	It("sees a stopped daemon dead and its successor alive", func() {
+		name := bundletest.HostName(4)
+		believed := func(state member.State) func(*daemon) bool {
+			return func(d *daemon) bool {
+				for _, m := range d.Members() {
+					if m.Host.Name == name {
+						return m.State == state
+					}
+				}
+				return false
+			}
+		}
+		address := f.addresses[4]
+		f.daemons[4].end()
+		f.all(15*time.Second, believed(member.Dead))
+		f.start(4, address)
+		f.all(15*time.Second, believed(member.Alive))
+	})
+
+	It("tells all of a leaving upstream while the platform is down", func() {
+		f.platform.Faults().Set(standin.Faults{Down: true})
+		name := f.daemons[0].Bundle().Pools[0].Upstreams[0].Name
+		f.daemons[0].ReportUpstream(name, true, time.Now())
+		f.all(3*time.Second, func(d *daemon) bool {
+			return len(d.LeavingUpstreams()) == 1 && d.LeavingUpstreams()[0] == name
+		})
+	})
+
+	It("tells all of an upstream that the host list says is leaving", func() {
+		name := f.daemons[0].Bundle().Pools[0].Upstreams[0].Name
+		f.platform.SetHosts([]standinplatform.Host{{Name: name, Address: "127.0.0.1:1", Role: "upstream", State: "leaving"}})
+		f.all(10*time.Second, func(d *daemon) bool { return len(d.LeavingUpstreams()) == 1 })
+	})
+
+	It("carries the values of extensions", func() {
+		f.daemons[0].SetSlot(slotTest, []byte("near"), false)
+		f.daemons[0].SetSlot(slotFleet, []byte("far"), true)
+		f.all(10*time.Second, func(d *daemon) bool {
+			if d == f.daemons[0] {
+				return true
+			}
+			near, far := d.Slots(slotTest), d.Slots(slotFleet)
+			return len(near) == 1 && len(far) == 1 && string(near[0].Value) == "near" && string(far[0].Value) == "far"
+		})
+	})
+
+	It("says in its dump what it holds and why", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		d := f.daemons[0].Dump(ctx)
+		Expect(d.Ready).To(BeTrue())
+		Expect(d.Member.Members).To(HaveLen(5))
+		Expect(d.Rollout.Version).To(Equal(uint64(1)))
+		Expect(d.Calls.Hosts).To(BeNumerically(">", 0))
+	})
+})
