Wire the cluster into the daemon; what was sent before a pause counts for nothing

Cause: the thin stub read the configuration service at 5 reads a second from each daemon and knew no fellows. The daemon now takes bundles from peers and platform, marks leaving upstreams at the router, announces its drain, and is not ready while its views are stale.

A run of three daemons with SIGSTOP for 3 s showed one ready 0.5 ms after it woke, by heartbeats that had lain in its sockets during the pause. Marks now count for readiness only when they answer a ping sent since the start or pause, and all neighbours are pinged at once while the views are stale. Both guards seen to fail the new tests when taken out. The skew limit follows the bundle.

--- a/cluster/members.go
+++ b/cluster/members.go
@@ -136,7 +136,7 @@
 		l.c.log.Warn("bundle mark unreadable", zap.String("peer", a.Host), zap.Error(err))
 		return
 	}
-	l.c.rollouts.post(rollout.PeerHeard{Host: a.Host, Mark: mark})
+	l.c.rollouts.post(rollout.PeerHeard{Host: a.Host, Mark: mark, Solicited: a.Solicited})
 }
 
 // changesView says whether an action may change the snapshot.
--- a/cluster/rollouts.go
+++ b/cluster/rollouts.go
@@ -117,7 +117,7 @@
 
 // configuredBy tells membership what a bundle names.
 func configuredBy(b *bundle.Bundle) member.Configured {
-	e := member.Configured{Upstreams: []string{}}
+	e := member.Configured{Upstreams: []string{}, MaxClockSkew: b.Claims.MaxClockSkew}
 	for _, h := range b.Hosts {
 		e.Hosts = append(e.Hosts, member.Host{Name: h.Name, FailureDomain: h.FailureDomain})
 	}
--- a/cluster/slots.go
+++ b/cluster/slots.go
@@ -14,8 +14,11 @@
 	Host        string
 	Incarnation uint64
 	Value       []byte
-	// At is when the value arrived; it was built up to a few seconds earlier.
+	// At is when the value arrived.
 	At time.Time
+	// SentAt is the sender's clock when it sent a direct value; the zero time
+	// for a fleet value, which may have been on its way for seconds.
+	SentAt time.Time
 }
 
 // maxSlotHosts bounds the hosts kept for one extension.
@@ -43,7 +46,11 @@
 	if known && old.Incarnation > s.Incarnation || !known && len(hosts) >= maxSlotHosts {
 		return
 	}
-	hosts[s.Host] = SlotValue{s.Host, s.Incarnation, s.Value, now}
+	v := SlotValue{Host: s.Host, Incarnation: s.Incarnation, Value: s.Value, At: now}
+	if s.SentUnixMS != 0 {
+		v.SentAt = time.UnixMilli(s.SentUnixMS)
+	}
+	hosts[s.Host] = v
 }
 
 // values returns the values of an extension, sorted by host.
--- a/cmd/wheatseamd/main.go
+++ b/cmd/wheatseamd/main.go
@@ -62,7 +62,11 @@
 		return err
 	}
 	ctx, cut := notifyContexts()
-	return daemon.New(s, log.With(zap.String("host", s.Host))).Run(ctx, cut)
+	d, err := daemon.New(s, log.With(zap.String("host", s.Host)))
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx, cut)
 }
 
 // notifyContexts returns a context that ends at the first signal and one that
--- a/core/member/event.go
+++ b/core/member/event.go
@@ -37,6 +37,8 @@
 type Configured struct {
 	Hosts     []Host
 	Upstreams []string
+	// MaxClockSkew replaces the one of Config unless it is 0.
+	MaxClockSkew time.Duration
 }
 
 // ListedUpstream is one upstream in the platform's host list.
@@ -101,6 +103,12 @@
 	Host        string
 	Incarnation uint64
 	Value       []byte
+	// Solicited says that the value rode on the answer to a ping that was
+	// sent since the last start or pause: it is no older than that.
+	Solicited bool
+	// SentUnixMS is the sender's clock when it sent a direct value; 0 for
+	// fleet values.
+	SentUnixMS int64
 }
 
 // UpstreamChanged says that an upstream leaves or is back.
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -145,7 +145,7 @@
 func (m *Machine) receive(now time.Time, from string, msg proto.Message) {
 	switch msg := msg.(type) {
 	case *wire.MemberPing:
-		outdated := m.digestHeard(now, from, msg.GetDigest())
+		outdated := m.digestHeard(now, from, msg.GetDigest(), false)
 		m.send(from, &wire.MemberAck{Seq: msg.GetSeq(), Digest: m.digest(now, from, outdated)})
 	case *wire.MemberAck:
 		m.acked(now, from, msg)
@@ -191,6 +191,12 @@
 	m.near = neighbours(m.cfg.Self.Name, m.names, m.cfg.Rings)
 	m.round = nil
 	m.configureMarks(e.Upstreams)
+	if !m.fresh.fresh {
+		m.push.urgent()
+	}
+	if e.MaxClockSkew > 0 {
+		m.cfg.MaxClockSkew = e.MaxClockSkew
+	}
 	m.renew(now)
 }
 
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -196,6 +196,9 @@
 		for _, name := range f.names {
 			Expect(f.nodes[name].m.Skewed()).To(Equal(name == "entry-000"), name)
 		}
+		f.step("entry-000", Configured{Hosts: hostsOf(7, 3), MaxClockSkew: 3 * time.Second})
+		f.run(2 * time.Second)
+		Expect(f.nodes["entry-000"].m.Skewed()).To(BeFalse())
 	})
 
 	It("refuses extensions that are too large", func() {
@@ -246,6 +249,35 @@
 		f.run(10 * time.Second)
 		Expect(heard(slotTest)).To(And(BeNumerically(">", 6), BeNumerically("<=", 25)))
 	})
+	It("tells values sent before a pause from answers after it", func() {
+		f := newFleet(7, 3, 18, withSlots)
+		for _, name := range f.names {
+			f.step(name, SetSlot{ID: slotTest, Value: []byte("x")})
+		}
+		f.run(10 * time.Second)
+		n := f.nodes["entry-000"]
+		n.paused = true
+		f.run(10 * time.Second)
+		n.actions = nil
+		solicited := func() (yes, no int) {
+			for _, a := range n.actions {
+				if s, ok := a.(SlotHeard); ok && s.Solicited {
+					yes++
+				} else if ok {
+					no++
+				}
+			}
+			return yes, no
+		}
+		f.wake("entry-000")
+		yes, no := solicited()
+		Expect(yes).To(BeZero())
+		Expect(no).To(BeNumerically(">", 0))
+		f.run(time.Second)
+		yes, _ = solicited()
+		Expect(yes).To(BeNumerically(">", 3), "all neighbours are asked at once")
+		Expect(n.m.Fresh()).To(BeTrue())
+	})
 	It("forgets the values of an earlier incarnation", func() {
 		f := newFleet(7, 3, 12, withSlots)
 		f.step("entry-001", SetSlot{ID: slotFleet, Value: []byte("old")})
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -104,7 +104,8 @@
 // acked takes an answer to a ping.
 func (m *Machine) acked(now time.Time, from string, ack *wire.MemberAck) {
 	p := m.take(ack.GetSeq())
-	if p != nil && p.target == from {
+	solicited := p != nil && p.target == from
+	if solicited {
 		m.clock.add(from, ack.GetDigest().GetWallUnixMs(), p.sent, now)
 		m.fresh.acked[from] = true
 		if p.blame {
@@ -114,7 +115,7 @@
 			m.send(p.origin, &wire.MemberRelayAck{Seq: p.originSeq, Target: from})
 		}
 	}
-	m.digestHeard(now, from, ack.GetDigest())
+	m.digestHeard(now, from, ack.GetDigest(), solicited)
 	m.renew(now)
 }
 
@@ -245,7 +246,8 @@
 // urgent asks for a push at the next tick.
 func (p *pushes) urgent() { p.due = true }
 
-// pushNews pings some neighbours at once if there is urgent news.
+// pushNews pings some neighbours at once if there is urgent news; all of them
+// while the views are stale, so that they are renewed soon.
 func (m *Machine) pushNews(now time.Time) {
 	if !m.push.due {
 		return
@@ -258,7 +260,10 @@
 	m.push.at = now
 	m.push.due = false
 	near := m.livingNear("")
-	for _, name := range near[:min(len(near), m.cfg.PushFanout)] {
+	if m.fresh.fresh {
+		near = near[:min(len(near), m.cfg.PushFanout)]
+	}
+	for _, name := range near {
 		if m.push.tokens < 1 {
 			return
 		}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -219,7 +219,8 @@
 
 // digestHeard takes what rode on a ping or ack, and reports whether it came
 // from an outdated process of its host, in which case nothing in it counts.
-func (m *Machine) digestHeard(now time.Time, from string, d *wire.MemberDigest) bool {
+// A solicited one answers our own ping.
+func (m *Machine) digestHeard(now time.Time, from string, d *wire.MemberDigest, solicited bool) bool {
 	if d.GetSelf().GetHost() != from {
 		m.act(Refused{from, "digest without the sender's own record"})
 		return false
@@ -234,7 +235,7 @@
 		e.heard = now
 	}
 	m.mergeItems(now, from, d.GetItems())
-	m.slotsHeard(from, d)
+	m.slotsHeard(from, d, solicited)
 	m.maybeSync(now, from, d.GetStateHash())
 	return false
 }
--- a/core/member/slot.go
+++ b/core/member/slot.go
@@ -50,13 +50,16 @@
 }
 
 // slotsHeard hands over the sender's direct values.
-func (m *Machine) slotsHeard(from string, d *wire.MemberDigest) {
+func (m *Machine) slotsHeard(from string, d *wire.MemberDigest, solicited bool) {
 	for _, s := range d.GetSlots() {
 		ext, ok := m.cfg.extension(SlotID(s.GetId()))
 		if !ok || ext.Fleet || len(s.GetValue()) > ext.MaxBytes {
 			continue // a later release's extension, or a faulty one
 		}
-		m.act(SlotHeard{ext.ID, from, d.GetSelf().GetIncarnation(), s.GetValue()})
+		m.act(SlotHeard{
+			ID: ext.ID, Host: from, Incarnation: d.GetSelf().GetIncarnation(), Value: s.GetValue(),
+			Solicited: solicited, SentUnixMS: d.GetWallUnixMs(),
+		})
 	}
 }
 
@@ -86,7 +89,7 @@
 	m.hash ^= old.hash
 	m.rumors.add(key)
 	if e != m.self {
-		m.act(SlotHeard{id, s.GetHost(), s.GetIncarnation(), s.GetValue()})
+		m.act(SlotHeard{ID: id, Host: s.GetHost(), Incarnation: s.GetIncarnation(), Value: s.GetValue()})
 	}
 	return true
 }
--- a/core/rollout/event.go
+++ b/core/rollout/event.go
@@ -16,6 +16,9 @@
 type PeerHeard struct {
 	Host string
 	Mark *wire.BundleMark
+	// Solicited says that the mark answers what this daemon asked since its
+	// start or last pause; others may be as old as the pause.
+	Solicited bool
 }
 
 // PeersChanged is the fleet as membership sees it.
--- a/core/rollout/fleet_test.go
+++ b/core/rollout/fleet_test.go
@@ -211,7 +211,7 @@
 			if err := proto.Unmarshal(a.Value, m); err != nil {
 				panic(err)
 			}
-			f.step(n, PeerHeard{a.Host, m})
+			f.step(n, PeerHeard{a.Host, m, a.Solicited})
 		case member.Changed:
 			f.peersChanged(n)
 		}
--- a/core/rollout/machine.go
+++ b/core/rollout/machine.go
@@ -23,6 +23,7 @@
 // peerMark is what a peer last said of itself.
 type peerMark struct {
 	mark       *wire.BundleMark
+	solicited  bool
 	avoidUntil time.Time
 }
 
@@ -118,6 +119,7 @@
 		m.peers[e.Host] = p
 	}
 	p.mark = e.Mark
+	p.solicited = p.solicited || e.Solicited
 	switch {
 	case m.current == nil || e.Mark.GetVersion() != m.version():
 	case e.Mark.GetDigest() != shortDigest(m.current.Digest[:]):
@@ -249,7 +251,7 @@
 }
 
 // checkReady ends the start: there is a bundle, a majority of the neighbours
-// was heard (or the time for it is up), and no higher one is being fetched;
+// answered (or the time for it is up), and no higher one is being fetched;
 // Step begins a fetch before it comes here.
 func (m *Machine) checkReady(now time.Time) {
 	if m.ready || m.current == nil || m.fetch != nil {
@@ -257,7 +259,7 @@
 	}
 	heard := 0
 	for _, host := range m.near {
-		if m.peers[host] != nil {
+		if p := m.peers[host]; p != nil && p.solicited {
 			heard++
 		}
 	}
--- /dev/null
+++ b/daemon/cluster.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/cluster"
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/core/rollout"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// addCluster makes this daemon's part in the fleet: membership and
+// configuration.
+func (d *Daemon) addCluster() error {
+	s := d.settings
+	host := member.Host{Name: s.Host, FailureDomain: s.FailureDomain}
+	c, err := cluster.New(cluster.Config{
+		Member:  member.DefaultConfig(host, d.incarnation),
+		Rollout: rollout.DefaultConfig(cluster.NewCodec(s.BundleKeys)),
+		Platform: platform.New(platform.Config{
+			ConfigService: s.Platform.ConfigService, HostList: s.Platform.HostList, Key: s.Platform.Key,
+		}),
+		Mux:    d.mux,
+		Logger: d.log,
+	})
+	if err != nil {
+		return err
+	}
+	c.OnBundle(d.bundleInForce)
+	c.OnLeaving(func(names []string) { d.router.SetLeaving(names, d.Now()) })
+	d.cluster = c
+	return nil
+}
+
+// bundleInForce applies a bundle. One that this host cannot run under is
+// applied too, since it may end what an older one allowed; the daemon is not
+// ready under a bundle that does not name its host.
+func (d *Daemon) bundleInForce(b *bundle.Bundle) {
+	if err := d.settings.CheckBundle(b); err != nil {
+		d.log.Error("bundle and settings disagree", zap.Uint64("version", b.Version), zap.Error(err))
+	}
+	d.apply(b)
+}
+
+// newTransport listens for fellow daemons.
+func (d *Daemon) newTransport() (*peer.Transport, error) {
+	s := d.settings
+	return peer.NewTransport(peer.Config{
+		Host: s.Host, Incarnation: d.incarnation, Listen: s.Listen.Peers, Plaintext: s.InsecurePlaintext,
+		TLS:     peer.TLSFiles{CertFile: s.TLS.Cert, KeyFile: s.TLS.Key, CAFile: s.TLS.CA},
+		Resolve: d.cluster.Resolve, Mux: d.mux, Logger: d.log, Metrics: d.metrics,
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,16 +11,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
 	"github.com/wheatseam/wheatseam/settings"
@@ -48,6 +51,11 @@
 	budgets  retry.Budgets
 	records  *record.Store
 	claimer  request.Claimer
+	mux      *peer.Mux
+	cluster  *cluster.Cluster
+	metrics  *metrics.Set
+	// incarnation is the start of this process in Unix milliseconds.
+	incarnation uint64
 	// appliers get every bundle that comes into force.
 	appliers []applier
 }
@@ -56,11 +64,17 @@
 type applier interface{ Apply(b *bundle.Bundle) }
 
 // New returns a daemon that has not started.
-func New(s *settings.Settings, log *zap.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, table: request.NewTable(), records: record.NewStore(recordBytes)}
+func New(s *settings.Settings, log *zap.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s, log: log, table: request.NewTable(), records: record.NewStore(recordBytes),
+		mux: peer.NewMux(), metrics: metrics.NewSet(), incarnation: uint64(time.Now().UnixMilli()),
+	}
 	d.sessions.init()
 	d.addDecisionParts()
-	return d
+	if err := d.addCluster(); err != nil {
+		return nil, err
+	}
+	return d, nil
 }
 
 // Run serves until ctx ends, then drains: requests in flight are finished, at
@@ -70,13 +84,19 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	transport, err := d.newTransport()
+	if err != nil {
+		_ = listener.Close()
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	defer transport.Close()
 	server := d.callerServer()
-	d.log.Info("listening", zap.String("callers", listener.Addr().String()))
+	d.log.Info("listening", zap.String("callers", listener.Addr().String()), zap.String("peers", transport.Addr()))
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
-	group.Go(func() error { d.watchBundle(running); return nil })
+	group.Go(func() error { return d.cluster.Run(running, transport) })
 	group.Go(func() error { d.tick(running); return nil })
 	<-ctx.Done()
 	d.drain(cut)
@@ -112,6 +132,7 @@
 
 func (d *Daemon) drain(cut context.Context) {
 	d.draining.Store(true)
+	d.cluster.Leave()
 	d.log.Info("draining", zap.Int("in_flight", d.table.Len()))
 	bound, cancel := context.WithTimeout(cut, d.settings.Drain.Bound)
 	defer cancel()
@@ -186,6 +207,8 @@
 		e = problem.New(problem.Draining, "host %s is leaving", d.settings.Host)
 	case d.bundle.Load() == nil:
 		e = problem.New(problem.NotReady, "no configuration is in force yet")
+	case !d.cluster.Ready():
+		e = problem.New(problem.NotReady, "host %s has not heard enough of its fellows yet", d.settings.Host)
 	default:
 		return nil
 	}
--- a/daemon/thin.go
+++ b/daemon/thin.go
@@ -3,15 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/problem"
 )
@@ -72,42 +66,3 @@
 	c.result = result
 	return nil
 }
-
-const maxBundleBytes = 1 << 20
-
-func (d *Daemon) watchBundle(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := d.readBundle(ctx); err != nil {
-			d.log.Warn("bundle not read", zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(200 * time.Millisecond):
-		}
-	}
-}
-
-func (d *Daemon) readBundle(ctx context.Context) error {
-	url := d.settings.Platform.ConfigService + "/v1/values/" + d.settings.Platform.Key
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return fmt.Errorf("build read: %w", err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("read bundle: %w", err)
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBundleBytes))
-	if err != nil {
-		return fmt.Errorf("read bundle: %w", err)
-	}
-	b, err := bundle.Open(raw, d.settings.BundleKeys)
-	if err != nil {
-		return fmt.Errorf("open bundle: %w", err)
-	}
-	if old := d.bundle.Load(); old == nil || b.Version > old.Version {
-		d.apply(b)
-	}
-	return nil
-}
