--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -7,7 +7,6 @@
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
-	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 )
 
@@ -22,7 +21,7 @@
 		Platform: platform.New(platform.Config{
 			ConfigService: s.Platform.ConfigService, HostList: s.Platform.HostList, Key: s.Platform.Key,
 		}),
-		Mux:    d.mux,
+		Mux:    d.peerMux,
 		Logger: d.log,
 	})
 	if err != nil {
@@ -41,15 +40,7 @@
 	if err := d.settings.CheckBundle(b); err != nil {
 		d.log.Error("bundle and settings disagree", zap.Uint64("version", b.Version), zap.Error(err))
 	}
+	now := d.Now()
+	d.inForceFrom.Store(&now)
 	d.apply(b)
 }
-
-// newTransport listens for fellow daemons.
-func (d *Daemon) newTransport() (*peer.Transport, error) {
-	s := d.settings
-	return peer.NewTransport(peer.Config{
-		Host: s.Host, Incarnation: d.incarnation, Listen: s.Listen.Peers, Plaintext: s.InsecurePlaintext,
-		TLS:     peer.TLSFiles{CertFile: s.TLS.Cert, KeyFile: s.TLS.Key, CAFile: s.TLS.CA},
-		Resolve: d.cluster.Resolve, Mux: d.mux, Logger: d.log, Metrics: d.metrics,
-	})
-}
