Divide fleet-wide limits by cessions and loans between daemons

Cause: a customer's requests per second and a pool's concurrency hold over the whole fleet, and nothing may keep a shared counter.

core/share gives every daemon limit/hosts without a word from another. Where one wants more, an allocator found by rendezvous hashing asks the others to cede what they do not use and lends it out, for times that end at the borrower before they end in the allocator's books. The sum never exceeds the limit under delay, loss, reordering, partition, pauses and clocks 5% apart in rate; only restarts (an equal share each) and a changing host list may exceed it, for bounded times.

Ways weighed: shares in proportion to demand heard (simple, but two daemons with different news exceed the limit, and a partition doubles it); a counter at one host a customer (shared state); this one.

--- /dev/null
+++ b/core/share/config.go
@@ -0,0 +1,51 @@
+package share
+
+import "time"
+
+// Config holds the settings of a Machine. Every daemon of a fleet must have
+// equal times; NewConfig derives them from the number of hosts.
+type Config struct {
+	// Host is this daemon's name.
+	Host string
+	// Incarnation is the start of this process in Unix milliseconds.
+	Incarnation uint64
+	// Interval is the time between the reports of a daemon that wants more.
+	Interval time.Duration
+	// Loan is how long a loan lasts.
+	Loan time.Duration
+	// Cession is how long a daemon binds itself.
+	Cession time.Duration
+	// NudgesPerInterval bounds how many hosts an allocator asks for a report
+	// in an interval.
+	NudgesPerInterval int
+}
+
+// Times in intervals, and their growth with the fleet, which bounds the bytes
+// a second of each daemon.
+const (
+	minInterval      = 500 * time.Millisecond
+	intervalPerHost  = 25 * time.Millisecond
+	loanIntervals    = 3
+	cessionIntervals = 10
+	// cedingIntervals is between the reports of a daemon that wants no more
+	// than it has while another does.
+	cedingIntervals = 3
+	// quietIntervals is between reports while nobody wants more.
+	quietIntervals = 10
+	defaultNudges  = 100
+	// driftPart bounds the difference in rate of two clocks: 1 in 20.
+	driftPart = 20
+)
+
+// NewConfig returns the settings for a fleet of hosts.
+func NewConfig(host string, incarnation uint64, hosts int) Config {
+	c := Config{Host: host, Incarnation: incarnation, NudgesPerInterval: defaultNudges}
+	c.setTimes(hosts)
+	return c
+}
+
+func (c *Config) setTimes(hosts int) {
+	c.Interval = max(minInterval, time.Duration(hosts)*intervalPerHost)
+	c.Loan = loanIntervals * c.Interval
+	c.Cession = cessionIntervals * c.Interval
+}
