--- /dev/null
+++ b/shares/service_test.go
@@ -0,0 +1,124 @@
+package shares
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/admit"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+func TestShares(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Shares Suite")
+}
+
+// admitter has a demand that tests set.
+type admitter struct {
+	mu     sync.Mutex
+	demand float64
+	shares admit.Shares
+}
+
+func (a *admitter) Demand(time.Time) admit.Demand {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return admit.Demand{Customers: map[string]float64{"clinic": a.demand}}
+}
+
+func (a *admitter) SetShares(s admit.Shares) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shares = s
+}
+
+func (a *admitter) set(demand float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.demand = demand
+}
+
+func (a *admitter) fraction() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.shares.Customer(time.Now(), "clinic")
+}
+
+// network carries calls between services in one process.
+type network struct {
+	services map[string]*Service
+	admits   map[string]*admitter
+}
+
+type endpoint struct {
+	network *network
+	host    string
+}
+
+func (e endpoint) Call(ctx context.Context, host, _ string, req, resp proto.Message) error {
+	s, ok := e.network.services[host]
+	if !ok {
+		return errors.New("unreachable")
+	}
+	from := peer.Sender{Host: e.host}
+	var answer proto.Message
+	var err error
+	switch r := req.(type) {
+	case *wire.ShareReport:
+		answer, err = s.serveReport(ctx, from, r)
+	case *wire.ShareReply:
+		answer, err = s.serveReply(ctx, from, r)
+	}
+	if err != nil {
+		return err
+	}
+	proto.Merge(resp, answer)
+	return nil
+}
+
+func newNetwork(ctx context.Context, hosts int) *network {
+	n := &network{services: map[string]*Service{}, admits: map[string]*admitter{}}
+	b := &bundle.Bundle{Customers: []bundle.Customer{{Name: "clinic", RequestsPerSecond: 30}}}
+	for i := range hosts {
+		b.Hosts = append(b.Hosts, bundle.Host{Name: fmt.Sprintf("host-%d", i)})
+	}
+	for i, h := range b.Hosts {
+		n.admits[h.Name] = &admitter{}
+		n.services[h.Name] = New(Config{
+			Host: h.Name, Incarnation: 1, Admitter: n.admits[h.Name], Mux: peer.NewMux(), Seed: uint64(i),
+		})
+	}
+	for _, s := range n.services {
+		s.Apply(b)
+	}
+	for host, s := range n.services {
+		go s.Run(ctx, endpoint{n, host})
+	}
+	return n
+}
+
+var _ = Describe("Service", func() {
+	It("gives admission the equal share, then what is lent, and takes it back", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		n := newNetwork(ctx, 3)
+		greedy, other := n.admits["host-0"], n.admits["host-1"]
+		Expect(greedy.fraction()).To(BeNumerically("~", 1.0/3, 0.001))
+		greedy.set(2)
+		// An allocator lends nothing until a cession after its start.
+		Eventually(greedy.fraction).WithTimeout(15 * time.Second).Should(BeNumerically(">", 0.7))
+		Expect(n.services["host-0"].States()).To(ConsistOf(HaveField("Share", BeNumerically(">", 0.7))))
+		other.set(0.3)
+		Eventually(other.fraction).WithTimeout(10 * time.Second).Should(BeNumerically(">", 0.3))
+	})
+})
