Say when to come back before any latency was measured

Cause: a ticket that expired before the first call of its pool had ended was refused with a RetryAfter of 0, since the drain time came from the measured latency alone; one that lost its place in a full queue had none at all. Both now use the ticket's expectation until latency is measured.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -75,7 +75,7 @@
 		next.customers[b.Customers[i].Name] = &b.Customers[i]
 	}
 	for i := range b.Pools {
-		next.pools[b.Pools[i].Name] = carryOver(old, &b.Pools[i])
+		next.pools[b.Pools[i].Name] = c.carryOver(old, &b.Pools[i])
 	}
 	for name, p := range old.pools {
 		p.mu.Lock()
@@ -91,10 +91,10 @@
 	c.view.Store(next)
 }
 
-func carryOver(old *view, b *bundle.Pool) *pool {
+func (c *Controller) carryOver(old *view, b *bundle.Pool) *pool {
 	p := old.pools[b.Name]
 	if p == nil {
-		return newPool(b)
+		return newPool(b, c.cfg)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -232,7 +232,7 @@
 	if p == nil {
 		return request.Refused, problem.New(problem.NoUpstream, "there is no pool %s", t.Pool)
 	}
-	verdict, err := p.acquire(now, v, t, c.fraction(now, t.Pool), c.cfg)
+	verdict, err := p.acquire(now, v, t, c.fraction(now, t.Pool))
 	switch verdict {
 	case request.Granted:
 		c.note(rec, now, StepAcquire, "granted", "", &t)
@@ -244,7 +244,7 @@
 	return verdict, err
 }
 
-func (p *pool) acquire(now time.Time, v *view, t request.Ticket, fraction float64, cfg Config) (request.Verdict, *problem.Error) {
+func (p *pool) acquire(now time.Time, v *view, t request.Ticket, fraction float64) (request.Verdict, *problem.Error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if v.unlimited {
@@ -254,19 +254,14 @@
 	slots := p.slots(fraction)
 	startBy := t.Deadline.Add(-t.After - seconds(t.Expected.Seconds()*(1+v.margin)))
 	if startBy.Before(now) {
-		err := problem.New(problem.Overloaded, "stage %s can no longer finish within the deadline", t.Stage)
-		err.RetryAfter = min(p.drainTime(slots), cfg.MaxRetryAfter)
-		return request.Refused, err
+		return request.Refused, p.overloaded(t, slots, "stage %s can no longer finish within the deadline", t.Stage)
 	}
 	if p.queue.len() == 0 && !p.full(slots) {
 		p.inFlight++
 		return request.Granted, nil
 	}
-	bound := max(cfg.MinQueue, int(slots)*cfg.QueuePerSlot)
-	if !p.enqueue(now, t, startBy, v.weight(t.Customer), bound) {
-		err := problem.New(problem.Overloaded, "the queue of pool %s is full", p.name)
-		err.RetryAfter = min(p.drainTime(slots), cfg.MaxRetryAfter)
-		return request.Refused, err
+	if !p.enqueue(now, t, startBy, v.weight(t.Customer), slots) {
+		return request.Refused, p.queueFull(t, slots)
 	}
 	return request.Queued, nil
 }
@@ -305,8 +300,7 @@
 	case request.CallRefused:
 		p.limiter.refused(now)
 	}
-	slots = p.slots(fraction)
-	return p.pump(now, slots, min(p.drainTime(slots), c.cfg.MaxRetryAfter))
+	return p.pump(now, p.slots(fraction))
 }
 
 // Tick implements request.Admitter.
@@ -316,8 +310,7 @@
 		fraction := c.fraction(now, p.name)
 		p.mu.Lock()
 		if p.queue.len() > 0 || len(p.answered) > 0 {
-			slots := p.slots(fraction)
-			out = append(out, p.pump(now, slots, min(p.drainTime(slots), c.cfg.MaxRetryAfter))...)
+			out = append(out, p.pump(now, p.slots(fraction))...)
 		}
 		p.mu.Unlock()
 	}
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -12,6 +12,7 @@
 // pool is one shard: everything that admission knows of one pool.
 type pool struct {
 	name string
+	cfg  Config
 
 	mu       sync.Mutex
 	limiter  *limiter
@@ -27,8 +28,8 @@
 	finished decayed
 }
 
-func newPool(p *bundle.Pool) *pool {
-	return &pool{name: p.Name, limiter: newLimiter(p), queue: newQueue(), planned: newPlanned()}
+func newPool(p *bundle.Pool, cfg Config) *pool {
+	return &pool{name: p.Name, cfg: cfg, limiter: newLimiter(p), queue: newQueue(), planned: newPlanned()}
 }
 
 // idle says that nothing refers to the pool any more. The caller holds mu.
@@ -60,15 +61,16 @@
 // enqueue queues t, making room at the cost of the customer with the longest
 // queue for its weight. It returns false when that is t's own customer. The
 // caller holds mu.
-func (p *pool) enqueue(now time.Time, t request.Ticket, startBy time.Time, weight float64, bound int) bool {
-	if p.queue.len() >= bound && !p.makeRoom(t.Customer, weight) {
+func (p *pool) enqueue(now time.Time, t request.Ticket, startBy time.Time, weight, slots float64) bool {
+	bound := max(p.cfg.MinQueue, int(slots)*p.cfg.QueuePerSlot)
+	if p.queue.len() >= bound && !p.makeRoom(t.Customer, weight, slots) {
 		return false
 	}
 	p.queue.push(&item{ticket: t, startBy: startBy, queued: now}, weight)
 	return true
 }
 
-func (p *pool) makeRoom(customer string, weight float64) bool {
+func (p *pool) makeRoom(customer string, weight, slots float64) bool {
 	worst := p.queue.longest()
 	if worst == nil || worst.customer == customer {
 		return false
@@ -82,19 +84,17 @@
 	}
 	it := worst.leastUrgent()
 	p.queue.remove(it)
-	err := problem.New(problem.Overloaded, "the queue of pool %s is full", p.name)
-	p.answered = append(p.answered, request.Grant{Ticket: it.ticket, Err: err})
+	p.answered = append(p.answered, request.Grant{Ticket: it.ticket, Err: p.queueFull(it.ticket, slots)})
 	return true
 }
 
 // pump answers tickets that can no longer make it, then grants free slots.
 // The caller holds mu.
-func (p *pool) pump(now time.Time, slots float64, retryAfter time.Duration) []request.Grant {
+func (p *pool) pump(now time.Time, slots float64) []request.Grant {
 	out := p.answered
 	p.answered = nil
 	for _, it := range p.queue.expired(now) {
-		err := problem.New(problem.Overloaded, "no slot of pool %s became free in time", p.name)
-		err.RetryAfter = retryAfter
+		err := p.overloaded(it.ticket, slots, "no slot of pool %s became free in time", p.name)
 		out = append(out, request.Grant{Ticket: it.ticket, Err: err})
 	}
 	for !p.full(slots) {
@@ -108,10 +108,17 @@
 	return out
 }
 
-// drainTime returns how long the queue takes to empty at the measured rate.
-// The caller holds mu.
-func (p *pool) drainTime(slots float64) time.Duration {
-	return seconds(float64(p.queue.len()+1) * p.service(0) / slots)
+// overloaded refuses a ticket and says how long the queue takes to drain at the
+// measured rate. The caller holds mu.
+func (p *pool) overloaded(t request.Ticket, slots float64, format string, args ...any) *problem.Error {
+	err := problem.New(problem.Overloaded, format, args...)
+	drain := seconds(float64(p.queue.len()+1) * p.service(t.Expected) / slots)
+	err.RetryAfter = min(drain, p.cfg.MaxRetryAfter)
+	return err
+}
+
+func (p *pool) queueFull(t request.Ticket, slots float64) *problem.Error {
+	return p.overloaded(t, slots, "the queue of pool %s is full", p.name)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
