Hold each guard of admission and shares by a test that fails without it

Cause: with the guards taken out one by one, three survived: the check that an answer is on its way (settle), the fair wait of a plan, and that an unused limit does not shrink.

The fair wait stood twice, which is why it could go: the shorter form stays, and without it the test of the greedy customer fails.

All 25 guards tried fail at least one test now, except the order check of reports, which the settle check covers too; it stays since it saves answers.

--- a/core/admit/controller_test.go
+++ b/core/admit/controller_test.go
@@ -283,6 +283,13 @@
 		Expect(l.estimate).To(BeNumerically("~", 40, 1))
 	})
 
+	It("is not shrunk by latency that rises while it is not used up", func() {
+		l := newLimiter(pool)
+		at := feed(l, 0, 64, 10*time.Millisecond, false)
+		feed(l, at, 200, 50*time.Millisecond, false)
+		Expect(l.estimate).To(Equal(40.0))
+	})
+
 	It("grows while it is used up and latency stays low, to a bound", func() {
 		l := newLimiter(pool)
 		feed(l, 0, 6400, 10*time.Millisecond, true)
--- a/core/admit/plan.go
+++ b/core/admit/plan.go
@@ -81,7 +81,6 @@
 	wait float64
 	// borrowing says that the customer is over its fair share of the pool.
 	borrowing bool
-	ahead     int
 }
 
 // foresee predicts the wait of one more call of customer, given slots that
@@ -97,14 +96,8 @@
 		weights += weight
 	}
 	fair := slots * weight / weights
-	f := forecast{ahead: total, borrowing: float64(own)+1 > fair}
-	f.wait = waitFor(total, slots, service)
-	if !f.borrowing {
-		// The queue serves this customer at its next turn.
-		f.wait = min(f.wait, service/slots)
-		return f
-	}
-	f.wait = min(f.wait, waitFor(own, fair, service))
+	f := forecast{borrowing: float64(own)+1 > fair}
+	f.wait = min(waitFor(total, slots, service), waitFor(own, fair, service))
 	return f
 }
 
@@ -113,7 +106,7 @@
 	return max(0, float64(ahead)-slots+1) * service / slots
 }
 
-// need ties a stage's place in a plan to its key.
+// planKeyOf returns the key of one need of a plan.
 func planKeyOf(p request.Plan, n request.Need) planKey {
 	return planKey{p.Request, n.Stage}
 }
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -103,7 +103,8 @@
 			Expect(*highest).To(BeNumerically(">", Full*7/10), "nothing was lent")
 		},
 		Entry(nil, uint64(11)), Entry(nil, uint64(12)), Entry(nil, uint64(13)),
-		Entry(nil, uint64(14)), Entry(nil, uint64(15)), Entry(nil, uint64(16)),
+		// These two fail when a report counts while an answer is on its way.
+		Entry(nil, uint64(1019)), Entry(nil, uint64(1041)),
 		// These two showed that an answer which is dropped as out of order must
 		// not be taken for adopted.
 		Entry(nil, uint64(1029)), Entry(nil, uint64(1159)),
