--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
 	"github.com/wheatseam/wheatseam/settings"
+	"github.com/wheatseam/wheatseam/shares"
 )
 
 // tickEvery is how often waits that can no longer succeed are ended.
@@ -48,6 +49,7 @@
 	deps     request.Deps
 	router   *route.Router
 	admitter *admit.Controller
+	shares   *shares.Service
 	budgets  retry.Budgets
 	records  *record.Store
 	claimer  request.Claimer
@@ -97,6 +99,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	group.Go(func() error { return d.cluster.Run(running, transport) })
+	group.Go(func() error { d.shares.Run(running, transport); return nil })
 	group.Go(func() error { d.tick(running); return nil })
 	<-ctx.Done()
 	d.drain(cut)
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -4,7 +4,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatseam/wheatseam/bundle"
-	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
@@ -25,10 +24,10 @@
 		FailureDomain: d.settings.FailureDomain,
 		Seed:          xxhash.Sum64String(d.settings.Host) ^ uint64(d.Now().UnixNano()),
 	})
-	admitter := admit.New(admit.Config{})
+	d.addAdmission()
 	budgets := retry.NewBudgets(0, 0)
-	d.router, d.admitter, d.budgets = router, admitter, budgets
-	d.appliers = append(d.appliers, router, admitter, budgetApplier{budgets})
-	d.deps = request.Deps{Router: router, Admitter: admitter, Retries: budgets.Retry, Hedges: budgets.Hedge}
+	d.router, d.budgets = router, budgets
+	d.appliers = append(d.appliers, router, budgetApplier{budgets})
+	d.deps = request.Deps{Router: router, Admitter: d.admitter, Retries: budgets.Retry, Hedges: budgets.Hedge}
 	d.claimer = &localClaims{claims: make(map[request.ClaimKey]*localClaim)}
 }
--- a/shares/service_test.go
+++ b/shares/service_test.go
@@ -86,12 +86,17 @@
 	return nil
 }
 
-func newNetwork(ctx context.Context, hosts int) *network {
-	n := &network{services: map[string]*Service{}, admits: map[string]*admitter{}}
+func bundleOf(hosts int) *bundle.Bundle {
 	b := &bundle.Bundle{Customers: []bundle.Customer{{Name: "clinic", RequestsPerSecond: 30}}}
 	for i := range hosts {
 		b.Hosts = append(b.Hosts, bundle.Host{Name: fmt.Sprintf("host-%d", i)})
 	}
+	return b
+}
+
+func newNetwork(ctx context.Context, hosts int) *network {
+	n := &network{services: map[string]*Service{}, admits: map[string]*admitter{}}
+	b := bundleOf(hosts)
 	for i, h := range b.Hosts {
 		n.admits[h.Name] = &admitter{}
 		n.services[h.Name] = New(Config{
@@ -121,4 +126,36 @@
 		other.set(0.3)
 		Eventually(other.fraction).WithTimeout(10 * time.Second).Should(BeNumerically(">", 0.3))
 	})
+
+	It("speaks over sessions between daemons", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		b := bundleOf(3)
+		var mu sync.Mutex
+		addresses := map[string]string{}
+		resolve := func(host string) (string, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			address, ok := addresses[host]
+			return address, ok
+		}
+		admits := map[string]*admitter{}
+		for i, h := range b.Hosts {
+			mux := peer.NewMux()
+			admits[h.Name] = &admitter{}
+			s := New(Config{Host: h.Name, Incarnation: 1, Admitter: admits[h.Name], Mux: mux, Seed: uint64(i)})
+			s.Apply(b)
+			transport, err := peer.NewTransport(peer.Config{
+				Host: h.Name, Incarnation: 1, Listen: "127.0.0.1:0", Plaintext: true, Resolve: resolve, Mux: mux,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(transport.Close)
+			mu.Lock()
+			addresses[h.Name] = transport.Addr()
+			mu.Unlock()
+			go s.Run(ctx, transport)
+		}
+		admits["host-2"].set(2)
+		Eventually(admits["host-2"].fraction).WithTimeout(15 * time.Second).Should(BeNumerically(">", 0.7))
+	})
 })
