--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
 	"github.com/wheatseam/wheatseam/settings"
+	"github.com/wheatseam/wheatseam/shares"
 )
 
 // tickEvery is how often waits that can no longer succeed are ended.
@@ -50,6 +51,7 @@
 	router   *route.Router
 	loads    *loadView
 	admitter *admit.Controller
+	shares   *shares.Service
 	budgets  retry.Budgets
 	records  *record.Store
 	claimer  request.Claimer
@@ -104,6 +106,7 @@
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	group.Go(d.operators.Serve)
 	group.Go(func() error { return d.cluster.Run(running, d.peers) })
+	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
 	<-ctx.Done()
