--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
@@ -27,6 +28,7 @@
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
 	"github.com/wheatseam/wheatseam/settings"
+	"github.com/wheatseam/wheatseam/shares"
 )
 
 // tickEvery is how often waits that can no longer succeed are ended.
@@ -47,14 +49,16 @@
 	sessions sessions
 	deps     request.Deps
 	router   *route.Router
+	loads    *loadView
 	admitter *admit.Controller
+	shares   *shares.Service
 	budgets  retry.Budgets
 	records  *record.Store
 	claimer  request.Claimer
 
 	incarnation uint64 // start of the process in Unix milliseconds
-	hosts       hostBook
-	origin      atomic.Pointer[origin]
+	cluster     *cluster.Cluster
+	inForceFrom atomic.Pointer[time.Time]
 	metrics     *metrics.Set
 	peerMux     *peer.Mux
 	peers       *peer.Transport
@@ -70,16 +74,18 @@
 type applier interface{ Apply(b *bundle.Bundle) }
 
 // New returns a daemon that has not started.
-func New(s *settings.Settings, log *zap.Logger) *Daemon {
+func New(s *settings.Settings, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, log: log, table: request.NewTable(), records: record.NewStore(recordBytes),
 		metrics: metrics.NewSet(), peerMux: peer.NewMux(), sections: operator.NewSections(),
 	}
 	d.incarnation = uint64(d.Now().UnixMilli())
 	d.sessions.init()
-	d.appliers = append(d.appliers, &d.hosts)
 	d.addDecisionParts()
-	return d
+	if err := d.addCluster(); err != nil {
+		return nil, err
+	}
+	return d, nil
 }
 
 // Run serves until ctx ends, then drains: requests in flight are finished, at
@@ -99,8 +105,10 @@
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	group.Go(d.operators.Serve)
-	group.Go(func() error { d.watchBundle(running); return nil })
+	group.Go(func() error { return d.cluster.Run(running, d.peers) })
+	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
+	group.Go(func() error { d.loads.Run(running); return nil })
 	<-ctx.Done()
 	d.drain(cut)
 	shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -163,6 +171,7 @@
 
 func (d *Daemon) drain(cut context.Context) {
 	d.draining.Store(true)
+	d.cluster.Leave()
 	d.log.Info("draining", zap.Int("in_flight", d.table.Len()))
 	bound, cancel := context.WithTimeout(cut, d.settings.Drain.Bound)
 	defer cancel()
@@ -237,6 +246,8 @@
 		e = problem.New(problem.Draining, "host %s is leaving", d.settings.Host)
 	case d.bundle.Load() == nil:
 		e = problem.New(problem.NotReady, "no configuration is in force yet")
+	case !d.cluster.Ready():
+		e = problem.New(problem.NotReady, "host %s has not heard enough of its fellows yet", d.settings.Host)
 	default:
 		return nil
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
-	"encoding/hex"
+	"context"
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/operator"
 )
@@ -14,20 +16,14 @@
 // maxDumpRequests bounds the requests in flight that a dump lists.
 const maxDumpRequests = 1000
 
-// sourcePlatform is the origin of bundles read from the platform.
-const sourcePlatform = "configuration service"
+// inspectTimeout bounds the wait for the cluster's loops.
+const inspectTimeout = 200 * time.Millisecond
 
-// origin says where the bundle in force came from.
-type origin struct {
-	digest string
-	source string
-	since  time.Time
-}
-
-// noteOrigin is called when a signed bundle is about to come into force.
-func (d *Daemon) noteOrigin(signed []byte, source string) {
-	digest := bundle.Digest(signed)
-	d.origin.Store(&origin{digest: hex.EncodeToString(digest[:]), source: source, since: d.Now()})
+// clusterDump is the state of membership and configuration.
+func (d *Daemon) clusterDump() cluster.Dump {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	return d.cluster.Dump(ctx)
 }
 
 // openOperators listens for operators. The peers must be open.
@@ -69,18 +65,31 @@
 	st.Ready = st.Reason == ""
 	if b := d.bundle.Load(); b != nil {
 		st.BundleVersion = b.Version
-	}
-	if o := d.origin.Load(); o != nil {
-		st.BundleDigest, st.BundleSource, st.BundleSince = o.digest, o.source, o.since
+		st.BundleDigest, st.BundleSource, st.BundleSince = d.origin()
 	}
 	return st
 }
 
+// origin says where the bundle in force came from and since when it is.
+func (d *Daemon) origin() (digest, source string, since time.Time) {
+	r := d.clusterDump().Rollout
+	if t := d.inForceFrom.Load(); t != nil {
+		since = *t
+	}
+	return fmt.Sprintf("%016x", r.Digest), r.Source, since
+}
+
 // Drain implements operator.Local.
 func (l operatorLocal) Drain() { l.d.leave() }
 
 // Hosts implements operator.Local.
-func (l operatorLocal) Hosts() []string { return l.d.hosts.names() }
+func (l operatorLocal) Hosts() []string {
+	var names []string
+	for _, m := range l.d.cluster.Members() {
+		names = append(names, m.Host.Name)
+	}
+	return names
+}
 
 // processDump is the dump's section about the process.
 type processDump struct {
@@ -115,6 +124,7 @@
 		}
 	})
 	d.sections.Register("bundle", func() any { return d.dumpBundle() })
+	d.sections.Register("cluster", func() any { return d.clusterDump() })
 	d.sections.Register("requests", func() any { return append([]request.Overview{}, d.table.Overviews(maxDumpRequests)...) })
 	d.sections.Register("records", func() any { return d.records.Stats() })
 	d.sections.Register("peers", func() any { return d.peers.Sessions() })
@@ -125,13 +135,11 @@
 
 func (d *Daemon) dumpBundle() bundleDump {
 	var dump bundleDump
-	if o := d.origin.Load(); o != nil {
-		dump.Digest, dump.Source, dump.Since = o.digest, o.source, o.since
-	}
 	b := d.bundle.Load()
 	if b == nil {
 		return dump
 	}
+	dump.Digest, dump.Source, dump.Since = d.origin()
 	dump.Version, dump.Policy = b.Version, b.Policy
 	dump.Hosts, dump.Pools, dump.Pipelines = b.Hosts, b.Pools, b.Pipelines
 	for _, c := range b.Customers {
