--- a/cmd/wheatseam/trace.go
+++ b/cmd/wheatseam/trace.go
@@ -44,6 +44,7 @@
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of everything random")
 	f.Float64Var(&o.Load, "load", 1, "mean rate as a multiple of the bundle's capacity")
 	f.DurationVar(&o.Duration, "duration", time.Minute, "time from the first arrival to the last")
+	f.Float64Var(&o.Patience, "patience", scenario.DefaultPatience, "deadlines as a multiple of the expected time")
 	f.StringVar(&out, "out", "", "file to write to; default standard output")
 	_ = c.MarkFlagRequired("bundle")
 	return c
--- a/replay/scenario/builder.go
+++ b/replay/scenario/builder.go
@@ -26,8 +26,18 @@
 	Load float64
 	// Duration is the time from the first arrival to the last.
 	Duration time.Duration
+	// Patience is the deadline that callers state, as a multiple of what the
+	// pipeline's stages are expected to take; the pipeline's own deadline and
+	// leastDeadline bound it.
+	Patience float64
 }
 
+// DefaultPatience is a usual Patience.
+const DefaultPatience = 4
+
+// leastDeadline is the shortest deadline that callers state.
+const leastDeadline = time.Second
+
 // Limits of Options.
 const (
 	maxLoad     = 20
@@ -38,6 +48,8 @@
 	switch {
 	case o.Load <= 0 || o.Load > maxLoad:
 		return fmt.Errorf("load %g lies outside 0 to %d", o.Load, maxLoad)
+	case o.Patience < 1:
+		return fmt.Errorf("patience %g is less than 1", o.Patience)
 	case o.Duration < time.Second || o.Duration > maxDuration:
 		return fmt.Errorf("duration %v lies outside 1s to %v", o.Duration, maxDuration)
 	}
@@ -59,8 +71,8 @@
 	b := &builder{Options: o, random: rand.New(rand.NewPCG(o.Seed, xxhash.Sum64String(name))), mix: map[string]float64{}}
 	b.trace.Header = trace.Header{
 		Version: trace.FormatVersion, Name: name, Seed: o.Seed,
-		Program: fmt.Sprintf("wheatseam trace make %s --seed %d --load %g --duration %s (bundle %s version %d)",
-			name, o.Seed, o.Load, o.Duration, o.Bundle.Deployment, o.Bundle.Version),
+		Program: fmt.Sprintf("wheatseam trace make %s --seed %d --load %g --duration %s --patience %g (bundle %s version %d)",
+			name, o.Seed, o.Load, o.Duration, o.Patience, o.Bundle.Deployment, o.Bundle.Version),
 	}
 	for _, p := range o.Bundle.Pipelines {
 		b.mix[p.Name] = 1
@@ -164,7 +176,7 @@
 func (b *builder) request(offset time.Duration, c bundle.Customer, p bundle.Pipeline) *trace.Request {
 	r := trace.Request{
 		ID: fmt.Sprintf("r%d", len(b.trace.Requests)+1), AtMS: offset.Milliseconds(),
-		Customer: c.Name, Pipeline: p.Name, DeadlineMS: p.Deadline.Milliseconds(),
+		Customer: c.Name, Pipeline: p.Name, DeadlineMS: b.deadline(p).Milliseconds(),
 		Prompt: promptSentence, PromptRepeat: b.length(),
 	}
 	if generates(p) {
@@ -178,12 +190,22 @@
 	return &b.trace.Requests[len(b.trace.Requests)-1]
 }
 
-const promptSentence = "Clause four: rent is due monthly. "
+// deadline returns the deadline that callers of p state.
+func (b *builder) deadline(p bundle.Pipeline) time.Duration {
+	var expected time.Duration
+	for _, s := range p.Stages {
+		expected += s.Expected
+	}
+	stated := max(leastDeadline, time.Duration(b.Patience*float64(expected)))
+	return min(p.Deadline, stated.Round(time.Millisecond))
+}
+
+const promptSentence = "Rent is due monthly. "
 
-// length draws how often the sentence of a prompt is repeated: median 4, with a
+// length draws how often the sentence of a prompt is repeated: median 6, with a
 // heavy tail.
 func (b *builder) length() int {
-	return min(64, max(1, int(4*math.Exp(b.random.NormFloat64()))))
+	return min(64, max(1, int(6*math.Exp(b.random.NormFloat64()))))
 }
 
 // rank draws one of n, the first ones more often (weights 1, 1/2, 1/3...).
--- a/replay/scenario/scenario_test.go
+++ b/replay/scenario/scenario_test.go
@@ -42,7 +42,7 @@
 }
 
 func options() scenario.Options {
-	return scenario.Options{Bundle: testBundle(), Seed: 11, Load: 1, Duration: 40 * time.Second}
+	return scenario.Options{Bundle: testBundle(), Seed: 11, Load: 1, Duration: 40 * time.Second, Patience: 2}
 }
 
 func create(name string, o scenario.Options) *trace.Trace {
@@ -113,6 +113,14 @@
 		}
 	})
 
+	It("states deadlines by the callers' patience, within the bounds", func() {
+		deadlines := map[string]int64{}
+		for _, r := range create("steady", options()).Requests {
+			deadlines[r.Pipeline] = r.DeadlineMS
+		}
+		Expect(deadlines).To(Equal(map[string]int64{"summary": 1600, "seal": 1000}))
+	})
+
 	It("gives the greedy customer its flood", func() {
 		small := func(r trace.Request) bool { return r.Customer == "small" }
 		Expect(share(create("steady", options()), small)).To(BeNumerically("~", 0.1, 0.04))
@@ -163,6 +171,7 @@
 	It("refuses what it cannot make", func() {
 		for says, spoil := range map[string]func(*scenario.Options){
 			"load":     func(o *scenario.Options) { o.Load = 0 },
+			"patience": func(o *scenario.Options) { o.Patience = 0 },
 			"duration": func(o *scenario.Options) { o.Duration = time.Hour },
 			"no pool":  func(o *scenario.Options) { o.Bundle.Pipelines = nil },
 		} {
--- /dev/null
+++ b/scripts/traces.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Makes the traces in traces/ and examples/ again from their programs and seeds.
+# bin/ must be built (make build).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+make_trace() {
+  local file=$1 scenario=$2
+  shift 2
+  bin/wheatseam trace make "$scenario" --bundle examples/demo.yaml --out "$file" "$@"
+}
+
+make_trace examples/demo.jsonl two-faults --seed 7 --load 0.1 --duration 6s
+make_trace traces/steady.jsonl steady --seed 1 --load 1 --duration 30s
+make_trace traces/firma-day.jsonl firma-day --seed 2 --load 0.7 --duration 40s
+make_trace traces/kawabata-typhoon.jsonl kawabata-typhoon --seed 3 --load 0.7 --duration 40s
+make_trace traces/stragglers.jsonl stragglers --seed 4 --load 0.7 --duration 44s
+make_trace traces/upstream-down.jsonl upstream-down --seed 5 --load 0.6 --duration 30s
+make_trace traces/greedy-customer.jsonl greedy-customer --seed 6 --load 0.4 --duration 36s
+make_trace traces/two-faults.jsonl two-faults --seed 7 --load 0.6 --duration 40s
+make_trace traces/retry-storm.jsonl retry-storm --seed 8 --load 0.5 --duration 40s
