--- /dev/null
+++ b/scripts/compare.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Runs a trace against several policies by turns and sets them side by side.
+#
+#   compare.sh TRACE BUNDLE RUNS SPEED POLICY...
+#
+# The first policy is the base. Reports stay in run/compare/ (or the directory
+# WHEATSEAM_COMPARE_DIR). STANDIN_FLAGS goes to the stand-ins. Every run has a
+# fleet of its own, so that no run inherits caches, estimates or queues.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+[ $# -ge 6 ] || { sed -n '2,9p' "$0" >&2; exit 2; }
+trace=$1 bundle=$2 runs=$3 speed=$4
+shift 4
+policies=("$@")
+dir=${WHEATSEAM_COMPARE_DIR:-run/compare}
+mkdir -p "$dir"
+
+measure() {
+  local policy=$1 run=$2 fleet="$dir/fleet-$1"
+  scripts/fleet.sh up "$fleet" "$bundle" "$policy" "${STANDIN_FLAGS:-}"
+  scripts/fleet.sh replay "$fleet" "$trace" --speed "$speed" --seed "$run" --label "$policy" \
+    --json "$dir/$policy-$run.json" > "$dir/$policy-$run.txt" || true
+  scripts/fleet.sh down "$fleet"
+  sed -n '1p;4p' "$dir/$policy-$run.txt"
+  grep '^violations' "$dir/$policy-$run.txt"
+}
+
+# Even runs go through the policies backwards.
+for run in $(seq "$runs"); do
+  order=("${policies[@]}")
+  if [ $((run % 2)) = 0 ]; then
+    order=()
+    for policy in "${policies[@]}"; do order=("$policy" "${order[@]}"); done
+  fi
+  for policy in "${order[@]}"; do measure "$policy" "$run"; done
+done
+
+sets=()
+for policy in "${policies[@]}"; do
+  files=""
+  for run in $(seq "$runs"); do files="$files${files:+,}$dir/$policy-$run.json"; done
+  sets+=("$policy=$files")
+done
+bin/wheatseam replay compare --json "$dir/comparison.json" "${sets[@]}"
+uptime
