--- a/cmd/wheatseam/replay.go
+++ b/cmd/wheatseam/replay.go
@@ -22,9 +22,6 @@
 	"github.com/wheatseam/wheatseam/replay/verdict"
 )
 
-// errNotMet makes the command exit with a status of 1 after a verdict.
-var errNotMet = errors.New("the stated outcomes are not met")
-
 // replayOptions are the flags of `wheatseam replay`.
 type replayOptions struct {
 	trace, keys, bundle, outcomes, json, label string
@@ -124,7 +121,7 @@
 		return err
 	}
 	if !v.Met() {
-		return errNotMet
+		return errFound
 	}
 	return nil
 }
--- a/cmd/wheatseamd/main.go
+++ b/cmd/wheatseamd/main.go
@@ -11,11 +11,9 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 
 	"github.com/wheatseam/wheatseam/daemon"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/settings"
 )
 
@@ -27,22 +25,22 @@
 }
 
 func newRoot() *cobra.Command {
-	var path string
+	var flags settings.Flags
 	root := &cobra.Command{
 		Use:           "wheatseamd",
 		Short:         "Entry daemon of wheatseam",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
-			return run(path)
+			return run(&flags)
 		},
 	}
-	root.PersistentFlags().StringVar(&path, "settings", "settings.yaml", "the daemon's settings file")
+	flags.Add(root.PersistentFlags())
 	root.AddCommand(&cobra.Command{
 		Use:   "check",
 		Short: "Check the settings and exit",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := settings.Load(path); err != nil {
+			if _, err := flags.Load(); err != nil {
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -52,17 +50,21 @@
 	return root
 }
 
-func run(path string) error {
-	s, err := settings.Load(path)
+func run(flags *settings.Flags) error {
+	s, err := flags.Load()
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(s.Log.Level)
+	log, err := logging.New(os.Stderr, s.Log.Level)
 	if err != nil {
 		return err
 	}
 	ctx, cut := notifyContexts()
-	return daemon.New(s, log.With(zap.String("host", s.Host))).Run(ctx, cut)
+	d, err := daemon.New(s, log.With(zap.String("host", s.Host)))
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx, cut)
 }
 
 // notifyContexts returns a context that ends at the first signal and one that
@@ -80,14 +82,3 @@
 	}()
 	return first, second
 }
-
-func newLogger(level string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, fmt.Errorf("log level: %w", err)
-	}
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	encoder.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoder), zapcore.Lock(os.Stderr), l)), nil
-}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -48,6 +48,8 @@
 	Deduplicate bool
 	// Cancellation ends an execution when its caller goes away.
 	Cancellation bool
+	// NoStatusLookup answers 404 to status look-ups.
+	NoStatusLookup bool
 	// Ledger and Keys may be shared among replicas; default own ones.
 	Ledger *ledger.Ledger
 	Keys   *Keys
@@ -111,7 +113,7 @@
 	s.mux.HandleFunc("POST /v1/", s.call)
 	s.mux.HandleFunc("GET /v1/status/{key}", s.status)
 	s.mux.HandleFunc("GET /v1/load", s.load)
-	s.mux.Handle("/control/ledger", s.ledger)
+	s.mux.Handle("/control/ledger", s.ledger.Of(cfg.Name))
 	s.mux.Handle("/control/faults", s.faults)
 	return s
 }
