Membership: compare with a peer only when a difference lasts; measure fleets

Now a difference must last 5 to 15 s, a suspect counts as alive in the hash, and a death that follows from a suspicion is passed on half as often, since most others come to it by themselves.

--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -124,14 +124,7 @@
 	n.bytes += size
 	msg := s.Msg
 	if f.wireCopy {
-		raw, err := proto.Marshal(msg)
-		if err != nil {
-			panic(err)
-		}
-		msg = msg.ProtoReflect().New().Interface()
-		if err := proto.Unmarshal(raw, msg); err != nil {
-			panic(err)
-		}
+		msg = wireCopy(msg)
 	}
 	to := f.nodes[s.To]
 	switch {
@@ -146,6 +139,20 @@
 	}
 }
 
+// wireCopy serialises a message and reads it back; that counts as the sender's
+// processor time, as in step.
+func wireCopy(msg proto.Message) proto.Message {
+	raw, err := proto.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	out := msg.ProtoReflect().New().Interface()
+	if err := proto.Unmarshal(raw, out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
 func (f *fleet) deliver(after time.Duration, to string, e Event) {
 	f.order++
 	heap.Push(&f.queue, delivery{f.now.Add(after), f.order, to, e})
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -56,8 +56,8 @@
 	health  health
 	fresh   freshness
 	push    pushes
-	syncAt  time.Time // of the last comparison begun
-	beaten  uint64    // highest later incarnation of this host heard of
+	sync    syncs
+	beaten  uint64 // highest later incarnation of this host heard of
 	stats   Stats
 	out     []Action
 }
@@ -243,7 +243,7 @@
 		m.act(Freshness{false})
 	}
 	m.fresh.lose(now)
-	m.syncAt = time.Time{}
+	m.sync = syncs{}
 	m.push.urgent()
 	m.renew(now)
 }
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -48,6 +48,8 @@
 			continue
 		}
 		m.enter(now, e, wire.MemberState_MEMBER_DEAD)
+		// Most others have the suspicion and come to this by themselves.
+		m.rumors.shorten(recordKey(name), rumorLimit(len(m.names))/2)
 	}
 }
 
@@ -80,14 +82,19 @@
 	m.rumors.add(recordKey(e.host.Name))
 }
 
-// rehash renews the hash of a record within the hash of all items.
+// rehash renews the hash of a record within the hash of all items. A suspect
+// counts as alive: suspicions end by themselves, at each host in its time.
 func (m *Machine) rehash(e *entry) {
 	m.hash ^= e.hash
 	leaving := uint64(0)
 	if e.leaving {
 		leaving = 1
 	}
-	e.hash = hashItem(recordKey(e.host.Name), [4]uint64{e.incarnation, uint64(e.seq), uint64(e.state), leaving}, nil)
+	state := e.state
+	if state == wire.MemberState_MEMBER_SUSPECT {
+		state = wire.MemberState_MEMBER_ALIVE
+	}
+	e.hash = hashItem(recordKey(e.host.Name), [4]uint64{e.incarnation, uint64(e.seq), uint64(state), leaving}, nil)
 	m.hash ^= e.hash
 }
 
--- a/core/member/rumor.go
+++ b/core/member/rumor.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// shorten counts an item as already sent that many times.
+func (r *rumors) shorten(k itemKey, sent int) {
+	if old, ok := r.index[k]; ok {
+		old.sent = max(old.sent, sent)
+	}
+}
+
 // take calls fit for the items in turn; an item that fits counts as sent.
 // Items sent limit times leave the queue.
 func (r *rumors) take(limit int, fit func(itemKey) bool) {
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -13,28 +13,52 @@
 const (
 	maxSyncBytes  = 64 << 10
 	maxSyncHashes = 8192
-	// syncPatience is how long a difference is left to the rumors.
-	syncPatience = 3
+	// syncPatience is how long a difference to the peers must last before it
+	// is not left to the rumors any more, and syncHaste the same while no
+	// rumors spread from here.
+	syncPatience = 10 * time.Second
+	syncHaste    = 5 * time.Second
 )
 
-// maybeSync compares all items with a peer whose hash differs from ours, not
-// too often, and while rumors still spread only after some patience.
+// syncs paces the comparisons.
+type syncs struct {
+	at time.Time // of the last one begun; zero since the start or a pause
+	// differs is since when every peer heard had another hash, with some
+	// jitter; zero after one that had ours.
+	differs time.Time
+}
+
+// maybeSync compares all items with a peer whose hash differs from ours, when
+// the difference lasts and not too often; at once after a start or a pause.
 func (m *Machine) maybeSync(now time.Time, peer string, hash uint64) {
-	if hash == m.hash || m.hosts[peer] == nil {
+	if hash == m.hash {
+		m.sync.differs = time.Time{}
+		return
+	}
+	if m.hosts[peer] == nil {
 		return
 	}
-	wait := m.cfg.SyncInterval
-	if len(m.rumors.queue) > 0 {
-		wait *= syncPatience
+	if m.sync.differs.IsZero() {
+		m.sync.differs = now.Add(time.Duration(m.rng.Int64N(int64(syncHaste))))
 	}
-	if !m.syncAt.IsZero() && now.Sub(m.syncAt) < wait {
+	if !m.sync.at.IsZero() && !m.syncDue(now) {
 		return
 	}
-	m.syncAt = now
+	m.sync.at = now
+	m.sync.differs = time.Time{}
 	m.stats.Syncs++
 	m.send(peer, &wire.MemberSync{Have: m.itemHashes()})
 }
 
+// syncDue says whether a difference has lasted long enough.
+func (m *Machine) syncDue(now time.Time) bool {
+	patience := syncPatience
+	if len(m.rumors.queue) == 0 {
+		patience = syncHaste
+	}
+	return now.Sub(m.sync.differs) >= patience && now.Sub(m.sync.at) >= m.cfg.SyncInterval
+}
+
 // items calls f for each item and its hash, in a fixed order.
 func (m *Machine) items(f func(itemKey, uint64)) {
 	for _, name := range m.names {
