Daemon: carry load digests on the heartbeats, pass on upstreams that leave

Cause: each daemon polled all upstreams alone.

Ruled out: passing every 'stays' on as a mark: it would undo what the host list says of an upstream that does not know yet that it leaves; only a change of the upstream's own word is passed on.

The operators' dump gains the sections upstreams and load.

--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -15,8 +15,10 @@
 func (d *Daemon) addCluster() error {
 	s := d.settings
 	host := member.Host{Name: s.Host, FailureDomain: s.FailureDomain}
+	members := member.DefaultConfig(host, d.incarnation)
+	members.Extensions = append(members.Extensions, loadExtension())
 	c, err := cluster.New(cluster.Config{
-		Member:  member.DefaultConfig(host, d.incarnation),
+		Member:  members,
 		Rollout: rollout.DefaultConfig(cluster.NewCodec(s.BundleKeys)),
 		Platform: platform.New(platform.Config{
 			ConfigService: s.Platform.ConfigService, HostList: s.Platform.HostList, Key: s.Platform.Key,
@@ -29,6 +31,7 @@
 	}
 	c.OnBundle(d.bundleInForce)
 	c.OnLeaving(func(names []string) { d.router.SetLeaving(names, d.Now()) })
+	d.loads.onLeaving = c.ReportUpstream
 	d.cluster = c
 	return nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,6 +109,7 @@
 	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
+	group.Go(func() error { d.exchangeLoads(running); return nil })
 	<-ctx.Done()
 	d.drain(cut)
 	shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/daemon/loadview_test.go
+++ b/daemon/loadview_test.go
@@ -12,12 +12,59 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/settings"
 )
 
+// TestLoadViewPassesLeavingOn: only a change of an upstream's own word is passed
+// on, so that an upstream that never said it leaves cannot undo the host list.
+func TestLoadViewPassesLeavingOn(t *testing.T) {
+	g := NewWithT(t)
+	v := newLoadView(&settings.Settings{Host: "entry-1"}, route.New(route.Config{}), zap.NewNop(), time.Now)
+	var said []bool
+	v.onLeaving = func(_ string, leaving bool, _ time.Time) { said = append(said, leaving) }
+	for _, leaving := range []bool{false, false, true, true, false, false} {
+		v.Observe(load.Report{Upstream: "seal-1", Leaving: leaving})
+	}
+	g.Expect(said).To(Equal([]bool{true, false}))
+}
+
+// TestLiveHosts: the living and the suspected share the polls, and this host
+// always does.
+func TestLiveHosts(t *testing.T) {
+	g := NewWithT(t)
+	var members []member.Member
+	for i, s := range []member.State{member.Unknown, member.Alive, member.Suspect, member.Dead, member.Leaving} {
+		members = append(members, member.Member{Host: member.Host{Name: fmt.Sprintf("entry-%d", i), FailureDomain: "a"}, State: s})
+	}
+	names := func(self string) (names []string) {
+		for _, h := range liveHosts(members, self, "a") {
+			names = append(names, h.Name)
+		}
+		return names
+	}
+	g.Expect(names("entry-1")).To(Equal([]string{"entry-1", "entry-2"}))
+	g.Expect(names("entry-4")).To(Equal([]string{"entry-1", "entry-2", "entry-4"}))
+	g.Expect(names("entry-9")).To(Equal([]string{"entry-1", "entry-2", "entry-9"}))
+}
+
+// TestNewSlots: a value counts once.
+func TestNewSlots(t *testing.T) {
+	g := NewWithT(t)
+	at := time.Unix(1000, 0)
+	heard := map[string]time.Time{"entry-9": at}
+	slots := []cluster.SlotValue{{Host: "entry-1", At: at}, {Host: "entry-2", At: at}}
+	g.Expect(newSlots(slots, heard)).To(HaveLen(2))
+	g.Expect(newSlots(slots, heard)).To(BeEmpty())
+	slots[1].At = at.Add(time.Second)
+	g.Expect(newSlots(slots, heard)).To(Equal(slots[1:]))
+	g.Expect(heard).NotTo(HaveKey("entry-9"))
+}
+
 // TestLoadViewLeaving: an upstream that says by its load report that it leaves
 // gets no new work, neither from the daemon that polls it nor from a fellow
 // that hears of it by digest.
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -129,6 +129,8 @@
 	d.sections.Register("records", func() any { return d.records.Stats() })
 	d.sections.Register("peers", func() any { return d.peers.Sessions() })
 	d.sections.Register("pools", func() any { return d.admitter.State(d.Now()) })
+	d.sections.Register("upstreams", func() any { return d.router.Dump(d.Now()) })
+	d.sections.Register("load", func() any { return d.loads.dump() })
 	d.sections.Register("retries", func() any { return d.budgets.Retry.Stats() })
 	d.sections.Register("hedges", func() any { return d.budgets.Hedge.Stats() })
 }
