--- a/core/load/fleet_bench_test.go
+++ b/core/load/fleet_bench_test.go
@@ -128,3 +128,38 @@
 	b.ReportMetric(benchPollBytes*float64(f.polls)/each, "poll-B/s")
 	b.ReportMetric(float64(f.polls)/each, "polls/s")
 }
+
+// BenchmarkTable gives the processor time of building and of merging a digest
+// of 512 bytes.
+func BenchmarkTable(b *testing.B) {
+	for _, upstreams := range []int{30, 150, 300, 610} {
+		names := testUpstreams(upstreams)
+		hosts := testHosts(2)
+		from, to := testTable("entry-0", names, hosts), testTable("entry-1", names, hosts)
+		for i, u := range names {
+			from.Polled(start, Report{Upstream: u, AsOf: start.Add(-time.Duration(i) * asOfUnit / 10), Running: i % 20})
+		}
+		b.Run(fmt.Sprintf("digest/upstreams=%d", upstreams), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				from.Digest(start, 512)
+			}
+		})
+		digest := from.Digest(start, 512)
+		b.Run(fmt.Sprintf("merge/upstreams=%d", upstreams), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = to.Merge(start, digest)
+			}
+		})
+	}
+	for _, daemons := range []int{10, 50, 100, 200, 410} {
+		names, hosts := testUpstreams(benchUpstreams), testHosts(daemons)
+		t := NewTable(Config{Self: "entry-0"})
+		b.Run(fmt.Sprintf("configure/daemons=%d", daemons), func(b *testing.B) {
+			for b.Loop() {
+				t.Configure(start, names, hosts)
+			}
+		})
+	}
+}
--- a/core/route/bench_test.go
+++ b/core/route/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -66,3 +67,50 @@
 		}
 	})
 }
+
+// BenchmarkMemory gives the heap of a Router at the users' target shape: pools
+// of about 23 upstreams, and three measured stages in each pool.
+func BenchmarkMemory(b *testing.B) {
+	for _, upstreams := range []int{23, 92, 184, 368, 610} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			for range b.N {
+				before := heapInUse()
+				r := memoryRouter(upstreams)
+				b.ReportMetric(float64(heapInUse()-before)/1024, "KiB")
+				runtime.KeepAlive(r)
+			}
+		})
+	}
+}
+
+func memoryRouter(upstreams int) *Router {
+	bun := &bundle.Bundle{}
+	for first := 0; first < upstreams; first += 23 {
+		p := bundle.Pool{Name: fmt.Sprintf("pool-%d", first), Concurrency: 16}
+		for i := first; i < min(first+23, upstreams); i++ {
+			p.Upstreams = append(p.Upstreams, bundle.Upstream{Name: fmt.Sprintf("u%d", i), Address: fmt.Sprintf("10.0.0.1:%d", i), FailureDomain: "d0"})
+		}
+		bun.Pools = append(bun.Pools, p)
+	}
+	r := New(Config{FailureDomain: "d0"})
+	r.Apply(bun)
+	for _, p := range bun.Pools {
+		for stage := range 3 {
+			for range 100 {
+				q := request.Query{Pool: p.Name, Stage: fmt.Sprintf("stage-%d", stage)}
+				c, err := r.Pick(start, q, nil)
+				if err == nil {
+					r.Done(start, request.Outcome{Choice: c, Stage: q.Stage, Latency: time.Millisecond, FirstByte: time.Millisecond})
+				}
+			}
+		}
+	}
+	return r
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
