--- a/replay/report/table.go
+++ b/replay/report/table.go
@@ -10,6 +10,9 @@
 	"github.com/wheatseam/wheatseam/replay/audit"
 )
 
+// maxTableExamples bounds the violations that the table lists; the JSON has more.
+const maxTableExamples = 10
+
 // WriteTable writes r as text for people.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -69,7 +72,7 @@
 		fmt.Fprintf(w, ", %s %d", k, r.Violations.ByKind[k])
 	}
 	fmt.Fprintf(w, "; undelivered %d; not sent %d; skipped retries %d\n", r.Violations.Undelivered, r.NotSent, r.Skipped)
-	for _, v := range r.Violations.Examples {
+	for _, v := range r.Violations.Examples[:min(len(r.Violations.Examples), maxTableExamples)] {
 		fmt.Fprintf(w, "  %s: %s %s: %s\n", v.Kind, v.Request, v.RequestID, v.Detail)
 	}
 	for _, f := range r.Faults {
