Cut single pairs of hosts in process tests; take all their ports from the kernel

Listeners are now opened before the bundle names them, and daemons' ports are read from their logs. The relay has conditions for each caller's address, and a daemon dials from the address that it listens on, so that a test can cut one pair of hosts.

--- a/internal/faultrelay/link.go
+++ b/internal/faultrelay/link.go
@@ -25,6 +25,8 @@
 type link struct {
 	relay  *Relay
 	caller *net.TCPConn
+	// ip is the caller's.
+	ip string
 	// ended is closed when the link has ended.
 	ended chan struct{}
 
@@ -34,7 +36,11 @@
 }
 
 func newLink(r *Relay, caller *net.TCPConn) *link {
-	return &link{relay: r, caller: caller, ended: make(chan struct{})}
+	ip, _, err := net.SplitHostPort(caller.RemoteAddr().String())
+	if err != nil {
+		ip = ""
+	}
+	return &link{relay: r, caller: caller, ip: ip, ended: make(chan struct{})}
 }
 
 // run relays until both directions have ended.
@@ -151,7 +157,7 @@
 		if !l.await(func(c Conditions) bool { return !side(c).Blackhole }) {
 			return false
 		}
-		conditions, changed := l.relay.state()
+		conditions, changed := l.relay.state(l)
 		d := side(conditions)
 		wait := time.Until(c.read.Add(d.Delay))
 		if !d.Blackhole && (d.Delay == 0 || wait <= 0) {
@@ -167,7 +173,7 @@
 // was reset.
 func (l *link) await(ok func(Conditions) bool) bool {
 	for {
-		conditions, changed := l.relay.state()
+		conditions, changed := l.relay.state(l)
 		if ok(conditions) {
 			return true
 		}
--- a/internal/faultrelay/relay.go
+++ b/internal/faultrelay/relay.go
@@ -78,6 +78,8 @@
 	mu         sync.Mutex
 	target     string
 	conditions Conditions
+	// from holds the conditions of single callers by their IP.
+	from map[string]Conditions
 	// changed is closed and replaced when the conditions change.
 	changed chan struct{}
 	links   map[*link]struct{}
@@ -103,6 +105,7 @@
 		target:   cfg.Target,
 		changed:  make(chan struct{}),
 		links:    map[*link]struct{}{},
+		from:     map[string]Conditions{},
 	}
 	r.tasks.Add(1)
 	go r.accept()
@@ -119,24 +122,45 @@
 	r.target = address
 }
 
-// Set puts c into force, for established connections too.
+// Set puts c into force, for established connections too. Callers for which
+// SetFrom was called keep their own conditions.
 func (r *Relay) Set(c Conditions) {
+	r.change(func() { r.conditions = c })
+}
+
+// SetFrom puts c into force for the connections of the caller at ip.
+func (r *Relay) SetFrom(ip string, c Conditions) {
+	r.change(func() { r.from[ip] = c })
+}
+
+// Heal ends all faults.
+func (r *Relay) Heal() {
+	r.change(func() {
+		r.conditions = Conditions{}
+		clear(r.from)
+	})
+}
+
+// change changes the conditions and resets the links that are now cut.
+func (r *Relay) change(set func()) {
 	r.mu.Lock()
-	r.conditions = c
+	set()
 	close(r.changed)
 	r.changed = make(chan struct{})
-	var cut []*link
-	if c.Cut {
-		cut = r.takeLinks()
-	}
+	cut := r.takeLinks(func(l *link) bool { return r.of(l).Cut })
 	r.mu.Unlock()
 	for _, l := range cut {
 		l.reset()
 	}
 }
 
-// Heal ends all faults.
-func (r *Relay) Heal() { r.Set(Conditions{}) }
+// of returns the conditions of a link; the caller holds mu.
+func (r *Relay) of(l *link) Conditions {
+	if c, ok := r.from[l.ip]; ok {
+		return c
+	}
+	return r.conditions
+}
 
 // Stats returns the counts so far.
 func (r *Relay) Stats() Stats {
@@ -150,7 +174,7 @@
 	err := r.listener.Close()
 	r.mu.Lock()
 	r.closed = true
-	links := r.takeLinks()
+	links := r.takeLinks(func(*link) bool { return true })
 	r.mu.Unlock()
 	for _, l := range links {
 		l.reset()
@@ -162,24 +186,26 @@
 	return err
 }
 
-// takeLinks empties the set of links and counts them as reset; the caller holds
-// mu and resets them.
-func (r *Relay) takeLinks() []*link {
-	links := make([]*link, 0, len(r.links))
+// takeLinks takes the links that satisfy which out of the set and counts them
+// as reset; the caller holds mu and resets them.
+func (r *Relay) takeLinks(which func(*link) bool) []*link {
+	var links []*link
 	for l := range r.links {
-		links = append(links, l)
+		if which(l) {
+			links = append(links, l)
+			delete(r.links, l)
+		}
 	}
-	clear(r.links)
 	r.stats.Reset += len(links)
 	return links
 }
 
-// state returns the conditions in force and a channel that is closed when they
+// state returns the conditions of a link and a channel that is closed when they
 // change.
-func (r *Relay) state() (Conditions, <-chan struct{}) {
+func (r *Relay) state(l *link) (Conditions, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.conditions, r.changed
+	return r.of(l), r.changed
 }
 
 func (r *Relay) accept() {
@@ -203,7 +229,7 @@
 func (r *Relay) admit(l *link) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed || r.conditions.Cut || len(r.links) >= r.limit {
+	if r.closed || r.of(l).Cut || len(r.links) >= r.limit {
 		r.stats.Reset++
 		return false
 	}
--- a/internal/faultrelay/relay_test.go
+++ b/internal/faultrelay/relay_test.go
@@ -98,6 +98,21 @@
 		isReset(c.(*net.TCPConn))
 	}
 
+	It("cuts one caller and leaves the others", func() {
+		startWith(Config{})
+		caller, far := pair()
+		relay.SetFrom("127.0.0.9", Conditions{Cut: true})
+		send(caller, "on")
+		receive(far, "on")
+		relay.SetFrom("127.0.0.1", Conditions{Cut: true})
+		isReset(caller)
+		expectRefused()
+		relay.Heal()
+		caller, far = pair()
+		send(caller, "again")
+		receive(far, "again")
+	})
+
 	It("relays both ways, whole, and passes on the end of each stream", func() {
 		startWith(Config{})
 		caller, far := pair()
--- a/internal/proctest/bundle.go
+++ b/internal/proctest/bundle.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/wheatseam/wheatseam/bundle"
@@ -24,22 +23,11 @@
 	PipelineQuotation = "quotation"
 )
 
-// reserve returns n addresses that were free a moment ago. A kernel-picked
-// port must be known before its daemon starts, since the bundle names it.
-func reserve(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("reserve a port: %w", err)
-		}
-		defer l.Close()
-		addresses[i] = l.Addr().String()
-	}
-	return addresses, nil
-}
+// peerIP is the loopback address that host i talks to its fellows from, so
+// that the relays know who calls.
+func peerIP(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
 
-func newBundle(hosts int, peers []string) (*bundle.Bundle, error) {
+func newBundle(hosts int, peers []string, listen func(string) (string, error)) (*bundle.Bundle, error) {
 	sum := sha256.Sum256([]byte(APIKey))
 	b := &bundle.Bundle{
 		Version: 1, Deployment: "proctest", Policy: bundle.PolicyAdaptive,
@@ -61,7 +49,7 @@
 		b.FailureDomains = append(b.FailureDomains, bundle.FailureDomain{Name: domain, Region: "r"})
 		b.Hosts = append(b.Hosts, bundle.Host{Name: hostName(i), FailureDomain: domain, PeerAddress: peers[i]})
 	}
-	return b, addPools(b)
+	return b, addPools(b, listen)
 }
 
 func hostName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
@@ -86,22 +74,23 @@
 // replicasPerPool is the number of upstreams in each pool.
 const replicasPerPool = 3
 
-func addPools(b *bundle.Bundle) error {
+// addPools adds the pools; listen opens the listener of an upstream and returns
+// its address.
+func addPools(b *bundle.Bundle, listen func(name string) (string, error)) error {
 	b.Pools = []bundle.Pool{
 		{Name: "encoders", Kind: bundle.PoolService, Concurrency: 32, Supports: bundle.Supports{Cancellation: true}},
 		{Name: "lm", Kind: bundle.PoolEngine, Model: "lm", Concurrency: 16, Supports: bundle.Supports{Cancellation: true}},
 		{Name: "signing", Kind: bundle.PoolService, Concurrency: 32},
 	}
-	addresses, err := reserve(replicasPerPool * len(b.Pools))
-	if err != nil {
-		return err
-	}
 	for i := range b.Pools {
 		for r := range replicasPerPool {
+			name := fmt.Sprintf("%s-%d", b.Pools[i].Name, r+1)
+			address, err := listen(name)
+			if err != nil {
+				return err
+			}
 			b.Pools[i].Upstreams = append(b.Pools[i].Upstreams, bundle.Upstream{
-				Name:          fmt.Sprintf("%s-%d", b.Pools[i].Name, r+1),
-				FailureDomain: b.FailureDomains[r%len(b.FailureDomains)].Name,
-				Address:       addresses[i*replicasPerPool+r],
+				Name: name, FailureDomain: b.FailureDomains[r%len(b.FailureDomains)].Name, Address: address,
 			})
 		}
 	}
--- a/internal/proctest/call.go
+++ b/internal/proctest/call.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return Outcome{Err: err}
 	}
-	target := "http://" + f.callers[i] + "/v1/pipelines/" + pipeline
+	target := "http://" + f.callerAddress(i) + "/v1/pipelines/" + pipeline
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
 		return Outcome{Err: err}
@@ -89,7 +89,7 @@
 func (f *Fleet) operate(i int, method, path string) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), operateTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.operators[i]+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.operatorAddress(i)+path, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -4,17 +4,19 @@
 	"context"
 	"crypto/ed25519"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"sync"
 	"time"
 
 	"github.com/goccy/go-yaml"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/internal/faultrelay"
 	"github.com/wheatseam/wheatseam/internal/standin"
 	"github.com/wheatseam/wheatseam/internal/standin/engine"
 	"github.com/wheatseam/wheatseam/internal/standin/fleet"
@@ -41,7 +43,11 @@
 	program   string
 	key       ed25519.PrivateKey
 	platform  string
+	mu        sync.RWMutex // guards callers and operators
 	callers   []string
+	relays    []*faultrelay.Relay
+	listeners map[string]net.Listener
+	starts    int
 	operators []string
 	stop      context.CancelFunc
 	serving   errgroup.Group
@@ -55,7 +61,10 @@
 	if o.Hosts == 0 {
 		o.Hosts = 3
 	}
-	f := &Fleet{dir: dir, Daemons: make([]*Process, o.Hosts)}
+	f := &Fleet{
+		dir: dir, Daemons: make([]*Process, o.Hosts), listeners: make(map[string]net.Listener),
+		callers: make([]string, o.Hosts), operators: make([]string, o.Hosts),
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	if err := f.start(ctx, o); err != nil {
@@ -66,13 +75,11 @@
 }
 
 func (f *Fleet) start(ctx context.Context, o Options) error {
-	addresses, err := reserve(3 * o.Hosts)
+	relays, err := f.startRelays(o.Hosts)
 	if err != nil {
 		return err
 	}
-	peers := addresses[:o.Hosts]
-	f.callers, f.operators = addresses[o.Hosts:2*o.Hosts], addresses[2*o.Hosts:]
-	if f.Bundle, err = newBundle(o.Hosts, peers); err != nil {
+	if f.Bundle, err = newBundle(o.Hosts, relays, f.listenUpstream); err != nil {
 		return err
 	}
 	if o.Bundle != nil {
@@ -98,8 +105,54 @@
 	return f.WaitReady(readyTimeout)
 }
 
+// startRelays puts a relay before each daemon's peer listener and returns the
+// relays' addresses, which the bundle names.
+func (f *Fleet) startRelays(hosts int) ([]string, error) {
+	var addresses []string
+	for range hosts {
+		r, err := faultrelay.New(faultrelay.Config{})
+		if err != nil {
+			return nil, err
+		}
+		f.relays = append(f.relays, r)
+		addresses = append(addresses, r.Address())
+	}
+	return addresses, nil
+}
+
+// Link sets the conditions of the path from host i to host j.
+func (f *Fleet) Link(i, j int, c faultrelay.Conditions) { f.relays[j].SetFrom(peerIP(i), c) }
+
+// Isolate cuts host i off from all fellow daemons, both ways.
+func (f *Fleet) Isolate(i int) {
+	for j := range f.relays {
+		if j != i {
+			f.Link(i, j, faultrelay.Conditions{Cut: true})
+			f.Link(j, i, faultrelay.Conditions{Cut: true})
+		}
+	}
+}
+
+// Heal ends all faults between daemons.
+func (f *Fleet) Heal() {
+	for _, r := range f.relays {
+		r.Heal()
+	}
+}
+
 const readyTimeout = 20 * time.Second
 
+// listenUpstream opens the listener of an upstream before the bundle that
+// names its address is made.
+func (f *Fleet) listenUpstream(name string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen for %s: %w", name, err)
+	}
+	f.listeners[name] = l
+	return l.Addr().String(), nil
+}
+
 func (f *Fleet) startStandIns(ctx context.Context) error {
 	f.Platform = platform.New(platform.Config{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -113,25 +166,8 @@
 		Engine:  engine.Config{Seed: 1, TimeScale: 0.1},
 		Service: service.Config{Seed: 1},
 	})
-	out, in := io.Pipe()
-	f.serving.Go(func() error {
-		err := f.Upstream.Serve(ctx, "127.0.0.1:0", in)
-		_ = in.CloseWithError(err)
-		return err
-	})
-	return awaitLines(out, replicasPerPool*len(f.Bundle.Pools)+1)
-}
-
-// awaitLines reads n lines: one for each listener that is open.
-func awaitLines(r io.Reader, n int) error {
-	buffer := make([]byte, 1)
-	for n > 0 {
-		if _, err := r.Read(buffer); err != nil {
-			return fmt.Errorf("upstreams did not start: %w", err)
-		}
-		if buffer[0] == '\n' {
-			n--
-		}
+	for name, l := range f.listeners {
+		f.serving.Go(func() error { return standin.Serve(ctx, l, f.Upstream.Handler(name)) })
 	}
 	return nil
 }
@@ -174,31 +210,65 @@
 	return nil
 }
 
-// StartDaemon starts daemon i, or starts it again after its end.
+// StartDaemon starts daemon i, or starts it again after its end, and waits
+// until it listens.
 func (f *Fleet) StartDaemon(i int) error {
 	path := filepath.Join(f.dir, hostName(i)+".yaml")
 	if err := os.WriteFile(path, []byte(f.settings(i)), 0o644); err != nil {
 		return err
 	}
-	p, err := startProcess(filepath.Join(f.dir, hostName(i)+".log"), f.program, "--settings", path)
+	log := filepath.Join(f.dir, fmt.Sprintf("%s.%d.log", hostName(i), f.starts))
+	f.starts++
+	p, err := startProcess(log, f.program, "--settings", path)
 	if err != nil {
 		return err
 	}
 	f.Daemons[i] = p
-	return nil
+	return f.learnAddresses(i)
+}
+
+// listening matches the log line in which a daemon names its ports.
+var listening = regexp.MustCompile(`msg=listening .*callers=(\S+) peers=(\S+) operators=(\S+)`)
+
+// learnAddresses reads the ports that the kernel picked from the daemon's log.
+func (f *Fleet) learnAddresses(i int) error {
+	end := time.Now().Add(readyTimeout)
+	for time.Now().Before(end) {
+		if m := listening.FindStringSubmatch(f.Daemons[i].Log()); m != nil {
+			f.mu.Lock()
+			f.callers[i], f.operators[i] = m[1], m[3]
+			f.mu.Unlock()
+			f.relays[i].SetTarget(m[2])
+			return nil
+		}
+		time.Sleep(pollEvery)
+	}
+	return fmt.Errorf("%s does not listen: %s", hostName(i), f.Daemons[i].Log())
+}
+
+func (f *Fleet) callerAddress(i int) string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.callers[i]
+}
+
+func (f *Fleet) operatorAddress(i int) string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.operators[i]
 }
 
 func (f *Fleet) settings(i int) string {
 	host := f.Bundle.Hosts[i]
 	return fmt.Sprintf(`host: %s
 failure_domain: %s
-listen: {callers: %q, peers: %q, operators: %q}
+listen: {callers: "127.0.0.1:0", peers: "%s:0", operators: "127.0.0.1:0"}
 insecure_plaintext: true
 operators: {token_file: operator.token}
 platform: {config_service: %q, host_list: %q}
 bundle_public_keys: [bundle.pub]
 drain: {bound: 10s}
-`, host.Name, host.FailureDomain, f.callers[i], host.PeerAddress, f.operators[i], f.platform, f.platform)
+`, host.Name, host.FailureDomain, peerIP(i), f.platform, f.platform)
 }
 
 // WaitReady waits until every running daemon says that it is ready.
@@ -236,6 +306,9 @@
 			p.Kill()
 		}
 	}
+	for _, r := range f.relays {
+		_ = r.Close()
+	}
 	f.stop()
 	_ = f.serving.Wait()
 	if f.Upstream != nil {
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -233,6 +233,16 @@
 	}
 }
 
+// localAddress is the IP that this transport listens on, with any port: peers
+// then see the address that the settings name. It is nil for all addresses.
+func (t *Transport) localAddress() net.Addr {
+	a, ok := t.listener.Addr().(*net.TCPAddr)
+	if !ok || a.IP.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: a.IP}
+}
+
 // dial connects to host at address and makes a session.
 func (t *Transport) dial(host, address string) error {
 	if t.cfg.Plaintext {
@@ -242,7 +252,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.DialTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{LocalAddr: t.localAddress()}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
