--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/goccy/go-yaml"
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/cluster"
@@ -82,9 +85,19 @@
 // Drain implements operator.Local.
 func (l operatorLocal) Drain() { l.d.leave() }
 
-// Hosts implements operator.Local.
+// Host implements operator.Local.
+func (l operatorLocal) Host() string { return l.d.settings.Host }
+
+// Hosts implements operator.Local: the hosts of the bundle in force, also those
+// that are gone; before there is one, the members heard of.
 func (l operatorLocal) Hosts() []string {
 	var names []string
+	if b := l.d.bundle.Load(); b != nil {
+		for _, h := range b.Hosts {
+			names = append(names, h.Name)
+		}
+		return names
+	}
 	for _, m := range l.d.cluster.Members() {
 		names = append(names, m.Host.Name)
 	}
@@ -100,18 +113,15 @@
 	Dropped uint64 `json:"dropped_events"`
 }
 
-// bundleDump is the dump's section about the bundle: all of it but the
-// hashes of the customers' keys.
+// bundleDump is the dump's section about the bundle.
 type bundleDump struct {
-	Version   uint64            `json:"version"`
-	Digest    string            `json:"digest"`
-	Source    string            `json:"source"`
-	Since     time.Time         `json:"since"`
-	Policy    bundle.Policy     `json:"policy"`
-	Hosts     []bundle.Host     `json:"hosts"`
-	Pools     []bundle.Pool     `json:"pools"`
-	Pipelines []bundle.Pipeline `json:"pipelines"`
-	Customers []string          `json:"customers"`
+	Version uint64    `json:"version"`
+	Digest  string    `json:"digest"`
+	Source  string    `json:"source"`
+	Since   time.Time `json:"since"`
+	// Content is the bundle without the hashes of the customers' keys.
+	Content json.RawMessage `json:"content,omitempty"`
+	Error   string          `json:"error,omitempty"`
 }
 
 // registerSections registers what this package knows; the parts of the daemon
@@ -139,11 +149,27 @@
 	if b == nil {
 		return dump
 	}
+	dump.Version = b.Version
 	dump.Digest, dump.Source, dump.Since = d.origin()
-	dump.Version, dump.Policy = b.Version, b.Policy
-	dump.Hosts, dump.Pools, dump.Pipelines = b.Hosts, b.Pools, b.Pipelines
-	for _, c := range b.Customers {
-		dump.Customers = append(dump.Customers, c.Name)
+	content, err := bundleJSON(b)
+	if err != nil {
+		dump.Error = err.Error()
 	}
+	dump.Content = content
 	return dump
 }
+
+// bundleJSON writes a bundle with the keys and units of its YAML form, less
+// the hashes of the customers' keys.
+func bundleJSON(b *bundle.Bundle) (json.RawMessage, error) {
+	shown := *b
+	shown.Customers = slices.Clone(b.Customers)
+	for i := range shown.Customers {
+		shown.Customers[i].KeyHashes = nil
+	}
+	raw, err := yaml.Marshal(&shown)
+	if err != nil {
+		return nil, err
+	}
+	return yaml.YAMLToJSON(raw)
+}
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -84,7 +84,7 @@
 // that its id names; an id without a known host is asked for at all hosts. The
 // error is ErrUnknownRequest, or that of the call.
 func (f *Fleet) Explain(ctx context.Context, requestID string) (Explanation, error) {
-	self := f.local.Status().Host
+	self := f.local.Host()
 	if entries, ok := f.records.Get(requestID); ok {
 		return Explanation{RequestID: requestID, Host: self, Entries: entries}, nil
 	}
@@ -166,7 +166,7 @@
 // Dump returns the state dump of a host as JSON; section "" means all. The
 // error is ErrUnknownHost or that of the call.
 func (f *Fleet) Dump(ctx context.Context, host, section string) (json.RawMessage, error) {
-	if host == "" || host == f.local.Status().Host {
+	if host == "" || host == f.local.Host() {
 		return json.Marshal(f.sections.Dump(section))
 	}
 	if !slices.Contains(f.local.Hosts(), host) {
@@ -191,7 +191,7 @@
 
 // eachOther runs ask for every other host, a bounded number at a time.
 func (f *Fleet) eachOther(ask func(host string)) {
-	self := f.local.Status().Host
+	self := f.local.Host()
 	var group errgroup.Group
 	group.SetLimit(fleetParallel)
 	for _, host := range f.local.Hosts() {
--- a/operator/operator_suite_test.go
+++ b/operator/operator_suite_test.go
@@ -55,7 +55,8 @@
 	}
 	return st
 }
-func (d *daemon) Drain() { d.draining.Store(true) }
+func (d *daemon) Host() string { return d.name }
+func (d *daemon) Drain()       { d.draining.Store(true) }
 func (d *daemon) Hosts() []string {
 	d.fleet.mu.Lock()
 	defer d.fleet.mu.Unlock()
--- a/operator/status.go
+++ b/operator/status.go
@@ -39,13 +39,16 @@
 }
 
 // Local is the daemon that a listener belongs to. Its methods are called from
-// any goroutine and must not block.
+// any goroutine.
 type Local interface {
-	// Status returns the daemon's own status.
+	// Host returns the daemon's name.
+	Host() string
+	// Status returns the daemon's own status. It may wait a moment for the
+	// parts of the daemon.
 	Status() Status
 	// Drain starts the way out, as SIGTERM does. Later calls do nothing.
 	Drain()
-	// Hosts lists the names of all entry hosts, this one included.
+	// Hosts lists the names of all entry hosts of the bundle, this one included.
 	Hosts() []string
 }
 
