--- a/daemon/operators_test.go
+++ b/daemon/operators_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"net/http"
+	"regexp"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wheatseam/wheatseam/internal/doccheck"
 	"github.com/wheatseam/wheatseam/internal/proctest"
 	"github.com/wheatseam/wheatseam/operator"
 	"github.com/wheatseam/wheatseam/problem"
@@ -87,6 +89,19 @@
 		}
 	})
 
+	It("shows no metric that docs/OPERATIONS.md does not list", func() {
+		text, err := f.Metrics(0)
+		Expect(err).NotTo(HaveOccurred())
+		listed, err := doccheck.ListedKeys("../docs/OPERATIONS.md", "## Metrics")
+		Expect(err).NotTo(HaveOccurred())
+		names := regexp.MustCompile(`(?m)^wheatseam_[a-z_]+`).FindAllString(text, -1)
+		Expect(len(names)).To(BeNumerically(">", 10))
+		for _, name := range names {
+			name = regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(name, "")
+			Expect(listed).To(ContainElement(name))
+		}
+	})
+
 	It("leaves on an operator's word as on SIGTERM", func() {
 		var st operator.Status
 		Expect(f.Operate(2, http.MethodPost, "/v1/drain", &st)).To(Succeed())
--- a/internal/proctest/call.go
+++ b/internal/proctest/call.go
@@ -125,6 +125,16 @@
 	return json.Unmarshal(raw, into)
 }
 
+// Metrics returns the metrics of daemon i in Prometheus form.
+func (f *Fleet) Metrics(i int) (string, error) {
+	resp, err := f.operate(i, http.MethodGet, "/metrics")
+	if err != nil {
+		return "", err
+	}
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), err
+}
+
 // Executions returns the executions begun at a stage under an idempotency key.
 func (f *Fleet) Executions(key string) []ledger.Entry {
 	var found []ledger.Entry
