--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -149,9 +149,17 @@
 		peer.Handle(ac.Mux, "grow", func(context.Context, peer.Sender, *text) (*text, error) {
 			return wrapperspb.String(big + big), nil
 		})
+		var served atomic.Int32
+		peer.Handle(bc.Mux, "count", func(context.Context, peer.Sender, *text) (*text, error) {
+			served.Add(1)
+			return &text{}, nil
+		})
 		a, b := f.start(ac), f.start(bc)
-		_, err := echo(a, "b", big, time.Second)
+		err := a.Call(context.Background(), "b", "count", wrapperspb.String(big), &text{})
 		Expect(err).To(MatchError(peer.ErrTooLarge), "refused by the receiver")
+		Expect(served.Load()).To(BeZero())
+		_, err = echo(a, "b", big, time.Second)
+		Expect(err).To(MatchError(peer.ErrTooLarge))
 		_, err = echo(a, "b", big+big, time.Second)
 		Expect(err).To(MatchError(peer.ErrTooLarge))
 		Expect(peer.Unsent(err)).To(BeTrue(), "refused by the sender")
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -140,6 +143,42 @@
 	})
 })
 
+var _ = Describe("Shutdown under load", func() {
+	It("cuts no call that was sent, at either side", func() {
+		f := newFleet(GinkgoT().TempDir())
+		a, b := f.start(f.config("a")), f.start(f.config("b"))
+		Expect(echo(a, "b", "x", time.Second)).To(Equal("a:x"))
+		var cut, answered atomic.Int32
+		var callers sync.WaitGroup
+		stop := make(chan struct{})
+		for range 8 {
+			callers.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					_, err := echo(a, "b", "x", 5*time.Second)
+					switch {
+					case err == nil:
+						answered.Add(1)
+					case !peer.Unsent(err):
+						cut.Add(1)
+					}
+				}
+			})
+		}
+		Eventually(answered.Load).Should(BeNumerically(">", 100))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(b.Shutdown(ctx)).To(Succeed())
+		close(stop)
+		callers.Wait()
+		Expect(cut.Load()).To(BeZero())
+	})
+})
+
 var _ = Describe("identity", func() {
 	var f *fleet
 	BeforeEach(func() { f = newFleet(GinkgoT().TempDir()) })
@@ -204,6 +243,22 @@
 		Expect(err).To(MatchError(peer.ErrUnreachable), "the client's")
 	})
 
+	It("refuses a process that a later one of its host has replaced", func() {
+		ac, bc := f.config("a"), f.config("b")
+		ac.Plaintext, bc.Plaintext = true, true
+		ac.Incarnation = 7
+		a, b := f.start(ac), f.start(bc)
+		Expect(echo(a, "b", "x", time.Second)).To(Equal("a:x"))
+		conn, err := net.Dial("tcp", b.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		greetAs(conn, "a") // of incarnation 1
+		_, err = io.Copy(io.Discard, conn)
+		Expect(err).NotTo(HaveOccurred(), "closed by the server")
+		Expect(b.Sessions()).To(HaveExactElements(HaveField("Incarnation", uint64(7))))
+		Expect(echo(a, "b", "x", time.Second)).To(Equal("a:x"))
+	})
+
 	It("refuses a plaintext connection when TLS is on", func() {
 		b := f.start(f.config("b"))
 		conn, err := net.Dial("tcp", b.Addr())
