--- a/peer/transport.go
+++ b/peer/transport.go
@@ -199,37 +199,16 @@
 
 // accept makes a session of an accepted connection, or closes it.
 func (t *Transport) accept(raw net.Conn) {
-	if t.cfg.Plaintext {
-		if err := checkLoopback(raw.RemoteAddr().String()); err != nil {
-			raw.Close()
-			return
-		}
-	}
-	meter := &meteredConn{Conn: raw, counters: t.counters}
-	var conn net.Conn = meter
-	if t.tls != nil {
-		conn = tls.Server(meter, t.tls)
+	address := raw.RemoteAddr().String()
+	if t.cfg.Plaintext && checkLoopback(address) != nil {
+		raw.Close()
+		return
 	}
-	var from Sender
-	err := bounded(conn, t.cfg.DialTimeout, func() (err error) {
-		if tc, ok := conn.(*tls.Conn); ok {
-			if err := tc.HandshakeContext(t.ctx); err != nil {
-				return err
-			}
-		}
-		from, err = t.welcome(conn)
-		return err
-	})
-	if err == nil {
-		err = t.start(conn, meter, from, false)
-	}
-	if err != nil {
-		conn.Close()
-		if !errors.Is(err, io.EOF) {
-			t.counters.refused.Inc()
-			t.cfg.Logger.Warn("peer refused", zap.String("peer", from.Host),
-				zap.String("address", raw.RemoteAddr().String()), zap.Error(err))
-		}
+	from, err := t.establish(raw, "")
+	if err != nil && !errors.Is(err, io.EOF) {
+		t.counters.refused.Inc()
+		t.cfg.Logger.Warn("peer refused", zap.String("peer", from.Host),
+			zap.String("address", address), zap.Error(err))
 	}
 }
 
@@ -240,37 +219,55 @@
 			return err
 		}
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.DialTimeout)
-	defer cancel()
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
+	d := net.Dialer{Timeout: t.cfg.DialTimeout}
+	raw, err := d.DialContext(t.ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
+	_, err = t.establish(raw, host)
+	return err
+}
+
+// establish makes a session of a connection: TLS, greeting, yamux. host is the
+// host that was dialled, or "" for an accepted connection. On an error the
+// connection is closed; the sender is the one that the peer claimed to be.
+func (t *Transport) establish(raw net.Conn, host string) (from Sender, err error) {
 	meter := &meteredConn{Conn: raw, counters: t.counters}
-	var conn net.Conn = meter
-	if t.tls != nil {
-		cfg := t.tls.Clone()
-		cfg.ServerName = host
-		conn = tls.Client(meter, cfg)
-	}
-	var from Sender
+	conn := t.secure(meter, host)
 	err = bounded(conn, t.cfg.DialTimeout, func() (err error) {
 		if tc, ok := conn.(*tls.Conn); ok {
-			if err := tc.HandshakeContext(ctx); err != nil {
+			if err := tc.HandshakeContext(t.ctx); err != nil {
 				return identityError(err)
 			}
 		}
-		from, err = t.greet(conn, host)
+		if host == "" {
+			from, err = t.welcome(conn)
+		} else {
+			from, err = t.greet(conn, host)
+		}
 		return err
 	})
 	if err == nil {
-		err = t.start(conn, meter, from, true)
+		err = t.start(conn, meter, from, host != "")
 	}
 	if err != nil {
 		conn.Close()
 	}
-	return err
+	return from, err
+}
+
+// secure puts TLS on a connection, unless the transport is plaintext.
+func (t *Transport) secure(conn net.Conn, host string) net.Conn {
+	switch {
+	case t.tls == nil:
+		return conn
+	case host == "":
+		return tls.Server(conn, t.tls)
+	default:
+		cfg := t.tls.Clone()
+		cfg.ServerName = host
+		return tls.Client(conn, cfg)
+	}
 }
 
 // identityError marks a certificate that does not verify as ErrIdentity.
