Resume from kept results and order engines from the daemon

Cause: results/ and orderer/ stood without a caller. A keyed request older than 20 ms asks for kept results before it starts.

--- a/caller/decode.go
+++ b/caller/decode.go
@@ -7,10 +7,9 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
+	"github.com/wheatseam/wheatseam/internal/uuidtime"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -129,11 +128,10 @@
 	if len(text) > maxKeyBytes {
 		return "", problem.New(problem.KeyInvalid, "the key is over %d bytes", maxKeyBytes)
 	}
-	key, err := uuid.Parse(text)
-	if err != nil || key.Version() != 7 {
-		return "", problem.New(problem.KeyInvalid, "the key is no UUIDv7")
+	key, made, err := uuidtime.Parse(text)
+	if err != nil {
+		return "", problem.New(problem.KeyInvalid, "the key is %v", err)
 	}
-	made := time.Unix(key.Time().UnixTime())
 	age := sub.Arrived.Sub(made)
 	if age < -sub.Bundle.Claims.MaxKeyAhead {
 		return "", problem.New(problem.KeyInvalid, "the key lies %v in the future", -age)
@@ -143,7 +141,7 @@
 		e.Execution = problem.MayHaveRun
 		return "", e
 	}
-	return key.String(), nil
+	return key, nil
 }
 
 func needsKey(p *bundle.Pipeline) bool {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,9 +24,11 @@
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/operator"
+	"github.com/wheatseam/wheatseam/orderer"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
+	"github.com/wheatseam/wheatseam/results"
 	"github.com/wheatseam/wheatseam/settings"
 	"github.com/wheatseam/wheatseam/shares"
 )
@@ -45,16 +47,19 @@
 	upstream atomic.Pointer[clients]
 	draining atomic.Bool
 
-	table    *request.Table
-	sessions sessions
-	deps     request.Deps
-	router   *route.Router
-	loads    *loadView
-	admitter *admit.Controller
-	shares   *shares.Service
-	budgets  retry.Budgets
-	records  *record.Store
-	claimer  request.Claimer
+	table     *request.Table
+	sessions  sessions
+	deps      request.Deps
+	router    *route.Router
+	loads     *loadView
+	admitter  *admit.Controller
+	shares    *shares.Service
+	budgets   retry.Budgets
+	records   *record.Store
+	kept      *results.Service
+	keptStore *results.Store
+	orderer   *orderer.Orderer
+	claimer   request.Claimer
 
 	incarnation uint64 // start of the process in Unix milliseconds
 	cluster     *cluster.Cluster
@@ -85,6 +90,8 @@
 	if err := d.addCluster(); err != nil {
 		return nil, err
 	}
+	d.addKept()
+	d.addOrderer()
 	return d, nil
 }
 
@@ -108,6 +115,8 @@
 	group.Go(func() error { return d.cluster.Run(running, d.peers) })
 	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
+	group.Go(func() error { d.expireKept(running); return nil })
+	group.Go(func() error { d.orderer.Run(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
 	group.Go(func() error { d.exchangeLoads(running); return nil })
 	<-ctx.Done()
--- /dev/null
+++ b/daemon/kept.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/uuidtime"
+	"github.com/wheatseam/wheatseam/results"
+)
+
+const (
+	// keptBytes bounds the memory of results kept for fellow daemons.
+	keptBytes = 32 << 20
+	// keepTimeout bounds the storing of a result at fellow daemons.
+	keepTimeout = time.Second
+	// resumeAge is the age of an idempotency key from which an earlier try
+	// may have left results.
+	resumeAge = 20 * time.Millisecond
+	// resumeTimeout bounds the wait for kept results.
+	resumeTimeout = 50 * time.Millisecond
+	// expireEvery is how often results of no more use are forgotten.
+	expireEvery = time.Second
+)
+
+// addKept makes the service that keeps stage results at fellow daemons.
+func (d *Daemon) addKept() {
+	d.keptStore = results.NewStore(keptBytes)
+	d.kept = results.NewService(results.Config{
+		Host: d.settings.Host, Caller: lateCaller{d}, Place: d.placeKept, Store: d.keptStore, Now: d.Now,
+	}, d.peerMux)
+}
+
+// lateCaller calls fellow daemons through the transport, which is opened after
+// the parts that use it are made.
+type lateCaller struct{ d *Daemon }
+
+// Call implements results.Caller.
+func (c lateCaller) Call(ctx context.Context, host, method string, req, resp proto.Message) error {
+	return c.d.peers.Call(ctx, host, method, req, resp)
+}
+
+// placeKept names the hosts that keep results of a key: rendezvous hashing over
+// the bundle's hosts, one for each failure domain.
+func (d *Daemon) placeKept(customer, key string) []string {
+	const holders = 3
+	left := d.bundle.Load().Hosts
+	var placed []string
+	for len(placed) < holders && len(left) > 0 {
+		first := rendezvousFirst(left, customer+"\x00"+key)
+		placed = append(placed, first.Name)
+		left = slices.DeleteFunc(slices.Clone(left), func(h bundle.Host) bool {
+			return h.FailureDomain == first.FailureDomain
+		})
+	}
+	return placed
+}
+
+func rendezvousFirst(hosts []bundle.Host, key string) bundle.Host {
+	return slices.MaxFunc(hosts, func(a, b bundle.Host) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name+"\x00"+key), xxhash.Sum64String(b.Name+"\x00"+key))
+	})
+}
+
+// expireKept forgets kept results of no more use until ctx ends.
+func (d *Daemon) expireKept(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.keptStore.Expire(d.Now())
+		}
+	}
+}
+
+// keptRequest names the results of a request: bound to its input and to the
+// definitions of its stages and their models.
+func keptRequest(s *session) results.Request {
+	h := sha256.New()
+	h.Write(s.digest[:])
+	for _, stage := range s.sub.Pipeline.Stages {
+		raw, err := json.Marshal(struct {
+			Stage          bundle.Stage
+			Model, Version string
+		}{stage, s.clients.pools[stage.Pool].Model, s.clients.pools[stage.Pool].Version})
+		if err != nil {
+			continue
+		}
+		sum := sha256.Sum256(raw)
+		h.Write(sum[:])
+	}
+	return results.Request{
+		Customer: s.sub.Customer.Name, Key: s.sub.Key, Digest: results.Digest(h.Sum(nil)),
+	}
+}
+
+// keep stores a stage's result at fellow daemons. What is lost costs work only.
+func (d *Daemon) keep(s *session, a request.Keep) {
+	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+	defer cancel()
+	n, err := d.kept.Keep(ctx, keptRequest(s), a.Stage, a.Result, s.sub.Deadline.Add(s.sub.Pipeline.Deadline))
+	if err != nil {
+		d.log.Debug("result kept at fewer hosts", zap.String("request", s.id), zap.Int("copies", n), zap.Error(err))
+	}
+}
+
+// resume fetches what earlier tries at the same key have left. A fresh key has
+// none, so only older ones ask.
+func (d *Daemon) resume(s *session) map[string]json.RawMessage {
+	if !mayResume(s.sub) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resumeTimeout)
+	defer cancel()
+	kept := make(map[string]json.RawMessage)
+	for stage, result := range d.kept.Fetch(ctx, keptRequest(s)) {
+		kept[stage] = result
+	}
+	return kept
+}
+
+func mayResume(sub caller.Submission) bool {
+	if sub.Key == "" {
+		return false
+	}
+	_, made, err := uuidtime.Parse(sub.Key)
+	if err != nil || sub.Arrived.Sub(made) < resumeAge {
+		return false
+	}
+	for _, s := range sub.Pipeline.Stages {
+		if s.KeepResult {
+			return true
+		}
+	}
+	return false
+}
--- a/daemon/perform.go
+++ b/daemon/perform.go
@@ -69,7 +69,7 @@
 	case request.LookUp:
 		go d.lookUp(s, a)
 	case request.Keep:
-		d.keep(s, a)
+		go d.keep(s, a)
 	case request.Forward:
 		s.forward.Store(int64(a.Attempt))
 	case request.Reset:
@@ -153,9 +153,6 @@
 	return err == nil && notRun
 }
 
-// keep stores a stage's result at fellow daemons.
-func (d *Daemon) keep(_ *session, _ request.Keep) {}
-
 // textOf returns the text of a JSON string or of a "text" field, or the JSON
 // itself.
 func textOf(raw json.RawMessage) string {
--- a/internal/proctest/bundle.go
+++ b/internal/proctest/bundle.go
@@ -18,8 +18,8 @@
 	PipelineSeal = "seal"
 	// PipelineSummary encodes, then generates.
 	PipelineSummary = "summary"
-	// PipelineQuotation generates, then calls a stage that may not be
-	// repeated.
+	// PipelineQuotation generates, encodes, then calls a stage that may not
+	// be repeated.
 	PipelineQuotation = "quotation"
 )
 
@@ -67,7 +67,7 @@
 	return []bundle.Pipeline{
 		{Name: PipelineSeal, Deadline: 5 * time.Second, Stages: []bundle.Stage{seal}},
 		{Name: PipelineSummary, Deadline: 5 * time.Second, Stages: []bundle.Stage{encode, generate}},
-		{Name: PipelineQuotation, Deadline: 5 * time.Second, Stages: []bundle.Stage{generate, seal}},
+		{Name: PipelineQuotation, Deadline: 5 * time.Second, Stages: []bundle.Stage{generate, encode, seal}},
 	}
 }
 
--- /dev/null
+++ b/internal/uuidtime/uuidtime.go
@@ -0,0 +1,22 @@
+// Package uuidtime reads UUIDv7 keys (RFC 9562), which carry their own time.
+package uuidtime
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Parse returns the canonical text of a UUIDv7 and its time, to the
+// millisecond.
+func Parse(text string) (canonical string, made time.Time, err error) {
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return "", time.Time{}, fmt.Errorf("not a UUID: %w", err)
+	}
+	if id.Version() != 7 {
+		return "", time.Time{}, fmt.Errorf("not a UUIDv7 but version %d", id.Version())
+	}
+	return id.String(), time.Unix(id.Time().UnixTime()), nil
+}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -35,10 +35,10 @@
 type Config struct {
 	Host    string
 	Engines Engines
-	// Alive says whether a host is believed to live.
-	Alive func(host string) bool
-	Now   func() time.Time
-	Log   *zap.Logger
+	// Living returns the hosts that are believed to live.
+	Living func() map[string]bool
+	Now    func() time.Time
+	Log    *zap.Logger
 }
 
 // Orderer gives orders. It is safe for concurrent use.
@@ -87,8 +87,9 @@
 }
 
 func (o *Orderer) look(ctx context.Context) {
+	living := o.cfg.Living()
 	o.mu.Lock()
-	due := o.planner.Due(o.cfg.Now(), o.cfg.Alive)
+	due := o.planner.Due(o.cfg.Now(), func(host string) bool { return living[host] })
 	o.mu.Unlock()
 	var group errgroup.Group
 	group.SetLimit(maxAtOnce)
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -52,7 +52,7 @@
 		o := New(Config{
 			Host: host, Engines: client, Now: time.Now, Log: zap.NewNop(),
 			// Neither hears the other: both order.
-			Alive: func(string) bool { return false },
+			Living: func() map[string]bool { return nil },
 		})
 		o.Apply(b)
 		ctx, cancel := context.WithCancel(context.Background())
