Claim keys at a majority of their holders; put the proofs in force

Cause: claims held within one daemon. Now package claims runs core/claim between daemons. Ruled out: not_run by the age of the key, since a retry may follow within milliseconds.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -34,18 +34,21 @@
 	tokens  []string
 	got     []Submission
 	refused []problem.Kind
+	// draining refuses every request; voids says whether keys can be voided.
+	draining, voids bool
 }
 
 func (b *backend) Bundle() *bundle.Bundle { return b.bundle }
 func (b *backend) Admittable() *problem.Error {
-	if b.bundle == nil {
-		return notReady()
+	if b.draining {
+		return problem.New(problem.Draining, "leaving")
 	}
 	return nil
 }
-func (b *backend) NewRequestID() string               { return "h1.id" }
-func (b *backend) Now() time.Time                     { return time.Now() }
-func (b *backend) Refused(_ string, e *problem.Error) { b.refused = append(b.refused, e.Kind) }
+func (b *backend) VoidKey(context.Context, Submission) bool { return b.voids }
+func (b *backend) NewRequestID() string                     { return "h1.id" }
+func (b *backend) Now() time.Time                           { return time.Now() }
+func (b *backend) Refused(_ string, e *problem.Error)       { b.refused = append(b.refused, e.Kind) }
 func (b *backend) Serve(_ context.Context, s Submission, sink Sink) (*request.Answer, *problem.Error) {
 	b.got = append(b.got, s)
 	for _, t := range b.tokens {
@@ -158,6 +161,23 @@
 			"Idempotency-Key", keyAt(time.Now().Add(-2*time.Minute))),
 	)
 
+	DescribeTable("says not_run to a key while it drains only if no earlier try can run",
+		func(path string, voids bool, want problem.Execution) {
+			back.draining, back.voids = true, voids
+			_, text := send(path, `{"input":1}`, "Idempotency-Key", keyAt(time.Now()))
+			Expect(text).To(ContainSubstring(`"execution":"` + string(want) + `"`))
+			Expect(text).To(ContainSubstring(`"kind":"draining"`))
+		},
+		Entry("voided", "/v1/pipelines/seal", true, problem.NotRun),
+		Entry("not voided", "/v1/pipelines/seal", false, problem.MayHaveRun),
+		Entry("repeatable", "/v1/pipelines/summary", false, problem.NotRun),
+	)
+
+	It("does not say not_run to a malformed retry: the try before may have run", func() {
+		_, text := send("/v1/pipelines/seal", `{"input":`, "Idempotency-Key", keyAt(time.Now()))
+		Expect(text).To(ContainSubstring(`"execution":"may_have_run"`))
+	})
+
 	It("tells a caller when to come back", func() {
 		back.refusal = problem.New(problem.Overloaded, "full")
 		back.refusal.RetryAfter = 1200 * time.Millisecond
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -32,9 +32,6 @@
 // decode authenticates and checks a request.
 func (s *Server) decode(r *http.Request, id string) (Submission, *problem.Error) {
 	var sub Submission
-	if err := s.cfg.Backend.Admittable(); err != nil {
-		return sub, err
-	}
 	b := s.cfg.Backend.Bundle()
 	if b == nil {
 		return sub, notReady()
--- a/caller/server.go
+++ b/caller/server.go
@@ -46,6 +46,9 @@
 	Bundle() *bundle.Bundle
 	// Admittable returns why the host takes no requests, or nil.
 	Admittable() *problem.Error
+	// VoidKey makes sure that no try at the submission's key which arrived
+	// before has run or will, and reports whether that succeeded.
+	VoidKey(ctx context.Context, s Submission) bool
 	// NewRequestID returns an id that no other request has.
 	NewRequestID() string
 	// Now is the clock.
@@ -88,6 +91,13 @@
 func (s *Server) servePipeline(w http.ResponseWriter, r *http.Request) {
 	id := s.cfg.Backend.NewRequestID()
 	sub, err := s.decode(r, id)
+	if err == nil {
+		err = s.admit(r.Context(), sub)
+	} else if r.Header.Get(idempotencyHeader) != "" && err.Kind != problem.KeyInvalid {
+		// An earlier try with the same key may have run. An invalid key
+		// cannot have.
+		err.Execution = problem.MayHaveRun
+	}
 	if err != nil {
 		s.refuse(w, id, err)
 		return
@@ -104,6 +114,16 @@
 	writeJSON(w, answer)
 }
 
+// admit returns why the host takes no requests, or nil. It says not_run of a
+// request that may not be repeated only if no earlier try has run or will.
+func (s *Server) admit(ctx context.Context, sub Submission) *problem.Error {
+	err := s.cfg.Backend.Admittable()
+	if err != nil && needsKey(sub.Pipeline) && !s.cfg.Backend.VoidKey(ctx, sub) {
+		err.Execution = problem.MayHaveRun
+	}
+	return err
+}
+
 func (s *Server) refuse(w http.ResponseWriter, id string, err *problem.Error) {
 	s.cfg.Backend.Refused(id, err)
 	writeProblem(w, id, err)
--- /dev/null
+++ b/claims/service.go
@@ -0,0 +1,204 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/claim"
+	"github.com/wheatseam/wheatseam/peer"
+)
+
+// holderShards is the number of shards of the keys held; a power of two.
+const holderShards = 16
+
+// Bounds of the memory for held keys, over all shards.
+const (
+	maxKeys        = 400_000
+	maxResultBytes = 64 << 20
+	maxResult      = 64 << 10
+)
+
+// Caller sends a request to a fellow daemon.
+type Caller interface {
+	Call(ctx context.Context, host, method string, req, resp proto.Message) error
+}
+
+// Config configures a Service.
+type Config struct {
+	Host        string
+	Incarnation uint64
+	// Started is when the process started, by its wall clock.
+	Started time.Time
+	Caller  Caller
+	Now     func() time.Time
+	// Trusted says whether this host's clock agrees with its peers' and its
+	// views are renewed since the last pause.
+	Trusted func() bool
+	// Gone says whether a process of a host has ended.
+	Gone func(host string, incarnation uint64) bool
+	Log  *zap.Logger
+	Seed uint64
+}
+
+// Service holds keys for the fleet and claims keys for this host.
+type Service struct {
+	cfg Config
+
+	// viewsMu guards views; grants hold it for reading.
+	viewsMu sync.RWMutex
+	views   *claim.Views
+	policy  claim.Policy
+	current claim.Lineage
+	refused atomic.Pointer[string]
+
+	holders [holderShards]holderShard
+
+	// mu guards owned and rng.
+	mu    sync.Mutex
+	owned map[string]*ownedClaim
+	rng   *rand.Rand
+}
+
+type holderShard struct {
+	mu     sync.Mutex
+	holder *claim.Holder
+}
+
+// New returns a service and registers its methods. It claims and grants
+// nothing until Apply was called and Run has caught up with the other hosts.
+func New(cfg Config, mux *peer.Mux) *Service {
+	s := &Service{
+		cfg: cfg, owned: make(map[string]*ownedClaim),
+		rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
+	}
+	s.register(mux)
+	return s
+}
+
+// Apply takes the host lists and the policy of a bundle. A bundle whose lineage
+// lacks the host list in force is refused loudly: this host then goes on under
+// the old list, which can no longer win a majority against the new one.
+func (s *Service) Apply(b *bundle.Bundle) {
+	lineage, err := claim.FromBundle(b)
+	if err == nil {
+		err = s.adopt(lineage, policyOf(b))
+	}
+	if err != nil {
+		text := fmt.Sprintf("bundle %d: %v", b.Version, err)
+		s.refused.Store(&text)
+		s.cfg.Log.Error("host lists refused", zap.Uint64("version", b.Version), zap.Error(err))
+		return
+	}
+	s.refused.Store(nil)
+}
+
+func policyOf(b *bundle.Bundle) claim.Policy {
+	return claim.Policy{
+		GroupSize: b.Claims.GroupSize, Retention: b.Claims.Retention,
+		MaxClockSkew: b.Claims.MaxClockSkew, MaxKeyAhead: b.Claims.MaxKeyAhead,
+		MaxResult: maxResult, MaxKeys: maxKeys / holderShards, MaxBytes: maxResultBytes / holderShards,
+	}
+}
+
+func (s *Service) adopt(l claim.Lineage, p claim.Policy) error {
+	s.viewsMu.Lock()
+	defer s.viewsMu.Unlock()
+	if s.views != nil {
+		if p != s.policy {
+			s.cfg.Log.Warn("changed claim policy takes effect after a restart")
+		}
+		if err := s.views.Adopt(s.cfg.Now(), l); err != nil {
+			return err
+		}
+		s.current = l
+		return nil
+	}
+	s.policy, s.current = p, l
+	s.views = claim.NewViews(s.cfg.Host, s.cfg.Incarnation, s.cfg.Now(), l, p)
+	for i := range s.holders {
+		s.holders[i].holder = claim.NewHolder(s.cfg.Host, s.cfg.Incarnation, s.cfg.Started, p)
+	}
+	return nil
+}
+
+// Ready reports whether this host may claim.
+func (s *Service) Ready() bool {
+	s.viewsMu.RLock()
+	defer s.viewsMu.RUnlock()
+	return s.views != nil && s.views.Ready() && s.cfg.Trusted()
+}
+
+// Place names the hosts that hold a key of a customer, in order of preference.
+func (s *Service) Place(customer, id string) []string {
+	key, err := claim.ParseKey(customer, id)
+	if err != nil {
+		return nil
+	}
+	s.viewsMu.RLock()
+	defer s.viewsMu.RUnlock()
+	return claim.Group(s.current.Current.Hosts, key, s.policy.GroupSize)
+}
+
+// Dump is the state of claims for operators.
+type Dump struct {
+	Ready   bool   `json:"ready"`
+	Epoch   uint64 `json:"epoch"`
+	Synced  bool   `json:"synced"`
+	Trusted bool   `json:"clock_and_views_trusted"`
+	// Refused is why the newest bundle's host lists are not in force.
+	Refused string `json:"refused,omitempty"`
+	// Earlier are the epochs of earlier host lists in the bundle.
+	Earlier []uint64    `json:"earlier_epochs"`
+	Held    claim.Stats `json:"held"`
+	// Owned counts the claims of this host's requests.
+	Owned int `json:"owned"`
+}
+
+// Dump returns the state for operators.
+func (s *Service) Dump() Dump {
+	d := Dump{Ready: s.Ready(), Trusted: s.cfg.Trusted()}
+	if text := s.refused.Load(); text != nil {
+		d.Refused = *text
+	}
+	s.viewsMu.RLock()
+	defer s.viewsMu.RUnlock()
+	if s.views == nil {
+		return d
+	}
+	d.Epoch, d.Synced = s.views.Epoch(), s.views.Status().Synced
+	for _, v := range s.current.Earlier {
+		d.Earlier = append(d.Earlier, v.Epoch)
+	}
+	for i := range s.holders {
+		d.Held = addStats(d.Held, s.holders[i].stats())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d.Owned = len(s.owned)
+	return d
+}
+
+func (h *holderShard) stats() claim.Stats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holder.Stats()
+}
+
+func addStats(a, b claim.Stats) claim.Stats {
+	a.Granted += b.Granted
+	a.Recorded += b.Recorded
+	a.Released += b.Released
+	a.Bytes += b.Bytes
+	if a.Oldest.IsZero() || !b.Oldest.IsZero() && b.Oldest.Before(a.Oldest) {
+		a.Oldest = b.Oldest
+	}
+	return a
+}
--- /dev/null
+++ b/daemon/claims.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/claims"
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/core/request"
+)
+
+// addClaims makes the part that claims keys of requests that may not be
+// repeated, and holds keys for the fleet.
+func (d *Daemon) addClaims() {
+	s := claims.New(claims.Config{
+		Host: d.settings.Host, Incarnation: d.incarnation,
+		Started: time.UnixMilli(int64(d.incarnation)),
+		Caller:  lateCaller{d}, Now: d.Now, Trusted: d.trusted, Gone: d.gone, Log: d.log,
+		Seed: xxhash.Sum64String(d.settings.Host),
+	}, d.peerMux)
+	d.claims, d.claimer = s, s
+	d.appliers = append(d.appliers, s)
+}
+
+// VoidKey implements caller.Backend.
+func (d *Daemon) VoidKey(ctx context.Context, sub caller.Submission) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for _, stage := range sub.Pipeline.Stages {
+		if !stage.NonRepeatable {
+			continue
+		}
+		key := request.ClaimKey{Customer: sub.Customer.Name, Key: sub.Key, Stage: stage.Name}
+		notRun, err := d.claims.Void(ctx, key, sub.Arrived)
+		return err == nil && notRun
+	}
+	return true
+}
+
+// trusted says whether this host's clock agrees with its peers' and its views
+// are renewed since the last pause.
+func (d *Daemon) trusted() bool { return d.cluster.Fresh() && !d.cluster.Skewed() }
+
+// gone says whether a process of a host has ended.
+func (d *Daemon) gone(host string, incarnation uint64) bool {
+	for _, m := range d.cluster.Members() {
+		if m.Host.Name == host {
+			return m.State == member.Dead || m.Incarnation > incarnation
+		}
+	}
+	return true
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/claims"
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/request"
@@ -59,6 +60,7 @@
 	kept      *results.Service
 	keptStore *results.Store
 	orderer   *orderer.Orderer
+	claims    *claims.Service
 	claimer   request.Claimer
 
 	incarnation uint64 // start of the process in Unix milliseconds
@@ -90,6 +92,7 @@
 	if err := d.addCluster(); err != nil {
 		return nil, err
 	}
+	d.addClaims()
 	d.addKept()
 	d.addOrderer()
 	return d, nil
@@ -115,6 +118,7 @@
 	group.Go(func() error { return d.cluster.Run(running, d.peers) })
 	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
+	group.Go(func() error { d.claims.Run(running); return nil })
 	group.Go(func() error { d.expireKept(running); return nil })
 	group.Go(func() error { d.orderer.Run(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -1,14 +1,11 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -37,7 +34,7 @@
 func (d *Daemon) addKept() {
 	d.keptStore = results.NewStore(keptBytes)
 	d.kept = results.NewService(results.Config{
-		Host: d.settings.Host, Caller: lateCaller{d}, Place: d.placeKept, Store: d.keptStore, Now: d.Now,
+		Host: d.settings.Host, Caller: lateCaller{d}, Place: d.claims.Place, Store: d.keptStore, Now: d.Now,
 	}, d.peerMux)
 }
 
@@ -50,28 +47,6 @@
 	return c.d.peers.Call(ctx, host, method, req, resp)
 }
 
-// placeKept names the hosts that keep results of a key: rendezvous hashing over
-// the bundle's hosts, one for each failure domain.
-func (d *Daemon) placeKept(customer, key string) []string {
-	const holders = 3
-	left := d.bundle.Load().Hosts
-	var placed []string
-	for len(placed) < holders && len(left) > 0 {
-		first := rendezvousFirst(left, customer+"\x00"+key)
-		placed = append(placed, first.Name)
-		left = slices.DeleteFunc(slices.Clone(left), func(h bundle.Host) bool {
-			return h.FailureDomain == first.FailureDomain
-		})
-	}
-	return placed
-}
-
-func rendezvousFirst(hosts []bundle.Host, key string) bundle.Host {
-	return slices.MaxFunc(hosts, func(a, b bundle.Host) int {
-		return cmp.Compare(xxhash.Sum64String(a.Name+"\x00"+key), xxhash.Sum64String(b.Name+"\x00"+key))
-	})
-}
-
 // expireKept forgets kept results of no more use until ctx ends.
 func (d *Daemon) expireKept(ctx context.Context) {
 	ticker := time.NewTicker(expireEvery)
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -30,5 +30,4 @@
 	d.loads = newLoadView(d.settings, router, d.log, d.Now)
 	d.appliers = append(d.appliers, router, budgetApplier{budgets}, d.loads)
 	d.deps = request.Deps{Router: router, Admitter: d.admitter, Retries: budgets.Retry, Hedges: budgets.Hedge}
-	d.claimer = &localClaims{claims: make(map[request.ClaimKey]*localClaim)}
 }
--- /dev/null
+++ b/proofs/at_most_once_test.go
@@ -0,0 +1,226 @@
+package proofs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/internal/standin"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+var _ = Describe("A request that may not be repeated runs at most once", func() {
+	It("when it is sent again through every other host", func() {
+		f := startFleet(proctest.Options{})
+		key := proctest.NewKey()
+		first := f.Call(0, proctest.PipelineSeal, key, "deed 1")
+		Expect(first.Answered()).To(BeTrue(), "%+v", first)
+		for i := range f.Daemons {
+			again := f.Call(i, proctest.PipelineSeal, key, "deed 1")
+			Expect(again.Answered()).To(BeTrue(), "%+v", again)
+			Expect(again.Result).To(MatchJSON(first.Result))
+		}
+		expectHonest(f, key, first)
+	})
+
+	It("when it is sent through all hosts at the same time", func() {
+		f := startFleet(proctest.Options{})
+		for n := range 20 {
+			key := proctest.NewKey()
+			heard := callAtOnce(f, key, fmt.Sprintf("deed %d", n))
+			expectHonest(f, key, heard...)
+			Expect(heard).To(ContainElement(HaveField("Answered()", BeTrue())))
+		}
+	})
+
+	It("refuses the same key for another input", func() {
+		f := startFleet(proctest.Options{})
+		key := proctest.NewKey()
+		Expect(f.Call(0, proctest.PipelineSeal, key, "deed 1").Answered()).To(BeTrue())
+		other := f.Call(1, proctest.PipelineSeal, key, "deed 2")
+		Expect(other.Kind).To(Equal(problem.KeyReused))
+		Expect(other.Status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(f.Executions(key)).To(HaveLen(1))
+	})
+
+	It("when its host is killed after sending", func() {
+		f := startFleet(proctest.Options{})
+		fault(f, "signing", standin.Faults{LateByMS: 300})
+		key := proctest.NewKey()
+		sent := callInBackground(f, 0, key)
+		Eventually(func() int { return len(f.Executions(key)) }).Should(Equal(1))
+		f.Daemons[0].Kill()
+		<-sent
+		again := retryUntilHeard(f, 1, proctest.PipelineSeal, key, "deed")
+		expectHonest(f, key, again)
+	})
+
+	It("when its host is frozen after sending, and wakes", func() {
+		f := startFleet(proctest.Options{})
+		fault(f, "signing", standin.Faults{LateByMS: 300})
+		key := proctest.NewKey()
+		sent := callInBackground(f, 0, key)
+		Eventually(func() int { return len(f.Executions(key)) }).Should(Equal(1))
+		Expect(f.Daemons[0].Freeze()).To(Succeed())
+		again := retryUntilHeard(f, 1, proctest.PipelineSeal, key, "deed")
+		Expect(f.Daemons[0].Thaw()).To(Succeed())
+		expectHonest(f, key, again, <-sent)
+	})
+
+	It("when a claim holder restarts and has forgotten", func() {
+		f := startFleet(proctest.Options{})
+		key := proctest.NewKey()
+		first := f.Call(0, proctest.PipelineSeal, key, "deed")
+		Expect(first.Answered()).To(BeTrue(), "%+v", first)
+		f.Daemons[1].Kill()
+		Expect(f.StartDaemon(1)).To(Succeed())
+		Expect(f.WaitReady(15 * time.Second)).To(Succeed())
+		again := retryUntilHeard(f, 1, proctest.PipelineSeal, key, "deed")
+		expectHonest(f, key, first, again)
+	})
+
+	It("when two of three holders restart: then it says that it may have run", func() {
+		f := startFleet(proctest.Options{})
+		key := proctest.NewKey()
+		first := f.Call(0, proctest.PipelineSeal, key, "deed")
+		Expect(first.Answered()).To(BeTrue(), "%+v", first)
+		f.Daemons[1].Kill()
+		f.Daemons[2].Kill()
+		Expect(f.StartDaemon(1)).To(Succeed())
+		Expect(f.StartDaemon(2)).To(Succeed())
+		for _, i := range []int{1, 2} {
+			o := f.Call(i, proctest.PipelineSeal, key, "deed")
+			expectHonest(f, key, first, o)
+		}
+	})
+
+	It("when the upstream loses its answer", func() {
+		f := startFleet(proctest.Options{})
+		fault(f, "signing", standin.Faults{DropAnswer: true})
+		key := proctest.NewKey()
+		first := f.Call(0, proctest.PipelineSeal, key, "deed")
+		Expect(first.Execution).To(Equal(problem.MayHaveRun), "%+v", first)
+		fault(f, "signing", standin.Faults{})
+		again := f.Call(1, proctest.PipelineSeal, key, "deed")
+		expectHonest(f, key, first, again)
+	})
+
+	It("refuses at once, unrun, while no majority of holders can be reached", func() {
+		f := startFleet(proctest.Options{})
+		f.Daemons[1].Kill()
+		f.Daemons[2].Kill()
+		key := proctest.NewKey()
+		o := f.Call(0, proctest.PipelineSeal, key, "deed")
+		Expect(o.Kind).To(Equal(problem.NoMajority), "%+v", o)
+		Expect(o.RetryAfter).NotTo(BeEmpty())
+		Expect(o.Took).To(BeNumerically("<", 4*time.Second))
+		expectHonest(f, key, o)
+	})
+
+	It("under random kills and freezes, with callers that retry elsewhere", func() {
+		f := startFleet(proctest.Options{})
+		fault(f, "signing", standin.Faults{LateByMS: 150})
+		const callers, rounds = 24, 5
+		stop := make(chan struct{})
+		var chaos, load sync.WaitGroup
+		chaos.Add(1)
+		go func() {
+			defer chaos.Done()
+			defer GinkgoRecover()
+			disturb(f, stop)
+		}()
+		heard := make([]map[string][]proctest.Outcome, callers)
+		for c := range callers {
+			heard[c] = make(map[string][]proctest.Outcome)
+			load.Add(1)
+			go func() {
+				defer load.Done()
+				rng := rand.New(rand.NewPCG(7, uint64(c)))
+				for range rounds {
+					key := proctest.NewKey()
+					heard[c][key] = callUntilAnswered(f, rng, key)
+				}
+			}()
+		}
+		load.Wait()
+		close(stop)
+		chaos.Wait()
+		Eventually(f.Running).Should(BeZero())
+		answered := 0
+		for _, byKey := range heard {
+			for key, outcomes := range byKey {
+				expectHonest(f, key, outcomes...)
+				if outcomes[len(outcomes)-1].Answered() {
+					answered++
+				}
+			}
+		}
+		AddReportEntry("answered", fmt.Sprintf("%d of %d", answered, callers*rounds))
+		Expect(answered).To(BeNumerically(">", 0))
+	})
+})
+
+func callInBackground(f *proctest.Fleet, i int, key string) <-chan proctest.Outcome {
+	out := make(chan proctest.Outcome, 1)
+	go func() { out <- f.Call(i, proctest.PipelineSeal, key, "deed") }()
+	return out
+}
+
+// callAtOnce sends one key through all hosts at the same time.
+func callAtOnce(f *proctest.Fleet, key, text string) []proctest.Outcome {
+	heard := make([]proctest.Outcome, len(f.Daemons))
+	var wg sync.WaitGroup
+	for i := range f.Daemons {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			heard[i] = f.Call(i, proctest.PipelineSeal, key, text)
+		}()
+	}
+	wg.Wait()
+	return heard
+}
+
+// callUntilAnswered sends a key through random hosts until it is answered, at
+// most maxTries times.
+func callUntilAnswered(f *proctest.Fleet, rng *rand.Rand, key string) []proctest.Outcome {
+	const maxTries = 6
+	var heard []proctest.Outcome
+	for range maxTries {
+		o := f.Call(rng.IntN(len(f.Daemons)), proctest.PipelineSeal, key, "deed")
+		heard = append(heard, o)
+		if o.Answered() {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return heard
+}
+
+// disturb kills or freezes one daemon at a time until stop is closed.
+func disturb(f *proctest.Fleet, stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(11, 13))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(100+rng.IntN(200)) * time.Millisecond):
+		}
+		i := rng.IntN(len(f.Daemons))
+		if rng.IntN(2) == 0 {
+			Expect(f.Daemons[i].Freeze()).To(Succeed())
+			time.Sleep(time.Duration(50+rng.IntN(500)) * time.Millisecond)
+			Expect(f.Daemons[i].Thaw()).To(Succeed())
+			continue
+		}
+		f.Daemons[i].Kill()
+		Expect(f.StartDaemon(i)).To(Succeed())
+		Expect(f.WaitReady(15 * time.Second)).To(Succeed())
+	}
+}
--- /dev/null
+++ b/proofs/config_test.go
@@ -0,0 +1,228 @@
+package proofs
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/internal/faultrelay"
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/internal/standin"
+	"github.com/wheatseam/wheatseam/internal/standin/platform"
+	"github.com/wheatseam/wheatseam/operator"
+)
+
+// version returns the version in force at host i, 0 when it does not answer.
+func version(f *proctest.Fleet, i int) uint64 {
+	var hosts []operator.Status
+	if err := f.Operate(i, "GET", "/v1/bundle", &hosts); err != nil {
+		return 0
+	}
+	for _, h := range hosts {
+		if h.Host == f.Bundle.Hosts[i].Name {
+			return h.BundleVersion
+		}
+	}
+	return 0
+}
+
+func versions(f *proctest.Fleet) func() []uint64 {
+	return func() []uint64 {
+		all := make([]uint64, len(f.Daemons))
+		for i := range all {
+			all[i] = version(f, i)
+		}
+		return all
+	}
+}
+
+// successor returns the fleet's bundle under another version.
+func successor(f *proctest.Fleet, version uint64) *bundle.Bundle {
+	b := *f.Bundle
+	b.Version = version
+	return &b
+}
+
+var _ = Describe("An accepted configuration", func() {
+	It("is in force everywhere within seconds, as one host sees it", func() {
+		f := startFleet(proctest.Options{})
+		Expect(f.Publish(successor(f, 2))).To(Succeed())
+		began := time.Now()
+		Eventually(versions(f)).Should(Equal([]uint64{2, 2, 2}))
+		AddReportEntry("in force everywhere after", time.Since(began).Round(time.Millisecond).String())
+	})
+
+	It("never reverts when the service serves an old value, not even at a host that restarts", func() {
+		f := startFleet(proctest.Options{})
+		Expect(f.Publish(successor(f, 3))).To(Succeed())
+		Eventually(versions(f)).Should(Equal([]uint64{3, 3, 3}))
+		Expect(f.Publish(successor(f, 2))).To(Succeed())
+		f.Daemons[0].Kill()
+		Expect(f.StartDaemon(0)).To(Succeed())
+		Eventually(func() bool { return f.Ready(0) }).Should(BeTrue())
+		Expect(version(f, 0)).To(BeEquivalentTo(3), "ready with an old bundle")
+		Consistently(versions(f), time.Second).Should(Equal([]uint64{3, 3, 3}))
+	})
+
+	It("is kept, and served under, while the service is down, and a restarted host gets it from its fellows", func() {
+		f := startFleet(proctest.Options{})
+		Expect(f.Publish(successor(f, 4))).To(Succeed())
+		Eventually(versions(f)).Should(Equal([]uint64{4, 4, 4}))
+		f.Platform.Faults().Set(standin.Faults{Down: true})
+		f.Daemons[2].Kill()
+		Expect(f.StartDaemon(2)).To(Succeed())
+		Eventually(func() uint64 { return version(f, 2) }).Should(BeEquivalentTo(4))
+		o := f.Call(0, proctest.PipelineSummary, "", "text")
+		Expect(o.Answered()).To(BeTrue(), "%+v", o)
+	})
+
+	It("reaches a host that was cut off, once it is heard again", func() {
+		f := startFleet(proctest.Options{})
+		f.Isolate(2)
+		f.Platform.Faults().Set(standin.Faults{Stale: true})
+		Consistently(versions(f), 300*time.Millisecond).Should(Equal([]uint64{1, 1, 1}))
+		f.Platform.Faults().Set(standin.Faults{})
+		Expect(f.Publish(successor(f, 5))).To(Succeed())
+		Eventually(func() []uint64 { return versions(f)()[:2] }).Should(Equal([]uint64{5, 5}))
+		f.Heal()
+		Eventually(versions(f)).Should(Equal([]uint64{5, 5, 5}))
+	})
+
+	It("is refused loudly when it is not signed, or the same version with other content", func() {
+		f := startFleet(proctest.Options{})
+		Expect(f.Publish(successor(f, 2))).To(Succeed())
+		Eventually(versions(f)).Should(Equal([]uint64{2, 2, 2}))
+		other := successor(f, 2)
+		other.Deployment = "another"
+		Expect(f.Publish(other)).To(Succeed())
+		anyLog := func() string { return f.Daemons[0].Log() + f.Daemons[1].Log() + f.Daemons[2].Log() }
+		Eventually(anyLog).Should(ContainSubstring("bundle conflict"))
+		signed, err := f.SignedBundle(successor(f, 9))
+		Expect(err).NotTo(HaveOccurred())
+		signed[20] ^= 1
+		f.Platform.SetValue("bundle", signed)
+		Eventually(anyLog).Should(ContainSubstring("bundle rejected"))
+		Expect(versions(f)()).To(Equal([]uint64{2, 2, 2}))
+	})
+
+	It("stays that of a request which was admitted under it", func() {
+		f := startFleet(proctest.Options{})
+		fault(f, "encoders", standin.Faults{LateByMS: 600})
+		done := make(chan proctest.Outcome, 1)
+		go func() { done <- f.Call(0, proctest.PipelineSummary, "", "text") }()
+		Eventually(f.Begun).Should(Equal(1))
+		Expect(f.Publish(successor(f, 2))).To(Succeed())
+		Eventually(versions(f)).Should(Equal([]uint64{2, 2, 2}))
+		o := <-done
+		Expect(o.Answered()).To(BeTrue(), "%+v", o)
+		Expect(o.Bundle).To(BeEquivalentTo(1))
+	})
+
+	It("is the highest version when operators race", func() {
+		f := startFleet(proctest.Options{})
+		highest := uint64(0)
+		for _, v := range []uint64{5, 3, 7, 6, 4} {
+			Expect(f.Publish(successor(f, v))).To(Succeed())
+			highest = max(highest, v)
+			if v == highest {
+				Eventually(versions(f)).Should(Equal([]uint64{v, v, v}))
+			} else {
+				Consistently(versions(f), 500*time.Millisecond).Should(HaveEach(highest))
+			}
+		}
+	})
+})
+
+var _ = Describe("An upstream that is leaving receives no new work after a few seconds", func() {
+	const gone = "encoders-1"
+
+	DescribeTable("known from", func(announce func(f *proctest.Fleet)) {
+		f := startFleet(proctest.Options{})
+		began := time.Now()
+		announce(f)
+		// The last execution that begins there tells how long it took.
+		last := began
+		Eventually(func() bool {
+			for i := range f.Daemons {
+				f.Call(i, proctest.PipelineSummary, "", "text")
+			}
+			if t := lastBegun(f, gone); t.After(last) {
+				last = t
+			}
+			return time.Since(last) > 2*time.Second
+		}).Should(BeTrue())
+		AddReportEntry("last new work after", last.Sub(began).Round(time.Millisecond).String())
+		Expect(last.Sub(began)).To(BeNumerically("<", 6*time.Second))
+	},
+		Entry("the host list", func(f *proctest.Fleet) {
+			f.Platform.SetHosts([]platform.Host{{
+				Name: gone, Address: poolOf(f.Bundle, "encoders").Upstreams[0].Address, Role: "upstream", State: "leaving",
+			}})
+		}),
+		Entry("its own load report, while the platform is down", func(f *proctest.Fleet) {
+			f.Platform.Faults().Set(standin.Faults{Down: true})
+			f.Upstream.Faults(gone).Set(standin.Faults{Leaving: true})
+		}),
+		Entry("a peer, at a host that cannot see the host list", func(f *proctest.Fleet) {
+			f.Platform.SetHosts([]platform.Host{{
+				Name: gone, Address: poolOf(f.Bundle, "encoders").Upstreams[0].Address, Role: "upstream", State: "leaving",
+			}})
+			Eventually(func() string { return leavingAt(f, 0) }).Should(ContainSubstring(gone))
+			f.Platform.Faults().Set(standin.Faults{Down: true})
+			f.Daemons[2].Kill()
+			Expect(f.StartDaemon(2)).To(Succeed())
+			Expect(f.WaitReady(15 * time.Second)).To(Succeed())
+		}),
+	)
+})
+
+// lastBegun returns when the last execution at an upstream began.
+func lastBegun(f *proctest.Fleet, upstream string) time.Time {
+	var last int64
+	for _, e := range f.Upstream.Ledger().Entries() {
+		if e.Upstream == upstream {
+			last = max(last, e.StartedUnixMS)
+		}
+	}
+	return time.UnixMilli(last)
+}
+
+// leavingAt returns host i's dump of its cluster section.
+func leavingAt(f *proctest.Fleet, i int) string {
+	var dump map[string]any
+	if err := f.Operate(i, "GET", "/v1/dump", &dump); err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(dump)
+}
+
+var _ = Describe("A partition", func() {
+	It("leaves both sides serving what may be repeated, and seals on one side at most", func() {
+		f := startFleet(proctest.Options{})
+		f.Isolate(0)
+		for i := range f.Daemons {
+			o := f.Call(i, proctest.PipelineSummary, "", "text")
+			Expect(o.Answered()).To(BeTrue(), "host %d: %+v", i, o)
+		}
+		key := proctest.NewKey()
+		heard := callAtOnce(f, key, "deed")
+		expectHonest(f, key, heard...)
+		Expect(heard[0].Answered()).To(BeFalse(), "%+v", heard[0])
+		f.Heal()
+		Eventually(func() bool { return f.Call(0, proctest.PipelineSeal, proctest.NewKey(), "deed").Answered() }).Should(BeTrue())
+	})
+
+	It("of one direction does not double either", func() {
+		f := startFleet(proctest.Options{})
+		f.Link(0, 1, faultrelay.Conditions{ToTarget: faultrelay.Direction{Blackhole: true}})
+		f.Link(1, 0, faultrelay.Conditions{ToCaller: faultrelay.Direction{Blackhole: true}})
+		for n := range 5 {
+			key := proctest.NewKey()
+			heard := callAtOnce(f, key, fmt.Sprintf("deed %d", n))
+			expectHonest(f, key, heard...)
+		}
+	})
+})
--- /dev/null
+++ b/proofs/delivery_test.go
@@ -0,0 +1,66 @@
+package proofs
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/internal/standin"
+)
+
+var _ = Describe("A result is delivered to its own request only", func() {
+	DescribeTable("with thousands of requests at once",
+		func(faults standin.Faults, least int) {
+			f := startFleet(proctest.Options{})
+			fault(f, "encoders", faults)
+			fault(f, "signing", faults)
+			const callers, each = 60, 40
+			answered := make([]int, callers)
+			var wg sync.WaitGroup
+			for c := range callers {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					defer GinkgoRecover()
+					for n := range each {
+						answered[c] += callMarked(f, c, n)
+					}
+				}()
+			}
+			wg.Wait()
+			total := 0
+			for _, n := range answered {
+				total += n
+			}
+			AddReportEntry("answered", fmt.Sprintf("%d of %d", total, callers*each))
+			Expect(total).To(BeNumerically(">=", least))
+		},
+		Entry("without faults", standin.Faults{}, 2000),
+		Entry("with answers written twice", standin.Faults{DuplicateAnswer: true}, 1),
+		Entry("with answers of other requests", standin.Faults{WrongAnswer: true}, 0),
+	)
+})
+
+// callMarked sends a request and checks that its answer bears its own id and
+// its own text. It returns 1 when the request was answered.
+func callMarked(f *proctest.Fleet, c, n int) int {
+	GinkgoHelper()
+	pipeline, key := proctest.PipelineSummary, ""
+	if n%2 == 0 {
+		pipeline, key = proctest.PipelineSeal, proctest.NewKey()
+	}
+	text := fmt.Sprintf("text %d of caller %d.", n, c)
+	o := f.Call((c+n)%len(f.Daemons), pipeline, key, text)
+	if !o.Answered() {
+		return 0
+	}
+	Expect(bytes.Contains(o.Result, []byte(o.RequestID))).To(BeTrue(), "mark of another request: %s", o.Result)
+	if pipeline == proctest.PipelineSeal {
+		Expect(bytes.Contains(o.Result, []byte(text))).To(BeTrue(), "text of another request: %s", o.Result)
+	}
+	return 1
+}
--- /dev/null
+++ b/proofs/suite_test.go
@@ -0,0 +1,84 @@
+// Package proofs holds the process tests of what must always hold: real daemons
+// under real signals, judged by the ledger of the stand-ins.
+package proofs
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/internal/standin"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+func TestProofs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(15 * time.Second)
+	SetDefaultEventuallyPollingInterval(10 * time.Millisecond)
+	RunSpecs(t, "proofs")
+}
+
+var _ = AfterSuite(proctest.Cleanup)
+
+// startFleet starts a fleet that ends with the spec; logs are shown on failure.
+func startFleet(o proctest.Options) *proctest.Fleet {
+	GinkgoHelper()
+	f, err := proctest.Start(GinkgoT().TempDir(), o)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		f.Close()
+		if CurrentSpecReport().Failed() {
+			for i, p := range f.Daemons {
+				GinkgoWriter.Printf("--- entry-%d\n%s\n", i+1, p.Log())
+			}
+		}
+	})
+	return f
+}
+
+// fault sets a fault at every replica of a pool.
+func fault(f *proctest.Fleet, pool string, faults standin.Faults) {
+	for _, u := range poolOf(f.Bundle, pool).Upstreams {
+		f.Upstream.Faults(u.Name).Set(faults)
+	}
+}
+
+func poolOf(b *bundle.Bundle, name string) bundle.Pool {
+	for _, p := range b.Pools {
+		if p.Name == name {
+			return p
+		}
+	}
+	return bundle.Pool{}
+}
+
+// expectHonest checks a seal's outcome against the ledger.
+func expectHonest(f *proctest.Fleet, key string, heard ...proctest.Outcome) {
+	GinkgoHelper()
+	executions := f.Executions(key)
+	Expect(len(executions)).To(BeNumerically("<=", 1), "executions of %s: %+v", key, executions)
+	for _, o := range heard {
+		if o.Answered() {
+			Expect(executions).To(HaveLen(1), "answered, yet not executed: %+v", o)
+		}
+		if o.Err == nil && o.Execution == problem.NotRun {
+			Expect(executions).To(BeEmpty(), "said not_run: %+v", o)
+		}
+	}
+}
+
+// retryUntilHeard sends a key again through host i until it gets an answer or
+// a refusal that says that the request may have run.
+func retryUntilHeard(f *proctest.Fleet, i int, pipeline, key, text string) proctest.Outcome {
+	GinkgoHelper()
+	var last proctest.Outcome
+	Eventually(func() bool {
+		last = f.Call(i, pipeline, key, text)
+		return last.Answered() || last.Execution == problem.MayHaveRun
+	}).Should(BeTrue(), "%+v", last)
+	return last
+}
