One caller waits for the redial of a failed peer; metrics of pools and budgets

Cause, seen on a live fleet with one daemon stopped by SIGSTOP: the kernel accepts for it, so each dial takes its whole timeout, and every caller waited along, dial after dial.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/operator"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
@@ -193,7 +194,7 @@
 
 func (d *Daemon) logCut() {
 	for _, o := range d.table.Overviews(maxCutLogged) {
-		d.log.Warn("cut", zap.String("request", o.ID), zap.String("pipeline", o.Pipeline), zap.String("stage", o.Stage))
+		d.log.Warn("cut", logging.Request(o.ID), zap.String("pipeline", o.Pipeline), zap.String("stage", o.Stage))
 	}
 }
 
@@ -275,5 +276,5 @@
 	if e.Kind != problem.Unauthorized && e.Kind != problem.NotFound {
 		d.records.Begin(id).Add(refusedEntry(d.Now(), e))
 	}
-	d.log.Info("refused", zap.String("request", id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
+	d.log.Info("refused", logging.Request(id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -48,3 +52,31 @@
 		return 0
 	})
 }
+
+// writeStates writes the series whose labels come and go with the bundle.
+func (d *Daemon) writeStates(w io.Writer) {
+	for _, p := range d.admitter.State(d.Now()) {
+		gauge := func(name string, v float64) {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("wheatseam_pool_%s{pool=%q}", name, p.Pool), v)
+		}
+		gauge("limit", p.Limit)
+		gauge("share", p.Share)
+		gauge("in_flight", float64(p.InFlight))
+		gauge("queued", float64(p.Queued))
+	}
+	writeBudget(w, "retry", d.budgets.Retry.Stats())
+	writeBudget(w, "hedge", d.budgets.Hedge.Stats())
+	states := make(map[string]uint64)
+	for _, m := range d.cluster.Members() {
+		states[m.State.String()]++
+	}
+	for state, n := range states {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("wheatseam_members{state=%q}", state), n)
+	}
+	metrics.WriteCounterUint64(w, "wheatseam_records_evicted_total", d.records.Stats().Evicted)
+}
+
+func writeBudget(w io.Writer, name string, st retry.Stats) {
+	metrics.WriteCounterUint64(w, fmt.Sprintf("wheatseam_budget_total{budget=%q,result=\"taken\"}", name), st.Taken)
+	metrics.WriteCounterUint64(w, fmt.Sprintf("wheatseam_budget_total{budget=%q,result=\"denied\"}", name), st.Denied)
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -42,8 +42,8 @@
 		},
 		Local:   local,
 		Fleet:   operator.NewFleet(local, d.records, d.sections, d.peers, d.peerMux),
-		Metrics: []*metrics.Set{d.metrics},
-		Logger:  d.log,
+		Metrics: []*metrics.Set{d.metrics}, WriteMetrics: d.writeStates,
+		Logger: d.log,
 	})
 	if err != nil {
 		return err
@@ -83,7 +83,10 @@
 }
 
 // Drain implements operator.Local.
-func (l operatorLocal) Drain() { l.d.leave() }
+func (l operatorLocal) Drain() {
+	l.d.draining.Store(true)
+	l.d.leave()
+}
 
 // Host implements operator.Local.
 func (l operatorLocal) Host() string { return l.d.settings.Host }
--- a/daemon/operators_test.go
+++ b/daemon/operators_test.go
@@ -105,6 +105,7 @@
 	It("leaves on an operator's word as on SIGTERM", func() {
 		var st operator.Status
 		Expect(f.Operate(2, http.MethodPost, "/v1/drain", &st)).To(Succeed())
+		Expect(st.Draining).To(BeTrue())
 		Expect(f.Daemons[2].Wait(10 * time.Second)).To(Succeed())
 		Expect(f.Daemons[2].Log()).To(ContainSubstring("msg=drained"))
 		var all []operator.Status
--- a/daemon/perform.go
+++ b/daemon/perform.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -82,7 +83,7 @@
 	case request.Finish:
 		d.finish(s, a)
 	default:
-		d.log.Error("unknown action", zap.String("request", s.id))
+		d.log.Error("unknown action", logging.Request(s.id))
 	}
 }
 
@@ -114,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if err := d.claimer.Release(ctx, key, s.id); err != nil {
-		d.log.Warn("claim not released", zap.String("request", s.id), zap.Error(err))
+		d.log.Warn("claim not released", logging.Request(s.id), zap.Error(err))
 	}
 }
 
@@ -123,7 +124,7 @@
 	defer cancel()
 	err := d.claimer.Record(ctx, a.Key, s.id, a.Result)
 	if err != nil {
-		d.log.Warn("result not recorded", zap.String("request", s.id), zap.Error(err))
+		d.log.Warn("result not recorded", logging.Request(s.id), zap.Error(err))
 	}
 	d.deliver(s, request.Recorded{Err: err})
 }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/wheatseam/wheatseam/caller"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
 )
@@ -106,7 +107,7 @@
 	took := d.Now().Sub(s.sub.Arrived).Round(time.Microsecond)
 	d.countRequest(s.sub.Customer.Name, s.sub.Pipeline.Name, f.err, took)
 	fields := []zap.Field{
-		zap.String("request", s.id), zap.String("customer", s.sub.Customer.Name),
+		logging.Request(s.id), zap.String("customer", s.sub.Customer.Name),
 		zap.String("pipeline", s.sub.Pipeline.Name), zap.Duration("took", took),
 	}
 	if f.err != nil {
--- a/operator/server.go
+++ b/operator/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -32,7 +33,9 @@
 	Fleet       *Fleet
 	// Metrics are the sets that /metrics shows, besides the process's own.
 	Metrics []*metrics.Set
-	Logger  *zap.Logger
+	// WriteMetrics, if set, writes the series of state that is read when asked.
+	WriteMetrics func(w io.Writer)
+	Logger       *zap.Logger
 }
 
 // Server is the operators' listener.
@@ -147,6 +150,9 @@
 	for _, set := range s.cfg.Metrics {
 		set.WritePrometheus(w)
 	}
+	if s.cfg.WriteMetrics != nil {
+		s.cfg.WriteMetrics(w)
+	}
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -81,6 +81,32 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("has one caller wait for the next dial of a peer that failed, and no other", func() {
+		cfg := f.config("a")
+		cfg.DialTimeout = 100 * time.Millisecond
+		a := f.start(cfg)
+		f.set("b", silentListener().Addr().String())
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		defer callers.Wait()
+		defer close(stop)
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = echo(a, "b", "x", time.Second)
+				}
+			}
+		})
+		Eventually(func() string {
+			_, err := echo(a, "b", "x", time.Second)
+			Expect(peer.Unsent(err)).To(BeTrue())
+			return err.Error()
+		}, "5s", "1ms").Should(ContainSubstring("another dial is under way"))
+	})
+
 	It("gives up a caller that sends slowly and keeps serving others", func() {
 		cfg := f.config("b")
 		cfg.Plaintext, cfg.DialTimeout = true, 50*time.Millisecond
--- a/peer/hosts.go
+++ b/peer/hosts.go
@@ -20,7 +20,7 @@
 	dialling chan struct{}
 	backoff  *backoff.ExponentialBackOff
 	nextDial time.Time
-	lastErr  error
+	lastErr  error  // why the last dial failed or the last session was dropped
 	address  string // last dialled
 }
 
@@ -40,7 +40,8 @@
 }
 
 // session returns a usable session to a host and dials if there is none. All
-// callers share one dial. The error says that nothing was sent.
+// callers share one dial; after a failure only the one that starts the next
+// dial waits for it. The error says that nothing was sent.
 func (t *Transport) session(ctx context.Context, name string) (*session, error) {
 	h := t.host(name)
 	h.mu.Lock()
@@ -82,6 +83,9 @@
 // ensureDial starts a dial unless one runs, and returns the channel that
 // closes with its end. While the backoff lasts it fails. The caller holds h.mu.
 func (t *Transport) ensureDial(h *hostState) (<-chan struct{}, error) {
+	if h.dialling != nil && h.lastErr != nil {
+		return nil, fmt.Errorf("%w: another dial is under way: %w", ErrUnreachable, h.lastErr)
+	}
 	if h.dialling != nil {
 		return h.dialling, nil
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 // when it was retired.
 const quietTime = 100 * time.Millisecond
 
+// errSilent is why a session was dropped by checkSilence.
+var errSilent = errors.New("silent though calls were waiting")
+
 // session is one connection to one process of one host, for calls both ways.
 type session struct {
 	t       *Transport
@@ -121,6 +125,10 @@
 	s.t.counters.silent.Inc()
 	s.t.cfg.Logger.Warn("peer session dropped as silent", zap.String("peer", s.peer.Host),
 		zap.Duration("silence", s.t.cfg.SilenceTimeout))
+	h := s.t.host(s.peer.Host)
+	h.mu.Lock()
+	h.lastErr = errSilent
+	h.mu.Unlock()
 	// The connection is closed first, as the parting word of yamux would wait
 	// for a peer that takes no data.
 	s.meter.Close()
