Keep a late loop's dump apart from the answer that went without it

Cause: cluster.Dump returned at its timeout while the loop could still write into the returned value, a data race whenever an operator asks a daemon that is stopping or slow. Found by reading; no run had shown it.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -204,8 +204,18 @@
 	if p, ok := c.cfg.Platform.(*platform.Client); ok {
 		d.Calls = p.Calls()
 	}
-	c.members.inspect(ctx, func(m *member.Machine) { d.Member = m.Dump(time.Now()) })
-	c.rollouts.inspect(ctx, func(m *rollout.Machine) { d.Rollout = m.Dump(time.Now()) })
+	// A loop that is late answers into its channel, and nobody reads it.
+	members, rollouts := make(chan member.Dump, 1), make(chan rollout.Dump, 1)
+	c.members.inspect(ctx, func(m *member.Machine) { members <- m.Dump(time.Now()) })
+	c.rollouts.inspect(ctx, func(m *rollout.Machine) { rollouts <- m.Dump(time.Now()) })
+	select {
+	case d.Member = <-members:
+	default:
+	}
+	select {
+	case d.Rollout = <-rollouts:
+	default:
+	}
 	return d
 }
 
