--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -14,9 +14,10 @@
 	d.admitter = admit.New(admit.Config{})
 	d.shares = shares.New(shares.Config{
 		Host: d.settings.Host, Incarnation: d.incarnation, Admitter: d.admitter,
-		Live: d.liveHosts, Mux: d.mux, Seed: xxhash.Sum64String(d.settings.Host),
+		Live: d.liveHosts, Mux: d.peerMux, Seed: xxhash.Sum64String(d.settings.Host),
 	})
 	d.appliers = append(d.appliers, d.admitter, d.shares)
+	d.sections.Register("shares", func() any { return d.shares.States() })
 }
 
 // liveHosts names the entry hosts believed to be alive, this one included.
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -27,7 +27,8 @@
 	d.addAdmission()
 	budgets := retry.NewBudgets(0, 0)
 	d.router, d.budgets = router, budgets
-	d.appliers = append(d.appliers, router, budgetApplier{budgets})
+	d.loads = newLoadView(d.settings, router, d.log, d.Now)
+	d.appliers = append(d.appliers, router, budgetApplier{budgets}, d.loads)
 	d.deps = request.Deps{Router: router, Admitter: d.admitter, Retries: budgets.Retry, Hedges: budgets.Hedge}
 	d.claimer = &localClaims{claims: make(map[request.ClaimKey]*localClaim)}
 }
