--- a/core/share/machine.go
+++ b/core/share/machine.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -86,6 +87,9 @@
 	list      hostList
 	resources []ID
 	live      []string
+	// chosen holds the allocators found under list and live.
+	chosen map[ID]string
+	hashed *rendezvous.Rendezvous
 
 	holdings map[ID]*holding
 	// heard is the newest message of each host as allocator.
@@ -143,7 +147,7 @@
 	case HostsChanged:
 		m.changeHosts(now, e)
 	case LiveChanged:
-		m.live = slices.Sorted(slices.Values(e.Hosts))
+		m.changeLive(e.Hosts)
 	case DemandMeasured:
 		m.measure(now, e.Demand)
 		return m.report(now)
@@ -180,6 +184,7 @@
 	list := newHostList(e.Hosts)
 	changed := list.id != m.list.id
 	m.list = list
+	m.hashed = nil
 	m.setResources(now, e.Resources)
 	if !changed {
 		return
@@ -243,9 +248,34 @@
 	return m.start.Add(time.Duration(us) * time.Microsecond)
 }
 
-// allocators returns the allocator of each resource by rendezvous hashing over
+// changeLive takes over the hosts to choose allocators among.
+func (m *Machine) changeLive(hosts []string) {
+	live := slices.Sorted(slices.Values(hosts))
+	if slices.Equal(live, m.live) {
+		return
+	}
+	m.live = live
+	m.hashed = nil
+}
+
+// allocatorOf returns the allocator of a resource by rendezvous hashing over
 // the live hosts of the list.
-func (m *Machine) allocators() func(ID) string {
+func (m *Machine) allocatorOf(id ID) string {
+	if m.hashed == nil {
+		m.hashed = rendezvous.New(m.candidates(), xxhash.Sum64String)
+		m.chosen = make(map[ID]string, len(m.resources))
+	}
+	name, ok := m.chosen[id]
+	if !ok {
+		name = m.hashed.Lookup(key(id))
+		m.chosen[id] = name
+	}
+	return name
+}
+
+// candidates returns the live hosts of the list, all of it when none is known
+// to be alive.
+func (m *Machine) candidates() []string {
 	names := make([]string, 0, len(m.list.hosts))
 	for _, n := range m.live {
 		if m.list.hosts[n] {
@@ -253,13 +283,9 @@
 		}
 	}
 	if len(names) == 0 {
-		for n := range m.list.hosts {
-			names = append(names, n)
-		}
-		slices.Sort(names)
+		names = slices.Sorted(maps.Keys(m.list.hosts))
 	}
-	r := rendezvous.New(names, xxhash.Sum64String)
-	return func(id ID) string { return r.Lookup(key(id)) }
+	return names
 }
 
 func key(id ID) string {
