--- a/replay/scenario/committed_test.go
+++ b/replay/scenario/committed_test.go
@@ -13,6 +13,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/replay/scenario"
 	"github.com/wheatseam/wheatseam/replay/trace"
+	"github.com/wheatseam/wheatseam/replay/verdict"
 )
 
 // maxTraceBytes bounds a trace in the repository.
@@ -35,6 +36,20 @@
 }
 
 var _ = Describe("the traces in the repository", func() {
+	It("have stated outcomes that can be read", func() {
+		files, err := filepath.Glob("../../traces/outcomes/*.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		for _, file := range append(files, "../../examples/demo-outcomes.yaml") {
+			text, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			o, err := verdict.Parse(text)
+			Expect(err).NotTo(HaveOccurred(), file)
+			if o.Trace != "" {
+				Expect(scenario.Names()).To(ContainElement(o.Trace), file)
+			}
+		}
+	})
+
 	It("are small, and their stated program makes them again (scripts/traces.sh)", func() {
 		files, err := filepath.Glob("../../traces/*.jsonl")
 		Expect(err).NotTo(HaveOccurred())
