Measure the daemon itself: time, processor, memory, records

Cause: nothing said what a request costs on an entry host, and the users' target (410 daemons, 3,800 requests/s, 1.2 M tokens/s) needs slopes.

The real daemon (daemon.New and Run, with cluster, claims and operators' listener) runs in the benchmark's process; callers, upstreams and platform in a second one, so that getrusage and the heap count the daemon alone. Upstreams answer at once. Each slope is fitted over four sizes or more.

Ruled out: everything in one process (getrusage would count the callers and upstreams too); /proc of a daemon process (10 ms steps, no heap, no goroutines). 10,000 requests in flight would take 20,000 descriptors, which is the limit of a process here; the largest size is 9,000.

--- /dev/null
+++ b/bench/main_test.go
@@ -0,0 +1,20 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"testing"
+)
+
+// outsideEnv makes the test binary play the outside of the daemon.
+const outsideEnv = "WHEATSEAM_BENCH_OUTSIDE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(outsideEnv) == "" {
+		os.Exit(m.Run())
+	}
+	if err := runOutside(); err != nil {
+		fmt.Fprintln(os.Stderr, "outside:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/bench/outside_test.go
@@ -0,0 +1,162 @@
+package bench
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheatseam/wheatseam/internal/standin/platform"
+)
+
+// replicas is the number of replicas of each of the two pools: 610 replicas
+// over 27 models and 4 services are about 20 a pool.
+const replicas = 20
+
+// addresses is the first line that the outside writes.
+type addresses struct {
+	Control   string
+	Platform  string
+	Upstreams []string
+}
+
+// outside is the process around the daemon: upstreams, callers, platform.
+type outside struct {
+	upstreams []string
+	client    *http.Client
+	// pace is the time between two tokens of a stream, in nanoseconds.
+	pace atomic.Int64
+	// held counts the calls that wait at the upstreams until release ends.
+	held atomic.Int64
+
+	mu      sync.Mutex
+	release chan struct{}
+	opened  sync.WaitGroup
+}
+
+// runOutside serves until the parent closes standard input.
+func runOutside() error {
+	o := &outside{client: newClient()}
+	var out addresses
+	for range 2 * replicas {
+		addr, err := serve(http.HandlerFunc(o.serveUpstream))
+		if err != nil {
+			return err
+		}
+		out.Upstreams = append(out.Upstreams, addr)
+	}
+	o.upstreams = out.Upstreams
+	var err error
+	if out.Platform, err = serve(platform.New(platform.Config{})); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /load", handle(o.load))
+	mux.HandleFunc("POST /pace", handle(o.setPace))
+	mux.HandleFunc("POST /hold", handle(o.hold))
+	mux.HandleFunc("POST /release", handle(o.letGo))
+	if out.Control, err = serve(mux); err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(out); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, os.Stdin)
+	return err
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1 << 14, DisableCompression: true}}
+}
+
+func serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	go func() {
+		if err := http.Serve(l, h); !errors.Is(err, net.ErrClosed) {
+			fmt.Fprintln(os.Stderr, "outside:", err)
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+// handle makes an HTTP handler of a function over JSON.
+func handle[In, Out any](f func(In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := f(in)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(out)
+	}
+}
+
+func (o *outside) setPace(pace time.Duration) (bool, error) {
+	o.pace.Store(int64(pace))
+	return true, nil
+}
+
+// upstreamCall is what the upstreams read of either protocol.
+type upstreamCall struct {
+	MaxTokens int             `json:"max_tokens"`
+	Input     json.RawMessage `json:"input"`
+}
+
+func (o *outside) serveUpstream(w http.ResponseWriter, r *http.Request) {
+	var call upstreamCall
+	if r.Method != http.MethodPost || json.NewDecoder(r.Body).Decode(&call) != nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	o.waitReleased(r)
+	id, attempt := r.Header.Get("X-Request-Id"), r.Header.Get("X-Attempt")
+	if r.URL.Path == "/v1/chat/completions" {
+		o.stream(w, id, attempt, call.MaxTokens)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"request_id":%q,"attempt":%s,"result":{"text":%q}}`, id, attempt, answerText)
+}
+
+// stream writes tokens, each in a packet of its own when they are paced.
+func (o *outside) stream(w http.ResponseWriter, id, attempt string, tokens int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := w.(http.Flusher)
+	for range tokens {
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"c\",\"choices\":[{\"delta\":{\"content\":\"word \"},\"finish_reason\":null}],\"request_id\":%q,\"attempt\":%s}\n\n", id, attempt)
+		if pace := time.Duration(o.pace.Load()); pace > 0 {
+			flusher.Flush()
+			time.Sleep(pace)
+		}
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func (o *outside) waitReleased(r *http.Request) {
+	o.mu.Lock()
+	release := o.release
+	o.mu.Unlock()
+	if release == nil {
+		return
+	}
+	o.held.Add(1)
+	defer o.held.Add(-1)
+	select {
+	case <-release:
+	case <-r.Context().Done():
+	}
+}
