Be ready only once claims have settled, or could not for five seconds

Readiness now waits for claims, at most 5 s, so that a host whose majority is gone still serves what may be repeated.

--- a/claims/service.go
+++ b/claims/service.go
@@ -136,6 +136,18 @@
 	return s.views != nil && s.views.Ready() && s.cfg.Trusted()
 }
 
+// Settled reports whether this host may claim and grants every fresh key: keys
+// made up to shortly after its start may have been granted by the process
+// before, so that it abstains from them.
+func (s *Service) Settled() bool {
+	if !s.Ready() {
+		return false
+	}
+	s.viewsMu.RLock()
+	defer s.viewsMu.RUnlock()
+	return s.cfg.Now().After(s.cfg.Started.Add(s.policy.MaxClockSkew + s.policy.MaxKeyAhead))
+}
+
 // Place names the hosts that hold a key of a customer, in order of preference.
 func (s *Service) Place(customer, id string) []string {
 	key, err := claim.ParseKey(customer, id)
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -40,6 +40,23 @@
 	return true
 }
 
+// settleGrace is how long a starting host waits for its claims to settle. After
+// that it serves what may be repeated, since a majority may be out of reach.
+const settleGrace = 5 * time.Second
+
+// settled says whether claims have settled, or no longer hold the host back.
+func (d *Daemon) settled() bool {
+	if d.claimsSettled.Load() {
+		return true
+	}
+	started := time.UnixMilli(int64(d.incarnation))
+	if d.claims.Settled() || d.Now().Sub(started) > settleGrace {
+		d.claimsSettled.Store(true)
+		return true
+	}
+	return false
+}
+
 // trusted says whether this host's clock agrees with its peers' and its views
 // are renewed since the last pause.
 func (d *Daemon) trusted() bool { return d.cluster.Fresh() && !d.cluster.Skewed() }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,20 +49,21 @@
 	upstream atomic.Pointer[clients]
 	draining atomic.Bool
 
-	table     *request.Table
-	sessions  sessions
-	deps      request.Deps
-	router    *route.Router
-	loads     *loadView
-	admitter  *admit.Controller
-	shares    *shares.Service
-	budgets   retry.Budgets
-	records   *record.Store
-	kept      *results.Service
-	keptStore *results.Store
-	orderer   *orderer.Orderer
-	claims    *claims.Service
-	claimer   request.Claimer
+	table         *request.Table
+	sessions      sessions
+	deps          request.Deps
+	router        *route.Router
+	loads         *loadView
+	admitter      *admit.Controller
+	shares        *shares.Service
+	budgets       retry.Budgets
+	records       *record.Store
+	kept          *results.Service
+	keptStore     *results.Store
+	orderer       *orderer.Orderer
+	claims        *claims.Service
+	claimsSettled atomic.Bool
+	claimer       request.Claimer
 
 	incarnation uint64 // start of the process in Unix milliseconds
 	cluster     *cluster.Cluster
@@ -263,6 +264,8 @@
 		e = problem.New(problem.NotReady, "no configuration is in force yet")
 	case !d.cluster.Ready():
 		e = problem.New(problem.NotReady, "host %s has not heard enough of its fellows yet", d.settings.Host)
+	case !d.settled():
+		e = problem.New(problem.NotReady, "host %s has not caught up with the claims of its fellows yet", d.settings.Host)
 	default:
 		return nil
 	}
