Prove the replacement of a host over four real daemons

Cause: the joint phase of two host lists was proved in the core only. A spare daemon takes a host's place; a frozen and cut-off host wakes with the old list; a bundle without the lineage is refused.

--- a/internal/proctest/bundle.go
+++ b/internal/proctest/bundle.go
@@ -27,7 +27,7 @@
 // that the relays know who calls.
 func peerIP(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
 
-func newBundle(hosts int, peers []string, listen func(string) (string, error)) (*bundle.Bundle, error) {
+func newBundle(peers []string, listen func(string) (string, error)) (*bundle.Bundle, error) {
 	sum := sha256.Sum256([]byte(APIKey))
 	b := &bundle.Bundle{
 		Version: 1, Deployment: "proctest", Policy: bundle.PolicyAdaptive,
@@ -44,7 +44,7 @@
 		}},
 		Pipelines: pipelines(),
 	}
-	for i := range hosts {
+	for i := range peers {
 		domain := fmt.Sprintf("domain-%d", i+1)
 		b.FailureDomains = append(b.FailureDomains, bundle.FailureDomain{Name: domain, Region: "r"})
 		b.Hosts = append(b.Hosts, bundle.Host{Name: hostName(i), FailureDomain: domain, PeerAddress: peers[i]})
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -28,13 +28,18 @@
 type Options struct {
 	// Hosts is the number of entry hosts. Default 3.
 	Hosts int
+	// Spare is the number of further daemons that the first bundle does not
+	// list.
+	Spare int
 	// Bundle changes the bundle, if set.
 	Bundle func(*bundle.Bundle)
 }
 
 // Fleet is a running fleet.
 type Fleet struct {
-	Bundle   *bundle.Bundle
+	Bundle *bundle.Bundle
+	// Hosts lists all hosts, those that the bundle does not list last.
+	Hosts    []bundle.Host
 	Platform *platform.Platform
 	Upstream *fleet.Fleet
 	Daemons  []*Process
@@ -61,9 +66,10 @@
 	if o.Hosts == 0 {
 		o.Hosts = 3
 	}
+	all := o.Hosts + o.Spare
 	f := &Fleet{
-		dir: dir, Daemons: make([]*Process, o.Hosts), listeners: make(map[string]net.Listener),
-		callers: make([]string, o.Hosts), operators: make([]string, o.Hosts),
+		dir: dir, Daemons: make([]*Process, all), listeners: make(map[string]net.Listener),
+		callers: make([]string, all), operators: make([]string, all),
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
@@ -75,13 +81,15 @@
 }
 
 func (f *Fleet) start(ctx context.Context, o Options) error {
-	relays, err := f.startRelays(o.Hosts)
+	relays, err := f.startRelays(len(f.Daemons))
 	if err != nil {
 		return err
 	}
-	if f.Bundle, err = newBundle(o.Hosts, relays, f.listenUpstream); err != nil {
+	if f.Bundle, err = newBundle(relays, f.listenUpstream); err != nil {
 		return err
 	}
+	f.Hosts = f.Bundle.Hosts
+	f.Bundle.Hosts = f.Hosts[:o.Hosts]
 	if o.Bundle != nil {
 		o.Bundle(f.Bundle)
 	}
@@ -259,7 +267,7 @@
 }
 
 func (f *Fleet) settings(i int) string {
-	host := f.Bundle.Hosts[i]
+	host := f.Hosts[i]
 	return fmt.Sprintf(`host: %s
 failure_domain: %s
 listen: {callers: "127.0.0.1:0", peers: "%s:0", operators: "127.0.0.1:0"}
@@ -271,10 +279,11 @@
 `, host.Name, host.FailureDomain, peerIP(i), f.platform, f.platform)
 }
 
-// WaitReady waits until every running daemon says that it is ready.
+// WaitReady waits until every daemon that the first bundle lists says that it
+// is ready.
 func (f *Fleet) WaitReady(timeout time.Duration) error {
 	end := time.Now().Add(timeout)
-	for i := range f.Daemons {
+	for i := range f.Bundle.Hosts {
 		for !f.Ready(i) {
 			if time.Now().After(end) {
 				return fmt.Errorf("%s is not ready after %v: %s", hostName(i), timeout, f.Daemons[i].Log())
--- a/proofs/config_test.go
+++ b/proofs/config_test.go
@@ -22,7 +22,7 @@
 		return 0
 	}
 	for _, h := range hosts {
-		if h.Host == f.Bundle.Hosts[i].Name {
+		if h.Host == f.Hosts[i].Name {
 			return h.BundleVersion
 		}
 	}
--- /dev/null
+++ b/proofs/view_change_test.go
@@ -0,0 +1,70 @@
+package proofs
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/internal/standin"
+)
+
+// replaced returns a bundle in which the spare host takes the place of host 0.
+func replaced(f *proctest.Fleet, version uint64) *bundle.Bundle {
+	b := successor(f, version)
+	b.Hosts = f.Hosts[1:]
+	b.Views = []bundle.View{{Version: 1, Hosts: f.Hosts[:3]}}
+	return b
+}
+
+var _ = Describe("A replaced host does not double a claim", func() {
+	var f *proctest.Fleet
+
+	BeforeEach(func() { f = startFleet(proctest.Options{Spare: 1}) })
+
+	It("that was granted under the old host list", func() {
+		key := proctest.NewKey()
+		first := f.Call(0, proctest.PipelineSeal, key, "deed")
+		Expect(first.Answered()).To(BeTrue(), "%+v", first)
+		Expect(f.Publish(replaced(f, 2))).To(Succeed())
+		Eventually(versions(f)).Should(HaveEach(BeEquivalentTo(2)))
+		f.Daemons[0].Kill()
+		for i := 1; i < 4; i++ {
+			again := retryUntilHeard(f, i, proctest.PipelineSeal, key, "deed")
+			expectHonest(f, key, first, again)
+		}
+		began := time.Now()
+		Eventually(func() bool {
+			return f.Call(3, proctest.PipelineSeal, proctest.NewKey(), "new deed").Answered()
+		}).Should(BeTrue())
+		AddReportEntry("fresh keys under the new list after", time.Since(began).Round(time.Millisecond).String())
+	})
+
+	It("while a host that was frozen and cut off still believes in the old list", func() {
+		Expect(f.Daemons[0].Freeze()).To(Succeed())
+		Expect(f.Publish(replaced(f, 2))).To(Succeed())
+		Eventually(func() []uint64 { return []uint64{version(f, 1), version(f, 2), version(f, 3)} }).
+			Should(HaveEach(BeEquivalentTo(2)))
+		f.Isolate(0)
+		f.Platform.Faults().Set(standin.Faults{Down: true})
+		Expect(f.Daemons[0].Thaw()).To(Succeed())
+		for n := range 10 {
+			key := proctest.NewKey()
+			heard := callAtOnce(f, key, fmt.Sprintf("deed %d", n))
+			expectHonest(f, key, heard...)
+		}
+	})
+
+	It("and a bundle whose lineage lacks the list in force is refused loudly", func() {
+		b := replaced(f, 2)
+		b.Views = []bundle.View{{Version: 1, Hosts: f.Hosts[:2]}}
+		Expect(f.Publish(b)).To(Succeed())
+		Eventually(func() string { return f.Daemons[1].Log() }).Should(ContainSubstring("not a successor"))
+		key := proctest.NewKey()
+		heard := callAtOnce(f, key, "deed")
+		expectHonest(f, key, heard...)
+	})
+})
