--- a/core/rollout/fleet_test.go
+++ b/core/rollout/fleet_test.go
@@ -84,6 +84,7 @@
 	cut     func(from, to string) bool
 	// cutService hides the service from some hosts.
 	cutService func(host string) bool
+	codec      Codec
 }
 
 type node struct {
@@ -94,6 +95,7 @@
 	actions []Action
 	bytes   int // sent and received, from and to peers
 	sent    int // messages
+	spent   time.Duration
 	history []uint64
 }
 
@@ -128,8 +130,13 @@
 )
 
 func newFleet(n, domains int, seed uint64) *fleet {
+	return newFleetOf(n, domains, seed, testCodec())
+}
+
+func newFleetOf(n, domains int, seed uint64, codec Codec) *fleet {
 	f := &fleet{
-		now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), service: &service{},
+		codec: codec,
+		now:   time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), service: &service{},
 		nodes: map[string]*node{}, cut: func(string, string) bool { return false },
 		cutService: func(string) bool { return false },
 	}
@@ -152,7 +159,7 @@
 		panic(err)
 	}
 	n := &node{name: h.Name, up: true, member: mm}
-	n.rollout = New(DefaultConfig(testCodec()), f.now, rand.New(rand.NewPCG(f.rng.Uint64(), 3)))
+	n.rollout = New(DefaultConfig(f.codec), f.now, rand.New(rand.NewPCG(f.rng.Uint64(), 3)))
 	f.nodes[h.Name] = n
 	f.memberStep(n, member.Configured{Hosts: f.hosts})
 	f.announce(n, &wire.BundleMark{}, false)
@@ -219,7 +226,10 @@
 }
 
 func (f *fleet) step(n *node, e Event) {
-	for _, a := range n.rollout.Step(f.now, e) {
+	begin := time.Now()
+	actions := n.rollout.Step(f.now, e)
+	n.spent += time.Since(begin)
+	for _, a := range actions {
 		n.actions = append(n.actions, a)
 		switch a := a.(type) {
 		case PollService:
