--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -75,7 +75,7 @@
 		next.customers[b.Customers[i].Name] = &b.Customers[i]
 	}
 	for i := range b.Pools {
-		next.pools[b.Pools[i].Name] = carryOver(old, &b.Pools[i])
+		next.pools[b.Pools[i].Name] = c.carryOver(old, &b.Pools[i])
 	}
 	for name, p := range old.pools {
 		p.mu.Lock()
@@ -91,10 +91,10 @@
 	c.view.Store(next)
 }
 
-func carryOver(old *view, b *bundle.Pool) *pool {
+func (c *Controller) carryOver(old *view, b *bundle.Pool) *pool {
 	p := old.pools[b.Name]
 	if p == nil {
-		return newPool(b)
+		return newPool(b, c.cfg)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -147,11 +147,13 @@
 type outlook struct {
 	budget  time.Duration
 	service time.Duration
+	// most is what the stages take in all but few cases.
+	most    time.Duration
 	wait    time.Duration
 	allowed time.Duration
 	// tightest is the pool that the request waits for longest.
-	tightest  string
-	borrowing bool
+	tightest string
+	borrowed float64
 }
 
 // plan reserves the request's work at each of its pools and predicts when it
@@ -168,13 +170,14 @@
 		f := shard.reserve(now, planKeyOf(p, n), p.Customer, v.weight(p.Customer), n.Expected, c.fraction(now, n.Pool))
 		if wait := f.wait - at; wait > 0 {
 			o.wait += seconds(wait)
-			o.borrowing = o.borrowing || f.borrowing
+			o.borrowed = max(o.borrowed, f.borrowed)
 			at = f.wait
 			if wait > longest {
 				longest, o.tightest = wait, n.Pool
 			}
 		}
 		at += n.Expected.Seconds() * (1 + v.margin)
+		o.most += seconds(f.most * (1 + v.margin))
 	}
 	return o, c.judge(&o, v.margin)
 }
@@ -185,6 +188,7 @@
 	defer p.mu.Unlock()
 	p.offered.add(now, expected.Seconds())
 	f := p.planned.foresee(customer, weight, p.slots(fraction), p.service(expected))
+	f.most = max(expected.Seconds(), p.limiter.most(k.stage))
 	p.planned.add(k, customer, weight, expected)
 	return f
 }
@@ -192,13 +196,11 @@
 // judge compares the outlook with the deadline.
 func (c *Controller) judge(o *outlook, margin float64) *problem.Error {
 	needed := seconds(o.service.Seconds() * (1 + margin))
-	o.allowed = o.budget - needed
-	if o.allowed < 0 {
+	if needed > o.budget {
 		return problem.New(problem.DeadlineTooShort, "the stages need %v, the deadline leaves %v", needed, o.budget)
 	}
-	if o.borrowing {
-		o.allowed = seconds(o.allowed.Seconds() * borrowedReach)
-	}
+	slack := max(0, o.budget-max(needed, o.most))
+	o.allowed = seconds(slack.Seconds() * (1 - reservedReach*o.borrowed))
 	if o.wait <= o.allowed {
 		return nil
 	}
@@ -232,7 +234,7 @@
 	if p == nil {
 		return request.Refused, problem.New(problem.NoUpstream, "there is no pool %s", t.Pool)
 	}
-	verdict, err := p.acquire(now, v, t, c.fraction(now, t.Pool), c.cfg)
+	verdict, err := p.acquire(now, v, t, c.fraction(now, t.Pool))
 	switch verdict {
 	case request.Granted:
 		c.note(rec, now, StepAcquire, "granted", "", &t)
@@ -244,7 +246,7 @@
 	return verdict, err
 }
 
-func (p *pool) acquire(now time.Time, v *view, t request.Ticket, fraction float64, cfg Config) (request.Verdict, *problem.Error) {
+func (p *pool) acquire(now time.Time, v *view, t request.Ticket, fraction float64) (request.Verdict, *problem.Error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if v.unlimited {
@@ -252,21 +254,22 @@
 		return request.Granted, nil
 	}
 	slots := p.slots(fraction)
-	startBy := t.Deadline.Add(-t.After - seconds(t.Expected.Seconds()*(1+v.margin)))
-	if startBy.Before(now) {
-		err := problem.New(problem.Overloaded, "stage %s can no longer finish within the deadline", t.Stage)
-		err.RetryAfter = min(p.drainTime(slots), cfg.MaxRetryAfter)
-		return request.Refused, err
+	latest := t.Deadline.Add(-t.After - seconds(t.Expected.Seconds()*(1+v.margin)))
+	if latest.Before(now) {
+		return request.Refused, p.overloaded(t, slots, "stage %s can no longer finish within the deadline", t.Stage)
 	}
 	if p.queue.len() == 0 && !p.full(slots) {
 		p.inFlight++
 		return request.Granted, nil
 	}
-	bound := max(cfg.MinQueue, int(slots)*cfg.QueuePerSlot)
-	if !p.enqueue(now, t, startBy, v.weight(t.Customer), bound) {
-		err := problem.New(problem.Overloaded, "the queue of pool %s is full", p.name)
-		err.RetryAfter = min(p.drainTime(slots), cfg.MaxRetryAfter)
-		return request.Refused, err
+	// A ticket may wait while it is safe; one that is not safe any more may
+	// wait while it is possible.
+	startBy := t.Deadline.Add(-t.After - seconds(max(t.Expected.Seconds(), p.limiter.most(t.Stage))*(1+v.margin)))
+	if startBy.Before(now) {
+		startBy = latest
+	}
+	if !p.enqueue(now, t, startBy, v.weight(t.Customer), slots) {
+		return request.Refused, p.queueFull(t, slots)
 	}
 	return request.Queued, nil
 }
@@ -305,8 +308,7 @@
 	case request.CallRefused:
 		p.limiter.refused(now)
 	}
-	slots = p.slots(fraction)
-	return p.pump(now, slots, min(p.drainTime(slots), c.cfg.MaxRetryAfter))
+	return p.pump(now, p.slots(fraction))
 }
 
 // Tick implements request.Admitter.
@@ -316,8 +318,7 @@
 		fraction := c.fraction(now, p.name)
 		p.mu.Lock()
 		if p.queue.len() > 0 || len(p.answered) > 0 {
-			slots := p.slots(fraction)
-			out = append(out, p.pump(now, slots, min(p.drainTime(slots), c.cfg.MaxRetryAfter))...)
+			out = append(out, p.pump(now, p.slots(fraction))...)
 		}
 		p.mu.Unlock()
 	}
@@ -334,7 +335,7 @@
 		{Key: "wait_ms", Value: millis(o.wait)},
 		{Key: "wait_allowed_ms", Value: millis(o.allowed)},
 		{Key: "tightest_pool", Value: o.tightest},
-		{Key: "borrowing", Value: strconv.FormatBool(o.borrowing)},
+		{Key: "borrowed", Value: strconv.FormatFloat(o.borrowed, 'f', 2, 64)},
 	}
 	outcome := "admitted"
 	if err != nil {
--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -7,7 +7,6 @@
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
-	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 )
 
@@ -16,13 +15,15 @@
 func (d *Daemon) addCluster() error {
 	s := d.settings
 	host := member.Host{Name: s.Host, FailureDomain: s.FailureDomain}
+	members := member.DefaultConfig(host, d.incarnation)
+	members.Extensions = append(members.Extensions, loadExtension())
 	c, err := cluster.New(cluster.Config{
-		Member:  member.DefaultConfig(host, d.incarnation),
+		Member:  members,
 		Rollout: rollout.DefaultConfig(cluster.NewCodec(s.BundleKeys)),
 		Platform: platform.New(platform.Config{
 			ConfigService: s.Platform.ConfigService, HostList: s.Platform.HostList, Key: s.Platform.Key,
 		}),
-		Mux:    d.mux,
+		Mux:    d.peerMux,
 		Logger: d.log,
 	})
 	if err != nil {
@@ -30,6 +31,7 @@
 	}
 	c.OnBundle(d.bundleInForce)
 	c.OnLeaving(func(names []string) { d.router.SetLeaving(names, d.Now()) })
+	d.loads.onLeaving = c.ReportUpstream
 	d.cluster = c
 	return nil
 }
@@ -41,15 +43,7 @@
 	if err := d.settings.CheckBundle(b); err != nil {
 		d.log.Error("bundle and settings disagree", zap.Uint64("version", b.Version), zap.Error(err))
 	}
+	now := d.Now()
+	d.inForceFrom.Store(&now)
 	d.apply(b)
 }
-
-// newTransport listens for fellow daemons.
-func (d *Daemon) newTransport() (*peer.Transport, error) {
-	s := d.settings
-	return peer.NewTransport(peer.Config{
-		Host: s.Host, Incarnation: d.incarnation, Listen: s.Listen.Peers, Plaintext: s.InsecurePlaintext,
-		TLS:     peer.TLSFiles{CertFile: s.TLS.Cert, KeyFile: s.TLS.Key, CAFile: s.TLS.CA},
-		Resolve: d.cluster.Resolve, Mux: d.mux, Logger: d.log, Metrics: d.metrics,
-	})
-}
