Report shares rarely while nobody wants more, and bound the busiest allocator

Cause: the fleet benchmark counted 13 messages a second and daemon at 410 hosts while nobody wanted more than its share. A call costs 251 bytes beside its payload (docs/capacity/peer.md), so that the messages cost more than what they say.

Quiet reports serve only to find lost agreement: they come every 60 intervals instead of 10, all of one allocator's resources in one message at a time of their own for each pair of hosts.

--- a/core/share/bench_test.go
+++ b/core/share/bench_test.go
@@ -17,9 +17,9 @@
 )
 
 // traffic counts what each daemon sends and receives.
-type traffic struct{ sent, received map[string]int }
+type traffic struct{ sent, received, messages map[string]int }
 
-func newTraffic() traffic { return traffic{map[string]int{}, map[string]int{}} }
+func newTraffic() traffic { return traffic{map[string]int{}, map[string]int{}, map[string]int{}} }
 
 func (t traffic) count(from, to string, n int) {
 	if t.sent == nil {
@@ -27,6 +27,8 @@
 	}
 	t.sent[from] += n
 	t.received[to] += n
+	t.messages[from]++
+	t.messages[to]++
 }
 
 // BenchmarkFleet runs whole fleets under a virtual clock and reports, for each
@@ -69,19 +71,21 @@
 	lentAfter := f.now - flooded
 	f.bytes, f.messages, f.traffic = 0, 0, newTraffic()
 	began := time.Now()
-	span := 10 * interval
+	span := 12 * interval
 	f.coast(span)
 	spent := time.Since(began)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	each := float64(hosts) * span.Seconds()
-	busiest := 0
+	busiest, messages := 0, 0
 	for _, n := range f.names {
 		busiest = max(busiest, f.traffic.sent[n]+f.traffic.received[n])
+		messages = max(messages, f.traffic.messages[n])
 	}
 	b.ReportMetric(float64(f.bytes)/each, "B/s")
 	b.ReportMetric(float64(f.messages)/each, "msg/s")
 	b.ReportMetric(float64(busiest)/span.Seconds(), "busiest-B/s")
+	b.ReportMetric(float64(messages)/span.Seconds(), "busiest-msg/s")
 	b.ReportMetric(spent.Seconds()*1e6/each, "cpu-us/s")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(hosts)/1024, "KiB/daemon")
 	if !f.lent(contended) {
--- a/core/share/config.go
+++ b/core/share/config.go
@@ -24,14 +24,16 @@
 // a second of each daemon.
 const (
 	minInterval      = 500 * time.Millisecond
-	intervalPerHost  = 10 * time.Millisecond
+	intervalPerHost  = 20 * time.Millisecond
 	loanIntervals    = 3
 	cessionIntervals = 10
 	// cedingIntervals is between the reports of a daemon that wants no more
 	// than it has while another does.
 	cedingIntervals = 3
-	// quietIntervals is between reports while nobody wants more.
-	quietIntervals = 10
+	// quietIntervals is between reports while nobody wants more. They serve to
+	// find lost agreement only: whoever wants more reports at once, and the
+	// allocator then asks the others.
+	quietIntervals = 60
 	defaultNudges  = 100
 	// driftPart bounds the difference in rate of two clocks: 1 in 20.
 	driftPart = 20
--- a/core/share/holding.go
+++ b/core/share/holding.go
@@ -97,8 +97,8 @@
 	}
 	for _, id := range m.resources {
 		h := m.holdings[id]
-		soon := h.sent.Before(now) && h.due.Sub(now) < m.pause(h)/2
-		if soon && batches[h.allocator] != nil && h.allocator == m.allocatorOf(id) {
+		soon := h.sent.Before(now) && h.due.Sub(now) < m.pause(now, h)/2
+		if soon && batches[m.allocatorOf(id)] != nil && h.choose(now, m.allocatorOf(id)) {
 			m.addTo(now, batches, h)
 		}
 	}
@@ -198,11 +198,17 @@
 
 // adopt makes share the daemon's own; asked is when it was asked for.
 func (m *Machine) adopt(now time.Time, h *holding, share int64, asked time.Time) {
-	h.due = now.Add(m.jitter(m.pause(h)))
-	equal := m.list.equal
-	if now.Before(h.loanUntil) && h.loan-share > equal/worthTelling {
+	before := h.share(now, m.list.equal)
+	m.take(now, h, share, asked)
+	h.due = now.Add(m.jitter(m.pause(now, h)))
+	// What is worth the message is given back at once, so that it can be lent.
+	if before-h.share(now, m.list.equal) > m.list.equal/worthTelling {
 		h.hurry(now.Add(m.cfg.Interval / 4))
 	}
+}
+
+func (m *Machine) take(now time.Time, h *holding, share int64, asked time.Time) {
+	equal := m.list.equal
 	if share > equal {
 		h.loan = share
 		h.loanUntil = asked.Add(m.cfg.Loan - m.cfg.Loan/driftPart)
@@ -210,9 +216,8 @@
 		return
 	}
 	h.loanUntil = time.Time{}
-	bound := h.bound(now, equal)
 	switch {
-	case share < bound:
+	case share < h.bound(now, equal):
 		m.cede(now, h, share)
 	case share == equal:
 		h.ceilingUntil = time.Time{}
@@ -221,8 +226,7 @@
 	}
 }
 
-// cede lowers the holding to share, never raises it. A cession worth the
-// message is reported soon, so that it can be lent.
+// cede lowers the holding to share, never raises it.
 func (m *Machine) cede(now time.Time, h *holding, share int64) {
 	equal := m.list.equal
 	if h.share(now, equal) <= share {
@@ -233,23 +237,19 @@
 		return
 	}
 	h.loanUntil = time.Time{}
-	bound := h.bound(now, equal)
-	if bound <= share {
+	if h.bound(now, equal) <= share {
 		return
 	}
 	h.ceiling = share
 	h.renew(now.Add(m.cession()))
-	if bound-share > equal/worthTelling {
-		h.hurry(now.Add(m.cfg.Interval / 4))
-	}
 }
 
 // pause is the time to the next report.
-func (m *Machine) pause(h *holding) time.Duration {
+func (m *Machine) pause(now time.Time, h *holding) time.Duration {
 	switch {
 	case h.wants() > m.list.equal:
 		return m.cfg.Interval
-	case h.contended:
+	case h.contended || !h.free(now):
 		return cedingIntervals * m.cfg.Interval
 	default:
 		return quietIntervals * m.cfg.Interval
--- a/core/share/machine.go
+++ b/core/share/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -196,7 +197,6 @@
 	for _, h := range m.holdings {
 		h.loanUntil = time.Time{}
 		h.ceiling = min(h.ceiling, list.equal)
-		h.due = now
 	}
 	m.dirty = true
 }
@@ -218,8 +218,7 @@
 		known[id] = true
 		m.resources = append(m.resources, id)
 		if m.holdings[id] == nil {
-			// The first reports are spread over an interval.
-			m.holdings[id] = &holding{id: id, due: now.Add(m.jitter(m.cfg.Interval))}
+			m.holdings[id] = &holding{id: id, due: now.Add(m.firstWait(m.allocatorOf(id)))}
 		}
 	}
 	slices.Sort(m.resources)
@@ -232,6 +231,13 @@
 	m.dirty = true
 }
 
+// firstWait spreads the first reports of a fleet that starts: each pair of
+// hosts has its own time.
+func (m *Machine) firstWait(allocator string) time.Duration {
+	part := float64(xxhash.Sum64String(m.cfg.Host+"/"+allocator)) / math.MaxUint64
+	return time.Duration(part * quietIntervals * float64(m.cfg.Interval))
+}
+
 // jitter returns d within a tenth either way.
 func (m *Machine) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.9 + 0.2*m.rng.Float64()))
