--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -20,20 +20,13 @@
   done < "$dir/processes"
 }
 
-# await_ready waits until every entry host takes requests: a host that has a
-# bundle refuses an unknown API key with 401, one that has none with 503.
+# await_ready waits until every entry host says that it is ready.
 await_ready() {
-  local dir=$1 address code
+  local dir=$1 address
   # shellcheck source=/dev/null
   . "$dir/fleet.env"
-  for address in ${CALLERS//,/ }; do
-    for _ in $(seq 100); do
-      code=$(curl -s -o /dev/null -w '%{http_code}' -m 2 -X POST "http://$address/v1/pipelines/none" || true)
-      [ "$code" = 401 ] && continue 2
-      sleep 0.1
-    done
-    echo "entry host at $address is not ready (last status $code)" >&2
-    return 1
+  for address in ${OPERATORS//,/ }; do
+    bin/wheatseam health --address "$address" --token-file "$dir/operator.token" --wait 30s >/dev/null || return 1
   done
 }
 
