--- a/core/share/config.go
+++ b/core/share/config.go
@@ -24,7 +24,7 @@
 // a second of each daemon.
 const (
 	minInterval      = 500 * time.Millisecond
-	intervalPerHost  = 25 * time.Millisecond
+	intervalPerHost  = 10 * time.Millisecond
 	loanIntervals    = 3
 	cessionIntervals = 10
 	// cedingIntervals is between the reports of a daemon that wants no more
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -29,6 +29,7 @@
 
 	messages, bytes int
 	encode          bool
+	traffic         traffic
 }
 
 type node struct {
@@ -118,6 +119,7 @@
 			panic(err)
 		}
 		f.bytes += len(raw)
+		f.traffic.count(from, to, len(raw))
 		e = decode(from, m, raw)
 	}
 	if f.side[from] != f.side[to] || f.rng.Float64() < f.loss {
--- a/core/share/holding.go
+++ b/core/share/holding.go
@@ -79,25 +79,28 @@
 	}
 }
 
-// report sends the reports that are due, one message for each allocator.
+// report sends the reports that are due, one message for each allocator, which
+// takes along what would be due there before long.
 func (m *Machine) report(now time.Time) []Action {
 	if len(m.list.hosts) == 0 {
 		return nil
 	}
-	var allocator func(ID) string
 	batches := map[string]*wire.ShareReport{}
 	for _, id := range m.resources {
 		h := m.holdings[id]
-		if now.Before(h.due) {
-			continue
-		}
-		if allocator == nil {
-			allocator = m.allocators()
+		if !now.Before(h.due) && h.choose(now, m.allocatorOf(id)) {
+			m.addTo(now, batches, h)
 		}
-		if !h.choose(now, allocator(id)) {
-			continue
+	}
+	if len(batches) == 0 {
+		return nil
+	}
+	for _, id := range m.resources {
+		h := m.holdings[id]
+		soon := h.sent.Before(now) && h.due.Sub(now) < m.pause(h)/2
+		if soon && batches[h.allocator] != nil && h.allocator == m.allocatorOf(id) {
+			m.addTo(now, batches, h)
 		}
-		m.addTo(now, batches, h)
 	}
 	out := make([]Action, 0, len(batches))
 	for _, to := range slices.Sorted(maps.Keys(batches)) {
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -231,7 +231,7 @@
 
 // allocator returns the allocator of r when all hosts are alive.
 func (f *fleet) allocator(r Resource) string {
-	return f.nodes[f.names[0]].m.allocators()(r.ID())
+	return f.nodes[f.names[0]].m.allocatorOf(r.ID())
 }
 
 func (f *fleet) reachable(name string) []string {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,11 +18,13 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/claims"
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/operator"
 	"github.com/wheatseam/wheatseam/orderer"
 	"github.com/wheatseam/wheatseam/peer"
@@ -59,6 +61,7 @@
 	kept      *results.Service
 	keptStore *results.Store
 	orderer   *orderer.Orderer
+	claims    *claims.Service
 	claimer   request.Claimer
 
 	incarnation uint64 // start of the process in Unix milliseconds
@@ -90,6 +93,7 @@
 	if err := d.addCluster(); err != nil {
 		return nil, err
 	}
+	d.addClaims()
 	d.addKept()
 	d.addOrderer()
 	return d, nil
@@ -115,6 +119,7 @@
 	group.Go(func() error { return d.cluster.Run(running, d.peers) })
 	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
+	group.Go(func() error { d.claims.Run(running); return nil })
 	group.Go(func() error { d.expireKept(running); return nil })
 	group.Go(func() error { d.orderer.Run(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
@@ -203,7 +208,7 @@
 
 func (d *Daemon) logCut() {
 	for _, o := range d.table.Overviews(maxCutLogged) {
-		d.log.Warn("cut", zap.String("request", o.ID), zap.String("pipeline", o.Pipeline), zap.String("stage", o.Stage))
+		d.log.Warn("cut", logging.Request(o.ID), zap.String("pipeline", o.Pipeline), zap.String("stage", o.Stage))
 	}
 }
 
@@ -285,5 +290,5 @@
 	if e.Kind != problem.Unauthorized && e.Kind != problem.NotFound {
 		d.records.Begin(id).Add(refusedEntry(d.Now(), e))
 	}
-	d.log.Info("refused", zap.String("request", id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
+	d.log.Info("refused", logging.Request(id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -42,8 +42,8 @@
 		},
 		Local:   local,
 		Fleet:   operator.NewFleet(local, d.records, d.sections, d.peers, d.peerMux),
-		Metrics: []*metrics.Set{d.metrics},
-		Logger:  d.log,
+		Metrics: []*metrics.Set{d.metrics}, WriteMetrics: d.writeStates,
+		Logger: d.log,
 	})
 	if err != nil {
 		return err
@@ -83,7 +83,10 @@
 }
 
 // Drain implements operator.Local.
-func (l operatorLocal) Drain() { l.d.leave() }
+func (l operatorLocal) Drain() {
+	l.d.draining.Store(true)
+	l.d.leave()
+}
 
 // Host implements operator.Local.
 func (l operatorLocal) Host() string { return l.d.settings.Host }
@@ -141,6 +144,7 @@
 	d.sections.Register("pools", func() any { return d.admitter.State(d.Now()) })
 	d.sections.Register("upstreams", func() any { return d.router.Dump(d.Now()) })
 	d.sections.Register("load", func() any { return d.loads.dump() })
+	d.sections.Register("claims", func() any { return d.claims.Dump() })
 	d.sections.Register("kept_results", func() any { return d.keptStore.Stats() })
 	d.sections.Register("orders", func() any { return d.orderer.Dump() })
 	d.sections.Register("retries", func() any { return d.budgets.Retry.Stats() })
