--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -81,6 +81,10 @@
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
 	// PeerAddress is the ip:port where fellow daemons reach the host.
 	PeerAddress string `yaml:"peer_address" validate:"required,hostname_port"`
+	// EndedAt is set only in Views: the operators' word that the host's process
+	// had ended for good by then. It stands for the host's acknowledgement of
+	// the lists after it.
+	EndedAt time.Time `yaml:"ended_at,omitempty" validate:"omitempty"`
 }
 
 // View is a host list as it stood at an earlier version.
