Rollout: the few that reach the service read it more often

Daemons now say in their marks whether their last read failed; the wait follows the share of peers that reach the service. The new test fails without it.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -96,7 +96,7 @@
 }
 
 // maxMarkBytes bounds the bundle's mark on the heartbeats.
-const maxMarkBytes = 32
+const maxMarkBytes = 40
 
 // Run acts together with the other daemons until ctx ends. Handlers that are
 // called before Run wait for it.
--- a/core/rollout/bench_test.go
+++ b/core/rollout/bench_test.go
@@ -163,13 +163,15 @@
 	cases := []struct {
 		name string
 		lost func(i int) bool
-		// lone lets one daemon alone reach the service.
-		lone bool
+		// lone lets one daemon alone reach the service, for that long
+		// before the change.
+		lone time.Duration
 	}{
-		{"host", func(i int) bool { return i == 3 }, false},
-		{"domain", func(i int) bool { return domain(i) == 0 }, false},
-		{"region", func(i int) bool { return domain(i)%benchRegions == 0 }, false},
-		{"none-one-reader", func(int) bool { return false }, true},
+		{"host", func(i int) bool { return i == 3 }, 0},
+		{"domain", func(i int) bool { return domain(i) == 0 }, 0},
+		{"region", func(i int) bool { return domain(i)%benchRegions == 0 }, 0},
+		{"none-one-reader-at-once", func(int) bool { return false }, time.Second},
+		{"none-one-reader-5m", func(int) bool { return false }, 5 * time.Minute},
 	}
 	for _, c := range cases {
 		for _, n := range benchSizes {
@@ -179,8 +181,9 @@
 					for i, name := range f.names {
 						f.nodes[name].up = !c.lost(i)
 					}
-					if c.lone {
+					if c.lone > 0 {
 						f.cutService = func(host string) bool { return host != f.names[1] }
+						f.run(c.lone)
 					}
 					f.quiet()
 					f.service.put(benchDocument(n, 2))
@@ -189,6 +192,7 @@
 						took = 2 * benchLimit
 					}
 					b.ReportMetric(took.Seconds(), "s-in-force")
+					b.ReportMetric(float64(f.service.reads)/took.Seconds(), "service-reads/s")
 					b.ReportMetric(0, "ns/op")
 				}
 			})
--- a/core/rollout/fleet_test.go
+++ b/core/rollout/fleet_test.go
@@ -153,7 +153,7 @@
 // start begins a process of a host.
 func (f *fleet) start(h member.Host) *node {
 	cfg := member.DefaultConfig(h, uint64(f.now.UnixMilli()))
-	cfg.Extensions = []member.Extension{{ID: member.SlotBundle, MaxBytes: 32}}
+	cfg.Extensions = []member.Extension{{ID: member.SlotBundle, MaxBytes: 40}}
 	mm, err := member.New(cfg, f.now, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
 	if err != nil {
 		panic(err)
--- a/core/rollout/machine.go
+++ b/core/rollout/machine.go
@@ -61,7 +61,8 @@
 // New returns a Machine without a bundle.
 func New(cfg Config, now time.Time, rng *rand.Rand) *Machine {
 	m := &Machine{cfg: cfg, rng: rng, peers: map[string]*peerMark{}, living: 1, started: now}
-	m.poll.next = now.Add(time.Duration(rng.Int64N(int64(cfg.StartSpread) + 1)))
+	m.poll.last = now
+	m.poll.first = time.Duration(rng.Int64N(int64(cfg.StartSpread) + 1))
 	return m
 }
 
@@ -105,7 +106,7 @@
 	m.started = now
 	m.peers = map[string]*peerMark{}
 	m.fetch = nil
-	m.poll = poll{next: now}
+	m.poll = poll{}
 }
 
 // heard notes a peer's mark.
@@ -215,12 +216,11 @@
 
 // mark returns the mark of the bundle in force.
 func (m *Machine) mark() *wire.BundleMark {
-	if m.current == nil {
-		return &wire.BundleMark{}
-	}
-	return &wire.BundleMark{
-		Version: m.version(), Digest: shortDigest(m.current.Digest[:]), Revision: m.revision,
+	out := &wire.BundleMark{ServiceFailed: m.poll.failures > 0}
+	if m.current != nil {
+		out.Version, out.Digest, out.Revision = m.version(), shortDigest(m.current.Digest[:]), m.revision
 	}
+	return out
 }
 
 // reject reports a refused document once.
--- a/core/rollout/poll.go
+++ b/core/rollout/poll.go
@@ -8,7 +8,11 @@
 
 // poll is the reading of the configuration service.
 type poll struct {
-	next     time.Time
+	last time.Time // end of the last read, or the start
+	// first is the wait before the first read, draw the random part (0.5 to
+	// 1.5) of the wait before a later one.
+	first    time.Duration
+	draw     float64
 	deadline time.Time // of the read in flight; zero when there is none
 	done     int       // reads that ended
 	failures int       // in a row
@@ -22,7 +26,7 @@
 		}
 		return
 	}
-	if now.Before(m.poll.next) {
+	if now.Sub(m.poll.last) < m.pollWait() {
 		return
 	}
 	m.poll.deadline = now.Add(m.cfg.PollTimeout)
@@ -37,8 +41,9 @@
 	m.act(PollService{after})
 }
 
-// polled ends a read and sets the time of the next.
+// polled ends a read and draws the wait before the next.
 func (m *Machine) polled(now time.Time, err error) {
+	failing := m.poll.failures > 0
 	m.poll.deadline = time.Time{}
 	m.poll.done++
 	m.poll.failures++
@@ -47,19 +52,40 @@
 	} else {
 		m.stats.PollsFailed++
 	}
-	m.poll.next = now.Add(m.pollWait())
+	m.poll.last = now
+	m.poll.draw = 0.5 + m.rng.Float64()
+	if failing != (m.poll.failures > 0) {
+		m.announce(false)
+	}
 }
 
-// pollWait draws the wait until the next read: uniform around a mean that
-// grows with the fleet, so that the fleet's reads a second stay the same.
+// pollWait returns the wait before the next read: uniform around a mean that
+// grows with the number of daemons that reach the service, so that the fleet's
+// successful reads a second stay the same. It follows the fleet's changes
+// while a daemon waits.
 func (m *Machine) pollWait() time.Duration {
-	mean := max(m.cfg.PollMin, time.Duration(m.living)*m.cfg.PollSpacing)
+	if m.poll.done == 0 {
+		return m.poll.first
+	}
+	readers := float64(m.living) * m.readerShare()
+	mean := max(m.cfg.PollMin, time.Duration(readers*float64(m.cfg.PollSpacing)))
 	mean <<= min(m.poll.failures, maxPollBackoff)
 	if m.current == nil {
 		mean = m.cfg.PollMin
 	}
-	wait := mean/2 + time.Duration(m.rng.Int64N(int64(mean)))
-	return min(wait, m.cfg.PollMax)
+	return min(time.Duration(m.poll.draw*float64(mean)), m.cfg.PollMax)
+}
+
+// readerShare estimates the share of the fleet that reaches the service from
+// what the peers say of their last reads; it counts this daemon as a reader.
+func (m *Machine) readerShare() float64 {
+	readers := 1
+	for _, p := range m.peers {
+		if !p.mark.GetServiceFailed() {
+			readers++
+		}
+	}
+	return float64(readers) / float64(1+len(m.peers))
 }
 
 // answered considers a document of the service.
@@ -93,7 +119,7 @@
 func (m *Machine) Dump(now time.Time) Dump {
 	d := Dump{
 		Version: m.version(), Digest: m.mark().GetDigest(), Source: m.source.String(), Revision: m.revision,
-		Ready: m.ready, Peers: map[string]uint64{}, PollIn: m.poll.next.Sub(now), Stats: m.stats,
+		Ready: m.ready, Peers: map[string]uint64{}, PollIn: m.pollWait() - now.Sub(m.poll.last), Stats: m.stats,
 	}
 	if m.current == nil {
 		d.Source = ""
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -63,6 +63,18 @@
 		Expect(ok).To(BeTrue())
 	})
 
+	It("is read more often by the few that reach the service", func() {
+		begin(40)
+		f.cutService = func(host string) bool { return host != "entry-005" }
+		f.run(time.Minute)
+		f.service.reads = 0
+		before := f.nodes["entry-005"].rollout.stats.Polls
+		f.run(time.Minute)
+		// By the fleet's size one of forty would read three times a minute.
+		Expect(f.nodes["entry-005"].rollout.stats.Polls - before).To(BeNumerically(">", 10))
+		Expect(f.service.reads).To(BeNumerically("<", 600))
+	})
+
 	It("fetches only the parts that changed", func() {
 		begin(7)
 		for _, name := range f.names {
