--- /dev/null
+++ b/core/admit/pool.go
@@ -0,0 +1,124 @@
+package admit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// pool is one shard: everything that admission knows of one pool.
+type pool struct {
+	name string
+	cfg  Config
+
+	mu       sync.Mutex
+	limiter  *limiter
+	queue    *queue
+	planned  *planned
+	inFlight int
+	// answered holds tickets that lost their place, until the next Tick or
+	// Release carries them out.
+	answered []request.Grant
+	// offered is the service time, in seconds, that arrivals asked for.
+	offered decayed
+	// finished counts calls that released their slot.
+	finished decayed
+}
+
+func newPool(p *bundle.Pool, cfg Config) *pool {
+	return &pool{name: p.Name, cfg: cfg, limiter: newLimiter(p), queue: newQueue(), planned: newPlanned()}
+}
+
+// idle says that nothing refers to the pool any more. The caller holds mu.
+func (p *pool) idle() bool {
+	return p.inFlight == 0 && p.queue.len() == 0 && len(p.answered) == 0 && len(p.planned.calls) == 0
+}
+
+// slots returns this daemon's concurrency limit, never below 1. The caller
+// holds mu.
+func (p *pool) slots(fraction float64) float64 {
+	return max(1, p.limiter.estimate*fraction)
+}
+
+// full says whether every slot is in use. A limit that is not whole is
+// rounded to the nearest. The caller holds mu.
+func (p *pool) full(slots float64) bool {
+	return float64(p.inFlight) > slots-0.5
+}
+
+// service returns the usual service time in seconds: measured, or else the
+// given expectation. The caller holds mu.
+func (p *pool) service(expected time.Duration) float64 {
+	if p.limiter.latency.mean > 0 {
+		return p.limiter.latency.mean
+	}
+	return expected.Seconds()
+}
+
+// enqueue queues t, making room at the cost of the customer with the longest
+// queue for its weight. It returns false when that is t's own customer. The
+// caller holds mu.
+func (p *pool) enqueue(now time.Time, t request.Ticket, startBy time.Time, weight, slots float64) bool {
+	bound := max(p.cfg.MinQueue, int(slots)*p.cfg.QueuePerSlot)
+	if p.queue.len() >= bound && !p.makeRoom(t.Customer, weight, slots) {
+		return false
+	}
+	p.queue.push(&item{ticket: t, startBy: startBy, queued: now}, weight)
+	return true
+}
+
+func (p *pool) makeRoom(customer string, weight, slots float64) bool {
+	worst := p.queue.longest()
+	if worst == nil || worst.customer == customer {
+		return false
+	}
+	own := 1 / weight
+	if b := p.queue.customers[customer]; b != nil {
+		own += b.load()
+	}
+	if worst.load() <= own {
+		return false
+	}
+	it := worst.leastUrgent()
+	p.queue.remove(it)
+	p.answered = append(p.answered, request.Grant{Ticket: it.ticket, Err: p.queueFull(it.ticket, slots)})
+	return true
+}
+
+// pump answers tickets that can no longer make it, then grants free slots.
+// The caller holds mu.
+func (p *pool) pump(now time.Time, slots float64) []request.Grant {
+	out := p.answered
+	p.answered = nil
+	for _, it := range p.queue.expired(now) {
+		err := p.overloaded(it.ticket, slots, "no slot of pool %s became free in time", p.name)
+		out = append(out, request.Grant{Ticket: it.ticket, Err: err})
+	}
+	for !p.full(slots) {
+		it := p.queue.pop()
+		if it == nil {
+			break
+		}
+		p.inFlight++
+		out = append(out, request.Grant{Ticket: it.ticket})
+	}
+	return out
+}
+
+// overloaded refuses a ticket and says how long the queue takes to drain at the
+// measured rate. The caller holds mu.
+func (p *pool) overloaded(t request.Ticket, slots float64, format string, args ...any) *problem.Error {
+	err := problem.New(problem.Overloaded, format, args...)
+	drain := seconds(float64(p.queue.len()+1) * p.service(t.Expected) / slots)
+	err.RetryAfter = min(drain, p.cfg.MaxRetryAfter)
+	return err
+}
+
+func (p *pool) queueFull(t request.Ticket, slots float64) *problem.Error {
+	return p.overloaded(t, slots, "the queue of pool %s is full", p.name)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/core/route/bench_test.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/record"
+)
+
+// lastEntry is a record.Recorder that keeps the last entry.
+type lastEntry struct{ entry record.Entry }
+
+func (l *lastEntry) Add(e record.Entry) { l.entry = e }
+
+func BenchmarkPick(b *testing.B) {
+	for _, upstreams := range []int{10, 20, 100, 610} {
+		for _, policy := range []bundle.Policy{bundle.PolicyAdaptive, bundle.PolicyLeastRequests, bundle.PolicyRoundRobin} {
+			for _, recorded := range []bool{false, true} {
+				b.Run(fmt.Sprintf("upstreams=%d/policy=%s/recorded=%t", upstreams, policy, recorded), func(b *testing.B) {
+					benchmarkPick(b, upstreams, policy, recorded)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkPick(b *testing.B, upstreams int, policy bundle.Policy, recorded bool) {
+	r := testRouter(testBundle(upstreams, 16, policy), 1)
+	for i := range upstreams {
+		r.Observe(load.Report{Upstream: fmt.Sprintf("u%d", i), AsOf: start, Running: i % 16})
+	}
+	var rec record.Recorder
+	if recorded {
+		rec = &lastEntry{}
+	}
+	now := start
+	q := query()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(10 * time.Microsecond)
+		q.Prefix = uint64(i%100 + 1)
+		c, err := r.Pick(now, q, rec)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Done(now, request.Outcome{Choice: c, Stage: "generate", Latency: 50 * time.Millisecond, FirstByte: 10 * time.Millisecond, Tokens: 20})
+	}
+}
+
+// BenchmarkPickParallel measures the lock of one pool's shard.
+func BenchmarkPickParallel(b *testing.B) {
+	r := testRouter(testBundle(20, 1000, bundle.PolicyAdaptive), 1)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c, err := r.Pick(start, query(), nil)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			r.Done(start, request.Outcome{Choice: c, Stage: "generate", Latency: time.Millisecond})
+		}
+	})
+}
+
+// BenchmarkMemory gives the heap of a Router at the users' target shape: pools
+// of about 23 upstreams, and three measured stages in each pool.
+func BenchmarkMemory(b *testing.B) {
+	for _, upstreams := range []int{23, 92, 184, 368, 610} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			for range b.N {
+				before := heapInUse()
+				r := memoryRouter(upstreams)
+				b.ReportMetric(float64(heapInUse()-before)/1024, "KiB")
+				runtime.KeepAlive(r)
+			}
+		})
+	}
+}
+
+func memoryRouter(upstreams int) *Router {
+	bun := &bundle.Bundle{}
+	for first := 0; first < upstreams; first += 23 {
+		p := bundle.Pool{Name: fmt.Sprintf("pool-%d", first), Concurrency: 16}
+		for i := first; i < min(first+23, upstreams); i++ {
+			p.Upstreams = append(p.Upstreams, bundle.Upstream{Name: fmt.Sprintf("u%d", i), Address: fmt.Sprintf("10.0.0.1:%d", i), FailureDomain: "d0"})
+		}
+		bun.Pools = append(bun.Pools, p)
+	}
+	r := New(Config{FailureDomain: "d0"})
+	r.Apply(bun)
+	for _, p := range bun.Pools {
+		for stage := range 3 {
+			for range 100 {
+				q := request.Query{Pool: p.Name, Stage: fmt.Sprintf("stage-%d", stage)}
+				c, err := r.Pick(start, q, nil)
+				if err == nil {
+					r.Done(start, request.Outcome{Choice: c, Stage: q.Stage, Latency: time.Millisecond, FirstByte: time.Millisecond})
+				}
+			}
+		}
+	}
+	return r
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
