--- /dev/null
+++ b/claims/fleet_test.go
@@ -0,0 +1,164 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+func TestClaims(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claims")
+}
+
+// fleet is a set of services joined by a network that loses messages.
+type fleet struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[string]*Service
+	cut      map[string]bool
+	loss     float64
+	bundle   *bundle.Bundle
+	cancels  map[string]context.CancelFunc
+}
+
+// testSkew and testAhead are short, so that keys made after a restart are
+// granted soon.
+const (
+	testSkew  = 20 * time.Millisecond
+	testAhead = 20 * time.Millisecond
+)
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(4, 4)), services: map[string]*Service{}, cut: map[string]bool{},
+		cancels: map[string]context.CancelFunc{},
+		bundle: &bundle.Bundle{Version: 1, Claims: bundle.ClaimPolicy{
+			GroupSize: 3, Retention: time.Hour, MaxClockSkew: testSkew, MaxKeyAhead: testAhead,
+		}},
+	}
+	for _, n := range names {
+		f.bundle.Hosts = append(f.bundle.Hosts, bundle.Host{Name: n, FailureDomain: n})
+	}
+	for _, n := range names {
+		f.boot(n)
+	}
+	f.settle(names...)
+	return f
+}
+
+// boot starts the next process of a host; the one before is gone.
+func (f *fleet) boot(name string) {
+	now := time.Now()
+	s := New(Config{
+		Host: name, Incarnation: uint64(now.UnixNano()), Started: now, Caller: &link{f, name}, Now: time.Now,
+		Trusted: func() bool { return true }, Gone: f.gone, Log: zap.NewNop(), Seed: 1,
+	}, peer.NewMux())
+	s.Apply(f.bundle)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	f.mu.Lock()
+	if old := f.cancels[name]; old != nil {
+		old()
+	}
+	f.services[name], f.cancels[name] = s, cancel
+	f.mu.Unlock()
+	go s.Run(ctx)
+}
+
+func (f *fleet) gone(host string, incarnation uint64) bool {
+	return f.service(host).cfg.Incarnation != incarnation
+}
+
+func (f *fleet) service(name string) *Service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.services[name]
+}
+
+func (f *fleet) settle(names ...string) {
+	for _, n := range names {
+		Eventually(f.service(n).Settled).WithTimeout(10*time.Second).Should(BeTrue(), n)
+	}
+}
+
+func (f *fleet) setCut(cut bool, names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range names {
+		f.cut[n] = cut
+	}
+}
+
+var errLost = errors.New("lost")
+
+// lost decides about one message.
+func (f *fleet) lost(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return from != to && (f.cut[from] || f.cut[to] || f.rng.Float64() < f.loss)
+}
+
+// link is a host's access to the network.
+type link struct {
+	fleet *fleet
+	from  string
+}
+
+// Call hands a request over, unless it or its answer is lost.
+func (l *link) Call(ctx context.Context, host, method string, req, resp proto.Message) error {
+	sender := peer.Sender{Host: l.from}
+	if l.fleet.lost(l.from, host) {
+		return errLost
+	}
+	out, err := l.fleet.service(host).dispatch(ctx, sender, req)
+	if err != nil || l.fleet.lost(host, l.from) {
+		return errors.Join(err, errLost)
+	}
+	proto.Merge(resp, out)
+	return ctx.Err()
+}
+
+func (s *Service) dispatch(ctx context.Context, from peer.Sender, req proto.Message) (proto.Message, error) {
+	switch m := req.(type) {
+	case *wire.ClaimAsk:
+		return s.serveAsk(ctx, from, m)
+	case *wire.ClaimRelease:
+		return s.serveRelease(ctx, from, m)
+	case *wire.ClaimVoid:
+		return s.serveVoid(ctx, from, m)
+	case *wire.ClaimStore:
+		return s.serveStore(ctx, from, m)
+	case *wire.ClaimStatus:
+		return s.serveStatus(ctx, from, m)
+	default:
+		return nil, fmt.Errorf("no handler for %T", req)
+	}
+}
+
+// newKey returns the key of a new request.
+func newKey() request.ClaimKey {
+	return request.ClaimKey{Customer: "customer", Key: uuid.Must(uuid.NewV7()).String(), Stage: "seal"}
+}
+
+// acquire claims a key at a host within a time.
+func (f *fleet) acquire(host string, key request.ClaimKey, id string, within time.Duration) request.ClaimDecided {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return f.service(host).Acquire(ctx, key, id, time.Now(), [32]byte{1})
+}
--- /dev/null
+++ b/claims/service_test.go
@@ -0,0 +1,106 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+var _ = Describe("Service", func() {
+	const within = 2 * time.Second
+	ctx := context.Background()
+	var f *fleet
+	BeforeEach(func() { f = newFleet("a", "b", "c") })
+
+	It("gives a retry at another host the result, and another request none", func() {
+		key := newKey()
+		Expect(f.acquire("a", key, "r1", within).Won).To(BeTrue())
+		waiting := make(chan []byte, 1)
+		go func() { waiting <- f.acquire("b", key, "r2", within).Result }()
+		Consistently(waiting, 50*time.Millisecond).ShouldNot(Receive())
+		Expect(f.service("a").Record(ctx, key, "r1", []byte(`"seal"`))).To(Succeed())
+		Eventually(waiting, within).Should(Receive(Equal([]byte(`"seal"`))))
+
+		other, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		d := f.service("c").Acquire(other, key, "r3", time.Now(), [32]byte{2})
+		Expect(d.Err.Kind).To(Equal(problem.KeyReused))
+		Expect(f.service("a").Dump().Owned).To(BeZero())
+	})
+
+	It("does not hand a key on whose owner has ended", func() {
+		key := newKey()
+		Expect(f.acquire("a", key, "r1", within).Won).To(BeTrue())
+		f.boot("a")
+		f.settle("a")
+		d := f.acquire("b", key, "r2", within)
+		Expect(d.Won).To(BeFalse())
+		Expect(d.Err.Kind).To(Equal(problem.OutcomeUnknown))
+		Expect(d.Err.Execution).To(Equal(problem.MayHaveRun))
+	})
+
+	It("lets a later attempt have a released key, but no earlier one", func() {
+		key := newKey()
+		before := time.Now()
+		Expect(f.acquire("a", key, "r1", within).Won).To(BeTrue())
+		Expect(f.service("a").Release(ctx, key, "r1")).To(Succeed())
+		early, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		Expect(f.service("b").Acquire(early, key, "r0", before, [32]byte{1}).Won).To(BeFalse())
+		Eventually(func() bool { return f.acquire("b", key, "r2", within).Won }, within).Should(BeTrue())
+	})
+
+	It("refuses at once without a majority, and does not say not_run", func() {
+		key := newKey()
+		f.setCut(true, "b", "c")
+		d := f.acquire("a", key, "r1", within)
+		Expect(d.Err.Kind).To(Equal(problem.NoMajority))
+		Expect(d.Err.Execution).To(Equal(problem.MayHaveRun))
+		Expect(d.Err.RetryAfter).NotTo(BeZero())
+	})
+
+	It("refuses a bundle whose lineage lacks the host list in force", func() {
+		s := f.service("a")
+		s.Apply(&bundle.Bundle{Version: 2, Claims: f.bundle.Claims, Hosts: f.bundle.Hosts[1:]})
+		Expect(s.Dump().Refused).To(ContainSubstring("bundle 2"))
+		Expect(s.Dump().Epoch).To(Equal(uint64(1)))
+	})
+
+	It("lets one attempt win each key under loss and restarts", func() {
+		const keys, attempts = 60, 4
+		f.mu.Lock()
+		f.loss = 0.1
+		f.mu.Unlock()
+		wins := make([]atomic.Int32, keys)
+		hosts := []string{"a", "b", "c"}
+		var group sync.WaitGroup
+		for k := range keys {
+			key := newKey()
+			for i := range attempts {
+				group.Go(func() {
+					if f.acquire(hosts[(k+i)%len(hosts)], key, fmt.Sprintf("r%d", i), 300*time.Millisecond).Won {
+						wins[k].Add(1)
+					}
+				})
+			}
+			if k%20 == 10 {
+				f.boot(hosts[k/20])
+			}
+		}
+		group.Wait()
+		total := int32(0)
+		for k := range wins {
+			Expect(wins[k].Load()).To(BeNumerically("<=", 1))
+			total += wins[k].Load()
+		}
+		Expect(total).NotTo(BeZero())
+	})
+})
