--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -250,7 +250,7 @@
 	if c.phase == ended || c.Sent() && !c.off.noSentCheck {
 		return nil
 	}
-	if c.lastOwner != (Owner{}) && c.phase != won {
+	if kind == problem.DeadlineExceeded && c.lastOwner != (Owner{}) && c.phase != won {
 		kind = problem.InProgress
 	}
 	return c.refuse(kind, 0)
--- a/core/claim/guards.go
+++ b/core/claim/guards.go
@@ -25,4 +25,5 @@
 	noSyncEcho       bool // a status sent before the restart counts as caught up
 	noClockCheck     bool // a daemon with a wrong clock takes part
 	noIncarnation    bool // an owner keeps grants of a holder's dead incarnation
+	noVoid           bool // a holder grants attempts older than a refused one
 }
