Look up what became of a claimed call whose owner is gone

Cause: a retry that found a claim without result answered may_have_run though the upstream could say what happened, and it waited for its whole deadline, since a host is held dead only after more than 5 s. The pool's upstreams are now asked, all of them, until one has the result; a suspect owner is no longer waited for. Ruled out: looking up at once, which would refuse retries whose owner is alive but queued.

--- a/claims/service.go
+++ b/claims/service.go
@@ -42,7 +42,8 @@
 	// Trusted says whether this host's clock agrees with its peers' and its
 	// views are renewed since the last pause.
 	Trusted func() bool
-	// Gone says whether a process of a host has ended.
+	// Gone says whether a process of a host has ended or does not answer. Then
+	// requests no longer wait for what it has claimed.
 	Gone func(host string, incarnation uint64) bool
 	Log  *zap.Logger
 	Seed uint64
--- a/core/request/action.go
+++ b/core/request/action.go
@@ -43,10 +43,11 @@
 	Result json.RawMessage
 }
 
-// LookUp asks the upstream what became of a call whose answer was lost.
+// LookUp asks the upstreams of a pool what became of a call whose answer was
+// lost, until one has its result or the deadline comes.
 type LookUp struct {
-	Choice Choice
-	Key    string
+	Pool string
+	Key  string
 }
 
 // Keep stores a stage's result at fellow daemons until the deadline.
--- a/core/request/finish.go
+++ b/core/request/finish.go
@@ -32,13 +32,27 @@
 		m.attemptLost(now, a, err)
 		return
 	}
+	unknown := m.problem(problem.OutcomeUnknown, "%s: %s", a.choice.Upstream, e.Detail)
 	if m.poolSupportsStatus() {
-		m.phase = phaseLookingUp
-		m.note(now, "status", a.number, "asked")
-		m.do(LookUp{Choice: a.choice, Key: m.spec.Key})
+		m.lookUp(now, a.number, unknown)
 		return
 	}
-	m.fail(now, m.problem(problem.OutcomeUnknown, "%s: %s", a.choice.Upstream, e.Detail))
+	m.fail(now, unknown)
+}
+
+// mayHaveResult says whether a refused claim leaves open that an upstream has
+// the result: another request claimed the key and did not record one.
+func mayHaveResult(e *problem.Error) bool {
+	return e.Execution != problem.NotRun && (e.Kind == problem.OutcomeUnknown || e.Kind == problem.InProgress)
+}
+
+// lookUp asks the pool's upstreams what became of the call with the request's
+// key; otherwise is the refusal when they do not know.
+func (m *Machine) lookUp(now time.Time, attempt int, otherwise *problem.Error) {
+	m.phase = phaseLookingUp
+	m.lookUpErr = otherwise
+	m.note(now, "status", attempt, "asked")
+	m.do(LookUp{Pool: m.current().Pool, Key: m.spec.Key})
 }
 
 func (m *Machine) poolSupportsStatus() bool {
@@ -57,11 +71,16 @@
 	}
 	if !e.Known {
 		m.note(now, "status", 0, "unknown")
-		m.fail(now, m.problem(problem.OutcomeUnknown, "the upstream does not know the call"))
+		m.fail(now, m.lookUpErr)
 		return
 	}
 	m.note(now, "status", 0, "done")
 	m.ran = true
+	if !m.claim.held {
+		// Only the owner of the claim may record.
+		m.stageDone(now, e.Output, true)
+		return
+	}
 	m.record(now, e.Output)
 }
 
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -75,6 +75,8 @@
 	forwarded bool
 
 	claim claimState
+	// lookUpErr is the refusal when a status look-up finds nothing.
+	lookUpErr *problem.Error
 	// unknown is set while a call may have been executed without our having
 	// its answer; ran when a non-repeatable stage is known to have run.
 	unknown bool
@@ -253,6 +255,10 @@
 		if e.Err.Execution != problem.NotRun {
 			m.unknown = true
 		}
+		if mayHaveResult(e.Err) && m.poolSupportsStatus() {
+			m.lookUp(now, 0, e.Err)
+			return
+		}
 		m.fail(now, e.Err)
 	}
 }
--- a/core/request/machine_test.go
+++ b/core/request/machine_test.go
@@ -246,6 +246,41 @@
 			Expect(h.finish().Err.Execution).To(Equal(problem.MayHaveRun))
 		})
 
+		It("is looked up when its answer is lost or its owner is gone", func() {
+			withStatus := func(s *Spec) { s.Bundle.Pools[2].Supports.StatusLookup = true }
+			h = newHarness(true, withStatus)
+			h.step(Start{})
+			h.ok(1)
+			h.step(ClaimDecided{Won: true})
+			h.step(CallEnded{Attempt: 2, Result: CallFailed})
+			Expect(actions[LookUp](h.log)).To(HaveLen(1))
+			h.step(StatusAnswered{Known: true, Output: json.RawMessage(`"found"`)})
+			Expect(actions[Record](h.log)).To(HaveLen(1))
+			h.step(Recorded{})
+			settled()
+			Expect(h.finish().Answer.Result).To(BeEquivalentTo(`"found"`))
+
+			h = newHarness(true, withStatus)
+			h.step(Start{})
+			h.ok(1)
+			gone := problem.New(problem.OutcomeUnknown, "claimed")
+			gone.Execution = problem.MayHaveRun
+			h.step(ClaimDecided{Err: gone})
+			h.step(StatusAnswered{Known: true, Output: json.RawMessage(`"found"`)})
+			settled()
+			Expect(actions[Record](h.log)).To(BeEmpty())
+			Expect(h.finish().Answer.Result).To(BeEquivalentTo(`"found"`))
+
+			h = newHarness(true, withStatus)
+			h.step(Start{})
+			h.ok(1)
+			h.step(ClaimDecided{Err: gone})
+			h.step(StatusAnswered{})
+			settled()
+			Expect(h.finish().Err.Kind).To(Equal(problem.OutcomeUnknown))
+			Expect(h.finish().Err.Execution).To(Equal(problem.MayHaveRun))
+		})
+
 		It("is sent elsewhere when it was not executed", func() {
 			claimed()
 			h.step(ClaimDecided{Won: true})
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -105,14 +105,57 @@
 	return ended
 }
 
-// lookUpTimeout bounds a status look-up.
-const lookUpTimeout = time.Second
+const (
+	// lookUpTimeout bounds one question to one upstream.
+	lookUpTimeout = 500 * time.Millisecond
+	// lookUpEvery is how often upstreams are asked while the call still runs.
+	lookUpEvery = 50 * time.Millisecond
+)
 
+// lookUp asks all upstreams of a pool until one has the result, none knows of
+// the call, or the request's deadline comes.
 func (d *Daemon) lookUp(s *session, a request.LookUp) {
-	ctx, cancel := context.WithTimeout(context.Background(), lookUpTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), s.sub.Deadline)
 	defer cancel()
-	status, err := s.clients.services[a.Choice.Pool].LookUp(ctx, a.Choice.Address, a.Key)
-	d.deliver(s, request.StatusAnswered{
-		Known: err == nil && status.State == service.StatusDone, Output: status.Result,
-	})
+	for {
+		status := d.askStatus(ctx, s, a)
+		if status.State != service.StatusRunning {
+			d.deliver(s, request.StatusAnswered{Known: status.State == service.StatusDone, Output: status.Result})
+			return
+		}
+		select {
+		case <-ctx.Done():
+			d.deliver(s, request.StatusAnswered{})
+			return
+		case <-time.After(lookUpEvery):
+		}
+	}
+}
+
+// askStatus asks every upstream of the pool once. One that has the result wins
+// over one that runs the call, and that over those that know nothing.
+func (d *Daemon) askStatus(ctx context.Context, s *session, a request.LookUp) service.Status {
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	defer cancel()
+	upstreams := s.clients.pools[a.Pool].Upstreams
+	answers := make(chan service.Status, len(upstreams))
+	for _, u := range upstreams {
+		go func() {
+			status, err := s.clients.services[a.Pool].LookUp(ctx, u.Address, a.Key)
+			if err != nil {
+				status = service.Status{State: service.StatusUnknown}
+			}
+			answers <- status
+		}()
+	}
+	best := service.Status{State: service.StatusUnknown}
+	for range upstreams {
+		switch one := <-answers; one.State {
+		case service.StatusDone:
+			return one
+		case service.StatusRunning:
+			best = one
+		}
+	}
+	return best
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -61,11 +61,12 @@
 // are renewed since the last pause.
 func (d *Daemon) trusted() bool { return d.cluster.Fresh() && !d.cluster.Skewed() }
 
-// gone says whether a process of a host has ended.
+// gone says whether a process of a host has ended, or does not answer probes: a
+// request that waits for it is better told now than at its deadline.
 func (d *Daemon) gone(host string, incarnation uint64) bool {
 	for _, m := range d.cluster.Members() {
 		if m.Host.Name == host {
-			return m.State == member.Dead || m.Incarnation > incarnation
+			return m.State != member.Alive || m.Incarnation > incarnation
 		}
 	}
 	return true
--- a/proofs/at_most_once_test.go
+++ b/proofs/at_most_once_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/internal/proctest"
 	"github.com/wheatseam/wheatseam/internal/standin"
 	"github.com/wheatseam/wheatseam/problem"
@@ -111,6 +112,21 @@
 		expectHonest(f, key, first, again)
 	})
 
+	It("and a retry finds the result by status look-up after its host died", func() {
+		f := startFleet(proctest.Options{Bundle: func(b *bundle.Bundle) {
+			b.Pools[2].Supports.StatusLookup = true
+		}})
+		fault(f, "signing", standin.Faults{LateByMS: 300})
+		key := proctest.NewKey()
+		sent := callInBackground(f, 0, key)
+		Eventually(func() int { return len(f.Executions(key)) }).Should(Equal(1))
+		f.Daemons[0].Kill()
+		<-sent
+		again := f.Call(1, proctest.PipelineSeal, key, "deed")
+		Expect(again.Answered()).To(BeTrue(), "%+v", again)
+		expectHonest(f, key, again)
+	})
+
 	It("refuses at once, unrun, while no majority of holders can be reached", func() {
 		f := startFleet(proctest.Options{})
 		f.Daemons[1].Kill()
