Route: weaker prefix affinity, and slowness free up to twice the usual

The home of a prefix drew calls to one engine while others stood idle, and noise in the latencies outweighed several calls in flight.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -22,10 +22,10 @@
 	// failure domain or region adds. Defaults 1 ms and 20 ms.
 	CrossDomain time.Duration
 	CrossRegion time.Duration
-	// PrefixBonus is the cost that a cached prompt prefix saves. Default 0.5.
+	// PrefixBonus is the cost that a cached prompt prefix saves. Default 0.1.
 	PrefixBonus float64
 	// PrefixBound is how far over the mean load the home of a prefix may
-	// be. Default 1.5.
+	// be. Default 1.25.
 	PrefixBound float64
 	// LatencyWeight is the cost of each multiple of the usual latency.
 	// Default 0.5.
@@ -75,8 +75,8 @@
 	orDefault(&c.ReportHalfLife, time.Second)
 	orDefault(&c.CrossDomain, time.Millisecond)
 	orDefault(&c.CrossRegion, 20*time.Millisecond)
-	orDefault(&c.PrefixBonus, 0.5)
-	orDefault(&c.PrefixBound, 1.5)
+	orDefault(&c.PrefixBonus, 0.1)
+	orDefault(&c.PrefixBound, 1.25)
 	orDefault(&c.LatencyWeight, 0.5)
 	orDefault(&c.Window, 15*time.Second)
 	e := &c.Ejection
--- a/core/route/prefix.go
+++ b/core/route/prefix.go
@@ -8,8 +8,7 @@
 // like views agree on it without telling each other, and no prefix is
 // remembered. It returns -1 when prefix is 0 or nothing is eligible.
 //
-// The bound is factor times the mean load, and never under half the
-// concurrency: an engine batches that much at little cost.
+// The bound is factor times the mean load, rounded up.
 func prefixHome(v *View, eligible []int, prefix uint64, factor float64) int {
 	if prefix == 0 || len(eligible) == 0 {
 		return -1
@@ -21,7 +20,6 @@
 		regional = regional || v.sameRegion(&v.Candidates[i])
 	}
 	bound := math.Ceil(factor * (total + 1) / float64(len(eligible)))
-	bound = max(bound, v.Concurrency/2)
 	home := -1
 	var best uint64
 	for _, i := range eligible {
--- a/core/route/scorer.go
+++ b/core/route/scorer.go
@@ -4,7 +4,7 @@
 
 const (
 	// slownessFree is the multiple of the usual latency that costs nothing.
-	slownessFree = 1.2
+	slownessFree = 2.0
 	// unmeasuredLatency stands in for a stage's latency until it is measured.
 	unmeasuredLatency = 50 * time.Millisecond
 	// maxLocalityCost bounds the cost of leaving the failure domain, so that
