--- a/caller/server.go
+++ b/caller/server.go
@@ -4,12 +4,8 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/wheatseam/wheatseam/bundle"
@@ -46,6 +42,9 @@
 	Bundle() *bundle.Bundle
 	// Admittable returns why the host takes no requests, or nil.
 	Admittable() *problem.Error
+	// VoidKey makes sure that no try at the submission's key which arrived
+	// before has run or will, and reports whether that succeeded.
+	VoidKey(ctx context.Context, s Submission) bool
 	// NewRequestID returns an id that no other request has.
 	NewRequestID() string
 	// Now is the clock.
@@ -66,8 +65,9 @@
 
 // Server is the http.Handler of the callers' listener.
 type Server struct {
-	cfg Config
-	mux *http.ServeMux
+	cfg       Config
+	mux       *http.ServeMux
+	customers customers
 }
 
 // NewServer returns a server.
@@ -88,6 +88,13 @@
 func (s *Server) servePipeline(w http.ResponseWriter, r *http.Request) {
 	id := s.cfg.Backend.NewRequestID()
 	sub, err := s.decode(r, id)
+	if err == nil {
+		err = s.admit(r.Context(), sub)
+	} else if r.Header.Get(idempotencyHeader) != "" && err.Kind != problem.KeyInvalid {
+		// An earlier try with the same key may have run. An invalid key
+		// cannot have.
+		err.Execution = problem.MayHaveRun
+	}
 	if err != nil {
 		s.refuse(w, id, err)
 		return
@@ -104,6 +111,16 @@
 	writeJSON(w, answer)
 }
 
+// admit returns why the host takes no requests, or nil. It says not_run of a
+// request that may not be repeated only if no earlier try has run or will.
+func (s *Server) admit(ctx context.Context, sub Submission) *problem.Error {
+	err := s.cfg.Backend.Admittable()
+	if err != nil && needsKey(sub.Pipeline) && !s.cfg.Backend.VoidKey(ctx, sub) {
+		err.Execution = problem.MayHaveRun
+	}
+	return err
+}
+
 func (s *Server) refuse(w http.ResponseWriter, id string, err *problem.Error) {
 	s.cfg.Backend.Refused(id, err)
 	writeProblem(w, id, err)
@@ -114,26 +131,3 @@
 
 func (discard) Token(string) {}
 func (discard) Reset()       {}
-
-// findCustomer returns the customer whose API key the request bears.
-func findCustomer(b *bundle.Bundle, r *http.Request) (*bundle.Customer, *problem.Error) {
-	const scheme = "Bearer "
-	header := r.Header.Get("Authorization")
-	if len(header) <= len(scheme) || !strings.EqualFold(header[:len(scheme)], scheme) {
-		return nil, problem.New(problem.Unauthorized, "the Authorization header bears no API key")
-	}
-	sum := sha256.Sum256([]byte(header[len(scheme):]))
-	got := []byte(hex.EncodeToString(sum[:]))
-	var found *bundle.Customer
-	for i := range b.Customers {
-		for _, want := range b.Customers[i].KeyHashes {
-			if subtle.ConstantTimeCompare(got, []byte(strings.ToLower(want))) == 1 {
-				found = &b.Customers[i]
-			}
-		}
-	}
-	if found == nil {
-		return nil, problem.New(problem.Unauthorized, "the API key is unknown")
-	}
-	return found, nil
-}
--- /dev/null
+++ b/core/admit/bench_test.go
@@ -0,0 +1,141 @@
+package admit
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/request"
+)
+
+// The sizes of the target: pipelines of four stages over pools of their own
+// for generation and shared ones for the rest.
+const (
+	benchPipelines = 12
+	benchCustomers = 410
+)
+
+func benchBundle() *bundle.Bundle {
+	b := &bundle.Bundle{Objective: bundle.Objective{Attainment: 1}, Hosts: make([]bundle.Host, 7)}
+	add := func(name string, kind bundle.PoolKind) {
+		b.Pools = append(b.Pools, bundle.Pool{Name: name, Kind: kind, Concurrency: 64, Upstreams: make([]bundle.Upstream, 20)})
+	}
+	for _, name := range []string{"encode", "retrieve", "rerank"} {
+		add(name, bundle.PoolService)
+	}
+	for i := range benchPipelines {
+		add(fmt.Sprintf("generate-%d", i), bundle.PoolEngine)
+	}
+	for i := range benchCustomers {
+		b.Customers = append(b.Customers, bundle.Customer{Name: fmt.Sprintf("customer-%d", i), Weight: 1, RequestsPerSecond: 1e9})
+	}
+	return b
+}
+
+func benchPlan(i int) request.Plan {
+	p := request.Plan{
+		Request: fmt.Sprintf("host-1.%d", i), Customer: fmt.Sprintf("customer-%d", i%benchCustomers),
+		Deadline: epoch.Add(time.Hour),
+	}
+	for _, stage := range []string{"encode", "retrieve", "rerank"} {
+		p.Needs = append(p.Needs, request.Need{Stage: stage, Pool: stage, Expected: 10 * time.Millisecond})
+	}
+	generate := fmt.Sprintf("generate-%d", i%benchPipelines)
+	p.Needs = append(p.Needs, request.Need{Stage: "generate", Pool: generate, Expected: time.Second})
+	return p
+}
+
+const benchPlans = 4096
+
+func benchPlanList() []request.Plan {
+	plans := make([]request.Plan, benchPlans)
+	for i := range plans {
+		plans[i] = benchPlan(i)
+	}
+	return plans
+}
+
+// request plays one whole request: its arrival, four slots, and its end.
+func playRequest(c *Controller, p request.Plan) int {
+	if c.Arrive(epoch, p, nil) != nil {
+		return 0
+	}
+	for _, n := range p.Needs {
+		t := request.Ticket{
+			Request: p.Request, Attempt: 1, Stage: n.Stage, Pool: n.Pool, Customer: p.Customer,
+			Deadline: p.Deadline, Expected: n.Expected,
+		}
+		if verdict, _ := c.Acquire(epoch, t, nil); verdict == request.Granted {
+			c.Release(epoch, t, request.CallOK, n.Expected)
+		}
+	}
+	c.Leave(epoch, p, true)
+	return 1
+}
+
+func BenchmarkArriveLeave(b *testing.B) {
+	c, plans := New(Config{}), benchPlanList()
+	c.Apply(benchBundle())
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p := plans[i%benchPlans]
+		if c.Arrive(epoch, p, nil) == nil {
+			c.Leave(epoch, p, true)
+		}
+	}
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	c := New(Config{})
+	c.Apply(benchBundle())
+	t := request.Ticket{Request: "r", Attempt: 1, Stage: "encode", Pool: "encode", Customer: "customer-1", Deadline: epoch.Add(time.Hour), Expected: time.Millisecond}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Acquire(epoch, t, nil)
+		c.Release(epoch, t, request.CallOK, time.Millisecond)
+	}
+}
+
+// BenchmarkReleaseBacklog measures a slot that goes on to one of the tickets of
+// 410 backlogged customers.
+func BenchmarkReleaseBacklog(b *testing.B) {
+	c := New(Config{MinQueue: 10 * benchCustomers})
+	bun := benchBundle()
+	bun.Hosts = make([]bundle.Host, 1280) // one slot
+	c.Apply(bun)
+	ticket := func(i int) request.Ticket {
+		return request.Ticket{
+			Request: fmt.Sprint(i), Attempt: 1, Stage: "encode", Pool: "encode",
+			Customer: fmt.Sprintf("customer-%d", i%benchCustomers), Deadline: epoch.Add(time.Hour), Expected: time.Millisecond,
+		}
+	}
+	for i := range 4 * benchCustomers {
+		c.Acquire(epoch, ticket(i), nil)
+	}
+	running := ticket(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		next := c.Release(epoch, running, request.CallFailed, time.Millisecond)[0].Ticket
+		c.Acquire(epoch, running, nil)
+		running = next
+	}
+}
+
+// BenchmarkRequestParallel measures whole requests of four stages from all
+// processors at once.
+func BenchmarkRequestParallel(b *testing.B) {
+	c, plans := New(Config{}), benchPlanList()
+	c.Apply(benchBundle())
+	var next, admitted atomic.Int64
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		own := int(next.Add(1)) * 1009
+		for pb.Next() {
+			own++
+			admitted.Add(int64(playRequest(c, plans[own%benchPlans])))
+		}
+	})
+	b.ReportMetric(float64(admitted.Load())/float64(b.N), "admitted/op")
+}
--- a/core/share/holding.go
+++ b/core/share/holding.go
@@ -79,25 +79,28 @@
 	}
 }
 
-// report sends the reports that are due, one message for each allocator.
+// report sends the reports that are due, one message for each allocator, which
+// takes along what would be due there before long.
 func (m *Machine) report(now time.Time) []Action {
 	if len(m.list.hosts) == 0 {
 		return nil
 	}
-	var allocator func(ID) string
 	batches := map[string]*wire.ShareReport{}
 	for _, id := range m.resources {
 		h := m.holdings[id]
-		if now.Before(h.due) {
-			continue
-		}
-		if allocator == nil {
-			allocator = m.allocators()
+		if !now.Before(h.due) && h.choose(now, m.allocatorOf(id)) {
+			m.addTo(now, batches, h)
 		}
-		if !h.choose(now, allocator(id)) {
-			continue
+	}
+	if len(batches) == 0 {
+		return nil
+	}
+	for _, id := range m.resources {
+		h := m.holdings[id]
+		soon := h.sent.Before(now) && h.due.Sub(now) < m.pause(now, h)/2
+		if soon && batches[m.allocatorOf(id)] != nil && h.choose(now, m.allocatorOf(id)) {
+			m.addTo(now, batches, h)
 		}
-		m.addTo(now, batches, h)
 	}
 	out := make([]Action, 0, len(batches))
 	for _, to := range slices.Sorted(maps.Keys(batches)) {
@@ -195,11 +198,17 @@
 
 // adopt makes share the daemon's own; asked is when it was asked for.
 func (m *Machine) adopt(now time.Time, h *holding, share int64, asked time.Time) {
-	h.due = now.Add(m.jitter(m.pause(h)))
-	equal := m.list.equal
-	if now.Before(h.loanUntil) && h.loan-share > equal/worthTelling {
+	before := h.share(now, m.list.equal)
+	m.take(now, h, share, asked)
+	h.due = now.Add(m.jitter(m.pause(now, h)))
+	// What is worth the message is given back at once, so that it can be lent.
+	if before-h.share(now, m.list.equal) > m.list.equal/worthTelling {
 		h.hurry(now.Add(m.cfg.Interval / 4))
 	}
+}
+
+func (m *Machine) take(now time.Time, h *holding, share int64, asked time.Time) {
+	equal := m.list.equal
 	if share > equal {
 		h.loan = share
 		h.loanUntil = asked.Add(m.cfg.Loan - m.cfg.Loan/driftPart)
@@ -207,9 +216,8 @@
 		return
 	}
 	h.loanUntil = time.Time{}
-	bound := h.bound(now, equal)
 	switch {
-	case share < bound:
+	case share < h.bound(now, equal):
 		m.cede(now, h, share)
 	case share == equal:
 		h.ceilingUntil = time.Time{}
@@ -218,8 +226,7 @@
 	}
 }
 
-// cede lowers the holding to share, never raises it. A cession worth the
-// message is reported soon, so that it can be lent.
+// cede lowers the holding to share, never raises it.
 func (m *Machine) cede(now time.Time, h *holding, share int64) {
 	equal := m.list.equal
 	if h.share(now, equal) <= share {
@@ -230,23 +237,19 @@
 		return
 	}
 	h.loanUntil = time.Time{}
-	bound := h.bound(now, equal)
-	if bound <= share {
+	if h.bound(now, equal) <= share {
 		return
 	}
 	h.ceiling = share
 	h.renew(now.Add(m.cession()))
-	if bound-share > equal/worthTelling {
-		h.hurry(now.Add(m.cfg.Interval / 4))
-	}
 }
 
 // pause is the time to the next report.
-func (m *Machine) pause(h *holding) time.Duration {
+func (m *Machine) pause(now time.Time, h *holding) time.Duration {
 	switch {
 	case h.wants() > m.list.equal:
 		return m.cfg.Interval
-	case h.contended:
+	case h.contended || !h.free(now):
 		return cedingIntervals * m.cfg.Interval
 	default:
 		return quietIntervals * m.cfg.Interval
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -17,6 +17,7 @@
 		Live: d.liveHosts, Mux: d.peerMux, Seed: xxhash.Sum64String(d.settings.Host),
 	})
 	d.appliers = append(d.appliers, d.admitter, d.shares)
+	d.sections.Register("shares", func() any { return d.shares.States() })
 }
 
 // liveHosts names the entry hosts believed to be alive, this one included.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,15 +18,19 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/claims"
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/operator"
+	"github.com/wheatseam/wheatseam/orderer"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
+	"github.com/wheatseam/wheatseam/results"
 	"github.com/wheatseam/wheatseam/settings"
 	"github.com/wheatseam/wheatseam/shares"
 )
@@ -45,16 +49,21 @@
 	upstream atomic.Pointer[clients]
 	draining atomic.Bool
 
-	table    *request.Table
-	sessions sessions
-	deps     request.Deps
-	router   *route.Router
-	loads    *loadView
-	admitter *admit.Controller
-	shares   *shares.Service
-	budgets  retry.Budgets
-	records  *record.Store
-	claimer  request.Claimer
+	table         *request.Table
+	sessions      sessions
+	deps          request.Deps
+	router        *route.Router
+	loads         *loadView
+	admitter      *admit.Controller
+	shares        *shares.Service
+	budgets       retry.Budgets
+	records       *record.Store
+	kept          *results.Service
+	keptStore     *results.Store
+	orderer       *orderer.Orderer
+	claims        *claims.Service
+	claimsSettled atomic.Bool
+	claimer       request.Claimer
 
 	incarnation uint64 // start of the process in Unix milliseconds
 	cluster     *cluster.Cluster
@@ -85,6 +94,9 @@
 	if err := d.addCluster(); err != nil {
 		return nil, err
 	}
+	d.addClaims()
+	d.addKept()
+	d.addOrderer()
 	return d, nil
 }
 
@@ -108,6 +120,9 @@
 	group.Go(func() error { return d.cluster.Run(running, d.peers) })
 	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
+	group.Go(func() error { d.claims.Run(running); return nil })
+	group.Go(func() error { d.expireKept(running); return nil })
+	group.Go(func() error { d.orderer.Run(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
 	group.Go(func() error { d.exchangeLoads(running); return nil })
 	<-ctx.Done()
@@ -194,7 +209,7 @@
 
 func (d *Daemon) logCut() {
 	for _, o := range d.table.Overviews(maxCutLogged) {
-		d.log.Warn("cut", zap.String("request", o.ID), zap.String("pipeline", o.Pipeline), zap.String("stage", o.Stage))
+		d.log.Warn("cut", logging.Request(o.ID), zap.String("pipeline", o.Pipeline), zap.String("stage", o.Stage))
 	}
 }
 
@@ -249,6 +264,8 @@
 		e = problem.New(problem.NotReady, "no configuration is in force yet")
 	case !d.cluster.Ready():
 		e = problem.New(problem.NotReady, "host %s has not heard enough of its fellows yet", d.settings.Host)
+	case !d.settled():
+		e = problem.New(problem.NotReady, "host %s has not caught up with the claims of its fellows yet", d.settings.Host)
 	default:
 		return nil
 	}
@@ -276,5 +293,5 @@
 	if e.Kind != problem.Unauthorized && e.Kind != problem.NotFound {
 		d.records.Begin(id).Add(refusedEntry(d.Now(), e))
 	}
-	d.log.Info("refused", zap.String("request", id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
+	d.log.Info("refused", logging.Request(id), zap.String("kind", string(e.Kind)), zap.String("detail", e.Detail))
 }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/wheatseam/wheatseam/caller"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
 )
@@ -21,7 +22,9 @@
 	d.sessions.insert(s)
 	log := d.records.Begin(sub.RequestID)
 	log.Add(receivedEntry(sub))
-	m := request.New(specOf(sub), d.deps, log)
+	spec := specOf(sub)
+	spec.Kept = d.resume(s)
+	m := request.New(spec, d.deps, log)
 	d.table.Insert(m)
 	d.deliver(s, request.Start{})
 	f := d.await(ctx, s, sink)
@@ -106,7 +109,7 @@
 	took := d.Now().Sub(s.sub.Arrived).Round(time.Microsecond)
 	d.countRequest(s.sub.Customer.Name, s.sub.Pipeline.Name, f.err, took)
 	fields := []zap.Field{
-		zap.String("request", s.id), zap.String("customer", s.sub.Customer.Name),
+		logging.Request(s.id), zap.String("customer", s.sub.Customer.Name),
 		zap.String("pipeline", s.sub.Pipeline.Name), zap.Duration("took", took),
 	}
 	if f.err != nil {
--- a/internal/proctest/bundle.go
+++ b/internal/proctest/bundle.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/wheatseam/wheatseam/bundle"
@@ -19,27 +18,16 @@
 	PipelineSeal = "seal"
 	// PipelineSummary encodes, then generates.
 	PipelineSummary = "summary"
-	// PipelineQuotation generates, then calls a stage that may not be
-	// repeated.
+	// PipelineQuotation generates, encodes, then calls a stage that may not
+	// be repeated.
 	PipelineQuotation = "quotation"
 )
 
-// reserve returns n addresses that were free a moment ago. A kernel-picked
-// port must be known before its daemon starts, since the bundle names it.
-func reserve(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("reserve a port: %w", err)
-		}
-		defer l.Close()
-		addresses[i] = l.Addr().String()
-	}
-	return addresses, nil
-}
+// peerIP is the loopback address that host i talks to its fellows from, so
+// that the relays know who calls.
+func peerIP(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
 
-func newBundle(hosts int, peers []string) (*bundle.Bundle, error) {
+func newBundle(peers []string, listen func(string) (string, error)) (*bundle.Bundle, error) {
 	sum := sha256.Sum256([]byte(APIKey))
 	b := &bundle.Bundle{
 		Version: 1, Deployment: "proctest", Policy: bundle.PolicyAdaptive,
@@ -56,12 +44,12 @@
 		}},
 		Pipelines: pipelines(),
 	}
-	for i := range hosts {
+	for i := range peers {
 		domain := fmt.Sprintf("domain-%d", i+1)
 		b.FailureDomains = append(b.FailureDomains, bundle.FailureDomain{Name: domain, Region: "r"})
 		b.Hosts = append(b.Hosts, bundle.Host{Name: hostName(i), FailureDomain: domain, PeerAddress: peers[i]})
 	}
-	return b, addPools(b)
+	return b, addPools(b, listen)
 }
 
 func hostName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
@@ -79,29 +67,30 @@
 	return []bundle.Pipeline{
 		{Name: PipelineSeal, Deadline: 5 * time.Second, Stages: []bundle.Stage{seal}},
 		{Name: PipelineSummary, Deadline: 5 * time.Second, Stages: []bundle.Stage{encode, generate}},
-		{Name: PipelineQuotation, Deadline: 5 * time.Second, Stages: []bundle.Stage{generate, seal}},
+		{Name: PipelineQuotation, Deadline: 5 * time.Second, Stages: []bundle.Stage{generate, encode, seal}},
 	}
 }
 
 // replicasPerPool is the number of upstreams in each pool.
 const replicasPerPool = 3
 
-func addPools(b *bundle.Bundle) error {
+// addPools adds the pools; listen opens the listener of an upstream and returns
+// its address.
+func addPools(b *bundle.Bundle, listen func(name string) (string, error)) error {
 	b.Pools = []bundle.Pool{
 		{Name: "encoders", Kind: bundle.PoolService, Concurrency: 32, Supports: bundle.Supports{Cancellation: true}},
 		{Name: "lm", Kind: bundle.PoolEngine, Model: "lm", Concurrency: 16, Supports: bundle.Supports{Cancellation: true}},
 		{Name: "signing", Kind: bundle.PoolService, Concurrency: 32},
 	}
-	addresses, err := reserve(replicasPerPool * len(b.Pools))
-	if err != nil {
-		return err
-	}
 	for i := range b.Pools {
 		for r := range replicasPerPool {
+			name := fmt.Sprintf("%s-%d", b.Pools[i].Name, r+1)
+			address, err := listen(name)
+			if err != nil {
+				return err
+			}
 			b.Pools[i].Upstreams = append(b.Pools[i].Upstreams, bundle.Upstream{
-				Name:          fmt.Sprintf("%s-%d", b.Pools[i].Name, r+1),
-				FailureDomain: b.FailureDomains[r%len(b.FailureDomains)].Name,
-				Address:       addresses[i*replicasPerPool+r],
+				Name: name, FailureDomain: b.FailureDomains[r%len(b.FailureDomains)].Name, Address: address,
 			})
 		}
 	}
