--- a/core/rollout/machine.go
+++ b/core/rollout/machine.go
@@ -23,6 +23,7 @@
 // peerMark is what a peer last said of itself.
 type peerMark struct {
 	mark       *wire.BundleMark
+	heardAt    time.Time
 	solicited  bool
 	avoidUntil time.Time
 }
@@ -76,7 +77,7 @@
 	case Woke:
 		m.woke(now)
 	case PeerHeard:
-		m.heard(e)
+		m.heard(now, e)
 	case PeersChanged:
 		m.peersChanged(e)
 	case ManifestArrived:
@@ -110,7 +111,7 @@
 }
 
 // heard notes a peer's mark.
-func (m *Machine) heard(e PeerHeard) {
+func (m *Machine) heard(now time.Time, e PeerHeard) {
 	p := m.peers[e.Host]
 	if p == nil {
 		if !slices.Contains(m.near, e.Host) && len(m.peers) >= maxStrangers+len(m.near) {
@@ -119,7 +120,7 @@
 		p = &peerMark{}
 		m.peers[e.Host] = p
 	}
-	p.mark = e.Mark
+	p.mark, p.heardAt = e.Mark, now
 	p.solicited = p.solicited || e.Solicited
 	switch {
 	case m.current == nil || e.Mark.GetVersion() != m.version():
--- a/core/rollout/poll.go
+++ b/core/rollout/poll.go
@@ -6,6 +6,10 @@
 // fleet's reads are few anyway, so it need not be long.
 const maxPollBackoff = 2
 
+// markAge is how long a peer's word on the service counts; neighbours are
+// heard every few seconds, others by chance.
+const markAge = 30 * time.Second
+
 // poll is the reading of the configuration service.
 type poll struct {
 	last time.Time // end of the last read, or the start
@@ -26,7 +30,7 @@
 		}
 		return
 	}
-	if now.Sub(m.poll.last) < m.pollWait() {
+	if now.Sub(m.poll.last) < m.pollWait(now) {
 		return
 	}
 	m.poll.deadline = now.Add(m.cfg.PollTimeout)
@@ -63,11 +67,11 @@
 // grows with the number of daemons that reach the service, so that the fleet's
 // successful reads a second stay the same. It follows the fleet's changes
 // while a daemon waits.
-func (m *Machine) pollWait() time.Duration {
+func (m *Machine) pollWait(now time.Time) time.Duration {
 	if m.poll.done == 0 {
 		return m.poll.first
 	}
-	readers := float64(m.living) * m.readerShare()
+	readers := float64(m.living) * m.readerShare(now)
 	mean := max(m.cfg.PollMin, time.Duration(readers*float64(m.cfg.PollSpacing)))
 	mean <<= min(m.poll.failures, maxPollBackoff)
 	if m.current == nil {
@@ -78,14 +82,18 @@
 
 // readerShare estimates the share of the fleet that reaches the service from
 // what the peers say of their last reads; it counts this daemon as a reader.
-func (m *Machine) readerShare() float64 {
-	readers := 1
+func (m *Machine) readerShare(now time.Time) float64 {
+	readers, heard := 1, 1
 	for _, p := range m.peers {
+		if now.Sub(p.heardAt) > markAge {
+			continue
+		}
+		heard++
 		if !p.mark.GetServiceFailed() {
 			readers++
 		}
 	}
-	return float64(readers) / float64(1+len(m.peers))
+	return float64(readers) / float64(heard)
 }
 
 // answered considers a document of the service.
@@ -119,7 +127,7 @@
 func (m *Machine) Dump(now time.Time) Dump {
 	d := Dump{
 		Version: m.version(), Digest: m.mark().GetDigest(), Source: m.source.String(), Revision: m.revision,
-		Ready: m.ready, Peers: map[string]uint64{}, PollIn: m.pollWait() - now.Sub(m.poll.last), Stats: m.stats,
+		Ready: m.ready, Peers: map[string]uint64{}, PollIn: m.pollWait(now) - now.Sub(m.poll.last), Stats: m.stats,
 	}
 	if m.current == nil {
 		d.Source = ""
