--- a/core/claim/holder.go
+++ b/core/claim/holder.go
@@ -111,7 +111,7 @@
 		return Forgotten
 	case e.superseded(a):
 		return Superseded
-	case e.isVoid(a.Arrived):
+	case e.isVoid(a.Arrived) && !h.off.noVoid:
 		return Voided
 	case e == nil && h.full():
 		return Full
