--- a/core/admit/controller_test.go
+++ b/core/admit/controller_test.go
@@ -237,6 +237,27 @@
 		Expect(admitted).To(And(BeNumerically(">=", 49), BeNumerically("<=", 50)))
 	})
 
+	It("tells what callers ask for, refused or not, and what is planned", func() {
+		b := smallBundle(bundle.Customer{Name: "a", Weight: 1, RequestsPerSecond: 10}, bundle.Customer{Name: "b", Weight: 1})
+		c.Apply(b)
+		Expect(c.Demand(epoch).Pools).To(BeEmpty())
+		var last time.Time
+		for i := range 400 {
+			last = epoch.Add(time.Duration(i) * 25 * time.Millisecond)
+			p := plan(fmt.Sprintf("a-%d", i), "a", time.Hour)
+			if c.Arrive(last, p, nil) == nil {
+				c.Leave(last, p, true)
+			}
+		}
+		d := c.Demand(last)
+		Expect(d.Customers).To(HaveKeyWithValue("a", BeNumerically("~", 4, 0.2)))
+		Expect(d.Customers).NotTo(HaveKey("b"), "it has no limit")
+		for i := range 6 {
+			Expect(c.Arrive(last, plan(fmt.Sprintf("b-%d", i), "b", time.Hour), nil)).To(BeNil())
+		}
+		Expect(c.Demand(last).Pools).To(HaveKeyWithValue("sealers", BeNumerically("~", 3, 0.01)), "six calls for two slots")
+	})
+
 	DescribeTable("admits everything under a baseline policy",
 		func(policy bundle.Policy) {
 			b := smallBundle(bundle.Customer{Name: "a", Weight: 1, RequestsPerSecond: 0.1})
--- a/core/admit/demand.go
+++ b/core/admit/demand.go
@@ -5,7 +5,8 @@
 // Demand is what callers ask of this daemon, as fractions of the whole
 // fleet's limits; more than 1 means that the limit cannot hold it.
 type Demand struct {
-	// Pools holds the service time offered to each pool over its slots.
+	// Pools holds, over each pool's slots, the service time offered a second or
+	// the calls planned, whichever is more: a backlog wants slots as well.
 	Pools map[string]float64
 	// Customers holds each limited customer's arrivals over its limit.
 	Customers map[string]float64
@@ -22,10 +23,10 @@
 	}
 	for _, p := range v.ordered {
 		p.mu.Lock()
-		offered := p.offered.rate(now) / p.limiter.estimate
+		wanted := max(p.offered.rate(now), float64(len(p.planned.calls))) / p.limiter.estimate
 		p.mu.Unlock()
-		if offered > leastDemand {
-			d.Pools[p.name] = offered
+		if wanted > leastDemand {
+			d.Pools[p.name] = wanted
 		}
 	}
 	return d
