Do not refuse at random what a customer's limit allows over the fleet

Shares made it worse, as the demand of a host was measured over 2 s, some three arrivals.

A bucket now holds besides two deviations of what arrives at random in a second, and one; a customer's demand is the larger of the rate of 2 s and that of 10 s with a deviation.

--- a/core/admit/rate.go
+++ b/core/admit/rate.go
@@ -13,14 +13,28 @@
 	customerShards = 16
 	// demandSpan is the time constant of measured rates.
 	demandSpan = 2 * time.Second
-	// burstSpan is how much of its rate a customer may use at once.
-	burstSpan = time.Second
+	// steadySpan is the time constant for customers' usual rates, which a few
+	// arrivals a second show only over a longer time.
+	steadySpan = 10 * time.Second
+	// burstSpan is how much of its rate a customer may use at once, beside
+	// burstDeviations of what arrives at random in that time.
+	burstSpan       = time.Second
+	burstDeviations = 2.0
 )
 
-// decayed measures a rate a second with exponential decay over demandSpan.
+// decayed measures a rate a second with exponential decay over span, which is
+// demandSpan when it is zero.
 type decayed struct {
-	sum float64
-	at  time.Time
+	sum  float64
+	at   time.Time
+	span time.Duration
+}
+
+func (d *decayed) spanSeconds() float64 {
+	if d.span == 0 {
+		return demandSpan.Seconds()
+	}
+	return d.span.Seconds()
 }
 
 func (d *decayed) add(now time.Time, x float64) {
@@ -34,12 +48,19 @@
 	if d.sum == 0 || elapsed <= 0 {
 		return d.sum
 	}
-	return d.sum * math.Exp(-elapsed.Seconds()/demandSpan.Seconds())
+	return d.sum * math.Exp(-elapsed.Seconds()/d.spanSeconds())
 }
 
 // rate returns the sum a second.
 func (d *decayed) rate(now time.Time) float64 {
-	return d.value(now) / demandSpan.Seconds()
+	return d.value(now) / d.spanSeconds()
+}
+
+// upper returns the sum a second and one standard deviation of it, for sums of
+// random arrivals.
+func (d *decayed) upper(now time.Time) float64 {
+	sum := d.value(now)
+	return (sum + math.Sqrt(sum)) / d.spanSeconds()
 }
 
 // customerShard holds the rate limits of some of the customers.
@@ -51,6 +72,7 @@
 // customerState is guarded by the lock of its shard.
 type customerState struct {
 	arrivals decayed
+	steady   decayed
 	// limiter is nil while the customer has no limit.
 	limiter *rate.Limiter
 	limit   float64
@@ -75,10 +97,11 @@
 	}
 	state := s.customers[customer]
 	if state == nil {
-		state = &customerState{}
+		state = &customerState{steady: decayed{span: steadySpan}}
 		s.customers[customer] = state
 	}
 	state.arrivals.add(now, 1)
+	state.steady.add(now, 1)
 	if !limited {
 		state.limiter = nil
 		return 0
@@ -97,7 +120,10 @@
 
 // set makes limit the limit in force. What is saved up stays within the burst.
 func (s *customerState) set(now time.Time, limit float64) {
-	burst := int(math.Max(1, limit*burstSpan.Seconds()))
+	usual := limit * burstSpan.Seconds()
+	// A limit that is split over hosts would refuse what comes at random to one
+	// of them while the others have room.
+	burst := int(usual + burstDeviations*math.Sqrt(usual) + 1)
 	if s.limiter == nil {
 		s.limiter = rate.NewLimiter(rate.Limit(limit), burst)
 		s.limit = limit
@@ -111,7 +137,7 @@
 	s.limit = limit
 }
 
-// demand returns the arrivals a second of each customer heard of lately
+// demand returns the arrivals a second, rather too many than too few, of each customer heard of lately
 // leaves out the others.
 func (c *customers) demand(now time.Time) map[string]float64 {
 	out := map[string]float64{}
@@ -119,7 +145,7 @@
 		s := &c[i]
 		s.mu.Lock()
 		for name, state := range s.customers {
-			if r := state.arrivals.rate(now); r > leastDemand {
+			if r := max(state.arrivals.rate(now), state.steady.upper(now)); r > leastDemand {
 				out[name] = r
 			}
 		}
