Flush a stream once for the tokens that wait

Cause: each token of a stream was flushed on its own, one write system call and one packet each, also when the upstream had sent several at once.

The caller's handler now writes what waits and flushes once.

Paced tokens (one every 10 ms) come alone and are not touched by this.

Ruled out: decoding chunks into one reused struct (a chunk without content would keep the text of the one before, and a caller get it twice).

Seen to fail: with Flush left empty, "shows its tokens before the answer" times out.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -34,6 +34,8 @@
 	tokens  []string
 	got     []Submission
 	refused []problem.Kind
+	// seen ends once the caller has seen the tokens before the answer.
+	seen chan struct{}
 	// draining refuses every request; voids says whether keys can be voided.
 	draining, voids bool
 }
@@ -58,6 +60,10 @@
 		}
 		sink.Token(t)
 	}
+	if b.seen != nil {
+		sink.Flush()
+		<-b.seen
+	}
 	if b.refusal != nil {
 		return nil, b.refusal
 	}
@@ -203,6 +209,22 @@
 			Expect(text).To(ContainSubstring("event: done\ndata: {\"request_id\":\"h1.id\""))
 		})
 
+		It("shows its tokens before the answer", func(ctx SpecContext) {
+			back.tokens = []string{"a"}
+			back.seen = make(chan struct{})
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/pipelines/summary", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Authorization", "Bearer secret")
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			first := make([]byte, len("event: token"))
+			_, err = io.ReadFull(resp.Body, first)
+			close(back.seen)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(first)).To(Equal("event: token"))
+		}, SpecTimeout(5*time.Second))
+
 		It("ends with the refusal when it is given up", func() {
 			back.tokens = []string{"a"}
 			back.refusal = problem.New(problem.UpstreamFailed, "cut")
--- a/caller/server.go
+++ b/caller/server.go
@@ -34,6 +34,8 @@
 	Token(text string)
 	// Reset tells the caller to discard the text delivered so far.
 	Reset()
+	// Flush sends what was delivered; until then it may wait here.
+	Flush()
 }
 
 // Backend serves submissions.
@@ -131,3 +133,4 @@
 
 func (discard) Token(string) {}
 func (discard) Reset()       {}
+func (discard) Flush()       {}
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -46,6 +46,10 @@
 	}
 	// A failed write shows as the end of the request's context.
 	_, _ = fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", name, data)
+}
+
+// Flush implements Sink.
+func (s *eventSink) Flush() {
 	if f, ok := s.w.(http.Flusher); ok {
 		f.Flush()
 	}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -76,6 +76,9 @@
 		select {
 		case part := <-s.output:
 			writePart(sink, part)
+			// What has come meanwhile goes out in the same packet.
+			drainOutput(s, sink)
+			sink.Flush()
 		case f := <-s.final:
 			drainOutput(s, sink)
 			return f
@@ -86,8 +89,9 @@
 	}
 }
 
+// drainOutput writes the parts that wait, at most one queue full.
 func drainOutput(s *session, sink caller.Sink) {
-	for {
+	for range outputQueue {
 		select {
 		case part := <-s.output:
 			writePart(sink, part)
