--- /dev/null
+++ b/proofs/fault_pairs_test.go
@@ -0,0 +1,115 @@
+package proofs
+
+import (
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/faultrelay"
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/internal/standin"
+)
+
+// disturbance is a fault that can be brought about and ended.
+type disturbance struct {
+	name       string
+	begin, end func(f *proctest.Fleet)
+}
+
+var disturbances = []disturbance{
+	{"a host is killed and starts again",
+		func(f *proctest.Fleet) { f.Daemons[0].Kill() },
+		func(f *proctest.Fleet) { Expect(f.StartDaemon(0)).To(Succeed()) }},
+	{"a host is frozen and wakes",
+		func(f *proctest.Fleet) { Expect(f.Daemons[1].Freeze()).To(Succeed()) },
+		func(f *proctest.Fleet) { Expect(f.Daemons[1].Thaw()).To(Succeed()) }},
+	{"a host is cut off",
+		func(f *proctest.Fleet) { f.Isolate(2) },
+		func(f *proctest.Fleet) { f.Heal() }},
+	{"one direction between two hosts is lost",
+		func(f *proctest.Fleet) {
+			f.Link(0, 1, faultrelay.Conditions{ToTarget: faultrelay.Direction{Blackhole: true}})
+		},
+		func(f *proctest.Fleet) { f.Link(0, 1, faultrelay.Conditions{}) }},
+	{"the platform is down",
+		func(f *proctest.Fleet) { f.Platform.Faults().Set(standin.Faults{Down: true}) },
+		func(f *proctest.Fleet) { f.Platform.Faults().Set(standin.Faults{}) }},
+	{"upstreams lose answers",
+		func(f *proctest.Fleet) { fault(f, "signing", standin.Faults{DropAnswer: true}) },
+		func(f *proctest.Fleet) { fault(f, "signing", standin.Faults{}) }},
+}
+
+// allPairs makes the table hold all pairs of disturbances; by default each is
+// paired with the next, which keeps the run short.
+const allPairs = "WHEATSEAM_ALL_PAIRS"
+
+func pairs() []TableEntry {
+	var entries []TableEntry
+	add := func(a, b disturbance) { entries = append(entries, Entry(a.name+", and "+b.name, a, b)) }
+	for i, a := range disturbances {
+		if os.Getenv(allPairs) == "" {
+			add(a, disturbances[(i+1)%len(disturbances)])
+			continue
+		}
+		for _, b := range disturbances[i+1:] {
+			add(a, b)
+		}
+	}
+	return entries
+}
+
+var _ = DescribeTable("At most once, and no untrue not_run, while", func(a, b disturbance) {
+	f := startFleet(proctest.Options{})
+	stop := make(chan struct{})
+	heard, load := sealUntil(f, stop)
+	for _, step := range []func(*proctest.Fleet){a.begin, b.begin, a.end, b.end} {
+		time.Sleep(250 * time.Millisecond)
+		step(f)
+	}
+	Expect(f.WaitReady(15 * time.Second)).To(Succeed())
+	close(stop)
+	load.Wait()
+	Eventually(f.Running).Should(BeZero())
+	answered := 0
+	for _, byKey := range heard {
+		for key, outcomes := range byKey {
+			expectHonest(f, key, outcomes...)
+			if outcomes[len(outcomes)-1].Answered() {
+				answered++
+			}
+		}
+	}
+	Expect(answered).To(BeNumerically(">", 0))
+	Eventually(func() bool {
+		return f.Call(0, proctest.PipelineSeal, proctest.NewKey(), "after").Answered()
+	}).Should(BeTrue(), "seals after the faults")
+}, pairs())
+
+// sealUntil runs callers that send seals and retry them through other hosts,
+// until stop is closed. What they heard may be read once load is done.
+func sealUntil(f *proctest.Fleet, stop <-chan struct{}) (heard []map[string][]proctest.Outcome, load *sync.WaitGroup) {
+	const callers = 6
+	heard, load = make([]map[string][]proctest.Outcome, callers), new(sync.WaitGroup)
+	for c := range callers {
+		heard[c] = make(map[string][]proctest.Outcome)
+		load.Add(1)
+		go func() {
+			defer load.Done()
+			rng := rand.New(rand.NewPCG(17, uint64(c)))
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := proctest.NewKey()
+				heard[c][key] = callUntilAnswered(f, rng, key)
+			}
+		}()
+	}
+	return heard, load
+}
