--- a/core/claim/explore_test.go
+++ b/core/claim/explore_test.go
@@ -152,6 +152,9 @@
 	replaced("replaced, restart", func(s *scenario) {
 		s.statuses, s.restarts, s.restartable = 3, 1, []int{1}
 		s.queries, s.quietStart = [][2]int{{1, 0}, {1, 2}, {2, 1}}, true
+		if large {
+			s.statuses, s.restarts = 4, 2
+		}
 	}),
 }
 
