--- a/core/member/rumor.go
+++ b/core/member/rumor.go
@@ -90,8 +90,11 @@
 	r.queue = slices.DeleteFunc(r.queue, func(x *rumor) bool { return x.key == k })
 }
 
+// minRumorSends leaves room for lost messages in small fleets.
+const minRumorSends = 8
+
 // rumorLimit is the number of times one daemon sends one item in a fleet of n.
-func rumorLimit(n int) int { return bits.Len(uint(n)) + 2 }
+func rumorLimit(n int) int { return max(minRumorSends, bits.Len(uint(n))+2) }
 
 // hashItem hashes the identity and content of an item.
 func hashItem(k itemKey, numbers [4]uint64, value []byte) uint64 {
