Pass engines a priority: earliest feasible deadline first

Cause: generations were sent without a priority, so an engine that honours them queued first in, first out, whatever the deadlines. The latest feasible start (deadline less the expected time of this stage and those after it) is now part of every Call, and pools with supports.priority get it as negative Unix milliseconds: higher is sooner. Ruled out: the remaining slack as it is at sending. It is comparable only among calls sent at the same moment; the absolute time stays right while a call waits. Not measured yet: adaptive admission keeps most queues out of the engines, so an effect is expected only past their slots.

--- a/core/request/action.go
+++ b/core/request/action.go
@@ -20,6 +20,10 @@
 	// NotAfter is the request's deadline. The call must not be sent later:
 	// the sender checks its clock right before the first byte.
 	NotAfter time.Time
+	// StartBy is the last time at which a start is expected to meet the
+	// deadline, the later stages counted in. Calls that wait at an upstream
+	// are best served in its order.
+	StartBy time.Time
 	// Key is the idempotency key of a non-repeatable stage; else empty.
 	Key string
 }
--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -141,7 +141,7 @@
 	m.note(now, "send", a.number, choice.Upstream, record.Field{Key: "budget", Value: m.spec.Deadline.Sub(now).String()})
 	m.do(Call{
 		Attempt: a.number, Stage: s, Choice: choice, Input: m.input,
-		NotAfter: m.spec.Deadline, Key: key,
+		NotAfter: m.spec.Deadline, StartBy: a.ticket.StartBy(), Key: key,
 	})
 	m.armHedge(now, a)
 }
--- a/core/request/machine_test.go
+++ b/core/request/machine_test.go
@@ -38,6 +38,16 @@
 		Expect(actions[Keep](h.log)).To(HaveLen(1))
 	})
 
+	It("tells each call by when it must start for the later stages to fit", func() {
+		h = newHarness(false)
+		h.step(Start{})
+		h.ok(1)
+		calls := actions[Call](h.log)
+		// Of one second, the first stage takes 10 ms and the last 100 ms.
+		Expect(calls[0].StartBy).To(Equal(epoch.Add(890 * time.Millisecond)))
+		Expect(calls[1].StartBy).To(Equal(epoch.Add(900 * time.Millisecond)))
+	})
+
 	It("refuses without a call when admission refuses", func() {
 		h = newHarness(false)
 		h.admit.refuse = problem.New(problem.Overloaded, "full")
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -111,6 +111,9 @@
 	After time.Duration
 }
 
+// StartBy is the last time at which a start is expected to meet the deadline.
+func (t Ticket) StartBy() time.Time { return t.Deadline.Add(-t.After - t.Expected) }
+
 // Verdict is the answer to a Ticket.
 type Verdict uint8
 
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -79,13 +79,26 @@
 		messages = append(messages, engine.Message{Role: "system", Content: s.sub.Prefix})
 	}
 	messages = append(messages, engine.Message{Role: "user", Content: textOf(c.Input)})
+	pool := s.clients.pools[c.Stage.Pool]
 	return engine.Generation{
-		Address: c.Choice.Address, Model: s.clients.pools[c.Stage.Pool].Model,
+		Address: c.Choice.Address, Model: pool.Model, Priority: priorityOf(pool, c.StartBy),
 		RequestID: s.id, Attempt: c.Attempt, Customer: s.sub.Customer.Name,
 		Messages: messages, MaxTokens: c.Stage.MaxTokens, NotAfter: c.NotAfter,
 	}
 }
 
+// priorityOf orders the queue of an engine by the earliest feasible deadline:
+// the sooner a generation must start, the higher. It is an absolute time, in
+// milliseconds, so that calls of all daemons compare whenever they were sent;
+// clocks that differ shift a call by as much. Engines that do not honour
+// priorities get 0, which is left out.
+func priorityOf(p bundle.Pool, startBy time.Time) int {
+	if !p.Supports.Priority {
+		return 0
+	}
+	return -int(startBy.UnixMilli())
+}
+
 // callEnded translates the error of a client.
 func callEnded(ctx context.Context, attempt int, err error) request.CallEnded {
 	if err == nil {
--- /dev/null
+++ b/daemon/call_test.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+)
+
+var _ = Describe("Engine priority", func() {
+	soon := time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+	It("is higher for a generation that must start sooner", func() {
+		p := bundle.Pool{Supports: bundle.Supports{Priority: true}}
+		Expect(priorityOf(p, soon)).To(BeNumerically(">", priorityOf(p, soon.Add(time.Millisecond))))
+	})
+
+	It("is left out for engines that do not honour it", func() {
+		Expect(priorityOf(bundle.Pool{}, soon)).To(BeZero())
+	})
+})
