Take claim messages only from the process that they speak for

Cause: holders checked the owner's host but not its incarnation, so that a late message of a dead process counted as the living one's.

--- a/claims/fleet_test.go
+++ b/claims/fleet_test.go
@@ -66,7 +66,7 @@
 func (f *fleet) boot(name string) {
 	now := time.Now()
 	s := New(Config{
-		Host: name, Incarnation: uint64(now.UnixNano()), Started: now, Caller: &link{f, name}, Now: time.Now,
+		Host: name, Incarnation: uint64(now.UnixNano()), Started: now, Caller: &link{f, name, uint64(now.UnixNano())}, Now: time.Now,
 		Trusted: func() bool { return true }, Gone: f.gone, Log: zap.NewNop(), Seed: 1,
 	}, peer.NewMux())
 	s.Apply(f.bundle)
@@ -122,13 +122,14 @@
 
 // link is a host's access to the network.
 type link struct {
-	fleet *fleet
-	from  string
+	fleet       *fleet
+	from        string
+	incarnation uint64
 }
 
 // Call hands a request over, unless it or its answer is lost.
 func (l *link) Call(ctx context.Context, host, method string, req, resp proto.Message) error {
-	sender := peer.Sender{Host: l.from}
+	sender := peer.Sender{Host: l.from, Incarnation: l.incarnation}
 	if l.fleet.lost(l.from, host) {
 		return errLost
 	}
--- a/claims/serve.go
+++ b/claims/serve.go
@@ -46,12 +46,17 @@
 	return encodeReply(f(shard.holder, env)), nil
 }
 
+// sentBy says whether a message comes from the process that it speaks for.
+func sentBy(from peer.Sender, o claim.Owner) bool {
+	return o.Host == from.Host && o.Incarnation == from.Incarnation
+}
+
 func (s *Service) serveAsk(_ context.Context, from peer.Sender, m *wire.ClaimAsk) (*wire.ClaimReply, error) {
 	ask, err := decodeAsk(m)
 	if err != nil {
 		return nil, err
 	}
-	if ask.Owner.Host != from.Host {
+	if !sentBy(from, ask.Owner) {
 		return nil, errMalformed
 	}
 	return s.withHolder(ask.Key, func(h *claim.Holder, env claim.Env) claim.Reply {
@@ -65,7 +70,7 @@
 		return nil, err
 	}
 	release := claim.Release{Key: key, Owner: decodeOwner(m.Owner), Round: m.Round}
-	if release.Owner.Host != from.Host {
+	if !sentBy(from, release.Owner) {
 		return nil, errMalformed
 	}
 	_, err = s.withHolder(key, func(h *claim.Holder, env claim.Env) claim.Reply {
@@ -81,7 +86,7 @@
 		return nil, err
 	}
 	void := claim.Void{Key: key, Owner: decodeOwner(m.Owner), Epoch: m.Epoch, Until: decodeTime(m.UntilUnixUs)}
-	if void.Owner.Host != from.Host {
+	if !sentBy(from, void.Owner) {
 		return nil, errMalformed
 	}
 	return s.withHolder(key, func(h *claim.Holder, env claim.Env) claim.Reply {
@@ -99,7 +104,7 @@
 		return nil, errMalformed
 	}
 	store := claim.Store{Key: key, Owner: decodeOwner(m.Owner), Record: *record}
-	if store.Owner.Host != from.Host {
+	if !sentBy(from, store.Owner) {
 		return nil, errMalformed
 	}
 	return s.withHolder(key, func(h *claim.Holder, env claim.Env) claim.Reply {
