One loop for work at an interval; one judge of what callers heard

Cause: read as a newcomer, the ticker loop stood three times in daemon/ and the final check twice in proofs/. Behaviour and checks are unchanged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -215,18 +215,11 @@
 
 // tick ends waits that can no longer succeed.
 func (d *Daemon) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, g := range d.deps.Admitter.Tick(d.Now()) {
-				d.notify(g)
-			}
+	every(ctx, tickEvery, func() {
+		for _, g := range d.deps.Admitter.Tick(d.Now()) {
+			d.notify(g)
 		}
-	}
+	})
 }
 
 // apply puts a bundle into force. Requests in flight keep theirs.
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -49,16 +49,7 @@
 
 // expireKept forgets kept results of no more use until ctx ends.
 func (d *Daemon) expireKept(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.keptStore.Expire(d.Now())
-		}
-	}
+	every(ctx, expireEvery, func() { d.keptStore.Expire(d.Now()) })
 }
 
 // keptRequest names the results of a request: bound to its input and to the
--- a/daemon/loadexchange.go
+++ b/daemon/loadexchange.go
@@ -23,19 +23,12 @@
 // exchangeLoads puts load digests on the heartbeats and takes those of fellow
 // daemons, until ctx ends.
 func (d *Daemon) exchangeLoads(ctx context.Context) {
-	ticker := time.NewTicker(loadExchangeEvery)
-	defer ticker.Stop()
 	heard := map[string]time.Time{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.loads.SetLive(liveHosts(d.cluster.Members(), d.settings.Host, d.settings.FailureDomain))
-			d.cluster.SetSlot(member.SlotLoad, d.loads.Digest(), false)
-			d.takeLoads(heard)
-		}
-	}
+	every(ctx, loadExchangeEvery, func() {
+		d.loads.SetLive(liveHosts(d.cluster.Members(), d.settings.Host, d.settings.FailureDomain))
+		d.cluster.SetSlot(member.SlotLoad, d.loads.Digest(), false)
+		d.takeLoads(heard)
+	})
 }
 
 // takeLoads merges the digests that arrived since the last call.
--- a/proofs/at_most_once_test.go
+++ b/proofs/at_most_once_test.go
@@ -167,16 +167,7 @@
 		load.Wait()
 		close(stop)
 		chaos.Wait()
-		Eventually(f.Running).Should(BeZero())
-		answered := 0
-		for _, byKey := range heard {
-			for key, outcomes := range byKey {
-				expectHonest(f, key, outcomes...)
-				if outcomes[len(outcomes)-1].Answered() {
-					answered++
-				}
-			}
-		}
+		answered := judge(f, heard)
 		AddReportEntry("answered", fmt.Sprintf("%d of %d", answered, callers*rounds))
 		Expect(answered).To(BeNumerically(">", 0))
 	})
--- a/proofs/fault_pairs_test.go
+++ b/proofs/fault_pairs_test.go
@@ -73,17 +73,7 @@
 	Expect(f.WaitReady(15 * time.Second)).To(Succeed())
 	close(stop)
 	load.Wait()
-	Eventually(f.Running).Should(BeZero())
-	answered := 0
-	for _, byKey := range heard {
-		for key, outcomes := range byKey {
-			expectHonest(f, key, outcomes...)
-			if outcomes[len(outcomes)-1].Answered() {
-				answered++
-			}
-		}
-	}
-	Expect(answered).To(BeNumerically(">", 0))
+	Expect(judge(f, heard)).To(BeNumerically(">", 0))
 	Eventually(func() bool {
 		return f.Call(0, proctest.PipelineSeal, proctest.NewKey(), "after").Answered()
 	}).Should(BeTrue(), "seals after the faults")
--- a/proofs/suite_test.go
+++ b/proofs/suite_test.go
@@ -82,3 +82,20 @@
 	}).Should(BeTrue(), "%+v", last)
 	return last
 }
+
+// judge checks what every caller heard of every key, once no execution runs any
+// more, and returns the number of keys that were answered in the end.
+func judge(f *proctest.Fleet, heard []map[string][]proctest.Outcome) int {
+	GinkgoHelper()
+	Eventually(f.Running).Should(BeZero())
+	answered := 0
+	for _, byKey := range heard {
+		for key, outcomes := range byKey {
+			expectHonest(f, key, outcomes...)
+			if outcomes[len(outcomes)-1].Answered() {
+				answered++
+			}
+		}
+	}
+	return answered
+}
