--- a/internal/proctest/call.go
+++ b/internal/proctest/call.go
@@ -29,6 +29,8 @@
 	// RetryAfter is the header's value.
 	RetryAfter string
 	Took       time.Duration
+	// Heard is when the caller had its answer.
+	Heard time.Time
 }
 
 // Answered reports whether the caller has its whole answer.
@@ -51,7 +53,8 @@
 func (f *Fleet) CallContext(ctx context.Context, i int, pipeline, key, text string) Outcome {
 	began := time.Now()
 	o := f.call(ctx, i, pipeline, key, text)
-	o.Took = time.Since(began)
+	o.Heard = time.Now()
+	o.Took = o.Heard.Sub(began)
 	return o
 }
 
