Refuse on arrival what needs a pool that fails as a whole; measure recovery

Cause: with a later stage's pool down, requests ran their first stages in vain and were refused as may_have_run: 45% of encode's engine time wasted. Ruled out: ejecting whole pools and admission's limit (decision 0015). BenchmarkRecovery reports attainment during and after each fault between daemons.

--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -180,6 +180,7 @@
 		return
 	}
 	m.winner = a.number
+	m.deps.Health.Succeeded(a.choice.Pool)
 	m.cancelOthers(now, a)
 	if m.spec.Stream && m.stage == len(m.spec.Pipeline.Stages)-1 {
 		m.forwarded = true
@@ -248,6 +249,12 @@
 		Latency: latency, FirstByte: e.FirstByte, Tokens: e.Tokens,
 	})
 	m.notify(m.deps.Admitter.Release(now, a.ticket, result, latency))
+	switch {
+	case result == CallOK || e.Rejected:
+		m.deps.Health.Succeeded(a.choice.Pool)
+	case result == CallFailed:
+		m.deps.Health.Failed(now, a.choice.Pool)
+	}
 }
 
 func (m *Machine) noteUnused(now time.Time, a *attempt, e CallEnded) {
--- a/core/request/fakes_test.go
+++ b/core/request/fakes_test.go
@@ -104,6 +104,16 @@
 	return b.left >= 0
 }
 
+// fakeHealth refuses when failing names a pool, and counts what it is told.
+type fakeHealth struct {
+	failing           string
+	succeeded, failed int
+}
+
+func (h *fakeHealth) Allow(time.Time, []string) (string, bool) { return h.failing, h.failing == "" }
+func (h *fakeHealth) Succeeded(string)                         { h.succeeded++ }
+func (h *fakeHealth) Failed(time.Time, string)                 { h.failed++ }
+
 type recorder struct{ entries []record.Entry }
 
 func (r *recorder) Add(e record.Entry) { r.entries = append(r.entries, e) }
@@ -114,6 +124,7 @@
 	router  *fakeRouter
 	admit   *fakeAdmitter
 	retries *fakeBudget
+	health  *fakeHealth
 	rec     *recorder
 	m       *Machine
 	log     []Action
@@ -153,9 +164,9 @@
 	}
 	h := &harness{
 		now: epoch, router: &fakeRouter{}, admit: &fakeAdmitter{slots: 10},
-		retries: &fakeBudget{left: 5}, rec: &recorder{},
+		retries: &fakeBudget{left: 5}, health: &fakeHealth{}, rec: &recorder{},
 	}
-	deps := Deps{Router: h.router, Admitter: h.admit, Retries: h.retries, Hedges: &fakeBudget{left: 5}}
+	deps := Deps{Router: h.router, Admitter: h.admit, Retries: h.retries, Hedges: &fakeBudget{left: 5}, Health: h.health}
 	h.m = New(spec, deps, h.rec)
 	return h
 }
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -38,6 +38,7 @@
 	Admitter Admitter
 	Retries  Budget
 	Hedges   Budget
+	Health   Health
 }
 
 // phase says what the machine waits for.
@@ -168,6 +169,11 @@
 		return
 	}
 	m.plan = m.makePlan()
+	if failing, ok := m.deps.Health.Allow(now, m.pools()); !ok {
+		m.note(now, "health", 0, "refused", record.Field{Key: "pool", Value: failing})
+		m.fail(now, m.problem(problem.NoUpstream, "pool %s fails as a whole", failing))
+		return
+	}
 	if err := m.deps.Admitter.Arrive(now, m.plan, m.rec); err != nil {
 		m.fail(now, err)
 		return
@@ -189,6 +195,15 @@
 	return p
 }
 
+// pools names the pools that the request needs.
+func (m *Machine) pools() []string {
+	var names []string
+	for _, s := range m.spec.Pipeline.Stages {
+		names = append(names, s.Pool)
+	}
+	return names
+}
+
 // expectedQuantile is the quantile of the measured latency that plans use.
 const expectedQuantile = 0.5
 
--- a/core/request/machine_test.go
+++ b/core/request/machine_test.go
@@ -57,6 +57,27 @@
 		Expect(actions[Call](h.log)).To(BeEmpty())
 	})
 
+	It("refuses without a call when a later pool fails as a whole", func() {
+		h = newHarness(false)
+		h.health.failing = "lm"
+		h.step(Start{})
+		settled()
+		Expect(h.finish().Err.Kind).To(Equal(problem.NoUpstream))
+		Expect(h.finish().Err.Execution).To(Equal(problem.NotRun))
+	})
+
+	It("tells which calls failed, and not those that it cancelled itself", func() {
+		h = newHarness(false)
+		h.step(Start{})
+		h.step(CallEnded{Attempt: 1, Result: CallFailed})
+		h.ok(2)
+		h.step(CallerGone{})
+		h.step(CallEnded{Attempt: 3, Result: CallFailed})
+		settled()
+		Expect(h.health.failed).To(Equal(1))
+		Expect(h.health.succeeded).To(Equal(1))
+	})
+
 	It("voids the key before it says not_run about a claimable request", func() {
 		h = newHarness(true)
 		h.admit.refuse = problem.New(problem.Overloaded, "full")
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -158,6 +158,17 @@
 	Withdraw(now time.Time) bool
 }
 
+// Health tells pools that fail as a whole. Implementations are safe for
+// concurrent use.
+type Health interface {
+	// Allow says whether a request that needs the pools may start, and names a
+	// failing pool if not. Some requests are let through to probe.
+	Allow(now time.Time, pools []string) (failing string, ok bool)
+	// Succeeded and Failed note how a call to a pool ended.
+	Succeeded(pool string)
+	Failed(now time.Time, pool string)
+}
+
 // Claimer is what carries out Claim, Release and Record actions. It does I/O
 // and is used by the runtime, never by a Machine. Implementations are safe for
 // concurrent use.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/wheatseam/wheatseam/claims"
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/admit"
+	"github.com/wheatseam/wheatseam/core/breaker"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
@@ -57,6 +58,7 @@
 	admitter      *admit.Controller
 	shares        *shares.Service
 	budgets       retry.Budgets
+	health        *breaker.Set
 	records       *record.Store
 	kept          *results.Service
 	keptStore     *results.Store
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/breaker"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
@@ -29,5 +30,6 @@
 	d.router, d.budgets = router, budgets
 	d.loads = newLoadView(d.settings, router, d.log, d.Now)
 	d.appliers = append(d.appliers, router, budgetApplier{budgets}, d.loads)
-	d.deps = request.Deps{Router: router, Admitter: d.admitter, Retries: budgets.Retry, Hedges: budgets.Hedge}
+	d.health = breaker.New(breaker.Config{})
+	d.deps = request.Deps{Router: router, Admitter: d.admitter, Retries: budgets.Retry, Hedges: budgets.Hedge, Health: d.health}
 }
--- /dev/null
+++ b/proofs/recovery_bench_test.go
@@ -0,0 +1,135 @@
+package proofs
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// The course of one run of BenchmarkRecovery.
+const (
+	recoveryFaultAt  = 1 * time.Second
+	recoveryFaultEnd = 3 * time.Second
+	recoveryEnd      = 9 * time.Second
+	recoveryEvery    = 10 * time.Millisecond
+	// recoveryQuiet is how long no request may fail for the fleet to count as
+	// recovered.
+	recoveryQuiet = time.Second
+)
+
+// sample is one request of BenchmarkRecovery.
+type sample struct {
+	sent    time.Duration
+	outcome proctest.Outcome
+}
+
+// BenchmarkRecovery sends 100 requests a second, seals and summaries by turns,
+// each to a random host without a retry, brings each fault about for two
+// seconds, and reports the attainment while it lasts and after, and how long
+// after its end the last request failed.
+//
+//	go test -run '^$' -bench Recovery -benchtime 1x ./proofs
+func BenchmarkRecovery(b *testing.B) {
+	RegisterTestingT(b)
+	for _, fault := range disturbances {
+		b.Run(fault.name, func(b *testing.B) {
+			for range b.N {
+				f, err := proctest.Start(b.TempDir(), proctest.Options{})
+				if err != nil {
+					b.Fatal(err)
+				}
+				samples := loadThroughFault(f, fault)
+				f.Close()
+				reportRecovery(b, samples)
+			}
+		})
+	}
+}
+
+func loadThroughFault(f *proctest.Fleet, fault disturbance) []sample {
+	began := time.Now()
+	var (
+		mu  sync.Mutex
+		all []sample
+		wg  sync.WaitGroup
+	)
+	rng := rand.New(rand.NewPCG(3, 5))
+	time.AfterFunc(recoveryFaultAt, func() { fault.begin(f) })
+	time.AfterFunc(recoveryFaultEnd, func() { fault.end(f) })
+	for n := 0; time.Since(began) < recoveryEnd; n++ {
+		host, seal := rng.IntN(len(f.Daemons)), n%2 == 0
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			sent := time.Since(began)
+			pipeline, key := proctest.PipelineSummary, ""
+			if seal {
+				pipeline, key = proctest.PipelineSeal, proctest.NewKey()
+			}
+			o := f.Call(host, pipeline, key, "text")
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, sample{sent, o})
+		}()
+		time.Sleep(recoveryEvery)
+	}
+	wg.Wait()
+	return all
+}
+
+func reportRecovery(b *testing.B, samples []sample) {
+	var during, after, duringOK, afterOK, notRun, mayHaveRun, unheard float64
+	var failures []time.Duration
+	for _, s := range samples {
+		ok := s.outcome.Answered()
+		switch {
+		case s.sent < recoveryFaultAt:
+		case s.sent < recoveryFaultEnd:
+			during++
+			duringOK += count(ok)
+		default:
+			after++
+			afterOK += count(ok)
+		}
+		if ok {
+			continue
+		}
+		failures = append(failures, s.sent)
+		notRun += count(s.outcome.Execution == problem.NotRun)
+		mayHaveRun += count(s.outcome.Execution == problem.MayHaveRun)
+		unheard += count(s.outcome.Err != nil)
+	}
+	b.ReportMetric(100*duringOK/during, "%during")
+	b.ReportMetric(100*afterOK/after, "%after")
+	b.ReportMetric(recoveredAfter(failures).Seconds(), "s-to-recover")
+	b.ReportMetric(notRun, "not_run")
+	b.ReportMetric(mayHaveRun, "may_have_run")
+	b.ReportMetric(unheard, "unheard")
+}
+
+func count(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// recoveredAfter is the time from the fault's end to the last failure before a
+// second without any.
+func recoveredAfter(failures []time.Duration) time.Duration {
+	slices.Sort(failures)
+	last := recoveryFaultEnd
+	for _, f := range failures {
+		if f > last && f-last <= recoveryQuiet {
+			last = f
+		}
+	}
+	return last - recoveryFaultEnd
+}
