Hedges do not wait for a slot

Cause: a hedge queued at admission like a first call, behind which others waited, although its request was being served. A hedge that finds no free slot is now given up at once and does not count as an attempt. Ruled out: less budget; it would take hedges away when slots are free, too. The test fails with the guard taken out.

--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -90,6 +90,10 @@
 	case Refused:
 		a.state = attemptEnded
 		m.attemptLost(now, a, err)
+	case Queued:
+		if hedge {
+			m.skipHedge(now, a)
+		}
 	}
 }
 
--- a/core/request/hedge.go
+++ b/core/request/hedge.go
@@ -21,6 +21,15 @@
 	m.do(SetTimer{Timer: TimerHedge, Attempt: a.number, At: now.Add(delay)})
 }
 
+// skipHedge takes a hedge out of the queue that it would have to wait in: it
+// would come late and displace calls that are not answered twice. It does not
+// count as an attempt.
+func (m *Machine) skipHedge(now time.Time, a *attempt) {
+	m.note(now, "hedge", a.number, "no: no slot is free")
+	m.cancel(now, a)
+	m.attempts = m.attempts[:len(m.attempts)-1]
+}
+
 // hedgeDelay is measured on the first token of a generation, since its whole
 // length differs by request, and on the whole answer of all else.
 func (m *Machine) hedgeDelay(s bundle.Stage, quantile float64) (time.Duration, bool) {
--- a/core/request/machine_test.go
+++ b/core/request/machine_test.go
@@ -196,6 +196,20 @@
 			Expect(h.finish().Answer).NotTo(BeNil())
 		})
 
+		It("does not queue a hedge for a slot", func() {
+			h = newHarness(false)
+			h.admit.slots = 1
+			h.router.latency = 20 * time.Millisecond
+			h.step(Start{})
+			h.now = h.now.Add(20 * time.Millisecond)
+			h.step(TimerFired{Timer: TimerHedge, Attempt: 1})
+			Expect(h.admit.queue).To(BeEmpty())
+			h.ok(1)
+			h.ok(3)
+			settled()
+			Expect(h.finish().Answer.Stages[0].Attempts).To(Equal(1))
+		})
+
 		It("waits for the other attempt when one fails", func() {
 			hedged()
 			h.step(CallEnded{Attempt: 1, Result: CallFailed})
