Objective weights decide when to hedge and whether generations are packed

Cause: the bundle's objective changed admission's margin only. Hedges: a slow call is hedged once the slack before the deadline is at most 4 * attainment / cost times what the request still needs; at once where cost does not weigh. Where cost weighs more than attainment, generations with time for three times the usual latency go to the fullest engine under 0.8 of its concurrency, since a token of a full batch costs least. Ruled out: a reach by the stage's own time (a hedge of a 20 ms stage would be put off to the end of the slack, under attainment first too); a larger prefix bonus (prefill is a hundredth of a generation here). The tests fail with the weight of packing taken out.

--- a/core/request/hedge.go
+++ b/core/request/hedge.go
@@ -18,7 +18,27 @@
 	if !ok {
 		return
 	}
-	m.do(SetTimer{Timer: TimerHedge, Attempt: a.number, At: now.Add(delay)})
+	at := now.Add(delay)
+	if worth := hedgeFrom(m.spec.Bundle.Objective, a.ticket); worth.After(at) {
+		at = worth
+	}
+	m.do(SetTimer{Timer: TimerHedge, Attempt: a.number, At: at})
+}
+
+// hedgeReach is with how much slack before its deadline a slow call is hedged,
+// as a multiple of the time that the request still needs, when attainment and
+// cost weigh the same.
+const hedgeReach = 4.0
+
+// hedgeFrom returns from when on a hedge is worth its cost: a hedge saves a
+// request only if little slack is left, so the more cost weighs, the longer a
+// slow call is waited for. The zero time says that it always is.
+func hedgeFrom(o bundle.Objective, t Ticket) time.Time {
+	if o.CostByStage <= 0 {
+		return time.Time{}
+	}
+	reach := hedgeReach * o.Attainment / o.CostByStage
+	return t.StartBy().Add(-time.Duration(reach * float64(t.Expected+t.After)))
 }
 
 // skipHedge takes a hedge out of the queue that it would have to wait in: it
--- a/core/request/machine_test.go
+++ b/core/request/machine_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -196,6 +197,22 @@
 			Expect(h.finish().Answer).NotTo(BeNil())
 		})
 
+		DescribeTable("waits with a hedge the longer, the more cost weighs",
+			func(o bundle.Objective, want time.Duration) {
+				h = newHarness(false)
+				h.m.spec.Bundle.Objective = o
+				h.router.latency = 20 * time.Millisecond
+				h.step(Start{})
+				// Sent after 1 ms; the two stages need 40 ms of one second.
+				timers := actions[SetTimer](h.log)
+				Expect(timers[len(timers)-1].At).To(Equal(epoch.Add(want)))
+			},
+			Entry("attainment alone: at the measured delay", bundle.Objective{Attainment: 1}, 21*time.Millisecond),
+			Entry("attainment first: with ample slack", bundle.Objective{Attainment: 1, CostByStage: 0.1}, 21*time.Millisecond),
+			Entry("cost first: with slack for 1.6 times the need", bundle.Objective{Attainment: 0.4, CostByStage: 1}, 896*time.Millisecond),
+			Entry("cost alone: only while it can still make it", bundle.Objective{CostByStage: 1}, 960*time.Millisecond),
+		)
+
 		It("does not queue a hedge for a slot", func() {
 			h = newHarness(false)
 			h.admit.slots = 1
--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -40,7 +40,7 @@
 		byUpstream: map[string][]place{},
 	}
 	for i := range b.Pools {
-		p := r.poolOf(old, &b.Pools[i], b.Policy, regions)
+		p := r.poolOf(old, &b.Pools[i], b, regions)
 		p.expected = expectedOf(b, p.name)
 		next.pools[p.name] = p
 		for k := range p.members {
@@ -59,12 +59,13 @@
 }
 
 // poolOf builds the view of a pool and carries its states over.
-func (r *Router) poolOf(old *snapshot, b *bundle.Pool, policy bundle.Policy, regions map[string]string) *poolView {
+func (r *Router) poolOf(old *snapshot, b *bundle.Pool, of *bundle.Bundle, regions map[string]string) *poolView {
 	p := &poolView{
 		name:        b.Name,
 		concurrency: float64(max(1, b.Concurrency)),
 		limit:       math.Ceil(r.config.SaturationFactor * float64(max(1, b.Concurrency))),
 	}
+	policy, pack := of.Policy, packWeight(of.Objective)
 	if policy == "" {
 		policy = bundle.PolicyAdaptive
 	}
@@ -73,8 +74,8 @@
 	} else {
 		p.shard = newShard(r.config.Seed, xxhash.Sum64String(b.Name))
 	}
-	if p.steps == nil || p.steps.policy != policy {
-		p.steps = newSteps(policy, r.config)
+	if p.steps == nil || p.steps.policy != policy || p.steps.pack != pack {
+		p.steps = newSteps(policy, pack, r.config)
 	}
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -26,7 +26,10 @@
 type randomChoices struct {
 	choices int
 	scorers []Scorer
-	local   []int
+	// packed says that generations are packed: then as many candidates as may
+	// be are drawn, since the fullest one with room must be among them.
+	packed bool
+	local  []int
 }
 
 func (*randomChoices) Name() string { return "random_choices" }
@@ -38,8 +41,12 @@
 			p.local = append(p.local, i)
 		}
 	}
+	choices := p.choices
+	if p.packed && packs(v) {
+		choices = maxDrawn
+	}
 	drawn = p.draw(v, p.local, 1, rng, drawn)
-	drawn = p.draw(v, eligible, p.choices, rng, drawn)
+	drawn = p.draw(v, eligible, choices, rng, drawn)
 	if v.Home >= 0 {
 		drawn = p.add(v, v.Home, drawn)
 	}
--- a/core/route/scorer.go
+++ b/core/route/scorer.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+)
 
 const (
 	// slownessFree is the multiple of the usual latency that costs nothing.
@@ -70,6 +74,46 @@
 	return 0
 }
 
+const (
+	// packBound is the share of an engine's concurrency up to which calls are
+	// packed; beyond it they spread.
+	packBound = 0.8
+	// packSlack is the multiple of the usual latency that a generation must
+	// have time for to be packed: in a full batch it takes up to twice as long.
+	packSlack = 3
+)
+
+// packs says whether the call may be packed: a generation with time to spare.
+func packs(v *View) bool {
+	return v.Query.Kind == bundle.StageGenerate && v.Typical > 0 && v.Query.Budget >= packSlack*v.Typical
+}
+
+// packScorer makes engines cheaper the fuller they are, up to packBound. A step
+// of an engine costs much the same whatever its batch, so that a token of a
+// full batch costs least and comes later. It is in force only where cost weighs
+// more than attainment.
+type packScorer struct {
+	// weight is the weight of cost in the objective, 0 to 1.
+	weight float64
+}
+
+func (packScorer) Name() string { return "pack" }
+func (s packScorer) Cost(v *View, c *Candidate) float64 {
+	load := (float64(c.Own) + c.Believed + 1) / v.Concurrency
+	if !packs(v) || load > packBound {
+		return 0
+	}
+	return -2 * s.weight * load
+}
+
+// packWeight returns the weight of cost if it prevails, else 0.
+func packWeight(o bundle.Objective) float64 {
+	if o.CostByStage <= o.Attainment {
+		return 0
+	}
+	return o.CostByStage / (o.Attainment + o.CostByStage)
+}
+
 // adaptiveScorers are the scorers of the adaptive policy.
 func adaptiveScorers(c Config) []Scorer {
 	return []Scorer{
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -44,13 +44,15 @@
 
 // steps are the decision steps of a policy.
 type steps struct {
-	policy  bundle.Policy
+	policy bundle.Policy
+	// pack is how far the objective weighs cost over attainment.
+	pack    float64
 	filters []Filter
 	scorers []Scorer
 	picker  Picker
 }
 
-func newSteps(p bundle.Policy, c Config) *steps {
+func newSteps(p bundle.Policy, pack float64, c Config) *steps {
 	switch p {
 	case bundle.PolicyRoundRobin:
 		return &steps{policy: p, filters: baselineFilters(), picker: &roundRobin{}}
@@ -58,9 +60,14 @@
 		return &steps{policy: p, filters: baselineFilters(), picker: leastRequests{}}
 	}
 	scorers := adaptiveScorers(c)
+	picker := &randomChoices{choices: c.Choices, scorers: scorers}
+	if pack > 0 {
+		scorers = append(scorers, packScorer{pack})
+		picker.scorers, picker.packed = scorers, true
+	}
 	return &steps{
-		policy: bundle.PolicyAdaptive, filters: adaptiveFilters(), scorers: scorers,
-		picker: &randomChoices{choices: c.Choices, scorers: scorers},
+		policy: bundle.PolicyAdaptive, pack: pack, filters: adaptiveFilters(), scorers: scorers,
+		picker: picker,
 	}
 }
 
--- a/core/route/steps_test.go
+++ b/core/route/steps_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/request"
 )
 
@@ -156,3 +157,37 @@
 		Expect(prefixHome(v, []int{0, 1}, 0, 1.5)).To(Equal(-1))
 	})
 })
+
+var _ = Describe("packing", func() {
+	pick := func(o bundle.Objective, budget time.Duration, own ...int) int {
+		s := newSteps(bundle.PolicyAdaptive, packWeight(o), Config{}.withDefaults())
+		candidates := make([]Candidate, len(own))
+		eligible := make([]int, len(own))
+		for i := range own {
+			candidates[i] = Candidate{Domain: "d0", Own: own[i], Slowness: 1}
+			eligible[i] = i
+		}
+		v := testView(candidates...)
+		v.Typical, v.Concurrency = time.Second, 10
+		v.Query = &request.Query{Kind: bundle.StageGenerate, Budget: budget}
+		return s.picker.Pick(v, eligible, testRand(), nil)[0].index
+	}
+	costFirst := bundle.Objective{Attainment: 0.4, CostByStage: 1}
+
+	It("fills an engine up to its bound where cost comes first", func() {
+		Expect(pick(costFirst, 4*time.Second, 0, 5, 1)).To(Equal(1))
+		Expect(pick(costFirst, 4*time.Second, 0, 5, 8)).To(Equal(1))
+	})
+
+	It("spreads when all are beyond the bound", func() {
+		Expect(pick(costFirst, 4*time.Second, 9, 8, 9)).To(Equal(1))
+	})
+
+	It("spreads calls without time to spare", func() {
+		Expect(pick(costFirst, 2*time.Second, 0, 5)).To(Equal(0))
+	})
+
+	It("spreads where attainment comes first", func() {
+		Expect(pick(bundle.Objective{Attainment: 1, CostByStage: 0.2}, 4*time.Second, 0, 5)).To(Equal(0))
+	})
+})
