Route: weigh all upstreams of a small pool

Cause of what was left of the gap to least_requests: two of three engines were drawn for each pick, so that the emptiest was left out of every third. Up to four candidates are now all weighed. What two choices guard against, many daemons rushing at the same report, is bounded by four even shares there; in larger pools nothing changes, and the herding test is untouched. The test fails with the rule taken out.

--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -5,6 +5,11 @@
 // maxDrawn bounds the candidates that one pick scores.
 const maxDrawn = 16
 
+// smallPool is the number of candidates up to which all are drawn: the one that
+// looks best cannot get many times its even share then, and leaving one out of
+// three leaves the emptiest out of every third pick.
+const smallPool = 4
+
 // scored is a drawn candidate and its cost.
 type scored struct {
 	index int
@@ -22,7 +27,7 @@
 // other choices from everywhere, adds the home of the prefix, and takes the
 // cheapest. Drawing few keeps daemons that share a view from all choosing the
 // same upstream: of n daemons' calls the one that looks best gets about
-// choices times its even share, and no more.
+// choices times its even share, and no more. Of smallPool or fewer all are drawn.
 type randomChoices struct {
 	choices int
 	scorers []Scorer
@@ -42,7 +47,7 @@
 		}
 	}
 	choices := p.choices
-	if p.packed && packs(v) {
+	if len(eligible) <= smallPool || p.packed && packs(v) {
 		choices = maxDrawn
 	}
 	drawn = p.draw(v, p.local, 1, rng, drawn)
--- a/core/route/steps_test.go
+++ b/core/route/steps_test.go
@@ -100,6 +100,15 @@
 		Expect(p.Pick(testView(candidates...), eligible, testRand(), nil)).To(HaveLen(2))
 	})
 
+	It("draw all of a small pool, so that the emptiest is among them", func() {
+		p := &randomChoices{choices: 2, scorers: adaptiveScorers(Config{}.withDefaults())}
+		v := testView(Candidate{Domain: "d0", Own: 2}, Candidate{Domain: "d1", Own: 2}, Candidate{Domain: "d2"})
+		rng := testRand()
+		for range 50 {
+			Expect(p.Pick(v, []int{0, 1, 2}, rng, nil)[0].index).To(Equal(2))
+		}
+	})
+
 	It("round robin takes all in turn", func() {
 		p := &roundRobin{}
 		var got []int
