--- a/daemon/call.go
+++ b/daemon/call.go
@@ -32,6 +32,9 @@
 
 func (d *Daemon) callService(ctx context.Context, s *session, c request.Call) request.CallEnded {
 	client := s.clients.services[c.Stage.Pool]
+	if client == nil {
+		return unserved(c)
+	}
 	began := d.Now()
 	output, err := client.Do(ctx, service.Call{
 		Address: c.Choice.Address, Path: pathOf(c.Stage), RequestID: s.id, Attempt: c.Attempt,
@@ -42,8 +45,19 @@
 	return ended
 }
 
+// unserved ends a call that cannot be sent at all.
+func unserved(c request.Call) request.CallEnded {
+	return request.CallEnded{
+		Attempt: c.Attempt, Result: request.CallFailed, NotExecuted: true, Rejected: true,
+		Detail: errNoClient.Error(),
+	}
+}
+
 func (d *Daemon) generate(ctx context.Context, s *session, c request.Call) request.CallEnded {
 	client := s.clients.engines[c.Stage.Pool]
+	if client == nil {
+		return unserved(c)
+	}
 	began := d.Now()
 	var first time.Duration
 	out, err := client.Generate(ctx, d.generation(s, c), func(text string) {
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"time"
 
 	"github.com/wheatseam/wheatseam/bundle"
@@ -15,7 +16,12 @@
 	services map[string]*service.Client
 }
 
-func newClients(b *bundle.Bundle, now func() time.Time) *clients {
+// errNoClient is a stage whose pool does not speak the stage's protocol.
+var errNoClient = errors.New("the pool does not serve stages of this kind")
+
+// newClients returns the clients of a bundle. Those of the bundle before are
+// used on, with their open connections, where they fit; old may be nil.
+func newClients(b *bundle.Bundle, old *clients, now func() time.Time) *clients {
 	c := &clients{
 		pools:    make(map[string]bundle.Pool),
 		engines:  make(map[string]*engine.Client),
@@ -25,10 +31,30 @@
 		c.pools[p.Name] = p
 		switch p.Kind {
 		case bundle.PoolEngine:
-			c.engines[p.Name] = engine.NewClient(p.MaxConnections, now)
+			if c.engines[p.Name] = old.engine(p); c.engines[p.Name] == nil {
+				c.engines[p.Name] = engine.NewClient(p.MaxConnections, now)
+			}
 		case bundle.PoolService:
-			c.services[p.Name] = service.NewClient(p.MaxConnections, now)
+			if c.services[p.Name] = old.service(p); c.services[p.Name] == nil {
+				c.services[p.Name] = service.NewClient(p.MaxConnections, now)
+			}
 		}
 	}
 	return c
 }
+
+// engine returns the client of an engine pool that fits p, or nil.
+func (c *clients) engine(p bundle.Pool) *engine.Client {
+	if c == nil || c.pools[p.Name].MaxConnections != p.MaxConnections {
+		return nil
+	}
+	return c.engines[p.Name]
+}
+
+// service returns the client of a service pool that fits p, or nil.
+func (c *clients) service(p bundle.Pool) *service.Client {
+	if c == nil || c.pools[p.Name].MaxConnections != p.MaxConnections {
+		return nil
+	}
+	return c.services[p.Name]
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -226,7 +226,7 @@
 
 // apply puts a bundle into force. Requests in flight keep theirs.
 func (d *Daemon) apply(b *bundle.Bundle) {
-	d.upstream.Store(newClients(b, d.Now))
+	d.upstream.Store(newClients(b, d.upstream.Load(), d.Now))
 	for _, a := range d.appliers {
 		a.Apply(b)
 	}
