Serve a dropped pool for one more bundle

Cause: a request keeps the bundle it was admitted under, yet the router had no upstreams of a pool that the next bundle dropped, so that a request on its way was refused. The new spec failed before. Ruled out: a grace by time, which Apply does not know.

--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -43,21 +43,40 @@
 		p := r.poolOf(old, &b.Pools[i], b, regions)
 		p.expected = expectedOf(b, p.name)
 		next.pools[p.name] = p
-		for k := range p.members {
-			name := p.members[k].name
-			next.byUpstream[name] = append(next.byUpstream[name], place{p, p.members[k].state})
-		}
+		next.place(p)
 	}
-	// A pool that the bundle dropped stays, without upstreams to pick, while
-	// it has calls in flight: a later bundle may bring it back.
+	// A pool that the bundle dropped serves on for one more bundle, since
+	// requests that were admitted before may still need it; then it stays,
+	// without upstreams to pick, while it has calls in flight: a later bundle
+	// may bring it back.
 	for name, p := range old.pools {
-		if next.pools[name] == nil && p.shard.inFlight() > 0 {
-			next.pools[name] = &poolView{name: name, steps: p.steps, shard: p.shard}
+		switch {
+		case next.pools[name] != nil:
+		case !p.dropped:
+			next.pools[name] = p.asDropped()
+			next.place(next.pools[name])
+		case p.shard.inFlight() > 0:
+			next.pools[name] = &poolView{name: name, steps: p.steps, shard: p.shard, dropped: true}
 		}
 	}
 	r.current.Store(next)
 }
 
+// place notes where the upstreams of a pool stand.
+func (s *snapshot) place(p *poolView) {
+	for k := range p.members {
+		name := p.members[k].name
+		s.byUpstream[name] = append(s.byUpstream[name], place{p, p.members[k].state})
+	}
+}
+
+// asDropped is the view of a pool that the bundle in force no longer has.
+func (p *poolView) asDropped() *poolView {
+	kept := *p
+	kept.dropped = true
+	return &kept
+}
+
 // poolOf builds the view of a pool and carries its states over.
 func (r *Router) poolOf(old *snapshot, b *bundle.Pool, of *bundle.Bundle, regions map[string]string) *poolView {
 	p := &poolView{
--- a/core/route/router_test.go
+++ b/core/route/router_test.go
@@ -121,6 +121,17 @@
 		Expect(err).NotTo(BeNil())
 	})
 
+	It("serves a dropped pool for one more bundle, to requests admitted before", func() {
+		r := testRouter(testBundle(2, 2, bundle.PolicyAdaptive), 1)
+		without := testBundle(2, 2, bundle.PolicyAdaptive)
+		without.Pools[0].Name = "another"
+		r.Apply(without)
+		done(r, start, mustPick(r, start, query()), request.CallOK, time.Millisecond)
+		r.Apply(without)
+		_, err := r.Pick(start, query(), nil)
+		Expect(err).NotTo(BeNil())
+	})
+
 	It("goes to another failure domain on a retry", func() {
 		r := testRouter(testBundle(8, 4, bundle.PolicyAdaptive), 1)
 		q := query()
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -40,6 +40,8 @@
 	members  []member
 	steps    *steps
 	shard    *shard
+	// dropped says that the bundle in force no longer has the pool.
+	dropped bool
 }
 
 // steps are the decision steps of a policy.
