--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/certs"
 	"github.com/wheatseam/wheatseam/internal/faultrelay"
 	"github.com/wheatseam/wheatseam/internal/standin"
 	"github.com/wheatseam/wheatseam/internal/standin/engine"
@@ -193,7 +194,32 @@
 	if err := os.WriteFile(filepath.Join(f.dir, "bundle.pub"), text, 0o644); err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(f.dir, "operator.token"), []byte(operatorToken+"\n"), 0o600)
+	if err := os.WriteFile(filepath.Join(f.dir, "operator.token"), []byte(operatorToken+"\n"), 0o600); err != nil {
+		return err
+	}
+	return f.writeCerts()
+}
+
+// certLifetime is how long the keys of a test fleet are valid.
+const certLifetime = time.Hour
+
+// writeCerts makes the keys with which the daemons talk.
+func (f *Fleet) writeCerts() error {
+	now := time.Now()
+	authority, err := certs.OpenAuthority(f.dir, now, certLifetime)
+	if err != nil {
+		return err
+	}
+	for _, h := range f.Hosts {
+		pair, err := authority.Issue(h.Name, now, certLifetime)
+		if err != nil {
+			return err
+		}
+		if err := pair.Write(certs.Files(f.dir, h.Name)); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // SignedBundle returns b as operators would publish it.
@@ -268,15 +294,17 @@
 
 func (f *Fleet) settings(i int) string {
 	host := f.Hosts[i]
+	cert, key := certs.Files(f.dir, host.Name)
 	return fmt.Sprintf(`host: %s
 failure_domain: %s
 listen: {callers: "127.0.0.1:0", peers: "%s:0", operators: "127.0.0.1:0"}
-insecure_plaintext: true
+tls: {cert: %q, key: %q, ca: %q}
 operators: {token_file: operator.token}
 platform: {config_service: %q, host_list: %q}
 bundle_public_keys: [bundle.pub]
 drain: {bound: 10s}
-`, host.Name, host.FailureDomain, peerIP(i), f.platform, f.platform)
+`, host.Name, host.FailureDomain, peerIP(i),
+		cert, key, filepath.Join(f.dir, certs.AuthorityCert), f.platform, f.platform)
 }
 
 // WaitReady waits until every daemon that the first bundle lists says that it
