Bound the writing of answers to callers that do not read

Writes now end a second after the deadline. The bound stays on a kept connection, so each request clears it first; a second spec holds that.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -6,10 +6,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +39,8 @@
 	refused []problem.Kind
 	// seen ends once the caller has seen the tokens before the answer.
 	seen chan struct{}
+	// served counts the ends of Serve.
+	served atomic.Int32
 	// draining refuses every request; voids says whether keys can be voided.
 	draining, voids bool
 }
@@ -52,6 +57,7 @@
 func (b *backend) Now() time.Time                           { return time.Now() }
 func (b *backend) Refused(_ string, e *problem.Error)       { b.refused = append(b.refused, e.Kind) }
 func (b *backend) Serve(_ context.Context, s Submission, sink Sink) (*request.Answer, *problem.Error) {
+	defer b.served.Add(1)
 	b.got = append(b.got, s)
 	for _, t := range b.tokens {
 		if t == "" {
@@ -103,7 +109,7 @@
 
 	BeforeEach(func() {
 		back = &backend{bundle: testBundle()}
-		server = httptest.NewServer(NewServer(Config{Backend: back, MaxBodyBytes: 4096}))
+		server = httptest.NewServer(NewServer(Config{Backend: back, MaxBodyBytes: 4096, WriteGrace: 10 * time.Millisecond}))
 		DeferCleanup(server.Close)
 	})
 
@@ -133,6 +139,13 @@
 		Expect(got.Deadline.Sub(got.Arrived)).To(Equal(500 * time.Millisecond))
 	})
 
+	It("answers a later request on a connection whose last answer's time is over", func() {
+		send("/v1/pipelines/summary", `{"input":1,"deadline_ms":1}`)
+		time.Sleep(50 * time.Millisecond)
+		resp, _ := send("/v1/pipelines/x", `{"input":1}`)
+		Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+	})
+
 	It("bounds the deadline by the pipeline's", func() {
 		send("/v1/pipelines/summary", `{"input":1,"deadline_ms":99999}`)
 		Expect(back.got[0].Deadline.Sub(back.got[0].Arrived)).To(Equal(2 * time.Second))
@@ -233,6 +246,21 @@
 			Expect(text).NotTo(ContainSubstring("event: done"))
 		})
 
+		It("is cut when its caller does not read it", func() {
+			back.tokens = make([]string, 64)
+			for i := range back.tokens {
+				back.tokens[i] = strings.Repeat("x", 1<<20)
+			}
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			const body = `{"input":1,"stream":true,"deadline_ms":50}`
+			_, err = fmt.Fprintf(conn, "POST /v1/pipelines/summary HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n"+
+				"Content-Length: %d\r\n\r\n%s", len(body), body)
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(back.served.Load, 10*time.Second).Should(BeEquivalentTo(1))
+		})
+
 		It("is a plain refusal before its first token", func() {
 			back.refusal = problem.New(problem.Overloaded, "full")
 			resp, _ := send("/v1/pipelines/summary", body)
--- a/caller/server.go
+++ b/caller/server.go
@@ -63,8 +63,14 @@
 	Backend Backend
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// WriteGrace is how long after its deadline a caller may take to read its
+	// answer. Default 1 s.
+	WriteGrace time.Duration
 }
 
+// defaultWriteGrace is the default of Config.WriteGrace.
+const defaultWriteGrace = time.Second
+
 // Server is the http.Handler of the callers' listener.
 type Server struct {
 	cfg       Config
@@ -74,6 +80,9 @@
 
 // NewServer returns a server.
 func NewServer(cfg Config) *Server {
+	if cfg.WriteGrace == 0 {
+		cfg.WriteGrace = defaultWriteGrace
+	}
 	s := &Server{cfg: cfg, mux: http.NewServeMux()}
 	s.mux.HandleFunc("POST /v1/pipelines/{name}", s.servePipeline)
 	s.mux.HandleFunc("/", s.serveUnknown)
@@ -89,6 +98,8 @@
 
 func (s *Server) servePipeline(w http.ResponseWriter, r *http.Request) {
 	id := s.cfg.Backend.NewRequestID()
+	// The bound of the request before on this connection is still set.
+	boundWrites(w, time.Time{})
 	sub, err := s.decode(r, id)
 	if err == nil {
 		err = s.admit(r.Context(), sub)
@@ -101,6 +112,7 @@
 		s.refuse(w, id, err)
 		return
 	}
+	boundWrites(w, sub.Deadline.Add(s.cfg.WriteGrace))
 	if sub.Stream {
 		s.serveStream(w, r, sub)
 		return
@@ -113,6 +125,14 @@
 	writeJSON(w, answer)
 }
 
+// boundWrites keeps a caller that does not read from holding its request's
+// goroutine for good. The zero time is no bound.
+func boundWrites(w http.ResponseWriter, until time.Time) {
+	// The error says that w cannot be bounded, as in tests without a
+	// connection.
+	_ = http.NewResponseController(w).SetWriteDeadline(until)
+}
+
 // admit returns why the host takes no requests, or nil. It says not_run of a
 // request that may not be repeated only if no earlier try has run or will.
 func (s *Server) admit(ctx context.Context, sub Submission) *problem.Error {
