--- a/scripts/goals.sh
+++ b/scripts/goals.sh
@@ -31,11 +31,13 @@
     echo '{"type":"fault","at_ms":2000,"pool":"lm","replicas":[0],"body":{"slow_factor":10}}'
   } > "$dir/firma-straggler.jsonl"
   make_trace firma-1x steady firma-abierta --seed 1 --load 1 --duration 20s
+  make_trace firma-2x steady firma-abierta --seed 1 --load 2 --duration 20s
+  make_trace kawabata-1x steady kawabata --seed 1 --load 1 --duration 20s
   make_trace firma-half steady firma-abierta --seed 1 --load 0.5 --duration 20s
   make_trace kawabata-half steady kawabata --seed 1 --load 0.5 --duration 20s
-  sed "s/requests_per_second: [0-9]*/requests_per_second: 10000/" examples/firma-abierta.yaml > "$dir/firma-abierta-open.yaml"
   local bundle
   for bundle in firma-abierta kawabata; do
+    sed "s/requests_per_second: [0-9]*/requests_per_second: 10000/" "examples/$bundle.yaml" > "$dir/$bundle-open.yaml"
     with_objective "$bundle" attainment 1 0.2
     with_objective "$bundle" cost 0.4 1
   done
