Give the test fleet its own inspectors

Cause: read as a newcomer, the proofs began with a hundred lines that ask a fleet about versions, leaving upstreams, kept results and the ledger; they belong to proctest. Checks are unchanged.

--- a/proofs/caller_gone_test.go
+++ b/proofs/caller_gone_test.go
@@ -25,7 +25,7 @@
 var _ = Describe("A caller that goes away", func() {
 	It("has its remaining work cancelled", func() {
 		f := startFleet(proctest.Options{})
-		fault(f, "encoders", standin.Faults{SlowFactor: 400})
+		f.Fault("encoders", standin.Faults{SlowFactor: 400})
 		callThenLeave(f, proctest.PipelineSummary, "")
 		Eventually(func() ledger.State { return f.Upstream.Ledger().Entries()[0].State }).Should(Equal(ledger.Cancelled))
 		Expect(f.Begun()).To(Equal(1), "no later stage")
@@ -33,7 +33,7 @@
 
 	It("leaves a sent call that may not be repeated to be seen through and recorded", func() {
 		f := startFleet(proctest.Options{})
-		fault(f, "signing", standin.Faults{LateByMS: 400})
+		f.Fault("signing", standin.Faults{LateByMS: 400})
 		key := proctest.NewKey()
 		callThenLeave(f, proctest.PipelineSeal, key)
 		again := f.Call(1, proctest.PipelineSeal, key, "text")
--- a/proofs/config_test.go
+++ b/proofs/config_test.go
@@ -7,74 +7,41 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/internal/faultrelay"
 	"github.com/wheatseam/wheatseam/internal/proctest"
 	"github.com/wheatseam/wheatseam/internal/standin"
 	"github.com/wheatseam/wheatseam/internal/standin/platform"
-	"github.com/wheatseam/wheatseam/operator"
 )
 
-// version returns the version in force at host i, 0 when it does not answer.
-func version(f *proctest.Fleet, i int) uint64 {
-	var hosts []operator.Status
-	if err := f.Operate(i, "GET", "/v1/bundle", &hosts); err != nil {
-		return 0
-	}
-	for _, h := range hosts {
-		if h.Host == f.Hosts[i].Name {
-			return h.BundleVersion
-		}
-	}
-	return 0
-}
-
-func versions(f *proctest.Fleet) func() []uint64 {
-	return func() []uint64 {
-		all := make([]uint64, len(f.Daemons))
-		for i := range all {
-			all[i] = version(f, i)
-		}
-		return all
-	}
-}
-
-// successor returns the fleet's bundle under another version.
-func successor(f *proctest.Fleet, version uint64) *bundle.Bundle {
-	b := *f.Bundle
-	b.Version = version
-	return &b
-}
-
 var _ = Describe("An accepted configuration", func() {
 	It("is in force everywhere within seconds, as one host sees it", func() {
 		f := startFleet(proctest.Options{})
-		Expect(f.Publish(successor(f, 2))).To(Succeed())
+		Expect(f.Publish(f.Successor(2))).To(Succeed())
 		began := time.Now()
-		Eventually(versions(f)).Should(Equal([]uint64{2, 2, 2}))
+		Eventually(f.Versions).Should(Equal([]uint64{2, 2, 2}))
 		AddReportEntry("in force everywhere after", time.Since(began).Round(time.Millisecond).String())
 	})
 
 	It("never reverts when the service serves an old value, not even at a host that restarts", func() {
 		f := startFleet(proctest.Options{})
-		Expect(f.Publish(successor(f, 3))).To(Succeed())
-		Eventually(versions(f)).Should(Equal([]uint64{3, 3, 3}))
-		Expect(f.Publish(successor(f, 2))).To(Succeed())
+		Expect(f.Publish(f.Successor(3))).To(Succeed())
+		Eventually(f.Versions).Should(Equal([]uint64{3, 3, 3}))
+		Expect(f.Publish(f.Successor(2))).To(Succeed())
 		f.Daemons[0].Kill()
 		Expect(f.StartDaemon(0)).To(Succeed())
 		Eventually(func() bool { return f.Ready(0) }).Should(BeTrue())
-		Expect(version(f, 0)).To(BeEquivalentTo(3), "ready with an old bundle")
-		Consistently(versions(f), time.Second).Should(Equal([]uint64{3, 3, 3}))
+		Expect(f.Version(0)).To(BeEquivalentTo(3), "ready with an old bundle")
+		Consistently(f.Versions, time.Second).Should(Equal([]uint64{3, 3, 3}))
 	})
 
 	It("is kept, and served under, while the service is down, and a restarted host gets it from its fellows", func() {
 		f := startFleet(proctest.Options{})
-		Expect(f.Publish(successor(f, 4))).To(Succeed())
-		Eventually(versions(f)).Should(Equal([]uint64{4, 4, 4}))
+		Expect(f.Publish(f.Successor(4))).To(Succeed())
+		Eventually(f.Versions).Should(Equal([]uint64{4, 4, 4}))
 		f.Platform.Faults().Set(standin.Faults{Down: true})
 		f.Daemons[2].Kill()
 		Expect(f.StartDaemon(2)).To(Succeed())
-		Eventually(func() uint64 { return version(f, 2) }).Should(BeEquivalentTo(4))
+		Eventually(func() uint64 { return f.Version(2) }).Should(BeEquivalentTo(4))
 		o := f.Call(0, proctest.PipelineSummary, "", "text")
 		Expect(o.Answered()).To(BeTrue(), "%+v", o)
 	})
@@ -83,39 +50,39 @@
 		f := startFleet(proctest.Options{})
 		f.Isolate(2)
 		f.Platform.Faults().Set(standin.Faults{Stale: true})
-		Consistently(versions(f), 300*time.Millisecond).Should(Equal([]uint64{1, 1, 1}))
+		Consistently(f.Versions, 300*time.Millisecond).Should(Equal([]uint64{1, 1, 1}))
 		f.Platform.Faults().Set(standin.Faults{})
-		Expect(f.Publish(successor(f, 5))).To(Succeed())
-		Eventually(func() []uint64 { return versions(f)()[:2] }).Should(Equal([]uint64{5, 5}))
+		Expect(f.Publish(f.Successor(5))).To(Succeed())
+		Eventually(func() []uint64 { return f.Versions()[:2] }).Should(Equal([]uint64{5, 5}))
 		f.Heal()
-		Eventually(versions(f)).Should(Equal([]uint64{5, 5, 5}))
+		Eventually(f.Versions).Should(Equal([]uint64{5, 5, 5}))
 	})
 
 	It("is refused loudly when it is not signed, or the same version with other content", func() {
 		f := startFleet(proctest.Options{})
-		Expect(f.Publish(successor(f, 2))).To(Succeed())
-		Eventually(versions(f)).Should(Equal([]uint64{2, 2, 2}))
-		other := successor(f, 2)
+		Expect(f.Publish(f.Successor(2))).To(Succeed())
+		Eventually(f.Versions).Should(Equal([]uint64{2, 2, 2}))
+		other := f.Successor(2)
 		other.Deployment = "another"
 		Expect(f.Publish(other)).To(Succeed())
 		anyLog := func() string { return f.Daemons[0].Log() + f.Daemons[1].Log() + f.Daemons[2].Log() }
 		Eventually(anyLog).Should(ContainSubstring("bundle conflict"))
-		signed, err := f.SignedBundle(successor(f, 9))
+		signed, err := f.SignedBundle(f.Successor(9))
 		Expect(err).NotTo(HaveOccurred())
 		signed[20] ^= 1
 		f.Platform.SetValue("bundle", signed)
 		Eventually(anyLog).Should(ContainSubstring("bundle rejected"))
-		Expect(versions(f)()).To(Equal([]uint64{2, 2, 2}))
+		Expect(f.Versions()).To(Equal([]uint64{2, 2, 2}))
 	})
 
 	It("stays that of a request which was admitted under it", func() {
 		f := startFleet(proctest.Options{})
-		fault(f, "encoders", standin.Faults{LateByMS: 600})
+		f.Fault("encoders", standin.Faults{LateByMS: 600})
 		done := make(chan proctest.Outcome, 1)
 		go func() { done <- f.Call(0, proctest.PipelineSummary, "", "text") }()
 		Eventually(f.Begun).Should(Equal(1))
-		Expect(f.Publish(successor(f, 2))).To(Succeed())
-		Eventually(versions(f)).Should(Equal([]uint64{2, 2, 2}))
+		Expect(f.Publish(f.Successor(2))).To(Succeed())
+		Eventually(f.Versions).Should(Equal([]uint64{2, 2, 2}))
 		o := <-done
 		Expect(o.Answered()).To(BeTrue(), "%+v", o)
 		Expect(o.Bundle).To(BeEquivalentTo(1))
@@ -125,12 +92,12 @@
 		f := startFleet(proctest.Options{})
 		highest := uint64(0)
 		for _, v := range []uint64{5, 3, 7, 6, 4} {
-			Expect(f.Publish(successor(f, v))).To(Succeed())
+			Expect(f.Publish(f.Successor(v))).To(Succeed())
 			highest = max(highest, v)
 			if v == highest {
-				Eventually(versions(f)).Should(Equal([]uint64{v, v, v}))
+				Eventually(f.Versions).Should(Equal([]uint64{v, v, v}))
 			} else {
-				Consistently(versions(f), 500*time.Millisecond).Should(HaveEach(highest))
+				Consistently(f.Versions, 500*time.Millisecond).Should(HaveEach(highest))
 			}
 		}
 	})
@@ -149,7 +116,7 @@
 			for i := range f.Daemons {
 				f.Call(i, proctest.PipelineSummary, "", "text")
 			}
-			if t := lastBegun(f, gone); t.After(last) {
+			if t := f.LastBegun(gone); t.After(last) {
 				last = t
 			}
 			return time.Since(last) > 2*time.Second
@@ -159,7 +126,7 @@
 	},
 		Entry("the host list", func(f *proctest.Fleet) {
 			f.Platform.SetHosts([]platform.Host{{
-				Name: gone, Address: poolOf(f.Bundle, "encoders").Upstreams[0].Address, Role: "upstream", State: "leaving",
+				Name: gone, Address: f.Pool("encoders").Upstreams[0].Address, Role: "upstream", State: "leaving",
 			}})
 		}),
 		Entry("its own load report, while the platform is down", func(f *proctest.Fleet) {
@@ -168,9 +135,9 @@
 		}),
 		Entry("a peer, at a host that cannot see the host list", func(f *proctest.Fleet) {
 			f.Platform.SetHosts([]platform.Host{{
-				Name: gone, Address: poolOf(f.Bundle, "encoders").Upstreams[0].Address, Role: "upstream", State: "leaving",
+				Name: gone, Address: f.Pool("encoders").Upstreams[0].Address, Role: "upstream", State: "leaving",
 			}})
-			Eventually(func() []string { return leavingAt(f, 0) }).Should(ContainElement(gone))
+			Eventually(func() []string { return f.Leaving(0) }).Should(ContainElement(gone))
 			f.Platform.Faults().Set(standin.Faults{Down: true})
 			f.Daemons[2].Kill()
 			Expect(f.StartDaemon(2)).To(Succeed())
@@ -179,32 +146,6 @@
 	)
 })
 
-// lastBegun returns when the last execution at an upstream began.
-func lastBegun(f *proctest.Fleet, upstream string) time.Time {
-	var last int64
-	for _, e := range f.Upstream.Ledger().Entries() {
-		if e.Upstream == upstream {
-			last = max(last, e.StartedUnixMS)
-		}
-	}
-	return time.UnixMilli(last)
-}
-
-// leavingAt returns the upstreams that host i believes to leave.
-func leavingAt(f *proctest.Fleet, i int) []string {
-	var dump struct {
-		Cluster struct {
-			Membership struct {
-				Leaving []string `json:"leaving_upstreams"`
-			} `json:"membership"`
-		} `json:"cluster"`
-	}
-	if err := f.Operate(i, "GET", "/v1/dump?section=cluster", &dump); err != nil {
-		return nil
-	}
-	return dump.Cluster.Membership.Leaving
-}
-
 var _ = Describe("A partition", func() {
 	It("leaves both sides serving what may be repeated, and seals on one side at most", func() {
 		f := startFleet(proctest.Options{})
--- a/proofs/delivery_test.go
+++ b/proofs/delivery_test.go
@@ -16,8 +16,8 @@
 	DescribeTable("with thousands of requests at once",
 		func(faults standin.Faults, least int) {
 			f := startFleet(proctest.Options{})
-			fault(f, "encoders", faults)
-			fault(f, "signing", faults)
+			f.Fault("encoders", faults)
+			f.Fault("signing", faults)
 			const callers, each = 60, 40
 			answered := make([]int, callers)
 			var wg sync.WaitGroup
--- a/proofs/fault_pairs_test.go
+++ b/proofs/fault_pairs_test.go
@@ -39,8 +39,8 @@
 		func(f *proctest.Fleet) { f.Platform.Faults().Set(standin.Faults{Down: true}) },
 		func(f *proctest.Fleet) { f.Platform.Faults().Set(standin.Faults{}) }},
 	{"upstreams lose answers",
-		func(f *proctest.Fleet) { fault(f, "signing", standin.Faults{DropAnswer: true}) },
-		func(f *proctest.Fleet) { fault(f, "signing", standin.Faults{}) }},
+		func(f *proctest.Fleet) { f.Fault("signing", standin.Faults{DropAnswer: true}) },
+		func(f *proctest.Fleet) { f.Fault("signing", standin.Faults{}) }},
 }
 
 // allPairs makes the table hold all pairs of disturbances; by default each is
--- a/proofs/suite_test.go
+++ b/proofs/suite_test.go
@@ -9,9 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/internal/proctest"
-	"github.com/wheatseam/wheatseam/internal/standin"
 	"github.com/wheatseam/wheatseam/internal/standin/ledger"
 	"github.com/wheatseam/wheatseam/problem"
 )
@@ -41,22 +39,6 @@
 	return f
 }
 
-// fault sets a fault at every replica of a pool.
-func fault(f *proctest.Fleet, pool string, faults standin.Faults) {
-	for _, u := range poolOf(f.Bundle, pool).Upstreams {
-		f.Upstream.Faults(u.Name).Set(faults)
-	}
-}
-
-func poolOf(b *bundle.Bundle, name string) bundle.Pool {
-	for _, p := range b.Pools {
-		if p.Name == name {
-			return p
-		}
-	}
-	return bundle.Pool{}
-}
-
 // expectHonest checks a seal's outcome against the ledger.
 func expectHonest(f *proctest.Fleet, key string, heard ...proctest.Outcome) {
 	GinkgoHelper()
--- a/proofs/view_change_test.go
+++ b/proofs/view_change_test.go
@@ -14,7 +14,7 @@
 
 // replaced returns a bundle in which the spare host takes the place of host 0.
 func replaced(f *proctest.Fleet, version uint64) *bundle.Bundle {
-	b := successor(f, version)
+	b := f.Successor(version)
 	b.Hosts = f.Hosts[1:]
 	b.Views = []bundle.View{{Version: 1, Hosts: f.Hosts[:3]}}
 	return b
@@ -30,7 +30,7 @@
 		first := f.Call(0, proctest.PipelineSeal, key, "deed")
 		Expect(first.Answered()).To(BeTrue(), "%+v", first)
 		Expect(f.Publish(replaced(f, 2))).To(Succeed())
-		Eventually(versions(f)).Should(HaveEach(BeEquivalentTo(2)))
+		Eventually(f.Versions).Should(HaveEach(BeEquivalentTo(2)))
 		f.Daemons[0].Kill()
 		for i := 1; i < 4; i++ {
 			again := retryUntilHeard(f, i, proctest.PipelineSeal, key, "deed")
@@ -46,7 +46,7 @@
 	It("while a host that was frozen and cut off still believes in the old list", func() {
 		Expect(f.Daemons[0].Freeze()).To(Succeed())
 		Expect(f.Publish(replaced(f, 2))).To(Succeed())
-		Eventually(func() []uint64 { return []uint64{version(f, 1), version(f, 2), version(f, 3)} }).
+		Eventually(func() []uint64 { return []uint64{f.Version(1), f.Version(2), f.Version(3)} }).
 			Should(HaveEach(BeEquivalentTo(2)))
 		f.Isolate(0)
 		f.Platform.Faults().Set(standin.Faults{Down: true})
