Let the process proofs run daemons with the race detector

Cause: go test -race covers the test's own process, not the daemons it starts. WHEATSEAM_RACE=1 builds them with the detector, and every proof fails on a race in a daemon's log.

--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -84,6 +85,13 @@
 	return string(raw)
 }
 
+// RaceEnv is the environment variable that has the daemons built with the race
+// detector. What it finds is in their logs (see RaceFound).
+const RaceEnv = "WHEATSEAM_RACE"
+
+// RaceFound reports whether the race detector has found a race in the process.
+func (p *Process) RaceFound() bool { return strings.Contains(p.Log(), "WARNING: DATA RACE") }
+
 var build struct {
 	once sync.Once
 	dir  string
@@ -97,7 +105,11 @@
 		if build.err != nil {
 			return
 		}
-		cmd := exec.Command("go", "build", "-o", build.dir, "github.com/wheatseam/wheatseam/cmd/wheatseamd")
+		args := []string{"build", "-o", build.dir}
+		if os.Getenv(RaceEnv) != "" {
+			args = append(args, "-race")
+		}
+		cmd := exec.Command("go", append(args, "github.com/wheatseam/wheatseam/cmd/wheatseamd")...)
 		if out, err := cmd.CombinedOutput(); err != nil {
 			build.err = fmt.Errorf("build wheatseamd: %w: %s", err, out)
 		}
--- a/proofs/suite_test.go
+++ b/proofs/suite_test.go
@@ -30,6 +30,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
 		f.Close()
+		for _, p := range f.Daemons {
+			Expect(p.RaceFound()).To(BeFalse(), "%s", p.Log())
+		}
 		if CurrentSpecReport().Failed() {
 			for i, p := range f.Daemons {
 				GinkgoWriter.Printf("--- entry-%d\n%s\n", i+1, p.Log())
