Drop an argument and a field that nothing used

Cause: read as a newcomer, Void took an arrival time that it did not need (the mark is the present time), and the daemon held its claims twice.

--- a/claims/acquire.go
+++ b/claims/acquire.go
@@ -156,7 +156,7 @@
 }
 
 // Void implements request.Claimer.
-func (s *Service) Void(ctx context.Context, key request.ClaimKey, _ time.Time) (bool, error) {
+func (s *Service) Void(ctx context.Context, key request.ClaimKey) (bool, error) {
 	k, err := claim.ParseKey(scope(key.Customer, key.Stage), key.Key)
 	if err != nil {
 		return false, err
--- a/claims/service.go
+++ b/claims/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/claim"
+	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/peer"
 )
 
@@ -68,6 +69,8 @@
 	rng   *rand.Rand
 }
 
+var _ request.Claimer = (*Service)(nil)
+
 type holderShard struct {
 	mu     sync.Mutex
 	holder *claim.Holder
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -188,7 +188,7 @@
 	// claimed: it places the same mark as Release does, unless the key is
 	// claimed or recorded, and reports whether nothing has run or will run for
 	// attempts that arrived before now.
-	Void(ctx context.Context, key ClaimKey, arrived time.Time) (notRun bool, err error)
+	Void(ctx context.Context, key ClaimKey) (notRun bool, err error)
 	// Record stores the result at a majority of the holders.
 	Record(ctx context.Context, key ClaimKey, request string, result []byte) error
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -21,7 +21,7 @@
 		Caller:  lateCaller{d}, Now: d.Now, Trusted: d.trusted, Gone: d.gone, Log: d.log,
 		Seed: xxhash.Sum64String(d.settings.Host),
 	}, d.peerMux)
-	d.claims, d.claimer = s, s
+	d.claims = s
 	d.appliers = append(d.appliers, s)
 }
 
@@ -34,7 +34,7 @@
 			continue
 		}
 		key := request.ClaimKey{Customer: sub.Customer.Name, Key: sub.Key, Stage: stage.Name}
-		notRun, err := d.claims.Void(ctx, key, sub.Arrived)
+		notRun, err := d.claims.Void(ctx, key)
 		return err == nil && notRun
 	}
 	return true
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,7 +65,6 @@
 	orderer       *orderer.Orderer
 	claims        *claims.Service
 	claimsSettled atomic.Bool
-	claimer       request.Claimer
 
 	incarnation uint64 // start of the process in Unix milliseconds
 	cluster     *cluster.Cluster
--- a/daemon/perform.go
+++ b/daemon/perform.go
@@ -108,13 +108,13 @@
 func (d *Daemon) claim(s *session, a request.Claim) {
 	ctx, cancel := context.WithDeadline(context.Background(), s.sub.Deadline)
 	defer cancel()
-	d.deliver(s, d.claimer.Acquire(ctx, a.Key, s.id, s.sub.Arrived, s.digest))
+	d.deliver(s, d.claims.Acquire(ctx, a.Key, s.id, s.sub.Arrived, s.digest))
 }
 
 func (d *Daemon) release(s *session, key request.ClaimKey) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	if err := d.claimer.Release(ctx, key, s.id); err != nil {
+	if err := d.claims.Release(ctx, key, s.id); err != nil {
 		d.log.Warn("claim not released", logging.Request(s.id), zap.Error(err))
 	}
 }
@@ -122,7 +122,7 @@
 func (d *Daemon) record(s *session, a request.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	err := d.claimer.Record(ctx, a.Key, s.id, a.Result)
+	err := d.claims.Record(ctx, a.Key, s.id, a.Result)
 	if err != nil {
 		d.log.Warn("result not recorded", logging.Request(s.id), zap.Error(err))
 	}
@@ -148,9 +148,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if f.Settle == request.SettleRelease {
-		return d.claimer.Release(ctx, f.Key, s.id) == nil
+		return d.claims.Release(ctx, f.Key, s.id) == nil
 	}
-	notRun, err := d.claimer.Void(ctx, f.Key, s.sub.Arrived)
+	notRun, err := d.claims.Void(ctx, f.Key)
 	return err == nil && notRun
 }
 
