Say once which stage may not be repeated first, and who is believed to live

Cause: read once more as a newcomer, the loop over a pipeline's stages stood in caller, core/request and daemon, and the test of alive-or-suspect three times in daemon. Both are methods now, beside what they speak of. Behaviour and tests are unchanged.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -176,6 +176,16 @@
 	Stages   []Stage       `yaml:"stages" validate:"required,gte=1,dive"`
 }
 
+// FirstNonRepeatable returns the first stage that may not be repeated.
+func (p *Pipeline) FirstNonRepeatable() (s Stage, ok bool) {
+	for _, s := range p.Stages {
+		if s.NonRepeatable {
+			return s, true
+		}
+	}
+	return Stage{}, false
+}
+
 // Stage is one step of a pipeline.
 type Stage struct {
 	Name string    `yaml:"name" validate:"required,name"`
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -142,5 +142,6 @@
 }
 
 func needsKey(p *bundle.Pipeline) bool {
-	return slices.ContainsFunc(p.Stages, func(s bundle.Stage) bool { return s.NonRepeatable })
+	_, ok := p.FirstNonRepeatable()
+	return ok
 }
--- a/core/member/event.go
+++ b/core/member/event.go
@@ -177,6 +177,10 @@
 	Neighbour bool
 }
 
+// Living says that the host is believed to live: a suspect counts until it is
+// held dead.
+func (m Member) Living() bool { return m.State == Alive || m.State == Suspect }
+
 // Stats counts what a Machine did since its start.
 type Stats struct {
 	Probes, ProbesFailed, IndirectProbes uint64
--- a/core/request/finish.go
+++ b/core/request/finish.go
@@ -151,12 +151,11 @@
 	if x != problem.NotRun || m.claim.refused || m.claim.held {
 		return SettleNone, ClaimKey{}
 	}
-	for _, s := range m.spec.Pipeline.Stages {
-		if s.NonRepeatable && m.spec.Key != "" {
-			return SettleVoid, ClaimKey{Customer: m.spec.Customer, Key: m.spec.Key, Stage: s.Name}
-		}
+	s, ok := m.spec.Pipeline.FirstNonRepeatable()
+	if !ok || m.spec.Key == "" {
+		return SettleNone, ClaimKey{}
 	}
-	return SettleNone, ClaimKey{}
+	return SettleVoid, ClaimKey{Customer: m.spec.Customer, Key: m.spec.Key, Stage: s.Name}
 }
 
 // execution says what a refusal may claim: NotRun only if no call can have
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -4,7 +4,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatseam/wheatseam/core/admit"
-	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/shares"
 )
 
@@ -24,7 +23,7 @@
 func (d *Daemon) liveHosts() []string {
 	out := []string{d.settings.Host}
 	for _, m := range d.cluster.Members() {
-		if (m.State == member.Alive || m.State == member.Suspect) && m.Host.Name != d.settings.Host {
+		if m.Living() && m.Host.Name != d.settings.Host {
 			out = append(out, m.Host.Name)
 		}
 	}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -27,17 +27,15 @@
 
 // VoidKey implements caller.Backend.
 func (d *Daemon) VoidKey(ctx context.Context, sub caller.Submission) bool {
+	stage, ok := sub.Pipeline.FirstNonRepeatable()
+	if !ok {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	for _, stage := range sub.Pipeline.Stages {
-		if !stage.NonRepeatable {
-			continue
-		}
-		key := request.ClaimKey{Customer: sub.Customer.Name, Key: sub.Key, Stage: stage.Name}
-		notRun, err := d.claims.Void(ctx, key)
-		return err == nil && notRun
-	}
-	return true
+	key := request.ClaimKey{Customer: sub.Customer.Name, Key: sub.Key, Stage: stage.Name}
+	notRun, err := d.claims.Void(ctx, key)
+	return err == nil && notRun
 }
 
 // settleGrace is how long a starting host waits for its claims to settle. After
--- a/daemon/loadexchange.go
+++ b/daemon/loadexchange.go
@@ -66,7 +66,7 @@
 	hosts := make([]load.Host, 0, len(members)+1)
 	found := false
 	for _, m := range members {
-		if m.Host.Name != self && m.State != member.Alive && m.State != member.Suspect {
+		if m.Host.Name != self && !m.Living() {
 			continue
 		}
 		found = found || m.Host.Name == self
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/engine"
 	"github.com/wheatseam/wheatseam/orderer"
 )
@@ -24,7 +23,7 @@
 func (d *Daemon) living() map[string]bool {
 	all := make(map[string]bool)
 	for _, m := range d.cluster.Members() {
-		all[m.Host.Name] = m.State == member.Alive || m.State == member.Suspect
+		all[m.Host.Name] = m.Living()
 	}
 	return all
 }
