One package for work at an interval

Cause: read once more as a newcomer, the loop that moved within daemon/ still stood in orderer and upstreamload. cluster's loop stays: it waits for work as well. Behaviour and tests are unchanged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/operator"
 	"github.com/wheatseam/wheatseam/orderer"
@@ -216,7 +217,7 @@
 
 // tick ends waits that can no longer succeed.
 func (d *Daemon) tick(ctx context.Context) {
-	every(ctx, tickEvery, func() {
+	periodic.Do(ctx, tickEvery, func() {
 		for _, g := range d.deps.Admitter.Tick(d.Now()) {
 			d.notify(g)
 		}
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/internal/uuidtime"
 	"github.com/wheatseam/wheatseam/results"
 )
@@ -49,7 +50,7 @@
 
 // expireKept forgets kept results of no more use until ctx ends.
 func (d *Daemon) expireKept(ctx context.Context) {
-	every(ctx, expireEvery, func() { d.keptStore.Expire(d.Now()) })
+	periodic.Do(ctx, expireEvery, func() { d.keptStore.Expire(d.Now()) })
 }
 
 // keptRequest names the results of a request: bound to its input and to the
--- a/daemon/loadexchange.go
+++ b/daemon/loadexchange.go
@@ -9,6 +9,7 @@
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/load"
 	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 )
 
 // loadExchangeEvery is how often the load digest of the heartbeats is renewed
@@ -24,7 +25,7 @@
 // daemons, until ctx ends.
 func (d *Daemon) exchangeLoads(ctx context.Context) {
 	heard := map[string]time.Time{}
-	every(ctx, loadExchangeEvery, func() {
+	periodic.Do(ctx, loadExchangeEvery, func() {
 		d.loads.SetLive(liveHosts(d.cluster.Members(), d.settings.Host, d.settings.FailureDomain))
 		d.cluster.SetSlot(member.SlotLoad, d.loads.Digest(), false)
 		d.takeLoads(heard)
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -14,6 +14,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/orders"
 	"github.com/wheatseam/wheatseam/engine"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 )
 
 const (
@@ -74,16 +75,7 @@
 
 // Run works until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.look(ctx)
-		}
-	}
+	periodic.Do(ctx, lookEvery, func() { o.look(ctx) })
 }
 
 func (o *Orderer) look(ctx context.Context) {
--- a/upstreamload/poller.go
+++ b/upstreamload/poller.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 )
 
 const (
@@ -67,18 +68,11 @@
 	defer p.client.Close()
 	var polls sync.WaitGroup
 	defer polls.Wait()
-	ticker := time.NewTicker(dueEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, name := range p.table.Due(p.now()) {
-				p.start(ctx, &polls, name)
-			}
+	periodic.Do(ctx, dueEvery, func() {
+		for _, name := range p.table.Due(p.now()) {
+			p.start(ctx, &polls, name)
 		}
-	}
+	})
 }
 
 // start polls one upstream in a goroutine of its own, if there is a slot.
