--- a/cmd/wheatseamd/main.go
+++ b/cmd/wheatseamd/main.go
@@ -47,6 +47,7 @@
 			return nil
 		},
 	})
+	root.AddCommand(newGateway())
 	return root
 }
 
--- /dev/null
+++ b/core/catalog/replica.go
@@ -0,0 +1,68 @@
+package catalog
+
+import "time"
+
+// Replica is one registered process of a service.
+type Replica struct {
+	ID      string
+	Service string
+	// Address is ip:port.
+	Address string
+	// FailureDomain is where it stands.
+	FailureDomain string
+	// Concurrency is the number of requests that it runs at a time.
+	Concurrency int
+	// Draining replicas get no new work.
+	Draining bool
+}
+
+// lapseGrace is how long after the store's return a replica that the store no
+// longer lists is kept: the users' letter gives live replicas about two seconds
+// to register again.
+const lapseGrace = 2 * time.Second
+
+// storeSilence is the time without an answer from the store after which its
+// next answer counts as a return. It is over the interval between reads, and
+// under the three heartbeats after which an entry lapses.
+const storeSilence = 2500 * time.Millisecond
+
+// Registry keeps the replicas as the store lists them. It is not safe for
+// concurrent use.
+type Registry struct {
+	replicas map[string]Replica
+	heard    time.Time
+	// returned is when the store last answered after a silence.
+	returned time.Time
+}
+
+// Replicas returns all replicas that may be in service.
+func (g *Registry) Replicas() map[string]Replica { return g.replicas }
+
+// Failed notes that the store did not answer at that time.
+func (g *Registry) Failed(time.Time) {}
+
+// Update takes a full list and reports whether anything changed. Replicas that
+// lapsed while the store was away stay until lapseGrace after its return.
+func (g *Registry) Update(now time.Time, listed []Replica) bool {
+	if !g.heard.IsZero() && now.Sub(g.heard) > storeSilence {
+		g.returned = now
+	}
+	g.heard = now
+	next := make(map[string]Replica, len(listed))
+	for _, r := range listed {
+		next[r.ID] = r
+	}
+	if now.Sub(g.returned) < lapseGrace {
+		for id, r := range g.replicas {
+			if _, ok := next[id]; !ok {
+				next[id] = r
+			}
+		}
+	}
+	changed := len(next) != len(g.replicas)
+	for id, r := range next {
+		changed = changed || g.replicas[id] != r
+	}
+	g.replicas = next
+	return changed
+}
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -25,6 +25,9 @@
 	// TriedDomains names the failure domains of earlier attempts; others are
 	// preferred.
 	TriedDomains []string
+	// Domain is the failure domain in which the call's inputs lie; it is
+	// preferred. "" when that does not matter.
+	Domain string
 	// Budget is the time left for this stage.
 	Budget time.Duration
 }
--- a/core/route/filter.go
+++ b/core/route/filter.go
@@ -114,11 +114,24 @@
 	return ""
 }
 
+// domainFilter refuses failure domains other than the one in which the inputs
+// lie.
+type domainFilter struct{}
+
+func (domainFilter) Name() string      { return "domain" }
+func (domainFilter) Relax() Relaxation { return RelaxFirst }
+func (domainFilter) Refuse(v *View, c *Candidate) string {
+	if v.Query.Domain != "" && v.Query.Domain != c.Domain {
+		return "other_domain"
+	}
+	return ""
+}
+
 // adaptiveFilters are the filters of the adaptive policy, in order.
 func adaptiveFilters() []Filter {
 	return []Filter{
 		leavingFilter{}, ejectedFilter{}, stalledFilter{}, busyFilter{},
-		readmittingFilter{}, saturatedFilter{}, triedFilter{}, triedDomainFilter{},
+		readmittingFilter{}, saturatedFilter{}, triedFilter{}, triedDomainFilter{}, domainFilter{},
 	}
 }
 
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -67,6 +67,26 @@
 	return request.Choice{Pool: p.name, Upstream: m.name, Address: m.address, FailureDomain: m.domain}, nil
 }
 
+// HomeDomain returns the failure domain of the engine that should hold a prompt
+// prefix; "" when the pool has none.
+func (r *Router) HomeDomain(now time.Time, pool string, prefix uint64) string {
+	snap := r.current.Load()
+	p := snap.pools[pool]
+	if p == nil {
+		return ""
+	}
+	q := &request.Query{Pool: pool, Kind: bundle.StageGenerate, Prefix: prefix}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	v := p.fill(now, q, &r.config, snap.region)
+	runFilters(v, p.steps.filters, &p.shard.result)
+	home := prefixHome(v, p.shard.result.eligible, prefix, r.config.PrefixBound)
+	if home < 0 {
+		return ""
+	}
+	return v.Candidates[home].Domain
+}
+
 // refusal explains why no upstream is left.
 func (p *poolView) refusal(v *View) *problem.Error {
 	saturated := 0
--- /dev/null
+++ b/core/stage/action.go
@@ -0,0 +1,78 @@
+package stage
+
+import "time"
+
+// Action is something that the caller of Machine.Step has to do.
+type Action interface{ isAction() }
+
+// Piece names one piece of a call.
+type Piece struct {
+	Job   string
+	Stage int
+	Index int
+	// Left is the time after which the result is of no use.
+	Left time.Duration
+	// Key is set for stages that come first, Inputs for all others.
+	Key    string
+	Inputs []string
+}
+
+// Run is one call to a replica. It is given up after Timeout.
+type Run struct {
+	Call    uint64
+	Service string
+	Replica string
+	Address string
+	Pieces  []Piece
+	Timeout time.Duration
+}
+
+// Free gives up results at the replica that made them.
+type Free struct {
+	Replica string
+	Address string
+	Handles []string
+}
+
+// Ready hands the results of a job over: those of the stages that no other
+// stage reads, ordered by stage and piece.
+type Ready struct {
+	Job     string
+	Handles []string
+	// Domain is the failure domain in which most bytes of the results lie, and
+	// DomainBytes their number.
+	Domain      string
+	DomainBytes int64
+}
+
+// Reason says why a job was refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonOverload jobs could not have been ready in time.
+	ReasonOverload Reason = "overload"
+	// ReasonExpired jobs passed their deadline.
+	ReasonExpired Reason = "expired"
+	// ReasonNoReplica jobs need a service without a usable replica.
+	ReasonNoReplica Reason = "no_replica"
+	// ReasonFailed jobs had a piece that failed too often.
+	ReasonFailed Reason = "failed"
+)
+
+// Refused ends a job without results.
+type Refused struct {
+	Job    string
+	Reason Reason
+	// RetryAfter is when the job would have been admitted, as far as can be
+	// seen; 0 when trying again is of no use.
+	RetryAfter time.Duration
+	// Predicted is when the results were expected, counted from now; 0 when no
+	// prediction was made.
+	Predicted time.Duration
+}
+
+func (Run) isAction()     {}
+func (Free) isAction()    {}
+func (Ready) isAction()   {}
+func (Refused) isAction() {}
--- /dev/null
+++ b/core/stage/admit.go
@@ -0,0 +1,134 @@
+package stage
+
+import "time"
+
+// admit predicts when the results of a job would be ready and returns a
+// refusal when that is too late.
+func (m *Machine) admit(now time.Time, j *job) *Refused {
+	for i := range j.stages {
+		if st := &j.stages[i]; st.left > 0 && !st.service.anyUsable(now) {
+			return &Refused{Job: j.ID, Reason: ReasonNoReplica, RetryAfter: m.cfg.MinRetryAfter}
+		}
+	}
+	predicted := m.predict(now, j)
+	excess := now.Add(predicted).Sub(j.Due)
+	if excess <= 0 {
+		return nil
+	}
+	return &Refused{
+		Job: j.ID, Reason: ReasonOverload,
+		RetryAfter: max(excess, m.cfg.MinRetryAfter), Predicted: predicted,
+	}
+}
+
+// anyUsable says whether any replica may be called, now or when a suspicion
+// ends.
+func (s *service) anyUsable(now time.Time) bool {
+	for _, r := range s.replicas {
+		if r.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// predict returns the time until the results of a job would be ready: along
+// its chain, each stage starts when its inputs are there and the pieces ranked
+// before it have drained, and takes a call after half a call's wait.
+func (m *Machine) predict(now time.Time, j *job) time.Duration {
+	ahead := m.ahead(j)
+	var ends [maxStages]time.Duration
+	var most time.Duration
+	for i := range j.stages {
+		var start time.Duration
+		for _, a := range j.Stages[i].After {
+			start = max(start, ends[a])
+		}
+		st := &j.stages[i]
+		end := start
+		if st.left > 0 {
+			drained := st.service.drainTime(now, ahead[st.service])
+			end = max(start, drained) + st.service.callTime(min(st.left, st.service.figures.Batch))
+		}
+		ends[i] = end
+		most = max(most, end)
+	}
+	return most
+}
+
+// ahead counts the pieces of admitted jobs that rank before j and are not made.
+func (m *Machine) ahead(j *job) map[*service]int {
+	n := make(map[*service]int, len(m.services))
+	for _, o := range m.jobs {
+		if o.ready || o.rank.After(j.rank) {
+			continue
+		}
+		for i := range o.stages {
+			if st := &o.stages[i]; st.left > 0 {
+				n[st.service] += st.left
+			}
+		}
+	}
+	return n
+}
+
+// drainTime is how long the usable replicas take for n pieces in full calls.
+func (s *service) drainTime(now time.Time, n int) time.Duration {
+	var perSecond float64
+	full := s.callTime(s.figures.Batch).Seconds()
+	for _, r := range s.replicas {
+		if r.usable(now) && full > 0 {
+			perSecond += float64(s.figures.Batch*s.figures.Concurrency) / full
+		}
+	}
+	if perSecond == 0 {
+		return never
+	}
+	return time.Duration(float64(n) / perSecond * float64(time.Second))
+}
+
+// leastLoaded returns the failure domain that has replicas for every stage of
+// the job and the least work for each of them; "" when none has them all.
+func (m *Machine) leastLoaded(now time.Time, j *job) string {
+	var best string
+	var least float64
+	for domain, load := range m.domainLoads(now, j) {
+		if best == "" || load < least || load == least && domain < best {
+			best, least = domain, load
+		}
+	}
+	return best
+}
+
+// domainLoads returns, for each failure domain with replicas for every stage of
+// the job, the seconds of work that each of them has to do.
+func (m *Machine) domainLoads(now time.Time, j *job) map[string]float64 {
+	var loads map[string]float64
+	for i := range j.stages {
+		s := j.stages[i].service
+		if s == nil || j.stages[i].left == 0 {
+			continue
+		}
+		next := map[string]float64{}
+		for domain, n := range s.usableByDomain(now) {
+			before, ok := loads[domain]
+			if loads == nil || ok {
+				work := s.figures.PieceTime.Seconds() * float64(s.assigned[domain]+j.stages[i].left)
+				next[domain] = before + work/float64(n)
+			}
+		}
+		loads = next
+	}
+	return loads
+}
+
+// usableByDomain counts the usable replicas of each failure domain.
+func (s *service) usableByDomain(now time.Time) map[string]int {
+	n := map[string]int{}
+	for _, r := range s.replicas {
+		if r.usable(now) {
+			n[r.FailureDomain]++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/stage/calls.go
@@ -0,0 +1,187 @@
+package stage
+
+import (
+	"slices"
+	"time"
+)
+
+// ended takes the end of a call.
+func (m *Machine) ended(now time.Time, e CallEnded) {
+	c := m.calls[e.Call]
+	if c == nil {
+		return
+	}
+	delete(m.calls, c.id)
+	r := c.replica
+	r.calls = slices.DeleteFunc(r.calls, func(o *call) bool { return o == c })
+	for _, p := range c.pieces {
+		p.calls--
+	}
+	switch e.Outcome {
+	case CallAnswered:
+		r.failures = 0
+		r.suspect = time.Time{}
+		r.measure(now.Sub(c.started), len(c.pieces))
+		m.take(now, c, e.Results)
+	case CallNotExecuted:
+		r.busy = now.Add(m.cfg.BusyWait)
+		m.again(c, false)
+	case CallUnreachable:
+		r.fail(now, m.cfg)
+		m.again(c, false)
+	case CallFailed:
+		r.fail(now, m.cfg)
+		m.again(c, true)
+	}
+}
+
+// again queues the pieces of a call that brought nothing. count says that the
+// call counts against their tries.
+func (m *Machine) again(c *call, count bool) {
+	for _, p := range c.pieces {
+		c.replica.used = max(0, c.replica.used-p.bytes())
+		if count {
+			p.tries++
+		}
+		m.requeue(p)
+	}
+}
+
+// requeue queues a piece that is in no running call.
+func (m *Machine) requeue(p *piece) {
+	if !m.current(p) || p.state == made || p.state == queued || p.calls > 0 {
+		return
+	}
+	if p.tries >= m.cfg.MaxTries {
+		m.refuse(p.job, ReasonFailed, m.cfg.MinRetryAfter)
+		return
+	}
+	p.state = queued
+	s := p.job.stages[p.stage].service
+	s.queue = append(s.queue, p)
+}
+
+// take takes the results of an answered call.
+func (m *Machine) take(now time.Time, c *call, results []Result) {
+	var advanced []*job
+	for i, p := range c.pieces {
+		if i >= len(results) {
+			break
+		}
+		if m.takeOne(now, c.replica, p, results[i]) && !slices.Contains(advanced, p.job) {
+			advanced = append(advanced, p.job)
+		}
+	}
+	for _, j := range advanced {
+		if m.jobs[j.ID] == j {
+			m.advance(j)
+		}
+	}
+}
+
+// takeOne takes the result of one piece and says whether it was made and is
+// wanted.
+func (m *Machine) takeOne(now time.Time, r *replica, p *piece, res Result) bool {
+	if res.Kind != Made {
+		r.used = max(0, r.used-p.bytes())
+	}
+	switch res.Kind {
+	case Made:
+		if !m.current(p) || p.state == made {
+			// Nobody waits any more, or another call was faster.
+			m.freeHandle(r, res.Handle, p.bytes())
+			return false
+		}
+		if p.state == queued {
+			p.job.stages[p.stage].service.remove(p)
+		}
+		p.state, p.handle, p.holder, p.madeAt = made, res.Handle, r, now
+		p.job.stages[p.stage].left--
+		return true
+	case NoRoom:
+		r.noRoom = now.Add(r.service.figures.CallTime)
+		m.requeue(p)
+	case InputGone:
+		m.remake(p)
+	case TooLate:
+		m.requeue(p)
+	case Broken:
+		p.tries++
+		m.requeue(p)
+	}
+	return false
+}
+
+// maxRemakes bounds how often a job's lost inputs are made again.
+const maxRemakes = 2
+
+// remake makes the inputs of a piece again: one of them is gone, and which is
+// not known.
+func (m *Machine) remake(p *piece) {
+	j := p.job
+	if !m.current(p) || p.state != running || p.calls > 0 {
+		return
+	}
+	if j.remakes >= maxRemakes {
+		m.refuse(j, ReasonFailed, m.cfg.MinRetryAfter)
+		return
+	}
+	j.remakes++
+	for k := range j.stages[p.stage].pieces {
+		if o := &j.stages[p.stage].pieces[k]; o.state == queued || o.state == running {
+			if o.state == queued {
+				j.stages[p.stage].service.remove(o)
+			}
+			o.state = blocked
+		}
+	}
+	for _, a := range j.Stages[p.stage].After {
+		m.resetStage(j, a)
+	}
+	m.advance(j)
+}
+
+// resetStage makes all results of a stage again, and what those need.
+func (m *Machine) resetStage(j *job, i int) {
+	st := &j.stages[i]
+	if st.left > 0 {
+		return
+	}
+	m.freeStage(st)
+	st.freed, st.left = false, len(st.pieces)
+	for k := range st.pieces {
+		st.pieces[k].state = blocked
+	}
+	for _, a := range j.Stages[i].After {
+		if j.stages[a].freed {
+			m.resetStage(j, a)
+		}
+	}
+}
+
+// remove takes one piece out of the queue.
+func (s *service) remove(p *piece) {
+	if i := slices.Index(s.queue, p); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+}
+
+// overdue queues the pieces of calls that take too long a second time, for
+// another replica. The first result counts.
+func (m *Machine) overdue(now time.Time) {
+	for _, c := range m.calls {
+		if c.given || now.Before(c.overdue) {
+			continue
+		}
+		c.given = true
+		c.replica.fail(now, m.cfg)
+		for _, p := range c.pieces {
+			if m.current(p) && p.state == running && p.calls == 1 && p.tries+1 < m.cfg.MaxTries {
+				p.tries++
+				p.state = queued
+				s := p.job.stages[p.stage].service
+				s.queue = append(s.queue, p)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/stage/config.go
@@ -0,0 +1,59 @@
+package stage
+
+import "time"
+
+// Config holds the constants of a Machine. The zero value of a field takes its
+// default.
+type Config struct {
+	// CrossingRate is the bytes of results that may cross failure domains to
+	// spare a millisecond of waiting. Default 3,000: results that cross are
+	// paid for, and at the users' prices a millisecond of a request's objective
+	// is worth some kilobytes.
+	CrossingRate float64
+	// PriorityStep is how much later a job of the next lower priority is
+	// ranked. Default 300 ms, about one call.
+	PriorityStep time.Duration
+	// OverdueFactor and OverdueSlack say when a running call counts as overdue
+	// and its pieces are made elsewhere too. Defaults 1.6 and 120 ms.
+	OverdueFactor float64
+	OverdueSlack  time.Duration
+	// TimeoutFactor and TimeoutSlack bound a call. Defaults 4 and 500 ms: a
+	// call that waits behind another planner's is not given up.
+	TimeoutFactor float64
+	TimeoutSlack  time.Duration
+	// MaxTries bounds the calls for one piece. Default 4.
+	MaxTries int
+	// SuspectBase and SuspectMax bound the time for which a replica that
+	// failed is avoided; it doubles with each failure. Defaults 500 ms and 8 s.
+	SuspectBase, SuspectMax time.Duration
+	// BusyWait is the wait before a replica that refused a call is tried
+	// again. Default 40 ms.
+	BusyWait time.Duration
+	// SplitShare is the share of a call's fixed time that a call's pieces must
+	// take before work is split over idle replicas. Default 0.3.
+	SplitShare float64
+	// MinRetryAfter is the least wait told to a refused job. Default 300 ms.
+	MinRetryAfter time.Duration
+}
+
+func orDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.CrossingRate, 3000)
+	orDefault(&c.PriorityStep, 300*time.Millisecond)
+	orDefault(&c.OverdueFactor, 1.6)
+	orDefault(&c.OverdueSlack, 120*time.Millisecond)
+	orDefault(&c.TimeoutFactor, 4)
+	orDefault(&c.TimeoutSlack, 500*time.Millisecond)
+	orDefault(&c.MaxTries, 4)
+	orDefault(&c.SuspectBase, 500*time.Millisecond)
+	orDefault(&c.SuspectMax, 8*time.Second)
+	orDefault(&c.BusyWait, 40*time.Millisecond)
+	orDefault(&c.SplitShare, 0.3)
+	orDefault(&c.MinRetryAfter, 300*time.Millisecond)
+	return c
+}
--- /dev/null
+++ b/core/stage/dispatch.go
@@ -0,0 +1,282 @@
+package stage
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+func sortReplicas(rs []*replica) {
+	slices.SortFunc(rs, func(a, b *replica) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// ranked is a queued piece with what it is ordered by.
+type ranked struct {
+	*piece
+	late bool
+	// home is the failure domain in which the piece is best made.
+	home string
+}
+
+// order sorts the queue of a service: jobs that can be on time first, then by
+// rank, the pieces of a job together.
+func (s *service) order(now time.Time) []ranked {
+	late := make(map[*job]bool)
+	out := make([]ranked, len(s.queue))
+	for i, p := range s.queue {
+		l, ok := late[p.job]
+		if !ok {
+			l = p.job.lateBy(now) > 0
+			late[p.job] = l
+		}
+		out[i] = ranked{p, l, p.job.home(p.stage)}
+	}
+	slices.SortFunc(out, func(a, b ranked) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
+		if c := a.job.rank.Compare(b.job.rank); c != 0 {
+			return c
+		}
+		return cmp.Or(cmp.Compare(a.job.seq, b.job.seq), cmp.Compare(a.stage, b.stage), cmp.Compare(a.index, b.index))
+	})
+	return out
+}
+
+// dispatch calls idle replicas while there is work that should not wait.
+func (m *Machine) dispatch(now time.Time, s *service) {
+	for len(s.queue) > 0 {
+		idle := s.idleReplicas(now)
+		if len(idle) == 0 {
+			return
+		}
+		if !m.dispatchOne(now, s, idle) {
+			return
+		}
+	}
+}
+
+func (s *service) idleReplicas(now time.Time) []*replica {
+	var idle []*replica
+	for _, r := range s.replicas {
+		if r.idle(now) {
+			idle = append(idle, r)
+		}
+	}
+	return idle
+}
+
+// dispatchOne makes one call and says whether it did.
+func (m *Machine) dispatchOne(now time.Time, s *service, idle []*replica) bool {
+	queue := s.order(now)
+	ahead := map[string]int{}
+	for i := range queue {
+		q := queue[i]
+		r := m.choose(now, s, q, idle, ahead[q.home])
+		if r == nil {
+			ahead[q.home]++
+			continue
+		}
+		limit := s.chunk(len(queue)-i, len(idle), m.cfg.SplitShare)
+		m.run(now, r, m.fill(now, s, r, queue[i:], limit))
+		return true
+	}
+	return false
+}
+
+// chunk is the number of pieces of the next call: work is split over the idle
+// replicas once each has pieces for a good share of a call's fixed time.
+func (s *service) chunk(waiting, idle int, splitShare float64) int {
+	least := 1
+	if s.figures.PieceTime > 0 {
+		least = int(float64(s.figures.CallTime)*splitShare/float64(s.figures.PieceTime)) + 1
+	}
+	each := (waiting + idle - 1) / idle
+	return min(s.figures.Batch, max(each, least))
+}
+
+// choose returns the idle replica for a piece, or nil when waiting for one of
+// the job's own failure domain is better, or none has room. ahead is the number
+// of pieces that wait for that domain before this one.
+func (m *Machine) choose(now time.Time, s *service, q ranked, idle []*replica, ahead int) *replica {
+	p := q.piece
+	var home, other *replica
+	for _, r := range idle {
+		if !r.fits(now, p.bytes()) || p.lastTried(r) {
+			continue
+		}
+		if q.home == "" || r.FailureDomain == q.home {
+			home = better(home, r)
+		} else {
+			other = better(other, r)
+		}
+	}
+	if home != nil {
+		return home
+	}
+	if other != nil && s.homeWait(now, q, ahead) > m.crossing(p) {
+		return other
+	}
+	return nil
+}
+
+// lastTried says whether a running call at r has the piece already.
+func (p *piece) lastTried(r *replica) bool {
+	if p.calls == 0 {
+		return false
+	}
+	for _, c := range r.calls {
+		if slices.Contains(c.pieces, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// better returns the replica with the better pace, then with fewer bytes held.
+func better(a, b *replica) *replica {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	}
+	const notable = 1.3 // paces closer than this count as equal
+	switch {
+	case b.pace*notable < a.pace:
+		return b
+	case a.pace*notable < b.pace:
+		return a
+	case b.used < a.used:
+		return b
+	}
+	return a
+}
+
+// crossing is the wait that is better than to let a piece's bytes cross failure
+// domains: what it reads and what its readers will.
+func (m *Machine) crossing(p *piece) time.Duration {
+	return time.Duration(float64(p.job.moved(p.stage)) / m.cfg.CrossingRate * float64(time.Millisecond))
+}
+
+// never is the wait for a domain without a usable replica.
+const never = time.Hour
+
+// homeWait is the expected wait for a replica of the piece's home.
+func (s *service) homeWait(now time.Time, q ranked, ahead int) time.Duration {
+	wait, usable := never, 0
+	for _, r := range s.replicas {
+		if r.FailureDomain != q.home || !r.usable(now) {
+			continue
+		}
+		usable++
+		w := r.freeAt(now).Sub(now)
+		if !r.fits(now, q.bytes()) {
+			w += s.callTime(s.figures.Batch)
+		}
+		wait = min(wait, w)
+	}
+	if usable == 0 {
+		return never
+	}
+	rounds := ahead / (usable * s.figures.Batch)
+	return wait + time.Duration(rounds)*s.callTime(s.figures.Batch)
+}
+
+// fill collects the pieces of a call to r, best first, at most limit.
+func (m *Machine) fill(now time.Time, s *service, r *replica, queue []ranked, limit int) []*piece {
+	var pieces []*piece
+	var bytes int64
+	for _, q := range queue {
+		if len(pieces) >= limit {
+			break
+		}
+		p := q.piece
+		if p.lastTried(r) || !r.fits(now, bytes+p.bytes()) {
+			continue
+		}
+		away := q.home != "" && q.home != r.FailureDomain
+		if away && len(pieces) > 0 && s.homeWait(now, q, 0) <= m.crossing(p) {
+			continue
+		}
+		pieces = append(pieces, p)
+		bytes += p.bytes()
+	}
+	return pieces
+}
+
+// run makes a call.
+func (m *Machine) run(now time.Time, r *replica, pieces []*piece) {
+	m.nextID++
+	s := r.service
+	expected := time.Duration(max(s.pace, 1) * float64(s.nominal(len(pieces))))
+	c := &call{
+		id: m.nextID, replica: r, pieces: pieces, started: now,
+		ends:    now.Add(s.callTime(len(pieces))),
+		overdue: now.Add(time.Duration(m.cfg.OverdueFactor*float64(expected)) + m.cfg.OverdueSlack),
+	}
+	m.calls[c.id] = c
+	r.calls = append(r.calls, c)
+	a := Run{
+		Call: c.id, Service: s.name, Replica: r.ID, Address: r.Address,
+		Timeout: time.Duration(m.cfg.TimeoutFactor*float64(expected)) + m.cfg.TimeoutSlack,
+	}
+	for _, p := range pieces {
+		s.remove(p)
+		p.state = running
+		p.calls++
+		r.used += p.bytes()
+		a.Pieces = append(a.Pieces, p.request(now))
+	}
+	m.act(a)
+}
+
+// request is the piece as a replica is asked for it.
+func (p *piece) request(now time.Time) Piece {
+	j := p.job
+	out := Piece{Job: j.ID, Stage: p.stage, Index: p.index, Left: j.Deadline.Sub(now)}
+	if len(j.Stages[p.stage].After) == 0 {
+		out.Key = j.Key
+	} else {
+		out.Inputs = j.inputs(p.stage)
+	}
+	return out
+}
+
+// NextTick returns when the next Tick is due, if no event comes before, and
+// false when none is.
+func (m *Machine) NextTick(now time.Time) (time.Time, bool) {
+	var next time.Time
+	consider := func(t time.Time) {
+		if t.After(now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	for _, c := range m.calls {
+		if !c.given {
+			consider(c.overdue)
+		}
+	}
+	for _, j := range m.jobs {
+		if !j.ready {
+			consider(j.Deadline)
+		}
+	}
+	for _, s := range m.services {
+		if len(s.queue) == 0 {
+			continue
+		}
+		for _, r := range s.replicas {
+			consider(r.busy)
+			consider(r.suspect)
+			consider(r.noRoom)
+		}
+		// A piece may wait for its own domain until crossing is better.
+		consider(now.Add(m.cfg.BusyWait))
+	}
+	return next, !next.IsZero()
+}
--- /dev/null
+++ b/core/stage/doc.go
@@ -0,0 +1,27 @@
+// Package stage plans the preparatory stages of requests: which replica makes
+// which pieces together, and when.
+//
+// A call to a replica that runs stages costs much the same whatever it holds,
+// so pieces of many requests are made together. A Machine holds the queue of
+// the whole fleet, or of its part, for every stage service. One daemon plans
+// for the others; what it does not know of a replica (calls and results of an
+// earlier planner) it learns from refusals.
+//
+// # Contract
+//
+// A Machine does no I/O, reads no clock and starts no goroutine. The caller
+// passes the time and one Event at a time to Step and carries out the returned
+// Actions in order. Step is not safe for concurrent use.
+//
+// Every Run is answered by exactly one CallEnded with the same number. Every
+// submitted job ends with exactly one Ready or Refused, unless it is cancelled
+// first. After Ready the caller reports Released once the results have been
+// read or are of no more use.
+//
+// # What it guarantees
+//
+// A piece with inputs is given all results of all stages that it comes after,
+// of its own job, each once. A result that is not handed out, or that nobody
+// will read any more, is freed. No call is made for a job that was cancelled
+// before the call began.
+package stage
--- /dev/null
+++ b/core/stage/event.go
@@ -0,0 +1,110 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// Event is something that happened; see Machine.Step.
+type Event interface{ isEvent() }
+
+// Configured replaces the services that run stages and their replicas.
+type Configured struct {
+	Services map[string]*catalog.Service
+	Replicas []catalog.Replica
+}
+
+// Submitted asks for the results of a job. A job with the id of one that is
+// known is ignored.
+type Submitted struct{ Job Job }
+
+// Cancelled says that nobody waits for a job any more.
+type Cancelled struct{ Job string }
+
+// Released says that a ready job's results have been read.
+type Released struct{ Job string }
+
+// CallOutcome says how a call to a replica ended.
+type CallOutcome uint8
+
+// The outcomes of calls.
+const (
+	// CallAnswered has a result for each piece.
+	CallAnswered CallOutcome = iota
+	// CallNotExecuted was refused by the replica, or never reached it.
+	CallNotExecuted
+	// CallUnreachable could not be sent: no connection.
+	CallUnreachable
+	// CallFailed got no usable answer; its pieces may have been made.
+	CallFailed
+)
+
+// ResultKind says what became of a piece in an answered call.
+type ResultKind uint8
+
+// The kinds of results.
+const (
+	Made ResultKind = iota
+	// TooLate pieces were not made since their time had passed.
+	TooLate
+	// InputGone pieces were not made since an input no longer exists.
+	InputGone
+	// NoRoom pieces were not made since the replica could not hold the result.
+	NoRoom
+	// Broken pieces failed.
+	Broken
+)
+
+// Result is what became of one piece.
+type Result struct {
+	Kind ResultKind
+	// Handle names the result when it was made.
+	Handle string
+}
+
+// CallEnded ends a Run. Results has one entry for each piece, in order, when
+// the outcome is CallAnswered.
+type CallEnded struct {
+	Call    uint64
+	Outcome CallOutcome
+	Results []Result
+}
+
+// Tick tells the time; it is due at the time that Machine.NextTick returns.
+type Tick struct{}
+
+func (Configured) isEvent() {}
+func (Submitted) isEvent()  {}
+func (Cancelled) isEvent()  {}
+func (Released) isEvent()   {}
+func (CallEnded) isEvent()  {}
+func (Tick) isEvent()       {}
+
+// Job is the stage work of one request.
+type Job struct {
+	// ID is the request's id.
+	ID string
+	// Key is what the first stages work on.
+	Key string
+	// Priority ranks jobs; 0 is the highest.
+	Priority int
+	// Due is when the results must be ready for an answer on time, Deadline
+	// when they are of no more use.
+	Due, Deadline time.Time
+	// Domain is the failure domain in which the results will be read; "" if
+	// that is open.
+	Domain string
+	Stages []Stage
+}
+
+// Stage is one stage of a job.
+type Stage struct {
+	Service string
+	// After lists the stages whose results each piece reads.
+	After []int
+	// Pieces is their number; 0 leaves the stage out.
+	Pieces int
+	// ResultBytes is the usual size of one result.
+	ResultBytes int64
+}
--- /dev/null
+++ b/core/stage/job.go
@@ -0,0 +1,200 @@
+package stage
+
+import "time"
+
+// pieceState says where a piece is.
+type pieceState uint8
+
+const (
+	// blocked pieces wait for earlier stages.
+	blocked pieceState = iota
+	queued
+	running
+	made
+)
+
+// piece is one piece of a job.
+type piece struct {
+	job   *job
+	stage int
+	index int
+	state pieceState
+	// calls counts the running calls that the piece is in.
+	calls int
+	tries int
+	// handle, holder and madeAt are set once the piece is made.
+	handle string
+	holder *replica
+	madeAt time.Time
+}
+
+// bytes returns the usual size of the piece's result.
+func (p *piece) bytes() int64 { return p.job.Stages[p.stage].ResultBytes }
+
+// stageState is the state of one stage of a job.
+type stageState struct {
+	service *service
+	pieces  []piece
+	// left is the number of pieces that are not made.
+	left int
+	// readers lists the stages that read this one's results.
+	readers []int
+	// freed says that the results have been given up.
+	freed bool
+}
+
+// job is the state of a Job.
+type job struct {
+	Job
+	seq    uint64
+	stages []stageState
+	// rank orders jobs: Due, later for lower priorities.
+	rank time.Time
+	// remakes counts how often lost inputs were made again.
+	remakes int
+	ready   bool
+}
+
+// newJob returns the state of j, or nil when it needs a service that is not
+// known or has too many stages.
+func (m *Machine) newJob(j Job) *job {
+	if len(j.Stages) > maxStages {
+		return nil
+	}
+	m.seq++
+	s := &job{Job: j, seq: m.seq, stages: make([]stageState, len(j.Stages))}
+	s.rank = j.Due.Add(time.Duration(j.Priority) * m.cfg.PriorityStep)
+	for i := range j.Stages {
+		st := &j.Stages[i]
+		v := m.services[st.Service]
+		if v == nil && st.Pieces > 0 {
+			return nil
+		}
+		s.stages[i] = stageState{service: v, pieces: make([]piece, st.Pieces), left: st.Pieces}
+		for k := range s.stages[i].pieces {
+			s.stages[i].pieces[k] = piece{job: s, stage: i, index: k}
+		}
+		for _, a := range st.After {
+			s.stages[a].readers = append(s.stages[a].readers, i)
+		}
+	}
+	return s
+}
+
+// canStart says whether all stages that stage i comes after are complete.
+func (j *job) canStart(i int) bool {
+	for _, a := range j.Stages[i].After {
+		if j.stages[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// complete says whether every stage is.
+func (j *job) complete() bool {
+	for i := range j.stages {
+		if j.stages[i].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// inputs returns the handles that a piece of stage i reads.
+func (j *job) inputs(i int) []string {
+	var handles []string
+	for _, a := range j.Stages[i].After {
+		for k := range j.stages[a].pieces {
+			handles = append(handles, j.stages[a].pieces[k].handle)
+		}
+	}
+	return handles
+}
+
+// count adds n times the job's pieces to what is assigned to its domain.
+func (j *job) count(n int) {
+	for i := range j.stages {
+		if s := j.stages[i].service; s != nil {
+			s.assigned[j.Domain] += n * len(j.stages[i].pieces)
+		}
+	}
+}
+
+// home returns the failure domain in which a piece of stage i is best made:
+// where most bytes of its inputs lie, if they are more than it makes for its
+// readers, else the job's.
+func (j *job) home(i int) string {
+	inputs := map[string]int64{}
+	var heaviest int64
+	domain := j.Domain
+	for _, a := range j.Stages[i].After {
+		for k := range j.stages[a].pieces {
+			p := &j.stages[a].pieces[k]
+			if p.holder == nil {
+				continue
+			}
+			d := p.holder.FailureDomain
+			inputs[d] += p.bytes()
+			if inputs[d] > heaviest {
+				heaviest, domain = inputs[d], d
+			}
+		}
+	}
+	if heaviest < j.made(i) {
+		return j.Domain
+	}
+	return domain
+}
+
+// made returns the bytes that the readers of one piece of stage i fetch.
+func (j *job) made(i int) int64 {
+	readers := j.stages[i].readers
+	if len(readers) == 0 {
+		return j.Stages[i].ResultBytes
+	}
+	var n int64
+	for _, k := range readers {
+		n += j.Stages[i].ResultBytes * int64(max(1, j.Stages[k].Pieces))
+	}
+	return n
+}
+
+// moved returns the bytes that may cross failure domains when one piece of
+// stage i is made away from its home.
+func (j *job) moved(i int) int64 {
+	n := j.made(i)
+	for _, a := range j.Stages[i].After {
+		n += j.Stages[a].ResultBytes * int64(j.Stages[a].Pieces)
+	}
+	return n
+}
+
+// lateBy returns how long after now the job's remaining stages need at least,
+// beyond its due time; negative when it can be on time.
+func (j *job) lateBy(now time.Time) time.Duration {
+	return now.Add(j.shortest()).Sub(j.Due)
+}
+
+// shortest returns the least time that the stages left need: the longest chain
+// of one call each.
+func (j *job) shortest() time.Duration {
+	var most time.Duration
+	var ends [maxStages]time.Duration
+	for i := range j.stages {
+		var start time.Duration
+		for _, a := range j.Stages[i].After {
+			start = max(start, ends[a])
+		}
+		end := start
+		if j.stages[i].left > 0 {
+			end += j.stages[i].service.callTime(1)
+		}
+		ends[i] = end
+		most = max(most, end)
+	}
+	return most
+}
+
+// maxStages bounds the stages of a job.
+const maxStages = 16
--- /dev/null
+++ b/core/stage/machine.go
@@ -0,0 +1,272 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// Machine plans the stage work that is submitted to it.
+type Machine struct {
+	cfg      Config
+	services map[string]*service
+	replicas map[string]*replica
+	jobs     map[string]*job
+	calls    map[uint64]*call
+	nextID   uint64
+	seq      uint64
+	actions  []Action
+	// freed collects the handles to give up in this step, by holder.
+	freed map[*replica][]string
+}
+
+// New returns a Machine without services.
+func New(c Config) *Machine {
+	return &Machine{
+		cfg: c.withDefaults(), services: map[string]*service{}, replicas: map[string]*replica{},
+		jobs: map[string]*job{}, calls: map[uint64]*call{}, freed: map[*replica][]string{},
+	}
+}
+
+// Step takes one event and returns what to do. The actions belong to the
+// caller.
+func (m *Machine) Step(now time.Time, e Event) []Action {
+	m.actions = nil
+	switch e := e.(type) {
+	case Configured:
+		m.configure(e)
+	case Submitted:
+		m.submit(now, e.Job)
+	case Cancelled:
+		m.drop(e.Job)
+	case Released:
+		m.drop(e.Job)
+	case CallEnded:
+		m.ended(now, e)
+	}
+	m.expire(now)
+	m.overdue(now)
+	for _, s := range m.services {
+		m.dispatch(now, s)
+	}
+	m.flushFreed()
+	return m.actions
+}
+
+func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
+
+// configure takes the services and replicas in force. Replicas that are no
+// longer listed are kept while calls run there.
+func (m *Machine) configure(e Configured) {
+	for name, s := range e.Services {
+		if s.Pieces == nil {
+			continue
+		}
+		v := m.services[name]
+		if v == nil {
+			v = &service{name: name, pace: 1, assigned: map[string]int{}}
+			m.services[name] = v
+		}
+		v.figures = *s.Pieces
+	}
+	for _, r := range m.replicas {
+		r.listed = false
+	}
+	for _, listed := range e.Replicas {
+		m.list(listed)
+	}
+	for _, s := range m.services {
+		s.replicas = s.replicas[:0]
+	}
+	for id, r := range m.replicas {
+		if !r.listed && len(r.calls) == 0 {
+			delete(m.replicas, id)
+			continue
+		}
+		r.service.replicas = append(r.service.replicas, r)
+	}
+	for _, s := range m.services {
+		sortReplicas(s.replicas)
+	}
+}
+
+// list takes a replica that is listed.
+func (m *Machine) list(listed catalog.Replica) {
+	s := m.services[listed.Service]
+	if s == nil {
+		return
+	}
+	r := m.replicas[listed.ID]
+	if r == nil {
+		r = &replica{service: s, pace: 1}
+		m.replicas[listed.ID] = r
+	}
+	r.Replica, r.listed, r.service = listed, true, s
+}
+
+// submit admits a job or refuses it.
+func (m *Machine) submit(now time.Time, j Job) {
+	if m.jobs[j.ID] != nil {
+		return
+	}
+	s := m.newJob(j)
+	if s == nil {
+		m.act(Refused{Job: j.ID, Reason: ReasonNoReplica, RetryAfter: m.cfg.MinRetryAfter})
+		return
+	}
+	if s.Domain == "" {
+		s.Domain = m.leastLoaded(now, s)
+	}
+	if refusal := m.admit(now, s); refusal != nil {
+		m.act(*refusal)
+		return
+	}
+	m.jobs[j.ID] = s
+	s.count(1)
+	m.advance(s)
+}
+
+// advance queues the pieces of every stage that can start, frees results that
+// have been read, and hands a complete job over.
+func (m *Machine) advance(j *job) {
+	for i := range j.stages {
+		st := &j.stages[i]
+		if st.left == 0 || !j.canStart(i) {
+			continue
+		}
+		for k := range st.pieces {
+			if p := &st.pieces[k]; p.state == blocked {
+				p.state = queued
+				st.service.queue = append(st.service.queue, p)
+			}
+		}
+	}
+	m.freeRead(j)
+	if j.complete() && !j.ready {
+		j.ready = true
+		m.act(j.result())
+	}
+}
+
+// freeRead gives up the results whose readers are all complete.
+func (m *Machine) freeRead(j *job) {
+	for i := range j.stages {
+		st := &j.stages[i]
+		if st.left > 0 || st.freed || len(st.readers) == 0 {
+			continue
+		}
+		read := true
+		for _, k := range st.readers {
+			read = read && j.stages[k].left == 0
+		}
+		if read {
+			m.freeStage(st)
+		}
+	}
+}
+
+// freeStage gives up all results of a stage.
+func (m *Machine) freeStage(st *stageState) {
+	st.freed = true
+	for k := range st.pieces {
+		m.freePiece(&st.pieces[k])
+	}
+}
+
+// freePiece gives up the result of a piece, if it has one.
+func (m *Machine) freePiece(p *piece) {
+	if p.holder == nil {
+		return
+	}
+	m.freeHandle(p.holder, p.handle, p.bytes())
+	p.holder, p.handle = nil, ""
+}
+
+// freeHandle gives up one result.
+func (m *Machine) freeHandle(r *replica, handle string, bytes int64) {
+	r.used = max(0, r.used-bytes)
+	m.freed[r] = append(m.freed[r], handle)
+}
+
+// flushFreed turns the handles given up in this step into actions.
+func (m *Machine) flushFreed() {
+	for r, handles := range m.freed {
+		m.act(Free{Replica: r.ID, Address: r.Address, Handles: handles})
+		delete(m.freed, r)
+	}
+}
+
+// result is the action that hands a complete job over.
+func (j *job) result() Ready {
+	ready := Ready{Job: j.ID}
+	weights := map[string]int64{}
+	for i := range j.stages {
+		st := &j.stages[i]
+		if len(st.readers) > 0 {
+			continue
+		}
+		for k := range st.pieces {
+			p := &st.pieces[k]
+			ready.Handles = append(ready.Handles, p.handle)
+			domain := p.holder.FailureDomain
+			weights[domain] += p.bytes()
+			if w := weights[domain]; w > ready.DomainBytes {
+				ready.DomainBytes, ready.Domain = w, domain
+			}
+		}
+	}
+	return ready
+}
+
+// drop forgets a job: its queued pieces are not made, its results are freed.
+func (m *Machine) drop(id string) {
+	j := m.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(m.jobs, id)
+	j.count(-1)
+	for i := range j.stages {
+		st := &j.stages[i]
+		if st.service != nil && st.left > 0 {
+			st.service.unqueue(j)
+		}
+		m.freeStage(st)
+	}
+}
+
+// refuse ends a job without results.
+func (m *Machine) refuse(j *job, reason Reason, retryAfter time.Duration) {
+	if m.jobs[j.ID] != j {
+		return
+	}
+	wasReady := j.ready
+	m.drop(j.ID)
+	if !wasReady {
+		m.act(Refused{Job: j.ID, Reason: reason, RetryAfter: retryAfter})
+	}
+}
+
+// unqueue takes the pieces of a job out of the queue.
+func (s *service) unqueue(j *job) {
+	kept := s.queue[:0]
+	for _, p := range s.queue {
+		if p.job != j {
+			kept = append(kept, p)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+// expire refuses jobs whose deadline has passed.
+func (m *Machine) expire(now time.Time) {
+	for _, j := range m.jobs {
+		if !j.ready && !now.Before(j.Deadline) {
+			m.refuse(j, ReasonExpired, 0)
+		}
+	}
+}
+
+// current says whether a piece still belongs to a job that is planned.
+func (m *Machine) current(p *piece) bool { return m.jobs[p.job.ID] == p.job }
--- /dev/null
+++ b/core/stage/replica.go
@@ -0,0 +1,123 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// service is the state of one service that runs stages.
+type service struct {
+	name     string
+	figures  catalog.Pieces
+	replicas []*replica
+	queue    []*piece
+	// pace is the smoothed ratio of measured to nominal call times.
+	pace float64
+	// assigned counts the pieces of admitted jobs by the jobs' domains.
+	assigned map[string]int
+}
+
+// callTime is the expected time of a call of n pieces.
+func (s *service) callTime(n int) time.Duration {
+	return time.Duration(s.pace * float64(s.nominal(n)))
+}
+
+// nominal is the time of a call of n pieces by the configuration's figures.
+func (s *service) nominal(n int) time.Duration {
+	return s.figures.CallTime + time.Duration(n)*s.figures.PieceTime
+}
+
+// replica is the state of one replica.
+type replica struct {
+	catalog.Replica
+	service *service
+	// listed says that the replica is in the configuration in force.
+	listed bool
+	calls  []*call
+	// used is the bytes of results made or being made there.
+	used int64
+	// pace is the smoothed ratio of measured to nominal call times there.
+	pace float64
+	// failures counts failures in a row, and suspect is until when the replica
+	// is avoided.
+	failures int
+	suspect  time.Time
+	// busy is until when the replica is not called since it refused one.
+	busy time.Time
+	// noRoom is until when only pieces with small results are sent.
+	noRoom time.Time
+}
+
+// call is a running call.
+type call struct {
+	id      uint64
+	replica *replica
+	pieces  []*piece
+	started time.Time
+	// ends is when the call is expected to end, and overdue when its pieces
+	// are made elsewhere too.
+	ends, overdue time.Time
+	given         bool
+}
+
+// usable says whether the replica may be called at all.
+func (r *replica) usable(now time.Time) bool {
+	return r.listed && !r.Draining && !now.Before(r.suspect)
+}
+
+// idle says whether the replica may be called now.
+func (r *replica) idle(now time.Time) bool {
+	return r.usable(now) && len(r.calls) < r.service.figures.Concurrency && !now.Before(r.busy)
+}
+
+// freeAt returns when the replica is expected to take its next call.
+func (r *replica) freeAt(now time.Time) time.Time {
+	at := now
+	if len(r.calls) >= r.service.figures.Concurrency {
+		at = r.calls[0].ends
+		for _, c := range r.calls[1:] {
+			if c.ends.Before(at) {
+				at = c.ends
+			}
+		}
+	}
+	if r.busy.After(at) {
+		at = r.busy
+	}
+	if at.Before(now) {
+		return now
+	}
+	return at
+}
+
+// fits says whether a result of n bytes has room beside what is held already.
+// A result that is larger than all room fits an empty replica.
+func (r *replica) fits(now time.Time, n int64) bool {
+	if now.Before(r.noRoom) {
+		return false
+	}
+	room := r.service.figures.RoomBytes
+	return room == 0 || r.used == 0 || r.used+n <= room
+}
+
+// The weights of a new measurement of call times.
+const (
+	servicePaceWeight = 0.05
+	replicaPaceWeight = 0.4
+)
+
+// measure takes the time of an answered call.
+func (r *replica) measure(took time.Duration, pieces int) {
+	ratio := float64(took) / float64(r.service.nominal(pieces))
+	r.pace += replicaPaceWeight * (ratio - r.pace)
+	s := r.service
+	s.pace += servicePaceWeight * (min(ratio, 2) - s.pace)
+}
+
+// fail notes a call without a usable answer.
+func (r *replica) fail(now time.Time, c Config) {
+	wait := c.SuspectBase << min(r.failures, 10)
+	r.failures++
+	r.suspect = now.Add(min(wait, c.SuspectMax))
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/logging"
+	"github.com/wheatseam/wheatseam/platform"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// exchange is one request of a caller on its way to its answer. One goroutine
+// uses it.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	req     platform.Request
+	config  *catalog.Config
+	route   *catalog.Route
+	tenant  *catalog.Tenant
+	service string
+	body    []byte
+	// ctx ends with the caller, its deadline or the route's timeout, whichever
+	// comes first; deadline is when the latter two do.
+	ctx      context.Context
+	deadline time.Time
+
+	// prepared says that results of stages are held for this request.
+	prepared bool
+	inputs   []string
+	// domain is where the inputs lie; "" when that does not matter.
+	domain string
+
+	// tried names the replicas that attempts went to, runs counts those that
+	// may have executed the request, and spare the repeats that were free.
+	tried []string
+	runs  int
+	spare int
+	// committed says that the head of the answer has been sent, lastEvent the
+	// id of the last event that was.
+	committed bool
+	lastEvent string
+	events    int
+
+	preparedAt, firstAt time.Time
+	outcome             string
+	status              int
+}
+
+// serve takes a request of a caller.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), req: platform.DecodeRequest(r.Header)}
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	defer x.log()
+	if err := x.accept(); err != nil {
+		x.refuse(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	defer x.releaseInputs()
+	if err := x.prepare(); err != nil {
+		x.refuse(err)
+		return
+	}
+	x.relay()
+}
+
+// retrySoon is told to callers that another daemon can serve at once.
+const retrySoon = 200 * time.Millisecond
+
+// accept decides whether the request may be served at all, and reads its body.
+func (x *exchange) accept() *problem.Error {
+	v := x.g.view.Load()
+	if !v.ready() {
+		return retryable(problem.New(problem.NotReady, "no configuration is known yet"), retrySoon)
+	}
+	x.config = v.config
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	x.route = v.config.Match(x.r.Host, path)
+	if x.route == nil {
+		return problem.New(problem.NotFound, "no route")
+	}
+	if err := x.authorize(); err != nil {
+		return err
+	}
+	if x.req.ID == "" {
+		return problem.New(problem.BadRequest, "no request id")
+	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	x.deadline = x.arrived.Add(x.route.Timeout)
+	if x.req.Deadline > 0 && x.req.Deadline < x.route.Timeout {
+		x.deadline = x.arrived.Add(x.req.Deadline)
+	}
+	x.service = x.route.Target(rand.Float64())
+	return nil
+}
+
+// authorize finds the customer that holds the request's key.
+func (x *exchange) authorize() *problem.Error {
+	if x.config.Tenants == nil {
+		return nil
+	}
+	x.tenant = x.config.Tenants[x.req.APIKey]
+	if x.tenant == nil && !x.route.Public {
+		return problem.New(problem.Unauthorized, "unknown key")
+	}
+	return nil
+}
+
+// readBody reads the whole body, so that an attempt can be repeated and a
+// replica's early answer cuts nothing.
+func (x *exchange) readBody() *problem.Error {
+	limit := x.config.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return problem.New(problem.TooLarge, "body over %d bytes", limit)
+	case err != nil:
+		return problem.New(problem.BadRequest, "body not read: %v", err)
+	}
+	x.body = body
+	return nil
+}
+
+// defaultMaxBodyBytes bounds bodies where the configuration does not.
+const defaultMaxBodyBytes = 4 << 20
+
+// priority is the customer's, else the route's.
+func (x *exchange) priority() int {
+	if x.tenant != nil && x.tenant.Priority != nil {
+		return *x.tenant.Priority
+	}
+	return x.route.Priority
+}
+
+// prefix is the hash of the prompt's parts that other requests share, and
+// their tokens; 0 without any.
+func (x *exchange) prefix() (hash uint64, tokens int) {
+	parts := x.req.Prompt
+	if len(parts) < 2 {
+		return 0, 0
+	}
+	d := xxhash.New()
+	for _, p := range parts[:len(parts)-1] {
+		_, _ = d.WriteString(p.ID) // never fails
+		tokens += p.Tokens
+	}
+	return d.Sum64(), tokens
+}
+
+// homeTokens is the shared prompt from which a request's stages are made where
+// the engine that holds it is: reading that many tokens again takes some 20 ms.
+const homeTokens = 1000
+
+// prepare has the stages of the request made, if it has any.
+func (x *exchange) prepare() *problem.Error {
+	j, ok := x.job()
+	if !ok {
+		return nil
+	}
+	ready, refused := x.g.stages.prepare(x.ctx, j)
+	if refused != nil {
+		return x.refusal(refused)
+	}
+	x.prepared, x.inputs = true, ready.Handles
+	if ready.DomainBytes >= heavyInputs {
+		x.domain = ready.Domain
+	}
+	x.preparedAt = time.Now()
+	return nil
+}
+
+// heavyInputs is the size of inputs from which the engine is chosen in their
+// failure domain.
+const heavyInputs = 16 << 10
+
+// job is the stage work of the request; false when there is none.
+func (x *exchange) job() (stage.Job, bool) {
+	j := stage.Job{
+		ID: x.req.ID, Key: x.req.PieceKey, Priority: x.priority(),
+		Due: x.arrived.Add(x.route.Objective - x.firstMargin()), Deadline: x.deadline,
+	}
+	pieces := 0
+	for i, s := range x.route.Stages {
+		st := stage.Stage{Service: s.Service, After: s.After, ResultBytes: s.ResultBytes}
+		if i < len(x.req.Pieces) {
+			st.Pieces = x.req.Pieces[i]
+		}
+		pieces += st.Pieces
+		j.Stages = append(j.Stages, st)
+	}
+	if hash, tokens := x.prefix(); tokens >= homeTokens {
+		j.Domain = x.g.router.HomeDomain(time.Now(), x.service, hash)
+	}
+	return j, pieces > 0
+}
+
+// refusal turns a planner's refusal into an answer: nothing has run.
+func (x *exchange) refusal(r *stage.Refused) *problem.Error {
+	if x.r.Context().Err() != nil {
+		return problem.New(problem.CallerGone, "the caller left while its stages were made")
+	}
+	x.g.stages.logRefused(r)
+	e := problem.New(problem.Overloaded, "stages: %s", r.Reason)
+	if r.Reason == stage.ReasonNoReplica {
+		e = problem.New(problem.NoUpstream, "stages: no replica")
+	}
+	return retryable(e, r.RetryAfter)
+}
+
+// releaseInputs gives the results of the stages up.
+func (x *exchange) releaseInputs() {
+	if x.prepared {
+		x.prepared = false
+		x.g.stages.release(x.req.ID)
+	}
+}
+
+func retryable(e *problem.Error, after time.Duration) *problem.Error {
+	e.RetryAfter = after
+	return e
+}
+
+// refuse answers with an error of this system's own. Where the status promises
+// that nothing has run, nothing may run later either: no attempt is under way.
+func (x *exchange) refuse(e *problem.Error) {
+	x.outcome = string(e.Kind)
+	if e.Kind == problem.CallerGone {
+		return
+	}
+	x.status = problem.Lookup(e.Kind).Status
+	h := x.w.Header()
+	platform.SetRefusal(h, x.req.ID, e.RetryAfter)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	x.w.WriteHeader(x.status)
+	_, _ = io.WriteString(x.w, string(e.Kind)+"\n") // a caller that is gone needs no answer
+}
+
+// log writes the request's line.
+func (x *exchange) log() {
+	fields := []zap.Field{
+		logging.Request(x.req.ID), zap.String("outcome", x.outcome), zap.Int("status", x.status),
+		zap.Duration("took", time.Since(x.arrived)), zap.Int("runs", x.runs), zap.Strings("replicas", x.tried),
+	}
+	if x.config != nil {
+		fields = append(fields, zap.Uint64("version", x.config.Version))
+	}
+	if x.route != nil {
+		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service), zap.Int("priority", x.priority()))
+	}
+	if x.tenant != nil {
+		fields = append(fields, zap.String("customer", x.tenant.Name))
+	}
+	if !x.preparedAt.IsZero() {
+		fields = append(fields, zap.Duration("prepared", x.preparedAt.Sub(x.arrived)))
+	}
+	if !x.firstAt.IsZero() {
+		fields = append(fields, zap.Duration("first", x.firstAt.Sub(x.arrived)), zap.Int("events", x.events))
+	}
+	x.g.log.Info("request", fields...)
+	x.g.metrics.GetOrCreateCounter(`wheatseam_requests_total{outcome="` + x.outcome + `"}`).Inc()
+	x.g.metrics.GetOrCreateHistogram("wheatseam_request_seconds").Update(time.Since(x.arrived).Seconds())
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/core/retry"
+	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// Gateway is one gateway daemon.
+type Gateway struct {
+	settings *Settings
+	log      *zap.Logger
+	metrics  *metrics.Set
+	view     atomic.Pointer[view]
+	rounds   uint64 // numbers the views; used by the discovery's goroutine only
+	draining atomic.Bool
+	inFlight atomic.Int64
+
+	router  *route.Router
+	client  *replicaClient
+	stages  *stager
+	budgets sync.Map // service name to *retry.Budget
+	firsts  sync.Map // route name to *smoothed, the time to a stream's first event
+}
+
+// New returns a gateway that has not started.
+func New(s *Settings, log *zap.Logger) *Gateway {
+	g := &Gateway{settings: s, log: log, metrics: metrics.NewSet(), client: newReplicaClient()}
+	g.view.Store(&view{})
+	g.router = route.New(route.Config{FailureDomain: s.FailureDomain, Seed: uint64(time.Now().UnixNano())})
+	g.stages = newStager(g)
+	return g
+}
+
+// Run serves until ctx ends and then drains within the grace of the settings.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.settings.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	readiness, err := net.Listen("tcp", g.settings.Listen.Readiness)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for readiness: %w", err), callers.Close())
+	}
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	server := g.callerServer()
+	probes := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	var group errgroup.Group
+	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
+	group.Go(func() error { return ignoreClosed(probes.Serve(readiness)) })
+	group.Go(func() error { newDiscovery(g).run(running); return nil })
+	group.Go(func() error { g.stages.run(running); return nil })
+	g.serveMetrics(running, &group)
+	g.log.Info("started", zap.String("callers", g.settings.Listen.Callers), zap.String("store", g.settings.Store.Address),
+		zap.String("failure_domain", g.settings.FailureDomain), zap.Strings("seeds", g.settings.Seeds))
+	<-ctx.Done()
+	g.drain(server)
+	stop()
+	_ = probes.Close() // ends the process; nothing is lost
+	err = group.Wait()
+	g.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// serveMetrics serves the metrics if they have an address. A port that is taken
+// costs the metrics only.
+func (g *Gateway) serveMetrics(ctx context.Context, group *errgroup.Group) {
+	if g.settings.Listen.Metrics == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", g.settings.Listen.Metrics)
+	if err != nil {
+		g.log.Warn("metrics not served", zap.Error(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		g.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+}
+
+// setView puts a view in force.
+func (g *Gateway) setView(v *view) {
+	if v.ready() {
+		g.rounds++
+		g.router.Apply(v.pools(g.rounds, g.settings.Regions))
+		g.stages.configure(v)
+	}
+	g.view.Store(v)
+}
+
+// The caller's side of net/http.
+const (
+	// readHeaderTimeout bounds the headers of a request. The operator's limit
+	// is 3 s; a caller that is slower than this one is not served.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout bounds idle connections. It is over any limit of the
+	// configuration, of which callers use four fifths at most.
+	idleTimeout = 5 * time.Minute
+	// maxHeaderBytes is over the limit of the configuration, 16 KiB.
+	maxHeaderBytes = 64 << 10
+)
+
+func (g *Gateway) callerServer() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(g.log.Named("http")),
+	}
+}
+
+func (g *Gateway) readinessHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if g.draining.Load() || !g.view.Load().ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// The way out, as shares of the grace.
+const (
+	// acceptShare is how long connections are accepted: the platform needs two
+	// missed probes, one a second, to send no more.
+	acceptShare = 0.36
+	// finishShare is when requests still running are cut.
+	finishShare = 0.92
+)
+
+// drain serves on until the platform sends no more connections, then waits for
+// the requests in flight.
+func (g *Gateway) drain(server *http.Server) {
+	began := time.Now()
+	grace := g.settings.Drain.Grace
+	g.draining.Store(true)
+	g.log.Info("draining", zap.Int64("in_flight", g.inFlight.Load()), zap.Duration("grace", grace))
+	time.Sleep(time.Duration(acceptShare * float64(grace)))
+	bound, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*float64(grace))))
+	defer cancel()
+	if err := server.Shutdown(bound); err != nil {
+		g.log.Warn("requests cut", zap.Int64("in_flight", g.inFlight.Load()), zap.Error(err))
+		_ = server.Close()
+		return
+	}
+	g.log.Info("drained")
+}
+
+// budget returns the budget of repeats to a service.
+func (g *Gateway) budget(service string) request.Budget {
+	if b, ok := g.budgets.Load(service); ok {
+		return b.(*retry.Budget)
+	}
+	s := g.settings.Budget
+	b, _ := g.budgets.LoadOrStore(service, retry.New(budgetShare*s.Ratio, 0, max(1, budgetShare*s.Slack/assumedHosts)))
+	return b.(*retry.Budget)
+}
+
+const (
+	// budgetShare is the part of the fleet's budget of repeats that is used.
+	budgetShare = 0.7
+	// assumedHosts divides the slack of the fleet's budget.
+	assumedHosts = 8
+)
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/platform"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// attemptEnd says how one attempt at a replica ended.
+type attemptEnd uint8
+
+const (
+	// answered: the caller has its answer.
+	answered attemptEnd = iota
+	// notSent: no connection came about.
+	notSent
+	// notExecuted: the replica says that it did not run the request.
+	notExecuted
+	// inputsGone: as notExecuted, since results of stages no longer exist.
+	inputsGone
+	// failed: the request may have run, and no usable answer came.
+	failed
+	// repeatNow: as failed, and the repeat is allowed already.
+	repeatNow
+	// abandoned: the caller left or the time is over.
+	abandoned
+)
+
+const (
+	// maxFreeRepeats bounds the attempts of one request that did not run.
+	maxFreeRepeats = 3
+	// maxAnswerBytes bounds answers that are held until they are complete.
+	maxAnswerBytes = 8 << 20
+	// refusedRetry is told to callers whose request every replica tried refused.
+	refusedRetry = 500 * time.Millisecond
+)
+
+// relay sends the request to replicas until one answers or no further attempt
+// is allowed.
+func (x *exchange) relay() {
+	x.g.budget(x.service).Deposit(time.Now())
+	for {
+		choice, perr := x.g.router.Pick(time.Now(), x.query(), nil)
+		if perr != nil {
+			x.giveUp(perr)
+			return
+		}
+		x.tried = append(x.tried, choice.Upstream)
+		end, perr := x.attempt(choice)
+		if end == answered {
+			return
+		}
+		if end == inputsGone && !x.prepareAgain() {
+			x.giveUp(retryable(problem.New(problem.Overloaded, "the stages' results are gone"), refusedRetry))
+			return
+		}
+		if !x.mayRepeat(end) {
+			x.giveUp(perr)
+			return
+		}
+	}
+}
+
+// query asks the router for a replica.
+func (x *exchange) query() request.Query {
+	q := request.Query{
+		Request: x.req.ID, Pool: x.service, Stage: x.route.Name, Kind: bundle.StageCall,
+		Attempt: len(x.tried) + 1, Tried: x.tried, Domain: x.domain, Budget: time.Until(x.deadline),
+	}
+	if s := x.config.Services[x.service]; s != nil && s.Engine != nil {
+		q.Kind = bundle.StageGenerate
+		q.Prefix, _ = x.prefix()
+	}
+	return q
+}
+
+// mayRepeat says whether another attempt is allowed after one that ended so.
+func (x *exchange) mayRepeat(end attemptEnd) bool {
+	if x.ctx.Err() != nil {
+		return false
+	}
+	switch end {
+	case notSent, notExecuted, inputsGone:
+		x.spare++
+		if x.spare > maxFreeRepeats {
+			return false
+		}
+		// A connection that did not come about reached no replica.
+		return end == notSent || x.g.budget(x.service).Withdraw(time.Now())
+	case repeatNow:
+		return true
+	case failed:
+		return x.route.MayRepeat() && x.runs < x.route.Attempts && x.resumable() && x.g.budget(x.service).Withdraw(time.Now())
+	}
+	return false
+}
+
+// resumable says whether a further attempt can go on where the answer stands.
+func (x *exchange) resumable() bool {
+	return !x.committed || x.route.Resumable && x.lastEvent != ""
+}
+
+// prepareAgain has the stages made a second time.
+func (x *exchange) prepareAgain() bool {
+	x.releaseInputs()
+	x.inputs = nil
+	return x.prepare() == nil
+}
+
+// giveUp ends a request without a replica's answer.
+func (x *exchange) giveUp(e *problem.Error) {
+	if x.committed {
+		// The answer must not look complete.
+		x.outcome = "broken_off"
+		panic(http.ErrAbortHandler)
+	}
+	if x.r.Context().Err() != nil {
+		e = problem.New(problem.CallerGone, "the caller left")
+	} else if x.runs > 0 && promises(e.Kind) {
+		e = problem.New(problem.UpstreamFailed, "no replica answered")
+	}
+	x.refuse(e)
+}
+
+// promises says whether the status of an error promises that nothing has run.
+func promises(k problem.Kind) bool { return promisesStatus(problem.Lookup(k).Status) }
+
+// attempt sends the request to one replica. The error says what to answer if
+// it is the last attempt.
+func (x *exchange) attempt(choice request.Choice) (attemptEnd, *problem.Error) {
+	if x.lastEvent != "" && len(x.route.Stages) > 0 && !x.prepared && len(x.inputs) > 0 && !x.prepareAgain() {
+		return abandoned, problem.New(problem.UpstreamFailed, "the stages' results are gone")
+	}
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	t := &try{x: x, choice: choice, began: time.Now(), cancel: cancel}
+	end, err := t.run(ctx)
+	t.report(end)
+	return end, err
+}
+
+// try is one attempt under way.
+type try struct {
+	x      *exchange
+	choice request.Choice
+	began  time.Time
+	first  time.Time
+	cancel context.CancelFunc
+}
+
+// run makes the call and passes the answer on.
+func (t *try) run(ctx context.Context) (attemptEnd, *problem.Error) {
+	x := t.x
+	resp, err := x.g.client.do(ctx, t.outgoing())
+	if err != nil {
+		if unsent(err) {
+			return notSent, retryable(problem.New(problem.NoUpstream, "no connection to a replica"), refusedRetry)
+		}
+		x.runs++
+		return t.broken(err)
+	}
+	defer resp.Body.Close()
+	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+	t.observe(head.Load)
+	switch {
+	case head.NotExecuted && resp.StatusCode == http.StatusConflict:
+		return inputsGone, retryable(problem.New(problem.Overloaded, "inputs gone"), refusedRetry)
+	case head.NotExecuted:
+		return notExecuted, retryable(problem.New(problem.Overloaded, "replicas refuse"), refusedRetry)
+	}
+	x.runs++
+	if head.RequestID != "" && head.RequestID != x.req.ID {
+		return failed, problem.New(problem.UpstreamFailed, "the answer is another request's")
+	}
+	if x.route.Streaming && resp.StatusCode == http.StatusOK && head.Signed {
+		return t.stream(resp)
+	}
+	return t.whole(resp, head)
+}
+
+// outgoing is the request as it goes to the replica.
+func (t *try) outgoing() outgoing {
+	x := t.x
+	a := platform.Attempt{
+		Replica: t.choice.Upstream, Left: time.Until(x.deadline), Priority: -1,
+		Inputs: x.inputs, LastEvent: x.lastEvent,
+	}
+	if x.tenant != nil {
+		a.Tenant = x.tenant.Name
+	}
+	if x.route.Streaming {
+		a.Priority = x.priority()
+	}
+	return outgoing{
+		method: x.r.Method, address: t.choice.Address, target: x.r.RequestURI, host: x.r.Host,
+		header: platform.EncodeAttempt(x.r.Header, a), body: x.body,
+	}
+}
+
+// broken says what a call that failed on the way means.
+func (t *try) broken(err error) (attemptEnd, *problem.Error) {
+	if t.x.ctx.Err() != nil {
+		return abandoned, problem.New(problem.DeadlineExceeded, "no answer in time")
+	}
+	return failed, problem.New(problem.UpstreamFailed, "the replica broke off: %v", err)
+}
+
+// whole passes an answer on once it is complete.
+func (t *try) whole(resp *http.Response, head platform.Answer) (attemptEnd, *problem.Error) {
+	x := t.x
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return t.broken(err)
+	}
+	switch {
+	case len(body) > maxAnswerBytes:
+		return failed, problem.New(problem.UpstreamFailed, "the answer is over %d bytes", maxAnswerBytes)
+	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
+		return failed, problem.New(problem.UpstreamFailed, "the answer has no signature")
+	case promisesStatus(resp.StatusCode):
+		// The replica does not say that it has not run, so that its status
+		// would promise too much.
+		return failed, problem.New(problem.UpstreamFailed, "status %d without a word on execution", resp.StatusCode)
+	case resp.StatusCode >= http.StatusInternalServerError && x.mayRepeat(failed):
+		return repeatNow, nil
+	}
+	if x.committed {
+		return abandoned, problem.New(problem.UpstreamFailed, "a stream cannot go on with status %d", resp.StatusCode)
+	}
+	t.first = time.Now()
+	h := x.w.Header()
+	platform.CopyAnswer(h, resp.Header)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(resp.StatusCode)
+	_, _ = x.w.Write(body) // a caller that is gone needs no answer
+	x.status, x.outcome = resp.StatusCode, "answered"
+	return answered, nil
+}
+
+// promisesStatus says whether a status promises that nothing has run.
+func promisesStatus(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// observe passes a replica's account of its load to the router.
+func (t *try) observe(l *platform.Load) {
+	if l != nil {
+		t.x.g.router.Observe(load.Report{Upstream: t.choice.Upstream, AsOf: time.Now(), Running: l.Running, Queued: l.Waiting})
+	}
+}
+
+// report tells the router how the attempt ended.
+func (t *try) report(end attemptEnd) {
+	now := time.Now()
+	o := request.Outcome{Choice: t.choice, Stage: t.x.route.Name, Latency: now.Sub(t.began)}
+	if !t.first.IsZero() {
+		o.FirstByte = t.first.Sub(t.began)
+	}
+	switch end {
+	case answered:
+		o.Result = request.CallOK
+	case notExecuted, inputsGone:
+		o.Result = request.CallRefused
+	case notSent, failed, repeatNow:
+		o.Result = request.CallFailed
+	case abandoned:
+		o.Result = request.CallCancelled
+	}
+	t.x.g.router.Done(now, o)
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/wheatseam/wheatseam/internal/strictyaml"
+)
+
+// SettingsEnv names the environment variable with the path of the settings.
+const SettingsEnv = "WHEATSEAM_NODE_FILE"
+
+// Settings are the settings of one gateway daemon.
+type Settings struct {
+	// Host is the daemon's identity among its fellows: the ip:port at which
+	// they reach it.
+	Host string `yaml:"host"`
+	// Name is the machine's name, for logs.
+	Name          string `yaml:"name"`
+	FailureDomain string `yaml:"failure_domain"`
+	Listen        Listen `yaml:"listen"`
+	// Seeds are the identities of some fellows to begin with.
+	Seeds   []string `yaml:"seeds"`
+	Regions []Region `yaml:"regions"`
+	Store   Store    `yaml:"store"`
+	Drain   Drain    `yaml:"drain"`
+	Budget  Budget   `yaml:"budget"`
+	Limits  Limits   `yaml:"limits"`
+	Log     Log      `yaml:"log"`
+}
+
+// Listen holds the listeners' addresses, each ip:port.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Readiness string `yaml:"readiness"`
+	Peers     string `yaml:"peers"`
+	Metrics   string `yaml:"metrics"`
+}
+
+// Region says which region a failure domain lies in.
+type Region struct {
+	FailureDomain string `yaml:"failure_domain"`
+	Region        string `yaml:"region"`
+}
+
+// Store says where the platform's metadata store is.
+type Store struct {
+	// Address is ip:port.
+	Address string `yaml:"address"`
+	// ReplicasEvery is the interval at which the replicas are read. Default
+	// 900 ms: a draining replica must be known within two seconds, and a slow
+	// store takes a third of a second.
+	ReplicasEvery time.Duration `yaml:"replicas_every"`
+}
+
+// Drain governs the way out.
+type Drain struct {
+	// Grace is the time from the signal to the end of the process.
+	Grace time.Duration `yaml:"grace"`
+}
+
+// Budget bounds repeated requests over the whole fleet.
+type Budget struct {
+	// Ratio and Slack allow Ratio times the requests plus Slack repeats in
+	// each Window.
+	Ratio  float64       `yaml:"ratio"`
+	Slack  float64       `yaml:"slack"`
+	Window time.Duration `yaml:"window"`
+}
+
+// Limits are the machine's.
+type Limits struct {
+	// Processors is the number of threads that may run at a time. Default 1.
+	Processors int `yaml:"processors"`
+	// MemoryMB is the memory in 2^20 bytes above which the process is ended.
+	MemoryMB int `yaml:"memory_mb"`
+}
+
+// Log governs the log.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error". Default "info".
+	Level string `yaml:"level"`
+}
+
+// The defaults of values that settings leave out.
+const (
+	defaultReplicasEvery = 900 * time.Millisecond
+	defaultGrace         = 8 * time.Second
+	defaultBudgetRatio   = 0.2
+	defaultBudgetSlack   = 20
+	defaultBudgetWindow  = 10 * time.Second
+	defaultMemoryMB      = 256
+	defaultLogLevel      = "info"
+)
+
+// LoadSettings reads and checks the file.
+func LoadSettings(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{
+		Store:  Store{ReplicasEvery: defaultReplicasEvery},
+		Drain:  Drain{Grace: defaultGrace},
+		Budget: Budget{Ratio: defaultBudgetRatio, Slack: defaultBudgetSlack, Window: defaultBudgetWindow},
+		Limits: Limits{Processors: 1, MemoryMB: defaultMemoryMB},
+		Log:    Log{Level: defaultLogLevel},
+	}
+	report := strictyaml.Decode(raw, s)
+	if !report.Unreadable() {
+		s.check(report)
+	}
+	var faults []error
+	for _, p := range report.Problems {
+		faults = append(faults, errors.New(p.String()))
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("settings %s: %w", path, errors.Join(faults...))
+	}
+	return s, nil
+}
+
+// check adds every fault of the settings to the report.
+func (s *Settings) check(r *strictyaml.Report) {
+	address := func(path, v string, need bool) {
+		if v == "" && !need {
+			return
+		}
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			r.Add(path, "want ip:port, got %q", v)
+		}
+	}
+	address("host", s.Host, true)
+	address("listen.callers", s.Listen.Callers, true)
+	address("listen.readiness", s.Listen.Readiness, true)
+	address("listen.peers", s.Listen.Peers, true)
+	address("listen.metrics", s.Listen.Metrics, false)
+	address("store.address", s.Store.Address, true)
+	for i, seed := range s.Seeds {
+		address(fmt.Sprintf("seeds[%d]", i), seed, true)
+	}
+	if s.FailureDomain == "" {
+		r.Add("failure_domain", "want a name")
+	}
+	if s.Store.ReplicasEvery <= 0 {
+		r.Add("store.replicas_every", "want a time over 0")
+	}
+	if s.Drain.Grace <= 0 {
+		r.Add("drain.grace", "want a time over 0")
+	}
+	if s.Budget.Ratio < 0 || s.Budget.Slack < 0 || s.Budget.Window <= 0 {
+		r.Add("budget", "want a ratio and slack of 0 or more and a window over 0")
+	}
+	if s.Limits.Processors < 1 {
+		r.Add("limits.processors", "want 1 or more")
+	}
+	if s.Limits.MemoryMB < 1 {
+		r.Add("limits.memory_mb", "want 1 or more")
+	}
+}
--- /dev/null
+++ b/gateway/view.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// view is what the daemon believes of the deployment: immutable, replaced as a
+// whole.
+type view struct {
+	// config is nil until the first configuration was read.
+	config   *catalog.Config
+	replicas map[string]catalog.Replica
+}
+
+// ready says whether requests can be decided on.
+func (v *view) ready() bool { return v.config != nil && v.replicas != nil }
+
+// pools is the view as the router takes it: one pool a service, of the replicas
+// that take new work. rounds numbers the views.
+func (v *view) pools(rounds uint64, regions []Region) *bundle.Bundle {
+	b := &bundle.Bundle{Version: rounds, Policy: bundle.PolicyAdaptive}
+	for _, r := range regions {
+		b.FailureDomains = append(b.FailureDomains, bundle.FailureDomain{Name: r.FailureDomain, Region: r.Region})
+	}
+	byService := map[string][]bundle.Upstream{}
+	concurrency := map[string]int{}
+	for _, id := range slices.Sorted(maps.Keys(v.replicas)) {
+		r := v.replicas[id]
+		concurrency[r.Service] = max(concurrency[r.Service], r.Concurrency)
+		if r.Draining {
+			continue
+		}
+		byService[r.Service] = append(byService[r.Service], bundle.Upstream{
+			Name: r.ID, FailureDomain: r.FailureDomain, Address: r.Address,
+		})
+	}
+	for name, s := range v.config.Services {
+		p := bundle.Pool{
+			Name: name, Kind: bundle.PoolService, Concurrency: max(1, concurrency[name]),
+			MaxConnections: s.MaxConnections, Upstreams: byService[name],
+		}
+		if s.Engine != nil {
+			p.Kind = bundle.PoolEngine
+		}
+		b.Pools = append(b.Pools, p)
+	}
+	return b
+}
+
+// stageReplicas are the replicas of services that run stages.
+func (v *view) stageReplicas() []catalog.Replica {
+	var out []catalog.Replica
+	for _, r := range v.replicas {
+		if s := v.config.Services[r.Service]; s != nil && s.Pieces != nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
