Take the membership loop out of cluster

The gateway's daemons need membership without bundles. The loop, the calls to fellows and the work queue become packages of their own; behaviour unchanged (cluster's tests pass).

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
+	"github.com/wheatseam/wheatseam/membership"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -41,18 +41,15 @@
 // Cluster is one daemon among its fellows. All methods are safe for
 // concurrent use; the On methods must be called before Run.
 type Cluster struct {
-	cfg    Config
-	log    *zap.Logger
-	caller peer.Caller
-	calls  chan struct{} // places of calls in flight
+	cfg   Config
+	log   *zap.Logger
+	calls *membership.Calls
 
-	members  *memberLoop
+	members  *membership.Loop
 	rollouts *rolloutLoop
 	hosts    hostBook
 	slots    slotTable
 
-	// View of the machines, renewed by their loops.
-	view    atomic.Pointer[memberView]
 	inForce atomic.Pointer[rollout.InForce]
 	ready   atomic.Bool
 
@@ -61,20 +58,6 @@
 	onMember  []func(member.Member)
 }
 
-// memberView is an immutable snapshot of membership.
-type memberView struct {
-	members    []member.Member
-	neighbours []string
-	living     int
-	leaving    []string
-	fresh      bool
-	skewed     bool
-	superseded bool
-}
-
-// maxCalls bounds the calls to peers in flight.
-const maxCalls = 256
-
 // New returns a cluster that has not started and registers its methods in
 // cfg.Mux. The error names an extension that breaks the bounds.
 func New(cfg Config) (*Cluster, error) {
@@ -83,15 +66,14 @@
 	}
 	now := time.Now()
 	cfg.Member.Extensions = append(cfg.Member.Extensions, member.Extension{ID: member.SlotBundle, MaxBytes: maxMarkBytes})
-	m, err := member.New(cfg.Member, now, rand.New(rand.NewPCG(cfg.Seed, 1)))
+	c := &Cluster{cfg: cfg, log: cfg.Logger, calls: membership.NewCalls()}
+	members, err := membership.New(cfg.Member, cfg.Seed, cfg.Mux, c.calls, c.hooks(), cfg.Logger)
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{cfg: cfg, log: cfg.Logger, calls: make(chan struct{}, maxCalls)}
-	c.members = newMemberLoop(c, m)
+	c.members = members
 	c.rollouts = newRolloutLoop(c, rollout.New(cfg.Rollout, now, rand.New(rand.NewPCG(cfg.Seed, 2))))
-	c.view.Store(&memberView{})
-	c.handle(cfg.Mux)
+	c.rollouts.handle(cfg.Mux)
 	return c, nil
 }
 
@@ -101,9 +83,9 @@
 // Run acts together with the other daemons until ctx ends. Handlers that are
 // called before Run wait for it.
 func (c *Cluster) Run(ctx context.Context, caller peer.Caller) error {
-	c.caller = caller
+	c.calls.Use(caller)
 	var group errgroup.Group
-	group.Go(func() error { c.members.run(ctx); return nil })
+	group.Go(func() error { c.members.Run(ctx); return nil })
 	group.Go(func() error { c.rollouts.run(ctx); return nil })
 	group.Go(func() error { c.readHosts(ctx); return nil })
 	return group.Wait()
@@ -131,18 +113,18 @@
 }
 
 // Members returns all hosts sorted by name. The slice must not be changed.
-func (c *Cluster) Members() []member.Member { return c.view.Load().members }
+func (c *Cluster) Members() []member.Member { return c.members.View().Members }
 
 // LeavingUpstreams returns the names of the upstreams that leave, sorted. The
 // slice must not be changed.
-func (c *Cluster) LeavingUpstreams() []string { return c.view.Load().leaving }
+func (c *Cluster) LeavingUpstreams() []string { return c.members.View().Leaving }
 
 // Ready says whether this daemon may take requests: it holds the newest bundle
 // that it could hear of, its host is in it, its views are renewed since its
 // start or last pause, and no later process of its host lives.
 func (c *Cluster) Ready() bool {
-	v := c.view.Load()
-	return c.ready.Load() && v.fresh && !v.superseded && c.listed()
+	v := c.members.View()
+	return c.ready.Load() && v.Fresh && !v.Superseded && c.listed()
 }
 
 // listed says whether the bundle in force names this host.
@@ -160,26 +142,26 @@
 }
 
 // Fresh says whether the views are renewed since the start or last pause.
-func (c *Cluster) Fresh() bool { return c.view.Load().fresh }
+func (c *Cluster) Fresh() bool { return c.members.View().Fresh }
 
 // Skewed says whether this host's clock is too far from the peers' median.
-func (c *Cluster) Skewed() bool { return c.view.Load().skewed }
+func (c *Cluster) Skewed() bool { return c.members.View().Skewed }
 
 // Resolve implements peer.Resolver: the bundle's address of a host, else the
 // host list's.
 func (c *Cluster) Resolve(host string) (string, bool) { return c.hosts.resolve(host) }
 
 // Leave announces that this host drains.
-func (c *Cluster) Leave() { c.members.post(member.Leave{}) }
+func (c *Cluster) Leave() { c.members.Post(member.Leave{}) }
 
 // ReportUpstream passes on an upstream's own word on whether it leaves.
 func (c *Cluster) ReportUpstream(name string, leaving bool, asOf time.Time) {
-	c.members.post(member.UpstreamReported{Name: name, Leaving: leaving, AsOfUnixMS: asOf.UnixMilli()})
+	c.members.Post(member.UpstreamReported{Name: name, Leaving: leaving, AsOfUnixMS: asOf.UnixMilli()})
 }
 
 // SetSlot replaces this host's value of an extension.
 func (c *Cluster) SetSlot(id member.SlotID, value []byte, urgent bool) {
-	c.members.post(member.SetSlot{ID: id, Value: value, Urgent: urgent})
+	c.members.Post(member.SetSlot{ID: id, Value: value, Urgent: urgent})
 }
 
 // Slots returns the other hosts' last heard values of an extension.
@@ -206,7 +188,7 @@
 	}
 	// A loop that is late answers into its channel, and nobody reads it.
 	members, rollouts := make(chan member.Dump, 1), make(chan rollout.Dump, 1)
-	c.members.inspect(ctx, func(m *member.Machine) { members <- m.Dump(time.Now()) })
+	c.members.Inspect(ctx, func(m *member.Machine) { members <- m.Dump(time.Now()) })
 	c.rollouts.inspect(ctx, func(m *rollout.Machine) { rollouts <- m.Dump(time.Now()) })
 	select {
 	case d.Member = <-members:
@@ -218,63 +200,3 @@
 	}
 	return d
 }
-
-// queue is an unbounded queue of work for one goroutine. What fills it is
-// bounded elsewhere: handlers wait for their answers, calls have places, and
-// timers post one event at a time.
-type queue struct {
-	mu   sync.Mutex
-	work []func()
-	wake chan struct{}
-}
-
-func newQueue() *queue { return &queue{wake: make(chan struct{}, 1)} }
-
-// add appends work.
-func (q *queue) add(f func()) {
-	q.mu.Lock()
-	q.work = append(q.work, f)
-	q.mu.Unlock()
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-}
-
-// take empties the queue.
-func (q *queue) take() []func() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	work := q.work
-	q.work = nil
-	return work
-}
-
-// run does the work, and tick at intervals, until ctx ends.
-func (q *queue) run(ctx context.Context, interval time.Duration, tick func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-q.wake:
-			for _, f := range q.take() {
-				f()
-			}
-		case <-ticker.C:
-			tick()
-		}
-	}
-}
-
-// inspect runs f in the queue's goroutine and waits for it, at most until ctx
-// ends.
-func (q *queue) inspect(ctx context.Context, f func()) {
-	done := make(chan struct{})
-	q.add(func() { f(); close(done) })
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
--- a/cluster/hosts.go
+++ b/cluster/hosts.go
@@ -100,7 +100,7 @@
 	for err == nil && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-time.After(hostListWait(c.view.Load().living)):
+		case <-time.After(hostListWait(c.members.View().Living)):
 			_ = c.readHostsOnce(ctx) // logged there; the next read comes anyway
 		}
 	}
@@ -130,11 +130,7 @@
 		}
 	}
 	// Until there is a bundle the host list says who the fellows are.
-	c.members.q.add(func() {
-		if c.inForce.Load() == nil {
-			c.members.step(entries)
-		}
-	})
-	c.members.post(e)
+	c.members.PostIf(func() bool { return c.inForce.Load() == nil }, entries)
+	c.members.Post(e)
 	return nil
 }
--- a/cluster/rollouts.go
+++ b/cluster/rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
+	"github.com/wheatseam/wheatseam/internal/workqueue"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/wire"
@@ -45,26 +46,26 @@
 type rolloutLoop struct {
 	c *Cluster
 	m *rollout.Machine
-	q *queue
+	q *workqueue.Queue
 	// ctx ends with the loop; reads of the platform hang on it.
 	ctx context.Context
 }
 
 func newRolloutLoop(c *Cluster, m *rollout.Machine) *rolloutLoop {
-	return &rolloutLoop{c: c, m: m, q: newQueue(), ctx: context.Background()}
+	return &rolloutLoop{c: c, m: m, q: workqueue.New(), ctx: context.Background()}
 }
 
 func (l *rolloutLoop) run(ctx context.Context) {
 	l.ctx = ctx
-	l.q.run(ctx, rolloutTick, func() { l.step(rollout.Tick{}) })
+	l.q.Run(ctx, rolloutTick, func() { l.step(rollout.Tick{}) })
 }
 
 // post queues an event.
-func (l *rolloutLoop) post(e rollout.Event) { l.q.add(func() { l.step(e) }) }
+func (l *rolloutLoop) post(e rollout.Event) { l.q.Add(func() { l.step(e) }) }
 
 // inspect runs f on the machine, waiting at most until ctx ends.
 func (l *rolloutLoop) inspect(ctx context.Context, f func(*rollout.Machine)) {
-	l.q.inspect(ctx, func() { f(l.m) })
+	l.q.Inspect(ctx, func() { f(l.m) })
 }
 
 // step passes an event and carries out the actions.
@@ -112,7 +113,7 @@
 		f(b)
 	}
 	l.c.inForce.Store(a.InForce)
-	l.c.members.post(configuredBy(b))
+	l.c.members.Post(configuredBy(b))
 }
 
 // configuredBy tells membership what a bundle names.
@@ -157,7 +158,7 @@
 
 // fetch calls a peer; resp is filled before arrived is posted.
 func (l *rolloutLoop) fetch(from, method string, req, resp proto.Message, arrived rollout.Event) {
-	l.c.call(from, method, req, resp, l.c.cfg.Rollout.FetchTimeout, func(err error) {
+	l.c.calls.Go(from, method, req, resp, l.c.cfg.Rollout.FetchTimeout, func(err error) {
 		if err != nil {
 			l.c.log.Info("bundle not fetched", zap.String("peer", from), zap.String("method", method), zap.Error(err))
 			l.post(rollout.FetchFailed{From: from, Err: err})
