Let one daemon plan the stages for the whole fleet

Each daemon planned for itself, so that replicas, which run one call at a time, refused most calls. Daemons now find each other through the seeds, and the first of the living by rendezvous hash plans for all (package stages); the others hand it jobs and poll for their ends.

--- a/cmd/wheatseamd/gateway.go
+++ b/cmd/wheatseamd/gateway.go
@@ -65,5 +65,9 @@
 		return err
 	}
 	ctx, _ := notifyContexts()
-	return gateway.New(s, log.With(zap.String("host", s.Name))).Run(ctx)
+	g, err := gateway.New(s, log.With(zap.String("host", s.Name)))
+	if err != nil {
+		return err
+	}
+	return g.Run(ctx)
 }
--- a/core/stage/event.go
+++ b/core/stage/event.go
@@ -108,3 +108,16 @@
 	// ResultBytes is the usual size of one result.
 	ResultBytes int64
 }
+
+// String names the outcome in logs.
+func (o CallOutcome) String() string {
+	switch o {
+	case CallAnswered:
+		return "answered"
+	case CallNotExecuted:
+		return "not_executed"
+	case CallUnreachable:
+		return "unreachable"
+	}
+	return "failed"
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,248 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/membership"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+const methodRoster = "fleet.roster"
+
+// The times of introductions.
+const (
+	// firstAsk is the interval of introductions until a seed has answered: all
+	// daemons start within 300 ms, and one asks its seeds in vain until they
+	// listen.
+	firstAsk = 200 * time.Millisecond
+	// laterAsk is the interval afterwards; the answer is empty unless there
+	// are new hosts.
+	laterAsk = 5 * time.Second
+	// askTimeout bounds one introduction.
+	askTimeout = time.Second
+)
+
+// Config is what a Fleet needs.
+type Config struct {
+	Self member.Host
+	// Seeds are the names of some hosts to begin with; they may be down.
+	Seeds []string
+	// Listen is the ip:port for fellow daemons.
+	Listen string
+	// Mux takes the methods that fellows may call.
+	Mux    *peer.Mux
+	Logger *zap.Logger
+	// Changed is called when a host's state changes; it must not block.
+	Changed func(member.Member)
+}
+
+// Fleet is one daemon among its fellows. All methods are safe for concurrent
+// use.
+type Fleet struct {
+	cfg       Config
+	log       *zap.Logger
+	roster    *roster
+	loop      *membership.Loop
+	calls     *membership.Calls
+	transport *peer.Transport
+	seeds     atomic.Pointer[[]string]
+}
+
+// New returns a fleet that listens but does not take part yet.
+func New(cfg Config) (*Fleet, error) {
+	f := &Fleet{cfg: cfg, log: cfg.Logger, roster: newRoster(cfg.Self), calls: membership.NewCalls()}
+	f.SetSeeds(cfg.Seeds)
+	incarnation := uint64(time.Now().UnixMilli())
+	peer.Handle(cfg.Mux, methodRoster, f.introduced)
+	loop, err := membership.New(member.DefaultConfig(cfg.Self, incarnation), rand.Uint64(), cfg.Mux, f.calls,
+		membership.Hooks{Changed: f.changed}, cfg.Logger)
+	if err != nil {
+		return nil, err
+	}
+	f.loop = loop
+	f.transport, err = peer.NewTransport(peer.Config{
+		Host: cfg.Self.Name, Incarnation: incarnation, Listen: cfg.Listen,
+		Plaintext: true, PrivateNetwork: true, Resolve: resolve, Mux: cfg.Mux, Logger: cfg.Logger,
+		DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout, MaxBackoff: maxBackoff,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f.calls.Use(f.transport)
+	return f, nil
+}
+
+// The bounds of sessions: a fellow that is gone costs its callers little, and
+// one that is back is found soon.
+const (
+	dialTimeout    = 500 * time.Millisecond
+	silenceTimeout = 500 * time.Millisecond
+	maxBackoff     = 500 * time.Millisecond
+)
+
+// resolve returns the address of a host: its name.
+func resolve(host string) (string, bool) {
+	_, err := netip.ParseAddrPort(host)
+	return host, err == nil
+}
+
+// Caller calls fellow daemons.
+func (f *Fleet) Caller() peer.Caller { return f.transport }
+
+// SetSeeds replaces the seeds.
+func (f *Fleet) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
+
+// Members returns all hosts sorted by name, this one included. The slice must
+// not be changed.
+func (f *Fleet) Members() []member.Member { return f.loop.View().Members }
+
+// Leave announces that this host drains.
+func (f *Fleet) Leave() { f.loop.Post(member.Leave{}) }
+
+// Run takes part until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { f.loop.Run(ctx); return nil })
+	group.Go(func() error { f.introduce(ctx); return nil })
+	err := group.Wait()
+	closing, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if closeErr := f.transport.Shutdown(closing); closeErr != nil {
+		f.log.Info("sessions cut", zap.Error(closeErr))
+	}
+	return err
+}
+
+// changed logs nothing itself: the loop does.
+func (f *Fleet) changed(m member.Member) {
+	if f.cfg.Changed != nil {
+		f.cfg.Changed(m)
+	}
+}
+
+// introduced answers a fellow's introduction.
+func (f *Fleet) introduced(_ context.Context, from peer.Sender, req *wire.RosterRequest) (*wire.RosterReply, error) {
+	f.learn(from.Host, []member.Host{{Name: from.Host, FailureDomain: req.GetSelf().GetFailureDomain()}})
+	hosts := f.roster.all()
+	if req.GetKnown() == hash(hosts) {
+		return &wire.RosterReply{}, nil
+	}
+	return &wire.RosterReply{Hosts: toWire(hosts)}, nil
+}
+
+// learn takes hosts that another host named.
+func (f *Fleet) learn(from string, hosts []member.Host) {
+	if !f.roster.add(hosts...) {
+		return
+	}
+	all := f.roster.all()
+	f.log.Info("hosts learned", zap.String("from", from), zap.Int("hosts", len(all)))
+	f.loop.Post(member.Configured{Hosts: all, Upstreams: []string{}})
+}
+
+// introduce tells seeds who this host is and learns whom they know.
+func (f *Fleet) introduce(ctx context.Context) {
+	f.loop.Post(member.Configured{Hosts: f.roster.all(), Upstreams: []string{}})
+	for round := 0; ctx.Err() == nil; round++ {
+		wait := laterAsk
+		if !f.askRound(ctx, round) {
+			wait = firstAsk
+		}
+		f.forgetDead()
+		timer := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// askRound asks the seeds, all in the first rounds and one of them or of the
+// hosts known later, and says whether any answered.
+func (f *Fleet) askRound(ctx context.Context, round int) bool {
+	targets := f.targets()
+	if len(targets) == 0 {
+		return true // alone, as the settings say
+	}
+	const eager = 5 // rounds in which all seeds are asked
+	if round >= eager {
+		targets = targets[:1]
+	}
+	var group errgroup.Group
+	var answered atomic.Bool
+	for _, host := range targets {
+		group.Go(func() error {
+			if f.ask(ctx, host) {
+				answered.Store(true)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // no error is returned
+	return answered.Load()
+}
+
+// targets are the seeds in random order, without this host; hosts that are
+// known to live when there is no seed else.
+func (f *Fleet) targets() []string {
+	var targets []string
+	for _, s := range *f.seeds.Load() {
+		if s != f.cfg.Self.Name {
+			targets = append(targets, s)
+		}
+	}
+	if len(targets) == 0 {
+		for _, m := range f.Members() {
+			if m.Living() && m.Host.Name != f.cfg.Self.Name {
+				targets = append(targets, m.Host.Name)
+			}
+		}
+	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets
+}
+
+// ask introduces this host to another and says whether it answered.
+func (f *Fleet) ask(ctx context.Context, host string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req := &wire.RosterRequest{
+		Self:  &wire.RosterHost{Host: f.cfg.Self.Name, FailureDomain: f.cfg.Self.FailureDomain},
+		Known: hash(f.roster.all()),
+	}
+	reply := &wire.RosterReply{}
+	if err := f.transport.Call(ctx, host, methodRoster, req, reply); err != nil {
+		f.log.Debug("introduction failed", zap.String("peer", host), zap.Error(err))
+		return false
+	}
+	f.learn(host, fromWire(reply.GetHosts()))
+	return true
+}
+
+// forgetDead forgets hosts that have been dead for long.
+func (f *Fleet) forgetDead() {
+	var dead []string
+	for _, m := range f.Members() {
+		if m.State == member.Dead && time.Since(m.Since) > forgetAfter && !slices.Contains(*f.seeds.Load(), m.Host.Name) {
+			dead = append(dead, m.Host.Name)
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	f.roster.remove(dead)
+	f.log.Info("dead hosts forgotten", zap.Strings("hosts", dead))
+	f.loop.Post(member.Configured{Hosts: f.roster.all(), Upstreams: []string{}})
+}
--- /dev/null
+++ b/fleet/roster.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+const (
+	// maxHosts bounds the hosts that are kept.
+	maxHosts = 4096
+	// forgetAfter is how long a host that is held dead is kept: it may be back
+	// after a restart, and its name is cheap.
+	forgetAfter = 2 * time.Minute
+)
+
+// roster is the set of hosts that were heard of. It is safe for concurrent use.
+type roster struct {
+	mu    sync.Mutex
+	hosts map[string]member.Host
+}
+
+func newRoster(self member.Host) *roster {
+	return &roster{hosts: map[string]member.Host{self.Name: self}}
+}
+
+// add takes hosts and says whether one of them is new or has moved.
+func (r *roster) add(hosts ...member.Host) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for _, h := range hosts {
+		old, known := r.hosts[h.Name]
+		if h.Name == "" || known && (old == h || h.FailureDomain == "") || !known && len(r.hosts) >= maxHosts {
+			continue
+		}
+		r.hosts[h.Name] = h
+		changed = true
+	}
+	return changed
+}
+
+// remove forgets hosts.
+func (r *roster) remove(names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range names {
+		delete(r.hosts, n)
+	}
+}
+
+// all returns the hosts sorted by name.
+func (r *roster) all() []member.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.SortedFunc(maps.Values(r.hosts), func(a, b member.Host) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// hash is the same for rosters with the same hosts.
+func hash(hosts []member.Host) uint64 {
+	d := xxhash.New()
+	for _, h := range hosts {
+		// Writing to a digest never fails.
+		_, _ = d.WriteString(h.Name)
+		_, _ = d.WriteString("\x00" + h.FailureDomain + "\x00")
+	}
+	return d.Sum64()
+}
+
+func toWire(hosts []member.Host) []*wire.RosterHost {
+	out := make([]*wire.RosterHost, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, &wire.RosterHost{Host: h.Name, FailureDomain: h.FailureDomain})
+	}
+	return out
+}
+
+func fromWire(hosts []*wire.RosterHost) []member.Host {
+	out := make([]member.Host, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, member.Host{Name: h.GetHost(), FailureDomain: h.GetFailureDomain()})
+	}
+	return out
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/stages"
 )
 
 // exchange is one request of a caller on its way to its answer. One goroutine
@@ -182,13 +183,16 @@
 	if !ok {
 		return nil
 	}
-	ready, refused := x.g.stages.prepare(x.ctx, j)
-	if refused != nil {
-		return x.refusal(refused)
+	end := x.g.stages.Prepare(x.ctx, j)
+	if end == nil {
+		end = &stages.End{Refused: &stage.Refused{Job: j.ID, Reason: stage.ReasonExpired}}
 	}
-	x.prepared, x.inputs = true, ready.Handles
-	if ready.DomainBytes >= heavyInputs {
-		x.domain = ready.Domain
+	if end.Refused != nil {
+		return x.refusal(end.Refused)
+	}
+	x.prepared, x.inputs = true, end.Ready.Handles
+	if end.Ready.DomainBytes >= heavyInputs {
+		x.domain = end.Ready.Domain
 	}
 	x.preparedAt = time.Now()
 	return nil
@@ -224,7 +228,8 @@
 	if x.r.Context().Err() != nil {
 		return problem.New(problem.CallerGone, "the caller left while its stages were made")
 	}
-	x.g.stages.logRefused(r)
+	x.g.log.Info("stages refused", logging.Request(r.Job), zap.String("reason", string(r.Reason)),
+		zap.Duration("predicted", r.Predicted), zap.Duration("retry_after", r.RetryAfter))
 	e := problem.New(problem.Overloaded, "stages: %s", r.Reason)
 	if r.Reason == stage.ReasonNoReplica {
 		e = problem.New(problem.NoUpstream, "stages: no replica")
@@ -236,7 +241,7 @@
 func (x *exchange) releaseInputs() {
 	if x.prepared {
 		x.prepared = false
-		x.g.stages.release(x.req.ID)
+		x.g.stages.Release(x.req.ID)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -14,10 +15,15 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
+	"github.com/wheatseam/wheatseam/replica"
+	"github.com/wheatseam/wheatseam/stages"
 )
 
 // Gateway is one gateway daemon.
@@ -31,19 +37,31 @@
 	inFlight atomic.Int64
 
 	router  *route.Router
-	client  *replicaClient
-	stages  *stager
+	client  *replica.Client
+	fleet   *fleet.Fleet
+	stages  *stages.Service
 	budgets sync.Map // service name to *retry.Budget
 	firsts  sync.Map // route name to *smoothed, the time to a stream's first event
 }
 
-// New returns a gateway that has not started.
-func New(s *Settings, log *zap.Logger) *Gateway {
-	g := &Gateway{settings: s, log: log, metrics: metrics.NewSet(), client: newReplicaClient()}
+// New returns a gateway that listens for its fellows but has not started.
+func New(s *Settings, log *zap.Logger) (*Gateway, error) {
+	g := &Gateway{settings: s, log: log, metrics: metrics.NewSet(), client: replica.NewClient()}
 	g.view.Store(&view{})
-	g.router = route.New(route.Config{FailureDomain: s.FailureDomain, Seed: uint64(time.Now().UnixNano())})
-	g.stages = newStager(g)
-	return g
+	g.router = route.New(route.Config{FailureDomain: s.FailureDomain, Seed: rand.Uint64()})
+	mux := peer.NewMux()
+	fellows, err := fleet.New(fleet.Config{
+		Self:  member.Host{Name: s.Host, FailureDomain: s.FailureDomain},
+		Seeds: s.Seeds, Listen: s.Listen.Peers, Mux: mux, Logger: log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.fleet = fellows
+	g.stages = stages.New(stages.Config{
+		Self: s.Host, Replicas: g.client, Members: fellows, Caller: fellows.Caller(), Mux: mux, Logger: log,
+	})
+	return g, nil
 }
 
 // Run serves until ctx ends and then drains within the grace of the settings.
@@ -64,7 +82,8 @@
 	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	group.Go(func() error { return ignoreClosed(probes.Serve(readiness)) })
 	group.Go(func() error { newDiscovery(g).run(running); return nil })
-	group.Go(func() error { g.stages.run(running); return nil })
+	group.Go(func() error { g.stages.Run(running); return nil })
+	group.Go(func() error { return g.fleet.Run(running) })
 	g.serveMetrics(running, &group)
 	g.log.Info("started", zap.String("callers", g.settings.Listen.Callers), zap.String("store", g.settings.Store.Address),
 		zap.String("failure_domain", g.settings.FailureDomain), zap.Strings("seeds", g.settings.Seeds))
@@ -110,7 +129,7 @@
 	if v.ready() {
 		g.rounds++
 		g.router.Apply(v.pools(g.rounds, g.settings.Regions))
-		g.stages.configure(v)
+		g.stages.Configure(v.config.Services, v.stageReplicas())
 	}
 	g.view.Store(v)
 }
@@ -160,6 +179,7 @@
 	began := time.Now()
 	grace := g.settings.Drain.Grace
 	g.draining.Store(true)
+	g.fleet.Leave()
 	g.log.Info("draining", zap.Int64("in_flight", g.inFlight.Load()), zap.Duration("grace", grace))
 	time.Sleep(time.Duration(acceptShare * float64(grace)))
 	bound, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*float64(grace))))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/replica"
 )
 
 // attemptEnd says how one attempt at a replica ended.
@@ -159,9 +160,9 @@
 // run makes the call and passes the answer on.
 func (t *try) run(ctx context.Context) (attemptEnd, *problem.Error) {
 	x := t.x
-	resp, err := x.g.client.do(ctx, t.outgoing())
+	resp, err := x.g.client.Do(ctx, t.outgoing())
 	if err != nil {
-		if unsent(err) {
+		if replica.Unsent(err) {
 			return notSent, retryable(problem.New(problem.NoUpstream, "no connection to a replica"), refusedRetry)
 		}
 		x.runs++
@@ -187,7 +188,7 @@
 }
 
 // outgoing is the request as it goes to the replica.
-func (t *try) outgoing() outgoing {
+func (t *try) outgoing() replica.Call {
 	x := t.x
 	a := platform.Attempt{
 		Replica: t.choice.Upstream, Left: time.Until(x.deadline), Priority: -1,
@@ -199,9 +200,9 @@
 	if x.route.Streaming {
 		a.Priority = x.priority()
 	}
-	return outgoing{
-		method: x.r.Method, address: t.choice.Address, target: x.r.RequestURI, host: x.r.Host,
-		header: platform.EncodeAttempt(x.r.Header, a), body: x.body,
+	return replica.Call{
+		Method: x.r.Method, Address: t.choice.Address, Target: x.r.RequestURI, Host: x.r.Host,
+		Header: platform.EncodeAttempt(x.r.Header, a), Body: x.body,
 	}
 }
 
--- a/peer/config.go
+++ b/peer/config.go
@@ -49,8 +49,13 @@
 	Listen string
 	// TLS is needed unless Plaintext is set.
 	TLS TLSFiles
-	// Plaintext turns TLS off; only loopback addresses are then allowed.
+	// Plaintext turns TLS off; only loopback addresses are then allowed, unless
+	// PrivateNetwork is set too.
 	Plaintext bool
+	// PrivateNetwork says that only the system's own processes reach the
+	// addresses, so that plaintext may be spoken there: on the users' platform
+	// no secret reaches a machine.
+	PrivateNetwork bool
 	Resolve   Resolver
 	Mux       *Mux
 	Logger    *zap.Logger
@@ -124,10 +129,16 @@
 	if c.Resolve == nil {
 		return fmt.Errorf("peer: no resolver")
 	}
-	if c.Plaintext {
-		return checkLoopback(c.Listen)
+	return c.checkPlaintext(c.Listen)
+}
+
+// checkPlaintext returns ErrPlaintext when address must not be used without TLS
+// and there is none.
+func (c Config) checkPlaintext(address string) error {
+	if !c.Plaintext || c.PrivateNetwork {
+		return nil
 	}
-	return nil
+	return checkLoopback(address)
 }
 
 // checkLoopback returns ErrPlaintext unless address is a loopback ip:port.
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -315,6 +315,13 @@
 		Eventually(func() (string, error) { return echo(a, "b", "x", time.Second) }).Should(Equal("a:x"))
 	})
 
+	It("allows plaintext on any address of a private network", func() {
+		cfg := f.config("a")
+		cfg.Plaintext, cfg.PrivateNetwork, cfg.TLS = true, true, peer.TLSFiles{}
+		cfg.Listen = "0.0.0.0:0"
+		f.start(cfg)
+	})
+
 	It("refuses an old version and takes a newer one", func() {
 		cfg := f.config("b")
 		cfg.Plaintext = true
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -200,7 +200,7 @@
 // accept makes a session of an accepted connection, or closes it.
 func (t *Transport) accept(raw net.Conn) {
 	address := raw.RemoteAddr().String()
-	if t.cfg.Plaintext && checkLoopback(address) != nil {
+	if t.cfg.checkPlaintext(address) != nil {
 		raw.Close()
 		return
 	}
@@ -224,10 +224,8 @@
 
 // dial connects to host at address and makes a session.
 func (t *Transport) dial(host, address string) error {
-	if t.cfg.Plaintext {
-		if err := checkLoopback(address); err != nil {
-			return err
-		}
+	if err := t.cfg.checkPlaintext(address); err != nil {
+		return err
 	}
 	d := net.Dialer{Timeout: t.cfg.DialTimeout, LocalAddr: t.localAddress()}
 	raw, err := d.DialContext(t.ctx, "tcp", address)
--- /dev/null
+++ b/replica/client.go
@@ -0,0 +1,83 @@
+// Package replica is the client of the platform's replicas: requests that are
+// relayed to them, and the calls to those that run stages.
+package replica
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// connectTimeout bounds the opening of a connection to a replica. Replicas are
+// at most a region away (20 ms each way); a lost opening packet is sent again
+// only after a second, and another replica is faster than that.
+const connectTimeout = 300 * time.Millisecond
+
+// Client makes calls to replicas. Each call has a connection of its own: bytes
+// that a replica sends after an answer then belong to no other request. It is
+// safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+}
+
+// connectError says that a connection did not come about: nothing was sent.
+type connectError struct{ err error }
+
+func (e *connectError) Error() string { return fmt.Sprintf("connect: %v", e.err) }
+func (e *connectError) Unwrap() error { return e.err }
+
+// NewClient returns a client.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
+	return &Client{transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, &connectError{err}
+			}
+			return conn, nil
+		},
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		WriteBufferSize:    4 << 10,
+		ReadBufferSize:     4 << 10,
+	}}
+}
+
+// Unsent says whether a call failed before anything was sent.
+func Unsent(err error) bool {
+	var e *connectError
+	return errors.As(err, &e)
+}
+
+// Call is one call to a replica.
+type Call struct {
+	Method string
+	// Address is the replica's ip:port.
+	Address string
+	// Target is the path and query exactly as they are sent.
+	Target string
+	// Host is the Host header.
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Do makes a call. The answer's body must be closed; it ends with ctx.
+func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	req := &http.Request{
+		Method: call.Method, URL: &url.URL{Scheme: "http", Host: call.Address, Opaque: call.Target}, Host: call.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: call.Header,
+	}
+	if len(call.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(call.Body))
+		req.ContentLength = int64(len(call.Body))
+	}
+	return c.transport.RoundTrip(req.WithContext(ctx))
+}
--- /dev/null
+++ b/replica/stage.go
@@ -0,0 +1,108 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// maxStageAnswer bounds the answer of a call: handles of some 40 bytes each.
+const maxStageAnswer = 1 << 20
+
+// The errors of calls that did not run.
+var (
+	errOtherReplica = errors.New("another replica has the address")
+	errNotExecuted  = errors.New("not executed")
+)
+
+// RunPieces asks a replica for pieces and says how that ended; the error says
+// why there are no results.
+func (c *Client) RunPieces(ctx context.Context, a stage.Run) ([]stage.Result, stage.CallOutcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	body, err := platform.EncodePieces(piecesOf(a))
+	if err != nil {
+		return nil, stage.CallNotExecuted, err
+	}
+	resp, err := c.Do(ctx, stageCall(platform.StageRunPath, a.Replica, a.Address, body))
+	if err != nil {
+		if Unsent(err) {
+			return nil, stage.CallUnreachable, err
+		}
+		return nil, stage.CallFailed, err
+	}
+	defer resp.Body.Close()
+	answer := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStageAnswer))
+	switch {
+	case answer.OtherReplica:
+		return nil, stage.CallUnreachable, errOtherReplica
+	case answer.NotExecuted:
+		return nil, stage.CallNotExecuted, fmt.Errorf("%w: status %d", errNotExecuted, resp.StatusCode)
+	case err != nil:
+		return nil, stage.CallFailed, err
+	case resp.StatusCode != http.StatusOK:
+		return nil, stage.CallFailed, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	made, err := platform.DecodeResults(raw, len(a.Pieces))
+	if err != nil {
+		return nil, stage.CallFailed, err
+	}
+	return resultsOf(made), stage.CallAnswered, nil
+}
+
+// FreeResults gives results up at the replica that holds them.
+func (c *Client) FreeResults(ctx context.Context, a stage.Free) error {
+	body, err := platform.EncodeFree(a.Handles)
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(ctx, stageCall(platform.StageFreePath, a.Replica, a.Address, body))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// stageCall is a call to a replica that runs stages.
+func stageCall(path, replica, address string, body []byte) Call {
+	h := platform.EncodeAttempt(http.Header{"Content-Type": {"application/json"}}, platform.Attempt{Replica: replica, Priority: -1})
+	return Call{Method: http.MethodPost, Address: address, Target: path, Host: address, Header: h, Body: body}
+}
+
+func piecesOf(a stage.Run) []platform.Piece {
+	pieces := make([]platform.Piece, 0, len(a.Pieces))
+	for _, p := range a.Pieces {
+		pieces = append(pieces, platform.Piece{
+			Request: p.Job, Stage: p.Stage, Index: p.Index, LeftMS: platform.LeftMS(p.Left), Key: p.Key, Inputs: p.Inputs,
+		})
+	}
+	return pieces
+}
+
+// resultsOf translates what became of the pieces.
+func resultsOf(made []platform.PieceResult) []stage.Result {
+	out := make([]stage.Result, 0, len(made))
+	for _, r := range made {
+		res := stage.Result{Handle: r.Handle}
+		switch r.Reason {
+		case "":
+			res.Kind = stage.Made
+		case platform.ReasonLate:
+			res.Kind = stage.TooLate
+		case platform.ReasonGone:
+			res.Kind = stage.InputGone
+		case platform.ReasonRoom:
+			res.Kind = stage.NoRoom
+		default:
+			res.Kind = stage.Broken
+		}
+		out = append(out, res)
+	}
+	return out
+}
--- /dev/null
+++ b/stages/messages.go
@@ -0,0 +1,74 @@
+package stages
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/wire"
+)
+
+// wireMessage is a message between daemons.
+type wireMessage = proto.Message
+
+// toWire turns a job into its message; times become relative, as clocks differ.
+func toWire(j stage.Job, now time.Time) *wire.StageJob {
+	out := &wire.StageJob{
+		Id: j.ID, Key: j.Key, Priority: uint32(max(0, j.Priority)),
+		DueMs: j.Due.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
+		FailureDomain: j.Domain,
+	}
+	for _, s := range j.Stages {
+		w := &wire.StageWork{Service: s.Service, Pieces: uint32(max(0, s.Pieces)), ResultBytes: s.ResultBytes}
+		for _, a := range s.After {
+			w.After = append(w.After, uint32(max(0, a)))
+		}
+		out.Stages = append(out.Stages, w)
+	}
+	return out
+}
+
+// fromWire turns a message into a job. Stages that come after themselves or
+// later ones do not occur: the sender's configuration was checked.
+func fromWire(m *wire.StageJob, now time.Time) stage.Job {
+	j := stage.Job{
+		ID: m.GetId(), Key: m.GetKey(), Priority: int(m.GetPriority()),
+		Due:      now.Add(time.Duration(m.GetDueMs()) * time.Millisecond),
+		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
+		Domain:   m.GetFailureDomain(),
+	}
+	for i, w := range m.GetStages() {
+		s := stage.Stage{Service: w.GetService(), Pieces: int(w.GetPieces()), ResultBytes: w.GetResultBytes()}
+		for _, a := range w.GetAfter() {
+			if int(a) < i {
+				s.After = append(s.After, int(a))
+			}
+		}
+		j.Stages = append(j.Stages, s)
+	}
+	return j
+}
+
+func endToWire(id string, e *End) *wire.StageEnd {
+	if r := e.Refused; r != nil {
+		return &wire.StageEnd{
+			Job: id, Reason: string(r.Reason),
+			RetryAfterMs: r.RetryAfter.Milliseconds(), PredictedMs: r.Predicted.Milliseconds(),
+		}
+	}
+	return &wire.StageEnd{Job: id, Handles: e.Ready.Handles, FailureDomain: e.Ready.Domain, DomainBytes: e.Ready.DomainBytes}
+}
+
+func endOf(m *wire.StageEnd) *End {
+	if m.GetReason() == "" {
+		return &End{Ready: stage.Ready{
+			Job: m.GetJob(), Handles: m.GetHandles(), Domain: m.GetFailureDomain(), DomainBytes: m.GetDomainBytes(),
+		}}
+	}
+	return &End{Refused: &stage.Refused{
+		Job: m.GetJob(), Reason: stage.Reason(m.GetReason()),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+		Predicted:  time.Duration(m.GetPredictedMs()) * time.Millisecond,
+	}}
+}
--- /dev/null
+++ b/stages/planner.go
@@ -0,0 +1,332 @@
+package stages
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/stage"
+)
+
+// Replicas makes the calls to replicas that run stages. Implementations are
+// safe for concurrent use.
+type Replicas interface {
+	RunPieces(ctx context.Context, a stage.Run) ([]stage.Result, stage.CallOutcome, error)
+	FreeResults(ctx context.Context, a stage.Free) error
+}
+
+// End is the end of a job: Ready, or Refused when that is set.
+type End struct {
+	Ready   stage.Ready
+	Refused *stage.Refused
+}
+
+// entry is a job that this daemon plans.
+type entry struct {
+	owner string
+	// end is set once the job has ended.
+	end *End
+	// told is when the owner was first told of the end.
+	told time.Time
+}
+
+// owner is a daemon whose jobs are planned here; "" is this one.
+type owner struct {
+	heard time.Time
+	// changed is closed and replaced when a job of the owner ends.
+	changed chan struct{}
+	jobs    int
+}
+
+// planner plans in this daemon.
+type planner struct {
+	replicas Replicas
+	log      *zap.Logger
+
+	mu      sync.Mutex
+	machine *stage.Machine
+	ready   bool // a configuration was given
+	jobs    map[string]*entry
+	owners  map[string]*owner
+	wake    chan struct{}
+}
+
+func newPlanner(cfg stage.Config, replicas Replicas, log *zap.Logger) *planner {
+	return &planner{
+		replicas: replicas, log: log, machine: stage.New(cfg),
+		jobs: map[string]*entry{}, owners: map[string]*owner{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// configure passes the services and replicas in force on.
+func (p *planner) configure(services map[string]*catalog.Service, replicas []catalog.Replica) {
+	p.mu.Lock()
+	p.ready = true
+	actions := p.step(stage.Configured{Services: services, Replicas: replicas})
+	p.mu.Unlock()
+	p.perform(actions)
+}
+
+// submit takes a job and returns its end if that is known at once. ok is false
+// while nothing is known of the services.
+func (p *planner) submit(from string, j stage.Job) (end *End, ok bool) {
+	p.mu.Lock()
+	if !p.ready {
+		p.mu.Unlock()
+		return nil, false
+	}
+	o := p.owner(from)
+	var actions []stage.Action
+	e := p.jobs[j.ID]
+	if e == nil {
+		e = &entry{owner: from}
+		p.jobs[j.ID] = e
+		o.jobs++
+		actions = p.step(stage.Submitted{Job: j})
+	}
+	end = e.end
+	if end != nil && end.Refused != nil {
+		p.forget(j.ID)
+	}
+	p.mu.Unlock()
+	p.perform(actions)
+	return end, true
+}
+
+// owner returns the state of a daemon and notes that it was heard; the lock is
+// held.
+func (p *planner) owner(name string) *owner {
+	o := p.owners[name]
+	if o == nil {
+		o = &owner{changed: make(chan struct{})}
+		p.owners[name] = o
+	}
+	o.heard = time.Now()
+	return o
+}
+
+// forget removes a job that the machine does not know any more; the lock is
+// held.
+func (p *planner) forget(id string) {
+	e := p.jobs[id]
+	if e == nil {
+		return
+	}
+	delete(p.jobs, id)
+	if o := p.owners[e.owner]; o != nil {
+		o.jobs--
+	}
+}
+
+// poll returns the ends of the owner's jobs as far as they are known, and the
+// jobs that are not. It waits for the first end, at most until ctx ends.
+func (p *planner) poll(ctx context.Context, from string, ids []string) (ends map[string]*End, unknown []string) {
+	for {
+		ends, unknown, changed := p.ends(from, ids)
+		if len(ends) > 0 || len(unknown) > 0 {
+			return ends, unknown
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+}
+
+func (p *planner) ends(from string, ids []string) (ends map[string]*End, unknown []string, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.owner(from)
+	ends = map[string]*End{}
+	for _, id := range ids {
+		e := p.jobs[id]
+		if e == nil || e.owner != from {
+			unknown = append(unknown, id)
+			continue
+		}
+		if e.end == nil {
+			continue
+		}
+		ends[id] = e.end
+		if e.told.IsZero() {
+			e.told = time.Now()
+		}
+		if e.end.Refused != nil {
+			p.forget(id)
+		}
+	}
+	return ends, unknown, o.changed
+}
+
+// drop gives jobs of an owner up.
+func (p *planner) drop(from string, ids []string) {
+	p.mu.Lock()
+	p.owner(from)
+	var actions []stage.Action
+	for _, id := range ids {
+		if e := p.jobs[id]; e != nil && e.owner == from {
+			p.forget(id)
+			actions = append(actions, p.step(stage.Cancelled{Job: id})...)
+		}
+	}
+	p.mu.Unlock()
+	p.perform(actions)
+}
+
+// step passes an event to the machine and notes the ends of jobs; the lock is
+// held. The caller performs the actions without it.
+func (p *planner) step(e stage.Event) []stage.Action {
+	actions := p.machine.Step(time.Now(), e)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case stage.Ready:
+			p.ended(a.Job, &End{Ready: a})
+		case stage.Refused:
+			p.ended(a.Job, &End{Refused: &a})
+		}
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	return actions
+}
+
+// ended notes the end of a job; the lock is held.
+func (p *planner) ended(id string, end *End) {
+	e := p.jobs[id]
+	if e == nil {
+		return
+	}
+	e.end = end
+	if o := p.owners[e.owner]; o != nil {
+		close(o.changed)
+		o.changed = make(chan struct{})
+	}
+}
+
+// perform makes the calls that the machine decided on.
+func (p *planner) perform(actions []stage.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case stage.Run:
+			go p.call(a)
+		case stage.Free:
+			go p.free(a)
+		}
+	}
+}
+
+// call makes one call to a replica and reports its end.
+func (p *planner) call(a stage.Run) {
+	began := time.Now()
+	results, outcome, err := p.replicas.RunPieces(context.Background(), a)
+	p.log.Info("stage call", zap.String("service", a.Service), zap.String("replica", a.Replica), zap.Int("pieces", len(a.Pieces)),
+		zap.Uint64("call", a.Call), zap.Duration("took", time.Since(began)), zap.Stringer("outcome", outcome), zap.Error(err))
+	p.mu.Lock()
+	actions := p.step(stage.CallEnded{Call: a.Call, Outcome: outcome, Results: results})
+	p.mu.Unlock()
+	p.perform(actions)
+}
+
+// freeTimeout bounds a call that gives results up; their holder drops them
+// after seconds anyway.
+const freeTimeout = time.Second
+
+func (p *planner) free(a stage.Free) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := p.replicas.FreeResults(ctx, a); err != nil {
+		p.log.Info("results not freed", zap.String("replica", a.Replica), zap.Int("results", len(a.Handles)), zap.Error(err))
+	}
+}
+
+// The times after which the jobs of a silent daemon are dropped.
+const (
+	// orphanAfter is for jobs whose end the daemon does not know: while it waits
+	// for one it polls several times a second.
+	orphanAfter = 1500 * time.Millisecond
+	// unreadAfter is for jobs whose results it has: it says when they have been
+	// read, and their holders keep them for seconds only.
+	unreadAfter = 20 * time.Second
+	// sweepEvery is the interval at which silent daemons are looked for.
+	sweepEvery = 500 * time.Millisecond
+)
+
+// run passes ticks when they are due and drops the jobs of silent daemons.
+func (p *planner) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		case <-timer.C:
+			p.tick()
+		}
+		if time.Since(swept) >= sweepEvery {
+			swept = time.Now()
+			p.sweep(swept)
+		}
+		timer.Reset(p.nextTick())
+	}
+}
+
+func (p *planner) tick() {
+	p.mu.Lock()
+	actions := p.step(stage.Tick{})
+	p.mu.Unlock()
+	p.perform(actions)
+}
+
+// nextTick is the time until the machine's next tick or sweep, whichever comes
+// first; with nothing to do it is long.
+func (p *planner) nextTick() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wait := time.Hour
+	if len(p.jobs) > 0 {
+		wait = sweepEvery
+	}
+	now := time.Now()
+	if next, ok := p.machine.NextTick(now); ok {
+		wait = min(wait, next.Sub(now))
+	}
+	return max(time.Millisecond, wait)
+}
+
+// sweep drops the jobs of daemons that have been silent for too long.
+func (p *planner) sweep(now time.Time) {
+	p.mu.Lock()
+	var actions []stage.Action
+	dropped := map[string]int{}
+	for id, e := range p.jobs {
+		o := p.owners[e.owner]
+		bound, since := orphanAfter, o.heard
+		if !e.told.IsZero() {
+			bound, since = unreadAfter, e.told
+		}
+		if e.owner == "" || now.Sub(since) < bound {
+			continue
+		}
+		dropped[e.owner]++
+		p.forget(id)
+		actions = append(actions, p.step(stage.Cancelled{Job: id})...)
+	}
+	for name, o := range p.owners {
+		if o.jobs == 0 && now.Sub(o.heard) > unreadAfter {
+			delete(p.owners, name)
+		}
+	}
+	p.mu.Unlock()
+	for name, n := range dropped {
+		p.log.Warn("jobs of a silent daemon dropped", zap.String("peer", name), zap.Int("jobs", n))
+	}
+	p.perform(actions)
+}
--- /dev/null
+++ b/stages/service.go
@@ -0,0 +1,201 @@
+package stages
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/peer"
+)
+
+// Members names the hosts of the fleet, this one included.
+type Members interface{ Members() []member.Member }
+
+// Config is what a Service needs.
+type Config struct {
+	// Self is this host's name among its fellows.
+	Self     string
+	Plan     stage.Config
+	Replicas Replicas
+	Members  Members
+	Caller   peer.Caller
+	// Mux takes the methods that fellows may call.
+	Mux    *peer.Mux
+	Logger *zap.Logger
+}
+
+// Service has stages made, by whichever daemon plans. All methods are safe for
+// concurrent use.
+type Service struct {
+	cfg     Config
+	log     *zap.Logger
+	planner *planner
+
+	mu      sync.Mutex
+	avoided map[string]time.Time // hosts that failed, until when
+	remote  map[string]*planning // planners that jobs of ours wait at
+	placed  map[string]string    // jobs to the host that plans them
+	chosen  string               // the planner that was last chosen
+}
+
+// New returns a service that has not started and registers its methods.
+func New(cfg Config) *Service {
+	s := &Service{
+		cfg: cfg, log: cfg.Logger, planner: newPlanner(cfg.Plan, cfg.Replicas, cfg.Logger),
+		avoided: map[string]time.Time{}, remote: map[string]*planning{}, placed: map[string]string{},
+	}
+	s.handle(cfg.Mux)
+	return s
+}
+
+// Run plans until ctx ends.
+func (s *Service) Run(ctx context.Context) { s.planner.run(ctx) }
+
+// Configure passes the services and replicas in force on.
+func (s *Service) Configure(services map[string]*catalog.Service, replicas []catalog.Replica) {
+	s.planner.configure(services, replicas)
+}
+
+// maxPlanners bounds the planners that one job is handed to, the daemon's own
+// at last.
+const maxPlanners = 3
+
+// Prepare has the stages of a job made. After a Ready end the caller owes a
+// Release. When ctx ends first the job is given up and nil is returned.
+func (s *Service) Prepare(ctx context.Context, j stage.Job) *End {
+	for n := 1; ; n++ {
+		host := s.cfg.Self
+		if n < maxPlanners {
+			host = s.choose(time.Now())
+		}
+		end, lost := s.prepareAt(ctx, host, j)
+		if !lost {
+			return end
+		}
+		s.avoid(host)
+		if host == s.cfg.Self {
+			return &End{Refused: &stage.Refused{Job: j.ID, Reason: stage.ReasonNoReplica, RetryAfter: notReadyRetry}}
+		}
+	}
+}
+
+// notReadyRetry is told when this daemon knows no services yet.
+const notReadyRetry = 500 * time.Millisecond
+
+// prepareAt hands a job to one planner; lost says that it brought no end.
+func (s *Service) prepareAt(ctx context.Context, host string, j stage.Job) (end *End, lost bool) {
+	if host == s.cfg.Self {
+		end, lost = s.prepareHere(ctx, j)
+	} else {
+		end, lost = s.prepareThere(ctx, host, j)
+	}
+	if end != nil && end.Refused == nil {
+		s.mu.Lock()
+		s.placed[j.ID] = host
+		s.mu.Unlock()
+	}
+	return end, lost
+}
+
+// prepareHere plans a job in this daemon.
+func (s *Service) prepareHere(ctx context.Context, j stage.Job) (end *End, lost bool) {
+	end, ok := s.planner.submit("", j)
+	if !ok {
+		return nil, true
+	}
+	if end != nil {
+		return end, false
+	}
+	ends, _ := s.planner.poll(ctx, "", []string{j.ID})
+	if end := ends[j.ID]; end != nil {
+		return end, false
+	}
+	s.planner.drop("", []string{j.ID})
+	return nil, false
+}
+
+// Release gives the results of a ready job up.
+func (s *Service) Release(id string) {
+	s.mu.Lock()
+	host := s.placed[id]
+	delete(s.placed, id)
+	s.mu.Unlock()
+	switch host {
+	case "":
+	case s.cfg.Self:
+		s.planner.drop("", []string{id})
+	default:
+		go s.dropThere(host, []string{id})
+	}
+}
+
+// avoidFor is how long a planner that failed is avoided.
+const avoidFor = 2 * time.Second
+
+func (s *Service) avoid(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoided[host] = time.Now().Add(avoidFor)
+	for h, until := range s.avoided {
+		if time.Now().After(until) {
+			delete(s.avoided, h)
+		}
+	}
+}
+
+// choose returns the host that plans: of those that are believed to live and
+// did not fail a moment ago, the first by rendezvous hash. All daemons with
+// like views agree on it.
+func (s *Service) choose(now time.Time) string {
+	members := s.cfg.Members.Members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := s.cfg.Self
+	var rank uint64
+	for _, m := range members {
+		if m.State != member.Alive || now.Before(s.avoided[m.Host.Name]) {
+			continue
+		}
+		if r := xxhash.Sum64String("planner\x00" + m.Host.Name); r >= rank {
+			best, rank = m.Host.Name, r
+		}
+	}
+	if best != s.chosen {
+		s.log.Info("planner chosen", zap.String("peer", best), zap.String("before", s.chosen), zap.Int("hosts", len(members)))
+		s.chosen = best
+	}
+	return best
+}
+
+// Dump is the state of a Service for operators.
+type Dump struct {
+	Chosen  string   `json:"chosen"`
+	Avoided []string `json:"avoided"`
+	// Planned is the number of jobs planned here, Placed that of ready jobs of
+	// this daemon.
+	Planned int `json:"planned"`
+	Placed  int `json:"placed"`
+}
+
+// Dump returns the state.
+func (s *Service) Dump() Dump {
+	s.mu.Lock()
+	d := Dump{Chosen: s.chosen, Placed: len(s.placed)}
+	for h := range s.avoided {
+		d.Avoided = append(d.Avoided, h)
+	}
+	s.mu.Unlock()
+	slices.SortFunc(d.Avoided, cmp.Compare[string])
+	s.planner.mu.Lock()
+	d.Planned = len(s.planner.jobs)
+	s.planner.mu.Unlock()
+	return d
+}
