--- a/core/route/steps_test.go
+++ b/core/route/steps_test.go
@@ -154,16 +154,16 @@
 
 		full := homes[1]
 		v.Candidates[full].Own = 4
-		Expect(prefixHome(v, eligible, 1, 1.5)).NotTo(Equal(full))
+		Expect(prefixHome(v, eligible, 1, 1.5, 0)).NotTo(Equal(full))
 	})
 
 	It("is of the own region where that has any", func() {
 		v := testView(Candidate{Region: "r1", Hash: 1}, Candidate{Region: "r0", Hash: 2})
 		for p := uint64(1); p < 50; p++ {
-			Expect(prefixHome(v, []int{0, 1}, p, 1.5)).To(Equal(1))
+			Expect(prefixHome(v, []int{0, 1}, p, 1.5, 0)).To(Equal(1))
 		}
-		Expect(prefixHome(v, []int{0}, 7, 1.5)).To(Equal(0))
-		Expect(prefixHome(v, []int{0, 1}, 0, 1.5)).To(Equal(-1))
+		Expect(prefixHome(v, []int{0}, 7, 1.5, 0)).To(Equal(0))
+		Expect(prefixHome(v, []int{0, 1}, 0, 1.5, 0)).To(Equal(-1))
 	})
 })
 
