Make the pieces of one stage of a job in one call

Cause: calls were cut at a number of pieces, so that the last pieces of a job's stage often waited for another call; a stage is complete with its last piece. A call now takes whole groups. Ruled out: too few replicas (batches were half full).

--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -11,29 +11,44 @@
 	slices.SortFunc(rs, func(a, b *replica) int { return strings.Compare(a.ID, b.ID) })
 }
 
-// ranked is a queued piece with what it is ordered by.
-type ranked struct {
-	*piece
+// group is the queued pieces of one stage of a job. They are made in one call
+// where that can hold them: the stage is complete with its last piece only.
+type group struct {
+	job    *job
+	stage  int
+	pieces []*piece
+	// late says that the job cannot be on time any more.
 	late bool
-	// home is the failure domain in which the piece is best made.
+	// home is the failure domain in which the pieces are best made.
 	home string
 }
 
-// order sorts the queue of a service: jobs that can be on time first, then by
-// rank, the pieces of a job together.
-func (s *service) order(now time.Time) []ranked {
-	late := make(map[*job]bool)
-	out := make([]ranked, len(s.queue))
-	for i, p := range s.queue {
-		l, ok := late[p.job]
-		if !ok {
+// bytes is the size of all results of the group.
+func (g *group) bytes() int64 {
+	return int64(len(g.pieces)) * g.job.Stages[g.stage].ResultBytes
+}
+
+// order returns the queue of a service in groups: jobs that can be on time
+// first, then by rank.
+func (s *service) order(now time.Time) []*group {
+	type key struct {
+		job   *job
+		stage int
+	}
+	groups := make(map[key]*group, len(s.queue))
+	var out []*group
+	for _, p := range s.queue {
+		k := key{p.job, p.stage}
+		g := groups[k]
+		if g == nil {
 			slack, _ := p.job.slack(now)
-			l = slack < 0
-			late[p.job] = l
+			g = &group{job: p.job, stage: p.stage, late: slack < 0, home: p.job.home(p.stage)}
+			groups[k] = g
+			out = append(out, g)
 		}
-		out[i] = ranked{p, l, p.job.home(p.stage)}
+		g.pieces = append(g.pieces, p)
 	}
-	slices.SortFunc(out, func(a, b ranked) int {
+	slices.SortFunc(out, func(a, b *group) int {
 		if a.late != b.late {
 			if a.late {
 				return 1
@@ -43,7 +58,7 @@
 		if c := a.job.rank.Compare(b.job.rank); c != 0 {
 			return c
 		}
-		return cmp.Or(cmp.Compare(a.job.seq, b.job.seq), cmp.Compare(a.stage, b.stage), cmp.Compare(a.index, b.index))
+		return cmp.Or(cmp.Compare(a.job.seq, b.job.seq), cmp.Compare(a.stage, b.stage))
 	})
 	return out
 }
@@ -75,14 +90,13 @@
 func (m *Machine) dispatchOne(now time.Time, s *service, idle []*replica) bool {
 	queue := s.order(now)
 	ahead := map[string]int{}
-	for i := range queue {
-		q := queue[i]
-		r := m.choose(now, s, q, idle, ahead[q.home])
+	for i, g := range queue {
+		r := m.choose(now, s, g, idle, ahead[g.home])
 		if r == nil {
-			ahead[q.home]++
+			ahead[g.home] += len(g.pieces)
 			continue
 		}
-		limit := s.chunk(len(queue)-i, len(idle), m.cfg.SplitShare)
+		limit := s.chunk(queue[i:], len(idle), m.cfg.SplitShare)
 		m.run(now, r, m.fill(now, s, r, queue[i:], limit))
 		return true
 	}
@@ -91,7 +105,11 @@
 
 // chunk is the number of pieces of the next call: work is split over the idle
 // replicas once each has pieces for a good share of a call's fixed time.
-func (s *service) chunk(waiting, idle int, splitShare float64) int {
+func (s *service) chunk(queue []*group, idle int, splitShare float64) int {
+	waiting := 0
+	for _, g := range queue {
+		waiting += len(g.pieces)
+	}
 	least := 1
 	if s.figures.PieceTime > 0 {
 		least = int(float64(s.figures.CallTime)*splitShare/float64(s.figures.PieceTime)) + 1
@@ -100,17 +118,16 @@
 	return min(s.figures.Batch, max(each, least))
 }
 
-// choose returns the idle replica for a piece, or nil when waiting for one of
-// the job's own failure domain is better, or none has room. ahead is the number
-// of pieces that wait for that domain before this one.
-func (m *Machine) choose(now time.Time, s *service, q ranked, idle []*replica, ahead int) *replica {
-	p := q.piece
+// choose returns the idle replica for a group, or nil when waiting for one of
+// its home is better, or none has room. ahead is the number of pieces that wait
+// for that domain before this group.
+func (m *Machine) choose(now time.Time, s *service, g *group, idle []*replica, ahead int) *replica {
 	var home, other *replica
 	for _, r := range idle {
-		if !r.fits(now, p.bytes()) || p.lastTried(r) {
+		if !r.fits(now, s.firstBytes(g)) || r.has(g.pieces[0]) {
 			continue
 		}
-		if q.home == "" || r.FailureDomain == q.home {
+		if g.home == "" || r.FailureDomain == g.home {
 			home = better(home, r)
 		} else {
 			other = better(other, r)
@@ -119,14 +136,25 @@
 	if home != nil {
 		return home
 	}
-	if other != nil && s.homeWait(now, q, ahead) > m.crossing(now, p) {
+	if other != nil && s.homeWait(now, g, ahead) > m.crossing(now, g) {
 		return other
 	}
 	return nil
 }
 
-// lastTried says whether a running call at r has the piece already.
-func (p *piece) lastTried(r *replica) bool {
+// firstBytes is the size of what a call takes of a group at once: all of it
+// unless a call or a replica's room cannot hold that.
+func (s *service) firstBytes(g *group) int64 {
+	each := g.job.Stages[g.stage].ResultBytes
+	n := int64(min(len(g.pieces), s.figures.Batch)) * each
+	if s.figures.RoomBytes > 0 && n > s.figures.RoomBytes {
+		return each
+	}
+	return n
+}
+
+// has says whether a running call at r has the piece.
+func (r *replica) has(p *piece) bool {
 	if p.calls == 0 {
 		return false
 	}
@@ -158,28 +186,28 @@
 	return a
 }
 
-// crossing is the wait that is better than to let a piece's bytes cross failure
+// crossing is the wait that is better than to let a group's bytes cross failure
 // domains, both what it reads and what its readers will: longer the more bytes
 // there are, and never so long that the job is late for it.
-func (m *Machine) crossing(now time.Time, p *piece) time.Duration {
-	worth := time.Duration(float64(p.job.moved(p.stage)) / m.cfg.CrossingRate * float64(time.Millisecond))
-	slack, calls := p.job.slack(now)
+func (m *Machine) crossing(now time.Time, g *group) time.Duration {
+	worth := time.Duration(float64(g.job.moved(g.stage)) / m.cfg.CrossingRate * float64(time.Millisecond))
+	slack, calls := g.job.slack(now)
 	return min(worth, time.Duration(m.cfg.SlackShare*float64(slack))/time.Duration(max(1, calls)))
 }
 
 // never is the wait for a domain without a usable replica.
 const never = time.Hour
 
-// homeWait is the expected wait for a replica of the piece's home.
-func (s *service) homeWait(now time.Time, q ranked, ahead int) time.Duration {
+// homeWait is the expected wait for a replica of the group's home.
+func (s *service) homeWait(now time.Time, g *group, ahead int) time.Duration {
 	wait, usable := never, 0
 	for _, r := range s.replicas {
-		if r.FailureDomain != q.home || !r.usable(now) {
+		if r.FailureDomain != g.home || !r.usable(now) {
 			continue
 		}
 		usable++
 		w := r.freeAt(now).Sub(now)
-		if !r.fits(now, q.bytes()) {
+		if !r.fits(now, s.firstBytes(g)) {
 			w += s.callTime(s.figures.Batch)
 		}
 		wait = min(wait, w)
@@ -191,28 +219,36 @@
 	return wait + time.Duration(rounds)*s.callTime(s.figures.Batch)
 }
 
-// fill collects the pieces of a call to r, best first, at most limit.
-func (m *Machine) fill(now time.Time, s *service, r *replica, queue []ranked, limit int) []*piece {
+// fill collects the pieces of a call to r, best groups first, about limit of
+// them: whole groups as long as the call can hold them.
+func (m *Machine) fill(now time.Time, s *service, r *replica, queue []*group, limit int) []*piece {
 	var pieces []*piece
 	var bytes int64
-	for _, q := range queue {
+	for i, g := range queue {
 		if len(pieces) >= limit {
 			break
 		}
-		p := q.piece
-		if p.lastTried(r) || !r.fits(now, bytes+p.bytes()) {
+		space := s.figures.Batch - len(pieces)
+		if i > 0 && (len(g.pieces) > space || !r.fits(now, bytes+g.bytes()) || m.waitsForHome(now, s, r, g)) {
 			continue
 		}
-		away := q.home != "" && q.home != r.FailureDomain
-		if away && len(pieces) > 0 && s.homeWait(now, q, 0) <= m.crossing(now, p) {
-			continue
+		for _, p := range g.pieces[:min(len(g.pieces), space)] {
+			if r.has(p) || len(pieces) > 0 && !r.fits(now, bytes+p.bytes()) {
+				continue
+			}
+			pieces = append(pieces, p)
+			bytes += p.bytes()
 		}
-		pieces = append(pieces, p)
-		bytes += p.bytes()
 	}
 	return pieces
 }
 
+// waitsForHome says whether a group that could join a call to r is better made
+// in its home a little later.
+func (m *Machine) waitsForHome(now time.Time, s *service, r *replica, g *group) bool {
+	return g.home != "" && g.home != r.FailureDomain && s.homeWait(now, g, 0) <= m.crossing(now, g)
+}
+
 // run makes a call.
 func (m *Machine) run(now time.Time, r *replica, pieces []*piece) {
 	m.nextID++
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -226,13 +226,25 @@
 	began := time.Now()
 	results, outcome, err := p.replicas.RunPieces(context.Background(), a)
 	p.log.Info("stage call", zap.String("service", a.Service), zap.String("replica", a.Replica), zap.Int("pieces", len(a.Pieces)),
-		zap.Uint64("call", a.Call), zap.Duration("took", time.Since(began)), zap.Stringer("outcome", outcome), zap.Error(err))
+		zap.Uint64("call", a.Call), zap.Duration("took", time.Since(began)), zap.Stringer("outcome", outcome),
+		zap.Int("no_room", count(results, stage.NoRoom)), zap.Int("input_gone", count(results, stage.InputGone)), zap.Error(err))
 	p.mu.Lock()
 	actions := p.step(stage.CallEnded{Call: a.Call, Outcome: outcome, Results: results})
 	p.mu.Unlock()
 	p.perform(actions)
 }
 
+// count counts the results of a kind.
+func count(results []stage.Result, kind stage.ResultKind) int {
+	n := 0
+	for _, r := range results {
+		if r.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
 // freeTimeout bounds a call that gives results up; their holder drops them
 // after seconds anyway.
 const freeTimeout = time.Second
