--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -43,6 +43,18 @@
 	// DomainBytes their number.
 	Domain      string
 	DomainBytes int64
+	// Timings tell where the time went, one entry for each stage with pieces.
+	Timings []Timing
+}
+
+// Timing is the course of one stage of a job.
+type Timing struct {
+	Stage int
+	// Wait is the time from the last input to the start of the last call, Work
+	// that call's.
+	Wait, Work time.Duration
+	// Crossed says that the results were made outside the stage's home.
+	Crossed bool
 }
 
 // Reason says why a job was refused.
--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -95,14 +95,16 @@
 		if p.state == queued {
 			p.job.stages[p.stage].service.remove(p)
 		}
-		p.state, p.handle, p.holder, p.madeAt = made, res.Handle, r, now
-		p.job.stages[p.stage].left--
+		p.state, p.handle, p.holder = made, res.Handle, r
+		st := &p.job.stages[p.stage]
+		st.left--
+		st.madeAt = now
 		return true
+	case InputGone:
+		m.remake(now, p)
 	case NoRoom:
 		r.noRoom = now.Add(r.service.figures.CallTime)
 		m.requeue(p)
-	case InputGone:
-		m.remake(now, p)
 	case TooLate:
 		m.requeue(p)
 	case Broken:
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -269,6 +269,7 @@
 		s.remove(p)
 		p.state = running
 		p.calls++
+		p.job.stages[p.stage].startedAt = now
 		r.used += p.bytes()
 		a.Pieces = append(a.Pieces, p.request(now))
 	}
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -22,10 +22,9 @@
 	// calls counts the running calls that the piece is in.
 	calls int
 	tries int
-	// handle, holder and madeAt are set once the piece is made.
+	// handle and holder are set once the piece is made.
 	handle string
 	holder *replica
-	madeAt time.Time
 }
 
 // bytes returns the usual size of the piece's result.
@@ -41,6 +40,23 @@
 	readers []int
 	// freed says that the results have been given up.
 	freed bool
+	// queuedAt is when the inputs were there, startedAt when the last call with
+	// a piece began and madeAt when the last piece was made.
+	queuedAt, startedAt, madeAt time.Time
+	// home is where the pieces were best made when they were queued.
+	home string
+}
+
+// timing is the course of stage i.
+func (j *job) timing(i int) Timing {
+	st := &j.stages[i]
+	t := Timing{Stage: i, Wait: st.startedAt.Sub(st.queuedAt), Work: st.madeAt.Sub(st.startedAt)}
+	for k := range st.pieces {
+		if h := st.pieces[k].holder; h != nil && st.home != "" && h.FailureDomain != st.home {
+			t.Crossed = true
+		}
+	}
+	return t
 }
 
 // job is the state of a Job.
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -133,6 +133,9 @@
 		if st.left == 0 || !j.canStart(i) {
 			continue
 		}
+		if st.queuedAt.IsZero() {
+			st.queuedAt, st.home = now, j.home(i)
+		}
 		for k := range st.pieces {
 			if p := &st.pieces[k]; p.state == blocked {
 				p.state = queued
@@ -202,6 +205,9 @@
 	weights := map[string]int64{}
 	for i := range j.stages {
 		st := &j.stages[i]
+		if len(st.pieces) > 0 {
+			ready.Timings = append(ready.Timings, j.timing(i))
+		}
 		if len(st.readers) > 0 {
 			continue
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,7 +40,7 @@
 	deadline time.Time
 
 	// prepared says that results of stages are held for this request.
-	prepared bool
+	prepared atomic.Bool
 	inputs   []string
 	// domain is where the inputs lie; "" when that does not matter.
 	domain string
@@ -190,7 +191,8 @@
 	if end.Refused != nil {
 		return x.refusal(end.Refused)
 	}
-	x.prepared, x.inputs = true, end.Ready.Handles
+	x.inputs = end.Ready.Handles
+	x.prepared.Store(true)
 	if _, tokens := x.prefix(); end.Ready.DomainBytes > int64(tokens)*tokenBytes {
 		x.domain = end.Ready.Domain
 	}
@@ -254,14 +256,6 @@
 	return max(after, min(least, time.Duration(left*comeBackMost)))
 }
 
-// releaseInputs gives the results of the stages up.
-func (x *exchange) releaseInputs() {
-	if x.prepared {
-		x.prepared = false
-		x.g.stages.Release(x.req.ID)
-	}
-}
-
 func retryable(e *problem.Error, after time.Duration) *problem.Error {
 	e.RetryAfter = after
 	return e
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	fleet   *fleet.Fleet
 	stages  *stages.Service
 	budgets sync.Map // service name to *retry.Budget
+	inputs  inputsHold
 	firsts  sync.Map // route name to *smoothed, the time to a stream's first event
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -49,6 +49,10 @@
 func (x *exchange) relay() {
 	x.g.budget(x.service).Deposit(time.Now())
 	for {
+		if !x.holdInputs() {
+			x.giveUp(retryable(problem.New(problem.Overloaded, "the stages' results are gone"), refusedRetry))
+			return
+		}
 		choice, perr := x.g.router.Pick(time.Now(), x.query(), nil)
 		if perr != nil {
 			x.giveUp(perr)
@@ -59,14 +63,13 @@
 		if end == answered {
 			return
 		}
-		if end == inputsGone && !x.prepareAgain() {
-			x.giveUp(retryable(problem.New(problem.Overloaded, "the stages' results are gone"), refusedRetry))
-			return
-		}
 		if !x.mayRepeat(end) {
 			x.giveUp(perr)
 			return
 		}
+		if end == inputsGone {
+			x.releaseInputs()
+		}
 	}
 }
 
@@ -109,9 +112,12 @@
 	return !x.committed || x.route.Resumable && x.lastEvent != ""
 }
 
-// prepareAgain has the stages made a second time.
-func (x *exchange) prepareAgain() bool {
-	x.releaseInputs()
+// holdInputs has the stages made again if their results were given up after an
+// earlier attempt.
+func (x *exchange) holdInputs() bool {
+	if len(x.inputs) == 0 || x.prepared.Load() {
+		return true
+	}
 	x.inputs = nil
 	return x.prepare() == nil
 }
@@ -137,9 +143,6 @@
 // attempt sends the request to one replica. The error says what to answer if
 // it is the last attempt.
 func (x *exchange) attempt(choice request.Choice) (attemptEnd, *problem.Error) {
-	if x.lastEvent != "" && len(x.route.Stages) > 0 && !x.prepared && len(x.inputs) > 0 && !x.prepareAgain() {
-		return abandoned, problem.New(problem.UpstreamFailed, "the stages' results are gone")
-	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	t := &try{x: x, choice: choice, began: time.Now(), cancel: cancel}
@@ -160,6 +163,8 @@
 // run makes the call and passes the answer on.
 func (t *try) run(ctx context.Context) (attemptEnd, *problem.Error) {
 	x := t.x
+	stop := x.releaseWhenRead()
+	defer stop()
 	resp, err := x.g.client.Do(ctx, t.outgoing())
 	if err != nil {
 		if replica.Unsent(err) {
@@ -173,6 +178,7 @@
 	t.observe(head.Load)
 	switch {
 	case head.NotExecuted && resp.StatusCode == http.StatusConflict:
+		x.inputsGone()
 		return inputsGone, retryable(problem.New(problem.Overloaded, "inputs gone"), refusedRetry)
 	case head.NotExecuted:
 		return notExecuted, retryable(problem.New(problem.Overloaded, "replicas refuse"), refusedRetry)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,6 +64,9 @@
 		x.firstAt = t.first
 	}
 	x.g.observeFirst(x.route.Name, t.first.Sub(t.began))
+	if len(x.inputs) > 0 {
+		x.g.inputs.read()
+	}
 	x.releaseInputs()
 }
 
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/logging"
 )
 
 // Replicas makes the calls to replicas that run stages. Implementations are
@@ -184,6 +187,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case stage.Ready:
+			p.log.Info("stages ready", logging.Request(a.Job), zap.String("failure_domain", a.Domain), zap.Array("stages", timings(a.Timings)))
 			p.ended(a.Job, &End{Ready: a})
 		case stage.Refused:
 			p.ended(a.Job, &End{Refused: &a})
@@ -196,6 +200,21 @@
 	return actions
 }
 
+// timings logs the course of stages, each as stage:wait+work.
+type timings []stage.Timing
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (ts timings) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, t := range ts {
+		crossed := ""
+		if t.Crossed {
+			crossed = ":crossed"
+		}
+		enc.AppendString(fmt.Sprintf("%d:%d+%dms%s", t.Stage, t.Wait.Milliseconds(), t.Work.Milliseconds(), crossed))
+	}
+	return nil
+}
+
 // ended notes the end of a job; the lock is held.
 func (p *planner) ended(id string, end *End) {
 	e := p.jobs[id]
