--- a/cmd/wheatseamd/gateway.go
+++ b/cmd/wheatseamd/gateway.go
@@ -1,10 +1,15 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -16,25 +21,25 @@
 // newGateway is the command that serves on the users' platform.
 func newGateway() *cobra.Command {
 	var path string
-	load := func() (*gateway.Settings, error) {
+	settingsPath := func() (string, error) {
 		if path == "" {
 			path = os.Getenv(gateway.SettingsEnv)
 		}
 		if path == "" {
-			return nil, fmt.Errorf("no settings: give --settings or set %s", gateway.SettingsEnv)
+			return "", fmt.Errorf("no settings: give --settings or set %s", gateway.SettingsEnv)
 		}
-		return gateway.LoadSettings(path)
+		return path, nil
 	}
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Serve on the platform: routes and replicas from its store",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			s, err := load()
+			path, err := settingsPath()
 			if err != nil {
 				return err
 			}
-			return runGateway(s)
+			return runGateway(path)
 		},
 	}
 	cmd.PersistentFlags().StringVar(&path, "settings", "", "settings file (default $"+gateway.SettingsEnv+")")
@@ -43,7 +48,11 @@
 		Short: "Check the settings and exit",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := load(); err != nil {
+			path, err := settingsPath()
+			if err != nil {
+				return err
+			}
+			if _, err := gateway.LoadSettings(path); err != nil {
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -57,17 +66,60 @@
 // works harder: a process over the limit is ended.
 const memoryShare = 0.6
 
-func runGateway(s *gateway.Settings) error {
+func runGateway(path string) error {
+	s, err := gateway.LoadSettings(path)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(s.Limits.Processors)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
-	log, err := logging.New(os.Stdout, s.Log.Level)
+	log, err := logging.NewBounded(os.Stdout, s.Log.Level)
 	if err != nil {
 		return err
 	}
-	ctx, _ := notifyContexts()
-	g, err := gateway.New(s, log.With(zap.String("host", s.Name)))
+	defer log.Close()
+	g, err := gateway.New(s, log.Logger.With(zap.String("host", s.Name)))
 	if err != nil {
 		return err
 	}
+	ctx, _ := notifyContexts()
+	go reloadSettings(ctx, path, g, log)
 	return g.Run(ctx)
 }
+
+// settingsEvery is how often the settings file is looked at: it may change
+// without a signal, and nothing in it is more urgent than that.
+const settingsEvery = 5 * time.Second
+
+// reloadSettings takes the settings anew at SIGHUP and when the file changes,
+// until ctx ends. A file that is faulty changes nothing.
+func reloadSettings(ctx context.Context, path string, g *gateway.Gateway, log *logging.Bounded) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	tick := time.NewTicker(settingsEvery)
+	defer tick.Stop()
+	var seen []byte
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Logger.Info("asked to reload the settings", zap.String("path", path))
+		case <-tick.C:
+		}
+		raw, err := os.ReadFile(path)
+		if err == nil && bytes.Equal(raw, seen) {
+			continue
+		}
+		seen = raw
+		s, err := gateway.LoadSettings(path)
+		if err != nil {
+			log.Logger.Error("settings refused, the old ones stay", zap.Error(err))
+			continue
+		}
+		if err := log.Level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+			log.Logger.Error("log level refused", zap.Error(err))
+		}
+		g.Reload(s)
+	}
+}
--- a/gateway/discover.go
+++ b/gateway/discover.go
@@ -37,7 +37,7 @@
 }
 
 func newDiscovery(g *Gateway) *discovery {
-	return &discovery{g: g, store: platform.NewStore(g.settings.Store.Address)}
+	return &discovery{g: g, store: platform.NewStore(g.settings.Load().Store.Address)}
 }
 
 // run keeps the view up to date until ctx ends.
@@ -64,7 +64,7 @@
 	if d.config == nil {
 		return firstRetry
 	}
-	return d.g.settings.Store.ReplicasEvery
+	return d.g.settings.Load().Store.ReplicasEvery
 }
 
 // take takes everything that the store holds.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,7 +28,7 @@
 
 // Gateway is one gateway daemon.
 type Gateway struct {
-	settings *Settings
+	settings atomic.Pointer[Settings]
 	log      *zap.Logger
 	metrics  *metrics.Set
 	view     atomic.Pointer[view]
@@ -47,7 +47,8 @@
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{settings: s, log: log, metrics: metrics.NewSet(), client: replica.NewClient()}
+	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient()}
+	g.settings.Store(s)
 	g.view.Store(&view{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus,
@@ -77,11 +78,12 @@
 
 // Run serves until ctx ends and then drains within the grace of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", g.settings.Listen.Callers)
+	s := g.settings.Load()
+	callers, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	readiness, err := net.Listen("tcp", g.settings.Listen.Readiness)
+	readiness, err := net.Listen("tcp", s.Listen.Readiness)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for readiness: %w", err), callers.Close())
 	}
@@ -96,8 +98,8 @@
 	group.Go(func() error { g.stages.Run(running); return nil })
 	group.Go(func() error { return g.fleet.Run(running) })
 	g.serveMetrics(running, &group)
-	g.log.Info("started", zap.String("callers", g.settings.Listen.Callers), zap.String("store", g.settings.Store.Address),
-		zap.String("failure_domain", g.settings.FailureDomain), zap.Strings("seeds", g.settings.Seeds))
+	g.log.Info("started", zap.String("callers", s.Listen.Callers), zap.String("store", s.Store.Address),
+		zap.String("failure_domain", s.FailureDomain), zap.Strings("seeds", s.Seeds))
 	<-ctx.Done()
 	g.drain(server)
 	stop()
@@ -117,10 +119,11 @@
 // serveMetrics serves the metrics if they have an address. A port that is taken
 // costs the metrics only.
 func (g *Gateway) serveMetrics(ctx context.Context, group *errgroup.Group) {
-	if g.settings.Listen.Metrics == "" {
+	address := g.settings.Load().Listen.Metrics
+	if address == "" {
 		return
 	}
-	listener, err := net.Listen("tcp", g.settings.Listen.Metrics)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		g.log.Warn("metrics not served", zap.Error(err))
 		return
@@ -139,7 +142,7 @@
 func (g *Gateway) setView(v *view) {
 	if v.ready() {
 		g.rounds++
-		g.router.Apply(v.pools(g.rounds, g.settings.Regions))
+		g.router.Apply(v.pools(g.rounds, g.settings.Load().Regions))
 		g.stages.Configure(v.config.Services, v.stageReplicas())
 	}
 	g.view.Store(v)
@@ -188,7 +191,7 @@
 // the requests in flight.
 func (g *Gateway) drain(server *http.Server) {
 	began := time.Now()
-	grace := g.settings.Drain.Grace
+	grace := g.settings.Load().Drain.Grace
 	g.draining.Store(true)
 	g.fleet.Leave()
 	g.log.Info("draining", zap.Int64("in_flight", g.inFlight.Load()), zap.Duration("grace", grace))
@@ -208,7 +211,7 @@
 	if b, ok := g.budgets.Load(service); ok {
 		return b.(*retry.Budget)
 	}
-	s := g.settings.Budget
+	s := g.settings.Load().Budget
 	b, _ := g.budgets.LoadOrStore(service, retry.New(budgetShare*s.Ratio, 0, max(1, budgetShare*s.Slack/assumedHosts)))
 	return b.(*retry.Budget)
 }
--- /dev/null
+++ b/gateway/reload.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"reflect"
+
+	"go.uber.org/zap"
+)
+
+// Reload takes changed settings. What a running process cannot change keeps its
+// old value, and a line says so.
+func (g *Gateway) Reload(next *Settings) {
+	old := g.settings.Load()
+	merged := *next
+	// Names and listeners are those of the running process.
+	merged.Host, merged.Name, merged.FailureDomain = old.Host, old.Name, old.FailureDomain
+	merged.Listen, merged.Store.Address = old.Listen, old.Store.Address
+	merged.Limits = old.Limits
+	if reflect.DeepEqual(&merged, old) && reflect.DeepEqual(next, old) {
+		return
+	}
+	g.settings.Store(&merged)
+	g.fleet.SetSeeds(merged.Seeds)
+	g.log.Info("settings reloaded", zap.Strings("seeds", merged.Seeds), zap.Duration("replicas_every", merged.Store.ReplicasEvery),
+		zap.Duration("grace", merged.Drain.Grace), zap.String("log_level", merged.Log.Level),
+		zap.Bool("needs_restart", !reflect.DeepEqual(next, &merged)))
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"go.uber.org/zap/zapcore"
+
 	"github.com/wheatseam/wheatseam/internal/strictyaml"
 )
 
@@ -142,6 +144,9 @@
 	for i, seed := range s.Seeds {
 		address(fmt.Sprintf("seeds[%d]", i), seed, true)
 	}
+	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
+		r.Add("log.level", "want debug, info, warn or error, got %q", s.Log.Level)
+	}
 	if s.FailureDomain == "" {
 		r.Add("failure_domain", "want a name")
 	}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -21,11 +21,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	encoding := zap.NewProductionEncoderConfig()
-	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	encoding.EncodeDuration = zapcore.StringDurationEncoder
 	sink := zapcore.Lock(zapcore.AddSync(w))
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), sink, l)), nil
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoding()), sink, l)), nil
+}
+
+// encoding is how times and durations are written.
+func encoding() zapcore.EncoderConfig {
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	c.EncodeDuration = zapcore.StringDurationEncoder
+	return c
 }
 
 // Request returns the field that puts a request's id on a line.
