--- a/gateway/discover.go
+++ b/gateway/discover.go
@@ -64,7 +64,7 @@
 	if d.config == nil {
 		return firstRetry
 	}
-	return d.g.settings.Load().Store.ReplicasEvery
+	return d.g.settings.Load().readEvery()
 }
 
 // take takes everything that the store holds.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -28,6 +28,7 @@
 	Seeds   []string `yaml:"seeds"`
 	Regions []Region `yaml:"regions"`
 	Store   Store    `yaml:"store"`
+	Bounds  Bounds   `yaml:"bounds"`
 	Drain   Drain    `yaml:"drain"`
 	Budget  Budget   `yaml:"budget"`
 	Limits  Limits   `yaml:"limits"`
@@ -52,10 +53,29 @@
 type Store struct {
 	// Address is ip:port.
 	Address string `yaml:"address"`
-	// ReplicasEvery is the interval at which the replicas are read. Default
-	// 900 ms: a draining replica must be known within two seconds, and a slow
-	// store takes a third of a second.
-	ReplicasEvery time.Duration `yaml:"replicas_every"`
+	// ReadEvery is the interval at which the store is read. Default: readShare
+	// of the shorter of Bounds.
+	ReadEvery time.Duration `yaml:"read_every"`
+}
+
+// Bounds say how soon what the store acknowledged must be in force here.
+type Bounds struct {
+	// Drain is for draining replicas, Configuration for configurations. Default
+	// 2s each.
+	Drain         time.Duration `yaml:"drain"`
+	Configuration time.Duration `yaml:"configuration"`
+}
+
+// readShare is the part of the shortest bound that may pass between two reads:
+// a read may fail or take a third of a second, and be made again.
+const readShare = 0.45
+
+// readEvery is the interval at which the store is read.
+func (s *Settings) readEvery() time.Duration {
+	if s.Store.ReadEvery > 0 {
+		return s.Store.ReadEvery
+	}
+	return time.Duration(readShare * float64(min(s.Bounds.Drain, s.Bounds.Configuration)))
 }
 
 // Drain governs the way out.
@@ -89,13 +109,13 @@
 
 // The defaults of values that settings leave out.
 const (
-	defaultReplicasEvery = 900 * time.Millisecond
-	defaultGrace         = 8 * time.Second
-	defaultBudgetRatio   = 0.2
-	defaultBudgetSlack   = 20
-	defaultBudgetWindow  = 10 * time.Second
-	defaultMemoryMB      = 256
-	defaultLogLevel      = "info"
+	defaultBound        = 2 * time.Second
+	defaultGrace        = 8 * time.Second
+	defaultBudgetRatio  = 0.2
+	defaultBudgetSlack  = 20
+	defaultBudgetWindow = 10 * time.Second
+	defaultMemoryMB     = 256
+	defaultLogLevel     = "info"
 )
 
 // LoadSettings reads and checks the file.
@@ -105,7 +125,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := &Settings{
-		Store:  Store{ReplicasEvery: defaultReplicasEvery},
+		Bounds: Bounds{Drain: defaultBound, Configuration: defaultBound},
 		Drain:  Drain{Grace: defaultGrace},
 		Budget: Budget{Ratio: defaultBudgetRatio, Slack: defaultBudgetSlack, Window: defaultBudgetWindow},
 		Limits: Limits{Processors: 1, MemoryMB: defaultMemoryMB},
@@ -150,8 +170,11 @@
 	if s.FailureDomain == "" {
 		r.Add("failure_domain", "want a name")
 	}
-	if s.Store.ReplicasEvery <= 0 {
-		r.Add("store.replicas_every", "want a time over 0")
+	if s.Store.ReadEvery < 0 {
+		r.Add("store.read_every", "want a time over 0, or none")
+	}
+	if s.Bounds.Drain <= 0 || s.Bounds.Configuration <= 0 {
+		r.Add("bounds", "want times over 0")
 	}
 	if s.Drain.Grace <= 0 {
 		r.Add("drain.grace", "want a time over 0")
