--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -45,6 +45,11 @@
 	DomainBytes int64
 	// Timings tell where the time went, one entry for each stage with pieces.
 	Timings []Timing
+	// Took is the time since the job came, Predicted what admission expected.
+	Took, Predicted time.Duration
+	// Early is how long before the job's due time it is ready; negative when it
+	// is late.
+	Early time.Duration
 }
 
 // Timing is the course of one stage of a job.
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -11,14 +11,14 @@
 		}
 	}
 	j.predicted = m.predict(now, j)
-	predicted := time.Duration(m.bias * float64(j.predicted))
-	excess := now.Add(predicted).Sub(j.Due)
+	j.expected = time.Duration(m.bias * float64(j.predicted))
+	excess := now.Add(j.expected).Sub(j.Due)
 	if excess <= 0 {
 		return nil
 	}
 	return &Refused{
 		Job: j.ID, Reason: ReasonOverload,
-		RetryAfter: max(excess, m.cfg.MinRetryAfter), Predicted: predicted,
+		RetryAfter: max(excess, m.cfg.MinRetryAfter), Predicted: j.expected,
 	}
 }
 
@@ -88,6 +88,17 @@
 	return time.Duration(float64(n) / perSecond * float64(time.Second))
 }
 
+// usableByDomain counts the usable replicas of each failure domain.
+func (s *service) usableByDomain(now time.Time) map[string]int {
+	n := map[string]int{}
+	for _, r := range s.replicas {
+		if r.usable(now) {
+			n[r.FailureDomain]++
+		}
+	}
+	return n
+}
+
 // The bounds and the weight of a measurement of the bias.
 const (
 	biasWeight = 0.05
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -123,14 +123,15 @@
 // for that domain before this group.
 func (m *Machine) choose(now time.Time, s *service, g *group, idle []*replica, ahead int) *replica {
 	var home, other *replica
+	load := m.readerLoad(now, g)
 	for _, r := range idle {
 		if !r.fits(now, s.firstBytes(g)) || r.has(g.pieces[0]) {
 			continue
 		}
 		if g.home == "" || r.FailureDomain == g.home {
-			home = better(home, r)
+			home = better(home, r, load)
 		} else {
-			other = better(other, r)
+			other = better(other, r, load)
 		}
 	}
 	if home != nil {
@@ -166,8 +167,9 @@
 	return false
 }
 
-// better returns the replica with the better pace, then with fewer bytes held.
-func better(a, b *replica) *replica {
+// better returns the replica with the better pace, then in the failure domain
+// with less work for the readers of the results, then with fewer bytes held.
+func better(a, b *replica, load map[string]float64) *replica {
 	switch {
 	case a == nil:
 		return b
@@ -180,12 +182,47 @@
 		return b
 	case a.pace*notable < b.pace:
 		return a
-	case b.used < a.used:
+	}
+	if c := cmp.Or(cmp.Compare(load[a.FailureDomain], load[b.FailureDomain]), cmp.Compare(a.used, b.used)); c > 0 {
 		return b
 	}
 	return a
 }
 
+// readerLoad returns, for each failure domain, the pieces that wait or will
+// wait there for each replica of the service that reads the group's results.
+// It is nil when no stage reads them: then the domain does not matter.
+func (m *Machine) readerLoad(now time.Time, g *group) map[string]float64 {
+	readers := g.job.stages[g.stage].readers
+	if len(readers) == 0 {
+		return nil
+	}
+	reader := g.job.stages[readers[0]].service
+	if reader == nil {
+		return nil
+	}
+	load := map[string]float64{}
+	for _, j := range m.jobs {
+		for i := range j.stages {
+			st := &j.stages[i]
+			if st.service == reader && st.left > 0 {
+				load[j.comesTo(i)] += float64(st.left)
+			}
+		}
+	}
+	replicas := reader.usableByDomain(now)
+	for domain := range load {
+		load[domain] /= float64(max(1, replicas[domain]))
+	}
+	const unserved = 1e9 // a domain without a replica of the reader comes last
+	for _, r := range g.job.stages[g.stage].service.replicas {
+		if replicas[r.FailureDomain] == 0 {
+			load[r.FailureDomain] = unserved
+		}
+	}
+	return load
+}
+
 // crossing is the wait that is better than to let a group's bytes cross failure
 // domains, both what it reads and what its readers will: longer the more bytes
 // there are, and never so long that the job is late for it.
@@ -269,6 +306,7 @@
 		s.remove(p)
 		p.state = running
 		p.calls++
+		p.at = r
 		p.job.stages[p.stage].startedAt = now
 		r.used += p.bytes()
 		a.Pieces = append(a.Pieces, p.request(now))
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -22,9 +22,11 @@
 	// calls counts the running calls that the piece is in.
 	calls int
 	tries int
-	// handle and holder are set once the piece is made.
+	// handle and holder are set once the piece is made; at is where it was last
+	// asked for.
 	handle string
 	holder *replica
+	at     *replica
 }
 
 // bytes returns the usual size of the piece's result.
@@ -70,9 +72,9 @@
 	remakes int
 	ready   bool
 	// submitted is when the job came, predicted the time that it was expected
-	// to take before the machine's bias.
-	submitted time.Time
-	predicted time.Duration
+	// to take before the machine's bias and expected that after it.
+	submitted           time.Time
+	predicted, expected time.Duration
 }
 
 // newJob returns the state of j, or nil when it needs a service that is not
@@ -158,6 +160,19 @@
 	return domain
 }
 
+// comesTo returns the failure domain in which stage i will best be made as far
+// as that can be seen: where its inputs are or are being made.
+func (j *job) comesTo(i int) string {
+	for _, a := range j.Stages[i].After {
+		for k := range j.stages[a].pieces {
+			if at := j.stages[a].pieces[k].at; at != nil {
+				return at.FailureDomain
+			}
+		}
+	}
+	return j.Domain
+}
+
 // made returns the bytes that the readers of one piece of stage i fetch.
 func (j *job) made(i int) int64 {
 	readers := j.stages[i].readers
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -147,7 +147,7 @@
 	if j.complete() && !j.ready {
 		j.ready = true
 		m.learn(now, j)
-		m.act(j.result())
+		m.act(j.result(now))
 	}
 }
 
@@ -200,8 +200,8 @@
 }
 
 // result is the action that hands a complete job over.
-func (j *job) result() Ready {
-	ready := Ready{Job: j.ID}
+func (j *job) result(now time.Time) Ready {
+	ready := Ready{Job: j.ID, Took: now.Sub(j.submitted), Predicted: j.expected, Early: j.Due.Sub(now)}
 	weights := map[string]int64{}
 	for i := range j.stages {
 		st := &j.stages[i]
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,7 +34,7 @@
 
 // Config is what a Fleet needs.
 type Config struct {
-	Self member.Host
+	Self Host
 	// Seeds are the names of some hosts to begin with; they may be down.
 	Seeds []string
 	// Listen is the ip:port for fellow daemons.
@@ -64,7 +64,7 @@
 	f.SetSeeds(cfg.Seeds)
 	incarnation := uint64(time.Now().UnixMilli())
 	peer.Handle(cfg.Mux, methodRoster, f.introduced)
-	loop, err := membership.New(member.DefaultConfig(cfg.Self, incarnation), rand.Uint64(), cfg.Mux, f.calls,
+	loop, err := membership.New(member.DefaultConfig(cfg.Self.Host, incarnation), rand.Uint64(), cfg.Mux, f.calls,
 		membership.Hooks{Changed: f.changed}, cfg.Logger)
 	if err != nil {
 		return nil, err
@@ -106,6 +106,9 @@
 // not be changed.
 func (f *Fleet) Members() []member.Member { return f.loop.View().Members }
 
+// Capacity returns what a host's machine can do; 0 when it is not known.
+func (f *Fleet) Capacity(host string) int { return f.roster.capacity(host) }
+
 // Leave announces that this host drains.
 func (f *Fleet) Leave() { f.loop.Post(member.Leave{}) }
 
@@ -132,7 +135,9 @@
 
 // introduced answers a fellow's introduction.
 func (f *Fleet) introduced(_ context.Context, from peer.Sender, req *wire.RosterRequest) (*wire.RosterReply, error) {
-	f.learn(from.Host, []member.Host{{Name: from.Host, FailureDomain: req.GetSelf().GetFailureDomain()}})
+	self := fromWire([]*wire.RosterHost{req.GetSelf()})
+	self[0].Name = from.Host
+	f.learn(from.Host, self)
 	hosts := f.roster.all()
 	if req.GetKnown() == hash(hosts) {
 		return &wire.RosterReply{}, nil
@@ -141,18 +146,18 @@
 }
 
 // learn takes hosts that another host named.
-func (f *Fleet) learn(from string, hosts []member.Host) {
+func (f *Fleet) learn(from string, hosts []Host) {
 	if !f.roster.add(hosts...) {
 		return
 	}
 	all := f.roster.all()
 	f.log.Info("hosts learned", zap.String("from", from), zap.Int("hosts", len(all)))
-	f.loop.Post(member.Configured{Hosts: all, Upstreams: []string{}})
+	f.loop.Post(member.Configured{Hosts: members(all), Upstreams: []string{}})
 }
 
 // introduce tells seeds who this host is and learns whom they know.
 func (f *Fleet) introduce(ctx context.Context) {
-	f.loop.Post(member.Configured{Hosts: f.roster.all(), Upstreams: []string{}})
+	f.loop.Post(member.Configured{Hosts: members(f.roster.all()), Upstreams: []string{}})
 	for round := 0; ctx.Err() == nil; round++ {
 		wait := laterAsk
 		if !f.askRound(ctx, round) {
@@ -219,7 +224,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	req := &wire.RosterRequest{
-		Self:  &wire.RosterHost{Host: f.cfg.Self.Name, FailureDomain: f.cfg.Self.FailureDomain},
+		Self:  toWire([]Host{f.cfg.Self})[0],
 		Known: hash(f.roster.all()),
 	}
 	reply := &wire.RosterReply{}
@@ -244,5 +249,5 @@
 	}
 	f.roster.remove(dead)
 	f.log.Info("dead hosts forgotten", zap.Strings("hosts", dead))
-	f.loop.Post(member.Configured{Hosts: f.roster.all(), Upstreams: []string{}})
+	f.loop.Post(member.Configured{Hosts: members(f.roster.all()), Upstreams: []string{}})
 }
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -24,15 +24,29 @@
 // roster is the set of hosts that were heard of. It is safe for concurrent use.
 type roster struct {
 	mu    sync.Mutex
-	hosts map[string]member.Host
+	hosts map[string]Host
 }
 
-func newRoster(self member.Host) *roster {
-	return &roster{hosts: map[string]member.Host{self.Name: self}}
+// Host is a host as its fellows know it.
+type Host struct {
+	member.Host
+	// Capacity is what its machine can do, in thousandths of a processor.
+	Capacity int
+}
+
+func newRoster(self Host) *roster {
+	return &roster{hosts: map[string]Host{self.Name: self}}
+}
+
+// capacity returns a host's capacity; 0 when it is not known.
+func (r *roster) capacity(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts[name].Capacity
 }
 
 // add takes hosts and says whether one of them is new or has moved.
-func (r *roster) add(hosts ...member.Host) bool {
+func (r *roster) add(hosts ...Host) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
@@ -57,14 +71,14 @@
 }
 
 // all returns the hosts sorted by name.
-func (r *roster) all() []member.Host {
+func (r *roster) all() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.SortedFunc(maps.Values(r.hosts), func(a, b member.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.SortedFunc(maps.Values(r.hosts), func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // hash is the same for rosters with the same hosts.
-func hash(hosts []member.Host) uint64 {
+func hash(hosts []Host) uint64 {
 	d := xxhash.New()
 	for _, h := range hosts {
 		// Writing to a digest never fails.
@@ -74,18 +88,27 @@
 	return d.Sum64()
 }
 
-func toWire(hosts []member.Host) []*wire.RosterHost {
+func toWire(hosts []Host) []*wire.RosterHost {
 	out := make([]*wire.RosterHost, 0, len(hosts))
 	for _, h := range hosts {
-		out = append(out, &wire.RosterHost{Host: h.Name, FailureDomain: h.FailureDomain})
+		out = append(out, &wire.RosterHost{Host: h.Name, FailureDomain: h.FailureDomain, Capacity: uint32(max(0, h.Capacity))})
+	}
+	return out
+}
+
+func fromWire(hosts []*wire.RosterHost) []Host {
+	out := make([]Host, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, Host{member.Host{Name: h.GetHost(), FailureDomain: h.GetFailureDomain()}, int(h.GetCapacity())})
 	}
 	return out
 }
 
-func fromWire(hosts []*wire.RosterHost) []member.Host {
+// members are the hosts as membership takes them.
+func members(hosts []Host) []member.Host {
 	out := make([]member.Host, 0, len(hosts))
 	for _, h := range hosts {
-		out = append(out, member.Host{Name: h.GetHost(), FailureDomain: h.GetFailureDomain()})
+		out = append(out, h.Host)
 	}
 	return out
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,7 +55,7 @@
 	})
 	mux := peer.NewMux()
 	fellows, err := fleet.New(fleet.Config{
-		Self:  member.Host{Name: s.Host, FailureDomain: s.FailureDomain},
+		Self:  fleet.Host{Host: member.Host{Name: s.Host, FailureDomain: s.FailureDomain}, Capacity: int(s.Limits.ProcessorShare * 1000)},
 		Seeds: s.Seeds, Listen: s.Listen.Peers, Mux: mux, Logger: log,
 	})
 	if err != nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -97,6 +97,9 @@
 type Limits struct {
 	// Processors is the number of threads that may run at a time. Default 1.
 	Processors int `yaml:"processors"`
+	// ProcessorShare is the part of a processor that the process may use.
+	// Default 1.
+	ProcessorShare float64 `yaml:"processor_share"`
 	// MemoryMB is the memory in 2^20 bytes above which the process is ended.
 	MemoryMB int `yaml:"memory_mb"`
 }
@@ -128,7 +131,7 @@
 		Bounds: Bounds{Drain: defaultBound, Configuration: defaultBound},
 		Drain:  Drain{Grace: defaultGrace},
 		Budget: Budget{Ratio: defaultBudgetRatio, Slack: defaultBudgetSlack, Window: defaultBudgetWindow},
-		Limits: Limits{Processors: 1, MemoryMB: defaultMemoryMB},
+		Limits: Limits{Processors: 1, ProcessorShare: 1, MemoryMB: defaultMemoryMB},
 		Log:    Log{Level: defaultLogLevel},
 	}
 	report := strictyaml.Decode(raw, s)
@@ -185,6 +188,9 @@
 	if s.Limits.Processors < 1 {
 		r.Add("limits.processors", "want 1 or more")
 	}
+	if s.Limits.ProcessorShare <= 0 {
+		r.Add("limits.processor_share", "want more than 0")
+	}
 	if s.Limits.MemoryMB < 1 {
 		r.Add("limits.memory_mb", "want 1 or more")
 	}
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -187,7 +187,8 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case stage.Ready:
-			p.log.Info("stages ready", logging.Request(a.Job), zap.String("failure_domain", a.Domain), zap.Array("stages", timings(a.Timings)))
+			p.log.Info("stages ready", logging.Request(a.Job), zap.String("failure_domain", a.Domain), zap.Array("stages", timings(a.Timings)),
+				zap.Duration("took", a.Took), zap.Duration("predicted", a.Predicted), zap.Duration("early", a.Early))
 			p.ended(a.Job, &End{Ready: a})
 		case stage.Refused:
 			p.ended(a.Job, &End{Refused: &a})
--- a/stages/service.go
+++ b/stages/service.go
@@ -17,7 +17,11 @@
 )
 
 // Members names the hosts of the fleet, this one included.
-type Members interface{ Members() []member.Member }
+type Members interface {
+	Members() []member.Member
+	// Capacity ranks hosts by what their machines can do; 0 when not known.
+	Capacity(host string) int
+}
 
 // Config is what a Service needs.
 type Config struct {
@@ -152,27 +156,38 @@
 }
 
 // choose returns the host that plans: of those that are believed to live and
-// did not fail a moment ago, the first by rendezvous hash. All daemons with
-// like views agree on it.
+// did not fail a moment ago, the one with the most capacity, then the one that
+// has run for longest, so that a host that is back takes nothing over. All
+// daemons with like views agree on it.
 func (s *Service) choose(now time.Time) string {
 	members := s.cfg.Members.Members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best := s.cfg.Self
-	var rank uint64
-	for _, m := range members {
-		if m.State != member.Alive || now.Before(s.avoided[m.Host.Name]) {
-			continue
-		}
-		if r := xxhash.Sum64String("planner\x00" + m.Host.Name); r >= rank {
-			best, rank = m.Host.Name, r
+	var best *member.Member
+	for i := range members {
+		m := &members[i]
+		if m.Living() && !now.Before(s.avoided[m.Host.Name]) && (best == nil || s.before(m, best)) {
+			best = m
 		}
 	}
-	if best != s.chosen {
-		s.log.Info("planner chosen", zap.String("peer", best), zap.String("before", s.chosen), zap.Int("hosts", len(members)))
-		s.chosen = best
+	chosen := s.cfg.Self
+	if best != nil {
+		chosen = best.Host.Name
+	}
+	if chosen != s.chosen {
+		s.log.Info("planner chosen", zap.String("peer", chosen), zap.String("before", s.chosen), zap.Int("hosts", len(members)))
+		s.chosen = chosen
 	}
-	return best
+	return chosen
+}
+
+// before says whether a rather than b plans.
+func (s *Service) before(a, b *member.Member) bool {
+	return cmp.Or(
+		cmp.Compare(s.cfg.Members.Capacity(b.Host.Name), s.cfg.Members.Capacity(a.Host.Name)),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(xxhash.Sum64String(a.Host.Name), xxhash.Sum64String(b.Host.Name)),
+	) < 0
 }
 
 // Dump is the state of a Service for operators.
