Form the fleet within two seconds of a restart of all; wait longer for busy replicas

Introductions carry the start of the process, go on every 300 ms until no new host turns up, and seeds plan while nobody else is known; a replica that refuses is left alone for longer each time.

--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -19,12 +19,12 @@
 	}
 	switch e.Outcome {
 	case CallAnswered:
-		r.failures = 0
+		r.failures, r.refusals = 0, 0
 		r.suspect = time.Time{}
 		r.measure(now.Sub(c.started), len(c.pieces))
 		m.take(now, c, e.Results)
 	case CallNotExecuted:
-		r.busy = now.Add(m.cfg.BusyWait)
+		r.refuse(now, m.cfg)
 		m.again(c, false)
 	case CallUnreachable:
 		r.fail(now, m.cfg)
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -41,8 +41,10 @@
 	// is avoided.
 	failures int
 	suspect  time.Time
-	// busy is until when the replica is not called since it refused one.
-	busy time.Time
+	// busy is until when the replica is not called since it refused one, and
+	// refusals counts those in a row.
+	busy     time.Time
+	refusals int
 	// noRoom is until when only pieces with small results are sent.
 	noRoom time.Time
 }
@@ -113,6 +115,17 @@
 	s.pace += servicePaceWeight * (min(ratio, 2) - s.pace)
 }
 
+// refuse notes a call that the replica had no place for: another planner's call
+// runs there.
+func (r *replica) refuse(now time.Time, c Config) {
+	r.busy = now.Add(c.BusyWait << min(r.refusals, maxBusyDoublings))
+	r.refusals++
+}
+
+// maxBusyDoublings bounds the wait after refusals in a row to 8 times the first,
+// about one call.
+const maxBusyDoublings = 3
+
 // fail notes a call without a usable answer.
 func (r *replica) fail(now time.Time, c Config) {
 	wait := c.SuspectBase << min(r.failures, 10)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -21,10 +22,13 @@
 
 // The times of introductions.
 const (
-	// firstAsk is the interval of introductions until a seed has answered: all
+	// firstAsk is the interval of introductions while the fleet forms: all
 	// daemons start within 300 ms, and one asks its seeds in vain until they
 	// listen.
-	firstAsk = 200 * time.Millisecond
+	firstAsk = 300 * time.Millisecond
+	// formingRounds is the number of introductions in a row without a new host
+	// after which the fleet counts as formed.
+	formingRounds = 6
 	// laterAsk is the interval afterwards; the answer is empty unless there
 	// are new hosts.
 	laterAsk = 5 * time.Second
@@ -60,9 +64,10 @@
 
 // New returns a fleet that listens but does not take part yet.
 func New(cfg Config) (*Fleet, error) {
+	incarnation := uint64(time.Now().UnixMilli())
+	cfg.Self.Incarnation = incarnation
 	f := &Fleet{cfg: cfg, log: cfg.Logger, roster: newRoster(cfg.Self), calls: membership.NewCalls()}
 	f.SetSeeds(cfg.Seeds)
-	incarnation := uint64(time.Now().UnixMilli())
 	peer.Handle(cfg.Mux, methodRoster, f.introduced)
 	loop, err := membership.New(member.DefaultConfig(cfg.Self.Host, incarnation), rand.Uint64(), cfg.Mux, f.calls,
 		membership.Hooks{Changed: f.changed}, cfg.Logger)
@@ -106,8 +111,40 @@
 // not be changed.
 func (f *Fleet) Members() []member.Member { return f.loop.View().Members }
 
-// Capacity returns what a host's machine can do; 0 when it is not known.
-func (f *Fleet) Capacity(host string) int { return f.roster.capacity(host) }
+// Reachable returns the hosts that may be called: all that were heard of but
+// for those that are believed dead or leaving. While none but this host is
+// known, the seeds stand in for the fleet.
+func (f *Fleet) Reachable() []Host {
+	states := make(map[string]member.Member)
+	for _, m := range f.Members() {
+		states[m.Host.Name] = m
+	}
+	all := f.roster.all()
+	hosts := make([]Host, 0, len(all))
+	for _, h := range all {
+		m, known := states[h.Name]
+		if known && (m.State == member.Dead || m.State == member.Leaving) && m.Incarnation >= h.Incarnation {
+			continue
+		}
+		h.Incarnation = max(h.Incarnation, m.Incarnation)
+		hosts = append(hosts, h)
+	}
+	if len(all) == 1 {
+		hosts = append(hosts, f.otherSeeds()...)
+	}
+	return hosts
+}
+
+// otherSeeds are the seeds without this host; nothing else is known of them.
+func (f *Fleet) otherSeeds() []Host {
+	var hosts []Host
+	for _, s := range *f.seeds.Load() {
+		if s != f.cfg.Self.Name {
+			hosts = append(hosts, Host{Host: member.Host{Name: s}, Capacity: math.MaxInt32})
+		}
+	}
+	return hosts
+}
 
 // Leave announces that this host drains.
 func (f *Fleet) Leave() { f.loop.Post(member.Leave{}) }
@@ -158,12 +195,19 @@
 // introduce tells seeds who this host is and learns whom they know.
 func (f *Fleet) introduce(ctx context.Context) {
 	f.loop.Post(member.Configured{Hosts: members(f.roster.all()), Upstreams: []string{}})
-	for round := 0; ctx.Err() == nil; round++ {
-		wait := laterAsk
-		if !f.askRound(ctx, round) {
-			wait = firstAsk
+	quiet, known := 0, 0
+	for ctx.Err() == nil {
+		answered := f.askRound(ctx, quiet >= formingRounds)
+		if n := len(f.roster.all()); answered && n == known {
+			quiet++
+		} else {
+			quiet, known = 0, n
 		}
 		f.forgetDead()
+		wait := firstAsk
+		if quiet >= formingRounds {
+			wait = laterAsk
+		}
 		timer := time.NewTimer(wait/2 + rand.N(wait))
 		select {
 		case <-ctx.Done():
@@ -174,15 +218,14 @@
 	}
 }
 
-// askRound asks the seeds, all in the first rounds and one of them or of the
-// hosts known later, and says whether any answered.
-func (f *Fleet) askRound(ctx context.Context, round int) bool {
+// askRound asks the seeds, only one of them once the fleet has formed, and says
+// whether any answered.
+func (f *Fleet) askRound(ctx context.Context, formed bool) bool {
 	targets := f.targets()
 	if len(targets) == 0 {
 		return true // alone, as the settings say
 	}
-	const eager = 5 // rounds in which all seeds are asked
-	if round >= eager {
+	if formed {
 		targets = targets[:1]
 	}
 	var group errgroup.Group
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,19 +33,14 @@
 	member.Host
 	// Capacity is what its machine can do, in thousandths of a processor.
 	Capacity int
+	// Incarnation is the start of its process in Unix milliseconds.
+	Incarnation uint64
 }
 
 func newRoster(self Host) *roster {
 	return &roster{hosts: map[string]Host{self.Name: self}}
 }
 
-// capacity returns a host's capacity; 0 when it is not known.
-func (r *roster) capacity(name string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.hosts[name].Capacity
-}
-
 // add takes hosts and says whether one of them is new or has moved.
 func (r *roster) add(hosts ...Host) bool {
 	r.mu.Lock()
@@ -52,7 +48,7 @@
 	changed := false
 	for _, h := range hosts {
 		old, known := r.hosts[h.Name]
-		if h.Name == "" || known && (old == h || h.FailureDomain == "") || !known && len(r.hosts) >= maxHosts {
+		if h.Name == "" || known && h.Incarnation <= old.Incarnation || !known && len(r.hosts) >= maxHosts {
 			continue
 		}
 		r.hosts[h.Name] = h
@@ -83,7 +79,7 @@
 	for _, h := range hosts {
 		// Writing to a digest never fails.
 		_, _ = d.WriteString(h.Name)
-		_, _ = d.WriteString("\x00" + h.FailureDomain + "\x00")
+		_, _ = d.WriteString("\x00" + strconv.FormatUint(h.Incarnation, 36) + "\x00")
 	}
 	return d.Sum64()
 }
@@ -91,7 +87,7 @@
 func toWire(hosts []Host) []*wire.RosterHost {
 	out := make([]*wire.RosterHost, 0, len(hosts))
 	for _, h := range hosts {
-		out = append(out, &wire.RosterHost{Host: h.Name, FailureDomain: h.FailureDomain, Capacity: uint32(max(0, h.Capacity))})
+		out = append(out, &wire.RosterHost{Host: h.Name, FailureDomain: h.FailureDomain, Capacity: uint32(max(0, h.Capacity)), Incarnation: h.Incarnation})
 	}
 	return out
 }
@@ -99,7 +95,10 @@
 func fromWire(hosts []*wire.RosterHost) []Host {
 	out := make([]Host, 0, len(hosts))
 	for _, h := range hosts {
-		out = append(out, Host{member.Host{Name: h.GetHost(), FailureDomain: h.GetFailureDomain()}, int(h.GetCapacity())})
+		out = append(out, Host{
+			Host:     member.Host{Name: h.GetHost(), FailureDomain: h.GetFailureDomain()},
+			Capacity: int(h.GetCapacity()), Incarnation: h.GetIncarnation(),
+		})
 	}
 	return out
 }
--- a/stages/service.go
+++ b/stages/service.go
@@ -11,17 +11,13 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
-	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/peer"
 )
 
-// Members names the hosts of the fleet, this one included.
-type Members interface {
-	Members() []member.Member
-	// Capacity ranks hosts by what their machines can do; 0 when not known.
-	Capacity(host string) int
-}
+// Members names the hosts of the fleet that may be called, this one included.
+type Members interface{ Reachable() []fleet.Host }
 
 // Config is what a Service needs.
 type Config struct {
@@ -155,38 +151,38 @@
 	}
 }
 
-// choose returns the host that plans: of those that are believed to live and
-// did not fail a moment ago, the one with the most capacity, then the one that
-// has run for longest, so that a host that is back takes nothing over. All
-// daemons with like views agree on it.
+// choose returns the host that plans: of those that may be called and did not
+// fail a moment ago, the one with the most capacity, then the one that has run
+// for longest, so that a host that is back takes nothing over. All daemons with
+// like views agree on it.
 func (s *Service) choose(now time.Time) string {
-	members := s.cfg.Members.Members()
+	hosts := s.cfg.Members.Reachable()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best *member.Member
-	for i := range members {
-		m := &members[i]
-		if m.Living() && !now.Before(s.avoided[m.Host.Name]) && (best == nil || s.before(m, best)) {
-			best = m
+	var best *fleet.Host
+	for i := range hosts {
+		h := &hosts[i]
+		if !now.Before(s.avoided[h.Name]) && (best == nil || before(h, best)) {
+			best = h
 		}
 	}
 	chosen := s.cfg.Self
 	if best != nil {
-		chosen = best.Host.Name
+		chosen = best.Name
 	}
 	if chosen != s.chosen {
-		s.log.Info("planner chosen", zap.String("peer", chosen), zap.String("before", s.chosen), zap.Int("hosts", len(members)))
+		s.log.Info("planner chosen", zap.String("peer", chosen), zap.String("before", s.chosen), zap.Int("hosts", len(hosts)))
 		s.chosen = chosen
 	}
 	return chosen
 }
 
 // before says whether a rather than b plans.
-func (s *Service) before(a, b *member.Member) bool {
+func before(a, b *fleet.Host) bool {
 	return cmp.Or(
-		cmp.Compare(s.cfg.Members.Capacity(b.Host.Name), s.cfg.Members.Capacity(a.Host.Name)),
+		cmp.Compare(b.Capacity, a.Capacity),
 		cmp.Compare(a.Incarnation, b.Incarnation),
-		cmp.Compare(xxhash.Sum64String(a.Host.Name), xxhash.Sum64String(b.Host.Name)),
+		cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
 	) < 0
 }
 
