Let one daemon read the store and pass the news on

The daemon that ranks first now reads; the others ask it, are answered at once when something changed, and read for themselves when its news are too old for the bounds.

--- a/core/catalog/replica.go
+++ b/core/catalog/replica.go
@@ -38,12 +38,24 @@
 // Replicas returns all replicas that may be in service.
 func (g *Registry) Replicas() map[string]Replica { return g.replicas }
 
-// Failed notes that the store did not answer at that time.
-func (g *Registry) Failed(time.Time) {}
+// Adopt takes the replicas that another host keeps, as of that time; nil says
+// that they are those already known.
+func (g *Registry) Adopt(asOf time.Time, replicas []Replica) {
+	if asOf.After(g.heard) {
+		g.heard = asOf
+	}
+	if replicas == nil {
+		return
+	}
+	g.replicas = make(map[string]Replica, len(replicas))
+	for _, r := range replicas {
+		g.replicas[r.ID] = r
+	}
+}
 
-// Update takes a full list and reports whether anything changed. Replicas that
-// lapsed while the store was away stay until lapseGrace after its return.
-func (g *Registry) Update(now time.Time, listed []Replica) bool {
+// Update takes the store's full list. Replicas that lapsed while the store was
+// away stay until lapseGrace after its return.
+func (g *Registry) Update(now time.Time, listed []Replica) {
 	if !g.heard.IsZero() && now.Sub(g.heard) > storeSilence {
 		g.returned = now
 	}
@@ -59,10 +71,5 @@
 			}
 		}
 	}
-	changed := len(next) != len(g.replicas)
-	for id, r := range next {
-		changed = changed || g.replicas[id] != r
-	}
 	g.replicas = next
-	return changed
 }
--- /dev/null
+++ b/discovery/discovery.go
@@ -0,0 +1,327 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// Store is what is read.
+type Store interface {
+	List(ctx context.Context, prefix string) ([]platform.Item, uint64, error)
+}
+
+// Members names the hosts of the fleet that may be called, this one included.
+type Members interface{ Reachable() []fleet.Host }
+
+// Config is what a Discovery needs.
+type Config struct {
+	// Self is this host's name among its fellows.
+	Self    string
+	Store   Store
+	Members Members
+	Caller  peer.Caller
+	// Mux takes the method that fellows may call.
+	Mux    *peer.Mux
+	Logger *zap.Logger
+	// Bound returns the time within which what the store acknowledged must be
+	// in force here.
+	Bound func() time.Duration
+	// Changed is called with every view that differs from the one before, by
+	// one goroutine at a time.
+	Changed func(*View)
+}
+
+// The times of discovery, as shares of the bound. In the worst case the host
+// that reads the store has just lost it: its news are asked for after
+// newsWait, found too old after staleAfter, and read from a slow store in a
+// third of a second; together that is within the bound.
+const (
+	readShare  = 0.3
+	newsWait   = 0.2
+	staleAfter = 0.45
+)
+
+const (
+	// firstRetry and maxRetry bound the wait after a failed read.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 500 * time.Millisecond
+	// newsGrace is how much later than newsWait an answer may come.
+	newsGrace = 250 * time.Millisecond
+	// avoidFor is how long a host whose news were too old, or that did not
+	// answer, is not asked.
+	avoidFor = 2 * time.Second
+)
+
+// Discovery keeps the view. All methods are safe for concurrent use.
+type Discovery struct {
+	cfg Config
+	log *zap.Logger
+
+	mu       sync.Mutex
+	view     atomic.Pointer[View]
+	registry catalog.Registry
+	// changed is closed and replaced with every view that differs.
+	changed chan struct{}
+	// lost says that the last read of the store failed.
+	lost    bool
+	avoided map[string]time.Time
+	source  string
+	reads   atomic.Uint64
+	news    atomic.Uint64
+}
+
+// New returns a discovery that has not started and registers its method.
+func New(cfg Config) *Discovery {
+	d := &Discovery{cfg: cfg, log: cfg.Logger, changed: make(chan struct{}), avoided: map[string]time.Time{}}
+	d.view.Store(&View{})
+	d.handle(cfg.Mux)
+	return d
+}
+
+// View returns the newest view.
+func (d *Discovery) View() *View { return d.view.Load() }
+
+// Run keeps the view up to date until ctx ends.
+func (d *Discovery) Run(ctx context.Context) {
+	wait := firstRetry
+	for ctx.Err() == nil {
+		source := d.chooseSource(time.Now())
+		if source != d.cfg.Self && d.askFor(ctx, source) {
+			wait = firstRetry
+			continue
+		}
+		started := time.Now()
+		if !d.read(ctx) {
+			if !d.View().Ready() && d.askAny(ctx) {
+				continue
+			}
+			sleep(ctx, wait/2+rand.N(wait/2+1))
+			wait = min(2*wait, maxRetry)
+			continue
+		}
+		wait = firstRetry
+		if source == d.cfg.Self {
+			sleep(ctx, d.interval()-time.Since(started))
+		}
+	}
+}
+
+// interval is the time between two reads of the store: short until there is
+// something to serve.
+func (d *Discovery) interval() time.Duration {
+	if !d.View().Ready() || len(d.View().Replicas) == 0 {
+		return firstRetry
+	}
+	return d.share(readShare)
+}
+
+func (d *Discovery) share(part float64) time.Duration {
+	return time.Duration(part * float64(d.cfg.Bound()))
+}
+
+// chooseSource returns the host whose news are asked for, or this host, which
+// then reads the store: it does so while it has no view, and when no other host
+// ranks before it.
+func (d *Discovery) chooseSource(now time.Time) string {
+	if !d.View().Ready() {
+		return d.cfg.Self
+	}
+	hosts := d.cfg.Members.Reachable()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var best *fleet.Host
+	for i := range hosts {
+		h := &hosts[i]
+		if !now.Before(d.avoided[h.Name]) && (best == nil || h.Before(best)) {
+			best = h
+		}
+	}
+	source := d.cfg.Self
+	if best != nil {
+		source = best.Name
+	}
+	if source != d.source {
+		d.log.Info("source of news chosen", zap.String("source", source), zap.String("before", d.source))
+		d.source = source
+	}
+	return source
+}
+
+// askAny asks hosts for news until one has some. A host that has just started
+// and that the store turns away learns from its fellows what is in force.
+func (d *Discovery) askAny(ctx context.Context) bool {
+	hosts := d.cfg.Members.Reachable()
+	slices.SortFunc(hosts, func(a, b fleet.Host) int {
+		if a.Before(&b) {
+			return -1
+		}
+		return 1
+	})
+	for _, h := range hosts {
+		if h.Name != d.cfg.Self && d.mayAsk(h.Name) && d.askFor(ctx, h.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayAsk says whether a host is not avoided.
+func (d *Discovery) mayAsk(host string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !time.Now().Before(d.avoided[host])
+}
+
+// avoid keeps from asking a host for a while.
+func (d *Discovery) avoid(host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for h, until := range d.avoided {
+		if now.After(until) {
+			delete(d.avoided, h)
+		}
+	}
+	d.avoided[host] = now.Add(avoidFor)
+}
+
+// read reads the store and says whether that succeeded.
+func (d *Discovery) read(ctx context.Context) bool {
+	started := time.Now()
+	d.reads.Add(1)
+	items, revision, err := d.cfg.Store.List(ctx, platform.AllKeys)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		if !d.lost && ctx.Err() == nil {
+			d.lost = true
+			d.log.Warn("store lost", zap.Error(err), zap.Duration("view_age", started.Sub(d.View().AsOf)))
+		}
+		return false
+	}
+	if d.lost {
+		d.lost = false
+		d.log.Info("store regained", zap.Uint64("revision", revision))
+	}
+	next := *d.View()
+	next.AsOf, next.Source = started, "store"
+	var entries []catalog.Replica
+	for _, item := range items {
+		switch {
+		case item.Key == platform.ConfigKey:
+			d.takeConfig(&next, item.Value, item.Revision)
+		case strings.HasPrefix(item.Key, platform.ReplicaPrefix):
+			entries = d.decode(entries, item)
+		}
+	}
+	d.registry.Update(time.Now(), entries)
+	d.publish(&next)
+	return true
+}
+
+// decode adds a replica's entry; one that cannot be read is left out.
+func (d *Discovery) decode(entries []catalog.Replica, item platform.Item) []catalog.Replica {
+	r, err := platform.DecodeReplica(item)
+	if err != nil {
+		d.log.Warn("replica entry refused", zap.Error(err))
+		return entries
+	}
+	return append(entries, r)
+}
+
+// takeConfig puts a configuration into the next view if it is newer than the
+// one in force: versions never go back.
+func (d *Discovery) takeConfig(next *View, raw []byte, revision uint64) {
+	if revision == next.revision {
+		return
+	}
+	config, err := platform.DecodeConfig(raw)
+	if err != nil {
+		d.log.Error("configuration refused", zap.Uint64("revision", revision), zap.Error(err))
+		return
+	}
+	if next.Config != nil && config.Version <= next.Config.Version {
+		d.log.Warn("older configuration ignored", zap.Uint64("version", config.Version),
+			zap.Uint64("in_force", next.Config.Version), zap.Uint64("revision", revision))
+		return
+	}
+	next.Config, next.raw, next.revision = config, raw, revision
+}
+
+// publish puts a view in force; the lock is held.
+func (d *Discovery) publish(next *View) {
+	old := d.View()
+	next.Replicas = d.registry.Replicas()
+	next.hash = hashOf(next.Replicas)
+	first := old.Replicas == nil
+	if !first && next.Config == old.Config && next.hash == old.hash {
+		next.Replicas = old.Replicas
+		d.view.Store(next)
+		return
+	}
+	fields := []zap.Field{
+		zap.Bool("configuration", next.Config != old.Config), zap.Bool("replicas_changed", next.hash != old.hash),
+		zap.String("source", next.Source), zap.Duration("age", time.Since(next.AsOf)), zap.Int("replicas", len(next.Replicas)),
+	}
+	if next.Config != nil {
+		fields = append(fields, zap.Uint64("version", next.Config.Version))
+	}
+	d.cfg.Changed(next)
+	d.view.Store(next)
+	d.log.Info("view in force", fields...)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Dump is the state of a Discovery for operators.
+type Dump struct {
+	Version  uint64    `json:"version"`
+	Revision uint64    `json:"revision"`
+	AsOf     time.Time `json:"as_of"`
+	Source   string    `json:"source"`
+	Lost     bool      `json:"store_lost"`
+	// Reads counts reads of the store, News answers of other hosts.
+	Reads    uint64            `json:"reads"`
+	News     uint64            `json:"news"`
+	Replicas []catalog.Replica `json:"replicas"`
+}
+
+// Dump returns the state.
+func (d *Discovery) Dump() Dump {
+	v := d.View()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dump := Dump{
+		Revision: v.revision, AsOf: v.AsOf, Source: v.Source, Lost: d.lost,
+		Reads: d.reads.Load(), News: d.news.Load(), Replicas: sorted(v.Replicas),
+	}
+	if v.Config != nil {
+		dump.Version = v.Config.Version
+	}
+	return dump
+}
+
+// sleep waits for wait or until ctx ends.
+func sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/discovery/view.go
@@ -0,0 +1,54 @@
+package discovery
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// View is what a daemon knows of the store: immutable, replaced as a whole.
+type View struct {
+	// Config is nil until the first configuration was read.
+	Config *catalog.Config
+	// Replicas are by id; nil until they were read.
+	Replicas map[string]catalog.Replica
+	// AsOf is when the store was read, at the latest.
+	AsOf time.Time
+	// Source is "store" or the host that passed the news on.
+	Source string
+
+	// raw is the configuration as the store holds it, and revision its own.
+	raw      []byte
+	revision uint64
+	// hash is that of the replicas.
+	hash uint64
+}
+
+// Ready says whether requests can be decided on.
+func (v *View) Ready() bool { return v.Config != nil && v.Replicas != nil }
+
+// hashOf is the same for equal replicas.
+func hashOf(replicas map[string]catalog.Replica) uint64 {
+	d := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(replicas)) {
+		r := replicas[id]
+		draining := byte(0)
+		if r.Draining {
+			draining = 1
+		}
+		// Writing to a digest never fails.
+		_, _ = d.WriteString(id + "\x00" + r.Service + "\x00" + r.Address + "\x00" + r.FailureDomain + "\x00")
+		_, _ = d.Write([]byte{draining, byte(r.Concurrency), byte(r.Concurrency >> 8)})
+	}
+	return d.Sum64()
+}
+
+// sorted returns the replicas by id.
+func sorted(replicas map[string]catalog.Replica) []catalog.Replica {
+	return slices.SortedFunc(maps.Values(replicas), func(a, b catalog.Replica) int { return cmp.Compare(a.ID, b.ID) })
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,7 +78,7 @@
 	f.transport, err = peer.NewTransport(peer.Config{
 		Host: cfg.Self.Name, Incarnation: incarnation, Listen: cfg.Listen,
 		Plaintext: true, PrivateNetwork: true, Resolve: resolve, Mux: cfg.Mux, Logger: cfg.Logger,
-		DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout, MaxBackoff: maxBackoff,
+		MaxMessage: maxMessage, DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout, MaxBackoff: maxBackoff,
 	})
 	if err != nil {
 		return nil, err
@@ -87,6 +87,10 @@
 	return f, nil
 }
 
+// maxMessage bounds a message between daemons: the largest value of the store,
+// a configuration, with room for the replicas of the largest deployment.
+const maxMessage = 2 << 20
+
 // The bounds of sessions: a fellow that is gone costs its callers little, and
 // one that is back is found soon.
 const (
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -37,6 +37,17 @@
 	Incarnation uint64
 }
 
+// Before says whether h rather than o does what one host does for all: the host
+// with the most capacity, then the one that has run for longest, so that a host
+// that is back takes nothing over. All hosts with like views agree on it.
+func (h *Host) Before(o *Host) bool {
+	return cmp.Or(
+		cmp.Compare(o.Capacity, h.Capacity),
+		cmp.Compare(h.Incarnation, o.Incarnation),
+		cmp.Compare(xxhash.Sum64String(h.Name), xxhash.Sum64String(o.Name)),
+	) < 0
+}
+
 func newRoster(self Host) *roster {
 	return &roster{hosts: map[string]Host{self.Name: self}}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -90,13 +90,13 @@
 
 // accept decides whether the request may be served at all, and reads its body.
 func (x *exchange) accept() *problem.Error {
-	v := x.g.view.Load()
-	if !v.ready() {
+	v := x.g.found.View()
+	if !v.Ready() {
 		return retryable(problem.New(problem.NotReady, "no configuration is known yet"), retrySoon)
 	}
-	x.config = v.config
+	x.config = v.Config
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	x.route = v.config.Match(x.r.Host, path)
+	x.route = v.Config.Match(x.r.Host, path)
 	if x.route == nil {
 		return problem.New(problem.NotFound, "no route")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
@@ -31,7 +32,6 @@
 	settings atomic.Pointer[Settings]
 	log      *zap.Logger
 	metrics  *metrics.Set
-	view     atomic.Pointer[view]
 	rounds   uint64 // numbers the views; used by the discovery's goroutine only
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -39,6 +39,7 @@
 	router  *route.Router
 	client  *replica.Client
 	fleet   *fleet.Fleet
+	found   *discovery.Discovery
 	stages  *stages.Service
 	budgets sync.Map // service name to *retry.Budget
 	inputs  inputsHold
@@ -49,7 +50,6 @@
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient()}
 	g.settings.Store(s)
-	g.view.Store(&view{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus,
 	})
@@ -65,6 +65,10 @@
 	g.stages = stages.New(stages.Config{
 		Self: s.Host, Replicas: g.client, Members: fellows, Caller: fellows.Caller(), Mux: mux, Logger: log,
 	})
+	g.found = discovery.New(discovery.Config{
+		Self: s.Host, Store: platform.NewStore(s.Store.Address), Members: fellows, Caller: fellows.Caller(), Mux: mux,
+		Logger: log, Bound: func() time.Duration { return g.settings.Load().Bounds.shortest() }, Changed: g.viewChanged,
+	})
 	return g, nil
 }
 
@@ -94,7 +98,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	group.Go(func() error { return ignoreClosed(probes.Serve(readiness)) })
-	group.Go(func() error { newDiscovery(g).run(running); return nil })
+	group.Go(func() error { g.found.Run(running); return nil })
 	group.Go(func() error { g.stages.Run(running); return nil })
 	group.Go(func() error { return g.fleet.Run(running) })
 	g.serveMetrics(running, &group)
@@ -138,14 +142,14 @@
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 }
 
-// setView puts a view in force.
-func (g *Gateway) setView(v *view) {
-	if v.ready() {
-		g.rounds++
-		g.router.Apply(v.pools(g.rounds, g.settings.Load().Regions))
-		g.stages.Configure(v.config.Services, v.stageReplicas())
+// viewChanged passes a view on to what decides by it.
+func (g *Gateway) viewChanged(v *discovery.View) {
+	if !v.Ready() {
+		return
 	}
-	g.view.Store(v)
+	g.rounds++
+	g.router.Apply(pools(v, g.rounds, g.settings.Load().Regions))
+	g.stages.Configure(v.Config.Services, stageReplicas(v))
 }
 
 // The caller's side of net/http.
@@ -171,7 +175,7 @@
 func (g *Gateway) readinessHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if g.draining.Load() || !g.view.Load().ready() {
+		if g.draining.Load() || !g.found.View().Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -20,7 +20,7 @@
 	}
 	g.settings.Store(&merged)
 	g.fleet.SetSeeds(merged.Seeds)
-	g.log.Info("settings reloaded", zap.Strings("seeds", merged.Seeds), zap.Duration("read_every", merged.readEvery()),
+	g.log.Info("settings reloaded", zap.Strings("seeds", merged.Seeds), zap.Duration("bound", merged.Bounds.shortest()),
 		zap.Duration("grace", merged.Drain.Grace), zap.String("log_level", merged.Log.Level),
 		zap.Bool("needs_restart", !reflect.DeepEqual(next, &merged)))
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -53,9 +53,6 @@
 type Store struct {
 	// Address is ip:port.
 	Address string `yaml:"address"`
-	// ReadEvery is the interval at which the store is read. Default: readShare
-	// of the shorter of Bounds.
-	ReadEvery time.Duration `yaml:"read_every"`
 }
 
 // Bounds say how soon what the store acknowledged must be in force here.
@@ -66,17 +63,8 @@
 	Configuration time.Duration `yaml:"configuration"`
 }
 
-// readShare is the part of the shortest bound that may pass between two reads:
-// a read may fail or take a third of a second, and be made again.
-const readShare = 0.45
-
-// readEvery is the interval at which the store is read.
-func (s *Settings) readEvery() time.Duration {
-	if s.Store.ReadEvery > 0 {
-		return s.Store.ReadEvery
-	}
-	return time.Duration(readShare * float64(min(s.Bounds.Drain, s.Bounds.Configuration)))
-}
+// shortest returns the shorter bound.
+func (b Bounds) shortest() time.Duration { return min(b.Drain, b.Configuration) }
 
 // Drain governs the way out.
 type Drain struct {
@@ -173,9 +161,6 @@
 	if s.FailureDomain == "" {
 		r.Add("failure_domain", "want a name")
 	}
-	if s.Store.ReadEvery < 0 {
-		r.Add("store.read_every", "want a time over 0, or none")
-	}
 	if s.Bounds.Drain <= 0 || s.Bounds.Configuration <= 0 {
 		r.Add("bounds", "want times over 0")
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -6,30 +6,20 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/discovery"
 )
 
-// view is what the daemon believes of the deployment: immutable, replaced as a
-// whole.
-type view struct {
-	// config is nil until the first configuration was read.
-	config   *catalog.Config
-	replicas map[string]catalog.Replica
-}
-
-// ready says whether requests can be decided on.
-func (v *view) ready() bool { return v.config != nil && v.replicas != nil }
-
 // pools is the view as the router takes it: one pool a service, of the replicas
 // that take new work. rounds numbers the views.
-func (v *view) pools(rounds uint64, regions []Region) *bundle.Bundle {
+func pools(v *discovery.View, rounds uint64, regions []Region) *bundle.Bundle {
 	b := &bundle.Bundle{Version: rounds, Policy: bundle.PolicyAdaptive}
 	for _, r := range regions {
 		b.FailureDomains = append(b.FailureDomains, bundle.FailureDomain{Name: r.FailureDomain, Region: r.Region})
 	}
 	byService := map[string][]bundle.Upstream{}
 	concurrency := map[string]int{}
-	for _, id := range slices.Sorted(maps.Keys(v.replicas)) {
-		r := v.replicas[id]
+	for _, id := range slices.Sorted(maps.Keys(v.Replicas)) {
+		r := v.Replicas[id]
 		concurrency[r.Service] = max(concurrency[r.Service], r.Concurrency)
 		if r.Draining {
 			continue
@@ -38,7 +28,7 @@
 			Name: r.ID, FailureDomain: r.FailureDomain, Address: r.Address,
 		})
 	}
-	for name, s := range v.config.Services {
+	for name, s := range v.Config.Services {
 		p := bundle.Pool{
 			Name: name, Kind: bundle.PoolService, Concurrency: max(1, concurrency[name]),
 			MaxConnections: s.MaxConnections, Upstreams: byService[name],
@@ -52,10 +42,10 @@
 }
 
 // stageReplicas are the replicas of services that run stages.
-func (v *view) stageReplicas() []catalog.Replica {
+func stageReplicas(v *discovery.View) []catalog.Replica {
 	var out []catalog.Replica
-	for _, r := range v.replicas {
-		if s := v.config.Services[r.Service]; s != nil && s.Pieces != nil {
+	for _, r := range v.Replicas {
+		if s := v.Config.Services[r.Service]; s != nil && s.Pieces != nil {
 			out = append(out, r)
 		}
 	}
--- a/stages/service.go
+++ b/stages/service.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
@@ -152,9 +151,7 @@
 }
 
 // choose returns the host that plans: of those that may be called and did not
-// fail a moment ago, the one with the most capacity, then the one that has run
-// for longest, so that a host that is back takes nothing over. All daemons with
-// like views agree on it.
+// fail a moment ago, the first in rank.
 func (s *Service) choose(now time.Time) string {
 	hosts := s.cfg.Members.Reachable()
 	s.mu.Lock()
@@ -162,7 +159,7 @@
 	var best *fleet.Host
 	for i := range hosts {
 		h := &hosts[i]
-		if !now.Before(s.avoided[h.Name]) && (best == nil || before(h, best)) {
+		if !now.Before(s.avoided[h.Name]) && (best == nil || h.Before(best)) {
 			best = h
 		}
 	}
@@ -177,15 +174,6 @@
 	return chosen
 }
 
-// before says whether a rather than b plans.
-func before(a, b *fleet.Host) bool {
-	return cmp.Or(
-		cmp.Compare(b.Capacity, a.Capacity),
-		cmp.Compare(a.Incarnation, b.Incarnation),
-		cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
-	) < 0
-}
-
 // Dump is the state of a Service for operators.
 type Dump struct {
 	Chosen  string   `json:"chosen"`
