--- /dev/null
+++ b/core/stage/fakes_test.go
@@ -0,0 +1,178 @@
+package stage
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// bench drives a Machine by hand and keeps an account of what it asks for.
+type bench struct {
+	m   *Machine
+	now time.Time
+
+	running []Run
+	ready   map[string]Ready
+	refused map[string]Refused
+	// held maps the results that exist to the piece that they are of.
+	held  map[string]Piece
+	freed int
+	jobs  map[string]Job
+	made  int
+}
+
+func figures(batch int, room int64) *catalog.Service {
+	return &catalog.Service{Pieces: &catalog.Pieces{
+		Concurrency: 1, Queue: 2, Batch: batch, CallTime: 240 * time.Millisecond, PieceTime: 10 * time.Millisecond,
+		RoomBytes: room, ResultTTL: 4 * time.Second,
+	}}
+}
+
+// newBench returns a bench with services a, b and c of the same figures, and
+// replicas per failure domain as given.
+func newBench(service *catalog.Service, domains ...string) *bench {
+	b := &bench{
+		m: New(Config{}), now: time.Unix(1000, 0), ready: map[string]Ready{}, refused: map[string]Refused{},
+		held: map[string]Piece{}, jobs: map[string]Job{},
+	}
+	e := Configured{Services: map[string]*catalog.Service{}}
+	for _, name := range []string{"a", "b", "c"} {
+		e.Services[name] = &catalog.Service{Name: name, Pieces: service.Pieces}
+		for i, d := range domains {
+			id := fmt.Sprintf("%s%d", name, i+1)
+			e.Replicas = append(e.Replicas, catalog.Replica{ID: id, Service: name, Address: id + ":80", FailureDomain: d, Concurrency: 1})
+		}
+	}
+	b.step(e)
+	return b
+}
+
+// step passes an event and takes the actions into the account.
+func (b *bench) step(e Event) []Run {
+	var runs []Run
+	for _, a := range b.m.Step(b.now, e) {
+		switch a := a.(type) {
+		case Run:
+			b.check(a)
+			runs = append(runs, a)
+			b.running = append(b.running, a)
+		case Free:
+			for _, h := range a.Handles {
+				Expect(b.held).To(HaveKey(h), "freed twice or never made: %s", h)
+				delete(b.held, h)
+				b.freed++
+			}
+		case Ready:
+			Expect(b.ready).NotTo(HaveKey(a.Job))
+			Expect(b.refused).NotTo(HaveKey(a.Job))
+			b.ready[a.Job] = a
+		case Refused:
+			Expect(b.ready).NotTo(HaveKey(a.Job))
+			Expect(b.refused).NotTo(HaveKey(a.Job))
+			b.refused[a.Job] = a
+		}
+	}
+	return runs
+}
+
+// check holds a call against what the package guarantees.
+func (b *bench) check(a Run) {
+	Expect(a.Pieces).NotTo(BeEmpty())
+	Expect(a.Timeout).To(BeNumerically(">", 0))
+	for _, p := range a.Pieces {
+		j, known := b.jobs[p.Job]
+		Expect(known).To(BeTrue(), "call for a job that was given up: %s", p.Job)
+		after := j.Stages[p.Stage].After
+		if len(after) == 0 {
+			Expect(p.Key).To(Equal(j.Key))
+			Expect(p.Inputs).To(BeEmpty())
+			continue
+		}
+		Expect(p.Key).To(BeEmpty())
+		seen := map[string]bool{}
+		want := 0
+		for _, s := range after {
+			want += j.Stages[s].Pieces
+		}
+		Expect(p.Inputs).To(HaveLen(want))
+		for _, h := range p.Inputs {
+			Expect(seen).NotTo(HaveKey(h))
+			seen[h] = true
+			in, exists := b.held[h]
+			Expect(exists).To(BeTrue(), "input %s no longer exists", h)
+			Expect(in.Job).To(Equal(p.Job))
+			Expect(after).To(ContainElement(in.Stage))
+		}
+	}
+}
+
+func (b *bench) submit(j Job) []Run {
+	b.jobs[j.ID] = j
+	return b.step(Submitted{j})
+}
+
+func (b *bench) giveUp(id string, e Event) []Run {
+	delete(b.jobs, id)
+	return b.step(e)
+}
+
+// pass lets time pass.
+func (b *bench) pass(d time.Duration) []Run {
+	b.now = b.now.Add(d)
+	return b.step(Tick{})
+}
+
+// take removes a running call.
+func (b *bench) take(call uint64) Run {
+	for i, r := range b.running {
+		if r.Call == call {
+			b.running = append(b.running[:i], b.running[i+1:]...)
+			return r
+		}
+	}
+	Expect(call).To(BeZero(), "no such call is running")
+	return Run{}
+}
+
+// answer ends a call well.
+func (b *bench) answer(call uint64) []Run {
+	r := b.take(call)
+	e := CallEnded{Call: call}
+	for _, p := range r.Pieces {
+		b.made++
+		h := fmt.Sprintf("%s/%d", r.Address, b.made)
+		b.held[h] = p
+		e.Results = append(e.Results, Result{Handle: h})
+	}
+	return b.step(e)
+}
+
+// end ends a call without results.
+func (b *bench) end(call uint64, o CallOutcome) []Run {
+	b.take(call)
+	return b.step(CallEnded{Call: call, Outcome: o})
+}
+
+// finish answers calls, oldest first, each after its time, until none runs.
+func (b *bench) finish() {
+	for len(b.running) > 0 {
+		b.now = b.now.Add(300 * time.Millisecond)
+		b.answer(b.running[0].Call)
+	}
+}
+
+// job is a job with stages given as service and pieces, each after the one
+// before.
+func (b *bench) chain(id string, stages ...Stage) Job {
+	j := Job{ID: id, Key: "key-" + id, Due: b.now.Add(5 * time.Second), Deadline: b.now.Add(10 * time.Second)}
+	for i, s := range stages {
+		if i > 0 && s.After == nil {
+			s.After = []int{i - 1}
+		}
+		j.Stages = append(j.Stages, s)
+	}
+	return j
+}
--- /dev/null
+++ b/core/stage/machine_test.go
@@ -0,0 +1,283 @@
+package stage
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a chain of stages", func() {
+	It("hands each stage all results of the one before and frees them once they are read", func() {
+		b := newBench(figures(20, 0), "x")
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 2}, Stage{Service: "b", Pieces: 3}, Stage{Service: "c", Pieces: 1}))
+		b.answer(1)
+		Expect(b.held).To(HaveLen(2))
+		b.answer(2)
+		Expect(b.held).To(HaveLen(3), "the first stage's results are freed")
+		b.answer(3)
+		Expect(b.ready).To(HaveKey("j"))
+		Expect(b.ready["j"].Handles).To(HaveLen(1))
+		Expect(b.held).To(HaveLen(1))
+		b.giveUp("j", Released{"j"})
+		Expect(b.held).To(BeEmpty())
+	})
+
+	It("leaves out stages without pieces", func() {
+		b := newBench(figures(20, 0), "x")
+		b.submit(b.chain("j", Stage{Service: "a"}, Stage{Service: "b", Pieces: 1, After: []int{}}, Stage{Service: "c", Pieces: 1}))
+		b.finish()
+		Expect(b.ready["j"].Handles).To(HaveLen(1))
+	})
+
+	It("runs stages that do not depend on each other side by side", func() {
+		b := newBench(figures(20, 0), "x")
+		runs := b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}, Stage{Service: "b", Pieces: 1, After: []int{}}))
+		Expect(runs).To(HaveLen(2))
+		b.finish()
+		Expect(b.ready["j"].Handles).To(HaveLen(2))
+	})
+
+	It("says where the results lie and where the time went", func() {
+		b := newBench(figures(20, 0), "x", "y")
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 2, ResultBytes: 10}))
+		b.now = b.now.Add(250 * time.Millisecond)
+		b.answer(1)
+		r := b.ready["j"]
+		Expect(r.DomainBytes).To(Equal(int64(20)))
+		Expect(r.Domain).NotTo(BeEmpty())
+		Expect(r.Timings).To(Equal([]Timing{{Stage: 0, Work: 250 * time.Millisecond}}))
+	})
+
+	It("refuses a job that needs a service without replicas", func() {
+		b := newBench(figures(20, 0))
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))
+		Expect(b.refused["j"].Reason).To(Equal(ReasonNoReplica))
+		b.submit(b.chain("k", Stage{Service: "unknown", Pieces: 1}))
+		Expect(b.refused["k"].Reason).To(Equal(ReasonNoReplica))
+		Expect(b.refused["k"].RetryAfter).To(BeNumerically(">", 0))
+	})
+})
+
+var _ = Describe("calls", func() {
+	It("hold pieces of many jobs, and all of one stage of a job", func() {
+		b := newBench(figures(10, 0), "x")
+		b.submit(b.chain("first", Stage{Service: "a", Pieces: 4}))
+		for i := range 3 {
+			b.submit(b.chain(fmt.Sprint("j", i), Stage{Service: "a", Pieces: 4}))
+		}
+		Expect(b.running).To(HaveLen(1), "the replica runs one call at a time")
+		runs := b.answer(1)
+		Expect(runs).To(HaveLen(1))
+		Expect(runs[0].Pieces).To(HaveLen(8), "a third group of four does not fit a call of ten")
+	})
+
+	It("split a stage that is larger than a call", func() {
+		b := newBench(figures(4, 0), "x")
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 6}))
+		b.finish()
+		Expect(b.ready["j"].Handles).To(HaveLen(6))
+	})
+
+	It("are not made for jobs that were cancelled before, and the results of others are freed", func() {
+		b := newBench(figures(4, 0), "x")
+		b.submit(b.chain("runs", Stage{Service: "a", Pieces: 4}))
+		b.submit(b.chain("waits", Stage{Service: "a", Pieces: 4}))
+		b.giveUp("waits", Cancelled{"waits"})
+		b.giveUp("runs", Cancelled{"runs"})
+		Expect(b.answer(1)).To(BeEmpty())
+		Expect(b.freed).To(Equal(4))
+		Expect(b.held).To(BeEmpty())
+	})
+
+	It("go elsewhere when a replica cannot be reached, and a little later when it is busy", func() {
+		b := newBench(figures(4, 0), "x", "x")
+		run := b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))[0]
+		again := b.end(run.Call, CallUnreachable)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Replica).NotTo(Equal(run.Replica))
+		Expect(b.end(again[0].Call, CallNotExecuted)).To(BeEmpty())
+		Expect(b.pass(100 * time.Millisecond)).To(HaveLen(1))
+	})
+
+	It("wait longer for a replica each time that it is busy", func() {
+		b := newBench(figures(4, 0), "x")
+		run := b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))[0]
+		b.end(run.Call, CallNotExecuted)
+		run = b.pass(41 * time.Millisecond)[0]
+		b.end(run.Call, CallNotExecuted)
+		Expect(b.pass(41 * time.Millisecond)).To(BeEmpty())
+		Expect(b.pass(41 * time.Millisecond)).To(HaveLen(1))
+	})
+
+	It("are given up with the job after MaxTries failures", func() {
+		b := newBench(figures(4, 0), "x", "x", "x", "x", "x", "x")
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))
+		for len(b.running) > 0 {
+			b.end(b.running[0].Call, CallFailed)
+		}
+		Expect(b.refused["j"].Reason).To(Equal(ReasonFailed))
+		Expect(b.held).To(BeEmpty())
+	})
+
+	It("are made elsewhere too when they are overdue; the first result counts", func() {
+		b := newBench(figures(4, 0), "x", "x")
+		slow := b.submit(b.chain("j", Stage{Service: "a", Pieces: 2}))[0]
+		Expect(b.pass(300 * time.Millisecond)).To(BeEmpty())
+		second := b.pass(400 * time.Millisecond)
+		Expect(second).To(HaveLen(1))
+		Expect(second[0].Replica).NotTo(Equal(slow.Replica))
+		b.answer(second[0].Call)
+		Expect(b.ready).To(HaveKey("j"))
+		b.answer(slow.Call)
+		Expect(b.held).To(HaveLen(2), "the late results are freed")
+		b.giveUp("j", Released{"j"})
+		Expect(b.held).To(BeEmpty())
+	})
+
+	It("make inputs again that are gone", func() {
+		b := newBench(figures(4, 0), "x")
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}, Stage{Service: "b", Pieces: 2}))
+		run := b.answer(1)[0]
+		for h := range b.held {
+			delete(b.held, h) // its holder has ended
+		}
+		b.take(run.Call)
+		b.m.freed = map[*replica][]string{}
+		gone := []Result{{Kind: InputGone}, {Kind: InputGone}}
+		var runs []Run
+		for _, a := range b.m.Step(b.now, CallEnded{Call: run.Call, Results: gone}) {
+			if r, ok := a.(Run); ok {
+				runs = append(runs, r)
+				b.running = append(b.running, r)
+			}
+		}
+		Expect(runs).To(HaveLen(1))
+		Expect(runs[0].Service).To(Equal("a"))
+		b.finish()
+		Expect(b.ready["j"].Handles).To(HaveLen(2))
+	})
+
+	It("leave draining and unlisted replicas alone", func() {
+		b := newBench(figures(4, 0), "x")
+		e := Configured{Services: nil, Replicas: nil}
+		b.step(e)
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))
+		Expect(b.refused["j"].Reason).To(Equal(ReasonNoReplica))
+	})
+})
+
+var _ = Describe("order", func() {
+	It("takes the more urgent first, and jobs that cannot be on time last", func() {
+		b := newBench(figures(4, 0), "x")
+		b.submit(b.chain("runs", Stage{Service: "a", Pieces: 4}))
+		lesser := b.chain("lesser", Stage{Service: "a", Pieces: 4})
+		lesser.Priority = 2
+		urgent := b.chain("urgent", Stage{Service: "a", Pieces: 4})
+		urgent.Due = urgent.Due.Add(time.Second)
+		b.submit(lesser)
+		b.submit(urgent)
+		Expect(b.answer(b.running[0].Call)[0].Pieces[0].Job).To(Equal("urgent"))
+	})
+})
+
+var _ = Describe("room", func() {
+	It("bounds the results that a replica holds", func() {
+		b := newBench(figures(10, 1000), "x")
+		for i := range 4 {
+			b.submit(b.chain(fmt.Sprint("j", i), Stage{Service: "a", Pieces: 3, ResultBytes: 100}))
+		}
+		b.finish()
+		Expect(b.ready).To(HaveLen(3), "nine results of 100 bytes fit 1000")
+		b.giveUp("j0", Released{"j0"})
+		b.finish()
+		Expect(b.ready).To(HaveLen(4))
+	})
+})
+
+var _ = Describe("failure domains", func() {
+	heavy := Stage{Service: "a", Pieces: 1, ResultBytes: 800_000}
+
+	It("waits for the job's own while there is time", func() {
+		b := newBench(figures(1, 0), "x", "y")
+		first, second := b.chain("first", heavy), b.chain("second", heavy)
+		first.Domain, second.Domain = "x", "x"
+		Expect(b.submit(first)[0].Replica).To(Equal("a1"))
+		Expect(b.submit(second)).To(BeEmpty(), "y would be idle")
+		Expect(b.answer(1)[0].Replica).To(Equal("a1"))
+	})
+
+	It("goes elsewhere when the job would be late, or its own has no replica", func() {
+		b := newBench(figures(1, 0), "x", "y")
+		first, second, third := b.chain("first", heavy), b.chain("second", heavy), b.chain("third", heavy)
+		first.Domain, second.Domain, third.Domain = "x", "x", "z"
+		second.Due = b.now.Add(500 * time.Millisecond)
+		b.submit(first)
+		Expect(b.submit(second)[0].Replica).To(Equal("a2"))
+		Expect(b.answer(1)).To(BeEmpty())
+		Expect(b.submit(third)).To(HaveLen(1))
+	})
+
+	It("makes what many pieces read where their readers have least to do", func() {
+		b := newBench(figures(10, 0), "x", "y")
+		chain := []Stage{{Service: "a", Pieces: 1, ResultBytes: 60_000}, {Service: "b", Pieces: 6}}
+		one := b.submit(b.chain("one", chain...))[0]
+		two := b.submit(b.chain("two", chain...))[0]
+		Expect(two.Replica).NotTo(Equal(one.Replica))
+		reader := b.answer(one.Call)[0]
+		Expect(reader.Replica[1:]).To(Equal(one.Replica[1:]), "the reader is made where its input lies")
+	})
+})
+
+var _ = Describe("admission", func() {
+	It("refuses what could not be ready in time, and says when to come back", func() {
+		b := newBench(figures(4, 0), "x")
+		admitted := 0
+		for i := range 40 {
+			j := b.chain(fmt.Sprint("j", i), Stage{Service: "a", Pieces: 4})
+			j.Due = b.now.Add(time.Second)
+			b.submit(j)
+			if _, ok := b.refused[j.ID]; !ok {
+				admitted++
+			}
+		}
+		Expect(admitted).To(And(BeNumerically(">=", 2), BeNumerically("<=", 5)))
+		for _, r := range b.refused {
+			Expect(r.Reason).To(Equal(ReasonOverload))
+			Expect(r.RetryAfter).To(BeNumerically(">", 0))
+			Expect(r.Predicted).To(BeNumerically(">", time.Second))
+		}
+	})
+
+	It("lets the more urgent pass the less urgent", func() {
+		b := newBench(figures(4, 0), "x")
+		for i := range 10 {
+			j := b.chain(fmt.Sprint("low", i), Stage{Service: "a", Pieces: 4})
+			j.Priority = 2
+			b.submit(j)
+		}
+		urgent := b.chain("urgent", Stage{Service: "a", Pieces: 4})
+		urgent.Due = b.now.Add(time.Second)
+		b.submit(urgent)
+		Expect(b.refused).NotTo(HaveKey("urgent"))
+	})
+
+	It("ends a job at its deadline", func() {
+		b := newBench(figures(4, 0), "x")
+		j := b.chain("j", Stage{Service: "a", Pieces: 1})
+		j.Deadline = b.now.Add(time.Second)
+		b.submit(j)
+		next, ok := b.m.NextTick(b.now)
+		Expect(ok).To(BeTrue())
+		Expect(next.After(j.Deadline)).To(BeFalse())
+		b.pass(time.Second)
+		Expect(b.refused["j"].Reason).To(Equal(ReasonExpired))
+	})
+
+	It("needs no tick without jobs", func() {
+		b := newBench(figures(4, 0), "x")
+		_, ok := b.m.NextTick(b.now)
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/standin/site/ledger.go
@@ -0,0 +1,82 @@
+package site
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Run is one execution of a request at a replica.
+type Run struct {
+	Request string
+	Replica string
+	Service string
+	Tenant  string
+	Method  string
+	Target  string
+	Body    string
+	// Key says that the caller's API key was passed on.
+	Key bool
+	// After is the event after which a stream went on.
+	After string
+}
+
+// Ledger holds what ran, over all replicas of a site, and what they found
+// wrong. It is safe for concurrent use.
+type Ledger struct {
+	mu     sync.Mutex
+	runs   []Run
+	faults []string
+	// results maps the handles that exist to what made them.
+	results map[string]result
+	made    int
+	freed   int
+}
+
+// result is the result of one piece.
+type result struct {
+	request string
+	stage   int
+	piece   int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{results: map[string]result{}} }
+
+func (l *Ledger) ran(r Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, r)
+}
+
+func (l *Ledger) fault(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+}
+
+// Runs returns the executions of a request.
+func (l *Ledger) Runs(request string) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var runs []Run
+	for _, r := range l.runs {
+		if r.Request == request {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
+// Faults returns what replicas found wrong with what they were sent.
+func (l *Ledger) Faults() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.faults...)
+}
+
+// Results returns how many results of stages were made, freed and are held.
+func (l *Ledger) Results() (made, freed, held int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.made, l.freed, len(l.results)
+}
