--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,95 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+var _ = Describe("routes", func() {
+	route := func(name, host, prefix string) *catalog.Route {
+		return &catalog.Route{Name: name, Host: host, Prefix: prefix}
+	}
+	config := catalog.NewConfig(1, []*catalog.Route{
+		route("short", "one.example", "/a/"), route("long", "one.example", "/a/b/"),
+		route("other", "two.example", "/"),
+	}, nil, nil, catalog.Limits{})
+
+	DescribeTable("are found by host and longest prefix", func(host, path, want string) {
+		r := config.Match(host, path)
+		if want == "" {
+			Expect(r).To(BeNil())
+			return
+		}
+		Expect(r.Name).To(Equal(want))
+	},
+		Entry("longest", "one.example", "/a/b/c", "long"),
+		Entry("shorter", "one.example", "/a/bc", "short"),
+		Entry("with a port", "one.example:8080", "/a/", "short"),
+		Entry("host in capitals", "ONE.example", "/a/", "short"),
+		Entry("all paths", "two.example", "/x", "other"),
+		Entry("no slash at the end of the prefix", "one.example", "/a", ""),
+		Entry("other host", "three.example", "/a/", ""),
+	)
+
+	DescribeTable("split requests by weight", func(draw float64, want string) {
+		r := &catalog.Route{Split: []catalog.Target{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}}
+		Expect(r.Target(draw)).To(Equal(want))
+	},
+		Entry("first", 0.0, "x"), Entry("still first", 0.89, "x"), Entry("second", 0.91, "y"), Entry("last", 0.9999, "y"),
+	)
+
+	DescribeTable("say what may be repeated", func(r catalog.Route, want bool) {
+		Expect(r.MayRepeat()).To(Equal(want))
+	},
+		Entry("idempotent", catalog.Route{Repeat: catalog.Idempotent}, true),
+		Entry("at most once", catalog.Route{Repeat: catalog.AtMostOnce}, false),
+		Entry("stream", catalog.Route{Streaming: true, Repeat: catalog.Idempotent}, false),
+		Entry("resumable stream", catalog.Route{Streaming: true, Resumable: true}, true),
+	)
+})
+
+var _ = Describe("the registry", func() {
+	start := time.Unix(1000, 0)
+	one, two := catalog.Replica{ID: "one"}, catalog.Replica{ID: "two"}
+
+	It("forgets what the store no longer lists", func() {
+		var g catalog.Registry
+		g.Update(start, []catalog.Replica{one, two})
+		g.Update(start.Add(time.Second), []catalog.Replica{two})
+		Expect(g.Replicas()).To(HaveLen(1))
+	})
+
+	It("keeps entries that lapsed while the store was away until two seconds after its return", func() {
+		var g catalog.Registry
+		g.Update(start, []catalog.Replica{one, two})
+		back := start.Add(10 * time.Second)
+		g.Update(back, []catalog.Replica{two})
+		Expect(g.Replicas()).To(HaveLen(2))
+		g.Update(back.Add(time.Second), []catalog.Replica{two})
+		Expect(g.Replicas()).To(HaveLen(2))
+		g.Update(back.Add(2*time.Second), []catalog.Replica{two})
+		Expect(g.Replicas()).To(HaveLen(1))
+	})
+
+	It("takes over what another host keeps", func() {
+		var g catalog.Registry
+		g.Update(start, []catalog.Replica{one})
+		g.Adopt(start.Add(9*time.Second), []catalog.Replica{two})
+		Expect(g.Replicas()).To(HaveKey("two"))
+		g.Adopt(start.Add(10*time.Second), nil)
+		Expect(g.Replicas()).To(HaveLen(1))
+		By("not taking its own next read for the return of the store")
+		g.Update(start.Add(11*time.Second), []catalog.Replica{one})
+		Expect(g.Replicas()).To(And(HaveLen(1), HaveKey("one")))
+	})
+})
