Test discovery and fleet; ask a host that has just started again soon

A host that the store turns away asked its fellow before that had read anything and then avoided it for two seconds (its test failed first); a refusal at once is now forgotten after 300 ms.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -60,8 +60,10 @@
 	// newsGrace is how much later than newsWait an answer may come.
 	newsGrace = 250 * time.Millisecond
 	// avoidFor is how long a host whose news were too old, or that did not
-	// answer, is not asked.
-	avoidFor = 2 * time.Second
+	// answer, is not asked, avoidStarting how long one that refused at once:
+	// it may have started a moment ago.
+	avoidFor      = 2 * time.Second
+	avoidStarting = 300 * time.Millisecond
 )
 
 // Discovery keeps the view. All methods are safe for concurrent use.
@@ -185,7 +187,7 @@
 }
 
 // avoid keeps from asking a host for a while.
-func (d *Discovery) avoid(host string) {
+func (d *Discovery) avoid(host string, wait time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -194,7 +196,7 @@
 			delete(d.avoided, h)
 		}
 	}
-	d.avoided[host] = now.Add(avoidFor)
+	d.avoided[host] = now.Add(wait)
 }
 
 // read reads the store and says whether that succeeded.
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,135 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/peer"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+var nextIP atomic.Uint32
+
+// address is one that no other test process uses.
+func address() string {
+	return fmt.Sprintf("127.%d.%d.%d:7401", 2+os.Getpid()>>8&0x7f, os.Getpid()&0xff, nextIP.Add(1))
+}
+
+func start(self string, capacity int, seeds ...string) (*fleet.Fleet, func()) {
+	f, err := fleet.New(fleet.Config{
+		Self:  fleet.Host{Host: member.Host{Name: self, FailureDomain: "x"}, Capacity: capacity},
+		Seeds: seeds, Listen: self, Mux: peer.NewMux(), Logger: zap.NewNop(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	stop := func() { cancel(); <-done }
+	DeferCleanup(stop)
+	return f, stop
+}
+
+func names(f *fleet.Fleet) func() []string {
+	return func() []string {
+		var out []string
+		for _, h := range f.Reachable() {
+			out = append(out, h.Name)
+		}
+		return out
+	}
+}
+
+var _ = Describe("a fleet", func() {
+	It("is found through one seed of three, the others being down", func() {
+		a, b, c, gone := address(), address(), address(), address()
+		first, _ := start(a, 1, gone, a)
+		second, _ := start(b, 1, gone, a)
+		third, _ := start(c, 1, gone, a)
+		for _, f := range []*fleet.Fleet{first, second, third} {
+			Eventually(names(f), "5s").Should(ConsistOf(a, b, c))
+		}
+	})
+
+	It("takes seeds for the fleet until one has answered", func() {
+		self, seed := address(), address()
+		f, _ := start(self, 1, seed)
+		Expect(names(f)()).To(ConsistOf(self, seed))
+	})
+
+	It("agrees on who ranks first: capacity, then the start of the process", func() {
+		a, b, c := address(), address(), address()
+		first, _ := start(a, 1, a)
+		time.Sleep(5 * time.Millisecond)
+		start(b, 1, a)
+		time.Sleep(5 * time.Millisecond)
+		third, _ := start(c, 4, a)
+		for _, f := range []*fleet.Fleet{first, third} {
+			Eventually(names(f), "5s").Should(HaveLen(3))
+			Expect(ranked(f)).To(Equal([]string{c, a, b}))
+		}
+	})
+
+	It("leaves out a host that is leaving, and one that is dead", func() {
+		a, b, c := address(), address(), address()
+		first, _ := start(a, 1, a)
+		second, _ := start(b, 1, a)
+		_, stop := start(c, 1, a)
+		Eventually(names(first), "5s").Should(ConsistOf(a, b, c))
+		second.Leave()
+		Eventually(names(first), "5s").Should(ConsistOf(a, c))
+		stop()
+		Eventually(names(first), "20s").Should(ConsistOf(a))
+	})
+
+	It("knows a host again that has restarted", func() {
+		a, b := address(), address()
+		first, _ := start(a, 1, a)
+		_, stop := start(b, 1, a)
+		Eventually(names(first), "5s").Should(ConsistOf(a, b))
+		before := incarnation(first, b)
+		stop()
+		time.Sleep(5 * time.Millisecond)
+		start(b, 1, a)
+		Eventually(func() uint64 { return incarnation(first, b) }, "5s").Should(BeNumerically(">", before))
+		Eventually(names(first), "5s").Should(ConsistOf(a, b))
+	})
+})
+
+func incarnation(f *fleet.Fleet, name string) uint64 {
+	for _, h := range f.Reachable() {
+		if h.Name == name {
+			return h.Incarnation
+		}
+	}
+	return 0
+}
+
+func ranked(f *fleet.Fleet) []string {
+	hosts := f.Reachable()
+	var out []string
+	for len(hosts) > 0 {
+		best := 0
+		for i := range hosts {
+			if hosts[i].Before(&hosts[best]) {
+				best = i
+			}
+		}
+		out = append(out, hosts[best].Name)
+		hosts = append(hosts[:best], hosts[best+1:]...)
+	}
+	return out
+}
--- a/peer/mux.go
+++ b/peer/mux.go
@@ -66,3 +66,21 @@
 	defer m.mu.RUnlock()
 	return m.handlers[method]
 }
+
+// CallLocal calls a method of a mux in this process, for tests that need no
+// sessions.
+func CallLocal(ctx context.Context, m *Mux, from, method string, req, resp proto.Message) error {
+	h := m.lookup(method)
+	if h == nil {
+		return fmt.Errorf("%w: %s", ErrUnknownMethod, method)
+	}
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	answer, err := h(ctx, Sender{Host: from, SentAt: time.Now()}, payload)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(answer, resp)
+}
