--- /dev/null
+++ b/stages/stages_test.go
@@ -0,0 +1,320 @@
+package stages_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/faultrelay"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/stages"
+)
+
+func TestStages(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "stages")
+}
+
+// replicas make pieces at once and remember who asked for them.
+type replicas struct {
+	mu     sync.Mutex
+	work   time.Duration
+	by     map[string]int // pieces made for each planner
+	held   map[string]string
+	faults []string
+	made   int
+}
+
+// asked is one planner's way to the replicas.
+type asked struct {
+	*replicas
+	planner string
+}
+
+func (r asked) RunPieces(ctx context.Context, a stage.Run) ([]stage.Result, stage.CallOutcome, error) {
+	r.mu.Lock()
+	work := r.work
+	r.mu.Unlock()
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+		return nil, stage.CallFailed, ctx.Err()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []stage.Result
+	for _, p := range a.Pieces {
+		if r.gone(p) {
+			out = append(out, stage.Result{Kind: stage.InputGone})
+			continue
+		}
+		r.made++
+		r.by[r.planner]++
+		handle := fmt.Sprint("h", r.made)
+		r.held[handle] = p.Job
+		out = append(out, stage.Result{Handle: handle})
+	}
+	return out, stage.CallAnswered, nil
+}
+
+// gone says whether an input of a piece no longer exists, and notes inputs of
+// other jobs.
+func (r *replicas) gone(p stage.Piece) bool {
+	for _, in := range p.Inputs {
+		owner, held := r.held[in]
+		if !held {
+			return true
+		}
+		if owner != p.Job {
+			r.faults = append(r.faults, fmt.Sprintf("%s was given %s of %q", p.Job, in, owner))
+		}
+	}
+	return false
+}
+
+func (r asked) FreeResults(_ context.Context, a stage.Free) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range a.Handles {
+		if _, ok := r.held[h]; !ok {
+			r.faults = append(r.faults, "freed twice: "+h)
+		}
+		delete(r.held, h)
+	}
+	return nil
+}
+
+func (r *replicas) holds() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.held)
+}
+
+func (r *replicas) madeBy(planner string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.by[planner]
+}
+
+// members are the hosts that a daemon believes in; ranks follow their order.
+type members struct{ names atomic.Pointer[[]string] }
+
+func (m *members) Reachable() []fleet.Host {
+	var out []fleet.Host
+	for i, n := range *m.names.Load() {
+		out = append(out, fleet.Host{Host: member.Host{Name: n}, Incarnation: uint64(i + 1)})
+	}
+	return out
+}
+
+var nextIP atomic.Uint32
+
+func address() string {
+	return fmt.Sprintf("127.%d.%d.%d:7402", 2+os.Getpid()>>8&0x7f, os.Getpid()&0xff, nextIP.Add(1))
+}
+
+// node is one daemon.
+type node struct {
+	name      string
+	service   *stages.Service
+	transport *peer.Transport
+	relay     *faultrelay.Relay
+}
+
+// newNodes starts daemons that call each other over sessions, each through a
+// relay that can cut and silence it.
+func newNodes(r *replicas, n int) ([]*node, *members) {
+	m := &members{}
+	var names []string
+	var nodes []*node
+	for range n {
+		names = append(names, address())
+	}
+	m.names.Store(&names)
+	relays := map[string]*faultrelay.Relay{}
+	for _, name := range names {
+		relay, err := faultrelay.New(faultrelay.Config{Listen: "127.0.0.1:0", Target: "127.0.0.1:1"})
+		Expect(err).NotTo(HaveOccurred())
+		relays[name] = relay
+	}
+	for _, name := range names {
+		relay := relays[name]
+		mux := peer.NewMux()
+		t, err := peer.NewTransport(peer.Config{
+			Host: name, Incarnation: 1, Listen: "127.0.0.1:0", Plaintext: true, Mux: mux, Logger: zap.NewNop(),
+			Resolve: func(host string) (string, bool) {
+				if r := relays[host]; r != nil {
+					return r.Address(), true
+				}
+				return "", false
+			},
+			DialTimeout: 200 * time.Millisecond, SilenceTimeout: 200 * time.Millisecond, MaxBackoff: 100 * time.Millisecond,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		relay.SetTarget(t.Addr())
+		s := stages.New(stages.Config{
+			Self: name, Replicas: asked{r, name}, Members: m, Caller: t, Mux: mux, Logger: zap.NewNop(),
+		})
+		s.Configure(services(), listed())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); s.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done; _ = t.Close(); _ = relay.Close() })
+		nodes = append(nodes, &node{name, s, t, relay})
+	}
+	return nodes, m
+}
+
+func services() map[string]*catalog.Service {
+	pieces := &catalog.Pieces{Concurrency: 1, Batch: 20, CallTime: 20 * time.Millisecond, PieceTime: time.Millisecond}
+	return map[string]*catalog.Service{"a": {Name: "a", Pieces: pieces}, "b": {Name: "b", Pieces: pieces}}
+}
+
+func listed() []catalog.Replica {
+	var out []catalog.Replica
+	for i := range 3 {
+		for _, s := range []string{"a", "b"} {
+			out = append(out, catalog.Replica{ID: fmt.Sprint(s, i), Service: s, Address: "replica", FailureDomain: "x", Concurrency: 1})
+		}
+	}
+	return out
+}
+
+func newReplicas() *replicas {
+	return &replicas{work: 20 * time.Millisecond, by: map[string]int{}, held: map[string]string{}}
+}
+
+func job(id string) stage.Job {
+	return stage.Job{
+		ID: id, Key: "k", Due: time.Now().Add(4 * time.Second), Deadline: time.Now().Add(5 * time.Second),
+		Stages: []stage.Stage{{Service: "a", Pieces: 2}, {Service: "b", After: []int{0}, Pieces: 3}},
+	}
+}
+
+// prepare has a job made and fails the test without results.
+func prepare(n *node, id string) stage.Ready {
+	GinkgoHelper()
+	end := n.service.Prepare(context.Background(), job(id))
+	Expect(end).NotTo(BeNil())
+	Expect(end.Refused).To(BeNil())
+	Expect(end.Ready.Handles).To(HaveLen(3))
+	return end.Ready
+}
+
+var _ = Describe("planning together", func() {
+	It("has one daemon plan for all, and frees every result in the end", func() {
+		r := newReplicas()
+		nodes, _ := newNodes(r, 3)
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				id := fmt.Sprint("job-", i)
+				prepare(nodes[i%3], id)
+				nodes[i%3].service.Release(id)
+			})
+		}
+		wg.Wait()
+		Expect(r.madeBy(nodes[0].name)).To(Equal(150))
+		Eventually(r.holds, "2s").Should(BeZero())
+		Expect(r.faults).To(BeEmpty())
+	})
+
+	DescribeTable("hands the jobs of a lost planner to the next", func(lose func(n *node)) {
+		r := newReplicas()
+		r.work = 300 * time.Millisecond
+		nodes, _ := newNodes(r, 3)
+		prepare(nodes[2], "before")
+		began := time.Now()
+		done := make(chan stage.Ready, 1)
+		go func() {
+			defer GinkgoRecover()
+			done <- prepare(nodes[2], "under-way")
+		}()
+		time.Sleep(100 * time.Millisecond)
+		lose(nodes[0])
+		Eventually(done, "4s").Should(Receive())
+		Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+		Expect(r.madeBy(nodes[1].name)).To(BeNumerically(">", 0), "the next in rank plans")
+		Expect(r.faults).To(BeEmpty())
+	},
+		Entry("that has died", func(n *node) { _ = n.transport.Close(); _ = n.relay.Close() }),
+		Entry("that is cut off", func(n *node) { n.relay.Set(faultrelay.Conditions{Cut: true}) }),
+		Entry("that stands still", func(n *node) {
+			n.relay.Set(faultrelay.Conditions{ToTarget: faultrelay.Direction{Blackhole: true}, ToCaller: faultrelay.Direction{Blackhole: true}})
+		}),
+	)
+
+	It("plans alone when nobody can be reached", func() {
+		r := newReplicas()
+		nodes, m := newNodes(r, 1)
+		m.names.Store(&[]string{address(), address(), nodes[0].name})
+		began := time.Now()
+		prepare(nodes[0], "alone")
+		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+		Expect(r.madeBy(nodes[0].name)).To(Equal(5))
+	})
+
+	It("drops the jobs of a daemon that has fallen silent, and what was made for them", func() {
+		r := newReplicas()
+		r.work = 500 * time.Millisecond
+		nodes, _ := newNodes(r, 2)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go nodes[1].service.Prepare(ctx, job("orphan"))
+		Eventually(func() int { return nodes[0].service.Dump().Planned }, "1s").Should(Equal(1))
+		_ = nodes[1].transport.Close()
+		_ = nodes[1].relay.Close()
+		cancel()
+		Eventually(func() int { return nodes[0].service.Dump().Planned }, "5s").Should(BeZero())
+		Eventually(r.holds, "3s").Should(BeZero())
+	})
+
+	It("gives a job up with its request, and makes no further call for it", func() {
+		r := newReplicas()
+		r.work = 100 * time.Millisecond
+		nodes, _ := newNodes(r, 2)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		Expect(nodes[1].service.Prepare(ctx, job("left"))).To(BeNil())
+		Expect(errors.Is(ctx.Err(), context.DeadlineExceeded)).To(BeTrue())
+		Eventually(r.holds, "1s").Should(BeZero())
+		time.Sleep(200 * time.Millisecond)
+		Expect(r.madeBy(nodes[0].name)).To(BeNumerically("<=", 2), "the second stage is not made")
+	})
+
+	It("hears refusals of the planner", func() {
+		r := newReplicas()
+		nodes, _ := newNodes(r, 2)
+		j := job("late")
+		j.Due = time.Now().Add(-time.Second)
+		end := nodes[1].service.Prepare(context.Background(), j)
+		Expect(end.Refused).NotTo(BeNil())
+		Expect(end.Refused.Reason).To(Equal(stage.ReasonOverload))
+		Expect(end.Refused.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("refuses while no services are known", func() {
+		mux := peer.NewMux()
+		m := &members{}
+		m.names.Store(&[]string{"self"})
+		s := stages.New(stages.Config{
+			Self: "self", Replicas: asked{newReplicas(), "self"}, Members: m, Mux: mux, Logger: zap.NewNop(),
+		})
+		end := s.Prepare(context.Background(), job("early"))
+		Expect(end.Refused.Reason).To(Equal(stage.ReasonNoReplica))
+	})
+})
