Divide the fleet's budget of repeats by the daemons that are known; test the gateway

Cause: budgets began empty, so that the first idempotent requests of a daemon were not repeated (tests of the gateway failed first), and slack was divided by a constant of 8 also among 80 daemons. core/retry.Shared holds a part that keeps any window within ratio and slack, however requests are spread.

--- /dev/null
+++ b/core/retry/shared_test.go
@@ -0,0 +1,86 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/retry"
+)
+
+var _ = Describe("a part of the fleet's budget", func() {
+	const window = 10 * time.Second
+	start := time.Unix(1000, 0)
+
+	It("allows repeats from the start", func() {
+		b := retry.NewShared(0.2, 54, window, 7)
+		b.Deposit(start)
+		Expect(b.Withdraw(start)).To(BeTrue())
+		Expect(b.Stats().Taken).To(Equal(uint64(1)))
+	})
+
+	It("keeps the fleet within ratio and slack in every window, however the requests are spread", func() {
+		for seed := range uint64(20) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			hosts := 1 + rng.IntN(12)
+			fleet := make([]*retry.Shared, hosts)
+			for i := range fleet {
+				fleet[i] = retry.NewShared(0.2, 54, window, hosts)
+			}
+			type event struct {
+				at    time.Time
+				extra bool
+			}
+			var events []event
+			now := start
+			for range 20_000 {
+				now = now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
+				b := fleet[rng.IntN(1+rng.IntN(hosts))]
+				if rng.IntN(3) == 0 {
+					b.Deposit(now)
+					events = append(events, event{now, false})
+				} else if b.Withdraw(now) {
+					events = append(events, event{now, true})
+				}
+			}
+			firsts, extras, from := 0, 0, 0
+			for _, e := range events {
+				if e.extra {
+					extras++
+				} else {
+					firsts++
+				}
+				for ; events[from].at.Before(e.at.Add(-window)); from++ {
+					if events[from].extra {
+						extras--
+					} else {
+						firsts--
+					}
+				}
+				Expect(float64(extras)).To(BeNumerically("<=", 0.2*float64(firsts)+54+1), "seed %d", seed)
+			}
+		}
+	})
+
+	It("allows what first attempts bring also where the slack is less than one a daemon", func() {
+		b := retry.NewShared(0.2, 10, window, 400)
+		for range 5 {
+			b.Deposit(start)
+		}
+		Expect(b.Withdraw(start)).To(BeTrue())
+		Expect(b.Withdraw(start)).To(BeFalse())
+	})
+
+	It("divides by the daemons that are known", func() {
+		b := retry.NewShared(0, 40, window, 1)
+		b.SetHosts(10)
+		n := 0
+		for b.Withdraw(start) {
+			n++
+		}
+		Expect(n).To(Equal(2))
+		Expect(b.Withdraw(start.Add(window))).To(BeTrue(), "half of the part comes back in a window")
+	})
+})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,6 +115,10 @@
 // not be changed.
 func (f *Fleet) Members() []member.Member { return f.loop.View().Members }
 
+// Size returns the number of hosts that were heard of, dead ones of the last
+// minutes included.
+func (f *Fleet) Size() int { return f.roster.size() }
+
 // Reachable returns the hosts that may be called: all that were heard of but
 // for those that are believed dead or leaving. While none but this host is
 // known, the seeds stand in for the fleet.
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// size returns the number of hosts.
+func (r *roster) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.hosts)
+}
+
 // all returns the hosts sorted by name.
 func (r *roster) all() []Host {
 	r.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,7 @@
 	fleet   *fleet.Fleet
 	found   *discovery.Discovery
 	stages  *stages.Service
-	budgets sync.Map // service name to *retry.Budget
+	budgets sync.Map // service name to *retry.Shared
 	inputs  inputsHold
 	firsts  sync.Map // route name to *smoothed, the time to a stream's first event
 }
@@ -210,19 +210,23 @@
 	g.log.Info("drained")
 }
 
-// budget returns the budget of repeats to a service.
+// budget returns this daemon's part of the budget of repeats to a service.
 func (g *Gateway) budget(service string) request.Budget {
+	hosts := max(g.fleet.Size(), assumedHosts)
 	if b, ok := g.budgets.Load(service); ok {
-		return b.(*retry.Budget)
+		shared := b.(*retry.Shared)
+		shared.SetHosts(hosts)
+		return shared
 	}
 	s := g.settings.Load().Budget
-	b, _ := g.budgets.LoadOrStore(service, retry.New(budgetShare*s.Ratio, 0, max(1, budgetShare*s.Slack/assumedHosts)))
-	return b.(*retry.Budget)
+	b, _ := g.budgets.LoadOrStore(service, retry.NewShared(budgetShare*s.Ratio, budgetShare*s.Slack, s.Window, hosts))
+	return b.(*retry.Shared)
 }
 
 const (
-	// budgetShare is the part of the fleet's budget of repeats that is used.
+	// budgetShare is the part of the fleet's budget of repeats that is used:
+	// daemons that restart begin with a full part.
 	budgetShare = 0.7
-	// assumedHosts divides the slack of the fleet's budget.
-	assumedHosts = 8
+	// assumedHosts divides the slack while fewer daemons are known.
+	assumedHosts = 6
 )
--- /dev/null
+++ b/gateway/site_test.go
@@ -0,0 +1,202 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/gateway"
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+// The services and routes of the tests.
+const (
+	host     = "api.example"
+	sealPath = "/seal/"
+	safePath = "/safe/"
+	onePath  = "/stream/"
+	goOnPath = "/resume/"
+)
+
+var nextIP atomic.Uint32
+
+func address(port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 2+os.Getpid()>>8&0x7f, os.Getpid()&0xff, nextIP.Add(1), port)
+}
+
+// fixture is a site with one gateway, or several.
+type fixture struct {
+	store    *site.Store
+	ledger   *site.Ledger
+	address  string // of the store
+	replicas map[string]*site.Replica
+	version  int
+	keys     []string
+}
+
+func newFixture() *fixture {
+	f := &fixture{store: site.NewStore(), ledger: site.NewLedger(), replicas: map[string]*site.Replica{}, keys: []string{"key-1"}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	DeferCleanup(server.Close)
+	f.address = l.Addr().String()
+	f.add("p1", "plain", site.Plain)
+	f.add("p2", "plain", site.Plain)
+	f.add("e1", "llm", site.Engine)
+	f.add("e2", "llm", site.Engine)
+	f.add("s1", "encode", site.Stage)
+	f.add("s2", "encode", site.Stage)
+	f.configure()
+	return f
+}
+
+// add starts a replica and registers it.
+func (f *fixture) add(id, service string, kind site.Kind) *site.Replica {
+	r, err := site.StartReplica(f.ledger, id, service, kind, "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(r.Close)
+	f.replicas[id] = r
+	f.register(r, "ready")
+	return r
+}
+
+func (f *fixture) register(r *site.Replica, phase string) {
+	f.store.Put("servers/"+r.ID, map[string]any{
+		"service": r.Service, "address": r.Address(), "zone": "x", "concurrency": 8, "phase": phase, "seq": 1,
+	})
+}
+
+// behave makes all replicas of a service behave so.
+func (f *fixture) behave(service string, b site.Behaviour) {
+	for _, r := range f.replicas {
+		if r.Service == service {
+			r.Behave(b)
+		}
+	}
+}
+
+// configure puts the next version of the configuration in the store.
+func (f *fixture) configure() {
+	f.version++
+	route := func(name, prefix, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "hostname": host, "prefix": prefix, "route_type": kind, "service": service, "attempts": 2,
+			"timeout_ms": 2000, "goal_ms": 500, "priority": 1,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	stages := []map[string]any{{"service": "encode", "after": []int{}, "bytes": 100}, {"service": "encode", "after": []int{0}, "bytes": 100}}
+	f.store.Put("op/config", map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("seal", sealPath, "unsafe", "plain", map[string]any{"attempts": 1}),
+			route("safe", safePath, "safe", "plain", nil),
+			route("open", "/open/", "safe", "plain", map[string]any{"public": true}),
+			route("stream", onePath, "streaming", "llm", map[string]any{"sticky": true, "attempts": 1}),
+			route("resume", goOnPath, "streaming", "llm", map[string]any{"resumable": true, "stages": stages}),
+		},
+		"services": []any{
+			map[string]any{"name": "plain", "max_conns": 50},
+			map[string]any{"name": "llm", "max_conns": 50, "engine": map[string]any{"concurrency": 8, "kv_capacity": 1000}},
+			map[string]any{"name": "encode", "max_conns": 50, "pieces": map[string]any{
+				"concurrency": 1, "queue": 2, "batch": 8, "call_ms": 10, "item_ms": 1, "headroom_mb": 1, "handle_ttl_s": 4}},
+		},
+		"limits":  map[string]any{"max_body_bytes": 1000},
+		"tenants": []any{map[string]any{"name": "firma", "api_keys": f.keys}},
+	})
+}
+
+// running is one gateway.
+type running struct {
+	callers, readiness string
+	stop               context.CancelFunc
+	done               chan error
+}
+
+// start starts a gateway.
+func (f *fixture) start(seeds ...string) *running {
+	self := address(7403)
+	s := &gateway.Settings{
+		Host: self, Name: "gw", FailureDomain: "x", Seeds: append(seeds, self),
+		Listen: gateway.Listen{Callers: address(7404), Readiness: address(7405), Peers: self},
+		Store:  gateway.Store{Address: f.address},
+		Bounds: gateway.Bounds{Drain: time.Second, Configuration: time.Second},
+		Drain:  gateway.Drain{Grace: 2 * time.Second},
+		Budget: gateway.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Limits: gateway.Limits{Processors: 1, ProcessorShare: 1, MemoryMB: 256},
+	}
+	g, err := gateway.New(s, zap.NewNop())
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{callers: s.Listen.Callers, readiness: s.Listen.Readiness, stop: cancel, done: make(chan error, 1)}
+	go func() {
+		r.done <- g.Run(ctx)
+		close(r.done)
+	}()
+	DeferCleanup(func() { cancel(); Eventually(r.done, "5s").Should(Or(Receive(), BeClosed())) })
+	return r
+}
+
+// ready waits until a gateway takes requests.
+func (r *running) ready() *running {
+	GinkgoHelper()
+	Eventually(r.status, "5s").Should(Equal(http.StatusOK))
+	return r
+}
+
+func (r *running) status() int {
+	resp, err := http.Get("http://" + r.readiness + "/-/readyz")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set when the answer ended before it was complete.
+	err error
+}
+
+var nextID atomic.Uint64
+
+// send sends a request and reads the whole answer; change may alter it.
+func (r *running) send(method, path, body string, change func(*http.Request)) (answer, string) {
+	GinkgoHelper()
+	id := fmt.Sprintf("%08x", nextID.Add(1))
+	req, err := http.NewRequest(method, "http://"+r.callers+path, bytes.NewReader([]byte(body)))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = host
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("X-Api-Key", "key-1")
+	req.Header.Set("Deadline-Ms", "2000")
+	if change != nil {
+		change(req)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}, id
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(raw), err}, id
+}
