--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -168,6 +168,15 @@
 	}
 }
 
+// removeAll takes pieces out of the queue.
+func (s *service) removeAll(pieces []*piece) {
+	taken := make(map[*piece]bool, len(pieces))
+	for _, p := range pieces {
+		taken[p] = true
+	}
+	s.queue = slices.DeleteFunc(s.queue, func(p *piece) bool { return taken[p] })
+}
+
 // overdue queues the pieces of calls that take too long a second time, for
 // another replica. The first result counts.
 func (m *Machine) overdue(now time.Time) {
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -17,8 +17,10 @@
 	job    *job
 	stage  int
 	pieces []*piece
-	// late says that the job cannot be on time any more.
-	late bool
+	// slack is how long the job may wait over so many calls; when it is
+	// negative the job cannot be on time any more.
+	slack time.Duration
+	calls int
 	// home is the failure domain in which the pieces are best made.
 	home string
 }
@@ -41,16 +43,16 @@
 		k := key{p.job, p.stage}
 		g := groups[k]
 		if g == nil {
-			slack, _ := p.job.slack(now)
-			g = &group{job: p.job, stage: p.stage, late: slack < 0, home: p.job.home(p.stage)}
+			g = &group{job: p.job, stage: p.stage, home: p.job.home(p.stage)}
+			g.slack, g.calls = p.job.slack(now)
 			groups[k] = g
 			out = append(out, g)
 		}
 		g.pieces = append(g.pieces, p)
 	}
 	slices.SortFunc(out, func(a, b *group) int {
-		if a.late != b.late {
-			if a.late {
+		if late := a.slack < 0; late != (b.slack < 0) {
+			if late {
 				return 1
 			}
 			return -1
@@ -63,16 +65,49 @@
 	return out
 }
 
+// pass is one look at the queue of a service: it is ordered once, however many
+// calls are made.
+type pass struct {
+	now    time.Time
+	s      *service
+	groups []*group
+	idle   []*replica
+	// waiting is the number of pieces in the groups.
+	waiting int
+	// ahead counts, by home, the pieces that wait there before the group that
+	// is looked at.
+	ahead map[string]int
+	// loads caches readerLoad by the reading service.
+	loads map[*service]map[string]float64
+}
+
 // dispatch calls idle replicas while there is work that should not wait.
 func (m *Machine) dispatch(now time.Time, s *service) {
-	for len(s.queue) > 0 {
-		idle := s.idleReplicas(now)
-		if len(idle) == 0 {
-			return
+	if len(s.queue) == 0 {
+		return
+	}
+	idle := s.idleReplicas(now)
+	if len(idle) == 0 {
+		return
+	}
+	ps := &pass{
+		now: now, s: s, groups: s.order(now), idle: idle, waiting: len(s.queue),
+		ahead: map[string]int{}, loads: map[*service]map[string]float64{},
+	}
+	for i := 0; i < len(ps.groups) && len(ps.idle) > 0; {
+		g := ps.groups[i]
+		if len(g.pieces) == 0 {
+			i++
+			continue
 		}
-		if !m.dispatchOne(now, s, idle) {
-			return
+		r := m.choose(ps, g)
+		if r == nil {
+			ps.ahead[g.home] += len(g.pieces)
+			i++
+			continue
 		}
+		m.run(now, r, m.fill(ps, r, ps.groups[i:]))
+		ps.idle = slices.DeleteFunc(ps.idle, func(o *replica) bool { return !o.idle(now) })
 	}
 }
 
@@ -86,46 +121,25 @@
 	return idle
 }
 
-// dispatchOne makes one call and says whether it did.
-func (m *Machine) dispatchOne(now time.Time, s *service, idle []*replica) bool {
-	queue := s.order(now)
-	ahead := map[string]int{}
-	for i, g := range queue {
-		r := m.choose(now, s, g, idle, ahead[g.home])
-		if r == nil {
-			ahead[g.home] += len(g.pieces)
-			continue
-		}
-		limit := s.chunk(queue[i:], len(idle), m.cfg.SplitShare)
-		m.run(now, r, m.fill(now, s, r, queue[i:], limit))
-		return true
-	}
-	return false
-}
-
 // chunk is the number of pieces of the next call: work is split over the idle
 // replicas once each has pieces for a good share of a call's fixed time.
-func (s *service) chunk(queue []*group, idle int, splitShare float64) int {
-	waiting := 0
-	for _, g := range queue {
-		waiting += len(g.pieces)
-	}
+func (ps *pass) chunk(splitShare float64) int {
+	f := ps.s.figures
 	least := 1
-	if s.figures.PieceTime > 0 {
-		least = int(float64(s.figures.CallTime)*splitShare/float64(s.figures.PieceTime)) + 1
+	if f.PieceTime > 0 {
+		least = int(float64(f.CallTime)*splitShare/float64(f.PieceTime)) + 1
 	}
-	each := (waiting + idle - 1) / idle
-	return min(s.figures.Batch, max(each, least))
+	each := (ps.waiting + len(ps.idle) - 1) / len(ps.idle)
+	return min(f.Batch, max(each, least))
 }
 
 // choose returns the idle replica for a group, or nil when waiting for one of
-// its home is better, or none has room. ahead is the number of pieces that wait
-// for that domain before this group.
-func (m *Machine) choose(now time.Time, s *service, g *group, idle []*replica, ahead int) *replica {
+// its home is better, or none has room.
+func (m *Machine) choose(ps *pass, g *group) *replica {
 	var home, other *replica
-	load := m.readerLoad(now, g)
-	for _, r := range idle {
-		if !r.fits(now, s.firstBytes(g)) || r.has(g.pieces[0]) {
+	load := m.readerLoad(ps, g)
+	for _, r := range ps.idle {
+		if !r.fits(ps.now, ps.s.firstBytes(g)) || r.has(g.pieces[0]) {
 			continue
 		}
 		if g.home == "" || r.FailureDomain == g.home {
@@ -137,7 +151,7 @@
 	if home != nil {
 		return home
 	}
-	if other != nil && s.homeWait(now, g, ahead) > m.crossing(now, g) {
+	if other != nil && ps.s.homeWait(ps.now, g, ps.ahead[g.home]) > m.crossing(g) {
 		return other
 	}
 	return nil
@@ -192,7 +206,7 @@
 // readerLoad returns, for each failure domain, the pieces that wait or will
 // wait there for each replica of the service that reads the group's results.
 // It is nil when no stage reads them: then the domain does not matter.
-func (m *Machine) readerLoad(now time.Time, g *group) map[string]float64 {
+func (m *Machine) readerLoad(ps *pass, g *group) map[string]float64 {
 	readers := g.job.stages[g.stage].readers
 	if len(readers) == 0 {
 		return nil
@@ -201,7 +215,11 @@
 	if reader == nil {
 		return nil
 	}
+	if load, ok := ps.loads[reader]; ok {
+		return load
+	}
 	load := map[string]float64{}
+	ps.loads[reader] = load
 	for _, j := range m.jobs {
 		for i := range j.stages {
 			st := &j.stages[i]
@@ -210,12 +228,12 @@
 			}
 		}
 	}
-	replicas := reader.usableByDomain(now)
+	replicas := reader.usableByDomain(ps.now)
 	for domain := range load {
 		load[domain] /= float64(max(1, replicas[domain]))
 	}
 	const unserved = 1e9 // a domain without a replica of the reader comes last
-	for _, r := range g.job.stages[g.stage].service.replicas {
+	for _, r := range ps.s.replicas {
 		if replicas[r.FailureDomain] == 0 {
 			load[r.FailureDomain] = unserved
 		}
@@ -226,10 +244,9 @@
 // crossing is the wait that is better than to let a group's bytes cross failure
 // domains, both what it reads and what its readers will: longer the more bytes
 // there are, and never so long that the job is late for it.
-func (m *Machine) crossing(now time.Time, g *group) time.Duration {
+func (m *Machine) crossing(g *group) time.Duration {
 	worth := time.Duration(float64(g.job.moved(g.stage)) / m.cfg.CrossingRate * float64(time.Millisecond))
-	slack, calls := g.job.slack(now)
-	return min(worth, time.Duration(m.cfg.SlackShare*float64(slack))/time.Duration(max(1, calls)))
+	return min(worth, time.Duration(m.cfg.SlackShare*float64(g.slack))/time.Duration(max(1, g.calls)))
 }
 
 // never is the wait for a domain without a usable replica.
@@ -256,34 +273,39 @@
 	return wait + time.Duration(rounds)*s.callTime(s.figures.Batch)
 }
 
-// fill collects the pieces of a call to r, best groups first, about limit of
-// them: whole groups as long as the call can hold them.
-func (m *Machine) fill(now time.Time, s *service, r *replica, queue []*group, limit int) []*piece {
+// fill takes the pieces of a call to r out of the groups, best first: whole
+// groups as long as the call can hold them.
+func (m *Machine) fill(ps *pass, r *replica, groups []*group) []*piece {
 	var pieces []*piece
 	var bytes int64
-	for i, g := range queue {
+	limit := ps.chunk(m.cfg.SplitShare)
+	for i, g := range groups {
 		if len(pieces) >= limit {
 			break
 		}
-		space := s.figures.Batch - len(pieces)
-		if i > 0 && (len(g.pieces) > space || !r.fits(now, bytes+g.bytes()) || m.waitsForHome(now, s, r, g)) {
+		space := ps.s.figures.Batch - len(pieces)
+		if len(g.pieces) == 0 || i > 0 && (len(g.pieces) > space || !r.fits(ps.now, bytes+g.bytes()) || m.waitsForHome(ps, r, g)) {
 			continue
 		}
-		for _, p := range g.pieces[:min(len(g.pieces), space)] {
-			if r.has(p) || len(pieces) > 0 && !r.fits(now, bytes+p.bytes()) {
+		var left []*piece
+		for k, p := range g.pieces {
+			if k >= space || r.has(p) || len(pieces) > 0 && !r.fits(ps.now, bytes+p.bytes()) {
+				left = append(left, p)
 				continue
 			}
 			pieces = append(pieces, p)
 			bytes += p.bytes()
 		}
+		g.pieces = left
 	}
+	ps.waiting -= len(pieces)
 	return pieces
 }
 
 // waitsForHome says whether a group that could join a call to r is better made
 // in its home a little later.
-func (m *Machine) waitsForHome(now time.Time, s *service, r *replica, g *group) bool {
-	return g.home != "" && g.home != r.FailureDomain && s.homeWait(now, g, 0) <= m.crossing(now, g)
+func (m *Machine) waitsForHome(ps *pass, r *replica, g *group) bool {
+	return g.home != "" && g.home != r.FailureDomain && ps.s.homeWait(ps.now, g, 0) <= m.crossing(g)
 }
 
 // run makes a call.
@@ -302,8 +324,8 @@
 		Call: c.id, Service: s.name, Replica: r.ID, Address: r.Address,
 		Timeout: time.Duration(m.cfg.TimeoutFactor*float64(expected)) + m.cfg.TimeoutSlack,
 	}
+	s.removeAll(pieces)
 	for _, p := range pieces {
-		s.remove(p)
 		p.state = running
 		p.calls++
 		p.at = r
@@ -340,11 +362,7 @@
 			consider(c.overdue)
 		}
 	}
-	for _, j := range m.jobs {
-		if !j.ready {
-			consider(j.Deadline)
-		}
-	}
+	consider(m.expiry)
 	for _, s := range m.services {
 		if len(s.queue) == 0 {
 			continue
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -14,6 +14,9 @@
 	jobs     map[string]*job
 	calls    map[uint64]*call
 	nextID   uint64
+	// expiry is not after the first deadline of a job that is not ready; zero
+	// without one.
+	expiry time.Time
 	// bias is the smoothed ratio of measured to predicted times of jobs.
 	bias    float64
 	seq     uint64
@@ -122,6 +125,7 @@
 	}
 	s.submitted = now
 	m.jobs[j.ID] = s
+	m.expires(j.Deadline)
 	m.advance(now, s)
 }
 
@@ -266,12 +270,27 @@
 
 // expire refuses jobs whose deadline has passed.
 func (m *Machine) expire(now time.Time) {
+	if m.expiry.IsZero() || now.Before(m.expiry) {
+		return
+	}
+	m.expiry = time.Time{}
 	for _, j := range m.jobs {
-		if !j.ready && !now.Before(j.Deadline) {
+		switch {
+		case j.ready:
+		case !now.Before(j.Deadline):
 			m.refuse(j, ReasonExpired, 0)
+		default:
+			m.expires(j.Deadline)
 		}
 	}
 }
 
+// expires notes the deadline of a job.
+func (m *Machine) expires(at time.Time) {
+	if m.expiry.IsZero() || at.Before(m.expiry) {
+		m.expiry = at
+	}
+}
+
 // current says whether a piece still belongs to a job that is planned.
 func (m *Machine) current(p *piece) bool { return m.jobs[p.job.ID] == p.job }
