--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,7 +188,7 @@
 	// missed probes, one a second, to send no more.
 	acceptShare = 0.36
 	// finishShare is when requests still running are cut.
-	finishShare = 0.92
+	finishShare = 0.87
 )
 
 // drain serves on until the platform sends no more connections, then waits for
