--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -107,6 +107,7 @@
 			continue
 		}
 		m.run(now, r, m.fill(ps, r, ps.groups[i:]))
+		clear(ps.loads)
 		ps.idle = slices.DeleteFunc(ps.idle, func(o *replica) bool { return !o.idle(now) })
 	}
 }
