--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -6,11 +6,11 @@
 // default.
 type Config struct {
 	// CrossingRate is the bytes of results that may cross failure domains to
-	// spare a millisecond of waiting. Default 1,000: results that cross are
+	// spare a millisecond of waiting. Default 600: results that cross are
 	// paid for, and a wait that does not make a job late costs nothing.
 	CrossingRate float64
 	// SlackShare is the part of a job's slack that may be spent on waiting for
-	// its own failure domain. Default 0.5.
+	// its own failure domain. Default 0.8.
 	SlackShare float64
 	// PriorityStep is how much later a job of the next lower priority is
 	// ranked. Default 2 s: what is more urgent goes first unless the other
@@ -33,7 +33,8 @@
 	// again. Default 40 ms.
 	BusyWait time.Duration
 	// SplitShare is the share of a call's fixed time that a call's pieces must
-	// take before work is split over idle replicas. Default 0.3.
+	// take before work is split over idle replicas. Default 0.8: in bursts
+	// many small calls leave no replica for the next stage.
 	SplitShare float64
 	// MinRetryAfter is the least wait told to a refused job. Default 300 ms.
 	MinRetryAfter time.Duration
@@ -46,8 +47,8 @@
 }
 
 func (c Config) withDefaults() Config {
-	orDefault(&c.CrossingRate, 1000)
-	orDefault(&c.SlackShare, 0.5)
+	orDefault(&c.CrossingRate, 600)
+	orDefault(&c.SlackShare, 0.8)
 	orDefault(&c.PriorityStep, 2*time.Second)
 	orDefault(&c.OverdueFactor, 1.6)
 	orDefault(&c.OverdueSlack, 120*time.Millisecond)
@@ -57,7 +58,7 @@
 	orDefault(&c.SuspectBase, 500*time.Millisecond)
 	orDefault(&c.SuspectMax, 8*time.Second)
 	orDefault(&c.BusyWait, 40*time.Millisecond)
-	orDefault(&c.SplitShare, 0.3)
+	orDefault(&c.SplitShare, 0.8)
 	orDefault(&c.MinRetryAfter, 300*time.Millisecond)
 	return c
 }
--- a/gateway/margin.go
+++ b/gateway/margin.go
@@ -19,7 +19,7 @@
 	firstWeight = 0.1
 	// firstFactor is the multiple of the mean that is set aside: the mean is
 	// exceeded by a third of all requests, twice the mean by few.
-	firstFactor = 1.5
+	firstFactor = 2.0
 	// maxFirstShare bounds what is set aside, as a share of the objective.
 	maxFirstShare = 0.4
 )
