--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -59,7 +59,6 @@
 	Claims    ClaimPolicy `yaml:"claims"`
 	Retry     RetryPolicy `yaml:"retry"`
 	Hedge     HedgePolicy `yaml:"hedge"`
-	Orders    OrderPolicy `yaml:"orders,omitempty"`
 	Pools     []Pool      `yaml:"pools" validate:"required,gte=1,dive"`
 	Pipelines []Pipeline  `yaml:"pipelines" validate:"required,gte=1,dive"`
 	Customers []Customer  `yaml:"customers" validate:"required,gte=1,dive"`
@@ -125,18 +124,10 @@
 	Quantile float64 `yaml:"quantile" validate:"gte=0,lt=1"`
 }
 
-// OrderPolicy governs the orders given to engines.
-type OrderPolicy struct {
-	// LoadsPerMinute bounds the loads of weights that all hosts together
-	// order; 0 is no bound.
-	LoadsPerMinute float64 `yaml:"loads_per_minute,omitempty" validate:"gte=0"`
-}
-
 // Supports says what the upstreams of a pool are able to do.
 type Supports struct {
 	Priority        bool `yaml:"priority"`
 	Cancellation    bool `yaml:"cancellation"`
-	Fencing         bool `yaml:"fencing"`
 	IdempotencyKeys bool `yaml:"idempotency_keys"`
 	StatusLookup    bool `yaml:"status_lookup"`
 }
--- a/bundle/bundletest/bundletest.go
+++ b/bundle/bundletest/bundletest.go
@@ -114,7 +114,7 @@
 		w.line("    kind: engine")
 		w.line("    model: model-%02d", i)
 		w.line(`    model_version: "1.%d"`, i)
-		w.line("    supports: {priority: true, cancellation: true, fencing: %t}", i%2 == 0)
+		w.line("    supports: {priority: true, cancellation: true}")
 		w.line("    concurrency: 16")
 		w.poolUpstreams(s, fmt.Sprintf("lm-%02d", i), share(engines, s.Models, i))
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,7 +28,6 @@
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/operator"
-	"github.com/wheatseam/wheatseam/orderer"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
@@ -63,7 +62,6 @@
 	records       *record.Store
 	kept          *results.Service
 	keptStore     *results.Store
-	orderer       *orderer.Orderer
 	claims        *claims.Service
 	claimsSettled atomic.Bool
 
@@ -98,7 +96,6 @@
 	}
 	d.addClaims()
 	d.addKept()
-	d.addOrderer()
 	return d, nil
 }
 
@@ -124,7 +121,6 @@
 	group.Go(func() error { d.tick(running); return nil })
 	group.Go(func() error { d.claims.Run(running); return nil })
 	group.Go(func() error { d.expireKept(running); return nil })
-	group.Go(func() error { d.orderer.Run(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
 	group.Go(func() error { d.exchangeLoads(running); return nil })
 	<-ctx.Done()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -147,7 +147,6 @@
 	d.sections.Register("failing_pools", func() any { return d.health.Open() })
 	d.sections.Register("claims", func() any { return d.claims.Dump() })
 	d.sections.Register("kept_results", func() any { return d.keptStore.Stats() })
-	d.sections.Register("orders", func() any { return d.orderer.Dump() })
 	d.sections.Register("retries", func() any { return d.budgets.Retry.Stats() })
 	d.sections.Register("hedges", func() any { return d.budgets.Hedge.Stats() })
 }
