--- a/peer/config.go
+++ b/peer/config.go
@@ -56,9 +56,9 @@
 	// addresses, so that plaintext may be spoken there: on the users' platform
 	// no secret reaches a machine.
 	PrivateNetwork bool
-	Resolve   Resolver
-	Mux       *Mux
-	Logger    *zap.Logger
+	Resolve        Resolver
+	Mux            *Mux
+	Logger         *zap.Logger
 	// Metrics is the set that the transport's counters are registered in.
 	Metrics *metrics.Set
 
