--- a/core/route/config.go
+++ b/core/route/config.go
@@ -37,6 +37,9 @@
 	// Window is the length of the two windows of the latency histograms.
 	// Default 15 s.
 	Window time.Duration
+	// Ejected hears of every ejection of an upstream of a pool, with its reason
+	// and end. It is called under a lock and must not block; nil for none.
+	Ejected func(pool, upstream, reason string, until time.Time)
 }
 
 // EjectionConfig parametrises the ejection of failing and straggling upstreams.
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -154,6 +154,9 @@
 	}
 	if !covered {
 		p.eject(now, st, c.Ejection)
+		if c.Ejected != nil && st.ejection.since.Equal(now) {
+			c.Ejected(p.name, o.Choice.Upstream, st.ejection.reason, st.ejection.until)
+		}
 	}
 }
 
--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -89,7 +89,22 @@
 	Predicted time.Duration
 }
 
-func (Run) isAction()     {}
-func (Free) isAction()    {}
-func (Ready) isAction()   {}
-func (Refused) isAction() {}
+// Suspected tells that a replica is avoided for a while.
+type Suspected struct {
+	Replica, Service string
+	// Why is how its call ended, or "overdue" while it has not.
+	Why string
+	// Failures counts those in a row.
+	Failures int
+	For      time.Duration
+}
+
+// Trusted tells that a replica that had failed has answered.
+type Trusted struct{ Replica, Service string }
+
+func (Suspected) isAction() {}
+func (Trusted) isAction()   {}
+func (Run) isAction()       {}
+func (Free) isAction()      {}
+func (Ready) isAction()     {}
+func (Refused) isAction()   {}
--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -19,6 +19,9 @@
 	}
 	switch e.Outcome {
 	case CallAnswered:
+		if r.failures > 0 {
+			m.act(Trusted{Replica: r.ID, Service: r.service.name})
+		}
 		r.failures, r.refusals = 0, 0
 		r.suspect = time.Time{}
 		r.measure(now.Sub(c.started), len(c.pieces))
@@ -27,14 +30,20 @@
 		r.refuse(now, m.cfg)
 		m.again(c, false)
 	case CallUnreachable:
-		r.fail(now, m.cfg)
+		m.suspect(now, r, e.Outcome.String())
 		m.again(c, false)
 	case CallFailed:
-		r.fail(now, m.cfg)
+		m.suspect(now, r, e.Outcome.String())
 		m.again(c, true)
 	}
 }
 
+// suspect avoids a replica for a while.
+func (m *Machine) suspect(now time.Time, r *replica, why string) {
+	r.fail(now, m.cfg)
+	m.act(Suspected{Replica: r.ID, Service: r.service.name, Why: why, Failures: r.failures, For: r.suspect.Sub(now)})
+}
+
 // again queues the pieces of a call that brought nothing. count says that the
 // call counts against their tries.
 func (m *Machine) again(c *call, count bool) {
@@ -185,7 +194,7 @@
 			continue
 		}
 		c.given = true
-		c.replica.fail(now, m.cfg)
+		m.suspect(now, c.replica, "overdue")
 		for _, p := range c.pieces {
 			if m.current(p) && p.state == running && p.calls == 1 && p.tries+1 < m.cfg.MaxTries {
 				p.tries++
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -30,10 +31,12 @@
 	arrived time.Time
 	req     platform.Request
 	config  *catalog.Config
-	route   *catalog.Route
-	tenant  *catalog.Tenant
-	service string
-	body    []byte
+	// viewAsOf is when what config holds was read.
+	viewAsOf time.Time
+	route    *catalog.Route
+	tenant   *catalog.Tenant
+	service  string
+	body     []byte
 	// ctx ends with the caller, its deadline or the route's timeout, whichever
 	// comes first; deadline is when the latter two do.
 	ctx      context.Context
@@ -58,6 +61,8 @@
 
 	preparedAt, firstAt time.Time
 	outcome             string
+	detail              string
+	retryAfter          time.Duration
 	status              int
 }
 
@@ -94,7 +99,7 @@
 	if !v.Ready() {
 		return retryable(problem.New(problem.NotReady, "no configuration is known yet"), retrySoon)
 	}
-	x.config = v.Config
+	x.config, x.viewAsOf = v.Config, v.AsOf
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	x.route = v.Config.Match(x.r.Host, path)
 	if x.route == nil {
@@ -264,7 +269,8 @@
 // refuse answers with an error of this system's own. Where the status promises
 // that nothing has run, nothing may run later either: no attempt is under way.
 func (x *exchange) refuse(e *problem.Error) {
-	x.outcome = string(e.Kind)
+	x.outcome, x.detail = string(e.Kind), e.Detail
+	x.retryAfter = e.RetryAfter
 	if e.Kind == problem.CallerGone {
 		return
 	}
@@ -283,7 +289,7 @@
 		zap.Duration("took", time.Since(x.arrived)), zap.Int("runs", x.runs), zap.Strings("replicas", x.tried),
 	}
 	if x.config != nil {
-		fields = append(fields, zap.Uint64("version", x.config.Version))
+		fields = append(fields, zap.Uint64("version", x.config.Version), zap.Duration("view_age", x.arrived.Sub(x.viewAsOf)))
 	}
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service), zap.Int("priority", x.priority()))
@@ -291,6 +297,9 @@
 	if x.tenant != nil {
 		fields = append(fields, zap.String("customer", x.tenant.Name))
 	}
+	if x.detail != "" {
+		fields = append(fields, zap.String("why", x.detail), zap.Duration("retry_after", x.retryAfter))
+	}
 	if !x.preparedAt.IsZero() {
 		fields = append(fields, zap.Duration("prepared", x.preparedAt.Sub(x.arrived)))
 	}
@@ -298,6 +307,12 @@
 		fields = append(fields, zap.Duration("first", x.firstAt.Sub(x.arrived)), zap.Int("events", x.events))
 	}
 	x.g.log.Info("request", fields...)
-	x.g.metrics.GetOrCreateCounter(`wheatseam_requests_total{outcome="` + x.outcome + `"}`).Inc()
+	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_requests_total{outcome=%q}", x.outcome)).Inc()
 	x.g.metrics.GetOrCreateHistogram("wheatseam_request_seconds").Update(time.Since(x.arrived).Seconds())
+	if !x.preparedAt.IsZero() {
+		x.g.metrics.GetOrCreateHistogram("wheatseam_stages_seconds").Update(x.preparedAt.Sub(x.arrived).Seconds())
+	}
+	if !x.firstAt.IsZero() {
+		x.g.metrics.GetOrCreateHistogram("wheatseam_first_event_seconds").Update(x.firstAt.Sub(x.arrived).Seconds())
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 
+	store   *platform.Store
 	router  *route.Router
 	client  *replica.Client
 	fleet   *fleet.Fleet
@@ -52,6 +53,7 @@
 	g.settings.Store(s)
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus,
+		Ejected: g.ejected,
 	})
 	mux := peer.NewMux()
 	fellows, err := fleet.New(fleet.Config{
@@ -65,10 +67,12 @@
 	g.stages = stages.New(stages.Config{
 		Self: s.Host, Replicas: g.client, Members: fellows, Caller: fellows.Caller(), Mux: mux, Logger: log,
 	})
+	g.store = platform.NewStore(s.Store.Address)
 	g.found = discovery.New(discovery.Config{
-		Self: s.Host, Store: platform.NewStore(s.Store.Address), Members: fellows, Caller: fellows.Caller(), Mux: mux,
+		Self: s.Host, Store: g.store, Members: fellows, Caller: fellows.Caller(), Mux: mux,
 		Logger: log, Bound: func() time.Duration { return g.settings.Load().Bounds.shortest() }, Changed: g.viewChanged,
 	})
+	g.addGauges()
 	return g, nil
 }
 
@@ -120,28 +124,6 @@
 	return err
 }
 
-// serveMetrics serves the metrics if they have an address. A port that is taken
-// costs the metrics only.
-func (g *Gateway) serveMetrics(ctx context.Context, group *errgroup.Group) {
-	address := g.settings.Load().Listen.Metrics
-	if address == "" {
-		return
-	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		g.log.Warn("metrics not served", zap.Error(err))
-		return
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		g.metrics.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-}
-
 // viewChanged passes a view on to what decides by it.
 func (g *Gateway) viewChanged(v *discovery.View) {
 	if !v.Ready() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,9 +7,12 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/load"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/replica"
@@ -35,6 +38,23 @@
 	abandoned
 )
 
+// String names the end in metrics and logs.
+func (e attemptEnd) String() string {
+	switch e {
+	case answered:
+		return "answered"
+	case notSent:
+		return "not_sent"
+	case notExecuted:
+		return "not_executed"
+	case inputsGone:
+		return "inputs_gone"
+	case abandoned:
+		return "abandoned"
+	}
+	return "failed"
+}
+
 const (
 	// maxFreeRepeats bounds the attempts of one request that did not run.
 	maxFreeRepeats = 3
@@ -148,6 +168,7 @@
 	t := &try{x: x, choice: choice, began: time.Now(), cancel: cancel}
 	end, err := t.run(ctx)
 	t.report(end)
+	t.log(end, err)
 	return end, err
 }
 
@@ -261,6 +282,25 @@
 	return false
 }
 
+// log writes the attempt's line: what decided on the replica, and how it ended.
+func (t *try) log(end attemptEnd, err *problem.Error) {
+	x := t.x
+	fields := []zap.Field{
+		logging.Request(x.req.ID), zap.Int("attempt", len(x.tried)), zap.String("service", x.service),
+		zap.String("replica", t.choice.Upstream), zap.String("failure_domain", t.choice.FailureDomain),
+		zap.String("inputs_in", x.domain), zap.Duration("view_age", t.began.Sub(x.viewAsOf)),
+		zap.Uint64("version", x.config.Version), zap.Duration("left", x.deadline.Sub(t.began)),
+		zap.Stringer("end", end), zap.Duration("took", time.Since(t.began)),
+	}
+	if !t.first.IsZero() {
+		fields = append(fields, zap.Duration("first", t.first.Sub(t.began)))
+	}
+	if err != nil {
+		fields = append(fields, zap.String("why", err.Detail))
+	}
+	x.g.log.Info("attempt", fields...)
+}
+
 // observe passes a replica's account of its load to the router.
 func (t *try) observe(l *platform.Load) {
 	if l != nil {
@@ -275,6 +315,7 @@
 	if !t.first.IsZero() {
 		o.FirstByte = t.first.Sub(t.began)
 	}
+	t.x.g.countAttempt(t.x.service, end, o.Latency)
 	switch end {
 	case answered:
 		o.Result = request.CallOK
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -229,7 +229,7 @@
 	}
 }
 
-// perform makes the calls that the machine decided on.
+// perform makes the calls that the machine decided on and logs what it believes.
 func (p *planner) perform(actions []stage.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -237,6 +237,11 @@
 			go p.call(a)
 		case stage.Free:
 			go p.free(a)
+		case stage.Suspected:
+			p.log.Warn("stage replica suspected", zap.String("service", a.Service), zap.String("replica", a.Replica),
+				zap.String("why", a.Why), zap.Int("failures", a.Failures), zap.Duration("for", a.For))
+		case stage.Trusted:
+			p.log.Info("stage replica trusted again", zap.String("service", a.Service), zap.String("replica", a.Replica))
 		}
 	}
 }
