--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -24,7 +24,7 @@
 		}
 		r.failures, r.refusals = 0, 0
 		r.suspect = time.Time{}
-		r.measure(now.Sub(c.started), len(c.pieces))
+		r.measure(now, now.Sub(c.started), len(c.pieces))
 		m.take(now, c, e.Results)
 	case CallNotExecuted:
 		r.refuse(now, m.cfg)
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -112,13 +112,31 @@
 	}
 }
 
+// idleReplicas returns the replicas that may be called now. Slow ones are left
+// out unless half of the usable ones are.
 func (s *service) idleReplicas(now time.Time) []*replica {
-	var idle []*replica
+	var idle, slow []*replica
+	usable, slowUsable := 0, 0
 	for _, r := range s.replicas {
-		if r.idle(now) {
+		if !r.usable(now) {
+			continue
+		}
+		usable++
+		isSlow := r.slow(now)
+		if isSlow {
+			slowUsable++
+		}
+		switch {
+		case !r.idle(now):
+		case isSlow:
+			slow = append(slow, r)
+		default:
 			idle = append(idle, r)
 		}
 	}
+	if 2*slowUsable >= usable {
+		idle = append(idle, slow...)
+	}
 	return idle
 }
 
@@ -144,9 +162,9 @@
 			continue
 		}
 		if g.home == "" || r.FailureDomain == g.home {
-			home = better(home, r, load)
+			home = better(ps.now, home, r, load)
 		} else {
-			other = better(other, r, load)
+			other = better(ps.now, other, r, load)
 		}
 	}
 	if home != nil {
@@ -184,7 +202,7 @@
 
 // better returns the replica with the better pace, then in the failure domain
 // with less work for the readers of the results, then with fewer bytes held.
-func better(a, b *replica, load map[string]float64) *replica {
+func better(now time.Time, a, b *replica, load map[string]float64) *replica {
 	switch {
 	case a == nil:
 		return b
@@ -193,9 +211,9 @@
 	}
 	const notable = 1.3 // paces closer than this count as equal
 	switch {
-	case b.pace*notable < a.pace:
+	case b.paceNow(now)*notable < a.paceNow(now):
 		return b
-	case a.pace*notable < b.pace:
+	case a.paceNow(now)*notable < b.paceNow(now):
 		return a
 	}
 	if c := cmp.Or(cmp.Compare(load[a.FailureDomain], load[b.FailureDomain]), cmp.Compare(a.used, b.used)); c > 0 {
--- a/core/stage/machine_test.go
+++ b/core/stage/machine_test.go
@@ -136,6 +136,28 @@
 		Expect(b.held).To(BeEmpty())
 	})
 
+	It("leave a slow replica alone for a while, and then try it again", func() {
+		b := newBench(figures(4, 0), "x", "x", "x")
+		slow := b.submit(b.chain("first", Stage{Service: "a", Pieces: 1}))[0]
+		b.now = b.now.Add(1500 * time.Millisecond)
+		b.answer(slow.Call)
+		b.finish()
+		for i := range 6 {
+			for _, r := range b.submit(b.chain(fmt.Sprint("j", i), Stage{Service: "a", Pieces: 4})) {
+				Expect(r.Replica).NotTo(Equal(slow.Replica))
+			}
+		}
+		b.finish()
+		b.pass(10 * time.Second)
+		var used []string
+		for i := range 3 {
+			for _, r := range b.submit(b.chain(fmt.Sprint("k", i), Stage{Service: "a", Pieces: 4})) {
+				used = append(used, r.Replica)
+			}
+		}
+		Expect(used).To(ContainElement(slow.Replica))
+	})
+
 	It("make inputs again that are gone", func() {
 		b := newBench(figures(4, 0), "x")
 		b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}, Stage{Service: "b", Pieces: 2}))
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"math"
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
@@ -35,8 +36,10 @@
 	calls  []*call
 	// used is the bytes of results made or being made there.
 	used int64
-	// pace is the smoothed ratio of measured to nominal call times there.
-	pace float64
+	// pace is the smoothed ratio of measured to nominal call times there, as of
+	// pacedAt; see paceNow.
+	pace    float64
+	pacedAt time.Time
 	// failures counts failures in a row, and suspect is until when the replica
 	// is avoided.
 	failures int
@@ -107,10 +110,29 @@
 	replicaPaceWeight = 0.4
 )
 
+const (
+	// paceMemory is the time in which what was measured of a slow replica
+	// counts for 1/e only, so that it is tried again.
+	paceMemory = 4 * time.Second
+	// slowRatio times the service's pace makes a replica a slow one: by then a
+	// call elsewhere, also after a wait for it, ends sooner.
+	slowRatio = 1.8
+)
+
+// paceNow is the replica's pace, fading to the service's.
+func (r *replica) paceNow(now time.Time) float64 {
+	fade := math.Exp(-float64(now.Sub(r.pacedAt)) / float64(paceMemory))
+	return r.service.pace + (r.pace-r.service.pace)*fade
+}
+
+// slow says whether calls take much longer than usual at the replica.
+func (r *replica) slow(now time.Time) bool { return r.paceNow(now) > slowRatio*r.service.pace }
+
 // measure takes the time of an answered call.
-func (r *replica) measure(took time.Duration, pieces int) {
+func (r *replica) measure(now time.Time, took time.Duration, pieces int) {
 	ratio := float64(took) / float64(r.service.nominal(pieces))
-	r.pace += replicaPaceWeight * (ratio - r.pace)
+	before := r.paceNow(now)
+	r.pace, r.pacedAt = before+replicaPaceWeight*(ratio-before), now
 	s := r.service
 	s.pace += servicePaceWeight * (min(ratio, 2) - s.pace)
 }
