A soak of our own; operations on the users' platform; settings held to template and docs

wheatseam soak runs gateway daemons as processes under seeded random faults and checks their promises.

--- a/cmd/wheatseam/main.go
+++ b/cmd/wheatseam/main.go
@@ -58,7 +58,7 @@
 	}
 	root.AddCommand(
 		newBundleCommand(), newCallCommand(), newCertsCommand(), newErrorsCommand(),
-		newReplayCommand(), newTraceCommand(),
+		newReplayCommand(), newSoakCommand(), newTraceCommand(),
 	)
 	root.AddCommand(newOperatorCommands()...)
 	return root
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -6,6 +6,9 @@
 	"go.uber.org/zap"
 )
 
+// Settings returns the settings in force; they must not be changed.
+func (g *Gateway) Settings() *Settings { return g.settings.Load() }
+
 // Reload takes changed settings. What a running process cannot change keeps its
 // old value, and a line says so.
 func (g *Gateway) Reload(next *Settings) {
--- /dev/null
+++ b/gateway/settings_test.go
@@ -0,0 +1,88 @@
+package gateway_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/gateway"
+	"github.com/wheatseam/wheatseam/internal/doccheck"
+)
+
+// rendered is the template as the platform fills it in, with one value changed.
+func rendered(from, to string) string {
+	raw, err := os.ReadFile("../deploy/settings.yaml.tmpl")
+	Expect(err).NotTo(HaveOccurred())
+	text := string(raw)
+	sections := regexp.MustCompile(`\{\{#zones\}\}.*\{\{/zones\}\}`)
+	text = sections.ReplaceAllString(text, `{failure_domain: "x", region: "r"}`)
+	for name, value := range map[string]string{
+		"listen.admin": "10.1.0.41:8628", "listen.public_addr": "10.1.0.41:8625", "listen.readiness": "10.1.0.41:8621",
+		"node_name": "edge-1", "zone": "x", "ip": "10.1.0.41", "seed_nodes|json": `["10.1.0.41:8628","10.2.0.25:8628"]`,
+		"platform.address": "10.200.1.7:8624", "bounds.drain_ms": "2000", "bounds.config_ms": "2000", "bounds.grace_s": "8",
+		"bounds.retry_ratio": "0.2", "bounds.retry_slack": "54", "bounds.retry_window_s": "10",
+		"limits.cpus": "1", "limits.cpu_quota": "0.4", "limits.memory_mb": "284",
+	} {
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
+	Expect(text).NotTo(ContainSubstring("{{"), "a placeholder that the test does not know")
+	if from != "" {
+		Expect(text).To(ContainSubstring(from))
+	}
+	return strings.Replace(text, from, to, 1)
+}
+
+func load(text string) (*gateway.Settings, error) {
+	path := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return gateway.LoadSettings(path)
+}
+
+var _ = Describe("settings", func() {
+	It("are what the deploy template renders", func() {
+		s, err := load(rendered("", ""))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Seeds).To(HaveLen(2))
+		Expect(s.Limits.ProcessorShare).To(Equal(0.4))
+		Expect(s.Regions).To(HaveLen(1))
+	})
+
+	DescribeTable("are refused with the place of the fault", func(from, to, want string) {
+		_, err := load(rendered(from, to))
+		Expect(err).To(MatchError(ContainSubstring(want)))
+	},
+		Entry("unknown key", "drain:", "dran:", "dran"),
+		Entry("no address", "10.200.1.7:8624", "store", "store.address"),
+		Entry("no time", `grace: "8s"`, `grace: "8"`, "drain.grace"),
+		Entry("no grace", `grace: "8s"`, `grace: "0s"`, "drain.grace"),
+		Entry("no seed's address", "10.2.0.25:8628", "edge-2", "seeds[1]"),
+		Entry("no failure domain", "failure_domain: \"x\"\nlisten", "failure_domain: \"\"\nlisten", "failure_domain"),
+		Entry("no processor", "processors: 1", "processors: 0", "limits.processors"),
+		Entry("negative budget", "ratio: 0.2", "ratio: -1", "budget"),
+	)
+
+	It("are listed in docs/CONFIGURATION.md, all and no other", func() {
+		listed, err := doccheck.ListedKeys("../docs/CONFIGURATION.md", "## Gateway settings")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listed).To(ConsistOf(doccheck.Keys(gateway.Settings{})))
+	})
+
+	It("can be taken anew; what a running process cannot change stays", func() {
+		s, err := load(rendered("", ""))
+		Expect(err).NotTo(HaveOccurred())
+		s.Listen.Peers, s.Host = address(7406), address(7407)
+		g, err := gateway.New(s, zap.NewNop())
+		Expect(err).NotTo(HaveOccurred())
+		next := *s
+		next.Drain.Grace *= 2
+		next.Host = "10.9.9.9:1"
+		g.Reload(&next)
+		Expect(g.Settings().Drain.Grace).To(Equal(next.Drain.Grace))
+		Expect(g.Settings().Host).To(Equal(s.Host))
+	})
+})
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -21,11 +21,11 @@
 
 // The services and routes of the tests.
 const (
-	host     = "api.example"
-	sealPath = "/seal/"
-	safePath = "/safe/"
-	onePath  = "/stream/"
-	goOnPath = "/resume/"
+	host     = site.Hostname
+	sealPath = site.SealPath
+	safePath = site.SafePath
+	onePath  = site.StreamPath
+	goOnPath = site.ResumePath
 )
 
 var nextIP atomic.Uint32
@@ -73,9 +73,7 @@
 }
 
 func (f *fixture) register(r *site.Replica, phase string) {
-	f.store.Put("servers/"+r.ID, map[string]any{
-		"service": r.Service, "address": r.Address(), "zone": "x", "concurrency": 8, "phase": phase, "seq": 1,
-	})
+	f.store.Put("servers/"+r.ID, site.Entry(r, phase))
 }
 
 // behave makes all replicas of a service behave so.
@@ -90,35 +88,13 @@
 // configure puts the next version of the configuration in the store.
 func (f *fixture) configure() {
 	f.version++
-	route := func(name, prefix, kind, service string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "hostname": host, "prefix": prefix, "route_type": kind, "service": service, "attempts": 2,
-			"timeout_ms": 2000, "goal_ms": 500, "priority": 1,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	stages := []map[string]any{{"service": "encode", "after": []int{}, "bytes": 100}, {"service": "encode", "after": []int{0}, "bytes": 100}}
-	f.store.Put("op/config", map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route("seal", sealPath, "unsafe", "plain", map[string]any{"attempts": 1}),
-			route("safe", safePath, "safe", "plain", nil),
-			route("open", "/open/", "safe", "plain", map[string]any{"public": true}),
-			route("stream", onePath, "streaming", "llm", map[string]any{"sticky": true, "attempts": 1}),
-			route("resume", goOnPath, "streaming", "llm", map[string]any{"resumable": true, "stages": stages}),
-		},
-		"services": []any{
-			map[string]any{"name": "plain", "max_conns": 50},
-			map[string]any{"name": "llm", "max_conns": 50, "engine": map[string]any{"concurrency": 8, "kv_capacity": 1000}},
-			map[string]any{"name": "encode", "max_conns": 50, "pieces": map[string]any{
-				"concurrency": 1, "queue": 2, "batch": 8, "call_ms": 10, "item_ms": 1, "headroom_mb": 1, "handle_ttl_s": 4}},
-		},
-		"limits":  map[string]any{"max_body_bytes": 1000},
-		"tenants": []any{map[string]any{"name": "firma", "api_keys": f.keys}},
+	c := site.Configuration(f.version, f.keys)
+	c["routes"] = append(c["routes"].([]any), map[string]any{
+		"name": "open", "hostname": host, "prefix": "/open/", "route_type": "safe", "service": "plain", "attempts": 2,
+		"timeout_ms": 2000, "goal_ms": 500, "priority": 1, "public": true,
 	})
+	c["limits"] = map[string]any{"max_body_bytes": 1000}
+	f.store.Put("op/config", c)
 }
 
 // running is one gateway.
--- /dev/null
+++ b/internal/standin/site/caller.go
@@ -0,0 +1,146 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The kinds of routes that Configuration has, by their prefix.
+const (
+	// SealPath requests may run once, SafePath ones again.
+	SealPath = "/seal/"
+	SafePath = "/safe/"
+	// StreamPath streams may run once, ResumePath ones may go on elsewhere and
+	// need stages.
+	StreamPath = "/stream/"
+	ResumePath = "/resume/"
+)
+
+// Hostname is the host of all routes.
+const Hostname = "api.example"
+
+// Configuration is a configuration of all kinds of routes for the services
+// "plain", "llm" and "encode".
+func Configuration(version int, keys []string) map[string]any {
+	route := func(name, prefix, kind, service string, attempts int, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "hostname": Hostname, "prefix": prefix, "route_type": kind, "service": service, "attempts": attempts,
+			"timeout_ms": 3000, "goal_ms": 1000, "priority": 1,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	stages := []map[string]any{{"service": "encode", "after": []int{}, "bytes": 100}, {"service": "encode", "after": []int{0}, "bytes": 100}}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("seal", SealPath, "unsafe", "plain", 1, nil),
+			route("safe", SafePath, "safe", "plain", 2, nil),
+			route("stream", StreamPath, "streaming", "llm", 1, nil),
+			route("resume", ResumePath, "streaming", "llm", 2, map[string]any{"resumable": true, "stages": stages}),
+		},
+		"services": []any{
+			map[string]any{"name": "plain", "max_conns": 50},
+			map[string]any{"name": "llm", "max_conns": 50, "engine": map[string]any{"concurrency": 8, "kv_capacity": 1000}},
+			map[string]any{"name": "encode", "max_conns": 50, "pieces": map[string]any{
+				"concurrency": 1, "queue": 2, "batch": 8, "call_ms": 10, "item_ms": 1, "headroom_mb": 1, "handle_ttl_s": 4}},
+		},
+		"limits":  map[string]any{"max_body_bytes": 100_000},
+		"tenants": []any{map[string]any{"name": "firma", "api_keys": keys}},
+	}
+}
+
+// Entry is a replica's entry in the store.
+func Entry(r *Replica, phase string) map[string]any {
+	return map[string]any{
+		"service": r.Service, "address": r.Address(), "zone": "x", "concurrency": 8, "phase": phase, "seq": 1,
+	}
+}
+
+// Call is one attempt of a caller.
+type Call struct {
+	ID, Path, Key string
+	Deadline      time.Duration
+	// Pieces asks for stages.
+	Pieces []int
+}
+
+// Heard is what a caller heard.
+type Heard struct {
+	Status int
+	Body   string
+	// Replica is who signed the answer; "" for answers of the system's own.
+	Replica string
+	// Err is set when no answer came or it was not complete.
+	Err error
+}
+
+// NotRun says whether the answer promises that nothing has run.
+func (h Heard) NotRun() bool {
+	switch h.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return h.Err == nil
+	}
+	return false
+}
+
+// Do sends an attempt to a daemon.
+func Do(ctx context.Context, client *http.Client, address string, c Call) Heard {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.Path+c.ID, bytes.NewReader([]byte(c.ID)))
+	if err != nil {
+		return Heard{Err: err}
+	}
+	req.Host = Hostname
+	req.Header.Set("Attempt-Id", c.ID)
+	req.Header.Set("X-Api-Key", c.Key)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	if len(c.Pieces) > 0 {
+		req.Header.Set("Piece-Count", strings.Trim(strings.Join(strings.Fields(fmt.Sprint(c.Pieces)), ","), "[]"))
+		req.Header.Set("Piece-Key", "key-"+c.ID)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Heard{Err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	h := Heard{Status: resp.StatusCode, Body: string(body), Err: err}
+	if parts := strings.SplitN(resp.Header.Get("Response-Signature"), ".", 3); len(parts) == 3 {
+		h.Replica = parts[1]
+		if parts[2] != c.ID && err == nil {
+			h.Err = errors.New("signed for " + parts[2])
+		}
+	}
+	return h
+}
+
+// Check returns what is wrong with a complete success; "" for nothing.
+func (c Call) Check(h Heard, events int) string {
+	if h.Err != nil || h.Status != http.StatusOK {
+		return ""
+	}
+	if h.Replica == "" {
+		return "success without a signature"
+	}
+	want := Body(h.Replica, c.ID)
+	if c.Path == StreamPath || c.Path == ResumePath {
+		var b strings.Builder
+		for n := 1; n <= events; n++ {
+			b.WriteString(Event(c.ID, n))
+		}
+		want = b.String()
+	}
+	if h.Body != want {
+		return fmt.Sprintf("body %q, want %q", h.Body, want)
+	}
+	return ""
+}
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -67,8 +67,10 @@
 	server    *http.Server
 	mu        sync.Mutex
 	behaviour Behaviour
-	handles   int
-	cancelled int
+	// misbehaved says that the behaviour was ever another than the zero value.
+	misbehaved bool
+	handles    int
+	cancelled  int
 }
 
 // StartReplica starts a replica at address; port 0 leaves the choice to the
@@ -95,6 +97,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.behaviour = b
+	r.misbehaved = r.misbehaved || b != (Behaviour{})
+}
+
+// Misbehaved says whether the replica ever was made to behave other than well.
+func (r *Replica) Misbehaved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.misbehaved
 }
 
 // Cancelled returns the number of requests whose connection closed while they
