Pass news along a tree of hosts, and changes only

A configuration is now in force with its page, a host answers eight others, with what changed since their hash, as soon as it has anything younger, and the host that plans is not the one that reads.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -19,7 +19,8 @@
 
 // Store is what is read.
 type Store interface {
-	List(ctx context.Context, prefix string) ([]platform.Item, uint64, error)
+	// Pages reads all items under a prefix and passes each page on as it comes.
+	Pages(ctx context.Context, prefix string, page func([]platform.Item)) (revision uint64, err error)
 }
 
 // Members names the hosts of the fleet that may be called, this one included.
@@ -43,16 +44,21 @@
 	Changed func(*View)
 }
 
-// The times of discovery, as shares of the bound. In the worst case the host
-// that reads the store has just lost it: its news are asked for after
-// newsWait, found too old after staleAfter, and read from a slow store in a
-// third of a second; together that is within the bound.
+// The times of discovery, as shares of the bound. A host is answered as soon as
+// its source has read or heard something younger, so that what is read passes
+// through all levels at once. In the worst case a source has just lost the store
+// or falls silent: the call to it ends after newsWait and newsGrace, and the
+// store is read in a third of a second; together that is within the bound.
 const (
 	readShare  = 0.3
-	newsWait   = 0.2
-	staleAfter = 0.45
+	newsWait   = 0.4
+	staleAfter = 0.5
 )
 
+// fanout is the number of hosts that ask the same host for news: a change of
+// 3,000 replicas would else leave one host 300 times.
+const fanout = 8
+
 const (
 	// firstRetry and maxRetry bound the wait after a failed read.
 	firstRetry = 100 * time.Millisecond
@@ -74,8 +80,11 @@
 	mu       sync.Mutex
 	view     atomic.Pointer[View]
 	registry catalog.Registry
-	// changed is closed and replaced with every view that differs.
+	// changed is closed and replaced with every view, also one that is only
+	// younger.
 	changed chan struct{}
+	// steps are the last changes of the replicas.
+	steps changes
 	// lost says that the last read of the store failed.
 	lost    bool
 	avoided map[string]time.Time
@@ -134,25 +143,23 @@
 }
 
 // chooseSource returns the host whose news are asked for, or this host, which
-// then reads the store: it does so while it has no view, and when no other host
-// ranks before it.
+// then reads the store: it does so while it has no view, and when no host that
+// it could ask is left. Hosts ask along a tree over the ranked hosts.
 func (d *Discovery) chooseSource(now time.Time) string {
 	if !d.View().Ready() {
 		return d.cfg.Self
 	}
-	hosts := d.cfg.Members.Reachable()
+	hosts := ranked(d.cfg.Members.Reachable())
+	at := slices.IndexFunc(hosts, func(h fleet.Host) bool { return h.Name == d.cfg.Self })
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var best *fleet.Host
-	for i := range hosts {
-		h := &hosts[i]
-		if !now.Before(d.avoided[h.Name]) && (best == nil || h.Before(best)) {
-			best = h
-		}
-	}
 	source := d.cfg.Self
-	if best != nil {
-		source = best.Name
+	for at > 0 {
+		at = (at - 1) / fanout
+		if !now.Before(d.avoided[hosts[at].Name]) {
+			source = hosts[at].Name
+			break
+		}
 	}
 	if source != d.source {
 		d.log.Info("source of news chosen", zap.String("source", source), zap.String("before", d.source))
@@ -161,17 +168,25 @@
 	return source
 }
 
-// askAny asks hosts for news until one has some. A host that has just started
-// and that the store turns away learns from its fellows what is in force.
-func (d *Discovery) askAny(ctx context.Context) bool {
-	hosts := d.cfg.Members.Reachable()
+// ranked sorts hosts by rank; the first two change places, as the first has the
+// stage work to plan.
+func ranked(hosts []fleet.Host) []fleet.Host {
 	slices.SortFunc(hosts, func(a, b fleet.Host) int {
 		if a.Before(&b) {
 			return -1
 		}
 		return 1
 	})
-	for _, h := range hosts {
+	if len(hosts) > 2 {
+		hosts[0], hosts[1] = hosts[1], hosts[0]
+	}
+	return hosts
+}
+
+// askAny asks hosts for news until one has some. A host that has just started
+// and that the store turns away learns from its fellows what is in force.
+func (d *Discovery) askAny(ctx context.Context) bool {
+	for _, h := range ranked(d.cfg.Members.Reachable()) {
 		if h.Name != d.cfg.Self && d.mayAsk(h.Name) && d.askFor(ctx, h.Name) {
 			return true
 		}
@@ -199,11 +214,22 @@
 	d.avoided[host] = now.Add(wait)
 }
 
-// read reads the store and says whether that succeeded.
+// read reads the store and says whether that succeeded. A configuration is put
+// in force with its page, before the replicas of a large deployment are in.
 func (d *Discovery) read(ctx context.Context) bool {
 	started := time.Now()
 	d.reads.Add(1)
-	items, revision, err := d.cfg.Store.List(ctx, platform.AllKeys)
+	var entries []catalog.Replica
+	revision, err := d.cfg.Store.Pages(ctx, platform.AllKeys, func(items []platform.Item) {
+		for _, item := range items {
+			switch {
+			case item.Key == platform.ConfigKey:
+				d.readConfig(item)
+			case strings.HasPrefix(item.Key, platform.ReplicaPrefix):
+				entries = d.decode(entries, item)
+			}
+		}
+	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
@@ -219,20 +245,21 @@
 	}
 	next := *d.View()
 	next.AsOf, next.Source = started, "store"
-	var entries []catalog.Replica
-	for _, item := range items {
-		switch {
-		case item.Key == platform.ConfigKey:
-			d.takeConfig(&next, item.Value, item.Revision)
-		case strings.HasPrefix(item.Key, platform.ReplicaPrefix):
-			entries = d.decode(entries, item)
-		}
-	}
 	d.registry.Update(time.Now(), entries)
 	d.publish(&next)
 	return true
 }
 
+// readConfig takes a configuration that was read.
+func (d *Discovery) readConfig(item platform.Item) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := *d.View()
+	if d.takeConfig(&next, item.Value, item.Revision); next.Config != d.View().Config {
+		d.publish(&next)
+	}
+}
+
 // decode adds a replica's entry; one that cannot be read is left out.
 func (d *Discovery) decode(entries []catalog.Replica, item platform.Item) []catalog.Replica {
 	r, err := platform.DecodeReplica(item)
@@ -268,11 +295,18 @@
 	next.Replicas = d.registry.Replicas()
 	next.hash = hashOf(next.Replicas)
 	first := old.Replicas == nil
+	defer func() {
+		close(d.changed)
+		d.changed = make(chan struct{})
+	}()
 	if !first && next.Config == old.Config && next.hash == old.hash {
 		next.Replicas = old.Replicas
 		d.view.Store(next)
 		return
 	}
+	if next.hash != old.hash {
+		d.steps = d.steps.add(old, next)
+	}
 	fields := []zap.Field{
 		zap.Bool("configuration", next.Config != old.Config), zap.Bool("replicas_changed", next.hash != old.hash),
 		zap.String("source", next.Source), zap.Duration("age", time.Since(next.AsOf)), zap.Int("replicas", len(next.Replicas)),
@@ -283,8 +317,6 @@
 	d.cfg.Changed(next)
 	d.view.Store(next)
 	d.log.Info("view in force", fields...)
-	close(d.changed)
-	d.changed = make(chan struct{})
 }
 
 // Dump is the state of a Discovery for operators.
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -80,7 +80,7 @@
 	mu     sync.Mutex
 }
 
-// List lets single hosts lose the store.
+// gate lets single hosts lose the store.
 type gate struct {
 	day  *day
 	host string
@@ -88,14 +88,14 @@
 
 var errAway = errors.New("the store is away")
 
-func (g gate) List(ctx context.Context, prefix string) ([]platform.Item, uint64, error) {
+func (g gate) Pages(ctx context.Context, prefix string, take func([]platform.Item)) (uint64, error) {
 	g.day.mu.Lock()
 	broken := g.day.broken[g.host]
 	g.day.mu.Unlock()
 	if broken {
-		return nil, 0, errAway
+		return 0, errAway
 	}
-	return g.day.stores[g.host].List(ctx, prefix)
+	return g.day.stores[g.host].Pages(ctx, prefix, take)
 }
 
 func newDay(n int) *day {
@@ -158,7 +158,7 @@
 		for name := range d.found {
 			Eventually(d.version(name), "2s").Should(Equal(uint64(1)))
 		}
-		Eventually(func() string { return d.found["host-4"].View().Source }, "2s").Should(Equal("host-1"))
+		Eventually(func() string { return d.found["host-4"].View().Source }, "2s").Should(Equal("host-2"))
 		before := d.store.Calls()
 		d.config(2)
 		d.replica("i-1", "draining")
@@ -172,13 +172,13 @@
 
 	It("reads for itself when the host that reads has lost the store, is cut off or stands still", func() {
 		for _, trouble := range []func(d *day){
-			func(d *day) { d.lose("host-1", true) },
-			func(d *day) { d.hosts.mu.Lock(); d.hosts.cut["host-1"] = true; d.hosts.mu.Unlock() },
-			func(d *day) { d.hosts.mu.Lock(); d.hosts.frozen["host-1"] = true; d.hosts.mu.Unlock() },
+			func(d *day) { d.lose("host-2", true) },
+			func(d *day) { d.hosts.mu.Lock(); d.hosts.cut["host-2"] = true; d.hosts.mu.Unlock() },
+			func(d *day) { d.hosts.mu.Lock(); d.hosts.frozen["host-2"] = true; d.hosts.mu.Unlock() },
 		} {
 			d := newDay(3)
 			d.run("host-1", "host-2", "host-3")
-			Eventually(func() string { return d.found["host-3"].View().Source }, "2s").Should(Equal("host-1"))
+			Eventually(func() string { return d.found["host-3"].View().Source }, "2s").Should(Equal("host-2"))
 			trouble(d)
 			d.config(2)
 			// newsWait + newsGrace of 250 ms + a read: under 1.2 bounds of this size.
@@ -214,6 +214,30 @@
 		Eventually(d.version("host-1"), bound).Should(Equal(uint64(6)))
 	})
 
+	It("passes changes of many replicas through several levels of hosts", func() {
+		d := newDay(20)
+		for i := range 300 {
+			d.replica(fmt.Sprintf("r-%03d", i), "ready")
+		}
+		var names []string
+		for name := range d.found {
+			names = append(names, name)
+		}
+		d.run(names...)
+		for _, name := range names {
+			Eventually(func() int { return len(d.found[name].View().Replicas) }, "4s").Should(Equal(301))
+		}
+		Eventually(func() string { return d.found["host-20"].View().Source }, "2s").Should(HavePrefix("host-"))
+		for i := range 20 {
+			d.replica(fmt.Sprintf("r-%03d", i), "draining")
+			d.store.Delete(fmt.Sprintf("servers/r-%03d", 100+i))
+		}
+		for _, name := range names {
+			Eventually(func() int { return len(d.found[name].View().Replicas) }, "2s").Should(Equal(281))
+			Expect(d.found[name].View().Replicas["r-005"].Draining).To(BeTrue())
+		}
+	})
+
 	It("leaves replicas out whose entries cannot be read", func() {
 		d := newDay(1)
 		d.store.Put(platform.ReplicaPrefix+"bad", []byte("garbage"))
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,9 +19,12 @@
 func (d *Discovery) askFor(ctx context.Context, host string) bool {
 	v := d.View()
 	wait := d.share(newsWait)
-	req := &wire.NewsRequest{ConfigRevision: v.revision, ReplicasHash: v.hash, WaitMs: uint32(wait.Milliseconds())}
-	reply := &wire.NewsReply{}
 	asked := time.Now()
+	req := &wire.NewsRequest{
+		ConfigRevision: v.revision, ReplicasHash: v.hash, WaitMs: uint32(wait.Milliseconds()),
+		AgeMs: min(asked.Sub(v.AsOf), unknownAge).Milliseconds(),
+	}
+	reply := &wire.NewsReply{}
 	call, cancel := context.WithTimeout(ctx, wait+newsGrace)
 	defer cancel()
 	if err := d.cfg.Caller.Call(call, host, methodNews, req, reply); err != nil {
@@ -59,14 +63,33 @@
 	if len(reply.GetConfig()) > 0 {
 		d.takeConfig(&next, reply.GetConfig(), reply.GetConfigRevision())
 	}
-	if reply.GetReplicasHash() != next.hash {
-		d.registry.Adopt(asOf, replicasOf(reply.GetReplicas()))
-	} else {
+	switch {
+	case reply.GetReplicasHash() == next.hash:
 		d.registry.Adopt(asOf, nil)
+	case reply.GetDelta():
+		d.registry.Adopt(asOf, patched(next.Replicas, reply))
+	default:
+		d.registry.Adopt(asOf, replicasOf(reply.GetReplicas()))
 	}
 	d.publish(&next)
 }
 
+// patched returns the replicas with the changes of an answer.
+func patched(known map[string]catalog.Replica, reply *wire.NewsReply) []catalog.Replica {
+	next := make(map[string]catalog.Replica, len(known))
+	maps.Copy(next, known)
+	for _, r := range replicasOf(reply.GetReplicas()) {
+		next[r.ID] = r
+	}
+	for _, id := range reply.GetRemoved() {
+		delete(next, id)
+	}
+	return sorted(next)
+}
+
+// unknownAge stands for the age of no view at all.
+const unknownAge = time.Hour
+
 func replicasOf(in []*wire.NewsReplica) []catalog.Replica {
 	out := make([]catalog.Replica, 0, len(in))
 	for _, r := range in {
@@ -88,27 +111,45 @@
 // errNoView says that this host has not read anything yet.
 var errNoView = errors.New("discovery: no view yet")
 
-// tell answers a host's question for news: at once when there is some, else
-// after the wait.
+// tell answers a host's question for news: at once when there is some, else as
+// soon as this host's view is younger than the other's, at the latest after the
+// wait.
 func (d *Discovery) tell(ctx context.Context, req *wire.NewsRequest) (*wire.NewsReply, error) {
 	asked := time.Now()
-	d.mu.Lock()
-	changed := d.changed
-	d.mu.Unlock()
-	v := d.View()
-	if !v.Ready() {
-		return nil, errNoView
-	}
-	if v.revision == req.GetConfigRevision() && v.hash == req.GetReplicasHash() {
-		timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
-		defer timer.Stop()
+	theirs := asked.Add(-time.Duration(req.GetAgeMs()) * time.Millisecond)
+	timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
+	defer timer.Stop()
+	for waiting := true; waiting; {
+		d.mu.Lock()
+		changed := d.changed
+		d.mu.Unlock()
+		v := d.View()
+		if !v.Ready() {
+			return nil, errNoView
+		}
+		if v.revision != req.GetConfigRevision() || v.hash != req.GetReplicasHash() || v.AsOf.Sub(theirs) > youngerBy {
+			break
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			waiting = false
 		case <-ctx.Done():
+			waiting = false
 		}
-		v = d.View()
 	}
+	return d.answer(req, asked), nil
+}
+
+// youngerBy is how much younger a view must be to be worth an answer: less than
+// the interval of reads, more than a call takes.
+const youngerBy = 100 * time.Millisecond
+
+// answer is what this host knows beyond the other.
+func (d *Discovery) answer(req *wire.NewsRequest, asked time.Time) *wire.NewsReply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.View()
 	now := time.Now()
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(asked).Milliseconds()),
@@ -117,13 +158,30 @@
 	if v.revision != req.GetConfigRevision() {
 		reply.Config = v.raw
 	}
-	if v.hash != req.GetReplicasHash() {
+	if v.hash == req.GetReplicasHash() {
+		return reply
+	}
+	ids, known := d.steps.since(req.GetReplicasHash())
+	if !known {
 		for _, r := range sorted(v.Replicas) {
-			reply.Replicas = append(reply.Replicas, &wire.NewsReplica{
-				Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain,
-				Concurrency: uint32(r.Concurrency), Draining: r.Draining,
-			})
+			reply.Replicas = append(reply.Replicas, toWire(r))
+		}
+		return reply
+	}
+	reply.Delta = true
+	for _, id := range ids {
+		if r, ok := v.Replicas[id]; ok {
+			reply.Replicas = append(reply.Replicas, toWire(r))
+		} else {
+			reply.Removed = append(reply.Removed, id)
 		}
 	}
-	return reply, nil
+	return reply
+}
+
+func toWire(r catalog.Replica) *wire.NewsReplica {
+	return &wire.NewsReplica{
+		Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain,
+		Concurrency: uint32(r.Concurrency), Draining: r.Draining,
+	}
 }
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -52,3 +52,49 @@
 func sorted(replicas map[string]catalog.Replica) []catalog.Replica {
 	return slices.SortedFunc(maps.Values(replicas), func(a, b catalog.Replica) int { return cmp.Compare(a.ID, b.ID) })
 }
+
+// change is the step from one set of replicas to the next.
+type change struct {
+	from, to uint64
+	// ids names the replicas that are new, changed or gone.
+	ids []string
+}
+
+// maxChanges bounds the changes that are remembered: some minutes of a large
+// deployment's restarts.
+const maxChanges = 64
+
+// changes remembers the last steps, oldest first.
+type changes []change
+
+// add notes a step.
+func (c changes) add(old, next *View) changes {
+	step := change{from: old.hash, to: next.hash}
+	for id, r := range next.Replicas {
+		if before, ok := old.Replicas[id]; !ok || before != r {
+			step.ids = append(step.ids, id)
+		}
+	}
+	for id := range old.Replicas {
+		if _, ok := next.Replicas[id]; !ok {
+			step.ids = append(step.ids, id)
+		}
+	}
+	if len(c) >= maxChanges {
+		c = slices.Delete(c, 0, 1)
+	}
+	return append(c, step)
+}
+
+// since returns the replicas that may differ from those of a hash, and false
+// when that is not remembered.
+func (c changes) since(hash uint64) (ids []string, known bool) {
+	for i := len(c) - 1; i >= 0; i-- {
+		ids = append(ids, c[i].ids...)
+		if c[i].from == hash {
+			slices.Sort(ids)
+			return slices.Compact(ids), true
+		}
+	}
+	return nil, false
+}
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/internal/faultrelay"
+	"github.com/wheatseam/wheatseam/platform"
 )
 
 // The ports of a daemon; each has an IP of its own on the loopback network.
@@ -190,7 +191,7 @@
 // ready says whether the daemon takes requests.
 func (d *daemon) ready() bool {
 	client := http.Client{Timeout: 200 * time.Millisecond}
-	resp, err := client.Get("http://" + d.readiness() + "/-/readyz")
+	resp, err := client.Get("http://" + d.readiness() + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
