--- /dev/null
+++ b/gateway/forward_fuzz_test.go
@@ -0,0 +1,203 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/gateway"
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+// received is a request as the replica's side of the wire saw it.
+type received struct {
+	head string
+	body []byte
+}
+
+// recorder is a replica that notes the bytes of each connection.
+type recorder struct {
+	mu   sync.Mutex
+	seen []received
+}
+
+// serve takes connections until the listener closes.
+func (r *recorder) serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go r.one(conn)
+	}
+}
+
+func (r *recorder) one(conn net.Conn) {
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	var raw bytes.Buffer
+	req, err := http.ReadRequest(bufio.NewReader(io.TeeReader(conn, &raw)))
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(req.Body)
+	head, _, _ := strings.Cut(raw.String(), "\r\n\r\n")
+	r.mu.Lock()
+	r.seen = append(r.seen, received{head, body})
+	r.mu.Unlock()
+	answer := site.Body("rec", req.Header.Get("Attempt-Id"))
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: signed.rec.x\r\nContent-Length: %d\r\n\r\n%s",
+		req.Header.Get("Attempt-Id"), len(answer), answer)
+}
+
+// take returns what was seen and forgets it.
+func (r *recorder) take() []received {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := r.seen
+	r.seen = nil
+	return seen
+}
+
+// startRecorded starts a gateway before a recorder.
+func startRecorded(t testing.TB) (callers string, r *recorder) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r = &recorder{}
+	go r.serve(l)
+	store := site.NewStore()
+	server := httptest.NewServer(store)
+	store.Put("servers/rec", map[string]any{"service": "plain", "address": l.Addr().String(), "zone": "x", "concurrency": 64, "phase": "ready"})
+	store.Put("op/config", site.Configuration(1, []string{"key-1"}))
+	self := address(7408)
+	s := &gateway.Settings{
+		Host: self, FailureDomain: "x",
+		Listen: gateway.Listen{Callers: address(7409), Readiness: address(7410), Peers: self},
+		Store:  gateway.Store{Address: strings.TrimPrefix(server.URL, "http://")},
+		Bounds: gateway.Bounds{Drain: time.Second, Configuration: time.Second}, Drain: gateway.Drain{Grace: 100 * time.Millisecond},
+		Budget: gateway.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Limits: gateway.Limits{Processors: 1, ProcessorShare: 1, MemoryMB: 256},
+	}
+	g, err := gateway.New(s, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = g.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; server.Close(); _ = l.Close() })
+	for range 200 {
+		if resp, err := http.Get("http://" + s.Listen.Readiness + "/-/readyz"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return s.Listen.Callers, r
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the gateway does not become ready")
+	return "", nil
+}
+
+// FuzzForward sends raw bytes of a caller and holds what reaches a replica to
+// them: one well-formed request for each one sent, with the path, the id and
+// the body that a strict reader finds there, and nothing that was hidden inside
+// another request.
+func FuzzForward(f *testing.F) {
+	const head = "POST /seal/a HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\nDeadline-Ms: 900\r\n"
+	for _, seed := range []string{
+		head + "Attempt-Id: a1\r\nContent-Length: 4\r\n\r\nbody",
+		head + "Attempt-Id: a2\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		head + "Attempt-Id: a3\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbodyx",
+		head + "Attempt-Id: a4\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /seal/hidden HTTP/1.1\r\nHost: api.example\r\nAttempt-Id: hidden\r\n\r\n",
+		head + "Attempt-Id: a5\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+		head + "Attempt-Id: a6\r\nX-Folded: one\r\n two\r\n\r\n",
+		head + "Attempt-Id: a7\nContent-Length: 0\n\n",
+		head + "Attempt-Id : a8\r\nContent-Length: 0\r\n\r\n",
+		head + "Attempt-Id: a9\r\nContent-Length: +4\r\n\r\nbody",
+		head + "Attempt-Id: b1\r\nTransfer-Encoding: \x0bchunked\r\n\r\n0\r\n\r\n",
+		head + "Attempt-Id: b2\r\nConnection: Attempt-Id, close\r\nContent-Length: 0\r\n\r\n",
+		head + "Attempt-Id: b3\r\nTenant: forged\r\nExpected-Replica: other\r\nInput-Count: x\r\nContent-Length: 0\r\n\r\n",
+		"POST /seal/a%0d%0aX: HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\nAttempt-Id: b4\r\nContent-Length: 0\r\n\r\n",
+		"POST http://api.example/seal/a HTTP/1.1\r\nHost: other\r\nX-Api-Key: key-1\r\nAttempt-Id: b5\r\nContent-Length: 0\r\n\r\n",
+		head + "Attempt-Id: b6\r\nContent-Length: 0\r\n\r\n" + head + "Attempt-Id: b7\r\nContent-Length: 0\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	callers, replica := startRecorded(f)
+	// A request may reach the replica after its caller has gone, and so be seen
+	// by a later input: what earlier ones sent counts too.
+	sent := map[string][]received{}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if len(raw) > 8<<10 {
+			return
+		}
+		strictly(raw, sent)
+		exchange(t, callers, raw)
+		for _, got := range replica.take() {
+			check(t, got, sent)
+		}
+	})
+}
+
+// exchange sends the bytes and reads until the daemon is silent or closes.
+func exchange(t *testing.T, callers string, raw []byte) {
+	conn, err := net.Dial("tcp", callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write(raw); err != nil {
+		return
+	}
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// strictly adds what a strict reader finds in the bytes, by request id.
+func strictly(raw []byte, sent map[string][]received) {
+	r := bufio.NewReader(bytes.NewReader(raw))
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get("Attempt-Id")
+		sent[id] = append(sent[id], received{req.Method + " " + req.RequestURI, body})
+	}
+}
+
+// check holds a request at a replica to what was sent under its id.
+func check(t *testing.T, got received, sent map[string][]received) {
+	req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(got.head + "\r\n\r\n")))
+	if err != nil {
+		t.Fatalf("the replica got no request: %v\n%q", err, got.head)
+	}
+	same := func(s received) bool { return s.head == req.Method+" "+req.RequestURI && bytes.Equal(s.body, got.body) }
+	if !slices.ContainsFunc(sent[req.Header.Get("Attempt-Id")], same) {
+		t.Fatalf("the replica got a request that nobody sent:\n%q\nbody %q", got.head, got.body)
+	}
+	if req.Header.Get("X-Api-Key") != "" || req.Header.Get("Tenant") != "firma" || req.Header.Get("Expected-Replica") != "rec" {
+		t.Fatalf("headers of this system's own were taken from the caller:\n%q", got.head)
+	}
+}
