--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -219,7 +219,7 @@
 		end := start
 		if n := j.stages[i].left; n > 0 {
 			s := j.stages[i].service
-			end += s.callTime(min(n, s.figures.Batch))
+			end += s.usualTime(n)
 			depth[i]++
 		}
 		ends[i] = end
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -15,6 +15,8 @@
 	queue    []*piece
 	// pace is the smoothed ratio of measured to nominal call times.
 	pace float64
+	// usual is the smoothed number of pieces of a call.
+	usual float64
 }
 
 // callTime is the expected time of a call of n pieces.
@@ -22,6 +24,12 @@
 	return time.Duration(s.pace * float64(s.nominal(n)))
 }
 
+// usualTime is the expected time of a call that n pieces are part of: others
+// come with them.
+func (s *service) usualTime(n int) time.Duration {
+	return s.callTime(min(s.figures.Batch, max(n, int(s.usual))))
+}
+
 // nominal is the time of a call of n pieces by the configuration's figures.
 func (s *service) nominal(n int) time.Duration {
 	return s.figures.CallTime + time.Duration(n)*s.figures.PieceTime
@@ -135,6 +143,7 @@
 	r.pace, r.pacedAt = before+replicaPaceWeight*(ratio-before), now
 	s := r.service
 	s.pace += servicePaceWeight * (min(ratio, 2) - s.pace)
+	s.usual += servicePaceWeight * (float64(pieces) - s.usual)
 }
 
 // refuse notes a call that the replica had no place for: another planner's call
