Spare the seeds when hundreds of hosts start at once

Three seeds answered 300 hosts every 300 ms with the whole list; one is asked at a time now, less often the more hosts are known.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,10 @@
 	// formingRounds is the number of introductions in a row without a new host
 	// after which the fleet counts as formed.
 	formingRounds = 6
+	// manyHosts is the number of known hosts from which one seed at a time is
+	// asked, and for each as many more a first interval longer: when 300 start
+	// at once, three seeds answer them all.
+	manyHosts = 40
 	// laterAsk is the interval afterwards; the answer is empty unless there
 	// are new hosts.
 	laterAsk = 5 * time.Second
@@ -205,14 +209,15 @@
 	f.loop.Post(member.Configured{Hosts: members(f.roster.all()), Upstreams: []string{}})
 	quiet, known := 0, 0
 	for ctx.Err() == nil {
-		answered := f.askRound(ctx, quiet >= formingRounds)
-		if n := len(f.roster.all()); answered && n == known {
+		n := f.roster.size()
+		answered := f.askRound(ctx, quiet >= formingRounds || n > manyHosts)
+		if n = f.roster.size(); answered && n == known {
 			quiet++
 		} else {
 			quiet, known = 0, n
 		}
 		f.forgetDead()
-		wait := firstAsk
+		wait := min(laterAsk, firstAsk*time.Duration(1+n/manyHosts))
 		if quiet >= formingRounds {
 			wait = laterAsk
 		}
@@ -226,14 +231,13 @@
 	}
 }
 
-// askRound asks the seeds, only one of them once the fleet has formed, and says
-// whether any answered.
-func (f *Fleet) askRound(ctx context.Context, formed bool) bool {
+// askRound asks the seeds, all or one of them, and says whether any answered.
+func (f *Fleet) askRound(ctx context.Context, one bool) bool {
 	targets := f.targets()
 	if len(targets) == 0 {
 		return true // alone, as the settings say
 	}
-	if formed {
+	if one {
 		targets = targets[:1]
 	}
 	var group errgroup.Group
