--- a/cmd/wheatseam/explain.go
+++ b/cmd/wheatseam/explain.go
@@ -17,13 +17,18 @@
 func newExplainCommand() *cobra.Command {
 	var client operatorClient
 	var format outputFormat
+	var logs []string
 	c := &cobra.Command{
 		Use:   "explain REQUEST-ID",
 		Short: "Print every decision about a request, in order",
 		Long: "Print every decision about a request with the inputs that decided it. Any host\n" +
-			"can be asked. The exit code is 1 when no host has a record of the request.",
+			"can be asked. With --log, log files are read instead, of gateways too. The exit\n" +
+			"code is 1 when nothing is known of the request.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return explainLogs(cmd.OutOrStdout(), format, args[0], logs)
+			}
 			var e operator.Explanation
 			err := client.fetch(cmd.Context(), http.MethodGet, "/v1/explain/"+url.PathEscape(args[0]), &e)
 			if err != nil {
@@ -37,6 +42,7 @@
 		},
 	}
 	client.addFlags(c)
+	c.Flags().StringSliceVar(&logs, "log", nil, "log files of hosts to read, in place of asking one")
 	addOutputFlag(c, &format)
 	return c
 }
--- /dev/null
+++ b/cmd/wheatseam/explainlog_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("explain from logs", func() {
+	const first = `ts=2026-05-01T11:53:12.200Z level=info msg=attempt host=gw-1 request=a1 attempt=1 replica=i-7 end=failed why="the replica broke off"
+garbage
+ts=2026-05-01T11:53:12.300Z level=warn msg="replica ejected" host=gw-1 service=s replica=i-7 reason=consecutive_failures
+ts=2026-05-01T11:53:12.300Z level=warn msg="replica ejected" host=gw-1 service=s replica=i-8 reason=slow
+ts=2026-05-01T11:59:12.300Z level=warn msg="replica ejected" host=gw-1 service=s replica=i-7 reason=slow
+ts=2026-05-01T11:53:12.400Z level=info msg=request host=gw-1 request=a1 outcome=upstream_failed status=502
+ts=2026-05-01T11:53:12.400Z level=info msg=request host=gw-1 request=a12 outcome=answered status=200
+`
+	const second = `ts=2026-05-01T11:53:12.100Z level=info msg="stages ready" host=gw-2 request=a1 stages=0:0+250ms
+`
+	write := func(name, text string) string {
+		path := filepath.Join(GinkgoT().TempDir(), name)
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		return path
+	}
+
+	It("puts the lines of all hosts about a request in order, with what was believed of its replicas", func() {
+		var out bytes.Buffer
+		files := []string{write("one", first), write("two", second)}
+		Expect(explainLogs(&out, formatTable, "a1", files)).To(Succeed())
+		Expect(out.String()).To(MatchRegexp(`(?s)stages ready.*attempt.*broke off.*replica ejected.*i-7.*upstream_failed`))
+		Expect(out.String()).NotTo(ContainSubstring("i-8"))
+		Expect(out.String()).NotTo(ContainSubstring("reason=slow"))
+		Expect(out.String()).NotTo(ContainSubstring("a12"))
+	})
+
+	It("says so when there is none, or no such file", func() {
+		var out bytes.Buffer
+		Expect(explainLogs(&out, formatTable, "b", []string{write("one", first)})).To(MatchError(errFound))
+		Expect(explainLogs(&out, formatTable, "b", []string{"no-such-file"})).To(HaveOccurred())
+	})
+})
