remove what nothing uses

Cause: fields and calls left from earlier shapes (catalog limits never read, the store's watch call after discovery went over to reading in one call, the stand-in's side of it). Ruled out as users: gateway, discovery, platform tests.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -38,10 +38,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes bounds a request's body; 0 leaves it to the gateway.
+	MaxBodyBytes int64
 }
 
 // Route says what becomes of the requests under a prefix of a host's paths.
@@ -85,35 +83,25 @@
 
 // Service is a pool of replicas.
 type Service struct {
-	Name           string
-	HealthPath     string
+	Name string
+	// MaxConnections bounds the connections of all callers to one replica.
 	MaxConnections int
-	// Engine is set for services that run generations in batches.
-	Engine *Engine
+	// Engine says that the service runs generations in batches.
+	Engine bool
 	// Pieces is set for services that run stages.
 	Pieces *Pieces
 }
 
-// Engine holds the figures of a service that runs generations.
-type Engine struct {
-	Concurrency int
-	// CacheTokens is the KV memory of one replica in tokens.
-	CacheTokens int64
-}
-
 // Pieces holds the figures of one replica of a service that runs stages.
 type Pieces struct {
-	// Concurrency is the number of calls in progress at the same time, Queue
-	// that of calls that may wait.
-	Concurrency, Queue int
+	// Concurrency is the number of calls in progress at the same time.
+	Concurrency int
 	// Batch is the largest number of pieces of a call.
 	Batch int
 	// CallTime is what a call takes, and PieceTime what each piece adds.
 	CallTime, PieceTime time.Duration
 	// RoomBytes bounds the results that a replica holds.
 	RoomBytes int64
-	// ResultTTL is how long a result is kept after its call.
-	ResultTTL time.Duration
 }
 
 // NewConfig returns a configuration with its routes indexed.
--- a/core/stage/fakes_test.go
+++ b/core/stage/fakes_test.go
@@ -26,8 +26,8 @@
 
 func figures(batch int, room int64) *catalog.Service {
 	return &catalog.Service{Pieces: &catalog.Pieces{
-		Concurrency: 1, Queue: 2, Batch: batch, CallTime: 240 * time.Millisecond, PieceTime: 10 * time.Millisecond,
-		RoomBytes: room, ResultTTL: 4 * time.Second,
+		Concurrency: 1, Batch: batch, CallTime: 240 * time.Millisecond, PieceTime: 10 * time.Millisecond,
+		RoomBytes: room,
 	}}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -99,7 +99,7 @@
 		Request: x.req.ID, Pool: x.service, Stage: x.route.Name, Kind: bundle.StageCall,
 		Attempt: len(x.tried) + 1, Tried: x.tried, Domain: x.domain, Budget: time.Until(x.deadline),
 	}
-	if s := x.config.Services[x.service]; s != nil && s.Engine != nil {
+	if s := x.config.Services[x.service]; s != nil && s.Engine {
 		q.Kind = bundle.StageGenerate
 		q.Prefix, _ = x.prefix()
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -33,7 +33,7 @@
 			Name: name, Kind: bundle.PoolService, Concurrency: max(1, concurrency[name]),
 			MaxConnections: s.MaxConnections, Upstreams: byService[name],
 		}
-		if s.Engine != nil {
+		if s.Engine {
 			p.Kind = bundle.PoolEngine
 		}
 		b.Pools = append(b.Pools, p)
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,10 +24,7 @@
 
 	mu       sync.Mutex
 	items    map[string]item
-	events   []item
-	lost     uint64 // events up to this revision are forgotten
 	revision uint64
-	changed  chan struct{}
 	status   int
 	delay    time.Duration
 	calls    int
@@ -36,7 +32,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{PageSize: 50, items: map[string]item{}, changed: make(chan struct{})}
+	return &Store{PageSize: 50, items: map[string]item{}}
 }
 
 // Put writes a value; v is encoded as JSON unless it is bytes.
@@ -59,21 +55,11 @@
 	defer s.mu.Unlock()
 	s.revision++
 	i.Revision = s.revision
-	s.events = append(s.events, i)
 	if i.Tombstone {
 		delete(s.items, i.Key)
 	} else {
 		s.items[i.Key] = i
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// Compact forgets the history.
-func (s *Store) Compact() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lost, s.events = s.revision, nil
 }
 
 // Fail answers every call with a status until it is called with 0.
@@ -113,8 +99,6 @@
 		s.get(w, r.URL.Query().Get("key"))
 	case "/-/kv-range":
 		s.list(w, r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
-	case "/-/kv-watch":
-		s.watch(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -159,45 +143,3 @@
 	}
 	writeJSON(w, answer)
 }
-
-func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
-	wait, waitErr := strconv.Atoi(q.Get("wait_ms"))
-	if err != nil || waitErr != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timer.Stop()
-	for {
-		events, revision, lost, changed := s.since(q.Get("prefix"), after)
-		if lost {
-			w.WriteHeader(http.StatusGone)
-			return
-		}
-		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "as_of": revision})
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			writeJSON(w, map[string]any{"events": []item{}, "as_of": revision})
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (s *Store) since(prefix string, after uint64) (events []item, revision uint64, lost bool, changed <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.events {
-		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-			events = append(events, e)
-		}
-	}
-	return events, s.revision, after < s.lost, s.changed
-}
