Keep the error of an attempt whose allowed repeat never begins

Cause, found by reading: an attempt that ended with a replica's own 5xx and whose repeat was granted carried no error, so that a deadline which passed before the repeat led to a nil dereference (net/http's handler recovers it and closes the connection: no final answer). And the refusal of stages that were to be made again was replaced by one of its own, which lost the planner's word on when to come back. Test: TestDeadlineBetweenAttempts, which panics on the code before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,8 +69,8 @@
 func (x *exchange) relay() {
 	x.g.budget(x.service).Deposit(time.Now())
 	for {
-		if !x.holdInputs() {
-			x.giveUp(retryable(problem.New(problem.Overloaded, "the stages' results are gone"), refusedRetry))
+		if perr := x.holdInputs(); perr != nil {
+			x.giveUp(perr)
 			return
 		}
 		choice, perr := x.g.router.Pick(time.Now(), x.query(), nil)
@@ -134,12 +134,12 @@
 
 // holdInputs has the stages made again if their results were given up after an
 // earlier attempt.
-func (x *exchange) holdInputs() bool {
+func (x *exchange) holdInputs() *problem.Error {
 	if len(x.inputs) == 0 || x.prepared.Load() {
-		return true
+		return nil
 	}
 	x.inputs = nil
-	return x.prepare() == nil
+	return x.prepare()
 }
 
 // giveUp ends a request without a replica's answer.
@@ -258,7 +258,7 @@
 		// would promise too much.
 		return failed, problem.New(problem.UpstreamFailed, "status %d without a word on execution", resp.StatusCode)
 	case resp.StatusCode >= http.StatusInternalServerError && x.mayRepeat(failed):
-		return repeatNow, nil
+		return repeatNow, problem.New(problem.UpstreamFailed, "status %d", resp.StatusCode)
 	}
 	if x.committed {
 		return abandoned, problem.New(problem.UpstreamFailed, "a stream cannot go on with status %d", resp.StatusCode)
--- /dev/null
+++ b/gateway/repeat_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/core/retry"
+	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// A repeat is allowed when an attempt ends; the deadline may pass before it
+// begins. The request then needs the attempt's error for its answer.
+func TestDeadlineBetweenAttempts(t *testing.T) {
+	RegisterTestingT(t)
+	fellows, err := fleet.New(fleet.Config{Self: fleet.Host{Host: member.Host{Name: "d0"}}, Mux: peer.NewMux(), Logger: zap.NewNop()})
+	Expect(err).NotTo(HaveOccurred())
+	g := &Gateway{fleet: fellows}
+	g.budgets.Store("reports", retry.NewShared(1, 10, time.Second, 1))
+	ctx, cancel := context.WithCancel(context.Background())
+	answer := httptest.NewRecorder()
+	x := &exchange{
+		g: g, w: answer, r: httptest.NewRequest(http.MethodGet, "/", nil), ctx: ctx, service: "reports", runs: 1,
+		route: &catalog.Route{Repeat: catalog.Idempotent, Attempts: 2},
+	}
+	resp := &http.Response{StatusCode: http.StatusInternalServerError, Body: io.NopCloser(strings.NewReader("broken"))}
+	end, perr := (&try{x: x, cancel: cancel}).whole(resp, platform.Answer{})
+	Expect(end).To(Equal(repeatNow))
+	cancel()
+	Expect(x.mayRepeat(end)).To(BeFalse())
+	x.giveUp(perr)
+	Expect(answer.Code).To(Equal(http.StatusBadGateway))
+}
