Wait for the fleet to form before stages are planned

Ruled out: results that nobody holds (they take up rooms for 4 s, but 'no room' was 1094 of 88417), replicas suspected wrongly (two lines). Change: a host that has just started has its fleet formed when a fellow that knows the fleet answers it, when a round of introductions names nobody new, or after a second; jobs wait for that. Seeds that are silent are asked again after 100 ms for that long. Tests: hosts that start together agree on the first in rank, a second at most with silent seeds, no piece made while the fleet forms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,9 @@
 	// daemons start within 300 ms, and one asks its seeds in vain until they
 	// listen.
 	firstAsk = 300 * time.Millisecond
+	// unansweredAsk is the interval while no seed has answered and others wait
+	// for it, for formBound at most.
+	unansweredAsk = 100 * time.Millisecond
 	// formingRounds is the number of introductions in a row without a new host
 	// after which the fleet counts as formed.
 	formingRounds = 6
@@ -64,13 +68,15 @@
 	calls     *membership.Calls
 	transport *peer.Transport
 	seeds     atomic.Pointer[[]string]
+	formed    chan struct{}
+	formOnce  sync.Once
 }
 
 // New returns a fleet that listens but does not take part yet.
 func New(cfg Config) (*Fleet, error) {
 	incarnation := uint64(time.Now().UnixMilli())
 	cfg.Self.Incarnation = incarnation
-	f := &Fleet{cfg: cfg, log: cfg.Logger, roster: newRoster(cfg.Self), calls: membership.NewCalls()}
+	f := &Fleet{cfg: cfg, log: cfg.Logger, roster: newRoster(cfg.Self), calls: membership.NewCalls(), formed: make(chan struct{})}
 	f.SetSeeds(cfg.Seeds)
 	peer.Handle(cfg.Mux, methodRoster, f.introduced)
 	loop, err := membership.New(member.DefaultConfig(cfg.Self.Host, incarnation), rand.Uint64(), cfg.Mux, f.calls,
@@ -189,9 +195,9 @@
 	f.learn(from.Host, self)
 	hosts := f.roster.all()
 	if req.GetKnown() == hash(hosts) {
-		return &wire.RosterReply{}, nil
+		return &wire.RosterReply{Formed: f.hasFormed()}, nil
 	}
-	return &wire.RosterReply{Hosts: toWire(hosts)}, nil
+	return &wire.RosterReply{Hosts: toWire(hosts), Formed: f.hasFormed()}, nil
 }
 
 // learn takes hosts that another host named.
@@ -207,19 +213,25 @@
 // introduce tells seeds who this host is and learns whom they know.
 func (f *Fleet) introduce(ctx context.Context) {
 	f.loop.Post(member.Configured{Hosts: members(f.roster.all()), Upstreams: []string{}})
+	bound := time.AfterFunc(formBound, func() { f.form("time is over") })
+	defer bound.Stop()
 	quiet, known := 0, 0
 	for ctx.Err() == nil {
 		n := f.roster.size()
 		answered := f.askRound(ctx, quiet >= formingRounds || n > manyHosts)
 		if n = f.roster.size(); answered && n == known {
 			quiet++
+			f.form("no new host")
 		} else {
 			quiet, known = 0, n
 		}
 		f.forgetDead()
 		wait := min(laterAsk, firstAsk*time.Duration(1+n/manyHosts))
-		if quiet >= formingRounds {
+		switch {
+		case quiet >= formingRounds:
 			wait = laterAsk
+		case !answered && !f.hasFormed():
+			wait = unansweredAsk
 		}
 		timer := time.NewTimer(wait/2 + rand.N(wait))
 		select {
@@ -235,6 +247,7 @@
 func (f *Fleet) askRound(ctx context.Context, one bool) bool {
 	targets := f.targets()
 	if len(targets) == 0 {
+		f.form("no seed but this host")
 		return true // alone, as the settings say
 	}
 	if one {
@@ -288,6 +301,9 @@
 		return false
 	}
 	f.learn(host, fromWire(reply.GetHosts()))
+	if reply.GetFormed() {
+		f.form("a seed knows the fleet")
+	}
 	return true
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -70,6 +70,41 @@
 		Expect(names(f)()).To(ConsistOf(self, seed))
 	})
 
+	It("has formed at once when a seed knows it, and alone", func() {
+		a, b := address(), address()
+		first, _ := start(a, 1, a)
+		Eventually(first.Formed(), "500ms").Should(BeClosed())
+		second, _ := start(b, 1, a)
+		Eventually(second.Formed(), "500ms").Should(BeClosed())
+		Expect(names(second)()).To(ConsistOf(a, b))
+	})
+
+	It("has not formed while its seeds are silent, for a second at most", func() {
+		f, _ := start(address(), 1, address(), address())
+		Consistently(f.Formed(), "500ms").ShouldNot(BeClosed())
+		Eventually(f.Formed(), "2s").Should(BeClosed())
+	})
+
+	It("that starts together agrees on who ranks first once it has formed, the seeds being last", func() {
+		seeds := []string{address(), address()}
+		var all []*fleet.Fleet
+		for range 8 {
+			f, _ := start(address(), 1, seeds...)
+			all = append(all, f)
+		}
+		time.Sleep(200 * time.Millisecond) // the platform starts seeds late
+		for _, s := range seeds {
+			f, _ := start(s, 1, seeds...)
+			all = append(all, f)
+		}
+		first := map[string]int{}
+		for _, f := range all {
+			Eventually(f.Formed(), "3s").Should(BeClosed())
+			first[ranked(f)[0]]++
+		}
+		Expect(first).To(HaveLen(1))
+	})
+
 	It("agrees on who ranks first: capacity, then the start of the process", func() {
 		a, b, c := address(), address(), address()
 		first, _ := start(a, 1, a)
--- a/stages/service.go
+++ b/stages/service.go
@@ -15,8 +15,14 @@
 	"github.com/wheatseam/wheatseam/peer"
 )
 
-// Members names the hosts of the fleet that may be called, this one included.
-type Members interface{ Reachable() []fleet.Host }
+// Members is what is known of the fleet.
+type Members interface {
+	// Reachable returns the hosts that may be called, this one included.
+	Reachable() []fleet.Host
+	// Formed is closed once Reachable can be counted on, within a second of the
+	// start of this host.
+	Formed() <-chan struct{}
+}
 
 // Config is what a Service needs.
 type Config struct {
@@ -69,7 +75,16 @@
 
 // Prepare has the stages of a job made. After a Ready end the caller owes a
 // Release. When ctx ends first the job is given up and nil is returned.
+//
+// A daemon that has just started waits for its fleet to form: when all start
+// together and each plans for itself, their calls fill the queues of the same
+// replicas.
 func (s *Service) Prepare(ctx context.Context, j stage.Job) *End {
+	select {
+	case <-s.cfg.Members.Formed():
+	case <-ctx.Done():
+		return nil
+	}
 	for n := 1; ; n++ {
 		host := s.cfg.Self
 		if n < maxPlanners {
--- a/stages/stages_test.go
+++ b/stages/stages_test.go
@@ -110,7 +110,21 @@
 }
 
 // members are the hosts that a daemon believes in; ranks follow their order.
-type members struct{ names atomic.Pointer[[]string] }
+type members struct {
+	names atomic.Pointer[[]string]
+	// forming is closed when the fleet has formed; nil when it has long.
+	forming chan struct{}
+}
+
+// formed is closed: the fleet is known.
+var formed = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+func (m *members) Formed() <-chan struct{} {
+	if m.forming != nil {
+		return m.forming
+	}
+	return formed
+}
 
 func (m *members) Reachable() []fleet.Host {
 	var out []fleet.Host
@@ -283,6 +297,27 @@
 		Eventually(r.holds, "3s").Should(BeZero())
 	})
 
+	It("plans nothing while the fleet forms, then where the fleet plans", func() {
+		r := newReplicas()
+		nodes, m := newNodes(r, 2)
+		all := *m.names.Load()
+		m.forming = make(chan struct{})
+		m.names.Store(&[]string{nodes[1].name})
+		made := make(chan stage.Ready, 1)
+		go func() {
+			defer GinkgoRecover()
+			made <- prepare(nodes[1], "early")
+		}()
+		Consistently(made, "200ms").ShouldNot(Receive())
+		Expect(r.madeBy(nodes[1].name)).To(BeZero())
+		m.names.Store(&all)
+		close(m.forming)
+		Eventually(made, "2s").Should(Receive())
+		Expect(r.madeBy(nodes[0].name)).To(Equal(5))
+		nodes[1].service.Release("early")
+		Eventually(r.holds, "2s").Should(BeZero())
+	})
+
 	It("gives a job up with its request, and makes no further call for it", func() {
 		r := newReplicas()
 		r.work = 100 * time.Millisecond
