--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,11 +41,12 @@
 // A run of CI's length for each of some seeds; a seed that ever failed stays,
 // with a line on its cause.
 var _ = Describe("a soak", func() {
-	DescribeTable("keeps every promise", func(seed uint64) {
+	// The daemons and the duration decide the schedule of a seed's faults.
+	DescribeTable("keeps every promise", func(seed uint64, daemons int, duration time.Duration) {
 		dir, err := os.MkdirTemp("", "wheatseam-soak-test-")
 		Expect(err).NotTo(HaveOccurred())
 		report, err := soak.Do(context.Background(), soak.Config{
-			Binary: binary, Dir: dir, Seed: seed, Duration: 6 * time.Second, Daemons: 3, Callers: 6,
+			Binary: binary, Dir: dir, Seed: seed, Duration: duration, Daemons: daemons, Callers: 2 * daemons,
 		})
 		Expect(err).NotTo(HaveOccurred())
 		report.Print(GinkgoWriter)
@@ -53,7 +54,13 @@
 		Expect(report.Served).To(BeNumerically(">", 100))
 		Expect(os.RemoveAll(dir)).To(Succeed())
 	},
-		Entry("seed 2", uint64(2)),
-		Entry("seed 7", uint64(7)),
+		Entry("seed 2", uint64(2), 3, 6*time.Second),
+		Entry("seed 7", uint64(7), 3, 6*time.Second),
+		// Two faults of the soak restarted one daemon at the same time, so that
+		// it ran twice.
+		Entry("seed 100", uint64(100), 4, 8*time.Second),
+		Entry("seed 128", uint64(128), 4, 8*time.Second),
+		Entry("seed 140", uint64(140), 4, 8*time.Second),
+		Entry("seed 151", uint64(151), 4, 8*time.Second),
 	)
 })
