One way to connect to upstreams and to read bounded bodies

The client of the platform's replicas had its own dialer with its own type of error and its own question 'was anything sent', each a twin of internal/httpbody's, which the other upstreams' clients use: both now call httpbody.Dial and httpbody.NotSent. Behaviour is the same but for the word 'dial' instead of 'connect' in the text of an error, and a stage answer over its bound is called too large instead of malformed; it fails the call as before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/load"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
@@ -188,7 +189,7 @@
 	defer stop()
 	resp, err := x.g.client.Do(ctx, t.outgoing())
 	if err != nil {
-		if replica.Unsent(err) {
+		if httpbody.NotSent(err) {
 			return notSent, retryable(problem.New(problem.NoUpstream, "no connection to a replica"), refusedRetry)
 		}
 		x.runs++
@@ -244,13 +245,12 @@
 // whole passes an answer on once it is complete.
 func (t *try) whole(resp *http.Response, head platform.Answer) (attemptEnd, *problem.Error) {
 	x := t.x
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return t.broken(err)
-	}
+	body, err := httpbody.Read(resp.Body, maxAnswerBytes)
 	switch {
-	case len(body) > maxAnswerBytes:
+	case errors.Is(err, httpbody.ErrTooLarge):
 		return failed, problem.New(problem.UpstreamFailed, "the answer is over %d bytes", maxAnswerBytes)
+	case err != nil:
+		return t.broken(err)
 	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
 		return failed, problem.New(problem.UpstreamFailed, "the answer has no signature")
 	case promisesStatus(resp.StatusCode):
--- a/internal/httpbody/upstream.go
+++ b/internal/httpbody/upstream.go
@@ -27,15 +27,8 @@
 // NewTransport returns an HTTP transport that holds at most maxConns
 // connections to one upstream; 0 is no bound.
 func NewTransport(maxConns int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, &DialError{Err: err}
-			}
-			return conn, nil
-		},
+		DialContext:         Dial(&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}),
 		MaxIdleConnsPerHost: max(maxConns, 64),
 		MaxConnsPerHost:     maxConns,
 		IdleConnTimeout:     idleConnTimeout,
@@ -43,6 +36,17 @@
 	}
 }
 
+// Dial returns a transport's way to connect whose failures are DialErrors.
+func Dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, &DialError{Err: err}
+		}
+		return conn, nil
+	}
+}
+
 // DialError is a failure to connect: nothing of the request was sent.
 type DialError struct{ Err error }
 
--- a/replica/client.go
+++ b/replica/client.go
@@ -5,13 +5,13 @@
 import (
 	"bytes"
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 )
 
 // connectTimeout bounds the opening of a connection to a replica. Replicas are
@@ -26,23 +26,10 @@
 	transport *http.Transport
 }
 
-// connectError says that a connection did not come about: nothing was sent.
-type connectError struct{ err error }
-
-func (e *connectError) Error() string { return fmt.Sprintf("connect: %v", e.err) }
-func (e *connectError) Unwrap() error { return e.err }
-
 // NewClient returns a client.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return &Client{transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, &connectError{err}
-			}
-			return conn, nil
-		},
+		DialContext:        httpbody.Dial(&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
@@ -50,12 +37,6 @@
 	}}
 }
 
-// Unsent says whether a call failed before anything was sent.
-func Unsent(err error) bool {
-	var e *connectError
-	return errors.As(err, &e)
-}
-
 // Call is one call to a replica.
 type Call struct {
 	Method string
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/platform"
 )
 
@@ -31,14 +31,14 @@
 	}
 	resp, err := c.Do(ctx, stageCall(platform.StageRunPath, a.Replica, a.Address, body))
 	if err != nil {
-		if Unsent(err) {
+		if httpbody.NotSent(err) {
 			return nil, stage.CallUnreachable, err
 		}
 		return nil, stage.CallFailed, err
 	}
 	defer resp.Body.Close()
 	answer := platform.DecodeAnswer(resp.StatusCode, resp.Header)
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStageAnswer))
+	raw, err := httpbody.Read(resp.Body, maxStageAnswer)
 	switch {
 	case answer.OtherReplica:
 		return nil, stage.CallUnreachable, errOtherReplica
