Say things once in the stage planner and the relay

core/stage had two events for one thing: Released was handled as Cancelled is, and no daemon sent it; the tests that used it send Cancelled, with the same assertions. Queueing a piece stood in three places, and so did, in two, the sum of results by failure domain with its largest; each is a function now. The relay and the stream's watchdog asked in the same words whether the route allows another execution: one question. No behaviour changes.

--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -65,9 +65,7 @@
 		m.refuse(p.job, ReasonFailed, m.cfg.MinRetryAfter)
 		return
 	}
-	p.state = queued
-	s := p.job.stages[p.stage].service
-	s.queue = append(s.queue, p)
+	p.enqueue()
 }
 
 // take takes the results of an answered call.
@@ -198,9 +196,7 @@
 		for _, p := range c.pieces {
 			if m.current(p) && p.state == running && p.calls == 1 && p.tries+1 < m.cfg.MaxTries {
 				p.tries++
-				p.state = queued
-				s := p.job.stages[p.stage].service
-				s.queue = append(s.queue, p)
+				p.enqueue()
 			}
 		}
 	}
--- a/core/stage/doc.go
+++ b/core/stage/doc.go
@@ -15,7 +15,7 @@
 //
 // Every Run is answered by exactly one CallEnded with the same number. Every
 // submitted job ends with exactly one Ready or Refused, unless it is cancelled
-// first. After Ready the caller reports Released once the results have been
+// first. After Ready the caller reports Cancelled once the results have been
 // read or are of no more use.
 //
 // # What it guarantees
--- a/core/stage/event.go
+++ b/core/stage/event.go
@@ -19,12 +19,10 @@
 // known is ignored.
 type Submitted struct{ Job Job }
 
-// Cancelled says that nobody waits for a job any more.
+// Cancelled says that nobody waits for a job any more, or, of a ready one, that
+// its results have been read or are of no more use.
 type Cancelled struct{ Job string }
 
-// Released says that a ready job's results have been read.
-type Released struct{ Job string }
-
 // CallOutcome says how a call to a replica ended.
 type CallOutcome uint8
 
@@ -77,7 +75,6 @@
 func (Configured) isEvent() {}
 func (Submitted) isEvent()  {}
 func (Cancelled) isEvent()  {}
-func (Released) isEvent()   {}
 func (CallEnded) isEvent()  {}
 func (Tick) isEvent()       {}
 
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -32,6 +32,13 @@
 // bytes returns the usual size of the piece's result.
 func (p *piece) bytes() int64 { return p.job.Stages[p.stage].ResultBytes }
 
+// enqueue puts the piece into the queue of its service.
+func (p *piece) enqueue() {
+	p.state = queued
+	s := p.job.stages[p.stage].service
+	s.queue = append(s.queue, p)
+}
+
 // stageState is the state of one stage of a job.
 type stageState struct {
 	service *service
@@ -138,26 +145,35 @@
 // where most bytes of its inputs lie, if they are more than it makes for its
 // readers, else the job's.
 func (j *job) home(i int) string {
-	inputs := map[string]int64{}
-	var heaviest int64
-	domain := j.Domain
+	w := weights{bytes: map[string]int64{}, domain: j.Domain}
 	for _, a := range j.Stages[i].After {
 		for k := range j.stages[a].pieces {
-			p := &j.stages[a].pieces[k]
-			if p.holder == nil {
-				continue
-			}
-			d := p.holder.FailureDomain
-			inputs[d] += p.bytes()
-			if inputs[d] > heaviest {
-				heaviest, domain = inputs[d], d
+			if p := &j.stages[a].pieces[k]; p.holder != nil {
+				w.add(p)
 			}
 		}
 	}
-	if heaviest < j.made(i) {
+	if w.most < j.made(i) {
 		return j.Domain
 	}
-	return domain
+	return w.domain
+}
+
+// weights are the bytes of results by the failure domain in which they lie, and
+// the domain with the most of them.
+type weights struct {
+	bytes  map[string]int64
+	domain string
+	most   int64
+}
+
+// add counts the result of a piece that is made.
+func (w *weights) add(p *piece) {
+	d := p.holder.FailureDomain
+	w.bytes[d] += p.bytes()
+	if w.bytes[d] > w.most {
+		w.domain, w.most = d, w.bytes[d]
+	}
 }
 
 // comesTo returns the failure domain in which stage i will best be made as far
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -44,8 +44,6 @@
 		m.submit(now, e.Job)
 	case Cancelled:
 		m.drop(e.Job)
-	case Released:
-		m.drop(e.Job)
 	case CallEnded:
 		m.ended(now, e)
 	}
@@ -142,8 +140,7 @@
 		}
 		for k := range st.pieces {
 			if p := &st.pieces[k]; p.state == blocked {
-				p.state = queued
-				st.service.queue = append(st.service.queue, p)
+				p.enqueue()
 			}
 		}
 	}
@@ -206,7 +203,7 @@
 // result is the action that hands a complete job over.
 func (j *job) result(now time.Time) Ready {
 	ready := Ready{Job: j.ID, Took: now.Sub(j.submitted), Predicted: j.expected, Early: j.Due.Sub(now)}
-	weights := map[string]int64{}
+	w := weights{bytes: map[string]int64{}}
 	for i := range j.stages {
 		st := &j.stages[i]
 		if len(st.pieces) > 0 {
@@ -218,13 +215,10 @@
 		for k := range st.pieces {
 			p := &st.pieces[k]
 			ready.Handles = append(ready.Handles, p.handle)
-			domain := p.holder.FailureDomain
-			weights[domain] += p.bytes()
-			if w := weights[domain]; w > ready.DomainBytes {
-				ready.DomainBytes, ready.Domain = w, domain
-			}
+			w.add(p)
 		}
 	}
+	ready.Domain, ready.DomainBytes = w.domain, w.most
 	return ready
 }
 
--- a/core/stage/machine_test.go
+++ b/core/stage/machine_test.go
@@ -20,7 +20,7 @@
 		Expect(b.ready).To(HaveKey("j"))
 		Expect(b.ready["j"].Handles).To(HaveLen(1))
 		Expect(b.held).To(HaveLen(1))
-		b.giveUp("j", Released{"j"})
+		b.giveUp("j", Cancelled{"j"})
 		Expect(b.held).To(BeEmpty())
 	})
 
@@ -132,7 +132,7 @@
 		Expect(b.ready).To(HaveKey("j"))
 		b.answer(slow.Call)
 		Expect(b.held).To(HaveLen(2), "the late results are freed")
-		b.giveUp("j", Released{"j"})
+		b.giveUp("j", Cancelled{"j"})
 		Expect(b.held).To(BeEmpty())
 	})
 
@@ -212,7 +212,7 @@
 		}
 		b.finish()
 		Expect(b.ready).To(HaveLen(3), "nine results of 100 bytes fit 1000")
-		b.giveUp("j0", Released{"j0"})
+		b.giveUp("j0", Cancelled{"j0"})
 		b.finish()
 		Expect(b.ready).To(HaveLen(4))
 	})
--- a/core/stage/random_test.go
+++ b/core/stage/random_test.go
@@ -113,9 +113,5 @@
 		return
 	}
 	id := ids[rng.IntN(len(ids))]
-	if _, ok := b.ready[id]; ok {
-		b.giveUp(id, Released{id})
-		return
-	}
 	b.giveUp(id, Cancelled{id})
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -123,11 +123,16 @@
 	case repeatNow:
 		return true
 	case failed:
-		return x.route.MayRepeat() && x.runs < x.route.Attempts && x.resumable() && x.g.budget(x.service).Withdraw(time.Now())
+		return x.mayRunAgain() && x.resumable() && x.g.budget(x.service).Withdraw(time.Now())
 	}
 	return false
 }
 
+// mayRunAgain says whether the route allows another execution.
+func (x *exchange) mayRunAgain() bool {
+	return x.route.MayRepeat() && x.runs < x.route.Attempts
+}
+
 // resumable says whether a further attempt can go on where the answer stands.
 func (x *exchange) resumable() bool {
 	return !x.committed || x.route.Resumable && x.lastEvent != ""
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,7 +128,7 @@
 func (t *try) startWatchdog() *watchdog {
 	x := t.x
 	w := &watchdog{silence: max(minSilence, time.Duration(silenceFactor*float64(x.route.Objective)))}
-	if x.route.MayRepeat() && x.runs < x.route.Attempts {
+	if x.mayRunAgain() {
 		w.timer = time.AfterFunc(w.silence, t.cancel)
 	}
 	return w
