One kind of list of hosts to avoid

stages (planners that failed) and discovery (hosts without news) each kept a map of hosts with a time, its clean-up and its question: fleet.Avoided serves both, with a test of its own. Waits and dumps are as before.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -87,7 +87,7 @@
 	steps changes
 	// lost says that the last read of the store failed.
 	lost    bool
-	avoided map[string]time.Time
+	avoided fleet.Avoided
 	source  string
 	reads   atomic.Uint64
 	news    atomic.Uint64
@@ -95,7 +95,7 @@
 
 // New returns a discovery that has not started and registers its method.
 func New(cfg Config) *Discovery {
-	d := &Discovery{cfg: cfg, log: cfg.Logger, changed: make(chan struct{}), avoided: map[string]time.Time{}}
+	d := &Discovery{cfg: cfg, log: cfg.Logger, changed: make(chan struct{})}
 	d.view.Store(&View{})
 	d.handle(cfg.Mux)
 	return d
@@ -156,7 +156,7 @@
 	source := d.cfg.Self
 	for at > 0 {
 		at = (at - 1) / fanout
-		if !now.Before(d.avoided[hosts[at].Name]) {
+		if !d.avoided.Has(hosts[at].Name, now) {
 			source = hosts[at].Name
 			break
 		}
@@ -187,33 +187,13 @@
 // and that the store turns away learns from its fellows what is in force.
 func (d *Discovery) askAny(ctx context.Context) bool {
 	for _, h := range ranked(d.cfg.Members.Reachable()) {
-		if h.Name != d.cfg.Self && d.mayAsk(h.Name) && d.askFor(ctx, h.Name) {
+		if h.Name != d.cfg.Self && !d.avoided.Has(h.Name, time.Now()) && d.askFor(ctx, h.Name) {
 			return true
 		}
 	}
 	return false
 }
 
-// mayAsk says whether a host is not avoided.
-func (d *Discovery) mayAsk(host string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !time.Now().Before(d.avoided[host])
-}
-
-// avoid keeps from asking a host for a while.
-func (d *Discovery) avoid(host string, wait time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	for h, until := range d.avoided {
-		if now.After(until) {
-			delete(d.avoided, h)
-		}
-	}
-	d.avoided[host] = now.Add(wait)
-}
-
 // read reads the store and says whether that succeeded. A configuration is put
 // in force with its page, before the replicas of a large deployment are in.
 func (d *Discovery) read(ctx context.Context) bool {
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -29,9 +29,9 @@
 	defer cancel()
 	if err := d.cfg.Caller.Call(call, host, methodNews, req, reply); err != nil {
 		if time.Since(asked) < wait {
-			d.avoid(host, avoidStarting)
+			d.avoided.Add(host, avoidStarting)
 		} else {
-			d.avoid(host, avoidFor)
+			d.avoided.Add(host, avoidFor)
 		}
 		d.log.Info("no news", zap.String("peer", host), zap.Error(err))
 		return false
@@ -43,7 +43,7 @@
 	transit := max(0, received.Sub(asked)-time.Duration(reply.GetWaitedMs())*time.Millisecond)
 	asOf := received.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond - transit)
 	if age := received.Sub(asOf); age < 0 || age > d.share(staleAfter) {
-		d.avoid(host, avoidFor)
+		d.avoided.Add(host, avoidFor)
 		d.log.Info("news too old", zap.String("peer", host), zap.Duration("age", age))
 		return false
 	}
--- /dev/null
+++ b/fleet/avoided_test.go
@@ -0,0 +1,27 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/fleet"
+)
+
+var _ = Describe("avoided hosts", func() {
+	It("are avoided for their time, and forgotten when another is added", func() {
+		var a fleet.Avoided
+		now := time.Now()
+		Expect(a.Has("a", now)).To(BeFalse())
+		Expect(a.Names()).To(BeEmpty())
+		a.Add("b", time.Millisecond)
+		a.Add("a", time.Hour)
+		Expect(a.Has("a", now)).To(BeTrue())
+		Expect(a.Has("a", now.Add(2*time.Hour))).To(BeFalse())
+		Expect(a.Names()).To(ContainElement("a"))
+		time.Sleep(2 * time.Millisecond)
+		a.Add("c", time.Hour)
+		Expect(a.Names()).To(Equal([]string{"a", "c"}))
+	})
+})
--- a/stages/service.go
+++ b/stages/service.go
@@ -1,9 +1,7 @@
 package stages
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -44,18 +42,19 @@
 	log     *zap.Logger
 	planner *planner
 
-	mu      sync.Mutex
-	avoided map[string]time.Time // hosts that failed, until when
-	remote  map[string]*planning // planners that jobs of ours wait at
-	placed  map[string]string    // jobs to the host that plans them
-	chosen  string               // the planner that was last chosen
+	avoided fleet.Avoided // planners that failed
+
+	mu     sync.Mutex
+	remote map[string]*planning // planners that jobs of ours wait at
+	placed map[string]string    // jobs to the host that plans them
+	chosen string               // the planner that was last chosen
 }
 
 // New returns a service that has not started and registers its methods.
 func New(cfg Config) *Service {
 	s := &Service{
 		cfg: cfg, log: cfg.Logger, planner: newPlanner(cfg.Plan, cfg.Replicas, cfg.Logger),
-		avoided: map[string]time.Time{}, remote: map[string]*planning{}, placed: map[string]string{},
+		remote: map[string]*planning{}, placed: map[string]string{},
 	}
 	s.handle(cfg.Mux)
 	return s
@@ -94,7 +93,7 @@
 		if !lost {
 			return end
 		}
-		s.avoid(host)
+		s.avoided.Add(host, avoidFor)
 		if host == s.cfg.Self {
 			return &End{Refused: &stage.Refused{Job: j.ID, Reason: stage.ReasonNoReplica, RetryAfter: notReadyRetry}}
 		}
@@ -154,17 +153,6 @@
 // avoidFor is how long a planner that failed is avoided.
 const avoidFor = 2 * time.Second
 
-func (s *Service) avoid(host string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.avoided[host] = time.Now().Add(avoidFor)
-	for h, until := range s.avoided {
-		if time.Now().After(until) {
-			delete(s.avoided, h)
-		}
-	}
-}
-
 // choose returns the host that plans: of those that may be called and did not
 // fail a moment ago, the first in rank.
 func (s *Service) choose(now time.Time) string {
@@ -174,7 +162,7 @@
 	var best *fleet.Host
 	for i := range hosts {
 		h := &hosts[i]
-		if !now.Before(s.avoided[h.Name]) && (best == nil || h.Before(best)) {
+		if !s.avoided.Has(h.Name, now) && (best == nil || h.Before(best)) {
 			best = h
 		}
 	}
@@ -202,12 +190,8 @@
 // Dump returns the state.
 func (s *Service) Dump() Dump {
 	s.mu.Lock()
-	d := Dump{Chosen: s.chosen, Placed: len(s.placed)}
-	for h := range s.avoided {
-		d.Avoided = append(d.Avoided, h)
-	}
+	d := Dump{Chosen: s.chosen, Placed: len(s.placed), Avoided: s.avoided.Names()}
 	s.mu.Unlock()
-	slices.SortFunc(d.Avoided, cmp.Compare[string])
 	s.planner.mu.Lock()
 	d.Planned = len(s.planner.jobs)
 	s.planner.mu.Unlock()
