--- /dev/null
+++ b/core/estimate/estimate_test.go
@@ -0,0 +1,89 @@
+package estimate_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/estimate"
+)
+
+func TestEstimate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "estimate")
+}
+
+var _ = Describe("a line", func() {
+	ms := func(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+	at := func(l *estimate.Line, size float64) time.Duration {
+		GinkgoHelper()
+		took, ok := l.At(size)
+		Expect(ok).To(BeTrue())
+		return took
+	}
+
+	It("has no estimate before it has measurements", func() {
+		var l estimate.Line
+		_, ok := l.At(1)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("finds the fixed part and the part for each unit under noise", func() {
+		r := rand.New(rand.NewPCG(1, 2))
+		var l estimate.Line
+		for range 2000 {
+			size := 1000 + 20000*r.Float64()
+			l.Observe(size, ms(50+0.02*size+20*(r.Float64()-0.5)))
+		}
+		for _, size := range []float64{0, 5000, 40000} {
+			Expect(at(&l, size)).To(BeNumerically("~", ms(50+0.02*size), ms(10)), "size %v", size)
+		}
+	})
+
+	It("is the mean when all sizes are alike, and never falls with the size", func() {
+		var alike, falling estimate.Line
+		for i := range 50 {
+			alike.Observe(7, ms(100))
+			falling.Observe(float64(i), ms(float64(100-i)))
+		}
+		Expect(at(&alike, 7000)).To(BeNumerically("~", ms(100), ms(1)))
+		Expect(at(&falling, 1000)).To(Equal(at(&falling, 0)))
+	})
+
+	It("follows a change", func() {
+		var l estimate.Line
+		for range 1000 {
+			l.Observe(1, ms(100))
+		}
+		for range 1500 {
+			l.Observe(1, ms(300))
+		}
+		Expect(at(&l, 1)).To(BeNumerically("~", ms(300), ms(5)))
+	})
+
+	It("never gives a negative duration", func() {
+		var l estimate.Line
+		for i := range 50 {
+			l.Observe(float64(100+i), ms(float64(10*i)))
+		}
+		Expect(at(&l, 0)).To(BeZero())
+	})
+})
+
+var _ = Describe("a deviation", func() {
+	It("is the mean distance in either direction", func() {
+		var d estimate.Deviation
+		for i := range 400 {
+			took := 100 * time.Millisecond
+			if i%2 == 0 {
+				took = 60 * time.Millisecond
+			}
+			d.Observe(took, 80*time.Millisecond)
+		}
+		Expect(d.Mean()).To(BeNumerically("~", 20*time.Millisecond, time.Millisecond))
+	})
+})
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// unhurried is the multiple of the least time of a job that it may always take:
+// one that could hardly be on time if nothing else ran is not refused for that,
+// unless it is due already.
+const unhurried = 1.3
+
 // admit predicts when the results of a job would be ready and returns a
 // refusal when that is too late.
 func (m *Machine) admit(now time.Time, j *job) *Refused {
@@ -12,7 +17,7 @@
 	}
 	j.predicted = m.predict(now, j)
 	j.expected = time.Duration(m.bias * float64(j.predicted))
-	excess := now.Add(j.expected).Sub(j.Due)
+	excess := j.expected - j.allowed(now)
 	if excess <= 0 {
 		return nil
 	}
@@ -22,6 +27,17 @@
 	}
 }
 
+// allowed returns how long the job may be expected to take and still be
+// admitted.
+func (j *job) allowed(now time.Time) time.Duration {
+	left := j.Due.Sub(now)
+	if left <= 0 {
+		return left
+	}
+	shortest, _ := j.shortest()
+	return max(left, time.Duration(unhurried*float64(shortest)))
+}
+
 // anyUsable says whether any replica may be called, now or when a suspicion
 // ends.
 func (s *service) anyUsable(now time.Time) bool {
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -17,10 +17,11 @@
 	job    *job
 	stage  int
 	pieces []*piece
-	// slack is how long the job may wait over so many calls; when it is
-	// negative the job cannot be on time any more.
+	// slack is how long the job may wait over so many calls, and late says that
+	// it cannot be on time any more.
 	slack time.Duration
 	calls int
+	late  bool
 	// home is the failure domain in which the pieces are best made.
 	home string
 }
@@ -44,15 +45,15 @@
 		g := groups[k]
 		if g == nil {
 			g = &group{job: p.job, stage: p.stage, home: p.job.home(p.stage)}
-			g.slack, g.calls = p.job.slack(now)
+			g.slack, g.calls, g.late = p.job.slack(now)
 			groups[k] = g
 			out = append(out, g)
 		}
 		g.pieces = append(g.pieces, p)
 	}
 	slices.SortFunc(out, func(a, b *group) int {
-		if late := a.slack < 0; late != (b.slack < 0) {
-			if late {
+		if a.late != b.late {
+			if a.late {
 				return 1
 			}
 			return -1
--- a/core/stage/event.go
+++ b/core/stage/event.go
@@ -86,9 +86,10 @@
 	Key string
 	// Priority ranks jobs; 0 is the highest.
 	Priority int
-	// Due is when the results must be ready for an answer on time, Deadline
-	// when they are of no more use.
-	Due, Deadline time.Time
+	// Due is when the results must be ready for an answer that is most likely
+	// on time, Latest when for one that may be, Deadline when they are of no
+	// more use. A Latest before Due counts as Due.
+	Due, Latest, Deadline time.Time
 	// Domain is the failure domain in which the results will be read; "" if
 	// that is open.
 	Domain string
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -91,6 +91,9 @@
 		return nil
 	}
 	m.seq++
+	if j.Latest.Before(j.Due) {
+		j.Latest = j.Due
+	}
 	s := &job{Job: j, seq: m.seq, stages: make([]stageState, len(j.Stages))}
 	s.rank = j.Due.Add(time.Duration(j.Priority) * m.cfg.PriorityStep)
 	for i := range j.Stages {
@@ -212,12 +215,13 @@
 	return n
 }
 
-// slack returns how long the job's stages may wait altogether and still be on
-// time, and over how many calls in a row that wait is spread; negative when it
-// cannot be on time any more.
-func (j *job) slack(now time.Time) (slack time.Duration, calls int) {
+// slack returns how long the job's stages may wait altogether and still be done
+// when they are due, over how many calls in a row that wait is spread, and
+// whether the job cannot be on time any more.
+func (j *job) slack(now time.Time) (slack time.Duration, calls int, late bool) {
 	shortest, calls := j.shortest()
-	return j.Due.Sub(now.Add(shortest)), calls
+	done := now.Add(shortest)
+	return j.Due.Sub(done), calls, done.After(j.Latest)
 }
 
 // shortest returns the least time that the stages left need, the longest chain
--- a/core/stage/machine_test.go
+++ b/core/stage/machine_test.go
@@ -285,6 +285,37 @@
 		Expect(b.refused).NotTo(HaveKey("urgent"))
 	})
 
+	It("admits what could hardly be on time if nothing else ran, unless it would wait or is due already", func() {
+		b := newBench(figures(4, 0), "x")
+		work := Stage{Service: "a", Pieces: 4} // 280 ms
+		tight := b.chain("tight", work)
+		tight.Due = b.now.Add(100 * time.Millisecond)
+		b.submit(tight)
+		Expect(b.refused).NotTo(HaveKey("tight"))
+		queued := b.chain("queued", work)
+		queued.Due = b.now.Add(110 * time.Millisecond)
+		b.submit(queued)
+		Expect(b.refused).To(HaveKey("queued"))
+		over := newBench(figures(4, 0), "x")
+		past := over.chain("past", work)
+		past.Due = over.now
+		over.submit(past)
+		Expect(over.refused).To(HaveKey("past"))
+	})
+
+	It("makes a job that may still be on time before those that cannot", func() {
+		b := newBench(figures(4, 0), "x")
+		work := Stage{Service: "a", Pieces: 4} // 280 ms
+		first := b.submit(b.chain("first", work))[0]
+		mayBe, cannot := b.chain("may-be", work), b.chain("cannot", work)
+		mayBe.Due, mayBe.Latest = b.now.Add(600*time.Millisecond), b.now.Add(time.Second)
+		cannot.Due = b.now.Add(590 * time.Millisecond)
+		b.submit(cannot)
+		b.submit(mayBe)
+		b.now = b.now.Add(500 * time.Millisecond)
+		Expect(b.answer(first.Call)[0].Pieces[0].Job).To(Equal("may-be"), "cannot ranks first, and its time is over")
+	})
+
 	It("ends a job at its deadline", func() {
 		b := newBench(figures(4, 0), "x")
 		j := b.chain("j", Stage{Service: "a", Pieces: 1})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,10 @@
 	committed bool
 	lastEvent string
 	events    int
+	// sentAt is when the last event was sent, pause the longest time between
+	// two of them.
+	sentAt time.Time
+	pause  time.Duration
 
 	preparedAt, firstAt time.Time
 	outcome             string
@@ -212,10 +216,8 @@
 
 // job is the stage work of the request; false when there is none.
 func (x *exchange) job() (stage.Job, bool) {
-	j := stage.Job{
-		ID: x.req.ID, Key: x.req.PieceKey, Priority: x.priority(),
-		Due: x.arrived.Add(x.route.Objective - x.firstMargin()), Deadline: x.deadline,
-	}
+	j := stage.Job{ID: x.req.ID, Key: x.req.PieceKey, Priority: x.priority(), Deadline: x.deadline}
+	j.Due, j.Latest = x.stagesDue()
 	pieces := 0
 	for i, s := range x.route.Stages {
 		st := stage.Stage{Service: s.Service, After: s.After, ResultBytes: s.ResultBytes}
@@ -297,6 +299,9 @@
 	if x.tenant != nil {
 		fields = append(fields, zap.String("customer", x.tenant.Name))
 	}
+	if n := x.req.PromptTokens; n > 0 {
+		fields = append(fields, zap.Int("prompt_tokens", n))
+	}
 	if x.detail != "" {
 		fields = append(fields, zap.String("why", x.detail), zap.Duration("retry_after", x.retryAfter))
 	}
@@ -304,7 +309,7 @@
 		fields = append(fields, zap.Duration("prepared", x.preparedAt.Sub(x.arrived)))
 	}
 	if !x.firstAt.IsZero() {
-		fields = append(fields, zap.Duration("first", x.firstAt.Sub(x.arrived)), zap.Int("events", x.events))
+		fields = append(fields, zap.Duration("first", x.firstAt.Sub(x.arrived)), zap.Int("events", x.events), zap.Duration("pause", x.pause))
 	}
 	x.g.log.Info("request", fields...)
 	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_requests_total{outcome=%q}", x.outcome)).Inc()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,12 +44,12 @@
 	stages  *stages.Service
 	budgets sync.Map // service name to *retry.Shared
 	inputs  inputsHold
-	firsts  sync.Map // route name to *smoothed, the time to a stream's first event
+	firsts  *firstEvents
 }
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient()}
+	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), firsts: newFirstEvents()}
 	g.settings.Store(s)
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,7 +63,7 @@
 	if x.firstAt.IsZero() {
 		x.firstAt = t.first
 	}
-	x.g.observeFirst(x.route.Name, t.first.Sub(t.began))
+	x.g.firsts.observe(x.service, x.route.Name, x.ownTokens(), t.first.Sub(t.began))
 	if len(x.inputs) > 0 {
 		x.g.inputs.read()
 	}
@@ -101,6 +101,11 @@
 	if _, err := x.w.Write(e.raw); err != nil {
 		return err
 	}
+	now := time.Now()
+	if x.events > 0 {
+		x.pause = max(x.pause, now.Sub(x.sentAt))
+	}
+	x.sentAt = now
 	x.events++
 	if e.id != "" {
 		x.lastEvent = e.id
--- a/stages/messages.go
+++ b/stages/messages.go
@@ -16,7 +16,7 @@
 func toWire(j stage.Job, now time.Time) *wire.StageJob {
 	out := &wire.StageJob{
 		Id: j.ID, Key: j.Key, Priority: uint32(max(0, j.Priority)),
-		DueMs: j.Due.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
+		DueMs: j.Due.Sub(now).Milliseconds(), LatestMs: j.Latest.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
 		FailureDomain: j.Domain,
 	}
 	for _, s := range j.Stages {
@@ -35,6 +35,7 @@
 	j := stage.Job{
 		ID: m.GetId(), Key: m.GetKey(), Priority: int(m.GetPriority()),
 		Due:      now.Add(time.Duration(m.GetDueMs()) * time.Millisecond),
+		Latest:   now.Add(time.Duration(m.GetLatestMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Domain:   m.GetFailureDomain(),
 	}
