--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -297,6 +297,9 @@
 		zap.Uint64("version", x.config.Version), zap.Duration("left", x.deadline.Sub(t.began)),
 		zap.Stringer("end", end), zap.Duration("took", time.Since(t.began)),
 	}
+	if hash, tokens := x.prefix(); tokens > 0 {
+		fields = append(fields, zap.String("prefix", strconv.FormatUint(hash, 16)), zap.Int("shared_tokens", tokens))
+	}
 	if !t.first.IsZero() {
 		fields = append(fields, zap.Duration("first", t.first.Sub(t.began)))
 	}
