--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,16 +23,11 @@
 
 // The times of introductions.
 const (
-	// firstAsk is the interval of introductions while the fleet forms: all
-	// daemons start within 300 ms, and one asks its seeds in vain until they
-	// listen.
+	// firstAsk is the interval of introductions while new hosts turn up.
 	firstAsk = 300 * time.Millisecond
-	// unansweredAsk is the interval while no seed has answered and others wait
-	// for it, for formBound at most.
-	unansweredAsk = 100 * time.Millisecond
-	// formingRounds is the number of introductions in a row without a new host
-	// after which the fleet counts as formed.
-	formingRounds = 6
+	// quietRounds is the number of introductions in a row without a new host
+	// after which the interval is laterAsk.
+	quietRounds = 6
 	// manyHosts is the number of known hosts from which one seed at a time is
 	// asked, and for each as many more a first interval longer: when 300 start
 	// at once, three seeds answer them all.
@@ -70,6 +65,10 @@
 	seeds     atomic.Pointer[[]string]
 	formed    chan struct{}
 	formOnce  sync.Once
+	// told is the number of hosts that a seed knew while the fleet formed.
+	told atomic.Int64
+	// asked holds the seeds that are being asked while the fleet forms.
+	asked sync.Map
 }
 
 // New returns a fleet that listens but does not take part yet.
@@ -106,7 +105,7 @@
 const (
 	dialTimeout    = 500 * time.Millisecond
 	silenceTimeout = 500 * time.Millisecond
-	maxBackoff     = 500 * time.Millisecond
+	maxBackoff     = 100 * time.Millisecond
 )
 
 // resolve returns the address of a host: its name.
@@ -126,8 +125,9 @@
 func (f *Fleet) Members() []member.Member { return f.loop.View().Members }
 
 // Size returns the number of hosts that were heard of, dead ones of the last
-// minutes included.
-func (f *Fleet) Size() int { return f.roster.size() }
+// minutes included. A seed's word for it counts until this host knows their
+// names.
+func (f *Fleet) Size() int { return max(f.roster.size(), int(f.told.Load())) }
 
 // Reachable returns the hosts that may be called: all that were heard of but
 // for those that are believed dead or leaving. While none but this host is
@@ -193,11 +193,15 @@
 	self := fromWire([]*wire.RosterHost{req.GetSelf()})
 	self[0].Name = from.Host
 	f.learn(from.Host, self)
-	hosts := f.roster.all()
-	if req.GetKnown() == hash(hosts) {
-		return &wire.RosterReply{Formed: f.hasFormed()}, nil
+	reply := &wire.RosterReply{Formed: f.hasFormed()}
+	if req.GetForming() {
+		reply.First, reply.Size = toWire(f.roster.first(firstNamed)), uint32(f.roster.size())
+		return reply, nil
 	}
-	return &wire.RosterReply{Hosts: toWire(hosts), Formed: f.hasFormed()}, nil
+	if hosts := f.roster.all(); req.GetKnown() != hash(hosts) {
+		reply.Hosts = toWire(hosts)
+	}
+	return reply, nil
 }
 
 // learn takes hosts that another host named.
@@ -220,33 +224,39 @@
 // introduce tells seeds who this host is and learns whom they know.
 func (f *Fleet) introduce(ctx context.Context) {
 	f.loop.Post(member.Configured{Hosts: members(f.roster.all()), Upstreams: []string{}})
-	bound := time.AfterFunc(formBound, func() { f.form("time is over") })
-	defer bound.Stop()
+	f.introduceForming(ctx)
 	quiet, known := 0, 0
 	for ctx.Err() == nil {
-		n := f.roster.size()
-		answered := f.askRound(ctx, quiet >= formingRounds || n > manyHosts)
-		if n = f.roster.size(); answered && n == known {
-			quiet++
-			f.form("no new host")
-		} else {
-			quiet, known = 0, n
-		}
-		f.forgetDead()
+		n := f.Size()
 		wait := min(laterAsk, firstAsk*time.Duration(1+n/manyHosts))
 		switch {
-		case quiet >= formingRounds:
+		case quiet >= quietRounds:
 			wait = laterAsk
-		case !answered && !f.hasFormed():
-			wait = unansweredAsk
+		case known == 0:
+			wait = formingInterval(n)
 		}
-		timer := time.NewTimer(wait/2 + rand.N(wait))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep(ctx, wait/2+rand.N(wait)) {
 			return
-		case <-timer.C:
 		}
+		answered := f.askRound(ctx, quiet >= quietRounds || n > manyHosts)
+		if n = f.roster.size(); answered && n == known {
+			quiet++
+		} else {
+			quiet, known = 0, n
+		}
+		f.forgetDead()
+	}
+}
+
+// sleep waits and says whether ctx still lasts.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
@@ -254,7 +264,6 @@
 func (f *Fleet) askRound(ctx context.Context, one bool) bool {
 	targets := f.targets()
 	if len(targets) == 0 {
-		f.form("no seed but this host")
 		return true // alone, as the settings say
 	}
 	if one {
@@ -298,9 +307,9 @@
 func (f *Fleet) ask(ctx context.Context, host string) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	req := &wire.RosterRequest{
-		Self:  toWire([]Host{f.cfg.Self})[0],
-		Known: hash(f.roster.all()),
+	req := &wire.RosterRequest{Self: toWire([]Host{f.cfg.Self})[0], Forming: !f.hasFormed()}
+	if !req.Forming {
+		req.Known = hash(f.roster.all())
 	}
 	reply := &wire.RosterReply{}
 	if err := f.transport.Call(ctx, host, methodRoster, req, reply); err != nil {
@@ -308,6 +317,8 @@
 		return false
 	}
 	f.learn(host, fromWire(reply.GetHosts()))
+	f.learn(host, fromWire(reply.GetFirst()))
+	f.told.Store(int64(reply.GetSize()))
 	if reply.GetFormed() {
 		f.form("a seed knows the fleet")
 	}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -94,6 +94,25 @@
 	return len(r.hosts)
 }
 
+// first returns the n hosts that rank first, in order. It does not sort all: a
+// seed answers hundreds of hosts that start at once.
+func (r *roster) first(n int) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best := make([]Host, 0, n+1)
+	for _, h := range r.hosts {
+		at := len(best)
+		for at > 0 && h.Before(&best[at-1]) {
+			at--
+		}
+		if at < n {
+			best = slices.Insert(best, at, h)
+			best = best[:min(n, len(best))]
+		}
+	}
+	return best
+}
+
 // all returns the hosts sorted by name.
 func (r *roster) all() []Host {
 	r.mu.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -168,28 +168,17 @@
 	return x.route.Priority
 }
 
-// prefix is the hash of the parts of the prompt by which its engine is chosen,
-// and the tokens of all parts that other requests share; 0 without any.
-//
-// The engine is chosen by the leading parts that are at least as long as the
-// shared ones behind them: prompts that differ in those only then go to the same
-// engine, which reads the longer part once instead of each engine once.
+// prefix is the hash of the prompt's parts that other requests share, and
+// their tokens; 0 without any.
 func (x *exchange) prefix() (hash uint64, tokens int) {
 	parts := x.req.Prompt
 	if len(parts) < 2 {
 		return 0, 0
 	}
-	shared := parts[:len(parts)-1]
-	for _, p := range shared {
-		tokens += p.Tokens
-	}
 	d := xxhash.New()
-	leading := 0
-	for _, p := range shared {
+	for _, p := range parts[:len(parts)-1] {
 		_, _ = d.WriteString(p.ID) // never fails
-		if leading += p.Tokens; 2*leading >= tokens {
-			break
-		}
+		tokens += p.Tokens
 	}
 	return d.Sum64(), tokens
 }
