--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -97,12 +97,19 @@
 			f, _ := start(s, 1, seeds...)
 			all = append(all, f)
 		}
+		began := time.Now()
 		first := map[string]int{}
 		for _, f := range all {
 			Eventually(f.Formed(), "3s").Should(BeClosed())
 			first[ranked(f)[0]]++
 		}
 		Expect(first).To(HaveLen(1))
+		Expect(time.Since(began)).To(BeNumerically("<", 900*time.Millisecond), "the seeds say so once they have settled")
+		By("learning the names of all soon after")
+		for _, f := range all {
+			Eventually(names(f), "3s").Should(HaveLen(len(all)))
+			Expect(f.Size()).To(Equal(len(all)))
+		}
 	})
 
 	It("agrees on who ranks first: capacity, then the start of the process", func() {
--- /dev/null
+++ b/fleet/roster_test.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/member"
+)
+
+var _ = Describe("a roster", func() {
+	host := func(name string, capacity int, incarnation uint64) Host {
+		return Host{Host: member.Host{Name: name}, Capacity: capacity, Incarnation: incarnation}
+	}
+
+	It("names the hosts that rank first, in order, without sorting all", func() {
+		r := rand.New(rand.NewPCG(1, 2))
+		for range 50 {
+			ros := newRoster(host("self", 1+r.IntN(3), uint64(r.IntN(4))))
+			for i := range r.IntN(20) {
+				ros.add(host(fmt.Sprint("h", i), 1+r.IntN(3), uint64(r.IntN(4))))
+			}
+			all := ros.all()
+			slices.SortFunc(all, func(a, b Host) int {
+				if a.Before(&b) {
+					return -1
+				}
+				return 1
+			})
+			Expect(ros.first(3)).To(Equal(all[:min(3, len(all))]))
+		}
+	})
+
+	It("ranks a host anew that says when it has restarted, and never goes back", func() {
+		ros := newRoster(host("self", 1, 20))
+		ros.add(host("old", 1, 10))
+		Expect(ros.first(1)[0].Name).To(Equal("old"))
+		ros.restarted("old", 30)
+		Expect(ros.first(1)[0].Name).To(Equal("self"))
+		ros.restarted("old", 10)
+		ros.restarted("unknown", 40)
+		Expect(ros.first(3)).To(HaveExactElements(HaveField("Name", "self"), HaveField("Incarnation", uint64(30))))
+	})
+})
