--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -36,6 +36,10 @@
 	// take before work is split over idle replicas. Default 0.8: in bursts
 	// many small calls leave no replica for the next stage.
 	SplitShare float64
+	// LateGrace is how long after Latest a job is refused if its results are not
+	// ready. Default 3 s: jobs that are late are made last, and in a long burst
+	// those were held until their callers left.
+	LateGrace time.Duration
 	// MinRetryAfter is the least wait told to a refused job. Default 300 ms.
 	MinRetryAfter time.Duration
 }
@@ -59,6 +63,7 @@
 	orDefault(&c.SuspectMax, 8*time.Second)
 	orDefault(&c.BusyWait, 40*time.Millisecond)
 	orDefault(&c.SplitShare, 0.8)
+	orDefault(&c.LateGrace, 3*time.Second)
 	orDefault(&c.MinRetryAfter, 300*time.Millisecond)
 	return c
 }
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -75,6 +75,8 @@
 	stages []stageState
 	// rank orders jobs: Due, later for lower priorities.
 	rank time.Time
+	// ends is when the job is refused if it is not ready.
+	ends time.Time
 	// remakes counts how often lost inputs were made again.
 	remakes int
 	ready   bool
@@ -95,6 +97,9 @@
 		j.Latest = j.Due
 	}
 	s := &job{Job: j, seq: m.seq, stages: make([]stageState, len(j.Stages))}
+	if s.ends = j.Latest.Add(m.cfg.LateGrace); j.Deadline.Before(s.ends) {
+		s.ends = j.Deadline
+	}
 	s.rank = j.Due.Add(time.Duration(j.Priority) * m.cfg.PriorityStep)
 	for i := range j.Stages {
 		st := &j.Stages[i]
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -14,8 +14,8 @@
 	jobs     map[string]*job
 	calls    map[uint64]*call
 	nextID   uint64
-	// expiry is not after the first deadline of a job that is not ready; zero
-	// without one.
+	// expiry is not after the first end of a job that is not ready; zero without
+	// one.
 	expiry time.Time
 	// bias is the smoothed ratio of measured to predicted times of jobs.
 	bias    float64
@@ -127,7 +127,7 @@
 	}
 	s.submitted = now
 	m.jobs[j.ID] = s
-	m.expires(j.Deadline)
+	m.expires(s.ends)
 	m.advance(now, s)
 }
 
@@ -299,7 +299,7 @@
 	s.queue = kept
 }
 
-// expire refuses jobs whose deadline has passed.
+// expire refuses jobs whose deadline, or last chance to be late, has passed.
 func (m *Machine) expire(now time.Time) {
 	if m.expiry.IsZero() || now.Before(m.expiry) {
 		return
@@ -310,13 +310,15 @@
 		case j.ready:
 		case !now.Before(j.Deadline):
 			m.refuse(j, ReasonExpired, 0)
+		case !now.Before(j.ends):
+			m.refuse(j, ReasonOverload, m.cfg.MinRetryAfter)
 		default:
-			m.expires(j.Deadline)
+			m.expires(j.ends)
 		}
 	}
 }
 
-// expires notes the deadline of a job.
+// expires notes when a job ends at the latest.
 func (m *Machine) expires(at time.Time) {
 	if m.expiry.IsZero() || at.Before(m.expiry) {
 		m.expiry = at
--- a/core/stage/machine_test.go
+++ b/core/stage/machine_test.go
@@ -316,6 +316,24 @@
 		Expect(b.answer(first.Call)[0].Pieces[0].Job).To(Equal("may-be"), "cannot ranks first, and its time is over")
 	})
 
+	It("refuses a job that is still not ready some time after it can only be late", func() {
+		b := newBench(figures(4, 0), "x")
+		first := b.submit(b.chain("first", Stage{Service: "a", Pieces: 4}))[0]
+		starved := b.chain("starved", Stage{Service: "a", Pieces: 4})
+		starved.Due = b.now.Add(600 * time.Millisecond)
+		b.submit(starved)
+		next, ok := b.m.NextTick(starved.Due)
+		Expect(ok).To(BeTrue())
+		Expect(next.After(starved.Due.Add(b.m.cfg.LateGrace))).To(BeFalse())
+		b.now = starved.Due.Add(b.m.cfg.LateGrace - time.Millisecond)
+		b.step(Tick{})
+		Expect(b.refused).To(BeEmpty())
+		b.pass(time.Millisecond)
+		Expect(b.refused["starved"].Reason).To(Equal(ReasonOverload))
+		Expect(b.refused["starved"].RetryAfter).To(BeNumerically(">", 0))
+		Expect(b.answer(first.Call)).To(BeEmpty(), "nothing is made for it any more")
+	})
+
 	It("ends a job at its deadline", func() {
 		b := newBench(figures(4, 0), "x")
 		j := b.chain("j", Stage{Service: "a", Pieces: 1})
