--- a/replica/client.go
+++ b/replica/client.go
@@ -19,22 +19,33 @@
 // only after a second, and another replica is faster than that.
 const connectTimeout = 300 * time.Millisecond
 
+// keptIdle is how long an idle connection for giving results up is kept:
+// replicas close theirs after a whole number of seconds.
+const keptIdle = 900 * time.Millisecond
+
 // Client makes calls to replicas. Each call has a connection of its own: bytes
-// that a replica sends after an answer then belong to no other request. It is
-// safe for concurrent use.
+// that a replica sends after an answer then belong to no other request. Calls
+// that give results up share one, as nothing depends on what their answers say.
+// It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport, kept *http.Transport
 }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{transport: &http.Transport{
+	c := &Client{transport: newTransport(), kept: newTransport()}
+	c.transport.DisableKeepAlives = true
+	c.kept.MaxIdleConnsPerHost, c.kept.IdleConnTimeout = 1, keptIdle
+	return c
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:        httpbody.Dial(&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}),
-		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
 		ReadBufferSize:     4 << 10,
-	}}
+	}
 }
 
 // Call is one call to a replica.
@@ -52,6 +63,10 @@
 
 // Do makes a call. The answer's body must be closed; it ends with ctx.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	return do(ctx, c.transport, call)
+}
+
+func do(ctx context.Context, t *http.Transport, call Call) (*http.Response, error) {
 	req := &http.Request{
 		Method: call.Method, URL: &url.URL{Scheme: "http", Host: call.Address, Opaque: call.Target}, Host: call.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: call.Header,
@@ -60,5 +75,5 @@
 		req.Body = io.NopCloser(bytes.NewReader(call.Body))
 		req.ContentLength = int64(len(call.Body))
 	}
-	return c.transport.RoundTrip(req.WithContext(ctx))
+	return t.RoundTrip(req.WithContext(ctx))
 }
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -56,17 +56,32 @@
 	return resultsOf(made), stage.CallAnswered, nil
 }
 
-// FreeResults gives results up at the replica that holds them.
+// maxFreeAnswer bounds the answer to giving results up: there is nothing in it.
+const maxFreeAnswer = 4 << 10
+
+// FreeResults gives results up at the replica that holds them. A replica may
+// have dropped the idle connection that the first try takes, so that there is a
+// second.
 func (c *Client) FreeResults(ctx context.Context, a stage.Free) error {
 	body, err := platform.EncodeFree(a.Handles)
 	if err != nil {
 		return err
 	}
-	resp, err := c.Do(ctx, stageCall(platform.StageFreePath, a.Replica, a.Address, body))
+	call := stageCall(platform.StageFreePath, a.Replica, a.Address, body)
+	if err = c.free(ctx, call); err != nil && ctx.Err() == nil {
+		err = c.free(ctx, call)
+	}
+	return err
+}
+
+func (c *Client) free(ctx context.Context, call Call) error {
+	resp, err := do(ctx, c.kept, call)
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	_, err = httpbody.Read(resp.Body, maxFreeAnswer)
+	return err
 }
 
 // stageCall is a call to a replica that runs stages.
