--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -13,6 +13,7 @@
 
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -118,13 +119,13 @@
 			if !d.View().Ready() && d.askAny(ctx) {
 				continue
 			}
-			sleep(ctx, wait/2+rand.N(wait/2+1))
+			periodic.Sleep(ctx, wait/2+rand.N(wait/2+1))
 			wait = min(2*wait, maxRetry)
 			continue
 		}
 		wait = firstRetry
 		if source == d.cfg.Self {
-			sleep(ctx, d.interval()-time.Since(started))
+			periodic.Sleep(ctx, d.interval()-time.Since(started))
 		}
 	}
 }
@@ -171,12 +172,7 @@
 // ranked sorts hosts by rank; the first two change places, as the first has the
 // stage work to plan.
 func ranked(hosts []fleet.Host) []fleet.Host {
-	slices.SortFunc(hosts, func(a, b fleet.Host) int {
-		if a.Before(&b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(hosts, fleet.Host.Compare)
 	if len(hosts) > 2 {
 		hosts[0], hosts[1] = hosts[1], hosts[0]
 	}
@@ -326,16 +322,3 @@
 	}
 	return dump
 }
-
-// sleep waits for wait or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/membership"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
@@ -235,7 +236,7 @@
 		case known == 0:
 			wait = formingInterval(n)
 		}
-		if !sleep(ctx, wait/2+rand.N(wait)) {
+		if !periodic.Sleep(ctx, wait/2+rand.N(wait)) {
 			return
 		}
 		answered := f.askRound(ctx, quiet >= quietRounds || n > manyHosts)
@@ -248,18 +249,6 @@
 	}
 }
 
-// sleep waits and says whether ctx still lasts.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // askRound asks the seeds, all or one of them, and says whether any answered.
 func (f *Fleet) askRound(ctx context.Context, one bool) bool {
 	targets := f.targets()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -160,18 +161,14 @@
 	return 0
 }
 
+// ranked returns the names of the hosts that a fleet may call, first in rank
+// first.
 func ranked(f *fleet.Fleet) []string {
 	hosts := f.Reachable()
+	slices.SortFunc(hosts, fleet.Host.Compare)
 	var out []string
-	for len(hosts) > 0 {
-		best := 0
-		for i := range hosts {
-			if hosts[i].Before(&hosts[best]) {
-				best = i
-			}
-		}
-		out = append(out, hosts[best].Name)
-		hosts = append(hosts[:best], hosts[best+1:]...)
+	for _, h := range hosts {
+		out = append(out, h.Name)
 	}
 	return out
 }
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -37,15 +37,14 @@
 	Incarnation uint64
 }
 
-// Before says whether h rather than o does what one host does for all: the host
+// Compare ranks hosts; the first does what one host does for all. It is the host
 // with the most capacity, then the one that has run for longest, so that a host
 // that is back takes nothing over. All hosts with like views agree on it.
-func (h *Host) Before(o *Host) bool {
-	return cmp.Or(
-		cmp.Compare(o.Capacity, h.Capacity),
-		cmp.Compare(h.Incarnation, o.Incarnation),
-		cmp.Compare(xxhash.Sum64String(h.Name), xxhash.Sum64String(o.Name)),
-	) < 0
+func (h Host) Compare(o Host) int {
+	if c := cmp.Or(cmp.Compare(o.Capacity, h.Capacity), cmp.Compare(h.Incarnation, o.Incarnation)); c != 0 {
+		return c
+	}
+	return cmp.Compare(xxhash.Sum64String(h.Name), xxhash.Sum64String(o.Name))
 }
 
 func newRoster(self Host) *roster {
@@ -102,7 +101,7 @@
 	best := make([]Host, 0, n+1)
 	for _, h := range r.hosts {
 		at := len(best)
-		for at > 0 && h.Before(&best[at-1]) {
+		for at > 0 && h.Compare(best[at-1]) < 0 {
 			at--
 		}
 		if at < n {
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -24,12 +24,7 @@
 				ros.add(host(fmt.Sprint("h", i), 1+r.IntN(3), uint64(r.IntN(4))))
 			}
 			all := ros.all()
-			slices.SortFunc(all, func(a, b Host) int {
-				if a.Before(&b) {
-					return -1
-				}
-				return 1
-			})
+			slices.SortFunc(all, Host.Compare)
 			Expect(ros.first(3)).To(Equal(all[:min(3, len(all))]))
 		}
 	})
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/certs"
 	"github.com/wheatseam/wheatseam/internal/faultrelay"
+	"github.com/wheatseam/wheatseam/internal/process"
 	"github.com/wheatseam/wheatseam/internal/standin"
 	"github.com/wheatseam/wheatseam/internal/standin/engine"
 	"github.com/wheatseam/wheatseam/internal/standin/fleet"
@@ -253,11 +254,11 @@
 	}
 	log := filepath.Join(f.dir, fmt.Sprintf("%s.%d.log", hostName(i), f.starts))
 	f.starts++
-	p, err := startProcess(log, f.program, "--settings", path)
+	p, err := process.Start(log, f.program, "--settings", path)
 	if err != nil {
 		return err
 	}
-	f.Daemons[i] = p
+	f.Daemons[i] = &Process{p}
 	return f.learnAddresses(i)
 }
 
--- a/shares/service.go
+++ b/shares/service.go
@@ -185,31 +185,41 @@
 func empty(m proto.Message) bool { return proto.Size(m) == 0 }
 
 func (s *Service) serveReport(_ context.Context, from peer.Sender, r *wire.ShareReport) (*wire.ShareReply, error) {
-	answer := &wire.ShareReply{}
-	var rest []share.Action
-	for _, a := range s.step(share.ReportReceived{From: from.Host, Report: r}) {
-		if reply, ok := a.(share.SendReply); ok && reply.To == from.Host {
-			answer = reply.Reply
-			continue
-		}
-		rest = append(rest, a)
+	reply, ok := s.answer(share.ReportReceived{From: from.Host, Report: r}, func(a share.Action) bool {
+		reply, ok := a.(share.SendReply)
+		return ok && reply.To == from.Host
+	}).(share.SendReply)
+	if !ok {
+		return &wire.ShareReply{}, nil
 	}
-	s.send(context.Background(), rest)
-	return answer, nil
+	return reply.Reply, nil
 }
 
 func (s *Service) serveReply(_ context.Context, from peer.Sender, r *wire.ShareReply) (*wire.ShareReport, error) {
-	answer := &wire.ShareReport{}
+	report, ok := s.answer(share.ReplyReceived{From: from.Host, Reply: r}, func(a share.Action) bool {
+		report, ok := a.(share.SendReport)
+		return ok && report.To == from.Host
+	}).(share.SendReport)
+	if !ok {
+		return &wire.ShareReport{}, nil
+	}
+	return report.Report, nil
+}
+
+// answer passes what a host has sent to the machine. It returns the action that
+// is the answer to that host, nil without one, and carries out all others.
+func (s *Service) answer(e share.Event, isAnswer func(share.Action) bool) share.Action {
+	var answer share.Action
 	var rest []share.Action
-	for _, a := range s.step(share.ReplyReceived{From: from.Host, Reply: r}) {
-		if report, ok := a.(share.SendReport); ok && report.To == from.Host {
-			answer = report.Report
+	for _, a := range s.step(e) {
+		if isAnswer(a) {
+			answer = a
 			continue
 		}
 		rest = append(rest, a)
 	}
 	s.send(context.Background(), rest)
-	return answer, nil
+	return answer
 }
 
 // State is what a dump shows of one resource.
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/internal/faultrelay"
+	"github.com/wheatseam/wheatseam/internal/process"
 	"github.com/wheatseam/wheatseam/platform"
 )
 
@@ -42,9 +43,8 @@
 	restarting sync.Mutex
 
 	mu      sync.Mutex
-	cmd     *exec.Cmd
+	process *process.Process
 	ended   chan struct{}
-	log     *os.File
 	life    int
 	revised int
 	// graceful says that the process was asked to stop and not harmed since.
@@ -112,26 +112,20 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	log, err := os.OpenFile(filepath.Join(d.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	p, err := process.Start(filepath.Join(d.dir, d.name+".log"), d.binary, "gateway", "--settings", d.settings())
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(d.binary, "gateway", "--settings", d.settings())
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return errors.Join(err, log.Close())
-	}
 	ended := make(chan struct{})
-	d.cmd, d.ended, d.log, d.graceful = cmd, ended, log, false
+	d.process, d.ended, d.graceful = p, ended, false
 	d.life++
 	go func() {
-		err := cmd.Wait()
+		<-p.Done()
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if !d.graceful && (err == nil || !signalled(err)) {
+		if err := p.Err(); !d.graceful && (err == nil || !signalled(err)) {
 			d.ends++
 		}
-		_ = log.Close()
 		close(ended)
 	}()
 	return nil
@@ -151,7 +145,7 @@
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cmd == nil {
+	if d.process == nil {
 		return
 	}
 	switch s {
@@ -160,7 +154,7 @@
 	case syscall.SIGKILL, syscall.SIGSTOP:
 		d.disturbed = time.Now()
 	}
-	_ = d.cmd.Process.Signal(s) // a process that has ended takes none
+	_ = d.process.Signal(s) // a process that has ended takes none
 }
 
 // stop ends the process, at the latest after the grace, and waits for it.
--- a/stages/service.go
+++ b/stages/service.go
@@ -212,7 +212,7 @@
 	var best *fleet.Host
 	for i := range hosts {
 		h := &hosts[i]
-		if !s.avoided.Has(h.Name, now) && (best == nil || h.Before(best)) {
+		if !s.avoided.Has(h.Name, now) && (best == nil || h.Compare(*best) < 0) {
 			best = h
 		}
 	}
