--- a/scripts/variant.sh
+++ b/scripts/variant.sh
@@ -5,6 +5,7 @@
 #   scripts/variant.sh SITE VARIANT OUT
 #
 #   one-zone     all machines, replicas and callers stand in one failure domain
+#   eight-zones  twice the failure domains, the new ones without callers of their own
 #   one-machine  one machine a zone
 #   two-replicas two replicas a service at most, in their zones
 #   no-tenants   callers need no key
@@ -18,6 +19,10 @@
 case $variant in
 one-zone)
   sed -E "/^zones = \[/,/^\]/ { /name = \"$zone\"/!{ /name = /d } }; s/zone = \"[^\"]*\"/zone = \"$zone\"/g" "$site" ;;
+eight-zones)
+  sed -E '/^zones = \[/,/^\]/ s/^  \{ name = "([^"]*)"(, region.*)$/&\n  { name = "\1-b"\2/
+    /^machines = \[/,/^\]/ s/^(.*zone = ")([^"]*)(".*)$/&\n\1\2-b\3/
+    /^  \{ name = .*servers = / s/\{ zone = "([^"]*)", count = ([0-9]+) \}/{ zone = "\1", count = \2 }, { zone = "\1-b", count = 1 }/g' "$site" ;;
 one-machine)
   sed -E '/class = "front"/ s/count = [0-9]+, spare/count = 1, spare/' "$site" ;;
 two-replicas)
