--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -250,7 +250,7 @@
 	}
 	m.deps.Router.Done(now, Outcome{
 		Choice: a.choice, Stage: a.ticket.Stage, Result: result,
-		Latency: latency, FirstByte: e.FirstByte, Tokens: e.Tokens,
+		Latency: latency, FirstByte: e.FirstByte, Work: e.Tokens,
 	})
 	m.notify(m.deps.Admitter.Release(now, a.ticket, result, latency))
 	switch {
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -64,7 +64,11 @@
 	Latency time.Duration
 	// FirstByte is the time from sending to the first byte or token.
 	FirstByte time.Duration
-	Tokens    int
+	// Work is how much the call had to do, in a unit that is the same for all
+	// calls of its stage: tokens, or the milliseconds that it was expected to
+	// take. Upstreams are compared by the latency for each unit; 0 when it is
+	// not known.
+	Work int
 }
 
 // Router picks upstreams. Implementations are safe for concurrent use, do no
--- a/core/route/bench_test.go
+++ b/core/route/bench_test.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		r.Done(now, request.Outcome{Choice: c, Stage: "generate", Latency: 50 * time.Millisecond, FirstByte: 10 * time.Millisecond, Tokens: 20})
+		r.Done(now, request.Outcome{Choice: c, Stage: "generate", Latency: 50 * time.Millisecond, FirstByte: 10 * time.Millisecond, Work: 20})
 	}
 }
 
--- a/core/route/latency.go
+++ b/core/route/latency.go
@@ -76,8 +76,8 @@
 type stageLatency struct {
 	// total is the latency of whole calls, first that to the first byte.
 	total, first *window
-	// unit is the latency by token, or of the call where tokens are not
-	// counted: what upstreams are compared by.
+	// unit is the latency for each unit of work, or of the call where that is
+	// not known: what upstreams are compared by.
 	unit *window
 }
 
@@ -86,17 +86,17 @@
 }
 
 // unitOf returns the latency that upstreams are compared by.
-func unitOf(latency time.Duration, tokens int) time.Duration {
-	return latency / time.Duration(max(tokens, 1))
+func unitOf(latency time.Duration, work int) time.Duration {
+	return latency / time.Duration(max(work, 1))
 }
 
 // done counts a call that ended well.
-func (s *stageLatency) done(now time.Time, latency, first time.Duration, tokens int) {
+func (s *stageLatency) done(now time.Time, latency, first time.Duration, work int) {
 	s.total.add(now, latency)
 	if first > 0 {
 		s.first.add(now, first)
 	}
-	s.unit.add(now, unitOf(latency, tokens))
+	s.unit.add(now, unitOf(latency, work))
 }
 
 // gaveUp counts a call that was given up after latency: a lower bound of what
@@ -118,10 +118,10 @@
 
 // slowness returns how many times the usual a call took, 0 when it can't be
 // said. For a call given up it is a lower bound.
-func (s *stageLatency) slowness(latency time.Duration, tokens int, whole bool) float64 {
+func (s *stageLatency) slowness(latency time.Duration, work int, whole bool) float64 {
 	usual := s.unit.median
-	took := unitOf(latency, tokens)
-	if !whole && tokens == 0 && s.first.median > 0 {
+	took := unitOf(latency, work)
+	if !whole && work == 0 && s.first.median > 0 {
 		usual, took = s.first.median, latency
 	}
 	if usual <= 0 {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -126,8 +126,8 @@
 	switch o.Result {
 	case request.CallOK:
 		l := s.stage(now, o.Stage, c.Window)
-		slowness := l.slowness(o.Latency, o.Tokens, true)
-		l.done(now, o.Latency, o.FirstByte, o.Tokens)
+		slowness := l.slowness(o.Latency, o.Work, true)
+		l.done(now, o.Latency, o.FirstByte, o.Work)
 		if l.total.refreshed.Equal(now) {
 			s.measure()
 		}
@@ -143,7 +143,7 @@
 		st.refused(now)
 	case request.CallCancelled:
 		l := s.stage(now, o.Stage, c.Window)
-		slowness := l.slowness(o.Latency, o.Tokens, false)
+		slowness := l.slowness(o.Latency, o.Work, false)
 		l.gaveUp(now, o.Latency)
 		if o.FirstByte <= 0 {
 			l.gaveUpFirst(now, o.Latency)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,12 +44,12 @@
 	stages  *stages.Service
 	budgets sync.Map // service name to *retry.Shared
 	inputs  inputsHold
-	firsts  *firstEvents
+	streams *streamTimes
 }
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), firsts: newFirstEvents()}
+	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), streams: newStreamTimes()}
 	g.settings.Store(s)
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus,
--- a/gateway/margin.go
+++ b/gateway/margin.go
@@ -19,30 +19,54 @@
 	maxMarginShare = 0.6
 )
 
-// firstEvents estimates the time from sending a request to an engine to its
-// first event: it grows with the tokens to be read. It is safe for concurrent
-// use.
-type firstEvents struct {
+// streamTimes estimates the times of streams: that from sending a request to an
+// engine to its first event, which grows with the tokens to be read, and that
+// from there to the last event. It is safe for concurrent use.
+type streamTimes struct {
 	mu sync.Mutex
-	// lines are kept for each service, as its engines read the prompts of all
-	// routes, deviations for each route.
-	lines      map[string]*estimate.Line
-	deviations map[string]*estimate.Deviation
+	// firsts and rests are kept for each service, as its engines serve all
+	// routes alike, deviations of the time to the first event for each route.
+	firsts, rests map[string]*estimate.Line
+	deviations    map[string]*estimate.Deviation
 }
 
-func newFirstEvents() *firstEvents {
-	return &firstEvents{lines: map[string]*estimate.Line{}, deviations: map[string]*estimate.Deviation{}}
+func newStreamTimes() *streamTimes {
+	return &streamTimes{firsts: map[string]*estimate.Line{}, rests: map[string]*estimate.Line{}, deviations: map[string]*estimate.Deviation{}}
 }
 
-// observe takes the time of one request that had tokens of its own to be read.
-func (f *firstEvents) observe(service, route string, tokens int, took time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	l := f.lines[service]
+// line returns the line of a service; the lock is held.
+func line(lines map[string]*estimate.Line, service string) *estimate.Line {
+	l := lines[service]
 	if l == nil {
 		l = &estimate.Line{}
-		f.lines[service] = l
+		lines[service] = l
+	}
+	return l
+}
+
+// observeWhole takes the time from sending a request to its last event and
+// returns the time that was to be expected; 0 when it is not known.
+func (f *streamTimes) observeWhole(service string, tokens, events int, first, took time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	toFirst, known := line(f.firsts, service).At(float64(tokens))
+	if events <= 1 {
+		return toFirst
 	}
+	rest := line(f.rests, service)
+	toLast, knownRest := rest.At(float64(events - 1))
+	rest.Observe(float64(events-1), took-first)
+	if !known || !knownRest {
+		return 0
+	}
+	return toFirst + toLast
+}
+
+// observe takes the time of one request that had tokens of its own to be read.
+func (f *streamTimes) observe(service, route string, tokens int, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := line(f.firsts, service)
 	if expected, ok := l.At(float64(tokens)); ok {
 		d := f.deviations[route]
 		if d == nil {
@@ -55,14 +79,12 @@
 }
 
 // expect returns the expected time and the usual deviation from it.
-func (f *firstEvents) expect(service, route string, tokens int) (expected, deviation time.Duration) {
+func (f *streamTimes) expect(service, route string, tokens int) (expected, deviation time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	expected = startFirst
-	if l := f.lines[service]; l != nil {
-		if e, ok := l.At(float64(tokens)); ok {
-			expected = e
-		}
+	if e, ok := line(f.firsts, service).At(float64(tokens)); ok {
+		expected = e
 	}
 	if d := f.deviations[route]; d != nil {
 		deviation = d.Mean()
@@ -81,7 +103,7 @@
 // stagesDue returns when the results of the stages must be there for an answer
 // that is most likely on time, and when at the latest for one that may be.
 func (x *exchange) stagesDue() (due, latest time.Time) {
-	expected, deviation := x.g.firsts.expect(x.service, x.route.Name, x.ownTokens())
+	expected, deviation := x.g.streams.expect(x.service, x.route.Name, x.ownTokens())
 	margin := expected + time.Duration(marginDeviations*float64(deviation))
 	margin = min(margin, time.Duration(maxMarginShare*float64(x.route.Objective)))
 	objective := x.arrived.Add(x.route.Objective)
--- a/gateway/margin_test.go
+++ b/gateway/margin_test.go
@@ -11,7 +11,7 @@
 	const ms = time.Millisecond
 
 	It("starts from a guess and then grows with the tokens to be read", func() {
-		f := newFirstEvents()
+		f := newStreamTimes()
 		expected, deviation := f.expect("engines", "r", 1000)
 		Expect(expected).To(Equal(startFirst))
 		Expect(deviation).To(BeZero())
@@ -26,8 +26,21 @@
 		Expect(deviation).To(BeNumerically("<", 10*ms))
 	})
 
+	It("is part of what a whole stream is expected to take, whatever its length", func() {
+		f := newStreamTimes()
+		Expect(f.observeWhole("engines", 1000, 5, 70*ms, 270*ms)).To(BeZero(), "nothing is known yet")
+		for i := range 100 {
+			tokens, events := 1000*(1+i%20), 1+i%50
+			first := 50*ms + time.Duration(tokens)*20*time.Microsecond
+			f.observe("engines", "r", tokens, first)
+			f.observeWhole("engines", tokens, events, first, first+time.Duration(events-1)*40*ms)
+		}
+		Expect(f.observeWhole("engines", 5000, 1, 150*ms, 150*ms)).To(BeNumerically("~", 150*ms, 5*ms))
+		Expect(f.observeWhole("engines", 5000, 11, 150*ms, 550*ms)).To(BeNumerically("~", 550*ms, 10*ms))
+	})
+
 	It("shares the line of a service, and keeps deviations by route", func() {
-		f := newFirstEvents()
+		f := newStreamTimes()
 		for i := range 400 {
 			took := 100 * ms
 			if i%2 == 0 {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -184,6 +184,8 @@
 	choice request.Choice
 	began  time.Time
 	first  time.Time
+	// events counts those that the replica has sent.
+	events int
 	cancel context.CancelFunc
 }
 
@@ -316,6 +318,16 @@
 	}
 }
 
+// work is the time that a stream was expected to take, in milliseconds: streams
+// of a route differ by a hundred times. It is 0 when that is not known.
+func (t *try) work(o request.Outcome) int {
+	if t.events == 0 {
+		return 0
+	}
+	expected := t.x.g.streams.observeWhole(t.x.service, t.x.ownTokens(), t.events, o.FirstByte, o.Latency)
+	return int(expected.Milliseconds())
+}
+
 // report tells the router how the attempt ended.
 func (t *try) report(end attemptEnd) {
 	now := time.Now()
@@ -327,6 +339,7 @@
 	switch end {
 	case answered:
 		o.Result = request.CallOK
+		o.Work = t.work(o)
 	case notExecuted, inputsGone:
 		o.Result = request.CallRefused
 	case notSent, failed, repeatNow:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,6 +43,7 @@
 			return t.broken(err)
 		}
 		watchdog.reset()
+		t.events++
 		if t.first.IsZero() {
 			t.firstEvent()
 		}
@@ -63,7 +64,7 @@
 	if x.firstAt.IsZero() {
 		x.firstAt = t.first
 	}
-	x.g.firsts.observe(x.service, x.route.Name, x.ownTokens(), t.first.Sub(t.began))
+	x.g.streams.observe(x.service, x.route.Name, x.ownTokens(), t.first.Sub(t.began))
 	if len(x.inputs) > 0 {
 		x.g.inputs.read()
 	}
