--- /dev/null
+++ b/stages/merge_test.go
@@ -0,0 +1,22 @@
+package stages
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/stage"
+)
+
+var _ = Describe("what planners had made of a job", func() {
+	made := func(stg, index int, handle string) stage.MadePiece {
+		return stage.MadePiece{Stage: stg, Index: index, Handle: handle, Replica: "r"}
+	}
+
+	It("counts by its last results, also when one planner made a piece twice", func() {
+		Expect(merge(nil, nil)).To(BeEmpty())
+		Expect(merge(
+			[]stage.MadePiece{made(0, 0, "a"), made(0, 1, "b")},
+			[]stage.MadePiece{made(0, 1, "c"), made(1, 0, "d"), made(1, 0, "e")},
+		)).To(Equal([]stage.MadePiece{made(0, 0, "a"), made(0, 1, "c"), made(1, 0, "e")}))
+	})
+})
--- a/stages/service.go
+++ b/stages/service.go
@@ -135,19 +135,19 @@
 
 func (e *restartedError) Error() string { return "stages: planner restarted" }
 
-// merge adds what a later planner made to what earlier ones had made.
+// merge adds what a later planner made to what earlier ones had made. Of a piece
+// that was made again, since its result was gone, the last result counts.
 func merge(earlier, later []stage.MadePiece) []stage.MadePiece {
 	type key struct{ stage, index int }
-	at := make(map[key]int, len(earlier))
-	out := slices.Clone(earlier)
-	for i, p := range out {
-		at[key{p.Stage, p.Index}] = i
-	}
-	for _, p := range later {
-		if i, ok := at[key{p.Stage, p.Index}]; ok {
+	at := make(map[key]int, len(earlier)+len(later))
+	var out []stage.MadePiece
+	for _, p := range slices.Concat(earlier, later) {
+		k := key{p.Stage, p.Index}
+		if i, ok := at[k]; ok {
 			out[i] = p
 			continue
 		}
+		at[k] = len(out)
 		out = append(out, p)
 	}
 	return out
