--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -94,14 +94,17 @@
 	x.relay()
 }
 
-// retrySoon is told to callers that another daemon can serve at once.
-const retrySoon = 200 * time.Millisecond
+// notReadyRetry is the least wait told to a caller while no configuration is
+// known. The daemon has just started; when all have and the store is away, a
+// caller that is back at once has used its only repeat up.
+const notReadyRetry = 200 * time.Millisecond
 
 // accept decides whether the request may be served at all, and reads its body.
 func (x *exchange) accept() *problem.Error {
 	v := x.g.found.View()
 	if !v.Ready() {
-		return retryable(problem.New(problem.NotReady, "no configuration is known yet"), retrySoon)
+		x.deadline = x.arrived.Add(x.req.Deadline)
+		return retryable(problem.New(problem.NotReady, "no configuration is known yet"), max(notReadyRetry, x.comeBack(notReadyRetry)))
 	}
 	x.config, x.viewAsOf = v.Config, v.AsOf
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -69,7 +70,7 @@
 		Expect(f.ledger.Runs(id)[0].Body).To(Equal("in chunks"))
 	})
 
-	It("get 503 and an hour to come back before the first configuration", func() {
+	It("get 503 and a time to come back before the first configuration, the later the more time they have", func() {
 		f := newFixture()
 		f.store.Delete("op/config")
 		g := f.start()
@@ -77,6 +78,17 @@
 		a, _ := g.send(http.MethodPost, sealPath, "", nil)
 		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		after := func(deadline string) float64 {
+			GinkgoHelper()
+			a, _ := g.send(http.MethodPost, sealPath, "", func(r *http.Request) { r.Header.Set("Deadline-Ms", deadline) })
+			Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+			seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			return seconds
+		}
+		Expect(after("15000")).To(And(BeNumerically(">=", 2.9), BeNumerically("<=", 5)), "callers wait a third of their time at most")
+		Expect(after("300")).To(BeNumerically("~", 0.2, 0.01))
+		Expect(after("none")).To(BeNumerically("~", 0.2, 0.01))
 	})
 
 	It("follow a new configuration: keys taken away are refused", func() {
