--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -30,6 +30,30 @@
 		Eventually(g.done, "3s").Should(Receive(BeNil()))
 	})
 
+	It("refuses a request whose stages are still being made when the time is over", func() {
+		f := newFixture()
+		f.behave("encode", site.Behaviour{Hang: true})
+		g := f.start().ready()
+		waits := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			a, _ := g.send(http.MethodPost, goOnPath, "", func(r *http.Request) {
+				r.Header.Set("Deadline-Ms", "20000")
+				r.Header.Set("Piece-Count", "1")
+				r.Header.Set("Piece-Key", "k")
+			})
+			waits <- a
+		}()
+		time.Sleep(100 * time.Millisecond)
+		g.stop()
+		var a answer
+		Eventually(waits, "3s").Should(Receive(&a))
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Eventually(g.done, "3s").Should(Receive())
+	})
+
 	It("ends within the grace, whatever runs", func() {
 		f := newFixture()
 		f.behave("plain", site.Behaviour{Hang: true})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -196,7 +196,10 @@
 	if !ok {
 		return nil
 	}
-	end := x.g.stages.Prepare(x.ctx, j)
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	defer context.AfterFunc(x.g.preparing, cancel)()
+	end := x.g.stages.Prepare(ctx, j)
 	if end == nil {
 		end = &stages.End{Refused: &stage.Refused{Job: j.ID, Reason: stage.ReasonExpired}}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,7 +34,11 @@
 	metrics  *metrics.Set
 	rounds   uint64 // numbers the views; used by the discovery's goroutine only
 	draining atomic.Bool
-	inFlight atomic.Int64
+	// preparing ends when requests whose stages are being made are refused,
+	// since this daemon leaves.
+	preparing     context.Context
+	stopPreparing context.CancelFunc
+	inFlight      atomic.Int64
 
 	store   *platform.Store
 	router  *route.Router
@@ -50,6 +54,7 @@
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), streams: newStreamTimes()}
+	g.preparing, g.stopPreparing = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus,
@@ -169,6 +174,9 @@
 	// acceptShare is how long connections are accepted: the platform needs two
 	// missed probes, one a second, to send no more.
 	acceptShare = 0.36
+	// refuseShare is when requests whose stages are still being made are refused:
+	// no replica has them, and their callers can go elsewhere.
+	refuseShare = 0.8
 	// finishShare is when requests still running are cut.
 	finishShare = 0.87
 )
@@ -181,6 +189,8 @@
 	g.draining.Store(true)
 	g.fleet.Leave()
 	g.log.Info("draining", zap.Int64("in_flight", g.inFlight.Load()), zap.Duration("grace", grace))
+	refuse := time.AfterFunc(time.Duration(refuseShare*float64(grace)), g.stopPreparing)
+	defer refuse.Stop()
 	time.Sleep(time.Duration(acceptShare * float64(grace)))
 	bound, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*float64(grace))))
 	defer cancel()
