--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -73,12 +73,15 @@
 		var g catalog.Registry
 		g.Update(start, []catalog.Replica{one, two})
 		back := start.Add(10 * time.Second)
+		Expect(g.Uncertain()).To(BeFalse())
 		g.Update(back, []catalog.Replica{two})
 		Expect(g.Replicas()).To(HaveLen(2))
+		Expect(g.Uncertain()).To(BeTrue())
 		g.Update(back.Add(time.Second), []catalog.Replica{two})
 		Expect(g.Replicas()).To(HaveLen(2))
 		g.Update(back.Add(2*time.Second), []catalog.Replica{two})
 		Expect(g.Replicas()).To(HaveLen(1))
+		Expect(g.Uncertain()).To(BeFalse())
 	})
 
 	It("takes over what another host keeps", func() {
@@ -86,6 +89,7 @@
 		g.Update(start, []catalog.Replica{one})
 		g.Adopt(start.Add(9*time.Second), []catalog.Replica{two})
 		Expect(g.Replicas()).To(HaveKey("two"))
+		Expect(g.Uncertain()).To(BeFalse(), "the other host would have said so")
 		g.Adopt(start.Add(10*time.Second), nil)
 		Expect(g.Replicas()).To(HaveLen(1))
 		By("not taking its own next read for the return of the store")
--- a/core/catalog/replica.go
+++ b/core/catalog/replica.go
@@ -33,17 +33,24 @@
 	heard    time.Time
 	// returned is when the store last answered after a silence.
 	returned time.Time
+	// uncertain says that replicas are kept which the store does not list.
+	uncertain bool
 }
 
 // Replicas returns all replicas that may be in service.
 func (g *Registry) Replicas() map[string]Replica { return g.replicas }
 
+// Uncertain says that some of the replicas are not listed and may be gone: this
+// host, or the store, was away a moment ago.
+func (g *Registry) Uncertain() bool { return g.uncertain }
+
 // Adopt takes the replicas that another host keeps, as of that time; nil says
 // that they are those already known.
 func (g *Registry) Adopt(asOf time.Time, replicas []Replica) {
 	if asOf.After(g.heard) {
 		g.heard = asOf
 	}
+	g.uncertain = false
 	if replicas == nil {
 		return
 	}
@@ -59,7 +66,7 @@
 	if !g.heard.IsZero() && now.Sub(g.heard) > storeSilence {
 		g.returned = now
 	}
-	g.heard = now
+	g.heard, g.uncertain = now, false
 	next := make(map[string]Replica, len(listed))
 	for _, r := range listed {
 		next[r.ID] = r
@@ -67,7 +74,7 @@
 	if now.Sub(g.returned) < lapseGrace {
 		for id, r := range g.replicas {
 			if _, ok := next[id]; !ok {
-				next[id] = r
+				next[id], g.uncertain = r, true
 			}
 		}
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -170,6 +170,38 @@
 		Expect(d.store.Calls()-before).To(BeNumerically("<", 12), "one host's reads")
 	})
 
+	It("does not take replicas back from a host that was cut off while they went", func() {
+		d := newDay(3)
+		d.replica("i-2", "ready")
+		d.run("host-1", "host-2", "host-3")
+		replicas := func(host string) func() int {
+			return func() int { return len(d.found[host].View().Replicas) }
+		}
+		for _, host := range []string{"host-1", "host-2", "host-3"} {
+			Eventually(replicas(host), "3s").Should(Equal(2))
+		}
+		cut := func(is bool) {
+			d.hosts.mu.Lock()
+			defer d.hosts.mu.Unlock()
+			d.hosts.cut["host-2"] = is
+		}
+		cut(true)
+		d.lose("host-2", true)
+		d.store.Delete(platform.ReplicaPrefix + "i-2")
+		for _, host := range []string{"host-1", "host-3"} {
+			Eventually(replicas(host), "6s").Should(Equal(1))
+		}
+		time.Sleep(4 * time.Second) // host-2 takes the store for having been away
+		cut(false)
+		d.lose("host-2", false)
+		for range 80 {
+			Expect(replicas("host-1")()).To(Equal(1))
+			Expect(replicas("host-3")()).To(Equal(1))
+			time.Sleep(50 * time.Millisecond)
+		}
+		Expect(replicas("host-2")()).To(Equal(1))
+	})
+
 	It("reads for itself when the host that reads has lost the store, is cut off or stands still", func() {
 		for _, trouble := range []func(d *day){
 			func(d *day) { d.lose("host-2", true) },
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -155,6 +155,10 @@
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(asked).Milliseconds()),
 		ConfigRevision: v.revision, ReplicasHash: v.hash,
 	}
+	if d.registry.Uncertain() {
+		// The asker may have seen them go while this host was cut off.
+		reply.AgeMs = unknownAge.Milliseconds()
+	}
 	if v.revision != req.GetConfigRevision() {
 		reply.Config = v.raw
 	}
