--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -43,7 +43,10 @@
 	case Submitted:
 		m.submit(now, e.Job)
 	case Cancelled:
-		m.drop(e.Job, !e.Moved)
+		if e.Moved {
+			m.handOver(e.Job)
+		}
+		m.drop(e.Job)
 	case CallEnded:
 		m.ended(now, e)
 	}
@@ -199,12 +202,18 @@
 	}
 }
 
-// handOver leaves all results of a stage to another planner.
-func (st *stageState) handOver() {
-	for k := range st.pieces {
-		if p := &st.pieces[k]; p.holder != nil {
-			p.holder.used = max(0, p.holder.used-p.bytes())
-			p.holder, p.handle = nil, ""
+// handOver leaves all results of a job to another planner.
+func (m *Machine) handOver(id string) {
+	j := m.jobs[id]
+	if j == nil {
+		return
+	}
+	for i := range j.stages {
+		for k := range j.stages[i].pieces {
+			if p := &j.stages[i].pieces[k]; p.holder != nil {
+				p.holder.used = max(0, p.holder.used-p.bytes())
+				p.holder, p.handle = nil, ""
+			}
 		}
 	}
 }
@@ -254,9 +263,8 @@
 	return ready
 }
 
-// drop forgets a job: its queued pieces are not made, and its results are
-// freed if free says so.
-func (m *Machine) drop(id string, free bool) {
+// drop forgets a job: its queued pieces are not made, its results are freed.
+func (m *Machine) drop(id string) {
 	j := m.jobs[id]
 	if j == nil {
 		return
@@ -267,11 +275,7 @@
 		if st.service != nil && st.left > 0 {
 			st.service.unqueue(j)
 		}
-		if free {
-			m.freeStage(st)
-		} else {
-			st.handOver()
-		}
+		m.freeStage(st)
 	}
 }
 
@@ -281,7 +285,7 @@
 		return
 	}
 	wasReady := j.ready
-	m.drop(j.ID, true)
+	m.drop(j.ID)
 	if !wasReady {
 		m.act(Refused{Job: j.ID, Reason: reason, RetryAfter: retryAfter})
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -149,22 +149,19 @@
 		hosts = append(hosts, h)
 	}
 	if len(all) == 1 {
-		hosts = append(hosts, f.otherSeeds()...)
-	}
-	return hosts
-}
-
-// otherSeeds are the seeds without this host; nothing else is known of them.
-func (f *Fleet) otherSeeds() []Host {
-	var hosts []Host
-	for _, s := range *f.seeds.Load() {
-		if s != f.cfg.Self.Name {
+		for _, s := range f.otherSeeds() {
 			hosts = append(hosts, Host{Host: member.Host{Name: s}, Capacity: math.MaxInt32})
 		}
 	}
 	return hosts
 }
 
+// otherSeeds are the names of the seeds without this host.
+func (f *Fleet) otherSeeds() []string {
+	self := f.cfg.Self.Name
+	return slices.DeleteFunc(slices.Clone(*f.seeds.Load()), func(s string) bool { return s == self })
+}
+
 // Leave announces that this host drains.
 func (f *Fleet) Leave() { f.loop.Post(member.Leave{}) }
 
@@ -275,12 +272,7 @@
 // targets are the seeds in random order, without this host; hosts that are
 // known to live when there is no seed else.
 func (f *Fleet) targets() []string {
-	var targets []string
-	for _, s := range *f.seeds.Load() {
-		if s != f.cfg.Self.Name {
-			targets = append(targets, s)
-		}
-	}
+	targets := f.otherSeeds()
 	if len(targets) == 0 {
 		for _, m := range f.Members() {
 			if m.Living() && m.Host.Name != f.cfg.Self.Name {
@@ -305,8 +297,7 @@
 		f.log.Debug("introduction failed", zap.String("peer", host), zap.Error(err))
 		return false
 	}
-	f.learn(host, fromWire(reply.GetHosts()))
-	f.learn(host, fromWire(reply.GetFirst()))
+	f.learn(host, fromWire(slices.Concat(reply.GetHosts(), reply.GetFirst())))
 	f.told.Store(int64(reply.GetSize()))
 	if reply.GetFormed() {
 		f.form("a seed knows the fleet")
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -141,16 +141,15 @@
 func (p *planner) poll(ctx context.Context, from string, ids []string) polled {
 	for {
 		out, changed := p.ends(from, ids)
-		if len(out.ends) > 0 || len(out.unknown) > 0 {
-			p.progress(&out, ids)
-			return out
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			p.progress(&out, ids)
-			return out
+		if len(out.ends) == 0 && len(out.unknown) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+			}
 		}
+		p.progress(&out, ids)
+		return out
 	}
 }
 
