--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -305,6 +305,9 @@
 	if x.tenant != nil {
 		fields = append(fields, zap.String("customer", x.tenant.Name))
 	}
+	if len(x.req.Forged) > 0 {
+		fields = append(fields, zap.Strings("forged_headers", x.req.Forged))
+	}
 	if n := x.req.PromptTokens; n > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", n))
 	}
@@ -318,6 +321,7 @@
 		fields = append(fields, zap.Duration("first", x.firstAt.Sub(x.arrived)), zap.Int("events", x.events), zap.Duration("pause", x.pause))
 	}
 	x.g.log.Info("request", fields...)
+	x.g.countForged(x.req.Forged)
 	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_requests_total{outcome=%q}", x.outcome)).Inc()
 	x.g.metrics.GetOrCreateHistogram("wheatseam_request_seconds").Update(time.Since(x.arrived).Seconds())
 	if !x.preparedAt.IsZero() {
--- a/gateway/forward_fuzz_test.go
+++ b/gateway/forward_fuzz_test.go
@@ -114,12 +114,74 @@
 	return "", nil
 }
 
+// forgedHeaders are those that a caller may not set, by the users' page of the
+// protocol. The gateway sets the first four itself.
+var forgedHeaders = []string{
+	"Tenant", "Expected-Replica", "Request-Priority", "Input-Count", "Expected-Version", "Pin-Ms", "Kv-Hold", "Kv-Backup",
+	"Kv-From", "Kv-Fetch", "Kv-Later", "Response-Signature", "Not-Executed", "Replica-Load", "Replica-Id", "Weights-Versions", "Retry-After",
+}
+
+// head begins a request that the gateway serves.
+const head = "POST /seal/a HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\nDeadline-Ms: 900\r\n"
+
+// forgeries are requests that carry a header in all the ways in which a check
+// by its name might miss it.
+func forgeries(name string) []string {
+	const end = "Content-Length: 0\r\n\r\n"
+	id := func(form string) string { return head + "Attempt-Id: " + name + "-" + form + "\r\n" }
+	return []string{
+		id("plain") + name + ": x\r\n" + end,
+		id("lower") + strings.ToLower(name) + ": x\r\n" + end,
+		id("upper") + strings.ToUpper(name) + ": x\r\n" + end,
+		id("empty") + name + ":\r\n" + end,
+		id("twice") + name + ": x\r\n" + name + ": y\r\n" + end,
+		id("listed") + "Connection: " + name + "\r\n" + name + ": x\r\n" + end,
+		id("trailer") + "Trailer: " + name + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + name + ": x\r\n\r\n",
+	}
+}
+
+// TestForgedHeaders sends every header that is not a caller's to set, in every
+// form: the caller is served as if it had not sent it.
+func TestForgedHeaders(t *testing.T) {
+	callers, replica := startRecorded(t)
+	conn, err := net.Dial("tcp", callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(time.Minute))
+	answers := bufio.NewReader(conn)
+	sent := map[string][]received{}
+	for _, name := range forgedHeaders {
+		for _, raw := range forgeries(name) {
+			strictly([]byte(raw), sent)
+			if _, err := io.WriteString(conn, raw); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				t.Fatalf("no answer to %q: %v", raw, err)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("status %d, %v, to %q", resp.StatusCode, err, raw)
+			}
+			got := replica.take()
+			if len(got) != 1 {
+				t.Fatalf("%d requests reached the replica for %q", len(got), raw)
+			}
+			check(t, got[0], sent)
+		}
+	}
+}
+
 // FuzzForward sends raw bytes of a caller and holds what reaches a replica to
 // them: one well-formed request for each one sent, with the path, the id and
 // the body that a strict reader finds there, and nothing that was hidden inside
 // another request.
 func FuzzForward(f *testing.F) {
-	const head = "POST /seal/a HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\nDeadline-Ms: 900\r\n"
+	for _, name := range forgedHeaders {
+		f.Add([]byte(strings.Join(forgeries(name), "")))
+	}
 	for _, seed := range []string{
 		head + "Attempt-Id: a1\r\nContent-Length: 4\r\n\r\nbody",
 		head + "Attempt-Id: a2\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
@@ -200,4 +262,12 @@
 	if req.Header.Get("X-Api-Key") != "" || req.Header.Get("Tenant") != "firma" || req.Header.Get("Expected-Replica") != "rec" {
 		t.Fatalf("headers of this system's own were taken from the caller:\n%q", got.head)
 	}
+	for _, name := range forgedHeaders[2:] {
+		if _, ok := req.Header[name]; ok {
+			t.Fatalf("a caller's %s reached the replica:\n%q", name, got.head)
+		}
+	}
+	if len(req.Trailer) > 0 {
+		t.Fatalf("a caller's trailers reached the replica:\n%q", got.head)
+	}
 }
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -64,6 +64,13 @@
 	g.metrics.GetOrCreateHistogram(fmt.Sprintf("wheatseam_attempt_seconds{service=%q}", service)).Update(took.Seconds())
 }
 
+// countForged counts headers that callers sent and that are not theirs to set.
+func (g *Gateway) countForged(names []string) {
+	for _, name := range names {
+		g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_forged_headers_total{header=%q}", name)).Inc()
+	}
+}
+
 // ejected logs that the router leaves a replica out for a while.
 func (g *Gateway) ejected(service, replica, reason string, until time.Time) {
 	g.log.Warn("replica ejected", zap.String("service", service), zap.String("replica", replica),
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -72,8 +72,15 @@
 	Deadline      time.Duration
 	// Pieces asks for stages.
 	Pieces []int
+	// Forge names a header that is not the caller's to set, sent all the same;
+	// "" for none.
+	Forge string
 }
 
+// Forgeable are the headers that only the system may set, and that it does not
+// set on requests by itself: a replica that gets one got it from a caller.
+var Forgeable = []string{"Kv-Hold", "Kv-From", "Kv-Backup", "Kv-Fetch", "Pin-Ms", "Expected-Version"}
+
 // Heard is what a caller heard.
 type Heard struct {
 	Status int
@@ -103,6 +110,9 @@
 	req.Header.Set("Attempt-Id", c.ID)
 	req.Header.Set("X-Api-Key", c.Key)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	if c.Forge != "" {
+		req.Header.Set(c.Forge, "1")
+	}
 	if len(c.Pieces) > 0 {
 		req.Header.Set("Piece-Count", strings.Trim(strings.Join(strings.Fields(fmt.Sprint(c.Pieces)), ","), "[]"))
 		req.Header.Set("Piece-Key", "key-"+c.ID)
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -175,6 +175,11 @@
 	if ms, err := strconv.Atoi(req.Header.Get("Deadline-Ms")); err != nil || ms <= 0 {
 		r.ledger.fault("%s: request %s has deadline %q", r.ID, id, req.Header.Get("Deadline-Ms"))
 	}
+	for _, name := range Forgeable {
+		if req.Header.Get(name) != "" {
+			r.ledger.fault("%s: request %s has a caller's %s", r.ID, id, name)
+		}
+	}
 	r.ledger.ran(Run{
 		Request: id, Replica: r.ID, Service: r.Service, Tenant: req.Header.Get("Tenant"), Method: req.Method,
 		Target: req.RequestURI, Body: string(body), Key: req.Header.Get("X-Api-Key") != "", After: req.Header.Get("Last-Event-Id"),
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -31,10 +31,17 @@
 	}
 }
 
+// forgeOneIn is the number of requests of which one carries a header that its
+// caller may not set.
+const forgeOneIn = 10
+
 // draw draws a request.
 func (r *Run) draw(rng *rand.Rand, id string) site.Call {
 	c := site.Call{ID: id, Deadline: callDeadline, Key: r.drawKey(rng)}
 	c.Path = []string{site.SealPath, site.SealPath, site.SafePath, site.StreamPath, site.ResumePath, site.ResumePath}[rng.IntN(6)]
+	if rng.IntN(forgeOneIn) == 0 {
+		c.Forge = site.Forgeable[rng.IntN(len(site.Forgeable))]
+	}
 	if c.Path == site.ResumePath {
 		c.Pieces = []int{1 + rng.IntN(3), 1 + rng.IntN(4)}
 	}
