Send a caller that closed its sending side no empty 200

Cause: a request that ends because its caller has left was answered with nothing, which net/http completes to an empty 200. A caller that only shuts down its sending side still reads, and would take that for a success.

The connection is broken off instead. The test fails without the change.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -280,7 +280,9 @@
 	x.outcome, x.detail = string(e.Kind), e.Detail
 	x.retryAfter = e.RetryAfter
 	if e.Kind == problem.CallerGone {
-		return
+		// A caller that only closed its sending side still reads: net/http would
+		// send it an empty 200.
+		panic(http.ErrAbortHandler)
 	}
 	x.status = problem.Lookup(e.Kind).Status
 	h := x.w.Header()
--- /dev/null
+++ b/gateway/leaving_test.go
@@ -0,0 +1,78 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+// dial opens a caller's connection and sends raw bytes on it.
+func (r *running) dial(raw string) *net.TCPConn {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", r.callers)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, raw)
+	Expect(err).NotTo(HaveOccurred())
+	return conn.(*net.TCPConn)
+}
+
+// requestHead begins a request to a path with an id.
+func requestHead(path, id string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Api-Key: key-1\r\nDeadline-Ms: 2000\r\nAttempt-Id: " + id + "\r\n"
+}
+
+var _ = Describe("a caller that leaves", func() {
+	It("with half of its body sent reaches no replica", func() {
+		f := newFixture()
+		g := f.start().ready()
+		conn := g.dial(requestHead(sealPath, "half") + "Content-Length: 10\r\n\r\nhalf")
+		time.Sleep(50 * time.Millisecond)
+		Expect(conn.Close()).To(Succeed())
+		Consistently(func() []site.Run { return f.ledger.Runs("half") }, "300ms").Should(BeEmpty())
+	})
+
+	It("while its stages are made reaches no engine", func() {
+		f := newFixture()
+		g := f.start().ready()
+		f.behave("encode", site.Behaviour{Work: 200 * time.Millisecond})
+		conn := g.dial(requestHead(goOnPath, "early") + "Piece-Count: 1,1\r\nPiece-Key: k\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(100 * time.Millisecond)
+		Expect(conn.Close()).To(Succeed())
+		Consistently(func() []site.Run { return f.ledger.Runs("early") }, "700ms").Should(BeEmpty())
+	})
+
+	It("while a replica works has it stop, and hears nothing that looks like an answer", func() {
+		f := newFixture()
+		g := f.start().ready()
+		f.behave("plain", site.Behaviour{Hang: true})
+		conn := g.dial(requestHead(safePath, "gone") + "Content-Length: 0\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+		Expect(conn.CloseWrite()).To(Succeed(), "it still reads")
+		heard, _ := io.ReadAll(conn) // how the connection ends does not matter
+		Expect(string(heard)).To(BeEmpty())
+	})
+
+	It("reads every answer that it sent for in a row", func() {
+		f := newFixture()
+		g := f.start().ready()
+		conn := g.dial(strings.Repeat(requestHead(safePath, "row")+"Content-Length: 0\r\n\r\n", 3))
+		answers := bufio.NewReader(conn)
+		for range 3 {
+			resp, err := http.ReadResponse(answers, nil)
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			Expect(string(body)).To(HaveSuffix(" to row\n"))
+		}
+	})
+})
