--- a/cmd/wheatseam/explainlog.go
+++ b/cmd/wheatseam/explainlog.go
@@ -54,7 +54,7 @@
 // and those about the replicas that it was sent to from around then.
 func about(request string, logs []io.Reader) ([]logLine, error) {
 	var mine, others []logLine
-	replicas := map[string]bool{}
+	named := map[string]bool{}
 	for _, r := range logs {
 		s := bufio.NewScanner(r)
 		s.Buffer(nil, maxLogLine)
@@ -66,8 +66,8 @@
 			switch {
 			case slices.Contains(l.Fields, "request="+request):
 				mine = append(mine, l)
-				noteReplicas(replicas, l)
-			case beliefs[l.Event]:
+				noteNamed(named, l)
+			case beliefs[l.Event] != "":
 				others = append(others, l)
 			}
 		}
@@ -82,7 +82,7 @@
 	}
 	from, to := mine[0].At.Add(-beliefWindow), mine[len(mine)-1].At.Add(beliefWindow)
 	for _, l := range others {
-		if l.At.After(from) && l.At.Before(to) && names(l, replicas) {
+		if l.At.After(from) && l.At.Before(to) && names(l, named) {
 			mine = append(mine, l)
 		}
 	}
@@ -94,26 +94,31 @@
 // shown.
 const beliefWindow = 5 * time.Second
 
-// beliefs are the events that change what is believed of a replica.
-var beliefs = map[string]bool{
-	"replica ejected": true, "stage replica suspected": true, "stage replica trusted again": true,
+// beliefs are the events that change what is believed of replicas, and the field
+// that says of which.
+var beliefs = map[string]string{
+	"replica ejected": "replica", "stage replica suspected": "replica", "stage replica trusted again": "replica",
+	"service refuses more than its load explains": "service",
 }
 
-func noteReplicas(replicas map[string]bool, l logLine) {
+// noteNamed notes the replicas and services that a line about a request names.
+func noteNamed(named map[string]bool, l logLine) {
 	for _, f := range l.Fields {
-		if key, value, _ := strings.Cut(f, "="); key == "replica" || key == "replicas" {
+		switch key, value, _ := strings.Cut(f, "="); key {
+		case "replica", "replicas":
 			for _, id := range strings.Split(strings.Trim(value, `"`), ",") {
-				replicas[id] = true
+				named["replica="+id] = true
 			}
+		case "service":
+			named[f] = true
 		}
 	}
 }
 
-func names(l logLine, replicas map[string]bool) bool {
-	return slices.ContainsFunc(l.Fields, func(f string) bool {
-		id, ok := strings.CutPrefix(f, "replica=")
-		return ok && replicas[id]
-	})
+// names says whether a line changes what is believed of one that is named.
+func names(l logLine, named map[string]bool) bool {
+	about := beliefs[l.Event] + "="
+	return slices.ContainsFunc(l.Fields, func(f string) bool { return strings.HasPrefix(f, about) && named[f] })
 }
 
 // explainLogs prints what log files tell of a request.
--- a/cmd/wheatseam/explainlog_test.go
+++ b/cmd/wheatseam/explainlog_test.go
@@ -17,6 +17,10 @@
 ts=2026-05-01T11:59:12.300Z level=warn msg="replica ejected" host=gw-1 service=s replica=i-7 reason=slow
 ts=2026-05-01T11:53:12.400Z level=info msg=request host=gw-1 request=a1 outcome=upstream_failed status=502
 ts=2026-05-01T11:53:12.400Z level=info msg=request host=gw-1 request=a12 outcome=answered status=200
+`
+	const refusing = `ts=2026-05-01T11:53:12.350Z level=warn msg="service refuses more than its load explains" host=gw-3 service=llm attempts=80 refused=20 replicas=i-9
+ts=2026-05-01T11:53:12.350Z level=warn msg="service refuses more than its load explains" host=gw-3 service=other attempts=80 refused=20 replicas=i-7
+ts=2026-05-01T11:53:12.400Z level=info msg=request host=gw-3 request=a3 outcome=overloaded status=503 service=llm replicas=i-7
 `
 	const second = `ts=2026-05-01T11:53:12.100Z level=info msg="stages ready" host=gw-2 request=a1 stages=0:0+250ms
 `
@@ -36,6 +40,13 @@
 		Expect(out.String()).NotTo(ContainSubstring("a12"))
 	})
 
+	It("says that the service refuses more than its load explains", func() {
+		var out bytes.Buffer
+		Expect(explainLogs(&out, formatTable, "a3", []string{write("three", refusing)})).To(Succeed())
+		Expect(out.String()).To(MatchRegexp(`(?s)service refuses more.*service=llm.*overloaded`))
+		Expect(out.String()).NotTo(ContainSubstring("service=other"))
+	})
+
 	It("says so when there is none, or no such file", func() {
 		var out bytes.Buffer
 		Expect(explainLogs(&out, formatTable, "b", []string{write("one", first)})).To(MatchError(errFound))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,11 +49,13 @@
 	budgets sync.Map // service name to *retry.Shared
 	inputs  inputsHold
 	streams *streamTimes
+
+	refusals *refusals
 }
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), streams: newStreamTimes()}
+	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), streams: newStreamTimes(), refusals: newRefusals()}
 	g.preparing, g.stopPreparing = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.router = route.New(route.Config{
@@ -135,6 +137,7 @@
 		return
 	}
 	g.rounds++
+	g.forgetRefusals(v)
 	g.router.Apply(pools(v, g.rounds, g.settings.Load().Regions))
 	g.stages.Configure(v.Config.Services, stageReplicas(v))
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/core/refusal"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/logging"
@@ -186,7 +187,9 @@
 	first  time.Time
 	// events counts those that the replica has sent.
 	events int
-	cancel context.CancelFunc
+	// refused says why the replica refused; "" if it did not.
+	refused refusal.Reason
+	cancel  context.CancelFunc
 }
 
 // run makes the call and passes the answer on.
@@ -205,6 +208,9 @@
 	defer resp.Body.Close()
 	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	t.observe(head.Load)
+	if head.NotExecuted {
+		t.refused = reasonOf(resp.StatusCode, head)
+	}
 	switch {
 	case head.NotExecuted && resp.StatusCode == http.StatusConflict:
 		x.inputsGone()
@@ -305,6 +311,9 @@
 	if !t.first.IsZero() {
 		fields = append(fields, zap.Duration("first", t.first.Sub(t.began)))
 	}
+	if t.refused != "" {
+		fields = append(fields, zap.String("refused_for", string(t.refused)))
+	}
 	if err != nil {
 		fields = append(fields, zap.String("why", err.Detail))
 	}
@@ -336,6 +345,7 @@
 		o.FirstByte = t.first.Sub(t.began)
 	}
 	t.x.g.countAttempt(t.x.service, end, o.Latency)
+	t.x.g.noteRefusals(t.x.service, t.choice.Upstream, t.refused)
 	switch end {
 	case answered:
 		o.Result = request.CallOK
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -99,27 +99,31 @@
 
 // running is one gateway.
 type running struct {
-	callers, readiness string
-	stop               context.CancelFunc
-	done               chan error
+	callers, readiness, metrics string
+
+	stop context.CancelFunc
+	done chan error
 }
 
 // start starts a gateway.
-func (f *fixture) start(seeds ...string) *running {
+func (f *fixture) start(seeds ...string) *running { return f.startLogged(zap.NewNop(), seeds...) }
+
+// startLogged starts a gateway that logs to log.
+func (f *fixture) startLogged(log *zap.Logger, seeds ...string) *running {
 	self := address(7403)
 	s := &gateway.Settings{
 		Host: self, Name: "gw", FailureDomain: "x", Seeds: append(seeds, self),
-		Listen: gateway.Listen{Callers: address(7404), Readiness: address(7405), Peers: self},
+		Listen: gateway.Listen{Callers: address(7404), Readiness: address(7405), Peers: self, Metrics: address(7406)},
 		Store:  gateway.Store{Address: f.address},
 		Bounds: gateway.Bounds{Drain: time.Second, Configuration: time.Second},
 		Drain:  gateway.Drain{Grace: 2 * time.Second},
 		Budget: gateway.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Limits: gateway.Limits{Processors: 1, ProcessorShare: 1, MemoryMB: 256},
 	}
-	g, err := gateway.New(s, zap.NewNop())
+	g, err := gateway.New(s, log)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{callers: s.Listen.Callers, readiness: s.Listen.Readiness, stop: cancel, done: make(chan error, 1)}
+	r := &running{callers: s.Listen.Callers, readiness: s.Listen.Readiness, metrics: s.Listen.Metrics, stop: cancel, done: make(chan error, 1)}
 	go func() {
 		r.done <- g.Run(ctx)
 		close(r.done)
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -33,6 +33,8 @@
 	Status int
 	// Shed refuses requests with a word that they were not run.
 	Shed bool
+	// ShedFree refuses likewise, and tells that it has free places.
+	ShedFree bool
 	// ShedSilently answers 503 without that word, after the run.
 	ShedSilently bool
 	// CutBefore closes the connection after the run and before any answer.
@@ -133,6 +135,11 @@
 		refuse(w, http.StatusServiceUnavailable)
 		return
 	}
+	if b.ShedFree {
+		w.Header().Set("Replica-Load", "1,0,8")
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
 	if b.Hang {
 		_, _ = io.Copy(io.Discard, req.Body)
 		<-req.Context().Done()
