Notice kept connections that have gone silent for good after one call

Cause: open connections may go silent without a reset while new ones work. A call that gives results up spent its whole bound on the silent connection and had no second try: the results kept their room.

Sessions between daemons needed nothing: one that says nothing for 0.5 s while a call waits is replaced, now with a test.

--- a/internal/faultrelay/link.go
+++ b/internal/faultrelay/link.go
@@ -27,6 +27,8 @@
 	caller *net.TCPConn
 	// ip is the caller's.
 	ip string
+	// silenced says that nothing passes any more; the relay's lock guards it.
+	silenced bool
 	// ended is closed when the link has ended.
 	ended chan struct{}
 
--- a/internal/faultrelay/relay.go
+++ b/internal/faultrelay/relay.go
@@ -11,6 +11,8 @@
 //     the fault they arrive in order. A new connection is accepted, but its
 //     target is dialled only when neither direction is a blackhole, since a
 //     handshake needs both.
+//   - Silence of the open connections: nothing passes on them any more, in either
+//     direction and for good, and neither side is told. New connections work.
 //   - Delay of a direction: all bytes arrive so much later; it is not a limit
 //     of bandwidth up to 512 KiB in flight.
 //
@@ -133,7 +135,20 @@
 	r.change(func() { r.from[ip] = c })
 }
 
-// Heal ends all faults.
+// Silence silences every connection that is open now, for good: only a time-out
+// of either side shows it. It returns how many there were.
+func (r *Relay) Silence() int {
+	var n int
+	r.change(func() {
+		n = len(r.links)
+		for l := range r.links {
+			l.silenced = true
+		}
+	})
+	return n
+}
+
+// Heal ends all faults, but for connections that were silenced.
 func (r *Relay) Heal() {
 	r.change(func() {
 		r.conditions = Conditions{}
@@ -154,8 +169,14 @@
 	}
 }
 
+// silent are the conditions of a silenced connection.
+var silent = Conditions{ToTarget: Direction{Blackhole: true}, ToCaller: Direction{Blackhole: true}}
+
 // of returns the conditions of a link; the caller holds mu.
 func (r *Relay) of(l *link) Conditions {
+	if l.silenced {
+		return silent
+	}
 	if c, ok := r.from[l.ip]; ok {
 		return c
 	}
--- a/internal/faultrelay/relay_test.go
+++ b/internal/faultrelay/relay_test.go
@@ -188,6 +188,29 @@
 		Expect(lateFar.Close()).To(Succeed())
 	})
 
+	It("silences the connections that are open, for good, and no others", func() {
+		startWith(Config{})
+		old := dial()
+		oldServer := <-accepted
+		_, err := old.Write([]byte("1"))
+		Expect(err).NotTo(HaveOccurred())
+		one := make([]byte, 1)
+		Expect(oldServer.Read(one)).To(Equal(1))
+		Expect(relay.Silence()).To(Equal(1))
+		relay.Heal()
+		_, err = old.Write([]byte("2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(oldServer.SetReadDeadline(time.Now().Add(little))).To(Succeed())
+		_, err = oldServer.Read(one)
+		Expect(err).To(MatchError(ContainSubstring("timeout")))
+		recent := dial()
+		recentServer := <-accepted
+		_, err = recent.Write([]byte("3"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(recentServer.SetReadDeadline(time.Now().Add(soon))).To(Succeed())
+		Expect(recentServer.Read(one)).To(Equal(1))
+	})
+
 	It("hides the death of one side behind a blackhole", func() {
 		startWith(Config{})
 		caller, far := pair()
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wheatseam/wheatseam/internal/faultrelay"
 	"github.com/wheatseam/wheatseam/peer"
 )
 
@@ -70,6 +71,20 @@
 		Eventually(func() (string, error) { return echo(a, "b", "3", time.Second) }).Should(Equal("a:3"))
 	})
 
+	It("uses a new session once the open one has gone silent for good", func() {
+		cfg := f.config("a")
+		a := f.start(cfg)
+		b := f.start(f.config("b"))
+		relay, err := faultrelay.New(faultrelay.Config{Target: b.Addr()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(relay.Close)
+		f.set("b", relay.Address())
+		Expect(echo(a, "b", "1", time.Second)).To(Equal("a:1"))
+		Expect(relay.Silence()).To(Equal(1))
+		Eventually(func() (string, error) { return echo(a, "b", "2", 50*time.Millisecond) }, "3s", "10ms").Should(Equal("a:2"))
+		Expect(cfg.Metrics.GetOrCreateCounter("wheatseam_peer_silent_sessions_total").Get()).To(BeEquivalentTo(1))
+	})
+
 	It("gives up a peer that accepts connections and says nothing", func() {
 		cfg := f.config("a")
 		cfg.DialTimeout = 50 * time.Millisecond
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/faultrelay"
 	"github.com/wheatseam/wheatseam/replica"
 )
 
@@ -72,6 +73,20 @@
 		Expect(s.calls.Load()).To(Equal(int64(2)))
 	})
 
+	It("is tried on a new connection when the kept one has gone silent", func() {
+		s := serve(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+		relay, err := faultrelay.New(faultrelay.Config{Target: s.address()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(relay.Close)
+		c := replica.NewClient()
+		results := stage.Free{Replica: "r", Address: relay.Address(), Handles: []string{"h"}}
+		Expect(c.FreeResults(context.Background(), results)).To(Succeed())
+		Expect(relay.Silence()).To(Equal(1))
+		bound, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		Expect(c.FreeResults(bound, results)).To(Succeed())
+	})
+
 	It("fails when both tries do, and ends with its context", func() {
 		s := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 		Expect(free(s)).NotTo(Succeed())
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
@@ -59,16 +60,23 @@
 // maxFreeAnswer bounds the answer to giving results up: there is nothing in it.
 const maxFreeAnswer = 4 << 10
 
+// firstFreeTry bounds the first try of a call that gives results up: the kept
+// connection that it takes may have gone silent, and the results keep their room
+// until a call arrives. Such a call takes some 2 ms, and more on a busy host.
+const firstFreeTry = 250 * time.Millisecond
+
 // FreeResults gives results up at the replica that holds them. A replica may
-// have dropped the idle connection that the first try takes, so that there is a
-// second.
+// have dropped the idle connection that the first try takes, also without a
+// word, so that there is a second.
 func (c *Client) FreeResults(ctx context.Context, a stage.Free) error {
 	body, err := platform.EncodeFree(a.Handles)
 	if err != nil {
 		return err
 	}
 	call := stageCall(platform.StageFreePath, a.Replica, a.Address, body)
-	if err = c.free(ctx, call); err != nil && ctx.Err() == nil {
+	first, cancel := context.WithTimeout(ctx, firstFreeTry)
+	defer cancel()
+	if err = c.free(first, call); err != nil && ctx.Err() == nil {
 		err = c.free(ctx, call)
 	}
 	return err
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,7 +4,8 @@
 //
 // The faults: processes are stopped, paused, killed and restarted by signals and
 // told to reload; a relay on the loopback interface delays, cuts, resets and
-// silences their connections to the store and to each other, also one way;
+// silences their connections to the store and to each other, also one way, and
+// those that are open for good;
 // the store fails and is slow; replicas break off, refuse, hang, drain and are
 // replaced; keys are taken away. Series overlap.
 //
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,6 +34,8 @@
 		func() { r.reload(d) },
 		func() { r.relayFault(d, d.store, "store", for1) },
 		func() { r.relayFault(d, d.peers, "fellows", for1) },
+		func() { r.silence(d, d.store, "store") },
+		func() { r.silence(d, d.peers, "fellows") },
 		func() { r.storeFault(for1) },
 		func() { r.behave(rep, for1) },
 		func() { r.behave(rep, for1) },
@@ -120,6 +122,14 @@
 	})
 }
 
+// silence silences the connections that a daemon has open to or from others,
+// for good; new ones work.
+func (r *Run) silence(d *daemon, relay *faultrelay.Relay, way string) {
+	n := relay.Silence()
+	d.touched()
+	r.note("%s and its %s: %d open connections silenced for good", d.name, way, n)
+}
+
 func (r *Run) storeFault(for1 time.Duration) {
 	kind := r.rng.IntN(3)
 	r.note("the store is %s for %s", []string{"down", "busy", "slow"}[kind], for1)
