Ask a planner again on a new session before another one is chosen

Cause: when the open connections of the hosts go silent, each daemon took the planner for lost and chose the next; for seconds several planners filled the queues of the same replicas, whose calls then counted as overdue. And a session that had gone silent was kept for up to two seconds more: a byte from the peer ended the account of the silence though other answers were still awaited, so that a long poll alone never ended its session.

The silence of a session now counts on for the answers that are awaited. A planner that did not answer is asked for nothing, by all failed calls together, for 0.2 s at most; if it answers, it keeps its jobs. Sessions end after 0.4 s of silence, less than a poll takes (0.5 s), so that the question goes on a new one.

The new test fails without the change: the next host plans 17 pieces.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,10 +102,12 @@
 const maxMessage = 2 << 20
 
 // The bounds of sessions: a fellow that is gone costs its callers little, and
-// one that is back is found soon.
+// one that is back is found soon. silenceTimeout is less than a poll of a planner
+// takes, so that a poll that fails has ended a silent session too; with 350 ms
+// links that lose packets cost more sessions than they should (0.05 of worth).
 const (
 	dialTimeout    = 500 * time.Millisecond
-	silenceTimeout = 500 * time.Millisecond
+	silenceTimeout = 400 * time.Millisecond
 	maxBackoff     = 100 * time.Millisecond
 )
 
--- a/peer/call.go
+++ b/peer/call.go
@@ -119,6 +119,7 @@
 	}
 	s.t.counters.countSent(method, roleCaller, len(frame))
 	s.meter.await(time.Now())
+	defer s.meter.settle()
 	var sent atomic.Bool
 	done := make(chan exchanged, 1)
 	go func() {
--- a/peer/session.go
+++ b/peer/session.go
@@ -115,16 +115,30 @@
 // checkSilence drops the session when nothing arrived for SilenceTimeout
 // though a call was waiting: the peer is frozen, or the connection half-open.
 func (s *session) checkSilence() {
+	if s.silentFor(time.Now()) >= s.t.cfg.SilenceTimeout {
+		s.dropSilent()
+	}
+}
+
+// silentFor is how long an answer has been awaited without a byte; 0 when none
+// is.
+func (s *session) silentFor(now time.Time) time.Duration {
 	since := s.meter.waitingSince.Load()
-	if since == 0 || time.Now().UnixNano()-since < int64(s.t.cfg.SilenceTimeout) {
-		return
+	if since == 0 {
+		return 0
 	}
+	return time.Duration(now.UnixNano() - since)
+}
+
+// dropSilent ends the session without a word to the peer.
+func (s *session) dropSilent() {
+	silence := s.silentFor(time.Now())
 	if s.retired.Swap(true) {
 		return
 	}
 	s.t.counters.silent.Inc()
 	s.t.cfg.Logger.Warn("peer session dropped as silent", zap.String("peer", s.peer.Host),
-		zap.Duration("silence", s.t.cfg.SilenceTimeout))
+		zap.Duration("silence", silence))
 	h := s.t.host(s.peer.Host)
 	h.mu.Lock()
 	h.lastErr = errSilent
@@ -141,18 +155,28 @@
 	net.Conn
 	counters     *counters
 	waitingSince atomic.Int64 // Unix nanoseconds; 0 while nothing is awaited
+	awaited      atomic.Int32 // answers
 }
 
 // await notes that an answer is awaited from now on.
 func (c *meteredConn) await(now time.Time) {
+	c.awaited.Add(1)
 	c.waitingSince.CompareAndSwap(0, now.UnixNano())
 }
 
+// settle notes that an answer is awaited no longer. Whether the peer has been
+// silent is for the next byte to say.
+func (c *meteredConn) settle() { c.awaited.Add(-1) }
+
 // Read implements net.Conn.
 func (c *meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.waitingSince.Store(0)
+		var since int64
+		if c.awaited.Load() > 0 {
+			since = time.Now().UnixNano() // for the other answers
+		}
+		c.waitingSince.Store(since)
 		c.counters.wireReceived.Add(n)
 	}
 	return n, err
--- a/stages/remote.go
+++ b/stages/remote.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,11 +29,17 @@
 	// submitTimeout bounds handing a job over: a planner answers at once.
 	submitTimeout = 250 * time.Millisecond
 	// pollWait is how long a planner holds a poll without an end, and
-	// pollGrace how much later its answer may come: together the time that a
-	// planner's silence costs. Daemons run as batch work on a share of a core
-	// that may pause for a tenth of a second.
+	// pollGrace how much later its answer may come. Daemons run as batch work on
+	// a share of a core that may pause for a tenth of a second.
 	pollWait  = 250 * time.Millisecond
 	pollGrace = 250 * time.Millisecond
+	// confirmTimeout bounds asking a planner that did not answer once more, on a
+	// new session, before another one is chosen: the connection may have gone
+	// silent and not the planner, and two planners that fill the queues of the
+	// same replicas cost all jobs of some seconds. A host that is well takes a
+	// session and answers in four round trips, 15 ms. With pollWait and pollGrace
+	// it is what a planner's silence costs.
+	confirmTimeout = 200 * time.Millisecond
 	// dropTimeout bounds giving jobs up.
 	dropTimeout = time.Second
 )
@@ -55,7 +62,7 @@
 	req := toWire(j, time.Now())
 	req.Incarnation = host.Incarnation
 	accepted := &wire.StageAccepted{}
-	if err := s.ask(ctx, host.Name, methodSubmit, req, accepted, submitTimeout); err != nil {
+	if err := s.askSurely(ctx, host.Name, methodSubmit, req, req, accepted, submitTimeout); err != nil {
 		s.log.Info("planner does not take jobs", zap.String("peer", host.Name), zap.Error(err))
 		// It may have taken the job all the same.
 		go s.dropThere(host.Name, []string{j.ID}, true)
@@ -92,6 +99,48 @@
 	return s.cfg.Caller.Call(ctx, host, method, req, resp)
 }
 
+// askSurely is ask, and asks again with a request that is answered at once when
+// the host did not answer and turns out to be well.
+func (s *Service) askSurely(ctx context.Context, host, method string, req, again, resp wireMessage, timeout time.Duration) error {
+	err := s.ask(ctx, host, method, req, resp, timeout)
+	if err == nil || ctx.Err() != nil || !s.answers(host) {
+		return err
+	}
+	s.log.Info("planner asked again", zap.String("peer", host), zap.String("method", method), zap.NamedError("before", err))
+	return s.ask(ctx, host, method, again, resp, confirmTimeout)
+}
+
+const (
+	// confirmEvery is the pause between two tries to reach a host: another dial
+	// to it may be under way, whose session is then taken.
+	confirmEvery = 10 * time.Millisecond
+	// confirmTry bounds one try, so that a session that goes silent meanwhile
+	// costs one of them.
+	confirmTry = 60 * time.Millisecond
+)
+
+// answers says whether a host that did not answer a call answers one that asks
+// for nothing. All calls that failed together wait for the same question.
+func (s *Service) answers(host string) bool {
+	_, err, _ := s.confirming.Do(host, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+		defer cancel()
+		for {
+			err := s.ask(ctx, host, methodPoll, &wire.StagePoll{}, &wire.StagePolled{}, confirmTry)
+			// A host whose kernel refuses connections has lost its jobs.
+			if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+				return nil, err
+			}
+			select {
+			case <-ctx.Done():
+				return nil, err
+			case <-time.After(confirmEvery):
+			}
+		}
+	})
+	return err == nil
+}
+
 // dropThere gives jobs up at another planner; moved says that their results
 // stay, as another goes on with them.
 func (s *Service) dropThere(host string, ids []string, moved bool) {
@@ -136,7 +185,8 @@
 		}
 		answer := &wire.StagePolled{}
 		req := &wire.StagePoll{Jobs: ids, WaitMs: uint32(pollWait.Milliseconds())}
-		err := s.ask(context.Background(), host, methodPoll, req, answer, pollWait+pollGrace)
+		now := &wire.StagePoll{Jobs: ids}
+		err := s.askSurely(context.Background(), host, methodPoll, req, now, answer, pollWait+pollGrace)
 		if err != nil {
 			s.log.Warn("planner lost", zap.String("peer", host), zap.Int("jobs", len(ids)), zap.Error(err))
 			s.lose(host, ids)
--- a/stages/service.go
+++ b/stages/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/member"
@@ -51,6 +52,8 @@
 	planner *planner
 
 	avoided fleet.Avoided // planners that failed
+	// confirming asks each host that did not answer once for all.
+	confirming singleflight.Group
 
 	mu     sync.Mutex
 	remote map[string]*planning // planners that jobs of ours wait at
--- a/stages/stages_test.go
+++ b/stages/stages_test.go
@@ -322,6 +322,25 @@
 		}),
 	)
 
+	It("keeps the planner when only its connections have gone silent", func() {
+		r := newReplicas()
+		r.work = 300 * time.Millisecond
+		nodes, _ := newNodes(r, 3)
+		prepare(nodes[2], "before")
+		done := make(chan stage.Ready, 1)
+		go func() {
+			defer GinkgoRecover()
+			done <- prepare(nodes[2], "under-way")
+		}()
+		time.Sleep(100 * time.Millisecond)
+		Expect(nodes[0].relay.Silence()).To(BeNumerically(">", 0))
+		Eventually(done, "4s").Should(Receive())
+		Expect(nodes[0].relay.Silence()).To(BeNumerically(">", 0), "and once more with no job under way")
+		prepare(nodes[2], "after")
+		Expect(r.madeBy(nodes[1].name)+r.madeBy(nodes[2].name)).To(BeZero(), "nobody else has planned")
+		Expect(r.faults).To(BeEmpty())
+	})
+
 	It("goes on with what the lost planner had made", func() {
 		r := newReplicas()
 		r.slow = "b"
