Start a stage that only the engine reads when the rest is nearly ready

Cause: a fifth of the room at the stage service with the large results was held by jobs whose large stage stands beside a chain of three: made first, its results waited 1.3 s for the chain.

Such a stage now starts when the rest of its job is expected to take no longer than two of its own calls.

--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -128,6 +128,26 @@
 	return true
 }
 
+// earlyCalls is how many times of its own call a stage is started before the
+// rest of the job is expected to be ready: one call, and a wait of another. With
+// one or three, mean worth of a deployment whose rooms are tight was lower by
+// 0.012 and 0.006.
+const earlyCalls = 2
+
+// tooEarly says whether stage i would be ready long before other stages of the
+// job that do not read it: its results would take up room until those are made,
+// and with many such jobs the chains beside them find none. It starts when one of
+// the others is complete and the rest is short enough. Mean worth with tight
+// rooms: 0.692 without, 0.711 with (24 days of load and trouble).
+func (j *job) tooEarly(i int) bool {
+	st := &j.stages[i]
+	if len(st.readers) > 0 {
+		return false
+	}
+	rest, _ := j.shortestBut(i)
+	return rest > time.Duration(earlyCalls)*st.service.usualTime(st.left)
+}
+
 // complete says whether every stage is.
 func (j *job) complete() bool {
 	for i := range j.stages {
@@ -231,7 +251,10 @@
 
 // shortest returns the least time that the stages left need, the longest chain
 // of one call each, and the calls of that chain.
-func (j *job) shortest() (time.Duration, int) {
+func (j *job) shortest() (time.Duration, int) { return j.shortestBut(-1) }
+
+// shortestBut is shortest without stage but.
+func (j *job) shortestBut(but int) (time.Duration, int) {
 	var most time.Duration
 	var ends [maxStages]time.Duration
 	var depth [maxStages]int
@@ -242,7 +265,7 @@
 			start, depth[i] = max(start, ends[a]), max(depth[i], depth[a])
 		}
 		end := start
-		if n := j.stages[i].left; n > 0 {
+		if n := j.stages[i].left; n > 0 && i != but {
 			s := j.stages[i].service
 			end += s.usualTime(n)
 			depth[i]++
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -157,7 +157,7 @@
 func (m *Machine) advance(now time.Time, j *job) {
 	for i := range j.stages {
 		st := &j.stages[i]
-		if st.left == 0 || !j.canStart(i) {
+		if st.left == 0 || !j.canStart(i) || j.tooEarly(i) {
 			continue
 		}
 		if st.queuedAt.IsZero() {
