Fetch configurations as steps in blocks, apart from the news of replicas

Cause: every change of the configuration went on whole (0.7 MB at 4,200 routes) in the message that also carries drains, from each host to eight others, in calls of fixed length; what had arrived by then was dropped. Links of 10 Mbit/s were full for 6 s. Ruled out: processor (at most 14 % of a core) and store (no call turned away).

Now news name a newer configuration and carry replicas only. The step between two configurations, compressed with the older one as dictionary, is fetched in blocks of 16 KiB with a timeout each, and completed from another host when one fails. The reader asks for a newer configuration by a watch instead of reading it every interval, and a call to the store ends when it brings no byte for a second, not after a second.

--- /dev/null
+++ b/discovery/config.go
@@ -0,0 +1,262 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/internal/periodic"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// wantedConfig is a configuration that a fellow has named.
+type wantedConfig struct {
+	revision uint64
+	from     string
+	since    time.Time
+}
+
+// maxMarks is the number of checks of the store that the next one looks back
+// over, at 0.3 of the bound each: a store that drops its history tells of no
+// changes for a second before.
+const maxMarks = 4
+
+// marks are the store's revisions at the last checks for a newer
+// configuration, oldest first.
+type marks []uint64
+
+func (m marks) add(revision uint64) marks {
+	if len(m) >= maxMarks {
+		m = m[1:]
+	}
+	return append(m[:len(m):len(m)], revision)
+}
+
+// oldest is the revision from which the next check looks; 0 without any.
+func (m marks) oldest() uint64 {
+	if len(m) == 0 {
+		return 0
+	}
+	return m[0]
+}
+
+// keepConfig keeps the configuration up to date until ctx ends: it fetches what
+// fellows name, and asks the store while this host reads it.
+func (d *Discovery) keepConfig(ctx context.Context) {
+	wait := firstRetry
+	for ctx.Err() == nil {
+		done := false
+		switch {
+		case d.behind():
+			done = d.fetchWanted(ctx) || d.getConfig(ctx)
+		case d.readsStore():
+			done = d.checkConfig(ctx)
+		default:
+			d.awaitWork(ctx)
+			done = true
+		}
+		if done {
+			wait = firstRetry
+			continue
+		}
+		periodic.Sleep(ctx, wait/2+rand.N(wait/2+1))
+		wait = min(2*wait, maxRetry)
+	}
+}
+
+// awaitWork waits until there may be something to do for keepConfig.
+func (d *Discovery) awaitWork(ctx context.Context) {
+	select {
+	case <-d.work:
+	case <-ctx.Done():
+	}
+}
+
+// wake has keepConfig look again.
+func (d *Discovery) wake() {
+	select {
+	case d.work <- struct{}{}:
+	default:
+	}
+}
+
+// readsStore says whether this host reads the store.
+func (d *Discovery) readsStore() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.source == d.cfg.Self
+}
+
+// behind says whether a fellow has named a newer configuration.
+func (d *Discovery) behind() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.wanted.revision > max(d.View().revision, d.refused)
+}
+
+// Behind returns for how long a newer configuration has been known of and is
+// not in force; 0 when none is.
+func (d *Discovery) Behind() time.Duration {
+	if !d.behind() {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.wanted.since)
+}
+
+// want notes a configuration that a fellow named; the lock is held. Whatever
+// the age of a fellow's news, a newer configuration is newer.
+func (d *Discovery) want(revision uint64, from string) {
+	if revision <= max(d.wanted.revision, d.View().revision) {
+		return
+	}
+	d.wanted = wantedConfig{revision: revision, from: from, since: time.Now()}
+	d.wake()
+}
+
+// fetchWanted fetches steps until the configuration that was wanted is there,
+// and puts it in force. The versions in between are not: decoding one takes a
+// small host 50 ms.
+func (d *Discovery) fetchWanted(ctx context.Context) bool {
+	d.mu.Lock()
+	wanted := d.wanted
+	d.mu.Unlock()
+	v := d.View()
+	began, revision, raw, size := time.Now(), v.revision, v.raw, 0
+	var fetched steps
+	for revision < wanted.revision {
+		s, err := d.fetchStep(ctx, revision)
+		if err != nil {
+			return false
+		}
+		if raw, err = s.apply(raw); err != nil {
+			d.log.Error("step of the configuration refused", zap.Uint64("base", s.base), zap.Uint64("revision", s.revision), zap.Error(err))
+			return false
+		}
+		revision, size, fetched = s.revision, size+len(s.data), append(fetched, s)
+	}
+	d.log.Info("configuration fetched", zap.String("peer", wanted.from), zap.Uint64("revision", revision), zap.Int("steps", len(fetched)),
+		zap.Int("bytes", size), zap.Int("size", len(raw)), zap.Duration("took", time.Since(began)))
+	d.putInForce(raw, revision, wanted.from, fetched)
+	return true
+}
+
+// checkConfig asks the store for a newer configuration and waits an interval
+// for one.
+func (d *Discovery) checkConfig(ctx context.Context) bool {
+	d.mu.Lock()
+	after := d.marks.oldest()
+	d.mu.Unlock()
+	if after == 0 {
+		return d.getConfig(ctx)
+	}
+	items, revision, err := d.cfg.Store.Changes(ctx, platform.ConfigKey, after, d.share(readShare))
+	if errors.Is(err, platform.ErrHistoryGone) {
+		d.log.Info("history of the store gone", zap.Uint64("after", after))
+		return d.getConfig(ctx)
+	}
+	if err != nil {
+		d.storeFailed(ctx, err)
+		return false
+	}
+	for _, item := range items {
+		if item.Key == platform.ConfigKey {
+			d.read(item)
+		}
+	}
+	d.checked(revision)
+	return true
+}
+
+// getConfig reads the configuration from the store.
+func (d *Discovery) getConfig(ctx context.Context) bool {
+	item, revision, err := d.cfg.Store.Get(ctx, platform.ConfigKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false // not written yet
+	}
+	if err != nil {
+		d.storeFailed(ctx, err)
+		return false
+	}
+	d.read(item)
+	d.checked(revision)
+	return true
+}
+
+// read takes a configuration that was read from the store.
+func (d *Discovery) read(item platform.Item) {
+	v := d.View()
+	d.mu.Lock()
+	known := item.Revision <= max(v.revision, d.refused)
+	d.mu.Unlock()
+	if known {
+		return
+	}
+	var made steps
+	if v.Config != nil {
+		s, err := newStep(v.revision, v.raw, item.Revision, item.Value)
+		if err != nil {
+			d.log.Error("no step between configurations", zap.Error(err))
+		} else {
+			made = steps{s}
+		}
+	}
+	d.putInForce(item.Value, item.Revision, sourceStore, made)
+}
+
+// storeFailed notes that the store did not tell of the configuration.
+func (d *Discovery) storeFailed(ctx context.Context, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.configLost && ctx.Err() == nil {
+		d.configLost = true
+		d.log.Warn("store lost for the configuration", zap.Error(err), zap.Duration("view_age", time.Since(d.View().AsOf)))
+	}
+}
+
+// checked notes that the store has no newer configuration than what was read,
+// up to a revision of its own.
+func (d *Discovery) checked(revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.configLost {
+		d.configLost = false
+		d.log.Info("store regained for the configuration", zap.Uint64("revision", revision))
+	}
+	d.marks = d.marks.add(revision)
+	next := *d.View()
+	next.configAsOf = time.Now()
+	d.publish(&next)
+}
+
+// putInForce puts a configuration in force if it is newer than the one that is:
+// versions never go back. A faulty one is not asked for again. It is called by
+// keepConfig alone.
+func (d *Discovery) putInForce(raw []byte, revision uint64, source string, made steps) {
+	config, err := platform.DecodeConfig(raw)
+	d.serving.Lock()
+	defer d.serving.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := *d.View()
+	switch {
+	case err != nil:
+		d.log.Error("configuration refused", zap.Uint64("revision", revision), zap.Error(err))
+	case next.Config != nil && config.Version <= next.Config.Version:
+		d.log.Warn("older configuration ignored", zap.Uint64("version", config.Version),
+			zap.Uint64("in_force", next.Config.Version), zap.Uint64("revision", revision))
+	default:
+		next.Config, next.raw, next.revision, next.Source = config, raw, revision, source
+		for _, s := range made {
+			d.configSteps = d.configSteps.add(s)
+		}
+		d.marks = marks{revision}
+		d.publish(&next)
+		return
+	}
+	d.refused = revision
+}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -88,16 +88,34 @@
 
 var errAway = errors.New("the store is away")
 
-func (g gate) Pages(ctx context.Context, prefix string, take func([]platform.Item)) (uint64, error) {
+// away says whether the host has lost the store.
+func (g gate) away() bool {
 	g.day.mu.Lock()
-	broken := g.day.broken[g.host]
-	g.day.mu.Unlock()
-	if broken {
+	defer g.day.mu.Unlock()
+	return g.day.broken[g.host]
+}
+
+func (g gate) Pages(ctx context.Context, prefix string, take func([]platform.Item)) (uint64, error) {
+	if g.away() {
 		return 0, errAway
 	}
 	return g.day.stores[g.host].Pages(ctx, prefix, take)
 }
 
+func (g gate) Get(ctx context.Context, key string) (platform.Item, uint64, error) {
+	if g.away() {
+		return platform.Item{}, 0, errAway
+	}
+	return g.day.stores[g.host].Get(ctx, key)
+}
+
+func (g gate) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Item, uint64, error) {
+	if g.away() {
+		return nil, 0, errAway
+	}
+	return g.day.stores[g.host].Changes(ctx, prefix, after, wait)
+}
+
 func newDay(n int) *day {
 	d := &day{
 		hosts: &hosts{muxes: map[string]*peer.Mux{}, cut: map[string]bool{}, frozen: map[string]bool{}}, store: site.NewStore(),
--- a/discovery/links_test.go
+++ b/discovery/links_test.go
@@ -226,11 +226,32 @@
 	return revision, nil
 }
 
-// answer carries items as the store writes them: in base64. A call that has
-// brought nothing for platform.StoreTimeout ends.
+// Get implements discovery.Store.
+func (c storeCaller) Get(ctx context.Context, key string) (platform.Item, uint64, error) {
+	items, revision := c.fleet.store.list(key)
+	if len(items) == 0 {
+		return platform.Item{}, 0, platform.ErrNotFound
+	}
+	return items[0], revision, c.answer(ctx, items)
+}
+
+// Changes implements discovery.Store.
+func (c storeCaller) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Item, uint64, error) {
+	const look = 10 * time.Millisecond
+	for began := time.Now(); ; time.Sleep(look) {
+		items, revision := c.fleet.store.list(prefix)
+		items = slices.DeleteFunc(items, func(i platform.Item) bool { return i.Revision <= after })
+		if len(items) > 0 || time.Since(began) >= wait {
+			return items, revision, c.answer(ctx, items)
+		}
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// answer carries items as the store writes them: in base64.
 func (c storeCaller) answer(ctx context.Context, items []platform.Item) error {
-	ctx, cancel := context.WithTimeout(ctx, platform.StoreTimeout)
-	defer cancel()
 	size := envelopeBytes
 	for _, item := range items {
 		size += envelopeBytes + len(item.Value)*4/3
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -13,17 +13,13 @@
 	"github.com/wheatseam/wheatseam/wire"
 )
 
-const methodNews = "discovery.news"
+const methodNews = "discovery.changes"
 
 // askFor asks a host for news and says whether its answer was fresh enough.
 func (d *Discovery) askFor(ctx context.Context, host string) bool {
-	v := d.View()
 	wait := d.share(newsWait)
 	asked := time.Now()
-	req := &wire.NewsRequest{
-		ConfigRevision: v.revision, ReplicasHash: v.hash, WaitMs: uint32(wait.Milliseconds()),
-		AgeMs: min(asked.Sub(v.AsOf), unknownAge).Milliseconds(),
-	}
+	req := d.question(asked, wait)
 	reply := &wire.NewsReply{}
 	call, cancel := context.WithTimeout(ctx, wait+newsGrace)
 	defer cancel()
@@ -42,6 +38,9 @@
 	// wait at the other host.
 	transit := max(0, received.Sub(asked)-time.Duration(reply.GetWaitedMs())*time.Millisecond)
 	asOf := received.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond - transit)
+	d.mu.Lock()
+	d.want(reply.GetConfigRevision(), host)
+	d.mu.Unlock()
 	if age := received.Sub(asOf); age < 0 || age > d.share(staleAfter) {
 		d.avoided.Add(host, avoidFor)
 		d.log.Info("news too old", zap.String("peer", host), zap.Duration("age", age))
@@ -51,17 +50,33 @@
 	return true
 }
 
+// question is what this host knows. A configuration that it has heard of and is
+// still fetching is no news, and its age is that of the replicas: an answer would
+// else come at once, again and again.
+func (d *Discovery) question(now time.Time, wait time.Duration) *wire.NewsRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.View()
+	return &wire.NewsRequest{
+		ConfigRevision: max(v.revision, d.wanted.revision), ReplicasHash: v.hash, WaitMs: uint32(wait.Milliseconds()),
+		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(),
+	}
+}
+
 // take puts another host's news in force.
 func (d *Discovery) take(host string, reply *wire.NewsReply, asOf time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.View()
 	next.Source = host
-	if asOf.After(next.AsOf) {
-		next.AsOf = asOf
+	if asOf.After(next.replicasAsOf) {
+		next.replicasAsOf = asOf
 	}
-	if len(reply.GetConfig()) > 0 {
-		d.takeConfig(&next, reply.GetConfig(), reply.GetConfigRevision())
+	if reply.GetConfigRevision() <= next.revision && asOf.After(next.configAsOf) {
+		next.configAsOf = asOf
+		if checked := reply.GetCheckedRevision(); checked > d.marks.oldest() {
+			d.marks = marks{checked}
+		}
 	}
 	switch {
 	case reply.GetReplicasHash() == next.hash:
@@ -101,8 +116,8 @@
 	return out
 }
 
-// handle registers the method.
-func (d *Discovery) handle(mux *peer.Mux) {
+// handleNews registers the method by which fellows ask for news.
+func (d *Discovery) handleNews(mux *peer.Mux) {
 	peer.Handle(mux, methodNews, func(ctx context.Context, _ peer.Sender, req *wire.NewsRequest) (*wire.NewsReply, error) {
 		return d.tell(ctx, req)
 	})
@@ -127,7 +142,7 @@
 		if !v.Ready() {
 			return nil, errNoView
 		}
-		if v.revision != req.GetConfigRevision() || v.hash != req.GetReplicasHash() || v.AsOf.Sub(theirs) > youngerBy {
+		if v.revision > req.GetConfigRevision() || v.hash != req.GetReplicasHash() || v.AsOf.Sub(theirs) > youngerBy {
 			break
 		}
 		select {
@@ -153,15 +168,12 @@
 	now := time.Now()
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(asked).Milliseconds()),
-		ConfigRevision: v.revision, ReplicasHash: v.hash,
+		ConfigRevision: v.revision, CheckedRevision: d.marks.oldest(), ReplicasHash: v.hash,
 	}
 	if d.registry.Uncertain() {
 		// The asker may have seen them go while this host was cut off.
 		reply.AgeMs = unknownAge.Milliseconds()
 	}
-	if v.revision != req.GetConfigRevision() {
-		reply.Config = v.raw
-	}
 	if v.hash == req.GetReplicasHash() {
 		return reply
 	}
--- /dev/null
+++ b/discovery/replicas.go
@@ -0,0 +1,91 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/internal/periodic"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// sourceStore is the Source of a view that this host has read itself.
+const sourceStore = "store"
+
+// keepReplicas keeps the replicas up to date until ctx ends, and hears of newer
+// configurations while fellows are asked.
+func (d *Discovery) keepReplicas(ctx context.Context) {
+	wait := firstRetry
+	for ctx.Err() == nil {
+		source := d.chooseSource(time.Now())
+		if source != d.cfg.Self && d.askFor(ctx, source) {
+			wait = firstRetry
+			continue
+		}
+		started := time.Now()
+		if !d.readReplicas(ctx) {
+			if !d.View().Ready() && d.askAny(ctx) {
+				continue
+			}
+			periodic.Sleep(ctx, wait/2+rand.N(wait/2+1))
+			wait = min(2*wait, maxRetry)
+			continue
+		}
+		wait = firstRetry
+		if source == d.cfg.Self {
+			periodic.Sleep(ctx, d.interval()-time.Since(started))
+		}
+	}
+}
+
+// interval is the time between two reads of the replicas: short until there is
+// something to serve.
+func (d *Discovery) interval() time.Duration {
+	if !d.View().Ready() || len(d.View().Replicas) == 0 {
+		return firstRetry
+	}
+	return d.share(readShare)
+}
+
+// readReplicas reads the replicas from the store and says whether that succeeded.
+func (d *Discovery) readReplicas(ctx context.Context) bool {
+	started := time.Now()
+	d.reads.Add(1)
+	entries := []catalog.Replica{}
+	revision, err := d.cfg.Store.Pages(ctx, platform.ReplicaPrefix, func(items []platform.Item) {
+		for _, item := range items {
+			entries = d.decode(entries, item)
+		}
+	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		if !d.lost && ctx.Err() == nil {
+			d.lost = true
+			d.log.Warn("store lost", zap.Error(err), zap.Duration("view_age", started.Sub(d.View().AsOf)))
+		}
+		return false
+	}
+	if d.lost {
+		d.lost = false
+		d.log.Info("store regained", zap.Uint64("revision", revision))
+	}
+	next := *d.View()
+	next.replicasAsOf, next.Source = started, sourceStore
+	d.registry.Update(time.Now(), entries)
+	d.publish(&next)
+	return true
+}
+
+// decode adds a replica's entry; one that cannot be read is left out.
+func (d *Discovery) decode(entries []catalog.Replica, item platform.Item) []catalog.Replica {
+	r, err := platform.DecodeReplica(item)
+	if err != nil {
+		d.log.Warn("replica entry refused", zap.Error(err))
+		return entries
+	}
+	return append(entries, r)
+}
--- /dev/null
+++ b/discovery/source.go
@@ -0,0 +1,87 @@
+package discovery
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/fleet"
+)
+
+// The times of discovery, as shares of the bound. A host is answered as soon as
+// its source has read or heard something younger, so that what is read passes
+// through all levels at once. In the worst case a source has just lost the store
+// or falls silent: the call to it ends after newsWait and newsGrace, and the
+// store is read in a third of a second; together that is within the bound.
+const (
+	readShare  = 0.3
+	newsWait   = 0.4
+	staleAfter = 0.5
+)
+
+// fanout is the number of hosts that ask the same host for news: a change of
+// 3,000 replicas would else leave one host 300 times.
+const fanout = 8
+
+const (
+	// firstRetry and maxRetry bound the wait after a failed read.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 500 * time.Millisecond
+	// newsGrace is how much later than newsWait an answer may come.
+	newsGrace = 250 * time.Millisecond
+	// avoidFor is how long a host whose news were too old, or that did not
+	// answer, is not asked, avoidStarting how long one that refused at once:
+	// it may have started a moment ago.
+	avoidFor      = 2 * time.Second
+	avoidStarting = 300 * time.Millisecond
+)
+
+// chooseSource returns the host whose news are asked for, or this host, which
+// then reads the store: it does so while it has no view, and when no host that
+// it could ask is left. Hosts ask along a tree over the ranked hosts.
+func (d *Discovery) chooseSource(now time.Time) string {
+	var hosts []fleet.Host
+	if d.View().Ready() {
+		hosts = ranked(d.cfg.Members.Reachable())
+	}
+	at := slices.IndexFunc(hosts, func(h fleet.Host) bool { return h.Name == d.cfg.Self })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	source := d.cfg.Self
+	for at > 0 {
+		at = (at - 1) / fanout
+		if !d.avoided.Has(hosts[at].Name, now) {
+			source = hosts[at].Name
+			break
+		}
+	}
+	if source != d.source {
+		d.log.Info("source of news chosen", zap.String("source", source), zap.String("before", d.source))
+		d.source = source
+		d.wake()
+	}
+	return source
+}
+
+// ranked sorts hosts by rank; the first two change places, as the first has the
+// stage work to plan.
+func ranked(hosts []fleet.Host) []fleet.Host {
+	slices.SortFunc(hosts, fleet.Host.Compare)
+	if len(hosts) > 2 {
+		hosts[0], hosts[1] = hosts[1], hosts[0]
+	}
+	return hosts
+}
+
+// askAny asks hosts for news until one has some. A host that has just started
+// and that the store turns away learns from its fellows what is in force.
+func (d *Discovery) askAny(ctx context.Context) bool {
+	for _, h := range ranked(d.cfg.Members.Reachable()) {
+		if h.Name != d.cfg.Self && !d.avoided.Has(h.Name, time.Now()) && d.askFor(ctx, h.Name) {
+			return true
+		}
+	}
+	return false
+}
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -17,11 +17,15 @@
 	Config *catalog.Config
 	// Replicas are by id; nil until they were read.
 	Replicas map[string]catalog.Replica
-	// AsOf is when the store was read, at the latest.
+	// AsOf is when the store was read for replicas and configuration, whichever
+	// was earlier.
 	AsOf time.Time
-	// Source is "store" or the host that passed the news on.
+	// Source is "store" or the host that passed the last news on.
 	Source string
 
+	// replicasAsOf is when the replicas were read, configAsOf up to when the store
+	// had no newer configuration.
+	replicasAsOf, configAsOf time.Time
 	// raw is the configuration as the store holds it, and revision its own.
 	raw      []byte
 	revision uint64
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -1,9 +1,12 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -28,11 +31,16 @@
 	status   int
 	delay    time.Duration
 	calls    int
+	// removed are the tombstones; changed is closed with every write.
+	removed map[string]item
+	changed chan struct{}
+	// forgotten is the revision up to which changes are not known any more.
+	forgotten uint64
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{PageSize: 50, items: map[string]item{}}
+	return &Store{PageSize: 50, items: map[string]item{}, removed: map[string]item{}, changed: make(chan struct{})}
 }
 
 // Put writes a value; v is encoded as JSON unless it is bytes.
@@ -57,9 +65,20 @@
 	i.Revision = s.revision
 	if i.Tombstone {
 		delete(s.items, i.Key)
+		s.removed[i.Key] = i
 	} else {
 		s.items[i.Key] = i
+		delete(s.removed, i.Key)
 	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets all changes so far: watches from before get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
 }
 
 // Fail answers every call with a status until it is called with 0.
@@ -99,11 +118,62 @@
 		s.get(w, r.URL.Query().Get("key"))
 	case "/-/kv-range":
 		s.list(w, r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
+	case "/-/kv-watch":
+		s.watch(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// watch answers with the changes under a prefix after a revision, at once or
+// when there are some.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, err2 := strconv.Atoi(query.Get("wait_ms"))
+	if errors.Join(err, err2) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for waiting := true; ; {
+		events, revision, changed, known := s.since(query.Get("prefix"), after)
+		if !known {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 || !waiting {
+			writeJSON(w, map[string]any{"events": events, "as_of": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes under a prefix after a revision, what is closed with
+// the next change, and whether the history reaches back that far.
+func (s *Store) since(prefix string, after uint64) (events []item, revision uint64, changed chan struct{}, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events = []item{}
+	for _, of := range []map[string]item{s.items, s.removed} {
+		for key, i := range of {
+			if strings.HasPrefix(key, prefix) && i.Revision > after {
+				events = append(events, i)
+			}
+		}
+	}
+	slices.SortFunc(events, func(a, b item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return events, s.revision, s.changed, after >= s.forgotten
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // a client that is gone needs no answer
