Exchange replicas and hosts by buckets that differ, in bounded messages

The same cause elsewhere: a host whose replicas its source could not place was sent all of them, and any difference in the roster brought the whole roster, each in one call of fixed length. 3,000 replicas are 270 kB, and a seed of 1,000 hosts that start together would be asked for 2.1 MB/s; a narrow link carries 1.25.

Peers now send digests of 64 buckets (512 bytes) and get the buckets that differ, at most 32 KiB of replicas and 300 hosts an answer; what came is kept and the next answer goes on from there. The remembered steps between sets of replicas are gone. A message between daemons is bounded by 256 KiB instead of 2 MiB.

Tests: steps completed from another host without a byte twice, the store read when no host has blocks, whole reads only when the history is gone, changes that a watch did not hear (fails when the watch does not look back), faulty configurations, a storm of versions, 3,000 replicas (fails when messages may be larger), rosters of 1,000.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -57,8 +57,6 @@
 	// changed is closed and replaced with every view, also one that is only
 	// younger.
 	changed chan struct{}
-	// steps are the last changes of the replicas.
-	steps changes
 	// lost and configLost say that the last read of the replicas, or of the
 	// configuration, failed.
 	lost, configLost bool
@@ -117,22 +115,19 @@
 		next.AsOf = next.configAsOf
 	}
 	next.Replicas = d.registry.Replicas()
-	next.hash = hashOf(next.Replicas)
+	next.digest = digestOf(next.Replicas)
 	first := old.Replicas == nil
 	defer func() {
 		close(d.changed)
 		d.changed = make(chan struct{})
 	}()
-	if !first && next.Config == old.Config && next.hash == old.hash {
+	if !first && next.Config == old.Config && next.digest == old.digest {
 		next.Replicas = old.Replicas
 		d.view.Store(next)
 		return
 	}
-	if next.hash != old.hash {
-		d.steps = d.steps.add(old, next)
-	}
 	fields := []zap.Field{
-		zap.Bool("configuration", next.Config != old.Config), zap.Bool("replicas_changed", next.hash != old.hash),
+		zap.Bool("configuration", next.Config != old.Config), zap.Bool("replicas_changed", next.digest != old.digest),
 		zap.String("source", next.Source), zap.Int("replicas", len(next.Replicas)),
 	}
 	if !next.AsOf.IsZero() {
--- a/discovery/large_config_test.go
+++ b/discovery/large_config_test.go
@@ -155,4 +155,10 @@
 		}
 	}
 	g.Expect(late).To(BeEmpty())
+	g.Expect(f.largest.Load()).To(BeNumerically("<=", largestMessage), "bytes of the largest message between hosts")
 }
+
+// largestMessage bounds the messages between hosts, in bytes: a link of 10 Mbit/s
+// carries one in 33 ms, and eight in less than the silence after which a session
+// is ended.
+const largestMessage = 40 << 10
--- a/discovery/links_test.go
+++ b/discovery/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -99,6 +100,10 @@
 	found    map[string]*discovery.Discovery
 	store    *linkedStore
 	ranks    []fleet.Host
+	// refuse, if set, fails calls between two hosts; it is set before run.
+	refuse func(from, to, method string) error
+	// largest is the size of the largest message between hosts, in bytes.
+	largest atomic.Int64
 }
 
 // newLinkedFleet returns a fleet of wide and narrow hosts, the wide ones first
@@ -160,15 +165,31 @@
 	if mux == nil {
 		return fmt.Errorf("%w: %s", peer.ErrUnreachable, host)
 	}
+	if c.fleet.refuse != nil {
+		if err := c.fleet.refuse(c.self, host, method); err != nil {
+			return err
+		}
+	}
 	if err := from.send(ctx, to, envelopeBytes+proto.Size(req)); err != nil {
 		return err
 	}
 	if err := peer.CallLocal(ctx, mux, c.self, method, req, resp); err != nil {
 		return err
 	}
+	c.fleet.sized(proto.Size(resp))
 	return to.send(ctx, from, envelopeBytes+proto.Size(resp))
 }
 
+// sized notes the size of a message.
+func (f *linkedFleet) sized(n int) {
+	for {
+		largest := f.largest.Load()
+		if int64(n) <= largest || f.largest.CompareAndSwap(largest, int64(n)) {
+			return
+		}
+	}
+}
+
 // envelopeBytes is about what a message costs beside its body.
 const envelopeBytes = 100
 
@@ -178,6 +199,32 @@
 	mu       sync.Mutex
 	items    map[string]platform.Item
 	revision uint64
+	// forgotten is the revision up to which the history is gone; blind says that
+	// watches hear nothing; away that no call is answered with anything but an
+	// error.
+	forgotten   uint64
+	blind, away bool
+	// whole counts the reads of a configuration in full.
+	whole int
+}
+
+// with changes the store's state.
+func (s *linkedStore) with(change func(*linkedStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+var errStoreAway = errors.New("the store is away")
+
+// failing returns the error of a call to a store that is away.
+func (s *linkedStore) failing() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return errStoreAway
+	}
+	return nil
 }
 
 func newLinkedStore() *linkedStore {
@@ -205,6 +252,18 @@
 	return items, s.revision
 }
 
+// since returns the items under a prefix that were written after a revision.
+func (s *linkedStore) since(prefix string, after uint64) ([]platform.Item, uint64, error) {
+	items, revision := s.list(prefix)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.forgotten {
+		return nil, 0, platform.ErrHistoryGone
+	}
+	items = slices.DeleteFunc(items, func(i platform.Item) bool { return i.Revision <= after || s.blind })
+	return items, revision, nil
+}
+
 // storeCaller is one host's way to the store.
 type storeCaller struct {
 	fleet *linkedFleet
@@ -216,6 +275,9 @@
 
 // Pages implements discovery.Store.
 func (c storeCaller) Pages(ctx context.Context, prefix string, take func([]platform.Item)) (uint64, error) {
+	if err := c.fleet.store.failing(); err != nil {
+		return 0, err
+	}
 	items, revision := c.fleet.store.list(prefix)
 	for page := range slices.Chunk(items, pageItems) {
 		if err := c.answer(ctx, page); err != nil {
@@ -228,6 +290,10 @@
 
 // Get implements discovery.Store.
 func (c storeCaller) Get(ctx context.Context, key string) (platform.Item, uint64, error) {
+	if err := c.fleet.store.failing(); err != nil {
+		return platform.Item{}, 0, err
+	}
+	c.fleet.store.with(func(s *linkedStore) { s.whole++ })
 	items, revision := c.fleet.store.list(key)
 	if len(items) == 0 {
 		return platform.Item{}, 0, platform.ErrNotFound
@@ -239,8 +305,13 @@
 func (c storeCaller) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Item, uint64, error) {
 	const look = 10 * time.Millisecond
 	for began := time.Now(); ; time.Sleep(look) {
-		items, revision := c.fleet.store.list(prefix)
-		items = slices.DeleteFunc(items, func(i platform.Item) bool { return i.Revision <= after })
+		if err := c.fleet.store.failing(); err != nil {
+			return nil, 0, err
+		}
+		items, revision, err := c.fleet.store.since(prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
 		if len(items) > 0 || time.Since(began) >= wait {
 			return items, revision, c.answer(ctx, items)
 		}
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/wheatseam/wheatseam/core/bucket"
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
@@ -58,7 +59,7 @@
 	defer d.mu.Unlock()
 	v := d.View()
 	return &wire.NewsRequest{
-		ConfigRevision: max(v.revision, d.wanted.revision), ReplicasHash: v.hash, WaitMs: uint32(wait.Milliseconds()),
+		ConfigRevision: max(v.revision, d.wanted.revision), ReplicaBuckets: v.digest[:], WaitMs: uint32(wait.Milliseconds()),
 		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(),
 	}
 }
@@ -69,37 +70,40 @@
 	defer d.mu.Unlock()
 	next := *d.View()
 	next.Source = host
-	if asOf.After(next.replicasAsOf) {
-		next.replicasAsOf = asOf
-	}
 	if reply.GetConfigRevision() <= next.revision && asOf.After(next.configAsOf) {
 		next.configAsOf = asOf
 		if checked := reply.GetCheckedRevision(); checked > d.marks.oldest() {
 			d.marks = marks{checked}
 		}
 	}
-	switch {
-	case reply.GetReplicasHash() == next.hash:
+	digest := next.digest
+	if buckets := reply.GetBuckets(); len(buckets) > 0 {
+		replicas := patched(next.Replicas, buckets)
+		d.registry.Adopt(asOf, replicas)
+		digest = digestOf(d.registry.Replicas())
+	} else {
 		d.registry.Adopt(asOf, nil)
-	case reply.GetDelta():
-		d.registry.Adopt(asOf, patched(next.Replicas, reply))
-	default:
-		d.registry.Adopt(asOf, replicasOf(reply.GetReplicas()))
+	}
+	if digest.Sum() == reply.GetReplicasHash() && asOf.After(next.replicasAsOf) {
+		next.replicasAsOf = asOf // all buckets are there
 	}
 	d.publish(&next)
 }
 
-// patched returns the replicas with the changes of an answer.
-func patched(known map[string]catalog.Replica, reply *wire.NewsReply) []catalog.Replica {
-	next := make(map[string]catalog.Replica, len(known))
-	maps.Copy(next, known)
-	for _, r := range replicasOf(reply.GetReplicas()) {
-		next[r.ID] = r
-	}
-	for _, id := range reply.GetRemoved() {
-		delete(next, id)
+// patched returns the replicas with some buckets replaced.
+func patched(known map[string]catalog.Replica, buckets []*wire.NewsBucket) []catalog.Replica {
+	var told [bucket.Count]bool
+	next := []catalog.Replica{}
+	for _, b := range buckets {
+		told[b.GetIndex()%bucket.Count] = true
+		next = append(next, replicasOf(b.GetReplicas())...)
+	}
+	for id, r := range known {
+		if !told[bucket.Of(id)] {
+			next = append(next, r)
+		}
 	}
-	return sorted(next)
+	return next
 }
 
 // unknownAge stands for the age of no view at all.
@@ -142,7 +146,7 @@
 		if !v.Ready() {
 			return nil, errNoView
 		}
-		if v.revision > req.GetConfigRevision() || v.hash != req.GetReplicasHash() || v.AsOf.Sub(theirs) > youngerBy {
+		if v.revision > req.GetConfigRevision() || !v.digest.Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(theirs) > youngerBy {
 			break
 		}
 		select {
@@ -168,31 +172,45 @@
 	now := time.Now()
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(asked).Milliseconds()),
-		ConfigRevision: v.revision, CheckedRevision: d.marks.oldest(), ReplicasHash: v.hash,
+		ConfigRevision: v.revision, CheckedRevision: d.marks.oldest(), ReplicasHash: v.digest.Sum(),
 	}
 	if d.registry.Uncertain() {
 		// The asker may have seen them go while this host was cut off.
 		reply.AgeMs = unknownAge.Milliseconds()
 	}
-	if v.hash == req.GetReplicasHash() {
-		return reply
+	reply.Buckets = differing(v, req.GetReplicaBuckets())
+	return reply
+}
+
+// maxNewsBytes bounds the replicas of one answer, some 350: eight hosts that are
+// answered at once behind a link of 10 Mbit/s wait 0.2 s. The rest comes with
+// the next answer.
+const maxNewsBytes = 32 << 10
+
+// differing returns buckets of a view whose replicas differ from the asker's.
+func differing(v *View, theirs []uint64) []*wire.NewsBucket {
+	indices := v.digest.Differing(theirs, 0)
+	if len(indices) == 0 {
+		return nil
+	}
+	byIndex := make(map[int]*wire.NewsBucket, len(indices))
+	for _, i := range indices {
+		byIndex[i] = &wire.NewsBucket{Index: uint32(i)}
 	}
-	ids, known := d.steps.since(req.GetReplicasHash())
-	if !known {
-		for _, r := range sorted(v.Replicas) {
-			reply.Replicas = append(reply.Replicas, toWire(r))
+	for id, r := range v.Replicas {
+		if b := byIndex[bucket.Of(id)]; b != nil {
+			b.Replicas = append(b.Replicas, toWire(r))
 		}
-		return reply
 	}
-	reply.Delta = true
-	for _, id := range ids {
-		if r, ok := v.Replicas[id]; ok {
-			reply.Replicas = append(reply.Replicas, toWire(r))
-		} else {
-			reply.Removed = append(reply.Removed, id)
+	var buckets []*wire.NewsBucket
+	size := 0
+	for _, i := range indices {
+		if size += proto.Size(byIndex[i]); size > maxNewsBytes && len(buckets) > 0 {
+			break
 		}
+		buckets = append(buckets, byIndex[i])
 	}
-	return reply
+	return buckets
 }
 
 func toWire(r catalog.Replica) *wire.NewsReplica {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -97,9 +97,10 @@
 	return f, nil
 }
 
-// maxMessage bounds a message between daemons: the largest value of the store,
-// a configuration, with room for the replicas of the largest deployment.
-const maxMessage = 2 << 20
+// maxMessage bounds a message between daemons. What can be larger goes in parts,
+// each of which a link of 10 Mbit/s carries in a fraction of its call's time:
+// configurations, replicas and hosts in messages of 32 KiB at most.
+const maxMessage = 256 << 10
 
 // The bounds of sessions: a fellow that is gone costs its callers little, and
 // one that is back is found soon. silenceTimeout is less than a poll of a planner
@@ -198,9 +199,7 @@
 		reply.First, reply.Size = toWire(f.roster.first(firstNamed)), uint32(f.roster.size())
 		return reply, nil
 	}
-	if hosts := f.roster.all(); req.GetKnown() != hash(hosts) {
-		reply.Hosts = toWire(hosts)
-	}
+	reply.Hosts = toWire(unlike(f.roster.all(), req.GetKnownBuckets()))
 	return reply, nil
 }
 
@@ -292,7 +291,8 @@
 	defer cancel()
 	req := &wire.RosterRequest{Self: toWire([]Host{f.cfg.Self})[0], Forming: !f.hasFormed()}
 	if !req.Forming {
-		req.Known = hash(f.roster.all())
+		known := digestOf(f.roster.all())
+		req.KnownBuckets = known[:]
 	}
 	reply := &wire.RosterReply{}
 	if err := f.transport.Call(ctx, host, methodRoster, req, reply); err != nil {
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wheatseam/wheatseam/core/bucket"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -119,15 +121,37 @@
 	return slices.SortedFunc(maps.Values(r.hosts), func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// hash is the same for rosters with the same hosts.
-func hash(hosts []Host) uint64 {
-	d := xxhash.New()
+// digestOf is the same for rosters with the same hosts.
+func digestOf(hosts []Host) bucket.Digest {
+	var d bucket.Digest
 	for _, h := range hosts {
-		// Writing to a digest never fails.
-		_, _ = d.WriteString(h.Name)
-		_, _ = d.WriteString("\x00" + strconv.FormatUint(h.Incarnation, 36) + "\x00")
+		d.Add(h.Name, xxhash.Sum64String(h.Name+"\x00"+strconv.FormatUint(h.Incarnation, 36)))
 	}
-	return d.Sum64()
+	return d
+}
+
+// maxNamed bounds the hosts of one answer, some 16 kB: a seed whose fleet of
+// 1,000 starts at once behind a link of 10 Mbit/s would else be asked for twice
+// what the link carries, and answer nobody. The rest comes with the next answers.
+const maxNamed = 300
+
+// unlike returns hosts of buckets that differ from a peer's, from a random one
+// on: buckets that go on to differ must not keep others back.
+func unlike(hosts []Host, theirs []uint64) []Host {
+	d := digestOf(hosts)
+	byBucket := make([][]Host, bucket.Count)
+	for _, h := range hosts {
+		b := bucket.Of(h.Name)
+		byBucket[b] = append(byBucket[b], h)
+	}
+	var out []Host
+	for _, b := range d.Differing(theirs, rand.IntN(bucket.Count)) {
+		if len(out) > 0 && len(out)+len(byBucket[b]) > maxNamed {
+			break
+		}
+		out = append(out, byBucket[b]...)
+	}
+	return out
 }
 
 func toWire(hosts []Host) []*wire.RosterHost {
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -29,6 +29,27 @@
 		}
 	})
 
+	It("is told in parts, whatever the asker knows and the teller does not", func() {
+		seed, asker := newRoster(host("seed", 1, 1)), newRoster(host("asker", 1, 1))
+		for i := range 1000 {
+			seed.add(host(fmt.Sprint("h", i), 1, 1))
+		}
+		for i := range 100 {
+			asker.add(host(fmt.Sprint("gone", i), 1, 1))
+		}
+		rounds := 0
+		for ; asker.size() < 1102 && rounds < 100; rounds++ {
+			known := digestOf(asker.all())
+			named := unlike(seed.all(), known[:])
+			Expect(len(named)).To(BeNumerically("<=", maxNamed))
+			asker.add(named...)
+		}
+		Expect(asker.size()).To(Equal(1102))
+		Expect(rounds).To(BeNumerically("<", 40))
+		known := digestOf(asker.all())
+		Expect(unlike(asker.all(), known[:])).To(BeEmpty())
+	})
+
 	It("ranks a host anew that says when it has restarted, and never goes back", func() {
 		ros := newRoster(host("self", 1, 20))
 		ros.add(host("old", 1, 10))
