--- a/discovery/config.go
+++ b/discovery/config.go
@@ -53,7 +53,9 @@
 		case d.behind():
 			done = d.fetchWanted(ctx) || d.getConfig(ctx)
 		case d.readsStore():
-			done = d.checkConfig(ctx)
+			done = d.checkConfig(ctx, d.share(readShare))
+		case d.checkDue.Swap(false):
+			done = d.checkConfig(ctx, 0)
 		default:
 			d.awaitWork(ctx)
 			done = true
@@ -145,16 +147,24 @@
 	return true
 }
 
-// checkConfig asks the store for a newer configuration and waits an interval
-// for one.
-func (d *Discovery) checkConfig(ctx context.Context) bool {
+// checkSoon has the store asked for a newer configuration, as no fellow said
+// whether there is one: hosts that are cut off take 1.2 s each to say nothing,
+// and up to three are asked one after the other.
+func (d *Discovery) checkSoon() {
+	d.checkDue.Store(true)
+	d.wake()
+}
+
+// checkConfig asks the store for a newer configuration and waits up to wait for
+// one.
+func (d *Discovery) checkConfig(ctx context.Context, wait time.Duration) bool {
 	d.mu.Lock()
 	after := d.marks.oldest()
 	d.mu.Unlock()
 	if after == 0 {
 		return d.getConfig(ctx)
 	}
-	items, revision, err := d.cfg.Store.Changes(ctx, platform.ConfigKey, after, d.share(readShare))
+	items, revision, err := d.cfg.Store.Changes(ctx, platform.ConfigKey, after, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		d.log.Info("history of the store gone", zap.Uint64("after", after))
 		return d.getConfig(ctx)
--- a/discovery/config_test.go
+++ b/discovery/config_test.go
@@ -79,6 +79,37 @@
 	})
 }
 
+// What was seen: of eighty hosts a third were cut off from the store and from
+// each other, and still answered those that asked them for news. A host beside
+// them asked one after the other, each took 1.2 s to say that it knew nothing
+// new, and for 3.7 s the host did not ask the store for a newer configuration,
+// though it read the replicas there.
+func TestAHostWhoseSourcesAreAllCutOffKeepsUpWithTheStore(t *testing.T) {
+	// The sources of host-074, one above the other.
+	sources := map[string]bool{"host-009": true, "host-000": true, "host-001": true}
+	var cut atomic.Bool
+	simulated(t, func(g Gomega, f *linkedFleet) {
+		cut.Store(true)
+		const step, changes = dueIn / 6, 40
+		for at := range changes + int(dueIn/step) {
+			if at < changes {
+				f.store.writeConfig(2+at, 20+at)
+			}
+			time.Sleep(step)
+			if due := at + 1 - int(dueIn/step); due >= 0 && due < changes {
+				g.Expect(f.outdated(2+due)).NotTo(ContainElement("host-074"), "version %d", 2+due)
+			}
+		}
+	}, 0, 75, func(f *linkedFleet) {
+		f.refuse = func(from, _, _ string) error {
+			if cut.Load() && sources[from] {
+				return errRefused
+			}
+			return nil
+		}
+	})
+}
+
 func TestConfigurationsAreReadWholeOnlyWhenTheHistoryIsGone(t *testing.T) {
 	simulated(t, func(g Gomega, f *linkedFleet) {
 		var whole int
--- a/discovery/links_test.go
+++ b/discovery/links_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -200,10 +199,9 @@
 	items    map[string]platform.Item
 	revision uint64
 	// forgotten is the revision up to which the history is gone; blind says that
-	// watches hear nothing; away that no call is answered with anything but an
-	// error.
-	forgotten   uint64
-	blind, away bool
+	// watches hear nothing.
+	forgotten uint64
+	blind     bool
 	// whole counts the reads of a configuration in full.
 	whole int
 }
@@ -215,18 +213,6 @@
 	change(s)
 }
 
-var errStoreAway = errors.New("the store is away")
-
-// failing returns the error of a call to a store that is away.
-func (s *linkedStore) failing() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.away {
-		return errStoreAway
-	}
-	return nil
-}
-
 func newLinkedStore() *linkedStore {
 	return &linkedStore{machine: newMachine(storeLink), items: map[string]platform.Item{}}
 }
@@ -270,12 +256,23 @@
 	self  string
 }
 
+// failing returns the error of calls by a host that is cut off from the store.
+func (c storeCaller) failing() error {
+	if c.fleet.refuse == nil {
+		return nil
+	}
+	return c.fleet.refuse(c.self, storeName, "")
+}
+
+// storeName stands for the store where calls are refused.
+const storeName = "store"
+
 // pageItems is the number of items of a page.
 const pageItems = 50
 
 // Pages implements discovery.Store.
 func (c storeCaller) Pages(ctx context.Context, prefix string, take func([]platform.Item)) (uint64, error) {
-	if err := c.fleet.store.failing(); err != nil {
+	if err := c.failing(); err != nil {
 		return 0, err
 	}
 	items, revision := c.fleet.store.list(prefix)
@@ -290,7 +287,7 @@
 
 // Get implements discovery.Store.
 func (c storeCaller) Get(ctx context.Context, key string) (platform.Item, uint64, error) {
-	if err := c.fleet.store.failing(); err != nil {
+	if err := c.failing(); err != nil {
 		return platform.Item{}, 0, err
 	}
 	c.fleet.store.with(func(s *linkedStore) { s.whole++ })
@@ -305,7 +302,7 @@
 func (c storeCaller) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Item, uint64, error) {
 	const look = 10 * time.Millisecond
 	for began := time.Now(); ; time.Sleep(look) {
-		if err := c.fleet.store.failing(); err != nil {
+		if err := c.failing(); err != nil {
 			return nil, 0, err
 		}
 		items, revision, err := c.fleet.store.since(prefix, after)
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -25,6 +25,7 @@
 			wait = firstRetry
 			continue
 		}
+		d.checkSoon()
 		started := time.Now()
 		if !d.readReplicas(ctx) {
 			if !d.View().Ready() && d.askAny(ctx) {
