Pass a step of the configuration on while it is still coming

Without a wide link a megabyte of configuration took 3.04 s on 80 hosts (bound 3 s): each level of the tree waited for the whole step of the one above.

Tests of many hosts decode a configuration once (200 s to 50 s with -race).

--- a/discovery/blocks.go
+++ b/discovery/blocks.go
@@ -31,13 +31,25 @@
 	errOutOfOrder = errors.New("discovery: block out of order")
 	errNotNewer   = errors.New("discovery: no newer configuration there")
 	errOtherBase  = errors.New("discovery: step from another revision")
+	errNotHere    = errors.New("discovery: block not here yet")
 )
 
 // download is a step that is being fetched. It survives the hosts that it is
-// fetched from.
+// fetched from, and is passed on while it grows: the levels of a tree of hosts
+// then take a step one block, and not one step, after the other. On 80 hosts
+// behind 10 Mbit/s a configuration of a megabyte is in force after 2.0 s that way
+// and after 3.0 s otherwise, by the simulated links of the tests.
 type download struct {
 	step
 	size int
+	// grown is closed and replaced with every block.
+	grown chan struct{}
+}
+
+// serves says whether the step is what a host asks for, now or a little later.
+func (l *download) serves(req *wire.ConfigBlockRequest) bool {
+	return l != nil && (l.base == 0 || l.base == req.GetBaseRevision()) && l.revision > req.GetBaseRevision() &&
+		(req.GetDigest() == 0 || req.GetDigest() == l.digest)
 }
 
 // complete says whether all bytes are there.
@@ -47,8 +59,9 @@
 func (l *download) take(b *wire.ConfigBlock) error {
 	if b.GetDigest() != l.digest {
 		*l = download{
-			step: step{base: b.GetBaseRevision(), revision: b.GetRevision(), digest: b.GetDigest()},
-			size: int(min(b.GetSize(), maxConfigBytes)),
+			grown: l.grown,
+			step:  step{base: b.GetBaseRevision(), revision: b.GetRevision(), digest: b.GetDigest()},
+			size:  int(min(b.GetSize(), maxConfigBytes)),
 		}
 	}
 	if int(b.GetOffset()) != len(l.data) || len(b.GetData()) == 0 {
@@ -75,28 +88,70 @@
 		case from != 0 && from != base:
 			return errOtherBase
 		}
-		if err := l.take(block); err != nil {
+		if err := d.grow(l, block); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// grow adds a block to a download and passes it on.
+func (d *Discovery) grow(l *download, block *wire.ConfigBlock) error {
+	d.serving.Lock()
+	defer d.serving.Unlock()
+	grown := l.grown
+	if err := l.take(block); err != nil {
+		return err
+	}
+	if grown != nil {
+		close(grown)
+	}
+	l.grown = make(chan struct{})
+	d.incoming = l
+	if d.passing.Swap(l.revision) != l.revision {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.tellFellows()
+	}
+	return nil
+}
+
+// keepStep keeps a whole step for fellows.
+func (d *Discovery) keepStep(s step) {
+	d.serving.Lock()
+	defer d.serving.Unlock()
+	d.configSteps = d.configSteps.add(s)
+	d.incoming = nil
+}
+
+// giveUp ends a download that no host completes; who waits for it is answered.
+func (d *Discovery) giveUp() {
+	d.serving.Lock()
+	defer d.serving.Unlock()
+	if d.incoming != nil {
+		close(d.incoming.grown)
+		d.incoming = nil
+	}
+	d.passing.Store(0)
+}
+
 // fetchStep fetches a step from the revision held, from one host after the
 // other until it is whole.
 func (d *Discovery) fetchStep(ctx context.Context, base uint64) (step, error) {
-	var l download
+	l := &download{}
 	err := errNotNewer
 	for _, host := range d.holders() {
-		if err = d.downloadFrom(ctx, host, base, &l); err == nil {
+		if err = d.downloadFrom(ctx, host, base, l); err == nil {
+			d.keepStep(l.step)
 			return l.step, nil
 		}
 		if ctx.Err() != nil {
-			return step{}, ctx.Err()
+			break
 		}
 		d.log.Info("no block of the configuration", zap.String("peer", host), zap.Uint64("base", base),
 			zap.Int("fetched", len(l.data)), zap.Int("of", l.size), zap.Error(err))
 	}
+	d.giveUp()
 	return step{}, err
 }
 
@@ -116,29 +171,51 @@
 
 // handleConfig registers the method by which fellows fetch blocks.
 func (d *Discovery) handleConfig(mux *peer.Mux) {
-	peer.Handle(mux, methodConfig, func(_ context.Context, _ peer.Sender, req *wire.ConfigBlockRequest) (*wire.ConfigBlock, error) {
-		return d.block(req)
+	peer.Handle(mux, methodConfig, func(ctx context.Context, _ peer.Sender, req *wire.ConfigBlockRequest) (*wire.ConfigBlock, error) {
+		for {
+			block, grown, err := d.block(req)
+			if block != nil || err != nil {
+				return block, err
+			}
+			select {
+			case <-grown:
+			case <-ctx.Done():
+				return nil, errNotHere
+			}
+		}
 	})
 }
 
-// block answers with the block that was asked for, or the first one of another
-// step when that one is not held.
-func (d *Discovery) block(req *wire.ConfigBlockRequest) (*wire.ConfigBlock, error) {
+// block returns the block that was asked for, or the first one of another step
+// when that one is not held; of a step that is on its way here, what is closed
+// when more of it has come.
+func (d *Discovery) block(req *wire.ConfigBlockRequest) (*wire.ConfigBlock, <-chan struct{}, error) {
 	d.serving.Lock()
 	defer d.serving.Unlock()
-	s, known := d.configSteps.withDigest(req.GetDigest())
 	offset := int(req.GetOffset())
-	if !known || offset >= len(s.data) {
-		var err error
-		if s, err = d.stepFrom(req.GetBaseRevision()); err != nil {
-			return nil, err
+	if s, known := d.configSteps.withDigest(req.GetDigest()); known && offset < len(s.data) {
+		return s.block(offset, len(s.data)), nil, nil
+	}
+	if l := d.incoming; l.serves(req) {
+		if offset < len(l.data) {
+			return l.block(offset, l.size), nil, nil
 		}
-		offset = 0
+		return nil, l.grown, nil
+	}
+	s, err := d.stepFrom(req.GetBaseRevision())
+	if err != nil {
+		return nil, nil, err
 	}
+	return s.block(0, len(s.data)), nil, nil
+}
+
+// block returns the bytes from an offset on as they are sent; size is that of
+// the whole step.
+func (s step) block(offset, size int) *wire.ConfigBlock {
 	return &wire.ConfigBlock{
-		BaseRevision: s.base, Revision: s.revision, Digest: s.digest, Size: uint32(len(s.data)),
+		BaseRevision: s.base, Revision: s.revision, Digest: s.digest, Size: uint32(size),
 		Offset: uint32(offset), Data: s.data[offset:min(len(s.data), offset+blockBytes)],
-	}, nil
+	}
 }
 
 // stepFrom returns a step from a revision, or from none. The lock of what is
--- a/discovery/config.go
+++ b/discovery/config.go
@@ -12,6 +12,10 @@
 	"github.com/wheatseam/wheatseam/platform"
 )
 
+// decodeConfig reads a configuration as the store holds it. Tests of many hosts
+// replace it, as each host would decode the same megabyte.
+var decodeConfig = platform.DecodeConfig
+
 // wantedConfig is a configuration that a fellow has named.
 type wantedConfig struct {
 	revision uint64
@@ -128,8 +132,8 @@
 	wanted := d.wanted
 	d.mu.Unlock()
 	v := d.View()
-	began, revision, raw, size := time.Now(), v.revision, v.raw, 0
-	var fetched steps
+	began, revision, raw, size, fetched := time.Now(), v.revision, v.raw, 0, 0
+	defer d.passing.Store(0)
 	for revision < wanted.revision {
 		s, err := d.fetchStep(ctx, revision)
 		if err != nil {
@@ -139,11 +143,11 @@
 			d.log.Error("step of the configuration refused", zap.Uint64("base", s.base), zap.Uint64("revision", s.revision), zap.Error(err))
 			return false
 		}
-		revision, size, fetched = s.revision, size+len(s.data), append(fetched, s)
+		revision, size, fetched = s.revision, size+len(s.data), fetched+1
 	}
-	d.log.Info("configuration fetched", zap.String("peer", wanted.from), zap.Uint64("revision", revision), zap.Int("steps", len(fetched)),
+	d.log.Info("configuration fetched", zap.String("peer", wanted.from), zap.Uint64("revision", revision), zap.Int("steps", fetched),
 		zap.Int("bytes", size), zap.Int("size", len(raw)), zap.Duration("took", time.Since(began)))
-	d.putInForce(raw, revision, wanted.from, fetched)
+	d.putInForce(raw, revision, wanted.from)
 	return true
 }
 
@@ -206,16 +210,15 @@
 	if known {
 		return
 	}
-	var made steps
 	if v.Config != nil {
 		s, err := newStep(v.revision, v.raw, item.Revision, item.Value)
 		if err != nil {
 			d.log.Error("no step between configurations", zap.Error(err))
 		} else {
-			made = steps{s}
+			d.keepStep(s)
 		}
 	}
-	d.putInForce(item.Value, item.Revision, sourceStore, made)
+	d.putInForce(item.Value, item.Revision, sourceStore)
 }
 
 // storeFailed notes that the store did not tell of the configuration.
@@ -246,10 +249,8 @@
 // putInForce puts a configuration in force if it is newer than the one that is:
 // versions never go back. A faulty one is not asked for again. It is called by
 // keepConfig alone.
-func (d *Discovery) putInForce(raw []byte, revision uint64, source string, made steps) {
-	config, err := platform.DecodeConfig(raw)
-	d.serving.Lock()
-	defer d.serving.Unlock()
+func (d *Discovery) putInForce(raw []byte, revision uint64, source string) {
+	config, err := decodeConfig(raw)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.View()
@@ -261,9 +262,6 @@
 			zap.Uint64("in_force", next.Config.Version), zap.Uint64("revision", revision))
 	default:
 		next.Config, next.raw, next.revision, next.Source = config, raw, revision, source
-		for _, s := range made {
-			d.configSteps = d.configSteps.add(s)
-		}
 		d.marks = marks{revision}
 		d.publish(&next)
 		return
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -76,9 +76,13 @@
 	// work has keepConfig look for something to do.
 	work chan struct{}
 
-	// serving guards the steps that fellows fetch; it is taken before mu.
+	// serving guards the steps that fellows fetch, whole ones and the one that is
+	// on its way here; it is taken before mu. passing is the revision that the
+	// latter leads to: fellows may fetch it before it is in force here.
 	serving     sync.Mutex
 	configSteps steps
+	incoming    *download
+	passing     atomic.Uint64
 }
 
 // New returns a discovery that has not started and registers its method.
@@ -119,10 +123,7 @@
 	next.Replicas = d.registry.Replicas()
 	next.digest = digestOf(next.Replicas)
 	first := old.Replicas == nil
-	defer func() {
-		close(d.changed)
-		d.changed = make(chan struct{})
-	}()
+	defer d.tellFellows()
 	if !first && next.Config == old.Config && next.digest == old.digest {
 		next.Replicas = old.Replicas
 		d.view.Store(next)
@@ -143,6 +144,12 @@
 	d.log.Info("view in force", fields...)
 }
 
+// tellFellows has those that wait for news look again; the lock is held.
+func (d *Discovery) tellFellows() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 // Dump is the state of a Discovery for operators.
 type Dump struct {
 	Version  uint64    `json:"version"`
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -23,6 +24,11 @@
 	"github.com/wheatseam/wheatseam/platform"
 )
 
+func TestMain(m *testing.M) {
+	discovery.ShareDecoding()
+	os.Exit(m.Run())
+}
+
 func TestDiscovery(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "discovery")
--- a/discovery/export_test.go
+++ b/discovery/export_test.go
@@ -2,8 +2,32 @@
 
 import (
 	"fmt"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/platform"
 )
 
+// decoded is a configuration that is decoded once for all hosts of a test.
+type decoded struct {
+	once   sync.Once
+	config *catalog.Config
+	err    error
+}
+
+// ShareDecoding has configurations decoded once for all hosts of this process.
+func ShareDecoding() {
+	var known sync.Map // hash to *decoded
+	decodeConfig = func(raw []byte) (*catalog.Config, error) {
+		entry, _ := known.LoadOrStore(xxhash.Sum64(raw), &decoded{})
+		d := entry.(*decoded)
+		d.once.Do(func() { d.config, d.err = platform.DecodeConfig(raw) })
+		return d.config, d.err
+	}
+}
+
 // StepRoundTrip returns the size of the step between two configurations, and an
 // error unless it leads from one to the other and from nothing else.
 func StepRoundTrip(from, to string) (int, error) {
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -146,7 +146,7 @@
 		if !v.Ready() {
 			return nil, errNoView
 		}
-		if v.revision > req.GetConfigRevision() || !v.digest.Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(theirs) > youngerBy {
+		if d.named(v) > req.GetConfigRevision() || !v.digest.Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(theirs) > youngerBy {
 			break
 		}
 		select {
@@ -160,6 +160,9 @@
 	return d.answer(req, asked), nil
 }
 
+// named is the newest configuration that fellows may fetch here.
+func (d *Discovery) named(v *View) uint64 { return max(v.revision, d.passing.Load()) }
+
 // youngerBy is how much younger a view must be to be worth an answer: less than
 // the interval of reads, more than a call takes.
 const youngerBy = 100 * time.Millisecond
@@ -172,7 +175,7 @@
 	now := time.Now()
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(asked).Milliseconds()),
-		ConfigRevision: v.revision, CheckedRevision: d.marks.oldest(), ReplicasHash: v.digest.Sum(),
+		ConfigRevision: d.named(v), CheckedRevision: d.marks.oldest(), ReplicasHash: v.digest.Sum(),
 	}
 	if d.registry.Uncertain() {
 		// The asker may have seen them go while this host was cut off.
