Make fewer calls to the store at starts and after refusals

Before the first configuration the replicas were listed ten times a second by every host, and each host that refused news as it had just started cost its asker a read. Now a watch waits for the first configuration, and an asker whose view is younger than an interval asks the next fellow.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -28,6 +28,9 @@
 // changes for a second before.
 const maxMarks = 4
 
+// idleWait bounds a wait of keepConfig, which is woken when there is work.
+const idleWait = time.Minute
+
 // marks are the store's revisions at the last checks for a newer
 // configuration, oldest first.
 type marks []uint64
@@ -61,7 +64,7 @@
 		case d.checkDue.Swap(false):
 			done = d.checkConfig(ctx, 0)
 		default:
-			d.awaitWork(ctx)
+			d.awaitWork(ctx, idleWait)
 			done = true
 		}
 		if done {
@@ -73,10 +76,14 @@
 	}
 }
 
-// awaitWork waits until there may be something to do for keepConfig.
-func (d *Discovery) awaitWork(ctx context.Context) {
+// awaitWork waits until there may be something to do for keepConfig, at most for
+// limit.
+func (d *Discovery) awaitWork(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
 	select {
 	case <-d.work:
+	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
@@ -186,11 +193,18 @@
 	return true
 }
 
-// getConfig reads the configuration from the store.
+// getConfig reads the configuration from the store. When none is written yet, a
+// watch from the revision known before waits for the first one.
 func (d *Discovery) getConfig(ctx context.Context) bool {
+	d.mu.Lock()
+	listed := d.listed
+	d.mu.Unlock()
 	item, revision, err := d.cfg.Store.Get(ctx, platform.ConfigKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return false // not written yet
+		if listed > 0 {
+			d.checked(listed)
+		}
+		return listed > 0
 	}
 	if err != nil {
 		d.storeFailed(ctx, err)
@@ -198,6 +212,8 @@
 	}
 	d.read(item)
 	d.checked(revision)
+	// A host that has just started finds a fellow to ask by then, and saves a call.
+	d.awaitWork(ctx, d.share(readShare))
 	return true
 }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -71,6 +71,8 @@
 	wanted  wantedConfig
 	refused uint64
 	marks   marks
+	// listed is the store's revision when this host last listed the replicas.
+	listed uint64
 	// checkDue says that the store is to be asked once for a newer configuration.
 	checkDue atomic.Bool
 	// work has keepConfig look for something to do.
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -21,11 +21,15 @@
 	wait := firstRetry
 	for ctx.Err() == nil {
 		source := d.chooseSource(time.Now())
-		if source != d.cfg.Self && d.askFor(ctx, source) {
-			wait = firstRetry
-			continue
+		if source != d.cfg.Self {
+			// A fellow that refused at once, as it has just started, costs no read of
+			// the store: the next one is asked.
+			if d.askFor(ctx, source) || time.Since(d.View().AsOf) < d.share(readShare) {
+				wait = firstRetry
+				continue
+			}
+			d.checkSoon()
 		}
-		d.checkSoon()
 		started := time.Now()
 		if !d.readReplicas(ctx) {
 			if !d.View().Ready() && d.askAny(ctx) {
@@ -36,12 +40,28 @@
 			continue
 		}
 		wait = firstRetry
-		if source == d.cfg.Self {
+		if d.View().Config == nil {
+			d.awaitChange(ctx, maxRetry) // nothing can be served before
+		} else if source == d.cfg.Self {
 			periodic.Sleep(ctx, d.interval()-time.Since(started))
 		}
 	}
 }
 
+// awaitChange waits until the view changes, at most for limit.
+func (d *Discovery) awaitChange(ctx context.Context, limit time.Duration) {
+	d.mu.Lock()
+	changed := d.changed
+	d.mu.Unlock()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // interval is the time between two reads of the replicas: short until there is
 // something to serve.
 func (d *Discovery) interval() time.Duration {
@@ -77,6 +97,7 @@
 	next := *d.View()
 	next.replicasAsOf, next.Source = started, sourceStore
 	d.registry.Update(time.Now(), entries)
+	d.listed = revision
 	d.publish(&next)
 	return true
 }
