Look for a newer configuration and list the replicas at the same time

Both make a view younger, and every host that asks is answered when it is: one answer an interval instead of two. A gauge tells for how long a newer configuration has been known of and is not in force.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -60,7 +60,7 @@
 		case d.behind():
 			done = d.fetchWanted(ctx) || d.getConfig(ctx)
 		case d.readsStore():
-			done = d.checkConfig(ctx, d.share(readShare))
+			done = d.checkConfig(ctx, d.untilNextList())
 		case d.checkDue.Swap(false):
 			done = d.checkConfig(ctx, 0)
 		default:
@@ -103,6 +103,17 @@
 	return d.source == d.cfg.Self
 }
 
+// untilNextList is the time until the replicas are listed again. A check of the
+// configuration that ends then makes the view younger once an interval and not
+// twice, and each time is an answer to every host that asks.
+func (d *Discovery) untilNextList() time.Duration {
+	interval, since := d.share(readShare), time.Since(d.View().replicasAsOf)
+	if since > interval {
+		return interval
+	}
+	return max(firstRetry, interval-since)
+}
+
 // behind says whether a fellow has named a newer configuration.
 func (d *Discovery) behind() bool {
 	d.mu.Lock()
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -47,6 +47,7 @@
 	gauge("wheatseam_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	gauge("wheatseam_hosts", func() float64 { return float64(g.fleet.Size()) })
 	gauge("wheatseam_view_age_seconds", func() float64 { return time.Since(g.found.View().AsOf).Seconds() })
+	gauge("wheatseam_config_behind_seconds", func() float64 { return g.found.Behind().Seconds() })
 	gauge("wheatseam_config_version", func() float64 {
 		if c := g.found.View().Config; c != nil {
 			return float64(c.Version)
