Name requests by their content, and log which requests a replica's end takes along

A fingerprint of customer, method, host, target and body stands on the lines of attempts and requests. When attempts break off, the replica's port is asked once: refused means that the process has ended; an open port means that connections broke for another reason. No decision rests on it yet.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/quarantine"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
@@ -36,6 +37,8 @@
 	tenant   *catalog.Tenant
 	service  string
 	body     []byte
+	// content names the request whatever id it comes under.
+	content quarantine.Fingerprint
 	// ctx ends with the caller, its deadline or the route's timeout, whichever
 	// comes first; deadline is when the latter two do.
 	ctx      context.Context
@@ -147,7 +150,8 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	hasher := quarantine.NewHasher(x.customer(), x.r.Method, strings.ToLower(x.r.Host), x.r.RequestURI)
+	body, err := io.ReadAll(io.TeeReader(http.MaxBytesReader(x.w, x.r.Body, limit), hasher))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -155,10 +159,18 @@
 	case err != nil:
 		return problem.New(problem.BadRequest, "body not read: %v", err)
 	}
-	x.body = body
+	x.body, x.content = body, hasher.Sum()
 	return nil
 }
 
+// customer is the name of the customer; "" on public routes without a key.
+func (x *exchange) customer() string {
+	if x.tenant == nil {
+		return ""
+	}
+	return x.tenant.Name
+}
+
 // defaultMaxBodyBytes bounds bodies where the configuration does not.
 const defaultMaxBodyBytes = 4 << 20
 
@@ -304,6 +316,9 @@
 	if x.tenant != nil {
 		fields = append(fields, zap.String("customer", x.tenant.Name))
 	}
+	if x.content != (quarantine.Fingerprint{}) {
+		fields = append(fields, zap.Stringer("content", x.content))
+	}
 	if len(x.req.Forged) > 0 {
 		fields = append(fields, zap.Strings("forged_headers", x.req.Forged))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,11 +52,13 @@
 
 	refusals *refusals
 	prompts  prompts
+	crashes  *crashes
 }
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), streams: newStreamTimes(), refusals: newRefusals()}
+	g.crashes = &crashes{replicas: g.client, log: log, metrics: g.metrics, open: map[string]*crash{}}
 	g.preparing, g.stopPreparing = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.router = route.New(route.Config{
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -251,9 +251,7 @@
 		Replica: t.choice.Upstream, Left: time.Until(x.deadline), Priority: -1,
 		Inputs: x.inputs, LastEvent: x.lastEvent, CopyFrom: t.copyFrom,
 	}
-	if x.tenant != nil {
-		a.Tenant = x.tenant.Name
-	}
+	a.Tenant = x.customer()
 	if x.route.Streaming {
 		a.Priority = x.priority()
 	}
@@ -268,6 +266,9 @@
 	if t.x.ctx.Err() != nil {
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer in time")
 	}
+	if httpbody.BrokenOff(err) {
+		t.x.g.crashes.brokeOff(t)
+	}
 	return failed, problem.New(problem.UpstreamFailed, "the replica broke off: %v", err)
 }
 
@@ -316,7 +317,7 @@
 	x := t.x
 	fields := []zap.Field{
 		logging.Request(x.req.ID), zap.Int("attempt", len(x.tried)), zap.String("service", x.service),
-		zap.String("replica", t.choice.Upstream), zap.String("failure_domain", t.choice.FailureDomain),
+		zap.String("replica", t.choice.Upstream), zap.String("failure_domain", t.choice.FailureDomain), zap.Stringer("content", x.content),
 		zap.String("inputs_in", x.domain), zap.Duration("view_age", t.began.Sub(x.viewAsOf)),
 		zap.Uint64("version", x.config.Version), zap.Duration("left", x.deadline.Sub(t.began)),
 		zap.Stringer("end", end), zap.Duration("took", time.Since(t.began)),
--- a/replica/client.go
+++ b/replica/client.go
@@ -5,10 +5,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/wheatseam/wheatseam/internal/httpbody"
@@ -48,6 +51,20 @@
 	}
 }
 
+// Refused says whether nobody listens at a replica's address: its process has
+// ended. It opens a connection and sends nothing. The error says why that is not
+// known: no answer came.
+func (c *Client) Refused(ctx context.Context, address string) (bool, error) {
+	conn, err := (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		return false, conn.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return true, nil
+	}
+	return false, fmt.Errorf("connect: %w", err)
+}
+
 // Call is one call to a replica.
 type Call struct {
 	Method string
