--- a/core/poison/machine.go
+++ b/core/poison/machine.go
@@ -19,7 +19,10 @@
 
 // Machine holds the evidence and the verdicts. The zero value is ready.
 type Machine struct {
-	ends     []*End // by time
+	ends []*End // by time
+	// under has the ends under each request, so that a report costs what its own
+	// requests were part of and not all that is remembered.
+	under    map[Fingerprint][]*End
 	served   served
 	verdicts map[Fingerprint]*Verdict
 }
@@ -34,18 +37,45 @@
 		}
 	}
 	i := slices.IndexFunc(m.ends, func(o *End) bool { return o.Replica == e.Replica && o.At.Sub(e.At).Abs() < sameEnd })
-	if i < 0 {
-		known := &End{Service: e.Service, Replica: e.Replica, At: e.At}
-		known.add(e.Suspects)
-		m.ends = append(m.ends, known)
-		slices.SortStableFunc(m.ends, func(a, b *End) int { return a.At.Compare(b.At) })
-		m.ends = m.ends[max(0, len(m.ends)-MaxEnds):]
-	} else {
-		m.ends[i].add(e.Suspects)
+	known := &End{Service: e.Service, Replica: e.Replica, At: e.At}
+	if i >= 0 {
+		known = m.ends[i]
+		m.drop(i)
+	}
+	known.add(e.Suspects)
+	m.keep(known)
+	if len(m.ends) > MaxEnds {
+		m.drop(0)
 	}
 	return m.judge(now, e.Suspects)
 }
 
+// keep remembers an end.
+func (m *Machine) keep(e *End) {
+	if m.under == nil {
+		m.under = map[Fingerprint][]*End{}
+	}
+	at, _ := slices.BinarySearchFunc(m.ends, e, func(a, b *End) int { return a.At.Compare(b.At) })
+	m.ends = slices.Insert(m.ends, at, e)
+	for _, s := range e.Suspects {
+		m.under[s.Request] = append(m.under[s.Request], e)
+	}
+}
+
+// drop forgets an end.
+func (m *Machine) drop(i int) {
+	e := m.ends[i]
+	m.ends = slices.Delete(m.ends, i, i+1)
+	for _, s := range e.Suspects {
+		left := slices.DeleteFunc(m.under[s.Request], func(o *End) bool { return o == e })
+		if len(left) == 0 {
+			delete(m.under, s.Request)
+			continue
+		}
+		m.under[s.Request] = left
+	}
+}
+
 // Served takes a run that ended well, and returns the verdict that it lifts.
 func (m *Machine) Served(now time.Time, f Fingerprint) []Verdict {
 	m.served.note(now, f)
@@ -167,14 +197,14 @@
 func (m *Machine) charge(now time.Time, f Fingerprint) charge {
 	c := charge{request: f}
 	good := m.served.last(f)
-	for _, e := range m.ends {
-		s, involved := e.involves(f)
-		if !involved || !e.At.After(good) || m.explained(now, e, f) {
+	for _, e := range m.under[f] {
+		if !e.At.After(good) || m.explained(now, e, f) {
 			continue
 		}
-		if c.ends++; c.ends == 1 {
+		if c.ends++; c.ends == 1 || e.At.Before(c.since) {
 			c.since = e.At
 		}
+		s, _ := e.involves(f)
 		c.slowest = max(c.slowest, s.Ran)
 	}
 	return c
@@ -182,6 +212,9 @@
 
 // explained says whether a condemned request other than f was part of an end.
 func (m *Machine) explained(now time.Time, e *End, f Fingerprint) bool {
+	if len(m.verdicts) == 0 {
+		return false
+	}
 	return slices.ContainsFunc(e.Suspects, func(s Suspect) bool {
 		_, condemned := m.Condemned(now, s.Request)
 		return condemned && s.Request != f
@@ -215,7 +248,9 @@
 
 // forget drops what no longer counts.
 func (m *Machine) forget(now time.Time) {
-	m.ends = slices.DeleteFunc(m.ends, func(e *End) bool { return now.Sub(e.At) > memory })
+	for len(m.ends) > 0 && now.Sub(m.ends[0].At) > memory {
+		m.drop(0)
+	}
 	for f, v := range m.verdicts {
 		if now.Sub(v.At) > Lifetime {
 			delete(m.verdicts, f)
@@ -226,11 +261,10 @@
 // EndsUnder returns the ends that are remembered under a request, by time.
 func (m *Machine) EndsUnder(f Fingerprint) []End {
 	var ends []End
-	for _, e := range m.ends {
-		if _, involved := e.involves(f); involved {
-			ends = append(ends, *e)
-		}
+	for _, e := range m.under[f] {
+		ends = append(ends, *e)
 	}
+	slices.SortFunc(ends, func(a, b End) int { return a.At.Compare(b.At) })
 	return ends
 }
 
