--- a/claims/acquire.go
+++ b/claims/acquire.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheatseam/wheatseam/core/claim"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -56,7 +57,7 @@
 var errNotCaughtUp = errors.New("this host has not caught up with its fellows, or its clock is off")
 
 func (s *Service) configOf(ctx context.Context, k claim.Key, id string, arrived time.Time, digest [32]byte) (claim.Config, error) {
-	deadline, ok := ctx.Deadline()
+	deadline, ok := clock.DeadlineOf(ctx)
 	if !ok {
 		return claim.Config{}, errors.New("a claim needs a deadline")
 	}
--- a/claims/run.go
+++ b/claims/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/claim"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -91,7 +92,7 @@
 		case claim.SendRelease:
 			go r.service.sendRelease(a)
 		case claim.Wait:
-			r.wait = time.After(a.Until.Sub(r.service.cfg.Now()))
+			r.wait = clock.After(a.Until.Sub(r.service.cfg.Now()))
 		default:
 			end = action
 		}
@@ -103,7 +104,7 @@
 func (r *run) sendAll(actions []claim.Action) { r.service.sendReleases(actions) }
 
 func (r *run) sendAsk(ctx context.Context, a claim.SendAsk) {
-	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	callCtx, cancel := clock.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	out := answer{holder: a.Holder, round: a.Ask.Round}
 	var resp wire.ClaimReply
@@ -128,7 +129,7 @@
 // sendRelease tells a holder until it hears or the time is up. A release that
 // is lost leaves the key taken, which costs an answer but never a double run.
 func (s *Service) sendRelease(a claim.SendRelease) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	m := &wire.ClaimRelease{Key: encodeKey(a.Release.Key), Owner: encodeOwner(a.Release.Owner), Round: a.Release.Round}
 	for wait := backoffMin; ctx.Err() == nil; wait = min(2*wait, backoffMax) {
@@ -138,7 +139,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-clock.After(wait):
 		}
 	}
 }
@@ -152,7 +153,7 @@
 		Key: encodeKey(k), Owner: encodeOwner(owner), Epoch: epoch,
 		UntilUnixUs: encodeTime(s.cfg.Now().Add(s.policy.MaxClockSkew)),
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	ok := s.majority(ctx, quorums, func(holder string) bool {
 		var resp wire.ClaimReply
@@ -233,7 +234,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-clock.After(wait):
 		}
 	}
 	return claim.Reply{Holder: a.Holder}
--- a/claims/status.go
+++ b/claims/status.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wheatseam/wheatseam/core/claim"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -31,7 +32,7 @@
 // Run keeps the knowledge of host lists in step with the other hosts' until
 // ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	timer := time.NewTimer(syncEvery)
+	timer := clock.NewTimer(syncEvery)
 	defer timer.Stop()
 	for {
 		select {
@@ -87,7 +88,7 @@
 // exchange tells a host what this one knows and takes what it knows. Complete
 // statuses travel only when the two differ, or when this host must catch up.
 func (s *Service) exchange(ctx context.Context, host string, complete bool) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	mine, ok := s.status(complete)
 	if !ok {
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/membership"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
@@ -64,7 +65,7 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
-	now := time.Now()
+	now := clock.Now()
 	cfg.Member.Extensions = append(cfg.Member.Extensions, member.Extension{ID: member.SlotBundle, MaxBytes: maxMarkBytes})
 	c := &Cluster{cfg: cfg, log: cfg.Logger, calls: membership.NewCalls()}
 	members, err := membership.New(cfg.Member, cfg.Seed, cfg.Mux, c.calls, c.hooks(), cfg.Logger)
@@ -188,8 +189,8 @@
 	}
 	// A loop that is late answers into its channel, and nobody reads it.
 	members, rollouts := make(chan member.Dump, 1), make(chan rollout.Dump, 1)
-	c.members.Inspect(ctx, func(m *member.Machine) { members <- m.Dump(time.Now()) })
-	c.rollouts.inspect(ctx, func(m *rollout.Machine) { rollouts <- m.Dump(time.Now()) })
+	c.members.Inspect(ctx, func(m *member.Machine) { members <- m.Dump(clock.Now()) })
+	c.rollouts.inspect(ctx, func(m *rollout.Machine) { rollouts <- m.Dump(clock.Now()) })
 	select {
 	case d.Member = <-members:
 	default:
--- a/cluster/hosts.go
+++ b/cluster/hosts.go
@@ -12,6 +12,7 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/platform"
 )
 
@@ -70,7 +71,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.byList, h.revision, h.readAt = addresses, l.Revision, time.Now()
+	h.byList, h.revision, h.readAt = addresses, l.Revision, clock.Now()
 }
 
 // HostListDump says what is known of the host list.
@@ -85,7 +86,7 @@
 	defer h.mu.RUnlock()
 	d := HostListDump{Revision: h.revision, Hosts: len(h.byList)}
 	if !h.readAt.IsZero() {
-		d.ReadAgo = time.Since(h.readAt)
+		d.ReadAgo = clock.Since(h.readAt)
 	}
 	return d
 }
@@ -100,7 +101,7 @@
 	for err == nil && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-time.After(hostListWait(c.members.View().Living)):
+		case <-clock.After(hostListWait(c.members.View().Living)):
 			_ = c.readHostsOnce(ctx) // logged there; the next read comes anyway
 		}
 	}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -2,13 +2,13 @@
 
 import (
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/membership"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -27,7 +27,7 @@
 // slotHeard keeps an extension's value, or hands the bundle's mark over.
 func (c *Cluster) slotHeard(a member.SlotHeard) {
 	if a.ID != member.SlotBundle {
-		c.slots.put(a, time.Now())
+		c.slots.put(a, clock.Now())
 		return
 	}
 	mark := &wire.BundleMark{}
--- a/cluster/rollouts.go
+++ b/cluster/rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/workqueue"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
@@ -70,7 +71,7 @@
 
 // step passes an event and carries out the actions.
 func (l *rolloutLoop) step(e rollout.Event) {
-	for _, a := range l.m.Step(time.Now(), e) {
+	for _, a := range l.m.Step(clock.Now(), e) {
 		l.perform(a)
 	}
 	l.c.ready.Store(l.m.Ready())
@@ -142,7 +143,7 @@
 
 // read reads the configuration service.
 func (l *rolloutLoop) read(after uint64) {
-	ctx, cancel := context.WithTimeout(l.ctx, l.c.cfg.Rollout.PollTimeout)
+	ctx, cancel := clock.WithTimeout(l.ctx, l.c.cfg.Rollout.PollTimeout)
 	defer cancel()
 	v, err := l.c.cfg.Platform.Read(ctx, after)
 	switch {
--- a/cmd/wheatseamd/gateway.go
+++ b/cmd/wheatseamd/gateway.go
@@ -15,12 +15,14 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/gateway"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
 )
 
 // newGateway is the command that serves on the users' platform.
 func newGateway() *cobra.Command {
 	var path string
+	var simulated time.Duration
 	settingsPath := func() (string, error) {
 		if path == "" {
 			path = os.Getenv(gateway.SettingsEnv)
@@ -39,10 +41,13 @@
 			if err != nil {
 				return err
 			}
-			return runGateway(path)
+			return runGateway(path, simulated)
 		},
 	}
 	cmd.PersistentFlags().StringVar(&path, "settings", "", "settings file (default $"+gateway.SettingsEnv+")")
+	const sleepFlag = "simulated-sleep"
+	cmd.Flags().DurationVar(&simulated, sleepFlag, 0, "for tests: at SIGUSR1 take the host to have slept for so long; 0 never")
+	cmd.Flags().Lookup(sleepFlag).Hidden = true
 	cmd.AddCommand(&cobra.Command{
 		Use:   "check",
 		Short: "Check the settings and exit",
@@ -66,7 +71,7 @@
 // works harder: a process over the limit is ended.
 const memoryShare = 0.6
 
-func runGateway(path string) error {
+func runGateway(path string, simulated time.Duration) error {
 	s, err := gateway.LoadSettings(path)
 	if err != nil {
 		return err
@@ -83,10 +88,28 @@
 		return err
 	}
 	ctx, _ := notifyContexts()
+	if simulated > 0 {
+		go simulateSleeps(ctx, simulated)
+	}
 	go reloadSettings(ctx, path, g, log)
 	return g.Run(ctx)
 }
 
+// simulateSleeps has this process believe at each SIGUSR1 that its host has slept,
+// until ctx ends.
+func simulateSleeps(ctx context.Context, d time.Duration) {
+	usr1 := make(chan os.Signal, 1)
+	signal.Notify(usr1, syscall.SIGUSR1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-usr1:
+			clock.Simulate(d)
+		}
+	}
+}
+
 // settingsEvery is how often the settings file is looked at: it may change
 // without a signal, and nothing in it is more urgent than that.
 const settingsEvery = 5 * time.Second
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -9,6 +9,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/engine"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/service"
 )
 
@@ -142,7 +143,7 @@
 // lookUp asks all upstreams of a pool until one has the result, none knows of
 // the call, or the request's deadline comes.
 func (d *Daemon) lookUp(s *session, a request.LookUp) {
-	ctx, cancel := context.WithDeadline(context.Background(), s.sub.Deadline)
+	ctx, cancel := clock.WithDeadline(context.Background(), s.sub.Deadline)
 	defer cancel()
 	for {
 		status := d.askStatus(ctx, s, a)
@@ -154,7 +155,7 @@
 		case <-ctx.Done():
 			d.deliver(s, request.StatusAnswered{})
 			return
-		case <-time.After(lookUpEvery):
+		case <-clock.After(lookUpEvery):
 		}
 	}
 }
@@ -162,7 +163,7 @@
 // askStatus asks every upstream of the pool once. One that has the result wins
 // over one that runs the call, and that over those that know nothing.
 func (d *Daemon) askStatus(ctx context.Context, s *session, a request.LookUp) service.Status {
-	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, lookUpTimeout)
 	defer cancel()
 	upstreams := s.clients.pools[a.Pool].Upstreams
 	answers := make(chan service.Status, len(upstreams))
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,6 +10,7 @@
 	"github.com/wheatseam/wheatseam/claims"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // addClaims makes the part that claims keys of requests that may not be
@@ -31,7 +32,7 @@
 	if !ok {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	key := request.ClaimKey{Customer: sub.Customer.Name, Key: sub.Key, Stage: stage.Name}
 	notRun, err := d.claims.Void(ctx, key)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/operator"
@@ -125,7 +126,7 @@
 	group.Go(func() error { d.exchangeLoads(running); return nil })
 	<-ctx.Done()
 	d.drain(cut)
-	shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
+	shutdown, cancel := clock.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := server.Shutdown(shutdown); err != nil {
 		_ = server.Close()
@@ -187,7 +188,7 @@
 	d.draining.Store(true)
 	d.cluster.Leave()
 	d.log.Info("draining", zap.Int("in_flight", d.table.Len()))
-	bound, cancel := context.WithTimeout(cut, d.settings.Drain.Bound)
+	bound, cancel := clock.WithTimeout(cut, d.settings.Drain.Bound)
 	defer cancel()
 	poll := time.NewTicker(drainPoll)
 	defer poll.Stop()
@@ -234,7 +235,7 @@
 func (d *Daemon) Bundle() *bundle.Bundle { return d.bundle.Load() }
 
 // Now implements caller.Backend.
-func (d *Daemon) Now() time.Time { return time.Now() }
+func (d *Daemon) Now() time.Time { return clock.Now() }
 
 // NewRequestID implements caller.Backend. The id names the host, so that any
 // host knows whom to ask about it.
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/caller"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/internal/uuidtime"
 	"github.com/wheatseam/wheatseam/results"
@@ -76,7 +77,7 @@
 
 // keep stores a stage's result at fellow daemons. What is lost costs work only.
 func (d *Daemon) keep(s *session, a request.Keep) {
-	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), keepTimeout)
 	defer cancel()
 	n, err := d.kept.Keep(ctx, keptRequest(s), a.Stage, a.Result, s.sub.Deadline.Add(s.sub.Pipeline.Deadline))
 	if err != nil {
@@ -90,7 +91,7 @@
 	if !mayResume(s.sub) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), resumeTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), resumeTimeout)
 	defer cancel()
 	kept := make(map[string]json.RawMessage)
 	for stage, result := range d.kept.Fetch(ctx, keptRequest(s)) {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -13,6 +13,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/cluster"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/operator"
 )
 
@@ -24,7 +25,7 @@
 
 // clusterDump is the state of membership and configuration.
 func (d *Daemon) clusterDump() cluster.Dump {
-	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
 	return d.cluster.Dump(ctx)
 }
--- a/daemon/perform.go
+++ b/daemon/perform.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/problem"
 )
@@ -88,7 +89,7 @@
 }
 
 func (d *Daemon) setTimer(s *session, a request.SetTimer) {
-	s.addTimer(time.AfterFunc(a.At.Sub(d.Now()), func() {
+	s.addTimer(clock.AfterFunc(a.At.Sub(d.Now()), func() {
 		d.deliver(s, request.TimerFired{Timer: a.Timer, Attempt: a.Attempt})
 	}))
 }
@@ -100,19 +101,19 @@
 	if c.Stage.NonRepeatable {
 		end = end.Add(detachedTimeout)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := clock.WithDeadline(context.Background(), end)
 	s.addCancel(c.Attempt, cancel)
 	return ctx
 }
 
 func (d *Daemon) claim(s *session, a request.Claim) {
-	ctx, cancel := context.WithDeadline(context.Background(), s.sub.Deadline)
+	ctx, cancel := clock.WithDeadline(context.Background(), s.sub.Deadline)
 	defer cancel()
 	d.deliver(s, d.claims.Acquire(ctx, a.Key, s.id, s.sub.Arrived, s.digest))
 }
 
 func (d *Daemon) release(s *session, key request.ClaimKey) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if err := d.claims.Release(ctx, key, s.id); err != nil {
 		d.log.Warn("claim not released", logging.Request(s.id), zap.Error(err))
@@ -120,7 +121,7 @@
 }
 
 func (d *Daemon) record(s *session, a request.Record) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	err := d.claims.Record(ctx, a.Key, s.id, a.Result)
 	if err != nil {
@@ -145,7 +146,7 @@
 
 // settle reports whether a refusal may say that the request has not run.
 func (d *Daemon) settle(s *session, f request.Finish) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if f.Settle == request.SettleRelease {
 		return d.claims.Release(ctx, f.Key, s.id) == nil
--- a/daemon/session.go
+++ b/daemon/session.go
@@ -4,12 +4,12 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatseam/wheatseam/caller"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -33,7 +33,7 @@
 
 	mu      sync.Mutex
 	cancels map[int]context.CancelFunc
-	timers  []*time.Timer
+	timers  []*clock.Timer
 }
 
 // outputPart is a part of a stream, or a reset.
@@ -87,7 +87,7 @@
 	}
 }
 
-func (s *session) addTimer(t *time.Timer) {
+func (s *session) addTimer(t *clock.Timer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timers = append(s.timers, t)
--- a/discovery/blocks.go
+++ b/discovery/blocks.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -76,7 +77,7 @@
 	for !l.complete() {
 		req := &wire.ConfigBlockRequest{BaseRevision: base, Digest: l.digest, Offset: uint32(len(l.data))}
 		block := &wire.ConfigBlock{}
-		call, cancel := context.WithTimeout(ctx, blockTimeout)
+		call, cancel := clock.WithTimeout(ctx, blockTimeout)
 		err := d.cfg.Caller.Call(call, host, methodConfig, req, block)
 		cancel()
 		if err != nil {
--- a/discovery/config.go
+++ b/discovery/config.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -113,7 +114,7 @@
 // configuration that ends then makes the view younger once an interval and not
 // twice, and each time is an answer to every host that asks.
 func (d *Discovery) untilNextList() time.Duration {
-	interval, since := d.interval(), time.Since(d.View().replicasAsOf)
+	interval, since := d.interval(), clock.Since(d.View().replicasAsOf)
 	if since > interval {
 		return interval
 	}
@@ -135,7 +136,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return time.Since(d.wanted.since)
+	return clock.Since(d.wanted.since)
 }
 
 // want notes a configuration that a fellow named; the lock is held. Whatever
@@ -144,7 +145,7 @@
 	if revision <= max(d.wanted.revision, d.View().revision) {
 		return
 	}
-	d.wanted = wantedConfig{revision: revision, from: from, since: time.Now()}
+	d.wanted = wantedConfig{revision: revision, from: from, since: clock.Now()}
 	d.wake()
 }
 
@@ -156,7 +157,7 @@
 	wanted := d.wanted
 	d.mu.Unlock()
 	v := d.View()
-	began, revision, raw, size, fetched := time.Now(), v.revision, v.raw, 0, 0
+	began, revision, raw, size, fetched := clock.Now(), v.revision, v.raw, 0, 0
 	defer d.passing.Store(0)
 	for revision < wanted.revision {
 		s, err := d.fetchStep(ctx, revision)
@@ -170,7 +171,7 @@
 		revision, size, fetched = s.revision, size+len(s.data), fetched+1
 	}
 	d.log.Info("configuration fetched", zap.String("peer", wanted.from), zap.Uint64("revision", revision), zap.Int("steps", fetched),
-		zap.Int("bytes", size), zap.Int("size", len(raw)), zap.Duration("took", time.Since(began)))
+		zap.Int("bytes", size), zap.Int("size", len(raw)), zap.Duration("took", clock.Since(began)))
 	d.putInForce(raw, revision, wanted.from)
 	return true
 }
@@ -265,7 +266,7 @@
 	defer d.mu.Unlock()
 	if !d.configLost && ctx.Err() == nil {
 		d.configLost = true
-		d.log.Warn("store lost for the configuration", zap.Error(err), zap.Duration("view_age", time.Since(d.View().AsOf)))
+		d.log.Warn("store lost for the configuration", zap.Error(err), zap.Duration("view_age", clock.Since(d.View().AsOf)))
 	}
 }
 
@@ -280,7 +281,7 @@
 	}
 	d.marks = d.marks.add(revision)
 	next := *d.View()
-	next.configAsOf = time.Now()
+	next.configAsOf = clock.Now()
 	d.publish(&next)
 }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -10,6 +10,7 @@
 
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -69,7 +70,7 @@
 	avoided          fleet.Avoided
 	// source is whom news are asked of; this host itself while it reads the store.
 	source string
-	// askedAt is when a fellow last asked for news, in Unix nanoseconds.
+	// askedAt is when a fellow last asked for news, by clock.Nanos.
 	askedAt atomic.Int64
 	reads   atomic.Uint64
 	news    atomic.Uint64
@@ -102,12 +103,16 @@
 	passing     atomic.Uint64
 }
 
+// neverAsked stands for the time since a fellow asked while none has.
+const neverAsked = time.Hour
+
 // New returns a discovery that has not started and registers its method.
 func New(cfg Config) *Discovery {
 	d := &Discovery{
 		cfg: cfg, log: cfg.Logger, changed: make(chan struct{}), source: cfg.Self, work: make(chan struct{}, 1), looked: make(chan struct{}),
 	}
 	d.view.Store(&View{})
+	d.askedAt.Store(int64(-neverAsked))
 	d.handleNews(cfg.Mux)
 	d.handleConfig(cfg.Mux)
 	return d
@@ -151,7 +156,7 @@
 		zap.String("source", next.Source), zap.Int("replicas", len(next.Replicas)),
 	}
 	if !next.AsOf.IsZero() {
-		fields = append(fields, zap.Duration("age", time.Since(next.AsOf)))
+		fields = append(fields, zap.Duration("age", clock.Since(next.AsOf)))
 	}
 	if next.Config != nil {
 		fields = append(fields, zap.Uint64("version", next.Config.Version))
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -10,6 +10,7 @@
 
 	"github.com/wheatseam/wheatseam/core/bucket"
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -19,13 +20,13 @@
 // askFor asks a host for news and says whether its answer was fresh enough.
 func (d *Discovery) askFor(ctx context.Context, host string) bool {
 	wait := d.share(newsWait)
-	asked := time.Now()
+	asked := clock.Now()
 	req := d.question(asked, wait)
 	reply := &wire.NewsReply{}
-	call, cancel := context.WithTimeout(ctx, wait+newsGrace)
+	call, cancel := clock.WithTimeout(ctx, wait+newsGrace)
 	defer cancel()
 	if err := d.cfg.Caller.Call(call, host, methodNews, req, reply); err != nil {
-		if time.Since(asked) < wait {
+		if clock.Since(asked) < wait {
 			d.avoided.Add(host, avoidStarting)
 		} else {
 			d.avoided.Add(host, avoidFor)
@@ -34,7 +35,7 @@
 		return false
 	}
 	d.news.Add(1)
-	received := time.Now()
+	received := clock.Now()
 	// The answer was on its way for no longer than the call took without the
 	// wait at the other host.
 	transit := max(0, received.Sub(asked)-time.Duration(reply.GetWaitedMs())*time.Millisecond)
@@ -134,10 +135,10 @@
 // soon as this host's view is younger than the other's, at the latest after the
 // wait.
 func (d *Discovery) tell(ctx context.Context, req *wire.NewsRequest) (*wire.NewsReply, error) {
-	asked := time.Now()
-	d.askedAt.Store(asked.UnixNano())
+	asked := clock.Now()
+	d.askedAt.Store(clock.Nanos())
 	theirs := asked.Add(-time.Duration(req.GetAgeMs()) * time.Millisecond)
-	timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
+	timer := clock.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		d.mu.Lock()
@@ -175,7 +176,7 @@
 func (d *Discovery) cutOff(v *View) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lost && time.Since(v.AsOf) > d.share(staleAfter)
+	return d.lost && clock.Since(v.AsOf) > d.share(staleAfter)
 }
 
 // named is the newest configuration that fellows may fetch here.
@@ -190,7 +191,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := d.View()
-	now := time.Now()
+	now := clock.Now()
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(asked).Milliseconds()),
 		ConfigRevision: d.named(v), CheckedRevision: d.marks.oldest(), ReplicasHash: v.digest.Sum(),
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -21,17 +22,17 @@
 	d.begin(ctx)
 	wait := firstRetry
 	for ctx.Err() == nil {
-		source := d.chooseSource(time.Now())
+		source := d.chooseSource(clock.Now())
 		if source != d.cfg.Self {
 			// A fellow that refused at once, as it has just started, costs no read of
 			// the store: the next one is asked.
-			if d.askFor(ctx, source) || time.Since(d.View().AsOf) < d.share(readShare) {
+			if d.askFor(ctx, source) || clock.Since(d.View().AsOf) < d.share(readShare) {
 				wait = firstRetry
 				continue
 			}
 			d.checkSoon()
 		}
-		started := time.Now()
+		started := clock.Now()
 		if !d.readReplicas(ctx) {
 			if !d.View().Ready() && d.askAny(ctx) {
 				continue
@@ -44,7 +45,7 @@
 		if d.View().Config == nil {
 			d.awaitChange(ctx, maxRetry) // nothing can be served before
 		} else if source == d.cfg.Self {
-			periodic.Sleep(ctx, d.interval()-time.Since(started))
+			periodic.Sleep(ctx, d.interval()-clock.Since(started))
 		}
 	}
 }
@@ -91,12 +92,12 @@
 // lone says whether no fellow has asked this host for news since its last read but
 // one.
 func (d *Discovery) lone() bool {
-	return time.Since(time.Unix(0, d.askedAt.Load())) > 2*d.share(loneShare)
+	return time.Duration(clock.Nanos()-d.askedAt.Load()) > 2*d.share(loneShare)
 }
 
 // readReplicas reads the replicas from the store and says whether that succeeded.
 func (d *Discovery) readReplicas(ctx context.Context) bool {
-	started := time.Now()
+	started := clock.Now()
 	d.reads.Add(1)
 	entries := []catalog.Replica{}
 	faults := map[string]string{}
@@ -127,7 +128,7 @@
 	d.noteFaults(faults)
 	next := *d.View()
 	next.replicasAsOf, next.Source = started, sourceStore
-	d.registry.Update(time.Now(), entries)
+	d.registry.Update(clock.Now(), entries)
 	d.listed = revision
 	d.publish(&next)
 	return true
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // The times of discovery, as shares of the bound. A host is answered as soon as
@@ -105,7 +106,7 @@
 // and that the store turns away learns from its fellows what is in force.
 func (d *Discovery) askAny(ctx context.Context) bool {
 	for _, h := range ranked(d.cfg.Members.Reachable()) {
-		if h.Name != d.cfg.Self && !d.avoided.Has(h.Name, time.Now()) && d.askFor(ctx, h.Name) {
+		if h.Name != d.cfg.Self && !d.avoided.Has(h.Name, clock.Now()) && d.askFor(ctx, h.Name) {
 			return true
 		}
 	}
--- a/fleet/avoided.go
+++ b/fleet/avoided.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // Avoided are hosts that failed a moment ago and are not called for a while.
@@ -17,7 +19,7 @@
 func (a *Avoided) Add(host string, wait time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for h, until := range a.until {
 		if now.After(until) {
 			delete(a.until, h)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/membership"
 	"github.com/wheatseam/wheatseam/peer"
@@ -188,7 +189,7 @@
 	group.Go(func() error { f.loop.Run(ctx); return nil })
 	group.Go(func() error { f.introduce(ctx); return nil })
 	err := group.Wait()
-	closing, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	closing, cancel := clock.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	if closeErr := f.transport.Shutdown(closing); closeErr != nil {
 		f.log.Info("sessions cut", zap.Error(closeErr))
@@ -301,7 +302,7 @@
 
 // ask introduces this host to another and says whether it answered.
 func (f *Fleet) ask(ctx context.Context, host string) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	req := &wire.RosterRequest{Self: toWire([]Host{f.cfg.Self})[0], Forming: !f.hasFormed()}
 	if !req.Forming {
@@ -325,7 +326,7 @@
 func (f *Fleet) forgetDead() {
 	var dead []string
 	for _, m := range f.Members() {
-		if m.State == member.Dead && time.Since(m.Since) > forgetAfter && !slices.Contains(*f.seeds.Load(), m.Host.Name) {
+		if m.State == member.Dead && clock.Since(m.Since) > forgetAfter && !slices.Contains(*f.seeds.Load(), m.Host.Name) {
 			dead = append(dead, m.Host.Name)
 		}
 	}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 const (
@@ -58,10 +60,10 @@
 // the fleet has formed. The hosts that rank first are all that it learns: the
 // names of all, sent to all at once, would fill the links of the seeds.
 func (f *Fleet) introduceForming(ctx context.Context) {
-	bound := time.AfterFunc(formBound, func() { f.form("time is over") })
+	bound := clock.AfterFunc(formBound, func() { f.form("time is over") })
 	defer bound.Stop()
 	if slices.Contains(*f.seeds.Load(), f.cfg.Self.Name) {
-		settled := time.AfterFunc(seedSettles, func() { f.form("a seed, and the others had time to say so") })
+		settled := clock.AfterFunc(seedSettles, func() { f.form("a seed, and the others had time to say so") })
 		defer settled.Stop()
 	}
 	if len(f.targets()) == 0 {
@@ -72,7 +74,7 @@
 			f.askForming(ctx, host)
 		}
 		interval := formingInterval(f.Size())
-		wait := time.NewTimer(interval/2 + rand.N(interval))
+		wait := clock.NewTimer(interval/2 + rand.N(interval))
 		select {
 		case <-ctx.Done():
 			wait.Stop()
--- /dev/null
+++ b/gateway/asleep_test.go
@@ -0,0 +1,51 @@
+package gateway_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+var _ = Describe("a gateway whose host slept", func() {
+	It("ends requests whose deadline passed, and serves again", func() {
+		f := newFixture()
+		f.behave("plain", site.Behaviour{Hang: true})
+		g := f.start().ready()
+		long := func(r *http.Request) { r.Header.Set("Deadline-Ms", "60000") }
+		began := time.Now()
+		ended := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			a, _ := g.send(http.MethodPost, sealPath, "", long)
+			ended <- a
+		}()
+		Eventually(func() []string { return g.counters("wheatseam_in_flight") }, "2s").Should(ConsistOf(HaveSuffix(" 1")))
+		clock.Simulate(time.Minute)
+		var a answer
+		Eventually(ended, "2s").Should(Receive(&a))
+		Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(time.Since(began)).To(BeNumerically("<", 2900*time.Millisecond), "the route's timeout, on a clock that stood still")
+
+		f.behave("plain", site.Behaviour{})
+		Eventually(func() int {
+			a, _ := g.send(http.MethodPost, sealPath, "", nil)
+			return a.status
+		}, "5s").Should(Equal(http.StatusOK))
+	})
+
+	It("takes its view for as old as it is, and renews it", func() {
+		f := newFixture()
+		g := f.start().ready()
+		f.store.Fail(http.StatusServiceUnavailable)
+		age := func() []string { return g.counters("wheatseam_view_age_seconds") }
+		clock.Simulate(time.Minute)
+		Eventually(age, "2s").Should(ConsistOf(MatchRegexp(` 6\d\.`)))
+		f.store.Fail(0)
+		Eventually(age, "5s").Should(ConsistOf(MatchRegexp(` [01]\.`)))
+	})
+})
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -41,7 +41,8 @@
 			r.Born = time.Now().UnixMilli()
 			r.Returned = func(r *site.Replica) { f.register(r, "ready") }
 			f.register(r, "ready")
-			r.Behave(site.Behaviour{Work: 30 * time.Millisecond, CrashOn: culprit, CrashAfter: 20 * time.Millisecond, CrashFor: 700 * time.Millisecond})
+			r.Behave(site.Behaviour{Work: 30 * time.Millisecond})
+			r.CrashUnder(site.Poison{Body: culprit, After: 20 * time.Millisecond, Down: 700 * time.Millisecond})
 		}
 	}
 	crashes := func(f *fixture) int {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
@@ -78,7 +79,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), req: platform.DecodeRequest(r.Header)}
+	x := &exchange{g: g, w: w, r: r, arrived: clock.Now(), req: platform.DecodeRequest(r.Header)}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -87,7 +88,7 @@
 		x.refuse(err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := clock.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
 	defer x.releaseInputs()
@@ -143,7 +144,7 @@
 	if !condemned || x.trial {
 		return nil
 	}
-	return retryable(problem.New(problem.Quarantined, "replicas ended under it"), v.RetryAfter(time.Now()))
+	return retryable(problem.New(problem.Quarantined, "replicas ended under it"), v.RetryAfter(clock.Now()))
 }
 
 // authorize finds the customer that holds the request's key.
@@ -241,7 +242,7 @@
 	if _, tokens := x.prefix(); end.Ready.DomainBytes > int64(tokens)*tokenBytes {
 		x.domain = end.Ready.Domain
 	}
-	x.preparedAt = time.Now()
+	x.preparedAt = clock.Now()
 	return nil
 }
 
@@ -264,7 +265,7 @@
 		j.Stages = append(j.Stages, st)
 	}
 	if hash, tokens := x.prefix(); tokens >= homeTokens {
-		j.Domain = x.g.router.HomeDomain(time.Now(), x.service, hash)
+		j.Domain = x.g.router.HomeDomain(clock.Now(), x.service, hash)
 	}
 	return j, pieces > 0
 }
@@ -294,7 +295,7 @@
 // comeBack is when a refused caller should try again: after the wait at least,
 // spread so that those refused together do not return together.
 func (x *exchange) comeBack(least time.Duration) time.Duration {
-	left := float64(time.Until(x.deadline))
+	left := float64(clock.Until(x.deadline))
 	after := time.Duration(left * (comeBackLeast + (comeBackMost-comeBackLeast)*rand.Float64()))
 	return max(after, min(least, time.Duration(left*comeBackMost)))
 }
@@ -326,7 +327,7 @@
 func (x *exchange) log() {
 	fields := []zap.Field{
 		logging.Request(x.req.ID), zap.String("outcome", x.outcome), zap.Int("status", x.status),
-		zap.Duration("took", time.Since(x.arrived)), zap.Int("runs", x.runs), zap.Strings("replicas", x.tried),
+		zap.Duration("took", clock.Since(x.arrived)), zap.Int("runs", x.runs), zap.Strings("replicas", x.tried),
 	}
 	if x.config != nil {
 		fields = append(fields, zap.Uint64("version", x.config.Version), zap.Duration("view_age", x.arrived.Sub(x.viewAsOf)))
@@ -358,7 +359,7 @@
 	x.g.log.Info("request", fields...)
 	x.g.countForged(x.req.Forged)
 	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_requests_total{outcome=%q}", x.outcome)).Inc()
-	x.g.metrics.GetOrCreateHistogram("wheatseam_request_seconds").Update(time.Since(x.arrived).Seconds())
+	x.g.metrics.GetOrCreateHistogram("wheatseam_request_seconds").Update(clock.Since(x.arrived).Seconds())
 	if !x.preparedAt.IsZero() {
 		x.g.metrics.GetOrCreateHistogram("wheatseam_stages_seconds").Update(x.preparedAt.Sub(x.arrived).Seconds())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,8 @@
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/quarantine"
@@ -127,9 +129,13 @@
 	group.Go(func() error { return ignoreClosed(probes.Serve(readiness)) })
 	group.Go(func() error { g.found.Run(running); return nil })
 	group.Go(func() error { g.stages.Run(running); return nil })
+	group.Go(func() error { clock.Watch(running); return nil })
 	group.Go(func() error { g.quarantine.Run(running); return nil })
 	group.Go(func() error { return g.fleet.Run(running) })
 	g.serveMetrics(running, &group)
+	if !clock.CountsSleep() {
+		g.log.Warn("this host does not tell for how long it slept; sleeps are not counted")
+	}
 	g.log.Info("started", zap.String("callers", s.Listen.Callers), zap.String("store", s.Store.Address),
 		zap.String("failure_domain", s.FailureDomain), zap.Strings("seeds", s.Seeds))
 	<-ctx.Done()
@@ -204,15 +210,15 @@
 // drain serves on until the platform sends no more connections, then waits for
 // the requests in flight.
 func (g *Gateway) drain(server *http.Server) {
-	began := time.Now()
+	began := clock.Now()
 	grace := g.settings.Load().Drain.Grace
 	g.draining.Store(true)
 	g.fleet.Leave()
 	g.log.Info("draining", zap.Int64("in_flight", g.inFlight.Load()), zap.Duration("grace", grace))
-	refuse := time.AfterFunc(time.Duration(refuseShare*float64(grace)), g.stopPreparing)
+	refuse := clock.AfterFunc(time.Duration(refuseShare*float64(grace)), g.stopPreparing)
 	defer refuse.Stop()
-	time.Sleep(time.Duration(acceptShare * float64(grace)))
-	bound, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*float64(grace))))
+	periodic.Sleep(context.Background(), time.Duration(acceptShare*float64(grace)))
+	bound, cancel := clock.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*float64(grace))))
 	defer cancel()
 	if err := server.Shutdown(bound); err != nil {
 		g.log.Warn("requests cut", zap.Int64("in_flight", g.inFlight.Load()), zap.Error(err))
--- a/gateway/inputs.go
+++ b/gateway/inputs.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
 )
 
@@ -65,7 +66,7 @@
 	if !x.prepared.Load() {
 		return func() bool { return false }
 	}
-	return time.AfterFunc(x.g.inputs.get(), x.releaseInputs).Stop
+	return clock.AfterFunc(x.g.inputs.get(), x.releaseInputs).Stop
 }
 
 // inputsGone notes that an engine found inputs gone. If they were still held,
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -16,6 +16,7 @@
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/quarantine"
 	"github.com/wheatseam/wheatseam/stages"
 )
@@ -48,7 +49,7 @@
 	gauge := func(name string, f func() float64) { g.metrics.GetOrCreateGauge(name, f) }
 	gauge("wheatseam_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	gauge("wheatseam_hosts", func() float64 { return float64(g.fleet.Size()) })
-	gauge("wheatseam_view_age_seconds", func() float64 { return time.Since(g.found.View().AsOf).Seconds() })
+	gauge("wheatseam_view_age_seconds", func() float64 { return clock.Since(g.found.View().AsOf).Seconds() })
 	gauge("wheatseam_config_behind_seconds", func() float64 { return g.found.Behind().Seconds() })
 	gauge("wheatseam_config_version", func() float64 {
 		if c := g.found.View().Config; c != nil {
@@ -59,6 +60,7 @@
 	gauge("wheatseam_replica_entries_refused", func() float64 { return float64(g.found.Faults()) })
 	gauge("wheatseam_store_calls_total", func() float64 { return float64(g.store.Calls().Made) })
 	gauge("wheatseam_store_calls_failed_total", func() float64 { return float64(g.store.Calls().Failed) })
+	gauge("wheatseam_asleep_seconds", func() float64 { return clock.Asleep().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.Refused()) })
 	gauge("wheatseam_jobs_planned", func() float64 { return float64(g.stages.Dump().Planned) })
 }
@@ -84,7 +86,7 @@
 // ejected logs that the router leaves a replica out for a while.
 func (g *Gateway) ejected(service, replica, reason string, until time.Time) {
 	g.log.Warn("replica ejected", zap.String("service", service), zap.String("replica", replica),
-		zap.String("reason", reason), zap.Duration("for", time.Until(until)))
+		zap.String("reason", reason), zap.Duration("for", clock.Until(until)))
 	g.metrics.GetOrCreateCounter("wheatseam_ejections_total").Inc()
 }
 
@@ -106,7 +108,7 @@
 func (g *Gateway) State() State {
 	s := State{
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.found.Dump(),
-		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(time.Now()),
+		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
 		Quarantine: g.quarantine.Dump(),
 	}
 	g.budgets.Range(func(service, b any) bool {
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheatseam/wheatseam/core/prefix"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -51,7 +52,7 @@
 // source returns the address of an engine from which the chosen one can copy
 // leading parts of the prompt; "" when it has them, or nobody does.
 func (g *Gateway) source(c request.Choice, leading []uint64) string {
-	now := time.Now()
+	now := clock.Now()
 	g.prompts.mu.Lock()
 	defer g.prompts.mu.Unlock()
 	from, ok := g.prompts.holders.Source(now, leading, c.Upstream, func(e prefix.Engine) bool {
@@ -68,7 +69,7 @@
 func (x *exchange) promptSent(c request.Choice, leading []uint64) {
 	g := x.g
 	engine := prefix.Engine{Name: c.Upstream, Address: c.Address}
-	now := time.Now()
+	now := clock.Now()
 	g.prompts.mu.Lock()
 	known := g.prompts.holders.Holds(now, leading, c.Upstream)
 	g.prompts.holders.Learn(now, leading, engine)
@@ -95,7 +96,7 @@
 
 // tell tells one fellow of a prompt. What is lost costs a fellow a worse choice.
 func (g *Gateway) tell(host string, p *wire.PromptSent) {
-	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
 	result := "told"
 	if err := g.fleet.Caller().Call(ctx, host, methodPrompt, p, &wire.PromptNoted{}); err != nil {
@@ -107,7 +108,7 @@
 // handlePrompts takes what fellows tell.
 func (g *Gateway) handlePrompts(mux *peer.Mux) {
 	peer.Handle(mux, methodPrompt, func(_ context.Context, _ peer.Sender, p *wire.PromptSent) (*wire.PromptNoted, error) {
-		now := time.Now()
+		now := clock.Now()
 		g.prompts.mu.Lock()
 		g.prompts.holders.Learn(now, p.GetLeading(), prefix.Engine{Name: p.GetReplica(), Address: p.GetAddress()})
 		g.prompts.mu.Unlock()
--- a/gateway/refusals.go
+++ b/gateway/refusals.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/refusal"
 	"github.com/wheatseam/wheatseam/discovery"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/platform"
 )
 
@@ -46,7 +46,7 @@
 // line in a while when a service refuses more than its load explains.
 func (g *Gateway) noteRefusals(service, replica string, reason refusal.Reason) {
 	g.refusals.mu.Lock()
-	alarm, raised := g.refusals.watch.Observe(time.Now(), refusal.Attempt{Service: service, Replica: replica, Reason: reason})
+	alarm, raised := g.refusals.watch.Observe(clock.Now(), refusal.Attempt{Service: service, Replica: replica, Reason: reason})
 	if reason != "" {
 		name := fmt.Sprintf("wheatseam_refusals_total{service=%q,replica=%q,reason=%q}", service, replica, reason)
 		if g.refusals.counters[replica] == nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/wheatseam/wheatseam/core/load"
 	"github.com/wheatseam/wheatseam/core/refusal"
 	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
@@ -70,7 +71,7 @@
 // relay sends the request to replicas until one answers or no further attempt
 // is allowed.
 func (x *exchange) relay() {
-	x.g.budget(x.service).Deposit(time.Now())
+	x.g.budget(x.service).Deposit(clock.Now())
 	for {
 		if perr := x.quarantined(); perr != nil {
 			x.giveUp(perr)
@@ -80,7 +81,7 @@
 			x.giveUp(perr)
 			return
 		}
-		choice, perr := x.g.router.Pick(time.Now(), x.query(), nil)
+		choice, perr := x.g.router.Pick(clock.Now(), x.query(), nil)
 		if perr != nil {
 			x.giveUp(perr)
 			return
@@ -116,7 +117,7 @@
 func (x *exchange) query() request.Query {
 	q := request.Query{
 		Request: x.req.ID, Pool: x.service, Stage: x.route.Name, Kind: bundle.StageCall,
-		Attempt: len(x.tried) + 1, Tried: x.tried, Domain: x.domain, Budget: time.Until(x.deadline),
+		Attempt: len(x.tried) + 1, Tried: x.tried, Domain: x.domain, Budget: clock.Until(x.deadline),
 	}
 	if s := x.config.Services[x.service]; s != nil && s.Engine {
 		q.Kind = bundle.StageGenerate
@@ -138,11 +139,11 @@
 			return false
 		}
 		// A connection that did not come about reached no replica.
-		return end == notSent || x.g.budget(x.service).Withdraw(time.Now())
+		return end == notSent || x.g.budget(x.service).Withdraw(clock.Now())
 	case repeatNow:
 		return true
 	case failed:
-		return x.mayRunAgain() && x.resumable() && x.g.budget(x.service).Withdraw(time.Now())
+		return x.mayRunAgain() && x.resumable() && x.g.budget(x.service).Withdraw(clock.Now())
 	}
 	return false
 }
@@ -190,7 +191,7 @@
 func (x *exchange) attempt(choice request.Choice, copyFrom string) (attemptEnd, *problem.Error) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	t := &try{x: x, choice: choice, copyFrom: copyFrom, began: time.Now(), cancel: cancel}
+	t := &try{x: x, choice: choice, copyFrom: copyFrom, began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
 	end, err := t.run(ctx)
 	t.report(end)
 	t.log(end, err)
@@ -205,7 +206,9 @@
 	// the prompt; "" for none.
 	copyFrom string
 	began    time.Time
-	first    time.Time
+	// asleep is for how long this host had slept when the attempt began.
+	asleep time.Duration
+	first  time.Time
 	// events counts those that the replica has sent.
 	events int
 	// refused says why the replica refused; "" if it did not.
@@ -253,7 +256,7 @@
 func (t *try) outgoing() replica.Call {
 	x := t.x
 	a := platform.Attempt{
-		Replica: t.choice.Upstream, Left: time.Until(x.deadline), Priority: -1,
+		Replica: t.choice.Upstream, Left: clock.Until(x.deadline), Priority: -1,
 		Inputs: x.inputs, LastEvent: x.lastEvent, CopyFrom: t.copyFrom,
 	}
 	a.Tenant = x.customer()
@@ -278,10 +281,11 @@
 }
 
 // brokeOff has it looked into whether the replica ended under the request. One that
-// drains ends when its time has come.
+// drains ends when its time has come, and while this host slept it may have ended
+// for anything.
 func (t *try) brokeOff() {
 	x := t.x
-	if x.g.found.View().Replicas[t.choice.Upstream].Draining {
+	if x.g.found.View().Replicas[t.choice.Upstream].Draining || clock.Asleep() > t.asleep {
 		return
 	}
 	x.g.quarantine.BrokeOff(quarantine.Attempt{
@@ -310,7 +314,7 @@
 	if x.committed {
 		return abandoned, problem.New(problem.UpstreamFailed, "a stream cannot go on with status %d", resp.StatusCode)
 	}
-	t.first = time.Now()
+	t.first = clock.Now()
 	h := x.w.Header()
 	platform.CopyAnswer(h, resp.Header)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -337,7 +341,7 @@
 		zap.String("replica", t.choice.Upstream), zap.String("failure_domain", t.choice.FailureDomain), zap.Stringer("content", x.content),
 		zap.String("inputs_in", x.domain), zap.Duration("view_age", t.began.Sub(x.viewAsOf)),
 		zap.Uint64("version", x.config.Version), zap.Duration("left", x.deadline.Sub(t.began)),
-		zap.Stringer("end", end), zap.Duration("took", time.Since(t.began)),
+		zap.Stringer("end", end), zap.Duration("took", clock.Since(t.began)),
 	}
 	if hash, tokens := x.prefix(); tokens > 0 {
 		if t.copyFrom != "" {
@@ -360,7 +364,7 @@
 // observe passes a replica's account of its load to the router.
 func (t *try) observe(l *platform.Load) {
 	if l != nil {
-		t.x.g.router.Observe(load.Report{Upstream: t.choice.Upstream, AsOf: time.Now(), Running: l.Running, Queued: l.Waiting})
+		t.x.g.router.Observe(load.Report{Upstream: t.choice.Upstream, AsOf: clock.Now(), Running: l.Running, Queued: l.Waiting})
 	}
 }
 
@@ -376,7 +380,7 @@
 
 // report tells the router how the attempt ended.
 func (t *try) report(end attemptEnd) {
-	now := time.Now()
+	now := clock.Now()
 	o := request.Outcome{Choice: t.choice, Stage: t.x.route.Name, Latency: now.Sub(t.began)}
 	if !t.first.IsZero() {
 		o.FirstByte = t.first.Sub(t.began)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
 )
@@ -60,7 +61,7 @@
 // replica has read them.
 func (t *try) firstEvent() {
 	x := t.x
-	t.first = time.Now()
+	t.first = clock.Now()
 	if x.firstAt.IsZero() {
 		x.firstAt = t.first
 	}
@@ -92,7 +93,7 @@
 	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(resp.StatusCode)
 	// Bounds the writing to a caller that does not read.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline)
+	_ = http.NewResponseController(x.w).SetWriteDeadline(clock.Steady(x.deadline))
 }
 
 // send passes one event on.
@@ -103,7 +104,7 @@
 	if _, err := x.w.Write(e.raw); err != nil {
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	if x.events > 0 {
 		x.pause = max(x.pause, now.Sub(x.sentAt))
 	}
@@ -128,7 +129,7 @@
 // watchdog gives an attempt up when its stream is silent for too long. It does
 // nothing for streams that cannot go on elsewhere.
 type watchdog struct {
-	timer   *time.Timer
+	timer   *clock.Timer
 	silence time.Duration
 }
 
@@ -136,7 +137,7 @@
 	x := t.x
 	w := &watchdog{silence: max(minSilence, time.Duration(silenceFactor*float64(x.route.Objective)))}
 	if x.mayRunAgain() {
-		w.timer = time.AfterFunc(w.silence, t.cancel)
+		w.timer = clock.AfterFunc(w.silence, t.cancel)
 	}
 	return w
 }
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // Sleep waits for d and says whether it did: it returns early when ctx ends.
 func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
+	timer := clock.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -21,7 +23,7 @@
 // Await waits until something can be received from a channel, or it is closed; for
 // d at most, or until ctx ends.
 func Await(ctx context.Context, from <-chan struct{}, d time.Duration) {
-	timer := time.NewTimer(d)
+	timer := clock.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-from:
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -79,6 +79,17 @@
 	// Forge names a header that is not the caller's to set, sent all the same;
 	// "" for none.
 	Forge string
+	// Content is the end of the path and the body; "" for the id. Requests with the
+	// same content are the same but for their ids.
+	Content string
+}
+
+// Carries is the content of the request.
+func (c Call) Carries() string {
+	if c.Content != "" {
+		return c.Content
+	}
+	return c.ID
 }
 
 // Forgeable are headers that only the system may set, and ForgedValue what
@@ -109,7 +120,7 @@
 
 // Do sends an attempt to a daemon.
 func Do(ctx context.Context, client *http.Client, address string, c Call) Heard {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.Path+c.ID, bytes.NewReader([]byte(c.ID)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.Path+c.Carries(), bytes.NewReader([]byte(c.Carries())))
 	if err != nil {
 		return Heard{Err: err}
 	}
--- a/internal/standin/site/ledger.go
+++ b/internal/standin/site/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Run is one execution of a request at a replica.
@@ -18,6 +19,8 @@
 	Key bool
 	// After is the event after which a stream went on.
 	After string
+	// At is when it began.
+	At time.Time
 	// CopyFrom is the engine from which the replica was told to copy.
 	CopyFrom string
 }
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -56,11 +56,17 @@
 	Hang bool
 	// Early answers before the body was read.
 	Early bool
-	// CrashOn is a body under which the process ends, CrashAfter after it has
-	// begun to run it, with all its connections; "" for none. It starts again
-	// under its id after CrashFor; 0 leaves it down.
-	CrashOn              string
-	CrashAfter, CrashFor time.Duration
+}
+
+// Poison is a body under which a replica's process ends.
+type Poison struct {
+	// Body is "" for none.
+	Body string
+	// After is how long it runs until the process ends, with all its connections,
+	// and Down how long until it starts again under its id; 0 leaves it down.
+	After, Down time.Duration
+	// Crashed is told of each crash under the body; nil for nobody.
+	Crashed func(body string)
 }
 
 // Replica is one replica of a service.
@@ -85,6 +91,7 @@
 	// not back.
 	closed, down bool
 	crashes      int
+	poison       Poison
 	// misbehaved says that the behaviour was ever another than the zero value.
 	misbehaved bool
 	handles    int
@@ -121,20 +128,29 @@
 	_ = r.server.Close() // a stand-in's connections have nothing to lose
 }
 
+// CrashUnder has the process end under a body; how it behaves else does not change
+// that.
+func (r *Replica) CrashUnder(p Poison) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.poison = p
+}
+
 // Crash ends the process with its connections at once; it starts again after a
-// while, unless that is 0.
-func (r *Replica) Crash(down time.Duration) {
+// while, unless that is 0. It says whether the process ran.
+func (r *Replica) Crash(down time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed || r.down {
-		return
+		return false
 	}
-	r.down = true
+	r.down, r.misbehaved = true, true
 	r.crashes++
 	_ = r.server.Close() // as above
 	if down > 0 {
 		time.AfterFunc(down, r.start)
 	}
+	return true
 }
 
 // Crashes returns the number of crashes so far.
@@ -262,12 +278,17 @@
 	}
 	r.ledger.ran(Run{
 		Request: id, Replica: r.ID, Service: r.Service, Tenant: req.Header.Get("Tenant"), Method: req.Method,
-		Target: req.RequestURI, Body: string(body), Key: req.Header.Get("X-Api-Key") != "", After: req.Header.Get("Last-Event-Id"),
+		Target: req.RequestURI, Body: string(body), At: time.Now(), Key: req.Header.Get("X-Api-Key") != "", After: req.Header.Get("Last-Event-Id"),
 		CopyFrom: req.Header.Get("Kv-Fetch"),
 	})
-	if b.CrashOn != "" && b.CrashOn == string(body) {
-		time.Sleep(b.CrashAfter)
-		r.Crash(b.CrashFor)
+	r.mu.Lock()
+	poison := r.poison
+	r.mu.Unlock()
+	if poison.Body != "" && poison.Body == string(body) {
+		time.Sleep(poison.After)
+		if r.Crash(poison.Down) && poison.Crashed != nil {
+			poison.Crashed(poison.Body)
+		}
 		return
 	}
 	select {
--- a/membership/calls.go
+++ b/membership/calls.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 )
 
@@ -39,7 +40,7 @@
 	}
 	go func() {
 		defer func() { <-c.places }()
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		ctx, cancel := clock.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		done(c.caller.Call(ctx, host, method, req, resp))
 	}()
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/workqueue"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
@@ -76,7 +77,7 @@
 // New returns a loop that has not started and registers its methods in mux.
 // The error names an extension that breaks the bounds.
 func New(cfg member.Config, seed uint64, mux *peer.Mux, calls *Calls, hooks Hooks, log *zap.Logger) (*Loop, error) {
-	m, err := member.New(cfg, time.Now(), rand.New(rand.NewPCG(seed, 1)))
+	m, err := member.New(cfg, clock.Now(), rand.New(rand.NewPCG(seed, 1)))
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +114,7 @@
 
 // step passes an event and carries out the actions.
 func (l *Loop) step(e member.Event) {
-	for _, a := range l.m.Step(time.Now(), e) {
+	for _, a := range l.m.Step(clock.Now(), e) {
 		l.perform(a)
 	}
 	if _, ok := e.(member.Configured); ok {
@@ -126,7 +127,7 @@
 func (l *Loop) ask(ctx context.Context, from string, msg proto.Message, isAnswer func(proto.Message) bool) (proto.Message, error) {
 	answers := make(chan proto.Message, 1)
 	l.q.Add(func() {
-		for _, a := range l.m.Step(time.Now(), member.Received{From: from, Msg: msg}) {
+		for _, a := range l.m.Step(clock.Now(), member.Received{From: from, Msg: msg}) {
 			if s, ok := a.(member.Send); ok && s.To == from && isAnswer(s.Msg) {
 				answers <- s.Msg
 				continue
@@ -187,10 +188,10 @@
 
 // publish renews the snapshot when something changed.
 func (l *Loop) publish() {
-	if !l.changed && time.Since(l.published) < publishInterval {
+	if !l.changed && clock.Since(l.published) < publishInterval {
 		return
 	}
-	l.changed, l.published = false, time.Now()
+	l.changed, l.published = false, clock.Now()
 	old := l.view.Load()
 	next := &View{
 		Members: l.m.Members(), Neighbours: l.m.Neighbours(), Living: l.m.Living(), Leaving: l.m.LeavingUpstreams(),
--- /dev/null
+++ b/peer/asleep_test.go
@@ -0,0 +1,39 @@
+package peer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/faultrelay"
+)
+
+var _ = Describe("a host that slept", func() {
+	var f *fleet
+	BeforeEach(func() { f = newFleet(GinkgoT().TempDir()) })
+
+	It("proves its sessions, and calls wait for that", func() {
+		cfg := f.config("a")
+		a := f.start(cfg)
+		b := f.start(f.config("b"))
+		relay, err := faultrelay.New(faultrelay.Config{Target: b.Addr()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(relay.Close)
+		f.set("b", relay.Address())
+		Expect(echo(a, "b", "1", time.Second)).To(Equal("a:1"))
+
+		By("keeping one that answers")
+		before := a.Sessions()[0].Opened
+		clock.Simulate(time.Minute)
+		Expect(echo(a, "b", "2", 5*time.Second)).To(Equal("a:2"))
+		Expect(a.Sessions()).To(HaveExactElements(HaveField("Opened", before)))
+
+		By("dropping one that went silent in the sleep: no call is lost on it")
+		Expect(relay.Silence()).To(Equal(1))
+		clock.Simulate(time.Minute)
+		Eventually(func() int { return len(a.Sessions()) }, "5s", "1ms").Should(BeZero(), "without a call")
+		Expect(echo(a, "b", "3", 5*time.Second)).To(Equal("a:3"))
+	})
+})
--- a/peer/call.go
+++ b/peer/call.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/wire"
 )
 
@@ -30,14 +31,14 @@
 
 // Exchange is Call that also says which process answered, and when.
 func (t *Transport) Exchange(ctx context.Context, host, method string, req, resp proto.Message) (Sender, error) {
-	start := time.Now()
+	start := clock.Now()
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, t.cfg.CallTimeout)
+		ctx, cancel = clock.WithTimeout(ctx, t.cfg.CallTimeout)
 		defer cancel()
 	}
 	from, sent, err := t.exchange(ctx, host, method, req, resp)
-	t.counters.countCall(method, err, time.Since(start))
+	t.counters.countCall(method, err, clock.Since(start))
 	if err != nil {
 		return Sender{}, &CallError{Host: host, Method: method, Unsent: !sent, Err: err}
 	}
@@ -118,7 +119,7 @@
 		return nil, false, err
 	}
 	s.t.counters.countSent(method, roleCaller, len(frame))
-	s.meter.await(time.Now())
+	s.meter.await()
 	defer s.meter.settle()
 	var sent atomic.Bool
 	done := make(chan exchanged, 1)
--- a/peer/hosts.go
+++ b/peer/hosts.go
@@ -9,6 +9,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // hostState is what a transport knows about one host.
@@ -46,8 +48,17 @@
 	h := t.host(name)
 	h.mu.Lock()
 	if s := h.usable(); s != nil {
+		proof := s.proof.Load()
 		h.mu.Unlock()
-		return s, nil
+		if proof == nil {
+			return s, nil
+		}
+		select {
+		case <-*proof:
+			return t.session(ctx, name)
+		case <-ctx.Done():
+			return nil, contextError(ctx)
+		}
 	}
 	done, err := t.ensureDial(h)
 	h.mu.Unlock()
@@ -93,7 +104,7 @@
 	if !ok {
 		return nil, fmt.Errorf("%w: %s", ErrUnknownHost, h.name)
 	}
-	if address == h.address && time.Now().Before(h.nextDial) {
+	if address == h.address && clock.Now().Before(h.nextDial) {
 		return nil, fmt.Errorf("%w: no dial before %s: %w", ErrUnreachable,
 			h.nextDial.UTC().Format(time.RFC3339Nano), h.lastErr)
 	}
@@ -139,7 +150,7 @@
 		h.backoff.Reset()
 		return
 	}
-	h.nextDial = time.Now().Add(h.backoff.NextBackOff())
+	h.nextDial = clock.Now().Add(h.backoff.NextBackOff())
 }
 
 // register takes a new session in and starts serving it. It settles which
@@ -180,7 +191,7 @@
 		case old.peer.Incarnation < s.peer.Incarnation:
 			old.retired.Store(true)
 			go old.close()
-		case old.dialled == s.dialled || time.Since(old.opened) > 2*t.cfg.DialTimeout:
+		case old.dialled == s.dialled || clock.Since(old.opened) > 2*t.cfg.DialTimeout:
 			old.retire()
 			kept = append(kept, old)
 		default:
@@ -251,20 +262,20 @@
 		select {
 		case <-t.ctx.Done():
 			return
-		case now := <-tick.C:
-			t.sweep(now)
+		case <-tick.C:
+			t.sweep()
 		}
 	}
 }
 
-// sweep closes the sessions that are idle at now.
-func (t *Transport) sweep(now time.Time) {
+// sweep closes the sessions that are idle.
+func (t *Transport) sweep() {
 	t.mu.Lock()
 	live := t.liveSessions()
 	t.mu.Unlock()
 	for _, s := range live {
 		switch {
-		case !s.idle(now, t.cfg.IdleTimeout):
+		case !s.idle(t.cfg.IdleTimeout):
 		case s.retired.Load():
 			s.close()
 		default:
@@ -276,8 +287,8 @@
 // contextError returns ErrTimeout for a passed deadline, else the
 // cancellation.
 func contextError(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return fmt.Errorf("%w: %w", ErrTimeout, ctx.Err())
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %w", ErrTimeout, context.Cause(ctx))
 	}
 	return ctx.Err()
 }
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/wire"
 )
 
@@ -75,7 +76,7 @@
 	if env.TimeoutMs > 0 {
 		timeout = time.Duration(env.TimeoutMs) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, timeout)
+	ctx, cancel := clock.WithTimeout(t.ctx, timeout)
 	defer cancel()
 	select {
 	case t.handlers <- struct{}{}:
@@ -84,7 +85,7 @@
 		return nil, fmt.Errorf("%w: no free handler", ErrBusy)
 	}
 	payload, err := t.dispatch(ctx, senderOf(env), env.Method, env.Payload)
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return nil, fmt.Errorf("%w: %w", ErrTimeout, err)
 	}
 	return payload, err
--- a/peer/session.go
+++ b/peer/session.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -9,6 +8,8 @@
 
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // methodRetire is the method by which a peer asks for no new calls on the
@@ -34,8 +35,11 @@
 	places   chan struct{} // one per call in flight from this side
 	waiting  atomic.Int32  // calls that wait for a place
 	serving  atomic.Int32  // calls from the peer being served
-	lastUsed atomic.Int64  // Unix nanoseconds
+	lastUsed atomic.Int64  // by clock.Nanos
 	retired  atomic.Bool   // takes no new calls
+	// proof is closed when the peer has answered, or the session is dropped, after
+	// this host slept; nil while nothing is to be proved.
+	proof atomic.Pointer[chan struct{}]
 }
 
 // start runs a session over a greeted connection.
@@ -49,7 +53,7 @@
 		return err
 	}
 	s := &session{
-		t: t, peer: from, dialled: dialled, opened: time.Now(), mux: mux, meter: meter,
+		t: t, peer: from, dialled: dialled, opened: clock.Now(), mux: mux, meter: meter,
 		places: make(chan struct{}, t.cfg.MaxInFlight),
 	}
 	s.touch()
@@ -65,12 +69,12 @@
 // usable says whether new calls may use the session.
 func (s *session) usable() bool { return !s.retired.Load() && !s.mux.IsClosed() }
 
-func (s *session) touch() { s.lastUsed.Store(time.Now().UnixNano()) }
+func (s *session) touch() { s.lastUsed.Store(clock.Nanos()) }
 
 // idle says whether the session has had no call for timeout.
-func (s *session) idle(now time.Time, timeout time.Duration) bool {
+func (s *session) idle(timeout time.Duration) bool {
 	busy := len(s.places) > 0 || s.serving.Load() > 0
-	return !busy && now.UnixNano()-s.lastUsed.Load() > int64(timeout)
+	return !busy && clock.Nanos()-s.lastUsed.Load() > int64(timeout)
 }
 
 // close ends the session at once; calls in flight fail.
@@ -89,7 +93,7 @@
 	}
 	s.t.wg.Go(func() {
 		defer s.close()
-		ctx, cancel := context.WithTimeout(s.t.ctx, s.t.cfg.CallTimeout)
+		ctx, cancel := clock.WithTimeout(s.t.ctx, s.t.cfg.CallTimeout)
 		defer cancel()
 		if _, _, err := s.call(ctx, methodRetire, nil); err != nil {
 			return // broken: nothing can finish on it
@@ -103,7 +107,7 @@
 func (s *session) waitQuiet() {
 	tick := time.NewTicker(quietTime / 4)
 	defer tick.Stop()
-	for !s.idle(time.Now(), quietTime) {
+	for !s.idle(quietTime) {
 		select {
 		case <-s.mux.CloseChan():
 			return
@@ -115,24 +119,24 @@
 // checkSilence drops the session when nothing arrived for SilenceTimeout
 // though a call was waiting: the peer is frozen, or the connection half-open.
 func (s *session) checkSilence() {
-	if s.silentFor(time.Now()) >= s.t.cfg.SilenceTimeout {
+	if s.silentFor() >= s.t.cfg.SilenceTimeout {
 		s.dropSilent()
 	}
 }
 
 // silentFor is how long an answer has been awaited without a byte; 0 when none
 // is.
-func (s *session) silentFor(now time.Time) time.Duration {
+func (s *session) silentFor() time.Duration {
 	since := s.meter.waitingSince.Load()
 	if since == 0 {
 		return 0
 	}
-	return time.Duration(now.UnixNano() - since)
+	return time.Duration(clock.Nanos() - since)
 }
 
 // dropSilent ends the session without a word to the peer.
 func (s *session) dropSilent() {
-	silence := s.silentFor(time.Now())
+	silence := s.silentFor()
 	if s.retired.Swap(true) {
 		return
 	}
@@ -149,19 +153,61 @@
 	s.close()
 }
 
+// prove asks the peer for a sign of life after this host slept: peer, connection and
+// what was believed of both may be gone, without a word that could have reached a
+// sleeping host. Calls wait for the proof, so that none is sent into the void.
+func (s *session) prove() {
+	done := make(chan struct{})
+	if !s.usable() || !s.proof.CompareAndSwap(nil, &done) {
+		return
+	}
+	defer func() {
+		s.proof.Store(nil)
+		close(done)
+	}()
+	s.meter.await()
+	defer s.meter.settle()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Ping()
+		answered <- err
+	}()
+	silence := clock.NewTimer(s.t.cfg.SilenceTimeout)
+	defer silence.Stop()
+	select {
+	case err := <-answered:
+		if err == nil {
+			return
+		}
+	case <-silence.C:
+	}
+	s.dropSilent()
+}
+
+// proveSessions has every session proved.
+func (t *Transport) proveSessions(slept time.Duration) {
+	t.mu.Lock()
+	live := t.liveSessions()
+	t.mu.Unlock()
+	t.cfg.Logger.Warn("this host slept; sessions are proved", zap.Duration("slept", slept), zap.Int("sessions", len(live)))
+	for _, s := range live {
+		go s.prove()
+	}
+}
+
 // meteredConn counts the bytes on the wire and notes since when an answer is
 // awaited in silence.
 type meteredConn struct {
 	net.Conn
 	counters     *counters
-	waitingSince atomic.Int64 // Unix nanoseconds; 0 while nothing is awaited
+	waitingSince atomic.Int64 // by clock.Nanos; 0 while nothing is awaited
 	awaited      atomic.Int32 // answers
 }
 
 // await notes that an answer is awaited from now on.
-func (c *meteredConn) await(now time.Time) {
+func (c *meteredConn) await() {
 	c.awaited.Add(1)
-	c.waitingSince.CompareAndSwap(0, now.UnixNano())
+	c.waitingSince.CompareAndSwap(0, clock.Nanos())
 }
 
 // settle notes that an answer is awaited no longer. Whether the peer has been
@@ -174,7 +220,7 @@
 	if n > 0 {
 		var since int64
 		if c.awaited.Load() > 0 {
-			since = time.Now().UnixNano() // for the other answers
+			since = clock.Nanos() // for the other answers
 		}
 		c.waitingSince.Store(since)
 		c.counters.wireReceived.Add(n)
@@ -213,7 +259,7 @@
 		infos = append(infos, SessionInfo{
 			Host: s.peer.Host, Incarnation: s.peer.Incarnation,
 			Address: s.meter.RemoteAddr().String(), Dialled: s.dialled,
-			Opened: s.opened, LastUsed: time.Unix(0, s.lastUsed.Load()),
+			Opened: s.opened, LastUsed: time.Now().Add(time.Duration(s.lastUsed.Load() - clock.Nanos())),
 			InFlight: len(s.places), Waiting: int(s.waiting.Load()),
 			Serving: int(s.serving.Load()), Retired: s.retired.Load(),
 		})
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -12,6 +12,8 @@
 
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // The fixed bounds of every session.
@@ -40,7 +42,9 @@
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
-	wg     sync.WaitGroup // the listener, the janitor and all sessions
+	// stopWaking ends that sessions are proved after this host slept.
+	stopWaking func()
+	wg         sync.WaitGroup // the listener, the janitor and all sessions
 
 	mu       sync.Mutex
 	hosts    map[string]*hostState
@@ -81,6 +85,7 @@
 	}
 	t.counters = newCounters(cfg.Metrics, t.countSessions)
 	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.stopWaking = clock.OnWake(t.proveSessions)
 	t.wg.Go(t.acceptLoop)
 	t.wg.Go(t.janitor)
 	return t, nil
@@ -154,6 +159,7 @@
 	if already {
 		return nil
 	}
+	t.stopWaking()
 	t.cancel()
 	t.listener.Close()
 	for _, s := range live {
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/poison"
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // Attempt is an attempt at a replica that broke off.
@@ -32,7 +33,7 @@
 // BrokeOff takes an attempt that the replica's side of the connection ended.
 // Others that break off there meanwhile are looked at together.
 func (s *Service) BrokeOff(a Attempt) {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	suspect := poison.Suspect{Request: a.Request, Ran: now.Sub(a.Began), Served: s.machine.LastServed(a.Request)}
@@ -42,7 +43,7 @@
 	}
 	e := &ending{poison.End{Service: a.Service, Replica: a.Replica, At: now, Suspects: []poison.Suspect{suspect}}, a.Address}
 	s.ending[a.Replica] = e
-	time.AfterFunc(gatherFor, func() { s.look(e) })
+	clock.AfterFunc(gatherFor, func() { s.look(e) })
 }
 
 // look asks whether a replica has ended. Connections break for other reasons too:
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -67,7 +68,7 @@
 func (s *Service) reportsDue() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	s.reports = slices.DeleteFunc(s.reports, func(r *report) bool { return now.Sub(r.end.At) > reportFor })
 	return len(s.reports) > 0
 }
@@ -110,7 +111,7 @@
 	defer s.mu.Unlock()
 	var recent []poison.End
 	for _, r := range s.reports {
-		if time.Since(r.end.At) < poison.MassWindow {
+		if clock.Since(r.end.At) < poison.MassWindow {
 			recent = append(recent, r.end)
 		}
 	}
@@ -120,7 +121,7 @@
 		if at, taken := r.taken[h.Name]; taken && at == h.Incarnation {
 			continue
 		}
-		if len(reportable) < len(recent) && time.Since(r.end.At) < poison.MassWindow {
+		if len(reportable) < len(recent) && clock.Since(r.end.At) < poison.MassWindow {
 			i := slices.IndexFunc(reportable, func(e poison.End) bool { return e.Replica == r.end.Replica })
 			if i < 0 {
 				continue
@@ -146,9 +147,9 @@
 		s.judge(ends)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.cfg.Caller.Call(ctx, host, methodEnded, endsToWire(time.Now(), ends), &wire.ReplicasEndedNoted{})
+	return s.cfg.Caller.Call(ctx, host, methodEnded, endsToWire(clock.Now(), ends), &wire.ReplicasEndedNoted{})
 }
 
 // decideAlone decides on ends that no deciding host has taken.
@@ -169,7 +170,7 @@
 func (s *Service) judge(ends []poison.End) {
 	for _, e := range ends {
 		s.mu.Lock()
-		changed := s.machine.Ended(time.Now(), e)
+		changed := s.machine.Ended(clock.Now(), e)
 		s.mu.Unlock()
 		s.changed(s.cfg.Self, changed)
 	}
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -84,7 +85,7 @@
 		watches: map[poison.Fingerprint]map[*watch]bool{},
 	}
 	peer.Handle(cfg.Mux, methodEnded, func(_ context.Context, _ peer.Sender, m *wire.ReplicasEnded) (*wire.ReplicasEndedNoted, error) {
-		s.judge(endsFromWire(time.Now(), m))
+		s.judge(endsFromWire(clock.Now(), m))
 		return &wire.ReplicasEndedNoted{}, nil
 	})
 	peer.Handle(cfg.Mux, methodVerdicts, func(_ context.Context, from peer.Sender, m *wire.Verdicts) (*wire.Verdicts, error) {
@@ -104,7 +105,7 @@
 // Served takes a run that ended well: the replica answered and lives.
 func (s *Service) Served(f poison.Fingerprint) {
 	s.mu.Lock()
-	changed := s.machine.Served(time.Now(), f)
+	changed := s.machine.Served(clock.Now(), f)
 	s.mu.Unlock()
 	s.changed(s.cfg.Self, changed)
 }
@@ -116,7 +117,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.machine.Condemned(time.Now(), f)
+	return s.machine.Condemned(clock.Now(), f)
 }
 
 // Watch calls condemned, once, when the request is; stop ends that.
@@ -143,14 +144,14 @@
 // answer, nobody does.
 func (s *Service) Try(ctx context.Context, v poison.Verdict) bool {
 	deciders := s.deciders()
-	if v.RetryAfter(time.Now()) > 0 || len(deciders) == 0 {
+	if v.RetryAfter(clock.Now()) > 0 || len(deciders) == 0 {
 		return false
 	}
 	first := deciders[0].Name
 	if first == s.cfg.Self {
 		return s.grant(v.Request)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply := &wire.TrialReply{}
 	if err := s.cfg.Caller.Call(ctx, first, methodTrial, &wire.TrialRequest{Request: v.Request[:]}, reply); err != nil {
@@ -163,7 +164,7 @@
 // grant decides on a trial.
 func (s *Service) grant(f poison.Fingerprint) bool {
 	s.mu.Lock()
-	v, granted := s.machine.Try(time.Now(), f)
+	v, granted := s.machine.Try(clock.Now(), f)
 	s.mu.Unlock()
 	if granted {
 		s.changed(s.cfg.Self, []poison.Verdict{v})
@@ -205,7 +206,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	d.Stats = s.machine.Stats()
 	for _, v := range s.machine.Verdicts() {
 		d.Verdicts = append(d.Verdicts, DumpedVerdict{
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -11,6 +11,7 @@
 
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/poison"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/wire"
 )
 
@@ -22,7 +23,7 @@
 	}
 	var told []func()
 	s.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	for _, v := range verdicts {
 		s.logVerdict(now, from, v)
 		if v.Lifted {
@@ -86,9 +87,9 @@
 // spread tells a neighbour of verdicts. One that is missed is made up for by an
 // exchange.
 func (s *Service) spread(host string, verdicts []poison.Verdict) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	told := &wire.Verdicts{Verdicts: verdictsToWire(time.Now(), verdicts)}
+	told := &wire.Verdicts{Verdicts: verdictsToWire(clock.Now(), verdicts)}
 	if err := s.cfg.Caller.Call(ctx, host, methodVerdicts, told, &wire.Verdicts{}); err != nil {
 		s.log.Info("verdicts not told", zap.String("peer", host), zap.Error(err))
 	}
@@ -96,7 +97,7 @@
 
 // learn takes a fellow's verdicts.
 func (s *Service) learn(from string, verdicts []*wire.Verdict) {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	changed := s.machine.Learn(now, verdictsFromWire(now, verdicts))
 	s.mu.Unlock()
@@ -106,7 +107,7 @@
 func (s *Service) allVerdicts() []*wire.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return verdictsToWire(time.Now(), s.machine.Verdicts())
+	return verdictsToWire(clock.Now(), s.machine.Verdicts())
 }
 
 // exchangeEvery bounds the exchanges of this daemon: while a verdict spreads, the
@@ -117,7 +118,7 @@
 func (s *Service) Heard(h member.SlotHeard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	own := binary.LittleEndian.AppendUint64(nil, s.machine.Digest(now))
 	if bytes.Equal(own, h.Value) || now.Sub(s.exchanged) < exchangeEvery {
 		return
@@ -128,7 +129,7 @@
 
 // exchange gives a neighbour all verdicts and takes its own.
 func (s *Service) exchange(host string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	reply := &wire.Verdicts{}
 	if err := s.cfg.Caller.Call(ctx, host, methodVerdicts, &wire.Verdicts{Verdicts: s.allVerdicts(), Exchange: true}, reply); err != nil {
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -24,7 +25,7 @@
 // RunPieces asks a replica for pieces and says how that ended; the error says
 // why there are no results.
 func (c *Client) RunPieces(ctx context.Context, a stage.Run) ([]stage.Result, stage.CallOutcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	ctx, cancel := clock.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	body, err := platform.EncodePieces(piecesOf(a))
 	if err != nil {
@@ -74,7 +75,7 @@
 		return err
 	}
 	call := stageCall(platform.StageFreePath, a.Replica, a.Address, body)
-	first, cancel := context.WithTimeout(ctx, firstFreeTry)
+	first, cancel := clock.WithTimeout(ctx, firstFreeTry)
 	defer cancel()
 	if err = c.free(first, call); err != nil && ctx.Err() == nil {
 		err = c.free(ctx, call)
--- a/shares/service.go
+++ b/shares/service.go
@@ -11,6 +11,7 @@
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/admit"
 	"github.com/wheatseam/wheatseam/core/share"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -65,7 +66,7 @@
 
 // New returns a service that has not started and registers its methods.
 func New(cfg Config) *Service {
-	now := time.Now()
+	now := clock.Now()
 	machine := share.New(now, share.NewConfig(cfg.Host, cfg.Incarnation, 1), rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)))
 	s := &Service{cfg: cfg, calls: make(chan struct{}, maxCalls), machine: machine}
 	peer.Handle(cfg.Mux, methodReport, s.serveReport)
@@ -118,7 +119,7 @@
 }
 
 func (s *Service) demand() share.DemandMeasured {
-	d := s.cfg.Admitter.Demand(time.Now())
+	d := s.cfg.Admitter.Demand(clock.Now())
 	out := make(map[share.Resource]float64, len(d.Pools)+len(d.Customers))
 	for name, x := range d.Pools {
 		out[share.Resource{Kind: share.Pool, Name: name}] = x
@@ -133,7 +134,7 @@
 func (s *Service) step(e share.Event) []share.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	actions := s.machine.Step(now, e)
 	if v := s.machine.View(now); v != s.view {
 		s.view = v
@@ -166,7 +167,7 @@
 // sendOne sends a message and handles the one that comes back. A call that
 // fails is a lost message.
 func (s *Service) sendOne(ctx context.Context, caller peer.Caller, a share.Action) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	switch a := a.(type) {
 	case share.SendReport:
@@ -234,7 +235,7 @@
 func (s *Service) States() []State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	v := s.machine.View(now)
 	out := make([]State, 0, len(s.resources))
 	for _, r := range s.resources {
--- a/soak/check.go
+++ b/soak/check.go
@@ -35,6 +35,7 @@
 		}
 	}
 	r.checkVersions()
+	r.checkCulprits()
 	for _, f := range r.ledger.Faults() {
 		r.violate("replicas: %s", f)
 	}
@@ -77,7 +78,7 @@
 		r.violate("answer: %s: %s", id, wrong)
 	}
 	for _, run := range runs {
-		if run.Key || run.Tenant != "firma" || run.Body != id || run.Target != x.call.Path+id {
+		if run.Key || run.Tenant != "firma" || run.Body != x.call.Carries() || run.Target != x.call.Path+x.call.Carries() {
 			r.violate("request: %s reached %s changed", id, run.Replica)
 		}
 	}
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -32,6 +32,10 @@
 	return fmt.Sprintf("127.%d.%d.%d", 130+os.Getpid()>>8&0x3f, os.Getpid()&0xff, 1+nextIP.Add(1)%250)
 }
 
+// simulatedSleep is what a daemon is told at SIGUSR1 that its host has slept: hosts
+// cannot be put to sleep here.
+const simulatedSleep = 4 * time.Second
+
 // daemon is one gateway process, restarted with the same settings.
 type daemon struct {
 	name, ip, dir string
@@ -112,7 +116,7 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p, err := process.Start(filepath.Join(d.dir, d.name+".log"), d.binary, "gateway", "--settings", d.settings())
+	p, err := process.Start(filepath.Join(d.dir, d.name+".log"), d.binary, "gateway", "--settings", d.settings(), "--simulated-sleep", simulatedSleep.String())
 	if err != nil {
 		return err
 	}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -7,14 +7,15 @@
 // silences their connections to the store and to each other, also one way, and
 // those that are open for good;
 // the store fails and is slow; replicas break off, refuse, hang, drain and are
-// replaced; keys are taken away. Series overlap.
+// replaced; keys are taken away; requests crash the replicas that run them; hosts
+// sleep, of which the daemon is told by a signal. Series overlap.
 //
 // The promises: a request that may not be repeated runs at most once; a success
 // is whole, signed and the caller's own; an answer that promises that nothing
 // has run is true, also later; results of stages go to their own request; a
 // draining replica gets no new work after the bound; a daemon does not go back
 // to an older configuration; repeats stay within the budget; a graceful stop
-// breaks no request off.
+// breaks no request off; a request that has crashed three replicas reaches few more.
 //
 // A Run ends only processes that it started, by their ids.
 package soak
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -86,6 +86,25 @@
 	})
 }
 
+// suspend has a daemon stand still, and find as it goes on that its host has slept
+// for longer than the steady clock says.
+// A process that has not begun to serve would end at the signal.
+func (r *Run) suspend(d *daemon, for1 time.Duration) {
+	life := d.lives()
+	if !d.ready() {
+		return
+	}
+	r.note("the host of %s sleeps for %s", d.name, for1+simulatedSleep)
+	d.signal(syscall.SIGSTOP)
+	time.AfterFunc(for1, func() {
+		d.touched()
+		if d.lives() == life {
+			d.signal(syscall.SIGUSR1)
+		}
+		d.signal(syscall.SIGCONT)
+	})
+}
+
 // reload changes the settings and tells the daemon.
 func (r *Run) reload(d *daemon) {
 	r.note("%s reloads its settings", d.name)
--- a/soak/run.go
+++ b/soak/run.go
@@ -56,8 +56,10 @@
 	replicas []*site.Replica
 	// draining maps replicas to when they said so.
 	draining map[string]time.Time
-	version  int
-	keys     []string
+	// crashed maps culprits to when replicas crashed under them.
+	crashed map[string][]time.Time
+	version int
+	keys    []string
 	// revoked maps keys to when they were taken away.
 	revoked map[string]time.Time
 	report  Report
@@ -81,7 +83,7 @@
 func Do(ctx context.Context, cfg Config) (Report, error) {
 	r := &Run{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), began: time.Now(), store: site.NewStore(), ledger: site.NewLedger(),
-		draining: map[string]time.Time{}, revoked: map[string]time.Time{}, keys: []string{"key-0", "key-1"},
+		draining: map[string]time.Time{}, crashed: map[string][]time.Time{}, revoked: map[string]time.Time{}, keys: []string{"key-0", "key-1"},
 	}
 	r.report = Report{Seed: cfg.Seed, Dir: cfg.Dir, Daemons: cfg.Daemons, Duration: cfg.Duration}
 	defer r.close()
@@ -95,6 +97,9 @@
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(100+i)))
 		wg.Go(func() { r.caller(playing, rng, i) })
 	}
+	// Sources of randomness of their own: the faults of a seed stay what they were.
+	wg.Go(func() { r.sendCulprits(playing, rand.New(rand.NewPCG(cfg.Seed, 2))) })
+	wg.Go(func() { r.suspendHosts(playing, rand.New(rand.NewPCG(cfg.Seed, 3))) })
 	r.inject(playing)
 	wg.Wait()
 	r.recover()
@@ -159,6 +164,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.replicas = append(r.replicas, rep)
+	rep.Born = time.Now().UnixMilli()
+	rep.CrashUnder(poison(rep, rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+len(r.replicas)))), r.noteCrash))
+	rep.Returned = r.returned
 	r.store.Put("servers/"+id, site.Entry(rep, "ready"))
 	return nil
 }
--- a/stages/freeing.go
+++ b/stages/freeing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // freeDelay is how long results that are of no more use are kept back, so that
@@ -29,7 +30,7 @@
 type giving struct {
 	// held is kept back; its call is due when timer fires.
 	held  stage.Free
-	timer *time.Timer
+	timer *clock.Timer
 	// calls are under way, done is closed when none is left.
 	calls int
 	done  chan struct{}
@@ -51,7 +52,7 @@
 	g.held.Replica, g.held.Address = a.Replica, a.Address
 	g.held.Handles = append(g.held.Handles, a.Handles...)
 	if g.timer == nil {
-		g.timer = time.AfterFunc(freeDelay, func() { f.flush(a.Replica) })
+		g.timer = clock.AfterFunc(freeDelay, func() { f.flush(a.Replica) })
 	}
 }
 
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -11,6 +11,7 @@
 
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
 )
 
@@ -74,6 +75,8 @@
 	jobs    map[string]*entry
 	owners  map[string]*owner
 	wake    chan struct{}
+	// stepped is when the machine last took an event.
+	stepped time.Time
 }
 
 func newPlanner(cfg stage.Config, replicas Replicas, gone func(host string) bool, log *zap.Logger) *planner {
@@ -103,13 +106,16 @@
 		return nil, false
 	}
 	o := p.owner(from)
-	var actions []stage.Action
+	if len(p.jobs) == 0 {
+		p.stepped = clock.Now() // there was nothing to do before
+	}
+	actions := p.stoodStill(clock.Now())
 	e := p.jobs[j.ID]
 	if e == nil {
 		e = &entry{owner: from}
 		p.jobs[j.ID] = e
 		o.jobs++
-		actions = p.step(stage.Submitted{Job: j})
+		actions = append(actions, p.step(stage.Submitted{Job: j})...)
 	}
 	end = e.end
 	if end != nil && end.Refused != nil {
@@ -128,7 +134,7 @@
 		o = &owner{changed: make(chan struct{})}
 		p.owners[name] = o
 	}
-	o.heard = time.Now()
+	o.heard = clock.Now()
 	return o
 }
 
@@ -190,7 +196,7 @@
 		}
 		out.ends[id] = e.end
 		if e.told.IsZero() {
-			e.told = time.Now()
+			e.told = clock.Now()
 		}
 		if e.end.Refused != nil {
 			p.forget(id)
@@ -218,7 +224,9 @@
 // step passes an event to the machine and notes the ends of jobs; the lock is
 // held. The caller performs the actions without it.
 func (p *planner) step(e stage.Event) []stage.Action {
-	actions := p.machine.Step(time.Now(), e)
+	now := clock.Now()
+	actions := p.stoodStill(now)
+	actions = append(actions, p.machine.Step(now, e)...)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case stage.Progress:
@@ -240,6 +248,27 @@
 	return actions
 }
 
+// stoodStill gives the jobs of other daemons up when this one, with jobs to see to
+// several times a second, has done nothing for so long that their owners have gone on
+// with another planner: it was frozen or asleep. What was made is theirs, and left
+// alone. The lock is held.
+func (p *planner) stoodStill(now time.Time) []stage.Action {
+	gap := now.Sub(p.stepped)
+	p.stepped = now
+	if gap < orphanAfter || len(p.jobs) == 0 {
+		return nil
+	}
+	var actions []stage.Action
+	for id, e := range p.jobs {
+		if e.owner != "" && e.told.IsZero() {
+			p.forget(id)
+			actions = append(actions, p.machine.Step(now, stage.Cancelled{Job: id, Moved: true})...)
+		}
+	}
+	p.log.Warn("planner stood still; jobs of others given up", zap.Duration("for", gap), zap.Int("left", len(p.jobs)))
+	return actions
+}
+
 // timings logs the course of stages, each as stage:wait+work.
 type timings []stage.Timing
 
@@ -298,12 +327,12 @@
 func (p *planner) call(a stage.Run, freed <-chan struct{}) {
 	select {
 	case <-freed:
-	case <-time.After(freeWait):
+	case <-clock.After(freeWait):
 	}
-	began := time.Now()
+	began := clock.Now()
 	results, outcome, err := p.replicas.RunPieces(context.Background(), a)
 	p.log.Info("stage call", zap.String("service", a.Service), zap.String("replica", a.Replica), zap.Int("pieces", len(a.Pieces)),
-		zap.Uint64("call", a.Call), zap.Duration("took", time.Since(began)), zap.Stringer("outcome", outcome),
+		zap.Uint64("call", a.Call), zap.Duration("took", clock.Since(began)), zap.Stringer("outcome", outcome),
 		zap.Int("no_room", count(results, stage.NoRoom)), zap.Int("input_gone", count(results, stage.InputGone)), zap.Error(err))
 	p.mu.Lock()
 	actions := p.step(stage.CallEnded{Call: a.Call, Outcome: outcome, Results: results})
@@ -317,9 +346,9 @@
 // inspect asks a replica for its room. What is not told costs a call that finds
 // none.
 func (p *planner) inspect(a stage.Inspect) {
-	ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), roomTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	room, err := p.replicas.Room(ctx, a)
 	if err != nil {
 		p.log.Info("room not told", zap.String("service", a.Service), zap.String("replica", a.Replica), zap.Error(err))
@@ -347,7 +376,7 @@
 const freeTimeout = time.Second
 
 func (p *planner) free(a stage.Free) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	ctx, cancel := clock.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	if err := p.replicas.FreeResults(ctx, a); err != nil {
 		p.log.Info("results not freed", zap.String("replica", a.Replica), zap.Int("results", len(a.Handles)), zap.Error(err))
@@ -368,9 +397,9 @@
 
 // run passes ticks when they are due and drops the jobs of silent daemons.
 func (p *planner) run(ctx context.Context) {
-	timer := time.NewTimer(time.Hour)
+	timer := clock.NewTimer(time.Hour)
 	defer timer.Stop()
-	swept := time.Now()
+	swept := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -379,8 +408,8 @@
 		case <-timer.C:
 			p.tick()
 		}
-		if time.Since(swept) >= sweepEvery {
-			swept = time.Now()
+		if clock.Since(swept) >= sweepEvery {
+			swept = clock.Now()
 			p.sweep(swept)
 		}
 		timer.Reset(p.nextTick())
@@ -403,7 +432,7 @@
 	if len(p.jobs) > 0 {
 		wait = sweepEvery
 	}
-	now := time.Now()
+	now := clock.Now()
 	if next, ok := p.machine.NextTick(now); ok {
 		wait = min(wait, next.Sub(now))
 	}
@@ -452,7 +481,7 @@
 	gone := p.gone(name)
 	p.mu.Lock()
 	var actions []stage.Action
-	dropped, now := 0, time.Now()
+	dropped, now := 0, clock.Now()
 	for id, e := range p.jobs {
 		if e.owner != name || !p.orphaned(e, now) {
 			continue
--- a/stages/remote.go
+++ b/stages/remote.go
@@ -12,6 +12,7 @@
 
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/peer"
@@ -60,7 +61,7 @@
 
 // prepareThere has a job planned by another host.
 func (s *Service) prepareThere(ctx context.Context, host fleet.Host, j stage.Job) (*End, error) {
-	req := toWire(j, time.Now())
+	req := toWire(j, clock.Now())
 	req.Incarnation = host.Incarnation
 	accepted := &wire.StageAccepted{}
 	if err := s.askSurely(ctx, host.Name, methodSubmit, req, req, accepted, submitTimeout); err != nil {
@@ -95,7 +96,7 @@
 }
 
 func (s *Service) ask(ctx context.Context, host, method string, req, resp wireMessage, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := clock.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.cfg.Caller.Call(ctx, host, method, req, resp)
 }
@@ -124,7 +125,7 @@
 // for nothing. All calls that failed together wait for the same question.
 func (s *Service) answers(host string) bool {
 	_, err, _ := s.confirming.Do(host, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+		ctx, cancel := clock.WithTimeout(context.Background(), confirmTimeout)
 		defer cancel()
 		for {
 			err := s.greet(ctx, host, confirmTry)
@@ -268,7 +269,7 @@
 		if believed := req.GetIncarnation(); believed > 0 && believed < s.cfg.Incarnation {
 			return &wire.StageAccepted{Incarnation: s.cfg.Incarnation}, nil
 		}
-		end, ok := s.planner.submit(from.Host, fromWire(req, time.Now()))
+		end, ok := s.planner.submit(from.Host, fromWire(req, clock.Now()))
 		if !ok {
 			return nil, errNotReady
 		}
@@ -278,7 +279,7 @@
 		return &wire.StageAccepted{End: endToWire(req.GetId(), end)}, nil
 	})
 	peer.Handle(mux, methodPoll, func(ctx context.Context, from peer.Sender, req *wire.StagePoll) (*wire.StagePolled, error) {
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMs())*time.Millisecond)
+		ctx, cancel := clock.WithTimeout(ctx, time.Duration(req.GetWaitMs())*time.Millisecond)
 		defer cancel()
 		return polledToWire(s.planner.poll(ctx, from.Host, req.GetJobs())), nil
 	})
--- a/stages/service.go
+++ b/stages/service.go
@@ -14,6 +14,7 @@
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 )
 
@@ -100,7 +101,7 @@
 	for n := 1; ; {
 		host := fleet.Host{Host: member.Host{Name: s.cfg.Self}}
 		if n < maxPlanners {
-			host = s.choose(time.Now())
+			host = s.choose(clock.Now())
 		}
 		end, err := s.prepareAt(ctx, host, j)
 		var restarted *restartedError
--- a/stages/stages_test.go
+++ b/stages/stages_test.go
@@ -18,6 +18,7 @@
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/faultrelay"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/stages"
@@ -268,7 +269,7 @@
 
 func job(id string) stage.Job {
 	return stage.Job{
-		ID: id, Key: "k", Due: time.Now().Add(4 * time.Second), Deadline: time.Now().Add(5 * time.Second),
+		ID: id, Key: "k", Due: clock.Now().Add(4 * time.Second), Deadline: clock.Now().Add(5 * time.Second),
 		Stages: []stage.Stage{{Service: "a", Pieces: 2}, {Service: "b", After: []int{0}, Pieces: 3}},
 	}
 }
@@ -307,7 +308,7 @@
 		r.work = 300 * time.Millisecond
 		nodes, _ := newNodes(r, 3)
 		prepare(nodes[2], "before")
-		began := time.Now()
+		began := clock.Now()
 		done := make(chan stage.Ready, 1)
 		go func() {
 			defer GinkgoRecover()
@@ -392,7 +393,7 @@
 		r := newReplicas()
 		nodes, m := newNodes(r, 1)
 		m.names.Store(&[]string{address(), address(), nodes[0].name})
-		began := time.Now()
+		began := clock.Now()
 		prepare(nodes[0], "alone")
 		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
 		Expect(r.madeBy(nodes[0].name)).To(Equal(5))
@@ -451,7 +452,7 @@
 		r := newReplicas()
 		nodes, _ := newNodes(r, 2)
 		j := job("late")
-		j.Due = time.Now().Add(-time.Second)
+		j.Due = clock.Now().Add(-time.Second)
 		end := nodes[1].service.Prepare(context.Background(), j)
 		Expect(end.Refused).NotTo(BeNil())
 		Expect(end.Refused.Reason).To(Equal(stage.ReasonOverload))
--- a/upstreamload/poller.go
+++ b/upstreamload/poller.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/load"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 )
 
@@ -94,7 +95,7 @@
 }
 
 func (p *Poller) poll(ctx context.Context, name, address string) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	p.stats.polls.Add(1)
 	report, err := p.client.Get(ctx, name, address)
