Grant a trial again that came to no run; forget verdicts without telling again and again

A trial went to the first caller that came, also when its stages were refused or no connection came about: a request that was condemned wrongly then waited five more minutes. It is given back now, 16 times at most.

Found by its test: a verdict that is forgotten left its digest on the heartbeats, so that neighbours would have exchanged verdicts twice a second for good; the digest is renewed at each heartbeat that is heard. An end of a replica that is listed no more is no evidence: it left as planned.

--- a/core/poison/machine.go
+++ b/core/poison/machine.go
@@ -133,6 +133,17 @@
 	return *v, true
 }
 
+// Untried takes a trial back that came to no run, and returns the verdict that says
+// so.
+func (m *Machine) Untried(f Fingerprint) (Verdict, bool) {
+	v, ok := m.verdicts[f]
+	if !ok || v.Lifted || v.Untried >= min(v.Trials, MaxUntried) {
+		return Verdict{}, false
+	}
+	v.Untried++
+	return *v, true
+}
+
 // judge condemns those of the suspects that have come to enough ends.
 func (m *Machine) judge(now time.Time, suspects []Suspect) []Verdict {
 	var changed []Verdict
--- a/core/poison/machine_test.go
+++ b/core/poison/machine_test.go
@@ -166,6 +166,27 @@
 	})
 })
 
+var _ = Describe("a trial", func() {
+	It("that came to no run is granted again, a bounded number of times", func() {
+		var m poison.Machine
+		for i, name := range []string{"a", "b", "c"} {
+			m.Ended(at(float64(i)), end(float64(i), name, map[string]int{"x": 50}))
+		}
+		now := at(3).Add(poison.FirstTrial)
+		granted := 0
+		for ; granted < 100; granted++ {
+			if _, ok := m.Try(now, request("x")); !ok {
+				break
+			}
+			_, changed := m.Untried(request("x"))
+			Expect(changed).To(Equal(granted < poison.MaxUntried))
+		}
+		Expect(granted).To(Equal(poison.MaxUntried + 1))
+		_, changed := m.Untried(request("y"))
+		Expect(changed).To(BeFalse())
+	})
+})
+
 var _ = Describe("verdicts", func() {
 	x := request("x")
 	verdict := func(change func(*poison.Verdict)) poison.Verdict {
@@ -179,7 +200,7 @@
 	It("merge to the same in any order", func() {
 		all := []poison.Verdict{
 			verdict(nil), verdict(func(v *poison.Verdict) { v.Lifted = true }), verdict(func(v *poison.Verdict) { v.Trials = 1 }),
-			verdict(func(v *poison.Verdict) { v.Doubtful = true }), verdict(func(v *poison.Verdict) { v.Round = 2 }),
+			verdict(func(v *poison.Verdict) { v.Trials, v.Untried = 1, 1 }), verdict(func(v *poison.Verdict) { v.Doubtful = true }), verdict(func(v *poison.Verdict) { v.Round = 2 }),
 			verdict(func(v *poison.Verdict) { v.Round, v.Trials = 2, 2 }),
 		}
 		var digests []uint64
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -19,6 +19,8 @@
 	// one was.
 	Trials  uint32
 	TriedAt time.Time
+	// Untried is the number of trials that came to no run.
+	Untried uint32
 	// At is when the request was condemned, and Since when the first of the ends
 	// was that count against it.
 	At, Since time.Time
@@ -39,7 +41,9 @@
 	// DoubtfulTrial is in place of FirstTrial for doubtful verdicts.
 	DoubtfulTrial = 2 * time.Second
 	// MaxTrials bounds the trials of a verdict: the users allow three further runs.
-	MaxTrials = 2
+	// MaxUntried bounds those that came to no run and are granted anew.
+	MaxTrials  = 2
+	MaxUntried = 16
 	// MaxVerdicts bounds the verdicts that are kept, the newest: they fit in one
 	// message of some 12 kB.
 	MaxVerdicts = 256
@@ -56,15 +60,18 @@
 	if v.Trials != old.Trials {
 		return v.Trials > old.Trials
 	}
+	if v.Untried != old.Untried {
+		return v.Untried > old.Untried
+	}
 	return v.Doubtful && !old.Doubtful
 }
 
 // trialDue is when the next trial may be granted, and false when none is left.
 func (v Verdict) trialDue() (time.Time, bool) {
-	switch {
-	case v.Trials >= MaxTrials:
+	switch run := v.Trials - min(v.Untried, MaxUntried, v.Trials); {
+	case run >= MaxTrials:
 		return time.Time{}, false
-	case v.Trials > 0:
+	case run > 0:
 		return v.TriedAt.Add(SecondTrial), true
 	case v.Doubtful:
 		return v.At.Add(DoubtfulTrial), true
@@ -103,15 +110,16 @@
 		if now.Sub(v.At) > Lifetime-expiryMargin {
 			continue
 		}
-		var buf [FingerprintSize + 9]byte
+		var buf [FingerprintSize + 13]byte
 		copy(buf[:], v.Request[:])
 		binary.LittleEndian.PutUint32(buf[FingerprintSize:], v.Round)
 		binary.LittleEndian.PutUint32(buf[FingerprintSize+4:], v.Trials)
+		binary.LittleEndian.PutUint32(buf[FingerprintSize+8:], v.Untried)
 		if v.Lifted {
-			buf[FingerprintSize+8] = 1
+			buf[FingerprintSize+12] = 1
 		}
 		if v.Doubtful {
-			buf[FingerprintSize+8] += 2
+			buf[FingerprintSize+12] += 2
 		}
 		digest ^= xxhash.Sum64(buf[:])
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -84,6 +84,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.log()
+	defer x.returnTrial()
 	if err := x.accept(); err != nil {
 		x.refuse(err)
 		return
@@ -137,6 +138,13 @@
 	return x.quarantined()
 }
 
+// returnTrial gives a trial back that came to no run, so that another caller has it.
+func (x *exchange) returnTrial() {
+	if x.trial && x.runs == 0 {
+		x.g.quarantine.Untried(x.content)
+	}
+}
+
 // quarantined refuses a request that crashes replicas. It has not run under this
 // id, or giveUp says so; earlier than told it would only be refused again.
 func (x *exchange) quarantined() *problem.Error {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -281,11 +281,12 @@
 }
 
 // brokeOff has it looked into whether the replica ended under the request. One that
-// drains ends when its time has come, and while this host slept it may have ended
-// for anything.
+// drains, or is listed no more, ends when its time has come, and while this host slept
+// it may have ended for anything.
 func (t *try) brokeOff() {
 	x := t.x
-	if x.g.found.View().Replicas[t.choice.Upstream].Draining || clock.Asleep() > t.asleep {
+	r, listed := x.g.found.View().Replicas[t.choice.Upstream]
+	if !listed || r.Draining || clock.Asleep() > t.asleep {
 		return
 	}
 	x.g.quarantine.BrokeOff(quarantine.Attempt{
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -64,7 +64,7 @@
 	out := make([]*wire.Verdict, 0, len(verdicts))
 	for _, v := range verdicts {
 		w := &wire.Verdict{
-			Request: v.Request[:], Round: v.Round, Lifted: v.Lifted, Trials: v.Trials, Doubtful: v.Doubtful,
+			Request: v.Request[:], Round: v.Round, Lifted: v.Lifted, Trials: v.Trials, Untried: v.Untried, Doubtful: v.Doubtful,
 			AgeMs: ageOf(now, v.At), SinceMs: ageOf(now, v.Since),
 		}
 		if v.Trials > 0 {
@@ -83,7 +83,7 @@
 			continue
 		}
 		v := poison.Verdict{
-			Request: f, Round: w.GetRound(), Lifted: w.GetLifted(), Trials: w.GetTrials(), Doubtful: w.GetDoubtful(),
+			Request: f, Round: w.GetRound(), Lifted: w.GetLifted(), Trials: w.GetTrials(), Untried: w.GetUntried(), Doubtful: w.GetDoubtful(),
 			At: atOf(now, w.GetAgeMs()), Since: atOf(now, w.GetSinceMs()),
 		}
 		if v.Trials > 0 {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -17,6 +17,7 @@
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/quarantine"
 )
@@ -142,7 +143,7 @@
 
 // breaks has an attempt break off at a replica.
 func (h *host) breaks(replica, request string) {
-	h.BrokeOff(quarantine.Attempt{Service: "llm", Replica: replica, Address: replica, Request: content(request), Began: time.Now().Add(-50 * time.Millisecond)})
+	h.BrokeOff(quarantine.Attempt{Service: "llm", Replica: replica, Address: replica, Request: content(request), Began: clock.Now().Add(-50 * time.Millisecond)})
 }
 
 func content(name string) poison.Fingerprint {
@@ -265,6 +266,11 @@
 		By("other replicas ending beside those of the request, which makes the verdict doubtful")
 		for i := range 3 {
 			hosts[1].breaks(fmt.Sprint("other", i), fmt.Sprint("bystander", i))
+		}
+		for _, h := range hosts[:2] {
+			Eventually(func() int { return h.Dump().Stats.Ends }, contact).Should(Equal(3))
+		}
+		for i := range 3 {
 			hosts[2].breaks(fmt.Sprint("r", i), "x")
 		}
 		allKnow(hosts...)
@@ -282,5 +288,28 @@
 		}
 		Eventually(granted, 2*poison.DoubtfulTrial).Should(Equal(1))
 		Consistently(granted, "200ms").Should(BeZero())
+
+		By("granting it again when it came to no run")
+		hosts[3].Untried(content("x"))
+		Eventually(granted, contact).Should(Equal(1))
+		Consistently(granted, "200ms").Should(BeZero())
+	})
+
+	It("forgets a verdict in the end, and neighbours tell each other nothing more", func() {
+		n := newNetwork(3)
+		for i := range 3 {
+			n.all()[0].breaks(fmt.Sprint("r", i), "x")
+		}
+		allKnow(n.all()...)
+		Expect(n.all()[2].Refused()).To(Equal(1))
+		clock.Simulate(poison.Lifetime)
+		for range 3 {
+			n.beat()
+			time.Sleep(600 * time.Millisecond) // an exchange is tried once in half a second
+		}
+		before := n.calls.Load()
+		n.beat()
+		Consistently(n.calls.Load, "200ms").Should(Equal(before))
+		Expect(n.all()[2].Refused()).To(BeZero())
 	})
 })
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -64,6 +64,8 @@
 	reports []*report
 	// watches are told when their request is condemned.
 	watches map[poison.Fingerprint]map[*watch]bool
+	// onSlot is the digest that stands on the heartbeats.
+	onSlot uint64
 	// exchanged is when verdicts were last exchanged with a neighbour.
 	exchanged time.Time
 }
@@ -97,7 +99,14 @@
 	})
 	peer.Handle(cfg.Mux, methodTrial, func(_ context.Context, _ peer.Sender, m *wire.TrialRequest) (*wire.TrialReply, error) {
 		f, ok := fingerprint(m.GetRequest())
-		return &wire.TrialReply{Granted: ok && s.grant(f)}, nil
+		switch {
+		case !ok:
+		case m.GetUntried():
+			s.takeBack(f)
+		default:
+			return &wire.TrialReply{Granted: s.grant(f)}, nil
+		}
+		return &wire.TrialReply{}, nil
 	})
 	return s
 }
@@ -143,19 +152,33 @@
 // verdict was wrong. The first of the deciding hosts grants that; when it does not
 // answer, nobody does.
 func (s *Service) Try(ctx context.Context, v poison.Verdict) bool {
+	if v.RetryAfter(clock.Now()) > 0 {
+		return false
+	}
+	return s.askFirst(ctx, &wire.TrialRequest{Request: v.Request[:]}, s.grant)
+}
+
+// Untried tells that a trial which Try granted came to no run.
+func (s *Service) Untried(f poison.Fingerprint) {
+	go s.askFirst(context.Background(), &wire.TrialRequest{Request: f[:], Untried: true}, s.takeBack)
+}
+
+// askFirst asks the first of the deciding hosts about a trial; here does it when that
+// is this host.
+func (s *Service) askFirst(ctx context.Context, req *wire.TrialRequest, here func(poison.Fingerprint) bool) bool {
 	deciders := s.deciders()
-	if v.RetryAfter(clock.Now()) > 0 || len(deciders) == 0 {
+	if len(deciders) == 0 {
 		return false
 	}
-	first := deciders[0].Name
+	f, first := poison.Fingerprint(req.GetRequest()), deciders[0].Name
 	if first == s.cfg.Self {
-		return s.grant(v.Request)
+		return here(f)
 	}
 	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply := &wire.TrialReply{}
-	if err := s.cfg.Caller.Call(ctx, first, methodTrial, &wire.TrialRequest{Request: v.Request[:]}, reply); err != nil {
-		s.log.Info("no answer about a trial", zap.String("peer", first), zap.Stringer("content", v.Request), zap.Error(err))
+	if err := s.cfg.Caller.Call(ctx, first, methodTrial, req, reply); err != nil {
+		s.log.Info("no answer about a trial", zap.String("peer", first), zap.Stringer("content", f), zap.Bool("untried", req.GetUntried()), zap.Error(err))
 		return false
 	}
 	return reply.GetGranted()
@@ -172,9 +195,25 @@
 	return granted
 }
 
+// takeBack notes that a trial came to no run.
+func (s *Service) takeBack(f poison.Fingerprint) bool {
+	s.mu.Lock()
+	v, changed := s.machine.Untried(f)
+	s.mu.Unlock()
+	if changed {
+		s.changed(s.cfg.Self, []poison.Verdict{v})
+	}
+	return changed
+}
+
 // setSlot puts the digest of the verdicts on the heartbeats; the lock is held.
 func (s *Service) setSlot(now time.Time) {
-	s.cfg.Members.SetSlot(member.SlotQuarantine, binary.LittleEndian.AppendUint64(nil, s.machine.Digest(now)))
+	digest := s.machine.Digest(now)
+	if digest == s.onSlot {
+		return
+	}
+	s.onSlot = digest
+	s.cfg.Members.SetSlot(member.SlotQuarantine, binary.LittleEndian.AppendUint64(nil, digest))
 }
 
 // Dump is the state for operators.
@@ -218,4 +257,9 @@
 }
 
 // Refused is the number of requests that are condemned.
-func (s *Service) Refused() int { return int(s.condemned.Load()) }
+func (s *Service) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(clock.Now()) // some may have been forgotten
+	return int(s.condemned.Load())
+}
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -68,7 +67,7 @@
 	case v.Lifted:
 		s.log.Warn("verdict on a request lifted", fields...)
 	case v.Trials > 0:
-		s.log.Warn("request tried again", fields...)
+		s.log.Warn("request tried again", append(fields, zap.Uint32("untried", v.Untried))...)
 	default:
 		s.log.Warn("request condemned", fields...)
 	}
@@ -119,8 +118,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	own := binary.LittleEndian.AppendUint64(nil, s.machine.Digest(now))
-	if bytes.Equal(own, h.Value) || now.Sub(s.exchanged) < exchangeEvery {
+	s.setSlot(now) // a verdict may have been forgotten
+	if len(h.Value) != digestBytes || binary.LittleEndian.Uint64(h.Value) == s.onSlot || now.Sub(s.exchanged) < exchangeEvery {
 		return
 	}
 	s.exchanged = now
