Have the daemon beside the platform refuse requests that crash upstreams too

The same cause stood in the other form of the daemon: keys and ids are renewed by a caller that comes back, and hedges and retries send on. Each call to an upstream asks now, and admission for all stages of the pipeline; a content is one stage of a request, as the stages before the culprit end well.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -57,6 +57,7 @@
 	onBundle  []func(*bundle.Bundle)
 	onLeaving []func([]string)
 	onMember  []func(member.Member)
+	onSlot    map[member.SlotID]func(member.SlotHeard)
 }
 
 // New returns a cluster that has not started and registers its methods in
@@ -104,6 +105,15 @@
 // called by one goroutine at a time and must not block.
 func (c *Cluster) OnMember(f func(member.Member)) { c.onMember = append(c.onMember, f) }
 
+// OnSlot registers f for the values of an extension, which Slots then does not keep.
+// f is called by one goroutine at a time and must not block.
+func (c *Cluster) OnSlot(id member.SlotID, f func(member.SlotHeard)) {
+	if c.onSlot == nil {
+		c.onSlot = map[member.SlotID]func(member.SlotHeard){}
+	}
+	c.onSlot[id] = f
+}
+
 // Bundle returns the bundle in force, or nil. It is immutable: who admitted a
 // request under it keeps it.
 func (c *Cluster) Bundle() *bundle.Bundle {
@@ -113,6 +123,9 @@
 	return nil
 }
 
+// Neighbours returns the hosts beside this one in the membership overlay.
+func (c *Cluster) Neighbours() []string { return c.members.View().Neighbours }
+
 // Members returns all hosts sorted by name. The slice must not be changed.
 func (c *Cluster) Members() []member.Member { return c.members.View().Members }
 
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -26,6 +26,10 @@
 
 // slotHeard keeps an extension's value, or hands the bundle's mark over.
 func (c *Cluster) slotHeard(a member.SlotHeard) {
+	if f := c.onSlot[a.ID]; f != nil {
+		f(a)
+		return
+	}
 	if a.ID != member.SlotBundle {
 		c.slots.put(a, clock.Now())
 		return
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -16,6 +16,10 @@
 // call runs one attempt and reports its end.
 func (d *Daemon) call(ctx context.Context, s *session, c request.Call) {
 	defer s.cancel(c.Attempt)
+	if !d.mayCall(s, c) {
+		d.deliver(s, condemnedCall(c))
+		return
+	}
 	if c.Stage.Kind == bundle.StageGenerate {
 		d.deliver(s, d.generate(ctx, s, c))
 		return
@@ -36,13 +40,14 @@
 	if client == nil {
 		return unserved(c)
 	}
-	began := d.Now()
+	began := startCall()
 	output, err := client.Do(ctx, service.Call{
 		Address: c.Choice.Address, Path: pathOf(c.Stage), RequestID: s.id, Attempt: c.Attempt,
 		Customer: s.sub.Customer.Name, Stage: c.Stage.Name, Key: c.Key, Input: c.Input, NotAfter: c.NotAfter,
 	})
+	d.noteCall(s, c, began, err)
 	ended := callEnded(ctx, c.Attempt, err)
-	ended.Output, ended.FirstByte = output, d.Now().Sub(began)
+	ended.Output, ended.FirstByte = output, d.Now().Sub(began.at)
 	return ended
 }
 
@@ -59,17 +64,18 @@
 	if client == nil {
 		return unserved(c)
 	}
-	began := d.Now()
+	began := startCall()
 	var first time.Duration
 	out, err := client.Generate(ctx, d.generation(s, c), func(text string) {
 		if first == 0 {
-			first = d.Now().Sub(began)
+			first = d.Now().Sub(began.at)
 			d.deliver(s, request.FirstToken{Attempt: c.Attempt})
 		}
 		if s.forward.Load() == int64(c.Attempt) {
 			s.pass(ctx, outputPart{text: text})
 		}
 	})
+	d.noteCall(s, c, began, err)
 	ended := callEnded(ctx, c.Attempt, err)
 	ended.FirstByte, ended.Tokens = first, out.Tokens
 	if err == nil {
@@ -127,7 +133,7 @@
 			ended.Result = request.CallRefused
 		}
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		ended.Result = request.CallCancelled
 	}
 	return ended
--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -8,6 +8,7 @@
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/rollout"
 	"github.com/wheatseam/wheatseam/platform"
+	"github.com/wheatseam/wheatseam/quarantine"
 )
 
 // addCluster makes this daemon's part in the fleet: membership and
@@ -16,7 +17,7 @@
 	s := d.settings
 	host := member.Host{Name: s.Host, FailureDomain: s.FailureDomain}
 	members := member.DefaultConfig(host, d.incarnation)
-	members.Extensions = append(members.Extensions, loadExtension())
+	members.Extensions = append(members.Extensions, loadExtension(), quarantine.Extension())
 	c, err := cluster.New(cluster.Config{
 		Member:  members,
 		Rollout: rollout.DefaultConfig(cluster.NewCodec(s.BundleKeys)),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/wheatseam/wheatseam/operator"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/quarantine"
 	"github.com/wheatseam/wheatseam/record"
 	"github.com/wheatseam/wheatseam/results"
 	"github.com/wheatseam/wheatseam/settings"
@@ -68,6 +69,7 @@
 
 	incarnation uint64 // start of the process in Unix milliseconds
 	cluster     *cluster.Cluster
+	quarantine  *quarantine.Service
 	inForceFrom atomic.Pointer[time.Time]
 	metrics     *metrics.Set
 	peerMux     *peer.Mux
@@ -95,6 +97,7 @@
 	if err := d.addCluster(); err != nil {
 		return nil, err
 	}
+	d.addQuarantine()
 	d.addClaims()
 	d.addKept()
 	return d, nil
@@ -120,6 +123,8 @@
 	group.Go(func() error { return d.cluster.Run(running, d.peers) })
 	group.Go(func() error { d.shares.Run(running, d.peers); return nil })
 	group.Go(func() error { d.tick(running); return nil })
+	group.Go(func() error { clock.Watch(running); return nil })
+	group.Go(func() error { d.quarantine.Run(running); return nil })
 	group.Go(func() error { d.claims.Run(running); return nil })
 	group.Go(func() error { d.expireKept(running); return nil })
 	group.Go(func() error { d.loads.Run(running); return nil })
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -141,6 +141,7 @@
 	d.sections.Register("cluster", func() any { return d.clusterDump() })
 	d.sections.Register("requests", func() any { return append([]request.Overview{}, d.table.Overviews(maxDumpRequests)...) })
 	d.sections.Register("records", func() any { return d.records.Stats() })
+	d.sections.Register("quarantine", func() any { return d.quarantine.Dump() })
 	d.sections.Register("peers", func() any { return d.peers.Sessions() })
 	d.sections.Register("pools", func() any { return d.admitter.State(d.Now()) })
 	d.sections.Register("upstreams", func() any { return d.router.Dump(d.Now()) })
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -19,6 +19,11 @@
 // Serve implements caller.Backend.
 func (d *Daemon) Serve(ctx context.Context, sub caller.Submission, sink caller.Sink) (*request.Answer, *problem.Error) {
 	s := newSession(sub, digestOf(sub), d.upstream.Load())
+	if e := d.quarantined(ctx, s); e != nil {
+		d.Refused(sub.RequestID, e)
+		return nil, e
+	}
+	defer d.returnTrial(s)
 	d.sessions.insert(s)
 	log := d.records.Begin(sub.RequestID)
 	log.Add(receivedEntry(sub))
--- a/daemon/session.go
+++ b/daemon/session.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatseam/wheatseam/caller"
+	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/problem"
@@ -31,6 +32,10 @@
 	// closed ends when the caller has its answer.
 	closed chan struct{}
 
+	// trial allows one call of the stage with that content, which is condemned; nil
+	// for none.
+	trial atomic.Pointer[poison.Fingerprint]
+
 	mu      sync.Mutex
 	cancels map[int]context.CancelFunc
 	timers  []*clock.Timer
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -45,6 +45,8 @@
 	Platform *platform.Platform
 	Upstream *fleet.Fleet
 	Daemons  []*Process
+	// Crashes makes upstreams crash.
+	Crashes Crashes
 
 	dir       string
 	program   string
@@ -177,7 +179,7 @@
 		Service: service.Config{Seed: 1},
 	})
 	for name, l := range f.listeners {
-		f.serving.Go(func() error { return standin.Serve(ctx, l, f.Upstream.Handler(name)) })
+		f.serving.Go(func() error { return f.Crashes.serve(ctx, l, f.Upstream.Handler(name)) })
 	}
 	return nil
 }
--- /dev/null
+++ b/proofs/crash_test.go
@@ -0,0 +1,51 @@
+package proofs
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/proctest"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// The same as for requests that crash replicas on the users' platform: callers come
+// back with what crashes upstreams, under new ids and keys, at any host.
+var _ = Describe("A request that crashes its upstreams", func() {
+	const (
+		contact       = 3 * time.Second
+		crashesToKnow = 3
+		moreAllowed   = 3
+		culprit       = "culprit"
+	)
+
+	DescribeTable("reaches few more after the third, from any host",
+		func(pipeline string, key func() string) {
+			f := startFleet(proctest.Options{})
+			f.Crashes.Under(culprit, 700*time.Millisecond)
+			sent := 0
+			for deadline := time.Now().Add(30 * time.Second); f.Crashes.Count() < crashesToKnow; sent++ {
+				Expect(time.Now()).To(BeTemporally("<", deadline))
+				f.Call(sent%len(f.Daemons), pipeline, key(), culprit)
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(contact)
+			before := f.Crashes.Count()
+			for i := range 4 * moreAllowed {
+				o := f.Call(i%len(f.Daemons), pipeline, key(), culprit)
+				Expect(o.Answered()).To(BeFalse())
+				time.Sleep(100 * time.Millisecond)
+			}
+			Expect(f.Crashes.Count() - before).To(BeNumerically("<=", moreAllowed))
+			for i := range f.Daemons {
+				o := f.Call(i, pipeline, key(), culprit)
+				Expect(o.Kind).To(Equal(problem.Quarantined))
+				o = f.Call(i, pipeline, key(), "harmless")
+				Expect(o.Answered()).To(BeTrue(), "%+v", o)
+			}
+		},
+		Entry("under a key, at most once", proctest.PipelineSeal, proctest.NewKey),
+		Entry("idempotent, with hedges", proctest.PipelineSummary, func() string { return "" }),
+	)
+})
