Have the relay's blackhole hide a dial that fails too

Cause: the test's far side accepts as soon as the kernel has the connection; beside load the relay's own dial had not returned when that side died, so that the dial failed, and the relay reset the caller at once, blackhole or not. It waits for the blackhole's end now, as for everything else that it passes on.

--- a/internal/faultrelay/link.go
+++ b/internal/faultrelay/link.go
@@ -49,6 +49,9 @@
 func (l *link) run() {
 	target := l.dial()
 	if target == nil {
+		// A blackhole that came about meanwhile hides this end of the connection too: a
+		// target that has died after its kernel accepted may fail the dial.
+		l.await(func(c Conditions) bool { return !c.ToCaller.Blackhole })
 		l.reset()
 		return
 	}
