--- a/internal/standin/site/ledger.go
+++ b/internal/standin/site/ledger.go
@@ -61,24 +61,20 @@
 
 // Runs returns the executions of a request.
 func (l *Ledger) Runs(request string) []Run {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var runs []Run
-	for _, r := range l.runs {
-		if r.Request == request {
-			runs = append(runs, r)
-		}
-	}
-	return runs
+	return l.which(func(r Run) bool { return r.Request == request })
 }
 
 // RunsOf returns the executions of requests with a body.
 func (l *Ledger) RunsOf(body string) []Run {
+	return l.which(func(r Run) bool { return r.Body == body })
+}
+
+func (l *Ledger) which(counts func(Run) bool) []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var runs []Run
 	for _, r := range l.runs {
-		if r.Body == body {
+		if counts(r) {
 			runs = append(runs, r)
 		}
 	}
