Say why an answer was broken off, and who ended an attempt

A line of a request that was broken off had no reason, an attempt that the host itself had ended read "the replica broke off: context canceled", and nothing counted such ends, nor the repeats that were denied after them: the cause of the answers lost on 295 hosts had to be joined from three kinds of lines by hand.

Now the attempt's line says "this host ended the attempt" and why, the request's no_repeat= and why=, and two counters have both: wheatseam_attempts_ended_here_total and wheatseam_repeats_denied_total. Why no attempt follows is a closed list. No decision changes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,8 @@
 	tried []string
 	runs  int
 	spare int
+	// noRepeat says why no attempt followed the last one.
+	noRepeat denial
 	// committed says that the head of the answer has been sent, lastEvent the
 	// id of the last event that was.
 	committed bool
@@ -355,6 +357,9 @@
 	if n := x.req.PromptTokens; n > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", n))
 	}
+	if x.noRepeat != "" {
+		fields = append(fields, zap.String("no_repeat", string(x.noRepeat)))
+	}
 	if x.detail != "" {
 		fields = append(fields, zap.String("why", x.detail), zap.Duration("retry_after", x.retryAfter))
 	}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -71,6 +71,16 @@
 	g.metrics.GetOrCreateHistogram(fmt.Sprintf("wheatseam_attempt_seconds{service=%q}", service)).Update(took.Seconds())
 }
 
+// countDenied counts a request that ends without an answer since no attempt may follow.
+func (g *Gateway) countDenied(service string, reason denial) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_repeats_denied_total{service=%q,reason=%q}", service, reason)).Inc()
+}
+
+// countEndedHere counts an attempt that this host ended by its own decision.
+func (g *Gateway) countEndedHere(service string, reason error) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_attempts_ended_here_total{service=%q,reason=%q}", service, reason)).Inc()
+}
+
 // countEnd counts a replica that ended under attempts.
 func (g *Gateway) countEnd(e poison.End) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replicas_ended_total{service=%q}", e.Service)).Inc()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -91,7 +91,8 @@
 		if end == answered {
 			return
 		}
-		if !x.mayRepeat(end) {
+		if x.noRepeat = x.repeatDenied(end); x.noRepeat != "" {
+			x.g.countDenied(x.service, x.noRepeat)
 			x.giveUp(perr)
 			return
 		}
@@ -127,30 +128,81 @@
 	return q
 }
 
-// mayRepeat says whether another attempt is allowed after one that ended so.
-func (x *exchange) mayRepeat(end attemptEnd) bool {
+// denial says why no attempt follows one that ended without an answer; "" if one
+// does.
+type denial string
+
+const (
+	// deniedOver: the caller left, or its time is over.
+	deniedOver denial = "time_over"
+	// deniedRoute: the route allows no other execution, or no more of them.
+	deniedRoute    denial = "route"
+	deniedAttempts denial = "attempts"
+	// deniedTrial: a condemned request runs once.
+	deniedTrial denial = "trial"
+	// deniedCommitted: the answer has begun and cannot go on elsewhere.
+	deniedCommitted denial = "answer_begun"
+	// deniedRefusals: too many replicas have refused.
+	deniedRefusals denial = "refusals"
+	deniedBudget   denial = "budget"
+	// deniedFinal: the attempt's end allows none.
+	deniedFinal denial = "final"
+)
+
+// repeatDenied says why no further attempt is allowed after one that ended so.
+func (x *exchange) repeatDenied(end attemptEnd) denial {
 	if x.ctx.Err() != nil {
-		return false
+		return deniedOver
 	}
 	switch end {
 	case notSent, notExecuted, inputsGone:
-		x.spare++
-		if x.spare > maxFreeRepeats {
-			return false
-		}
-		// A connection that did not come about reached no replica.
-		return end == notSent || x.g.budget(x.service).Withdraw(clock.Now())
+		return x.freeRepeatDenied(end)
 	case repeatNow:
-		return true
+		return ""
 	case failed:
-		return x.mayRunAgain() && x.resumable() && x.g.budget(x.service).Withdraw(clock.Now())
+		return x.secondRunDenied()
 	}
-	return false
+	return deniedFinal
+}
+
+// freeRepeatDenied is repeatDenied after an attempt that did not run.
+func (x *exchange) freeRepeatDenied(end attemptEnd) denial {
+	x.spare++
+	if x.spare > maxFreeRepeats {
+		return deniedRefusals
+	}
+	// A connection that did not come about reached no replica.
+	if end == notSent || x.g.budget(x.service).Withdraw(clock.Now()) {
+		return ""
+	}
+	return deniedBudget
+}
+
+// secondRunDenied is repeatDenied after an attempt that may have run.
+func (x *exchange) secondRunDenied() denial {
+	if d := x.anotherRunDenied(); d != "" {
+		return d
+	}
+	if !x.resumable() {
+		return deniedCommitted
+	}
+	if !x.g.budget(x.service).Withdraw(clock.Now()) {
+		return deniedBudget
+	}
+	return ""
 }
 
-// mayRunAgain says whether the route allows another execution.
-func (x *exchange) mayRunAgain() bool {
-	return x.route.MayRepeat() && x.runs < x.route.Attempts && !x.trial
+// anotherRunDenied says why the route allows no other execution; "" if it does.
+func (x *exchange) anotherRunDenied() denial {
+	switch {
+	case !x.route.MayRepeat():
+		return deniedRoute
+	case x.runs >= x.route.Attempts:
+		return deniedAttempts
+	case x.trial:
+		return deniedTrial
+	}
+	return ""
 }
 
 // resumable says whether a further attempt can go on where the answer stands.
@@ -172,7 +224,7 @@
 func (x *exchange) giveUp(e *problem.Error) {
 	if x.committed {
 		// The answer must not look complete.
-		x.outcome = "broken_off"
+		x.outcome, x.detail = "broken_off", e.Detail
 		panic(http.ErrAbortHandler)
 	}
 	if x.r.Context().Err() != nil {
@@ -189,10 +241,10 @@
 // attempt sends the request to one replica. The error says what to answer if
 // it is the last attempt.
 func (x *exchange) attempt(choice request.Choice, copyFrom string) (attemptEnd, *problem.Error) {
-	ctx, cancel := context.WithCancel(x.ctx)
-	defer cancel()
-	t := &try{x: x, choice: choice, copyFrom: copyFrom, began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
-	end, err := t.run(ctx)
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	t := &try{x: x, ctx: ctx, choice: choice, copyFrom: copyFrom, began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
+	end, err := t.run()
 	t.report(end)
 	t.log(end, err)
 	return end, err
@@ -200,7 +252,9 @@
 
 // try is one attempt under way.
 type try struct {
-	x      *exchange
+	x *exchange
+	// ctx ends with the exchange's, or by cancel.
+	ctx    context.Context
 	choice request.Choice
 	// copyFrom is the engine from which the chosen one copies leading parts of
 	// the prompt; "" for none.
@@ -213,15 +267,18 @@
 	events int
 	// refused says why the replica refused; "" if it did not.
 	refused refusal.Reason
-	cancel  context.CancelFunc
+	// cancel ends the attempt by this host's own decision, for a reason.
+	cancel context.CancelCauseFunc
+	// endedHere is that reason, once the attempt has ended by it; nil else.
+	endedHere error
 }
 
 // run makes the call and passes the answer on.
-func (t *try) run(ctx context.Context) (attemptEnd, *problem.Error) {
+func (t *try) run() (attemptEnd, *problem.Error) {
 	x := t.x
 	stop := x.releaseWhenRead()
 	defer stop()
-	resp, err := x.g.client.Do(ctx, t.outgoing())
+	resp, err := x.g.client.Do(t.ctx, t.outgoing())
 	if err != nil {
 		if httpbody.NotSent(err) {
 			return notSent, retryable(problem.New(problem.NoUpstream, "no connection to a replica"), refusedRetry)
@@ -274,6 +331,10 @@
 	if t.x.ctx.Err() != nil {
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer in time")
 	}
+	if t.ctx.Err() != nil {
+		t.endedHere = context.Cause(t.ctx)
+		return failed, problem.New(problem.UpstreamFailed, "this host ended the attempt: %v", t.endedHere)
+	}
 	if httpbody.BrokenOff(err) {
 		t.brokeOff()
 	}
@@ -309,7 +370,7 @@
 		// The replica does not say that it has not run, so that its status
 		// would promise too much.
 		return failed, problem.New(problem.UpstreamFailed, "status %d without a word on execution", resp.StatusCode)
-	case resp.StatusCode >= http.StatusInternalServerError && x.mayRepeat(failed):
+	case resp.StatusCode >= http.StatusInternalServerError && x.repeatDenied(failed) == "":
 		return repeatNow, problem.New(problem.UpstreamFailed, "status %d", resp.StatusCode)
 	}
 	if x.committed {
@@ -387,6 +448,9 @@
 		o.FirstByte = t.first.Sub(t.began)
 	}
 	t.x.g.countAttempt(t.x.service, end, o.Latency)
+	if t.endedHere != nil {
+		t.x.g.countEndedHere(t.x.service, t.endedHere)
+	}
 	t.x.g.noteRefusals(t.x.service, t.choice.Upstream, t.refused)
 	if end == answered || end == repeatNow {
 		t.x.g.quarantine.Served(t.x.content)
--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -35,10 +35,10 @@
 		route: &catalog.Route{Repeat: catalog.Idempotent, Attempts: 2},
 	}
 	resp := &http.Response{StatusCode: http.StatusInternalServerError, Body: io.NopCloser(strings.NewReader("broken"))}
-	end, perr := (&try{x: x, cancel: cancel}).whole(resp, platform.Answer{})
+	end, perr := (&try{x: x, ctx: ctx}).whole(resp, platform.Answer{})
 	Expect(end).To(Equal(repeatNow))
 	cancel()
-	Expect(x.mayRepeat(end)).To(BeFalse())
+	Expect(x.repeatDenied(end)).To(Equal(deniedOver))
 	x.giveUp(perr)
 	Expect(answer.Code).To(Equal(http.StatusBadGateway))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,6 +29,9 @@
 // errEventTooLarge says that an event is over maxEventBytes.
 var errEventTooLarge = errors.New("event too large")
 
+// errSilent says that this host ended an attempt since its replica was silent.
+var errSilent = errors.New("the stream is silent")
+
 // stream passes the events of an answer on as they come.
 func (t *try) stream(resp *http.Response) (attemptEnd, *problem.Error) {
 	x := t.x
@@ -136,8 +139,8 @@
 func (t *try) startWatchdog() *watchdog {
 	x := t.x
 	w := &watchdog{silence: max(minSilence, time.Duration(silenceFactor*float64(x.route.Objective)))}
-	if x.mayRunAgain() {
-		w.timer = clock.AfterFunc(w.silence, t.cancel)
+	if x.anotherRunDenied() == "" {
+		w.timer = clock.AfterFunc(w.silence, func() { t.cancel(errSilent) })
 	}
 	return w
 }
