Have the stand-ins' engines pause, fall silent, report and hold places

An engine's stream can pause after so many events, the head of the answer sent, and go on; and fall silent for good: in one run, on its connection while the run goes on, with a process that hangs, or with one whose port takes no connections. Engines answer GET /-/report with their runs, as of a lag, and POST /-/hold-take and DELETE /-/hold-drop with places that a request uses once; where they are told so they know none of these. A hold that was never given, or was used or given up before, is a fault. The ledger tells how and when each run ended: complete, cancelled by the host, or cut by the replica. To pause is no misbehaviour.

replica.go is split: behaviours, answers, runs, streams, reports and holds have files of their own.

--- /dev/null
+++ b/internal/standin/site/answer.go
@@ -0,0 +1,56 @@
+package site
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Body is the body that a plain replica answers a request with.
+func Body(replica, request string) string { return "answer of " + replica + " to " + request + "\n" }
+
+func (r *Replica) whole(w http.ResponseWriter, id string, b Behaviour) {
+	body := Body(r.ID, id)
+	status := http.StatusOK
+	if b.Status != 0 {
+		status = b.Status
+	}
+	if !b.Unframed && !b.Extra {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	if b.Extra || b.Unframed {
+		r.raw(w, status, body, b)
+		return
+	}
+	w.WriteHeader(status)
+	if b.Truncate {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// raw writes an answer by hand: without a length, or with a second answer
+// behind it.
+func (r *Replica) raw(w http.ResponseWriter, status int, body string, b Behaviour) {
+	conn, buf, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		r.ledger.fault("%s: %v", r.ID, err)
+		return
+	}
+	defer conn.Close()
+	var head strings.Builder
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = w.Header().Write(&head)
+	if b.Extra {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
+	}
+	head.WriteString("\r\n" + body)
+	if b.Extra {
+		head.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+	}
+	_, _ = buf.WriteString(head.String())
+	_ = buf.Flush()
+}
--- a/internal/standin/site/ledger.go
+++ b/internal/standin/site/ledger.go
@@ -23,14 +23,38 @@
 	At time.Time
 	// CopyFrom is the engine from which the replica was told to copy.
 	CopyFrom string
+	// End is how it ended and Ended when; zero while it is under way.
+	End   End
+	Ended time.Time
+}
+
+// End is how a run ended.
+type End uint8
+
+// The ends of runs.
+const (
+	// UnderWay runs have not ended.
+	UnderWay End = iota
+	// Complete runs came to their end, whether the answer arrived or not.
+	Complete
+	// Cancelled runs ended since the host closed the connection.
+	Cancelled
+	// Cut runs ended by the replica's behaviour, or with its process.
+	Cut
+)
+
+// String names the end.
+func (e End) String() string {
+	return [...]string{"under way", "complete", "cancelled", "cut"}[e]
 }
 
 // Ledger holds what ran, over all replicas of a site, and what they found
 // wrong. It is safe for concurrent use.
 type Ledger struct {
 	mu     sync.Mutex
-	runs   []Run
+	runs   []*Run
 	faults []string
+	holds  Holds
 	// results maps the handles that exist to what made them.
 	results map[string]result
 	made    int
@@ -47,12 +71,19 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger { return &Ledger{results: map[string]result{}} }
 
-func (l *Ledger) ran(r Run) {
+func (l *Ledger) ran(r *Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs = append(l.runs, r)
 }
 
+// ended notes the end of a run.
+func (l *Ledger) ended(r *Run, end End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.End, r.Ended = end, time.Now()
+}
+
 func (l *Ledger) fault(format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,8 +105,8 @@
 	defer l.mu.Unlock()
 	var runs []Run
 	for _, r := range l.runs {
-		if counts(r) {
-			runs = append(runs, r)
+		if counts(*r) {
+			runs = append(runs, *r)
 		}
 	}
 	return runs
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -24,51 +24,6 @@
 	Stage
 )
 
-// Behaviour is what a replica does to the requests that it gets. The zero value
-// serves well.
-type Behaviour struct {
-	// Work is how long a request, or a call for pieces, takes.
-	Work time.Duration
-	// ReadToken is how long an engine reads one token of the prompt.
-	ReadToken time.Duration
-	// Status is answered in place of 200, after the run.
-	Status int
-	// Shed refuses requests with a word that they were not run.
-	Shed bool
-	// ShedFree refuses likewise, and tells that it has free places.
-	ShedFree bool
-	// ShedSilently answers 503 without that word, after the run.
-	ShedSilently bool
-	// CutBefore closes the connection after the run and before any answer.
-	CutBefore bool
-	// CutAfterEvents closes the connection inside the event after so many; 0
-	// never does.
-	CutAfterEvents int
-	// Truncate breaks the body of an answer off.
-	Truncate bool
-	// Unframed sends no length.
-	Unframed bool
-	// Extra sends a second answer after the first.
-	Extra bool
-	// Unsigned leaves the signature out.
-	Unsigned bool
-	// Hang answers nothing until the connection closes.
-	Hang bool
-	// Early answers before the body was read.
-	Early bool
-}
-
-// Poison is a body under which a replica's process ends.
-type Poison struct {
-	// Body is "" for none.
-	Body string
-	// After is how long it runs until the process ends, with all its connections,
-	// and Down how long until it starts again under its id; 0 leaves it down.
-	After, Down time.Duration
-	// Crashed is told of each crash under the body; nil for nobody.
-	Crashed func(body string)
-}
-
 // Replica is one replica of a service.
 type Replica struct {
 	ID      string
@@ -81,12 +36,25 @@
 	// Returned is called when the process has started again; nil for nothing. Born
 	// is that of the new start by then.
 	Returned func(*Replica)
+	// ReportLag is how old the reports of an engine are.
+	ReportLag time.Duration
+
+	ledger   *Ledger
+	address  string
+	server   *http.Server
+	listener net.Listener
 
-	ledger    *Ledger
-	address   string
-	server    *http.Server
 	mu        sync.Mutex
 	behaviour Behaviour
+	// pauseAfter and pause are those of PauseStreams.
+	pauseAfter int
+	pause      time.Duration
+	// frozen says that the process has stopped.
+	frozen bool
+	// runs are those under way, and the ended ones that reports may still list.
+	runs []*execution
+	// holds are those that were ever given.
+	holds map[string]*hold
 	// closed says that Close was called, down that the process has crashed and is
 	// not back.
 	closed, down bool
@@ -105,7 +73,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica %s: %w", id, err)
 	}
-	r := &Replica{ID: id, Service: service, Kind: kind, Events: 5, ledger: ledger, address: l.Addr().String()}
+	r := &Replica{ID: id, Service: service, Kind: kind, Events: 5, ledger: ledger, address: l.Addr().String(), holds: map[string]*hold{}}
 	r.serveOn(l)
 	return r, nil
 }
@@ -113,6 +81,7 @@
 // serveOn starts the process.
 func (r *Replica) serveOn(l net.Listener) {
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	r.listener = l
 	server := r.server
 	go func() { _ = server.Serve(l) }() // ends with Close or a crash
 }
@@ -186,10 +155,42 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.behaviour = b
+	b.PauseAfterEvents, b.Pause, b.EventEvery = 0, 0, 0
 	r.misbehaved = r.misbehaved || b != (Behaviour{})
 }
 
-// Misbehaved says whether the replica ever was made to behave other than well.
+// PauseStreams has all streams pause after so many events, however the engine
+// behaves else; a pause of 0 ends that. An engine that pauses does not misbehave.
+func (r *Replica) PauseStreams(afterEvents int, pause time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pauseAfter, r.pause = afterEvents, pause
+}
+
+// Freeze stops the process for good: what it has open is silent, and it takes
+// connections on which nothing is answered.
+func (r *Replica) Freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frozen, r.misbehaved = true, true
+}
+
+// Vanish stops the process as Freeze does, and the port takes no connections.
+func (r *Replica) Vanish() {
+	r.Freeze()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.listener.Close() // what it has open stays open
+}
+
+func (r *Replica) isFrozen() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.frozen
+}
+
+// Misbehaved says whether the replica ever was made to behave other than well. To
+// pause and to make events slowly is well.
 func (r *Replica) Misbehaved() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -207,29 +208,40 @@
 func (r *Replica) current() Behaviour {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.behaviour
+	b := r.behaviour
+	if b.Pause == 0 && b.Silence == Speaking {
+		b.PauseAfterEvents, b.Pause = r.pauseAfter, r.pause
+	}
+	return b
 }
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	b := r.current()
+	if r.isFrozen() {
+		hang(req)
+		return
+	}
 	if want := req.Header.Get("Expected-Replica"); want != "" && want != r.ID {
 		w.Header().Set("Replica-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if b.Shed {
-		refuse(w, http.StatusServiceUnavailable)
+	if b.Hang {
+		hang(req)
 		return
 	}
-	if b.ShedFree {
-		w.Header().Set("Replica-Load", "1,0,8")
+	if r.Kind == Engine && r.order(w, req, b) {
+		return
+	}
+	held := r.useHold(req)
+	if b.Shed && !held {
 		refuse(w, http.StatusServiceUnavailable)
 		return
 	}
-	if b.Hang {
-		_, _ = io.Copy(io.Discard, req.Body)
-		<-req.Context().Done()
+	if b.ShedFree && !held {
+		w.Header().Set("Replica-Load", "1,0,8")
+		refuse(w, http.StatusServiceUnavailable)
 		return
 	}
 	switch {
@@ -244,6 +256,31 @@
 	}
 }
 
+// hang answers nothing until the connection closes.
+func hang(req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body) // a connection is only seen to close behind the body
+	<-req.Context().Done()
+}
+
+// order answers the orders that engines know; it says whether it was one.
+func (r *Replica) order(w http.ResponseWriter, req *http.Request, b Behaviour) bool {
+	name, dropped := strings.CutPrefix(req.URL.Path, "/-/hold-drop/")
+	reported, taken := req.URL.Path == "/-/report", req.URL.Path == "/-/hold-take"
+	switch {
+	case !dropped && !reported && !taken:
+		return false
+	case b.NoOrders:
+		w.WriteHeader(http.StatusNotFound)
+	case reported:
+		r.reportRuns(w)
+	case taken:
+		r.takeHold(w, req, b)
+	default:
+		r.dropHold(w, name)
+	}
+	return true
+}
+
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(status)
@@ -276,27 +313,12 @@
 			r.ledger.fault("%s: request %s has a caller's %s", r.ID, id, name)
 		}
 	}
-	r.ledger.ran(Run{
-		Request: id, Replica: r.ID, Service: r.Service, Tenant: req.Header.Get("Tenant"), Method: req.Method,
-		Target: req.RequestURI, Body: string(body), At: time.Now(), Key: req.Header.Get("X-Api-Key") != "", After: req.Header.Get("Last-Event-Id"),
-		CopyFrom: req.Header.Get("Kv-Fetch"),
-	})
-	r.mu.Lock()
-	poison := r.poison
-	r.mu.Unlock()
-	if poison.Body != "" && poison.Body == string(body) {
-		time.Sleep(poison.After)
-		if r.Crash(poison.Down) && poison.Crashed != nil {
-			poison.Crashed(poison.Body)
-		}
+	e := r.begin(req, id, string(body))
+	defer e.finish()
+	if r.crashesUnder(string(body)) {
 		return
 	}
-	select {
-	case <-time.After(b.Work + time.Duration(promptTokens(req))*b.ReadToken):
-	case <-req.Context().Done():
-		r.mu.Lock()
-		r.cancelled++
-		r.mu.Unlock()
+	if !e.wait(req.Context(), b.Work+time.Duration(promptTokens(req))*b.ReadToken) {
 		return
 	}
 	if b.CutBefore {
@@ -312,10 +334,26 @@
 		w.Header().Set("Response-Signature", "signed."+r.ID+"."+id)
 	}
 	if r.Kind == Engine {
-		r.stream(w, req, b)
+		r.stream(w, req, e, b)
 		return
 	}
 	r.whole(w, id, b)
+	e.complete()
+}
+
+// crashesUnder ends the process if a body is its poison, and says whether it is.
+func (r *Replica) crashesUnder(body string) bool {
+	r.mu.Lock()
+	poison := r.poison
+	r.mu.Unlock()
+	if poison.Body == "" || poison.Body != body {
+		return false
+	}
+	time.Sleep(poison.After)
+	if r.Crash(poison.Down) && poison.Crashed != nil {
+		poison.Crashed(poison.Body)
+	}
+	return true
 }
 
 // promptTokens is the length of the prompt that a request declares; 0 without.
@@ -327,83 +365,3 @@
 	}
 	return n
 }
-
-// Body is the body that a plain replica answers a request with.
-func Body(replica, request string) string { return "answer of " + replica + " to " + request + "\n" }
-
-func (r *Replica) whole(w http.ResponseWriter, id string, b Behaviour) {
-	body := Body(r.ID, id)
-	status := http.StatusOK
-	if b.Status != 0 {
-		status = b.Status
-	}
-	if !b.Unframed && !b.Extra {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	if b.Extra || b.Unframed {
-		r.raw(w, status, body, b)
-		return
-	}
-	w.WriteHeader(status)
-	if b.Truncate {
-		_, _ = io.WriteString(w, body[:len(body)/2])
-		panic(http.ErrAbortHandler)
-	}
-	_, _ = io.WriteString(w, body)
-}
-
-// raw writes an answer by hand: without a length, or with a second answer
-// behind it.
-func (r *Replica) raw(w http.ResponseWriter, status int, body string, b Behaviour) {
-	conn, buf, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		r.ledger.fault("%s: %v", r.ID, err)
-		return
-	}
-	defer conn.Close()
-	var head strings.Builder
-	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
-	_ = w.Header().Write(&head)
-	if b.Extra {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
-	}
-	head.WriteString("\r\n" + body)
-	if b.Extra {
-		head.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
-	}
-	_, _ = buf.WriteString(head.String())
-	_ = buf.Flush()
-}
-
-// Event is event n of the stream that answers a request.
-func Event(request string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n, n, request)
-}
-
-func (r *Replica) stream(w http.ResponseWriter, req *http.Request, b Behaviour) {
-	id := req.Header.Get("Attempt-Id")
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	flusher := http.NewResponseController(w)
-	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	for n := after + 1; n <= r.Events; n++ {
-		e := Event(id, n)
-		if b.CutAfterEvents > 0 && n-after > b.CutAfterEvents {
-			_, _ = io.WriteString(w, e[:len(e)/2])
-			_ = flusher.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := io.WriteString(w, e); err != nil {
-			return
-		}
-		_ = flusher.Flush()
-		select {
-		case <-time.After(2 * time.Millisecond):
-		case <-req.Context().Done():
-			r.mu.Lock()
-			r.cancelled++
-			r.mu.Unlock()
-			return
-		}
-	}
-}
