Test that streams that pause arrive whole, and that gone engines are left

What callers saw: streams broken off some 840 ms after their last event though no engine was slow or failing. Cause: the daemon takes a silence of 0.6 of the objective (0.8 s at least) for the end of the engine, closes the connection and only then asks for budget, another replica, inputs and verdict.

They are plain Go tests whose cases run side by side, so that they can be passed over by name and are quick; the fixture takes the test that it belongs to.

--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -26,6 +26,8 @@
 	safePath = site.SafePath
 	onePath  = site.StreamPath
 	goOnPath = site.ResumePath
+	// longPath streams are as those of goOnPath, with longer to go and one stage.
+	longPath = "/long/"
 )
 
 var nextIP atomic.Uint32
@@ -36,8 +38,17 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", 2+(os.Getpid()>>8+n/perOctet)&0x7f, os.Getpid()&0xff, 1+n%perOctet, port)
 }
 
+// tester is a test: one of Go's, or the spec that runs.
+type tester interface {
+	Helper()
+	Fatalf(format string, args ...any)
+	Cleanup(func())
+}
+
 // fixture is a site with one gateway, or several.
 type fixture struct {
+	*WithT
+	test     tester
 	store    *site.Store
 	ledger   *site.Ledger
 	address  string // of the store
@@ -46,13 +57,19 @@
 	keys     []string
 }
 
-func newFixture() *fixture {
-	f := &fixture{store: site.NewStore(), ledger: site.NewLedger(), replicas: map[string]*site.Replica{}, keys: []string{"key-1"}}
+// newFixture returns the site of a spec.
+func newFixture() *fixture { return newFixtureOf(GinkgoT()) }
+
+// newFixtureOf returns the site of a test, with two replicas of each service.
+func newFixtureOf(t tester) *fixture {
+	f := &fixture{
+		WithT: NewWithT(t), test: t, store: site.NewStore(), ledger: site.NewLedger(), replicas: map[string]*site.Replica{}, keys: []string{"key-1"},
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
+	f.Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
-	DeferCleanup(server.Close)
+	t.Cleanup(func() { _ = server.Close() })
 	f.address = l.Addr().String()
 	f.add("p1", "plain", site.Plain)
 	f.add("p2", "plain", site.Plain)
@@ -67,8 +84,8 @@
 // add starts a replica and registers it.
 func (f *fixture) add(id, service string, kind site.Kind) *site.Replica {
 	r, err := site.StartReplica(f.ledger, id, service, kind, "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(r.Close)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.test.Cleanup(r.Close)
 	f.replicas[id] = r
 	f.register(r, "ready")
 	return r
@@ -94,6 +111,10 @@
 	c["routes"] = append(c["routes"].([]any), map[string]any{
 		"name": "open", "hostname": host, "prefix": "/open/", "route_type": "safe", "service": "plain", "attempts": 2,
 		"timeout_ms": 2000, "goal_ms": 500, "priority": 1, "public": true,
+	}, map[string]any{
+		"name": "long", "hostname": host, "prefix": longPath, "route_type": "streaming", "service": "llm", "attempts": 2, "resumable": true,
+		"timeout_ms": 8000, "goal_ms": 1000, "priority": 1,
+		"stages": []map[string]any{{"service": "encode", "after": []int{}, "bytes": site.ResultBytes}},
 	})
 	c["limits"] = map[string]any{"max_body_bytes": 1000}
 	f.store.Put("op/config", c)
@@ -101,6 +122,8 @@
 
 // running is one gateway.
 type running struct {
+	*WithT
+	test                               tester
 	callers, readiness, metrics, peers string
 
 	stop context.CancelFunc
@@ -112,6 +135,11 @@
 
 // startLogged starts a gateway that logs to log.
 func (f *fixture) startLogged(log *zap.Logger, seeds ...string) *running {
+	return f.startWith(log, nil, seeds...)
+}
+
+// startWith starts a gateway that logs to log; change may alter its settings.
+func (f *fixture) startWith(log *zap.Logger, change func(*gateway.Settings), seeds ...string) *running {
 	self := address(7403)
 	s := &gateway.Settings{
 		Host: self, Name: "gw", FailureDomain: "x", Seeds: append(seeds, self),
@@ -122,22 +150,28 @@
 		Budget: gateway.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Limits: gateway.Limits{Processors: 1, ProcessorShare: 1, MemoryMB: 256},
 	}
+	if change != nil {
+		change(s)
+	}
 	g, err := gateway.New(s, log)
-	Expect(err).NotTo(HaveOccurred())
+	f.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{callers: s.Listen.Callers, readiness: s.Listen.Readiness, metrics: s.Listen.Metrics, peers: self, stop: cancel, done: make(chan error, 1)}
+	r := &running{
+		WithT: f.WithT, test: f.test, callers: s.Listen.Callers, readiness: s.Listen.Readiness, metrics: s.Listen.Metrics, peers: self,
+		stop: cancel, done: make(chan error, 1),
+	}
 	go func() {
 		r.done <- g.Run(ctx)
 		close(r.done)
 	}()
-	DeferCleanup(func() { cancel(); Eventually(r.done, "5s").Should(Or(Receive(), BeClosed())) })
+	f.test.Cleanup(func() { cancel(); f.Eventually(r.done, "5s").Should(Or(Receive(), BeClosed())) })
 	return r
 }
 
 // ready waits until a gateway takes requests.
 func (r *running) ready() *running {
-	GinkgoHelper()
-	Eventually(r.status, "5s").Should(Equal(http.StatusOK))
+	r.test.Helper()
+	r.Eventually(r.status, "5s").Should(Equal(http.StatusOK))
 	return r
 }
 
@@ -163,10 +197,10 @@
 
 // send sends a request and reads the whole answer; change may alter it.
 func (r *running) send(method, path, body string, change func(*http.Request)) (answer, string) {
-	GinkgoHelper()
+	r.test.Helper()
 	id := fmt.Sprintf("%08x", nextID.Add(1))
 	req, err := http.NewRequest(method, "http://"+r.callers+path, bytes.NewReader([]byte(body)))
-	Expect(err).NotTo(HaveOccurred())
+	r.Expect(err).NotTo(HaveOccurred())
 	req.Host = host
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("X-Api-Key", "key-1")
