Ask for the inputs of a further run by when it begins, not by the first run's objective

What callers saw: a stream behind stages whose run ended late, whoever ended it, was broken off; none could go on at another replica.

Cause: the inputs of the further run were to be due by what was left of the objective, which is the first event's. Ruled out: the budget (61 of 61 granted), room (the planner was not loaded), another replica, attempts.

They are due now as those of a request that comes at that moment, and never after the deadline, so that a repeat ranks with new requests: neither before nor behind them.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -226,8 +226,13 @@
 const homeTokens = 1000
 
 // prepare has the stages of the request made, if it has any.
-func (x *exchange) prepare() *problem.Error {
-	j, ok := x.job()
+func (x *exchange) prepare() *problem.Error { return x.prepareSince(x.arrived) }
+
+// prepareSince is prepare for a run that might have begun at a time: the request's
+// arrival, or the end of an earlier attempt. What is left of the objective of an
+// answer that has begun says nothing of when the next run needs its inputs.
+func (x *exchange) prepareSince(began time.Time) *problem.Error {
+	j, ok := x.job(began)
 	if !ok {
 		return nil
 	}
@@ -262,9 +267,9 @@
 const tokenBytes = 2000
 
 // job is the stage work of the request; false when there is none.
-func (x *exchange) job() (stage.Job, bool) {
+func (x *exchange) job(began time.Time) (stage.Job, bool) {
 	j := stage.Job{ID: x.req.ID, Key: x.req.PieceKey, Priority: x.priority(), Deadline: x.deadline}
-	j.Due, j.Latest = x.stagesDue()
+	j.Due, j.Latest = x.stagesDue(began)
 	pieces := 0
 	for i, s := range x.route.Stages {
 		st := stage.Stage{Service: s.Service, After: s.After, ResultBytes: s.ResultBytes}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -217,7 +217,7 @@
 		return nil
 	}
 	x.inputs = nil
-	return x.prepare()
+	return x.prepareSince(clock.Now())
 }
 
 // giveUp ends a request without a replica's answer.
