--- /dev/null
+++ b/core/stall/machine_test.go
@@ -0,0 +1,219 @@
+package stall_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/wheatseam/wheatseam/core/stall"
+)
+
+func TestStall(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Stall")
+}
+
+var (
+	start  = time.Unix(1000, 0)
+	config = stall.Config{
+		Ask: 600 * time.Millisecond, AskEvery: 300 * time.Millisecond, Doubted: 800 * time.Millisecond,
+		Any: 2 * time.Second, SecureEvery: 200 * time.Millisecond,
+	}
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+var _ = Describe("a silent attempt", func() {
+	var m *stall.Machine
+	BeforeEach(func() { m = stall.New(start, config) })
+
+	It("has its replica asked before it is doubted", func() {
+		Expect(m.Tick(at(599))).To(Equal(stall.None))
+		Expect(m.Next(at(599))).To(Equal(at(600)))
+		Expect(m.Tick(at(600))).To(Equal(stall.Ask))
+		Expect(m.Tick(at(1000))).To(Equal(stall.None), "one question at a time")
+	})
+
+	DescribeTable("is left at a doubted replica once another run is secured", func(a stall.Account) {
+		Expect(m.Tick(at(600))).To(Equal(stall.Ask))
+		m.Told(at(600), a)
+		Expect(m.Tick(at(799))).To(Equal(stall.None))
+		Expect(m.Next(at(799))).To(Equal(at(800)))
+		Expect(m.Tick(at(800))).To(Equal(stall.Secure))
+		Expect(m.Left()).To(BeFalse())
+		Expect(m.Secured(at(900))).To(Equal(stall.Leave))
+		Expect(m.Left()).To(BeTrue())
+		Expect(m.Event(at(901))).To(Equal(stall.None), "it is too late")
+	},
+		Entry("that does not answer", stall.NoAnswer),
+		Entry("whose events do not arrive", stall.Ahead),
+		Entry("that does not know it", stall.NotListed),
+	)
+
+	DescribeTable("is borne with at a replica that is not doubted", func(a stall.Account) {
+		Expect(m.Tick(at(600))).To(Equal(stall.Ask))
+		m.Told(at(600), a)
+		for now := 610; now < 2000; now += 10 {
+			switch m.Tick(at(now)) {
+			case stall.None:
+			case stall.Ask:
+				m.Told(at(now), a)
+			default:
+				Fail("it is to be borne with")
+			}
+		}
+		Expect([]stall.Action{m.Tick(at(2000)), m.Tick(at(2000))}).To(ContainElement(stall.Secure), "but not for ever")
+	},
+		Entry("since it is at work", stall.AtWork),
+		Entry("since it does not tell", stall.Untold),
+	)
+
+	It("goes on where it is while nothing can be secured", func() {
+		m.Tick(at(600))
+		m.Told(at(600), stall.NoAnswer)
+		Expect(m.Tick(at(800))).To(Equal(stall.Secure))
+		m.Denied(at(810))
+		Expect(m.Tick(at(900))).To(Equal(stall.Ask), "meanwhile it is asked again")
+		Expect(m.Tick(at(1009))).To(Equal(stall.None))
+		Expect(m.Next(at(1009))).To(Equal(at(1010)))
+		Expect(m.Tick(at(1010))).To(Equal(stall.Secure))
+	})
+
+	It("goes on where it is when an event arrives meanwhile", func() {
+		m.Tick(at(600))
+		m.Told(at(600), stall.NoAnswer)
+		Expect(m.Tick(at(800))).To(Equal(stall.Secure))
+		Expect(m.Event(at(850))).To(Equal(stall.GiveBack))
+		Expect(m.Secured(at(860))).To(Equal(stall.GiveBack))
+		Expect(m.Left()).To(BeFalse())
+		Expect(m.Account()).To(Equal(stall.Untold))
+	})
+
+	It("takes no account of before the last event", func() {
+		m.Tick(at(600))
+		m.Event(at(610))
+		m.Told(at(600), stall.NoAnswer)
+		Expect(m.Account()).To(Equal(stall.Untold))
+	})
+})
+
+// TestSchedules: over any order of events, no run is ended but for one that is
+// secured at that moment and wanted; what is secured is used or given back; and a
+// replica that is silent for good is left as soon as the times and the securing
+// allow.
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := world{m: stall.New(start, config), heard: start}
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			w.now += rapid.IntRange(1, 60).Draw(t, "ms")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				w.event()
+			case 1, 2:
+				if w.asking {
+					w.asking = false
+					w.told(stall.Account(rapid.IntRange(0, 4).Draw(t, "account")))
+				}
+			case 3:
+				if w.securing {
+					w.securing = false
+					w.m.Denied(at(w.now))
+				}
+			case 4, 5:
+				w.secured(t)
+			default:
+				w.tick(t)
+			}
+		}
+		w.silentForGood(t)
+	})
+}
+
+// world is the owner of a machine, and what a check needs to know.
+type world struct {
+	m                *stall.Machine
+	now              int
+	heard            time.Time
+	asked            time.Time
+	asking, securing bool
+	// wanted says that no event has arrived since Secure.
+	wanted  bool
+	account stall.Account
+}
+
+func (w *world) event() {
+	left := w.m.Left()
+	w.m.Event(at(w.now))
+	if !left {
+		w.heard, w.wanted, w.account = at(w.now), false, stall.Untold
+	}
+}
+
+func (w *world) told(a stall.Account) {
+	w.m.Told(w.asked, a)
+	if !w.asked.Before(w.heard) {
+		w.account = a
+	}
+}
+
+func (w *world) secured(t *rapid.T) {
+	if !w.securing {
+		return
+	}
+	w.securing = false
+	switch got := w.m.Secured(at(w.now)); got {
+	case stall.Leave:
+		if !w.wanted {
+			t.Fatal("left though an event arrived since")
+		}
+		silence := at(w.now).Sub(w.heard)
+		if silence < config.Any && !(w.account.Doubted() && silence >= config.Doubted) {
+			t.Fatalf("left after %s of silence, account %s", silence, w.account)
+		}
+	case stall.GiveBack:
+	default:
+		t.Fatalf("what is secured is neither used nor given back: %d", got)
+	}
+}
+
+func (w *world) tick(t *rapid.T) {
+	for {
+		switch w.m.Tick(at(w.now)) {
+		case stall.None:
+			return
+		case stall.Ask:
+			if w.asking {
+				t.Fatal("asked twice at a time")
+			}
+			w.asking, w.asked = true, at(w.now)
+		case stall.Secure:
+			if w.securing {
+				t.Fatal("secured twice at a time")
+			}
+			w.securing, w.wanted = true, true
+		default:
+			t.Fatal("a tick ends nothing")
+		}
+	}
+}
+
+// silentForGood: the replica says nothing more and does not answer, and from now on
+// all can be secured at once.
+func (w *world) silentForGood(t *rapid.T) {
+	const bound = 4000 // ms: Any, and what was under way
+	for end := w.now + bound; w.now < end; w.now += 10 {
+		if w.m.Left() {
+			return
+		}
+		if w.asking {
+			w.asking = false
+			w.told(stall.NoAnswer)
+		}
+		w.secured(t)
+		w.tick(t)
+	}
+	t.Fatal("a replica that is silent for good is not left")
+}
