--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -72,6 +72,15 @@
 	return true
 }
 
+// Return gives back a repeat that was withdrawn and not sent.
+func (b *Shared) Return(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens = min(max(1, b.capacity()), b.tokens+1)
+	b.taken--
+}
+
 // refill brings back what the time since the last call does.
 func (b *Shared) refill(now time.Time) {
 	if !b.at.IsZero() && now.After(b.at) && b.tokens < b.capacity() {
--- a/core/retry/shared_test.go
+++ b/core/retry/shared_test.go
@@ -83,4 +83,18 @@
 		Expect(n).To(Equal(2))
 		Expect(b.Withdraw(start.Add(window))).To(BeTrue(), "half of the part comes back in a window")
 	})
+
+	It("has a repeat back that was not sent, and no more than a full part", func() {
+		b := retry.NewShared(0, 4, window, 1)
+		Expect(b.Withdraw(start)).To(BeTrue())
+		Expect(b.Withdraw(start)).To(BeTrue())
+		Expect(b.Withdraw(start)).To(BeFalse())
+		b.Return(start)
+		Expect(b.Stats().Taken).To(Equal(uint64(1)))
+		Expect(b.Withdraw(start)).To(BeTrue())
+		for range 5 {
+			b.Return(start)
+		}
+		Expect(b.Stats().Tokens).To(BeNumerically("<=", 2))
+	})
 })
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -16,11 +16,8 @@
 // maxStageAnswer bounds the answer of a call: handles of some 40 bytes each.
 const maxStageAnswer = 1 << 20
 
-// The errors of calls that did not run.
-var (
-	errOtherReplica = errors.New("another replica has the address")
-	errNotExecuted  = errors.New("not executed")
-)
+// errNotExecuted: the replica says that it did not run a call.
+var errNotExecuted = errors.New("not executed")
 
 // RunPieces asks a replica for pieces and says how that ended; the error says
 // why there are no results.
@@ -43,7 +40,7 @@
 	raw, err := httpbody.Read(resp.Body, maxStageAnswer)
 	switch {
 	case answer.OtherReplica:
-		return nil, stage.CallUnreachable, errOtherReplica
+		return nil, stage.CallUnreachable, ErrOtherReplica
 	case answer.NotExecuted:
 		return nil, stage.CallNotExecuted, fmt.Errorf("%w: status %d", errNotExecuted, resp.StatusCode)
 	case err != nil:
