End a silent run only for one that is secured

Cause: a silence of 0.6 of the objective was taken for the engine's end. The host closed the connection and asked only then for budget, attempts, another replica, inputs, verdict and time; each "no" cost the caller the answer.

Now core/stall decides. The engine is asked for its account first; one that lists the run and has made nothing more than arrived is left alone until twice the objective. For one that does not answer, has made more, or does not know the run, a repeat, the inputs and a place held at another engine are secured while the first run goes on, and only then is it ended. An event that arrives meanwhile has all of it given back. An event that a slow caller does not take is no silence of the engine's.

Why it holds: nothing that may be denied is asked after the end any more; the place is held by the engine itself.

Streams of engines that are gone go on elsewhere as before.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,8 @@
 	tried []string
 	runs  int
 	spare int
+	// next is what the next attempt is to be, if it has been secured.
+	next *replacement
 	// noRepeat says why no attempt followed the last one.
 	noRepeat denial
 	// committed says that the head of the answer has been sent, lastEvent the
@@ -87,6 +89,7 @@
 	}
 	defer x.log()
 	defer x.returnTrial()
+	defer x.returnNext()
 	if err := x.accept(); err != nil {
 		x.refuse(err)
 		return
@@ -225,18 +228,42 @@
 // the engine that holds it is: reading that many tokens again takes some 20 ms.
 const homeTokens = 1000
 
+// inputs are the results of the stages that an engine reads.
+type inputs struct {
+	handles []string
+	// domain is where they lie; "" when that does not matter.
+	domain string
+}
+
 // prepare has the stages of the request made, if it has any.
 func (x *exchange) prepare() *problem.Error { return x.prepareSince(x.arrived) }
 
 // prepareSince is prepare for a run that might have begun at a time: the request's
-// arrival, or the end of an earlier attempt. What is left of the objective of an
-// answer that has begun says nothing of when the next run needs its inputs.
+// arrival, or the end of an earlier attempt.
 func (x *exchange) prepareSince(began time.Time) *problem.Error {
+	in, perr := x.makeInputs(x.ctx, began)
+	if in != nil {
+		x.takeInputs(in)
+	}
+	return perr
+}
+
+// takeInputs has the next attempt read the inputs.
+func (x *exchange) takeInputs(in *inputs) {
+	x.inputs, x.domain = in.handles, in.domain
+	x.preparedAt = clock.Now()
+}
+
+// makeInputs has the stages of the request made, if it has any, and holds their
+// results; nil without stages. They are due by a run that might have begun at a
+// time: what is left of the objective of an answer that has begun says nothing of
+// when the next run needs them. It changes nothing else of the exchange.
+func (x *exchange) makeInputs(ctx context.Context, began time.Time) (*inputs, *problem.Error) {
 	j, ok := x.job(began)
 	if !ok {
-		return nil
+		return nil, nil
 	}
-	ctx, cancel := context.WithCancel(x.ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(x.g.preparing, cancel)()
 	if !x.trial {
@@ -248,17 +275,16 @@
 	}
 	if end.Refused != nil {
 		if perr := x.quarantined(); perr != nil {
-			return perr
+			return nil, perr
 		}
-		return x.refusal(end.Refused)
+		return nil, x.refusal(end.Refused)
 	}
-	x.inputs = end.Ready.Handles
+	in := &inputs{handles: end.Ready.Handles}
 	x.prepared.Store(true)
 	if _, tokens := x.prefix(); end.Ready.DomainBytes > int64(tokens)*tokenBytes {
-		x.domain = end.Ready.Domain
+		in.domain = end.Ready.Domain
 	}
-	x.preparedAt = clock.Now()
-	return nil
+	return in, nil
 }
 
 // tokenBytes is how many bytes of inputs that cross failure domains cost what
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,9 +14,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/wheatseam/wheatseam/core/member"
-	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/discovery"
@@ -52,6 +52,8 @@
 	budgets sync.Map // service name to *retry.Shared
 	inputs  inputsHold
 	streams *streamTimes
+	// accounts has each engine asked once for all who want its account.
+	accounts singleflight.Group
 
 	refusals *refusals
 	prompts  prompts
@@ -229,7 +231,7 @@
 }
 
 // budget returns this daemon's part of the budget of repeats to a service.
-func (g *Gateway) budget(service string) request.Budget {
+func (g *Gateway) budget(service string) *retry.Shared {
 	hosts := max(g.fleet.Size(), assumedHosts)
 	if b, ok := g.budgets.Load(service); ok {
 		shared := b.(*retry.Shared)
--- a/gateway/inputs.go
+++ b/gateway/inputs.go
@@ -69,6 +69,13 @@
 	return clock.AfterFunc(x.g.inputs.get(), x.releaseInputs).Stop
 }
 
+// keepInputs has the inputs of an attempt stay, also beyond the time when the
+// engine must have read them. It says whether they are still held.
+func (t *try) keepInputs() bool {
+	t.stopRelease()
+	return t.x.prepared.Load()
+}
+
 // inputsGone notes that an engine found inputs gone. If they were still held,
 // their holder is to blame, not the time.
 func (x *exchange) inputsGone() {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -14,6 +14,7 @@
 
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/core/retry"
+	"github.com/wheatseam/wheatseam/core/stall"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -76,9 +77,21 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_repeats_denied_total{service=%q,reason=%q}", service, reason)).Inc()
 }
 
-// countEndedHere counts an attempt that this host ended by its own decision.
-func (g *Gateway) countEndedHere(service string, reason error) {
-	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_attempts_ended_here_total{service=%q,reason=%q}", service, reason)).Inc()
+// countEndedHere counts an attempt that this host ended by its own decision, by what
+// was known of the run.
+func (g *Gateway) countEndedHere(service string, a stall.Account) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_attempts_ended_here_total{service=%q,account=%q}", service, a)).Inc()
+}
+
+// countAccount counts an engine's account of a run that it was asked for.
+func (g *Gateway) countAccount(service string, a stall.Account) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_run_accounts_total{service=%q,account=%q}", service, a)).Inc()
+}
+
+// countReplacement counts what became of securing another run: used, given back, or
+// why it was denied.
+func (g *Gateway) countReplacement(service, result string) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replacements_total{service=%q,result=%q}", service, result)).Inc()
 }
 
 // countEnd counts a replica that ended under attempts.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,6 +38,8 @@
 	failed
 	// repeatNow: as failed, and the repeat is allowed already.
 	repeatNow
+	// left: this host ended the attempt in favour of one that is secured.
+	left
 	// abandoned: the caller left or the time is over.
 	abandoned
 )
@@ -53,6 +55,8 @@
 		return "not_executed"
 	case inputsGone:
 		return "inputs_gone"
+	case left:
+		return "left"
 	case abandoned:
 		return "abandoned"
 	}
@@ -73,21 +77,13 @@
 func (x *exchange) relay() {
 	x.g.budget(x.service).Deposit(clock.Now())
 	for {
-		if perr := x.quarantined(); perr != nil {
-			x.giveUp(perr)
-			return
-		}
-		if perr := x.holdInputs(); perr != nil {
-			x.giveUp(perr)
-			return
-		}
-		choice, perr := x.g.router.Pick(clock.Now(), x.query(), nil)
+		choice, hold, perr := x.nextReplica()
 		if perr != nil {
 			x.giveUp(perr)
 			return
 		}
 		x.tried = append(x.tried, choice.Upstream)
-		end, perr := x.attempt(choice, x.engineSent(choice))
+		end, perr := x.attempt(choice, hold)
 		if end == answered {
 			return
 		}
@@ -102,6 +98,24 @@
 	}
 }
 
+// nextReplica returns the replica of the next attempt and the place that is held
+// there; "" for none. What was secured when the last attempt was ended needs no
+// further condition.
+func (x *exchange) nextReplica() (c request.Choice, hold string, perr *problem.Error) {
+	if x.next != nil {
+		c, hold = x.takeNext()
+		return c, hold, nil
+	}
+	if perr = x.quarantined(); perr != nil {
+		return c, "", perr
+	}
+	if perr = x.holdInputs(); perr != nil {
+		return c, "", perr
+	}
+	c, perr = x.g.router.Pick(clock.Now(), x.query(), nil)
+	return c, "", perr
+}
+
 // engineSent notes that an engine is being sent the prompt, and returns from
 // whom it can copy what it lacks; "" for other services.
 func (x *exchange) engineSent(c request.Choice) (copyFrom string) {
@@ -157,7 +171,7 @@
 	switch end {
 	case notSent, notExecuted, inputsGone:
 		return x.freeRepeatDenied(end)
-	case repeatNow:
+	case repeatNow, left:
 		return ""
 	case failed:
 		return x.secondRunDenied()
@@ -183,7 +197,7 @@
 	if d := x.anotherRunDenied(); d != "" {
 		return d
 	}
-	if !x.resumable() {
+	if !x.resumableAfter(progress{committed: x.committed, lastEvent: x.lastEvent}) {
 		return deniedCommitted
 	}
 	if !x.g.budget(x.service).Withdraw(clock.Now()) {
@@ -205,9 +219,9 @@
 	return ""
 }
 
-// resumable says whether a further attempt can go on where the answer stands.
-func (x *exchange) resumable() bool {
-	return !x.committed || x.route.Resumable && x.lastEvent != ""
+// resumableAfter says whether a further attempt can go on where the answer stands.
+func (x *exchange) resumableAfter(at progress) bool {
+	return !at.committed || x.route.Resumable && at.lastEvent != ""
 }
 
 // holdInputs has the stages made again if their results were given up after an
@@ -240,10 +254,10 @@
 
 // attempt sends the request to one replica. The error says what to answer if
 // it is the last attempt.
-func (x *exchange) attempt(choice request.Choice, copyFrom string) (attemptEnd, *problem.Error) {
+func (x *exchange) attempt(choice request.Choice, hold string) (attemptEnd, *problem.Error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	t := &try{x: x, ctx: ctx, choice: choice, copyFrom: copyFrom, began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
+	t := &try{x: x, ctx: ctx, choice: choice, hold: hold, copyFrom: x.engineSent(choice), began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
 	end, err := t.run()
 	t.report(end)
 	t.log(end, err)
@@ -259,7 +273,9 @@
 	// copyFrom is the engine from which the chosen one copies leading parts of
 	// the prompt; "" for none.
 	copyFrom string
-	began    time.Time
+	// hold is the place held for the request; "" for none.
+	hold  string
+	began time.Time
 	// asleep is for how long this host had slept when the attempt began.
 	asleep time.Duration
 	first  time.Time
@@ -270,14 +286,16 @@
 	// cancel ends the attempt by this host's own decision, for a reason.
 	cancel context.CancelCauseFunc
 	// endedHere is that reason, once the attempt has ended by it; nil else.
-	endedHere error
+	endedHere *leftError
+	// stopRelease keeps the inputs from being given up by time.
+	stopRelease func() bool
 }
 
 // run makes the call and passes the answer on.
 func (t *try) run() (attemptEnd, *problem.Error) {
 	x := t.x
-	stop := x.releaseWhenRead()
-	defer stop()
+	t.stopRelease = x.releaseWhenRead()
+	defer t.stopRelease()
 	resp, err := x.g.client.Do(t.ctx, t.outgoing())
 	if err != nil {
 		if httpbody.NotSent(err) {
@@ -314,7 +332,7 @@
 	x := t.x
 	a := platform.Attempt{
 		Replica: t.choice.Upstream, Left: clock.Until(x.deadline), Priority: -1,
-		Inputs: x.inputs, LastEvent: x.lastEvent, CopyFrom: t.copyFrom,
+		Inputs: x.inputs, LastEvent: x.lastEvent, CopyFrom: t.copyFrom, Hold: t.hold,
 	}
 	a.Tenant = x.customer()
 	if x.route.Streaming {
@@ -331,9 +349,8 @@
 	if t.x.ctx.Err() != nil {
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer in time")
 	}
-	if t.ctx.Err() != nil {
-		t.endedHere = context.Cause(t.ctx)
-		return failed, problem.New(problem.UpstreamFailed, "this host ended the attempt: %v", t.endedHere)
+	if errors.As(context.Cause(t.ctx), &t.endedHere) {
+		return left, problem.New(problem.UpstreamFailed, "this host ended the attempt: %v", t.endedHere)
 	}
 	if httpbody.BrokenOff(err) {
 		t.brokeOff()
@@ -449,7 +466,7 @@
 	}
 	t.x.g.countAttempt(t.x.service, end, o.Latency)
 	if t.endedHere != nil {
-		t.x.g.countEndedHere(t.x.service, t.endedHere)
+		t.x.g.countEndedHere(t.x.service, t.endedHere.account)
 	}
 	t.x.g.noteRefusals(t.x.service, t.choice.Upstream, t.refused)
 	if end == answered || end == repeatNow {
@@ -463,6 +480,11 @@
 		o.Result = request.CallRefused
 	case notSent, failed, repeatNow:
 		o.Result = request.CallFailed
+	case left:
+		o.Result = request.CallCancelled
+		if t.endedHere != nil && t.endedHere.blamed() {
+			o.Result = request.CallFailed
+		}
 	case abandoned:
 		o.Result = request.CallCancelled
 	}
--- /dev/null
+++ b/gateway/replacement.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/logging"
+	"github.com/wheatseam/wheatseam/replica"
+)
+
+// replacement is everything that a further run of a request needs: a repeat of the
+// budget, a replica with a place held for the request, and the inputs.
+type replacement struct {
+	choice request.Choice
+	// hold is the place held there; "" where the replica holds none.
+	hold string
+	// inputs are those of the run; nil for a request without stages.
+	inputs *inputs
+}
+
+const (
+	// holdTimeout bounds holding a place at one replica; one that takes longer has
+	// no room to speak of.
+	holdTimeout = 250 * time.Millisecond
+	// holdLife is for how long a place is held: the run is sent at once.
+	holdLife = time.Second
+	// maxHoldTries bounds the replicas that are asked for a place.
+	maxHoldTries = 3
+)
+
+// The reasons of a denial beside those of a repeat.
+const (
+	// deniedTime: not enough time is left.
+	deniedTime denial = "time_short"
+	// deniedVerdict: the request is condemned.
+	deniedVerdict denial = "quarantined"
+	// deniedInputs: the stages can't be made again.
+	deniedInputs denial = "inputs"
+	// deniedReplica: no other replica takes it.
+	deniedReplica denial = "no_replica"
+	// deniedMeanwhile: it is not wanted any more.
+	deniedMeanwhile denial = "not_wanted"
+)
+
+// secure secures a further run of the request while an attempt is under way. It is
+// called beside the exchange's own goroutine and changes nothing of the exchange
+// but prepared. What is returned is owed to giveBack, unless it is used.
+func (x *exchange) secure(ctx context.Context, t *try, at progress) (*replacement, denial) {
+	if d := x.furtherRunDenied(at); d != "" {
+		return nil, d
+	}
+	budget := x.g.budget(x.service)
+	if !budget.Withdraw(clock.Now()) {
+		return nil, deniedBudget
+	}
+	r, d := x.secureRun(ctx, t)
+	if r == nil {
+		budget.Return(clock.Now())
+	}
+	return r, d
+}
+
+// furtherRunDenied says what speaks against a further run that begins now; "" for
+// nothing.
+func (x *exchange) furtherRunDenied(at progress) denial {
+	expected, _ := x.g.streams.expect(x.service, x.route.Name, x.ownTokens())
+	switch {
+	case !x.resumableAfter(at):
+		return deniedCommitted
+	case clock.Until(x.deadline) <= expected:
+		return deniedTime
+	case x.quarantined() != nil:
+		return deniedVerdict
+	}
+	return x.anotherRunDenied()
+}
+
+// secureRun secures the inputs and a replica.
+func (x *exchange) secureRun(ctx context.Context, t *try) (*replacement, denial) {
+	r := &replacement{}
+	if !x.otherReplica() {
+		return nil, deniedReplica
+	}
+	if len(x.inputs) > 0 && !t.keepInputs() {
+		in, perr := x.makeInputs(ctx, clock.Now())
+		if perr != nil {
+			return nil, deniedOr(ctx, deniedInputs)
+		}
+		r.inputs = in
+	}
+	if !x.holdPlace(ctx, r) {
+		x.releaseNew(r)
+		return nil, deniedOr(ctx, deniedReplica)
+	}
+	return r, ""
+}
+
+// deniedOr is a denial, or that the replacement is not wanted any more.
+func deniedOr(ctx context.Context, d denial) denial {
+	if ctx.Err() != nil {
+		return deniedMeanwhile
+	}
+	return d
+}
+
+// otherReplica says whether a replica takes requests that was not tried: inputs
+// are made again for nothing where none does.
+func (x *exchange) otherReplica() bool {
+	choice, perr := x.g.router.Pick(clock.Now(), x.query(), nil)
+	if perr != nil {
+		return false
+	}
+	x.unpick(choice, request.CallCancelled)
+	return !slices.Contains(x.tried, choice.Upstream)
+}
+
+// holdPlace picks a replica that was not tried and has a place held there.
+func (x *exchange) holdPlace(ctx context.Context, r *replacement) bool {
+	q := x.query()
+	if r.inputs != nil {
+		q.Domain = r.inputs.domain
+	}
+	for range maxHoldTries {
+		choice, perr := x.g.router.Pick(clock.Now(), q, nil)
+		if perr != nil {
+			return false
+		}
+		if slices.Contains(q.Tried, choice.Upstream) {
+			x.unpick(choice, request.CallCancelled)
+			return false
+		}
+		hold, result := x.hold(ctx, choice)
+		if result == request.CallOK {
+			r.choice, r.hold = choice, hold
+			return true
+		}
+		x.unpick(choice, result)
+		q.Tried = append(slices.Clip(q.Tried), choice.Upstream)
+	}
+	return false
+}
+
+// hold has a place held at a replica. CallOK says that the request may be sent
+// there; a replica that answers and holds no places takes it like any other.
+func (x *exchange) hold(ctx context.Context, c request.Choice) (string, request.CallResult) {
+	ctx, cancel := clock.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	hold, err := x.g.client.Hold(ctx, c.Upstream, c.Address, x.req.PromptTokens+x.req.OutputTokens, holdLife)
+	switch {
+	case err == nil:
+		return hold, request.CallOK
+	case errors.Is(err, replica.ErrUnknownCall):
+		return "", request.CallOK
+	}
+	x.g.log.Info("no place held", logging.Request(x.req.ID), zap.String("replica", c.Upstream), zap.Error(err))
+	if errors.Is(err, replica.ErrNoRoom) {
+		return "", request.CallRefused
+	}
+	return "", request.CallCancelled
+}
+
+// unpick ends a pick for which nothing was sent.
+func (x *exchange) unpick(c request.Choice, result request.CallResult) {
+	x.g.router.Done(clock.Now(), request.Outcome{Choice: c, Stage: x.route.Name, Result: result})
+}
+
+// giveBack gives a replacement back that is not used.
+func (x *exchange) giveBack(r *replacement) {
+	x.g.budget(x.service).Return(clock.Now())
+	x.unpick(r.choice, request.CallCancelled)
+	x.releaseNew(r)
+	if r.hold != "" {
+		go x.dropHold(r)
+	}
+}
+
+// releaseNew gives the inputs up that were made for a replacement; those that it
+// shares with the run under way stay that one's.
+func (x *exchange) releaseNew(r *replacement) {
+	if r.inputs != nil {
+		x.releaseInputs()
+	}
+}
+
+// dropHold gives a held place back before it lapses.
+func (x *exchange) dropHold(r *replacement) {
+	ctx, cancel := clock.WithTimeout(context.Background(), holdTimeout)
+	defer cancel()
+	if err := x.g.client.DropHold(ctx, r.choice.Upstream, r.choice.Address, r.hold); err != nil {
+		x.g.log.Info("held place not given back", logging.Request(x.req.ID), zap.String("replica", r.choice.Upstream), zap.Error(err))
+	}
+}
+
+// takeNext has the next attempt be the one that was secured.
+func (x *exchange) takeNext() (request.Choice, string) {
+	r := x.next
+	x.next = nil
+	if r.inputs != nil {
+		x.takeInputs(r.inputs)
+	}
+	return r.choice, r.hold
+}
+
+// returnNext gives a replacement back that the exchange did not come to use.
+func (x *exchange) returnNext() {
+	if x.next != nil {
+		x.giveBack(x.next)
+		x.next = nil
+	}
+}
--- /dev/null
+++ b/gateway/silence.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/core/stall"
+	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/logging"
+	"github.com/wheatseam/wheatseam/platform"
+	"github.com/wheatseam/wheatseam/replica"
+)
+
+const (
+	// doubtedFactor times a stream's objective without an event, at least
+	// doubtedLeast, is when a replica that is doubted is left: the rest of the
+	// objective is what another one has for its first event.
+	doubtedFactor = 0.6
+	doubtedLeast  = 800 * time.Millisecond
+	// anyFactor times the objective, at least anyLeast, is when any replica is left.
+	// Callers leave after four times the objective.
+	anyFactor = 2.0
+	anyLeast  = 2 * time.Second
+	// askTimeout bounds asking a replica for its account. It is asked so much
+	// before it would be left.
+	askTimeout = 200 * time.Millisecond
+	// secureEvery is the pause after which what could not be secured is tried again:
+	// another request of this daemon may have brought a repeat meanwhile.
+	secureEvery = 200 * time.Millisecond
+)
+
+// progress is how far a stream has come.
+type progress struct {
+	// committed says that the caller has the head of the answer, and lastEvent is
+	// the id of the last event that it has.
+	committed bool
+	lastEvent string
+	// events is the number of events that the replica must have made.
+	events int
+}
+
+// watch is the watch over one attempt's silences. core/stall decides; watch asks,
+// secures, and ends the attempt. It is safe for concurrent use.
+type watch struct {
+	t  *try
+	mu sync.Mutex
+	m  *stall.Machine
+	// timer calls tick; nil for streams that can't go on elsewhere.
+	timer *clock.Timer
+	// passing says that an event is being passed on: a caller that does not read is
+	// no silence of the replica's.
+	passing bool
+	at      progress
+	stopped bool
+	// stopSecuring ends what is being secured, and securing is done with it.
+	stopSecuring context.CancelFunc
+	securing     sync.WaitGroup
+	// next is what the run was ended for.
+	next *replacement
+}
+
+// leftError says why this host ended an attempt.
+type leftError struct {
+	account stall.Account
+	silence time.Duration
+}
+
+// Error implements error.
+func (e *leftError) Error() string {
+	return fmt.Sprintf("left after %s of silence, its own account: %s", e.silence.Round(time.Millisecond), e.account)
+}
+
+// blamed says whether the replica is to blame by its own account, or by none.
+func (e *leftError) blamed() bool { return e.account.Doubted() }
+
+// startWatch watches the stream of an attempt.
+func (t *try) startWatch() *watch {
+	x := t.x
+	objective := float64(x.route.Objective)
+	doubted := max(doubtedLeast, time.Duration(doubtedFactor*objective))
+	w := &watch{t: t, at: progress{committed: x.committed, lastEvent: x.lastEvent, events: t.arrivedEvents()}, m: stall.New(clock.Now(), stall.Config{
+		Ask: doubted - askTimeout, AskEvery: 2 * askTimeout, Doubted: doubted,
+		Any: max(anyLeast, time.Duration(anyFactor*objective)), SecureEvery: secureEvery,
+	})}
+	if x.anotherRunDenied() == "" {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.timer = clock.AfterFunc(doubted-askTimeout, w.tick)
+	}
+	return w
+}
+
+// arrived notes that an event has arrived and is about to be passed on. It says
+// whether the run goes on here.
+func (w *watch) arrived() (goesOn bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.passing = true
+	if w.m.Event(clock.Now()) == stall.GiveBack {
+		w.stopSecuring()
+	}
+	return !w.m.Left()
+}
+
+// passed notes that the event has been passed on.
+func (w *watch) passed(p progress) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.passing, w.at = false, p
+	w.m.Event(clock.Now()) // nothing is secured while an event is passed on
+}
+
+// stop ends the watch and returns what the run was ended for; nil if this host did
+// not end it.
+func (w *watch) stop() *replacement {
+	w.mu.Lock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if w.stopSecuring != nil {
+		w.stopSecuring()
+	}
+	w.mu.Unlock()
+	w.securing.Wait()
+	return w.next
+}
+
+// tick carries out what is due.
+func (w *watch) tick() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.m.Left() {
+		return
+	}
+	now := clock.Now()
+	for !w.passing {
+		a := w.m.Tick(now)
+		if a == stall.None {
+			break
+		}
+		w.perform(now, a)
+	}
+	w.timer.Reset(w.m.Next(now).Sub(now))
+}
+
+// perform carries one action out; the lock is held.
+func (w *watch) perform(now time.Time, a stall.Action) {
+	switch a {
+	case stall.Ask:
+		go w.ask(now)
+	case stall.Secure:
+		ctx, cancel := context.WithCancel(w.t.ctx)
+		w.stopSecuring = cancel
+		at := w.at
+		w.securing.Go(func() { w.secure(ctx, at) })
+	}
+}
+
+// ask asks the replica for its account.
+func (w *watch) ask(now time.Time) {
+	runs, err := w.t.x.g.accountOf(w.t.choice)
+	w.mu.Lock()
+	made, account := judge(runs, err, w.t.x.req.ID, w.at.events)
+	w.m.Told(now, account)
+	silence := w.m.Silence(clock.Now())
+	w.mu.Unlock()
+	w.t.x.g.countAccount(w.t.x.service, account)
+	w.t.x.g.log.Info("replica asked for its account", logging.Request(w.t.x.req.ID), zap.String("replica", w.t.choice.Upstream),
+		zap.Stringer("account", account), zap.Int("made", made), zap.Int("waiting", runs.Waiting), zap.Int("runs", len(runs.Made)),
+		zap.Duration("silence", silence), zap.Duration("took", clock.Since(now)), zap.Error(err))
+	w.tick()
+}
+
+// judge says what a replica's answer means for a run of which so many events have
+// arrived.
+func judge(runs platform.Runs, err error, id string, arrived int) (made int, a stall.Account) {
+	made, listed := runs.Made[id]
+	switch {
+	case errors.Is(err, replica.ErrUnknownCall) || errors.Is(err, platform.ErrMalformed):
+		return made, stall.Untold
+	case err != nil:
+		return made, stall.NoAnswer
+	case listed && made > arrived:
+		return made, stall.Ahead
+	case listed:
+		return made, stall.AtWork
+	case !runs.Told || runs.Waiting > 0:
+		// A run that was put off for others waits for its turn.
+		return made, stall.Untold
+	}
+	return made, stall.NotListed
+}
+
+// accountOf asks an engine for its account of its runs, once for all who want it.
+func (g *Gateway) accountOf(c request.Choice) (platform.Runs, error) {
+	runs, err, _ := g.accounts.Do(c.Upstream+" "+c.Address, func() (any, error) {
+		ctx, cancel := clock.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		return g.client.Runs(ctx, c.Upstream, c.Address)
+	})
+	return runs.(platform.Runs), err
+}
+
+// secure secures another run and ends this one for it.
+func (w *watch) secure(ctx context.Context, at progress) {
+	x := w.t.x
+	r, denied := x.secure(ctx, w.t, at)
+	now := clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopSecuring()
+	if r == nil {
+		w.m.Denied(now)
+		x.g.countReplacement(x.service, string(denied))
+		x.g.log.Info("no replacement", logging.Request(x.req.ID), zap.String("reason", string(denied)),
+			zap.Stringer("account", w.m.Account()), zap.Duration("silence", w.m.Silence(now)))
+		return
+	}
+	if w.m.Secured(now) != stall.Leave || w.stopped {
+		x.giveBack(r)
+		x.g.countReplacement(x.service, "given_back")
+		return
+	}
+	w.next = r
+	x.g.countReplacement(x.service, "used")
+	w.t.cancel(&leftError{account: w.m.Account(), silence: w.m.Silence(now)})
+}
+
+// arrivedEvents is the number of events that have arrived of a run, also where it
+// goes on after one that the caller had before.
+func (t *try) arrivedEvents() int {
+	return max(t.events, eventNumber(t.x.lastEvent), eventNumber(t.x.req.LastEvent))
+}
+
+// eventNumber is the number that an event's id is; 0 for an id that is none.
+func eventNumber(id string) int {
+	n, err := strconv.Atoi(id)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/platform"
@@ -19,25 +18,31 @@
 	maxEventBytes = 1 << 20
 	// streamBuffer is the read buffer of a stream: several events.
 	streamBuffer = 4 << 10
-	// silenceFactor times a stream's objective without an event is when a
-	// stream that may go on elsewhere is given up at this replica, at least
-	// minSilence. Callers leave after four times the objective.
-	silenceFactor = 0.6
-	minSilence    = 800 * time.Millisecond
 )
 
 // errEventTooLarge says that an event is over maxEventBytes.
 var errEventTooLarge = errors.New("event too large")
 
-// errSilent says that this host ended an attempt since its replica was silent.
-var errSilent = errors.New("the stream is silent")
-
-// stream passes the events of an answer on as they come.
+// stream passes the events of an answer on as they come, and watches for silences.
 func (t *try) stream(resp *http.Response) (attemptEnd, *problem.Error) {
+	w := t.startWatch()
+	end, perr := t.passEvents(resp, w)
+	next := w.stop()
+	switch {
+	case next == nil:
+	case end == left || end == failed:
+		t.x.next = next
+		return left, perr
+	default:
+		t.x.giveBack(next)
+	}
+	return end, perr
+}
+
+// passEvents passes the events on until the stream ends.
+func (t *try) passEvents(resp *http.Response, w *watch) (attemptEnd, *problem.Error) {
 	x := t.x
 	events := newEventReader(resp.Body)
-	watchdog := t.startWatchdog()
-	defer watchdog.stop()
 	for {
 		event, err := events.next()
 		if err == io.EOF {
@@ -46,23 +51,23 @@
 		if err != nil {
 			return t.broken(err)
 		}
-		watchdog.reset()
+		goesOn := w.arrived()
 		t.events++
 		if t.first.IsZero() {
-			t.firstEvent()
-		}
-		if x.seen(event.id) {
-			continue
+			t.firstEvent(goesOn)
 		}
-		if err := x.send(resp, event); err != nil {
-			return abandoned, problem.New(problem.CallerGone, "the caller does not read: %v", err)
+		if !x.seen(event.id) {
+			if err := x.send(resp, event); err != nil {
+				return abandoned, problem.New(problem.CallerGone, "the caller does not read: %v", err)
+			}
 		}
+		w.passed(progress{committed: x.committed, lastEvent: x.lastEvent, events: t.arrivedEvents()})
 	}
 }
 
 // firstEvent notes the time to the first event and gives the inputs up: the
-// replica has read them.
-func (t *try) firstEvent() {
+// replica has read them. If the run does not go on here, the next one has them.
+func (t *try) firstEvent(goesOn bool) {
 	x := t.x
 	t.first = clock.Now()
 	if x.firstAt.IsZero() {
@@ -73,7 +78,9 @@
 	if len(x.inputs) > 0 {
 		x.g.inputs.read()
 	}
-	x.releaseInputs()
+	if goesOn {
+		x.releaseInputs()
+	}
 }
 
 // endStream ends the answer after the replica's last event.
@@ -129,34 +136,6 @@
 	return err == nil && lastErr == nil && n <= last
 }
 
-// watchdog gives an attempt up when its stream is silent for too long. It does
-// nothing for streams that cannot go on elsewhere.
-type watchdog struct {
-	timer   *clock.Timer
-	silence time.Duration
-}
-
-func (t *try) startWatchdog() *watchdog {
-	x := t.x
-	w := &watchdog{silence: max(minSilence, time.Duration(silenceFactor*float64(x.route.Objective)))}
-	if x.anotherRunDenied() == "" {
-		w.timer = clock.AfterFunc(w.silence, func() { t.cancel(errSilent) })
-	}
-	return w
-}
-
-func (w *watchdog) reset() {
-	if w.timer != nil {
-		w.timer.Reset(w.silence)
-	}
-}
-
-func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
 // event is one event of a stream, with its blank line. raw is valid until the
 // next event is read.
 type event struct {
