Take no time in which the host stood still for a silence

What callers saw: a stream was begun again at another engine as its host woke.

Cause: the watch compared the time of the last event with the time after the sleep, while what the engine had sent meanwhile waited to be read. The same after a stop of the process.

A tick that comes late, or after a sleep, tells core/stall so, and the silence begins then.

--- a/core/stall/machine.go
+++ b/core/stall/machine.go
@@ -108,6 +108,10 @@
 	return None
 }
 
+// Awake notes that this host stood still until now, asleep or without processor time.
+// What the replica sent meanwhile is yet to be read: its silence begins now.
+func (m *Machine) Awake(now time.Time) Action { return m.Event(now) }
+
 // Told notes the replica's account, for which it was asked at a time. One from
 // before the last event says nothing any more.
 func (m *Machine) Told(asked time.Time, a Account) {
--- a/core/stall/machine_test.go
+++ b/core/stall/machine_test.go
@@ -92,6 +92,13 @@
 		Expect(m.Account()).To(Equal(stall.Untold))
 	})
 
+	It("is not silent while its own host stands still", func() {
+		Expect(m.Awake(at(9000))).To(Equal(stall.None))
+		Expect(m.Tick(at(9001))).To(Equal(stall.None))
+		Expect(m.Next(at(9001))).To(Equal(at(9301)))
+		Expect(m.Tick(at(9600))).To(Equal(stall.Ask))
+	})
+
 	It("takes no account of before the last event", func() {
 		m.Tick(at(600))
 		m.Event(at(610))
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -34,6 +34,8 @@
 	// secureEvery is the pause after which what could not be secured is tried again:
 	// another request of this daemon may have brought a repeat meanwhile.
 	secureEvery = 200 * time.Millisecond
+	// stoodStill is by how much a tick comes late on a host that stood still.
+	stoodStill = 200 * time.Millisecond
 )
 
 // progress is how far a stream has come.
@@ -52,8 +54,11 @@
 	t  *try
 	mu sync.Mutex
 	m  *stall.Machine
-	// timer calls tick; nil for streams that can't go on elsewhere.
-	timer *clock.Timer
+	// timer calls tick, when due at the latest; nil for streams that can't go on
+	// elsewhere. asleep is for how long this host had slept at the last tick.
+	timer  *clock.Timer
+	due    time.Time
+	asleep time.Duration
 	// passing says that an event is being passed on: a caller that does not read is
 	// no silence of the replica's.
 	passing bool
@@ -92,6 +97,8 @@
 	if x.anotherRunDenied() == "" {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		w.asleep = clock.Asleep()
+		w.due = clock.Now().Add(doubted - askTimeout)
 		w.timer = clock.AfterFunc(doubted-askTimeout, w.tick)
 	}
 	return w
@@ -103,9 +110,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.passing = true
-	if w.m.Event(clock.Now()) == stall.GiveBack {
-		w.stopSecuring()
-	}
+	now := clock.Now()
+	w.perform(now, w.m.Event(now))
 	return !w.m.Left()
 }
 
@@ -141,6 +147,7 @@
 		return
 	}
 	now := clock.Now()
+	w.wake(now)
 	for !w.passing {
 		a := w.m.Tick(now)
 		if a == stall.None {
@@ -148,7 +155,19 @@
 		}
 		w.perform(now, a)
 	}
-	w.timer.Reset(w.m.Next(now).Sub(now))
+	w.due = w.m.Next(now)
+	w.timer.Reset(w.due.Sub(now))
+}
+
+// wake tells the machine if this host stood still since the last tick was due; the
+// lock is held.
+func (w *watch) wake(now time.Time) {
+	asleep := clock.Asleep()
+	if asleep == w.asleep && now.Sub(w.due) <= stoodStill {
+		return
+	}
+	w.asleep, w.due = asleep, now
+	w.perform(now, w.m.Awake(now))
 }
 
 // perform carries one action out; the lock is held.
@@ -161,6 +180,8 @@
 		w.stopSecuring = cancel
 		at := w.at
 		w.securing.Go(func() { w.secure(ctx, at) })
+	case stall.GiveBack:
+		w.stopSecuring()
 	}
 }
 
@@ -216,6 +237,7 @@
 	now := clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.wake(now)
 	w.stopSecuring()
 	if r == nil {
 		w.m.Denied(now)
