Keep the objective of an answer that has not begun for its further inputs

A request whose replica refused it, or broke off before the first event, was to have new inputs by a new objective: where the first is over it is late in any case, and took calls from requests that could be on time. Only an answer that has begun has its inputs due by the further run's own time.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -225,12 +225,15 @@
 }
 
 // holdInputs has the stages made again if their results were given up after an
-// earlier attempt.
+// earlier attempt. An answer that has not begun is still to come by its objective.
 func (x *exchange) holdInputs() *problem.Error {
 	if len(x.inputs) == 0 || x.prepared.Load() {
 		return nil
 	}
 	x.inputs = nil
+	if !x.committed {
+		return x.prepare()
+	}
 	return x.prepareSince(clock.Now())
 }
 
