Test pauses beside verdicts, and that runs take turns and holds are given back

A stream that pauses while its request is condemned arrives whole: in the order "cut first, ask afterwards" the verdict is one more no. Streams of engines that tell nothing but could be replaced arrive whole too, by one run or by two in turn. Every hold is used or given back in all cases.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -131,17 +131,49 @@
 			if a.status != http.StatusOK || a.err != nil || a.body != whole(id, 1, 5) {
 				t.Errorf("status %d, error %v, body %q", a.status, a.err, a.body)
 			}
-			for n, run := range f.ledger.Runs(id) {
-				if n > 0 || run.End != site.Complete {
-					t.Errorf("run %d at %s: %s", n+1, run.Replica, run.End)
-				}
+			if wrong := c.wrong(f.ledger.Runs(id)); wrong != "" {
+				t.Error(wrong)
 			}
 		})
 	}
 	streams.Wait()
 	f.Expect(f.ledger.Faults()).To(BeEmpty())
-	holds := f.ledger.Holds()
-	f.Expect(holds.Used+holds.Dropped).To(Equal(holds.Taken), "holds that were neither used nor given back")
+	f.keepsNoHold()
+}
+
+// wrong returns what is wrong with the runs of a stream; "" for nothing.
+func (c pausing) wrong(runs []site.Run) string {
+	if c.noOrders && c.replaceable() && len(runs) == 2 {
+		return notInTurn(runs)
+	}
+	for n, run := range runs {
+		if n > 0 || run.End != site.Complete {
+			return fmt.Sprintf("run %d of %d at %s: %s", n+1, len(runs), run.Replica, run.End)
+		}
+	}
+	return ""
+}
+
+// replaceable says whether a stream could go on elsewhere.
+func (c pausing) replaceable() bool { return c.settings == nil && c.before == nil && c.first == nil }
+
+// notInTurn returns what is wrong with two runs of which the second is to begin when the
+// first is ended; "" for nothing.
+func notInTurn(runs []site.Run) string {
+	first, second := runs[0], runs[1]
+	if first.End == site.UnderWay || second.At.Before(first.Ended.Add(-closeSeen)) {
+		return fmt.Sprintf("the second run began at %s, the first ended at %s: %s", second.At, first.Ended, first.End)
+	}
+	return ""
+}
+
+// keepsNoHold checks that every hold was used or given back.
+func (f *fixture) keepsNoHold() {
+	f.test.Helper()
+	f.Eventually(func() int {
+		holds := f.ledger.Holds()
+		return holds.Taken - holds.Used - holds.Dropped
+	}, "1s").Should(BeZero(), "holds that were neither used nor given back")
 }
 
 // pauses are the cases in which a daemon cannot go on elsewhere, or need not.
@@ -179,6 +211,7 @@
 
 // Streams that pause and go on arrive whole: by the one run that began them.
 func TestStreamsThatPauseArriveWhole(t *testing.T) {
+	t.Parallel()
 	for _, c := range pauses {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -187,13 +220,11 @@
 	}
 }
 
-// So they do where the engine does not tell what it is at and nothing can replace it.
+// So they do where the engine does not tell what it is at; it may be replaced where
+// that is possible.
 func TestStreamsOfEnginesThatTellNothingArriveWhole(t *testing.T) {
+	t.Parallel()
 	for _, c := range pauses {
-		replaceable := c.settings == nil && c.before == nil && c.first == nil
-		if replaceable {
-			continue
-		}
 		c.noOrders = true
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -202,6 +233,62 @@
 	}
 }
 
+// A verdict on the request that comes while its stream pauses does not end the stream,
+// whether the engine tells what it is at or not.
+func TestStreamsOfRequestsCondemnedMeanwhileArriveWhole(t *testing.T) {
+	t.Parallel()
+	for _, noOrders := range []bool{false, true} {
+		t.Run(fmt.Sprintf("no orders %t", noOrders), func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			f.without("e2")
+			f.behave("llm", site.Behaviour{PauseAfterEvents: 1, Pause: 3 * time.Second, NoOrders: noOrders})
+			g := f.start().ready()
+			a, id := g.sendWatched(patient, func() { f.condemn(g, "prompt") })
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.body).To(Equal(whole(id, 1, 5)))
+			f.Expect(f.ledger.Runs(id)).To(HaveLen(1))
+		})
+	}
+}
+
+// condemn has three new engines crash under a body, until the daemon refuses it; no
+// other engine is sent requests.
+func (f *fixture) condemn(g *running, body string) {
+	crashed := make(chan string, 100)
+	for _, id := range []string{"x1", "x2", "x3"} {
+		x := f.add(id, "llm", site.Engine)
+		x.Born = time.Now().UnixMilli()
+		x.Returned = func(x *site.Replica) { f.register(x, "ready") }
+		x.CrashUnder(site.Poison{Body: body, After: 20 * time.Millisecond, Down: 700 * time.Millisecond, Crashed: func(b string) { crashed <- b }})
+		f.register(x, "ready")
+	}
+	f.register(f.replicas["e1"], "draining")
+	hasty := func(r *http.Request) { r.Header.Set("Deadline-Ms", "300") }
+	stop := make(chan struct{})
+	defer close(stop)
+	for range 12 {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					g.send(http.MethodPost, longPath, body, hasty)
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+		}()
+	}
+	for range 3 {
+		f.Eventually(crashed, "2s").Should(Receive())
+	}
+	f.Eventually(func() string {
+		a, _ := g.send(http.MethodPost, longPath, body, hasty)
+		return a.body
+	}, "2s").Should(Equal("quarantined\n"))
+}
+
 // departures are the ways in which an engine is gone without a word.
 var departures = []struct {
 	name    string
@@ -240,6 +327,7 @@
 // An engine that is gone is left, and the stream goes on at another one: whole, and not
 // before the first run was ended.
 func TestStreamsOfEnginesThatAreGoneGoOnElsewhere(t *testing.T) {
+	t.Parallel()
 	for _, d := range departures {
 		for _, afterEvents := range []int{0, 2} {
 			for kind, change := range map[string]func(*http.Request){"": patient, ", with stages": patientWithStage} {
@@ -252,9 +340,9 @@
 					f.Expect(a.body).To(Equal(whole(id, 1, 5)))
 					runs := f.ledger.Runs(id)
 					f.Expect(runs).To(HaveLen(2))
-					f.Expect(runs[0].End).NotTo(Equal(site.UnderWay))
-					f.Expect(runs[1].At).To(BeTemporally(">", runs[0].Ended.Add(-closeSeen)), "the second run begins when the first is ended")
+					f.Expect(notInTurn(runs)).To(BeEmpty())
 					f.Expect(f.ledger.Faults()).To(BeEmpty())
+					f.keepsNoHold()
 					t.Logf("whole %s after its beginning", took.Round(time.Millisecond))
 					f.Expect(took).To(BeNumerically("<", d.within))
 				})
@@ -266,6 +354,7 @@
 // An engine that may be gone is waited for while nothing can replace it: the answer ends
 // at the deadline.
 func TestStreamsThatNothingReplacesAreWaitedFor(t *testing.T) {
+	t.Parallel()
 	const deadline = callersWait
 	waits := func(r *http.Request) { r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds())) }
 	for _, d := range departures {
@@ -288,6 +377,7 @@
 				if run := f.ledger.Runs(id)[0]; run.End == site.Cancelled {
 					f.Expect(run.Ended.Sub(run.At)).To(BeNumerically("~", deadline, deadline/10), "given up before the deadline")
 				}
+				f.keepsNoHold()
 			})
 		}
 	}
