Soak: engines that pause inside their streams, which must arrive whole

The check: where the daemon's process ran on and the replica behaved well and was not leaving, no stream is broken off for a caller that waits, and no run is cancelled without another one after it; want of time excepted. Stand-ins tell when they behaved well, so that a replica that once misbehaved is held to it at other times.

--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -60,12 +61,15 @@
 	closed, down bool
 	crashes      int
 	poison       Poison
-	// misbehaved says that the behaviour was ever another than the zero value.
-	misbehaved bool
-	handles    int
-	cancelled  int
+	// spells are the times during which it behaved other than well, in order.
+	spells    []spell
+	handles   int
+	cancelled int
 }
 
+// spell is a time of behaviour other than well; until is zero while it lasts.
+type spell struct{ from, until time.Time }
+
 // StartReplica starts a replica at address; port 0 leaves the choice to the
 // kernel.
 func StartReplica(ledger *Ledger, id, service string, kind Kind, address string) (*Replica, error) {
@@ -113,8 +117,9 @@
 	if r.closed || r.down {
 		return false
 	}
-	r.down, r.misbehaved = true, true
+	r.down = true
 	r.crashes++
+	r.noteSpell()
 	_ = r.server.Close() // as above
 	if down > 0 {
 		time.AfterFunc(down, r.start)
@@ -143,6 +148,7 @@
 		return
 	}
 	r.down, r.Born = false, time.Now().UnixMilli()
+	r.noteSpell()
 	r.serveOn(l)
 	r.mu.Unlock()
 	if r.Returned != nil {
@@ -155,8 +161,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.behaviour = b
+	r.noteSpell()
+}
+
+// noteSpell notes whether the replica is other than well from now on; the caller
+// holds mu.
+func (r *Replica) noteSpell() {
+	b := r.behaviour
 	b.PauseAfterEvents, b.Pause, b.EventEvery = 0, 0, 0
-	r.misbehaved = r.misbehaved || b != (Behaviour{})
+	ill := r.down || r.frozen || b != (Behaviour{})
+	last := len(r.spells) - 1
+	lasts := last >= 0 && r.spells[last].until.IsZero()
+	switch {
+	case ill && !lasts:
+		r.spells = append(r.spells, spell{from: time.Now()})
+	case !ill && lasts:
+		r.spells[last].until = time.Now()
+	}
 }
 
 // PauseStreams has all streams pause after so many events, however the engine
@@ -172,7 +193,8 @@
 func (r *Replica) Freeze() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.frozen, r.misbehaved = true, true
+	r.frozen = true
+	r.noteSpell()
 }
 
 // Vanish stops the process as Freeze does, and the port takes no connections.
@@ -194,7 +216,17 @@
 func (r *Replica) Misbehaved() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.misbehaved
+	return len(r.spells) > 0
+}
+
+// WellThrough says whether the replica behaved well all the time from one moment to
+// another.
+func (r *Replica) WellThrough(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !slices.ContainsFunc(r.spells, func(s spell) bool {
+		return s.from.Before(to) && (s.until.IsZero() || s.until.After(from))
+	})
 }
 
 // Cancelled returns the number of requests whose connection closed while they
--- a/internal/standin/site/site_test.go
+++ b/internal/standin/site/site_test.go
@@ -189,6 +189,22 @@
 		Eventually(end(ledger, "crashed"), "1s").Should(Equal(site.Cut))
 	})
 
+	It("tells when it behaved well", func() {
+		e, _ := engine(site.Behaviour{})
+		began := time.Now()
+		e.PauseStreams(1, pause)
+		Expect(e.WellThrough(began, time.Now())).To(BeTrue())
+		e.Behave(site.Behaviour{Shed: true})
+		Expect(e.WellThrough(began, time.Now())).To(BeFalse())
+		e.Behave(site.Behaviour{})
+		again := time.Now()
+		Expect(e.WellThrough(again, time.Now())).To(BeTrue())
+		Expect(e.WellThrough(began, time.Now())).To(BeFalse())
+		Expect(e.Crash(0)).To(BeTrue())
+		Expect(e.WellThrough(again, time.Now())).To(BeFalse())
+		Expect(e.Misbehaved()).To(BeTrue())
+	})
+
 	It("does not know reports and holds where it is told so", func() {
 		e, _ := engine(site.Behaviour{NoOrders: true})
 		for method, path := range map[string]string{http.MethodGet: "/-/report", http.MethodPost: "/-/hold-take", http.MethodDelete: "/-/hold-drop/x"} {
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -55,6 +56,10 @@
 	graceful bool
 	// disturbed is when a fault that may cost requests last touched it.
 	disturbed time.Time
+	// halts are when the process was killed, stopped and continued; stopped says that
+	// it is stopped.
+	halts   []time.Time
+	stopped bool
 	// ends counts processes that ended without being told to.
 	ends int
 }
@@ -158,6 +163,10 @@
 	case syscall.SIGKILL, syscall.SIGSTOP:
 		d.disturbed = time.Now()
 	}
+	if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT && d.stopped {
+		d.halts = append(d.halts, time.Now())
+		d.stopped = s == syscall.SIGSTOP
+	}
 	_ = d.process.Signal(s) // a process that has ended takes none
 }
 
@@ -211,6 +220,13 @@
 	return d.disturbed.Before(since)
 }
 
+// ranThrough says whether the process ran on all the time from one moment to another.
+func (d *daemon) ranThrough(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !slices.ContainsFunc(d.halts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // lives returns which life of the daemon runs.
 func (d *daemon) lives() int {
 	d.mu.Lock()
--- a/soak/report.go
+++ b/soak/report.go
@@ -16,7 +16,9 @@
 	// Served, Refused (truly not run), Failed, Broken (no complete answer) and
 	// Left (the caller gave up) add up to Requests.
 	Served, Refused, Failed, Broken, Left int
-	Faults                                []string
+	// Paused are the runs of streams at sound replicas that were silent for long.
+	Paused int
+	Faults []string
 	// Violations are the promises that were broken.
 	Violations []string
 }
@@ -28,8 +30,8 @@
 		verdict = fmt.Sprintf("BROKE %d PROMISES", len(r.Violations))
 	}
 	fmt.Fprintf(w, "seed %d: %d daemons for %s under %d faults: %s\n", r.Seed, r.Daemons, r.Duration, len(r.Faults), verdict)
-	fmt.Fprintf(w, "  %d requests: %d served, %d refused, %d failed, %d broken off, %d left by their callers\n",
-		r.Requests, r.Served, r.Refused, r.Failed, r.Broken, r.Left)
+	fmt.Fprintf(w, "  %d requests: %d served, %d refused, %d failed, %d broken off, %d left by their callers; %d streams paused\n",
+		r.Requests, r.Served, r.Refused, r.Failed, r.Broken, r.Left, r.Paused)
 	const shown = 20
 	for i, v := range r.Violations {
 		if i == shown {
--- a/soak/run.go
+++ b/soak/run.go
@@ -100,6 +100,7 @@
 	// Sources of randomness of their own: the faults of a seed stay what they were.
 	wg.Go(func() { r.sendCulprits(playing, rand.New(rand.NewPCG(cfg.Seed, 2))) })
 	wg.Go(func() { r.suspendHosts(playing, rand.New(rand.NewPCG(cfg.Seed, 3))) })
+	wg.Go(func() { r.pauseEngines(playing, rand.New(rand.NewPCG(cfg.Seed, 4))) })
 	r.inject(playing)
 	wg.Wait()
 	r.recover()
@@ -186,6 +187,7 @@
 	r.mu.Lock()
 	for _, rep := range r.replicas {
 		rep.Behave(site.Behaviour{})
+		rep.PauseStreams(0, 0)
 	}
 	r.mu.Unlock()
 	for _, d := range r.daemons {
