Leave engines that hang before their answer begins

What callers saw: 504 at the deadline for streams whose engine took the connection and never answered, though other engines were free.

Cause: the watch on silence began with the head of the answer. It begins with the attempt now; an engine that does not answer is left as one that falls silent later, for another run that is secured. A run that the engine does not list before the answer has begun may wait for its turn, and is not doubted for that.

The test's gateway is given a budget that allows a repeat for each of its 12 streams: half of them come to the engine that hangs, and the fixture's budget has some four.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -194,7 +194,7 @@
 
 // secondRunDenied is repeatDenied after an attempt that may have run.
 func (x *exchange) secondRunDenied() denial {
-	if d := x.anotherRunDenied(); d != "" {
+	if d := x.anotherRunDenied(x.runs); d != "" {
 		return d
 	}
 	if !x.resumableAfter(progress{committed: x.committed, lastEvent: x.lastEvent}) {
@@ -206,12 +206,12 @@
 	return ""
 }
 
-// anotherRunDenied says why the route allows no other execution; "" if it does.
-func (x *exchange) anotherRunDenied() denial {
+// anotherRunDenied says why the route allows no execution after so many; "" if it does.
+func (x *exchange) anotherRunDenied(runs int) denial {
 	switch {
 	case !x.route.MayRepeat():
 		return deniedRoute
-	case x.runs >= x.route.Attempts:
+	case runs >= x.route.Attempts:
 		return deniedAttempts
 	case x.trial:
 		return deniedTrial
@@ -260,7 +260,7 @@
 func (x *exchange) attempt(choice request.Choice, hold string) (attemptEnd, *problem.Error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	t := &try{x: x, ctx: ctx, choice: choice, hold: hold, copyFrom: x.engineSent(choice), began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
+	t := &try{x: x, executions: x.runs + 1, ctx: ctx, choice: choice, hold: hold, copyFrom: x.engineSent(choice), began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
 	end, err := t.run()
 	t.report(end)
 	t.log(end, err)
@@ -270,6 +270,8 @@
 // try is one attempt under way.
 type try struct {
 	x *exchange
+	// executions is the number of executions with this one.
+	executions int
 	// ctx ends with the exchange's, or by cancel.
 	ctx    context.Context
 	choice request.Choice
@@ -294,11 +296,31 @@
 	stopRelease func() bool
 }
 
-// run makes the call and passes the answer on.
+// run makes the call, passes the answer on, and watches for silences of streams.
 func (t *try) run() (attemptEnd, *problem.Error) {
-	x := t.x
-	t.stopRelease = x.releaseWhenRead()
+	t.stopRelease = t.x.releaseWhenRead()
 	defer t.stopRelease()
+	if !t.x.route.Streaming {
+		return t.call(nil)
+	}
+	w := t.startWatch()
+	end, perr := t.call(w)
+	next := w.stop()
+	switch {
+	case next == nil:
+	case end == answered || end == abandoned:
+		t.x.giveBack(next)
+	default:
+		t.x.next = next
+		return left, perr
+	}
+	return end, perr
+}
+
+// call makes the call and passes the answer on. The watch is nil where no stream is
+// expected.
+func (t *try) call(w *watch) (attemptEnd, *problem.Error) {
+	x := t.x
 	resp, err := x.g.client.Do(t.ctx, t.outgoing())
 	if err != nil {
 		if httpbody.NotSent(err) {
@@ -324,8 +346,8 @@
 	if head.RequestID != "" && head.RequestID != x.req.ID {
 		return failed, problem.New(problem.UpstreamFailed, "the answer is another request's")
 	}
-	if x.route.Streaming && resp.StatusCode == http.StatusOK && head.Signed {
-		return t.stream(resp)
+	if w != nil && resp.StatusCode == http.StatusOK && head.Signed {
+		return t.passEvents(resp, w)
 	}
 	return t.whole(resp, head)
 }
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -52,7 +52,7 @@
 // called beside the exchange's own goroutine and changes nothing of the exchange
 // but prepared. What is returned is owed to giveBack, unless it is used.
 func (x *exchange) secure(ctx context.Context, t *try, at progress) (*replacement, denial) {
-	if d := x.furtherRunDenied(at); d != "" {
+	if d := x.furtherRunDenied(t, at); d != "" {
 		return nil, d
 	}
 	budget := x.g.budget(x.service)
@@ -68,7 +68,7 @@
 
 // furtherRunDenied says what speaks against a further run that begins now; "" for
 // nothing.
-func (x *exchange) furtherRunDenied(at progress) denial {
+func (x *exchange) furtherRunDenied(t *try, at progress) denial {
 	expected, _ := x.g.streams.expect(x.service, x.route.Name, x.ownTokens())
 	switch {
 	case !x.resumableAfter(at):
@@ -78,7 +78,7 @@
 	case x.quarantined() != nil:
 		return deniedVerdict
 	}
-	return x.anotherRunDenied()
+	return x.anotherRunDenied(t.executions)
 }
 
 // secureRun secures the inputs and a replica.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -46,6 +46,8 @@
 	lastEvent string
 	// events is the number of events that the replica must have made.
 	events int
+	// begun says that the replica has begun its answer.
+	begun bool
 }
 
 // watch is the watch over one attempt's silences. core/stall decides; watch asks,
@@ -85,7 +87,7 @@
 // blamed says whether the replica is to blame by its own account, or by none.
 func (e *leftError) blamed() bool { return e.account.Doubted() }
 
-// startWatch watches the stream of an attempt.
+// startWatch watches an attempt from before it is sent.
 func (t *try) startWatch() *watch {
 	x := t.x
 	objective := float64(x.route.Objective)
@@ -94,7 +96,7 @@
 		Ask: doubted - askTimeout, AskEvery: 2 * askTimeout, Doubted: doubted,
 		Any: max(anyLeast, time.Duration(anyFactor*objective)), SecureEvery: secureEvery,
 	})}
-	if x.anotherRunDenied() == "" {
+	if x.anotherRunDenied(t.executions) == "" {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.asleep = clock.Asleep()
@@ -104,6 +106,15 @@
 	return w
 }
 
+// begun notes that the answer has begun.
+func (w *watch) begun() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := clock.Now()
+	w.at.begun = true
+	w.perform(now, w.m.Event(now))
+}
+
 // arrived notes that an event has arrived and is about to be passed on. It says
 // whether the run goes on here.
 func (w *watch) arrived() (goesOn bool) {
@@ -189,7 +200,7 @@
 func (w *watch) ask(now time.Time) {
 	runs, err := w.t.x.g.accountOf(w.t.choice)
 	w.mu.Lock()
-	made, account := judge(runs, err, w.t.x.req.ID, w.at.events)
+	made, account := judge(runs, err, w.t.x.req.ID, w.at)
 	w.m.Told(now, account)
 	silence := w.m.Silence(clock.Now())
 	w.mu.Unlock()
@@ -200,21 +211,20 @@
 	w.tick()
 }
 
-// judge says what a replica's answer means for a run of which so many events have
-// arrived.
-func judge(runs platform.Runs, err error, id string, arrived int) (made int, a stall.Account) {
+// judge says what a replica's answer means for a run that has come so far here.
+func judge(runs platform.Runs, err error, id string, at progress) (made int, a stall.Account) {
 	made, listed := runs.Made[id]
 	switch {
 	case errors.Is(err, replica.ErrUnknownCall) || errors.Is(err, platform.ErrMalformed):
 		return made, stall.Untold
 	case err != nil:
 		return made, stall.NoAnswer
-	case listed && made > arrived:
+	case listed && made > at.events:
 		return made, stall.Ahead
 	case listed:
 		return made, stall.AtWork
-	case !runs.Told || runs.Waiting > 0:
-		// A run that was put off for others waits for its turn.
+	case !runs.Told || runs.Waiting > 0 || !at.begun:
+		// A run that has not begun, or was put off for others, may wait for its turn.
 		return made, stall.Untold
 	}
 	return made, stall.NotListed
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,25 +23,10 @@
 // errEventTooLarge says that an event is over maxEventBytes.
 var errEventTooLarge = errors.New("event too large")
 
-// stream passes the events of an answer on as they come, and watches for silences.
-func (t *try) stream(resp *http.Response) (attemptEnd, *problem.Error) {
-	w := t.startWatch()
-	end, perr := t.passEvents(resp, w)
-	next := w.stop()
-	switch {
-	case next == nil:
-	case end == left || end == failed:
-		t.x.next = next
-		return left, perr
-	default:
-		t.x.giveBack(next)
-	}
-	return end, perr
-}
-
-// passEvents passes the events on until the stream ends.
+// passEvents passes the events of a stream on as they come.
 func (t *try) passEvents(resp *http.Response, w *watch) (attemptEnd, *problem.Error) {
 	x := t.x
+	w.begun()
 	events := newEventReader(resp.Body)
 	for {
 		event, err := events.next()
@@ -61,7 +46,7 @@
 				return abandoned, problem.New(problem.CallerGone, "the caller does not read: %v", err)
 			}
 		}
-		w.passed(progress{committed: x.committed, lastEvent: x.lastEvent, events: t.arrivedEvents()})
+		w.passed(progress{committed: x.committed, lastEvent: x.lastEvent, events: t.arrivedEvents(), begun: true})
 	}
 }
 
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/gateway"
 	"github.com/wheatseam/wheatseam/internal/standin/site"
 )
 
@@ -16,6 +18,9 @@
 // How it came about: an engine that took the connection and then answered nothing was
 // watched from the head of its answer on only.
 //
+// enoughRepeats allows a repeat for each request.
+func enoughRepeats(s *gateway.Settings) { s.Budget.Ratio, s.Budget.Slack = 1, 500 }
+
 // An engine that never answers is left like one that falls silent, and for no longer than
 // callers wait.
 func TestStreamsThatNeverBeginGoOnElsewhere(t *testing.T) {
@@ -24,7 +29,7 @@
 			t.Parallel()
 			f := newFixtureOf(t)
 			f.replicas["e1"].Behave(site.Behaviour{Hang: true})
-			g := f.start().ready()
+			g := f.startWith(zap.NewNop(), enoughRepeats).ready()
 			const streams = 12 // engines are drawn
 			began := time.Now()
 			answers := make(chan string, streams)
