Wait for the attempt beside a rejected one

A caller whose request was hedged got upstream_refused when one of the two upstreams answered with a 4xx, or the quarantine kept one of the calls back: the other attempt, under way and sound, was cancelled with it.

Cause: a rejection was taken to hold for all upstreams. It says that the request need not be tried again; it says nothing of a call that already runs.

The rejection is now kept. While another attempt runs nothing happens; its answer is the caller's, and once nothing runs the request is refused as before, without a retry and without drawing on the budget.

go test -run TestRejected ./core/request

before: TestRejectedBesideAnother fails; after: both pass, as do the other tests of core/request and daemon.

--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -298,9 +298,7 @@
 		m.unknown = true
 	}
 	if e.Rejected {
-		m.cancelOthers(now, a)
-		m.fail(now, m.problem(problem.UpstreamRefused, "%s refused: %s", a.choice.Upstream, e.Detail))
-		return
+		m.rejected = m.problem(problem.UpstreamRefused, "%s refused: %s", a.choice.Upstream, e.Detail)
 	}
 	m.attemptLost(now, a, m.problem(problem.UpstreamFailed, "%s: %s", a.choice.Upstream, e.Detail))
 }
@@ -315,6 +313,9 @@
 		m.note(now, "retry", a.number, "another attempt is running")
 		return
 	}
+	if m.rejected != nil {
+		err = m.rejected
+	}
 	if reason := m.mayRetry(now, err); reason != "" {
 		m.note(now, "retry", a.number, "no: "+reason)
 		m.fail(now, err)
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -74,6 +74,9 @@
 	// winner is the attempt whose stream the caller gets; 0 is none.
 	winner    int
 	forwarded bool
+	// rejected is the refusal once an upstream has found the current stage's call
+	// invalid: it is not tried again, but what is under way may still be answered.
+	rejected *problem.Error
 
 	claim claimState
 	// lookUpErr is the refusal when a status look-up finds nothing.
@@ -229,6 +232,7 @@
 	m.stageBegan = now
 	m.attempts = liveOnly(m.attempts)
 	m.winner = 0
+	m.rejected = nil
 	m.claim = claimState{}
 	m.phase = phaseRunning
 	s := m.current()
