Hear calls for pieces for as long as a job waits for them

A request whose stage ran at a replica that paused lost what was being made: after four times the expected time and half a second the planner closed the call and asked for its pieces again, at the same replica where no other was free. A replica goes on with a call that it works on though it is closed: the results came to nobody, kept their room until they outlived their time, and after two such calls the job was refused.

Cause: the time of a call was a bound in the client, which knows neither whether another replica has the pieces nor whether anybody still waits.

The time is now the planner's. A call that is late that much lapses: it holds no place any more, its replica is suspected and its pieces are made anew, all as before. But it is heard, and what it brings counts if it comes first. It is closed once no job waits for a piece of it, and tries that are used up end a job only when no call for the piece is heard any more. A call that hangs for good therefore costs what it did.

go test -run 'Lapsed|CallIsWaited' ./core/stage

--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -17,7 +17,8 @@
 	Inputs []string
 }
 
-// Run is one call to a replica. It is given up after Timeout.
+// Run is one call to a replica. It is given up after Timeout, when no job of it
+// waits any more.
 type Run struct {
 	Call    uint64
 	Service string
@@ -27,6 +28,9 @@
 	Timeout time.Duration
 }
 
+// Abandon gives a call up that nobody waits for any more.
+type Abandon struct{ Call uint64 }
+
 // Free gives up results at the replica that made them. The calls to that replica
 // which come with it or after it rely on their room: they are made once the
 // replica has answered.
@@ -108,7 +112,7 @@
 // Suspected tells that a replica is avoided for a while.
 type Suspected struct {
 	Replica, Service string
-	// Why is how its call ended, or "overdue" while it has not.
+	// Why is how its call ended, or "overdue" or "lapsed" while it has not.
 	Why string
 	// Failures counts those in a row.
 	Failures int
@@ -121,6 +125,7 @@
 func (Suspected) isAction() {}
 func (Trusted) isAction()   {}
 func (Run) isAction()       {}
+func (Abandon) isAction()   {}
 func (Free) isAction()      {}
 func (Inspect) isAction()   {}
 func (Progress) isAction()  {}
--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -13,12 +13,12 @@
 		return
 	}
 	delete(m.calls, c.id)
-	r := c.replica
-	r.service.dirty = true
-	r.calls = slices.DeleteFunc(r.calls, func(o *call) bool { return o == c })
-	for _, p := range c.pieces {
-		p.calls--
+	if c.lapsed {
+		m.endedLate(now, c, e)
+		return
 	}
+	r := c.replica
+	r.leave(c)
 	if r.replaced {
 		// Who answered is not known, and the results may be gone.
 		m.again(c, false)
@@ -26,12 +26,7 @@
 	}
 	switch e.Outcome {
 	case CallAnswered:
-		if r.failures > 0 {
-			m.act(Trusted{Replica: r.ID, Service: r.service.name})
-		}
-		r.failures, r.refusals = 0, 0
-		r.suspect = time.Time{}
-		r.measure(now, now.Sub(c.started), len(c.pieces))
+		m.trust(now, c)
 		m.take(now, c, e.Results)
 	case CallNotExecuted:
 		r.refuse(now, m.cfg)
@@ -45,6 +40,17 @@
 	}
 }
 
+// trust notes that the replica of a call has answered it.
+func (m *Machine) trust(now time.Time, c *call) {
+	r := c.replica
+	if r.failures > 0 {
+		m.act(Trusted{Replica: r.ID, Service: r.service.name})
+	}
+	r.failures, r.refusals = 0, 0
+	r.suspect = time.Time{}
+	r.measure(now, now.Sub(c.started), len(c.pieces))
+}
+
 // suspect avoids a replica for a while.
 func (m *Machine) suspect(now time.Time, r *replica, why string) {
 	r.fail(now, m.cfg)
@@ -63,12 +69,16 @@
 	}
 }
 
-// requeue queues a piece that is in no running call.
+// requeue queues a piece that is in no running call. One that was tried too often
+// ends its job, unless a lapsed call may still bring it.
 func (m *Machine) requeue(p *piece) {
 	if !m.current(p) || p.state == made || p.state == queued || p.calls > 0 {
 		return
 	}
 	if p.tries >= m.cfg.MaxTries {
+		if p.heard > 0 {
+			return
+		}
 		m.refuse(p.job, ReasonFailed, m.cfg.MinRetryAfter)
 		return
 	}
@@ -101,6 +111,10 @@
 	}
 	switch res.Kind {
 	case Made:
+		if p.state == made && p.holder == r && p.handle == res.Handle {
+			r.used = max(0, r.used-p.bytes())
+			return false
+		}
 		if !m.current(p) || p.state == made {
 			// Nobody waits any more, or another call was faster.
 			m.freeHandle(r, res.Handle, p.bytes())
--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -20,8 +20,9 @@
 	// and its pieces are made elsewhere too. Defaults 1.6 and 120 ms.
 	OverdueFactor float64
 	OverdueSlack  time.Duration
-	// TimeoutFactor and TimeoutSlack bound a call. Defaults 4 and 500 ms: a
-	// call that waits behind another planner's is not given up.
+	// TimeoutFactor and TimeoutSlack say when a call is no longer counted on: its
+	// pieces are made anew, and its results are taken if they come all the same.
+	// Defaults 4 and 500 ms: a call may wait behind another planner's.
 	TimeoutFactor float64
 	TimeoutSlack  time.Duration
 	// MaxTries bounds the calls for one piece. Default 4.
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -318,15 +318,14 @@
 		id: m.nextID, replica: r, pieces: pieces, started: now,
 		ends:    now.Add(s.callTime(len(pieces))),
 		overdue: now.Add(time.Duration(m.cfg.OverdueFactor*float64(expected)) + m.cfg.OverdueSlack),
+		lapses:  now.Add(time.Duration(m.cfg.TimeoutFactor*float64(expected)) + m.cfg.TimeoutSlack),
 	}
 	m.calls[c.id] = c
 	m.nextOverdue.by(c.overdue)
+	m.nextLapse.by(c.lapses)
 	r.calls = append(r.calls, c)
 	m.mayInspect(now, s)
-	a := Run{
-		Call: c.id, Service: s.name, Replica: r.ID, Address: r.Address,
-		Timeout: time.Duration(m.cfg.TimeoutFactor*float64(expected)) + m.cfg.TimeoutSlack,
-	}
+	a := Run{Call: c.id, Service: s.name, Replica: r.ID, Address: r.Address, Timeout: c.lapses.Sub(now)}
 	for _, p := range pieces {
 		p.state = running
 		p.calls++
@@ -334,6 +333,7 @@
 		p.job.stages[p.stage].startedAt = now
 		r.used += p.bytes()
 		a.Pieces = append(a.Pieces, p.request(now))
+		a.Timeout = max(a.Timeout, p.job.Deadline.Sub(now))
 	}
 	m.act(a)
 }
@@ -360,6 +360,7 @@
 		}
 	}
 	consider(m.nextOverdue.at)
+	consider(m.nextLapse.at)
 	consider(m.nextInspect.at)
 	consider(m.expiry.at)
 	for _, s := range m.services {
--- a/core/stage/fakes_test.go
+++ b/core/stage/fakes_test.go
@@ -59,6 +59,8 @@
 			b.check(a)
 			runs = append(runs, a)
 			b.running = append(b.running, a)
+		case Abandon:
+			b.take(a.Call)
 		case Free:
 			for _, h := range a.Handles {
 				Expect(b.held).To(HaveKey(h), "freed twice or never made: %s", h)
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -19,8 +19,9 @@
 	stage int
 	index int
 	state pieceState
-	// calls counts the running calls that the piece is in.
+	// calls counts the running calls that the piece is in, heard the lapsed ones.
 	calls int
+	heard int
 	tries int
 	// handle and holder are set once the piece is made; at is where it was last
 	// asked for.
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -21,8 +21,9 @@
 	calls    map[uint64]*call
 	nextID   uint64
 	// expiry is when a job that is not ready may end, nextOverdue when a running call
-	// may be overdue, and nextInspect when a replica may have to be asked for its room.
-	expiry, nextOverdue, nextInspect alarm
+	// may be overdue, nextLapse when one may lapse, and nextInspect when a replica may
+	// have to be asked for its room.
+	expiry, nextOverdue, nextLapse, nextInspect alarm
 	// begun says that a job has come.
 	begun bool
 	// bias is the smoothed ratio of measured to predicted times of jobs.
@@ -64,6 +65,7 @@
 	}
 	m.expire(now)
 	m.overdue(now)
+	m.lapse(now)
 	for _, s := range m.ordered {
 		m.dispatch(now, s)
 	}
@@ -100,7 +102,7 @@
 		s.replicas = s.replicas[:0]
 	}
 	for id, r := range m.replicas {
-		if !r.listed && len(r.calls) == 0 {
+		if !r.listed && len(r.calls)+r.lapsed == 0 {
 			delete(m.replicas, id)
 			continue
 		}
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -67,6 +67,8 @@
 	// address.
 	replaced bool
 	calls    []*call
+	// lapsed counts the calls that are no longer counted on, and still heard.
+	lapsed int
 	// used is the bytes of results made or being made there.
 	used int64
 	// pace is the smoothed ratio of measured to nominal call times there, as of
@@ -102,6 +104,10 @@
 	// are made elsewhere too.
 	ends, overdue time.Time
 	given         bool
+	// lapses is when the call is no longer counted on, or when it is next looked
+	// whether somebody waits for it.
+	lapses time.Time
+	lapsed bool
 }
 
 // usable says whether the replica may be called at all.
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -74,6 +74,7 @@
 	ready   bool // a configuration was given
 	jobs    map[string]*entry
 	owners  map[string]*owner
+	calls   map[uint64]context.CancelFunc
 	wake    chan struct{}
 	// stepped is when the machine last took an event.
 	stepped time.Time
@@ -82,7 +83,7 @@
 func newPlanner(cfg stage.Config, replicas Replicas, gone func(host string) bool, log *zap.Logger) *planner {
 	p := &planner{
 		replicas: replicas, gone: gone, log: log, machine: stage.New(cfg),
-		jobs: map[string]*entry{}, owners: map[string]*owner{}, wake: make(chan struct{}, 1),
+		jobs: map[string]*entry{}, owners: map[string]*owner{}, calls: map[uint64]context.CancelFunc{}, wake: make(chan struct{}, 1),
 	}
 	p.freeing = newFreeing(p.free)
 	return p
@@ -286,7 +287,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case stage.Run:
-			go p.call(a, p.freeing.flush(a.Replica))
+			go p.call(p.track(a.Call), a, p.freeing.flush(a.Replica))
+		case stage.Abandon:
+			p.untrack(a.Call)
 		case stage.Inspect:
 			go p.inspect(a)
 		case stage.Suspected:
@@ -298,18 +301,38 @@
 	}
 }
 
+// track returns the context of a call.
+func (p *planner) track(call uint64) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[call] = cancel
+	return ctx
+}
+
+// untrack ends the context of a call.
+func (p *planner) untrack(call uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cancel := p.calls[call]; cancel != nil {
+		cancel()
+		delete(p.calls, call)
+	}
+}
+
 // freeWait is how long a call to a replica waits for results that are being
 // given up there: some round trips between failure domains.
 const freeWait = 50 * time.Millisecond
 
 // call makes one call to a replica, once freed is closed, and reports its end.
-func (p *planner) call(a stage.Run, freed <-chan struct{}) {
+func (p *planner) call(ctx context.Context, a stage.Run, freed <-chan struct{}) {
+	defer p.untrack(a.Call)
 	select {
 	case <-freed:
 	case <-clock.After(freeWait):
 	}
 	began := clock.Now()
-	results, outcome, err := p.replicas.RunPieces(context.Background(), a)
+	results, outcome, err := p.replicas.RunPieces(ctx, a)
 	p.log.Info("stage call", zap.String("service", a.Service), zap.String("replica", a.Replica), zap.Int("pieces", len(a.Pieces)),
 		zap.Uint64("call", a.Call), zap.Duration("took", clock.Since(began)), zap.Stringer("outcome", outcome),
 		zap.Int("no_room", count(results, stage.NoRoom)), zap.Int("input_gone", count(results, stage.InputGone)), zap.Error(err))
