Go on with a begun job at the next planner, late or not

A request whose planner was lost was refused with "stages: overload", though most of its stages was made, when the next planner expected it to be late, and always when it was due already: the time that the loss cost ended the job.

Cause: a job handed over was admitted like one that has just come. Its admission had been decided, and what was made for it would be given up; the planner that was lost would have kept it until it may end for being late.

A job that comes with pieces made goes on until that time; one that is past it is refused as before. A job of which nothing is known to be made is admitted like a new one still.

--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -8,7 +8,7 @@
 const unhurried = 1.3
 
 // admit predicts when the results of a job would be ready and returns a
-// refusal when that is too late.
+// refusal when that is too late, unless the job goes on here.
 func (m *Machine) admit(now time.Time, j *job) *Refused {
 	for i := range j.stages {
 		if st := &j.stages[i]; st.left > 0 && !st.service.anyUsable(now) {
@@ -18,7 +18,7 @@
 	j.predicted = m.predict(now, j)
 	j.expected = time.Duration(m.bias * float64(j.predicted))
 	excess := j.expected - j.allowed(now)
-	if excess <= 0 {
+	if excess <= 0 || j.goesOn(now) {
 		return nil
 	}
 	return &Refused{
@@ -27,6 +27,10 @@
 	}
 }
 
+// goesOn says whether an earlier planner admitted and began the job, and may still
+// be at it: what it has made is not given up for a prediction.
+func (j *job) goesOn(now time.Time) bool { return len(j.Made) > 0 && now.Before(j.ends) }
+
 // allowed returns how long the job may be expected to take and still be
 // admitted.
 func (j *job) allowed(now time.Time) time.Duration {
