Show that late jobs are refused with their last pieces being made

A request is refused with "stages: overload" three seconds after its stages could be on time, also when nothing is left to be called and the last results are on their way, and its caller waits on.

go test -run TestLateJob ./core/stage

TestLateJobIsNotRefusedWhileAllOfItIsUnderWay fails: refused 100 ms after its last call began. The two others pass and hold what must stay.

--- a/core/stage/late_test.go
+++ b/core/stage/late_test.go
@@ -21,3 +21,48 @@
 	b.finish()
 	Expect(b.ready).To(HaveKey("j"))
 }
+
+// TestLateJobIsNotRefusedWhileAllOfItIsUnderWay: to refuse a job of which nothing is
+// left to be called frees no queue, and its caller still waits.
+func TestLateJobIsNotRefusedWhileAllOfItIsUnderWay(t *testing.T) {
+	RegisterTestingT(t)
+	b := newBench(figures(4, 0), "x", "x")
+	j := b.chain("j", Stage{Service: "a", Pieces: 1})
+	j.Due = b.now.Add(500 * time.Millisecond)
+	first := b.submit(j)[0]
+	b.now = b.now.Add(3400 * time.Millisecond)
+	Expect(b.end(first.Call, CallUnreachable)).To(HaveLen(1))
+	b.pass(200 * time.Millisecond)
+	Expect(b.refused).To(BeEmpty())
+	b.answer(b.running[0].Call)
+	Expect(b.ready).To(HaveKey("j"))
+}
+
+// TestLateJobIsRefusedOnceACallIsWantedAgain: it would wait in a queue for jobs that
+// can be on time.
+func TestLateJobIsRefusedOnceACallIsWantedAgain(t *testing.T) {
+	RegisterTestingT(t)
+	b := newBench(figures(4, 0), "x", "x")
+	j := b.chain("j", Stage{Service: "a", Pieces: 1})
+	j.Due = b.now.Add(500 * time.Millisecond)
+	first := b.submit(j)[0]
+	b.now = b.now.Add(3400 * time.Millisecond)
+	second := b.end(first.Call, CallUnreachable)[0]
+	b.pass(200 * time.Millisecond)
+	b.end(second.Call, CallUnreachable)
+	b.pass(200 * time.Millisecond)
+	Expect(b.refused["j"].Reason).To(Equal(ReasonOverload))
+}
+
+// TestLateJobEndsWithItsDeadline: also with all of it under way.
+func TestLateJobEndsWithItsDeadline(t *testing.T) {
+	RegisterTestingT(t)
+	b := newBench(figures(4, 0), "x", "x")
+	j := b.chain("j", Stage{Service: "a", Pieces: 1})
+	j.Due, j.Deadline = b.now.Add(500*time.Millisecond), b.now.Add(3700*time.Millisecond)
+	first := b.submit(j)[0]
+	b.now = b.now.Add(3400 * time.Millisecond)
+	b.end(first.Call, CallUnreachable)
+	b.pass(300 * time.Millisecond)
+	Expect(b.refused["j"].Reason).To(Equal(ReasonExpired))
+}
