Have the test of a planner's sleep wait for calls that are not late

One run in nine, six at a time, "later" was unknown: the call that the test leaves running lapsed in the simulated sleep of three seconds and three, its replica was suspected, and the job refused for want of one, when any step came between the sleep and the submission. Shown by making that step: with it the test fails each time.

The step is part of the test now, and a call takes ten seconds there, so that none is late in six. What the test holds is unchanged.

--- a/stages/asleep_test.go
+++ b/stages/asleep_test.go
@@ -42,7 +42,7 @@
 		replicas := &busy{until: make(chan struct{})}
 		DeferCleanup(func() { close(replicas.until) })
 		p := newPlanner(stage.Config{}, replicas, func(string) bool { return false }, zap.NewNop())
-		pieces := &catalog.Pieces{Concurrency: 1, Batch: 8, CallTime: time.Second, PieceTime: time.Millisecond, RoomBytes: 1 << 20, ResultLife: time.Second}
+		pieces := &catalog.Pieces{Concurrency: 1, Batch: 8, CallTime: 10 * time.Second, PieceTime: time.Millisecond, RoomBytes: 1 << 20, ResultLife: time.Second}
 		p.configure(map[string]*catalog.Service{"encode": {Name: "encode", Pieces: pieces}},
 			[]catalog.Replica{{ID: "e1", Service: "encode", Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 1}})
 		job := func(id string) stage.Job {
@@ -68,6 +68,7 @@
 		By("not taking a time without jobs for a sleep")
 		p.drop("", []string{"own"}, false)
 		clock.Simulate(2 * orphanAfter)
+		p.tick()
 		_, ok := p.submit("fellow", job("later"))
 		Expect(ok).To(BeTrue())
 		p.tick()
