Wait for late jobs of which all that is left is being made

A request was refused with "stages: overload" three seconds after its stages could be on time, also when its last results were on their way and its caller waited on.

Cause: the refusal is there so that late jobs do not hold the queues until their callers leave. A job of which nothing is left to be called holds none: to refuse it frees nothing, as a replica goes on with a call that it works on.

Such a job is now kept until its deadline, and looked at every 100 ms: once a piece of it waits for a call again, it is refused as before.

--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -37,8 +37,8 @@
 	// take before work is split over idle replicas. Default 0.8: in bursts
 	// many small calls leave no replica for the next stage.
 	SplitShare float64
-	// LateGrace is how long after Latest a job is refused if its results are not
-	// ready. Default 3 s: jobs that are late are made last, and in a long burst
+	// LateGrace is how long after Latest a job is refused if calls are still to be
+	// made for it. Default 3 s: jobs that are late are made last, and in a long burst
 	// those were held until their callers left.
 	LateGrace time.Duration
 	// MinRetryAfter is the least wait told to a refused job. Default 300 ms.
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -206,6 +206,19 @@
 	return true
 }
 
+// underWay says whether calls that run, or are still heard, have every piece that is
+// not made.
+func (j *job) underWay() bool {
+	for i := range j.stages {
+		for k := range j.stages[i].pieces {
+			if p := &j.stages[i].pieces[k]; p.state != made && p.state != running {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // inputs returns the handles that a piece of stage i reads.
 func (j *job) inputs(i int) []string {
 	var handles []string
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -343,7 +343,12 @@
 	}
 }
 
-// expire refuses jobs whose deadline, or last chance to be late, has passed.
+// underWayEvery is the interval at which it is looked whether all that is left of a
+// late job is still being made.
+const underWayEvery = 100 * time.Millisecond
+
+// expire refuses jobs whose deadline has passed, or whose last chance to be late has
+// while calls are still to be made for them.
 func (m *Machine) expire(now time.Time) {
 	if !m.expiry.due(now) {
 		return
@@ -354,6 +359,8 @@
 		case j.ready:
 		case now.Before(j.ends):
 			m.expiry.by(j.ends)
+		case now.Before(j.Deadline) && j.underWay():
+			m.expiry.by(now.Add(underWayEvery))
 		default:
 			ended = append(ended, j)
 		}
