--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -63,7 +63,12 @@
 // gone says whether a process of a host has ended, or does not answer probes: a
 // request that waits for it is better told now than at its deadline.
 func (d *Daemon) gone(host string, incarnation uint64) bool {
-	for _, m := range d.cluster.Members() {
+	return goneOf(d.cluster.Members(), host, incarnation)
+}
+
+// goneOf is gone by what is known of the hosts.
+func goneOf(members []member.Member, host string, incarnation uint64) bool {
+	for _, m := range members {
 		if m.Host.Name == host {
 			return m.State != member.Alive || m.Incarnation > incarnation
 		}
