Wait for a key's result also while its host leaves

A caller that sent a request again under its key was told outcome_unknown as soon as the host of the first request began to leave, up to the whole drain before the result was there.

Cause: whoever is not alive was held to be gone. A host that leaves answers and finishes what it has; its calls are recorded before it ends.

It is waited for now. Once its process has ended it does not answer probes, and is held to be gone as before. A suspected host still is: it does not answer, and the upstream is asked for the result then where the pool can tell.

go test -run TestOwnerThatIsGone ./daemon

before: fails for a host that leaves; after: passes, as do the other tests of daemon and claims, and the process tests of proofs.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -61,7 +61,8 @@
 func (d *Daemon) trusted() bool { return d.cluster.Fresh() && !d.cluster.Skewed() }
 
 // gone says whether a process of a host has ended, or does not answer probes: a
-// request that waits for it is better told now than at its deadline.
+// request that waits for it is better told now than at its deadline. One that leaves
+// sees its requests through.
 func (d *Daemon) gone(host string, incarnation uint64) bool {
 	return goneOf(d.cluster.Members(), host, incarnation)
 }
@@ -70,7 +71,8 @@
 func goneOf(members []member.Member, host string, incarnation uint64) bool {
 	for _, m := range members {
 		if m.Host.Name == host {
-			return m.State != member.Alive || m.Incarnation > incarnation
+			answers := m.State == member.Alive || m.State == member.Leaving
+			return !answers || m.Incarnation > incarnation
 		}
 	}
 	return true
