--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -20,8 +20,9 @@
 	// and its pieces are made elsewhere too. Defaults 1.6 and 120 ms.
 	OverdueFactor float64
 	OverdueSlack  time.Duration
-	// TimeoutFactor and TimeoutSlack bound a call. Defaults 4 and 500 ms: a
-	// call that waits behind another planner's is not given up.
+	// TimeoutFactor and TimeoutSlack say when a call is no longer counted on: its
+	// pieces are made anew, and its results are taken if they come all the same.
+	// Defaults 4 and 500 ms: a call may wait behind another planner's.
 	TimeoutFactor float64
 	TimeoutSlack  time.Duration
 	// MaxTries bounds the calls for one piece. Default 4.
@@ -36,8 +37,8 @@
 	// take before work is split over idle replicas. Default 0.8: in bursts
 	// many small calls leave no replica for the next stage.
 	SplitShare float64
-	// LateGrace is how long after Latest a job is refused if its results are not
-	// ready. Default 3 s: jobs that are late are made last, and in a long burst
+	// LateGrace is how long after Latest a job is refused if calls are still to be
+	// made for it. Default 3 s: jobs that are late are made last, and in a long burst
 	// those were held until their callers left.
 	LateGrace time.Duration
 	// MinRetryAfter is the least wait told to a refused job. Default 300 ms.
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -19,8 +19,9 @@
 	stage int
 	index int
 	state pieceState
-	// calls counts the running calls that the piece is in.
+	// calls counts the running calls that the piece is in, heard the lapsed ones.
 	calls int
+	heard int
 	tries int
 	// handle and holder are set once the piece is made; at is where it was last
 	// asked for.
@@ -205,6 +206,19 @@
 	return true
 }
 
+// underWay says whether calls that run, or are still heard, have every piece that is
+// not made.
+func (j *job) underWay() bool {
+	for i := range j.stages {
+		for k := range j.stages[i].pieces {
+			if p := &j.stages[i].pieces[k]; p.state != made && p.state != running {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // inputs returns the handles that a piece of stage i reads.
 func (j *job) inputs(i int) []string {
 	var handles []string
