--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,6 +38,8 @@
 	failed
 	// repeatNow: as failed, and the repeat is allowed already.
 	repeatNow
+	// left: this host ended the attempt in favour of one that is secured.
+	left
 	// abandoned: the caller left or the time is over.
 	abandoned
 )
@@ -53,6 +55,8 @@
 		return "not_executed"
 	case inputsGone:
 		return "inputs_gone"
+	case left:
+		return "left"
 	case abandoned:
 		return "abandoned"
 	}
@@ -73,25 +77,18 @@
 func (x *exchange) relay() {
 	x.g.budget(x.service).Deposit(clock.Now())
 	for {
-		if perr := x.quarantined(); perr != nil {
-			x.giveUp(perr)
-			return
-		}
-		if perr := x.holdInputs(); perr != nil {
-			x.giveUp(perr)
-			return
-		}
-		choice, perr := x.g.router.Pick(clock.Now(), x.query(), nil)
+		choice, hold, perr := x.nextReplica()
 		if perr != nil {
 			x.giveUp(perr)
 			return
 		}
 		x.tried = append(x.tried, choice.Upstream)
-		end, perr := x.attempt(choice, x.engineSent(choice))
+		end, perr := x.attempt(choice, hold)
 		if end == answered {
 			return
 		}
-		if !x.mayRepeat(end) {
+		if x.noRepeat = x.repeatDenied(end); x.noRepeat != "" {
+			x.g.countDenied(x.service, x.noRepeat)
 			x.giveUp(perr)
 			return
 		}
@@ -101,6 +98,24 @@
 	}
 }
 
+// nextReplica returns the replica of the next attempt and the place that is held
+// there; "" for none. What was secured when the last attempt was ended needs no
+// further condition.
+func (x *exchange) nextReplica() (c request.Choice, hold string, perr *problem.Error) {
+	if x.next != nil {
+		c, hold = x.takeNext()
+		return c, hold, nil
+	}
+	if perr = x.quarantined(); perr != nil {
+		return c, "", perr
+	}
+	if perr = x.holdInputs(); perr != nil {
+		return c, "", perr
+	}
+	c, perr = x.g.router.Pick(clock.Now(), x.query(), nil)
+	return c, "", perr
+}
+
 // engineSent notes that an engine is being sent the prompt, and returns from
 // whom it can copy what it lacks; "" for other services.
 func (x *exchange) engineSent(c request.Choice) (copyFrom string) {
@@ -127,52 +142,106 @@
 	return q
 }
 
-// mayRepeat says whether another attempt is allowed after one that ended so.
-func (x *exchange) mayRepeat(end attemptEnd) bool {
+// denial says why no attempt follows one that ended without an answer; "" if one
+// does.
+type denial string
+
+const (
+	// deniedOver: the caller left, or its time is over.
+	deniedOver denial = "time_over"
+	// deniedRoute: the route allows no other execution, or no more of them.
+	deniedRoute    denial = "route"
+	deniedAttempts denial = "attempts"
+	// deniedTrial: a condemned request runs once.
+	deniedTrial denial = "trial"
+	// deniedCommitted: the answer has begun and cannot go on elsewhere.
+	deniedCommitted denial = "answer_begun"
+	// deniedRefusals: too many replicas have refused.
+	deniedRefusals denial = "refusals"
+	deniedBudget   denial = "budget"
+	// deniedFinal: the attempt's end allows none.
+	deniedFinal denial = "final"
+)
+
+// repeatDenied says why no further attempt is allowed after one that ended so.
+func (x *exchange) repeatDenied(end attemptEnd) denial {
 	if x.ctx.Err() != nil {
-		return false
+		return deniedOver
 	}
 	switch end {
 	case notSent, notExecuted, inputsGone:
-		x.spare++
-		if x.spare > maxFreeRepeats {
-			return false
-		}
-		// A connection that did not come about reached no replica.
-		return end == notSent || x.g.budget(x.service).Withdraw(clock.Now())
-	case repeatNow:
-		return true
+		return x.freeRepeatDenied(end)
+	case repeatNow, left:
+		return ""
 	case failed:
-		return x.mayRunAgain() && x.resumable() && x.g.budget(x.service).Withdraw(clock.Now())
+		return x.secondRunDenied()
 	}
-	return false
+	return deniedFinal
 }
 
-// mayRunAgain says whether the route allows another execution.
-func (x *exchange) mayRunAgain() bool {
-	return x.route.MayRepeat() && x.runs < x.route.Attempts && !x.trial
+// freeRepeatDenied is repeatDenied after an attempt that did not run.
+func (x *exchange) freeRepeatDenied(end attemptEnd) denial {
+	x.spare++
+	if x.spare > maxFreeRepeats {
+		return deniedRefusals
+	}
+	// A connection that did not come about reached no replica.
+	if end == notSent || x.g.budget(x.service).Withdraw(clock.Now()) {
+		return ""
+	}
+	return deniedBudget
+}
+
+// secondRunDenied is repeatDenied after an attempt that may have run.
+func (x *exchange) secondRunDenied() denial {
+	if d := x.anotherRunDenied(); d != "" {
+		return d
+	}
+	if !x.resumableAfter(progress{committed: x.committed, lastEvent: x.lastEvent}) {
+		return deniedCommitted
+	}
+	if !x.g.budget(x.service).Withdraw(clock.Now()) {
+		return deniedBudget
+	}
+	return ""
 }
 
-// resumable says whether a further attempt can go on where the answer stands.
-func (x *exchange) resumable() bool {
-	return !x.committed || x.route.Resumable && x.lastEvent != ""
+// anotherRunDenied says why the route allows no other execution; "" if it does.
+func (x *exchange) anotherRunDenied() denial {
+	switch {
+	case !x.route.MayRepeat():
+		return deniedRoute
+	case x.runs >= x.route.Attempts:
+		return deniedAttempts
+	case x.trial:
+		return deniedTrial
+	}
+	return ""
+}
+
+// resumableAfter says whether a further attempt can go on where the answer stands.
+func (x *exchange) resumableAfter(at progress) bool {
+	return !at.committed || x.route.Resumable && at.lastEvent != ""
 }
 
 // holdInputs has the stages made again if their results were given up after an
-// earlier attempt.
+// earlier attempt. An answer that has not begun is still to come by its objective.
 func (x *exchange) holdInputs() *problem.Error {
 	if len(x.inputs) == 0 || x.prepared.Load() {
 		return nil
 	}
 	x.inputs = nil
-	return x.prepare()
+	if !x.committed {
+		return x.prepare()
+	}
+	return x.prepareSince(clock.Now())
 }
 
 // giveUp ends a request without a replica's answer.
 func (x *exchange) giveUp(e *problem.Error) {
 	if x.committed {
 		// The answer must not look complete.
-		x.outcome = "broken_off"
+		x.outcome, x.detail = "broken_off", e.Detail
 		panic(http.ErrAbortHandler)
 	}
 	if x.r.Context().Err() != nil {
@@ -188,11 +257,11 @@
 
 // attempt sends the request to one replica. The error says what to answer if
 // it is the last attempt.
-func (x *exchange) attempt(choice request.Choice, copyFrom string) (attemptEnd, *problem.Error) {
-	ctx, cancel := context.WithCancel(x.ctx)
-	defer cancel()
-	t := &try{x: x, choice: choice, copyFrom: copyFrom, began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
-	end, err := t.run(ctx)
+func (x *exchange) attempt(choice request.Choice, hold string) (attemptEnd, *problem.Error) {
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	t := &try{x: x, ctx: ctx, choice: choice, hold: hold, copyFrom: x.engineSent(choice), began: clock.Now(), asleep: clock.Asleep(), cancel: cancel}
+	end, err := t.run()
 	t.report(end)
 	t.log(end, err)
 	return end, err
@@ -200,12 +269,16 @@
 
 // try is one attempt under way.
 type try struct {
-	x      *exchange
+	x *exchange
+	// ctx ends with the exchange's, or by cancel.
+	ctx    context.Context
 	choice request.Choice
 	// copyFrom is the engine from which the chosen one copies leading parts of
 	// the prompt; "" for none.
 	copyFrom string
-	began    time.Time
+	// hold is the place held for the request; "" for none.
+	hold  string
+	began time.Time
 	// asleep is for how long this host had slept when the attempt began.
 	asleep time.Duration
 	first  time.Time
@@ -213,15 +286,20 @@
 	events int
 	// refused says why the replica refused; "" if it did not.
 	refused refusal.Reason
-	cancel  context.CancelFunc
+	// cancel ends the attempt by this host's own decision, for a reason.
+	cancel context.CancelCauseFunc
+	// endedHere is that reason, once the attempt has ended by it; nil else.
+	endedHere *leftError
+	// stopRelease keeps the inputs from being given up by time.
+	stopRelease func() bool
 }
 
 // run makes the call and passes the answer on.
-func (t *try) run(ctx context.Context) (attemptEnd, *problem.Error) {
+func (t *try) run() (attemptEnd, *problem.Error) {
 	x := t.x
-	stop := x.releaseWhenRead()
-	defer stop()
-	resp, err := x.g.client.Do(ctx, t.outgoing())
+	t.stopRelease = x.releaseWhenRead()
+	defer t.stopRelease()
+	resp, err := x.g.client.Do(t.ctx, t.outgoing())
 	if err != nil {
 		if httpbody.NotSent(err) {
 			return notSent, retryable(problem.New(problem.NoUpstream, "no connection to a replica"), refusedRetry)
@@ -257,7 +335,7 @@
 	x := t.x
 	a := platform.Attempt{
 		Replica: t.choice.Upstream, Left: clock.Until(x.deadline), Priority: -1,
-		Inputs: x.inputs, LastEvent: x.lastEvent, CopyFrom: t.copyFrom,
+		Inputs: x.inputs, LastEvent: x.lastEvent, CopyFrom: t.copyFrom, Hold: t.hold,
 	}
 	a.Tenant = x.customer()
 	if x.route.Streaming {
@@ -274,6 +352,9 @@
 	if t.x.ctx.Err() != nil {
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer in time")
 	}
+	if errors.As(context.Cause(t.ctx), &t.endedHere) {
+		return left, problem.New(problem.UpstreamFailed, "this host ended the attempt: %v", t.endedHere)
+	}
 	if httpbody.BrokenOff(err) {
 		t.brokeOff()
 	}
@@ -309,7 +390,7 @@
 		// The replica does not say that it has not run, so that its status
 		// would promise too much.
 		return failed, problem.New(problem.UpstreamFailed, "status %d without a word on execution", resp.StatusCode)
-	case resp.StatusCode >= http.StatusInternalServerError && x.mayRepeat(failed):
+	case resp.StatusCode >= http.StatusInternalServerError && x.repeatDenied(failed) == "":
 		return repeatNow, problem.New(problem.UpstreamFailed, "status %d", resp.StatusCode)
 	}
 	if x.committed {
@@ -387,6 +468,9 @@
 		o.FirstByte = t.first.Sub(t.began)
 	}
 	t.x.g.countAttempt(t.x.service, end, o.Latency)
+	if t.endedHere != nil {
+		t.x.g.countEndedHere(t.x.service, t.endedHere.account)
+	}
 	t.x.g.noteRefusals(t.x.service, t.choice.Upstream, t.refused)
 	if end == answered || end == repeatNow {
 		t.x.g.quarantine.Served(t.x.content)
@@ -399,6 +483,11 @@
 		o.Result = request.CallRefused
 	case notSent, failed, repeatNow:
 		o.Result = request.CallFailed
+	case left:
+		o.Result = request.CallCancelled
+		if t.endedHere != nil && t.endedHere.blamed() {
+			o.Result = request.CallFailed
+		}
 	case abandoned:
 		o.Result = request.CallCancelled
 	}
