Leave the due times of first runs as they were

Callers that come back have less time than the objective: with the deadline as a cap their inputs were due earlier than before, and more of them were refused.

--- a/gateway/margin.go
+++ b/gateway/margin.go
@@ -116,14 +116,11 @@
 
 // stagesDue returns when the results of the stages must be there for an answer
 // that is most likely on time, and when at the latest for one that may be, if the
-// run might have begun at a time. An answer after the deadline is none.
+// run might have begun at a time.
 func (x *exchange) stagesDue(began time.Time) (due, latest time.Time) {
 	expected, deviation := x.g.streams.expect(x.service, x.route.Name, x.ownTokens())
 	margin := expected + time.Duration(marginDeviations*float64(deviation))
 	margin = min(margin, time.Duration(maxMarginShare*float64(x.route.Objective)))
 	objective := began.Add(x.route.Objective)
-	if x.deadline.Before(objective) {
-		objective = x.deadline
-	}
 	return objective.Add(-margin), objective.Add(-min(margin, expected))
 }
