--- a/gateway/refusals_test.go
+++ b/gateway/refusals_test.go
@@ -16,12 +16,12 @@
 
 // counters returns the lines of a gateway's metrics that begin with a name.
 func (r *running) counters(name string) []string {
-	GinkgoHelper()
+	r.test.Helper()
 	resp, err := http.Get("http://" + r.metrics + "/metrics")
-	Expect(err).NotTo(HaveOccurred())
+	r.Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
-	Expect(err).NotTo(HaveOccurred())
+	r.Expect(err).NotTo(HaveOccurred())
 	var out []string
 	for _, line := range strings.Split(string(raw), "\n") {
 		if strings.HasPrefix(line, name) {
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -64,3 +64,37 @@
 	f.Expect(a.body).To(Equal(whole(id, 1, 5)))
 	f.Expect(f.ledger.Runs(id)).To(HaveLen(1))
 }
+
+// oneRepeat leaves a gateway a single repeat of the budget.
+func oneRepeat(s *gateway.Settings) { s.Budget.Ratio, s.Budget.Slack = 0, 18 }
+
+// A run is left for another engine, which holds no places and refuses it after all: the
+// stream goes on at a third one, though the budget allows no repeat more.
+func TestStreamsThatWereLeftSurviveARefusal(t *testing.T) {
+	const plays = 8 // the second engine is drawn
+	refused := make(chan bool, plays)
+	t.Run("plays", func(t *testing.T) {
+		for n := range plays {
+			t.Run(fmt.Sprint(n), func(t *testing.T) {
+				t.Parallel()
+				f := newFixtureOf(t)
+				f.without("e2")
+				f.replicas["e1"].Behave(site.Behaviour{PauseAfterEvents: 2, Silence: site.StandsStill, NoOrders: true})
+				g := f.startWith(zap.NewNop(), oneRepeat).ready()
+				a, id := g.sendWatched(patient, func() {
+					f.add("e3", "llm", site.Engine).Behave(site.Behaviour{Shed: true, NoOrders: true})
+					f.add("e4", "llm", site.Engine)
+				})
+				f.Expect(a.err).NotTo(HaveOccurred())
+				f.Expect(a.body).To(Equal(whole(id, 1, 5)))
+				refused <- len(g.counters(`wheatseam_attempts_total{service="llm",end="not_executed"}`)) > 0
+			})
+		}
+	})
+	close(refused)
+	any := false
+	for r := range refused {
+		any = any || r
+	}
+	NewWithT(t).Expect(any).To(BeTrue(), "the case is another")
+}
