Failing test: a failure that comes while another run is secured is not repeated

Seen: a caller got the 500 of a silent engine, with another engine idle and the host's one repeat unused.

Cause: securing another run draws the repeat from the budget. An answer of 500 or more asks the budget whether it may be repeated before the watch is stopped, so that it is denied the repeat that is given back a moment later. Likewise a run that was secured in that moment is given back and the failure passed on. The stand-in engines now answer with a status other than 200 where they are told to, as plain replicas did.

--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -365,7 +365,7 @@
 	if !b.Unsigned {
 		w.Header().Set("Response-Signature", "signed."+r.ID+"."+id)
 	}
-	if r.Kind == Engine {
+	if r.Kind == Engine && b.Status == 0 {
 		r.stream(w, req, e, b)
 		return
 	}
