Wait for what is being secured when its run ends by itself

Seen: a caller got the 500 of a silent engine though another run was being secured (the test before this).

Cause: the end of the run cancelled what was being secured, also where another run was wanted, and the failure was denied a repeat by the very repeat that securing had drawn.

Ruled out: only to ask the budget again after the watch is stopped. The repeat is allowed then, but the inputs that were all but made are thrown away and asked for anew; the objective is over by then, and the planner refuses them ("stages refused", overload, 14 ms predicted): the same test gave 502 for 500.

The run keeps its own end in the counters and for the router; what was secured is the next attempt's without a further condition.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -63,6 +63,9 @@
 	return "failed"
 }
 
+// wantsAnother says whether another run is wanted after this end.
+func (e attemptEnd) wantsAnother() bool { return e != answered && e != abandoned }
+
 const (
 	// maxFreeRepeats bounds the attempts of one request that did not run.
 	maxFreeRepeats = 3
@@ -92,7 +95,7 @@
 			x.giveUp(perr)
 			return
 		}
-		if end == inputsGone {
+		if end == inputsGone && x.next == nil {
 			x.releaseInputs()
 		}
 	}
@@ -165,13 +168,16 @@
 
 // repeatDenied says why no further attempt is allowed after one that ended so.
 func (x *exchange) repeatDenied(end attemptEnd) denial {
-	if x.ctx.Err() != nil {
+	switch {
+	case x.ctx.Err() != nil:
 		return deniedOver
+	case x.next != nil:
+		return ""
 	}
 	switch end {
 	case notSent, notExecuted, inputsGone:
 		return x.freeRepeatDenied(end)
-	case repeatNow, left:
+	case repeatNow:
 		return ""
 	case failed:
 		return x.secondRunDenied()
@@ -294,6 +300,8 @@
 	endedHere *leftError
 	// stopRelease keeps the inputs from being given up by time.
 	stopRelease func() bool
+	// watch is the watch over its silences; nil where no stream is expected.
+	watch *watch
 }
 
 // run makes the call, passes the answer on, and watches for silences of streams.
@@ -301,25 +309,16 @@
 	t.stopRelease = t.x.releaseWhenRead()
 	defer t.stopRelease()
 	if !t.x.route.Streaming {
-		return t.call(nil)
-	}
-	w := t.startWatch()
-	end, perr := t.call(w)
-	next := w.stop()
-	switch {
-	case next == nil:
-	case end == answered || end == abandoned:
-		t.x.giveBack(next)
-	default:
-		t.x.next = next
-		return left, perr
+		return t.call()
 	}
+	t.watch = t.startWatch()
+	end, perr := t.call()
+	t.x.next = t.watch.stop(end.wantsAnother())
 	return end, perr
 }
 
-// call makes the call and passes the answer on. The watch is nil where no stream is
-// expected.
-func (t *try) call(w *watch) (attemptEnd, *problem.Error) {
+// call makes the call and passes the answer on.
+func (t *try) call() (attemptEnd, *problem.Error) {
 	x := t.x
 	resp, err := x.g.client.Do(t.ctx, t.outgoing())
 	if err != nil {
@@ -346,8 +345,8 @@
 	if head.RequestID != "" && head.RequestID != x.req.ID {
 		return failed, problem.New(problem.UpstreamFailed, "the answer is another request's")
 	}
-	if w != nil && resp.StatusCode == http.StatusOK && head.Signed {
-		return t.passEvents(resp, w)
+	if t.watch != nil && resp.StatusCode == http.StatusOK && head.Signed {
+		return t.passEvents(resp)
 	}
 	return t.whole(resp, head)
 }
@@ -412,7 +411,7 @@
 		// The replica does not say that it has not run, so that its status
 		// would promise too much.
 		return failed, problem.New(problem.UpstreamFailed, "status %d without a word on execution", resp.StatusCode)
-	case resp.StatusCode >= http.StatusInternalServerError && x.repeatDenied(failed) == "":
+	case resp.StatusCode >= http.StatusInternalServerError && t.repeatedNow():
 		return repeatNow, problem.New(problem.UpstreamFailed, "status %d", resp.StatusCode)
 	}
 	if x.committed {
@@ -428,6 +427,15 @@
 	return answered, nil
 }
 
+// repeatedNow says whether another run follows an answer that tells of a failure: the
+// one that was secured, or one for a repeat of the budget.
+func (t *try) repeatedNow() bool {
+	if t.watch != nil && t.watch.stop(true) != nil {
+		return true
+	}
+	return t.x.repeatDenied(failed) == ""
+}
+
 // promisesStatus says whether a status promises that nothing has run.
 func promisesStatus(status int) bool {
 	switch status {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -69,7 +69,7 @@
 	// stopSecuring ends what is being secured, and securing is done with it.
 	stopSecuring context.CancelFunc
 	securing     sync.WaitGroup
-	// next is what the run was ended for.
+	// next is what another run is secured by.
 	next *replacement
 }
 
@@ -134,19 +134,24 @@
 	w.m.Event(clock.Now()) // nothing is secured while an event is passed on
 }
 
-// stop ends the watch and returns what the run was ended for; nil if this host did
-// not end it.
-func (w *watch) stop() *replacement {
+// stop ends the watch as the run has ended, and returns what another run is secured by;
+// nil if there is nothing, or none is wanted. What is still being secured is waited for
+// if another run is wanted: to begin anew would take longer. It may be called again.
+func (w *watch) stop(another bool) *replacement {
 	w.mu.Lock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if w.stopSecuring != nil {
+	if !another && w.stopSecuring != nil {
 		w.stopSecuring()
 	}
 	w.mu.Unlock()
 	w.securing.Wait()
+	if !another && w.next != nil {
+		w.t.x.giveBack(w.next)
+		w.next = nil
+	}
 	return w.next
 }
 
@@ -240,14 +245,17 @@
 	return runs.(platform.Runs), err
 }
 
-// secure secures another run and ends this one for it.
+// secure secures another run and ends this one for it, if it has not ended.
 func (w *watch) secure(ctx context.Context, at progress) {
 	x := w.t.x
 	r, denied := x.secure(ctx, w.t, at)
 	now := clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.wake(now)
+	if !w.stopped {
+		w.wake(now)
+	}
+	wanted := ctx.Err() == nil
 	w.stopSecuring()
 	if r == nil {
 		w.m.Denied(now)
@@ -256,13 +264,17 @@
 			zap.Stringer("account", w.m.Account()), zap.Duration("silence", w.m.Silence(now)))
 		return
 	}
-	if w.m.Secured(now) != stall.Leave || w.stopped {
+	if leave := w.m.Secured(now) == stall.Leave; !wanted || !leave && !w.stopped {
 		x.giveBack(r)
 		x.g.countReplacement(x.service, "given_back")
 		return
 	}
 	w.next = r
 	x.g.countReplacement(x.service, "used")
+	// A run that has ended by itself stays what it was.
+	if w.stopped {
+		return
+	}
 	w.t.cancel(&leftError{account: w.m.Account(), silence: w.m.Silence(now)})
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,8 +24,8 @@
 var errEventTooLarge = errors.New("event too large")
 
 // passEvents passes the events of a stream on as they come.
-func (t *try) passEvents(resp *http.Response, w *watch) (attemptEnd, *problem.Error) {
-	x := t.x
+func (t *try) passEvents(resp *http.Response) (attemptEnd, *problem.Error) {
+	x, w := t.x, t.watch
 	w.begun()
 	events := newEventReader(resp.Body)
 	for {
--- a/gateway/together_test.go
+++ b/gateway/together_test.go
@@ -22,9 +22,9 @@
 func TestStreamsThatFailWhileAnotherRunIsSecuredAreRepeated(t *testing.T) {
 	f := newFixtureOf(t)
 	const (
-		fails   = 2200 * time.Millisecond // the run is left from 2 s on
-		stages  = 500 * time.Millisecond  // securing another run takes as long
-		slack   = 18                      // of which the host's part is one repeat
+		fails  = 2200 * time.Millisecond // the run is left from 2 s on
+		stages = 500 * time.Millisecond  // securing another run takes as long
+		slack  = 18                      // of which the host's part is one repeat
 	)
 	f.replicas["e1"].Behave(site.Behaviour{Work: fails, Status: http.StatusInternalServerError})
 	f.behave("encode", site.Behaviour{Work: stages})
