Pass nothing on of a run that was ended for another one

The run's end was only heard from its connection, behind what had arrived; and the first event of an ended run needed a case of its own for the inputs, which is gone with this.

--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -116,7 +116,7 @@
 }
 
 // arrived notes that an event has arrived and is about to be passed on. It says
-// whether the run goes on here.
+// whether the run goes on here: what arrives after its end is the next run's to make.
 func (w *watch) arrived() (goesOn bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -36,10 +37,12 @@
 		if err != nil {
 			return t.broken(err)
 		}
-		goesOn := w.arrived()
+		if !w.arrived() {
+			return t.broken(context.Cause(t.ctx))
+		}
 		t.events++
 		if t.first.IsZero() {
-			t.firstEvent(goesOn)
+			t.firstEvent()
 		}
 		if !x.seen(event.id) {
 			if err := x.send(resp, event); err != nil {
@@ -51,8 +54,8 @@
 }
 
 // firstEvent notes the time to the first event and gives the inputs up: the
-// replica has read them. If the run does not go on here, the next one has them.
-func (t *try) firstEvent(goesOn bool) {
+// replica has read them.
+func (t *try) firstEvent() {
 	x := t.x
 	t.first = clock.Now()
 	if x.firstAt.IsZero() {
@@ -63,9 +66,7 @@
 	if len(x.inputs) > 0 {
 		x.g.inputs.read()
 	}
-	if goesOn {
-		x.releaseInputs()
-	}
+	x.releaseInputs()
 }
 
 // endStream ends the answer after the replica's last event.
