Go on after a refusal when a run was ended for the one that is refused

What callers saw: a stream that was left for another engine was broken off when that one refused it, as the budget allowed no repeat more.

Cause: engines that hold no places are taken at the router's word, and a held place may have lapsed. The condition that was secured before the end came back as a question after it. Such a repeat is sent now and owed to the budget, which allows no other until it is paid: three at most for a request, as for all refusals.

--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -72,6 +72,16 @@
 	return true
 }
 
+// Owe takes a repeat also where none is left. It is paid back before another one is
+// allowed.
+func (b *Shared) Owe(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens--
+	b.taken++
+}
+
 // Return gives back a repeat that was withdrawn and not sent.
 func (b *Shared) Return(now time.Time) {
 	b.mu.Lock()
--- a/core/retry/shared_test.go
+++ b/core/retry/shared_test.go
@@ -97,4 +97,18 @@
 		}
 		Expect(b.Stats().Tokens).To(BeNumerically("<=", 2))
 	})
+
+	It("has what is owed paid back first", func() {
+		b := retry.NewShared(0.5, 2, window, 1)
+		Expect(b.Withdraw(start)).To(BeTrue())
+		b.Owe(start)
+		Expect(b.Stats().Tokens).To(BeNumerically("==", -1))
+		b.Deposit(start)
+		b.Deposit(start)
+		b.Deposit(start)
+		Expect(b.Withdraw(start)).To(BeFalse())
+		b.Deposit(start)
+		Expect(b.Withdraw(start)).To(BeTrue())
+		Expect(b.Stats().Taken).To(Equal(uint64(3)))
+	})
 })
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -60,6 +60,8 @@
 	spare int
 	// next is what the next attempt is to be, if it has been secured.
 	next *replacement
+	// leftOne says that this host ended a run in favour of another one.
+	leftOne bool
 	// noRepeat says why no attempt followed the last one.
 	noRepeat denial
 	// committed says that the head of the answer has been sent, lastEvent the
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -189,6 +189,11 @@
 	if end == notSent || x.g.budget(x.service).Withdraw(clock.Now()) {
 		return ""
 	}
+	if x.leftOne {
+		// This host ended a run for this attempt: it goes on, and owes the repeat.
+		x.g.budget(x.service).Owe(clock.Now())
+		return ""
+	}
 	return deniedBudget
 }
 
@@ -311,7 +316,7 @@
 	case end == answered || end == abandoned:
 		t.x.giveBack(next)
 	default:
-		t.x.next = next
+		t.x.next, t.x.leftOne = next, true
 		return left, perr
 	}
 	return end, perr
