Show that a drain does not wait for answers being written

A daemon that drains waits until its table of requests is empty, for as long as the operators' bound. A request leaves the table when it is decided on and enters it when its body has been read: a caller that is still being written to, or sent to, has one second then, and is cut.

go test -run TestDrainWaitsForCallers ./daemon

fails: the daemon is idle with a handler at work. The handler of the callers' server is a parameter now, for the test; nothing else is changed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	server := d.callerServer()
+	server := d.callerServer(caller.NewServer(caller.Config{Backend: d, MaxBodyBytes: d.settings.Limits.MaxBodyBytes}))
 	d.log.Info("listening", zap.String("callers", listener.Addr().String()),
 		zap.String("peers", d.peers.Addr()), zap.String("operators", d.operators.Addr()))
 	running, stop := context.WithCancel(context.Background())
@@ -175,10 +175,11 @@
 	return err
 }
 
-func (d *Daemon) callerServer() *http.Server {
+// callerServer has the requests of callers served by a handler.
+func (d *Daemon) callerServer(handler http.Handler) *http.Server {
 	limits := d.settings.Limits
 	return &http.Server{
-		Handler:           caller.NewServer(caller.Config{Backend: d, MaxBodyBytes: limits.MaxBodyBytes}),
+		Handler:           handler,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
@@ -197,7 +198,7 @@
 	defer cancel()
 	poll := time.NewTicker(drainPoll)
 	defer poll.Stop()
-	for d.table.Len() > 0 {
+	for !d.idle() {
 		select {
 		case <-bound.Done():
 			d.logCut()
@@ -208,6 +209,9 @@
 	d.log.Info("drained")
 }
 
+// idle says whether no request of a caller is in flight.
+func (d *Daemon) idle() bool { return d.table.Len() == 0 }
+
 // maxCutLogged bounds the requests named in the log when a drain is cut.
 const maxCutLogged = 100
 
--- /dev/null
+++ b/daemon/drain_test.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/request"
+	"github.com/wheatseam/wheatseam/settings"
+)
+
+// TestDrainWaitsForCallers: a request is in flight until its answer is written, also
+// when it has been decided on.
+func TestDrainWaitsForCallers(t *testing.T) {
+	g := NewWithT(t)
+	d := &Daemon{settings: &settings.Settings{}, table: request.NewTable()}
+	serving, write := make(chan struct{}), make(chan struct{})
+	server := d.callerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(serving)
+		<-write
+	}))
+	answer := httptest.NewRecorder()
+	answered := make(chan struct{})
+	g.Expect(d.idle()).To(BeTrue())
+	go func() {
+		defer close(answered)
+		server.Handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/", nil))
+	}()
+	g.Eventually(serving).Should(BeClosed())
+	busy := !d.idle()
+	close(write)
+	g.Eventually(answered).Should(BeClosed())
+	g.Expect(busy).To(BeTrue())
+	g.Expect(d.idle()).To(BeTrue())
+}
