Have a drain wait for answers that are being written

A caller whose request was decided on just before the end of a drain, and that read slowly, was cut after one second, and so was one that was still sending a request that would have been refused; the bound of the drain was not reached.

Cause: the drain watched the table of requests, which holds them from when their body has been read until they are decided on.

The callers' server counts what it serves, and the drain ends when that and the table are empty, or at its bound as before.

go test -run TestDrainWaitsForCallers ./daemon

before: fails; after: passes, as do the other tests of daemon and the two process tests of a graceful shutdown.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	bundle   atomic.Pointer[bundle.Bundle]
 	upstream atomic.Pointer[clients]
 	draining atomic.Bool
+	serving  atomic.Int64 // requests of callers
 
 	table         *request.Table
 	sessions      sessions
@@ -175,11 +176,11 @@
 	return err
 }
 
-// callerServer has the requests of callers served by a handler.
+// callerServer has the requests of callers served by a handler, and counts them.
 func (d *Daemon) callerServer(handler http.Handler) *http.Server {
 	limits := d.settings.Limits
 	return &http.Server{
-		Handler:           handler,
+		Handler:           d.counted(handler),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
@@ -187,6 +188,16 @@
 	}
 }
 
+// counted counts the requests that a handler serves, from their head to the last byte
+// of their answer.
+func (d *Daemon) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.serving.Add(1)
+		defer d.serving.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // drainPoll is how often a draining daemon looks whether it is done.
 const drainPoll = 10 * time.Millisecond
 
@@ -209,8 +220,9 @@
 	d.log.Info("drained")
 }
 
-// idle says whether no request of a caller is in flight.
-func (d *Daemon) idle() bool { return d.table.Len() == 0 }
+// idle says whether no request of a caller is in flight: none is being served, and no
+// call outlives the answer of one that was.
+func (d *Daemon) idle() bool { return d.serving.Load() == 0 && d.table.Len() == 0 }
 
 // maxCutLogged bounds the requests named in the log when a drain is cut.
 const maxCutLogged = 100
