Blame no upstream for a request's deadline

A caller whose deadline passed could be told upstream_failed, and a sound upstream that was at work for it could count as failed, so that short deadlines eject upstreams or have a pool held for failing as a whole.

Cause: a call's context ends at the deadline, like the request's timer. When the end of the call was heard of first, it was taken as any failed call.

A call that fails once the deadline has passed ends the request as the timer does, and counts as given up by this side: the router still takes the time that it had. Calls that may not be repeated outlive the deadline and are judged as before.

--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -245,7 +245,7 @@
 func (m *Machine) settle(now time.Time, a *attempt, e CallEnded) {
 	latency := now.Sub(a.sent)
 	result := e.Result
-	if a.cancelled && result != CallOK {
+	if a.cancelled && result != CallOK || m.outOfTime(now, a, e) {
 		result = CallCancelled
 	}
 	m.deps.Router.Done(now, Outcome{
@@ -261,6 +261,13 @@
 	}
 }
 
+// outOfTime says whether a call was ended by its request's deadline and not by its
+// upstream. Calls that may not be repeated outlive the deadline.
+func (m *Machine) outOfTime(now time.Time, a *attempt, e CallEnded) bool {
+	lasting := m.spec.Pipeline.Stages[a.stage].NonRepeatable
+	return e.Result == CallFailed && !lasting && !now.Before(m.spec.Deadline)
+}
+
 func (m *Machine) noteUnused(now time.Time, a *attempt, e CallEnded) {
 	if !e.NotExecuted {
 		m.unknown = true
@@ -297,6 +304,10 @@
 	if !e.NotExecuted {
 		m.unknown = true
 	}
+	if m.outOfTime(now, a, e) {
+		m.deadlinePassed(now)
+		return
+	}
 	if e.Rejected {
 		m.rejected = m.problem(problem.UpstreamRefused, "%s refused: %s", a.choice.Upstream, e.Detail)
 	}
--- a/core/request/machine.go
+++ b/core/request/machine.go
@@ -329,12 +329,16 @@
 		if m.phase == phaseFinished {
 			return
 		}
-		m.giveUp(now, problem.DeadlineExceeded, "the deadline passed in stage "+m.stageName())
+		m.deadlinePassed(now)
 	case TimerHedge:
 		m.hedge(now, e.Attempt)
 	}
 }
 
+func (m *Machine) deadlinePassed(now time.Time) {
+	m.giveUp(now, problem.DeadlineExceeded, "the deadline passed in stage "+m.stageName())
+}
+
 func (m *Machine) callerGone(now time.Time) {
 	if m.phase == phaseFinished {
 		return
