--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	bundle   atomic.Pointer[bundle.Bundle]
 	upstream atomic.Pointer[clients]
 	draining atomic.Bool
+	serving  atomic.Int64 // requests of callers
 
 	table         *request.Table
 	sessions      sessions
@@ -112,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	server := d.callerServer()
+	server := d.callerServer(caller.NewServer(caller.Config{Backend: d, MaxBodyBytes: d.settings.Limits.MaxBodyBytes}))
 	d.log.Info("listening", zap.String("callers", listener.Addr().String()),
 		zap.String("peers", d.peers.Addr()), zap.String("operators", d.operators.Addr()))
 	running, stop := context.WithCancel(context.Background())
@@ -175,10 +176,11 @@
 	return err
 }
 
-func (d *Daemon) callerServer() *http.Server {
+// callerServer has the requests of callers served by a handler, and counts them.
+func (d *Daemon) callerServer(handler http.Handler) *http.Server {
 	limits := d.settings.Limits
 	return &http.Server{
-		Handler:           caller.NewServer(caller.Config{Backend: d, MaxBodyBytes: limits.MaxBodyBytes}),
+		Handler:           d.counted(handler),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
@@ -186,6 +188,16 @@
 	}
 }
 
+// counted counts the requests that a handler serves, from their head to the last byte
+// of their answer.
+func (d *Daemon) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.serving.Add(1)
+		defer d.serving.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // drainPoll is how often a draining daemon looks whether it is done.
 const drainPoll = 10 * time.Millisecond
 
@@ -197,7 +209,7 @@
 	defer cancel()
 	poll := time.NewTicker(drainPoll)
 	defer poll.Stop()
-	for d.table.Len() > 0 {
+	for !d.idle() {
 		select {
 		case <-bound.Done():
 			d.logCut()
@@ -208,6 +220,10 @@
 	d.log.Info("drained")
 }
 
+// idle says whether no request of a caller is in flight: none is being served, and no
+// call outlives the answer of one that was.
+func (d *Daemon) idle() bool { return d.serving.Load() == 0 && d.table.Len() == 0 }
+
 // maxCutLogged bounds the requests named in the log when a drain is cut.
 const maxCutLogged = 100
 
