Test long pauses, old reports, and streams that go on while they are replaced

The stand-ins' engines can leave asks for the report unanswered, and answer late with a hold that they keep already.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -32,6 +32,10 @@
 const (
 	// pauseOfEngine is longer than a daemon may take for the end of an engine by itself.
 	pauseOfEngine = 1200 * time.Millisecond
+	// longPause is longer than any engine is waited for that could be replaced.
+	longPause = 2500 * time.Millisecond
+	// oldReport is the age of old reports.
+	oldReport = 400 * time.Millisecond
 	// longDeadline is what callers on longPath give a request.
 	longDeadline = 5 * time.Second
 	// goesOnWithin is when a stream goes on elsewhere at the latest after its engine is
@@ -103,13 +107,19 @@
 	first func(*fixture, pausing)
 	// streams is the number of streams at once, 0 for one.
 	streams int
+	// pause is how long they pause, 0 for pauseOfEngine, and lag how old their reports are.
+	pause, lag time.Duration
 	// noOrders engines know neither reports nor holds.
 	noOrders bool
 }
 
 func (c pausing) run(t *testing.T) {
 	f := newFixtureOf(t)
-	f.behave("llm", site.Behaviour{PauseAfterEvents: c.afterEvents, Pause: pauseOfEngine, NoOrders: c.noOrders})
+	if c.pause == 0 {
+		c.pause = pauseOfEngine
+	}
+	f.behave("llm", site.Behaviour{PauseAfterEvents: c.afterEvents, Pause: c.pause, NoOrders: c.noOrders})
+	f.replicas["e1"].ReportLag, f.replicas["e2"].ReportLag = c.lag, c.lag
 	if c.before != nil {
 		c.before(f)
 	}
@@ -143,7 +153,7 @@
 
 // wrong returns what is wrong with the runs of a stream; "" for nothing.
 func (c pausing) wrong(runs []site.Run) string {
-	if c.noOrders && c.replaceable() && len(runs) == 2 {
+	if (c.noOrders || c.pause > pauseOfEngine) && c.replaceable() && len(runs) == 2 {
 		return notInTurn(runs)
 	}
 	for n, run := range runs {
@@ -181,6 +191,8 @@
 	{name: "with all there is to go on elsewhere", afterEvents: 2},
 	{name: "before the first event", afterEvents: 0},
 	{name: "after the first event", afterEvents: 1},
+	{name: "with reports that are old, before the first event", afterEvents: 0, lag: oldReport},
+	{name: "with reports that are old", afterEvents: 2, lag: oldReport},
 	{name: "four at once", afterEvents: 2, streams: 4},
 	{name: "without budget of repeats", afterEvents: 2, settings: noRepeats},
 	{name: "without budget of repeats, before the first event", afterEvents: 0, settings: noRepeats},
@@ -189,11 +201,14 @@
 	{name: "with one engine, before the first event", afterEvents: 0, before: oneEngine},
 	{name: "with the other engine draining", afterEvents: 2, before: otherDrains},
 	{name: "with both engines draining since the first event", afterEvents: 1, first: bothDrain},
-	{name: "with both engines refusing since the first event", afterEvents: 1, first: bothRefuse},
+	{name: refusing, afterEvents: 1, first: bothRefuse},
 	{name: "with stages", afterEvents: 2, change: patientWithStage},
 	{name: "with stages that are gone since the first event", afterEvents: 1, change: patientWithStage, first: noStages},
 }
 
+// refusing is the name of a case.
+const refusing = "with both engines refusing since the first event"
+
 func oneEngine(f *fixture)   { f.without("e2") }
 func otherDrains(f *fixture) { f.register(f.replicas["e2"], "draining") }
 
@@ -233,6 +248,64 @@
 	}
 }
 
+// So they do where they pause for longer than any engine is waited for that could be
+// replaced, whether engines tell what they are at or not.
+func TestStreamsThatPauseForLongArriveWhole(t *testing.T) {
+	t.Parallel()
+	for i := range 2 * len(pauses) {
+		c := pauses[i/2]
+		c.pause, c.noOrders = longPause, i%2 == 1
+		if c.noOrders && c.name == refusing {
+			continue // the test below
+		}
+		t.Run(fmt.Sprintf("%s, no orders %t", c.name, c.noOrders), func(t *testing.T) {
+			t.Parallel()
+			c.run(t)
+		})
+	}
+}
+
+// So they do where the engine that would replace theirs refuses, and told nothing of it
+// before.
+func TestStreamsThatPauseForLongAreNotLeftForEnginesThatRefuse(t *testing.T) {
+	t.Parallel()
+	pausing{afterEvents: 1, first: bothRefuse, pause: longPause, noOrders: true}.run(t)
+}
+
+// goesOnMeanwhile has streams go on by themselves at about the time at which another
+// engine is secured for them; check is called with each.
+func goesOnMeanwhile(t *testing.T, check func(f *fixture, a answer, id string)) {
+	const step, holdWork = 50 * time.Millisecond, 150 * time.Millisecond
+	for pause := 800 * time.Millisecond; pause <= time.Second; pause += step {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			f.behave("llm", site.Behaviour{PauseAfterEvents: 1, Pause: pause, HangReports: true, HoldWork: holdWork})
+			a, id := f.start().ready().sendWatched(patientWithStage, func() {})
+			check(f, a, id)
+		})
+	}
+}
+
+func TestStreamsThatGoOnMeanwhileArriveWhole(t *testing.T) {
+	t.Parallel()
+	goesOnMeanwhile(t, func(f *fixture, a answer, id string) {
+		f.Expect(a.err).NotTo(HaveOccurred())
+		f.Expect(a.body).To(Equal(whole(id, 1, 5)))
+		if runs := f.ledger.Runs(id); len(runs) > 1 {
+			f.Expect(notInTurn(runs)).To(BeEmpty())
+		}
+		f.Expect(f.ledger.Faults()).To(BeEmpty())
+		f.Eventually(func() int { _, _, held := f.ledger.Results(); return held }, "1s").Should(BeZero())
+	})
+}
+
+// A place that was being held for a stream that went on by itself is given back.
+func TestPlacesHeldForStreamsThatGoOnMeanwhileAreGivenBack(t *testing.T) {
+	t.Parallel()
+	goesOnMeanwhile(t, func(f *fixture, _ answer, _ string) { f.keepsNoHold() })
+}
+
 // A verdict on the request that comes while its stream pauses does not end the stream,
 // whether the engine tells what it is at or not.
 func TestStreamsOfRequestsCondemnedMeanwhileArriveWhole(t *testing.T) {
--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -44,6 +44,10 @@
 	Pause time.Duration
 	// Silence is how it is silent for good, after Pause.
 	Silence Silence
+	// HoldWork is how long an engine takes to answer with a hold that it keeps already.
+	HoldWork time.Duration
+	// HangReports answers nothing to asks for the report.
+	HangReports bool
 	// NoHolds refuses to hold a place.
 	NoHolds bool
 	// NoOrders answers 404 to asks for the report and for holds, as an engine that
--- a/internal/standin/site/hold.go
+++ b/internal/standin/site/hold.go
@@ -59,6 +59,10 @@
 	r.holds[name] = &hold{until: time.Now().Add(time.Duration(call.TTL) * time.Millisecond), state: holdKept}
 	r.mu.Unlock()
 	r.ledger.counted(func(h *Holds) { h.Taken++ })
+	select {
+	case <-time.After(b.HoldWork):
+	case <-req.Context().Done():
+	}
 	writeJSON(w, map[string]any{"hold": name})
 }
 
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -303,6 +303,8 @@
 		return false
 	case b.NoOrders:
 		w.WriteHeader(http.StatusNotFound)
+	case reported && b.HangReports:
+		hang(req)
 	case reported:
 		r.reportRuns(w)
 	case taken:
--- a/internal/standin/site/site_test.go
+++ b/internal/standin/site/site_test.go
@@ -189,6 +189,13 @@
 		Eventually(end(ledger, "crashed"), "1s").Should(Equal(site.Cut))
 	})
 
+	It("answers nothing to asks for the report, and serves, where it is told so", func() {
+		e, _ := engine(site.Behaviour{HangReports: true})
+		_, err := report(e)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Expect(generate(context.Background(), e, "a")).To(HaveHTTPBody(whole("a")))
+	})
+
 	It("tells when it behaved well", func() {
 		e, _ := engine(site.Behaviour{})
 		began := time.Now()
@@ -240,6 +247,15 @@
 		Expect(ledger.Faults()).To(BeEmpty())
 	})
 
+	It("are kept before it answers", func() {
+		e, ledger := engine(site.Behaviour{HoldWork: time.Minute})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := call(ctx, e, http.MethodPost, "/-/hold-take", `{"token_count":10,"ttl_ms":1000}`)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Expect(ledger.Holds()).To(Equal(site.Holds{Taken: 1}))
+	})
+
 	It("lapse", func() {
 		e, ledger := engine(site.Behaviour{})
 		name := take(e, 1)
