Give up results that a job's owner was told of at its word only

What callers saw: nothing but time; results were made again.

Cause: the owner of a job hands it to the next planner when the first seems lost to it, with the results that it was told of. The first planner may be well and not know. Left alone already: what a planner that slept was told of (stoodStill; a spec for it beside these). Ruled out: a job that comes back to a planner that still has it, since that one is avoided until it has dropped the job.

Change: a planner gives up by itself only what the owner was not told of. Answers that tell of pieces are numbered, and polls say which number has come (StagePolled.number, StagePoll.heard). Results that were told of are given up once the owner has heard of all that was made of them, since it names them to no other planner from then on, or when it gives the job up. A poll is answered at once when results wait for that, and an owner without further jobs there acknowledges the last answer; it also gives up a refused job of which it knew results. Otherwise they outlive their time at the replica. A planner drops the jobs that their owner has not named for 1.5 s, and need not ask whether it is gone.

The two specs of the core on Cancelled with Untold are replaced: the machine now knows what was told. They check the same: what was told of is kept, what was not is given up.

--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -50,6 +50,10 @@
 	Piece MadePiece
 }
 
+// Inform asks for the owner of a job to be told of the job's progress at once:
+// results that it was told of have been read, and are given up once it has heard that.
+type Inform struct{ Job string }
+
 // Ready hands the results of a job over: those of the stages that no other
 // stage reads, ordered by stage and piece.
 type Ready struct {
@@ -103,6 +107,9 @@
 	// Predicted is when the results were expected, counted from now; 0 when no
 	// prediction was made.
 	Predicted time.Duration
+	// Held says that results which the job's owner was told of wait for its word:
+	// Cancelled is due.
+	Held bool
 }
 
 // Suspected tells that a replica is avoided for a while.
@@ -124,5 +131,6 @@
 func (Free) isAction()      {}
 func (Inspect) isAction()   {}
 func (Progress) isAction()  {}
+func (Inform) isAction()    {}
 func (Ready) isAction()     {}
 func (Refused) isAction()   {}
--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -165,11 +165,15 @@
 	if st.left > 0 {
 		return
 	}
+	if j.Shared {
+		m.leaveStage(st) // the owner may hand them to another planner
+	}
 	m.freeStage(st)
 	st.freed = false
 	j.count(i, len(st.pieces)-st.left)
 	for k := range st.pieces {
-		st.pieces[k].state = blocked
+		p := &st.pieces[k]
+		p.state, p.told, p.known = blocked, false, false
 	}
 	for _, a := range j.Stages[i].After {
 		if j.stages[a].freed {
--- a/core/stage/doc.go
+++ b/core/stage/doc.go
@@ -17,13 +17,16 @@
 //
 // Every Run is answered by exactly one CallEnded with the same number. Every
 // submitted job ends with exactly one Ready or Refused, unless it is cancelled
-// first. After Ready the caller reports Cancelled once the results have been
-// read or are of no more use.
+// first. After Ready, and after Refused with Held set, the caller reports Cancelled
+// once the results have been read or are of no more use. Of shared jobs, whose owners
+// may hand them to another planner, it reports what their owners are being told (Told)
+// and have heard (Known).
 //
 // # What it guarantees
 //
 // A piece with inputs is given all results of all stages that it comes after,
 // of its own job, each once. A result that is not handed out, or that nobody
-// will read any more, is freed. No call is made for a job that was cancelled
-// before the call began.
+// will read any more, is freed; one that the owner of a shared job was told of only at
+// its word, as another planner may have given it up. No call is made for a job that was
+// cancelled before the call began.
 package stage
--- a/core/stage/event.go
+++ b/core/stage/event.go
@@ -20,16 +20,23 @@
 type Submitted struct{ Job Job }
 
 // Cancelled says that nobody waits for a job any more, or, of a ready one, that
-// its results have been read or are of no more use.
+// its results have been read or are of no more use. For a Shared job it is its
+// owner's word, unless Moved is set. It is also due for a job that was refused with
+// Held set.
 type Cancelled struct {
 	Job string
-	// Moved says that another planner goes on with the job, or may: what was made of
-	// it is not given up here, but for the results that Untold names, of which nobody
-	// else knows.
-	Moved  bool
-	Untold []MadePiece
+	// Moved says that another planner goes on with the job, or may: the results that
+	// its owner was told of are not given up here.
+	Moved bool
 }
 
+// Told says that the owners of jobs are being told of pieces, in a message that may be
+// lost.
+type Told struct{ Pieces []Progress }
+
+// Known says that the owners of jobs have heard of pieces.
+type Known struct{ Pieces []Progress }
+
 // CallOutcome says how a call to a replica ended.
 type CallOutcome uint8
 
@@ -93,6 +100,8 @@
 func (Configured) isEvent() {}
 func (Submitted) isEvent()  {}
 func (Cancelled) isEvent()  {}
+func (Told) isEvent()       {}
+func (Known) isEvent()      {}
 func (CallEnded) isEvent()  {}
 func (Inspected) isEvent()  {}
 func (Tick) isEvent()       {}
@@ -113,6 +122,9 @@
 	// that is open.
 	Domain string
 	Stages []Stage
+	// Shared says that the job's owner may hand it to another planner, with the
+	// results that it was told of here: these are given up at its word only.
+	Shared bool
 	// Made are pieces that an earlier planner had made for the job, as far as
 	// that is known.
 	Made []MadePiece
--- a/core/stage/fakes_test.go
+++ b/core/stage/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -22,6 +23,10 @@
 	freed int
 	jobs  map[string]Job
 	made  int
+	// progress is what was told of jobs, informs how often their owners were to be
+	// told at once.
+	progress map[string][]MadePiece
+	informs  map[string]int
 }
 
 func figures(batch int, room int64) *catalog.Service {
@@ -36,7 +41,7 @@
 func newBench(service *catalog.Service, domains ...string) *bench {
 	b := &bench{
 		m: New(Config{}), now: time.Unix(1000, 0), ready: map[string]Ready{}, refused: map[string]Refused{},
-		held: map[string]Piece{}, jobs: map[string]Job{},
+		held: map[string]Piece{}, jobs: map[string]Job{}, progress: map[string][]MadePiece{}, informs: map[string]int{},
 	}
 	e := Configured{Services: map[string]*catalog.Service{}}
 	for _, name := range []string{"a", "b", "c"} {
@@ -65,6 +70,10 @@
 				delete(b.held, h)
 				b.freed++
 			}
+		case Progress:
+			b.progress[a.Job] = append(b.progress[a.Job], a.Piece)
+		case Inform:
+			b.informs[a.Job]++
 		case Ready:
 			Expect(b.ready).NotTo(HaveKey(a.Job))
 			Expect(b.refused).NotTo(HaveKey(a.Job))
@@ -176,3 +185,31 @@
 	}
 	return j
 }
+
+// shared is a chain that its owner may hand to another planner.
+func (b *bench) shared(id string, stages ...Stage) Job {
+	j := b.chain(id, stages...)
+	j.Shared = true
+	return j
+}
+
+// resultsOf returns the results of a job that exist, as they were told.
+func (b *bench) resultsOf(id string) []MadePiece {
+	return slices.DeleteFunc(slices.Clone(b.progress[id]), func(p MadePiece) bool {
+		_, held := b.held[p.Handle]
+		return !held
+	})
+}
+
+// tell has the owner of a job told of pieces; hear has it heard of them.
+func (b *bench) tell(id string, pieces ...MadePiece) { b.step(Told{progressOf(id, pieces)}) }
+
+func (b *bench) hear(id string, pieces ...MadePiece) { b.step(Known{progressOf(id, pieces)}) }
+
+func progressOf(id string, pieces []MadePiece) []Progress {
+	var out []Progress
+	for _, p := range pieces {
+		out = append(out, Progress{Job: id, Piece: p})
+	}
+	return out
+}
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -22,11 +22,14 @@
 	// calls counts the running calls that the piece is in.
 	calls int
 	tries int
-	// handle and holder are set once the piece is made; at is where it was last
-	// asked for.
+	// handle and holder are set once the piece is made, holder until its result is
+	// given up or left to another planner; at is where it was last asked for.
 	handle string
 	holder *replica
 	at     *replica
+	// told says that the job's owner is being told of the result, or knows of it,
+	// and known that it does.
+	told, known bool
 }
 
 // bytes returns the usual size of the piece's result.
@@ -50,7 +53,8 @@
 	group *group
 	// readers lists the stages that read this one's results.
 	readers []int
-	// freed says that the results have been given up.
+	// freed says that the results have been given up or are of no more use; those
+	// that still have a holder wait for the word of the job's owner.
 	freed bool
 	// queuedAt is when the inputs were there, startedAt when the last call with
 	// a piece began and madeAt when the last piece was made.
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -18,8 +18,10 @@
 	ordered  []*service
 	replicas map[string]*replica
 	jobs     map[string]*job
-	calls    map[uint64]*call
-	nextID   uint64
+	// refused are jobs of which results wait for their owners' word; see handover.go.
+	refused map[string]*job
+	calls   map[uint64]*call
+	nextID  uint64
 	// expiry is when a job that is not ready may end, nextOverdue when a running call
 	// may be overdue, and nextInspect when a replica may have to be asked for its room.
 	expiry, nextOverdue, nextInspect alarm
@@ -39,7 +41,7 @@
 func New(c Config) *Machine {
 	return &Machine{
 		cfg: c.withDefaults(), bias: 1, services: map[string]*service{}, replicas: map[string]*replica{},
-		jobs: map[string]*job{}, calls: map[uint64]*call{}, freed: map[*replica][]string{},
+		jobs: map[string]*job{}, refused: map[string]*job{}, calls: map[uint64]*call{}, freed: map[*replica][]string{},
 	}
 }
 
@@ -52,11 +54,12 @@
 		m.configure(e)
 	case Submitted:
 		m.submit(now, e.Job)
+	case Told:
+		m.told(e)
+	case Known:
+		m.known(e)
 	case Cancelled:
-		if e.Moved {
-			m.handOver(e.Job, e.Untold)
-		}
-		m.drop(e.Job)
+		m.cancel(e)
 	case CallEnded:
 		m.ended(now, e)
 	case Inspected:
@@ -143,7 +146,7 @@
 
 // submit admits a job or refuses it.
 func (m *Machine) submit(now time.Time, j Job) {
-	if m.jobs[j.ID] != nil {
+	if m.jobs[j.ID] != nil || m.refused[j.ID] != nil {
 		return
 	}
 	s := m.newJob(j)
@@ -153,9 +156,7 @@
 	}
 	m.restore(s)
 	if refusal := m.admit(now, s); refusal != nil {
-		for i := range s.stages {
-			m.freeStage(&s.stages[i])
-		}
+		refusal.Held = m.keepTold(s)
 		m.act(*refusal)
 		return
 	}
@@ -167,42 +168,6 @@
 	m.advance(now, s)
 }
 
-// restore takes over the pieces that an earlier planner had made, as far as
-// their makers are there.
-func (m *Machine) restore(j *job) {
-	for _, old := range j.Made {
-		if old.Stage < 0 || old.Stage >= len(j.stages) || old.Index < 0 || old.Index >= len(j.stages[old.Stage].pieces) {
-			continue
-		}
-		st := &j.stages[old.Stage]
-		p, r := &st.pieces[old.Index], m.replicas[old.Replica]
-		if p.state == made || r == nil || !r.listed || r.service != st.service {
-			continue
-		}
-		p.state, p.handle, p.holder, p.at = made, old.Handle, r, r
-		j.count(old.Stage, -1)
-		r.used += p.bytes()
-	}
-	for i := range j.stages {
-		if j.wasRead(i) {
-			m.leaveStage(&j.stages[i])
-		}
-	}
-}
-
-// leaveStage forgets the results of a stage that another planner has given up.
-func (m *Machine) leaveStage(st *stageState) {
-	st.freed = true
-	for k := range st.pieces {
-		p := &st.pieces[k]
-		if p.holder != nil {
-			p.holder.used = max(0, p.holder.used-p.bytes())
-			p.holder.service.dirty = true
-			p.holder, p.handle = nil, ""
-		}
-	}
-}
-
 // advance queues the pieces of every stage that can start, frees results that
 // have been read, and hands a complete job over.
 func (m *Machine) advance(now time.Time, j *job) {
@@ -228,11 +193,17 @@
 	}
 }
 
-// freeRead gives up the results whose readers are all complete.
+// freeRead gives up the results whose readers are all complete, but for those that
+// the job's owner was told of: these wait until it has heard that they were read.
 func (m *Machine) freeRead(j *job) {
 	for i := range j.stages {
-		if st := &j.stages[i]; !st.freed && j.wasRead(i) {
+		st := &j.stages[i]
+		switch {
+		case st.freed || !j.wasRead(i):
+		case !j.Shared:
 			m.freeStage(st)
+		case j.readersHavePieces(i):
+			m.freeShared(j, i)
 		}
 	}
 }
@@ -245,28 +216,13 @@
 	}
 }
 
-// handOver leaves the results of a job to another planner, but for those of which
-// it cannot know.
-func (m *Machine) handOver(id string, untold []MadePiece) {
-	j := m.jobs[id]
-	if j == nil {
-		return
-	}
-	for _, made := range untold {
-		m.freePiece(&j.stages[made.Stage].pieces[made.Index])
-	}
-	for i := range j.stages {
-		m.leaveStage(&j.stages[i])
-	}
-}
-
 // freePiece gives up the result of a piece, if it has one.
 func (m *Machine) freePiece(p *piece) {
 	if p.holder == nil {
 		return
 	}
 	m.freeHandle(p.holder, p.handle, p.bytes())
-	p.holder, p.handle = nil, ""
+	p.holder = nil
 }
 
 // freeHandle gives up one result.
@@ -312,21 +268,25 @@
 	return ready
 }
 
-// drop forgets a job: its queued pieces are not made, its results are freed.
-func (m *Machine) drop(id string) {
+// remove forgets a job and returns it: its queued pieces are not made. Its results
+// are the caller's to see to.
+func (m *Machine) remove(id string) *job {
+	if j := m.refused[id]; j != nil {
+		delete(m.refused, id)
+		return j
+	}
 	j := m.jobs[id]
 	if j == nil {
-		return
+		return nil
 	}
 	delete(m.jobs, id)
 	j.admit(false)
 	for i := range j.stages {
-		st := &j.stages[i]
-		if st.group != nil {
+		if st := &j.stages[i]; st.group != nil {
 			st.service.queue.removeGroup(st.group)
 		}
-		m.freeStage(st)
 	}
+	return j
 }
 
 // refuse ends a job without results.
@@ -334,10 +294,10 @@
 	if m.jobs[j.ID] != j {
 		return
 	}
-	wasReady := j.ready
-	m.drop(j.ID)
-	if !wasReady {
-		m.act(Refused{Job: j.ID, Reason: reason, RetryAfter: retryAfter})
+	m.remove(j.ID)
+	held := m.keepTold(j)
+	if !j.ready {
+		m.act(Refused{Job: j.ID, Reason: reason, RetryAfter: retryAfter, Held: held})
 	}
 }
 
--- a/core/stage/random_test.go
+++ b/core/stage/random_test.go
@@ -19,6 +19,7 @@
 
 func randomDay(seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 7))
+	words := rand.New(rand.NewPCG(seed, 8))
 	b := newBench(figures(4+rng.IntN(20), int64(rng.IntN(3))*20_000), "x", "x", "y", "z")
 	submitted := 0
 	for range 400 {
@@ -26,7 +27,9 @@
 		switch n := rng.IntN(10); {
 		case n < 4:
 			submitted++
-			b.submit(randomJob(b, rng, fmt.Sprint("j", submitted)))
+			j := randomJob(b, rng, fmt.Sprint("j", submitted))
+			j.Shared = words.IntN(2) == 0
+			b.submit(j)
 		case n < 8 && len(b.running) > 0:
 			b.endRandom(rng, b.running[rng.IntN(len(b.running))])
 		case n == 8:
@@ -34,6 +37,7 @@
 		default:
 			b.step(Tick{})
 		}
+		b.tellRandom(words)
 	}
 	for id := range b.jobs {
 		b.giveUp(id, Cancelled{Job: id})
@@ -43,12 +47,27 @@
 	}
 	Expect(b.held).To(BeEmpty(), "every result is freed")
 	Expect(b.m.jobs).To(BeEmpty())
+	Expect(b.m.refused).To(BeEmpty())
 	Expect(b.m.calls).To(BeEmpty())
 	for _, r := range b.m.replicas {
 		Expect(r.used).To(BeZero(), "replica %s", r.ID)
 	}
 }
 
+// tellRandom tells the owner of some job of its progress, and may have it hear that.
+func (b *bench) tellRandom(rng *rand.Rand) {
+	id := fmt.Sprint("j", rng.IntN(len(b.jobs)+1))
+	pieces := b.progress[id]
+	if len(pieces) == 0 {
+		return
+	}
+	pieces = pieces[rng.IntN(len(pieces)):]
+	b.tell(id, pieces...)
+	if rng.IntN(2) == 0 {
+		b.hear(id, pieces...)
+	}
+}
+
 // randomJob has up to four stages; each comes after some of those before it.
 func randomJob(b *bench, rng *rand.Rand, id string) Job {
 	j := Job{
--- a/core/stage/resume_test.go
+++ b/core/stage/resume_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -67,27 +66,24 @@
 		Expect(b.held).To(BeEmpty())
 	})
 
-	It("keeps its results where another planner goes on with it", func() {
+	It("keeps the results that its owner was told of where another planner may go on with it", func() {
 		b := plain()
-		first := b.submit(b.chain("j", chain...))[0]
+		first := b.submit(b.shared("j", chain...))[0]
 		b.answer(first.Call)
+		b.tell("j", b.resultsOf("j")...)
 		b.giveUp("j", Cancelled{Job: "j", Moved: true})
 		Expect(b.held).To(HaveLen(2))
 	})
 
-	It("keeps the results that were told of where another planner may have gone on with it", func() {
+	It("gives up the results of which nobody else can know where another planner may go on with it", func() {
 		b := plain()
-		first := b.submit(b.chain("j", chain...))[0]
+		first := b.submit(b.shared("j", chain...))[0]
 		b.answer(first.Call)
-		var told []string
-		for h := range b.held {
-			told = append(told, h)
-		}
-		slices.Sort(told)
-		untold := MadePiece{Stage: 0, Index: 1, Handle: told[1], Replica: "a1"}
-		b.giveUp("j", Cancelled{Job: "j", Moved: true, Untold: []MadePiece{untold}})
+		results := b.resultsOf("j")
+		b.tell("j", results[0])
+		b.giveUp("j", Cancelled{Job: "j", Moved: true})
 		Expect(b.held).To(HaveLen(1))
-		Expect(b.held).To(HaveKey(told[0]))
+		Expect(b.held).To(HaveKey(results[0].Handle))
 	})
 
 	It("is not given up twice where its results had been read", func() {
--- a/stages/asleep_test.go
+++ b/stages/asleep_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,11 +40,87 @@
 
 func (b *busy) Room(context.Context, stage.Inspect) (stage.Room, error) { return stage.Room{}, nil }
 
+// encoding makes pieces of encode at once, and none of render until the test ends.
+type encoding struct {
+	busy
+	mu      sync.Mutex
+	handles []string
+	given   []string
+}
+
+func (e *encoding) RunPieces(ctx context.Context, a stage.Run) ([]stage.Result, stage.CallOutcome, error) {
+	if a.Service != "encode" {
+		return e.busy.RunPieces(ctx, a)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []stage.Result
+	for _, p := range a.Pieces {
+		handle := fmt.Sprint(p.Job, "/", p.Index)
+		e.handles = append(e.handles, handle)
+		out = append(out, stage.Result{Handle: handle})
+	}
+	return out, stage.CallAnswered, nil
+}
+
+func (e *encoding) FreeResults(_ context.Context, a stage.Free) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.given = append(e.given, a.Handles...)
+	return nil
+}
+
+func (e *encoding) made() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.handles)
+}
+
+func (e *encoding) givenUp() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.given)
+}
+
 var _ = Describe("a planner", func() {
+	It("that slept leaves alone what the owners of its jobs were told of, and gives up the rest", func() {
+		replicas := &encoding{busy: busy{until: make(chan struct{})}}
+		DeferCleanup(func() { close(replicas.until) })
+		p := newPlanner(stage.Config{}, replicas, zap.NewNop())
+		pieces := &catalog.Pieces{Concurrency: 2, Batch: 8, CallTime: time.Second, PieceTime: time.Millisecond, RoomBytes: 1 << 20, ResultLife: time.Second}
+		services := map[string]*catalog.Service{}
+		var listed []catalog.Replica
+		for _, name := range []string{"encode", "render"} {
+			services[name] = &catalog.Service{Name: name, Pieces: pieces}
+			listed = append(listed, catalog.Replica{ID: name, Service: name, Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 2})
+		}
+		p.configure(services, listed)
+		for _, id := range []string{"told", "untold"} {
+			_, ok := p.submit("fellow", stage.Job{
+				ID: id, Key: "k", Due: clock.Now().Add(time.Hour), Deadline: clock.Now().Add(time.Hour),
+				Stages: []stage.Stage{{Service: "encode", Pieces: 1, ResultBytes: 100}, {Service: "render", After: []int{0}, Pieces: 1}},
+			})
+			Expect(ok).To(BeTrue())
+			Eventually(replicas.made).Should(ContainElement(id + "/0"))
+		}
+		Eventually(replicas.calls.Load).Should(BeNumerically(">", 0), "the results have been taken in")
+		Eventually(func() int {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.jobs["told"].made) + len(p.jobs["untold"].made)
+		}).Should(Equal(2))
+		out, _, _ := p.look("fellow", []string{"told"}, true)
+		Expect(out.made["told"]).To(HaveLen(1))
+		clock.Simulate(2 * orphanAfter)
+		p.tick()
+		Eventually(replicas.givenUp).Should(Equal([]string{"untold/0"}))
+		Consistently(replicas.givenUp, 2*freeDelay).Should(HaveLen(1))
+	})
+
 	It("that slept is one no more for others: they have gone on elsewhere", func() {
 		replicas := &busy{until: make(chan struct{})}
 		DeferCleanup(func() { close(replicas.until) })
-		p := newPlanner(stage.Config{}, replicas, func(string) bool { return false }, zap.NewNop())
+		p := newPlanner(stage.Config{}, replicas, zap.NewNop())
 		pieces := &catalog.Pieces{Concurrency: 1, Batch: 8, CallTime: time.Second, PieceTime: time.Millisecond, RoomBytes: 1 << 20, ResultLife: time.Second}
 		p.configure(map[string]*catalog.Service{"encode": {Name: "encode", Pieces: pieces}},
 			[]catalog.Replica{{ID: "e1", Service: "encode", Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 1}})
@@ -55,13 +134,13 @@
 			_, ok := p.submit(from, job(id))
 			Expect(ok).To(BeTrue())
 		}
-		out, _ := p.ends("fellow", []string{"theirs"})
+		out, _, _ := p.look("fellow", []string{"theirs"}, true)
 		Expect(out.unknown).To(BeEmpty())
 		clock.Simulate(2 * orphanAfter)
 		p.tick()
-		out, _ = p.ends("fellow", []string{"theirs"})
+		out, _, _ = p.look("fellow", []string{"theirs"}, true)
 		Expect(out.unknown).To(ConsistOf("theirs"))
-		out, _ = p.ends("", []string{"own"})
+		out, _, _ = p.look("", []string{"own"}, true)
 		Expect(out.unknown).To(BeEmpty())
 		Expect(replicas.freed.Load()).To(BeZero(), "what was made is the next planner's")
 
@@ -71,7 +150,7 @@
 		_, ok := p.submit("fellow", job("later"))
 		Expect(ok).To(BeTrue())
 		p.tick()
-		out, _ = p.ends("fellow", []string{"later"})
+		out, _, _ = p.look("fellow", []string{"later"}, true)
 		Expect(out.unknown).To(BeEmpty())
 	})
 })
--- a/stages/doc.go
+++ b/stages/doc.go
@@ -12,5 +12,11 @@
 // A daemon that has just started has nothing planned until its fleet has
 // formed, within a second.
 //
-// A planner drops the jobs of a daemon that it has not heard for a while.
+// A planner that cannot be reached does not know whether its jobs have moved. It gives
+// up by itself only results that their owner was not told of. Others wait for the owner's
+// word: each answer to a poll that tells of pieces has a number, and the next poll says
+// which number has come. Without that word they outlive their time at the replica.
+//
+// A planner drops the jobs that their owner has not named for a while, and leaves alone
+// what it was told of.
 package stages
--- a/stages/messages.go
+++ b/stages/messages.go
@@ -74,7 +74,7 @@
 }
 
 func polledToWire(p polled) *wire.StagePolled {
-	out := &wire.StagePolled{Unknown: p.unknown}
+	out := &wire.StagePolled{Unknown: p.unknown, Number: p.number}
 	for id, e := range p.ends {
 		out.Ends = append(out.Ends, endToWire(id, e))
 	}
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -33,17 +33,25 @@
 // entry is a job that this daemon plans.
 type entry struct {
 	owner string
-	// end is set once the job has ended.
-	end *End
+	// end is set once the job has ended; held says of a refused one that its owner
+	// was told of results and has to say that it gives them up.
+	end  *End
+	held bool
 	// told is when the owner was first told of the end.
 	told time.Time
-	// made is what was made since the owner was last told.
-	made []stage.MadePiece
+	// heard is when the owner last named the job.
+	heard time.Time
+	// made is what was made since the owner was last told, inform that it is to be
+	// told at once.
+	made   []stage.MadePiece
+	inform bool
 }
 
 // polled is what an owner is told of its jobs.
 type polled struct {
-	ends map[string]*End
+	// number names the answer if it has news of pieces, else it is 0.
+	number uint64
+	ends   map[string]*End
 	// unknown are jobs that are not planned here.
 	unknown []string
 	// made is the progress of jobs without an end.
@@ -53,12 +61,24 @@
 // owner is a daemon whose jobs are planned here; "" is this one.
 type owner struct {
 	heard time.Time
-	// changed is closed and replaced when a job of the owner ends.
+	// changed is closed and replaced when a job of the owner ends, or its progress is
+	// to be told at once.
 	changed chan struct{}
 	jobs    int
-	// asked says that the daemon has fallen silent and is being asked whether it is
-	// gone.
-	asked bool
+	// telling is the last answer that had news of pieces, until the owner has heard it.
+	telling telling
+}
+
+// telling is the news of pieces of one answer.
+type telling struct {
+	number uint64
+	pieces []stage.Progress
+}
+
+// changes has those that wait for news of the owner's jobs look again.
+func (o *owner) changes() {
+	close(o.changed)
+	o.changed = make(chan struct{})
 }
 
 // planner plans in this daemon.
@@ -66,8 +86,6 @@
 	replicas Replicas
 	log      *zap.Logger
 	freeing  *freeing
-	// gone says whether a daemon is known to be gone, and all that it knew with it.
-	gone func(host string) bool
 
 	mu      sync.Mutex
 	machine *stage.Machine
@@ -77,12 +95,16 @@
 	wake    chan struct{}
 	// stepped is when the machine last took an event.
 	stepped time.Time
+	// answers is the number of the last answer that had news of pieces. It begins
+	// with the time, so that those of two starts of this daemon differ.
+	answers uint64
 }
 
-func newPlanner(cfg stage.Config, replicas Replicas, gone func(host string) bool, log *zap.Logger) *planner {
+func newPlanner(cfg stage.Config, replicas Replicas, log *zap.Logger) *planner {
 	p := &planner{
-		replicas: replicas, gone: gone, log: log, machine: stage.New(cfg),
+		replicas: replicas, log: log, machine: stage.New(cfg),
 		jobs: map[string]*entry{}, owners: map[string]*owner{}, wake: make(chan struct{}, 1),
+		answers: uint64(clock.Now().UnixNano()),
 	}
 	p.freeing = newFreeing(p.free)
 	return p
@@ -109,17 +131,21 @@
 	if len(p.jobs) == 0 {
 		p.stepped = clock.Now() // there was nothing to do before
 	}
-	actions := p.stoodStill(clock.Now())
+	actions := p.note(p.stoodStill(clock.Now()))
 	e := p.jobs[j.ID]
 	if e == nil {
 		e = &entry{owner: from}
 		p.jobs[j.ID] = e
 		o.jobs++
+		j.Shared = from != ""
 		actions = append(actions, p.step(stage.Submitted{Job: j})...)
 	}
-	end = e.end
-	if end != nil && end.Refused != nil {
-		p.forget(j.ID)
+	e.heard = clock.Now()
+	if end = e.end; end != nil {
+		if pieces := e.untold(j.ID); len(pieces) > 0 {
+			actions = append(actions, p.step(stage.Told{Pieces: pieces})...)
+		}
+		p.tellEnd(j.ID, e)
 	}
 	p.mu.Unlock()
 	p.perform(actions)
@@ -152,57 +178,109 @@
 }
 
 // poll waits for the end of any of the owner's jobs, or one that is not planned
-// here, at most until ctx ends. The progress of the others comes with it.
-func (p *planner) poll(ctx context.Context, from string, ids []string) polled {
-	for {
-		out, changed := p.ends(from, ids)
-		if len(out.ends) == 0 && len(out.unknown) == 0 {
-			select {
-			case <-changed:
-				continue
-			case <-ctx.Done():
-			}
+// here, at most until ctx ends. The progress of the others comes with it. heard is
+// the number of the last answer that the owner has heard.
+func (p *planner) poll(ctx context.Context, from string, heard uint64, ids []string) polled {
+	p.hear(from, heard)
+	for waiting := true; ; {
+		out, changed, due := p.look(from, ids, !waiting)
+		if due || !waiting {
+			return out
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			waiting = false
 		}
-		p.progress(&out, ids)
-		return out
 	}
 }
 
-// progress adds what was made for jobs without an end since their owner was
-// last told.
-func (p *planner) progress(out *polled, ids []string) {
+// hear takes an owner's word that it has heard an answer.
+func (p *planner) hear(from string, heard uint64) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, id := range ids {
-		if e := p.jobs[id]; e != nil && e.end == nil && len(e.made) > 0 {
-			out.made[id], e.made = e.made, nil
-		}
+	o := p.owner(from)
+	if heard == 0 || o.telling.number != heard {
+		p.mu.Unlock()
+		return
 	}
+	pieces := o.telling.pieces
+	o.telling = telling{}
+	actions := p.step(stage.Known{Pieces: pieces})
+	p.mu.Unlock()
+	p.perform(actions)
 }
 
-func (p *planner) ends(from string, ids []string) (out polled, changed <-chan struct{}) {
+// look returns what an owner is to be told of its jobs, if that is due or it has
+// waited for long enough.
+func (p *planner) look(from string, ids []string, last bool) (out polled, changed <-chan struct{}, due bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	o := p.owner(from)
-	out = polled{ends: map[string]*End{}, made: map[string][]stage.MadePiece{}}
+	o, now := p.owner(from), clock.Now()
+	due = last
 	for _, id := range ids {
 		e := p.jobs[id]
 		if e == nil || e.owner != from {
-			out.unknown = append(out.unknown, id)
+			due = true
 			continue
 		}
-		if e.end == nil {
+		e.heard = now
+		due = due || e.end != nil || e.inform
+	}
+	changed = o.changed
+	var actions []stage.Action
+	if due {
+		out, actions = p.tell(from, o, ids)
+	}
+	p.mu.Unlock()
+	p.perform(actions)
+	return out, changed, due
+}
+
+// tell collects what an owner is told of its jobs; the lock is held.
+func (p *planner) tell(from string, o *owner, ids []string) (polled, []stage.Action) {
+	out := polled{ends: map[string]*End{}, made: map[string][]stage.MadePiece{}}
+	var pieces []stage.Progress
+	for _, id := range ids {
+		e := p.jobs[id]
+		if e == nil || e.owner != from {
+			out.unknown = append(out.unknown, id)
 			continue
 		}
-		out.ends[id] = e.end
-		if e.told.IsZero() {
-			e.told = clock.Now()
+		if e.end == nil && len(e.made) > 0 {
+			out.made[id] = e.made
 		}
-		if e.end.Refused != nil {
-			p.forget(id)
+		pieces = append(pieces, e.untold(id)...)
+		if e.end != nil {
+			out.ends[id] = e.end
+			p.tellEnd(id, e)
 		}
 	}
-	return out, o.changed
+	if len(pieces) == 0 {
+		return out, nil
+	}
+	p.answers++
+	out.number = p.answers
+	o.telling = telling{out.number, pieces}
+	return out, p.step(stage.Told{Pieces: pieces})
+}
+
+// untold takes what the owner of a job was not told of yet.
+func (e *entry) untold(id string) []stage.Progress {
+	var pieces []stage.Progress
+	for _, made := range e.made {
+		pieces = append(pieces, stage.Progress{Job: id, Piece: made})
+	}
+	e.made, e.inform = nil, false
+	return pieces
+}
+
+// tellEnd notes that the owner of a job is being told of its end; the lock is held.
+func (p *planner) tellEnd(id string, e *entry) {
+	if e.told.IsZero() {
+		e.told = clock.Now()
+	}
+	if e.end.Refused != nil && !e.held {
+		p.forget(id)
+	}
 }
 
 // drop gives jobs of an owner up; moved says that another planner goes on with
@@ -213,26 +291,42 @@
 	var actions []stage.Action
 	for _, id := range ids {
 		if e := p.jobs[id]; e != nil && e.owner == from {
-			p.forget(id)
-			actions = append(actions, p.step(stage.Cancelled{Job: id, Moved: moved})...)
+			actions = append(actions, p.cancel(id, moved)...)
 		}
 	}
 	p.mu.Unlock()
 	p.perform(actions)
 }
 
+// cancel gives a job up; the lock is held.
+func (p *planner) cancel(id string, moved bool) []stage.Action {
+	p.forget(id)
+	return p.step(stage.Cancelled{Job: id, Moved: moved})
+}
+
 // step passes an event to the machine and notes the ends of jobs; the lock is
 // held. The caller performs the actions without it.
 func (p *planner) step(e stage.Event) []stage.Action {
 	now := clock.Now()
 	actions := p.stoodStill(now)
-	actions = append(actions, p.machine.Step(now, e)...)
+	actions = p.note(append(actions, p.machine.Step(now, e)...))
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	return actions
+}
+
+// note takes what became of jobs out of actions and returns them; the lock is held.
+func (p *planner) note(actions []stage.Action) []stage.Action {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case stage.Progress:
 			if e := p.jobs[a.Job]; e != nil && e.owner != "" {
 				e.made = append(e.made, a.Piece)
 			}
+		case stage.Inform:
+			p.inform(a.Job)
 		case stage.Ready:
 			p.log.Info("stages ready", logging.Request(a.Job), zap.String("failure_domain", a.Domain), zap.Array("stages", timings(a.Timings)),
 				zap.Duration("took", a.Took), zap.Duration("predicted", a.Predicted), zap.Duration("early", a.Early))
@@ -241,13 +335,21 @@
 			p.ended(a.Job, &End{Refused: &a})
 		}
 	}
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
 	return actions
 }
 
+// inform has the owner of a job told of its progress at once; the lock is held.
+func (p *planner) inform(id string) {
+	e := p.jobs[id]
+	if e == nil {
+		return
+	}
+	e.inform = true
+	if o := p.owners[e.owner]; o != nil {
+		o.changes()
+	}
+}
+
 // timings logs the course of stages, each as stage:wait+work.
 type timings []stage.Timing
 
@@ -269,10 +371,12 @@
 	if e == nil {
 		return
 	}
-	e.end, e.made = end, nil
+	e.end = end
+	if end.Refused != nil {
+		e.made, e.held = nil, end.Refused.Held
+	}
 	if o := p.owners[e.owner]; o != nil {
-		close(o.changed)
-		o.changed = make(chan struct{})
+		o.changes()
 	}
 }
 
--- a/stages/remote.go
+++ b/stages/remote.go
@@ -79,7 +79,9 @@
 		return nil, &restartedError{n}
 	}
 	if accepted.GetEnd() != nil {
-		return endOf(accepted.GetEnd()), nil
+		end := endOf(accepted.GetEnd())
+		s.refused(host.Name, end, j.Made)
+		return end, nil
 	}
 	w := s.wait(host.Name, j.ID)
 	select {
@@ -87,6 +89,7 @@
 		if end == nil {
 			return nil, &lostError{w.made}
 		}
+		s.refused(host.Name, end, j.Made, w.made)
 		return end, nil
 	case <-ctx.Done():
 		s.unwait(host.Name, j.ID)
@@ -95,6 +98,14 @@
 	}
 }
 
+// refused has a planner give up the results of a job that it has refused, if this
+// daemon knows of any: it keeps them until then.
+func (s *Service) refused(host string, end *End, known ...[]stage.MadePiece) {
+	if end.Refused != nil && len(slices.Concat(known...)) > 0 {
+		go s.dropThere(host, []string{end.Refused.Job}, false)
+	}
+}
+
 func (s *Service) ask(ctx context.Context, host, method string, req, resp wireMessage, timeout time.Duration) error {
 	ctx, cancel := clock.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -146,12 +157,6 @@
 // ended, and all that it knew with it: its kernel refuses connections.
 func ended(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// gone says whether the process of a host is known to have ended. One that cannot
-// be reached, or answers, may still know what it was told.
-func (s *Service) gone(host string) bool {
-	return ended(s.greet(context.Background(), host, confirmTimeout))
-}
-
 // dropThere gives jobs up at another planner; moved says that their results
 // stay, as another goes on with them.
 func (s *Service) dropThere(host string, ids []string, moved bool) {
@@ -187,16 +192,22 @@
 	}
 }
 
-// poll polls a planner while jobs wait there.
+// poll polls a planner while jobs wait there, and tells it which of its answers has
+// come: it then gives up what has been read.
 func (s *Service) poll(host string) {
+	var heard uint64
+	owed := false // the planner waits for that
 	for {
 		ids := s.waitingAt(host)
 		if len(ids) == 0 {
+			if owed {
+				s.acknowledge(host, heard)
+			}
 			return
 		}
 		answer := &wire.StagePolled{}
-		req := &wire.StagePoll{Jobs: ids, WaitMs: uint32(pollWait.Milliseconds())}
-		now := &wire.StagePoll{Jobs: ids}
+		req := &wire.StagePoll{Jobs: ids, WaitMs: uint32(pollWait.Milliseconds()), Heard: heard}
+		now := &wire.StagePoll{Jobs: ids, Heard: heard}
 		err := s.askSurely(context.Background(), host, methodPoll, req, now, answer, pollWait+pollGrace)
 		if err != nil {
 			s.log.Warn("planner lost", zap.String("peer", host), zap.Int("jobs", len(ids)), zap.Error(err))
@@ -204,12 +215,31 @@
 			go s.dropThere(host, ids, true)
 			continue
 		}
-		s.note(host, answer.GetProgress())
-		for _, e := range answer.GetEnds() {
-			s.deliver(host, e.GetJob(), endOf(e))
+		if n := answer.GetNumber(); n > 0 {
+			heard = n
 		}
-		s.lose(host, answer.GetUnknown())
+		owed = s.take(host, answer)
+	}
+}
+
+// acknowledge tells a planner at which no job waits any more which of its answers has
+// come.
+func (s *Service) acknowledge(host string, heard uint64) {
+	req := &wire.StagePoll{Heard: heard}
+	if err := s.ask(context.Background(), host, methodPoll, req, &wire.StagePolled{}, confirmTimeout); err != nil {
+		s.log.Debug("answer not acknowledged", zap.String("peer", host), zap.Error(err))
+	}
+}
+
+// take takes the answer of a planner and says whether that one may wait for the word
+// that it has come: it does so where results of a job that has ended were told of before.
+func (s *Service) take(host string, answer *wire.StagePolled) (owed bool) {
+	s.note(host, answer.GetProgress())
+	for _, e := range answer.GetEnds() {
+		owed = s.deliver(host, e.GetJob(), endOf(e)) || owed
 	}
+	s.lose(host, answer.GetUnknown())
+	return owed && answer.GetNumber() > 0
 }
 
 // note keeps the progress of jobs for a planner that may have to go on with
@@ -236,21 +266,23 @@
 	return slices.Collect(maps.Keys(p.waiting))
 }
 
-// deliver hands an end to whoever waits; a result that nobody waits for is
-// given up.
-func (s *Service) deliver(host, id string, end *End) {
+// deliver hands an end to whoever waits, and says whether that one was told of
+// results before; a result that nobody waits for is given up.
+func (s *Service) deliver(host, id string, end *End) (told bool) {
 	s.mu.Lock()
 	p := s.remote[host]
 	w := p.waiting[id]
 	delete(p.waiting, id)
 	s.mu.Unlock()
 	if w != nil {
+		told = len(w.made) > 0
 		w.end <- end
-		return
+		return told
 	}
 	if end != nil && end.Refused == nil {
 		go s.dropThere(host, []string{id}, false)
 	}
+	return false
 }
 
 // lose tells that jobs have no planner any more.
@@ -281,7 +313,7 @@
 	peer.Handle(mux, methodPoll, func(ctx context.Context, from peer.Sender, req *wire.StagePoll) (*wire.StagePolled, error) {
 		ctx, cancel := clock.WithTimeout(ctx, time.Duration(req.GetWaitMs())*time.Millisecond)
 		defer cancel()
-		return polledToWire(s.planner.poll(ctx, from.Host, req.GetJobs())), nil
+		return polledToWire(s.planner.poll(ctx, from.Host, req.GetHeard(), req.GetJobs())), nil
 	})
 	peer.Handle(mux, methodDrop, func(_ context.Context, from peer.Sender, req *wire.StageDrop) (*wire.StageDropped, error) {
 		s.planner.drop(from.Host, req.GetJobs(), req.GetMoved())
--- a/stages/service.go
+++ b/stages/service.go
@@ -68,7 +68,7 @@
 		cfg: cfg, log: cfg.Logger,
 		remote: map[string]*planning{}, placed: map[string]string{},
 	}
-	s.planner = newPlanner(cfg.Plan, cfg.Replicas, s.gone, cfg.Logger)
+	s.planner = newPlanner(cfg.Plan, cfg.Replicas, cfg.Logger)
 	s.handle(cfg.Mux)
 	return s
 }
@@ -183,7 +183,7 @@
 	if end != nil {
 		return end, nil
 	}
-	if end := s.planner.poll(ctx, "", []string{j.ID}).ends[j.ID]; end != nil {
+	if end := s.planner.poll(ctx, "", 0, []string{j.ID}).ends[j.ID]; end != nil {
 		return end, nil
 	}
 	s.planner.drop("", []string{j.ID}, false)
@@ -205,7 +205,9 @@
 	}
 }
 
-// avoidFor is how long a planner that failed is avoided.
+// avoidFor is how long a planner that failed is avoided. No job comes back to it before
+// it has dropped it (orphanAfter): it would go on with results that another planner may
+// have given up.
 const avoidFor = 2 * time.Second
 
 // choose returns the host that plans: of those that may be called and did not
--- a/stages/sweep.go
+++ b/stages/sweep.go
@@ -13,7 +13,8 @@
 // The times after which the jobs of a silent daemon are dropped.
 const (
 	// orphanAfter is for jobs whose end the daemon does not know: while it waits
-	// for one it polls several times a second.
+	// for one it polls several times a second. It is also for refused ones of whose
+	// results it knows: it gives them up at once.
 	orphanAfter = 1500 * time.Millisecond
 	// unreadAfter is for jobs whose results it has: it says when they have been
 	// read, and their holders keep them for seconds only.
@@ -66,65 +67,43 @@
 	return max(time.Millisecond, wait)
 }
 
-// sweep drops the jobs of daemons that have been silent for too long.
+// sweep drops the jobs of daemons that have been silent for too long. They may have
+// gone on with another planner, and the word of that have been lost: results that they
+// were told of are left alone, and outlive their time.
 func (p *planner) sweep(now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	silent := map[string]bool{}
-	for _, e := range p.jobs {
-		if p.orphaned(e, now) {
-			silent[e.owner] = true
+	var actions []stage.Action
+	dropped := map[string]int{}
+	for id, e := range p.jobs {
+		if e.orphaned(now) {
+			dropped[e.owner]++
+			actions = append(actions, p.cancel(id, true)...)
 		}
 	}
 	for name, o := range p.owners {
-		switch {
-		case o.jobs == 0 && now.Sub(o.heard) > unreadAfter:
+		if o.jobs == 0 && now.Sub(o.heard) > unreadAfter {
 			delete(p.owners, name)
-		case silent[name] && !o.asked:
-			o.asked = true
-			go p.dropSilent(name)
 		}
 	}
+	p.mu.Unlock()
+	for name, jobs := range dropped {
+		p.log.Warn("jobs of a silent daemon dropped", zap.String("peer", name), zap.Int("jobs", jobs))
+	}
+	p.perform(actions)
 }
 
 // orphaned says whether the daemon that waits for a job, or has its results, has
-// not been heard for too long; the lock is held.
-func (p *planner) orphaned(e *entry, now time.Time) bool {
-	o := p.owners[e.owner]
-	if e.owner == "" || o == nil {
+// not named it for too long.
+func (e *entry) orphaned(now time.Time) bool {
+	switch {
+	case e.owner == "":
 		return false
+	case e.told.IsZero():
+		return now.Sub(e.heard) >= orphanAfter
+	case e.end.Refused != nil:
+		return now.Sub(e.told) >= orphanAfter
 	}
-	if !e.told.IsZero() {
-		return now.Sub(e.told) >= unreadAfter
-	}
-	return now.Sub(o.heard) >= orphanAfter
-}
-
-// dropSilent drops the jobs of a daemon that has fallen silent. One that is gone
-// has lost them, and what was made is given up. Another one may have gone on with
-// another planner, and the word of that have been lost: results that it was told of
-// are left alone then, and outlive their time.
-func (p *planner) dropSilent(name string) {
-	gone := p.gone(name)
-	p.mu.Lock()
-	var actions []stage.Action
-	dropped, now := 0, clock.Now()
-	for id, e := range p.jobs {
-		if e.owner != name || !p.orphaned(e, now) {
-			continue
-		}
-		dropped++
-		p.forget(id)
-		actions = append(actions, p.step(stage.Cancelled{Job: id, Moved: !gone, Untold: e.made})...)
-	}
-	if o := p.owners[name]; o != nil {
-		o.asked = false
-	}
-	p.mu.Unlock()
-	if dropped > 0 {
-		p.log.Warn("jobs of a silent daemon dropped", zap.String("peer", name), zap.Int("jobs", dropped), zap.Bool("gone", gone))
-	}
-	p.perform(actions)
+	return now.Sub(e.told) >= unreadAfter
 }
 
 // stoodStill gives the jobs of other daemons up when this one, with jobs to see to
@@ -140,7 +119,7 @@
 	var actions []stage.Action
 	for id, e := range p.jobs {
 		if e.owner != "" && e.told.IsZero() {
-			p.forget(id)
+			p.forget(id) // not by step, which would look again
 			actions = append(actions, p.machine.Step(now, stage.Cancelled{Job: id, Moved: true})...)
 		}
 	}
