A call that gives results up is made twice by a host that slept

What callers saw: nothing; a replica is told twice to give the same results up.

The planner's log has one call that gives two results of encode7 up ("results not freed, results=2, context deadline exceeded") in the millisecond in which its host woke from 4 s of sleep, and no planner but it had them. The first try had arrived before; its 250 ms, and the second of both tries, passed in the sleep, and the first try's end was seen before the second's.

--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/faultrelay"
 	"github.com/wheatseam/wheatseam/replica"
 )
@@ -87,6 +88,17 @@
 		Expect(c.FreeResults(bound, results)).To(Succeed())
 	})
 
+	It("is not tried once more when this host slept until after the answer had come", func() {
+		for range 10 {
+			s := serve(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				clock.Simulate(500 * time.Millisecond)
+			})
+			Expect(free(s)).To(Succeed())
+			Expect(s.calls.Load()).To(Equal(int64(1)))
+		}
+	})
+
 	It("fails when both tries do, and ends with its context", func() {
 		s := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 		Expect(free(s)).NotTo(Succeed())
