Take the answer to the first try when this host stood still beyond its time

Cause: giving results up is tried a second time, as the kept connection may have gone silent. A host that stands still or sleeps between the call and its answer finds both the first try's time and the answer when it goes on; which it saw first was chance, and the second try gave the same results up again.

Change: the first try's answer is taken for 20 ms after its time has passed. The second try is as before where the connection has gone silent, 20 ms later. Where a replica really takes longer than 270 ms, or the answer is lost, it is still told twice; by the platform's pages a handle named again costs the call only.

--- a/replica/stage.go
+++ b/replica/stage.go
@@ -66,6 +66,11 @@
 // until a call arrives. Such a call takes some 2 ms, and more on a busy host.
 const firstFreeTry = 250 * time.Millisecond
 
+// wakeGrace is how long an answer to the first try is still taken after its time has
+// passed: when this host stood still meanwhile, the answer may have come, and be read as
+// soon as the host goes on. A second try would give the same results up again.
+const wakeGrace = 20 * time.Millisecond
+
 // FreeResults gives results up at the replica that holds them. A replica may
 // have dropped the idle connection that the first try takes, also without a
 // word, so that there is a second.
@@ -75,8 +80,9 @@
 		return err
 	}
 	call := stageCall(platform.StageFreePath, a.Replica, a.Address, body)
-	first, cancel := clock.WithTimeout(ctx, firstFreeTry)
+	first, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer clock.AfterFunc(firstFreeTry, func() { time.AfterFunc(wakeGrace, cancel) }).Stop()
 	if err = c.free(first, call); err != nil && ctx.Err() == nil {
 		err = c.free(ctx, call)
 	}
