Hold planners to giving read results up before the next poll would end

TestReadResults passed with polls that were not answered at once when results wait for the owner's word: it looked at the last stage only. It now looks at the stage before too, 150 ms after it was made.

--- a/stages/moved_test.go
+++ b/stages/moved_test.go
@@ -283,6 +283,10 @@
 	g.Expect(ready).To(BeNumerically(">", 0))
 }
 
+// soon is a few messages, and the time for which results are kept back so that one call
+// gives many up; a poll is held for longer.
+const soon = 150 * time.Millisecond
+
 // TestReadResults holds planners to giving results up soon after they have been read,
 // also those that the job's owner was told of meanwhile.
 func TestReadResults(t *testing.T) {
@@ -290,13 +294,17 @@
 		g := NewWithT(t)
 		f := newWired(t, 2, func() time.Duration { return slowWork })
 		owner := f.services[f.names[1]]
-		end := owner.Prepare(context.Background(), chain("job", 20*time.Second))
+		ready := make(chan *stages.End, 1)
+		go func() { ready <- owner.Prepare(context.Background(), chain("job", 20*time.Second)) }()
+		time.Sleep(2*slowWork + soon)
+		g.Expect(f.replicas.holds()).To(Equal(3), "the results of the second stage, which has read the first")
+		end := <-ready
 		g.Expect(end).NotTo(BeNil())
 		g.Expect(end.Refused).To(BeNil())
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(soon)
 		g.Expect(f.replicas.holds()).To(Equal(2), "the results of the last stage")
 		owner.Release("job")
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(soon)
 		g.Expect(f.replicas.holds()).To(BeZero())
 	})
 }
