Show that closed calls leave results that nobody gives up

What is seen: results keep their room at a replica for handle_ttl_s though the job has long been answered, so that calls there find none.

A call that takes 4 times its expected time and 0.5 s lapses, and is closed when nobody waits for it. A replica drops a closed call that waits, and goes on with one that it works on: what that makes is named to nobody.

TestLapsedCallAtWorkIsHeard and TestLapsedCallThatWaitsIsGivenUp hold the core to closing only what waits. TestResultsOfLapsedCalls plays calls that all lapse, at replicas that work on one at a time. The harness is truer to a replica: a call at work is made whether or not it was closed (before: by chance, as two cases of a select were ready), and the fleet ends when its calls have. TestReadResults is unchanged.

go test -run TestLapsedCall ./core/stage go test -count=5 -run 'TestReadResults|TestResultsOfLapsedCalls' ./stages

--- a/core/stage/lapsed_test.go
+++ b/core/stage/lapsed_test.go
@@ -50,6 +50,41 @@
 	Expect(b.m.replicas[hung.Replica].used).To(BeZero())
 }
 
+// TestLapsedCallAtWorkIsHeard: a replica goes on with the call that it works on, so that
+// this one is heard though nobody waits for it any more, and what it brings is freed.
+func TestLapsedCallAtWorkIsHeard(t *testing.T) {
+	RegisterTestingT(t)
+	b, paused := lapsedCall(4, "x", "x")
+	again := b.running[1]
+	Expect(again.Replica).NotTo(Equal(paused.Replica))
+	b.answer(again.Call)
+	Expect(b.ready).To(HaveKey("j"))
+	b.giveUp("j", Cancelled{Job: "j"})
+	b.pass(4 * lapsedEvery)
+	Expect(b.running).To(ConsistOf(HaveField("Call", paused.Call)))
+	b.answer(paused.Call)
+	Expect(b.held).To(BeEmpty())
+	Expect(b.m.calls).To(BeEmpty())
+	Expect(b.m.replicas[paused.Replica].used).To(BeZero())
+}
+
+// TestLapsedCallThatWaitsIsGivenUp: of the calls at a replica that pauses all but those
+// that it works on are given up when nobody waits for them, as it then drops them.
+func TestLapsedCallThatWaitsIsGivenUp(t *testing.T) {
+	RegisterTestingT(t)
+	b, paused := lapsedCall(4, "x")
+	Expect(b.pass(time.Second)).To(HaveLen(1))
+	b.pass(1600 * time.Millisecond)
+	Expect(b.running).To(HaveLen(2))
+	b.giveUp("j", Cancelled{Job: "j"})
+	b.pass(lapsedEvery)
+	Expect(b.running).To(ConsistOf(HaveField("Call", paused.Call)))
+	b.answer(paused.Call)
+	Expect(b.held).To(BeEmpty())
+	Expect(b.m.calls).To(BeEmpty())
+	Expect(b.m.replicas[paused.Replica].used).To(BeZero())
+}
+
 // TestLapsedCallStillCounts: what comes late is taken, and what was made a second time
 // is freed.
 func TestLapsedCallStillCounts(t *testing.T) {
--- a/stages/moved_test.go
+++ b/stages/moved_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,6 +78,30 @@
 type wires struct {
 	muxes  map[string]*peer.Mux
 	spells []spell
+	// calling counts the calls to replicas that have not ended.
+	calling atomic.Int32
+	// places has the calls that a replica works on, one at a time, where it is set.
+	places map[string]chan struct{}
+}
+
+// queue has a call wait for its turn at a replica, and says whether it came.
+func (w *wires) queue(ctx context.Context, replica string) bool {
+	if w.places == nil {
+		return true
+	}
+	select {
+	case w.places[replica] <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// leave ends a call's turn at a replica.
+func (w *wires) leave(replica string) {
+	if w.places != nil {
+		<-w.places[replica]
+	}
 }
 
 // trouble returns that of a call between two hosts now, and when it ends.
@@ -154,10 +179,20 @@
 }
 
 func (r reached) RunPieces(ctx context.Context, a stage.Run) ([]stage.Result, stage.CallOutcome, error) {
+	r.wires.calling.Add(1)
+	defer r.wires.calling.Add(-1)
 	r.await()
+	if !r.wires.queue(ctx, a.Replica) {
+		return nil, stage.CallFailed, ctx.Err()
+	}
+	// A replica goes on with a call that it works on, whoever listens.
 	time.Sleep(r.work())
-	results, outcome, err := r.asked.RunPieces(ctx, a)
+	results, outcome, err := r.asked.RunPieces(context.WithoutCancel(ctx), a)
+	r.wires.leave(a.Replica)
 	r.await()
+	if ctx.Err() != nil {
+		return nil, stage.CallFailed, ctx.Err()
+	}
 	return results, outcome, err
 }
 
@@ -199,10 +234,17 @@
 		f.services[name] = s
 		running.Go(func() { s.Run(ctx) })
 	}
-	t.Cleanup(func() { cancel(); running.Wait() })
+	t.Cleanup(func() { cancel(); running.Wait(); f.await() })
 	return f
 }
 
+// await waits until no call to a replica is under way.
+func (f *wired) await() {
+	for f.calling.Load() > 0 {
+		time.Sleep(soon)
+	}
+}
+
 // planned is the number of jobs that hosts still plan.
 func (f *wired) planned() int {
 	n := 0
@@ -308,3 +350,26 @@
 		g.Expect(f.replicas.holds()).To(BeZero())
 	})
 }
+
+// TestResultsOfLapsedCalls holds planners to giving up what calls bring that are too
+// late to be counted on, once a job's results are there: such calls make them all anew.
+func TestResultsOfLapsedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const work = 2500 * time.Millisecond // several times that after which a call lapses
+		f := newWired(t, 2, func() time.Duration { return work })
+		f.places = map[string]chan struct{}{}
+		for _, r := range listed() {
+			f.places[r.ID] = make(chan struct{}, 1)
+		}
+		owner := f.services[f.names[1]]
+		end := owner.Prepare(context.Background(), chain("job", 20*time.Second))
+		g.Expect(end).NotTo(BeNil())
+		g.Expect(end.Refused).To(BeNil())
+		owner.Release("job")
+		f.await()
+		time.Sleep(soon)
+		g.Expect(f.replicas.made).To(BeNumerically(">", 7), "some of its seven pieces were made anew")
+		g.Expect(f.replicas.holds()).To(BeZero())
+	})
+}
