Hear lapsed calls on which their replica is at work, and give up what they bring

What was seen: results kept their room at a replica for handle_ttl_s though nobody could read them any more, as in the failing tests before this.

Cause: a lapsed call was closed when nobody waited for it, wherever it was. A replica drops a closed call only while it waits.

Not the cause: the planners' words of what is told and known. They give up nothing later than before; TestReadResults failed as soon as its calls lapse, and a call closed by the client's time, before calls lapsed, left the same at a replica.

Change: a lapsed call that nobody waits for is closed only where its replica is not at work on it: as many earlier ones as the replica works on at once have not ended, or as many later ones have been answered, or the replica is replaced. Any other is heard to its end, at most for its Timeout, and what it brings is freed, so that its room counts as free. A call that hangs for good thus costs a connection until then where its replica answers nothing else; it holds no place, as before. Not mended: a call that is at work when its Timeout ends still leaves its results to handle_ttl_s.

go test -run TestLapsedCall ./core/stage go test -count=5 -run 'TestReadResults|TestResultsOfLapsedCalls' ./stages

--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -28,7 +28,8 @@
 	Timeout time.Duration
 }
 
-// Abandon gives a call up that nobody waits for any more.
+// Abandon gives a call up that nobody waits for any more, and on which its replica is
+// not at work.
 type Abandon struct{ Call uint64 }
 
 // Free gives up results at the replica that made them. The calls to that replica
--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -48,6 +48,7 @@
 	}
 	r.failures, r.refusals = 0, 0
 	r.suspect = time.Time{}
+	r.pass(c)
 	r.measure(now, now.Sub(c.started), len(c.pieces))
 }
 
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -105,7 +105,7 @@
 		s.replicas = s.replicas[:0]
 	}
 	for id, r := range m.replicas {
-		if !r.listed && len(r.calls)+r.lapsed == 0 {
+		if !r.listed && len(r.calls)+len(r.lapsed) == 0 {
 			delete(m.replicas, id)
 			continue
 		}
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -67,8 +67,8 @@
 	// address.
 	replaced bool
 	calls    []*call
-	// lapsed counts the calls that are no longer counted on, and still heard.
-	lapsed int
+	// lapsed are the calls that are no longer counted on, and still heard.
+	lapsed []*call
 	// used is the bytes of results made or being made there.
 	used int64
 	// pace is the smoothed ratio of measured to nominal call times there, as of
@@ -105,9 +105,11 @@
 	ends, overdue time.Time
 	given         bool
 	// lapses is when the call is no longer counted on, or when it is next looked
-	// whether somebody waits for it.
+	// whether it is of use.
 	lapses time.Time
 	lapsed bool
+	// later counts the calls that were made later and answered before.
+	later int
 }
 
 // usable says whether the replica may be called at all.
