--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -48,6 +48,7 @@
 	}
 	r.failures, r.refusals = 0, 0
 	r.suspect = time.Time{}
+	r.pass(c)
 	r.measure(now, now.Sub(c.started), len(c.pieces))
 }
 
@@ -179,11 +180,15 @@
 	if st.left > 0 {
 		return
 	}
+	if j.Shared {
+		m.leaveStage(st) // the owner may hand them to another planner
+	}
 	m.freeStage(st)
 	st.freed = false
 	j.count(i, len(st.pieces)-st.left)
 	for k := range st.pieces {
-		st.pieces[k].state = blocked
+		p := &st.pieces[k]
+		p.state, p.told, p.known = blocked, false, false
 	}
 	for _, a := range j.Stages[i].After {
 		if j.stages[a].freed {
