Give late holds back, and leave no engine at work for one that holds no place

What callers saw: a stream that paused for 2.5 s at an engine that tells nothing of its runs was left for one that holds no places, which refused it, and broke off. And a place that was being held when a stream went on by itself stayed held until it lapsed, as the call was cancelled.

Cause: an engine that holds no places was taken at the router's word for any run; it is now only for one that is doubted, where there is nothing to lose. A call that holds a place runs to its end now, and what comes late is given back.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -50,8 +50,9 @@
 
 // secure secures a further run of the request while an attempt is under way. It is
 // called beside the exchange's own goroutine and changes nothing of the exchange
-// but prepared. What is returned is owed to giveBack, unless it is used.
-func (x *exchange) secure(ctx context.Context, t *try, at progress) (*replacement, denial) {
+// but prepared. What is returned is owed to giveBack, unless it is used. Only for a run
+// that is doubted a replica that holds no places is taken at the router's word.
+func (x *exchange) secure(ctx context.Context, t *try, at progress, doubted bool) (*replacement, denial) {
 	if d := x.furtherRunDenied(t, at); d != "" {
 		return nil, d
 	}
@@ -59,7 +60,7 @@
 	if !budget.Withdraw(clock.Now()) {
 		return nil, deniedBudget
 	}
-	r, d := x.secureRun(ctx, t)
+	r, d := x.secureRun(ctx, t, doubted)
 	if r == nil {
 		budget.Return(clock.Now())
 	}
@@ -82,7 +83,7 @@
 }
 
 // secureRun secures the inputs and a replica.
-func (x *exchange) secureRun(ctx context.Context, t *try) (*replacement, denial) {
+func (x *exchange) secureRun(ctx context.Context, t *try, doubted bool) (*replacement, denial) {
 	r := &replacement{}
 	if !x.otherReplica() {
 		return nil, deniedReplica
@@ -94,7 +95,7 @@
 		}
 		r.inputs = in
 	}
-	if !x.holdPlace(ctx, r) {
+	if !x.holdPlace(ctx, r, doubted) {
 		x.releaseNew(r)
 		return nil, deniedOr(ctx, deniedReplica)
 	}
@@ -121,7 +122,7 @@
 }
 
 // holdPlace picks a replica that was not tried and has a place held there.
-func (x *exchange) holdPlace(ctx context.Context, r *replacement) bool {
+func (x *exchange) holdPlace(ctx context.Context, r *replacement, doubted bool) bool {
 	q := x.query()
 	if r.inputs != nil {
 		q.Domain = r.inputs.domain
@@ -135,34 +136,51 @@
 			x.unpick(choice, request.CallCancelled)
 			return false
 		}
-		hold, result := x.hold(ctx, choice)
-		if result == request.CallOK {
+		hold, err := x.hold(ctx, choice)
+		if err == nil || doubted && errors.Is(err, replica.ErrUnknownCall) {
 			r.choice, r.hold = choice, hold
 			return true
 		}
-		x.unpick(choice, result)
+		x.g.log.Info("no place held", logging.Request(x.req.ID), zap.String("replica", choice.Upstream), zap.Error(err))
+		x.unpick(choice, resultOfHold(err))
 		q.Tried = append(slices.Clip(q.Tried), choice.Upstream)
 	}
 	return false
 }
 
-// hold has a place held at a replica. CallOK says that the request may be sent
-// there; a replica that answers and holds no places takes it like any other.
-func (x *exchange) hold(ctx context.Context, c request.Choice) (string, request.CallResult) {
-	ctx, cancel := clock.WithTimeout(ctx, holdTimeout)
-	defer cancel()
-	hold, err := x.g.client.Hold(ctx, c.Upstream, c.Address, x.req.PromptTokens+x.req.OutputTokens, holdLife)
-	switch {
-	case err == nil:
-		return hold, request.CallOK
-	case errors.Is(err, replica.ErrUnknownCall):
-		return "", request.CallOK
-	}
-	x.g.log.Info("no place held", logging.Request(x.req.ID), zap.String("replica", c.Upstream), zap.Error(err))
+// resultOfHold is what a place that was not held says of the replica.
+func resultOfHold(err error) request.CallResult {
 	if errors.Is(err, replica.ErrNoRoom) {
-		return "", request.CallRefused
+		return request.CallRefused
+	}
+	return request.CallCancelled
+}
+
+// hold has a place held at a replica. One that comes when it is not wanted any more is
+// given back.
+func (x *exchange) hold(ctx context.Context, c request.Choice) (string, error) {
+	type held struct {
+		name string
+		err  error
+	}
+	answered := make(chan held, 1)
+	go func() {
+		call, cancel := clock.WithTimeout(context.Background(), holdTimeout)
+		defer cancel()
+		name, err := x.g.client.Hold(call, c.Upstream, c.Address, x.req.PromptTokens+x.req.OutputTokens, holdLife)
+		answered <- held{name, err}
+	}()
+	select {
+	case h := <-answered:
+		return h.name, h.err
+	case <-ctx.Done():
+		go func() {
+			if h := <-answered; h.err == nil {
+				x.dropHold(c, h.name)
+			}
+		}()
+		return "", ctx.Err()
 	}
-	return "", request.CallCancelled
 }
 
 // unpick ends a pick for which nothing was sent.
@@ -176,7 +194,7 @@
 	x.unpick(r.choice, request.CallCancelled)
 	x.releaseNew(r)
 	if r.hold != "" {
-		go x.dropHold(r)
+		go x.dropHold(r.choice, r.hold)
 	}
 }
 
@@ -189,11 +207,11 @@
 }
 
 // dropHold gives a held place back before it lapses.
-func (x *exchange) dropHold(r *replacement) {
+func (x *exchange) dropHold(c request.Choice, hold string) {
 	ctx, cancel := clock.WithTimeout(context.Background(), holdTimeout)
 	defer cancel()
-	if err := x.g.client.DropHold(ctx, r.choice.Upstream, r.choice.Address, r.hold); err != nil {
-		x.g.log.Info("held place not given back", logging.Request(x.req.ID), zap.String("replica", r.choice.Upstream), zap.Error(err))
+	if err := x.g.client.DropHold(ctx, c.Upstream, c.Address, hold); err != nil {
+		x.g.log.Info("held place not given back", logging.Request(x.req.ID), zap.String("replica", c.Upstream), zap.Error(err))
 	}
 }
 
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -189,8 +189,8 @@
 	case stall.Secure:
 		ctx, cancel := context.WithCancel(w.t.ctx)
 		w.stopSecuring = cancel
-		at := w.at
-		w.securing.Go(func() { w.secure(ctx, at) })
+		at, doubted := w.at, w.m.Account().Doubted()
+		w.securing.Go(func() { w.secure(ctx, at, doubted) })
 	case stall.GiveBack:
 		w.stopSecuring()
 	}
@@ -241,9 +241,9 @@
 }
 
 // secure secures another run and ends this one for it.
-func (w *watch) secure(ctx context.Context, at progress) {
+func (w *watch) secure(ctx context.Context, at progress, doubted bool) {
 	x := w.t.x
-	r, denied := x.secure(ctx, w.t, at)
+	r, denied := x.secure(ctx, w.t, at, doubted)
 	now := clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
