--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -195,6 +195,11 @@
 	if end == notSent || x.g.budget(x.service).Withdraw(clock.Now()) {
 		return ""
 	}
+	if x.leftOne {
+		// This host ended a run for this attempt: it goes on, and owes the repeat.
+		x.g.budget(x.service).Owe(clock.Now())
+		return ""
+	}
 	return deniedBudget
 }
 
@@ -314,6 +319,7 @@
 	t.watch = t.startWatch()
 	end, perr := t.call()
 	t.x.next = t.watch.stop(end.wantsAnother())
+	t.x.leftOne = t.x.leftOne || end == left
 	return end, perr
 }
 
