Failing test: a pick for which nothing was sent counts as a sign of an engine

To secure another run a host picks engines and takes the picks back, at least one each time. Router.Done notes each as the end of a call, so that an engine that has hung for long is usable to copy prompts from again, and forgets the prompt of the same request that the engine still reads. Not seen at callers; found by reading.

Unpick names what the gateway does by Done now, with the same result.

--- a/core/route/reading_test.go
+++ b/core/route/reading_test.go
@@ -96,4 +96,14 @@
 		Expect(r.Usable(now.Add(stallFloor), "llm", c.Upstream, c.Address)).To(BeFalse(), "it has said nothing for long")
 		Expect(r.Usable(now, "llm", "unknown", "unknown")).To(BeFalse())
 	})
+
+	It("learns nothing of an engine from a pick for which nothing was sent", func() {
+		r := engines(1)
+		c := pick(r, now, "x", time.Second)
+		st := r.current.Load().pools["llm"].members[0].state
+		r.Unpick(now.Add(stallFloor), pick(r, now.Add(stallFloor), "x", time.Second))
+		Expect(r.Usable(now.Add(stallFloor), "llm", c.Upstream, c.Address)).To(BeFalse(), "it has said nothing since")
+		Expect(st.reading.prompts).To(HaveLen(1), "it still reads the prompt that was sent")
+		Expect(st.own).To(Equal(1))
+	})
 })
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -117,6 +117,11 @@
 	p.done(now, &o, &r.config)
 }
 
+// Unpick takes a pick back for which nothing was sent; it is then not owed to Done.
+func (r *Router) Unpick(now time.Time, c request.Choice) {
+	r.Done(now, request.Outcome{Choice: c, Result: request.CallCancelled})
+}
+
 // Told notes that another daemon has sent an upstream a prompt that takes that
 // long to read.
 func (r *Router) Told(now time.Time, pool, upstream, address string, read time.Duration) {
