Take picks back for which nothing was sent

Router.Unpick undoes a pick: nothing was heard of the engine, and what it reads of the same request stays noted. A replica that refuses to hold a place answers, and is left alone for a moment as before.

--- a/core/route/reading.go
+++ b/core/route/reading.go
@@ -48,6 +48,16 @@
 	r.prompts = slices.DeleteFunc(r.prompts, func(p prompt) bool { return p.request == request })
 }
 
+// undo forgets the newest prompt of a request, which was not sent.
+func (r *reading) undo(request string) {
+	for n := len(r.prompts) - 1; n >= 0; n-- {
+		if r.prompts[n].request == request {
+			r.prompts = slices.Delete(r.prompts, n, n+1)
+			return
+		}
+	}
+}
+
 // backlog is how long a prompt that is sent now is expected to wait for those
 // before it. A prompt whose answer is overdue shows that the engine reads more
 // than this daemon knows of: as much again is expected.
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -119,7 +119,10 @@
 
 // Unpick takes a pick back for which nothing was sent; it is then not owed to Done.
 func (r *Router) Unpick(now time.Time, c request.Choice) {
-	r.Done(now, request.Outcome{Choice: c, Result: request.CallCancelled})
+	r.update(c.Pool, c.Upstream, c.Address, func(st *state) {
+		st.unbegin(now)
+		st.reading.undo(c.Request)
+	})
 }
 
 // Told notes that another daemon has sent an upstream a prompt that takes that
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -82,6 +82,12 @@
 	s.sample(now)
 }
 
+// unbegin takes begin back: nothing was heard of the upstream.
+func (s *state) unbegin(now time.Time) {
+	s.own = max(0, s.own-1)
+	s.sample(now)
+}
+
 func (s *state) sample(now time.Time) {
 	last := &s.history[s.newest]
 	if last.at.IsZero() || now.Sub(last.at) >= ownSlot {
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -117,7 +117,7 @@
 	if perr != nil {
 		return false
 	}
-	x.unpick(choice, request.CallCancelled)
+	x.g.router.Unpick(clock.Now(), choice)
 	return !slices.Contains(x.tried, choice.Upstream)
 }
 
@@ -133,7 +133,7 @@
 			return false
 		}
 		if slices.Contains(q.Tried, choice.Upstream) {
-			x.unpick(choice, request.CallCancelled)
+			x.g.router.Unpick(clock.Now(), choice)
 			return false
 		}
 		hold, err := x.hold(ctx, choice)
@@ -142,18 +142,20 @@
 			return true
 		}
 		x.g.log.Info("no place held", logging.Request(x.req.ID), zap.String("replica", choice.Upstream), zap.Error(err))
-		x.unpick(choice, resultOfHold(err))
+		x.unpick(choice, err)
 		q.Tried = append(slices.Clip(q.Tried), choice.Upstream)
 	}
 	return false
 }
 
-// resultOfHold is what a place that was not held says of the replica.
-func resultOfHold(err error) request.CallResult {
+// unpick takes the pick of a replica back that held no place. One that refuses is left
+// alone for a moment.
+func (x *exchange) unpick(c request.Choice, err error) {
 	if errors.Is(err, replica.ErrNoRoom) {
-		return request.CallRefused
+		x.g.router.Done(clock.Now(), request.Outcome{Choice: c, Stage: x.route.Name, Result: request.CallRefused})
+		return
 	}
-	return request.CallCancelled
+	x.g.router.Unpick(clock.Now(), c)
 }
 
 // hold has a place held at a replica. One that comes when it is not wanted any more is
@@ -183,15 +185,10 @@
 	}
 }
 
-// unpick ends a pick for which nothing was sent.
-func (x *exchange) unpick(c request.Choice, result request.CallResult) {
-	x.g.router.Done(clock.Now(), request.Outcome{Choice: c, Stage: x.route.Name, Result: result})
-}
-
 // giveBack gives a replacement back that is not used.
 func (x *exchange) giveBack(r *replacement) {
 	x.g.budget(x.service).Return(clock.Now())
-	x.unpick(r.choice, request.CallCancelled)
+	x.g.router.Unpick(clock.Now(), r.choice)
 	x.releaseNew(r)
 	if r.hold != "" {
 		go x.dropHold(r.choice, r.hold)
