Test that a planner closes lapsed calls when nobody waits, and not before

The core's tests hold when a call is to be closed; this one holds that the planner does so, for one that waits behind another at its replica.

--- a/stages/asleep_test.go
+++ b/stages/asleep_test.go
@@ -17,11 +17,13 @@
 	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
-// busy replicas make nothing until the test ends, and count what is given up.
+// busy replicas make nothing until the test ends, and count what is given up: calls,
+// and results.
 type busy struct {
-	until chan struct{}
-	calls atomic.Int32
-	freed atomic.Int32
+	until  chan struct{}
+	calls  atomic.Int32
+	closed atomic.Int32
+	freed  atomic.Int32
 }
 
 func (b *busy) RunPieces(ctx context.Context, _ stage.Run) ([]stage.Result, stage.CallOutcome, error) {
@@ -29,6 +31,7 @@
 	select {
 	case <-b.until:
 	case <-ctx.Done():
+		b.closed.Add(1)
 	}
 	return nil, stage.CallFailed, context.Canceled
 }
@@ -117,6 +120,32 @@
 		Consistently(replicas.givenUp, 2*freeDelay).Should(HaveLen(1))
 	})
 
+	It("closes a call that waits at its replica once no job waits for it, and not before", func() {
+		replicas := &busy{until: make(chan struct{})}
+		DeferCleanup(func() { close(replicas.until) })
+		p := newPlanner(stage.Config{}, replicas, zap.NewNop())
+		pieces := &catalog.Pieces{Concurrency: 1, Batch: 8, CallTime: 100 * time.Millisecond, PieceTime: time.Millisecond}
+		p.configure(map[string]*catalog.Service{"encode": {Name: "encode", Pieces: pieces}},
+			[]catalog.Replica{{ID: "e1", Service: "encode", Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 1}})
+		due := clock.Now().Add(time.Hour)
+		_, ok := p.submit("", stage.Job{
+			ID: "own", Key: "k", Due: due, Latest: due, Deadline: due, Stages: []stage.Stage{{Service: "encode", Pieces: 1, ResultBytes: 100}},
+		})
+		Expect(ok).To(BeTrue())
+		Eventually(replicas.calls.Load).Should(BeEquivalentTo(1))
+		for range 3 {
+			clock.Simulate(2 * time.Second)
+			p.tick()
+		}
+		Eventually(replicas.calls.Load).Should(BeEquivalentTo(2), "the pieces are asked for again")
+		Consistently(replicas.closed.Load, 20*time.Millisecond).Should(BeZero())
+		p.drop("", []string{"own"}, false)
+		clock.Simulate(time.Second)
+		p.tick()
+		Eventually(replicas.closed.Load).Should(BeEquivalentTo(1))
+		Consistently(replicas.closed.Load, 20*time.Millisecond).Should(BeEquivalentTo(1), "the replica may be at work on the first")
+	})
+
 	It("that slept is one no more for others: they have gone on elsewhere", func() {
 		replicas := &busy{until: make(chan struct{})}
 		DeferCleanup(func() { close(replicas.until) })
