Time the first try of giving results up by the steady clock

Cause: the simulated sleep ended the first try's 250 ms at once, and on a busy machine the 20 ms for an answer that waits to be read were over before the stand-in had sent it. An answer can't be read while the host sleeps, so that the try's time runs by the clock that stands still then; the 20 ms are for a process that was stopped.

--- a/replica/stage.go
+++ b/replica/stage.go
@@ -64,8 +64,8 @@
 const firstFreeTry = 250 * time.Millisecond
 
 // wakeGrace is how long an answer to the first try is still taken after its time has
-// passed: when this host stood still meanwhile, the answer may have come, and be read as
-// soon as the host goes on. A second try would give the same results up again.
+// passed: when this process stood still meanwhile, the answer may have come, and be read
+// as soon as it goes on. A second try would give the same results up again.
 const wakeGrace = 20 * time.Millisecond
 
 // FreeResults gives results up at the replica that holds them. A replica may
@@ -79,7 +79,8 @@
 	call := stageCall(platform.StageFreePath, a.Replica, a.Address, body)
 	first, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer clock.AfterFunc(firstFreeTry, func() { time.AfterFunc(wakeGrace, cancel) }).Stop()
+	// By the steady clock: no answer could be read while the host slept.
+	defer time.AfterFunc(firstFreeTry, func() { time.AfterFunc(wakeGrace, cancel) }).Stop()
 	if err = c.free(first, call); err != nil && ctx.Err() == nil {
 		err = c.free(ctx, call)
 	}
