--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -25,8 +25,7 @@
 }
 
 const (
-	// holdTimeout bounds holding a place at one replica; one that takes longer has
-	// no room to speak of.
+	// holdTimeout bounds holding a place at one replica; then another one is asked.
 	holdTimeout = 250 * time.Millisecond
 	// holdLife is for how long a place is held: the run is sent at once.
 	holdLife = time.Second
@@ -34,20 +33,6 @@
 	maxHoldTries = 3
 )
 
-// The reasons of a denial beside those of a repeat.
-const (
-	// deniedTime: not enough time is left.
-	deniedTime denial = "time_short"
-	// deniedVerdict: the request is condemned.
-	deniedVerdict denial = "quarantined"
-	// deniedInputs: the stages can't be made again.
-	deniedInputs denial = "inputs"
-	// deniedReplica: no other replica takes it.
-	deniedReplica denial = "no_replica"
-	// deniedMeanwhile: it is not wanted any more.
-	deniedMeanwhile denial = "not_wanted"
-)
-
 // secure secures a further run of the request while an attempt is under way. It is
 // called beside the exchange's own goroutine and changes nothing of the exchange
 // but prepared. What is returned is owed to giveBack, unless it is used. Only for a run
@@ -127,7 +112,7 @@
 	if r.inputs != nil {
 		q.Domain = r.inputs.domain
 	}
-	for range maxHoldTries {
+	for n := 0; n < maxHoldTries && ctx.Err() == nil; n++ {
 		choice, perr := x.g.router.Pick(clock.Now(), q, nil)
 		if perr != nil {
 			return false
