--- a/gateway/inputs.go
+++ b/gateway/inputs.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
+	"github.com/wheatseam/wheatseam/problem"
 )
 
 // The time from sending a request to an engine until its inputs are given up.
@@ -52,6 +53,19 @@
 	h.hold = time.Duration(inputsReadShrink * float64(h.hold))
 }
 
+// holdInputs has the stages made again if their results were given up after an
+// earlier attempt. An answer that has not begun is still to come by its objective.
+func (x *exchange) holdInputs() *problem.Error {
+	if len(x.inputs) == 0 || x.prepared.Load() {
+		return nil
+	}
+	x.inputs = nil
+	if !x.committed {
+		return x.prepare()
+	}
+	return x.prepareSince(clock.Now())
+}
+
 // releaseInputs gives the results of the stages up, if they are still held. It
 // may be called by any goroutine.
 func (x *exchange) releaseInputs() {
