--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -145,19 +145,6 @@
 	return q
 }
 
-// holdInputs has the stages made again if their results were given up after an
-// earlier attempt. An answer that has not begun is still to come by its objective.
-func (x *exchange) holdInputs() *problem.Error {
-	if len(x.inputs) == 0 || x.prepared.Load() {
-		return nil
-	}
-	x.inputs = nil
-	if !x.committed {
-		return x.prepare()
-	}
-	return x.prepareSince(clock.Now())
-}
-
 // giveUp ends a request without a replica's answer.
 func (x *exchange) giveUp(e *problem.Error) {
 	if x.committed {
