Failing test: inputs are made again and again while no engine has a place

What was seen: stages of a silent stream made and thrown away, 20 pieces for the 2 of its run, while the only other engine held no place: when engines are full, which is when they pause. go test -run TestInputsAreNotMadeWhileNoEngineHasAPlace ./gateway: fails.

--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -98,3 +98,18 @@
 	}
 	NewWithT(t).Expect(any).To(BeTrue(), "the case is another")
 }
+
+// The inputs of a further run are made once there is a place for it: not again and again
+// while no other engine has one.
+func TestInputsAreNotMadeWhileNoEngineHasAPlace(t *testing.T) {
+	f := newFixtureOf(t)
+	f.without("e2")
+	f.replicas["e1"].Behave(site.Behaviour{PauseAfterEvents: 2, Silence: site.StandsStill})
+	a, id := f.start().ready().sendWatched(patientWithStage, func() {
+		f.add("e3", "llm", site.Engine).Behave(site.Behaviour{NoHolds: true})
+	})
+	f.Expect(a.err).To(HaveOccurred(), "the stream is waited for until its deadline")
+	f.Expect(f.ledger.Runs(id)).To(HaveLen(1))
+	made, _, _ := f.ledger.Results()
+	f.Expect(made).To(Equal(2), "the pieces of the first run")
+}
