Have the stages' test replicas that work for no time set no timer

Cause, by the trace and the runtime's source (go1.26.8): select on time.After(0) runs the timer at once in the goroutine that selects (timer.maybeRunChan); in a synctest bubble with the race detector all goroutines use one race context for that (bubble.timers.raceCtx) without a lock, and two at once crash. No fault of the planner, and not seen without -race. Not shown by a program of its own.

Replicas whose work is 0 answer without a timer now. What the tests hold is unchanged.

--- a/stages/stages_test.go
+++ b/stages/stages_test.go
@@ -68,10 +68,12 @@
 		gone[i] = r.gone(p)
 	}
 	r.mu.Unlock()
-	select {
-	case <-time.After(work):
-	case <-ctx.Done():
-		return nil, stage.CallFailed, ctx.Err()
+	if work > 0 {
+		select {
+		case <-time.After(work):
+		case <-ctx.Done():
+			return nil, stage.CallFailed, ctx.Err()
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
