Hold the place before the inputs of a further run are made

What was seen: while no other engine had a place, the stages of a silent stream were made and thrown away every 0.2 s and more, at the cost of other requests' calls.

Cause: inputs were secured before the place, so that they were lost whenever there was none. The place is asked for first, which costs a call; where the inputs then take so long that it may lapse, it is held anew.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -27,8 +27,10 @@
 const (
 	// holdTimeout bounds holding a place at one replica; then another one is asked.
 	holdTimeout = 250 * time.Millisecond
-	// holdLife is for how long a place is held: the run is sent at once.
-	holdLife = time.Second
+	// holdLife is for how long a place is held, and renewHold when it is held anew
+	// after that long, as the inputs took.
+	holdLife  = time.Second
+	renewHold = 700 * time.Millisecond
 	// maxHoldTries bounds the replicas that are asked for a place.
 	maxHoldTries = 3
 )
@@ -67,26 +69,45 @@
 	return x.anotherRunDenied(t.executions)
 }
 
-// secureRun secures the inputs and a replica.
+// secureRun secures a replica and the inputs. The place comes first: inputs that are
+// made for nothing cost other requests their calls.
 func (x *exchange) secureRun(ctx context.Context, t *try, doubted bool) (*replacement, denial) {
 	r := &replacement{}
-	if !x.otherReplica() {
-		return nil, deniedReplica
+	if !x.holdPlace(ctx, r, doubted) {
+		return nil, deniedOr(ctx, deniedReplica)
 	}
-	if len(x.inputs) > 0 && !t.keepInputs() {
-		in, perr := x.makeInputs(ctx, clock.Now())
-		if perr != nil {
-			return nil, deniedOr(ctx, deniedInputs)
-		}
-		r.inputs = in
+	if len(x.inputs) == 0 || t.keepInputs() {
+		return r, ""
 	}
-	if !x.holdPlace(ctx, r, doubted) {
-		x.releaseNew(r)
+	held := clock.Now()
+	in, perr := x.makeInputs(ctx, held)
+	if perr != nil {
+		x.givePlaceBack(r)
+		return nil, deniedOr(ctx, deniedInputs)
+	}
+	r.inputs = in
+	if clock.Since(held) > renewHold && !x.renewPlace(ctx, r) {
+		x.givePlaceBack(r)
+		x.releaseInputs()
 		return nil, deniedOr(ctx, deniedReplica)
 	}
 	return r, ""
 }
 
+// renewPlace has another place held where the first one may lapse.
+func (x *exchange) renewPlace(ctx context.Context, r *replacement) bool {
+	if r.hold == "" {
+		return true
+	}
+	hold, err := x.hold(ctx, r.choice)
+	if err != nil {
+		return false
+	}
+	go x.dropHold(r.choice, r.hold)
+	r.hold = hold
+	return true
+}
+
 // deniedOr is a denial, or that the replacement is not wanted any more.
 func deniedOr(ctx context.Context, d denial) denial {
 	if ctx.Err() != nil {
@@ -95,23 +116,9 @@
 	return d
 }
 
-// otherReplica says whether a replica takes requests that was not tried: inputs
-// are made again for nothing where none does.
-func (x *exchange) otherReplica() bool {
-	choice, perr := x.g.router.Pick(clock.Now(), x.query(), nil)
-	if perr != nil {
-		return false
-	}
-	x.g.router.Unpick(clock.Now(), choice)
-	return !slices.Contains(x.tried, choice.Upstream)
-}
-
 // holdPlace picks a replica that was not tried and has a place held there.
 func (x *exchange) holdPlace(ctx context.Context, r *replacement, doubted bool) bool {
 	q := x.query()
-	if r.inputs != nil {
-		q.Domain = r.inputs.domain
-	}
 	for n := 0; n < maxHoldTries && ctx.Err() == nil; n++ {
 		choice, perr := x.g.router.Pick(clock.Now(), q, nil)
 		if perr != nil {
@@ -173,18 +180,18 @@
 // giveBack gives a replacement back that is not used.
 func (x *exchange) giveBack(r *replacement) {
 	x.g.budget(x.service).Return(clock.Now())
-	x.g.router.Unpick(clock.Now(), r.choice)
-	x.releaseNew(r)
-	if r.hold != "" {
-		go x.dropHold(r.choice, r.hold)
+	x.givePlaceBack(r)
+	// Inputs that it shares with the run under way stay that one's.
+	if r.inputs != nil {
+		x.releaseInputs()
 	}
 }
 
-// releaseNew gives the inputs up that were made for a replacement; those that it
-// shares with the run under way stay that one's.
-func (x *exchange) releaseNew(r *replacement) {
-	if r.inputs != nil {
-		x.releaseInputs()
+// givePlaceBack gives the pick and the held place back.
+func (x *exchange) givePlaceBack(r *replacement) {
+	x.g.router.Unpick(clock.Now(), r.choice)
+	if r.hold != "" {
+		go x.dropHold(r.choice, r.hold)
 	}
 }
 
