--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -21,8 +21,9 @@
 	calls    map[uint64]*call
 	nextID   uint64
 	// expiry is when a job that is not ready may end, nextOverdue when a running call
-	// may be overdue, and nextInspect when a replica may have to be asked for its room.
-	expiry, nextOverdue, nextInspect alarm
+	// may be overdue, nextLapse when one may lapse, and nextInspect when a replica may
+	// have to be asked for its room.
+	expiry, nextOverdue, nextLapse, nextInspect alarm
 	// begun says that a job has come.
 	begun bool
 	// bias is the smoothed ratio of measured to predicted times of jobs.
@@ -64,6 +65,7 @@
 	}
 	m.expire(now)
 	m.overdue(now)
+	m.lapse(now)
 	for _, s := range m.ordered {
 		m.dispatch(now, s)
 	}
@@ -100,7 +102,7 @@
 		s.replicas = s.replicas[:0]
 	}
 	for id, r := range m.replicas {
-		if !r.listed && len(r.calls) == 0 {
+		if !r.listed && len(r.calls)+r.lapsed == 0 {
 			delete(m.replicas, id)
 			continue
 		}
@@ -341,7 +343,12 @@
 	}
 }
 
-// expire refuses jobs whose deadline, or last chance to be late, has passed.
+// underWayEvery is the interval at which it is looked whether all that is left of a
+// late job is still being made.
+const underWayEvery = 100 * time.Millisecond
+
+// expire refuses jobs whose deadline has passed, or whose last chance to be late has
+// while calls are still to be made for them.
 func (m *Machine) expire(now time.Time) {
 	if !m.expiry.due(now) {
 		return
@@ -352,6 +359,8 @@
 		case j.ready:
 		case now.Before(j.ends):
 			m.expiry.by(j.ends)
+		case now.Before(j.Deadline) && j.underWay():
+			m.expiry.by(now.Add(underWayEvery))
 		default:
 			ended = append(ended, j)
 		}
