Soak: a daemon at the end of its grace may end streams that pause

Cause, by the daemons' lines: each had been asked to stop 3.48 s before, of 4 s of grace, and gave up what ran still; the streams had come 1.3 s and more after the signal and paused for 2.3 s and more. That is want of time, not silence. The check leaves out what ends in the last sixth of the grace, which the users leave out too; all before that is held to as it was.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -60,6 +60,8 @@
 	// it is stopped.
 	halts   []time.Time
 	stopped bool
+	// stops are when it was asked to stop.
+	stops []time.Time
 	// ends counts processes that ended without being told to.
 	ends int
 }
@@ -160,6 +162,7 @@
 	switch s {
 	case syscall.SIGTERM:
 		d.graceful = true
+		d.stops = append(d.stops, time.Now())
 	case syscall.SIGKILL, syscall.SIGSTOP:
 		d.disturbed = time.Now()
 	}
@@ -227,6 +230,16 @@
 	return !slices.ContainsFunc(d.halts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
+// graceOver says whether the last part of the grace had come at a moment, for what began
+// at another.
+func (d *daemon) graceOver(began, at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.stops, func(stop time.Time) bool {
+		return began.Before(stop.Add(grace)) && at.After(stop.Add(grace-lastOfGrace))
+	})
+}
+
 // lives returns which life of the daemon runs.
 func (d *daemon) lives() int {
 	d.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -18,6 +18,8 @@
 const (
 	// grace is the daemons' time from SIGTERM to their end.
 	grace = 4 * time.Second
+	// lastOfGrace is the part of it at whose beginning they may end what still runs.
+	lastOfGrace = grace / 6
 	// budgetSlack and the ratio of 0.2 bound repeats in 10 s over all daemons.
 	budgetSlack = 40
 	budgetRatio = 0.2
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -58,11 +58,14 @@
 	}
 }
 
-// checkSilence holds daemons that ran on to not ending streams of sound replicas: a
+// checkSilence holds daemons that ran on, and have time, to not ending streams of sound replicas: a
 // stream is broken off for no caller that waits, and where a run is ended another one
 // goes on.
 func (r *Run) checkSilence(x done, runs []site.Run) {
-	if x.left || len(runs) == 0 || !x.daemon.ranThrough(x.began.Add(-woken), x.ended) {
+	if x.left || len(runs) == 0 {
+		return
+	}
+	if !x.daemon.ranThrough(x.began.Add(-woken), x.ended) || x.daemon.graceOver(x.began, x.ended) {
 		return
 	}
 	deadline := x.began.Add(callDeadline - deadlineMargin)
