Soak: hold graceful stops, and streams that pause, to the caller's deadline

By the daemon's line its deadline had come: the engine paused for 2.6 s, and callers give 2.5 s. The check was right while no replica that behaves well took that long. It holds all that ends before the deadline to what it did; so does the check of silence, which left the last 0.2 s out before.

WHEATSEAM_RACE=1 go test -race ./soak passes, nothing passed over, 79 s.

--- a/soak/check.go
+++ b/soak/check.go
@@ -83,7 +83,7 @@
 			r.violate("request: %s reached %s changed", id, run.Replica)
 		}
 	}
-	if x.heard.Err != nil && !x.left && r.gracefulOnly(x) && len(runs) > 0 && r.answersWell(runs) {
+	if x.heard.Err != nil && !x.left && x.inTime(x.ended) && r.gracefulOnly(x) && len(runs) > 0 && r.answersWell(runs) {
 		r.violate("graceful stop: %s of %s was broken off: %v", id, x.daemon.name, x.heard.Err)
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -80,6 +80,9 @@
 	left bool
 }
 
+// inTime says whether a moment is before the caller's deadline.
+func (x done) inTime(at time.Time) bool { return at.Before(x.began.Add(callDeadline)) }
+
 // Do plays a soak and returns its report. The error says that it could not be
 // played.
 func Do(ctx context.Context, cfg Config) (Report, error) {
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -13,8 +13,6 @@
 	// leastPause and mostPause bound how long engines pause inside their streams.
 	leastPause = 900 * time.Millisecond
 	mostPause  = 3 * time.Second
-	// deadlineMargin before its deadline a stream may end for want of time.
-	deadlineMargin = 200 * time.Millisecond
 	// woken is how long a process that was halted may still end what it should not.
 	woken = time.Second
 	// begun bounds the time from a request's arrival at a replica to its run.
@@ -68,7 +66,6 @@
 	if !x.daemon.ranThrough(x.began.Add(-woken), x.ended) || x.daemon.graceOver(x.began, x.ended) {
 		return
 	}
-	deadline := x.began.Add(callDeadline - deadlineMargin)
 	last := runs[len(runs)-1]
 	if last.Service != "llm" || !r.sound(last, x) {
 		return
@@ -77,9 +74,9 @@
 		r.report.Paused++
 	}
 	switch {
-	case last.End == site.Cancelled && last.Ended.Before(deadline):
+	case last.End == site.Cancelled && x.inTime(last.Ended):
 		r.violate("silence: %s of %s was ended at %s after %s, and nothing went on", x.call.ID, x.daemon.name, last.Replica, last.Ended.Sub(last.At).Round(time.Millisecond))
-	case x.heard.Err != nil && x.ended.Before(deadline):
+	case x.heard.Err != nil && x.inTime(x.ended):
 		r.violate("silence: %s of %s was broken off after %s; %s had it %s", x.call.ID, x.daemon.name, x.ended.Sub(x.began).Round(time.Millisecond), last.Replica, last.End)
 	}
 }
