Send nothing after a request's deadline

Cause: the end of a context comes by a timer, which a host that stood still runs after it has gone on; an attempt that began before that had less than no time left, and was sent without a word on it. The time is looked at before each attempt, and what is told to a replica is a millisecond at least.

go test -run TestNothingIsSentAfterTheDeadline ./gateway: failed before (it went on to look for a replica), passes.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -71,6 +71,9 @@
 	maxFreeRepeats = 3
 	// maxAnswerBytes bounds answers that are held until they are complete.
 	maxAnswerBytes = 8 << 20
+	// leastLeft is told to a replica whose request's time ends as it is sent: without
+	// a time it would work on.
+	leastLeft = time.Millisecond
 	// refusedRetry is told to callers whose request every replica tried refused.
 	refusedRetry = 500 * time.Millisecond
 )
@@ -80,6 +83,11 @@
 func (x *exchange) relay() {
 	x.g.budget(x.service).Deposit(clock.Now())
 	for {
+		if clock.Until(x.deadline) <= 0 {
+			// The end of the context comes late to a host that stood still.
+			x.giveUp(problem.New(problem.DeadlineExceeded, "no time is left for an attempt"))
+			return
+		}
 		choice, hold, perr := x.nextReplica()
 		if perr != nil {
 			x.giveUp(perr)
@@ -258,7 +266,7 @@
 func (t *try) outgoing() replica.Call {
 	x := t.x
 	a := platform.Attempt{
-		Replica: t.choice.Upstream, Left: clock.Until(x.deadline), Priority: -1,
+		Replica: t.choice.Upstream, Left: max(clock.Until(x.deadline), leastLeft), Priority: -1,
 		Inputs: x.inputs, LastEvent: x.lastEvent, CopyFrom: t.copyFrom, Hold: t.hold,
 	}
 	a.Tenant = x.customer()
--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -15,7 +15,9 @@
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/retry"
+	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/fleet"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -42,3 +44,23 @@
 	x.giveUp(perr)
 	Expect(answer.Code).To(Equal(http.StatusBadGateway))
 }
+
+// A host that stood still between two steps of a request finds its deadline passed before
+// anything tells it so. No replica is sent what nobody waits for, nor more time than is left.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	RegisterTestingT(t)
+	fellows, err := fleet.New(fleet.Config{Self: fleet.Host{Host: member.Host{Name: "d0"}}, Mux: peer.NewMux(), Logger: zap.NewNop()})
+	Expect(err).NotTo(HaveOccurred())
+	g := &Gateway{fleet: fellows, router: route.New(route.Config{})}
+	g.budgets.Store("reports", retry.NewShared(1, 10, time.Second, 1))
+	answer := httptest.NewRecorder()
+	x := &exchange{
+		g: g, w: answer, r: httptest.NewRequest(http.MethodGet, "/", nil), ctx: context.Background(), service: "reports",
+		route: &catalog.Route{Repeat: catalog.Idempotent, Attempts: 2}, deadline: clock.Now().Add(-time.Second),
+	}
+	x.relay()
+	Expect(x.tried).To(BeEmpty())
+	Expect(answer.Code).To(Equal(http.StatusGatewayTimeout))
+	call := (&try{x: x}).outgoing()
+	Expect(call.Header.Get("Deadline-Ms")).To(Equal("1"))
+}
