Give evacuated failure domains no new work

The orders come with the watch that hosts already keep for the configuration, now over all that the operator writes, and go to fellows with the news. The store's revisions order them, so that the account of the later revision holds whoever tells it. They are listed (one call) only by a host that reads the store and may have missed a change: at its start, after the store forgot its history, or after a configuration that came from a fellow. Replicas of an evacuated domain leave the router's pools; to the planner they are as draining ones: what they hold is read, nothing more is made there. Where all replicas of a needed service are evacuated the request is refused at once.

Weighed: listing the orders with each list of the replicas (one call more every 0.9 s and reader, against none), and carrying the domain's state in each replica's entry (a change of the domain would then be news of a quarter of all replicas).

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -193,7 +194,10 @@
 	if after == 0 {
 		return d.getConfig(ctx)
 	}
-	items, revision, err := d.cfg.Store.Changes(ctx, platform.ConfigKey, after, wait)
+	if d.missedEvacuations() && !d.listEvacuations(ctx) {
+		return false
+	}
+	items, revision, err := d.cfg.Store.Changes(ctx, platform.OperatorPrefix, after, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		d.log.Info("history of the store gone", zap.Uint64("after", after))
 		return d.getConfig(ctx)
@@ -202,13 +206,36 @@
 		d.storeFailed(ctx, err)
 		return false
 	}
+	d.takeChanges(items)
+	d.checked(revision)
+	return true
+}
+
+// takeChanges takes what the operator has changed.
+func (d *Discovery) takeChanges(items []platform.Item) {
+	var newest uint64
+	var orders []platform.Item
 	for _, item := range items {
-		if item.Key == platform.ConfigKey {
+		newest = max(newest, item.Revision)
+		switch {
+		case item.Key == platform.ConfigKey && !item.Removed:
 			d.read(item)
+		case strings.HasPrefix(item.Key, platform.EvacuationPrefix):
+			orders = append(orders, item)
 		}
 	}
-	d.checked(revision)
-	return true
+	if newest == 0 {
+		return
+	}
+	changes := d.decodeEvacuations(orders)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(changes) > 0 {
+		d.evacuate(d.View().Evacuations.With(changes))
+	}
+	// All up to here was told: a check that looked further back would be answered
+	// with the same at once.
+	d.marks = marks{newest}
 }
 
 // getConfig reads the configuration from the store. When none is written yet, a
@@ -234,6 +261,9 @@
 		return false
 	}
 	d.read(item)
+	d.mu.Lock()
+	d.evacuationsPartial = true // the next check looks from here on
+	d.mu.Unlock()
 	d.checked(revision)
 	// A host that has just started finds a fellow to ask by then, and saves a call.
 	d.awaitWork(ctx, d.share(readShare))
@@ -303,6 +333,7 @@
 		next.Config, next.raw, next.revision, next.Source = config, raw, revision, source
 		d.unwritten.Store(false)
 		d.marks = marks{revision}
+		d.evacuationsPartial = d.evacuationsPartial || source != sourceStore
 		d.publish(&next)
 		return
 	}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -21,8 +21,8 @@
 	Pages(ctx context.Context, prefix string, page func([]platform.Item)) (revision uint64, err error)
 	// Get reads one item; the error is platform.ErrNotFound without it.
 	Get(ctx context.Context, key string) (item platform.Item, revision uint64, err error)
-	// Changes waits for items under a prefix that were written after a revision;
-	// the error is platform.ErrHistoryGone when the store cannot tell.
+	// Changes waits for items under a prefix that were written or removed after a
+	// revision; the error is platform.ErrHistoryGone when the store cannot tell.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (items []platform.Item, revision uint64, err error)
 }
 
@@ -80,6 +80,9 @@
 	wanted  wantedConfig
 	refused uint64
 	marks   marks
+	// evacuationsPartial says that changes of the evacuations may have been missed:
+	// who reads the store lists them.
+	evacuationsPartial bool
 	// faults says what is wrong with the entries that name no replica, by key.
 	faults map[string]string
 	// listed is the store's revision when this host last listed the replicas.
@@ -110,6 +113,7 @@
 func New(cfg Config) *Discovery {
 	d := &Discovery{
 		cfg: cfg, log: cfg.Logger, changed: make(chan struct{}), source: cfg.Self, work: make(chan struct{}, 1), looked: make(chan struct{}),
+		evacuationsPartial: true,
 	}
 	d.view.Store(&View{})
 	d.askedAt.Store(int64(-neverAsked))
@@ -146,7 +150,8 @@
 	next.digest = digestOf(next.Replicas)
 	first := old.Replicas == nil
 	defer d.tellFellows()
-	if !first && next.Config == old.Config && next.digest == old.digest {
+	sameEvacuations := next.Evacuations.Same(old.Evacuations)
+	if !first && next.Config == old.Config && next.digest == old.digest && sameEvacuations {
 		next.Replicas = old.Replicas
 		d.view.Store(next)
 		return
@@ -155,6 +160,9 @@
 		zap.Bool("configuration", next.Config != old.Config), zap.Bool("replicas_changed", next.digest != old.digest),
 		zap.String("source", next.Source), zap.Int("replicas", len(next.Replicas)),
 	}
+	if !sameEvacuations || len(next.Evacuations.Domains) > 0 {
+		fields = append(fields, zap.Strings("evacuated", next.Evacuations.Domains), zap.Bool("evacuations_changed", !sameEvacuations))
+	}
 	if !next.AsOf.IsZero() {
 		fields = append(fields, zap.Duration("age", clock.Since(next.AsOf)))
 	}
@@ -186,9 +194,13 @@
 	Behind  float64 `json:"behind_s"`
 	Checked uint64  `json:"revision_checked"`
 	// Reads counts reads of the store, News answers of other hosts.
-	Reads    uint64            `json:"reads"`
-	News     uint64            `json:"news"`
-	Replicas []catalog.Replica `json:"replicas"`
+	Reads uint64 `json:"reads"`
+	News  uint64 `json:"news"`
+	// Evacuated are the failure domains whose replicas get no new work, as of a
+	// revision of the store.
+	Evacuated           []string          `json:"evacuated"`
+	EvacuationsRevision uint64            `json:"evacuations_revision"`
+	Replicas            []catalog.Replica `json:"replicas"`
 	// Faults says what is wrong with entries that name no replica, by their keys.
 	Faults map[string]string `json:"faults,omitempty"`
 }
@@ -202,6 +214,7 @@
 		Revision: v.revision, AsOf: v.AsOf, Source: v.Source, Lost: d.lost || d.configLost,
 		Wanted: d.wanted.revision, Behind: behind.Seconds(), Checked: d.marks.oldest(),
 		Reads: d.reads.Load(), News: d.news.Load(), Replicas: sorted(v.Replicas), Faults: d.faults,
+		Evacuated: v.Evacuations.Domains, EvacuationsRevision: v.Evacuations.Revision,
 	}
 	if v.Config != nil {
 		dump.Version = v.Config.Version
--- /dev/null
+++ b/discovery/evacuations_test.go
@@ -0,0 +1,214 @@
+package discovery_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+var evacuateLarge = flag.Bool("evacuate.large", false, "measure a fleet of 3,020 hosts as well")
+
+// evacuatedIn is the time within which an order must be in force at every host.
+const evacuatedIn = 5 * time.Second
+
+func (s *linkedStore) evacuate(domain string) { s.put(platform.EvacuationPrefix+domain, "{}") }
+func (s *linkedStore) takeBack(domain string) { s.remove(platform.EvacuationPrefix + domain) }
+
+// unlike lists the hosts at which other domains are evacuated than these.
+func (f *linkedFleet) unlike(domains ...string) []string {
+	return slices.DeleteFunc(slices.Clone(f.names), func(name string) bool {
+		return slices.Equal(f.found[name].View().Evacuations.Domains, domains)
+	})
+}
+
+// awaitEvacuated waits until just these domains are evacuated at all hosts and
+// returns the time that took, at most limit.
+func (f *linkedFleet) awaitEvacuated(limit time.Duration, domains ...string) time.Duration {
+	const step = 5 * time.Millisecond
+	began := time.Now()
+	for len(f.unlike(domains...)) > 0 && time.Since(began) < limit {
+		time.Sleep(step)
+	}
+	return time.Since(began)
+}
+
+// startEvacuated starts a fleet in which nothing is evacuated.
+func startEvacuated(t *testing.T, f *linkedFleet) {
+	f.store.writeConfig(1, 2)
+	for id := range 12 {
+		f.store.writeReplica(id, "ready")
+	}
+	t.Cleanup(f.run())
+	NewWithT(t).Expect(f.awaitVersion(1, dueIn)).To(BeNumerically("<", dueIn))
+	time.Sleep(2 * dueIn)
+}
+
+func (s *linkedStore) made() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// TestSpreadOfEvacuations measures, by hosts, how long an order and its withdrawal
+// take until they are in force at all hosts, what they cost the store in calls beside
+// those of a time in which nothing changes, and the bytes that the busiest host sends.
+func TestSpreadOfEvacuations(t *testing.T) {
+	fleets := []fleetOf{{1, 5}, {8, 52}, {8, 292}}
+	if *evacuateLarge {
+		fleets = append(fleets, fleetOf{16, 3004})
+	}
+	for _, of := range fleets {
+		synctest.Test(t, func(t *testing.T) { measureEvacuation(t, of) })
+	}
+}
+
+func measureEvacuation(t *testing.T, of fleetOf) {
+	g := NewWithT(t)
+	f := newLinkedFleet(of.wide, of.narrow)
+	startEvacuated(t, f)
+	calls := f.store.made()
+	time.Sleep(2 * evacuatedIn)
+	idle := f.store.made() - calls
+	received, sent := f.carried()
+	calls = f.store.made()
+	f.store.evacuate("surco")
+	ordered := f.awaitEvacuated(evacuatedIn, "surco")
+	_, bytes := busiestSince(f, received, sent)
+	time.Sleep(evacuatedIn - ordered)
+	f.store.takeBack("surco")
+	back := f.awaitEvacuated(evacuatedIn)
+	time.Sleep(evacuatedIn - back)
+	extra := f.store.made() - calls - idle
+	t.Logf("%d hosts: %.2f s to evacuate, %.2f s to take back, %d calls to the store more than the usual %d, %d kB sent by one host",
+		of.wide+of.narrow, ordered.Seconds(), back.Seconds(), extra, idle, bytes/1000)
+	g.Expect(max(ordered, back)).To(BeNumerically("<", dueIn))
+	// Two changes cut two waits for changes short.
+	g.Expect(extra).To(BeNumerically("<=", 4))
+}
+
+func TestHostThatStartsLearnsOfAnEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newLinkedFleet(1, 5)
+		f.store.evacuate("surco")
+		f.store.writeConfig(1, 2)
+		f.store.writeReplica(1, "ready")
+		t.Cleanup(f.run())
+		g.Expect(f.awaitVersion(1, dueIn)).To(BeNumerically("<", dueIn))
+		g.Expect(f.awaitEvacuated(dueIn, "surco")).To(BeNumerically("<", dueIn))
+	})
+}
+
+func TestEvacuationOutlivesTheHistoryOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newLinkedFleet(1, 5)
+		startEvacuated(t, f)
+		f.store.with(func(s *linkedStore) { s.blind = true })
+		f.store.evacuate("surco")
+		f.store.evacuate("callao")
+		f.store.takeBack("callao")
+		time.Sleep(time.Second)
+		f.store.with(func(s *linkedStore) { s.blind, s.forgotten = false, s.revision })
+		g.Expect(f.awaitEvacuated(evacuatedIn-time.Second, "surco")).To(BeNumerically("<", evacuatedIn-time.Second))
+		f.store.with(func(s *linkedStore) { s.blind = true })
+		f.store.takeBack("surco")
+		time.Sleep(time.Second)
+		f.store.with(func(s *linkedStore) { s.blind, s.forgotten = false, s.revision })
+		g.Expect(f.awaitEvacuated(evacuatedIn-time.Second)).To(BeNumerically("<", evacuatedIn-time.Second))
+	})
+}
+
+func TestKeyThatNamesNoDomainCostsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newLinkedFleet(1, 2)
+		startEvacuated(t, f)
+		f.store.evacuate("")
+		f.store.evacuate("a b")
+		f.store.evacuate("nobody-knows")
+		f.store.evacuate("surco")
+		g.Expect(f.awaitEvacuated(dueIn, "nobody-knows", "surco")).To(BeNumerically("<", dueIn))
+	})
+}
+
+// evacuationTrouble is what befalls a fleet while orders are given.
+type evacuationTrouble struct {
+	// cut are hosts that reach neither the store nor fellows, away ones that the
+	// store turns away.
+	cut, away map[string]bool
+}
+
+// TestEvacuationsUnderTrouble plays random schedules: orders and withdrawals, beside
+// hosts that are cut off or that the store turns away, a store that forgets its
+// history, and new configurations. A host that has had a path to the store, or to a
+// fellow that has, for a while must be as the store says.
+func TestEvacuationsUnderTrouble(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { evacuateUnderTrouble(t, seed) })
+		})
+	}
+}
+
+func evacuateUnderTrouble(t *testing.T, seed uint64) {
+	g, rng := NewWithT(t), rand.New(rand.NewPCG(seed, 7))
+	f := newLinkedFleet(2, 10)
+	trouble := evacuationTrouble{cut: map[string]bool{}, away: map[string]bool{}}
+	f.refuse = func(from, to, _ string) error {
+		var err error
+		f.store.with(func(*linkedStore) {
+			if trouble.cut[from] || trouble.cut[to] || to == storeName && trouble.away[from] {
+				err = errCut
+			}
+		})
+		return err
+	}
+	startEvacuated(t, f)
+	inForce, version := map[string]bool{}, 1
+	for range 25 {
+		domain := string(rune('a' + rng.IntN(3)))
+		host := f.names[rng.IntN(len(f.names))]
+		switch rng.IntN(6) {
+		case 0, 1:
+			inForce[domain] = true
+			f.store.evacuate(domain)
+		case 2:
+			delete(inForce, domain)
+			f.store.takeBack(domain)
+		case 3:
+			f.store.with(func(*linkedStore) { trouble.cut[host] = !trouble.cut[host] })
+		case 4:
+			f.store.with(func(s *linkedStore) { trouble.away[host] = !trouble.away[host]; s.forgotten = s.revision })
+		case 5:
+			version++
+			f.store.writeConfig(version, 2+version)
+		}
+		time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
+		if rng.IntN(4) != 0 {
+			continue
+		}
+		// The last trouble may have come within the time that is allowed.
+		time.Sleep(evacuatedIn)
+		wrong := slices.DeleteFunc(f.unlike(sortedKeys(inForce)...), func(name string) bool { return trouble.cut[name] })
+		g.Expect(wrong).To(BeEmpty(), "want %v in force", sortedKeys(inForce))
+	}
+}
+
+func sortedKeys(m map[string]bool) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, strings.Compare)
+	return keys
+}
--- a/discovery/links_test.go
+++ b/discovery/links_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -195,6 +196,10 @@
 	// watches hear nothing.
 	forgotten uint64
 	blind     bool
+	// removed are the items that were, by key, with the revision of that.
+	removed map[string]platform.Item
+	// calls counts what the store was asked.
+	calls int
 	// whole counts the reads of a configuration in full.
 	whole int
 }
@@ -207,7 +212,7 @@
 }
 
 func newLinkedStore() *linkedStore {
-	return &linkedStore{machine: newMachine(storeLink), items: map[string]platform.Item{}}
+	return &linkedStore{machine: newMachine(storeLink), items: map[string]platform.Item{}, removed: map[string]platform.Item{}}
 }
 
 func (s *linkedStore) put(key, value string) {
@@ -215,6 +220,15 @@
 	defer s.mu.Unlock()
 	s.revision++
 	s.items[key] = platform.Item{Key: key, Value: []byte(value), Revision: s.revision}
+	delete(s.removed, key)
+}
+
+func (s *linkedStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.removed[key] = platform.Item{Key: key, Revision: s.revision, Removed: true}
 }
 
 // list returns the items under a prefix by key, and the store's revision.
@@ -231,7 +245,7 @@
 	return items, s.revision
 }
 
-// since returns the items under a prefix that were written after a revision.
+// since returns the items under a prefix that were written or removed after a revision.
 func (s *linkedStore) since(prefix string, after uint64) ([]platform.Item, uint64, error) {
 	items, revision := s.list(prefix)
 	s.mu.Lock()
@@ -239,7 +253,13 @@
 	if after < s.forgotten {
 		return nil, 0, platform.ErrHistoryGone
 	}
+	for key, item := range s.removed {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
 	items = slices.DeleteFunc(items, func(i platform.Item) bool { return i.Revision <= after || s.blind })
+	slices.SortFunc(items, func(a, b platform.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return items, revision, nil
 }
 
@@ -249,8 +269,14 @@
 	self  string
 }
 
-// failing returns the error of calls by a host that is cut off from the store.
+// failing counts a call and returns its error if the host is cut off from the store.
 func (c storeCaller) failing() error {
+	c.fleet.store.with(func(s *linkedStore) { s.calls++ })
+	return c.cut()
+}
+
+// cut is the error of a host that is cut off from the store; nil for none.
+func (c storeCaller) cut() error {
 	if c.fleet.refuse == nil {
 		return nil
 	}
@@ -294,8 +320,11 @@
 // Changes implements discovery.Store.
 func (c storeCaller) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Item, uint64, error) {
 	const look = 10 * time.Millisecond
+	if err := c.failing(); err != nil {
+		return nil, 0, err
+	}
 	for began := time.Now(); ; time.Sleep(look) {
-		if err := c.failing(); err != nil {
+		if err := c.cut(); err != nil {
 			return nil, 0, err
 		}
 		items, revision, err := c.fleet.store.since(prefix, after)
--- a/discovery/news.go
+++ b/discovery/news.go
@@ -17,16 +17,16 @@
 
 const methodNews = "discovery.changes"
 
-// askFor asks a host for news and says whether its answer was fresh enough.
-func (d *Discovery) askFor(ctx context.Context, host string) bool {
-	wait := d.share(newsWait)
+// askFor asks a host for news, which it may wait for, and says whether its answer was
+// fresh enough.
+func (d *Discovery) askFor(ctx context.Context, host string, wait time.Duration) bool {
 	asked := clock.Now()
 	req := d.question(asked, wait)
 	reply := &wire.NewsReply{}
 	call, cancel := clock.WithTimeout(ctx, wait+newsGrace)
 	defer cancel()
 	if err := d.cfg.Caller.Call(call, host, methodNews, req, reply); err != nil {
-		if clock.Since(asked) < wait {
+		if clock.Since(asked) < d.share(newsWait) {
 			d.avoided.Add(host, avoidStarting)
 		} else {
 			d.avoided.Add(host, avoidFor)
@@ -42,6 +42,7 @@
 	asOf := received.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond - transit)
 	d.mu.Lock()
 	d.want(reply.GetConfigRevision(), host)
+	d.hearEvacuations(reply.GetEvacuations())
 	d.mu.Unlock()
 	if age := received.Sub(asOf); age < 0 || age > d.share(staleAfter) {
 		d.avoided.Add(host, avoidFor)
@@ -61,7 +62,7 @@
 	v := d.View()
 	return &wire.NewsRequest{
 		ConfigRevision: max(v.revision, d.wanted.revision), ReplicaBuckets: v.digest[:], WaitMs: uint32(wait.Milliseconds()),
-		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(),
+		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(), EvacuationsRevision: v.Evacuations.Revision,
 	}
 }
 
@@ -71,6 +72,8 @@
 	defer d.mu.Unlock()
 	next := *d.View()
 	next.Source = host
+	// The mark below may lie after changes that a fellow has missed.
+	d.evacuationsPartial = !reply.GetEvacuations().GetComplete()
 	if reply.GetConfigRevision() <= next.revision && asOf.After(next.configAsOf) {
 		next.configAsOf = asOf
 		if checked := reply.GetCheckedRevision(); checked > d.marks.oldest() {
@@ -167,7 +170,8 @@
 
 // hasNews says whether a view has anything that the asker's, as of theirs, has not.
 func (d *Discovery) hasNews(v *View, req *wire.NewsRequest, theirs time.Time) bool {
-	return d.named(v) > req.GetConfigRevision() || !v.digest.Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(theirs) > youngerBy
+	return d.named(v) > req.GetConfigRevision() || v.Evacuations.Revision > req.GetEvacuationsRevision() ||
+		!v.digest.Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(theirs) > youngerBy
 }
 
 // cutOff says that this host has lost the store, and that its view is too old to
@@ -176,7 +180,14 @@
 func (d *Discovery) cutOff(v *View) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lost && clock.Since(v.AsOf) > d.share(staleAfter)
+	return d.lost && clock.Since(v.AsOf) > d.share(staleAfter) || d.leansOnFellows()
+}
+
+// leansOnFellows says that this host should read the store for others, cannot, and
+// has what it knows from fellows: if those asked it again, nobody would read. The
+// lock is held.
+func (d *Discovery) leansOnFellows() bool {
+	return d.lost && d.source == d.cfg.Self && d.View().Source != sourceStore
 }
 
 // named is the newest configuration that fellows may fetch here.
@@ -195,9 +206,10 @@
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(asked).Milliseconds()),
 		ConfigRevision: d.named(v), CheckedRevision: d.marks.oldest(), ReplicasHash: v.digest.Sum(),
+		Evacuations: d.tellEvacuations(v, req.GetEvacuationsRevision()),
 	}
-	if d.registry.Uncertain() {
-		// The asker may have seen them go while this host was cut off.
+	if d.registry.Uncertain() || d.leansOnFellows() {
+		// The asker may have seen replicas go while this host was cut off.
 		reply.AgeMs = unknownAge.Milliseconds()
 	}
 	reply.Buckets = differing(v, req.GetReplicaBuckets())
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -26,7 +26,7 @@
 		if source != d.cfg.Self {
 			// A fellow that refused at once, as it has just started, costs no read of
 			// the store: the next one is asked.
-			if d.askFor(ctx, source) || clock.Since(d.View().AsOf) < d.share(readShare) {
+			if d.askFor(ctx, source, d.share(newsWait)) || clock.Since(d.View().AsOf) < d.share(readShare) {
 				wait = firstRetry
 				continue
 			}
@@ -37,6 +37,11 @@
 			if !d.View().Ready() && d.askAny(ctx) {
 				continue
 			}
+			if d.View().Ready() && d.askOther(ctx) {
+				periodic.Sleep(ctx, d.share(readShare))
+				wait = firstRetry
+				continue
+			}
 			periodic.Sleep(ctx, wait/2+rand.N(wait/2+1))
 			wait = min(2*wait, d.retryLimit())
 			continue
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -106,9 +107,19 @@
 // and that the store turns away learns from its fellows what is in force.
 func (d *Discovery) askAny(ctx context.Context) bool {
 	for _, h := range ranked(d.cfg.Members.Reachable()) {
-		if h.Name != d.cfg.Self && !d.avoided.Has(h.Name, clock.Now()) && d.askFor(ctx, h.Name) {
+		if h.Name != d.cfg.Self && !d.avoided.Has(h.Name, clock.Now()) && d.askFor(ctx, h.Name, d.share(newsWait)) {
 			return true
 		}
 	}
 	return false
 }
+
+// askOther asks one host, any, for what it knows at this moment. The store may turn
+// away the host that reads it for others and serve those.
+func (d *Discovery) askOther(ctx context.Context) bool {
+	now := clock.Now()
+	hosts := slices.DeleteFunc(d.cfg.Members.Reachable(), func(h fleet.Host) bool {
+		return h.Name == d.cfg.Self || d.avoided.Has(h.Name, now)
+	})
+	return len(hosts) > 0 && d.askFor(ctx, hosts[rand.IntN(len(hosts))].Name, 0)
+}
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -18,6 +18,8 @@
 	Config *catalog.Config
 	// Replicas are by id; nil until they were read.
 	Replicas map[string]catalog.Replica
+	// Evacuations are the operator's orders to give failure domains no new work.
+	Evacuations catalog.Evacuations
 	// AsOf is when the store was read for replicas and configuration, whichever
 	// was earlier.
 	AsOf time.Time
--- /dev/null
+++ b/gateway/evacuation_test.go
@@ -0,0 +1,114 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+// moveTo registers replicas in a failure domain.
+func (f *fixture) moveTo(domain string, ids ...string) {
+	for _, id := range ids {
+		f.replicas[id].FailureDomain = domain
+		f.register(f.replicas[id], "ready")
+	}
+}
+
+// twoDomains is a site with a replica of each service in each of two failure domains.
+func twoDomains(t *testing.T) (*fixture, *running) {
+	f := newFixtureOf(goTester{t})
+	f.moveTo("x", "p1", "e1", "s1")
+	f.moveTo("y", "p2", "e2", "s2")
+	return f, f.startLogged(zap.NewNop()).ready()
+}
+
+// goTester has tests of Go's written as specs are.
+type goTester struct{ *testing.T }
+
+// staged asks for a stream behind stages.
+func staged(r *http.Request) {
+	r.Header.Set("Piece-Count", "2,1")
+	r.Header.Set("Piece-Key", "k")
+}
+
+// servers names who ran requests of a kind, each sent some times.
+func servers(f *fixture, g *running, path string, change func(*http.Request)) map[string]int {
+	const times = 12
+	ran := map[string]int{}
+	for range times {
+		a, id := g.send(http.MethodPost, path, "", change)
+		f.Expect(a.err).NotTo(HaveOccurred())
+		f.Expect(a.status).To(Equal(http.StatusOK))
+		for _, run := range f.ledger.Runs(id) {
+			ran[run.Replica]++
+		}
+	}
+	return ran
+}
+
+func TestEvacuatedDomainGetsNoRequestsStreamsOrPieces(t *testing.T) {
+	f, g := twoDomains(t)
+	f.store.Evacuate("x")
+	f.Eventually(func() map[string]int { return servers(f, g, safePath, nil) }, "4s").Should(And(HaveLen(1), HaveKey("p2")))
+	made := f.replicas["s1"].Made()
+	f.Expect(servers(f, g, sealPath, nil)).To(And(HaveLen(1), HaveKey("p2")))
+	f.Expect(servers(f, g, goOnPath, staged)).To(And(HaveLen(1), HaveKey("e2")))
+	f.Expect(f.replicas["s1"].Made()).To(Equal(made), "pieces made in the evacuated domain")
+	f.Expect(f.replicas["s2"].Made()).To(BeNumerically(">", 0))
+
+	f.store.TakeBack("x")
+	f.Eventually(func() map[string]int { return servers(f, g, safePath, nil) }, "4s").Should(HaveKey("p1"))
+	f.Eventually(func() map[string]int { return servers(f, g, goOnPath, staged) }, "4s").Should(HaveKey("e1"))
+}
+
+func TestRunUnderWayInAnEvacuatedDomainEndsByItself(t *testing.T) {
+	f, g := twoDomains(t)
+	f.replicas["p2"].Behave(site.Behaviour{Shed: true})
+	f.replicas["p1"].Behave(site.Behaviour{Work: 1500 * time.Millisecond})
+	answers := make(chan answer, 1)
+	go func() {
+		a, _ := g.send(http.MethodPost, safePath, "", nil)
+		answers <- a
+	}()
+	time.Sleep(200 * time.Millisecond)
+	f.store.Evacuate("x")
+	var a answer
+	f.Eventually(answers, "3s").Should(Receive(&a))
+	f.Expect(a.status).To(Equal(http.StatusOK))
+}
+
+func TestRequestIsRefusedAtOnceWhenAllDomainsAreEvacuated(t *testing.T) {
+	f, g := twoDomains(t)
+	f.store.Evacuate("x")
+	f.store.Evacuate("y")
+	f.store.Evacuate("nobody-knows")
+	for _, path := range []string{safePath, sealPath, goOnPath} {
+		var a answer
+		var id string
+		f.Eventually(func() int {
+			a, id = g.send(http.MethodPost, path, "", staged)
+			return a.status
+		}, "4s").Should(Equal(http.StatusServiceUnavailable))
+		began := time.Now()
+		a, id = g.send(http.MethodPost, path, "", staged)
+		f.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+		f.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		f.Expect(a.body).To(ContainSubstring("no_upstream"))
+		wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(wait).To(BeNumerically(">", 0))
+		f.Expect(f.ledger.Runs(id)).To(BeEmpty())
+	}
+	f.store.TakeBack("y")
+	f.Eventually(func() int {
+		a, _ := g.send(http.MethodPost, safePath, "", nil)
+		return a.status
+	}, "4s").Should(Equal(http.StatusOK))
+	f.Expect(servers(f, g, safePath, nil)).To(And(HaveLen(1), HaveKey("p2")))
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -142,7 +142,33 @@
 	if v, condemned := x.g.quarantine.Condemned(x.content); condemned {
 		x.trial = x.g.quarantine.Try(x.r.Context(), v)
 	}
-	return x.quarantined()
+	if err := x.quarantined(); err != nil {
+		return err
+	}
+	return x.served()
+}
+
+// evacuatedRetry is the least wait told to a caller whose request no replica may
+// take: the operator's order stands for seconds at least.
+const evacuatedRetry = 5 * time.Second
+
+// served refuses a request at once for which all replicas of a service that it needs
+// are evacuated.
+func (x *exchange) served() *problem.Error {
+	needed := []string{x.service}
+	for i, s := range x.route.Stages {
+		if i < len(x.req.Pieces) && x.req.Pieces[i] > 0 {
+			needed = append(needed, s.Service)
+		}
+	}
+	evacuated := *x.g.evacuated.Load()
+	for _, service := range needed {
+		if evacuated[service] {
+			e := problem.New(problem.NoUpstream, "service %q: all failure domains with replicas are evacuated", service)
+			return retryable(e, x.comeBack(evacuatedRetry))
+		}
+	}
+	return nil
 }
 
 // returnTrial gives a trial back that came to no run, so that another caller has it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,8 @@
 	budgets sync.Map // service name to *retry.Shared
 	inputs  inputsHold
 	streams *streamTimes
+	// evacuated are the services that are refused; see evacuatedServices.
+	evacuated atomic.Pointer[map[string]bool]
 	// accounts has each engine asked once for all who want its account.
 	accounts singleflight.Group
 
@@ -66,6 +68,7 @@
 	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), streams: newStreamTimes(), refusals: newRefusals()}
 	g.preparing, g.stopPreparing = context.WithCancel(context.Background())
 	g.settings.Store(s)
+	g.evacuated.Store(&map[string]bool{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus, BacklogWeight: backlogWeight,
 		Ejected: g.ejected,
@@ -163,6 +166,8 @@
 	}
 	g.rounds++
 	g.forgetRefusals(v)
+	evacuated := evacuatedServices(v)
+	g.evacuated.Store(&evacuated)
 	g.router.Apply(pools(v, g.rounds, g.settings.Load().Regions))
 	g.stages.Configure(v.Config.Services, stageReplicas(v))
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -21,7 +21,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.Replicas)) {
 		r := v.Replicas[id]
 		concurrency[r.Service] = max(concurrency[r.Service], r.Concurrency)
-		if r.Draining {
+		if r.Draining || v.Evacuations.Has(r.FailureDomain) {
 			continue
 		}
 		byService[r.Service] = append(byService[r.Service], bundle.Upstream{
@@ -41,11 +41,31 @@
 	return b
 }
 
-// stageReplicas are the replicas of services that run stages.
+// evacuatedServices are the services of which replicas would take new work, and
+// none may, since all their failure domains are evacuated.
+func evacuatedServices(v *discovery.View) map[string]bool {
+	open, evacuated := map[string]bool{}, map[string]bool{}
+	for _, r := range v.Replicas {
+		switch {
+		case r.Draining:
+		case v.Evacuations.Has(r.FailureDomain):
+			evacuated[r.Service] = true
+		default:
+			open[r.Service] = true
+		}
+	}
+	maps.DeleteFunc(evacuated, func(service string, _ bool) bool { return open[service] })
+	return evacuated
+}
+
+// stageReplicas are the replicas of services that run stages. Those of evacuated
+// failure domains are as those that drain: what they hold is read, and nothing more
+// is made there.
 func stageReplicas(v *discovery.View) []catalog.Replica {
 	var out []catalog.Replica
 	for _, r := range v.Replicas {
 		if s := v.Config.Services[r.Service]; s != nil && s.Pieces != nil {
+			r.Draining = r.Draining || v.Evacuations.Has(r.FailureDomain)
 			out = append(out, r)
 		}
 	}
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -59,10 +60,13 @@
 	}
 }
 
+// DefaultDomain is where replicas stand that name no failure domain.
+const DefaultDomain = "x"
+
 // Entry is a replica's entry in the store.
 func Entry(r *Replica, phase string) map[string]any {
 	entry := map[string]any{
-		"service": r.Service, "address": r.Address(), "zone": "x", "concurrency": 8, "phase": phase, "seq": 1,
+		"service": r.Service, "address": r.Address(), "zone": cmp.Or(r.FailureDomain, DefaultDomain), "concurrency": 8, "phase": phase, "seq": 1,
 	}
 	if r.Born > 0 {
 		entry["born"] = r.Born
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -32,6 +32,8 @@
 	Kind    Kind
 	// Born is the start of the process in Unix milliseconds; 0 is not told.
 	Born int64
+	// FailureDomain is where it stands. Default DefaultDomain.
+	FailureDomain string
 	// Events is the number of events of a stream. Default 5.
 	Events int
 	// Returned is called when the process has started again; nil for nothing. Born
@@ -229,6 +231,13 @@
 	})
 }
 
+// Made is the number of pieces that were made here.
+func (r *Replica) Made() int {
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	return r.handles
+}
+
 // Cancelled returns the number of requests whose connection closed while they
 // were worked on.
 func (r *Replica) Cancelled() int {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -55,6 +55,16 @@
 	s.write(item{Key: key, Data: data})
 }
 
+// evacuatePrefix is the prefix of the orders to evacuate a failure domain.
+const evacuatePrefix = "op/evacuate/"
+
+// Evacuate orders that the replicas of a failure domain get no new work, and TakeBack
+// withdraws the order.
+func (s *Store) Evacuate(domain string) { s.Put(evacuatePrefix+domain, map[string]any{}) }
+
+// TakeBack withdraws the order of Evacuate.
+func (s *Store) TakeBack(domain string) { s.Delete(evacuatePrefix + domain) }
+
 // Delete removes a key.
 func (s *Store) Delete(key string) { s.write(item{Key: key, Tombstone: true}) }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -27,6 +27,7 @@
 		firsts[service]++
 		repeats[service] += max(0, len(runs)-1)
 		r.checkDrain(x, runs)
+		r.checkEvacuations(x, runs)
 		r.checkSilence(x, runs)
 	}
 	windows := max(1, r.cfg.Duration.Seconds()/10)
--- a/soak/run.go
+++ b/soak/run.go
@@ -64,7 +64,9 @@
 	keys    []string
 	// revoked maps keys to when they were taken away.
 	revoked map[string]time.Time
-	report  Report
+	// evacuations are the operator's orders, in their order.
+	evacuations []evacuation
+	report      Report
 	calls   []done
 }
 
@@ -106,6 +108,7 @@
 	wg.Go(func() { r.sendCulprits(playing, rand.New(rand.NewPCG(cfg.Seed, 2))) })
 	wg.Go(func() { r.suspendHosts(playing, rand.New(rand.NewPCG(cfg.Seed, 3))) })
 	wg.Go(func() { r.pauseEngines(playing, rand.New(rand.NewPCG(cfg.Seed, 4))) })
+	wg.Go(func() { r.evacuateDomains(playing, rand.New(rand.NewPCG(cfg.Seed, 5))) })
 	r.inject(playing)
 	wg.Wait()
 	r.recover()
@@ -171,6 +174,7 @@
 	defer r.mu.Unlock()
 	r.replicas = append(r.replicas, rep)
 	rep.Born = time.Now().UnixMilli()
+	rep.FailureDomain = domains[len(r.replicas)%len(domains)]
 	rep.CrashUnder(poison(rep, rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+len(r.replicas)))), r.noteCrash))
 	rep.Returned = r.returned
 	r.store.Put("servers/"+id, site.Entry(rep, "ready"))
