Keep routes' priorities beside customers'; leave part of the slack to more urgent ones

A customer's priority replaced the route's, and every customer of the deployments has one: all kinds of requests stood as equal, and under load the place of each was left to chance.

A rank now has both parts, the customer's first. It is told to engines as one of ten levels, and to planners whole. A planner admits a job only if it is expected to take less than its slack but for 0.35 for each more urgent route that asks for the same services (0.6 at most); what is admitted is made by the time it is due, 200 ms later a route. The prediction counts the room that results of nobody known take: after a loss of all hosts it promised what the rooms could not hold.

Also tried in simulated time, not kept: margins of 1.15 to 1.5 on the prediction, begun jobs before others, the work that will overtake counted in the prediction, the rate that a service really makes in place of its calls, ranks in the order once a fifth of the queue is late.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -32,7 +32,7 @@
 // Tenant is a customer as the operator configures it.
 type Tenant struct {
 	Name string
-	// Priority replaces the route's; nil leaves the route's. 0 is the highest.
+	// Priority goes before the route's; nil says nothing. 0 is the highest.
 	Priority *int
 }
 
--- /dev/null
+++ b/core/catalog/rank_test.go
@@ -0,0 +1,41 @@
+package catalog_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+var _ = Describe("ranks", func() {
+	of := func(n int) *int { return &n }
+
+	DescribeTable("put the customer's part before the route's", func(customer *catalog.Tenant, route int, want catalog.Rank) {
+		Expect(catalog.RankOf(customer, &catalog.Route{Priority: route})).To(Equal(want))
+	},
+		Entry("of a customer with a priority", &catalog.Tenant{Priority: of(1)}, 2, catalog.Rank{Customer: 1, Route: 2}),
+		Entry("of one with the highest", &catalog.Tenant{Priority: of(0)}, 2, catalog.Rank{Customer: 0, Route: 2}),
+		Entry("of one without", &catalog.Tenant{}, 2, catalog.Rank{Customer: 2, Route: 2}),
+		Entry("of none", nil, 1, catalog.Rank{Customer: 1, Route: 1}),
+		Entry("below the highest", &catalog.Tenant{Priority: of(-3)}, -1, catalog.Rank{}),
+	)
+
+	It("order requests, and their levels never say otherwise", func() {
+		var all []catalog.Rank
+		for customer := range 5 {
+			for route := range 5 {
+				all = append(all, catalog.Rank{Customer: customer, Route: route})
+			}
+		}
+		for i, a := range all {
+			for k, b := range all {
+				Expect(a.Compare(b) < 0).To(Equal(i < k), "%v %v", a, b)
+				if i < k {
+					Expect(a.Level()).To(BeNumerically("<=", b.Level()), "%v %v", a, b)
+				}
+			}
+			Expect(a.Level()).To(And(BeNumerically(">=", 0), BeNumerically("<", catalog.Levels)))
+		}
+		Expect(catalog.Rank{Customer: 1, Route: 0}.Level()).To(BeNumerically("<", catalog.Rank{Customer: 1, Route: 2}.Level()))
+	})
+})
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -17,7 +17,7 @@
 	}
 	j.predicted = m.predict(now, j)
 	j.expected = time.Duration(m.bias * float64(j.predicted))
-	excess := j.expected - j.allowed(now)
+	excess := j.expected - m.allowed(now, j)
 	if excess <= 0 || j.goesOn(now) {
 		return nil
 	}
@@ -31,15 +31,34 @@
 // be at it: what it has made is not given up for a prediction.
 func (j *job) goesOn(now time.Time) bool { return len(j.Made) > 0 && now.Before(j.ends) }
 
-// allowed returns how long the job may be expected to take and still be
-// admitted.
-func (j *job) allowed(now time.Time) time.Duration {
+// allowed returns how long the job may be expected to take and still be admitted:
+// the less of its slack, the more urgent ranks want the same services. What is over
+// capacity is so refused when it comes, from the least urgent rank on, and what is
+// admitted is made in about the order in which it is due. An order by rank alone has
+// less urgent jobs overtaken after they have begun, and wastes their calls and rooms.
+func (m *Machine) allowed(now time.Time, j *job) time.Duration {
 	left := j.Due.Sub(now)
 	if left <= 0 {
 		return left
 	}
 	shortest, _ := j.shortest()
-	return max(left, time.Duration(unhurried*float64(shortest)))
+	slack := float64(max(0, left-shortest)) * (1 - m.reserved(now, j))
+	return max(shortest+time.Duration(slack), time.Duration(unhurried*float64(shortest)))
+}
+
+// reserveMost bounds the part of the slack that is left to more urgent ranks: the
+// least urgent have a part of their own.
+const reserveMost = 0.6
+
+// reserved is the part of a job's slack that is left to more urgent ranks.
+func (m *Machine) reserved(now time.Time, j *job) float64 {
+	ranks := 0
+	for i := range j.stages {
+		if st := &j.stages[i]; st.left > 0 {
+			ranks = max(ranks, st.service.ranks.before(now, j.Rank))
+		}
+	}
+	return min(reserveMost, m.cfg.ReservePerRank*float64(ranks))
 }
 
 // anyUsable says whether any replica may be called, now or when a suspicion
@@ -54,7 +73,7 @@
 }
 
 // predict returns the time until the results of a job would be ready: along
-// its chain, each stage starts when its inputs are there and the pieces ranked
+// its chain, each stage starts when its inputs are there and the pieces placed
 // before it have drained, and takes a call after half a call's wait.
 func (m *Machine) predict(now time.Time, j *job) time.Duration {
 	var ends [maxStages]time.Duration
@@ -67,7 +86,7 @@
 		st := &j.stages[i]
 		end := start
 		if st.left > 0 {
-			drained := st.service.drainTime(now, st.service.backlog.upTo(j.rank))
+			drained := st.service.drainTime(now, st.service.backlog.upTo(j.place))
 			end = max(start, drained) + st.service.callTime(min(st.left, st.service.figures.Batch))
 		}
 		ends[i] = end
@@ -82,7 +101,7 @@
 	full := s.callTime(s.figures.Batch).Seconds()
 	for _, r := range s.replicas {
 		if r.usable(now) && full > 0 {
-			perSecond += float64(s.figures.Batch*s.figures.Concurrency) / full
+			perSecond += r.roomShare(now) * float64(s.figures.Batch*s.figures.Concurrency) / full
 		}
 	}
 	if perSecond == 0 {
@@ -91,6 +110,20 @@
 	return time.Duration(float64(n) / perSecond * float64(time.Second))
 }
 
+// leastRoomShare keeps a replica whose room others' results take in the count: they go.
+const leastRoomShare = 0.1
+
+// roomShare is the part of a full call for which the replica has room beside the
+// results that this planner does not know of.
+func (r *replica) roomShare(now time.Time) float64 {
+	f := r.service.figures
+	full := float64(f.Batch) * r.service.usualBytes
+	if f.RoomBytes == 0 || full == 0 {
+		return 1
+	}
+	return min(1, max(leastRoomShare, float64(f.RoomBytes-r.foreignNow(now))/full))
+}
+
 // usableByDomain counts the usable replicas of each failure domain.
 func (s *service) usableByDomain(now time.Time) map[string]int {
 	n := map[string]int{}
--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -12,10 +12,13 @@
 	// SlackShare is the part of a job's slack that may be spent on waiting for
 	// its own failure domain. Default 0.8.
 	SlackShare float64
-	// PriorityStep is how much later a job of the next lower priority is
-	// ranked. Default 2 s: what is more urgent goes first unless the other
-	// has waited for long.
-	PriorityStep time.Duration
+	// CustomerStep is how much later a job is made whose customer is the next less
+	// urgent. Default 2 s: the more urgent one goes first unless the other has waited
+	// for long.
+	CustomerStep time.Duration
+	// ReservePerRank is the part of a job's slack that is left to each more urgent rank
+	// that asks for the same services. Default 0.35.
+	ReservePerRank float64
 	// OverdueFactor and OverdueSlack say when a running call counts as overdue
 	// and its pieces are made elsewhere too. Defaults 1.6 and 120 ms.
 	OverdueFactor float64
@@ -54,7 +57,8 @@
 func (c Config) withDefaults() Config {
 	orDefault(&c.CrossingRate, 600)
 	orDefault(&c.SlackShare, 0.8)
-	orDefault(&c.PriorityStep, 2*time.Second)
+	orDefault(&c.CustomerStep, 2*time.Second)
+	orDefault(&c.ReservePerRank, 0.35)
 	orDefault(&c.OverdueFactor, 1.6)
 	orDefault(&c.OverdueSlack, 120*time.Millisecond)
 	orDefault(&c.TimeoutFactor, 4)
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -332,6 +332,7 @@
 		p.at = r
 		p.job.stages[p.stage].startedAt = now
 		r.used += p.bytes()
+		s.usualBytes += servicePaceWeight * (float64(p.bytes()) - s.usualBytes)
 		a.Pieces = append(a.Pieces, p.request(now))
 		a.Timeout = max(a.Timeout, p.job.Deadline.Sub(now))
 	}
--- a/core/stage/event.go
+++ b/core/stage/event.go
@@ -111,9 +111,8 @@
 	// ID is the request's id.
 	ID string
 	// Key is what the first stages work on.
-	Key string
-	// Priority ranks jobs; 0 is the highest.
-	Priority int
+	Key  string
+	Rank catalog.Rank
 	// Due is when the results must be ready for an answer that is most likely
 	// on time, Latest when for one that may be, Deadline when they are of no
 	// more use. A Latest before Due counts as Due.
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -81,8 +81,8 @@
 	Job
 	seq    uint64
 	stages []stageState
-	// rank orders jobs: Due, later for lower priorities.
-	rank time.Time
+	// place orders jobs: Due, later for less urgent customers and routes.
+	place time.Time
 	// ends is when the job is refused if it is not ready.
 	ends time.Time
 	// remakes counts how often lost inputs were made again.
@@ -96,6 +96,11 @@
 	predicted, expected time.Duration
 }
 
+// routeStep is how much later a job is made whose route is the next less urgent: of
+// jobs that are due at about the same time the more urgent one goes first. It is short
+// beside the time that jobs have, so that few are overtaken once they have begun.
+const routeStep = 200 * time.Millisecond
+
 // newJob returns the state of j, or nil when it needs a service that is not
 // known or has too many stages.
 func (m *Machine) newJob(j Job) *job {
@@ -110,7 +115,7 @@
 	if s.ends = j.Latest.Add(m.cfg.LateGrace); j.Deadline.Before(s.ends) {
 		s.ends = j.Deadline
 	}
-	s.rank = j.Due.Add(time.Duration(j.Priority) * m.cfg.PriorityStep)
+	s.place = j.Due.Add(time.Duration(j.Rank.Customer)*m.cfg.CustomerStep + time.Duration(j.Rank.Route)*routeStep)
 	for i := range j.Stages {
 		st := &j.Stages[i]
 		v := m.services[st.Service]
@@ -133,7 +138,7 @@
 	st := &j.stages[i]
 	st.left += n
 	if j.admitted {
-		st.service.backlog.add(j.rank, n)
+		st.service.backlog.add(j.place, n)
 	}
 }
 
@@ -150,7 +155,7 @@
 			n = -n
 		}
 		if n != 0 {
-			j.stages[i].service.backlog.add(j.rank, n)
+			j.stages[i].service.backlog.add(j.place, n)
 		}
 	}
 }
--- a/core/stage/loadsim_test.go
+++ b/core/stage/loadsim_test.go
@@ -32,6 +32,8 @@
 	lost bool
 	// noRoom and gone count pieces that found no room, or whose inputs were gone.
 	noRoom, gone int
+	// overtaken counts jobs that were refused after they had been admitted.
+	overtaken int
 }
 
 // simKind is a kind of request.
@@ -157,6 +159,9 @@
 		case Ready:
 			s.after(simHop, func() { s.ready(a) })
 		case Refused:
+			if _, submitted := e.(Submitted); !submitted {
+				s.overtaken++
+			}
 			s.after(simHop, func() { s.refused(a) })
 		}
 	}
@@ -277,7 +282,7 @@
 // arrive takes a new request of a kind.
 func (s *loadSim) arrive(k *simKind, n int) {
 	j := &simJob{kind: k, arrived: s.now}
-	j.job = Job{Key: "key", Priority: k.priority, Stages: k.stages(s.rng)}
+	j.job = Job{Key: "key", Rank: catalog.Rank{Customer: 1, Route: k.priority}, Stages: k.stages(s.rng)}
 	k.tally(s, j).asked++
 	s.offer(j, fmt.Sprintf("%s-%d", k.name, n))
 }
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -88,7 +88,7 @@
 		}
 		v := m.services[name]
 		if v == nil {
-			v = &service{name: name, pace: 1}
+			v = &service{name: name, pace: 1, ranks: ranks{}}
 			m.services[name] = v
 		}
 		v.figures = *s.Pieces
@@ -157,6 +157,7 @@
 		return
 	}
 	m.restore(s)
+	s.noteRanks(now)
 	if refusal := m.admit(now, s); refusal != nil {
 		refusal.Held = m.keepTold(s)
 		m.act(*refusal)
--- a/core/stage/machine_test.go
+++ b/core/stage/machine_test.go
@@ -195,7 +195,7 @@
 		b := newBench(figures(4, 0), "x")
 		b.submit(b.chain("runs", Stage{Service: "a", Pieces: 4}))
 		lesser := b.chain("lesser", Stage{Service: "a", Pieces: 4})
-		lesser.Priority = 2
+		lesser.Rank.Customer = 2
 		urgent := b.chain("urgent", Stage{Service: "a", Pieces: 4})
 		urgent.Due = urgent.Due.Add(time.Second)
 		b.submit(lesser)
@@ -276,7 +276,7 @@
 		b := newBench(figures(4, 0), "x")
 		for i := range 10 {
 			j := b.chain(fmt.Sprint("low", i), Stage{Service: "a", Pieces: 4})
-			j.Priority = 2
+			j.Rank.Customer = 2
 			b.submit(j)
 		}
 		urgent := b.chain("urgent", Stage{Service: "a", Pieces: 4})
--- a/core/stage/queue.go
+++ b/core/stage/queue.go
@@ -21,9 +21,9 @@
 	late  bool
 }
 
-// compare orders groups by the rank of their jobs.
+// compare orders groups by the places of their jobs.
 func (g *group) compare(o *group) int {
-	return cmp.Or(g.job.rank.Compare(o.job.rank), cmp.Compare(g.job.seq, o.job.seq), cmp.Compare(g.stage, o.stage))
+	return cmp.Or(g.job.place.Compare(o.job.place), cmp.Compare(g.job.seq, o.job.seq), cmp.Compare(g.stage, o.stage))
 }
 
 // bytes is the size of all results of the group.
@@ -86,7 +86,7 @@
 }
 
 // order returns the groups: those of jobs that can be on time first, then by
-// rank.
+// place.
 func (q *queue) order(now time.Time) []*group {
 	onTime := make([]*group, 0, len(q.groups))
 	var late []*group
--- a/core/stage/random_test.go
+++ b/core/stage/random_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
 )
 
 // The guarantees of the package hold whatever happens to calls: the bench
@@ -71,7 +73,7 @@
 // randomJob has up to four stages; each comes after some of those before it.
 func randomJob(b *bench, rng *rand.Rand, id string) Job {
 	j := Job{
-		ID: id, Key: "key-" + id, Priority: rng.IntN(3), Domain: []string{"", "x", "y", "nowhere"}[rng.IntN(4)],
+		ID: id, Key: "key-" + id, Rank: catalog.Rank{Customer: rng.IntN(3), Route: rng.IntN(3)}, Domain: []string{"", "x", "y", "nowhere"}[rng.IntN(4)],
 		Due: b.now.Add(time.Duration(500+rng.IntN(4000)) * time.Millisecond),
 	}
 	j.Deadline = j.Due.Add(time.Duration(rng.IntN(5000)) * time.Millisecond)
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -17,6 +17,7 @@
 	queue   queue
 	// backlog counts the pieces of all jobs that are not made.
 	backlog backlog
+	ranks   ranks
 	// dirty says that something happened since the last pass over the queue, at
 	// lastPass, that may allow a call; without it the next one is due at nextPass.
 	dirty              bool
@@ -28,8 +29,9 @@
 	loadAt time.Time
 	// pace is the smoothed ratio of measured to nominal call times.
 	pace float64
-	// usual is the smoothed number of pieces of a call.
-	usual float64
+	// usual is the smoothed number of pieces of a call, usualBytes that of the bytes of
+	// a result.
+	usual, usualBytes float64
 }
 
 // callTime is the expected time of a call of n pieces.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -231,13 +231,8 @@
 // defaultMaxBodyBytes bounds bodies where the configuration does not.
 const defaultMaxBodyBytes = 4 << 20
 
-// priority is the customer's, else the route's.
-func (x *exchange) priority() int {
-	if x.tenant != nil && x.tenant.Priority != nil {
-		return *x.tenant.Priority
-	}
-	return x.route.Priority
-}
+// rank is the place of the request among others.
+func (x *exchange) rank() catalog.Rank { return catalog.RankOf(x.tenant, x.route) }
 
 // prefix is the hash of the prompt's parts that other requests share, and
 // their tokens; 0 without any.
@@ -322,7 +317,7 @@
 
 // job is the stage work of the request; false when there is none.
 func (x *exchange) job(began time.Time) (stage.Job, bool) {
-	j := stage.Job{ID: x.req.ID, Key: x.req.PieceKey, Priority: x.priority(), Deadline: x.deadline}
+	j := stage.Job{ID: x.req.ID, Key: x.req.PieceKey, Rank: x.rank(), Deadline: x.deadline}
 	j.Due, j.Latest = x.stagesDue(began)
 	pieces := 0
 	for i, s := range x.route.Stages {
@@ -402,7 +397,8 @@
 		fields = append(fields, zap.Uint64("version", x.config.Version), zap.Duration("view_age", x.arrived.Sub(x.viewAsOf)))
 	}
 	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service), zap.Int("priority", x.priority()))
+		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service),
+			zap.Int("customer_priority", x.rank().Customer), zap.Int("route_priority", x.rank().Route))
 	}
 	if x.tenant != nil {
 		fields = append(fields, zap.String("customer", x.tenant.Name))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -271,7 +271,7 @@
 	}
 	a.Tenant = x.customer()
 	if x.route.Streaming {
-		a.Priority = x.priority()
+		a.Priority = x.rank().Level()
 	}
 	return replica.Call{
 		Method: x.r.Method, Address: t.choice.Address, Target: x.r.RequestURI, Host: x.r.Host,
--- a/stages/messages.go
+++ b/stages/messages.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -15,7 +16,7 @@
 // toWire turns a job into its message; times become relative, as clocks differ.
 func toWire(j stage.Job, now time.Time) *wire.StageJob {
 	out := &wire.StageJob{
-		Id: j.ID, Key: j.Key, Priority: uint32(max(0, j.Priority)),
+		Id: j.ID, Key: j.Key, Priority: uint32(max(0, j.Rank.Customer)), RoutePriority: uint32(max(0, j.Rank.Route)),
 		DueMs: j.Due.Sub(now).Milliseconds(), LatestMs: j.Latest.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
 		FailureDomain: j.Domain,
 	}
@@ -34,7 +35,7 @@
 // later ones do not occur: the sender's configuration was checked.
 func fromWire(m *wire.StageJob, now time.Time) stage.Job {
 	j := stage.Job{
-		ID: m.GetId(), Key: m.GetKey(), Priority: int(m.GetPriority()),
+		ID: m.GetId(), Key: m.GetKey(), Rank: catalog.Rank{Customer: int(m.GetPriority()), Route: int(m.GetRoutePriority())},
 		Due:      now.Add(time.Duration(m.GetDueMs()) * time.Millisecond),
 		Latest:   now.Add(time.Duration(m.GetLatestMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
