--- a/core/stage/halls_test.go
+++ b/core/stage/halls_test.go
@@ -23,6 +23,64 @@
 	return min(most, max(1, int(math.Round(n))))
 }
 
+// tightService holds the figures of a replica that makes one call at a time.
+func tightService(batch int, pieceTime float64, room int64) catalog.Pieces {
+	return catalog.Pieces{
+		Concurrency: 1, Batch: batch, CallTime: 240 * time.Millisecond, PieceTime: time.Duration(pieceTime * float64(time.Millisecond)),
+		RoomBytes: room, ResultLife: 4 * time.Second,
+	}
+}
+
+// largeStage makes large results, so many of them on average.
+func largeStage(rng *rand.Rand, mean float64, most int) Stage {
+	return Stage{Service: "audit", Pieces: spread(rng, mean, 0.6, most), ResultBytes: largeResult}
+}
+
+// smallChain is three stages with small results, one after the other, beside others.
+func smallChain(rng *rand.Rand, beside ...Stage) []Stage {
+	n := len(beside)
+	return append(beside, Stage{Service: "audit", Pieces: 1, ResultBytes: smallResult},
+		Stage{Service: "notify", After: []int{n}, Pieces: 4, ResultBytes: 60_000},
+		Stage{Service: "store", After: []int{n + 1}, Pieces: spread(rng, 6, 0.4, 15), ResultBytes: 6000})
+}
+
+// kindFigures are what deployments differ in by kind: requests a second, the objective,
+// and what an answer is worth on time and late.
+type kindFigures struct {
+	rate         float64
+	objective    time.Duration
+	onTime, late float64
+}
+
+// threeKinds are two kinds of requests that pass through three services one after the
+// other, the most urgent and the least urgent one, and one with large results. scale
+// divides the rates.
+func threeKinds(scale int, review, summary, extract kindFigures) []*simKind {
+	kind := func(name string, f kindFigures, priority int, deadline, engine time.Duration, stages func(*rand.Rand) []Stage) *simKind {
+		return &simKind{
+			name: name, rate: func(time.Duration) float64 { return f.rate / float64(scale) }, priority: priority,
+			objective: f.objective, deadline: deadline, engine: engine, onTime: f.onTime, late: f.late, stages: stages,
+		}
+	}
+	kinds := []*simKind{
+		kind("review", review, 1, 12*time.Second, 300*time.Millisecond, func(rng *rand.Rand) []Stage {
+			if rng.Float64() >= 0.7 {
+				return nil
+			}
+			return []Stage{largeStage(rng, 2.5, 10)}
+		}),
+		kind("summary", summary, 0, 12*time.Second, 80*time.Millisecond, func(rng *rand.Rand) []Stage { return smallChain(rng) }),
+		kind("extract", extract, 2, 6*time.Second, 100*time.Millisecond, func(rng *rand.Rand) []Stage {
+			if rng.Float64() >= 0.4 {
+				return smallChain(rng)
+			}
+			return smallChain(rng, largeStage(rng, 1.5, 6))
+		}),
+	}
+	kinds[0].domain = true
+	return kinds
+}
+
 // newHalls is the deployment of six halls with tight rooms: three services, two
 // kinds of requests that pass through all of them one after the other, and one
 // with large results. Its figures are a customer's; at the usual rates half of
@@ -31,55 +89,12 @@
 	s := newLoadSim(seed)
 	domains := []string{"d0", "d1", "d2", "d3", "d4", "d5"}
 	e := Configured{Services: map[string]*catalog.Service{}}
-	figures := func(batch int, pieceTime float64, room int64) catalog.Pieces {
-		return catalog.Pieces{
-			Concurrency: 1, Batch: batch, CallTime: 240 * time.Millisecond, PieceTime: time.Duration(pieceTime * float64(time.Millisecond)),
-			RoomBytes: room, ResultLife: 4 * time.Second,
-		}
-	}
-	s.service(&e, "audit", figures(14, 15, 17_000_000), 42/scale, domains)
-	s.service(&e, "notify", figures(38, 5.4, 4_200_000), 35/scale, domains)
-	s.service(&e, "store", figures(48, 4.3, 530_000), 42/scale, domains)
-	chain := func(rng *rand.Rand, first int) []Stage {
-		var st []Stage
-		if first > 0 {
-			st = append(st, Stage{Service: "audit", Pieces: first, ResultBytes: largeResult})
-		}
-		n := len(st)
-		return append(st, Stage{Service: "audit", Pieces: 1, ResultBytes: smallResult},
-			Stage{Service: "notify", After: []int{n}, Pieces: 4, ResultBytes: 60_000},
-			Stage{Service: "store", After: []int{n + 1}, Pieces: spread(rng, 6, 0.4, 15), ResultBytes: 6000})
-	}
-	steady := func(rate float64) func(time.Duration) float64 {
-		return func(time.Duration) float64 { return rate / float64(scale) }
-	}
-	s.kinds = []*simKind{
-		{
-			name: "review", rate: steady(137), priority: 1, objective: 1400 * time.Millisecond, deadline: 12 * time.Second,
-			engine: 300 * time.Millisecond, onTime: 3.9, late: 0.58, domain: true,
-			stages: func(rng *rand.Rand) []Stage {
-				if rng.Float64() >= 0.7 {
-					return nil
-				}
-				return []Stage{{Service: "audit", Pieces: spread(rng, 2.5, 0.6, 10), ResultBytes: largeResult}}
-			},
-		},
-		{
-			name: "summary", rate: steady(155), priority: 0, objective: 2200 * time.Millisecond, deadline: 12 * time.Second,
-			engine: 80 * time.Millisecond, onTime: 2.3, late: 0.34,
-			stages: func(rng *rand.Rand) []Stage { return chain(rng, 0) },
-		},
-		{
-			name: "extract", rate: steady(230), priority: 2, objective: 2200 * time.Millisecond, deadline: 6 * time.Second,
-			engine: 100 * time.Millisecond, onTime: 0.37, late: 0.056,
-			stages: func(rng *rand.Rand) []Stage {
-				if rng.Float64() >= 0.4 {
-					return chain(rng, 0)
-				}
-				return chain(rng, spread(rng, 1.5, 0.6, 6))
-			},
-		},
-	}
+	s.service(&e, "audit", tightService(14, 15, 17_000_000), 42/scale, domains)
+	s.service(&e, "notify", tightService(38, 5.4, 4_200_000), 35/scale, domains)
+	s.service(&e, "store", tightService(48, 4.3, 530_000), 42/scale, domains)
+	s.kinds = threeKinds(scale,
+		kindFigures{137, 1400 * time.Millisecond, 3.9, 0.58}, kindFigures{155, 2200 * time.Millisecond, 2.3, 0.34},
+		kindFigures{230, 2200 * time.Millisecond, 0.37, 0.056})
 	s.configured = e
 	s.step(e)
 	return s
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -41,23 +41,6 @@
 	return b
 }
 
-// evacuatedServices are the services of which replicas would take new work, and
-// none may, since all their failure domains are evacuated.
-func evacuatedServices(v *discovery.View) map[string]bool {
-	open, evacuated := map[string]bool{}, map[string]bool{}
-	for _, r := range v.Replicas {
-		switch {
-		case r.Draining:
-		case v.Evacuations.Has(r.FailureDomain):
-			evacuated[r.Service] = true
-		default:
-			open[r.Service] = true
-		}
-	}
-	maps.DeleteFunc(evacuated, func(service string, _ bool) bool { return open[service] })
-	return evacuated
-}
-
 // stageReplicas are the replicas of services that run stages. Those of evacuated
 // failure domains are as those that drain: what they hold is read, and nothing more
 // is made there.
