--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -86,6 +86,25 @@
 		Eventually(f.Formed(), "2s").Should(BeClosed())
 	})
 
+	It("counts on knowing all hosts once it has formed, and not while no seed has answered", func() {
+		complete := func(f *fleet.Fleet) func() bool {
+			return func() bool { _, all := f.Known(); return all }
+		}
+		a, b := address(), address()
+		first, _ := start(a, 1, a)
+		second, stop := start(b, 1, a)
+		for _, f := range []*fleet.Fleet{first, second} {
+			Eventually(complete(f), "5s").Should(BeTrue())
+			Eventually(func() []string { all, _ := f.Known(); return all }, "5s").Should(ConsistOf(a, b))
+		}
+		stop()
+		Consistently(func() []string { all, _ := first.Known(); return all }, "500ms").Should(ConsistOf(a, b), "who is gone may be back")
+
+		cutOff, _ := start(address(), 1, address(), address())
+		Eventually(cutOff.Formed(), "2s").Should(BeClosed())
+		Expect(complete(cutOff)()).To(BeFalse())
+	})
+
 	It("that starts together agrees on who ranks first once it has formed, the seeds being last", func() {
 		seeds := []string{address(), address()}
 		var all []*fleet.Fleet
--- a/gateway/forward_fuzz_test.go
+++ b/gateway/forward_fuzz_test.go
@@ -174,6 +174,9 @@
 	}
 }
 
+// hidden is a request that a caller hides in the body of another one.
+const hidden = "POST /seal/hidden HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\nAttempt-Id: hidden\r\nContent-Length: 0\r\n\r\n"
+
 // FuzzForward sends raw bytes of a caller and holds what reaches a replica to
 // them: one well-formed request for each one sent, with the path, the id and
 // the body that a strict reader finds there, and nothing that was hidden inside
@@ -198,6 +201,16 @@
 		"POST /seal/a%0d%0aX: HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key-1\r\nAttempt-Id: b4\r\nContent-Length: 0\r\n\r\n",
 		"POST http://api.example/seal/a HTTP/1.1\r\nHost: other\r\nX-Api-Key: key-1\r\nAttempt-Id: b5\r\nContent-Length: 0\r\n\r\n",
 		head + "Attempt-Id: b6\r\nContent-Length: 0\r\n\r\n" + head + "Attempt-Id: b7\r\nContent-Length: 0\r\n\r\n",
+		// A request hidden in the body of another one, by lengths that two readers may
+		// take differently.
+		head + "Attempt-Id: c1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + hidden,
+		head + "Attempt-Id: c2\r\nTransfer-Encoding : chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + hidden,
+		head + "Attempt-Id: c3\r\nTransfer-Encoding: xchunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + hidden,
+		head + "Attempt-Id: c4\r\nContent-Length: 0, 0\r\n\r\n" + hidden,
+		head + "Attempt-Id: c5\r\nTransfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n" + hidden,
+		head + "Attempt-Id: c6\r\nTransfer-Encoding: chunked\r\n\r\n0;x=\n\r\n\r\n" + hidden,
+		head + "Attempt-Id: c7\r\nTransfer-Encoding: chunked\r\n\r\n0000000000000000010\r\n" + hidden,
+		strings.Replace(head, "POST", "GET", 1) + "Attempt-Id: c8\r\nContent-Length: 4\r\n\r\nbody" + hidden,
 	} {
 		f.Add([]byte(seed))
 	}
