--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -269,7 +269,7 @@
 	It("does not take the news of a host that has no view yet", func() {
 		d := newDay(2)
 		d.run("host-2")
-		Eventually(d.version("host-2"), "2s").Should(Equal(uint64(1)))
+		Eventually(func() bool { return d.found["host-2"].View().Ready() }, "2s").Should(BeTrue())
 		d.lose("host-1", true)
 		Consistently(func() int { return len(d.found["host-2"].View().Replicas) }, bound).Should(Equal(1))
 		Expect(d.found["host-2"].View().AsOf).To(BeTemporally("~", time.Now(), bound))
