Call what stands already: one look-up of a replica in the soak, one word for what takes no new work

The soak looked a replica up by its id in three places; the gateway asked in two whether a replica drains or its domain is evacuated (View.Closed); a wrapper of *testing.T did nothing, as that is a tester already; a test sorted keys by hand; two specs of lapsed calls ended in the same seven lines.

Tests of core/stage, core/route, discovery's evacuations and the gateway's cold and evacuated replicas pass.

--- a/core/route/cold.go
+++ b/core/route/cold.go
@@ -55,8 +55,7 @@
 }
 
 func (w *warming) set(most map[string]int, name string) {
-	n, cold := most[name]
-	w.most, w.cold = n, cold
+	w.most, w.cold = most[name]
 }
 
 // coldFilter refuses cold upstreams that have had this daemon's part of their calls.
--- a/core/stage/lapsed_test.go
+++ b/core/stage/lapsed_test.go
@@ -59,8 +59,14 @@
 	Expect(again.Replica).NotTo(Equal(paused.Replica))
 	b.answer(again.Call)
 	Expect(b.ready).To(HaveKey("j"))
+	b.hearsOut(paused, 4*lapsedEvery)
+}
+
+// hearsOut gives the job up, and holds the machine to hearing the call that a replica is
+// at work on, and no other, and to keeping nothing of what it brings.
+func (b *bench) hearsOut(paused Run, after time.Duration) {
 	b.giveUp("j", Cancelled{Job: "j"})
-	b.pass(4 * lapsedEvery)
+	b.pass(after)
 	Expect(b.running).To(ConsistOf(HaveField("Call", paused.Call)))
 	b.answer(paused.Call)
 	Expect(b.held).To(BeEmpty())
@@ -76,13 +82,7 @@
 	Expect(b.pass(time.Second)).To(HaveLen(1))
 	b.pass(1600 * time.Millisecond)
 	Expect(b.running).To(HaveLen(2))
-	b.giveUp("j", Cancelled{Job: "j"})
-	b.pass(lapsedEvery)
-	Expect(b.running).To(ConsistOf(HaveField("Call", paused.Call)))
-	b.answer(paused.Call)
-	Expect(b.held).To(BeEmpty())
-	Expect(b.m.calls).To(BeEmpty())
-	Expect(b.m.replicas[paused.Replica].used).To(BeZero())
+	b.hearsOut(paused, lapsedEvery)
 }
 
 // TestLapsedCallStillCounts: what comes late is taken, and what was made a second time
--- a/discovery/evacuations_test.go
+++ b/discovery/evacuations_test.go
@@ -3,9 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,13 +141,6 @@
 	})
 }
 
-// evacuationTrouble is what befalls a fleet while orders are given.
-type evacuationTrouble struct {
-	// cut are hosts that reach neither the store nor fellows, away ones that the
-	// store turns away.
-	cut, away map[string]bool
-}
-
 // TestEvacuationsUnderTrouble plays random schedules: orders and withdrawals, beside
 // hosts that are cut off or that the store turns away, a store that forgets its
 // history, and new configurations. A host that has had a path to the store, or to a
@@ -163,11 +156,13 @@
 func evacuateUnderTrouble(t *testing.T, seed uint64) {
 	g, rng := NewWithT(t), rand.New(rand.NewPCG(seed, 7))
 	f := newLinkedFleet(2, 10)
-	trouble := evacuationTrouble{cut: map[string]bool{}, away: map[string]bool{}}
+	// cut are hosts that reach neither the store nor fellows, away ones that the store
+	// turns away.
+	cut, away := map[string]bool{}, map[string]bool{}
 	f.refuse = func(from, to, _ string) error {
 		var err error
 		f.store.with(func(*linkedStore) {
-			if trouble.cut[from] || trouble.cut[to] || to == storeName && trouble.away[from] {
+			if cut[from] || cut[to] || to == storeName && away[from] {
 				err = errCut
 			}
 		})
@@ -186,9 +181,9 @@
 			delete(inForce, domain)
 			f.store.takeBack(domain)
 		case 3:
-			f.store.with(func(*linkedStore) { trouble.cut[host] = !trouble.cut[host] })
+			f.store.with(func(*linkedStore) { cut[host] = !cut[host] })
 		case 4:
-			f.store.with(func(s *linkedStore) { trouble.away[host] = !trouble.away[host]; s.forgotten = s.revision })
+			f.store.with(func(s *linkedStore) { away[host] = !away[host]; s.forgotten = s.revision })
 		case 5:
 			version++
 			f.store.writeConfig(version, 2+version)
@@ -199,16 +194,8 @@
 		}
 		// The last trouble may have come within the time that is allowed.
 		time.Sleep(evacuatedIn)
-		wrong := slices.DeleteFunc(f.unlike(sortedKeys(inForce)...), func(name string) bool { return trouble.cut[name] })
-		g.Expect(wrong).To(BeEmpty(), "want %v in force", sortedKeys(inForce))
-	}
-}
-
-func sortedKeys(m map[string]bool) []string {
-	var keys []string
-	for k := range m {
-		keys = append(keys, k)
+		want := slices.Sorted(maps.Keys(inForce))
+		wrong := slices.DeleteFunc(f.unlike(want...), func(name string) bool { return cut[name] })
+		g.Expect(wrong).To(BeEmpty(), "want %v in force", want)
 	}
-	slices.SortFunc(keys, strings.Compare)
-	return keys
 }
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -39,6 +39,12 @@
 // Ready says whether requests can be decided on.
 func (v *View) Ready() bool { return v.Config != nil && v.Replicas != nil }
 
+// Closed says whether a replica takes no new work: it drains, or its failure domain is
+// evacuated.
+func (v *View) Closed(r catalog.Replica) bool {
+	return r.Draining || v.Evacuations.Has(r.FailureDomain)
+}
+
 // digestOf is the same for equal replicas.
 func digestOf(replicas map[string]catalog.Replica) bucket.Digest {
 	var digest bucket.Digest
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -14,7 +14,7 @@
 // coldSite is a site whose plain replicas bear two requests a second while they are
 // cold, with one gateway and its log.
 func coldSite(t *testing.T, change func(*fixture)) (*fixture, *running) {
-	f := newFixtureOf(goTester{t})
+	f := newFixtureOf(t)
 	f.coldRate = 2
 	f.configure()
 	change(f)
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -22,15 +22,12 @@
 
 // twoDomains is a site with a replica of each service in each of two failure domains.
 func twoDomains(t *testing.T) (*fixture, *running) {
-	f := newFixtureOf(goTester{t})
+	f := newFixtureOf(t)
 	f.moveTo("x", "p1", "e1", "s1")
 	f.moveTo("y", "p2", "e2", "s2")
 	return f, f.startLogged(zap.NewNop()).ready()
 }
 
-// goTester has tests of Go's written as specs are.
-type goTester struct{ *testing.T }
-
 // staged asks for a stream behind stages.
 func staged(r *http.Request) {
 	r.Header.Set("Piece-Count", "2,1")
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -21,7 +21,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.Replicas)) {
 		r := v.Replicas[id]
 		concurrency[r.Service] = max(concurrency[r.Service], r.Concurrency)
-		if r.Draining || v.Evacuations.Has(r.FailureDomain) {
+		if v.Closed(r) {
 			continue
 		}
 		byService[r.Service] = append(byService[r.Service], bundle.Upstream{
@@ -48,7 +48,7 @@
 	var out []catalog.Replica
 	for _, r := range v.Replicas {
 		if s := v.Config.Services[r.Service]; s != nil && s.Pieces != nil {
-			r.Draining = r.Draining || v.Evacuations.Has(r.FailureDomain)
+			r.Draining = v.Closed(r)
 			out = append(out, r)
 		}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -106,14 +106,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, run := range runs {
-		i := slices.IndexFunc(r.replicas, func(rep *site.Replica) bool { return rep.ID == run.Replica })
-		if i < 0 || r.replicas[i].Misbehaved() {
+		if rep := r.replica(run.Replica); rep == nil || rep.Misbehaved() {
 			return false
 		}
 	}
 	return true
 }
 
+// replica returns a replica by its id; nil without it. The lock is held.
+func (r *Run) replica(id string) *site.Replica {
+	if i := slices.IndexFunc(r.replicas, func(rep *site.Replica) bool { return rep.ID == id }); i >= 0 {
+		return r.replicas[i]
+	}
+	return nil
+}
+
 // checkDrain holds runs at draining replicas to the bound, for daemons that
 // nothing touched meanwhile.
 func (r *Run) checkDrain(x done, runs []site.Run) {
--- a/soak/evacuate.go
+++ b/soak/evacuate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/wheatseam/wheatseam/internal/standin/site"
@@ -56,8 +55,8 @@
 func (r *Run) domainOf(replica string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i := slices.IndexFunc(r.replicas, func(rep *site.Replica) bool { return rep.ID == replica }); i >= 0 {
-		return r.replicas[i].FailureDomain
+	if rep := r.replica(replica); rep != nil {
+		return rep.FailureDomain
 	}
 	return ""
 }
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -86,11 +86,11 @@
 func (r *Run) sound(run site.Run, x done) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i := slices.IndexFunc(r.replicas, func(rep *site.Replica) bool { return rep.ID == run.Replica })
-	if i < 0 {
+	rep := r.replica(run.Replica)
+	if rep == nil {
 		return false
 	}
 	since, draining := r.draining[run.Replica]
 	leaving := draining && since.Before(x.ended)
-	return !leaving && r.replicas[i].WellThrough(run.At.Add(-begun), x.ended)
+	return !leaving && rep.WellThrough(run.At.Add(-begun), x.ended)
 }
