Work the limits of cold replicas out in one place, by the newest view

Two goroutines worked them out and stored the count and, one of them, a copy of it: the one that runs on a timer could read the view before, and put its limits over those of a new one. Where that had no cold replica, the timer stopped and the new limits stayed lifted until the next view. Now one function holds one lock, keeps the newest view and the count, and writes the line; the timer only asks for it anew.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -30,6 +30,8 @@
 // coldReplicas follows which replicas are cold. It is safe for concurrent use.
 type coldReplicas struct {
 	mu sync.Mutex
+	// view is the newest one.
+	view *discovery.View
 	// since is when a replica was first heard to be cold, by id.
 	since map[string]time.Time
 	// evacuated and returned are the failure domains that were evacuated when last
@@ -42,10 +44,8 @@
 	return &coldReplicas{since: map[string]time.Time{}, evacuated: map[string]bool{}, returned: map[string]time.Time{}}
 }
 
-// update takes a view and returns the replicas that are cold.
+// update takes a view and returns the replicas that are cold; the lock is held.
 func (c *coldReplicas) update(now time.Time, v *discovery.View) []catalog.Replica {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.noteReturns(now, v)
 	var cold []catalog.Replica
 	for id, r := range v.Replicas {
@@ -63,7 +63,7 @@
 	return cold
 }
 
-// noteReturns notes which failure domains have been taken back.
+// noteReturns notes which failure domains have been taken back; the lock is held.
 func (c *coldReplicas) noteReturns(now time.Time, v *discovery.View) {
 	for domain := range c.evacuated {
 		if !v.Evacuations.Has(domain) {
@@ -93,24 +93,32 @@
 }
 
 // limitCold has the router keep to this host's part of the requests that cold replicas
-// bear, and returns how many replicas are cold.
-func (g *Gateway) limitCold(v *discovery.View) int {
-	cold := g.cold.update(clock.Now(), v)
-	if len(cold) == 0 {
-		g.router.SetCold(nil)
-		return 0
+// bear, by a new view or, with nil, by the last one: what an older view says of them
+// never replaces what a newer one does.
+func (g *Gateway) limitCold(v *discovery.View) {
+	g.cold.mu.Lock()
+	defer g.cold.mu.Unlock()
+	if v != nil {
+		g.cold.view = v
 	}
-	hosts, complete := g.fleet.Known()
-	shares := warmup.New(g.settings.Load().Host, hosts)
+	v = g.cold.view
+	cold := g.cold.update(clock.Now(), v)
 	most := make(map[string]int, len(cold))
-	for _, r := range cold {
-		most[r.ID] = 0
-		if complete {
-			most[r.ID] = shares.Of(r.ID, g.coldLimit(v.Config.Services[r.Service]))
+	if len(cold) > 0 {
+		hosts, complete := g.fleet.Known()
+		shares := warmup.New(g.settings.Load().Host, hosts)
+		for _, r := range cold {
+			most[r.ID] = 0
+			if complete {
+				most[r.ID] = shares.Of(r.ID, g.coldLimit(v.Config.Services[r.Service]))
+			}
 		}
 	}
 	g.router.SetCold(most)
-	return len(cold)
+	before := int(g.coldCount.Swap(int64(len(cold))))
+	if (before == 0) != (len(cold) == 0) {
+		g.log.Info("cold replicas", zap.Int("replicas", len(cold)), zap.Int("before", before))
+	}
 }
 
 // coldLimit is the number of requests in any second that hosts share out at a cold
@@ -122,17 +130,9 @@
 
 // keepCold keeps to the limits while replicas are cold, until ctx ends.
 func (g *Gateway) keepCold(ctx context.Context) {
-	last := 0
 	for periodic.Sleep(ctx, coldEvery) {
-		v := g.found.View()
-		if !v.Ready() || last == 0 && g.coldCount.Load() == 0 {
-			continue
-		}
-		n := g.limitCold(v)
-		if (n == 0) != (last == 0) {
-			g.log.Info("cold replicas", zap.Int("replicas", n), zap.Int("before", last))
+		if g.coldCount.Load() > 0 {
+			g.limitCold(nil)
 		}
-		last = n
-		g.coldCount.Store(int64(n))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -172,7 +172,7 @@
 	g.forgetRefusals(v)
 	evacuated := evacuatedServices(v)
 	g.evacuated.Store(&evacuated)
-	g.coldCount.Store(int64(g.limitCold(v)))
+	g.limitCold(v)
 	g.router.Apply(pools(v, g.rounds, g.settings.Load().Regions))
 	g.stages.Configure(v.Config.Services, stageReplicas(v))
 }
