Await the order in the tests of evacuated domains

TestEvacuatedDomainGetsNoRequestsStreamsOrPieces failed in a fresh clone's make test, beside other work. It took twelve requests to one replica for the order being in force, which on a busy machine comes about by chance before it is. What showed it: 14 copies at once with -race, the gauge printed at that moment: 0 in each of 4 failures of 56 runs, 1 in 51 of the 52 passes. Ruled out: that the planner learns later than the router.

The tests of evacuated and returned domains now wait for the gauge that operators read, and then hold the first requests to it as they held those.

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -67,10 +67,12 @@
 // meanwhile without a word in the store so far.
 func TestReplicasOfADomainTakenBackAreColdForAWarmUp(t *testing.T) {
 	f, g := coldSite(t, func(f *fixture) { f.moveTo("y", "p2"); f.store.Evacuate("x") })
-	f.Eventually(func() int { ran, _ := served(f, g, 100*time.Millisecond); return ran["p1"] }, "3s").Should(BeZero())
+	g.awaitEvacuated(1)
+	ran, _ := served(f, g, 100*time.Millisecond)
+	f.Expect(ran["p1"]).To(BeZero())
 	f.store.TakeBack("x")
 	f.Eventually(func() int { ran, _ := served(f, g, 100*time.Millisecond); return ran["p1"] }, "3s").Should(BeNumerically(">", 0))
-	ran, _ := served(f, g, time.Second)
+	ran, _ = served(f, g, time.Second)
 	f.Expect(ran["p1"]).To(BeNumerically("<=", 2*coldLimit))
 	f.Eventually(func() int { ran, _ := served(f, g, 500*time.Millisecond); return ran["p1"] }, "6s").Should(BeNumerically(">", 2*coldLimit))
 }
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -28,6 +29,12 @@
 	return f, f.startLogged(zap.NewNop()).ready()
 }
 
+// awaitEvacuated waits until the orders for so many failure domains are in force.
+func (r *running) awaitEvacuated(domains int) {
+	const gauge = "wheatseam_domains_evacuated"
+	r.Eventually(r.counters, "4s").WithArguments(gauge).Should(ConsistOf(fmt.Sprint(gauge, " ", domains)))
+}
+
 // staged asks for a stream behind stages.
 func staged(r *http.Request) {
 	r.Header.Set("Piece-Count", "2,1")
@@ -52,7 +59,8 @@
 func TestEvacuatedDomainGetsNoRequestsStreamsOrPieces(t *testing.T) {
 	f, g := twoDomains(t)
 	f.store.Evacuate("x")
-	f.Eventually(func() map[string]int { return servers(f, g, safePath, nil) }, "4s").Should(And(HaveLen(1), HaveKey("p2")))
+	g.awaitEvacuated(1)
+	f.Expect(servers(f, g, safePath, nil)).To(And(HaveLen(1), HaveKey("p2")))
 	made := f.replicas["s1"].Made()
 	f.Expect(servers(f, g, sealPath, nil)).To(And(HaveLen(1), HaveKey("p2")))
 	f.Expect(servers(f, g, goOnPath, staged)).To(And(HaveLen(1), HaveKey("e2")))
@@ -75,6 +83,8 @@
 	}()
 	time.Sleep(200 * time.Millisecond)
 	f.store.Evacuate("x")
+	g.awaitEvacuated(1)
+	f.Expect(answers).To(BeEmpty(), "the run is under way")
 	var a answer
 	f.Eventually(answers, "3s").Should(Receive(&a))
 	f.Expect(a.status).To(Equal(http.StatusOK))
