Log, count and dump the limits that replicas name in their answers

The incident's logs could not tell a host that does not read a replica's limit from one that keeps it by itself: what a replica says of itself beside its load was in no line, no metric and no dump.

Server-Limit is decoded once, with the rest of an answer's head; the client tells of every answer of a replica that was meant, whatever the call. core/intake keeps the account: a limit holds until a run sent after it was last named is answered without (heads may overtake each other, and refusals may leave it out). The attempt's line has the limit, a change is one line, wheatseam_replicas_limited, wheatseam_limits_named_total, and limits in /state.

No decision goes by it yet. Stand-in replicas can name a limit.

--- /dev/null
+++ b/core/intake/notice.go
@@ -0,0 +1,30 @@
+package intake
+
+import "time"
+
+// Notice is what a replica says of itself in the head of an answer. The zero value
+// says nothing.
+type Notice struct {
+	Limit Limit
+}
+
+// Limit is the rate of requests that a replica takes from all hosts together.
+type Limit struct {
+	// Named says that the answer names one.
+	Named bool
+	// PerSecond is 0 or more, and finite.
+	PerSecond float64
+}
+
+// Answer is an answer of the replica that it was asked of.
+type Answer struct {
+	// Replica names the start of the replica.
+	Replica string
+	// Sent is when what it answers was sent.
+	Sent time.Time
+	// Served says that it answers a request, or a call for pieces, that was run: what
+	// the replica has to say of itself is said there. Refusals and answers to other
+	// calls may leave it out.
+	Served bool
+	Notice Notice
+}
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -23,7 +23,7 @@
 // away from them.
 func (d *Daemon) addQuarantine() {
 	d.quarantine = quarantine.New(quarantine.Config{
-		Self: d.settings.Host, Members: fellows{d}, Replicas: replica.NewClient(), Caller: lateCaller{d}, Mux: d.peerMux, Logger: d.log,
+		Self: d.settings.Host, Members: fellows{d}, Replicas: replica.NewClient(nil), Caller: lateCaller{d}, Mux: d.peerMux, Logger: d.log,
 	})
 	d.cluster.OnSlot(member.SlotQuarantine, d.quarantine.Heard)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,13 +62,15 @@
 
 	refusals *refusals
 	prompts  prompts
+	notices  notices
 	// quarantine keeps requests that crash replicas away from them.
 	quarantine *quarantine.Service
 }
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{log: log, metrics: metrics.NewSet(), client: replica.NewClient(), streams: newStreamTimes(), refusals: newRefusals(), cold: newColdReplicas()}
+	g := &Gateway{log: log, metrics: metrics.NewSet(), streams: newStreamTimes(), refusals: newRefusals(), cold: newColdReplicas()}
+	g.client = replica.NewClient(g.hear)
 	g.preparing, g.stopPreparing = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.evacuated.Store(&map[string]bool{})
@@ -170,6 +172,7 @@
 	}
 	g.rounds++
 	g.forgetRefusals(v)
+	g.notices.forget(v)
 	evacuated := evacuatedServices(v)
 	g.evacuated.Store(&evacuated)
 	g.limitCold(v)
--- /dev/null
+++ b/gateway/notices.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/intake"
+	"github.com/wheatseam/wheatseam/discovery"
+	"github.com/wheatseam/wheatseam/internal/clock"
+)
+
+// notices keeps account of what replicas say of themselves. It is safe for concurrent
+// use.
+type notices struct {
+	mu      sync.Mutex
+	account intake.Account
+}
+
+// hear takes an answer of a replica.
+func (g *Gateway) hear(a intake.Answer) {
+	g.notices.mu.Lock()
+	defer g.notices.mu.Unlock()
+	if l, changed := g.notices.account.Hear(clock.Now(), a); changed {
+		g.limitChanged(l)
+	}
+}
+
+// limitChanged logs and counts what a replica has changed.
+func (g *Gateway) limitChanged(l intake.Limited) {
+	service := g.found.View().Replicas[l.Replica].Service
+	fields := []zap.Field{zap.String("service", service), zap.String("replica", l.Replica), zap.Duration("since", l.At.Sub(l.Since))}
+	if !l.Limit.Named {
+		g.log.Info("replica's limit lifted", fields...)
+		return
+	}
+	g.log.Info("replica names a limit", append(fields, zap.Float64("per_second", l.Limit.PerSecond))...)
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_limits_named_total{service=%q}", service)).Inc()
+}
+
+// forget drops what is known of replicas that a view does not list.
+func (n *notices) forget(v *discovery.View) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.account.Forget(func(replica string) bool { _, listed := v.Replicas[replica]; return listed })
+}
+
+// LimitState is a replica's limit as the state dump shows it.
+type LimitState struct {
+	Replica   string  `json:"replica"`
+	PerSecond float64 `json:"per_second"`
+	// Seconds since it was first and last named.
+	SinceS float64 `json:"since_s"`
+	NamedS float64 `json:"named_s"`
+}
+
+// dump is the account for operators.
+func (n *notices) dump(now time.Time) []LimitState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := []LimitState{}
+	for _, l := range n.account.Limits() {
+		out = append(out, LimitState{
+			Replica: l.Replica, PerSecond: l.Limit.PerSecond,
+			SinceS: now.Sub(l.Since).Seconds(), NamedS: now.Sub(l.At).Seconds(),
+		})
+	}
+	return out
+}
+
+// limited is the number of replicas whose limit is in force.
+func (n *notices) limited() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.account.Limits())
+}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -62,6 +62,7 @@
 	gauge("wheatseam_store_calls_total", func() float64 { return float64(g.store.Calls().Made) })
 	gauge("wheatseam_store_calls_failed_total", func() float64 { return float64(g.store.Calls().Failed) })
 	gauge("wheatseam_replicas_cold", func() float64 { return float64(g.coldCount.Load()) })
+	gauge("wheatseam_replicas_limited", func() float64 { return float64(g.notices.limited()) })
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.found.View().Evacuations.Domains)) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.Asleep().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.Refused()) })
@@ -127,6 +128,8 @@
 	Router   any                    `json:"router"`
 	// Quarantine has the requests that are refused since they crash replicas.
 	Quarantine quarantine.Dump `json:"quarantine"`
+	// Limits are those that replicas name in their answers.
+	Limits []LimitState `json:"limits"`
 }
 
 // State returns the state.
@@ -134,7 +137,7 @@
 	s := State{
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.found.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
-		Quarantine: g.quarantine.Dump(),
+		Quarantine: g.quarantine.Dump(), Limits: g.notices.dump(clock.Now()),
 	}
 	g.budgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.Shared).Stats()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/load"
 	"github.com/wheatseam/wheatseam/core/refusal"
 	"github.com/wheatseam/wheatseam/core/request"
@@ -160,6 +161,8 @@
 	events int
 	// refused says why the replica refused; "" if it did not.
 	refused refusal.Reason
+	// limit is the one that the answer names.
+	limit intake.Limit
 	// cancel ends the attempt by this host's own decision, for a reason.
 	cancel context.CancelCauseFunc
 	// endedHere is that reason, once the attempt has ended by it; nil else.
@@ -196,8 +199,9 @@
 		return t.broken(err)
 	}
 	defer resp.Body.Close()
-	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+	head := resp.Head
 	t.observe(head.Load)
+	t.limit = head.Notice.Limit
 	if head.NotExecuted {
 		t.refused = reasonOf(resp.StatusCode, head)
 	}
@@ -213,9 +217,9 @@
 		return failed, problem.New(problem.UpstreamFailed, "the answer is another request's")
 	}
 	if t.watch != nil && resp.StatusCode == http.StatusOK && head.Signed {
-		return t.passEvents(resp)
+		return t.passEvents(resp.Response)
 	}
-	return t.whole(resp, head)
+	return t.whole(resp.Response, head)
 }
 
 // outgoing is the request as it goes to the replica.
@@ -230,6 +234,7 @@
 		a.Priority = x.rank().Level()
 	}
 	return replica.Call{
+		Replica: t.choice.Upstream, Request: x.req.ID, Work: true,
 		Method: x.r.Method, Address: t.choice.Address, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.EncodeAttempt(x.r.Header, a), Body: x.body,
 	}
@@ -334,6 +339,9 @@
 	if t.refused != "" {
 		fields = append(fields, zap.String("refused_for", string(t.refused)))
 	}
+	if t.limit.Named {
+		fields = append(fields, zap.Float64("limit", t.limit.PerSecond))
+	}
 	if err != nil {
 		fields = append(fields, zap.String("why", err.Detail))
 	}
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -67,6 +67,10 @@
 	spells    []spell
 	handles   int
 	cancelled int
+	// limit is the rate of requests that every answer names; "" for none.
+	limit string
+	// arrived are the times at which requests and calls for pieces came.
+	arrived []time.Time
 }
 
 // spell is a time of behaviour other than well; until is zero while it lasts.
@@ -231,6 +235,37 @@
 	})
 }
 
+// NameLimit has every answer name a limit, as it is given; "" ends that. A replica that
+// names one serves what it gets all the same.
+func (r *Replica) NameLimit(perSecond string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = perSecond
+}
+
+// Arrived returns when requests and calls for pieces came, in order.
+func (r *Replica) Arrived() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrived)
+}
+
+// arrive notes a request or a call for pieces.
+func (r *Replica) arrive() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrived = append(r.arrived, time.Now())
+}
+
+// sayOfItself adds what the replica says of itself to the head of an answer.
+func (r *Replica) sayOfItself(h http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit != "" {
+		h.Set("Server-Limit", r.limit)
+	}
+}
+
 // Made is the number of pieces that were made here.
 func (r *Replica) Made() int {
 	r.ledger.mu.Lock()
@@ -268,10 +303,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if !strings.HasPrefix(req.URL.Path, "/-/") || req.URL.Path == "/-/stage-run" {
+		r.arrive()
+	}
 	if b.Hang {
 		hang(req)
 		return
 	}
+	r.sayOfItself(w.Header())
 	if r.Kind == Engine && r.order(w, req, b) {
 		return
 	}
--- a/replica/client.go
+++ b/replica/client.go
@@ -14,7 +14,10 @@
 	"syscall"
 	"time"
 
+	"github.com/wheatseam/wheatseam/core/intake"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
+	"github.com/wheatseam/wheatseam/platform"
 )
 
 // connectTimeout bounds the opening of a connection to a replica. Replicas are
@@ -32,11 +35,13 @@
 // It is safe for concurrent use.
 type Client struct {
 	transport, kept *http.Transport
+	heard           func(intake.Answer)
 }
 
-// NewClient returns a client.
-func NewClient() *Client {
-	c := &Client{transport: newTransport(), kept: newTransport()}
+// NewClient returns a client. heard is told of what replicas say of themselves, with
+// each answer of a replica that was meant; it must not block, and nil is for nobody.
+func NewClient(heard func(intake.Answer)) *Client {
+	c := &Client{transport: newTransport(), kept: newTransport(), heard: heard}
 	c.transport.DisableKeepAlives = true
 	c.kept.MaxIdleConnsPerHost, c.kept.IdleConnTimeout = 1, keptIdle
 	return c
@@ -67,6 +72,13 @@
 
 // Call is one call to a replica.
 type Call struct {
+	// Replica names the start of the replica that is meant.
+	Replica string
+	// Request is the id of the caller's request that the call passes on; "" for the
+	// other calls.
+	Request string
+	// Work says that the call passes a request on, or asks for pieces.
+	Work   bool
 	Method string
 	// Address is the replica's ip:port.
 	Address string
@@ -78,12 +90,18 @@
 	Body   []byte
 }
 
-// Do makes a call. The answer's body must be closed; it ends with ctx.
-func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
-	return do(ctx, c.transport, call)
+// Response is the answer to a call. Its body must be closed.
+type Response struct {
+	*http.Response
+	Head platform.Answer
 }
 
-func do(ctx context.Context, t *http.Transport, call Call) (*http.Response, error) {
+// Do makes a call. The answer ends with ctx.
+func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
+	return c.do(ctx, c.transport, call)
+}
+
+func (c *Client) do(ctx context.Context, t *http.Transport, call Call) (*Response, error) {
 	req := &http.Request{
 		Method: call.Method, URL: &url.URL{Scheme: "http", Host: call.Address, Opaque: call.Target}, Host: call.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: call.Header,
@@ -92,5 +110,25 @@
 		req.Body = io.NopCloser(bytes.NewReader(call.Body))
 		req.ContentLength = int64(len(call.Body))
 	}
-	return t.RoundTrip(req.WithContext(ctx))
+	sent := clock.Now()
+	resp, err := t.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	r := &Response{Response: resp, Head: platform.DecodeAnswer(resp.StatusCode, resp.Header)}
+	c.hear(sent, call, r)
+	return r, nil
+}
+
+// hear passes on what a replica says of itself, unless another one answered, or
+// another request's answer came.
+func (c *Client) hear(sent time.Time, call Call, r *Response) {
+	if c.heard == nil || r.Head.OtherReplica {
+		return
+	}
+	if call.Request != r.Head.RequestID && !r.Head.NotExecuted {
+		return
+	}
+	served := call.Work && r.StatusCode < http.StatusMultipleChoices
+	c.heard(intake.Answer{Replica: call.Replica, Sent: sent, Served: served, Notice: r.Head.Notice})
 }
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -77,7 +77,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	if platform.DecodeAnswer(resp.StatusCode, resp.Header).OtherReplica {
+	if resp.Head.OtherReplica {
 		return 0, nil, ErrOtherReplica
 	}
 	body, err = httpbody.Read(resp.Body, most)
@@ -91,5 +91,5 @@
 		h.Set("Content-Type", "application/json")
 	}
 	h = platform.EncodeAttempt(h, platform.Attempt{Replica: replica, Priority: -1})
-	return Call{Method: method, Address: address, Target: target, Host: address, Header: h, Body: body}
+	return Call{Replica: replica, Method: method, Address: address, Target: target, Host: address, Header: h, Body: body}
 }
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -18,7 +18,7 @@
 	ask := func(address string, within time.Duration) (platform.Runs, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), within)
 		defer cancel()
-		return replica.NewClient().Runs(ctx, "r", address)
+		return replica.NewClient(nil).Runs(ctx, "r", address)
 	}
 
 	It("returns them", func() {
@@ -52,7 +52,7 @@
 
 var _ = Describe("holding a place at an engine", func() {
 	hold := func(s *server) (string, error) {
-		return replica.NewClient().Hold(context.Background(), "r", s.address(), 1460, time.Second)
+		return replica.NewClient(nil).Hold(context.Background(), "r", s.address(), 1460, time.Second)
 	}
 
 	It("returns its name, and gives it back", func() {
@@ -63,7 +63,7 @@
 			_, _ = io.WriteString(w, `{"hold":"h7"}`)
 		})
 		Expect(hold(s)).To(Equal("h7"))
-		Expect(replica.NewClient().DropHold(context.Background(), "r", s.address(), "h7")).To(Succeed())
+		Expect(replica.NewClient(nil).DropHold(context.Background(), "r", s.address(), "h7")).To(Succeed())
 		Expect(calls).To(Equal([]string{`POST /-/hold-take {"token_count":1460,"ttl_ms":1000}`, `DELETE /-/hold-drop/h7 `}))
 	})
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -50,12 +50,12 @@
 
 var _ = Describe("giving results up", func() {
 	free := func(s *server) error {
-		return replica.NewClient().FreeResults(context.Background(), stage.Free{Replica: "r", Address: s.address(), Handles: []string{"h"}})
+		return replica.NewClient(nil).FreeResults(context.Background(), stage.Free{Replica: "r", Address: s.address(), Handles: []string{"h"}})
 	}
 
 	It("takes one connection for call after call", func() {
 		s := serve(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
-		c := replica.NewClient()
+		c := replica.NewClient(nil)
 		for range 5 {
 			Expect(c.FreeResults(context.Background(), stage.Free{Replica: "r", Address: s.address(), Handles: []string{"h"}})).To(Succeed())
 		}
@@ -79,7 +79,7 @@
 		relay, err := faultrelay.New(faultrelay.Config{Target: s.address()})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(relay.Close)
-		c := replica.NewClient()
+		c := replica.NewClient(nil)
 		results := stage.Free{Replica: "r", Address: relay.Address(), Handles: []string{"h"}}
 		Expect(c.FreeResults(context.Background(), results)).To(Succeed())
 		Expect(relay.Silence()).To(Equal(1))
@@ -109,7 +109,7 @@
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
-		err := replica.NewClient().FreeResults(ctx, stage.Free{Replica: "r", Address: silent.address(), Handles: []string{"h"}})
+		err := replica.NewClient(nil).FreeResults(ctx, stage.Free{Replica: "r", Address: silent.address(), Handles: []string{"h"}})
 		Expect(err).To(MatchError(context.DeadlineExceeded))
 		Expect(silent.calls.Load()).To(Equal(int64(1)))
 	})
@@ -118,7 +118,7 @@
 var _ = Describe("asking for room", func() {
 	ask := func(answer http.HandlerFunc) (stage.Room, error) {
 		s := serve(answer)
-		return replica.NewClient().Room(context.Background(), stage.Inspect{Replica: "r@7", Address: s.address()})
+		return replica.NewClient(nil).Room(context.Background(), stage.Inspect{Replica: "r@7", Address: s.address()})
 	}
 
 	It("is answered in whole megabytes, which bound the bytes", func() {
@@ -147,7 +147,7 @@
 var _ = Describe("calls for pieces", func() {
 	It("have a connection each", func() {
 		s := serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"entries":[{"handle":"h"}]}`) })
-		c := replica.NewClient()
+		c := replica.NewClient(nil)
 		run := stage.Run{Replica: "r", Address: s.address(), Timeout: time.Second, Pieces: []stage.Piece{{Job: "j", Key: "k"}}}
 		for range 3 {
 			results, outcome, err := c.RunPieces(context.Background(), run)
@@ -164,11 +164,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		})
 		run := stage.Run{Replica: "r", Address: s.address(), Timeout: time.Second, Pieces: []stage.Piece{{Job: "j", Key: "k"}}}
-		_, outcome, err := replica.NewClient().RunPieces(context.Background(), run)
+		_, outcome, err := replica.NewClient(nil).RunPieces(context.Background(), run)
 		Expect(err).To(HaveOccurred())
 		Expect(outcome).To(Equal(stage.CallNotExecuted))
 		s.Close()
-		_, outcome, err = replica.NewClient().RunPieces(context.Background(), run)
+		_, outcome, err = replica.NewClient(nil).RunPieces(context.Background(), run)
 		Expect(err).To(HaveOccurred())
 		Expect(outcome).To(Equal(stage.CallUnreachable))
 	})
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -28,7 +28,9 @@
 	if err != nil {
 		return nil, stage.CallNotExecuted, err
 	}
-	resp, err := c.Do(ctx, stageCall(platform.StageRunPath, a.Replica, a.Address, body))
+	call := stageCall(platform.StageRunPath, a.Replica, a.Address, body)
+	call.Work = true
+	resp, err := c.Do(ctx, call)
 	if err != nil {
 		if httpbody.NotSent(err) {
 			return nil, stage.CallUnreachable, err
@@ -36,12 +38,11 @@
 		return nil, stage.CallFailed, err
 	}
 	defer resp.Body.Close()
-	answer := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	raw, err := httpbody.Read(resp.Body, maxStageAnswer)
 	switch {
-	case answer.OtherReplica:
+	case resp.Head.OtherReplica:
 		return nil, stage.CallUnreachable, ErrOtherReplica
-	case answer.NotExecuted:
+	case resp.Head.NotExecuted:
 		return nil, stage.CallNotExecuted, fmt.Errorf("%w: status %d", errNotExecuted, resp.StatusCode)
 	case err != nil:
 		return nil, stage.CallFailed, err
@@ -115,7 +116,7 @@
 // askKept makes a call on the kept connection and reads the answer, which has at
 // most so many bytes.
 func (c *Client) askKept(ctx context.Context, call Call, most int64) (status int, body []byte, err error) {
-	resp, err := do(ctx, c.kept, call)
+	resp, err := c.do(ctx, c.kept, call)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -127,7 +128,7 @@
 // stageCall is a call to a replica that runs stages.
 func stageCall(path, replica, address string, body []byte) Call {
 	h := platform.EncodeAttempt(http.Header{"Content-Type": {"application/json"}}, platform.Attempt{Replica: replica, Priority: -1})
-	return Call{Method: http.MethodPost, Address: address, Target: path, Host: address, Header: h, Body: body}
+	return Call{Replica: replica, Method: http.MethodPost, Address: address, Target: path, Host: address, Header: h, Body: body}
 }
 
 func piecesOf(a stage.Run) []platform.Piece {
