Failing test: a replica's limit holds over all hosts

From three seconds after it was named, 11 are allowed in any 4 s. All callers must be served meanwhile: the other replica has room.

--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
+	"strconv"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -35,3 +39,80 @@
 	}, "8s").Should(Equal(1))
 	f.Expect(g.counters(gauge)).To(ConsistOf(gauge + " 0"))
 }
+
+// most is the largest number of times within a span, from a moment on.
+func most(times []time.Time, from time.Time, span time.Duration) int {
+	times = slices.DeleteFunc(slices.Clone(times), func(t time.Time) bool { return t.Before(from) })
+	largest, first := 0, 0
+	for i := range times {
+		for times[i].Sub(times[first]) >= span {
+			first++
+		}
+		largest = max(largest, i-first+1)
+	}
+	return largest
+}
+
+// pressAll sends requests at all hosts, each so often, for a while, and counts those
+// that are not served.
+func pressAll(hosts []*running, every, during time.Duration, path string, change func(*http.Request)) (refused int) {
+	var senders sync.WaitGroup
+	var mu sync.Mutex
+	for _, g := range hosts {
+		for began, n := time.Now(), 0; n < int(during/every); n++ {
+			senders.Go(func() {
+				time.Sleep(time.Until(began.Add(time.Duration(n) * every)))
+				if a, _ := g.send(http.MethodPost, path, "", change); a.status != http.StatusOK {
+					mu.Lock()
+					defer mu.Unlock()
+					refused++
+				}
+			})
+		}
+	}
+	senders.Wait()
+	return refused
+}
+
+// threeHosts starts three hosts that know each other.
+func (f *fixture) threeHosts() []*running {
+	first := f.start().ready()
+	hosts := []*running{first, f.start(first.peers).ready(), f.start(first.peers).ready()}
+	for _, g := range hosts {
+		f.Eventually(g.counters, "5s").WithArguments("wheatseam_hosts ").Should(ConsistOf("wheatseam_hosts 3"))
+	}
+	return hosts
+}
+
+// Guards against a replica that names a limit and goes on getting its usual part of the
+// requests, streams or calls for pieces: the sum over all hosts counts.
+func TestLimitThatAReplicaNamesHoldsOverAllHosts(t *testing.T) {
+	const (
+		perSecond = 1
+		window    = 4 * time.Second
+		// allowed is one and a half times what the limit allows in the window, and five.
+		allowed = 11
+		// learning is how long hosts have until the limit binds.
+		learning = 3 * time.Second
+	)
+	for _, load := range []struct {
+		name, replica, path string
+		change              func(*http.Request)
+	}{
+		{"requests", "p1", safePath, nil},
+		{"streams", "e1", goOnPath, nil},
+		{"pieces", "s1", goOnPath, staged},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			hosts := f.threeHosts()
+			f.replicas[load.replica].NameLimit(strconv.Itoa(perSecond))
+			named := time.Now()
+			refused := pressAll(hosts, 60*time.Millisecond, learning+2*window, load.path, load.change)
+			f.Expect(refused).To(BeZero(), "the other replica has room for all")
+			arrived := f.replicas[load.replica].Arrived()
+			f.Expect(most(arrived, named.Add(learning), window)).To(And(BeNumerically("<=", allowed), BeNumerically(">", 0)))
+		})
+	}
+}
