Move the bounds of calls at replicas into gates that whoever calls them shares

Cold upstreams were bounded inside the router, by a record of calls that nobody else could ask or add to. core/warmup's shares and that record become core/intake: a Gate for each replica counts every call that is begun there and refuses by all parts that are set, whoever asks. Behaviour is unchanged: the router's tests of cold upstreams stand as they were but for names.

--- a/core/warmup/shares_test.go
+++ b/core/intake/shares_test.go
@@ -1,4 +1,4 @@
-package warmup_test
+package intake_test
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/wheatseam/wheatseam/core/warmup"
+	"github.com/wheatseam/wheatseam/core/intake"
 )
 
 func hostNames(n int) []string {
@@ -24,9 +24,9 @@
 	g := NewWithT(t)
 	for _, n := range []int{1, 2, 6, 7, 59, 300, 600} {
 		hosts := hostNames(n)
-		shares := make([]*warmup.Shares, n)
+		shares := make([]*intake.Shares, n)
 		for i, h := range hosts {
-			shares[i] = warmup.New(h, hosts)
+			shares[i] = intake.NewShares(h, hosts)
 		}
 		for _, limit := range []int{1, 2, 5, 12, 20} {
 			for u := range 5 {
@@ -45,7 +45,7 @@
 	g := NewWithT(t)
 	hosts := hostNames(60)
 	for _, h := range hosts {
-		s, total := warmup.New(h, hosts), 0
+		s, total := intake.NewShares(h, hosts), 0
 		for u := range upstreams {
 			total += s.Of(fmt.Sprint("u", u), limit)
 		}
@@ -75,7 +75,7 @@
 					known = append(known, d)
 				}
 			}
-			sum += warmup.New(h, known).Of("u", limit)
+			sum += intake.NewShares(h, known).Of("u", limit)
 		}
 		g.Expect(sum).To(BeNumerically("<=", limit+started), "seed %d", seed)
 		if started == 0 {
@@ -102,7 +102,7 @@
 			for at := time.Duration(rng.Int64N(int64(100 * time.Millisecond))); at < demand; at += gap {
 				spaced = append(spaced, at)
 			}
-			for range warmup.New(h, hosts).Of("u", limit) {
+			for range intake.NewShares(h, hosts).Of("u", limit) {
 				at := time.Duration(rng.Int64N(int64(100 * time.Millisecond)))
 				ranked = append(ranked, at, at+1100*time.Millisecond)
 			}
@@ -128,7 +128,7 @@
 func BenchmarkParts(b *testing.B) {
 	for _, n := range []int{6, 300, 3020} {
 		b.Run(fmt.Sprint("hosts-", n), func(b *testing.B) {
-			s := warmup.New("10.0.0.1:7000", hostNames(n))
+			s := intake.NewShares("10.0.0.1:7000", hostNames(n))
 			for b.Loop() {
 				s.Of("u", 12)
 			}
--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -60,6 +60,9 @@
 		}
 	}
 	r.current.Store(next)
+	if r.ownGates {
+		r.config.Gates.Keep(func(name string) bool { return len(next.byUpstream[name]) > 0 })
+	}
 }
 
 // place notes where the upstreams of a pool stand.
@@ -103,10 +106,9 @@
 		key := upstreamKey{u.Name, u.Address}
 		st := p.shard.states[key]
 		if st == nil {
-			st = &state{}
+			st = &state{gate: r.config.Gates.Of(u.Name)}
 		}
 		st.listed = r.leaving[u.Name]
-		st.warming.set(r.cold, u.Name)
 		kept[key] = st
 		p.members = append(p.members, member{
 			name: u.Name, address: u.Address, domain: u.FailureDomain,
--- a/core/route/cold_test.go
+++ b/core/route/cold_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/request"
-	"github.com/wheatseam/wheatseam/core/warmup"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -80,7 +80,7 @@
 		back := f.now.Add(3 * time.Second)
 		inDomain := func(i int) bool { return i%4 == 3 }
 		for i, r := range f.routers {
-			shares, most := warmup.New(names[i], names), map[string]int{}
+			shares, most := intake.NewShares(names[i], names), map[string]int{}
 			for u := range upstreams {
 				if inDomain(u) {
 					most[fmt.Sprint("u", u)] = shares.Of(fmt.Sprint("u", u), limit)
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/intake"
+)
 
 // Config parametrises a Router. The zero value of a field takes its default.
 type Config struct {
@@ -40,6 +44,9 @@
 	// Window is the length of the two windows of the latency histograms.
 	// Default 15 s.
 	Window time.Duration
+	// Gates bound the calls at upstreams; others that call the same upstreams share
+	// them. Default: gates of the router's own.
+	Gates *intake.Gates
 	// Ejected hears of every ejection of an upstream of a pool, with its reason
 	// and end. It is called under a lock and must not block; nil for none.
 	Ejected func(pool, upstream, reason string, until time.Time)
@@ -79,6 +86,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Gates == nil {
+		c.Gates = intake.NewGates()
+	}
 	orDefault(&c.Choices, 2)
 	orDefault(&c.SaturationFactor, 2)
 	orDefault(&c.ReportHalfLife, time.Second)
--- a/core/route/filter.go
+++ b/core/route/filter.go
@@ -130,14 +130,14 @@
 // adaptiveFilters are the filters of the adaptive policy, in order.
 func adaptiveFilters() []Filter {
 	return []Filter{
-		leavingFilter{}, coldFilter{}, ejectedFilter{}, stalledFilter{}, busyFilter{},
+		leavingFilter{}, intakeFilter{}, ejectedFilter{}, stalledFilter{}, busyFilter{},
 		readmittingFilter{}, saturatedFilter{}, triedFilter{}, triedDomainFilter{}, domainFilter{},
 	}
 }
 
 // baselineFilters are the filters of the two baselines: no limits.
 func baselineFilters() []Filter {
-	return []Filter{leavingFilter{}, coldFilter{}, triedFilter{}}
+	return []Filter{leavingFilter{}, intakeFilter{}, triedFilter{}}
 }
 
 // filterResult holds, for each candidate, the set of filters that refuse it
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -20,11 +20,11 @@
 // Router implements request.Router. All methods may be called concurrently.
 type Router struct {
 	config Config
-	// mu serialises Apply, SetLeaving and SetCold.
+	// ownGates says that nobody shares the gates.
+	ownGates bool
+	// mu serialises Apply and SetLeaving.
 	mu      sync.Mutex
 	leaving map[string]bool
-	// cold has this daemon's part of the calls at each cold upstream.
-	cold    map[string]int
 	current atomic.Pointer[snapshot]
 }
 
@@ -32,7 +32,7 @@
 
 // New returns a Router that knows no upstream until Apply.
 func New(c Config) *Router {
-	r := &Router{config: c.withDefaults(), leaving: map[string]bool{}}
+	r := &Router{config: c.withDefaults(), ownGates: c.Gates == nil, leaving: map[string]bool{}}
 	r.current.Store(&snapshot{pools: map[string]*poolView{}})
 	return r
 }
@@ -100,7 +100,7 @@
 		case c.Leaving:
 		case c.Load() >= v.Limit:
 			saturated++
-		case c.Cold:
+		case c.Bounded:
 			cold++
 		}
 	}
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -164,9 +164,9 @@
 		Slowness: st.slownessNow(now),
 		Leaving:  st.leaving(),
 		Busy:     now.Before(st.busyUntil),
-		Cold:     st.warming.refuses(now),
 		Share:    st.ejection.share(now, c.Ejection.Ramp),
 	}
+	cand.BoundedBy, cand.Bounded = st.gate.Refuses(now)
 	if st.ejection.active(now) {
 		cand.Ejected = st.ejection.reason
 		cand.Share = 1 // the ejection alone refuses
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/load"
 )
 
@@ -51,7 +52,7 @@
 	failures   int // consecutive
 
 	reading reading
-	warming warming
+	gate    *intake.Gate
 
 	busyUntil time.Time
 	refusals  int // consecutive
@@ -73,7 +74,7 @@
 		s.progress = now
 	}
 	s.own++
-	s.warming.begin(now)
+	s.gate.Begin(now)
 	s.sample(now)
 }
 
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/request"
 )
 
@@ -35,9 +36,10 @@
 	Stalled bool
 	// Busy says that the upstream refused calls a moment ago.
 	Busy bool
-	// Cold says that the upstream is cold and has had this daemon's calls for the
-	// moment.
-	Cold bool
+	// Bounded says that the upstream has had this daemon's part of the calls that it
+	// takes for the moment, and BoundedBy by whose word.
+	Bounded   bool
+	BoundedBy intake.Source
 	// Share is the share of its calls that a readmitted upstream gets, 0 to 1.
 	Share float64
 	// Coin is a random number in [0, 1), drawn when Share is under 1.
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
-	"github.com/wheatseam/wheatseam/core/warmup"
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
@@ -106,7 +106,7 @@
 	most := make(map[string]int, len(cold))
 	if len(cold) > 0 {
 		hosts, complete := g.fleet.Known()
-		shares := warmup.New(g.settings.Load().Host, hosts)
+		shares := intake.NewShares(g.settings.Load().Host, hosts)
 		for _, r := range cold {
 			most[r.ID] = 0
 			if complete {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
@@ -63,20 +64,22 @@
 	refusals *refusals
 	prompts  prompts
 	notices  notices
+	// gates bound the calls at replicas, whoever makes them.
+	gates *intake.Gates
 	// quarantine keeps requests that crash replicas away from them.
 	quarantine *quarantine.Service
 }
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{log: log, metrics: metrics.NewSet(), streams: newStreamTimes(), refusals: newRefusals(), cold: newColdReplicas()}
+	g := &Gateway{log: log, metrics: metrics.NewSet(), streams: newStreamTimes(), refusals: newRefusals(), cold: newColdReplicas(), gates: intake.NewGates()}
 	g.client = replica.NewClient(g.hear)
 	g.preparing, g.stopPreparing = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.evacuated.Store(&map[string]bool{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixRoom: prefixRoom, PrefixBonus: prefixBonus, BacklogWeight: backlogWeight,
-		Ejected: g.ejected,
+		Ejected: g.ejected, Gates: g.gates,
 	})
 	mux := peer.NewMux()
 	g.handlePrompts(mux)
@@ -172,7 +175,9 @@
 	}
 	g.rounds++
 	g.forgetRefusals(v)
-	g.notices.forget(v)
+	listed := func(replica string) bool { _, ok := v.Replicas[replica]; return ok }
+	g.notices.forget(listed)
+	g.gates.Keep(listed)
 	evacuated := evacuatedServices(v)
 	g.evacuated.Store(&evacuated)
 	g.limitCold(v)
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/intake"
-	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
@@ -40,11 +39,11 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_limits_named_total{service=%q}", service)).Inc()
 }
 
-// forget drops what is known of replicas that a view does not list.
-func (n *notices) forget(v *discovery.View) {
+// forget drops what is known of replicas that are not listed.
+func (n *notices) forget(listed func(replica string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.account.Forget(func(replica string) bool { _, listed := v.Replicas[replica]; return listed })
+	n.account.Forget(listed)
 }
 
 // LimitState is a replica's limit as the state dump shows it.
