Keep to the limits that replicas name, over all hosts and at both doors

What callers saw: nothing. What replicas saw: an engine in need that named a limit of 1 a second in its answers went on getting its usual part, 12 and 13 requests in 4 s from hosts that it had told (11 allowed), and up to 36 in 8 s later on.

Cause: the head of an answer was read for what the code knew already (not run, load, signature, id) and the rest dropped. Ruled out: that hosts keep it each alone and their sum is too large (one host alone sent 39 in 4 s), repeats (all attempts at the limited engines were first ones), requests chosen before (it went on for 40 s).

Each host now takes its part of a limit by its rank among the hosts that live, in a window of 4 s (longer below 0.25 a second), by the same gates as for cold replicas: a filter that is never lifted. The planner of stages, which makes the calls for pieces for all, has three quarters of a stage replica's limit, so that two planners that follow each other stay within it. A part below one call is a few named hosts' or, below 0.1 a second, a single call after 10 s without a word, one host after the other: so a limit of 0, or one that nobody has work for, is found to be lifted. A limit holds until a run sent after it was last named is answered without it. Requests, streams, second attempts and calls for pieces count. Reports, held places and results given up don't count: they are priced as probes, and take no run. All replicas at their limits: refused at once, before stages are made, with the time until the first may be asked.

--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -13,17 +13,24 @@
 const (
 	// Cold bounds the calls at replicas that have just started.
 	Cold Source = iota
+	// Named bounds those at replicas that name a limit in their answers.
+	Named
 	sources
 )
 
 // String names the source in logs and decision records.
-func (s Source) String() string { return [sources]string{"cold"}[s] }
+func (s Source) String() string { return [sources]string{"cold", "limited"}[s] }
 
 // Part is one host's part of the calls that a replica takes.
 type Part struct {
-	// Calls may begin in any Window; MaxCalls at most count.
+	// Calls may begin in any Window; MaxCalls at most count. Without any, other hosts
+	// have the calls, and Window is how long it may be until one begins.
 	Calls  int
 	Window time.Duration
+	// Probe is from when one call may begin though there is no other, and ProbeEvery
+	// how long after it the next; zero for none.
+	Probe      time.Time
+	ProbeEvery time.Duration
 }
 
 // MaxCalls is the largest number of calls of a Part that is kept count of.
@@ -64,10 +71,55 @@
 	return 0, false
 }
 
-// opens returns when a part allows the next call; the lock is held.
+// Opens returns when a call may begin by all parts, here or, where this host has no
+// part, at other hosts. It is the given time, or before, if one may now.
+func (g *Gate) Opens(now time.Time) time.Time {
+	if !g.bounded.Load() {
+		return now
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := now
+	for _, p := range g.parts {
+		if p == nil {
+			continue
+		}
+		opens := g.opens(p)
+		if others := now.Add(p.Window); p.Calls < 1 && opens.After(others) {
+			opens = others
+		}
+		if opens.After(at) {
+			at = opens
+		}
+	}
+	return at
+}
+
+// Bounded says whether there is any part.
+func (g *Gate) Bounded() bool { return g.bounded.Load() }
+
+// Rate is how many calls a second this host may begin; false where nothing bounds them.
+func (g *Gate) Rate() (perSecond float64, bounded bool) {
+	if !g.bounded.Load() {
+		return 0, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.parts {
+		if p == nil {
+			continue
+		}
+		if rate := float64(min(p.Calls, MaxCalls)) / p.Window.Seconds(); !bounded || rate < perSecond {
+			perSecond, bounded = rate, true
+		}
+	}
+	return perSecond, bounded
+}
+
+// opens returns when a part allows this host's next call; the lock is held.
 func (g *Gate) opens(p *Part) time.Time {
 	if p.Calls < 1 {
-		return never
+		return g.opensForProbe(p)
 	}
 	oldest := g.begun[(g.newest+1+MaxCalls-min(p.Calls, MaxCalls))%MaxCalls]
 	if oldest.IsZero() {
@@ -76,6 +128,19 @@
 	return oldest.Add(p.Window)
 }
 
+// opensForProbe returns when a part without calls allows one all the same; the lock
+// is held.
+func (g *Gate) opensForProbe(p *Part) time.Time {
+	last := g.begun[g.newest]
+	switch {
+	case p.Probe.IsZero():
+		return never
+	case last.Before(p.Probe):
+		return p.Probe
+	}
+	return last.Add(p.ProbeEvery)
+}
+
 // never is later than any time that is asked about.
 var never = time.Unix(1<<40, 0)
 
--- /dev/null
+++ b/core/intake/limit_test.go
@@ -0,0 +1,104 @@
+package intake_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/intake"
+)
+
+// limitedTo is a replica that named a limit at start.
+func limitedTo(replica string, perSecond float64) intake.Limited {
+	return intake.Limited{Replica: replica, Limit: intake.Limit{Named: true, PerSecond: perSecond}, Since: start, At: start}
+}
+
+// perSecondOf is the rate of a part.
+func perSecondOf(p intake.Part) float64 { return float64(p.Calls) / p.Window.Seconds() }
+
+func TestPartsOfALimitAddUpToIt(t *testing.T) {
+	for _, n := range []int{1, 6, 60, 300} {
+		hosts := hostNames(n)
+		for _, limit := range []float64{0.1, 0.2, 0.25, 0.5, 1, 2.5, 20, 100, 1e6} {
+			sum := 0.0
+			for _, h := range hosts {
+				p := intake.NewShares(h, hosts).OfLimit(limitedTo("r", limit), intake.Requester)
+				NewWithT(t).Expect(p.Calls).To(BeNumerically("<=", intake.MaxCalls))
+				sum += perSecondOf(p)
+			}
+			NewWithT(t).Expect(sum).To(BeNumerically("~", limit, 1e-3*limit), "%d hosts, %v a second", n, limit)
+		}
+	}
+}
+
+// TestPlannerHasMostOfALimitAndTwoOfThemStayWithinIt has one planner follow another
+// within the judged window: both have begun their calls.
+func TestPlannerHasMostOfALimitAndTwoOfThemStayWithinIt(t *testing.T) {
+	hosts := hostNames(60)
+	for _, limit := range []float64{0.5, 1, 2.5, 4} {
+		g := NewWithT(t)
+		calls := 0
+		for i, h := range hosts {
+			role := intake.Assistant
+			if i < 2 {
+				role = intake.Planner
+			}
+			calls += intake.NewShares(h, hosts).OfLimit(limitedTo("r", limit), role).Calls
+		}
+		g.Expect(calls).To(BeNumerically("<=", allowedOf(limit)), "%v a second", limit)
+		alone := intake.NewShares(hosts[0], hosts).OfLimit(limitedTo("r", limit), intake.Planner)
+		g.Expect(perSecondOf(alone)).To(BeNumerically(">=", 0.5*limit))
+	}
+}
+
+func TestLimitWithoutPartsLetsSingleCallsPassOneHostAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	hosts := hostNames(6)
+	for _, limit := range []float64{0, 0.01} {
+		var firsts []time.Duration
+		for _, h := range hosts {
+			gates := intake.NewGates()
+			gate := gates.Of("r")
+			gates.Bound(intake.Named, map[string]intake.Part{"r": intake.NewShares(h, hosts).OfLimit(limitedTo("r", limit), intake.Requester)})
+			for d := time.Duration(0); d < 2*time.Minute; d += 100 * time.Millisecond {
+				if _, refuses := gate.Refuses(start.Add(d)); !refuses {
+					firsts = append(firsts, d)
+					gate.Begin(start.Add(d))
+					_, refuses = gate.Refuses(start.Add(d))
+					g.Expect(refuses).To(BeTrue(), "one call")
+					break
+				}
+			}
+		}
+		g.Expect(firsts).To(ConsistOf(10*time.Second, 20*time.Second, 30*time.Second, 40*time.Second, 50*time.Second, time.Minute))
+	}
+}
+
+func TestGateOpensWhenTheNextCallIsAllowed(t *testing.T) {
+	g := NewWithT(t)
+	gates := intake.NewGates()
+	gate := gates.Of("r")
+	g.Expect(gate.Opens(start)).To(Equal(start))
+	gates.Bound(intake.Named, map[string]intake.Part{"r": {Calls: 2, Window: 4 * time.Second}})
+	gate.Begin(start)
+	g.Expect(gate.Opens(at(1))).To(Equal(at(1)))
+	gate.Begin(at(1))
+	g.Expect(gate.Opens(at(2))).To(Equal(at(4)))
+	source, refuses := gate.Refuses(at(2))
+	g.Expect(refuses).To(BeTrue())
+	g.Expect(fmt.Sprint(source)).To(Equal("limited"))
+
+	gates.Bound(intake.Cold, map[string]intake.Part{"r": {Window: time.Second}})
+	g.Expect(gate.Opens(at(2))).To(Equal(at(4)), "both hold")
+	g.Expect(gate.Opens(at(5))).To(Equal(at(6)), "other hosts' calls")
+	gates.Bound(intake.Cold, nil)
+	gates.Bound(intake.Named, nil)
+	_, refuses = gate.Refuses(at(2))
+	g.Expect(refuses).To(BeFalse())
+
+	gates.Bound(intake.Named, map[string]intake.Part{"later": {Window: time.Second}})
+	_, refuses = gates.Of("later").Refuses(start)
+	g.Expect(refuses).To(BeTrue(), "a replica that is listed later")
+}
--- a/core/intake/shares_test.go
+++ b/core/intake/shares_test.go
@@ -115,9 +115,18 @@
 // mostInASecond is the largest number of times within a second.
 func mostInASecond(at []time.Duration) int {
 	slices.Sort(at)
+	times := make([]time.Time, 0, len(at))
+	for _, d := range at {
+		times = append(times, start.Add(d))
+	}
+	return mostWithin(times, time.Second)
+}
+
+// mostWithin is the largest number of times, which are in order, within a span.
+func mostWithin(times []time.Time, span time.Duration) int {
 	most, from := 0, 0
-	for i := range at {
-		for at[i]-at[from] >= time.Second {
+	for i := range times {
+		for times[i].Sub(times[from]) >= span {
 			from++
 		}
 		most = max(most, i-from+1)
--- /dev/null
+++ b/core/route/intake_test.go
@@ -0,0 +1,62 @@
+package route
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/intake"
+	"github.com/wheatseam/wheatseam/core/request"
+)
+
+var _ = Describe("upstreams that name a limit", func() {
+	limited := func(upstreams int, parts map[string]intake.Part) *Router {
+		r := testRouter(testBundle(upstreams, 100, bundle.PolicyAdaptive), 1)
+		r.config.Gates.Bound(intake.Named, parts)
+		return r
+	}
+
+	It("get no more than this daemon's part, whatever else is tried, and the others the rest", func() {
+		part := intake.Part{Calls: 2, Window: 4 * time.Second}
+		r := limited(3, map[string]intake.Part{"u0": part, "u1": part})
+		picks := map[string]int{}
+		for at := time.Duration(0); at < 4*time.Second; at += 20 * time.Millisecond {
+			q := query()
+			q.Tried = []string{"u2"}
+			c, err := r.Pick(start.Add(at), q, nil)
+			Expect(err).To(BeNil())
+			picks[c.Upstream]++
+			done(r, start.Add(at), c, request.CallOK, 0)
+		}
+		Expect(picks).To(And(HaveKeyWithValue("u0", 2), HaveKeyWithValue("u1", 2)))
+	})
+
+	It("are refused with the time until the first of them may be asked again", func() {
+		r := limited(2, map[string]intake.Part{"u0": {Calls: 1, Window: 4 * time.Second}, "u1": {Calls: 1, Window: 4 * time.Second}})
+		first := mustPick(r, start, query())
+		Expect(mustPick(r, start.Add(time.Second), query()).Upstream).NotTo(Equal(first.Upstream))
+		_, closed := r.Closed(start.Add(time.Second), "llm")
+		Expect(closed).To(BeTrue())
+		_, err := r.Pick(start.Add(1500*time.Millisecond), query(), nil)
+		Expect(err).NotTo(BeNil())
+		Expect(err.Detail).To(ContainSubstring("2 limited"))
+		Expect(err.RetryAfter).To(Equal(2500 * time.Millisecond))
+		Expect(mustPick(r, start.Add(4*time.Second), query()).Upstream).To(Equal(first.Upstream))
+	})
+
+	It("are no source of copies", func() {
+		r := limited(2, map[string]intake.Part{"u0": {Calls: 2, Window: 4 * time.Second}})
+		address := func(name string) string {
+			for _, p := range r.current.Load().pools["llm"].members {
+				if p.name == name {
+					return p.address
+				}
+			}
+			return ""
+		}
+		Expect(r.Usable(start, "llm", "u0", address("u0"))).To(BeFalse())
+		Expect(r.Usable(start, "llm", "u1", address("u1"))).To(BeTrue())
+	})
+})
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/record"
@@ -94,24 +95,71 @@
 
 // refusal explains why no upstream is left.
 func (p *poolView) refusal(v *View) *problem.Error {
-	saturated, cold := 0, 0
+	saturated, cold, limited := 0, 0, 0
+	var opens soonest
 	for i := range v.Candidates {
 		switch c := &v.Candidates[i]; {
 		case c.Leaving:
 		case c.Load() >= v.Limit:
 			saturated++
-		case c.Bounded:
+			opens.add(saturatedRetry)
+		case c.Bounded && c.BoundedBy == intake.Cold:
 			cold++
+			opens.add(saturatedRetry)
+		case c.Bounded:
+			limited++
+			opens.add(p.members[i].state.gate.Opens(v.Now).Sub(v.Now))
 		}
 	}
-	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, the others leaving", p.name, len(v.Candidates), saturated, cold)
-	err.RetryAfter = emptyRetry
-	if saturated+cold > 0 {
-		err.RetryAfter = saturatedRetry
-	}
+	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, %d limited, the others leaving",
+		p.name, len(v.Candidates), saturated, cold, limited)
+	err.RetryAfter = opens.or(emptyRetry)
 	return err
 }
 
+// soonest is the shortest of some waits.
+type soonest struct {
+	wait  time.Duration
+	known bool
+}
+
+func (s *soonest) add(wait time.Duration) {
+	if !s.known || wait < s.wait {
+		s.wait, s.known = wait, true
+	}
+}
+
+// or returns the shortest wait, or another one without any.
+func (s *soonest) or(none time.Duration) time.Duration {
+	if !s.known {
+		return none
+	}
+	return s.wait
+}
+
+// Closed says whether all upstreams of a pool refuse calls by their bounds, and for how
+// long that will last at least. Those that leave don't count, nor does a pool of them.
+func (r *Router) Closed(now time.Time, pool string) (time.Duration, bool) {
+	p := r.current.Load().pools[pool]
+	if p == nil {
+		return 0, false
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	var opens soonest
+	for i := range p.members {
+		st := p.members[i].state
+		if st.leaving() {
+			continue
+		}
+		if _, refuses := st.gate.Refuses(now); !refuses {
+			return 0, false
+		}
+		opens.add(st.gate.Opens(now).Sub(now))
+	}
+	return opens.wait, opens.known
+}
+
 // Done implements request.Router.
 func (r *Router) Done(now time.Time, o request.Outcome) {
 	p := r.current.Load().pools[o.Choice.Pool]
@@ -139,12 +187,12 @@
 	})
 }
 
-// Usable says whether an upstream takes calls: it is known, and neither leaving,
-// ejected nor silent.
+// Usable says whether an upstream takes calls beside those that it is picked for: it is
+// known, and neither leaving, bounded, ejected nor silent.
 func (r *Router) Usable(now time.Time, pool, upstream, address string) bool {
 	usable := false
 	r.update(pool, upstream, address, func(st *state) {
-		usable = !st.leaving() && !st.ejection.active(now) && (st.own == 0 || now.Sub(st.progress) < stallFloor)
+		usable = !st.leaving() && !st.gate.Bounded() && !st.ejection.active(now) && (st.own == 0 || now.Sub(st.progress) < stallFloor)
 	})
 	return usable
 }
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -12,7 +12,7 @@
 func (m *Machine) admit(now time.Time, j *job) *Refused {
 	for i := range j.stages {
 		if st := &j.stages[i]; st.left > 0 && !st.service.anyUsable(now) {
-			return &Refused{Job: j.ID, Reason: ReasonNoReplica, RetryAfter: m.cfg.MinRetryAfter}
+			return &Refused{Job: j.ID, Reason: ReasonNoReplica, RetryAfter: max(m.cfg.MinRetryAfter, st.service.opensIn(now))}
 		}
 	}
 	j.predicted = m.predict(now, j)
@@ -72,6 +72,21 @@
 	return false
 }
 
+// opensIn is how long it takes at least until a replica is called again that no call may
+// be made to for now; 0 where none is of that kind.
+func (s *service) opensIn(now time.Time) time.Duration {
+	var least time.Duration
+	for _, r := range s.replicas {
+		if !r.listed || r.Draining || !r.closed(now) {
+			continue
+		}
+		if wait := r.gate.Opens(now).Sub(now); least == 0 || wait < least {
+			least = wait
+		}
+	}
+	return least
+}
+
 // predict returns the time until the results of a job would be ready: along
 // its chain, each stage starts when its inputs are there and the pieces placed
 // before it have drained, and takes a call after half a call's wait.
@@ -101,7 +116,11 @@
 	full := s.callTime(s.figures.Batch).Seconds()
 	for _, r := range s.replicas {
 		if r.usable(now) && full > 0 {
-			perSecond += r.roomShare(now) * float64(s.figures.Batch*s.figures.Concurrency) / full
+			calls := float64(s.figures.Concurrency) / full
+			if rate, bounded := r.gate.Rate(); bounded {
+				calls = min(calls, rate)
+			}
+			perSecond += r.roomShare(now) * calls * float64(s.figures.Batch)
 		}
 	}
 	if perSecond == 0 {
--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -1,6 +1,10 @@
 package stage
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/intake"
+)
 
 // Config holds the constants of a Machine. The zero value of a field takes its
 // default.
@@ -44,6 +48,9 @@
 	// made for it. Default 3 s: jobs that are late are made last, and in a long burst
 	// those were held until their callers left.
 	LateGrace time.Duration
+	// Gates bound the calls at replicas; others of this host that call the same
+	// replicas share them. Default: gates of the Machine's own.
+	Gates *intake.Gates
 	// MinRetryAfter is the least wait told to a refused job. Default 300 ms.
 	MinRetryAfter time.Duration
 }
@@ -55,6 +62,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Gates == nil {
+		c.Gates = intake.NewGates()
+	}
 	orDefault(&c.CrossingRate, 600)
 	orDefault(&c.SlackShare, 0.8)
 	orDefault(&c.CustomerStep, 2*time.Second)
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -66,7 +66,7 @@
 	s.dirty, s.lastPass = false, now
 	s.nextPass = now.Add(max(wait, pauseFor(len(s.queue.groups))))
 	for _, r := range s.replicas {
-		for _, t := range [...]time.Time{r.busy, r.suspect, r.noRoom} {
+		for _, t := range [...]time.Time{r.busy, r.suspect, r.noRoom, r.gate.Opens(now)} {
 			if t.After(now) && t.Before(s.nextPass) {
 				s.nextPass = t
 			}
@@ -324,6 +324,7 @@
 	m.nextOverdue.by(c.overdue)
 	m.nextLapse.by(c.lapses)
 	r.calls = append(r.calls, c)
+	r.gate.Begin(now)
 	m.mayInspect(now, s)
 	a := Run{Call: c.id, Service: s.name, Replica: r.ID, Address: r.Address, Timeout: c.lapses.Sub(now)}
 	for _, p := range pieces {
--- a/core/stage/doc.go
+++ b/core/stage/doc.go
@@ -15,6 +15,9 @@
 // passes the time and one Event at a time to Step and carries out the returned
 // Actions in order. Step is not safe for concurrent use.
 //
+// Calls are also bounded by Config.Gates, which others of the host share: what is
+// decided depends on what these have begun.
+//
 // Every Run is answered by exactly one CallEnded with the same number. Every
 // submitted job ends with exactly one Ready or Refused, unless it is cancelled
 // first. After Ready, and after Refused with Held set, the caller reports Cancelled
--- /dev/null
+++ b/core/stage/intake_test.go
@@ -0,0 +1,69 @@
+package stage
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/intake"
+)
+
+var _ = Describe("replicas that name a limit", func() {
+	bound := func(b *bench, replica string, p intake.Part) {
+		b.m.cfg.Gates.Bound(intake.Named, map[string]intake.Part{replica: p})
+	}
+
+	It("get this host's part of the calls, and the others make the rest", func() {
+		b := newBench(figures(4, 0), "x", "y")
+		bound(b, "a1", intake.Part{Calls: 1, Window: 4 * time.Second})
+		calls, began := map[string]int{}, b.now
+		for i := 0; b.now.Sub(began) < 4*time.Second; i++ {
+			for _, r := range b.submit(b.chain(string(rune('a'+i)), Stage{Service: "a", Pieces: 4})) {
+				calls[r.Replica]++
+			}
+			b.now = b.now.Add(300 * time.Millisecond)
+			for len(b.running) > 0 {
+				b.answer(b.running[0].Call)
+			}
+		}
+		Expect(calls).To(HaveKeyWithValue("a1", 1))
+		Expect(calls["a2"]).To(BeNumerically(">", 10))
+		Expect(b.refused).To(BeEmpty())
+	})
+
+	It("are waited for where no other is, and no longer", func() {
+		b := newBench(figures(4, 0), "x")
+		bound(b, "a1", intake.Part{Calls: 1, Window: time.Second})
+		Expect(b.submit(b.chain("j", Stage{Service: "a", Pieces: 4}))).To(HaveLen(1))
+		b.finish()
+		Expect(b.submit(b.chain("k", Stage{Service: "a", Pieces: 4}))).To(BeEmpty())
+		for at := b.now; b.now.Sub(at) < time.Second && len(b.running) == 0; {
+			next, due := b.m.NextTick(b.now)
+			Expect(due).To(BeTrue())
+			b.pass(next.Sub(b.now))
+		}
+		Expect(b.running).To(HaveLen(1))
+		Expect(b.now.Sub(time.Unix(1000, 0))).To(BeNumerically("~", time.Second, 50*time.Millisecond))
+	})
+
+	It("of which this host has no part count for nothing: a job is refused with the time until they take calls", func() {
+		b := newBench(figures(4, 0), "x")
+		bound(b, "a1", intake.Part{Window: 4 * time.Second})
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))
+		Expect(b.refused["j"].Reason).To(Equal(ReasonNoReplica))
+		Expect(b.refused["j"].RetryAfter).To(Equal(4 * time.Second))
+	})
+
+	It("slow the prediction down by what they take", func() {
+		b := newBench(figures(4, 0), "x")
+		bound(b, "a1", intake.Part{Calls: 1, Window: 2 * time.Second})
+		for _, id := range []string{"before", "j"} {
+			j := b.chain(id, Stage{Service: "a", Pieces: 8})
+			j.Due = b.now.Add(3 * time.Second)
+			b.submit(j)
+		}
+		Expect(b.refused).NotTo(HaveKey("before"))
+		Expect(b.refused["j"].Reason).To(Equal(ReasonOverload), "behind two calls at two seconds each")
+	})
+})
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -140,7 +140,7 @@
 	}
 	r := m.replicas[listed.ID]
 	if r == nil {
-		r = &replica{service: s, pace: 1}
+		r = &replica{service: s, pace: 1, gate: m.cfg.Gates.Of(listed.ID)}
 		m.replicas[listed.ID] = r
 	}
 	r.Replica, r.listed, r.service = listed, true, s
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/intake"
 )
 
 // service is the state of one service that runs stages.
@@ -63,6 +64,8 @@
 type replica struct {
 	catalog.Replica
 	service *service
+	// gate bounds the calls here, together with others that this host makes.
+	gate *intake.Gate
 	// listed says that the replica is in the configuration in force.
 	listed bool
 	// replaced says that another start of the replica, or another replica, has its
@@ -116,12 +119,18 @@
 
 // usable says whether the replica may be called at all.
 func (r *replica) usable(now time.Time) bool {
-	return r.listed && !r.Draining && !now.Before(r.suspect)
+	return r.listed && !r.Draining && !now.Before(r.suspect) && !r.closed(now)
+}
+
+// closed says that the replica takes no calls of this host for now.
+func (r *replica) closed(now time.Time) bool {
+	rate, bounded := r.gate.Rate()
+	return bounded && rate == 0 && now.Before(r.gate.Opens(now))
 }
 
 // idle says whether the replica may be called now.
 func (r *replica) idle(now time.Time) bool {
-	return r.usable(now) && len(r.calls) < r.service.figures.Concurrency && !now.Before(r.busy)
+	return r.usable(now) && len(r.calls) < r.service.figures.Concurrency && !now.Before(r.busy) && !now.Before(r.gate.Opens(now))
 }
 
 // freeAt returns when the replica is expected to take its next call.
@@ -138,6 +147,9 @@
 	if r.busy.After(at) {
 		at = r.busy
 	}
+	if opens := r.gate.Opens(now); opens.After(at) {
+		at = opens
+	}
 	if at.Before(now) {
 		return now
 	}
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -19,9 +19,9 @@
 	// coldUse is the part of what a cold replica bears that hosts share out. The rest
 	// is for requests of hosts that do not know yet that it is cold.
 	coldUse = 0.6
-	// coldEvery is the interval at which the parts are worked out anew while replicas
-	// are cold: hosts come and go.
-	coldEvery = 250 * time.Millisecond
+	// boundEvery is the interval at which the parts are worked out anew while replicas
+	// are cold or name limits: hosts come and go.
+	boundEvery = 250 * time.Millisecond
 	// coldStale is the age of a view from which its word that a replica is cold holds
 	// no longer than the replica's warm-up takes.
 	coldStale = 3 * time.Second
@@ -128,11 +128,13 @@
 	return max(1, int(coldUse*(s.ColdRate*c.Overage+c.Slack)))
 }
 
-// keepCold keeps to the limits while replicas are cold, until ctx ends.
-func (g *Gateway) keepCold(ctx context.Context) {
-	for periodic.Sleep(ctx, coldEvery) {
+// keepBounds keeps to what replicas take while any is cold or names a limit, until ctx
+// ends.
+func (g *Gateway) keepBounds(ctx context.Context) {
+	for periodic.Sleep(ctx, boundEvery) {
 		if g.coldCount.Load() > 0 {
 			g.limitCold(nil)
 		}
+		g.keepLimits()
 	}
 }
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/discovery"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/problem"
 )
 
@@ -45,5 +46,20 @@
 			return retryable(e, x.comeBack(evacuatedRetry))
 		}
 	}
-	return nil
+	return x.opensInTime()
+}
+
+// opensInTime refuses a request at once for which no replica of its service takes calls
+// for now, unless its stages take so long that one may by then.
+func (x *exchange) opensInTime() *problem.Error {
+	wait, closed := x.g.router.Closed(clock.Now(), x.service)
+	if !closed {
+		return nil
+	}
+	if _, staged := x.job(x.arrived); staged {
+		if _, latest := x.stagesDue(x.arrived); !clock.Now().Add(wait).After(latest) {
+			return nil
+		}
+	}
+	return retryable(problem.New(problem.NoUpstream, "service %q: all replicas take no further requests for now", x.service), wait)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
+	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -97,6 +98,7 @@
 	})
 	g.stages = stages.New(stages.Config{
 		Self: s.Host, Incarnation: fellows.Incarnation(), Replicas: g.client, Members: fellows, Caller: fellows.Caller(), Mux: mux, Logger: log,
+		Plan: stage.Config{Gates: g.gates},
 	})
 	g.store = platform.NewStore(s.Store.Address)
 	g.found = discovery.New(discovery.Config{
@@ -143,7 +145,7 @@
 	group.Go(func() error { g.found.Run(running); return nil })
 	group.Go(func() error { g.stages.Run(running); return nil })
 	group.Go(func() error { clock.Watch(running); return nil })
-	group.Go(func() error { g.keepCold(running); return nil })
+	group.Go(func() error { g.keepBounds(running); return nil })
 	group.Go(func() error { g.quarantine.Run(running); return nil })
 	group.Go(func() error { return g.fleet.Run(running) })
 	g.serveMetrics(running, &group)
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/intake"
+	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
@@ -16,6 +17,8 @@
 type notices struct {
 	mu      sync.Mutex
 	account intake.Account
+	// bounding says that a limit was in force when last looked.
+	bounding bool
 }
 
 // hear takes an answer of a replica.
@@ -24,9 +27,66 @@
 	defer g.notices.mu.Unlock()
 	if l, changed := g.notices.account.Hear(clock.Now(), a); changed {
 		g.limitChanged(l)
+		g.boundLimited()
 	}
 }
 
+// keepLimits has this host keep to its parts of the limits that are in force, as hosts
+// come and go.
+func (g *Gateway) keepLimits() {
+	g.notices.mu.Lock()
+	defer g.notices.mu.Unlock()
+	if g.notices.bounding {
+		g.boundLimited()
+	}
+}
+
+// boundLimited works this host's parts of the limits out; the notices' lock is held.
+func (g *Gateway) boundLimited() {
+	limits := g.notices.account.Limits()
+	parts := make(map[string]intake.Part, len(limits))
+	if len(limits) > 0 {
+		shares, planner, view := g.livingShares(), g.stages.Plans(), g.found.View()
+		for _, l := range limits {
+			if shares == nil {
+				parts[l.Replica] = intake.NoPart()
+				continue
+			}
+			parts[l.Replica] = shares.OfLimit(l, roleAt(view, l.Replica, planner))
+		}
+	}
+	g.notices.bounding = len(limits) > 0
+	g.gates.Bound(intake.Named, parts)
+}
+
+// livingShares are this host's parts among the hosts that live; nil while it does not
+// know its fleet.
+func (g *Gateway) livingShares() *intake.Shares {
+	if _, complete := g.fleet.Known(); !complete {
+		return nil
+	}
+	var names []string
+	for _, h := range g.fleet.Reachable() {
+		names = append(names, h.Name)
+	}
+	return intake.NewShares(g.settings.Load().Host, names)
+}
+
+// roleAt says what calls this host makes at a replica.
+func roleAt(v *discovery.View, replica string, planner bool) intake.Role {
+	if v.Config == nil {
+		return intake.Requester
+	}
+	s := v.Config.Services[v.Replicas[replica].Service]
+	switch {
+	case s == nil || s.Pieces == nil:
+		return intake.Requester
+	case planner:
+		return intake.Planner
+	}
+	return intake.Assistant
+}
+
 // limitChanged logs and counts what a replica has changed.
 func (g *Gateway) limitChanged(l intake.Limited) {
 	service := g.found.View().Replicas[l.Replica].Service
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -12,6 +12,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/wheatseam/wheatseam/internal/standin/site"
 )
 
 // logged counts the lines of a message.
@@ -20,6 +22,7 @@
 }
 
 func TestLimitThatAReplicaNamesIsToldToOperators(t *testing.T) {
+	t.Parallel()
 	const gauge = "wheatseam_replicas_limited"
 	f := newFixtureOf(t)
 	core, logs := observer.New(zapcore.InfoLevel)
@@ -87,6 +90,7 @@
 // Guards against a replica that names a limit and goes on getting its usual part of the
 // requests, streams or calls for pieces: the sum over all hosts counts.
 func TestLimitThatAReplicaNamesHoldsOverAllHosts(t *testing.T) {
+	t.Parallel()
 	const (
 		perSecond = 1
 		window    = 4 * time.Second
@@ -116,3 +120,52 @@
 		})
 	}
 }
+
+// Guards against callers that wait for what no replica takes: they are refused at once,
+// unrun, with the time until a replica may be asked again.
+func TestRequestIsRefusedAtOnceWhenAllReplicasAreAtTheirLimits(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.start().ready()
+	for _, r := range f.replicas {
+		if r.Kind != site.Stage {
+			r.NameLimit("0.5")
+		}
+	}
+	for _, path := range []string{safePath, sealPath, goOnPath} {
+		var refused answer
+		var id string
+		f.Eventually(func() int {
+			refused, id = g.send(http.MethodPost, path, "", staged)
+			return refused.status
+		}, "4s").Should(Equal(http.StatusServiceUnavailable))
+		f.Expect(f.ledger.Runs(id)).To(BeEmpty())
+		wait, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", 4)))
+		began := time.Now()
+		g.send(http.MethodPost, path, "", staged)
+		f.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+		time.Sleep(time.Duration(wait * float64(time.Second)))
+		a, _ := g.send(http.MethodPost, path, "", staged)
+		f.Expect(a.status).To(Equal(http.StatusOK), "after the wait that was told")
+	}
+}
+
+// Guards against a limit that outlives its replica's need: one that ends is taken back by
+// the first answer without it, and requests come back.
+func TestReplicaGetsRequestsAgainWhenItNamesNoLimit(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.start().ready()
+	f.replicas["p1"].NameLimit("1")
+	f.Eventually(func() int {
+		ran, _ := served(f, g, 100*time.Millisecond)
+		return ran["p1"]
+	}, "8s").Should(BeZero())
+	f.replicas["p1"].NameLimit("")
+	f.Eventually(func() int {
+		ran, _ := served(f, g, 300*time.Millisecond)
+		return ran["p1"]
+	}, "6s").Should(BeNumerically(">", 3))
+}
--- a/stages/service.go
+++ b/stages/service.go
@@ -213,27 +213,38 @@
 // choose returns the host that plans: of those that may be called and did not
 // fail a moment ago, the first in rank.
 func (s *Service) choose(now time.Time) fleet.Host {
-	hosts := s.cfg.Members.Reachable()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var best *fleet.Host
-	for i := range hosts {
-		h := &hosts[i]
-		if !s.avoided.Has(h.Name, now) && (best == nil || h.Compare(*best) < 0) {
-			best = h
-		}
-	}
 	chosen := fleet.Host{Host: member.Host{Name: s.cfg.Self}}
-	if best != nil {
+	if best := s.first(now); best != nil {
 		chosen = *best
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if chosen.Name != s.chosen {
-		s.log.Info("planner chosen", zap.String("peer", chosen.Name), zap.Uint64("incarnation", chosen.Incarnation), zap.String("before", s.chosen), zap.Int("hosts", len(hosts)))
+		s.log.Info("planner chosen", zap.String("peer", chosen.Name), zap.Uint64("incarnation", chosen.Incarnation), zap.String("before", s.chosen),
+			zap.Int("hosts", len(s.cfg.Members.Reachable())))
 		s.chosen = chosen.Name
 	}
 	return chosen
 }
 
+// Plans says whether this host is the one that plans, as far as it knows.
+func (s *Service) Plans() bool {
+	first := s.first(clock.Now())
+	return first != nil && first.Name == s.cfg.Self
+}
+
+// first returns the first in rank of the hosts that may be called and did not fail a
+// moment ago; nil if there is none.
+func (s *Service) first(now time.Time) *fleet.Host {
+	var best *fleet.Host
+	for _, h := range s.cfg.Members.Reachable() {
+		if !s.avoided.Has(h.Name, now) && (best == nil || h.Compare(*best) < 0) {
+			best = &h
+		}
+	}
+	return best
+}
+
 // Dump is the state of a Service for operators.
 type Dump struct {
 	Chosen  string   `json:"chosen"`
