Tell the fleet which replicas name a limit, and when one is lifted

A host learned of a limit, or of its end, by requests of its own only. In a large fleet each host would so send one request that the replica can't take, and a host without a part would not come back before a probe: 10 s times its rank.

Hosts now tell their neighbours in the membership overlay, eight at most, of each change and, every 3 s while there is one, of what was heard again; neighbours pass on what is new to them. Of two changes beside each other the stricter holds until the next run's answer. A fellow that tells something older is told so.

TestLimitIsKnownToHostsThatHaveNotAsked: two of three hosts did not know within 3 s before, and do now, of the end too.

--- a/core/intake/account.go
+++ b/core/intake/account.go
@@ -10,11 +10,25 @@
 type Limited struct {
 	Replica string
 	Limit   Limit
+	// Round counts the changes that led here, so that what is told late is known for
+	// old: hosts agree on no time.
+	Round uint64
 	// Since is when the limit was first heard, and At when it was last named, or
 	// found to be lifted.
 	Since, At time.Time
 }
 
+const (
+	// freshBy is how much younger a fellow's word must be to count as the replica's
+	// own again: what it takes to tell is not known.
+	freshBy = time.Second
+	// liftedLife is how long it is remembered that a limit was lifted, so that fellows
+	// which know it as named are told.
+	liftedLife = 10 * time.Second
+	// maxReplicas bounds the replicas of an Account.
+	maxReplicas = 1 << 14
+)
+
 // Account is what one host knows of the limits that replicas name. The zero value is
 // ready.
 type Account struct {
@@ -29,36 +43,97 @@
 	said := answer.Notice.Limit
 	switch {
 	case said.Named && known == nil:
-		known = &Limited{Replica: answer.Replica, Limit: said, Since: now, At: now}
-		if a.limits == nil {
-			a.limits = map[string]*Limited{}
-		}
-		a.limits[answer.Replica] = known
-		return *known, true
+		l := Limited{Replica: answer.Replica, Limit: said, Round: 1, Since: now, At: now}
+		return l, a.add(l)
 	case said.Named:
-		changed := known.Limit != said
+		known.At = now
+		if known.Limit == said {
+			return *known, false
+		}
 		if !known.Limit.Named {
 			known.Since = now
 		}
-		known.Limit, known.At = said, now
-		return *known, changed
+		known.Limit, known.Round = said, known.Round+1
+		return *known, true
 	case known == nil || !known.Limit.Named || !answer.Served || !answer.Sent.After(known.At):
 		return Limited{}, false
 	}
-	known.Limit, known.At = Limit{}, now
+	known.Limit, known.Round, known.At = Limit{}, known.Round+1, now
 	return *known, true
 }
 
-// Forget drops what is known of replicas that are not listed.
-func (a *Account) Forget(listed func(replica string) bool) {
-	maps.DeleteFunc(a.limits, func(replica string, _ *Limited) bool { return !listed(replica) })
+// supersedes says whether a word replaces another one. Of two that hosts heard beside
+// each other the stricter holds: the next answer of a run tells.
+func (l *Limited) supersedes(o *Limited) bool {
+	switch {
+	case l.Round != o.Round:
+		return l.Round > o.Round
+	case l.Limit.Named != o.Limit.Named:
+		return l.Limit.Named
+	}
+	return l.Limit.PerSecond < o.Limit.PerSecond
+}
+
+// add takes a replica that was not known; it says whether there is room.
+func (a *Account) add(l Limited) bool {
+	if len(a.limits) >= maxReplicas {
+		return false
+	}
+	if a.limits == nil {
+		a.limits = map[string]*Limited{}
+	}
+	a.limits[l.Replica] = &l
+	return true
+}
+
+// Learn takes what a fellow knows. It returns what that changes here, and what the fellow
+// is to be told since it knows something older.
+func (a *Account) Learn(told []Limited) (changed, newer []Limited) {
+	for _, l := range told {
+		known := a.limits[l.Replica]
+		switch {
+		case known == nil:
+			if l.Limit.Named && a.add(l) {
+				changed = append(changed, l)
+			}
+		case known.Limit == l.Limit:
+			known.Round = max(known.Round, l.Round)
+			if l.At.Sub(known.At) > freshBy {
+				known.At = l.At
+			}
+		case l.supersedes(known):
+			*known = l
+			changed = append(changed, l)
+		default:
+			newer = append(newer, *known)
+		}
+	}
+	return changed, newer
+}
+
+// News returns what was heard, here or by a fellow, after a time.
+func (a *Account) News(after time.Time) []Limited {
+	return a.which(func(l *Limited) bool { return l.At.After(after) })
+}
+
+// Forget drops what is known of replicas that are not listed, or whose limit was lifted
+// long ago.
+func (a *Account) Forget(now time.Time, listed func(replica string) bool) {
+	maps.DeleteFunc(a.limits, func(replica string, l *Limited) bool {
+		return !listed(replica) || !l.Limit.Named && now.Sub(l.At) > liftedLife
+	})
 }
 
 // Limits returns the limits in force, by replica.
 func (a *Account) Limits() []Limited {
+	return a.which(func(l *Limited) bool { return l.Limit.Named })
+}
+
+// which returns what is known of some replicas, by replica.
+func (a *Account) which(counts func(*Limited) bool) []Limited {
 	var out []Limited
 	for _, id := range slices.Sorted(maps.Keys(a.limits)) {
-		if l := a.limits[id]; l.Limit.Named {
+		if l := a.limits[id]; counts(l) {
 			out = append(out, *l)
 		}
 	}
--- a/core/intake/account_test.go
+++ b/core/intake/account_test.go
@@ -29,7 +29,7 @@
 	g.Expect(changed).To(BeFalse())
 	l, changed := a.Hear(at(2), answered(1.9, 4))
 	g.Expect(changed).To(BeTrue())
-	g.Expect(l).To(Equal(intake.Limited{Replica: "r", Limit: intake.Limit{Named: true, PerSecond: 4}, Since: at(2), At: at(2)}))
+	g.Expect(l).To(Equal(intake.Limited{Replica: "r", Limit: intake.Limit{Named: true, PerSecond: 4}, Round: 1, Since: at(2), At: at(2)}))
 	_, changed = a.Hear(at(3), answered(2.9, 4))
 	g.Expect(changed).To(BeFalse())
 	l, changed = a.Hear(at(4), answered(3.9, 0.5))
@@ -60,8 +60,61 @@
 	g := NewWithT(t)
 	var a intake.Account
 	a.Hear(at(1), answered(0, 4))
-	a.Forget(func(string) bool { return true })
+	a.Forget(at(2), func(string) bool { return true })
 	g.Expect(a.Limits()).To(HaveLen(1))
-	a.Forget(func(string) bool { return false })
+	a.Forget(at(2), func(string) bool { return false })
 	g.Expect(a.Limits()).To(BeEmpty())
 }
+
+// told is a fellow's word; a limit under 0 was lifted.
+func told(limit float64, round uint64, seen float64) intake.Limited {
+	l := intake.Limited{Replica: "r", Round: round, Since: start, At: at(seen)}
+	if limit >= 0 {
+		l.Limit = intake.Limit{Named: true, PerSecond: limit}
+	}
+	return l
+}
+
+func TestLatestWordOfFellowsHolds(t *testing.T) {
+	g := NewWithT(t)
+	var a intake.Account
+	learn := func(l intake.Limited) (changed, newer []intake.Limited) { return a.Learn([]intake.Limited{l}) }
+	changed, newer := learn(told(-1, 4, 1))
+	g.Expect(changed).To(BeEmpty(), "the end of a limit that was not known")
+	g.Expect(newer).To(BeEmpty())
+	changed, _ = learn(told(2, 1, 3))
+	g.Expect(changed).To(ConsistOf(told(2, 1, 3)))
+
+	changed, _ = learn(told(2, 1, 3.5))
+	g.Expect(changed).To(BeEmpty())
+	g.Expect(a.News(at(3))).To(BeEmpty(), "as young as what is known, by what it takes to tell")
+	changed, _ = learn(told(2, 1, 5))
+	g.Expect(changed).To(BeEmpty())
+	g.Expect(a.News(at(3))).To(ConsistOf(told(2, 1, 5)))
+
+	changed, _ = learn(told(-1, 2, 4))
+	g.Expect(changed).To(HaveLen(1), "a later change, whatever its age")
+	g.Expect(a.Limits()).To(BeEmpty())
+	changed, newer = learn(told(2, 1, 9))
+	g.Expect(changed).To(BeEmpty(), "an earlier word, told late")
+	g.Expect(newer).To(ConsistOf(told(-1, 2, 4)))
+
+	changed, _ = learn(told(3, 2, 5))
+	g.Expect(changed).To(HaveLen(1), "of two beside each other the stricter")
+	changed, _ = learn(told(1, 2, 5))
+	g.Expect(changed).To(HaveLen(1))
+	changed, newer = learn(told(3, 2, 6))
+	g.Expect(changed).To(BeEmpty())
+	g.Expect(newer).To(HaveLen(1))
+}
+
+func TestEndOfALimitIsRememberedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	var a intake.Account
+	a.Hear(at(1), answered(0, 2))
+	a.Hear(at(3), answered(2, -1))
+	a.Forget(at(12), func(string) bool { return true })
+	g.Expect(a.News(at(2))).To(HaveLen(1), "fellows are told that it was lifted")
+	a.Forget(at(14), func(string) bool { return true })
+	g.Expect(a.News(at(2))).To(BeEmpty())
+}
--- a/core/intake/notice.go
+++ b/core/intake/notice.go
@@ -1,6 +1,9 @@
 package intake
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Notice is what a replica says of itself in the head of an answer. The zero value
 // says nothing.
@@ -16,6 +19,9 @@
 	PerSecond float64
 }
 
+// Valid says whether the rate is one that a replica may name.
+func (l Limit) Valid() bool { return l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 0) }
+
 // Answer is an answer of the replica that it was asked of.
 type Answer struct {
 	// Replica names the start of the replica.
--- a/core/intake/random_test.go
+++ b/core/intake/random_test.go
@@ -26,6 +26,8 @@
 	step     = 10 * time.Millisecond
 	// bounding is the interval at which hosts work their parts out.
 	bounding = 250 * time.Millisecond
+	// repeating is the interval at which hosts tell again what they have heard.
+	repeating = 3 * time.Second
 )
 
 // simHost is one host of a simulated fleet.
@@ -41,6 +43,10 @@
 	told time.Time
 	// keeps says that the host goes by limits at all.
 	keeps bool
+	// neighbours are told what is news; cut is until when calls with the host fail.
+	neighbours []*simHost
+	cut        time.Time
+	repeated   time.Time
 }
 
 // bound works the host's part out.
@@ -61,8 +67,21 @@
 	intake.Answer
 }
 
+// simCall tells a host of what another one knows.
+type simCall struct {
+	at   time.Time
+	to   *simHost
+	from *simHost
+	// ages are those of the words when they were told.
+	told []intake.Limited
+	sent time.Time
+}
+
 // simFleet is a fleet with one replica.
 type simFleet struct {
+	// spreads says that hosts tell each other what they hear.
+	spreads bool
+	calls   []simCall
 	rng     *rand.Rand
 	now     time.Time
 	hosts   []*simHost
@@ -101,16 +120,76 @@
 		h.gate = h.gates.Of(replica)
 		f.hosts = append(f.hosts, h)
 	}
+	for i, h := range f.hosts {
+		for k := 1; k < n && len(h.neighbours) < 8; k *= 3 {
+			h.neighbours = append(h.neighbours, f.hosts[(i+k)%n], f.hosts[(i+n-k)%n])
+		}
+	}
 	return f
 }
 
+// tell has a host tell its neighbours but one.
+func (f *simFleet) tell(h, but *simHost, told []intake.Limited) {
+	if !f.spreads {
+		return
+	}
+	for _, to := range h.neighbours {
+		if to != but {
+			f.call(h, to, told)
+		}
+	}
+}
+
+// call has a host tell another one.
+func (f *simFleet) call(from, to *simHost, told []intake.Limited) {
+	if len(told) > 0 && !f.now.Before(from.cut) && !f.now.Before(to.cut) && !f.now.Before(to.starts) {
+		f.calls = append(f.calls, simCall{f.now.Add(time.Duration(2+f.rng.IntN(200)) * time.Millisecond), to, from, told, f.now})
+	}
+}
+
+// learn brings the calls that are there. What they told is as old as it was when they were
+// sent, as far as the receiver knows.
+func (f *simFleet) learn() {
+	due := f.calls
+	f.calls = nil
+	for _, c := range due {
+		if f.now.Before(c.at) {
+			f.calls = append(f.calls, c)
+			continue
+		}
+		late := f.now.Sub(c.sent)
+		var told []intake.Limited
+		for _, l := range c.told {
+			l.At, l.Since = l.At.Add(late), l.Since.Add(late)
+			told = append(told, l)
+		}
+		changed, newer := c.to.account.Learn(told)
+		if len(changed) > 0 {
+			c.to.bound()
+			f.tell(c.to, c.from, changed)
+		}
+		f.call(c.to, c.from, newer)
+	}
+}
+
+// repeat has a host tell what it heard since it last did.
+func (f *simFleet) repeat(h *simHost) {
+	if f.now.Sub(h.repeated) >= repeating {
+		f.tell(h, nil, h.account.News(h.repeated))
+		h.repeated = f.now
+	}
+}
+
 // run lets time pass.
 func (f *simFleet) run(during time.Duration) {
 	for until := f.now.Add(during); f.now.Before(until); f.now = f.now.Add(step) {
 		f.deliver()
+		f.learn()
 		for _, h := range f.hosts {
 			if f.now.Sub(start)%bounding == 0 {
+				h.account.Forget(f.now, func(string) bool { return true })
 				h.bound()
+				f.repeat(h)
 			}
 			if f.now.Before(h.starts) || f.rng.Float64() >= float64(step)/float64(f.every) {
 				continue
@@ -141,8 +220,9 @@
 		if f.now.Before(a.at) {
 			return false
 		}
-		if _, changed := a.host.account.Hear(f.now, a.Answer); changed {
+		if l, changed := a.host.account.Hear(f.now, a.Answer); changed {
 			a.host.bound()
+			f.tell(a.host, nil, []intake.Limited{l})
 		}
 		if a.Notice.Limit.Named && a.host.told.IsZero() {
 			a.host.told = f.now
@@ -213,3 +293,65 @@
 		g.Expect(most[1]).To(BeNumerically("<=", allowedOf(1)))
 	}
 }
+
+// mostOf is the largest number of requests in a window from all hosts, from a moment on.
+func (f *simFleet) mostOf(from time.Time) int {
+	var times []time.Time
+	for _, a := range f.arrived {
+		if !a.at.Before(from) {
+			times = append(times, a.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return mostWithin(times, judged)
+}
+
+// knowing counts the hosts that work and know a limit.
+func (f *simFleet) knowing() (n int) {
+	for _, h := range f.hosts {
+		if len(h.account.Limits()) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// comesBack is how long it may take until a limit that was lifted is known to be: the next
+// call that may begin, or the one after it, as one in ten is refused without a word.
+func comesBack(limit float64) time.Duration {
+	if limit == 0 {
+		return 32 * time.Second
+	}
+	return 2*max(judged, time.Duration(float64(time.Second)/limit)) + 2*time.Second
+}
+
+// TestLimitIsKnownToAllHostsAndItsEndToo has hosts tell each other: from the bound on all
+// requests count, also those of hosts that had no answer, and all come back when the limit
+// is lifted. Some hosts are cut off from the others for seconds meanwhile.
+func TestLimitIsKnownToAllHostsAndItsEndToo(t *testing.T) {
+	for _, n := range []int{6, 60, 300} {
+		for _, limit := range []float64{0, 0.5, 1, 2.5, 20} {
+			t.Run(fmt.Sprintf("%d hosts, %v a second", n, limit), func(t *testing.T) {
+				t.Parallel()
+				for seed := range seeds(n) {
+					g := NewWithT(t)
+					f := newSimFleet(seed, n, 400*time.Millisecond)
+					f.spreads = true
+					f.run(20 * time.Second) // all have started
+					f.limit = limit
+					f.run(2 * time.Second)
+					cut := f.hosts[f.rng.IntN(n)]
+					cut.cut = f.now.Add(3 * time.Second)
+					f.run(13 * time.Second)
+					g.Expect(f.named).NotTo(BeZero())
+					g.Expect(f.mostOf(f.named.Add(learning))).To(BeNumerically("<=", allowedOf(limit)), "seed %d", seed)
+					g.Expect(f.mostJudged()).To(BeNumerically("<=", allowedOf(limit)), "seed %d", seed)
+					g.Expect(f.knowing()).To(Equal(n), "seed %d", seed)
+					f.limit = -1
+					f.run(comesBack(limit))
+					g.Expect(f.knowing()).To(BeZero(), "seed %d", seed)
+				}
+			})
+		}
+	}
+}
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -136,5 +136,6 @@
 			g.limitCold(nil)
 		}
 		g.keepLimits()
+		g.repeatHeard(clock.Now())
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,8 @@
 // Gateway is one gateway daemon.
 type Gateway struct {
 	settings atomic.Pointer[Settings]
+	// made is closed when all parts of the gateway are there: fellows may call before.
+	made     chan struct{}
 	log      *zap.Logger
 	metrics  *metrics.Set
 	rounds   uint64 // numbers the views; used by the discovery's goroutine only
@@ -73,7 +75,7 @@
 
 // New returns a gateway that listens for its fellows but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{log: log, metrics: metrics.NewSet(), streams: newStreamTimes(), refusals: newRefusals(), cold: newColdReplicas(), gates: intake.NewGates()}
+	g := &Gateway{made: make(chan struct{}), log: log, metrics: metrics.NewSet(), streams: newStreamTimes(), refusals: newRefusals(), cold: newColdReplicas(), gates: intake.NewGates()}
 	g.client = replica.NewClient(g.hear)
 	g.preparing, g.stopPreparing = context.WithCancel(context.Background())
 	g.settings.Store(s)
@@ -84,6 +86,7 @@
 	})
 	mux := peer.NewMux()
 	g.handlePrompts(mux)
+	g.handleNotices(mux)
 	fellows, err := fleet.New(fleet.Config{
 		Self:  fleet.Host{Host: member.Host{Name: s.Host, FailureDomain: s.FailureDomain}, Capacity: int(s.Limits.ProcessorShare * 1000)},
 		Seeds: s.Seeds, Listen: s.Listen.Peers, Mux: mux, Logger: log,
@@ -106,6 +109,7 @@
 		Logger: log, Bound: func() time.Duration { return g.settings.Load().Bounds.shortest() }, Changed: g.viewChanged,
 	})
 	g.addGauges()
+	close(g.made)
 	return g, nil
 }
 
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -19,6 +19,8 @@
 	account intake.Account
 	// bounding says that a limit was in force when last looked.
 	bounding bool
+	// repeated is when neighbours were last told what was heard meanwhile.
+	repeated time.Time
 }
 
 // hear takes an answer of a replica.
@@ -26,9 +28,21 @@
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
 	if l, changed := g.notices.account.Hear(clock.Now(), a); changed {
-		g.limitChanged(l)
-		g.boundLimited()
+		g.limitsChanged(g.settings.Load().Host, []intake.Limited{l})
+	}
+}
+
+// limitsChanged puts limits in force that this host or a fellow has heard, and tells the
+// neighbours; the notices' lock is held.
+func (g *Gateway) limitsChanged(by string, changed []intake.Limited) {
+	if len(changed) == 0 {
+		return
+	}
+	for _, l := range changed {
+		g.limitChanged(by, l)
 	}
+	g.boundLimited()
+	g.tellNeighbours(by, changed)
 }
 
 // keepLimits has this host keep to its parts of the limits that are in force, as hosts
@@ -87,10 +101,10 @@
 	return intake.Assistant
 }
 
-// limitChanged logs and counts what a replica has changed.
-func (g *Gateway) limitChanged(l intake.Limited) {
+// limitChanged logs and counts what a replica has changed, as a host has heard.
+func (g *Gateway) limitChanged(by string, l intake.Limited) {
 	service := g.found.View().Replicas[l.Replica].Service
-	fields := []zap.Field{zap.String("service", service), zap.String("replica", l.Replica), zap.Duration("since", l.At.Sub(l.Since))}
+	fields := []zap.Field{zap.String("service", service), zap.String("replica", l.Replica), zap.String("peer", by), zap.Duration("since", l.At.Sub(l.Since))}
 	if !l.Limit.Named {
 		g.log.Info("replica's limit lifted", fields...)
 		return
@@ -103,7 +117,7 @@
 func (n *notices) forget(listed func(replica string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.account.Forget(listed)
+	n.account.Forget(clock.Now(), listed)
 }
 
 // LimitState is a replica's limit as the state dump shows it.
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -169,3 +169,31 @@
 		return ran["p1"]
 	}, "6s").Should(BeNumerically(">", 3))
 }
+
+// Guards against hosts that learn of a limit, or of its end, only by requests of their own:
+// in a large fleet each would send one that the replica can't take, and hosts without a part
+// would not come back for long.
+func TestLimitIsKnownToHostsThatHaveNotAsked(t *testing.T) {
+	t.Parallel()
+	const gauge = "wheatseam_replicas_limited"
+	f := newFixtureOf(t)
+	hosts := f.threeHosts()
+	f.replicas["p1"].NameLimit("0.5")
+	known := func() []string {
+		return slices.Concat(hosts[0].counters(gauge), hosts[1].counters(gauge), hosts[2].counters(gauge))
+	}
+	f.Eventually(func() []time.Time {
+		hosts[0].send(http.MethodPost, safePath, "", nil)
+		return f.replicas["p1"].Arrived()
+	}, "4s").Should(HaveLen(1))
+	f.Eventually(known, "3s").Should(HaveEach(gauge + " 1"))
+	f.replicas["p1"].NameLimit("")
+	began := len(f.replicas["p1"].Arrived())
+	f.Eventually(func() int {
+		for _, g := range hosts {
+			g.send(http.MethodPost, safePath, "", nil)
+		}
+		return len(f.replicas["p1"].Arrived())
+	}, "6s").Should(BeNumerically(">", began))
+	f.Eventually(known, "3s").Should(HaveEach(gauge + " 0"))
+}
