Keep stage replicas that are cold within what they bear

Since it asks the gates of the routers it keeps within them, but its part was one by rank: of 60 hosts' it would mostly be none, though it makes the calls for all. It now has three quarters of the calls, as of a limit; the rest is for requests that are routed to the same replicas.

--- a/core/intake/limit.go
+++ b/core/intake/limit.go
@@ -36,6 +36,20 @@
 	Planner
 )
 
+// OfRole returns how many calls this host may begin at a replica, of so many over all
+// hosts, by what it calls it for.
+func (s *Shares) OfRole(replica string, calls int, role Role) int {
+	if role == Requester {
+		return s.Of(replica, calls)
+	}
+	planned := int(math.Ceil(plannerShare * float64(calls)))
+	part := s.Of(replica, calls-planned)
+	if role == Planner {
+		part += planned
+	}
+	return part
+}
+
 // OfLimit returns this host's part of the limit that a replica named last at a time.
 func (s *Shares) OfLimit(l Limited, role Role) Part {
 	perSecond, planned := l.Limit.PerSecond, 0.0
--- a/core/intake/limit_test.go
+++ b/core/intake/limit_test.go
@@ -53,6 +53,22 @@
 	}
 }
 
+func TestPartsByRoleAddUpToTheCalls(t *testing.T) {
+	hosts := hostNames(60)
+	for _, calls := range []int{1, 2, 4, 12} {
+		sum := 0
+		for i, h := range hosts {
+			role := intake.Assistant
+			if i == 7 {
+				role = intake.Planner
+			}
+			sum += intake.NewShares(h, hosts).OfRole("r", calls, role)
+		}
+		NewWithT(t).Expect(sum).To(Equal(calls))
+		NewWithT(t).Expect(intake.NewShares(hosts[7], hosts).OfRole("r", calls, intake.Planner)).To(BeNumerically(">=", 0.75*float64(calls)))
+	}
+}
+
 func TestLimitWithoutPartsLetsSingleCallsPassOneHostAfterTheOther(t *testing.T) {
 	g := NewWithT(t)
 	hosts := hostNames(6)
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -106,11 +106,11 @@
 	most := make(map[string]int, len(cold))
 	if len(cold) > 0 {
 		hosts, complete := g.fleet.Known()
-		shares := intake.NewShares(g.settings.Load().Host, hosts)
+		shares, planner := intake.NewShares(g.settings.Load().Host, hosts), g.stages.Plans()
 		for _, r := range cold {
 			most[r.ID] = 0
 			if complete {
-				most[r.ID] = shares.Of(r.ID, g.coldLimit(v.Config.Services[r.Service]))
+				most[r.ID] = shares.OfRole(r.ID, g.coldLimit(v.Config.Services[r.Service]), roleAt(v, r.ID, planner))
 			}
 		}
 	}
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -76,3 +76,26 @@
 	f.Expect(ran["p1"]).To(BeNumerically("<=", 2*coldLimit))
 	f.Eventually(func() int { ran, _ := served(f, g, 500*time.Millisecond); return ran["p1"] }, "6s").Should(BeNumerically(">", 2*coldLimit))
 }
+
+// Guards against calls for pieces beyond what a cold stage replica bears: the planner has
+// most of what all hosts may send it, and the other replica makes the rest.
+func TestColdStageReplicaGetsFewCalls(t *testing.T) {
+	t.Parallel()
+	const perSecond, bears = 4, 7
+	f := newFixtureOf(t)
+	f.coldCalls = perSecond
+	f.configure()
+	f.registerCold("s1", time.Minute)
+	cold := func(s *gateway.Settings) { s.Cold = gateway.Cold{Overage: 1.5, Slack: 1} }
+	first := f.startWith(zap.NewNop(), cold).ready()
+	hosts := []*running{first, f.startWith(zap.NewNop(), cold, first.peers).ready(), f.startWith(zap.NewNop(), cold, first.peers).ready()}
+	for _, g := range hosts {
+		f.Eventually(g.counters, "5s").WithArguments("wheatseam_hosts ").Should(ConsistOf("wheatseam_hosts 3"))
+		f.Eventually(g.counters, "5s").WithArguments("wheatseam_replicas_cold ").Should(ConsistOf("wheatseam_replicas_cold 1"))
+	}
+	began := time.Now()
+	pressAll(hosts, 60*time.Millisecond, 4*time.Second, goOnPath, staged)
+	arrived := f.replicas["s1"].Arrived()
+	f.Expect(most(arrived, began, time.Second)).To(BeNumerically("<=", bears))
+	f.Expect(len(arrived)).To(BeNumerically(">=", 2*perSecond), "the planner's part, for four seconds")
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -55,8 +55,9 @@
 	replicas map[string]*site.Replica
 	version  int
 	keys     []string
-	// coldRate is what cold replicas of plain bear in a second; 0 for any number.
-	coldRate int
+	// coldRate is what cold replicas of plain bear in a second, and coldCalls those of
+	// encode; 0 for any number.
+	coldRate, coldCalls int
 }
 
 // newFixture returns the site of a spec.
@@ -127,6 +128,11 @@
 	})
 	plain := c["services"].([]any)[0].(map[string]any)
 	plain["warmup_s"], plain["warmup_per_s"] = 2, f.coldRate
+	for _, s := range c["services"].([]any) {
+		if encode := s.(map[string]any); encode["name"] == "encode" && f.coldCalls > 0 {
+			encode["warmup_s"], encode["warmup_per_s"] = 20, f.coldCalls
+		}
+	}
 	c["limits"] = map[string]any{"max_body_bytes": 1000}
 	f.store.Put("op/config", c)
 }
