Soak: replicas that name limits, and the check that told daemons keep to them

One replica after the other names 0, 0.5, 1 or 3 a second for 4 to 9 s, from a source of randomness of its own. Processes that passed an answer of it on, and ran through since, are held to the rule over all of them; calls for pieces are not counted here, as their senders can't be told apart.

--- a/soak/check.go
+++ b/soak/check.go
@@ -38,6 +38,7 @@
 	}
 	r.checkVersions()
 	r.checkCulprits()
+	r.checkLimits()
 	for _, f := range r.ledger.Faults() {
 		r.violate("replicas: %s", f)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -66,8 +66,10 @@
 	revoked map[string]time.Time
 	// evacuations are the operator's orders, in their order.
 	evacuations []evacuation
-	report      Report
-	calls       []done
+	// limits are those that replicas named, in their order.
+	limits []limitSpell
+	report Report
+	calls  []done
 }
 
 // done is one attempt of a caller and what came of it.
@@ -109,6 +111,7 @@
 	wg.Go(func() { r.suspendHosts(playing, rand.New(rand.NewPCG(cfg.Seed, 3))) })
 	wg.Go(func() { r.pauseEngines(playing, rand.New(rand.NewPCG(cfg.Seed, 4))) })
 	wg.Go(func() { r.evacuateDomains(playing, rand.New(rand.NewPCG(cfg.Seed, 5))) })
+	wg.Go(func() { r.nameLimits(playing, rand.New(rand.NewPCG(cfg.Seed, 6))) })
 	r.inject(playing)
 	wg.Wait()
 	r.recover()
