--- a/core/intake/random_test.go
+++ b/core/intake/random_test.go
@@ -82,6 +82,8 @@
 	// spreads says that hosts tell each other what they hear.
 	spreads bool
 	calls   []simCall
+	// told counts all calls.
+	told    int
 	rng     *rand.Rand
 	now     time.Time
 	hosts   []*simHost
@@ -143,6 +145,7 @@
 // call has a host tell another one.
 func (f *simFleet) call(from, to *simHost, told []intake.Limited) {
 	if len(told) > 0 && !f.now.Before(from.cut) && !f.now.Before(to.cut) && !f.now.Before(to.starts) {
+		f.told++
 		f.calls = append(f.calls, simCall{f.now.Add(time.Duration(2+f.rng.IntN(200)) * time.Millisecond), to, from, told, f.now})
 	}
 }
@@ -355,3 +358,29 @@
 		}
 	}
 }
+
+// BenchmarkTelling has one host hear a limit, and reports the calls between hosts that it
+// takes until all know it, and how long that takes, in a fleet without other work.
+func BenchmarkTelling(b *testing.B) {
+	for _, n := range []int{6, 300, 3020} {
+		b.Run(fmt.Sprint("hosts-", n), func(b *testing.B) {
+			calls, took := 0, time.Duration(0)
+			for i := range b.N {
+				f := newSimFleet(uint64(i), n, time.Hour)
+				f.spreads = true
+				for _, h := range f.hosts {
+					h.starts = start
+				}
+				l, _ := f.hosts[0].account.Hear(f.now, intake.Answer{Replica: replica, Notice: intake.Notice{Limit: intake.Limit{Named: true, PerSecond: 1}}})
+				f.tell(f.hosts[0], nil, []intake.Limited{l})
+				for f.knowing() < n {
+					f.run(step)
+				}
+				took += f.now.Sub(start)
+				calls += f.told
+			}
+			b.ReportMetric(float64(calls)/float64(b.N*n), "calls/host")
+			b.ReportMetric(took.Seconds()/float64(b.N), "s")
+		})
+	}
+}
