Log, count and dump which replicas say in their answers that they leave

Server-Leaving is decoded with the rest of what a replica says of itself. core/intake remembers the start of a replica that said so, for good while it is listed and for a minute after: the list may lose it and have it again. The attempt's line has leaving=true, the first word is one line, wheatseam_replicas_said_leaving, and leaving in /state. No decision goes by it yet. Stand-in replicas can say it.

--- /dev/null
+++ b/core/intake/leaving.go
@@ -0,0 +1,78 @@
+package intake
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Leaver is a replica that has said that it leaves, as one host knows it.
+type Leaver struct {
+	Replica string
+	// At is when it was first heard to.
+	At time.Time
+}
+
+// leaversLife is how long a replica that is not listed is remembered to leave: the list may
+// lose it and have it again.
+const leaversLife = time.Minute
+
+// Leavers are the replicas that have said that they leave. It is the start of a replica
+// that does, for good: another start has another name. The zero value is ready.
+type Leavers struct {
+	known map[string]*leaver
+}
+
+type leaver struct {
+	at time.Time
+	// listed is when the replica was last listed, or first heard to leave.
+	listed time.Time
+}
+
+// Hear takes an answer, and says whether it is the first in which its replica says that it
+// leaves.
+func (l *Leavers) Hear(now time.Time, answer Answer) (Leaver, bool) {
+	if !answer.Notice.Leaving {
+		return Leaver{}, false
+	}
+	heard := Leaver{Replica: answer.Replica, At: now}
+	return heard, l.add(now, heard)
+}
+
+// Learn takes what a fellow knows, and returns what is new here.
+func (l *Leavers) Learn(now time.Time, told []Leaver) []Leaver {
+	return slices.DeleteFunc(told, func(heard Leaver) bool { return !l.add(now, heard) })
+}
+
+// add says whether a replica was not known to leave.
+func (l *Leavers) add(now time.Time, heard Leaver) bool {
+	if l.known[heard.Replica] != nil || len(l.known) >= maxReplicas {
+		return false
+	}
+	if l.known == nil {
+		l.known = map[string]*leaver{}
+	}
+	l.known[heard.Replica] = &leaver{at: heard.At, listed: now}
+	return true
+}
+
+// Forget drops what is known of replicas that have not been listed for long.
+func (l *Leavers) Forget(now time.Time, listed func(replica string) bool) {
+	maps.DeleteFunc(l.known, func(replica string, k *leaver) bool {
+		if listed(replica) {
+			k.listed = now
+		}
+		return now.Sub(k.listed) > leaversLife
+	})
+}
+
+// Since returns the replicas that were first heard to leave after a time, by name.
+func (l *Leavers) Since(after time.Time) []Leaver {
+	var out []Leaver
+	for _, replica := range slices.Sorted(maps.Keys(l.known)) {
+		if at := l.known[replica].at; at.After(after) {
+			out = append(out, Leaver{Replica: replica, At: at})
+		}
+	}
+	return out
+}
--- a/core/intake/notice.go
+++ b/core/intake/notice.go
@@ -9,6 +9,8 @@
 // says nothing.
 type Notice struct {
 	Limit Limit
+	// Leaving says that the replica takes no new work from now on.
+	Leaving bool
 }
 
 // Limit is the rate of requests that a replica takes from all hosts together.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -17,6 +17,7 @@
 type notices struct {
 	mu      sync.Mutex
 	account intake.Account
+	leavers intake.Leavers
 	// bounding says that a limit was in force when last looked.
 	bounding bool
 	// repeated is when neighbours were last told what was heard meanwhile.
@@ -30,6 +31,19 @@
 	if l, changed := g.notices.account.Hear(clock.Now(), a); changed {
 		g.limitsChanged(g.settings.Load().Host, []intake.Limited{l})
 	}
+	if l, first := g.notices.leavers.Hear(clock.Now(), a); first {
+		g.leaves(g.settings.Load().Host, []intake.Leaver{l})
+	}
+}
+
+// leaves takes replicas that leave, as a host has heard; the notices' lock is held.
+func (g *Gateway) leaves(by string, leavers []intake.Leaver) {
+	for _, l := range leavers {
+		service := g.found.View().Replicas[l.Replica].Service
+		g.log.Info("replica says that it leaves", zap.String("service", service), zap.String("replica", l.Replica),
+			zap.String("peer", by), zap.Duration("since", clock.Since(l.At)))
+		g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replicas_said_leaving_total{service=%q}", service)).Inc()
+	}
 }
 
 // limitsChanged puts limits in force that this host or a fellow has heard, and tells the
@@ -118,6 +132,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.account.Forget(clock.Now(), listed)
+	n.leavers.Forget(clock.Now(), listed)
 }
 
 // LimitState is a replica's limit as the state dump shows it.
@@ -149,3 +164,21 @@
 	defer n.mu.Unlock()
 	return len(n.account.Limits())
 }
+
+// LeaverState is a replica that has said that it leaves, as the state dump shows it.
+type LeaverState struct {
+	Replica string `json:"replica"`
+	// Seconds since it was first heard to.
+	SinceS float64 `json:"since_s"`
+}
+
+// leaving lists the replicas that have said that they leave, for operators.
+func (n *notices) leaving(now time.Time) []LeaverState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := []LeaverState{}
+	for _, l := range n.leavers.Since(time.Time{}) {
+		out = append(out, LeaverState{Replica: l.Replica, SinceS: now.Sub(l.At).Seconds()})
+	}
+	return out
+}
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -197,3 +197,19 @@
 	}, "6s").Should(BeNumerically(">", began))
 	f.Eventually(known, "3s").Should(HaveEach(gauge + " 0"))
 }
+
+func TestReplicaThatSaysItLeavesIsToldToOperators(t *testing.T) {
+	t.Parallel()
+	const gauge = "wheatseam_replicas_said_leaving "
+	f := newFixtureOf(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	g := f.startLogged(zap.New(core)).ready()
+	f.replicas["p1"].SayLeaving()
+	f.Eventually(func() int {
+		g.send(http.MethodPost, safePath, "", nil)
+		return logged(logs, "replica says that it leaves")
+	}, "4s").Should(Equal(1))
+	f.Expect(logs.FilterMessage("replica says that it leaves").All()[0].ContextMap()).To(And(
+		HaveKeyWithValue("replica", "p1"), HaveKeyWithValue("service", "plain"), HaveKeyWithValue("peer", g.peers)))
+	f.Expect(g.counters(gauge)).To(ConsistOf(gauge + "1"))
+}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -63,6 +63,7 @@
 	gauge("wheatseam_store_calls_failed_total", func() float64 { return float64(g.store.Calls().Failed) })
 	gauge("wheatseam_replicas_cold", func() float64 { return float64(g.coldCount.Load()) })
 	gauge("wheatseam_replicas_limited", func() float64 { return float64(g.notices.limited()) })
+	gauge("wheatseam_replicas_said_leaving", func() float64 { return float64(len(g.notices.leaving(clock.Now()))) })
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.found.View().Evacuations.Domains)) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.Asleep().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.Refused()) })
@@ -130,6 +131,8 @@
 	Quarantine quarantine.Dump `json:"quarantine"`
 	// Limits are those that replicas name in their answers.
 	Limits []LimitState `json:"limits"`
+	// Leaving are the replicas that have said in an answer that they leave.
+	Leaving []LeaverState `json:"leaving"`
 }
 
 // State returns the state.
@@ -137,7 +140,7 @@
 	s := State{
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.found.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
-		Quarantine: g.quarantine.Dump(), Limits: g.notices.dump(clock.Now()),
+		Quarantine: g.quarantine.Dump(), Limits: g.notices.dump(clock.Now()), Leaving: g.notices.leaving(clock.Now()),
 	}
 	g.budgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.Shared).Stats()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -161,8 +161,8 @@
 	events int
 	// refused says why the replica refused; "" if it did not.
 	refused refusal.Reason
-	// limit is the one that the answer names.
-	limit intake.Limit
+	// notice is what the replica says of itself in its answer.
+	notice intake.Notice
 	// cancel ends the attempt by this host's own decision, for a reason.
 	cancel context.CancelCauseFunc
 	// endedHere is that reason, once the attempt has ended by it; nil else.
@@ -201,7 +201,7 @@
 	defer resp.Body.Close()
 	head := resp.Head
 	t.observe(head.Load)
-	t.limit = head.Notice.Limit
+	t.notice = head.Notice
 	if head.NotExecuted {
 		t.refused = reasonOf(resp.StatusCode, head)
 	}
@@ -339,8 +339,11 @@
 	if t.refused != "" {
 		fields = append(fields, zap.String("refused_for", string(t.refused)))
 	}
-	if t.limit.Named {
-		fields = append(fields, zap.Float64("limit", t.limit.PerSecond))
+	if t.notice.Limit.Named {
+		fields = append(fields, zap.Float64("limit", t.notice.Limit.PerSecond))
+	}
+	if t.notice.Leaving {
+		fields = append(fields, zap.Bool("leaving", true))
 	}
 	if err != nil {
 		fields = append(fields, zap.String("why", err.Detail))
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -69,6 +69,8 @@
 	cancelled int
 	// limit is the rate of requests that every answer names; "" for none.
 	limit string
+	// leaving says that every answer tells so.
+	leaving bool
 	// arrived are the times at which requests and calls for pieces came.
 	arrived []time.Time
 }
@@ -243,6 +245,14 @@
 	r.limit = perSecond
 }
 
+// SayLeaving has every answer tell that the replica leaves. It serves what it gets all the
+// same, and its entry says what it is registered as.
+func (r *Replica) SayLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
 // Arrived returns when requests and calls for pieces came, in order.
 func (r *Replica) Arrived() []time.Time {
 	r.mu.Lock()
@@ -264,6 +274,9 @@
 	if r.limit != "" {
 		h.Set("Server-Limit", r.limit)
 	}
+	if r.leaving {
+		h.Set("Server-Leaving", "1")
+	}
 }
 
 // Made is the number of pieces that were made here.
