--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -213,3 +213,33 @@
 		HaveKeyWithValue("replica", "p1"), HaveKeyWithValue("service", "plain"), HaveKeyWithValue("peer", g.peers)))
 	f.Expect(g.counters(gauge)).To(ConsistOf(gauge + "1"))
 }
+
+// Guards against requests, streams and calls for pieces that reach a replica which has told
+// in an answer that it leaves, while the store still says that it is ready.
+func TestReplicaThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	t.Parallel()
+	// bound is how long a host may still send what it was asked for before it was told.
+	const bound = 2 * time.Second
+	for _, load := range []struct {
+		name, replica, path string
+		change              func(*http.Request)
+	}{
+		{"requests", "p1", safePath, nil},
+		{"streams", "e1", goOnPath, nil},
+		{"pieces", "s1", goOnPath, staged},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			hosts := f.threeHosts()
+			leaver := f.replicas[load.replica]
+			leaver.SayLeaving()
+			began := time.Now()
+			refused := pressAll(hosts, 60*time.Millisecond, bound+3*time.Second, load.path, load.change)
+			f.Expect(refused).To(BeZero(), "the other replica has room for all")
+			arrived := leaver.Arrived()
+			f.Expect(arrived).NotTo(BeEmpty())
+			f.Expect(most(arrived, began.Add(bound), time.Hour)).To(BeZero())
+		})
+	}
+}
