Send nothing more to replicas that say in an answer that they leave

What replicas saw: requests 3.2 and 3.4 s after an answer had told the host that they leave (2 s are allowed), while the store acknowledged nothing for 13 s. Callers were served, on a replica that was about to go.

Cause: a replica left for a host when the store's list said so, and only then; Server-Leaving was dropped with the rest of the answer's head. Ruled out: that the request was chosen before (its stages were ready 2 ms before it was sent, and the replica is chosen after them); that it was known and forgotten (nothing was ever given what was heard).

It is a third bound of the gates that both doors ask, never lifted, for the start that said so: what is registered under another start, or id, is used. Runs, streams and pieces under way go on, their results are read, reports are asked for. Copies of prompts are not taken from it. A replica that is listed no more is remembered for a minute. When all replicas of a service say so, callers are refused at once, before stages are made.

--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -15,16 +15,18 @@
 	Cold Source = iota
 	// Named bounds those at replicas that name a limit in their answers.
 	Named
+	// Leaving bounds them to none at replicas that say in an answer that they leave.
+	Leaving
 	sources
 )
 
 // String names the source in logs and decision records.
-func (s Source) String() string { return [sources]string{"cold", "limited"}[s] }
+func (s Source) String() string { return [sources]string{"cold", "limited", "leaving"}[s] }
 
 // Part is one host's part of the calls that a replica takes.
 type Part struct {
 	// Calls may begin in any Window; MaxCalls at most count. Without any, other hosts
-	// have the calls, and Window is how long it may be until one begins.
+	// have the calls, and Window is how long it may be until one begins; 0 if none will.
 	Calls  int
 	Window time.Duration
 	// Probe is from when one call may begin though there is no other, and ProbeEvery
@@ -72,7 +74,8 @@
 }
 
 // Opens returns when a call may begin by all parts, here or, where this host has no
-// part, at other hosts. It is the given time, or before, if one may now.
+// part, at other hosts; a time that never comes at a replica that leaves. It is the
+// given time, or before, if one may now.
 func (g *Gate) Opens(now time.Time) time.Time {
 	if !g.bounded.Load() {
 		return now
@@ -85,7 +88,7 @@
 			continue
 		}
 		opens := g.opens(p)
-		if others := now.Add(p.Window); p.Calls < 1 && opens.After(others) {
+		if others := now.Add(p.Window); p.Calls < 1 && p.Window > 0 && opens.After(others) {
 			opens = others
 		}
 		if opens.After(at) {
@@ -95,6 +98,16 @@
 	return at
 }
 
+// Leaves says whether the replica takes no new work any more.
+func (g *Gate) Leaves() bool {
+	if !g.bounded.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.parts[Leaving] != nil
+}
+
 // Bounded says whether there is any part.
 func (g *Gate) Bounded() bool { return g.bounded.Load() }
 
@@ -109,7 +122,11 @@
 		if p == nil {
 			continue
 		}
-		if rate := float64(min(p.Calls, MaxCalls)) / p.Window.Seconds(); !bounded || rate < perSecond {
+		var rate float64
+		if p.Calls > 0 {
+			rate = float64(min(p.Calls, MaxCalls)) / p.Window.Seconds()
+		}
+		if !bounded || rate < perSecond {
 			perSecond, bounded = rate, true
 		}
 	}
--- a/core/intake/leaving.go
+++ b/core/intake/leaving.go
@@ -56,14 +56,17 @@
 	return true
 }
 
-// Forget drops what is known of replicas that have not been listed for long.
-func (l *Leavers) Forget(now time.Time, listed func(replica string) bool) {
+// Forget drops what is known of replicas that have not been listed for long, and says
+// whether it did.
+func (l *Leavers) Forget(now time.Time, listed func(replica string) bool) bool {
+	before := len(l.known)
 	maps.DeleteFunc(l.known, func(replica string, k *leaver) bool {
 		if listed(replica) {
 			k.listed = now
 		}
 		return now.Sub(k.listed) > leaversLife
 	})
+	return len(l.known) < before
 }
 
 // Since returns the replicas that were first heard to leave after a time, by name.
--- a/core/route/dump.go
+++ b/core/route/dump.go
@@ -74,7 +74,7 @@
 	s := m.state
 	u := UpstreamState{
 		Upstream: m.name, Address: m.address, FailureDomain: m.domain,
-		InFlight: s.own, Slowness: s.slownessNow(now), Leaving: s.leaving(),
+		InFlight: s.own, Slowness: s.slownessNow(now), Leaving: s.leaves(),
 		Share: s.ejection.share(now, c.Ejection.Ramp),
 	}
 	if s.reported {
--- a/core/route/intake_test.go
+++ b/core/route/intake_test.go
@@ -60,3 +60,45 @@
 		Expect(r.Usable(start, "llm", "u1", address("u1"))).To(BeTrue())
 	})
 })
+
+var _ = Describe("upstreams that say they leave", func() {
+	leaving := func(r *Router, names ...string) {
+		parts := map[string]intake.Part{}
+		for _, n := range names {
+			parts[n] = intake.Part{}
+		}
+		r.config.Gates.Bound(intake.Leaving, parts)
+	}
+
+	It("get nothing more, whatever else was tried and whatever list comes", func() {
+		b := testBundle(2, 100, bundle.PolicyAdaptive)
+		r := testRouter(b, 1)
+		leaving(r, "u0")
+		for i := range 100 {
+			q := query()
+			q.Tried = []string{"u1"}
+			Expect(mustPick(r, start.Add(time.Duration(i)*time.Second), q).Upstream).To(Equal("u1"))
+			r.Apply(b)
+		}
+	})
+
+	It("leave nobody: the caller is refused at once", func() {
+		r := testRouter(testBundle(2, 100, bundle.PolicyAdaptive), 1)
+		leaving(r, "u0", "u1")
+		wait, closed := r.Closed(start, "llm")
+		Expect(closed).To(BeTrue())
+		Expect(wait).To(Equal(emptyRetry))
+		_, err := r.Pick(start, query(), nil)
+		Expect(err).NotTo(BeNil())
+		Expect(err.RetryAfter).To(Equal(emptyRetry))
+	})
+
+	It("leave a place for another start", func() {
+		r := testRouter(testBundle(1, 100, bundle.PolicyAdaptive), 1)
+		leaving(r, "u0")
+		b := testBundle(1, 100, bundle.PolicyAdaptive)
+		b.Pools[0].Upstreams[0].Name = "u0@2"
+		r.Apply(b)
+		Expect(mustPick(r, start, query()).Upstream).To(Equal("u0@2"))
+	})
+})
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -137,8 +137,8 @@
 	return s.wait
 }
 
-// Closed says whether all upstreams of a pool refuse calls by their bounds, and for how
-// long that will last at least. Those that leave don't count, nor does a pool of them.
+// Closed says whether all upstreams of a pool leave or refuse calls by their bounds, and
+// for how long that will last at least. A pool without upstreams is not closed.
 func (r *Router) Closed(now time.Time, pool string) (time.Duration, bool) {
 	p := r.current.Load().pools[pool]
 	if p == nil {
@@ -149,7 +149,8 @@
 	var opens soonest
 	for i := range p.members {
 		st := p.members[i].state
-		if st.leaving() {
+		if st.leaves() {
+			opens.add(emptyRetry)
 			continue
 		}
 		if _, refuses := st.gate.Refuses(now); !refuses {
@@ -192,7 +193,7 @@
 func (r *Router) Usable(now time.Time, pool, upstream, address string) bool {
 	usable := false
 	r.update(pool, upstream, address, func(st *state) {
-		usable = !st.leaving() && !st.gate.Bounded() && !st.ejection.active(now) && (st.own == 0 || now.Sub(st.progress) < stallFloor)
+		usable = !st.leaves() && !st.gate.Bounded() && !st.ejection.active(now) && (st.own == 0 || now.Sub(st.progress) < stallFloor)
 	})
 	return usable
 }
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -162,7 +162,7 @@
 		Believed: mean,
 		Backlog:  st.reading.backlog(now),
 		Slowness: st.slownessNow(now),
-		Leaving:  st.leaving(),
+		Leaving:  st.leaves(),
 		Busy:     now.Before(st.busyUntil),
 		Share:    st.ejection.share(now, c.Ejection.Ramp),
 	}
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -65,8 +65,8 @@
 	listed      bool // leaving by the host list
 }
 
-// leaving says whether the host list or the upstream's report says so.
-func (s *state) leaving() bool { return s.listed || s.report.Leaving }
+// leaves says whether the host list, the upstream's report or an answer of it says so.
+func (s *state) leaves() bool { return s.listed || s.report.Leaving || s.gate.Leaves() }
 
 // begin counts one call as in flight.
 func (s *state) begin(now time.Time) {
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -77,7 +77,7 @@
 func (s *service) opensIn(now time.Time) time.Duration {
 	var least time.Duration
 	for _, r := range s.replicas {
-		if !r.listed || r.Draining || !r.closed(now) {
+		if !r.takesWork() || !r.closed(now) {
 			continue
 		}
 		if wait := r.gate.Opens(now).Sub(now); least == 0 || wait < least {
--- a/core/stage/intake_test.go
+++ b/core/stage/intake_test.go
@@ -67,3 +67,27 @@
 		Expect(b.refused["j"].Reason).To(Equal(ReasonOverload), "behind two calls at two seconds each")
 	})
 })
+
+var _ = Describe("replicas that say they leave", func() {
+	It("get no call more; those under way bring their results", func() {
+		b := newBench(figures(4, 0), "x", "y")
+		under := b.submit(b.chain("j", Stage{Service: "a", Pieces: 4}))
+		Expect(under).To(HaveLen(1))
+		leaver := under[0].Replica
+		b.m.cfg.Gates.Bound(intake.Leaving, map[string]intake.Part{leaver: {}})
+		for i := range 6 {
+			for _, r := range b.submit(b.chain(string(rune('k'+i)), Stage{Service: "a", Pieces: 4})) {
+				Expect(r.Replica).NotTo(Equal(leaver))
+			}
+		}
+		b.finish()
+		Expect(b.ready).To(HaveLen(7))
+	})
+
+	It("are no replicas to wait for", func() {
+		b := newBench(figures(4, 0), "x")
+		b.m.cfg.Gates.Bound(intake.Leaving, map[string]intake.Part{"a1": {}})
+		b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))
+		Expect(b.refused["j"].Reason).To(Equal(ReasonNoReplica))
+	})
+})
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -119,9 +119,12 @@
 
 // usable says whether the replica may be called at all.
 func (r *replica) usable(now time.Time) bool {
-	return r.listed && !r.Draining && !now.Before(r.suspect) && !r.closed(now)
+	return r.takesWork() && !now.Before(r.suspect) && !r.closed(now)
 }
 
+// takesWork says whether the replica takes new work by its own word and the list's.
+func (r *replica) takesWork() bool { return r.listed && !r.Draining && !r.gate.Leaves() }
+
 // closed says that the replica takes no calls of this host for now.
 func (r *replica) closed(now time.Time) bool {
 	rate, bounded := r.gate.Rate()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -182,7 +182,7 @@
 	g.rounds++
 	g.forgetRefusals(v)
 	listed := func(replica string) bool { _, ok := v.Replicas[replica]; return ok }
-	g.notices.forget(listed)
+	g.forgetNotices(listed)
 	g.gates.Keep(listed)
 	evacuated := evacuatedServices(v)
 	g.evacuated.Store(&evacuated)
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -36,8 +36,13 @@
 	}
 }
 
-// leaves takes replicas that leave, as a host has heard; the notices' lock is held.
+// leaves puts in force that replicas leave, as a host has heard; the notices' lock is
+// held.
 func (g *Gateway) leaves(by string, leavers []intake.Leaver) {
+	if len(leavers) == 0 {
+		return
+	}
+	g.boundLeavers()
 	for _, l := range leavers {
 		service := g.found.View().Replicas[l.Replica].Service
 		g.log.Info("replica says that it leaves", zap.String("service", service), zap.String("replica", l.Replica),
@@ -59,6 +64,15 @@
 	g.tellNeighbours(by, changed)
 }
 
+// boundLeavers closes the replicas that leave; the notices' lock is held.
+func (g *Gateway) boundLeavers() {
+	parts := map[string]intake.Part{}
+	for _, l := range g.notices.leavers.Since(time.Time{}) {
+		parts[l.Replica] = intake.Part{}
+	}
+	g.gates.Bound(intake.Leaving, parts)
+}
+
 // keepLimits has this host keep to its parts of the limits that are in force, as hosts
 // come and go.
 func (g *Gateway) keepLimits() {
@@ -127,12 +141,14 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_limits_named_total{service=%q}", service)).Inc()
 }
 
-// forget drops what is known of replicas that are not listed.
-func (n *notices) forget(listed func(replica string) bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.account.Forget(clock.Now(), listed)
-	n.leavers.Forget(clock.Now(), listed)
+// forgetNotices drops what is known of replicas that are not listed.
+func (g *Gateway) forgetNotices(listed func(replica string) bool) {
+	g.notices.mu.Lock()
+	defer g.notices.mu.Unlock()
+	g.notices.account.Forget(clock.Now(), listed)
+	if g.notices.leavers.Forget(clock.Now(), listed) {
+		g.boundLeavers()
+	}
 }
 
 // LimitState is a replica's limit as the state dump shows it.
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -243,3 +243,26 @@
 		})
 	}
 }
+
+// Guards against a service that is emptied for good by what its replicas say: it is the
+// starts that leave, and what is registered anew is used.
+func TestRequestIsRefusedAtOnceWhenAllReplicasSayTheyLeave(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.start().ready()
+	f.replicas["p1"].SayLeaving()
+	f.replicas["p2"].SayLeaving()
+	var refused answer
+	var id string
+	f.Eventually(func() int {
+		refused, id = g.send(http.MethodPost, sealPath, "", nil)
+		return refused.status
+	}, "4s").Should(Equal(http.StatusServiceUnavailable))
+	f.Expect(f.ledger.Runs(id)).To(BeEmpty())
+	f.Expect(strconv.ParseFloat(refused.header.Get("Retry-After"), 64)).To(BeNumerically(">", 0))
+	f.add("p3", "plain", site.Plain)
+	f.Eventually(func() int {
+		a, _ := g.send(http.MethodPost, sealPath, "", nil)
+		return a.status
+	}, "4s").Should(Equal(http.StatusOK))
+}
