Tell the fleet which replicas say that they leave

It is told from neighbour to neighbour like a limit, again every 3 s for ten, and no ordering is needed, as it holds for good.

TestHostsThatHaveNotAskedKnowThatAReplicaLeaves: two of three hosts did not know within 3 s before; they do now, and send nothing.

--- a/gateway/noticenews.go
+++ b/gateway/noticenews.go
@@ -20,6 +20,8 @@
 	// repeatNotices is the interval at which neighbours are told what was heard since:
 	// that a limit still holds, and what a call that failed did not tell.
 	repeatNotices = 3 * time.Second
+	// repeatLeavers is for how long neighbours are told again that a replica leaves.
+	repeatLeavers = 10 * time.Second
 	// noticesOfCall bounds the replicas that one call tells of, some 50 bytes each.
 	noticesOfCall = 1000
 	// maxNoticeAge bounds the ages that a fellow may tell.
@@ -37,7 +39,8 @@
 		default:
 			return nil, errNotMade
 		}
-		return &wire.NoticesNoted{Newer: g.learnNotices(from.Host, m.GetLimits())}, nil
+		g.learnLeavers(from.Host, m.GetLeaving())
+		return &wire.NoticesNoted{Newer: g.learnLimits(from.Host, m.GetLimits())}, nil
 	})
 }
 
@@ -50,40 +53,47 @@
 	if now.Sub(n.repeated) < repeatNotices {
 		return
 	}
-	heard := n.account.News(n.repeated)
+	g.tellNeighbours("", &wire.NoticesHeard{
+		Limits: limitsToWire(now, n.account.News(n.repeated)), Leaving: leaversToWire(now, n.leavers.Since(n.repeated.Add(-repeatLeavers))),
+	})
 	n.repeated = now
-	g.tellNeighbours("", heard)
 }
 
 // tellNeighbours tells all neighbours but one of what is known of replicas; they pass on
 // what is new to them. It does not wait for them.
-func (g *Gateway) tellNeighbours(but string, limits []intake.Limited) {
-	for len(limits) > 0 {
-		n := min(len(limits), noticesOfCall)
-		m := &wire.NoticesHeard{Limits: limitsToWire(clock.Now(), limits[:n])}
-		limits = limits[n:]
+func (g *Gateway) tellNeighbours(but string, m *wire.NoticesHeard) {
+	for len(m.Limits)+len(m.Leaving) > 0 {
+		part := &wire.NoticesHeard{}
+		part.Limits, m.Limits = split(m.Limits)
+		part.Leaving, m.Leaving = split(m.Leaving)
 		for _, host := range g.fleet.Neighbours() {
 			if host != but {
-				go g.tellNotices(host, m)
+				go g.tellNotices(host, part)
 			}
 		}
 	}
 }
 
+// split returns as many replicas as one call tells of, and the rest.
+func split[T any](all []T) (part, rest []T) {
+	n := min(len(all), noticesOfCall)
+	return all[:n], all[n:]
+}
+
 func (g *Gateway) tellNotices(host string, m *wire.NoticesHeard) {
 	ctx, cancel := clock.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
 	noted := &wire.NoticesNoted{}
 	if err := g.fleet.Caller().Call(ctx, host, methodNotices, m, noted); err != nil {
-		g.log.Info("notices of replicas not told", zap.String("peer", host), zap.Int("replicas", len(m.GetLimits())), zap.Error(err))
+		g.log.Info("notices of replicas not told", zap.String("peer", host), zap.Int("replicas", len(m.GetLimits())+len(m.GetLeaving())), zap.Error(err))
 		return
 	}
-	g.learnNotices(host, noted.GetNewer())
+	g.learnLimits(host, noted.GetNewer())
 }
 
-// learnNotices takes what a fellow knows, and returns what it is to be told since it knows
+// learnLimits takes what a fellow knows, and returns what it is to be told since it knows
 // something older.
-func (g *Gateway) learnNotices(host string, told []*wire.ReplicaLimit) []*wire.ReplicaLimit {
+func (g *Gateway) learnLimits(host string, told []*wire.ReplicaLimit) []*wire.ReplicaLimit {
 	now := clock.Now()
 	limits := limitsFromWire(now, told)
 	g.notices.mu.Lock()
@@ -93,6 +103,28 @@
 	return limitsToWire(now, newer)
 }
 
+// learnLeavers takes what a fellow knows.
+func (g *Gateway) learnLeavers(host string, told []*wire.ReplicaLeaving) {
+	now := clock.Now()
+	var leavers []intake.Leaver
+	for _, l := range told {
+		if l.GetReplica() != "" {
+			leavers = append(leavers, intake.Leaver{Replica: l.GetReplica(), At: agoOf(now, l.GetAgeMs())})
+		}
+	}
+	g.notices.mu.Lock()
+	defer g.notices.mu.Unlock()
+	g.leaves(host, g.notices.leavers.Learn(now, leavers))
+}
+
+func leaversToWire(now time.Time, leavers []intake.Leaver) []*wire.ReplicaLeaving {
+	out := make([]*wire.ReplicaLeaving, 0, len(leavers))
+	for _, l := range leavers {
+		out = append(out, &wire.ReplicaLeaving{Replica: l.Replica, AgeMs: now.Sub(l.At).Milliseconds()})
+	}
+	return out
+}
+
 // limitsToWire tells times as ages: hosts agree on no time of day.
 func limitsToWire(now time.Time, limits []intake.Limited) []*wire.ReplicaLimit {
 	out := make([]*wire.ReplicaLimit, 0, len(limits))
@@ -107,9 +139,6 @@
 
 // limitsFromWire leaves out what no replica can have said.
 func limitsFromWire(now time.Time, told []*wire.ReplicaLimit) []intake.Limited {
-	ago := func(ms int64) time.Time {
-		return now.Add(-time.Duration(min(max(0, ms), maxNoticeAge.Milliseconds())) * time.Millisecond)
-	}
 	out := make([]intake.Limited, 0, len(told))
 	for _, l := range told {
 		limit := intake.Limit{Named: l.GetNamed()}
@@ -117,8 +146,13 @@
 			limit.PerSecond = l.GetPerSecond()
 		}
 		if l.GetReplica() != "" && limit.Valid() {
-			out = append(out, intake.Limited{Replica: l.GetReplica(), Limit: limit, Round: l.GetRound(), Since: ago(l.GetSinceMs()), At: ago(l.GetAgeMs())})
+			out = append(out, intake.Limited{Replica: l.GetReplica(), Limit: limit, Round: l.GetRound(), Since: agoOf(now, l.GetSinceMs()), At: agoOf(now, l.GetAgeMs())})
 		}
 	}
 	return out
 }
+
+// agoOf is the time that is an age ago, as a fellow tells it.
+func agoOf(now time.Time, ageMS int64) time.Time {
+	return now.Add(-time.Duration(min(max(0, ageMS), maxNoticeAge.Milliseconds())) * time.Millisecond)
+}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -10,6 +10,7 @@
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/wire"
 )
 
 // notices keeps account of what replicas say of themselves. It is safe for concurrent
@@ -43,6 +44,7 @@
 		return
 	}
 	g.boundLeavers()
+	g.tellNeighbours(by, &wire.NoticesHeard{Leaving: leaversToWire(clock.Now(), leavers)})
 	for _, l := range leavers {
 		service := g.found.View().Replicas[l.Replica].Service
 		g.log.Info("replica says that it leaves", zap.String("service", service), zap.String("replica", l.Replica),
@@ -61,7 +63,7 @@
 		g.limitChanged(by, l)
 	}
 	g.boundLimited()
-	g.tellNeighbours(by, changed)
+	g.tellNeighbours(by, &wire.NoticesHeard{Limits: limitsToWire(clock.Now(), changed)})
 }
 
 // boundLeavers closes the replicas that leave; the notices' lock is held.
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -266,3 +266,22 @@
 		return a.status
 	}, "4s").Should(Equal(http.StatusOK))
 }
+
+// Guards against hosts that learn that a replica leaves by requests of their own only, each
+// of which it serves while it is about to go.
+func TestHostsThatHaveNotAskedKnowThatAReplicaLeaves(t *testing.T) {
+	t.Parallel()
+	const gauge = "wheatseam_replicas_said_leaving "
+	f := newFixtureOf(t)
+	hosts := f.threeHosts()
+	f.replicas["p1"].SayLeaving()
+	f.Eventually(func() []time.Time {
+		hosts[0].send(http.MethodPost, safePath, "", nil)
+		return f.replicas["p1"].Arrived()
+	}, "4s").Should(HaveLen(1))
+	f.Eventually(func() []string {
+		return slices.Concat(hosts[1].counters(gauge), hosts[2].counters(gauge))
+	}, "3s").Should(HaveEach(gauge + "1"))
+	pressAll(hosts, 50*time.Millisecond, time.Second, safePath, nil)
+	f.Expect(f.replicas["p1"].Arrived()).To(HaveLen(1))
+}
