Log, count and dump for how long replicas that refuse ask for rest

The attempt's line has rest, the beginning of a rest is one line, wheatseam_replicas_resting, and resting in /state. No decision goes by it yet. Stand-in replicas that refuse can ask for it.

--- a/core/intake/notice.go
+++ b/core/intake/notice.go
@@ -11,6 +11,10 @@
 	Limit Limit
 	// Leaving says that the replica takes no new work from now on.
 	Leaving bool
+	// Rest is for how long the replica wants nothing from this host, as it turns it away;
+	// 0 for no wish. UnreadRest is what it said where that could not be read.
+	Rest       time.Duration
+	UnreadRest string
 }
 
 // Limit is the rate of requests that a replica takes from all hosts together.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	mu      sync.Mutex
 	account intake.Account
 	leavers intake.Leavers
+	rests   intake.Rests
+	// unread are the replicas whose wish for rest could not be read, as was logged.
+	unread map[string]bool
 	// bounding says that a limit was in force when last looked.
 	bounding bool
 	// repeated is when neighbours were last told what was heard meanwhile.
@@ -35,6 +39,26 @@
 	if l, first := g.notices.leavers.Hear(clock.Now(), a); first {
 		g.leaves(g.settings.Load().Host, []intake.Leaver{l})
 	}
+	g.hearRest(a)
+}
+
+// hearRest takes a replica's wish for rest; the notices' lock is held.
+func (g *Gateway) hearRest(a intake.Answer) {
+	n, now := &g.notices, clock.Now()
+	service := g.found.View().Replicas[a.Replica].Service
+	if unread := a.Notice.UnreadRest; unread != "" && !n.unread[a.Replica] {
+		if n.unread == nil {
+			n.unread = map[string]bool{}
+		}
+		n.unread[a.Replica] = true
+		g.log.Warn("wish for rest not understood", zap.String("service", service), zap.String("replica", a.Replica), zap.String("value", unread))
+	}
+	rest, began, _ := n.rests.Hear(now, a, g.settings.Load().Rest.Most)
+	if began {
+		g.log.Info("replica asks for rest", zap.String("service", service), zap.String("replica", a.Replica),
+			zap.Duration("asked", a.Notice.Rest), zap.Duration("for", rest.Until.Sub(now)))
+		g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_rests_asked_total{service=%q}", service)).Inc()
+	}
 }
 
 // leaves puts in force that replicas leave, as a host has heard; the notices' lock is
@@ -148,6 +172,7 @@
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
 	g.notices.account.Forget(clock.Now(), listed)
+	maps.DeleteFunc(g.notices.unread, func(replica string, _ bool) bool { return !listed(replica) })
 	if g.notices.leavers.Forget(clock.Now(), listed) {
 		g.boundLeavers()
 	}
@@ -200,3 +225,24 @@
 	}
 	return out
 }
+
+// RestState is a replica that wants nothing from this host, as the state dump shows it.
+type RestState struct {
+	Replica string `json:"replica"`
+	// Seconds since it first said so, and until that is over.
+	SinceS float64 `json:"since_s"`
+	LeftS  float64 `json:"left_s"`
+}
+
+// resting lists the replicas that want nothing from this host, for operators.
+func (n *notices) resting(now time.Time) []RestState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := []RestState{}
+	for _, r := range n.rests.All() {
+		if now.Before(r.Until) {
+			out = append(out, RestState{Replica: r.Replica, SinceS: now.Sub(r.Since).Seconds(), LeftS: r.Until.Sub(now).Seconds()})
+		}
+	}
+	return out
+}
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/wheatseam/wheatseam/gateway"
 	"github.com/wheatseam/wheatseam/internal/standin/site"
 )
 
@@ -285,3 +286,28 @@
 	pressAll(hosts, 50*time.Millisecond, time.Second, safePath, nil)
 	f.Expect(f.replicas["p1"].Arrived()).To(HaveLen(1))
 }
+
+func TestReplicaThatAsksForRestIsToldToOperators(t *testing.T) {
+	t.Parallel()
+	const gauge = "wheatseam_replicas_resting "
+	f := newFixtureOf(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	g := f.startWith(zap.New(core), func(s *gateway.Settings) { s.Rest.Most = 2 * time.Second }).ready()
+	f.replicas["p1"].Behave(site.Behaviour{Shed: true, RetryAfter: "1000000"})
+	f.Eventually(func() int {
+		g.send(http.MethodPost, safePath, "", nil)
+		return logged(logs, "replica asks for rest")
+	}, "4s").Should(Equal(1))
+	f.Expect(logs.FilterMessage("replica asks for rest").All()[0].ContextMap()).To(And(
+		HaveKeyWithValue("replica", "p1"), HaveKeyWithValue("service", "plain"), HaveKeyWithValue("for", 2*time.Second)))
+	f.Expect(g.counters(gauge)).To(ConsistOf(gauge + "1"))
+	f.replicas["p1"].Behave(site.Behaviour{Shed: true, RetryAfter: "soon"})
+	f.Eventually(func() []string {
+		g.send(http.MethodPost, safePath, "", nil)
+		return g.counters(gauge)
+	}, "4s").Should(ConsistOf(gauge + "0"))
+	f.Eventually(func() int {
+		g.send(http.MethodPost, safePath, "", nil)
+		return logged(logs, "wish for rest not understood")
+	}, "4s").Should(Equal(1))
+}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -64,6 +64,7 @@
 	gauge("wheatseam_replicas_cold", func() float64 { return float64(g.coldCount.Load()) })
 	gauge("wheatseam_replicas_limited", func() float64 { return float64(g.notices.limited()) })
 	gauge("wheatseam_replicas_said_leaving", func() float64 { return float64(len(g.notices.leaving(clock.Now()))) })
+	gauge("wheatseam_replicas_resting", func() float64 { return float64(len(g.notices.resting(clock.Now()))) })
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.found.View().Evacuations.Domains)) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.Asleep().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.Refused()) })
@@ -133,6 +134,8 @@
 	Limits []LimitState `json:"limits"`
 	// Leaving are the replicas that have said in an answer that they leave.
 	Leaving []LeaverState `json:"leaving"`
+	// Resting are those that want nothing from this host for a while.
+	Resting []RestState `json:"resting"`
 }
 
 // State returns the state.
@@ -140,7 +143,7 @@
 	s := State{
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.found.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
-		Quarantine: g.quarantine.Dump(), Limits: g.notices.dump(clock.Now()), Leaving: g.notices.leaving(clock.Now()),
+		Quarantine: g.quarantine.Dump(), Limits: g.notices.dump(clock.Now()), Leaving: g.notices.leaving(clock.Now()), Resting: g.notices.resting(clock.Now()),
 	}
 	g.budgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.Shared).Stats()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -342,6 +342,9 @@
 	if t.notice.Limit.Named {
 		fields = append(fields, zap.Float64("limit", t.notice.Limit.PerSecond))
 	}
+	if t.notice.Rest > 0 {
+		fields = append(fields, zap.Duration("rest", t.notice.Rest))
+	}
 	if t.notice.Leaving {
 		fields = append(fields, zap.Bool("leaving", true))
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -32,6 +32,7 @@
 	Drain   Drain    `yaml:"drain"`
 	Budget  Budget   `yaml:"budget"`
 	Cold    Cold     `yaml:"cold"`
+	Rest    Rest     `yaml:"rest"`
 	Limits  Limits   `yaml:"limits"`
 	Log     Log      `yaml:"log"`
 }
@@ -90,6 +91,13 @@
 	Slack   float64 `yaml:"slack"`
 }
 
+// Rest bounds what replicas may ask of this host as they turn it away.
+type Rest struct {
+	// Most is the longest time for which a replica is sent nothing by one answer.
+	// Default 60s.
+	Most time.Duration `yaml:"most"`
+}
+
 // Limits are the machine's.
 type Limits struct {
 	// Processors is the number of threads that may run at a time. Default 1.
@@ -115,6 +123,7 @@
 	defaultBudgetSlack  = 20
 	defaultBudgetWindow = 10 * time.Second
 	defaultColdOverage  = 1
+	defaultRestMost     = time.Minute
 	defaultMemoryMB     = 256
 	defaultLogLevel     = "info"
 )
@@ -130,6 +139,7 @@
 		Drain:  Drain{Grace: defaultGrace},
 		Budget: Budget{Ratio: defaultBudgetRatio, Slack: defaultBudgetSlack, Window: defaultBudgetWindow},
 		Cold:   Cold{Overage: defaultColdOverage},
+		Rest:   Rest{Most: defaultRestMost},
 		Limits: Limits{Processors: 1, ProcessorShare: 1, MemoryMB: defaultMemoryMB},
 		Log:    Log{Level: defaultLogLevel},
 	}
@@ -184,6 +194,9 @@
 	if s.Cold.Overage <= 0 || s.Cold.Slack < 0 {
 		r.Add("cold", "want an overage over 0 and a slack of 0 or more")
 	}
+	if s.Rest.Most <= 0 {
+		r.Add("rest.most", "want a time over 0")
+	}
 	if s.Limits.Processors < 1 {
 		r.Add("limits.processors", "want 1 or more")
 	}
--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -15,6 +15,8 @@
 	Shed bool
 	// ShedFree refuses likewise, and tells that it has free places.
 	ShedFree bool
+	// RetryAfter is what a refusal says of when to come back; "" for nothing.
+	RetryAfter string
 	// ShedSilently answers 503 without that word, after the run.
 	ShedSilently bool
 	// CutBefore closes the connection after the run and before any answer.
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -328,6 +328,9 @@
 		return
 	}
 	held := r.useHold(req)
+	if b.RetryAfter != "" && (b.Shed || b.ShedFree) && !held {
+		w.Header().Set("Retry-After", b.RetryAfter)
+	}
 	if b.Shed && !held {
 		refuse(w, http.StatusServiceUnavailable)
 		return
