Failing test: a replica that asks for rest is left alone

Seen on this code between half a second after a refusal and the end of its rest: 3 requests, 3 streams, 4 calls for pieces; two are allowed. The replica must be asked again after its rest, and all callers served meanwhile.

--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -311,3 +311,42 @@
 		return logged(logs, "wish for rest not understood")
 	}, "4s").Should(Equal(1))
 }
+
+// Guards against requests, streams and calls for pieces that reach a replica which has turned
+// this host away and asked for rest.
+func TestReplicaThatAsksForRestIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	const (
+		rest = 3 * time.Second
+		// passing is how long what was on its way may still arrive, and allowed how many
+		// requests may after it.
+		passing = 500 * time.Millisecond
+		allowed = 2
+	)
+	for _, load := range []struct {
+		name, replica, path string
+		change              func(*http.Request)
+	}{
+		{"requests", "p1", safePath, nil},
+		{"streams", "e1", goOnPath, nil},
+		{"pieces", "s1", goOnPath, staged},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			g := f.start().ready()
+			tired := f.replicas[load.replica]
+			tired.Behave(site.Behaviour{Shed: true, RetryAfter: "3"})
+			refused := pressAll([]*running{g}, 60*time.Millisecond, 3*rest, load.path, load.change)
+			f.Expect(refused).To(BeZero(), "the other replica has room for all")
+			arrived := tired.Arrived()
+			f.Expect(len(arrived)).To(BeNumerically(">", 1), "it is asked again after its rest")
+			for _, asked := range arrived {
+				during := slices.DeleteFunc(slices.Clone(arrived), func(at time.Time) bool {
+					return at.Before(asked.Add(passing)) || !at.Before(asked.Add(rest))
+				})
+				f.Expect(len(during)).To(BeNumerically("<=", allowed))
+			}
+		})
+	}
+}
