Leave replicas alone that refuse and ask for rest, until it is over

What replicas saw: three requests in the 3 s for which they had asked a host to send nothing (two are allowed from half a second on), each turned away. What callers saw: 503 where both of a request's attempts went to such replicas, while six of nine refused nothing.

Cause: Retry-After of a replica's 503 was dropped with the rest of the answer's head, and a host left a refusing replica alone for 100 ms, doubled to a second at most. That wait is also lifted when no other upstream is left. Ruled out: that it was lifted in the record (others had room).

A rest is a fourth bound of the gates that both doors ask, of this host alone, never lifted. When all replicas rest, callers are refused at once, with the time until the first rest is over; the planner waits for a rest that is shorter than a call, and refuses jobs else.

--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -17,11 +17,13 @@
 	Named
 	// Leaving bounds them to none at replicas that say in an answer that they leave.
 	Leaving
+	// Resting bounds them to none for a while at replicas that asked this host for rest.
+	Resting
 	sources
 )
 
 // String names the source in logs and decision records.
-func (s Source) String() string { return [sources]string{"cold", "limited", "leaving"}[s] }
+func (s Source) String() string { return [sources]string{"cold", "limited", "leaving", "resting"}[s] }
 
 // Part is one host's part of the calls that a replica takes.
 type Part struct {
@@ -33,6 +35,8 @@
 	// how long after it the next; zero for none.
 	Probe      time.Time
 	ProbeEvery time.Duration
+	// Until is when any number of calls may begin again; zero for a part that lasts.
+	Until time.Time
 }
 
 // MaxCalls is the largest number of calls of a Part that is kept count of.
@@ -88,7 +92,7 @@
 			continue
 		}
 		opens := g.opens(p)
-		if others := now.Add(p.Window); p.Calls < 1 && p.Window > 0 && opens.After(others) {
+		if others := now.Add(p.Window); p.Until.IsZero() && p.Calls < 1 && p.Window > 0 && opens.After(others) {
 			opens = others
 		}
 		if opens.After(at) {
@@ -112,14 +116,14 @@
 func (g *Gate) Bounded() bool { return g.bounded.Load() }
 
 // Rate is how many calls a second this host may begin; false where nothing bounds them.
-func (g *Gate) Rate() (perSecond float64, bounded bool) {
+func (g *Gate) Rate(now time.Time) (perSecond float64, bounded bool) {
 	if !g.bounded.Load() {
 		return 0, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.parts {
-		if p == nil {
+		if p == nil || !p.Until.IsZero() && !now.Before(p.Until) {
 			continue
 		}
 		var rate float64
@@ -135,7 +139,10 @@
 
 // opens returns when a part allows this host's next call; the lock is held.
 func (g *Gate) opens(p *Part) time.Time {
-	if p.Calls < 1 {
+	switch {
+	case !p.Until.IsZero():
+		return p.Until
+	case p.Calls < 1:
 		return g.opensForProbe(p)
 	}
 	oldest := g.begun[(g.newest+1+MaxCalls-min(p.Calls, MaxCalls))%MaxCalls]
--- a/core/route/intake_test.go
+++ b/core/route/intake_test.go
@@ -102,3 +102,33 @@
 		Expect(mustPick(r, start, query()).Upstream).To(Equal("u0@2"))
 	})
 })
+
+var _ = Describe("upstreams that ask for rest", func() {
+	resting := func(r *Router, until map[string]time.Duration) {
+		parts := map[string]intake.Part{}
+		for name, d := range until {
+			parts[name] = intake.Part{Until: start.Add(d)}
+		}
+		r.config.Gates.Bound(intake.Resting, parts)
+	}
+
+	It("get nothing until it is over, also as the last that are left", func() {
+		r := testRouter(testBundle(2, 100, bundle.PolicyAdaptive), 1)
+		resting(r, map[string]time.Duration{"u0": 3 * time.Second, "u1": 2 * time.Second})
+		wait, closed := r.Closed(start, "llm")
+		Expect(closed).To(BeTrue())
+		Expect(wait).To(Equal(2 * time.Second))
+		_, err := r.Pick(start.Add(time.Second), query(), nil)
+		Expect(err).NotTo(BeNil())
+		Expect(err.Detail).To(ContainSubstring("2 resting"))
+		Expect(err.RetryAfter).To(Equal(time.Second))
+		for at := 2 * time.Second; at < 3*time.Second; at += 50 * time.Millisecond {
+			Expect(mustPick(r, start.Add(at), query()).Upstream).To(Equal("u1"))
+		}
+		picks := map[string]int{}
+		for range 50 {
+			picks[mustPick(r, start.Add(3*time.Second), query()).Upstream]++
+		}
+		Expect(picks).To(HaveKey("u0"))
+	})
+})
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -95,7 +95,7 @@
 
 // refusal explains why no upstream is left.
 func (p *poolView) refusal(v *View) *problem.Error {
-	saturated, cold, limited := 0, 0, 0
+	saturated, cold, limited, resting := 0, 0, 0, 0
 	var opens soonest
 	for i := range v.Candidates {
 		switch c := &v.Candidates[i]; {
@@ -107,12 +107,16 @@
 			cold++
 			opens.add(saturatedRetry)
 		case c.Bounded:
-			limited++
+			if c.BoundedBy == intake.Resting {
+				resting++
+			} else {
+				limited++
+			}
 			opens.add(p.members[i].state.gate.Opens(v.Now).Sub(v.Now))
 		}
 	}
-	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, %d limited, the others leaving",
-		p.name, len(v.Candidates), saturated, cold, limited)
+	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, %d limited, %d resting, the others leaving",
+		p.name, len(v.Candidates), saturated, cold, limited, resting)
 	err.RetryAfter = opens.or(emptyRetry)
 	return err
 }
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -117,7 +117,7 @@
 	for _, r := range s.replicas {
 		if r.usable(now) && full > 0 {
 			calls := float64(s.figures.Concurrency) / full
-			if rate, bounded := r.gate.Rate(); bounded {
+			if rate, bounded := r.gate.Rate(now); bounded && rate > 0 {
 				calls = min(calls, rate)
 			}
 			perSecond += r.roomShare(now) * calls * float64(s.figures.Batch)
--- a/core/stage/intake_test.go
+++ b/core/stage/intake_test.go
@@ -91,3 +91,34 @@
 		Expect(b.refused["j"].Reason).To(Equal(ReasonNoReplica))
 	})
 })
+
+var _ = Describe("replicas that ask for rest", func() {
+	It("are called again when it is over, and others meanwhile", func() {
+		b := newBench(figures(4, 0), "x", "y")
+		b.m.cfg.Gates.Bound(intake.Resting, map[string]intake.Part{"a1": {Until: b.now.Add(3 * time.Second)}})
+		began, back := b.now, false
+		for i := 0; b.now.Sub(began) < 5*time.Second; i++ {
+			for _, r := range b.submit(b.chain(string(rune('a'+i)), Stage{Service: "a", Pieces: 8})) {
+				if r.Replica == "a1" {
+					Expect(b.now.Sub(began)).To(BeNumerically(">=", 3*time.Second))
+					back = true
+				}
+			}
+			b.finish()
+		}
+		Expect(back).To(BeTrue())
+		Expect(b.refused).To(BeEmpty())
+	})
+
+	It("are waited for when they are the last, if that is over soon", func() {
+		b := newBench(figures(4, 0), "x")
+		b.m.cfg.Gates.Bound(intake.Resting, map[string]intake.Part{"a1": {Until: b.now.Add(200 * time.Millisecond)}})
+		Expect(b.submit(b.chain("j", Stage{Service: "a", Pieces: 1}))).To(BeEmpty())
+		Expect(b.refused).To(BeEmpty())
+		Expect(b.pass(200 * time.Millisecond)).To(HaveLen(1))
+
+		b.m.cfg.Gates.Bound(intake.Resting, map[string]intake.Part{"a1": {Until: b.now.Add(3 * time.Second)}})
+		b.submit(b.chain("k", Stage{Service: "a", Pieces: 1}))
+		Expect(b.refused["k"].RetryAfter).To(Equal(3 * time.Second))
+	})
+})
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -125,10 +125,10 @@
 // takesWork says whether the replica takes new work by its own word and the list's.
 func (r *replica) takesWork() bool { return r.listed && !r.Draining && !r.gate.Leaves() }
 
-// closed says that the replica takes no calls of this host for now.
+// closed says that the replica takes no calls of this host for longer than a call takes.
 func (r *replica) closed(now time.Time) bool {
-	rate, bounded := r.gate.Rate()
-	return bounded && rate == 0 && now.Before(r.gate.Opens(now))
+	rate, bounded := r.gate.Rate(now)
+	return bounded && rate == 0 && now.Add(r.service.callTime(1)).Before(r.gate.Opens(now))
 }
 
 // idle says whether the replica may be called now.
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -136,6 +136,7 @@
 			g.limitCold(nil)
 		}
 		g.keepLimits()
+		g.endRests()
 		g.repeatHeard(clock.Now())
 	}
 }
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -53,7 +53,10 @@
 		n.unread[a.Replica] = true
 		g.log.Warn("wish for rest not understood", zap.String("service", service), zap.String("replica", a.Replica), zap.String("value", unread))
 	}
-	rest, began, _ := n.rests.Hear(now, a, g.settings.Load().Rest.Most)
+	rest, began, changed := n.rests.Hear(now, a, g.settings.Load().Rest.Most)
+	if changed {
+		g.boundResting()
+	}
 	if began {
 		g.log.Info("replica asks for rest", zap.String("service", service), zap.String("replica", a.Replica),
 			zap.Duration("asked", a.Notice.Rest), zap.Duration("for", rest.Until.Sub(now)))
@@ -61,6 +64,24 @@
 	}
 }
 
+// boundResting closes the replicas that rest; the notices' lock is held.
+func (g *Gateway) boundResting() {
+	parts := map[string]intake.Part{}
+	for _, r := range g.notices.rests.All() {
+		parts[r.Replica] = intake.Part{Until: r.Until}
+	}
+	g.gates.Bound(intake.Resting, parts)
+}
+
+// endRests opens the replicas whose rest is over.
+func (g *Gateway) endRests() {
+	g.notices.mu.Lock()
+	defer g.notices.mu.Unlock()
+	if g.notices.rests.End(clock.Now()) {
+		g.boundResting()
+	}
+}
+
 // leaves puts in force that replicas leave, as a host has heard; the notices' lock is
 // held.
 func (g *Gateway) leaves(by string, leavers []intake.Leaver) {
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -350,3 +350,26 @@
 		})
 	}
 }
+
+func TestRequestIsRefusedAtOnceWhenAllReplicasRest(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.start().ready()
+	f.behave("plain", site.Behaviour{Shed: true, RetryAfter: "1.5"})
+	f.Eventually(func() []string {
+		g.send(http.MethodPost, sealPath, "", nil)
+		return g.counters("wheatseam_replicas_resting ")
+	}, "4s").Should(ConsistOf("wheatseam_replicas_resting 2"))
+	refused, id := g.send(http.MethodPost, sealPath, "", nil)
+	f.Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+	f.Expect(f.ledger.Runs(id)).To(BeEmpty())
+	f.Expect(strconv.ParseFloat(refused.header.Get("Retry-After"), 64)).To(And(BeNumerically(">", 0), BeNumerically("<=", 1.5)))
+	before := len(f.replicas["p1"].Arrived()) + len(f.replicas["p2"].Arrived())
+	g.send(http.MethodPost, sealPath, "", nil)
+	f.Expect(len(f.replicas["p1"].Arrived()) + len(f.replicas["p2"].Arrived())).To(Equal(before))
+	f.behave("plain", site.Behaviour{})
+	f.Eventually(func() int {
+		a, _ := g.send(http.MethodPost, sealPath, "", nil)
+		return a.status
+	}, "4s").Should(Equal(http.StatusOK))
+}
