Ask once more at the moment of sending whether a replica takes anything

The replica may have said meanwhile that it leaves or wants rest; the answer that holds a place for a replacement may say so itself. The planner then counts the call as not executed and makes its pieces elsewhere, and a replacement is given up before the run under way is ended for it. A limit is not asked again: the call is part of this host's share already.

TestCallThatWasChosenBeforeIsNotSent is new with the planner's check.

--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -102,6 +102,18 @@
 	return at
 }
 
+// TurnsAway says whether the replica takes nothing of this host by its own word: it leaves
+// or rests. A call that was chosen before it said so is not to be sent.
+func (g *Gate) TurnsAway(now time.Time) bool {
+	if !g.bounded.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rest := g.parts[Resting]
+	return g.parts[Leaving] != nil || rest != nil && now.Before(rest.Until)
+}
+
 // Leaves says whether the replica takes no new work any more.
 func (g *Gate) Leaves() bool {
 	if !g.bounded.Load() {
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -77,7 +77,7 @@
 		return nil, deniedOr(ctx, deniedReplica)
 	}
 	if len(x.inputs) == 0 || t.keepInputs() {
-		return r, ""
+		return x.stillTaken(r)
 	}
 	held := clock.Now()
 	in, perr := x.makeInputs(ctx, held)
@@ -91,7 +91,19 @@
 		x.releaseInputs()
 		return nil, deniedOr(ctx, deniedReplica)
 	}
-	return r, ""
+	return x.stillTaken(r)
+}
+
+// stillTaken gives a replacement up whose replica has said meanwhile that it takes nothing.
+func (x *exchange) stillTaken(r *replacement) (*replacement, denial) {
+	if !x.g.gates.Of(r.choice.Upstream).TurnsAway(clock.Now()) {
+		return r, ""
+	}
+	x.givePlaceBack(r)
+	if r.inputs != nil {
+		x.releaseInputs()
+	}
+	return nil, deniedReplica
 }
 
 // renewPlace has another place held where the first one may lapse.
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -201,6 +201,7 @@
 	{name: "with one engine, before the first event", afterEvents: 0, before: oneEngine},
 	{name: "with the other engine draining", afterEvents: 2, before: otherDrains},
 	{name: "with both engines draining since the first event", afterEvents: 1, first: bothDrain},
+	{name: "with both engines saying that they leave since the first event", afterEvents: 1, first: bothSayLeaving},
 	{name: refusing, afterEvents: 1, first: bothRefuse},
 	{name: "with stages", afterEvents: 2, change: patientWithStage},
 	{name: "with stages that are gone since the first event", afterEvents: 1, change: patientWithStage, first: noStages},
@@ -219,6 +220,13 @@
 	f.register(f.replicas["e2"], "draining")
 }
 
+// bothSayLeaving has the engines say so in what they answer from now on: the daemon hears it
+// with the place that it has held.
+func bothSayLeaving(f *fixture, _ pausing) {
+	f.replicas["e1"].SayLeaving()
+	f.replicas["e2"].SayLeaving()
+}
+
 // bothRefuse has the engines refuse what comes from now on.
 func bothRefuse(f *fixture, c pausing) {
 	f.behave("llm", site.Behaviour{Shed: true, NoOrders: c.noOrders})
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
@@ -84,6 +86,7 @@
 // planner plans in this daemon.
 type planner struct {
 	replicas Replicas
+	gates    *intake.Gates
 	log      *zap.Logger
 	freeing  *freeing
 
@@ -102,8 +105,11 @@
 }
 
 func newPlanner(cfg stage.Config, replicas Replicas, log *zap.Logger) *planner {
+	if cfg.Gates == nil {
+		cfg.Gates = intake.NewGates()
+	}
 	p := &planner{
-		replicas: replicas, log: log, machine: stage.New(cfg),
+		replicas: replicas, gates: cfg.Gates, log: log, machine: stage.New(cfg),
 		jobs: map[string]*entry{}, owners: map[string]*owner{}, calls: map[uint64]context.CancelFunc{}, wake: make(chan struct{}, 1),
 		answers: uint64(clock.Now().UnixNano()),
 	}
@@ -436,7 +442,7 @@
 	case <-clock.After(freeWait):
 	}
 	began := clock.Now()
-	results, outcome, err := p.replicas.RunPieces(ctx, a)
+	results, outcome, err := p.send(ctx, a)
 	p.log.Info("stage call", zap.String("service", a.Service), zap.String("replica", a.Replica), zap.Int("pieces", len(a.Pieces)),
 		zap.Uint64("call", a.Call), zap.Duration("took", clock.Since(began)), zap.Stringer("outcome", outcome),
 		zap.Int("no_room", count(results, stage.NoRoom)), zap.Int("input_gone", count(results, stage.InputGone)), zap.Error(err))
@@ -446,6 +452,17 @@
 	p.perform(actions)
 }
 
+// errTurnedAway: the replica has said, since the call was chosen, that it takes nothing.
+var errTurnedAway = errors.New("the replica takes no calls")
+
+// send makes the call, unless the replica has said meanwhile that it takes nothing.
+func (p *planner) send(ctx context.Context, a stage.Run) ([]stage.Result, stage.CallOutcome, error) {
+	if p.gates.Of(a.Replica).TurnsAway(clock.Now()) {
+		return nil, stage.CallNotExecuted, errTurnedAway
+	}
+	return p.replicas.RunPieces(ctx, a)
+}
+
 // roomTimeout bounds asking a replica for its room; later the answer is of no use.
 const roomTimeout = 500 * time.Millisecond
 
--- /dev/null
+++ b/stages/send_test.go
@@ -0,0 +1,48 @@
+package stages
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/intake"
+	"github.com/wheatseam/wheatseam/core/stage"
+	"github.com/wheatseam/wheatseam/internal/clock"
+)
+
+// counting counts the calls that are made.
+type counting struct{ calls int }
+
+func (c *counting) RunPieces(context.Context, stage.Run) ([]stage.Result, stage.CallOutcome, error) {
+	c.calls++
+	return nil, stage.CallAnswered, nil
+}
+func (c *counting) FreeResults(context.Context, stage.Free) error { return nil }
+func (c *counting) Room(context.Context, stage.Inspect) (stage.Room, error) {
+	return stage.Room{}, nil
+}
+
+// Guards against calls that were chosen before their replica said that it takes nothing, and
+// are sent after it: a call waits for results that are being given up.
+func TestCallThatWasChosenBeforeIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	replicas, gates := &counting{}, intake.NewGates()
+	p := newPlanner(stage.Config{Gates: gates}, replicas, zap.NewNop())
+	send := func() stage.CallOutcome {
+		_, outcome, _ := p.send(context.Background(), stage.Run{Replica: "r"})
+		return outcome
+	}
+	g.Expect(send()).To(Equal(stage.CallAnswered))
+	gates.Bound(intake.Leaving, map[string]intake.Part{"r": {}})
+	g.Expect(send()).To(Equal(stage.CallNotExecuted))
+	gates.Bound(intake.Leaving, nil)
+	gates.Bound(intake.Resting, map[string]intake.Part{"r": {Until: clock.Now().Add(time.Hour)}})
+	g.Expect(send()).To(Equal(stage.CallNotExecuted))
+	gates.Bound(intake.Resting, nil)
+	gates.Bound(intake.Named, map[string]intake.Part{"r": {Window: time.Hour}})
+	g.Expect(send()).To(Equal(stage.CallAnswered), "a call of this host's part, which it was chosen by")
+	g.Expect(replicas.calls).To(Equal(2))
+}
