Random schedules for replicas that leave or ask for rest

At 6, 60 and 300 hosts without a network, of which a quarter is cut off from the others while a replica leaves, with and without telling: nothing arrives later than 2 s after a host was told.

--- a/core/intake/random_test.go
+++ b/core/intake/random_test.go
@@ -26,6 +26,11 @@
 	step     = 10 * time.Millisecond
 	// bounding is the interval at which hosts work their parts out.
 	bounding = 250 * time.Millisecond
+	// draining is how long a host that was told may still send to a replica that leaves.
+	draining = 2 * time.Second
+	// mostRest bounds a rest, and restAllowed the requests that may reach a replica in one.
+	mostRest    = 4 * time.Second
+	restAllowed = 2
 	// repeating is the interval at which hosts tell again what they have heard.
 	repeating = 3 * time.Second
 )
@@ -39,8 +44,13 @@
 	account intake.Account
 	gates   *intake.Gates
 	gate    *intake.Gate
-	// told is when the host first had an answer that names a limit.
-	told time.Time
+	// told is when the host first had an answer that names a limit, and toldLeaving one
+	// that says that the replica leaves.
+	told, toldLeaving time.Time
+	leavers           intake.Leavers
+	rests             intake.Rests
+	// asked are when the replica asked the host for rest, and until when.
+	asked []intake.Rest
 	// keeps says that the host goes by limits at all.
 	keeps bool
 	// neighbours are told what is news; cut is until when calls with the host fail.
@@ -55,8 +65,17 @@
 	for _, l := range h.account.Limits() {
 		parts[l.Replica] = intake.NewShares(h.name, h.knows).OfLimit(l, intake.Requester)
 	}
+	leaving, resting := map[string]intake.Part{}, map[string]intake.Part{}
+	for _, l := range h.leavers.Since(time.Time{}) {
+		leaving[l.Replica] = intake.Part{}
+	}
+	for _, r := range h.rests.All() {
+		resting[r.Replica] = intake.Part{Until: r.Until}
+	}
 	if h.keeps {
 		h.gates.Bound(intake.Named, parts)
+		h.gates.Bound(intake.Leaving, leaving)
+		h.gates.Bound(intake.Resting, resting)
 	}
 }
 
@@ -73,8 +92,9 @@
 	to   *simHost
 	from *simHost
 	// ages are those of the words when they were told.
-	told []intake.Limited
-	sent time.Time
+	told    []intake.Limited
+	leavers []intake.Leaver
+	sent    time.Time
 }
 
 // simFleet is a fleet with one replica.
@@ -92,6 +112,10 @@
 	// limit is what the replica names; under 0 for none.
 	limit float64
 	named time.Time
+	// leaving says that it leaves, rest for how long it asks hosts that it turns away, half
+	// of those that ask.
+	leaving bool
+	rest    time.Duration
 	// arrived has, of each arrival, when it came and from whom.
 	arrived []simArrival
 }
@@ -146,7 +170,21 @@
 func (f *simFleet) call(from, to *simHost, told []intake.Limited) {
 	if len(told) > 0 && !f.now.Before(from.cut) && !f.now.Before(to.cut) && !f.now.Before(to.starts) {
 		f.told++
-		f.calls = append(f.calls, simCall{f.now.Add(time.Duration(2+f.rng.IntN(200)) * time.Millisecond), to, from, told, f.now})
+		f.calls = append(f.calls, simCall{at: f.arrival(), to: to, from: from, told: told, sent: f.now})
+	}
+}
+
+// arrival is when a call between hosts that is made now arrives.
+func (f *simFleet) arrival() time.Time {
+	return f.now.Add(time.Duration(2+f.rng.IntN(200)) * time.Millisecond)
+}
+
+// tellLeavers has a host tell its neighbours but one that a replica leaves.
+func (f *simFleet) tellLeavers(h, but *simHost, leavers []intake.Leaver) {
+	for _, to := range h.neighbours {
+		if f.spreads && to != but && !f.now.Before(h.cut) && !f.now.Before(to.cut) {
+			f.calls = append(f.calls, simCall{at: f.arrival(), to: to, from: h, leavers: leavers, sent: f.now})
+		}
 	}
 }
 
@@ -172,6 +210,10 @@
 			f.tell(c.to, c.from, changed)
 		}
 		f.call(c.to, c.from, newer)
+		if news := c.to.leavers.Learn(f.now, slices.Clone(c.leavers)); len(news) > 0 {
+			c.to.bound()
+			f.tellLeavers(c.to, c.from, news)
+		}
 	}
 }
 
@@ -191,6 +233,7 @@
 		for _, h := range f.hosts {
 			if f.now.Sub(start)%bounding == 0 {
 				h.account.Forget(f.now, func(string) bool { return true })
+				h.rests.End(f.now)
 				h.bound()
 				f.repeat(h)
 			}
@@ -214,6 +257,10 @@
 	if f.limit >= 0 && a.Served {
 		a.Notice.Limit = intake.Limit{Named: true, PerSecond: f.limit}
 	}
+	a.Notice.Leaving = f.leaving
+	if f.rest > 0 && f.rng.IntN(2) == 0 {
+		a.Served, a.Notice.Rest = false, f.rest
+	}
 	f.answers = append(f.answers, simAnswer{arrives.Add(time.Duration(10+f.rng.IntN(400)) * time.Millisecond), h, a})
 }
 
@@ -227,6 +274,15 @@
 			a.host.bound()
 			f.tell(a.host, nil, []intake.Limited{l})
 		}
+		if l, first := a.host.leavers.Hear(f.now, a.Answer); first {
+			a.host.toldLeaving = f.now
+			a.host.bound()
+			f.tellLeavers(a.host, nil, []intake.Leaver{l})
+		}
+		if r, _, changed := a.host.rests.Hear(f.now, a.Answer, mostRest); changed {
+			a.host.asked = append(a.host.asked, intake.Rest{Since: f.now, Until: r.Until})
+			a.host.bound()
+		}
 		if a.Notice.Limit.Named && a.host.told.IsZero() {
 			a.host.told = f.now
 			if f.named.IsZero() {
@@ -384,3 +440,58 @@
 		})
 	}
 }
+
+// TestReplicaThatLeavesGetsNothingOfHostsThatWereTold has each host go by its own answers and
+// what fellows tell it; a part of them is cut off from the others.
+func TestReplicaThatLeavesGetsNothingOfHostsThatWereTold(t *testing.T) {
+	for _, n := range []int{6, 60, 300} {
+		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds(n) {
+				g := NewWithT(t)
+				f := newSimFleet(seed, n, 400*time.Millisecond)
+				f.spreads = seed%2 == 0
+				f.run(2 * time.Second)
+				for range n / 4 {
+					f.hosts[f.rng.IntN(n)].cut = f.now.Add(4 * time.Second)
+				}
+				f.leaving = true
+				f.run(20 * time.Second)
+				for _, a := range f.arrived {
+					if told := a.host.toldLeaving; !told.IsZero() {
+						g.Expect(a.at.Sub(told)).To(BeNumerically("<=", draining), "seed %d", seed)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestReplicaThatAsksForRestIsLeftAloneByThatHost has the replica turn away half of what
+// comes; hosts that it has not asked go on.
+func TestReplicaThatAsksForRestIsLeftAloneByThatHost(t *testing.T) {
+	for _, n := range []int{6, 60, 300} {
+		for _, rest := range []time.Duration{300 * time.Millisecond, 3 * time.Second, time.Hour} {
+			t.Run(fmt.Sprintf("%d hosts, %s", n, rest), func(t *testing.T) {
+				t.Parallel()
+				f := newSimFleet(5, n, 100*time.Millisecond)
+				f.rest = rest
+				f.run(15 * time.Second)
+				rested := 0
+				for _, h := range f.hosts {
+					rested += len(h.asked)
+					for _, r := range h.asked {
+						during := 0
+						for _, a := range f.arrived {
+							if a.host == h && !a.at.Before(r.Since.Add(passing)) && a.at.Before(r.Until) {
+								during++
+							}
+						}
+						NewWithT(t).Expect(during).To(BeNumerically("<=", restAllowed))
+					}
+				}
+				NewWithT(t).Expect(rested).To(BeNumerically(">=", 2*n), "hosts ask again when a rest is over")
+			})
+		}
+	}
+}
