Soak: replicas that leave unregistered or ask for rest, and the checks of both

Replicas say in their answers that they leave while their entries go on saying ready; others turn all work away for a while and ask for 0.5 to 3 s of rest. Stand-ins note each arrival with the rest that was asked for, so that processes which ran through are held to the rule by what reached the replica, rejected requests included. Calls for pieces have no sender here and are not counted.

--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -71,8 +71,20 @@
 	limit string
 	// leaving says that every answer tells so.
 	leaving bool
-	// arrived are the times at which requests and calls for pieces came.
-	arrived []time.Time
+	// refusing has the replica turn all work away, and ask for so much rest, in seconds; ""
+	// does not.
+	refusing string
+	arrived  []Arrival
+}
+
+// Arrival is a request, or a call for pieces, that came to a replica.
+type Arrival struct {
+	At time.Time
+	// Request is the caller's id; "" for a call for pieces.
+	Request string
+	// Rest is the rest that the replica asked for as it turned the request away, in
+	// seconds as it said it; "" for none.
+	Rest string
 }
 
 // spell is a time of behaviour other than well; until is zero while it lasts.
@@ -253,18 +265,37 @@
 	r.leaving = true
 }
 
+// RefuseForRest has the replica turn all work away and ask for so much rest, in seconds as
+// it says it; "" ends that. A replica that does so does not misbehave.
+func (r *Replica) RefuseForRest(seconds string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusing = seconds
+}
+
 // Arrived returns when requests and calls for pieces came, in order.
 func (r *Replica) Arrived() []time.Time {
+	var times []time.Time
+	for _, a := range r.Arrivals() {
+		times = append(times, a.At)
+	}
+	return times
+}
+
+// Arrivals returns the requests and calls for pieces that came, in order.
+func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.arrived)
 }
 
-// arrive notes a request or a call for pieces.
-func (r *Replica) arrive() {
+// arrive notes a request or a call for pieces, and returns the rest with which it is turned
+// away; "" if it is not.
+func (r *Replica) arrive(request string) (rest string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrived = append(r.arrived, time.Now())
+	r.arrived = append(r.arrived, Arrival{At: time.Now(), Request: request, Rest: r.refusing})
+	return r.refusing
 }
 
 // sayOfItself adds what the replica says of itself to the head of an answer.
@@ -316,14 +347,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	rest := ""
 	if !strings.HasPrefix(req.URL.Path, "/-/") || req.URL.Path == "/-/stage-run" {
-		r.arrive()
+		rest = r.arrive(req.Header.Get("Attempt-Id"))
 	}
 	if b.Hang {
 		hang(req)
 		return
 	}
 	r.sayOfItself(w.Header())
+	if rest != "" {
+		w.Header().Set("Retry-After", rest)
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
 	if r.Kind == Engine && r.order(w, req, b) {
 		return
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -39,6 +39,8 @@
 	r.checkVersions()
 	r.checkCulprits()
 	r.checkLimits()
+	r.checkLeavers()
+	r.checkRests()
 	for _, f := range r.ledger.Faults() {
 		r.violate("replicas: %s", f)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -68,8 +68,10 @@
 	evacuations []evacuation
 	// limits are those that replicas named, in their order.
 	limits []limitSpell
-	report Report
-	calls  []done
+	// leavers maps replicas to when they first said in their answers that they leave.
+	leavers map[string]time.Time
+	report  Report
+	calls   []done
 }
 
 // done is one attempt of a caller and what came of it.
@@ -92,7 +94,7 @@
 func Do(ctx context.Context, cfg Config) (Report, error) {
 	r := &Run{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), began: time.Now(), store: site.NewStore(), ledger: site.NewLedger(),
-		draining: map[string]time.Time{}, crashed: map[string][]time.Time{}, revoked: map[string]time.Time{}, keys: []string{"key-0", "key-1"},
+		draining: map[string]time.Time{}, crashed: map[string][]time.Time{}, revoked: map[string]time.Time{}, leavers: map[string]time.Time{}, keys: []string{"key-0", "key-1"},
 	}
 	r.report = Report{Seed: cfg.Seed, Dir: cfg.Dir, Daemons: cfg.Daemons, Duration: cfg.Duration}
 	defer r.close()
@@ -112,6 +114,8 @@
 	wg.Go(func() { r.pauseEngines(playing, rand.New(rand.NewPCG(cfg.Seed, 4))) })
 	wg.Go(func() { r.evacuateDomains(playing, rand.New(rand.NewPCG(cfg.Seed, 5))) })
 	wg.Go(func() { r.nameLimits(playing, rand.New(rand.NewPCG(cfg.Seed, 6))) })
+	wg.Go(func() { r.leaveUnregistered(playing, rand.New(rand.NewPCG(cfg.Seed, 7))) })
+	wg.Go(func() { r.askForRest(playing, rand.New(rand.NewPCG(cfg.Seed, 8))) })
 	r.inject(playing)
 	wg.Wait()
 	r.recover()
