Bound upstreams that are listed again by the gate that stands for them now

Found by reading: a router keeps what it knows of an upstream while calls are in flight there, though no list names it, and kept its gate too. The gates drop those of replicas that are not listed, so that a replica which the list had lost for a moment came back with a gate that nobody set any more: one that leaves got work again. Both doors now ask for the gate with each list. The spec failed before.

--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -106,8 +106,10 @@
 		key := upstreamKey{u.Name, u.Address}
 		st := p.shard.states[key]
 		if st == nil {
-			st = &state{gate: r.config.Gates.Of(u.Name)}
+			st = &state{}
 		}
+		// Gates of upstreams that were not listed meanwhile are others.
+		st.gate = r.config.Gates.Of(u.Name)
 		st.listed = r.leaving[u.Name]
 		kept[key] = st
 		p.members = append(p.members, member{
--- a/core/route/intake_test.go
+++ b/core/route/intake_test.go
@@ -132,3 +132,23 @@
 		Expect(picks).To(HaveKey("u0"))
 	})
 })
+
+var _ = Describe("an upstream that is not listed for a while", func() {
+	It("is bounded again when it is, though calls are in flight there", func() {
+		gates := intake.NewGates()
+		r := New(Config{FailureDomain: "d0", Seed: 1, Gates: gates})
+		b := testBundle(2, 100, bundle.PolicyAdaptive)
+		r.Apply(b)
+		for range 20 {
+			mustPick(r, start, query())
+		}
+		less := testBundle(1, 100, bundle.PolicyAdaptive)
+		r.Apply(less)
+		gates.Keep(func(name string) bool { return name == "u0" })
+		gates.Bound(intake.Leaving, map[string]intake.Part{"u1": {}})
+		r.Apply(b)
+		for range 50 {
+			Expect(mustPick(r, start, query()).Upstream).To(Equal("u0"))
+		}
+	})
+})
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -140,9 +140,10 @@
 	}
 	r := m.replicas[listed.ID]
 	if r == nil {
-		r = &replica{service: s, pace: 1, gate: m.cfg.Gates.Of(listed.ID)}
+		r = &replica{service: s, pace: 1}
 		m.replicas[listed.ID] = r
 	}
+	r.gate = m.cfg.Gates.Of(listed.ID)
 	r.Replica, r.listed, r.service = listed, true, s
 }
 
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -44,6 +44,9 @@
 
 // hearRest takes a replica's wish for rest; the notices' lock is held.
 func (g *Gateway) hearRest(a intake.Answer) {
+	if a.Notice.Rest <= 0 && a.Notice.UnreadRest == "" {
+		return
+	}
 	n, now := &g.notices, clock.Now()
 	service := g.found.View().Replicas[a.Replica].Service
 	if unread := a.Notice.UnreadRest; unread != "" && !n.unread[a.Replica] {
