--- a/core/intake/account.go
+++ b/core/intake/account.go
@@ -25,14 +25,23 @@
 	// liftedLife is how long it is remembered that a limit was lifted, so that fellows
 	// which know it as named are told.
 	liftedLife = 10 * time.Second
-	// maxReplicas bounds the replicas of an Account.
+	// unlistedLife is how long what a replica has said is remembered though it is not
+	// listed: the list may lose it and have it again.
+	unlistedLife = time.Minute
+	// maxReplicas bounds the replicas that are remembered for one word of theirs.
 	maxReplicas = 1 << 14
 )
 
 // Account is what one host knows of the limits that replicas name. The zero value is
 // ready.
 type Account struct {
-	limits map[string]*Limited
+	limits map[string]*limited
+}
+
+type limited struct {
+	Limited
+	// listed is when the replica was last listed, or first heard of.
+	listed time.Time
 }
 
 // Hear takes an answer, and returns the replica's limit if the answer changed it. A
@@ -44,22 +53,22 @@
 	switch {
 	case said.Named && known == nil:
 		l := Limited{Replica: answer.Replica, Limit: said, Round: 1, Since: now, At: now}
-		return l, a.add(l)
+		return l, a.add(now, l)
 	case said.Named:
 		known.At = now
 		if known.Limit == said {
-			return *known, false
+			return known.Limited, false
 		}
 		if !known.Limit.Named {
 			known.Since = now
 		}
 		known.Limit, known.Round = said, known.Round+1
-		return *known, true
+		return known.Limited, true
 	case known == nil || !known.Limit.Named || !answer.Served || !answer.Sent.After(known.At):
 		return Limited{}, false
 	}
 	known.Limit, known.Round, known.At = Limit{}, known.Round+1, now
-	return *known, true
+	return known.Limited, true
 }
 
 // supersedes says whether a word replaces another one. Of two that hosts heard beside
@@ -75,25 +84,25 @@
 }
 
 // add takes a replica that was not known; it says whether there is room.
-func (a *Account) add(l Limited) bool {
+func (a *Account) add(now time.Time, l Limited) bool {
 	if len(a.limits) >= maxReplicas {
 		return false
 	}
 	if a.limits == nil {
-		a.limits = map[string]*Limited{}
+		a.limits = map[string]*limited{}
 	}
-	a.limits[l.Replica] = &l
+	a.limits[l.Replica] = &limited{l, now}
 	return true
 }
 
 // Learn takes what a fellow knows. It returns what that changes here, and what the fellow
 // is to be told since it knows something older.
-func (a *Account) Learn(told []Limited) (changed, newer []Limited) {
+func (a *Account) Learn(now time.Time, told []Limited) (changed, newer []Limited) {
 	for _, l := range told {
 		known := a.limits[l.Replica]
 		switch {
 		case known == nil:
-			if l.Limit.Named && a.add(l) {
+			if l.Limit.Named && a.add(now, l) {
 				changed = append(changed, l)
 			}
 		case known.Limit == l.Limit:
@@ -101,11 +110,11 @@
 			if l.At.Sub(known.At) > freshBy {
 				known.At = l.At
 			}
-		case l.supersedes(known):
-			*known = l
+		case l.supersedes(&known.Limited):
+			known.Limited = l
 			changed = append(changed, l)
 		default:
-			newer = append(newer, *known)
+			newer = append(newer, known.Limited)
 		}
 	}
 	return changed, newer
@@ -113,28 +122,31 @@
 
 // News returns what was heard, here or by a fellow, after a time.
 func (a *Account) News(after time.Time) []Limited {
-	return a.which(func(l *Limited) bool { return l.At.After(after) })
+	return a.which(func(l *limited) bool { return l.At.After(after) })
 }
 
-// Forget drops what is known of replicas that are not listed, or whose limit was lifted
-// long ago.
+// Forget drops what is known of replicas that have not been listed for long, or whose
+// limit was lifted long ago.
 func (a *Account) Forget(now time.Time, listed func(replica string) bool) {
-	maps.DeleteFunc(a.limits, func(replica string, l *Limited) bool {
-		return !listed(replica) || !l.Limit.Named && now.Sub(l.At) > liftedLife
+	maps.DeleteFunc(a.limits, func(replica string, l *limited) bool {
+		if listed(replica) {
+			l.listed = now
+		}
+		return now.Sub(l.listed) > unlistedLife || !l.Limit.Named && now.Sub(l.At) > liftedLife
 	})
 }
 
 // Limits returns the limits in force, by replica.
 func (a *Account) Limits() []Limited {
-	return a.which(func(l *Limited) bool { return l.Limit.Named })
+	return a.which(func(l *limited) bool { return l.Limit.Named })
 }
 
 // which returns what is known of some replicas, by replica.
-func (a *Account) which(counts func(*Limited) bool) []Limited {
+func (a *Account) which(counts func(*limited) bool) []Limited {
 	var out []Limited
 	for _, id := range slices.Sorted(maps.Keys(a.limits)) {
 		if l := a.limits[id]; counts(l) {
-			out = append(out, *l)
+			out = append(out, l.Limited)
 		}
 	}
 	return out
--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -213,8 +213,8 @@
 	return g
 }
 
-// Bound gives the parts of a source, by replica; it replaces what was given before.
-func (gs *Gates) Bound(s Source, parts map[string]Part) {
+// SetParts replaces the parts of a source, by replica.
+func (gs *Gates) SetParts(s Source, parts map[string]Part) {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
 	gs.parts[s] = parts
--- a/core/intake/leaving.go
+++ b/core/intake/leaving.go
@@ -13,10 +13,6 @@
 	At time.Time
 }
 
-// leaversLife is how long a replica that is not listed is remembered to leave: the list may
-// lose it and have it again.
-const leaversLife = time.Minute
-
 // Leavers are the replicas that have said that they leave. It is the start of a replica
 // that does, for good: another start has another name. The zero value is ready.
 type Leavers struct {
@@ -64,11 +60,14 @@
 		if listed(replica) {
 			k.listed = now
 		}
-		return now.Sub(k.listed) > leaversLife
+		return now.Sub(k.listed) > unlistedLife
 	})
 	return len(l.known) < before
 }
 
+// All returns the replicas that have said that they leave, by name.
+func (l *Leavers) All() []Leaver { return l.Since(time.Time{}) }
+
 // Since returns the replicas that were first heard to leave after a time, by name.
 func (l *Leavers) Since(after time.Time) []Leaver {
 	var out []Leaver
--- a/core/intake/limit.go
+++ b/core/intake/limit.go
@@ -30,9 +30,11 @@
 const (
 	// Requester hosts pass requests on, as all others do.
 	Requester Role = iota
-	// Assistant hosts do so at a replica of which another host asks pieces.
-	Assistant
-	// Planner hosts ask for pieces too, for all hosts.
+	// StageRequester hosts pass requests on to a replica that runs stages: another host
+	// asks it for pieces.
+	StageRequester
+	// Planner hosts pass requests on to a replica that runs stages, and ask it for pieces
+	// for all hosts.
 	Planner
 )
 
@@ -56,7 +58,7 @@
 	switch role {
 	case Planner:
 		perSecond, planned = (1-plannerShare)*perSecond, plannerShare*perSecond
-	case Assistant:
+	case StageRequester:
 		perSecond = (1 - plannerShare) * perSecond
 	}
 	rank := s.rank(l.Replica)
--- a/core/route/intake.go
+++ b/core/route/intake.go
@@ -18,7 +18,7 @@
 	for name, calls := range most {
 		parts[name] = intake.Part{Calls: calls, Window: coldWindow}
 	}
-	r.config.Gates.Bound(intake.Cold, parts)
+	r.config.Gates.SetParts(intake.Cold, parts)
 }
 
 // intakeFilter refuses upstreams that have had this daemon's part of the calls that
--- a/gateway/noticenews.go
+++ b/gateway/noticenews.go
@@ -98,7 +98,7 @@
 	limits := limitsFromWire(now, told)
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
-	changed, newer := g.notices.account.Learn(limits)
+	changed, newer := g.notices.account.Learn(now, limits)
 	g.limitsChanged(host, changed)
 	return limitsToWire(now, newer)
 }
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -14,8 +14,7 @@
 	"github.com/wheatseam/wheatseam/wire"
 )
 
-// notices keeps account of what replicas say of themselves. It is safe for concurrent
-// use.
+// notices is what replicas have said of themselves; its lock guards all of it.
 type notices struct {
 	mu      sync.Mutex
 	account intake.Account
@@ -73,7 +72,7 @@
 	for _, r := range g.notices.rests.All() {
 		parts[r.Replica] = intake.Part{Until: r.Until}
 	}
-	g.gates.Bound(intake.Resting, parts)
+	g.gates.SetParts(intake.Resting, parts)
 }
 
 // endRests opens the replicas whose rest is over.
@@ -117,10 +116,10 @@
 // boundLeavers closes the replicas that leave; the notices' lock is held.
 func (g *Gateway) boundLeavers() {
 	parts := map[string]intake.Part{}
-	for _, l := range g.notices.leavers.Since(time.Time{}) {
+	for _, l := range g.notices.leavers.All() {
 		parts[l.Replica] = intake.Part{}
 	}
-	g.gates.Bound(intake.Leaving, parts)
+	g.gates.SetParts(intake.Leaving, parts)
 }
 
 // keepLimits has this host keep to its parts of the limits that are in force, as hosts
@@ -148,7 +147,7 @@
 		}
 	}
 	g.notices.bounding = len(limits) > 0
-	g.gates.Bound(intake.Named, parts)
+	g.gates.SetParts(intake.Named, parts)
 }
 
 // livingShares are this host's parts among the hosts that live; nil while it does not
@@ -176,7 +175,7 @@
 	case planner:
 		return intake.Planner
 	}
-	return intake.Assistant
+	return intake.StageRequester
 }
 
 // limitChanged logs and counts what a replica has changed, as a host has heard.
@@ -201,72 +200,3 @@
 		g.boundLeavers()
 	}
 }
-
-// LimitState is a replica's limit as the state dump shows it.
-type LimitState struct {
-	Replica   string  `json:"replica"`
-	PerSecond float64 `json:"per_second"`
-	// Seconds since it was first and last named.
-	SinceS float64 `json:"since_s"`
-	NamedS float64 `json:"named_s"`
-}
-
-// dump is the account for operators.
-func (n *notices) dump(now time.Time) []LimitState {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := []LimitState{}
-	for _, l := range n.account.Limits() {
-		out = append(out, LimitState{
-			Replica: l.Replica, PerSecond: l.Limit.PerSecond,
-			SinceS: now.Sub(l.Since).Seconds(), NamedS: now.Sub(l.At).Seconds(),
-		})
-	}
-	return out
-}
-
-// limited is the number of replicas whose limit is in force.
-func (n *notices) limited() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.account.Limits())
-}
-
-// LeaverState is a replica that has said that it leaves, as the state dump shows it.
-type LeaverState struct {
-	Replica string `json:"replica"`
-	// Seconds since it was first heard to.
-	SinceS float64 `json:"since_s"`
-}
-
-// leaving lists the replicas that have said that they leave, for operators.
-func (n *notices) leaving(now time.Time) []LeaverState {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := []LeaverState{}
-	for _, l := range n.leavers.Since(time.Time{}) {
-		out = append(out, LeaverState{Replica: l.Replica, SinceS: now.Sub(l.At).Seconds()})
-	}
-	return out
-}
-
-// RestState is a replica that wants nothing from this host, as the state dump shows it.
-type RestState struct {
-	Replica string `json:"replica"`
-	// Seconds since it first said so, and until that is over.
-	SinceS float64 `json:"since_s"`
-	LeftS  float64 `json:"left_s"`
-}
-
-// resting lists the replicas that want nothing from this host, for operators.
-func (n *notices) resting(now time.Time) []RestState {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := []RestState{}
-	for _, r := range n.rests.All() {
-		if now.Before(r.Until) {
-			out = append(out, RestState{Replica: r.Replica, SinceS: now.Sub(r.Since).Seconds(), LeftS: r.Until.Sub(now).Seconds()})
-		}
-	}
-	return out
-}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -62,7 +62,7 @@
 	gauge("wheatseam_store_calls_total", func() float64 { return float64(g.store.Calls().Made) })
 	gauge("wheatseam_store_calls_failed_total", func() float64 { return float64(g.store.Calls().Failed) })
 	gauge("wheatseam_replicas_cold", func() float64 { return float64(g.coldCount.Load()) })
-	gauge("wheatseam_replicas_limited", func() float64 { return float64(g.notices.limited()) })
+	gauge("wheatseam_replicas_limited", func() float64 { return float64(len(g.notices.limits(clock.Now()))) })
 	gauge("wheatseam_replicas_said_leaving", func() float64 { return float64(len(g.notices.leaving(clock.Now()))) })
 	gauge("wheatseam_replicas_resting", func() float64 { return float64(len(g.notices.resting(clock.Now()))) })
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.found.View().Evacuations.Domains)) })
@@ -143,7 +143,7 @@
 	s := State{
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.found.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
-		Quarantine: g.quarantine.Dump(), Limits: g.notices.dump(clock.Now()), Leaving: g.notices.leaving(clock.Now()), Resting: g.notices.resting(clock.Now()),
+		Quarantine: g.quarantine.Dump(), Limits: g.notices.limits(clock.Now()), Leaving: g.notices.leaving(clock.Now()), Resting: g.notices.resting(clock.Now()),
 	}
 	g.budgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.Shared).Stats()
