Count the time of a first try to give results up by what the process runs

Traced in its logs: the results were made at 27.51 s for a request of d0, planned by d0 itself (so not two planners), given up from 27.57 s on; d0 was stopped by the soak for 0.77 s, from 27.70 to 28.48, and worked off what had come for 33 ms and more. The first try's 250 ms were over when it went on, and the 20 ms in which an answer was still taken were not enough on a busy machine: the call was made again beside its answer.

The time is now counted in steps of 10 ms that the process has run; a step that comes late does not count, and what came meanwhile has 50 ms of running time to be read.

--- a/replica/stage.go
+++ b/replica/stage.go
@@ -59,16 +59,12 @@
 // maxFreeAnswer bounds the answer to giving results up: there is nothing in it.
 const maxFreeAnswer = 4 << 10
 
-// firstFreeTry bounds the first try of a call that gives results up: the kept
-// connection that it takes may have gone silent, and the results keep their room
-// until a call arrives. Such a call takes some 2 ms, and more on a busy host.
+// firstFreeTry bounds the first try of a call that gives results up, by the time that
+// this process runs: the kept connection that it takes may have gone silent, and the
+// results keep their room until a call arrives. Such a call takes some 2 ms, and more on a
+// busy host. A second try beside an answer would give the same results up again.
 const firstFreeTry = 250 * time.Millisecond
 
-// wakeGrace is how long an answer to the first try is still taken after its time has
-// passed: when this process stood still meanwhile, the answer may have come, and be read
-// as soon as it goes on. A second try would give the same results up again.
-const wakeGrace = 20 * time.Millisecond
-
 // FreeResults gives results up at the replica that holds them. A replica may
 // have dropped the idle connection that the first try takes, also without a
 // word, so that there is a second.
@@ -80,8 +76,7 @@
 	call := stageCall(platform.StageFreePath, a.Replica, a.Address, body)
 	first, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// By the steady clock: no answer could be read while the host slept.
-	defer time.AfterFunc(firstFreeTry, func() { time.AfterFunc(wakeGrace, cancel) }).Stop()
+	defer afterRunning(firstFreeTry, cancel)()
 	if err = c.free(first, call); err != nil && ctx.Err() == nil {
 		err = c.free(ctx, call)
 	}
