--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -163,7 +163,7 @@
 			return e.batch.load().Running
 		}).Should(Equal(1))
 		Expect(load().Running).To(Equal(0))
-		Expect(e.report.Report(time.Now().Add(2 * time.Hour)).Running).To(Equal(1))
+		Eventually(func() int { return e.report.Report(time.Now().Add(2 * time.Hour)).Running }).Should(Equal(1))
 	})
 
 	It("fails a stream without [DONE]", func() {
