Keep to a rest that the list tells of only later under another start

Traced in d1's log: the store was down for 1.5 s while plain0 crashed and started again; it asked for rest as the new process, which the host knew as the old start (refused at 36.790), and with the first list that told of the new one the rest was forgotten (37.571 on, within 1.36 s).

A rest is remembered with the address that asked, and holds for what is listed there meanwhile: at most as long as was asked. TestRestHoldsForTheStartThatIsListedLater: a request reached it before, none now. A replica's limit, and that it leaves, are heard again with the next answer of the new start.

--- a/core/intake/notice.go
+++ b/core/intake/notice.go
@@ -30,8 +30,8 @@
 
 // Answer is an answer of the replica that it was asked of.
 type Answer struct {
-	// Replica names the start of the replica.
-	Replica string
+	// Replica names the start of the replica that was asked, and Address is where.
+	Replica, Address string
 	// Sent is when what it answers was sent.
 	Sent time.Time
 	// Served says that it answers a request, or a call for pieces, that was run: what
--- a/core/intake/rest.go
+++ b/core/intake/rest.go
@@ -8,7 +8,9 @@
 
 // Rest is a replica that wants nothing from this host for a while.
 type Rest struct {
-	Replica string
+	// Replica is the start that was asked. The one at the address that wants rest may be a
+	// later one, of which the list has not told yet.
+	Replica, Address string
 	// Since is when it first said so, Until when that is over.
 	Since, Until time.Time
 }
@@ -34,7 +36,7 @@
 		if r.known == nil {
 			r.known = map[string]*Rest{}
 		}
-		known = &Rest{Replica: answer.Replica, Since: now, Until: until}
+		known = &Rest{Replica: answer.Replica, Address: answer.Address, Since: now, Until: until}
 		r.known[answer.Replica] = known
 		return *known, true, true
 	}
--- a/core/intake/rest_test.go
+++ b/core/intake/rest_test.go
@@ -15,13 +15,13 @@
 	var r intake.Rests
 	hear := func(now, rest float64) (intake.Rest, bool, bool) {
 		d := time.Duration(rest * float64(time.Second))
-		return r.Hear(at(now), intake.Answer{Replica: "r", Notice: intake.Notice{Rest: d}}, most)
+		return r.Hear(at(now), intake.Answer{Replica: "r", Address: "a", Notice: intake.Notice{Rest: d}}, most)
 	}
 	_, began, changed := hear(0, 0)
 	g.Expect(began || changed).To(BeFalse())
 	rest, began, changed := hear(1, 3)
 	g.Expect(began && changed).To(BeTrue())
-	g.Expect(rest).To(Equal(intake.Rest{Replica: "r", Since: at(1), Until: at(4)}))
+	g.Expect(rest).To(Equal(intake.Rest{Replica: "r", Address: "a", Since: at(1), Until: at(4)}))
 	_, began, changed = hear(2, 1)
 	g.Expect(began || changed).To(BeFalse(), "what was asked for before holds")
 	rest, began, changed = hear(3, 2)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -181,9 +181,7 @@
 	}
 	g.rounds++
 	g.forgetRefusals(v)
-	listed := func(replica string) bool { _, ok := v.Replicas[replica]; return ok }
-	g.forgetNotices(listed)
-	g.gates.Keep(listed)
+	g.replicasListed(v.Replicas)
 	evacuated := evacuatedServices(v)
 	g.evacuated.Store(&evacuated)
 	g.limitCold(v)
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -22,6 +23,8 @@
 	rests   intake.Rests
 	// unread are the replicas whose wish for rest could not be read, as was logged.
 	unread map[string]bool
+	// replicas are those of the newest view.
+	replicas map[string]catalog.Replica
 	// bounding says that a limit was in force when last looked.
 	bounding bool
 	// repeated is when neighbours were last told what was heard meanwhile.
@@ -66,11 +69,21 @@
 	}
 }
 
-// boundResting closes the replicas that rest; the notices' lock is held.
+// boundResting closes the replicas that rest, also those that are listed at the address of
+// one meanwhile; the notices' lock is held.
 func (g *Gateway) boundResting() {
-	parts := map[string]intake.Part{}
-	for _, r := range g.notices.rests.All() {
-		parts[r.Replica] = intake.Part{Until: r.Until}
+	rests := g.notices.rests.All()
+	parts, addresses := map[string]intake.Part{}, map[string]intake.Part{}
+	for _, r := range rests {
+		p := intake.Part{Until: r.Until}
+		parts[r.Replica], addresses[r.Address] = p, p
+	}
+	if len(rests) > 0 {
+		for id, r := range g.notices.replicas {
+			if p, resting := addresses[r.Address]; resting {
+				parts[id] = p
+			}
+		}
 	}
 	g.gates.SetParts(intake.Resting, parts)
 }
@@ -190,13 +203,19 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_limits_named_total{service=%q}", service)).Inc()
 }
 
-// forgetNotices drops what is known of replicas that are not listed.
-func (g *Gateway) forgetNotices(listed func(replica string) bool) {
+// replicasListed takes the replicas of a view: what is known of others is dropped.
+func (g *Gateway) replicasListed(replicas map[string]catalog.Replica) {
+	listed := func(replica string) bool { _, ok := replicas[replica]; return ok }
+	g.gates.Keep(listed)
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
+	g.notices.replicas = replicas
 	g.notices.account.Forget(clock.Now(), listed)
 	maps.DeleteFunc(g.notices.unread, func(replica string, _ bool) bool { return !listed(replica) })
 	if g.notices.leavers.Forget(clock.Now(), listed) {
 		g.boundLeavers()
 	}
+	if len(g.notices.rests.All()) > 0 {
+		g.boundResting()
+	}
 }
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -400,3 +400,22 @@
 		return a.status
 	}, "4s").Should(Equal(http.StatusOK))
 }
+
+// Guards against a rest that is forgotten as the list tells of the start that asked for it: it
+// had come up at its address while the store was away.
+func TestRestHoldsForTheStartThatIsListedLater(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.start().ready()
+	tired := f.replicas["p1"]
+	tired.RefuseForRest("30")
+	f.Eventually(func() []string {
+		g.send(http.MethodPost, safePath, "", nil)
+		return g.counters("wheatseam_replicas_resting ")
+	}, "4s").Should(ConsistOf("wheatseam_replicas_resting 1"))
+	tired.Born = time.Now().UnixMilli()
+	f.register(tired, "ready")
+	before := len(tired.Arrived())
+	pressAll([]*running{g}, 50*time.Millisecond, 3*time.Second, safePath, nil)
+	f.Expect(len(tired.Arrived())).To(Equal(before))
+}
--- a/replica/client.go
+++ b/replica/client.go
@@ -130,5 +130,5 @@
 		return
 	}
 	served := call.Work && r.StatusCode < http.StatusMultipleChoices
-	c.heard(intake.Answer{Replica: call.Replica, Sent: sent, Served: served, Notice: r.Head.Notice})
+	c.heard(intake.Answer{Replica: call.Replica, Address: call.Address, Sent: sent, Served: served, Notice: r.Head.Notice})
 }
