Pick from a sample of large pools; make an upstream's state at its first use

Cause: a pick built a candidate for every upstream of its pool, and every daemon kept a limiter, a history and a state for every upstream, used or not: both grow with the replicas, and over the fleet with hosts times replicas.

Change: pools of more than 64 upstreams are picked from by a sample: members drawn from the whole pool, some of the own failure domain, and the group in which a prefix has its home. The group follows from the hash of the prefix and the members alone, so that all daemons agree on it. If no filter accepts any of the sample, all are considered as before. States and limiters are made at first use and dropped when idle; the mean of load reports is that of the last 64. Router.Update changes a pool by the upstreams that changed.

Least requests and round robin, which no gateway uses, still look at all.

--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -49,7 +49,8 @@
 // MaxTrackedCalls is the maximum number of calls of a Quota that a Limiter tracks.
 const MaxTrackedCalls = 16
 
-// Limiter limits the calls to one replica. It is safe for concurrent use.
+// Limiter limits the calls to one replica. It is safe for concurrent use. A nil Limiter
+// has no quota and records nothing.
 type Limiter struct {
 	// bounded is set while any quota is set. Calls to unlimited replicas check only this
 	// field and do not take the lock.
@@ -65,6 +66,9 @@
 
 // RecordCall records a call.
 func (g *Limiter) RecordCall(now time.Time) {
+	if g == nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.newest = (g.newest + 1) % MaxTrackedCalls
@@ -74,7 +78,7 @@
 // Blocked reports whether a call may not begin now, and the source of the quota that blocks
 // it.
 func (g *Limiter) Blocked(now time.Time) (Source, bool) {
-	if !g.bounded.Load() {
+	if !g.HasQuota() {
 		return 0, false
 	}
 	g.mu.Lock()
@@ -91,7 +95,7 @@
 // quota, by another one. The time is in the far future for a replica that is leaving, and
 // not after now if a call is allowed now.
 func (g *Limiter) NextAllowed(now time.Time) time.Time {
-	if !g.bounded.Load() {
+	if !g.HasQuota() {
 		return now
 	}
 	g.mu.Lock()
@@ -116,7 +120,7 @@
 // from this host, because it is leaving or requested a backoff. A call that was assigned to
 // the replica earlier must then not be sent.
 func (g *Limiter) RefusedByReplica(now time.Time) bool {
-	if !g.bounded.Load() {
+	if !g.HasQuota() {
 		return false
 	}
 	g.mu.Lock()
@@ -127,7 +131,7 @@
 
 // IsLeaving reports whether the replica is leaving and accepts no new work.
 func (g *Limiter) IsLeaving() bool {
-	if !g.bounded.Load() {
+	if !g.HasQuota() {
 		return false
 	}
 	g.mu.Lock()
@@ -136,12 +140,12 @@
 }
 
 // HasQuota reports whether any quota is set.
-func (g *Limiter) HasQuota() bool { return g.bounded.Load() }
+func (g *Limiter) HasQuota() bool { return g != nil && g.bounded.Load() }
 
 // Rate returns how many calls per second this host may begin; bounded is false if no quota
 // applies.
 func (g *Limiter) Rate(now time.Time) (perSecond float64, bounded bool) {
-	if !g.bounded.Load() {
+	if !g.HasQuota() {
 		return 0, false
 	}
 	g.mu.Lock()
@@ -205,16 +209,39 @@
 	mu       sync.Mutex
 	limiters map[string]*Limiter
 	quotas   [sourceCount]map[string]Quota
+	// limited is set while any quota is set.
+	limited atomic.Bool
 }
 
 // NewLimiters returns Limiters without quotas.
 func NewLimiters() *Limiters { return &Limiters{limiters: map[string]*Limiter{}} }
 
+// Find returns the limiter of a replica for reading. It is nil if the replica has no
+// quota.
+func (gs *Limiters) Find(replica string) *Limiter {
+	if !gs.limited.Load() {
+		return nil
+	}
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	for s := range gs.quotas {
+		if _, ok := gs.quotas[s][replica]; ok {
+			return gs.get(replica)
+		}
+	}
+	return nil
+}
+
 // Get returns the limiter of a replica, creating it if needed. It returns the same limiter
 // until RemoveUnlisted removes it.
 func (gs *Limiters) Get(replica string) *Limiter {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
+	return gs.get(replica)
+}
+
+// get returns the limiter of a replica, creating it if needed. The caller holds the lock.
+func (gs *Limiters) get(replica string) *Limiter {
 	g := gs.limiters[replica]
 	if g == nil {
 		g = &Limiter{}
@@ -232,6 +259,11 @@
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
 	gs.quotas[s] = quotas
+	limited := false
+	for _, q := range gs.quotas {
+		limited = limited || len(q) > 0
+	}
+	gs.limited.Store(limited)
 	for replica, g := range gs.limiters {
 		gs.applyQuota(s, replica, g)
 	}
--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -13,15 +14,9 @@
 // snapshot is an immutable set of pools.
 type snapshot struct {
 	region string
-	pools  map[string]*poolView
-	// byUpstream lists, for each upstream name, the pools that contain it.
-	byUpstream map[string][]memberRef
-}
-
-// memberRef refers to an upstream in one pool.
-type memberRef struct {
-	pool  *poolView
-	state *memberState
+	// regions maps the failure domains to their regions.
+	regions map[string]string
+	pools   map[string]*poolView
 }
 
 // Apply replaces the pools and the policy by those of b. Upstreams with the same pool,
@@ -35,15 +30,14 @@
 	}
 	old := r.current.Load()
 	next := &snapshot{
-		region:     regions[r.config.FailureDomain],
-		pools:      make(map[string]*poolView, len(b.Pools)),
-		byUpstream: map[string][]memberRef{},
+		region:  regions[r.config.FailureDomain],
+		regions: regions,
+		pools:   make(map[string]*poolView, len(b.Pools)),
 	}
 	for i := range b.Pools {
 		p := r.buildPool(old, &b.Pools[i], b, regions)
 		p.expectedLatency = expectedDuration(b, p.name)
 		next.pools[p.name] = p
-		next.indexPool(p)
 	}
 	// A pool that is missing from b remains in use until the next bundle, because
 	// requests that were admitted before may still need it. After that it is kept
@@ -54,22 +48,68 @@
 		case next.pools[name] != nil:
 		case !p.dropped:
 			next.pools[name] = p.droppedCopy()
-			next.indexPool(next.pools[name])
 		case p.shard.inFlight() > 0:
-			next.pools[name] = &poolView{name: name, steps: p.steps, shard: p.shard, dropped: true}
+			next.pools[name] = &poolView{name: name, steps: p.steps, shard: p.shard, members: newMemberSet(nil), dropped: true}
 		}
 	}
 	r.current.Store(next)
 	if r.ownsLimiters {
-		r.config.Limiters.RemoveUnlisted(func(name string) bool { return len(next.byUpstream[name]) > 0 })
+		r.config.Limiters.RemoveUnlisted(next.lists)
+	}
+}
+
+// lists reports whether any pool contains an upstream.
+func (s *snapshot) lists(upstream string) bool {
+	for _, p := range s.pools {
+		p.shard.mu.Lock()
+		m := p.members.find(upstream)
+		p.shard.mu.Unlock()
+		if m != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// PoolChange is a change of the upstreams of one pool.
+type PoolChange struct {
+	Pool string
+	// Removed are the names of upstreams that are removed. Added are upstreams that are
+	// added, or replaced if the pool has one with the same name.
+	Removed []string
+	Added   []bundle.Upstream
+}
+
+// Update changes pools that the last applied bundle contains, at a cost that grows with the
+// changes and not with the pools. Changes of other pools are ignored.
+func (r *Router) Update(changes []PoolChange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snap := r.current.Load()
+	for i := range changes {
+		if p := snap.pools[changes[i].Pool]; p != nil {
+			r.updatePool(p, &changes[i], snap.regions)
+		}
 	}
 }
 
-// indexPool adds the upstreams of a pool to byUpstream.
-func (s *snapshot) indexPool(p *poolView) {
-	for k := range p.members {
-		name := p.members[k].name
-		s.byUpstream[name] = append(s.byUpstream[name], memberRef{p, p.members[k].state})
+func (r *Router) updatePool(p *poolView, change *PoolChange, regions map[string]string) {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	for _, name := range change.Removed {
+		if m := p.members.find(name); m != nil {
+			p.members.remove(m)
+			p.shard.detach(m)
+		}
+	}
+	for _, u := range change.Added {
+		if m := p.members.find(u.Name); m != nil {
+			p.members.remove(m)
+			p.shard.detach(m)
+		}
+		m := newMember(u, regions)
+		p.members.add(m)
+		p.shard.attach(m, &r.config)
 	}
 }
 
@@ -87,6 +127,7 @@
 		name:            cfg.Name,
 		concurrency:     float64(max(1, cfg.Concurrency)),
 		saturationLimit: math.Ceil(r.config.SaturationFactor * float64(max(1, cfg.Concurrency))),
+		leaving:         r.markedLeaving,
 	}
 	policy, pack := b.Policy, packWeight(b.Objective)
 	if policy == "" {
@@ -102,28 +143,20 @@
 	}
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
-	kept := make(map[upstreamKey]*memberState, len(cfg.Upstreams))
+	members := make([]*member, 0, len(cfg.Upstreams))
 	for _, u := range cfg.Upstreams {
-		key := upstreamKey{u.Name, u.Address}
-		st := p.shard.states[key]
-		if st == nil {
-			st = &memberState{}
-		}
-		// The upstream may have a new limiter if it was not listed in the meantime.
-		st.limiter = r.config.Limiters.Get(u.Name)
-		st.markedLeaving = r.markedLeaving[u.Name]
-		kept[key] = st
-		p.members = append(p.members, member{
-			name: u.Name, address: u.Address, domain: u.FailureDomain,
-			region: regions[u.FailureDomain], hash: xxhash.Sum64String(u.Name), state: st,
-		})
-	}
-	for key, st := range p.shard.states {
-		if kept[key] == nil && st.ownCalls > 0 {
-			kept[key] = st
+		members = append(members, newMember(u, regions))
+	}
+	if previous := old.pools[cfg.Name]; previous != nil {
+		for _, m := range previous.members.all {
+			p.shard.detach(m)
 		}
 	}
-	p.shard.states = kept
+	p.members = newMemberSet(members)
+	for _, m := range p.members.all {
+		p.shard.attach(m, &r.config)
+	}
+	p.shard.removeUnlisted()
 	return p
 }
 
@@ -145,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for _, st := range s.states {
+	for _, st := range s.used {
 		n += st.ownCalls
 	}
 	return n
@@ -161,24 +194,32 @@
 	for _, n := range names {
 		r.markedLeaving[n] = true
 	}
-	for name, refs := range r.current.Load().byUpstream {
-		for _, ref := range refs {
-			ref.pool.shard.mu.Lock()
-			ref.state.markedLeaving = r.markedLeaving[name]
-			ref.pool.shard.mu.Unlock()
-		}
+	next := *r.current.Load()
+	next.pools = maps.Clone(next.pools)
+	for name, p := range next.pools {
+		changed := *p
+		changed.leaving = r.markedLeaving
+		next.pools[name] = &changed
 	}
+	r.current.Store(&next)
 }
 
 // Observe stores load reports. They may come in any order: of the reports about an
 // upstream, the newest is kept.
 func (r *Router) Observe(reports ...load.Report) {
-	snap := r.current.Load()
+	for _, p := range r.current.Load().pools {
+		p.observe(reports, &r.config)
+	}
+}
+
+func (p *poolView) observe(reports []load.Report, c *Config) {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
 	for _, rep := range reports {
-		for _, ref := range snap.byUpstream[rep.Upstream] {
-			ref.pool.shard.mu.Lock()
-			ref.state.observeReport(rep)
-			ref.pool.shard.mu.Unlock()
+		if m := p.members.find(rep.Upstream); m != nil {
+			if st := p.shard.stateOf(m, rep.AsOf, c); st.observeReport(rep) {
+				p.shard.noteReport(st)
+			}
 		}
 	}
 }
--- a/core/route/dump.go
+++ b/core/route/dump.go
@@ -58,9 +58,10 @@
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
 	d := PoolState{Pool: p.name, Policy: string(p.steps.policy), Limit: int(p.saturationLimit)}
-	for i := range p.members {
-		d.Upstreams = append(d.Upstreams, p.members[i].dump(now, c))
+	for _, m := range p.members.all {
+		d.Upstreams = append(d.Upstreams, p.dumpMember(now, m, c))
 	}
+	slices.SortFunc(d.Upstreams, func(a, b UpstreamState) int { return strings.Compare(a.Upstream, b.Upstream) })
 	for name, l := range p.shard.stages {
 		st := StageState{Stage: name, Median: l.total.median}
 		st.P95, _ = l.total.quantile(0.95)
@@ -71,11 +72,11 @@
 	return d
 }
 
-func (m *member) dump(now time.Time, c *Config) UpstreamState {
-	s := m.state
+func (p *poolView) dumpMember(now time.Time, m *member, c *Config) UpstreamState {
+	s, limiter := m.stateAndLimiter(c)
 	u := UpstreamState{
 		Upstream: m.name, Address: m.address, FailureDomain: m.domain,
-		InFlight: s.ownCalls, Slowness: s.decayedSlowness(now), Leaving: s.isLeaving(),
+		InFlight: s.ownCalls, Slowness: s.decayedSlowness(now), Leaving: p.isLeaving(m, s, limiter),
 		Share: s.ejection.share(now, c.Ejection.RampDuration),
 	}
 	if s.hasReport {
--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -98,8 +98,8 @@
 // failureRateOfOthers returns the failure rate of all upstreams of the pool except one.
 func (p *poolView) failureRateOfOthers(now time.Time, except *memberState) float64 {
 	var successes, failures float64
-	for i := range p.members {
-		if s := p.members[i].state; s != except {
+	for _, s := range p.shard.used {
+		if s != except && s.member != nil {
 			o, f := s.decayedCounts(now)
 			successes, failures = successes+o, failures+f
 		}
@@ -120,7 +120,7 @@
 	if reason == ejectedFailures {
 		share = c.MaxFailingEjectedShare
 	}
-	if p.ejectedCount(now) >= maxEjected(len(p.members), share) {
+	if p.ejectedCount(now) >= maxEjected(len(p.members.all), share) {
 		return
 	}
 	s.ejection.start(now, reason, c)
@@ -130,8 +130,8 @@
 // ejectedCount returns the number of upstreams that are ejected.
 func (p *poolView) ejectedCount(now time.Time) int {
 	n := 0
-	for i := range p.members {
-		if p.members[i].state.ejection.active(now) {
+	for _, s := range p.shard.used {
+		if s.member != nil && s.ejection.active(now) {
 			n++
 		}
 	}
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -36,24 +36,31 @@
 	// candidates as permitted are sampled, since the fullest one with free capacity
 	// must be among them.
 	packing bool
-	local   []int
+	// local and general are scratch buffers.
+	local, general []int
 }
 
 func (*randomChoices) Name() string { return "random_choices" }
 
 func (p *randomChoices) Pick(v *View, eligible []int, rng *rand.Rand, drawn []scoredCandidate) []scoredCandidate {
-	p.local = p.local[:0]
+	p.local, p.general = p.local[:0], p.general[:0]
 	for _, i := range eligible {
 		if v.Candidates[i].Domain == v.Domain {
 			p.local = append(p.local, i)
 		}
+		if v.isUniform(i) {
+			p.general = append(p.general, i)
+		}
+	}
+	if len(p.general) == 0 {
+		p.general = append(p.general, eligible...)
 	}
 	choices := p.choices
 	if len(eligible) <= smallPoolSize || p.packing && canPack(v) {
 		choices = maxDrawn
 	}
 	drawn = p.draw(v, p.local, 1, rng, drawn)
-	drawn = p.draw(v, eligible, choices, rng, drawn)
+	drawn = p.draw(v, p.general, choices, rng, drawn)
 	if v.PrefixHome >= 0 {
 		drawn = p.addCandidate(v, v.PrefixHome, drawn)
 	}
--- a/core/route/prefix.go
+++ b/core/route/prefix.go
@@ -26,7 +26,7 @@
 	var best uint64
 	for _, i := range eligible {
 		c := &v.Candidates[i]
-		if anyInRegion && !v.sameRegion(c) || c.Load()+1 > bound {
+		if !v.mayBeHome(i) || anyInRegion && !v.sameRegion(c) || c.Load()+1 > bound {
 			continue
 		}
 		if rank := mix64(prefix ^ c.Hash); home < 0 || rank > best {
--- a/core/route/record.go
+++ b/core/route/record.go
@@ -47,6 +47,9 @@
 	add("pool", p.name)
 	add("policy", string(p.steps.policy))
 	add("candidates", strconv.Itoa(len(v.Candidates)))
+	if v.Sampled {
+		add("pool_size", strconv.Itoa(len(p.members.all)))
+	}
 	add("refused", strconv.Itoa(refused))
 	if r := p.shard.result.relaxed; r != Never {
 		add("relaxed", strconv.Itoa(int(r)))
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -54,9 +54,8 @@
 func (p *poolView) pick(now time.Time, q *request.Query, c *Config, region string, rec record.Recorder) (request.Choice, *problem.Error) {
 	s := p.shard
 	v := p.buildView(now, q, c, region)
-	runFilters(v, p.steps.filters, &s.result)
 	if len(s.result.eligible) == 0 {
-		err := p.noUpstreamError(v)
+		err := p.noUpstreamError(v, c)
 		p.recordPick(rec, v, "refused", nil)
 		return request.Choice{}, err
 	}
@@ -64,11 +63,12 @@
 		v.PrefixHome = prefixHome(v, s.result.eligible, q.Prefix, c.PrefixLoadFactor, c.PrefixMinLoad)
 	}
 	s.drawn = p.steps.picker.Pick(v, s.result.eligible, s.rng, s.drawn[:0])
-	m := &p.members[s.drawn[0].index]
+	m := s.viewed[s.drawn[0].index]
 	p.recordPick(rec, v, m.name, s.drawn)
-	m.state.startCall(now)
+	st := s.stateOf(m, now, c)
+	st.startCall(now)
 	if q.PrefillTime > 0 {
-		m.state.prefillQueue.add(pendingPrompt{request: q.Request, sentAt: now, prefillTime: q.PrefillTime, usualFirstByte: q.ExpectedFirstByte})
+		st.prefillQueue.add(pendingPrompt{request: q.Request, sentAt: now, prefillTime: q.PrefillTime, usualFirstByte: q.ExpectedFirstByte})
 	}
 	return request.Choice{Request: q.Request, Pool: p.name, Upstream: m.name, Address: m.address, FailureDomain: m.domain}, nil
 }
@@ -85,7 +85,6 @@
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
 	v := p.buildView(now, q, &r.config, snap.region)
-	runFilters(v, p.steps.filters, &p.shard.result)
 	home := prefixHome(v, p.shard.result.eligible, prefix, r.config.PrefixLoadFactor, r.config.PrefixMinLoad)
 	if home < 0 {
 		return ""
@@ -94,7 +93,7 @@
 }
 
 // noUpstreamError returns the error for a pick that no upstream is eligible for.
-func (p *poolView) noUpstreamError(v *View) *problem.Error {
+func (p *poolView) noUpstreamError(v *View, config *Config) *problem.Error {
 	saturated, cold, limited, backingOff := 0, 0, 0, 0
 	var nextAllowed shortestWait
 	for i := range v.Candidates {
@@ -112,7 +111,8 @@
 			} else {
 				limited++
 			}
-			nextAllowed.add(p.members[i].state.limiter.NextAllowed(v.Now).Sub(v.Now))
+			_, limiter := p.shard.viewed[i].stateAndLimiter(config)
+			nextAllowed.add(limiter.NextAllowed(v.Now).Sub(v.Now))
 		}
 	}
 	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, %d limited, %d resting, the others leaving",
@@ -152,16 +152,16 @@
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
 	var nextAllowed shortestWait
-	for i := range p.members {
-		st := p.members[i].state
-		if st.isLeaving() {
+	for _, m := range p.members.all {
+		st, limiter := m.stateAndLimiter(&r.config)
+		if p.isLeaving(m, st, limiter) {
 			nextAllowed.add(unavailableRetryAfter)
 			continue
 		}
-		if _, blocked := st.limiter.Blocked(now); !blocked {
+		if _, blocked := limiter.Blocked(now); !blocked {
 			return 0, false
 		}
-		nextAllowed.add(st.limiter.NextAllowed(now).Sub(now))
+		nextAllowed.add(limiter.NextAllowed(now).Sub(now))
 	}
 	return nextAllowed.wait, nextAllowed.known
 }
@@ -188,24 +188,38 @@
 // ObservePeerPrompt records that another daemon has sent an upstream a prompt whose prefill
 // takes prefillTime.
 func (r *Router) ObservePeerPrompt(now time.Time, pool, upstream, address string, prefillTime time.Duration) {
-	r.updateState(pool, upstream, address, func(st *memberState) {
+	p := r.current.Load().pools[pool]
+	if p == nil {
+		return
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	if m := p.members.find(upstream); m != nil && m.address == address {
+		st := p.shard.stateOf(m, now, &r.config)
+		st.usedAt = now
 		st.prefillQueue.add(pendingPrompt{sentAt: now, prefillTime: prefillTime, fromPeer: true})
-	})
+	}
 }
 
 // CanServeCopies reports whether an upstream can serve calls other than those for which it
 // is picked: it is known, is neither leaving, limited nor ejected, and does not have calls
 // in flight without progress for minStallTimeout.
 func (r *Router) CanServeCopies(now time.Time, pool, upstream, address string) bool {
-	usable := false
-	r.updateState(pool, upstream, address, func(st *memberState) {
-		usable = !st.isLeaving() && !st.limiter.HasQuota() && !st.ejection.active(now) && (st.ownCalls == 0 || now.Sub(st.lastProgress) < minStallTimeout)
-	})
-	return usable
+	p := r.current.Load().pools[pool]
+	if p == nil {
+		return false
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	m := p.members.find(upstream)
+	if m == nil || m.address != address {
+		return false
+	}
+	st, limiter := m.stateAndLimiter(&r.config)
+	return !p.isLeaving(m, st, limiter) && !limiter.HasQuota() && !st.ejection.active(now) && (st.ownCalls == 0 || now.Sub(st.lastProgress) < minStallTimeout)
 }
 
-// updateState calls change with the locked state of an upstream, if the upstream is
-// known.
+// updateState calls change with the locked state of an upstream, if there is one.
 func (r *Router) updateState(pool, upstream, address string, change func(*memberState)) {
 	p := r.current.Load().pools[pool]
 	if p == nil {
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -29,6 +29,9 @@
 	// refused a call gets no further calls.
 	busyBackoffBase = 100 * time.Millisecond
 	busyBackoffMax  = time.Second
+	// stateRetention is how long the state of an upstream is kept after its last use and
+	// after its last ejection. By then all measurements have decayed.
+	stateRetention = 2 * time.Minute
 	// staleMeanHalfLife is the age of the newest report at which the mean of all
 	// reports is halved.
 	staleMeanHalfLife = 10 * time.Second
@@ -44,6 +47,14 @@
 // memberState is the state of one upstream in a pool. It is guarded by the shard's
 // lock.
 type memberState struct {
+	key upstreamKey
+	// member is the upstream in the pool; nil if the pool no longer contains it.
+	member *member
+	// removed says that the shard has dropped the state.
+	removed bool
+	// usedAt is when a call last began or ended, or a report was received.
+	usedAt time.Time
+
 	ownCalls       int
 	ownCallHistory [historySlots]callSample
 	newestSample   int
@@ -66,13 +77,6 @@
 	report           load.Report
 	hasReport        bool
 	ownCallsAtReport int
-	markedLeaving    bool // the host list marks the upstream as leaving
-}
-
-// isLeaving reports whether the host list, the upstream's load report or one of its
-// responses says that the upstream is leaving.
-func (s *memberState) isLeaving() bool {
-	return s.markedLeaving || s.report.Leaving || s.limiter.IsLeaving()
 }
 
 // startCall counts a call as in flight.
@@ -81,6 +85,7 @@
 		s.lastProgress = now
 	}
 	s.ownCalls++
+	s.usedAt = now
 	s.limiter.RecordCall(now)
 	s.recordOwnCalls(now)
 }
@@ -88,7 +93,7 @@
 // endCall counts a call as ended.
 func (s *memberState) endCall(now time.Time) {
 	s.ownCalls = max(0, s.ownCalls-1)
-	s.lastProgress = now
+	s.lastProgress, s.usedAt = now, now
 	s.recordOwnCalls(now)
 }
 
@@ -126,13 +131,23 @@
 	return n
 }
 
-// observeReport stores a load report unless the stored one is at least as new.
-func (s *memberState) observeReport(r load.Report) {
+// observeReport stores a load report and reports whether it did, that is unless the stored
+// one is at least as new.
+func (s *memberState) observeReport(r load.Report) bool {
 	if s.hasReport && !r.AsOf.After(s.report.AsOf) {
-		return
+		return false
 	}
 	s.report, s.hasReport = r, true
 	s.ownCallsAtReport = s.ownCallsAt(r.AsOf)
+	if r.AsOf.After(s.usedAt) {
+		s.usedAt = r.AsOf
+	}
+	return true
+}
+
+// idle reports whether the state says nothing any more that a new one would not.
+func (s *memberState) idle(now time.Time) bool {
+	return s.ownCalls == 0 && now.Sub(s.usedAt) > stateRetention && now.Sub(s.ejection.until) > stateRetention && !s.report.Leaving
 }
 
 // otherCalls returns the number of other daemons' calls at the time of the report.
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -69,6 +69,19 @@
 	// -1.
 	PrefixHome int
 	Candidates []Candidate
+	// Sampled means that the candidates are a sample of a large pool: first the Homes
+	// candidates among which the prefix has its home, then Uniform ones that represent the
+	// pool, then further ones in preferred failure domains.
+	Sampled        bool
+	Homes, Uniform int
+}
+
+// mayBeHome reports whether the prefix may have its home at a candidate.
+func (v *View) mayBeHome(index int) bool { return !v.Sampled || index < v.Homes }
+
+// isUniform reports whether a candidate is one of those that represent the pool.
+func (v *View) isUniform(index int) bool {
+	return !v.Sampled || index >= v.Homes && index < v.Homes+v.Uniform
 }
 
 // sameRegion reports whether c is in this daemon's region. An unknown region is assumed
