--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -58,6 +58,15 @@
 	)
 })
 
+// ids lists the IDs of a registry's replicas.
+func ids(g *catalog.Registry) []string {
+	var out []string
+	for r := range g.Replicas().All() {
+		out = append(out, r.ID)
+	}
+	return out
+}
+
 var _ = Describe("the registry", func() {
 	start := time.Unix(1000, 0)
 	one, two := catalog.Replica{ID: "one", Address: "10.0.0.1:80"}, catalog.Replica{ID: "two", Address: "10.0.0.2:80"}
@@ -66,7 +75,7 @@
 		var g catalog.Registry
 		g.Update(start, []catalog.Replica{one, two})
 		g.Update(start.Add(time.Second), []catalog.Replica{two})
-		Expect(g.Replicas()).To(HaveLen(1))
+		Expect(ids(&g)).To(HaveLen(1))
 	})
 
 	It("keeps entries that lapsed during a store outage for two seconds after its return", func() {
@@ -75,12 +84,12 @@
 		back := start.Add(10 * time.Second)
 		Expect(g.RetainsLapsed()).To(BeFalse())
 		g.Update(back, []catalog.Replica{two})
-		Expect(g.Replicas()).To(HaveLen(2))
+		Expect(ids(&g)).To(HaveLen(2))
 		Expect(g.RetainsLapsed()).To(BeTrue())
 		g.Update(back.Add(time.Second), []catalog.Replica{two})
-		Expect(g.Replicas()).To(HaveLen(2))
+		Expect(ids(&g)).To(HaveLen(2))
 		g.Update(back.Add(2*time.Second), []catalog.Replica{two})
-		Expect(g.Replicas()).To(HaveLen(1))
+		Expect(ids(&g)).To(HaveLen(1))
 		Expect(g.RetainsLapsed()).To(BeFalse())
 	})
 
@@ -90,19 +99,19 @@
 		other := catalog.Replica{ID: "two", Address: "10.0.0.2:80"}
 		g.Update(start, []catalog.Replica{old, other})
 		g.Update(start.Add(10*time.Second), []catalog.Replica{restarted})
-		Expect(g.Replicas()).To(And(HaveLen(2), HaveKey("one@2"), HaveKey("two")))
+		Expect(ids(&g)).To(ConsistOf("one@2", "two"))
 	})
 
 	It("replaces its replicas by those of another host", func() {
 		var g catalog.Registry
 		g.Update(start, []catalog.Replica{one})
-		g.ReplaceFromPeer(start.Add(9*time.Second), []catalog.Replica{two})
-		Expect(g.Replicas()).To(HaveKey("two"))
+		g.ReplaceFromPeer(start.Add(9*time.Second), catalog.NewReplicaSet([]catalog.Replica{two}))
+		Expect(ids(&g)).To(ContainElement("two"))
 		Expect(g.RetainsLapsed()).To(BeFalse(), "the other host would have reported uncertainty")
-		g.ReplaceFromPeer(start.Add(10*time.Second), nil)
-		Expect(g.Replicas()).To(HaveLen(1))
+		g.ReplaceFromPeer(start.Add(10*time.Second), g.Replicas())
+		Expect(ids(&g)).To(HaveLen(1))
 		By("not treating its own next read as the return of the store")
 		g.Update(start.Add(11*time.Second), []catalog.Replica{one})
-		Expect(g.Replicas()).To(And(HaveLen(1), HaveKey("one")))
+		Expect(ids(&g)).To(ConsistOf("one"))
 	})
 })
--- a/core/catalog/replica.go
+++ b/core/catalog/replica.go
@@ -32,61 +32,86 @@
 
 // Registry holds the replicas as listed by the store. It is not safe for concurrent use.
 type Registry struct {
-	replicas   map[string]Replica
+	replicas   *ReplicaSet
 	lastUpdate time.Time
 	// storeReturned is the time of the first response of the store after its last outage.
 	storeReturned time.Time
-	// retainsLapsed says that replicas are kept which the store does not list.
-	retainsLapsed bool
+	// lapsed are the IDs of replicas that are kept although the store does not list them.
+	lapsed map[string]bool
 }
 
-// Replicas returns all replicas that may be in service, by ID.
-func (g *Registry) Replicas() map[string]Replica { return g.replicas }
+// Replicas returns all replicas that may be in service; nil until they are first known.
+func (g *Registry) Replicas() *ReplicaSet { return g.replicas }
 
 // RetainsLapsed reports whether some of the replicas are not listed by the store and may be
 // gone, because this host lost contact with the store or the store was unavailable a moment
 // ago.
-func (g *Registry) RetainsLapsed() bool { return g.retainsLapsed }
+func (g *Registry) RetainsLapsed() bool { return len(g.lapsed) > 0 }
 
-// ReplaceFromPeer replaces the replicas by those of another host as of the given time. If
-// replicas is nil, the other host has the same replicas.
-func (g *Registry) ReplaceFromPeer(asOf time.Time, replicas []Replica) {
+// ReplaceFromPeer replaces the replicas by those of another host as of the given time.
+func (g *Registry) ReplaceFromPeer(asOf time.Time, replicas *ReplicaSet) {
 	if asOf.After(g.lastUpdate) {
 		g.lastUpdate = asOf
 	}
-	g.retainsLapsed = false
-	if replicas == nil {
-		return
-	}
-	g.replicas = make(map[string]Replica, len(replicas))
-	for _, r := range replicas {
-		g.replicas[r.ID] = r
-	}
+	g.replicas, g.lapsed = replicas, nil
 }
 
 // Update replaces the replicas by the store's full list. Replicas whose entries lapsed
 // while the store was unavailable are kept until lapsedRetention after its return.
 func (g *Registry) Update(now time.Time, listed []Replica) {
+	isListed := make(map[string]bool, len(listed))
+	for i := range listed {
+		isListed[listed[i].ID] = true
+	}
+	var removed []string
+	for r := range g.replicas.All() {
+		if !isListed[r.ID] {
+			removed = append(removed, r.ID)
+		}
+	}
+	g.lapsed = nil
+	g.ApplyChanges(now, listed, removed)
+}
+
+// ApplyChanges applies the store's changes since the last update: replicas that were
+// written, and the IDs of those whose entries were removed. Of the latter, those that
+// lapsed while the store was unavailable are kept until lapsedRetention after its return.
+func (g *Registry) ApplyChanges(now time.Time, written []Replica, removed []string) {
 	if !g.lastUpdate.IsZero() && now.Sub(g.lastUpdate) > storeOutageThreshold {
 		g.storeReturned = now
 	}
-	g.lastUpdate, g.retainsLapsed = now, false
-	next := make(map[string]Replica, len(listed))
-	for _, r := range listed {
-		next[r.ID] = r
+	g.lastUpdate = now
+	for i := range written {
+		delete(g.lapsed, written[i].ID)
 	}
-	if now.Sub(g.storeReturned) < lapsedRetention {
-		listedAddresses := make(map[string]bool, len(listed))
-		for _, r := range listed {
-			listedAddresses[r.Address] = true
-		}
-		for id, r := range g.replicas {
-			// If another replica, or a new start of this one, has the address, this one is
-			// gone.
-			if _, ok := next[id]; !ok && !listedAddresses[r.Address] {
-				next[id], g.retainsLapsed = r, true
+	for id := range g.lapsed {
+		removed = append(removed, id)
+	}
+	g.lapsed = nil
+	next, _ := g.replicas.With(written, removed)
+	if now.Sub(g.storeReturned) < lapsedRetention && len(removed) > 0 {
+		next = g.retainLapsed(next, removed)
+	}
+	g.replicas = next
+}
+
+// retainLapsed adds removed replicas to the next set unless another replica, or a new start
+// of the same one, has the address of a removed one, which is then gone.
+func (g *Registry) retainLapsed(next *ReplicaSet, removed []string) *ReplicaSet {
+	listedAddresses := make(map[string]bool, next.Len())
+	for r := range next.All() {
+		listedAddresses[r.Address] = true
+	}
+	var retained []Replica
+	for _, id := range removed {
+		if r := g.replicas.Find(id); r != nil && !next.Has(id) && !listedAddresses[r.Address] {
+			retained = append(retained, *r)
+			if g.lapsed == nil {
+				g.lapsed = map[string]bool{}
 			}
+			g.lapsed[id] = true
 		}
 	}
-	g.replicas = next
+	next, _ = next.With(retained, nil)
+	return next
 }
--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -61,8 +61,8 @@
 	defer d.mu.Unlock()
 	v := d.View()
 	return &wire.NewsRequest{
-		ConfigRevision: max(v.revision, d.advertised.revision), ReplicaBuckets: v.digest[:], WaitMs: uint32(wait.Milliseconds()),
-		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(), EvacuationsRevision: v.Evacuations.Revision,
+		ConfigRevision: max(v.revision, d.advertised.revision), ReplicaBuckets: v.Replicas.Digest()[:], WaitMs: uint32(wait.Milliseconds()),
+		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(), EvacuationsRevision: v.Evacuations.Revision, AcceptsChanges: true,
 	}
 }
 
@@ -80,33 +80,32 @@
 			d.checkedRevisions = checkedRevisions{checked}
 		}
 	}
-	digest := next.digest
-	if buckets := reply.GetBuckets(); len(buckets) > 0 {
-		replicas := replaceBuckets(next.Replicas, buckets)
-		d.registry.ReplaceFromPeer(asOf, replicas)
-		digest = digestOf(d.registry.Replicas())
-	} else {
-		d.registry.ReplaceFromPeer(asOf, nil)
-	}
-	if digest.Sum() == reply.GetReplicasHash() && asOf.After(next.replicasAsOf) {
-		next.replicasAsOf = asOf // all buckets have been received
+	d.listing = nil
+	replicas := replicasWith(d.registry.Replicas(), reply)
+	d.registry.ReplaceFromPeer(asOf, replicas)
+	if replicas.Digest().Sum() == reply.GetReplicasHash() && asOf.After(next.replicasAsOf) {
+		// All changes have been received.
+		next.replicasAsOf, next.replicasRevision = asOf, reply.GetReplicasRevision()
 	}
 	d.publish(&next)
 }
 
-// replaceBuckets returns the known replicas with the given buckets replaced.
-func replaceBuckets(known map[string]catalog.Replica, buckets []*wire.NewsBucket) []catalog.Replica {
-	var replaced [bucket.Count]bool
-	next := []catalog.Replica{}
-	for _, b := range buckets {
-		replaced[b.GetIndex()%bucket.Count] = true
-		next = append(next, replicasOf(b.GetReplicas())...)
-	}
-	for id, r := range known {
-		if !replaced[bucket.Of(id)] {
-			next = append(next, r)
+// replicasWith returns the known replicas with the changes of a reply.
+func replicasWith(known *catalog.ReplicaSet, reply *wire.NewsReply) *catalog.ReplicaSet {
+	put, removed := replicasOf(reply.GetChanged()), reply.GetRemoved()
+	for _, b := range reply.GetBuckets() {
+		listed := map[string]bool{}
+		for _, r := range b.GetReplicas() {
+			listed[r.GetId()] = true
+		}
+		for r := range known.Bucket(int(b.GetIndex() % bucket.Count)) {
+			if !listed[r.ID] {
+				removed = append(removed, r.ID)
+			}
 		}
+		put = append(put, replicasOf(b.GetReplicas())...)
 	}
+	next, _ := known.With(put, removed)
 	return next
 }
 
@@ -172,7 +171,7 @@
 // requesterAsOf, does not.
 func (d *Discovery) hasChangesFor(v *View, req *wire.NewsRequest, requesterAsOf time.Time) bool {
 	return d.advertisableRevision(v) > req.GetConfigRevision() || v.Evacuations.Revision > req.GetEvacuationsRevision() ||
-		!v.digest.Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(requesterAsOf) > minAgeGain
+		!v.Replicas.Digest().Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(requesterAsOf) > minAgeGain
 }
 
 // cannotRefresh reports whether this host has lost the store and its view is too old for
@@ -208,50 +207,64 @@
 	now := clock.Now()
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(receivedAt).Milliseconds()),
-		ConfigRevision: d.advertisableRevision(v), CheckedRevision: d.checkedRevisions.oldest(), ReplicasHash: v.digest.Sum(),
+		ConfigRevision: d.advertisableRevision(v), CheckedRevision: d.checkedRevisions.oldest(), ReplicasHash: v.Replicas.Digest().Sum(), ReplicasRevision: v.replicasRevision,
 		Evacuations: d.evacuationsReply(v, req.GetEvacuationsRevision()),
 	}
 	if d.registry.RetainsLapsed() || d.dependsOnPeers() {
 		// The requester may have seen replicas removed while this host was disconnected.
 		reply.AgeMs = unknownAge.Milliseconds()
 	}
-	reply.Buckets = differingBuckets(v, req.GetReplicaBuckets())
+	d.addReplicaChanges(reply, v, req)
 	return reply
 }
 
-// maxReplyBytes limits the replicas in one reply to some 350. Eight hosts that are
-// answered at once over a link of 10 Mbit/s then wait 0.2 s. The next reply contains the
-// rest.
+// maxReplyBytes limits the replicas in one reply to some 350, or to one bucket if that has
+// more. Eight hosts that are answered at once over a link of 10 Mbit/s then wait 0.2 s. The
+// next reply contains the rest.
 const maxReplyBytes = 32 << 10
 
-// differingBuckets returns buckets of a view whose replicas differ from the requester's,
-// up to maxReplyBytes.
-func differingBuckets(v *View, requesterDigest []uint64) []*wire.NewsBucket {
-	indices := v.digest.Differing(requesterDigest, 0)
-	if len(indices) == 0 {
-		return nil
-	}
-	byIndex := make(map[int]*wire.NewsBucket, len(indices))
-	for _, i := range indices {
-		byIndex[i] = &wire.NewsBucket{Index: uint32(i)}
-	}
-	for id, r := range v.Replicas {
-		if b := byIndex[bucket.Of(id)]; b != nil {
+// addReplicaChanges adds to a reply the replicas that differ from the requester's, up to
+// maxReplyBytes: the changes in a bucket if the requester has a state of it that this host
+// had recently, otherwise all replicas of the bucket. The caller holds d.mu.
+func (d *Discovery) addReplicaChanges(reply *wire.NewsReply, v *View, req *wire.NewsRequest) {
+	requesterDigest, size := req.GetReplicaBuckets(), 0
+	for _, i := range v.Replicas.Digest().Differing(requesterDigest, 0) {
+		if req.GetAcceptsChanges() {
+			if old := d.history.find(i, requesterDigest); old != nil {
+				if size += addBucketChanges(reply, old.DiffBucket(v.Replicas, i)); size > maxReplyBytes {
+					return
+				}
+				continue
+			}
+		}
+		b := &wire.NewsBucket{Index: uint32(i)}
+		for r := range v.Replicas.Bucket(i) {
 			b.Replicas = append(b.Replicas, toWire(r))
 		}
+		if size += proto.Size(b); size > maxReplyBytes && size > proto.Size(b) {
+			return
+		}
+		reply.Buckets = append(reply.Buckets, b)
 	}
-	var buckets []*wire.NewsBucket
-	size := 0
-	for _, i := range indices {
-		if size += proto.Size(byIndex[i]); size > maxReplyBytes && len(buckets) > 0 {
-			break
+}
+
+// addBucketChanges adds changed and removed replicas to a reply and returns their size in
+// bytes.
+func addBucketChanges(reply *wire.NewsReply, changes []catalog.ReplicaChange) (size int) {
+	for _, c := range changes {
+		if c.New == nil {
+			reply.Removed = append(reply.Removed, c.Old.ID)
+			size += len(c.Old.ID)
+			continue
 		}
-		buckets = append(buckets, byIndex[i])
+		changed := toWire(c.New)
+		reply.Changed = append(reply.Changed, changed)
+		size += proto.Size(changed)
 	}
-	return buckets
+	return size
 }
 
-func toWire(r catalog.Replica) *wire.NewsReplica {
+func toWire(r *catalog.Replica) *wire.NewsReplica {
 	return &wire.NewsReplica{
 		Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain,
 		Concurrency: uint32(r.Concurrency), Draining: r.Draining, Cold: r.Cold,
--- a/discovery/config.go
+++ b/discovery/config.go
@@ -25,16 +25,16 @@
 	since    time.Time
 }
 
-// maxCheckedRevisions is the number of past checks of the store, each taking 0.3 of the
-// bound, that the next one covers again: a store that drops its history reports no changes
-// for a second before.
+// maxCheckedRevisions is the number of past checks of the store, 0.3 of the bound apart,
+// that the next one covers again: a store that drops its history reports no changes for a
+// second before.
 const maxCheckedRevisions = 4
 
 // maxIdleWait limits how long syncConfig waits for work; it is woken when there is any.
 const maxIdleWait = time.Minute
 
-// checkedRevisions holds the store's revisions at the last checks for a newer
-// configuration, oldest first.
+// checkedRevisions holds the store's revisions at the last checks for changes, oldest
+// first.
 type checkedRevisions []uint64
 
 func (r checkedRevisions) add(revision uint64) checkedRevisions {
@@ -52,6 +52,14 @@
 	return r[0]
 }
 
+// newest returns the revision of the last check, or 0 when there is none.
+func (r checkedRevisions) newest() uint64 {
+	if len(r) == 0 {
+		return 0
+	}
+	return r[len(r)-1]
+}
+
 // syncConfig keeps the configuration up to date until ctx ends: it fetches the versions
 // that peers advertise, and asks the store while this host reads it.
 func (d *Discovery) syncConfig(ctx context.Context) {
@@ -240,7 +248,10 @@
 // watch from the revision of the replicas waits for the first one.
 func (d *Discovery) readConfig(ctx context.Context) bool {
 	d.mu.Lock()
-	listRevision := d.replicaListRevision
+	var listRevision uint64
+	if d.listing != nil {
+		listRevision = d.listing.checked.newest()
+	}
 	d.mu.Unlock()
 	item, revision, err := d.cfg.Store.Get(ctx, platform.ConfigKey)
 	missing := errors.Is(err, platform.ErrNotFound)
--- a/discovery/config_test.go
+++ b/discovery/config_test.go
@@ -171,7 +171,7 @@
 		for id := range replicas {
 			f.store.writeReplica(id, "ready")
 		}
-		known := func(host string) int { return len(f.discoveries[host].View().Replicas) }
+		known := func(host string) int { return f.discoveries[host].View().Replicas.Len() }
 		for started := time.Now(); known("host-009") < replicas && time.Since(started) < propagationBound; {
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -62,6 +62,11 @@
 	mu       sync.Mutex
 	view     atomic.Pointer[View]
 	registry catalog.Registry
+	// history holds the last sets of replicas, from which peers are sent what changed.
+	history replicaHistory
+	// listing is what this host has read from the store; nil while its replicas are those
+	// of a peer.
+	listing *listing
 	// viewChanged is closed and replaced with every new view, also when only its age
 	// differs.
 	viewChanged chan struct{}
@@ -88,8 +93,6 @@
 	// invalidEntries describes the fault of each entry that is not a valid replica, by
 	// key.
 	invalidEntries map[string]string
-	// replicaListRevision is the store's revision when this host last listed the replicas.
-	replicaListRevision uint64
 	// configCheckRequested makes syncConfig check the store once for a newer
 	// configuration.
 	configCheckRequested atomic.Bool
@@ -151,18 +154,18 @@
 		next.AsOf = next.configAsOf
 	}
 	next.Replicas = d.registry.Replicas()
-	next.digest = digestOf(next.Replicas)
 	isFirst := old.Replicas == nil
+	sameReplicas := *next.Replicas.Digest() == *old.Replicas.Digest()
 	defer d.notifyWaiters()
 	sameEvacuations := next.Evacuations.SameDomains(old.Evacuations)
-	if !isFirst && next.Config == old.Config && next.digest == old.digest && sameEvacuations {
+	if !isFirst && next.Config == old.Config && sameReplicas && sameEvacuations {
 		next.Replicas = old.Replicas
 		d.view.Store(next)
 		return
 	}
 	fields := []zap.Field{
-		zap.Bool("configuration", next.Config != old.Config), zap.Bool("replicas_changed", next.digest != old.digest),
-		zap.String("source", next.Source), zap.Int("replicas", len(next.Replicas)),
+		zap.Bool("configuration", next.Config != old.Config), zap.Bool("replicas_changed", !sameReplicas),
+		zap.String("source", next.Source), zap.Int("replicas", next.Replicas.Len()),
 	}
 	if !sameEvacuations || len(next.Evacuations.Domains) > 0 {
 		fields = append(fields, zap.Strings("evacuated", next.Evacuations.Domains), zap.Bool("evacuations_changed", !sameEvacuations))
@@ -173,6 +176,9 @@
 	if next.Config != nil {
 		fields = append(fields, zap.Uint64("version", next.Config.Version))
 	}
+	if !sameReplicas {
+		d.history.add(next.Replicas)
+	}
 	d.cfg.OnViewChange(next)
 	d.view.Store(next)
 	d.log.Info("view updated", fields...)
@@ -219,7 +225,7 @@
 	dump := Dump{
 		Revision: v.revision, AsOf: v.AsOf, Source: v.Source, StoreUnavailable: d.replicaReadFailed || d.configReadFailed,
 		AdvertisedRevision: d.advertised.revision, BehindSeconds: behind.Seconds(), CheckedRevision: d.checkedRevisions.oldest(),
-		StoreReads: d.storeReads.Load(), PeerReplies: d.peerReplies.Load(), Replicas: sortedReplicas(v.Replicas), InvalidEntries: d.invalidEntries,
+		StoreReads: d.storeReads.Load(), PeerReplies: d.peerReplies.Load(), Replicas: v.Replicas.Sorted(), InvalidEntries: d.invalidEntries,
 		Evacuated: v.Evacuations.Domains, EvacuationsRevision: v.Evacuations.Revision,
 	}
 	if v.Config != nil {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -206,7 +206,7 @@
 		f.writeReplica("i-1", "draining")
 		for name := range f.discoveries {
 			Eventually(f.version(name), bound).Should(Equal(uint64(2)))
-			Eventually(func() bool { return f.discoveries[name].View().Replicas["i-1"].Draining }, bound).Should(BeTrue())
+			Eventually(func() bool { return f.discoveries[name].View().Replicas.Get("i-1").Draining }, bound).Should(BeTrue())
 		}
 		time.Sleep(bound)
 		Expect(f.store.CallCount()-before).To(BeNumerically("<", 12), "the reads of one host")
@@ -217,7 +217,7 @@
 		f.writeReplica("i-2", "ready")
 		f.run("host-1", "host-2", "host-3")
 		replicas := func(host string) func() int {
-			return func() int { return len(f.discoveries[host].View().Replicas) }
+			return func() int { return f.discoveries[host].View().Replicas.Len() }
 		}
 		for _, host := range []string{"host-1", "host-2", "host-3"} {
 			Eventually(replicas(host), "3s").Should(Equal(2))
@@ -273,7 +273,7 @@
 		f.run("host-2")
 		Eventually(func() bool { return f.discoveries["host-2"].View().Ready() }, "2s").Should(BeTrue())
 		f.setStoreDown("host-1", true)
-		Consistently(func() int { return len(f.discoveries["host-2"].View().Replicas) }, bound).Should(Equal(1))
+		Consistently(func() int { return f.discoveries["host-2"].View().Replicas.Len() }, bound).Should(Equal(1))
 		Expect(f.discoveries["host-2"].View().AsOf).To(BeTemporally("~", time.Now(), bound))
 	})
 
@@ -300,7 +300,7 @@
 		}
 		f.run(names...)
 		for _, name := range names {
-			Eventually(func() int { return len(f.discoveries[name].View().Replicas) }, "4s").Should(Equal(301))
+			Eventually(func() int { return f.discoveries[name].View().Replicas.Len() }, "4s").Should(Equal(301))
 		}
 		for i := range 20 {
 			f.writeReplica(fmt.Sprintf("r-%03d", i), "draining")
@@ -311,7 +311,7 @@
 			// last page without the changes of its first.
 			Eventually(func() bool {
 				replicas := f.discoveries[name].View().Replicas
-				return len(replicas) == 281 && replicas["r-005"].Draining
+				return replicas.Len() == 281 && replicas.Get("r-005").Draining
 			}, "2s").Should(BeTrue())
 		}
 	})
@@ -320,7 +320,7 @@
 		f := newTestFleet(1)
 		f.store.Put(platform.ReplicaPrefix+"bad", []byte("garbage"))
 		f.run("host-1")
-		Eventually(func() int { return len(f.discoveries["host-1"].View().Replicas) }, "2s").Should(Equal(1))
+		Eventually(func() int { return f.discoveries["host-1"].View().Replicas.Len() }, "2s").Should(Equal(1))
 		Expect(f.discoveries["host-1"].Dump().Replicas).To(HaveLen(1))
 	})
 
--- a/discovery/export_test.go
+++ b/discovery/export_test.go
@@ -56,4 +56,4 @@
 }
 
 // Buckets returns the digest of the view's replicas in the form that peers send.
-func (v *View) Buckets() []uint64 { return v.digest[:] }
+func (v *View) Buckets() []uint64 { return v.Replicas.Digest()[:] }
--- a/discovery/invalid_entries_test.go
+++ b/discovery/invalid_entries_test.go
@@ -36,11 +36,11 @@
 		writeEntries(f)
 		f.run("host-1", "host-2")
 		for _, name := range []string{"host-1", "host-2"} {
-			Eventually(func() int { return len(f.discoveries[name].View().Replicas) }, "2s").Should(Equal(3))
+			Eventually(func() int { return f.discoveries[name].View().Replicas.Len() }, "2s").Should(Equal(3))
 		}
 		f.writeReplica("zz", "draining")
 		for _, name := range []string{"host-1", "host-2"} {
-			Eventually(func() bool { return f.discoveries[name].View().Replicas["zz"].Draining }, bound).Should(BeTrue())
+			Eventually(func() bool { return f.discoveries[name].View().Replicas.Get("zz").Draining }, bound).Should(BeTrue())
 		}
 	})
 
--- a/discovery/large_config_test.go
+++ b/discovery/large_config_test.go
@@ -85,7 +85,7 @@
 func (f *simulatedFleet) hostsSendingTo(replica int) []string {
 	var names []string
 	for _, name := range f.names {
-		if r, known := f.discoveries[name].View().Replicas[fmt.Sprintf("r-%04d", replica)]; known && !r.Draining {
+		if r := f.discoveries[name].View().Replicas.Find(fmt.Sprintf("r-%04d", replica)); r != nil && !r.Draining {
 			names = append(names, name)
 		}
 	}
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +35,9 @@
 			}
 			d.requestConfigCheck()
 		}
+		if d.View().Replicas == nil && !d.configMissing.Load() && d.requestFirstView(ctx) {
+			continue
+		}
 		started := clock.Now()
 		if !d.readReplicas(ctx) {
 			if !d.View().Ready() && d.requestChangesFromAny(ctx) {
@@ -85,7 +91,7 @@
 // interval returns the time between two reads of the replicas, which is short until there
 // are replicas.
 func (d *Discovery) interval() time.Duration {
-	if !d.View().Ready() || len(d.View().Replicas) == 0 {
+	if !d.View().Ready() || d.View().Replicas.Len() == 0 {
 		return minRetryInterval
 	}
 	if d.noRecentPeerRequests() {
@@ -100,43 +106,124 @@
 	return time.Duration(clock.Nanos()-d.lastPeerRequest.Load()) > 2*d.boundFraction(idleReadFraction)
 }
 
-// readReplicas reads the replicas from the store and reports whether that succeeded.
+// readReplicas reads the replicas from the store, the changes since the last read if that is
+// possible, and reports whether that succeeded.
 func (d *Discovery) readReplicas(ctx context.Context) bool {
 	started := clock.Now()
 	d.storeReads.Add(1)
-	entries := []catalog.Replica{}
-	faults := map[string]string{}
-	revision, err := d.cfg.Store.ForEachPage(ctx, platform.ReplicaPrefix, func(items []platform.Item) {
-		for _, item := range items {
-			r, err := platform.DecodeReplica(item)
-			if err != nil {
-				faults[item.Key] = err.Error()
-				continue
-			}
-			entries = append(entries, r)
-		}
-	})
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	done, err := d.readReplicaChanges(ctx, started)
+	if err == nil && !done {
+		err = d.listReplicas(ctx, started)
+	}
 	if err != nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
 		if !d.replicaReadFailed && ctx.Err() == nil {
 			d.replicaReadFailed = true
 			d.log.Warn("could not read the replicas from the store", zap.Error(err), zap.Duration("view_age", started.Sub(d.View().AsOf)))
 		}
 		return false
 	}
+	return true
+}
+
+// readReplicaChanges reads the changes since the last read from the store, or since the
+// replicas that a peer sent. done is false if the replicas have to be listed instead.
+func (d *Discovery) readReplicaChanges(ctx context.Context, started time.Time) (done bool, err error) {
+	l := d.currentListing()
+	if l == nil {
+		return false, nil
+	}
+	items, revision, err := d.replicaChanges(ctx, l.checked.oldest())
+	if errors.Is(err, platform.ErrCompacted) {
+		d.log.Info("store no longer has the change history; listing the replicas", zap.Uint64("after", l.checked.oldest()))
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	changes := l.apply(items)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listing = l
+	l.checked, l.readAt = l.checked.add(revision), started
+	written := make([]catalog.Replica, 0, len(changes.written))
+	for _, r := range changes.written {
+		written = append(written, *r)
+	}
+	d.registry.ApplyChanges(clock.Now(), written, slices.Collect(maps.Keys(changes.gone)))
+	d.replicasRead(started)
+	return true, nil
+}
+
+// currentListing returns the listing from which changes can be read: the one of the last
+// read, or one of the replicas that a peer sent; nil if there is neither.
+func (d *Discovery) currentListing() *listing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.listing
+	if v := d.View(); l == nil && v.replicasRevision > 0 {
+		l = listingOf(v.Replicas, v.replicasRevision, v.replicasAsOf)
+		l.faults = maps.Clone(d.invalidEntries)
+	}
+	if l == nil || !l.usable(clock.Now()) {
+		return nil
+	}
+	return l
+}
+
+const (
+	// largeChange is the number of changes in one response from which the store may have
+	// more, and maxChangeReads limits the responses that are read at a time.
+	largeChange    = 100
+	maxChangeReads = 20
+)
+
+// replicaChanges reads the changed entries after a revision of the store.
+func (d *Discovery) replicaChanges(ctx context.Context, after uint64) (items []platform.Item, revision uint64, err error) {
+	revision = after
+	for range maxChangeReads {
+		var more []platform.Item
+		more, revision, err = d.cfg.Store.Changes(ctx, platform.ReplicaPrefix, revision, 0)
+		if err != nil {
+			return nil, 0, err
+		}
+		items = append(items, more...)
+		if len(more) < largeChange {
+			break
+		}
+	}
+	return items, revision, nil
+}
+
+// listReplicas lists the replicas in the store.
+func (d *Discovery) listReplicas(ctx context.Context, started time.Time) error {
+	l := newListing()
+	revision, err := d.cfg.Store.ForEachPage(ctx, platform.ReplicaPrefix, func(items []platform.Item) { l.apply(items) })
+	if err != nil {
+		return err
+	}
+	l.checked, l.readAt, l.listedAt = checkedRevisions{revision}, started, started
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listing = l
+	d.registry.Update(clock.Now(), l.replicas())
+	d.replicasRead(started)
+	return nil
+}
+
+// replicasRead publishes the replicas after they were read from the store. The caller holds
+// d.mu.
+func (d *Discovery) replicasRead(started time.Time) {
 	if d.replicaReadFailed {
 		d.replicaReadFailed = false
 		d.wakeConfigSync()
-		d.log.Info("store is readable again for the replicas", zap.Uint64("revision", revision))
+		d.log.Info("store is readable again for the replicas", zap.Uint64("revision", d.listing.checked.newest()))
 	}
-	d.recordInvalidEntries(faults)
+	d.recordInvalidEntries(d.listing.faults)
 	next := *d.View()
-	next.replicasAsOf, next.Source = started, sourceStore
-	d.registry.Update(clock.Now(), entries)
-	d.replicaListRevision = revision
+	next.replicasAsOf, next.replicasRevision, next.Source = started, d.listing.checked.oldest(), sourceStore
 	d.publish(&next)
-	return true
 }
 
 // recordInvalidEntries replaces the faults of entries that are not valid replicas, by key:
@@ -148,7 +235,7 @@
 			d.log.Warn("invalid replica entry ignored", zap.String("key", key), zap.String("why", fault))
 		}
 	}
-	d.invalidEntries = faults
+	d.invalidEntries = maps.Clone(faults)
 }
 
 // InvalidEntryCount returns the number of entries under the replica prefix that are not
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -64,7 +66,7 @@
 // hosts.
 func (d *Discovery) chooseSource(now time.Time) string {
 	var hosts []fleet.Host
-	if d.View().Ready() || d.configMissing.Load() {
+	if d.View().Replicas != nil || d.configMissing.Load() {
 		hosts = rankedHosts(d.cfg.Members.Reachable())
 	}
 	position := slices.IndexFunc(hosts, func(h fleet.Host) bool { return h.Name == d.cfg.Self })
@@ -109,6 +111,34 @@
 	return hosts
 }
 
+// firstViewPeers is the number of hosts that a host which has just started asks for their
+// replicas before it lists the store.
+const firstViewPeers = 3
+
+// requestFirstView asks some hosts at the same time for the replicas that they know, and
+// reports whether any sent some. A full list takes a call for each page, which the hosts
+// that are restarted need not make.
+func (d *Discovery) requestFirstView(ctx context.Context) bool {
+	var hosts []string
+	for _, h := range d.cfg.Members.Reachable() {
+		if h.Name != d.cfg.Self && !d.hostBackoff.Excludes(h.Name, clock.Now()) {
+			hosts = append(hosts, h.Name)
+		}
+	}
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	var group sync.WaitGroup
+	var received atomic.Bool
+	for _, host := range hosts[:min(firstViewPeers, len(hosts))] {
+		group.Go(func() {
+			if d.requestChanges(ctx, host, 0) {
+				received.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return received.Load()
+}
+
 // requestChangesFromAny asks hosts for changes until one replies. A host that has just
 // started and that the store rejects learns from its peers what is active.
 func (d *Discovery) requestChangesFromAny(ctx context.Context) bool {
--- a/discovery/tree_test.go
+++ b/discovery/tree_test.go
@@ -13,10 +13,7 @@
 
 // deleteReplica removes the entry of a replica.
 func (s *simulatedStore) deleteReplica(id int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	delete(s.items, fmt.Sprintf("%sr-%04d", platform.ReplicaPrefix, id))
+	s.remove(fmt.Sprintf("%sr-%04d", platform.ReplicaPrefix, id))
 }
 
 // viewSources lists the source of each host's view in order of rank.
@@ -34,7 +31,7 @@
 	var names []string
 	for _, name := range f.names {
 		ready, draining := 0, 0
-		for _, r := range f.discoveries[name].View().Replicas {
+		for r := range f.discoveries[name].View().Replicas.All() {
 			if r.Draining {
 				draining++
 			} else {
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -31,8 +31,9 @@
 // coldReplicaTracker tracks which replicas are cold. It is safe for concurrent use.
 type coldReplicaTracker struct {
 	mu sync.Mutex
-	// view is the newest view.
-	view *discovery.View
+	// view is the newest view, and flagged are the replicas that it lists as cold, by ID.
+	view    *discovery.View
+	flagged map[string]*catalog.Replica
 	// coldSince is when a replica was first seen to be cold, by ID.
 	coldSince map[string]time.Time
 	// evacuated are the failure domains that were evacuated in the last view, and
@@ -42,28 +43,65 @@
 }
 
 func newColdReplicaTracker() *coldReplicaTracker {
-	return &coldReplicaTracker{coldSince: map[string]time.Time{}, evacuated: map[string]bool{}, restoredAt: map[string]time.Time{}}
+	return &coldReplicaTracker{flagged: map[string]*catalog.Replica{}, coldSince: map[string]time.Time{}, evacuated: map[string]bool{}, restoredAt: map[string]time.Time{}}
 }
 
-// update applies a view and returns the replicas that are cold; mu must be held.
-func (c *coldReplicaTracker) update(now time.Time, v *discovery.View) []catalog.Replica {
+// setView records a new view and which replicas it lists as cold; mu must be held.
+func (c *coldReplicaTracker) setView(v *discovery.View) {
+	var previous *catalog.ReplicaSet
+	if c.view != nil {
+		previous = c.view.Replicas
+	}
+	for _, change := range previous.Diff(v.Replicas) {
+		delete(c.flagged, change.ID())
+		if change.New != nil && change.New.Cold {
+			c.flagged[change.ID()] = change.New
+		}
+	}
+	c.view = v
+}
+
+// update returns the replicas that are cold; mu must be held.
+func (c *coldReplicaTracker) update(now time.Time) []*catalog.Replica {
+	v := c.view
 	c.recordRestored(now, v)
-	var cold []catalog.Replica
-	for id, r := range v.Replicas {
+	var cold []*catalog.Replica
+	add := func(r *catalog.Replica) {
 		s := v.Config.Services[r.Service]
-		if s == nil || s.ColdRate <= 0 || r.Draining {
-			continue
-		}
-		if c.isCold(now, r, s.Warmup, now.Sub(v.AsOf) > coldViewMaxAge) {
+		if s != nil && s.ColdRate > 0 && !r.Draining && c.isCold(now, r, s.Warmup, now.Sub(v.AsOf) > coldViewMaxAge) {
 			cold = append(cold, r)
-		} else if !r.Cold {
-			delete(c.coldSince, id)
 		}
 	}
-	maps.DeleteFunc(c.coldSince, func(id string, _ time.Time) bool { _, listed := v.Replicas[id]; return !listed })
+	if c.anyRestored(now) {
+		for r := range v.Replicas.All() {
+			add(r)
+		}
+	} else {
+		for _, r := range c.flagged {
+			add(r)
+		}
+	}
+	maps.DeleteFunc(c.coldSince, func(id string, _ time.Time) bool { return c.flagged[id] == nil })
 	return cold
 }
 
+// anyRestored reports whether the replicas of a restored failure domain may be cold; mu must
+// be held.
+func (c *coldReplicaTracker) anyRestored(now time.Time) bool {
+	var longest time.Duration
+	for _, s := range c.view.Config.Services {
+		if s.ColdRate > 0 {
+			longest = max(longest, s.Warmup)
+		}
+	}
+	for _, at := range c.restoredAt {
+		if now.Sub(at) < longest {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRestored records which failure domains have been restored; mu must be held.
 func (c *coldReplicaTracker) recordRestored(now time.Time, v *discovery.View) {
 	for domain := range c.evacuated {
@@ -79,7 +117,7 @@
 }
 
 // isCold reports whether a replica must be treated as cold; mu must be held.
-func (c *coldReplicaTracker) isCold(now time.Time, r catalog.Replica, warmup time.Duration, stale bool) bool {
+func (c *coldReplicaTracker) isCold(now time.Time, r *catalog.Replica, warmup time.Duration, stale bool) bool {
 	if at, ok := c.restoredAt[r.FailureDomain]; ok && now.Sub(at) < warmup {
 		return true
 	}
@@ -100,10 +138,10 @@
 	g.coldTracker.mu.Lock()
 	defer g.coldTracker.mu.Unlock()
 	if v != nil {
-		g.coldTracker.view = v
+		g.coldTracker.setView(v)
 	}
 	v = g.coldTracker.view
-	cold := g.coldTracker.update(clock.Now(), v)
+	cold := g.coldTracker.update(clock.Now())
 	limits := make(map[string]int, len(cold))
 	if len(cold) > 0 {
 		hosts, complete := g.fleet.KnownHosts()
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -13,7 +13,10 @@
 // failure domains.
 func evacuatedServices(v *discovery.View) map[string]bool {
 	open, evacuated := map[string]bool{}, map[string]bool{}
-	for _, r := range v.Replicas {
+	if len(v.Evacuations.Domains) == 0 {
+		return evacuated
+	}
+	for r := range v.Replicas.All() {
 		switch {
 		case r.Draining:
 		case v.Evacuations.Has(r.FailureDomain):
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,8 +39,13 @@
 	initialized chan struct{}
 	log         *zap.Logger
 	metrics     *metrics.Set
-	viewVersion uint64 // number of the last view; used by the discovery goroutine only
-	draining    atomic.Bool
+	// The fields about the last view are used by one goroutine of the discovery at a time:
+	// the view, the number of the last one that set up all pools, and the concurrency of
+	// these pools.
+	appliedView     *discovery.View
+	viewVersion     uint64
+	poolConcurrency map[string]int
+	draining        atomic.Bool
 	// prepareCtx ends when this daemon, which is shutting down, refuses the requests whose
 	// stages are still running.
 	prepareCtx    context.Context
@@ -175,21 +180,6 @@
 	return err
 }
 
-// applyView passes a new view on to the components that decide by it.
-func (g *Gateway) applyView(v *discovery.View) {
-	if !v.Ready() {
-		return
-	}
-	g.viewVersion++
-	g.dropRefusalCounters(v)
-	g.pruneNotices(v.Replicas)
-	evacuated := evacuatedServices(v)
-	g.evacuatedServices.Store(&evacuated)
-	g.updateColdLimits(v)
-	g.router.Apply(routerPools(v, g.viewVersion, g.settings.Load().Regions))
-	g.stages.Configure(v.Config.Services, stageReplicas(v))
-}
-
 // Limits of net/http on the callers' side.
 const (
 	// readHeaderTimeout limits the time for reading the headers of a request. The
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -25,7 +25,9 @@
 	// invalidBackoff are the replicas whose invalid Retry-After value has been logged.
 	invalidBackoff map[string]bool
 	// replicas are the replicas of the newest view.
-	replicas map[string]catalog.Replica
+	replicas *catalog.ReplicaSet
+	// byAddress lists the IDs of these replicas by address; nil until it is needed.
+	byAddress map[string][]string
 	// limitsActive is set if a limit was active at the last update.
 	limitsActive bool
 	// lastResent is when resendNotices last sent notices to the neighbours.
@@ -52,7 +54,7 @@
 		return
 	}
 	n, now := &g.notices, clock.Now()
-	service := g.discovery.View().Replicas[a.Replica].Service
+	service := g.discovery.View().Replicas.Get(a.Replica).Service
 	if invalid := a.Notice.UnparsedBackoff; invalid != "" && !n.invalidBackoff[a.Replica] {
 		if n.invalidBackoff == nil {
 			n.invalidBackoff = map[string]bool{}
@@ -75,21 +77,28 @@
 // are now listed at the address of one of these; the notices' lock must be held.
 func (g *Gateway) applyBackoffs() {
 	backoffs := g.notices.backoffs.All()
-	quotas, addresses := map[string]intake.Quota{}, map[string]intake.Quota{}
+	quotas := map[string]intake.Quota{}
 	for _, r := range backoffs {
 		p := intake.Quota{BlockedUntil: r.Until}
-		quotas[r.Replica], addresses[r.Address] = p, p
-	}
-	if len(backoffs) > 0 {
-		for id, r := range g.notices.replicas {
-			if p, backedOff := addresses[r.Address]; backedOff {
-				quotas[id] = p
-			}
+		quotas[r.Replica] = p
+		for _, id := range g.notices.replicasAt(r.Address) {
+			quotas[id] = p
 		}
 	}
 	g.limiters.SetQuotas(intake.BackingOff, quotas)
 }
 
+// replicasAt returns the IDs of the replicas that are listed at an address; mu must be held.
+func (n *notices) replicasAt(address string) []string {
+	if n.byAddress == nil {
+		n.byAddress = make(map[string][]string, n.replicas.Len())
+		for r := range n.replicas.All() {
+			n.byAddress[r.Address] = append(n.byAddress[r.Address], r.ID)
+		}
+	}
+	return n.byAddress[address]
+}
+
 // expireBackoffs allows calls to the replicas whose backoff is over.
 func (g *Gateway) expireBackoffs() {
 	g.notices.mu.Lock()
@@ -108,7 +117,7 @@
 	g.updateLeavingQuotas()
 	g.sendToNeighbours(host, &wire.NoticesHeard{Leaving: leavingToWire(clock.Now(), leaving)})
 	for _, l := range leaving {
-		service := g.discovery.View().Replicas[l.Replica].Service
+		service := g.discovery.View().Replicas.Get(l.Replica).Service
 		g.log.Info("replica announced that it is leaving", zap.String("service", service), zap.String("replica", l.Replica),
 			zap.String("peer", host), zap.Duration("since", clock.Since(l.AnnouncedAt)))
 		g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replicas_said_leaving_total{service=%q}", service)).Inc()
@@ -185,7 +194,7 @@
 	if v.Config == nil {
 		return intake.Requester
 	}
-	s := v.Config.Services[v.Replicas[replica].Service]
+	s := v.Config.Services[v.Replicas.Get(replica).Service]
 	switch {
 	case s == nil || s.StageProfile == nil:
 		return intake.Requester
@@ -197,7 +206,7 @@
 
 // logLimit logs and counts a changed limit of a replica, as observed by the given host.
 func (g *Gateway) logLimit(host string, l intake.ReplicaLimit) {
-	service := g.discovery.View().Replicas[l.Replica].Service
+	service := g.discovery.View().Replicas.Get(l.Replica).Service
 	fields := []zap.Field{zap.String("service", service), zap.String("replica", l.Replica), zap.String("peer", host), zap.Duration("since", l.LastObserved.Sub(l.Since))}
 	if !l.Limit.Announced {
 		g.log.Info("replica lifted its rate limit", fields...)
@@ -208,12 +217,12 @@
 }
 
 // pruneNotices drops the notices of replicas that a view does not list.
-func (g *Gateway) pruneNotices(replicas map[string]catalog.Replica) {
-	listed := func(replica string) bool { _, ok := replicas[replica]; return ok }
+func (g *Gateway) pruneNotices(replicas *catalog.ReplicaSet) {
+	listed := replicas.Has
 	g.limiters.RemoveUnlisted(listed)
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
-	g.notices.replicas = replicas
+	g.notices.replicas, g.notices.byAddress = replicas, nil
 	g.notices.announcedLimits.RemoveExpired(clock.Now(), listed)
 	maps.DeleteFunc(g.notices.invalidBackoff, func(replica string, _ bool) bool { return !listed(replica) })
 	if g.notices.leavingReplicas.RemoveExpired(clock.Now(), listed) {
--- a/gateway/refusals.go
+++ b/gateway/refusals.go
@@ -71,7 +71,7 @@
 	g.refusals.mu.Lock()
 	defer g.refusals.mu.Unlock()
 	for id, names := range g.refusals.counters {
-		if _, listed := v.Replicas[id]; listed {
+		if v.Replicas.Has(id) {
 			continue
 		}
 		for name := range names {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -263,8 +263,8 @@
 // this host was suspended, the replica may have ended for any reason.
 func (t *attempt) reportBrokenConnection() {
 	x := t.x
-	r, listed := x.g.discovery.View().Replicas[t.choice.Upstream]
-	if !listed || r.Draining || clock.SuspendedTime() > t.suspended {
+	r := x.g.discovery.View().Replicas.Find(t.choice.Upstream)
+	if r == nil || r.Draining || clock.SuspendedTime() > t.suspended {
 		return
 	}
 	x.g.quarantine.AttemptInterrupted(quarantine.InterruptedAttempt{
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,14 +1,83 @@
 package gateway
 
 import (
-	"maps"
 	"slices"
+	"strings"
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/discovery"
 )
 
+// applyView passes a new view on to the components that decide by it. Unless the
+// configuration or the evacuations have changed, its cost grows with the replicas that
+// changed and not with all of them.
+func (g *Gateway) applyView(v *discovery.View) {
+	if !v.Ready() {
+		return
+	}
+	previous := g.appliedView
+	g.appliedView = v
+	g.dropRefusalCounters(v)
+	g.pruneNotices(v.Replicas)
+	evacuated := evacuatedServices(v)
+	g.evacuatedServices.Store(&evacuated)
+	g.updateColdLimits(v)
+	if changes, ok := g.poolChanges(previous, v); ok {
+		g.router.Update(changes)
+	} else {
+		g.viewVersion++
+		b := routerPools(v, g.viewVersion, g.settings.Load().Regions)
+		g.poolConcurrency = map[string]int{}
+		for _, p := range b.Pools {
+			g.poolConcurrency[p.Name] = p.Concurrency
+		}
+		g.router.Apply(b)
+	}
+	g.stages.Configure(v.Config.Services, func() []catalog.Replica { return stageReplicas(v) })
+}
+
+// poolChanges returns the changes of the router's pools from the previous view to a new
+// one. ok is false if the pools have to be set up again.
+func (g *Gateway) poolChanges(previous, v *discovery.View) (changes []route.PoolChange, ok bool) {
+	if previous == nil || previous.Config != v.Config || !previous.Evacuations.SameDomains(v.Evacuations) {
+		return nil, false
+	}
+	byPool := map[string]*route.PoolChange{}
+	change := func(pool string) *route.PoolChange {
+		if byPool[pool] == nil {
+			byPool[pool] = &route.PoolChange{Pool: pool}
+		}
+		return byPool[pool]
+	}
+	for _, c := range previous.Replicas.Diff(v.Replicas) {
+		if c.Old != nil && !v.RefusesNewWork(c.Old) {
+			p := change(c.Old.Service)
+			p.Removed = append(p.Removed, c.Old.ID)
+		}
+		if c.New == nil {
+			continue
+		}
+		if limit, known := g.poolConcurrency[c.New.Service]; known && c.New.Concurrency > limit {
+			return nil, false
+		}
+		if !v.RefusesNewWork(c.New) {
+			p := change(c.New.Service)
+			p.Added = append(p.Added, upstreamOf(c.New))
+		}
+	}
+	for _, p := range byPool {
+		changes = append(changes, *p)
+	}
+	slices.SortFunc(changes, func(a, b route.PoolChange) int { return strings.Compare(a.Pool, b.Pool) })
+	return changes, true
+}
+
+func upstreamOf(r *catalog.Replica) bundle.Upstream {
+	return bundle.Upstream{Name: r.ID, FailureDomain: r.FailureDomain, Address: r.Address}
+}
+
 // routerPools converts a view for the router: one pool per service, with the replicas that
 // take new work. version numbers the views.
 func routerPools(v *discovery.View, version uint64, regions []Region) *bundle.Bundle {
@@ -18,15 +87,11 @@
 	}
 	byService := map[string][]bundle.Upstream{}
 	concurrency := map[string]int{}
-	for _, id := range slices.Sorted(maps.Keys(v.Replicas)) {
-		r := v.Replicas[id]
+	for r := range v.Replicas.All() {
 		concurrency[r.Service] = max(concurrency[r.Service], r.Concurrency)
-		if v.RefusesNewWork(r) {
-			continue
+		if !v.RefusesNewWork(r) {
+			byService[r.Service] = append(byService[r.Service], upstreamOf(r))
 		}
-		byService[r.Service] = append(byService[r.Service], bundle.Upstream{
-			Name: r.ID, FailureDomain: r.FailureDomain, Address: r.Address,
-		})
 	}
 	for name, s := range v.Config.Services {
 		p := bundle.Pool{
@@ -46,10 +111,11 @@
 // produced there.
 func stageReplicas(v *discovery.View) []catalog.Replica {
 	var out []catalog.Replica
-	for _, r := range v.Replicas {
+	for r := range v.Replicas.All() {
 		if s := v.Config.Services[r.Service]; s != nil && s.StageProfile != nil {
-			r.Draining = v.RefusesNewWork(r)
-			out = append(out, r)
+			replica := *r
+			replica.Draining = v.RefusesNewWork(r)
+			out = append(out, replica)
 		}
 	}
 	return out
--- a/stages/handover_test.go
+++ b/stages/handover_test.go
@@ -233,7 +233,7 @@
 			Self: name, Replicas: networkedReplicas{replicaClient{f.replicas, name}, f.fakeNetwork, work}, Members: m, Caller: fakeCaller{f.fakeNetwork, name},
 			Mux: f.muxes[name], Logger: zap.NewNop(),
 		})
-		s.Configure(services(), listedReplicas())
+		s.Configure(services(), listedReplicas)
 		f.services[name] = s
 		running.Go(func() { s.Run(ctx) })
 	}
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -97,10 +97,13 @@
 	mu      sync.Mutex
 	machine *stage.Machine
 	ready   bool // a configuration has been received
-	jobs    map[string]*plannedJob
-	owners  map[string]*owner
-	calls   map[uint64]context.CancelFunc
-	wake    chan struct{}
+	// unapplied returns the configuration that the machine has not been given yet; nil if
+	// it has the current one.
+	unapplied func() stage.Configured
+	jobs      map[string]*plannedJob
+	owners    map[string]*owner
+	calls     map[uint64]context.CancelFunc
+	wake      chan struct{}
 	// lastStep is when the machine last received an event.
 	lastStep time.Time
 	// lastAnswer is the number of the last answer that reported pieces. It starts at the
@@ -122,15 +125,31 @@
 	return p
 }
 
-// configure passes the current services and replicas to the machine.
-func (p *planner) configure(services map[string]*catalog.Service, replicas []catalog.Replica) {
+// configure replaces the services and replicas. The machine is given them at once while it
+// plans jobs, otherwise with the next job: of all the hosts of a fleet, few ever plan.
+func (p *planner) configure(services map[string]*catalog.Service, list func() []catalog.Replica) {
 	p.mu.Lock()
 	p.ready = true
-	actions := p.step(stage.Configured{Services: services, Replicas: replicas})
+	p.unapplied = func() stage.Configured { return stage.Configured{Services: services, Replicas: list()} }
+	var actions []stage.Action
+	if len(p.jobs)+len(p.calls) > 0 {
+		actions = p.applyConfiguration()
+	}
 	p.mu.Unlock()
 	p.perform(actions)
 }
 
+// applyConfiguration gives the machine the services and replicas unless it has them. The
+// caller holds the lock.
+func (p *planner) applyConfiguration() []stage.Action {
+	if p.unapplied == nil {
+		return nil
+	}
+	configured := p.unapplied()
+	p.unapplied = nil
+	return p.step(configured)
+}
+
 // submit adds a job and returns its outcome if that is known at once. ok is false until a
 // configuration has been received.
 func (p *planner) submit(from string, j stage.Job) (outcome *JobOutcome, ok bool) {
@@ -150,6 +169,7 @@
 		p.jobs[j.ID] = e
 		o.jobs++
 		j.Transferable = from != ""
+		actions = append(actions, p.applyConfiguration()...)
 		actions = append(actions, p.step(stage.Submitted{Job: j})...)
 	}
 	e.lastPolled = clock.Now()
--- a/stages/planner_test.go
+++ b/stages/planner_test.go
@@ -100,7 +100,7 @@
 			services[name] = &catalog.Service{Name: name, StageProfile: pieces}
 			listed = append(listed, catalog.Replica{ID: name, Service: name, Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 2})
 		}
-		p.configure(services, listed)
+		p.configure(services, func() []catalog.Replica { return listed })
 		for _, id := range []string{"reported", "unreported"} {
 			_, ok := p.submit("peer", stage.Job{
 				ID: id, Key: "k", Due: clock.Now().Add(time.Hour), Deadline: clock.Now().Add(time.Hour),
@@ -129,7 +129,9 @@
 		p := newPlanner(stage.Config{}, replicas, zap.NewNop())
 		pieces := &catalog.StageProfile{Concurrency: 1, Batch: 8, CallTime: 100 * time.Millisecond, PieceTime: time.Millisecond}
 		p.configure(map[string]*catalog.Service{"encode": {Name: "encode", StageProfile: pieces}},
-			[]catalog.Replica{{ID: "e1", Service: "encode", Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 1}})
+			func() []catalog.Replica {
+				return []catalog.Replica{{ID: "e1", Service: "encode", Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 1}}
+			})
 		due := clock.Now().Add(time.Hour)
 		_, ok := p.submit("", stage.Job{
 			ID: "own", Key: "k", Due: due, Latest: due, Deadline: due, Stages: []stage.Stage{{Service: "encode", Pieces: 1, ResultBytes: 100}},
@@ -155,7 +157,9 @@
 		p := newPlanner(stage.Config{}, replicas, zap.NewNop())
 		pieces := &catalog.StageProfile{Concurrency: 1, Batch: 8, CallTime: 10 * time.Second, PieceTime: time.Millisecond, ResultCapacityBytes: 1 << 20, ResultTTL: time.Second}
 		p.configure(map[string]*catalog.Service{"encode": {Name: "encode", StageProfile: pieces}},
-			[]catalog.Replica{{ID: "e1", Service: "encode", Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 1}})
+			func() []catalog.Replica {
+				return []catalog.Replica{{ID: "e1", Service: "encode", Address: "127.0.0.1:1", FailureDomain: "x", Concurrency: 1}}
+			})
 		job := func(id string) stage.Job {
 			return stage.Job{
 				ID: id, Key: "k", Deadline: clock.Now().Add(time.Hour), Latest: clock.Now().Add(time.Hour),
--- a/stages/service.go
+++ b/stages/service.go
@@ -77,9 +77,10 @@
 // Run runs the planner of this daemon until ctx ends.
 func (s *Service) Run(ctx context.Context) { s.planner.run(ctx) }
 
-// Configure replaces the services that run stages and their replicas.
-func (s *Service) Configure(services map[string]*catalog.Service, replicas []catalog.Replica) {
-	s.planner.configure(services, replicas)
+// Configure replaces the services that run stages and their replicas. list returns the
+// replicas; it is called only while this daemon plans.
+func (s *Service) Configure(services map[string]*catalog.Service, list func() []catalog.Replica) {
+	s.planner.configure(services, list)
 }
 
 // maxPlanners limits the number of planners to which one job is submitted, not counting
--- a/stages/stages_test.go
+++ b/stages/stages_test.go
@@ -240,7 +240,7 @@
 		s := stages.New(stages.Config{
 			Self: name, Incarnation: incarnations[i], Replicas: replicaClient{r, name}, Members: m, Caller: t, Mux: mux, Logger: zap.NewNop(),
 		})
-		s.Configure(services(), listedReplicas())
+		s.Configure(services(), listedReplicas)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); s.Run(ctx) }()
@@ -371,7 +371,7 @@
 		r := newReplicas()
 		r.releaseTime = 30 * time.Millisecond
 		nodes, _ := newNodes(r, 1)
-		nodes[0].service.Configure(services(), listedReplicas()[:1]) // one replica
+		nodes[0].service.Configure(services(), func() []catalog.Replica { return listedReplicas()[:1] }) // one replica
 		one := job("one")
 		one.Stages = one.Stages[:1]
 		Expect(nodes[0].service.Prepare(context.Background(), one).Refused).To(BeNil())
