Keep the roster sorted with its digest; publish membership once per half tick

Cause: a seed sorted and hashed all hosts for each of the requests that all hosts send it every five seconds, so that its work grew with the square of the fleet; and each changed member had the list of all members copied at once, so that a start or a loss of many hosts cost every host their number squared.

Change: the sorted hosts and the digest are kept until the roster changes, and an equal digest is answered at once.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -230,7 +230,7 @@
 		reply.First, reply.Size = toWire(f.roster.topRanked(formingReplyHosts)), uint32(f.roster.size())
 		return reply, nil
 	}
-	reply.Hosts = toWire(differingHosts(f.roster.all(), req.GetKnownBuckets()))
+	reply.Hosts = toWire(differingHosts(f.roster, req.GetKnownBuckets()))
 	return reply, nil
 }
 
@@ -327,7 +327,7 @@
 	defer cancel()
 	req := &wire.RosterRequest{Self: toWire([]Host{f.cfg.Self})[0], Forming: !f.hasFormed()}
 	if !req.Forming {
-		known := rosterDigest(f.roster.all())
+		_, known := f.roster.snapshot()
 		req.KnownBuckets = known[:]
 	}
 	reply := &wire.RosterReply{}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -28,6 +28,11 @@
 type roster struct {
 	mu    sync.Mutex
 	hosts map[string]Host
+	// sorted holds the hosts by name, and digest their digest. Both are computed when they
+	// are needed and dropped with every change: seeds answer all hosts of the fleet, which
+	// rarely changes.
+	sorted []Host
+	digest bucket.Digest
 }
 
 // Host is a host as its peers know it.
@@ -68,6 +73,9 @@
 		r.hosts[h.Name] = h
 		changed = true
 	}
+	if changed {
+		r.sorted = nil
+	}
 	return changed
 }
 
@@ -78,6 +86,7 @@
 	if h, ok := r.hosts[name]; ok && incarnation > h.Incarnation {
 		h.Incarnation = incarnation
 		r.hosts[name] = h
+		r.sorted = nil
 	}
 }
 
@@ -87,6 +96,7 @@
 	for _, n := range names {
 		delete(r.hosts, n)
 	}
+	r.sorted = nil
 }
 
 func (r *roster) size() int {
@@ -114,11 +124,21 @@
 	return best
 }
 
-// all returns the hosts sorted by name.
+// all returns the hosts sorted by name. The slice must not be modified.
 func (r *roster) all() []Host {
+	hosts, _ := r.snapshot()
+	return hosts
+}
+
+// snapshot returns the hosts sorted by name, which must not be modified, and their digest.
+func (r *roster) snapshot() ([]Host, bucket.Digest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.SortedFunc(maps.Values(r.hosts), func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	if r.sorted == nil {
+		r.sorted = slices.SortedFunc(maps.Values(r.hosts), func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+		r.digest = rosterDigest(r.sorted)
+	}
+	return r.sorted, r.digest
 }
 
 // rosterDigest returns a digest that is equal for rosters with the same hosts and
@@ -137,11 +157,14 @@
 // remaining hosts.
 const maxReplyHosts = 300
 
-// differingHosts returns the hosts in buckets that differ from a peer's digest, starting
+// differingHosts returns the hosts of a roster in buckets that differ from a peer's digest, starting
 // at a random bucket, so that buckets which never become equal do not keep others from
 // being sent.
-func differingHosts(hosts []Host, peerDigest []uint64) []Host {
-	d := rosterDigest(hosts)
+func differingHosts(r *roster, peerDigest []uint64) []Host {
+	hosts, d := r.snapshot()
+	if d.Equal(peerDigest) {
+		return nil
+	}
 	byBucket := make([][]Host, bucket.Count)
 	for _, h := range hosts {
 		b := bucket.Of(h.Name)
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -40,14 +40,14 @@
 		rounds := 0
 		for ; requester.size() < 1102 && rounds < 100; rounds++ {
 			known := rosterDigest(requester.all())
-			reply := differingHosts(seed.all(), known[:])
+			reply := differingHosts(seed, known[:])
 			Expect(len(reply)).To(BeNumerically("<=", maxReplyHosts))
 			requester.add(reply...)
 		}
 		Expect(requester.size()).To(Equal(1102))
 		Expect(rounds).To(BeNumerically("<", 40))
 		known := rosterDigest(requester.all())
-		Expect(differingHosts(requester.all(), known[:])).To(BeEmpty())
+		Expect(differingHosts(requester, known[:])).To(BeEmpty())
 	})
 
 	It("lowers the rank of a restarted host and ignores older incarnations", func() {
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -74,9 +74,14 @@
 	viewChanged bool
 }
 
-// publishInterval is how often the snapshot is republished without a change, to update
-// the times it contains.
-const publishInterval = time.Second
+const (
+	// publishInterval is how often the snapshot is republished without a change, to update
+	// the times it contains.
+	publishInterval = time.Second
+	// minPublishInterval is the shortest time between two snapshots. Each lists all hosts,
+	// and when many hosts start or fail at once their changes follow each other closely.
+	minPublishInterval = member.TickInterval / 2
+)
 
 // New returns a loop that has not started, and registers its methods in mux. The error
 // names an invalid slot of cfg.
@@ -191,9 +196,11 @@
 	return true
 }
 
-// publish publishes a new snapshot if something changed or publishInterval has passed.
+// publish publishes a new snapshot if something changed or publishInterval has passed, and
+// minPublishInterval has. The next tick publishes a change that came earlier.
 func (l *Loop) publish() {
-	if !l.viewChanged && clock.Since(l.lastPublished) < publishInterval {
+	age := clock.Since(l.lastPublished)
+	if age < minPublishInterval || !l.viewChanged && age < publishInterval {
 		return
 	}
 	l.viewChanged, l.lastPublished = false, clock.Now()
