--- a/gateway/view.go
+++ b/gateway/view.go
@@ -24,18 +24,25 @@
 	evacuated := evacuatedServices(v)
 	g.evacuatedServices.Store(&evacuated)
 	g.updateColdLimits(v)
+	g.applyPools(previous, v, g.settings.Load().Regions)
+	g.stages.Configure(v.Config.Services, func() []catalog.Replica { return stageReplicas(v) })
+}
+
+// applyPools passes a new view on to the router, and reports whether the changes since the
+// previous view sufficed.
+func (g *Gateway) applyPools(previous, v *discovery.View, regions []Region) (byChanges bool) {
 	if changes, ok := g.poolChanges(previous, v); ok {
 		g.router.Update(changes)
-	} else {
-		g.viewVersion++
-		b := routerPools(v, g.viewVersion, g.settings.Load().Regions)
-		g.poolConcurrency = map[string]int{}
-		for _, p := range b.Pools {
-			g.poolConcurrency[p.Name] = p.Concurrency
-		}
-		g.router.Apply(b)
+		return true
 	}
-	g.stages.Configure(v.Config.Services, func() []catalog.Replica { return stageReplicas(v) })
+	g.viewVersion++
+	b := routerPools(v, g.viewVersion, regions)
+	g.poolConcurrency = map[string]int{}
+	for _, p := range b.Pools {
+		g.poolConcurrency[p.Name] = p.Concurrency
+	}
+	g.router.Apply(b)
+	return false
 }
 
 // poolChanges returns the changes of the router's pools from the previous view to a new
