Plan stages from samples of a service's idle replicas

Cause: a planner looked at all replicas of a service for each admission, dispatch and wait, and at those of all services for each query of free memory, while jobs grow with the replicas: its work grew with their square. A planner's first job also queried the memory of all replicas; each of some 300 hosts that are cut off would have sent 3,261 queries for its few jobs.

Change: replicas with a free place are kept in a list for each failure domain. Services with more than 64 replicas (Config.MaxScannedReplicas) are planned from samples of these, and sums over all replicas are used for a while that grows with their number, as passes over long queues are. Large services are queried for free memory where calls go, within the budget that calls give. Smaller services are planned as before.

--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -112,6 +112,17 @@
 
 // drainTime returns how long the usable replicas take to execute n pieces in full calls.
 func (s *service) drainTime(now time.Time, n int) time.Duration {
+	if s.capacityAt.IsZero() || !now.Before(s.capacityAt.Add(s.scanPause())) {
+		s.capacity, s.capacityAt = s.piecesPerSecond(now), now
+	}
+	if s.capacity == 0 {
+		return unavailableWait
+	}
+	return time.Duration(float64(n) / s.capacity * float64(time.Second))
+}
+
+// piecesPerSecond returns how many pieces the usable replicas run per second in full calls.
+func (s *service) piecesPerSecond(now time.Time) float64 {
 	var perSecond float64
 	full := s.callTime(s.params.Batch).Seconds()
 	for _, r := range s.replicas {
@@ -123,10 +134,7 @@
 			perSecond += r.freeMemoryShare(now) * calls * float64(s.params.Batch)
 		}
 	}
-	if perSecond == 0 {
-		return unavailableWait
-	}
-	return time.Duration(float64(n) / perSecond * float64(time.Second))
+	return perSecond
 }
 
 // minFreeMemoryShare is the share that a replica counts for even if its memory is full of
--- a/core/stage/bench_test.go
+++ b/core/stage/bench_test.go
@@ -60,3 +60,80 @@
 		step(end)
 	}
 }
+
+// BenchmarkFleet measures a job of a planner under steady load, at fleets whose replicas
+// and jobs grow together: at each size a replica makes the same number of calls.
+func BenchmarkFleet(b *testing.B) {
+	for _, replicas := range []int{33, 330, 3261, 9783} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) { benchmarkFleet(b, replicas) })
+	}
+}
+
+// jobsPerReplica is the number of jobs a second for each replica.
+const jobsPerReplica = 0.096
+
+func benchmarkFleet(b *testing.B, replicas int) {
+	m, now := New(Config{}), time.Unix(1000, 0)
+	e := Configured{Services: map[string]*catalog.Service{}}
+	for _, name := range []string{"a", "b", "c"} {
+		e.Services[name] = pieceParams(38, 4_200_000)
+		for i := range replicas / 3 {
+			id := fmt.Sprint(name, i)
+			e.Replicas = append(e.Replicas, catalog.Replica{ID: id, Service: name, Address: id, FailureDomain: fmt.Sprint(i % 6), Concurrency: 1})
+		}
+	}
+	type runningCall struct {
+		ends time.Time
+		run  Run
+	}
+	var calls []runningCall // in the order of their ends, as all calls take the same time
+	handles, ready := 0, 0
+	var step func(e Event)
+	step = func(e Event) {
+		for _, a := range m.Step(now, e) {
+			switch a := a.(type) {
+			case Run:
+				calls = append(calls, runningCall{now.Add(300 * time.Millisecond), a})
+			case Ready:
+				ready++
+				step(Cancelled{Job: a.Job})
+			}
+		}
+	}
+	step(e)
+	interval := time.Duration(float64(time.Second) / (jobsPerReplica * float64(replicas)))
+	jobs := 0
+	submit := func() {
+		jobs++
+		step(Submitted{Job{
+			ID: fmt.Sprint(jobs), Key: "k", Due: now.Add(2 * time.Second), Latest: now.Add(2 * time.Second), Deadline: now.Add(6 * time.Second),
+			Stages: []Stage{
+				{Service: "a", Pieces: 1, ResultBytes: 8000}, {Service: "b", DependsOn: []int{0}, Pieces: 4, ResultBytes: 60000},
+				{Service: "c", DependsOn: []int{1}, Pieces: 6, ResultBytes: 6000},
+			},
+		}})
+		until := now.Add(interval)
+		for len(calls) > 0 && !calls[0].ends.After(until) {
+			c := calls[0]
+			calls = calls[1:]
+			now = c.ends
+			end := CallEnded{Call: c.run.Call}
+			for range c.run.Pieces {
+				handles++
+				end.Results = append(end.Results, Result{Handle: fmt.Sprint(handles)})
+			}
+			step(end)
+		}
+		now = until
+	}
+	for range 2 * replicas / 3 { // some seconds, until the load is steady
+		submit()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		submit()
+	}
+	b.ReportMetric(float64(ready)/float64(jobs), "ready/job")
+	b.ReportMetric(float64(b.Elapsed())/float64(b.N)*jobsPerReplica*float64(replicas)/1e7, "%core")
+}
--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -135,6 +135,7 @@
 		m.recomputeInputs(now, p)
 	case PieceOutOfMemory:
 		r.noteOutOfMemory(now)
+		m.scheduleQuery(r, now)
 		m.nextMemoryQuery.schedule(now)
 		m.requeue(p)
 	case PieceExpired:
--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -50,6 +50,9 @@
 	// Limiters limit the calls to replicas, together with the calls of other components of
 	// this host. Default: limiters that only this Machine uses.
 	Limiters *intake.Limiters
+	// MaxScannedReplicas is the number of replicas of a service up to which a decision looks
+	// at all of them; of more, it looks at a sample. Default 64.
+	MaxScannedReplicas int
 	// MinRetryAfter is the shortest retry delay returned to a refused job. Default 300 ms.
 	MinRetryAfter time.Duration
 }
@@ -78,6 +81,7 @@
 	orDefault(&c.RefusalBackoff, 40*time.Millisecond)
 	orDefault(&c.MinSplitShare, 0.8)
 	orDefault(&c.LateGrace, 3*time.Second)
+	orDefault(&c.MaxScannedReplicas, 64)
 	orDefault(&c.MinRetryAfter, 300*time.Millisecond)
 	return c
 }
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -13,9 +13,10 @@
 
 // dispatchPass is one pass over the queue of a service.
 type dispatchPass struct {
-	now       time.Time
-	service   *service
-	groups    []*group
+	now     time.Time
+	service *service
+	groups  []*group
+	// available are the replicas that can start a call; nil if the service is large.
 	available []*replica
 	// waitingBefore counts, by preferred domain, the pieces that wait there before the
 	// group under consideration.
@@ -28,12 +29,15 @@
 		return
 	}
 	s.recordPass(now, m.cfg.RefusalBackoff)
-	available := s.availableReplicas(now)
-	if len(available) == 0 {
+	ps := &dispatchPass{now: now, service: s, waitingBefore: map[string]int{}}
+	if !s.large() {
+		ps.available = s.availableReplicas(now)
+	}
+	if ps.availableCount() == 0 {
 		return
 	}
-	ps := &dispatchPass{now: now, service: s, groups: s.queue.byUrgency(now), available: available, waitingBefore: map[string]int{}}
-	for i := 0; i < len(ps.groups) && len(ps.available) > 0; {
+	ps.groups = s.queue.byUrgency(now)
+	for i := 0; i < len(ps.groups) && ps.availableCount() > 0; {
 		g := ps.groups[i]
 		if len(g.pieces) == 0 {
 			i++
@@ -51,6 +55,15 @@
 	s.queue.compact()
 }
 
+// availableCount returns the number of replicas that can start a call, as far as that is
+// known without looking at all replicas of a large service.
+func (ps *dispatchPass) availableCount() int {
+	if ps.service.large() {
+		return ps.service.idle.count
+	}
+	return len(ps.available)
+}
+
 // nextPassTime returns when the next pass is due. After an event that may allow a call it
 // is due at once, subject to the minimum interval between passes.
 func (s *service) nextPassTime() time.Time {
@@ -66,6 +79,9 @@
 func (s *service) recordPass(now time.Time, wait time.Duration) {
 	s.dirty, s.lastPass = false, now
 	s.nextPass = now.Add(max(wait, passPause(len(s.queue.groups))))
+	if s.large() {
+		return
+	}
 	for _, r := range s.replicas {
 		for _, t := range [...]time.Time{r.busyUntil, r.suspectUntil, r.noMemoryUntil, r.limiter.NextAllowed(now)} {
 			if t.After(now) && t.Before(s.nextPass) {
@@ -111,13 +127,17 @@
 	if f.PieceTime > 0 {
 		minPieces = int(float64(f.CallTime)*splitShare/float64(f.PieceTime)) + 1
 	}
-	perReplica := (ps.service.queue.pieces + len(ps.available) - 1) / len(ps.available)
+	available := ps.availableCount()
+	perReplica := (ps.service.queue.pieces + available - 1) / available
 	return min(f.Batch, max(perReplica, minPieces))
 }
 
 // chooseReplica returns the available replica for a group. It returns nil if waiting for a
 // replica in the preferred domain is better, or if no replica has enough memory.
 func (m *Machine) chooseReplica(ps *dispatchPass, g *group) *replica {
+	if ps.service.large() {
+		return m.chooseSampled(ps, g)
+	}
 	var local, remote *replica
 	readerLoad := m.readerLoad(ps.now, g)
 	for _, r := range ps.available {
@@ -196,7 +216,7 @@
 	if reader == nil {
 		return nil
 	}
-	if reader.readerLoad != nil && now.Before(reader.readerLoadAt.Add(passPause(len(m.jobs)))) {
+	if reader.readerLoad != nil && now.Before(reader.readerLoadAt.Add(max(passPause(len(m.jobs)), reader.scanPause()))) {
 		return reader.readerLoad
 	}
 	load := map[string]float64{}
@@ -214,9 +234,9 @@
 		load[domain] /= float64(max(1, replicas[domain]))
 	}
 	const unserved = 1e9 // ranks domains without a replica of the reading service last
-	for _, r := range m.replicas {
-		if replicas[r.FailureDomain] == 0 {
-			load[r.FailureDomain] = unserved
+	for domain := range m.domains {
+		if replicas[domain] == 0 {
+			load[domain] = unserved
 		}
 	}
 	return load
@@ -238,7 +258,7 @@
 	if reader == nil || reader.readerLoad == nil {
 		return
 	}
-	replicasPerDomain := max(1, len(reader.replicas)/max(1, reader.domains))
+	replicasPerDomain := max(1, len(reader.replicas)/max(1, len(reader.byDomain)))
 	reader.readerLoad[domain] += float64(g.job.stages[g.job.stages[g.stage].readers[0]].remaining) / float64(replicasPerDomain)
 }
 
@@ -257,21 +277,11 @@
 
 // domainWait returns the expected wait for a replica in the group's preferred domain.
 func (s *service) domainWait(now time.Time, g *group, waitingBefore int) time.Duration {
-	wait, usable := unavailableWait, 0
-	for _, r := range s.replicas {
-		if r.FailureDomain != g.preferredDomain || !r.usable(now) {
-			continue
-		}
-		usable++
-		w := r.availableAt(now).Sub(now)
-		if !r.fits(now, s.initialBytes(g)) {
-			w += s.callTime(s.params.Batch)
-		}
-		wait = min(wait, w)
-	}
+	at, usable := s.firstAvailable(now, g.preferredDomain, s.initialBytes(g))
 	if usable == 0 {
 		return unavailableWait
 	}
+	wait := min(unavailableWait, max(0, at.Sub(now)))
 	rounds := waitingBefore / (usable * s.params.Batch)
 	return wait + time.Duration(rounds)*s.callTime(s.params.Batch)
 }
@@ -329,8 +339,10 @@
 	m.nextOverdue.schedule(c.overdueAt)
 	m.nextTimeout.schedule(c.timeoutAt)
 	r.calls = append(r.calls, c)
+	r.updateIdle()
 	r.limiter.RecordCall(now)
 	m.addQueryBudget(now, s)
+	m.askOnFirstUse(now, r)
 	a := Run{Call: c.id, Service: s.name, Replica: r.ID, Address: r.Address, Timeout: c.timeoutAt.Sub(now)}
 	for _, p := range pieces {
 		p.state = running
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -17,7 +18,9 @@
 	// sortedServices holds the services by name, so that decisions are deterministic.
 	sortedServices []*service
 	replicas       map[string]*replica
-	jobs           map[string]*job
+	// domains are the failure domains with replicas of any service.
+	domains map[string]bool
+	jobs    map[string]*job
 	// refused holds the refused jobs with results that wait for their owners'
 	// acknowledgement; see handover.go.
 	refused map[string]*job
@@ -27,6 +30,11 @@
 	// running call may be overdue, nextTimeout when one may time out, and nextMemoryQuery
 	// when a replica may have to be queried for its free memory.
 	nextExpiry, nextOverdue, nextTimeout, nextMemoryQuery timer
+	// memoryQueries are the replicas whose query is scheduled.
+	memoryQueries []*replica
+	// rng chooses the replicas that are sampled. Its seed is constant, so that the same
+	// events always lead to the same actions.
+	rng *rand.Rand
 	// firstJobSeen says that a job has been admitted.
 	firstJobSeen bool
 	// bias is the smoothed ratio of actual to predicted job times.
@@ -42,7 +50,7 @@
 // New returns a Machine without services.
 func New(c Config) *Machine {
 	return &Machine{
-		cfg: c.withDefaults(), bias: 1, services: map[string]*service{}, replicas: map[string]*replica{},
+		cfg: c.withDefaults(), bias: 1, services: map[string]*service{}, replicas: map[string]*replica{}, domains: map[string]bool{}, rng: rand.New(rand.NewPCG(1, 1)),
 		jobs: map[string]*job{}, refused: map[string]*job{}, calls: map[uint64]*call{}, released: map[*replica][]string{},
 	}
 }
@@ -89,7 +97,7 @@
 		}
 		state := m.services[name]
 		if state == nil {
-			state = &service{name: name, latencyRatio: 1, recentRanks: recentRanks{}}
+			state = &service{name: name, latencyRatio: 1, recentRanks: recentRanks{}, maxScanned: m.cfg.MaxScannedReplicas}
 			m.services[name] = state
 		}
 		state.params = *s.StageProfile
@@ -102,6 +110,7 @@
 		m.addListed(listed)
 	}
 	m.findReplaced(e.Replicas)
+	clear(m.domains)
 	for _, s := range m.services {
 		s.replicas = s.replicas[:0]
 	}
@@ -111,11 +120,12 @@
 			continue
 		}
 		r.service.replicas = append(r.service.replicas, r)
+		m.domains[r.FailureDomain] = true
 	}
 	for _, s := range m.services {
 		sortReplicas(s.replicas)
-		s.domains = s.countDomains()
-		s.dirty = true
+		s.rebuildIdle()
+		s.dirty, s.capacityAt = true, time.Time{}
 	}
 }
 
@@ -165,7 +175,7 @@
 		m.emit(*refusal)
 		return
 	}
-	m.queryAllOnFirstJob(now)
+	m.queryOnFirstJob(now)
 	state.submitted = now
 	m.jobs[j.ID] = state
 	state.setAdmitted(true)
--- a/core/stage/memory.go
+++ b/core/stage/memory.go
@@ -24,27 +24,62 @@
 	memoryQueryTimeout = time.Second
 )
 
-// queryAllOnFirstJob queries all replicas when the first job is admitted.
-func (m *Machine) queryAllOnFirstJob(now time.Time) {
+// queryOnFirstJob queries all replicas when the first job is admitted, but only some of a
+// large service: a host that is disconnected, and plans a few jobs, uses few of them. The
+// others are queried when they are first used.
+func (m *Machine) queryOnFirstJob(now time.Time) {
 	if m.firstJobSeen {
 		return
 	}
 	m.firstJobSeen = true
 	for _, s := range m.sortedServices {
-		for _, r := range s.replicas {
-			m.queryReplica(now, r)
+		n := len(s.replicas)
+		if s.large() {
+			n = sampledReplicas
 		}
+		start := 0
+		if n < len(s.replicas) {
+			start = m.rng.IntN(len(s.replicas))
+		}
+		for i := range n {
+			m.queryReplica(now, s.replicas[(start+i)%len(s.replicas)])
+		}
+	}
+}
+
+// askOnFirstUse schedules the first query of a replica when it gets its first call.
+func (m *Machine) askOnFirstUse(now time.Time, r *replica) {
+	if !r.memoryAsked && r.service.large() {
+		m.scheduleQuery(r, now)
 	}
 }
 
+// scheduleQuery has a replica queried at a time.
+func (m *Machine) scheduleQuery(r *replica, at time.Time) {
+	r.queryAt = at
+	if !r.queryScheduled {
+		r.queryScheduled = true
+		m.memoryQueries = append(m.memoryQueries, r)
+	}
+	m.nextMemoryQuery.schedule(at)
+}
+
 // queryMemoryIfDue queries the replicas whose query is due.
 func (m *Machine) queryMemoryIfDue(now time.Time) {
 	if !m.nextMemoryQuery.due(now) {
 		return
 	}
-	for _, s := range m.sortedServices {
-		for _, r := range s.replicas {
-			m.queryReplicaIfDue(now, r)
+	scheduled := m.memoryQueries
+	m.memoryQueries = nil
+	for _, r := range scheduled {
+		r.queryScheduled = false
+		if m.replicas[r.ID] != r {
+			continue
+		}
+		m.queryReplicaIfDue(now, r)
+		if !r.queryAt.IsZero() && !r.queryScheduled {
+			r.queryScheduled = true
+			m.memoryQueries = append(m.memoryQueries, r)
 		}
 	}
 }
@@ -76,7 +111,7 @@
 	if !r.usable(now) || r.service.params.ResultCapacityBytes == 0 {
 		return
 	}
-	r.queryAt, r.queriedAt = time.Time{}, now
+	r.queryAt, r.queriedAt, r.memoryAsked = time.Time{}, now, true
 	m.emit(QueryMemory{Service: r.service.name, Replica: r.ID, Address: r.Address})
 }
 
@@ -102,8 +137,7 @@
 		r.foreignBytes, r.noMemoryUntil = 0, time.Time{}
 		return
 	}
-	r.queryAt = now.Add(memoryQueryInterval)
-	m.nextMemoryQuery.schedule(r.queryAt)
+	m.scheduleQuery(r, now.Add(memoryQueryInterval))
 }
 
 // ownBytesAt returns the bytes of this planner's results that a report as of a given time
--- a/core/stage/memory_test.go
+++ b/core/stage/memory_test.go
@@ -107,7 +107,7 @@
 		Expect(countQueries(h, CallEnded{Call: run.Call, Results: []Result{{Kind: PieceOutOfMemory}}})).To(Equal(1))
 		h.now = h.now.Add(memoryQueryTimeout / 2)
 		h.m.replicas["a1"].noteOutOfMemory(h.now)
-		h.m.nextMemoryQuery.schedule(h.now)
+		h.m.scheduleQuery(h.m.replicas["a1"], h.now)
 		Expect(countQueries(h, Tick{})).To(BeZero())
 		h.now = h.now.Add(memoryQueryTimeout)
 		Expect(countQueries(h, Tick{})).To(Equal(1))
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -12,9 +12,19 @@
 	name     string
 	params   catalog.StageProfile
 	replicas []*replica
-	// domains is the number of failure domains with replicas.
-	domains int
-	queue   queue
+	// maxScanned is Config.MaxScannedReplicas.
+	maxScanned int
+	// byDomain lists the replicas by failure domain.
+	byDomain map[string][]*replica
+	// idle are the replicas with a free place, and domainWaits the waits for a place in
+	// each failure domain as last computed; see idle.go.
+	idle        idleReplicas
+	domainWaits map[string]domainWait
+	// capacity is the number of pieces that all usable replicas run per second, as of
+	// capacityAt.
+	capacity   float64
+	capacityAt time.Time
+	queue      queue
 	// backlog counts the pieces of all jobs that are not completed.
 	backlog     backlog
 	recentRanks recentRanks
@@ -51,15 +61,6 @@
 	return s.params.CallTime + time.Duration(n)*s.params.PieceTime
 }
 
-// countDomains returns the number of failure domains with replicas.
-func (s *service) countDomains() int {
-	domains := map[string]bool{}
-	for _, r := range s.replicas {
-		domains[r.FailureDomain] = true
-	}
-	return len(domains)
-}
-
 type replica struct {
 	catalog.Replica
 	service *service
@@ -70,6 +71,9 @@
 	// replaced says that the restarted replica, or another one, has this replica's address.
 	replaced bool
 	calls    []*call
+	// idleAt is the replica's position in the list of idle ones of its failure domain,
+	// counted from 1; 0 if it is not idle.
+	idleAt int
 	// timedOutCalls are the calls that have timed out but may still return results.
 	timedOutCalls []*call
 	// usedBytes is the size of the results that are held or being computed there.
@@ -96,6 +100,9 @@
 	// queryAt is when the replica is to be queried for its free memory; zero if it is not.
 	// queriedAt is when it was queried last, until it answers.
 	queryAt, queriedAt time.Time
+	// memoryAsked says that the replica was queried before, and queryScheduled that it is
+	// in Machine.memoryQueries.
+	memoryAsked, queryScheduled bool
 }
 
 type call struct {
@@ -171,11 +178,9 @@
 	return capacity == 0 || occupied == 0 || occupied+n <= capacity
 }
 
-// noteOutOfMemory records that the replica had no memory for a result, and schedules a
-// query for its free memory.
+// noteOutOfMemory records that the replica had no memory for a result.
 func (r *replica) noteOutOfMemory(now time.Time) {
 	r.noMemoryUntil = now.Add(r.service.params.CallTime)
-	r.queryAt = now
 	capacity := r.service.params.ResultCapacityBytes
 	if missing := capacity - r.usedBytes; missing > max(r.currentForeignBytes(now), int64(minMissingShare*float64(capacity))) {
 		r.foreignBytes, r.foreignBytesAt = missing, now
