Ask the next host when the one that reads the store has lost it

Cause: hosts asked only their ancestors in the tree. When the host that reads the store lost it, all others found its view too old at the same moment and each read the store for itself, until it was back: calls grow with the hosts. Change: the tree is built over the hosts that have not failed this one, so that the next in rank reads for all; the store is read for oneself when the own view is 0.75 of the bound old.

--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -27,9 +27,10 @@
 	for ctx.Err() == nil {
 		source := d.chooseSource(clock.Now())
 		if source != d.cfg.Self {
-			// A peer that has just started and refuses at once does not cause a read of
-			// the store: the next peer is asked.
-			if d.requestChanges(ctx, source, d.boundFraction(changesWaitFraction)) || clock.Since(d.View().AsOf) < d.boundFraction(readFraction) {
+			// A peer that refuses at once, since it has just started or has lost the store,
+			// does not cause a read of the store: the next peer is asked.
+			peerWait, asked := min(d.boundFraction(changesWaitFraction), d.peerTime()), clock.Now()
+			if d.requestChanges(ctx, source, peerWait) || clock.Since(asked) < peerWait && d.peerTime() > 0 {
 				wait = minRetryInterval
 				continue
 			}
@@ -61,6 +62,16 @@
 	}
 }
 
+// peerTime returns for how long this host may still wait for peers before it has to read
+// the store, at least 0. A host without a complete view waits for an answer, but for no
+// further peer.
+func (d *Discovery) peerTime() time.Duration {
+	if asOf := d.View().AsOf; !asOf.IsZero() {
+		return max(0, d.boundFraction(peersFraction)-clock.Since(asOf))
+	}
+	return 0
+}
+
 // awaitFirstPeers waits until the fleet has formed if the store contains no configuration
 // yet. Nothing can be served before, and when a whole fleet starts for the first time one
 // host then watches the store and informs the others. 295 hosts that each watched the
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -32,6 +32,9 @@
 	changesWaitFraction = 0.4
 	// staleFraction is the age above which a peer's view is not accepted.
 	staleFraction = 0.5
+	// peersFraction is the age of this host's own view up to which peers are asked before
+	// the store is read.
+	peersFraction = 0.75
 )
 
 // fanout is the number of hosts that ask the same host for changes. Without the limit, one
@@ -62,23 +65,22 @@
 
 // chooseSource returns the host to ask for changes, or this host, which then reads the
 // store. It returns this host while it has no view although the store may hold one, and
-// when no other candidate is left. Hosts ask their ancestors in a tree over the ranked
-// hosts.
+// when no other candidate is left. Hosts ask their parents in a tree over the ranked hosts
+// without those that recently failed this host. If the host that reads the store has lost
+// it, all others thus agree on the next one. A parent always ranks before its children, so
+// that hosts which avoid different ones do not wait for each other.
 func (d *Discovery) chooseSource(now time.Time) string {
 	var hosts []fleet.Host
 	if d.View().Replicas != nil || d.configMissing.Load() {
 		hosts = rankedHosts(d.cfg.Members.Reachable())
 	}
-	position := slices.IndexFunc(hosts, func(h fleet.Host) bool { return h.Name == d.cfg.Self })
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	hosts = slices.DeleteFunc(hosts, func(h fleet.Host) bool { return h.Name != d.cfg.Self && d.hostBackoff.Excludes(h.Name, now) })
+	position := slices.IndexFunc(hosts, func(h fleet.Host) bool { return h.Name == d.cfg.Self })
 	source := d.cfg.Self
-	for position > 0 {
-		position = (position - 1) / fanout
-		if !d.hostBackoff.Excludes(hosts[position].Name, now) {
-			source = hosts[position].Name
-			break
-		}
+	if position > 0 {
+		source = hosts[(position-1)/fanout].Name
 	}
 	if source != d.source {
 		d.log.Info("source of changes selected", zap.String("source", source), zap.String("before", d.source))
