Leave the full list of a large fleet's replicas to one host at a start

Cause: when a whole fleet starts before a store with many replicas, no host has a view to give and each lists all replicas: hosts times pages. When the store is still empty, the hosts refused each other at the first moment and all read it. A host that had received the first part of its view from a peer whose own was not complete listed the store too.

Change: a host without a view lists four pages; if there are more it waits for the host that ranks first, which lists all, and lists them itself only after that failed. Hosts without a view wait at each other for the first one. After the first part of a view, peers get the same time as with an older view.

--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -81,6 +81,9 @@
 		}
 	}
 	d.listing = nil
+	if next.Replicas == nil {
+		d.firstPartAt = clock.Now()
+	}
 	replicas := replicasWith(d.registry.Replicas(), reply)
 	d.registry.ReplaceFromPeer(asOf, replicas)
 	if replicas.Digest().Sum() == reply.GetReplicasHash() && asOf.After(next.replicasAsOf) {
@@ -147,8 +150,8 @@
 		changed := d.viewChanged
 		d.mu.Unlock()
 		v := d.View()
-		if !v.Ready() && !d.configMissing.Load() {
-			return nil, errNoView
+		if !v.Ready() && !d.configMissing.Load() && req.GetAgeMs() < unknownAge.Milliseconds() {
+			return nil, errNoView // the requester has a view, and better peers
 		}
 		if v.Ready() && (d.cannotRefresh(v) || d.hasChangesFor(v, req, requesterAsOf)) {
 			break
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -17,8 +17,9 @@
 
 // Store reads the platform's store.
 type Store interface {
-	// ForEachPage reads all items under a prefix and passes each page on as it arrives.
-	ForEachPage(ctx context.Context, prefix string, page func([]platform.Item)) (revision uint64, err error)
+	// ForEachPage reads the items under a prefix and passes each page on as it arrives, until
+	// page returns false.
+	ForEachPage(ctx context.Context, prefix string, page func([]platform.Item) (more bool)) (revision uint64, err error)
 	// Get reads one item; the error is platform.ErrNotFound if there is none.
 	Get(ctx context.Context, key string) (item platform.Item, revision uint64, err error)
 	// Changes waits for items under a prefix that were written or removed after a
@@ -64,6 +65,11 @@
 	registry catalog.Registry
 	// history holds the last sets of replicas, from which peers are sent what changed.
 	history replicaHistory
+	// firstPartAt is when a peer sent the first part of this host's first view.
+	firstPartAt time.Time
+	// listsAlone says that this host may list all replicas, however many there are; until
+	// then it lists a few pages.
+	listsAlone bool
 	// listing is what this host has read from the store; nil while its replicas are those
 	// of a peer.
 	listing *listing
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -115,7 +115,7 @@
 	return s.fleet.storeDown[s.host]
 }
 
-func (s faultyStore) ForEachPage(ctx context.Context, prefix string, visit func([]platform.Item)) (uint64, error) {
+func (s faultyStore) ForEachPage(ctx context.Context, prefix string, visit func([]platform.Item) bool) (uint64, error) {
 	if s.down() {
 		return 0, errStoreDown
 	}
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -25,8 +25,9 @@
 // listEvacuations reads the evacuations from the store and reports whether that succeeded.
 func (d *Discovery) listEvacuations(ctx context.Context) bool {
 	var changes []catalog.EvacuationChange
-	revision, err := d.cfg.Store.ForEachPage(ctx, platform.EvacuationPrefix, func(items []platform.Item) {
+	revision, err := d.cfg.Store.ForEachPage(ctx, platform.EvacuationPrefix, func(items []platform.Item) bool {
 		changes = append(changes, d.decodeEvacuations(items)...)
+		return true
 	})
 	if err != nil {
 		d.noteConfigReadError(ctx, err)
--- a/discovery/replica_changes_test.go
+++ b/discovery/replica_changes_test.go
@@ -136,3 +136,26 @@
 		g.Expect(f.hostsNotMatching(func(ready, draining int) bool { return ready == replicas-60 })).To(BeEmpty())
 	})
 }
+
+// TestWholeFleetStartsAgainWithFewCalls starts all hosts of a fleet at once before a store
+// that lists many replicas.
+func TestWholeFleetStartsAgainWithFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, replicas = 40, 2000
+		g := NewWithT(t)
+		f := newSimulatedFleet(2, hosts-2)
+		f.store.writeConfig(1, 1)
+		for id := range replicas {
+			f.store.writeReplica(id, "ready")
+		}
+		started := time.Now()
+		stop := f.run()
+		defer stop()
+		g.Eventually(func() []string {
+			return f.hostsNotMatching(func(ready, draining int) bool { return ready == replicas })
+		}, 2*propagationBound, "5ms").Should(BeEmpty())
+		t.Logf("%d calls, %s until all know all replicas", f.storeCalls(), time.Since(started))
+		// A few pages each, and one full list of 40.
+		g.Expect(f.storeCalls()).To(BeNumerically("<=", 8*hosts+60))
+	})
+}
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -40,7 +40,12 @@
 			continue
 		}
 		started := clock.Now()
-		if !d.readReplicas(ctx) {
+		err := d.readReplicas(ctx)
+		if errors.Is(err, errManyReplicas) {
+			d.awaitReader(ctx)
+			continue
+		}
+		if err != nil {
 			if !d.View().Ready() && d.requestChangesFromAny(ctx) {
 				continue
 			}
@@ -63,13 +68,22 @@
 }
 
 // peerTime returns for how long this host may still wait for peers before it has to read
-// the store, at least 0. A host without a complete view waits for an answer, but for no
-// further peer.
+// the store, at least 0: while its view is recent, for a while after it received the first
+// part of a view, and while the store is empty.
 func (d *Discovery) peerTime() time.Duration {
+	if d.configMissing.Load() {
+		return d.boundFraction(changesWaitFraction)
+	}
+	d.mu.Lock()
+	since := d.firstPartAt
+	d.mu.Unlock()
 	if asOf := d.View().AsOf; !asOf.IsZero() {
-		return max(0, d.boundFraction(peersFraction)-clock.Since(asOf))
+		since = asOf
+	}
+	if since.IsZero() {
+		return 0
 	}
-	return 0
+	return max(0, d.boundFraction(peersFraction)-clock.Since(since))
 }
 
 // awaitFirstPeers waits until the fleet has formed if the store contains no configuration
@@ -117,25 +131,36 @@
 	return time.Duration(clock.Nanos()-d.lastPeerRequest.Load()) > 2*d.boundFraction(idleReadFraction)
 }
 
-// readReplicas reads the replicas from the store, the changes since the last read if that is
-// possible, and reports whether that succeeded.
-func (d *Discovery) readReplicas(ctx context.Context) bool {
+// awaitReader has the host that ranks first list the replicas, and the others, which have no
+// view either, wait for it. A host that gets no view within the time for peers lists them
+// itself.
+func (d *Discovery) awaitReader(ctx context.Context) {
+	d.awaitFormed(ctx)
+	wait, hosts := d.boundFraction(changesWaitFraction), rankedHosts(d.cfg.Members.Reachable())
+	if d.cfg.Self != hosts[0].Name && d.requestChanges(ctx, hosts[0].Name, wait) {
+		return
+	}
+	d.listsAlone = true
+}
+
+// readReplicas reads the replicas from the store, or only the changes since the last read if
+// that is possible.
+func (d *Discovery) readReplicas(ctx context.Context) error {
 	started := clock.Now()
 	d.storeReads.Add(1)
 	done, err := d.readReplicaChanges(ctx, started)
 	if err == nil && !done {
 		err = d.listReplicas(ctx, started)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errManyReplicas) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if !d.replicaReadFailed && ctx.Err() == nil {
 			d.replicaReadFailed = true
 			d.log.Warn("could not read the replicas from the store", zap.Error(err), zap.Duration("view_age", started.Sub(d.View().AsOf)))
 		}
-		return false
 	}
-	return true
+	return err
 }
 
 // readReplicaChanges reads the changes since the last read from the store, or since the
@@ -210,9 +235,17 @@
 // listReplicas lists the replicas in the store.
 func (d *Discovery) listReplicas(ctx context.Context, started time.Time) error {
 	l := newListing()
-	revision, err := d.cfg.Store.ForEachPage(ctx, platform.ReplicaPrefix, func(items []platform.Item) { l.apply(items) })
-	if err != nil {
+	pages := 0
+	revision, err := d.cfg.Store.ForEachPage(ctx, platform.ReplicaPrefix, func(items []platform.Item) bool {
+		l.apply(items)
+		pages++
+		return pages <= firstListPages || d.listsAlone || d.View().Replicas != nil
+	})
+	switch {
+	case err != nil:
 		return err
+	case pages > firstListPages && !d.listsAlone && d.View().Replicas == nil:
+		return errManyReplicas
 	}
 	l.checked, l.readAt, l.listedAt = checkedRevisions{revision}, started, started
 	d.mu.Lock()
@@ -223,6 +256,14 @@
 	return nil
 }
 
+// firstListPages is the number of pages that a host without a view lists before it leaves
+// the rest to the host that reads the store for all: when a whole fleet starts again, its
+// hosts would each list all replicas.
+const firstListPages = 4
+
+// errManyReplicas is returned by a list that was broken off after firstListPages.
+var errManyReplicas = errors.New("discovery: too many replicas for each host to list them")
+
 // replicasRead publishes the replicas after they were read from the store. The caller holds
 // d.mu.
 func (d *Discovery) replicasRead(started time.Time) {
--- a/discovery/simulation_test.go
+++ b/discovery/simulation_test.go
@@ -295,7 +295,7 @@
 const pageItems = 50
 
 // ForEachPage implements discovery.Store.
-func (c storeClient) ForEachPage(ctx context.Context, prefix string, visit func([]platform.Item)) (uint64, error) {
+func (c storeClient) ForEachPage(ctx context.Context, prefix string, visit func([]platform.Item) bool) (uint64, error) {
 	if err := c.beginCall(); err != nil {
 		return 0, err
 	}
@@ -311,7 +311,9 @@
 		if err := c.sendItems(ctx, page); err != nil {
 			return 0, err
 		}
-		visit(page)
+		if !visit(page) {
+			break
+		}
 	}
 	return revision, nil
 }
