--- a/discovery/listing.go
+++ b/discovery/listing.go
@@ -57,6 +57,14 @@
 type listingChanges struct {
 	written map[string]*catalog.Replica
 	gone    map[string]bool
+	// rewritten counts the entries that were written again with the same content.
+	rewritten int
+}
+
+// mostlyRewritten reports whether nearly all of many writes were heartbeats, which repeat
+// the whole content of an entry.
+func (c *listingChanges) mostlyRewritten() bool {
+	return c.rewritten > largeChange && c.rewritten > 2*len(c.written)
 }
 
 // apply records entries that were listed, written or removed, in this order, and returns
@@ -68,28 +76,44 @@
 		if known && item.Revision <= old.revision {
 			continue
 		}
-		if old.replica != nil {
-			delete(c.written, old.replica.ID)
-			c.gone[old.replica.ID] = true
-		}
 		delete(l.faults, item.Key)
+		next := listedEntry{revision: item.Revision}
+		if !item.Removed {
+			r, err := platform.DecodeReplica(item)
+			switch {
+			case err != nil:
+				l.faults[item.Key] = err.Error()
+			case old.replica != nil && *old.replica == r:
+				next.replica = old.replica
+				c.rewritten++
+			default:
+				next.replica = &r
+			}
+		}
+		if next.replica != old.replica {
+			c.replace(old.replica, next.replica)
+		}
 		if item.Removed {
 			delete(l.entries, item.Key)
-			continue
-		}
-		next := listedEntry{revision: item.Revision}
-		if r, err := platform.DecodeReplica(item); err != nil {
-			l.faults[item.Key] = err.Error()
 		} else {
-			next.replica = &r
-			delete(c.gone, r.ID)
-			c.written[r.ID] = &r
+			l.entries[item.Key] = next
 		}
-		l.entries[item.Key] = next
 	}
 	return c
 }
 
+// replace records that an entry names another replica than before; nil stands for none.
+func (c *listingChanges) replace(old, next *catalog.Replica) {
+	if old != nil {
+		delete(c.written, old.ID)
+		c.gone[old.ID] = true
+	}
+	if next != nil {
+		delete(c.gone, next.ID)
+		c.written[next.ID] = next
+	}
+}
+
 // usable reports whether it suffices to read the changes since the listing was read.
 func (l *listing) usable(now time.Time) bool {
 	return now.Sub(l.readAt) < maxListingAge && now.Sub(l.listedAt) < relistInterval
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -183,6 +183,11 @@
 	defer d.mu.Unlock()
 	d.listing = l
 	l.checked, l.readAt = l.checked.add(revision), started
+	if changes.mostlyRewritten() {
+		// A change that the store withholds is repeated by the next heartbeat, so that the
+		// next read need not cover this one again.
+		l.checked = checkedRevisions{revision}
+	}
 	written := make([]catalog.Replica, 0, len(changes.written))
 	for _, r := range changes.written {
 		written = append(written, *r)
