--- a/discovery/replica_changes_test.go
+++ b/discovery/replica_changes_test.go
@@ -10,6 +10,24 @@
 	. "github.com/onsi/gomega"
 )
 
+// newFleetWithReplicas returns a fleet, two hosts of which have fast links, whose store has a
+// configuration and ready replicas.
+func newFleetWithReplicas(hosts, replicas int) *simulatedFleet {
+	f := newSimulatedFleet(2, hosts-2)
+	f.store.writeConfig(1, 1)
+	for id := range replicas {
+		f.store.writeReplica(id, "ready")
+	}
+	return f
+}
+
+// awaitReplicas waits until all hosts know these numbers of replicas.
+func (f *simulatedFleet) awaitReplicas(g *WithT, limit time.Duration, wantReady, wantDraining int) {
+	g.Eventually(func() []string {
+		return f.hostsNotMatching(func(ready, draining int) bool { return ready == wantReady && draining == wantDraining })
+	}, limit, "5ms").Should(BeEmpty())
+}
+
 // steadyCost is what a fleet spends on one changed replica, and on a time without changes.
 type steadyCost struct {
 	idleCalls int
@@ -21,15 +39,10 @@
 
 // measureSteadyCost measures a fleet with many replicas, of which one drains.
 func measureSteadyCost(g *WithT, hosts, replicas int) (cost steadyCost) {
-	f := newSimulatedFleet(2, hosts-2)
-	f.store.writeConfig(1, 1)
-	for id := range replicas {
-		f.store.writeReplica(id, "ready")
-	}
+	f := newFleetWithReplicas(hosts, replicas)
 	stop := f.run()
 	defer stop()
-	all := func(ready, draining int) bool { return ready == replicas }
-	g.Eventually(func() []string { return f.hostsNotMatching(all) }, 10*time.Second, "5ms").Should(BeEmpty())
+	f.awaitReplicas(g, 10*time.Second, replicas, 0)
 	const span = 5 * propagationBound
 	time.Sleep(span)
 	leaf := f.machines[f.names[hosts-1]]
@@ -74,12 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const hosts, replicas = 20, 2000
 		g := NewWithT(t)
-		f := newSimulatedFleet(2, hosts-2)
-		f.store.writeConfig(1, 1)
-		for id := range replicas {
-			f.store.writeReplica(id, "ready")
-		}
-		all := func(ready, draining int) bool { return ready == replicas }
+		f := newFleetWithReplicas(hosts, replicas)
 		running, started := f.names[:hosts-hosts/5], f.names[hosts-hosts/5:]
 		stop := f.runHosts(running)
 		defer stop()
@@ -87,7 +95,7 @@
 		before := f.storeCalls()
 		stopStarted := f.runHosts(started)
 		defer stopStarted()
-		g.Eventually(func() []string { return f.hostsNotMatching(all) }, propagationBound, "5ms").Should(BeEmpty())
+		f.awaitReplicas(g, propagationBound, replicas, 0)
 		t.Logf("%d calls for %d hosts", f.storeCalls()-before, len(started))
 		// One for the configuration of each host, and those of the host that reads the store.
 		g.Expect(f.storeCalls() - before).To(BeNumerically("<=", len(started)+10))
@@ -100,7 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const hosts, replicas = 12, 2000
 		g := NewWithT(t)
-		f := newSimulatedFleet(2, hosts-2)
+		f := newFleetWithReplicas(hosts, replicas)
 		cutOff := false
 		f.injectError = func(from, to, method string) error {
 			if cutOff && to != storeName {
@@ -108,15 +116,9 @@
 			}
 			return nil
 		}
-		f.store.writeConfig(1, 1)
-		for id := range replicas {
-			f.store.writeReplica(id, "ready")
-		}
 		stop := f.run()
 		defer stop()
-		g.Eventually(func() []string {
-			return f.hostsNotMatching(func(ready, draining int) bool { return ready == replicas })
-		}, 10*time.Second, "5ms").Should(BeEmpty())
+		f.awaitReplicas(g, 10*time.Second, replicas, 0)
 		time.Sleep(propagationBound)
 		before := f.storeCalls()
 		cutOff = true
@@ -125,9 +127,7 @@
 			f.store.writeReplica(id, "draining")
 			f.store.deleteReplica(100 + id)
 		}
-		g.Eventually(func() []string {
-			return f.hostsNotMatching(func(ready, draining int) bool { return ready == replicas-60 && draining == 30 })
-		}, propagationBound, "5ms").Should(BeEmpty())
+		f.awaitReplicas(g, propagationBound, replicas-60, 30)
 		calls := f.storeCalls() - before
 		t.Logf("%d calls of %d hosts", calls, hosts)
 		g.Expect(calls).To(BeNumerically("<=", 10*hosts), fmt.Sprintf("a list of all takes %d", replicas/pageItems))
@@ -143,17 +143,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		const hosts, replicas = 40, 2000
 		g := NewWithT(t)
-		f := newSimulatedFleet(2, hosts-2)
-		f.store.writeConfig(1, 1)
-		for id := range replicas {
-			f.store.writeReplica(id, "ready")
-		}
+		f := newFleetWithReplicas(hosts, replicas)
 		started := time.Now()
 		stop := f.run()
 		defer stop()
-		g.Eventually(func() []string {
-			return f.hostsNotMatching(func(ready, draining int) bool { return ready == replicas })
-		}, 2*propagationBound, "5ms").Should(BeEmpty())
+		f.awaitReplicas(g, 2*propagationBound, replicas, 0)
 		t.Logf("%d calls, %s until all know all replicas", f.storeCalls(), time.Since(started))
 		// A few pages each, and one full list of 40.
 		g.Expect(f.storeCalls()).To(BeNumerically("<=", 8*hosts+60))
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -3,17 +3,11 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
-	"github.com/wheatseam/wheatseam/platform"
 )
 
 // sourceStore is the Source of a view that this host has read from the store itself.
@@ -26,36 +20,20 @@
 	wait := minRetryInterval
 	for ctx.Err() == nil {
 		source := d.chooseSource(clock.Now())
-		if source != d.cfg.Self {
-			// A peer that refuses at once, since it has just started or has lost the store,
-			// does not cause a read of the store: the next peer is asked.
-			peerWait, asked := min(d.boundFraction(changesWaitFraction), d.peerTime()), clock.Now()
-			if d.requestChanges(ctx, source, peerWait) || clock.Since(asked) < peerWait && d.peerTime() > 0 {
-				wait = minRetryInterval
-				continue
-			}
-			d.requestConfigCheck()
+		if source != d.cfg.Self && d.askSource(ctx, source) {
+			wait = minRetryInterval
+			continue
 		}
 		if d.View().Replicas == nil && !d.configMissing.Load() && d.requestFirstView(ctx) {
 			continue
 		}
 		started := clock.Now()
-		err := d.readReplicas(ctx)
-		if errors.Is(err, errManyReplicas) {
+		switch err := d.readReplicas(ctx); {
+		case errors.Is(err, errManyReplicas):
 			d.awaitReader(ctx)
 			continue
-		}
-		if err != nil {
-			if !d.View().Ready() && d.requestChangesFromAny(ctx) {
-				continue
-			}
-			if d.View().Ready() && d.requestChangesFromRandomPeer(ctx) {
-				periodic.Sleep(ctx, d.boundFraction(readFraction))
-				wait = minRetryInterval
-				continue
-			}
-			periodic.Sleep(ctx, wait/2+rand.N(wait/2+1))
-			wait = min(2*wait, d.retryLimit())
+		case err != nil:
+			wait = d.afterFailedRead(ctx, wait)
 			continue
 		}
 		wait = minRetryInterval
@@ -67,6 +45,32 @@
 	}
 }
 
+// askSource asks a peer for changes, and reports whether peers can be relied on further. A
+// peer that refuses at once, since it has just started or has lost the store, does not
+// cause a read of the store: the next peer is asked.
+func (d *Discovery) askSource(ctx context.Context, source string) bool {
+	wait, asked := min(d.boundFraction(changesWaitFraction), d.peerTime()), clock.Now()
+	if d.requestChanges(ctx, source, wait) || clock.Since(asked) < wait && d.peerTime() > 0 {
+		return true
+	}
+	d.requestConfigCheck()
+	return false
+}
+
+// afterFailedRead asks other peers after a failed read of the store, and waits before the
+// next one. It returns the wait after a further failure.
+func (d *Discovery) afterFailedRead(ctx context.Context, wait time.Duration) (nextWait time.Duration) {
+	if !d.View().Ready() && d.requestChangesFromAny(ctx) {
+		return wait
+	}
+	if d.View().Ready() && d.requestChangesFromRandomPeer(ctx) {
+		periodic.Sleep(ctx, d.boundFraction(readFraction))
+		return minRetryInterval
+	}
+	periodic.Sleep(ctx, wait/2+rand.N(wait/2+1))
+	return min(2*wait, d.retryLimit())
+}
+
 // peerTime returns for how long this host may still wait for peers before it has to read
 // the store, at least 0: while its view is recent, for a while after it received the first
 // part of a view, and while the store is empty.
@@ -142,163 +146,3 @@
 	}
 	d.listsAlone = true
 }
-
-// readReplicas reads the replicas from the store, or only the changes since the last read if
-// that is possible.
-func (d *Discovery) readReplicas(ctx context.Context) error {
-	started := clock.Now()
-	d.storeReads.Add(1)
-	done, err := d.readReplicaChanges(ctx, started)
-	if err == nil && !done {
-		err = d.listReplicas(ctx, started)
-	}
-	if err != nil && !errors.Is(err, errManyReplicas) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if !d.replicaReadFailed && ctx.Err() == nil {
-			d.replicaReadFailed = true
-			d.log.Warn("could not read the replicas from the store", zap.Error(err), zap.Duration("view_age", started.Sub(d.View().AsOf)))
-		}
-	}
-	return err
-}
-
-// readReplicaChanges reads the changes since the last read from the store, or since the
-// replicas that a peer sent. done is false if the replicas have to be listed instead.
-func (d *Discovery) readReplicaChanges(ctx context.Context, started time.Time) (done bool, err error) {
-	l := d.currentListing()
-	if l == nil {
-		return false, nil
-	}
-	items, revision, err := d.replicaChanges(ctx, l.checked.oldest())
-	if errors.Is(err, platform.ErrCompacted) {
-		d.log.Info("store no longer has the change history; listing the replicas", zap.Uint64("after", l.checked.oldest()))
-		return false, nil
-	}
-	if err != nil {
-		return false, err
-	}
-	changes := l.apply(items)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.listing = l
-	l.checked, l.readAt = l.checked.add(revision), started
-	if changes.mostlyRewritten() {
-		// A change that the store withholds is repeated by the next heartbeat, so that the
-		// next read need not cover this one again.
-		l.checked = checkedRevisions{revision}
-	}
-	written := make([]catalog.Replica, 0, len(changes.written))
-	for _, r := range changes.written {
-		written = append(written, *r)
-	}
-	d.registry.ApplyChanges(clock.Now(), written, slices.Collect(maps.Keys(changes.gone)))
-	d.replicasRead(started)
-	return true, nil
-}
-
-// currentListing returns the listing from which changes can be read: the one of the last
-// read, or one of the replicas that a peer sent; nil if there is neither.
-func (d *Discovery) currentListing() *listing {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l := d.listing
-	if v := d.View(); l == nil && v.replicasRevision > 0 {
-		l = listingOf(v.Replicas, v.replicasRevision, v.replicasAsOf)
-		l.faults = maps.Clone(d.invalidEntries)
-	}
-	if l == nil || !l.usable(clock.Now()) {
-		return nil
-	}
-	return l
-}
-
-const (
-	// largeChange is the number of changes in one response from which the store may have
-	// more, and maxChangeReads limits the responses that are read at a time.
-	largeChange    = 100
-	maxChangeReads = 20
-)
-
-// replicaChanges reads the changed entries after a revision of the store.
-func (d *Discovery) replicaChanges(ctx context.Context, after uint64) (items []platform.Item, revision uint64, err error) {
-	revision = after
-	for range maxChangeReads {
-		var more []platform.Item
-		more, revision, err = d.cfg.Store.Changes(ctx, platform.ReplicaPrefix, revision, 0)
-		if err != nil {
-			return nil, 0, err
-		}
-		items = append(items, more...)
-		if len(more) < largeChange {
-			break
-		}
-	}
-	return items, revision, nil
-}
-
-// listReplicas lists the replicas in the store.
-func (d *Discovery) listReplicas(ctx context.Context, started time.Time) error {
-	l := newListing()
-	pages := 0
-	revision, err := d.cfg.Store.ForEachPage(ctx, platform.ReplicaPrefix, func(items []platform.Item) bool {
-		l.apply(items)
-		pages++
-		return pages <= firstListPages || d.listsAlone || d.View().Replicas != nil
-	})
-	switch {
-	case err != nil:
-		return err
-	case pages > firstListPages && !d.listsAlone && d.View().Replicas == nil:
-		return errManyReplicas
-	}
-	l.checked, l.readAt, l.listedAt = checkedRevisions{revision}, started, started
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.listing = l
-	d.registry.Update(clock.Now(), l.replicas())
-	d.replicasRead(started)
-	return nil
-}
-
-// firstListPages is the number of pages that a host without a view lists before it leaves
-// the rest to the host that reads the store for all: when a whole fleet starts again, its
-// hosts would each list all replicas.
-const firstListPages = 4
-
-// errManyReplicas is returned by a list that was broken off after firstListPages.
-var errManyReplicas = errors.New("discovery: too many replicas for each host to list them")
-
-// replicasRead publishes the replicas after they were read from the store. The caller holds
-// d.mu.
-func (d *Discovery) replicasRead(started time.Time) {
-	if d.replicaReadFailed {
-		d.replicaReadFailed = false
-		d.wakeConfigSync()
-		d.log.Info("store is readable again for the replicas", zap.Uint64("revision", d.listing.checked.newest()))
-	}
-	d.recordInvalidEntries(d.listing.faults)
-	next := *d.View()
-	next.replicasAsOf, next.replicasRevision, next.Source = started, d.listing.checked.oldest(), sourceStore
-	d.publish(&next)
-}
-
-// recordInvalidEntries replaces the faults of entries that are not valid replicas, by key:
-// other writers may use the same prefix. Each change is logged once. The caller holds
-// d.mu.
-func (d *Discovery) recordInvalidEntries(faults map[string]string) {
-	for key, fault := range faults {
-		if d.invalidEntries[key] != fault {
-			d.log.Warn("invalid replica entry ignored", zap.String("key", key), zap.String("why", fault))
-		}
-	}
-	d.invalidEntries = maps.Clone(faults)
-}
-
-// InvalidEntryCount returns the number of entries under the replica prefix that are not
-// valid replicas, as of this host's last read of the store.
-func (d *Discovery) InvalidEntryCount() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.invalidEntries)
-}
