--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -85,6 +85,7 @@
 	// lastPeerRequest is when a peer last asked for changes, as returned by clock.Nanos.
 	lastPeerRequest atomic.Int64
 	storeReads      atomic.Uint64
+	lists           atomic.Uint64
 	peerReplies     atomic.Uint64
 
 	// advertised is the newest configuration that a peer has advertised, rejectedRevision
@@ -209,9 +210,10 @@
 	AdvertisedRevision uint64  `json:"revision_wanted"`
 	BehindSeconds      float64 `json:"behind_s"`
 	CheckedRevision    uint64  `json:"revision_checked"`
-	// StoreReads counts reads of the replicas from the store, PeerReplies replies of other
-	// hosts.
+	// StoreReads counts reads of the replicas from the store, Lists those of them that listed
+	// all replicas, and PeerReplies replies of other hosts.
 	StoreReads  uint64 `json:"reads"`
+	Lists       uint64 `json:"lists"`
 	PeerReplies uint64 `json:"news"`
 	// Evacuated lists the failure domains whose replicas get no new work, as of a revision
 	// of the store.
@@ -231,7 +233,7 @@
 	dump := Dump{
 		Revision: v.revision, AsOf: v.AsOf, Source: v.Source, StoreUnavailable: d.replicaReadFailed || d.configReadFailed,
 		AdvertisedRevision: d.advertised.revision, BehindSeconds: behind.Seconds(), CheckedRevision: d.checkedRevisions.oldest(),
-		StoreReads: d.storeReads.Load(), PeerReplies: d.peerReplies.Load(), Replicas: v.Replicas.Sorted(), InvalidEntries: d.invalidEntries,
+		StoreReads: d.storeReads.Load(), Lists: d.lists.Load(), PeerReplies: d.peerReplies.Load(), Replicas: v.Replicas.Sorted(), InvalidEntries: d.invalidEntries,
 		Evacuated: v.Evacuations.Domains, EvacuationsRevision: v.Evacuations.Revision,
 	}
 	if v.Config != nil {
--- a/discovery/storeread.go
+++ b/discovery/storeread.go
@@ -110,6 +110,7 @@
 
 // listReplicas lists the replicas in the store.
 func (d *Discovery) listReplicas(ctx context.Context, started time.Time) error {
+	d.lists.Add(1)
 	l := newListing()
 	pages := 0
 	revision, err := d.cfg.Store.ForEachPage(ctx, platform.ReplicaPrefix, func(items []platform.Item) bool {
@@ -166,6 +167,9 @@
 	d.invalidEntries = maps.Clone(faults)
 }
 
+// ListCount returns how often this host has listed all replicas in the store.
+func (d *Discovery) ListCount() uint64 { return d.lists.Load() }
+
 // InvalidEntryCount returns the number of entries under the replica prefix that are not
 // valid replicas, as of this host's last read of the store.
 func (d *Discovery) InvalidEntryCount() int {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -59,6 +59,8 @@
 		return 0
 	})
 	gauge("wheatseam_replica_entries_refused", func() float64 { return float64(g.discovery.InvalidEntryCount()) })
+	gauge("wheatseam_replicas", func() float64 { return float64(g.discovery.View().Replicas.Len()) })
+	gauge("wheatseam_replica_lists_total", func() float64 { return float64(g.discovery.ListCount()) })
 	gauge("wheatseam_store_calls_total", func() float64 { return float64(g.store.Calls().Total) })
 	gauge("wheatseam_store_calls_failed_total", func() float64 { return float64(g.store.Calls().Failed) })
 	gauge("wheatseam_replicas_cold", func() float64 { return float64(g.coldCount.Load()) })
