--- a/discovery/doc.go
+++ b/discovery/doc.go
@@ -3,7 +3,8 @@
 // replicas.
 //
 // One daemon of the fleet reads the store. The others request changes from each other
-// along a tree and are answered as soon as there are any. Every reply states how old it
+// along a tree and are answered as soon as there are any. A daemon that fails another is
+// left out of that one's tree for a while, so that the next in rank takes its place. Every reply states how old it
 // is. A daemon whose view is older than its limits allow, for whatever reason, reads the
 // store itself: no daemon depends on another for longer than a fraction of the time within
 // which changes must be active.
@@ -17,8 +18,12 @@
 // configuration is active therefore depends on how long the links take to transfer its
 // delta, and not on the number of routes in the whole configuration.
 //
-// The daemon that reads the store lists the replicas at an interval and watches for a
-// newer configuration for just as long: the store sends a configuration only when there is
-// a new one. The watch starts several intervals in the past, since the store may report no
-// changes for a second before it drops its history.
+// The daemon that reads the store lists the replicas once, then reads their changes at an
+// interval, and watches for a newer configuration for just as long. Both reads start several
+// intervals in the past, since the store may report no changes for a second before it drops
+// its history. Every reply says up to which revision of the store its replicas are complete,
+// so that whoever has them from a peer can go on reading changes without a list.
+//
+// What a daemon holds grows with the replicas; what it sends, reads and computes in a steady
+// state grows with the changes.
 package discovery
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -24,9 +24,7 @@
 	readFraction = 0.3
 	// idleReadFraction is the interval between reads of a host that no peer asks, whose
 	// reads need not pass through another host. It is below staleFraction, so that the
-	// view is recent enough for the first peer that does ask. With it, 100 hosts that are
-	// disconnected from their peers for 12 s make a third fewer calls; each list takes
-	// eight.
+	// view is recent enough for the first peer that does ask.
 	idleReadFraction = 0.45
 	// changesWaitFraction is how long a peer may wait for changes before it replies.
 	changesWaitFraction = 0.4
