Give the hosts of a large fleet whole extra attempts

Cause: each host had slack / hosts / 2 extra attempts, 0.37 at 985 hosts, and so none until seven requests for the service had come, which takes a minute.

Change: where half of a share is less than one, the slack is divided into whole attempts by rank of a hash, and a host sends at most its number in any window. What first attempts deposit then counts for about a window, so that deposits of quiet times don't add one attempt a host to a bad one.

Smaller fleets (two extra attempts a host and more) are as before.

--- a/core/retry/shared_budget.go
+++ b/core/retry/shared_budget.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,17 +16,27 @@
 //
 // A daemon accumulates at most half of its share of the slack and refills half of it per
 // window, so that no window, wherever it begins, allows more than the whole share.
+//
+// In a large fleet half of a share is less than one extra attempt, which would allow none.
+// The slack is then divided into whole extra attempts, of which some daemons have one more
+// than others, and each daemon sends at most its number in any window.
 type SharedBudget struct {
 	ratio  float64
 	slack  float64
 	window time.Duration
 
-	mu         sync.Mutex
-	hosts      int
-	tokens     float64
+	mu     sync.Mutex
+	hosts  int
+	tokens float64
+	// units is this daemon's number of whole extra attempts per window, and unitsUsed are
+	// the times of the last ones. They apply while half of a share is less than one.
+	units      int
+	unitsUsed  []time.Time
 	lastRefill time.Time
-	withdrawn  uint64
-	denied     uint64
+	// divided says that SetHosts has been called.
+	divided   bool
+	withdrawn uint64
+	denied    uint64
 }
 
 var _ request.Budget = (*SharedBudget)(nil)
@@ -39,15 +51,41 @@
 }
 
 // capacity is the maximum number of tokens from the slack that accumulate, and the number
-// that is refilled per window.
-func (b *SharedBudget) capacity() float64 { return b.slack / float64(b.hosts) / 2 }
+// that is refilled per window. It is 0 while the slack is divided into whole attempts.
+func (b *SharedBudget) capacity() float64 {
+	if half := b.slack / float64(b.hosts) / 2; half >= 1 {
+		return half
+	}
+	return 0
+}
 
-// SetHosts changes the number of daemons that share the budget.
-func (b *SharedBudget) SetHosts(hosts int) {
+// SetHosts changes the number of daemons that share the budget. units returns how many of a
+// number of extra attempts per window, which all daemons together may send, this daemon may
+// send; it is called only if the number of daemons changes.
+func (b *SharedBudget) SetHosts(hosts int, units func(total int) int) {
+	hosts = max(1, hosts)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.hosts = max(1, hosts)
+	if hosts == b.hosts && b.divided {
+		return
+	}
+	b.hosts, b.divided = hosts, true
 	b.tokens = min(b.tokens, max(1, b.capacity()))
+	b.units = 0
+	if b.capacity() == 0 {
+		b.units = units(int(b.slack))
+	}
+}
+
+// takeUnit takes one of this daemon's whole extra attempts, if any is left in the window
+// that ends now.
+func (b *SharedBudget) takeUnit(now time.Time) bool {
+	b.unitsUsed = slices.DeleteFunc(b.unitsUsed, func(at time.Time) bool { return now.Sub(at) >= b.window })
+	if len(b.unitsUsed) >= b.units {
+		return false
+	}
+	b.unitsUsed = append(b.unitsUsed, now)
+	return true
 }
 
 // Deposit implements request.Budget.
@@ -55,8 +93,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	// A capacity below one token would never allow an extra attempt, so deposits may
-	// accumulate up to one token.
+	// A capacity below one token would never allow an extra attempt, so that deposits may
+	// accumulate up to one.
 	b.tokens = min(max(1, b.capacity()), b.tokens+b.ratio)
 }
 
@@ -65,11 +103,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.tokens < 1 {
+	switch {
+	case b.tokens >= 1:
+		b.tokens--
+	case b.takeUnit(now):
+	default:
 		b.denied++
 		return false
 	}
-	b.tokens--
 	b.withdrawn++
 	return true
 }
@@ -95,6 +136,11 @@
 
 // refill adds the tokens of the slack that are due for the time since the last call.
 func (b *SharedBudget) refill(now time.Time) {
+	if b.units > 0 && !b.lastRefill.IsZero() && now.After(b.lastRefill) && b.tokens > 0 {
+		// What first attempts deposited counts for about a window. Kept for longer, it would
+		// add one extra attempt for every host of a large fleet to those of one window.
+		b.tokens *= math.Exp(-float64(now.Sub(b.lastRefill)) / float64(b.window))
+	}
 	if !b.lastRefill.IsZero() && now.After(b.lastRefill) && b.tokens < b.capacity() {
 		back := b.capacity() * float64(now.Sub(b.lastRefill)) / float64(b.window)
 		b.tokens = min(b.capacity(), b.tokens+back)
--- a/core/retry/shared_budget_test.go
+++ b/core/retry/shared_budget_test.go
@@ -75,7 +75,7 @@
 
 	It("divides the slack by the number of known daemons", func() {
 		b := retry.NewSharedBudget(0, 40, window, 1)
-		b.SetHosts(10)
+		b.SetHosts(10, func(int) int { return 0 })
 		n := 0
 		for b.Withdraw(start) {
 			n++
@@ -84,6 +84,55 @@
 		Expect(b.Withdraw(start.Add(window))).To(BeTrue(), "half of the share is refilled per window")
 	})
 
+	It("gives a large fleet whole attempts instead of parts that allow none", func() {
+		const hosts, slack = 985, 728
+		fleet := make([]*retry.SharedBudget, hosts)
+		for i := range fleet {
+			fleet[i] = retry.NewSharedBudget(0.14, slack, window, hosts)
+			fleet[i].SetHosts(hosts, func(total int) int { return (total - i + hosts - 1) / hosts })
+		}
+		// Each host has about a request in ten seconds. A seventh of them fail, and for some
+		// seconds all of many more.
+		rng := rand.New(rand.NewPCG(1, 2))
+		var firsts, extras []time.Time
+		allowed, wanted := 0, 0
+		now := start
+		request := func(fails bool) (retried bool) {
+			b := fleet[rng.IntN(hosts)]
+			b.Deposit(now)
+			firsts = append(firsts, now)
+			if retried = fails && b.Withdraw(now); retried {
+				extras = append(extras, now)
+			}
+			return retried
+		}
+		for ; now.Before(start.Add(8 * window)); now = now.Add(10 * time.Millisecond) {
+			if rng.IntN(7) == 0 {
+				wanted++
+				if request(true) {
+					allowed++
+				}
+			} else {
+				request(false)
+			}
+		}
+		// A host that has an extra attempt is without it for a window after one failure.
+		Expect(float64(allowed)).To(BeNumerically(">", float64(slack)/hosts*6/7*float64(wanted)))
+		for ; now.Before(start.Add(11 * window)); now = now.Add(2 * time.Millisecond) {
+			request(true)
+		}
+		oldestExtra, oldestFirst, first := 0, 0, 0
+		for i, at := range extras {
+			for ; extras[oldestExtra].Before(at.Add(-window)); oldestExtra++ {
+			}
+			for ; first < len(firsts) && !firsts[first].After(at); first++ {
+			}
+			for ; firsts[oldestFirst].Before(at.Add(-window)); oldestFirst++ {
+			}
+			Expect(float64(i-oldestExtra+1)).To(BeNumerically("<=", 0.2*float64(first-oldestFirst)+1040), "at %s", at.Sub(start))
+		}
+	})
+
 	It("takes refunds of attempts that were not sent, up to its capacity", func() {
 		b := retry.NewSharedBudget(0, 4, window, 1)
 		Expect(b.Withdraw(start)).To(BeTrue())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,14 +246,20 @@
 // retryBudget returns this daemon's share of the fleet's retry budget for a service.
 func (g *Gateway) retryBudget(service string) *retry.SharedBudget {
 	hosts := max(g.fleet.KnownHostCount(), minBudgetHosts)
-	if b, ok := g.retryBudgets.Load(service); ok {
-		shared := b.(*retry.SharedBudget)
-		shared.SetHosts(hosts)
-		return shared
+	b, ok := g.retryBudgets.Load(service)
+	if !ok {
+		s := g.settings.Load().Budget
+		b, _ = g.retryBudgets.LoadOrStore(service, retry.NewSharedBudget(budgetFraction*s.Ratio, budgetFraction*s.Slack, s.Window, hosts))
 	}
-	s := g.settings.Load().Budget
-	b, _ := g.retryBudgets.LoadOrStore(service, retry.NewSharedBudget(budgetFraction*s.Ratio, budgetFraction*s.Slack, s.Window, hosts))
-	return b.(*retry.SharedBudget)
+	shared := b.(*retry.SharedBudget)
+	shared.SetHosts(hosts, func(total int) int {
+		names, complete := g.fleet.KnownHosts()
+		if !complete {
+			return 0
+		}
+		return intake.NewShares(g.settings.Load().Host, names).Calls(service, total)
+	})
+	return shared
 }
 
 const (
