List a page before asking peers at a start; answer only from complete views

Change: a host without a view lists one page, and asks peers only if there are more. A view that is not complete counts as none for others, who wait for it if they have none themselves. The time for peers begins with the first part of a view, wherever that came from.

--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -81,9 +81,6 @@
 		}
 	}
 	d.listing = nil
-	if next.Replicas == nil {
-		d.firstPartAt = clock.Now()
-	}
 	replicas := replicasWith(d.registry.Replicas(), reply)
 	d.registry.ReplaceFromPeer(asOf, replicas)
 	if replicas.Digest().Sum() == reply.GetReplicasHash() && asOf.After(next.replicasAsOf) {
@@ -133,7 +130,7 @@
 	})
 }
 
-// errNoView is returned while this host has not read anything yet.
+// errNoView is returned while this host has no complete view.
 var errNoView = errors.New("discovery: no view yet")
 
 // serveChanges answers a peer's request for changes: at once if there are any, otherwise
@@ -150,10 +147,10 @@
 		changed := d.viewChanged
 		d.mu.Unlock()
 		v := d.View()
-		if !v.Ready() && !d.configMissing.Load() && req.GetAgeMs() < unknownAge.Milliseconds() {
+		if !v.complete() && !d.configMissing.Load() && req.GetAgeMs() < unknownAge.Milliseconds() {
 			return nil, errNoView // the requester has a view, and better peers
 		}
-		if v.Ready() && (d.cannotRefresh(v) || d.hasChangesFor(v, req, requesterAsOf)) {
+		if v.complete() && (d.cannotRefresh(v) || d.hasChangesFor(v, req, requesterAsOf)) {
 			break
 		}
 		select {
@@ -164,7 +161,7 @@
 			waiting = false
 		}
 	}
-	if !d.View().Ready() {
+	if !d.View().complete() {
 		return nil, errNoView
 	}
 	return d.changesReply(req, receivedAt), nil
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -65,8 +65,8 @@
 	registry catalog.Registry
 	// history holds the last sets of replicas, from which peers are sent what changed.
 	history replicaHistory
-	// firstPartAt is when a peer sent the first part of this host's first view.
-	firstPartAt time.Time
+	// firstViewAt is when this host received the first part of its first view.
+	firstViewAt time.Time
 	// listsAlone says that this host may list all replicas, however many there are; until
 	// then it lists a few pages.
 	listsAlone bool
@@ -186,6 +186,9 @@
 	if !sameReplicas {
 		d.history.add(next.Replicas)
 	}
+	if isFirst && next.Replicas != nil {
+		d.firstViewAt = clock.Now()
+	}
 	d.cfg.OnViewChange(next)
 	d.view.Store(next)
 	d.log.Info("view updated", fields...)
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -24,13 +24,12 @@
 			wait = minRetryInterval
 			continue
 		}
-		if d.View().Replicas == nil && !d.configMissing.Load() && d.requestFirstView(ctx) {
-			continue
-		}
 		started := clock.Now()
 		switch err := d.readReplicas(ctx); {
 		case errors.Is(err, errManyReplicas):
-			d.awaitReader(ctx)
+			if !d.requestFirstView(ctx) {
+				d.awaitReader(ctx)
+			}
 			continue
 		case err != nil:
 			wait = d.afterFailedRead(ctx, wait)
@@ -73,13 +72,13 @@
 
 // peerTime returns for how long this host may still wait for peers before it has to read
 // the store, at least 0: while its view is recent, for a while after it received the first
-// part of a view, and while the store is empty.
+// part of its first view, and while the store is empty.
 func (d *Discovery) peerTime() time.Duration {
 	if d.configMissing.Load() {
 		return d.boundFraction(changesWaitFraction)
 	}
 	d.mu.Lock()
-	since := d.firstPartAt
+	since := d.firstViewAt
 	d.mu.Unlock()
 	if asOf := d.View().AsOf; !asOf.IsZero() {
 		since = asOf
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -111,16 +111,15 @@
 	return hosts
 }
 
-// A host that has just started asks firstViewPeers hosts at the same time for their
-// replicas, up to firstViewRounds times, before it lists the store.
+// A host that has just started before a store with many replicas asks firstViewPeers hosts
+// at the same time for theirs, up to firstViewRounds times.
 const (
 	firstViewPeers  = 3
 	firstViewRounds = 2
 )
 
 // requestFirstView asks some hosts for the replicas that they know, and reports whether any
-// sent some. A full list takes a call for each page, which the hosts that are restarted need
-// not make.
+// sent some.
 func (d *Discovery) requestFirstView(ctx context.Context) bool {
 	var hosts []string
 	for _, h := range d.cfg.Members.Reachable() {
--- a/discovery/storeread.go
+++ b/discovery/storeread.go
@@ -133,10 +133,10 @@
 	return nil
 }
 
-// firstListPages is the number of pages that a host without a view lists before it leaves
-// the rest to the host that reads the store for all: when a whole fleet starts again, its
-// hosts would each list all replicas.
-const firstListPages = 4
+// firstListPages is the number of pages that a host without a view lists. If there are more,
+// it asks peers that have a view, or waits for the host that reads the store for all: when
+// a whole fleet starts again, its hosts would each list all replicas.
+const firstListPages = 1
 
 // errManyReplicas is returned by a list that was broken off after firstListPages.
 var errManyReplicas = errors.New("discovery: too many replicas for each host to list them")
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -34,6 +34,9 @@
 // Ready reports whether requests can be routed with this view.
 func (v *View) Ready() bool { return v.Config != nil && v.Replicas != nil }
 
+// complete reports whether the view is known to have contained everything at some time.
+func (v *View) complete() bool { return v.Ready() && !v.AsOf.IsZero() }
+
 // RefusesNewWork reports whether a replica takes no new work, because it is draining or its
 // failure domain is evacuated.
 func (v *View) RefusesNewWork(r *catalog.Replica) bool {
