Do not wait for peers that have no view when the store fails

Cause: since hosts without a view hold each other's requests until they have one, a host that could not read the store waited 0.4 of the bound at each of its peers in turn, and they at it.

The new test (seven hosts start while the store is away for two seconds) fails without it.

--- a/discovery/replica_changes_test.go
+++ b/discovery/replica_changes_test.go
@@ -154,3 +154,25 @@
 		g.Expect(f.storeCalls()).To(BeNumerically("<=", 8*hosts+60))
 	})
 }
+
+// TestHostsWithoutViewDoNotWaitForEachOther starts all hosts while the store answers none of
+// them, as after a loss of power, and has them serve soon after the store is back.
+func TestHostsWithoutViewDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, replicas, outage = 7, 30, 2 * time.Second
+		g := NewWithT(t)
+		f := newFleetWithReplicas(hosts, replicas)
+		storeDown := true
+		f.injectError = func(from, to, method string) error {
+			if to == storeName && storeDown {
+				return errors.New("store is down")
+			}
+			return nil
+		}
+		stop := f.run()
+		defer stop()
+		time.Sleep(outage)
+		storeDown = false
+		f.awaitReplicas(g, time.Second, replicas, 0)
+	})
+}
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -147,11 +147,12 @@
 	return false
 }
 
-// requestChangesFromAny asks hosts for changes until one replies. A host that has just
-// started and that the store rejects learns from its peers what is active.
+// requestChangesFromAny asks hosts for what they know until one replies. A host that has just
+// started and that the store rejects learns from its peers what is active. It does not wait
+// for peers without a view: they may wait for this host in turn.
 func (d *Discovery) requestChangesFromAny(ctx context.Context) bool {
 	for _, h := range rankedHosts(d.cfg.Members.Reachable()) {
-		if h.Name != d.cfg.Self && !d.hostBackoff.Excludes(h.Name, clock.Now()) && d.requestChanges(ctx, h.Name, d.boundFraction(changesWaitFraction)) {
+		if h.Name != d.cfg.Self && !d.hostBackoff.Excludes(h.Name, clock.Now()) && d.requestChanges(ctx, h.Name, 0) {
 			return true
 		}
 	}
