Ask for SIGHUP before anything else; the tests' switches are atomic

Cause: a SIGHUP that comes while a daemon starts ends it, as the handler was installed only once the gateway had been set up. What is left is the time before main.

--- a/cmd/wheatseamd/gateway.go
+++ b/cmd/wheatseamd/gateway.go
@@ -73,6 +73,9 @@
 const memoryLimitRatio = 0.6
 
 func runGateway(path string, simulatedSuspension time.Duration) error {
+	// The signal would end a process that has not asked for it, also while it starts.
+	reloadSignals := make(chan os.Signal, 1)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 	s, err := gateway.LoadSettings(path)
 	if err != nil {
 		return err
@@ -92,7 +95,7 @@
 	if simulatedSuspension > 0 {
 		go simulateSuspensions(ctx, simulatedSuspension)
 	}
-	go reloadSettings(ctx, path, g, log)
+	go reloadSettings(ctx, path, reloadSignals, g, log)
 	return g.Run(ctx)
 }
 
@@ -116,11 +119,9 @@
 // need a shorter interval.
 const settingsPollInterval = 5 * time.Second
 
-// reloadSettings reloads the settings at SIGHUP and when the file changes, until ctx
+// reloadSettings reloads the settings at a signal and when the file changes, until ctx
 // ends. If the file is invalid, it logs the error and keeps the current settings.
-func reloadSettings(ctx context.Context, path string, g *gateway.Gateway, log *logging.BoundedLog) {
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
+func reloadSettings(ctx context.Context, path string, reloadSignals <-chan os.Signal, g *gateway.Gateway, log *logging.BoundedLog) {
 	pollTicker := time.NewTicker(settingsPollInterval)
 	defer pollTicker.Stop()
 	var lastRead []byte
--- a/discovery/replica_changes_test.go
+++ b/discovery/replica_changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,9 +111,9 @@
 		const hosts, replicas = 12, 2000
 		g := NewWithT(t)
 		f := newFleetWithReplicas(hosts, replicas)
-		cutOff := false
+		var cutOff atomic.Bool
 		f.injectError = func(from, to, method string) error {
-			if cutOff && to != storeName {
+			if cutOff.Load() && to != storeName {
 				return errors.New("cut off")
 			}
 			return nil
@@ -122,7 +123,7 @@
 		f.awaitReplicas(g, 10*time.Second, replicas, 0)
 		time.Sleep(propagationBound)
 		before := f.storeCalls()
-		cutOff = true
+		cutOff.Store(true)
 		time.Sleep(time.Second)
 		for id := range 30 {
 			f.store.writeReplica(id, "draining")
@@ -132,7 +133,7 @@
 		calls := f.storeCalls() - before
 		t.Logf("%d calls of %d hosts", calls, hosts)
 		g.Expect(calls).To(BeNumerically("<=", 10*hosts), fmt.Sprintf("a list of all takes %d", replicas/pageItems))
-		cutOff = false
+		cutOff.Store(false)
 		time.Sleep(2 * propagationBound)
 		g.Expect(f.hostsNotMatching(func(ready, draining int) bool { return ready == replicas-60 })).To(BeEmpty())
 	})
@@ -162,9 +163,10 @@
 		const hosts, replicas, outage = 7, 30, 2 * time.Second
 		g := NewWithT(t)
 		f := newFleetWithReplicas(hosts, replicas)
-		storeDown := true
+		var storeDown atomic.Bool
+		storeDown.Store(true)
 		f.injectError = func(from, to, method string) error {
-			if to == storeName && storeDown {
+			if to == storeName && storeDown.Load() {
 				return errors.New("store is down")
 			}
 			return nil
@@ -172,7 +174,7 @@
 		stop := f.run()
 		defer stop()
 		time.Sleep(outage)
-		storeDown = false
+		storeDown.Store(false)
 		f.awaitReplicas(g, time.Second, replicas, 0)
 	})
 }
