Interfaces for uneven replicas and scarce stage capacity

Two deployments bring load that the gateway handles poorly: replicas whose machines differ in speed, and customers that compete for stage capacity. docs/design/uneven-load.md specifies the parts. This commit adds what they share: fields of messages between daemons, of load reports, queries, jobs and refusals, the gap objective of a route, and two settings.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -59,6 +59,9 @@
 	// event of a stream.
 	Objective time.Duration
 	Timeout   time.Duration
+	// GapObjective is the operator's target for the longest pause between two events of a
+	// stream; 0 if there is none.
+	GapObjective time.Duration
 	// Priority of the route; 0 is the highest.
 	Priority int
 	// Attempts is the maximum number of replicas that one request may be sent to.
--- a/core/load/report.go
+++ b/core/load/report.go
@@ -12,6 +12,9 @@
 	// daemon's digest, Running is the sum of both.
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
+	// Slowdown is how long work takes on the upstream's machine at this moment, as a
+	// multiple of the usual time; 0 if it is not reported.
+	Slowdown float64 `json:"slowdown,omitempty"`
 	// Leaving means that the upstream accepts no new work.
 	Leaving bool `json:"leaving"`
 }
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -34,6 +34,11 @@
 	// prompt that is not in a shared prefix. ExpectedFirstByte is the usual time
 	// to the first byte of the response. Either is 0 if it is not known.
 	PrefillTime, ExpectedFirstByte time.Duration
+	// GapObjective is the longest pause between two events of a stream that is still on
+	// time, and ExpectedEvents the number of events that the stream may have at most; 0 if
+	// there is no objective or the number is not known.
+	GapObjective   time.Duration
+	ExpectedEvents int
 }
 
 // Choice is the upstream that a Router picked for a call. The call counts as in
@@ -72,6 +77,8 @@
 	Latency time.Duration
 	// FirstByte is the time from sending the call to the first byte or token.
 	FirstByte time.Duration
+	// LongestPause is the longest time between two events of a stream; 0 if there was none.
+	LongestPause time.Duration
 	// Work is the amount of work in the call, in a unit that is the same for all
 	// calls of its stage: tokens, or the expected duration in milliseconds. It is
 	// 0 if unknown. Upstreams are compared by their latency per unit of work.
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -201,6 +201,20 @@
 	}
 }
 
+// SetBaselineSlowdown sets the lowest slowdown that an upstream's machine has had lately, as a
+// multiple of the usual time; 0 removes it.
+func (r *Router) SetBaselineSlowdown(now time.Time, pool, upstream string, baseline float64) {
+	p := r.current.Load().pools[pool]
+	if p == nil {
+		return
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	if m := p.members.find(upstream); m != nil {
+		p.shard.stateOf(m, now, &r.config).baselineSlowdown = baseline
+	}
+}
+
 // CanServeCopies reports whether an upstream can serve calls other than those for which it
 // is picked: it is known, is neither leaving, limited nor ejected, and does not have calls
 // in flight without progress for minStallTimeout.
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -74,6 +74,10 @@
 
 	ejection ejection
 
+	// baselineSlowdown is the lowest slowdown that the upstream's machine has had lately, as
+	// observed by any host; 0 if it is not known.
+	baselineSlowdown float64
+
 	report           load.Report
 	hasReport        bool
 	ownCallsAtReport int
--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -116,6 +116,13 @@
 	// Predicted is the predicted time from now until the results; 0 if no prediction was
 	// made.
 	Predicted time.Duration
+	// Service is the service that is short of capacity; "" if none is.
+	Service string
+	// Invited says that a place is kept for the same request after RetryAfter.
+	Invited bool
+	// OverloadedFor is the time for which further jobs of the same rank are certain to be
+	// refused; 0 if that is not known.
+	OverloadedFor time.Duration
 	// ResultsHeld says that results reported to the job's owner are kept until the owner
 	// has acknowledged the refusal, which the caller reports with Cancelled.
 	ResultsHeld bool
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -297,7 +297,10 @@
 
 // stageJob is the stage work of the request; false when there is none.
 func (x *exchange) stageJob(began time.Time) (stage.Job, bool) {
-	j := stage.Job{ID: x.req.ID, Key: x.req.PieceKey, Rank: x.priority(), Deadline: x.deadline}
+	j := stage.Job{
+		ID: x.req.ID, Key: x.req.PieceKey, Rank: x.priority(), Deadline: x.deadline,
+		Customer: x.customer(), Fingerprint: stage.Fingerprint(x.fingerprint),
+	}
 	j.Due, j.Latest = x.stageDeadlines(began)
 	pieces := 0
 	for i, s := range x.route.Stages {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -102,6 +102,7 @@
 	q := request.Query{
 		Request: x.req.ID, Pool: x.service, Stage: x.route.Name, Kind: bundle.StageCall,
 		Attempt: len(x.triedReplicas) + 1, TriedUpstreams: x.triedReplicas, InputFailureDomain: x.inputDomain, Budget: clock.Until(x.deadline),
+		GapObjective: x.route.GapObjective,
 	}
 	if s := x.config.Services[x.service]; s != nil && s.Engine {
 		q.Kind = bundle.StageGenerate
@@ -362,7 +363,7 @@
 // observeLoad passes a replica's load report to the router.
 func (t *attempt) observeLoad(l *platform.Load) {
 	if l != nil {
-		t.x.g.router.Observe(load.Report{Upstream: t.choice.Upstream, AsOf: clock.Now(), Running: l.Running, Queued: l.Waiting})
+		t.x.g.router.Observe(load.Report{Upstream: t.choice.Upstream, AsOf: clock.Now(), Running: l.Running, Queued: l.Waiting, Slowdown: l.Slowdown})
 	}
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -32,6 +32,7 @@
 	Budget  Budget   `yaml:"budget"`
 	Cold    Cold     `yaml:"cold"`
 	Backoff Backoff  `yaml:"rest"`
+	Stages  Stages   `yaml:"stages"`
 	Limits  Limits   `yaml:"limits"`
 	Log     Log      `yaml:"log"`
 }
@@ -96,6 +97,16 @@
 	Max time.Duration `yaml:"most"`
 }
 
+// Stages configures the planning of stages under overload.
+type Stages struct {
+	// FairShares shares the capacity of stage services out among customers while it is
+	// scarce. Default false.
+	FairShares bool `yaml:"fair_shares"`
+	// KeptPlaces keeps places for refused requests that are told when to return. Default
+	// false.
+	KeptPlaces bool `yaml:"kept_places"`
+}
+
 // Limits are the resource limits of the machine.
 type Limits struct {
 	// Processors is the number of threads that may run at the same time. Default 1.
--- a/stages/messages.go
+++ b/stages/messages.go
@@ -19,7 +19,10 @@
 	out := &wire.StageJob{
 		Id: j.ID, Key: j.Key, Priority: uint32(max(0, j.Rank.Customer)), RoutePriority: uint32(max(0, j.Rank.Route)),
 		DueMs: j.Due.Sub(now).Milliseconds(), LatestMs: j.Latest.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
-		FailureDomain: j.Domain,
+		FailureDomain: j.Domain, Customer: j.Customer,
+	}
+	if j.Fingerprint != (stage.Fingerprint{}) {
+		out.Content = j.Fingerprint[:]
 	}
 	out.Made = completedToWire(j.Completed)
 	for _, s := range j.Stages {
@@ -41,6 +44,10 @@
 		Latest:   now.Add(time.Duration(m.GetLatestMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Domain:   m.GetFailureDomain(),
+		Customer: m.GetCustomer(),
+	}
+	if content := m.GetContent(); len(content) == len(j.Fingerprint) {
+		j.Fingerprint = stage.Fingerprint(content)
 	}
 	for i, w := range m.GetStages() {
 		s := stage.Stage{Service: w.GetService(), Pieces: int(w.GetPieces()), ResultBytes: w.GetResultBytes()}
@@ -91,6 +98,7 @@
 		return &wire.StageEnd{
 			Job: id, Reason: string(r.Reason),
 			RetryAfterMs: r.RetryAfter.Milliseconds(), PredictedMs: r.Predicted.Milliseconds(),
+			Service: r.Service, Invited: r.Invited, OverloadedMs: r.OverloadedFor.Milliseconds(),
 		}
 	}
 	return &wire.StageEnd{Job: id, Handles: outcome.Ready.Handles, FailureDomain: outcome.Ready.Domain, DomainBytes: outcome.Ready.DomainBytes}
@@ -106,5 +114,6 @@
 		Job: m.GetJob(), Reason: stage.Reason(m.GetReason()),
 		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 		Predicted:  time.Duration(m.GetPredictedMs()) * time.Millisecond,
+		Service:    m.GetService(), Invited: m.GetInvited(), OverloadedFor: time.Duration(m.GetOverloadedMs()) * time.Millisecond,
 	}}
 }
