Form the fleet sooner after all hosts have started

Change: connection attempts within the first second time out after 150 ms, and a seed reports the highest-ranked hosts once they have not changed for 200 ms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,7 +98,8 @@
 	f.transport, err = peer.NewTransport(peer.Config{
 		Host: cfg.Self.Name, Incarnation: incarnation, Listen: cfg.Listen,
 		Plaintext: true, PrivateNetwork: true, Resolve: resolve, Mux: cfg.Mux, Logger: cfg.Logger,
-		MaxMessageBytes: maxMessage, DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout, MaxBackoff: maxBackoff,
+		MaxMessageBytes: maxMessage, DialTimeout: dialTimeout, StartupDialTimeout: startupDialTimeout, StartupPeriod: formTimeout,
+		SilenceTimeout: silenceTimeout, MaxBackoff: maxBackoff,
 	})
 	if err != nil {
 		return nil, err
@@ -119,7 +120,11 @@
 const (
 	dialTimeout    = 500 * time.Millisecond
 	silenceTimeout = 400 * time.Millisecond
-	maxBackoff     = 100 * time.Millisecond
+	// startupDialTimeout is three round trips between regions that are 25 ms apart. Hosts
+	// that start together are up within 300 ms of each other, and a host whose first
+	// attempt met a machine without power waited for dialTimeout before the next one.
+	startupDialTimeout = 150 * time.Millisecond
+	maxBackoff         = 100 * time.Millisecond
 )
 
 // resolve returns the address of a host, which is its name.
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 )
 
 const (
@@ -21,6 +22,13 @@
 	// have contacted it: they send requests every formingBaseInterval, and the last of
 	// those that start together is up half a second after the first.
 	seedSettleTime = 400 * time.Millisecond
+	// rankQuietTime is how long the highest-ranked hosts that a seed knows have to stay the
+	// same before it assumes that they are final: the longest time between two requests of
+	// a host that is forming, with a round trip. Hosts that start later rank lower unless
+	// they have more capacity.
+	rankQuietTime = 200 * time.Millisecond
+	// rankCheckInterval is the interval at which a seed checks for that.
+	rankCheckInterval = 20 * time.Millisecond
 	// formingReplyHosts is the number of hosts that a seed reports to a host whose fleet
 	// is still forming.
 	formingReplyHosts = 3
@@ -32,8 +40,8 @@
 
 // Formed returns a channel that is closed once this host knows the fleet well enough to
 // agree with its peers on which host ranks first, that is once a seed that has formed has
-// reported the highest-ranked hosts. On a seed it is closed after seedSettleTime, or at
-// once if there is no other seed. It is closed after formTimeout in any case, since a host
+// reported the highest-ranked hosts. On a seed it is closed once these are stable, after
+// seedSettleTime at the latest, or at once if there is no other seed. It is closed after formTimeout in any case, since a host
 // may be disconnected.
 //
 // Hosts that start together know different parts of the fleet for a moment. Each of them
@@ -67,6 +75,7 @@
 	if slices.Contains(*f.seeds.Load(), f.cfg.Self.Name) {
 		settleTimer := clock.AfterFunc(seedSettleTime, func() { f.markFormed("this host is a seed and the settle time has passed") })
 		defer settleTimer.Stop()
+		go f.awaitStableRank(ctx)
 	}
 	if len(f.rosterTargets()) == 0 {
 		f.markFormed("there is no seed other than this host")
@@ -88,6 +97,37 @@
 	}
 }
 
+// awaitStableRank marks the fleet as formed once the highest-ranked hosts have not changed for
+// rankQuietTime. A seed that knows too few hosts for a full reply waits for seedSettleTime.
+func (f *Fleet) awaitStableRank(ctx context.Context) {
+	w := rankWatch{since: clock.Now()}
+	for !f.hasFormed() {
+		if w.stable(clock.Now(), f.roster.topRanked(formingReplyHosts)) {
+			f.markFormed("the highest-ranked hosts are stable")
+			return
+		}
+		if !periodic.Sleep(ctx, rankCheckInterval) {
+			return
+		}
+	}
+}
+
+// rankWatch observes the highest-ranked hosts.
+type rankWatch struct {
+	top   []Host
+	since time.Time
+}
+
+// stable reports whether the highest-ranked hosts are as many as a reply has and have been
+// the same for rankQuietTime.
+func (w *rankWatch) stable(now time.Time, top []Host) bool {
+	if !slices.Equal(w.top, top) {
+		w.top, w.since = top, now
+		return false
+	}
+	return len(top) == formingReplyHosts && now.Sub(w.since) >= rankQuietTime
+}
+
 // formingInterval returns the interval between roster requests while a fleet of n hosts is
 // forming.
 func formingInterval(n int) time.Duration {
--- a/peer/config.go
+++ b/peer/config.go
@@ -77,6 +77,12 @@
 	CallTimeout time.Duration
 	// DialTimeout bounds connecting, the TLS handshake and the peer handshake together.
 	DialTimeout time.Duration
+	// StartupDialTimeout bounds connecting alone, without the handshakes, for
+	// StartupPeriod after the transport was created. When many hosts start together, a
+	// connection attempt to a host that is not up yet is not answered, and only a new one
+	// reaches it. 0 means DialTimeout.
+	StartupDialTimeout time.Duration
+	StartupPeriod      time.Duration
 	// SilenceTimeout is how long no data may arrive on a session with calls waiting for
 	// answers before a call that times out makes the session suspect. A suspect session
 	// is closed unless the peer answers a ping within the same time.
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -34,6 +34,7 @@
 type Transport struct {
 	cfg              Config
 	tls              *tls.Config // nil for plaintext
+	created          time.Time
 	yamuxConfig      *yamux.Config
 	listener         net.Listener
 	counters         *counters
@@ -64,6 +65,7 @@
 	}
 	t := &Transport{
 		cfg:              cfg,
+		created:          clock.Now(),
 		yamuxConfig:      yamuxConfig(cfg),
 		handlerPermits:   make(chan struct{}, cfg.MaxHandlers),
 		handshakePermits: make(chan struct{}, maxHandshakes),
@@ -235,7 +237,7 @@
 	if err := t.cfg.checkPlaintext(address); err != nil {
 		return err
 	}
-	d := net.Dialer{Timeout: t.cfg.DialTimeout, LocalAddr: t.localAddress()}
+	d := net.Dialer{Timeout: t.connectTimeout(), LocalAddr: t.localAddress()}
 	raw, err := d.DialContext(t.ctx, "tcp", address)
 	if err != nil {
 		return err
@@ -244,6 +246,14 @@
 	return err
 }
 
+// connectTimeout returns the timeout of a connection attempt that starts now.
+func (t *Transport) connectTimeout() time.Duration {
+	if t.cfg.StartupDialTimeout > 0 && clock.Since(t.created) < t.cfg.StartupPeriod {
+		return t.cfg.StartupDialTimeout
+	}
+	return t.cfg.DialTimeout
+}
+
 // establish creates a session on a connection: TLS, peer handshake, yamux. host is the
 // host that was dialled, or "" for an accepted connection. On an error it closes the
 // connection, and the returned sender is the one that the peer claimed to be.
