Dial again at once while a fleet starts

Cause: with a connection timeout of 150 ms and the usual backoff, the last hosts still reached the seeds 0.2 s after these were up, so that the highest-ranked hosts were not stable before the settle time ended (fleet formed at 36.21 to 36.36 s after a loss of power whose seeds were up at 35.81 to 35.91 s).

Change: no backoff and 100 ms a connection attempt in the first second; the highest-ranked hosts count as stable after 160 ms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -120,10 +120,10 @@
 const (
 	dialTimeout    = 500 * time.Millisecond
 	silenceTimeout = 400 * time.Millisecond
-	// startupDialTimeout is three round trips between regions that are 25 ms apart. Hosts
+	// startupDialTimeout is two round trips between regions that are 25 ms apart. Hosts
 	// that start together are up within 300 ms of each other, and a host whose first
 	// attempt met a machine without power waited for dialTimeout before the next one.
-	startupDialTimeout = 150 * time.Millisecond
+	startupDialTimeout = 100 * time.Millisecond
 	maxBackoff         = 100 * time.Millisecond
 )
 
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -26,7 +26,7 @@
 	// same before it assumes that they are final: the longest time between two requests of
 	// a host that is forming, with a round trip. Hosts that start later rank lower unless
 	// they have more capacity.
-	rankQuietTime = 200 * time.Millisecond
+	rankQuietTime = 160 * time.Millisecond
 	// rankCheckInterval is the interval at which a seed checks for that.
 	rankCheckInterval = 20 * time.Millisecond
 	// formingReplyHosts is the number of hosts that a seed reports to a host whose fleet
--- a/fleet/form_test.go
+++ b/fleet/form_test.go
@@ -30,9 +30,9 @@
 	It("are not stable while hosts that rank higher introduce themselves", func() {
 		w := rankWatch{since: start}
 		Expect(w.stable(after(0), []Host{b, c, d})).To(BeFalse())
-		Expect(w.stable(after(150*time.Millisecond), []Host{a, b, c})).To(BeFalse())
+		Expect(w.stable(after(100*time.Millisecond), []Host{a, b, c})).To(BeFalse())
 		Expect(w.stable(after(rankQuietTime), []Host{a, b, c})).To(BeFalse())
-		Expect(w.stable(after(150*time.Millisecond+rankQuietTime), []Host{a, b, c})).To(BeTrue())
+		Expect(w.stable(after(100*time.Millisecond+rankQuietTime), []Host{a, b, c})).To(BeTrue())
 	})
 
 	It("are never stable while too few are known", func() {
--- a/peer/config.go
+++ b/peer/config.go
@@ -78,9 +78,9 @@
 	// DialTimeout bounds connecting, the TLS handshake and the peer handshake together.
 	DialTimeout time.Duration
 	// StartupDialTimeout bounds connecting alone, without the handshakes, for
-	// StartupPeriod after the transport was created. When many hosts start together, a
-	// connection attempt to a host that is not up yet is not answered, and only a new one
-	// reaches it. 0 means DialTimeout.
+	// StartupPeriod after the transport was created, in which failed dials cause no
+	// backoff. When many hosts start together, a connection attempt to a host that is not
+	// up yet is not answered, and only a new one reaches it. 0 means DialTimeout.
 	StartupDialTimeout time.Duration
 	StartupPeriod      time.Duration
 	// SilenceTimeout is how long no data may arrive on a session with calls waiting for
--- a/peer/hosts.go
+++ b/peer/hosts.go
@@ -120,7 +120,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.dialDone = nil
-		h.recordDialResult(err)
+		h.recordDialResult(err, t.startingUp())
 		t.counters.countDial(err)
 		if err != nil {
 			t.cfg.Logger.Info("peer dial failed", zap.String("peer", h.name),
@@ -144,9 +144,9 @@
 
 // recordDialResult records the result of a dial and updates the backoff. The caller
 // holds h.mu.
-func (h *hostState) recordDialResult(err error) {
+func (h *hostState) recordDialResult(err error, startingUp bool) {
 	h.lastErr = err
-	if err == nil {
+	if err == nil || startingUp {
 		h.nextDial = time.Time{}
 		h.backoff.Reset()
 		return
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -248,12 +248,17 @@
 
 // connectTimeout returns the timeout of a connection attempt that starts now.
 func (t *Transport) connectTimeout() time.Duration {
-	if t.cfg.StartupDialTimeout > 0 && clock.Since(t.created) < t.cfg.StartupPeriod {
+	if t.startingUp() {
 		return t.cfg.StartupDialTimeout
 	}
 	return t.cfg.DialTimeout
 }
 
+// startingUp reports whether the startup period, if there is one, has not passed.
+func (t *Transport) startingUp() bool {
+	return t.cfg.StartupDialTimeout > 0 && clock.Since(t.created) < t.cfg.StartupPeriod
+}
+
 // establish creates a session on a connection: TLS, peer handshake, yamux. host is the
 // host that was dialled, or "" for an accepted connection. On an error it closes the
 // connection, and the returned sender is the one that the peer claimed to be.
