--- a/internal/strictyaml/decode_test.go
+++ b/internal/strictyaml/decode_test.go
@@ -45,6 +45,13 @@
 		Expect([]int{r.Line("count"), r.Line("items[1].ratio"), r.Line("items[1].at"), r.Line("items[9]")}).To(Equal([]int{2, 6, 6, 4}))
 	})
 
+	// Guards against a stated zero that is taken for an omitted value and replaced by a default.
+	It("tells values that the document has from those that it omits", func() {
+		r := strictyaml.Decode([]byte("count: 0\nitems: [{ratio: x}]\n"), &outer{})
+		Expect([]bool{r.Has("count"), r.Has("items[0].ratio")}).To(HaveEach(true))
+		Expect([]bool{r.Has("name"), r.Has("items[0].at"), r.Has("items[1]")}).To(HaveEach(false))
+	})
+
 	DescribeTable("reports the path and line of", func(text string, want ...string) {
 		var lines []string
 		for _, p := range strictyaml.Decode([]byte(text), &outer{}).Problems {
--- a/internal/strictyaml/report.go
+++ b/internal/strictyaml/report.go
@@ -61,6 +61,13 @@
 	return r.lines[""]
 }
 
+// Has reports whether the document has a value at path, also if the value has a problem.
+// It tells a zero that is stated from an omitted value.
+func (r *Report) Has(path string) bool {
+	_, ok := r.lines[path]
+	return ok
+}
+
 // HasProblemAt reports whether a problem was recorded at path or at a value that encloses it.
 func (r *Report) HasProblemAt(path string) bool {
 	return slices.ContainsFunc(r.Problems, func(p Problem) bool {
