--- a/cmd/wheatseam/main.go
+++ b/cmd/wheatseam/main.go
@@ -58,7 +58,7 @@
 	}
 	root.AddCommand(
 		newBundleCommand(), newCallCommand(), newCertsCommand(), newErrorsCommand(),
-		newReplayCommand(), newSoakCommand(), newTraceCommand(),
+		newLimitsCommand(), newReplayCommand(), newSoakCommand(), newTraceCommand(),
 	)
 	root.AddCommand(newOperatorCommands()...)
 	return root
