wheatseam limits: the densest interval of each constraint; documentation

Cause: where a burst is absorbed nothing binds, and the output did not tell how much reserve was left.

Result: go test -race ./core/capacity ./cmd/wheatseam ./internal/strictyaml passes.

--- a/cmd/wheatseam/limits.go
+++ b/cmd/wheatseam/limits.go
@@ -76,6 +76,9 @@
 	if err := writeUsage(out, l); err != nil {
 		return err
 	}
+	if err := writeDensest(out, l.Densest); err != nil {
+		return err
+	}
 	return writeSeconds(out, l)
 }
 
@@ -119,6 +122,17 @@
 	return table.Flush()
 }
 
+// writeDensest prints the interval of each constraint in which most of its work is due.
+func writeDensest(out io.Writer, intervals []capacity.Dense) error {
+	table := newTable(out)
+	fmt.Fprintln(table, "SERVICE\tCONSTRAINT\tDENSEST FROM\tTO\tWORK DUE")
+	for _, v := range intervals {
+		fmt.Fprintf(table, "%s\t%s\t%.1f s\t%.1f s\t%.3f\n", v.Service, v.Constraint, float64(v.FromMs)/1000, float64(v.ToMs)/1000, v.Share)
+	}
+	fmt.Fprintln(table)
+	return table.Flush()
+}
+
 // writeSeconds prints, for each second, the constraint with the highest usage, those that
 // bind, and the share of each kind in the schedule of the highest worth.
 func writeSeconds(out io.Writer, l *capacity.Limits) error {
--- a/core/capacity/capacity_test.go
+++ b/core/capacity/capacity_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/wheatseam/wheatseam/internal/doccheck"
 )
 
 func TestCapacity(t *testing.T) {
@@ -90,7 +92,7 @@
 
 	// Guards against queues that are ignored, and against queues longer than the objective.
 	DescribeTable("lets the requests of a burst wait up to their objective:",
-		func(factor, served float64, binds bool) {
+		func(factor, served, densest float64, binds bool) {
 			l := Calculate(mustParse(fmt.Sprintf(`
 period: 10s
 plain_services: [{name: p, replicas: 1, concurrency: 1, work: 10ms}]
@@ -98,13 +100,18 @@
 bursts: [{kind: k, factor: %g, from: 4s, for: 2s}]`, factor)))
 			Expect(l.Seconds[4].Usage[0].Share).To(BeNumerically("~", 0.8*factor, 1e-9))
 			Expect(l.Worth.AtMost).To(BeNumerically("~", 3*served, 0.01))
+			Expect(l.Densest[0].Share).To(BeNumerically("~", densest, 1e-9))
 			Expect(l.Seconds[3].Binding).To(BeEmpty())
 			Expect(l.Seconds[5].Binding).To(HaveLen(map[bool]int{true: 1}[binds]))
+			if binds {
+				// At the usual rate and in the absorbed burst, longer intervals are as dense.
+				Expect([]int64{l.Densest[0].FromMs, l.Densest[0].ToMs}).To(Equal([]int64{4000, 7000}))
+			}
 		},
 		// 240 arrive in two seconds, 40 more than can be served: a queue of 0.4 s.
-		Entry("absorbed", 1.5, 640.+240, false),
+		Entry("absorbed", 1.5, 640.+240, 0.8, false),
 		// 480 arrive; until the last of them is due, 300 can be served.
-		Entry("not absorbed", 3., 640.+300, true),
+		Entry("not absorbed", 3., 640.+300, 1.6, true),
 	)
 
 	// Guards against a schedule that ignores what requests are worth.
@@ -213,6 +220,13 @@
 		))
 	})
 
+	// Guards against keys that the page does not explain, or that no longer exist.
+	It("reads the keys that docs/design/deployment-limits.md lists", func() {
+		listed, err := doccheck.DocumentedKeys("../../docs/design/deployment-limits.md", "## Input")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listed).To(ConsistOf(doccheck.Keys(Deployment{})))
+	})
+
 	// Guards against examples that no longer fit the input format.
 	DescribeTable("reads the example", func(file string, kinds int) {
 		text, err := os.ReadFile("../../examples/" + file)
--- a/core/capacity/limits.go
+++ b/core/capacity/limits.go
@@ -8,10 +8,10 @@
 
 // Assumptions state what makes the limits optimistic; every output includes them.
 var Assumptions = []string{
-	"This is an upper bound: no policy can serve more on average, and a real one serves less.",
+	"This is an optimistic upper bound for requests of mean size: no policy can serve more on average, and a real one serves less.",
 	"Calls are full batches and results are held no longer than the shortest call and the read time.",
 	"No faults, no retries, no queues in front of single replicas, and the best order with all arrivals known beforehand.",
-	"All requests of a kind have the mean size: a policy that prefers small requests can serve more of them.",
+	"All requests of a kind have the mean size: a policy that refuses the large ones first can serve a larger share.",
 }
 
 // Limits are upper bounds on what a deployment can serve in time.
@@ -27,6 +27,7 @@
 	Whole         Span     `json:"whole"`
 	Seconds       []Span   `json:"seconds"`
 	Worth         Worth    `json:"worth"`
+	Densest       []Dense  `json:"densest"`
 	Tight         []Tight  `json:"tight"`
 	Impossible    []string `json:"impossible"`
 }
@@ -77,6 +78,16 @@
 	ShareInBest float64 `json:"share_in_best"`
 }
 
+// Dense is the interval in which most work of a resource is due, with the work that can
+// only be done in it as a part of what can be done. Up to 1, waiting absorbs the load; above
+// 1, requests have to be refused or are late.
+type Dense struct {
+	Resource
+	FromMs int64   `json:"from_ms"`
+	ToMs   int64   `json:"to_ms"`
+	Share  float64 `json:"share"`
+}
+
 // Tight is an interval in which a constraint limits the served worth.
 type Tight struct {
 	Resource
@@ -119,7 +130,7 @@
 	seconds := int(c.deployment.Period / time.Second)
 	l := &Limits{
 		Assumptions: Assumptions, StepMs: c.grid.step.Milliseconds(), PeriodSeconds: seconds,
-		Whole: c.span(0, c.grid.steps), Tight: c.tight(), Impossible: c.impossible(),
+		Whole: c.span(0, c.grid.steps), Densest: c.densest(), Tight: c.tight(), Impossible: c.impossible(),
 	}
 	perSecond := int(time.Second / c.grid.step)
 	for i := range seconds {
@@ -260,6 +271,17 @@
 	return Resource{r.service, best}
 }
 
+// densest returns the densest interval of each resource.
+func (c *calculation) densest() []Dense {
+	stepMs := c.grid.step.Milliseconds()
+	out := []Dense{}
+	for i, r := range c.model.resources {
+		v, most := c.best.densest(i)
+		out = append(out, Dense{Resource{r.service, r.constraint}, int64(v.first) * stepMs, int64(v.end) * stepMs, most})
+	}
+	return out
+}
+
 // tight returns the intervals that have a price, by their start.
 func (c *calculation) tight() []Tight {
 	out := []Tight{}
--- a/core/capacity/schedule.go
+++ b/core/capacity/schedule.go
@@ -149,7 +149,7 @@
 			excess float64
 		}
 		var candidates []candidate
-		s.eachStart(r, func(first int, byEnd []float64) {
+		s.eachStart(r, s.served, func(first int, byEnd []float64) {
 			best := candidate{excess: violationTolerance}
 			var work float64
 			for end := first + 1; end < len(byEnd); end++ {
@@ -176,8 +176,9 @@
 }
 
 // eachStart calls f for each step in which windows of the resource's loads begin, latest
-// first, with the work of the served loads that begin then or later, by the end of their window.
-func (s *schedule) eachStart(resource int, f func(first int, byEnd []float64)) {
+// first, with the work that begins then or later, by the end of its window. served is the
+// served part of each column.
+func (s *schedule) eachStart(resource int, served []float64, f func(first int, byEnd []float64)) {
 	loads := s.loads[resource]
 	last := 0
 	for _, l := range loads {
@@ -185,9 +186,30 @@
 	}
 	byEnd := make([]float64, last+1)
 	for i, l := range loads {
-		byEnd[l.end] += s.served[l.column] * l.work
+		byEnd[l.end] += served[l.column] * l.work
 		if i+1 == len(loads) || loads[i+1].first != l.first {
 			f(l.first, byEnd)
 		}
 	}
 }
+
+// densest returns the interval in which a resource has the most work in proportion to its
+// capacity if all requests are served, and that proportion. It is 0 if there is no work.
+func (s *schedule) densest(resource int) (interval, float64) {
+	all := make([]float64, len(s.columns))
+	for j := range all {
+		all[j] = 1
+	}
+	var densest interval
+	var most float64
+	s.eachStart(resource, all, func(first int, byEnd []float64) {
+		var work float64
+		for end := first + 1; end < len(byEnd); end++ {
+			work += byEnd[end]
+			if share := work / (float64(end-first) * s.grid.step.Seconds()); share > most {
+				densest, most = interval{resource, first, end}, share
+			}
+		}
+	})
+	return densest, most
+}
