core/capacity: bounds of factors, and coefficients below about 1

Cause: a piece time factor of 1e15 overflowed the duration of a call, and rates far above the capacity gave coefficients of 1e7 in the linear program.

Change: factors and slowdowns have bounds; a column holds at most the requests that its window allows without all others.

--- a/core/capacity/parse.go
+++ b/core/capacity/parse.go
@@ -23,6 +23,9 @@
 	maxVariants       = 48
 	// maxValue bounds numbers, so that sums of products remain finite.
 	maxValue = 1e15
+	// Bounds of slowdowns, and of the factors of piece times and slow engines.
+	minSlowdown, maxSlowdown = 0.01, 100
+	maxFactor                = 1000
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
@@ -147,11 +150,13 @@
 		c.add(path+".slowdowns", "want at least one slowdown")
 	}
 	for i, s := range e.Slowdowns {
-		c.positive(fmt.Sprintf("%s.slowdowns[%d]", path, i), s)
+		if !(s >= minSlowdown && s <= maxSlowdown) {
+			c.add(fmt.Sprintf("%s.slowdowns[%d]", path, i), "want %v to %v, got %v", minSlowdown, maxSlowdown, s)
+		}
 	}
 	c.share(path+".slow_share", e.SlowShare)
-	if !(e.SlowFactor >= 1 && e.SlowFactor <= maxValue) {
-		c.add(path+".slow_factor", "want a factor of 1 or more, got %v", e.SlowFactor)
+	if !(e.SlowFactor >= 1 && e.SlowFactor <= maxFactor) {
+		c.add(path+".slow_factor", "want a factor from 1 to %d, got %v", maxFactor, e.SlowFactor)
 	}
 }
 
@@ -214,7 +219,9 @@
 		c.add(path+".pieces", "want 1 or more, got %v", s.Pieces)
 	}
 	c.number(path+".result_bytes", float64(s.ResultBytes))
-	c.positive(path+".piece_time_factor", s.PieceTimeFactor)
+	if !(s.PieceTimeFactor > 0 && s.PieceTimeFactor <= maxFactor) {
+		c.add(path+".piece_time_factor", "want a factor above 0 and at most %d, got %v", maxFactor, s.PieceTimeFactor)
+	}
 	c.time(path+".read_time", s.ReadTime)
 }
 
--- a/core/capacity/schedule.go
+++ b/core/capacity/schedule.go
@@ -51,7 +51,9 @@
 // column is the requests of one variant that arrive during one step.
 type column struct {
 	kind, step int
-	requests   float64
+	// offered is their number, and requests how many of them could be served if all other
+	// requests were refused. This keeps the coefficients of the program below about 1.
+	offered, requests float64
 }
 
 // schedule is the linear program that selects which requests to serve.
@@ -86,9 +88,9 @@
 			continue
 		}
 		for i, n := range arrivals[v.kind] {
-			requests := n * v.share
-			s.addLoads(m, v, i, requests)
-			s.columns = append(s.columns, column{v.kind, i, requests})
+			offered := n * v.share
+			requests := s.addLoads(m, v, i, offered)
+			s.columns = append(s.columns, column{v.kind, i, offered, requests})
 			cost = append(cost, worths[v.kind]*requests)
 		}
 	}
@@ -100,12 +102,21 @@
 	return s
 }
 
-func (s *schedule) addLoads(m *model, v variant, step int, requests float64) {
+// addLoads adds the loads of the next column and returns how many of the offered requests
+// could be served without all others.
+func (s *schedule) addLoads(m *model, v variant, step int, offered float64) float64 {
+	requests := offered
+	for _, d := range v.demands {
+		first, end := s.grid.window(step, d)
+		seconds := float64(end-first) * s.grid.step.Seconds()
+		requests = min(requests, seconds*m.resources[d.resource].capacity/d.amount)
+	}
 	for _, d := range v.demands {
 		first, end := s.grid.window(step, d)
 		work := requests * d.amount / m.resources[d.resource].capacity
 		s.loads[d.resource] = append(s.loads[d.resource], load{len(s.columns), first, end, work})
 	}
+	return requests
 }
 
 // solve adds violated intervals until there are none.
@@ -197,8 +208,8 @@
 // capacity if all requests are served, and that proportion. It is 0 if there is no work.
 func (s *schedule) densest(resource int) (interval, float64) {
 	all := make([]float64, len(s.columns))
-	for j := range all {
-		all[j] = 1
+	for j, col := range s.columns {
+		all[j] = col.offered / col.requests
 	}
 	var densest interval
 	var most float64
