Read and exchange the slowdown that replicas report

The client of replicas passes the head of every response on, so that slowdowns also come with refusals, calls for pieces and reservations. Loads of an answer that belongs to another request no longer reach the router. Reports without a slowdown still come from relayed requests only, so that services whose replicas report three fields are routed as before.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -167,8 +167,8 @@
 	return max(1, int(coldShareFraction*(s.ColdRate*c.Overage+c.Slack)))
 }
 
-// refreshLimitsPeriodically recomputes the limits on calls to replicas, expires backoffs
-// and resends notices until ctx ends.
+// refreshLimitsPeriodically recomputes the limits on calls to replicas, expires backoffs,
+// and sends changed baselines of slowdowns and notices to the neighbours until ctx ends.
 func (g *Gateway) refreshLimitsPeriodically(ctx context.Context) {
 	for periodic.Sleep(ctx, limitRefreshInterval) {
 		if g.coldCount.Load() > 0 {
@@ -177,5 +177,6 @@
 		g.refreshLimitShares()
 		g.expireBackoffs()
 		g.resendNotices(clock.Now())
+		g.refreshSlowdowns(clock.Now())
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 	refusals *refusalMonitor
 	prompts  promptIndex
 	notices  notices
+	// slowdowns holds how slow the machines of replicas are.
+	slowdowns slowdowns
 	// limiters limit the calls to each replica, across all components of this daemon that
 	// make calls.
 	limiters *intake.Limiters
@@ -82,7 +84,7 @@
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), limiters: intake.NewLimiters()}
-	g.client = replica.NewClient(g.observeNotices)
+	g.client = replica.NewClient(g.observeResponse)
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.evacuatedServices.Store(&map[string]bool{})
@@ -90,6 +92,7 @@
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixMinLoad: prefixMinLoad, PrefixBonus: prefixBonus, BacklogWeight: backlogWeight,
 		OnEjected: g.logEjection, Limiters: g.limiters,
 	})
+	g.slowdowns.router = g.router
 	mux := peer.NewMux()
 	g.registerPromptHandler(mux)
 	g.registerNoticeHandler(mux)
--- a/gateway/noticesync.go
+++ b/gateway/noticesync.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/intake"
+	"github.com/wheatseam/wheatseam/core/slowdown"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
@@ -18,9 +19,9 @@
 	// noticeSendTimeout limits sending notices to one peer.
 	noticeSendTimeout = 500 * time.Millisecond
 	// noticeResendInterval is the interval at which neighbours are sent the notices that
-	// were observed since the last time: limits that still hold, and notices whose call
-	// failed.
-	noticeResendInterval = 3 * time.Second
+	// were observed since the last time: limits that still hold, baselines that were
+	// confirmed, and notices whose call failed.
+	noticeResendInterval = slowdown.ResendInterval
 	// leavingResendPeriod is for how long neighbours are notified repeatedly that a replica
 	// is leaving.
 	leavingResendPeriod = 10 * time.Second
@@ -43,6 +44,7 @@
 			return nil, errNotInitialized
 		}
 		g.mergeLeaving(from.Host, m.GetLeaving())
+		g.mergeSlowdowns(from.Host, m.GetSpeeds())
 		return &wire.NoticesNoted{Newer: g.mergeLimits(from.Host, m.GetLimits())}, nil
 	})
 }
@@ -58,6 +60,7 @@
 	}
 	g.sendToNeighbours("", &wire.NoticesHeard{
 		Limits: limitsToWire(now, n.announcedLimits.ObservedAfter(n.lastResent)), Leaving: leavingToWire(now, n.leavingReplicas.ObservedAfter(n.lastResent.Add(-leavingResendPeriod))),
+		Speeds: g.slowdowns.resend(now),
 	})
 	n.lastResent = now
 }
@@ -65,10 +68,11 @@
 // sendToNeighbours sends notices to all neighbours except one; they forward what is new to
 // them. It does not wait for the calls.
 func (g *Gateway) sendToNeighbours(except string, m *wire.NoticesHeard) {
-	for len(m.Limits)+len(m.Leaving) > 0 {
+	for len(m.Limits)+len(m.Leaving)+len(m.Speeds) > 0 {
 		batch := &wire.NoticesHeard{}
 		batch.Limits, m.Limits = splitBatch(m.Limits)
 		batch.Leaving, m.Leaving = splitBatch(m.Leaving)
+		batch.Speeds, m.Speeds = splitBatch(m.Speeds)
 		for _, host := range g.fleet.Neighbours() {
 			if host != except {
 				go g.sendNotices(host, batch)
@@ -86,9 +90,12 @@
 func (g *Gateway) sendNotices(host string, m *wire.NoticesHeard) {
 	ctx, cancel := clock.WithTimeout(context.Background(), noticeSendTimeout)
 	defer cancel()
+	if n := len(m.GetSpeeds()); n > 0 {
+		g.metrics.GetOrCreateCounter("wheatseam_replica_slowdown_notices_sent_total").Add(n)
+	}
 	noted := &wire.NoticesNoted{}
 	if err := g.fleet.Caller().Call(ctx, host, methodNotices, m, noted); err != nil {
-		g.log.Info("sending replica notices to a peer failed", zap.String("peer", host), zap.Int("replicas", len(m.GetLimits())+len(m.GetLeaving())), zap.Error(err))
+		g.log.Info("sending replica notices to a peer failed", zap.String("peer", host), zap.Int("replicas", len(m.GetLimits())+len(m.GetLeaving())+len(m.GetSpeeds())), zap.Error(err))
 		return
 	}
 	g.mergeLimits(host, noted.GetNewer())
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,7 +11,6 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/intake"
-	"github.com/wheatseam/wheatseam/core/load"
 	"github.com/wheatseam/wheatseam/core/refusal"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -205,7 +204,6 @@
 	}
 	defer resp.Body.Close()
 	head := resp.Head
-	t.observeLoad(head.Load)
 	t.notice = head.Notice
 	if head.NotExecuted {
 		t.refusalReason = refusalReason(resp.StatusCode, head)
@@ -360,13 +358,6 @@
 	x.g.log.Info("attempt", fields...)
 }
 
-// observeLoad passes a replica's load report to the router.
-func (t *attempt) observeLoad(l *platform.Load) {
-	if l != nil {
-		t.x.g.router.Observe(load.Report{Upstream: t.choice.Upstream, AsOf: clock.Now(), Running: l.Running, Queued: l.Waiting, Slowdown: l.Slowdown})
-	}
-}
-
 // expectedMillis is the time that a stream was expected to take, in milliseconds: streams
 // of one route differ by a factor of a hundred. It is 0 when that is not known.
 func (t *attempt) expectedMillis(o request.Outcome) int {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -8,6 +8,7 @@
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/discovery"
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
 // applyView passes a new view on to the components that decide by it. Unless the
@@ -24,7 +25,8 @@
 	evacuated := evacuatedServices(v)
 	g.evacuatedServices.Store(&evacuated)
 	g.updateColdLimits(v)
-	g.applyPools(previous, v, g.settings.Load().Regions)
+	byChanges := g.applyPools(previous, v, g.settings.Load().Regions)
+	g.slowdowns.applyView(clock.Now(), previous, v, byChanges)
 	g.stages.Configure(v.Config.Services, func() []catalog.Replica { return stageReplicas(v) })
 }
 
--- a/replica/client.go
+++ b/replica/client.go
@@ -38,13 +38,21 @@
 // A Client is safe for concurrent use.
 type Client struct {
 	singleUse, pooled *http.Transport
-	onResponse        func(intake.ReplicaResponse)
+	onResponse        func(Observation)
 }
 
-// NewClient returns a client. onResponse is called with the replica's own notices
-// for every response that came from the replica the call was addressed to. It must
-// not block, and may be nil.
-func NewClient(onResponse func(intake.ReplicaResponse)) *Client {
+// Observation is what the head of a response says about the replica that sent it.
+type Observation struct {
+	intake.ReplicaResponse
+	// Relayed means that the response is to a caller's request, and not to a call that a
+	// daemon makes on its own.
+	Relayed bool
+	Head    platform.ResponseHead
+}
+
+// NewClient returns a client. onResponse is called for every response that came from
+// the replica the call was addressed to. It must not block, and may be nil.
+func NewClient(onResponse func(Observation)) *Client {
 	c := &Client{singleUse: newTransport(), pooled: newTransport(), onResponse: onResponse}
 	c.singleUse.DisableKeepAlives = true
 	c.pooled.MaxIdleConnsPerHost, c.pooled.IdleConnTimeout = 1, pooledIdleTimeout
@@ -126,8 +134,8 @@
 	return r, nil
 }
 
-// notifyResponse passes the replica's own notices to onResponse, unless another
-// replica answered or the response belongs to another request.
+// notifyResponse passes the head of a response to onResponse, unless another replica
+// answered or the response belongs to another request.
 func (c *Client) notifyResponse(sentAt time.Time, call Call, r *Response) {
 	if c.onResponse == nil || r.Head.Misdirected {
 		return
@@ -136,5 +144,8 @@
 		return
 	}
 	served := call.ExecutesRequest && r.StatusCode < http.StatusMultipleChoices
-	c.onResponse(intake.ReplicaResponse{Replica: call.Replica, Address: call.Address, Sent: sentAt, Served: served, Notice: r.Head.Notice})
+	c.onResponse(Observation{
+		ReplicaResponse: intake.ReplicaResponse{Replica: call.Replica, Address: call.Address, Sent: sentAt, Served: served, Notice: r.Head.Notice},
+		Relayed:         call.RequestID != "", Head: r.Head,
+	})
 }
