--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -74,6 +74,9 @@
 	rateLimit string
 	// leaving is set if every response advertises that the replica is leaving.
 	leaving bool
+	// slowdown is the fourth field of the load reports, in percent; "" for reports of three
+	// fields.
+	slowdown string
 	// refusalRetryAfter is the Retry-After value, in seconds, with which the replica
 	// refuses all work; "" if it does not.
 	refusalRetryAfter string
@@ -271,6 +274,39 @@
 	r.leaving = true
 }
 
+// ReportSlowdown makes every response carry a load report with the given fourth field,
+// verbatim, also refusals and responses to short calls; "" ends that. The replica does not
+// become slower.
+func (r *Replica) ReportSlowdown(percent string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slowdown = percent
+}
+
+// loadReport returns a load report with the given first three fields.
+func (r *Replica) loadReport(load string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.slowdown == "" {
+		return load
+	}
+	return load + "," + r.slowdown
+}
+
+// Load reports of a replica that runs one request, and of one that is full.
+const (
+	usualLoad = "1,0,8"
+	fullLoad  = "8,0,8"
+)
+
+// refuseAsFull refuses a request. A replica that reports its slowdown reports that it is full.
+func (r *Replica) refuseAsFull(w http.ResponseWriter) {
+	if w.Header().Get("Replica-Load") != "" {
+		w.Header().Set("Replica-Load", r.loadReport(fullLoad))
+	}
+	refuse(w, http.StatusServiceUnavailable)
+}
+
 // RefuseWithRetryAfter makes the replica refuse all work with the given Retry-After
 // value in seconds, sent verbatim; "" ends that. The replica counts as healthy.
 func (r *Replica) RefuseWithRetryAfter(seconds string) {
@@ -304,8 +340,8 @@
 	return r.refusalRetryAfter
 }
 
-// setNoticeHeaders sets the response headers that advertise the rate limit and that
-// the replica is leaving.
+// setNoticeHeaders sets the response headers that advertise the rate limit, that the
+// replica is leaving, and its slowdown.
 func (r *Replica) setNoticeHeaders(h http.Header) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -315,6 +351,9 @@
 	if r.leaving {
 		h.Set("Server-Leaving", "1")
 	}
+	if r.slowdown != "" {
+		h.Set("Replica-Load", usualLoad+","+r.slowdown)
+	}
 }
 
 // PiecesExecuted returns the number of pieces that the replica has executed.
@@ -366,7 +405,7 @@
 	r.setNoticeHeaders(w.Header())
 	if retryAfter != "" {
 		w.Header().Set("Retry-After", retryAfter)
-		refuse(w, http.StatusServiceUnavailable)
+		r.refuseAsFull(w)
 		return
 	}
 	if r.Kind == Engine && r.serveEngineCall(w, req, b) {
@@ -377,11 +416,11 @@
 		w.Header().Set("Retry-After", b.RetryAfter)
 	}
 	if b.Shed && !reserved {
-		refuse(w, http.StatusServiceUnavailable)
+		r.refuseAsFull(w)
 		return
 	}
 	if b.ShedWithFreeSlots && !reserved {
-		w.Header().Set("Replica-Load", "1,0,8")
+		w.Header().Set("Replica-Load", r.loadReport(usualLoad))
 		refuse(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -474,7 +513,7 @@
 		return
 	}
 	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Replica-Load", "1,0,8")
+	w.Header().Set("Replica-Load", r.loadReport(usualLoad))
 	if !b.Unsigned {
 		w.Header().Set("Response-Signature", "signed."+r.ID+"."+id)
 	}
--- a/internal/standin/site/stage.go
+++ b/internal/standin/site/stage.go
@@ -51,7 +51,7 @@
 	for _, e := range call.Entries {
 		response.Entries = append(response.Entries, r.runPiece(e))
 	}
-	w.Header().Set("Replica-Load", "0,0,1")
+	w.Header().Set("Replica-Load", r.loadReport("0,0,1"))
 	writeJSON(w, response)
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -14,6 +14,8 @@
 //   - Requests crash the replicas that run them.
 //   - Replicas announce rate limits, announce that they are leaving, or ask the daemons
 //     to back off. Engines pause inside their streams.
+//   - In three of four runs replicas report how slow their machines are. The values change
+//     all the time, and some are false or invalid. The guarantees are the same.
 //   - An operator evacuates failure domains.
 //   - Hosts are suspended; a signal simulates this to the daemon.
 //
--- a/soak/run.go
+++ b/soak/run.go
@@ -126,6 +126,7 @@
 	wg.Go(func() { r.announceLimits(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 6))) })
 	wg.Go(func() { r.announceLeaving(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 7))) })
 	wg.Go(func() { r.requestBackoffs(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 8))) })
+	wg.Go(func() { r.reportSlowdowns(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 9))) })
 	r.injectFaults(faultCtx)
 	wg.Wait()
 	r.checkRecovery()
