core/reach: which replicas can't be reached, by several hosts' evidence

The table holds the failed connection attempts of this host and of others. A failure of this host counts at once, those of others if two report one within 2 s, from different failure domains if there are several, so that a host or a domain that is cut off does not decide for others. A host that can't reach over half of a service ignores its own evidence.

Reports alone hold for 4 s at a time and are ignored after a response, so that each side of a partition uses what it can reach. Hosts with own evidence open a connection each second, which sends nothing: otherwise reports expire after 2 s, and requests would have to find out again.

--- /dev/null
+++ b/core/reach/table.go
@@ -0,0 +1,370 @@
+package reach
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// OwnPeriod is how long a replica is avoided after a failed attempt of this host, and
+	// MaxOwnPeriod the limit up to which it doubles: heartbeats of replicas that have ended
+	// expire after 3.6 s.
+	OwnPeriod    = time.Second
+	MaxOwnPeriod = 4 * time.Second
+	// ReportPeriod is how long a report of another host counts. Recoveries are not reported,
+	// so that it is also how long a replica that is back may be avoided.
+	ReportPeriod = 2 * time.Second
+	// MaxReportedPeriod is how long reports alone hold at a time.
+	MaxReportedPeriod = 4 * time.Second
+	// MinReporters is the number of other hosts whose reports count. One may be cut off.
+	MinReporters = 2
+	// AnnounceInterval is the shortest interval at which the failures of one host at one
+	// replica are passed on.
+	AnnounceInterval = 500 * time.Millisecond
+	// ProbeInterval is the interval of connection attempts to a replica that this host could
+	// not reach. Reports that are repeated at this interval do not expire in between.
+	ProbeInterval = time.Second
+	// MaxProbers is the number of other hosts with reports newer than ProbeInterval from which
+	// this host leaves the probes to them. Two have to report; the others allow for losses.
+	MaxProbers = 4
+	// MaxReporters limits the reports on one replica.
+	MaxReporters = 8
+	// Retention is how long an entry is kept without news.
+	Retention = 10 * time.Second
+	// MaxReplicas limits the entries, at about 1 KB each.
+	MaxReplicas = 4096
+	// maxDoublings limits the shift that computes the own period.
+	maxDoublings = 8
+)
+
+// Report is a failed connection attempt of a host at a replica.
+type Report struct {
+	// Replica is the ID of the replica's start.
+	Replica string
+	// Reporter is the name of the host, and Domain its failure domain; "" if it is not known.
+	Reporter, Domain string
+	// At is when the attempt began.
+	At time.Time
+}
+
+// Attempt is a connection attempt of this host that failed.
+type Attempt struct {
+	Replica, Service string
+	Began            time.Time
+	// Listed is the number of listed replicas of the service.
+	Listed int
+}
+
+// Verdict says whether a replica is to be avoided.
+type Verdict struct {
+	Replica string
+	// Until is when the replica is next to be tried: it is unreachable before, and on
+	// probation from then on. It is zero if there is no evidence that counts.
+	Until time.Time
+	// Own says that the verdict is by an attempt of this host.
+	Own bool
+	// Reporters are the other hosts whose reports count, sorted.
+	Reporters []string
+}
+
+// Unreachable reports whether the replica is to be avoided at now.
+func (v *Verdict) Unreachable(now time.Time) bool { return now.Before(v.Until) }
+
+// Table holds the evidence that one host has.
+type Table struct {
+	self    string
+	entries map[string]*entry
+	// cutOff are the services whose own evidence says more about this host's network.
+	cutOff map[string]bool
+}
+
+// New returns an empty table of the named host.
+func New(self string) *Table {
+	return &Table{self: self, entries: map[string]*entry{}, cutOff: map[string]bool{}}
+}
+
+type entry struct {
+	service string
+	// failures counts the failed attempts of this host since the last success.
+	failures           int
+	failedAt, ownUntil time.Time
+	// announcedAt is when a failure of this host was last passed on.
+	announcedAt time.Time
+	// probedAt is when a probe was last due.
+	probedAt time.Time
+	reports  []Report
+	// reportedSince is since when enough reports count without a gap; zero if they do not.
+	reportedSince time.Time
+	// disproved says that this host has reached the replica after a report.
+	disproved bool
+	// reportedOnce says that enough reports counted since the last success.
+	reportedOnce bool
+	// reportedUntil is when the last reports that counted expire.
+	reportedUntil time.Time
+	newsAt        time.Time
+}
+
+// entry returns the entry of a replica; nil if it is new and the table is full.
+func (t *Table) entry(replica string) *entry {
+	e := t.entries[replica]
+	if e == nil && len(t.entries) < MaxReplicas {
+		e = &entry{}
+		t.entries[replica] = e
+	}
+	return e
+}
+
+// Failed processes a failed attempt of this host. It returns the report for other hosts, and
+// false if none is to be sent.
+func (t *Table) Failed(now time.Time, a Attempt) (Report, bool) {
+	e := t.entry(a.Replica)
+	if e == nil {
+		return Report{}, false
+	}
+	e.service, e.newsAt = a.Service, now
+	if e.failures == 0 || !a.Began.Before(e.failedAt) {
+		period := min(MaxOwnPeriod, OwnPeriod<<min(e.failures, maxDoublings))
+		e.failures++
+		e.failedAt, e.ownUntil = now, now.Add(period)
+		e.disproved = false
+	}
+	t.updateCutOff(a.Service, a.Listed)
+	enough := e.freshReports(now, ProbeInterval) >= MaxReporters
+	if t.cutOff[a.Service] || enough || now.Sub(e.announcedAt) < AnnounceInterval {
+		return Report{}, false
+	}
+	e.announcedAt = now
+	return Report{Replica: a.Replica, Reporter: t.self, At: a.Began}, true
+}
+
+// updateCutOff determines whether over half of a service's listed replicas look unreachable.
+func (t *Table) updateCutOff(service string, listed int) {
+	failed := 0
+	for _, e := range t.entries {
+		if e.service == service && e.failures > 0 {
+			failed++
+		}
+	}
+	if 2*failed > listed {
+		t.cutOff[service] = true
+		return
+	}
+	delete(t.cutOff, service)
+}
+
+// Succeeded processes a connection or a response of a replica to this host. It reports whether
+// there was evidence against the replica.
+func (t *Table) Succeeded(now time.Time, replica string) bool {
+	e := t.entries[replica]
+	if e == nil {
+		return false
+	}
+	had := e.failures > 0 || e.reportedOnce && !e.disproved
+	e.failures, e.ownUntil = 0, time.Time{}
+	e.disproved = e.disproved || len(e.reports) > 0
+	e.reportedOnce, e.reportedSince, e.reportedUntil = false, time.Time{}, time.Time{}
+	if len(e.reports) == 0 {
+		delete(t.entries, replica)
+	} else {
+		e.newsAt = now
+	}
+	return had
+}
+
+// Has reports whether there is an entry for a replica.
+func (t *Table) Has(replica string) bool { return t.entries[replica] != nil }
+
+// Merge processes the reports of other hosts and returns those to be passed on: the ones that
+// were new here. Reports that are older than ReportPeriod, of the future, or by this host are
+// dropped.
+func (t *Table) Merge(now time.Time, received []Report) []Report {
+	var news []Report
+	for _, r := range received {
+		if r.Replica == "" || r.Reporter == "" || r.Reporter == t.self || r.At.After(now) || now.Sub(r.At) >= ReportPeriod {
+			continue
+		}
+		if e := t.entry(r.Replica); e != nil && e.add(now, r) {
+			e.newsAt = now
+			news = append(news, r)
+		}
+	}
+	return news
+}
+
+// add stores a report, and reports whether it is news.
+func (e *entry) add(now time.Time, r Report) bool {
+	e.reports = slices.DeleteFunc(e.reports, func(o Report) bool { return now.Sub(o.At) >= ReportPeriod })
+	i := slices.IndexFunc(e.reports, func(o Report) bool { return o.Reporter == r.Reporter })
+	switch {
+	case i >= 0 && r.At.Sub(e.reports[i].At) < AnnounceInterval:
+		return false
+	case i >= 0:
+		e.reports[i] = r
+		return true
+	case len(e.reports) == MaxReporters:
+		if e.freshReports(now, ProbeInterval) == MaxReporters {
+			return false
+		}
+		e.removeOldest(r.Domain)
+	}
+	e.reports = append(e.reports, r)
+	return true
+}
+
+// removeOldest makes room for a report from a domain. The only report from a domain is kept if
+// there are others, since reports count by domains.
+func (e *entry) removeOldest(domain string) {
+	perDomain := map[string]int{domain: 1}
+	for _, r := range e.reports {
+		perDomain[r.Domain]++
+	}
+	oldest := -1
+	for i, r := range e.reports {
+		if perDomain[r.Domain] > 1 && (oldest < 0 || r.At.Before(e.reports[oldest].At)) {
+			oldest = i
+		}
+	}
+	e.reports = slices.Delete(e.reports, max(oldest, 0), max(oldest, 0)+1)
+}
+
+func (e *entry) freshReports(now time.Time, age time.Duration) int {
+	n := 0
+	for _, r := range e.reports {
+		if now.Sub(r.At) < age {
+			n++
+		}
+	}
+	return n
+}
+
+// reportsUntil returns when the reports stop to count unless others arrive, and the hosts whose
+// reports count; zero if they do not.
+func (e *entry) reportsUntil(now time.Time, severalDomains bool) (until time.Time, reporters []string) {
+	latest := map[string]time.Time{} // by host or domain
+	for _, r := range e.reports {
+		expires := r.At.Add(ReportPeriod)
+		if !now.Before(expires) || severalDomains && r.Domain == "" {
+			continue
+		}
+		reporters = append(reporters, r.Reporter)
+		key := r.Reporter
+		if severalDomains {
+			key = r.Domain
+		}
+		if expires.After(latest[key]) {
+			latest[key] = expires
+		}
+	}
+	if len(latest) < MinReporters {
+		return time.Time{}, nil
+	}
+	slices.Sort(reporters)
+	expiries := slices.SortedFunc(maps.Values(latest), func(a, b time.Time) int { return b.Compare(a) })
+	return expiries[MinReporters-1], reporters
+}
+
+// Verdict returns the verdict on a replica. severalDomains says that the deployment has several
+// failure domains.
+func (t *Table) Verdict(now time.Time, replica string, severalDomains bool) Verdict {
+	v := Verdict{Replica: replica}
+	e := t.entries[replica]
+	if e == nil {
+		return v
+	}
+	if e.failures > 0 && !t.cutOff[e.service] {
+		v.Own, v.Until = true, e.ownUntil
+	}
+	if e.disproved {
+		return v
+	}
+	e.updateReported(now, severalDomains, &v)
+	if e.reportedOnce && e.reportedUntil.After(v.Until) {
+		v.Until = e.reportedUntil
+	}
+	return v
+}
+
+// updateReported determines until when the replica is avoided by reports.
+func (e *entry) updateReported(now time.Time, severalDomains bool, v *Verdict) {
+	until, reporters := e.reportsUntil(now, severalDomains)
+	if until.IsZero() {
+		e.reportedSince = time.Time{}
+		return
+	}
+	if e.reportedSince.IsZero() {
+		e.reportedSince = now
+	}
+	v.Reporters = reporters
+	e.reportedOnce = true
+	e.reportedUntil = until
+	if end := e.reportedSince.Add(MaxReportedPeriod); end.Before(until) {
+		e.reportedUntil = end
+	}
+}
+
+// Len returns the number of entries.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Replicas returns the replicas that have an entry, sorted.
+func (t *Table) Replicas() []string { return slices.Sorted(maps.Keys(t.entries)) }
+
+// InService returns the replicas of a service that this host could not reach.
+func (t *Table) InService(service string) []string {
+	var ids []string
+	for id, e := range t.entries {
+		if e.service == service && e.failures > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// CutOff reports whether this host's own evidence on a service is ignored.
+func (t *Table) CutOff(service string) bool { return t.cutOff[service] }
+
+// triedAt returns when this host last failed to reach the replica, or was to probe it.
+func (e *entry) triedAt() time.Time {
+	if e.probedAt.After(e.failedAt) {
+		return e.probedAt
+	}
+	return e.failedAt
+}
+
+// DueProbes returns the replicas to which this host should open a connection now, the ones that
+// were tried longest ago at first, at most limit and only listed ones. The caller reports the results as
+// attempts.
+func (t *Table) DueProbes(now time.Time, limit int, listed func(replica string) bool) []string {
+	var due []string
+	for id, e := range t.entries {
+		if e.failures > 0 && now.Sub(e.triedAt()) >= ProbeInterval && e.freshReports(now, ProbeInterval) < MaxProbers && listed(id) {
+			due = append(due, id)
+		}
+	}
+	slices.SortFunc(due, func(a, b string) int {
+		return cmp.Or(t.entries[a].triedAt().Compare(t.entries[b].triedAt()), cmp.Compare(a, b))
+	})
+	due = due[:min(len(due), limit)]
+	for _, id := range due {
+		t.entries[id].probedAt = now
+	}
+	return due
+}
+
+// Prune drops the entries without news for Retention and returns their replicas. listed returns
+// the number of listed replicas of a service. Entries of replicas that are not listed are kept,
+// since reports on them would otherwise be passed on each time they arrive.
+func (t *Table) Prune(now time.Time, listed func(service string) int) []string {
+	var dropped []string
+	for id, e := range t.entries {
+		if now.Sub(e.newsAt) >= Retention {
+			delete(t.entries, id)
+			dropped = append(dropped, id)
+		}
+	}
+	for service := range t.cutOff {
+		t.updateCutOff(service, listed(service))
+	}
+	return dropped
+}
