core/route: avoid upstreams that can't be reached

Router.SetUnreachable sets until when an upstream is avoided. Afterwards it gets one call at a time until the evidence is withdrawn.

--- a/core/route/dump.go
+++ b/core/route/dump.go
@@ -31,6 +31,9 @@
 	// Ejected is the reason why the upstream is ejected until EjectedUntil.
 	Ejected      string     `json:"ejected,omitempty"`
 	EjectedUntil *time.Time `json:"ejected_until,omitempty"`
+	// UnreachableUntil is set if there is evidence that the upstream can't be reached. It is
+	// avoided until this time, and gets one call at a time from then on.
+	UnreachableUntil *time.Time `json:"unreachable_until,omitempty"`
 	// Share is the share of its traffic that the upstream gets. It is below 1 while the
 	// upstream is ejected or being readmitted.
 	Share float64 `json:"share"`
@@ -87,5 +90,6 @@
 		until := s.ejection.until
 		u.Ejected, u.EjectedUntil = s.ejection.reason, &until
 	}
+	u.UnreachableUntil = s.unreachable.untilOrNil()
 	return u
 }
--- a/core/route/filter.go
+++ b/core/route/filter.go
@@ -129,7 +129,7 @@
 // adaptiveFilters returns the filters of the adaptive policy, in order.
 func adaptiveFilters() []Filter {
 	return []Filter{
-		leavingFilter{}, intakeFilter{}, ejectedFilter{}, stalledFilter{}, busyFilter{},
+		leavingFilter{}, intakeFilter{}, ejectedFilter{}, stalledFilter{}, unreachableFilter{}, busyFilter{},
 		readmittingFilter{}, saturatedFilter{}, triedFilter{}, triedDomainFilter{}, inputDomainFilter{},
 	}
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -67,6 +67,7 @@
 	p.recordPick(rec, v, m.name, s.drawn)
 	st := s.stateOf(m, now, c)
 	st.startCall(now)
+	st.unreachable.startCall(now, q.Request)
 	if q.PrefillTime > 0 {
 		st.prefillQueue.add(pendingPrompt{request: q.Request, sentAt: now, prefillTime: q.PrefillTime, usualFirstByte: q.ExpectedFirstByte})
 	}
@@ -181,6 +182,7 @@
 func (r *Router) CancelPick(now time.Time, c request.Choice) {
 	r.updateState(c.Pool, c.Upstream, c.Address, func(st *memberState) {
 		st.cancelCall(now)
+		st.unreachable.endCall(c.Request)
 		st.prefillQueue.removeNewest(c.Request)
 	})
 }
@@ -216,7 +218,7 @@
 }
 
 // CanServeCopies reports whether an upstream can serve calls other than those for which it
-// is picked: it is known, is neither leaving, limited nor ejected, and does not have calls
+// is picked: it is known, is neither leaving, limited, ejected nor unreachable, and does not have calls
 // in flight without progress for minStallTimeout.
 func (r *Router) CanServeCopies(now time.Time, pool, upstream, address string) bool {
 	p := r.current.Load().pools[pool]
@@ -230,7 +232,7 @@
 		return false
 	}
 	st, limiter := m.stateAndLimiter(&r.config)
-	return !p.isLeaving(m, st, limiter) && !limiter.HasQuota() && !st.ejection.active(now) && (st.ownCalls == 0 || now.Sub(st.lastProgress) < minStallTimeout)
+	return !p.isLeaving(m, st, limiter) && !limiter.HasQuota() && !st.ejection.active(now) && !st.unreachable.blocks(now) && (st.ownCalls == 0 || now.Sub(st.lastProgress) < minStallTimeout)
 }
 
 // updateState calls change with the locked state of an upstream, if there is one.
@@ -260,6 +262,7 @@
 		return
 	}
 	st.endCall(now)
+	st.unreachable.endCall(o.Choice.Request)
 	st.prefillQueue.remove(o.Choice.Request)
 	ignored := st.ejection.ignoresCall(now.Add(-o.Latency), now)
 	switch o.Result {
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -317,6 +317,7 @@
 	if cand.RampShare < 1 {
 		cand.RampDraw = p.shard.rng.Float64()
 	}
+	cand.Unreachable = st.unreachable.blocks(now)
 	stallTimeout := p.shard.stallTimeout
 	cand.Stalled = stallTimeout > 0 && st.ownCalls > 0 && now.Sub(st.lastProgress) > stallTimeout
 	return cand
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -74,6 +74,8 @@
 
 	ejection ejection
 
+	unreachable unreachability
+
 	// baselineSlowdown is the lowest slowdown that the upstream's machine has had lately, as
 	// observed by any host; 0 if it is not known.
 	baselineSlowdown float64
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -36,6 +36,8 @@
 	Ejected string
 	// Stalled means that calls are in flight and none has ended for a long time.
 	Stalled bool
+	// Unreachable means that no connection to the upstream is expected to be established.
+	Unreachable bool
 	// Busy means that the upstream refused a call a short time ago.
 	Busy bool
 	// IntakeLimited means that the upstream's limiter blocks further calls from this
