gateway: exchange which replicas can't be reached

A time-out close to the deadline or across a suspension is no evidence. Connections and responses withdraw it.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -168,7 +168,8 @@
 }
 
 // refreshLimitsPeriodically recomputes the limits on calls to replicas, expires backoffs,
-// and sends changed baselines of slowdowns and notices to the neighbours until ctx ends.
+// sends changed baselines of slowdowns and notices to the neighbours, and probes unreachable
+// replicas until ctx ends.
 func (g *Gateway) refreshLimitsPeriodically(ctx context.Context) {
 	for periodic.Sleep(ctx, limitRefreshInterval) {
 		if g.coldCount.Load() > 0 {
@@ -178,5 +179,6 @@
 		g.expireBackoffs()
 		g.resendNotices(clock.Now())
 		g.refreshSlowdowns(clock.Now())
+		g.refreshReachability(clock.Now())
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/member"
+	"github.com/wheatseam/wheatseam/core/reach"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/core/stage"
@@ -74,6 +75,8 @@
 	notices  notices
 	// slowdowns holds how slow the machines of replicas are.
 	slowdowns slowdowns
+	// reachability holds which replicas can't be reached.
+	reachability reachability
 	// limiters limit the calls to each replica, across all components of this daemon that
 	// make calls.
 	limiters *intake.Limiters
@@ -93,6 +96,7 @@
 		OnEjected: g.logEjection, Limiters: g.limiters,
 	})
 	g.slowdowns.router = g.router
+	g.reachability.router, g.reachability.table, g.reachability.avoided = g.router, reach.New(s.Host), map[string]bool{}
 	mux := peer.NewMux()
 	g.registerPromptHandler(mux)
 	g.registerNoticeHandler(mux)
--- a/gateway/noticesync.go
+++ b/gateway/noticesync.go
@@ -45,6 +45,7 @@
 		}
 		g.mergeLeaving(from.Host, m.GetLeaving())
 		g.mergeSlowdowns(from.Host, m.GetSpeeds())
+		g.mergeUnreachable(m.GetUnreachable())
 		return &wire.NoticesNoted{Newer: g.mergeLimits(from.Host, m.GetLimits())}, nil
 	})
 }
@@ -68,11 +69,12 @@
 // sendToNeighbours sends notices to all neighbours except one; they forward what is new to
 // them. It does not wait for the calls.
 func (g *Gateway) sendToNeighbours(except string, m *wire.NoticesHeard) {
-	for len(m.Limits)+len(m.Leaving)+len(m.Speeds) > 0 {
+	for noticeCount(m) > 0 {
 		batch := &wire.NoticesHeard{}
 		batch.Limits, m.Limits = splitBatch(m.Limits)
 		batch.Leaving, m.Leaving = splitBatch(m.Leaving)
 		batch.Speeds, m.Speeds = splitBatch(m.Speeds)
+		batch.Unreachable, m.Unreachable = splitBatch(m.Unreachable)
 		for _, host := range g.fleet.Neighbours() {
 			if host != except {
 				go g.sendNotices(host, batch)
@@ -81,6 +83,11 @@
 	}
 }
 
+// noticeCount returns the number of notices in a message.
+func noticeCount(m *wire.NoticesHeard) int {
+	return len(m.GetLimits()) + len(m.GetLeaving()) + len(m.GetSpeeds()) + len(m.GetUnreachable())
+}
+
 // splitBatch returns the notices that fit into one call, and the rest.
 func splitBatch[T any](all []T) (batch, rest []T) {
 	n := min(len(all), maxNoticesPerCall)
@@ -93,9 +100,12 @@
 	if n := len(m.GetSpeeds()); n > 0 {
 		g.metrics.GetOrCreateCounter("wheatseam_replica_slowdown_notices_sent_total").Add(n)
 	}
+	if n := len(m.GetUnreachable()); n > 0 {
+		g.metrics.GetOrCreateCounter("wheatseam_unreachable_notices_sent_total").Add(n)
+	}
 	noted := &wire.NoticesNoted{}
 	if err := g.fleet.Caller().Call(ctx, host, methodNotices, m, noted); err != nil {
-		g.log.Info("sending replica notices to a peer failed", zap.String("peer", host), zap.Int("replicas", len(m.GetLimits())+len(m.GetLeaving())+len(m.GetSpeeds())), zap.Error(err))
+		g.log.Info("sending replica notices to a peer failed", zap.String("peer", host), zap.Int("replicas", noticeCount(m)), zap.Error(err))
 		return
 	}
 	g.mergeLimits(host, noted.GetNewer())
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -68,6 +68,7 @@
 	gauge("wheatseam_replicas_said_leaving", func() float64 { return float64(len(g.notices.leavingStates(clock.Now()))) })
 	gauge("wheatseam_replicas_resting", func() float64 { return float64(len(g.notices.backoffStates(clock.Now()))) })
 	gauge("wheatseam_replica_slowdown_baselines", func() float64 { return float64(g.slowdowns.count()) })
+	gauge("wheatseam_replicas_unreachable", func() float64 { return float64(g.reachability.count()) })
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.discovery.View().Evacuations.Domains)) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.SuspendedTime().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
@@ -142,6 +143,8 @@
 	Backoffs []BackoffState `json:"resting"`
 	// Slowdowns are the baselines of the replicas that report slowdowns.
 	Slowdowns []SlowdownState `json:"slowdowns"`
+	// Unreachable are the replicas that this host or others could not reach lately.
+	Unreachable []UnreachableState `json:"unreachable"`
 }
 
 // State returns a snapshot of the gateway's state.
@@ -150,7 +153,7 @@
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.discovery.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
 		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
-		Slowdowns: g.slowdowns.states(clock.Now()),
+		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()),
 	}
 	g.retryBudgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.SharedBudget).Stats()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -194,9 +194,10 @@
 // call makes the call and relays the answer.
 func (t *attempt) call() (attemptEnd, *problem.Error) {
 	x := t.x
-	resp, err := x.g.client.Do(t.ctx, t.newCall())
+	resp, err := x.g.client.Do(x.g.traceConnect(t.ctx, t.choice.Upstream), t.newCall())
 	if err != nil {
 		if httpbody.IsNotSent(err) {
+			t.reportConnectFailure(err)
 			return notSent, withRetryAfter(problem.New(problem.NoUpstream, "no connection to a replica"), refusedRetryAfter)
 		}
 		x.runs++
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -177,7 +177,9 @@
 	go func() {
 		callCtx, cancel := clock.WithTimeout(context.Background(), reservationTimeout)
 		defer cancel()
+		d := dialed{x.service, c.Upstream, clock.Now(), clock.SuspendedTime()}
 		id, err := x.g.client.Reserve(callCtx, c.Upstream, c.Address, x.req.PromptTokens+x.req.OutputTokens, reservationTTL)
+		x.g.reportDialError(callCtx, d, err)
 		reserved <- result{id, err}
 	}()
 	select {
--- a/gateway/slowdowns.go
+++ b/gateway/slowdowns.go
@@ -49,6 +49,7 @@
 // observeResponse processes what a response says about the replica that sent it.
 func (g *Gateway) observeResponse(o replica.Observation) {
 	g.observeNotices(o.ReplicaResponse)
+	g.connectSucceeded(o.Replica)
 	g.countLoadReport(o.Head)
 	if l := o.Head.Load; l != nil {
 		g.observeLoad(o.Replica, *l, o.Relayed)
