--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -60,7 +60,6 @@
 
 // Verdict says whether a replica is to be avoided.
 type Verdict struct {
-	Replica string
 	// Until is when the replica is next to be tried: it is unreachable before, and on
 	// probation from then on. It is zero if there is no evidence that counts.
 	Until time.Time
@@ -106,9 +105,8 @@
 	reportedSince time.Time
 	// disproved says that this host has reached the replica after a report.
 	disproved bool
-	// reportedOnce says that enough reports counted since the last success.
-	reportedOnce bool
-	// reportedUntil is when the last reports that counted expire.
+	// reportedUntil is until when the reports that counted last hold; zero if none have counted
+	// since the last success.
 	reportedUntil time.Time
 	newsAt        time.Time
 }
@@ -176,7 +174,7 @@
 	e.dropExpired(now)
 	e.failures, e.ownUntil = 0, time.Time{}
 	e.disproved = e.disproved || len(e.reports) > 0
-	e.reportedOnce, e.reportedSince, e.reportedUntil = false, time.Time{}, time.Time{}
+	e.reportedSince, e.reportedUntil = time.Time{}, time.Time{}
 	if len(e.reports) == 0 {
 		delete(t.entries, replica)
 	}
@@ -305,9 +303,10 @@
 	return hosts
 }
 
-// Verdict returns the verdict on a replica.
+// Verdict returns the verdict on a replica. It also records since when reports count without a
+// gap, and is therefore to be called after changes and every few hundred milliseconds.
 func (t *Table) Verdict(now time.Time, replica string) Verdict {
-	v := Verdict{Replica: replica}
+	var v Verdict
 	e := t.entries[replica]
 	if e == nil {
 		return v
@@ -319,7 +318,7 @@
 		return v
 	}
 	e.updateReported(now, t.severalDomains, &v)
-	if e.reportedOnce && e.reportedUntil.After(v.Until) {
+	if e.reportedUntil.After(v.Until) {
 		v.Until = e.reportedUntil
 	}
 	return v
@@ -336,7 +335,6 @@
 		e.reportedSince = now
 	}
 	v.Reporters = e.reporters(now, severalDomains)
-	e.reportedOnce = true
 	e.reportedUntil = until
 	if end := e.reportedSince.Add(MaxReportedPeriod); end.Before(until) {
 		e.reportedUntil = end
