--- a/core/route/state.go
+++ b/core/route/state.go
@@ -68,6 +68,7 @@
 
 	prefillQueue prefillQueue
 	limiter      *intake.Limiter
+	unreachable  unreachability
 
 	busyUntil           time.Time
 	consecutiveRefusals int
