Route by the predicted slowdown of upstreams

Calls were spread evenly over engines whose machines differ by a factor of 2.7, so that slow engines were utilized 2.7 times as much, and long streams on them paused for longer than their gap objective.

In pools where an upstream has a slowdown, the load, the prompt backlog and the bound of a prefix's home are multiplied by the predicted slowdown, homes are chosen by weighted rendezvous hashing, and the excess of a stream's expected pause over the gap objective adds a cost. Latencies are compared per slowdown, so that an upstream is not ejected for its machine. Baselines are kept with the pool's members and not with the states, which are dropped when idle.

--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -35,8 +35,8 @@
 	// to the first byte of the response. Either is 0 if it is not known.
 	PrefillTime, ExpectedFirstByte time.Duration
 	// GapObjective is the longest pause between two events of a stream that is still on
-	// time, and ExpectedEvents the number of events that the stream may have at most; 0 if
-	// there is no objective or the number is not known.
+	// time, and ExpectedEvents the expected number of events of the stream; 0 if there is no
+	// objective or the number is not known.
 	GapObjective   time.Duration
 	ExpectedEvents int
 }
@@ -50,6 +50,11 @@
 	Upstream      string
 	Address       string
 	FailureDomain string
+	// Slowdown is the predicted slowdown of the upstream's machine, and ExpectedPause the
+	// expected longest pause of a stream with a gap objective; 0 in pools whose upstreams
+	// report no slowdowns.
+	Slowdown      float64
+	ExpectedPause time.Duration
 }
 
 // CallResult is the result of a call to an upstream.
--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -103,11 +103,14 @@
 		}
 	}
 	for _, u := range change.Added {
+		var replaced *member
 		if m := p.members.find(u.Name); m != nil {
 			p.members.remove(m)
 			p.shard.detach(m)
+			replaced = m
 		}
 		m := newMember(u, regions)
+		m.keepBaseline(replaced)
 		p.members.add(m)
 		p.shard.attach(m, &r.config)
 	}
@@ -147,6 +150,11 @@
 	for _, u := range cfg.Upstreams {
 		members = append(members, newMember(u, regions))
 	}
+	if previous := old.pools[cfg.Name]; previous != nil && p.shard.uneven {
+		for _, m := range members {
+			m.keepBaseline(previous.members.find(m.name))
+		}
+	}
 	if previous := old.pools[cfg.Name]; previous != nil {
 		for _, m := range previous.members.all {
 			p.shard.detach(m)
@@ -220,6 +228,7 @@
 			if st := p.shard.stateOf(m, rep.AsOf, c); st.observeReport(rep) {
 				p.shard.noteReport(st)
 			}
+			p.shard.uneven = p.shard.uneven || m.state.reportedSlowdown.value > 0
 		}
 	}
 }
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -38,6 +38,11 @@
 	// BacklogWeight is the cost of each second that a prompt waits for the prefill of
 	// other prompts. Default 0: for prompts only PrefixBonus counts.
 	BacklogWeight float64
+	// PauseWeight is the cost of an expected pause of at least twice the gap objective in a
+	// stream of very many events, in pools whose upstreams report slowdowns. If it is below
+	// PrefixBonus, such a stream does not leave the home of its prefix only because of its
+	// pauses. Default 1.
+	PauseWeight float64
 	// LatencyWeight is the cost of each additional multiple of the usual latency.
 	// Default 0.5.
 	LatencyWeight float64
@@ -101,6 +106,7 @@
 	setDefault(&c.PrefixBonus, 0.1)
 	setDefault(&c.PrefixLoadFactor, 1.25)
 	setDefault(&c.LatencyWeight, 0.5)
+	setDefault(&c.PauseWeight, 1)
 	setDefault(&c.HistogramWindow, 15*time.Second)
 	e := &c.Ejection
 	setDefault(&e.ConsecutiveFailures, 3)
--- a/core/route/latency.go
+++ b/core/route/latency.go
@@ -80,10 +80,13 @@
 	// perUnit is the latency per unit of work, or per call if the work is unknown. It
 	// is used to compare upstreams.
 	perUnit *latencyWindow
+	// pause is the longest pause of streams per slowdown of the upstream; nil until a stream
+	// has ended.
+	pause *latencyWindow
 }
 
 func newStageLatency(now time.Time, length time.Duration) *stageLatency {
-	return &stageLatency{newWindow(now, length), newWindow(now, length), newWindow(now, length)}
+	return &stageLatency{total: newWindow(now, length), firstByte: newWindow(now, length), perUnit: newWindow(now, length)}
 }
 
 // latencyPerUnit returns the latency by which upstreams are compared.
@@ -91,13 +94,13 @@
 	return latency / time.Duration(max(work, 1))
 }
 
-// addCompleted records a call that succeeded.
-func (s *stageLatency) addCompleted(now time.Time, latency, firstByte time.Duration, work int) {
+// addCompleted records a call that succeeded at an upstream with the given slowdown.
+func (s *stageLatency) addCompleted(now time.Time, latency, firstByte time.Duration, work int, slowdown float64) {
 	s.total.add(now, latency)
 	if firstByte > 0 {
 		s.firstByte.add(now, firstByte)
 	}
-	s.perUnit.add(now, latencyPerUnit(latency, work))
+	s.perUnit.add(now, scaleDuration(latencyPerUnit(latency, work), 1/slowdown))
 }
 
 // addCancelled records a call that was cancelled after latency, which is a lower bound
--- a/core/route/members.go
+++ b/core/route/members.go
@@ -9,12 +9,16 @@
 	"github.com/wheatseam/wheatseam/bundle"
 )
 
-// member is one upstream of a pool. All fields but state are immutable.
+// member is one upstream of a pool. All fields but state and baselineSlowdown are immutable.
 type member struct {
 	name, address, domain, region string
 	hash                          uint64
 	// state is nil until this daemon uses the upstream or receives a report about it.
 	state *memberState
+	// baselineSlowdown is the lowest slowdown that the upstream's machine has had lately, as
+	// observed by any host; 0 if it is not known. It is not part of the state, which is
+	// dropped when idle: a baseline is announced only when it changes.
+	baselineSlowdown float64
 }
 
 func newMember(u bundle.Upstream, regions map[string]string) *member {
@@ -24,6 +28,13 @@
 	}
 }
 
+// keepBaseline takes over the baseline of the member that m replaces; nil for none.
+func (m *member) keepBaseline(replaced *member) {
+	if replaced != nil && replaced.address == m.address {
+		m.baselineSlowdown = replaced.baselineSlowdown
+	}
+}
+
 // memberSet holds the upstreams of a pool, each name once. It is guarded by the shard's
 // lock.
 type memberSet struct {
--- a/core/route/prefill.go
+++ b/core/route/prefill.go
@@ -62,21 +62,21 @@
 }
 
 // backlog returns how long a prompt that is sent now is expected to wait for the
-// prefill of earlier ones. An overdue response indicates that the engine has work that
+// prefill of earlier ones, at an engine whose work takes slowdown times the usual time. An overdue response indicates that the engine has work that
 // this daemon does not know of. The time by which it is overdue is added as an estimate
 // of that work.
-func (r *prefillQueue) backlog(now time.Time) time.Duration {
+func (r *prefillQueue) backlog(now time.Time, slowdown float64) time.Duration {
 	var end time.Time
 	var overdue time.Duration
 	for _, p := range r.prompts {
 		if end.Before(p.sentAt) {
 			end = p.sentAt
 		}
-		end = end.Add(p.prefillTime)
+		end = end.Add(scaleDuration(p.prefillTime, slowdown))
 		if p.fromPeer {
 			continue
 		}
-		overdue = max(overdue, now.Sub(p.sentAt)-p.usualFirstByte)
+		overdue = max(overdue, now.Sub(p.sentAt)-scaleDuration(p.usualFirstByte, slowdown))
 	}
 	return max(0, end.Sub(now)) + min(max(0, overdue), maxOverdueBacklog)
 }
--- a/core/route/prefill_test.go
+++ b/core/route/prefill_test.go
@@ -18,7 +18,7 @@
 		p.sentAt = start
 		r.add(p)
 	}
-	Expect(r.backlog(start.Add(after))).To(Equal(want))
+	Expect(r.backlog(start.Add(after), 1)).To(Equal(want))
 },
 	Entry("no prompts", nil, time.Second, time.Duration(0)),
 	Entry("one prompt", []pendingPrompt{{prefillTime: time.Second, usualFirstByte: time.Second}}, 300*time.Millisecond, 700*time.Millisecond),
--- a/core/route/prefix.go
+++ b/core/route/prefix.go
@@ -18,19 +18,27 @@
 	var total float64
 	anyInRegion := false
 	for _, i := range eligible {
-		total += v.Candidates[i].Load()
+		c := &v.Candidates[i]
+		total += c.Load() * v.slowdownOf(c)
 		anyInRegion = anyInRegion || v.sameRegion(&v.Candidates[i])
 	}
 	bound := max(math.Ceil(loadFactor*(total+1)/float64(len(eligible))), minLoad*v.Concurrency)
 	home := -1
 	var best uint64
+	var lowest float64
+	exponent := homeExponent(v.Query)
 	for _, i := range eligible {
 		c := &v.Candidates[i]
-		if !v.mayBeHome(i) || anyInRegion && !v.sameRegion(c) || c.Load()+1 > bound {
+		if !v.mayBeHome(i) || anyInRegion && !v.sameRegion(c) || (c.Load()+1)*v.slowdownOf(c) > bound {
 			continue
 		}
-		if rank := mix64(prefix ^ c.Hash); home < 0 || rank > best {
-			home, best = i, rank
+		hash := mix64(prefix ^ c.Hash)
+		if v.Uneven {
+			if rank := weightedRank(hash, c.HomeSlowdown, exponent); home < 0 || rank < lowest {
+				home, lowest = i, rank
+			}
+		} else if home < 0 || hash > best {
+			home, best = i, hash
 		}
 	}
 	return home
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -70,7 +70,12 @@
 	if q.PrefillTime > 0 {
 		st.prefillQueue.add(pendingPrompt{request: q.Request, sentAt: now, prefillTime: q.PrefillTime, usualFirstByte: q.ExpectedFirstByte})
 	}
-	return request.Choice{Request: q.Request, Pool: p.name, Upstream: m.name, Address: m.address, FailureDomain: m.domain}, nil
+	choice := request.Choice{Request: q.Request, Pool: p.name, Upstream: m.name, Address: m.address, FailureDomain: m.domain}
+	if v.Uneven {
+		picked := &v.Candidates[s.drawn[0].index]
+		choice.Slowdown, choice.ExpectedPause = picked.Slowdown, v.expectedPause(picked)
+	}
+	return choice, nil
 }
 
 // PrefixHomeDomain returns the failure domain of the engine that should hold a prompt
@@ -202,8 +207,9 @@
 }
 
 // SetBaselineSlowdown sets the lowest slowdown that an upstream's machine has had lately, as a
-// multiple of the usual time; 0 removes it.
-func (r *Router) SetBaselineSlowdown(now time.Time, pool, upstream string, baseline float64) {
+// multiple of the usual time; 0 removes it. It is kept until the upstream is removed from the
+// pool or changes its address.
+func (r *Router) SetBaselineSlowdown(_ time.Time, pool, upstream string, baseline float64) {
 	p := r.current.Load().pools[pool]
 	if p == nil {
 		return
@@ -211,7 +217,7 @@
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
 	if m := p.members.find(upstream); m != nil {
-		p.shard.stateOf(m, now, &r.config).baselineSlowdown = baseline
+		p.setBaselineSlowdown(m, baseline)
 	}
 }
 
@@ -261,12 +267,16 @@
 	}
 	st.endCall(now)
 	st.prefillQueue.remove(o.Choice.Request)
+	slowdown := s.slowdownOf(now, st)
 	ignored := st.ejection.ignoresCall(now.Add(-o.Latency), now)
 	switch o.Result {
 	case request.CallOK:
 		l := s.stageLatencyFor(now, o.Stage, c.HistogramWindow)
-		slowness := l.slowness(o.Latency, o.Work, true)
-		l.addCompleted(now, o.Latency, o.FirstByte, o.Work)
+		// Latencies are compared per slowdown: an upstream whose machine is slow for good
+		// is not at fault.
+		slowness := l.slowness(scaleDuration(o.Latency, 1/slowdown), o.Work, true)
+		l.addCompleted(now, o.Latency, o.FirstByte, o.Work, slowdown)
+		l.recordPause(now, o, slowdown, c.HistogramWindow)
 		if l.total.mergedAt.Equal(now) {
 			s.updateEstimates()
 		}
@@ -282,7 +292,8 @@
 		st.backOff(now)
 	case request.CallCancelled:
 		l := s.stageLatencyFor(now, o.Stage, c.HistogramWindow)
-		slowness := l.slowness(o.Latency, o.Work, false)
+		slowness := l.slowness(scaleDuration(o.Latency, 1/slowdown), o.Work, false)
+		l.recordPause(now, o, slowdown, c.HistogramWindow)
 		l.addCancelled(now, o.Latency)
 		if o.FirstByte <= 0 {
 			l.addCancelledFirstByte(now, o.Latency)
--- a/core/route/scorer.go
+++ b/core/route/scorer.go
@@ -26,12 +26,12 @@
 
 // loadScorer charges the utilization of the upstream including this call: the daemon's
 // own calls in flight and the assumed number of other daemons' calls, relative to the
-// concurrency.
+// concurrency, times the upstream's slowdown: a slower one completes as many calls later.
 type loadScorer struct{}
 
 func (loadScorer) Name() string { return "load" }
 func (loadScorer) Cost(v *View, c *Candidate) float64 {
-	return (float64(c.OwnCalls) + c.SampledOtherCalls + 1) / v.Concurrency
+	return (float64(c.OwnCalls) + c.SampledOtherCalls + 1) / v.Concurrency * v.slowdownOf(c)
 }
 
 // latencyScorer charges slowness beyond freeSlowness.
@@ -134,6 +134,7 @@
 		localityScorer{c.CrossDomainRTT, c.CrossRegionRTT},
 		prefixScorer{c.PrefixBonus},
 		backlogScorer{c.BacklogWeight},
+		pauseScorer{c.PauseWeight},
 	}
 }
 
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -94,6 +94,8 @@
 	// usualLatency is the median latency of the slowest stage; 0 if it is not known
 	// yet.
 	usualLatency time.Duration
+	// uneven is set if any upstream has a slowdown. Otherwise slowdowns have no effect.
+	uneven bool
 	// Scratch buffers of a pick.
 	view View
 	// viewed holds the upstreams that are the candidates of view.
@@ -159,15 +161,16 @@
 	s.removeStates(func(st *memberState) bool { return st.member == nil && st.ownCalls == 0 })
 }
 
-// pruneIdle removes idle states from time to time.
-func (s *shard) pruneIdle(now time.Time) {
+// pruneIdle removes idle states from time to time, and reports whether it did.
+func (s *shard) pruneIdle(now time.Time) bool {
 	if now.Sub(s.prunedAt) < stateRetention/2 {
-		return
+		return false
 	}
 	s.prunedAt = now
 	s.removeStates(func(st *memberState) bool {
 		return st.idle(now) || st.member == nil && st.ownCalls == 0
 	})
+	return true
 }
 
 func (s *shard) removeStates(remove func(*memberState) bool) {
@@ -225,13 +228,19 @@
 // It considers all upstreams if no filter accepts any of the sample.
 func (p *poolView) buildView(now time.Time, q *request.Query, c *Config, region string) *View {
 	s := p.shard
-	s.pruneIdle(now)
+	if s.pruneIdle(now) && s.uneven {
+		p.updateUneven()
+	}
 	v := &s.view
 	v.Now, v.Query, v.Domain, v.Region = now, q, c.FailureDomain, region
 	v.Concurrency, v.SaturationLimit, v.MedianLatency, v.PrefixHome = p.concurrency, p.saturationLimit, 0, -1
-	if l := s.stages[q.Stage]; l != nil {
+	l := s.stages[q.Stage]
+	if l != nil {
 		v.MedianLatency = l.total.median
 	}
+	if v.Uneven = s.uneven; v.Uneven && q.GapObjective > 0 {
+		v.UsualPause = l.usualPause(q.GapObjective)
+	}
 	p.sample(v, q, c)
 	p.fillCandidates(v, c)
 	runFilters(v, p.steps.filters, &s.result)
@@ -300,12 +309,17 @@
 		OwnCalls:          st.ownCalls,
 		OtherCalls:        weight*others + (1-weight)*mean,
 		SampledOtherCalls: mean,
-		Backlog:           st.prefillQueue.backlog(now),
 		Slowness:          st.decayedSlowness(now),
 		Leaving:           p.isLeaving(m, st, limiter),
 		Busy:              now.Before(st.busyUntil),
 		RampShare:         st.ejection.share(now, c.Ejection.RampDuration),
 	}
+	if p.shard.uneven {
+		cand.Slowdown, cand.HomeSlowdown = predictSlowdown(now, m, &st.reportedSlowdown), m.homeSlowdown()
+		cand.Backlog = st.prefillQueue.backlog(now, cand.Slowdown) + scaleDuration(p.shard.view.Query.PrefillTime, cand.Slowdown)
+	} else {
+		cand.Backlog = st.prefillQueue.backlog(now, 1)
+	}
 	cand.IntakeLimitSource, cand.IntakeLimited = limiter.Blocked(now)
 	if st.ejection.active(now) {
 		cand.Ejected = st.ejection.reason
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -74,9 +74,7 @@
 
 	ejection ejection
 
-	// baselineSlowdown is the lowest slowdown that the upstream's machine has had lately, as
-	// observed by any host; 0 if it is not known.
-	baselineSlowdown float64
+	reportedSlowdown reportedSlowdown
 
 	report           load.Report
 	hasReport        bool
@@ -138,6 +136,7 @@
 // observeReport stores a load report and reports whether it did, that is unless the stored
 // one is at least as new.
 func (s *memberState) observeReport(r load.Report) bool {
+	s.reportedSlowdown.observe(r.Slowdown, r.AsOf)
 	if s.hasReport && !r.AsOf.After(s.report.AsOf) {
 		return false
 	}
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -26,8 +26,13 @@
 	// report thus do not all rank the upstreams in the same order, even if the report
 	// is almost worthless.
 	SampledOtherCalls float64
+	// Slowdown is the predicted slowdown of the upstream's machine for a call that starts
+	// now. HomeSlowdown is its baseline in coarse steps. Both are 0 in a pool without
+	// slowdowns.
+	Slowdown, HomeSlowdown float64
 	// Backlog is how long a prompt is expected to wait for the prefill of earlier
-	// prompts, as far as this daemon knows.
+	// prompts, as far as this daemon knows. In a pool with slowdowns it includes the
+	// prefill of the prompt itself, which takes longer at a slow upstream.
 	Backlog time.Duration
 	// Slowness is the smoothed latency as a multiple of the usual latency, at least 1.
 	Slowness float64
@@ -69,6 +74,12 @@
 	// -1.
 	PrefixHome int
 	Candidates []Candidate
+	// Uneven means that upstreams of the pool have slowdowns.
+	Uneven bool
+	// UsualPause is the longest pause of a stream of this stage that is to be expected at an
+	// upstream of the usual speed. It is set if the pool is uneven and the query has a gap
+	// objective.
+	UsualPause time.Duration
 	// Sampled means that the candidates are a sample of a large pool: first the Homes
 	// candidates among which the prefix has its home, then Uniform ones that represent the
 	// pool, then further ones in preferred failure domains.
@@ -84,6 +95,14 @@
 	return !v.Sampled || index >= v.Homes && index < v.Homes+v.Uniform
 }
 
+// slowdownOf returns the predicted slowdown of a candidate; 1 in a pool without slowdowns.
+func (v *View) slowdownOf(c *Candidate) float64 {
+	if !v.Uneven {
+		return 1
+	}
+	return c.Slowdown
+}
+
 // sameRegion reports whether c is in this daemon's region. An unknown region is assumed
 // to be the same.
 func (v *View) sameRegion(c *Candidate) bool {
