Gateway: expected events and the longest pause of streams

The router needs to know which streams are long, and how long the pauses of upstreams are. The gateway learns the events of a route's streams in proportion to the maximum number of output tokens, and measures the longest pause between the events of an attempt without the time that the caller takes to read. The attempt's log line, the decision record and the state dump show the predicted slowdown and the expected pause.

--- a/core/route/dump.go
+++ b/core/route/dump.go
@@ -27,7 +27,12 @@
 	ReportAge *time.Duration `json:"report_age_ns,omitempty"`
 	// Slowness is the smoothed latency as a multiple of the usual latency.
 	Slowness float64 `json:"slowness"`
-	Leaving  bool    `json:"leaving,omitempty"`
+	// Slowdown is the predicted slowdown of the upstream's machine, and BaselineSlowdown the
+	// lowest that any host has observed lately; 0 in a pool without slowdowns, or if there is
+	// no baseline.
+	Slowdown         float64 `json:"slowdown,omitempty"`
+	BaselineSlowdown float64 `json:"baseline_slowdown,omitempty"`
+	Leaving          bool    `json:"leaving,omitempty"`
 	// Ejected is the reason why the upstream is ejected until EjectedUntil.
 	Ejected      string     `json:"ejected,omitempty"`
 	EjectedUntil *time.Time `json:"ejected_until,omitempty"`
@@ -42,6 +47,9 @@
 	Median       time.Duration `json:"median_ns"`
 	P95          time.Duration `json:"p95_ns"`
 	FirstByteP95 time.Duration `json:"first_byte_p95_ns"`
+	// PauseP90 is the 90th percentile of the longest pauses of streams at an upstream of the
+	// usual speed.
+	PauseP90 time.Duration `json:"pause_p90_ns,omitempty"`
 }
 
 // Dump returns the state of all pools, sorted by name.
@@ -66,6 +74,7 @@
 		st := StageState{Stage: name, Median: l.total.median}
 		st.P95, _ = l.total.quantile(0.95)
 		st.FirstByteP95, _ = l.firstByte.quantile(0.95)
+		st.PauseP90 = l.usualPause(0)
 		d.Stages = append(d.Stages, st)
 	}
 	slices.SortFunc(d.Stages, func(a, b StageState) int { return strings.Compare(a.Stage, b.Stage) })
@@ -79,6 +88,9 @@
 		InFlight: s.ownCalls, Slowness: s.decayedSlowness(now), Leaving: p.isLeaving(m, s, limiter),
 		Share: s.ejection.share(now, c.Ejection.RampDuration),
 	}
+	if p.shard.uneven {
+		u.Slowdown, u.BaselineSlowdown = predictSlowdown(now, m, &s.reportedSlowdown), m.baselineSlowdown
+	}
 	if s.hasReport {
 		calls, age := s.report.Running+s.report.Queued, now.Sub(s.report.AsOf)
 		u.Reported, u.ReportAge = &calls, &age
--- a/core/route/record.go
+++ b/core/route/record.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/wheatseam/wheatseam/record"
 )
@@ -42,7 +43,7 @@
 
 // recordFields returns the values on which a pick was based.
 func (p *poolView) recordFields(v *View, refused int, drawn []scoredCandidate) []record.Field {
-	fs := make([]record.Field, 0, 8+len(p.steps.scorers))
+	fs := make([]record.Field, 0, 10+len(p.steps.scorers))
 	add := func(key, value string) { fs = append(fs, record.Field{Key: key, Value: value}) }
 	add("pool", p.name)
 	add("policy", string(p.steps.policy))
@@ -64,6 +65,12 @@
 	add("own", strconv.Itoa(c.OwnCalls))
 	add("foreign", formatCost(c.OtherCalls))
 	add("believed", formatCost(c.SampledOtherCalls))
+	if v.Uneven {
+		add("slowdown", formatCost(c.Slowdown))
+		if pause := v.expectedPause(c); pause > 0 {
+			add("expected_pause", pause.Round(time.Millisecond).String())
+		}
+	}
 	for _, s := range p.steps.scorers {
 		add("cost."+s.Name(), formatCost(s.Cost(v, c)))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	retryBudgets   sync.Map // service name to *retry.SharedBudget
 	inputRetention inputRetention
 	streamTimes    *streamTimeEstimator
+	eventCounts    *eventCountEstimator
 	// evacuatedServices are the services that are refused; see the function of that name.
 	evacuatedServices atomic.Pointer[map[string]bool]
 	// coldTracker follows the cold replicas, coldCount is their number.
@@ -81,7 +82,7 @@
 
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), limiters: intake.NewLimiters()}
+	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), limiters: intake.NewLimiters()}
 	g.client = replica.NewClient(g.observeNotices)
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -104,6 +105,9 @@
 		Attempt: len(x.triedReplicas) + 1, TriedUpstreams: x.triedReplicas, InputFailureDomain: x.inputDomain, Budget: clock.Until(x.deadline),
 		GapObjective: x.route.GapObjective,
 	}
+	if x.route.Streaming {
+		q.ExpectedEvents = x.g.eventCounts.expect(x.route.Name, x.req.OutputTokens)
+	}
 	if s := x.config.Services[x.service]; s != nil && s.Engine {
 		q.Kind = bundle.StageGenerate
 		q.Prefix, _ = x.sharedPrefix()
@@ -163,6 +167,7 @@
 	firstAt   time.Time
 	// eventsReceived counts the events that the replica has sent.
 	eventsReceived int
+	pauses         pauseMeter
 	// refusalReason says why the replica refused; "" if it did not.
 	refusalReason refusal.Reason
 	// notice is what the replica announces about itself in its answer.
@@ -342,6 +347,15 @@
 	if !t.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", t.firstAt.Sub(t.began)))
 	}
+	if t.choice.Slowdown > 0 {
+		fields = append(fields, zap.Float64("slowdown", math.Round(100*t.choice.Slowdown)/100))
+	}
+	if t.choice.ExpectedPause > 0 {
+		fields = append(fields, zap.Duration("expected_pause", t.choice.ExpectedPause.Round(time.Millisecond)))
+	}
+	if t.pauses.longest > 0 {
+		fields = append(fields, zap.Duration("pause", t.pauses.longest))
+	}
 	if t.refusalReason != "" {
 		fields = append(fields, zap.String("refused_for", string(t.refusalReason)))
 	}
@@ -377,10 +391,19 @@
 	return int(expected.Milliseconds())
 }
 
+// countEvents records the number of events of a complete stream. Streams that were resumed
+// after an event that the caller already had are incomplete.
+func (t *attempt) countEvents() {
+	x := t.x
+	if t.eventsReceived > 0 && t.runNumber == 1 && x.req.LastEventID == "" {
+		x.g.eventCounts.observe(x.route.Name, x.req.OutputTokens, t.eventsReceived)
+	}
+}
+
 // reportOutcome reports the end of the attempt to the router.
 func (t *attempt) reportOutcome(end attemptEnd) {
 	now := clock.Now()
-	o := request.Outcome{Choice: t.choice, Stage: t.x.route.Name, Latency: now.Sub(t.began)}
+	o := request.Outcome{Choice: t.choice, Stage: t.x.route.Name, Latency: now.Sub(t.began), LongestPause: t.pauses.longest}
 	if !t.firstAt.IsZero() {
 		o.FirstByte = t.firstAt.Sub(t.began)
 	}
@@ -396,6 +419,7 @@
 	case answered:
 		o.Result = request.CallOK
 		o.Work = t.expectedMillis(o)
+		t.countEvents()
 	case notExecuted, inputsGone:
 		o.Result = request.CallRefused
 	case notSent, failed, failedRetrying:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,6 +42,7 @@
 			return t.callFailed(context.Cause(t.ctx))
 		}
 		t.eventsReceived++
+		t.pauses.arrived()
 		if t.firstAt.IsZero() {
 			t.recordFirstEvent()
 		}
@@ -50,6 +51,7 @@
 				return abandoned, problem.New(problem.CallerGone, "writing to the caller failed: %v", err)
 			}
 		}
+		t.pauses.relayed()
 		w.eventRelayed(progress{committed: x.committed, lastEvent: x.lastEvent, events: t.totalEvents(), started: true})
 	}
 }
