--- a/core/route/pause.go
+++ b/core/route/pause.go
@@ -29,7 +29,7 @@
 }
 
 // homeExponent returns the exponent with which the home of a query's prefix is chosen.
-func homeExponent(q *request.Query) float64 {
+func homeExponent(q *request.Query) int {
 	if isLongStream(q) {
 		return longStreamExponent
 	}
--- a/core/route/prefill.go
+++ b/core/route/prefill.go
@@ -66,6 +66,9 @@
 // this daemon does not know of. The time by which it is overdue is added as an estimate
 // of that work.
 func (r *prefillQueue) backlog(now time.Time, slowdown float64) time.Duration {
+	if len(r.prompts) == 0 {
+		return 0
+	}
 	var end time.Time
 	var overdue time.Duration
 	for _, p := range r.prompts {
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -264,7 +264,8 @@
 
 // meanOtherCalls returns the mean number of other daemons' calls at an upstream by the last
 // load reports, weighted by their age. The mean decays towards 0 as the newest report gets
-// old.
+// old. In a pool with slowdowns, it is the mean number at an upstream of the usual speed; see
+// usualCalls.
 func (p *poolView) meanOtherCalls(now time.Time, halfLife time.Duration) float64 {
 	var sum, weights, freshestWeight float64
 	for _, st := range p.shard.reported {
@@ -272,7 +273,11 @@
 			continue
 		}
 		w := st.reportWeight(now, halfLife)
-		sum += w * st.otherCalls()
+		if p.shard.uneven {
+			sum += w * st.otherCalls() / st.member.usualCalls()
+		} else {
+			sum += w * st.otherCalls()
+		}
 		weights += w
 		freshestWeight = max(freshestWeight, w)
 	}
@@ -302,6 +307,9 @@
 }
 
 func (p *poolView) candidate(now time.Time, m *member, halfLife time.Duration, mean float64, c *Config) Candidate {
+	if p.shard.uneven {
+		mean *= m.usualCalls()
+	}
 	st, limiter := m.stateAndLimiter(c)
 	weight, others := st.reportWeight(now, halfLife), st.otherCalls()
 	cand := Candidate{
--- a/core/route/slowdown.go
+++ b/core/route/slowdown.go
@@ -47,9 +47,17 @@
 	return clampSlowdown(m.baselineSlowdown)
 }
 
+// usualCalls returns the number of calls that the upstream is assumed to have, as a multiple of
+// those of an upstream of the usual speed. A fast one has more, and most load reports come
+// from fast ones; with the pool's mean, homes on slow upstreams would seem to be overloaded in
+// bursts. If the number were taken to be in proportion to the speed, all upstreams without a
+// recent report would seem to be equally loaded, and the slow ones would get too many calls;
+// the square root of it is between these.
+func (m *member) usualCalls() float64 { return 1 / math.Sqrt(m.usualSlowdown()) }
+
 // homeSlowdown returns the baseline in steps of baselineStep.
 func (m *member) homeSlowdown() float64 {
-	return math.Round(m.usualSlowdown()/baselineStep) * baselineStep
+	return math.Round(m.usualSlowdown()*(1/baselineStep)) * baselineStep
 }
 
 // predictSlowdown returns the expected slowdown of a call that starts now: the mean of the
@@ -60,14 +68,15 @@
 	if m != nil {
 		usual = m.usualSlowdown()
 	}
-	if reported.value <= 0 {
+	if reported.value <= 0 || reported.value == usual {
 		return usual
 	}
 	age := max(0, now.Sub(reported.at))
 	if age >= maxReportedSlowdownAge {
 		return usual
 	}
-	weight := math.Exp2(-float64(age) / float64(reportedSlowdownHalfLife))
+	// math.Exp takes half as long as math.Exp2, and this runs for each candidate.
+	weight := math.Exp(-math.Ln2 * float64(age) / float64(reportedSlowdownHalfLife))
 	return weight*clampSlowdown(reported.value) + (1-weight)*usual
 }
 
@@ -109,11 +118,12 @@
 // weightedRank returns the rank of an upstream for a prefix in weighted rendezvous hashing;
 // the lowest rank wins. If all slowdowns are equal, the order is that of the hashes, highest
 // first. Of many prefixes, upstreams rank first in proportion to 1/slowdown^exponent.
-func weightedRank(hash uint64, slowdown, exponent float64) float64 {
+func weightedRank(hash uint64, slowdown float64, exponent int) float64 {
 	const bits = 53 // of the mantissa of a float64
 	uniform := (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
-	if exponent != 1 {
-		slowdown = math.Pow(slowdown, exponent)
+	rank := -math.Log(uniform)
+	for range exponent {
+		rank *= slowdown
 	}
-	return -math.Log(uniform) * slowdown
+	return rank
 }
