--- a/core/route/bench_test.go
+++ b/core/route/bench_test.go
@@ -114,3 +114,43 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkPickUneven measures picks for streams with a gap objective, in pools without
+// slowdowns and in pools in which all upstreams have baselines and reported slowdowns.
+func BenchmarkPickUneven(b *testing.B) {
+	for _, upstreams := range []int{60, 610} {
+		for _, uneven := range []bool{false, true} {
+			b.Run(fmt.Sprintf("upstreams=%d/slowdowns=%t", upstreams, uneven), func(b *testing.B) {
+				benchmarkPickUneven(b, upstreams, uneven)
+			})
+		}
+	}
+}
+
+func benchmarkPickUneven(b *testing.B, upstreams int, uneven bool) {
+	r := testRouter(testBundle(upstreams, 64, bundle.PolicyAdaptive), 1)
+	for i := range upstreams {
+		rep := load.Report{Upstream: fmt.Sprintf("u%d", i), AsOf: start, Running: i % 16}
+		if uneven {
+			rep.Slowdown = simClasses[i%3]
+			if i%7 == 0 { // as in 15 of 100 intervals on the deployment
+				rep.Slowdown *= 2.5
+			}
+			r.SetBaselineSlowdown(start, pool, rep.Upstream, simClasses[i%3])
+		}
+		r.Observe(rep)
+	}
+	now, q := start, testQuery()
+	q.GapObjective, q.ExpectedEvents = 400*time.Millisecond, 47
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(10 * time.Microsecond)
+		q.Prefix = uint64(i%100 + 1)
+		c, err := r.Pick(now, q, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Done(now, request.Outcome{Choice: c, Stage: "generate", Latency: 50 * time.Millisecond, FirstByte: 10 * time.Millisecond, Work: 20, LongestPause: 100 * time.Millisecond})
+	}
+}
--- a/core/route/pause.go
+++ b/core/route/pause.go
@@ -18,9 +18,11 @@
 	longStreamEvents = 16
 	// The homes of prefixes are distributed in proportion to 1/slowdown^exponent. For prompts
 	// in general that is the rate at which upstreams read. Long streams need steps that are
-	// short beside long prompts too, so their homes are mostly on fast upstreams.
+	// short beside long prompts too, so their homes are mostly on fast upstreams. In
+	// simulations, with an exponent of 3 as many streams pause for too long, and more
+	// prefixes are read again.
 	promptExponent     = 1
-	longStreamExponent = 3
+	longStreamExponent = 2
 )
 
 // isLongStream reports whether a query is for a stream of many events with a gap objective.
