--- a/gateway/streampause_test.go
+++ b/gateway/streampause_test.go
@@ -5,7 +5,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
@@ -43,3 +47,19 @@
 	g.Expect(e.expect("note", 100)).To(Equal(4), "no stream of the route stated a maximum")
 	g.Expect(e.expect("other", 100)).To(BeZero())
 }
+
+// Guards against late streams that cannot be explained from the log, and against new fields
+// in deployments whose replicas report no slowdowns.
+func TestAttemptLineShowsThePrediction(t *testing.T) {
+	g := NewWithT(t)
+	fields := func(c request.Choice) map[string]any {
+		logged, logs := observer.New(zap.InfoLevel)
+		x := &exchange{g: &Gateway{log: zap.New(logged)}, config: &catalog.Config{}}
+		(&attempt{x: x, choice: c}).logAttempt(answered, nil)
+		return logs.All()[0].ContextMap()
+	}
+	predicted := fields(request.Choice{Slowdown: 1.6, ExpectedPause: 512345 * time.Microsecond})
+	g.Expect(predicted).To(HaveKeyWithValue("slowdown", 1.6))
+	g.Expect(predicted).To(HaveKeyWithValue("expected_pause", 512*time.Millisecond))
+	g.Expect(fields(request.Choice{})).NotTo(Or(HaveKey("slowdown"), HaveKey("expected_pause")))
+}
