--- a/core/route/slowdown.go
+++ b/core/route/slowdown.go
@@ -90,13 +90,13 @@
 	return time.Duration(float64(d) * factor)
 }
 
-// setBaselineSlowdown sets or removes the baseline of an upstream.
+// setBaselineSlowdown sets the baseline of an upstream, or removes it if it is not positive.
 func (p *poolView) setBaselineSlowdown(m *member, baseline float64) {
-	m.baselineSlowdown = max(0, baseline)
 	if baseline > 0 {
-		p.shard.uneven = true
+		m.baselineSlowdown, p.shard.uneven = baseline, true
 		return
 	}
+	m.baselineSlowdown = 0
 	p.updateUneven()
 }
 
