Fair shares of scarce stage capacity among customers

Cause: in a burst of one kind all customers are refused at similar rates, whoever caused the burst, because the queue is filled in the order of arrival until jobs of all customers would be late.

Change: core/fairshare counts the work that each customer asked for and that was admitted within 2 s, and computes the max-min fair level. While a service is short of capacity, core/stage refuses jobs of customers beyond their level on arrival (Config.FairShares, default off).

--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -98,6 +98,9 @@
 const (
 	// ReasonOverload means that the job could not be completed in time.
 	ReasonOverload Reason = "overload"
+	// ReasonOverShare means that the job's customer has had its share of a service that is
+	// short of capacity.
+	ReasonOverShare Reason = "over_share"
 	// ReasonExpired means that the job passed its deadline.
 	ReasonExpired Reason = "expired"
 	// ReasonNoReplica means that the job needs a service without a usable replica.
@@ -118,6 +121,9 @@
 	Predicted time.Duration
 	// Service is the service that is short of capacity; "" if none is.
 	Service string
+	// Share is the work of the customer that was admitted recently as a multiple of its fair
+	// share, for ReasonOverShare; 0 if the share is zero.
+	Share float64
 	// Invited says that a place is kept for the same request after RetryAfter.
 	Invited bool
 	// OverloadedFor is the time for which further jobs of the same rank are certain to be
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -8,7 +8,8 @@
 const alwaysAllowedFactor = 1.3
 
 // admit predicts when the results of a job would be ready. It returns a refusal if that is
-// too late, unless the job was already started by an earlier planner.
+// too late, or if the job exceeds its customer's share, unless the job was already started
+// by an earlier planner.
 func (m *Machine) admit(now time.Time, j *job) *Refused {
 	for i := range j.stages {
 		if st := &j.stages[i]; st.remaining > 0 && !st.service.anyUsable(now) {
@@ -17,14 +18,15 @@
 	}
 	j.predicted = m.predict(now, j)
 	j.expected = time.Duration(m.bias * float64(j.predicted))
-	excess := j.expected - m.allowedTime(now, j)
+	allowed := m.allowedTime(now, j)
+	excess := j.expected - allowed
 	if excess <= 0 || j.resumable(now) {
-		return nil
+		return m.checkShares(now, j, allowed)
 	}
-	return &Refused{
+	return m.noteOverload(now, j, &Refused{
 		Job: j.ID, Reason: ReasonOverload,
 		RetryAfter: max(excess, m.cfg.MinRetryAfter), Predicted: j.expected,
-	}
+	})
 }
 
 // resumable reports whether an earlier planner admitted and started the job, and the job
@@ -115,10 +117,15 @@
 	if s.capacityAt.IsZero() || !now.Before(s.capacityAt.Add(s.scanPause())) {
 		s.capacity, s.capacityAt = s.piecesPerSecond(now), now
 	}
-	if s.capacity == 0 {
+	return s.drainTimeAt(s.capacity, n)
+}
+
+// drainTimeAt returns how long n pieces take at a number of pieces per second.
+func (s *service) drainTimeAt(perSecond float64, n int) time.Duration {
+	if perSecond == 0 {
 		return unavailableWait
 	}
-	return time.Duration(float64(n) / s.capacity * float64(time.Second))
+	return time.Duration(float64(n) / perSecond * float64(time.Second))
 }
 
 // piecesPerSecond returns how many pieces the usable replicas run per second in full calls.
--- a/core/stage/bench_test.go
+++ b/core/stage/bench_test.go
@@ -65,15 +65,35 @@
 // and jobs grow together: at each size a replica makes the same number of calls.
 func BenchmarkFleet(b *testing.B) {
 	for _, replicas := range []int{33, 330, 3261, 9783} {
-		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) { benchmarkFleet(b, replicas) })
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) { benchmarkFleet(b, replicas, fleetLoad{factor: 1}) })
 	}
 }
 
 // jobsPerReplica is the number of jobs a second for each replica.
 const jobsPerReplica = 0.096
 
-func benchmarkFleet(b *testing.B, replicas int) {
-	m, now := New(Config{}), time.Unix(1000, 0)
+// fleetLoad is the load of benchmarkFleet.
+type fleetLoad struct {
+	config Config
+	// factor multiplies the rate of jobs, and customers is the number of their customers.
+	factor    float64
+	customers int
+}
+
+// BenchmarkScarce measures a job of a planner that gets 1.7 times as many jobs as its
+// replicas can execute, with and without fair shares. Half of the jobs are of one customer.
+func BenchmarkScarce(b *testing.B) {
+	for _, customers := range []int{16, 2000} {
+		for _, shares := range []bool{false, true} {
+			b.Run(fmt.Sprintf("customers=%d/shares=%v", customers, shares), func(b *testing.B) {
+				benchmarkFleet(b, 66, fleetLoad{Config{FairShares: shares}, 120, customers})
+			})
+		}
+	}
+}
+
+func benchmarkFleet(b *testing.B, replicas int, load fleetLoad) {
+	m, now := New(load.config), time.Unix(1000, 0)
 	e := Configured{Services: map[string]*catalog.Service{}}
 	for _, name := range []string{"a", "b", "c"} {
 		e.Services[name] = pieceParams(38, 4_200_000)
@@ -101,12 +121,16 @@
 		}
 	}
 	step(e)
-	interval := time.Duration(float64(time.Second) / (jobsPerReplica * float64(replicas)))
+	interval := time.Duration(float64(time.Second) / (load.factor * jobsPerReplica * float64(replicas)))
 	jobs := 0
 	submit := func() {
 		jobs++
+		customer := ""
+		if load.customers > 0 {
+			customer = fmt.Sprint("customer", jobs%2*jobs/2%load.customers)
+		}
 		step(Submitted{Job{
-			ID: fmt.Sprint(jobs), Key: "k", Due: now.Add(2 * time.Second), Latest: now.Add(2 * time.Second), Deadline: now.Add(6 * time.Second),
+			ID: fmt.Sprint(jobs), Key: "k", Customer: customer, Due: now.Add(2 * time.Second), Latest: now.Add(2 * time.Second), Deadline: now.Add(6 * time.Second),
 			Stages: []Stage{
 				{Service: "a", Pieces: 1, ResultBytes: 8000}, {Service: "b", DependsOn: []int{0}, Pieces: 4, ResultBytes: 60000},
 				{Service: "c", DependsOn: []int{1}, Pieces: 6, ResultBytes: 6000},
@@ -126,7 +150,7 @@
 		}
 		now = until
 	}
-	for range 2 * replicas / 3 { // some seconds, until the load is steady
+	for range int(load.factor * float64(2*replicas/3)) { // some seconds, until the load is steady
 		submit()
 	}
 	b.ReportAllocs()
@@ -135,5 +159,5 @@
 		submit()
 	}
 	b.ReportMetric(float64(ready)/float64(jobs), "ready/job")
-	b.ReportMetric(float64(b.Elapsed())/float64(b.N)*jobsPerReplica*float64(replicas)/1e7, "%core")
+	b.ReportMetric(float64(b.Elapsed())/float64(b.N)*load.factor*jobsPerReplica*float64(replicas)/1e7, "%core")
 }
--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -53,6 +53,9 @@
 	// MaxScannedReplicas is the number of replicas of a service up to which a decision looks
 	// at all of them; of more, it looks at a sample. Default 64.
 	MaxScannedReplicas int
+	// FairShares refuses jobs of customers that have had their fair share of a service while
+	// that service is short of capacity. Default false.
+	FairShares bool
 	// MinRetryAfter is the shortest retry delay returned to a refused job. Default 300 ms.
 	MinRetryAfter time.Duration
 }
--- a/core/stage/dispatch.go
+++ b/core/stage/dispatch.go
@@ -343,6 +343,7 @@
 	r.limiter.RecordCall(now)
 	m.addQueryBudget(now, s)
 	m.askOnFirstUse(now, r)
+	s.noteStarted(len(pieces))
 	a := Run{Call: c.id, Service: s.name, Replica: r.ID, Address: r.Address, Timeout: c.timeoutAt.Sub(now)}
 	for _, p := range pieces {
 		p.state = running
@@ -382,6 +383,7 @@
 	consider(m.nextTimeout.at)
 	consider(m.nextMemoryQuery.at)
 	consider(m.nextExpiry.at)
+	consider(m.nextShareReport.at)
 	for _, s := range m.services {
 		if len(s.queue.groups) > 0 {
 			consider(s.nextPassTime())
--- a/core/stage/loadsim_test.go
+++ b/core/stage/loadsim_test.go
@@ -33,6 +33,31 @@
 	outOfMemory, missingInputs int
 	// refusedAfterAdmission counts the jobs that were refused after they had been admitted.
 	refusedAfterAdmission int
+	// completed holds the pieces that were completed, by job.
+	completed map[string][]CompletedPiece
+	// config is the configuration of the machine.
+	config Config
+	// customers holds the outcomes by customer; requests have no customers if it is empty.
+	customers []*simCustomer
+	// arrivals chooses when requests arrive and what they need, customerRNG their customers.
+	arrivals, customerRNG *rand.Rand
+}
+
+// simCustomer is a customer with the outcomes of its requests by kind.
+type simCustomer struct {
+	name   string
+	weight float64
+	kinds  map[string]tallies
+}
+
+// tallies counts outcomes by the second in which the requests arrived.
+type tallies map[int]*simTally
+
+func (b tallies) add(second int, o simTally) {
+	if b[second] == nil {
+		b[second] = &simTally{}
+	}
+	b[second].add(o)
 }
 
 type simKind struct {
@@ -48,8 +73,10 @@
 	stages                 func(*rand.Rand) []Stage
 	// domain says that the results are to be read in a given, random failure domain.
 	domain bool
+	// customer is the only customer that sends such requests; nil if all customers do.
+	customer *simCustomer
 
-	buckets map[int]*simTally
+	buckets tallies
 }
 
 // simTally counts the outcomes of the requests of a kind that arrived within one second.
@@ -63,10 +90,12 @@
 }
 
 type simJob struct {
-	kind    *simKind
-	arrived time.Time
-	retries int
-	job     Job
+	kind *simKind
+	// customer is nil if the deployment has none.
+	customer *simCustomer
+	arrived  time.Time
+	retries  int
+	job      Job
 	// answered says that the first event of the answer was sent.
 	answered bool
 }
@@ -112,9 +141,12 @@
 // networkDelay is the time between two hosts, including processing.
 const networkDelay = 4 * time.Millisecond
 
-func newLoadSim(seed uint64) *loadSim {
+func newLoadSim(seed uint64) *loadSim { return newConfiguredLoadSim(seed, Config{}) }
+
+func newConfiguredLoadSim(seed uint64, c Config) *loadSim {
+	rng := rand.New(rand.NewPCG(seed, 11))
 	return &loadSim{
-		m: New(Config{}), rng: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0), start: time.Unix(1000, 0),
+		m: New(c), config: c, completed: map[string][]CompletedPiece{}, arrivals: rng, customerRNG: rand.New(rand.NewPCG(seed, 12)), rng: rng, now: time.Unix(1000, 0), start: time.Unix(1000, 0),
 		replicas: map[string]*simReplica{}, jobs: map[string]*simJob{},
 	}
 }
@@ -147,6 +179,8 @@
 	}
 	for _, a := range s.m.Step(s.now, e) {
 		switch a := a.(type) {
+		case Progress:
+			s.completed[a.Job] = append(s.completed[a.Job], a.Piece)
 		case Run:
 			s.after(networkDelay, func() { s.startCall(a) })
 		case Release:
@@ -275,19 +309,44 @@
 	return true
 }
 
-func (k *simKind) tally(s *loadSim, j *simJob) *simTally {
-	sec := int(j.arrived.Sub(s.start) / time.Second)
-	if k.buckets[sec] == nil {
-		k.buckets[sec] = &simTally{}
+// count counts an outcome of a request.
+func (s *loadSim) count(j *simJob, o simTally) {
+	second := int(j.arrived.Sub(s.start) / time.Second)
+	j.kind.buckets.add(second, o)
+	if j.customer != nil {
+		if j.customer.kinds[j.kind.name] == nil {
+			j.customer.kinds[j.kind.name] = tallies{}
+		}
+		j.customer.kinds[j.kind.name].add(second, o)
 	}
-	return k.buckets[sec]
+}
+
+// chooseCustomer returns the customer of a new request; nil if the deployment has none.
+func (s *loadSim) chooseCustomer(k *simKind) *simCustomer {
+	if k.customer != nil || len(s.customers) == 0 {
+		return k.customer
+	}
+	var sum float64
+	for _, c := range s.customers {
+		sum += c.weight
+	}
+	at := sum * s.customerRNG.Float64()
+	for _, c := range s.customers {
+		if at -= c.weight; at < 0 {
+			return c
+		}
+	}
+	return s.customers[0]
 }
 
 // arrive creates a new request of a kind.
 func (s *loadSim) arrive(k *simKind, n int) {
-	j := &simJob{kind: k, arrived: s.now}
-	j.job = Job{Key: "key", Rank: catalog.Rank{Customer: 1, Route: k.priority}, Stages: k.stages(s.rng)}
-	k.tally(s, j).arrived++
+	j := &simJob{kind: k, arrived: s.now, customer: s.chooseCustomer(k)}
+	j.job = Job{Key: "key", Rank: catalog.Rank{Customer: 1, Route: k.priority}, Stages: k.stages(s.arrivals)}
+	if j.customer != nil {
+		j.job.Customer = j.customer.name
+	}
+	s.count(j, simTally{arrived: 1})
 	s.submit(j, fmt.Sprintf("%s-%d", k.name, n))
 }
 
@@ -321,11 +380,10 @@
 // recordAnswer records the first event of an answer.
 func (s *loadSim) recordAnswer(j *simJob, in time.Duration) {
 	j.answered = true
-	t := j.kind.tally(s, j)
 	if s.now.Add(in).Sub(j.arrived) <= j.kind.objective {
-		t.onTime++
+		s.count(j, simTally{onTime: 1})
 	} else {
-		t.late++
+		s.count(j, simTally{late: 1})
 	}
 }
 
@@ -362,7 +420,7 @@
 	}
 	left := float64(j.arrived.Add(j.kind.deadline).Sub(s.now))
 	if j.retries > 0 || left <= 0 {
-		j.kind.tally(s, j).refused++
+		s.count(j, simTally{refused: 1})
 		return
 	}
 	j.retries++
@@ -377,14 +435,14 @@
 		return
 	}
 	s.arrive(k, n)
-	wait := -math.Log(1-s.rng.Float64()) / k.rate(at)
+	wait := -math.Log(1-s.arrivals.Float64()) / k.rate(at)
 	s.after(time.Duration(wait*float64(time.Second)), func() { s.generateArrivals(k, end, n+1) })
 }
 
 // run simulates arrivals until end and continues until all requests are finished.
 func (s *loadSim) run(end time.Duration) {
 	for _, k := range s.kinds {
-		k.buckets = map[int]*simTally{}
+		k.buckets = tallies{}
 		s.generateArrivals(k, end, 0)
 	}
 	s.reportMemory()
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -28,8 +28,9 @@
 	nextID  uint64
 	// nextExpiry is when a job that is not ready may have to be refused, nextOverdue when a
 	// running call may be overdue, nextTimeout when one may time out, and nextMemoryQuery
-	// when a replica may have to be queried for its free memory.
-	nextExpiry, nextOverdue, nextTimeout, nextMemoryQuery timer
+	// when a replica may have to be queried for its free memory. nextShareReport is when
+	// refusals for customers' shares are reported.
+	nextExpiry, nextOverdue, nextTimeout, nextMemoryQuery, nextShareReport timer
 	// memoryQueries are the replicas whose query is scheduled.
 	memoryQueries []*replica
 	// rng chooses the replicas that are sampled. Its seed is constant, so that the same
@@ -82,6 +83,7 @@
 		m.dispatch(now, s)
 	}
 	m.queryMemoryIfDue(now)
+	m.reportShares(now)
 	m.flushReleased()
 	return m.actions
 }
@@ -170,11 +172,13 @@
 	}
 	m.restore(state)
 	state.recordRanks(now)
+	m.askShares(now, state)
 	if refusal := m.admit(now, state); refusal != nil {
 		refusal.ResultsHeld = m.releaseRefused(state)
 		m.emit(*refusal)
 		return
 	}
+	m.admitShares(now, state)
 	m.queryOnFirstJob(now)
 	state.submitted = now
 	m.jobs[j.ID] = state
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -28,6 +28,7 @@
 	// backlog counts the pieces of all jobs that are not completed.
 	backlog     backlog
 	recentRanks recentRanks
+	shares      serviceShares
 	// dirty says that something that may allow a call has happened since the last pass over
 	// the queue, which was at lastPass. Otherwise the next pass is due at nextPass.
 	dirty              bool
--- a/core/stage/simdeployment_test.go
+++ b/core/stage/simdeployment_test.go
@@ -158,7 +158,7 @@
 	})
 	s.at(from+away, func() {
 		s.powerLost = false
-		s.m = New(Config{})
+		s.m = New(s.config)
 		s.step(s.configured)
 	})
 }
