Wire fair shares through stages and the gateway

Cause: core/stage divides scarce stage capacity among customers only where Config.FairShares is set.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,7 @@
 	})
 	g.stages = stages.New(stages.Config{
 		Self: s.Host, Incarnation: members.Incarnation(), Replicas: g.client, Members: members, Caller: members.Caller(), Mux: mux, Logger: log,
-		Plan: stage.Config{Limiters: g.limiters},
+		Plan: stage.Config{Limiters: g.limiters, FairShares: s.Stages.FairShares},
 	})
 	g.store = platform.NewStore(s.Store.Address)
 	g.discovery = discovery.New(discovery.Config{
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -79,6 +79,12 @@
 	g.metrics.GetOrCreateHistogram(fmt.Sprintf("wheatseam_attempt_seconds{service=%q}", service)).Update(took.Seconds())
 }
 
+// countShareExceeded counts a request refused because its customer has had its share of a
+// stage service.
+func (g *Gateway) countShareExceeded(service, customer string) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_shares_exceeded_total{service=%q,customer=%q}", service, customer)).Inc()
+}
+
 // countRetryDenied counts a request that ends without an answer since no attempt may
 // follow.
 func (g *Gateway) countRetryDenied(service string, reason denial) {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -20,8 +20,12 @@
 	if x.r.Context().Err() != nil {
 		return problem.New(problem.CallerGone, "the caller disconnected while its stages ran")
 	}
-	x.g.log.Info("stages refused", logging.Request(r.Job), zap.String("reason", string(r.Reason)),
+	x.g.log.Info("stages refused", logging.Request(r.Job), zap.String("reason", string(r.Reason)), zap.String("service", r.Service),
+		zap.String("customer", x.customer()), zap.Float64("share", r.Share),
 		zap.Duration("predicted", r.Predicted), zap.Duration("retry_after", r.RetryAfter))
+	if r.Reason == stage.ReasonOverShare {
+		x.g.countShareExceeded(r.Service, x.customer())
+	}
 	e := problem.New(problem.Overloaded, "stages: %s", r.Reason)
 	if r.Reason == stage.ReasonNoReplica {
 		e = problem.New(problem.NoUpstream, "stages: no replica")
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -77,6 +77,7 @@
 		Expect(s.Limits.ProcessorShare).To(Equal(0.4))
 		Expect(s.Regions).To(HaveLen(1))
 		Expect(s.Cold).To(Equal(gateway.Cold{Overage: 1.5, Slack: 5}))
+		Expect(s.Stages.FairShares).To(BeTrue())
 	})
 
 	It("use the configured limit of cold replicas where the deployment sets no overage or slack", func() {
@@ -97,6 +98,7 @@
 		Entry("no grace", `grace: "8s"`, `grace: "0s"`, "drain.grace"),
 		Entry("no seed's address", "10.2.0.25:8628", "edge-2", "seeds[1]"),
 		Entry("no failure domain", "failure_domain: \"x\"\nlisten", "failure_domain: \"\"\nlisten", "failure_domain"),
+		Entry("no switch", "fair_shares: true", "fair_shares: maybe", "fair_shares"),
 		Entry("no processor", "processors: 1", "processors: 0", "limits.processors"),
 		Entry("negative budget", "ratio: 0.2", "ratio: -1", "budget"),
 	)
--- a/stages/messages.go
+++ b/stages/messages.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -93,12 +94,16 @@
 	return out
 }
 
+// maxSharePercent is the largest share that is sent.
+const maxSharePercent = 1e6
+
 func outcomeToWire(id string, outcome *JobOutcome) *wire.StageEnd {
 	if r := outcome.Refused; r != nil {
 		return &wire.StageEnd{
 			Job: id, Reason: string(r.Reason),
 			RetryAfterMs: r.RetryAfter.Milliseconds(), PredictedMs: r.Predicted.Milliseconds(),
 			Service: r.Service, Invited: r.Invited, OverloadedMs: r.OverloadedFor.Milliseconds(),
+			SharePercent: uint32(min(maxSharePercent, math.Round(100*r.Share))),
 		}
 	}
 	return &wire.StageEnd{Job: id, Handles: outcome.Ready.Handles, FailureDomain: outcome.Ready.Domain, DomainBytes: outcome.Ready.DomainBytes}
@@ -114,6 +119,7 @@
 		Job: m.GetJob(), Reason: stage.Reason(m.GetReason()),
 		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 		Predicted:  time.Duration(m.GetPredictedMs()) * time.Millisecond,
+		Share:      float64(m.GetSharePercent()) / 100,
 		Service:    m.GetService(), Invited: m.GetInvited(), OverloadedFor: time.Duration(m.GetOverloadedMs()) * time.Millisecond,
 	}}
 }
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -403,6 +403,18 @@
 	return nil
 }
 
+// refusals logs the customers whose jobs were refused for their shares, each as
+// customer:jobs.
+type refusals []stage.CustomerRefusals
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (rs refusals) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, r := range rs {
+		enc.AppendString(fmt.Sprintf("%s:%d", r.Customer, r.Jobs))
+	}
+	return nil
+}
+
 // recordOutcome records the outcome of a job. The caller holds the lock.
 func (p *planner) recordOutcome(id string, outcome *JobOutcome) {
 	e := p.jobs[id]
@@ -437,6 +449,8 @@
 		case stage.Suspected:
 			p.log.Warn("stage replica suspected", zap.String("service", a.Service), zap.String("replica", a.Replica),
 				zap.String("why", a.Cause), zap.Int("failures", a.Failures), zap.Duration("for", a.Duration))
+		case stage.SharesExceeded:
+			p.log.Info("shares exceeded", zap.String("service", a.Service), zap.Array("customers", refusals(a.Refused)), zap.Int("others", a.Others))
 		case stage.Trusted:
 			p.log.Info("stage replica trusted again", zap.String("service", a.Service), zap.String("replica", a.Replica))
 		}
--- a/stages/service.go
+++ b/stages/service.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/fairshare"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/fleet"
@@ -257,8 +258,14 @@
 	// this daemon that have not been released.
 	Planned int `json:"planned"`
 	Placed  int `json:"placed"`
+	// Shares has, by service, the fair shares as this daemon plans them; empty if they are
+	// not enabled or nothing was planned here.
+	Shares map[string]fairshare.State `json:"shares"`
 }
 
+// maxDumpedAccounts bounds the customers of each service in a Dump.
+const maxDumpedAccounts = 20
+
 // Dump returns the state shown to operators.
 func (s *Service) Dump() Dump {
 	s.mu.Lock()
@@ -266,6 +273,7 @@
 	s.mu.Unlock()
 	s.planner.mu.Lock()
 	d.Planned = len(s.planner.jobs)
+	d.Shares = s.planner.machine.Shares(clock.Now(), maxDumpedAccounts)
 	s.planner.mu.Unlock()
 	return d
 }
