Count what a refused job asks only at the service that refuses it

Cause: a job refused for one service counted as asked for at all services of its chain. In a burst that one service limits, the others' levels were computed from work that never reaches them, and could become too low.

Change: the ask is withdrawn at the other services.

--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -161,6 +161,19 @@
 	Expect(float64(admitted) / 100).To(BeNumerically("~", 0.25*float64(total)/200, 0.05))
 }
 
+// What a request asks of a service counts only if that service decides.
+func TestWithdrawnRequestsDoNotCount(t *testing.T) {
+	RegisterTestingT(t)
+	s, other := newSim(10), Request{Account: customer("b"), Work: 1}
+	for range 100 {
+		s.t.Ask(s.now, other)
+		s.t.Withdraw(s.now, other)
+	}
+	for range 9 {
+		Expect(s.request(Request{Account: customer("a"), Work: 1}, 1).Reason).To(Equal(WithinShare))
+	}
+}
+
 // The memory is bounded, and accounts without work are dropped.
 func TestAccountsAreBounded(t *testing.T) {
 	RegisterTestingT(t)
--- a/core/fairshare/table.go
+++ b/core/fairshare/table.go
@@ -24,6 +24,8 @@
 	// levelLifetime is how long computed levels are used. A tenth of a slot changes them
 	// little.
 	levelLifetime = slotWidth / 10
+	// negligibleWork is below the work of any request and above rounding errors.
+	negligibleWork = 1e-5
 	// levelLifetimePerAccount is added to it for each account, so that levels take at most
 	// a hundredth of a processor: a thousand accounts take about 60 µs.
 	levelLifetimePerAccount = 10 * time.Microsecond
@@ -89,15 +91,19 @@
 }
 
 // Ask records a request that has arrived. A request that returns is recorded again.
-func (t *Table) Ask(now time.Time, r Request) {
-	t.account(now, r.Account).ask(r.Work)
-	t.total.advance(slotOf(now))
-	t.total.ask(r.Work)
+func (t *Table) Ask(now time.Time, r Request) { t.ask(now, r, 1) }
+
+// Withdraw takes back an Ask of the same time, for a request that is refused because another
+// service is short of capacity: it would not have used this one.
+func (t *Table) Withdraw(now time.Time, r Request) { t.ask(now, r, -1) }
+
+func (t *Table) ask(now time.Time, r Request, times float64) {
+	t.account(now, r.Account).ask(times * r.Work)
 	if k := t.kind(now, r.Kind); k != nil {
-		k.ask(1)
+		k.ask(times)
 	}
 	t.requests.advance(slotOf(now))
-	t.requests.ask(1)
+	t.requests.ask(times)
 }
 
 // Admit records a request that is admitted.
@@ -166,7 +172,7 @@
 	slot := slotOf(now)
 	for key, a := range t.accounts {
 		a.advance(slot)
-		if a.askedSum == 0 && a.admittedAll() == 0 {
+		if a.askedSum < negligibleWork && a.admittedAll() < negligibleWork {
 			t.remove(key)
 			continue
 		}
--- a/core/stage/shares.go
+++ b/core/stage/shares.go
@@ -125,13 +125,25 @@
 	if !m.cfg.FairShares {
 		return refusal
 	}
-	if s := m.bottleneck(j); s != nil {
+	s := m.bottleneck(j)
+	if s != nil {
 		s.shares.table.NoteOverload(now)
 		refusal.Service = s.name
 	}
+	j.withdrawShares(now, s)
 	return refusal
 }
 
+// withdrawShares takes back what the job asked for at the services other than the one that
+// it is refused for.
+func (j *job) withdrawShares(now time.Time, refusedFor *service) {
+	for i := range j.stages {
+		if r, ok := j.shareRequest(i); ok && j.stages[i].service != refusedFor {
+			j.stages[i].service.shares.table.Withdraw(now, r)
+		}
+	}
+}
+
 // checkShares returns a refusal if a service that the job needs is short of capacity and
 // the job's customer has had its share of it. The job has been predicted.
 func (m *Machine) checkShares(now time.Time, j *job, allowed time.Duration) *Refused {
@@ -157,6 +169,7 @@
 		v := s.shares.table.Decide(now, r, s.windowCapacity(), share)
 		if v.Refused() {
 			m.reportShare(now, s, j.Customer)
+			j.withdrawShares(now, s)
 			return &Refused{
 				Job: j.ID, Reason: ReasonOverShare, RetryAfter: max(v.Wait, m.cfg.MinRetryAfter), Predicted: j.expected,
 				Service: s.name, Share: v.Ratio(),
