--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -124,11 +124,6 @@
 	// Share is the work of the customer that was admitted recently as a multiple of its fair
 	// share, for ReasonOverShare; 0 if the share is zero.
 	Share float64
-	// Invited says that a place is kept for the same request after RetryAfter.
-	Invited bool
-	// OverloadedFor is the time for which further jobs of the same rank are certain to be
-	// refused; 0 if that is not known.
-	OverloadedFor time.Duration
 	// ResultsHeld says that results reported to the job's owner are kept until the owner
 	// has acknowledged the refusal, which the caller reports with Cancelled.
 	ResultsHeld bool
--- a/core/stage/event.go
+++ b/core/stage/event.go
@@ -109,9 +109,6 @@
 func (MemoryReported) isEvent() {}
 func (Tick) isEvent()           {}
 
-// Fingerprint identifies a request by its content.
-type Fingerprint [16]byte
-
 // Job is the stage work of one request.
 type Job struct {
 	// ID is the id of the request.
@@ -121,9 +118,6 @@
 	Rank catalog.Rank
 	// Customer is the customer's name; "" if the request has none.
 	Customer string
-	// Fingerprint identifies the request by its content, under whatever ID it is sent; zero
-	// if it is not known.
-	Fingerprint Fingerprint
 	// Due is when the results must be ready for an answer that is very likely on time,
 	// Latest when they must be ready for one that may be on time, and Deadline when they
 	// become useless. A Latest before Due counts as Due.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -299,7 +299,7 @@
 func (x *exchange) stageJob(began time.Time) (stage.Job, bool) {
 	j := stage.Job{
 		ID: x.req.ID, Key: x.req.PieceKey, Rank: x.priority(), Deadline: x.deadline,
-		Customer: x.customer(), Fingerprint: stage.Fingerprint(x.fingerprint),
+		Customer: x.customer(),
 	}
 	j.Due, j.Latest = x.stageDeadlines(began)
 	pieces := 0
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -102,9 +102,6 @@
 	// FairShares shares the capacity of stage services out among customers while it is
 	// scarce. Default false.
 	FairShares bool `yaml:"fair_shares"`
-	// KeptPlaces keeps places for refused requests that are told when to return. Default
-	// false.
-	KeptPlaces bool `yaml:"kept_places"`
 }
 
 // Limits are the resource limits of the machine.
--- a/stages/messages.go
+++ b/stages/messages.go
@@ -22,9 +22,6 @@
 		DueMs: j.Due.Sub(now).Milliseconds(), LatestMs: j.Latest.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
 		FailureDomain: j.Domain, Customer: j.Customer,
 	}
-	if j.Fingerprint != (stage.Fingerprint{}) {
-		out.Content = j.Fingerprint[:]
-	}
 	out.Made = completedToWire(j.Completed)
 	for _, s := range j.Stages {
 		w := &wire.StageWork{Service: s.Service, Pieces: uint32(max(0, s.Pieces)), ResultBytes: s.ResultBytes}
@@ -47,9 +44,6 @@
 		Domain:   m.GetFailureDomain(),
 		Customer: m.GetCustomer(),
 	}
-	if content := m.GetContent(); len(content) == len(j.Fingerprint) {
-		j.Fingerprint = stage.Fingerprint(content)
-	}
 	for i, w := range m.GetStages() {
 		s := stage.Stage{Service: w.GetService(), Pieces: int(w.GetPieces()), ResultBytes: w.GetResultBytes()}
 		for _, a := range w.GetAfter() {
@@ -102,7 +96,7 @@
 		return &wire.StageEnd{
 			Job: id, Reason: string(r.Reason),
 			RetryAfterMs: r.RetryAfter.Milliseconds(), PredictedMs: r.Predicted.Milliseconds(),
-			Service: r.Service, Invited: r.Invited, OverloadedMs: r.OverloadedFor.Milliseconds(),
+			Service:      r.Service,
 			SharePercent: uint32(min(maxSharePercent, math.Round(100*r.Share))),
 		}
 	}
@@ -120,6 +114,6 @@
 		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 		Predicted:  time.Duration(m.GetPredictedMs()) * time.Millisecond,
 		Share:      float64(m.GetSharePercent()) / 100,
-		Service:    m.GetService(), Invited: m.GetInvited(), OverloadedFor: time.Duration(m.GetOverloadedMs()) * time.Millisecond,
+		Service:    m.GetService(),
 	}}
 }
--- a/stages/messages_test.go
+++ b/stages/messages_test.go
@@ -15,7 +15,7 @@
 	RegisterTestingT(t)
 	refused := stage.Refused{
 		Job: "j", Reason: stage.ReasonOverShare, RetryAfter: time.Second, Predicted: 2 * time.Second,
-		Service: "notify", Share: 1.25, Invited: true, OverloadedFor: 50 * time.Millisecond,
+		Service: "notify", Share: 1.25,
 	}
 	Expect(*outcomeFromWire(outcomeToWire("j", &JobOutcome{Refused: &refused})).Refused).To(Equal(refused))
 }
