Mend what the reviews of the new parts found

- A replica that was removed and listed again stayed on probation for good: its evidence went with the state that is kept.
It is dropped with the upstream.
- Earlier starts of replicas, which refuse connections, counted towards 'over half of the service is unreachable'.
- A replica that was slow once got no calls under little load, and kept its baseline for good.
Unconfirmed baselines above 1 now approach 1.
- The domain of a long stream's stages was computed for another prefix home than the pick used.
- Windows of shares follow the monotonic clock, and a job refused for lack of a replica counts as asked at that service only.
- A connection attempt to a replica times out after 150 ms and one to a peer at start too: hosts may be suspended for most of a tenth of a second when their processor time is used up.
A seed waits until the highest-ranked hosts are the same for 250 ms.

--- a/core/fairshare/doc.go
+++ b/core/fairshare/doc.go
@@ -10,7 +10,7 @@
 // # Contract
 //
 // The package does no I/O, reads no clock and starts no goroutine: the caller passes the
-// time, which must not go backwards by more than the Window, and the capacity of the service
-// in the Window. A Table is not safe for concurrent use. It holds at most MaxAccounts
+// time, whose monotonic reading counts if it has one, and the capacity of the service in the
+// Window. A Table is not safe for concurrent use. It holds at most MaxAccounts
 // accounts of about 400 bytes each.
 package fairshare
--- a/core/fairshare/table.go
+++ b/core/fairshare/table.go
@@ -24,11 +24,11 @@
 	// levelLifetime is how long computed levels are used. A tenth of a slot changes them
 	// little.
 	levelLifetime = slotWidth / 10
+	// levelLifetimePerAccount is added to levelLifetime for each account, so that levels take
+	// at most a hundredth of a processor: a thousand accounts take about 60 µs.
+	levelLifetimePerAccount = 10 * time.Microsecond
 	// negligibleWork is below the work of any request and above rounding errors.
 	negligibleWork = 1e-5
-	// levelLifetimePerAccount is added to it for each account, so that levels take at most
-	// a hundredth of a processor: a thousand accounts take about 60 µs.
-	levelLifetimePerAccount = 10 * time.Microsecond
 )
 
 const (
@@ -77,6 +77,9 @@
 	levels   map[int]float64
 	levelsAt time.Time
 	capacity float64
+	// start is the time of the first call, from which slots are numbered: a step of the wall
+	// clock does not change the difference of two times of one process.
+	start time.Time
 }
 
 type account struct {
@@ -90,6 +93,14 @@
 	return &Table{accounts: map[Account]*account{}, order: list.New(), kinds: map[int]*usage{}, levels: map[int]float64{}}
 }
 
+// slotOf returns the number of the slot that a time belongs to.
+func (t *Table) slotOf(now time.Time) int64 {
+	if t.start.IsZero() {
+		t.start = now
+	}
+	return int64(now.Sub(t.start)/slotWidth) + 1
+}
+
 // Ask records a request that has arrived. A request that returns is recorded again.
 func (t *Table) Ask(now time.Time, r Request) { t.ask(now, r, 1) }
 
@@ -102,19 +113,19 @@
 	if k := t.kind(now, r.Kind); k != nil {
 		k.ask(times)
 	}
-	t.requests.advance(slotOf(now))
+	t.requests.advance(t.slotOf(now))
 	t.requests.ask(times)
 }
 
 // Admit records a request that is admitted.
 func (t *Table) Admit(now time.Time, r Request) {
 	t.account(now, r.Account).admit(r.Kind, r.Work)
-	t.total.advance(slotOf(now))
+	t.total.advance(t.slotOf(now))
 	t.total.admit(r.Kind, r.Work)
 	if k := t.kind(now, r.Kind); k != nil {
 		k.admit(r.Kind, 1)
 	}
-	t.requests.advance(slotOf(now))
+	t.requests.advance(t.slotOf(now))
 	t.requests.admit(r.Kind, 1)
 }
 
@@ -135,7 +146,7 @@
 		a = &account{inOrder: t.order.PushBack(key)}
 		t.accounts[key] = a
 	}
-	a.advance(slotOf(now))
+	a.advance(t.slotOf(now))
 	t.order.MoveToBack(a.inOrder)
 	return a
 }
@@ -155,7 +166,7 @@
 		k = &usage{}
 		t.kinds[kind] = k
 	}
-	k.advance(slotOf(now))
+	k.advance(t.slotOf(now))
 	return k
 }
 
@@ -169,7 +180,7 @@
 	}
 	t.levelsAt, t.capacity = now, capacity
 	asked := map[int][]float64{}
-	slot := slotOf(now)
+	slot := t.slotOf(now)
 	for key, a := range t.accounts {
 		a.advance(slot)
 		if a.askedSum < negligibleWork && a.admittedAll() < negligibleWork {
@@ -242,7 +253,7 @@
 		return Verdict{Reason: NotShort}
 	}
 	a := t.account(now, r.Account)
-	t.total.advance(slotOf(now))
+	t.total.advance(t.slotOf(now))
 	if _, known := t.levels[r.Account.Priority]; !known {
 		t.levelsAt = time.Time{} // the first request of this priority since the last update
 	}
@@ -277,7 +288,7 @@
 // times as often as those of all kinds.
 func (t *Table) kindNeglected(now time.Time, kind int) bool {
 	k := t.kind(now, kind)
-	t.requests.advance(slotOf(now))
+	t.requests.advance(t.slotOf(now))
 	if k == nil || k.askedSum == 0 || t.requests.askedSum == 0 {
 		return false
 	}
@@ -317,7 +328,7 @@
 		}
 	}
 	for key, a := range t.accounts {
-		a.advance(slotOf(now))
+		a.advance(t.slotOf(now))
 		level, limited := s.Levels[key.Priority]
 		s.Accounts = append(s.Accounts, AccountState{
 			Customer: key.Customer, Priority: key.Priority, Asked: a.askedSum, Admitted: a.admittedAll(),
--- a/core/fairshare/usage.go
+++ b/core/fairshare/usage.go
@@ -14,8 +14,6 @@
 	urgencies = 3
 )
 
-func slotOf(now time.Time) int64 { return now.UnixNano() / int64(slotWidth) }
-
 // urgency returns the index by which an account counts a kind.
 func urgency(kind int) int { return min(max(kind, 0), urgencies-1) }
 
--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -54,8 +54,10 @@
 type Attempt struct {
 	Replica, Service string
 	Began            time.Time
-	// Listed is the number of listed replicas of the service.
-	Listed int
+	// Listed is the number of listed replicas of the service, and IsListed reports whether a
+	// replica is one of the listed ones; nil if all are.
+	Listed   int
+	IsListed func(replica string) bool
 }
 
 // Verdict says whether a replica is to be avoided.
@@ -141,7 +143,7 @@
 			e.reportedSince = now
 		}
 	}
-	t.updateCutOff(a.Service, a.Listed)
+	t.updateCutOff(&a)
 	confirmed := !e.reportsUntil(now, ProbeInterval, t.severalDomains).IsZero()
 	if t.cutOff[a.Service] || confirmed || now.Sub(e.announcedAt) < AnnounceInterval {
 		return Report{}, false
@@ -151,18 +153,19 @@
 }
 
 // updateCutOff determines whether over half of a service's listed replicas look unreachable.
-func (t *Table) updateCutOff(service string, listed int) {
+// Earlier starts of replicas, which refuse connections, do not count.
+func (t *Table) updateCutOff(a *Attempt) {
 	failed := 0
-	for _, e := range t.entries {
-		if e.service == service && e.failures > 0 {
+	for id, e := range t.entries {
+		if e.service == a.Service && e.failures > 0 && (a.IsListed == nil || a.IsListed(id)) {
 			failed++
 		}
 	}
-	if 2*failed > listed {
-		t.cutOff[service] = true
+	if 2*failed > a.Listed {
+		t.cutOff[a.Service] = true
 		return
 	}
-	delete(t.cutOff, service)
+	delete(t.cutOff, a.Service)
 }
 
 // Succeeded processes a connection or a response of a replica to this host.
@@ -225,28 +228,14 @@
 		e.reports[i] = r
 		return true
 	case len(e.reports) == MaxReporters:
-		e.removeOldest(r.Domain)
+		// A report that replaced another one would make that one news again at this host, and
+		// neighbours would pass the two on to each other until they expire.
+		return false
 	}
 	e.reports = append(e.reports, r)
 	return true
 }
 
-// removeOldest makes room for a report from a domain. The only report from a domain is kept if
-// there are others, since reports count by domains.
-func (e *entry) removeOldest(domain string) {
-	perDomain := map[string]int{domain: 1}
-	for _, r := range e.reports {
-		perDomain[r.Domain]++
-	}
-	oldest := -1
-	for i, r := range e.reports {
-		if perDomain[r.Domain] > 1 && (oldest < 0 || r.At.Before(e.reports[oldest].At)) {
-			oldest = i
-		}
-	}
-	e.reports = slices.Delete(e.reports, max(oldest, 0), max(oldest, 0)+1)
-}
-
 // enoughReports reports whether other hosts of the failure domain of a report have reported
 // within ProbeInterval.
 func (e *entry) enoughReports(now time.Time, report Report) bool {
@@ -405,7 +394,7 @@
 		}
 	}
 	for service := range t.cutOff {
-		t.updateCutOff(service, listed(service))
+		t.updateCutOff(&Attempt{Service: service, Listed: listed(service)})
 	}
 	return dropped
 }
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -226,3 +226,39 @@
 	}
 	g.Expect(tb.Len()).To(Equal(reach.MaxReplicas))
 }
+
+// Guards against reports that hosts pass on to each other again and again: with more domains
+// than reports are stored for, each replaced another one, which was then news again.
+func TestReportsAreNewsOnce(t *testing.T) {
+	g := NewWithT(t)
+	tb := reach.New("self")
+	tb.SetSeveralDomains(true)
+	var all []reach.Report
+	for i := range 12 {
+		all = append(all, report(fmt.Sprint("host", i), fmt.Sprint("domain", i%6), i))
+	}
+	urgent, others := tb.Merge(at(100), all)
+	g.Expect(len(urgent) + len(others)).To(Equal(reach.MaxReporters))
+	for now := 110; now < 900; now += 10 {
+		urgent, others = tb.Merge(at(now), all)
+		g.Expect(slices.Concat(urgent, others)).To(BeEmpty())
+	}
+	g.Expect(tb.Verdict(at(900), "r").Reporters).To(HaveLen(reach.MaxReporters))
+}
+
+// Guards against evidence that is ignored because earlier starts of the replicas, which are
+// no longer listed, refuse connections.
+func TestEarlierStartsDoNotCountAsUnreachable(t *testing.T) {
+	g := NewWithT(t)
+	tb := reach.New("self")
+	for i := range 8 {
+		a := attempt(fmt.Sprint("earlier", i), at(0))
+		a.IsListed = func(replica string) bool { return replica == "r" }
+		tb.Failed(at(100), a)
+	}
+	a := attempt("r", at(200))
+	a.IsListed = func(replica string) bool { return replica == "r" }
+	_, announce := tb.Failed(at(300), a)
+	g.Expect(announce).To(BeTrue())
+	g.Expect(tb.CutOff("s")).To(BeFalse())
+}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -79,19 +79,23 @@
 	return choice, nil
 }
 
-// PrefixHomeDomain returns the failure domain of the engine that should hold a prompt
-// prefix, or "" if no engine in the pool qualifies.
-func (r *Router) PrefixHomeDomain(now time.Time, pool string, prefix uint64) string {
+// PrefixHomeDomain returns the failure domain of the engine that should hold the prompt
+// prefix of a query, or "" if no engine in the pool qualifies. Upstreams that were tried and
+// the inputs' failure domain do not matter.
+func (r *Router) PrefixHomeDomain(now time.Time, query request.Query) string {
 	snap := r.current.Load()
-	p := snap.pools[pool]
+	p := snap.pools[query.Pool]
 	if p == nil {
 		return ""
 	}
-	q := &request.Query{Pool: pool, Kind: bundle.StageGenerate, Prefix: prefix}
+	q := &request.Query{
+		Pool: query.Pool, Kind: bundle.StageGenerate, Prefix: query.Prefix,
+		GapObjective: query.GapObjective, ExpectedEvents: query.ExpectedEvents,
+	}
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
 	v := p.buildView(now, q, &r.config, snap.region)
-	home := prefixHome(v, p.shard.result.eligible, prefix, r.config.PrefixLoadFactor, r.config.PrefixMinLoad)
+	home := prefixHome(v, p.shard.result.eligible, q.Prefix, r.config.PrefixLoadFactor, r.config.PrefixMinLoad)
 	if home < 0 {
 		return ""
 	}
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -148,9 +148,11 @@
 }
 
 // detach separates the state from an upstream that was removed from the pool. The state is
-// kept for attach, and while calls are in flight.
+// kept for attach, and while calls are in flight. Evidence that the upstream is unreachable is
+// dropped, since nothing could withdraw it until the upstream is added again.
 func (s *shard) detach(m *member) {
 	if m.state != nil {
+		m.state.unreachable = unreachability{}
 		m.state.member, m.state = nil, nil
 	}
 }
--- a/core/route/unreachable_test.go
+++ b/core/route/unreachable_test.go
@@ -56,6 +56,21 @@
 		mustPick(r, start, query("a"))
 	})
 
+	// Guards against an upstream that stays on probation for good, because nothing withdraws
+	// the evidence while the pool does not contain it.
+	It("are used as others after they were removed and added again", func() {
+		r := testRouter(testBundle(2, 4, bundle.PolicyAdaptive), 1)
+		first := mustPick(r, start, query("a", "u1"))
+		finishCall(r, start, first, request.CallOK, time.Millisecond)
+		r.SetUnreachable(start, pool, "u0", start.Add(time.Second))
+		u0 := bundle.Upstream{Name: "u0", FailureDomain: first.FailureDomain, Address: first.Address}
+		r.Update([]PoolChange{{Pool: pool, Removed: []string{"u0"}}})
+		r.Update([]PoolChange{{Pool: pool, Added: []bundle.Upstream{u0}}})
+		later := start.Add(15 * time.Second)
+		Expect(mustPick(r, later, query("b", "u1")).Upstream).To(Equal("u0"))
+		Expect(mustPick(r, later, query("c", "u1")).Upstream).To(Equal("u0"), "a second call at a time")
+	})
+
 	// Guards against a draw of the filter that changes the choices of pools without evidence.
 	It("do not change the choices of pools once the evidence is gone", func() {
 		a, b := testRouter(testBundle(9, 4, bundle.PolicyAdaptive), 7), testRouter(testBundle(9, 4, bundle.PolicyAdaptive), 7)
--- a/core/slowdown/table.go
+++ b/core/slowdown/table.go
@@ -1,13 +1,13 @@
 package slowdown
 
 import (
+	"github.com/cespare/xxhash/v2"
 	"iter"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -56,6 +56,24 @@
 	ObservedAt time.Time
 }
 
+const (
+	// staleAfter is the age from which a baseline counts less, longer than confirmed ones get,
+	// and staleHalfLife the time in which what it adds to the usual time then halves.
+	staleAfter    = 10 * time.Second
+	staleHalfLife = 5 * time.Second
+)
+
+// Expected returns the slowdown that is to be expected. That of a replica which nobody has
+// heard of for staleAfter approaches 1 if it is above: under little load a slow replica gets no
+// calls, and would otherwise never show that it has become faster.
+func (b Baseline) Expected(now time.Time) float64 {
+	age := now.Sub(b.ObservedAt) - staleAfter
+	if age <= 0 || b.Slowdown <= 1 {
+		return b.Slowdown
+	}
+	return 1 + (b.Slowdown-1)*math.Exp2(-float64(age)/float64(staleHalfLife))
+}
+
 // valid reports whether a baseline can have been observed.
 func (b Baseline) valid(now time.Time) bool {
 	return b.Replica != "" && validSlowdown(b.Slowdown) && !b.ObservedAt.After(now)
--- a/core/slowdown/table_test.go
+++ b/core/slowdown/table_test.go
@@ -20,6 +20,17 @@
 	return slowdown.Baseline{Replica: "r", Slowdown: slow, ObservedAt: at(seconds)}
 }
 
+// Guards against a replica that was slow once and gets no calls for that forever.
+func TestBaselineWithoutNewsApproachesTheUsualTime(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct{ slowdown, age, want float64 }{
+		{1.6, 0, 1.6}, {1.6, 10, 1.6}, {1.6, 15, 1.3}, {1.6, 20, 1.15}, {0.6, 60, 0.6}, {1, 60, 1},
+	} {
+		b := baseline(c.slowdown, 0)
+		g.Expect(b.Expected(at(c.age))).To(BeNumerically("~", c.want, 1e-9), "%+v", c)
+	}
+}
+
 // Guards against baselines that follow the fast-changing component, and against baselines
 // that outlive a change of the machine.
 func TestBaselineIsTheLowestRecentObservation(t *testing.T) {
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -13,6 +13,7 @@
 func (m *Machine) admit(now time.Time, j *job) *Refused {
 	for i := range j.stages {
 		if st := &j.stages[i]; st.remaining > 0 && !st.service.anyUsable(now) {
+			m.withdrawShares(now, j, st.service)
 			return &Refused{Job: j.ID, Reason: ReasonNoReplica, RetryAfter: max(m.cfg.MinRetryAfter, st.service.unblockDelay(now))}
 		}
 	}
--- a/core/stage/shares.go
+++ b/core/stage/shares.go
@@ -11,8 +11,8 @@
 
 // While a service is short of capacity, jobs of customers that have had their share of it
 // are refused on arrival (Config.FairShares), before the queue is so long that jobs of all
-// customers would be late. The other half of the jobs' slack is left to customers below
-// their share. Admitted jobs are never dropped for fairness: dropped after they were
+// customers would be late. The rest of the jobs' slack, a tenth to a half, is left to
+// customers below their share. Admitted jobs are never dropped for fairness: dropped after they were
 // started, they waste their calls and the memory of their results.
 
 const (
@@ -130,13 +130,16 @@
 		s.shares.table.NoteOverload(now)
 		refusal.Service = s.name
 	}
-	j.withdrawShares(now, s)
+	m.withdrawShares(now, j, s)
 	return refusal
 }
 
 // withdrawShares takes back what the job asked for at the services other than the one that
 // it is refused for.
-func (j *job) withdrawShares(now time.Time, refusedFor *service) {
+func (m *Machine) withdrawShares(now time.Time, j *job, refusedFor *service) {
+	if !m.cfg.FairShares {
+		return
+	}
 	for i := range j.stages {
 		if r, ok := j.shareRequest(i); ok && j.stages[i].service != refusedFor {
 			j.stages[i].service.shares.table.Withdraw(now, r)
@@ -169,7 +172,7 @@
 		v := s.shares.table.Decide(now, r, s.windowCapacity(), share)
 		if v.Refused() {
 			m.reportShare(now, s, j.Customer)
-			j.withdrawShares(now, s)
+			m.withdrawShares(now, j, s)
 			return &Refused{
 				Job: j.ID, Reason: ReasonOverShare, RetryAfter: max(v.Wait, m.cfg.MinRetryAfter), Predicted: j.expected,
 				Service: s.name, Share: v.Ratio(),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -120,10 +120,11 @@
 const (
 	dialTimeout    = 500 * time.Millisecond
 	silenceTimeout = 400 * time.Millisecond
-	// startupDialTimeout is two round trips between regions that are 25 ms apart. Hosts
+	// startupDialTimeout is two round trips between regions that are 25 ms apart, and a margin
+	// for hosts that have used up their processor time. Hosts
 	// that start together are up within 300 ms of each other, and a host whose first
 	// attempt met a machine without power waited for dialTimeout before the next one.
-	startupDialTimeout = 100 * time.Millisecond
+	startupDialTimeout = 150 * time.Millisecond
 	maxBackoff         = 100 * time.Millisecond
 )
 
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -24,9 +24,9 @@
 	seedSettleTime = 400 * time.Millisecond
 	// rankQuietTime is how long the highest-ranked hosts that a seed knows have to stay the
 	// same before it assumes that they are final: the longest time between two requests of
-	// a host that is forming, with a round trip. Hosts that start later rank lower unless
-	// they have more capacity.
-	rankQuietTime = 160 * time.Millisecond
+	// a host that is forming in a fleet of 82, 227 ms, with a round trip. Hosts that start
+	// later rank lower unless they have more capacity.
+	rankQuietTime = 250 * time.Millisecond
 	// rankCheckInterval is the interval at which a seed checks for that.
 	rankCheckInterval = 20 * time.Millisecond
 	// formingReplyHosts is the number of hosts that a seed reports to a host whose fleet
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -15,6 +15,7 @@
 
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/poison"
+	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
@@ -312,7 +313,8 @@
 		j.Stages = append(j.Stages, st)
 	}
 	if hash, tokens := x.sharedPrefix(); tokens >= minHomeTokens {
-		j.Domain = x.g.router.PrefixHomeDomain(clock.Now(), x.service, hash)
+		q := request.Query{Pool: x.service, Prefix: hash, GapObjective: x.route.GapObjective, ExpectedEvents: x.expectedEvents()}
+		j.Domain = x.g.router.PrefixHomeDomain(clock.Now(), q)
 	}
 	return j, pieces > 0
 }
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -116,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wasCutOff := s.table.CutOff(service)
-	report, announce := s.table.Failed(now, reach.Attempt{Replica: replica, Service: service, Began: began, Listed: s.listedIn(v, service)})
+	report, announce := s.table.Failed(now, reach.Attempt{Replica: replica, Service: service, Began: began, Listed: s.listedIn(v, service), IsListed: v.Replicas.Has})
 	if announce {
 		delay := urgentReportDelay
 		if v := s.table.Verdict(now, replica); len(v.Reporters) > 0 {
--- a/gateway/slowdowns.go
+++ b/gateway/slowdowns.go
@@ -20,9 +20,9 @@
 
 const (
 	// baselineRefreshInterval is the interval at which the router is passed all baselines
-	// again, because it drops the state of upstreams that are not used for 2 minutes. At
-	// 10,000 replicas this takes 11 ms.
-	baselineRefreshInterval = 15 * time.Second
+	// again, because those of replicas that nobody has heard of approach 1. At 10,000
+	// replicas this takes 11 ms.
+	baselineRefreshInterval = 5 * time.Second
 	// unlistedBaselineRetention is how long the baseline of an unlisted replica is kept after
 	// its last observation: a peer may know the replica earlier, or it may be missing from the
 	// list temporarily.
@@ -129,7 +129,7 @@
 // passOn passes a baseline on to the router if its replica is listed; mu must be held.
 func (s *slowdowns) passOn(now time.Time, replicas *catalog.ReplicaSet, b slowdown.Baseline) {
 	if r := replicas.Find(b.Replica); r != nil {
-		s.router.SetBaselineSlowdown(now, r.Service, r.ID, b.Slowdown)
+		s.router.SetBaselineSlowdown(now, r.Service, r.ID, b.Expected(now))
 	}
 }
 
--- a/replica/client.go
+++ b/replica/client.go
@@ -23,10 +23,11 @@
 )
 
 // connectTimeout bounds the TCP connect to a replica: two round trips to one that is a
-// region away (20 ms one-way latency), and a margin. The kernel retransmits a lost SYN
-// only after a second, so trying another replica is faster. With 300 ms, one attempt at
-// a replica without power made requests with an objective of 600 ms late.
-const connectTimeout = 100 * time.Millisecond
+// region away (20 ms one-way latency), and the 70 ms for which a host may be suspended that
+// has used up its processor time. The kernel retransmits a lost SYN only after a second, so
+// trying another replica is faster. With 300 ms, one attempt at a replica without power
+// made requests with an objective of 600 ms late.
+const connectTimeout = 150 * time.Millisecond
 
 // pooledIdleTimeout is how long the pooled connection for releasing results may
 // stay idle. It is below one second because replicas close idle connections
