--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -100,12 +100,13 @@
 	failedAt, ownUntil time.Time
 	// announcedAt is when a failure of this host was last passed on.
 	announcedAt time.Time
-	// triedAt is when the last attempt of this host began that failed, or is a probe.
+	// triedAt is when the last failed attempt or probe of this host began.
 	triedAt time.Time
 	reports []Report
 	// reportedSince is since when enough reports count without a gap; zero if they do not.
 	reportedSince time.Time
-	// disproved says that this host has reached the replica after a report.
+	// disproved says that this host has reached the replica after a report: reports are then
+	// ignored until an attempt of this host fails.
 	disproved bool
 	// reportedUntil is until when the reports that counted last hold; zero if none have counted
 	// since the last success.
--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -150,7 +150,7 @@
 	for _, u := range cfg.Upstreams {
 		members = append(members, newMember(u, regions))
 	}
-	if previous := old.pools[cfg.Name]; previous != nil && p.shard.uneven {
+	if previous := old.pools[cfg.Name]; previous != nil && p.shard.hasSlowdowns {
 		for _, m := range members {
 			m.keepBaseline(previous.members.find(m.name))
 		}
@@ -228,7 +228,7 @@
 			if st := p.shard.stateOf(m, rep.AsOf, c); st.observeReport(rep) {
 				p.shard.noteReport(st)
 			}
-			p.shard.uneven = p.shard.uneven || m.state.reportedSlowdown.value > 0
+			p.shard.hasSlowdowns = p.shard.hasSlowdowns || m.state.reportedSlowdown.value > 0
 		}
 	}
 }
--- a/core/route/dump.go
+++ b/core/route/dump.go
@@ -91,7 +91,7 @@
 		InFlight: s.ownCalls, Slowness: s.decayedSlowness(now), Leaving: p.isLeaving(m, s, limiter),
 		Share: s.ejection.share(now, c.Ejection.RampDuration),
 	}
-	if p.shard.uneven {
+	if p.shard.hasSlowdowns {
 		u.Slowdown, u.BaselineSlowdown = predictSlowdown(now, m, &s.reportedSlowdown), m.baselineSlowdown
 	}
 	if s.hasReport {
--- a/core/route/pause.go
+++ b/core/route/pause.go
@@ -70,7 +70,7 @@
 // expectedPause returns the expected longest pause of the query's stream at a candidate; 0 if
 // it is not a stream with a gap objective, or the pool has no slowdowns.
 func (v *View) expectedPause(c *Candidate) time.Duration {
-	if !v.Uneven || v.Query.GapObjective <= 0 {
+	if !v.HasSlowdowns || v.Query.GapObjective <= 0 {
 		return 0
 	}
 	return scaleDuration(v.UsualPause, c.Slowdown)
--- a/core/route/prefix.go
+++ b/core/route/prefix.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		hash := mix64(prefix ^ c.Hash)
-		if v.Uneven {
+		if v.HasSlowdowns {
 			if rank := weightedRank(hash, c.HomeSlowdown, exponent); home < 0 || rank < lowest {
 				home, lowest = i, rank
 			}
--- a/core/route/record.go
+++ b/core/route/record.go
@@ -65,7 +65,7 @@
 	add("own", strconv.Itoa(c.OwnCalls))
 	add("foreign", formatCost(c.OtherCalls))
 	add("believed", formatCost(c.SampledOtherCalls))
-	if v.Uneven {
+	if v.HasSlowdowns {
 		add("slowdown", formatCost(c.Slowdown))
 		if pause := v.expectedPause(c); pause > 0 {
 			add("expected_pause", pause.Round(time.Millisecond).String())
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -94,8 +94,8 @@
 	// usualLatency is the median latency of the slowest stage; 0 if it is not known
 	// yet.
 	usualLatency time.Duration
-	// uneven is set if any upstream has a slowdown. Otherwise slowdowns have no effect.
-	uneven bool
+	// hasSlowdowns is set if any upstream has a slowdown. Otherwise slowdowns have no effect.
+	hasSlowdowns bool
 	// Scratch buffers of a pick.
 	view View
 	// viewed holds the upstreams that are the candidates of view.
@@ -230,8 +230,8 @@
 // It considers all upstreams if no filter accepts any of the sample.
 func (p *poolView) buildView(now time.Time, q *request.Query, c *Config, region string) *View {
 	s := p.shard
-	if s.pruneIdle(now) && s.uneven {
-		p.updateUneven()
+	if s.pruneIdle(now) && s.hasSlowdowns {
+		p.updateHasSlowdowns()
 	}
 	v := &s.view
 	v.Now, v.Query, v.Domain, v.Region = now, q, c.FailureDomain, region
@@ -240,7 +240,7 @@
 	if l != nil {
 		v.MedianLatency = l.total.median
 	}
-	if v.Uneven = s.uneven; v.Uneven && q.GapObjective > 0 {
+	if v.HasSlowdowns = s.hasSlowdowns; v.HasSlowdowns && q.GapObjective > 0 {
 		v.UsualPause = l.usualPause(q.GapObjective)
 	}
 	p.sample(v, q, c)
@@ -275,7 +275,7 @@
 			continue
 		}
 		w := st.reportWeight(now, halfLife)
-		if p.shard.uneven {
+		if p.shard.hasSlowdowns {
 			sum += w * st.otherCalls() / st.member.usualCalls()
 		} else {
 			sum += w * st.otherCalls()
@@ -309,7 +309,7 @@
 }
 
 func (p *poolView) candidate(now time.Time, m *member, halfLife time.Duration, mean float64, c *Config) Candidate {
-	if p.shard.uneven {
+	if p.shard.hasSlowdowns {
 		mean *= m.usualCalls()
 	}
 	st, limiter := m.stateAndLimiter(c)
@@ -324,7 +324,7 @@
 		Busy:              now.Before(st.busyUntil),
 		RampShare:         st.ejection.share(now, c.Ejection.RampDuration),
 	}
-	if p.shard.uneven {
+	if p.shard.hasSlowdowns {
 		cand.Slowdown, cand.HomeSlowdown = predictSlowdown(now, m, &st.reportedSlowdown), m.homeSlowdown()
 		cand.Backlog = st.prefillQueue.backlog(now, cand.Slowdown) + scaleDuration(p.shard.view.Query.PrefillTime, cand.Slowdown)
 	} else {
--- a/core/route/slowdown.go
+++ b/core/route/slowdown.go
@@ -93,23 +93,23 @@
 // setBaselineSlowdown sets the baseline of an upstream, or removes it if it is not positive.
 func (p *poolView) setBaselineSlowdown(m *member, baseline float64) {
 	if baseline > 0 {
-		m.baselineSlowdown, p.shard.uneven = baseline, true
+		m.baselineSlowdown, p.shard.hasSlowdowns = baseline, true
 		return
 	}
 	m.baselineSlowdown = 0
-	p.updateUneven()
+	p.updateHasSlowdowns()
 }
 
-// updateUneven determines whether any upstream of the pool has a slowdown.
-func (p *poolView) updateUneven() {
-	p.shard.uneven = slices.ContainsFunc(p.members.all, func(m *member) bool {
+// updateHasSlowdowns determines whether any upstream of the pool has a slowdown.
+func (p *poolView) updateHasSlowdowns() {
+	p.shard.hasSlowdowns = slices.ContainsFunc(p.members.all, func(m *member) bool {
 		return m.baselineSlowdown > 0 || m.state != nil && m.state.reportedSlowdown.value > 0
 	})
 }
 
 // slowdownOf returns the predicted slowdown of an upstream; 1 in a pool without slowdowns.
 func (s *shard) slowdownOf(now time.Time, st *memberState) float64 {
-	if !s.uneven {
+	if !s.hasSlowdowns {
 		return 1
 	}
 	return predictSlowdown(now, st.member, &st.reportedSlowdown)
--- a/core/route/uneven_test.go
+++ b/core/route/uneven_test.go
@@ -167,12 +167,12 @@
 		Expect(baseline()).To(BeZero())
 		r.SetBaselineSlowdown(start, pool, "u1", 1.6)
 		r.SetBaselineSlowdown(start, pool, "u1", 0)
-		Expect(r.current.Load().pools[pool].shard.uneven).To(BeFalse())
+		Expect(r.current.Load().pools[pool].shard.hasSlowdowns).To(BeFalse())
 	})
 
 	It("distribute homes of prefixes in proportion to the speed", func() {
 		v := testView(Candidate{Name: "a", Hash: hashOf("a"), Slowdown: 0.6, HomeSlowdown: 0.5}, Candidate{Name: "b", Hash: hashOf("b"), Slowdown: 1, HomeSlowdown: 1})
-		v.Uneven = true
+		v.HasSlowdowns = true
 		share := func() float64 {
 			homes := 0
 			for prefix := range uint64(10000) {
@@ -197,9 +197,9 @@
 			eligible = append(eligible, i)
 		}
 		for prefix := range uint64(1000) {
-			v.Uneven = false
+			v.HasSlowdowns = false
 			home := prefixHome(v, eligible, mix64(prefix+1), 1e9, 0)
-			v.Uneven = true
+			v.HasSlowdowns = true
 			Expect(prefixHome(v, eligible, mix64(prefix+1), 1e9, 0)).To(Equal(home))
 		}
 	})
@@ -208,7 +208,7 @@
 var _ = DescribeTable("the cost of pauses",
 	func(slowdown float64, events int, want float64) {
 		v := testView(Candidate{Slowdown: slowdown})
-		v.Uneven, v.UsualPause = true, 300*time.Millisecond
+		v.HasSlowdowns, v.UsualPause = true, 300*time.Millisecond
 		v.Query.GapObjective, v.Query.ExpectedEvents = simGapObjective, events
 		Expect(pauseScorer{1}.Cost(v, &v.Candidates[0])).To(BeNumerically("~", want, 1e-9))
 	},
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -76,10 +76,10 @@
 	// -1.
 	PrefixHome int
 	Candidates []Candidate
-	// Uneven means that upstreams of the pool have slowdowns.
-	Uneven bool
+	// HasSlowdowns means that upstreams of the pool have slowdowns.
+	HasSlowdowns bool
 	// UsualPause is the longest pause of a stream of this stage that is to be expected at an
-	// upstream of the usual speed. It is set if the pool is uneven and the query has a gap
+	// upstream of the usual speed. It is set if the pool has slowdowns and the query has a gap
 	// objective.
 	UsualPause time.Duration
 	// Sampled means that the candidates are a sample of a large pool: first the Homes
@@ -99,7 +99,7 @@
 
 // slowdownOf returns the predicted slowdown of a candidate; 1 in a pool without slowdowns.
 func (v *View) slowdownOf(c *Candidate) float64 {
-	if !v.Uneven {
+	if !v.HasSlowdowns {
 		return 1
 	}
 	return c.Slowdown
--- a/gateway/noticesync.go
+++ b/gateway/noticesync.go
@@ -44,7 +44,7 @@
 			return nil, errNotInitialized
 		}
 		g.mergeLeaving(from.Host, m.GetLeaving())
-		g.mergeSlowdowns(from.Host, m.GetSpeeds())
+		g.mergeSlowdowns(from.Host, m.GetSlowdowns())
 		g.mergeUnreachable(m.GetUnreachable())
 		return &wire.NoticesNoted{Newer: g.mergeLimits(from.Host, m.GetLimits())}, nil
 	})
@@ -61,7 +61,7 @@
 	}
 	g.sendToNeighbours("", &wire.NoticesHeard{
 		Limits: limitsToWire(now, n.announcedLimits.ObservedAfter(n.lastResent)), Leaving: leavingToWire(now, n.leavingReplicas.ObservedAfter(n.lastResent.Add(-leavingResendPeriod))),
-		Speeds: g.slowdowns.resend(now),
+		Slowdowns: g.slowdowns.resend(now),
 	})
 	n.lastResent = now
 }
@@ -73,7 +73,7 @@
 		batch := &wire.NoticesHeard{}
 		batch.Limits, m.Limits = splitBatch(m.Limits)
 		batch.Leaving, m.Leaving = splitBatch(m.Leaving)
-		batch.Speeds, m.Speeds = splitBatch(m.Speeds)
+		batch.Slowdowns, m.Slowdowns = splitBatch(m.Slowdowns)
 		batch.Unreachable, m.Unreachable = splitBatch(m.Unreachable)
 		for _, host := range g.fleet.Neighbours() {
 			if host != except {
@@ -85,7 +85,7 @@
 
 // noticeCount returns the number of notices in a message.
 func noticeCount(m *wire.NoticesHeard) int {
-	return len(m.GetLimits()) + len(m.GetLeaving()) + len(m.GetSpeeds()) + len(m.GetUnreachable())
+	return len(m.GetLimits()) + len(m.GetLeaving()) + len(m.GetSlowdowns()) + len(m.GetUnreachable())
 }
 
 // splitBatch returns the notices that fit into one call, and the rest.
@@ -97,7 +97,7 @@
 func (g *Gateway) sendNotices(host string, m *wire.NoticesHeard) {
 	ctx, cancel := clock.WithTimeout(context.Background(), noticeSendTimeout)
 	defer cancel()
-	if n := len(m.GetSpeeds()); n > 0 {
+	if n := len(m.GetSlowdowns()); n > 0 {
 		g.metrics.GetOrCreateCounter("wheatseam_replica_slowdown_notices_sent_total").Add(n)
 	}
 	if n := len(m.GetUnreachable()); n > 0 {
--- a/gateway/slowdowns.go
+++ b/gateway/slowdowns.go
@@ -96,7 +96,7 @@
 }
 
 // mergeSlowdowns merges the baselines that a peer knows.
-func (g *Gateway) mergeSlowdowns(host string, received []*wire.ReplicaSpeed) {
+func (g *Gateway) mergeSlowdowns(host string, received []*wire.ReplicaSlowdown) {
 	if len(received) == 0 {
 		return
 	}
@@ -198,7 +198,7 @@
 // refreshes those of the router.
 func (g *Gateway) refreshSlowdowns(now time.Time) {
 	if changed := g.slowdowns.takeUnsent(); len(changed) > 0 {
-		g.sendToNeighbours("", &wire.NoticesHeard{Speeds: slowdownsToWire(now, changed)})
+		g.sendToNeighbours("", &wire.NoticesHeard{Slowdowns: slowdownsToWire(now, changed)})
 	}
 	g.slowdowns.refresh(now, g.discovery.View().Replicas)
 }
@@ -218,24 +218,24 @@
 }
 
 // resend returns the baselines that the periodic resend of notices sends to the neighbours.
-func (s *slowdowns) resend(now time.Time) []*wire.ReplicaSpeed {
+func (s *slowdowns) resend(now time.Time) []*wire.ReplicaSlowdown {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slowdownsToWire(now, s.table.Resend(now))
 }
 
 // slowdownsToWire encodes times as ages, because the clocks of hosts are not synchronized.
-func slowdownsToWire(now time.Time, baselines []slowdown.Baseline) []*wire.ReplicaSpeed {
-	out := make([]*wire.ReplicaSpeed, 0, len(baselines))
+func slowdownsToWire(now time.Time, baselines []slowdown.Baseline) []*wire.ReplicaSlowdown {
+	out := make([]*wire.ReplicaSlowdown, 0, len(baselines))
 	for _, b := range baselines {
-		out = append(out, &wire.ReplicaSpeed{Replica: b.Replica, SlowdownPercent: uint32(math.Round(b.Slowdown * 100)), AgeMs: now.Sub(b.ObservedAt).Milliseconds()})
+		out = append(out, &wire.ReplicaSlowdown{Replica: b.Replica, SlowdownPercent: uint32(math.Round(b.Slowdown * 100)), AgeMs: now.Sub(b.ObservedAt).Milliseconds()})
 	}
 	return out
 }
 
 // slowdownsFromWire drops observations with a negative age. The table drops values that no
 // replica can have reported.
-func slowdownsFromWire(now time.Time, received []*wire.ReplicaSpeed) []slowdown.Baseline {
+func slowdownsFromWire(now time.Time, received []*wire.ReplicaSlowdown) []slowdown.Baseline {
 	out := make([]slowdown.Baseline, 0, len(received))
 	for _, r := range received {
 		if r.GetAgeMs() >= 0 {
--- a/gateway/slowdowns_internal_test.go
+++ b/gateway/slowdowns_internal_test.go
@@ -71,7 +71,7 @@
 	}
 	g.Expect(slowdownsFromWire(now, slowdownsToWire(now, sent))).To(Equal(sent))
 	var table slowdown.Table
-	changed := table.Merge(now, slowdownsFromWire(now, []*wire.ReplicaSpeed{
+	changed := table.Merge(now, slowdownsFromWire(now, []*wire.ReplicaSlowdown{
 		{Replica: "zero"}, {Replica: "", SlowdownPercent: 100}, {Replica: "huge", SlowdownPercent: math.MaxUint32},
 		{Replica: "negative age", SlowdownPercent: 100, AgeMs: -1}, {Replica: "valid", SlowdownPercent: 100, AgeMs: math.MaxInt64}, nil,
 	}))
