--- a/core/fairshare/table.go
+++ b/core/fairshare/table.go
@@ -35,11 +35,8 @@
 	// MinWaitShare is the share of the time that a request may wait above which its wait
 	// shows that the service is short of capacity. The rest is left to customers below their
 	// level. Customers that ask for fullExcessRatio times their level or more are refused
-	// from there on, those that ask for little more than their level from maxWaitShare on.
-	// In simulated bursts of twice and 2.4 times one kind's usual rate on deployment A of
-	// docs/design/uneven-load.md, 0.9970 and 0.9680 of all requests were answered on time
-	// with these values, 0.9957 and 0.9674 with a constant share of 0.5, and 0.9970 and
-	// 0.9675 without fair shares (means of 6 seeds).
+	// from there on, those that ask for little more than their level from maxWaitShare on: a
+	// constant share of 0.5 refuses requests in bursts that the queue can absorb.
 	MinWaitShare    = 0.5
 	maxWaitShare    = 0.9
 	fullExcessRatio = 2
--- a/core/route/pause.go
+++ b/core/route/pause.go
@@ -18,9 +18,7 @@
 	longStreamEvents = 16
 	// The homes of prefixes are distributed in proportion to 1/slowdown^exponent. For prompts
 	// in general that is the rate at which upstreams read. Long streams need steps that are
-	// short beside long prompts too, so their homes are mostly on fast upstreams. In
-	// simulations, with an exponent of 3 as many streams pause for too long, and more
-	// prefixes are read again.
+	// short beside long prompts too, so their homes are mostly on fast upstreams.
 	promptExponent     = 1
 	longStreamExponent = 2
 )
--- a/core/route/prefill.go
+++ b/core/route/prefill.go
@@ -62,9 +62,9 @@
 }
 
 // backlog returns how long a prompt that is sent now is expected to wait for the
-// prefill of earlier ones, at an engine whose work takes slowdown times the usual time. An overdue response indicates that the engine has work that
-// this daemon does not know of. The time by which it is overdue is added as an estimate
-// of that work.
+// prefill of earlier ones, at an engine whose work takes slowdown times the usual time. An
+// overdue response indicates that the engine has work that this daemon does not know of. The
+// time by which it is overdue is added as an estimate of that work.
 func (r *prefillQueue) backlog(now time.Time, slowdown float64) time.Duration {
 	if len(r.prompts) == 0 {
 		return 0
--- a/core/route/slowdown.go
+++ b/core/route/slowdown.go
@@ -47,12 +47,10 @@
 	return clampSlowdown(m.baselineSlowdown)
 }
 
-// usualCalls returns the number of calls that the upstream is assumed to have, as a multiple of
-// those of an upstream of the usual speed. A fast one has more, and most load reports come
-// from fast ones; with the pool's mean, homes on slow upstreams would seem to be overloaded in
-// bursts. If the number were taken to be in proportion to the speed, all upstreams without a
-// recent report would seem to be equally loaded, and the slow ones would get too many calls;
-// the square root of it is between these.
+// usualCalls returns the number of calls that an upstream without a recent load report is
+// assumed to have, as a multiple of those of an upstream of the usual speed. Fast upstreams get
+// more calls than slow ones, but not in proportion to their speed: the square root lies between
+// that and the same number for all, which would keep prefixes away from slow upstreams.
 func (m *member) usualCalls() float64 { return 1 / math.Sqrt(m.usualSlowdown()) }
 
 // homeSlowdown returns the baseline in steps of baselineStep.
--- a/core/slowdown/doc.go
+++ b/core/slowdown/doc.go
@@ -15,8 +15,9 @@
 // periodic resend. An observation above the baseline therefore raises it only if no
 // confirmation has arrived for ConfirmationResends resends, or if the baseline is older than
 // Window and this host has made RaiseSamples observations above it, at least SampleInterval
-// apart, and none below it since. A host that observes a replica all the time thus raises the
-// baseline right after Window.
+// apart, and none below it since. Confirmations that arrive again from other hosts restart these
+// samples, so that raising a baseline may take ConfirmationResends resends in a fleet.
+// Baseline.Expected lets a baseline above the usual time fade when nobody confirms it.
 //
 // Merge is commutative and idempotent. At any given time, baselines of one replica have a
 // total order: those observed within Window come before older ones; among the former the
--- a/core/slowdown/table.go
+++ b/core/slowdown/table.go
@@ -1,13 +1,14 @@
 package slowdown
 
 import (
-	"github.com/cespare/xxhash/v2"
 	"iter"
 	"maps"
 	"math"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
