standin: replicas that fall over from refusals or fall silent

Change: a replica announces how many calls it can refuse in a second and has limited room; it can process nothing for a while and then go on.

--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -72,6 +72,9 @@
 	cancelled        int
 	// rateLimit is the request rate limit advertised in every response; "" for none.
 	rateLimit string
+	// refusalLimit is the number of refusals in a second advertised in every response; "" for
+	// none.
+	refusalLimit string
 	// leaving is set if every response advertises that the replica is leaving.
 	leaving bool
 	// slowdown is the fourth field of the load reports, in percent; "" for reports of three
@@ -81,6 +84,12 @@
 	// refuses all work; "" if it does not.
 	refusalRetryAfter string
 	arrivals          []Arrival
+	// silentUntil is until when requests are not processed.
+	silentUntil time.Time
+	// inProgress counts the requests and piece calls in progress, room is how many may be, 0
+	// for no limit, and refusals are the times at which one was refused beyond that.
+	inProgress, room int
+	refusals         []time.Time
 }
 
 // Arrival is a request or piece call that a replica received.
@@ -266,6 +275,14 @@
 	r.rateLimit = perSecond
 }
 
+// AnnounceRefusalLimit makes every response advertise how many calls the replica can refuse in
+// a second, verbatim; "" ends that.
+func (r *Replica) AnnounceRefusalLimit(perSecond string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusalLimit = perSecond
+}
+
 // AnnounceLeaving makes every response advertise that the replica is leaving. The
 // replica still serves requests, and its store entry does not change.
 func (r *Replica) AnnounceLeaving() {
@@ -348,6 +365,9 @@
 	if r.rateLimit != "" {
 		h.Set("Server-Limit", r.rateLimit)
 	}
+	if r.refusalLimit != "" {
+		h.Set("Server-Brittle", r.refusalLimit)
+	}
 	if r.leaving {
 		h.Set("Server-Leaving", "1")
 	}
@@ -356,6 +376,65 @@
 	}
 }
 
+// Silence makes the replica process nothing for the given time, and then go on.
+func (r *Replica) Silence(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silentUntil = time.Now().Add(d)
+}
+
+func (r *Replica) awaitSilence() {
+	r.mu.Lock()
+	until := r.silentUntil
+	r.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// limited reports whether a request counts against Behaviour.Room.
+func limited(req *http.Request) bool {
+	return !strings.HasPrefix(req.URL.Path, "/-/") || req.URL.Path == "/-/stage-run"
+}
+
+// enter counts a request as in progress, and reports false if there is no room for it.
+func (r *Replica) enter(req *http.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !limited(req) {
+		return true
+	}
+	if r.room > 0 && r.inProgress >= r.room {
+		r.refusals = append(r.refusals, time.Now())
+		return false
+	}
+	r.inProgress++
+	return true
+}
+
+// leave undoes enter.
+func (r *Replica) leave(req *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if limited(req) {
+		r.inProgress--
+	}
+}
+
+// SetRoom sets how many requests and piece calls may be in progress; more are refused. 0 means
+// no limit.
+func (r *Replica) SetRoom(room int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.room = room
+}
+
+// Refusals returns the times at which the replica refused requests and piece calls beyond its
+// room.
+func (r *Replica) Refusals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.refusals)
+}
+
 // PiecesExecuted returns the number of pieces that the replica has executed.
 func (r *Replica) PiecesExecuted() int {
 	r.ledger.mu.Lock()
@@ -384,6 +463,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.awaitSilence()
 	b := r.currentBehaviour()
 	if r.isFrozen() {
 		hang(req)
@@ -415,10 +495,11 @@
 	if b.RetryAfter != "" && (b.Shed || b.ShedWithFreeSlots) && !reserved {
 		w.Header().Set("Retry-After", b.RetryAfter)
 	}
-	if b.Shed && !reserved {
+	if b.Shed && !reserved || !r.enter(req) {
 		r.refuseAsFull(w)
 		return
 	}
+	defer r.leave(req)
 	if b.ShedWithFreeSlots && !reserved {
 		w.Header().Set("Replica-Load", r.loadReport(usualLoad))
 		refuse(w, http.StatusServiceUnavailable)
