gateway: connect to replicas through other hosts

Change: a host that cannot connect asks others to, over the session they share; bytes pass through that host. core/detour decides whom to ask and when, tunnel/ runs it. A host that finds no path refuses at once.

--- a/cmd/wheatseamd/gateway.go
+++ b/cmd/wheatseamd/gateway.go
@@ -22,7 +22,7 @@
 // newGatewayCommand returns the command that runs the gateway on the platform.
 func newGatewayCommand() *cobra.Command {
 	var path string
-	var simulatedSuspension time.Duration
+	var simulatedSuspension, simulatedCut time.Duration
 	settingsPath := func() (string, error) {
 		if path == "" {
 			path = os.Getenv(gateway.SettingsEnv)
@@ -41,13 +41,16 @@
 			if err != nil {
 				return err
 			}
-			return runGateway(path, simulatedSuspension)
+			return runGateway(path, simulatedSuspension, simulatedCut)
 		},
 	}
 	cmd.PersistentFlags().StringVar(&path, "settings", "", "settings file (default $"+gateway.SettingsEnv+")")
 	const suspensionFlag = "simulated-sleep"
 	cmd.Flags().DurationVar(&simulatedSuspension, suspensionFlag, 0, "for tests: simulate a host suspension of this duration at each SIGUSR1; 0 disables it")
 	cmd.Flags().Lookup(suspensionFlag).Hidden = true
+	const cutFlag = "simulated-cut"
+	cmd.Flags().DurationVar(&simulatedCut, cutFlag, 0, "for tests: lose the path to all replicas for this duration at each SIGUSR2; 0 disables it")
+	cmd.Flags().Lookup(cutFlag).Hidden = true
 	cmd.AddCommand(&cobra.Command{
 		Use:   "check",
 		Short: "Check the settings and exit",
@@ -72,7 +75,7 @@
 // that exceeds the host's limit is killed.
 const memoryLimitRatio = 0.6
 
-func runGateway(path string, simulatedSuspension time.Duration) error {
+func runGateway(path string, simulatedSuspension, simulatedCut time.Duration) error {
 	// The signal would end a process that has not asked for it, also while it starts.
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
@@ -95,6 +98,9 @@
 	if simulatedSuspension > 0 {
 		go simulateSuspensions(ctx, simulatedSuspension)
 	}
+	if simulatedCut > 0 {
+		go simulateCuts(ctx, g, simulatedCut)
+	}
 	go reloadSettings(ctx, path, reloadSignals, g, log)
 	return g.Run(ctx)
 }
@@ -114,6 +120,21 @@
 	}
 }
 
+// simulateCuts simulates the loss of the path to all replicas for duration d at each SIGUSR2
+// until ctx ends, in turn with connections that are refused and not answered.
+func simulateCuts(ctx context.Context, g *gateway.Gateway, d time.Duration) {
+	cutSignals := make(chan os.Signal, 1)
+	signal.Notify(cutSignals, syscall.SIGUSR2)
+	for silent := false; ; silent = !silent {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cutSignals:
+			g.SimulateCut(d, silent)
+		}
+	}
+}
+
 // settingsPollInterval is the interval at which the settings file is checked for
 // changes, because it may change without a signal. No setting is urgent enough to
 // need a shorter interval.
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -23,7 +23,7 @@
 // reaching them.
 func (d *Daemon) addQuarantine() {
 	d.quarantine = quarantine.New(quarantine.Config{
-		Self: d.settings.Host, Members: quarantineMembers{d}, Replicas: replica.NewClient(nil), Caller: deferredCaller{d}, Mux: d.peerMux, Logger: d.log,
+		Self: d.settings.Host, Members: quarantineMembers{d}, Replicas: replica.NewClient(nil, nil), Caller: deferredCaller{d}, Mux: d.peerMux, Logger: d.log,
 	})
 	d.cluster.OnSlot(member.SlotQuarantine, d.quarantine.DigestReceived)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -137,6 +137,9 @@
 // Caller returns the transport for calls to peer daemons.
 func (f *Fleet) Caller() peer.Caller { return f.transport }
 
+// Streams returns the transport for streams to peer daemons.
+func (f *Fleet) Streams() peer.StreamOpener { return f.transport }
+
 // SetSeeds replaces the seeds for the following roster requests.
 func (f *Fleet) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -147,6 +147,9 @@
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
+	if err := x.checkPaths(); err != nil {
+		return err
+	}
 	return x.checkEvacuation()
 }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -143,8 +143,9 @@
 	test                               tester
 	callers, readiness, metrics, peers string
 
-	stop context.CancelFunc
-	done chan error
+	gateway *gateway.Gateway
+	stop    context.CancelFunc
+	done    chan error
 }
 
 // start starts a gateway that does not log.
@@ -178,7 +179,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &gatewayProcess{
 		WithT: f.WithT, test: f.test, callers: s.Listen.Callers, readiness: s.Listen.Readiness, metrics: s.Listen.Metrics, peers: self,
-		stop: cancel, done: make(chan error, 1),
+		gateway: g, stop: cancel, done: make(chan error, 1),
 	}
 	go func() {
 		r.done <- g.Run(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/wheatseam/wheatseam/quarantine"
 	"github.com/wheatseam/wheatseam/replica"
 	"github.com/wheatseam/wheatseam/stages"
+	"github.com/wheatseam/wheatseam/tunnel"
 )
 
 // Gateway is one gateway daemon.
@@ -76,6 +77,8 @@
 	notices  notices
 	// slowdowns holds how slow the machines of replicas are.
 	slowdowns slowdowns
+	// paths holds the ways to replicas, directly and through peers.
+	paths paths
 	// reachability holds which replicas can't be reached.
 	reachability reachability
 	// limiters limit the calls to each replica, across all components of this daemon that
@@ -88,7 +91,6 @@
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), limiters: intake.NewLimiters()}
-	g.client = replica.NewClient(g.observeResponse)
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.evacuatedServices.Store(&map[string]bool{})
@@ -101,6 +103,8 @@
 	mux := peer.NewMux()
 	g.registerPromptHandler(mux)
 	g.registerNoticeHandler(mux)
+	g.initPaths(s)
+	g.paths.server.Register(mux)
 	members, err := fleet.New(fleet.Config{
 		Self:  fleet.Host{Host: member.Host{Name: s.Host, FailureDomain: s.FailureDomain}, Capacity: int(s.Limits.ProcessorShare * 1000)},
 		Seeds: s.Seeds, Listen: s.Listen.Peers, Mux: mux, Logger: log,
@@ -110,6 +114,10 @@
 		return nil, err
 	}
 	g.fleet = members
+	g.paths.dialer = tunnel.NewDialer(tunnel.DialerConfig{
+		Direct: g.paths.direct.Dial, Paths: g.paths.Paths, Streams: members.Streams(), OnReply: g.countTunnelAsked,
+	})
+	g.client = replica.NewClient(g.paths.dialer.Dial, g.observeResponse)
 	g.quarantine = quarantine.New(quarantine.Config{
 		Self: s.Host, Members: members, Replicas: g.client, Caller: members.Caller(), Mux: mux, Logger: log, OnReplicaCrash: g.countReplicaCrash,
 	})
@@ -248,6 +256,7 @@
 		_ = server.Close()
 		return
 	}
+	g.awaitTunnels(shutdownCtx)
 	g.log.Info("drained")
 }
 
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -69,12 +69,25 @@
 	gauge("wheatseam_replicas_resting", func() float64 { return float64(len(g.notices.backoffStates(clock.Now()))) })
 	gauge("wheatseam_replica_slowdown_baselines", func() float64 { return float64(g.slowdowns.count()) })
 	gauge("wheatseam_replicas_unreachable", func() float64 { return float64(g.reachability.count()) })
+	gauge("wheatseam_detours", func() float64 { return float64(g.paths.State().Detours) })
+	gauge("wheatseam_tunnels_open", func() float64 { return float64(g.paths.server.Open()) })
+	for _, state := range []string{"direct", "cut_off", "stranded"} {
+		gauge(fmt.Sprintf("wheatseam_path_state{state=%q}", state), func() float64 { return boolGauge(pathState(g.paths.State()) == state) })
+	}
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.discovery.View().Evacuations.Domains)) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.SuspendedTime().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
 	gauge("wheatseam_jobs_planned", func() float64 { return float64(g.stages.Dump().Planned) })
 }
 
+// boolGauge is 1 for true.
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // countAttempt counts an attempt at a replica.
 func (g *Gateway) countAttempt(service string, end attemptEnd, took time.Duration) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_attempts_total{service=%q,end=%q}", service, end)).Inc()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -77,6 +78,9 @@
 	if perr = x.checkQuarantine(); perr != nil {
 		return c, "", perr
 	}
+	if perr = x.checkPaths(); perr != nil {
+		return c, "", perr
+	}
 	if perr = x.ensureInputs(); perr != nil {
 		return c, "", perr
 	}
@@ -166,7 +170,11 @@
 	copyFrom string
 	// reservation is the ID of the capacity reserved for the request; "" for none.
 	reservation string
-	began       time.Time
+	// connectError is why no connection was established; nil if one was.
+	connectError error
+	// via is the host through which the connection goes; "" for a direct one.
+	via   string
+	began time.Time
 	// suspended is for how long this host had been suspended when the attempt began.
 	suspended time.Duration
 	firstAt   time.Time
@@ -207,6 +215,7 @@
 	if err != nil {
 		if httpbody.IsNotSent(err) {
 			t.reportConnectFailure(err)
+			t.connectError = err
 			return notSent, withRetryAfter(problem.New(problem.NoUpstream, "no connection to a replica"), refusedRetryAfter)
 		}
 		x.runs++
@@ -250,7 +259,10 @@
 		Replica: t.choice.Upstream, RequestID: x.req.ID, ExecutesRequest: true,
 		Method: x.r.Method, Address: t.choice.Address, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.EncodeAttempt(x.r.Header, a), Body: x.body,
-		OnConnected: func() { t.inputRelease.start(x) },
+		OnConnected: func(c net.Conn) {
+			t.via = replica.Via(c)
+			t.inputRelease.start(x)
+		},
 	}
 }
 
@@ -372,6 +384,12 @@
 	if t.notice.Leaving {
 		fields = append(fields, zap.Bool("leaving", true))
 	}
+	if t.connectError != nil {
+		fields = append(fields, zap.Error(t.connectError))
+	}
+	if t.via != "" {
+		fields = append(fields, zap.String("via", t.via))
+	}
 	if err != nil {
 		fields = append(fields, zap.String("why", err.Detail))
 	}
--- a/internal/httpbody/upstream.go
+++ b/internal/httpbody/upstream.go
@@ -49,7 +49,12 @@
 }
 
 // DialError is a failure to connect: no part of the request was sent.
-type DialError struct{ Err error }
+type DialError struct {
+	Err error
+	// Unconfirmed says that other hosts exist, and none that reaches other upstreams has
+	// tried this one.
+	Unconfirmed bool
+}
 
 // Error implements error.
 func (e *DialError) Error() string { return "dial: " + e.Err.Error() }
--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -130,6 +130,8 @@
 		a := f.start(f.config("a"))
 		f.start(cfg)
 		DeferCleanup(func() { close(release) })
+		// A deadline that passes while the session is established leaves the call unsent.
+		Expect(echo(a, "b", "first", time.Second)).To(Equal("a:first"))
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
 		err := a.Call(ctx, "b", "slow", &text{}, &text{})
--- a/peer/mux.go
+++ b/peer/mux.go
@@ -27,10 +27,13 @@
 type Mux struct {
 	mu       sync.RWMutex
 	handlers map[string]handler
+	streams  map[string]streamHandler
 }
 
 // NewMux returns a mux without methods.
-func NewMux() *Mux { return &Mux{handlers: make(map[string]handler)} }
+func NewMux() *Mux {
+	return &Mux{handlers: make(map[string]handler), streams: make(map[string]streamHandler)}
+}
 
 // Handle registers h for method. It panics if the method is already registered, since
 // that is a programming error. Each call of the handler runs in its own goroutine, many
@@ -60,6 +63,22 @@
 	m.handlers[method] = h
 }
 
+func (m *Mux) addStream(method string, h streamHandler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.streams[method]; ok {
+		panic("peer: method registered twice: " + method)
+	}
+	m.streams[method] = h
+}
+
+// lookupStream returns the handler of a method that opens streams, or nil.
+func (m *Mux) lookupStream(method string) streamHandler {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.streams[method]
+}
+
 // lookup returns the handler of method, or nil.
 func (m *Mux) lookup(method string) handler {
 	m.mu.RLock()
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -52,6 +52,11 @@
 		stream.Close()
 		return
 	}
+	if h := t.cfg.Mux.lookupStream(env.Method); h != nil {
+		t.counters.countReceived(env.Method, roleServer, n)
+		t.serveOpen(s, stream, env, h)
+		return
+	}
 	payload, err := t.serveCall(s, env)
 	method := t.knownMethod(env.Method)
 	t.counters.countReceived(method, roleServer, n)
@@ -62,6 +67,14 @@
 
 // serveCall validates an envelope and runs its method.
 func (t *Transport) serveCall(s *session, env *wire.Envelope) ([]byte, error) {
+	return t.serve(s, env, func(ctx context.Context) ([]byte, error) {
+		return t.dispatch(ctx, senderOf(env), env.Method, env.Payload)
+	})
+}
+
+// serve validates an envelope and runs its handler within the time of the call. A request to
+// retire the session is served at once.
+func (t *Transport) serve(s *session, env *wire.Envelope, handle func(ctx context.Context) ([]byte, error)) ([]byte, error) {
 	if err := checkVersion(env); err != nil {
 		return nil, err
 	}
@@ -84,7 +97,7 @@
 	case <-ctx.Done():
 		return nil, fmt.Errorf("%w: no free handler", ErrBusy)
 	}
-	payload, err := t.dispatch(ctx, senderOf(env), env.Method, env.Payload)
+	payload, err := handle(ctx)
 	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return nil, fmt.Errorf("%w: %w", ErrTimeout, err)
 	}
@@ -98,21 +111,29 @@
 	if h == nil {
 		return nil, fmt.Errorf("%w: %q", ErrUnknownMethod, method)
 	}
-	defer func() {
-		if r := recover(); r != nil {
-			t.counters.panics.Inc()
-			t.cfg.Logger.Error("peer handler panicked", zap.String("method", method),
-				zap.String("peer", from.Host), zap.Any("panic", r), zap.ByteString("stack", debug.Stack()))
-			err = fmt.Errorf("handler of %s panicked", method)
-		}
-	}()
+	defer t.recoverHandler(method, from, &err)
 	return h(ctx, from, payload)
 }
 
+// recoverHandler turns a panic of a handler into an error. It must be deferred directly.
+func (t *Transport) recoverHandler(method string, from Sender, err *error) {
+	if r := recover(); r != nil {
+		t.counters.panics.Inc()
+		t.cfg.Logger.Error("peer handler panicked", zap.String("method", method),
+			zap.String("peer", from.Host), zap.Any("panic", r), zap.ByteString("stack", debug.Stack()))
+		*err = fmt.Errorf("handler of %s panicked", method)
+	}
+}
+
 // answer writes the answer of a stream and closes the stream. If the answer is too
 // large it sends the error instead.
 func (t *Transport) answer(stream *yamux.Stream, method string, payload []byte, err error) {
 	defer stream.Close()
+	t.writeAnswer(stream, method, payload, err)
+}
+
+// writeAnswer writes the answer of a stream, and reports whether it was written.
+func (t *Transport) writeAnswer(stream *yamux.Stream, method string, payload []byte, err error) bool {
 	env := t.envelope()
 	if err == nil {
 		env.Payload = payload
@@ -123,12 +144,14 @@
 	if err != nil {
 		env.Payload, env.Error, env.ErrorCode = nil, err.Error(), codeOf(err)
 		if frame, err = encode(env, t.cfg.MaxMessageBytes); err != nil {
-			return
+			return false
 		}
 	}
-	if _, err := stream.Write(frame); err == nil {
-		t.counters.countSent(method, roleServer, len(frame))
+	if _, err := stream.Write(frame); err != nil {
+		return false
 	}
+	t.counters.countSent(method, roleServer, len(frame))
+	return true
 }
 
 // knownMethod returns method, or "unknown" if it is not registered, so that peers
--- a/peer/session.go
+++ b/peer/session.go
@@ -35,7 +35,8 @@
 
 	callPermits    chan struct{} // one per call in flight from this side
 	queuedCalls    atomic.Int32  // calls that wait for a permit
-	servingCalls   atomic.Int32  // calls from the peer that are being served
+	servingCalls   atomic.Int32  // calls from the peer that are being served, and its open streams
+	openStreams    atomic.Int32  // streams that this side has opened, see OpenStream
 	lastUsed       atomic.Int64  // by clock.Nanos
 	retired        atomic.Bool   // accepts no new calls
 	suspect        atomic.Bool   // accepts no new calls until the peer has answered a ping
@@ -79,7 +80,7 @@
 
 // idle reports whether the session has had no call for timeout.
 func (s *session) idle(timeout time.Duration) bool {
-	busy := len(s.callPermits) > 0 || s.servingCalls.Load() > 0
+	busy := len(s.callPermits) > 0 || s.servingCalls.Load() > 0 || s.openStreams.Load() > 0
 	return !busy && clock.Nanos()-s.lastUsed.Load() > int64(timeout)
 }
 
@@ -109,8 +110,9 @@
 	})
 }
 
-// waitUntilIdle waits until no call has been in flight for retireIdleTime. The wait is
-// bounded, since every call has a deadline.
+// waitUntilIdle waits until no call has been in flight, and no stream open, for
+// retireIdleTime. Every call has a deadline; a stream ends with what uses it, or with the
+// session.
 func (s *session) waitUntilIdle() {
 	tick := time.NewTicker(retireIdleTime / 4)
 	defer tick.Stop()
--- a/replica/client.go
+++ b/replica/client.go
@@ -22,13 +22,6 @@
 	"github.com/wheatseam/wheatseam/platform"
 )
 
-// connectTimeout bounds the TCP connect to a replica: two round trips to one that is a
-// region away (20 ms one-way latency), and the 70 ms for which a host may be suspended that
-// has used up its processor time. The kernel retransmits a lost SYN only after a second, so
-// trying another replica is faster. With 300 ms, one attempt at a replica without power
-// made requests with an objective of 600 ms late.
-const connectTimeout = 150 * time.Millisecond
-
 // pooledIdleTimeout is how long the pooled connection for releasing results may
 // stay idle. It is below one second because replicas close idle connections
 // after a whole number of seconds.
@@ -41,6 +34,7 @@
 // A Client is safe for concurrent use.
 type Client struct {
 	singleUse, pooled *http.Transport
+	dial              DialFunc
 	onResponse        func(Observation)
 }
 
@@ -53,18 +47,22 @@
 	Head    platform.ResponseHead
 }
 
-// NewClient returns a client. onResponse is called for every response that came from
-// the replica the call was addressed to. It must not block, and may be nil.
-func NewClient(onResponse func(Observation)) *Client {
-	c := &Client{singleUse: newTransport(), pooled: newTransport(), onResponse: onResponse}
+// NewClient returns a client that connects with dial; nil means from this host.
+// onResponse is called for every response that came from the replica the call was
+// addressed to. It must not block, and may be nil.
+func NewClient(dial DialFunc, onResponse func(Observation)) *Client {
+	if dial == nil {
+		dial = (&DirectDialer{}).Dial
+	}
+	c := &Client{singleUse: newTransport(dial), pooled: newTransport(dial), dial: dial, onResponse: onResponse}
 	c.singleUse.DisableKeepAlives = true
 	c.pooled.MaxIdleConnsPerHost, c.pooled.IdleConnTimeout = 1, pooledIdleTimeout
 	return c
 }
 
-func newTransport() *http.Transport {
+func newTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:        httpbody.NewDialFunc(&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}),
+		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
 		ReadBufferSize:     4 << 10,
@@ -73,13 +71,16 @@
 
 // RefusesConnections reports whether connections to a replica's address are refused, which
 // means that its process has ended. It opens a connection and sends nothing. It
-// returns an error when the connect fails in any other way and the state of the
-// replica is therefore unknown.
+// returns an error when the connect fails in any other way, or this host may have lost
+// the path to the replica, and the state of the replica is therefore unknown.
 func (c *Client) RefusesConnections(ctx context.Context, address string) (bool, error) {
-	conn, err := (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, address)
+	var dial *httpbody.DialError
 	switch {
 	case err == nil:
 		return false, conn.Close()
+	case errors.As(err, &dial) && dial.Unconfirmed:
+		return false, fmt.Errorf("connect, not tried by a host that reaches others: %w", err)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return true, nil
 	}
@@ -104,9 +105,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// OnConnected is called when a connection for the call is established, before the
-	// call is sent. It must not block, and may be nil.
-	OnConnected func()
+	// OnConnected is called with the connection for the call when it is established, before
+	// the call is sent. It must not block, and may be nil.
+	OnConnected func(net.Conn)
 }
 
 // Response is the response to a call. The caller must close its body.
@@ -131,7 +132,7 @@
 		req.ContentLength = int64(len(call.Body))
 	}
 	if call.OnConnected != nil {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { call.OnConnected() }})
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { call.OnConnected(i.Conn) }})
 	}
 	sentAt := clock.Now()
 	resp, err := t.RoundTrip(req.WithContext(ctx))
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -18,7 +18,7 @@
 	fetchReport := func(address string, timeout time.Duration) (platform.EngineReport, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		return replica.NewClient(nil).EngineReport(ctx, "r", address)
+		return replica.NewClient(nil, nil).EngineReport(ctx, "r", address)
 	}
 
 	It("returns the runs", func() {
@@ -52,7 +52,7 @@
 
 var _ = Describe("reserving capacity at an engine", func() {
 	reserve := func(s *server) (string, error) {
-		return replica.NewClient(nil).Reserve(context.Background(), "r", s.address(), 1460, time.Second)
+		return replica.NewClient(nil, nil).Reserve(context.Background(), "r", s.address(), 1460, time.Second)
 	}
 
 	It("returns the reservation's id, with which it is released", func() {
@@ -63,7 +63,7 @@
 			_, _ = io.WriteString(w, `{"hold":"h7"}`)
 		})
 		Expect(reserve(s)).To(Equal("h7"))
-		Expect(replica.NewClient(nil).ReleaseReservation(context.Background(), "r", s.address(), "h7")).To(Succeed())
+		Expect(replica.NewClient(nil, nil).ReleaseReservation(context.Background(), "r", s.address(), "h7")).To(Succeed())
 		Expect(calls).To(Equal([]string{`POST /-/hold-take {"token_count":1460,"ttl_ms":1000}`, `DELETE /-/hold-drop/h7 `}))
 	})
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -50,12 +50,12 @@
 
 var _ = Describe("releasing results", func() {
 	release := func(s *server) error {
-		return replica.NewClient(nil).ReleaseResults(context.Background(), stage.Release{Replica: "r", Address: s.address(), Handles: []string{"h"}})
+		return replica.NewClient(nil, nil).ReleaseResults(context.Background(), stage.Release{Replica: "r", Address: s.address(), Handles: []string{"h"}})
 	}
 
 	It("reuses one connection for successive calls", func() {
 		s := serve(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
-		c := replica.NewClient(nil)
+		c := replica.NewClient(nil, nil)
 		for range 5 {
 			Expect(c.ReleaseResults(context.Background(), stage.Release{Replica: "r", Address: s.address(), Handles: []string{"h"}})).To(Succeed())
 		}
@@ -79,7 +79,7 @@
 		relay, err := faultrelay.New(faultrelay.Config{Target: s.address()})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(relay.Close)
-		c := replica.NewClient(nil)
+		c := replica.NewClient(nil, nil)
 		request := stage.Release{Replica: "r", Address: relay.Address(), Handles: []string{"h"}}
 		Expect(c.ReleaseResults(context.Background(), request)).To(Succeed())
 		Expect(relay.BlackholeOpenConnections()).To(Equal(1))
@@ -109,7 +109,7 @@
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
-		err := replica.NewClient(nil).ReleaseResults(ctx, stage.Release{Replica: "r", Address: silent.address(), Handles: []string{"h"}})
+		err := replica.NewClient(nil, nil).ReleaseResults(ctx, stage.Release{Replica: "r", Address: silent.address(), Handles: []string{"h"}})
 		Expect(err).To(MatchError(context.DeadlineExceeded))
 		Expect(silent.calls.Load()).To(Equal(int64(1)))
 	})
@@ -118,7 +118,7 @@
 var _ = Describe("querying free memory", func() {
 	fetchFreeMemory := func(handler http.HandlerFunc) (stage.FreeMemory, error) {
 		s := serve(handler)
-		return replica.NewClient(nil).FreeMemory(context.Background(), stage.QueryMemory{Replica: "r@7", Address: s.address()})
+		return replica.NewClient(nil, nil).FreeMemory(context.Background(), stage.QueryMemory{Replica: "r@7", Address: s.address()})
 	}
 
 	It("returns bounds in bytes for a report in whole megabytes", func() {
@@ -147,7 +147,7 @@
 var _ = Describe("calls that run pieces", func() {
 	It("use a connection each", func() {
 		s := serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"entries":[{"handle":"h"}]}`) })
-		c := replica.NewClient(nil)
+		c := replica.NewClient(nil, nil)
 		run := stage.Run{Replica: "r", Address: s.address(), Timeout: time.Second, Pieces: []stage.Piece{{Job: "j", Key: "k"}}}
 		for range 3 {
 			results, outcome, err := c.RunPieces(context.Background(), run)
@@ -164,11 +164,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		})
 		run := stage.Run{Replica: "r", Address: s.address(), Timeout: time.Second, Pieces: []stage.Piece{{Job: "j", Key: "k"}}}
-		_, outcome, err := replica.NewClient(nil).RunPieces(context.Background(), run)
+		_, outcome, err := replica.NewClient(nil, nil).RunPieces(context.Background(), run)
 		Expect(err).To(HaveOccurred())
 		Expect(outcome).To(Equal(stage.CallNotExecuted))
 		s.Close()
-		_, outcome, err = replica.NewClient(nil).RunPieces(context.Background(), run)
+		_, outcome, err = replica.NewClient(nil, nil).RunPieces(context.Background(), run)
 		Expect(err).To(HaveOccurred())
 		Expect(outcome).To(Equal(stage.CallUnreachable))
 	})
@@ -180,8 +180,8 @@
 		s := serve(func(http.ResponseWriter, *http.Request) {})
 		var connected atomic.Int64
 		do := func(address string) error {
-			resp, err := replica.NewClient(nil).Do(context.Background(), replica.Call{
-				Method: http.MethodGet, Address: address, Target: "/", Header: http.Header{}, OnConnected: func() { connected.Add(1) },
+			resp, err := replica.NewClient(nil, nil).Do(context.Background(), replica.Call{
+				Method: http.MethodGet, Address: address, Target: "/", Header: http.Header{}, OnConnected: func(net.Conn) { connected.Add(1) },
 			})
 			if err == nil {
 				err = resp.Body.Close()
--- /dev/null
+++ b/tunnel/tunnel_test.go
@@ -0,0 +1,313 @@
+package tunnel_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/detour"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
+	"github.com/wheatseam/wheatseam/peer"
+	"github.com/wheatseam/wheatseam/replica"
+	"github.com/wheatseam/wheatseam/tunnel"
+)
+
+// testHost is a host with a transport, a server and a dialer.
+type testHost struct {
+	name      string
+	direct    replica.DirectDialer
+	paths     *tunnel.Paths
+	server    *tunnel.Server
+	dialer    *tunnel.Dialer
+	transport *peer.Transport
+	maxOpen   int
+	closed    atomic.Bool // accepts nothing
+	states    chan tunnel.State
+}
+
+// testFleet is a set of hosts and the addresses of replicas.
+type testFleet struct {
+	*WithT
+	t        *testing.T
+	mu       sync.Mutex
+	hosts    map[string]*testHost
+	replicas []string
+}
+
+func newFleet(t *testing.T, names ...string) *testFleet {
+	f := &testFleet{WithT: NewWithT(t), t: t, hosts: map[string]*testHost{}}
+	for _, n := range names {
+		f.add(n)
+	}
+	return f
+}
+
+func (f *testFleet) add(name string) *testHost {
+	h := &testHost{name: name, maxOpen: 8, states: make(chan tunnel.State, 16)}
+	h.paths = tunnel.NewPaths(tunnel.PathsConfig{
+		Self: name, Peers: func() []string { return f.others(name) },
+		Sample: func(int) []string { return f.addresses() }, Count: func() int { return len(f.addresses()) },
+		IsReplica: func(string) bool { return true }, OnChange: func(_, s tunnel.State) { h.states <- s },
+	})
+	mux := peer.NewMux()
+	h.server = tunnel.NewServer(tunnel.ServerConfig{
+		MaxOpen: h.maxOpen, Direct: h.direct.Dial, Paths: h.paths,
+		Accepts: func(string) bool { return !h.closed.Load() }, OnConnect: func(string, detour.Result) {},
+	})
+	h.server.Register(mux)
+	var err error
+	h.transport, err = peer.NewTransport(peer.Config{
+		Host: name, Incarnation: 1, Listen: "127.0.0.1:0", Plaintext: true, Mux: mux, MaxBackoff: 50 * time.Millisecond,
+		Resolve: func(host string) (string, bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			o := f.hosts[host]
+			if o == nil {
+				return "", false
+			}
+			return o.transport.Addr(), true
+		},
+	})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { _ = h.transport.Close() })
+	h.dialer = tunnel.NewDialer(tunnel.DialerConfig{Direct: h.direct.Dial, Paths: h.paths, Streams: h.transport, OnReply: func(string, detour.Result) {}})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[name] = h
+	return h
+}
+
+func (f *testFleet) others(name string) (out []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n := range f.hosts {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (f *testFleet) addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.replicas...)
+}
+
+// replica starts a server that handles each connection.
+func (f *testFleet) replica(handle func(*net.TCPConn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c.(*net.TCPConn))
+		}
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replicas = append(f.replicas, l.Addr().String())
+	return l.Addr().String()
+}
+
+func echo(c *net.TCPConn) {
+	defer c.Close()
+	_, _ = io.Copy(c, c)
+}
+
+// dial connects from a host that is cut off, and expects that a peer connects.
+func (f *testFleet) dial(h *testHost, address string) net.Conn {
+	f.t.Helper()
+	h.direct.SimulateCut(time.Minute, false)
+	c, err := h.dialer.Dial(context.Background(), address)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { _ = c.Close() })
+	f.Expect(replica.Via(c)).NotTo(BeEmpty())
+	return c
+}
+
+func TestBytesPassBothWays(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	c := f.dial(f.hosts["a"], f.replica(echo))
+	sent := make([]byte, 3<<20)
+	for i := range sent {
+		sent[i] = byte(i * 7)
+	}
+	go func() { _, _ = c.Write(sent) }()
+	received := make([]byte, len(sent))
+	_, err := io.ReadFull(c, received)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(received).To(Equal(sent))
+	f.Expect(replica.Via(c)).To(Equal("b"))
+}
+
+// Guards against answers without a length that look complete although the replica reset the
+// connection, or the host between was lost.
+func TestEndOfTheReplicaDiffersFromABrokenConnection(t *testing.T) {
+	partial := func(end func(*net.TCPConn)) func(*net.TCPConn) {
+		return func(c *net.TCPConn) {
+			_, _ = c.Write([]byte("part"))
+			time.Sleep(50 * time.Millisecond)
+			end(c)
+		}
+	}
+	for name, c := range map[string]struct {
+		handle func(*net.TCPConn)
+		lose   bool
+		broken bool
+	}{
+		"closed": {partial(func(c *net.TCPConn) { _ = c.Close() }), false, false},
+		"reset":  {partial(func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }), false, true},
+		"lost":   {partial(func(*net.TCPConn) {}), true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, "a", "b")
+			conn := f.dial(f.hosts["a"], f.replica(c.handle))
+			if c.lose {
+				time.AfterFunc(100*time.Millisecond, func() { _ = f.hosts["b"].transport.Close() })
+			}
+			body, err := io.ReadAll(conn)
+			f.Expect(string(body)).To(Equal("part"))
+			if !c.broken {
+				f.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			f.Expect(err).To(MatchError(tunnel.ErrBroken))
+			f.Expect(httpbody.IsConnectionBroken(err)).To(BeTrue())
+		})
+	}
+}
+
+// Guards against replicas that work on for callers that have left.
+func TestClosingEndsTheReplicasConnection(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	ended := make(chan error, 1)
+	c := f.dial(f.hosts["a"], f.replica(func(c *net.TCPConn) {
+		_, err := bufio.NewReader(c).ReadByte()
+		ended <- err
+	}))
+	f.Expect(f.hosts["b"].server.Open()).To(Equal(1))
+	f.Expect(c.Close()).To(Succeed())
+	f.Eventually(ended, "2s").Should(Receive(Not(BeNil())))
+	f.Eventually(f.hosts["b"].server.Open, "2s").Should(BeZero())
+}
+
+// Guards against connections that pass a second host: a host that is cut off connects for
+// nobody, and names those that do.
+func TestHostThatIsCutOffIsNotUsed(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	address := f.replica(echo)
+	f.hosts["b"].direct.SimulateCut(time.Minute, false)
+	for range 4 {
+		f.Expect(replica.Via(f.dial(f.hosts["a"], address))).To(Equal("c"))
+		f.Expect(replica.Via(f.dial(f.hosts["b"], address))).To(Equal("c"))
+	}
+	f.Expect(f.hosts["c"].server.Open()).To(Equal(8))
+}
+
+func TestHostThatDrainsOrHasNoRoomIsNotUsed(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	address := f.replica(echo)
+	f.hosts["b"].closed.Store(true)
+	f.hosts["a"].direct.SimulateCut(time.Minute, false)
+	_, err := f.hosts["a"].dialer.Dial(context.Background(), address)
+	f.Expect(httpbody.IsNotSent(err)).To(BeTrue())
+	f.hosts["b"].closed.Store(false)
+	f.Eventually(func() error {
+		c, err := f.hosts["a"].dialer.Dial(context.Background(), address)
+		if err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+		return err
+	}, "4s", "50ms").Should(Succeed())
+	for range f.hosts["b"].maxOpen - 1 {
+		f.dial(f.hosts["a"], address)
+	}
+	_, err = f.hosts["a"].dialer.Dial(context.Background(), address)
+	f.Expect(httpbody.IsNotSent(err)).To(BeTrue())
+	f.Expect(f.hosts["b"].server.Open()).To(Equal(f.hosts["b"].maxOpen))
+}
+
+// Guards against a replica that counts as crashed because the path to it is cut.
+func TestRefusalIsConfirmedByHostsThatReachOthers(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	f.replica(echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Expect(err).NotTo(HaveOccurred())
+	gone := l.Addr().String()
+	f.Expect(l.Close()).To(Succeed())
+	refuses := func() bool {
+		_, err := f.hosts["a"].dialer.Dial(context.Background(), gone)
+		var dial *httpbody.DialError
+		f.Expect(errors.As(err, &dial)).To(BeTrue())
+		return errors.Is(err, syscall.ECONNREFUSED) && !dial.Unconfirmed
+	}
+	for _, h := range f.hosts {
+		h.direct.SimulateCut(time.Second, false)
+	}
+	f.Expect(refuses()).To(BeFalse(), "no host reaches any replica")
+	f.Eventually(refuses, "8s", "50ms").Should(BeTrue())
+}
+
+// Guards against a failed connection of which the log doesn't tell why no other host made it.
+func TestFailureNamesThePeersThatWereAsked(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	address := f.replica(echo)
+	for _, h := range f.hosts {
+		h.direct.SimulateCut(time.Minute, false)
+	}
+	dial := func() error {
+		_, err := f.hosts["a"].dialer.Dial(context.Background(), address)
+		return err
+	}
+	f.Eventually(dial, "2s", "10ms").Should(MatchError(ContainSubstring("connection refused; peers asked: b (peer_cut_off)")))
+	f.Expect(dial()).To(MatchError(ContainSubstring("connection refused; peers asked: none")), "b has just said so")
+	f.Expect(httpbody.IsNotSent(dial())).To(BeTrue())
+}
+
+func TestAttemptEndsWithItsContext(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	address := f.replica(echo)
+	for _, h := range f.hosts {
+		h.direct.SimulateCut(time.Minute, true)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := f.hosts["a"].dialer.Dial(ctx, address)
+	f.Expect(err).To(MatchError(context.DeadlineExceeded))
+	f.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+}
+
+// Guards against old daemons, which do not know the method, being asked again and again.
+func TestHostWithoutTheMethodIsLeftOut(t *testing.T) {
+	f := newFleet(t, "a")
+	old, err := peer.NewTransport(peer.Config{Host: "old", Incarnation: 1, Listen: "127.0.0.1:0", Plaintext: true, Mux: peer.NewMux(), Resolve: func(string) (string, bool) { return "", false }})
+	f.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = old.Close() })
+	f.hosts["old"] = &testHost{name: "old", transport: old}
+	replies := make(chan detour.Result, 16)
+	a := f.hosts["a"]
+	a.dialer = tunnel.NewDialer(tunnel.DialerConfig{Direct: a.direct.Dial, Paths: a.paths, Streams: a.transport, OnReply: func(_ string, r detour.Result) { replies <- r }})
+	a.direct.SimulateCut(time.Minute, false)
+	address := f.replica(echo)
+	for range 3 {
+		_, err := a.dialer.Dial(context.Background(), address)
+		f.Expect(httpbody.IsNotSent(err)).To(BeTrue())
+	}
+	f.Expect(replies).To(HaveLen(1))
+	f.Expect(<-replies).To(Equal(detour.Unsupported))
+}
