gateway: keep refusals below what a replica can bear

Cause: a replica that announces how many calls it can refuse in a second falls over if hosts send it more than it has room for. Change: hosts share out its slots by rank and some of the refusals; after a refusal calls begin one by one. Announcements and their ends are told among hosts.

--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -21,12 +21,14 @@
 	// BackingOff temporarily blocks the calls to replicas that asked this host for a
 	// backoff.
 	BackingOff
+	// Refusals limits the calls to replicas that fail if they have to refuse too many.
+	Refusals
 	sourceCount
 )
 
 // String returns the name of the source in logs and decision records.
 func (s Source) String() string {
-	return [sourceCount]string{"cold", "limited", "leaving", "resting"}[s]
+	return [sourceCount]string{"cold", "limited", "leaving", "resting", "refusals"}[s]
 }
 
 // Quota is one host's quota of the calls to a replica.
@@ -44,6 +46,19 @@
 	// BlockedUntil is the time until which no call may begin, and from which the quota no
 	// longer applies; zero for a quota that does not expire.
 	BlockedUntil time.Time
+	// InFlight, if set, limits the calls in flight, and the other fields are not used.
+	InFlight *InFlightQuota
+}
+
+// InFlightQuota is one host's quota of the calls in flight at a replica, and of those that
+// the replica refuses.
+type InFlightQuota struct {
+	// Calls is the maximum number of calls in flight.
+	Calls int
+	// No call may begin once the replica has refused Refusals calls within Window; values
+	// above MaxTrackedCalls are treated as MaxTrackedCalls.
+	Refusals int
+	Window   time.Duration
 }
 
 // MaxTrackedCalls is the maximum number of calls of a Quota that a Limiter tracks.
@@ -62,6 +77,12 @@
 	// also updated while no quota is set.
 	callTimes [MaxTrackedCalls]time.Time
 	newest    int
+	// inFlight counts the calls that have not ended. refusals are the times of the last
+	// refusals, oldest first, and besideRefused the number of other calls in flight at the
+	// last one.
+	inFlight      int
+	refusals      []time.Time
+	besideRefused int
 }
 
 // RecordCall records a call.
@@ -73,6 +94,33 @@
 	defer g.mu.Unlock()
 	g.newest = (g.newest + 1) % MaxTrackedCalls
 	g.callTimes[g.newest] = now
+	g.inFlight++
+}
+
+// RecordEnd records the end of a call.
+func (g *Limiter) RecordEnd() {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight = max(0, g.inFlight-1)
+}
+
+// RecordRefusal records that the replica refused a call for want of room. inFlight says that
+// the call was recorded and has not ended.
+func (g *Limiter) RecordRefusal(now time.Time, inFlight bool) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refusals = append(g.refusals, now)
+	g.refusals = g.refusals[max(0, len(g.refusals)-MaxTrackedCalls):]
+	g.besideRefused = g.inFlight
+	if inFlight {
+		g.besideRefused = max(0, g.inFlight-1)
+	}
 }
 
 // Blocked reports whether a call may not begin now, and the source of the quota that blocks
@@ -84,7 +132,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for s, p := range g.quotas {
-		if p != nil && now.Before(g.allowedAt(p)) {
+		if p != nil && now.Before(g.allowedAt(now, p)) {
 			return Source(s), true
 		}
 	}
@@ -105,8 +153,8 @@
 		if p == nil {
 			continue
 		}
-		allowed := g.allowedAt(p)
-		if othersAllowed := now.Add(p.Window); p.BlockedUntil.IsZero() && p.Calls < 1 && p.Window > 0 && allowed.After(othersAllowed) {
+		allowed := g.allowedAt(now, p)
+		if othersAllowed := now.Add(p.Window); p.InFlight == nil && p.BlockedUntil.IsZero() && p.Calls < 1 && p.Window > 0 && allowed.After(othersAllowed) {
 			allowed = othersAllowed
 		}
 		if allowed.After(at) {
@@ -151,7 +199,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.quotas {
-		if p == nil || !p.BlockedUntil.IsZero() && !now.Before(p.BlockedUntil) {
+		if p == nil || p.InFlight != nil || !p.BlockedUntil.IsZero() && !now.Before(p.BlockedUntil) {
 			continue
 		}
 		var rate float64
@@ -166,8 +214,10 @@
 }
 
 // allowedAt returns when a quota allows this host's next call. The caller holds the lock.
-func (g *Limiter) allowedAt(p *Quota) time.Time {
+func (g *Limiter) allowedAt(now time.Time, p *Quota) time.Time {
 	switch {
+	case p.InFlight != nil:
+		return g.inFlightAllowedAt(now, p.InFlight)
 	case !p.BlockedUntil.IsZero():
 		return p.BlockedUntil
 	case p.Calls < 1:
@@ -180,6 +230,39 @@
 	return oldest.Add(p.Window)
 }
 
+const (
+	// inFlightRetryInterval is after which time a call is tried again that may not begin
+	// because of others in flight.
+	inFlightRetryInterval = 50 * time.Millisecond
+	// refusalRecovery is the time in which one more call in flight is allowed after a
+	// refusal.
+	refusalRecovery = 250 * time.Millisecond
+	// refusalPeriod is for how long calls begin one by one after a refusal, and
+	// refusalDelay the time between two of them: by then a call that is refused has been.
+	refusalPeriod = 5 * time.Second
+	refusalDelay  = 50 * time.Millisecond
+)
+
+// inFlightAllowedAt returns when a quota of calls in flight allows the next call. The caller
+// holds the lock.
+func (g *Limiter) inFlightAllowedAt(now time.Time, q *InFlightQuota) time.Time {
+	calls, at := q.Calls, time.Time{}
+	if n := len(g.refusals); n > 0 {
+		since := now.Sub(g.refusals[n-1])
+		if first := n - min(q.Refusals, MaxTrackedCalls); first >= 0 {
+			at = g.refusals[first].Add(q.Window)
+		}
+		if next := g.callTimes[g.newest].Add(refusalDelay); since < refusalPeriod && next.After(at) {
+			at = next
+		}
+		calls = min(calls, max(1, g.besideRefused)+int(since/refusalRecovery))
+	}
+	if next := now.Add(inFlightRetryInterval); g.inFlight >= calls && next.After(at) {
+		at = next
+	}
+	return at
+}
+
 // probeAllowedAt returns when a quota of no calls allows the next probe call. The caller
 // holds the lock.
 func (g *Limiter) probeAllowedAt(p *Quota) time.Time {
--- a/core/intake/notice.go
+++ b/core/intake/notice.go
@@ -9,6 +9,9 @@
 // value announces nothing.
 type Notice struct {
 	Limit Limit
+	// RefusalLimit is how many calls the replica can refuse in one second, to all hosts
+	// together; it fails if it has to refuse more.
+	RefusalLimit Limit
 	// Leaving says that the replica accepts no new work from now on.
 	Leaving bool
 	// Backoff is the time for which the replica, as it refuses a call, asks this host to
@@ -18,7 +21,8 @@
 	UnparsedBackoff string
 }
 
-// Limit is the rate of requests that a replica accepts from all hosts together.
+// Limit is a rate that holds for all hosts together: of the requests that a replica accepts,
+// or of the calls that it can refuse.
 type Limit struct {
 	// Announced says that the response announces a limit.
 	Announced bool
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -96,6 +96,7 @@
 // endCall counts a call as ended.
 func (s *memberState) endCall(now time.Time) {
 	s.ownCalls = max(0, s.ownCalls-1)
+	s.limiter.RecordEnd()
 	s.lastProgress, s.usedAt = now, now
 	s.recordOwnCalls(now)
 }
@@ -104,6 +105,7 @@
 // not respond.
 func (s *memberState) cancelCall(now time.Time) {
 	s.ownCalls = max(0, s.ownCalls-1)
+	s.limiter.RecordEnd()
 	s.recordOwnCalls(now)
 }
 
--- a/core/stage/timeout.go
+++ b/core/stage/timeout.go
@@ -111,6 +111,7 @@
 func (r *replica) removeCall(c *call) {
 	r.service.dirty = true
 	r.calls = slices.DeleteFunc(r.calls, func(o *call) bool { return o == c })
+	r.limiter.RecordEnd()
 	r.updateIdle()
 	for _, p := range c.pieces {
 		p.runningCalls--
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -20,6 +20,9 @@
 type notices struct {
 	mu              sync.Mutex
 	announcedLimits intake.LimitTable
+	// refusalLimits are the numbers of calls that replicas can refuse in a second.
+	refusalLimits   intake.LimitTable
+	refusalInputs   refusalInputs
 	leavingReplicas intake.LeavingReplicas
 	backoffs        intake.Backoffs
 	// invalidBackoff are the replicas whose invalid Retry-After value has been logged.
@@ -28,8 +31,8 @@
 	replicas *catalog.ReplicaSet
 	// byAddress lists the IDs of these replicas by address; nil until it is needed.
 	byAddress map[string][]string
-	// limitsActive is set if a limit was active at the last update.
-	limitsActive bool
+	// limitsActive and refusalLimitsActive are set if such a limit was active at the last update.
+	limitsActive, refusalLimitsActive bool
 	// lastResent is when resendNotices last sent notices to the neighbours.
 	lastResent time.Time
 }
@@ -41,6 +44,7 @@
 	if l, changed := g.notices.announcedLimits.Observe(clock.Now(), a); changed {
 		g.applyLimits(g.settings.Load().Host, []intake.ReplicaLimit{l})
 	}
+	g.observeRefusalLimit(a)
 	if l, isNew := g.notices.leavingReplicas.Observe(clock.Now(), a); isNew {
 		g.applyLeaving(g.settings.Load().Host, []intake.LeavingReplica{l})
 	}
@@ -155,6 +159,7 @@
 	if g.notices.limitsActive {
 		g.updateLimitShares()
 	}
+	g.refreshRefusalQuotas()
 }
 
 // updateLimitShares computes this host's shares of the limits; the notices' lock must be
@@ -224,6 +229,7 @@
 	defer g.notices.mu.Unlock()
 	g.notices.replicas, g.notices.byAddress = replicas, nil
 	g.notices.announcedLimits.RemoveExpired(clock.Now(), listed)
+	g.notices.refusalLimits.RemoveExpired(clock.Now(), listed)
 	maps.DeleteFunc(g.notices.invalidBackoff, func(replica string, _ bool) bool { return !listed(replica) })
 	if g.notices.leavingReplicas.RemoveExpired(clock.Now(), listed) {
 		g.updateLeavingQuotas()
--- a/gateway/noticestate.go
+++ b/gateway/noticestate.go
@@ -1,8 +1,12 @@
 package gateway
 
-import "time"
+import (
+	"time"
 
-// LimitState is a replica's rate limit as the state dump shows it.
+	"github.com/wheatseam/wheatseam/core/intake"
+)
+
+// LimitState is a replica's rate limit, or limit on refusals, as the state dump shows it.
 type LimitState struct {
 	Replica   string  `json:"replica"`
 	PerSecond float64 `json:"per_second"`
@@ -16,8 +20,12 @@
 func (n *notices) limitStates(now time.Time) []LimitState {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := []LimitState{}
-	for _, l := range n.announcedLimits.Limits() {
+	return limitStatesOf(now, n.announcedLimits.Limits())
+}
+
+func limitStatesOf(now time.Time, limits []intake.ReplicaLimit) []LimitState {
+	out := make([]LimitState, 0, len(limits))
+	for _, l := range limits {
 		out = append(out, LimitState{
 			Replica: l.Replica, PerSecond: l.Limit.PerSecond,
 			SinceS: now.Sub(l.Since).Seconds(), AnnouncedS: now.Sub(l.LastObserved).Seconds(),
--- a/gateway/noticesync.go
+++ b/gateway/noticesync.go
@@ -46,7 +46,10 @@
 		g.mergeLeaving(from.Host, m.GetLeaving())
 		g.mergeSlowdowns(from.Host, m.GetSlowdowns())
 		g.mergeUnreachable(m.GetUnreachable())
-		return &wire.NoticesNoted{Newer: g.mergeLimits(from.Host, m.GetLimits())}, nil
+		return &wire.NoticesNoted{
+			Newer:              g.mergeLimits(from.Host, m.GetLimits()),
+			NewerRefusalLimits: g.mergeRefusalLimits(from.Host, m.GetRefusalLimits()),
+		}, nil
 	})
 }
 
@@ -61,7 +64,7 @@
 	}
 	g.sendToNeighbours("", &wire.NoticesHeard{
 		Limits: limitsToWire(now, n.announcedLimits.ObservedAfter(n.lastResent)), Leaving: leavingToWire(now, n.leavingReplicas.ObservedAfter(n.lastResent.Add(-leavingResendPeriod))),
-		Slowdowns: g.slowdowns.resend(now),
+		Slowdowns: g.slowdowns.resend(now), RefusalLimits: limitsToWire(now, n.refusalLimits.ObservedAfter(n.lastResent)),
 	})
 	n.lastResent = now
 }
@@ -75,6 +78,7 @@
 		batch.Leaving, m.Leaving = splitBatch(m.Leaving)
 		batch.Slowdowns, m.Slowdowns = splitBatch(m.Slowdowns)
 		batch.Unreachable, m.Unreachable = splitBatch(m.Unreachable)
+		batch.RefusalLimits, m.RefusalLimits = splitBatch(m.RefusalLimits)
 		for _, host := range g.fleet.Neighbours() {
 			if host != except {
 				go g.sendNotices(host, batch)
@@ -85,7 +89,7 @@
 
 // noticeCount returns the number of notices in a message.
 func noticeCount(m *wire.NoticesHeard) int {
-	return len(m.GetLimits()) + len(m.GetLeaving()) + len(m.GetSlowdowns()) + len(m.GetUnreachable())
+	return len(m.GetLimits()) + len(m.GetLeaving()) + len(m.GetSlowdowns()) + len(m.GetUnreachable()) + len(m.GetRefusalLimits())
 }
 
 // splitBatch returns the notices that fit into one call, and the rest.
@@ -109,6 +113,7 @@
 		return
 	}
 	g.mergeLimits(host, noted.GetNewer())
+	g.mergeRefusalLimits(host, noted.GetNewerRefusalLimits())
 }
 
 // mergeLimits merges the limits that a peer knows, and returns those that this host knows
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -65,6 +65,7 @@
 	gauge("wheatseam_store_calls_failed_total", func() float64 { return float64(g.store.Calls().Failed) })
 	gauge("wheatseam_replicas_cold", func() float64 { return float64(g.coldCount.Load()) })
 	gauge("wheatseam_replicas_limited", func() float64 { return float64(len(g.notices.limitStates(clock.Now()))) })
+	gauge("wheatseam_replicas_refusal_limited", func() float64 { return float64(len(g.notices.refusalLimitStates(clock.Now()))) })
 	gauge("wheatseam_replicas_said_leaving", func() float64 { return float64(len(g.notices.leavingStates(clock.Now()))) })
 	gauge("wheatseam_replicas_resting", func() float64 { return float64(len(g.notices.backoffStates(clock.Now()))) })
 	gauge("wheatseam_replica_slowdown_baselines", func() float64 { return float64(g.slowdowns.count()) })
@@ -164,6 +165,10 @@
 	Slowdowns []SlowdownState `json:"slowdowns"`
 	// Unreachable are the replicas that this host or others could not reach lately.
 	Unreachable []UnreachableState `json:"unreachable"`
+	// Paths are the ways to replicas.
+	Paths PathsState `json:"paths"`
+	// RefusalLimits are the numbers of calls that replicas can refuse in a second.
+	RefusalLimits []LimitState `json:"refusal_limits"`
 }
 
 // State returns a snapshot of the gateway's state.
@@ -172,7 +177,7 @@
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.discovery.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
 		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
-		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()),
+		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Paths: g.pathsState(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
 	}
 	g.retryBudgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.SharedBudget).Stats()
--- a/gateway/slowdowns.go
+++ b/gateway/slowdowns.go
@@ -49,6 +49,9 @@
 // observeResponse processes what a response says about the replica that sent it.
 func (g *Gateway) observeResponse(o replica.Observation) {
 	g.observeNotices(o.ReplicaResponse)
+	if o.Refused {
+		g.recordReplicaRefusal(o.Replica)
+	}
 	g.connectSucceeded(o.Replica)
 	g.countLoadReport(o.Head)
 	if l := o.Head.Load; l != nil {
--- a/replica/client.go
+++ b/replica/client.go
@@ -44,6 +44,8 @@
 	// Relayed means that the response is to a caller's request, and not to a call that a
 	// daemon makes on its own.
 	Relayed bool
+	// Refused means that the replica refused the call for want of room.
+	Refused bool
 	Head    platform.ResponseHead
 }
 
@@ -157,5 +159,7 @@
 	c.onResponse(Observation{
 		ReplicaResponse: intake.ReplicaResponse{Replica: call.Replica, Address: call.Address, Sent: sentAt, Served: served, Notice: r.Head.Notice},
 		Relayed:         call.RequestID != "", Head: r.Head,
+		// A refused reservation does not say that it was not executed.
+		Refused: r.Head.Refused || !call.ExecutesRequest && r.StatusCode == http.StatusServiceUnavailable,
 	})
 }
