replica: await a silent replica before releasing results again

Cause: the second attempt of a release, 250 ms after the first, released results twice at a replica that had been silent and then processed both. Change: the first attempt is given up only if the replica answers on a new connection; none follows one that went through another host.

--- a/replica/stage.go
+++ b/replica/stage.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/stage"
@@ -62,32 +64,56 @@
 // carries no data.
 const maxReleaseResponseBytes = 4 << 10
 
-// firstReleaseTimeout bounds the first attempt of a call that releases results,
-// measured in run time of this process. The attempt uses a pooled connection, which may
-// have stopped delivering packets, and the results occupy memory until a call arrives.
-// Such a call takes about 2 ms, and longer on a busy host. The timeout is well above
-// that because a second attempt while a response is on its way would release the same
-// results twice.
+// firstReleaseTimeout is the run time of this process after which an unanswered call that
+// releases results makes it check the connection. The call uses a pooled connection, which
+// may have stopped delivering packets, and the results occupy memory until a call arrives. It
+// takes about 2 ms, and longer on a busy host.
 const firstReleaseTimeout = 250 * time.Millisecond
 
+// lateAnswerTime is the time that an answer on the pooled connection has to arrive after one
+// on a new connection. A replica that was silent for a while may answer the latter first.
+const lateAnswerTime = 100 * time.Millisecond
+
 // ReleaseResults releases results at the replica that holds them. It makes a second
 // attempt when the first fails, because the replica may have dropped the idle
-// connection that the first attempt uses, even without closing it.
+// connection that the first attempt uses, or the connection has stopped delivering packets
+// without being closed. A second attempt must not release the results twice: while the replica
+// is silent on new connections too, the first one goes on, and after one through another host
+// none follows, since the replica's answer may have been lost between the hosts.
 func (c *Client) ReleaseResults(ctx context.Context, release stage.Release) error {
 	body, err := platform.EncodeRelease(release.Handles)
 	if err != nil {
 		return err
 	}
+	var viaPeer atomic.Bool
 	call := newStageCall(platform.StageReleasePath, release.Replica, release.Address, body)
+	call.OnConnected = func(conn net.Conn) { viaPeer.Store(Via(conn) != "") }
 	firstCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer afterRunTime(firstReleaseTimeout, cancel)()
-	if err = c.release(firstCtx, call); err != nil && ctx.Err() == nil {
+	defer afterRunTime(firstReleaseTimeout, func() {
+		if !viaPeer.Load() && c.answersOnNewConnection(firstCtx, release) {
+			afterRunTime(lateAnswerTime, cancel)
+		}
+	})()
+	if err = c.release(firstCtx, call); err != nil && !viaPeer.Load() && ctx.Err() == nil {
 		err = c.release(ctx, call)
 	}
 	return err
 }
 
+// answersOnNewConnection reports whether a replica answers a call that changes nothing.
+func (c *Client) answersOnNewConnection(ctx context.Context, release stage.Release) bool {
+	call := newStageCall(platform.ReportPath, release.Replica, release.Address, nil)
+	call.Method = http.MethodGet
+	call.Header.Del("Content-Type")
+	resp, err := c.Do(ctx, call)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // only the head matters
+	return true
+}
+
 // maxReportBytes bounds a replica's report, which has one entry for each request that
 // the replica runs.
 const maxReportBytes = 256 << 10
