route: calls that one brief silence delayed count as one slow call

Cause: a replica that was silent for a second with two or more calls in flight was ejected as slow for 2 s.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -71,7 +71,8 @@
 	FailureRate float64
 	MinCalls    float64
 	// SlowRatio is the smoothed multiple of the pool's median latency that ejects an
-	// upstream. Default 4.
+	// upstream. Calls of this multiple or more that one brief silence delayed count as one.
+	// Default 4.
 	SlowRatio float64
 	// BaseDuration is the duration of the first ejection. It doubles with each further
 	// ejection up to MaxDuration. Defaults 2 s and 60 s.
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -288,7 +288,8 @@
 			s.updateEstimates()
 		}
 		if !ignored {
-			p.addSlowness(now, st, slowness, c)
+			p.addSlowness(now, st, o, slowness, c)
+			st.silence.observeCompleted(now)
 			st.countCall(now, true)
 		}
 	case request.CallFailed:
@@ -306,7 +307,7 @@
 			l.addCancelledFirstByte(now, o.Latency)
 		}
 		if !ignored && slowness > st.decayedSlowness(now) {
-			p.addSlowness(now, st, slowness, c)
+			p.addSlowness(now, st, o, slowness, c)
 		}
 	}
 	if !ignored {
@@ -317,9 +318,10 @@
 	}
 }
 
-// addSlowness adds a slowness sample; 0 means that there is none.
-func (p *poolView) addSlowness(now time.Time, st *memberState, sample float64, c *Config) {
-	if sample <= 0 {
+// addSlowness adds the slowness of a call that has ended; 0 means that it is not known. Calls
+// that were delayed by one brief silence of the upstream count once.
+func (p *poolView) addSlowness(now time.Time, st *memberState, o *request.Outcome, sample float64, c *Config) {
+	if sample <= 0 || sample >= c.Ejection.SlowRatio && st.silence.observeSlow(now, o, sample) {
 		return
 	}
 	smoothing := slownessSmoothing
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -65,6 +65,8 @@
 	successCount, failureCount float64
 	countsAt                   time.Time
 	consecutiveFailures        int
+	// silence is the latest time in which the upstream may have processed nothing.
+	silence silence
 
 	prefillQueue prefillQueue
 	limiter      *intake.Limiter
