--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -55,6 +55,16 @@
 	f.Eventually(func() int { ran, _ := sendSafeRequests(f, g, 500*time.Millisecond); return ran["p1"] }, "4s").Should(BeNumerically(">", 2*coldLimitPerSecond))
 }
 
+// Guards against a replica that counts as warm while the store says that it is cold: the age of
+// the view was that of its last change, so that a view without changes was taken for stale.
+func TestReplicaIsColdAsLongAsTheStoreSaysSo(t *testing.T) {
+	t.Parallel()
+	f, g := newColdSite(t, func(f *fixture) { f.registerCold("p1", time.Minute) })
+	time.Sleep(4 * time.Second) // longer than the warm-up and than the age of a stale view
+	ran, _ := sendSafeRequests(f, g, 900*time.Millisecond)
+	f.Expect(ran["p1"]).To(And(BeNumerically(">", 0), BeNumerically("<=", coldLimitPerSecond)))
+}
+
 func TestRequestsOverColdReplicaLimitsAreRefusedAtOnce(t *testing.T) {
 	f, g := newColdSite(t, func(f *fixture) { f.registerCold("p1", time.Minute); f.registerCold("p2", time.Minute) })
 	ran, refused := sendSafeRequests(f, g, 2*time.Second)
