gateway: a replica is cold as long as the store says so

Cause: the age of the view was taken as that of its last change, so that a cold replica counted as warm 3 s after it. Change: the view's own age counts.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -23,15 +23,16 @@
 	// limitRefreshInterval is the interval at which this host's shares are recomputed while
 	// replicas are cold or announce limits, since hosts join and leave.
 	limitRefreshInterval = 250 * time.Millisecond
-	// coldViewMaxAge is the age of a view beyond which a replica that it lists as cold
-	// counts as cold only for the duration of the replica's warm-up.
+	// coldViewMaxAge is the time without a read of the store beyond which a replica that is
+	// listed as cold counts as cold only for the duration of the replica's warm-up.
 	coldViewMaxAge = 3 * time.Second
 )
 
 // coldReplicaTracker tracks which replicas are cold. It is safe for concurrent use.
 type coldReplicaTracker struct {
 	mu sync.Mutex
-	// view is the newest view, and flagged are the replicas that it lists as cold, by ID.
+	// view is the newest view with changes, and flagged are the replicas that it lists as
+	// cold, by ID.
 	view    *discovery.View
 	flagged map[string]*catalog.Replica
 	// coldSince is when a replica was first seen to be cold, by ID.
@@ -61,14 +62,15 @@
 	c.view = v
 }
 
-// update returns the replicas that are cold; mu must be held.
-func (c *coldReplicaTracker) update(now time.Time) []*catalog.Replica {
+// update returns the replicas that are cold; mu must be held. asOf is when the store was last
+// read, which may be later than the view, since a read that changes nothing makes no new one.
+func (c *coldReplicaTracker) update(now, asOf time.Time) []*catalog.Replica {
 	v := c.view
 	c.recordRestored(now, v)
 	var cold []*catalog.Replica
 	add := func(r *catalog.Replica) {
 		s := v.Config.Services[r.Service]
-		if s != nil && s.ColdRate > 0 && !r.Draining && c.isCold(now, r, s.Warmup, now.Sub(v.AsOf) > coldViewMaxAge) {
+		if s != nil && s.ColdRate > 0 && !r.Draining && c.isCold(now, r, s.Warmup, now.Sub(asOf) > coldViewMaxAge) {
 			cold = append(cold, r)
 		}
 	}
@@ -141,7 +143,11 @@
 		g.coldTracker.setView(v)
 	}
 	v = g.coldTracker.view
-	cold := g.coldTracker.update(clock.Now())
+	asOf := v.AsOf
+	if latest := g.discovery.View().AsOf; latest.After(asOf) {
+		asOf = latest
+	}
+	cold := g.coldTracker.update(clock.Now(), asOf)
 	limits := make(map[string]int, len(cold))
 	if len(cold) > 0 {
 		hosts, complete := g.fleet.KnownHosts()
@@ -169,7 +175,7 @@
 
 // refreshLimitsPeriodically recomputes the limits on calls to replicas, expires backoffs,
 // sends changed baselines of slowdowns and notices to the neighbours, and probes unreachable
-// replicas until ctx ends.
+// replicas and the ways to them until ctx ends.
 func (g *Gateway) refreshLimitsPeriodically(ctx context.Context) {
 	for periodic.Sleep(ctx, limitRefreshInterval) {
 		if g.coldCount.Load() > 0 {
@@ -180,5 +186,6 @@
 		g.resendNotices(clock.Now())
 		g.refreshSlowdowns(clock.Now())
 		g.refreshReachability(clock.Now())
+		g.refreshPaths(ctx)
 	}
 }
