Tests that depended on chance or on the wall clock

Cause: TestMovedStreamsSurviveARefusal needs one of 8 random choices to meet the refusing engine; the releaser's spec timed 200 ms on a busy machine (KNOWN-RED stages-release-delay). Change: further rounds until one met it, 6 at most; the releaser's test runs on a virtual clock and checks the delay exactly.

--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,32 +70,37 @@
 // refuses it after all. The stream must continue at a third one, although the budget allows
 // no further retry.
 func TestMovedStreamsSurviveARefusal(t *testing.T) {
-	const trials = 8 // the second engine is chosen at random
-	refusals := make(chan bool, trials)
-	t.Run("trials", func(t *testing.T) {
-		for n := range trials {
-			t.Run(fmt.Sprint(n), func(t *testing.T) {
-				t.Parallel()
-				f := newFixtureOf(t)
-				f.removeReplicas("e2")
-				f.replicas["e1"].SetBehaviour(site.Behaviour{PauseAfterEvents: 2, Stall: site.ProcessFrozen})
-				g := f.startWith(zap.NewNop(), singleRetry).ready()
-				a, id := g.sendLong(withLongDeadline, func() {
-					f.add("e3", "llm", site.Engine).SetBehaviour(site.Behaviour{Shed: true, NoEngineCalls: true})
-					f.add("e4", "llm", site.Engine)
+	const trials, maxRounds = 8, 6 // the second engine is chosen at random
+	var refused atomic.Int32
+	for round := 0; round < maxRounds && refused.Load() == 0; round++ {
+		t.Run(fmt.Sprint("round ", round), func(t *testing.T) {
+			for n := range trials {
+				t.Run(fmt.Sprint(n), func(t *testing.T) {
+					t.Parallel()
+					if movedStreamMetRefusal(t) {
+						refused.Add(1)
+					}
 				})
-				f.Expect(a.err).NotTo(HaveOccurred())
-				f.Expect(a.body).To(Equal(streamEvents(id, 1, 5)))
-				refusals <- len(g.metricLines(`wheatseam_attempts_total{service="llm",end="not_executed"}`)) > 0
-			})
-		}
-	})
-	close(refusals)
-	anyRefused := false
-	for r := range refusals {
-		anyRefused = anyRefused || r
+			}
+		})
 	}
-	NewWithT(t).Expect(anyRefused).To(BeTrue(), "no trial reached the refusing engine")
+	NewWithT(t).Expect(refused.Load()).To(BeNumerically(">", 0), "no trial reached the refusing engine")
+}
+
+// movedStreamMetRefusal checks that a stream completes whose engine freezes while one engine
+// that refuses and one that accepts are added. It reports whether the former was asked.
+func movedStreamMetRefusal(t *testing.T) bool {
+	f := newFixtureOf(t)
+	f.removeReplicas("e2")
+	f.replicas["e1"].SetBehaviour(site.Behaviour{PauseAfterEvents: 2, Stall: site.ProcessFrozen})
+	g := f.startWith(zap.NewNop(), singleRetry).ready()
+	a, id := g.sendLong(withLongDeadline, func() {
+		f.add("e3", "llm", site.Engine).SetBehaviour(site.Behaviour{Shed: true, NoEngineCalls: true})
+		f.add("e4", "llm", site.Engine)
+	})
+	f.Expect(a.err).NotTo(HaveOccurred())
+	f.Expect(a.body).To(Equal(streamEvents(id, 1, 5)))
+	return len(g.metricLines(`wheatseam_attempts_total{service="llm",end="not_executed"}`)) > 0
 }
 
 // The inputs of a further run must be produced once capacity is reserved for it, not again
--- a/stages/releaser_test.go
+++ b/stages/releaser_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -64,15 +67,26 @@
 			return len(f.byReplica)
 		}).Should(BeZero())
 	})
+})
 
-	It("batches results into one call, sent after releaseDelay at the latest", func() {
-		f, s := start()
+// Results are released in one call, releaseDelay after the first one at the latest.
+func TestReleasesAreBatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &fakeSender{proceed: make(chan struct{})}
+		f := newReleaser(s.send)
 		close(s.proceed)
-		f.add(releaseOf("r", "1"))
-		f.add(releaseOf("r", "2", "3"))
-		f.add(releaseOf("other", "4"))
-		Eventually(s.handles, 2*releaseDelay).Should(ConsistOf([]string{"1", "2", "3"}, []string{"4"}))
-		f.add(releaseOf("r", "5"))
-		Eventually(s.handles, 2*releaseDelay).Should(ContainElement([]string{"5"}))
+		sentAfter := func(d time.Duration) [][]string {
+			time.Sleep(d)
+			synctest.Wait()
+			return s.handles()
+		}
+		f.add(stage.Release{Replica: "r", Handles: []string{"1"}})
+		f.add(stage.Release{Replica: "other", Handles: []string{"4"}})
+		g.Expect(sentAfter(releaseDelay - time.Millisecond)).To(BeEmpty())
+		f.add(stage.Release{Replica: "r", Handles: []string{"2", "3"}})
+		g.Expect(sentAfter(time.Millisecond)).To(ConsistOf([]string{"1", "2", "3"}, []string{"4"}))
+		f.add(stage.Release{Replica: "r", Handles: []string{"5"}})
+		g.Expect(sentAfter(releaseDelay)).To(ContainElement([]string{"5"}))
 	})
-})
+}
