--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -324,8 +324,9 @@
 	refuse(w, http.StatusServiceUnavailable)
 }
 
-// RefuseWithRetryAfter makes the replica refuse all work with the given Retry-After
-// value in seconds, sent verbatim; "" ends that. The replica counts as healthy.
+// RefuseWithRetryAfter makes the replica refuse all work and reservations with the given
+// Retry-After value in seconds, sent verbatim; "" ends that. Requests with a reservation that
+// was granted before are served. The replica counts as healthy.
 func (r *Replica) RefuseWithRetryAfter(seconds string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -348,12 +349,23 @@
 	return slices.Clone(r.arrivals)
 }
 
-// recordArrival records a request or piece call. It returns the Retry-After value to
-// refuse it with, or "" if the replica does not refuse all work.
-func (r *Replica) recordArrival(requestID string) (retryAfter string) {
+// recordArrival records a request or piece call. It returns the Retry-After value to refuse
+// it with; "" if it must not be refused.
+func (r *Replica) recordArrival(req *http.Request) (retryAfter string) {
+	reserved := r.holdsReservation(req.Header.Get("Kv-Hold"))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !reserved {
+		retryAfter = r.refusalRetryAfter
+	}
+	r.arrivals = append(r.arrivals, Arrival{ArrivedAt: time.Now(), RequestID: req.Header.Get("Attempt-Id"), RetryAfter: retryAfter})
+	return retryAfter
+}
+
+// currentRetryAfter returns the value of RefuseWithRetryAfter.
+func (r *Replica) currentRetryAfter() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{ArrivedAt: time.Now(), RequestID: requestID, RetryAfter: r.refusalRetryAfter})
 	return r.refusalRetryAfter
 }
 
@@ -475,8 +487,11 @@
 		return
 	}
 	retryAfter := ""
-	if !strings.HasPrefix(req.URL.Path, "/-/") || req.URL.Path == "/-/stage-run" {
-		retryAfter = r.recordArrival(req.Header.Get("Attempt-Id"))
+	switch {
+	case limited(req):
+		retryAfter = r.recordArrival(req)
+	case req.URL.Path == reservePath:
+		retryAfter = r.currentRetryAfter()
 	}
 	if b.Hang {
 		hang(req)
@@ -527,7 +542,7 @@
 // request was one.
 func (r *Replica) serveEngineCall(w http.ResponseWriter, req *http.Request, b Behaviour) bool {
 	name, isRelease := strings.CutPrefix(req.URL.Path, "/-/hold-drop/")
-	isReport, isReserve := req.URL.Path == "/-/report", req.URL.Path == "/-/hold-take"
+	isReport, isReserve := req.URL.Path == "/-/report", req.URL.Path == reservePath
 	switch {
 	case !isRelease && !isReport && !isReserve:
 		return false
--- a/internal/standin/site/reservation.go
+++ b/internal/standin/site/reservation.go
@@ -38,6 +38,17 @@
 	change(&l.reservations)
 }
 
+// reservePath is the path of the call that reserves a slot.
+const reservePath = "/-/hold-take"
+
+// holdsReservation reports whether a reservation is held and has not expired.
+func (r *Replica) holdsReservation(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := r.reservations[name]
+	return res != nil && res.state == reservationHeld && time.Now().Before(res.until)
+}
+
 // grantReservation makes a reservation, unless the behaviour refuses it.
 func (r *Replica) grantReservation(w http.ResponseWriter, req *http.Request, b Behaviour) {
 	var call struct {
--- a/internal/standin/site/site_test.go
+++ b/internal/standin/site/site_test.go
@@ -249,6 +249,19 @@
 		Expect(ledger.Violations()).To(BeEmpty())
 	})
 
+	It("are refused by an engine that asks for a backoff, which keeps those that it granted before", func() {
+		e, ledger := startEngine(site.Behaviour{})
+		granted := reserve(e, 1000)
+		e.RefuseWithRetryAfter("1.5")
+		resp, err := call(context.Background(), e, http.MethodPost, "/-/hold-take", `{"token_count":10,"ttl_ms":1000}`)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp).To(And(HaveHTTPStatus(http.StatusServiceUnavailable), HaveHTTPHeaderWithValue("Retry-After", "1.5")))
+		Expect(generate(context.Background(), e, "a")).To(HaveHTTPStatus(http.StatusServiceUnavailable))
+		Expect(generate(context.Background(), e, "b", "Kv-Hold", granted)).To(HaveHTTPBody(fullStream("b")))
+		Expect(ledger.Violations()).To(BeEmpty())
+		Expect(e.Arrivals()).To(HaveExactElements(HaveField("RetryAfter", "1.5"), HaveField("RetryAfter", "")))
+	})
+
 	It("are held before the engine responds", func() {
 		e, ledger := startEngine(site.Behaviour{ReservationDelay: time.Minute})
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
