soak: hosts without replicas, refusal limits, silent replicas

Change: daemons lose the path to all replicas and are checked against the others' first tries; replicas announce limits on refusals and rarely exceed them; replicas fall silent for about a second. Checks allow for answers lost with a daemon that connected for another. SIGHUP waits until a process is ready.

--- a/soak/backoff.go
+++ b/soak/backoff.go
@@ -66,13 +66,16 @@
 type sender struct {
 	daemonIncarnation
 	startedAt time.Time
+	// answerMayBeLost says that the replica's answer may have been lost with another daemon,
+	// through which the process was connected.
+	answerMayBeLost bool
 }
 
 // sendersByRequest returns the sender of each request, by request id.
 func (r *runner) sendersByRequest() map[string]sender {
 	out := make(map[string]sender, len(r.attempts))
 	for _, att := range r.attempts {
-		out[att.call.ID] = sender{daemonIncarnation{att.daemon, att.incarnation}, att.startedAt}
+		out[att.call.ID] = sender{daemonIncarnation{att.daemon, att.incarnation}, att.startedAt, r.peerMayHaveFailed(att)}
 	}
 	return out
 }
@@ -111,7 +114,7 @@
 		for i, refusal := range arrivals {
 			seconds, err := strconv.ParseFloat(refusal.RetryAfter, 64)
 			s, known := senders[refusal.RequestID]
-			if err != nil || !known {
+			if err != nil || !known || s.answerMayBeLost {
 				continue
 			}
 			until := refusal.ArrivedAt.Add(time.Duration(seconds * float64(time.Second)))
--- a/soak/check.go
+++ b/soak/check.go
@@ -42,6 +42,8 @@
 	r.checkLimits()
 	r.checkLeaving()
 	r.checkBackoffs()
+	r.checkCuts()
+	r.checkRefusals()
 	for _, f := range r.ledger.Violations() {
 		r.recordViolation("replicas: %s", f)
 	}
@@ -88,7 +90,7 @@
 			r.recordViolation("request: %s reached %s with changed content or headers", id, run.Replica)
 		}
 	}
-	if att.response.Err != nil && !att.abandoned && att.beforeDeadline(att.endedAt) && r.onlyStoppedGracefully(att) && len(runs) > 0 && r.neverMisbehaved(runs) {
+	if att.response.Err != nil && !att.abandoned && att.beforeDeadline(att.endedAt) && r.onlyStoppedGracefully(att) && !r.peerMayHaveFailed(att) && len(runs) > 0 && r.neverMisbehaved(runs) {
 		r.recordViolation("graceful stop: %s of %s was aborted: %v", id, att.daemon.name, att.response.Err)
 	}
 }
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -57,8 +57,10 @@
 	settingsRevision int
 	// sigtermSent is set when the running process was sent SIGTERM.
 	sigtermSent bool
-	// lastDisturbed is the time of the last fault that may make its requests fail.
-	lastDisturbed time.Time
+	// disturbances are the times of the faults that may make its requests fail.
+	disturbances []time.Time
+	// linkFaults are the times at which a fault began on the connections from its peers.
+	linkFaults []time.Time
 	// interruptions are the times at which the process was killed, suspended (SIGSTOP)
 	// or resumed (SIGCONT); suspended is set while it is suspended.
 	interruptions []time.Time
@@ -128,7 +130,7 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p, err := process.Start(filepath.Join(d.dir, d.name+".log"), d.binary, "gateway", "--settings", d.settingsPath(), "--simulated-sleep", simulatedSuspension.String())
+	p, err := process.Start(filepath.Join(d.dir, d.name+".log"), d.binary, "gateway", "--settings", d.settingsPath(), "--simulated-sleep", simulatedSuspension.String(), "--simulated-cut", simulatedCut.String())
 	if err != nil {
 		return err
 	}
@@ -169,7 +171,7 @@
 		d.sigtermSent = true
 		d.sigtermTimes = append(d.sigtermTimes, time.Now())
 	case syscall.SIGKILL, syscall.SIGSTOP:
-		d.lastDisturbed = time.Now()
+		d.disturbances = append(d.disturbances, time.Now())
 	}
 	if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT && d.suspended {
 		d.interruptions = append(d.interruptions, time.Now())
@@ -219,14 +221,38 @@
 func (d *daemon) recordDisturbance() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastDisturbed = time.Now()
+	d.disturbances = append(d.disturbances, time.Now())
+}
+
+// recordLinkFault records a fault that begins on the connections from the daemon's peers.
+func (d *daemon) recordLinkFault() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.linkFaults = append(d.linkFaults, time.Now())
+}
+
+// linkFaultBetween reports whether such a fault began between from and to.
+func (d *daemon) linkFaultBetween(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return anyBetween(d.linkFaults, from, to)
 }
 
 // undisturbedSince reports whether the daemon's last such fault was before since.
 func (d *daemon) undisturbedSince(since time.Time) bool {
+	return d.undisturbedBetween(since, time.Now())
+}
+
+// undisturbedBetween reports whether there was no such fault between from and to.
+func (d *daemon) undisturbedBetween(from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lastDisturbed.Before(since)
+	return !anyBetween(d.disturbances, from, to)
+}
+
+// anyBetween reports whether one of the times is not before from and not after to.
+func anyBetween(times []time.Time, from, to time.Time) bool {
+	return slices.ContainsFunc(times, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 // ranUninterrupted reports whether the process was not killed, suspended or resumed between
@@ -234,7 +260,14 @@
 func (d *daemon) ranUninterrupted(from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !slices.ContainsFunc(d.interruptions, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+	return !anyBetween(d.interruptions, from, to)
+}
+
+// stoppedBetween reports whether SIGTERM was sent between from and to.
+func (d *daemon) stoppedBetween(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return anyBetween(d.sigtermTimes, from, to)
 }
 
 // graceEnding reports whether a request that began at startedAt had reached the tail of
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -16,6 +16,9 @@
 //     to back off. Engines pause inside their streams.
 //   - In three of four runs replicas report how slow their machines are. The values change
 //     all the time, and some are false or invalid. The guarantees are the same.
+//   - Daemons lose the path to all replicas, several at a time; a signal simulates this.
+//   - Replicas announce how many calls they can refuse in a second, and have less room.
+//   - Replicas are silent for about a second, and go on.
 //   - An operator evacuates failure domains.
 //   - Hosts are suspended; a signal simulates this to the daemon.
 //
@@ -30,6 +33,9 @@
 //     leaving, from a daemon that has passed on such an answer.
 //   - Daemons keep to the rate limits and the backoffs that replicas ask for, within the
 //     tolerances of limits.go and backoff.go.
+//   - Daemons that reach no replica serve their callers through others, at least two thirds
+//     as often as those do.
+//   - Replicas rarely have to refuse more calls in a second than they announced.
 //   - A stream is not ended because a healthy engine pauses.
 //   - A daemon does not revert to an older configuration.
 //   - Retries stay within the retry budget.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -106,7 +106,8 @@
 	})
 }
 
-// reloadSettings changes the daemon's settings file and sends it SIGHUP.
+// reloadSettings changes the daemon's settings file and sends it SIGHUP, unless it is not ready:
+// SIGHUP would end a process that has not yet installed its handler.
 func (r *runner) reloadSettings(d *daemon) {
 	r.recordFault("%s reloads its settings", d.name)
 	var seeds []string
@@ -116,7 +117,9 @@
 	if err := d.writeSettings(seeds); err != nil {
 		r.recordViolation("settings of %s: %v", d.name, err)
 	}
-	d.signal(syscall.SIGHUP)
+	if d.ready() {
+		d.signal(syscall.SIGHUP)
+	}
 }
 
 // injectRelayFault resets, delays or blackholes the connections of a relay to or from a
@@ -136,6 +139,9 @@
 	}
 	k := kinds[r.faultRNG.IntN(len(kinds))]
 	r.recordFault("%s and its %s: %s for %s", d.name, peer, k.name, duration)
+	if relay == d.peerRelay {
+		d.recordLinkFault()
+	}
 	relay.Set(k.c)
 	time.AfterFunc(duration, func() {
 		d.recordDisturbance()
@@ -148,6 +154,9 @@
 func (r *runner) blackholeOpenConnections(d *daemon, relay *faultrelay.Relay, peer string) {
 	n := relay.BlackholeOpenConnections()
 	d.recordDisturbance()
+	if relay == d.peerRelay {
+		d.recordLinkFault()
+	}
 	r.recordFault("%s and its %s: %d open connections are a permanent blackhole", d.name, peer, n)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -74,6 +74,10 @@
 	evacuations []evacuation
 	// limits are the limits that replicas announced, oldest first.
 	limits []limitPeriod
+	// cuts are the periods during which daemons reached no replica, and refusalPeriods those
+	// during which replicas announced how many calls they can refuse, oldest first.
+	cuts           []cutPeriod
+	refusalPeriods []refusalPeriod
 	// leavingSince maps a replica to the time from which its answers announce that it
 	// is leaving.
 	leavingSince map[string]time.Time
@@ -127,6 +131,9 @@
 	wg.Go(func() { r.announceLeaving(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 7))) })
 	wg.Go(func() { r.requestBackoffs(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 8))) })
 	wg.Go(func() { r.reportSlowdowns(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 9))) })
+	wg.Go(func() { r.cutReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 10))) })
+	wg.Go(func() { r.announceRefusalLimits(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 11))) })
+	wg.Go(func() { r.silenceReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 12))) })
 	r.injectFaults(faultCtx)
 	wg.Wait()
 	r.checkRecovery()
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -66,7 +66,7 @@
 	if att.abandoned || len(runs) == 0 {
 		return
 	}
-	if !att.daemon.ranUninterrupted(att.startedAt.Add(-resumeMargin), att.endedAt) || att.daemon.graceEnding(att.startedAt, att.endedAt) {
+	if !att.daemon.ranUninterrupted(att.startedAt.Add(-resumeMargin), att.endedAt) || att.daemon.graceEnding(att.startedAt, att.endedAt) || r.peerMayHaveFailed(att) {
 		return
 	}
 	last := runs[len(runs)-1]
@@ -97,3 +97,18 @@
 	drainedBeforeEnd := draining && since.Before(att.endedAt)
 	return !drainedBeforeEnd && rep.HealthyThroughout(run.StartedAt.Add(-startMargin), att.endedAt)
 }
+
+// silenceReplicas makes random replicas process nothing for about a second, one after the
+// other, until ctx ends. They count as healthy.
+func (r *runner) silenceReplicas(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		sleep(ctx, randomDuration(rng, 500*time.Millisecond, 2*time.Second))
+		duration := randomDuration(rng, 500*time.Millisecond, 1200*time.Millisecond)
+		r.mu.Lock()
+		rep := r.replicas[rng.IntN(len(r.replicas))]
+		r.mu.Unlock()
+		r.recordFault("%s is silent for %s", rep.ID, duration)
+		rep.Silence(duration)
+		sleep(ctx, duration)
+	}
+}
