--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -1,9 +1,11 @@
 package site
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -36,6 +38,34 @@
 	changed    chan struct{}
 	// compactedRevision is the revision up to which changes are no longer retained.
 	compactedRevision uint64
+	// era counts the restores; every answer names it. restoredTo is the revision of the last one.
+	era, restoredTo uint64
+}
+
+// Snapshot is a copy of a store's content.
+type Snapshot struct {
+	items, tombstones           map[string]item
+	revision, compactedRevision uint64
+}
+
+// Snapshot returns a copy of the content.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{maps.Clone(s.items), maps.Clone(s.tombstones), s.revision, s.compactedRevision}
+}
+
+// Restore replaces the content by a snapshot, and begins the next era: what was written since
+// is lost, and its revisions are given out again.
+func (s *Store) Restore(from Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.tombstones = maps.Clone(from.items), maps.Clone(from.tombstones)
+	s.revision, s.compactedRevision = from.revision, from.compactedRevision
+	s.restoredTo = from.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // NewStore returns an empty store.
@@ -43,6 +73,33 @@
 	return &Store{PageSize: 50, items: map[string]item{}, tombstones: map[string]item{}, changed: make(chan struct{})}
 }
 
+// WriteAgain writes what a snapshot has and the store, since it was restored, has not: for keys
+// that have not been written since, values that differ and deletions.
+func (s *Store) WriteAgain(latest Snapshot) {
+	s.mu.Lock()
+	restoredTo := s.restoredTo
+	var writes []item
+	for key, i := range latest.items {
+		if now, ok := s.items[key]; s.lastWrite(key) <= restoredTo && (!ok || !bytes.Equal(now.Data, i.Data)) {
+			writes = append(writes, item{Key: key, Data: i.Data})
+		}
+	}
+	for key, i := range s.items {
+		if _, ok := latest.items[key]; !ok && i.Revision <= restoredTo {
+			writes = append(writes, item{Key: key, Tombstone: true})
+		}
+	}
+	s.mu.Unlock()
+	for _, i := range writes {
+		s.write(i)
+	}
+}
+
+// lastWrite returns the revision at which a key was last written or deleted; mu must be held.
+func (s *Store) lastWrite(key string) uint64 {
+	return max(s.items[key].Revision, s.tombstones[key].Revision)
+}
+
 // Put writes a value. v is encoded as JSON unless it is a []byte.
 func (s *Store) Put(key string, v any) {
 	data, ok := v.([]byte)
@@ -120,6 +177,9 @@
 	status, delay := s.failStatus, s.delay
 	s.mu.Unlock()
 	time.Sleep(delay)
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	s.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
 		return
@@ -183,7 +243,7 @@
 		}
 	}
 	slices.SortFunc(events, func(a, b item) int { return cmp.Compare(a.Revision, b.Revision) })
-	return events, s.revision, s.changed, after >= s.compactedRevision
+	return events, s.revision, s.changed, after >= s.compactedRevision && after <= s.revision
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
