discovery: positions of era and revision, and what is kept after a restore

Cause: a host that had read revision 60 of the lost store waited for a higher one while the restored store went on from 57 (CONFIG). Change: positions order eras before revisions in all messages, and configurations go by version. A host that hears late of the restore keeps evacuations no longer than the others.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -115,3 +115,36 @@
 		Expect(ids(&g)).To(ConsistOf("one"))
 	})
 })
+
+// Guards against replicas that drain or are gone and come back, and against live ones that
+// disappear, because the store came back from a copy.
+func TestRegistryAfterTheStoreCameBackFromACopy(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_700_000_000, 0)
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	replica := func(id string, draining bool) catalog.Replica {
+		return catalog.Replica{ID: id, Address: "10.0.0.1:" + id, Draining: draining}
+	}
+	var r catalog.Registry
+	copied := []catalog.Replica{replica("1", false), replica("2", false), replica("3", false)}
+	r.Update(now, copied)
+	r.ApplyChanges(at(time.Second), []catalog.Replica{replica("2", true), replica("4", false)}, []string{"3"})
+
+	r.StoreRestored(at(2 * time.Second))
+	r.Update(at(2*time.Second), copied)
+	g.Expect(r.Replicas().Sorted()).To(Equal([]catalog.Replica{replica("1", false), replica("2", true), replica("4", false)}))
+	g.Expect(r.RetainsLapsed()).To(BeTrue(), "4 has not been written again")
+
+	r.ApplyChanges(at(3*time.Second), []catalog.Replica{replica("4", false), replica("5", false)}, nil)
+	g.Expect(r.RetainsLapsed()).To(BeFalse())
+	g.Expect(r.Replicas().Len()).To(Equal(4))
+	g.Expect(r.NeedsList(at(3 * time.Second))).To(BeFalse())
+	g.Expect(r.NeedsList(at(7*time.Second))).To(BeTrue(), "3 was left out of the list")
+
+	r.Update(at(7*time.Second), append(copied, replica("4", false), replica("5", false)))
+	g.Expect(r.Replicas().Has("3")).To(BeTrue(), "its entry has not lapsed")
+	g.Expect(r.Replicas().Get("2").Draining).To(BeTrue())
+	g.Expect(r.NeedsList(at(8 * time.Second))).To(BeFalse())
+	r.Update(at(20*time.Second), copied)
+	g.Expect(r.Replicas().Get("2").Draining).To(BeFalse())
+}
--- a/core/catalog/replica.go
+++ b/core/catalog/replica.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Replica is one registered process of a service.
 type Replica struct {
@@ -30,6 +33,16 @@
 // reads, and shorter than the three heartbeats after which an entry lapses.
 const storeOutageThreshold = 2500 * time.Millisecond
 
+// The times for which a Registry goes by what it knew before the store came back from a copy.
+// Replicas that were removed less than removalMemory before stay removed for removedRetention:
+// by then the entries of those that are gone have lapsed. Draining ones stay so for
+// drainRetention.
+const (
+	removalMemory    = 15 * time.Second
+	removedRetention = 5 * time.Second
+	drainRetention   = 15 * time.Second
+)
+
 // Registry holds the replicas as listed by the store. It is not safe for concurrent use.
 type Registry struct {
 	replicas   *ReplicaSet
@@ -38,6 +51,12 @@
 	storeReturned time.Time
 	// lapsed are the IDs of replicas that are kept although the store does not list them.
 	lapsed map[string]bool
+	// removedAt is when replicas were last removed, by ID, within removalMemory.
+	removedAt map[string]time.Time
+	// restoredAt is when the store was first read after it came back from a copy, and withheld
+	// says that entries of the copy have been left out since.
+	restoredAt time.Time
+	withheld   bool
 }
 
 // Replicas returns all replicas that may be in service; nil until they are first known.
@@ -48,14 +67,62 @@
 // ago.
 func (g *Registry) RetainsLapsed() bool { return len(g.lapsed) > 0 }
 
+// StoreRestored records that the next update is of a store that has come back from a copy:
+// entries may be missing that live replicas write again, and others may be older than what is
+// known.
+func (g *Registry) StoreRestored(now time.Time) { g.restoredAt, g.storeReturned = now, now }
+
+// NeedsList reports whether the replicas have to be listed, since entries were left out that
+// may be used by now.
+func (g *Registry) NeedsList(now time.Time) bool {
+	return g.withheld && now.Sub(g.restoredAt) >= removedRetention
+}
+
 // ReplaceFromPeer replaces the replicas by those of another host as of the given time.
 func (g *Registry) ReplaceFromPeer(asOf time.Time, replicas *ReplicaSet) {
 	if asOf.After(g.lastUpdate) {
 		g.lastUpdate = asOf
 	}
+	g.noteRemoved(asOf, replicas)
 	g.replicas, g.lapsed = replicas, nil
 }
 
+// noteRemoved records which replicas are not in the next set.
+func (g *Registry) noteRemoved(now time.Time, next *ReplicaSet) {
+	maps.DeleteFunc(g.removedAt, func(_ string, at time.Time) bool { return now.Sub(at) > removalMemory })
+	for _, c := range g.replicas.Diff(next) {
+		if c.New != nil {
+			delete(g.removedAt, c.New.ID)
+			continue
+		}
+		if g.removedAt == nil {
+			g.removedAt = map[string]time.Time{}
+		}
+		g.removedAt[c.Old.ID] = now
+	}
+}
+
+// withKnown returns the entries of a store that came back from a copy a short time ago without
+// replicas that were removed before, and with those as draining that drained.
+func (g *Registry) withKnown(now time.Time, written []Replica) []Replica {
+	since := now.Sub(g.restoredAt)
+	if g.restoredAt.IsZero() || since >= drainRetention {
+		return written
+	}
+	out := make([]Replica, 0, len(written))
+	for _, r := range written {
+		if at, removed := g.removedAt[r.ID]; removed && since < removedRetention && at.Before(g.restoredAt) {
+			g.withheld = true
+			continue
+		}
+		if known := g.replicas.Find(r.ID); known != nil && known.Draining {
+			r.Draining = true
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // Update replaces the replicas by the store's full list. Replicas whose entries lapsed
 // while the store was unavailable are kept until lapsedRetention after its return.
 func (g *Registry) Update(now time.Time, listed []Replica) {
@@ -69,7 +136,7 @@
 			removed = append(removed, r.ID)
 		}
 	}
-	g.lapsed = nil
+	g.lapsed, g.withheld = nil, false
 	g.ApplyChanges(now, listed, removed)
 }
 
@@ -81,6 +148,7 @@
 		g.storeReturned = now
 	}
 	g.lastUpdate = now
+	written = g.withKnown(now, written)
 	for i := range written {
 		delete(g.lapsed, written[i].ID)
 	}
@@ -92,6 +160,7 @@
 	if now.Sub(g.storeReturned) < lapsedRetention && len(removed) > 0 {
 		next = g.retainLapsed(next, removed)
 	}
+	g.noteRemoved(now, next)
 	g.replicas = next
 }
 
--- a/core/catalog/replicaset.go
+++ b/core/catalog/replicaset.go
@@ -44,8 +44,8 @@
 	return c.Old.ID
 }
 
-// position returns the page and the slot of an ID.
-func position(id string) (page, slot int) {
+// slotOf returns the page and the slot of an ID.
+func slotOf(id string) (page, slot int) {
 	h := xxhash.Sum64String(id)
 	return int(h % setPages), int(h / setPages % pageSlots)
 }
@@ -73,7 +73,7 @@
 	if s == nil {
 		return nil
 	}
-	page, slot := position(id)
+	page, slot := slotOf(id)
 	if s.pages[page] == nil {
 		return nil
 	}
@@ -278,7 +278,7 @@
 	}
 	e.remember(r.ID, old)
 	added := *r
-	page, index := position(r.ID)
+	page, index := slotOf(r.ID)
 	slot := e.slot(page, index)
 	i, found := searchID(*slot, r.ID)
 	if found {
@@ -297,7 +297,7 @@
 		return
 	}
 	e.remember(id, old)
-	page, index := position(id)
+	page, index := slotOf(id)
 	slot := e.slot(page, index)
 	i, _ := searchID(*slot, id)
 	*slot = slices.Delete(*slot, i, i+1)
--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -10,6 +10,7 @@
 
 	"github.com/wheatseam/wheatseam/core/bucket"
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/position"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/wire"
@@ -41,7 +42,7 @@
 	transit := max(0, received.Sub(sentAt)-time.Duration(reply.GetWaitedMs())*time.Millisecond)
 	asOf := received.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond - transit)
 	d.mu.Lock()
-	d.noteAdvertisedConfig(reply.GetConfigRevision(), host)
+	d.noteAdvertisedConfig(reply.GetConfigRevision(), reply.GetConfigVersion(), host)
 	d.receiveEvacuations(reply.GetEvacuations())
 	d.mu.Unlock()
 	if age := received.Sub(asOf); age < 0 || age > d.boundFraction(staleFraction) {
@@ -61,7 +62,7 @@
 	defer d.mu.Unlock()
 	v := d.View()
 	return &wire.NewsRequest{
-		ConfigRevision: max(v.revision, d.advertised.revision), ReplicaBuckets: v.Replicas.Digest()[:], WaitMs: uint32(wait.Milliseconds()),
+		ConfigRevision: max(v.revision, d.advertised.revision, d.rejectedRevision, d.ignoredRevision), ConfigVersion: max(v.version(), d.advertised.version), ReplicaBuckets: v.Replicas.Digest()[:], WaitMs: uint32(wait.Milliseconds()),
 		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(), EvacuationsRevision: v.Evacuations.Revision, AcceptsChanges: true,
 	}
 }
@@ -74,12 +75,15 @@
 	next.Source = host
 	// The checked revision set below may lie after changes that the peer has missed.
 	d.evacuationsIncomplete = !reply.GetEvacuations().GetComplete()
-	if reply.GetConfigRevision() <= next.revision && asOf.After(next.configAsOf) {
+	if next.hasConfigOf(reply) && asOf.After(next.configAsOf) {
 		next.configAsOf = asOf
 		if checked := reply.GetCheckedRevision(); checked > d.checkedRevisions.oldest() {
 			d.checkedRevisions = checkedRevisions{checked}
 		}
 	}
+	if known := d.knownPosition(); known > 0 && position.Era(reply.GetReplicasRevision()) > position.Era(known) {
+		d.registry.StoreRestored(clock.Now()) // for lists of the copy by this host
+	}
 	d.listing = nil
 	replicas := replicasWith(d.registry.Replicas(), reply)
 	d.registry.ReplaceFromPeer(asOf, replicas)
@@ -90,6 +94,13 @@
 	d.publish(&next)
 }
 
+// hasConfigOf reports whether a view's configuration is at least as new as that of the peer
+// that sent a reply.
+func (v *View) hasConfigOf(reply *wire.NewsReply) bool {
+	version := reply.GetConfigVersion()
+	return reply.GetConfigRevision() <= v.revision && version <= v.version() || version > 0 && version < v.version()
+}
+
 // replicasWith returns the known replicas with the changes of a reply.
 func replicasWith(known *catalog.ReplicaSet, reply *wire.NewsReply) *catalog.ReplicaSet {
 	put, removed := replicasOf(reply.GetChanged()), reply.GetRemoved()
@@ -170,7 +181,9 @@
 // hasChangesFor reports whether a view contains anything that the requester's view, as of
 // requesterAsOf, does not.
 func (d *Discovery) hasChangesFor(v *View, req *wire.NewsRequest, requesterAsOf time.Time) bool {
-	return d.advertisableRevision(v) > req.GetConfigRevision() || v.Evacuations.Revision > req.GetEvacuationsRevision() ||
+	// Daemons that do not send a version know a configuration by its position only.
+	newerVersion := v.version() > req.GetConfigVersion() && (req.GetConfigVersion() > 0 || req.GetConfigRevision() == 0)
+	return d.advertisableRevision(v) > req.GetConfigRevision() || newerVersion || v.Evacuations.Revision > req.GetEvacuationsRevision() ||
 		!v.Replicas.Digest().Equal(req.GetReplicaBuckets()) || v.AsOf.Sub(requesterAsOf) > minAgeGain
 }
 
@@ -207,8 +220,8 @@
 	now := clock.Now()
 	reply := &wire.NewsReply{
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(receivedAt).Milliseconds()),
-		ConfigRevision: d.advertisableRevision(v), CheckedRevision: d.checkedRevisions.oldest(), ReplicasHash: v.Replicas.Digest().Sum(), ReplicasRevision: v.replicasRevision,
-		Evacuations: d.evacuationsReply(v, req.GetEvacuationsRevision()),
+		ConfigRevision: d.advertisableRevision(v), ConfigVersion: v.version(), CheckedRevision: d.checkedRevisions.oldest(), ReplicasHash: v.Replicas.Digest().Sum(), ReplicasRevision: v.replicasRevision,
+		Evacuations: d.evacuationsReply(req.GetEvacuationsRevision()),
 	}
 	if d.registry.RetainsLapsed() || d.dependsOnPeers() {
 		// The requester may have seen replicas removed while this host was disconnected.
--- a/discovery/config.go
+++ b/discovery/config.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/position"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/platform"
@@ -21,8 +23,10 @@
 // advertisedConfig is a configuration that a peer has advertised.
 type advertisedConfig struct {
 	revision uint64
-	from     string
-	since    time.Time
+	// version is that of the configuration that the peer had active; 0 if it is not known.
+	version uint64
+	from    string
+	since   time.Time
 }
 
 // maxCheckedRevisions is the number of past checks of the store, 0.3 of the bound apart,
@@ -38,6 +42,9 @@
 type checkedRevisions []uint64
 
 func (r checkedRevisions) add(revision uint64) checkedRevisions {
+	if position.Era(r.newest()) != position.Era(revision) {
+		return checkedRevisions{revision}
+	}
 	if len(r) >= maxCheckedRevisions {
 		r = r[1:]
 	}
@@ -133,7 +140,8 @@
 func (d *Discovery) configOutdated() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.advertised.revision > max(d.View().revision, d.rejectedRevision)
+	v := d.View()
+	return d.advertised.revision > max(v.revision, d.rejectedRevision) || d.advertised.version > max(v.version(), d.rejectedVersion)
 }
 
 // ConfigLag returns for how long a newer configuration has been known but not active, or 0
@@ -148,12 +156,21 @@
 }
 
 // noteAdvertisedConfig records a configuration that a peer advertised, however old the
-// rest of the peer's view is. The caller holds d.mu.
-func (d *Discovery) noteAdvertisedConfig(revision uint64, from string) {
-	if revision <= max(d.advertised.revision, d.View().revision) {
+// rest of the peer's view is. It is newer if its position in the store is, unless the peer has
+// an older version, which it read from a copy of the store; or if its version is, wherever the
+// peer read it. The caller holds d.mu.
+func (d *Discovery) noteAdvertisedConfig(revision, version uint64, from string) {
+	v := d.View()
+	if version > 0 && version < v.version() {
+		// The peer may also be fetching a newer one, which it advertises again once it is active.
+		d.ignoredRevision = max(d.ignoredRevision, revision)
 		return
 	}
-	d.advertised = advertisedConfig{revision: revision, from: from, since: clock.Now()}
+	known := max(d.advertised.version, v.version(), d.rejectedVersion)
+	if revision <= max(d.advertised.revision, v.revision, d.rejectedRevision) && version <= known {
+		return
+	}
+	d.advertised = advertisedConfig{revision: revision, version: version, from: from, since: clock.Now()}
 	d.wakeConfigSync()
 }
 
@@ -166,6 +183,10 @@
 	d.mu.Unlock()
 	v := d.View()
 	started, revision, raw, size, deltas := clock.Now(), v.revision, v.raw, 0, 0
+	if advertised.revision <= revision {
+		// The peer's version is higher, at a position from before the store was restored.
+		revision, raw = 0, nil
+	}
 	defer d.relayedRevision.Store(0)
 	for revision < advertised.revision {
 		delta, err := d.fetchDelta(ctx, revision)
@@ -173,14 +194,19 @@
 			return false
 		}
 		if raw, err = delta.apply(raw); err != nil {
-			d.log.Error("could not apply configuration delta", zap.Uint64("base", delta.base), zap.Uint64("revision", delta.revision), zap.Error(err))
+			d.log.Error("could not apply configuration delta", zap.Uint64("base", position.Revision(delta.base)), revisionField(delta.revision), eraField(delta.revision), zap.Error(err))
 			return false
 		}
 		revision, size, deltas = delta.revision, size+len(delta.data), deltas+1
 	}
-	d.log.Info("configuration fetched", zap.String("peer", advertised.from), zap.Uint64("revision", revision), zap.Int("steps", deltas),
+	d.log.Info("configuration fetched", zap.String("peer", advertised.from), revisionField(revision), eraField(revision), zap.Int("steps", deltas),
 		zap.Int("bytes", size), zap.Int("size", len(raw)), zap.Duration("took", clock.Since(started)))
 	d.activateConfig(raw, revision, advertised.from)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.View().version() < advertised.version {
+		d.rejectedVersion = advertised.version
+	}
 	return true
 }
 
@@ -205,7 +231,8 @@
 	}
 	items, revision, err := d.cfg.Store.Changes(ctx, platform.OperatorPrefix, after, wait)
 	if errors.Is(err, platform.ErrCompacted) {
-		d.log.Info("store no longer has the change history; reading the whole configuration", zap.Uint64("after", after))
+		d.log.Info("store no longer has the change history; reading the whole configuration",
+			zap.Uint64("after", position.Revision(after)), eraField(after), zap.Error(err))
 		return d.readConfig(ctx)
 	}
 	if err != nil {
@@ -236,8 +263,8 @@
 	changes := d.decodeEvacuations(orders)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(changes) > 0 {
-		d.applyEvacuations(d.View().Evacuations.With(changes))
+	if len(changes) > 0 && d.evacuations.Change(clock.Now(), changes) {
+		d.publishEvacuations()
 	}
 	// All changes up to this revision are known. A check from an earlier revision would
 	// return the same changes at once.
@@ -289,7 +316,8 @@
 	if known {
 		return
 	}
-	if v.Config != nil {
+	config, err := decodeConfig(item.Value)
+	if v.Config != nil && err == nil && config.Version > v.Config.Version {
 		delta, err := newConfigDelta(v.revision, v.raw, item.Revision, item.Value)
 		if err != nil {
 			d.log.Error("could not create configuration delta", zap.Error(err))
@@ -297,7 +325,7 @@
 			d.storeDelta(delta)
 		}
 	}
-	d.activateConfig(item.Value, item.Revision, sourceStore)
+	d.activateDecoded(config, err, item.Value, item.Revision, sourceStore)
 }
 
 // noteConfigReadError records that a read of the configuration or the evacuations from the
@@ -318,7 +346,7 @@
 	defer d.mu.Unlock()
 	if d.configReadFailed {
 		d.configReadFailed = false
-		d.log.Info("store is readable again for the configuration", zap.Uint64("revision", revision))
+		d.log.Info("store is readable again for the configuration", revisionField(revision), eraField(revision))
 	}
 	d.checkedRevisions = d.checkedRevisions.add(revision)
 	next := *d.View()
@@ -331,22 +359,34 @@
 // Only syncConfig calls it.
 func (d *Discovery) activateConfig(raw []byte, revision uint64, source string) {
 	config, err := decodeConfig(raw)
+	d.activateDecoded(config, err, raw, revision, source)
+}
+
+// activateDecoded is activateConfig for a configuration that has been decoded, or could not
+// be.
+func (d *Discovery) activateDecoded(config *catalog.Config, err error, raw []byte, revision uint64, source string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.View()
 	switch {
 	case err != nil:
-		d.log.Error("invalid configuration rejected", zap.Uint64("revision", revision), zap.Error(err))
+		d.log.Error("invalid configuration rejected", revisionField(revision), eraField(revision), zap.Error(err))
 	case next.Config != nil && config.Version <= next.Config.Version:
 		d.log.Warn("older configuration ignored", zap.Uint64("version", config.Version),
-			zap.Uint64("in_force", next.Config.Version), zap.Uint64("revision", revision))
+			zap.Uint64("in_force", next.Config.Version), revisionField(revision), eraField(revision))
 	default:
 		next.Config, next.raw, next.revision, next.Source = config, raw, revision, source
 		d.configMissing.Store(false)
-		d.checkedRevisions = checkedRevisions{revision}
+		if position.Era(revision) >= position.Era(d.checkedRevisions.newest()) {
+			d.checkedRevisions = checkedRevisions{revision}
+		}
 		d.evacuationsIncomplete = d.evacuationsIncomplete || source != sourceStore
 		d.publish(&next)
 		return
 	}
-	d.rejectedRevision = revision
+	d.rejectedRevision = max(d.rejectedRevision, revision)
 }
+
+// revisionField and eraField are the log fields of a position of the store.
+func revisionField(p uint64) zap.Field { return zap.Uint64("revision", position.Revision(p)) }
+func eraField(p uint64) zap.Field      { return zap.Uint64("era", position.Era(p)) }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/position"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/peer"
@@ -93,10 +94,17 @@
 	// checkedRevisions records how far the store was checked.
 	advertised       advertisedConfig
 	rejectedRevision uint64
+	// ignoredRevision is the last one that a peer advertised which has an older version. It is
+	// sent to peers as known, so that they do not answer at once with it again.
+	ignoredRevision uint64
+	// rejectedVersion is the highest version that a peer advertised and that turned out to be
+	// invalid or not there.
+	rejectedVersion  uint64
 	checkedRevisions checkedRevisions
 	// evacuationsIncomplete reports that changes of the evacuations may have been missed.
 	// The host that reads the store then lists them.
 	evacuationsIncomplete bool
+	evacuations           catalog.EvacuationState
 	// invalidEntries describes the fault of each entry that is not a valid replica, by
 	// key.
 	invalidEntries map[string]string
@@ -200,9 +208,15 @@
 	d.viewChanged = make(chan struct{})
 }
 
+// StoreEra returns the store's era as of the last read of the replicas.
+func (d *Discovery) StoreEra() uint64 { return position.Era(d.View().replicasRevision) }
+
 // Dump is the state of a Discovery for operators.
 type Dump struct {
-	Version          uint64    `json:"version"`
+	Version uint64 `json:"version"`
+	// Era counts how often the store has come back from a copy, as of the last read of the
+	// replicas. The revisions are those within their era.
+	Era              uint64    `json:"era"`
 	Revision         uint64    `json:"revision"`
 	AsOf             time.Time `json:"as_of"`
 	Source           string    `json:"source"`
@@ -234,10 +248,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	dump := Dump{
-		Revision: v.revision, AsOf: v.AsOf, Source: v.Source, StoreUnavailable: d.replicaReadFailed || d.configReadFailed,
-		AdvertisedRevision: d.advertised.revision, BehindSeconds: behind.Seconds(), CheckedRevision: d.checkedRevisions.oldest(),
+		Era: d.StoreEra(), Revision: position.Revision(v.revision), AsOf: v.AsOf, Source: v.Source, StoreUnavailable: d.replicaReadFailed || d.configReadFailed,
+		AdvertisedRevision: position.Revision(d.advertised.revision), BehindSeconds: behind.Seconds(), CheckedRevision: position.Revision(d.checkedRevisions.oldest()),
 		StoreReads: d.storeReads.Load(), Lists: d.lists.Load(), PeerReplies: d.peerReplies.Load(), Replicas: v.Replicas.Sorted(), InvalidEntries: d.invalidEntries,
-		Evacuated: v.Evacuations.Domains, EvacuationsRevision: v.Evacuations.Revision,
+		Evacuated: v.Evacuations.Domains, EvacuationsRevision: position.Revision(v.Evacuations.Revision),
 	}
 	if v.Config != nil {
 		dump.Version = v.Config.Version
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -98,6 +98,8 @@
 	stores      map[string]*platform.Store
 	storeDown   map[string]bool
 	mu          sync.Mutex
+	// cleanup registers what is to be called at the end of the test.
+	cleanup func(func())
 }
 
 // faultyStore is one host's access to the store, which can be made to fail.
@@ -136,13 +138,19 @@
 	return s.fleet.stores[s.host].Changes(ctx, prefix, after, wait)
 }
 
+// newTestFleet returns the fleet of a spec.
 func newTestFleet(n int, options ...func(*discovery.Config)) *testFleet {
+	return newTestFleetOf(func(f func()) { DeferCleanup(f) }, n, options...)
+}
+
+func newTestFleetOf(cleanup func(func()), n int, options ...func(*discovery.Config)) *testFleet {
 	f := &testFleet{
-		hosts: &localPeers{muxes: map[string]*peer.Mux{}, disconnected: map[string]bool{}, unresponsive: map[string]bool{}}, store: site.NewStore(),
+		cleanup: cleanup,
+		hosts:   &localPeers{muxes: map[string]*peer.Mux{}, disconnected: map[string]bool{}, unresponsive: map[string]bool{}}, store: site.NewStore(),
 		discoveries: map[string]*discovery.Discovery{}, stores: map[string]*platform.Store{}, storeDown: map[string]bool{},
 	}
 	server := httptest.NewServer(f.store)
-	DeferCleanup(server.Close)
+	cleanup(server.Close)
 	f.writeConfig(1)
 	f.writeReplica("i-1", "ready")
 	for i := 1; i <= n; i++ {
@@ -180,7 +188,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); f.discoveries[name].Run(ctx) }()
-		DeferCleanup(func() { cancel(); <-done })
+		f.cleanup(func() { cancel(); <-done })
 	}
 }
 
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -40,7 +42,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.evacuationsIncomplete = false
-	d.applyEvacuations(catalog.NewEvacuations(revision, domains))
+	d.applyEvacuations(catalog.NewEvacuations(revision, domains), catalog.Restoration{})
 	return true
 }
 
@@ -59,31 +61,52 @@
 	return changes
 }
 
-// applyEvacuations activates evacuations unless the current ones are as new. The
-// caller holds d.mu.
-func (d *Discovery) applyEvacuations(e catalog.Evacuations) {
-	next := *d.View()
-	if e.Revision <= next.Evacuations.Revision {
+// applyEvacuations activates evacuations unless the current ones are as new. known is what their
+// sender knows of the store's era. The caller holds d.mu.
+func (d *Discovery) applyEvacuations(e catalog.Evacuations, known catalog.Restoration) {
+	changed, restored := d.evacuations.Replace(clock.Now(), e, known)
+	if !changed {
 		return
 	}
-	next.Evacuations = e
+	if until := d.evacuations.KeptUntil(); !until.IsZero() {
+		if restored {
+			d.log.Warn("store came back from a copy; keeping evacuations that it lacks", zap.Strings("evacuated", d.evacuations.InForce(clock.Now()).Domains),
+				eraField(e.Revision), zap.Duration("for", clock.Until(until)))
+		}
+		clock.AfterFunc(clock.Until(until), func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.publishEvacuations()
+		})
+	}
+	d.publishEvacuations()
+}
+
+// publishEvacuations publishes the evacuations in force. The caller holds d.mu.
+func (d *Discovery) publishEvacuations() {
+	next := *d.View()
+	next.Evacuations = d.evacuations.InForce(clock.Now())
 	d.publish(&next)
 }
 
 // receiveEvacuations applies a peer's evacuations, however old the rest of its view is.
 // The caller holds d.mu.
 func (d *Discovery) receiveEvacuations(received *wire.Evacuations) {
-	if received != nil {
-		d.applyEvacuations(catalog.NewEvacuations(received.GetRevision(), received.GetFailureDomains()))
+	if received == nil {
+		return
 	}
+	known := catalog.Restoration{Age: time.Duration(received.GetEraAgeMs()) * time.Millisecond, Withdrawn: received.GetWithdrawn()}
+	d.applyEvacuations(catalog.NewEvacuations(received.GetRevision(), received.GetFailureDomains()), known)
 }
 
 // evacuationsReply returns the evacuations for a peer, without the failure domains if the
 // peer knows this revision. The caller holds d.mu.
-func (d *Discovery) evacuationsReply(v *View, known uint64) *wire.Evacuations {
-	reply := &wire.Evacuations{Revision: v.Evacuations.Revision, Complete: !d.evacuationsIncomplete}
+func (d *Discovery) evacuationsReply(known uint64) *wire.Evacuations {
+	stored := d.evacuations.Stored()
+	reply := &wire.Evacuations{Revision: stored.Revision, Complete: !d.evacuationsIncomplete}
 	if reply.Revision > known {
-		reply.FailureDomains = v.Evacuations.Domains
+		known := d.evacuations.Restoration(clock.Now())
+		reply.FailureDomains, reply.Withdrawn, reply.EraAgeMs = stored.Domains, known.Withdrawn, uint32(known.Age.Milliseconds())
 	}
 	return reply
 }
--- a/discovery/evacuations_test.go
+++ b/discovery/evacuations_test.go
@@ -6,12 +6,14 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/wheatseam/wheatseam/core/position"
 	"github.com/wheatseam/wheatseam/platform"
 )
 
@@ -129,6 +131,63 @@
 	})
 }
 
+// restoreWithout brings the store back from a copy that lacks the order for a domain.
+func (s *simulatedStore) restoreWithout(domain string) {
+	s.update(func(s *simulatedStore) {
+		delete(s.items, platform.EvacuationPrefix+domain)
+		s.revision = position.Of(position.Era(s.revision)+1, 1)
+		s.compactedRevision = s.revision
+	})
+}
+
+// Guards against a host that is cut off while the store comes back from a copy, hears of it
+// seconds later, and keeps an evacuation in force longer than the other hosts do.
+func TestHostThatHearsLateOfARestore(t *testing.T) {
+	const late = "host-004"
+	// play cuts one host off, restores the store without an order, and reconnects the host after
+	// 3 s; meanwhile is called after 1 s.
+	play := func(t *testing.T, meanwhile func(*simulatedStore)) (*WithT, *simulatedFleet) {
+		g, f := NewWithT(t), newSimulatedFleet(2, 4)
+		var cut atomic.Bool
+		f.injectError = func(from, to, _ string) error {
+			if cut.Load() && (from == late || to == late) {
+				return errDisconnected
+			}
+			return nil
+		}
+		startFleet(t, f)
+		f.store.evacuate("surco")
+		g.Expect(f.awaitEvacuations(evacuationBound, "surco")).To(BeNumerically("<", evacuationBound))
+		cut.Store(true)
+		f.store.restoreWithout("surco")
+		time.Sleep(time.Second)
+		meanwhile(f.store)
+		time.Sleep(2 * time.Second)
+		cut.Store(false)
+		return g, f
+	}
+	evacuated := func(f *simulatedFleet) bool { return f.discoveries[late].View().Evacuations.Has("surco") }
+
+	t.Run("drops what was withdrawn meanwhile", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g, f := play(t, func(s *simulatedStore) { s.withdraw("surco") })
+			time.Sleep(propagationBound)
+			g.Expect(evacuated(f)).To(BeFalse())
+		})
+	})
+	t.Run("keeps what the store lacks no longer than the others", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g, f := play(t, func(*simulatedStore) {})
+			for f.discoveries["host-000"].View().Evacuations.Has("surco") {
+				g.Expect(evacuated(f)).To(BeTrue())
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(500 * time.Millisecond)
+			g.Expect(f.hostsWithOtherEvacuations()).To(BeEmpty())
+		})
+	})
+}
+
 func TestInvalidEvacuationKeyIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -200,3 +259,36 @@
 		g.Expect(wrong).To(BeEmpty(), "want %v evacuated", want)
 	}
 }
+
+// Guards against requests at replicas of evacuated failure domains by a host that has just
+// started: it knew configuration and replicas before it had read the evacuations.
+func TestNoHostServesBeforeItKnowsTheEvacuations(t *testing.T) {
+	for _, replicas := range []int{1, 300} { // each host lists the replicas, or one does for all
+		t.Run(fmt.Sprint(replicas, " replicas"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { startWithEvacuations(t, replicas) })
+		})
+	}
+}
+
+func startWithEvacuations(t *testing.T, replicas int) {
+	g := NewWithT(t)
+	f := newSimulatedFleet(1, 5)
+	f.store.evacuate("surco")
+	f.store.writeConfig(1, 2)
+	for id := range replicas {
+		f.store.writeReplica(id, "ready")
+	}
+	t.Cleanup(f.run())
+	const step = time.Millisecond
+	ready := map[string]bool{}
+	for began := time.Now(); time.Since(began) < propagationBound; time.Sleep(step) {
+		for _, name := range f.names {
+			if v := f.discoveries[name].View(); v.Ready() {
+				ready[name] = true
+				g.Expect(v.Evacuations.Domains).To(Equal([]string{"surco"}), "%s after %s", name, time.Since(began))
+			}
+		}
+	}
+	t.Logf("%d calls to the store", f.store.callCount())
+	g.Expect(ready).To(HaveLen(len(f.names)))
+}
--- a/discovery/storeread.go
+++ b/discovery/storeread.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/position"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/platform"
 )
@@ -43,7 +44,8 @@
 	}
 	items, revision, err := d.replicaChanges(ctx, l.checked.oldest())
 	if errors.Is(err, platform.ErrCompacted) {
-		d.log.Info("store no longer has the change history; listing the replicas", zap.Uint64("after", l.checked.oldest()))
+		d.log.Info("store no longer has the change history; listing the replicas",
+			zap.Uint64("after", position.Revision(l.checked.oldest())), eraField(l.checked.oldest()), zap.Error(err))
 		return false, nil
 	}
 	if err != nil {
@@ -78,7 +80,7 @@
 		l = listingOf(v.Replicas, v.replicasRevision, v.replicasAsOf)
 		l.faults = maps.Clone(d.invalidEntries)
 	}
-	if l == nil || !l.usable(clock.Now()) {
+	if now := clock.Now(); l == nil || !l.usable(now) || d.registry.NeedsList(now) {
 		return nil
 	}
 	return l
@@ -124,15 +126,34 @@
 	case pages > firstListPages && !d.listsAlone && d.View().Replicas == nil:
 		return errManyReplicas
 	}
+	if d.View().Replicas == nil {
+		// Requests are accepted from the first replicas on, and peers send theirs with the
+		// evacuations. If these can't be read, that doesn't wait: they are read again before the
+		// next check of the configuration.
+		d.listEvacuations(ctx)
+	}
 	l.checked, l.readAt, l.listedAt = checkedRevisions{revision}, started, started
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if known := d.knownPosition(); position.Era(revision) > position.Era(known) && known > 0 {
+		d.log.Warn("store came back from a copy; replicas listed anew", revisionField(revision), eraField(revision), zap.Uint64("before", position.Revision(known)))
+		d.registry.StoreRestored(clock.Now())
+	}
 	d.listing = l
 	d.registry.Update(clock.Now(), l.replicas())
 	d.replicasRead(started)
 	return nil
 }
 
+// knownPosition returns the position up to which the replicas are known; 0 if it is not known.
+// The caller holds d.mu.
+func (d *Discovery) knownPosition() uint64 {
+	if d.listing != nil {
+		return max(d.listing.checked.newest(), d.View().replicasRevision)
+	}
+	return d.View().replicasRevision
+}
+
 // firstListPages is the number of pages that a host without a view lists. If there are more,
 // it asks peers that have a view, or waits for the host that reads the store for all: when
 // a whole fleet starts again, its hosts would each list all replicas.
@@ -147,7 +168,7 @@
 	if d.replicaReadFailed {
 		d.replicaReadFailed = false
 		d.wakeConfigSync()
-		d.log.Info("store is readable again for the replicas", zap.Uint64("revision", d.listing.checked.newest()))
+		d.log.Info("store is readable again for the replicas", revisionField(d.listing.checked.newest()), eraField(d.listing.checked.newest()))
 	}
 	d.recordInvalidEntries(d.listing.faults)
 	next := *d.View()
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -26,11 +26,20 @@
 	// replicasRevision is a revision of the store up to which the replicas include all
 	// changes; 0 if none is known.
 	replicasRevision uint64
-	// raw is the configuration as stored, and revision its revision in the store.
+	// raw is the configuration as stored, and revision its position in the store. Revisions
+	// here are positions: see core/position.
 	raw      []byte
 	revision uint64
 }
 
+// version returns the version of the configuration; 0 if there is none.
+func (v *View) version() uint64 {
+	if v.Config == nil {
+		return 0
+	}
+	return v.Config.Version
+}
+
 // Ready reports whether requests can be routed with this view.
 func (v *View) Ready() bool { return v.Config != nil && v.Replicas != nil }
 
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -58,6 +58,7 @@
 		}
 		return 0
 	})
+	gauge("wheatseam_store_era", func() float64 { return float64(g.discovery.StoreEra()) })
 	gauge("wheatseam_replica_entries_refused", func() float64 { return float64(g.discovery.InvalidEntryCount()) })
 	gauge("wheatseam_replicas", func() float64 { return float64(g.discovery.View().Replicas.Len()) })
 	gauge("wheatseam_replica_lists_total", func() float64 { return float64(g.discovery.ListCount()) })
