soak: the store comes back from a copy

Cause: the soak did not know the fault. Change: the store is away for a moment and comes back some seconds old; the operator and the replicas write theirs again.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,7 +8,7 @@
 //   - Relays on the loopback interface delay, reset or blackhole the daemons'
 //     connections to the store and to each other, in one or both directions, or
 //     make the connections that are open at one moment a permanent blackhole.
-//   - The store fails or is slow.
+//   - The store fails or is slow, or comes back from a copy some seconds old.
 //   - Replicas abort answers, refuse, hang, drain and are replaced.
 //   - API keys are revoked.
 //   - Requests crash the replicas that run them.
--- a/soak/run.go
+++ b/soak/run.go
@@ -133,6 +133,7 @@
 	wg.Go(func() { r.reportSlowdowns(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 9))) })
 	wg.Go(func() { r.cutReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 10))) })
 	wg.Go(func() { r.announceRefusalLimits(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 11))) })
+	wg.Go(func() { r.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 13))) })
 	wg.Go(func() { r.silenceReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 12))) })
 	r.injectFaults(faultCtx)
 	wg.Wait()
