gateway: await the run before the host is suspended in a test

Change: the spec waits until the replica has the request, and says what it got. A second one has the deadline pass while the host connects.

--- a/gateway/suspend_test.go
+++ b/gateway/suspend_test.go
@@ -25,10 +25,11 @@
 			ended <- a
 		}()
 		Eventually(func() []string { return g.metricLines("wheatseam_in_flight") }, "2s").Should(ConsistOf(HaveSuffix(" 1")))
+		Eventually(func() int { return len(f.replicas["p1"].Arrivals()) + len(f.replicas["p2"].Arrivals()) }, "2s").Should(Equal(1), "runs of the request")
 		clock.SimulateSuspension(time.Minute)
 		var a answer
 		Eventually(ended, "2s").Should(Receive(&a))
-		Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(a.status).To(Equal(http.StatusGatewayTimeout), "answer %q, error %v", a.body, a.err)
 		Expect(time.Since(began)).To(BeNumerically("<", 2900*time.Millisecond), "the route's timeout, on a clock that stops during a suspension")
 
 		f.behave("plain", site.Behaviour{})
@@ -38,6 +39,27 @@
 		}, "5s").Should(Equal(http.StatusOK))
 	})
 
+	It("ends requests whose deadline passed while it connected", func() {
+		f := newFixture()
+		g := f.start().ready()
+		g.gateway.SimulateCut(time.Hour, true)
+		ended := make(chan answer, 1)
+		var id string
+		go func() {
+			defer GinkgoRecover()
+			var a answer
+			a, id = g.send(http.MethodPost, sealPath, "", func(r *http.Request) { r.Header.Set("Deadline-Ms", "60000") })
+			ended <- a
+		}()
+		Eventually(func() []string { return g.metricLines("wheatseam_in_flight") }, "2s").Should(ConsistOf(HaveSuffix(" 1")))
+		clock.SimulateSuspension(time.Minute)
+		var a answer
+		Eventually(ended, "2s").Should(Receive(&a))
+		// 503 if the connection attempt ended before the request did.
+		Expect(a.status).To(Or(Equal(http.StatusGatewayTimeout), Equal(http.StatusServiceUnavailable)), "answer %q, error %v", a.body, a.err)
+		Expect(f.ledger.Runs(id)).To(BeEmpty())
+	})
+
 	It("counts a suspension in the age of its view, and refreshes the view", func() {
 		f := newFixture()
 		g := f.start().ready()
