gateway: longer prompts to learn the read time from, in a test

Cause: the spec of prompts read at another engine failed 12 of 30 times beside twelve busy processes: it waited for any announcement, also an earlier one, and the read times of 20 to 130 tokens, 4 to 26 ms, are lost in the noise of a busy machine. Change: it waits for a new announcement; prompts of 100 to 650 tokens are learned from.

--- a/gateway/prompts_test.go
+++ b/gateway/prompts_test.go
@@ -32,7 +32,7 @@
 	// measureReadTimes makes a gateway learn how fast engines read.
 	measureReadTimes := func(f *fixture, g *gatewayProcess) {
 		for i := range 12 {
-			sendStream(f, g, fmt.Sprint("learn", i), 20+10*i)
+			sendStream(f, g, fmt.Sprint("learn", i), 100+50*i)
 		}
 	}
 
@@ -61,13 +61,15 @@
 		measureReadTimes(f, first)
 		measureReadTimes(f, second)
 		home := sendStream(f, first, "b", 10)
+		announced := func() []string { return first.metricLines(`wheatseam_prompts_told_total{result="told"}`) }
+		time.Sleep(100 * time.Millisecond) // earlier prompts are announced
+		before := announced()
 		long := make(chan site.Run)
 		go func() {
 			defer GinkgoRecover()
 			long <- sendStream(f, first, "b", 5000)
 		}()
-		Eventually(func() []string { return first.metricLines(`wheatseam_prompts_told_total{result="told"}`) }, "2s").ShouldNot(BeEmpty())
-		time.Sleep(50 * time.Millisecond)
+		Eventually(announced, "2s").ShouldNot(Equal(before))
 		run := sendStream(f, second, "b", 10)
 		Expect(run.Replica).NotTo(Equal(home.Replica), "that engine is reading for a second")
 		Expect(run.CacheSource).To(Equal(f.replicas[home.Replica].Address()))
