route: report slow calls that are not held against a silent replica

Cause: no line or metric told that a slow call was counted as part of a brief silence: an operator saw that no ejection came, not why. Change: Config.OnSilence; the gateway logs the first such call of a silence and counts silences and calls. Measured: tests of core/route and TestReplicaSilentForASecondIsAwaited green.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -57,6 +57,11 @@
 	// OnEjected is called for every ejection of an upstream from a pool, with its reason
 	// and end. It is called with a lock held and must not block. It may be nil.
 	OnEjected func(pool, upstream, reason string, until time.Time)
+	// OnSilence is called for every slow call that is not counted because a brief silence of
+	// the upstream, which an earlier call has shown, may have delayed it. delayed is the number
+	// of such calls in this silence so far. It is called with a lock held and must not block. It
+	// may be nil.
+	OnSilence func(pool, upstream string, delayed int)
 }
 
 // EjectionConfig configures the ejection of failing and slow upstreams.
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -321,7 +321,13 @@
 // addSlowness adds the slowness of a call that has ended; 0 means that it is not known. Calls
 // that were delayed by one brief silence of the upstream count once.
 func (p *poolView) addSlowness(now time.Time, st *memberState, o *request.Outcome, sample float64, c *Config) {
-	if sample <= 0 || sample >= c.Ejection.SlowRatio && st.silence.observeSlow(now, o, sample) {
+	if sample <= 0 {
+		return
+	}
+	if sample >= c.Ejection.SlowRatio && st.silence.observeSlow(now, o, sample) {
+		if c.OnSilence != nil {
+			c.OnSilence(p.name, o.Choice.Upstream, st.silence.delayed)
+		}
 		return
 	}
 	smoothing := slownessSmoothing
--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -22,6 +22,8 @@
 	shownAt time.Time
 	// endedAt is when a call first completed at or after shownAt; zero if none has yet.
 	endedAt time.Time
+	// delayed is the number of further calls that it may have delayed.
+	delayed int
 }
 
 // observeSlow records a slow call, of the given multiple of the usual latency, that has ended
@@ -30,6 +32,7 @@
 func (s *silence) observeSlow(now time.Time, o *request.Outcome, ratio float64) bool {
 	usual := scaleDuration(o.Latency, 1/ratio)
 	if s.explains(now, now.Add(-o.Latency), usual, o.Latency-usual) {
+		s.delayed++
 		return true
 	}
 	*s = silence{shownAt: now}
--- a/core/route/silence_test.go
+++ b/core/route/silence_test.go
@@ -74,6 +74,17 @@
 		Expect(s.state().ejection.until.IsZero()).To(BeTrue())
 	})
 
+	It("is reported with each call that is not held against it", func() {
+		s := newSilentCalls(inFlight)
+		var delayed []int
+		s.router.config.OnSilence = func(p, upstream string, n int) {
+			Expect([]string{p, upstream}).To(Equal([]string{pool, "u0"}))
+			delayed = append(delayed, n)
+		}
+		endAll(s, 1100*time.Millisecond, usualCallLatency, request.CallOK)
+		Expect(delayed).To(Equal([]int{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}), "all calls but the first")
+	})
+
 	DescribeTable("is ejected as slow if it is silent for long",
 		func(result request.CallResult) {
 			s := newSilentCalls(inFlight)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,7 @@
 	g.evacuatedServices.Store(&map[string]bool{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixMinLoad: prefixMinLoad, PrefixBonus: prefixBonus, BacklogWeight: backlogWeight,
-		OnEjected: g.logEjection, Limiters: g.limiters,
+		OnEjected: g.logEjection, OnSilence: g.logSilence, Limiters: g.limiters,
 	})
 	g.slowdowns.router = g.router
 	g.reachability.router, g.reachability.table, g.reachability.avoided = g.router, reach.New(s.Host), map[string]bool{}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -144,6 +144,17 @@
 	g.metrics.GetOrCreateCounter("wheatseam_ejections_total").Inc()
 }
 
+// logSilence counts slow calls that are not held against a replica which was silent for a
+// moment, and logs the first one of each silence.
+func (g *Gateway) logSilence(service, replica string, delayed int) {
+	g.metrics.GetOrCreateCounter("wheatseam_calls_delayed_by_silence_total").Inc()
+	if delayed > 1 {
+		return
+	}
+	g.log.Info("replica was silent for a moment; its slow calls count as one", zap.String("service", service), zap.String("replica", replica))
+	g.metrics.GetOrCreateCounter("wheatseam_brief_silences_total").Inc()
+}
+
 // State is the state of a gateway as GET /state shows it.
 type State struct {
 	Name     string                 `json:"name"`
