--- a/core/detour/table.go
+++ b/core/detour/table.go
@@ -38,10 +38,10 @@
 	// slowPause is for how long a peer that did not answer in time is asked only if no other
 	// can be.
 	slowPause = 500 * time.Millisecond
-	// votePeriod is for how long a peer that did not reach an address, or not in time, is not
-	// asked for that address; the latter is if no other can be. A peer whose connection was
-	// refused is asked again after refusedPause, since that costs no time; its answer counts
-	// for refusedPeriod, longer than an attempt takes.
+	// votePeriod is for how long a peer that did not reach an address is not asked for it
+	// again. A peer that only did not answer in time is nevertheless asked if no other can be.
+	// A peer whose connection was refused is asked again after refusedPause, since that costs
+	// no time; its answer counts for refusedPeriod, longer than an attempt takes.
 	votePeriod    = 4 * time.Second
 	refusedPeriod = 500 * time.Millisecond
 	refusedPause  = 100 * time.Millisecond
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -77,7 +77,7 @@
 			for n := range trials {
 				t.Run(fmt.Sprint(n), func(t *testing.T) {
 					t.Parallel()
-					if movedStreamMetRefusal(t) {
+					if streamMovesPastRefusal(t) {
 						refused.Add(1)
 					}
 				})
@@ -87,9 +87,9 @@
 	NewWithT(t).Expect(refused.Load()).To(BeNumerically(">", 0), "no trial reached the refusing engine")
 }
 
-// movedStreamMetRefusal checks that a stream completes whose engine freezes while one engine
-// that refuses and one that accepts are added. It reports whether the former was asked.
-func movedStreamMetRefusal(t *testing.T) bool {
+// streamMovesPastRefusal checks that a stream completes after its engine froze, although one of
+// the two other engines refuses it. It reports whether that engine was asked.
+func streamMovesPastRefusal(t *testing.T) bool {
 	f := newFixtureOf(t)
 	f.removeReplicas("e2")
 	f.replicas["e1"].SetBehaviour(site.Behaviour{PauseAfterEvents: 2, Stall: site.ProcessFrozen})
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -66,8 +66,7 @@
 
 // firstReleaseTimeout is the run time of this process after which an unanswered call that
 // releases results makes it check the connection. The call uses a pooled connection, which
-// may have stopped delivering packets, and the results occupy memory until a call arrives. It
-// takes about 2 ms, and longer on a busy host.
+// may have stopped delivering packets, and the results occupy memory until a call arrives.
 const firstReleaseTimeout = 250 * time.Millisecond
 
 // lateAnswerTime is the time that an answer on the pooled connection has to arrive after one
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -67,8 +67,8 @@
 	return fmt.Errorf("%w (%w)", ErrBroken, err)
 }
 
-// copyChunks copies what a replica sends to a stream, in chunks, until either fails. After
-// the replica's end it sends the last chunk.
+// copyChunks copies what a replica sends to a stream, in chunks, until either fails. When the
+// replica has closed the connection, it sends an empty chunk, which marks the end.
 func copyChunks(stream io.Writer, replica io.Reader) error {
 	buf := make([]byte, chunkHeader+maxChunk)
 	for {
