--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -43,7 +43,7 @@
 	g.paths.Paths = tunnel.NewPaths(tunnel.PathsConfig{
 		Self: s.Host, Peers: g.otherHosts, OnChange: g.logPaths,
 		Sample: func(n int) []string { return g.paths.addresses.of(g.discovery.View()).sample(n) },
-		Count:  func() int { return len(g.paths.addresses.of(g.discovery.View()).all) },
+		Count:  func() int { return g.paths.addresses.of(g.discovery.View()).count() },
 		IsReplica: func(address string) bool {
 			return g.paths.addresses.of(g.discovery.View()).contains(address)
 		},
@@ -184,6 +184,8 @@
 	return i.cached
 }
 
+func (l *addressList) count() int { return len(l.all) }
+
 func (l *addressList) contains(address string) bool {
 	_, ok := l.known[address]
 	return ok
