gateway: index the addresses of replicas only when they are needed

The index was keyed by the view, which is replaced at each read of the store, and built to learn how many addresses there are.

--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/detour"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -154,15 +155,19 @@
 	return out
 }
 
-// addressIndex holds the addresses of a view's replicas. It is safe for concurrent use.
+// addressIndex holds the addresses of the newest view's replicas. It is safe for concurrent
+// use.
 type addressIndex struct {
 	mu     sync.Mutex
-	view   *discovery.View
 	cached *addressList
 }
 
-// addressList is an immutable list of addresses.
+// addressList holds the addresses of a set of replicas. It is indexed when first needed: hosts
+// that reach the replicas only count them.
 type addressList struct {
+	replicas *catalog.ReplicaSet
+
+	once  sync.Once
 	all   []string
 	known map[string]struct{}
 }
@@ -171,28 +176,46 @@
 func (i *addressIndex) of(v *discovery.View) *addressList {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.cached == nil || i.view != v {
-		l := &addressList{known: map[string]struct{}{}}
-		for r := range v.Replicas.All() {
+	if i.cached == nil || i.cached.replicas != v.Replicas {
+		i.cached = &addressList{replicas: v.Replicas}
+	}
+	return i.cached
+}
+
+func (l *addressList) index() {
+	l.once.Do(func() {
+		l.known = map[string]struct{}{}
+		for r := range l.replicas.All() {
 			if _, ok := l.known[r.Address]; !ok {
 				l.known[r.Address] = struct{}{}
 				l.all = append(l.all, r.Address)
 			}
 		}
-		i.view, i.cached = v, l
-	}
-	return i.cached
+	})
 }
 
-func (l *addressList) count() int { return len(l.all) }
+// exactCountLimit is the number of replicas up to which their addresses are counted exactly. It
+// is well above the numbers that a host compares its failures with.
+const exactCountLimit = 64
+
+// count returns the number of addresses; of many replicas, it is that of the replicas.
+func (l *addressList) count() int {
+	if n := l.replicas.Len(); n > exactCountLimit {
+		return n
+	}
+	l.index()
+	return len(l.all)
+}
 
 func (l *addressList) contains(address string) bool {
+	l.index()
 	_, ok := l.known[address]
 	return ok
 }
 
 // sample returns up to n addresses at random.
 func (l *addressList) sample(n int) []string {
+	l.index()
 	if n >= len(l.all) {
 		return slices.Clone(l.all)
 	}
