intake: test of a host that misses the end of a limit

The end of a limit is told when it is seen and once more within 3 s; a host that no call reaches in both cases, and that may send nothing to the replica, has nobody to learn it from.

--- a/core/intake/random_test.go
+++ b/core/intake/random_test.go
@@ -44,7 +44,9 @@
 	name       string
 	knownHosts []string
 	// startsAt is when the host begins to send requests.
-	startsAt   time.Time
+	startsAt time.Time
+	// idle says that the host sends no requests.
+	idle       bool
 	limitTable intake.LimitTable
 	limiters   *intake.Limiters
 	limiter    *intake.Limiter
@@ -243,7 +245,7 @@
 				h.updateQuotas()
 				f.repeatLimits(h)
 			}
-			if f.now.Before(h.startsAt) || f.rng.Float64() >= float64(simStep)/float64(f.requestInterval) {
+			if f.now.Before(h.startsAt) || h.idle || f.rng.Float64() >= float64(simStep)/float64(f.requestInterval) {
 				continue
 			}
 			if _, blocked := h.limiter.Blocked(f.now); !blocked {
@@ -428,6 +430,33 @@
 	}
 }
 
+// A limit is lifted while one host is partitioned from the others. It must learn of that from
+// its peers soon after the partition, since it may have no call left to learn it from the
+// replica.
+func TestPartitionedHostLearnsThatALimitWasLifted(t *testing.T) {
+	for _, n := range []int{6, 60, 985} {
+		for _, partition := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprintf("%d hosts, %s", n, partition), func(t *testing.T) {
+				t.Parallel()
+				for seed := range min(seedCount(n), 20) {
+					g := NewWithT(t)
+					f := newSimFleet(seed, n, 400*time.Millisecond)
+					f.gossips = true
+					f.advance(20 * time.Second) // until all hosts have started
+					f.limit = 2.5
+					f.advance(5 * time.Second)
+					partitioned := f.hosts[f.rng.IntN(n)]
+					partitioned.partitionedUntil = f.now.Add(partition)
+					partitioned.idle = true
+					f.limit = -1
+					f.advance(partition + repeatInterval + time.Second)
+					g.Expect(partitioned.limitTable.Limits()).To(BeEmpty(), "seed %d", seed)
+				}
+			})
+		}
+	}
+}
+
 // Measures how many calls between hosts it takes until all hosts know a limit that one of
 // them observed, and how long, in a fleet without other traffic.
 func BenchmarkLimitPropagation(b *testing.B) {
