intake: report the end of a limit to peers for 15 seconds

An active limit is observed again with each answer; its end is one event, and was reported when it was seen and at the next repetition. Change: lifted limits are part of each repetition while they are retained, 15 in place of 10 s.

--- a/core/intake/limit_table.go
+++ b/core/intake/limit_table.go
@@ -22,9 +22,10 @@
 	// refreshThreshold is how much newer a peer's report has to be to count as a new
 	// response of the replica, since the time that the report took to arrive is unknown.
 	refreshThreshold = time.Second
-	// liftedRetention is how long a lifted limit is retained, so that peers which still
-	// have it as active are notified.
-	liftedRetention = 10 * time.Second
+	// liftedRetention is how long a lifted limit is retained and reported again and again:
+	// unlike one that is active, it is not observed again, and a host that may send nothing
+	// to the replica learns of it from its peers only.
+	liftedRetention = 15 * time.Second
 	// unlistedRetention is how long the information about an unlisted replica is retained:
 	// a replica may be missing from the list temporarily.
 	unlistedRetention = time.Minute
@@ -123,9 +124,11 @@
 	return changed, newer
 }
 
-// ObservedAfter returns the limits observed after a time, here or by a peer.
-func (a *LimitTable) ObservedAfter(after time.Time) []ReplicaLimit {
-	return a.filter(func(l *limitEntry) bool { return l.LastObserved.After(after) })
+// Reports returns what is to be reported to peers that were last sent reports at the given
+// time: the limits observed since, here or by a peer, and those that were lifted a short time
+// ago.
+func (a *LimitTable) Reports(lastSent time.Time) []ReplicaLimit {
+	return a.filter(func(l *limitEntry) bool { return l.LastObserved.After(lastSent) || !l.Limit.Announced })
 }
 
 // RemoveExpired removes replicas that have been unlisted for longer than unlistedRetention,
--- a/gateway/noticesync.go
+++ b/gateway/noticesync.go
@@ -63,8 +63,8 @@
 		return
 	}
 	g.sendToNeighbours("", &wire.NoticesHeard{
-		Limits: limitsToWire(now, n.announcedLimits.ObservedAfter(n.lastResent)), Leaving: leavingToWire(now, n.leavingReplicas.ObservedAfter(n.lastResent.Add(-leavingResendPeriod))),
-		Slowdowns: g.slowdowns.resend(now), RefusalLimits: limitsToWire(now, n.refusalLimits.ObservedAfter(n.lastResent)),
+		Limits: limitsToWire(now, n.announcedLimits.Reports(n.lastResent)), Leaving: leavingToWire(now, n.leavingReplicas.ObservedAfter(n.lastResent.Add(-leavingResendPeriod))),
+		Slowdowns: g.slowdowns.resend(now), RefusalLimits: limitsToWire(now, n.refusalLimits.Reports(n.lastResent)),
 	})
 	n.lastResent = now
 }
