gateway: compute refusal quotas only when what they depend on changes

Cause: the quotas were computed again whenever the view was another one, four times a second while any replica announces a limit on refusals: views are replaced at each read of the store. 985 hosts before 200 such replicas are 197,000 hashes each time. Change: configuration and replicas are compared in place of the view. Measured: the test's views with the same content compare as equal; they did not (the view was compared by its address).

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -155,7 +155,7 @@
 		for _, r := range cold {
 			limits[r.ID] = 0
 			if complete {
-				limits[r.ID] = shares.CallsForRole(r.ID, g.coldLimit(v.Config.Services[r.Service]), callRole(v, r.ID, planner))
+				limits[r.ID] = shares.CallsForRole(r.ID, g.coldLimit(v.Config.Services[r.Service]), callRole(v.Config, v.Replicas, r.ID, planner))
 			}
 		}
 	}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -10,7 +10,6 @@
 
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/intake"
-	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/wire"
 )
@@ -174,7 +173,7 @@
 				quotas[l.Replica] = intake.NoQuota()
 				continue
 			}
-			quotas[l.Replica] = shares.LimitQuota(l, callRole(view, l.Replica, planner))
+			quotas[l.Replica] = shares.LimitQuota(l, callRole(view.Config, view.Replicas, l.Replica, planner))
 		}
 	}
 	g.notices.limitsActive = len(limits) > 0
@@ -195,11 +194,11 @@
 }
 
 // callRole returns the role in which this host calls a replica.
-func callRole(v *discovery.View, replica string, planner bool) intake.Role {
-	if v.Config == nil {
+func callRole(config *catalog.Config, replicas *catalog.ReplicaSet, replica string, planner bool) intake.Role {
+	if config == nil {
 		return intake.Requester
 	}
-	s := v.Config.Services[v.Replicas.Get(replica).Service]
+	s := config.Services[replicas.Get(replica).Service]
 	switch {
 	case s == nil || s.StageProfile == nil:
 		return intake.Requester
--- a/gateway/refusallimits.go
+++ b/gateway/refusallimits.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -40,13 +41,20 @@
 // refusalInputs is what the quotas were last computed from.
 type refusalInputs struct {
 	// hosts are the names of the live hosts, joined; "" while they are not all known.
-	hosts   string
-	planner bool
-	view    *discovery.View
+	hosts    string
+	planner  bool
+	config   *catalog.Config
+	replicas *catalog.ReplicaSet
 }
 
-// refreshRefusalQuotas computes this host's quotas if hosts, planner or view have changed; the
-// notices' lock must be held.
+// newRefusalInputs returns the inputs that a view holds. Views are replaced at each read of the
+// store; these are the parts that stay as long as their content does.
+func newRefusalInputs(v *discovery.View) refusalInputs {
+	return refusalInputs{config: v.Config, replicas: v.Replicas}
+}
+
+// refreshRefusalQuotas computes this host's quotas if hosts, planner, configuration or replicas
+// have changed; the notices' lock must be held.
 func (g *Gateway) refreshRefusalQuotas() {
 	if g.notices.refusalLimitsActive && g.currentRefusalInputs() != g.notices.refusalInputs {
 		g.updateRefusalQuotas()
@@ -54,7 +62,8 @@
 }
 
 func (g *Gateway) currentRefusalInputs() refusalInputs {
-	in := refusalInputs{planner: g.stages.IsPlanner(), view: g.discovery.View()}
+	in := newRefusalInputs(g.discovery.View())
+	in.planner = g.stages.IsPlanner()
 	if _, complete := g.fleet.KnownHosts(); complete {
 		var names []string
 		for _, h := range g.fleet.Reachable() {
@@ -77,14 +86,14 @@
 		}
 	} else {
 		shares := intake.NewShares(g.settings.Load().Host, strings.Fields(in.hosts))
-		slots := func(replica string) int { return in.view.Replicas.Get(replica).Concurrency }
+		slots := func(replica string) int { return in.replicas.Get(replica).Concurrency }
 		byService := map[string][]intake.ReplicaLimit{}
 		for _, l := range limits {
-			service := in.view.Replicas.Get(l.Replica).Service
+			service := in.replicas.Get(l.Replica).Service
 			byService[service] = append(byService[service], l)
 		}
 		for _, ofService := range byService {
-			maps.Copy(quotas, shares.RefusalQuotas(ofService, slots, callRole(in.view, ofService[0].Replica, in.planner)))
+			maps.Copy(quotas, shares.RefusalQuotas(ofService, slots, callRole(in.config, in.replicas, ofService[0].Replica, in.planner)))
 		}
 	}
 	g.notices.refusalLimitsActive = len(limits) > 0
--- a/gateway/addressindex_test.go
+++ b/gateway/viewcontent_test.go
@@ -62,3 +62,14 @@
 	})
 	g.Expect(allocated).To(BeNumerically("<", 5))
 }
+
+// Guards against quotas that are computed again several times a second because the view was
+// replaced by one with the same content.
+func TestRefusalInputsStayWhileTheContentDoes(t *testing.T) {
+	g := NewWithT(t)
+	v := viewOf(8, false)
+	next := *v
+	g.Expect(newRefusalInputs(&next) == newRefusalInputs(v)).To(BeTrue())
+	next.Replicas = viewOf(8, false).Replicas
+	g.Expect(newRefusalInputs(&next) == newRefusalInputs(v)).To(BeFalse())
+}
