--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -130,6 +130,11 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replicas_ended_total{service=%q}", e.Service)).Inc()
 }
 
+// countCrashCheck counts a check whether a replica has crashed.
+func (g *Gateway) countCrashCheck(result string) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_crash_checks_total{result=%q}", result)).Inc()
+}
+
 // countForged counts headers that callers sent but may not set.
 func (g *Gateway) countForged(names []string) {
 	for _, name := range names {
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -59,23 +59,43 @@
 	s.mu.Unlock()
 	switch {
 	case err != nil:
-		s.log.Info("could not check whether a replica has crashed", zap.String("replica", e.Replica), zap.Error(err))
+		s.countCheck("unknown")
+		s.log.Info("could not check whether a replica has crashed", zap.String("replica", e.Replica), zap.Strings("contents", contentsOf(e.Suspects)), zap.Error(err))
 	case refused:
+		s.countCheck("refused")
 		s.recordCrash(e.Crash)
+	default:
+		s.countCheck("accepted")
 	}
 }
 
+// countCheck reports the result of a crash check.
+func (s *Service) countCheck(result string) {
+	if s.cfg.OnCrashCheck != nil {
+		s.cfg.OnCrashCheck(result)
+	}
+}
+
+// contentsOf lists the fingerprints of suspects, for logs.
+func contentsOf(suspects []poison.Suspect) []string {
+	out := make([]string, 0, len(suspects))
+	for _, suspect := range suspects {
+		out = append(out, suspect.Request.String())
+	}
+	return out
+}
+
 // recordCrash records a confirmed replica crash for reporting.
 func (s *Service) recordCrash(e poison.Crash) {
 	if s.cfg.OnReplicaCrash != nil {
 		s.cfg.OnReplicaCrash(e)
 	}
-	contents, ran := make([]string, 0, len(e.Suspects)), make([]time.Duration, 0, len(e.Suspects))
+	ran := make([]time.Duration, 0, len(e.Suspects))
 	for _, suspect := range e.Suspects {
-		contents, ran = append(contents, suspect.Request.String()), append(ran, suspect.RunTime)
+		ran = append(ran, suspect.RunTime)
 	}
 	s.log.Warn("replica crashed while requests were running on it", zap.String("service", e.Service), zap.String("replica", e.Replica),
-		zap.Strings("contents", contents), zap.Durations("ran", ran))
+		zap.Strings("contents", contentsOf(e.Suspects)), zap.Durations("ran", ran))
 	s.mu.Lock()
 	s.reports = append(s.reports, &report{crash: e, ackedBy: map[string]uint64{}})
 	s.reports = s.reports[max(0, len(s.reports)-maxReports):]
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -47,6 +47,9 @@
 	// OnReplicaCrash is called for each replica that crashed while attempts were running on
 	// it. It may be nil and must not block.
 	OnReplicaCrash func(poison.Crash)
+	// OnCrashCheck is called with the result of each check whether a replica has crashed:
+	// "refused", "accepted" or "unknown". It may be nil and must not block.
+	OnCrashCheck func(result string)
 }
 
 // Service is the quarantine of one daemon. All methods are safe for concurrent use.
