tunnel: a host that has just lost its paths must not call a replica down

A host whose connections are reset by a cut believes for up to a second that it still reaches replicas, since it has connected to one within the last second. Asked by a peer, it then answers that a replica refuses connections, which counts as a vote against the replica.

Found while reading what two votes guard against; not seen in a log. Tests of tunnel and core/detour pass.

--- a/core/detour/table.go
+++ b/core/detour/table.go
@@ -72,6 +72,9 @@
 	failedPeriod = 2 * time.Second
 	// reachedPeriod is how long a direct connection shows that this host reaches replicas.
 	reachedPeriod = time.Second
+	// voteEvidencePeriod is how long a direct connection shows it to a host that tells others
+	// that a replica refuses: one that has just lost its paths by resets must not say so.
+	voteEvidencePeriod = 200 * time.Millisecond
 	// maxHints limits the peers named to a host that asked in vain.
 	maxHints = 3
 	// MaxAddresses and MaxPeers limit the memory.
@@ -146,6 +149,9 @@
 	return n
 }
 
+// DirectAt returns when a direct attempt or probe last succeeded; zero if none has.
+func (t *Table) DirectAt() time.Time { return t.directAt }
+
 // Reach is whether a host reaches replicas directly.
 type Reach uint8
 
@@ -172,6 +178,12 @@
 	return ReachUnknown
 }
 
+// MayVote reports whether a direct connection was established so short a time ago that this
+// host can tell others that a replica refuses connections.
+func (t *Table) MayVote(now time.Time) bool {
+	return !t.directAt.IsZero() && now.Sub(t.directAt) < voteEvidencePeriod
+}
+
 // failing returns the number of addresses that failed since a direct attempt last succeeded.
 func (t *Table) failing() int {
 	n := 0
--- a/tunnel/paths.go
+++ b/tunnel/paths.go
@@ -100,6 +100,12 @@
 	return p.table.Reach(clock.Now())
 }
 
+func (p *Paths) mayVote() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.MayVote(clock.Now())
+}
+
 func (p *Paths) hints() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -87,21 +87,25 @@
 	}
 	s.open.Add(-1)
 	r := detour.Reply{Room: s.cfg.MaxOpen - open, Result: detour.ReplicaUnreachable}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
 	switch {
-	case !s.reachesOthers(ctx, address):
+	case !s.reachesOthers(ctx, address, refused):
 		r.Result, r.Hints = detour.PeerCutOff, p.hints()
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case refused:
 		r.Result = detour.ReplicaRefused
 	}
 	return nil, r
 }
 
 // reachesOthers reports whether this host reaches any other replica, and tries some if it has
-// not done so lately.
-func (s *Server) reachesOthers(ctx context.Context, except string) bool {
+// not done so lately: for a refusal, in the last moment.
+func (s *Server) reachesOthers(ctx context.Context, except string, refused bool) bool {
 	p := s.cfg.Paths
-	if r := p.reach(); r != detour.ReachUnknown {
-		return r == detour.ReachesReplicas
+	switch r := p.reach(); {
+	case r == detour.ReachesNone:
+		return false
+	case r == detour.ReachesReplicas && (!refused || p.mayVote()):
+		return true
 	}
 	results := make(chan bool, otherReplicas)
 	tried := 0
@@ -111,6 +115,9 @@
 			go func() { results <- p.probe(ctx, s.cfg.Direct, address) }()
 		}
 	}
+	if tried == 0 {
+		return p.reach() == detour.ReachesReplicas
+	}
 	for range tried {
 		if <-results {
 			return true
