quarantine: send crash reports to both coordinators at the same time, and to spares

They now go to both at once, and to one of the next two hosts in rank for each that does not answer.

Tests of the package pass.

--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,9 @@
 	// coordinatorCount is the number of hosts that receive crash reports. With two, the
 	// reports survive the loss of either.
 	coordinatorCount = 2
+	// spareCount is the number of hosts next in rank that receive the reports in place of
+	// coordinators that do not answer.
+	spareCount = 2
 	// maxReports and reportRetention limit how many reports this daemon keeps and for
 	// how long. It keeps them so that a new coordinator receives them too.
 	maxReports      = 64
@@ -50,9 +54,7 @@
 			wait = reportRetryInterval
 		}
 		periodic.WaitForSignal(ctx, s.wakeup, wait)
-		for _, h := range s.coordinators() {
-			s.sendReports(ctx, h)
-		}
+		s.sendToCoordinators(ctx)
 		s.evaluateUnacked()
 	}
 }
@@ -75,27 +77,56 @@
 }
 
 // coordinators returns the reachable hosts that evaluate reports, in rank order.
-func (s *Service) coordinators() []fleet.Host {
+func (s *Service) coordinators() []fleet.Host { return s.firstHosts(coordinatorCount) }
+
+// firstHosts returns the first reachable hosts in rank order, at most n.
+func (s *Service) firstHosts(n int) []fleet.Host {
 	var ranked []fleet.Host
 	for _, h := range s.cfg.Members.Reachable() {
 		at, _ := slices.BinarySearchFunc(ranked, h, fleet.Host.Compare)
-		if at < coordinatorCount {
+		if at < n {
 			ranked = slices.Insert(ranked, at, h)
-			ranked = ranked[:min(coordinatorCount, len(ranked))]
+			ranked = ranked[:min(n, len(ranked))]
 		}
 	}
 	return ranked
 }
 
-// sendReports sends a host the reports that it has not acknowledged.
-func (s *Service) sendReports(ctx context.Context, h fleet.Host) {
+// sendToCoordinators sends the pending reports to the coordinators at the same time, and to a
+// spare for each that does not answer: a coordinator may be frozen or cut off for seconds
+// before it counts as unreachable.
+func (s *Service) sendToCoordinators(ctx context.Context) {
+	hosts := s.firstHosts(coordinatorCount + spareCount)
+	spares := make(chan fleet.Host, spareCount)
+	for _, h := range hosts[min(coordinatorCount, len(hosts)):] {
+		spares <- h
+	}
+	var group sync.WaitGroup
+	for _, h := range hosts[:min(coordinatorCount, len(hosts))] {
+		group.Go(func() {
+			if s.sendReports(ctx, h) {
+				return
+			}
+			select {
+			case spare := <-spares:
+				s.sendReports(ctx, spare)
+			default:
+			}
+		})
+	}
+	group.Wait()
+}
+
+// sendReports sends a host the reports that it has not acknowledged, and reports whether it
+// has all of them.
+func (s *Service) sendReports(ctx context.Context, h fleet.Host) bool {
 	due := s.pendingReports(h)
 	for len(due) > 0 {
 		batch := due[:min(maxCrashesPerMessage, len(due))]
 		due = due[len(batch):]
 		if err := s.sendCrashes(ctx, h.Name, crashesOf(batch)); err != nil {
 			s.log.Info("reporting replica crashes failed", zap.String("peer", h.Name), zap.Error(err))
-			return
+			return false
 		}
 		s.mu.Lock()
 		for _, r := range batch {
@@ -103,6 +134,7 @@
 		}
 		s.mu.Unlock()
 	}
+	return true
 }
 
 // pendingReports returns the reports that the host's current incarnation has not
