quarantine: keep the evidence of interrupted attempts until it is decided

Callers saw a request crash replicas on and on while most hosts reached replicas only through others.

Cause: a crash counted only if the host whose connection broke confirmed in one check 10 ms later that the port refuses connections. Behind a cut that check needs two peers that reach the replica; with one there is no verdict, and the evidence was dropped. Crashes behind silent cuts break no connection and were not reported at all.

Change: core/crash keeps interrupted attempts for 20 s, checks the replica up to six times within 2.4 s, and takes as proof: refusals at two hosts that reach replicas, at one host twice, a replaced replica or a removed entry in the store's listing. Attempts that end while their replica is silent are kept, too. What a connection rules out at once stays ruled out.

--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/core/request"
@@ -122,8 +123,10 @@
 		// The connection was not broken off, or the cause is not a crash: this host
 		// was suspended, or the upstream is leaving.
 	default:
-		d.quarantine.AttemptInterrupted(quarantine.InterruptedAttempt{
-			Service: c.Stage.Pool, Replica: c.Choice.Upstream, Address: c.Choice.Address, Request: fingerprint, Began: start.at,
+		now := clock.Now()
+		d.quarantine.AttemptInterrupted(crash.Interruption{
+			Service: c.Stage.Pool, Replica: c.Choice.Upstream, Address: c.Choice.Address, At: now,
+			Suspect: poison.Suspect{Request: fingerprint, RunTime: now.Sub(start.at)},
 		})
 	}
 }
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/wheatseam/wheatseam/core/poison"
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/stall"
 	"github.com/wheatseam/wheatseam/discovery"
@@ -126,13 +126,17 @@
 }
 
 // countReplicaCrash counts a replica that crashed while requests were running on it.
-func (g *Gateway) countReplicaCrash(e poison.Crash) {
-	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replicas_ended_total{service=%q}", e.Service)).Inc()
+func (g *Gateway) countReplicaCrash(c crash.Confirmed) {
+	if c.Again {
+		return
+	}
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replicas_ended_total{service=%q}", c.Service)).Inc()
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_crashes_confirmed_total{proof=%q}", c.Proof)).Inc()
 }
 
 // countCrashCheck counts a check whether a replica has crashed.
-func (g *Gateway) countCrashCheck(result string) {
-	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_crash_checks_total{result=%q}", result)).Inc()
+func (g *Gateway) countCrashCheck(r crash.CheckResult) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_crash_checks_total{result=%q}", r)).Inc()
 }
 
 // countForged counts headers that callers sent but may not set.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,7 +12,9 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/intake"
+	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/core/refusal"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -20,7 +22,6 @@
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
-	"github.com/wheatseam/wheatseam/quarantine"
 	"github.com/wheatseam/wheatseam/replica"
 )
 
@@ -35,6 +36,9 @@
 	// refusedRetryAfter is sent to callers whose last attempt did not run, because the
 	// replica refused it or could not be reached.
 	refusedRetryAfter = 500 * time.Millisecond
+	// minSilence is the silence of the replica from which an attempt that was cancelled may have
+	// been interrupted by a crash.
+	minSilence = 500 * time.Millisecond
 )
 
 // relay sends the request to replicas until one answers or no further attempt is allowed.
@@ -178,6 +182,9 @@
 	// suspended is for how long this host had been suspended when the attempt began.
 	suspended time.Duration
 	firstAt   time.Time
+	// heardAt is when the replica last sent an event or the head of its answer; zero if
+	// never.
+	heardAt time.Time
 	// eventsReceived counts the events that the replica has sent.
 	eventsReceived int
 	pauses         pauseMeter
@@ -222,6 +229,7 @@
 		return t.callFailed(err)
 	}
 	defer resp.Body.Close()
+	t.heardAt = clock.Now()
 	head := resp.Head
 	t.notice = head.Notice
 	if head.NotExecuted {
@@ -269,28 +277,49 @@
 // callFailed classifies a call that failed in transit.
 func (t *attempt) callFailed(err error) (attemptEnd, *problem.Error) {
 	if t.x.ctx.Err() != nil {
+		t.reportSilence(crash.Unanswered)
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer before the deadline")
 	}
 	if errors.As(context.Cause(t.ctx), &t.stallError) {
+		t.reportSilence(crash.Stalled)
 		return stalled, problem.New(problem.UpstreamFailed, "this host cancelled the attempt: %v", t.stallError)
 	}
 	if httpbody.IsConnectionBroken(err) {
-		t.reportBrokenConnection()
+		t.reportInterruption(crash.Broken)
 	}
 	return failed, problem.New(problem.UpstreamFailed, "the replica broke off: %v", err)
 }
 
-// reportBrokenConnection has the quarantine check whether the replica crashed while it ran
+// lastHeard is when the replica last sent an event or the head of its answer, or when the
+// attempt began.
+func (t *attempt) lastHeard() time.Time {
+	if t.heardAt.IsZero() {
+		return t.began
+	}
+	return t.heardAt
+}
+
+// reportSilence reports an attempt that was cancelled, if its replica was silent for so long that
+// it may have crashed.
+func (t *attempt) reportSilence(end crash.End) {
+	if clock.Since(t.lastHeard()) >= minSilence {
+		t.reportInterruption(end)
+	}
+}
+
+// reportInterruption has the quarantine find out whether the replica crashed while it ran
 // the request. A replica that drains, or is no longer listed, is expected to end; while
 // this host was suspended, the replica may have ended for any reason.
-func (t *attempt) reportBrokenConnection() {
+func (t *attempt) reportInterruption(end crash.End) {
 	x := t.x
 	r := x.g.discovery.View().Replicas.Find(t.choice.Upstream)
 	if r == nil || r.Draining || clock.SuspendedTime() > t.suspended {
 		return
 	}
-	x.g.quarantine.AttemptInterrupted(quarantine.InterruptedAttempt{
-		Service: x.service, Replica: t.choice.Upstream, Address: t.choice.Address, Request: x.fingerprint, Began: t.began,
+	now := clock.Now()
+	x.g.quarantine.AttemptInterrupted(crash.Interruption{
+		Service: x.service, Replica: t.choice.Upstream, Address: t.choice.Address, End: end, At: now, LastHeard: t.lastHeard(),
+		Suspect: poison.Suspect{Request: x.fingerprint, RunTime: now.Sub(t.began)},
 	})
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,7 @@
 		if err != nil {
 			return t.callFailed(err)
 		}
+		t.heardAt = clock.Now()
 		if !w.eventArrived() {
 			return t.callFailed(context.Cause(t.ctx))
 		}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -25,11 +26,28 @@
 	evacuated := evacuatedServices(v)
 	g.evacuatedServices.Store(&evacuated)
 	g.updateColdLimits(v)
+	g.quarantine.ReplicasListed(g.listingIn(v))
 	byChanges := g.applyPools(previous, v, g.settings.Load().Regions)
 	g.slowdowns.applyView(clock.Now(), previous, v, byChanges)
 	g.stages.Configure(v.Config.Services, func() []catalog.Replica { return stageReplicas(v) })
 }
 
+// listingIn returns what a view lists about a replica. Another replica gets an address only
+// after the process there has ended.
+func (g *Gateway) listingIn(v *discovery.View) func(replica, address string) crash.Listing {
+	return func(replica, address string) crash.Listing {
+		switch r := v.Replicas.Find(replica); {
+		case r != nil && r.Draining:
+			return crash.Draining
+		case r != nil:
+			return crash.Listed
+		case g.paths.addresses.of(v).contains(address):
+			return crash.Replaced
+		}
+		return crash.Removed
+	}
+}
+
 // applyPools passes a new view on to the router, and reports whether the changes since the
 // previous view sufficed.
 func (g *Gateway) applyPools(previous, v *discovery.View, regions []Region) (byChanges bool) {
--- a/internal/httpbody/upstream.go
+++ b/internal/httpbody/upstream.go
@@ -54,6 +54,12 @@
 	// Unconfirmed says that other hosts exist, and none that reaches other upstreams has
 	// tried this one.
 	Unconfirmed bool
+	// PeerRefusals is the number of other hosts that reach upstreams, and whose connections
+	// were refused; OwnRefused says that this host's was. ReachedAt is when this host last
+	// connected to any upstream directly; zero if it never did.
+	PeerRefusals int
+	OwnRefused   bool
+	ReachedAt    time.Time
 }
 
 // Error implements error.
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -6,73 +6,88 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
-// InterruptedAttempt is an attempt whose connection the replica closed before the response
-// was complete.
-type InterruptedAttempt struct {
-	Service, Replica string
-	// Address is the replica's ip:port.
-	Address string
-	Request poison.Fingerprint
-	Began   time.Time
-}
-
-// crashCheckDelay is the time between the first interrupted attempt at a replica and the
-// check whether the replica has crashed. When a process ends, all its connections close
-// within 1 to 2 ms and its port is closed by then, so that one check covers all attempts
-// that ran there.
-const crashCheckDelay = 10 * time.Millisecond
-
-// crashCheck is a pending check of a replica at which attempts were interrupted.
-type crashCheck struct {
-	poison.Crash
-	address string
+// AttemptInterrupted records an attempt that ended without a complete answer. If its replica
+// crashed, the crash is reported once that is known. The last success of the request is filled
+// in here.
+func (s *Service) AttemptInterrupted(i crash.Interruption) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i.Suspect.LastSuccess = s.detector.LastSuccess(i.Suspect.Request)
+	s.recordCrashes(s.interruptions.Interrupted(clock.Now(), i))
+	s.scheduleChecks()
 }
 
-// AttemptInterrupted records an attempt whose connection the replica closed, and schedules
-// a check whether the replica has crashed. Attempts at the same replica that are
-// interrupted before the check are covered by it.
-func (s *Service) AttemptInterrupted(a InterruptedAttempt) {
+// scheduleChecks starts the checks that are due, and a timer for the next one. The caller holds
+// the lock.
+func (s *Service) scheduleChecks() {
 	now := clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	suspect := poison.Suspect{Request: a.Request, RunTime: now.Sub(a.Began), LastSuccess: s.detector.LastSuccess(a.Request)}
-	if known := s.crashChecks[a.Replica]; known != nil {
-		known.Suspects = append(known.Suspects, suspect)
-		return
+	due, next := s.interruptions.Due(now)
+	s.interruptedReplicas.Store(int64(s.interruptions.Len()))
+	for _, c := range due {
+		go s.checkCrash(c)
+	}
+	if at := now.Add(next); next > 0 && (!s.nextCheck.After(now) || at.Before(s.nextCheck)) {
+		s.nextCheck = at
+		clock.AfterFunc(next, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.scheduleChecks()
+		})
 	}
-	e := &crashCheck{poison.Crash{Service: a.Service, Replica: a.Replica, At: now, Suspects: []poison.Suspect{suspect}}, a.Address}
-	s.crashChecks[a.Replica] = e
-	clock.AfterFunc(crashCheckDelay, func() { s.checkCrash(e) })
 }
 
 // checkCrash checks whether a replica has crashed: its address then refuses connections.
 // Connections also break for other reasons: after an aborted response or a network reset
 // the port is still open, and a machine that is down does not respond at all.
-func (s *Service) checkCrash(e *crashCheck) {
-	refused, err := s.cfg.Replicas.RefusesConnections(context.Background(), e.address)
+func (s *Service) checkCrash(c crash.Check) {
+	began := clock.Now()
+	result, err := s.cfg.Replicas.CheckCrash(context.Background(), c.Address)
+	if s.cfg.OnCrashCheck != nil {
+		s.cfg.OnCrashCheck(result)
+	}
 	s.mu.Lock()
-	delete(s.crashChecks, e.Replica)
-	s.mu.Unlock()
-	switch {
-	case err != nil:
-		s.countCheck("unknown")
-		s.log.Info("could not check whether a replica has crashed", zap.String("replica", e.Replica), zap.Strings("contents", contentsOf(e.Suspects)), zap.Error(err))
-	case refused:
-		s.countCheck("refused")
-		s.recordCrash(e.Crash)
-	default:
-		s.countCheck("accepted")
+	defer s.mu.Unlock()
+	confirmed := s.interruptions.Checked(began, c.Replica, result)
+	if len(confirmed) == 0 && !result.Accepted && c.Last {
+		s.log.Info("could not check whether a replica has crashed", zap.String("replica", c.Replica), zap.Stringer("result", result),
+			zap.Strings("contents", contentsOf(c.Suspects)), zap.Error(err))
 	}
+	s.recordCrashes(confirmed)
+	s.scheduleChecks()
 }
 
-// countCheck reports the result of a crash check.
-func (s *Service) countCheck(result string) {
-	if s.cfg.OnCrashCheck != nil {
-		s.cfg.OnCrashCheck(result)
+// ReplicasListed has the listing of the replicas looked at where attempts were interrupted. It
+// is to be called when the listing has changed. list must not block.
+func (s *Service) ReplicasListed(list func(replica, address string) crash.Listing) {
+	if s.interruptedReplicas.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	for id, address := range s.interruptions.Replicas() {
+		s.recordCrashes(s.interruptions.Listed(now, id, list(id, address)))
+	}
+	s.scheduleChecks()
+}
+
+// recordCrashes records confirmed replica crashes for reporting. The caller holds the lock.
+func (s *Service) recordCrashes(confirmed []crash.Confirmed) {
+	for _, c := range confirmed {
+		if s.cfg.OnReplicaCrash != nil {
+			s.cfg.OnReplicaCrash(c)
+		}
+		s.log.Warn("replica crashed while requests were running on it", zap.String("service", c.Service), zap.String("replica", c.Replica),
+			zap.Stringer("proof", c.Proof), zap.Duration("age", clock.Since(c.At)),
+			zap.Strings("contents", contentsOf(c.Suspects)), zap.Durations("ran", runTimesOf(c.Suspects)))
+		s.reports = append(s.reports, &report{crash: c.Crash, ackedBy: map[string]uint64{}})
+		s.reports = s.reports[max(0, len(s.reports)-maxReports):]
+		s.wake()
 	}
 }
 
@@ -85,20 +100,11 @@
 	return out
 }
 
-// recordCrash records a confirmed replica crash for reporting.
-func (s *Service) recordCrash(e poison.Crash) {
-	if s.cfg.OnReplicaCrash != nil {
-		s.cfg.OnReplicaCrash(e)
-	}
-	ran := make([]time.Duration, 0, len(e.Suspects))
-	for _, suspect := range e.Suspects {
-		ran = append(ran, suspect.RunTime)
+// runTimesOf lists how long suspects ran, for logs.
+func runTimesOf(suspects []poison.Suspect) []time.Duration {
+	out := make([]time.Duration, 0, len(suspects))
+	for _, suspect := range suspects {
+		out = append(out, suspect.RunTime)
 	}
-	s.log.Warn("replica crashed while requests were running on it", zap.String("service", e.Service), zap.String("replica", e.Replica),
-		zap.Strings("contents", contentsOf(e.Suspects)), zap.Durations("ran", ran))
-	s.mu.Lock()
-	s.reports = append(s.reports, &report{crash: e, ackedBy: map[string]uint64{}})
-	s.reports = s.reports[max(0, len(s.reports)-maxReports):]
-	s.mu.Unlock()
-	s.wake()
+	return out
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/fleet"
@@ -33,8 +34,9 @@
 	mu    sync.Mutex
 	hosts []*host
 	calls atomic.Int64
-	// listening are the addresses at which replicas accept connections.
-	listening map[string]bool
+	// listening are the addresses at which replicas accept connections, and unreachable those
+	// to which no host has a path.
+	listening, unreachable map[string]bool
 }
 
 // host is one daemon on the network.
@@ -52,7 +54,7 @@
 var errDisconnected = errors.New("host is disconnected")
 
 func newNetwork(hosts int) *network {
-	n := &network{listening: map[string]bool{}}
+	n := &network{listening: map[string]bool{}, unreachable: map[string]bool{}}
 	for range hosts {
 		n.add()
 	}
@@ -82,11 +84,14 @@
 	return append([]*host(nil), n.hosts...)
 }
 
-// RefusesConnections implements quarantine.Replicas.
-func (n *network) RefusesConnections(_ context.Context, address string) (bool, error) {
+// CheckCrash implements quarantine.Replicas.
+func (n *network) CheckCrash(_ context.Context, address string) (crash.CheckResult, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.listening[address], nil
+	if n.unreachable[address] {
+		return crash.CheckResult{}, errDisconnected
+	}
+	return crash.CheckResult{Accepted: n.listening[address], Confirmed: !n.listening[address]}, nil
 }
 
 // Reachable implements quarantine.Members. A host that is disconnected still considers
@@ -144,7 +149,10 @@
 
 // interruptAttempt reports an attempt whose connection a replica closed.
 func (h *host) interruptAttempt(replica, request string) {
-	h.AttemptInterrupted(quarantine.InterruptedAttempt{Service: "llm", Replica: replica, Address: replica, Request: content(request), Began: clock.Now().Add(-50 * time.Millisecond)})
+	h.AttemptInterrupted(crash.Interruption{
+		Service: "llm", Replica: replica, Address: replica, At: clock.Now(),
+		Suspect: poison.Suspect{Request: content(request), RunTime: 50 * time.Millisecond},
+	})
 }
 
 func content(name string) poison.Fingerprint {
@@ -186,6 +194,20 @@
 		Consistently(func() bool { return n.all()[0].isQuarantined("x") || n.all()[1].isQuarantined("x") }, "300ms").Should(BeFalse())
 	})
 
+	It("counts crashes that no path confirms once the store no longer lists the replicas", func() {
+		n := newNetwork(3)
+		for i := range 3 {
+			replica := fmt.Sprint("r", i)
+			n.unreachable[replica] = true
+			n.all()[i].interruptAttempt(replica, "x")
+		}
+		Consistently(func() bool { return n.all()[0].isQuarantined("x") }, "100ms").Should(BeFalse())
+		for _, h := range n.all() {
+			h.ReplicasListed(func(string, string) crash.Listing { return crash.Removed })
+		}
+		expectQuarantined(n.all()...)
+	})
+
 	It("keeps a crash report when the daemon that observed the crash fails", func() {
 		n := newNetwork(5)
 		hosts := n.all()
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/fleet"
@@ -29,9 +30,9 @@
 
 // Replicas checks whether a replica's process has crashed.
 type Replicas interface {
-	// RefusesConnections returns whether an address refuses connections, or an error if
-	// that could not be determined.
-	RefusesConnections(ctx context.Context, address string) (bool, error)
+	// CheckCrash finds out whether an address refuses connections. The error is the reason
+	// for which no connection was established.
+	CheckCrash(ctx context.Context, address string) (crash.CheckResult, error)
 }
 
 // Config holds the dependencies of a Service.
@@ -45,11 +46,12 @@
 	Mux    *peer.Mux
 	Logger *zap.Logger
 	// OnReplicaCrash is called for each replica that crashed while attempts were running on
-	// it. It may be nil and must not block.
-	OnReplicaCrash func(poison.Crash)
-	// OnCrashCheck is called with the result of each check whether a replica has crashed:
-	// "refused", "accepted" or "unknown". It may be nil and must not block.
-	OnCrashCheck func(result string)
+	// it, and again if more of them become known. It may be nil and must not block or call
+	// the Service.
+	OnReplicaCrash func(crash.Confirmed)
+	// OnCrashCheck is called with the result of each check whether a replica has crashed. It
+	// may be nil and must not block.
+	OnCrashCheck func(crash.CheckResult)
 }
 
 // Service is the quarantine of one daemon. All methods are safe for concurrent use.
@@ -59,12 +61,17 @@
 	// quarantinedCount is the number of requests that are refused. While it is 0, which
 	// is the normal case, requests are checked without taking the lock.
 	quarantinedCount atomic.Int64
-	wakeup           chan struct{}
+	// interruptedReplicas is the number of replicas in interruptions, to be read without
+	// the lock.
+	interruptedReplicas atomic.Int64
+	wakeup              chan struct{}
 
-	mu          sync.Mutex
-	detector    poison.Detector
-	crashChecks map[string]*crashCheck // by replica
-	reports     []*report
+	mu            sync.Mutex
+	detector      poison.Detector
+	interruptions crash.Table
+	// nextCheck is when the timer for the next check fires.
+	nextCheck time.Time
+	reports   []*report
 	// watches are notified when their request is quarantined.
 	watches map[poison.Fingerprint]map[*watch]bool
 	// publishedDigest is the digest that the heartbeats carry.
@@ -86,7 +93,7 @@
 // New returns a Service and registers its peer methods with cfg.Mux.
 func New(cfg Config) *Service {
 	s := &Service{
-		cfg: cfg, log: cfg.Logger, wakeup: make(chan struct{}, 1), crashChecks: map[string]*crashCheck{},
+		cfg: cfg, log: cfg.Logger, wakeup: make(chan struct{}, 1),
 		watches: map[poison.Fingerprint]map[*watch]bool{},
 	}
 	peer.Handle(cfg.Mux, methodCrashes, func(_ context.Context, _ peer.Sender, m *wire.ReplicasEnded) (*wire.ReplicasEndedNoted, error) {
@@ -228,6 +235,8 @@
 	// Verdicts are all retained verdicts, including lifted ones.
 	Verdicts []DumpedVerdict `json:"verdicts"`
 	Deciders []string        `json:"deciders"`
+	// Interrupted are the replicas at which attempts of this host ended without an answer.
+	Interrupted []crash.State `json:"interrupted"`
 }
 
 // DumpedVerdict is a verdict as shown to operators.
@@ -252,7 +261,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	d.Stats = s.detector.Stats()
+	d.Stats, d.Interrupted = s.detector.Stats(), s.interruptions.States(now)
 	for _, v := range s.detector.Verdicts() {
 		d.Verdicts = append(d.Verdicts, DumpedVerdict{
 			Content: v.Request.String(), Round: v.Round, Lifted: v.Lifted, Doubtful: v.Doubtful, Trials: v.Trials,
--- a/replica/client.go
+++ b/replica/client.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
@@ -89,6 +90,25 @@
 	return false, fmt.Errorf("connect: %w", err)
 }
 
+// CheckCrash finds out whether connections to a replica's address are refused, here and at the
+// hosts that connect for this one. It opens a connection and sends nothing. It also returns the
+// error of a connect that failed, for logs.
+func (c *Client) CheckCrash(ctx context.Context, address string) (crash.CheckResult, error) {
+	conn, err := c.dial(ctx, address)
+	var dial *httpbody.DialError
+	switch {
+	case err == nil:
+		_ = conn.Close() // nothing was sent
+		return crash.CheckResult{Accepted: true}, nil
+	case errors.As(err, &dial):
+		return crash.CheckResult{
+			Confirmed:    errors.Is(err, syscall.ECONNREFUSED) && !dial.Unconfirmed,
+			PeerRefusals: dial.PeerRefusals, OwnRefused: dial.OwnRefused, ReachedAt: dial.ReachedAt,
+		}, err
+	}
+	return crash.CheckResult{}, err
+}
+
 // Call is one call to a replica.
 type Call struct {
 	// Replica is the id of the replica's incarnation that the call is addressed to.
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -173,9 +173,10 @@
 	var verdict detour.Result
 	var confirmed bool
 	var answers []detour.Answer
+	var reachedAt time.Time
 	d.cfg.Paths.update(func(now time.Time, t *detour.Table) {
 		verdict, confirmed = t.Verdict(now, a)
-		answers = a.Answers()
+		answers, reachedAt = a.Answers(), t.DirectAt()
 	})
 	var dial *httpbody.DialError
 	err := direct
@@ -187,7 +188,21 @@
 	case errors.As(direct, &dial):
 		err = dial.Err
 	}
-	return &httpbody.DialError{Err: fmt.Errorf("%w; peers asked: %s", err, describe(answers)), Unconfirmed: !confirmed}
+	return &httpbody.DialError{
+		Err: fmt.Errorf("%w; peers asked: %s", err, describe(answers)), Unconfirmed: !confirmed,
+		PeerRefusals: refusals(answers), OwnRefused: errors.Is(direct, syscall.ECONNREFUSED), ReachedAt: reachedAt,
+	}
+}
+
+// refusals returns the number of peers that reach replicas and were refused.
+func refusals(answers []detour.Answer) int {
+	n := 0
+	for _, a := range answers {
+		if a.Result == detour.ReplicaRefused {
+			n++
+		}
+	}
+	return n
 }
 
 // describe lists what peers answered, for logs.
