--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -26,6 +26,8 @@
 	// maxLapse is the time after a crash within which the store removes the entry: three
 	// intervals between a replica's writes, and the delay of the listing.
 	maxLapse = 8 * time.Second
+	// usualLapse is the usual time from a crash until the store's listing shows it.
+	usualLapse = 3 * time.Second
 )
 
 // checkDelays are the times after the first interrupted attempt at which a replica is checked
@@ -75,7 +77,8 @@
 	refusedAt time.Time
 	// accepted says that a host has connected minRestart after the interruption or later.
 	accepted bool
-	removed  bool
+	// removedAt is when the store's listing no longer contained it; zero if it does.
+	removedAt time.Time
 	// crashedAt is when the replica crashed, and proof why that is known.
 	crashedAt time.Time
 	proof     Proof
@@ -204,8 +207,8 @@
 	case began.Sub(r.refusedAt) >= repeatedAfter:
 		return r.confirmByPath(id, RefusedByOneHost)
 	}
-	if r.removed && !r.refusedAt.IsZero() {
-		return r.confirm(id, r.lastAt.Add(-maxLapse), EntryRemoved)
+	if !r.removedAt.IsZero() && !r.refusedAt.IsZero() {
+		return r.confirmByListing(r.removedAt, id, EntryRemoved)
 	}
 	return nil
 }
@@ -229,8 +232,8 @@
 	case l == Draining:
 		delete(t.replicas, id)
 	case l == Replaced:
-		return r.confirm(id, now.Add(-maxLapse), ReplicaReplaced)
-	case l == Removed && !r.removed && !r.accepted:
+		return r.confirmByListing(now, id, ReplicaReplaced)
+	case l == Removed && r.removedAt.IsZero() && !r.accepted:
 		return r.entryRemoved(now, id)
 	}
 	return nil
@@ -239,9 +242,9 @@
 // entryRemoved records that the store has removed a replica. If no connection broke, further
 // checks tell a crash from a replica that was cut off from the store and still serves.
 func (r *replica) entryRemoved(now time.Time, id string) []Confirmed {
-	r.removed = true
+	r.removedAt = now
 	if r.broken() || !r.refusedAt.IsZero() {
-		return r.confirm(id, now.Add(-maxLapse), EntryRemoved)
+		return r.confirmByListing(now, id, EntryRemoved)
 	}
 	if !r.checking {
 		r.scheduleChecks(now.Add(-checkDelays[0]))
@@ -256,48 +259,59 @@
 
 // confirmByPath confirms a crash that interrupted the attempts since the checks began.
 func (r *replica) confirmByPath(id string, p Proof) []Confirmed {
-	return r.confirm(id, r.checkFrom.Add(-minRestart), p)
+	return r.confirm(id, r.checkFrom.Add(-minRestart), r.checkFrom, p)
+}
+
+// confirmByListing confirms a crash that the store's listing has shown at the given time.
+func (r *replica) confirmByListing(shownAt time.Time, id string, p Proof) []Confirmed {
+	return r.confirm(id, shownAt.Add(-maxLapse), shownAt.Add(-usualLapse), p)
 }
 
 // confirm records that a replica has crashed, and returns the crash with the attempts that
-// ended since the given time: earlier ones ended for another reason.
-func (r *replica) confirm(id string, since time.Time, p Proof) []Confirmed {
+// ended since the given time: earlier ones ended for another reason. The crash occurred when
+// the first connection broke; if none did, at the estimated time, but not before the replica
+// was last heard.
+func (r *replica) confirm(id string, since, estimate time.Time, p Proof) []Confirmed {
 	r.pending = slices.DeleteFunc(r.pending, func(i Interruption) bool { return i.At.Before(since) })
 	if len(r.pending) == 0 {
 		return nil
 	}
-	r.crashedAt, r.proof = crashTime(r.pending), p
+	r.crashedAt, r.proof = crashTime(r.pending, estimate), p
 	r.pending = slices.DeleteFunc(r.pending, func(i Interruption) bool { return !i.interruptedBy(r.crashedAt) })
 	return r.take(id, false)
 }
 
-// interruptedBy reports whether a crash at the given time can have interrupted the attempt. One
-// that ended before it was cancelled while its replica still ran.
-func (i Interruption) interruptedBy(crashedAt time.Time) bool {
-	return i.End == Broken || !i.At.Before(crashedAt) && i.LastHeard.Before(crashedAt.Add(minRestart))
-}
-
-// crashTime is when the first connection broke, or else when the replica was last heard.
-func crashTime(interrupted []Interruption) time.Time {
-	var broke, heard time.Time
+// crashTime is when the first connection broke, or else the estimate or when the replica was
+// last heard, whichever is later.
+func crashTime(interrupted []Interruption, estimate time.Time) time.Time {
+	var broke time.Time
 	for _, i := range interrupted {
 		switch {
 		case i.End != Broken:
-			if i.LastHeard.After(heard) {
-				heard = i.LastHeard
+			if i.LastHeard.After(estimate) {
+				estimate = i.LastHeard
 			}
 		case broke.IsZero() || i.At.Before(broke):
 			broke = i.At
 		}
 	}
 	if broke.IsZero() {
-		return heard
+		return estimate
 	}
 	return broke
 }
 
+// interruptedBy reports whether a crash at the given time can have interrupted the attempt. One
+// that ended before it was cancelled while its replica still ran.
+func (i Interruption) interruptedBy(crashedAt time.Time) bool {
+	return i.End == Broken || !i.At.Before(crashedAt) && i.LastHeard.Before(crashedAt.Add(minRestart))
+}
+
 // take returns the crash with the attempts that have not been returned yet.
 func (r *replica) take(id string, again bool) []Confirmed {
+	if len(r.pending) == 0 {
+		return nil
+	}
 	c := poison.Crash{Service: r.service, Replica: id, At: r.crashedAt, Suspects: r.suspects()}
 	r.pending = nil
 	return []Confirmed{{Crash: c, Proof: r.proof, Again: again}}
