Versions of replicas' software in views, logs and stand-ins; failing tests

Callers got streams with events of two software versions. Nothing showed versions: the field was checked for its type and dropped.

Hosts now pass it on with the lists of replicas; the line of an attempt has software, that of a request resumes and after_event. Stand-in replicas have a version that their events name. No decision uses it yet.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -173,6 +173,9 @@
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
 	// Address is the ip:port of the upstream's HTTP listener.
 	Address string `yaml:"address" validate:"required,hostname_port"`
+	// Version is the version of the upstream's software, as the upstream itself reports
+	// it; "" if it does not.
+	Version string `yaml:"-"`
 }
 
 // Pipeline is a sequence of stages that share one deadline.
--- a/core/catalog/replica.go
+++ b/core/catalog/replica.go
@@ -17,6 +17,9 @@
 	FailureDomain string
 	// Concurrency is the number of requests that the replica runs concurrently.
 	Concurrency int
+	// Version is the version of the replica's software; "" if it reports none. Versions are
+	// only compared for equality.
+	Version string
 	// Draining replicas get no new work.
 	Draining bool
 	// Cold replicas have just started, or are treated as if they had, and can serve only
--- a/core/catalog/replicaset.go
+++ b/core/catalog/replicaset.go
@@ -335,6 +335,11 @@
 		_, _ = d.WriteString(field)
 		_, _ = d.Write([]byte{0})
 	}
+	if r.Version != "" {
+		// Hosts that do not know versions have the same hash for replicas without one.
+		_, _ = d.WriteString(r.Version)
+		_, _ = d.Write([]byte{0})
+	}
 	_, _ = d.Write([]byte{state, byte(r.Concurrency), byte(r.Concurrency >> 8)})
 	return d.Sum64()
 }
--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -50,6 +50,8 @@
 	Upstream      string
 	Address       string
 	FailureDomain string
+	// Version is the version of the upstream's software; "" if it is not known.
+	Version string
 	// Slowdown is the predicted slowdown of the upstream's machine, and ExpectedPause the
 	// expected longest pause of a stream with a gap objective; 0 in pools whose upstreams
 	// report no slowdowns.
--- a/core/route/members.go
+++ b/core/route/members.go
@@ -12,6 +12,8 @@
 // member is one upstream of a pool. All fields but state and baselineSlowdown are immutable.
 type member struct {
 	name, address, domain, region string
+	// version is the version of the upstream's software; "" if it is not known.
+	version string
 	hash                          uint64
 	// state is nil until this daemon uses the upstream or receives a report about it.
 	state *memberState
@@ -23,7 +25,7 @@
 
 func newMember(u bundle.Upstream, regions map[string]string) *member {
 	return &member{
-		name: u.Name, address: u.Address, domain: u.FailureDomain, region: regions[u.FailureDomain],
+		name: u.Name, address: u.Address, domain: u.FailureDomain, region: regions[u.FailureDomain], version: u.Version,
 		hash: xxhash.Sum64String(u.Name),
 	}
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -71,7 +71,7 @@
 	if q.PrefillTime > 0 {
 		st.prefillQueue.add(pendingPrompt{request: q.Request, sentAt: now, prefillTime: q.PrefillTime, usualFirstByte: q.ExpectedFirstByte})
 	}
-	choice := request.Choice{Request: q.Request, Pool: p.name, Upstream: m.name, Address: m.address, FailureDomain: m.domain}
+	choice := request.Choice{Request: q.Request, Pool: p.name, Upstream: m.name, Address: m.address, FailureDomain: m.domain, Version: m.version}
 	if v.HasSlowdowns {
 		picked := &v.Candidates[s.drawn[0].index]
 		choice.Slowdown, choice.ExpectedPause = picked.Slowdown, v.expectedPause(picked)
--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -128,7 +128,7 @@
 	for _, r := range in {
 		out = append(out, catalog.Replica{
 			ID: r.GetId(), Service: r.GetService(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain(),
-			Concurrency: int(r.GetConcurrency()), Draining: r.GetDraining(), Cold: r.GetCold(),
+			Concurrency: int(r.GetConcurrency()), Draining: r.GetDraining(), Cold: r.GetCold(), Version: r.GetVersion(),
 		})
 	}
 	return out
@@ -280,6 +280,6 @@
 func toWire(r *catalog.Replica) *wire.NewsReplica {
 	return &wire.NewsReplica{
 		Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain,
-		Concurrency: uint32(r.Concurrency), Draining: r.Draining, Cold: r.Cold,
+		Concurrency: uint32(r.Concurrency), Draining: r.Draining, Cold: r.Cold, Version: r.Version,
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -347,6 +347,9 @@
 	if n := x.req.PromptTokens; n > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", n))
 	}
+	if id := x.req.LastEventID; id != "" {
+		fields = append(fields, zap.String("resumes", x.req.ResumedID), zap.String("after_event", id))
+	}
 	if x.retryDenial != "" {
 		fields = append(fields, zap.String("no_repeat", string(x.retryDenial)))
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -378,7 +378,7 @@
 	x := t.x
 	fields := []zap.Field{
 		logging.Request(x.req.ID), zap.Int("attempt", len(x.triedReplicas)), zap.String("service", x.service),
-		zap.String("replica", t.choice.Upstream), zap.String("failure_domain", t.choice.FailureDomain), zap.Stringer("content", x.fingerprint),
+		zap.String("replica", t.choice.Upstream), zap.String("failure_domain", t.choice.FailureDomain), zap.String("software", t.choice.Version), zap.Stringer("content", x.fingerprint),
 		zap.String("inputs_in", x.inputDomain), zap.Duration("view_age", t.began.Sub(x.viewAsOf)),
 		zap.Uint64("version", x.config.Version), zap.Duration("left", x.deadline.Sub(t.began)),
 		zap.Stringer("end", end), zap.Duration("took", clock.Since(t.began)),
--- /dev/null
+++ b/gateway/versions_test.go
@@ -0,0 +1,138 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+// withVersions starts engines of two software versions: "old", whose streams break off after
+// two events, and "new". It returns two hosts that know each other and all engines.
+func (f *fixture) withVersions(old, replacements int) []*gatewayProcess {
+	f.replicas["e1"].Version, f.replicas["e2"].Version = "v1", "v2"
+	for i := range old - 1 {
+		f.addEngine(fmt.Sprint("old", i), "v1")
+	}
+	for i := range replacements - 1 {
+		f.addEngine(fmt.Sprint("new", i), "v2")
+	}
+	for _, id := range []string{"e1", "e2"} {
+		f.register(f.replicas[id], "ready")
+	}
+	fleet, _ := f.startFleet(2)
+	for _, g := range fleet {
+		f.Eventually(g.metricLines, "5s").WithArguments("wheatseam_replicas ").Should(ConsistOf(HaveSuffix(fmt.Sprint(" ", len(f.replicas)))))
+	}
+	return fleet
+}
+
+func (f *fixture) addEngine(id, version string) {
+	r := f.add(id, "llm", site.Engine)
+	r.Version = version
+	f.register(r, "ready")
+}
+
+// breakStreams makes the streams of all engines break off after two events, or stops that.
+func (f *fixture) breakStreams(breaks bool) {
+	b := site.Behaviour{}
+	if breaks {
+		b.AbortAfterEvents = 2
+	}
+	f.behave("llm", b)
+}
+
+// takeUp returns a change that takes up a stream after the last event of a body.
+func takeUp(id, body string) func(*http.Request) {
+	return func(r *http.Request) {
+		withStages(r)
+		r.Header.Set("Resumes", id)
+		r.Header.Set("Last-Event-Id", strconv.Itoa(strings.Count(body, "id: ")))
+	}
+}
+
+// Guards against answers whose events two software versions wrote, since a run that broke off
+// was continued at any replica.
+func TestRetriesStayAtTheVersionOfTheStream(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet := f.withVersions(2, 2)
+	for _, id := range []string{"e1", "e2"} {
+		f.replicas[id].SetBehaviour(site.Behaviour{AbortAfterEvents: 2})
+	}
+	complete := 0
+	for i := range 24 {
+		a, id := fleet[i%2].send(http.MethodPost, resumePath, "x", withStages)
+		f.Expect(len(site.EventVersions(a.body))).To(BeNumerically("<=", 1), "%s: %s", id, a.body)
+		if a.err == nil && a.status == http.StatusOK {
+			complete++
+		}
+	}
+	f.Expect(complete).To(BeNumerically(">=", 20))
+}
+
+// Guards against callers that take up a stream at a replica of another software version, at
+// the host that began it and at another one.
+func TestResumedStreamsStayAtTheirVersion(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet := f.withVersions(2, 2)
+	resumed := 0
+	for i := range 16 {
+		f.breakStreams(true)
+		first, id := fleet[i%2].send(http.MethodPost, resumePath, "x", withStages)
+		f.Expect(first.err).To(HaveOccurred())
+		f.Expect(site.EventVersions(first.body)).To(HaveLen(1))
+		f.breakStreams(false)
+		time.Sleep(50 * time.Millisecond)
+		second, _ := fleet[(i/2)%2].send(http.MethodPost, resumePath, "x", takeUp(id, first.body))
+		f.Expect(len(site.EventVersions(first.body+second.body))).To(Equal(1), "%s\n%s", first.body, second.body)
+		if second.err == nil && second.status == http.StatusOK {
+			resumed++
+		}
+	}
+	f.Expect(resumed).To(BeNumerically(">=", 14))
+}
+
+// Guards against streams that are taken up at a guessed version, or held until their deadline,
+// when it is not known which version began them.
+func TestStreamsOfUnknownVersionAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet := f.withVersions(2, 2)
+	for _, id := range []string{"", "foreign", strings.Repeat("x", 8000)} {
+		began := time.Now()
+		a, own := fleet[0].send(http.MethodPost, resumePath, "x", takeUp(id, streamEvents(id, 1, 2)))
+		f.Expect(a.status).To(Equal(http.StatusServiceUnavailable), id)
+		f.Expect(a.body).To(ContainSubstring("version_unknown"))
+		f.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		f.Expect(f.ledger.Runs(own)).To(BeEmpty())
+	}
+}
+
+// Guards against a stream that is taken up at another version, or with a hint to return, when
+// no replica of its version is left.
+func TestStreamsOfAVersionThatIsGoneAreRefused(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet := f.withVersions(1, 1)
+	f.breakStreams(true)
+	var first answer
+	var id string
+	for len(site.EventVersions(first.body)) == 0 || site.EventVersions(first.body)[0] != "v1" {
+		first, id = fleet[0].send(http.MethodPost, resumePath, "x", withStages)
+	}
+	f.breakStreams(false)
+	f.store.Delete("servers/e1")
+	f.Eventually(func() string {
+		a, _ := fleet[1].send(http.MethodPost, resumePath, "x", takeUp(id, first.body))
+		f.Expect(site.EventVersions(a.body)).NotTo(ContainElement("v2"))
+		return a.body
+	}, "3s").Should(ContainSubstring("version_gone"))
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -102,7 +102,7 @@
 }
 
 func upstreamOf(r *catalog.Replica) bundle.Upstream {
-	return bundle.Upstream{Name: r.ID, FailureDomain: r.FailureDomain, Address: r.Address}
+	return bundle.Upstream{Name: r.ID, FailureDomain: r.FailureDomain, Address: r.Address, Version: r.Version}
 }
 
 // routerPools converts a view for the router: one pool per service, with the replicas that
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -72,6 +72,9 @@
 	if r.StartUnixMS > 0 {
 		entry["born"] = r.StartUnixMS
 	}
+	if r.Version != "" {
+		entry["version"] = r.Version
+	}
 	return entry
 }
 
--- a/internal/standin/site/execution.go
+++ b/internal/standin/site/execution.go
@@ -32,7 +32,7 @@
 // beginRun records the start of a run.
 func (r *Replica) beginRun(req *http.Request, id, body string) *execution {
 	run := &Run{
-		RequestID: id, Replica: r.ID, Service: r.Service, Tenant: req.Header.Get("Tenant"), Method: req.Method,
+		RequestID: id, Replica: r.ID, Service: r.Service, Version: r.Version, Tenant: req.Header.Get("Tenant"), Method: req.Method,
 		Target: req.RequestURI, Body: body, StartedAt: time.Now(), HasAPIKey: req.Header.Get("X-Api-Key") != "", LastEventID: req.Header.Get("Last-Event-Id"),
 		CacheSource: req.Header.Get("Kv-Fetch"),
 	}
--- a/internal/standin/site/ledger.go
+++ b/internal/standin/site/ledger.go
@@ -11,10 +11,12 @@
 	RequestID string
 	Replica   string
 	Service   string
-	Tenant    string
-	Method    string
-	Target    string
-	Body      string
+	// Version is the version of the replica's software; "" for none.
+	Version string
+	Tenant  string
+	Method  string
+	Target  string
+	Body    string
 	// HasAPIKey reports whether the client's API key was passed on to the replica.
 	HasAPIKey bool
 	// LastEventID is the id of the event after which a stream resumed.
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -33,6 +33,9 @@
 	// StartUnixMS is the start time of the process in Unix milliseconds, for the store
 	// entry; 0 means that the entry has none.
 	StartUnixMS int64
+	// Version is the version of its software, for the store entry and its events; "" for
+	// none.
+	Version string
 	// FailureDomain is the failure domain of the replica. Default:
 	// DefaultFailureDomain.
 	FailureDomain string
--- a/internal/standin/site/stream.go
+++ b/internal/standin/site/stream.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -13,6 +15,31 @@
 	return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n, n, request)
 }
 
+// versionField is the field of an event that names the software version which wrote it.
+const versionField = "version: "
+
+// eventText returns event n of the stream for a request, with the replica's version if it has
+// one.
+func (r *Replica) eventText(request string, n int) string {
+	text := EventText(request, n)
+	if r.Version == "" {
+		return text
+	}
+	return strings.TrimSuffix(text, "\n") + versionField + r.Version + "\n\n"
+}
+
+// EventVersions returns the versions that wrote the events of a body, each once, in the order
+// of their first events.
+func EventVersions(body string) []string {
+	var versions []string
+	for line := range strings.Lines(body) {
+		if v, ok := strings.CutPrefix(line, versionField); ok && !slices.Contains(versions, strings.TrimSpace(v)) {
+			versions = append(versions, strings.TrimSpace(v))
+		}
+	}
+	return versions
+}
+
 // defaultEventInterval is the default interval between events.
 const defaultEventInterval = 2 * time.Millisecond
 
@@ -35,7 +62,7 @@
 			e.stall(ctx)
 			return
 		}
-		text := EventText(e.run.RequestID, n)
+		text := r.eventText(e.run.RequestID, n)
 		if b.AbortAfterEvents > 0 && n-e.lastEventID > b.AbortAfterEvents {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = flusher.Flush()
