route, gateway: streams go on at the version that began them, within a request

Callers got answers with events of two software versions: the retry of a run that broke off, and the replacement of a stalled one, went to any replica of the service.

The version of the first event that the caller has is part of the query from then on, and a filter of the router that is never relaxed rejects all other replicas. A replacement that was reserved before that event came is given back if it has another version. Before the first event of a run is passed on, the newest view must not list another process there. Without a replica of the version the answer is version_gone, without a Retry-After.

--- a/core/request/ports.go
+++ b/core/request/ports.go
@@ -39,6 +39,10 @@
 	// objective or the number is not known.
 	GapObjective   time.Duration
 	ExpectedEvents int
+	// Version is the version of the software that began the stream, if FixedVersion is set:
+	// only upstreams of that version can continue it.
+	Version      string
+	FixedVersion bool
 }
 
 // Choice is the upstream that a Router picked for a call. The call counts as in
@@ -96,7 +100,8 @@
 // I/O and read no clock.
 type Router interface {
 	// Pick chooses an upstream and counts the call as in flight. It adds the
-	// reasons for the choice to rec. The error is of kind problem.NoUpstream.
+	// reasons for the choice to rec. The error is of kind problem.NoUpstream, or
+	// problem.VersionGone if no upstream has the version that the query names.
 	Pick(now time.Time, q Query, rec record.Recorder) (Choice, *problem.Error)
 	// Done reports the end of a call whose upstream was chosen by Pick.
 	Done(now time.Time, o Outcome)
--- a/core/route/filter.go
+++ b/core/route/filter.go
@@ -35,6 +35,19 @@
 	return ""
 }
 
+// versionFilter rejects upstreams that cannot continue a stream, since another version of the
+// software began it.
+type versionFilter struct{}
+
+func (versionFilter) Name() string      { return "version" }
+func (versionFilter) Relax() RelaxLevel { return Never }
+func (versionFilter) Refuse(v *View, c *Candidate) string {
+	if v.Query.FixedVersion && v.Query.Version != c.Version {
+		return "other_version"
+	}
+	return ""
+}
+
 // saturatedFilter rejects upstreams that have reached the saturation limit.
 type saturatedFilter struct{}
 
@@ -129,7 +142,7 @@
 // adaptiveFilters returns the filters of the adaptive policy, in order.
 func adaptiveFilters() []Filter {
 	return []Filter{
-		leavingFilter{}, intakeFilter{}, ejectedFilter{}, stalledFilter{}, unreachableFilter{}, busyFilter{},
+		leavingFilter{}, versionFilter{}, intakeFilter{}, ejectedFilter{}, stalledFilter{}, unreachableFilter{}, busyFilter{},
 		readmittingFilter{}, saturatedFilter{}, triedFilter{}, triedDomainFilter{}, inputDomainFilter{},
 	}
 }
@@ -137,7 +150,7 @@
 // baselineFilters returns the filters of the two baseline policies, which set no limits
 // on load or failures.
 func baselineFilters() []Filter {
-	return []Filter{leavingFilter{}, intakeFilter{}, triedFilter{}}
+	return []Filter{leavingFilter{}, versionFilter{}, intakeFilter{}, triedFilter{}}
 }
 
 // filterResult holds, for each candidate, the set of filters that reject it (bit i for
--- a/core/route/members.go
+++ b/core/route/members.go
@@ -14,7 +14,7 @@
 	name, address, domain, region string
 	// version is the version of the upstream's software; "" if it is not known.
 	version string
-	hash                          uint64
+	hash    uint64
 	// state is nil until this daemon uses the upstream or receives a report about it.
 	state *memberState
 	// baselineSlowdown is the lowest slowdown that the upstream's machine has had lately, as
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -104,10 +104,12 @@
 
 // noUpstreamError returns the error for a pick that no upstream is eligible for.
 func (p *poolView) noUpstreamError(v *View, config *Config) *problem.Error {
-	saturated, cold, limited, backingOff := 0, 0, 0, 0
+	saturated, cold, limited, backingOff, otherVersion := 0, 0, 0, 0, 0
 	var nextAllowed shortestWait
 	for i := range v.Candidates {
 		switch c := &v.Candidates[i]; {
+		case v.Query.FixedVersion && v.Query.Version != c.Version:
+			otherVersion++
 		case c.Leaving:
 		case c.Load() >= v.SaturationLimit:
 			saturated++
@@ -125,8 +127,11 @@
 			nextAllowed.add(limiter.NextAllowed(v.Now).Sub(v.Now))
 		}
 	}
-	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, %d limited, %d resting, the others leaving",
-		p.name, len(v.Candidates), saturated, cold, limited, backingOff)
+	if v.Query.FixedVersion && otherVersion == len(v.Candidates) {
+		return problem.New(problem.VersionGone, "pool %q: none of %d upstreams has version %q, which began the stream", p.name, len(v.Candidates), v.Query.Version)
+	}
+	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, %d limited, %d resting, %d of another version, the others leaving",
+		p.name, len(v.Candidates), saturated, cold, limited, backingOff, otherVersion)
 	err.RetryAfter = nextAllowed.orElse(unavailableRetryAfter)
 	return err
 }
--- a/core/route/shard.go
+++ b/core/route/shard.go
@@ -315,7 +315,7 @@
 	st, limiter := m.stateAndLimiter(c)
 	weight, others := st.reportWeight(now, halfLife), st.otherCalls()
 	cand := Candidate{
-		Name: m.name, Domain: m.domain, Region: m.region, Hash: m.hash,
+		Name: m.name, Domain: m.domain, Region: m.region, Version: m.version, Hash: m.hash,
 		OwnCalls:          st.ownCalls,
 		OtherCalls:        weight*others + (1-weight)*mean,
 		SampledOtherCalls: mean,
--- a/core/route/view.go
+++ b/core/route/view.go
@@ -12,6 +12,8 @@
 	Name   string
 	Domain string
 	Region string
+	// Version is the version of the upstream's software.
+	Version string
 	// Hash is the hash of the name, used for rendezvous hashing.
 	Hash uint64
 	// OwnCalls is the number of this daemon's calls in flight at the upstream.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -66,6 +66,9 @@
 	cancelledRun bool
 	// retryDenial says why no attempt followed the last one.
 	retryDenial denial
+	// origin is the software version that wrote the first event which the caller has; nil
+	// before there is one. Only replicas of this version can continue the stream.
+	origin atomic.Pointer[string]
 	// committed says that the head of the answer has been sent; lastEvent is the ID of the
 	// last event that was sent.
 	committed  bool
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -76,8 +76,7 @@
 // further check.
 func (x *exchange) nextReplica() (c request.Choice, reservation string, perr *problem.Error) {
 	if x.replacement != nil {
-		c, reservation = x.takeReplacement()
-		return c, reservation, nil
+		return x.takeReplacement()
 	}
 	if perr = x.checkQuarantine(); perr != nil {
 		return c, "", perr
@@ -112,6 +111,9 @@
 		Attempt: len(x.triedReplicas) + 1, TriedUpstreams: x.triedReplicas, InputFailureDomain: x.inputDomain, Budget: clock.Until(x.deadline),
 		GapObjective: x.route.GapObjective, ExpectedEvents: x.expectedEvents(),
 	}
+	if version := x.origin.Load(); version != nil {
+		q.Version, q.FixedVersion = *version, true
+	}
 	if s := x.config.Services[x.service]; s != nil && s.Engine {
 		q.Kind = bundle.StageGenerate
 		q.Prefix, _ = x.sharedPrefix()
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -11,6 +11,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
+	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/replica"
 )
 
@@ -222,14 +223,21 @@
 	}
 }
 
-// takeReplacement makes the reserved replacement the next attempt.
-func (x *exchange) takeReplacement() (request.Choice, string) {
+// takeReplacement makes the reserved replacement the next attempt. If its replica has another
+// version than the stream, whose first event has come since the reservation, another one is
+// picked.
+func (x *exchange) takeReplacement() (request.Choice, string, *problem.Error) {
 	r := x.replacement
 	x.replacement = nil
 	if r.inputs != nil {
 		x.useInputs(r.inputs)
 	}
-	return r.choice, r.reservation
+	if version := x.origin.Load(); version == nil || *version == r.choice.Version {
+		return r.choice, r.reservation, nil
+	}
+	x.releaseReplica(r)
+	c, perr := x.g.router.Pick(clock.Now(), x.routerQuery(), nil)
+	return c, "", perr
 }
 
 // releaseUnusedReplacement releases a replacement that the exchange did not use.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,12 +42,16 @@
 		if !w.eventArrived() {
 			return t.callFailed(context.Cause(t.ctx))
 		}
+		if t.eventsReceived == 0 && !t.versionHolds() {
+			return failed, problem.New(problem.UpstreamFailed, "another process runs at the address of the replica")
+		}
 		t.eventsReceived++
 		t.pauses.arrived()
 		if t.firstAt.IsZero() {
 			t.recordFirstEvent()
 		}
 		if !x.alreadySent(event.id) {
+			x.fixVersion(t.choice.Version)
 			if err := x.sendEvent(resp, event); err != nil {
 				return abandoned, problem.New(problem.CallerGone, "writing to the caller failed: %v", err)
 			}
@@ -57,6 +61,23 @@
 	}
 }
 
+// versionHolds reports whether the replica is still listed as it was when it was picked. The
+// process that runs the request may be a later one, of another version, that the view did not
+// list yet.
+func (t *attempt) versionHolds() bool {
+	v := t.x.g.discovery.View()
+	r := v.Replicas.Find(t.choice.Upstream)
+	if r == nil {
+		return !t.x.g.paths.addresses.of(v).contains(t.choice.Address)
+	}
+	return r.Version == t.choice.Version
+}
+
+// fixVersion records the version that wrote an event before the event is sent to the caller.
+func (x *exchange) fixVersion(version string) {
+	x.origin.CompareAndSwap(nil, &version)
+}
+
 // recordFirstEvent records the time to the first event and releases the inputs: the replica
 // has read them.
 func (t *attempt) recordFirstEvent() {
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -38,6 +38,8 @@
 	NotReady         Kind = "not_ready"
 	Draining         Kind = "draining"
 	Quarantined      Kind = "quarantined"
+	VersionUnknown   Kind = "version_unknown"
+	VersionGone      Kind = "version_gone"
 	CallerGone       Kind = "caller_gone"
 	Internal         Kind = "internal"
 )
@@ -87,6 +89,8 @@
 	{NotReady, http.StatusServiceUnavailable, "The host is not ready", true},
 	{Draining, http.StatusServiceUnavailable, "The host is leaving", true},
 	{Quarantined, http.StatusServiceUnavailable, "The request crashed the replicas that ran it", true},
+	{VersionUnknown, http.StatusServiceUnavailable, "It is not known which software version began the stream", true},
+	{VersionGone, http.StatusServiceUnavailable, "No upstream has the software version that began the stream", false},
 	{CallerGone, 499, "The caller went away", false},
 	{Internal, http.StatusInternalServerError, "An internal error", true},
 }
