gateway, origin: streams that callers take up go on at the version that began them

Callers that took up a broken stream at any host got its rest from a replica of another software version: the host knew neither the stream nor its version, and Resumes was passed on unread.

The host that sends the first event of a resumable stream records the version. While a service has or lately had several versions, two other hosts in different failure domains hold the record, chosen by a hash of customer and attempt, batched over 10 ms; open streams are sent when a second version appears. A host that gets a resume asks up to four hosts for 150 ms at most. Without a record, the only version within a stream's lifetime decides; otherwise the answer is version_unknown at once, before stages are made.

--- /dev/null
+++ b/core/origin/decide.go
@@ -0,0 +1,140 @@
+package origin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// holderCount is the number of other hosts that hold a record, and MaxAsked the number of
+	// hosts that are asked for it: after hosts have joined, holders may rank lower.
+	holderCount = 2
+	MaxAsked    = 4
+	// maxViewAge is the age up to which a view can show that a service has one version only:
+	// streams may have begun at a version that is newer than the view.
+	maxViewAge = time.Second
+)
+
+// Host is a host that may hold records.
+type Host struct{ Name, FailureDomain string }
+
+// weight ranks a host for a stream: rendezvous hashing.
+func weight(k Key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(k[:]) // writing to an xxhash.Digest never fails
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// Asked returns the hosts that are asked for the record of a stream, in rank order. The first
+// holderCount of them hold it, in different failure domains if there are several. Each host
+// holds about as many records as any other.
+func Asked(k Key, hosts []Host) []Host {
+	type weighted struct {
+		Host
+		weight uint64
+	}
+	before := func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
+	}
+	all := make([]weighted, 0, len(hosts))
+	first := make([]weighted, 0, MaxAsked+1)
+	for _, h := range hosts {
+		w := weighted{h, weight(k, h.Name)}
+		all = append(all, w)
+		if i, _ := slices.BinarySearchFunc(first, w, before); i < MaxAsked {
+			first = slices.Insert(first, i, w)
+			first = first[:min(MaxAsked, len(first))]
+		}
+	}
+	var second *weighted
+	for i := range all {
+		if all[i].FailureDomain != first[0].FailureDomain && (second == nil || before(all[i], *second) < 0) {
+			second = &all[i]
+		}
+	}
+	if second != nil {
+		first = slices.DeleteFunc(first, func(w weighted) bool { return w.Name == second.Name })
+		first = slices.Insert(first, 1, *second)
+		first = first[:min(MaxAsked, len(first))]
+	}
+	out := make([]Host, 0, len(first))
+	for _, w := range first {
+		out = append(out, w.Host)
+	}
+	return out
+}
+
+// Holders returns the hosts that hold the record of a stream.
+func Holders(k Key, hosts []Host) []Host {
+	asked := Asked(k, hosts)
+	return asked[:min(holderCount, len(asked))]
+}
+
+// Answer is what one host knows about a stream and its service.
+type Answer struct {
+	// Version is the recorded one; Known says that there is a record.
+	Known   bool
+	Version string
+	// Versions are those that the service has had within the lifetime of a stream, as far as
+	// the host's views go back (History).
+	Versions []string
+	History  time.Duration
+	// ViewAge is the age of the host's view.
+	ViewAge time.Duration
+}
+
+// Verdict is what is known about the version of a stream.
+type Verdict struct {
+	Known   bool
+	Version string
+	// MayCome says that a host which did not answer may know it.
+	MayCome bool
+	// Reason says what decided, for logs: "record", "one_version", "conflict",
+	// "several_versions" or "no_evidence".
+	Reason string
+}
+
+// Decide decides which version began a stream that may last for the given lifetime. answers
+// include that of this host, as the first one; unanswered is the number of asked hosts that did
+// not answer.
+//
+// Without a record, the only version that the service has had decides. Streams may have begun
+// at a version that no view lists yet, so that one view has to be new, or as new as those of all
+// hosts that were asked. They may have begun at a version that was gone when the answering hosts
+// started; if none has run for a lifetime, at least one other host has to answer, where the
+// record would be unless all holders have been lost.
+func Decide(lifetime time.Duration, answers []Answer, unanswered int) Verdict {
+	var recorded, listed []string
+	var longest time.Duration
+	fresh, alone := false, len(answers) == 1
+	for _, a := range answers {
+		if a.Known {
+			recorded = append(recorded, a.Version)
+		}
+		listed = append(listed, a.Versions...)
+		longest = max(longest, a.History)
+		fresh = fresh || a.ViewAge <= maxViewAge
+	}
+	recorded, listed = unique(recorded), unique(listed)
+	switch {
+	case len(recorded) == 1:
+		return Verdict{Known: true, Version: recorded[0], Reason: "record"}
+	case len(recorded) > 1:
+		return Verdict{Reason: "conflict"}
+	case len(listed) > 1:
+		return Verdict{MayCome: unanswered > 0, Reason: "several_versions"}
+	case len(listed) == 0, !fresh && (alone || unanswered > 0), longest < lifetime && alone && unanswered > 0:
+		return Verdict{MayCome: unanswered > 0, Reason: "no_evidence"}
+	}
+	return Verdict{Known: true, Version: listed[0], Reason: "one_version"}
+}
+
+func unique(versions []string) []string {
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
--- /dev/null
+++ b/core/origin/origin_test.go
@@ -0,0 +1,247 @@
+package origin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/origin"
+)
+
+func TestOrigin(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "origin")
+}
+
+const lifetime = 30 * time.Second
+
+// answer is that of a host which has run for a minute and whose view is new.
+func answer(versions ...string) origin.Answer {
+	return origin.Answer{Versions: versions, History: time.Minute}
+}
+
+func recorded(version string) origin.Answer {
+	return origin.Answer{Known: true, Version: version, Versions: []string{"v1", "v2"}}
+}
+
+func young(a origin.Answer) origin.Answer { a.History = time.Second; return a }
+func stale(a origin.Answer) origin.Answer { a.ViewAge = 5 * time.Second; return a }
+
+var _ = DescribeTable("which version began a stream", func(want string, unanswered int, answers ...origin.Answer) {
+	v := origin.Decide(lifetime, answers, unanswered)
+	got := v.Reason
+	if v.Known {
+		got += " " + v.Version
+	}
+	if v.MayCome {
+		got += ", may come"
+	}
+	Expect(got).To(Equal(want))
+},
+	Entry("a record here", "record v2", 0, recorded("v2")),
+	Entry("a record elsewhere, though others do not answer", "record v2", 3, answer("v1", "v2"), recorded("v2")),
+	Entry("records that differ", "conflict", 0, recorded("v1"), recorded("v2")),
+	Entry("several versions", "several_versions", 0, answer("v1", "v2"), answer("v1", "v2")),
+	Entry("several versions, and a host does not answer", "several_versions, may come", 1, answer("v1", "v2")),
+	Entry("a version that only another host has seen", "several_versions", 0, answer("v1"), answer("v1", "v2")),
+	Entry("one version, nobody answers", "one_version v1", 4, answer("v1")),
+	Entry("one version that no replica names", "one_version ", 0, answer("")),
+	Entry("one version, nobody answers, the view is old", "no_evidence, may come", 4, stale(answer("v1"))),
+	Entry("one version, the view is old, and so are those of all others", "one_version v1", 0, stale(answer("v1")), stale(answer("v1"))),
+	Entry("one version, the view is old, another one is new", "one_version v1", 2, stale(answer("v1")), answer("v1")),
+	Entry("one version, this host has just started, nobody answers", "no_evidence, may come", 4, young(answer("v1"))),
+	Entry("one version, this host has just started", "one_version v1", 2, young(answer("v1")), answer("v1")),
+	Entry("one version, all hosts have just started", "one_version v1", 0, young(answer("v1")), young(answer("v1"))),
+	Entry("no replica known", "no_evidence", 0, answer()),
+)
+
+var _ = Describe("records", func() {
+	now := time.Unix(1000, 0)
+	put := func(s *origin.Records, name, version string, left time.Duration) {
+		s.Put(now, origin.Record{Key: origin.NewKey("c", name), Service: "llm", Version: version, Expires: now.Add(left), Own: true})
+	}
+
+	It("keep the first version of a stream, until it expires", func() {
+		s := &origin.Records{}
+		put(s, "a", "v1", time.Second)
+		put(s, "a", "v2", 2*time.Second)
+		r, known := s.Get(now.Add(1500*time.Millisecond), origin.NewKey("c", "a"))
+		Expect(known).To(BeTrue())
+		Expect(r.Version).To(Equal("v1"))
+		_, known = s.Get(now.Add(2*time.Second), origin.NewKey("c", "a"))
+		Expect(known).To(BeFalse())
+		_, known = s.Get(now, origin.NewKey("other", "a"))
+		Expect(known).To(BeFalse(), "a stream of another customer")
+	})
+
+	It("are bounded in number and time", func() {
+		s := &origin.Records{}
+		for i := range origin.MaxRecords + 100 {
+			put(s, fmt.Sprint(i), "v1", time.Hour)
+		}
+		Expect(s.Len()).To(Equal(origin.MaxRecords))
+		_, known := s.Get(now.Add(origin.MaxLifetime), origin.NewKey("c", fmt.Sprint(origin.MaxRecords+99)))
+		Expect(known).To(BeFalse())
+	})
+
+	It("are sent once when a second version appears", func() {
+		s := &origin.Records{}
+		put(s, "a", "v1", time.Minute)
+		Expect(s.TakeUnsent(now, "llm")).To(HaveLen(1))
+		Expect(s.TakeUnsent(now, "llm")).To(BeEmpty())
+	})
+})
+
+var _ = Describe("history", func() {
+	It("remembers versions that are gone for a lifetime", func() {
+		h := &origin.History{}
+		now := time.Unix(1000, 0)
+		Expect(h.Observe(now, []origin.Change{{Service: "llm", Version: "v1"}, {Service: "llm", Version: "v1"}})).To(BeEmpty())
+		now = now.Add(time.Minute)
+		Expect(h.Observe(now, []origin.Change{{Service: "llm", Version: "v2"}, {Service: "llm", Version: "v1", Removed: true}})).To(ConsistOf("llm"))
+		Expect(h.Versions(now, "llm", lifetime)).To(ConsistOf("v1", "v2"))
+		h.Observe(now, []origin.Change{{Service: "llm", Version: "v1", Removed: true}})
+		Expect(h.Versions(now.Add(lifetime), "llm", lifetime)).To(ConsistOf("v1", "v2"))
+		Expect(h.Versions(now.Add(lifetime+1), "llm", lifetime)).To(ConsistOf("v2"))
+		Expect(h.Length(now)).To(Equal(time.Minute))
+	})
+})
+
+// simHost is a host of a simulated fleet. frozenUntil and aloneUntil are until when it answers
+// nobody, and reaches nobody.
+type simHost struct {
+	origin.Host
+	records     origin.Records
+	history     origin.History
+	frozenUntil time.Time
+	aloneUntil  time.Time
+	dead        bool
+}
+
+func (h *simHost) answers(now time.Time) bool {
+	return !h.dead && !now.Before(h.frozenUntil) && !now.Before(h.aloneUntil)
+}
+
+// simFleet is a fleet whose service is released: replicas of two versions serve from the start.
+type simFleet struct {
+	rng      *rand.Rand
+	hosts    []*simHost
+	now      time.Time
+	messages int
+}
+
+func (f *simFleet) add(name int) *simHost {
+	h := &simHost{Host: origin.Host{Name: fmt.Sprint("h", name), FailureDomain: fmt.Sprint("d", name%3)}}
+	h.history.Observe(f.now, []origin.Change{{Service: "llm", Version: "v1"}, {Service: "llm", Version: "v2"}})
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// others are the hosts that a host considers reachable: those that died lately, too.
+func (f *simFleet) others(self *simHost) (hosts []origin.Host, byName map[string]*simHost) {
+	byName = map[string]*simHost{}
+	for _, h := range f.hosts {
+		if h != self {
+			hosts, byName[h.Name] = append(hosts, h.Host), h
+		}
+	}
+	return hosts, byName
+}
+
+// begin has a host send the first event of a stream; the records reach their holders unless
+// it dies first.
+func (f *simFleet) begin(h *simHost, key origin.Key, version string, diesAtOnce bool) {
+	r := origin.Record{Key: key, Service: "llm", Version: version, Expires: f.now.Add(lifetime)}
+	h.records.Put(f.now, r)
+	if diesAtOnce || f.now.Before(h.aloneUntil) {
+		return
+	}
+	hosts, byName := f.others(h)
+	for _, holder := range origin.Holders(key, hosts) {
+		f.messages++
+		if o := byName[holder.Name]; o.answers(f.now) {
+			o.records.Put(f.now, r)
+		}
+	}
+}
+
+// resume has a host decide.
+func (f *simFleet) resume(h *simHost, key origin.Key) origin.Verdict {
+	answerOf := func(o *simHost) origin.Answer {
+		r, known := o.records.Get(f.now, key)
+		return origin.Answer{Known: known, Version: r.Version, Versions: o.history.Versions(f.now, "llm", lifetime), History: o.history.Length(f.now)}
+	}
+	answers, unanswered := []origin.Answer{answerOf(h)}, 0
+	hosts, byName := f.others(h)
+	for _, asked := range origin.Asked(key, hosts) {
+		if o := byName[asked.Name]; o.answers(f.now) && !f.now.Before(h.aloneUntil) {
+			answers = append(answers, answerOf(o))
+		} else {
+			unanswered++
+		}
+	}
+	return origin.Decide(lifetime, answers, unanswered)
+}
+
+// Guards against streams that are joined over two versions, and against resumes that are refused
+// more than half as often as they come, while hosts die, freeze, join and are cut off.
+var _ = DescribeTable("streams that are taken up at any host", func(hosts int) {
+	f := &simFleet{rng: rand.New(rand.NewPCG(1, uint64(hosts))), now: time.Unix(1000, 0)}
+	for i := range hosts {
+		f.add(i)
+	}
+	const streams = 600
+	joined, resumed, taken, next := 0, 0, 0, hosts
+	for i := range streams {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.hosts = slices.DeleteFunc(f.hosts, func(h *simHost) bool { return h.dead })
+		for len(f.hosts) < hosts {
+			f.add(next)
+			next++
+		}
+		if other := f.hosts[f.rng.IntN(len(f.hosts))]; i%7 == 0 {
+			other.frozenUntil = f.now.Add(time.Second)
+		} else if i%11 == 0 {
+			other.aloneUntil = f.now.Add(time.Second)
+		}
+		first := f.hosts[f.rng.IntN(len(f.hosts))]
+		version := fmt.Sprint("v", 1+f.rng.IntN(2))
+		key := origin.NewKey("customer", fmt.Sprint(i))
+		first.dead = i%2 == 0 // the commonest reason to resume
+		f.begin(first, key, version, first.dead && f.rng.IntN(20) == 0)
+		second := f.hosts[f.rng.IntN(len(f.hosts))]
+		if second.dead || f.now.Before(second.frozenUntil) {
+			continue
+		}
+		taken++
+		if v := f.resume(second, key); v.Known {
+			resumed++
+			if v.Version != version {
+				joined++
+			}
+		}
+	}
+	AddReportEntry("resumes", fmt.Sprintf("%d of %d streams go on, %d at another version, %.1f messages a stream", resumed, taken, joined, float64(f.messages)/streams))
+	Expect(joined).To(BeZero())
+	Expect(resumed).To(BeNumerically(">", taken/2))
+	Expect(f.messages).To(BeNumerically("<=", 2*streams))
+},
+	Entry("6 hosts", 6), Entry("60 hosts", 60), Entry("985 hosts", 985),
+)
+
+// BenchmarkAsked measures finding the hosts of a stream.
+func BenchmarkAsked(b *testing.B) {
+	var hosts []origin.Host
+	for i := range 985 {
+		hosts = append(hosts, origin.Host{Name: fmt.Sprint("10.0.0.", i, ":8544"), FailureDomain: fmt.Sprint(i % 4)})
+	}
+	key := origin.NewKey("c", "a")
+	for b.Loop() {
+		origin.Asked(key, hosts)
+	}
+}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,6 +182,17 @@
 	return nextAllowed.wait, nextAllowed.known
 }
 
+// HasVersion reports whether a pool has upstreams of a version of the software.
+func (r *Router) HasVersion(pool, version string) bool {
+	p := r.current.Load().pools[pool]
+	if p == nil {
+		return false
+	}
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	return slices.ContainsFunc(p.members.all, func(m *member) bool { return m.version == version })
+}
+
 // Done implements request.Router.
 func (r *Router) Done(now time.Time, o request.Outcome) {
 	p := r.current.Load().pools[o.Choice.Pool]
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -153,7 +153,10 @@
 	if err := x.checkPaths(); err != nil {
 		return err
 	}
-	return x.checkEvacuation()
+	if err := x.checkEvacuation(); err != nil {
+		return err
+	}
+	return x.resolveOrigin()
 }
 
 // releaseUnusedTrial returns a trial that led to no run, so that another caller can use
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,8 @@
 	slowdowns slowdowns
 	// paths holds the ways to replicas, directly and through peers.
 	paths paths
+	// origins holds which software versions began streams.
+	origins streamOrigins
 	// reachability holds which replicas can't be reached.
 	reachability reachability
 	// limiters limit the calls to each replica, across all components of this daemon that
@@ -103,6 +105,7 @@
 	mux := peer.NewMux()
 	g.registerPromptHandler(mux)
 	g.registerNoticeHandler(mux)
+	g.registerOriginHandlers(mux)
 	g.initPaths(s)
 	g.paths.server.Register(mux)
 	members, err := fleet.New(fleet.Config{
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -77,6 +77,7 @@
 		gauge(fmt.Sprintf("wheatseam_path_state{state=%q}", state), func() float64 { return boolGauge(pathState(g.paths.State()) == state) })
 	}
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.discovery.View().Evacuations.Domains)) })
+	gauge("wheatseam_stream_origins", func() float64 { return float64(g.origins.state(clock.Now()).Streams) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.SuspendedTime().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
 	gauge("wheatseam_jobs_planned", func() float64 { return float64(g.stages.Dump().Planned) })
@@ -184,6 +185,8 @@
 	Backoffs []BackoffState `json:"resting"`
 	// Slowdowns are the baselines of the replicas that report slowdowns.
 	Slowdowns []SlowdownState `json:"slowdowns"`
+	// Origins is what this host knows about which software version began streams.
+	Origins OriginState `json:"stream_origins"`
 	// Unreachable are the replicas that this host or others could not reach lately.
 	Unreachable []UnreachableState `json:"unreachable"`
 	// Paths are the ways to replicas.
@@ -198,7 +201,7 @@
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.discovery.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
 		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
-		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Paths: g.pathsState(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
+		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Origins: g.origins.state(clock.Now()), Paths: g.pathsState(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
 	}
 	g.retryBudgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.SharedBudget).Stats()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -73,9 +73,16 @@
 	return r.Version == t.choice.Version
 }
 
-// fixVersion records the version that wrote an event before the event is sent to the caller.
+// fixVersion records the version that wrote an event before the event is sent to the caller, if
+// it is the first one.
 func (x *exchange) fixVersion(version string) {
-	x.origin.CompareAndSwap(nil, &version)
+	if x.eventsSent > 0 {
+		return
+	}
+	if x.origin.Load() == nil {
+		x.origin.Store(&version)
+	}
+	x.recordOrigin(version)
 }
 
 // recordFirstEvent records the time to the first event and releases the inputs: the replica
@@ -104,6 +111,7 @@
 		x.sendHead(resp)
 	}
 	x.status, x.outcome = resp.StatusCode, "answered"
+	x.forgetOrigin()
 	return answered, nil
 }
 
