soak: engines of two software versions, callers that take up broken streams

Engines of v1 and v2 serve side by side, six in place of three; their events name the version. Callers take up resumable streams that break off, at any daemon. No answer and no chain of answers may have events of two versions; of 12 streams or more that are taken up while two healthy engines of their version serve, at least half as many go on as new ones begin.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,7 +43,7 @@
 			return t.callFailed(context.Cause(t.ctx))
 		}
 		if t.eventsReceived == 0 && !t.versionHolds() {
-			return failed, problem.New(problem.UpstreamFailed, "another process runs at the address of the replica")
+			return failed, problem.New(problem.UpstreamFailed, "a process of another version runs at the address of the replica")
 		}
 		t.eventsReceived++
 		t.pauses.arrived()
@@ -61,16 +61,23 @@
 	}
 }
 
-// versionHolds reports whether the replica is still listed as it was when it was picked. The
-// process that runs the request may be a later one, of another version, that the view did not
-// list yet.
+// versionHolds reports whether the newest view lists no process of another version at the
+// replica's address. The process that runs the request may be a later one than the view listed
+// when the replica was picked.
 func (t *attempt) versionHolds() bool {
 	v := t.x.g.discovery.View()
-	r := v.Replicas.Find(t.choice.Upstream)
-	if r == nil {
-		return !t.x.g.paths.addresses.of(v).contains(t.choice.Address)
+	if r := v.Replicas.Find(t.choice.Upstream); r != nil {
+		return r.Version == t.choice.Version
 	}
-	return r.Version == t.choice.Version
+	if !t.x.g.paths.addresses.of(v).contains(t.choice.Address) {
+		return true
+	}
+	for r := range v.Replicas.All() {
+		if r.Address == t.choice.Address && r.Version != t.choice.Version {
+			return false
+		}
+	}
+	return true
 }
 
 // fixVersion records the version that wrote an event before the event is sent to the caller, if
--- a/internal/standin/site/stream.go
+++ b/internal/standin/site/stream.go
@@ -40,6 +40,20 @@
 	return versions
 }
 
+// withoutVersions removes the versions from the events of a body.
+func withoutVersions(body string) string {
+	var b strings.Builder
+	for line := range strings.Lines(body) {
+		if !strings.HasPrefix(line, versionField) {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
+}
+
+// CompleteEvents returns the number of complete events of a body.
+func CompleteEvents(body string) int { return strings.Count(body, "\n\n") }
+
 // defaultEventInterval is the default interval between events.
 const defaultEventInterval = 2 * time.Millisecond
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,7 +26,8 @@
 			d = r.daemons[rng.IntN(len(r.daemons))]
 		}
 		c := r.randomCall(rng, fmt.Sprintf("%d-%d-%d", r.cfg.Seed, number, n))
-		r.send(client, rng, d, c)
+		att := r.send(client, rng, d, c)
+		r.takeUp(rng, att)
 		time.Sleep(time.Duration(5+rng.IntN(30)) * time.Millisecond)
 	}
 }
@@ -56,7 +57,7 @@
 
 // send sends one request and records the attempt. One request in 25 is abandoned by its
 // caller early.
-func (r *runner) send(client *http.Client, rng *rand.Rand, d *daemon, c site.Call) {
+func (r *runner) send(client *http.Client, rng *rand.Rand, d *daemon, c site.Call) attempt {
 	ctx, cancel := context.WithTimeout(context.Background(), callDeadline+2*time.Second)
 	defer cancel()
 	leavesEarly := rng.IntN(25) == 0
@@ -71,4 +72,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.attempts = append(r.attempts, att)
+	return att
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -39,6 +39,7 @@
 	}
 	r.checkConfigurations()
 	r.checkPoisonRequests()
+	r.checkVersions()
 	r.checkLimits()
 	r.checkLeaving()
 	r.checkBackoffs()
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -12,6 +12,7 @@
 //   - Replicas abort answers, refuse, hang, drain and are replaced.
 //   - API keys are revoked.
 //   - Requests crash the replicas that run them.
+//   - Engines have two software versions; callers take up streams that broke off.
 //   - Replicas announce rate limits, announce that they are leaving, or ask the daemons
 //     to back off. Engines pause inside their streams.
 //   - In three of four runs replicas report how slow their machines are. The values change
@@ -41,6 +42,7 @@
 //   - Retries stay within the retry budget.
 //   - A graceful shutdown aborts no request.
 //   - A request that has crashed three replicas is sent to only a few more.
+//   - A stream has events of one software version only, over all attempts of its caller.
 //
 // A run ends only processes that it started itself, by their process ids.
 package soak
--- a/soak/run.go
+++ b/soak/run.go
@@ -151,7 +151,7 @@
 	}
 	r.server = &http.Server{Handler: r.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = r.server.Serve(l) }() // returns after close
-	for i, service := range []string{"plain", "plain", "plain", "llm", "llm", "llm", "encode", "encode", "encode"} {
+	for i, service := range []string{"plain", "plain", "plain", "llm", "llm", "llm", "llm", "llm", "llm", "encode", "encode", "encode"} {
 		kind := map[string]site.Kind{"plain": site.Plain, "llm": site.Engine, "encode": site.Stage}[service]
 		if err := r.addReplica(fmt.Sprintf("%s%d", service, i), service, kind); err != nil {
 			return err
@@ -201,6 +201,9 @@
 	defer r.mu.Unlock()
 	r.replicas = append(r.replicas, rep)
 	rep.StartUnixMS = time.Now().UnixMilli()
+	if kind == site.Engine {
+		rep.Version = softwareVersions[len(r.replicas)%len(softwareVersions)]
+	}
 	rep.FailureDomain = failureDomains[len(r.replicas)%len(failureDomains)]
 	rep.SetPoisonRequest(poisonFor(rep, rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+len(r.replicas)))), r.recordCrash))
 	rep.OnRestart = r.registerRestarted
