gateway: copy the memory of prompts between engines of one version only

What two software versions write does not fit together; an engine could be told to copy a prefix from one of another version. The test fails without the change (the address of the other engine is named) and passes with it. On deployments with one version nothing changes.

--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -50,13 +50,16 @@
 }
 
 // prefixSource returns the address of an engine from which the chosen one can copy a prefix
-// of the prompt; "" when it has the prefix, or no engine does.
+// of the prompt; "" when it has the prefix, or no engine of the same software version does: the
+// memory of another version may have another format.
 func (g *Gateway) prefixSource(c request.Choice, hashes []uint64) string {
 	now := clock.Now()
+	replicas := g.discovery.View().Replicas
 	g.prompts.mu.Lock()
 	defer g.prompts.mu.Unlock()
 	from, ok := g.prompts.index.CopySource(now, hashes, c.Upstream, func(e prefix.Engine) bool {
-		return g.router.CanServeCopies(now, c.Pool, e.Name, e.Address)
+		r := replicas.Find(e.Name)
+		return r != nil && r.Version == c.Version && g.router.CanServeCopies(now, c.Pool, e.Name, e.Address)
 	})
 	if !ok {
 		return ""
--- a/gateway/prompts_test.go
+++ b/gateway/prompts_test.go
@@ -52,6 +52,20 @@
 		Expect(run.CacheSource).To(Equal(f.replicas[home.Replica].Address()))
 	})
 
+	It("are not copied between engines of two software versions", func() {
+		f := newFixture()
+		for id, version := range map[string]string{"e1": "v1", "e2": "v2"} {
+			f.replicas[id].Version = version
+			f.register(f.replicas[id], "ready")
+		}
+		g := f.start().ready()
+		home := sendStream(f, g, "a", 10)
+		f.replicas[home.Replica].SetBehaviour(site.Behaviour{Shed: true})
+		run := sendStream(f, g, "a", 10)
+		Expect(run.Replica).NotTo(Equal(home.Replica))
+		Expect(run.CacheSource).To(BeEmpty())
+	})
+
 	It("go elsewhere while the engine reads a long prompt of a peer, and peers know the engine to copy from", func() {
 		f := newFixture()
 		f.behave("llm", site.Behaviour{PrefillPerToken: 200 * time.Microsecond})
