gateway: resumes wait for a record that may be on its way; empty pools are not version_gone

A resume may be faster than the record of its stream, which is collected for 10 ms: without one and with several versions the hosts are asked once more after 30 ms. A pool without any replica answers no_upstream with a Retry-After as before, and not that the version is gone. Prompt homes for the stages of a resumed stream are those of its version.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -94,11 +94,25 @@
 	Version string
 	// MayCome says that a host which did not answer may know it.
 	MayCome bool
-	// Reason says what decided, for logs: "record", "one_version", "conflict",
-	// "several_versions" or "no_evidence".
-	Reason string
+	Reason  Reason
 }
 
+// Reason says what decided, in logs and metrics.
+type Reason string
+
+// The reasons.
+const (
+	// Recorded and OneVersion: a record, or the only version that the service has had.
+	Recorded   Reason = "record"
+	OneVersion Reason = "one_version"
+	// Conflict: hosts have records of different versions.
+	Conflict Reason = "conflict"
+	// SeveralVersions and NoEvidence: there is no record, and the service has had several
+	// versions, or it is not known which it has had.
+	SeveralVersions Reason = "several_versions"
+	NoEvidence      Reason = "no_evidence"
+)
+
 // Decide decides which version began a stream that may last for the given lifetime. answers
 // include that of this host, as the first one; unanswered is the number of asked hosts that did
 // not answer.
@@ -123,15 +137,15 @@
 	recorded, listed = unique(recorded), unique(listed)
 	switch {
 	case len(recorded) == 1:
-		return Verdict{Known: true, Version: recorded[0], Reason: "record"}
+		return Verdict{Known: true, Version: recorded[0], Reason: Recorded}
 	case len(recorded) > 1:
-		return Verdict{Reason: "conflict"}
+		return Verdict{Reason: Conflict}
 	case len(listed) > 1:
-		return Verdict{MayCome: unanswered > 0, Reason: "several_versions"}
+		return Verdict{MayCome: unanswered > 0, Reason: SeveralVersions}
 	case len(listed) == 0, !fresh && (alone || unanswered > 0), longest < lifetime && alone && unanswered > 0:
-		return Verdict{MayCome: unanswered > 0, Reason: "no_evidence"}
+		return Verdict{MayCome: unanswered > 0, Reason: NoEvidence}
 	}
-	return Verdict{Known: true, Version: listed[0], Reason: "one_version"}
+	return Verdict{Known: true, Version: listed[0], Reason: OneVersion}
 }
 
 func unique(versions []string) []string {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -91,7 +91,7 @@
 	}
 	q := &request.Query{
 		Pool: query.Pool, Kind: bundle.StageGenerate, Prefix: query.Prefix,
-		GapObjective: query.GapObjective, ExpectedEvents: query.ExpectedEvents,
+		GapObjective: query.GapObjective, ExpectedEvents: query.ExpectedEvents, Version: query.Version, FixedVersion: query.FixedVersion,
 	}
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
@@ -128,7 +128,7 @@
 			nextAllowed.add(limiter.NextAllowed(v.Now).Sub(v.Now))
 		}
 	}
-	if v.Query.FixedVersion && otherVersion == len(v.Candidates) {
+	if otherVersion > 0 && otherVersion == len(v.Candidates) {
 		return problem.New(problem.VersionGone, "pool %q: none of %d upstreams has version %q, which began the stream", p.name, len(v.Candidates), v.Query.Version)
 	}
 	err := problem.New(problem.NoUpstream, "pool %q: of %d upstreams %d are saturated, %d cold, %d limited, %d resting, %d of another version, the others leaving",
@@ -182,15 +182,15 @@
 	return nextAllowed.wait, nextAllowed.known
 }
 
-// HasVersion reports whether a pool has upstreams of a version of the software.
-func (r *Router) HasVersion(pool, version string) bool {
+// HasOnlyOtherVersions reports whether a pool has upstreams, and none of a version.
+func (r *Router) HasOnlyOtherVersions(pool, version string) bool {
 	p := r.current.Load().pools[pool]
 	if p == nil {
 		return false
 	}
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
-	return slices.ContainsFunc(p.members.all, func(m *member) bool { return m.version == version })
+	return len(p.members.all) > 0 && !slices.ContainsFunc(p.members.all, func(m *member) bool { return m.version == version })
 }
 
 // Done implements request.Router.
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -12,6 +12,7 @@
 	"github.com/wheatseam/wheatseam/core/origin"
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/problem"
@@ -33,6 +34,9 @@
 	// a resume: a host that does not answer in time counts as not knowing.
 	originCallTimeout   = 400 * time.Millisecond
 	originLookupTimeout = 150 * time.Millisecond
+	// originRetryDelay is the time after which hosts are asked once more: the caller may have
+	// been faster than the record.
+	originRetryDelay = 30 * time.Millisecond
 	// minStreamLifetime is the shortest time for which a stream may be taken up, and
 	// streamLifetimeMargin is added to the timeout of the route: callers may set a longer
 	// deadline than the host observes.
@@ -284,17 +288,30 @@
 		}
 		return e
 	}
-	if !x.g.router.HasVersion(x.service, v.Version) {
+	if x.g.router.HasOnlyOtherVersions(x.service, v.Version) {
 		return problem.New(problem.VersionGone, "no replica of version %q, which began the stream", v.Version)
 	}
 	x.origin.Store(&v.Version)
-	x.g.log.Info("stream taken up", logging.Request(x.req.ID), zap.String("resumes", x.req.ResumedID), zap.String("software", v.Version), zap.String("evidence", v.Reason))
+	x.g.log.Info("stream taken up", logging.Request(x.req.ID), zap.String("resumes", x.req.ResumedID), zap.String("software", v.Version), zap.String("evidence", string(v.Reason)))
 	return nil
 }
 
-// lookUpOrigin decides from what this host knows, and what the hosts know that may hold the
-// record.
+// lookUpOrigin decides which version began the stream that the caller takes up. If a record is
+// needed and none is found, it looks once more.
 func (x *exchange) lookUpOrigin() origin.Verdict {
+	v := x.lookUpOriginOnce()
+	if v.Known || v.Reason != origin.SeveralVersions {
+		return v
+	}
+	if !periodic.Sleep(x.r.Context(), originRetryDelay) {
+		return v
+	}
+	return x.lookUpOriginOnce()
+}
+
+// lookUpOriginOnce decides from what this host knows, and what the hosts know that may hold the
+// record.
+func (x *exchange) lookUpOriginOnce() origin.Verdict {
 	key, lifetime := x.originKey(), x.streamLifetime()
 	answers := []origin.Answer{x.g.knownOrigin(key, x.service, lifetime)}
 	if answers[0].Known {
