--- a/core/detour/table.go
+++ b/core/detour/table.go
@@ -72,8 +72,9 @@
 	failedPeriod = 2 * time.Second
 	// reachedPeriod is how long a direct connection shows that this host reaches replicas.
 	reachedPeriod = time.Second
-	// voteEvidencePeriod is how long a direct connection shows it to a host that tells others
-	// that a replica refuses: one that has just lost its paths by resets must not say so.
+	// voteEvidencePeriod is the age up to which a direct connection shows that this host reaches
+	// replicas when it tells others that one refuses: a host that has just lost its paths by
+	// resets must not say so.
 	voteEvidencePeriod = 200 * time.Millisecond
 	// maxHints limits the peers named to a host that asked in vain.
 	maxHints = 3
