gateway: a leaving host hands over the versions of streams that it holds

When all hosts are restarted one after the other, both holders of a record are gone within a stream's life, and resumes were refused as version_unknown. As a host begins to drain it sends its records to the other hosts that rank first for them.

--- a/core/origin/record.go
+++ b/core/origin/record.go
@@ -110,6 +110,21 @@
 	return out
 }
 
+// All returns the records of the services for which include returns true.
+func (s *Records) All(now time.Time, include func(service string) bool) []Record {
+	included := map[string]bool{}
+	var out []Record
+	for _, r := range s.records {
+		if _, asked := included[r.Service]; !asked {
+			included[r.Service] = include(r.Service)
+		}
+		if included[r.Service] && r.Expires.After(now) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Len returns the number of records.
 func (s *Records) Len() int { return len(s.records) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -248,6 +248,7 @@
 	grace := g.settings.Load().Drain.Grace
 	g.draining.Store(true)
 	g.fleet.Leave()
+	g.handOverOrigins()
 	g.log.Info("draining", zap.Int64("in_flight", g.inFlight.Load()), zap.Duration("grace", grace))
 	refuseTimer := clock.AfterFunc(time.Duration(refuseFraction*float64(grace)), g.cancelPrepare)
 	defer refuseTimer.Stop()
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -181,6 +181,22 @@
 	s.records.Remove(x.originKey())
 }
 
+// handOverOrigins sends the records of this host, which is leaving, to other hosts. While all
+// hosts restart one after the other, records would be lost with their second holder.
+func (g *Gateway) handOverOrigins() {
+	now := clock.Now()
+	s := &g.origins
+	s.mu.Lock()
+	records := s.records.All(now, func(service string) bool {
+		return len(s.history.Versions(now, service, origin.MaxLifetime)) > 1
+	})
+	s.mu.Unlock()
+	if len(records) > 0 {
+		g.log.Info("handing over origins of streams", zap.Int("streams", len(records)))
+		g.sendOrigins(records)
+	}
+}
+
 // originHosts are the hosts that may hold records, without this one.
 func (g *Gateway) originHosts() []origin.Host {
 	self := g.settings.Load().Host
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -133,6 +133,29 @@
 	f.Expect(resumed).To(BeNumerically(">=", 8*minGoingOn))
 }
 
+// Guards against streams that cannot be taken up after hosts were restarted one after the other,
+// since both holders of their version were among them.
+func TestOriginsOutliveARollingRestart(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet := f.withVersions(3, 2, 2)
+	f.breakStreams(true)
+	first, id := fleet[0].send(http.MethodPost, resumePath, "x", withStages)
+	f.Expect(site.EventVersions(first.body)).To(HaveLen(1))
+	f.breakStreams(false)
+	time.Sleep(100 * time.Millisecond)
+	for i := range fleet {
+		fleet[i].stop()
+		f.Eventually(fleet[i].done, "15s").Should(Receive())
+		seed := fleet[(i+1)%len(fleet)].peers
+		fleet[i] = f.start(seed).ready()
+		time.Sleep(500 * time.Millisecond) // the others know it, and that the former one has left
+	}
+	a, _ := fleet[1].send(http.MethodPost, resumePath, "x", takeUp(id, first.body))
+	f.Expect(a.status).To(Equal(http.StatusOK), a.body)
+	f.Expect(site.EventVersions(first.body + a.body)).To(HaveLen(1))
+}
+
 // Guards against streams that are taken up at a guessed version, or held until their deadline,
 // when it is not known which version began them.
 func TestStreamsOfUnknownVersionAreRefusedAtOnce(t *testing.T) {
