--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -75,6 +75,13 @@
 	return asked[:min(holderCount, len(asked))]
 }
 
+// Spares returns the hosts that hold the record of a stream in place of a holder that does not
+// answer, in rank order. They are asked, too.
+func Spares(k Key, hosts []Host) []Host {
+	asked := Asked(k, hosts)
+	return asked[min(holderCount, len(asked)):]
+}
+
 // Answer is what one host knows about a stream and its service.
 type Answer struct {
 	// Version is the recorded one; Known says that there is a record.
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -253,40 +253,34 @@
 // holdOrigins has a host hold records. If it does not answer, the host that ranks next for
 // each record holds it instead.
 func (g *Gateway) holdOrigins(host string, records []*wire.StreamOrigin) {
-	err := g.callOriginHost(host, records)
-	if err == nil {
+	if g.callOriginHost(host, records) {
 		return
 	}
-	g.log.Info("sending origins of streams failed", zap.String("peer", host), zap.Int("streams", len(records)), zap.Error(err))
 	hosts := g.originHosts()
-	next := map[string][]*wire.StreamOrigin{}
+	bySpare := map[string][]*wire.StreamOrigin{}
 	for _, r := range records {
 		key, _ := parseOriginKey(r.GetKey())
-		for _, h := range origin.Asked(key, hosts)[min(len(hosts), len(origin.Holders(key, hosts))):] {
-			if h.Name != host {
-				next[h.Name] = append(next[h.Name], r)
-				break
-			}
+		if spares := origin.Spares(key, hosts); len(spares) > 0 {
+			bySpare[spares[0].Name] = append(bySpare[spares[0].Name], r)
 		}
 	}
-	for h, batch := range next {
-		if err := g.callOriginHost(h, batch); err != nil {
-			g.log.Info("sending origins of streams failed", zap.String("peer", h), zap.Int("streams", len(batch)), zap.Error(err))
-		}
+	for spare, batch := range bySpare {
+		g.callOriginHost(spare, batch)
 	}
 }
 
-// callOriginHost makes one call with records.
-func (g *Gateway) callOriginHost(host string, records []*wire.StreamOrigin) error {
+// callOriginHost makes one call with records, and reports whether the host holds them.
+func (g *Gateway) callOriginHost(host string, records []*wire.StreamOrigin) bool {
 	ctx, cancel := clock.WithTimeout(context.Background(), originCallTimeout)
 	defer cancel()
 	err := g.fleet.Caller().Call(ctx, host, methodOrigins, &wire.StreamOrigins{Origins: records}, &wire.StreamOriginsNoted{})
 	result := "held"
 	if err != nil {
 		result = "failed"
+		g.log.Info("sending origins of streams failed", zap.String("peer", host), zap.Int("streams", len(records)), zap.Error(err))
 	}
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_stream_origins_sent_total{result=%q}", result)).Add(len(records))
-	return err
+	return err == nil
 }
 
 // resolveOrigin finds out which version began the stream that the caller takes up, and refuses
