soak: a stream that is taken up is checked against its own deadline

Traced by d0's log: the caller that took the stream up had 1.789 s left, and the run was ended as that deadline passed, after 1.791 s, at an engine that was pausing. The check compared with the deadline of first attempts, 2.5 s.

It now uses the deadline that the call was sent with. All other calls are sent with 2.5 s, for which the check is as strict as before.

--- a/soak/run.go
+++ b/soak/run.go
@@ -99,7 +99,7 @@
 
 // beforeDeadline reports whether at is before the caller's deadline.
 func (att attempt) beforeDeadline(at time.Time) bool {
-	return at.Before(att.startedAt.Add(callDeadline))
+	return at.Before(att.startedAt.Add(att.call.Deadline))
 }
 
 // Execute runs a soak and returns its report. It returns an error if the soak could not
