gateway: attempts log the parts of their prompts

The lines of crashes list the contents of the lost runs, but no line said which parts of prompts these requests share. An attempt's line now has parts=, the IDs of all but the last, 16 at most.

--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -49,6 +49,20 @@
 	return hashes
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may share: all but
+// the last.
+func (x *exchange) sharedParts() []string {
+	segments := x.req.Prompt
+	if len(segments) < 2 {
+		return nil
+	}
+	ids := make([]string, 0, len(segments)-1)
+	for _, p := range segments[:len(segments)-1] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // prefixSource returns the address of an engine from which the chosen one can copy a prefix
 // of the prompt; "" when it has the prefix, or no engine of the same software version does: the
 // memory of another version may have another format.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -374,6 +374,9 @@
 	return false
 }
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
 // logAttempt writes the attempt's log line: what the replica was chosen by, and how it
 // ended.
 func (t *attempt) logAttempt(end attemptEnd, err *problem.Error) {
@@ -391,6 +394,9 @@
 		}
 		fields = append(fields, zap.String("prefix", strconv.FormatUint(hash, 16)), zap.Int("shared_tokens", tokens))
 	}
+	if parts := x.sharedParts(); len(parts) > 0 {
+		fields = append(fields, zap.Strings("parts", parts[:min(len(parts), maxLoggedParts)]))
+	}
 	if !t.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", t.firstAt.Sub(t.began)))
 	}
