--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -79,14 +79,17 @@
 	ProcessUnreachable
 )
 
-// PoisonRequest is a request body that crashes a replica's process.
+// PoisonRequest is a request body, or a part of prompts, that crashes a replica's process.
 type PoisonRequest struct {
 	// Body is the request body that causes the crash; "" for none.
 	Body string
-	// CrashDelay is the time from the start of the run until the process crashes and
-	// all its connections close. Downtime is the time until the process restarts with
+	// Part is the ID of the part of a prompt that causes the crash, as the process begins to
+	// write an answer, unless it is the last part; "" for none.
+	Part string
+	// CrashDelay is the time from the start of the run, or of writing, until the process
+	// crashes and all its connections close. Downtime is the time until the process restarts with
 	// the same id; 0 means that it does not restart.
 	CrashDelay, Downtime time.Duration
-	// OnCrash, if not nil, is called after each crash caused by the body.
-	OnCrash func(body string)
+	// OnCrash, if not nil, is called after each crash, with the body or the part.
+	OnCrash func(cause string)
 }
--- a/internal/standin/site/execution.go
+++ b/internal/standin/site/execution.go
@@ -34,7 +34,7 @@
 	run := &Run{
 		RequestID: id, Replica: r.ID, Service: r.Service, Version: r.Version, Tenant: req.Header.Get("Tenant"), Method: req.Method,
 		Target: req.RequestURI, Body: body, StartedAt: time.Now(), HasAPIKey: req.Header.Get("X-Api-Key") != "", LastEventID: req.Header.Get("Last-Event-Id"),
-		CacheSource: req.Header.Get("Kv-Fetch"),
+		CacheSource: req.Header.Get("Kv-Fetch"), SharedParts: sharedParts(req),
 	}
 	e := &execution{replica: r, run: run, promptTokens: promptTokens(req), priority: defaultPriority, finalEnd: Aborted}
 	if p, err := strconv.Atoi(req.Header.Get("Request-Priority")); err == nil {
--- a/internal/standin/site/ledger.go
+++ b/internal/standin/site/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,6 +26,8 @@
 	StartedAt time.Time
 	// CacheSource is the engine from which the replica was told to copy the KV cache.
 	CacheSource string
+	// SharedParts are the IDs of the parts of the prompt, without the last one.
+	SharedParts []string
 	// End is how the run ended and EndedAt when; both are zero while the run is in
 	// progress.
 	End     End
@@ -103,6 +106,12 @@
 	return l.runsWhere(func(r Run) bool { return r.Body == body })
 }
 
+// RunsWithPart returns the runs of all requests with the given part in their prompts, unless it
+// is the last one.
+func (l *Ledger) RunsWithPart(part string) []Run {
+	return l.runsWhere(func(r Run) bool { return slices.Contains(r.SharedParts, part) })
+}
+
 func (l *Ledger) runsWhere(matches func(Run) bool) []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -67,7 +68,7 @@
 	// restarted.
 	closed, down bool
 	crashes      int
-	poison       PoisonRequest
+	poison       []PoisonRequest
 	// unhealthyPeriods are the periods during which the replica was not healthy,
 	// in order.
 	unhealthyPeriods []unhealthyPeriod
@@ -140,9 +141,8 @@
 	_ = r.server.Close() // errors on closing the connections of a fake do not matter
 }
 
-// SetPoisonRequest makes the process crash on a request body, independently of its
-// Behaviour.
-func (r *Replica) SetPoisonRequest(p PoisonRequest) {
+// SetPoisonRequest makes the process crash on requests, independently of its Behaviour.
+func (r *Replica) SetPoisonRequest(p ...PoisonRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.poison = p
@@ -598,12 +598,18 @@
 	}
 	e := r.beginRun(req, id, string(body))
 	defer e.recordEnd()
-	if r.crashOnPoison(string(body)) {
+	poison := r.poisonOf(e.run)
+	if poison != nil && poison.Part == "" {
+		r.crashOn(*poison)
 		return
 	}
 	if !e.wait(req.Context(), b.ServiceTime+time.Duration(promptTokens(req))*b.PrefillPerToken) {
 		return
 	}
+	if poison != nil {
+		r.crashOn(*poison)
+		return
+	}
 	if b.AbortBeforeResponse {
 		panic(http.ErrAbortHandler)
 	}
@@ -624,20 +630,34 @@
 	e.complete()
 }
 
-// crashOnPoison crashes the process if body is that of the poison request, and reports
-// whether it is.
-func (r *Replica) crashOnPoison(body string) bool {
+// poisonOf returns what makes a run crash the process, or nil.
+func (r *Replica) poisonOf(run *Run) *PoisonRequest {
 	r.mu.Lock()
-	poison := r.poison
-	r.mu.Unlock()
-	if poison.Body == "" || poison.Body != body {
-		return false
+	defer r.mu.Unlock()
+	for _, p := range r.poison {
+		if p.Body != "" && p.Body == run.Body || p.Part != "" && slices.Contains(run.SharedParts, p.Part) {
+			return &p
+		}
 	}
-	time.Sleep(poison.CrashDelay)
-	if r.Crash(poison.Downtime) && poison.OnCrash != nil {
-		poison.OnCrash(poison.Body)
+	return nil
+}
+
+// crashOn crashes the process after the delay.
+func (r *Replica) crashOn(p PoisonRequest) {
+	time.Sleep(p.CrashDelay)
+	if r.Crash(p.Downtime) && p.OnCrash != nil {
+		p.OnCrash(cmp.Or(p.Body, p.Part))
 	}
-	return true
+}
+
+// sharedParts returns the IDs of the parts of a request's prompt, without the last one.
+func sharedParts(req *http.Request) []string {
+	var ids []string
+	for part := range strings.SplitSeq(req.Header.Get("Prefix-Hash"), ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		ids = append(ids, id)
+	}
+	return ids[:len(ids)-1]
 }
 
 // promptTokens returns the number of prompt tokens that a request declares, or 0 if
