--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -25,7 +25,10 @@
 	Service, Replica string
 	// Address is the replica's ip:port.
 	Address string
+	// Suspect is the content of the request, and Parts are the parts of its prompt that the run
+	// had not survived.
 	Suspect poison.Suspect
+	Parts   []poison.Fingerprint
 	End     End
 	At      time.Time
 	// LastHeard is when the replica last sent something, or when the attempt began. It is
--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -234,7 +234,7 @@
 	h := run.host
 	confirmed := h.table.Interrupted(s.now, crash.Interruption{
 		Service: "llm", Replica: run.id, Address: run.replica.id, End: end, At: s.now, LastHeard: run.began,
-		Suspect: poison.Suspect{Request: fingerprint(run.request.name), RunTime: s.now.Sub(run.began), LastSuccess: h.successes[run.request.name]},
+		Suspect: poison.Suspect{Subject: fingerprint(run.request.name), RunTime: s.now.Sub(run.began), LastSuccess: h.successes[run.request.name]},
 	})
 	s.report(confirmed)
 	s.scheduleChecks(h)
@@ -338,13 +338,13 @@
 func (s *fleetSim) applyVerdicts(changed []poison.Verdict) {
 	for _, v := range changed {
 		for _, q := range s.requests {
-			if fingerprint(q.name) != v.Request {
+			if fingerprint(q.name) != v.Subject {
 				continue
 			}
 			s.verdicts[q.name] = append(s.verdicts[q.name], verdictChange{s.now, !v.Lifted})
 			for _, h := range s.members {
 				if !v.Lifted && h.successes[q.name].After(v.FirstCrash) {
-					s.after(h.verdictDelay, func() { s.applyVerdicts(s.coordinator.RecordSuccess(s.now, v.Request)) })
+					s.after(h.verdictDelay, func() { s.applyVerdicts(s.coordinator.RecordSuccess(s.now, v.Subject)) })
 					break
 				}
 			}
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -317,13 +317,22 @@
 	return []Confirmed{{Crash: c, Proof: r.proof, Again: again}}
 }
 
-// suspects returns the attempts, those that began last first.
+// suspects returns the subjects of the attempts, each part once, and those of the attempts that
+// began last first.
 func (r *replica) suspects() []poison.Suspect {
-	out := make([]poison.Suspect, 0, len(r.pending))
-	for _, i := range r.pending {
+	latest := slices.Clone(r.pending)
+	slices.SortStableFunc(latest, func(a, b Interruption) int { return cmp.Compare(a.Suspect.RunTime, b.Suspect.RunTime) })
+	out := make([]poison.Suspect, 0, len(latest))
+	seen := map[poison.Fingerprint]bool{}
+	for _, i := range latest {
 		out = append(out, i.Suspect)
+		for _, f := range i.Parts {
+			if !seen[f] {
+				seen[f] = true
+				out = append(out, poison.Suspect{Subject: f, Kind: poison.Part, RunTime: i.Suspect.RunTime})
+			}
+		}
 	}
-	slices.SortStableFunc(out, func(a, b poison.Suspect) int { return cmp.Compare(a.RunTime, b.RunTime) })
 	return out
 }
 
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -23,7 +23,7 @@
 func interrupted(request string, end crash.End, beganMS, endMS int) crash.Interruption {
 	return crash.Interruption{
 		Service: "llm", Replica: "r", Address: "r:1", End: end, At: at(endMS), LastHeard: at(beganMS),
-		Suspect: poison.Suspect{Request: fingerprint(request), RunTime: at(endMS).Sub(at(beganMS))},
+		Suspect: poison.Suspect{Subject: fingerprint(request), RunTime: at(endMS).Sub(at(beganMS))},
 	}
 }
 
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -6,18 +6,19 @@
 	"time"
 )
 
-// Suspect is a run that was lost when its replica crashed.
+// Suspect is a subject of a run that was lost when its replica crashed.
 type Suspect struct {
-	Request Fingerprint
+	Subject Fingerprint
+	Kind    Kind
 	// RunTime is the time from the beginning of the run to the crash.
 	RunTime time.Duration
-	// LastSuccess is when a run of the request last succeeded as far as the reporting
+	// LastSuccess is when a run with the subject last survived as far as the reporting
 	// daemon knows; zero if never.
 	LastSuccess time.Time
 }
 
-// Crash is a crash of a replica's process with the runs that were lost, as observed by one
-// daemon or merged from the reports of several.
+// Crash is a crash of a replica's process with the subjects of the runs that were lost, as
+// observed by one daemon or merged from the reports of several.
 type Crash struct {
 	Service, Replica string
 	At               time.Time
@@ -26,11 +27,15 @@
 
 // Bounds of the retained evidence.
 const (
-	// MaxCrashes is the maximum number of retained crashes, of which the newest are kept,
-	// and MaxSuspects the maximum number of runs of each, of which those that began last
-	// are kept. Together they use about 400 kB.
-	MaxCrashes  = 256
-	MaxSuspects = 32
+	// MaxCrashes is the maximum number of retained crashes, of which the newest are kept.
+	// MaxSuspects is the maximum number of contents of each, of which those that began last
+	// are kept, and MaxPartSuspects that of parts, of which those that survived longest ago
+	// are kept. Together they use about 3 MB.
+	MaxCrashes      = 256
+	MaxSuspects     = 64
+	MaxPartSuspects = 128
+	// maxOutagePartSuspects replaces MaxPartSuspects for crashes in an outage.
+	maxOutagePartSuspects = 8
 	// crashRetention is how long a crash counts. Callers retry within their deadlines, and
 	// people or timers resubmit failed jobs minutes later.
 	crashRetention = 10 * time.Minute
@@ -42,7 +47,7 @@
 
 // OutageCrashes is the number of replicas that crash within OutageWindow from which a
 // daemon treats the crashes as an outage of a machine or a network. It then reports only
-// requests that were running on more than one of these replicas. Otherwise, 3,000 daemons
+// subjects that were running on more than one of these replicas. Otherwise, 3,000 daemons
 // that lose a third of their replicas would send about 50 MB to two of the daemons.
 const (
 	OutageCrashes = 4
@@ -58,12 +63,13 @@
 	replicas := map[Fingerprint]int{}
 	for _, e := range crashes {
 		for _, s := range e.Suspects {
-			replicas[s.Request]++
+			replicas[s.Subject]++
 		}
 	}
 	var out []Crash
 	for _, e := range crashes {
-		e.Suspects = slices.DeleteFunc(slices.Clone(e.Suspects), func(s Suspect) bool { return replicas[s.Request] < 2 })
+		e.Suspects = slices.DeleteFunc(slices.Clone(e.Suspects), func(s Suspect) bool { return replicas[s.Subject] < 2 })
+		e.limitSuspects(maxOutagePartSuspects)
 		if len(e.Suspects) > 0 {
 			out = append(out, e)
 		}
@@ -71,28 +77,54 @@
 	return out
 }
 
-// suspectFor returns the run of the request that was lost in the crash.
+// suspectFor returns the suspect that is the given subject.
 func (e *Crash) suspectFor(f Fingerprint) (Suspect, bool) {
-	i := slices.IndexFunc(e.Suspects, func(s Suspect) bool { return s.Request == f })
+	i := slices.IndexFunc(e.Suspects, func(s Suspect) bool { return s.Subject == f })
 	if i < 0 {
 		return Suspect{}, false
 	}
 	return e.Suspects[i], true
 }
 
-// mergeSuspects adds the suspects reported by another daemon. Of several runs of the same
-// request, the longest is kept.
+// LimitSuspects drops the suspects beyond MaxSuspects and MaxPartSuspects.
+func (e *Crash) LimitSuspects() { e.limitSuspects(MaxPartSuspects) }
+
+func (e *Crash) limitSuspects(maxParts int) {
+	contents, parts := 0, 0
+	for _, s := range e.Suspects {
+		if s.Kind == Part {
+			parts++
+		} else {
+			contents++
+		}
+	}
+	if contents <= MaxSuspects && parts <= maxParts {
+		return
+	}
+	e.Suspects = slices.Concat(
+		strongestSuspects(e.Suspects, Content, MaxSuspects, func(a, b Suspect) int { return cmp.Compare(a.RunTime, b.RunTime) }),
+		strongestSuspects(e.Suspects, Part, maxParts, func(a, b Suspect) int {
+			return cmp.Or(a.LastSuccess.Compare(b.LastSuccess), cmp.Compare(a.RunTime, b.RunTime))
+		}))
+}
+
+// strongestSuspects returns the first n suspects of a kind in the given order.
+func strongestSuspects(all []Suspect, k Kind, n int, order func(a, b Suspect) int) []Suspect {
+	out := slices.DeleteFunc(slices.Clone(all), func(s Suspect) bool { return s.Kind != k })
+	slices.SortStableFunc(out, order)
+	return out[:min(n, len(out))]
+}
+
+// mergeSuspects adds the suspects reported by another daemon. Of several runs with the same
+// subject, the longest is kept.
 func (e *Crash) mergeSuspects(suspects []Suspect) {
 	for _, s := range suspects {
-		i := slices.IndexFunc(e.Suspects, func(o Suspect) bool { return o.Request == s.Request })
+		i := slices.IndexFunc(e.Suspects, func(o Suspect) bool { return o.Subject == s.Subject })
 		if i < 0 {
 			e.Suspects = append(e.Suspects, s)
 			continue
 		}
 		e.Suspects[i].RunTime = max(e.Suspects[i].RunTime, s.RunTime)
 	}
-	if len(e.Suspects) > MaxSuspects {
-		slices.SortFunc(e.Suspects, func(a, b Suspect) int { return cmp.Compare(a.RunTime, b.RunTime) })
-		e.Suspects = e.Suspects[:MaxSuspects]
-	}
+	e.LimitSuspects()
 }
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -1,16 +1,11 @@
 package poison
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// crashThreshold is the number of replicas that crash while running a request after which
-// it is quarantined. The users' requirements allow three.
-const crashThreshold = 3
-
-// unrelatedCrashThreshold is the number of crashes without a request, within
+// unrelatedCrashThreshold is the number of crashes without a subject, within
 // unrelatedCrashWindow, from which a verdict on it is doubtful, since replicas then also
 // crash for other reasons.
 const (
@@ -21,12 +16,13 @@
 // Detector holds the evidence and the verdicts. The zero value is ready to use.
 type Detector struct {
 	crashes []*Crash // ordered by time
-	// crashesByRequest holds the crashes in which each request was involved, so that the
-	// cost of a report depends on the crashes of its own requests and not on all retained
-	// ones.
-	crashesByRequest map[Fingerprint][]*Crash
-	successes        successTimes
-	verdicts         map[Fingerprint]*Verdict
+	// involvements holds the crashes in which each subject was a suspect, ordered by time, so that the cost of
+	// a report that changes nothing depends on the crashes of its own subjects and not on all
+	// retained ones.
+	involvements map[Fingerprint][]involvement
+	// successes and survivals are the last runs of contents and parts that survived.
+	successes, survivals successTimes
+	verdicts             map[Fingerprint]*Verdict
 }
 
 // RecordCrash records a replica's crash as observed by one daemon, and returns the verdicts
@@ -35,7 +31,7 @@
 	m.expire(now)
 	for _, s := range e.Suspects {
 		if !s.LastSuccess.IsZero() {
-			m.successes.record(s.LastSuccess, s.Request)
+			m.successesOf(s.Kind).record(s.LastSuccess, s.Subject)
 		}
 	}
 	i := slices.IndexFunc(m.crashes, func(o *Crash) bool { return o.Replica == e.Replica && o.At.Sub(e.At).Abs() < sameCrashWindow })
@@ -49,18 +45,42 @@
 	if len(m.crashes) > MaxCrashes {
 		m.removeCrash(0)
 	}
-	return m.quarantineSuspects(now, e.Suspects)
+	if !slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return m.mayBeGuilty(now, s) }) {
+		return nil
+	}
+	return m.review(now)
+}
+
+// mayBeGuilty reports whether enough crashes since it last survived involved a suspect that is
+// not quarantined. It is a cheap upper bound: an outage with many reports has nothing attributed.
+func (m *Detector) mayBeGuilty(now time.Time, s Suspect) bool {
+	if _, quarantined := m.verdictInEffect(now, s.Subject); quarantined {
+		return false
+	}
+	last, n := m.lastSuccess(s.Subject), 0
+	var event time.Time
+	for _, i := range m.involvements[s.Subject] {
+		at := i.crash.At
+		if !at.After(last) || s.Kind == Part && n > 0 && at.Sub(event) <= simultaneous {
+			continue
+		}
+		n++
+		event = at
+	}
+	return n >= threshold(s.Kind, !last.IsZero())
 }
 
 // insertCrash adds a crash to the retained ones.
 func (m *Detector) insertCrash(e *Crash) {
-	if m.crashesByRequest == nil {
-		m.crashesByRequest = map[Fingerprint][]*Crash{}
+	if m.involvements == nil {
+		m.involvements = map[Fingerprint][]involvement{}
 	}
 	at, _ := slices.BinarySearchFunc(m.crashes, e, func(a, b *Crash) int { return a.At.Compare(b.At) })
 	m.crashes = slices.Insert(m.crashes, at, e)
 	for _, s := range e.Suspects {
-		m.crashesByRequest[s.Request] = append(m.crashesByRequest[s.Request], e)
+		all := m.involvements[s.Subject]
+		at, _ := slices.BinarySearchFunc(all, e, func(a involvement, e *Crash) int { return a.crash.At.Compare(e.At) })
+		m.involvements[s.Subject] = slices.Insert(all, at, involvement{e, s})
 	}
 }
 
@@ -69,51 +89,99 @@
 	e := m.crashes[i]
 	m.crashes = slices.Delete(m.crashes, i, i+1)
 	for _, s := range e.Suspects {
-		remaining := slices.DeleteFunc(m.crashesByRequest[s.Request], func(o *Crash) bool { return o == e })
+		remaining := slices.DeleteFunc(m.involvements[s.Subject], func(o involvement) bool { return o.crash == e })
 		if len(remaining) == 0 {
-			delete(m.crashesByRequest, s.Request)
+			delete(m.involvements, s.Subject)
 			continue
 		}
-		m.crashesByRequest[s.Request] = remaining
+		m.involvements[s.Subject] = remaining
+	}
+}
+
+// successesOf returns the last successes of a kind of subjects.
+func (m *Detector) successesOf(k Kind) *successTimes {
+	if k == Part {
+		return &m.survivals
+	}
+	return &m.successes
+}
+
+// lastSuccess returns when a run with the subject last survived as far as is known here; zero if
+// never.
+func (m *Detector) lastSuccess(f Fingerprint) time.Time {
+	if at := m.successes.last(f); !at.IsZero() {
+		return at
 	}
+	return m.survivals.last(f)
 }
 
-// RecordSuccess records a successful run, and returns the verdict that it lifts.
+// LastSuccess returns when a run with the subject last survived here; zero if none is retained.
+func (m *Detector) LastSuccess(f Fingerprint) time.Time { return m.lastSuccess(f) }
+
+// RecordSuccess records a successful run of a request, and returns the verdicts that change: a
+// verdict on it is lifted.
 func (m *Detector) RecordSuccess(now time.Time, f Fingerprint) []Verdict {
 	m.successes.record(now, f)
-	if v, ok := m.verdicts[f]; ok && !v.Lifted {
-		v.Lifted = true
-		return []Verdict{*v}
+	return m.liftSurvivors(now, f)
+}
+
+// RecordSurvival records that a run which began to write its answer at the given time survived
+// the parts of its prompt, and returns the verdicts that change: those on the parts are lifted,
+// unless the crashes came later.
+func (m *Detector) RecordSurvival(now, at time.Time, parts []Fingerprint) []Verdict {
+	for _, f := range parts {
+		m.survivals.record(at, f)
 	}
-	return nil
+	return m.liftSurvivors(now, parts...)
 }
 
-// LastSuccess returns when a run of the request last succeeded here; zero if none is
-// retained.
-func (m *Detector) LastSuccess(f Fingerprint) time.Time { return m.successes.last(f) }
+// liftSurvivors lifts the verdicts on subjects that survived since the crashes, and attributes
+// these crashes again.
+func (m *Detector) liftSurvivors(now time.Time, subjects ...Fingerprint) []Verdict {
+	if len(m.verdicts) == 0 {
+		return nil
+	}
+	var changed []Verdict
+	for _, f := range subjects {
+		if v, ok := m.verdicts[f]; ok && !v.Lifted && m.lastSuccess(f).After(v.FirstCrash) {
+			v.Lifted, v.LastSuccess = true, m.lastSuccess(f)
+			changed = append(changed, *v)
+		}
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	return append(changed, m.review(now)...)
+}
 
 // Merge merges verdicts of other detectors and returns those that change the local ones. A
-// verdict is stored and returned as lifted if a run of the request succeeded here after the
+// verdict is stored and returned as lifted if a run with the subject survived here after the
 // first crash that counts against it.
 func (m *Detector) Merge(now time.Time, verdicts []Verdict) []Verdict {
 	m.expire(now)
 	var changed []Verdict
 	for _, v := range verdicts {
-		old, known := m.verdicts[v.Request]
+		old, known := m.verdicts[v.Subject]
 		if now.Sub(v.QuarantinedAt) > Lifetime || known && !v.Supersedes(*old) {
 			continue
 		}
-		if m.successes.last(v.Request).After(v.FirstCrash) {
-			v.Lifted = true
+		if v.Lifted && !v.LastSuccess.IsZero() {
+			m.successesOf(v.Kind).record(v.LastSuccess, v.Subject)
+		}
+		if last := m.lastSuccess(v.Subject); !v.Lifted && last.After(v.FirstCrash) {
+			v.Lifted, v.LastSuccess = true, last
 		}
 		m.storeVerdict(v)
 		changed = append(changed, v)
 	}
-	return changed
+	if len(changed) == 0 {
+		return nil
+	}
+	return append(changed, m.review(now)...)
 }
 
-// Quarantined returns the verdict by which a request is currently refused.
-func (m *Detector) Quarantined(now time.Time, f Fingerprint) (Verdict, bool) {
+// verdictInEffect returns the verdict on a subject, whether or not it is in force yet.
+func (m *Detector) verdictInEffect(now time.Time, f Fingerprint) (Verdict, bool) {
 	v, ok := m.verdicts[f]
 	if !ok || v.Lifted || now.Sub(v.QuarantinedAt) > Lifetime {
 		return Verdict{}, false
@@ -121,7 +189,16 @@
 	return *v, true
 }
 
-// GrantTrial grants a trial of a quarantined request if one is due, and returns the updated
+// Quarantined returns the verdict by which requests with a subject are currently refused.
+func (m *Detector) Quarantined(now time.Time, f Fingerprint) (Verdict, bool) {
+	v, ok := m.verdictInEffect(now, f)
+	if !ok || now.Before(v.InForceAt()) {
+		return Verdict{}, false
+	}
+	return v, true
+}
+
+// GrantTrial grants a trial of a quarantined subject if one is due, and returns the updated
 // verdict.
 func (m *Detector) GrantTrial(now time.Time, f Fingerprint) (Verdict, bool) {
 	v, ok := m.verdicts[f]
@@ -147,98 +224,94 @@
 	return *v, true
 }
 
-// quarantineSuspects quarantines the suspects that have reached the crash threshold.
-func (m *Detector) quarantineSuspects(now time.Time, suspects []Suspect) []Verdict {
+// review attributes the crashes again, and returns the verdicts that change: on subjects that are
+// found guilty, and on those that are no longer.
+func (m *Detector) review(now time.Time) []Verdict {
+	if len(m.crashes) == 0 {
+		return nil
+	}
+	found := m.attribute(now)
+	return append(m.convict(now, found), m.reviewUnsupported(now, found)...)
+}
+
+// convict quarantines the subjects to which crashes are attributed.
+func (m *Detector) convict(now time.Time, found []finding) []Verdict {
 	var changed []Verdict
-	for {
-		strongest, found := m.strongestEvidence(now, suspects)
-		if !found {
-			return changed
+	for _, c := range found {
+		if c.convicted {
+			continue
 		}
 		round := uint32(1)
-		if old, ok := m.verdicts[strongest.request]; ok {
+		if old, ok := m.verdicts[c.subject]; ok {
 			round = old.Round + 1
 		}
-		v := Verdict{Request: strongest.request, Round: round, QuarantinedAt: now, FirstCrash: strongest.firstCrash, Doubtful: m.unrelatedCrashes(now, strongest.request) >= unrelatedCrashThreshold}
+		v := Verdict{
+			Subject: c.subject, Kind: c.kind, Round: round, QuarantinedAt: now, FirstCrash: c.crashes[0].crash.At,
+			LastSuccess: m.lastSuccess(c.subject), Doubtful: m.unrelatedCrashes(now, c.subject) >= unrelatedCrashThreshold,
+		}
 		m.storeVerdict(v)
 		changed = append(changed, v)
-		changed = append(changed, m.markDoubtful(now, v.Request)...)
 	}
+	return changed
 }
 
-// markDoubtful marks earlier verdicts as doubtful that are no longer supported by enough
-// crashes, since the newly quarantined request was involved in these: the other request may
-// have been a bystander. It returns the changed verdicts.
-func (m *Detector) markDoubtful(now time.Time, quarantined Fingerprint) []Verdict {
+// reviewUnsupported reviews verdicts that are no longer supported by enough crashes, since
+// stronger subjects explain these: the subject may have been a bystander. A verdict on a part
+// that had survived before is lifted, any other one is marked doubtful. Verdicts of other
+// detectors on subjects of which no crash is known here are left alone.
+func (m *Detector) reviewUnsupported(now time.Time, found []finding) []Verdict {
+	explained, bySubject := map[*Crash]Fingerprint{}, map[Fingerprint]finding{}
+	for _, c := range found {
+		bySubject[c.subject] = c
+		for _, i := range c.crashes {
+			explained[i.crash] = c.subject
+		}
+	}
 	var changed []Verdict
 	for _, v := range m.Verdicts() {
-		if v.Request == quarantined || v.Lifted || v.Doubtful || m.evidenceAgainst(now, v.Request).crashes >= crashThreshold {
+		if _, inEffect := m.verdictInEffect(now, v.Subject); !inEffect || !m.explainedByOthers(v, bySubject[v.Subject], explained) {
 			continue
 		}
-		v.Doubtful = true
+		switch {
+		case v.Kind == Part && !v.LastSuccess.IsZero():
+			v.Lifted = true
+		case v.Doubtful:
+			continue
+		default:
+			v.Doubtful = true
+		}
 		m.storeVerdict(v)
 		changed = append(changed, v)
 	}
 	return changed
 }
 
-// evidence is the evidence against a request.
-type evidence struct {
-	request    Fingerprint
-	crashes    int
-	firstCrash time.Time
-	// longestRun is the longest time from the beginning of one of its runs to the crash.
-	longestRun time.Duration
-}
-
-// strongestEvidence returns the evidence against the suspect to quarantine next, and false
-// if no suspect has reached the crash threshold.
-func (m *Detector) strongestEvidence(now time.Time, suspects []Suspect) (evidence, bool) {
-	var strongest evidence
-	for _, s := range suspects {
-		if _, quarantined := m.Quarantined(now, s.Request); quarantined {
-			continue
-		}
-		c := m.evidenceAgainst(now, s.Request)
-		if c.crashes >= crashThreshold && (strongest.crashes == 0 || cmp.Or(cmp.Compare(c.crashes, strongest.crashes), cmp.Compare(strongest.longestRun, c.longestRun)) > 0) {
-			strongest = c
-		}
-	}
-	return strongest, strongest.crashes > 0
-}
-
-// evidenceAgainst counts the crashes of replicas that were running a request since a run of
-// it last succeeded, except those in which another quarantined request was involved.
-func (m *Detector) evidenceAgainst(now time.Time, f Fingerprint) evidence {
-	c := evidence{request: f}
-	lastSuccess := m.successes.last(f)
-	for _, e := range m.crashesByRequest[f] {
-		if !e.At.After(lastSuccess) || m.attributedToOther(now, e, f) {
-			continue
-		}
-		if c.crashes++; c.crashes == 1 || e.At.Before(c.firstCrash) {
-			c.firstCrash = e.At
-		}
-		s, _ := e.suspectFor(f)
-		c.longestRun = max(c.longestRun, s.RunTime)
+// explainedByOthers reports whether stronger subjects account for so many of the crashes of a
+// quarantined one that the rest, own, would not convict it.
+func (m *Detector) explainedByOthers(v Verdict, own finding, explained map[*Crash]Fingerprint) bool {
+	if own.weight > 0 && own.weight >= own.threshold() {
+		return false
 	}
-	return c
+	return slices.ContainsFunc(m.involvements[v.Subject], func(i involvement) bool {
+		by, ok := explained[i.crash]
+		return ok && by != v.Subject
+	})
 }
 
-// attributedToOther reports whether a quarantined request other than f was involved in a
+// attributedToOther reports whether a quarantined subject other than f was involved in a
 // crash.
 func (m *Detector) attributedToOther(now time.Time, e *Crash, f Fingerprint) bool {
 	if len(m.verdicts) == 0 {
 		return false
 	}
 	return slices.ContainsFunc(e.Suspects, func(s Suspect) bool {
-		_, quarantined := m.Quarantined(now, s.Request)
-		return quarantined && s.Request != f
+		_, quarantined := m.verdictInEffect(now, s.Subject)
+		return quarantined && s.Subject != f
 	})
 }
 
-// unrelatedCrashes counts the recent crashes in which a request was not involved, except
-// those attributed to another quarantined request.
+// unrelatedCrashes counts the recent crashes in which a subject was not involved, except
+// those attributed to another quarantined one.
 func (m *Detector) unrelatedCrashes(now time.Time, f Fingerprint) int {
 	n := 0
 	for _, e := range m.crashes {
@@ -254,13 +327,13 @@
 	if m.verdicts == nil {
 		m.verdicts = map[Fingerprint]*Verdict{}
 	}
-	m.verdicts[v.Request] = &v
+	m.verdicts[v.Subject] = &v
 	if len(m.verdicts) <= MaxVerdicts {
 		return
 	}
 	all := m.Verdicts()
 	oldest := slices.MinFunc(all, func(a, b Verdict) int { return a.QuarantinedAt.Compare(b.QuarantinedAt) })
-	delete(m.verdicts, oldest.Request)
+	delete(m.verdicts, oldest.Subject)
 }
 
 // expire removes crashes and verdicts that are too old to count.
@@ -275,14 +348,13 @@
 	}
 }
 
-// CrashesOf returns the retained crashes of replicas that were running a request, ordered
+// CrashesOf returns the retained crashes of replicas that were running a subject, ordered
 // by time.
 func (m *Detector) CrashesOf(f Fingerprint) []Crash {
 	var crashes []Crash
-	for _, e := range m.crashesByRequest[f] {
-		crashes = append(crashes, *e)
+	for _, i := range m.involvements[f] {
+		crashes = append(crashes, *i.crash)
 	}
-	slices.SortFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 	return crashes
 }
 
@@ -291,9 +363,11 @@
 	Crashes   int `json:"ends"`
 	Verdicts  int `json:"verdicts"`
 	Successes int `json:"served"`
+	// Parts is the number of parts of prompts whose last survival is retained.
+	Parts int `json:"parts"`
 }
 
 // Stats returns the current sizes.
 func (m *Detector) Stats() Stats {
-	return Stats{Crashes: len(m.crashes), Verdicts: len(m.verdicts), Successes: len(m.successes.recent) + len(m.successes.earlier)}
+	return Stats{Crashes: len(m.crashes), Verdicts: len(m.verdicts), Successes: m.successes.len(), Parts: m.survivals.len()}
 }
--- a/core/poison/detector_test.go
+++ b/core/poison/detector_test.go
@@ -29,7 +29,7 @@
 func crash(seconds float64, replica string, runs map[string]int) poison.Crash {
 	e := poison.Crash{Service: "llm", Replica: replica, At: at(seconds)}
 	for name, ms := range runs {
-		e.Suspects = append(e.Suspects, poison.Suspect{Request: request(name), RunTime: time.Duration(ms) * time.Millisecond})
+		e.Suspects = append(e.Suspects, poison.Suspect{Subject: request(name), RunTime: time.Duration(ms) * time.Millisecond})
 	}
 	return e
 }
@@ -72,7 +72,7 @@
 		Expect(recordCrash(1, "a", map[string]int{"x": 50})).To(BeEmpty())
 		Expect(recordCrash(2, "b", map[string]int{"x": 50})).To(BeEmpty())
 		Expect(quarantined("x", 2)).To(BeFalse())
-		Expect(recordCrash(3, "c", map[string]int{"x": 50})).To(ConsistOf(HaveField("Request", request("x"))))
+		Expect(recordCrash(3, "c", map[string]int{"x": 50})).To(ConsistOf(HaveField("Subject", request("x"))))
 		Expect(quarantined("x", 3)).To(BeTrue())
 		Expect(quarantined("x", 3+poison.Lifetime.Seconds()+1)).To(BeFalse())
 	})
@@ -94,6 +94,7 @@
 		Expect(quarantined("x", 3)).To(BeTrue())
 		Expect(quarantined("y", 3)).To(BeFalse())
 		By("attributing the crashes to it that the bystander was involved in")
+		m.RecordSuccess(at(3.5), request("y"))
 		recordCrash(4, "d", map[string]int{"y": 10})
 		recordCrash(5, "e", map[string]int{"y": 10})
 		Expect(quarantined("y", 5)).To(BeFalse())
@@ -101,6 +102,17 @@
 		Expect(quarantined("y", 6)).To(BeTrue())
 	})
 
+	It("is quarantined as soon as it explains more crashes than the bystander quarantined before", func() {
+		for i, name := range []string{"a", "b", "c"} {
+			recordCrash(float64(i), name, map[string]int{"x": 50, "y": 400})
+		}
+		Expect(quarantined("y", 3)).To(BeFalse())
+		recordCrash(4, "d", map[string]int{"y": 10})
+		Expect(quarantined("y", 4)).To(BeTrue(), "four replicas crashed while running it, and no run succeeded")
+		_, granted := m.GrantTrial(at(4), request("x"))
+		Expect(granted).To(BeTrue(), "the other one may have been a bystander")
+	})
+
 	It("gets an early trial when its crashes are later attributed to another request", func() {
 		for i, name := range []string{"a", "b", "c"} {
 			recordCrash(float64(i), name, map[string]int{"x": 50, "y": 10})
@@ -190,7 +202,7 @@
 var _ = Describe("verdicts", func() {
 	x := request("x")
 	verdict := func(change func(*poison.Verdict)) poison.Verdict {
-		v := poison.Verdict{Request: x, Round: 1, QuarantinedAt: at(1), FirstCrash: at(0)}
+		v := poison.Verdict{Subject: x, Round: 1, QuarantinedAt: at(1), FirstCrash: at(0)}
 		if change != nil {
 			change(&v)
 		}
--- /dev/null
+++ b/core/poison/parts_test.go
@@ -0,0 +1,133 @@
+package poison_test
+
+import (
+	"fmt"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/poison"
+)
+
+var _ = Describe("a part of prompts", func() {
+	var m *poison.Detector
+	BeforeEach(func() { m = &poison.Detector{} })
+	// inForce is when a verdict of the given time is in force.
+	inForce := func(seconds float64) float64 { return seconds + poison.ObjectionTime.Seconds() }
+	guilty := func(name string, seconds float64) bool {
+		_, quarantined := m.Quarantined(at(seconds), part(name))
+		return quarantined
+	}
+	// crashAt records a crash of the given replica under one request with the given parts.
+	crashAt := func(seconds float64, replica, content string, parts ...string) []poison.Verdict {
+		e := crash(seconds, replica, map[string]int{content: 50})
+		for _, p := range parts {
+			e.Suspects = append(e.Suspects, poison.Suspect{Subject: part(p), Kind: poison.Part, LastSuccess: m.LastSuccess(part(p))})
+		}
+		return m.RecordCrash(at(seconds), e)
+	}
+	survive := func(seconds float64, parts ...string) []poison.Verdict {
+		var fs []poison.Fingerprint
+		for _, p := range parts {
+			fs = append(fs, part(p))
+		}
+		return m.RecordSurvival(at(seconds), at(seconds), fs)
+	}
+
+	It("is found guilty with the fourth crash, whatever else the requests hold, and refused a moment later", func() {
+		for i := range 4 {
+			survive(float64(i), "system")
+			Expect(guilty("bad", inForce(float64(i)))).To(BeFalse())
+			crashAt(float64(i)+0.5, fmt.Sprint("r", i), fmt.Sprint("q", i), "system", fmt.Sprint("doc", i), "bad")
+		}
+		Expect(guilty("bad", 3.6)).To(BeFalse(), "hosts that have seen it survive may object")
+		Expect(guilty("bad", inForce(3.5))).To(BeTrue())
+		Expect(guilty("system", inForce(3.5))).To(BeFalse())
+	})
+
+	It("is found guilty although requests that hold it were quarantined before", func() {
+		for i := range 3 {
+			crashAt(float64(i), fmt.Sprint("r", i), "q", "bad")
+		}
+		_, quarantined := m.Quarantined(at(2), request("q"))
+		Expect(quarantined).To(BeTrue())
+		crashAt(3, "s", "other", "bad")
+		Expect(guilty("bad", inForce(3))).To(BeTrue())
+	})
+
+	It("is not found guilty while runs with it survive", func() {
+		for i := range 20 {
+			survive(float64(i), "system")
+			crashAt(float64(i)+0.2, fmt.Sprint("r", i), fmt.Sprint("q", i), "system")
+			crashAt(float64(i)+0.5, fmt.Sprint("s", i), fmt.Sprint("p", i), "system")
+		}
+		Expect(guilty("system", 30)).To(BeFalse())
+	})
+
+	It("is charged once with crashes at the same moment, and only if it ran on all replicas of an outage", func() {
+		for i := range 3 {
+			for r := range 9 {
+				parts := []string{"system"}
+				if r > 0 {
+					parts = append(parts, "partial")
+				}
+				crashAt(float64(i)*3, fmt.Sprint("r", r), fmt.Sprint("q", i, r), parts...)
+			}
+		}
+		crashAt(9, "x", "qx", "partial")
+		crashAt(12, "y", "qy", "partial")
+		crashAt(15, "z", "qz", "partial")
+		Expect(guilty("system", 20)).To(BeFalse())
+		Expect(guilty("partial", 20)).To(BeFalse())
+		crashAt(18, "z", "qzz", "partial")
+		Expect(guilty("partial", 20)).To(BeTrue())
+	})
+
+	It("is released by a detector that has seen it survive, and its crashes count for the other subjects", func() {
+		var other poison.Detector
+		other.RecordSurvival(at(5), at(2.5), []poison.Fingerprint{part("system")})
+		var verdicts []poison.Verdict
+		for i := range 4 {
+			content := fmt.Sprint("q", i)
+			if i > 0 {
+				verdicts = append(verdicts, crashAt(float64(i), fmt.Sprint("r", i), content, "system", "bad")...)
+				continue
+			}
+			verdicts = append(verdicts, crashAt(float64(i), fmt.Sprint("r", i), content, "system")...)
+		}
+		Expect(verdicts).To(ConsistOf(HaveField("Subject", part("system"))))
+		objection := other.Merge(at(3.1), verdicts)
+		Expect(objection).To(ConsistOf(And(HaveField("Lifted", true), HaveField("LastSuccess", at(2.5)))))
+		m.Merge(at(3.2), objection)
+		Expect(guilty("system", inForce(3.2))).To(BeFalse())
+		crashAt(4, "r4", "q4", "system", "bad")
+		Expect(guilty("bad", inForce(4))).To(BeTrue())
+		Expect(guilty("system", inForce(4))).To(BeFalse())
+	})
+
+	It("is released when a later crash shows that another part explains all of its crashes", func() {
+		survive(0, "system", "popular")
+		for i := range 5 {
+			crashAt(float64(i)+1, fmt.Sprint("r", i), fmt.Sprint("q", i), "system", "popular")
+		}
+		first := slices.IndexFunc([]string{"system", "popular"}, func(p string) bool { return guilty(p, inForce(5)) })
+		Expect(first).To(BeNumerically(">=", 0))
+		wrong, right := []string{"system", "popular"}[first], []string{"popular", "system"}[first]
+		crashAt(6, "x", "qx", right)
+		Expect(guilty(right, inForce(6))).To(BeTrue())
+		Expect(guilty(wrong, inForce(6))).To(BeFalse())
+	})
+
+	It("has one trial soon, and one later", func() {
+		for i := range 4 {
+			crashAt(float64(i), fmt.Sprint("r", i), fmt.Sprint("q", i), "bad")
+		}
+		_, granted := m.GrantTrial(at(3).Add(poison.DoubtfulTrial), part("bad"))
+		Expect(granted).To(BeTrue())
+		_, granted = m.GrantTrial(at(4).Add(poison.FirstTrial), part("bad"))
+		Expect(granted).To(BeFalse())
+		Expect(survive(5.5, "bad")).To(ConsistOf(HaveField("Lifted", true)))
+		Expect(guilty("bad", 6)).To(BeFalse())
+	})
+})
--- a/core/poison/random_test.go
+++ b/core/poison/random_test.go
@@ -206,7 +206,7 @@
 		e := &crashes[r.daemon]
 		e.Replica, e.At = fmt.Sprint(replica), s.now
 		e.Suspects = append(e.Suspects, poison.Suspect{
-			Request: r.request.id, RunTime: s.now.Sub(r.began), LastSuccess: s.detectors[r.daemon].LastSuccess(r.request.id),
+			Subject: r.request.id, RunTime: s.now.Sub(r.began), LastSuccess: s.detectors[r.daemon].LastSuccess(r.request.id),
 		})
 	}
 	counted := map[*simRequest]bool{}
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -8,23 +8,27 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Verdict is the decision on a request.
+// Verdict is the decision on a subject.
 type Verdict struct {
-	Request Fingerprint
-	// Round counts how often the request has been quarantined.
+	Subject Fingerprint
+	Kind    Kind
+	// Round counts how often the subject has been quarantined.
 	Round uint32
-	// Lifted says that a run has succeeded since the request was quarantined.
+	// Lifted says that a run has survived since the first crash, at LastSuccess.
 	Lifted bool
+	// LastSuccess is when a run with the subject last survived, as far as is known; zero if
+	// never.
+	LastSuccess time.Time
 	// Trials is the number of granted trials, and LastTrial when the last one was granted.
 	Trials    uint32
 	LastTrial time.Time
 	// UnusedTrials is the number of granted trials that led to no run.
 	UnusedTrials uint32
-	// QuarantinedAt is when the request was quarantined, and FirstCrash when the first
+	// QuarantinedAt is when the subject was found guilty, and FirstCrash when the first
 	// crash occurred that counts against it.
 	QuarantinedAt, FirstCrash time.Time
-	// Doubtful says that replicas also crashed without the request at that time, or that
-	// the crashes are attributed to another request.
+	// Doubtful says that replicas also crashed without the subject at that time, or that
+	// the crashes are attributed to another one.
 	Doubtful bool
 }
 
@@ -38,8 +42,12 @@
 	// succeeds.
 	FirstTrial  = 30 * time.Second
 	SecondTrial = 5 * time.Minute
-	// DoubtfulTrial replaces FirstTrial for doubtful verdicts.
+	// DoubtfulTrial replaces FirstTrial for doubtful verdicts, and for those on parts: a
+	// wrong one has many requests refused.
 	DoubtfulTrial = 2 * time.Second
+	// ObjectionTime is the time from a verdict on a part until it is in force: the time in which
+	// it reaches all hosts, and the objection of one that has seen the part survive returns.
+	ObjectionTime = 500 * time.Millisecond
 	// MaxTrials is the maximum number of trials of a verdict that led to a run: the users'
 	// requirements allow three further runs. MaxUnusedTrials is the maximum number of trials
 	// that led to no run and are granted again.
@@ -67,6 +75,14 @@
 	return v.Doubtful && !old.Doubtful
 }
 
+// InForceAt is when requests begin to be refused.
+func (v Verdict) InForceAt() time.Time {
+	if v.Kind == Part {
+		return v.QuarantinedAt.Add(ObjectionTime)
+	}
+	return v.QuarantinedAt
+}
+
 // nextTrial returns when the next trial may be granted, and false if no trial is left.
 func (v Verdict) nextTrial() (time.Time, bool) {
 	switch used := v.Trials - min(v.UnusedTrials, MaxUnusedTrials, v.Trials); {
@@ -74,7 +90,7 @@
 		return time.Time{}, false
 	case used > 0:
 		return v.LastTrial.Add(SecondTrial), true
-	case v.Doubtful:
+	case v.Doubtful || v.Kind == Part:
 		return v.QuarantinedAt.Add(DoubtfulTrial), true
 	}
 	return v.QuarantinedAt.Add(FirstTrial), true
@@ -89,14 +105,14 @@
 	return max(0, due.Sub(now))
 }
 
-// Verdicts returns all retained verdicts, including lifted ones, ordered by request. The
+// Verdicts returns all retained verdicts, including lifted ones, ordered by subject. The
 // caller owns the slice.
 func (m *Detector) Verdicts() []Verdict {
 	out := make([]Verdict, 0, len(m.verdicts))
 	for _, v := range m.verdicts {
 		out = append(out, *v)
 	}
-	slices.SortFunc(out, func(a, b Verdict) int { return slices.Compare(a.Request[:], b.Request[:]) })
+	slices.SortFunc(out, func(a, b Verdict) int { return slices.Compare(a.Subject[:], b.Subject[:]) })
 	return out
 }
 
@@ -114,7 +130,7 @@
 			continue
 		}
 		var buf [FingerprintSize + 13]byte
-		copy(buf[:], v.Request[:])
+		copy(buf[:], v.Subject[:])
 		binary.LittleEndian.PutUint32(buf[FingerprintSize:], v.Round)
 		binary.LittleEndian.PutUint32(buf[FingerprintSize+4:], v.Trials)
 		binary.LittleEndian.PutUint32(buf[FingerprintSize+8:], v.UnusedTrials)
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		if d.quarantine.RequestTrial(ctx, v) {
-			s.trialFingerprint.Store(&v.Request)
+			s.trialFingerprint.Store(&v.Subject)
 			continue
 		}
 		e := problem.New(problem.Quarantined, "upstreams ended under its stage %s", stage.Name)
@@ -126,7 +126,7 @@
 		now := clock.Now()
 		d.quarantine.AttemptInterrupted(crash.Interruption{
 			Service: c.Stage.Pool, Replica: c.Choice.Upstream, Address: c.Choice.Address, At: now,
-			Suspect: poison.Suspect{Request: fingerprint, RunTime: now.Sub(start.at)},
+			Suspect: poison.Suspect{Subject: fingerprint, RunTime: now.Sub(start.at)},
 		})
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -39,10 +39,13 @@
 	customerConfig *catalog.CustomerConfig
 	service        string
 	body           []byte
-	// fingerprint identifies the request by its content, under whatever ID it is sent.
+	// fingerprint identifies the request by its content, under whatever ID it is sent, and
+	// parts are the parts of its prompt that other requests may share.
 	fingerprint poison.Fingerprint
-	// trialRun says that the request is quarantined and may nevertheless run once.
-	trialRun bool
+	parts       []poison.Fingerprint
+	// trial is the quarantined subject with which the request may nevertheless run once; nil
+	// for none.
+	trial *poison.Fingerprint
 	// ctx ends when the caller disconnects, or at its deadline or the route's timeout,
 	// whichever comes first; deadline is the earlier of the latter two.
 	ctx      context.Context
@@ -144,9 +147,8 @@
 		x.deadline = x.arrived.Add(x.req.Timeout)
 	}
 	x.service = x.route.PickService(rand.Float64())
-	if v, quarantined := x.g.quarantine.Quarantined(x.fingerprint); quarantined {
-		x.trialRun = x.g.quarantine.RequestTrial(x.r.Context(), v)
-	}
+	x.parts = x.partFingerprints()
+	x.requestTrial()
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
@@ -159,25 +161,6 @@
 	return x.resolveOrigin()
 }
 
-// releaseUnusedTrial returns a trial that led to no run, so that another caller can use
-// it.
-func (x *exchange) releaseUnusedTrial() {
-	if x.trialRun && x.runs == 0 {
-		x.g.quarantine.ReturnTrial(x.fingerprint)
-	}
-}
-
-// checkQuarantine refuses a quarantined request. The refusal implies that the request has
-// not run under this ID; if it has, fail answers with another error. A retry before the
-// given Retry-After would only be refused again.
-func (x *exchange) checkQuarantine() *problem.Error {
-	v, quarantined := x.g.quarantine.Quarantined(x.fingerprint)
-	if !quarantined || x.trialRun {
-		return nil
-	}
-	return withRetryAfter(problem.New(problem.Quarantined, "replicas crashed under this request"), v.RetryAfter(clock.Now()))
-}
-
 // authorize finds the customer that owns the request's API key.
 func (x *exchange) authorize() *problem.Error {
 	if x.config.Customers == nil {
@@ -279,8 +262,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(x.g.prepareCtx, cancel)()
-	if !x.trialRun {
-		defer x.g.quarantine.Watch(x.fingerprint, cancel)()
+	if x.trial == nil {
+		defer x.g.quarantine.Watch(x.subjects(), cancel)()
 	}
 	end := x.g.stages.Prepare(ctx, j)
 	if end == nil {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -79,7 +79,8 @@
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.discovery.View().Evacuations.Domains)) })
 	gauge("wheatseam_stream_origins", func() float64 { return float64(g.origins.state(clock.Now()).Streams) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.SuspendedTime().Seconds() })
-	gauge("wheatseam_requests_condemned", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
+	gauge("wheatseam_requests_condemned", func() float64 { contents, _ := g.quarantine.QuarantinedCounts(); return float64(contents) })
+	gauge("wheatseam_prompt_parts_condemned", func() float64 { _, parts := g.quarantine.QuarantinedCounts(); return float64(parts) })
 	gauge("wheatseam_jobs_planned", func() float64 { return float64(g.stages.Dump().Planned) })
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -73,20 +73,24 @@
 
 // nextReplica returns the replica of the next attempt and the reservation there; ""
 // for none. A replacement that was reserved when the last attempt was cancelled needs no
-// further check.
+// further check of paths and inputs.
 func (x *exchange) nextReplica() (c request.Choice, reservation string, perr *problem.Error) {
-	if x.replacement != nil {
-		return x.takeReplacement()
-	}
 	if perr = x.checkQuarantine(); perr != nil {
 		return c, "", perr
 	}
+	if x.replacement != nil {
+		return x.takeReplacement()
+	}
 	if perr = x.checkPaths(); perr != nil {
 		return c, "", perr
 	}
 	if perr = x.ensureInputs(); perr != nil {
 		return c, "", perr
 	}
+	// The request may have been quarantined while its stages ran.
+	if perr = x.checkQuarantine(); perr != nil {
+		return c, "", perr
+	}
 	c, perr = x.g.router.Pick(clock.Now(), x.routerQuery(), nil)
 	return c, "", perr
 }
@@ -187,6 +191,8 @@
 	// heardAt is when the replica last sent an event or the head of its answer; zero if
 	// never.
 	heardAt time.Time
+	// survived says that the run has survived the parts of its prompt.
+	survived bool
 	// eventsReceived counts the events that the replica has sent.
 	eventsReceived int
 	pauses         pauseMeter
@@ -321,7 +327,7 @@
 	now := clock.Now()
 	x.g.quarantine.AttemptInterrupted(crash.Interruption{
 		Service: x.service, Replica: t.choice.Upstream, Address: t.choice.Address, End: end, At: now, LastHeard: t.lastHeard(),
-		Suspect: poison.Suspect{Request: x.fingerprint, RunTime: now.Sub(t.began)},
+		Suspect: poison.Suspect{Subject: x.fingerprint, RunTime: now.Sub(t.began)}, Parts: t.unsurvivedParts(),
 	})
 }
 
@@ -467,6 +473,9 @@
 	if end == answered || end == failedRetrying {
 		t.x.g.quarantine.RunSucceeded(t.x.fingerprint)
 	}
+	if end == answered && t.x.status == http.StatusOK {
+		t.partsSurvived(true)
+	}
 	switch end {
 	case answered:
 		o.Result = request.CallOK
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -96,7 +96,7 @@
 		return deniedRoute
 	case runs >= x.route.Attempts:
 		return deniedAttempts
-	case x.trialRun:
+	case x.trial != nil:
 		return deniedTrial
 	}
 	return ""
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -50,6 +50,7 @@
 		if t.firstAt.IsZero() {
 			t.recordFirstEvent()
 		}
+		t.partsSurvived(false)
 		if !x.alreadySent(event.id) {
 			x.fixVersion(t.choice.Version)
 			if err := x.sendEvent(resp, event); err != nil {
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -20,9 +20,9 @@
 	for _, hosts := range []int{6, 300, 3020} {
 		b.Run(fmt.Sprint("hosts-", hosts), func(b *testing.B) {
 			neighbours := ringNeighbours(hosts)
-			v := poison.Verdict{Request: content("x"), Round: 1, QuarantinedAt: time.Now(), FirstCrash: time.Now()}
+			v := poison.Verdict{Subject: content("x"), Round: 1, QuarantinedAt: time.Now(), FirstCrash: time.Now()}
 			size := proto.Size(&wire.Verdicts{Verdicts: []*wire.Verdict{{
-				Request: v.Request[:], Round: v.Round, AgeMs: 1000, SinceMs: 5000,
+				Request: v.Subject[:], Round: v.Round, AgeMs: 1000, SinceMs: 5000,
 			}}})
 			var messages, steps int
 			for b.Loop() {
@@ -84,7 +84,7 @@
 		n++
 		e := poison.Crash{Replica: fmt.Sprint("r", n), At: now}
 		for i := range poison.MaxSuspects {
-			e.Suspects = append(e.Suspects, poison.Suspect{Request: content(fmt.Sprint(n%40, i)), RunTime: time.Duration(i) * time.Millisecond})
+			e.Suspects = append(e.Suspects, poison.Suspect{Subject: content(fmt.Sprint(n%40, i)), RunTime: time.Duration(i) * time.Millisecond})
 		}
 		m.RecordCrash(now, e)
 	}
@@ -97,7 +97,7 @@
 	var m poison.Detector
 	now := time.Now()
 	for i := range poison.MaxVerdicts {
-		m.Merge(now, []poison.Verdict{{Request: content(fmt.Sprint(i)), Round: 1, QuarantinedAt: now}})
+		m.Merge(now, []poison.Verdict{{Subject: content(fmt.Sprint(i)), Round: 1, QuarantinedAt: now}})
 	}
 	f := content("other")
 	for b.Loop() {
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,16 +13,31 @@
 )
 
 // AttemptInterrupted records an attempt that ended without a complete answer. If its replica
-// crashed, the crash is reported once that is known. The last success of the request is filled
-// in here.
+// crashed, the crash is reported once that is known.
 func (s *Service) AttemptInterrupted(i crash.Interruption) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i.Suspect.LastSuccess = s.detector.LastSuccess(i.Suspect.Request)
+	i.Parts = s.mostSuspect(i.Parts)
 	s.recordCrashes(s.interruptions.Interrupted(clock.Now(), i))
 	s.scheduleChecks()
 }
 
+// maxPartsPerRun is the maximum number of parts of one run that are reported.
+const maxPartsPerRun = 32
+
+// mostSuspect returns at most maxPartsPerRun of the parts, those that survived longest ago here.
+// The caller holds the lock.
+func (s *Service) mostSuspect(parts []poison.Fingerprint) []poison.Fingerprint {
+	if len(parts) <= maxPartsPerRun {
+		return parts
+	}
+	sorted := slices.Clone(parts)
+	slices.SortStableFunc(sorted, func(a, b poison.Fingerprint) int {
+		return s.detector.LastSuccess(a).Compare(s.detector.LastSuccess(b))
+	})
+	return sorted[:maxPartsPerRun]
+}
+
 // scheduleChecks starts the checks that are due, and a timer for the next one. The caller holds
 // the lock.
 func (s *Service) scheduleChecks() {
@@ -76,35 +92,48 @@
 	s.scheduleChecks()
 }
 
-// recordCrashes records confirmed replica crashes for reporting. The caller holds the lock.
+// recordCrashes records confirmed replica crashes for reporting, with the last successes of their
+// subjects here. The caller holds the lock.
 func (s *Service) recordCrashes(confirmed []crash.Confirmed) {
 	for _, c := range confirmed {
+		for i := range c.Suspects {
+			c.Suspects[i].LastSuccess = s.detector.LastSuccess(c.Suspects[i].Subject)
+		}
+		c.LimitSuspects()
 		if s.cfg.OnReplicaCrash != nil {
 			s.cfg.OnReplicaCrash(c)
 		}
 		s.log.Warn("replica crashed while requests were running on it", zap.String("service", c.Service), zap.String("replica", c.Replica),
 			zap.Stringer("proof", c.Proof), zap.Duration("age", clock.Since(c.At)),
-			zap.Strings("contents", contentsOf(c.Suspects)), zap.Durations("ran", runTimesOf(c.Suspects)))
+			zap.Strings("contents", contentsOf(c.Suspects)), zap.Durations("ran", runTimesOf(c.Suspects)),
+			zap.Strings("parts", subjectsOf(c.Suspects, poison.Part)))
 		s.reports = append(s.reports, &report{crash: c.Crash, ackedBy: map[string]uint64{}})
 		s.reports = s.reports[max(0, len(s.reports)-maxReports):]
 		s.wake()
 	}
 }
 
-// contentsOf lists the fingerprints of suspects, for logs.
-func contentsOf(suspects []poison.Suspect) []string {
-	out := make([]string, 0, len(suspects))
+// contentsOf lists the contents among suspects, for logs.
+func contentsOf(suspects []poison.Suspect) []string { return subjectsOf(suspects, poison.Content) }
+
+// subjectsOf lists the suspects of a kind, for logs.
+func subjectsOf(suspects []poison.Suspect, k poison.Kind) []string {
+	out := []string{}
 	for _, suspect := range suspects {
-		out = append(out, suspect.Request.String())
+		if suspect.Kind == k {
+			out = append(out, suspect.Subject.String())
+		}
 	}
 	return out
 }
 
-// runTimesOf lists how long suspects ran, for logs.
+// runTimesOf lists how long the contents among suspects ran, for logs.
 func runTimesOf(suspects []poison.Suspect) []time.Duration {
-	out := make([]time.Duration, 0, len(suspects))
+	out := []time.Duration{}
 	for _, suspect := range suspects {
-		out = append(out, suspect.RunTime)
+		if suspect.Kind == poison.Content {
+			out = append(out, suspect.RunTime)
+		}
 	}
 	return out
 }
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,71 +16,105 @@
 )
 
 // applyVerdicts makes changed verdicts effective, whether received from a host or
-// decided locally: it notifies the watchers of each quarantined request and sends the
-// verdicts to all neighbours except the one they came from.
+// decided locally, and sends them to all neighbours except the one they came from.
 func (s *Service) applyVerdicts(from string, verdicts []poison.Verdict) {
 	if len(verdicts) == 0 {
 		return
 	}
-	var callbacks []func()
 	s.mu.Lock()
 	now := clock.Now()
 	for _, v := range verdicts {
 		s.logVerdict(now, from, v)
-		if v.Lifted {
+	}
+	s.publishDigest(now)
+	s.mu.Unlock()
+	s.enforce(verdicts)
+	for _, host := range s.cfg.Members.Neighbours() {
+		if host != from {
+			go s.sendVerdicts(host, verdicts)
+		}
+	}
+}
+
+// enforce notifies the watchers of the subjects whose verdicts are in force, and of the others
+// when theirs are.
+func (s *Service) enforce(verdicts []poison.Verdict) {
+	var callbacks []func()
+	var pending []poison.Verdict
+	s.mu.Lock()
+	now := clock.Now()
+	for _, v := range verdicts {
+		if _, quarantined := s.detector.Quarantined(now, v.Subject); !quarantined {
+			if !v.Lifted && v.InForceAt().After(now) {
+				pending = append(pending, v)
+			}
 			continue
 		}
-		for w := range s.watches[v.Request] {
+		for w := range s.watches[v.Subject] {
 			callbacks = append(callbacks, w.notify)
 		}
-		delete(s.watches, v.Request)
+		delete(s.watches, v.Subject)
 	}
 	s.updateQuarantinedCount(now)
-	s.publishDigest(now)
 	s.mu.Unlock()
 	for _, notify := range callbacks {
 		notify()
 	}
-	for _, host := range s.cfg.Members.Neighbours() {
-		if host != from {
-			go s.sendVerdicts(host, verdicts)
-		}
+	for _, v := range pending {
+		clock.AfterFunc(v.InForceAt().Sub(now), func() { s.enforce([]poison.Verdict{v}) })
 	}
 }
 
-// updateQuarantinedCount recounts the quarantined requests. The caller holds the lock.
-func (s *Service) updateQuarantinedCount(now time.Time) {
-	n := 0
+// updateQuarantinedCount recounts the quarantined subjects. The caller holds the lock.
+func (s *Service) updateQuarantinedCount(now time.Time) (contents, parts int) {
 	for _, v := range s.detector.Verdicts() {
-		if _, quarantined := s.detector.Quarantined(now, v.Request); quarantined {
-			n++
+		if _, quarantined := s.detector.Quarantined(now, v.Subject); !quarantined {
+			continue
+		}
+		if v.Kind == poison.Part {
+			parts++
+		} else {
+			contents++
 		}
 	}
-	s.quarantinedCount.Store(int64(n))
+	s.quarantinedCount.Store(int64(contents + parts))
+	return contents, parts
 }
 
 // logVerdict logs a verdict with the replica crashes behind it. The caller holds the lock.
 func (s *Service) logVerdict(now time.Time, from string, v poison.Verdict) {
 	fields := []zap.Field{
-		zap.Stringer("content", v.Request), zap.Uint32("round", v.Round), zap.Uint32("trials", v.Trials), zap.Bool("doubtful", v.Doubtful),
-		zap.String("peer", from), zap.Duration("age", now.Sub(v.QuarantinedAt)), zap.Duration("since", now.Sub(v.FirstCrash)), zap.Strings("ends", s.describeCrashes(now, v.Request)),
+		zap.Stringer("content", v.Subject), zap.Stringer("kind", v.Kind), zap.Uint32("round", v.Round), zap.Uint32("trials", v.Trials), zap.Bool("doubtful", v.Doubtful),
+		zap.String("peer", from), zap.Duration("age", now.Sub(v.QuarantinedAt)), zap.Duration("since", now.Sub(v.FirstCrash)), zap.Strings("ends", s.describeCrashes(now, v.Subject)),
+	}
+	if !v.LastSuccess.IsZero() {
+		fields = append(fields, zap.Duration("survived", survivedAge(now, v)))
+	}
+	subject := "request"
+	if v.Kind == poison.Part {
+		subject = "prompt part"
 	}
 	switch {
 	case v.Lifted:
-		s.log.Warn("request released from quarantine", fields...)
+		s.log.Warn(subject+" released from quarantine", fields...)
 	case v.Trials > 0:
-		s.log.Warn("trials of a quarantined request changed", append(fields, zap.Uint32("untried", v.UnusedTrials))...)
+		s.log.Warn("trials of a quarantined "+subject+" changed", append(fields, zap.Uint32("untried", v.UnusedTrials))...)
 	default:
-		s.log.Warn("request quarantined", fields...)
+		s.log.Warn(subject+" quarantined", fields...)
 	}
 }
 
-// describeCrashes describes the replica crashes that this host attributes to a request.
+// maxDescribedContents limits the contents in the description of a crash.
+const maxDescribedContents = 4
+
+// describeCrashes describes the replica crashes with runs of a subject that this host knows of.
 // The caller holds the lock.
 func (s *Service) describeCrashes(now time.Time, f poison.Fingerprint) []string {
 	var out []string
 	for _, e := range s.detector.CrashesOf(f) {
-		out = append(out, fmt.Sprintf("%s %.1f s ago, %d requests", e.Replica, now.Sub(e.At).Seconds(), len(e.Suspects)))
+		contents := contentsOf(e.Suspects)
+		out = append(out, fmt.Sprintf("%s %.1f s ago, %d requests: %s", e.Replica, now.Sub(e.At).Seconds(), len(contents),
+			strings.Join(contents[:min(len(contents), maxDescribedContents)], " ")))
 	}
 	return out
 }
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -22,6 +22,28 @@
 	return now.Add(-time.Duration(min(max(0, ageMS), maxAgeMS)) * time.Millisecond)
 }
 
+// successToAgeMS converts the time of a success to an age; 0 if it is zero.
+func successToAgeMS(now, at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return max(1, toAgeMS(now, at))
+}
+
+func successFromAgeMS(now time.Time, ageMS int64) time.Time {
+	if ageMS <= 0 {
+		return time.Time{}
+	}
+	return fromAgeMS(now, ageMS)
+}
+
+func kindOf(part bool) poison.Kind {
+	if part {
+		return poison.Part
+	}
+	return poison.Content
+}
+
 // maxAgeMS limits the ages accepted from a message to twice the lifetime of a verdict.
 const maxAgeMS = int64(2 * poison.Lifetime / time.Millisecond)
 
@@ -30,10 +52,7 @@
 	for _, e := range crashes {
 		crash := &wire.ReplicaEnd{Service: e.Service, Replica: e.Replica, AgeMs: toAgeMS(now, e.At)}
 		for _, s := range e.Suspects {
-			suspect := &wire.EndSuspect{Request: s.Request[:], RanMs: uint32(max(0, s.RunTime.Milliseconds()))}
-			if !s.LastSuccess.IsZero() {
-				suspect.ServedMs = max(1, toAgeMS(now, s.LastSuccess))
-			}
+			suspect := &wire.EndSuspect{Request: s.Subject[:], RanMs: uint32(max(0, s.RunTime.Milliseconds())), ServedMs: successToAgeMS(now, s.LastSuccess), Part: s.Kind == poison.Part}
 			crash.Suspects = append(crash.Suspects, suspect)
 		}
 		out.Ends = append(out.Ends, crash)
@@ -50,10 +69,7 @@
 			if !ok {
 				continue
 			}
-			suspect := poison.Suspect{Request: f, RunTime: time.Duration(s.GetRanMs()) * time.Millisecond}
-			if s.GetServedMs() > 0 {
-				suspect.LastSuccess = fromAgeMS(now, s.GetServedMs())
-			}
+			suspect := poison.Suspect{Subject: f, Kind: kindOf(s.GetPart()), RunTime: time.Duration(s.GetRanMs()) * time.Millisecond, LastSuccess: successFromAgeMS(now, s.GetServedMs())}
 			crash.Suspects = append(crash.Suspects, suspect)
 		}
 		crashes = append(crashes, crash)
@@ -65,8 +81,8 @@
 	out := make([]*wire.Verdict, 0, len(verdicts))
 	for _, v := range verdicts {
 		w := &wire.Verdict{
-			Request: v.Request[:], Round: v.Round, Lifted: v.Lifted, Trials: v.Trials, Untried: v.UnusedTrials, Doubtful: v.Doubtful,
-			AgeMs: toAgeMS(now, v.QuarantinedAt), SinceMs: toAgeMS(now, v.FirstCrash),
+			Request: v.Subject[:], Round: v.Round, Lifted: v.Lifted, Trials: v.Trials, Untried: v.UnusedTrials, Doubtful: v.Doubtful,
+			AgeMs: toAgeMS(now, v.QuarantinedAt), SinceMs: toAgeMS(now, v.FirstCrash), Part: v.Kind == poison.Part, ServedMs: successToAgeMS(now, v.LastSuccess),
 		}
 		if v.Trials > 0 {
 			w.TriedMs = toAgeMS(now, v.LastTrial)
@@ -84,8 +100,8 @@
 			continue
 		}
 		v := poison.Verdict{
-			Request: f, Round: w.GetRound(), Lifted: w.GetLifted(), Trials: w.GetTrials(), UnusedTrials: w.GetUntried(), Doubtful: w.GetDoubtful(),
-			QuarantinedAt: fromAgeMS(now, w.GetAgeMs()), FirstCrash: fromAgeMS(now, w.GetSinceMs()),
+			Subject: f, Kind: kindOf(w.GetPart()), Round: w.GetRound(), Lifted: w.GetLifted(), Trials: w.GetTrials(), UnusedTrials: w.GetUntried(), Doubtful: w.GetDoubtful(),
+			QuarantinedAt: fromAgeMS(now, w.GetAgeMs()), FirstCrash: fromAgeMS(now, w.GetSinceMs()), LastSuccess: successFromAgeMS(now, w.GetServedMs()),
 		}
 		if v.Trials > 0 {
 			v.LastTrial = fromAgeMS(now, w.GetTriedMs())
--- a/quarantine/messages_test.go
+++ b/quarantine/messages_test.go
@@ -18,19 +18,20 @@
 
 	It("preserve a verdict, with times sent as ages", func() {
 		v := poison.Verdict{
-			Request: f, Round: 2, Lifted: true, Doubtful: true, Trials: 2, UnusedTrials: 1,
+			Subject: f, Kind: poison.Part, LastSuccess: ago(3 * time.Second), Round: 2, Lifted: true, Doubtful: true, Trials: 2, UnusedTrials: 1,
 			QuarantinedAt: ago(10 * time.Second), FirstCrash: ago(12 * time.Second), LastTrial: ago(time.Second),
 		}
 		later := now.Add(time.Hour) // the receiver's clock is independent of the sender's
 		got := verdictsFromWire(later, verdictsToWire(now, []poison.Verdict{v}))
 		want := v
+		want.LastSuccess = v.LastSuccess.Add(time.Hour)
 		want.QuarantinedAt, want.FirstCrash, want.LastTrial = v.QuarantinedAt.Add(time.Hour), v.FirstCrash.Add(time.Hour), v.LastTrial.Add(time.Hour)
 		Expect(got).To(Equal([]poison.Verdict{want}))
 	})
 
 	It("preserve a replica crash", func() {
 		e := poison.Crash{Service: "llm", Replica: "e1@7", At: ago(time.Second), Suspects: []poison.Suspect{
-			{Request: f, RunTime: 50 * time.Millisecond}, {Request: f, RunTime: time.Second, LastSuccess: ago(3 * time.Second)},
+			{Subject: f, RunTime: 50 * time.Millisecond}, {Subject: f, Kind: poison.Part, RunTime: time.Second, LastSuccess: ago(3 * time.Second)},
 		}}
 		Expect(crashesFromWire(now, crashesToWire(now, []poison.Crash{e}))).To(Equal([]poison.Crash{e}))
 	})
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -151,7 +151,7 @@
 func (h *host) interruptAttempt(replica, request string) {
 	h.AttemptInterrupted(crash.Interruption{
 		Service: "llm", Replica: replica, Address: replica, At: clock.Now(),
-		Suspect: poison.Suspect{Request: content(request), RunTime: 50 * time.Millisecond},
+		Suspect: poison.Suspect{Subject: content(request), RunTime: 50 * time.Millisecond},
 	})
 }
 
@@ -261,8 +261,8 @@
 	It("notifies watchers of a quarantined request", func() {
 		n := newNetwork(2)
 		var notified, stopped atomic.Int64
-		n.all()[1].Watch(content("x"), func() { notified.Add(1) })
-		stop := n.all()[1].Watch(content("x"), func() { stopped.Add(1) })
+		n.all()[1].Watch([]poison.Fingerprint{content("x")}, func() { notified.Add(1) })
+		stop := n.all()[1].Watch([]poison.Fingerprint{content("x")}, func() { stopped.Add(1) })
 		stop()
 		for i := range 3 {
 			n.all()[0].interruptAttempt(fmt.Sprint("r", i), "x")
@@ -271,6 +271,34 @@
 		Expect(stopped.Load()).To(BeZero())
 	})
 
+	It("refuses a part of prompts after four crashes, unless a daemon that has seen it survive objects", func() {
+		n := newNetwork(6)
+		hosts := n.all()
+		bad, system := poison.PartFingerprint("llm", "bad"), poison.PartFingerprint("llm", "system")
+		refused := func(h *host, f poison.Fingerprint) bool { return len(h.Refusing([]poison.Fingerprint{f})) > 0 }
+		var notified atomic.Int64
+		hosts[5].Watch([]poison.Fingerprint{content("y"), bad}, func() { notified.Add(1) })
+		for i := range 4 {
+			for _, p := range []poison.Fingerprint{bad, system} {
+				replica := fmt.Sprint("r", i, p[0])
+				hosts[2+i%2].AttemptInterrupted(crash.Interruption{
+					Service: "llm", Replica: replica, Address: replica, At: clock.Now(),
+					Suspect: poison.Suspect{Subject: content(replica), RunTime: 50 * time.Millisecond}, Parts: []poison.Fingerprint{p},
+				})
+			}
+			time.Sleep(150 * time.Millisecond)
+			hosts[4].PartsSurvived(clock.Now(), []poison.Fingerprint{system})
+		}
+		for _, h := range hosts {
+			Eventually(func() bool { return refused(h, bad) }, propagationTimeout).Should(BeTrue(), h.name)
+			Expect(refused(h, system)).To(BeFalse(), h.name)
+		}
+		Eventually(notified.Load, "1s").Should(Equal(int64(1)))
+		contents, parts := hosts[0].QuarantinedCounts()
+		Expect([]int{contents, parts}).To(Equal([]int{0, 1}))
+		Expect(hosts[0].Dump().Verdicts).To(ContainElement(And(HaveField("Content", bad.String()), HaveField("Kind", "part"), HaveField("Crashes", HaveLen(4)))))
+	})
+
 	It("lifts a verdict on all hosts after a successful run on any of them", func() {
 		n := newNetwork(6)
 		for i := range 3 {
@@ -324,7 +352,8 @@
 			n.all()[0].interruptAttempt(fmt.Sprint("r", i), "x")
 		}
 		expectQuarantined(n.all()...)
-		Expect(n.all()[2].QuarantinedCount()).To(Equal(1))
+		contents, parts := n.all()[2].QuarantinedCounts()
+		Expect([]int{contents, parts}).To(Equal([]int{1, 0}))
 		clock.SimulateSuspension(poison.Lifetime)
 		for range 3 {
 			n.deliverHeartbeats()
@@ -333,6 +362,7 @@
 		before := n.calls.Load()
 		n.deliverHeartbeats()
 		Consistently(n.calls.Load, "200ms").Should(Equal(before))
-		Expect(n.all()[2].QuarantinedCount()).To(BeZero())
+		contents, parts = n.all()[2].QuarantinedCounts()
+		Expect([]int{contents, parts}).To(Equal([]int{0, 0}))
 	})
 })
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -32,8 +32,9 @@
 	// callTimeout limits a call to a peer. A failed call needs no retry of its own: the
 	// next round of reports, or the next exchange with a neighbour, covers it.
 	callTimeout = 400 * time.Millisecond
-	// maxCrashesPerMessage limits a message to about 16 kB at 32 suspects per crash.
-	maxCrashesPerMessage = 16
+	// maxCrashesPerMessage limits a message to about 50 kB at the maximum number of suspects
+	// per crash.
+	maxCrashesPerMessage = 8
 )
 
 // report is a replica crash that this daemon observed, with its delivery state.
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -58,7 +58,7 @@
 type Service struct {
 	cfg Config
 	log *zap.Logger
-	// quarantinedCount is the number of requests that are refused. While it is 0, which
+	// quarantinedCount is the number of subjects that are refused. While it is 0, which
 	// is the normal case, requests are checked without taking the lock.
 	quarantinedCount atomic.Int64
 	// interruptedReplicas is the number of replicas in interruptions, to be read without
@@ -72,7 +72,7 @@
 	// nextCheck is when the timer for the next check fires.
 	nextCheck time.Time
 	reports   []*report
-	// watches are notified when their request is quarantined.
+	// watches are notified when their subject is quarantined.
 	watches map[poison.Fingerprint]map[*watch]bool
 	// publishedDigest is the digest that the heartbeats carry.
 	publishedDigest uint64
@@ -121,8 +121,24 @@
 	return s
 }
 
-// RunSucceeded records a successful run of a request, which lifts any verdict on it: the
-// replica answered and did not crash.
+// SurvivalTime is how long a replica has to go on writing an answer until the run has survived
+// the parts of its prompt. Replicas crash as they begin to write.
+const SurvivalTime = 500 * time.Millisecond
+
+// PartsSurvived records that a run, which began to write its answer at the given time, survived
+// the parts of its prompt: the answer is complete, or was still written SurvivalTime later.
+func (s *Service) PartsSurvived(at time.Time, parts []poison.Fingerprint) {
+	if len(parts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	changed := s.detector.RecordSurvival(clock.Now(), at, parts)
+	s.mu.Unlock()
+	s.applyVerdicts(s.cfg.Self, changed)
+}
+
+// RunSucceeded records a successful run of a request, which lifts any verdict on its content:
+// the replica answered and did not crash.
 func (s *Service) RunSucceeded(f poison.Fingerprint) {
 	s.mu.Lock()
 	changed := s.detector.RecordSuccess(clock.Now(), f)
@@ -130,6 +146,24 @@
 	s.applyVerdicts(s.cfg.Self, changed)
 }
 
+// Refusing returns the verdicts because of which a request with the given subjects must not be
+// sent to a replica.
+func (s *Service) Refusing(subjects []poison.Fingerprint) []poison.Verdict {
+	if s.quarantinedCount.Load() == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	var out []poison.Verdict
+	for _, f := range subjects {
+		if v, quarantined := s.detector.Quarantined(now, f); quarantined {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
 // Quarantined returns the verdict because of which a request must not be sent to a
 // replica. It returns false if the request is not quarantined.
 func (s *Service) Quarantined(f poison.Fingerprint) (poison.Verdict, bool) {
@@ -141,33 +175,38 @@
 	return s.detector.Quarantined(clock.Now(), f)
 }
 
-// Watch calls notify once when the request is quarantined. stop cancels the watch.
-func (s *Service) Watch(f poison.Fingerprint, notify func()) (stop func()) {
+// Watch calls notify once a request with the given subjects is to be refused. stop cancels the
+// watch.
+func (s *Service) Watch(subjects []poison.Fingerprint, notify func()) (stop func()) {
 	w := &watch{notify}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.watches[f] == nil {
-		s.watches[f] = map[*watch]bool{}
+	for _, f := range subjects {
+		if s.watches[f] == nil {
+			s.watches[f] = map[*watch]bool{}
+		}
+		s.watches[f][w] = true
 	}
-	s.watches[f][w] = true
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.watches[f], w)
-		if len(s.watches[f]) == 0 {
-			delete(s.watches, f)
+		for _, f := range subjects {
+			delete(s.watches[f], w)
+			if len(s.watches[f]) == 0 {
+				delete(s.watches, f)
+			}
 		}
 	}
 }
 
-// RequestTrial asks for a trial run of a quarantined request, which checks whether the
+// RequestTrial asks for a trial run with a quarantined subject, which checks whether the
 // verdict was wrong. Only the first coordinator is asked; if it does not answer, the trial
 // is denied.
 func (s *Service) RequestTrial(ctx context.Context, v poison.Verdict) bool {
 	if v.RetryAfter(clock.Now()) > 0 {
 		return false
 	}
-	return s.callFirstCoordinator(ctx, &wire.TrialRequest{Request: v.Request[:]}, s.grantTrial)
+	return s.callFirstCoordinator(ctx, &wire.TrialRequest{Request: v.Subject[:]}, s.grantTrial)
 }
 
 // ReturnTrial returns a trial that RequestTrial was granted but that did not lead to a run.
@@ -241,14 +280,19 @@
 
 // DumpedVerdict is a verdict as shown to operators.
 type DumpedVerdict struct {
+	// Content is the subject, and Kind what it is: a content or a part of prompts.
 	Content  string  `json:"content"`
+	Kind     string  `json:"kind"`
 	Round    uint32  `json:"round"`
 	Lifted   bool    `json:"lifted"`
 	Doubtful bool    `json:"doubtful"`
 	Trials   uint32  `json:"trials"`
 	Age      float64 `json:"age_s"`
-	// Crashes are the replica crashes attributed to the request that this host knows of;
-	// coordinators know all of them.
+	// SurvivedAge is the age of the last run with the subject that is known to have survived;
+	// absent if none is.
+	SurvivedAge float64 `json:"survived_age_s,omitempty"`
+	// Crashes are the replica crashes with runs of the subject that this host knows of, with
+	// the contents of the lost runs; coordinators know all of them.
 	Crashes []string `json:"ends,omitempty"`
 }
 
@@ -264,17 +308,24 @@
 	d.Stats, d.Interrupted = s.detector.Stats(), s.interruptions.States(now)
 	for _, v := range s.detector.Verdicts() {
 		d.Verdicts = append(d.Verdicts, DumpedVerdict{
-			Content: v.Request.String(), Round: v.Round, Lifted: v.Lifted, Doubtful: v.Doubtful, Trials: v.Trials,
-			Age: now.Sub(v.QuarantinedAt).Seconds(), Crashes: s.describeCrashes(now, v.Request),
+			Content: v.Subject.String(), Kind: v.Kind.String(), Round: v.Round, Lifted: v.Lifted, Doubtful: v.Doubtful, Trials: v.Trials,
+			Age: now.Sub(v.QuarantinedAt).Seconds(), SurvivedAge: survivedAge(now, v).Seconds(), Crashes: s.describeCrashes(now, v.Subject),
 		})
 	}
 	return d
 }
 
-// QuarantinedCount returns the number of quarantined requests.
-func (s *Service) QuarantinedCount() int {
+// survivedAge is the age of the last run that is known to have survived; 0 if none is.
+func survivedAge(now time.Time, v poison.Verdict) time.Duration {
+	if v.LastSuccess.IsZero() {
+		return 0
+	}
+	return now.Sub(v.LastSuccess)
+}
+
+// QuarantinedCounts returns the number of quarantined contents and parts of prompts.
+func (s *Service) QuarantinedCounts() (contents, parts int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.updateQuarantinedCount(clock.Now()) // some verdicts may have expired
-	return int(s.quarantinedCount.Load())
+	return s.updateQuarantinedCount(clock.Now()) // some verdicts may have expired
 }
