--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -29,6 +29,9 @@
 	Truncate bool
 	// NoContentLength omits the Content-Length.
 	NoContentLength bool
+	// Unframed sends all responses, those of streams and status calls too, with neither a
+	// length nor chunks; they end with their connections.
+	Unframed bool
 	// ExtraResponse sends a second response after the first on the same connection.
 	ExtraResponse bool
 	// Unsigned omits the response signature.
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -91,6 +91,8 @@
 	// Content is used as the last path element and as the body; "" means the id.
 	// Requests with the same content differ only in their ids.
 	Content string
+	// Prompt lists the parts of the prompt, ID:TOKENS each; "" for none.
+	Prompt string
 	// Resumes is the ID of the attempt that brought the first event of the stream that this
 	// one takes up after event LastEvent; "" for none.
 	Resumes   string
@@ -147,6 +149,9 @@
 	if c.ForgedHeader != "" {
 		req.Header.Set(c.ForgedHeader, ForgedValue)
 	}
+	if c.Prompt != "" {
+		req.Header.Set("Prefix-Hash", c.Prompt)
+	}
 	if c.Resumes != "" {
 		req.Header.Set("Resumes", c.Resumes)
 		req.Header.Set("Last-Event-Id", strconv.Itoa(c.LastEvent))
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"io"
@@ -69,6 +70,8 @@
 	closed, down bool
 	crashes      int
 	poison       []PoisonRequest
+	// unframed holds the connections of responses that end with them.
+	unframed map[net.Conn]bool
 	// unhealthyPeriods are the periods during which the replica was not healthy,
 	// in order.
 	unhealthyPeriods []unhealthyPeriod
@@ -117,7 +120,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica %s: %w", id, err)
 	}
-	r := &Replica{ID: id, Service: service, Kind: kind, EventsPerStream: 5, ledger: ledger, address: l.Addr().String(), reservations: map[string]*reservation{}}
+	r := &Replica{ID: id, Service: service, Kind: kind, EventsPerStream: 5, ledger: ledger, address: l.Addr().String(), reservations: map[string]*reservation{}, unframed: map[net.Conn]bool{}}
 	r.startServer(l)
 	return r, nil
 }
@@ -139,6 +142,7 @@
 	defer r.mu.Unlock()
 	r.closed = true
 	_ = r.server.Close() // errors on closing the connections of a fake do not matter
+	r.closeUnframed()
 }
 
 // SetPoisonRequest makes the process crash on requests, independently of its Behaviour.
@@ -160,6 +164,7 @@
 	r.crashes++
 	r.recordHealth()
 	_ = r.server.Close() // see Close
+	r.closeUnframed()
 	if down > 0 {
 		time.AfterFunc(down, r.restart)
 	}
@@ -480,6 +485,20 @@
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.awaitSilence()
 	b := r.currentBehaviour()
+	if b.Unframed {
+		body, err := io.ReadAll(req.Body) // not possible later
+		if err != nil {
+			return
+		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		u, err := r.unframe(w)
+		if err != nil {
+			r.ledger.recordViolation("%s: %v", r.ID, err)
+			return
+		}
+		defer u.close()
+		w = u
+	}
 	if r.isFrozen() {
 		hang(req)
 		return
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -40,6 +40,17 @@
 		Entry("no response", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, context.DeadlineExceeded),
 	)
 
+	It("reads a report with neither a length nor chunks", func() {
+		s := serve(func(w http.ResponseWriter, _ *http.Request) {
+			conn, buf, err := w.(http.Hijacker).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, _ = buf.WriteString("HTTP/1.1 200 OK\r\n\r\n" + `{"queued":1,"runs":[["a",10,3,5]]}`)
+			_ = buf.Flush()
+		})
+		Expect(fetchReport(s.address(), time.Second)).To(Equal(platform.EngineReport{HasRuns: true, Queued: 1, EventsByRequest: map[string]int{"a": 3}}))
+	})
+
 	It("fails when the connection is refused", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
