--- a/soak/callers.go
+++ b/soak/callers.go
@@ -25,6 +25,9 @@
 		if rng.IntN(20) == 0 {
 			d = r.daemons[rng.IntN(len(r.daemons))]
 		}
+		if favoured := r.favoured.Load(); favoured != nil && favoured != d && rng.Float64() < favouredShare {
+			d = favoured
+		}
 		c := r.randomCall(rng, fmt.Sprintf("%d-%d-%d", r.cfg.Seed, number, n))
 		att := r.send(client, rng, d, c)
 		r.takeUp(rng, att)
@@ -32,6 +35,29 @@
 	}
 }
 
+// favouredShare is the share of new connections that go to the favoured daemon.
+const favouredShare = 0.9
+
+// skewConnections has most new connections go to one daemon for some seconds at a time, until ctx
+// ends.
+func (r *runner) skewConnections(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		var favoured *daemon
+		if rng.IntN(2) == 0 {
+			favoured = r.daemons[rng.IntN(len(r.daemons))]
+			r.recordFault("most new connections go to %s", favoured.name)
+		}
+		r.favoured.Store(favoured)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(1000+rng.IntN(2500)) * time.Millisecond):
+		}
+	}
+}
+
+// promptSystem is the part that the prompts of all callers share.
+const promptSystem = "system:40"
+
 // forgedHeaderOneIn is the number of requests of which, on average, one carries a header that
 // callers may not set.
 const forgedHeaderOneIn = 10
@@ -46,6 +72,9 @@
 	if c.Path == site.ResumablePath {
 		c.PieceCounts = []int{1 + rng.IntN(3), 1 + rng.IntN(4)}
 	}
+	if c.Path == site.StreamPath || c.Path == site.ResumablePath {
+		c.Prompt = fmt.Sprintf("%s,own-%s:5", promptSystem, id)
+	}
 	return c
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -11,7 +11,10 @@
 //   - The store fails or is slow, or comes back from a copy some seconds old.
 //   - Replicas abort answers, refuse, hang, drain and are replaced.
 //   - API keys are revoked.
-//   - Requests crash the replicas that run them.
+//   - Requests crash the replicas that run them, for their content or for a part of their
+//     prompts.
+//   - Answers, those to status calls too, end with their connections.
+//   - Most new connections go to one daemon for some seconds.
 //   - Engines have two software versions; callers take up streams that broke off.
 //   - Replicas announce rate limits, announce that they are leaving, or ask the daemons
 //     to back off. Engines pause inside their streams.
@@ -41,7 +44,8 @@
 //   - A daemon does not revert to an older configuration.
 //   - Retries stay within the retry budget.
 //   - A graceful shutdown aborts no request.
-//   - A request that has crashed three replicas is sent to only a few more.
+//   - A request that has crashed three replicas is sent to only a few more, and so are all
+//     requests with a part of prompts that has crashed five.
 //   - A stream has events of one software version only, over all attempts of its caller.
 //
 // A run ends only processes that it started itself, by their process ids.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -192,6 +192,7 @@
 		{"refuses without saying that nothing ran", site.Behaviour{UnavailableAfterRun: true}},
 		{"hangs", site.Behaviour{Hang: true}},
 		{"sends no length", site.Behaviour{NoContentLength: true}},
+		{"ends its answers with their connections", site.Behaviour{Unframed: true}},
 		{"sends a second answer", site.Behaviour{ExtraResponse: true}},
 		{"sends no signature", site.Behaviour{Unsigned: true}},
 		{"is slow", site.Behaviour{ServiceTime: 300 * time.Millisecond}},
--- a/soak/run.go
+++ b/soak/run.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,13 +59,16 @@
 	daemons   []*daemon
 	server    *http.Server
 
+	// favoured is the daemon to which most new connections go at the moment; nil for none.
+	favoured atomic.Pointer[daemon]
+
 	mu       sync.Mutex
 	replicas []*site.Replica
 	// drainingSince maps a replica to the time at which its entry in the store was set
 	// to draining.
 	drainingSince map[string]time.Time
-	// crashTimes maps the content of a poison request to the times at which replicas
-	// crashed while running it.
+	// crashTimes maps the cause of crashes, a content or a part of prompts, to the times at
+	// which replicas crashed.
 	crashTimes    map[string][]time.Time
 	configVersion int
 	apiKeys       []string
@@ -135,6 +139,8 @@
 	wg.Go(func() { r.announceRefusalLimits(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 11))) })
 	wg.Go(func() { r.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 13))) })
 	wg.Go(func() { r.silenceReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 12))) })
+	wg.Go(func() { r.sendPoisonPart(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 14))) })
+	wg.Go(func() { r.skewConnections(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 15))) })
 	r.injectFaults(faultCtx)
 	wg.Wait()
 	r.checkRecovery()
@@ -205,7 +211,7 @@
 		rep.Version = softwareVersions[len(r.replicas)%len(softwareVersions)]
 	}
 	rep.FailureDomain = failureDomains[len(r.replicas)%len(failureDomains)]
-	rep.SetPoisonRequest(poisonFor(rep, rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+len(r.replicas)))), r.recordCrash))
+	rep.SetPoisonRequest(poisonFor(rep, rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+len(r.replicas)))), r.recordCrash)...)
 	rep.OnRestart = r.registerRestarted
 	r.store.Put("servers/"+id, site.StoreEntry(rep, "ready"))
 	return nil
