--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -132,7 +132,8 @@
 }
 
 // compare orders findings, the strongest last. A subject that survived before is unlikely to
-// have become harmful. A quarantined bystander has no later crashes, the culprit has.
+// have become harmful. Among equals a verdict stands: a quarantined bystander has no later
+// crashes, whereas the culprit soon accounts for more.
 func (c finding) compare(o finding) int {
 	return cmp.Or(
 		-compareBool(c.survivedBefore, o.survivedBefore),
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -16,9 +16,9 @@
 // Detector holds the evidence and the verdicts. The zero value is ready to use.
 type Detector struct {
 	crashes []*Crash // ordered by time
-	// involvements holds the crashes in which each subject was a suspect, ordered by time, so that the cost of
-	// a report that changes nothing depends on the crashes of its own subjects and not on all
-	// retained ones.
+	// involvements holds the crashes in which each subject was a suspect, ordered by time, so
+	// that the cost of a report that changes nothing depends on the crashes of its own subjects
+	// and not on all retained ones.
 	involvements map[Fingerprint][]involvement
 	// successes and survivals are the last runs of contents and parts that survived.
 	successes, survivals successTimes
--- a/gateway/loans.go
+++ b/gateway/loans.go
@@ -16,8 +16,8 @@
 
 const (
 	methodBorrow = "gateway.borrow"
-	// lendersAsked is the number of peers that a host without unused calls asks for more, each
-	// time that the limits are refreshed.
+	// lendersAsked is the number of peers that a host without unused calls asks for more in each
+	// round.
 	lendersAsked = 3
 	// borrowInterval is the time between two rounds of requests for loans.
 	borrowInterval = 500 * time.Millisecond
@@ -49,7 +49,7 @@
 	if shares == nil {
 		return nil
 	}
-	peers := g.peers()
+	peers, reachable := g.peers(), g.isReachable()
 	random := rand.Perm(len(peers))[:min(lendersAsked, len(peers))]
 	requests := map[string]*wire.CallsWanted{}
 	ask := func(peer, replica string, more bool) {
@@ -63,7 +63,7 @@
 		}
 	}
 	for _, l := range limits {
-		use, ok := g.callUse(shares, l)
+		use, ok := g.callUse(shares, reachable, l)
 		if !ok {
 			continue
 		}
@@ -97,14 +97,14 @@
 
 // callUse returns how much of its share of a limit this host uses; false for replicas that run
 // stages, whose calls one host makes for all. The notices' lock must be held.
-func (g *Gateway) callUse(shares *intake.Shares, l intake.ReplicaLimit) (intake.Use, bool) {
+func (g *Gateway) callUse(shares *intake.Shares, reachable func(host string) bool, l intake.ReplicaLimit) (intake.Use, bool) {
 	view := g.discovery.View()
 	if callRole(view.Config, view.Replicas, l.Replica, false) != intake.Requester {
 		return intake.Use{}, false
 	}
 	now := clock.Now()
 	u := intake.Use{Share: shares.LimitQuota(l, intake.Requester)}
-	u.Quota = g.notices.loans.Adjust(now, l.Replica, u.Share, g.isReachable())
+	u.Quota = g.notices.loans.Adjust(now, l.Replica, u.Share, reachable)
 	u.Begun = g.limiters.Get(l.Replica).CallsWithin(now, u.Quota.Window)
 	return u, true
 }
@@ -169,13 +169,13 @@
 			wanted[r.GetReplica()] = r.GetMore()
 		}
 	}
-	reply := &wire.CallsLent{}
+	reply, reachable := &wire.CallsLent{}, g.isReachable()
 	for _, l := range g.notices.announcedLimits.Limits() {
 		more, asked := wanted[l.Replica]
 		if !asked {
 			continue
 		}
-		use, ok := g.callUse(shares, l)
+		use, ok := g.callUse(shares, reachable, l)
 		if !ok {
 			continue
 		}
