--- a/problem/problem.go
+++ b/problem/problem.go
@@ -88,7 +88,7 @@
 	{NoMajority, http.StatusServiceUnavailable, "Too few claim holders can be reached", true},
 	{NotReady, http.StatusServiceUnavailable, "The host is not ready", true},
 	{Draining, http.StatusServiceUnavailable, "The host is leaving", true},
-	{Quarantined, http.StatusServiceUnavailable, "The request crashed the replicas that ran it", true},
+	{Quarantined, http.StatusServiceUnavailable, "The request, or a part of its prompt, crashed the replicas that ran it", true},
 	{VersionUnknown, http.StatusServiceUnavailable, "It is not known which software version began the stream", true},
 	{VersionGone, http.StatusServiceUnavailable, "No upstream has the software version that began the stream", false},
 	{CallerGone, 499, "The caller went away", false},
