route: no deadlock between a new bundle and calls that ask for limiters

Apply held the lock of the limiters while it took those of the shards; a call takes them in the other order (stateOf). The names that are listed are now collected before.

--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -378,7 +378,8 @@
 	g.setQuota(s, nil)
 }
 
-// RemoveUnlisted removes the limiters of replicas that are not listed.
+// RemoveUnlisted removes the limiters of replicas that are not listed. listed must not take a
+// lock under which Find or Get is called.
 func (gs *Limiters) RemoveUnlisted(listed func(replica string) bool) {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -54,21 +54,24 @@
 	}
 	r.current.Store(next)
 	if r.ownsLimiters {
-		r.config.Limiters.RemoveUnlisted(next.lists)
+		// Calls that hold the lock of a shard ask for limiters, so that RemoveUnlisted must not
+		// wait for one.
+		listed := next.listed()
+		r.config.Limiters.RemoveUnlisted(func(upstream string) bool { return listed[upstream] })
 	}
 }
 
-// lists reports whether any pool contains an upstream.
-func (s *snapshot) lists(upstream string) bool {
+// listed returns the names of the upstreams of all pools.
+func (s *snapshot) listed() map[string]bool {
+	names := map[string]bool{}
 	for _, p := range s.pools {
 		p.shard.mu.Lock()
-		m := p.members.find(upstream)
-		p.shard.mu.Unlock()
-		if m != nil {
-			return true
+		for _, m := range p.members.all {
+			names[m.name] = true
 		}
+		p.shard.mu.Unlock()
 	}
-	return false
+	return names
 }
 
 // PoolChange is a change of the upstreams of one pool.
