intake, gateway: loans end with their limit, and hosts borrow only for requests

Found reading the diff: a borrower kept, and had renewed, calls of a limit that was lowered meanwhile, and a host with no share of a limit asked three peers twice a second without any request for the replica. Loans of a changed limit are dropped, a lender renews what its share still has, and only a host whose requests the limit lately blocked asks for more.

--- a/core/intake/doc.go
+++ b/core/intake/doc.go
@@ -1,8 +1,8 @@
 // Package intake limits the calls to replicas that accept only a certain rate from all
 // hosts together: those that have just started, and those that announce a limit in their
 // responses. No host asks another one before a call; hosts whose share of an announced limit does
-// not suffice borrow calls from others for some seconds (Loans). The package also tracks these limits,
-// the replicas that are leaving and the backoffs that replicas asked for.
+// not suffice borrow calls from others for some seconds (Loans). The package also tracks these
+// limits, the replicas that are leaving and the backoffs that replicas asked for.
 //
 // Each host ranks all hosts that it knows by a hash of host and replica, in the same order
 // as every other host, and derives its quota of a limit from its own rank. If a limit
--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -83,6 +83,8 @@
 	inFlight      int
 	refusals      []time.Time
 	besideRefused int
+	// limitedAt is when AnnouncedLimit last blocked a call.
+	limitedAt time.Time
 }
 
 // RecordCall records a call.
@@ -133,6 +135,9 @@
 	defer g.mu.Unlock()
 	for s, p := range g.quotas {
 		if p != nil && now.Before(g.allowedAt(now, p)) {
+			if Source(s) == AnnouncedLimit {
+				g.limitedAt = now
+			}
 			return Source(s), true
 		}
 	}
@@ -207,6 +212,16 @@
 	return n
 }
 
+// LimitedSince reports whether AnnouncedLimit has blocked a call since a time.
+func (g *Limiter) LimitedSince(since time.Time) bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limitedAt.After(since)
+}
+
 // Rate returns how many calls per second this host may begin; bounded is false if no quota
 // applies.
 func (g *Limiter) Rate(now time.Time) (perSecond float64, bounded bool) {
--- a/core/intake/loans.go
+++ b/core/intake/loans.go
@@ -10,7 +10,7 @@
 	// lender gets them back another quotaWindow later, so that no window has the calls of both.
 	loanTime = 4 * time.Second
 	// renewalTime is the time before the end of a loan from which it is renewed.
-	renewalTime = 2000 * time.Millisecond
+	renewalTime = 2 * time.Second
 	// maxLoans is the maximum number of hosts to which, and from which, calls to one replica are
 	// lent.
 	maxLoans = 64
@@ -36,23 +36,31 @@
 	Share, Quota Quota
 	// Begun is the number of calls that began within the window of Quota.
 	Begun int
+	// Blocked says that the quota lately kept a request from the replica.
+	Blocked bool
 }
 
-// Lend renews the calls that are lent to a host, and if more is set lends it half of the unused
-// ones of this host's share too. It returns how many the host may begin per quotaWindow for
-// loanTime.
+// Lend renews the calls that are lent to a host, as far as this host's share still has them, and if
+// more is set lends it half of the unused ones too. It returns how many the host may begin per
+// quotaWindow for loanTime.
 func (l *Loans) Lend(now time.Time, replica, borrower string, u Use, more bool) int {
 	l.expire(now)
+	if u.Share.Window > quotaWindow {
+		return 0
+	}
 	known, renewed := l.lent[replica][borrower]
-	calls := known.calls
-	if more && u.Quota.Calls > 0 && u.Share.Window <= quotaWindow {
-		left := u.Share.callsIn(quotaWindow)
-		for _, o := range l.lent[replica] {
+	left := u.Share.callsIn(quotaWindow)
+	for host, o := range l.lent[replica] {
+		if host != borrower {
 			left -= o.calls
 		}
+	}
+	calls := known.calls
+	if more && u.Quota.Calls > 0 {
 		unused := max(0, float64(u.Quota.Calls-u.Begun)/float64(u.Quota.Calls))
-		calls += max(0, min(left, int(unused*float64(u.Quota.callsIn(quotaWindow))/2)))
+		calls += int(unused * float64(u.Quota.callsIn(quotaWindow)) / 2)
 	}
+	calls = min(calls, left)
 	if calls < 1 || !renewed && len(l.lent[replica]) >= maxLoans {
 		return 0
 	}
@@ -71,12 +79,15 @@
 	return calls != known.calls
 }
 
-// Wanted says which loans of a replica's calls this host needs: more if all of its calls are used,
-// and, while half of them are, renewals from the given lenders, whose loans end soon.
+// LimitChanged drops the borrowed calls of a replica: they are parts of its former limit.
+func (l *Loans) LimitChanged(replica string) { delete(l.borrowed, replica) }
+
+// Wanted says which loans of a replica's calls this host needs: more if it has requests for them and
+// all of its calls are used, and, while half of them are, renewals from the given lenders, whose loans end soon.
 func (l *Loans) Wanted(now time.Time, replica string, u Use) (more bool, renew []string) {
 	l.expire(now)
 	if u.Begun >= u.Quota.Calls {
-		more = u.Share.Window <= quotaWindow
+		more = u.Blocked && u.Share.Window <= quotaWindow
 	}
 	if 2*u.Begun < u.Quota.Calls {
 		return more, nil
--- a/core/intake/loans_test.go
+++ b/core/intake/loans_test.go
@@ -22,7 +22,8 @@
 
 func (h *loanHost) use(now time.Time) intake.Use {
 	q := h.loans.Adjust(now, "r", h.share, func(string) bool { return true })
-	return intake.Use{Share: h.share, Quota: q, Begun: h.limiters.Get("r").CallsWithin(now, q.Window)}
+	l := h.limiters.Get("r")
+	return intake.Use{Share: h.share, Quota: q, Begun: l.CallsWithin(now, q.Window), Blocked: l.LimitedSince(now.Add(-time.Second))}
 }
 
 // The users' requirement while most connections go to one host: from loanContactTime on it serves at
@@ -129,3 +130,25 @@
 		}
 	}
 }
+
+// Guards against loans that outlive the limit whose calls they are, and against hosts that borrow
+// calls without requests for them.
+func TestLoansEndWithTheirLimit(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	quota := func(calls int) intake.Quota { return intake.Quota{Calls: calls, Window: 4 * time.Second} }
+	var lender, borrower intake.Loans
+	lent := lender.Lend(now, "r", "b", intake.Use{Share: quota(12), Quota: quota(12)}, true)
+	g.Expect(lent).To(Equal(6))
+	borrower.Borrow(now, "r", "l", lent)
+	g.Expect(borrower.Adjust(now, "r", quota(12), func(string) bool { return true }).Calls).To(Equal(16), "at most MaxTrackedCalls, in a shorter window")
+
+	borrower.LimitChanged("r")
+	g.Expect(borrower.Adjust(now, "r", quota(4), func(string) bool { return true })).To(Equal(quota(4)))
+	g.Expect(lender.Lend(now, "r", "b", intake.Use{Share: quota(4), Quota: quota(0)}, false)).To(Equal(4), "as much as the share still has")
+
+	more, _ := borrower.Wanted(now, "r", intake.Use{Share: quota(0), Quota: quota(0)})
+	g.Expect(more).To(BeFalse())
+	more, _ = borrower.Wanted(now, "r", intake.Use{Share: quota(0), Quota: quota(0), Blocked: true})
+	g.Expect(more).To(BeTrue())
+}
--- a/gateway/loans.go
+++ b/gateway/loans.go
@@ -105,7 +105,8 @@
 	now := clock.Now()
 	u := intake.Use{Share: shares.LimitQuota(l, intake.Requester)}
 	u.Quota = g.notices.loans.Adjust(now, l.Replica, u.Share, reachable)
-	u.Begun = g.limiters.Get(l.Replica).CallsWithin(now, u.Quota.Window)
+	limiter := g.limiters.Get(l.Replica)
+	u.Begun, u.Blocked = limiter.CallsWithin(now, u.Quota.Window), limiter.LimitedSince(now.Add(-2*borrowInterval))
 	return u, true
 }
 
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -139,6 +139,7 @@
 	}
 	for _, l := range changed {
 		g.logLimit(host, l)
+		g.notices.loans.LimitChanged(l.Replica)
 	}
 	g.updateLimitShares()
 	g.sendToNeighbours(host, &wire.NoticesHeard{Limits: limitsToWire(clock.Now(), changed)})
