quarantine: at most 64 parts of a prompt are recorded as survived

Prompts of thousands of parts, as a caller may declare them, would have displaced what other requests survived, and with it the contrast that keeps popular parts from being refused. The first parts are the most shared.

--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -125,12 +125,18 @@
 // the parts of its prompt. Replicas crash as they begin to write.
 const SurvivalTime = 500 * time.Millisecond
 
+// maxSurvivedParts is the maximum number of parts of one prompt that are recorded as survived, so
+// that prompts of thousands of parts do not displace what others survived. The first parts are the
+// ones that most requests share.
+const maxSurvivedParts = 64
+
 // PartsSurvived records that a run, which began to write its answer at the given time, survived
 // the parts of its prompt: the answer is complete, or was still written SurvivalTime later.
 func (s *Service) PartsSurvived(at time.Time, parts []poison.Fingerprint) {
 	if len(parts) == 0 {
 		return
 	}
+	parts = parts[:min(len(parts), maxSurvivedParts)]
 	s.mu.Lock()
 	changed := s.detector.RecordSurvival(clock.Now(), at, parts)
 	s.mu.Unlock()
