--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -38,13 +38,13 @@
 	weight  int
 	// survivedBefore says that a run with the subject survived before the first of the crashes.
 	survivedBefore bool
-	// convicted says that the subject is quarantined.
-	convicted bool
+	// quarantined says that there is a verdict on the subject.
+	quarantined bool
 	// longestRun is the longest time from the beginning of a run to the crash.
 	longestRun time.Duration
 }
 
-// attribute returns the subjects that account for enough crashes to be guilty, the strongest
+// attribute returns the subjects that account for enough crashes to be quarantined, the strongest
 // first.
 func (m *Detector) attribute(now time.Time) []finding {
 	a := newAttribution(m.crashes)
@@ -52,7 +52,7 @@
 	for f, all := range m.involvements {
 		last := m.lastSuccess(f)
 		c := finding{subject: f, kind: all[0].suspect.Kind, survivedBefore: !last.IsZero()}
-		_, c.convicted = m.verdictInEffect(now, f)
+		_, c.quarantined = m.verdictInEffect(now, f)
 		if len(all) < c.minWeight() {
 			continue
 		}
@@ -107,13 +107,13 @@
 // minWeight is the weight from which a subject accounts for crashes; a quarantined one does for
 // any.
 func (c finding) minWeight() int {
-	if c.convicted {
+	if c.quarantined {
 		return 1
 	}
 	return c.threshold()
 }
 
-// threshold is the weight from which a subject is convicted.
+// threshold is the weight from which a subject is quarantined.
 func (c finding) threshold() int { return threshold(c.kind, c.survivedBefore) }
 
 // weigh drops the crashes that stronger subjects explain, and returns the new weight.
@@ -138,7 +138,7 @@
 	return cmp.Or(
 		-compareBool(c.survivedBefore, o.survivedBefore),
 		cmp.Compare(c.weight, o.weight),
-		compareBool(c.convicted, o.convicted),
+		compareBool(c.quarantined, o.quarantined),
 		c.lastCrash().Compare(o.lastCrash()),
 		-cmp.Compare(c.kind, o.kind),
 		-cmp.Compare(c.longestRun, o.longestRun),
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -45,15 +45,16 @@
 	if len(m.crashes) > MaxCrashes {
 		m.removeCrash(0)
 	}
-	if !slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return m.mayBeGuilty(now, s) }) {
+	if !slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return m.mayReachThreshold(now, s) }) {
 		return nil
 	}
 	return m.review(now)
 }
 
-// mayBeGuilty reports whether enough crashes since it last survived involved a suspect that is
-// not quarantined. It is a cheap upper bound: an outage with many reports has nothing attributed.
-func (m *Detector) mayBeGuilty(now time.Time, s Suspect) bool {
+// mayReachThreshold reports whether a suspect that is not quarantined was in enough crashes since
+// it last survived. Crashes that other subjects account for are included, so that no attribution
+// is needed to find out that there is nothing to quarantine.
+func (m *Detector) mayReachThreshold(now time.Time, s Suspect) bool {
 	if _, quarantined := m.verdictInEffect(now, s.Subject); quarantined {
 		return false
 	}
@@ -224,21 +225,21 @@
 	return *v, true
 }
 
-// review attributes the crashes again, and returns the verdicts that change: on subjects that are
-// found guilty, and on those that are no longer.
+// review attributes the crashes again, and returns the verdicts that change: on subjects that now
+// account for enough crashes, and on those that no longer do.
 func (m *Detector) review(now time.Time) []Verdict {
 	if len(m.crashes) == 0 {
 		return nil
 	}
 	found := m.attribute(now)
-	return append(m.convict(now, found), m.reviewUnsupported(now, found)...)
+	return append(m.quarantine(now, found), m.reviewUnsupported(now, found)...)
 }
 
-// convict quarantines the subjects to which crashes are attributed.
-func (m *Detector) convict(now time.Time, found []finding) []Verdict {
+// quarantine makes verdicts on the subjects to which crashes are attributed.
+func (m *Detector) quarantine(now time.Time, found []finding) []Verdict {
 	var changed []Verdict
 	for _, c := range found {
-		if c.convicted {
+		if c.quarantined {
 			continue
 		}
 		round := uint32(1)
@@ -287,7 +288,7 @@
 }
 
 // explainedByOthers reports whether stronger subjects account for so many of the crashes of a
-// quarantined one that the rest, own, would not convict it.
+// quarantined one that the rest, own, is below its threshold.
 func (m *Detector) explainedByOthers(v Verdict, own finding, explained map[*Crash]Fingerprint) bool {
 	if own.weight > 0 && own.weight >= own.threshold() {
 		return false
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -8,8 +8,8 @@
 // contents of requests and the parts of their prompts. Crashes count against a subject that was
 // in a lost run, if no run with it survived since. The attribution assigns them to as few
 // subjects as account for them, the strongest first: one that never survived before, or that
-// accounts for most crashes; what it accounts for counts against no other. A content is found
-// guilty from three crashes on, a part from four, or five if it had survived before. Since each
+// accounts for most crashes; what it accounts for counts against no other. A content is
+// quarantined from three crashes on, a part from four, or five if it had survived before. Since each
 // crash has all of them attributed again, a later one may show that another subject accounts for
 // more than the one that was quarantined.
 //
--- a/core/poison/parts_random_test.go
+++ b/core/poison/parts_random_test.go
@@ -129,23 +129,23 @@
 func (s *partSim) arrive() {
 	s.after(s.between(0, 2*s.interval), s.arrive)
 	r := s.newRequest()
-	guilty := s.guilty(r)
+	quarantined := s.subjectsRefused(r)
 	if r.deadly < 0 {
-		s.countSound(r, guilty)
+		s.countSound(r, quarantined)
 	}
-	if len(guilty) == 0 || s.grantTrial(r, guilty) {
+	if len(quarantined) == 0 || s.grantTrial(r, quarantined) {
 		s.send(r)
 	}
 }
 
 // countSound counts a sound request that is refused for the given subjects, if any.
-func (s *partSim) countSound(r *partRun, guilty []poison.Fingerprint) {
+func (s *partSim) countSound(r *partRun, quarantined []poison.Fingerprint) {
 	s.sound++
-	if len(guilty) > 0 {
+	if len(quarantined) > 0 {
 		s.refused++
 	}
 	for _, f := range r.parts {
-		if !slices.Contains(guilty, f) {
+		if !slices.Contains(quarantined, f) {
 			delete(s.refusedFrom, f)
 			continue
 		}
@@ -156,8 +156,8 @@
 	}
 }
 
-// guilty returns the subjects for which the host of a request refuses it.
-func (s *partSim) guilty(r *partRun) []poison.Fingerprint {
+// subjectsRefused returns the subjects for which the host of a request refuses it.
+func (s *partSim) subjectsRefused(r *partRun) []poison.Fingerprint {
 	var out []poison.Fingerprint
 	for _, f := range append([]poison.Fingerprint{r.content}, r.parts...) {
 		if _, quarantined := s.detectors[r.host].Quarantined(s.now, f); quarantined {
@@ -167,12 +167,12 @@
 	return out
 }
 
-// grantTrial grants a trial if it is due; only to requests with one guilty subject.
-func (s *partSim) grantTrial(r *partRun, guilty []poison.Fingerprint) bool {
-	if len(guilty) != 1 || s.isCut(r.host) != s.isCut(0) {
+// grantTrial grants a trial if it is due; only to requests with one such subject.
+func (s *partSim) grantTrial(r *partRun, quarantined []poison.Fingerprint) bool {
+	if len(quarantined) != 1 || s.isCut(r.host) != s.isCut(0) {
 		return false
 	}
-	v, granted := s.detectors[0].GrantTrial(s.now, guilty[0])
+	v, granted := s.detectors[0].GrantTrial(s.now, quarantined[0])
 	if granted {
 		s.propagate(0, []poison.Verdict{v})
 	}
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -15,7 +15,7 @@
 	BeforeEach(func() { m = &poison.Detector{} })
 	// inForce is when a verdict of the given time is in force.
 	inForce := func(seconds float64) float64 { return seconds + poison.ObjectionTime.Seconds() }
-	guilty := func(name string, seconds float64) bool {
+	refused := func(name string, seconds float64) bool {
 		_, quarantined := m.Quarantined(at(seconds), part(name))
 		return quarantined
 	}
@@ -35,34 +35,34 @@
 		return m.RecordSurvival(at(seconds), at(seconds), fs)
 	}
 
-	It("is found guilty with the fourth crash, whatever else the requests hold, and refused a moment later", func() {
+	It("is quarantined with the fourth crash, whatever else the requests hold, and refused a moment later", func() {
 		for i := range 4 {
 			survive(float64(i), "system")
-			Expect(guilty("bad", inForce(float64(i)))).To(BeFalse())
+			Expect(refused("bad", inForce(float64(i)))).To(BeFalse())
 			crashAt(float64(i)+0.5, fmt.Sprint("r", i), fmt.Sprint("q", i), "system", fmt.Sprint("doc", i), "bad")
 		}
-		Expect(guilty("bad", 3.6)).To(BeFalse(), "hosts that have seen it survive may object")
-		Expect(guilty("bad", inForce(3.5))).To(BeTrue())
-		Expect(guilty("system", inForce(3.5))).To(BeFalse())
+		Expect(refused("bad", 3.6)).To(BeFalse(), "hosts that have seen it survive may object")
+		Expect(refused("bad", inForce(3.5))).To(BeTrue())
+		Expect(refused("system", inForce(3.5))).To(BeFalse())
 	})
 
-	It("is found guilty although requests that hold it were quarantined before", func() {
+	It("is quarantined although requests that hold it were quarantined before", func() {
 		for i := range 3 {
 			crashAt(float64(i), fmt.Sprint("r", i), "q", "bad")
 		}
 		_, quarantined := m.Quarantined(at(2), request("q"))
 		Expect(quarantined).To(BeTrue())
 		crashAt(3, "s", "other", "bad")
-		Expect(guilty("bad", inForce(3))).To(BeTrue())
+		Expect(refused("bad", inForce(3))).To(BeTrue())
 	})
 
-	It("is not found guilty while runs with it survive", func() {
+	It("is not quarantined while runs with it survive", func() {
 		for i := range 20 {
 			survive(float64(i), "system")
 			crashAt(float64(i)+0.2, fmt.Sprint("r", i), fmt.Sprint("q", i), "system")
 			crashAt(float64(i)+0.5, fmt.Sprint("s", i), fmt.Sprint("p", i), "system")
 		}
-		Expect(guilty("system", 30)).To(BeFalse())
+		Expect(refused("system", 30)).To(BeFalse())
 	})
 
 	It("is charged once with crashes at the same moment, and only if it ran on all replicas of an outage", func() {
@@ -78,10 +78,10 @@
 		crashAt(9, "x", "qx", "partial")
 		crashAt(12, "y", "qy", "partial")
 		crashAt(15, "z", "qz", "partial")
-		Expect(guilty("system", 20)).To(BeFalse())
-		Expect(guilty("partial", 20)).To(BeFalse())
+		Expect(refused("system", 20)).To(BeFalse())
+		Expect(refused("partial", 20)).To(BeFalse())
 		crashAt(18, "z", "qzz", "partial")
-		Expect(guilty("partial", 20)).To(BeTrue())
+		Expect(refused("partial", 20)).To(BeTrue())
 	})
 
 	It("is released by a detector that has seen it survive, and its crashes count for the other subjects", func() {
@@ -100,10 +100,10 @@
 		objection := other.Merge(at(3.1), verdicts)
 		Expect(objection).To(ConsistOf(And(HaveField("Lifted", true), HaveField("LastSuccess", at(2.5)))))
 		m.Merge(at(3.2), objection)
-		Expect(guilty("system", inForce(3.2))).To(BeFalse())
+		Expect(refused("system", inForce(3.2))).To(BeFalse())
 		crashAt(4, "r4", "q4", "system", "bad")
-		Expect(guilty("bad", inForce(4))).To(BeTrue())
-		Expect(guilty("system", inForce(4))).To(BeFalse())
+		Expect(refused("bad", inForce(4))).To(BeTrue())
+		Expect(refused("system", inForce(4))).To(BeFalse())
 	})
 
 	It("is released when a later crash shows that another part explains all of its crashes", func() {
@@ -111,12 +111,12 @@
 		for i := range 5 {
 			crashAt(float64(i)+1, fmt.Sprint("r", i), fmt.Sprint("q", i), "system", "popular")
 		}
-		first := slices.IndexFunc([]string{"system", "popular"}, func(p string) bool { return guilty(p, inForce(5)) })
+		first := slices.IndexFunc([]string{"system", "popular"}, func(p string) bool { return refused(p, inForce(5)) })
 		Expect(first).To(BeNumerically(">=", 0))
 		wrong, right := []string{"system", "popular"}[first], []string{"popular", "system"}[first]
 		crashAt(6, "x", "qx", right)
-		Expect(guilty(right, inForce(6))).To(BeTrue())
-		Expect(guilty(wrong, inForce(6))).To(BeFalse())
+		Expect(refused(right, inForce(6))).To(BeTrue())
+		Expect(refused(wrong, inForce(6))).To(BeFalse())
 	})
 
 	It("has one trial soon, and one later", func() {
@@ -128,6 +128,6 @@
 		_, granted = m.GrantTrial(at(4).Add(poison.FirstTrial), part("bad"))
 		Expect(granted).To(BeFalse())
 		Expect(survive(5.5, "bad")).To(ConsistOf(HaveField("Lifted", true)))
-		Expect(guilty("bad", 6)).To(BeFalse())
+		Expect(refused("bad", 6)).To(BeFalse())
 	})
 })
--- a/core/poison/subject.go
+++ b/core/poison/subject.go
@@ -14,7 +14,7 @@
 // String is the value in logs.
 func (k Kind) String() string { return [...]string{"content", "part"}[k] }
 
-// The number of crashes from which a subject is found guilty. The users' requirements allow
+// The number of crashes from which a subject is quarantined. The users' requirements allow
 // three for a request and five for a part of prompts. For a part that has not survived before,
 // one crash is left to correct a wrong choice between parts that occurred together.
 const (
@@ -23,7 +23,7 @@
 	survivedPartThreshold = 5
 )
 
-// threshold returns the number of crashes from which a subject is guilty.
+// threshold returns the number of crashes from which a subject is quarantined.
 func threshold(k Kind, survivedBefore bool) int {
 	switch {
 	case k == Content:
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -24,7 +24,7 @@
 	LastTrial time.Time
 	// UnusedTrials is the number of granted trials that led to no run.
 	UnusedTrials uint32
-	// QuarantinedAt is when the subject was found guilty, and FirstCrash when the first
+	// QuarantinedAt is when the verdict was made, and FirstCrash when the first
 	// crash occurred that counts against it.
 	QuarantinedAt, FirstCrash time.Time
 	// Doubtful says that replicas also crashed without the subject at that time, or that
