--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -248,6 +248,24 @@
 		expectQuarantined(other, newHost)
 	})
 
+	// Guards against a data race: one coordinator's reports were narrowed to what an outage leaves
+	// unexplained while the other's were being encoded. Only the race detector sees it.
+	It("reports the crashes of an outage to both coordinators at the same time", func() {
+		n := newNetwork(5)
+		hosts := n.all()
+		for i := range 4 * poison.OutageCrashes {
+			replica := fmt.Sprint("r", i)
+			hosts[4].interruptAttempt(replica, fmt.Sprint("bystander", i))
+			if i%2 == 0 {
+				hosts[4].interruptAttempt(replica, "x")
+			}
+		}
+		expectQuarantined(hosts...)
+		for _, h := range hosts[:2] {
+			Eventually(func() int { return h.Dump().Stats.Crashes }, propagationTimeout).Should(BeNumerically(">=", poison.OutageCrashes))
+		}
+	})
+
 	It("lets a daemon that reaches no other host evaluate its own reports", func() {
 		n := newNetwork(3)
 		isolated := n.all()[2]
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -130,19 +130,26 @@
 			return false
 		}
 		s.mu.Lock()
-		for _, r := range batch {
-			r.ackedBy[h.Name] = h.Incarnation
+		for _, p := range batch {
+			p.report.ackedBy[h.Name] = h.Incarnation
 		}
 		s.mu.Unlock()
 	}
 	return true
 }
 
+// pendingReport is a report that a host is to receive. crash is a copy, since other coordinators
+// receive the report at the same time.
+type pendingReport struct {
+	report *report
+	crash  poison.Crash
+}
+
 // pendingReports returns the reports that the host's current incarnation has not
 // acknowledged. If the crashes within poison.OutageWindow look like an outage of a machine
 // or a network, it leaves out those of them, and the suspects, that the outage explains
 // (poison.Reportable).
-func (s *Service) pendingReports(h fleet.Host) []*report {
+func (s *Service) pendingReports(h fleet.Host) []pendingReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var recent []poison.Crash
@@ -152,7 +159,7 @@
 		}
 	}
 	reportable := poison.Reportable(recent)
-	var due []*report
+	var due []pendingReport
 	for _, r := range s.reports {
 		if incarnation, acked := r.ackedBy[h.Name]; acked && incarnation == h.Incarnation {
 			continue
@@ -164,15 +171,15 @@
 			}
 			r.crash.Suspects = reportable[i].Suspects
 		}
-		due = append(due, r)
+		due = append(due, pendingReport{r, r.crash})
 	}
 	return due
 }
 
-func crashesOf(reports []*report) []poison.Crash {
+func crashesOf(reports []pendingReport) []poison.Crash {
 	crashes := make([]poison.Crash, 0, len(reports))
-	for _, r := range reports {
-		crashes = append(crashes, r.crash)
+	for _, p := range reports {
+		crashes = append(crashes, p.crash)
 	}
 	return crashes
 }
