intake, gateway: borrowers return the calls of a limit that they no longer use

Cause: the new host's share, and the others', were lent to the former one until 4 s after its last renewal and 4 s more. At 60 hosts, where a share is one call in 4 s, nothing was lent at all, since half of one is none.

Change: every 0.5 s a borrower returns what it has not used in the last 4 s, but for a quarter of what it has; the lender may use that at once, as no window has the calls of both. Loans and renewals have IDs, so that a late return does not shorten a renewed loan. Half of the unused calls is rounded up, and a host asks 3 to 16 peers, the more, the smaller their shares are. Limiters count the calls of 4 s beyond the 16 that they have the times of: before, a lender with more than 16 calls judged by the last seconds only.

The test now asks the peers that the gateway would ask, and has 60 hosts too; its bound is the same.

--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -77,6 +77,8 @@
 	// also updated while no quota is set.
 	callTimes [MaxTrackedCalls]time.Time
 	newest    int
+	// recent counts the calls of the last quotaWindow.
+	recent callCounts
 	// inFlight counts the calls that have not ended. refusals are the times of the last
 	// refusals, oldest first, and besideRefused the number of other calls in flight at the
 	// last one.
@@ -96,6 +98,7 @@
 	defer g.mu.Unlock()
 	g.newest = (g.newest + 1) % MaxTrackedCalls
 	g.callTimes[g.newest] = now
+	g.recent.add(now)
 	g.inFlight++
 }
 
@@ -195,8 +198,8 @@
 // HasQuota reports whether any quota is set.
 func (g *Limiter) HasQuota() bool { return g != nil && g.bounded.Load() }
 
-// CallsWithin returns the number of calls that began within the last window, at most
-// MaxTrackedCalls.
+// CallsWithin returns the number of calls that began within the last window, which is at most
+// quotaWindow. Beyond MaxTrackedCalls it may include some that began up to countInterval earlier.
 func (g *Limiter) CallsWithin(now time.Time, window time.Duration) int {
 	if g == nil {
 		return 0
@@ -209,7 +212,42 @@
 			n++
 		}
 	}
-	return n
+	if n < MaxTrackedCalls {
+		return n
+	}
+	return max(n, g.recent.since(now.Add(-window)))
+}
+
+// countInterval is the length of the intervals in which calls are counted.
+const countInterval = quotaWindow / 16
+
+// callCounts counts the calls of the last quotaWindow in intervals of countInterval.
+type callCounts struct {
+	// counts are the calls of the interval with the number last, at index last modulo the
+	// length, and of those before it.
+	counts [quotaWindow/countInterval + 1]uint32
+	last   int64
+}
+
+// add counts a call.
+func (c *callCounts) add(now time.Time) {
+	const n = int64(len(callCounts{}.counts))
+	number := max(c.last, now.UnixNano()/int64(countInterval))
+	for k := max(c.last+1, number-n+1); k <= number; k++ {
+		c.counts[k%n] = 0
+	}
+	c.last = number
+	c.counts[number%n]++
+}
+
+// since returns the number of calls since a time, and of those earlier in its interval.
+func (c *callCounts) since(at time.Time) int {
+	const n = int64(len(callCounts{}.counts))
+	sum := 0
+	for k := max(at.UnixNano()/int64(countInterval), c.last-n+1); k <= c.last; k++ {
+		sum += int(c.counts[k%n])
+	}
+	return sum
 }
 
 // LimitedSince reports whether AnnouncedLimit has blocked a call since a time.
--- a/core/intake/loans.go
+++ b/core/intake/loans.go
@@ -1,7 +1,9 @@
 package intake
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -14,90 +16,159 @@
 	// maxLoans is the maximum number of hosts to which, and from which, calls to one replica are
 	// lent.
 	maxLoans = 64
+	// minLendersAsked and maxLendersAsked limit the peers that are asked for more in one round.
+	minLendersAsked, maxLendersAsked = 3, 16
 )
 
+// LoanWindow is the interval in which the calls of loans are counted.
+const LoanWindow = quotaWindow
+
 // Loans holds the calls of announced limits that this host lends to others and borrows from
 // them. A host that gets most of the requests would otherwise refuse some while the shares of the
 // others are not used. The zero value is ready to use; it is not safe for concurrent use.
 type Loans struct {
 	// lent and borrowed are by replica, and by the host that borrows or lends.
 	lent, borrowed map[string]map[string]loan
+	// lastID is the ID of the last loan that this host made.
+	lastID uint64
+}
+
+// Lent is a number of calls per quotaWindow at one replica. Its lender gives each loan, and each
+// renewal, another ID.
+type Lent struct {
+	Calls int
+	ID    uint64
 }
 
-// loan is a number of calls per quotaWindow at one replica.
+// loan is what is lent, and until when.
 type loan struct {
-	calls int
+	Lent
 	until time.Time
 }
 
+// Returned is how many of the calls of a loan its borrower keeps.
+type Returned struct {
+	Lender string
+	Keep   Lent
+}
+
 // Use is how much of its calls to a replica this host uses.
 type Use struct {
 	// Share is this host's share of the limit without loans, and Quota that with loans.
 	Share, Quota Quota
-	// Begun is the number of calls that began within the window of Quota.
+	// Begun is the number of calls that began within quotaWindow, or more.
 	Begun int
 	// Blocked says that the quota lately kept a request from the replica.
 	Blocked bool
 }
 
+// unused returns the calls per quotaWindow that this host has and does not use.
+func (u Use) unused() int { return max(0, u.Quota.callsIn(quotaWindow)-u.Begun) }
+
+// LendersAsked returns how many peers a host that needs more calls asks in one round: so many that
+// loans of half a share double its quota, since a host of a large fleet has a small share.
+func (u Use) LendersAsked() int {
+	share := max(1, u.Share.callsIn(quotaWindow))
+	return min(max(minLendersAsked, 2*u.Quota.callsIn(quotaWindow)/share), maxLendersAsked)
+}
+
 // Lend renews the calls that are lent to a host, as far as this host's share still has them, and if
 // more is set lends it half of the unused ones too. It returns how many the host may begin per
 // quotaWindow for loanTime.
-func (l *Loans) Lend(now time.Time, replica, borrower string, u Use, more bool) int {
+func (l *Loans) Lend(now time.Time, replica, borrower string, u Use, more bool) Lent {
 	l.expire(now)
 	if u.Share.Window > quotaWindow {
-		return 0
+		return Lent{}
 	}
 	known, renewed := l.lent[replica][borrower]
 	left := u.Share.callsIn(quotaWindow)
 	for host, o := range l.lent[replica] {
 		if host != borrower {
-			left -= o.calls
+			left -= o.Calls
 		}
 	}
-	calls := known.calls
-	if more && u.Quota.Calls > 0 {
-		unused := max(0, float64(u.Quota.Calls-u.Begun)/float64(u.Quota.Calls))
-		calls += int(unused * float64(u.Quota.callsIn(quotaWindow)) / 2)
+	calls := known.Calls
+	if more {
+		calls += (u.unused() + 1) / 2
 	}
 	calls = min(calls, left)
 	if calls < 1 || !renewed && len(l.lent[replica]) >= maxLoans {
-		return 0
+		return Lent{}
 	}
-	l.lent = put(l.lent, replica, borrower, loan{calls, now.Add(loanTime + quotaWindow)})
-	return calls
+	lent := Lent{Calls: calls, ID: max(l.lastID+1, uint64(now.UnixNano()))}
+	l.lastID = lent.ID
+	l.lent = put(l.lent, replica, borrower, loan{lent, now.Add(loanTime + quotaWindow)})
+	return lent
+}
+
+// TakeBack takes back the calls that a borrower no longer uses. A return of a loan that has been
+// renewed since is ignored, as the borrower may use the renewed one.
+func (l *Loans) TakeBack(now time.Time, replica, borrower string, keep Lent) {
+	l.expire(now)
+	known, ok := l.lent[replica][borrower]
+	if !ok || known.ID != keep.ID {
+		return
+	}
+	known.Calls = min(known.Calls, max(0, keep.Calls))
+	if known.Calls == 0 {
+		delete(l.lent[replica], borrower)
+		return
+	}
+	l.lent[replica][borrower] = known
 }
 
 // Borrow records the calls that a host lends, as it replied to a request sent at the given time. It
 // reports whether their number has changed.
-func (l *Loans) Borrow(askedAt time.Time, replica, lender string, calls int) bool {
+func (l *Loans) Borrow(askedAt time.Time, replica, lender string, lent Lent) bool {
 	known, renewed := l.borrowed[replica][lender]
-	if calls < 1 || !renewed && len(l.borrowed[replica]) >= maxLoans {
+	if lent.Calls < 1 || lent.ID < known.ID || !renewed && len(l.borrowed[replica]) >= maxLoans {
 		return false
 	}
-	l.borrowed = put(l.borrowed, replica, lender, loan{calls, askedAt.Add(loanTime)})
-	return calls != known.calls
+	l.borrowed = put(l.borrowed, replica, lender, loan{lent, askedAt.Add(loanTime)})
+	return lent.Calls != known.Calls
+}
+
+// Return gives up the borrowed calls that this host no longer uses, except for a quarter of those
+// that it does, and returns what their lenders are to be told. The smallest loans are returned first.
+func (l *Loans) Return(now time.Time, replica string, u Use) []Returned {
+	l.expire(now)
+	excess := u.unused() - u.Begun/4 - 1
+	if u.Blocked || excess < 1 {
+		return nil
+	}
+	lenders := slices.SortedFunc(maps.Keys(l.borrowed[replica]), func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.borrowed[replica][a].Calls, l.borrowed[replica][b].Calls), cmp.Compare(a, b))
+	})
+	var out []Returned
+	for _, lender := range lenders {
+		o := l.borrowed[replica][lender]
+		given := min(excess, o.Calls)
+		if given == 0 {
+			break
+		}
+		excess -= given
+		o.Calls -= given
+		out = append(out, Returned{lender, o.Lent})
+		if l.borrowed[replica][lender] = o; o.Calls == 0 {
+			delete(l.borrowed[replica], lender)
+		}
+	}
+	return out
 }
 
 // LimitChanged drops the borrowed calls of a replica: they are parts of its former limit.
 func (l *Loans) LimitChanged(replica string) { delete(l.borrowed, replica) }
 
 // Wanted says which loans of a replica's calls this host needs: more if it has requests for them and
-// all of its calls are used, and, while half of them are, renewals from the given lenders, whose loans end soon.
+// all of its calls are used, and renewals from the given lenders, whose loans end soon.
 func (l *Loans) Wanted(now time.Time, replica string, u Use) (more bool, renew []string) {
 	l.expire(now)
-	if u.Begun >= u.Quota.Calls {
-		more = u.Blocked && u.Share.Window <= quotaWindow
-	}
-	if 2*u.Begun < u.Quota.Calls {
-		return more, nil
-	}
 	for lender, o := range l.borrowed[replica] {
 		if o.until.Sub(now) <= renewalTime {
 			renew = append(renew, lender)
 		}
 	}
-	return more, renew
+	return u.Blocked && u.Share.Window <= quotaWindow, renew
 }
 
 // Adjust returns this host's share of a limit with the loans in effect. Calls of lenders that are
@@ -109,11 +180,11 @@
 	}
 	calls := share.callsIn(quotaWindow)
 	for _, o := range l.lent[replica] {
-		calls -= o.calls
+		calls -= o.Calls
 	}
 	for lender, o := range l.borrowed[replica] {
 		if live(lender) {
-			calls += o.calls
+			calls += o.Calls
 		}
 	}
 	return Quota{Calls: max(0, calls), Window: quotaWindow}.capped()
@@ -123,10 +194,10 @@
 func (l *Loans) Totals(now time.Time, replica string) (lent, borrowed int) {
 	l.expire(now)
 	for _, o := range l.lent[replica] {
-		lent += o.calls
+		lent += o.Calls
 	}
 	for _, o := range l.borrowed[replica] {
-		borrowed += o.calls
+		borrowed += o.Calls
 	}
 	return lent, borrowed
 }
--- a/core/intake/loans_test.go
+++ b/core/intake/loans_test.go
@@ -23,7 +23,7 @@
 func (h *loanHost) use(now time.Time) intake.Use {
 	q := h.loans.Adjust(now, "r", h.share, func(string) bool { return true })
 	l := h.limiters.Get("r")
-	return intake.Use{Share: h.share, Quota: q, Begun: l.CallsWithin(now, q.Window), Blocked: l.LimitedSince(now.Add(-time.Second))}
+	return intake.Use{Share: h.share, Quota: q, Begun: l.CallsWithin(now, intake.LoanWindow), Blocked: l.LimitedSince(now.Add(-time.Second))}
 }
 
 // The users' requirement while most connections go to one host: from loanContactTime on it serves at
@@ -33,42 +33,68 @@
 	minServed       = 0.75
 )
 
+// loanCase is a fleet whose hosts share the limit of one replica. load and perSecond are the requests
+// and the limit a second; the favoured host changes after each period. loss is the share of messages,
+// and of replies, that are lost.
+type loanCase struct {
+	hosts           int
+	load, perSecond float64
+	period          time.Duration
+	loss            float64
+}
+
 // Guards against loans by which all hosts together begin more calls than a replica's limit allows,
 // and against a host that gets most of the requests and leaves the shares of the others unused.
 func TestLoansKeepWithinTheLimit(t *testing.T) {
-	for seed := range uint64(20) {
-		g := NewWithT(t)
-		g.Expect(playLoans(g, time.Minute, seed)).To(BeNumerically(">=", minServed), "seed %d", seed)
-		playLoans(g, 10*time.Second, seed)
+	for _, c := range []loanCase{
+		{6, 12, 20, time.Minute, 0},
+		{60, 12, 20, time.Minute, 0},
+		{60, 60, 100, time.Minute, 0},
+	} {
+		for seed := range uint64(20) {
+			g := NewWithT(t)
+			g.Expect(playLoans(g, c, seed)).To(BeNumerically(">=", minServed), "%+v, seed %d", c, seed)
+		}
+	}
+	for _, c := range []loanCase{
+		{6, 12, 20, 10 * time.Second, 0.2},
+		{6, 25, 20, 2 * time.Second, 0},
+		{60, 60, 100, 3 * time.Second, 0.2},
+	} {
+		for seed := range uint64(20) {
+			playLoans(NewWithT(t), c, seed)
+		}
 	}
 }
 
 // Guards against hosts that become the favoured one while their shares are lent.
 func TestLoansFollowTheFavouredHost(t *testing.T) {
-	for seed := range uint64(20) {
-		g := NewWithT(t)
-		g.Expect(playLoans(g, 10*time.Second, seed)).To(BeNumerically(">=", minServed), "seed %d", seed)
+	for _, c := range []loanCase{
+		{6, 12, 20, 10 * time.Second, 0},
+		{60, 12, 20, 10 * time.Second, 0},
+		{60, 60, 100, 10 * time.Second, 0},
+	} {
+		for seed := range uint64(20) {
+			g := NewWithT(t)
+			g.Expect(playLoans(g, c, seed)).To(BeNumerically(">=", minServed), "%+v, seed %d", c, seed)
+		}
 	}
 }
 
 // playLoans sends seven of eight requests to one host, and to another one after each period. It
 // returns the share that is served from loanContactTime of each period on.
-func playLoans(g *WithT, period time.Duration, seed uint64) float64 {
+func playLoans(g *WithT, c loanCase, seed uint64) float64 {
 	const (
-		perSecond = 20.0
-		// load is the number of requests in a second.
-		load      = 12.0
-		hostCount = 6
-		window    = 4 * time.Second
-		step      = 20 * time.Millisecond
+		window = intake.LoanWindow
+		step   = 20 * time.Millisecond
 	)
 	rng := rand.New(rand.NewPCG(seed, 5))
-	limit := intake.ReplicaLimit{Replica: "r", Limit: intake.Limit{Announced: true, PerSecond: perSecond}}
+	limit := intake.ReplicaLimit{Replica: "r", Limit: intake.Limit{Announced: true, PerSecond: c.perSecond}}
 	var names []string
-	for i := range hostCount {
+	for i := range c.hosts {
 		names = append(names, fmt.Sprint("h", i))
 	}
-	hosts := make([]*loanHost, hostCount)
+	hosts := make([]*loanHost, c.hosts)
 	for i, name := range names {
 		hosts[i] = &loanHost{name: name, share: intake.NewShares(name, names).LimitQuota(limit, intake.Requester), limiters: intake.NewLimiters()}
 	}
@@ -79,58 +105,92 @@
 	asked, served := 0, 0
 	for n := range int(time.Minute / step) {
 		now = now.Add(step)
-		if n%int(period/step) == 0 {
-			favoured, since = hosts[rng.IntN(hostCount)], now
+		if n%int(c.period/step) == 0 {
+			favoured, since = hosts[rng.IntN(c.hosts)], now
 		}
 		if n%25 == 0 {
-			exchangeLoans(rng, now, hosts)
-		}
-		if rng.Float64() >= load*step.Seconds() {
-			continue
+			exchangeLoans(rng, now, hosts, c.loss)
 		}
-		h := favoured
-		if rng.IntN(8) == 0 {
-			h = hosts[rng.IntN(hostCount)]
-		}
-		h.limiters.SetQuotas(intake.AnnouncedLimit, map[string]intake.Quota{"r": h.use(now).Quota})
-		counts := now.Sub(since) > loanContactTime
-		if counts {
-			asked++
-		}
-		if _, blocked := h.limiters.Get("r").Blocked(now); blocked {
-			continue
-		}
-		h.limiters.Get("r").RecordCall(now)
-		begun = append(begun, now)
-		if counts {
-			served++
+		for range int(c.load*step.Seconds() + rng.Float64()) {
+			h := favoured
+			if rng.IntN(8) == 0 {
+				h = hosts[rng.IntN(c.hosts)]
+			}
+			h.limiters.SetQuotas(intake.AnnouncedLimit, map[string]intake.Quota{"r": h.use(now).Quota})
+			counts := now.Sub(since) > loanContactTime
+			if counts {
+				asked++
+			}
+			if _, blocked := h.limiters.Get("r").Blocked(now); blocked {
+				continue
+			}
+			h.limiters.Get("r").RecordCall(now)
+			begun = append(begun, now)
+			if counts {
+				served++
+			}
 		}
 	}
-	for i := range begun {
-		n := 0
-		for _, at := range begun[i:] {
-			if at.Sub(begun[i]) < window {
-				n++
-			}
+	first, most := 0, 0
+	for i, at := range begun {
+		for at.Sub(begun[first]) >= window {
+			first++
 		}
-		g.Expect(n).To(BeNumerically("<=", perSecond*window.Seconds()), "calls in a window")
+		most = max(most, i-first+1)
 	}
-	return float64(served) / float64(asked)
+	g.Expect(most).To(BeNumerically("<=", c.perSecond*window.Seconds()), "calls in a window, %+v, seed %d", c, seed)
+	return float64(served) / float64(max(1, asked))
 }
 
-// exchangeLoans has each host ask for the loans that it needs.
-func exchangeLoans(rng *rand.Rand, now time.Time, hosts []*loanHost) {
+// exchangeLoans has each host return the loans that it does not use and ask for those that it needs.
+func exchangeLoans(rng *rand.Rand, now time.Time, hosts []*loanHost, loss float64) {
+	byName := map[string]*loanHost{}
+	for _, h := range hosts {
+		byName[h.name] = h
+	}
+	arrives := func() bool { return rng.Float64() >= loss }
 	for _, h := range hosts {
+		for _, r := range h.loans.Return(now, "r", h.use(now)) {
+			if arrives() {
+				byName[r.Lender].loans.TakeBack(now, "r", h.name, r.Keep)
+			}
+		}
 		more, renew := h.loans.Wanted(now, "r", h.use(now))
-		for _, o := range hosts {
-			wanted := more && rng.IntN(2) == 0
-			if o != h && (wanted || slices.Contains(renew, o.name)) {
-				h.loans.Borrow(now, "r", o.name, o.loans.Lend(now, "r", h.name, o.use(now), wanted))
+		asked := rng.Perm(len(hosts))[:min(h.use(now).LendersAsked(), len(hosts))]
+		for i, o := range hosts {
+			wanted := more && slices.Contains(asked, i)
+			if o == h || !wanted && !slices.Contains(renew, o.name) || !arrives() {
+				continue
+			}
+			if lent := o.loans.Lend(now, "r", h.name, o.use(now), wanted); arrives() {
+				h.loans.Borrow(now, "r", o.name, lent)
 			}
 		}
 	}
 }
 
+// Guards against a return that arrives after the renewal of its loan, by which lender and borrower
+// would both use the calls.
+func TestLateReturnOfARenewedLoan(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	share := intake.Quota{Calls: 12, Window: 4 * time.Second}
+	idle := intake.Use{Share: share, Quota: share}
+	var lender, borrower intake.Loans
+	always := func(string) bool { return true }
+	first := lender.Lend(now, "r", "b", idle, true)
+	borrower.Borrow(now, "r", "l", first)
+	g.Expect(borrower.Return(now, "r", intake.Use{Share: share, Quota: share, Begun: 10})).To(BeEmpty(), "a quarter more than it uses")
+	returned := borrower.Return(now, "r", intake.Use{Share: share, Quota: intake.Quota{Calls: 16, Window: 4 * time.Second * 16 / 18}, Begun: 8})
+	g.Expect(returned).To(Equal([]intake.Returned{{Lender: "l", Keep: intake.Lent{Calls: 0, ID: first.ID}}}))
+
+	renewed := lender.Lend(now, "r", "b", idle, false)
+	lender.TakeBack(now, "r", "b", returned[0].Keep)
+	g.Expect(lender.Adjust(now, "r", share, always).Calls).To(Equal(6), "the renewed loan stands")
+	lender.TakeBack(now, "r", "b", intake.Lent{Calls: 2, ID: renewed.ID})
+	g.Expect(lender.Adjust(now, "r", share, always).Calls).To(Equal(10))
+}
+
 // Guards against loans that outlive the limit whose calls they are, and against hosts that borrow
 // calls without requests for them.
 func TestLoansEndWithTheirLimit(t *testing.T) {
@@ -139,13 +199,13 @@
 	quota := func(calls int) intake.Quota { return intake.Quota{Calls: calls, Window: 4 * time.Second} }
 	var lender, borrower intake.Loans
 	lent := lender.Lend(now, "r", "b", intake.Use{Share: quota(12), Quota: quota(12)}, true)
-	g.Expect(lent).To(Equal(6))
+	g.Expect(lent.Calls).To(Equal(6))
 	borrower.Borrow(now, "r", "l", lent)
 	g.Expect(borrower.Adjust(now, "r", quota(12), func(string) bool { return true }).Calls).To(Equal(16), "at most MaxTrackedCalls, in a shorter window")
 
 	borrower.LimitChanged("r")
 	g.Expect(borrower.Adjust(now, "r", quota(4), func(string) bool { return true })).To(Equal(quota(4)))
-	g.Expect(lender.Lend(now, "r", "b", intake.Use{Share: quota(4), Quota: quota(0)}, false)).To(Equal(4), "as much as the share still has")
+	g.Expect(lender.Lend(now, "r", "b", intake.Use{Share: quota(4), Quota: quota(0)}, false).Calls).To(Equal(4), "as much as the share still has")
 
 	more, _ := borrower.Wanted(now, "r", intake.Use{Share: quota(0), Quota: quota(0)})
 	g.Expect(more).To(BeFalse())
--- a/gateway/loans.go
+++ b/gateway/loans.go
@@ -16,9 +16,6 @@
 
 const (
 	methodBorrow = "gateway.borrow"
-	// lendersAsked is the number of peers that a host without unused calls asks for more in each
-	// round.
-	lendersAsked = 3
 	// borrowInterval is the time between two rounds of requests for loans.
 	borrowInterval = 500 * time.Millisecond
 	// maxReplicasPerLoan limits the replicas in one call.
@@ -26,7 +23,7 @@
 )
 
 // borrowCalls asks peers for calls to the replicas whose announced limits leave this host none,
-// and has loans renewed that it uses.
+// has loans renewed that it uses, and returns the others.
 func (g *Gateway) borrowCalls() {
 	requests := g.wantedLoans()
 	for _, h := range g.fleet.Reachable() {
@@ -36,8 +33,23 @@
 	}
 }
 
-// wantedLoans returns what to ask of which peer.
-func (g *Gateway) wantedLoans() map[string]*wire.CallsWanted {
+// loanRequests holds what to ask of peers, by name.
+type loanRequests map[string]*wire.CallsWanted
+
+// add adds what is wanted of a replica's calls.
+func (r loanRequests) add(peer string, w *wire.ReplicaCallsWanted) {
+	m := r[peer]
+	if m == nil {
+		m = &wire.CallsWanted{}
+		r[peer] = m
+	}
+	if len(m.Replicas) < maxReplicasPerLoan {
+		m.Replicas = append(m.Replicas, w)
+	}
+}
+
+// wantedLoans returns what to ask of which peer. The calls that are returned no longer count here.
+func (g *Gateway) wantedLoans() loanRequests {
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
 	limits, now := g.notices.announcedLimits.Limits(), clock.Now()
@@ -50,37 +62,36 @@
 		return nil
 	}
 	peers, reachable := g.peers(), g.isReachable()
-	random := rand.Perm(len(peers))[:min(lendersAsked, len(peers))]
-	requests := map[string]*wire.CallsWanted{}
-	ask := func(peer, replica string, more bool) {
-		m := requests[peer]
-		if m == nil {
-			m = &wire.CallsWanted{}
-			requests[peer] = m
-		}
-		if len(m.Replicas) < maxReplicasPerLoan {
-			m.Replicas = append(m.Replicas, &wire.ReplicaCallsWanted{Replica: replica, More: more})
-		}
-	}
+	random := rand.Perm(len(peers))
+	requests := loanRequests{}
+	gaveUp := false
 	for _, l := range limits {
 		use, ok := g.callUse(shares, reachable, l)
 		if !ok {
 			continue
 		}
+		for _, r := range g.notices.loans.Return(now, l.Replica, use) {
+			gaveUp = true
+			g.log.Info("returned calls of a rate limit", zap.String("replica", l.Replica), zap.String("peer", r.Lender), zap.Int("kept", r.Keep.Calls))
+			requests.add(r.Lender, &wire.ReplicaCallsWanted{Replica: l.Replica, Keeps: &wire.Loan{Calls: uint32(r.Keep.Calls), Id: r.Keep.ID}})
+		}
 		more, renew := g.notices.loans.Wanted(now, l.Replica, use)
 		asked := map[string]bool{}
 		if more {
-			for _, i := range random {
+			for _, i := range random[:min(use.LendersAsked(), len(random))] {
 				asked[peers[i].Name] = true
-				ask(peers[i].Name, l.Replica, true)
+				requests.add(peers[i].Name, &wire.ReplicaCallsWanted{Replica: l.Replica, More: true})
 			}
 		}
 		for _, lender := range renew {
 			if !asked[lender] {
-				ask(lender, l.Replica, false)
+				requests.add(lender, &wire.ReplicaCallsWanted{Replica: l.Replica})
 			}
 		}
 	}
+	if gaveUp {
+		g.updateLimitShares()
+	}
 	return requests
 }
 
@@ -106,7 +117,7 @@
 	u := intake.Use{Share: shares.LimitQuota(l, intake.Requester)}
 	u.Quota = g.notices.loans.Adjust(now, l.Replica, u.Share, reachable)
 	limiter := g.limiters.Get(l.Replica)
-	u.Begun, u.Blocked = limiter.CallsWithin(now, u.Quota.Window), limiter.LimitedSince(now.Add(-2*borrowInterval))
+	u.Begun, u.Blocked = limiter.CallsWithin(now, intake.LoanWindow), limiter.LimitedSince(now.Add(-2*borrowInterval))
 	return u, true
 }
 
@@ -132,9 +143,10 @@
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
 	for _, r := range reply.GetReplicas() {
-		if g.notices.loans.Borrow(askedAt, r.GetReplica(), h.Name, int(min(r.GetCalls(), maxLentCalls))) {
+		lent := intake.Lent{Calls: int(min(r.GetLent().GetCalls(), maxLentCalls)), ID: r.GetLent().GetId()}
+		if g.notices.loans.Borrow(askedAt, r.GetReplica(), h.Name, lent) {
 			g.metrics.GetOrCreateCounter("wheatseam_limit_loans_total").Inc()
-			g.log.Info("borrowed calls of a rate limit", zap.String("replica", r.GetReplica()), zap.String("peer", h.Name), zap.Uint32("calls", r.GetCalls()))
+			g.log.Info("borrowed calls of a rate limit", zap.String("replica", r.GetReplica()), zap.String("peer", h.Name), zap.Int("calls", lent.Calls))
 		}
 	}
 	g.updateLimitShares()
@@ -155,8 +167,8 @@
 	})
 }
 
-// lendCalls lends a peer calls of the limits that it asks for, and returns those that it may
-// begin.
+// lendCalls takes back the calls that a peer returns, lends it those that it asks for, and returns
+// what it may begin.
 func (g *Gateway) lendCalls(borrower string, m *wire.CallsWanted) *wire.CallsLent {
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
@@ -164,9 +176,13 @@
 	if shares == nil {
 		return &wire.CallsLent{}
 	}
-	wanted := map[string]bool{}
-	for _, r := range m.GetReplicas() {
-		if len(wanted) < maxReplicasPerLoan {
+	wanted, now := map[string]bool{}, clock.Now()
+	for i, r := range m.GetReplicas() {
+		switch keeps := r.GetKeeps(); {
+		case i >= maxReplicasPerLoan:
+		case keeps != nil:
+			g.notices.loans.TakeBack(now, r.GetReplica(), borrower, intake.Lent{Calls: int(min(keeps.GetCalls(), maxLentCalls)), ID: keeps.GetId()})
+		default:
 			wanted[r.GetReplica()] = r.GetMore()
 		}
 	}
@@ -180,8 +196,8 @@
 		if !ok {
 			continue
 		}
-		if calls := g.notices.loans.Lend(clock.Now(), l.Replica, borrower, use, more); calls > 0 {
-			reply.Replicas = append(reply.Replicas, &wire.ReplicaCallsLent{Replica: l.Replica, Calls: uint32(calls)})
+		if lent := g.notices.loans.Lend(now, l.Replica, borrower, use, more); lent.Calls > 0 {
+			reply.Replicas = append(reply.Replicas, &wire.ReplicaCallsLent{Replica: l.Replica, Lent: &wire.Loan{Calls: uint32(lent.Calls), Id: lent.ID}})
 		}
 	}
 	g.updateLimitShares()
