poison, quarantine: an outage that takes idle replicas counts against no request

Cause: hosts check only replicas at which attempts were interrupted, so that the crashes of idle ones are no evidence.

Change: after a confirmed crash a host checks up to four replicas of the service that answered it within 10 s and on which it lost nothing. If three or more were checked and all refuse connections, it reports them with the crash, each with its last answer. A coordinator counts one as idle unless it knows of a crash of it since that answer; from three on the event counts against no subject, and a verdict that it supported is lifted. The check follows the report, so that a verdict on a culprit is as early as before.

Outages in which most replicas are busy are not recognised.

--- /dev/null
+++ b/core/crash/answers.go
@@ -0,0 +1,62 @@
+package crash
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// answersKept is the number of replicas of a service whose last answers are kept, the latest.
+	answersKept = 8
+	// MaxIdleChecks and MinIdleChecks are how many replicas are checked at once for an outage.
+	MaxIdleChecks = 4
+	MinIdleChecks = 3
+	// answerLifetime is how long an answer shows that a replica was alive.
+	answerLifetime = 10 * time.Second
+)
+
+// Answer is the last answer of a replica to this host.
+type Answer struct {
+	Replica, Address string
+	At               time.Time
+}
+
+// Answers holds the replicas that answered one host last, by service. They are checked when
+// another replica of the service crashes: if they have crashed too although nothing ran on them,
+// no request is the cause. The zero value is ready to use.
+type Answers struct {
+	byService map[string][]Answer
+}
+
+// Record records that a replica answered.
+func (a *Answers) Record(now time.Time, service, replica, address string) {
+	if a.byService == nil {
+		a.byService = map[string][]Answer{}
+	}
+	known := slices.DeleteFunc(a.byService[service], func(o Answer) bool { return o.Replica == replica })
+	known = append(known, Answer{Replica: replica, Address: address, At: now})
+	a.byService[service] = known[max(0, len(known)-answersKept):]
+}
+
+// Forget forgets the answers of a replica up to a time: it has crashed since.
+func (a *Answers) Forget(service, replica string, until time.Time) {
+	a.byService[service] = slices.DeleteFunc(a.byService[service], func(o Answer) bool {
+		return o.Replica == replica && !o.At.After(until)
+	})
+}
+
+// Idle returns the replicas of a service to check when another one has crashed, those that answered
+// last; none if fewer than MinIdleChecks are known. busy reports whether attempts were interrupted
+// on a replica after its answer.
+func (a *Answers) Idle(now time.Time, service string, busy func(Answer) bool) []Answer {
+	var idle []Answer
+	for _, o := range a.byService[service] {
+		if now.Sub(o.At) <= answerLifetime && !busy(o) {
+			idle = append(idle, o)
+		}
+	}
+	if len(idle) < MinIdleChecks {
+		return nil
+	}
+	return idle[max(0, len(idle)-MaxIdleChecks):] // the latest answers are the last ones
+}
--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -66,6 +66,12 @@
 	return "unknown"
 }
 
+// Crashed reports whether the check shows by itself that the replica has crashed: hosts that have
+// reached replicas since a time were refused.
+func (r CheckResult) Crashed(since time.Time) bool {
+	return r.Confirmed || r.refusals(since) >= decisiveRefusals
+}
+
 // refusals is the number of hosts that were refused and have reached replicas since a time.
 func (r CheckResult) refusals(since time.Time) int {
 	n := r.PeerRefusals
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -145,6 +145,12 @@
 // Len returns the number of replicas with interrupted attempts.
 func (t *Table) Len() int { return len(t.replicas) }
 
+// InterruptedSince reports whether attempts were interrupted at a replica after a time.
+func (t *Table) InterruptedSince(replica string, at time.Time) bool {
+	r := t.replicas[replica]
+	return r != nil && r.lastAt.After(at)
+}
+
 // Replicas returns the replicas about whose listing the table is to be told, with their
 // addresses.
 func (t *Table) Replicas() map[string]string {
@@ -199,7 +205,7 @@
 	case c.Accepted:
 		t.connected(began, id, r)
 		return nil
-	case c.Confirmed || n >= decisiveRefusals:
+	case c.Crashed(r.checkFrom):
 		return r.confirmByPath(id, RefusedByHosts)
 	case n == 0:
 	case r.refusedAt.IsZero():
--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// simultaneous is the time within which crashes of replicas have a common cause. Daemons learn
+// Simultaneous is the time within which crashes of replicas have a common cause. Daemons learn
 // of a crash within milliseconds of each other.
-const simultaneous = 100 * time.Millisecond
+const Simultaneous = 100 * time.Millisecond
 
 // attribution assigns crashes to the subjects that account for them. It depends on the evidence
 // and the current verdicts only, not on the order in which the evidence came.
@@ -18,6 +18,8 @@
 	// holds the number of crashes of each event that is an outage.
 	events  map[*Crash]int
 	outages map[int]int
+	// tookIdle holds the events that took idle replicas too.
+	tookIdle map[int]bool
 	// explained holds the crashes that are accounted for by the subjects found so far.
 	explained map[*Crash]bool
 }
@@ -46,7 +48,7 @@
 
 // attribute returns the subjects that account for enough crashes to be quarantined, the strongest
 // first.
-func (m *Detector) attribute(now time.Time) []finding {
+func (m *Detector) attribute(now time.Time) (*attribution, []finding) {
 	a := newAttribution(m.crashes)
 	var candidates []finding
 	for f, all := range m.involvements {
@@ -61,7 +63,7 @@
 			candidates = append(candidates, c)
 		}
 	}
-	return a.explain(candidates)
+	return a, a.explain(candidates)
 }
 
 // explain picks the strongest candidate, then the strongest of those that account for enough of
@@ -170,7 +172,7 @@
 	current, sizes := map[string]event{}, map[int]int{}
 	for i, e := range crashes {
 		last, ok := current[e.Service]
-		if !ok || e.At.Sub(last.began) > simultaneous {
+		if !ok || e.At.Sub(last.began) > Simultaneous {
 			last = event{i, e.At}
 			current[e.Service] = last
 		}
@@ -182,11 +184,68 @@
 			a.outages[number] = size
 		}
 	}
+	a.tookIdle = a.eventsWithIdle(crashes)
 	return a
 }
 
+// sighting is a time at which a replica was known to have crashed.
+type sighting struct {
+	at    time.Time
+	event int
+	// idle says that no run was lost.
+	idle bool
+}
+
+// eventsWithIdle returns the events in which minIdle idle replicas or more crashed.
+func (a *attribution) eventsWithIdle(crashes []*Crash) map[int]bool {
+	if !slices.ContainsFunc(crashes, func(e *Crash) bool { return len(e.Idle) > 0 }) {
+		return nil
+	}
+	type replica struct{ service, id string }
+	sightings := map[replica][]sighting{}
+	for _, e := range crashes {
+		r := replica{e.Service, e.Replica}
+		sightings[r] = append(sightings[r], sighting{at: e.At, event: a.events[e]})
+		for _, i := range e.Idle {
+			r := replica{e.Service, i.Replica}
+			sightings[r] = append(sightings[r], sighting{e.At, a.events[e], true})
+		}
+	}
+	idle := map[int]map[string]bool{}
+	for _, e := range crashes {
+		event := a.events[e]
+		for _, i := range e.Idle {
+			if slices.ContainsFunc(sightings[replica{e.Service, i.Replica}], func(s sighting) bool { return s.refutes(i, e.At, event) }) {
+				continue
+			}
+			if idle[event] == nil {
+				idle[event] = map[string]bool{}
+			}
+			idle[event][i.Replica] = true
+		}
+	}
+	out := map[int]bool{}
+	for event, replicas := range idle {
+		out[event] = len(replicas) >= minIdle
+	}
+	return out
+}
+
+// refutes reports whether a sighting shows that a replica was not idle when it crashed in an event,
+// or that it had crashed before.
+func (s sighting) refutes(i IdleReplica, at time.Time, event int) bool {
+	switch {
+	case !s.at.After(i.AnsweredAt):
+		return false
+	case s.idle:
+		return s.event != event && s.at.Before(at)
+	}
+	return s.at.Before(at.Add(sameCrashWindow))
+}
+
 // charged returns the crashes that count against a subject: those since it last survived. An
-// outage counts only against a part that ran on all of its replicas.
+// outage counts only against a part that ran on all of its replicas, and not at all if it took idle
+// ones.
 func (a *attribution) charged(c finding, all []involvement, lastSuccess time.Time) []involvement {
 	perEvent := map[int]int{}
 	if c.kind == Part && len(a.outages) > 0 {
@@ -196,6 +255,6 @@
 	}
 	return slices.DeleteFunc(slices.Clone(all), func(i involvement) bool {
 		event := a.events[i.crash]
-		return !i.crash.At.After(lastSuccess) || c.kind == Part && perEvent[event] < a.outages[event]
+		return !i.crash.At.After(lastSuccess) || a.tookIdle[event] || c.kind == Part && perEvent[event] < a.outages[event]
 	})
 }
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -23,6 +23,15 @@
 	Service, Replica string
 	At               time.Time
 	Suspects         []Suspect
+	// Idle are replicas of the service that were found crashed too, at most maxIdle.
+	Idle []IdleReplica
+}
+
+// IdleReplica is a replica that was found crashed although the reporting daemon had no run on it.
+type IdleReplica struct {
+	Replica string
+	// AnsweredAt is when it last answered the daemon.
+	AnsweredAt time.Time
 }
 
 // Bounds of the retained evidence.
@@ -52,6 +61,10 @@
 const (
 	OutageCrashes = 4
 	OutageWindow  = time.Second
+	// minIdle is the number of idle replicas that crashed at the same time from which no subject
+	// is the cause, and maxIdle the maximum number retained for a crash.
+	minIdle = OutageCrashes - 1
+	maxIdle = 8
 )
 
 // Reportable returns the crashes to report out of those that one daemon observed within
@@ -128,3 +141,16 @@
 	}
 	e.LimitSuspects()
 }
+
+// mergeIdle adds the idle replicas reported by another daemon. The latest answer of each counts.
+func (e *Crash) mergeIdle(idle []IdleReplica) {
+	for _, r := range idle {
+		i := slices.IndexFunc(e.Idle, func(o IdleReplica) bool { return o.Replica == r.Replica })
+		switch {
+		case i >= 0 && r.AnsweredAt.After(e.Idle[i].AnsweredAt):
+			e.Idle[i] = r
+		case i < 0 && len(e.Idle) < maxIdle:
+			e.Idle = append(e.Idle, r)
+		}
+	}
+}
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -41,11 +41,12 @@
 		m.removeCrash(i)
 	}
 	known.mergeSuspects(e.Suspects)
+	known.mergeIdle(e.Idle)
 	m.insertCrash(known)
 	if len(m.crashes) > MaxCrashes {
 		m.removeCrash(0)
 	}
-	if !slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return m.mayReachThreshold(now, s) }) {
+	if len(e.Idle) == 0 && !slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return m.mayReachThreshold(now, s) }) {
 		return nil
 	}
 	return m.review(now)
@@ -62,7 +63,7 @@
 	var event time.Time
 	for _, i := range m.involvements[s.Subject] {
 		at := i.crash.At
-		if !at.After(last) || s.Kind == Part && n > 0 && at.Sub(event) <= simultaneous {
+		if !at.After(last) || s.Kind == Part && n > 0 && at.Sub(event) <= Simultaneous {
 			continue
 		}
 		n++
@@ -231,8 +232,8 @@
 	if len(m.crashes) == 0 {
 		return nil
 	}
-	found := m.attribute(now)
-	return append(m.quarantine(now, found), m.reviewUnsupported(now, found)...)
+	a, found := m.attribute(now)
+	return append(m.quarantine(now, found), m.reviewUnsupported(now, a, found)...)
 }
 
 // quarantine makes verdicts on the subjects to which crashes are attributed.
@@ -256,11 +257,12 @@
 	return changed
 }
 
-// reviewUnsupported reviews verdicts that are no longer supported by enough crashes, since
-// stronger subjects explain these: the subject may have been a bystander. A verdict on a part
-// that had survived before is lifted, any other one is marked doubtful. Verdicts of other
-// detectors on subjects of which no crash is known here are left alone.
-func (m *Detector) reviewUnsupported(now time.Time, found []finding) []Verdict {
+// reviewUnsupported reviews verdicts that are no longer supported by enough crashes. If an outage
+// that took idle replicas explains these, the verdict is lifted. If stronger subjects do, the subject
+// may have been a bystander: a verdict on a part that had survived before is lifted, any other one is
+// marked doubtful. Verdicts of other detectors on subjects of which no crash is known here are left
+// alone.
+func (m *Detector) reviewUnsupported(now time.Time, a *attribution, found []finding) []Verdict {
 	explained, bySubject := map[*Crash]Fingerprint{}, map[Fingerprint]finding{}
 	for _, c := range found {
 		bySubject[c.subject] = c
@@ -270,13 +272,14 @@
 	}
 	var changed []Verdict
 	for _, v := range m.Verdicts() {
-		if _, inEffect := m.verdictInEffect(now, v.Subject); !inEffect || !m.explainedByOthers(v, bySubject[v.Subject], explained) {
+		own := bySubject[v.Subject]
+		if _, inEffect := m.verdictInEffect(now, v.Subject); !inEffect || own.weight > 0 && own.weight >= own.threshold() {
 			continue
 		}
-		switch {
-		case v.Kind == Part && !v.LastSuccess.IsZero():
+		switch byOthers := m.explainedByOthers(v, explained); {
+		case m.explainedByOutage(v, a), byOthers && v.Kind == Part && !v.LastSuccess.IsZero():
 			v.Lifted = true
-		case v.Doubtful:
+		case !byOthers, v.Doubtful:
 			continue
 		default:
 			v.Doubtful = true
@@ -287,12 +290,16 @@
 	return changed
 }
 
-// explainedByOthers reports whether stronger subjects account for so many of the crashes of a
-// quarantined one that the rest, own, is below its threshold.
-func (m *Detector) explainedByOthers(v Verdict, own finding, explained map[*Crash]Fingerprint) bool {
-	if own.weight > 0 && own.weight >= own.threshold() {
-		return false
-	}
+// explainedByOutage reports whether outages that took idle replicas account for crashes of a
+// quarantined subject. It is only known while all crashes behind the verdict are retained.
+func (m *Detector) explainedByOutage(v Verdict, a *attribution) bool {
+	all := m.involvements[v.Subject]
+	return slices.ContainsFunc(all, func(i involvement) bool { return i.crash.At.Sub(v.FirstCrash).Abs() < sameCrashWindow }) &&
+		slices.ContainsFunc(all, func(i involvement) bool { return a.tookIdle[a.events[i.crash]] })
+}
+
+// explainedByOthers reports whether stronger subjects account for crashes of a quarantined one.
+func (m *Detector) explainedByOthers(v Verdict, explained map[*Crash]Fingerprint) bool {
 	return slices.ContainsFunc(m.involvements[v.Subject], func(i involvement) bool {
 		by, ok := explained[i.crash]
 		return ok && by != v.Subject
--- a/core/poison/parts_random_test.go
+++ b/core/poison/parts_random_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	corecrash "github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/poison"
 )
 
@@ -32,6 +34,8 @@
 	// survivalTime is how long a replica writes until a run has survived its parts.
 	survivalTime = 500 * time.Millisecond
 	streamTime   = 1500 * time.Millisecond
+	// idleCheckDelay is the time from a crash to the check of idle replicas.
+	idleCheckDelay = 15 * time.Millisecond
 )
 
 // partCase is a fleet with requests whose prompts share parts.
@@ -39,6 +43,8 @@
 	hosts, replicas int
 	// interval is the time between requests, all hosts together.
 	interval time.Duration
+	// idle multiplies the interval, so that most replicas are idle; 0 for 1.
+	idle int
 	// deadly is the number of parts that crash replicas, and deadlyShare the share of requests
 	// with one of them, from deadlyFrom on.
 	deadly      int
@@ -76,6 +82,7 @@
 	queue     eventQueue
 	order     int
 	detectors []poison.Detector
+	answers   []corecrash.Answers
 	running   [][]*partRun
 	restartAt []time.Time
 	nextID    int
@@ -219,6 +226,7 @@
 			s.survive(r)
 			r.ended = true
 			s.running[replica] = slices.DeleteFunc(s.running[replica], func(o *partRun) bool { return o == r })
+			s.answers[r.host].Record(s.now, "llm", fmt.Sprint(replica), "")
 			s.propagate(r.host, s.detectors[r.host].RecordSuccess(s.now, r.content))
 		}
 	})
@@ -265,11 +273,33 @@
 	for _, host := range hosts {
 		e := *reports[host]
 		e.LimitSuspects()
-		for coordinator := range min(2, s.hosts) {
-			if s.isCut(host) == s.isCut(coordinator) {
-				s.after(s.between(10*time.Millisecond, 250*time.Millisecond), func() { s.propagate(coordinator, s.detectors[coordinator].RecordCrash(s.now, e)) })
-			}
+		s.report(host, e)
+		s.after(idleCheckDelay, func() { s.checkIdle(host, e) })
+	}
+}
+
+// report sends the crash that a host observed to the coordinators.
+func (s *partSim) report(host int, e poison.Crash) {
+	for coordinator := range min(2, s.hosts) {
+		if s.isCut(host) == s.isCut(coordinator) {
+			s.after(s.between(10*time.Millisecond, 250*time.Millisecond), func() { s.propagate(coordinator, s.detectors[coordinator].RecordCrash(s.now, e)) })
+		}
+	}
+}
+
+// checkIdle has a host check idle replicas after a crash, and report it again with those that have
+// crashed too.
+func (s *partSim) checkIdle(host int, e poison.Crash) {
+	answers := s.answers[host].Idle(s.now, "llm", func(a corecrash.Answer) bool { return a.Replica == e.Replica })
+	for _, a := range answers {
+		replica, _ := strconv.Atoi(a.Replica)
+		if !s.now.Before(s.restartAt[replica]) {
+			return
 		}
+		e.Idle = append(e.Idle, poison.IdleReplica{Replica: a.Replica, AnsweredAt: a.At})
+	}
+	if len(e.Idle) > 0 {
+		s.report(host, e)
 	}
 }
 
@@ -324,7 +354,7 @@
 
 func newPartSim(c partCase, seed uint64) *partSim {
 	return &partSim{
-		partCase: c, rng: rand.New(rand.NewPCG(seed, 13)), now: start, detectors: make([]poison.Detector, c.hosts),
+		partCase: c, rng: rand.New(rand.NewPCG(seed, 13)), now: start, detectors: make([]poison.Detector, c.hosts), answers: make([]corecrash.Answers, c.hosts),
 		running: make([][]*partRun, c.replicas), restartAt: make([]time.Time, c.replicas), crashes: make([][]time.Time, c.deadly), late: make([]int, c.deadly),
 		refusedFrom: map[poison.Fingerprint]time.Time{},
 	}
@@ -342,18 +372,19 @@
 // sound requests that are refused because of a part that they share.
 var _ = Describe("over random schedules, parts that crash replicas are known in time and popular parts are not refused", func() {
 	for name, c := range map[string]partCase{
-		"one part in one of thirty requests":     {deadly: 1, deadlyShare: 1.0 / 30},
-		"one part in half of all requests":       {deadly: 1, deadlyShare: 0.5},
-		"two parts":                              {deadly: 2, deadlyShare: 1.0 / 15},
-		"two parts, crashes of other causes":     {deadly: 2, deadlyShare: 1.0 / 30, crashInterval: 2 * time.Second},
-		"one part, losses of all replicas":       {deadly: 1, deadlyShare: 1.0 / 30, outageInterval: 6 * time.Second},
-		"one part, a third of the hosts cut off": {deadly: 1, deadlyShare: 1.0 / 30, crashInterval: 5 * time.Second, cut: 1.0 / 3},
-		"none, a crash every half second":        {crashInterval: 500 * time.Millisecond},
-		"none, losses of all replicas":           {outageInterval: 3 * time.Second},
+		"one part in one of thirty requests":                       {deadly: 1, deadlyShare: 1.0 / 30},
+		"one part in half of all requests":                         {deadly: 1, deadlyShare: 0.5},
+		"two parts":                                                {deadly: 2, deadlyShare: 1.0 / 15},
+		"two parts, crashes of other causes":                       {deadly: 2, deadlyShare: 1.0 / 30, crashInterval: 2 * time.Second},
+		"one part, losses of all replicas":                         {deadly: 1, deadlyShare: 1.0 / 30, outageInterval: 6 * time.Second},
+		"one part, a third of the hosts cut off":                   {deadly: 1, deadlyShare: 1.0 / 30, crashInterval: 5 * time.Second, cut: 1.0 / 3},
+		"one part in half of few requests, losses of all replicas": {deadly: 1, deadlyShare: 0.5, idle: 20, outageInterval: 3 * time.Second},
+		"none, a crash every half second":                          {crashInterval: 500 * time.Millisecond},
+		"none, losses of all replicas":                             {outageInterval: 3 * time.Second},
 	} {
 		for _, size := range partSizes {
 			It(fmt.Sprintf("%s, %d hosts", name, size.hosts), func() {
-				c.hosts, c.replicas, c.interval = size.hosts, size.replicas, size.interval
+				c.hosts, c.replicas, c.interval = size.hosts, size.replicas, size.interval*time.Duration(max(1, c.idle))
 				known, notKnown, mostLate, mostCrashes, sound, refused := 0, 0, 0, 0, 0, 0
 				var refusedFor time.Duration
 				for seed := range size.seeds {
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -84,6 +84,40 @@
 		Expect(refused("partial", 20)).To(BeTrue())
 	})
 
+	It("is not charged with crashes that took idle replicas too, and nor is a content", func() {
+		crashIn := func(seconds float64, replica, content string, idle ...string) []poison.Verdict {
+			e := crash(seconds, replica, map[string]int{content: 50})
+			e.Suspects = append(e.Suspects, poison.Suspect{Subject: part("p"), Kind: poison.Part})
+			for _, r := range idle {
+				e.Idle = append(e.Idle, poison.IdleReplica{Replica: r, AnsweredAt: at(seconds - 0.5)})
+			}
+			return m.RecordCrash(at(seconds), e)
+		}
+		isQuarantined := func() bool {
+			_, quarantined := m.Quarantined(at(30), request("q"))
+			return quarantined
+		}
+		for i := range 5 {
+			crashIn(float64(i), "a", "q", "b", "c", "d")
+		}
+		Expect(isQuarantined()).To(BeFalse())
+		Expect(refused("p", 30)).To(BeFalse())
+
+		By("not counting replicas that had crashed since they answered")
+		crashIn(4.3, "z", "q", "b", "c", "d")
+		Expect(isQuarantined()).To(BeFalse(), "one crash counts")
+		By("not counting replicas that crashed under runs")
+		crashIn(6, "a", "q", "b", "c", "d")
+		m.RecordCrash(at(6.2), crash(6.2, "d", map[string]int{"other": 50}))
+		crashIn(8, "a", "q", "b", "c")
+		Expect(isQuarantined()).To(BeTrue(), "three crashes count")
+
+		By("lifting the verdict when the check of the idle replicas comes later")
+		changed := crashIn(8, "a", "q", "b", "c", "d")
+		Expect(changed).To(ContainElement(And(HaveField("Subject", request("q")), HaveField("Lifted", true))))
+		Expect(isQuarantined()).To(BeFalse())
+	})
+
 	It("is released by a detector that has seen it survive, and its crashes count for the other subjects", func() {
 		var other poison.Detector
 		other.RecordSurvival(at(5), at(2.5), []poison.Fingerprint{part("system")})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,7 +123,7 @@
 	})
 	g.client = replica.NewClient(g.paths.dialer.Dial, g.observeResponse)
 	g.quarantine = quarantine.New(quarantine.Config{
-		Self: s.Host, Members: members, Replicas: g.client, Caller: members.Caller(), Mux: mux, Logger: log, OnReplicaCrash: g.countReplicaCrash, OnCrashCheck: g.countCrashCheck,
+		Self: s.Host, Members: members, Replicas: g.client, Caller: members.Caller(), Mux: mux, Logger: log, OnReplicaCrash: g.countReplicaCrash, OnCrashCheck: g.countCrashCheck, OnOutage: g.countOutage,
 	})
 	g.stages = stages.New(stages.Config{
 		Self: s.Host, Incarnation: members.Incarnation(), Replicas: g.client, Members: members, Caller: members.Caller(), Mux: mux, Logger: log,
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -136,6 +136,11 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_crashes_confirmed_total{proof=%q}", c.Proof)).Inc()
 }
 
+// countOutage counts an outage that took idle replicas of a service.
+func (g *Gateway) countOutage(service string) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_outages_total{service=%q}", service)).Inc()
+}
+
 // countCrashCheck counts a check whether a replica has crashed.
 func (g *Gateway) countCrashCheck(r crash.CheckResult) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_crash_checks_total{result=%q}", r)).Inc()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -471,6 +471,7 @@
 	}
 	t.x.g.recordRefusal(t.x.service, t.choice.Upstream, t.refusalReason)
 	if end == answered || end == failedRetrying {
+		t.x.g.quarantine.ReplicaAnswered(t.x.service, t.choice.Upstream, t.choice.Address)
 		t.x.g.quarantine.RunSucceeded(t.x.fingerprint)
 	}
 	if end == answered && t.x.status == http.StatusOK {
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -107,6 +107,7 @@
 			zap.Stringer("proof", c.Proof), zap.Duration("age", clock.Since(c.At)),
 			zap.Strings("contents", contentsOf(c.Suspects)), zap.Durations("ran", runTimesOf(c.Suspects)),
 			zap.Strings("parts", subjectsOf(c.Suspects, poison.Part)))
+		c.Idle = s.checkIdleReplicas(c.Crash)
 		s.reports = append(s.reports, &report{crash: c.Crash, ackedBy: map[string]uint64{}})
 		s.reports = s.reports[max(0, len(s.reports)-maxReports):]
 		s.wake()
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -55,6 +55,9 @@
 			suspect := &wire.EndSuspect{Request: s.Subject[:], RanMs: uint32(max(0, s.RunTime.Milliseconds())), ServedMs: successToAgeMS(now, s.LastSuccess), Part: s.Kind == poison.Part}
 			crash.Suspects = append(crash.Suspects, suspect)
 		}
+		for _, i := range e.Idle {
+			crash.Idle = append(crash.Idle, &wire.IdleReplica{Replica: i.Replica, AnsweredMs: toAgeMS(now, i.AnsweredAt)})
+		}
 		out.Ends = append(out.Ends, crash)
 	}
 	return out
@@ -72,6 +75,9 @@
 			suspect := poison.Suspect{Subject: f, Kind: kindOf(s.GetPart()), RunTime: time.Duration(s.GetRanMs()) * time.Millisecond, LastSuccess: successFromAgeMS(now, s.GetServedMs())}
 			crash.Suspects = append(crash.Suspects, suspect)
 		}
+		for _, i := range e.GetIdle() {
+			crash.Idle = append(crash.Idle, poison.IdleReplica{Replica: i.GetReplica(), AnsweredAt: fromAgeMS(now, i.GetAnsweredMs())})
+		}
 		crashes = append(crashes, crash)
 	}
 	return crashes
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -317,6 +317,38 @@
 		Expect(hosts[0].Dump().Verdicts).To(ContainElement(And(HaveField("Content", bad.String()), HaveField("Kind", "part"), HaveField("Crashes", HaveLen(4)))))
 	})
 
+	It("does not count crashes that took idle replicas", func() {
+		n := newNetwork(4)
+		hosts := n.all()
+		for i := range 4 {
+			for k := range 3 {
+				id := fmt.Sprint("idle", k)
+				hosts[3].ReplicaAnswered("llm", id, id)
+			}
+			hosts[3].interruptAttempt(fmt.Sprint("r", i), "x")
+			Eventually(func() int { return hosts[0].Dump().Stats.Crashes }, propagationTimeout).Should(Equal(i + 1))
+			time.Sleep(2 * poison.Simultaneous)
+		}
+		for _, h := range hosts {
+			Eventually(func() bool { return h.isQuarantined("x") }, propagationTimeout).Should(BeFalse(), h.name)
+		}
+		Consistently(func() bool { return hosts[0].isQuarantined("x") }, "200ms").Should(BeFalse())
+
+		By("counting those beside which one idle replica still accepts connections")
+		n.mu.Lock()
+		n.listening["idle0"] = true
+		n.mu.Unlock()
+		for i := range 3 {
+			for k := range 3 {
+				id := fmt.Sprint("idle", k)
+				hosts[3].ReplicaAnswered("llm", id, id)
+			}
+			hosts[3].interruptAttempt(fmt.Sprint("s", i), "x")
+			time.Sleep(2 * poison.Simultaneous)
+		}
+		expectQuarantined(hosts...)
+	})
+
 	It("lifts a verdict on all hosts after a successful run on any of them", func() {
 		n := newNetwork(6)
 		for i := range 3 {
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -52,6 +52,9 @@
 	// OnCrashCheck is called with the result of each check whether a replica has crashed. It
 	// may be nil and must not block.
 	OnCrashCheck func(crash.CheckResult)
+	// OnOutage is called for each outage that is found to have taken idle replicas of a service.
+	// It may be nil and must not block or call the Service.
+	OnOutage func(service string)
 }
 
 // Service is the quarantine of one daemon. All methods are safe for concurrent use.
@@ -66,12 +69,17 @@
 	interruptedReplicas atomic.Int64
 	wakeup              chan struct{}
 
+	answersMu sync.Mutex
+	answers   crash.Answers
+
 	mu            sync.Mutex
 	detector      poison.Detector
 	interruptions crash.Table
 	// nextCheck is when the timer for the next check fires.
 	nextCheck time.Time
 	reports   []*report
+	// outageChecks are the last checks of idle replicas, by service.
+	outageChecks map[string]*outageCheck
 	// watches are notified when their subject is quarantined.
 	watches map[poison.Fingerprint]map[*watch]bool
 	// publishedDigest is the digest that the heartbeats carry.
@@ -94,7 +102,7 @@
 func New(cfg Config) *Service {
 	s := &Service{
 		cfg: cfg, log: cfg.Logger, wakeup: make(chan struct{}, 1),
-		watches: map[poison.Fingerprint]map[*watch]bool{},
+		watches: map[poison.Fingerprint]map[*watch]bool{}, outageChecks: map[string]*outageCheck{},
 	}
 	peer.Handle(cfg.Mux, methodCrashes, func(_ context.Context, _ peer.Sender, m *wire.ReplicasEnded) (*wire.ReplicasEndedNoted, error) {
 		s.evaluate(crashesFromWire(clock.Now(), m))
