stage: jobs wait for the only replica of a service while it is suspected

Callers saw: 503 no_upstream for 2 to 6 requests while one of two stage replicas was leaving (TestLeavingStageReplicaGetsNoMoreCalls beside load, 3 of 24 copies; traced earlier: a call of the other one was overdue after 0.17 s, it answered 40 ms later).

Cause: a replica with an overdue or failed call gets no calls for 0.5 s, and core/stage refused every job of a service none of whose replicas was usable at that moment.

Change: if all replicas of a service are suspected, and the first of them no longer is within 1 s, jobs are admitted with that wait in their prediction, and refused only if they could not be in time. Replicas to which no connection was made, or that have failed three times in a row, are not waited for.

--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -12,7 +12,7 @@
 // by an earlier planner.
 func (m *Machine) admit(now time.Time, j *job) *Refused {
 	for i := range j.stages {
-		if st := &j.stages[i]; st.remaining > 0 && !st.service.anyUsable(now) {
+		if st := &j.stages[i]; st.remaining > 0 && st.service.usableAt(now, m.cfg.maxSuspectWait()).IsZero() {
 			m.withdrawShares(now, j, st.service)
 			return &Refused{Job: j.ID, Reason: ReasonNoReplica, RetryAfter: max(m.cfg.MinRetryAfter, st.service.unblockDelay(now))}
 		}
@@ -66,13 +66,27 @@
 	return min(maxReservedShare, m.cfg.ReservedSharePerRank*float64(ranks))
 }
 
-func (s *service) anyUsable(now time.Time) bool {
+// maxSuspectWait is the longest time for which jobs wait for the only replicas of a service while
+// these are suspected: a replica that was silent for a moment answers again before.
+func (c Config) maxSuspectWait() time.Duration { return 2 * c.SuspectBase }
+
+// usableAt returns when a replica of the service is usable: now, or within maxWait if all of them
+// are suspected, though not because connections to them failed. It is zero if none is.
+func (s *service) usableAt(now time.Time, maxWait time.Duration) time.Time {
+	var first time.Time
 	for _, r := range s.replicas {
 		if r.usable(now) {
-			return true
+			return now
+		}
+		at := r.suspectUntil
+		if !at.After(now) || at.Sub(now) > maxWait || r.unreachable || !r.usable(at) {
+			continue
+		}
+		if first.IsZero() || at.Before(first) {
+			first = at
 		}
 	}
-	return false
+	return first
 }
 
 // unblockDelay returns the shortest time until a replica that currently accepts no calls of
@@ -104,7 +118,7 @@
 		st := &j.stages[i]
 		end := start
 		if st.remaining > 0 {
-			drained := st.service.drainTime(now, st.service.backlog.countUpTo(j.effectiveDue))
+			drained := m.drainTime(now, st.service, j.effectiveDue)
 			end = max(start, drained) + st.service.callTime(min(st.remaining, st.service.params.Batch))
 		}
 		ends[i] = end
@@ -113,12 +127,17 @@
 	return most
 }
 
-// drainTime returns how long the usable replicas take to execute n pieces in full calls.
-func (s *service) drainTime(now time.Time, n int) time.Duration {
+// drainTime returns how long the replicas of a service, once one is usable, take to execute the
+// pieces that are due up to a time, in full calls.
+func (m *Machine) drainTime(now time.Time, s *service, due time.Time) time.Duration {
+	usableAt := s.usableAt(now, m.cfg.maxSuspectWait())
+	if usableAt.IsZero() {
+		usableAt = now
+	}
 	if s.capacityAt.IsZero() || !now.Before(s.capacityAt.Add(s.scanPause())) {
-		s.capacity, s.capacityAt = s.piecesPerSecond(now), now
+		s.capacity, s.capacityAt = s.piecesPerSecond(usableAt), now
 	}
-	return s.drainTimeAt(s.capacity, n)
+	return usableAt.Sub(now) + s.drainTimeAt(s.capacity, s.backlog.countUpTo(due))
 }
 
 // drainTimeAt returns how long n pieces take at a number of pieces per second.
--- a/core/stage/calls.go
+++ b/core/stage/calls.go
@@ -34,6 +34,7 @@
 		m.requeueCall(c, false)
 	case CallUnreachable:
 		m.markSuspected(now, r, e.Outcome.String())
+		r.unreachable = true
 		m.requeueCall(c, false)
 	case CallFailed:
 		m.markSuspected(now, r, e.Outcome.String())
@@ -56,6 +57,7 @@
 // markSuspected excludes a replica from new calls for a while.
 func (m *Machine) markSuspected(now time.Time, r *replica, cause string) {
 	r.noteFailure(now, m.cfg)
+	r.unreachable = false
 	m.emit(Suspected{Replica: r.ID, Service: r.service.name, Cause: cause, Failures: r.failures, Duration: r.suspectUntil.Sub(now)})
 }
 
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -87,6 +87,8 @@
 	// suspectUntil.
 	failures     int
 	suspectUntil time.Time
+	// unreachable says that the last failure was a connection that was not established.
+	unreachable bool
 	// busyUntil is the end of the backoff after a refused call, and refusals counts
 	// consecutive refusals.
 	busyUntil time.Time
