gateway: failing test of a host that gets most connections beside cold replicas

Cause: each host has an equal share of what a cold replica takes, and the shares of the others are not used.

A comment of core/intake in plainer words.

--- a/core/intake/loans.go
+++ b/core/intake/loans.go
@@ -65,8 +65,8 @@
 // unused returns the calls per quotaWindow that this host has and does not use.
 func (u Use) unused() int { return max(0, u.Quota.callsIn(quotaWindow)-u.Begun) }
 
-// LendersAsked returns how many peers a host that needs more calls asks in one round: so many that
-// loans of half a share double its quota, since a host of a large fleet has a small share.
+// LendersAsked returns how many peers a host that needs more calls asks in one round: enough that
+// loans of half a share each double its quota. Hosts of a large fleet have small shares.
 func (u Use) LendersAsked() int {
 	share := max(1, u.Share.callsIn(quotaWindow))
 	return min(max(minLendersAsked, 2*u.Quota.callsIn(quotaWindow)/share), maxLendersAsked)
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -6,9 +6,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-
-	"github.com/wheatseam/wheatseam/gateway"
-	"go.uber.org/zap"
 )
 
 // newColdSite returns a site whose replicas of the service "plain" take two requests per second
@@ -18,8 +15,7 @@
 	f.coldRate = 2
 	f.configure()
 	change(f)
-	g := f.startWith(zap.NewNop(), func(s *gateway.Settings) { s.Cold = gateway.Cold{Overage: 1.5, Slack: 1} })
-	return f, g.ready()
+	return f, f.start().ready()
 }
 
 // coldLimitPerSecond is how many requests per second hosts divide among themselves at a
@@ -98,9 +94,8 @@
 	f.coldCallRate = perSecond
 	f.configure()
 	f.registerCold("s1", time.Minute)
-	cold := func(s *gateway.Settings) { s.Cold = gateway.Cold{Overage: 1.5, Slack: 1} }
-	first := f.startWith(zap.NewNop(), cold).ready()
-	hosts := []*gatewayProcess{first, f.startWith(zap.NewNop(), cold, first.peers).ready(), f.startWith(zap.NewNop(), cold, first.peers).ready()}
+	first := f.start().ready()
+	hosts := []*gatewayProcess{first, f.start(first.peers).ready(), f.start(first.peers).ready()}
 	for _, g := range hosts {
 		f.Eventually(g.metricLines, "5s").WithArguments("wheatseam_hosts ").Should(ConsistOf("wheatseam_hosts 3"))
 		f.Eventually(g.metricLines, "5s").WithArguments("wheatseam_replicas_cold ").Should(ConsistOf("wheatseam_replicas_cold 1"))
--- a/gateway/skew_test.go
+++ b/gateway/skew_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// Guards against a host that has most of the connections and an equal share of what cold replicas
+// take: after a loss of all replicas, all of them are cold.
+func TestHostWithMostConnectionsServesAsOftenWithColdReplicas(t *testing.T) {
+	skewConnections(t, skewCase{path: safePath, interval: 40 * time.Millisecond, prepare: func(f *fixture) {
+		f.coldRate = 10
+		f.configure()
+		f.announce(func(r *site.Replica) { f.registerCold(r.ID, time.Minute) })
+	}})
+}
+
 // announce adds two plain replicas and changes all of them.
 func (f *fixture) announce(change func(*site.Replica)) {
 	f.add("p3", "plain", site.Plain)
