intake, gateway: hosts lend each other the calls of cold replicas

Cause: the class of fault is that of announced limits: equal parts of what a replica takes, whoever gets the requests.

Change: core/intake's loans have a window: 4 s for announced limits, 1.1 s for cold replicas. It asks only hosts that have a part. It returns what it does not use, but for two standard deviations of random arrivals (before: a quarter). Lenders get calls back 0.5 s later than before, since hosts compute their quotas every 250 ms. /state has the cold replicas with what is lent and borrowed.

--- a/core/intake/limit.go
+++ b/core/intake/limit.go
@@ -12,6 +12,9 @@
 	// are divided among the hosts. With a longer window more hosts get a quota of a small
 	// limit, but more calls may begin at once.
 	quotaWindow = 4 * time.Second
+	// ColdWindow is the interval for which the calls to a cold replica are limited: one
+	// second, plus an allowance for the variable delay between picking and sending.
+	ColdWindow = 1100 * time.Millisecond
 	// probeInterval is the time since a limit was last observed after which the host that
 	// ranks first may begin a probe call without a quota; each further host may do so after
 	// as much again. Otherwise no host would learn that a limit was lifted if none with a
@@ -73,7 +76,7 @@
 		p.ProbeInterval = time.Duration(rank+1) * probeInterval
 		p.ProbeFrom = l.LastObserved.Add(p.ProbeInterval)
 	}
-	return p.capped()
+	return p.Capped()
 }
 
 // quotaOf returns a quota of a rate; share returns this host's number of the calls that the
@@ -107,9 +110,9 @@
 	return int(float64(p.Calls) * float64(window) / float64(p.Window))
 }
 
-// capped returns the quota with at most MaxTrackedCalls calls and a proportionally shorter
+// Capped returns the quota with at most MaxTrackedCalls calls and a proportionally shorter
 // window.
-func (p Quota) capped() Quota {
+func (p Quota) Capped() Quota {
 	if p.Calls > MaxTrackedCalls {
 		p.Window = time.Duration(float64(p.Window) * MaxTrackedCalls / float64(p.Calls))
 		p.Calls = MaxTrackedCalls
--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -85,8 +85,8 @@
 	inFlight      int
 	refusals      []time.Time
 	besideRefused int
-	// limitedAt is when AnnouncedLimit last blocked a call.
-	limitedAt time.Time
+	// limitedAt is when each source last blocked a call.
+	limitedAt [sourceCount]time.Time
 }
 
 // RecordCall records a call.
@@ -138,9 +138,7 @@
 	defer g.mu.Unlock()
 	for s, p := range g.quotas {
 		if p != nil && now.Before(g.allowedAt(now, p)) {
-			if Source(s) == AnnouncedLimit {
-				g.limitedAt = now
-			}
+			g.limitedAt[s] = now
 			return Source(s), true
 		}
 	}
@@ -250,14 +248,14 @@
 	return sum
 }
 
-// LimitedSince reports whether AnnouncedLimit has blocked a call since a time.
-func (g *Limiter) LimitedSince(since time.Time) bool {
+// LimitedSince reports whether a source has blocked a call since a time.
+func (g *Limiter) LimitedSince(s Source, since time.Time) bool {
 	if g == nil {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limitedAt.After(since)
+	return g.limitedAt[s].After(since)
 }
 
 // Rate returns how many calls per second this host may begin; bounded is false if no quota
--- a/core/intake/loans.go
+++ b/core/intake/loans.go
@@ -3,16 +3,21 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
 	// loanTime is how long a borrower may use the calls of a loan unless it is renewed. Their
-	// lender gets them back another quotaWindow later, so that no window has the calls of both.
-	loanTime = 4 * time.Second
+	// lender gets them back another window later, so that no window has the calls of both, and
+	// expiryDelay after that: hosts notice the end of a loan as they next compute their quotas.
+	loanTime    = 4 * time.Second
+	expiryDelay = 500 * time.Millisecond
 	// renewalTime is the time before the end of a loan from which it is renewed.
 	renewalTime = 2 * time.Second
+	// minDemandTime is the shortest time over which the calls that a host needs are measured.
+	minDemandTime = 3 * time.Second
 	// maxLoans is the maximum number of hosts to which, and from which, calls to one replica are
 	// lent.
 	maxLoans = 64
@@ -20,20 +25,36 @@
 	minLendersAsked, maxLendersAsked = 3, 16
 )
 
-// LoanWindow is the interval in which the calls of loans are counted.
-const LoanWindow = quotaWindow
-
-// Loans holds the calls of announced limits that this host lends to others and borrows from
-// them. A host that gets most of the requests would otherwise refuse some while the shares of the
-// others are not used. The zero value is ready to use; it is not safe for concurrent use.
+// Loans holds the calls of limits that this host lends to others and borrows from them. A host that
+// gets most of the requests would otherwise refuse some while the shares of the others are not used.
+// It is not safe for concurrent use.
 type Loans struct {
+	// window is the interval for which calls are lent: no interval of this length has more calls
+	// of all hosts than with their shares alone.
+	window time.Duration
 	// lent and borrowed are by replica, and by the host that borrows or lends.
 	lent, borrowed map[string]map[string]loan
 	// lastID is the ID of the last loan that this host made.
 	lastID uint64
 }
 
-// Lent is a number of calls per quotaWindow at one replica. Its lender gives each loan, and each
+// NewAnnouncedLoans returns Loans of the calls of announced limits.
+func NewAnnouncedLoans() Loans { return Loans{window: quotaWindow} }
+
+// NewColdLoans returns Loans of the calls to cold replicas.
+func NewColdLoans() Loans { return Loans{window: ColdWindow} }
+
+// Window is the interval for which calls are lent.
+func (l *Loans) Window() time.Duration { return l.window }
+
+// Lately returns the mean number of calls per window that began lately: within the window, or a
+// longer time if it is short.
+func (l *Loans) Lately(now time.Time, g *Limiter) int {
+	lately := max(l.window, minDemandTime)
+	return int(math.Ceil(float64(g.CallsWithin(now, lately)) * l.window.Seconds() / lately.Seconds()))
+}
+
+// Lent is a number of calls per window at one replica. Its lender gives each loan, and each
 // renewal, another ID.
 type Lent struct {
 	Calls int
@@ -56,32 +77,46 @@
 type Use struct {
 	// Share is this host's share of the limit without loans, and Quota that with loans.
 	Share, Quota Quota
-	// Begun is the number of calls that began within quotaWindow, or more.
+	// Total is the number of calls per window that all hosts share.
+	Total int
+	// Begun is the number of calls that began within the window of the loans, or more.
 	Begun int
+	// Lately is the mean number of calls per window that began lately (Loans.Lately).
+	Lately int
 	// Blocked says that the quota lately kept a request from the replica.
 	Blocked bool
 }
 
-// unused returns the calls per quotaWindow that this host has and does not use.
-func (u Use) unused() int { return max(0, u.Quota.callsIn(quotaWindow)-u.Begun) }
+// unused returns the calls per window that this host has and does not use.
+func (l *Loans) unused(u Use) int { return max(0, u.Quota.callsIn(l.window)-u.Begun) }
 
-// LendersAsked returns how many peers a host that needs more calls asks in one round: enough that
-// loans of half a share each double its quota. Hosts of a large fleet have small shares.
-func (u Use) LendersAsked() int {
-	share := max(1, u.Share.callsIn(quotaWindow))
-	return min(max(minLendersAsked, 2*u.Quota.callsIn(quotaWindow)/share), maxLendersAsked)
+// Lenders returns the peers that a host which needs more calls asks in one round, out of all peers in
+// random order: enough that loans of half a share each double its quota, and only those that have a
+// share.
+func (l *Loans) Lenders(self, replica string, u Use, peers []string) []string {
+	asked := minLendersAsked
+	if share := u.Share.callsIn(l.window); share <= 1 {
+		asked = maxLendersAsked
+	} else {
+		asked = min(max(asked, 2*u.Quota.callsIn(l.window)/share), maxLendersAsked)
+	}
+	if u.Total <= len(peers) {
+		holders := firstHosts(replica, u.Total, append([]string{self}, peers...))
+		peers = slices.DeleteFunc(slices.Clone(peers), func(p string) bool { return !holders[p] })
+	}
+	return peers[:min(asked, len(peers))]
 }
 
 // Lend renews the calls that are lent to a host, as far as this host's share still has them, and if
 // more is set lends it half of the unused ones too. It returns how many the host may begin per
-// quotaWindow for loanTime.
+// window for loanTime.
 func (l *Loans) Lend(now time.Time, replica, borrower string, u Use, more bool) Lent {
 	l.expire(now)
-	if u.Share.Window > quotaWindow {
+	if u.Share.Window > l.window {
 		return Lent{}
 	}
 	known, renewed := l.lent[replica][borrower]
-	left := u.Share.callsIn(quotaWindow)
+	left := u.Share.callsIn(l.window)
 	for host, o := range l.lent[replica] {
 		if host != borrower {
 			left -= o.Calls
@@ -89,7 +124,7 @@
 	}
 	calls := known.Calls
 	if more {
-		calls += (u.unused() + 1) / 2
+		calls += (l.unused(u) + 1) / 2
 	}
 	calls = min(calls, left)
 	if calls < 1 || !renewed && len(l.lent[replica]) >= maxLoans {
@@ -97,7 +132,7 @@
 	}
 	lent := Lent{Calls: calls, ID: max(l.lastID+1, uint64(now.UnixNano()))}
 	l.lastID = lent.ID
-	l.lent = put(l.lent, replica, borrower, loan{lent, now.Add(loanTime + quotaWindow)})
+	l.lent = put(l.lent, replica, borrower, loan{lent, now.Add(loanTime + l.window + expiryDelay)})
 	return lent
 }
 
@@ -128,11 +163,13 @@
 	return lent.Calls != known.Calls
 }
 
-// Return gives up the borrowed calls that this host no longer uses, except for a quarter of those
-// that it does, and returns what their lenders are to be told. The smallest loans are returned first.
+// Return gives up the borrowed calls that this host no longer uses, except for what its use varies by
+// at random, and returns what their lenders are to be told. The smallest loans are returned first.
 func (l *Loans) Return(now time.Time, replica string, u Use) []Returned {
 	l.expire(now)
-	excess := u.unused() - u.Begun/4 - 1
+	used := max(u.Begun, u.Lately)
+	variation := int(math.Ceil(2 * math.Sqrt(float64(used)))) // two standard deviations of random arrivals
+	excess := u.Quota.callsIn(l.window) - used - variation
 	if u.Blocked || excess < 1 {
 		return nil
 	}
@@ -168,17 +205,17 @@
 			renew = append(renew, lender)
 		}
 	}
-	return u.Blocked && u.Share.Window <= quotaWindow, renew
+	return u.Blocked && u.Share.Window <= l.window, renew
 }
 
 // Adjust returns this host's share of a limit with the loans in effect. Calls of lenders that are
 // not live no longer count, since their shares are divided anew.
 func (l *Loans) Adjust(now time.Time, replica string, share Quota, live func(lender string) bool) Quota {
 	l.expire(now)
-	if len(l.lent[replica])+len(l.borrowed[replica]) == 0 || share.Window > quotaWindow {
+	if len(l.lent[replica])+len(l.borrowed[replica]) == 0 || share.Window > l.window {
 		return share
 	}
-	calls := share.callsIn(quotaWindow)
+	calls := share.callsIn(l.window)
 	for _, o := range l.lent[replica] {
 		calls -= o.Calls
 	}
@@ -187,10 +224,10 @@
 			calls += o.Calls
 		}
 	}
-	return Quota{Calls: max(0, calls), Window: quotaWindow}.capped()
+	return Quota{Calls: max(0, calls), Window: l.window}
 }
 
-// Totals returns the calls per quotaWindow that are lent and borrowed, for operators.
+// Totals returns the calls per window that are lent and borrowed, for operators.
 func (l *Loans) Totals(now time.Time, replica string) (lent, borrowed int) {
 	l.expire(now)
 	for _, o := range l.lent[replica] {
--- a/core/intake/shares.go
+++ b/core/intake/shares.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,25 @@
 	return max(0, (calls-rank+hosts-1)/hosts)
 }
 
+// firstHosts returns the n hosts that rank first for a replica.
+func firstHosts(replica string, n int, hosts []string) map[string]bool {
+	replicaHash := xxhash.Sum64String(replica)
+	type ranked struct {
+		weight uint64
+		host   string
+	}
+	all := make([]ranked, 0, len(hosts))
+	for _, h := range hosts {
+		all = append(all, ranked{hostWeight(xxhash.Sum64String(h), replicaHash), h})
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.weight, b.weight) })
+	out := make(map[string]bool, n)
+	for _, r := range all[:min(n, len(all))] {
+		out[r.host] = true
+	}
+	return out
+}
+
 // hostWeight returns the sort key of a host in the ranking for a replica. It applies the
 // finalizer of splitmix64 to both hashes.
 func hostWeight(host, replica uint64) uint64 {
--- a/core/route/intake.go
+++ b/core/route/intake.go
@@ -1,22 +1,13 @@
 package route
 
-import (
-	"time"
-
-	"github.com/wheatseam/wheatseam/core/intake"
-)
-
-// coldWindow is the time over which the calls that begin at a cold upstream are
-// limited: one second, plus an allowance for the variable delay between picking and
-// sending.
-const coldWindow = 1100 * time.Millisecond
+import "github.com/wheatseam/wheatseam/core/intake"
 
 // SetColdLimits sets the cold upstreams by name, each with the number of calls that this
 // daemon may begin there in any second. It replaces the previous set.
 func (r *Router) SetColdLimits(limits map[string]int) {
 	quotas := make(map[string]intake.Quota, len(limits))
 	for name, calls := range limits {
-		quotas[name] = intake.Quota{Calls: calls, Window: coldWindow}
+		quotas[name] = intake.Quota{Calls: calls, Window: intake.ColdWindow}
 	}
 	r.config.Limiters.SetQuotas(intake.Cold, quotas)
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,10 +42,43 @@
 	// restoredAt is when others were restored: their replicas may be as cold as new ones.
 	evacuated  map[string]bool
 	restoredAt map[string]time.Time
+	// shares are this host's shares of the calls to cold replicas that run no stages, by ID, and
+	// loans the calls that hosts lend each other.
+	shares map[string]coldShare
+	loans  intake.Loans
+}
+
+// coldShare is this host's share of the calls to a cold replica. total is the number of calls per
+// window that all hosts share.
+type coldShare struct {
+	quota intake.Quota
+	total int
+}
+
+// ColdState is a cold replica, as the state dump shows it: this host's share of the calls in a
+// second, and those that it lends to others, or they to it.
+type ColdState struct {
+	Replica  string `json:"replica"`
+	Share    int    `json:"share"`
+	Lent     int    `json:"lent,omitempty"`
+	Borrowed int    `json:"borrowed,omitempty"`
+}
+
+// states lists the cold replicas that run no stages, for operators.
+func (c *coldReplicaTracker) states(now time.Time) []ColdState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]ColdState, 0, len(c.shares))
+	for _, id := range slices.Sorted(maps.Keys(c.shares)) {
+		s := ColdState{Replica: id, Share: c.shares[id].quota.Calls}
+		s.Lent, s.Borrowed = c.loans.Totals(now, id)
+		out = append(out, s)
+	}
+	return out
 }
 
 func newColdReplicaTracker() *coldReplicaTracker {
-	return &coldReplicaTracker{flagged: map[string]*catalog.Replica{}, coldSince: map[string]time.Time{}, evacuated: map[string]bool{}, restoredAt: map[string]time.Time{}}
+	return &coldReplicaTracker{flagged: map[string]*catalog.Replica{}, coldSince: map[string]time.Time{}, evacuated: map[string]bool{}, restoredAt: map[string]time.Time{}, loans: intake.NewColdLoans()}
 }
 
 // setView records a new view and which replicas it lists as cold; mu must be held.
@@ -148,24 +182,40 @@
 		asOf = latest
 	}
 	cold := g.coldTracker.update(clock.Now(), asOf)
-	limits := make(map[string]int, len(cold))
-	if len(cold) > 0 {
-		hosts, complete := g.fleet.KnownHosts()
-		shares, planner := intake.NewShares(g.settings.Load().Host, hosts), g.stages.IsPlanner()
-		for _, r := range cold {
-			limits[r.ID] = 0
-			if complete {
-				limits[r.ID] = shares.CallsForRole(r.ID, g.coldLimit(v.Config.Services[r.Service]), callRole(v.Config, v.Replicas, r.ID, planner))
-			}
-		}
-	}
-	g.router.SetColdLimits(limits)
+	g.router.SetColdLimits(g.coldLimits(v, cold))
 	previous := int(g.coldCount.Swap(int64(len(cold))))
 	if (previous == 0) != (len(cold) == 0) {
 		g.log.Info("cold replicas", zap.Int("replicas", len(cold)), zap.Int("before", previous))
 	}
 }
 
+// coldLimits returns how many calls this host may begin at each cold replica in a second, and updates
+// its shares; the tracker's lock must be held.
+func (g *Gateway) coldLimits(v *discovery.View, cold []*catalog.Replica) map[string]int {
+	limits := make(map[string]int, len(cold))
+	g.coldTracker.shares = make(map[string]coldShare, len(cold))
+	if len(cold) == 0 {
+		return limits
+	}
+	hosts, complete := g.fleet.KnownHosts()
+	shares, planner, reachable := intake.NewShares(g.settings.Load().Host, hosts), g.stages.IsPlanner(), g.isReachable()
+	loans := &g.coldTracker.loans
+	for _, r := range cold {
+		if !complete {
+			limits[r.ID] = 0
+			continue
+		}
+		total, role := g.coldLimit(v.Config.Services[r.Service]), callRole(v.Config, v.Replicas, r.ID, planner)
+		limits[r.ID] = shares.CallsForRole(r.ID, total, role)
+		if role == intake.Requester {
+			share := coldShare{intake.Quota{Calls: limits[r.ID], Window: loans.Window()}, total}
+			g.coldTracker.shares[r.ID] = share
+			limits[r.ID] = loans.Adjust(clock.Now(), r.ID, share.quota, reachable).Calls
+		}
+	}
+	return limits
+}
+
 // coldLimit is the number of requests in any second, at a cold replica of a service, that
 // hosts divide among themselves.
 func (g *Gateway) coldLimit(s *catalog.Service) int {
@@ -173,14 +223,19 @@
 	return max(1, int(coldShareFraction*(s.ColdRate*c.Overage+c.Slack)))
 }
 
+// refreshColdLimits computes this host's limits at cold replicas anew, if there are any.
+func (g *Gateway) refreshColdLimits() {
+	if g.coldCount.Load() > 0 {
+		g.updateColdLimits(nil)
+	}
+}
+
 // refreshLimitsPeriodically recomputes the limits on calls to replicas, expires backoffs,
 // sends changed baselines of slowdowns and notices to the neighbours, and probes unreachable
 // replicas and the ways to them until ctx ends.
 func (g *Gateway) refreshLimitsPeriodically(ctx context.Context) {
 	for periodic.Sleep(ctx, limitRefreshInterval) {
-		if g.coldCount.Load() > 0 {
-			g.updateColdLimits(nil)
-		}
+		g.refreshColdLimits()
 		g.refreshLimitShares()
 		g.borrowCalls()
 		g.expireBackoffs()
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -56,6 +56,9 @@
 // calls for now, unless the stages take so long that a replica may accept calls by then.
 func (x *exchange) checkReplicasAvailable() *problem.Error {
 	wait, unavailable := x.g.router.Unavailable(clock.Now(), x.service)
+	if unavailable {
+		x.g.shortages.record(clock.Now(), x.service)
+	}
 	if !unavailable {
 		return nil
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -169,7 +169,7 @@
 		Drain:   gateway.Drain{Grace: 2 * time.Second},
 		Budget:  gateway.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Backoff: gateway.Backoff{Max: time.Minute}, Cold: gateway.Cold{Overage: 1.5, Slack: 1},
-		Limits:  gateway.Limits{Processors: 1, ProcessorShare: 1, MemoryMB: 256},
+		Limits: gateway.Limits{Processors: 1, ProcessorShare: 1, MemoryMB: 256},
 	}
 	if change != nil {
 		change(s)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,8 @@
 	refusals *refusalMonitor
 	prompts  promptIndex
 	notices  notices
+	// shortages are the services that lately had no replica for a request of this host.
+	shortages shortages
 	// slowdowns holds how slow the machines of replicas are.
 	slowdowns slowdowns
 	// paths holds the ways to replicas, directly and through peers.
@@ -92,7 +94,7 @@
 
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), limiters: intake.NewLimiters()}
+	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters()}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.evacuatedServices.Store(&map[string]bool{})
--- a/gateway/loans.go
+++ b/gateway/loans.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,8 +23,8 @@
 	maxReplicasPerLoan = 64
 )
 
-// borrowCalls asks peers for calls to the replicas whose announced limits leave this host none,
-// has loans renewed that it uses, and returns the others.
+// borrowCalls asks peers for calls to the replicas that announce limits or are cold and of whose
+// calls this host has used its share, has loans renewed that it uses, and returns the others.
 func (g *Gateway) borrowCalls() {
 	requests := g.wantedLoans()
 	for _, h := range g.fleet.Reachable() {
@@ -48,51 +49,73 @@
 	}
 }
 
+// limitUse is this host's use of a replica's limit whose calls hosts lend each other.
+type limitUse struct {
+	replica string
+	use     intake.Use
+}
+
 // wantedLoans returns what to ask of which peer. The calls that are returned no longer count here.
 func (g *Gateway) wantedLoans() loanRequests {
+	now := clock.Now()
+	requests := loanRequests{}
+	if peers := g.lenders(now); peers != nil {
+		g.notices.mu.Lock()
+		if g.addWanted(now, requests, peers, &g.notices.loans, g.announcedUses(now), false) {
+			g.updateLimitShares()
+		}
+		g.notices.mu.Unlock()
+		g.coldTracker.mu.Lock()
+		returned := g.addWanted(now, requests, peers, &g.coldTracker.loans, g.coldUses(now), true)
+		g.coldTracker.mu.Unlock()
+		if returned {
+			g.refreshColdLimits()
+		}
+	}
+	return requests
+}
+
+// lenders returns the names of all peers in random order, if this host may ask some for loans again.
+func (g *Gateway) lenders(now time.Time) []string {
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
-	limits, now := g.notices.announcedLimits.Limits(), clock.Now()
-	if len(limits) == 0 || now.Sub(g.notices.lastBorrowed) < borrowInterval {
+	if !g.notices.limitsActive && g.coldCount.Load() == 0 || now.Sub(g.notices.lastBorrowed) < borrowInterval {
 		return nil
 	}
 	g.notices.lastBorrowed = now
-	shares := g.liveShares()
-	if shares == nil {
-		return nil
+	var names []string
+	for _, h := range g.peers() {
+		names = append(names, h.Name)
 	}
-	peers, reachable := g.peers(), g.isReachable()
-	random := rand.Perm(len(peers))
-	requests := loanRequests{}
-	gaveUp := false
-	for _, l := range limits {
-		use, ok := g.callUse(shares, reachable, l)
-		if !ok {
-			continue
-		}
-		for _, r := range g.notices.loans.Return(now, l.Replica, use) {
-			gaveUp = true
-			g.log.Info("returned calls of a rate limit", zap.String("replica", l.Replica), zap.String("peer", r.Lender), zap.Int("kept", r.Keep.Calls))
-			requests.add(r.Lender, &wire.ReplicaCallsWanted{Replica: l.Replica, Keeps: &wire.Loan{Calls: uint32(r.Keep.Calls), Id: r.Keep.ID}})
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names
+}
+
+// addWanted adds what this host wants of its peers, and reports whether it returns calls. The lock of
+// the loans must be held.
+func (g *Gateway) addWanted(now time.Time, requests loanRequests, peers []string, loans *intake.Loans, uses []limitUse, cold bool) (returned bool) {
+	self := g.settings.Load().Host
+	for _, u := range uses {
+		for _, r := range loans.Return(now, u.replica, u.use) {
+			returned = true
+			g.log.Info("returned calls of a limit", zap.String("replica", u.replica), zap.Bool("cold", cold), zap.String("peer", r.Lender), zap.Int("kept", r.Keep.Calls))
+			requests.add(r.Lender, &wire.ReplicaCallsWanted{Replica: u.replica, Cold: cold, Keeps: &wire.Loan{Calls: uint32(r.Keep.Calls), Id: r.Keep.ID}})
 		}
-		more, renew := g.notices.loans.Wanted(now, l.Replica, use)
+		more, renew := loans.Wanted(now, u.replica, u.use)
 		asked := map[string]bool{}
 		if more {
-			for _, i := range random[:min(use.LendersAsked(), len(random))] {
-				asked[peers[i].Name] = true
-				requests.add(peers[i].Name, &wire.ReplicaCallsWanted{Replica: l.Replica, More: true})
+			for _, peer := range loans.Lenders(self, u.replica, u.use, peers) {
+				asked[peer] = true
+				requests.add(peer, &wire.ReplicaCallsWanted{Replica: u.replica, Cold: cold, More: true})
 			}
 		}
 		for _, lender := range renew {
 			if !asked[lender] {
-				requests.add(lender, &wire.ReplicaCallsWanted{Replica: l.Replica})
+				requests.add(lender, &wire.ReplicaCallsWanted{Replica: u.replica, Cold: cold})
 			}
 		}
 	}
-	if gaveUp {
-		g.updateLimitShares()
-	}
-	return requests
+	return returned
 }
 
 // peers returns the other hosts that are alive.
@@ -106,19 +129,72 @@
 	return out
 }
 
-// callUse returns how much of its share of a limit this host uses; false for replicas that run
-// stages, whose calls one host makes for all. The notices' lock must be held.
-func (g *Gateway) callUse(shares *intake.Shares, reachable func(host string) bool, l intake.ReplicaLimit) (intake.Use, bool) {
-	view := g.discovery.View()
-	if callRole(view.Config, view.Replicas, l.Replica, false) != intake.Requester {
-		return intake.Use{}, false
+// announcedUses returns how much of its shares of announced limits this host uses. Replicas that run
+// stages are left out: one host makes their calls for all. The notices' lock must be held.
+func (g *Gateway) announcedUses(now time.Time) (out []limitUse) {
+	limits := g.notices.announcedLimits.Limits()
+	if len(limits) == 0 {
+		return nil
 	}
-	now := clock.Now()
-	u := intake.Use{Share: shares.LimitQuota(l, intake.Requester)}
-	u.Quota = g.notices.loans.Adjust(now, l.Replica, u.Share, reachable)
-	limiter := g.limiters.Get(l.Replica)
-	u.Begun, u.Blocked = limiter.CallsWithin(now, intake.LoanWindow), limiter.LimitedSince(now.Add(-2*borrowInterval))
-	return u, true
+	shares, view, reachable := g.liveShares(), g.discovery.View(), g.isReachable()
+	if shares == nil {
+		return nil
+	}
+	loans := &g.notices.loans
+	for _, l := range limits {
+		if callRole(view.Config, view.Replicas, l.Replica, false) != intake.Requester {
+			continue
+		}
+		u := intake.Use{Share: shares.LimitQuota(l, intake.Requester), Total: int(l.Limit.PerSecond * loans.Window().Seconds())}
+		u.Quota = loans.Adjust(now, l.Replica, u.Share, reachable)
+		out = append(out, limitUse{l.Replica, g.withCalls(now, loans, l.Replica, u, intake.AnnouncedLimit)})
+	}
+	return out
+}
+
+// coldUses returns how much of its shares of the calls to cold replicas this host uses. The lock of
+// the cold replicas must be held.
+func (g *Gateway) coldUses(now time.Time) (out []limitUse) {
+	reachable, loans := g.isReachable(), &g.coldTracker.loans
+	for replica, share := range g.coldTracker.shares {
+		u := intake.Use{Share: share.quota, Total: share.total, Quota: loans.Adjust(now, replica, share.quota, reachable)}
+		u = g.withCalls(now, loans, replica, u, intake.Cold)
+		u.Blocked = u.Blocked && u.Quota.Calls < intake.MaxTrackedCalls
+		out = append(out, limitUse{replica, u})
+	}
+	return out
+}
+
+// shortages holds when a request last found no replica of a service. It is safe for concurrent use.
+type shortages struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+func (s *shortages) record(now time.Time, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last == nil {
+		s.last = map[string]time.Time{}
+	}
+	s.last[service] = now
+}
+
+func (s *shortages) since(service string, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last[service].After(at)
+}
+
+// withCalls adds the calls that this host made to a replica to its use. A limit that blocks calls
+// while other replicas take the requests is no reason to borrow.
+func (g *Gateway) withCalls(now time.Time, loans *intake.Loans, replica string, u intake.Use, s intake.Source) intake.Use {
+	limiter := g.limiters.Get(replica)
+	u.Begun, u.Lately = limiter.CallsWithin(now, loans.Window()), loans.Lately(now, limiter)
+	since := now.Add(-2 * borrowInterval)
+	service := g.discovery.View().Replicas.Get(replica).Service
+	u.Blocked = limiter.LimitedSince(s, since) && g.shortages.since(service, since)
+	return u
 }
 
 // isReachable returns a function that reports whether a host is alive.
@@ -141,15 +217,24 @@
 		return
 	}
 	g.notices.mu.Lock()
-	defer g.notices.mu.Unlock()
+	g.recordBorrowed(askedAt, h.Name, &g.notices.loans, reply, false)
+	g.updateLimitShares()
+	g.notices.mu.Unlock()
+	g.coldTracker.mu.Lock()
+	g.recordBorrowed(askedAt, h.Name, &g.coldTracker.loans, reply, true)
+	g.coldTracker.mu.Unlock()
+	g.refreshColdLimits()
+}
+
+// recordBorrowed records the calls that a peer lends. The lock of the loans must be held.
+func (g *Gateway) recordBorrowed(askedAt time.Time, lender string, loans *intake.Loans, reply *wire.CallsLent, cold bool) {
 	for _, r := range reply.GetReplicas() {
 		lent := intake.Lent{Calls: int(min(r.GetLent().GetCalls(), maxLentCalls)), ID: r.GetLent().GetId()}
-		if g.notices.loans.Borrow(askedAt, r.GetReplica(), h.Name, lent) {
+		if r.GetCold() == cold && loans.Borrow(askedAt, r.GetReplica(), lender, lent) {
 			g.metrics.GetOrCreateCounter("wheatseam_limit_loans_total").Inc()
-			g.log.Info("borrowed calls of a rate limit", zap.String("replica", r.GetReplica()), zap.String("peer", h.Name), zap.Int("calls", lent.Calls))
+			g.log.Info("borrowed calls of a limit", zap.String("replica", r.GetReplica()), zap.Bool("cold", cold), zap.String("peer", lender), zap.Int("calls", lent.Calls))
 		}
 	}
-	g.updateLimitShares()
 }
 
 // maxLentCalls limits the calls that are accepted from a peer.
@@ -170,36 +255,38 @@
 // lendCalls takes back the calls that a peer returns, lends it those that it asks for, and returns
 // what it may begin.
 func (g *Gateway) lendCalls(borrower string, m *wire.CallsWanted) *wire.CallsLent {
+	now, reply := clock.Now(), &wire.CallsLent{}
 	g.notices.mu.Lock()
-	defer g.notices.mu.Unlock()
-	shares := g.liveShares()
-	if shares == nil {
-		return &wire.CallsLent{}
-	}
-	wanted, now := map[string]bool{}, clock.Now()
+	lendWanted(now, borrower, m, &g.notices.loans, g.announcedUses(now), false, reply)
+	g.updateLimitShares()
+	g.notices.mu.Unlock()
+	g.coldTracker.mu.Lock()
+	lendWanted(now, borrower, m, &g.coldTracker.loans, g.coldUses(now), true, reply)
+	g.coldTracker.mu.Unlock()
+	g.refreshColdLimits()
+	return reply
+}
+
+// lendWanted does so for one kind of limits, and adds to the reply. The lock of the loans must be
+// held.
+func lendWanted(now time.Time, borrower string, m *wire.CallsWanted, loans *intake.Loans, uses []limitUse, cold bool, reply *wire.CallsLent) {
+	wanted := map[string]bool{}
 	for i, r := range m.GetReplicas() {
 		switch keeps := r.GetKeeps(); {
-		case i >= maxReplicasPerLoan:
+		case i >= maxReplicasPerLoan || r.GetCold() != cold:
 		case keeps != nil:
-			g.notices.loans.TakeBack(now, r.GetReplica(), borrower, intake.Lent{Calls: int(min(keeps.GetCalls(), maxLentCalls)), ID: keeps.GetId()})
+			loans.TakeBack(now, r.GetReplica(), borrower, intake.Lent{Calls: int(min(keeps.GetCalls(), maxLentCalls)), ID: keeps.GetId()})
 		default:
 			wanted[r.GetReplica()] = r.GetMore()
 		}
 	}
-	reply, reachable := &wire.CallsLent{}, g.isReachable()
-	for _, l := range g.notices.announcedLimits.Limits() {
-		more, asked := wanted[l.Replica]
+	for _, u := range uses {
+		more, asked := wanted[u.replica]
 		if !asked {
 			continue
 		}
-		use, ok := g.callUse(shares, reachable, l)
-		if !ok {
-			continue
-		}
-		if lent := g.notices.loans.Lend(now, l.Replica, borrower, use, more); lent.Calls > 0 {
-			reply.Replicas = append(reply.Replicas, &wire.ReplicaCallsLent{Replica: l.Replica, Lent: &wire.Loan{Calls: uint32(lent.Calls), Id: lent.ID}})
+		if lent := loans.Lend(now, u.replica, borrower, u.use, more); lent.Calls > 0 {
+			reply.Replicas = append(reply.Replicas, &wire.ReplicaCallsLent{Replica: u.replica, Cold: cold, Lent: &wire.Loan{Calls: uint32(lent.Calls), Id: lent.ID}})
 		}
 	}
-	g.updateLimitShares()
-	return reply
 }
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -21,7 +21,7 @@
 	announcedLimits intake.LimitTable
 	// loans are the calls of these limits that hosts lend each other.
 	loans intake.Loans
-	// lastBorrowed is when peers were last asked for loans.
+	// lastBorrowed is when peers were last asked for loans, of whatever limits.
 	lastBorrowed time.Time
 	// refusalLimits are the numbers of calls that replicas can refuse in a second.
 	refusalLimits   intake.LimitTable
@@ -179,7 +179,7 @@
 				continue
 			}
 			share := shares.LimitQuota(l, callRole(view.Config, view.Replicas, l.Replica, planner))
-			quotas[l.Replica] = g.notices.loans.Adjust(clock.Now(), l.Replica, share, reachable)
+			quotas[l.Replica] = g.notices.loans.Adjust(clock.Now(), l.Replica, share, reachable).Capped()
 		}
 	}
 	g.notices.limitsActive = len(limits) > 0
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -185,6 +185,8 @@
 	Quarantine quarantine.Dump `json:"quarantine"`
 	// Limits are the rate limits that replicas announce in their answers.
 	Limits []LimitState `json:"limits"`
+	// Cold are the cold replicas, with the calls that this host may begin at them in a second.
+	Cold []ColdState `json:"cold"`
 	// Leaving are the replicas that announced in an answer that they are leaving.
 	Leaving []LeavingState `json:"leaving"`
 	// Backoffs are the replicas that asked this host for a backoff.
@@ -206,7 +208,7 @@
 	s := State{
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.discovery.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
-		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
+		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Cold: g.coldTracker.states(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
 		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Origins: g.origins.state(clock.Now()), Paths: g.pathsState(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
 	}
 	g.retryBudgets.Range(func(service, b any) bool {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -91,7 +91,9 @@
 	if perr = x.checkQuarantine(); perr != nil {
 		return c, "", perr
 	}
-	c, perr = x.g.router.Pick(clock.Now(), x.routerQuery(), nil)
+	if c, perr = x.g.router.Pick(clock.Now(), x.routerQuery(), nil); perr != nil {
+		x.g.shortages.record(clock.Now(), x.service)
+	}
 	return c, "", perr
 }
 
