gateway: a request for loans costs by the replicas that it names

Cause: found on reading: each request of a peer computed this host's use of all limited and all cold replicas, and each step removed expired loans of all replicas: with 400 cold replicas and 16 lenders some 2.5 million steps a message.

Change: only the replicas in the message are looked at; loans of other replicas expire once a round. Requests are split by kind of limit once.

--- a/core/intake/loans.go
+++ b/core/intake/loans.go
@@ -111,7 +111,7 @@
 // more is set lends it half of the unused ones too. It returns how many the host may begin per
 // window for loanTime.
 func (l *Loans) Lend(now time.Time, replica, borrower string, u Use, more bool) Lent {
-	l.expire(now)
+	l.expire(now, replica)
 	if u.Share.Window > l.window {
 		return Lent{}
 	}
@@ -139,7 +139,7 @@
 // TakeBack takes back the calls that a borrower no longer uses. A return of a loan that has been
 // renewed since is ignored, as the borrower may use the renewed one.
 func (l *Loans) TakeBack(now time.Time, replica, borrower string, keep Lent) {
-	l.expire(now)
+	l.expire(now, replica)
 	known, ok := l.lent[replica][borrower]
 	if !ok || known.ID != keep.ID {
 		return
@@ -166,7 +166,7 @@
 // Return gives up the borrowed calls that this host no longer uses, except for what its use varies by
 // at random, and returns what their lenders are to be told. The smallest loans are returned first.
 func (l *Loans) Return(now time.Time, replica string, u Use) []Returned {
-	l.expire(now)
+	l.expire(now, replica)
 	used := max(u.Begun, u.Lately)
 	variation := int(math.Ceil(2 * math.Sqrt(float64(used)))) // two standard deviations of random arrivals
 	excess := u.Quota.callsIn(l.window) - used - variation
@@ -199,7 +199,7 @@
 // Wanted says which loans of a replica's calls this host needs: more if it has requests for them and
 // all of its calls are used, and renewals from the given lenders, whose loans end soon.
 func (l *Loans) Wanted(now time.Time, replica string, u Use) (more bool, renew []string) {
-	l.expire(now)
+	l.expire(now, replica)
 	for lender, o := range l.borrowed[replica] {
 		if o.until.Sub(now) <= renewalTime {
 			renew = append(renew, lender)
@@ -211,7 +211,7 @@
 // Adjust returns this host's share of a limit with the loans in effect. Calls of lenders that are
 // not live no longer count, since their shares are divided anew.
 func (l *Loans) Adjust(now time.Time, replica string, share Quota, live func(lender string) bool) Quota {
-	l.expire(now)
+	l.expire(now, replica)
 	if len(l.lent[replica])+len(l.borrowed[replica]) == 0 || share.Window > l.window {
 		return share
 	}
@@ -229,7 +229,7 @@
 
 // Totals returns the calls per window that are lent and borrowed, for operators.
 func (l *Loans) Totals(now time.Time, replica string) (lent, borrowed int) {
-	l.expire(now)
+	l.expire(now, replica)
 	for _, o := range l.lent[replica] {
 		lent += o.Calls
 	}
@@ -251,14 +251,22 @@
 	return loans
 }
 
-// expire removes the loans that are over.
-func (l *Loans) expire(now time.Time) {
+// expire removes the loans of a replica's calls that are over.
+func (l *Loans) expire(now time.Time, replica string) {
 	for _, loans := range []map[string]map[string]loan{l.lent, l.borrowed} {
-		for replica, byHost := range loans {
-			maps.DeleteFunc(byHost, func(_ string, o loan) bool { return !now.Before(o.until) })
-			if len(byHost) == 0 {
-				delete(loans, replica)
-			}
+		byHost := loans[replica]
+		maps.DeleteFunc(byHost, func(_ string, o loan) bool { return !now.Before(o.until) })
+		if byHost != nil && len(byHost) == 0 {
+			delete(loans, replica)
+		}
+	}
+}
+
+// RemoveExpired removes the loans that are over, of all replicas.
+func (l *Loans) RemoveExpired(now time.Time) {
+	for _, loans := range []map[string]map[string]loan{l.lent, l.borrowed} {
+		for replica := range loans {
+			l.expire(now, replica)
 		}
 	}
 }
--- a/gateway/loans.go
+++ b/gateway/loans.go
@@ -58,15 +58,15 @@
 // wantedLoans returns what to ask of which peer. The calls that are returned no longer count here.
 func (g *Gateway) wantedLoans() loanRequests {
 	now := clock.Now()
-	requests := loanRequests{}
+	requests, all := loanRequests{}, func(string) bool { return true }
 	if peers := g.lenders(now); peers != nil {
 		g.notices.mu.Lock()
-		if g.addWanted(now, requests, peers, &g.notices.loans, g.announcedUses(now), false) {
+		if g.addWanted(now, requests, peers, &g.notices.loans, g.announcedUses(now, all), false) {
 			g.updateLimitShares()
 		}
 		g.notices.mu.Unlock()
 		g.coldTracker.mu.Lock()
-		returned := g.addWanted(now, requests, peers, &g.coldTracker.loans, g.coldUses(now), true)
+		returned := g.addWanted(now, requests, peers, &g.coldTracker.loans, g.coldUses(now, all), true)
 		g.coldTracker.mu.Unlock()
 		if returned {
 			g.refreshColdLimits()
@@ -94,6 +94,7 @@
 // addWanted adds what this host wants of its peers, and reports whether it returns calls. The lock of
 // the loans must be held.
 func (g *Gateway) addWanted(now time.Time, requests loanRequests, peers []string, loans *intake.Loans, uses []limitUse, cold bool) (returned bool) {
+	loans.RemoveExpired(now)
 	self := g.settings.Load().Host
 	for _, u := range uses {
 		for _, r := range loans.Return(now, u.replica, u.use) {
@@ -129,9 +130,10 @@
 	return out
 }
 
-// announcedUses returns how much of its shares of announced limits this host uses. Replicas that run
-// stages are left out: one host makes their calls for all. The notices' lock must be held.
-func (g *Gateway) announcedUses(now time.Time) (out []limitUse) {
+// announcedUses returns how much of its shares of the announced limits of the given replicas this host
+// uses. Replicas that run stages are left out: one host makes their calls for all. The notices' lock
+// must be held.
+func (g *Gateway) announcedUses(now time.Time, include func(replica string) bool) (out []limitUse) {
 	limits := g.notices.announcedLimits.Limits()
 	if len(limits) == 0 {
 		return nil
@@ -142,7 +144,7 @@
 	}
 	loans := &g.notices.loans
 	for _, l := range limits {
-		if callRole(view.Config, view.Replicas, l.Replica, false) != intake.Requester {
+		if !include(l.Replica) || callRole(view.Config, view.Replicas, l.Replica, false) != intake.Requester {
 			continue
 		}
 		u := intake.Use{Share: shares.LimitQuota(l, intake.Requester), Total: int(l.Limit.PerSecond * loans.Window().Seconds())}
@@ -152,11 +154,14 @@
 	return out
 }
 
-// coldUses returns how much of its shares of the calls to cold replicas this host uses. The lock of
-// the cold replicas must be held.
-func (g *Gateway) coldUses(now time.Time) (out []limitUse) {
+// coldUses returns how much of its shares of the calls to the given cold replicas this host uses. The
+// lock of the cold replicas must be held.
+func (g *Gateway) coldUses(now time.Time, include func(replica string) bool) (out []limitUse) {
 	reachable, loans := g.isReachable(), &g.coldTracker.loans
 	for replica, share := range g.coldTracker.shares {
+		if !include(replica) {
+			continue
+		}
 		u := intake.Use{Share: share.quota, Total: share.total, Quota: loans.Adjust(now, replica, share.quota, reachable)}
 		u = g.withCalls(now, loans, replica, u, intake.Cold)
 		u.Blocked = u.Blocked && u.Quota.Calls < intake.MaxTrackedCalls
@@ -221,9 +226,8 @@
 	g.updateLimitShares()
 	g.notices.mu.Unlock()
 	g.coldTracker.mu.Lock()
-	g.recordBorrowed(askedAt, h.Name, &g.coldTracker.loans, reply, true)
+	g.recordBorrowed(askedAt, h.Name, &g.coldTracker.loans, reply, true) // used from the next refresh on
 	g.coldTracker.mu.Unlock()
-	g.refreshColdLimits()
 }
 
 // recordBorrowed records the calls that a peer lends. The lock of the loans must be held.
@@ -252,40 +256,67 @@
 	})
 }
 
+// loansWanted holds what a peer wants of this host's calls of one kind of limits, by replica.
+type loansWanted struct {
+	// more says whether it wants more, or a renewal only. keeps is what it keeps of loans that it
+	// returns.
+	more  map[string]bool
+	keeps map[string]intake.Lent
+}
+
+// splitWanted returns what a peer wants of announced limits and at cold replicas.
+func splitWanted(m *wire.CallsWanted) (announced, cold loansWanted) {
+	announced, cold = loansWanted{map[string]bool{}, map[string]intake.Lent{}}, loansWanted{map[string]bool{}, map[string]intake.Lent{}}
+	for _, r := range m.GetReplicas()[:min(len(m.GetReplicas()), maxReplicasPerLoan)] {
+		w := announced
+		if r.GetCold() {
+			w = cold
+		}
+		if keeps := r.GetKeeps(); keeps != nil {
+			w.keeps[r.GetReplica()] = intake.Lent{Calls: int(min(keeps.GetCalls(), maxLentCalls)), ID: keeps.GetId()}
+		} else {
+			w.more[r.GetReplica()] = r.GetMore()
+		}
+	}
+	return announced, cold
+}
+
+// wants reports whether the peer wants a loan of a replica's calls.
+func (w loansWanted) wants(replica string) bool { _, ok := w.more[replica]; return ok }
+
 // lendCalls takes back the calls that a peer returns, lends it those that it asks for, and returns
 // what it may begin.
 func (g *Gateway) lendCalls(borrower string, m *wire.CallsWanted) *wire.CallsLent {
 	now, reply := clock.Now(), &wire.CallsLent{}
-	g.notices.mu.Lock()
-	lendWanted(now, borrower, m, &g.notices.loans, g.announcedUses(now), false, reply)
-	g.updateLimitShares()
-	g.notices.mu.Unlock()
-	g.coldTracker.mu.Lock()
-	lendWanted(now, borrower, m, &g.coldTracker.loans, g.coldUses(now), true, reply)
-	g.coldTracker.mu.Unlock()
-	g.refreshColdLimits()
+	announced, cold := splitWanted(m)
+	if len(announced.more)+len(announced.keeps) > 0 {
+		g.notices.mu.Lock()
+		announced.takeBack(now, borrower, &g.notices.loans)
+		announced.lend(now, borrower, &g.notices.loans, g.announcedUses(now, announced.wants), false, reply)
+		g.updateLimitShares()
+		g.notices.mu.Unlock()
+	}
+	if len(cold.more)+len(cold.keeps) > 0 {
+		g.coldTracker.mu.Lock()
+		cold.takeBack(now, borrower, &g.coldTracker.loans)
+		cold.lend(now, borrower, &g.coldTracker.loans, g.coldUses(now, cold.wants), true, reply)
+		g.coldTracker.mu.Unlock()
+		g.refreshColdLimits()
+	}
 	return reply
 }
 
-// lendWanted does so for one kind of limits, and adds to the reply. The lock of the loans must be
-// held.
-func lendWanted(now time.Time, borrower string, m *wire.CallsWanted, loans *intake.Loans, uses []limitUse, cold bool, reply *wire.CallsLent) {
-	wanted := map[string]bool{}
-	for i, r := range m.GetReplicas() {
-		switch keeps := r.GetKeeps(); {
-		case i >= maxReplicasPerLoan || r.GetCold() != cold:
-		case keeps != nil:
-			loans.TakeBack(now, r.GetReplica(), borrower, intake.Lent{Calls: int(min(keeps.GetCalls(), maxLentCalls)), ID: keeps.GetId()})
-		default:
-			wanted[r.GetReplica()] = r.GetMore()
-		}
+// takeBack takes back the calls that a peer returns.
+func (w loansWanted) takeBack(now time.Time, borrower string, loans *intake.Loans) {
+	for replica, keeps := range w.keeps {
+		loans.TakeBack(now, replica, borrower, keeps)
 	}
+}
+
+// lend lends a peer calls of the limits that this host uses as given, and adds them to the reply.
+func (w loansWanted) lend(now time.Time, borrower string, loans *intake.Loans, uses []limitUse, cold bool, reply *wire.CallsLent) {
 	for _, u := range uses {
-		more, asked := wanted[u.replica]
-		if !asked {
-			continue
-		}
-		if lent := loans.Lend(now, u.replica, borrower, u.use, more); lent.Calls > 0 {
+		if lent := loans.Lend(now, u.replica, borrower, u.use, w.more[u.replica]); lent.Calls > 0 {
 			reply.Replicas = append(reply.Replicas, &wire.ReplicaCallsLent{Replica: u.replica, Cold: cold, Lent: &wire.Loan{Calls: uint32(lent.Calls), Id: lent.ID}})
 		}
 	}
