crash: the zero value of Answers forgets nothing, without a panic

Cause: found on reading: Forget wrote to a map that the zero value does not have; no caller did so. Change: it returns if the service is unknown. Measured: the spec panics before and passes now.

--- a/core/crash/answers.go
+++ b/core/crash/answers.go
@@ -40,9 +40,11 @@
 
 // Forget forgets the answers of a replica up to a time: it has crashed since.
 func (a *Answers) Forget(service, replica string, until time.Time) {
-	a.byService[service] = slices.DeleteFunc(a.byService[service], func(o Answer) bool {
-		return o.Replica == replica && !o.At.After(until)
-	})
+	known, ok := a.byService[service]
+	if !ok {
+		return
+	}
+	a.byService[service] = slices.DeleteFunc(known, func(o Answer) bool { return o.Replica == replica && !o.At.After(until) })
 }
 
 // Idle returns the replicas of a service to check when another one has crashed, those that answered
--- a/core/crash/answers_test.go
+++ b/core/crash/answers_test.go
@@ -33,6 +33,7 @@
 
 	It("are no longer checked once they are known to have crashed, until they answer again", func() {
 		var a crash.Answers
+		a.Forget("llm", "r0", at(1000))
 		for i := range 3 {
 			a.Record(at(1000), "llm", fmt.Sprint("r", i), "")
 		}
