poison, quarantine: only the detector that made a verdict lifts it for an outage

A report that changed while it was being sent was taken for acknowledged, so that one coordinator never heard of the idle replicas. The two coordinators then quarantined and lifted in turn: the dump showed round 1,071 after 0.7 s. And a host that knew some of the crashes only lifted what a coordinator had decided from all.

Change: reports have versions, and only the one that was sent is acknowledged; one that was never due to a coordinator is not evaluated locally. A lifted verdict is not made again without a later crash. A verdict is lifted for an outage by the detectors that made it only, which know the crashes behind it.

Measured: two new table tests; the former rule fails "does not know of the crashes".

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -167,6 +167,7 @@
 		if now.Sub(v.QuarantinedAt) > Lifetime || known && !v.Supersedes(*old) {
 			continue
 		}
+		v.own = known && old.own && old.Round == v.Round
 		if v.Lifted && !v.LastSuccess.IsZero() {
 			m.successesOf(v.Kind).record(v.LastSuccess, v.Subject)
 		}
@@ -245,11 +246,14 @@
 		}
 		round := uint32(1)
 		if old, ok := m.verdicts[c.subject]; ok {
+			if old.Lifted && !c.lastCrash().After(old.QuarantinedAt) {
+				continue // lifted by a detector that knows more of the same crashes
+			}
 			round = old.Round + 1
 		}
 		v := Verdict{
 			Subject: c.subject, Kind: c.kind, Round: round, QuarantinedAt: now, FirstCrash: c.crashes[0].crash.At,
-			LastSuccess: m.lastSuccess(c.subject), Doubtful: m.unrelatedCrashes(now, c.subject) >= unrelatedCrashThreshold,
+			LastSuccess: m.lastSuccess(c.subject), Doubtful: m.unrelatedCrashes(now, c.subject) >= unrelatedCrashThreshold, own: true,
 		}
 		m.storeVerdict(v)
 		changed = append(changed, v)
@@ -291,11 +295,17 @@
 }
 
 // explainedByOutage reports whether outages that took idle replicas account for crashes of a
-// quarantined subject. It is only known while all crashes behind the verdict are retained.
+// quarantined subject, so that the others are below its threshold. Only the detector that made the
+// verdict can tell, while it retains all crashes behind it: another one may lack some of these.
 func (m *Detector) explainedByOutage(v Verdict, a *attribution) bool {
-	all := m.involvements[v.Subject]
-	return slices.ContainsFunc(all, func(i involvement) bool { return i.crash.At.Sub(v.FirstCrash).Abs() < sameCrashWindow }) &&
-		slices.ContainsFunc(all, func(i involvement) bool { return a.tookIdle[a.events[i.crash]] })
+	known, tookIdle := 0, false
+	for _, i := range m.involvements[v.Subject] {
+		if !i.crash.At.Before(v.FirstCrash) {
+			known++
+			tookIdle = tookIdle || a.tookIdle[a.events[i.crash]]
+		}
+	}
+	return v.own && tookIdle && known >= threshold(v.Kind, !v.LastSuccess.IsZero())
 }
 
 // explainedByOthers reports whether stronger subjects account for crashes of a quarantined one.
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -118,6 +118,55 @@
 		Expect(isQuarantined()).To(BeFalse())
 	})
 
+	// Guards against two coordinators that quarantine and lift in turn, as one of them does not know
+	// of the idle replicas.
+	It("is not quarantined again from the crashes from which another detector lifted it", func() {
+		var other poison.Detector
+		withIdle := func(i int, r string) poison.Crash {
+			e := crash(float64(i), r, map[string]int{"q": 50})
+			for _, idle := range []string{"b", "c", "d"} {
+				e.Idle = append(e.Idle, poison.IdleReplica{Replica: idle, AnsweredAt: at(float64(i) - 0.5)})
+			}
+			return e
+		}
+		var lifted []poison.Verdict
+		for i, r := range []string{"e", "f", "g"} {
+			m.RecordCrash(at(float64(i)), crash(float64(i), r, map[string]int{"q": 50}))
+			other.RecordCrash(at(float64(i)), crash(float64(i), r, map[string]int{"q": 50}))
+		}
+		for i, r := range []string{"e", "f", "g"} {
+			lifted = append(lifted, other.RecordCrash(at(3), withIdle(i, r))...)
+		}
+		Expect(lifted).To(ConsistOf(HaveField("Lifted", true)))
+		Expect(m.Merge(at(3), lifted)).To(HaveEach(HaveField("Lifted", true)))
+		_, quarantined := m.Quarantined(at(3), request("q"))
+		Expect(quarantined).To(BeFalse())
+		m.RecordCrash(at(5), crash(5, "h", map[string]int{"q": 50}))
+		_, quarantined = m.Quarantined(at(5), request("q"))
+		Expect(quarantined).To(BeTrue(), "after another crash")
+	})
+
+	// Guards against a host that knows a few of the crashes and lifts what a coordinator decided
+	// from all of them.
+	It("is not released by a detector that does not know of the crashes behind the verdict", func() {
+		idle := crash(0, "a", map[string]int{"q": 50})
+		for _, r := range []string{"b", "c", "d"} {
+			idle.Idle = append(idle.Idle, poison.IdleReplica{Replica: r, AnsweredAt: at(-1)})
+		}
+		var other poison.Detector
+		other.RecordCrash(at(0), idle)
+		other.RecordCrash(at(1), crash(1, "e", map[string]int{"q": 50}))
+		var verdicts []poison.Verdict
+		m.RecordCrash(at(0), idle)
+		for i, r := range []string{"e", "f", "g"} {
+			verdicts = append(verdicts, m.RecordCrash(at(float64(1+i)), crash(float64(1+i), r, map[string]int{"q": 50}))...)
+		}
+		Expect(verdicts).To(HaveLen(1))
+		Expect(other.Merge(at(4), verdicts)).To(HaveLen(1))
+		_, quarantined := other.Quarantined(at(4), request("q"))
+		Expect(quarantined).To(BeTrue())
+	})
+
 	It("is released by a detector that has seen it survive, and its crashes count for the other subjects", func() {
 		var other poison.Detector
 		other.RecordSurvival(at(5), at(2.5), []poison.Fingerprint{part("system")})
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -30,6 +30,9 @@
 	// Doubtful says that replicas also crashed without the subject at that time, or that
 	// the crashes are attributed to another one.
 	Doubtful bool
+	// own says that this detector made the verdict, so that it knows all crashes behind it. It is
+	// not sent.
+	own bool
 }
 
 // Times and bounds of verdicts.
--- a/quarantine/outages.go
+++ b/quarantine/outages.go
@@ -70,7 +70,9 @@
 	check.idle = found
 	for _, r := range s.reports {
 		if r.crash.Service == service && r.crash.At.Sub(check.at).Abs() <= poison.Simultaneous {
-			r.crash.Idle, r.ackedBy, r.evaluatedLocally = found, map[string]uint64{}, false
+			r.crash.Idle = found
+			r.version++
+			r.sent, r.ackedBy, r.evaluatedLocally = false, map[string]uint64{}, false
 		}
 	}
 	s.wake()
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -40,6 +40,10 @@
 // report is a replica crash that this daemon observed, with its delivery state.
 type report struct {
 	crash poison.Crash
+	// version counts the changes of the crash, after which it is to be sent again. sent says that
+	// this version was due at least once to a coordinator.
+	version int
+	sent    bool
 	// ackedBy holds, by host name, the incarnation of each host that has acknowledged
 	// the report. evaluatedLocally is set once this daemon has evaluated the report
 	// itself because no coordinator had acknowledged it.
@@ -131,7 +135,9 @@
 		}
 		s.mu.Lock()
 		for _, p := range batch {
-			p.report.ackedBy[h.Name] = h.Incarnation
+			if p.report.version == p.version {
+				p.report.ackedBy[h.Name] = h.Incarnation
+			}
 		}
 		s.mu.Unlock()
 	}
@@ -141,8 +147,9 @@
 // pendingReport is a report that a host is to receive. crash is a copy, since other coordinators
 // receive the report at the same time.
 type pendingReport struct {
-	report *report
-	crash  poison.Crash
+	report  *report
+	version int
+	crash   poison.Crash
 }
 
 // pendingReports returns the reports that the host's current incarnation has not
@@ -164,6 +171,7 @@
 		if incarnation, acked := r.ackedBy[h.Name]; acked && incarnation == h.Incarnation {
 			continue
 		}
+		r.sent = true
 		if len(reportable) < len(recent) && clock.Since(r.crash.At) < poison.OutageWindow {
 			i := slices.IndexFunc(reportable, func(e poison.Crash) bool { return e.Replica == r.crash.Replica })
 			if i < 0 {
@@ -171,7 +179,7 @@
 			}
 			r.crash.Suspects = reportable[i].Suspects
 		}
-		due = append(due, pendingReport{r, r.crash})
+		due = append(due, pendingReport{r, r.version, r.crash})
 	}
 	return due
 }
@@ -200,7 +208,7 @@
 	s.mu.Lock()
 	var unacked []poison.Crash
 	for _, r := range s.reports {
-		if len(r.ackedBy) == 0 && !r.evaluatedLocally {
+		if r.sent && len(r.ackedBy) == 0 && !r.evaluatedLocally {
 			r.evaluatedLocally = true
 			unacked = append(unacked, r.crash)
 		}
