gateway: the stages of a trial end when another subject of it is refused

Cause: found on reading the diff: a request that runs as the trial of one subject watched none of its subjects while its stages ran, so that these went on after another part of its prompt was quarantined. It was refused before its run, so that no further replica crashed.

Change: it watches all subjects but that of its trial.

Measured: the gateway's tests of crashes, parts and outages pass under -race; no test has a trial with stages and a second quarantined part.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -262,9 +262,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(x.g.prepareCtx, cancel)()
-	if x.trial == nil {
-		defer x.g.quarantine.Watch(x.subjects(), cancel)()
-	}
+	defer x.g.quarantine.Watch(x.refusableSubjects(), cancel)()
 	end := x.g.stages.Prepare(ctx, j)
 	if end == nil {
 		end = &stages.JobOutcome{Refused: &stage.Refused{Job: j.ID, Reason: stage.ReasonExpired}}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,6 +14,12 @@
 	return append([]poison.Fingerprint{x.fingerprint}, x.parts...)
 }
 
+// refusableSubjects are the subjects for which the request is refused once they are quarantined: all
+// but that of its trial.
+func (x *exchange) refusableSubjects() []poison.Fingerprint {
+	return slices.DeleteFunc(x.subjects(), func(f poison.Fingerprint) bool { return x.trial != nil && f == *x.trial })
+}
+
 // partFingerprints returns the fingerprints of the parts of a prompt that other requests may
 // share, each once; nil for services that are no engines.
 func (x *exchange) partFingerprints() []poison.Fingerprint {
@@ -77,8 +83,8 @@
 	return problem.New(problem.Quarantined, "replicas crashed under part %.64s of the prompt", ids[i])
 }
 
-// partsSurvived records once that the run survived the parts of its prompt, if the answer is
-// complete or has been written for long enough.
+// partsSurvived records once that the run survived the parts of its prompt: its answer is complete,
+// or its events have come for quarantine.SurvivalTime.
 func (t *attempt) partsSurvived(complete bool) {
 	if t.survived || !complete && clock.Since(t.firstAt) < quarantine.SurvivalTime {
 		return
