Plainer comments and names after a last reading of the diff

Cause: comments that a stranger would stop at, and one constant under two names. Measured: the tests of core/poison, core/crash, core/stage and quarantine pass.

--- a/core/crash/answers.go
+++ b/core/crash/answers.go
@@ -3,14 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/wheatseam/wheatseam/core/poison"
 )
 
 const (
 	// answersKept is the number of replicas of a service whose last answers are kept, the latest.
 	answersKept = 8
-	// MaxIdleChecks and MinIdleChecks are how many replicas are checked at once for an outage.
-	MaxIdleChecks = 4
-	MinIdleChecks = 3
+	// maxIdleChecks is the maximum number of replicas that are checked at once for an outage.
+	maxIdleChecks = poison.MinIdle + 1
 	// answerLifetime is how long an answer shows that a replica was alive.
 	answerLifetime = 10 * time.Second
 )
@@ -48,7 +49,7 @@
 }
 
 // Idle returns the replicas of a service to check when another one has crashed, those that answered
-// last; none if fewer than MinIdleChecks are known. busy reports whether attempts were interrupted
+// last; none if fewer than poison.MinIdle are known. busy reports whether attempts were interrupted
 // on a replica after its answer.
 func (a *Answers) Idle(now time.Time, service string, busy func(Answer) bool) []Answer {
 	var idle []Answer
@@ -57,8 +58,8 @@
 			idle = append(idle, o)
 		}
 	}
-	if len(idle) < MinIdleChecks {
+	if len(idle) < poison.MinIdle {
 		return nil
 	}
-	return idle[max(0, len(idle)-MaxIdleChecks):] // the latest answers are the last ones
+	return idle[max(0, len(idle)-maxIdleChecks):] // the latest answers are the last ones
 }
--- a/core/intake/loans.go
+++ b/core/intake/loans.go
@@ -90,8 +90,8 @@
 // unused returns the calls per window that this host has and does not use.
 func (l *Loans) unused(u Use) int { return max(0, u.Quota.callsIn(l.window)-u.Begun) }
 
-// Lenders returns the peers that a host which needs more calls asks in one round, out of all peers in
-// random order: enough that loans of half a share each double its quota, and only those that have a
+// Lenders returns the peers to ask for more calls in one round, out of all peers in random order: so
+// many that loans of half a share each would double this host's quota, and only those that have a
 // share.
 func (l *Loans) Lenders(self, replica string, u Use, peers []string) []string {
 	asked := minLendersAsked
--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -196,7 +196,7 @@
 	idle bool
 }
 
-// eventsWithIdle returns the events in which minIdle idle replicas or more crashed.
+// eventsWithIdle returns the events in which MinIdle idle replicas or more crashed.
 func (a *attribution) eventsWithIdle(crashes []*Crash) map[int]bool {
 	if !slices.ContainsFunc(crashes, func(e *Crash) bool { return len(e.Idle) > 0 }) {
 		return nil
@@ -226,7 +226,7 @@
 	}
 	out := map[int]bool{}
 	for event, replicas := range idle {
-		out[event] = len(replicas) >= minIdle
+		out[event] = len(replicas) >= MinIdle
 	}
 	return out
 }
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -30,7 +30,7 @@
 // IdleReplica is a replica that was found crashed although the reporting daemon had no run on it.
 type IdleReplica struct {
 	Replica string
-	// AnsweredAt is when it last answered the daemon.
+	// AnsweredAt is when it last answered the reporting daemon: it crashed after that.
 	AnsweredAt time.Time
 }
 
@@ -61,9 +61,9 @@
 const (
 	OutageCrashes = 4
 	OutageWindow  = time.Second
-	// minIdle is the number of idle replicas that crashed at the same time from which no subject
+	// MinIdle is the number of idle replicas that crashed at the same time from which no subject
 	// is the cause, and maxIdle the maximum number retained for a crash.
-	minIdle = OutageCrashes - 1
+	MinIdle = OutageCrashes - 1
 	maxIdle = 8
 )
 
@@ -99,7 +99,8 @@
 	return e.Suspects[i], true
 }
 
-// LimitSuspects drops the suspects beyond MaxSuspects and MaxPartSuspects.
+// LimitSuspects keeps at most MaxSuspects contents, of the runs that began last, and MaxPartSuspects
+// parts, those that survived longest ago.
 func (e *Crash) LimitSuspects() { e.limitSuspects(MaxPartSuspects) }
 
 func (e *Crash) limitSuspects(maxParts int) {
--- a/core/poison/parts_random_test.go
+++ b/core/poison/parts_random_test.go
@@ -62,7 +62,7 @@
 	cutLength  = 10 * time.Second
 )
 
-// partRun is a run of a request at a replica.
+// partRun is a simulated request and its run at a replica.
 type partRun struct {
 	host     int
 	content  poison.Fingerprint
@@ -174,7 +174,8 @@
 	return out
 }
 
-// grantTrial grants a trial if it is due; only to requests with one such subject.
+// grantTrial asks the first coordinator for a trial of a request that is refused for one subject
+// only.
 func (s *partSim) grantTrial(r *partRun, quarantined []poison.Fingerprint) bool {
 	if len(quarantined) != 1 || s.isCut(r.host) != s.isCut(0) {
 		return false
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -14,7 +14,8 @@
 	Kind    Kind
 	// Round counts how often the subject has been quarantined.
 	Round uint32
-	// Lifted says that a run has survived since the first crash, at LastSuccess.
+	// Lifted says that the subject is no longer refused: a run has survived since the first crash,
+	// at LastSuccess, or an outage or other subjects account for the crashes.
 	Lifted bool
 	// LastSuccess is when a run with the subject last survived, as far as is known; zero if
 	// never.
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -127,8 +127,8 @@
 	return most
 }
 
-// drainTime returns how long the replicas of a service, once one is usable, take to execute the
-// pieces that are due up to a time, in full calls.
+// drainTime returns how long the replicas of a service take, in full calls, for the queued pieces of
+// jobs that are due no later than the given time. It includes the wait for the first usable replica.
 func (m *Machine) drainTime(now time.Time, s *service, due time.Time) time.Duration {
 	usableAt := s.usableAt(now, m.cfg.maxSuspectWait())
 	if usableAt.IsZero() {
--- a/gateway/loans.go
+++ b/gateway/loans.go
@@ -256,11 +256,12 @@
 	})
 }
 
-// loansWanted holds what a peer wants of this host's calls of one kind of limits, by replica.
+// loansWanted is a peer's request about limits of one kind, by replica.
 type loansWanted struct {
-	// more says whether it wants more, or a renewal only. keeps is what it keeps of loans that it
-	// returns.
-	more  map[string]bool
+	// more has the replicas of which the peer wants a loan: more calls if true, else the renewal of
+	// its present loan.
+	more map[string]bool
+	// keeps has the loans that the peer returns in part, with the calls that it goes on using.
 	keeps map[string]intake.Lent
 }
 
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -113,8 +113,12 @@
 	var out []string
 	for _, e := range s.detector.CrashesOf(f) {
 		contents := contentsOf(e.Suspects)
-		out = append(out, fmt.Sprintf("%s %.1f s ago, %d requests: %s", e.Replica, now.Sub(e.At).Seconds(), len(contents),
-			strings.Join(contents[:min(len(contents), maxDescribedContents)], " ")))
+		description := fmt.Sprintf("%s %.1f s ago, %d requests: %s", e.Replica, now.Sub(e.At).Seconds(), len(contents),
+			strings.Join(contents[:min(len(contents), maxDescribedContents)], " "))
+		if len(e.Idle) > 0 {
+			description += fmt.Sprintf("; %d idle replicas too", len(e.Idle))
+		}
+		out = append(out, description)
 	}
 	return out
 }
