--- /dev/null
+++ b/review/standin/slashes.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const slashesHost = "seal.example"
+
+// playSlashes sends requests whose path begins with two slashes, and compares what replicas run
+// with what was sent.
+func playSlashes(rec *recorder, trouble bool) (bool, error) {
+	f, err := newFleet(rec, 2)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	seen := &runs{byID: map[string]string{}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return false, err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Attempt-Id")
+		got := fmt.Sprintf("%s http://%s%s", r.Method, r.Host, r.URL.RequestURI())
+		seen.record(id, got)
+		rec.line("replica i-1 runs %s: request line %q, that is %s", id, r.Method+" "+r.RequestURI+" "+r.Proto, got)
+		w.Header().Set("Attempt-Id", id)
+		w.Header().Set("Response-Signature", "i-1."+id)
+		_, _ = w.Write([]byte("ok"))
+	})}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	f.store.Put("servers/i-1", map[string]any{
+		"service": "signing", "address": l.Addr().String(), "zone": "miraflores", "version": "v1", "concurrency": 6, "phase": "ready", "seq": 1, "warmup_left_ms": 0,
+	})
+	f.store.Put("op/config", map[string]any{
+		"version": 7,
+		"routes": []any{map[string]any{
+			"name": "r-1", "hostname": slashesHost, "prefix": "/", "route_type": "unsafe", "timeout_ms": 1500, "goal_ms": 100,
+			"priority": 0, "service": "signing", "attempts": 1, "public": false,
+		}},
+		"services": []any{map[string]any{"name": "signing", "health_path": "/healthz", "max_conns": 49, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "firma", "api_keys": []string{"key-1"}, "priority": 1}},
+	})
+	if err := f.start(); err != nil {
+		return false, err
+	}
+	broken := 0
+	for i, p := range []string{"/seal/17", "/seal/17?copy=1", "/contract-4/seal", "/a/b//c"} {
+		path := p
+		if trouble {
+			path = "/" + p
+		}
+		for k, d := range f.daemons {
+			id := fmt.Sprintf("%016x", i*16+k+1)
+			rec.line("consumer sends %s to %s: POST %s, Host: %s", id, d.name, path, slashesHost)
+			status, err := post(d.callerAddress(), slashesHost, path, id, "key-1")
+			if err != nil {
+				return false, err
+			}
+			rec.line("consumer gets %q for %s", status, id)
+			want := "POST http://" + slashesHost + path
+			if got := seen.get(id); got != "" && got != want {
+				broken++
+				rec.line("UNASKED: sent %s, run as %s", want, got)
+			}
+		}
+	}
+	rec.line("%d requests ran with another path or host than the consumer's", broken)
+	return broken > 0, nil
+}
+
+// runs holds what the replicas ran, by request.
+type runs struct {
+	mu   sync.Mutex
+	byID map[string]string
+}
+
+func (r *runs) record(id, what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[id] = what
+}
+
+func (r *runs) get(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
+
+// post sends one request and returns the status line of the answer.
+func post(address, host, path, id, key string) (string, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1500\r\n", path, host, id)
+	if key != "" {
+		head += "X-Api-Key: " + key + "\r\n"
+	}
+	body := "document " + id
+	if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body); err != nil {
+		return "", err
+	}
+	status, err := bufio.NewReader(conn).ReadString('\n')
+	return strings.TrimSpace(status), err
+}
