--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,15 +17,16 @@
 
 var scenarios = map[string]scenario{
 	"bodies":  playBodies,
+	"silent":  playSilent,
 	"slashes": playSlashes,
 	"tenants": playTenants,
 }
 
 func main() {
-	os.Exit(run())
+	os.Exit(play())
 }
 
-func run() int {
+func play() int {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO RECORD")
 		return 2
