--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,12 +14,13 @@
 )
 
 const (
-	// engineStepTime is the time of one step, and tokensPerEvent the steps of one event.
-	engineStepTime = 20 * time.Millisecond
-	tokensPerEvent = 5
+	// engineStepTime is three times the sheet's least time of a step, as beside other requests
+	// and their prompts; tokensPerEvent is the number of steps of one event.
+	engineStepTime = 3 * 5230 * time.Microsecond
+	tokensPerEvent = 3
 	eventInterval  = tokensPerEvent * engineStepTime
 	prefillTime    = 100 * time.Millisecond
-	reportLag      = 300 * time.Millisecond
+	reportLag      = 200 * time.Millisecond
 )
 
 // engine is a model replica: it streams events, drops a run whose channel closes, and reports
@@ -119,7 +122,7 @@
 	e.ledger.mu.Unlock()
 	writeJSON(w, map[string]any{
 		"stage": "colocated", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq": 1,
-		"queued": 0, "active": len(runs), "kv_in_use": 1000 * len(runs), "kv_size": 621758, "handles": 0, "phase": "ready", "next": 0, "runs": runs, "pinned": 0, "held": 0,
+		"queued": 0, "active": len(runs), "kv_in_use": 1000 * len(runs), "kv_size": 343821, "handles": 0, "phase": "ready", "next": 0, "runs": runs, "pinned": 0, "held": 0,
 	})
 }
 
@@ -161,9 +164,16 @@
 	this.whole = true
 }
 
-// eventsOf is the number of events of a request's answer; the sheet has 58 on average and 191
-// at most.
+// The sheet's numbers of events of an answer: lognormal, and cut off at the most.
+const (
+	meanEvents   = 93.3
+	eventsSpread = 0.7
+	mostEvents   = 231
+)
+
+// eventsOf is the number of events of a request's answer, which depends on the request alone.
 func eventsOf(id string) int {
 	n, _ := strconv.ParseUint(id, 16, 64)
-	return []int{20, 30, 45, 60, 85, 120}[n%6]
+	normal := rand.New(rand.NewPCG(n, 1)).NormFloat64()
+	return min(mostEvents, max(1, int(meanEvents*math.Exp(eventsSpread*normal-eventsSpread*eventsSpread/2))))
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,6 @@
 	"bodies":  playBodies,
 	"silent":  playSilent,
 	"slashes": playSlashes,
-	"tenants": playTenants,
 }
 
 func main() {
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -13,15 +13,15 @@
 	"time"
 )
 
-// The load of the only machine of kumamoto-hall in kawabata-roofmap: a third of the 14.5
-// roof-summary requests a second.
+// The load of reelcorp-gye: the 5 winder-chat requests a second of zone gye-c.
 const (
-	silentHost     = "roofs.example"
-	silentEvery    = 3 * time.Second / 145 * 10
-	silentPeriod   = 45 * time.Second
-	silentDeadline = 15 * time.Second
+	silentHost     = "mill.example"
+	silentEvery    = time.Second / 5
+	silentPeriod   = 80 * time.Second
+	silentDeadline = 20 * time.Second
+	silentEngines  = 12
 	// consumerGap is the gap after which consumers abandon a stream: four times the objective.
-	consumerGap = 8 * time.Second
+	consumerGap = 10 * time.Second
 	// contact is contact_ms of the settings, and overlap the time that the rule allows the
 	// earlier run.
 	contact = 3 * time.Second
@@ -29,10 +29,10 @@
 )
 
 // silentAt is when the open channels go silent.
-var silentAt = []time.Duration{10 * time.Second, 27 * time.Second}
+var silentAt = []time.Duration{12 * time.Second, 30 * time.Second, 48 * time.Second, 66 * time.Second}
 
 // playSilent streams answers through one machine. With trouble, its open channels to the replicas
-// go silent twice, while new ones work.
+// go silent four times, while new ones work.
 func playSilent(rec *recorder, trouble bool) (bool, error) {
 	f, err := newFleet(rec, 2)
 	if err != nil {
@@ -41,7 +41,7 @@
 	defer f.close()
 	ledger := &runLedger{reportedAt: map[string][]time.Time{}}
 	var engines []*engine
-	for i := range replicaCount {
+	for i := range silentEngines {
 		e, err := startEngine(rec, ledger, fmt.Sprintf("i-%d", i))
 		if err != nil {
 			return false, err
@@ -55,15 +55,15 @@
 	f.store.Put("op/config", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
-			"name": "r-1", "hostname": silentHost, "prefix": "/summary/", "route_type": "streaming", "timeout_ms": 15000, "goal_ms": 2000,
-			"priority": 0, "service": "pool", "attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 400,
+			"name": "r-1", "hostname": silentHost, "prefix": "/chat/", "route_type": "streaming", "timeout_ms": 20000, "goal_ms": 2500,
+			"priority": 2, "service": "pool", "attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 200,
 		}},
 		"services": []any{map[string]any{"name": "pool", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
-			"concurrency": 64, "kv_capacity": 621758, "kv_token_bytes": 18432, "bandwidth_mbps": 130000.0, "moves": true, "backups": true, "stride": 5, "most": 12,
+			"concurrency": 64, "kv_capacity": 343821, "kv_token_bytes": 163840, "bandwidth_mbps": 260000.0, "moves": true, "backups": true, "stride": 3, "most": 12,
 			"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0, "models": []any{map[string]any{"name": "m"}},
 		}}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "insurer", "api_keys": []string{"key-1"}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "mill", "api_keys": []string{"key-1"}, "priority": 1}},
 	})
 	if err := f.start(); err != nil {
 		return false, err
@@ -148,10 +148,10 @@
 		return
 	}
 	defer conn.Close()
-	body := "a roof"
+	body := "a reel"
 	n, _ := strconv.ParseUint(id, 16, 64)
-	_, _ = fmt.Fprintf(conn, "POST /summary/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: key-1\r\nModel: m\r\nToken-Usage: 600,900\r\nPrefix-Hash: 5c%02x:119,91%02x:79,%s:402\r\nContent-Length: %d\r\n\r\n%s",
-		id, silentHost, id, silentDeadline.Milliseconds(), n%40, n%171, id, len(body), body)
+	_, _ = fmt.Fprintf(conn, "POST /chat/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: key-1\r\nModel: m\r\nToken-Usage: 715,700\r\nPrefix-Hash: 5c%02x:103,91%02x:69,%s:543\r\nContent-Length: %d\r\n\r\n%s",
+		id, silentHost, id, silentDeadline.Milliseconds(), n%20, n%231, id, len(body), body)
 	_ = conn.SetReadDeadline(time.Now().Add(consumerGap))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/review/standin/slashes.go
+++ b/review/standin/slashes.go
@@ -61,7 +61,7 @@
 		for k, d := range f.daemons {
 			id := fmt.Sprintf("%016x", i*16+k+1)
 			rec.line("consumer sends %s to %s: POST %s, Host: %s", id, d.name, path, slashesHost)
-			status, err := post(d.callerAddress(), slashesHost, path, id, "key-1")
+			status, err := post(d.callerAddress(), path, id)
 			if err != nil {
 				return false, err
 			}
@@ -96,19 +96,16 @@
 }
 
 // post sends one request and returns the status line of the answer.
-func post(address, host, path, id, key string) (string, error) {
+func post(address, path, id string) (string, error) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return "", err
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1500\r\n", path, host, id)
-	if key != "" {
-		head += "X-Api-Key: " + key + "\r\n"
-	}
 	body := "document " + id
-	if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body); err != nil {
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1500\r\nX-Api-Key: key-1\r\nContent-Length: %d\r\n\r\n%s",
+		path, slashesHost, id, len(body), body); err != nil {
 		return "", err
 	}
 	status, err := bufio.NewReader(conn).ReadString('\n')
