--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -42,19 +42,9 @@
 			return false, err
 		}
 	}
-	route := func(name, prefix string, timeoutMS int) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": bodiesHost, "prefix": prefix, "route_type": "streaming", "timeout_ms": timeoutMS, "goal_ms": 2500,
-			"priority": 1, "service": "pool", "attempts": 1, "public": false, "sticky": true, "resumable": false, "gap_aim_ms": 400,
-		}
+	if err := f.putConfig("bodies"); err != nil {
+		return false, err
 	}
-	f.store.Put("op/config", map[string]any{
-		"version":  7,
-		"routes":   []any{route("r-1", "/narrative/", 20000), route("r-2", "/summary/", 15000)},
-		"services": []any{map[string]any{"name": "pool", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "insurer", "api_keys": []string{"key-1"}, "priority": 1}},
-	})
 	if err := f.start(); err != nil {
 		return false, err
 	}
@@ -102,7 +92,7 @@
 
 // serveReplica reads the body, works for a while and streams three events.
 func (b *bodies) serveReplica(id string, w http.ResponseWriter, r *http.Request) {
-	requestID := r.Header.Get("Attempt-Id")
+	requestID := r.Header.Get(wire.RequestID)
 	if requestID == "" {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -123,8 +113,7 @@
 			time.Sleep(slowReadInterval)
 		}
 	}
-	w.Header().Set("Attempt-Id", requestID)
-	w.Header().Set("Response-Signature", id+"."+requestID)
+	sign(w, id, requestID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := range 3 {
 		fmt.Fprintf(w, "id: %d\ndata: piece\n\n", n+1)
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -75,20 +75,20 @@
 
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expected-Replica"); want != "" && want != e.id {
-		w.Header().Set("Not-Executed", "1")
+	if want := r.Header.Get(wire.ExpectedReplica); want != "" && want != e.id {
+		w.Header().Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch {
-	case r.URL.Path == "/-/report":
+	case r.URL.Path == wire.ReportPath:
 		e.report(w)
-	case r.URL.Path == "/-/hold-take":
+	case r.URL.Path == wire.HoldPath:
 		writeJSON(w, map[string]any{"hold": fmt.Sprintf("%s-h%d", e.id, e.holds.Add(1))})
 	case r.Method == http.MethodDelete:
 		w.WriteHeader(http.StatusOK)
-	case r.Header.Get("Attempt-Id") == "":
-		w.Header().Set("Not-Executed", "1")
+	case r.Header.Get(wire.RequestID) == "":
+		w.Header().Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
 	default:
 		e.stream(w, r)
@@ -128,8 +128,8 @@
 
 // stream runs a request: from the event after Last-Event-Id to the last one.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Attempt-Id")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	id := r.Header.Get(wire.RequestID)
+	last, _ := strconv.Atoi(r.Header.Get(wire.LastEvent))
 	this := &run{request: id, engine: e.id, first: last + 1, began: time.Now()}
 	e.ledger.mu.Lock()
 	e.ledger.runs = append(e.ledger.runs, this)
@@ -141,10 +141,9 @@
 		e.ledger.mu.Unlock()
 		e.rec.line("replica %s ends %s: %d events made, whole: %t", e.id, id, len(this.made), this.whole)
 	}()
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Response-Signature", e.id+"."+id)
+	sign(w, e.id, id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Replica-Load", "8,0,64")
+	w.Header().Set(wire.Load, "8,0,64")
 	wait := prefillTime
 	for n := this.first; n <= eventsOf(id); n++ {
 		select {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -170,7 +170,7 @@
 // ready asks the readiness address as the platform does.
 func (d *daemon) ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Get(fmt.Sprintf("http://%s:%d/-/readyz", d.ip, d.readiness))
+	resp, err := c.Get(fmt.Sprintf("http://%s:%d%s", d.ip, d.readiness, wire.ReadyPath))
 	if err != nil {
 		return false
 	}
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -52,19 +52,9 @@
 			"service": "pool", "address": e.proxy.address(), "zone": "miraflores", "version": "v1", "concurrency": 64, "phase": "ready", "seq": 1, "warmup_left_ms": 0,
 		})
 	}
-	f.store.Put("op/config", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-1", "hostname": silentHost, "prefix": "/chat/", "route_type": "streaming", "timeout_ms": 20000, "goal_ms": 2500,
-			"priority": 2, "service": "pool", "attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 200,
-		}},
-		"services": []any{map[string]any{"name": "pool", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
-			"concurrency": 64, "kv_capacity": 343821, "kv_token_bytes": 163840, "bandwidth_mbps": 260000.0, "moves": true, "backups": true, "stride": 3, "most": 12,
-			"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0, "models": []any{map[string]any{"name": "m"}},
-		}}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "mill", "api_keys": []string{"key-1"}, "priority": 1}},
-	})
+	if err := f.putConfig("silent"); err != nil {
+		return false, err
+	}
 	if err := f.start(); err != nil {
 		return false, err
 	}
--- a/review/standin/slashes.go
+++ b/review/standin/slashes.go
@@ -26,12 +26,11 @@
 		return false, err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("Attempt-Id")
+		id := r.Header.Get(wire.RequestID)
 		got := fmt.Sprintf("%s http://%s%s", r.Method, r.Host, r.URL.RequestURI())
 		seen.record(id, got)
 		rec.line("replica i-1 runs %s: request line %q, that is %s", id, r.Method+" "+r.RequestURI+" "+r.Proto, got)
-		w.Header().Set("Attempt-Id", id)
-		w.Header().Set("Response-Signature", "i-1."+id)
+		sign(w, "i-1", id)
 		_, _ = w.Write([]byte("ok"))
 	})}
 	go func() { _ = server.Serve(l) }()
@@ -39,16 +38,9 @@
 	f.store.Put("servers/i-1", map[string]any{
 		"service": "signing", "address": l.Addr().String(), "zone": "miraflores", "version": "v1", "concurrency": 6, "phase": "ready", "seq": 1, "warmup_left_ms": 0,
 	})
-	f.store.Put("op/config", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-1", "hostname": slashesHost, "prefix": "/", "route_type": "unsafe", "timeout_ms": 1500, "goal_ms": 100,
-			"priority": 0, "service": "signing", "attempts": 1, "public": false,
-		}},
-		"services": []any{map[string]any{"name": "signing", "health_path": "/healthz", "max_conns": 49, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "firma", "api_keys": []string{"key-1"}, "priority": 1}},
-	})
+	if err := f.putConfig("slashes"); err != nil {
+		return false, err
+	}
 	if err := f.start(); err != nil {
 		return false, err
 	}
