Review: drop the cases that an earlier review shows

Change: cases 4, 6 and 7 of part one and their stand-ins are removed, and the case on draining engines is case 4.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 4 to 8.
+# Builds the stand-ins of the cases from 4 on.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-2/ ./review/standin2
--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -15,6 +15,7 @@
 	engines       = 6
 	stageServices = 6
 	stageReplicas = 4
+	concurrency   = 64
 	// stageTime is the time of a full call of the configured stage services: 240 ms and eight
 	// pieces of 26 ms each.
 	stageTime     = 448 * time.Millisecond
@@ -53,7 +54,7 @@
 		}
 		r.FailureDomain, r.EventsPerStream = fmt.Sprintf("zone-%d", n%zones+1), streamEvents
 		r.SetBehaviour(b)
-		s.registerEngine(r, "ready")
+		s.register(r, "ready")
 		return r, nil
 	}
 	var llm []*standin.Replica
@@ -91,7 +92,7 @@
 	for i := range releasedEngines {
 		r := llm[1+i]
 		time.AfterFunc(releaseAt+time.Duration(i)*releaseGap, func() {
-			s.registerEngine(r, "draining")
+			s.register(r, "draining")
 			mu.Lock()
 			acknowledged[r.ID] = time.Now()
 			mu.Unlock()
@@ -99,7 +100,7 @@
 		})
 		time.AfterFunc(releaseAt+time.Duration(i)*releaseGap+leavesAfter, func() { s.store.Delete(names.Replicas + r.ID) })
 	}
-	s.sendStreams(streamLoad{rate: streamRate, until: began.Add(lastRequestAt), pieces: []int{1, 1, 1, 1, 1, 1}})
+	s.sendStreams(began.Add(lastRequestAt))
 	late := 0
 	mu.Lock()
 	defer mu.Unlock()
@@ -116,31 +117,28 @@
 	return late > 0, nil
 }
 
-func (s *site) registerEngine(r *standin.Replica, phase string) {
-	s.register(r.ID, r.Service, r.Address(), r.FailureDomain, 64, phase)
+// register writes the entry of a replica. The store has acknowledged it when register returns.
+func (s *site) register(r *standin.Replica, phase string) {
+	s.store.Put(names.Replicas+r.ID, map[string]any{
+		"service": r.Service, "address": r.Address(), "zone": r.FailureDomain, "version": "1",
+		"concurrency": concurrency, "phase": phase, "warmup_left_ms": 0, "seq": 1,
+	})
 }
 
-// streamLoad says how many streams are asked for in a second, and until when. pieces are the
-// numbers of pieces of the stages.
-type streamLoad struct {
-	rate   int
-	until  time.Time
-	pieces []int
-}
-
-// sendStreams sends requests for streams to the daemons in turn, and waits for their ends.
-func (s *site) sendStreams(l streamLoad) {
+// sendStreams sends requests for streams to the daemons in turn until the given time, and waits
+// for their ends.
+func (s *site) sendStreams(until time.Time) {
 	var group sync.WaitGroup
-	ticker := time.NewTicker(time.Second / time.Duration(l.rate))
+	ticker := time.NewTicker(time.Second / streamRate)
 	defer ticker.Stop()
-	for n := 0; time.Now().Before(l.until); n++ {
+	for n := 0; time.Now().Before(until); n++ {
 		<-ticker.C
 		d := s.daemons[n%len(s.daemons)]
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
 			defer cancel()
 			call := standin.Call{
-				ID: fmt.Sprintf("r%d", n), Path: standin.ResumablePath, Deadline: streamLimit, PieceCounts: l.pieces,
+				ID: fmt.Sprintf("r%d", n), Path: standin.ResumablePath, Deadline: streamLimit, PieceCounts: []int{1, 1, 1, 1, 1, 1},
 				Prompt: fmt.Sprintf("%x:4800,%x:600", n%sharedParts, 0x1000+n),
 			}
 			resp := standin.Send(ctx, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, d.address(portPublic), call)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,10 +21,7 @@
 type scenario func(s *site, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"memory": playMemory,
-	"drain":  playDrain,
-	"path":   playPath,
-	"twice":  playTwice,
+	"drain": playDrain,
 }
 
 func main() {
--- a/review/standin2/names.go
+++ b/review/standin2/names.go
@@ -6,20 +6,15 @@
 	"fmt"
 )
 
-// data holds the names of the users' protocol and the configurations of the cases.
+// data holds the names of the users' protocol and the configuration of the case.
 //
 //go:embed data
 var data embed.FS
 
-// names are the protocol's names of headers, paths and keys.
+// names are the protocol's names of paths and keys.
 var names = loadNames()
 
-type protocolNames struct {
-	Attempt, Deadline, Expected, Load, Signature string
-	LastEvent                                    string
-	Ready, Report, Reserve, Release              string
-	Config, Replicas                             string
-}
+type protocolNames struct{ Ready, Config, Replicas string }
 
 func loadNames() protocolNames {
 	var n protocolNames
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -94,7 +94,7 @@
 	fmt.Fprintf(s.record, "%8.3f s  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// daemonLimits are the limits of a machine of the small deployment in Lima.
+// The limits of a machine of the small deployment in Lima.
 const (
 	memoryMB       = 284
 	processorShare = 0.4
