--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -35,7 +35,8 @@
 	darkAt     = 8 * time.Second
 	expiryTime = 3600 * time.Millisecond
 	darkTime   = 5 * time.Second
-	// A release drains releasedEngines one after the other. Each still serves for leavesAfter.
+	// A release replaces releasedEngines one after the other: a new one starts, and the old one
+	// drains. It still serves for leavesAfter.
 	releaseAt       = 9400 * time.Millisecond
 	releaseGap      = time.Second
 	releasedEngines = 3
@@ -92,6 +93,12 @@
 	for i := range releasedEngines {
 		r := llm[1+i]
 		time.AfterFunc(releaseAt+time.Duration(i)*releaseGap, func() {
+			next, err := start(fmt.Sprintf("engine-%d", engines+1+i), r.Service, standin.Engine, 1+i, standin.Behaviour{EventInterval: eventInterval})
+			if err != nil {
+				s.note("no new engine: %v", err)
+				return
+			}
+			s.note("%s has started", next.ID)
 			s.register(r, "draining")
 			mu.Lock()
 			acknowledged[r.ID] = time.Now()
