--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -101,6 +101,7 @@
 			s.note("%s has started", next.ID)
 			s.register(r, "draining")
 			mu.Lock()
+			llm = append(llm, next)
 			acknowledged[r.ID] = time.Now()
 			mu.Unlock()
 			s.note("the store has acknowledged that %s is draining", r.ID)
@@ -114,6 +115,7 @@
 	for _, r := range llm {
 		at, drained := acknowledged[r.ID]
 		for _, a := range r.Arrivals() {
+			s.note("%s was sent request %s at %.3f s", r.ID, a.RequestID, a.ArrivedAt.Sub(s.began).Seconds())
 			if drained && a.ArrivedAt.Sub(at) > drainBound {
 				late++
 				s.note("request %s reached %s %.3f s after the acknowledgement, over the bound of %s", a.RequestID, r.ID, a.ArrivedAt.Sub(at).Seconds(), drainBound)
@@ -148,6 +150,7 @@
 				ID: fmt.Sprintf("r%d", n), Path: standin.ResumablePath, Deadline: streamLimit, PieceCounts: []int{1, 1, 1, 1, 1, 1},
 				Prompt: fmt.Sprintf("%x:4800,%x:600", n%sharedParts, 0x1000+n),
 			}
+			s.note("request %s sent to %s", call.ID, d.name)
 			resp := standin.Send(ctx, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, d.address(portPublic), call)
 			s.note("request %s through %s: status %d, %d events, error %v", call.ID, d.name, resp.Status, standin.CompleteEvents(resp.Body), resp.Err)
 		})
