--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // The exit codes of a case.
@@ -30,11 +29,11 @@
 
 func run() int {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the root of the repository")
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD, in the root of the repository")
 		return exitNotRun
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	s, err := newSite(filepath.Join(os.Args[2], "record.txt"))
+	s, err := newSite(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin2:", err)
 		return exitNotRun
