Log from which evidence the version of a resumed stream is decided

Cause: the log named the kind of evidence, but not how old it was nor how many hosts gave it, so that the hypotheses of the incident could not be told apart. Change: the line 'stream taken up' and the reason of a refusal name the versions listed, the longest history, the age of the view and the hosts that answered. No change of logic.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,8 +102,20 @@
 	Known   bool
 	Version string
 	// MayCome says that a host which did not answer may know it.
-	MayCome bool
-	Reason  Reason
+	MayCome  bool
+	Reason   Reason
+	Evidence Evidence
+}
+
+// Evidence is what a verdict was reached from, for logs.
+type Evidence struct {
+	// Versions are those that the answers list, sorted.
+	Versions []string
+	// History is the longest history among the answers, and ViewAge the age of the newest view.
+	History, ViewAge time.Duration
+	// Answered and Unanswered are the numbers of hosts that answered, this one included, and
+	// of those that did not.
+	Answered, Unanswered int
 }
 
 // Reason says what decided, in logs and metrics.
@@ -120,6 +134,12 @@
 	NoEvidence      Reason = "no_evidence"
 )
 
+// String describes the evidence in one line.
+func (e Evidence) String() string {
+	return fmt.Sprintf("versions %s in a history of %s, view %s old, %d hosts answered, %d did not",
+		strings.Join(e.Versions, ","), e.History.Round(time.Millisecond), e.ViewAge.Round(time.Millisecond), e.Answered, e.Unanswered)
+}
+
 // Decide decides which version began a stream that may last for the given lifetime. answers
 // include that of this host, as the first one; unanswered is the number of asked hosts that did
 // not answer.
@@ -130,18 +150,35 @@
 // started; if none has run for a lifetime, at least one other host has to answer, where the
 // record would be unless all holders have been lost.
 func Decide(lifetime time.Duration, answers []Answer, unanswered int) Verdict {
-	var recorded, listed []string
-	var longest time.Duration
-	fresh, alone := false, len(answers) == 1
+	e := evidenceOf(answers, unanswered)
+	v := decide(lifetime, answers, e)
+	v.Evidence = e
+	return v
+}
+
+func evidenceOf(answers []Answer, unanswered int) Evidence {
+	e := Evidence{Answered: len(answers), Unanswered: unanswered}
+	for i, a := range answers {
+		e.Versions = append(e.Versions, a.Versions...)
+		e.History = max(e.History, a.History)
+		if i == 0 || a.ViewAge < e.ViewAge {
+			e.ViewAge = a.ViewAge
+		}
+	}
+	e.Versions = unique(e.Versions)
+	return e
+}
+
+func decide(lifetime time.Duration, answers []Answer, e Evidence) Verdict {
+	var recorded []string
 	for _, a := range answers {
 		if a.Known {
 			recorded = append(recorded, a.Version)
 		}
-		listed = append(listed, a.Versions...)
-		longest = max(longest, a.History)
-		fresh = fresh || a.ViewAge <= maxViewAge
 	}
-	recorded, listed = unique(recorded), unique(listed)
+	recorded = unique(recorded)
+	listed, longest, unanswered := e.Versions, e.History, e.Unanswered
+	fresh, alone := e.ViewAge <= maxViewAge, e.Answered == 1
 	switch {
 	case len(recorded) == 1:
 		return Verdict{Known: true, Version: recorded[0], Reason: Recorded}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -292,7 +292,7 @@
 	v := x.lookUpOrigin()
 	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_streams_taken_up_total{evidence=%q}", v.Reason)).Inc()
 	if !v.Known {
-		e := problem.New(problem.VersionUnknown, "which software version began the stream is not known: %s", v.Reason)
+		e := problem.New(problem.VersionUnknown, "which software version began the stream is not known: %s (%s)", v.Reason, v.Evidence)
 		if v.MayCome {
 			e = withRetryAfter(e, x.retryDelay(originUnknownRetryAfter))
 		}
@@ -302,7 +302,7 @@
 		return problem.New(problem.VersionGone, "no replica of version %q, which began the stream", v.Version)
 	}
 	x.origin.Store(&v.Version)
-	x.g.log.Info("stream taken up", logging.Request(x.req.ID), zap.String("resumes", x.req.ResumedID), zap.String("software", v.Version), zap.String("evidence", string(v.Reason)))
+	x.g.log.Info("stream taken up", logging.Request(x.req.ID), zap.String("resumes", x.req.ResumedID), zap.String("software", v.Version), zap.String("evidence", string(v.Reason)), zap.Stringer("known", v.Evidence))
 	return nil
 }
 
