--- a/gateway/allhostslost_test.go
+++ b/gateway/allhostslost_test.go
@@ -117,3 +117,14 @@
 	wentOn := f.takeUpEach(f.replaceAll(fleet), streams)
 	t.Logf("%d of %d streams of the version that stayed went on", wentOn["v2"], countOf(streams, "v2"))
 }
+
+// Guards against streams that are taken up at another version after all hosts were lost, while
+// both versions are listed.
+func TestStreamsOfTwoListedVersionsAfterAllHostsWereLost(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet := f.withVersions(lossHosts, 2, 2)
+	streams := f.breakOff(fleet, lossStreams)
+	wentOn := f.takeUpEach(f.replaceAll(fleet), streams)
+	t.Logf("%d of %d streams went on", wentOn["v1"]+wentOn["v2"], len(streams))
+}
