Streams are taken up only on evidence that covers the time at which they began

Cause: the decision took the only version listed for the one that began a stream as soon as another host answered, however short all histories were. Hosts that have just started remember no version that left before: absence was taken for evidence. One line of the table test ("one version, all hosts have just started") asserted this, against the package's contract. It is wrong, since the answering hosts' silence about other versions covers seconds only, and is replaced by its opposite. The lines on answers that are missing expect more, too: a view that is younger than a second does not show a version that came after it, so that a newer view is needed unless all hosts that would have a record answered and ran all the while. The spec "resume after the event that the caller names" took up a stream that nobody had begun, at a host that had just started; it now begins the stream, and the former request is expected to be refused.

Change: an answer says from when and up to when it is complete. One version decides if the histories of the answers, joined without a gap, cover a stream's lifetime; otherwise the resume is refused with the time after which they do. A host waits for a view that is newer than the resume where one is needed.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -1,87 +1,33 @@
 package origin
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-const (
-	// holderCount is the number of other hosts that hold a record, and MaxAsked the number of
-	// hosts that are asked for it: after hosts have joined, holders may rank lower.
-	holderCount = 2
-	MaxAsked    = 4
-	// maxViewAge is the age up to which a view can show that a service has one version only:
-	// streams may have begun at a version that is newer than the view.
-	maxViewAge = time.Second
 )
 
-// Host is a host that may hold records.
-type Host struct{ Name, FailureDomain string }
-
-// weight ranks a host for a stream: rendezvous hashing.
-func weight(k Key, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.Write(k[:]) // writing to an xxhash.Digest never fails
-	_, _ = d.WriteString(name)
-	return d.Sum64()
+// maxDeadlineError is by how much the age of a stream may exceed what the caller's remaining
+// time says: the time of its first event, the network, and hosts whose view is old.
+const maxDeadlineError = 2 * time.Second
+
+// Stream is what is known of a stream that a caller takes up, besides the answers of hosts.
+type Stream struct {
+	// Lifetime is the longest time for which a stream of the route may be taken up.
+	Lifetime time.Duration
+	// Deadline is for how long callers of the route wait over all their tries, and Left how much
+	// of it is left to this one; 0 if they are not known.
+	Deadline, Left time.Duration
+	// Waited is for how long the decision has waited for a newer view.
+	Waited time.Duration
 }
 
-// Asked returns the hosts that are asked for the record of a stream, in rank order. The first
-// holderCount of them hold it, in different failure domains if there are several. Each host
-// holds about as many records as any other.
-func Asked(k Key, hosts []Host) []Host {
-	type weighted struct {
-		Host
-		weight uint64
-	}
-	before := func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
-	}
-	all := make([]weighted, 0, len(hosts))
-	first := make([]weighted, 0, MaxAsked+1)
-	for _, h := range hosts {
-		w := weighted{h, weight(k, h.Name)}
-		all = append(all, w)
-		if i, _ := slices.BinarySearchFunc(first, w, before); i < MaxAsked {
-			first = slices.Insert(first, i, w)
-			first = first[:min(MaxAsked, len(first))]
-		}
-	}
-	var second *weighted
-	for i := range all {
-		if all[i].FailureDomain != first[0].FailureDomain && (second == nil || before(all[i], *second) < 0) {
-			second = &all[i]
-		}
-	}
-	if second != nil {
-		first = slices.DeleteFunc(first, func(w weighted) bool { return w.Name == second.Name })
-		first = slices.Insert(first, 1, *second)
-		first = first[:min(MaxAsked, len(first))]
+// maxAge is the time within which the stream has begun.
+func (s Stream) maxAge() time.Duration {
+	if s.Deadline == 0 || s.Left == 0 || s.Left > s.Deadline {
+		return s.Lifetime
 	}
-	out := make([]Host, 0, len(first))
-	for _, w := range first {
-		out = append(out, w.Host)
-	}
-	return out
-}
-
-// Holders returns the hosts that hold the record of a stream.
-func Holders(k Key, hosts []Host) []Host {
-	asked := Asked(k, hosts)
-	return asked[:min(holderCount, len(asked))]
-}
-
-// Spares returns the hosts that hold the record of a stream in place of a holder that does not
-// answer, in rank order. They are asked, too.
-func Spares(k Key, hosts []Host) []Host {
-	asked := Asked(k, hosts)
-	return asked[min(holderCount, len(asked)):]
+	return min(s.Lifetime, s.Deadline-s.Left+maxDeadlineError)
 }
 
 // Answer is what one host knows about a stream and its service.
@@ -89,107 +35,188 @@
 	// Version is the recorded one; Known says that there is a record.
 	Known   bool
 	Version string
-	// Versions are those that the service has had within the lifetime of a stream, as far as
-	// the host's views go back (History).
-	Versions []string
-	History  time.Duration
-	// ViewAge is the age of the host's view.
-	ViewAge time.Duration
+	// Versions are those that the replicas of the service have, or had as far as the host
+	// remembers. Departures are the replicas that have left.
+	Versions   []string
+	Departures []Departure
+	// History is for how long before now Versions and Departures are complete, up to the
+	// host's view, which is ViewAge old.
+	History, ViewAge time.Duration
+	// Running is for how long the host has been running. It has the records of this time.
+	Running time.Duration
+}
+
+// Departure says how long ago a replica of a version left last.
+type Departure struct {
+	Version string
+	Ago     time.Duration
 }
 
 // Verdict is what is known about the version of a stream.
 type Verdict struct {
 	Known   bool
 	Version string
-	// MayCome says that a host which did not answer may know it.
+	// MayCome says that it may become known: a host that did not answer may know it, or a
+	// newer view or a longer history may tell. After is the time until the history is long
+	// enough; 0 if it is not known.
 	MayCome  bool
+	After    time.Duration
 	Reason   Reason
 	Evidence Evidence
 }
 
-// Evidence is what a verdict was reached from, for logs.
-type Evidence struct {
-	// Versions are those that the answers list, sorted.
-	Versions []string
-	// History is the longest history among the answers, and ViewAge the age of the newest view.
-	History, ViewAge time.Duration
-	// Answered and Unanswered are the numbers of hosts that answered, this one included, and
-	// of those that did not.
-	Answered, Unanswered int
-}
-
 // Reason says what decided, in logs and metrics.
 type Reason string
 
 // The reasons.
 const (
-	// Recorded and OneVersion: a record, or the only version that the service has had.
+	// Recorded, OneVersion and PromptKept: a record, the only version that the service has had,
+	// or the only one whose replicas keep the stream's prompt.
 	Recorded   Reason = "record"
 	OneVersion Reason = "one_version"
+	PromptKept Reason = "prompt_kept"
 	// Conflict: hosts have records of different versions.
 	Conflict Reason = "conflict"
-	// SeveralVersions and NoEvidence: there is no record, and the service has had several
-	// versions, or it is not known which it has had.
+	// SeveralVersions: there is no record, and the service has had several versions.
 	SeveralVersions Reason = "several_versions"
-	NoEvidence      Reason = "no_evidence"
+	// ShortHistory: the hosts that answered do not remember long enough which versions the
+	// service has had.
+	ShortHistory Reason = "short_history"
+	// OldView: streams may have begun at a version that is newer than all views.
+	OldView Reason = "old_view"
+	// NoEvidence: the service has no replicas that are known.
+	NoEvidence Reason = "no_evidence"
 )
 
+// Evidence is what a verdict was reached from, for logs.
+type Evidence struct {
+	// Versions are those that the answers list, sorted.
+	Versions []string
+	// History is for how long before now the answers together are complete, and ViewAge the
+	// age of the newest view.
+	History, ViewAge time.Duration
+	// Answered and Unanswered are the numbers of hosts that answered, this one included, and
+	// of those that did not.
+	Answered, Unanswered int
+	// Memory is what replicas keep of the prompt; nil if they were not asked.
+	Memory *Memory
+}
+
 // String describes the evidence in one line.
 func (e Evidence) String() string {
-	return fmt.Sprintf("versions %s in a history of %s, view %s old, %d hosts answered, %d did not",
+	s := fmt.Sprintf("versions %s in a history of %s, view %s old, %d hosts answered, %d did not",
 		strings.Join(e.Versions, ","), e.History.Round(time.Millisecond), e.ViewAge.Round(time.Millisecond), e.Answered, e.Unanswered)
+	if e.Memory != nil {
+		s += fmt.Sprintf("; prompt kept at versions %s, not known of %s", strings.Join(e.Memory.Holding, ","), strings.Join(e.Memory.Silent, ","))
+	}
+	return s
 }
 
-// Decide decides which version began a stream that may last for the given lifetime. answers
-// include that of this host, as the first one; unanswered is the number of asked hosts that did
-// not answer.
+// Decide decides which version began a stream. answers include that of this host, as the first
+// one; unanswered is the number of asked hosts that did not answer; memory is nil while the
+// replicas have not been asked.
 //
-// Without a record, the only version that the service has had decides. Streams may have begun
-// at a version that no view lists yet, so that one view has to be new, or as new as those of all
-// hosts that were asked. They may have begun at a version that was gone when the answering hosts
-// started; if none has run for a lifetime, at least one other host has to answer, where the
-// record would be unless all holders have been lost.
-func Decide(lifetime time.Duration, answers []Answer, unanswered int) Verdict {
+// Without a record, two kinds of evidence decide. Both need a complete history: that a host
+// does not remember another version proves nothing about the time before it began to observe.
+//
+//   - The only version that the service has had for a stream's lifetime.
+//   - The only version whose replicas keep the stream's prompt, if no replica of another version
+//     has left since the stream can have begun, with what it kept.
+func Decide(s Stream, answers []Answer, unanswered int, memory *Memory) Verdict {
 	e := evidenceOf(answers, unanswered)
-	v := decide(lifetime, answers, e)
+	e.Memory = memory
+	v := decide(s, answers, e)
 	v.Evidence = e
 	return v
 }
 
-func evidenceOf(answers []Answer, unanswered int) Evidence {
-	e := Evidence{Answered: len(answers), Unanswered: unanswered}
-	for i, a := range answers {
-		e.Versions = append(e.Versions, a.Versions...)
-		e.History = max(e.History, a.History)
-		if i == 0 || a.ViewAge < e.ViewAge {
-			e.ViewAge = a.ViewAge
+func decide(s Stream, answers []Answer, e Evidence) Verdict {
+	recorded := recordedVersions(answers)
+	switch {
+	case len(recorded) == 1:
+		return Verdict{Known: true, Version: recorded[0], Reason: Recorded}
+	case len(recorded) > 1:
+		return Verdict{Reason: Conflict}
+	case len(e.Versions) == 0:
+		return Verdict{MayCome: e.Unanswered > 0, Reason: NoEvidence}
+	case !upToDate(s, answers, e):
+		return Verdict{MayCome: true, Reason: OldView}
+	}
+	if version, ok := keptAt(s, answers, e); ok {
+		return Verdict{Known: true, Version: version, Reason: PromptKept}
+	}
+	switch {
+	case len(e.Versions) > 1:
+		return Verdict{MayCome: e.Unanswered > 0, Reason: SeveralVersions}
+	case e.History < s.Lifetime:
+		return Verdict{MayCome: true, After: s.Lifetime - e.History, Reason: ShortHistory}
+	}
+	return Verdict{Known: true, Version: e.Versions[0], Reason: OneVersion}
+}
+
+// upToDate reports whether no stream that is taken up now can have begun at a version that is
+// newer than the newest view: the view was read after the resume came, or all hosts that
+// would have a record answered and have been running for longer than the view is old.
+func upToDate(s Stream, answers []Answer, e Evidence) bool {
+	if e.ViewAge <= s.Waited {
+		return true
+	}
+	for _, a := range answers[1:] {
+		if a.Running < e.ViewAge {
+			return false
 		}
 	}
-	e.Versions = unique(e.Versions)
-	return e
+	return len(answers) > 1 && e.Unanswered == 0
+}
+
+// keptAt returns the only version whose replicas keep the prompt, if none of another version may
+// have kept it and lost it since the stream began.
+func keptAt(s Stream, answers []Answer, e Evidence) (version string, ok bool) {
+	if e.Memory == nil || len(e.Memory.Holding) != 1 || e.History < s.maxAge() {
+		return "", false
+	}
+	version = e.Memory.Holding[0]
+	for _, silent := range e.Memory.Silent {
+		if silent != version {
+			return "", false
+		}
+	}
+	for _, a := range answers {
+		for _, d := range a.Departures {
+			if d.Version != version && d.Ago <= s.maxAge() {
+				return "", false
+			}
+		}
+	}
+	return version, true
 }
 
-func decide(lifetime time.Duration, answers []Answer, e Evidence) Verdict {
+func recordedVersions(answers []Answer) []string {
 	var recorded []string
 	for _, a := range answers {
 		if a.Known {
 			recorded = append(recorded, a.Version)
 		}
 	}
-	recorded = unique(recorded)
-	listed, longest, unanswered := e.Versions, e.History, e.Unanswered
-	fresh, alone := e.ViewAge <= maxViewAge, e.Answered == 1
-	switch {
-	case len(recorded) == 1:
-		return Verdict{Known: true, Version: recorded[0], Reason: Recorded}
-	case len(recorded) > 1:
-		return Verdict{Reason: Conflict}
-	case len(listed) > 1:
-		return Verdict{MayCome: unanswered > 0, Reason: SeveralVersions}
-	case len(listed) == 0, !fresh && (alone || unanswered > 0), longest < lifetime && alone && unanswered > 0:
-		return Verdict{MayCome: unanswered > 0, Reason: NoEvidence}
+	return unique(recorded)
+}
+
+func evidenceOf(answers []Answer, unanswered int) Evidence {
+	e := Evidence{Answered: len(answers), Unanswered: unanswered}
+	byView := slices.Clone(answers)
+	slices.SortFunc(byView, func(a, b Answer) int { return int(a.ViewAge - b.ViewAge) })
+	for i, a := range byView {
+		e.Versions = append(e.Versions, a.Versions...)
+		if i == 0 {
+			e.ViewAge = a.ViewAge
+		}
+		// A history that ends before those of the newer views begin leaves a gap.
+		if i == 0 || a.ViewAge <= e.History {
+			e.History = max(e.History, a.History)
+		}
 	}
-	return Verdict{Known: true, Version: listed[0], Reason: OneVersion}
+	e.Versions = unique(e.Versions)
+	return e
 }
 
 func unique(versions []string) []string {
--- a/core/origin/doc.go
+++ b/core/origin/doc.go
@@ -4,12 +4,19 @@
 // A stream may go on only at the version that wrote its first event. The host that sent that
 // event records the version, and two other hosts hold the record (Holders). A host that gets
 // a resume asks the hosts that may hold it and decides from their answers (Decide). Without a
-// record, one version decides that has been the only one for as long as a stream may last.
+// record, a version decides that has been the only one for as long as a stream may last, or the
+// only one whose replicas keep the stream's prompt.
 //
 // # Contract
 //
-// Records and History are passed the time; nothing here reads a clock, does I/O or starts
-// goroutines. Neither is safe for concurrent use. A wrong version is never returned if the
-// answers are true; that it is unknown is a possible result. Memory is bounded by MaxRecords,
-// MaxVersions and MaxHistory.
+// Nothing here reads a clock, does I/O or starts goroutines; the time is passed. Records and
+// History are not safe for concurrent use.
+//
+// Absence is evidence only for the time that a memory covers: that a host remembers no other
+// version, or has no record, says nothing of the time before it began to observe. Every answer
+// therefore says from when and up to when it is complete. A wrong version is never returned if
+// the answers are true and callers wait no longer than Stream says; that it is unknown is a
+// possible result.
+//
+// Memory is bounded by MaxRecords, MaxVersions and MaxHistory.
 package origin
--- a/core/origin/loss_test.go
+++ b/core/origin/loss_test.go
@@ -11,7 +11,7 @@
 // hosts that answer have just started, and remember no version that left before.
 func TestOnlyVersionListedAfterALossOfAllHostsProvesNothing(t *testing.T) {
 	just := origin.Answer{Versions: []string{"v2"}, History: 4 * time.Second}
-	if v := origin.Decide(lifetime, []origin.Answer{just, just, just, just, just}, 0); v.Known {
+	if v := origin.Decide(origin.Stream{Lifetime: lifetime}, []origin.Answer{just, just, just, just, just}, 0, nil); v.Known {
 		t.Errorf("decided for %q by %q, %s", v.Version, v.Reason, v.Evidence)
 	}
 }
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -22,44 +22,106 @@
 
 const lifetime = 30 * time.Second
 
-// answer is that of a host which has run for a minute and whose view is new.
-func answer(versions ...string) origin.Answer {
-	return origin.Answer{Versions: versions, History: time.Minute}
+// known is the answer of a host that has been running for a minute and whose view is new.
+func known(versions ...string) origin.Answer {
+	return origin.Answer{Versions: versions, History: time.Minute, ViewAge: 100 * time.Millisecond, Running: time.Minute}
 }
 
 func recorded(version string) origin.Answer {
-	return origin.Answer{Known: true, Version: version, Versions: []string{"v1", "v2"}}
+	a := known("v1", "v2")
+	a.Known, a.Version = true, version
+	return a
 }
 
-func young(a origin.Answer) origin.Answer { a.History = time.Second; return a }
+func remembers(d time.Duration, a origin.Answer) origin.Answer { a.History = d; return a }
+func started(d time.Duration, a origin.Answer) origin.Answer {
+	a.History, a.Running = min(a.History, d), d
+	return a
+}
 func stale(a origin.Answer) origin.Answer { a.ViewAge = 5 * time.Second; return a }
+func left(version string, ago time.Duration, a origin.Answer) origin.Answer {
+	a.Departures = append(a.Departures, origin.Departure{Version: version, Ago: ago})
+	return a
+}
 
-var _ = DescribeTable("which version began a stream", func(want string, unanswered int, answers ...origin.Answer) {
-	v := origin.Decide(lifetime, answers, unanswered)
-	got := string(v.Reason)
+// describe is what a verdict says, in one line.
+func describe(v origin.Verdict) string {
+	s := string(v.Reason)
 	if v.Known {
-		got += " " + v.Version
+		s += " " + v.Version
 	}
 	if v.MayCome {
-		got += ", may come"
+		s += ", may come"
+	}
+	if v.After > 0 {
+		s += fmt.Sprint(" in ", v.After)
 	}
-	Expect(got).To(Equal(want))
+	return s
+}
+
+var _ = DescribeTable("which version began a stream", func(want string, unanswered int, answers ...origin.Answer) {
+	Expect(describe(origin.Decide(origin.Stream{Lifetime: lifetime}, answers, unanswered, nil))).To(Equal(want))
 },
 	Entry("a record here", "record v2", 0, recorded("v2")),
-	Entry("a record elsewhere, though others do not answer", "record v2", 3, answer("v1", "v2"), recorded("v2")),
+	Entry("a record elsewhere, though others do not answer", "record v2", 3, known("v1", "v2"), recorded("v2")),
+	Entry("a record, all hosts have just started", "record v2", 0, started(time.Second, recorded("v2"))),
 	Entry("records that differ", "conflict", 0, recorded("v1"), recorded("v2")),
-	Entry("several versions", "several_versions", 0, answer("v1", "v2"), answer("v1", "v2")),
-	Entry("several versions, and a host does not answer", "several_versions, may come", 1, answer("v1", "v2")),
-	Entry("a version that only another host has seen", "several_versions", 0, answer("v1"), answer("v1", "v2")),
-	Entry("one version, nobody answers", "one_version v1", 4, answer("v1")),
-	Entry("one version that no replica names", "one_version ", 0, answer("")),
-	Entry("one version, nobody answers, the view is old", "no_evidence, may come", 4, stale(answer("v1"))),
-	Entry("one version, the view is old, and so are those of all others", "one_version v1", 0, stale(answer("v1")), stale(answer("v1"))),
-	Entry("one version, the view is old, another one is new", "one_version v1", 2, stale(answer("v1")), answer("v1")),
-	Entry("one version, this host has just started, nobody answers", "no_evidence, may come", 4, young(answer("v1"))),
-	Entry("one version, this host has just started", "one_version v1", 2, young(answer("v1")), answer("v1")),
-	Entry("one version, all hosts have just started", "one_version v1", 0, young(answer("v1")), young(answer("v1"))),
-	Entry("no replica known", "no_evidence", 0, answer()),
+	Entry("several versions", "several_versions", 0, known("v1", "v2"), known("v1", "v2")),
+	Entry("several versions, and a host does not answer, the view is old", "old_view, may come", 1, known("v1", "v2")),
+	Entry("a version that only another host has seen", "several_versions", 0, known("v1"), known("v1", "v2")),
+	Entry("one version, all answer", "one_version v1", 0, known("v1"), known("v1")),
+	Entry("one version, nobody answers", "old_view, may come", 4, known("v1")),
+	Entry("one version, one of several does not answer", "old_view, may come", 1, known("v1"), known("v1")),
+	Entry("one version, there is no other host", "old_view, may come", 0, known("v1")),
+	Entry("one version that no replica names", "one_version ", 0, known(""), known("")),
+	Entry("one version, the view is old, and so are those of all others", "one_version v1", 0, stale(known("v1")), stale(known("v1"))),
+	Entry("one version, the view is older than the other host", "old_view, may come", 0, stale(known("v1")), stale(started(time.Second, known("v1")))),
+	Entry("one version, this host has just started", "one_version v1", 0, started(time.Second, known("v1")), known("v1")),
+	Entry("one version, all hosts have just started", "short_history, may come in 29s", 0, started(time.Second, known("v1")), started(time.Second, known("v1"))),
+	Entry("one version, all hosts have just started and know the past", "one_version v1", 0, remembers(31*time.Second, started(time.Second, known("v1"))), started(time.Second, known("v1"))),
+	Entry("one version, a history that ends before the others begin", "short_history, may come in 28s", 0, started(2*time.Second, known("v1")), stale(known("v1"))),
+	Entry("one version, a history that ends after another begins", "one_version v1", 0, started(6*time.Second, known("v1")), stale(known("v1"))),
+	Entry("no replica known", "no_evidence", 0, known()),
+)
+
+// Guards against waiting for hosts that are gone: a view that was read after the resume came has
+// every version at which the stream can have begun.
+var _ = It("needs no answer for a view that is newer than the resume", func() {
+	s := origin.Stream{Lifetime: lifetime, Waited: 200 * time.Millisecond}
+	Expect(describe(origin.Decide(s, []origin.Answer{known("v1")}, 4, nil))).To(Equal("one_version v1"))
+})
+
+// Guards against joins by what replicas keep, where a replica that has left may have begun the
+// stream, and against refusals where none can have.
+var _ = DescribeTable("which version began a stream, by what replicas keep of its prompt", func(want string, holding, silent []string, a origin.Answer) {
+	// The stream began 8 s ago at most, and 2 s more for errors of the deadline.
+	s := origin.Stream{Lifetime: lifetime, Deadline: 15 * time.Second, Left: 7 * time.Second}
+	Expect(describe(origin.Decide(s, []origin.Answer{a, a}, 0, &origin.Memory{Holding: holding, Silent: silent}))).To(Equal(want))
+},
+	Entry("of one version", "prompt_kept v1", []string{"v1"}, nil, known("v1", "v2")),
+	Entry("of one version, though another one of it is silent", "prompt_kept v1", []string{"v1"}, []string{"v1"}, known("v1", "v2")),
+	Entry("of one version, and one of the other is silent", "several_versions", []string{"v1"}, []string{"v2"}, known("v1", "v2")),
+	Entry("of both", "several_versions", []string{"v1", "v2"}, nil, known("v1", "v2")),
+	Entry("of none", "several_versions", nil, nil, known("v1", "v2")),
+	Entry("of one version, the other has left since", "several_versions", []string{"v2"}, nil, left("v1", 9*time.Second, known("v1", "v2"))),
+	Entry("of one version, the other left before", "prompt_kept v2", []string{"v2"}, nil, left("v1", 11*time.Second, known("v1", "v2"))),
+	Entry("of one version, replicas of which have left", "prompt_kept v1", []string{"v1"}, nil, left("v1", time.Second, known("v1", "v2"))),
+	Entry("the history is shorter than the stream may be old", "several_versions", []string{"v1"}, nil, remembers(9*time.Second, known("v1", "v2"))),
+	Entry("the history is shorter than a lifetime", "prompt_kept v1", []string{"v1"}, nil, remembers(11*time.Second, known("v1", "v2"))),
+	Entry("the only version, the history is shorter than a lifetime", "prompt_kept v1", []string{"v1"}, nil, remembers(11*time.Second, known("v1"))),
+	Entry("a record says otherwise", "record v2", []string{"v1"}, nil, recorded("v2")),
+)
+
+// Guards against a deadline that says nothing: a caller with more time left than the route allows
+// may have begun the stream at any time of its lifetime.
+var _ = DescribeTable("a stream's age that the deadline does not bound", func(deadline, left time.Duration) {
+	s := origin.Stream{Lifetime: lifetime, Deadline: deadline, Left: left}
+	a := remembers(lifetime-time.Second, known("v1", "v2"))
+	Expect(describe(origin.Decide(s, []origin.Answer{a, a}, 0, &origin.Memory{Holding: []string{"v1"}}))).To(Equal("several_versions"))
+},
+	Entry("none", time.Duration(0), time.Duration(0)),
+	Entry("none left", 15*time.Second, time.Duration(0)),
+	Entry("more left than the route allows", 15*time.Second, 40*time.Second),
 )
 
 var _ = Describe("records", func() {
@@ -176,7 +238,7 @@
 func (f *simFleet) resume(h *simHost, key origin.Key) origin.Verdict {
 	answerOf := func(o *simHost) origin.Answer {
 		r, known := o.records.Get(f.now, key)
-		return origin.Answer{Known: known, Version: r.Version, Versions: o.history.Versions(f.now, "llm", lifetime), History: o.history.Length(f.now)}
+		return origin.Answer{Known: known, Version: r.Version, Versions: o.history.Versions(f.now, "llm", lifetime), History: o.history.Length(f.now), Running: o.history.Length(f.now)}
 	}
 	answers, unanswered := []origin.Answer{answerOf(h)}, 0
 	hosts, byName := f.others(h)
@@ -187,7 +249,7 @@
 			unanswered++
 		}
 	}
-	return origin.Decide(lifetime, answers, unanswered)
+	return origin.Decide(origin.Stream{Lifetime: lifetime}, answers, unanswered, nil)
 }
 
 // Guards against streams that are joined over two versions, and against resumes that are refused
--- /dev/null
+++ b/core/origin/schedule_test.go
@@ -0,0 +1,435 @@
+package origin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/origin"
+)
+
+// The model's times. Callers wait for callerDeadline over all their tries; a route allows as
+// much. The store keeps its changes for storePast, and replicas serve for some time after their
+// entries are gone.
+const (
+	callerDeadline = 20 * time.Second
+	storePast      = 20 * time.Second
+	servesOn       = 3 * time.Second
+	viewInterval   = 600 * time.Millisecond
+	step           = 100 * time.Millisecond
+)
+
+// modelReplica is a replica that is listed from one time to another, and what it keeps of prompts.
+type modelReplica struct {
+	version     string
+	from, until time.Time
+	keeps       map[origin.Key]bool
+	crashed     bool
+}
+
+// serves reports whether requests can run there.
+func (r *modelReplica) serves(now time.Time) bool {
+	return !r.crashed && !now.Before(r.from) && (r.until.IsZero() || now.Before(r.until.Add(servesOn)))
+}
+
+func (r *modelReplica) listed(at time.Time) bool {
+	return !at.Before(r.from) && (r.until.IsZero() || at.Before(r.until))
+}
+
+// modelHost is a host. It knows the replicas completely from completeSince to viewAt.
+type modelHost struct {
+	origin.Host
+	started, completeSince, viewAt time.Time
+	records                        origin.Records
+	downUntil, frozenUntil         time.Time
+	// noStoreUntil and aloneUntil are until when it reaches neither the store nor a host that
+	// does, and until when it reaches no host.
+	noStoreUntil, aloneUntil time.Time
+}
+
+type openStream struct {
+	key     origin.Key
+	version string
+	began   time.Time
+}
+
+// schedule is a random schedule of releases, losses of hosts, cuts and streams.
+type schedule struct {
+	rng      *rand.Rand
+	now      time.Time
+	hosts    []*modelHost
+	replicas []*modelReplica
+	streams  []openStream
+	// replaced is how many hosts a rolling replacement has reached.
+	replaced int
+	// pastDiscarded says that the store has discarded its changes.
+	pastDiscarded bool
+	// taken counts the resumes, able those whose version has two replicas that serve and are
+	// listed, and went on those of them that went on.
+	taken, able, wentOn, joined int
+	reasons                     map[origin.Reason]int
+	firstJoin                   string
+}
+
+func newSchedule(seed uint64, hosts int) *schedule {
+	s := &schedule{rng: rand.New(rand.NewPCG(seed, uint64(hosts))), now: time.Unix(10000, 0), reasons: map[origin.Reason]int{}}
+	for i := range hosts {
+		s.hosts = append(s.hosts, &modelHost{
+			Host:    origin.Host{Name: fmt.Sprint("h", i), FailureDomain: fmt.Sprint("d", i%3)},
+			started: s.now.Add(-time.Hour), completeSince: s.now.Add(-time.Hour), viewAt: s.now,
+		})
+	}
+	for range 6 {
+		s.join("v0", s.now.Add(-time.Hour))
+	}
+	return s
+}
+
+func (s *schedule) join(version string, at time.Time) {
+	s.replicas = append(s.replicas, &modelReplica{version: version, from: at, keeps: map[origin.Key]bool{}})
+}
+
+func (s *schedule) chance(p float64) bool { return s.rng.Float64() < p }
+func (s *schedule) up(h *modelHost) bool {
+	return !s.now.Before(h.downUntil) && !s.now.Before(h.frozenUntil)
+}
+func (s *schedule) reached(h *modelHost) bool { return s.up(h) && !s.now.Before(h.aloneUntil) }
+func (s *schedule) seconds(most float64) time.Duration {
+	return time.Duration(s.rng.Float64() * most * float64(time.Second))
+}
+
+// lose kills a host, which starts again without memory.
+func (s *schedule) lose(h *modelHost, down time.Duration) {
+	*h = modelHost{Host: h.Host, downUntil: s.now.Add(down), started: s.now.Add(down)}
+}
+
+// disturb makes random faults and releases happen: each kind every ten to thirty seconds.
+func (s *schedule) disturb() {
+	if s.chance(0.004) {
+		s.loseAll()
+	}
+	if s.chance(0.002) { // of all but one, which may have been suspended
+		survivor := *s.anyHost()
+		s.loseAll()
+		if s.chance(0.5) {
+			survivor.frozenUntil = s.now.Add(s.seconds(6))
+		}
+		*s.hosts[slices.IndexFunc(s.hosts, func(h *modelHost) bool { return h.Name == survivor.Name })] = survivor
+	}
+	if s.chance(0.004) {
+		s.loseDomain(fmt.Sprint("d", s.rng.IntN(3)))
+	}
+	if s.chance(0.01) {
+		s.lose(s.anyHost(), s.seconds(3))
+	}
+	if s.chance(0.005) {
+		s.anyHost().noStoreUntil = s.now.Add(s.seconds(20))
+	}
+	if s.chance(0.01) {
+		s.anyHost().frozenUntil = s.now.Add(s.seconds(6))
+	}
+	if s.chance(0.01) {
+		s.anyHost().aloneUntil = s.now.Add(s.seconds(4))
+	}
+	if s.chance(0.003) {
+		s.replaced = 0
+	}
+	if s.chance(0.004) {
+		s.release()
+	}
+	if s.chance(0.003) { // a version that comes and goes
+		s.join(fmt.Sprint("canary", s.now.UnixMilli()), s.now)
+		s.replicas[len(s.replicas)-1].until = s.now.Add(s.seconds(6))
+	}
+	if s.chance(0.005) {
+		s.crash(s.replicas[s.rng.IntN(len(s.replicas))])
+	}
+	s.replaceNext()
+}
+
+func (s *schedule) anyHost() *modelHost { return s.hosts[s.rng.IntN(len(s.hosts))] }
+
+func (s *schedule) loseAll() {
+	s.pastDiscarded = s.chance(0.5)
+	down := s.seconds(3)
+	for _, h := range s.hosts {
+		s.lose(h, down+s.seconds(0.3))
+	}
+}
+
+func (s *schedule) loseDomain(domain string) {
+	for _, h := range s.hosts {
+		if h.FailureDomain == domain {
+			s.lose(h, s.seconds(3))
+		}
+	}
+}
+
+// crash ends a replica, whose entry lapses later, and starts another one.
+func (s *schedule) crash(r *modelReplica) {
+	if r.until.IsZero() {
+		r.crashed, r.until = true, s.now.Add(s.seconds(3.6))
+		s.join(r.version, s.now.Add(time.Second))
+	}
+}
+
+// replaceNext goes on with a rolling replacement of the hosts, which takes less than the deadline
+// of a stream.
+func (s *schedule) replaceNext() {
+	if s.replaced < len(s.hosts) {
+		for range max(1, len(s.hosts)/60) {
+			s.lose(s.hosts[min(s.replaced, len(s.hosts)-1)], 300*time.Millisecond)
+			s.replaced++
+		}
+	}
+}
+
+// release replaces some or all replicas by those of a new version, at once or in turn.
+func (s *schedule) release() {
+	version, share, gap := fmt.Sprint("v", s.now.UnixMilli()), 0.3+s.rng.Float64(), s.seconds(2)
+	at := s.now
+	for _, r := range slices.Clone(s.replicas) {
+		if r.until.IsZero() && s.chance(share) {
+			s.join(version, at)
+			r.until = at.Add(s.seconds(2))
+			at = at.Add(gap)
+		}
+	}
+}
+
+// observe gives hosts newer views. A host without a history begins it as far back as the store's
+// changes or the histories of its peers reach.
+func (s *schedule) observe() {
+	earliest := time.Time{}
+	for _, h := range s.hosts {
+		if s.reached(h) && !s.now.Before(h.noStoreUntil) && !h.completeSince.IsZero() && s.now.Sub(h.viewAt) < storePast {
+			if earliest.IsZero() || h.completeSince.Before(earliest) {
+				earliest = h.completeSince
+			}
+		}
+	}
+	for i, h := range s.hosts {
+		due := (s.now.UnixMilli()/step.Milliseconds()+int64(i))%(viewInterval.Milliseconds()/step.Milliseconds()) == 0 || h.viewAt.IsZero()
+		if !due || !s.reached(h) || s.now.Before(h.noStoreUntil) {
+			continue
+		}
+		if h.completeSince.IsZero() || s.now.Sub(h.viewAt) >= storePast {
+			h.completeSince = s.now.Add(-storePast)
+			if s.pastDiscarded {
+				h.completeSince = s.now
+			}
+		}
+		if !earliest.IsZero() && earliest.Before(h.completeSince) {
+			h.completeSince = earliest
+		}
+		h.viewAt = s.now
+	}
+}
+
+// answer is what a host knows. Replicas that came and went within its history are known.
+func (s *schedule) answer(h *modelHost, key origin.Key) origin.Answer {
+	r, known := h.records.Get(s.now, key)
+	a := origin.Answer{Known: known, Version: r.Version, History: s.now.Sub(h.completeSince), ViewAge: s.now.Sub(h.viewAt), Running: s.now.Sub(h.started)}
+	if h.viewAt.IsZero() {
+		a.History, a.ViewAge = 0, time.Hour
+		return a
+	}
+	a.Versions = s.versionsOf(h)
+	for _, r := range s.replicas {
+		if !r.until.IsZero() && r.until.After(h.completeSince) && !r.until.After(h.viewAt) {
+			a.Departures = append(a.Departures, origin.Departure{Version: r.version, Ago: s.now.Sub(r.until)})
+		}
+	}
+	return a
+}
+
+func (s *schedule) versionsOf(h *modelHost) []string {
+	var out []string
+	since := h.completeSince
+	if oldest := s.now.Add(-origin.MaxHistory); since.Before(oldest) {
+		since = oldest
+	}
+	for _, r := range s.replicas {
+		if !r.from.After(h.viewAt) && (r.until.IsZero() || !r.until.Before(since)) && !slices.Contains(out, r.version) {
+			out = append(out, r.version)
+		}
+	}
+	return out
+}
+
+// begin has a host begin a stream at a replica of its view. One in five requests was read by another
+// replica before, which keeps its prompt.
+func (s *schedule) begin() {
+	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	if !s.up(h) || h.viewAt.IsZero() {
+		return
+	}
+	var usable []*modelReplica
+	for _, r := range s.replicas {
+		if r.listed(h.viewAt) && r.serves(s.now) {
+			usable = append(usable, r)
+		}
+	}
+	if len(usable) == 0 {
+		return
+	}
+	s.send(h, usable)
+}
+
+// send has one of the replicas write the first event, which the host records.
+func (s *schedule) send(h *modelHost, usable []*modelReplica) {
+	key := origin.NewKey("customer", fmt.Sprint(s.rng.Uint64()))
+	first := usable[s.rng.IntN(len(usable))]
+	first.keeps[key] = true
+	if s.chance(0.2) {
+		usable[s.rng.IntN(len(usable))].keeps[key] = true
+	}
+	s.streams = append(s.streams, openStream{key: key, version: first.version, began: s.now})
+	r := origin.Record{Key: key, Service: "llm", Version: first.version, Expires: s.now.Add(lifetime), Own: true}
+	h.records.Put(s.now, r)
+	if len(s.versionsOf(h)) < 2 {
+		return
+	}
+	s.sendRecord(h, r)
+}
+
+func (s *schedule) sendRecord(h *modelHost, r origin.Record) {
+	if !s.reached(h) || s.chance(0.05) { // it dies first
+		return
+	}
+	hosts, byName := s.others(h)
+	for _, holder := range origin.Holders(r.Key, hosts) {
+		if o := byName[holder.Name]; s.reached(o) {
+			o.records.Put(s.now, r)
+		}
+	}
+}
+
+func (s *schedule) others(self *modelHost) (hosts []origin.Host, byName map[string]*modelHost) {
+	byName = map[string]*modelHost{}
+	for _, h := range s.hosts {
+		if h != self {
+			hosts, byName[h.Name] = append(hosts, h.Host), h
+		}
+	}
+	return hosts, byName
+}
+
+// resume has a caller take up a stream at some host, which decides at once, and once more after
+// its next view.
+func (s *schedule) resume(st openStream) {
+	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	age := s.now.Sub(st.began)
+	if !s.up(h) || h.viewAt.IsZero() || age >= callerDeadline {
+		return
+	}
+	s.taken++
+	q := origin.Stream{Lifetime: lifetime, Deadline: callerDeadline, Left: callerDeadline - age}
+	v := s.decide(h, q, st.key)
+	if !v.Known && v.Reason == origin.OldView && s.reached(h) && !s.now.Before(h.noStoreUntil) {
+		view := h.viewAt
+		h.viewAt, q.Waited = s.now, time.Millisecond
+		v = s.decide(h, q, st.key)
+		h.viewAt = view
+	}
+	s.reasons[v.Reason]++
+	serving := 0
+	for _, r := range s.replicas {
+		if r.version == st.version && r.listed(s.now) && r.serves(s.now) {
+			serving++
+		}
+	}
+	if serving >= 2 {
+		s.able++
+		if v.Known {
+			s.wentOn++
+		}
+	}
+	if v.Known && v.Version != st.version {
+		s.joined++
+		if s.firstJoin == "" {
+			s.firstJoin = fmt.Sprintf("at %s: began at %s %s ago, %s %s; %s", s.now.Sub(time.Unix(10000, 0)), st.version, age, v.Reason, v.Version, v.Evidence)
+		}
+	}
+	if v.Known && v.Version == st.version && serving > 0 {
+		h.records.Put(s.now, origin.Record{Key: st.key, Service: "llm", Version: v.Version, Expires: s.now.Add(lifetime), Own: true})
+	}
+}
+
+func (s *schedule) decide(h *modelHost, q origin.Stream, key origin.Key) origin.Verdict {
+	answers, unanswered := []origin.Answer{s.answer(h, key)}, 0
+	hosts, byName := s.others(h)
+	for _, asked := range origin.Asked(key, hosts) {
+		if o := byName[asked.Name]; s.reached(o) && s.reached(h) {
+			answers = append(answers, s.answer(o, key))
+		} else {
+			unanswered++
+		}
+	}
+	v := origin.Decide(q, answers, unanswered, nil)
+	if v.Known {
+		return v
+	}
+	return origin.Decide(q, answers, unanswered, s.memory(h, key))
+}
+
+// memory is what the replicas of a host's view say that they keep.
+func (s *schedule) memory(h *modelHost, key origin.Key) *origin.Memory {
+	m := &origin.Memory{}
+	for _, r := range s.replicas {
+		switch {
+		case !r.listed(h.viewAt):
+		case !r.serves(s.now) || s.chance(0.05):
+			m.Silent = append(m.Silent, r.version)
+		case r.keeps[key]:
+			m.Holding = append(m.Holding, r.version)
+		}
+	}
+	for _, versions := range []*[]string{&m.Holding, &m.Silent} {
+		slices.Sort(*versions)
+		*versions = slices.Compact(*versions)
+	}
+	return m
+}
+
+// run plays a schedule of some minutes.
+func (s *schedule) run(steps int) {
+	s.replaced = len(s.hosts)
+	for range steps {
+		s.now = s.now.Add(step)
+		s.disturb()
+		s.observe()
+		s.begin()
+		for range 2 {
+			if len(s.streams) > 0 {
+				s.resume(s.streams[len(s.streams)-1-s.rng.IntN(min(len(s.streams), 150))])
+			}
+		}
+		s.replicas = slices.DeleteFunc(s.replicas, func(r *modelReplica) bool {
+			return !r.until.IsZero() && s.now.Sub(r.until) > origin.MaxHistory
+		})
+	}
+}
+
+// Guards against streams that are joined from two versions, whatever is lost, cut, suspended or
+// replaced, at once or in turn, and against resumes that are refused though their version serves.
+var _ = DescribeTable("streams that are taken up in random schedules", func(hosts, seeds, steps int) {
+	taken, able, wentOn, reasons := 0, 0, 0, map[origin.Reason]int{}
+	for seed := range uint64(seeds) {
+		s := newSchedule(seed, hosts)
+		s.run(steps)
+		Expect(s.joined).To(BeZero(), "seed %d, %d of %d resumes, the first %s", seed, s.joined, s.taken, s.firstJoin)
+		taken, able, wentOn = taken+s.taken, able+s.able, wentOn+s.wentOn
+		for reason, n := range s.reasons {
+			reasons[reason] += n
+		}
+	}
+	AddReportEntry("resumes", fmt.Sprintf("%d resumes; %d of %d whose version has two replicas go on; %v", taken, wentOn, able, reasons))
+	Expect(wentOn).To(BeNumerically(">", able/2))
+},
+	Entry("6 hosts", 6, 20, 1200), Entry("60 hosts", 60, 5, 1200), Entry("985 hosts", 985, 2, 300),
+)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,7 @@
 		OnEjected: g.logEjection, OnSilence: g.logSilence, Limiters: g.limiters,
 	})
 	g.slowdowns.router = g.router
+	g.origins.started = clock.Now()
 	g.reachability.router, g.reachability.table, g.reachability.avoided = g.router, reach.New(s.Host), map[string]bool{}
 	mux := peer.NewMux()
 	g.registerPromptHandler(mux)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -37,6 +37,9 @@
 	// originRetryDelay is the time after which hosts are asked once more: the caller may have
 	// been faster than the record.
 	originRetryDelay = 30 * time.Millisecond
+	// originViewTimeout limits the wait for a view that is newer than a resume: hosts read the
+	// store more often.
+	originViewTimeout = 2 * time.Second
 	// minStreamLifetime is the shortest time for which a stream may be taken up, and
 	// streamLifetimeMargin is added to the timeout of the route: callers may set a longer
 	// deadline than the host observes.
@@ -49,6 +52,8 @@
 
 // streamOrigins holds what this host knows about the versions that began streams.
 type streamOrigins struct {
+	// started is when this host started: it has no records of before.
+	started time.Time
 	mu      sync.Mutex
 	records origin.Records
 	history origin.History
@@ -64,14 +69,19 @@
 	})
 	peer.Handle(mux, methodOriginLookup, func(_ context.Context, _ peer.Sender, m *wire.StreamOriginRequest) (*wire.StreamOriginReply, error) {
 		key, _ := parseOriginKey(m.GetKey())
-		a := g.knownOrigin(key, m.GetService(), time.Duration(m.GetLifetimeMs())*time.Millisecond)
+		a := g.knownOrigin(key, m.GetService())
 		return &wire.StreamOriginReply{
 			Known: a.Known, Version: a.Version, Versions: a.Versions,
-			HistoryMs: uint32(a.History.Milliseconds()), ViewAgeMs: uint32(a.ViewAge.Milliseconds()),
+			HistoryMs: uint32(a.History.Milliseconds()), ViewAgeMs: roundedUpMS(a.ViewAge), RunningMs: uint32(a.Running.Milliseconds()),
 		}, nil
 	})
 }
 
+// roundedUpMS returns a duration in milliseconds, rounded up.
+func roundedUpMS(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 // parseOriginKey parses a key; it returns false if the size is wrong.
 func parseOriginKey(raw []byte) (origin.Key, bool) {
 	if len(raw) != origin.KeySize {
@@ -92,16 +102,21 @@
 	}
 }
 
+// viewAge is the age of a view; that of a view that was never complete is origin.MaxHistory.
+func viewAge(now time.Time, v *discovery.View) time.Duration {
+	return min(origin.MaxHistory, max(0, now.Sub(v.AsOf)))
+}
+
 // knownOrigin is what this host knows about a stream and its service.
-func (g *Gateway) knownOrigin(key origin.Key, service string, lifetime time.Duration) origin.Answer {
+func (g *Gateway) knownOrigin(key origin.Key, service string) origin.Answer {
 	now := clock.Now()
 	s := &g.origins
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, known := s.records.Get(now, key)
 	return origin.Answer{
-		Known: known, Version: r.Version, Versions: s.history.Versions(now, service, lifetime),
-		History: s.history.Length(now), ViewAge: max(0, now.Sub(g.discovery.View().AsOf)),
+		Known: known, Version: r.Version, Versions: s.history.Versions(now, service, origin.MaxHistory),
+		History: s.history.Length(now), ViewAge: viewAge(now, g.discovery.View()), Running: now.Sub(s.started),
 	}
 }
 
@@ -165,7 +180,7 @@
 	r := origin.Record{Key: x.originKey(), Service: x.service, Version: version, Expires: x.arrived.Add(lifetime), Own: true}
 	s := &x.g.origins
 	s.mu.Lock()
-	r.Sent = len(s.history.Versions(now, x.service, lifetime)) > 1
+	r.Sent = len(s.history.Versions(now, x.service, origin.MaxHistory)) > 1
 	s.records.Put(now, r)
 	s.mu.Unlock()
 	if r.Sent {
@@ -294,7 +309,7 @@
 	if !v.Known {
 		e := problem.New(problem.VersionUnknown, "which software version began the stream is not known: %s (%s)", v.Reason, v.Evidence)
 		if v.MayCome {
-			e = withRetryAfter(e, x.retryDelay(originUnknownRetryAfter))
+			e = withRetryAfter(e, x.retryDelay(max(originUnknownRetryAfter, v.After)))
 		}
 		return e
 	}
@@ -306,35 +321,50 @@
 	return nil
 }
 
-// lookUpOrigin decides which version began the stream that the caller takes up. If a record is
-// needed and none is found, it looks once more.
+// lookUpOrigin decides which version began the stream that the caller takes up. What is not known
+// at once is looked up again: the caller may have been faster than the record, and a newer view
+// may show that there is no newer version.
 func (x *exchange) lookUpOrigin() origin.Verdict {
 	v := x.lookUpOriginOnce()
-	if v.Known || v.Reason != origin.SeveralVersions {
+	if v.Known || !v.MayCome && v.Reason != origin.SeveralVersions {
 		return v
 	}
 	if !periodic.Sleep(x.r.Context(), originRetryDelay) {
 		return v
 	}
+	if v.Reason == origin.OldView {
+		ctx, cancel := clock.WithTimeout(x.r.Context(), originViewTimeout)
+		defer cancel()
+		x.g.discovery.AwaitView(ctx, x.arrived)
+	}
 	return x.lookUpOriginOnce()
 }
 
 // lookUpOriginOnce decides from what this host knows, and what the hosts know that may hold the
 // record.
 func (x *exchange) lookUpOriginOnce() origin.Verdict {
-	key, lifetime := x.originKey(), x.streamLifetime()
-	answers := []origin.Answer{x.g.knownOrigin(key, x.service, lifetime)}
-	if answers[0].Known {
-		return origin.Decide(lifetime, answers, 0)
+	key := x.originKey()
+	stream := origin.Stream{Lifetime: x.streamLifetime(), Deadline: x.route.Timeout, Left: x.req.Timeout}
+	answers, unanswered := []origin.Answer{x.g.knownOrigin(key, x.service)}, 0
+	if !answers[0].Known {
+		var received []origin.Answer
+		received, unanswered = x.g.askOrigins(x.r.Context(), key, x.service)
+		answers = append(answers, received...)
 	}
-	hosts := origin.Asked(key, x.g.originHosts())
-	ctx, cancel := clock.WithTimeout(x.r.Context(), originLookupTimeout)
+	stream.Waited = clock.Since(x.arrived)
+	return origin.Decide(stream, answers, unanswered, nil)
+}
+
+// askOrigins asks the hosts that may hold the record of a stream, until one has it. unanswered is
+// the number of those that did not answer in time.
+func (g *Gateway) askOrigins(ctx context.Context, key origin.Key, service string) (answers []origin.Answer, unanswered int) {
+	hosts := origin.Asked(key, g.originHosts())
+	ctx, cancel := clock.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	received := make(chan *origin.Answer, len(hosts))
 	for _, h := range hosts {
-		go func() { received <- x.g.askOrigin(ctx, h.Name, key, x.service, lifetime) }()
+		go func() { received <- g.askOrigin(ctx, h.Name, key, service) }()
 	}
-	unanswered := 0
 	for range hosts {
 		a := <-received
 		if a == nil {
@@ -346,22 +376,27 @@
 			break
 		}
 	}
-	return origin.Decide(lifetime, answers, unanswered)
+	return answers, unanswered
 }
 
-// askOrigin asks a host what it knows; nil if it does not answer in time.
-func (g *Gateway) askOrigin(ctx context.Context, host string, key origin.Key, service string, lifetime time.Duration) *origin.Answer {
+// askOrigin asks a host what it knows; nil if it does not answer in time. Its view has aged by the
+// duration of the call at most.
+func (g *Gateway) askOrigin(ctx context.Context, host string, key origin.Key, service string) *origin.Answer {
+	asked := clock.Now()
 	reply := &wire.StreamOriginReply{}
-	req := &wire.StreamOriginRequest{Key: key[:], Service: service, LifetimeMs: uint32(lifetime.Milliseconds())}
+	req := &wire.StreamOriginRequest{Key: key[:], Service: service, LifetimeMs: uint32(origin.MaxHistory.Milliseconds())}
 	if err := g.fleet.Caller().Call(ctx, host, methodOriginLookup, req, reply); err != nil {
 		return nil
 	}
 	return &origin.Answer{
 		Known: reply.GetKnown(), Version: reply.GetVersion(), Versions: reply.GetVersions(),
-		History: time.Duration(reply.GetHistoryMs()) * time.Millisecond, ViewAge: time.Duration(reply.GetViewAgeMs()) * time.Millisecond,
+		History: milliseconds(reply.GetHistoryMs()), ViewAge: milliseconds(reply.GetViewAgeMs()) + clock.Since(asked),
+		Running: milliseconds(reply.GetRunningMs()),
 	}
 }
 
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // OriginState is what this host knows about the versions of streams, as the state dump shows it.
 type OriginState struct {
 	// Streams is the number of streams whose version this host knows.
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -35,9 +35,24 @@
 	})
 
 	It("resume after the event that the caller names", func() {
+		f := newFixture()
+		g := f.start().ready()
+		f.behave("llm", site.Behaviour{AbortAfterEvents: 1})
+		first, began := g.send(http.MethodPost, resumePath, "prompt", nil)
+		Expect(first.err).To(HaveOccurred())
+		got := strings.Count(first.body, "id: ")
+		Expect(got).To(BeNumerically("<", 5))
+		f.behave("llm", site.Behaviour{})
+		a, id := g.send(http.MethodPost, resumePath, "prompt", takeUp(began, first.body))
+		Expect(a.body).To(Equal(streamEvents(id, got+1, 5)))
+	})
+
+	// The host has just started: another version may have begun the stream and left since.
+	It("are refused where nothing shows which software version began them", func() {
 		f := newFixture()
 		a, id := f.start().ready().send(http.MethodPost, resumePath, "prompt", func(r *http.Request) { r.Header.Set("Last-Event-Id", "2") })
-		Expect(a.body).To(Equal(streamEvents(id, 3, 5)))
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(f.ledger.Runs(id)).To(BeEmpty())
 	})
 
 	It("do not look complete when they are interrupted and may not resume elsewhere", func() {
