discovery: own the history of versions, and say for how long it is complete

Callers' streams were joined from two versions after a loss of all hosts, and could be after a version came and went between two views, or while a host was cut off or suspended: each host's history began with its own first view, and counted as complete whatever lay between two views.

The discovery now keeps the history: it takes the versions that came and went within one read of the store from the read itself, restarts the history where reads do not continue each other, gives it to peers with its completeness, and reads the store's past once if no host knows what was listed before. The gateway does not ask yet.

--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -64,6 +64,7 @@
 	return &wire.NewsRequest{
 		ConfigRevision: max(v.revision, d.advertised.revision, d.rejectedRevision, d.ignoredRevision), ConfigVersion: max(v.version(), d.advertised.version), ReplicaBuckets: v.Replicas.Digest()[:], WaitMs: uint32(wait.Milliseconds()),
 		AgeMs: min(now.Sub(v.replicasAsOf), unknownAge).Milliseconds(), EvacuationsRevision: v.Evacuations.Revision, AcceptsChanges: true,
+		HistoryMs: d.knownHistory(v),
 	}
 }
 
@@ -81,13 +82,17 @@
 			d.checkedRevisions = checkedRevisions{checked}
 		}
 	}
-	if known := d.knownPosition(); known > 0 && position.Era(reply.GetReplicasRevision()) > position.Era(known) {
+	known := d.knownPosition()
+	newEra := known > 0 && position.Era(reply.GetReplicasRevision()) > position.Era(known)
+	if newEra {
 		d.registry.StoreRestored(clock.Now()) // for lists of the copy by this host
 	}
 	d.listing = nil
 	replicas := replicasWith(d.registry.Replicas(), reply)
 	d.registry.ReplaceFromPeer(asOf, replicas)
-	if replicas.Digest().Sum() == reply.GetReplicasHash() && asOf.After(next.replicasAsOf) {
+	complete := replicas.Digest().Sum() == reply.GetReplicasHash()
+	d.versionsReceived(host, reply, asOf, complete, newEra)
+	if complete && asOf.After(next.replicasAsOf) {
 		// All changes have been received.
 		next.replicasAsOf, next.replicasRevision = asOf, reply.GetReplicasRevision()
 	}
@@ -222,6 +227,7 @@
 		AgeMs: now.Sub(v.AsOf).Milliseconds() + 1, WaitedMs: uint32(now.Sub(receivedAt).Milliseconds()),
 		ConfigRevision: d.advertisableRevision(v), ConfigVersion: v.version(), CheckedRevision: d.checkedRevisions.oldest(), ReplicasHash: v.Replicas.Digest().Sum(), ReplicasRevision: v.replicasRevision,
 		Evacuations: d.evacuationsReply(req.GetEvacuationsRevision()),
+		Versions:    d.versionsReply(v, now, receivedAt.Add(-time.Duration(req.GetAgeMs())*time.Millisecond), req.GetHistoryMs()),
 	}
 	if d.registry.RetainsLapsed() || d.dependsOnPeers() {
 		// The requester may have seen replicas removed while this host was disconnected.
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/origin"
 	"github.com/wheatseam/wheatseam/core/position"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -51,9 +52,15 @@
 	// PropagationBound returns the time within which a change that the store acknowledged
 	// must be active here.
 	PropagationBound func() time.Duration
+	// StorePast describes what the store has of its own past; the zero value: nothing.
+	StorePast StorePast
 	// OnViewChange is called with every view whose content differs from the previous one,
 	// by one goroutine at a time.
 	OnViewChange func(*View)
+	// OnNewVersions, if not nil, is called with the services that have got a software version
+	// beside others that they have or had, before the view that lists it is active, by one
+	// goroutine at a time. It must not call Dump.
+	OnNewVersions func(services []string)
 }
 
 // Discovery maintains the view. All methods are safe for concurrent use.
@@ -66,6 +73,14 @@
 	registry catalog.Registry
 	// history holds the last sets of replicas, from which peers are sent what changed.
 	history replicaHistory
+	// versions is the history of the software versions of the published replicas, guarded by
+	// versionsMu, which is locked after mu. It is changed with mu held.
+	versionsMu sync.Mutex
+	versions   origin.History
+	// past is how far this host has got in learning what was listed before; pastWork wakes
+	// syncPast.
+	past     pastState
+	pastWork chan struct{}
 	// firstViewAt is when this host received the first part of its first view.
 	firstViewAt time.Time
 	// listsAlone says that this host may list all replicas, however many there are; until
@@ -134,7 +149,7 @@
 // New returns a Discovery that has not started, and registers its methods.
 func New(cfg Config) *Discovery {
 	d := &Discovery{
-		cfg: cfg, log: cfg.Logger, viewChanged: make(chan struct{}), source: cfg.Self, configWork: make(chan struct{}, 1), firstConfigRead: make(chan struct{}),
+		cfg: cfg, log: cfg.Logger, viewChanged: make(chan struct{}), source: cfg.Self, configWork: make(chan struct{}, 1), pastWork: make(chan struct{}, 1), firstConfigRead: make(chan struct{}),
 		evacuationsIncomplete: true,
 	}
 	d.view.Store(&View{})
@@ -154,6 +169,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { d.syncReplicas(ctx) })
 	group.Go(func() { d.syncConfig(ctx) })
+	group.Go(func() { d.syncPast(ctx) })
 	group.Wait()
 }
 
@@ -240,6 +256,8 @@
 	// InvalidEntries describes the fault of each entry that is not a valid replica, by
 	// key.
 	InvalidEntries map[string]string `json:"faults,omitempty"`
+	// Versions is the history of software versions.
+	Versions VersionsDump `json:"versions"`
 }
 
 // Dump returns the current state for operators.
@@ -252,6 +270,7 @@
 		AdvertisedRevision: position.Revision(d.advertised.revision), BehindSeconds: behind.Seconds(), CheckedRevision: position.Revision(d.checkedRevisions.oldest()),
 		StoreReads: d.storeReads.Load(), Lists: d.lists.Load(), PeerReplies: d.peerReplies.Load(), Replicas: v.Replicas.Sorted(), InvalidEntries: d.invalidEntries,
 		Evacuated: v.Evacuations.Domains, EvacuationsRevision: position.Revision(v.Evacuations.Revision),
+		Versions: d.dumpVersions(clock.Now()),
 	}
 	if v.Config != nil {
 		dump.Version = v.Config.Version
--- a/discovery/listing.go
+++ b/discovery/listing.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
@@ -16,6 +17,9 @@
 	entries map[string]listedEntry
 	// faults describes the faults of entries that are not valid replicas, by key.
 	faults map[string]string
+	// removed has the store's revision at which entries were last removed, by key, as long as
+	// changes from before may be read again.
+	removed map[string]uint64
 	// listedAt is when the entries were last listed, or received from a peer.
 	listedAt time.Time
 }
@@ -38,7 +42,7 @@
 )
 
 func newListing() *listing {
-	return &listing{entries: map[string]listedEntry{}, faults: map[string]string{}}
+	return &listing{entries: map[string]listedEntry{}, faults: map[string]string{}, removed: map[string]uint64{}}
 }
 
 // listingOf returns the listing of replicas that a peer sent, which include all changes up
@@ -57,6 +61,9 @@
 type listingChanges struct {
 	written map[string]*catalog.Replica
 	gone    map[string]bool
+	// departed are the versions of which a replica was removed or started anew, also of
+	// replicas that were written and removed within the changes.
+	departed map[serviceVersion]bool
 	// rewritten counts the entries that were written again with the same content.
 	rewritten int
 }
@@ -70,10 +77,10 @@
 // apply records entries that were listed, written or removed, in this order, and returns
 // their net effect. Reports that are not newer than an entry are ignored.
 func (l *listing) apply(items []platform.Item) listingChanges {
-	c := listingChanges{written: map[string]*catalog.Replica{}, gone: map[string]bool{}}
+	c := listingChanges{written: map[string]*catalog.Replica{}, gone: map[string]bool{}, departed: map[serviceVersion]bool{}}
 	for _, item := range items {
 		old, known := l.entries[item.Key]
-		if known && item.Revision <= old.revision {
+		if known && item.Revision <= old.revision || !known && item.Revision <= l.removed[item.Key] {
 			continue
 		}
 		delete(l.faults, item.Key)
@@ -95,6 +102,7 @@
 		}
 		if item.Removed {
 			delete(l.entries, item.Key)
+			l.removed[item.Key] = item.Revision
 		} else {
 			l.entries[item.Key] = next
 		}
@@ -104,6 +112,9 @@
 
 // replace records that an entry names another replica than before; nil stands for none.
 func (c *listingChanges) replace(old, next *catalog.Replica) {
+	if old != nil && (next == nil || next.ID != old.ID || versionOf(next) != versionOf(old)) {
+		c.departed[versionOf(old)] = true
+	}
 	if old != nil {
 		delete(c.written, old.ID)
 		c.gone[old.ID] = true
@@ -114,6 +125,11 @@
 	}
 }
 
+// forgetRemoved forgets removals from before the changes that are read next.
+func (l *listing) forgetRemoved() {
+	maps.DeleteFunc(l.removed, func(_ string, revision uint64) bool { return revision <= l.checked.oldest() })
+}
+
 // usable reports whether it suffices to read the changes since the listing was read.
 func (l *listing) usable(now time.Time) bool {
 	return now.Sub(l.readAt) < maxListingAge && now.Sub(l.listedAt) < relistInterval
--- /dev/null
+++ b/discovery/past.go
@@ -0,0 +1,221 @@
+package discovery
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/origin"
+	"github.com/wheatseam/wheatseam/core/position"
+	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/periodic"
+	"github.com/wheatseam/wheatseam/platform"
+)
+
+// After all hosts of a fleet were lost no host knows what was listed before. The host that reads
+// the store for the others then asks it once for the changes before its first list.
+
+const (
+	// maxPastEvents bounds what is read of the store's past, at some 300 bytes each: at 80
+	// replicas that is a minute, at 1,000 five heartbeats. With more replicas than
+	// maxPastEvents/minPastBeats it reaches back too little to be worth the call.
+	maxPastEvents = 4000
+	minPastBeats  = 2
+	// maxPastReads bounds the calls to the store. Each further attempt reaches back half as far.
+	maxPastReads = 5
+	// firstPastShare is the share of the store's retention that the first attempt is meant to
+	// cover: more than all of it, since replicas may have left of which nothing is known yet.
+	firstPastShare = 1.8
+)
+
+// StorePast describes what the store has of its own past.
+type StorePast struct {
+	// Retention is for how long it keeps changes at most, and Heartbeat the interval at which
+	// each replica writes its entry. If either is 0, the past is not read.
+	Retention, Heartbeat time.Duration
+}
+
+// errPastIncomplete means that the store's answers do not reach this host's own reads.
+var errPastIncomplete = errors.New("discovery: the changes do not reach the known ones")
+
+// pastState is how far this host has got in learning what was listed before its history.
+type pastState int
+
+const (
+	// pastKnown: nothing is left to ask for. pastUnread: the history was restarted.
+	// pastPeerAsked: a peer was asked, which may know more.
+	pastKnown pastState = iota
+	pastUnread
+	pastPeerAsked
+)
+
+// learnPast has the history reach back before this host's own views after it was restarted: it
+// asks a peer, and if that knows no more, the store. Only the host that reads the store for the
+// fleet does so.
+func (d *Discovery) learnPast(ctx context.Context) {
+	select {
+	case <-d.cfg.Members.Formed():
+	default:
+		return // others may read the store for this host
+	}
+	switch d.nextPastState() {
+	case pastPeerAsked:
+		d.requestChangesFromRandomPeer(ctx)
+	case pastKnown:
+		select {
+		case d.pastWork <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// noPastWork is returned by nextPastState if there is nothing to do.
+const noPastWork pastState = -1
+
+// nextPastState advances the state and returns it, or noPastWork.
+func (d *Discovery) nextPastState() pastState {
+	now := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versionsMu.Lock()
+	defer d.versionsMu.Unlock()
+	switch {
+	case d.past == pastKnown || d.listing == nil:
+		return noPastWork
+	case d.versions.CompleteFor(now) >= d.cfg.StorePast.Retention:
+		d.past = pastKnown
+		return noPastWork
+	case d.past == pastUnread:
+		d.past = pastPeerAsked
+	default:
+		d.past = pastKnown
+	}
+	return d.past
+}
+
+// syncPast reads the store's past when learnPast asks for it, until ctx ends. No view waits for
+// it.
+func (d *Discovery) syncPast(ctx context.Context) {
+	for {
+		select {
+		case <-d.pastWork:
+			d.readPast(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readPast extends the history by what the store has of its past.
+func (d *Discovery) readPast(ctx context.Context) {
+	past := d.cfg.StorePast
+	d.mu.Lock()
+	v, known := d.View(), d.knownPosition()
+	d.mu.Unlock()
+	span := pastSpan(v.Replicas.Len(), past)
+	switch {
+	case span == 0:
+		d.log.Info("store's past not read: too many replicas, or how often they write is not known", zap.Int("replicas", v.Replicas.Len()))
+		return
+	case position.Era(known) > 0:
+		// What was written before the store came back from a copy may be lost.
+		d.log.Info("store's past not read: it has come back from a copy", eraField(known))
+		return
+	}
+	items, reads, err := d.changesBefore(ctx, known, span)
+	if err != nil {
+		d.log.Warn("could not read the store's past", zap.Error(err), zap.Int("reads", reads))
+		return
+	}
+	s := origin.Past(clock.Now(), past.Heartbeat, pastEvents(items))
+	if oldest := clock.Now().Add(-past.Retention); s.Since.Before(oldest) && !s.Since.IsZero() {
+		s.Since = oldest
+	}
+	s.Until = v.replicasAsOf
+	d.extendHistory(s, len(items), reads)
+}
+
+// extendHistory adds the store's past to the history.
+func (d *Discovery) extendHistory(s origin.Summary, events, reads int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Now()
+	var before, after time.Duration
+	d.updateVersions(func(h *origin.History) []string {
+		before = h.CompleteFor(now)
+		reachesBack := !s.Since.IsZero() && now.Sub(s.Since) > before
+		grown := h.Merge(now, s, reachesBack)
+		after = h.CompleteFor(now)
+		return grown
+	})
+	d.log.Info("version history extended by the store's past", zap.Duration("before", before), zap.Duration("complete_for", after),
+		zap.Int("events", events), zap.Int("reads", reads), zap.Int("departed_versions", len(s.Versions)))
+}
+
+// pastSpan returns the number of revisions that the first attempt to read the past covers; 0 if
+// it is not worth it.
+func pastSpan(replicas int, past StorePast) uint64 {
+	if past.Heartbeat <= 0 || past.Retention <= 0 || replicas*minPastBeats > maxPastEvents {
+		return 0
+	}
+	beats := firstPastShare * float64(past.Retention) / float64(past.Heartbeat)
+	return uint64(min(maxPastEvents, float64(max(1, replicas))*beats))
+}
+
+// changesBefore reads the changes since span revisions before the given one, or fewer if the
+// store no longer has them. The result is in the order of the revisions and contiguous up to the
+// given one at least; otherwise there is an error.
+func (d *Discovery) changesBefore(ctx context.Context, revision, span uint64) (items []platform.Item, reads int, err error) {
+	after := revision - min(span, revision)
+	for reached := after; reads < maxPastReads; {
+		var more []platform.Item
+		reads++
+		more, reached, err = d.cfg.Store.Changes(ctx, platform.ReplicaPrefix, reached, 0)
+		switch {
+		case errors.Is(err, platform.ErrCompacted) && span > 1:
+			span /= 2
+			after, items = revision-min(span, revision), nil
+			reached = after
+			continue
+		case errors.Is(err, platform.ErrUnavailable) && periodic.Sleep(ctx, maxRetryInterval):
+			reached, items = after, nil
+			continue
+		case err != nil:
+			return nil, reads, err
+		}
+		items = append(items, more...)
+		if reached >= revision {
+			break
+		}
+		err = errPastIncomplete
+	}
+	slices.SortStableFunc(items, func(a, b platform.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return items, reads, err
+}
+
+// pastEvents returns what items say of replicas. Entries that are not valid replicas are left
+// out.
+func pastEvents(items []platform.Item) []origin.Event {
+	written := map[string]catalog.Replica{}
+	events := make([]origin.Event, 0, len(items))
+	for _, item := range items {
+		if item.Removed {
+			delete(written, item.Key)
+			events = append(events, origin.Event{Key: item.Key, Removed: true})
+			continue
+		}
+		r, err := platform.DecodeReplica(item)
+		if err != nil {
+			continue
+		}
+		before, known := written[item.Key]
+		written[item.Key] = r
+		events = append(events, origin.Event{Key: item.Key, Service: r.Service, Version: r.Version, Heartbeat: known && before == r})
+	}
+	return events
+}
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -19,6 +19,7 @@
 	d.awaitFirstPeers(ctx)
 	wait := minRetryInterval
 	for ctx.Err() == nil {
+		hadView := d.View().Replicas != nil
 		source := d.chooseSource(clock.Now())
 		if source != d.cfg.Self && d.askSource(ctx, source) {
 			wait = minRetryInterval
@@ -39,6 +40,9 @@
 		if d.View().Config == nil {
 			d.awaitChange(ctx, maxRetryInterval) // requests cannot be served before
 		} else if source == d.cfg.Self {
+			if hadView {
+				d.learnPast(ctx)
+			}
 			periodic.Sleep(ctx, d.interval()-clock.Since(started))
 		}
 	}
--- a/discovery/storeread.go
+++ b/discovery/storeread.go
@@ -21,8 +21,11 @@
 	started := clock.Now()
 	d.storeReads.Add(1)
 	done, err := d.readReplicaChanges(ctx, started)
-	if err == nil && !done {
-		err = d.listReplicas(ctx, started)
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		err = d.listReplicas(ctx, started, 0)
+	case err == nil && !done:
+		err = d.listReplicas(ctx, started, d.View().replicasRevision)
 	}
 	if err != nil && !errors.Is(err, errManyReplicas) {
 		d.mu.Lock()
@@ -36,7 +39,8 @@
 }
 
 // readReplicaChanges reads the changes since the last read from the store, or since the
-// replicas that a peer sent. done is false if the replicas have to be listed instead.
+// replicas that a peer sent. done is false if the replicas have to be listed instead, also if
+// the error is platform.ErrCompacted.
 func (d *Discovery) readReplicaChanges(ctx context.Context, started time.Time) (done bool, err error) {
 	l := d.currentListing()
 	if l == nil {
@@ -46,7 +50,6 @@
 	if errors.Is(err, platform.ErrCompacted) {
 		d.log.Info("store no longer has the change history; listing the replicas",
 			zap.Uint64("after", position.Revision(l.checked.oldest())), eraField(l.checked.oldest()), zap.Error(err))
-		return false, nil
 	}
 	if err != nil {
 		return false, err
@@ -61,11 +64,13 @@
 		// next read need not cover this one again.
 		l.checked = checkedRevisions{revision}
 	}
+	l.forgetRemoved()
 	written := make([]catalog.Replica, 0, len(changes.written))
 	for _, r := range changes.written {
 		written = append(written, *r)
 	}
 	d.registry.ApplyChanges(clock.Now(), written, slices.Collect(maps.Keys(changes.gone)))
+	d.versionsRead(started, changes.departed, d.viewInHistory())
 	d.replicasRead(started)
 	return true, nil
 }
@@ -110,8 +115,10 @@
 	return items, revision, nil
 }
 
-// listReplicas lists the replicas in the store.
-func (d *Discovery) listReplicas(ctx context.Context, started time.Time) error {
+// listReplicas lists the replicas in the store. If the list continues the view before, the next
+// read begins at the revision that is given, so that what came and went in between is seen; 0
+// stands for the list's own.
+func (d *Discovery) listReplicas(ctx context.Context, started time.Time, readFrom uint64) error {
 	d.lists.Add(1)
 	l := newListing()
 	pages := 0
@@ -135,12 +142,18 @@
 	l.checked, l.readAt, l.listedAt = checkedRevisions{revision}, started, started
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	continues := d.listContinues(started)
 	if known := d.knownPosition(); position.Era(revision) > position.Era(known) && known > 0 {
+		continues = false
 		d.log.Warn("store came back from a copy; replicas listed anew", revisionField(revision), eraField(revision), zap.Uint64("before", position.Revision(known)))
 		d.registry.StoreRestored(clock.Now())
 	}
+	if continues && readFrom > 0 {
+		l.checked = checkedRevisions{min(readFrom, revision)}
+	}
 	d.listing = l
 	d.registry.Update(clock.Now(), l.replicas())
+	d.versionsRead(started, nil, continues)
 	d.replicasRead(started)
 	return nil
 }
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -16,7 +16,7 @@
 	merged := *next
 	// Names and listeners are fixed at the start of the process.
 	merged.Host, merged.Name, merged.FailureDomain = old.Host, old.Name, old.FailureDomain
-	merged.Listen, merged.Store.Address = old.Listen, old.Store.Address
+	merged.Listen, merged.Store = old.Listen, old.Store
 	merged.Limits, merged.Stages = old.Limits, old.Stages
 	if reflect.DeepEqual(&merged, old) && reflect.DeepEqual(next, old) {
 		return
