Platform, replica: read which parts of prompts an engine keeps

Cause: after a loss of all hosts nobody knows which version began a stream, but the engines that have read its prompt keep the last part.

Errors are those of EngineReport.

Measured: go test -race ./platform ./replica green.

--- a/replica/engine.go
+++ b/replica/engine.go
@@ -32,16 +32,38 @@
 // another replica has the address, and an error of package httpbody when the report exceeds
 // maxReportBytes. Any other error means that the engine did not respond.
 func (c *Client) EngineReport(ctx context.Context, replica, address string) (platform.EngineReport, error) {
-	status, body, err := c.doSingleUse(ctx, newEngineCall(http.MethodGet, platform.ReportPath, replica, address, nil), maxReportBytes)
+	body, err := c.getFromEngine(ctx, platform.ReportPath, replica, address, maxReportBytes)
+	if err != nil {
+		return platform.EngineReport{}, err
+	}
+	return platform.DecodeEngineReport(body)
+}
+
+// maxCachedPartsBytes bounds a list of cached parts.
+const maxCachedPartsBytes = 1 << 20
+
+// CachedParts fetches the list of the parts of prompts that an engine keeps. The call delays the
+// engine's work. Its errors are those of EngineReport; the list may have maxCachedPartsBytes.
+func (c *Client) CachedParts(ctx context.Context, replica, address string) (platform.CachedParts, error) {
+	body, err := c.getFromEngine(ctx, platform.CachedPartsPath, replica, address, maxCachedPartsBytes)
+	if err != nil {
+		return platform.CachedParts{}, err
+	}
+	return platform.DecodeCachedParts(body)
+}
+
+// getFromEngine reads the body of a response with status 200, on a connection of its own.
+func (c *Client) getFromEngine(ctx context.Context, path, replica, address string, maxBytes int64) ([]byte, error) {
+	status, body, err := c.doSingleUse(ctx, newEngineCall(http.MethodGet, path, replica, address, nil), maxBytes)
 	switch {
 	case err != nil && httpbody.IsConnectionBroken(err):
-		return platform.EngineReport{}, fmt.Errorf("%w: %w", ErrUnsupportedCall, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnsupportedCall, err)
 	case err != nil:
-		return platform.EngineReport{}, err
+		return nil, err
 	case status != http.StatusOK:
-		return platform.EngineReport{}, fmt.Errorf("%w: status %d", ErrUnsupportedCall, status)
+		return nil, fmt.Errorf("%w: status %d", ErrUnsupportedCall, status)
 	}
-	return platform.DecodeEngineReport(body)
+	return body, nil
 }
 
 // Reserve reserves a slot and memory at an engine for a request of the given number of
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/replica"
 )
@@ -61,6 +62,43 @@
 	})
 })
 
+// Guards against lists of other processes, and unbounded ones, that are taken for an engine's list
+// of cached parts.
+var _ = Describe("fetching an engine's cached parts", func() {
+	fetch := func(address string) (platform.CachedParts, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		return replica.NewClient(nil, nil).CachedParts(ctx, "r@17", address)
+	}
+
+	It("returns the parts", func() {
+		s := serve(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.Method + " " + r.URL.Path).To(Equal("GET /-/kv-list"))
+			Expect(r.Header.Get("Expected-Replica")).To(Equal("r"))
+			_, _ = io.WriteString(w, `{"epoch":3,"next":1,"held":[["","a",10,"m"]]}`)
+		})
+		Expect(fetch(s.address())).To(Equal(platform.CachedParts{Epoch: "3", TokensByPart: map[string]int{"a": 10}}))
+	})
+
+	DescribeTable("fails", func(handler http.HandlerFunc, want error) {
+		_, err := fetch(serve(handler).address())
+		Expect(err).To(MatchError(want))
+	},
+		Entry("not supported", http.HandlerFunc(http.NotFound), replica.ErrUnsupportedCall),
+		Entry("connection reset", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, replica.ErrUnsupportedCall),
+		Entry("another replica", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }, replica.ErrMisdirected),
+		Entry("no response", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, context.DeadlineExceeded),
+		Entry("no list", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{}`) }, platform.ErrMalformed),
+		Entry("more bytes than a list may have", func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				if _, err := w.Write(make([]byte, 1<<16)); err != nil {
+					return
+				}
+			}
+		}, httpbody.ErrTooLarge),
+	)
+})
+
 var _ = Describe("reserving capacity at an engine", func() {
 	reserve := func(s *server) (string, error) {
 		return replica.NewClient(nil, nil).Reserve(context.Background(), "r", s.address(), 1460, time.Second)
