Stand-ins: engines keep the parts of prompts, and list them

Cause: no test could ask an engine which prompts it has read.

Change: an engine of internal/standin/site keeps the parts of the prompts that it has read, after their runs too, within CacheTokens; the least recently used ones yield, of one prompt the last ones first. /-/kv-list lists them; after a restart the list is empty and its epoch is new.

--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -48,6 +48,9 @@
 	OnRestart func(*Replica)
 	// ReportLag is the age of the data in engine reports.
 	ReportLag time.Duration
+	// CacheTokens is how many tokens of prompts an engine keeps after their runs. Default:
+	// 90,000.
+	CacheTokens int
 
 	ledger   *Ledger
 	address  string
@@ -97,6 +100,10 @@
 	// for no limit, and refusals are the times at which one was refused beyond that.
 	inProgress, room int
 	refusals         []time.Time
+	// cachedParts are the parts of prompts that an engine keeps, and cachedPartsCalls the times
+	// at which they were listed.
+	cachedParts      partCache
+	cachedPartsCalls []time.Time
 }
 
 // Arrival is a request or piece call that a replica received.
@@ -192,6 +199,7 @@
 		return
 	}
 	r.down, r.StartUnixMS = false, time.Now().UnixMilli()
+	r.cachedParts.restart()
 	r.recordHealth()
 	r.startServer(l)
 	r.mu.Unlock()
@@ -560,13 +568,13 @@
 	<-req.Context().Done()
 }
 
-// serveEngineCall serves engine report and reservation calls. It reports whether the
-// request was one.
+// serveEngineCall serves engine report and reservation calls, and lists of cached parts. It
+// reports whether the request was one.
 func (r *Replica) serveEngineCall(w http.ResponseWriter, req *http.Request, b Behaviour) bool {
 	name, isRelease := strings.CutPrefix(req.URL.Path, "/-/hold-drop/")
-	isReport, isReserve := req.URL.Path == "/-/report", req.URL.Path == reservePath
+	isReport, isReserve, isList := req.URL.Path == "/-/report", req.URL.Path == reservePath, req.URL.Path == cachedPartsPath
 	switch {
-	case !isRelease && !isReport && !isReserve:
+	case !isRelease && !isReport && !isReserve && !isList:
 		return false
 	case b.NoEngineCalls:
 		w.WriteHeader(http.StatusNotFound)
@@ -574,6 +582,8 @@
 		hang(req)
 	case isReport:
 		r.writeEngineReport(w)
+	case isList:
+		r.writeCachedParts(w)
 	case isReserve:
 		r.grantReservation(w, req, b)
 	default:
@@ -625,6 +635,7 @@
 	if !e.wait(req.Context(), b.ServiceTime+time.Duration(promptTokens(req))*b.PrefillPerToken) {
 		return
 	}
+	e.keepPrompt(req)
 	if poison != nil {
 		r.crashOn(*poison)
 		return
