Gateway: ask replicas whether they keep the last part of a stream's prompt

Cause: after a loss of all hosts nobody knows which version began a stream. The engines that have read its prompt still keep the last part, which belongs to the request or its session.

Change: Gateway.partHolders asks all listed replicas of a service, draining ones too, and returns the versions that keep the part and those of replicas that can't tell (origin.Memory). Nothing calls it yet. Calls are shared by all lookups of a host: one in progress for each replica, 100 ms or more apart (5 ms times the number of hosts, if longer), 16 at a time, 300 ms each; a lookup takes 500 ms at most. A list shows that a part is kept for 500 ms; that it isn't kept takes a list requested since the lookup began. Silent are replicas that fail, answer 421, have restarted under their ID (another epoch), leave entries out, or are listed otherwise when they have answered; and all of a service with more than 64. Lists are held as hashes, 8 bytes a part, for 500 ms. Two counters, one log line a lookup.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,8 @@
 	paths paths
 	// origins holds which software versions began streams.
 	origins streamOrigins
+	// promptMemory finds out which replicas keep the parts of prompts.
+	promptMemory promptMemory
 	// reachability holds which replicas can't be reached.
 	reachability reachability
 	// limiters limit the calls to each replica, across all components of this daemon that
@@ -94,7 +96,7 @@
 
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters()}
+	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters(), promptMemory: newPromptMemory()}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.evacuatedServices.Store(&map[string]bool{})
--- /dev/null
+++ b/gateway/promptmemory_test.go
@@ -0,0 +1,199 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/origin"
+	"github.com/wheatseam/wheatseam/gateway"
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+// readPrompt has an engine read a prompt.
+func (f *fixture) readPrompt(engine, prompt string) {
+	f.test.Helper()
+	e := f.replicas[engine]
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.Address()+"/", strings.NewReader("x"))
+	f.Expect(err).NotTo(HaveOccurred())
+	for name, value := range map[string]string{"Attempt-Id": fmt.Sprintf("%08x", nextID.Add(1)), "Deadline-Ms": "2000", "Prefix-Hash": prompt} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(resp.Body.Close()).To(Succeed())
+	f.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
+// holders looks up which replicas of the service "llm" keep a part.
+func (r *gatewayProcess) holders(part string) origin.Memory {
+	return r.gateway.PartHolders(context.Background(), "llm", part)
+}
+
+// Guards against streams that are refused, or joined from two versions, since a host misreads
+// which engines have read their prompts.
+func TestPartHoldersAreFound(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.withVersions(2, 2, 2)[0]
+	f.readPrompt("e1", "shared:300,one:20")
+	f.readPrompt("e2", "shared:300,other:20")
+	f.readPrompt("first0", "shared:300,two:20")
+	f.readPrompt("second0", "shared:300,two:20")
+	f.readPrompt("first0", "shared:300,same:20")
+	f.readPrompt("e1", "shared:300,same:20")
+	f.Expect(g.holders("one")).To(Equal(origin.Memory{Holding: []string{"v1"}}))
+	f.Expect(g.holders("two")).To(Equal(origin.Memory{Holding: []string{"v1", "v2"}}))
+	f.Expect(g.holders("same")).To(Equal(origin.Memory{Holding: []string{"v1"}}))
+	f.Expect(g.holders("none")).To(Equal(origin.Memory{}))
+	f.Expect(g.holders("")).To(Equal(origin.Memory{Silent: []string{"v1", "v2"}}))
+
+	f.register(f.replicas["e2"], "draining")
+	f.register(f.replicas["second0"], "draining")
+	f.Eventually(func() int {
+		draining := 0
+		for _, r := range g.gateway.State().View.Replicas {
+			if r.Draining {
+				draining++
+			}
+		}
+		return draining
+	}, "5s").Should(Equal(2))
+	f.Expect(g.holders("other")).To(Equal(origin.Memory{Holding: []string{"v2"}}), "an engine that drains")
+	f.Expect(g.metricLines("wheatseam_prompt_memory_lookups_total")).To(ConsistOf(
+		`wheatseam_prompt_memory_lookups_total{result="asked"} 5`, `wheatseam_prompt_memory_lookups_total{result="no_part"} 1`))
+	f.Expect(gateway.LastPart(http.Header{"Prefix-Hash": {"a:5, b:6"}})).To(Equal("b"))
+	f.Expect(gateway.LastPart(http.Header{})).To(BeEmpty())
+}
+
+// Guards against the absence of an answer, or of a list, that is taken for the absence of a part,
+// and against lookups that wait for replicas which do not answer.
+func TestReplicasThatCannotTellAreSilent(t *testing.T) {
+	for name, silence := range map[string]func(*fixture, *site.Replica){
+		"frozen":      func(_ *fixture, r *site.Replica) { r.Freeze() },
+		"unreachable": func(_ *fixture, r *site.Replica) { r.FreezeUnreachable() },
+		"ended":       func(_ *fixture, r *site.Replica) { r.Crash(0) },
+		"unsupported": func(_ *fixture, r *site.Replica) { r.SetBehaviour(site.Behaviour{NoEngineCalls: true}) },
+		"another replica at its address": func(f *fixture, r *site.Replica) {
+			r.Close()
+			other, err := site.StartReplica(f.ledger, "another", "llm", site.Engine, r.Address())
+			f.Expect(err).NotTo(HaveOccurred())
+			f.test.Cleanup(other.Close)
+		},
+		"restarted under its ID": func(f *fixture, r *site.Replica) {
+			restarted := make(chan struct{})
+			r.OnRestart = func(*site.Replica) { close(restarted) }
+			r.Crash(10 * time.Millisecond)
+			f.Eventually(restarted, "5s").Should(BeClosed())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			g := f.withVersions(2, 2, 1)[0]
+			f.readPrompt("first0", "p:20")
+			f.Expect(g.holders("p")).To(Equal(origin.Memory{Holding: []string{"v1"}}))
+			silence(f, f.replicas["e2"])
+			for range 3 {
+				began := time.Now()
+				f.Expect(g.holders("q")).To(Equal(origin.Memory{Silent: []string{"v2"}}))
+				f.Expect(time.Since(began)).To(BeNumerically("<", 2*gateway.MemoryLookupTimeout))
+			}
+		})
+	}
+}
+
+// Guards against answers of a replica that has left, or is listed at another version, since the
+// lookup began.
+func TestAnswersOfReplicasThatAreListedOtherwiseDoNotCount(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.withVersions(2, 1, 1)[0]
+	f.readPrompt("e2", "p:20")
+	address := f.replicas["e2"].Address()
+	f.Expect(g.gateway.KeepsPart("e2", address, "v2", "p")).To(BeTrue())
+	f.Expect(g.gateway.KeepsPart("e2", address, "v1", "p")).To(BeFalse(), "another version")
+	f.store.Delete("servers/e2")
+	f.Eventually(g.metricLines, "5s").WithArguments("wheatseam_replicas ").Should(ConsistOf(HaveSuffix(fmt.Sprint(" ", len(f.replicas)-1))))
+	f.Expect(g.gateway.KeepsPart("e2", address, "v2", "p")).To(BeFalse(), "not listed")
+}
+
+// Guards against lookups whose calls grow with the resumes instead of the replicas, and against
+// the use of a list that was requested before the part was read.
+func TestLookupsShareCalls(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.withVersions(2, 3, 3)[0]
+	f.readPrompt("e1", "kept:20")
+	const (
+		lookups = 100
+		period  = 300 * time.Millisecond
+		// Calls begin 100 ms apart: four within the period, and one after it.
+		maxCalls = 5
+	)
+	var wait sync.WaitGroup
+	wrong := make(chan string, lookups)
+	for i := range lookups {
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * period / lookups)
+			part, want := "kept", []string{"v1"}
+			switch {
+			case i%20 == 0:
+				part, want = fmt.Sprint("new", i), []string{"v2"}
+				f.readPrompt("e2", part+":20")
+			case i%2 == 0:
+				part, want = "absent", nil
+			}
+			if got := g.holders(part); fmt.Sprint(got) != fmt.Sprint(origin.Memory{Holding: want}) {
+				wrong <- fmt.Sprint(part, ": ", got)
+			}
+		})
+	}
+	wait.Wait()
+	close(wrong)
+	for w := range wrong {
+		t.Error(w)
+	}
+	for id, r := range f.replicas {
+		if r.Service == "llm" {
+			calls := len(r.CachedPartsCalls())
+			f.Expect(calls).To(BeNumerically(">=", 2), id)
+			f.Expect(calls).To(BeNumerically("<=", maxCalls), id)
+		} else {
+			f.Expect(r.CachedPartsCalls()).To(BeEmpty(), id)
+		}
+	}
+	f.Eventually(g.gateway.PromptMemoryLists, 2*gateway.MaxMemoryListAge).Should(BeZero())
+}
+
+// Guards against a lookup for a large service, which would call each of its replicas.
+func TestLargeServicesAreNotAsked(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.withVersions(2, 1, 1)[0]
+	f.readPrompt("e1", "p:20")
+	entry := site.StoreEntry(f.replicas["e1"], "ready")
+	for i := range gateway.MaxMemoryReplicas - 1 {
+		f.store.Put(fmt.Sprint("servers/x", i), entry)
+	}
+	f.Eventually(g.metricLines, "5s").WithArguments("wheatseam_replicas ").Should(ConsistOf(HaveSuffix(fmt.Sprint(" ", len(f.replicas)+gateway.MaxMemoryReplicas-1))))
+	f.Expect(g.holders("p")).To(Equal(origin.Memory{Silent: []string{"v1", "v2"}}))
+	f.Expect(f.replicas["e1"].CachedPartsCalls()).To(BeEmpty())
+	f.Expect(g.metricLines("wheatseam_prompt_memory_lookups_total")).To(ConsistOf(`wheatseam_prompt_memory_lookups_total{result="too_many_replicas"} 1`))
+}
+
+// Guards against a host that takes all replicas for silent since it reaches none itself.
+func TestPartHoldersAreFoundThroughPeers(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet := f.withVersions(3, 1, 1)
+	f.readPrompt("e2", "p:20")
+	fleet[0].gateway.SimulateCut(time.Minute, false)
+	f.Eventually(func() origin.Memory { return fleet[0].holders("p") }, "5s").Should(Equal(origin.Memory{Holding: []string{"v2"}}))
+}
