--- a/gateway/promptmemory_test.go
+++ b/gateway/promptmemory_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -188,6 +190,35 @@
 	f.Expect(g.metricLines("wheatseam_prompt_memory_lookups_total")).To(ConsistOf(`wheatseam_prompt_memory_lookups_total{result="too_many_replicas"} 1`))
 }
 
+// Guards against a part that counts as not kept since its entry was left out of the list.
+func TestIncompleteListsShowOnlyWhatTheyList(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.withVersions(2, 1, 1)[0]
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"epoch":1,"next":2,"held":[["","p",20,"m"],["",7,20,"m"]]}`)
+	}))
+	t.Cleanup(server.Close)
+	entry := site.StoreEntry(f.replicas["e1"], "ready")
+	entry["address"], entry["version"] = server.Listener.Addr().String(), "v3"
+	f.store.Put("servers/e3", entry)
+	f.Eventually(func() origin.Memory { return g.holders("p") }, "5s").Should(Equal(origin.Memory{Holding: []string{"v3"}}))
+	f.Expect(g.holders("q")).To(Equal(origin.Memory{Silent: []string{"v3"}}))
+}
+
+// Guards against lookups that go on after their caller has left.
+func TestLookupsEndWithTheirCaller(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	g := f.withVersions(2, 1, 1)[0]
+	f.replicas["e2"].Freeze()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	f.Expect(g.gateway.PartHolders(ctx, "llm", "p").Silent).To(ContainElement("v2"))
+	f.Expect(time.Since(began)).To(BeNumerically("<", 250*time.Millisecond), "a call takes 300 ms at a replica that is frozen")
+}
+
 // Guards against a host that takes all replicas for silent since it reaches none itself.
 func TestPartHoldersAreFoundThroughPeers(t *testing.T) {
 	t.Parallel()
