--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -46,12 +46,6 @@
 	Running time.Duration
 }
 
-// Departure says how long ago a replica of a version left last.
-type Departure struct {
-	Version string
-	Ago     time.Duration
-}
-
 // Verdict is what is known about the version of a stream.
 type Verdict struct {
 	Known   bool
