Streams are taken up at the version whose replicas keep their prompt

Cause: the records are lost with the hosts, and the version alone that is listed proves nothing.

Change: the replicas still know. If nothing else decides, a host asks them whether they keep the last part of the stream's prompt, which no other request has. The stream goes on at the only version whose replicas keep all of it, unless a listed replica of another version may have kept it. That a replica which read the prompt without beginning the stream decides is made rare: a repeated request begins at the version that has read its prompt, within a request and over the tries of its caller. The history of versions is that of the discovery, which says for how long it is complete, instead of the gateway's own, which a view that began late or a host that was cut off left incomplete.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -7,40 +7,24 @@
 	"time"
 )
 
-// maxDeadlineError is by how much the age of a stream may exceed what the caller's remaining
-// time says: the time of its first event, the network, and hosts whose view is old.
-const maxDeadlineError = 2 * time.Second
-
 // Stream is what is known of a stream that a caller takes up, besides the answers of hosts.
 type Stream struct {
 	// Lifetime is the longest time for which a stream of the route may be taken up.
 	Lifetime time.Duration
-	// Deadline is for how long callers of the route wait over all their tries, and Left how much
-	// of it is left to this one; 0 if they are not known.
-	Deadline, Left time.Duration
 	// Waited is for how long the decision has waited for a newer view.
 	Waited time.Duration
 }
 
-// maxAge is the time within which the stream has begun.
-func (s Stream) maxAge() time.Duration {
-	if s.Deadline == 0 || s.Left == 0 || s.Left > s.Deadline {
-		return s.Lifetime
-	}
-	return min(s.Lifetime, s.Deadline-s.Left+maxDeadlineError)
-}
-
 // Answer is what one host knows about a stream and its service.
 type Answer struct {
 	// Version is the recorded one; Known says that there is a record.
 	Known   bool
 	Version string
 	// Versions are those that the replicas of the service have, or had as far as the host
-	// remembers. Departures are the replicas that have left.
-	Versions   []string
-	Departures []Departure
-	// History is for how long before now Versions and Departures are complete, up to the
-	// host's view, which is ViewAge old.
+	// remembers.
+	Versions []string
+	// History is for how long before now Versions are complete, up to the host's view, which
+	// is ViewAge old.
 	History, ViewAge time.Duration
 	// Running is for how long the host has been running. It has the records of this time.
 	Running time.Duration
@@ -110,12 +94,13 @@
 // one; unanswered is the number of asked hosts that did not answer; memory is nil while the
 // replicas have not been asked.
 //
-// Without a record, two kinds of evidence decide. Both need a complete history: that a host
-// does not remember another version proves nothing about the time before it began to observe.
+// Without a record, two kinds of evidence decide:
 //
-//   - The only version that the service has had for a stream's lifetime.
-//   - The only version whose replicas keep the stream's prompt, if no replica of another version
-//     has left since the stream can have begun, with what it kept.
+//   - The only version whose replicas keep the stream's whole prompt, if all replicas of other
+//     versions answered that they keep none of it.
+//   - The only version that the service has had for a stream's lifetime. This needs a complete
+//     history: that a host does not remember another version proves nothing about the time
+//     before it began to observe.
 func Decide(s Stream, answers []Answer, unanswered int, memory *Memory) Verdict {
 	e := evidenceOf(answers, unanswered)
 	e.Memory = memory
@@ -136,7 +121,7 @@
 	case !upToDate(s, answers, e):
 		return Verdict{MayCome: true, Reason: OldView}
 	}
-	if version, ok := keptAt(s, answers, e); ok {
+	if version, ok := keptAt(e.Memory); ok {
 		return Verdict{Known: true, Version: version, Reason: PromptKept}
 	}
 	switch {
@@ -163,26 +148,14 @@
 	return len(answers) > 1 && e.Unanswered == 0
 }
 
-// keptAt returns the only version whose replicas keep the prompt, if none of another version may
-// have kept it and lost it since the stream began.
-func keptAt(s Stream, answers []Answer, e Evidence) (version string, ok bool) {
-	if e.Memory == nil || len(e.Memory.Holding) != 1 || e.History < s.maxAge() {
+// keptAt returns the only version whose replicas keep the prompt, if no listed replica of another
+// version may keep it.
+func keptAt(m *Memory) (version string, ok bool) {
+	if m == nil || len(m.Holding) != 1 {
 		return "", false
 	}
-	version = e.Memory.Holding[0]
-	for _, silent := range e.Memory.Silent {
-		if silent != version {
-			return "", false
-		}
-	}
-	for _, a := range answers {
-		for _, d := range a.Departures {
-			if d.Version != version && d.Ago <= s.maxAge() {
-				return "", false
-			}
-		}
-	}
-	return version, true
+	version = m.Holding[0]
+	return version, !slices.ContainsFunc(m.Silent, func(silent string) bool { return silent != version })
 }
 
 func recordedVersions(answers []Answer) []string {
--- a/core/origin/memory.go
+++ b/core/origin/memory.go
@@ -3,10 +3,10 @@
 // Memory is what the replicas of a service keep of the last part of a stream's prompt, which
 // belongs to the stream's request or its session.
 type Memory struct {
-	// Holding are the versions of replicas that keep it, sorted, each once.
+	// Holding are the versions of replicas that keep all of it, sorted, each once.
 	Holding []string
-	// Silent are the versions of replicas that may keep it, sorted, each once: replicas that
-	// were not asked, did not answer or can't tell.
+	// Silent are the versions of replicas that may have kept it, sorted, each once: replicas
+	// that were not asked, did not answer, can't tell, or keep less than all of it.
 	Silent []string
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -72,6 +72,9 @@
 	// origin is the software version that wrote the first event which the caller has; nil
 	// before there is one. Only replicas of this version can continue the stream.
 	origin atomic.Pointer[string]
+	// readVersion is the version whose replicas may have read the prompt before the stream began;
+	// nil if none has.
+	readVersion atomic.Pointer[string]
 	// committed says that the head of the answer has been sent; lastEvent is the ID of the
 	// last event that was sent.
 	committed  bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,7 @@
 	g.store = platform.NewStore(s.Store.Address)
 	g.discovery = discovery.New(discovery.Config{
 		Self: s.Host, Store: g.store, Members: members, Caller: members.Caller(), Mux: mux,
-		Logger: log, PropagationBound: func() time.Duration { return g.settings.Load().Bounds.shortest() }, OnViewChange: g.applyView,
+		Logger: log, PropagationBound: func() time.Duration { return g.settings.Load().Bounds.shortest() }, OnViewChange: g.applyView, OnNewVersions: g.recordOpenStreams,
 		StorePast: discovery.StorePast{Retention: s.Store.Retention, Heartbeat: s.Store.Heartbeat},
 	})
 	g.registerGauges()
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -77,7 +77,7 @@
 		gauge(fmt.Sprintf("wheatseam_path_state{state=%q}", state), func() float64 { return boolGauge(pathState(g.paths.State()) == state) })
 	}
 	gauge("wheatseam_domains_evacuated", func() float64 { return float64(len(g.discovery.View().Evacuations.Domains)) })
-	gauge("wheatseam_stream_origins", func() float64 { return float64(g.origins.state(clock.Now()).Streams) })
+	gauge("wheatseam_stream_origins", func() float64 { return float64(g.origins.state().Streams) })
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.SuspendedTime().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { contents, _ := g.quarantine.QuarantinedCounts(); return float64(contents) })
 	gauge("wheatseam_prompt_parts_condemned", func() float64 { _, parts := g.quarantine.QuarantinedCounts(); return float64(parts) })
@@ -209,7 +209,7 @@
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.discovery.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
 		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Cold: g.coldTracker.states(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
-		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Origins: g.origins.state(clock.Now()), Paths: g.pathsState(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
+		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Origins: g.origins.state(), Paths: g.pathsState(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
 	}
 	g.retryBudgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.SharedBudget).Stats()
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -8,9 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/origin"
-	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/logging"
@@ -54,9 +52,11 @@
 type streamOrigins struct {
 	// started is when this host started: it has no records of before.
 	started time.Time
+	// deadlines are those that callers send.
+	deadlines routeDeadlines
+
 	mu      sync.Mutex
 	records origin.Records
-	history origin.History
 	// unsent holds the records for each host that are sent with the next message.
 	unsent map[string][]*wire.StreamOrigin
 }
@@ -102,48 +102,33 @@
 	}
 }
 
-// viewAge is the age of a view; that of a view that was never complete is origin.MaxHistory.
-func viewAge(now time.Time, v *discovery.View) time.Duration {
-	return min(origin.MaxHistory, max(0, now.Sub(v.AsOf)))
-}
-
 // knownOrigin is what this host knows about a stream and its service.
 func (g *Gateway) knownOrigin(key origin.Key, service string) origin.Answer {
 	now := clock.Now()
+	versions := g.discovery.Versions(now, service, origin.MaxHistory)
 	s := &g.origins
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, known := s.records.Get(now, key)
 	return origin.Answer{
-		Known: known, Version: r.Version, Versions: s.history.Versions(now, service, origin.MaxHistory),
-		History: s.history.Length(now), ViewAge: viewAge(now, g.discovery.View()), Running: now.Sub(s.started),
+		Known: known, Version: r.Version, Versions: versions.Versions,
+		History: versions.CompleteFor, ViewAge: min(versions.ViewAge, origin.MaxHistory), Running: now.Sub(s.started),
 	}
 }
 
-// observeVersions records the versions that a new view lists. The open streams of services that
-// have got a second version are sent to their holders.
-func (g *Gateway) observeVersions(previous, v *discovery.View) {
-	var changes []origin.Change
-	before := &catalog.ReplicaSet{}
-	if previous != nil {
-		before = previous.Replicas
-	}
-	for _, c := range before.Diff(v.Replicas) {
-		if c.Old != nil && c.New != nil && c.Old.Service == c.New.Service && c.Old.Version == c.New.Version {
-			continue
-		}
-		if c.New != nil {
-			changes = append(changes, origin.Change{Service: c.New.Service, Version: c.New.Version})
-		}
-		if c.Old != nil {
-			changes = append(changes, origin.Change{Service: c.Old.Service, Version: c.Old.Version, Removed: true})
-		}
-	}
+// hasSeveralVersions reports whether a service has, or lately had, replicas of several versions.
+func (g *Gateway) hasSeveralVersions(service string) bool {
+	return len(g.discovery.Versions(clock.Now(), service, origin.MaxHistory).Versions) > 1
+}
+
+// recordOpenStreams sends the records of the open streams of services that have got a further
+// version to their holders.
+func (g *Gateway) recordOpenStreams(services []string) {
 	now := clock.Now()
 	s := &g.origins
 	s.mu.Lock()
 	var unsent []origin.Record
-	for _, service := range s.history.Observe(now, changes) {
+	for _, service := range services {
 		unsent = append(unsent, s.records.TakeUnsent(now, service)...)
 	}
 	s.mu.Unlock()
@@ -175,13 +160,13 @@
 	if !x.route.Resumable {
 		return
 	}
-	now := clock.Now()
-	lifetime := x.streamLifetime()
-	r := origin.Record{Key: x.originKey(), Service: x.service, Version: version, Expires: x.arrived.Add(lifetime), Own: true}
+	r := origin.Record{Key: x.originKey(), Service: x.service, Version: version, Expires: x.arrived.Add(x.streamLifetime()), Own: true}
 	s := &x.g.origins
 	s.mu.Lock()
-	r.Sent = len(s.history.Versions(now, x.service, origin.MaxHistory)) > 1
-	s.records.Put(now, r)
+	// Asked under the lock, so that a version which appears just now is either seen here, or
+	// finds the record.
+	r.Sent = x.g.hasSeveralVersions(x.service)
+	s.records.Put(clock.Now(), r)
 	s.mu.Unlock()
 	if r.Sent {
 		x.g.sendOrigins([]origin.Record{r})
@@ -202,9 +187,7 @@
 	now := clock.Now()
 	s := &g.origins
 	s.mu.Lock()
-	records := s.records.All(now, func(service string) bool {
-		return len(s.history.Versions(now, service, origin.MaxLifetime)) > 1
-	})
+	records := s.records.All(now, g.hasSeveralVersions)
 	s.mu.Unlock()
 	if len(records) > 0 {
 		g.log.Info("handing over origins of streams", zap.Int("streams", len(records)))
@@ -302,6 +285,7 @@
 // the request at once if that is not known or no replica of the version is left.
 func (x *exchange) resolveOrigin() *problem.Error {
 	if !x.takesUpStream() {
+		x.preferReadVersion()
 		return nil
 	}
 	v := x.lookUpOrigin()
@@ -322,29 +306,29 @@
 }
 
 // lookUpOrigin decides which version began the stream that the caller takes up. What is not known
-// at once is looked up again: the caller may have been faster than the record, and a newer view
-// may show that there is no newer version.
+// at once is looked up again: the caller may have been faster than the record, a newer view may
+// show that there is no newer version, and the replicas may keep the stream's prompt.
 func (x *exchange) lookUpOrigin() origin.Verdict {
-	v := x.lookUpOriginOnce()
-	if v.Known || !v.MayCome && v.Reason != origin.SeveralVersions {
+	v := x.lookUpOriginOnce(nil)
+	if v.Known || v.Reason == origin.Conflict || v.Reason == origin.NoEvidence {
 		return v
 	}
-	if !periodic.Sleep(x.r.Context(), originRetryDelay) {
-		return v
-	}
-	if v.Reason == origin.OldView {
-		ctx, cancel := clock.WithTimeout(x.r.Context(), originViewTimeout)
-		defer cancel()
+	ctx, cancel := clock.WithTimeout(x.r.Context(), originViewTimeout)
+	defer cancel()
+	asked := make(chan origin.Memory, 1)
+	go func() { asked <- x.g.partHolders(ctx, x.req.ID, x.service, x.lastPart()) }()
+	if periodic.Sleep(ctx, originRetryDelay) && v.Reason == origin.OldView {
 		x.g.discovery.AwaitView(ctx, x.arrived)
 	}
-	return x.lookUpOriginOnce()
+	memory := <-asked
+	return x.lookUpOriginOnce(&memory)
 }
 
 // lookUpOriginOnce decides from what this host knows, and what the hosts know that may hold the
-// record.
-func (x *exchange) lookUpOriginOnce() origin.Verdict {
+// record. memory is what replicas keep of the prompt; nil while they have not been asked.
+func (x *exchange) lookUpOriginOnce(memory *origin.Memory) origin.Verdict {
 	key := x.originKey()
-	stream := origin.Stream{Lifetime: x.streamLifetime(), Deadline: x.route.Timeout, Left: x.req.Timeout}
+	stream := origin.Stream{Lifetime: x.streamLifetime()}
 	answers, unanswered := []origin.Answer{x.g.knownOrigin(key, x.service)}, 0
 	if !answers[0].Known {
 		var received []origin.Answer
@@ -352,7 +336,7 @@
 		answers = append(answers, received...)
 	}
 	stream.Waited = clock.Since(x.arrived)
-	return origin.Decide(stream, answers, unanswered, nil)
+	return origin.Decide(stream, answers, unanswered, memory)
 }
 
 // askOrigins asks the hosts that may hold the record of a stream, until one has it. unanswered is
@@ -398,22 +382,15 @@
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // OriginState is what this host knows about the versions of streams, as the state dump shows it.
+// The versions of each service are among the discovery's state.
 type OriginState struct {
 	// Streams is the number of streams whose version this host knows.
 	Streams int `json:"streams"`
-	// Versions are those of each service within the longest lifetime of a stream, and
-	// HistoryS is for how many seconds views have been observed.
-	Versions map[string][]string `json:"versions"`
-	HistoryS float64             `json:"history_s"`
 }
 
 // state returns the state, for operators.
-func (s *streamOrigins) state(now time.Time) OriginState {
+func (s *streamOrigins) state() OriginState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := OriginState{Streams: s.records.Len(), Versions: map[string][]string{}, HistoryS: s.history.Length(now).Seconds()}
-	for _, service := range s.history.Services() {
-		out.Versions[service] = s.history.Versions(now, service, origin.MaxLifetime)
-	}
-	return out
+	return OriginState{Streams: s.records.Len()}
 }
--- a/gateway/promptmemory.go
+++ b/gateway/promptmemory.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
-	"slices"
 	"sync"
 	"time"
 
@@ -79,9 +78,9 @@
 	requestedAt time.Time
 	// answered is false if the call failed, or the replica's process has restarted.
 	answered bool
-	// parts are the hashes of the listed parts, sorted, and complete says that no part was left
-	// out.
-	parts    []uint64
+	// parts holds the tokens that are kept of each listed part, by the part's hash, and complete
+	// says that no part was left out.
+	parts    map[uint64]int
 	complete bool
 }
 
@@ -98,25 +97,34 @@
 	return promptMemory{seed: maphash.MakeSeed(), slots: make(chan struct{}, maxMemoryCalls), replicas: map[memoryReplica]*replicaMemory{}}
 }
 
-// lastPart returns the ID of the last part of the request's prompt; "" if it names none.
-func (x *exchange) lastPart() string {
+// lastPart returns the last part of the request's prompt; one without an ID if it names none.
+func (x *exchange) lastPart() platform.PromptSegment {
 	if len(x.req.Prompt) == 0 {
-		return ""
+		return platform.PromptSegment{}
 	}
-	return x.req.Prompt[len(x.req.Prompt)-1].ID
+	return x.req.Prompt[len(x.req.Prompt)-1]
 }
 
-// partHolders asks all listed replicas of a service, draining ones too, whether they keep a part
-// of a prompt. It takes memoryLookupTimeout at most; replicas that have not answered by then, or
-// when ctx ends, are silent. All are silent if part is "" or there are more than
-// maxMemoryReplicas.
-func (g *Gateway) partHolders(ctx context.Context, requestID, service, part string) origin.Memory {
+// soughtPart is a part that a lookup looks for.
+type soughtPart struct {
+	hash   uint64
+	tokens int
+	// began is when the lookup began.
+	began time.Time
+}
+
+// partHolders asks all listed replicas of a service, draining ones too, whether they keep a whole
+// part of a prompt. One that keeps less of it may have lost the rest, or is reading it, and is
+// silent. It takes memoryLookupTimeout at most; replicas that have not answered by then, or
+// when ctx ends, are silent. All are silent if the part has no ID or
+// there are more than maxMemoryReplicas.
+func (g *Gateway) partHolders(ctx context.Context, requestID, service string, part platform.PromptSegment) origin.Memory {
 	began := clock.Now()
 	replicas := g.memoryReplicas(service)
 	found := make([]retention, len(replicas))
 	result := "asked"
 	switch {
-	case part == "":
+	case part.ID == "":
 		result = "no_part"
 	case len(replicas) > maxMemoryReplicas:
 		result = "too_many_replicas"
@@ -163,11 +171,11 @@
 
 // lookUpPart returns which of the replicas keep a part, for a lookup that began at the given
 // time.
-func (g *Gateway) lookUpPart(ctx context.Context, began time.Time, replicas []memoryReplica, part string) []retention {
+func (g *Gateway) lookUpPart(ctx context.Context, began time.Time, replicas []memoryReplica, part platform.PromptSegment) []retention {
 	ctx, cancel := clock.WithDeadline(ctx, began.Add(memoryLookupTimeout))
 	defer cancel()
 	m := &g.promptMemory
-	hash := maphash.String(m.seed, part)
+	sought := soughtPart{hash: maphash.String(m.seed, part.ID), tokens: part.Tokens, began: began}
 	found := make([]retention, len(replicas))
 	decided := make([]bool, len(replicas))
 	// A call that was in progress when the lookup began may have missed the part; the one after
@@ -177,12 +185,12 @@
 		calls := make([]*memoryCall, len(replicas))
 		for i, r := range replicas {
 			if !decided[i] {
-				calls[i] = g.joinMemoryCall(r, hash, began)
+				calls[i] = g.joinMemoryCall(r, sought)
 			}
 		}
 		for i, call := range calls {
 			if call != nil && call.await(ctx) {
-				found[i], decided[i] = call.evidence(hash, began)
+				found[i], decided[i] = call.evidence(sought)
 			}
 		}
 	}
@@ -197,7 +205,7 @@
 // joinMemoryCall returns a call to a replica that serves a lookup: one that has ended and
 // decides, the one that is in progress or due, or a new one. It is nil if the next call may not
 // begin before the lookup ends.
-func (g *Gateway) joinMemoryCall(r memoryReplica, hash uint64, began time.Time) *memoryCall {
+func (g *Gateway) joinMemoryCall(r memoryReplica, sought soughtPart) *memoryCall {
 	now := clock.Now()
 	m := &g.promptMemory
 	m.mu.Lock()
@@ -212,13 +220,13 @@
 	}
 	known.usedAt = now
 	if c := known.newest; c != nil && now.Sub(c.requestedAt) <= maxMemoryListAge {
-		if _, decided := c.evidence(hash, began); decided {
+		if _, decided := c.evidence(sought); decided {
 			return c
 		}
 	}
 	if known.pending == nil {
 		due := known.begunAt.Add(g.memoryCallInterval())
-		if due.Sub(began) > memoryLookupTimeout {
+		if due.Sub(sought.began) > memoryLookupTimeout {
 			return nil
 		}
 		known.pending = &memoryCall{done: make(chan struct{})}
@@ -245,7 +253,7 @@
 	list, err := g.client.CachedParts(ctx, r.id, r.address)
 	cancel()
 	<-m.slots
-	parts := m.hashesOf(list)
+	parts := m.partsOf(list)
 
 	m.mu.Lock()
 	result := memoryCallResult(err)
@@ -288,14 +296,13 @@
 	return !k.restartedAt.IsZero() && now.Sub(k.restartedAt) <= restartMemory
 }
 
-// hashesOf returns the hashes of the listed parts, sorted: 8 bytes a part.
-func (m *promptMemory) hashesOf(list platform.CachedParts) []uint64 {
-	hashes := make([]uint64, 0, len(list.TokensByPart))
-	for part := range list.TokensByPart {
-		hashes = append(hashes, maphash.String(m.seed, part))
+// partsOf returns the listed parts by hash, with the tokens kept of each.
+func (m *promptMemory) partsOf(list platform.CachedParts) map[uint64]int {
+	parts := make(map[uint64]int, len(list.TokensByPart))
+	for part, tokens := range list.TokensByPart {
+		parts[maphash.String(m.seed, part)] = tokens
 	}
-	slices.Sort(hashes)
-	return hashes
+	return parts
 }
 
 // await waits until a call has ended; it returns false if ctx ends first.
@@ -313,17 +320,16 @@
 	}
 }
 
-// evidence returns what an ended call shows about a part, for a lookup that began at the given
-// time. Only a call that was sent since then decides that the part is not kept, or that the
-// replica does not tell.
-func (c *memoryCall) evidence(hash uint64, began time.Time) (found retention, decided bool) {
-	_, listed := slices.BinarySearch(c.parts, hash)
+// evidence returns what an ended call shows about a part. Only a call that was sent after the
+// lookup began decides that the part is not kept, or that the replica does not tell.
+func (c *memoryCall) evidence(sought soughtPart) (found retention, decided bool) {
+	kept, listed := c.parts[sought.hash]
 	switch {
-	case listed:
+	case listed && kept >= sought.tokens:
 		return partKept, true
-	case c.requestedAt.Before(began):
+	case c.requestedAt.Before(sought.began):
 		return retentionUnknown, false
-	case c.answered && c.complete:
+	case c.answered && c.complete && !listed:
 		return partNotKept, true
 	}
 	return retentionUnknown, true
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -56,7 +56,7 @@
 			return
 		}
 		x.triedReplicas = append(x.triedReplicas, choice.Upstream)
-		end, perr := x.attempt(choice, reservation)
+		end, perr := x.attemptNotingRead(choice, reservation)
 		if end == answered {
 			return
 		}
@@ -91,7 +91,7 @@
 	if perr = x.checkQuarantine(); perr != nil {
 		return c, "", perr
 	}
-	if c, perr = x.g.router.Pick(clock.Now(), x.routerQuery(), nil); perr != nil {
+	if c, perr = x.pick(x.routerQuery()); perr != nil {
 		x.g.shortages.record(clock.Now(), x.service)
 	}
 	return c, "", perr
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -137,7 +137,7 @@
 func (x *exchange) reserveReplica(ctx context.Context, r *replacement, suspected bool) bool {
 	q := x.routerQuery()
 	for n := 0; n < maxReservationAttempts && ctx.Err() == nil; n++ {
-		choice, perr := x.g.router.Pick(clock.Now(), q, nil)
+		choice, perr := x.pick(q)
 		if perr != nil {
 			return false
 		}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -27,7 +27,6 @@
 	g.evacuatedServices.Store(&evacuated)
 	g.updateColdLimits(v)
 	g.quarantine.ReplicasListed(g.listingIn(v))
-	g.observeVersions(previous, v)
 	byChanges := g.applyPools(previous, v, g.settings.Load().Regions)
 	g.slowdowns.applyView(clock.Now(), previous, v, byChanges)
 	g.stages.Configure(v.Config.Services, func() []catalog.Replica { return stageReplicas(v) })
