Replicas keep prompts in blocks: a part that lacks less than one counts as kept

Change: fewer tokens than a block may lack. A resume whose history would be long enough only after the caller's deadline is refused without a Retry-After.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -292,7 +292,7 @@
 	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_streams_taken_up_total{evidence=%q}", v.Reason)).Inc()
 	if !v.Known {
 		e := problem.New(problem.VersionUnknown, "which software version began the stream is not known: %s (%s)", v.Reason, v.Evidence)
-		if v.MayCome {
+		if v.MayCome && v.After < clock.Until(x.deadline) {
 			e = withRetryAfter(e, x.retryDelay(max(originUnknownRetryAfter, v.After)))
 		}
 		return e
--- a/gateway/promptmemory.go
+++ b/gateway/promptmemory.go
@@ -35,6 +35,9 @@
 	// replica's work, and all hosts together begin at most 200 a second.
 	minMemoryCallInterval     = 100 * time.Millisecond
 	memoryCallIntervalPerHost = 5 * time.Millisecond
+	// maxBlockTokens bounds the blocks in which replicas keep prompts. Of the last part only whole
+	// blocks are kept.
+	maxBlockTokens = 32
 	// restartMemory is for how long it is remembered that a replica's process was found to have
 	// restarted under its ID: streams may have begun at the former process.
 	restartMemory = origin.MaxLifetime
@@ -325,7 +328,7 @@
 func (c *memoryCall) evidence(sought soughtPart) (found retention, decided bool) {
 	kept, listed := c.parts[sought.hash]
 	switch {
-	case listed && kept >= sought.tokens:
+	case listed && kept > sought.tokens-maxBlockTokens:
 		return partKept, true
 	case c.requestedAt.Before(sought.began):
 		return retentionUnknown, false
