core/origin, standin: tests of the history; the store keeps every change

The stand-in store kept the newest write of each key only, and never discarded history, so that a test could not show what a watch from an older revision shows.

--- a/internal/standin/site/site_test.go
+++ b/internal/standin/site/site_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -308,3 +309,64 @@
 		}, "released"),
 	)
 })
+
+// Guards against tests that pass only since the store shows the newest write of each key.
+var _ = Describe("the store", func() {
+	watch := func(s *site.Store, after int) (status int, keys []string, asOf int) {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, fmt.Sprintf("/-/kv-watch?prefix=servers/&after=%d&wait_ms=0", after), nil))
+		var body struct {
+			Events []struct {
+				Key       string
+				Revision  int
+				Tombstone bool
+			}
+			AsOf int `json:"as_of"`
+		}
+		if w.Code == http.StatusOK {
+			Expect(json.Unmarshal(w.Body.Bytes(), &body)).To(Succeed())
+		}
+		for _, e := range body.Events {
+			keys = append(keys, fmt.Sprint(e.Key, "@", e.Revision, map[bool]string{true: " removed"}[e.Tombstone]))
+		}
+		return w.Code, keys, body.AsOf
+	}
+
+	It("shows every write and removal since a revision, as long as it keeps them", func() {
+		s := site.NewStore()
+		s.Put("servers/a", "1")
+		s.Put("servers/a", "2")
+		s.Delete("servers/a")
+		s.Put("op/config", "x")
+		s.Put("servers/b", "1")
+		status, keys, asOf := watch(s, 0)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(keys).To(Equal([]string{"servers/a@1", "servers/a@2", "servers/a@3 removed", "servers/b@5"}))
+		Expect(asOf).To(Equal(5))
+		copied := s.Snapshot()
+		s.Compact()
+		status, _, _ = watch(s, 4)
+		Expect(status).To(Equal(http.StatusGone))
+		status, keys, _ = watch(s, 5)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(keys).To(BeEmpty())
+		s.Put("servers/c", "1")
+		s.Restore(copied)
+		status, keys, _ = watch(s, 3)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(keys).To(Equal([]string{"servers/b@5"}), "changes after the copy are lost")
+	})
+
+	It("discards changes after its retention", func() {
+		s := site.NewStore()
+		s.Retention = 20 * time.Millisecond
+		s.Put("servers/a", "1")
+		time.Sleep(2 * s.Retention)
+		s.Put("servers/a", "2")
+		status, _, _ := watch(s, 0)
+		Expect(status).To(Equal(http.StatusGone))
+		status, keys, _ := watch(s, 1)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(keys).To(Equal([]string{"servers/a@2"}))
+	})
+})
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -26,6 +25,9 @@
 type Store struct {
 	// PageSize limits the number of entries in a list response. Default: 50.
 	PageSize int
+	// Retention is for how long changes are kept; watches from before get status 410.
+	// Default: 20 s.
+	Retention time.Duration
 
 	mu         sync.Mutex
 	items      map[string]item
@@ -36,15 +38,27 @@
 	// tombstones has the deleted keys. changed is closed by every write.
 	tombstones map[string]item
 	changed    chan struct{}
+	// log has the retained changes in the order of their revisions.
+	log []change
 	// compactedRevision is the revision up to which changes are no longer retained.
 	compactedRevision uint64
 	// era counts the restores; every answer names it. restoredTo is the revision of the last one.
 	era, restoredTo uint64
 }
 
+// change is a write or a deletion, and when it was made.
+type change struct {
+	item
+	at time.Time
+}
+
+// defaultRetention is the Retention of a new store.
+const defaultRetention = 20 * time.Second
+
 // Snapshot is a copy of a store's content.
 type Snapshot struct {
 	items, tombstones           map[string]item
+	log                         []change
 	revision, compactedRevision uint64
 }
 
@@ -52,7 +66,7 @@
 func (s *Store) Snapshot() Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Snapshot{maps.Clone(s.items), maps.Clone(s.tombstones), s.revision, s.compactedRevision}
+	return Snapshot{maps.Clone(s.items), maps.Clone(s.tombstones), slices.Clone(s.log), s.revision, s.compactedRevision}
 }
 
 // Restore replaces the content by a snapshot, and begins the next era: what was written since
@@ -61,6 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.items, s.tombstones = maps.Clone(from.items), maps.Clone(from.tombstones)
+	s.log = slices.Clone(from.log)
 	s.revision, s.compactedRevision = from.revision, from.compactedRevision
 	s.restoredTo = from.revision
 	s.era++
@@ -70,7 +85,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{PageSize: 50, items: map[string]item{}, tombstones: map[string]item{}, changed: make(chan struct{})}
+	return &Store{PageSize: 50, Retention: defaultRetention, items: map[string]item{}, tombstones: map[string]item{}, changed: make(chan struct{})}
 }
 
 // WriteAgain writes what a snapshot has and the store, since it was restored, has not: for keys
@@ -137,15 +152,36 @@
 		s.items[i.Key] = i
 		delete(s.tombstones, i.Key)
 	}
+	s.log = append(s.log, change{i, time.Now()})
+	s.expire()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// expire discards changes that are older than Retention; mu must be held.
+func (s *Store) expire() {
+	oldest := time.Now().Add(-s.Retention)
+	kept := slices.IndexFunc(s.log, func(c change) bool { return c.at.After(oldest) })
+	if kept < 0 {
+		kept = len(s.log)
+	}
+	s.discard(kept)
+}
+
+// discard discards the first n changes of the log; mu must be held.
+func (s *Store) discard(n int) {
+	if n > 0 {
+		s.compactedRevision = s.log[n-1].Revision
+		s.log = slices.Delete(s.log, 0, n)
+	}
+}
+
 // Compact discards the history of changes so far. Watches from an earlier revision
 // get status 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.discard(len(s.log))
 	s.compactedRevision = s.revision
 }
 
@@ -228,21 +264,19 @@
 	}
 }
 
-// changesSince returns the changes under a prefix after a revision, the current
+// changesSince returns all changes under a prefix after a revision, the current
 // revision, a channel that is closed by the next write, and whether the changes since
 // that revision are still retained.
 func (s *Store) changesSince(prefix string, after uint64) (events []item, revision uint64, changed chan struct{}, retained bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expire()
 	events = []item{}
-	for _, items := range []map[string]item{s.items, s.tombstones} {
-		for key, i := range items {
-			if strings.HasPrefix(key, prefix) && i.Revision > after {
-				events = append(events, i)
-			}
+	for _, c := range s.log {
+		if strings.HasPrefix(c.Key, prefix) && c.Revision > after {
+			events = append(events, c.item)
 		}
 	}
-	slices.SortFunc(events, func(a, b item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return events, s.revision, s.changed, after >= s.compactedRevision && after <= s.revision
 }
 
