discovery: tests of the version history; search the store's past by halves

The first attempt to read the past reached back from the newest read, so that the time since the start was read again in place of some of the past, and the first span that the store still had could be half of what it had. It reaches back from the first list now, and tries once more in between while calls are left.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -78,9 +78,11 @@
 	versionsMu sync.Mutex
 	versions   origin.History
 	// past is how far this host has got in learning what was listed before; pastWork wakes
-	// syncPast.
-	past     pastState
-	pastWork chan struct{}
+	// syncPast. restartedAt is the store's revision of the list with which the history was
+	// last restarted.
+	past        pastState
+	pastWork    chan struct{}
+	restartedAt uint64
 	// firstViewAt is when this host received the first part of its first view.
 	firstViewAt time.Time
 	// listsAlone says that this host may list all replicas, however many there are; until
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -40,6 +40,8 @@
 	muxes        map[string]*peer.Mux
 	disconnected map[string]bool
 	unresponsive map[string]bool
+	// isolated hosts reach no other, nor does any reach them.
+	isolated map[string]bool
 	// forming is closed when the fleet has formed; nil stands for a fleet that already
 	// has.
 	forming chan struct{}
@@ -56,12 +58,13 @@
 func (c localCaller) Call(ctx context.Context, host, method string, req, resp proto.Message) error {
 	c.hosts.mu.Lock()
 	mux, disconnected, unresponsive := c.hosts.muxes[host], c.hosts.disconnected[host], c.hosts.unresponsive[host]
+	isolated := c.hosts.isolated[host] || c.hosts.isolated[c.self]
 	c.hosts.mu.Unlock()
 	if unresponsive {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if mux == nil || disconnected {
+	if mux == nil || disconnected || isolated {
 		return errDisconnected
 	}
 	return peer.CallLocal(ctx, mux, c.self, method, req, resp)
@@ -146,7 +149,7 @@
 func newTestFleetOf(cleanup func(func()), n int, options ...func(*discovery.Config)) *testFleet {
 	f := &testFleet{
 		cleanup: cleanup,
-		hosts:   &localPeers{muxes: map[string]*peer.Mux{}, disconnected: map[string]bool{}, unresponsive: map[string]bool{}}, store: site.NewStore(),
+		hosts:   &localPeers{muxes: map[string]*peer.Mux{}, disconnected: map[string]bool{}, unresponsive: map[string]bool{}, isolated: map[string]bool{}}, store: site.NewStore(),
 		discoveries: map[string]*discovery.Discovery{}, stores: map[string]*platform.Store{}, storeDown: map[string]bool{},
 	}
 	server := httptest.NewServer(f.store)
--- a/discovery/export_test.go
+++ b/discovery/export_test.go
@@ -57,3 +57,18 @@
 
 // Buckets returns the digest of the view's replicas in the form that peers send.
 func (v *View) Buckets() []uint64 { return v.Replicas.Digest()[:] }
+
+// ExpireListing has the next read of the store list all replicas.
+func (d *Discovery) ExpireListing() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listing != nil {
+		d.listing.listedAt = d.listing.listedAt.Add(-relistInterval)
+	}
+}
+
+// PastSpan is the number of revisions that the first attempt to read the store's past covers.
+func PastSpan(replicas int, past StorePast) uint64 { return pastSpan(replicas, past) }
+
+// MaxPastReads bounds the calls that read the store's past.
+const MaxPastReads = maxPastReads
--- a/discovery/past.go
+++ b/discovery/past.go
@@ -26,11 +26,15 @@
 	// maxPastEvents/minPastBeats it reaches back too little to be worth the call.
 	maxPastEvents = 4000
 	minPastBeats  = 2
-	// maxPastReads bounds the calls to the store. Each further attempt reaches back half as far.
+	// maxPastReads bounds the calls to the store, and maxPastEvents all of their answers but the
+	// last. Attempts that reach back too far are refused; the next one reaches half as far.
 	maxPastReads = 5
 	// firstPastShare is the share of the store's retention that the first attempt is meant to
 	// cover: more than all of it, since replicas may have left of which nothing is known yet.
 	firstPastShare = 1.8
+	// pastPrecision ends the search for the oldest change that the store has: less than one part
+	// in so many is not known to be there or not.
+	pastPrecision = 4
 )
 
 // StorePast describes what the store has of its own past.
@@ -115,19 +119,19 @@
 func (d *Discovery) readPast(ctx context.Context) {
 	past := d.cfg.StorePast
 	d.mu.Lock()
-	v, known := d.View(), d.knownPosition()
+	v, newest, list := d.View(), d.knownPosition(), d.restartedAt
 	d.mu.Unlock()
 	span := pastSpan(v.Replicas.Len(), past)
 	switch {
 	case span == 0:
 		d.log.Info("store's past not read: too many replicas, or how often they write is not known", zap.Int("replicas", v.Replicas.Len()))
 		return
-	case position.Era(known) > 0:
+	case position.Era(newest) > 0:
 		// What was written before the store came back from a copy may be lost.
-		d.log.Info("store's past not read: it has come back from a copy", eraField(known))
+		d.log.Info("store's past not read: it has come back from a copy", eraField(newest))
 		return
 	}
-	items, reads, err := d.changesBefore(ctx, known, span)
+	items, reads, err := d.changesBefore(ctx, list, newest, span)
 	if err != nil {
 		d.log.Warn("could not read the store's past", zap.Error(err), zap.Int("reads", reads))
 		return
@@ -167,37 +171,50 @@
 	return uint64(min(maxPastEvents, float64(max(1, replicas))*beats))
 }
 
-// changesBefore reads the changes since span revisions before the given one, or fewer if the
-// store no longer has them. The result is in the order of the revisions and contiguous up to the
-// given one at least; otherwise there is an error.
-func (d *Discovery) changesBefore(ctx context.Context, revision, span uint64) (items []platform.Item, reads int, err error) {
-	after := revision - min(span, revision)
-	for reached := after; reads < maxPastReads; {
-		var more []platform.Item
-		reads++
-		more, reached, err = d.cfg.Store.Changes(ctx, platform.ReplicaPrefix, reached, 0)
+// changesBefore reads the changes since span revisions before a list, or as far back as the store
+// has them, up to the newest known one at least. They are in the order of their revisions, and
+// none is left out.
+func (d *Discovery) changesBefore(ctx context.Context, list, newest, span uint64) (items []platform.Item, reads int, err error) {
+	err = errPastIncomplete
+	available, discarded, total := uint64(0), uint64(0), 0
+	for reads < maxPastReads && total <= maxPastEvents && (discarded == 0 || available < discarded*pastPrecision/(pastPrecision+1)) {
+		more, n, readErr := d.changesUpTo(ctx, list-min(span, list), newest, maxPastReads-reads)
+		reads, total = reads+n, total+len(more)
 		switch {
-		case errors.Is(err, platform.ErrCompacted) && span > 1:
-			span /= 2
-			after, items = revision-min(span, revision), nil
-			reached = after
+		case readErr == nil:
+			items, err, available = more, nil, span
+		case errors.Is(readErr, platform.ErrCompacted) && span > 1:
+			discarded = span
+		case errors.Is(readErr, platform.ErrUnavailable) && periodic.Sleep(ctx, maxRetryInterval):
 			continue
-		case errors.Is(err, platform.ErrUnavailable) && periodic.Sleep(ctx, maxRetryInterval):
-			reached, items = after, nil
-			continue
-		case err != nil:
-			return nil, reads, err
+		default:
+			return items, reads, readErr
 		}
-		items = append(items, more...)
-		if reached >= revision {
+		if discarded == 0 {
 			break
 		}
-		err = errPastIncomplete
+		span = (available + discarded) / 2
 	}
 	slices.SortStableFunc(items, func(a, b platform.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return items, reads, err
 }
 
+// changesUpTo reads the changes after a revision up to the newest known one at least, in at most
+// the given number of reads.
+func (d *Discovery) changesUpTo(ctx context.Context, after, newest uint64, limit int) (items []platform.Item, reads int, err error) {
+	for reached := after; reads < limit; {
+		var more []platform.Item
+		reads++
+		if more, reached, err = d.cfg.Store.Changes(ctx, platform.ReplicaPrefix, reached, 0); err != nil {
+			return nil, reads, err
+		}
+		if items = append(items, more...); reached >= newest {
+			return items, reads, nil
+		}
+	}
+	return nil, reads, errPastIncomplete
+}
+
 // pastEvents returns what items say of replicas. Entries that are not valid replicas are left
 // out.
 func pastEvents(items []platform.Item) []origin.Event {
--- a/discovery/versions.go
+++ b/discovery/versions.go
@@ -67,7 +67,7 @@
 		} else {
 			d.logHistoryRestarted(h, now, sourceStore)
 			h.Restart(now, started)
-			d.past = pastUnread
+			d.past, d.restartedAt = pastUnread, d.listing.checked.newest()
 		}
 		return h.Record(now, changes)
 	})
