discovery: the host that reads the store asks peers for their history before the store

A host that reads the store for the fleet and was away for too long began its history anew and knew less than its peers until it ended. It asks up to three of them now, apart from its reads, whose replicas stay as they are.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -77,10 +77,10 @@
 	// versionsMu, which is locked after mu. It is changed with mu held.
 	versionsMu sync.Mutex
 	versions   origin.History
-	// past is how far this host has got in learning what was listed before; pastWork wakes
-	// syncPast. restartedAt is the store's revision of the list with which the history was
-	// last restarted.
-	past        pastState
+	// pastUnread says that the history was restarted, and that nobody was asked yet for what
+	// was listed before; pastWork wakes syncPast. restartedAt is the store's revision of the
+	// list with which the history was last restarted.
+	pastUnread  bool
 	pastWork    chan struct{}
 	restartedAt uint64
 	// firstViewAt is when this host received the first part of its first view.
--- a/discovery/past.go
+++ b/discovery/past.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,9 +13,11 @@
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/origin"
 	"github.com/wheatseam/wheatseam/core/position"
+	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/platform"
+	"github.com/wheatseam/wheatseam/wire"
 )
 
 // After all hosts of a fleet were lost no host knows what was listed before. The host that reads
@@ -47,30 +50,22 @@
 // errPastIncomplete means that the store's answers do not reach this host's own reads.
 var errPastIncomplete = errors.New("discovery: the changes do not reach the known ones")
 
-// pastState is how far this host has got in learning what was listed before its history.
-type pastState int
-
-const (
-	// pastKnown: nothing is left to ask for. pastUnread: the history was restarted.
-	// pastPeerAsked: a peer was asked, which may know more.
-	pastKnown pastState = iota
-	pastUnread
-	pastPeerAsked
-)
-
-// learnPast has the history reach back before this host's own views after it was restarted: it
-// asks a peer, and if that knows no more, the store. Only the host that reads the store for the
-// fleet does so.
-func (d *Discovery) learnPast(ctx context.Context) {
+// learnPast has syncPast extend the history once after it was restarted. Only the host that reads
+// the store for the fleet does so; the others learn from it. By then the views of peers, which
+// this history is to continue, are from after its beginning.
+func (d *Discovery) learnPast() {
 	select {
 	case <-d.cfg.Members.Formed():
 	default:
 		return // others may read the store for this host
 	}
-	switch d.nextPastState() {
-	case pastPeerAsked:
-		d.requestChangesFromRandomPeer(ctx)
-	case pastKnown:
+	d.mu.Lock()
+	unread := d.pastUnread && d.listing != nil && d.historyLength() > d.boundFraction(staleFraction)
+	if unread {
+		d.pastUnread = false
+	}
+	d.mu.Unlock()
+	if unread {
 		select {
 		case d.pastWork <- struct{}{}:
 		default:
@@ -78,43 +73,81 @@
 	}
 }
 
-// noPastWork is returned by nextPastState if there is nothing to do.
-const noPastWork pastState = -1
-
-// nextPastState advances the state and returns it, or noPastWork.
-func (d *Discovery) nextPastState() pastState {
-	now := clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.versionsMu.Lock()
-	defer d.versionsMu.Unlock()
-	switch {
-	case d.past == pastKnown || d.listing == nil:
-		return noPastWork
-	case d.versions.CompleteFor(now) >= d.cfg.StorePast.Retention:
-		d.past = pastKnown
-		return noPastWork
-	case d.past == pastUnread:
-		d.past = pastPeerAsked
-	default:
-		d.past = pastKnown
-	}
-	return d.past
-}
-
-// syncPast reads the store's past when learnPast asks for it, until ctx ends. No view waits for
-// it.
+// syncPast extends the history when learnPast asks for it, until ctx ends: it asks peers, and
+// if they know too little, the store. No view waits for it.
 func (d *Discovery) syncPast(ctx context.Context) {
 	for {
 		select {
 		case <-d.pastWork:
-			d.readPast(ctx)
+			if !d.askPeersForHistory(ctx) && d.cfg.StorePast.Retention > 0 {
+				d.readPast(ctx)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// historyLength returns for how long the history is complete.
+func (d *Discovery) historyLength() time.Duration {
+	d.versionsMu.Lock()
+	defer d.versionsMu.Unlock()
+	return d.versions.CompleteFor(clock.Now())
+}
+
+// maxHistoryPeers is the number of peers that are asked for their history.
+const maxHistoryPeers = 3
+
+// askPeersForHistory asks some peers for their history, and reports whether the store's past
+// would add nothing to it.
+func (d *Discovery) askPeersForHistory(ctx context.Context) bool {
+	hosts := slices.DeleteFunc(d.cfg.Members.Reachable(), func(h fleet.Host) bool { return h.Name == d.cfg.Self })
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	for _, h := range hosts[:min(maxHistoryPeers, len(hosts))] {
+		d.requestHistory(ctx, h.Name)
+		if d.historyLength() > max(d.cfg.StorePast.Retention, maxListingAge) {
+			return true
+		}
+	}
+	return false
+}
+
+// requestHistory adds a peer's history to this host's. The replicas stay as they are: this host
+// has read them itself.
+func (d *Discovery) requestHistory(ctx context.Context, host string) {
+	sentAt := clock.Now()
+	reply := &wire.NewsReply{}
+	call, cancel := clock.WithTimeout(ctx, replyGrace)
+	defer cancel()
+	if err := d.cfg.Caller.Call(call, host, methodChanges, d.changesRequest(sentAt, 0), reply); err != nil {
+		d.log.Info("request for the version history failed", zap.String("peer", host), zap.Error(err))
+		return
+	}
+	if reply.GetVersions() == nil {
+		return
+	}
+	received := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	asOf := sentAt.Add(-time.Duration(reply.GetAgeMs()) * time.Millisecond)
+	s := summaryOf(reply.GetVersions(), received, asOf, sentAt)
+	own := d.registry.Replicas()
+	listed := replicasWith(own, reply)
+	for _, c := range versionChanges(own, listed) {
+		if !c.Removed {
+			// The peer has a replica of it that this host has not.
+			s.Versions = append(s.Versions, origin.FormerVersion{Service: c.Service, Version: c.Version, LastListed: received, LastRemoved: received})
+		}
+	}
+	complete := listed.Digest().Sum() == reply.GetReplicasHash()
+	d.updateVersions(func(h *origin.History) []string {
+		before := h.CompleteFor(received)
+		grown := h.Merge(received, s, complete)
+		d.logHistoryChange(h, received, host, before)
+		return grown
+	})
+}
+
 // readPast extends the history by what the store has of its past.
 func (d *Discovery) readPast(ctx context.Context) {
 	past := d.cfg.StorePast
--- a/discovery/versions.go
+++ b/discovery/versions.go
@@ -67,7 +67,7 @@
 		} else {
 			d.logHistoryRestarted(h, now, sourceStore)
 			h.Restart(now, started)
-			d.past, d.restartedAt = pastUnread, d.listing.checked.newest()
+			d.pastUnread, d.restartedAt = true, d.listing.checked.newest()
 		}
 		return h.Record(now, changes)
 	})
@@ -110,16 +110,22 @@
 		default:
 			h.Continue(asOf)
 		}
-		switch after := h.CompleteFor(now); {
-		case after > before+historyOverlap:
-			d.log.Info("version history extended", zap.String("source", host), zap.Duration("before", before), zap.Duration("complete_for", after))
-		case after < before-historyOverlap:
-			d.log.Warn("version history interrupted", zap.String("source", host), zap.Duration("before", before), zap.Duration("complete_for", after))
-		}
+		d.logHistoryChange(h, now, host, before)
 		return grown
 	})
 }
 
+// logHistoryChange logs that a peer's reply has extended or interrupted the history, which was
+// complete for the time before. The caller holds d.versionsMu.
+func (d *Discovery) logHistoryChange(h *origin.History, now time.Time, host string, before time.Duration) {
+	switch after := h.CompleteFor(now); {
+	case after > before+historyOverlap:
+		d.log.Info("version history extended", zap.String("source", host), zap.Duration("before", before), zap.Duration("complete_for", after))
+	case after < before-historyOverlap:
+		d.log.Warn("version history interrupted", zap.String("source", host), zap.Duration("before", before), zap.Duration("complete_for", after))
+	}
+}
+
 // logHistoryRestarted logs that versions may have been listed that are not known. The caller
 // holds d.versionsMu.
 func (d *Discovery) logHistoryRestarted(h *origin.History, now time.Time, source string) {
