--- a/discovery/past.go
+++ b/discovery/past.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,9 +13,11 @@
 	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/origin"
 	"github.com/wheatseam/wheatseam/core/position"
+	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/platform"
+	"github.com/wheatseam/wheatseam/wire"
 )
 
 // After all hosts of a fleet were lost no host knows what was listed before. The host that reads
@@ -26,11 +29,15 @@
 	// maxPastEvents/minPastBeats it reaches back too little to be worth the call.
 	maxPastEvents = 4000
 	minPastBeats  = 2
-	// maxPastReads bounds the calls to the store. Each further attempt reaches back half as far.
+	// maxPastReads bounds the calls to the store, and maxPastEvents all of their answers but the
+	// last. Attempts that reach back too far are refused; the next one reaches half as far.
 	maxPastReads = 5
 	// firstPastShare is the share of the store's retention that the first attempt is meant to
 	// cover: more than all of it, since replicas may have left of which nothing is known yet.
 	firstPastShare = 1.8
+	// pastPrecision ends the search for the oldest change that the store has: less than one part
+	// in so many is not known to be there or not.
+	pastPrecision = 4
 )
 
 // StorePast describes what the store has of its own past.
@@ -43,30 +50,22 @@
 // errPastIncomplete means that the store's answers do not reach this host's own reads.
 var errPastIncomplete = errors.New("discovery: the changes do not reach the known ones")
 
-// pastState is how far this host has got in learning what was listed before its history.
-type pastState int
-
-const (
-	// pastKnown: nothing is left to ask for. pastUnread: the history was restarted.
-	// pastPeerAsked: a peer was asked, which may know more.
-	pastKnown pastState = iota
-	pastUnread
-	pastPeerAsked
-)
-
-// learnPast has the history reach back before this host's own views after it was restarted: it
-// asks a peer, and if that knows no more, the store. Only the host that reads the store for the
-// fleet does so.
-func (d *Discovery) learnPast(ctx context.Context) {
+// learnPast has syncPast extend the history once after it was restarted. Only the host that reads
+// the store for the fleet does so; the others learn from it. By then the views of peers, which
+// this history is to continue, are from after its beginning.
+func (d *Discovery) learnPast() {
 	select {
 	case <-d.cfg.Members.Formed():
 	default:
 		return // others may read the store for this host
 	}
-	switch d.nextPastState() {
-	case pastPeerAsked:
-		d.requestChangesFromRandomPeer(ctx)
-	case pastKnown:
+	d.mu.Lock()
+	unread := d.pastUnread && d.listing != nil && d.historyLength() > d.boundFraction(staleFraction)
+	if unread {
+		d.pastUnread = false
+	}
+	d.mu.Unlock()
+	if unread {
 		select {
 		case d.pastWork <- struct{}{}:
 		default:
@@ -74,60 +73,98 @@
 	}
 }
 
-// noPastWork is returned by nextPastState if there is nothing to do.
-const noPastWork pastState = -1
-
-// nextPastState advances the state and returns it, or noPastWork.
-func (d *Discovery) nextPastState() pastState {
-	now := clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.versionsMu.Lock()
-	defer d.versionsMu.Unlock()
-	switch {
-	case d.past == pastKnown || d.listing == nil:
-		return noPastWork
-	case d.versions.CompleteFor(now) >= d.cfg.StorePast.Retention:
-		d.past = pastKnown
-		return noPastWork
-	case d.past == pastUnread:
-		d.past = pastPeerAsked
-	default:
-		d.past = pastKnown
-	}
-	return d.past
-}
-
-// syncPast reads the store's past when learnPast asks for it, until ctx ends. No view waits for
-// it.
+// syncPast extends the history when learnPast asks for it, until ctx ends: it asks peers, and
+// if they know too little, the store. No view waits for it.
 func (d *Discovery) syncPast(ctx context.Context) {
 	for {
 		select {
 		case <-d.pastWork:
-			d.readPast(ctx)
+			if !d.askPeersForHistory(ctx) && d.cfg.StorePast.Retention > 0 {
+				d.readPast(ctx)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// historyLength returns for how long the history is complete.
+func (d *Discovery) historyLength() time.Duration {
+	d.versionsMu.Lock()
+	defer d.versionsMu.Unlock()
+	return d.versions.CompleteFor(clock.Now())
+}
+
+// maxHistoryPeers is the number of peers that are asked for their history.
+const maxHistoryPeers = 3
+
+// askPeersForHistory asks some peers for their history, and reports whether the store's past
+// would add nothing to it.
+func (d *Discovery) askPeersForHistory(ctx context.Context) bool {
+	hosts := slices.DeleteFunc(d.cfg.Members.Reachable(), func(h fleet.Host) bool { return h.Name == d.cfg.Self })
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	for _, h := range hosts[:min(maxHistoryPeers, len(hosts))] {
+		d.requestHistory(ctx, h.Name)
+		if d.historyLength() > max(d.cfg.StorePast.Retention, maxListingAge) {
+			return true
+		}
+	}
+	return false
+}
+
+// requestHistory adds a peer's history to this host's. The replicas stay as they are: this host
+// has read them itself.
+func (d *Discovery) requestHistory(ctx context.Context, host string) {
+	sentAt := clock.Now()
+	reply := &wire.NewsReply{}
+	call, cancel := clock.WithTimeout(ctx, replyGrace)
+	defer cancel()
+	if err := d.cfg.Caller.Call(call, host, methodChanges, d.changesRequest(sentAt, 0), reply); err != nil {
+		d.log.Info("request for the version history failed", zap.String("peer", host), zap.Error(err))
+		return
+	}
+	if reply.GetVersions() == nil {
+		return
+	}
+	received := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	asOf := sentAt.Add(-time.Duration(reply.GetAgeMs()) * time.Millisecond)
+	s := summaryOf(reply.GetVersions(), received, asOf, sentAt)
+	own := d.registry.Replicas()
+	listed := replicasWith(own, reply)
+	for _, c := range versionChanges(own, listed) {
+		if !c.Removed {
+			// The peer has a replica of it that this host has not.
+			s.Versions = append(s.Versions, origin.FormerVersion{Service: c.Service, Version: c.Version, LastListed: received, LastRemoved: received})
+		}
+	}
+	complete := listed.Digest().Sum() == reply.GetReplicasHash()
+	d.updateVersions(func(h *origin.History) []string {
+		before := h.CompleteFor(received)
+		grown := h.Merge(received, s, complete)
+		d.logHistoryChange(h, received, host, before)
+		return grown
+	})
+}
+
 // readPast extends the history by what the store has of its past.
 func (d *Discovery) readPast(ctx context.Context) {
 	past := d.cfg.StorePast
 	d.mu.Lock()
-	v, known := d.View(), d.knownPosition()
+	v, newest, list := d.View(), d.knownPosition(), d.restartedAt
 	d.mu.Unlock()
 	span := pastSpan(v.Replicas.Len(), past)
 	switch {
 	case span == 0:
 		d.log.Info("store's past not read: too many replicas, or how often they write is not known", zap.Int("replicas", v.Replicas.Len()))
 		return
-	case position.Era(known) > 0:
+	case position.Era(newest) > 0:
 		// What was written before the store came back from a copy may be lost.
-		d.log.Info("store's past not read: it has come back from a copy", eraField(known))
+		d.log.Info("store's past not read: it has come back from a copy", eraField(newest))
 		return
 	}
-	items, reads, err := d.changesBefore(ctx, known, span)
+	items, reads, err := d.changesBefore(ctx, list, newest, span)
 	if err != nil {
 		d.log.Warn("could not read the store's past", zap.Error(err), zap.Int("reads", reads))
 		return
@@ -167,37 +204,50 @@
 	return uint64(min(maxPastEvents, float64(max(1, replicas))*beats))
 }
 
-// changesBefore reads the changes since span revisions before the given one, or fewer if the
-// store no longer has them. The result is in the order of the revisions and contiguous up to the
-// given one at least; otherwise there is an error.
-func (d *Discovery) changesBefore(ctx context.Context, revision, span uint64) (items []platform.Item, reads int, err error) {
-	after := revision - min(span, revision)
-	for reached := after; reads < maxPastReads; {
-		var more []platform.Item
-		reads++
-		more, reached, err = d.cfg.Store.Changes(ctx, platform.ReplicaPrefix, reached, 0)
+// changesBefore reads the changes since span revisions before a list, or as far back as the store
+// has them, up to the newest known one at least. They are in the order of their revisions, and
+// none is left out.
+func (d *Discovery) changesBefore(ctx context.Context, list, newest, span uint64) (items []platform.Item, reads int, err error) {
+	err = errPastIncomplete
+	available, discarded, total := uint64(0), uint64(0), 0
+	for reads < maxPastReads && total <= maxPastEvents && (discarded == 0 || available < discarded*pastPrecision/(pastPrecision+1)) {
+		more, n, readErr := d.changesUpTo(ctx, list-min(span, list), newest, maxPastReads-reads)
+		reads, total = reads+n, total+len(more)
 		switch {
-		case errors.Is(err, platform.ErrCompacted) && span > 1:
-			span /= 2
-			after, items = revision-min(span, revision), nil
-			reached = after
+		case readErr == nil:
+			items, err, available = more, nil, span
+		case errors.Is(readErr, platform.ErrCompacted) && span > 1:
+			discarded = span
+		case errors.Is(readErr, platform.ErrUnavailable) && periodic.Sleep(ctx, maxRetryInterval):
 			continue
-		case errors.Is(err, platform.ErrUnavailable) && periodic.Sleep(ctx, maxRetryInterval):
-			reached, items = after, nil
-			continue
-		case err != nil:
-			return nil, reads, err
+		default:
+			return items, reads, readErr
 		}
-		items = append(items, more...)
-		if reached >= revision {
+		if discarded == 0 {
 			break
 		}
-		err = errPastIncomplete
+		span = (available + discarded) / 2
 	}
 	slices.SortStableFunc(items, func(a, b platform.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return items, reads, err
 }
 
+// changesUpTo reads the changes after a revision up to the newest known one at least, in at most
+// the given number of reads.
+func (d *Discovery) changesUpTo(ctx context.Context, after, newest uint64, limit int) (items []platform.Item, reads int, err error) {
+	for reached := after; reads < limit; {
+		var more []platform.Item
+		reads++
+		if more, reached, err = d.cfg.Store.Changes(ctx, platform.ReplicaPrefix, reached, 0); err != nil {
+			return nil, reads, err
+		}
+		if items = append(items, more...); reached >= newest {
+			return items, reads, nil
+		}
+	}
+	return nil, reads, errPastIncomplete
+}
+
 // pastEvents returns what items say of replicas. Entries that are not valid replicas are left
 // out.
 func pastEvents(items []platform.Item) []origin.Event {
