Soak: losses of all daemons during releases, and callers that keep their streams

Cause: the soak killed one daemon at a time, its engines had two versions all the while, and its callers took a stream up once, within 300 ms. A stream's versions are checked over all attempts of its caller; a resume that is answered as not run must not have run; streams taken up after a loss are counted, and have the bound that held without one. Existing seeds keep their schedules.

--- a/cmd/wheatseam/soak.go
+++ b/cmd/wheatseam/soak.go
@@ -20,6 +20,7 @@
 	duration    time.Duration
 	daemons     int
 	callers     int
+	losses      bool
 }
 
 func newSoakCommand() *cobra.Command {
@@ -42,6 +43,7 @@
 	f.DurationVar(&o.duration, "duration", 20*time.Second, "duration of fault injection for each seed")
 	f.IntVar(&o.daemons, "daemons", 4, "number of daemons")
 	f.IntVar(&o.callers, "callers", 12, "number of callers")
+	f.BoolVar(&o.losses, "losses", false, "also kill all or several daemons at once, during releases, while callers keep their streams")
 	return c
 }
 
@@ -78,7 +80,7 @@
 		return false, err
 	}
 	report, err := soak.Execute(ctx, soak.Config{
-		Binary: o.binary, Dir: dir, Seed: seed, Duration: o.duration, Daemons: o.daemons, Callers: o.callers,
+		Binary: o.binary, Dir: dir, Seed: seed, Duration: o.duration, Daemons: o.daemons, Callers: o.callers, Losses: o.losses,
 	})
 	if err != nil {
 		return false, err
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -59,6 +59,8 @@
 	// pauseAfterEvents and pause are the arguments of PauseStreams.
 	pauseAfterEvents int
 	pause            time.Duration
+	// eventInterval is the argument of SlowStreams.
+	eventInterval time.Duration
 	// frozen is set while the process is frozen.
 	frozen bool
 	// runs are the runs in progress and the ended runs that reports may still list.
@@ -233,6 +235,15 @@
 	r.pauseAfterEvents, r.pause = afterEvents, pause
 }
 
+// SlowStreams sets the interval between the events of all streams that begin from now on, unless
+// the Behaviour has an interval of its own. 0 restores the default. An engine whose streams are
+// slow counts as healthy.
+func (r *Replica) SlowStreams(interval time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eventInterval = interval
+}
+
 // Freeze freezes the process permanently: its open connections stall, and it accepts
 // new ones but sends no responses.
 func (r *Replica) Freeze() {
@@ -470,7 +481,7 @@
 	return r.cancelled
 }
 
-// currentBehaviour returns the behaviour with the pause of PauseStreams applied.
+// currentBehaviour returns the behaviour with PauseStreams and SlowStreams applied.
 func (r *Replica) currentBehaviour() Behaviour {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -478,6 +489,9 @@
 	if b.Pause == 0 && b.Stall == NoStall {
 		b.PauseAfterEvents, b.Pause = r.pauseAfterEvents, r.pause
 	}
+	if b.EventInterval == 0 {
+		b.EventInterval = r.eventInterval
+	}
 	return b
 }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -30,7 +30,7 @@
 		}
 		c := r.randomCall(rng, fmt.Sprintf("%d-%d-%d", r.cfg.Seed, number, n))
 		att := r.send(client, rng, d, c)
-		r.takeUp(rng, att)
+		r.takeUp(ctx, client, rng, att)
 		time.Sleep(time.Duration(5+rng.IntN(30)) * time.Millisecond)
 	}
 }
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -44,6 +44,8 @@
 type daemon struct {
 	name, ip, dir string
 	binary        string
+	// failureDomain is that of the daemon's host.
+	failureDomain string
 	storeRelay    *faultrelay.Relay // from the daemon to the store
 	peerRelay     *faultrelay.Relay // from the other daemons to this one
 
@@ -78,7 +80,7 @@
 // newDaemon prepares a daemon whose connections to the store and from its peers pass
 // through relays. It does not start the process.
 func newDaemon(name, binary, dir, store string) (*daemon, error) {
-	d := &daemon{name: name, ip: uniqueLoopbackIP(), dir: dir, binary: binary}
+	d := &daemon{name: name, ip: uniqueLoopbackIP(), dir: dir, binary: binary, failureDomain: failureDomains[0]}
 	var err error
 	if d.storeRelay, err = faultrelay.New(faultrelay.Config{Target: store}); err != nil {
 		return nil, err
@@ -101,7 +103,7 @@
 	d.mu.Unlock()
 	text := fmt.Sprintf(`host: %q
 name: %q
-failure_domain: x
+failure_domain: %s
 listen: {callers: %q, readiness: %q, peers: "%s:%d"}
 seeds: [%s]
 store: {address: %q}
@@ -109,7 +111,7 @@
 drain: {grace: 4s}
 budget: {ratio: 0.2, slack: %d, window: 10s}
 limits: {processors: 1, memory_mb: 256}
-`, d.peerAddress(), d.name, d.callerAddress(), d.readinessAddress(), d.ip, portPeers, quoteAll(seeds), d.storeRelay.Address(), budgetSlack+revision%2)
+`, d.peerAddress(), d.name, d.failureDomain, d.callerAddress(), d.readinessAddress(), d.ip, portPeers, quoteAll(seeds), d.storeRelay.Address(), budgetSlack+revision%2)
 	return os.WriteFile(d.settingsPath(), []byte(text), 0o600)
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -26,6 +26,25 @@
 //   - An operator evacuates failure domains.
 //   - Hosts are suspended; a signal simulates this to the daemon.
 //
+// With Config.Losses (wheatseam soak --losses), also the following. With an even seed there are
+// few other faults then, so that many streams are taken up after losses.
+//   - All daemons are killed at the same moment and started again together, also twice in a
+//     row, or those of one failure domain, or all are replaced in turn. They have failure
+//     domains then.
+//   - A new software version joins before, and the oldest one drains and leaves before, during
+//     or after that.
+//   - A version comes and goes while all daemons are down, or while all but one, which is
+//     killed afterwards, are suspended or cut off from the store and each other.
+//   - Callers keep their streams for 10 s and take them up, up to four times, at any daemon, at
+//     once or after seconds, by the connections that they have open.
+//
+// For a long run by hand:
+//
+//	wheatseam soak --losses --seed N --seeds 10 --daemons 4 --callers 24 --duration 60s
+//
+// Its report says how many of the streams that were taken up after a loss of all daemons went on,
+// of those for which two sound engines of their version had been listed since they began.
+//
 // The guarantees:
 //   - A request that may not be repeated runs at most once.
 //   - A successful answer is complete, signed and belongs to the caller's request.
@@ -47,6 +66,8 @@
 //   - A request that has crashed three replicas is sent to only a few more, and so are all
 //     requests with a part of prompts that has crashed five.
 //   - A stream has events of one software version only, over all attempts of its caller.
+//   - Streams that are taken up while two sound engines of their version are listed go on at
+//     least half as often as new ones begin, also after all daemons were lost.
 //
 // A run ends only processes that it started itself, by their process ids.
 package soak
--- a/soak/report.go
+++ b/soak/report.go
@@ -22,7 +22,15 @@
 	// TakenUp counts the broken streams that callers took up at undisturbed daemons, and
 	// Continued those of them that went on.
 	TakenUp, Continued int
-	Faults             []string
+	// Losses counts the losses of all daemons at once. TakenUpAfterLoss counts the streams that
+	// were taken up after one, while two sound engines of their version had been listed since
+	// they began, and ContinuedAfterLoss those of them that went on; SentAfterLoss and
+	// BegunAfterLoss are the same for new streams.
+	Losses                               int
+	TakenUpAfterLoss, ContinuedAfterLoss int
+	SentAfterLoss, BegunAfterLoss        int
+
+	Faults []string
 	// Violations describe the guarantees that were violated.
 	Violations []string
 }
@@ -36,6 +44,10 @@
 	fmt.Fprintf(w, "seed %d: %d daemons for %s under %d faults: %s\n", r.Seed, r.Daemons, r.Duration, len(r.Faults), verdict)
 	fmt.Fprintf(w, "  %d requests: %d served, %d refused, %d failed, %d incomplete, %d abandoned by their callers; %d streams paused; %d of %d went on\n",
 		r.Requests, r.Served, r.Refused, r.Failed, r.Incomplete, r.Abandoned, r.PausedStreams, r.Continued, r.TakenUp)
+	if r.Losses > 0 {
+		fmt.Fprintf(w, "  %d losses of all daemons: %d of %d streams taken up after them went on; %d of %d new ones began\n",
+			r.Losses, r.ContinuedAfterLoss, r.TakenUpAfterLoss, r.BegunAfterLoss, r.SentAfterLoss)
+	}
 	const shown = 20
 	for i, v := range r.Violations {
 		if i == shown {
--- a/soak/run.go
+++ b/soak/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,6 +48,9 @@
 	Duration time.Duration
 	// Daemons and Callers are the numbers of daemons and of concurrent callers.
 	Daemons, Callers int
+	// Losses adds losses of all or several daemons during releases, and callers that keep their
+	// streams longer. With an even seed there are few other faults.
+	Losses bool
 }
 
 // runner holds the state of one run.
@@ -85,8 +89,20 @@
 	// leavingSince maps a replica to the time from which its answers announce that it
 	// is leaving.
 	leavingSince map[string]time.Time
-	report       Report
-	attempts     []attempt
+	// addedAt maps a replica to the time at which it was added, and restores are the restores of
+	// the store, oldest first.
+	addedAt  map[string]time.Time
+	restores []restore
+	// versions are the software versions of new engines, the oldest one first, and releases is
+	// the number of those that joined during the run.
+	versions []string
+	releases int
+	// eventInterval is the interval between the events of all engines; 0 for the default.
+	eventInterval time.Duration
+	// losses are the times at which all daemons were killed at once, in order.
+	losses   []time.Time
+	report   Report
+	attempts []attempt
 }
 
 // attempt is one request of a caller and its outcome.
@@ -111,7 +127,8 @@
 func Execute(ctx context.Context, cfg Config) (Report, error) {
 	r := &runner{
 		cfg: cfg, faultRNG: rand.New(rand.NewPCG(cfg.Seed, 1)), startedAt: time.Now(), store: site.NewStore(), ledger: site.NewLedger(),
-		drainingSince: map[string]time.Time{}, crashTimes: map[string][]time.Time{}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, apiKeys: []string{"key-0", "key-1"},
+		drainingSince: map[string]time.Time{}, crashTimes: map[string][]time.Time{}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, addedAt: map[string]time.Time{},
+		versions: slices.Clone(softwareVersions[:]), apiKeys: []string{"key-0", "key-1"},
 	}
 	r.report = Report{Seed: cfg.Seed, Dir: cfg.Dir, Daemons: cfg.Daemons, Duration: cfg.Duration}
 	defer r.close()
@@ -125,29 +142,56 @@
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(100+i)))
 		wg.Go(func() { r.runCaller(faultCtx, rng, i) })
 	}
-	// Each has its own random source, so that adding one does not change the fault
-	// schedule of existing seeds.
-	wg.Go(func() { r.sendPoisonRequests(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 2))) })
-	wg.Go(func() { r.suspendHosts(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 3))) })
-	wg.Go(func() { r.pauseEngines(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 4))) })
-	wg.Go(func() { r.evacuateDomains(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 5))) })
-	wg.Go(func() { r.announceLimits(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 6))) })
-	wg.Go(func() { r.announceLeaving(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 7))) })
-	wg.Go(func() { r.requestBackoffs(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 8))) })
-	wg.Go(func() { r.reportSlowdowns(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 9))) })
-	wg.Go(func() { r.cutReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 10))) })
-	wg.Go(func() { r.announceRefusalLimits(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 11))) })
-	wg.Go(func() { r.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 13))) })
-	wg.Go(func() { r.silenceReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 12))) })
-	wg.Go(func() { r.sendPoisonPart(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 14))) })
-	wg.Go(func() { r.skewConnections(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 15))) })
-	r.injectFaults(faultCtx)
+	r.startFaults(faultCtx, &wg)
+	if r.onlyLosses() {
+		<-faultCtx.Done()
+	} else {
+		r.injectFaults(faultCtx)
+	}
 	wg.Wait()
 	r.checkRecovery()
 	r.checkGuarantees()
 	return r.report, nil
 }
 
+// startFaults starts the faults that have a schedule of their own, until ctx ends. Each has its
+// own random source, so that adding one does not change the fault schedule of existing seeds.
+func (r *runner) startFaults(ctx context.Context, wg *sync.WaitGroup) {
+	faults := []struct {
+		stream uint64
+		inject func(context.Context, *rand.Rand)
+		// withLosses is set for faults of runs that have losses and little else.
+		withLosses bool
+	}{
+		{2, r.sendPoisonRequests, false},
+		{3, r.suspendHosts, true},
+		{4, r.pauseEngines, true},
+		{5, r.evacuateDomains, false},
+		{6, r.announceLimits, false},
+		{7, r.announceLeaving, false},
+		{8, r.requestBackoffs, false},
+		{9, r.reportSlowdowns, true},
+		{10, r.cutReplicas, false},
+		{11, r.announceRefusalLimits, false},
+		{13, r.restoreStore, true},
+		{12, r.silenceReplicas, false},
+		{14, r.sendPoisonPart, false},
+		{15, r.skewConnections, true},
+	}
+	if r.cfg.Losses {
+		wg.Go(func() { r.loseDaemons(ctx, rand.New(rand.NewPCG(r.cfg.Seed, 16))) })
+	}
+	for _, f := range faults {
+		if f.withLosses || !r.onlyLosses() {
+			wg.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(r.cfg.Seed, f.stream))) })
+		}
+	}
+}
+
+// onlyLosses reports whether the run has losses and few other faults, so that many streams are
+// taken up after them: those with losses and an even seed.
+func (r *runner) onlyLosses() bool { return r.cfg.Losses && r.cfg.Seed%2 == 0 }
+
 // start starts the store, the replicas and the daemons and waits until all daemons
 // are ready.
 func (r *runner) start() error {
@@ -170,6 +214,9 @@
 		if err != nil {
 			return err
 		}
+		if r.cfg.Losses {
+			d.failureDomain = failureDomains[i%len(failureDomains)]
+		}
 		r.daemons = append(r.daemons, d)
 		if len(seeds) < 3 {
 			seeds = append(seeds, d.peerAddress())
@@ -207,12 +254,14 @@
 	defer r.mu.Unlock()
 	r.replicas = append(r.replicas, rep)
 	rep.StartUnixMS = time.Now().UnixMilli()
+	r.addedAt[id] = time.Now()
 	if kind == site.Engine {
-		rep.Version = softwareVersions[len(r.replicas)%len(softwareVersions)]
+		rep.Version = r.versions[len(r.replicas)%len(r.versions)]
 	}
 	rep.FailureDomain = failureDomains[len(r.replicas)%len(failureDomains)]
 	rep.SetPoisonRequest(poisonFor(rep, rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+len(r.replicas)))), r.recordCrash)...)
 	rep.OnRestart = r.registerRestarted
+	rep.SlowStreams(r.eventInterval)
 	r.store.Put("servers/"+id, site.StoreEntry(rep, "ready"))
 	return nil
 }
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/wheatseam/wheatseam/internal/standin/site"
@@ -16,16 +19,31 @@
 // version. Of at least minTakenUp streams that are taken up at undisturbed daemons while two
 // healthy engines of their version serve, the share that goes on is at least half of the share
 // of new streams that begin there.
+//
+// The bound comes from the users' rule for streams that are taken up: they go on at least half as
+// often as new streams begin, while two sound replicas of their version are listed. The rule makes
+// no exception for a loss of all daemons, so that it is checked after one as well, for streams
+// that were taken up within streamPatience after it, with replicas that were sound and listed since
+// the stream began.
 const (
 	minTakenUp         = 12
 	minTakenUpFraction = 0.5
 	minEngines         = 2
 	// maxTakeUpDelay is the longest time until a caller takes up a stream that broke off.
 	maxTakeUpDelay = 300 * time.Millisecond
+	// In runs with losses, callers take a stream up to maxTakeUps times, for up to
+	// streamPatience after its beginning, up to maxLateTakeUpDelay after an attempt.
+	maxTakeUps         = 4
+	streamPatience     = 10 * time.Second
+	maxLateTakeUpDelay = 3 * time.Second
 )
 
 // takeUp takes up a resumable stream that broke off, at a random daemon.
-func (r *runner) takeUp(rng *rand.Rand, att attempt) {
+func (r *runner) takeUp(ctx context.Context, client *http.Client, rng *rand.Rand, att attempt) {
+	if r.cfg.Losses {
+		r.keepStream(ctx, client, rng, att)
+		return
+	}
 	last := site.CompleteEvents(att.response.Body)
 	left := callDeadline - time.Since(att.startedAt) - maxTakeUpDelay
 	if att.call.Path != site.ResumablePath || att.abandoned || att.response.Err == nil || last == 0 || last == eventsPerStream || left <= 0 {
@@ -37,53 +55,205 @@
 	r.send(http.DefaultClient, rng, r.daemons[rng.IntN(len(r.daemons))], c)
 }
 
-// checkVersions checks the streams that were taken up.
-func (r *runner) checkVersions() {
-	first := map[string]attempt{}
-	begun, sent, continued, takenUp := 0, 0, 0, 0
+// keepStream takes up a resumable stream that broke off, at random daemons, until it is complete,
+// maxTakeUps attempts have failed, or streamPatience or ctx has ended. It uses the caller's open
+// connections.
+func (r *runner) keepStream(ctx context.Context, client *http.Client, rng *rand.Rand, first attempt) {
+	if first.call.Path != site.ResumablePath || first.response.Err == nil {
+		return
+	}
+	att, last := first, site.CompleteEvents(first.response.Body)
+	for n := 1; n <= maxTakeUps && last > 0 && last < eventsPerStream && !att.abandoned && !att.complete(); n++ {
+		sleep(ctx, randomTakeUpDelay(rng))
+		left := min(callDeadline, streamPatience-time.Since(first.startedAt))
+		if left <= 0 || ctx.Err() != nil {
+			return
+		}
+		c := first.call
+		c.ID, c.Content, c.Resumes = fmt.Sprintf("%s-again-%d", first.call.ID, n), first.call.Payload(), first.call.ID
+		c.LastEvent, c.Deadline = last, left
+		att = r.send(client, rng, r.daemons[rng.IntN(len(r.daemons))], c)
+		last += site.CompleteEvents(att.events())
+	}
+}
+
+// randomTakeUpDelay is at once, after a moment, or after seconds.
+func randomTakeUpDelay(rng *rand.Rand) time.Duration {
+	switch rng.IntN(3) {
+	case 0:
+		return 0
+	case 1:
+		return randomDuration(rng, 0, maxTakeUpDelay)
+	}
+	return randomDuration(rng, time.Second, maxLateTakeUpDelay)
+}
+
+// events is the part of the stream that the caller received.
+func (att attempt) events() string {
+	if att.response.Status != http.StatusOK {
+		return ""
+	}
+	return att.response.Body
+}
+
+// complete reports whether the caller received a whole successful answer.
+func (att attempt) complete() bool {
+	return att.response.Err == nil && att.response.Status == http.StatusOK
+}
+
+// callerStream is a resumable stream over all attempts of its caller, in order.
+type callerStream []attempt
+
+// callerStreams returns the resumable streams, by their first attempts.
+func (r *runner) callerStreams() []callerStream {
+	index := map[string]int{}
+	var out []callerStream
 	for _, att := range r.attempts {
 		if att.call.Path != site.ResumablePath {
 			continue
 		}
-		counts := !att.abandoned && att.daemon.undisturbedBetween(att.startedAt.Add(-undisturbedMargin), att.endedAt)
-		served := site.CompleteEvents(att.response.Body) > 0
-		if att.call.Resumes == "" {
-			first[att.call.ID] = att
-			if counts {
-				sent++
-				if served {
-					begun++
-				}
-			}
+		if i, begun := index[att.call.Resumes]; begun && att.call.Resumes != "" {
+			out[i] = append(out[i], att)
 			continue
 		}
-		whole := first[att.call.Resumes].response.Body + att.response.Body
-		if versions := site.EventVersions(whole); len(versions) > 1 {
-			r.recordViolation("order: %s, begun at %s by %s, went on at %s with events of versions %v", att.call.ID, first[att.call.Resumes].daemon.name, att.call.Resumes, att.daemon.name, versions)
+		index[att.call.ID] = len(out)
+		out = append(out, callerStream{att})
+	}
+	return out
+}
+
+// eventsOf returns the events of the first n attempts.
+func (s callerStream) eventsOf(n int) string {
+	var b strings.Builder
+	for _, att := range s[:n] {
+		b.WriteString(att.events())
+	}
+	return b.String()
+}
+
+// String describes the attempts that brought events.
+func (s callerStream) String() string {
+	var parts []string
+	for _, att := range s {
+		if versions := site.EventVersions(att.events()); len(versions) > 0 {
+			parts = append(parts, fmt.Sprintf("%s by %s: %v", att.call.ID, att.daemon.name, versions))
 		}
-		if counts && r.healthyEngines(site.EventVersions(whole), att) >= minEngines {
-			takenUp++
-			if served {
-				continued++
+	}
+	return strings.Join(parts, ", ")
+}
+
+// shareTally counts new streams, and those that were taken up.
+type shareTally struct{ sent, begun, takenUp, continued int }
+
+// add counts one attempt.
+func (t *shareTally) add(att attempt) {
+	served := 0
+	if site.CompleteEvents(att.events()) > 0 {
+		served = 1
+	}
+	if att.call.Resumes == "" {
+		t.sent, t.begun = t.sent+1, t.begun+served
+	} else {
+		t.takenUp, t.continued = t.takenUp+1, t.continued+served
+	}
+}
+
+// shares returns which shares went on and began; false if too few were taken up.
+func (t shareTally) shares() (continued, begun float64, enough bool) {
+	if t.takenUp < minTakenUp || t.sent == 0 {
+		return 0, 0, false
+	}
+	return float64(t.continued) / float64(t.takenUp), float64(t.begun) / float64(t.sent), true
+}
+
+// checkVersions checks the streams that were taken up.
+func (r *runner) checkVersions() {
+	var all, afterLoss shareTally
+	for _, s := range r.callerStreams() {
+		if versions := site.EventVersions(s.eventsOf(len(s))); len(versions) > 1 {
+			r.recordViolation("order: a stream has events of versions %v: %s", versions, s)
+		}
+		for i, att := range s {
+			versions := site.EventVersions(s.eventsOf(max(1, i)))
+			if i > 0 {
+				r.checkRefusedResume(att)
+			}
+			if r.counts(att) && (i == 0 || r.healthyEngines(versions, att) >= minEngines) {
+				all.add(att)
+			}
+			if r.countsAfterLoss(s[0], att) && (i == 0 || r.soundEngines(versions, s[0].startedAt, att.endedAt) >= minEngines) {
+				afterLoss.add(att)
 			}
 		}
 	}
-	r.report.TakenUp, r.report.Continued = takenUp, continued
-	if takenUp < minTakenUp || sent == 0 {
-		return
+	r.report.TakenUp, r.report.Continued, r.report.Losses = all.takenUp, all.continued, len(r.losses)
+	r.report.TakenUpAfterLoss, r.report.ContinuedAfterLoss = afterLoss.takenUp, afterLoss.continued
+	r.report.SentAfterLoss, r.report.BegunAfterLoss = afterLoss.sent, afterLoss.begun
+	if continued, begun, enough := all.shares(); enough && continued < minTakenUpFraction*begun {
+		r.recordViolation("order: of %d streams that were taken up, %.2f went on; of %d new ones, %.2f began", all.takenUp, continued, all.sent, begun)
 	}
-	if share, new := float64(continued)/float64(takenUp), float64(begun)/float64(sent); share < minTakenUpFraction*new {
-		r.recordViolation("order: of %d streams that were taken up, %.2f went on; of %d new ones, %.2f began", takenUp, share, sent, new)
+	if continued, begun, enough := afterLoss.shares(); enough && continued < minTakenUpFraction*begun {
+		r.recordViolation("lost: of %d streams that were taken up after all daemons were lost, %.2f went on; of %d new ones, %.2f began", afterLoss.takenUp, continued, afterLoss.sent, begun)
+	}
+}
+
+// counts reports whether an attempt was made at an undisturbed daemon.
+func (r *runner) counts(att attempt) bool {
+	return !att.abandoned && att.daemon.undisturbedBetween(att.startedAt.Add(-undisturbedMargin), att.endedAt)
+}
+
+// countsAfterLoss reports whether an attempt was answered, by a daemon that nothing disturbed
+// meanwhile, within streamPatience after a loss of all daemons. A stream that was taken up must
+// have begun before that loss.
+func (r *runner) countsAfterLoss(first, att attempt) bool {
+	if att.abandoned || att.response.Status == 0 || !att.daemon.undisturbedBetween(att.startedAt, att.endedAt) {
+		return false
+	}
+	return slices.ContainsFunc(r.losses, func(at time.Time) bool {
+		within := att.startedAt.After(at) && att.startedAt.Before(at.Add(streamPatience))
+		return within && (att.call.Resumes == "" || first.startedAt.Before(at))
+	})
+}
+
+// checkRefusedResume checks that a resume that was answered as not run has not run.
+func (r *runner) checkRefusedResume(att attempt) {
+	if runs := r.ledger.Runs(att.call.ID); att.response.NotExecuted() && len(runs) > 0 {
+		r.recordViolation("refusal: %s, which takes up %s, was answered %d, which says that it did not run, but it ran at %s: %s", att.call.ID, att.call.Resumes, att.response.Status, runs[0].Replica, strings.TrimSpace(att.response.Body))
 	}
 }
 
 // healthyEngines returns the number of engines of a version that were healthy and not draining
 // during an attempt.
 func (r *runner) healthyEngines(versions []string, att attempt) int {
+	return r.enginesBetween(versions, att.startedAt, att.endedAt, func(*site.Replica) bool { return true })
+}
+
+// soundEngines returns the number of engines of a version that were healthy and listed as ready
+// from one time to another, and did not announce that they are leaving.
+func (r *runner) soundEngines(versions []string, from, to time.Time) int {
+	return r.enginesBetween(versions, from, to, func(rep *site.Replica) bool {
+		since, leaving := r.leavingSince[rep.ID]
+		return r.listedBetween(rep, from, to) && !(leaving && since.Before(to))
+	})
+}
+
+// listedBetween reports whether the store had the entry of a replica from one time to another,
+// unless the replica drained.
+func (r *runner) listedBetween(rep *site.Replica, from, to time.Time) bool {
+	added := r.addedAt[rep.ID]
+	lost := slices.ContainsFunc(r.restores, func(s restore) bool {
+		return added.After(s.copiedAt) && s.from.Before(to) && s.until.After(from)
+	})
+	return added.Before(from) && !lost
+}
+
+// enginesBetween returns the number of engines of a version that were healthy and not draining
+// between two times, and for which also holds.
+func (r *runner) enginesBetween(versions []string, from, to time.Time, also func(*site.Replica) bool) int {
 	n := 0
 	for _, rep := range r.replicas {
 		since, draining := r.drainingSince[rep.ID]
-		if slices.Contains(versions, rep.Version) && rep.HealthyThroughout(att.startedAt, att.endedAt) && !(draining && since.Before(att.endedAt)) {
+		if slices.Contains(versions, rep.Version) && rep.HealthyThroughout(from, to) && !(draining && since.Before(to)) && also(rep) {
 			n++
 		}
 	}
