Soak: releases with losses replace all old versions or the oldest one

Cause: with three versions in service, the oldest one leaving, a single version was seldom left, so that resumes were refused and few of the losses could join streams. Change: a release lets the oldest or all old versions leave; the report names it first.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -31,7 +31,7 @@
 //   - All daemons are killed at the same moment and started again together, also twice in a
 //     row, or those of one failure domain, or all are replaced in turn. They have failure
 //     domains then.
-//   - A new software version joins before, and the oldest one drains and leaves before, during
+//   - A new software version joins before, and old ones drain and leave before, during
 //     or after that.
 //   - A version comes and goes while all daemons are down, or while all but one, which is
 //     killed afterwards, are suspended or cut off from the store and each other.
--- a/soak/losses.go
+++ b/soak/losses.go
@@ -26,21 +26,18 @@
 	replaceTimeout = 5 * time.Second
 )
 
-// leaves is when the oldest version leaves the store, seen from a loss.
-type leaves uint8
+// leaves is when old versions leave the store, seen from a loss.
+type leaves string
 
 const (
-	leavesNever leaves = iota
-	leavesBefore
-	leavesDuring
-	leavesAfter
-	leaveMoments
+	leavesNever  leaves = "not around"
+	leavesBefore leaves = "before"
+	leavesDuring leaves = "during"
+	leavesAfter  leaves = "after"
 )
 
-// String returns the moment as the report names it.
-func (l leaves) String() string {
-	return [...]string{"not around", "before", "during", "after"}[l]
-}
+// leaveMoments are drawn from; before a loss, hosts that remember the version are lost with it.
+var leaveMoments = []leaves{leavesNever, leavesBefore, leavesBefore, leavesDuring, leavesAfter}
 
 // loseDaemons plays releases with losses of daemons, one after the other, until ctx ends.
 func (r *runner) loseDaemons(ctx context.Context, rng *rand.Rand) {
@@ -66,17 +63,18 @@
 	}
 }
 
-// loseDuringRelease lets a new version join and the oldest one leave, before, during or after a
-// loss of daemons.
+// loseDuringRelease lets a new version join and the oldest one, or all old ones, leave, before,
+// during or after a loss of daemons.
 func (r *runner) loseDuringRelease(ctx context.Context, rng *rand.Rand) {
-	moment := leaves(rng.IntN(int(leaveMoments)))
-	joins := rng.IntN(4) > 0
-	if joins {
+	moment := leaveMoments[rng.IntN(len(leaveMoments))]
+	joins, all := rng.IntN(4) > 0, rng.IntN(3) > 0
+	r.recordFault("a release, whose old versions leave %s the next loss", moment)
+	if joins || r.versionCount() == 1 {
 		r.joinVersion()
 	}
 	sleep(ctx, randomDuration(rng, 400*time.Millisecond, 900*time.Millisecond))
 	leave := func() {
-		if r.leaveOldestVersion() {
+		if r.leaveOldVersions(all) {
 			sleep(ctx, randomDuration(rng, 200*time.Millisecond, 500*time.Millisecond))
 		}
 	}
@@ -100,7 +98,6 @@
 		func() { r.replaceInTurn(ctx, whileDown) },
 	}
 	kind := rng.IntN(len(kinds))
-	r.recordFault("a version joins: %t, the oldest one leaves %s a loss", joins, moment)
 	kinds[kind]()
 	if moment == leavesAfter {
 		sleep(ctx, randomDuration(rng, 0, time.Second))
@@ -129,31 +126,41 @@
 	r.versions = append(slices.Clone(before), version)
 }
 
-// leaveOldestVersion lets the engines of the oldest version drain and removes them from the
-// store, unless it is the only one. They serve on.
-func (r *runner) leaveOldestVersion() bool {
+// versionCount returns the number of versions that are not leaving.
+func (r *runner) versionCount() int {
 	r.mu.Lock()
-	if len(r.versions) < 2 {
-		r.mu.Unlock()
-		return false
+	defer r.mu.Unlock()
+	return len(r.versions)
+}
+
+// leaveOldVersions lets the engines of the oldest version, or of all but the newest one, drain and
+// removes them from the store. They serve on. It returns false if there is one version only.
+func (r *runner) leaveOldVersions(all bool) bool {
+	r.mu.Lock()
+	n := min(1, len(r.versions)-1)
+	if all {
+		n = len(r.versions) - 1
 	}
-	version := r.versions[0]
-	r.versions = r.versions[1:]
+	left := r.versions[:n]
+	r.versions = r.versions[n:]
 	r.mu.Unlock()
-	r.removeVersion(version)
-	return true
+	r.removeVersions(left...)
+	return n > 0
 }
 
-// drainTime is how long the engines of a version that leaves are listed as draining.
+// drainTime is how long engines of versions that leave are listed as draining.
 const drainTime = 200 * time.Millisecond
 
-// removeVersion lets the engines of a version drain, and removes them from the store.
-func (r *runner) removeVersion(version string) {
-	r.recordFault("%s leaves", version)
+// removeVersions lets the engines of versions drain, and removes them from the store.
+func (r *runner) removeVersions(versions ...string) {
+	if len(versions) == 0 {
+		return
+	}
+	r.recordFault("%v leave", versions)
 	r.mu.Lock()
 	var left []*site.Replica
 	for _, rep := range r.replicas {
-		if rep.Kind != site.Engine || rep.Version != version {
+		if rep.Kind != site.Engine || !slices.Contains(versions, rep.Version) {
 			continue
 		}
 		left = append(left, rep)
@@ -285,6 +292,6 @@
 	}
 	r.mu.Unlock()
 	if n > 1 {
-		r.removeVersion(version)
+		r.removeVersions(version)
 	}
 }
