--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +16,7 @@
 )
 
 func TestSoak(t *testing.T) {
+	t.Parallel() // with TestSoakOfLosses
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "soak")
 }
@@ -79,3 +81,26 @@
 		Entry("seed 32007", uint64(32007), 4, 8*time.Second),
 	)
 })
+
+// Guards against streams that are taken up at another version after all daemons were lost during a
+// release, and against ones that are refused then, though sound engines of their version are
+// listed.
+func TestSoakOfLosses(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{300, 304} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			dir, err := os.MkdirTemp("", "wheatseam-soak-test-")
+			g.Expect(err).NotTo(HaveOccurred())
+			report, err := soak.Execute(context.Background(), soak.Config{
+				Binary: daemonBinary, Dir: dir, Seed: seed, Duration: 10 * time.Second, Daemons: 3, Callers: 12, Losses: true,
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			report.Print(t.Output())
+			g.Expect(report.Violations).To(BeEmpty(), "logs: "+dir)
+			g.Expect(report.Losses).To(BeNumerically(">", 0))
+			g.Expect(os.RemoveAll(dir)).To(Succeed())
+		})
+	}
+}
