Stand-in: replicas that send bytes without end

Behaviour.Endless has a replica answer every request and call with endless bytes, fast or a few at a time: in the status line, the head, interim responses, a body of any framing, chunk extensions, trailers, events, after a switch of protocols, after a complete response. They end with the connection. Nothing could send these before, so that no test showed what a daemon does with them.

--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -34,6 +34,11 @@
 	Unframed bool
 	// ExtraResponse sends a second response after the first on the same connection.
 	ExtraResponse bool
+	// Endless sends endless bytes in response to all requests and calls, those to status calls
+	// and reservations too. A request is run before, pieces are not.
+	Endless Endless
+	// EndlessInterval is the pause between two writes of endless bytes; 0 for none.
+	EndlessInterval time.Duration
 	// Unsigned omits the response signature.
 	Unsigned bool
 	// Hang sends no response until the connection closes.
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -519,6 +519,11 @@
 		hang(req)
 		return
 	}
+	if b.Endless != NotEndless && strings.HasPrefix(req.URL.Path, "/-/") {
+		_, _ = io.Copy(io.Discard, req.Body) // the caller may have disconnected
+		r.sendEndless(w, "", b)
+		return
+	}
 	r.setNoticeHeaders(w.Header())
 	if retryAfter != "" {
 		w.Header().Set("Retry-After", retryAfter)
@@ -641,6 +646,11 @@
 	if !b.Unsigned {
 		w.Header().Set("Response-Signature", "signed."+r.ID+"."+id)
 	}
+	if b.Endless != NotEndless {
+		r.sendEndless(w, id, b)
+		e.cancel()
+		return
+	}
 	if r.Kind == Engine && b.Status == 0 {
 		r.stream(w, req, e, b)
 		return
