Replica client: bound the head of a response

A replica that sent a status line, headers or interim responses without end made every call read up to 10 MiB, the default of net/http: one call allocated 52 MB for a status line, 74 to 112 MB for interim responses and 11 MB for headers. A few dozen concurrent requests to such a replica take the memory of a host with 144 MB.

Heads are limited to 64 KiB, as those of callers' requests are, and the error is httpbody.ErrHeadTooLarge. The request counts as sent: it may have run.

--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -7,10 +7,35 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 )
 
-// ErrTooLarge is returned for a body that exceeds its size limit.
-var ErrTooLarge = errors.New("body over the limit")
+// MaxHeadBytes limits the head of a response, all interim responses before it included. net/http
+// needs up to five times as much memory to read it.
+const MaxHeadBytes = 64 << 10
+
+// Errors of responses that are larger than any valid one, or never end.
+var (
+	// ErrTooLarge is returned for a body that exceeds its size limit.
+	ErrTooLarge = errors.New("body over the limit")
+	// ErrHeadTooLarge is returned for a head that exceeds MaxHeadBytes.
+	ErrHeadTooLarge = fmt.Errorf("head over the limit of %d bytes", MaxHeadBytes)
+)
+
+// IsOversized reports whether err means that a response is larger than any valid one.
+func IsOversized(err error) bool {
+	return errors.Is(err, ErrTooLarge) || errors.Is(err, ErrHeadTooLarge)
+}
+
+// HeadError adds ErrHeadTooLarge to an error of http.Transport that means it. The transport must
+// limit the head to MaxHeadBytes.
+func HeadError(err error) error {
+	// net/http has no type for this error.
+	if err == nil || !strings.Contains(err.Error(), "server response headers exceeded") {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrHeadTooLarge, err)
+}
 
 // Read reads r until EOF. It returns an error that wraps ErrTooLarge if r holds
 // more than limit bytes.
--- a/replica/client.go
+++ b/replica/client.go
@@ -69,6 +69,8 @@
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
 		ReadBufferSize:     4 << 10,
+
+		MaxResponseHeaderBytes: httpbody.MaxHeadBytes,
 	}
 }
 
@@ -159,7 +161,7 @@
 	sentAt := clock.Now()
 	resp, err := t.RoundTrip(req.WithContext(ctx))
 	if err != nil {
-		return nil, err
+		return nil, httpbody.HeadError(err)
 	}
 	r := &Response{Response: resp, Head: platform.DecodeResponseHead(resp.StatusCode, resp.Header)}
 	c.notifyResponse(sentAt, call, r)
