Replica client: end calls to a replica that switches protocols

A 101 with "Connection: Upgrade" makes net/http hand the connection over to the reader of the body. It no longer ends with the call's context: a replica that then sent a few bytes at a time, or none, held a request, a stage call, a report or a release for good, past its deadline, and nobody was told.

No call asks for another protocol, so that a 101 ends the call with ErrProtocolSwitched and closes the connection. What was sent may have run.

--- a/replica/client.go
+++ b/replica/client.go
@@ -111,6 +111,10 @@
 	return crash.CheckResult{}, err
 }
 
+// ErrProtocolSwitched means that a replica switched to another protocol, which no call asks for.
+// It may have executed the call.
+var ErrProtocolSwitched = errors.New("replica switched to another protocol")
+
 // Call is one call to a replica.
 type Call struct {
 	// Replica is the id of the replica's incarnation that the call is addressed to.
@@ -163,6 +167,10 @@
 	if err != nil {
 		return nil, httpbody.HeadError(err)
 	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close() // closes the connection, which no longer ends with ctx
+		return nil, ErrProtocolSwitched
+	}
 	r := &Response{Response: resp, Head: platform.DecodeResponseHead(resp.StatusCode, resp.Header)}
 	c.notifyResponse(sentAt, call, r)
 	return r, nil
--- a/replica/endless_test.go
+++ b/replica/endless_test.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// Guards against calls that do not end in time while a replica sends a few bytes at a time.
+func TestCallsEndWhileReplicaSendsSlowEndlessBytes(t *testing.T) {
+	for _, kind := range site.EndlessKinds() {
+		for name, call := range endlessCalls {
+			t.Run(kind.String()+", "+name, func(t *testing.T) {
+				t.Parallel()
+				callEndless(t, kind, 10*time.Millisecond, call)
+			})
+		}
+	}
+}
+
 // Guards against bytes that were sent before any request, and are taken for an answer.
 func TestProbesIgnoreUnaskedBytes(t *testing.T) {
 	g := NewWithT(t)
