Tunnels: close a replica's connection when the host that asked has closed

A peer relays what a replica sends in chunks. When the host that asked closed its stream while the replica sent bytes without end, the peer was blocked in writing to a stream that nobody read: the connection to the replica, one of the peer's places for tunnels (144 on a host with 144 MB) and the buffers of both hosts stayed for the 5 s after which an unanswered close resets the stream. While a replica neither read nor sent, they stayed for good.

The end of the stream now ends the write, and a replica that takes no bytes no longer hides it. A replica that reads a body late still gets all of it.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/wheatseam/wheatseam/core/detour"
 	"github.com/wheatseam/wheatseam/peer"
@@ -133,10 +135,12 @@
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		_, _ = io.Copy(conn, stream)
+		copyRequest(conn, stream)
 		// A replica that takes no more bytes may still answer; the peer then closes the stream.
 		_, _ = io.Copy(io.Discard, stream)
 		conn.Close()
+		// The peer takes nothing more of an answer that has not ended.
+		_ = stream.SetWriteDeadline(time.Now()) // fails only on a closed stream
 	}()
 	_ = copyChunks(stream, conn) // the end of the stream tells the peer
 	conn.Close()
@@ -144,6 +148,45 @@
 	<-sent
 }
 
+const (
+	// requestBuffer is the size in bytes of the buffer for what a peer sends.
+	requestBuffer = 16 << 10
+	// streamCheckInterval is the interval at which a stream is checked while the replica takes
+	// no bytes.
+	streamCheckInterval = time.Second
+)
+
+// copyRequest copies what a peer sends to a replica until either ends. While the replica takes no
+// bytes, the stream is checked: one that the peer has closed is reset some seconds later at the
+// latest.
+func copyRequest(conn, stream net.Conn) {
+	buf := make([]byte, requestBuffer)
+	for {
+		n, err := stream.Read(buf)
+		for left := buf[:n]; len(left) > 0; {
+			_ = conn.SetWriteDeadline(time.Now().Add(streamCheckInterval)) // fails only on a closed connection
+			written, writeErr := conn.Write(left)
+			left = left[written:]
+			if writeErr != nil && (!errors.Is(writeErr, os.ErrDeadlineExceeded) || hasEnded(stream)) {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hasEnded reports whether the peer has closed a stream and nothing is left to read of it, or the
+// stream was reset. It takes no bytes from the stream.
+func hasEnded(stream net.Conn) bool {
+	_ = stream.SetReadDeadline(time.Now()) // fails only on a closed stream
+	_, err := stream.Read(nil)
+	_ = stream.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // resultToWire maps the results that a server sends.
 var resultToWire = map[detour.Result]wire.TunnelResult{
 	detour.Connected:          wire.TunnelResult_TUNNEL_RESULT_CONNECTED,
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -311,3 +311,94 @@
 	f.Expect(replies).To(HaveLen(1))
 	f.Expect(<-replies).To(Equal(detour.Unsupported))
 }
+
+// endlessSender sends bytes until the connection closes, and reads nothing unless read is set. A
+// silent one sends nothing for some seconds.
+func endlessSender(open *atomic.Int64, read, silent bool) func(*net.TCPConn) {
+	return func(c *net.TCPConn) {
+		open.Add(1)
+		defer open.Add(-1)
+		defer c.Close()
+		if read {
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+		}
+		if silent {
+			time.Sleep(9 * time.Second)
+		}
+		for buf := make([]byte, 16<<10); ; {
+			if _, err := c.Write(buf); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against a peer that goes on relaying endless bytes for a host that has closed the
+// connection, and against other connections through it that wait meanwhile.
+func TestEndlessBytesEndWhenTheHostCloses(t *testing.T) {
+	const (
+		soon = time.Second
+		// late is when the peer notices a closed stream while the replica takes no bytes.
+		late = 7 * time.Second
+	)
+	for name, c := range map[string]struct {
+		// received is the number of bytes that the host reads, and sent of those that it sends.
+		received, sent int64
+		reads, silent  bool
+		within         time.Duration
+	}{
+		"nothing is read":                     {0, 0, true, false, soon},
+		"a part is read":                      {1 << 20, 0, true, false, soon},
+		"the replica reads nothing":           {1 << 20, 0, false, false, soon},
+		"the replica reads nothing of a body": {0, 64 << 20, false, false, late},
+		"the replica reads and sends nothing": {0, 64 << 20, false, true, late},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, "a", "b")
+			var open atomic.Int64
+			endless := f.replica(endlessSender(&open, c.reads, c.silent))
+			other := f.replica(echo)
+			conn := f.dial(f.hosts["a"], endless)
+			sent := make(chan struct{})
+			go func() {
+				defer close(sent)
+				_, _ = io.CopyN(conn, zeros{}, c.sent)
+			}()
+			_, err := io.CopyN(io.Discard, conn, c.received)
+			f.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(200 * time.Millisecond) // all windows are full
+			o := f.dial(f.hosts["a"], other)
+			_, err = o.Write([]byte("x"))
+			f.Expect(err).NotTo(HaveOccurred())
+			f.Expect(o.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+			_, err = io.ReadFull(o, make([]byte, 1))
+			f.Expect(err).NotTo(HaveOccurred())
+			f.Expect(o.Close()).To(Succeed())
+			f.Expect(conn.Close()).To(Succeed())
+			f.Eventually(f.hosts["b"].server.Open, c.within).Should(BeZero())
+			f.Eventually(open.Load, "10s").Should(BeZero())
+			f.Eventually(sent, "1s").Should(BeClosed())
+		})
+	}
+}
+
+// Guards against a body that is cut because its replica reads it late.
+func TestReplicaMayReadLate(t *testing.T) {
+	const size = 32 << 20
+	t.Parallel()
+	f := newFleet(t, "a", "b")
+	conn := f.dial(f.hosts["a"], f.replica(func(c *net.TCPConn) {
+		defer c.Close()
+		time.Sleep(2500 * time.Millisecond)
+		_, _ = io.CopyN(c, c, size)
+	}))
+	go func() { _, _ = io.CopyN(conn, zeros{}, size) }()
+	_, err := io.CopyN(io.Discard, conn, size)
+	f.Expect(err).NotTo(HaveOccurred())
+}
+
+// zeros is an endless reader.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
