Store client: bound the head of a response

As replicas, the store could make each call read up to 10 MiB of a head: an item, a page or a watch allocated 52 MB for an endless status line, 155 MB for interim responses and 11 MB for headers. Heads are limited to 64 KiB, those of upstreams (httpbody.NewTransport) too. Bodies were limited already, to 8 MiB, 1 s without data and 10 s in all, and every such call counts as failed.

TestStoreCallsHoldLittleOfEndlessResponses failed before for all three calls with these three kinds (" to be < 8388608"). The other eight kinds, and slow bytes of all kinds, passed before and after. go test -race ./platform: ok.

--- a/internal/httpbody/upstream.go
+++ b/internal/httpbody/upstream.go
@@ -33,6 +33,8 @@
 		MaxConnsPerHost:     maxConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
