Gateway: show answers without end as oversized

An attempt that ended since the replica sent more than an answer may have (a head over 64 KiB, a body or an event over its limit) was counted and logged as "failed", like a reset: an operator could not tell them apart. A declared length over the limit was read up to the limit first, and an engine that answered a reservation with endless bytes kept its pick as if it had not been asked.

Such attempts now end as "oversized" in wheatseam_attempts_total and in the log line "attempt", whose "why" says what was over its limit. They count as failures of the replica, as before, and as sent: the request may have run. An oversized answer to a reservation counts as a failure too.

--- a/gateway/attemptend.go
+++ b/gateway/attemptend.go
@@ -14,6 +14,8 @@
 	inputsGone
 	// failed: the request may have run, and no usable answer came.
 	failed
+	// oversized: as failed, and the replica sent more bytes than any answer may have.
+	oversized
 	// failedRetrying: as failed, and the retry is already allowed.
 	failedRetrying
 	// stalled: this host cancelled the attempt in favour of a reserved replacement.
@@ -33,6 +35,8 @@
 		return "not_executed"
 	case inputsGone:
 		return "inputs_gone"
+	case oversized:
+		return "oversized"
 	case stalled:
 		return "left"
 	case abandoned:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -286,6 +287,9 @@
 
 // callFailed classifies a call that failed in transit.
 func (t *attempt) callFailed(err error) (attemptEnd, *problem.Error) {
+	if isOversized(err) {
+		return oversized, problem.New(problem.UpstreamFailed, "the replica sent more than an answer may have: %v", err)
+	}
 	if t.x.ctx.Err() != nil {
 		t.reportSilence(crash.Unanswered)
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer before the deadline")
@@ -300,6 +304,11 @@
 	return failed, problem.New(problem.UpstreamFailed, "the replica broke off: %v", err)
 }
 
+// isOversized reports whether a replica sent more bytes than an answer may have.
+func isOversized(err error) bool {
+	return httpbody.IsOversized(err) || errors.Is(err, errEventTooLarge)
+}
+
 // lastHeard is when the replica last sent an event or the head of its answer, or when the
 // attempt began.
 func (t *attempt) lastHeard() time.Time {
@@ -336,10 +345,11 @@
 // relayWhole relays an answer once it is complete.
 func (t *attempt) relayWhole(resp *http.Response, head platform.ResponseHead) (attemptEnd, *problem.Error) {
 	x := t.x
+	if resp.ContentLength > maxAnswerBytes && x.r.Method != http.MethodHead {
+		return t.callFailed(fmt.Errorf("%w of %d bytes: length %d", httpbody.ErrTooLarge, maxAnswerBytes, resp.ContentLength))
+	}
 	body, err := httpbody.Read(resp.Body, maxAnswerBytes)
 	switch {
-	case errors.Is(err, httpbody.ErrTooLarge):
-		return failed, problem.New(problem.UpstreamFailed, "the answer is over %d bytes", maxAnswerBytes)
 	case err != nil:
 		return t.callFailed(err)
 	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
@@ -486,7 +496,7 @@
 		t.countEvents()
 	case notExecuted, inputsGone:
 		o.Result = request.CallRefused
-	case notSent, failed, failedRetrying:
+	case notSent, failed, oversized, failedRetrying:
 		o.Result = request.CallFailed
 	case stalled:
 		o.Result = request.CallCancelled
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -158,13 +158,19 @@
 }
 
 // releasePick releases the pick of a replica that reserved no capacity. The router avoids a
-// replica that refused for a moment.
+// replica that refused for a moment, and counts an oversized response as a failure.
 func (x *exchange) releasePick(c request.Choice, err error) {
-	if errors.Is(err, replica.ErrNoCapacity) {
-		x.g.router.Done(clock.Now(), request.Outcome{Choice: c, Stage: x.route.Name, Result: request.CallRefused})
+	o := request.Outcome{Choice: c, Stage: x.route.Name}
+	switch {
+	case errors.Is(err, replica.ErrNoCapacity):
+		o.Result = request.CallRefused
+	case isOversized(err):
+		o.Result = request.CallFailed
+	default:
+		x.g.router.CancelPick(clock.Now(), c)
 		return
 	}
-	x.g.router.CancelPick(clock.Now(), c)
+	x.g.router.Done(clock.Now(), o)
 }
 
 // reserve reserves capacity at a replica. A reservation that arrives when it is no longer
