Gateway: count answers that do not end before the deadline

A replica that sent the head of an answer and then a few bytes at a time kept every request until its deadline. The attempt ended as "abandoned", as if this host or the caller had given up a sound one, so that the replica was not ejected and went on to get its share of the requests.

If the deadline passes inside an answer, or inside an event of a stream, that was begun half a second before or earlier, and the caller is still there, the attempt now ends as "failed" and counts against the replica. The caller gets 504 as before. A host that was suspended meanwhile counts nothing.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -66,6 +66,26 @@
 	}
 }
 
+// Guards against a replica that sends a few bytes of each answer at a time, until the deadline, and
+// is sent requests as before: the end of each is this host's doing.
+func TestReplicaOfEndlessAnswersIsEjected(t *testing.T) {
+	for name, b := range map[string]site.Behaviour{
+		"fast": {Endless: site.EndlessBody},
+		"slow": {Endless: site.EndlessBody, EndlessInterval: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			f.endless(b, "p1")
+			g := f.start().ready()
+			f.Eventually(func() []string {
+				g.send(http.MethodPost, sealPath, "x", func(r *http.Request) { r.Header.Set("Deadline-Ms", "700") })
+				return g.metricLines("wheatseam_ejections_total")
+			}, "20s").Should(ConsistOf("wheatseam_ejections_total 1"))
+		})
+	}
+}
+
 // Guards against an event without end that ends a stream which another replica can continue.
 func TestStreamWithEndlessEventIsContinuedElsewhere(t *testing.T) {
 	for speed, interval := range map[string]time.Duration{"fast": 0, "slow": 10 * time.Millisecond} {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -194,6 +194,8 @@
 	// heardAt is when the replica last sent an event or the head of its answer; zero if
 	// never.
 	heardAt time.Time
+	// insideMessage says that the replica has sent a part of an answer, or of an event.
+	insideMessage bool
 	// survived says that the run has survived the parts of its prompt.
 	survived bool
 	// eventsReceived counts the events that the replica has sent.
@@ -290,6 +292,10 @@
 	if isOversized(err) {
 		return oversized, problem.New(problem.UpstreamFailed, "the replica sent more than an answer may have: %v", err)
 	}
+	if t.unended() {
+		t.reportSilence(crash.Unanswered)
+		return failed, problem.New(problem.DeadlineExceeded, "the replica did not end its answer before the deadline")
+	}
 	if t.x.ctx.Err() != nil {
 		t.reportSilence(crash.Unanswered)
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer before the deadline")
@@ -304,6 +310,14 @@
 	return failed, problem.New(problem.UpstreamFailed, "the replica broke off: %v", err)
 }
 
+// unended reports whether the deadline passed inside an answer, or inside an event of a stream,
+// which the replica had begun to send at least minSilence before. A caller that disconnects, or a
+// host that was suspended, proves nothing about the replica.
+func (t *attempt) unended() bool {
+	return t.insideMessage && clock.Until(t.x.deadline) <= 0 && t.x.r.Context().Err() == nil &&
+		clock.SuspendedTime() == t.suspended && clock.Since(t.lastHeard()) >= minSilence
+}
+
 // isOversized reports whether a replica sent more bytes than an answer may have.
 func isOversized(err error) bool {
 	return httpbody.IsOversized(err) || errors.Is(err, errEventTooLarge)
@@ -351,6 +365,7 @@
 	body, err := httpbody.Read(resp.Body, maxAnswerBytes)
 	switch {
 	case err != nil:
+		t.insideMessage = true
 		return t.callFailed(err)
 	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
 		return failed, problem.New(problem.UpstreamFailed, "the answer has no signature")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,6 +36,7 @@
 			return t.finishStream(resp, events)
 		}
 		if err != nil {
+			t.insideMessage = events.partial()
 			return t.callFailed(err)
 		}
 		t.heardAt = clock.Now()
