Gateway: break off streams with more events than were asked for

An engine that goes on sending events after its last one had them all relayed until the deadline, as fast as the caller read them: callers got thousands of events of no answer, and the replica counted as sound.

An attempt relays at most two events for each output token that the request declares, and 64 more; without a declaration, and in any case, 64 MiB. Beyond that it ends as "oversized", and the answer ends without its last chunk. It is not resumed: no other engine has the event that the caller got last.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,6 +87,32 @@
 	}
 }
 
+// Guards against a stream with more events than the caller asked for that goes on to its deadline,
+// looks complete, or is resumed from an event that no other replica has.
+func TestEndlessEventsBreakTheStreamOff(t *testing.T) {
+	for _, path := range []string{streamPath, resumePath} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newFixtureOf(t)
+			f.endless(site.Behaviour{Endless: site.EndlessEvents}, "e1", "e2")
+			g := f.start().ready()
+			start := time.Now()
+			a, id := g.send(http.MethodPost, path, "x", func(r *http.Request) {
+				r.Header.Set("Token-Usage", "10,5")
+				r.Header.Set("Prefix-Hash", "a:10")
+				if path == resumePath {
+					withStages(r)
+				}
+			})
+			f.Expect(time.Since(start)).To(BeNumerically("<", 1500*time.Millisecond))
+			f.Expect(a.err).To(HaveOccurred())
+			f.Expect(strings.Count(a.body, "\n\n")).To(BeNumerically("<", 100))
+			f.Expect(f.ledger.Runs(id)).To(HaveLen(1))
+			f.Eventually(g.metricLines).WithArguments(`wheatseam_attempts_total{service="llm",end="oversized"}`).Should(HaveLen(1))
+		})
+	}
+}
+
 // Guards against an event without end that ends a stream which another replica can continue.
 func TestStreamWithEndlessEventIsContinuedElsewhere(t *testing.T) {
 	for speed, interval := range map[string]time.Duration{"fast": 0, "slow": 10 * time.Millisecond} {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -77,6 +77,9 @@
 	committed  bool
 	lastEvent  string
 	eventsSent int
+	// unresumable says that the caller has events which are not part of the stream that it asked
+	// for.
+	unresumable bool
 	// lastSentAt is when the last event was sent, longestPause the longest time between two
 	// events.
 	lastSentAt   time.Time
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -223,7 +223,7 @@
 	}
 	t.watch = t.startStallWatch()
 	end, perr := t.call()
-	t.x.replacement = t.watch.stop(end.needsRetry())
+	t.x.replacement = t.watch.stop(end.needsRetry() && !t.x.unresumable)
 	t.x.cancelledRun = t.x.cancelledRun || t.stallError != nil
 	return end, perr
 }
@@ -320,7 +320,7 @@
 
 // isOversized reports whether a replica sent more bytes than an answer may have.
 func isOversized(err error) bool {
-	return httpbody.IsOversized(err) || errors.Is(err, errEventTooLarge)
+	return httpbody.IsOversized(err) || errors.Is(err, errEventTooLarge) || errors.Is(err, errStreamTooLarge)
 }
 
 // lastHeard is when the replica last sent an event or the head of its answer, or when the
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -22,14 +23,53 @@
 	streamBuffer = 4 << 10
 )
 
-// errEventTooLarge says that an event exceeds maxEventBytes.
-var errEventTooLarge = errors.New("event too large")
+const (
+	// maxStreamBytes limits the events that one attempt relays.
+	maxStreamBytes = 64 << 20
+	// An event has one token at least. maxEventsPerToken and extraEvents leave room for events
+	// that carry none.
+	maxEventsPerToken = 2
+	extraEvents       = 64
+)
+
+// Errors of streams that are larger than any valid one.
+var (
+	// errEventTooLarge says that an event exceeds maxEventBytes.
+	errEventTooLarge = errors.New("event too large")
+	// errStreamTooLarge says that a stream exceeds maxStreamBytes, or the number of events that
+	// its caller can have asked for.
+	errStreamTooLarge = errors.New("stream too large")
+)
+
+// streamLimits is what is left of a stream that an attempt may relay.
+type streamLimits struct{ bytes, events int }
+
+// newStreamLimits returns the limits of a stream. Without a number of tokens only its bytes are
+// limited.
+func newStreamLimits(outputTokens int) streamLimits {
+	l := streamLimits{bytes: maxStreamBytes, events: math.MaxInt}
+	if outputTokens > 0 && outputTokens < maxStreamBytes {
+		l.events = maxEventsPerToken*outputTokens + extraEvents
+	}
+	return l
+}
+
+// take takes an event from the limits.
+func (l *streamLimits) take(e event) error {
+	l.bytes -= len(e.raw)
+	l.events--
+	if l.bytes < 0 || l.events < 0 {
+		return errStreamTooLarge
+	}
+	return nil
+}
 
 // relayEvents relays the events of a stream as they arrive.
 func (t *attempt) relayEvents(resp *http.Response) (attemptEnd, *problem.Error) {
 	x, w := t.x, t.watch
 	w.answerStarted()
 	events := newEventReader(resp.Body)
+	limits := newStreamLimits(x.req.OutputTokens)
 	for {
 		event, err := events.next()
 		if err == io.EOF {
@@ -39,6 +79,11 @@
 			t.insideMessage = events.partial()
 			return t.callFailed(err)
 		}
+		if err := limits.take(event); err != nil {
+			// The caller has events that no other replica can continue.
+			x.unresumable = true
+			return t.callFailed(err)
+		}
 		t.heardAt = clock.Now()
 		if !w.eventArrived() {
 			return t.callFailed(context.Cause(t.ctx))
