Gateway: bound the memory of all incomplete answers together

Each answer is buffered up to 8 MiB until it is complete, and each event up to 1 MiB, whatever their number: 18 requests at replicas that send without end have buffers of a host's 144 MB.

The buffers of incomplete answers and events, beyond 64 KiB each, share a quarter of limits.memory_mb. An answer that needs more than is left is given up (end "no_memory"): the request may have run, and the attempt does not count as a failure of the replica, since the host is short of memory. Answers up to 64 KiB never need it.

TestIncompleteAnswersShareALimitOfMemory failed before ("Timed out after 1.000s": no attempt ended as no_memory on a host with 1 MB; each answer was read to 8 MiB). go test ./gateway -run 'Endless|Oversized|Incomplete|Unframed' and go test -race ./internal/httpbody: ok.

--- a/gateway/attemptend.go
+++ b/gateway/attemptend.go
@@ -16,6 +16,8 @@
 	failed
 	// oversized: as failed, and the replica sent more bytes than any answer may have.
 	oversized
+	// noMemory: as failed, since this host had no memory left for the answer.
+	noMemory
 	// failedRetrying: as failed, and the retry is already allowed.
 	failedRetrying
 	// stalled: this host cancelled the attempt in favour of a reserved replacement.
@@ -37,6 +39,8 @@
 		return "inputs_gone"
 	case oversized:
 		return "oversized"
+	case noMemory:
+		return "no_memory"
 	case stalled:
 		return "left"
 	case abandoned:
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/gateway"
 	"github.com/wheatseam/wheatseam/internal/standin/site"
 )
 
@@ -174,3 +176,22 @@
 		})
 	}
 }
+
+// Guards against answers without end that take the memory of the host together, although each is
+// below its limit, and against small answers that fail for it.
+func TestIncompleteAnswersShareALimitOfMemory(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	f.endless(site.Behaviour{Endless: site.EndlessBody}, "p1", "p2", "e1", "e2")
+	g := f.startWith(zap.NewNop(), func(s *gateway.Settings) { s.Limits.MemoryMB = 1 }).ready()
+	a, id := g.send(http.MethodPost, sealPath, "x", nil)
+	f.Expect(a.status).To(Equal(http.StatusBadGateway))
+	f.Expect(f.ledger.Runs(id)).To(HaveLen(1))
+	a, _ = g.send(http.MethodPost, streamPath, "x", nil)
+	f.Expect(a.status).To(Equal(http.StatusBadGateway))
+	for _, service := range []string{"plain", "llm"} {
+		f.Eventually(g.metricLines).WithArguments(`wheatseam_attempts_total{service="` + service + `",end="no_memory"}`).Should(HaveLen(1))
+	}
+	f.endless(site.Behaviour{}, "p1", "p2", "e1", "e2")
+	g.sendEach()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
@@ -85,6 +86,8 @@
 	origins streamOrigins
 	// reachability holds which replicas can't be reached.
 	reachability reachability
+	// answerMemory limits the buffers of incomplete answers and events.
+	answerMemory *httpbody.Memory
 	// limiters limit the calls to each replica, across all components of this daemon that
 	// make calls.
 	limiters *intake.Limiters
@@ -92,11 +95,16 @@
 	quarantine *quarantine.Service
 }
 
+// answerMemoryShare is the reciprocal of the part of limits.memory_mb that the buffers of
+// incomplete answers and events may take.
+const answerMemoryShare = 4
+
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters()}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
+	g.answerMemory = httpbody.NewMemory(int64(s.Limits.MemoryMB) << 20 / answerMemoryShare)
 	g.evacuatedServices.Store(&map[string]bool{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixMinLoad: prefixMinLoad, PrefixBonus: prefixBonus, BacklogWeight: backlogWeight,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -292,6 +292,9 @@
 	if isOversized(err) {
 		return oversized, problem.New(problem.UpstreamFailed, "the replica sent more than an answer may have: %v", err)
 	}
+	if errors.Is(err, httpbody.ErrNoMemory) {
+		return noMemory, problem.New(problem.UpstreamFailed, "the answer was not read: %v", err)
+	}
 	if t.unended() {
 		t.reportSilence(crash.Unanswered)
 		return failed, problem.New(problem.DeadlineExceeded, "the replica did not end its answer before the deadline")
@@ -362,7 +365,7 @@
 	if resp.ContentLength > maxAnswerBytes && x.r.Method != http.MethodHead {
 		return t.callFailed(fmt.Errorf("%w of %d bytes: length %d", httpbody.ErrTooLarge, maxAnswerBytes, resp.ContentLength))
 	}
-	body, err := httpbody.Read(resp.Body, maxAnswerBytes)
+	body, err := httpbody.ReadWithin(resp.Body, maxAnswerBytes, x.g.answerMemory)
 	switch {
 	case err != nil:
 		t.insideMessage = true
@@ -518,7 +521,7 @@
 		if t.stallError != nil && t.stallError.replicaAtFault() {
 			o.Result = request.CallFailed
 		}
-	case abandoned:
+	case abandoned, noMemory:
 		o.Result = request.CallCancelled
 	}
 	t.x.g.router.Done(now, o)
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -49,7 +49,7 @@
 		return x.freeRetryDenied(end)
 	case failedRetrying:
 		return ""
-	case failed, oversized:
+	case failed, oversized, noMemory:
 		return x.rerunDenied()
 	}
 	return deniedFinal
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
 )
@@ -69,6 +70,8 @@
 	x, w := t.x, t.watch
 	w.answerStarted()
 	events := newEventReader(resp.Body)
+	events.memory = x.g.answerMemory
+	defer events.releaseMemory()
 	limits := newStreamLimits(x.req.OutputTokens)
 	for {
 		event, err := events.next()
@@ -220,6 +223,9 @@
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
+	// memory limits buf; nil for no limit. taken is what buf has taken of it.
+	memory *httpbody.Memory
+	taken  int64
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -252,6 +258,9 @@
 func (e *eventReader) readLine() error {
 	for {
 		part, err := e.r.ReadSlice('\n')
+		if err := e.takeMemory(int64(len(e.buf) + len(part))); err != nil {
+			return err
+		}
 		e.buf = append(e.buf, part...)
 		if len(e.buf) > maxEventBytes {
 			return errEventTooLarge
@@ -262,5 +271,24 @@
 	}
 }
 
+// takeMemory takes the memory for a buffer of the given number of bytes.
+func (e *eventReader) takeMemory(size int64) error {
+	if e.memory == nil || size <= max(e.taken, httpbody.UncountedBytes) {
+		return nil
+	}
+	if err := e.memory.Take(2*size - e.taken); err != nil {
+		return err
+	}
+	e.taken = 2 * size
+	return nil
+}
+
+// releaseMemory returns the memory of the buffer, which is not used again.
+func (e *eventReader) releaseMemory() {
+	if e.memory != nil {
+		e.memory.Release(e.taken)
+	}
+}
+
 // partial reports whether the stream ended inside an event.
 func (e *eventReader) partial() bool { return len(e.buf) > 0 }
--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 )
 
 // MaxHeadBytes limits the head of a response, all interim responses before it included. net/http
@@ -37,15 +38,72 @@
 	return fmt.Errorf("%w: %w", ErrHeadTooLarge, err)
 }
 
+// ErrNoMemory is returned for a body that needs more memory than a Memory has left.
+var ErrNoMemory = errors.New("no memory is left for incomplete bodies")
+
+// UncountedBytes is the size up to which a body is read without a Memory.
+const UncountedBytes = 64 << 10
+
+// Memory limits the bytes that the buffers of all incomplete bodies take together, beyond
+// UncountedBytes each. It is safe for concurrent use.
+type Memory struct{ left atomic.Int64 }
+
+// NewMemory returns a Memory of the given number of bytes.
+func NewMemory(bytes int64) *Memory {
+	m := &Memory{}
+	m.left.Store(bytes)
+	return m
+}
+
+// Take takes n bytes. It returns ErrNoMemory, and takes nothing, if fewer are left.
+func (m *Memory) Take(n int64) error {
+	if m.left.Add(-n) < 0 {
+		m.left.Add(n)
+		return ErrNoMemory
+	}
+	return nil
+}
+
+// Release returns n bytes that were taken.
+func (m *Memory) Release(n int64) { m.left.Add(n) }
+
+// minBuffer is the size in bytes of the first buffer for a body.
+const minBuffer = 4 << 10
+
 // Read reads r until EOF. It returns an error that wraps ErrTooLarge if r holds
 // more than limit bytes.
-func Read(r io.Reader, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	if int64(len(b)) > limit {
-		return nil, fmt.Errorf("%w of %d bytes", ErrTooLarge, limit)
+func Read(r io.Reader, limit int64) ([]byte, error) { return ReadWithin(r, limit, nil) }
+
+// ReadWithin is Read, and takes the memory for the buffer from m while it reads; nil for no
+// limit. It returns an error that wraps ErrNoMemory if not enough is left.
+func ReadWithin(r io.Reader, limit int64, m *Memory) ([]byte, error) {
+	buf := make([]byte, 0, min(minBuffer, limit+1))
+	taken := int64(0)
+	defer func() {
+		if m != nil {
+			m.Release(taken)
+		}
+	}()
+	for {
+		if len(buf) == cap(buf) {
+			size := min(2*int64(cap(buf)), limit+1)
+			if m != nil && size > UncountedBytes {
+				if err := m.Take(size - taken); err != nil {
+					return nil, fmt.Errorf("read body, %d bytes read: %w", len(buf), err)
+				}
+				taken = size
+			}
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case int64(len(buf)) > limit:
+			return nil, fmt.Errorf("%w of %d bytes", ErrTooLarge, limit)
+		case err == io.EOF:
+			return buf, nil
+		case err != nil:
+			return nil, fmt.Errorf("read body: %w", err)
+		}
 	}
-	return b, nil
 }
