Replica client: release results once at a replica that responds

A release whose response was of no use, for a head or body without end, a switch of protocols or a body cut short, was sent a second time. The replica had received the first: results were released twice, and their handles may belong to others by then.

A second attempt now follows only if no response began.

TestResultsAreReleasedOnceAtAnEndlessReplica failed before for ten of eleven kinds ("<int64>: 2 to equal <int64>: 1" connections). go test -race ./replica: ok.

--- a/replica/endless_test.go
+++ b/replica/endless_test.go
@@ -163,3 +163,18 @@
 	}
 	g.Eventually(l.open.Load, "3s").Should(BeZero())
 }
+
+// Guards against results that are released twice because the replica, which has released them, sends
+// endless bytes in response.
+func TestResultsAreReleasedOnceAtAnEndlessReplica(t *testing.T) {
+	for _, kind := range site.EndlessKinds() {
+		t.Run(kind.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			l := serveEndless(t, kind, 0, false)
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			_ = replica.NewClient(nil, nil).ReleaseResults(ctx, stage.Release{Replica: "r", Address: l.Addr().String(), Handles: []string{"h"}})
+			g.Expect(l.accepted.Load()).To(Equal(int64(1)))
+		})
+	}
+}
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -19,6 +19,9 @@
 // about 40 bytes each.
 const maxStageResponseBytes = 1 << 20
 
+// errBodyUnusable means that a response began, and its body ended early or was over its limit.
+var errBodyUnusable = errors.New("body of the response is of no use")
+
 // errNotExecuted means that the replica reports not having executed a call.
 var errNotExecuted = errors.New("replica did not execute the call")
 
@@ -94,7 +97,11 @@
 			afterRunTime(lateAnswerTime, cancel)
 		}
 	})()
-	if err = c.release(firstCtx, call); err != nil && !viaPeer.Load() && ctx.Err() == nil {
+	// A replica that responded, in whatever way, has received the first attempt.
+	responded := func(err error) bool {
+		return httpbody.IsOversized(err) || errors.Is(err, ErrProtocolSwitched) || errors.Is(err, errBodyUnusable)
+	}
+	if err = c.release(firstCtx, call); err != nil && !responded(err) && !viaPeer.Load() && ctx.Err() == nil {
 		err = c.release(ctx, call)
 	}
 	return err
@@ -135,10 +142,18 @@
 }
 
 // release makes one attempt to release results. It ignores status and body of the
-// response, since nothing depends on them.
+// response, since nothing depends on them, but reads a short body so that the connection can be
+// used again.
 func (c *Client) release(ctx context.Context, call Call) error {
-	_, _, err := c.doPooled(ctx, call, maxReleaseResponseBytes)
-	return err
+	resp, err := c.do(ctx, c.pooled, call)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := httpbody.Read(resp.Body, maxReleaseResponseBytes); err != nil {
+		return fmt.Errorf("%w: %w", errBodyUnusable, err)
+	}
+	return nil
 }
 
 // doPooled makes a call on a pooled connection and reads a response body of at most
