Replica client: a refusal of pieces counts before its body ends

A replica that refused a call for pieces, and sent a body without end after the head, held the pieces until the call's timeout, although its head says that they were not run. The head now decides before the body is read.

--- a/replica/endless_test.go
+++ b/replica/endless_test.go
@@ -178,3 +178,18 @@
 		})
 	}
 }
+
+// Guards against pieces that wait for the end of an endless response, whose head says that they were
+// not run.
+func TestRefusalOfPiecesCountsBeforeItsBodyEnds(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go site.ServeEndless(l, site.EndlessBody, http.Header{"Not-Executed": {"1"}}, 10*time.Millisecond, false)
+	start := time.Now()
+	_, outcome, err := replica.NewClient(nil, nil).RunPieces(context.Background(), stage.Run{Replica: "r", Address: l.Addr().String(), Timeout: 5 * time.Second, Pieces: []stage.Piece{{}}})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(outcome).To(Equal(stage.CallNotExecuted))
+	g.Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+}
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -45,17 +45,18 @@
 		return nil, stage.CallFailed, err
 	}
 	defer resp.Body.Close()
-	respBody, err := httpbody.Read(resp.Body, maxStageResponseBytes)
 	switch {
 	case resp.Head.Misdirected:
 		return nil, stage.CallUnreachable, ErrMisdirected
 	case resp.Head.NotExecuted:
 		return nil, stage.CallNotExecuted, fmt.Errorf("%w: status %d", errNotExecuted, resp.StatusCode)
-	case err != nil:
-		return nil, stage.CallFailed, err
 	case resp.StatusCode != http.StatusOK:
 		return nil, stage.CallFailed, fmt.Errorf("status %d", resp.StatusCode)
 	}
+	respBody, err := httpbody.Read(resp.Body, maxStageResponseBytes)
+	if err != nil {
+		return nil, stage.CallFailed, err
+	}
 	results, err := platform.DecodeResults(respBody, len(run.Pieces))
 	if err != nil {
 		return nil, stage.CallFailed, err
