Stand-in: endless bytes end with a reset

A slow unframed body of a replica whose process crashed ended with a FIN, which by the protocol completes it: the soak took what the replica had sent for its answer. Bytes without end are reset when the process ends.

--- a/internal/standin/site/endless.go
+++ b/internal/standin/site/endless.go
@@ -141,6 +141,10 @@
 		return
 	}
 	u.written = true
+	if tcp, ok := u.conn.(*net.TCPConn); ok {
+		// A body that ends with its connection would be complete when the process ends.
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
 	defer u.close()
 	WriteEndless(u.conn, b.Endless, u.header, requestID, b.EndlessInterval)
 }
