soak: replicas send bytes without end, and the daemons' memory stays below 144 MB

A replica at a time sends endless bytes of a random kind, fast or slowly, by its own random source, so that the schedules of existing seeds stay. Bytes that look like a signed answer, or like events of a stream, are left out: the soak would take them for the replica's. The resident memory of the daemons is read ten times a second and reported; over 144 MB, that of the smallest host, which is now also the daemons' memory_mb, is a violation, but for daemons with the race detector, which needs several times as much (223 MB seen where the same schedule takes some 40).

--- a/cmd/wheatseam/soak.go
+++ b/cmd/wheatseam/soak.go
@@ -78,7 +78,7 @@
 		return false, err
 	}
 	report, err := soak.Execute(ctx, soak.Config{
-		Binary: o.binary, Dir: dir, Seed: seed, Duration: o.duration, Daemons: o.daemons, Callers: o.callers,
+		Binary: o.binary, Dir: dir, Seed: seed, Duration: o.duration, Daemons: o.daemons, Callers: o.callers, MaxMemoryMB: soak.MaxMemoryMB,
 	})
 	if err != nil {
 		return false, err
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -52,6 +52,9 @@
 	return p, nil
 }
 
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends s to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -108,8 +108,8 @@
 bounds: {drain: 2s, configuration: 2s}
 drain: {grace: 4s}
 budget: {ratio: 0.2, slack: %d, window: 10s}
-limits: {processors: 1, memory_mb: 256}
-`, d.peerAddress(), d.name, d.callerAddress(), d.readinessAddress(), d.ip, portPeers, quoteAll(seeds), d.storeRelay.Address(), budgetSlack+revision%2)
+limits: {processors: 1, memory_mb: %d}
+`, d.peerAddress(), d.name, d.callerAddress(), d.readinessAddress(), d.ip, portPeers, quoteAll(seeds), d.storeRelay.Address(), budgetSlack+revision%2, MaxMemoryMB)
 	return os.WriteFile(d.settingsPath(), []byte(text), 0o600)
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -23,6 +23,7 @@
 //   - Daemons lose the path to all replicas, several at a time; a signal simulates this.
 //   - Replicas announce how many calls they can refuse in a second, and have less room.
 //   - Replicas are silent for about a second, and go on.
+//   - Replicas send bytes without end, fast or slowly, in the head or the body of every answer.
 //   - An operator evacuates failure domains.
 //   - Hosts are suspended; a signal simulates this to the daemon.
 //
@@ -46,6 +47,7 @@
 //   - A graceful shutdown aborts no request.
 //   - A request that has crashed three replicas is sent to only a few more, and so are all
 //     requests with a part of prompts that has crashed five.
+//   - No daemon needs more memory than the smallest host has.
 //   - A stream has events of one software version only, over all attempts of its caller.
 //
 // A run ends only processes that it started itself, by their process ids.
--- a/soak/report.go
+++ b/soak/report.go
@@ -22,7 +22,9 @@
 	// TakenUp counts the broken streams that callers took up at undisturbed daemons, and
 	// Continued those of them that went on.
 	TakenUp, Continued int
-	Faults             []string
+	// PeakMemory is the largest resident memory of a daemon in bytes.
+	PeakMemory int
+	Faults     []string
 	// Violations describe the guarantees that were violated.
 	Violations []string
 }
@@ -34,8 +36,8 @@
 		verdict = fmt.Sprintf("%d VIOLATIONS", len(r.Violations))
 	}
 	fmt.Fprintf(w, "seed %d: %d daemons for %s under %d faults: %s\n", r.Seed, r.Daemons, r.Duration, len(r.Faults), verdict)
-	fmt.Fprintf(w, "  %d requests: %d served, %d refused, %d failed, %d incomplete, %d abandoned by their callers; %d streams paused; %d of %d went on\n",
-		r.Requests, r.Served, r.Refused, r.Failed, r.Incomplete, r.Abandoned, r.PausedStreams, r.Continued, r.TakenUp)
+	fmt.Fprintf(w, "  %d requests: %d served, %d refused, %d failed, %d incomplete, %d abandoned by their callers; %d streams paused; %d of %d went on; peak memory %d MB\n",
+		r.Requests, r.Served, r.Refused, r.Failed, r.Incomplete, r.Abandoned, r.PausedStreams, r.Continued, r.TakenUp, r.PeakMemory>>20)
 	const shown = 20
 	for i, v := range r.Violations {
 		if i == shown {
--- a/soak/run.go
+++ b/soak/run.go
@@ -47,6 +47,9 @@
 	Duration time.Duration
 	// Daemons and Callers are the numbers of daemons and of concurrent callers.
 	Daemons, Callers int
+	// MaxMemoryMB is the resident memory that a daemon may have, in units of 2^20 bytes; 0 for no
+	// limit: the race detector needs several times as much.
+	MaxMemoryMB int
 }
 
 // runner holds the state of one run.
@@ -106,14 +109,20 @@
 	return at.Before(att.startedAt.Add(att.call.Deadline))
 }
 
-// Execute runs a soak and returns its report. It returns an error if the soak could not
-// be run; violated guarantees are in the report.
-func Execute(ctx context.Context, cfg Config) (Report, error) {
+// newRunner returns a runner that has not started.
+func newRunner(cfg Config) *runner {
 	r := &runner{
 		cfg: cfg, faultRNG: rand.New(rand.NewPCG(cfg.Seed, 1)), startedAt: time.Now(), store: site.NewStore(), ledger: site.NewLedger(),
 		drainingSince: map[string]time.Time{}, crashTimes: map[string][]time.Time{}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, apiKeys: []string{"key-0", "key-1"},
 	}
 	r.report = Report{Seed: cfg.Seed, Dir: cfg.Dir, Daemons: cfg.Daemons, Duration: cfg.Duration}
+	return r
+}
+
+// Execute runs a soak and returns its report. It returns an error if the soak could not
+// be run; violated guarantees are in the report.
+func Execute(ctx context.Context, cfg Config) (Report, error) {
+	r := newRunner(cfg)
 	defer r.close()
 	if err := r.start(); err != nil {
 		return r.report, err
@@ -141,6 +150,8 @@
 	wg.Go(func() { r.silenceReplicas(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 12))) })
 	wg.Go(func() { r.sendPoisonPart(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 14))) })
 	wg.Go(func() { r.skewConnections(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 15))) })
+	wg.Go(func() { r.sendEndlessBytes(faultCtx, rand.New(rand.NewPCG(cfg.Seed, 17))) })
+	wg.Go(func() { r.watchMemory(faultCtx) })
 	r.injectFaults(faultCtx)
 	wg.Wait()
 	r.checkRecovery()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,9 +48,11 @@
 func expectNoViolations(seed uint64, daemons int, duration time.Duration) {
 	dir, err := os.MkdirTemp("", "wheatseam-soak-test-")
 	Expect(err).NotTo(HaveOccurred())
-	report, err := soak.Execute(context.Background(), soak.Config{
-		Binary: daemonBinary, Dir: dir, Seed: seed, Duration: duration, Daemons: daemons, Callers: 2 * daemons,
-	})
+	cfg := soak.Config{Binary: daemonBinary, Dir: dir, Seed: seed, Duration: duration, Daemons: daemons, Callers: 2 * daemons}
+	if os.Getenv("WHEATSEAM_RACE") == "" {
+		cfg.MaxMemoryMB = soak.MaxMemoryMB
+	}
+	report, err := soak.Execute(context.Background(), cfg)
 	Expect(err).NotTo(HaveOccurred())
 	report.Print(GinkgoWriter)
 	Expect(report.Violations).To(BeEmpty(), "logs: "+dir)
