--- a/replica/stage.go
+++ b/replica/stage.go
@@ -78,7 +78,7 @@
 const lateAnswerTime = 100 * time.Millisecond
 
 // ReleaseResults releases results at the replica that holds them. It makes a second
-// attempt when the first fails, because the replica may have dropped the idle
+// attempt when the first fails without a response, because the replica may have dropped the idle
 // connection that the first attempt uses, or the connection has stopped delivering packets
 // without being closed. A second attempt must not release the results twice: while the replica
 // is silent on new connections too, the first one goes on, and after one through another host
