--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -193,6 +194,8 @@
 	// heardAt is when the replica last sent an event or the head of its answer; zero if
 	// never.
 	heardAt time.Time
+	// insideMessage says that the replica has sent a part of an answer, or of an event.
+	insideMessage bool
 	// survived says that the run has survived the parts of its prompt.
 	survived bool
 	// eventsReceived counts the events that the replica has sent.
@@ -220,7 +223,7 @@
 	}
 	t.watch = t.startStallWatch()
 	end, perr := t.call()
-	t.x.replacement = t.watch.stop(end.needsRetry())
+	t.x.replacement = t.watch.stop(end.needsRetry() && !t.x.unresumable)
 	t.x.cancelledRun = t.x.cancelledRun || t.stallError != nil
 	return end, perr
 }
@@ -286,6 +289,16 @@
 
 // callFailed classifies a call that failed in transit.
 func (t *attempt) callFailed(err error) (attemptEnd, *problem.Error) {
+	if isOversized(err) {
+		return oversized, problem.New(problem.UpstreamFailed, "the replica sent more than an answer may have: %v", err)
+	}
+	if errors.Is(err, httpbody.ErrNoMemory) {
+		return noMemory, problem.New(problem.UpstreamFailed, "the answer was not read: %v", err)
+	}
+	if t.unended() {
+		t.reportSilence(crash.Unanswered)
+		return failed, problem.New(problem.DeadlineExceeded, "the replica did not end its answer before the deadline")
+	}
 	if t.x.ctx.Err() != nil {
 		t.reportSilence(crash.Unanswered)
 		return abandoned, problem.New(problem.DeadlineExceeded, "no answer before the deadline")
@@ -300,6 +313,19 @@
 	return failed, problem.New(problem.UpstreamFailed, "the replica broke off: %v", err)
 }
 
+// unended reports whether the deadline passed inside an answer, or inside an event of a stream,
+// which the replica had begun to send at least minSilence before. A caller that disconnects, or a
+// host that was suspended, proves nothing about the replica.
+func (t *attempt) unended() bool {
+	return t.insideMessage && clock.Until(t.x.deadline) <= 0 && t.x.r.Context().Err() == nil &&
+		clock.SuspendedTime() == t.suspended && clock.Since(t.lastHeard()) >= minSilence
+}
+
+// isOversized reports whether a replica sent more bytes than an answer may have.
+func isOversized(err error) bool {
+	return httpbody.IsOversized(err) || errors.Is(err, errEventTooLarge) || errors.Is(err, errStreamTooLarge)
+}
+
 // lastHeard is when the replica last sent an event or the head of its answer, or when the
 // attempt began.
 func (t *attempt) lastHeard() time.Time {
@@ -336,11 +362,13 @@
 // relayWhole relays an answer once it is complete.
 func (t *attempt) relayWhole(resp *http.Response, head platform.ResponseHead) (attemptEnd, *problem.Error) {
 	x := t.x
-	body, err := httpbody.Read(resp.Body, maxAnswerBytes)
+	if resp.ContentLength > maxAnswerBytes && x.r.Method != http.MethodHead {
+		return t.callFailed(fmt.Errorf("%w of %d bytes: length %d", httpbody.ErrTooLarge, maxAnswerBytes, resp.ContentLength))
+	}
+	body, err := httpbody.ReadWithin(resp.Body, maxAnswerBytes, x.g.answerMemory)
 	switch {
-	case errors.Is(err, httpbody.ErrTooLarge):
-		return failed, problem.New(problem.UpstreamFailed, "the answer is over %d bytes", maxAnswerBytes)
 	case err != nil:
+		t.insideMessage = true
 		return t.callFailed(err)
 	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
 		return failed, problem.New(problem.UpstreamFailed, "the answer has no signature")
@@ -486,14 +514,14 @@
 		t.countEvents()
 	case notExecuted, inputsGone:
 		o.Result = request.CallRefused
-	case notSent, failed, failedRetrying:
+	case notSent, failed, oversized, failedRetrying:
 		o.Result = request.CallFailed
 	case stalled:
 		o.Result = request.CallCancelled
 		if t.stallError != nil && t.stallError.replicaAtFault() {
 			o.Result = request.CallFailed
 		}
-	case abandoned:
+	case abandoned, noMemory:
 		o.Result = request.CallCancelled
 	}
 	t.x.g.router.Done(now, o)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,10 +6,12 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
 )
@@ -22,20 +24,67 @@
 	streamBuffer = 4 << 10
 )
 
-// errEventTooLarge says that an event exceeds maxEventBytes.
-var errEventTooLarge = errors.New("event too large")
+const (
+	// maxStreamBytes limits the events that one attempt relays.
+	maxStreamBytes = 64 << 20
+	// An event has one token at least. maxEventsPerToken and extraEvents leave room for events
+	// that carry none.
+	maxEventsPerToken = 2
+	extraEvents       = 64
+)
+
+// Errors of streams that are larger than any valid one.
+var (
+	// errEventTooLarge says that an event exceeds maxEventBytes.
+	errEventTooLarge = errors.New("event too large")
+	// errStreamTooLarge says that a stream exceeds maxStreamBytes, or the number of events that
+	// its caller can have asked for.
+	errStreamTooLarge = errors.New("stream too large")
+)
+
+// streamLimits is what is left of a stream that an attempt may relay.
+type streamLimits struct{ bytes, events int }
+
+// newStreamLimits returns the limits of a stream. Without a number of tokens only its bytes are
+// limited.
+func newStreamLimits(outputTokens int) streamLimits {
+	l := streamLimits{bytes: maxStreamBytes, events: math.MaxInt}
+	if outputTokens > 0 && outputTokens < maxStreamBytes {
+		l.events = maxEventsPerToken*outputTokens + extraEvents
+	}
+	return l
+}
+
+// take takes an event from the limits.
+func (l *streamLimits) take(e event) error {
+	l.bytes -= len(e.raw)
+	l.events--
+	if l.bytes < 0 || l.events < 0 {
+		return errStreamTooLarge
+	}
+	return nil
+}
 
 // relayEvents relays the events of a stream as they arrive.
 func (t *attempt) relayEvents(resp *http.Response) (attemptEnd, *problem.Error) {
 	x, w := t.x, t.watch
 	w.answerStarted()
 	events := newEventReader(resp.Body)
+	events.memory = x.g.answerMemory
+	defer events.releaseMemory()
+	limits := newStreamLimits(x.req.OutputTokens)
 	for {
 		event, err := events.next()
 		if err == io.EOF {
 			return t.finishStream(resp, events)
 		}
 		if err != nil {
+			t.insideMessage = events.partial()
+			return t.callFailed(err)
+		}
+		if err := limits.take(event); err != nil {
+			// The caller has events that no other replica can continue.
+			x.unresumable = true
 			return t.callFailed(err)
 		}
 		t.heardAt = clock.Now()
@@ -174,6 +223,9 @@
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
+	// memory limits buf; nil for no limit. taken is what buf has taken of it.
+	memory *httpbody.Memory
+	taken  int64
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -206,6 +258,9 @@
 func (e *eventReader) readLine() error {
 	for {
 		part, err := e.r.ReadSlice('\n')
+		if err := e.takeMemory(int64(len(e.buf) + len(part))); err != nil {
+			return err
+		}
 		e.buf = append(e.buf, part...)
 		if len(e.buf) > maxEventBytes {
 			return errEventTooLarge
@@ -216,5 +271,24 @@
 	}
 }
 
+// takeMemory takes the memory for a buffer of the given number of bytes.
+func (e *eventReader) takeMemory(size int64) error {
+	if e.memory == nil || size <= max(e.taken, httpbody.UncountedBytes) {
+		return nil
+	}
+	if err := e.memory.Take(2*size - e.taken); err != nil {
+		return err
+	}
+	e.taken = 2 * size
+	return nil
+}
+
+// releaseMemory returns the memory of the buffer, which is not used again.
+func (e *eventReader) releaseMemory() {
+	if e.memory != nil {
+		e.memory.Release(e.taken)
+	}
+}
+
 // partial reports whether the stream ended inside an event.
 func (e *eventReader) partial() bool { return len(e.buf) > 0 }
--- a/replica/client.go
+++ b/replica/client.go
@@ -69,6 +69,8 @@
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
 		ReadBufferSize:     4 << 10,
+
+		MaxResponseHeaderBytes: httpbody.MaxHeadBytes,
 	}
 }
 
@@ -109,6 +111,10 @@
 	return crash.CheckResult{}, err
 }
 
+// ErrProtocolSwitched means that a replica switched to another protocol, which no call asks for.
+// It may have executed the call.
+var ErrProtocolSwitched = errors.New("replica switched to another protocol")
+
 // Call is one call to a replica.
 type Call struct {
 	// Replica is the id of the replica's incarnation that the call is addressed to.
@@ -159,7 +165,11 @@
 	sentAt := clock.Now()
 	resp, err := t.RoundTrip(req.WithContext(ctx))
 	if err != nil {
-		return nil, err
+		return nil, httpbody.HeadError(err)
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close() // closes the connection, which no longer ends with ctx
+		return nil, ErrProtocolSwitched
 	}
 	r := &Response{Response: resp, Head: platform.DecodeResponseHead(resp.StatusCode, resp.Header)}
 	c.notifyResponse(sentAt, call, r)
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -19,6 +19,9 @@
 // about 40 bytes each.
 const maxStageResponseBytes = 1 << 20
 
+// errBodyUnusable means that a response began, and its body ended early or was over its limit.
+var errBodyUnusable = errors.New("body of the response is of no use")
+
 // errNotExecuted means that the replica reports not having executed a call.
 var errNotExecuted = errors.New("replica did not execute the call")
 
@@ -42,17 +45,18 @@
 		return nil, stage.CallFailed, err
 	}
 	defer resp.Body.Close()
-	respBody, err := httpbody.Read(resp.Body, maxStageResponseBytes)
 	switch {
 	case resp.Head.Misdirected:
 		return nil, stage.CallUnreachable, ErrMisdirected
 	case resp.Head.NotExecuted:
 		return nil, stage.CallNotExecuted, fmt.Errorf("%w: status %d", errNotExecuted, resp.StatusCode)
-	case err != nil:
-		return nil, stage.CallFailed, err
 	case resp.StatusCode != http.StatusOK:
 		return nil, stage.CallFailed, fmt.Errorf("status %d", resp.StatusCode)
 	}
+	respBody, err := httpbody.Read(resp.Body, maxStageResponseBytes)
+	if err != nil {
+		return nil, stage.CallFailed, err
+	}
 	results, err := platform.DecodeResults(respBody, len(run.Pieces))
 	if err != nil {
 		return nil, stage.CallFailed, err
@@ -74,7 +78,7 @@
 const lateAnswerTime = 100 * time.Millisecond
 
 // ReleaseResults releases results at the replica that holds them. It makes a second
-// attempt when the first fails, because the replica may have dropped the idle
+// attempt when the first fails without a response, because the replica may have dropped the idle
 // connection that the first attempt uses, or the connection has stopped delivering packets
 // without being closed. A second attempt must not release the results twice: while the replica
 // is silent on new connections too, the first one goes on, and after one through another host
@@ -94,7 +98,11 @@
 			afterRunTime(lateAnswerTime, cancel)
 		}
 	})()
-	if err = c.release(firstCtx, call); err != nil && !viaPeer.Load() && ctx.Err() == nil {
+	// A replica that responded, in whatever way, has received the first attempt.
+	responded := func(err error) bool {
+		return httpbody.IsOversized(err) || errors.Is(err, ErrProtocolSwitched) || errors.Is(err, errBodyUnusable)
+	}
+	if err = c.release(firstCtx, call); err != nil && !responded(err) && !viaPeer.Load() && ctx.Err() == nil {
 		err = c.release(ctx, call)
 	}
 	return err
@@ -135,10 +143,18 @@
 }
 
 // release makes one attempt to release results. It ignores status and body of the
-// response, since nothing depends on them.
+// response, since nothing depends on them, but reads a short body so that the connection can be
+// used again.
 func (c *Client) release(ctx context.Context, call Call) error {
-	_, _, err := c.doPooled(ctx, call, maxReleaseResponseBytes)
-	return err
+	resp, err := c.do(ctx, c.pooled, call)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := httpbody.Read(resp.Body, maxReleaseResponseBytes); err != nil {
+		return fmt.Errorf("%w: %w", errBodyUnusable, err)
+	}
+	return nil
 }
 
 // doPooled makes a call on a pooled connection and reads a response body of at most
--- a/soak/run.go
+++ b/soak/run.go
@@ -51,6 +51,9 @@
 	// Losses adds losses of all or several daemons during releases, and callers that keep their
 	// streams longer. With an even seed there are few other faults.
 	Losses bool
+	// MaxMemoryMB is the resident memory that a daemon may have, in units of 2^20 bytes; 0 for no
+	// limit: the race detector needs several times as much.
+	MaxMemoryMB int
 }
 
 // runner holds the state of one run.
@@ -122,15 +125,21 @@
 	return at.Before(att.startedAt.Add(att.call.Deadline))
 }
 
-// Execute runs a soak and returns its report. It returns an error if the soak could not
-// be run; violated guarantees are in the report.
-func Execute(ctx context.Context, cfg Config) (Report, error) {
+// newRunner returns a runner that has not started.
+func newRunner(cfg Config) *runner {
 	r := &runner{
 		cfg: cfg, faultRNG: rand.New(rand.NewPCG(cfg.Seed, 1)), startedAt: time.Now(), store: site.NewStore(), ledger: site.NewLedger(),
 		drainingSince: map[string]time.Time{}, crashTimes: map[string][]time.Time{}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, addedAt: map[string]time.Time{},
 		versions: slices.Clone(softwareVersions[:]), apiKeys: []string{"key-0", "key-1"},
 	}
 	r.report = Report{Seed: cfg.Seed, Dir: cfg.Dir, Daemons: cfg.Daemons, Duration: cfg.Duration}
+	return r
+}
+
+// Execute runs a soak and returns its report. It returns an error if the soak could not
+// be run; violated guarantees are in the report.
+func Execute(ctx context.Context, cfg Config) (Report, error) {
+	r := newRunner(cfg)
 	defer r.close()
 	if err := r.start(); err != nil {
 		return r.report, err
@@ -177,7 +186,9 @@
 		{12, r.silenceReplicas, false},
 		{14, r.sendPoisonPart, false},
 		{15, r.skewConnections, true},
+		{17, r.sendEndlessBytes, false},
 	}
+	wg.Go(func() { r.watchMemory(ctx) })
 	if r.cfg.Losses {
 		wg.Go(func() { r.loseDaemons(ctx, rand.New(rand.NewPCG(r.cfg.Seed, 16))) })
 	}
