A daemon that restarts begins without its share of the retry slack

Cause: each process began with a full share, and divided the slack for as long as it did not know its peers by six. In fleets where half a share is less than one extra attempt, each restart gave back the whole attempts too.

Change: a budget is told since when the daemon remembers what its host has sent, its start. The share of the slack begins empty and is refilled from there; a whole extra attempt is allowed a window later. What first attempts deposit counts at once, as before, and attempts that found no connection are still free. With the setting first_start, which the platform sets when the deployment starts for the first time, nothing precedes the process and the share is full.

Tests: the existing ones pass a zero time (nothing was forgotten) and assert what they did. The fixture of the gateway sets first_start, since its specs begin with the first request of a new process; TestRetryBudgetAfterARestart covers the others.

--- a/core/retry/shared_budget.go
+++ b/core/retry/shared_budget.go
@@ -20,10 +20,18 @@
 // In a large fleet half of a share is less than one extra attempt, which would allow none.
 // The slack is then divided into whole extra attempts, of which some daemons have one more
 // than others, and each daemon sends at most its number in any window.
+//
+// A daemon that restarts does not know what its earlier process has sent. Its share of the
+// slack then begins empty and is refilled from its start; a whole extra attempt is allowed
+// after a window. Otherwise daemons that restart several times within a window would send
+// the slack each time.
 type SharedBudget struct {
 	ratio  float64
 	slack  float64
 	window time.Duration
+	// recordedSince is the time since which this daemon knows the extra attempts that its
+	// host has sent; zero if it knows them all.
+	recordedSince time.Time
 
 	mu     sync.Mutex
 	hosts  int
@@ -41,12 +49,15 @@
 
 var _ request.Budget = (*SharedBudget)(nil)
 
-// NewSharedBudget returns a full share of a budget of ratio extra attempts per first
-// attempt, plus slack extra attempts per window, which is divided among the given number of
-// hosts.
-func NewSharedBudget(ratio, slack float64, window time.Duration, hosts int) *SharedBudget {
-	b := &SharedBudget{ratio: ratio, slack: slack, window: window, hosts: max(1, hosts)}
-	b.tokens = b.capacity()
+// NewSharedBudget returns a share of a budget of ratio extra attempts per first attempt,
+// plus slack extra attempts per window, which is divided among the given number of hosts.
+// recordedSince is the start of the daemon, or zero if no earlier process of its host can
+// have sent extra attempts: the share is then full.
+func NewSharedBudget(ratio, slack float64, window time.Duration, hosts int, recordedSince time.Time) *SharedBudget {
+	b := &SharedBudget{ratio: ratio, slack: slack, window: window, hosts: max(1, hosts), recordedSince: recordedSince, lastRefill: recordedSince}
+	if recordedSince.IsZero() {
+		b.tokens = b.capacity()
+	}
 	return b
 }
 
@@ -81,7 +92,7 @@
 // that ends now.
 func (b *SharedBudget) takeUnit(now time.Time) bool {
 	b.unitsUsed = slices.DeleteFunc(b.unitsUsed, func(at time.Time) bool { return now.Sub(at) >= b.window })
-	if len(b.unitsUsed) >= b.units {
+	if len(b.unitsUsed) >= b.units || !b.recordedSince.IsZero() && now.Sub(b.recordedSince) < b.window {
 		return false
 	}
 	b.unitsUsed = append(b.unitsUsed, now)
--- a/core/retry/shared_budget_test.go
+++ b/core/retry/shared_budget_test.go
@@ -15,7 +15,7 @@
 	start := time.Unix(1000, 0)
 
 	It("allows extra attempts from the start", func() {
-		b := retry.NewSharedBudget(0.2, 54, window, 7)
+		b := retry.NewSharedBudget(0.2, 54, window, 7, time.Time{})
 		b.Deposit(start)
 		Expect(b.Withdraw(start)).To(BeTrue())
 		Expect(b.Stats().Taken).To(Equal(uint64(1)))
@@ -27,7 +27,7 @@
 			hosts := 1 + rng.IntN(12)
 			fleet := make([]*retry.SharedBudget, hosts)
 			for i := range fleet {
-				fleet[i] = retry.NewSharedBudget(0.2, 54, window, hosts)
+				fleet[i] = retry.NewSharedBudget(0.2, 54, window, hosts, time.Time{})
 			}
 			type event struct {
 				at    time.Time
@@ -65,7 +65,7 @@
 	})
 
 	It("allows what first attempts deposit even if the slack is less than one token per daemon", func() {
-		b := retry.NewSharedBudget(0.2, 10, window, 400)
+		b := retry.NewSharedBudget(0.2, 10, window, 400, time.Time{})
 		for range 5 {
 			b.Deposit(start)
 		}
@@ -74,7 +74,7 @@
 	})
 
 	It("divides the slack by the number of known daemons", func() {
-		b := retry.NewSharedBudget(0, 40, window, 1)
+		b := retry.NewSharedBudget(0, 40, window, 1, time.Time{})
 		b.SetHosts(10, func(int) int { return 0 })
 		n := 0
 		for b.Withdraw(start) {
@@ -84,11 +84,31 @@
 		Expect(b.Withdraw(start.Add(window))).To(BeTrue(), "half of the share is refilled per window")
 	})
 
+	// The daemon of a host that restarts does not know what the earlier one has sent.
+	It("begins empty at a restart and is refilled within a window", func() {
+		b := retry.NewSharedBudget(0, 40, window, 1, start)
+		Expect(b.Withdraw(start)).To(BeFalse())
+		Expect(b.Withdraw(start.Add(window/10))).To(BeTrue(), "a tenth of half the share is refilled")
+		n := 0
+		for b.Withdraw(start.Add(2 * window)) {
+			n++
+		}
+		Expect(n).To(Equal(20))
+	})
+
+	It("allows a host of a large fleet its whole attempts a window after a restart", func() {
+		b := retry.NewSharedBudget(0, 40, window, 1, start)
+		b.SetHosts(100, func(int) int { return 1 })
+		Expect(b.Withdraw(start.Add(window - 1))).To(BeFalse())
+		Expect(b.Withdraw(start.Add(window))).To(BeTrue())
+		Expect(b.Withdraw(start.Add(window))).To(BeFalse())
+	})
+
 	It("gives a large fleet whole attempts instead of parts that allow none", func() {
 		const hosts, slack = 985, 728
 		fleet := make([]*retry.SharedBudget, hosts)
 		for i := range fleet {
-			fleet[i] = retry.NewSharedBudget(0.14, slack, window, hosts)
+			fleet[i] = retry.NewSharedBudget(0.14, slack, window, hosts, time.Time{})
 			fleet[i].SetHosts(hosts, func(total int) int { return (total - i + hosts - 1) / hosts })
 		}
 		// Each host has about a request in ten seconds. A seventh of them fail, and for some
@@ -134,7 +154,7 @@
 	})
 
 	It("takes refunds of attempts that were not sent, up to its capacity", func() {
-		b := retry.NewSharedBudget(0, 4, window, 1)
+		b := retry.NewSharedBudget(0, 4, window, 1, time.Time{})
 		Expect(b.Withdraw(start)).To(BeTrue())
 		Expect(b.Withdraw(start)).To(BeTrue())
 		Expect(b.Withdraw(start)).To(BeFalse())
@@ -148,7 +168,7 @@
 	})
 
 	It("denies extra attempts until a negative balance is refilled", func() {
-		b := retry.NewSharedBudget(0.5, 2, window, 1)
+		b := retry.NewSharedBudget(0.5, 2, window, 1, time.Time{})
 		Expect(b.Withdraw(start)).To(BeTrue())
 		b.ForceWithdraw(start)
 		Expect(b.Stats().Tokens).To(BeNumerically("==", -1))
@@ -160,4 +180,52 @@
 		Expect(b.Withdraw(start)).To(BeTrue())
 		Expect(b.Stats().Taken).To(Equal(uint64(3)))
 	})
+
+	// Hosts that restart several times within a window, each with a full share: the fleet sends
+	// the slack once for each restart.
+	DescribeTable("keeps the fleet within ratio and slack while all hosts restart again and again",
+		func(hosts int, ratio, slack float64, uptime time.Duration) {
+			const used = 0.7 // of ratio and slack, as daemons use it
+			newHost := func(i int, now time.Time) *retry.SharedBudget {
+				b := retry.NewSharedBudget(used*ratio, used*slack, window, 6, now)
+				b.SetHosts(hosts, func(total int) int { return (total - i + hosts - 1) / hosts })
+				return b
+			}
+			fleet := make([]*retry.SharedBudget, hosts)
+			var firsts, extras []time.Time
+			restart := start
+			for now := start; now.Before(start.Add(6 * window)); now = now.Add(time.Second) {
+				if !now.Before(restart) {
+					restart = now.Add(uptime)
+					for i := range fleet {
+						fleet[i] = newHost(i, now)
+					}
+				}
+				for i := range fleet {
+					if (now.Unix()+int64(i))%4 == 0 {
+						fleet[i].Deposit(now)
+						firsts = append(firsts, now)
+					}
+					for fleet[i].Withdraw(now) {
+						extras = append(extras, now)
+					}
+				}
+			}
+			oldestExtra, oldestFirst, first := 0, 0, 0
+			for i, at := range extras {
+				for ; extras[oldestExtra].Before(at.Add(-window)); oldestExtra++ {
+				}
+				for ; first < len(firsts) && !firsts[first].After(at); first++ {
+				}
+				for ; firsts[oldestFirst].Before(at.Add(-window)); oldestFirst++ {
+				}
+				Expect(float64(i-oldestExtra+1)).To(BeNumerically("<=", ratio*float64(first-oldestFirst)+slack), "at %s", at.Sub(start))
+			}
+		},
+		Entry("7 hosts, every 3 s", 7, 0.2, 54.0, 3*time.Second),
+		Entry("7 hosts, every 8 s", 7, 0.2, 54.0, 8*time.Second),
+		Entry("59 hosts, every 3 s", 59, 0.2, 158.0, 3*time.Second),
+		Entry("59 hosts, every 8 s", 59, 0.2, 158.0, 8*time.Second),
+		Entry("985 hosts, every 4 s", 985, 0.2, 1040.0, 4*time.Second),
+	)
 })
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -170,6 +170,8 @@
 		Budget:  gateway.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Backoff: gateway.Backoff{Max: time.Minute}, Cold: gateway.Cold{Overage: 1.5, Slack: 1},
 		Limits: gateway.Limits{Processors: 1, ProcessorShare: 1, MemoryMB: 256},
+		// Most specs need the retries of a host that has run for a while.
+		FirstStart: true,
 	}
 	if change != nil {
 		change(s)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,8 @@
 // Gateway is one gateway daemon.
 type Gateway struct {
 	settings atomic.Pointer[Settings]
+	// started is when this daemon started.
+	started time.Time
 	// initialized is closed when New has set all fields: peers may call before that.
 	initialized chan struct{}
 	log         *zap.Logger
@@ -94,7 +96,7 @@
 
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters()}
+	g := &Gateway{started: clock.Now(), initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters()}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.evacuatedServices.Store(&map[string]bool{})
@@ -273,7 +275,7 @@
 	b, ok := g.retryBudgets.Load(service)
 	if !ok {
 		s := g.settings.Load().Budget
-		b, _ = g.retryBudgets.LoadOrStore(service, retry.NewSharedBudget(budgetFraction*s.Ratio, budgetFraction*s.Slack, s.Window, hosts))
+		b, _ = g.retryBudgets.LoadOrStore(service, retry.NewSharedBudget(budgetFraction*s.Ratio, budgetFraction*s.Slack, s.Window, hosts, g.recordedSince()))
 	}
 	shared := b.(*retry.SharedBudget)
 	shared.SetHosts(hosts, func(total int) int {
@@ -286,9 +288,18 @@
 	return shared
 }
 
+// recordedSince returns the time since which this daemon remembers what its host has done: its
+// start, or the zero time if no earlier process has run.
+func (g *Gateway) recordedSince() time.Time {
+	if g.settings.Load().FirstStart {
+		return time.Time{}
+	}
+	return g.started
+}
+
 const (
-	// budgetFraction is the fraction of the fleet's retry budget that is used: daemons that
-	// restart begin with a full share.
+	// budgetFraction is the fraction of the fleet's retry budget that is used. Daemons that
+	// learn late of hosts that have left or joined divide the slack by different numbers.
 	budgetFraction = 0.7
 	// minBudgetHosts divides the slack while fewer daemons are known.
 	minBudgetHosts = 6
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -29,7 +29,7 @@
 	members, err := fleet.New(fleet.Config{Self: fleet.Host{Host: member.Host{Name: "d0"}}, Mux: peer.NewMux(), Logger: zap.NewNop()})
 	Expect(err).NotTo(HaveOccurred())
 	g := &Gateway{fleet: members}
-	g.retryBudgets.Store("reports", retry.NewSharedBudget(1, 10, time.Second, 1))
+	g.retryBudgets.Store("reports", retry.NewSharedBudget(1, 10, time.Second, 1, time.Time{}))
 	ctx, cancel := context.WithCancel(context.Background())
 	answer := httptest.NewRecorder()
 	x := &exchange{
@@ -53,7 +53,7 @@
 	members, err := fleet.New(fleet.Config{Self: fleet.Host{Host: member.Host{Name: "d0"}}, Mux: peer.NewMux(), Logger: zap.NewNop()})
 	Expect(err).NotTo(HaveOccurred())
 	g := &Gateway{fleet: members, router: route.New(route.Config{})}
-	g.retryBudgets.Store("reports", retry.NewSharedBudget(1, 10, time.Second, 1))
+	g.retryBudgets.Store("reports", retry.NewSharedBudget(1, 10, time.Second, 1, time.Time{}))
 	answer := httptest.NewRecorder()
 	x := &exchange{
 		g: g, w: answer, r: httptest.NewRequest(http.MethodGet, "/", nil), ctx: context.Background(), service: "reports",
@@ -65,3 +65,16 @@
 	call := (&attempt{x: x}).newCall()
 	Expect(call.Header.Get("Deadline-Ms")).To(Equal("1"))
 }
+
+// A daemon that restarts begins each service's share of the fleet's retries without what an earlier
+// process may have sent, unless the deployment starts for the first time.
+func TestRetryBudgetAfterARestart(t *testing.T) {
+	for _, firstStart := range []bool{false, true} {
+		RegisterTestingT(t)
+		members, err := fleet.New(fleet.Config{Self: fleet.Host{Host: member.Host{Name: "d0"}}, Mux: peer.NewMux(), Logger: zap.NewNop()})
+		Expect(err).NotTo(HaveOccurred())
+		g := &Gateway{fleet: members, started: clock.Now()}
+		g.settings.Store(&Settings{FirstStart: firstStart, Budget: Budget{Ratio: 0.2, Slack: 54, Window: time.Hour}})
+		Expect(g.retryBudget("reports").Withdraw(clock.Now())).To(Equal(firstStart))
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -26,15 +26,18 @@
 	// Seeds are the identities of some peers to contact first.
 	Seeds   []string `yaml:"seeds"`
 	Regions []Region `yaml:"regions"`
-	Store   Store    `yaml:"store"`
-	Bounds  Bounds   `yaml:"bounds"`
-	Drain   Drain    `yaml:"drain"`
-	Budget  Budget   `yaml:"budget"`
-	Cold    Cold     `yaml:"cold"`
-	Backoff Backoff  `yaml:"rest"`
-	Stages  Stages   `yaml:"stages"`
-	Limits  Limits   `yaml:"limits"`
-	Log     Log      `yaml:"log"`
+	// FirstStart says that the deployment starts for the first time: no earlier process of its
+	// hosts has sent anything. Default false.
+	FirstStart bool    `yaml:"first_start"`
+	Store      Store   `yaml:"store"`
+	Bounds     Bounds  `yaml:"bounds"`
+	Drain      Drain   `yaml:"drain"`
+	Budget     Budget  `yaml:"budget"`
+	Cold       Cold    `yaml:"cold"`
+	Backoff    Backoff `yaml:"rest"`
+	Stages     Stages  `yaml:"stages"`
+	Limits     Limits  `yaml:"limits"`
+	Log        Log     `yaml:"log"`
 }
 
 // Listen holds the listeners' addresses, each ip:port.
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -35,6 +35,10 @@
 		"limits.cpus": "1", "limits.cpu_quota": "0.4", "limits.memory_mb": "284",
 	}
 	maps.Copy(values, more)
+	if more["bootstrap"] == "true" {
+		text = strings.ReplaceAll(text, "{{#bootstrap}}true{{/bootstrap}}", "true")
+	}
+	text = strings.ReplaceAll(text, "{{#bootstrap}}true{{/bootstrap}}", "")
 	text = absentSection.ReplaceAllStringFunc(text, func(section string) string {
 		parts := absentSection.FindStringSubmatch(section)
 		if _, there := values[parts[1]]; there {
@@ -78,6 +82,13 @@
 		Expect(s.Regions).To(HaveLen(1))
 		Expect(s.Cold).To(Equal(gateway.Cold{Overage: 1.5, Slack: 5}))
 		Expect(s.Stages.FairShares).To(BeTrue())
+		Expect(s.FirstStart).To(BeFalse())
+	})
+
+	It("tell the first start of a deployment", func() {
+		s, err := load(render(map[string]string{"bootstrap": "true"}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.FirstStart).To(BeTrue())
 	})
 
 	It("use the configured limit of cold replicas where the deployment sets no overage or slack", func() {
