Borrowed calls end when their lender has restarted

Cause: a host that restarts does not know what the process before it has lent, and uses its whole share of a cold replica or an announced limit, while the borrower uses the loan for up to 4 s. At cold replicas that counts against the number from which they crash (FAILBACK), on all hosts.

Change: a loan belongs to one process of its lender. A borrower does not use it once it knows a later incarnation of the lender's host, as it does not use one of a host that is dead. No further message. What remains is the time from the restarted host's first call to the borrower's knowledge of the restart.

--- a/core/intake/loans.go
+++ b/core/intake/loans.go
@@ -61,10 +61,17 @@
 	ID    uint64
 }
 
-// loan is what is lent, and until when.
+// Lender is one process of a host that lends calls. Its incarnation rises with each restart.
+type Lender struct {
+	Host        string
+	Incarnation uint64
+}
+
+// loan is what is lent, and until when. incarnation is that of the lender.
 type loan struct {
 	Lent
-	until time.Time
+	until       time.Time
+	incarnation uint64
 }
 
 // Returned is how many of the calls of a loan its borrower keeps.
@@ -132,7 +139,7 @@
 	}
 	lent := Lent{Calls: calls, ID: max(l.lastID+1, uint64(now.UnixNano()))}
 	l.lastID = lent.ID
-	l.lent = put(l.lent, replica, borrower, loan{lent, now.Add(loanTime + l.window + expiryDelay)})
+	l.lent = put(l.lent, replica, borrower, loan{Lent: lent, until: now.Add(loanTime + l.window + expiryDelay)})
 	return lent
 }
 
@@ -154,12 +161,12 @@
 
 // Borrow records the calls that a host lends, as it replied to a request sent at the given time. It
 // reports whether their number has changed.
-func (l *Loans) Borrow(askedAt time.Time, replica, lender string, lent Lent) bool {
-	known, renewed := l.borrowed[replica][lender]
+func (l *Loans) Borrow(askedAt time.Time, replica string, lender Lender, lent Lent) bool {
+	known, renewed := l.borrowed[replica][lender.Host]
 	if lent.Calls < 1 || lent.ID < known.ID || !renewed && len(l.borrowed[replica]) >= maxLoans {
 		return false
 	}
-	l.borrowed = put(l.borrowed, replica, lender, loan{lent, askedAt.Add(loanTime)})
+	l.borrowed = put(l.borrowed, replica, lender.Host, loan{lent, askedAt.Add(loanTime), lender.Incarnation})
 	return lent.Calls != known.Calls
 }
 
@@ -209,8 +216,9 @@
 }
 
 // Adjust returns this host's share of a limit with the loans in effect. Calls of lenders that are
-// not live no longer count, since their shares are divided anew.
-func (l *Loans) Adjust(now time.Time, replica string, share Quota, live func(lender string) bool) Quota {
+// not live no longer count: their shares are divided anew, or their host has restarted, does not know
+// the loan and uses its whole share.
+func (l *Loans) Adjust(now time.Time, replica string, share Quota, live func(Lender) bool) Quota {
 	l.expire(now, replica)
 	if len(l.lent[replica])+len(l.borrowed[replica]) == 0 || share.Window > l.window {
 		return share
@@ -220,7 +228,7 @@
 		calls -= o.Calls
 	}
 	for lender, o := range l.borrowed[replica] {
-		if live(lender) {
+		if live(Lender{lender, o.incarnation}) {
 			calls += o.Calls
 		}
 	}
--- a/gateway/loans.go
+++ b/gateway/loans.go
@@ -202,13 +202,16 @@
 	return u
 }
 
-// isReachable returns a function that reports whether a host is alive.
-func (g *Gateway) isReachable() func(host string) bool {
-	alive := map[string]bool{}
+// isReachable returns a function that reports whether a lender is alive and has not restarted.
+func (g *Gateway) isReachable() func(intake.Lender) bool {
+	alive := map[string]uint64{}
 	for _, h := range g.fleet.Reachable() {
-		alive[h.Name] = true
+		alive[h.Name] = h.Incarnation
+	}
+	return func(l intake.Lender) bool {
+		incarnation, ok := alive[l.Host]
+		return ok && incarnation == l.Incarnation
 	}
-	return func(host string) bool { return alive[host] }
 }
 
 // borrowFrom asks one peer for loans.
@@ -222,21 +225,22 @@
 		return
 	}
 	g.notices.mu.Lock()
-	g.recordBorrowed(askedAt, h.Name, &g.notices.loans, reply, false)
+	g.recordBorrowed(askedAt, h, &g.notices.loans, reply, false)
 	g.updateLimitShares()
 	g.notices.mu.Unlock()
 	g.coldTracker.mu.Lock()
-	g.recordBorrowed(askedAt, h.Name, &g.coldTracker.loans, reply, true) // used from the next refresh on
+	g.recordBorrowed(askedAt, h, &g.coldTracker.loans, reply, true) // used from the next refresh on
 	g.coldTracker.mu.Unlock()
 }
 
 // recordBorrowed records the calls that a peer lends. The lock of the loans must be held.
-func (g *Gateway) recordBorrowed(askedAt time.Time, lender string, loans *intake.Loans, reply *wire.CallsLent, cold bool) {
+func (g *Gateway) recordBorrowed(askedAt time.Time, h fleet.Host, loans *intake.Loans, reply *wire.CallsLent, cold bool) {
+	lender := intake.Lender{Host: h.Name, Incarnation: h.Incarnation}
 	for _, r := range reply.GetReplicas() {
 		lent := intake.Lent{Calls: int(min(r.GetLent().GetCalls(), maxLentCalls)), ID: r.GetLent().GetId()}
 		if r.GetCold() == cold && loans.Borrow(askedAt, r.GetReplica(), lender, lent) {
 			g.metrics.GetOrCreateCounter("wheatseam_limit_loans_total").Inc()
-			g.log.Info("borrowed calls of a limit", zap.String("replica", r.GetReplica()), zap.Bool("cold", cold), zap.String("peer", lender), zap.Int("calls", lent.Calls))
+			g.log.Info("borrowed calls of a limit", zap.String("replica", r.GetReplica()), zap.Bool("cold", cold), zap.String("peer", lender.Host), zap.Int("calls", lent.Calls))
 		}
 	}
 }
