Calls still count at a replica that is unlisted for a moment

Cause: each view removed the limiters of replicas that it did not list, with the calls in flight, the calls of the window and the refusals. A replica that was back in the next view, as after an outage of the store, got every host's quota once more: twice the calls that a cold replica bears (FAILBACK) and twice the calls in flight of one that fails from refusals.

The new test, on the code before: three of its four parts fail, "Expected false to be true", for calls in flight, begun within the window, and refused.

Change: a limiter is kept while anything that it has recorded can count: calls of the last window, refusals of the longest one, and calls in flight for a minute after the last one began. The router's own limiters have no quotas and are removed as before.

--- a/core/intake/limit_test.go
+++ b/core/intake/limit_test.go
@@ -139,3 +139,51 @@
 	_, blocked = limiters.Get("later").Blocked(start)
 	g.Expect(blocked).To(BeTrue(), "a limiter created after the quota was set")
 }
+
+// Guards against calls that are forgotten when a view lists their replica no longer, or not yet, so
+// that a replica that is back after a moment gets a second quota beside them.
+func TestCallsCountAtAReplicaThatIsUnlistedForAMoment(t *testing.T) {
+	now := time.Unix(1000, 0)
+	none := func(string) bool { return false }
+	t.Run("in flight", func(t *testing.T) {
+		g := NewWithT(t)
+		limiters := intake.NewLimiters()
+		limiters.SetQuotas(intake.Refusals, map[string]intake.Quota{"r": {InFlight: &intake.InFlightQuota{Calls: 1, Refusals: 1, Window: time.Second}}})
+		limiters.Get("r").RecordCall(now)
+		limiters.RemoveUnlisted(now.Add(20*time.Second), none)
+		_, blocked := limiters.Get("r").Blocked(now.Add(21 * time.Second))
+		g.Expect(blocked).To(BeTrue())
+		limiters.Get("r").RecordEnd()
+		_, blocked = limiters.Get("r").Blocked(now.Add(21 * time.Second))
+		g.Expect(blocked).To(BeFalse())
+	})
+	t.Run("begun in the window", func(t *testing.T) {
+		g := NewWithT(t)
+		limiters := intake.NewLimiters()
+		limiters.SetQuotas(intake.Cold, map[string]intake.Quota{"r": {Calls: 1, Window: intake.ColdWindow}})
+		limiters.Get("r").RecordCall(now)
+		limiters.Get("r").RecordEnd()
+		limiters.RemoveUnlisted(now.Add(100*time.Millisecond), none)
+		_, blocked := limiters.Get("r").Blocked(now.Add(200 * time.Millisecond))
+		g.Expect(blocked).To(BeTrue())
+	})
+	t.Run("refused", func(t *testing.T) {
+		g := NewWithT(t)
+		limiters := intake.NewLimiters()
+		limiters.SetQuotas(intake.Refusals, map[string]intake.Quota{"r": {InFlight: &intake.InFlightQuota{Calls: 1, Refusals: 1, Window: 30 * time.Second}}})
+		limiters.Get("r").RecordCall(now)
+		limiters.Get("r").RecordRefusal(now, true)
+		limiters.Get("r").RecordEnd()
+		limiters.RemoveUnlisted(now.Add(20*time.Second), none)
+		_, blocked := limiters.Get("r").Blocked(now.Add(21 * time.Second))
+		g.Expect(blocked).To(BeTrue())
+	})
+	t.Run("and is removed when nothing of it counts", func(t *testing.T) {
+		g := NewWithT(t)
+		limiters := intake.NewLimiters()
+		before := limiters.Get("r")
+		before.RecordCall(now)
+		limiters.RemoveUnlisted(now.Add(time.Hour), none)
+		g.Expect(limiters.Get("r")).NotTo(BeIdenticalTo(before))
+	})
+}
--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -429,14 +430,32 @@
 	g.setQuota(s, nil)
 }
 
-// RemoveUnlisted removes the limiters of replicas that are not listed. listed must not take a
-// lock under which Find or Get is called.
-func (gs *Limiters) RemoveUnlisted(listed func(replica string) bool) {
+// RemoveUnlisted removes the limiters of replicas that are not listed, unless their calls still
+// count: a replica may be missing from the list temporarily. listed must not take a lock under which
+// Find or Get is called.
+func (gs *Limiters) RemoveUnlisted(now time.Time, listed func(replica string) bool) {
+	gs.remove(func(replica string, g *Limiter) bool { return !listed(replica) && !g.callsCount(now) })
+}
+
+// RemoveAllUnlisted is RemoveUnlisted for limiters on which no quotas are set: it removes those whose
+// calls still count, too.
+func (gs *Limiters) RemoveAllUnlisted(listed func(replica string) bool) {
+	gs.remove(func(replica string, _ *Limiter) bool { return !listed(replica) })
+}
+
+func (gs *Limiters) remove(unused func(replica string, g *Limiter) bool) {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
-	for replica := range gs.limiters {
-		if !listed(replica) {
-			delete(gs.limiters, replica)
-		}
+	maps.DeleteFunc(gs.limiters, unused)
+}
+
+// callsCount reports whether a quota may depend on the calls that were recorded.
+func (g *Limiter) callsCount(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sinceCall := now.Sub(g.callTimes[g.newest])
+	if n := len(g.refusals); n > 0 && now.Sub(g.refusals[n-1]) < maxRefusalWindow {
+		return true
 	}
+	return sinceCall < quotaWindow || g.inFlight > 0 && sinceCall < unlistedRetention
 }
--- a/core/route/apply.go
+++ b/core/route/apply.go
@@ -54,10 +54,10 @@
 	}
 	r.current.Store(next)
 	if r.ownsLimiters {
-		// Calls that hold the lock of a shard ask for limiters, so that RemoveUnlisted must not
+		// Calls that hold the lock of a shard ask for limiters, so that RemoveAllUnlisted must not
 		// wait for one.
 		listed := next.listed()
-		r.config.Limiters.RemoveUnlisted(func(upstream string) bool { return listed[upstream] })
+		r.config.Limiters.RemoveAllUnlisted(func(upstream string) bool { return listed[upstream] })
 	}
 }
 
--- a/core/route/intake_test.go
+++ b/core/route/intake_test.go
@@ -139,7 +139,7 @@
 		}
 		less := testBundle(1, 100, bundle.PolicyAdaptive)
 		r.Apply(less)
-		limiters.RemoveUnlisted(func(name string) bool { return name == "u0" })
+		limiters.RemoveAllUnlisted(func(name string) bool { return name == "u0" })
 		limiters.SetQuotas(intake.Leaving, map[string]intake.Quota{"u1": {}})
 		r.Apply(b)
 		for range 50 {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -229,7 +229,7 @@
 // pruneNotices drops the notices of replicas that a view does not list.
 func (g *Gateway) pruneNotices(replicas *catalog.ReplicaSet) {
 	listed := replicas.Has
-	g.limiters.RemoveUnlisted(listed)
+	g.limiters.RemoveUnlisted(clock.Now(), listed)
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
 	g.notices.replicas, g.notices.byAddress = replicas, nil
