A restarted seed does not take itself for the whole fleet

Cause: a host without another seed counted its list of hosts as complete at once, though a seed that restarts knows nobody until the others ask it, every 2.5 to 7.5 s. It had the whole of each limit that hosts divide (cold replicas, announced limits, refusals) beside the shares of the others (FAILBACK).

The new spec, on the code before, six hosts and one seed, which restarts:

is not complete at its only seed, which restarts, until the seed knows all hosts again Expected ["127.77.153.1:7401"] to consist of the six; five missing

Change: a host that knows no other one counts as complete after the longest time in which all live hosts ask a seed, 8.5 s, or at once at the first start of the deployment. A host that is asked by one that is new to it, and whose fleet has formed, asks back, and is not complete until the answer. A fleet that starts as a whole sends nothing more: its hosts are known when their fleet has formed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,11 @@
 	steadyRosterInterval = 5 * time.Second
 	// rosterTimeout limits one roster request.
 	rosterTimeout = time.Second
+	// maxContacts limits the hosts that wait to be asked for their rosters.
+	maxContacts = 4
+	// contactTime is the longest time until all live hosts have contacted a seed that has just
+	// started: the longest interval between two requests, with one that failed.
+	contactTime = steadyRosterInterval*3/2 + rosterTimeout
 )
 
 // Config holds the settings and dependencies of a Fleet.
@@ -47,6 +52,9 @@
 	Self Host
 	// Seeds are the names of hosts to contact first; they may be down.
 	Seeds []string
+	// FirstStart says that the deployment starts for the first time, so that no host runs that
+	// has not contacted a seed yet.
+	FirstStart bool
 	// Listen is the ip:port on which peer daemons reach this host.
 	Listen string
 	// Mux is where the Fleet registers the methods that peers may call.
@@ -75,6 +83,12 @@
 	// reportedSize is the number of hosts that a seed reported while the fleet was
 	// forming.
 	reportedSize atomic.Int64
+	// started is when this host started.
+	started time.Time
+	// contacts receives the hosts that contacted this host and may know more of the fleet, and
+	// openContacts counts those that have not been asked yet.
+	contacts     chan string
+	openContacts atomic.Int64
 	// pendingRequests holds the seeds that have an outstanding roster request while the
 	// fleet is forming.
 	pendingRequests sync.Map
@@ -85,7 +99,7 @@
 func New(cfg Config) (*Fleet, error) {
 	incarnation := uint64(time.Now().UnixMilli())
 	cfg.Self.Incarnation = incarnation
-	f := &Fleet{cfg: cfg, log: cfg.Logger, roster: newRoster(cfg.Self), calls: membership.NewCallPool(), formed: make(chan struct{})}
+	f := &Fleet{cfg: cfg, log: cfg.Logger, roster: newRoster(cfg.Self), calls: membership.NewCallPool(), formed: make(chan struct{}), started: clock.Now(), contacts: make(chan string, maxContacts)}
 	f.SetSeeds(cfg.Seeds)
 	peer.Handle(cfg.Mux, methodRoster, f.handleRosterRequest)
 	members := member.DefaultConfig(cfg.Self.Host, incarnation)
@@ -162,15 +176,23 @@
 
 // KnownHosts returns the names of all known hosts, including those that died within the
 // last minutes, and whether the list can be assumed complete: the fleet has formed and no
-// seed knows more hosts.
+// seed knows more hosts. That no other host is known says nothing on a host that has just
+// started, even if it is the only seed: the others contact it every few seconds.
 func (f *Fleet) KnownHosts() (names []string, complete bool) {
 	all := f.roster.all()
 	names = make([]string, 0, len(all))
 	for _, h := range all {
 		names = append(names, h.Name)
 	}
-	onlySelfKnown := len(all) == 1 && len(f.otherSeeds()) > 0
-	return names, f.hasFormed() && !onlySelfKnown && len(all) >= int(f.reportedSize.Load())
+	if len(all) == 1 && (len(f.otherSeeds()) > 0 || !f.contactedByAll()) {
+		return names, false
+	}
+	return names, f.hasFormed() && f.openContacts.Load() == 0 && len(all) >= int(f.reportedSize.Load())
+}
+
+// contactedByAll reports whether all live hosts have contacted this host, if it is a seed.
+func (f *Fleet) contactedByAll() bool {
+	return f.cfg.FirstStart || clock.Since(f.started) >= contactTime
 }
 
 // Reachable returns the hosts that may be called: all known ones except those that are
@@ -213,6 +235,7 @@
 	var group errgroup.Group
 	group.Go(func() error { f.loop.Run(ctx); return nil })
 	group.Go(func() error { f.syncRoster(ctx); return nil })
+	group.Go(func() error { f.askContacts(ctx); return nil })
 	err := group.Wait()
 	shutdownCtx, cancel := clock.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -229,10 +252,14 @@
 	}
 }
 
-// handleRosterRequest answers a peer's roster request and adds the peer.
+// handleRosterRequest answers a peer's roster request and adds the peer. A peer that is new here
+// although its fleet has formed knows the hosts that ran before this one.
 func (f *Fleet) handleRosterRequest(_ context.Context, from peer.Sender, req *wire.RosterRequest) (*wire.RosterReply, error) {
 	self := fromWire([]*wire.RosterHost{req.GetSelf()})
 	self[0].Name = from.Host
+	if !req.GetForming() && !f.roster.has(from.Host) {
+		f.noteContact(from.Host)
+	}
 	f.addHosts(from.Host, self)
 	reply := &wire.RosterReply{Formed: f.hasFormed()}
 	if req.GetForming() {
@@ -243,6 +270,29 @@
 	return reply, nil
 }
 
+// noteContact has a host asked for the hosts that it knows, unless several others will be.
+func (f *Fleet) noteContact(host string) {
+	f.openContacts.Add(1)
+	select {
+	case f.contacts <- host:
+	default:
+		f.openContacts.Add(-1)
+	}
+}
+
+// askContacts asks the hosts that contacted this host, until ctx ends.
+func (f *Fleet) askContacts(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case host := <-f.contacts:
+			f.requestRoster(ctx, host)
+			f.openContacts.Add(-1)
+		}
+	}
+}
+
 // addHosts adds hosts that another host reported.
 func (f *Fleet) addHosts(from string, hosts []Host) {
 	if !f.roster.add(hosts...) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -157,6 +157,32 @@
 		Eventually(names(first), "20s").Should(ConsistOf(a))
 	})
 
+	// A seed that restarts knows nobody until the others ask it again, which they do every few
+	// seconds. It would use the shares of the whole fleet beside them.
+	It("is not complete at its only seed, which restarts, until the seed knows all hosts again", func() {
+		seed := address()
+		_, stop := start(seed, 1, seed)
+		all := []string{seed}
+		var others []*fleet.Fleet
+		for range 5 {
+			all = append(all, address())
+			f, _ := start(all[len(all)-1], 1, seed)
+			others = append(others, f)
+		}
+		for _, f := range others {
+			Eventually(names(f), "5s").Should(ConsistOf(all))
+		}
+		stop()
+		restarted, _ := start(seed, 1, seed)
+		var known []string
+		Eventually(func() bool {
+			var complete bool
+			known, complete = restarted.KnownHosts()
+			return complete
+		}, "10s", "1ms").Should(BeTrue())
+		Expect(known).To(ConsistOf(all))
+	})
+
 	It("lists a restarted host with its new incarnation", func() {
 		a, b := address(), address()
 		first, _ := start(a, 1, a)
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -99,6 +99,13 @@
 	r.sorted = nil
 }
 
+func (r *roster) has(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, known := r.hosts[name]
+	return known
+}
+
 func (r *roster) size() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,7 @@
 	g.paths.server.Register(mux)
 	members, err := fleet.New(fleet.Config{
 		Self:  fleet.Host{Host: member.Host{Name: s.Host, FailureDomain: s.FailureDomain}, Capacity: int(s.Limits.ProcessorShare * 1000)},
-		Seeds: s.Seeds, Listen: s.Listen.Peers, Mux: mux, Logger: log,
+		Seeds: s.Seeds, FirstStart: s.FirstStart, Listen: s.Listen.Peers, Mux: mux, Logger: log,
 		HeartbeatSlots: []member.SlotConfig{quarantine.HeartbeatSlot()}, OnSlotUpdate: func(h member.SlotReceived) { g.quarantine.DigestReceived(h) },
 	})
 	if err != nil {
