Calls that an earlier process of the host may have made count

Cause: a limiter knew no calls after a start and allowed the host's whole quota at once.

The new test, on the code before: TestCallsOfAnEarlierProcessCount, "Expected false to be true": a restarted host is not blocked within the window.

Change: the places of the ring of calls that are not known count as used at the start of the process, unless the deployment starts for the first time. A quota is so used from one window after the start. Calls in flight are not: those of a dead process end with its connections.

Cost: a host that starts sends nothing to cold replicas for 1.1 s, of which the fleet takes 0.25 to 1 s to form, and to replicas with an announced limit for 4 s.

Measured: go test ./core/intake -run 'TestCalls|Limiter|Quota|Probe', ./stages, ./core/stage, ./core/route, and go test -race ./gateway -run 'Cold|Limit|Borrow|Refusal' green.

--- a/core/intake/limit_test.go
+++ b/core/intake/limit_test.go
@@ -76,7 +76,7 @@
 	for _, limit := range []float64{0, 0.01} {
 		var probeTimes []time.Duration
 		for _, h := range hosts {
-			limiters := intake.NewLimiters()
+			limiters := intake.NewLimiters(time.Time{})
 			limiter := limiters.Get("r")
 			limiters.SetQuotas(intake.AnnouncedLimit, map[string]intake.Quota{"r": intake.NewShares(h, hosts).LimitQuota(replicaLimit("r", limit), intake.Requester)})
 			for d := time.Duration(0); d < 2*time.Minute; d += 100 * time.Millisecond {
@@ -95,7 +95,7 @@
 
 func TestLimiterReportsWhenTheNextCallIsAllowed(t *testing.T) {
 	g := NewWithT(t)
-	limiters := intake.NewLimiters()
+	limiters := intake.NewLimiters(time.Time{})
 	limiter := limiters.Get("r")
 	g.Expect(limiter.NextAllowed(start)).To(Equal(start))
 	limiters.SetQuotas(intake.AnnouncedLimit, map[string]intake.Quota{"r": {Calls: 2, Window: 4 * time.Second}})
@@ -147,7 +147,7 @@
 	none := func(string) bool { return false }
 	t.Run("in flight", func(t *testing.T) {
 		g := NewWithT(t)
-		limiters := intake.NewLimiters()
+		limiters := intake.NewLimiters(time.Time{})
 		limiters.SetQuotas(intake.Refusals, map[string]intake.Quota{"r": {InFlight: &intake.InFlightQuota{Calls: 1, Refusals: 1, Window: time.Second}}})
 		limiters.Get("r").RecordCall(now)
 		limiters.RemoveUnlisted(now.Add(20*time.Second), none)
@@ -159,7 +159,7 @@
 	})
 	t.Run("begun in the window", func(t *testing.T) {
 		g := NewWithT(t)
-		limiters := intake.NewLimiters()
+		limiters := intake.NewLimiters(time.Time{})
 		limiters.SetQuotas(intake.Cold, map[string]intake.Quota{"r": {Calls: 1, Window: intake.ColdWindow}})
 		limiters.Get("r").RecordCall(now)
 		limiters.Get("r").RecordEnd()
@@ -169,7 +169,7 @@
 	})
 	t.Run("refused", func(t *testing.T) {
 		g := NewWithT(t)
-		limiters := intake.NewLimiters()
+		limiters := intake.NewLimiters(time.Time{})
 		limiters.SetQuotas(intake.Refusals, map[string]intake.Quota{"r": {InFlight: &intake.InFlightQuota{Calls: 1, Refusals: 1, Window: 30 * time.Second}}})
 		limiters.Get("r").RecordCall(now)
 		limiters.Get("r").RecordRefusal(now, true)
@@ -180,10 +180,33 @@
 	})
 	t.Run("and is removed when nothing of it counts", func(t *testing.T) {
 		g := NewWithT(t)
-		limiters := intake.NewLimiters()
+		limiters := intake.NewLimiters(time.Time{})
 		before := limiters.Get("r")
 		before.RecordCall(now)
 		limiters.RemoveUnlisted(now.Add(time.Hour), none)
 		g.Expect(limiters.Get("r")).NotTo(BeIdenticalTo(before))
 	})
 }
+
+// Guards against hosts that restart within a window and begin their quota of calls again: the replica
+// gets those of both processes.
+func TestCallsOfAnEarlierProcessCount(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	quota := map[string]intake.Quota{"r": {Calls: 2, Window: intake.ColdWindow}}
+	blocked := func(limiters *intake.Limiters, at time.Time) bool {
+		_, b := limiters.Get("r").Blocked(at)
+		return b
+	}
+	restarted := intake.NewLimiters(start)
+	restarted.SetQuotas(intake.Cold, quota)
+	g.Expect(blocked(restarted, start.Add(intake.ColdWindow-1))).To(BeTrue())
+	g.Expect(restarted.Get("r").NextAllowed(start)).To(Equal(start.Add(intake.ColdWindow)))
+	g.Expect(blocked(restarted, start.Add(intake.ColdWindow))).To(BeFalse())
+	restarted.Get("r").RecordCall(start.Add(intake.ColdWindow))
+	g.Expect(blocked(restarted, start.Add(intake.ColdWindow))).To(BeFalse())
+
+	first := intake.NewLimiters(time.Time{})
+	first.SetQuotas(intake.Cold, quota)
+	g.Expect(blocked(first, start)).To(BeFalse(), "no earlier process has called")
+}
--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -71,6 +71,9 @@
 	// bounded is set while any quota is set. Calls to unlimited replicas check only this
 	// field and do not take the lock.
 	bounded atomic.Bool
+	// recordedSince is the start of the process: an earlier one may have used the whole quota
+	// just before. It is zero if there was none.
+	recordedSince time.Time
 
 	mu     sync.Mutex
 	quotas [sourceCount]*Quota
@@ -293,6 +296,9 @@
 		return g.probeAllowedAt(p)
 	}
 	oldest := g.callTimes[(g.newest+1+MaxTrackedCalls-min(p.Calls, MaxTrackedCalls))%MaxTrackedCalls]
+	if oldest.IsZero() {
+		oldest = g.recordedSince
+	}
 	if oldest.IsZero() {
 		return oldest
 	}
@@ -358,6 +364,9 @@
 
 // Limiters holds the limiters of all replicas by ID. It is safe for concurrent use.
 type Limiters struct {
+	// recordedSince is the start of the process; zero if no earlier one has made calls.
+	recordedSince time.Time
+
 	mu       sync.Mutex
 	limiters map[string]*Limiter
 	quotas   [sourceCount]map[string]Quota
@@ -365,8 +374,11 @@
 	limited atomic.Bool
 }
 
-// NewLimiters returns Limiters without quotas.
-func NewLimiters() *Limiters { return &Limiters{limiters: map[string]*Limiter{}} }
+// NewLimiters returns Limiters without quotas. recordedSince is the start of the process, or zero if
+// no earlier process of its host can have made calls.
+func NewLimiters(recordedSince time.Time) *Limiters {
+	return &Limiters{limiters: map[string]*Limiter{}, recordedSince: recordedSince}
+}
 
 // Find returns the limiter of a replica for reading. It is nil if the replica has no
 // quota.
@@ -396,7 +408,7 @@
 func (gs *Limiters) get(replica string) *Limiter {
 	g := gs.limiters[replica]
 	if g == nil {
-		g = &Limiter{}
+		g = &Limiter{recordedSince: gs.recordedSince}
 		gs.limiters[replica] = g
 		for s := range gs.quotas {
 			gs.applyQuota(Source(s), replica, g)
--- a/core/intake/loans_test.go
+++ b/core/intake/loans_test.go
@@ -65,7 +65,7 @@
 	limit := intake.ReplicaLimit{Replica: "r", Limit: intake.Limit{Announced: true, PerSecond: c.perSecond}}
 	for _, name := range names {
 		shares := intake.NewShares(name, names)
-		h := &loanHost{name: name, limiters: intake.NewLimiters()}
+		h := &loanHost{name: name, limiters: intake.NewLimiters(time.Time{})}
 		if c.cold {
 			h.loans, h.source = intake.NewColdLoans(), intake.Cold
 			h.share = intake.Quota{Calls: shares.Calls("r", int(c.perSecond)), Window: h.loans.Window()}
@@ -214,7 +214,7 @@
 func restartExcept(now time.Time, hosts []*loanHost, except *loanHost) {
 	for _, h := range hosts {
 		if h != except {
-			h.loans, h.limiters = intake.NewColdLoans(), intake.NewLimiters()
+			h.loans, h.limiters = intake.NewColdLoans(), intake.NewLimiters(time.Time{})
 			h.incarnation, h.downUntil = h.incarnation+1, now.Add(downtime)
 		}
 	}
--- a/core/intake/random_test.go
+++ b/core/intake/random_test.go
@@ -139,7 +139,7 @@
 	all := hostNames(n + n/2)
 	living, dead, late := all[:n], all[n:], f.rng.IntN(4)
 	for i, name := range living {
-		h := &simHost{name: name, limiters: intake.NewLimiters(), knownHosts: slices.Clone(living), appliesQuotas: true, startsAt: start}
+		h := &simHost{name: name, limiters: intake.NewLimiters(time.Time{}), knownHosts: slices.Clone(living), appliesQuotas: true, startsAt: start}
 		if i >= n-late {
 			h.startsAt = start.Add(time.Duration(f.rng.IntN(15)) * time.Second)
 		} else if f.rng.IntN(3) == 0 {
--- a/core/intake/refusals_test.go
+++ b/core/intake/refusals_test.go
@@ -52,7 +52,7 @@
 		f.replicas = append(f.replicas, &crowdedReplica{name: fmt.Sprint("replica-", i)})
 	}
 	for _, n := range names {
-		l := intake.NewLimiters()
+		l := intake.NewLimiters(time.Time{})
 		if informed {
 			var limits []intake.ReplicaLimit
 			for _, r := range f.replicas {
@@ -223,7 +223,7 @@
 func TestLimiterOfCallsInFlight(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_700_000_000, 0)
-	ls := intake.NewLimiters()
+	ls := intake.NewLimiters(time.Time{})
 	l := ls.Get("r")
 	blocked := func() bool { _, b := l.Blocked(now); return b }
 	l.RecordCall(now)
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -102,7 +102,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.Limiters == nil {
-		c.Limiters = intake.NewLimiters()
+		c.Limiters = intake.NewLimiters(time.Time{})
 	}
 	setDefault(&c.RandomChoices, 2)
 	setDefault(&c.SaturationFactor, 2)
--- a/core/route/fleet_behaviour_test.go
+++ b/core/route/fleet_behaviour_test.go
@@ -134,7 +134,7 @@
 	It("ejects again at the first failure after readmission", func() {
 		c := Config{}.withDefaults().Ejection
 		p := &poolView{members: newMemberSet([]*member{newMember(bundle.Upstream{Name: "u0"}, nil), newMember(bundle.Upstream{Name: "u1"}, nil)}), shard: newShard(1, 1)}
-		limiters := Config{Limiters: intake.NewLimiters()}
+		limiters := Config{Limiters: intake.NewLimiters(time.Time{})}
 		s := p.shard.stateOf(p.members.find("u0"), start, &limiters)
 		s.ejection.start(start, ejectedFailures, c)
 		Expect(s.ejection.until).To(Equal(start.Add(2 * time.Second)))
--- a/core/route/intake_test.go
+++ b/core/route/intake_test.go
@@ -130,7 +130,7 @@
 
 var _ = Describe("an upstream that is temporarily not listed", func() {
 	It("is limited when it is listed again, although calls to it are in flight", func() {
-		limiters := intake.NewLimiters()
+		limiters := intake.NewLimiters(time.Time{})
 		r := New(Config{FailureDomain: "d0", Seed: 1, Limiters: limiters})
 		b := testBundle(2, 100, bundle.PolicyAdaptive)
 		r.Apply(b)
--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -68,7 +68,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.Limiters == nil {
-		c.Limiters = intake.NewLimiters()
+		c.Limiters = intake.NewLimiters(time.Time{})
 	}
 	orDefault(&c.CrossDomainBytesPerMs, 600)
 	orDefault(&c.DomainWaitSlackShare, 0.8)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,9 +96,10 @@
 
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{started: clock.Now(), initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters()}
+	g := &Gateway{started: clock.Now(), initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
+	g.limiters = intake.NewLimiters(g.recordedSince())
 	g.evacuatedServices.Store(&map[string]bool{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixMinLoad: prefixMinLoad, PrefixBonus: prefixBonus, BacklogWeight: backlogWeight,
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -114,7 +114,7 @@
 
 func newPlanner(cfg stage.Config, replicas Replicas, log *zap.Logger) *planner {
 	if cfg.Limiters == nil {
-		cfg.Limiters = intake.NewLimiters()
+		cfg.Limiters = intake.NewLimiters(time.Time{})
 	}
 	p := &planner{
 		replicas: replicas, limiters: cfg.Limiters, log: log, machine: stage.New(cfg),
--- a/stages/send_test.go
+++ b/stages/send_test.go
@@ -30,7 +30,7 @@
 // for pending releases of results.
 func TestCallToReplicaThatClosedSinceDispatchIsNotSent(t *testing.T) {
 	g := NewWithT(t)
-	replicas, limiters := &countingReplicas{}, intake.NewLimiters()
+	replicas, limiters := &countingReplicas{}, intake.NewLimiters(time.Time{})
 	p := newPlanner(stage.Config{Limiters: limiters}, replicas, zap.NewNop())
 	send := func() stage.CallOutcome {
 		_, outcome, _ := p.send(context.Background(), stage.Run{Replica: "r"})
