Template: the first start renders as one value however the platform renders false

A section for a value that is false may count as present. The value false, a missing one and true now render to one YAML value each; the settings specs cover the three. Not rendered by the platform itself yet.

--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -33,12 +33,9 @@
 		"platform.address": "10.200.1.7:8624", "bounds.drain_ms": "2000", "bounds.config_ms": "2000", "bounds.grace_s": "8",
 		"bounds.retry_ratio": "0.2", "bounds.retry_slack": "54", "bounds.retry_window_s": "10",
 		"limits.cpus": "1", "limits.cpu_quota": "0.4", "limits.memory_mb": "284",
+		"bootstrap|json": "false",
 	}
 	maps.Copy(values, more)
-	if more["bootstrap"] == "true" {
-		text = strings.ReplaceAll(text, "{{#bootstrap}}true{{/bootstrap}}", "true")
-	}
-	text = strings.ReplaceAll(text, "{{#bootstrap}}true{{/bootstrap}}", "")
 	text = absentSection.ReplaceAllStringFunc(text, func(section string) string {
 		parts := absentSection.FindStringSubmatch(section)
 		if _, there := values[parts[1]]; there {
@@ -85,11 +82,15 @@
 		Expect(s.FirstStart).To(BeFalse())
 	})
 
-	It("tell the first start of a deployment", func() {
-		s, err := load(render(map[string]string{"bootstrap": "true"}))
+	DescribeTable("tell the first start of a deployment", func(values map[string]string, want bool) {
+		s, err := load(render(values))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(s.FirstStart).To(BeTrue())
-	})
+		Expect(s.FirstStart).To(Equal(want))
+	},
+		Entry("first start", map[string]string{"bootstrap": "true", "bootstrap|json": "true"}, true),
+		Entry("restart", map[string]string{"bootstrap|json": "false"}, false),
+		Entry("the deployment does not say", map[string]string{"bootstrap|json": ""}, false),
+	)
 
 	It("use the configured limit of cold replicas where the deployment sets no overage or slack", func() {
 		s, err := load(render(nil))
