--- a/core/intake/limiter.go
+++ b/core/intake/limiter.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,9 @@
 	// bounded is set while any quota is set. Calls to unlimited replicas check only this
 	// field and do not take the lock.
 	bounded atomic.Bool
+	// recordedSince is the start of the process: an earlier one may have used the whole quota
+	// just before. It is zero if there was none.
+	recordedSince time.Time
 
 	mu     sync.Mutex
 	quotas [sourceCount]*Quota
@@ -292,6 +296,9 @@
 		return g.probeAllowedAt(p)
 	}
 	oldest := g.callTimes[(g.newest+1+MaxTrackedCalls-min(p.Calls, MaxTrackedCalls))%MaxTrackedCalls]
+	if oldest.IsZero() {
+		oldest = g.recordedSince
+	}
 	if oldest.IsZero() {
 		return oldest
 	}
@@ -357,6 +364,9 @@
 
 // Limiters holds the limiters of all replicas by ID. It is safe for concurrent use.
 type Limiters struct {
+	// recordedSince is the start of the process; zero if no earlier one has made calls.
+	recordedSince time.Time
+
 	mu       sync.Mutex
 	limiters map[string]*Limiter
 	quotas   [sourceCount]map[string]Quota
@@ -364,8 +374,11 @@
 	limited atomic.Bool
 }
 
-// NewLimiters returns Limiters without quotas.
-func NewLimiters() *Limiters { return &Limiters{limiters: map[string]*Limiter{}} }
+// NewLimiters returns Limiters without quotas. recordedSince is the start of the process, or zero if
+// no earlier process of its host can have made calls.
+func NewLimiters(recordedSince time.Time) *Limiters {
+	return &Limiters{limiters: map[string]*Limiter{}, recordedSince: recordedSince}
+}
 
 // Find returns the limiter of a replica for reading. It is nil if the replica has no
 // quota.
@@ -395,7 +408,7 @@
 func (gs *Limiters) get(replica string) *Limiter {
 	g := gs.limiters[replica]
 	if g == nil {
-		g = &Limiter{}
+		g = &Limiter{recordedSince: gs.recordedSince}
 		gs.limiters[replica] = g
 		for s := range gs.quotas {
 			gs.applyQuota(Source(s), replica, g)
@@ -429,14 +442,32 @@
 	g.setQuota(s, nil)
 }
 
-// RemoveUnlisted removes the limiters of replicas that are not listed. listed must not take a
-// lock under which Find or Get is called.
-func (gs *Limiters) RemoveUnlisted(listed func(replica string) bool) {
+// RemoveUnlisted removes the limiters of replicas that are not listed, unless their calls still
+// count: a replica may be missing from the list temporarily. listed must not take a lock under which
+// Find or Get is called.
+func (gs *Limiters) RemoveUnlisted(now time.Time, listed func(replica string) bool) {
+	gs.remove(func(replica string, g *Limiter) bool { return !listed(replica) && !g.callsCount(now) })
+}
+
+// RemoveAllUnlisted is RemoveUnlisted for limiters on which no quotas are set: it removes those whose
+// calls still count, too.
+func (gs *Limiters) RemoveAllUnlisted(listed func(replica string) bool) {
+	gs.remove(func(replica string, _ *Limiter) bool { return !listed(replica) })
+}
+
+func (gs *Limiters) remove(unused func(replica string, g *Limiter) bool) {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
-	for replica := range gs.limiters {
-		if !listed(replica) {
-			delete(gs.limiters, replica)
-		}
+	maps.DeleteFunc(gs.limiters, unused)
+}
+
+// callsCount reports whether a quota may depend on the calls that were recorded.
+func (g *Limiter) callsCount(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sinceCall := now.Sub(g.callTimes[g.newest])
+	if n := len(g.refusals); n > 0 && now.Sub(g.refusals[n-1]) < maxRefusalWindow {
+		return true
 	}
+	return sinceCall < quotaWindow || g.inFlight > 0 && sinceCall < unlistedRetention
 }
--- a/core/route/intake_test.go
+++ b/core/route/intake_test.go
@@ -130,7 +130,7 @@
 
 var _ = Describe("an upstream that is temporarily not listed", func() {
 	It("is limited when it is listed again, although calls to it are in flight", func() {
-		limiters := intake.NewLimiters()
+		limiters := intake.NewLimiters(time.Time{})
 		r := New(Config{FailureDomain: "d0", Seed: 1, Limiters: limiters})
 		b := testBundle(2, 100, bundle.PolicyAdaptive)
 		r.Apply(b)
@@ -139,7 +139,7 @@
 		}
 		less := testBundle(1, 100, bundle.PolicyAdaptive)
 		r.Apply(less)
-		limiters.RemoveUnlisted(func(name string) bool { return name == "u0" })
+		limiters.RemoveAllUnlisted(func(name string) bool { return name == "u0" })
 		limiters.SetQuotas(intake.Leaving, map[string]intake.Quota{"u1": {}})
 		r.Apply(b)
 		for range 50 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,8 @@
 // Gateway is one gateway daemon.
 type Gateway struct {
 	settings atomic.Pointer[Settings]
+	// started is when this daemon started.
+	started time.Time
 	// initialized is closed when New has set all fields: peers may call before that.
 	initialized chan struct{}
 	log         *zap.Logger
@@ -103,9 +105,10 @@
 
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, limiters: intake.NewLimiters(), promptMemory: newPromptMemory()}
+	g := &Gateway{started: clock.Now(), initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, promptMemory: newPromptMemory()}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
+	g.limiters = intake.NewLimiters(g.recordedSince())
 	g.answerMemory = httpbody.NewMemory(int64(s.Limits.MemoryMB) << 20 / answerMemoryShare)
 	g.evacuatedServices.Store(&map[string]bool{})
 	g.router = route.New(route.Config{
@@ -113,7 +116,7 @@
 		OnEjected: g.logEjection, OnSilence: g.logSilence, Limiters: g.limiters,
 	})
 	g.slowdowns.router = g.router
-	g.origins.started = clock.Now()
+	g.origins.started = g.started
 	g.reachability.router, g.reachability.table, g.reachability.avoided = g.router, reach.New(s.Host), map[string]bool{}
 	mux := peer.NewMux()
 	g.registerPromptHandler(mux)
@@ -124,7 +127,7 @@
 	g.paths.server.Register(mux)
 	members, err := fleet.New(fleet.Config{
 		Self:  fleet.Host{Host: member.Host{Name: s.Host, FailureDomain: s.FailureDomain}, Capacity: int(s.Limits.ProcessorShare * 1000)},
-		Seeds: s.Seeds, Listen: s.Listen.Peers, Mux: mux, Logger: log,
+		Seeds: s.Seeds, FirstStart: s.FirstStart, Listen: s.Listen.Peers, Mux: mux, Logger: log,
 		HeartbeatSlots: []member.SlotConfig{quarantine.HeartbeatSlot()}, OnSlotUpdate: func(h member.SlotReceived) { g.quarantine.DigestReceived(h) },
 	})
 	if err != nil {
@@ -285,7 +288,7 @@
 	b, ok := g.retryBudgets.Load(service)
 	if !ok {
 		s := g.settings.Load().Budget
-		b, _ = g.retryBudgets.LoadOrStore(service, retry.NewSharedBudget(budgetFraction*s.Ratio, budgetFraction*s.Slack, s.Window, hosts))
+		b, _ = g.retryBudgets.LoadOrStore(service, retry.NewSharedBudget(budgetFraction*s.Ratio, budgetFraction*s.Slack, s.Window, hosts, g.recordedSince()))
 	}
 	shared := b.(*retry.SharedBudget)
 	shared.SetHosts(hosts, func(total int) int {
@@ -298,9 +301,18 @@
 	return shared
 }
 
+// recordedSince returns the time since which this daemon remembers what its host has done: its
+// start, or the zero time if no earlier process has run.
+func (g *Gateway) recordedSince() time.Time {
+	if g.settings.Load().FirstStart {
+		return time.Time{}
+	}
+	return g.started
+}
+
 const (
-	// budgetFraction is the fraction of the fleet's retry budget that is used: daemons that
-	// restart begin with a full share.
+	// budgetFraction is the fraction of the fleet's retry budget that is used. Daemons that
+	// learn late of hosts that have left or joined divide the slack by different numbers.
 	budgetFraction = 0.7
 	// minBudgetHosts divides the slack while fewer daemons are known.
 	minBudgetHosts = 6
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -34,6 +34,7 @@
 		"platform.address": "10.200.1.7:8624", "platform.history_s": "20", "heartbeat_ms": "1200", "bounds.drain_ms": "2000", "bounds.config_ms": "2000", "bounds.grace_s": "8",
 		"bounds.retry_ratio": "0.2", "bounds.retry_slack": "54", "bounds.retry_window_s": "10",
 		"limits.cpus": "1", "limits.cpu_quota": "0.4", "limits.memory_mb": "284",
+		"bootstrap|json": "false",
 	}
 	maps.Copy(values, more)
 	text = absentSection.ReplaceAllStringFunc(text, func(section string) string {
@@ -80,8 +81,19 @@
 		Expect(s.Cold).To(Equal(gateway.Cold{Overage: 1.5, Slack: 5}))
 		Expect(s.Stages.FairShares).To(BeTrue())
 		Expect(s.Store).To(Equal(gateway.Store{Address: "10.200.1.7:8624", Retention: 20 * time.Second, Heartbeat: 1200 * time.Millisecond}))
+		Expect(s.FirstStart).To(BeFalse())
 	})
 
+	DescribeTable("tell the first start of a deployment", func(values map[string]string, want bool) {
+		s, err := load(render(values))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.FirstStart).To(Equal(want))
+	},
+		Entry("first start", map[string]string{"bootstrap": "true", "bootstrap|json": "true"}, true),
+		Entry("restart", map[string]string{"bootstrap|json": "false"}, false),
+		Entry("the deployment does not say", map[string]string{"bootstrap|json": ""}, false),
+	)
+
 	It("use the configured limit of cold replicas where the deployment sets no overage or slack", func() {
 		s, err := load(render(nil))
 		Expect(err).NotTo(HaveOccurred())
