--- a/discovery/versions_test.go
+++ b/discovery/versions_test.go
@@ -408,7 +408,6 @@
 // Guards against calls to the store that grow with the hosts that start together.
 func TestHostsThatStartTogetherReadTheStoresPastOnce(t *testing.T) {
 	const hosts = 60
-	t.Parallel()
 	calls := map[bool]int{}
 	for _, read := range []bool{false, true} {
 		f := newReleasedFleet(t, hosts, func(c *discovery.Config) {
