discovery: activate the last valid configuration of a read only

A watch shows every configuration that was written since, and each was activated and fetched by peers one after the other, so that the last one was late on the hosts behind.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -247,16 +247,19 @@
 // applyOperatorChanges applies changed configurations and evacuations.
 func (d *Discovery) applyOperatorChanges(items []platform.Item) {
 	var newest uint64
-	var orders []platform.Item
+	var orders, configs []platform.Item
 	for _, item := range items {
 		newest = max(newest, item.Revision)
 		switch {
 		case item.Key == platform.ConfigKey && !item.Removed:
-			d.applyStoredConfig(item)
+			configs = append(configs, item)
 		case strings.HasPrefix(item.Key, platform.EvacuationPrefix):
 			orders = append(orders, item)
 		}
 	}
+	for _, item := range fromLastValid(configs) {
+		d.applyStoredConfig(item)
+	}
 	if newest == 0 {
 		return
 	}
@@ -271,6 +274,17 @@
 	d.checkedRevisions = checkedRevisions{newest}
 }
 
+// fromLastValid returns the last of several configurations that is valid and those after it: the
+// ones before need not be activated, nor sent to peers.
+func fromLastValid(configs []platform.Item) []platform.Item {
+	for i := len(configs) - 1; i > 0; i-- {
+		if _, err := decodeConfig(configs[i].Value); err == nil {
+			return configs[i:]
+		}
+	}
+	return configs
+}
+
 // readConfig reads the configuration from the store. When none has been written yet, a
 // watch from the revision of the replicas waits for the first one.
 func (d *Discovery) readConfig(ctx context.Context) bool {
