--- a/core/origin/history_test.go
+++ b/core/origin/history_test.go
@@ -115,7 +115,6 @@
 	lives []life
 	// listed are the indexes of the lives that have not ended.
 	listed []int
-	next   int
 }
 
 type life struct {
