Discovery: ask peers for their history in several rounds

Cause: a peer's history can be joined only once its view is newer than the beginning of the asking host's own one; it was asked once. Change: three rounds, an interval apart.

--- a/discovery/past.go
+++ b/discovery/past.go
@@ -95,12 +95,30 @@
 	return d.versions.CompleteFor(clock.Now())
 }
 
-// maxHistoryPeers is the number of peers that are asked for their history.
-const maxHistoryPeers = 3
+// maxHistoryPeers is the number of peers that are asked for their history, and maxHistoryRounds
+// how often: a peer's history can be joined to this host's once its view is newer than the
+// beginning of this one.
+const (
+	maxHistoryPeers  = 3
+	maxHistoryRounds = 3
+)
 
 // askPeersForHistory asks some peers for their history, and reports whether the store's past
 // would add nothing to it.
 func (d *Discovery) askPeersForHistory(ctx context.Context) bool {
+	for range maxHistoryRounds {
+		if d.askSomePeersForHistory(ctx) {
+			return true
+		}
+		if len(d.cfg.Members.Reachable()) < 2 || !periodic.Sleep(ctx, d.interval()) {
+			return false
+		}
+	}
+	return false
+}
+
+// askSomePeersForHistory is one round of askPeersForHistory.
+func (d *Discovery) askSomePeersForHistory(ctx context.Context) bool {
 	hosts := slices.DeleteFunc(d.cfg.Members.Reachable(), func(h fleet.Host) bool { return h.Name == d.cfg.Self })
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	for _, h := range hosts[:min(maxHistoryPeers, len(hosts))] {
