Discovery: the store's past is not read

Cause: reading changes from before the first list was tried, to know after a loss of all hosts which versions had been listed. A change bears no time; its age was estimated from the heartbeats among the changes.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -52,8 +52,6 @@
 	// PropagationBound returns the time within which a change that the store acknowledged
 	// must be active here.
 	PropagationBound func() time.Duration
-	// StorePast describes what the store has of its own past; the zero value: nothing.
-	StorePast StorePast
 	// OnViewChange is called with every view whose content differs from the previous one,
 	// by one goroutine at a time.
 	OnViewChange func(*View)
@@ -77,12 +75,10 @@
 	// versionsMu, which is locked after mu. It is changed with mu held.
 	versionsMu sync.Mutex
 	versions   origin.History
-	// pastUnread says that the history was restarted, and that nobody was asked yet for what
-	// was listed before; pastWork wakes syncPast. restartedAt is the store's revision of the
-	// list with which the history was last restarted.
-	pastUnread  bool
-	pastWork    chan struct{}
-	restartedAt uint64
+	// historyRestarted says that nobody was asked yet for what was listed before the history
+	// was restarted; historyWork wakes syncHistory.
+	historyRestarted bool
+	historyWork      chan struct{}
 	// firstViewAt is when this host received the first part of its first view.
 	firstViewAt time.Time
 	// listsAlone says that this host may list all replicas, however many there are; until
@@ -151,7 +147,7 @@
 // New returns a Discovery that has not started, and registers its methods.
 func New(cfg Config) *Discovery {
 	d := &Discovery{
-		cfg: cfg, log: cfg.Logger, viewChanged: make(chan struct{}), source: cfg.Self, configWork: make(chan struct{}, 1), pastWork: make(chan struct{}, 1), firstConfigRead: make(chan struct{}),
+		cfg: cfg, log: cfg.Logger, viewChanged: make(chan struct{}), source: cfg.Self, configWork: make(chan struct{}, 1), historyWork: make(chan struct{}, 1), firstConfigRead: make(chan struct{}),
 		evacuationsIncomplete: true,
 	}
 	d.view.Store(&View{})
@@ -171,7 +167,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { d.syncReplicas(ctx) })
 	group.Go(func() { d.syncConfig(ctx) })
-	group.Go(func() { d.syncPast(ctx) })
+	group.Go(func() { d.syncHistory(ctx) })
 	group.Wait()
 }
 
--- a/discovery/replicas.go
+++ b/discovery/replicas.go
@@ -41,7 +41,7 @@
 			d.awaitChange(ctx, maxRetryInterval) // requests cannot be served before
 		} else if source == d.cfg.Self {
 			if hadView {
-				d.learnPast()
+				d.learnHistory()
 			}
 			periodic.Sleep(ctx, d.interval()-clock.Since(started))
 		}
--- a/discovery/versions.go
+++ b/discovery/versions.go
@@ -67,7 +67,7 @@
 		} else {
 			d.logHistoryRestarted(h, now, sourceStore)
 			h.Restart(now, started)
-			d.pastUnread, d.restartedAt = true, d.listing.checked.newest()
+			d.historyRestarted = true
 		}
 		return h.Record(now, changes)
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,6 @@
 	g.discovery = discovery.New(discovery.Config{
 		Self: s.Host, Store: g.store, Members: members, Caller: members.Caller(), Mux: mux,
 		Logger: log, PropagationBound: func() time.Duration { return g.settings.Load().Bounds.shortest() }, OnViewChange: g.applyView, OnNewVersions: g.recordOpenStreams,
-		StorePast: discovery.StorePast{Retention: s.Store.Retention, Heartbeat: s.Store.Heartbeat},
 	})
 	g.registerGauges()
 	close(g.initialized)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -58,11 +58,6 @@
 type Store struct {
 	// Address is ip:port.
 	Address string `yaml:"address"`
-	// Retention is for how long the store keeps changes at most, and Heartbeat the interval at
-	// which replicas write their entries. If either is 0, changes from before the first list
-	// are not read.
-	Retention time.Duration `yaml:"retention"`
-	Heartbeat time.Duration `yaml:"heartbeat"`
 }
 
 // Bounds limit the time until changes that the store acknowledged must take effect here.
