Streams of split routes are taken up at the service that began them

What callers saw: streams whose first part one service wrote and the rest another one. Cause: a route that is split between services picks one at random for each attempt, also for one that takes up a stream; the record names the service, but nobody compared it. Without a record, the only version that the picked service had was taken for the one that began the stream.

Change: the record's service is the one at which the stream goes on, or it is refused as gone if the route no longer leads there. Without a record, the only service and version whose replicas keep the prompt decides; versions that were listed decide for routes with one service only. With tests in one process of a loss of all hosts whose streams name their prompts.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -180,6 +181,17 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// Services returns the services that the route leads to, without repeats.
+func (r *Route) Services() []string {
+	var out []string
+	for _, t := range r.Split {
+		if !slices.Contains(out, t.Service) {
+			out = append(out, t.Service)
+		}
+	}
+	return out
+}
+
 // MayRepeat reports whether a request may be executed again after an attempt with an
 // unknown outcome.
 func (r *Route) MayRepeat() bool {
--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -17,9 +17,9 @@
 
 // Answer is what one host knows about a stream and its service.
 type Answer struct {
-	// Version is the recorded one; Known says that there is a record.
-	Known   bool
-	Version string
+	// Service and Version are the recorded ones; Known says that there is a record.
+	Known            bool
+	Service, Version string
 	// Versions are those that the replicas of the service have, or had as far as the host
 	// remembers.
 	Versions []string
@@ -30,10 +30,11 @@
 	Running time.Duration
 }
 
-// Verdict is what is known about the version of a stream.
+// Verdict is what is known about the version of a stream. Service is the one of a record, "" for
+// the one that was asked about.
 type Verdict struct {
-	Known   bool
-	Version string
+	Known            bool
+	Service, Version string
 	// MayCome says that it may become known: a host that did not answer may know it, or a
 	// newer view or a longer history may tell. After is the time until the history is long
 	// enough; 0 if it is not known.
@@ -62,6 +63,8 @@
 	ShortHistory Reason = "short_history"
 	// OldView: streams may have begun at a version that is newer than all views.
 	OldView Reason = "old_view"
+	// SeveralServices: there is no record, and the route is split between services.
+	SeveralServices Reason = "several_services"
 	// NoEvidence: the service has no replicas that are known.
 	NoEvidence Reason = "no_evidence"
 )
@@ -110,18 +113,18 @@
 }
 
 func decide(s Stream, answers []Answer, e Evidence) Verdict {
-	recorded := recordedVersions(answers)
+	recorded, agree := recordedAnswer(answers)
 	switch {
-	case len(recorded) == 1:
-		return Verdict{Known: true, Version: recorded[0], Reason: Recorded}
-	case len(recorded) > 1:
+	case recorded != nil && agree:
+		return Verdict{Known: true, Service: recorded.Service, Version: recorded.Version, Reason: Recorded}
+	case recorded != nil:
 		return Verdict{Reason: Conflict}
 	case len(e.Versions) == 0:
 		return Verdict{MayCome: e.Unanswered > 0, Reason: NoEvidence}
 	case !upToDate(s, answers, e):
 		return Verdict{MayCome: true, Reason: OldView}
 	}
-	if version, ok := keptAt(e.Memory); ok {
+	if _, version, ok := KeptAmong(map[string]Memory{"": memoryOf(e)}); ok {
 		return Verdict{Known: true, Version: version, Reason: PromptKept}
 	}
 	switch {
@@ -148,24 +151,27 @@
 	return len(answers) > 1 && e.Unanswered == 0
 }
 
-// keptAt returns the only version whose replicas keep the prompt, if no listed replica of another
-// version may keep it.
-func keptAt(m *Memory) (version string, ok bool) {
-	if m == nil || len(m.Holding) != 1 {
-		return "", false
+func memoryOf(e Evidence) Memory {
+	if e.Memory == nil {
+		return Memory{}
 	}
-	version = m.Holding[0]
-	return version, !slices.ContainsFunc(m.Silent, func(silent string) bool { return silent != version })
+	return *e.Memory
 }
 
-func recordedVersions(answers []Answer) []string {
-	var recorded []string
-	for _, a := range answers {
-		if a.Known {
-			recorded = append(recorded, a.Version)
+// recordedAnswer returns an answer with a record, nil if there is none, and whether all records
+// agree.
+func recordedAnswer(answers []Answer) (recorded *Answer, agree bool) {
+	for i := range answers {
+		a := &answers[i]
+		switch {
+		case !a.Known:
+		case recorded == nil:
+			recorded = a
+		case a.Version != recorded.Version || a.Service != recorded.Service && a.Service != "" && recorded.Service != "":
+			return recorded, false // earlier daemons name no service
 		}
 	}
-	return unique(recorded)
+	return recorded, true
 }
 
 func evidenceOf(answers []Answer, unanswered int) Evidence {
--- a/core/origin/memory.go
+++ b/core/origin/memory.go
@@ -1,5 +1,7 @@
 package origin
 
+import "slices"
+
 // Memory is what the replicas of a service keep of the last part of a stream's prompt, which
 // belongs to the stream's request or its session.
 type Memory struct {
@@ -14,3 +16,22 @@
 func NewMemory(holding, silent []string) Memory {
 	return Memory{Holding: unique(holding), Silent: unique(silent)}
 }
+
+// KeptAmong returns the only service and version whose replicas keep the prompt, if no listed
+// replica of another version or service may keep it.
+func KeptAmong(memories map[string]Memory) (service, version string, ok bool) {
+	for s, m := range memories {
+		if len(m.Holding) > 0 && ok || len(m.Holding) > 1 {
+			return "", "", false
+		}
+		if len(m.Holding) == 1 {
+			service, version, ok = s, m.Holding[0], true
+		}
+	}
+	for s, m := range memories {
+		if slices.ContainsFunc(m.Silent, func(silent string) bool { return s != service || silent != version }) {
+			return "", "", false
+		}
+	}
+	return service, version, ok
+}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -80,6 +80,19 @@
 	Entry("no replica known", "no_evidence", 0, known()),
 )
 
+// Guards against streams of a route that is split between services which are joined from two of
+// them.
+var _ = DescribeTable("which service and version began a stream, by what replicas keep of its prompt", func(want string, first, second origin.Memory) {
+	service, version, ok := origin.KeptAmong(map[string]origin.Memory{"a": first, "b": second})
+	Expect(fmt.Sprint(service, version, ok)).To(Equal(want))
+},
+	Entry("one version of one service", "av1true", origin.Memory{Holding: []string{"v1"}}, origin.Memory{}),
+	Entry("the same version of both", "false", origin.Memory{Holding: []string{"v1"}}, origin.Memory{Holding: []string{"v1"}}),
+	Entry("a silent replica of the same version of the other", "false", origin.Memory{Holding: []string{"v1"}}, origin.Memory{Silent: []string{"v1"}}),
+	Entry("a silent replica of the same version and service", "av1true", origin.Memory{Holding: []string{"v1"}, Silent: []string{"v1"}}, origin.Memory{}),
+	Entry("none", "false", origin.Memory{}, origin.Memory{}),
+)
+
 // Guards against waiting for hosts that are gone: a view that was read after the resume came has
 // every version at which the stream can have begun.
 var _ = It("needs no answer for a view that is newer than the resume", func() {
--- a/gateway/allhostslost_test.go
+++ b/gateway/allhostslost_test.go
@@ -17,7 +17,7 @@
 )
 
 // brokenStream is a stream that broke off after some events.
-type brokenStream struct{ id, body, version string }
+type brokenStream struct{ id, body, version, prompt string }
 
 // breakOff begins streams at one host after the other, and lets them break off.
 func (f *fixture) breakOff(fleet []*gatewayProcess, streams int) []brokenStream {
@@ -29,7 +29,7 @@
 		f.Expect(a.err).To(HaveOccurred())
 		versions := site.EventVersions(a.body)
 		f.Expect(versions).To(HaveLen(1), a.body)
-		out = append(out, brokenStream{id, a.body, versions[0]})
+		out = append(out, brokenStream{id: id, body: a.body, version: versions[0]})
 	}
 	return out
 }
@@ -44,6 +44,9 @@
 			withStages(r)
 			r.Header.Set("Resumes", s.id)
 			r.Header.Set("Last-Event-Id", strconv.Itoa(site.CompleteEvents(s.body)))
+			if s.prompt != "" {
+				r.Header.Set("Prefix-Hash", s.prompt)
+			}
 		})
 		f.Expect(a.err).NotTo(HaveOccurred())
 		runs := f.ledger.Runs(id)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,7 +72,7 @@
 		key, _ := parseOriginKey(m.GetKey())
 		a := g.knownOrigin(key, m.GetService())
 		return &wire.StreamOriginReply{
-			Known: a.Known, Version: a.Version, Versions: a.Versions,
+			Known: a.Known, Service: a.Service, Version: a.Version, Versions: a.Versions,
 			HistoryMs: uint32(a.History.Milliseconds()), ViewAgeMs: roundedUpMS(a.ViewAge), RunningMs: uint32(a.Running.Milliseconds()),
 		}, nil
 	})
@@ -111,7 +112,7 @@
 	defer s.mu.Unlock()
 	r, known := s.records.Get(now, key)
 	return origin.Answer{
-		Known: known, Version: r.Version, Versions: versions.Versions,
+		Known: known, Service: r.Service, Version: r.Version, Versions: versions.Versions,
 		History: versions.CompleteFor, ViewAge: min(versions.ViewAge, origin.MaxHistory), Running: now.Sub(s.started),
 	}
 }
@@ -297,6 +298,12 @@
 		}
 		return e
 	}
+	if v.Service != "" && !slices.Contains(x.route.Services(), v.Service) {
+		return problem.New(problem.VersionGone, "the route no longer leads to service %q, which began the stream", v.Service)
+	}
+	if v.Service != "" {
+		x.service = v.Service
+	}
 	if x.g.router.HasOnlyOtherVersions(x.service, v.Version) {
 		return problem.New(problem.VersionGone, "no replica of version %q, which began the stream", v.Version)
 	}
@@ -309,6 +316,9 @@
 // at once is looked up again: the caller may have been faster than the record, a newer view may
 // show that there is no newer version, and the replicas may keep the stream's prompt.
 func (x *exchange) lookUpOrigin() origin.Verdict {
+	if services := x.route.Services(); len(services) > 1 {
+		return x.lookUpOriginAmong(services)
+	}
 	v := x.lookUpOriginOnce(nil)
 	if v.Known || v.Reason == origin.Conflict || v.Reason == origin.NoEvidence {
 		return v
@@ -324,6 +334,27 @@
 	return x.lookUpOriginOnce(&memory)
 }
 
+// lookUpOriginAmong decides which version of which service began a stream of a route that is split
+// between services. The versions that a service has had say nothing here: the stream may have
+// begun at another one.
+func (x *exchange) lookUpOriginAmong(services []string) origin.Verdict {
+	v := x.lookUpOriginOnce(nil)
+	if v.Reason != origin.Recorded && v.Reason != origin.Conflict && periodic.Sleep(x.r.Context(), originRetryDelay) {
+		v = x.lookUpOriginOnce(nil)
+	}
+	if v.Reason == origin.Recorded || v.Reason == origin.Conflict {
+		return v
+	}
+	memories := map[string]origin.Memory{}
+	for _, service := range services {
+		memories[service] = x.g.partHolders(x.r.Context(), x.req.ID, service, x.lastPart())
+	}
+	if service, version, ok := origin.KeptAmong(memories); ok {
+		return origin.Verdict{Known: true, Service: service, Version: version, Reason: origin.PromptKept, Evidence: v.Evidence}
+	}
+	return origin.Verdict{MayCome: v.Evidence.Unanswered > 0, Reason: origin.SeveralServices, Evidence: v.Evidence}
+}
+
 // lookUpOriginOnce decides from what this host knows, and what the hosts know that may hold the
 // record. memory is what replicas keep of the prompt; nil while they have not been asked.
 func (x *exchange) lookUpOriginOnce(memory *origin.Memory) origin.Verdict {
@@ -373,7 +404,7 @@
 		return nil
 	}
 	return &origin.Answer{
-		Known: reply.GetKnown(), Version: reply.GetVersion(), Versions: reply.GetVersions(),
+		Known: reply.GetKnown(), Service: reply.GetService(), Version: reply.GetVersion(), Versions: reply.GetVersions(),
 		History: milliseconds(reply.GetHistoryMs()), ViewAge: milliseconds(reply.GetViewAgeMs()) + clock.Since(asked),
 		Running: milliseconds(reply.GetRunningMs()),
 	}
--- /dev/null
+++ b/gateway/promptkept_test.go
@@ -0,0 +1,133 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/internal/standin/site"
+)
+
+// breakOffPrompts is breakOff with requests that name their prompts.
+func (f *fixture) breakOffPrompts(fleet []*gatewayProcess, path string, streams int) []brokenStream {
+	f.breakStreams(true)
+	defer f.breakStreams(false)
+	var out []brokenStream
+	for i := range streams {
+		prompt := fmt.Sprintf("group%d:100,own%d:50", i, i)
+		a, id := fleet[i%len(fleet)].send(http.MethodPost, path, "x", func(r *http.Request) {
+			withStages(r)
+			r.Header.Set("Prefix-Hash", prompt)
+		})
+		f.Expect(a.err).To(HaveOccurred())
+		f.Expect(site.EventVersions(a.body)).To(HaveLen(1), a.body)
+		out = append(out, brokenStream{id: id, body: a.body, version: site.EventVersions(a.body)[0], prompt: prompt})
+	}
+	return out
+}
+
+// lossWithPrompts begins streams at engines of both versions, has the first version leave if
+// leaves is set, loses all hosts, and returns how many streams of each version there were and
+// went on.
+func lossWithPrompts(t *testing.T, leaves bool) (began, wentOn map[string]int) {
+	f := newFixtureOf(t)
+	fleet := f.withVersions(lossHosts, 2, 2)
+	streams := f.breakOffPrompts(fleet, resumePath, lossStreams)
+	if leaves {
+		f.removeVersion("v1")
+		f.awaitReplicas(fleet, len(f.replicas))
+	}
+	fleet = f.replaceAll(fleet)
+	return map[string]int{"v1": countOf(streams, "v1"), "v2": countOf(streams, "v2")}, f.takeUpEach(fleet, streams)
+}
+
+// Guards against streams that are refused after a loss of all hosts though the engines of their
+// version serve and still have what they read.
+func TestStreamsGoOnAfterALossOfAllHostsWhereTheirPromptIsKept(t *testing.T) {
+	t.Parallel()
+	began, wentOn := lossWithPrompts(t, false)
+	t.Logf("%v of %v streams went on", wentOn, began)
+	NewWithT(t).Expect(wentOn["v1"] + wentOn["v2"]).To(BeNumerically(">=", lossStreams*minGoingOn))
+}
+
+// Guards against streams that are joined, or refused, after a loss of all hosts before which the
+// other version left with what it had read.
+func TestStreamsOfTheVersionThatStayedGoOnAfterALossOfAllHosts(t *testing.T) {
+	t.Parallel()
+	began, wentOn := lossWithPrompts(t, true)
+	t.Logf("%v of %v streams went on", wentOn, began)
+	g := NewWithT(t)
+	g.Expect(wentOn["v1"]).To(BeZero())
+	g.Expect(wentOn["v2"]).To(BeNumerically(">=", float64(began["v2"])*minGoingOn))
+}
+
+// splitPath is led to two services.
+const splitPath = "/split/"
+
+// Guards against streams whose second part another service writes, since a route is split between
+// services and each attempt of a caller picks one at random.
+func TestStreamsOfSplitRoutesStayAtTheirService(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	for i := range 2 {
+		f.add(fmt.Sprint("other", i), "llm2", site.Engine)
+	}
+	f.splitRoute()
+	fleet, _ := f.startFleet(2)
+	f.awaitReplicas(fleet, len(f.replicas))
+	f.breakStreams(true)
+	f.behave("llm2", site.Behaviour{AbortAfterEvents: 2})
+	resumed := 0
+	var joined []string
+	for i := range lossStreams {
+		a, id := fleet[i%2].send(http.MethodPost, splitPath, "x", withStages)
+		f.Expect(a.err).To(HaveOccurred())
+		began := f.replicas[f.ledger.Runs(id)[0].Replica].Service
+		f.breakStreams(false)
+		f.behave("llm2", site.Behaviour{})
+		second, again := fleet[i%2].send(http.MethodPost, splitPath, "x", func(r *http.Request) {
+			withStages(r)
+			r.Header.Set("Resumes", id)
+			r.Header.Set("Last-Event-Id", strconv.Itoa(site.CompleteEvents(a.body)))
+		})
+		for _, run := range f.ledger.Runs(again) {
+			if service := f.replicas[run.Replica].Service; service != began {
+				joined = append(joined, fmt.Sprintf("%s of %s ran at %s", id, began, service))
+			}
+		}
+		if second.err == nil && second.status == http.StatusOK {
+			resumed++
+		}
+		f.breakStreams(true)
+		f.behave("llm2", site.Behaviour{AbortAfterEvents: 2})
+	}
+	f.Expect(joined).To(BeEmpty())
+	f.Expect(resumed).To(BeNumerically(">=", lossStreams*minGoingOn))
+}
+
+// splitRoute stores a configuration with a route that is split between two services of engines.
+func (f *fixture) splitRoute() {
+	f.version++
+	c := site.GatewayConfig(f.version, f.keys)
+	services := c["services"].([]any)
+	for _, s := range services {
+		if llm := s.(map[string]any); llm["name"] == "llm" {
+			other := map[string]any{}
+			for k, v := range llm {
+				other[k] = v
+			}
+			other["name"] = "llm2"
+			c["services"] = append(services, other)
+		}
+	}
+	c["routes"] = append(c["routes"].([]any), map[string]any{
+		"name": "split", "hostname": host, "prefix": splitPath, "route_type": "streaming", "attempts": 2, "resumable": true,
+		"split":      []map[string]any{{"service": "llm", "weight": 1}, {"service": "llm2", "weight": 1}},
+		"timeout_ms": 4000, "goal_ms": 1000, "priority": 1,
+		"stages": []map[string]any{{"service": "encode", "after": []int{}, "bytes": site.ResultBytes}},
+	})
+	f.store.Put("op/config", c)
+}
