Gateway: an exchange holds its limit of memory

The exchange now has the limit itself; without one nothing is limited.

go test ./gateway -run 'Cancelled|Incomplete|Oversized|EndlessEvent': ok.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
@@ -39,6 +40,9 @@
 	customerConfig *catalog.CustomerConfig
 	service        string
 	body           []byte
+	// memory limits the buffers of incomplete answers and events of all exchanges; nil for no
+	// limit.
+	memory *httpbody.Memory
 	// fingerprint identifies the request by its content, under whatever ID it is sent, and
 	// parts are the parts of its prompt that other requests may share.
 	fingerprint poison.Fingerprint
@@ -96,7 +100,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{g: g, w: w, r: r, arrived: clock.Now(), req: platform.DecodeRequest(r.Header)}
+	x := &exchange{g: g, w: w, r: r, memory: g.answerMemory, arrived: clock.Now(), req: platform.DecodeRequest(r.Header)}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -365,7 +365,7 @@
 	if resp.ContentLength > maxAnswerBytes && x.r.Method != http.MethodHead {
 		return t.callFailed(fmt.Errorf("%w of %d bytes: length %d", httpbody.ErrTooLarge, maxAnswerBytes, resp.ContentLength))
 	}
-	body, err := httpbody.ReadWithin(resp.Body, maxAnswerBytes, x.g.answerMemory)
+	body, err := httpbody.ReadWithin(resp.Body, maxAnswerBytes, x.memory)
 	switch {
 	case err != nil:
 		t.insideMessage = true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -70,7 +70,7 @@
 	x, w := t.x, t.watch
 	w.answerStarted()
 	events := newEventReader(resp.Body)
-	events.memory = x.g.answerMemory
+	events.memory = x.memory
 	defer events.releaseMemory()
 	limits := newStreamLimits(x.req.OutputTokens)
 	for {
