A service's versions say nothing of streams from before a route was led there

What callers may see: a stream whose first part another service wrote. Cause: a resume on a route that was led to another service meanwhile is decided by the versions of that one, which may have had one only; the history asks how long the versions are known, not how long the route has led there. Change: the history of a service counts from when a route was last led to it from another one, as far as the host has seen configurations. Measured: the table of TestServicesThatRoutesAreLedToLaterAreNotSteady.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"iter"
 	"net"
 	"slices"
 	"strings"
@@ -163,6 +164,19 @@
 	return nil
 }
 
+// Routes iterates over all routes, in no order.
+func (c *Config) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, routes := range c.hosts {
+			for _, r := range routes {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // PickService selects the service of a request by weight; draw is uniform in [0, 1).
 func (r *Route) PickService(draw float64) string {
 	var sum float64
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -55,6 +55,8 @@
 	started time.Time
 	// deadlines are those that callers send.
 	deadlines routeDeadlines
+	// routed holds since when routes have led to each service.
+	routed routedServices
 
 	mu      sync.Mutex
 	records origin.Records
@@ -113,7 +115,7 @@
 	r, known := s.records.Get(now, key)
 	return origin.Answer{
 		Known: known, Service: r.Service, Version: r.Version, Versions: versions.Versions,
-		History: versions.CompleteFor, ViewAge: min(versions.ViewAge, origin.MaxHistory), Running: now.Sub(s.started),
+		History: min(versions.CompleteFor, s.routed.steadyFor(now, service)), ViewAge: min(versions.ViewAge, origin.MaxHistory), Running: now.Sub(s.started),
 	}
 }
 
--- /dev/null
+++ b/gateway/routedservices.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// routedServices holds since when the routes that lead to each service have led there. A stream
+// that is taken up on a route that was led to another service before may have begun there, so that
+// the versions of the service say nothing of it.
+type routedServices struct {
+	mu sync.Mutex
+	// since is when a route was last led to a service from another one. The first configuration
+	// is known since known.
+	since map[string]time.Time
+	known time.Time
+}
+
+// configChanged records a configuration and the one before; old is nil for the first one.
+func (s *routedServices) configChanged(now time.Time, old, next *catalog.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old == nil {
+		s.known, s.since = now, map[string]time.Time{}
+		return
+	}
+	for service := range s.since {
+		if next.Services[service] == nil {
+			delete(s.since, service)
+		}
+	}
+	for r := range next.Routes() {
+		s.moved(now, old.Match(r.Host, r.Prefix), r)
+	}
+	for r := range old.Routes() {
+		s.moved(now, r, next.Match(r.Host, r.Prefix))
+	}
+}
+
+// moved records that requests which matched one route match another one; nil stands for none. mu
+// must be held.
+func (s *routedServices) moved(now time.Time, before, after *catalog.Route) {
+	if before == nil || after == nil || !before.Resumable {
+		return // no stream that began there can be taken up
+	}
+	for _, service := range after.Services() {
+		if !slices.Contains(before.Services(), service) {
+			s.since[service] = now
+		}
+	}
+}
+
+// steadyFor returns for how long no route has been led to a service from another one, as far as
+// this host knows.
+func (s *routedServices) steadyFor(now time.Time, service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since, moved := s.since[service]
+	if !moved {
+		since = s.known
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(since))
+}
--- /dev/null
+++ b/gateway/routedservices_internal_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
+
+// Guards against streams that are joined from two services, since a route was led from one to the
+// other while they were under way and the latter has had one version only.
+func TestServicesThatRoutesAreLedToLaterAreNotSteady(t *testing.T) {
+	config := func(routes ...*catalog.Route) *catalog.Config {
+		return catalog.NewConfig(1, routes, []*catalog.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}}, nil, catalog.Limits{})
+	}
+	route := func(prefix string, services ...string) *catalog.Route {
+		r := &catalog.Route{Host: "h", Prefix: prefix, Streaming: true, Resumable: true}
+		for _, s := range services {
+			r.Split = append(r.Split, catalog.Target{Service: s, Weight: 1})
+		}
+		return r
+	}
+	start := time.Unix(1000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	for name, c := range map[string]struct {
+		old, next *catalog.Config
+		want      int
+	}{
+		"the same":                      {config(route("/x/", "b")), config(route("/x/", "b")), 20},
+		"led from another one":          {config(route("/x/", "a")), config(route("/x/", "b")), 5},
+		"split":                         {config(route("/x/", "a")), config(route("/x/", "a", "b")), 5},
+		"no longer split":               {config(route("/x/", "a", "b")), config(route("/x/", "b")), 20},
+		"a new route":                   {config(route("/x/", "a")), config(route("/x/", "a"), route("/y/", "b")), 20},
+		"a new route within one":        {config(route("/x/", "a")), config(route("/x/", "a"), route("/x/y/", "b")), 5},
+		"a route within one is removed": {config(route("/x/", "b"), route("/x/y/", "a")), config(route("/x/", "b")), 5},
+		"a new route within one of it":  {config(route("/x/", "b")), config(route("/x/", "b"), route("/x/y/", "b")), 20},
+	} {
+		g := NewWithT(t)
+		var s routedServices
+		g.Expect(s.steadyFor(at(0), "b")).To(BeZero(), name)
+		s.configChanged(at(0), nil, c.old)
+		s.configChanged(at(15), c.old, c.next)
+		g.Expect(s.steadyFor(at(20), "b")).To(Equal(time.Duration(c.want)*time.Second), name)
+	}
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -27,11 +27,22 @@
 	g.evacuatedServices.Store(&evacuated)
 	g.updateColdLimits(v)
 	g.quarantine.ReplicasListed(g.listingIn(v))
+	if previous == nil || previous.Config != v.Config {
+		g.origins.routed.configChanged(clock.Now(), configOf(previous), v.Config)
+	}
 	byChanges := g.applyPools(previous, v, g.settings.Load().Regions)
 	g.slowdowns.applyView(clock.Now(), previous, v, byChanges)
 	g.stages.Configure(v.Config.Services, func() []catalog.Replica { return stageReplicas(v) })
 }
 
+// configOf returns the configuration of a view; nil if there is none.
+func configOf(v *discovery.View) *catalog.Config {
+	if v == nil {
+		return nil
+	}
+	return v.Config
+}
+
 // listingIn returns what a view lists about a replica. Another replica gets an address only
 // after the process there has ended.
 func (g *Gateway) listingIn(v *discovery.View) func(replica, address string) crash.Listing {
