Stand-in: a replica that crashes resets its answers without length

By the protocol an answer that is reset is not complete, and nothing tells one that is closed early. Change: a crash resets these connections; the checks stay.

--- a/internal/standin/site/unframed.go
+++ b/internal/standin/site/unframed.go
@@ -63,9 +63,13 @@
 	_ = u.conn.Close()
 }
 
-// closeUnframed closes the connections of unframed responses. The caller holds the lock.
+// closeUnframed resets the connections of unframed responses, which would look complete if they
+// were closed. The caller holds the lock.
 func (r *Replica) closeUnframed() {
 	for conn := range r.unframed {
+		if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = c.SetLinger(0) // the connection may be closed
+		}
 		_ = conn.Close()
 	}
 }
