Streams are taken up by the versions listed only with a view from after the resume

Causes and changes: that all hosts answered without a record counted against a version newer than the view, also where the host that began the stream was cut off or its record under way; now a view that was read after the resume came is needed, and two lines of the table that asserted the former are replaced. A host that knows of a moved route now caps the history of all answers. A host whose history is short, or whose route is split, sent no records; it does, and a host that leaves hands all over. The lifetime followed the time left to the caller; it follows the longest deadline seen on the route. After a start, requests with less time than the route allows count as repeated. Services of a split route are asked at the same time, and their evidence is logged. Holders are computed outside the lock. Waiting for a view ends at once while the store is away. The random schedules no longer assume that the store's past is known, and half of the hosts that do not answer count as dead and are not asked; the split test resumes at the other host.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -26,8 +26,9 @@
 	// History is for how long before now Versions are complete, up to the host's view, which
 	// is ViewAge old.
 	History, ViewAge time.Duration
-	// Running is for how long the host has been running. It has the records of this time.
-	Running time.Duration
+	// Moved is how long ago a route was led to the service from another one; 0 if the host knows
+	// of none.
+	Moved time.Duration
 }
 
 // Verdict is what is known about the version of a stream. Service is the one of a record, "" for
@@ -61,7 +62,8 @@
 	// ShortHistory: the hosts that answered do not remember long enough which versions the
 	// service has had.
 	ShortHistory Reason = "short_history"
-	// OldView: streams may have begun at a version that is newer than all views.
+	// OldView: the stream may have begun at a version that is newer than all views, none of which
+	// was read after the resume came.
 	OldView Reason = "old_view"
 	// SeveralServices: there is no record, and the route is split between services.
 	SeveralServices Reason = "several_services"
@@ -103,7 +105,8 @@
 //     versions answered that they keep none of it.
 //   - The only version that the service has had for a stream's lifetime. This needs a complete
 //     history: that a host does not remember another version proves nothing about the time
-//     before it began to observe.
+//     before it began to observe, nor about the time after its view. That no host has a record
+//     proves nothing: the one that began the stream may be cut off, or its record under way.
 func Decide(s Stream, answers []Answer, unanswered int, memory *Memory) Verdict {
 	e := evidenceOf(answers, unanswered)
 	e.Memory = memory
@@ -121,8 +124,6 @@
 		return Verdict{Reason: Conflict}
 	case len(e.Versions) == 0:
 		return Verdict{MayCome: e.Unanswered > 0, Reason: NoEvidence}
-	case !upToDate(s, answers, e):
-		return Verdict{MayCome: true, Reason: OldView}
 	}
 	if _, version, ok := KeptAmong(map[string]Memory{"": memoryOf(e)}); ok {
 		return Verdict{Known: true, Version: version, Reason: PromptKept}
@@ -130,27 +131,14 @@
 	switch {
 	case len(e.Versions) > 1:
 		return Verdict{MayCome: e.Unanswered > 0, Reason: SeveralVersions}
+	case e.ViewAge > s.Waited:
+		return Verdict{MayCome: true, Reason: OldView}
 	case e.History < s.Lifetime:
 		return Verdict{MayCome: true, After: s.Lifetime - e.History, Reason: ShortHistory}
 	}
 	return Verdict{Known: true, Version: e.Versions[0], Reason: OneVersion}
 }
 
-// upToDate reports whether no stream that is taken up now can have begun at a version that is
-// newer than the newest view: the view was read after the resume came, or all hosts that
-// would have a record answered and have been running for longer than the view is old.
-func upToDate(s Stream, answers []Answer, e Evidence) bool {
-	if e.ViewAge <= s.Waited {
-		return true
-	}
-	for _, a := range answers[1:] {
-		if a.Running < e.ViewAge {
-			return false
-		}
-	}
-	return len(answers) > 1 && e.Unanswered == 0
-}
-
 func memoryOf(e Evidence) Memory {
 	if e.Memory == nil {
 		return Memory{}
@@ -188,6 +176,11 @@
 			e.History = max(e.History, a.History)
 		}
 	}
+	for _, a := range answers {
+		if a.Moved > 0 {
+			e.History = min(e.History, a.Moved)
+		}
+	}
 	e.Versions = unique(e.Versions)
 	return e
 }
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -24,7 +24,7 @@
 
 // known is the answer of a host that has been running for a minute and whose view is new.
 func known(versions ...string) origin.Answer {
-	return origin.Answer{Versions: versions, History: time.Minute, ViewAge: 100 * time.Millisecond, Running: time.Minute}
+	return origin.Answer{Versions: versions, History: time.Minute, ViewAge: 100 * time.Millisecond}
 }
 
 func recorded(version string) origin.Answer {
@@ -34,11 +34,9 @@
 }
 
 func remembers(d time.Duration, a origin.Answer) origin.Answer { a.History = d; return a }
-func started(d time.Duration, a origin.Answer) origin.Answer {
-	a.History, a.Running = min(a.History, d), d
-	return a
-}
-func stale(a origin.Answer) origin.Answer { a.ViewAge = 5 * time.Second; return a }
+func started(d time.Duration, a origin.Answer) origin.Answer   { return remembers(min(a.History, d), a) }
+func moved(ago time.Duration, a origin.Answer) origin.Answer   { a.Moved = ago; return a }
+func stale(a origin.Answer) origin.Answer                      { a.ViewAge = 5 * time.Second; return a }
 
 // describe is what a verdict says, in one line.
 func describe(v origin.Verdict) string {
@@ -55,28 +53,32 @@
 	return s
 }
 
+// waited is for how long the decisions of the tables have waited for a newer view.
+const waited = 200 * time.Millisecond
+
 var _ = DescribeTable("which version began a stream", func(want string, unanswered int, answers ...origin.Answer) {
-	Expect(describe(origin.Decide(origin.Stream{Lifetime: lifetime}, answers, unanswered, nil))).To(Equal(want))
+	Expect(describe(origin.Decide(origin.Stream{Lifetime: lifetime, Waited: waited}, answers, unanswered, nil))).To(Equal(want))
 },
 	Entry("a record here", "record v2", 0, recorded("v2")),
 	Entry("a record elsewhere, though others do not answer", "record v2", 3, known("v1", "v2"), recorded("v2")),
 	Entry("a record, all hosts have just started", "record v2", 0, started(time.Second, recorded("v2"))),
 	Entry("records that differ", "conflict", 0, recorded("v1"), recorded("v2")),
 	Entry("several versions", "several_versions", 0, known("v1", "v2"), known("v1", "v2")),
-	Entry("several versions, and a host does not answer, the view is old", "old_view, may come", 1, known("v1", "v2")),
+	Entry("several versions, and a host does not answer", "several_versions, may come", 1, known("v1", "v2")),
 	Entry("a version that only another host has seen", "several_versions", 0, known("v1"), known("v1", "v2")),
 	Entry("one version, all answer", "one_version v1", 0, known("v1"), known("v1")),
-	Entry("one version, nobody answers", "old_view, may come", 4, known("v1")),
-	Entry("one version, one of several does not answer", "old_view, may come", 1, known("v1"), known("v1")),
-	Entry("one version, there is no other host", "old_view, may come", 0, known("v1")),
+	Entry("one version, nobody answers", "one_version v1", 4, known("v1")),
 	Entry("one version that no replica names", "one_version ", 0, known(""), known("")),
-	Entry("one version, the view is old, and so are those of all others", "one_version v1", 0, stale(known("v1")), stale(known("v1"))),
-	Entry("one version, the view is older than the other host", "old_view, may come", 0, stale(known("v1")), stale(started(time.Second, known("v1")))),
+	Entry("one version, the view is older than the resume", "old_view, may come", 0, stale(known("v1"))),
+	Entry("one version, the views of all others are old, too", "old_view, may come", 0, stale(known("v1")), stale(known("v1"))),
+	Entry("one version, the view is old, another one is new", "one_version v1", 2, stale(known("v1")), known("v1")),
 	Entry("one version, this host has just started", "one_version v1", 0, started(time.Second, known("v1")), known("v1")),
 	Entry("one version, all hosts have just started", "short_history, may come in 29s", 0, started(time.Second, known("v1")), started(time.Second, known("v1"))),
-	Entry("one version, all hosts have just started and know the past", "one_version v1", 0, remembers(31*time.Second, started(time.Second, known("v1"))), started(time.Second, known("v1"))),
 	Entry("one version, a history that ends before the others begin", "short_history, may come in 28s", 0, started(2*time.Second, known("v1")), stale(known("v1"))),
 	Entry("one version, a history that ends after another begins", "one_version v1", 0, started(6*time.Second, known("v1")), stale(known("v1"))),
+	Entry("one version, a route was led to the service since", "short_history, may come in 10s", 0, moved(20*time.Second, known("v1")), known("v1")),
+	Entry("one version, another host knows that a route was led there since", "short_history, may come in 10s", 0, known("v1"), moved(20*time.Second, known("v1"))),
+	Entry("one version, a route was led to the service before", "one_version v1", 0, moved(40*time.Second, known("v1")), known("v1")),
 	Entry("no replica known", "no_evidence", 0, known()),
 )
 
@@ -93,17 +95,11 @@
 	Entry("none", "false", origin.Memory{}, origin.Memory{}),
 )
 
-// Guards against waiting for hosts that are gone: a view that was read after the resume came has
-// every version at which the stream can have begun.
-var _ = It("needs no answer for a view that is newer than the resume", func() {
-	s := origin.Stream{Lifetime: lifetime, Waited: 200 * time.Millisecond}
-	Expect(describe(origin.Decide(s, []origin.Answer{known("v1")}, 4, nil))).To(Equal("one_version v1"))
-})
-
 // Guards against joins by what replicas keep, where a replica of another version may have kept it,
 // too, and against refusals where none can have.
 var _ = DescribeTable("which version began a stream, by what replicas keep of its prompt", func(want string, holding, silent []string, a origin.Answer) {
-	Expect(describe(origin.Decide(origin.Stream{Lifetime: lifetime}, []origin.Answer{a, a}, 0, &origin.Memory{Holding: holding, Silent: silent}))).To(Equal(want))
+	s := origin.Stream{Lifetime: lifetime, Waited: waited}
+	Expect(describe(origin.Decide(s, []origin.Answer{a, a}, 0, &origin.Memory{Holding: holding, Silent: silent}))).To(Equal(want))
 },
 	Entry("of one version", "prompt_kept v1", []string{"v1"}, nil, known("v1", "v2")),
 	Entry("of one version, though another one of it is silent", "prompt_kept v1", []string{"v1"}, []string{"v1"}, known("v1", "v2")),
@@ -113,7 +109,8 @@
 	Entry("of none, and all are silent", "several_versions", nil, []string{"v1", "v2"}, known("v1", "v2")),
 	Entry("of one version, all hosts have just started", "prompt_kept v1", []string{"v1"}, nil, started(time.Second, known("v1", "v2"))),
 	Entry("of none, all hosts have just started", "short_history, may come in 29s", nil, nil, started(time.Second, known("v1"))),
-	Entry("of one version, the view is older than the hosts", "old_view, may come", []string{"v1"}, nil, stale(started(time.Second, known("v1", "v2")))),
+	Entry("of one version, the view is old", "prompt_kept v1", []string{"v1"}, nil, stale(known("v1"))),
+	Entry("of none, the view is old", "old_view, may come", nil, nil, stale(known("v1"))),
 	Entry("a record says otherwise", "record v2", []string{"v1"}, nil, recorded("v2")),
 )
 
@@ -231,7 +228,7 @@
 func (f *simFleet) resume(h *simHost, key origin.Key) origin.Verdict {
 	answerOf := func(o *simHost) origin.Answer {
 		r, known := o.records.Get(f.now, key)
-		return origin.Answer{Known: known, Version: r.Version, Versions: o.history.Versions(f.now, "llm", lifetime), History: o.history.Length(f.now), Running: o.history.Length(f.now)}
+		return origin.Answer{Known: known, Version: r.Version, Versions: o.history.Versions(f.now, "llm", lifetime), History: o.history.Length(f.now)}
 	}
 	answers, unanswered := []origin.Answer{answerOf(h)}, 0
 	hosts, byName := f.others(h)
--- a/core/origin/schedule_test.go
+++ b/core/origin/schedule_test.go
@@ -70,8 +70,6 @@
 	streams  []openStream
 	// replaced is how many hosts a rolling replacement has reached.
 	replaced int
-	// pastDiscarded says that the store has discarded its changes.
-	pastDiscarded bool
 	// lostAt is when hosts were last lost, and lostShare the share of them.
 	lostAt    time.Time
 	lostShare float64
@@ -165,7 +163,6 @@
 func (s *schedule) anyHost() *modelHost { return s.hosts[s.rng.IntN(len(s.hosts))] }
 
 func (s *schedule) loseAll() {
-	s.pastDiscarded = s.chance(0.5)
 	down := s.seconds(3)
 	for _, h := range s.hosts {
 		s.lose(h, down+s.seconds(0.3))
@@ -212,8 +209,8 @@
 	}
 }
 
-// observe gives hosts newer views. A host without a history begins it as far back as the store's
-// changes or the histories of its peers reach.
+// observe gives hosts newer views. A host without a history begins it as far back as the
+// histories of its peers reach.
 func (s *schedule) observe() {
 	earliest := time.Time{}
 	for _, h := range s.hosts {
@@ -229,10 +226,7 @@
 			continue
 		}
 		if h.completeSince.IsZero() || s.now.Sub(h.viewAt) >= storePast {
-			h.completeSince = s.now.Add(-storePast)
-			if s.pastDiscarded {
-				h.completeSince = s.now
-			}
+			h.completeSince = s.now
 		}
 		if !earliest.IsZero() && earliest.Before(h.completeSince) {
 			h.completeSince = earliest
@@ -244,7 +238,7 @@
 // answer is what a host knows. Replicas that came and went within its history are known.
 func (s *schedule) answer(h *modelHost, key origin.Key) origin.Answer {
 	r, known := h.records.Get(s.now, key)
-	a := origin.Answer{Known: known, Version: r.Version, History: s.now.Sub(h.completeSince), ViewAge: s.now.Sub(h.viewAt), Running: s.now.Sub(h.started)}
+	a := origin.Answer{Known: known, Version: r.Version, History: s.now.Sub(h.completeSince), ViewAge: s.now.Sub(h.viewAt)}
 	if h.viewAt.IsZero() {
 		a.History, a.ViewAge = 0, time.Hour
 		return a
@@ -384,9 +378,10 @@
 	answers, unanswered := []origin.Answer{s.answer(h, key)}, 0
 	hosts, byName := s.others(h)
 	for _, asked := range origin.Asked(key, hosts) {
-		if o := byName[asked.Name]; s.reached(o) && s.reached(h) {
+		switch o := byName[asked.Name]; {
+		case s.reached(o) && s.reached(h):
 			answers = append(answers, s.answer(o, key))
-		} else {
+		case s.chance(0.5): // else it counts as dead, and is not asked
 			unanswered++
 		}
 	}
--- a/discovery/await.go
+++ b/discovery/await.go
@@ -3,18 +3,25 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wheatseam/wheatseam/internal/clock"
 )
 
-// AwaitView waits until the view is as of a time, at most until ctx ends, and reports whether it
-// is.
-func (d *Discovery) AwaitView(ctx context.Context, asOf time.Time) bool {
+// AwaitReplicas waits until the view has the replicas as of a time, at most until ctx ends, and
+// reports whether it has. It does not wait while the replicas are older than the time within which
+// changes must be active: the store is away.
+func (d *Discovery) AwaitReplicas(ctx context.Context, asOf time.Time) bool {
 	for {
 		d.mu.Lock()
 		changed := d.viewChanged
 		d.mu.Unlock()
-		if !d.View().AsOf.Before(asOf) {
+		at := d.View().replicasAsOf
+		if !at.Before(asOf) {
 			return true
 		}
+		if clock.Since(at) > d.cfg.PropagationBound() {
+			return false
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,7 +116,6 @@
 		OnEjected: g.logEjection, OnSilence: g.logSilence, Limiters: g.limiters,
 	})
 	g.slowdowns.router = g.router
-	g.origins.started = g.started
 	g.reachability.router, g.reachability.table, g.reachability.avoided = g.router, reach.New(s.Host), map[string]bool{}
 	mux := peer.NewMux()
 	g.registerPromptHandler(mux)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -51,8 +51,6 @@
 
 // streamOrigins holds what this host knows about the versions that began streams.
 type streamOrigins struct {
-	// started is when this host started: it has no records of before.
-	started time.Time
 	// deadlines are those that callers send.
 	deadlines routeDeadlines
 	// routed holds since when routes have led to each service.
@@ -75,7 +73,7 @@
 		a := g.knownOrigin(key, m.GetService())
 		return &wire.StreamOriginReply{
 			Known: a.Known, Service: a.Service, Version: a.Version, Versions: a.Versions,
-			HistoryMs: uint32(a.History.Milliseconds()), ViewAgeMs: roundedUpMS(a.ViewAge), RunningMs: uint32(a.Running.Milliseconds()),
+			HistoryMs: uint32(a.History.Milliseconds()), ViewAgeMs: roundedUpMS(a.ViewAge), MovedMs: roundedUpMS(a.Moved),
 		}, nil
 	})
 }
@@ -115,13 +113,15 @@
 	r, known := s.records.Get(now, key)
 	return origin.Answer{
 		Known: known, Service: r.Service, Version: r.Version, Versions: versions.Versions,
-		History: min(versions.CompleteFor, s.routed.steadyFor(now, service)), ViewAge: min(versions.ViewAge, origin.MaxHistory), Running: now.Sub(s.started),
+		History: min(versions.CompleteFor, s.routed.steadyFor(now, service)), ViewAge: min(versions.ViewAge, origin.MaxHistory), Moved: s.routed.movedAgo(now, service),
 	}
 }
 
-// hasSeveralVersions reports whether a service has, or lately had, replicas of several versions.
-func (g *Gateway) hasSeveralVersions(service string) bool {
-	return len(g.discovery.Versions(clock.Now(), service, origin.MaxHistory).Versions) > 1
+// mayHaveSeveralVersions reports whether a service has replicas of several versions, had them
+// lately, or may have had them as far as this host knows.
+func (g *Gateway) mayHaveSeveralVersions(service string, lifetime time.Duration) bool {
+	v := g.discovery.Versions(clock.Now(), service, origin.MaxHistory)
+	return len(v.Versions) > 1 || v.CompleteFor < lifetime
 }
 
 // recordOpenStreams sends the records of the open streams of services that have got a further
@@ -136,7 +136,7 @@
 	}
 	s.mu.Unlock()
 	if len(unsent) > 0 {
-		g.sendOrigins(unsent)
+		go g.sendOrigins(unsent) // the view that shows the version does not wait for it
 	}
 }
 
@@ -145,6 +145,13 @@
 	return min(max(minStreamLifetime, x.route.Timeout+streamLifetimeMargin, x.req.Timeout+streamLifetimeMargin), origin.MaxLifetime)
 }
 
+// decisionLifetime is the longest time for which a stream of the route may be taken up, as far as
+// callers have said. It may exceed the time for which records are kept.
+func (x *exchange) decisionLifetime() time.Duration {
+	longest := max(x.route.Timeout, x.req.Timeout, x.g.origins.deadlines.longestOf(x.route.Name))
+	return max(minStreamLifetime, longest+streamLifetimeMargin)
+}
+
 // originKey is the key of the stream that the request begins or takes up.
 func (x *exchange) originKey() origin.Key {
 	if x.takesUpStream() {
@@ -163,12 +170,13 @@
 	if !x.route.Resumable {
 		return
 	}
-	r := origin.Record{Key: x.originKey(), Service: x.service, Version: version, Expires: x.arrived.Add(x.streamLifetime()), Own: true}
+	lifetime := x.streamLifetime()
+	r := origin.Record{Key: x.originKey(), Service: x.service, Version: version, Expires: x.arrived.Add(lifetime), Own: true}
 	s := &x.g.origins
 	s.mu.Lock()
 	// Asked under the lock, so that a version which appears just now is either seen here, or
 	// finds the record.
-	r.Sent = x.g.hasSeveralVersions(x.service)
+	r.Sent = len(x.route.Services()) > 1 || x.g.mayHaveSeveralVersions(x.service, lifetime)
 	s.records.Put(clock.Now(), r)
 	s.mu.Unlock()
 	if r.Sent {
@@ -190,7 +198,7 @@
 	now := clock.Now()
 	s := &g.origins
 	s.mu.Lock()
-	records := s.records.All(now, g.hasSeveralVersions)
+	records := s.records.All(now, func(string) bool { return true })
 	s.mu.Unlock()
 	if len(records) > 0 {
 		g.log.Info("handing over origins of streams", zap.Int("streams", len(records)))
@@ -213,12 +221,16 @@
 // sendOrigins sends records to their holders, together with others of the next moment.
 func (g *Gateway) sendOrigins(records []origin.Record) {
 	hosts := g.originHosts()
+	holders := make([][]origin.Host, 0, len(records))
+	for _, r := range records {
+		holders = append(holders, origin.Holders(r.Key, hosts))
+	}
 	now := clock.Now()
 	s := &g.origins
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range records {
-		for _, h := range origin.Holders(r.Key, hosts) {
+	for i, r := range records {
+		for _, h := range holders[i] {
 			s.queue(h.Name, r, now, g.flushOrigins)
 		}
 	}
@@ -329,11 +341,14 @@
 	defer cancel()
 	asked := make(chan origin.Memory, 1)
 	go func() { asked <- x.g.partHolders(ctx, x.req.ID, x.service, x.lastPart()) }()
-	if periodic.Sleep(ctx, originRetryDelay) && v.Reason == origin.OldView {
-		x.g.discovery.AwaitView(ctx, x.arrived)
+	if !periodic.Sleep(ctx, originRetryDelay) {
+		return v
 	}
 	memory := <-asked
-	return x.lookUpOriginOnce(&memory)
+	if v = x.lookUpOriginOnce(&memory); v.Reason == origin.OldView && x.g.discovery.AwaitReplicas(ctx, x.arrived) {
+		v = x.lookUpOriginOnce(&memory)
+	}
+	return v
 }
 
 // lookUpOriginAmong decides which version of which service began a stream of a route that is split
@@ -347,21 +362,35 @@
 	if v.Reason == origin.Recorded || v.Reason == origin.Conflict {
 		return v
 	}
-	memories := map[string]origin.Memory{}
-	for _, service := range services {
-		memories[service] = x.g.partHolders(x.r.Context(), x.req.ID, service, x.lastPart())
-	}
+	memories := x.partHoldersAmong(services)
 	if service, version, ok := origin.KeptAmong(memories); ok {
+		memory := memories[service]
+		v.Evidence.Versions, v.Evidence.Memory = []string{version}, &memory
 		return origin.Verdict{Known: true, Service: service, Version: version, Reason: origin.PromptKept, Evidence: v.Evidence}
 	}
 	return origin.Verdict{MayCome: v.Evidence.Unanswered > 0, Reason: origin.SeveralServices, Evidence: v.Evidence}
 }
 
+// partHoldersAmong asks the replicas of several services at the same time.
+func (x *exchange) partHoldersAmong(services []string) map[string]origin.Memory {
+	found := make([]origin.Memory, len(services))
+	var group sync.WaitGroup
+	for i, service := range services {
+		group.Go(func() { found[i] = x.g.partHolders(x.r.Context(), x.req.ID, service, x.lastPart()) })
+	}
+	group.Wait()
+	memories := map[string]origin.Memory{}
+	for i, service := range services {
+		memories[service] = found[i]
+	}
+	return memories
+}
+
 // lookUpOriginOnce decides from what this host knows, and what the hosts know that may hold the
 // record. memory is what replicas keep of the prompt; nil while they have not been asked.
 func (x *exchange) lookUpOriginOnce(memory *origin.Memory) origin.Verdict {
 	key := x.originKey()
-	stream := origin.Stream{Lifetime: x.streamLifetime()}
+	stream := origin.Stream{Lifetime: x.decisionLifetime()}
 	answers, unanswered := []origin.Answer{x.g.knownOrigin(key, x.service)}, 0
 	if !answers[0].Known {
 		var received []origin.Answer
@@ -408,7 +437,7 @@
 	return &origin.Answer{
 		Known: reply.GetKnown(), Service: reply.GetService(), Version: reply.GetVersion(), Versions: reply.GetVersions(),
 		History: milliseconds(reply.GetHistoryMs()), ViewAge: milliseconds(reply.GetViewAgeMs()) + clock.Since(asked),
-		Running: milliseconds(reply.GetRunningMs()),
+		Moved: milliseconds(reply.GetMovedMs()),
 	}
 }
 
--- a/gateway/promptkept_test.go
+++ b/gateway/promptkept_test.go
@@ -88,7 +88,7 @@
 		began := f.replicas[f.ledger.Runs(id)[0].Replica].Service
 		f.breakStreams(false)
 		f.behave("llm2", site.Behaviour{})
-		second, again := fleet[i%2].send(http.MethodPost, splitPath, "x", func(r *http.Request) {
+		second, again := fleet[(i+1)%2].send(http.MethodPost, splitPath, "x", func(r *http.Request) {
 			withStages(r)
 			r.Header.Set("Resumes", id)
 			r.Header.Set("Last-Event-Id", strconv.Itoa(site.CompleteEvents(a.body)))
--- a/gateway/readbefore.go
+++ b/gateway/readbefore.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/origin"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
@@ -23,27 +24,49 @@
 	maxRouteDeadlines = 8192
 )
 
-// routeDeadlines holds the longest deadline that callers of each route have sent.
+// routeDeadlines holds the longest deadline that callers of each route have sent within
+// origin.MaxHistory.
 type routeDeadlines struct {
 	mu      sync.Mutex
-	longest map[string]time.Duration
+	longest map[string]observedDeadline
 }
 
-// observe records a deadline, and returns the longest one of the route.
-func (d *routeDeadlines) observe(route string, deadline time.Duration) time.Duration {
+// observedDeadline is a deadline and when it was observed.
+type observedDeadline struct {
+	deadline time.Duration
+	at       time.Time
+}
+
+// observe records a deadline.
+func (d *routeDeadlines) observe(now time.Time, route string, deadline time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.longest == nil || len(d.longest) >= maxRouteDeadlines {
-		d.longest = map[string]time.Duration{}
+		d.longest = map[string]observedDeadline{}
 	}
-	d.longest[route] = max(d.longest[route], deadline)
-	return d.longest[route]
+	if old := d.longest[route]; deadline >= old.deadline || now.Sub(old.at) > origin.MaxHistory {
+		d.longest[route] = observedDeadline{deadline, now}
+	}
+}
+
+// longestOf returns the longest deadline of a route; 0 if none was observed.
+func (d *routeDeadlines) longestOf(route string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.longest[route].deadline
 }
 
 // isRepeated reports whether the request seems to follow an earlier attempt of its caller, which
-// has less time left then than callers have for a first attempt.
+// has less time left then than callers have for a first attempt. A host that has just started has
+// observed few of them, and compares with the timeout of the route.
 func (x *exchange) isRepeated() bool {
-	longest := x.g.origins.deadlines.observe(x.route.Name, x.req.Timeout)
+	now := clock.Now()
+	d := &x.g.origins.deadlines
+	d.observe(now, x.route.Name, x.req.Timeout)
+	longest := d.longestOf(x.route.Name)
+	if now.Sub(x.g.started) < minStreamLifetime {
+		longest = max(longest, x.route.Timeout)
+	}
 	return x.req.Timeout > 0 && x.req.Timeout < longest-repeatMargin
 }
 
--- a/gateway/routedservices.go
+++ b/gateway/routedservices.go
@@ -13,8 +13,8 @@
 // the versions of the service say nothing of it.
 type routedServices struct {
 	mu sync.Mutex
-	// since is when a route was last led to a service from another one. The first configuration
-	// is known since known.
+	// since is when a route was last led to a service that had led to another one. The first
+	// configuration is known since known.
 	since map[string]time.Time
 	known time.Time
 }
@@ -43,11 +43,11 @@
 // moved records that requests which matched one route match another one; nil stands for none. mu
 // must be held.
 func (s *routedServices) moved(now time.Time, before, after *catalog.Route) {
-	if before == nil || after == nil || !before.Resumable {
+	if before == nil || after == nil || !before.Resumable || slices.Equal(before.Services(), after.Services()) {
 		return // no stream that began there can be taken up
 	}
 	for _, service := range after.Services() {
-		if !slices.Contains(before.Services(), service) {
+		if slices.ContainsFunc(before.Services(), func(other string) bool { return other != service }) {
 			s.since[service] = now
 		}
 	}
@@ -67,3 +67,15 @@
 	}
 	return max(0, now.Sub(since))
 }
+
+// movedAgo returns how long ago a route was last led to a service from another one; 0 if this host
+// knows of none.
+func (s *routedServices) movedAgo(now time.Time, service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since, moved := s.since[service]
+	if !moved {
+		return 0
+	}
+	return max(1, now.Sub(since))
+}
