A reserved engine that drains meanwhile is not sent the stream

What callers saw: streams that went on at an engine 2.4 to 3.0 s after the store had acknowledged that it drains (DRAIN). Cause: a replacement was reserved before the stream's stages ran again, and sent without a look at the newest view. Change: when the replacement is taken, the newest view must list its replica as one that takes new work; otherwise it is released and another one is picked.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -229,16 +229,16 @@
 	}
 }
 
-// takeReplacement makes the reserved replacement the next attempt. If its replica has another
-// version than the stream, whose first event has come since the reservation, another one is
-// picked.
+// takeReplacement makes the reserved replacement the next attempt. Another replica is picked if
+// things have changed since the reservation, during which stages may have run: its replica takes
+// no new work any more, or has another version than the stream, whose first event has come.
 func (x *exchange) takeReplacement() (request.Choice, string, *problem.Error) {
 	r := x.replacement
 	x.replacement = nil
 	if r.inputs != nil {
 		x.useInputs(r.inputs)
 	}
-	if version := x.origin.Load(); version == nil || *version == r.choice.Version {
+	if version := x.origin.Load(); (version == nil || *version == r.choice.Version) && x.g.takesNewWork(r.choice) {
 		return r.choice, r.reservation, nil
 	}
 	x.releaseReplica(r)
@@ -246,6 +246,13 @@
 	return c, "", perr
 }
 
+// takesNewWork reports whether the newest view lists a replica as one that takes new work.
+func (g *Gateway) takesNewWork(c request.Choice) bool {
+	v := g.discovery.View()
+	r := v.Replicas.Find(c.Upstream)
+	return r != nil && !v.RefusesNewWork(r)
+}
+
 // releaseUnusedReplacement releases a replacement that the exchange did not use.
 func (x *exchange) releaseUnusedReplacement() {
 	if x.replacement != nil {
