--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -164,8 +164,8 @@
 func (x *exchange) takesUpStream() bool { return x.route.Streaming && x.req.LastEventID != "" }
 
 // recordOrigin records the version that wrote the first event of the stream, or of its
-// continuation, before the event is sent. The holders are told if the service has replicas of
-// several versions, or has lately had them.
+// continuation, before the event is sent. The holders are told unless it is known that the stream
+// can have begun at one version of one service only.
 func (x *exchange) recordOrigin(version string) {
 	if !x.route.Resumable {
 		return
