core/estimate: no slope made of rounding errors where sizes are equal

Callers saw: where all prompts of a route have the same size, a host of a processor that fuses multiply-adds (arm64) may estimate a duration of a larger prompt as 89 s in place of 100 ms, and refuse what it could serve.

Cause: the spread of sizes was the difference of two large sums. With equal sizes it is a rounding error, which is positive where products are not rounded before they are added; the slope divides by it.

Change: means and spreads are updated incrementally (weighted form of Welford's algorithm), so that equal sizes leave a spread of exactly zero. A further spec checks sizes from 0.1 to 3,000,000 after each measurement.

--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -12,20 +12,25 @@
 // LinearModel models a duration as a linear function of a size: a constant plus a cost for
 // each unit, fitted by least squares. The zero value has no measurements.
 type LinearModel struct {
-	// Sums over the measurements, weighted by age: the weights, the sizes, the
-	// durations in seconds, the squared sizes, and the products of size and duration.
-	n, x, y, xx, xy float64
+	// weight is the sum of the weights of the measurements, which decay with age.
+	weight float64
+	// meanSize and meanSeconds are the weighted means.
+	meanSize, meanSeconds float64
+	// sizeSpread and coSpread are the weighted sums of (size - meanSize)^2 and of
+	// (size - meanSize) * (duration - meanSeconds). They are updated incrementally: the
+	// difference of two large sums would leave only rounding errors where sizes are equal.
+	sizeSpread, coSpread float64
 }
 
 // Observe adds a measured duration for a size.
 func (l *LinearModel) Observe(size float64, took time.Duration) {
 	const decay = 1 - 1.0/decayCount
-	y := took.Seconds()
-	l.n = decay*l.n + 1
-	l.x = decay*l.x + size
-	l.y = decay*l.y + y
-	l.xx = decay*l.xx + size*size
-	l.xy = decay*l.xy + size*y
+	l.weight = decay*l.weight + 1
+	sizeChange, secondsChange := size-l.meanSize, took.Seconds()-l.meanSeconds
+	l.meanSize += sizeChange / l.weight
+	l.meanSeconds += secondsChange / l.weight
+	l.sizeSpread = decay*l.sizeSpread + sizeChange*(size-l.meanSize)
+	l.coSpread = decay*l.coSpread + sizeChange*(took.Seconds()-l.meanSeconds)
 }
 
 // minMeasurements is the weighted number of measurements from which At returns an
@@ -35,15 +40,14 @@
 // At returns the estimated duration for a size, or false while there are too few
 // measurements. The estimate never decreases with the size and is never negative.
 func (l *LinearModel) At(size float64) (time.Duration, bool) {
-	if l.n < minMeasurements {
+	if l.weight < minMeasurements {
 		return 0, false
 	}
-	base, slope := l.y/l.n, 0.0
-	meanSize := l.x / l.n
-	if spread := l.xx/l.n - meanSize*meanSize; spread > 0 {
-		slope = max(0, (l.xy/l.n-meanSize*base)/spread)
+	slope := 0.0
+	if l.sizeSpread > 0 {
+		slope = max(0, l.coSpread/l.sizeSpread)
 	}
-	return seconds(max(0, base+slope*(size-meanSize))), true
+	return seconds(max(0, l.meanSeconds+slope*(size-l.meanSize))), true
 }
 
 func seconds(s float64) time.Duration {
--- a/core/estimate/estimate_test.go
+++ b/core/estimate/estimate_test.go
@@ -54,6 +54,20 @@
 		Expect(at(&decreasing, 1000)).To(Equal(at(&decreasing, 0)))
 	})
 
+	// Guards against a slope made of rounding errors, which multiply-add instructions leave in the
+	// difference of two large sums.
+	It("has no slope from equal sizes whose durations differ", func() {
+		for _, size := range []float64{0.1, 7, 12345.678, 3e6} {
+			var l estimate.LinearModel
+			for i := range 1000 {
+				l.Observe(size, ms(100+float64(i%3-1)))
+				if i >= 50 {
+					Expect(at(&l, 1000*size)).To(BeNumerically("~", ms(100), ms(1)), "size %v, %d measurements", size, i+1)
+				}
+			}
+		}
+	})
+
 	It("adapts to a change", func() {
 		var l estimate.LinearModel
 		for range 1000 {
