core/stage: jobs wait for a suspected replica beside a limited one

Callers got 503 overloaded, three of some 220 requests, in TestReplicaLimitHoldsAcrossHosts/pieces, though a replica had room for all of them. The hosts' log of such a run: the machine gave the process no time for 178 ms while a call ran at s2; the call became overdue (1.6 times its time plus 120 ms), s2 was suspected for 500 ms, and s1, which takes one call a second, was the only usable replica. Admission counted s1 alone: predicted 1.497 s where 1 s is left, refused. s2 answered 40 ms later. The requests that arrived between were refused, one at each host.

Had s2 been the only replica of the service, they would have waited for it (maxSuspectWait). A second replica that hardly takes calls must not make that worse. So where the calls to all usable replicas are limited, the prediction counts suspected ones from when the first of them is usable again. Replicas to which no connection was established, or that failed three times in a row, are not waited for, as before.

Tried first without the condition that all usable ones are limited: the burst of the most urgent kind in overload_test.go ("degrades only the least urgent one") then ends 16 to 32 jobs late in three of its seconds and fails.

TestJobsWaitForASuspectedReplicaBesideALimitedOne, with a virtual clock, fails without the change (two of four jobs refused, predicted 4.28 s) and shows that crashed and failing replicas are still not waited for. The process test and its bounds stay as they are.

--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -73,11 +73,19 @@
 // usableAt returns when a replica of the service is usable: now, or within maxWait if all of them
 // are suspected, though not because connections to them failed. It is zero if none is.
 func (s *service) usableAt(now time.Time, maxWait time.Duration) time.Time {
-	var first time.Time
 	for _, r := range s.replicas {
 		if r.usable(now) {
 			return now
 		}
+	}
+	return s.returnAt(now, maxWait)
+}
+
+// returnAt returns when the first suspected replica is usable again, unless it is suspected for
+// longer than maxWait or because connections to it failed. It is zero if there is none.
+func (s *service) returnAt(now time.Time, maxWait time.Duration) time.Time {
+	var first time.Time
+	for _, r := range s.replicas {
 		at := r.suspectUntil
 		if !at.After(now) || at.Sub(now) > maxWait || r.unreachable || !r.usable(at) {
 			continue
@@ -129,15 +137,52 @@
 
 // drainTime returns how long the replicas of a service take, in full calls, for the queued pieces of
 // jobs that are due no later than the given time. It includes the wait for the first usable replica.
+// If the calls to all usable replicas are limited, suspected ones count from when the first of them
+// is usable again.
 func (m *Machine) drainTime(now time.Time, s *service, due time.Time) time.Duration {
 	usableAt := s.usableAt(now, m.cfg.maxSuspectWait())
 	if usableAt.IsZero() {
 		usableAt = now
 	}
-	if s.capacityAt.IsZero() || !now.Before(s.capacityAt.Add(s.scanPause())) {
-		s.capacity, s.capacityAt = s.piecesPerSecond(usableAt), now
+	m.updateCapacity(now, s, usableAt)
+	queued := s.backlog.countUpTo(due)
+	drained := usableAt.Sub(now) + s.drainTimeAt(s.capacity, queued)
+	untilReturn := s.returnsAt.Sub(now)
+	if s.returnsAt.IsZero() || untilReturn <= 0 || drained <= untilReturn {
+		return drained
+	}
+	left := queued - int(s.capacity*untilReturn.Seconds())
+	return min(drained, untilReturn+s.drainTimeAt(s.capacityAtReturn, left))
+}
+
+// updateCapacity computes the capacity of a service, unless that was done a moment ago.
+func (m *Machine) updateCapacity(now time.Time, s *service, usableAt time.Time) {
+	if !s.capacityAt.IsZero() && now.Before(s.capacityAt.Add(s.scanPause())) {
+		return
+	}
+	s.capacityAt, s.capacity = now, s.piecesPerSecond(usableAt)
+	s.returnsAt = time.Time{}
+	if !s.limited(now) {
+		return
+	}
+	if s.returnsAt = s.returnAt(now, m.cfg.maxSuspectWait()); !s.returnsAt.IsZero() {
+		s.capacityAtReturn = s.piecesPerSecond(s.returnsAt)
+	}
+}
+
+// limited reports whether there are usable replicas, and the calls to all of them are limited.
+func (s *service) limited(now time.Time) bool {
+	limited := false
+	for _, r := range s.replicas {
+		if !r.usable(now) {
+			continue
+		}
+		if _, bounded := r.limiter.Rate(now); !bounded {
+			return false
+		}
+		limited = true
 	}
-	return usableAt.Sub(now) + s.drainTimeAt(s.capacity, s.backlog.countUpTo(due))
+	return limited
 }
 
 // drainTimeAt returns how long n pieces take at a number of pieces per second.
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -24,7 +24,12 @@
 	// capacityAt.
 	capacity   float64
 	capacityAt time.Time
-	queue      queue
+	// returnsAt is when the first of the replicas is usable again that were suspected at
+	// capacityAt, and capacityAtReturn the capacity from then on; zero if none is expected, or
+	// a usable replica is not limited.
+	returnsAt        time.Time
+	capacityAtReturn float64
+	queue            queue
 	// backlog counts the pieces of all jobs that are not completed.
 	backlog     backlog
 	recentRanks recentRanks
--- a/core/stage/suspect_test.go
+++ b/core/stage/suspect_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/wheatseam/wheatseam/core/intake"
 )
 
 // failCalls submits a job for each outcome, whose first call ends with it.
@@ -44,6 +46,49 @@
 	Expect(h.ready).To(HaveLen(4))
 }
 
+// Guards against jobs that are refused since the only replica without a limit was silent for a
+// moment, although they could wait for it as they do if it is the only one, and against jobs that
+// wait for it after it has crashed, or has failed for long.
+func TestJobsWaitForASuspectedReplicaBesideALimitedOne(t *testing.T) {
+	for _, c := range []struct {
+		outcomes []CallOutcome
+		admitted bool
+	}{
+		{nil, true},
+		{[]CallOutcome{CallFailed}, true},
+		{[]CallOutcome{CallUnreachable}, false},
+		{[]CallOutcome{CallFailed, CallFailed, CallFailed}, false},
+	} {
+		RegisterTestingT(t)
+		h := newHarness(pieceParams(4, 0), "x", "x")
+		h.m.cfg.Limiters.SetQuotas(intake.AnnouncedLimit, map[string]intake.Quota{"a1": {BlockedUntil: h.now.Add(time.Hour)}})
+		failCalls(h, c.outcomes...)
+		h.m.cfg.Limiters.SetQuotas(intake.AnnouncedLimit, map[string]intake.Quota{"a1": {Calls: 1, Window: 2 * time.Second}})
+		var due []string
+		for i := range 4 {
+			due = append(due, fmt.Sprint("job", i))
+			j := h.newChain(due[i], Stage{Service: "a", Pieces: 4})
+			j.Due = h.now.Add(3 * time.Second)
+			h.submit(j)
+		}
+		if !c.admitted {
+			Expect(h.refused).NotTo(BeEmpty(), "%v", c.outcomes)
+			continue
+		}
+		Expect(h.refused).To(BeEmpty(), "%v", c.outcomes)
+		for began := h.now; h.now.Sub(began) < 3*time.Second; {
+			h.advance(50 * time.Millisecond)
+			for _, r := range h.running {
+				if h.now.Sub(h.m.calls[r.Call].started) >= 280*time.Millisecond {
+					h.answer(r.Call)
+					break
+				}
+			}
+		}
+		Expect(h.ready).To(And(HaveKey(due[0]), HaveKey(due[1]), HaveKey(due[2]), HaveKey(due[3])))
+	}
+}
+
 // Guards against jobs that wait for replicas that have crashed, or have failed for long.
 func TestJobsAreRefusedWhileNoReplicaIsExpected(t *testing.T) {
 	for _, c := range []struct {
