gateway: tests of a loss of all hosts begin refused streams again

The stream was not complete, as KNOWN-RED took it to be: a copy that prints the answer and keeps the hosts' logs shows 503 overloaded, "stages refused reason=overload predicted=36ms" 1.19 s after the request had come. The process had got no processor time for about a second; the stages could not be ready by the stream's goal any more, and the host refused it as it must. The same line of breakOff failed in TestStreamsOfAVersionThatLeftBeforeAllHostsWereReplacedInTurn in a run of the whole package at a load average of 20.

The setup wants a stream that broke off. Both setups now share beginBroken, which sends a request that was refused with 503 again, up to 10 s, and checks that the refused one did not run. A stream that is complete still fails the test, as does every other answer. What is checked after the loss is unchanged.

--- a/gateway/allhostslost_test.go
+++ b/gateway/allhostslost_test.go
@@ -25,15 +25,30 @@
 	defer f.breakStreams(false)
 	var out []brokenStream
 	for i := range streams {
-		a, id := fleet[i%len(fleet)].send(http.MethodPost, resumePath, "x", withStages)
-		f.Expect(a.err).To(HaveOccurred())
-		versions := site.EventVersions(a.body)
-		f.Expect(versions).To(HaveLen(1), a.body)
-		out = append(out, brokenStream{id: id, body: a.body, version: versions[0]})
+		out = append(out, f.beginBroken(fleet[i%len(fleet)], resumePath, withStages))
 	}
 	return out
 }
 
+// beginBroken begins a stream that breaks off. A request that is refused did not run, and is sent
+// again.
+func (f *fixture) beginBroken(g *gatewayProcess, path string, change func(*http.Request)) (s brokenStream) {
+	f.test.Helper()
+	f.Eventually(func() int {
+		a, id := g.send(http.MethodPost, path, "x", change)
+		if a.err == nil && a.status == http.StatusServiceUnavailable {
+			f.Expect(f.ledger.Runs(id)).To(BeEmpty())
+			return a.status
+		}
+		f.Expect(a.err).To(HaveOccurred(), "status %d: %s", a.status, a.body)
+		versions := site.EventVersions(a.body)
+		f.Expect(versions).To(HaveLen(1), a.body)
+		s = brokenStream{id: id, body: a.body, version: versions[0]}
+		return a.status
+	}, "10s", "100ms").Should(Equal(http.StatusOK))
+	return s
+}
+
 // takeUpEach takes up streams at one host after the other, and returns how many of those that a
 // version began went on. No resume may run at another version, and one that is refused as not run
 // must not have run.
--- a/gateway/promptkept_test.go
+++ b/gateway/promptkept_test.go
@@ -18,13 +18,12 @@
 	var out []brokenStream
 	for i := range streams {
 		prompt := fmt.Sprintf("group%d:100,own%d:50", i, i)
-		a, id := fleet[i%len(fleet)].send(http.MethodPost, path, "x", func(r *http.Request) {
+		s := f.beginBroken(fleet[i%len(fleet)], path, func(r *http.Request) {
 			withStages(r)
 			r.Header.Set("Prefix-Hash", prompt)
 		})
-		f.Expect(a.err).To(HaveOccurred())
-		f.Expect(site.EventVersions(a.body)).To(HaveLen(1), a.body)
-		out = append(out, brokenStream{id: id, body: a.body, version: site.EventVersions(a.body)[0], prompt: prompt})
+		s.prompt = prompt
+		out = append(out, s)
 	}
 	return out
 }
