gateway: the test of unreachable replicas has replicas to spare, at addresses of its own

With two replicas, one closed, the answers of the other had taken 2, 9, 18, 189 and 68 ms on a busy machine. An ejected replica is avoided even more than an unreachable one (RelaxThird, RelaxSecond in core/route): a request that was not sent costs a free retry, one at a failing replica may cost the answer. So the router tried the unreachable one, as it must. The port of the closed replica was free, and a listener of another test had taken it.

The test now has four more replicas of the service, of which at most one is ejected (MaxEjectedShare), so that one that can take the request is always there; that the third host sends the closed one nothing is checked as before. And all replicas of the package get loopback addresses of their own, as the hosts have them, so that no other test's listener takes the address of one that is closed or crashed. The share of requests that meet an unreachable replica stays under test with a virtual clock in core/reach.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -84,9 +84,9 @@
 	return f
 }
 
-// add starts a replica and registers it.
+// add starts a replica and registers it. No other test can take its address while it is down.
 func (f *fixture) add(id, service string, kind site.Kind) *site.Replica {
-	r, err := site.StartReplica(f.ledger, id, service, kind, "127.0.0.1:0")
+	r, err := site.StartReplica(f.ledger, id, service, kind, address(7407))
 	f.Expect(err).NotTo(HaveOccurred())
 	f.test.Cleanup(r.Close)
 	f.replicas[id] = r
--- a/gateway/reachability_test.go
+++ b/gateway/reachability_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -20,8 +21,14 @@
 	const (
 		unreachable = "replica unreachable"
 		notSent     = `wheatseam_attempts_total{service="plain",end="not_sent"}`
+		// usableReplicas are so many that those which are not ejected for slowness can always
+		// take a request: an ejected replica is avoided even more than an unreachable one.
+		usableReplicas = 4
 	)
 	f := newFixtureOf(t)
+	for i := range usableReplicas {
+		f.add(fmt.Sprint("usable", i), "plain", site.Plain)
+	}
 	core, logs := observer.New(zapcore.InfoLevel)
 	otherCore, otherLogs := observer.New(zapcore.InfoLevel)
 	first := f.startLogged(zap.New(core)).ready()
