discovery: the history of a fleet outlives the return of the host that reads the store

A host that reads the store for its fleet, was cut off, and came back after the store had discarded what it had missed, stayed 3.7 to 4.0 s short of what its peers had known of software versions. Such a host refuses streams that it could take up, and joins none. It is no matter of load: the hosts' logs of the red runs show that the peers lose their history, too: "version history interrupted source=host-2 before=4.254s complete_for=360ms". They change to the returned host as their source while its history is still short and begins a moment after their last view. Their history and its own then have a gap of some 0.1 s, and the later one replaced the longer one. Whoever the returned host asked after that, in three rounds, knew no more than itself.

A peer without any history continues a history across such a gap of up to maxListGap (1.5 s), since its replicas are a whole list. A peer with a short history must not be worth less: it began with a list, too, as of the beginning of that history. So if that is at most maxListGap after this host's view, the reply is whole, and the store has not come back from a copy, the history goes on. The rule of what continues a history is the same as for lists and for peers without one.

`go test -race -c ./discovery`, then copies of -test.run '^TestHostThatReadsThe StoreLearnsFromPeersWhatItMissed$' six at a time beside other work (load average 8 to 16): 9 of 30 red before (and 1 of 6 three at a time), 0 of 60 with the change. The other tests of histories, two at a time: 1 of 6 red by TestHostThatJoinsKnowsWhatTheFleetKnows as before, which stays listed.

--- a/discovery/versions.go
+++ b/discovery/versions.go
@@ -101,6 +101,10 @@
 		grown := h.Record(now, changes)
 		if received := reply.GetVersions(); received != nil {
 			s := summaryOf(received, now, asOf, asOf.Add(time.Duration(reply.GetAgeMs())*time.Millisecond))
+			if complete && !newEra && !h.Until().IsZero() && s.Since.Sub(h.Until()) <= maxListGap {
+				// The peer's history begins with a list, which continues this one.
+				h.Continue(s.Since)
+			}
 			grown = append(grown, h.Merge(now, s, complete)...)
 		}
 		switch {
