Platform: an empty list of customers lets no key in

Callers saw: after the last customer was removed, every request ran, with any key and with none, and without the customer's name.

Cause: "tenants": [] was read as a configuration without customers. The protocol asks for a key if the configuration contains the list, and removed keys must be refused.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -101,6 +101,25 @@
 			return a.status
 		}, "1s").Should(Equal(http.StatusUnauthorized))
 	})
+
+	// Guards against requests that run with any key, or none, once the last customer is removed.
+	It("are refused when the last customer was removed, unless the route is public", func() {
+		f := newFixture()
+		g := f.start().ready()
+		f.version++
+		c := site.GatewayConfig(f.version, nil)
+		c["tenants"] = []any{}
+		c["routes"].([]any)[1].(map[string]any)["public"] = true
+		f.store.Put("op/config", c)
+		for _, key := range []string{"key-1", ""} {
+			Eventually(func() int {
+				a, _ := g.send(http.MethodPost, sealPath, "", func(r *http.Request) { r.Header.Set("X-Api-Key", key) })
+				return a.status
+			}, "2s").Should(Equal(http.StatusUnauthorized))
+		}
+		a, _ := g.send(http.MethodPost, safePath, "", nil)
+		Expect(a.status).To(Equal(http.StatusOK))
+	})
 })
 
 type readCloser struct{ *strings.Reader }
