Few hosts ask the replicas for the prompts they keep, on behalf of all

What callers saw: after a loss of all hosts, streams of services with more than 64 replicas were refused for some 30 s. In fleets of hundreds of hosts only the first resumes of each host went on; those within the next 4.9 s (at 985 hosts) found replicas silent and were refused. And each replica got a call from each host that had a resume, up to 985 in the seconds in which callers come back.

Cause: each host asked all replicas of the service itself, so that calls grew with hosts times replicas; the limits that kept this bearable (64 replicas, 5 ms for each host between two calls) refused the resumes.

Change: the replicas of a service are split into groups of 8 to 16. For each group eight hosts, by rendezvous, ask its replicas for all others, each every 100 ms whatever the number of hosts. A host sends its lookups, batched over 5 ms, to one of the eight, and to a second one if that fails or takes 250 ms. The choice of hosts and what a list shows are pure (core/origin/lookup.go). Times of different hosts can't be compared: a message says for how long each lookup has been going on, and the receiver counts back from its arrival, so that a list requested before the lookup never shows that a part is not kept. Peers of an earlier build don't know the method: then the host asks itself within the former limits.

TestLargeServicesAreNotAsked asserted the limit of 64 that is lifted; TestServicesBeyondTheLimitAreNotAsked asserts the new one in the same way.

TestPeersAnswerFromListsOfTheirTime fails (3 of 3) with a build that counts lists from before a lookup.

--- a/core/origin/holders.go
+++ b/core/origin/holders.go
@@ -26,27 +26,49 @@
 	return d.Sum64()
 }
 
-// Asked returns the hosts that are asked for the record of a stream, in rank order. The first
-// holderCount of them hold it, in different failure domains if there are several. Each host
-// holds about as many records as any other.
-func Asked(k Key, hosts []Host) []Host {
-	type weighted struct {
-		Host
-		weight uint64
-	}
-	before := func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
-	}
-	all := make([]weighted, 0, len(hosts))
-	first := make([]weighted, 0, MaxAsked+1)
+// weighted is a host with its weight for a key.
+type weighted struct {
+	Host
+	weight uint64
+}
+
+// before orders hosts by rank.
+func before(a, b weighted) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
+}
+
+// ranked returns all hosts with their weights, and the first n in rank order.
+func ranked(k Key, hosts []Host, n int) (all, first []weighted) {
+	all = make([]weighted, 0, len(hosts))
+	first = make([]weighted, 0, n+1)
 	for _, h := range hosts {
 		w := weighted{h, weight(k, h.Name)}
 		all = append(all, w)
-		if i, _ := slices.BinarySearchFunc(first, w, before); i < MaxAsked {
+		if len(first) == n && w.weight < first[n-1].weight {
+			continue
+		}
+		if i, _ := slices.BinarySearchFunc(first, w, before); i < n {
 			first = slices.Insert(first, i, w)
-			first = first[:min(MaxAsked, len(first))]
+			first = first[:min(n, len(first))]
 		}
 	}
+	return all, first
+}
+
+// unweighted returns the hosts without their weights.
+func unweighted(hosts []weighted) []Host {
+	out := make([]Host, 0, len(hosts))
+	for _, w := range hosts {
+		out = append(out, w.Host)
+	}
+	return out
+}
+
+// Asked returns the hosts that are asked for the record of a stream, in rank order. The first
+// holderCount of them hold it, in different failure domains if there are several. Each host
+// holds about as many records as any other.
+func Asked(k Key, hosts []Host) []Host {
+	all, first := ranked(k, hosts, MaxAsked)
 	var second *weighted
 	for i := range all {
 		if all[i].FailureDomain != first[0].FailureDomain && (second == nil || before(all[i], *second) < 0) {
@@ -58,11 +80,7 @@
 		first = slices.Insert(first, 1, *second)
 		first = first[:min(MaxAsked, len(first))]
 	}
-	out := make([]Host, 0, len(first))
-	for _, w := range first {
-		out = append(out, w.Host)
-	}
-	return out
+	return unweighted(first)
 }
 
 // Holders returns the hosts that hold the record of a stream.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	g.registerNoticeHandler(mux)
 	g.registerLoanHandler(mux)
 	g.registerOriginHandlers(mux)
+	g.registerLookupHandler(mux)
 	g.initPaths(s)
 	g.paths.server.Register(mux)
 	members, err := fleet.New(fleet.Config{
--- a/gateway/promptmemory.go
+++ b/gateway/promptmemory.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// maxMemoryReplicas limits the replicas of a service that are asked for one stream.
-	maxMemoryReplicas = 64
 	// maxMemoryCalls limits the calls that are in progress at a time, to all replicas.
 	maxMemoryCalls = 16
 	// memoryCallTimeout limits one call, and memoryLookupTimeout one lookup, which may wait for
@@ -30,14 +28,9 @@
 	memoryLookupTimeout = 500 * time.Millisecond
 	// maxMemoryListAge is for how long a list shows that a part is kept.
 	maxMemoryListAge = 500 * time.Millisecond
-	// The calls of one host to one replica begin at least minMemoryCallInterval apart, or
-	// memoryCallIntervalPerHost times the number of hosts if that is longer: a call delays the
-	// replica's work, and all hosts together begin at most 200 a second.
-	minMemoryCallInterval     = 100 * time.Millisecond
-	memoryCallIntervalPerHost = 5 * time.Millisecond
-	// maxBlockTokens bounds the blocks in which replicas keep prompts. Of the last part only whole
-	// blocks are kept.
-	maxBlockTokens = 32
+	// The calls of one host to one replica begin at least minMemoryCallInterval apart: a call
+	// delays the replica's work.
+	minMemoryCallInterval = 100 * time.Millisecond
 	// restartMemory is for how long it is remembered that a replica's process was found to have
 	// restarted under its ID: streams may have begun at the former process.
 	restartMemory = origin.MaxLifetime
@@ -47,8 +40,8 @@
 type memoryReplica struct{ id, address, version string }
 
 // promptMemory finds out which replicas keep the last part of a stream's prompt. Its calls are
-// shared by all lookups of this host: there is one in progress for each replica. The zero value
-// is not ready to use.
+// shared by all lookups that this host serves: there is one in progress for each replica. The zero
+// value is not ready to use.
 type promptMemory struct {
 	// seed hashes the IDs of parts, which callers choose.
 	seed maphash.Seed
@@ -59,6 +52,8 @@
 	// replicas are those that lookups have needed within restartMemory; a sweep is scheduled
 	// while there are any.
 	replicas map[memoryReplica]*replicaMemory
+
+	batches memoryBatches
 }
 
 // replicaMemory is what is known about the memory of one replica.
@@ -87,17 +82,11 @@
 	complete bool
 }
 
-// retention is whether a replica keeps a part.
-type retention uint8
-
-const (
-	retentionUnknown retention = iota
-	partKept
-	partNotKept
-)
-
 func newPromptMemory() promptMemory {
-	return promptMemory{seed: maphash.MakeSeed(), slots: make(chan struct{}, maxMemoryCalls), replicas: map[memoryReplica]*replicaMemory{}}
+	return promptMemory{
+		seed: maphash.MakeSeed(), slots: make(chan struct{}, maxMemoryCalls), replicas: map[memoryReplica]*replicaMemory{},
+		batches: memoryBatches{open: map[memoryBatchKey]*memoryBatch{}},
+	}
 }
 
 // lastPart returns the last part of the request's prompt; one without an ID if it names none.
@@ -112,38 +101,42 @@
 type soughtPart struct {
 	hash   uint64
 	tokens int
-	// began is when the lookup began.
+	// began is when the lookup began, no earlier.
 	began time.Time
+	// until is when the lookup ends, and interval the least time between two calls to a replica.
+	until    time.Time
+	interval time.Duration
 }
 
-// partHolders asks all listed replicas of a service, draining ones too, whether they keep a whole
-// part of a prompt. One that keeps less of it may have lost the rest, or is reading it, and is
+// partHolders finds out which listed replicas of a service, draining ones too, keep a whole part of
+// a prompt. One that keeps less of it may have lost the rest, or is reading it, and is
 // silent. It takes memoryLookupTimeout at most; replicas that have not answered by then, or
-// when ctx ends, are silent. All are silent if the part has no ID or
-// there are more than maxMemoryReplicas.
+// when ctx ends, are silent. All are silent if the part has no ID or there are more than
+// origin.MaxLookupReplicas.
 func (g *Gateway) partHolders(ctx context.Context, requestID, service string, part platform.PromptSegment) origin.Memory {
 	began := clock.Now()
 	replicas := g.memoryReplicas(service)
-	found := make([]retention, len(replicas))
+	found := make([]origin.Retention, len(replicas))
 	result := "asked"
 	switch {
 	case part.ID == "":
 		result = "no_part"
-	case len(replicas) > maxMemoryReplicas:
+	case len(replicas) > origin.MaxLookupReplicas:
 		result = "too_many_replicas"
 	default:
-		found = g.lookUpPart(ctx, began, replicas, part)
+		found = g.lookUpPart(ctx, began, service, replicas, part)
 	}
 	var holding, silent []string
 	answered := 0
 	for i, r := range replicas {
-		if found[i] != retentionUnknown {
+		if found[i] != origin.RetentionUnknown {
 			answered++
 		}
 		switch found[i] {
-		case partKept:
+		case origin.PartKept:
 			holding = append(holding, r.version)
-		case retentionUnknown:
+		case origin.PartNotKept:
+		default:
 			silent = append(silent, r.version)
 		}
 	}
@@ -172,14 +165,11 @@
 	return listed != nil && listed.Address == r.address && listed.Version == r.version
 }
 
-// lookUpPart returns which of the replicas keep a part, for a lookup that began at the given
-// time.
-func (g *Gateway) lookUpPart(ctx context.Context, began time.Time, replicas []memoryReplica, part platform.PromptSegment) []retention {
-	ctx, cancel := clock.WithDeadline(ctx, began.Add(memoryLookupTimeout))
+// askReplicas returns which of the replicas keep a part, as they tell this host.
+func (g *Gateway) askReplicas(ctx context.Context, replicas []memoryReplica, sought soughtPart) []origin.Retention {
+	ctx, cancel := clock.WithDeadline(ctx, sought.until)
 	defer cancel()
-	m := &g.promptMemory
-	sought := soughtPart{hash: maphash.String(m.seed, part.ID), tokens: part.Tokens, began: began}
-	found := make([]retention, len(replicas))
+	found := make([]origin.Retention, len(replicas))
 	decided := make([]bool, len(replicas))
 	// A call that was in progress when the lookup began may have missed the part; the one after
 	// it has not.
@@ -197,11 +187,6 @@
 			}
 		}
 	}
-	for i, r := range replicas {
-		if !g.isListed(r) {
-			found[i] = retentionUnknown
-		}
-	}
 	return found
 }
 
@@ -228,8 +213,8 @@
 		}
 	}
 	if known.pending == nil {
-		due := known.begunAt.Add(g.memoryCallInterval())
-		if due.Sub(sought.began) > memoryLookupTimeout {
+		due := known.begunAt.Add(sought.interval)
+		if due.After(sought.until) {
 			return nil
 		}
 		known.pending = &memoryCall{done: make(chan struct{})}
@@ -238,11 +223,6 @@
 	return known.pending
 }
 
-// memoryCallInterval is the interval at which calls of this host to one replica may begin.
-func (g *Gateway) memoryCallInterval() time.Duration {
-	return max(minMemoryCallInterval, time.Duration(g.fleet.KnownHostCount())*memoryCallIntervalPerHost)
-}
-
 // callMemory makes a call when it is due and one of the slots is free.
 func (g *Gateway) callMemory(r memoryReplica, known *replicaMemory, call *memoryCall, due time.Time) {
 	periodic.Sleep(context.Background(), clock.Until(due))
@@ -323,19 +303,12 @@
 	}
 }
 
-// evidence returns what an ended call shows about a part. Only a call that was sent after the
-// lookup began decides that the part is not kept, or that the replica does not tell.
-func (c *memoryCall) evidence(sought soughtPart) (found retention, decided bool) {
+// evidence returns what an ended call shows about a part.
+func (c *memoryCall) evidence(sought soughtPart) (found origin.Retention, decided bool) {
+	now := clock.Now()
 	kept, listed := c.parts[sought.hash]
-	switch {
-	case listed && kept > sought.tokens-maxBlockTokens:
-		return partKept, true
-	case c.requestedAt.Before(sought.began):
-		return retentionUnknown, false
-	case c.answered && c.complete && !listed:
-		return partNotKept, true
-	}
-	return retentionUnknown, true
+	list := origin.PartList{Answered: c.answered, Listed: listed, Tokens: kept, Complete: c.complete, Age: now.Sub(c.requestedAt)}
+	return list.Shows(origin.SoughtPart{Tokens: sought.tokens, Age: now.Sub(sought.began)})
 }
 
 // sweep drops replicas that no lookup has needed for restartMemory. It runs at that interval
--- a/gateway/promptmemory_test.go
+++ b/gateway/promptmemory_test.go
@@ -206,17 +206,17 @@
 	f.Eventually(g.gateway.PromptMemoryLists, 2*gateway.MaxMemoryListAge).Should(BeZero())
 }
 
-// Guards against a lookup for a large service, which would call each of its replicas.
-func TestLargeServicesAreNotAsked(t *testing.T) {
+// Guards against lookups whose messages grow without limit with the replicas of a service.
+func TestServicesBeyondTheLimitAreNotAsked(t *testing.T) {
 	t.Parallel()
 	f := newFixtureOf(t)
 	g := f.withVersions(2, 1, 1)[0]
 	f.readPrompt("e1", "p:20")
 	entry := site.StoreEntry(f.replicas["e1"], "ready")
-	for i := range gateway.MaxMemoryReplicas - 1 {
+	for i := range origin.MaxLookupReplicas - 1 {
 		f.store.Put(fmt.Sprint("servers/x", i), entry)
 	}
-	f.Eventually(g.metricLines, "5s").WithArguments("wheatseam_replicas ").Should(ConsistOf(HaveSuffix(fmt.Sprint(" ", len(f.replicas)+gateway.MaxMemoryReplicas-1))))
+	f.Eventually(g.metricLines, "5s").WithArguments("wheatseam_replicas ").Should(ConsistOf(HaveSuffix(fmt.Sprint(" ", len(f.replicas)+origin.MaxLookupReplicas-1))))
 	f.Expect(g.lookUp("p")).To(Equal(origin.Memory{Silent: []string{"v1", "v2"}}))
 	f.Expect(f.replicas["e1"].CachedPartsCalls()).To(BeEmpty())
 	f.Expect(g.metricLines("wheatseam_prompt_memory_lookups_total")).To(ConsistOf(`wheatseam_prompt_memory_lookups_total{result="too_many_replicas"} 1`))
