core/stage: pieces are bounded before anything is allocated for them

A stage may have 4,096 pieces: the handles of more results don't fit the head in which an engine is given them. A request over that is answered 413 before its body is read; a planner refuses such a job from a peer (reason too_large) without allocating. All jobs that one host plans have 131,072 pieces at most, by default; beyond that new jobs are refused as overload with Retry-After, jobs that were planned elsewhere before are taken over.

--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -105,6 +105,8 @@
 	ReasonExpired Reason = "expired"
 	// ReasonNoReplica means that the job needs a service without a usable replica.
 	ReasonNoReplica Reason = "no_replica"
+	// ReasonTooLarge means that a stage of the job has more than MaxStagePieces pieces.
+	ReasonTooLarge Reason = "too_large"
 	// ReasonFailed means that a piece of the job failed too often.
 	ReasonFailed Reason = "failed"
 )
--- a/core/stage/config.go
+++ b/core/stage/config.go
@@ -56,6 +56,9 @@
 	// FairShares refuses jobs of customers that have had their fair share of a service while
 	// that service is short of capacity. Default false.
 	FairShares bool
+	// MaxPieces bounds the pieces of all planned jobs, which take about PieceBytes each. Jobs that
+	// were planned elsewhere before are taken over regardless. Default 1<<17.
+	MaxPieces int
 	// MinRetryAfter is the shortest retry delay returned to a refused job. Default 300 ms.
 	MinRetryAfter time.Duration
 }
@@ -85,6 +88,7 @@
 	orDefault(&c.MinSplitShare, 0.8)
 	orDefault(&c.LateGrace, 3*time.Second)
 	orDefault(&c.MaxScannedReplicas, 64)
+	orDefault(&c.MaxPieces, 1<<17)
 	orDefault(&c.MinRetryAfter, 300*time.Millisecond)
 	return c
 }
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -21,6 +21,8 @@
 	// domains are the failure domains with replicas of any service.
 	domains map[string]bool
 	jobs    map[string]*job
+	// pieces is the number of pieces of all jobs.
+	pieces int
 	// refused holds the refused jobs with results that wait for their owners'
 	// acknowledgement; see handover.go.
 	refused map[string]*job
@@ -165,6 +167,10 @@
 	if m.jobs[j.ID] != nil || m.refused[j.ID] != nil {
 		return
 	}
+	if refusal := m.refuseForSize(&j); refusal != nil {
+		m.emit(*refusal)
+		return
+	}
 	state := m.newJob(j)
 	if state == nil {
 		m.emit(Refused{Job: j.ID, Reason: ReasonNoReplica, RetryAfter: m.cfg.MinRetryAfter})
@@ -182,6 +188,7 @@
 	m.queryOnFirstJob(now)
 	state.submitted = now
 	m.jobs[j.ID] = state
+	m.pieces += j.pieces()
 	state.setAdmitted(true)
 	m.nextExpiry.schedule(state.refuseAt)
 	m.advance(now, state)
@@ -299,6 +306,7 @@
 		return nil
 	}
 	delete(m.jobs, id)
+	m.pieces -= j.pieces()
 	j.setAdmitted(false)
 	for i := range j.stages {
 		if st := &j.stages[i]; st.group != nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -153,13 +154,16 @@
 	if err := replica.CheckTarget(x.r.RequestURI); err != nil {
 		return problem.New(problem.BadRequest, "the path can't be passed on unchanged")
 	}
-	if err := x.readBody(); err != nil {
-		return err
-	}
 	x.deadline = x.arrived.Add(x.route.Timeout)
 	if x.req.Timeout > 0 && x.req.Timeout < x.route.Timeout {
 		x.deadline = x.arrived.Add(x.req.Timeout)
 	}
+	if slices.ContainsFunc(x.req.PieceCounts, func(n int) bool { return n > stage.MaxStagePieces }) {
+		return problem.New(problem.TooLarge, "a stage of over %d pieces", stage.MaxStagePieces)
+	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
 	x.service = x.route.PickService(rand.Float64())
 	x.parts = x.partFingerprints()
 	x.requestTrial()
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -27,8 +27,11 @@
 		x.g.countShareExceeded(r.Service, x.customer())
 	}
 	e := problem.New(problem.Overloaded, "stages: %s", r.Reason)
-	if r.Reason == stage.ReasonNoReplica {
+	switch r.Reason {
+	case stage.ReasonNoReplica:
 		e = problem.New(problem.NoUpstream, "stages: no replica")
+	case stage.ReasonTooLarge:
+		return problem.New(problem.TooLarge, "a stage of over %d pieces", stage.MaxStagePieces)
 	}
 	return withRetryAfter(e, x.retryDelay(r.RetryAfter))
 }
