gateway: a run ends before its successor begins

Cause: closing the connection was taken for the end of the run. core/stall gives up a run that its engine reports as alive and ahead, the gateway cancelled the attempt, and nothing else ended the run.

Change: after the close the gateway asks, on a new connection, what core/attempts says: to stop the run and copy it to the replacement's engine where the service has moves (the successor goes on from the copy), else for the report until it lists the run no longer. An engine that does not answer is left as fast as before. If no end is known the stream waits for its deadline, and the log says so. The replacement is checked against the newest view after the wait: draining, gone, evacuated, limited, version.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -100,6 +100,8 @@
 	ColdRate float64
 	// Engine says that the service runs generations in batches.
 	Engine bool
+	// Moves says that its replicas can stop a run and copy its memory to another replica.
+	Moves bool
 	// StageProfile is set for services that run stages; nil for others.
 	StageProfile *StageProfile
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -73,6 +73,8 @@
 	replacement *replacement
 	// cancelledRun says that this host cancelled a stalled run in favour of another one.
 	cancelledRun bool
+	// givenUp is the last attempt that this host cancelled so; nil for none.
+	givenUp *attempt
 	// retryDenial says why no attempt followed the last one.
 	retryDenial denial
 	// origin is the software version that wrote the first event which the caller has; nil
--- a/gateway/readbefore.go
+++ b/gateway/readbefore.go
@@ -84,12 +84,12 @@
 
 // attemptNotingRead makes an attempt. Its replica may have read the prompt from when it is sent,
 // unless it turns out that it has not run the request.
-func (x *exchange) attemptNotingRead(choice request.Choice, reservation string) (attemptEnd, *problem.Error) {
+func (x *exchange) attemptNotingRead(choice request.Choice, held heldCapacity) (attemptEnd, *problem.Error) {
 	before, runs := x.readVersion.Load(), x.runs
 	if x.route.Resumable && before == nil {
 		x.readVersion.Store(&choice.Version)
 	}
-	end, perr := x.attempt(choice, reservation)
+	end, perr := x.attempt(choice, held)
 	if x.runs == runs {
 		x.readVersion.Store(before)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/core/attempts"
 	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/poison"
@@ -51,13 +52,13 @@
 			x.fail(problem.New(problem.DeadlineExceeded, "no time is left for an attempt"))
 			return
 		}
-		choice, reservation, perr := x.nextReplica()
+		choice, held, perr := x.nextReplica()
 		if perr != nil {
 			x.fail(perr)
 			return
 		}
 		x.triedReplicas = append(x.triedReplicas, choice.Upstream)
-		end, perr := x.attemptNotingRead(choice, reservation)
+		end, perr := x.attemptNotingRead(choice, held)
 		if end == answered {
 			return
 		}
@@ -66,36 +67,41 @@
 			x.fail(perr)
 			return
 		}
+		if end == stalled && x.replacement != nil {
+			if perr := x.awaitRunEnd(x.givenUp); perr != nil {
+				x.fail(perr)
+				return
+			}
+		}
 		if end == inputsGone && x.replacement == nil {
 			x.releaseInputs()
 		}
 	}
 }
 
-// nextReplica returns the replica of the next attempt and the reservation there; ""
-// for none. A replacement that was reserved when the last attempt was cancelled needs no
+// nextReplica returns the replica of the next attempt and what it holds there. A replacement that was reserved when the last attempt was cancelled needs no
 // further check of paths and inputs.
-func (x *exchange) nextReplica() (c request.Choice, reservation string, perr *problem.Error) {
+func (x *exchange) nextReplica() (c request.Choice, held heldCapacity, perr *problem.Error) {
 	if perr = x.checkQuarantine(); perr != nil {
-		return c, "", perr
+		return c, held, perr
 	}
 	if x.replacement != nil {
 		return x.takeReplacement()
 	}
 	if perr = x.checkPaths(); perr != nil {
-		return c, "", perr
+		return c, held, perr
 	}
 	if perr = x.ensureInputs(); perr != nil {
-		return c, "", perr
+		return c, held, perr
 	}
 	// The request may have been quarantined while its stages ran.
 	if perr = x.checkQuarantine(); perr != nil {
-		return c, "", perr
+		return c, held, perr
 	}
 	if c, perr = x.pick(x.routerQuery()); perr != nil {
 		x.g.shortages.record(clock.Now(), x.service)
 	}
-	return c, "", perr
+	return c, held, perr
 }
 
 // sendingToEngine records that an engine is being sent the prompt, and returns the address
@@ -160,10 +166,10 @@
 
 // attempt sends the request to one replica. The error is the answer if no further attempt
 // follows.
-func (x *exchange) attempt(choice request.Choice, reservation string) (attemptEnd, *problem.Error) {
+func (x *exchange) attempt(choice request.Choice, held heldCapacity) (attemptEnd, *problem.Error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	t := &attempt{x: x, runNumber: x.runs + 1, ctx: ctx, choice: choice, reservation: reservation, copyFrom: x.sendingToEngine(choice), began: clock.Now(), suspended: clock.SuspendedTime(), cancel: cancel}
+	t := &attempt{x: x, runNumber: x.runs + 1, ctx: ctx, choice: choice, held: held, copyFrom: x.sendingToEngine(choice), began: clock.Now(), suspended: clock.SuspendedTime(), cancel: cancel}
 	end, err := t.run()
 	t.reportOutcome(end)
 	t.logAttempt(end, err)
@@ -181,8 +187,8 @@
 	// copyFrom is the address of the engine from which the chosen engine copies a prefix
 	// of the prompt; "" for none.
 	copyFrom string
-	// reservation is the ID of the capacity reserved for the request; "" for none.
-	reservation string
+	// held is what the replica holds for the request.
+	held heldCapacity
 	// connectError is why no connection was established; nil if one was.
 	connectError error
 	// via is the host through which the connection goes; "" for a direct one.
@@ -224,7 +230,9 @@
 	t.watch = t.startStallWatch()
 	end, perr := t.call()
 	t.x.replacement = t.watch.stop(end.needsRetry() && !t.x.unresumable)
-	t.x.cancelledRun = t.x.cancelledRun || t.stallError != nil
+	if t.stallError != nil {
+		t.x.cancelledRun, t.x.givenUp = true, t
+	}
 	return end, perr
 }
 
@@ -270,7 +278,10 @@
 	x := t.x
 	a := platform.Attempt{
 		Replica: t.choice.Upstream, TimeLeft: max(clock.Until(x.deadline), minTimeLeft), Priority: -1,
-		Inputs: x.inputs, LastEventID: x.lastEvent, CacheSource: t.copyFrom, ReservationID: t.reservation,
+		Inputs: x.inputs, LastEventID: x.lastEvent, CacheSource: t.copyFrom, ReservationID: t.held.reservation, RunCopy: t.held.runCopy,
+	}
+	if a.RunCopy != "" {
+		a.CacheSource = ""
 	}
 	a.Customer = x.customer()
 	if x.route.Streaming {
@@ -282,6 +293,9 @@
 		Header: platform.EncodeAttempt(x.r.Header, a), Body: x.body,
 		OnConnected: func(c net.Conn) {
 			t.via = replica.Via(c)
+			if t.watch != nil {
+				t.watch.withRun(func(r *attempts.Run) { r.Sent(x.deadline) })
+			}
 			t.inputRelease.start(x)
 		},
 	}
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -11,6 +11,7 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/logging"
+	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
 	"github.com/wheatseam/wheatseam/replica"
 )
@@ -22,10 +23,24 @@
 	// reservation is the ID of the capacity reserved there; "" where the replica supports
 	// no reservations.
 	reservation string
+	// reservedAt is when the capacity was reserved, and released says that it is no longer held.
+	reservedAt time.Time
+	released   bool
+	// copySource is the replica that has copied the memory of its run, which it stopped, to choice,
+	// and copyHandle names the copy there; "" for none.
+	copySource request.Choice
+	copyHandle string
 	// inputs are those of the run; nil for a request without stages.
 	inputs *stageInputs
 }
 
+// heldCapacity is what a replica holds for a request that is sent to it.
+type heldCapacity struct {
+	// reservation is the ID of reserved capacity, and runCopy names a copy of the memory of the
+	// request's last run; "" for none.
+	reservation, runCopy string
+}
+
 const (
 	// reservationTimeout limits one reservation call; after it another replica is asked.
 	reservationTimeout = 250 * time.Millisecond
@@ -120,7 +135,7 @@
 		return false
 	}
 	go x.cancelReservation(r.choice, r.reservation)
-	r.reservation = id
+	r.reservation, r.reservedAt = id, clock.Now()
 	return true
 }
 
@@ -147,7 +162,7 @@
 		}
 		id, err := x.reserve(ctx, choice)
 		if err == nil || suspected && errors.Is(err, replica.ErrUnsupportedCall) {
-			r.choice, r.reservation = choice, id
+			r.choice, r.reservation, r.reservedAt = choice, id, clock.Now()
 			return true
 		}
 		x.g.log.Info("no capacity reserved", logging.Request(x.req.ID), zap.String("replica", choice.Upstream), zap.Error(err))
@@ -212,12 +227,19 @@
 	}
 }
 
-// releaseReplica releases the pick and the reservation.
+// releaseReplica releases the pick, the reservation and the copy, if that was not done before.
 func (x *exchange) releaseReplica(r *replacement) {
+	if r.released {
+		return
+	}
+	r.released = true
 	x.g.router.CancelPick(clock.Now(), r.choice)
 	if r.reservation != "" {
 		go x.cancelReservation(r.choice, r.reservation)
 	}
+	if r.copyHandle != "" {
+		go x.releaseRunCopy(r.copySource, r.copyHandle)
+	}
 }
 
 // cancelReservation cancels a reservation before it expires.
@@ -230,20 +252,29 @@
 }
 
 // takeReplacement makes the reserved replacement the next attempt. Another replica is picked if
-// things have changed since the reservation, during which stages may have run: its replica takes
-// no new work any more, or has another version than the stream, whose first event has come.
-func (x *exchange) takeReplacement() (request.Choice, string, *problem.Error) {
+// things have changed since the reservation, during which stages may have run and the end of the
+// run before was awaited: its replica takes no new work any more, or announces that it takes no
+// calls, or has another version than the stream, whose first event has come.
+func (x *exchange) takeReplacement() (c request.Choice, held heldCapacity, perr *problem.Error) {
 	r := x.replacement
 	x.replacement = nil
 	if r.inputs != nil {
 		x.useInputs(r.inputs)
 	}
-	if version := x.origin.Load(); (version == nil || *version == r.choice.Version) && x.g.takesNewWork(r.choice) {
-		return r.choice, r.reservation, nil
+	version := x.origin.Load()
+	if !r.released && (version == nil || *version == r.choice.Version) && x.g.takesNewWork(r.choice) && !x.g.limiters.Get(r.choice.Upstream).RefusedByReplica(clock.Now()) {
+		if r.copyHandle == "" {
+			return r.choice, heldCapacity{reservation: r.reservation}, nil
+		}
+		// The copy has memory and a slot of its own.
+		if r.reservation != "" {
+			go x.cancelReservation(r.choice, r.reservation)
+		}
+		return r.choice, heldCapacity{runCopy: platform.CopySource(r.copySource.Address, r.copyHandle)}, nil
 	}
 	x.releaseReplica(r)
-	c, perr := x.g.router.Pick(clock.Now(), x.routerQuery(), nil)
-	return c, "", perr
+	c, perr = x.g.router.Pick(clock.Now(), x.routerQuery(), nil)
+	return c, held, perr
 }
 
 // takesNewWork reports whether the newest view lists a replica as one that takes new work.
--- a/gateway/stallwatch.go
+++ b/gateway/stallwatch.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wheatseam/wheatseam/core/attempts"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/stall"
 	"github.com/wheatseam/wheatseam/internal/clock"
@@ -53,12 +54,15 @@
 	started bool
 }
 
-// stallWatch detects the stalls of one attempt. core/stall decides; stallWatch queries the
+// stallWatch detects the stalls of one attempt. core/stall decides, and core/attempts when the
+// next run may begin; stallWatch queries the
 // replica, reserves a replacement, and cancels the attempt. It is safe for concurrent use.
 type stallWatch struct {
 	attempt *attempt
 	mu      sync.Mutex
 	monitor *stall.Monitor
+	// run says whether the run has ended at the replica.
+	run *attempts.Run
 	// timer calls tick when it fires, which is due at nextTick; nil for streams that cannot
 	// resume at another replica. suspended is for how long this host had been suspended at the last
 	// tick.
@@ -97,7 +101,7 @@
 	x := t.x
 	objective := float64(x.route.Objective)
 	suspectAfter := max(minSuspectedSilence, time.Duration(suspectedFactor*objective))
-	w := &stallWatch{attempt: t, progress: progress{committed: x.committed, lastEvent: x.lastEvent, events: t.totalEvents()}, monitor: stall.New(clock.Now(), stall.Config{
+	w := &stallWatch{attempt: t, run: t.newRun(), progress: progress{committed: x.committed, lastEvent: x.lastEvent, events: t.totalEvents()}, monitor: stall.New(clock.Now(), stall.Config{
 		QueryAfter: suspectAfter - runQueryTimeout, QueryInterval: 2 * runQueryTimeout, SuspectTimeout: suspectAfter,
 		MaxSilence: max(minMaxSilence, time.Duration(maxSilenceFactor*objective)), ReserveRetryInterval: replacementRetryInterval,
 	})}
@@ -117,6 +121,7 @@
 	defer w.mu.Unlock()
 	now := clock.Now()
 	w.progress.started = true
+	w.run.Heard()
 	w.perform(now, w.monitor.Event(now))
 }
 
@@ -127,6 +132,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.relaying = true
+	w.run.Heard()
 	now := clock.Now()
 	w.perform(now, w.monitor.Event(now))
 	return !w.monitor.Abandoned()
@@ -196,6 +202,7 @@
 func (w *stallWatch) perform(now time.Time, a stall.Action) {
 	switch a {
 	case stall.Query:
+		w.run.Silence()
 		go w.queryRunStatus(now)
 	case stall.Reserve:
 		ctx, cancel := context.WithCancel(w.attempt.ctx)
@@ -209,8 +216,9 @@
 
 // queryRunStatus asks the replica for the status of the run.
 func (w *stallWatch) queryRunStatus(now time.Time) {
-	runs, err := w.attempt.x.g.queryRuns(w.attempt.choice)
+	runs, queriedAt, err := w.attempt.x.g.queryRuns(w.attempt.choice)
 	w.mu.Lock()
+	w.run.Reported(queriedAt, clock.Now(), classifyReport(runs, err, w.attempt.x.req.ID))
 	produced, status := classifyRun(runs, err, w.attempt.x.req.ID, w.progress)
 	w.monitor.RecordStatus(now, status)
 	silence := w.monitor.Silence(clock.Now())
@@ -242,14 +250,21 @@
 	return produced, stall.NotListed
 }
 
-// queryRuns asks an engine for its list of runs; concurrent callers share one query.
-func (g *Gateway) queryRuns(c request.Choice) (platform.EngineReport, error) {
-	runs, err, _ := g.runQueries.Do(c.Upstream+" "+c.Address, func() (any, error) {
+// queryRuns asks an engine for its list of runs, and returns when it asked; concurrent callers
+// share one query.
+func (g *Gateway) queryRuns(c request.Choice) (_ platform.EngineReport, queriedAt time.Time, _ error) {
+	type answer struct {
+		report    platform.EngineReport
+		queriedAt time.Time
+	}
+	a, err, _ := g.runQueries.Do(c.Upstream+" "+c.Address, func() (any, error) {
 		ctx, cancel := clock.WithTimeout(context.Background(), runQueryTimeout)
 		defer cancel()
-		return g.client.EngineReport(ctx, c.Upstream, c.Address)
+		queriedAt := clock.Now()
+		report, err := g.client.EngineReport(ctx, c.Upstream, c.Address)
+		return answer{report, queriedAt}, err
 	})
-	return runs.(platform.EngineReport), err
+	return a.(answer).report, a.(answer).queriedAt, err
 }
 
 // reserveReplacement reserves another run and cancels this one for it, if it has not ended.
@@ -282,6 +297,7 @@
 	if w.stopped {
 		return
 	}
+	w.run.GiveUp(now)
 	w.attempt.cancel(&stallError{status: w.monitor.Status(), silence: w.monitor.Silence(now)})
 }
 
--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -60,6 +60,9 @@
 	ReservationDelay time.Duration
 	// HangReports sends no response to engine report calls.
 	HangReports bool
+	// NoMoves responds with 404 to calls that move a run, NoRoomForMoves with 503: the run has
+	// stopped, and is not copied.
+	NoMoves, NoRoomForMoves bool
 	// NoReservations refuses all reservations.
 	NoReservations bool
 	// NoEngineCalls responds with 404 to engine report and reservation calls, like an
@@ -80,6 +83,9 @@
 	// OutputStalled generates the remaining events and completes the run, but sends
 	// nothing. The connection stays open.
 	OutputStalled
+	// ConnectionSilent generates the remaining events and completes the run, but nothing passes
+	// over its connection any more, neither events nor a close.
+	ConnectionSilent
 	// ProcessFrozen freezes the process: all its streams stall, and it accepts
 	// connections but sends no responses.
 	ProcessFrozen
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -52,7 +52,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "plain", "max_conns": 50},
-			map[string]any{"name": "llm", "max_conns": 50, "engine": map[string]any{"concurrency": 8, "kv_capacity": 1000}},
+			map[string]any{"name": "llm", "max_conns": 50, "engine": map[string]any{"concurrency": 8, "kv_capacity": 1000, "moves": true}},
 			map[string]any{"name": "encode", "max_conns": 50, "pieces": map[string]any{
 				"concurrency": 1, "queue": 2, "batch": 8, "call_ms": 10, "item_ms": 1, "headroom_mb": headroomBytes / 1_000_000, "handle_ttl_s": 4}},
 		},
--- a/internal/standin/site/execution.go
+++ b/internal/standin/site/execution.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// ended reports whether the run has ended.
+func (e *execution) ended() bool {
+	e.replica.mu.Lock()
+	defer e.replica.mu.Unlock()
+	return !e.endedAt.IsZero()
+}
+
 // complete records that the run has completed.
 func (e *execution) complete() {
 	e.finalEnd = Completed
--- a/internal/standin/site/ledger.go
+++ b/internal/standin/site/ledger.go
@@ -45,13 +45,15 @@
 	Completed
 	// Cancelled runs ended because the host closed the connection.
 	Cancelled
+	// Stopped runs were ended by a call that moved their memory.
+	Stopped
 	// Aborted runs were ended by the behaviour of the replica or with its process.
 	Aborted
 )
 
 // String returns the name of the end as used in reports.
 func (e End) String() string {
-	return [...]string{"in progress", "completed", "cancelled", "aborted"}[e]
+	return [...]string{"in progress", "completed", "cancelled", "stopped", "aborted"}[e]
 }
 
 // Ledger records the runs of all replicas of a site and the protocol violations
@@ -61,6 +63,9 @@
 	runs         []*Run
 	violations   []string
 	reservations ReservationCounts
+	// runCopies maps the copies of runs that were moved and not used or released, named as in
+	// Kv-From, to the ids of their requests.
+	runCopies map[string]string
 	// results maps the handles of results that are not released to the results.
 	results         map[string]stageResult
 	resultsCreated  int
@@ -75,7 +80,9 @@
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{results: map[string]stageResult{}} }
+func NewLedger() *Ledger {
+	return &Ledger{results: map[string]stageResult{}, runCopies: map[string]string{}}
+}
 
 func (l *Ledger) recordRun(r *Run) {
 	l.mu.Lock()
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -590,6 +590,9 @@
 // serveEngineCall serves engine report and reservation calls, and lists of cached parts. It
 // reports whether the request was one.
 func (r *Replica) serveEngineCall(w http.ResponseWriter, req *http.Request, b Behaviour) bool {
+	if r.serveMove(w, req, b) {
+		return true
+	}
 	name, isRelease := strings.CutPrefix(req.URL.Path, "/-/hold-drop/")
 	isReport, isReserve, isList := req.URL.Path == "/-/report", req.URL.Path == reservePath, req.URL.Path == cachedPartsPath
 	switch {
@@ -633,7 +636,7 @@
 		r.ledger.recordViolation("%s: reading the body of request %s failed: %v", r.ID, id, err)
 		return
 	}
-	if !r.checkInputs(w, req, id) {
+	if !r.checkInputs(w, req, id) || !r.useRunCopy(w, req, id) {
 		return
 	}
 	if ms, err := strconv.Atoi(req.Header.Get("Deadline-Ms")); err != nil || ms <= 0 {
--- a/internal/standin/site/stream.go
+++ b/internal/standin/site/stream.go
@@ -114,6 +114,8 @@
 		e.stall(ctx)
 	case OutputStalled:
 		e.completeUnsent(ctx, interval)
+	case ConnectionSilent:
+		e.completeUnsent(context.Background(), interval)
 	case ProcessFrozen:
 		r.Freeze()
 		e.stall(ctx)
@@ -131,14 +133,16 @@
 }
 
 // completeUnsent generates the remaining events without sending them, and keeps the
-// connection open.
+// connection open until ctx is done, if it ever is.
 func (e *execution) completeUnsent(ctx context.Context, interval time.Duration) {
-	for n := e.lastEventID + len(e.eventTimes) + 1; n <= e.replica.EventsPerStream; n++ {
+	for n := e.lastEventID + len(e.eventTimes) + 1; n <= e.replica.EventsPerStream && !e.ended(); n++ {
 		e.recordEvent()
 		if !e.wait(ctx, interval) {
 			return
 		}
 	}
 	e.complete()
-	<-ctx.Done()
+	if ctx.Done() != nil {
+		<-ctx.Done()
+	}
 }
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -17,6 +17,10 @@
 	ErrNoCapacity = errors.New("engine has no capacity for a reservation")
 	// ErrUnsupportedCall means that the replica responds but does not support the call.
 	ErrUnsupportedCall = errors.New("replica does not support the call")
+	// ErrUnknownCall is an ErrUnsupportedCall of a replica that does not know the call.
+	ErrUnknownCall = errors.New("replica does not know the call")
+	// ErrNoSuchRun means that the engine has no such run.
+	ErrNoSuchRun = errors.New("engine has no such run")
 	// ErrMisdirected means that the address now belongs to another replica.
 	ErrMisdirected = errors.New("address belongs to another replica")
 )
@@ -27,8 +31,8 @@
 
 // EngineReport fetches an engine's report of its runs. It opens a new connection, since an
 // existing one may itself be what has failed. It returns ErrUnsupportedCall when the
-// engine answers with another status than 200 or resets the connection, and
-// platform.ErrMalformed when the report can't be parsed. It returns ErrMisdirected when
+// engine answers with another status than 200 or resets the connection, with ErrUnknownCall if
+// the status says that it does not know the call, and platform.ErrMalformed when the report can't be parsed. It returns ErrMisdirected when
 // another replica has the address, and an error of package httpbody when the report exceeds
 // maxReportBytes. Any other error means that the engine did not respond.
 func (c *Client) EngineReport(ctx context.Context, replica, address string) (platform.EngineReport, error) {
@@ -60,6 +64,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnsupportedCall, err)
 	case err != nil:
 		return nil, err
+	case status == http.StatusNotFound || status == http.StatusMethodNotAllowed || status == http.StatusNotImplemented:
+		return nil, fmt.Errorf("%w: %w: status %d", ErrUnsupportedCall, ErrUnknownCall, status)
 	case status != http.StatusOK:
 		return nil, fmt.Errorf("%w: status %d", ErrUnsupportedCall, status)
 	}
@@ -96,6 +102,51 @@
 	return err
 }
 
+// RunCopy is the memory of a run that an engine has stopped.
+type RunCopy struct {
+	// Handle names the memory at that engine.
+	Handle string
+	// Copied says that the destination has a copy.
+	Copied bool
+}
+
+// StopRun stops the run of a request at an engine, which copies its memory to the engine at
+// destination, an ip:port, if there is room. It returns ErrNoSuchRun when the engine has no such
+// run. After any other error the run may go on.
+func (c *Client) StopRun(ctx context.Context, replica, address, requestID, destination string) (RunCopy, error) {
+	body, err := platform.EncodeLastMove(requestID, destination)
+	if err != nil {
+		return RunCopy{}, err
+	}
+	status, responseBody, err := c.doSingleUse(ctx, newEngineCall(http.MethodPost, platform.MovePath, replica, address, body), maxReservationResponseBytes)
+	switch {
+	case err != nil:
+		return RunCopy{}, err
+	case status == http.StatusNotFound:
+		return RunCopy{}, ErrNoSuchRun
+	case status != http.StatusOK && status != http.StatusServiceUnavailable:
+		return RunCopy{}, fmt.Errorf("%w: status %d", ErrUnsupportedCall, status)
+	}
+	handle, err := platform.DecodeMove(responseBody)
+	switch {
+	case err != nil:
+		return RunCopy{}, fmt.Errorf("%w: status %d: %w", ErrUnsupportedCall, status, err)
+	case handle == "":
+		return RunCopy{}, fmt.Errorf("%w: status %d without a handle", ErrUnsupportedCall, status)
+	}
+	return RunCopy{Handle: handle, Copied: status == http.StatusOK}, nil
+}
+
+// ReleaseCopy releases the memory of a run that an engine has stopped, at both ends.
+func (c *Client) ReleaseCopy(ctx context.Context, replica, address, handle string) error {
+	call := newEngineCall(http.MethodDelete, platform.ReleaseCopyTarget(handle), replica, address, nil)
+	status, _, err := c.doSingleUse(ctx, call, maxReservationResponseBytes)
+	if err == nil && status >= http.StatusMultipleChoices {
+		return fmt.Errorf("release copy: status %d", status)
+	}
+	return err
+}
+
 // doSingleUse makes a call on a connection of its own and reads a response body of
 // at most maxBytes.
 func (c *Client) doSingleUse(ctx context.Context, call Call, maxBytes int64) (status int, body []byte, err error) {
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -99,6 +99,47 @@
 	)
 })
 
+var _ = Describe("stopping a run at an engine", func() {
+	const handle = `{"handle":"c1","made":4}`
+	stop := func(s *server) (replica.RunCopy, error) {
+		return replica.NewClient(nil, nil).StopRun(context.Background(), "r", s.address(), "q1", "10.0.0.2:80")
+	}
+
+	It("returns the copy, which is released by its handle", func() {
+		var calls []string
+		s := serve(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			calls = append(calls, r.Method+" "+r.URL.Path+" "+r.Header.Get("Attempt-Id")+string(body))
+			_, _ = io.WriteString(w, handle)
+		})
+		Expect(stop(s)).To(Equal(replica.RunCopy{Handle: "c1", Copied: true}))
+		Expect(replica.NewClient(nil, nil).ReleaseCopy(context.Background(), "r", s.address(), "c1")).To(Succeed())
+		Expect(calls).To(Equal([]string{`POST /-/kv-move {"id":"q1","destination":"10.0.0.2:80","last":true}`, `DELETE /-/kv-handle/c1 `}))
+	})
+
+	It("says that the run has stopped although there was no room for the copy", func() {
+		s := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, handle)
+		})
+		Expect(stop(s)).To(Equal(replica.RunCopy{Handle: "c1"}))
+	})
+
+	DescribeTable("the run may go on after", func(status int, body string, want error) {
+		s := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		})
+		_, err := stop(s)
+		Expect(err).To(MatchError(want))
+	},
+		Entry("a refusal without a handle", http.StatusServiceUnavailable, `{}`, replica.ErrUnsupportedCall),
+		Entry("a refusal that is no JSON", http.StatusServiceUnavailable, `full`, replica.ErrUnsupportedCall),
+		Entry("another call in progress", http.StatusConflict, handle, replica.ErrUnsupportedCall),
+		Entry("no such run", http.StatusNotFound, ``, replica.ErrNoSuchRun),
+	)
+})
+
 var _ = Describe("reserving capacity at an engine", func() {
 	reserve := func(s *server) (string, error) {
 		return replica.NewClient(nil, nil).Reserve(context.Background(), "r", s.address(), 1460, time.Second)
