core/holdings, gateway: one account of the bytes that a host holds for others

core/holdings decides, from 0.4 of limits.memory_mb: large bodies use 0.75 of it, answers and events 0.875, what is small (64 KiB) all of it; a customer may hold four times what is free. A body that doesn't fit isn't read; it waits only if room is expected within a fifth of the objective, and is otherwise refused at once with 503 overloaded and Retry-After, before anything is sent. The rest of a refused body is read and thrown away, so that its caller gets the answer. Answers wait unread, so that the replica is held back, and count until their callers have read them. A body that was written to a replica is given up if it makes room for one that would be refused (no_repeat=body_given_up).

The test of httpbody changes a type only (Memory is an interface now). The fixture of gateway tests gains settings that are off by default.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +18,6 @@
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/stage"
 	"github.com/wheatseam/wheatseam/internal/clock"
-	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
@@ -41,10 +39,20 @@
 	route          *catalog.Route
 	customerConfig *catalog.CustomerConfig
 	service        string
-	body           []byte
-	// memory limits the buffers of incomplete answers and events of all exchanges; nil for no
-	// limit.
-	memory *httpbody.Memory
+	// bodyMu guards body, bodyMemory, and what follows. bodyGivenUp says that the body was given
+	// up: no further attempt is possible. unretain ends that it may be; nil if it may not.
+	// bodyUse counts the times that the body was needed again.
+	bodyMu      sync.Mutex
+	body        []byte
+	bodyGivenUp bool
+	unretain    func()
+	bodyUse     int
+	// memory is the account of the bytes held for others; nil for no limit.
+	memory *memory
+	// bodyRefused says that the body was not read for want of memory. bodyMemory is the memory of
+	// body.
+	bodyRefused bool
+	bodyMemory  *buffer
 	// fingerprint identifies the request by its content, under whatever ID it is sent, and
 	// parts are the parts of its prompt that other requests may share.
 	fingerprint poison.Fingerprint
@@ -105,15 +113,17 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{g: g, w: w, r: r, memory: g.answerMemory, arrived: clock.Now(), req: platform.DecodeRequest(r.Header)}
+	x := &exchange{g: g, w: w, r: r, memory: g.memory, arrived: clock.Now(), req: platform.DecodeRequest(r.Header)}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.logRequest()
 	defer x.releaseUnusedTrial()
 	defer x.releaseUnusedReplacement()
+	defer x.releaseBody()
 	if err := x.admit(); err != nil {
 		x.respondError(err)
+		x.discardBody()
 		return
 	}
 	ctx, cancel := clock.WithDeadline(r.Context(), x.deadline)
@@ -191,26 +201,6 @@
 	return nil
 }
 
-// readBody reads the whole body, so that an attempt can be retried and an early answer of a
-// replica does not truncate it.
-func (x *exchange) readBody() *problem.Error {
-	limit := x.config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	hasher := poison.NewHasher(x.customer(), x.r.Method, strings.ToLower(x.r.Host), x.r.RequestURI)
-	body, err := io.ReadAll(io.TeeReader(http.MaxBytesReader(x.w, x.r.Body, limit), hasher))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return problem.New(problem.TooLarge, "body over %d bytes", limit)
-	case err != nil:
-		return problem.New(problem.BadRequest, "reading the body failed: %v", err)
-	}
-	x.body, x.fingerprint = body, hasher.Sum()
-	return nil
-}
-
 // customer is the name of the customer; "" on public routes without a key.
 func (x *exchange) customer() string {
 	if x.customerConfig == nil {
@@ -219,9 +209,6 @@
 	return x.customerConfig.Name
 }
 
-// defaultMaxBodyBytes limits bodies where the configuration does not.
-const defaultMaxBodyBytes = 4 << 20
-
 // priority ranks the request among others.
 func (x *exchange) priority() catalog.Rank { return catalog.RankOf(x.customerConfig, x.route) }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -58,6 +58,12 @@
 	// coldRate is how many requests per second cold replicas of "plain" can take, and
 	// coldCallRate how many calls those of "encode" can; 0 for no limit.
 	coldRate, coldCallRate int
+	// maxBodyBytes is the limit of the configuration for bodies.
+	maxBodyBytes int
+	// otherKey is the key of a second customer; "" for none.
+	otherKey string
+	// largeRoute adds a route for requests that take long to read.
+	largeRoute bool
 }
 
 // newFixture returns the site of a spec.
@@ -66,7 +72,7 @@
 // newFixtureOf returns the site of a test, with two replicas of each service.
 func newFixtureOf(t tester) *fixture {
 	f := &fixture{
-		WithT: NewWithT(t), test: t, store: site.NewStore(), ledger: site.NewLedger(), replicas: map[string]*site.Replica{}, keys: []string{"key-1"},
+		WithT: NewWithT(t), test: t, store: site.NewStore(), ledger: site.NewLedger(), replicas: map[string]*site.Replica{}, keys: []string{"key-1"}, maxBodyBytes: 1000,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	f.Expect(err).NotTo(HaveOccurred())
@@ -126,6 +132,15 @@
 		"timeout_ms": 8000, "goal_ms": 1000, "priority": 1,
 		"stages": []map[string]any{{"service": "encode", "after": []int{}, "bytes": site.ResultBytes}},
 	})
+	if f.otherKey != "" {
+		c["tenants"] = append(c["tenants"].([]any), map[string]any{"name": "other", "api_keys": []string{f.otherKey}})
+	}
+	if f.largeRoute {
+		c["routes"] = append(c["routes"].([]any), map[string]any{
+			"name": "large", "hostname": host, "prefix": largePath, "route_type": "safe", "service": "plain", "attempts": 2,
+			"timeout_ms": 40000, "goal_ms": 2000, "priority": 1,
+		})
+	}
 	plain := c["services"].([]any)[0].(map[string]any)
 	plain["warmup_s"], plain["warmup_per_s"] = 2, f.coldRate
 	for _, s := range c["services"].([]any) {
@@ -133,7 +148,7 @@
 			encode["warmup_s"], encode["warmup_per_s"] = 20, f.coldCallRate
 		}
 	}
-	c["limits"] = map[string]any{"max_body_bytes": 1000}
+	c["limits"] = map[string]any{"max_body_bytes": f.maxBodyBytes}
 	f.store.Put("op/config", c)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/wheatseam/wheatseam/core/holdings"
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/member"
 	"github.com/wheatseam/wheatseam/core/reach"
@@ -25,7 +26,6 @@
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
-	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
@@ -90,8 +90,8 @@
 	promptMemory promptMemory
 	// reachability holds which replicas can't be reached.
 	reachability reachability
-	// answerMemory limits the buffers of incomplete answers and events.
-	answerMemory *httpbody.Memory
+	// memory is the account of the bytes held for others.
+	memory *memory
 	// limiters limit the calls to each replica, across all components of this daemon that
 	// make calls.
 	limiters *intake.Limiters
@@ -99,17 +99,13 @@
 	quarantine *quarantine.Service
 }
 
-// answerMemoryShare is the reciprocal of the part of limits.memory_mb that the buffers of
-// incomplete answers and events may take.
-const answerMemoryShare = 4
-
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{started: clock.Now(), initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, promptMemory: newPromptMemory()}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.limiters = intake.NewLimiters(g.recordedSince())
-	g.answerMemory = httpbody.NewMemory(int64(s.Limits.MemoryMB) << 20 / answerMemoryShare)
+	g.memory = newMemory(heldBytes(s), g.metrics)
 	g.evacuatedServices.Store(&map[string]bool{})
 	g.router = route.New(route.Config{
 		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), PrefixMinLoad: prefixMinLoad, PrefixBonus: prefixBonus, BacklogWeight: backlogWeight,
@@ -142,13 +138,17 @@
 	})
 	g.stages = stages.New(stages.Config{
 		Self: s.Host, Incarnation: members.Incarnation(), Replicas: g.client, Members: members, Caller: members.Caller(), Mux: mux, Logger: log,
-		Plan: stage.Config{Limiters: g.limiters, FairShares: s.Stages.FairShares},
+		Plan: stage.Config{Limiters: g.limiters, FairShares: s.Stages.FairShares, MaxPieces: maxPieces(s)},
 	})
 	g.store = platform.NewStore(s.Store.Address)
 	g.discovery = discovery.New(discovery.Config{
 		Self: s.Host, Store: g.store, Members: members, Caller: members.Caller(), Mux: mux,
 		Logger: log, PropagationBound: func() time.Duration { return g.settings.Load().Bounds.shortest() }, OnViewChange: g.applyView, OnNewVersions: g.recordOpenStreams,
 	})
+	g.memory.measure = func(a *holdings.Account) {
+		a.Measured(holdings.Pieces, int64(g.stages.PieceCount())*stage.PieceBytes)
+		a.Measured(holdings.Tunnels, int64(g.paths.server.Open())*tunnel.BufferBytes)
+	}
 	g.registerGauges()
 	close(g.initialized)
 	return g, nil
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wheatseam/wheatseam/core/crash"
+	"github.com/wheatseam/wheatseam/core/holdings"
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/stall"
 	"github.com/wheatseam/wheatseam/discovery"
@@ -81,6 +82,7 @@
 	gauge("wheatseam_asleep_seconds", func() float64 { return clock.SuspendedTime().Seconds() })
 	gauge("wheatseam_requests_condemned", func() float64 { contents, _ := g.quarantine.QuarantinedCounts(); return float64(contents) })
 	gauge("wheatseam_prompt_parts_condemned", func() float64 { _, parts := g.quarantine.QuarantinedCounts(); return float64(parts) })
+	g.memory.registerGauges()
 	gauge("wheatseam_jobs_planned", func() float64 { return float64(g.stages.Dump().Planned) })
 }
 
@@ -199,6 +201,8 @@
 	Unreachable []UnreachableState `json:"unreachable"`
 	// Paths are the ways to replicas.
 	Paths PathsState `json:"paths"`
+	// Memory is the account of the bytes held for others.
+	Memory holdings.State `json:"memory"`
 	// RefusalLimits are the numbers of calls that replicas can refuse in a second.
 	RefusalLimits []LimitState `json:"refusal_limits"`
 }
@@ -209,7 +213,7 @@
 		Name: g.settings.Load().Name, Draining: g.draining.Load(), InFlight: g.inFlight.Load(), View: g.discovery.Dump(),
 		Hosts: g.fleet.Reachable(), Stages: g.stages.Dump(), Budgets: map[string]retry.Stats{}, Router: g.router.Dump(clock.Now()),
 		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Cold: g.coldTracker.states(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
-		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Origins: g.origins.state(), Paths: g.pathsState(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
+		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Origins: g.origins.state(), Paths: g.pathsState(), Memory: g.memory.state(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
 	}
 	g.retryBudgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.SharedBudget).Stats()
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,6 +72,12 @@
 	h := x.w.Header()
 	platform.SetRefusalHeaders(h, x.req.ID, e.RetryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := string(e.Kind) + "\n"
+	if x.bodyRefused {
+		h.Set("Content-Length", strconv.Itoa(len(text)))
+		// The answer is sent before the body has been read.
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
 	x.w.WriteHeader(x.status)
-	_, _ = io.WriteString(x.w, string(e.Kind)+"\n") // a caller that has disconnected needs no answer
+	_, _ = io.WriteString(x.w, text) // a caller that has disconnected needs no answer
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 
 	"github.com/wheatseam/wheatseam/bundle"
 	"github.com/wheatseam/wheatseam/core/crash"
+	"github.com/wheatseam/wheatseam/core/holdings"
 	"github.com/wheatseam/wheatseam/core/intake"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/core/refusal"
@@ -51,6 +51,10 @@
 			x.fail(problem.New(problem.DeadlineExceeded, "no time is left for an attempt"))
 			return
 		}
+		if !x.pinBody() {
+			x.fail(problem.New(problem.UpstreamFailed, "the body was given up"))
+			return
+		}
 		choice, reservation, perr := x.nextReplica()
 		if perr != nil {
 			x.fail(perr)
@@ -273,18 +277,23 @@
 		Inputs: x.inputs, LastEventID: x.lastEvent, CacheSource: t.copyFrom, ReservationID: t.reservation,
 	}
 	a.Customer = x.customer()
+	body, written := x.bodyForAttempt()
 	if x.route.Streaming {
 		a.Priority = x.priority().Level()
 	}
-	return replica.Call{
+	call := replica.Call{
 		Replica: t.choice.Upstream, RequestID: x.req.ID, ExecutesRequest: true,
 		Method: x.r.Method, Address: t.choice.Address, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: platform.EncodeAttempt(x.r.Header, a), Body: x.body,
+		Header: platform.EncodeAttempt(x.r.Header, a), Body: body,
 		OnConnected: func(c net.Conn) {
 			t.via = replica.Via(c)
 			t.inputRelease.start(x)
 		},
 	}
+	if written != nil {
+		call.Body, call.Content, call.OnWritten = nil, replica.NewContent(body), written
+	}
+	return call
 }
 
 // callFailed classifies a call that failed in transit.
@@ -362,10 +371,14 @@
 // relayWhole relays an answer once it is complete.
 func (t *attempt) relayWhole(resp *http.Response, head platform.ResponseHead) (attemptEnd, *problem.Error) {
 	x := t.x
-	if resp.ContentLength > maxAnswerBytes && x.r.Method != http.MethodHead {
-		return t.callFailed(fmt.Errorf("%w of %d bytes: length %d", httpbody.ErrTooLarge, maxAnswerBytes, resp.ContentLength))
-	}
-	body, err := httpbody.ReadWithin(resp.Body, maxAnswerBytes, x.memory)
+	length := resp.ContentLength
+	if x.r.Method == http.MethodHead {
+		length = -1
+	}
+	memory := x.newBuffer(holdings.Answer)
+	defer memory.releaseAll()
+	body, _, err := httpbody.ReadHeld(resp.Body, length, maxAnswerBytes, memory)
+	x.logMemory(memory, max(length, memory.held), err)
 	switch {
 	case err != nil:
 		t.insideMessage = true
@@ -386,6 +399,8 @@
 	h := x.w.Header()
 	platform.CopyResponseHeaders(h, resp.Header)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	// Limits the time for which a caller that does not read takes memory.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(clock.ToMonotonic(x.deadline))
 	x.w.WriteHeader(resp.StatusCode)
 	_, _ = x.w.Write(body) // a caller that has disconnected needs no answer
 	x.status, x.outcome = resp.StatusCode, "answered"
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -18,6 +18,8 @@
 	// deniedRefusals: too many replicas have refused.
 	deniedRefusals denial = "refusals"
 	deniedBudget   denial = "budget"
+	// deniedBody: the body was given up for want of memory.
+	deniedBody denial = "body_given_up"
 	// deniedFinal: the attempt ended in a way that allows no retry.
 	deniedFinal denial = "final"
 )
@@ -61,6 +63,9 @@
 	if x.freeRetries > maxFreeRetries {
 		return deniedRefusals
 	}
+	if !x.pinBody() {
+		return deniedBody
+	}
 	// Without a connection nothing reached the replica, and the budget is not charged.
 	if end == notSent || x.g.retryBudget(x.service).Withdraw(clock.Now()) {
 		return ""
@@ -98,6 +103,8 @@
 		return deniedAttempts
 	case x.trial != nil:
 		return deniedTrial
+	case !x.pinBody():
+		return deniedBody
 	}
 	return ""
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/wheatseam/wheatseam/core/holdings"
 	"github.com/wheatseam/wheatseam/internal/clock"
 	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/platform"
@@ -70,7 +71,8 @@
 	x, w := t.x, t.watch
 	w.answerStarted()
 	events := newEventReader(resp.Body)
-	events.memory = x.memory
+	memory := x.newBuffer(holdings.Event)
+	events.memory = memory
 	defer events.releaseMemory()
 	limits := newStreamLimits(x.req.OutputTokens)
 	for {
@@ -80,6 +82,7 @@
 		}
 		if err != nil {
 			t.insideMessage = events.partial()
+			x.logMemory(memory, memory.held, err)
 			return t.callFailed(err)
 		}
 		if err := limits.take(event); err != nil {
@@ -224,7 +227,7 @@
 	r   *bufio.Reader
 	buf []byte
 	// memory limits buf; nil for no limit. taken is what buf has taken of it.
-	memory *httpbody.Memory
+	memory httpbody.Memory
 	taken  int64
 }
 
--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -44,19 +44,28 @@
 // UncountedBytes is the size up to which a body is read without a Memory.
 const UncountedBytes = 64 << 10
 
-// Memory limits the bytes that the buffers of all incomplete bodies take together, beyond
-// UncountedBytes each. It is safe for concurrent use.
-type Memory struct{ left atomic.Int64 }
+// Memory is where bodies get the memory for their buffers.
+type Memory interface {
+	// Take takes n bytes. It returns an error that wraps ErrNoMemory, and takes nothing, if
+	// fewer are left.
+	Take(n int64) error
+	// Release returns n bytes that were taken.
+	Release(n int64)
+}
+
+// FixedMemory is a Memory of a fixed size for the buffers of all incomplete bodies together. It is
+// safe for concurrent use.
+type FixedMemory struct{ left atomic.Int64 }
 
-// NewMemory returns a Memory of the given number of bytes.
-func NewMemory(bytes int64) *Memory {
-	m := &Memory{}
+// NewMemory returns a FixedMemory of the given number of bytes.
+func NewMemory(bytes int64) *FixedMemory {
+	m := &FixedMemory{}
 	m.left.Store(bytes)
 	return m
 }
 
-// Take takes n bytes. It returns ErrNoMemory, and takes nothing, if fewer are left.
-func (m *Memory) Take(n int64) error {
+// Take implements Memory.
+func (m *FixedMemory) Take(n int64) error {
 	if m.left.Add(-n) < 0 {
 		m.left.Add(n)
 		return ErrNoMemory
@@ -64,8 +73,8 @@
 	return nil
 }
 
-// Release returns n bytes that were taken.
-func (m *Memory) Release(n int64) { m.left.Add(n) }
+// Release implements Memory.
+func (m *FixedMemory) Release(n int64) { m.left.Add(n) }
 
 // minBuffer is the size in bytes of the first buffer for a body.
 const minBuffer = 4 << 10
@@ -76,20 +85,39 @@
 
 // ReadWithin is Read, and takes the memory for the buffer from m while it reads; nil for no
 // limit. It returns an error that wraps ErrNoMemory if not enough is left.
-func ReadWithin(r io.Reader, limit int64, m *Memory) ([]byte, error) {
-	buf := make([]byte, 0, min(minBuffer, limit+1))
-	taken := int64(0)
-	defer func() {
+func ReadWithin(r io.Reader, limit int64, m Memory) ([]byte, error) {
+	body, taken, err := ReadHeld(r, -1, limit, m)
+	if m != nil && taken > 0 {
+		m.Release(taken)
+	}
+	return body, err
+}
+
+// ReadHeld is ReadWithin for a body of the given length, -1 if it is not known, and leaves it to the
+// caller to release the bytes taken, also after an error. A known length is taken before the first
+// read; else bodies of up to UncountedBytes take nothing.
+func ReadHeld(r io.Reader, length, limit int64, m Memory) (body []byte, taken int64, err error) {
+	if length > limit {
+		return nil, 0, fmt.Errorf("%w of %d bytes: length %d", ErrTooLarge, limit, length)
+	}
+	size := min(minBuffer, limit+1)
+	if length >= 0 {
+		// The last byte finds out that the body has ended.
+		size = length + 1
 		if m != nil {
-			m.Release(taken)
+			if err := m.Take(length); err != nil {
+				return nil, 0, fmt.Errorf("read body of %d bytes: %w", length, err)
+			}
+			taken = length
 		}
-	}()
+	}
+	buf := make([]byte, 0, size)
 	for {
 		if len(buf) == cap(buf) {
 			size := min(2*int64(cap(buf)), limit+1)
 			if m != nil && size > UncountedBytes {
 				if err := m.Take(size - taken); err != nil {
-					return nil, fmt.Errorf("read body, %d bytes read: %w", len(buf), err)
+					return nil, taken, fmt.Errorf("read body, %d bytes read: %w", len(buf), err)
 				}
 				taken = size
 			}
@@ -99,11 +127,11 @@
 		buf = buf[:len(buf)+n]
 		switch {
 		case int64(len(buf)) > limit:
-			return nil, fmt.Errorf("%w of %d bytes", ErrTooLarge, limit)
+			return nil, taken, fmt.Errorf("%w of %d bytes", ErrTooLarge, limit)
 		case err == io.EOF:
-			return buf, nil
+			return buf, taken, nil
 		case err != nil:
-			return nil, fmt.Errorf("read body: %w", err)
+			return nil, taken, fmt.Errorf("read body: %w", err)
 		}
 	}
 }
--- a/internal/httpbody/httpbody_test.go
+++ b/internal/httpbody/httpbody_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			var m *httpbody.Memory
+			var m httpbody.Memory
 			switch c.err {
 			case httpbody.ErrNoMemory:
 				m = httpbody.NewMemory(4 << 20)
--- a/replica/client.go
+++ b/replica/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"syscall"
 	"time"
 
@@ -132,9 +133,14 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Content replaces Body if it is set, for large bodies: the bytes are no longer referenced once
+	// they have been written. It must not be empty.
+	Content *Content
 	// OnConnected is called with the connection for the call when it is established, before
 	// the call is sent. It must not block, and may be nil.
 	OnConnected func(net.Conn)
+	// OnWritten is called once the whole call has been written. It must not block, and may be nil.
+	OnWritten func()
 }
 
 // Response is the response to a call. The caller must close its body.
@@ -158,13 +164,14 @@
 		Method: call.Method, URL: target, Host: call.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: call.Header,
 	}
-	if len(call.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(call.Body))
-		req.ContentLength = int64(len(call.Body))
-	}
-	if call.OnConnected != nil {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { call.OnConnected(i.Conn) }})
+	switch {
+	case call.Content != nil:
+		req.Body, req.ContentLength = call.Content, call.Content.length
+	case len(call.Body) > 0:
+		// net/http writes a body of this type together with the head.
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(call.Body)), int64(len(call.Body))
 	}
+	ctx = traceCall(ctx, call.OnConnected, call.OnWritten)
 	sentAt := clock.Now()
 	resp, err := t.RoundTrip(req.WithContext(ctx))
 	if err != nil {
@@ -179,6 +186,56 @@
 	return r, nil
 }
 
+// traceCall adds the callbacks of a call to its context.
+func traceCall(ctx context.Context, onConnected func(net.Conn), onWritten func()) context.Context {
+	if onConnected == nil && onWritten == nil {
+		return ctx
+	}
+	trace := &httptrace.ClientTrace{}
+	if onConnected != nil {
+		trace.GotConn = func(i httptrace.GotConnInfo) { onConnected(i.Conn) }
+	}
+	if onWritten != nil {
+		trace.WroteRequest = func(i httptrace.WroteRequestInfo) {
+			if i.Err == nil {
+				onWritten()
+			}
+		}
+	}
+	return httptrace.WithClientTrace(ctx, trace)
+}
+
+// Content is the body of one call. A call and its response refer to it until the response has been
+// read; the bytes are dropped when it is closed, after they have been written.
+type Content struct {
+	length int64
+	mu     sync.Mutex
+	r      *bytes.Reader
+}
+
+// NewContent returns a Content of the bytes, which must not be changed.
+func NewContent(body []byte) *Content {
+	return &Content{length: int64(len(body)), r: bytes.NewReader(body)}
+}
+
+// Read implements io.Reader.
+func (c *Content) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.r == nil {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	return c.r.Read(p)
+}
+
+// Close implements io.Closer.
+func (c *Content) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.r = nil
+	return nil
+}
+
 // notifyResponse passes the head of a response to onResponse, unless another replica
 // answered or the response belongs to another request.
 func (c *Client) notifyResponse(sentAt time.Time, call Call, r *Response) {
--- a/stages/planner.go
+++ b/stages/planner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -96,7 +97,9 @@
 
 	mu      sync.Mutex
 	machine *stage.Machine
-	ready   bool // a configuration has been received
+	// pieces is the number of pieces of all planned jobs; it is read without mu.
+	pieces atomic.Int64
+	ready  bool // a configuration has been received
 	// unapplied returns the configuration that the machine has not been given yet; nil if
 	// it has the current one.
 	unapplied func() stage.Configured
@@ -345,6 +348,7 @@
 	now := clock.Now()
 	actions := p.dropAfterStall(now)
 	actions = p.applyActions(append(actions, p.machine.Step(now, e)...))
+	p.pieces.Store(int64(p.machine.PieceCount()))
 	select {
 	case p.wake <- struct{}{}:
 	default:
--- a/stages/service.go
+++ b/stages/service.go
@@ -266,6 +266,9 @@
 // maxDumpedAccounts bounds the customers of each service in a Dump.
 const maxDumpedAccounts = 20
 
+// PieceCount returns the number of pieces of all jobs planned here.
+func (s *Service) PieceCount() int { return int(s.planner.pieces.Load()) }
+
 // Dump returns the state shown to operators.
 func (s *Service) Dump() Dump {
 	s.mu.Lock()
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -151,6 +151,8 @@
 const (
 	// requestBuffer is the size in bytes of the buffer for what a peer sends.
 	requestBuffer = 16 << 10
+	// BufferBytes is what the buffers of an open connection take, without the windows of its stream.
+	BufferBytes = requestBuffer + maxChunk
 	// streamCheckInterval is the interval at which a stream is checked while the replica takes
 	// no bytes.
 	streamCheckInterval = time.Second
