gateway: the test of cancelled runs has a run

Cause: the test builds a stallWatch by hand, which has a run since runs are awaited; without one it panicked and ended the package's tests. Its assertions are unchanged. Measured: red on (panic), green now.

--- a/gateway/cancelledrun_test.go
+++ b/gateway/cancelledrun_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/attempts"
 	"github.com/wheatseam/wheatseam/core/stall"
 	"github.com/wheatseam/wheatseam/internal/clock"
 )
@@ -24,7 +25,7 @@
 	answer := httptest.NewRecorder()
 	x := &exchange{w: answer, ctx: context.Background(), route: &catalog.Route{Streaming: true, Resumable: true, Attempts: 2}}
 	current := &attempt{x: x, ctx: ctx, cancel: cancel, firstAt: clock.Now()}
-	w := &stallWatch{attempt: current, monitor: stall.New(clock.Now(), stall.Config{})}
+	w := &stallWatch{attempt: current, run: attempts.New(attempts.Config{}), monitor: stall.New(clock.Now(), stall.Config{})}
 	current.watch = w
 	now := clock.Now()
 	Expect([]stall.Action{w.monitor.Tick(now), w.monitor.Tick(now)}).To(Equal([]stall.Action{stall.Query, stall.Reserve}))
