Gateway: test of streams whose version only the history remembers

Callers saw nothing: the tests of versions that came and went pass on a build that forgets a version once it is no longer listed, since the histories in them are shorter than a stream's lifetime, so that "short_history" refuses whatever is remembered.

The new test lets the fleet of six observe one version for longer than a lifetime, adds a second one, begins streams, has the second one leave, and loses the host that began them with both holders of their records. Only that the survivors remember the version can refuse these resumes; the test also wants "several_versions" as the reason of each. The part that it shares with TestStreamsWhoseFirstHostAndHoldersAreLost is moved to a function, its checks unchanged.

--- a/gateway/originslost_test.go
+++ b/gateway/originslost_test.go
@@ -134,6 +134,39 @@
 	f := newFixtureOf(t)
 	f.registerVersions("v1", "v2")
 	fleet := f.startRelayedFleet(holderFleet)
+	streams, wentOn, _ := f.takeUpWithoutRecords(fleet, "v1")
+	t.Logf("%d of %d streams of the version that stayed went on", wentOn["v2"], countOf(streams, "v2"))
+}
+
+// Guards against hosts that forget a version once it is no longer listed: their histories are long
+// enough for the version that stayed to decide.
+func TestStreamsOfAVersionThatOnlyTheHistoryRemembers(t *testing.T) {
+	f := newFixtureOf(t)
+	f.registerVersions("v2")
+	fleet := f.startRelayedFleet(holderFleet)
+	clock.SimulateSuspension(longHistory)
+	f.awaitFleet(fleet)
+	for i := range 2 {
+		f.addEngine(fmt.Sprint("v1-", i), "v1")
+	}
+	f.awaitReplicas(processes(fleet), len(f.replicas))
+	streams, _, survivors := f.takeUpWithoutRecords(fleet, "v1")
+	refused := 0
+	for _, h := range survivors {
+		for _, line := range h.metricLines("wheatseam_streams_taken_up_total") {
+			var n int
+			if _, err := fmt.Sscanf(line, `wheatseam_streams_taken_up_total{evidence="several_versions"} %d`, &n); err == nil {
+				refused += n
+			}
+		}
+	}
+	f.Expect(refused).To(Equal(len(streams)), "refused since the history has another version, and for nothing else")
+}
+
+// takeUpWithoutRecords begins streams of two versions at the first host, and has one version leave.
+// Then the host and both holders of some records are lost. It returns the streams of these records,
+// how many went on at the other hosts, and these hosts.
+func (f *fixture) takeUpWithoutRecords(fleet []*relayedHost, leaving string) (streams []brokenStream, wentOn map[string]int, survivors []*relayedHost) {
 	first := fleet[0]
 	all := f.breakOff([]*gatewayProcess{first.gatewayProcess}, lossStreams)
 	held := fmt.Sprintf(`wheatseam_stream_origins_sent_total{result="held"} %d`, 2*len(all))
@@ -151,21 +184,20 @@
 		slices.Sort(names)
 		return names
 	}
-	// Those of v1 with the same holders as the first one of v1.
-	left := all[slices.IndexFunc(all, func(s brokenStream) bool { return s.version == "v1" })]
-	streams := slices.DeleteFunc(slices.Clone(all), func(s brokenStream) bool { return !slices.Equal(holders(s), holders(left)) })
+	// Those with the same holders as the first one of the version that leaves.
+	left := all[slices.IndexFunc(all, func(s brokenStream) bool { return s.version == leaving })]
+	streams = slices.DeleteFunc(slices.Clone(all), func(s brokenStream) bool { return !slices.Equal(holders(s), holders(left)) })
 	lost := []*relayedHost{first}
 	for _, h := range fleet[1:] {
 		if slices.Contains(holders(left), h.peerRelay.Address()) {
 			lost = append(lost, h)
 		}
 	}
-	f.removeVersion("v1")
+	f.removeVersion(leaving)
 	f.awaitReplicas(processes(fleet), len(f.replicas))
-	survivors := f.kill(fleet, lost...)
+	survivors = f.kill(fleet, lost...)
 	f.awaitFleet(survivors)
-	wentOn := f.takeUpEach(processes(survivors), streams)
-	t.Logf("%d of %d streams of the version that stayed went on", wentOn["v2"], countOf(streams, "v2"))
+	return streams, f.takeUpEach(processes(survivors), streams), survivors
 }
 
 // missAVersion lets a version come and go while one host, which has a long history, reaches
