--- a/gateway/cancelledrun_test.go
+++ b/gateway/cancelledrun_test.go
@@ -10,8 +10,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/attempts"
+	"github.com/wheatseam/wheatseam/core/catalog"
 	"github.com/wheatseam/wheatseam/core/stall"
 	"github.com/wheatseam/wheatseam/internal/clock"
 )
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -36,6 +36,8 @@
 	// originRetryDelay is the time after which hosts are asked once more: the caller may have
 	// been faster than the record.
 	originRetryDelay = 30 * time.Millisecond
+	// maxMemoryRounds is how often the replicas are asked, at most, while the view changes.
+	maxMemoryRounds = 3
 	// originViewTimeout limits the wait for a view that is newer than a resume: hosts read the
 	// store more often.
 	originViewTimeout = 2 * time.Second
@@ -339,16 +341,36 @@
 	}
 	ctx, cancel := clock.WithTimeout(x.r.Context(), originViewTimeout)
 	defer cancel()
-	asked := make(chan origin.Memory, 1)
-	go func() { asked <- x.g.partHolders(ctx, x.req.ID, x.service, x.lastPart()) }()
-	if !periodic.Sleep(ctx, originRetryDelay) {
-		return v
+	retried := clock.Now().Add(originRetryDelay)
+	for range maxMemoryRounds {
+		replicas := x.g.memoryReplicas(x.service)
+		memory := x.g.partHolders(ctx, x.req.ID, x.service, x.lastPart())
+		if !periodic.Sleep(ctx, clock.Until(retried)) {
+			return v
+		}
+		if v = x.lookUpOriginOnce(&memory); v.Reason == origin.OldView && x.g.discovery.AwaitReplicas(ctx, x.arrived) {
+			v = x.lookUpOriginOnce(&memory)
+		}
+		if v.Reason != origin.PromptKept || sameReplicas(replicas, x.g.memoryReplicas(x.service)) {
+			return v
+		}
 	}
-	memory := <-asked
-	if v = x.lookUpOriginOnce(&memory); v.Reason == origin.OldView && x.g.discovery.AwaitReplicas(ctx, x.arrived) {
-		v = x.lookUpOriginOnce(&memory)
+	// The replicas that were asked are not those of a view that is newer than the resume.
+	return origin.Verdict{MayCome: true, Reason: origin.OldView, Evidence: v.Evidence}
+}
+
+// sameReplicas reports whether two lists have the same replicas, in any order.
+func sameReplicas(a, b []memoryReplica) bool {
+	listed := make(map[memoryReplica]bool, len(a))
+	for _, r := range a {
+		listed[r] = true
 	}
-	return v
+	for _, r := range b {
+		if !listed[r] {
+			return false
+		}
+	}
+	return len(a) == len(b)
 }
 
 // lookUpOriginAmong decides which version of which service began a stream of a route that is split
@@ -362,6 +384,11 @@
 	if v.Reason == origin.Recorded || v.Reason == origin.Conflict {
 		return v
 	}
+	ctx, cancel := clock.WithTimeout(x.r.Context(), originViewTimeout)
+	defer cancel()
+	if !x.g.discovery.AwaitReplicas(ctx, x.arrived) {
+		return origin.Verdict{MayCome: true, Reason: origin.OldView, Evidence: v.Evidence}
+	}
 	memories := x.partHoldersAmong(services)
 	if service, version, ok := origin.KeptAmong(memories); ok {
 		memory := memories[service]
@@ -391,10 +418,12 @@
 func (x *exchange) lookUpOriginOnce(memory *origin.Memory) origin.Verdict {
 	key := x.originKey()
 	stream := origin.Stream{Lifetime: x.decisionLifetime()}
+	began := clock.Now()
 	answers, unanswered := []origin.Answer{x.g.knownOrigin(key, x.service)}, 0
 	if !answers[0].Known {
 		var received []origin.Answer
 		received, unanswered = x.g.askOrigins(x.r.Context(), key, x.service)
+		answers[0].ViewAge += clock.Since(began)
 		answers = append(answers, received...)
 	}
 	stream.Waited = clock.Since(x.arrived)
--- a/gateway/promptkept_test.go
+++ b/gateway/promptkept_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -130,3 +131,41 @@
 	})
 	f.store.Put("op/config", c)
 }
+
+// Guards against streams that are joined from two versions, since the replicas were asked by a view
+// that does not list the one which began the stream, while a view that does came during the lookup.
+func TestStreamsDoNotGoOnByAViewFromBeforeTheReplicasWereAsked(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	f.store.Delete("servers/e2")
+	delete(f.replicas, "e2")
+	f.replicas["e1"].Version = "v1"
+	f.register(f.replicas["e1"], "ready")
+	fleet := []*gatewayProcess{f.start().ready()}
+	f.awaitReplicas(fleet, len(f.replicas))
+	f.replicas["e1"].SetBehaviour(site.Behaviour{ListDelay: 200 * time.Millisecond})
+	for i := range 20 {
+		id, prompt := fmt.Sprint("new", i), fmt.Sprintf("group%d:100,own%d:50", i, i)
+		began, err := site.StartReplica(f.ledger, id, "llm", site.Engine, "127.0.0.1:0")
+		f.Expect(err).NotTo(HaveOccurred())
+		began.Version = "v2"
+		f.replicas[id] = began
+		f.readPrompt("e1", prompt) // for an attempt that brought no event
+		f.readPrompt(id, prompt)
+		time.Sleep(time.Duration(i*37%400) * time.Millisecond) // so that views come at different times
+		f.register(began, "ready")
+		_, again := fleet[0].send(http.MethodPost, resumePath, "x", func(r *http.Request) {
+			withStages(r)
+			r.Header.Set("Resumes", "lost"+id)
+			r.Header.Set("Last-Event-Id", "2")
+			r.Header.Set("Prefix-Hash", prompt)
+		})
+		for _, run := range f.ledger.Runs(again) {
+			f.Expect(run.Version).To(Equal("v2"))
+		}
+		f.store.Delete("servers/" + id)
+		delete(f.replicas, id)
+		f.awaitReplicas(fleet, len(f.replicas))
+		began.Close()
+	}
+}
--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -60,6 +60,8 @@
 	ReservationDelay time.Duration
 	// HangReports sends no response to engine report calls.
 	HangReports bool
+	// ListDelay delays the list of cached parts.
+	ListDelay time.Duration
 	// NoMoves responds with 404 to calls that move a run, NoRoomForMoves with 503: the run has
 	// stopped, and is not copied.
 	NoMoves, NoRoomForMoves bool
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -605,6 +605,7 @@
 	case isReport:
 		r.writeEngineReport(w)
 	case isList:
+		time.Sleep(b.ListDelay)
 		r.writeCachedParts(w)
 	case isReserve:
 		r.grantReservation(w, req, b)
