--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -355,7 +355,7 @@
 			return v
 		}
 	}
-	// The replicas that were asked are not those of a view that is newer than the resume.
+	// The replicas that were asked are not those that are listed.
 	return origin.Verdict{MayCome: true, Reason: origin.OldView, Evidence: v.Evidence}
 }
 
@@ -384,11 +384,6 @@
 	if v.Reason == origin.Recorded || v.Reason == origin.Conflict {
 		return v
 	}
-	ctx, cancel := clock.WithTimeout(x.r.Context(), originViewTimeout)
-	defer cancel()
-	if !x.g.discovery.AwaitReplicas(ctx, x.arrived) {
-		return origin.Verdict{MayCome: true, Reason: origin.OldView, Evidence: v.Evidence}
-	}
 	memories := x.partHoldersAmong(services)
 	if service, version, ok := origin.KeptAmong(memories); ok {
 		memory := memories[service]
