Stand-in: the end of a run is guarded by the replica's mutex

Cause: a run that is stopped by a move and completes or is cancelled at the same time writes the field by which its end is recorded without the mutex.

--- a/internal/standin/site/execution.go
+++ b/internal/standin/site/execution.go
@@ -17,11 +17,10 @@
 	// promptTokens is the number of prompt tokens, priority the request priority,
 	// and lastEventID the event after which the stream resumes.
 	promptTokens, priority, lastEventID int
-	// finalEnd is the End that recordEnd records.
-	finalEnd End
 
-	// eventTimes has the time of each generated event, endedAt the end of the run.
-	// Both are guarded by the mutex of the replica.
+	// finalEnd is the End that recordEnd records, eventTimes the time of each generated event,
+	// and endedAt the end of the run. They are guarded by the mutex of the replica.
+	finalEnd   End
 	eventTimes []time.Time
 	endedAt    time.Time
 }
@@ -54,13 +53,13 @@
 func (e *execution) recordEnd() {
 	r := e.replica
 	r.mu.Lock()
-	recorded := !e.endedAt.IsZero()
+	recorded, end := !e.endedAt.IsZero(), e.finalEnd
 	if !recorded {
 		e.endedAt = time.Now()
 	}
 	r.mu.Unlock()
 	if !recorded {
-		r.ledger.recordEnd(e.run, e.finalEnd)
+		r.ledger.recordEnd(e.run, end)
 	}
 }
 
@@ -73,7 +72,9 @@
 
 // complete records that the run has completed.
 func (e *execution) complete() {
+	e.replica.mu.Lock()
 	e.finalEnd = Completed
+	e.replica.mu.Unlock()
 	e.recordEnd()
 }
 
