Stages of a stream that goes on are planned for the rest of its answer

What callers saw: after all hosts lost power, 503 with "stages: overload" or "stages: over_share" for half an answer that could have gone on.

Cause: core/stage planned a job that takes up a stream as a new one: due for a first event that the caller got long ago, refused by the same prediction as new work though the rest was not due before the deadline, and charged to the customer's share again.

Change: stage.Job.ContinuesStream (continues_stream, wire/stage.proto). Its Latest is the deadline less the times to the first event and of the events still to come, and no later than callers wait for a next event. Such a job is admitted until Latest, ordered ahead of new work of the same priority and not charged to its customer's share, for at most half of each service's capacity, divided among customers. Beyond that it is as a new one, with half of the slack. A refused one is not charged as admitted; one that still needs calls at Latest is given up. Set for resumes, and for runs that continue an answer (retry, replacement), also before the first event of a resume's answer. Jobs handed to another planner keep the field. `stages refused` says continues and preferred, wheatseam_stage_continuations_total counts outcomes, and /state shows the table (stages.continuations).

Request-Priority at replicas stays: one level more urgent would be that of new work of a more urgent route or customer.

--- a/core/fairshare/table.go
+++ b/core/fairshare/table.go
@@ -126,6 +126,12 @@
 	t.requests.admit(r.Kind, 1)
 }
 
+// Admitted returns the work that was admitted within the Window, in seconds of a replica's time.
+func (t *Table) Admitted(now time.Time) float64 {
+	t.total.advance(t.slotOf(now))
+	return t.total.admittedAll()
+}
+
 // NoteOverload records that a request was refused because it would have been late: the
 // service counts as short of capacity for a while.
 func (t *Table) NoteOverload(now time.Time) { t.shortUntil = now.Add(shortPeriod) }
--- a/core/stage/action.go
+++ b/core/stage/action.go
@@ -76,6 +76,8 @@
 	// Elapsed is the time since the job was submitted, Predicted the time that admission
 	// predicted.
 	Elapsed, Predicted time.Duration
+	// Preferred says that the job continues a stream and went ahead of new work.
+	Preferred bool
 	// Early is the time from now to the job's due time; negative if the job is late.
 	Early time.Duration
 }
@@ -126,6 +128,8 @@
 	// Share is the work of the customer that was admitted recently as a multiple of its fair
 	// share, for ReasonOverShare; 0 if the share is zero.
 	Share float64
+	// Preferred says that the job continues a stream and would have gone ahead of new work.
+	Preferred bool
 	// ResultsHeld says that results reported to the job's owner are kept until the owner
 	// has acknowledged the refusal, which the caller reports with Cancelled.
 	ResultsHeld bool
--- a/core/stage/admit.go
+++ b/core/stage/admit.go
@@ -34,19 +34,26 @@
 // may still be in time: completed pieces are not discarded because of a prediction.
 func (j *job) resumable(now time.Time) bool { return len(j.Completed) > 0 && now.Before(j.refuseAt) }
 
-// allowedTime returns the longest predicted time with which a job is admitted. The more
+// allowedTime returns the longest predicted time with which a job is admitted: until it is due or,
+// if it goes ahead of new work, until the rest would no longer reach the caller in time. The more
 // ranks of higher priority use the same services, the less of its slack a job may use. Load
 // above capacity is therefore refused on arrival, starting with the lowest priority, and
 // admitted jobs run roughly in the order in which they are due. Ordering by rank alone
 // would let started jobs be overtaken, which wastes their calls and the memory that their
 // results take.
 func (m *Machine) allowedTime(now time.Time, j *job) time.Duration {
+	if j.preferred {
+		return j.Latest.Sub(now)
+	}
 	left := j.Due.Sub(now)
 	if left <= 0 {
 		return left
 	}
 	shortest, _ := j.minTime()
 	slack := float64(max(0, left-shortest)) * (1 - m.reservedShare(now, j))
+	if j.ContinuesStream {
+		slack *= excessSlackShare
+	}
 	return max(shortest+time.Duration(slack), time.Duration(alwaysAllowedFactor*float64(shortest)))
 }
 
@@ -140,11 +147,7 @@
 // If the calls to all usable replicas are limited, suspected ones count from when the first of them
 // is usable again.
 func (m *Machine) drainTime(now time.Time, s *service, due time.Time) time.Duration {
-	usableAt := s.usableAt(now, m.cfg.maxSuspectWait())
-	if usableAt.IsZero() {
-		usableAt = now
-	}
-	m.updateCapacity(now, s, usableAt)
+	usableAt := m.updateCapacity(now, s)
 	queued := s.backlog.countUpTo(due)
 	drained := usableAt.Sub(now) + s.drainTimeAt(s.capacity, queued)
 	untilReturn := s.returnsAt.Sub(now)
@@ -155,19 +158,24 @@
 	return min(drained, untilReturn+s.drainTimeAt(s.capacityAtReturn, left))
 }
 
-// updateCapacity computes the capacity of a service, unless that was done a moment ago.
-func (m *Machine) updateCapacity(now time.Time, s *service, usableAt time.Time) {
+// updateCapacity computes the capacity of a service, unless that was done a moment ago. It returns
+// when the first replica is usable, or now if none will be.
+func (m *Machine) updateCapacity(now time.Time, s *service) (usableAt time.Time) {
+	if usableAt = s.usableAt(now, m.cfg.maxSuspectWait()); usableAt.IsZero() {
+		usableAt = now
+	}
 	if !s.capacityAt.IsZero() && now.Before(s.capacityAt.Add(s.scanPause())) {
-		return
+		return usableAt
 	}
 	s.capacityAt, s.capacity = now, s.piecesPerSecond(usableAt)
 	s.returnsAt = time.Time{}
 	if !s.limited(now) {
-		return
+		return usableAt
 	}
 	if s.returnsAt = s.returnAt(now, m.cfg.maxSuspectWait()); !s.returnsAt.IsZero() {
 		s.capacityAtReturn = s.piecesPerSecond(s.returnsAt)
 	}
+	return usableAt
 }
 
 // limited reports whether there are usable replicas, and the calls to all of them are limited.
--- a/core/stage/event.go
+++ b/core/stage/event.go
@@ -122,6 +122,10 @@
 	// Latest when they must be ready for one that may be on time, and Deadline when they
 	// become useless. A Latest before Due counts as Due.
 	Due, Latest, Deadline time.Time
+	// ContinuesStream says that the caller holds the beginning of the answer: its stream broke
+	// off, and the job is for the rest. Latest is then when the results must be ready for a rest
+	// that is complete in time, however late its first event is.
+	ContinuesStream bool
 	// Domain is the failure domain in which the results will be read; "" if not yet known.
 	Domain string
 	Stages []Stage
--- a/core/stage/harness_test.go
+++ b/core/stage/harness_test.go
@@ -39,8 +39,13 @@
 // newHarness returns a harness with services a, b and c, which have the same parameters and
 // one replica for each given failure domain.
 func newHarness(service *catalog.Service, domains ...string) *harness {
+	return newConfiguredHarness(Config{}, service, domains...)
+}
+
+// newConfiguredHarness is newHarness for a Machine with a configuration.
+func newConfiguredHarness(c Config, service *catalog.Service, domains ...string) *harness {
 	h := &harness{
-		m: New(Config{}), now: time.Unix(1000, 0), ready: map[string]Ready{}, refused: map[string]Refused{},
+		m: New(c), now: time.Unix(1000, 0), ready: map[string]Ready{}, refused: map[string]Refused{},
 		results: map[string]Piece{}, jobs: map[string]Job{}, progress: map[string][]CompletedPiece{}, ownerNotices: map[string]int{},
 	}
 	e := Configured{Services: map[string]*catalog.Service{}}
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -1,6 +1,10 @@
 package stage
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatseam/wheatseam/core/catalog"
+)
 
 // pieceState is the state of a piece.
 type pieceState uint8
@@ -84,13 +88,17 @@
 	// effectiveDue is the key by which jobs are ordered: Due, plus delays for customers and
 	// routes of lower priority.
 	effectiveDue time.Time
-	// refuseAt is LateGrace after Latest, or Deadline if that is earlier. From then on a job
+	// refuseAt is LateGrace after Latest, or Latest for a job that continues a stream, or Deadline
+	// if that is earlier. From then on a job
 	// that is not ready is refused, unless all its remaining pieces are in calls and its
 	// deadline has not passed.
 	refuseAt time.Time
 	// recomputations counts how often lost inputs were computed again.
 	recomputations int
 	ready          bool
+	// preferred says that the job continues a stream within its customer's share of the capacity
+	// for those, so that it goes ahead of new work of its priority.
+	preferred bool
 	// admitted says that the remaining pieces are counted in the backlogs of their
 	// services.
 	admitted bool
@@ -117,10 +125,13 @@
 		j.Latest = j.Due
 	}
 	state := &job{Job: j, seq: m.seq, stages: make([]stageState, len(j.Stages))}
-	if state.refuseAt = j.Latest.Add(m.cfg.LateGrace); j.Deadline.Before(state.refuseAt) {
+	if state.refuseAt = j.Latest; !j.ContinuesStream {
+		state.refuseAt = j.Latest.Add(m.cfg.LateGrace)
+	}
+	if j.Deadline.Before(state.refuseAt) {
 		state.refuseAt = j.Deadline
 	}
-	state.effectiveDue = j.Due.Add(time.Duration(j.Rank.Customer)*m.cfg.CustomerPriorityDelay + time.Duration(j.Rank.Route)*routePriorityDelay)
+	state.effectiveDue = j.Due.Add(m.priorityDelay(j.Rank))
 	for i := range j.Stages {
 		st := &j.Stages[i]
 		v := m.services[st.Service]
@@ -138,6 +149,11 @@
 	return state
 }
 
+// priorityDelay is added to the due time of jobs of a rank to order them.
+func (m *Machine) priorityDelay(r catalog.Rank) time.Duration {
+	return time.Duration(r.Customer)*m.cfg.CustomerPriorityDelay + time.Duration(r.Route)*routePriorityDelay
+}
+
 // addRemaining adds n to the number of pieces of stage i that are not completed.
 func (j *job) addRemaining(i, n int) {
 	st := &j.stages[i]
--- a/core/stage/loadsim_test.go
+++ b/core/stage/loadsim_test.go
@@ -71,6 +71,8 @@
 	// onTimeValue and lateValue are the values of an answer.
 	onTimeValue, lateValue float64
 	stages                 func(*rand.Rand) []Stage
+	// continues says that the requests continue streams, which are of use until their deadline.
+	continues bool
 	// domain says that the results are to be read in a given, random failure domain.
 	domain bool
 	// customer is the only customer that sends such requests; nil if all customers do.
@@ -366,6 +368,9 @@
 	j.job.Due = arrived.Add(k.objective - k.engine - k.engine/4)
 	j.job.Latest = arrived.Add(k.objective - k.engine)
 	j.job.Deadline = j.arrived.Add(k.deadline)
+	if j.job.ContinuesStream = k.continues; k.continues {
+		j.job.Latest = j.job.Deadline.Add(-k.engine)
+	}
 	if k.domain {
 		j.job.Domain = fmt.Sprint("d", s.rng.IntN(6))
 	}
--- a/core/stage/machine.go
+++ b/core/stage/machine.go
@@ -178,9 +178,12 @@
 	}
 	m.restore(state)
 	state.recordRanks(now)
-	m.askShares(now, state)
+	m.preferContinuation(now, state)
+	if !state.preferred {
+		m.askShares(now, state)
+	}
 	if refusal := m.admit(now, state); refusal != nil {
-		refusal.ResultsHeld = m.releaseRefused(state)
+		refusal.ResultsHeld, refusal.Preferred = m.releaseRefused(state), state.preferred
 		m.emit(*refusal)
 		return
 	}
@@ -274,7 +277,7 @@
 
 // readyAction returns the action that delivers the results of a complete job.
 func (j *job) readyAction(now time.Time) Ready {
-	ready := Ready{Job: j.ID, Elapsed: now.Sub(j.submitted), Predicted: j.expected, Early: j.Due.Sub(now)}
+	ready := Ready{Job: j.ID, Elapsed: now.Sub(j.submitted), Predicted: j.expected, Preferred: j.preferred, Early: j.Due.Sub(now)}
 	held := bytesByDomain{bytes: map[string]int64{}}
 	for i := range j.stages {
 		st := &j.stages[i]
@@ -324,7 +327,7 @@
 	m.remove(j.ID)
 	held := m.releaseRefused(j)
 	if !j.ready {
-		m.emit(Refused{Job: j.ID, Reason: reason, RetryAfter: retryAfter, ResultsHeld: held})
+		m.emit(Refused{Job: j.ID, Reason: reason, RetryAfter: retryAfter, Preferred: j.preferred, ResultsHeld: held})
 	}
 }
 
--- a/core/stage/random_test.go
+++ b/core/stage/random_test.go
@@ -31,7 +31,7 @@
 		case n < 4:
 			submitted++
 			j := randomJob(h, rng, fmt.Sprint("j", submitted))
-			j.Transferable = messageRNG.IntN(2) == 0
+			j.Transferable, j.ContinuesStream = messageRNG.IntN(2) == 0, submitted%4 == 0
 			h.submit(j)
 		case n < 8 && len(h.running) > 0:
 			h.endRandom(rng, h.running[rng.IntN(len(h.running))])
--- a/core/stage/replica.go
+++ b/core/stage/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
+	"github.com/wheatseam/wheatseam/core/fairshare"
 	"github.com/wheatseam/wheatseam/core/intake"
 )
 
@@ -34,6 +35,8 @@
 	backlog     backlog
 	recentRanks recentRanks
 	shares      serviceShares
+	// continuations has the work of jobs that continue streams; nil before the first one.
+	continuations *fairshare.Table
 	// dirty says that something that may allow a call has happened since the last pass over
 	// the queue, which was at lastPass. Otherwise the next pass is due at nextPass.
 	dirty              bool
--- a/core/stage/shares.go
+++ b/core/stage/shares.go
@@ -92,29 +92,36 @@
 
 // askShares records what an arriving job asks for.
 func (m *Machine) askShares(now time.Time, j *job) {
-	if !m.cfg.FairShares {
+	if !m.charged(j) {
 		return
 	}
 	for i := range j.stages {
 		if r, ok := j.shareRequest(i); ok {
 			s := j.stages[i].service
-			if s.shares.table == nil {
-				s.shares.table = fairshare.New()
+			j.shareTable(s).Ask(now, r)
+			if m.cfg.FairShares {
+				s.sampleMemory(now)
 			}
-			s.shares.table.Ask(now, r)
-			s.sampleMemory(now)
 		}
 	}
 }
 
+// shareTable returns the service's table of shares, which is created when it is first needed.
+func (s *service) shareTable() *fairshare.Table {
+	if s.shares.table == nil {
+		s.shares.table = fairshare.New()
+	}
+	return s.shares.table
+}
+
 // admitShares records an admitted job.
 func (m *Machine) admitShares(now time.Time, j *job) {
-	if !m.cfg.FairShares {
+	if !m.charged(j) {
 		return
 	}
 	for i := range j.stages {
 		if r, ok := j.shareRequest(i); ok {
-			j.stages[i].service.shares.table.Admit(now, r)
+			j.shareTable(j.stages[i].service).Admit(now, r)
 		}
 	}
 }
@@ -122,13 +129,15 @@
 // noteOverload records that a job is refused for overload, and names the service that is
 // short of capacity.
 func (m *Machine) noteOverload(now time.Time, j *job, refusal *Refused) *Refused {
-	if !m.cfg.FairShares {
+	if !m.charged(j) {
 		return refusal
 	}
 	s := m.bottleneck(j)
 	if s != nil {
-		s.shares.table.NoteOverload(now)
 		refusal.Service = s.name
+		if m.cfg.FairShares {
+			s.shareTable().NoteOverload(now)
+		}
 	}
 	m.withdrawShares(now, j, s)
 	return refusal
@@ -137,12 +146,12 @@
 // withdrawShares takes back what the job asked for at the services other than the one that
 // it is refused for.
 func (m *Machine) withdrawShares(now time.Time, j *job, refusedFor *service) {
-	if !m.cfg.FairShares {
+	if !m.charged(j) {
 		return
 	}
 	for i := range j.stages {
 		if r, ok := j.shareRequest(i); ok && j.stages[i].service != refusedFor {
-			j.stages[i].service.shares.table.Withdraw(now, r)
+			j.shareTable(j.stages[i].service).Withdraw(now, r)
 		}
 	}
 }
@@ -150,7 +159,7 @@
 // checkShares returns a refusal if a service that the job needs is short of capacity and
 // the job's customer has had its share of it. The job has been predicted.
 func (m *Machine) checkShares(now time.Time, j *job, allowed time.Duration) *Refused {
-	if !m.cfg.FairShares || j.resumable(now) {
+	if !m.cfg.FairShares || j.resumable(now) || j.preferred {
 		return nil
 	}
 	shortest, _ := j.minTime()
@@ -169,7 +178,7 @@
 		if s == longest {
 			share = waitShare
 		}
-		v := s.shares.table.Decide(now, r, s.windowCapacity(), share)
+		v := s.shares.table.Decide(now, r, s.newWorkCapacity(now), share)
 		if v.Refused() {
 			m.reportShare(now, s, j.Customer)
 			m.withdrawShares(now, j, s)
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -62,8 +62,8 @@
 	if !unavailable {
 		return nil
 	}
-	if _, staged := x.stageJob(x.arrived); staged {
-		if _, latest := x.stageDeadlines(x.arrived); !clock.Now().Add(wait).After(latest) {
+	if _, staged := x.stageJob(x.firstRun()); staged {
+		if _, latest := x.stageDeadlines(x.firstRun()); !clock.Now().Add(wait).After(latest) {
 			return nil
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -248,12 +248,11 @@
 }
 
 // prepareInputs runs the stages of the request, if it has any.
-func (x *exchange) prepareInputs() *problem.Error { return x.prepareInputsSince(x.arrived) }
+func (x *exchange) prepareInputs() *problem.Error { return x.prepareInputsFor(x.firstRun()) }
 
-// prepareInputsSince is prepareInputs for a run whose objective counts from began: the
-// request's arrival, or the end of an earlier attempt.
-func (x *exchange) prepareInputsSince(began time.Time) *problem.Error {
-	in, perr := x.runStages(x.ctx, began)
+// prepareInputsFor is prepareInputs for one of the request's runs.
+func (x *exchange) prepareInputsFor(run runStart) *problem.Error {
+	in, perr := x.runStages(x.ctx, run)
 	if in != nil {
 		x.useInputs(in)
 	}
@@ -267,11 +266,11 @@
 }
 
 // runStages runs the stages of the request, if it has any, and holds their results; nil
-// without stages. They are due for a run whose objective counts from began: once an answer
-// has started, the rest of its own objective does not determine when the next run needs the
-// results. runStages changes nothing else of the exchange.
-func (x *exchange) runStages(ctx context.Context, began time.Time) (*stageInputs, *problem.Error) {
-	j, ok := x.stageJob(began)
+// without stages. They are due for the given run: once an answer has
+// started, the rest of its own objective does not determine when the next run needs the results.
+// runStages changes nothing else of the exchange.
+func (x *exchange) runStages(ctx context.Context, run runStart) (*stageInputs, *problem.Error) {
+	j, ok := x.stageJob(run)
 	if !ok {
 		return nil, nil
 	}
@@ -283,11 +282,14 @@
 	if end == nil {
 		end = &stages.JobOutcome{Refused: &stage.Refused{Job: j.ID, Reason: stage.ReasonExpired}}
 	}
+	if j.ContinuesStream {
+		x.g.countContinuation(end)
+	}
 	if end.Refused != nil {
 		if perr := x.checkQuarantine(); perr != nil {
 			return nil, perr
 		}
-		return nil, x.stageRefusal(end.Refused)
+		return nil, x.stageRefusal(j, end.Refused)
 	}
 	in := &stageInputs{handles: end.Ready.Handles}
 	x.inputsHeld.Store(true)
@@ -302,13 +304,13 @@
 // inputs is preferred only if the inputs cost more.
 const remoteBytesPerToken = 2000
 
-// stageJob is the stage work of the request; false when there is none.
-func (x *exchange) stageJob(began time.Time) (stage.Job, bool) {
+// stageJob is the stage work of a run of the request; false when there is none.
+func (x *exchange) stageJob(run runStart) (stage.Job, bool) {
 	j := stage.Job{
 		ID: x.req.ID, Key: x.req.PieceKey, Rank: x.priority(), Deadline: x.deadline,
-		Customer: x.customer(),
+		Customer: x.customer(), ContinuesStream: run.continuesStream(),
 	}
-	j.Due, j.Latest = x.stageDeadlines(began)
+	j.Due, j.Latest = x.stageDeadlines(run)
 	pieces := 0
 	for i, s := range x.route.Stages {
 		st := stage.Stage{Service: s.Service, DependsOn: s.After, ResultBytes: s.ResultBytes}
--- a/gateway/margin.go
+++ b/gateway/margin.go
@@ -94,6 +94,15 @@
 	return expected, deviation
 }
 
+// expectLaterEvents returns the expected time for n events after a stream's first one; 0 until it
+// has been measured.
+func (f *streamTimeEstimator) expectLaterEvents(service string, n int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, _ := modelOf(f.laterEvents, service).At(float64(n))
+	return max(0, d)
+}
+
 // readTime returns the time that an engine needs to read tokens, without the constant part
 // of its answer time, and the expected time to the first event.
 func (f *streamTimeEstimator) readTime(service string, tokens int) (read, first time.Duration) {
@@ -116,13 +125,61 @@
 	return 0
 }
 
+// runStart says from where a run of a request starts.
+type runStart struct {
+	// began is the time from which the run's objective counts: the request's arrival, or the end
+	// of an earlier attempt. waitsSince is when the caller began to wait for the next event.
+	began, waitsSince time.Time
+	// lastEvent is the ID of the last event that the caller has; "" if it has none.
+	lastEvent string
+}
+
+// continuesStream reports whether the caller has the beginning of the answer.
+func (r runStart) continuesStream() bool { return r.lastEvent != "" }
+
+// firstRun is the start of the request's first run, or of another one before the answer has begun.
+func (x *exchange) firstRun() runStart { return x.runAfter(x.arrived, x.arrived, "") }
+
+// runAfter is the start of a run after an event of this answer, or without one.
+func (x *exchange) runAfter(began, waitsSince time.Time, lastEvent string) runStart {
+	if lastEvent == "" && x.route.Resumable && x.takesUpStream() {
+		lastEvent = x.req.LastEventID
+	}
+	return runStart{began, waitsSince, lastEvent}
+}
+
 // stageDeadlines returns when the stage results must be ready for an answer that is most
-// likely on time, and the latest time for an answer that may be on time. The objective
-// counts from began.
-func (x *exchange) stageDeadlines(began time.Time) (due, latest time.Time) {
+// likely on time, and the latest time for an answer that may be of use: on time or, if the caller
+// has the beginning of the answer, complete before its deadline.
+func (x *exchange) stageDeadlines(run runStart) (due, latest time.Time) {
 	expected, deviation := x.g.streamTimes.expectFirstEvent(x.service, x.route.Name, x.unsharedTokens())
 	margin := expected + time.Duration(marginDeviationFactor*float64(deviation))
 	margin = min(margin, time.Duration(maxMarginFraction*float64(x.route.Objective)))
-	objective := began.Add(x.route.Objective)
-	return objective.Add(-margin), objective.Add(-min(margin, expected))
+	objective := run.began.Add(x.route.Objective)
+	due, latest = objective.Add(-margin), objective.Add(-min(margin, expected))
+	if !run.continuesStream() {
+		return due, latest
+	}
+	left := max(0, x.expectedEvents()-eventNumber(run.lastEvent))
+	complete := x.deadline.Add(-expected - x.g.streamTimes.expectLaterEvents(x.service, left))
+	if patience := run.waitsSince.Add(x.callerPatience() - expected); patience.Before(complete) {
+		complete = patience
+	}
+	if complete.Before(due) {
+		return complete, complete
+	}
+	return due, complete
+}
+
+// Callers leave a stream whose next event takes longer than the longest of minCallerPatience and
+// these multiples of the route's objectives.
+const (
+	minCallerPatience     = 2 * time.Second
+	patienceObjectives    = 4
+	patienceGapObjectives = 8
+)
+
+// callerPatience is how long the caller waits for the next event of a stream.
+func (x *exchange) callerPatience() time.Duration {
+	return max(minCallerPatience, patienceObjectives*x.route.Objective, patienceGapObjectives*x.route.GapObjective)
 }
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -14,16 +15,18 @@
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
+	"github.com/wheatseam/wheatseam/stages"
 )
 
 // stageRefusal turns a planner's refusal into an answer: nothing has run.
-func (x *exchange) stageRefusal(r *stage.Refused) *problem.Error {
+func (x *exchange) stageRefusal(j stage.Job, r *stage.Refused) *problem.Error {
 	if x.r.Context().Err() != nil {
 		return problem.New(problem.CallerGone, "the caller disconnected while its stages ran")
 	}
 	x.g.log.Info("stages refused", logging.Request(r.Job), zap.String("reason", string(r.Reason)), zap.String("service", r.Service),
 		zap.String("customer", x.customer()), zap.Float64("share", r.Share),
-		zap.Duration("predicted", r.Predicted), zap.Duration("retry_after", r.RetryAfter))
+		zap.Duration("predicted", r.Predicted), zap.Duration("retry_after", r.RetryAfter), zap.Duration("left", clock.Until(j.Latest)),
+		zap.Bool("continues", j.ContinuesStream), zap.Bool("preferred", r.Preferred))
 	if r.Reason == stage.ReasonOverShare {
 		x.g.countShareExceeded(r.Service, x.customer())
 	}
@@ -37,6 +40,18 @@
 	return withRetryAfter(e, x.retryDelay(r.RetryAfter))
 }
 
+// countContinuation counts the outcome of the stages of a request that continues a stream.
+func (g *Gateway) countContinuation(end *stages.JobOutcome) {
+	result := "as_new"
+	switch {
+	case end.Refused != nil:
+		result = "refused"
+	case end.Ready.Preferred:
+		result = "preferred"
+	}
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_stage_continuations_total{result=%q}", result)).Inc()
+}
+
 // The Retry-After of a refused caller, as fractions of the time left to its deadline:
 // callers wait for at most a third of it. Bursts last seconds, so that a caller that
 // returns at once meets the same queue.
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -65,7 +65,7 @@
 	if !budget.Withdraw(clock.Now()) {
 		return nil, deniedBudget
 	}
-	r, d := x.reserveReplicaAndInputs(ctx, current, suspected)
+	r, d := x.reserveReplicaAndInputs(ctx, current, at, suspected)
 	if r == nil {
 		budget.Refund(clock.Now())
 	}
@@ -88,7 +88,7 @@
 
 // reserveReplicaAndInputs reserves a replica and produces the inputs. The replica comes
 // first: inputs that are produced in vain take stage capacity from other requests.
-func (x *exchange) reserveReplicaAndInputs(ctx context.Context, current *attempt, suspected bool) (*replacement, denial) {
+func (x *exchange) reserveReplicaAndInputs(ctx context.Context, current *attempt, at progress, suspected bool) (*replacement, denial) {
 	r := &replacement{}
 	if !x.reserveReplica(ctx, r, suspected) {
 		return nil, denialOrCancelled(ctx, deniedReplica)
@@ -97,7 +97,7 @@
 		return x.confirmReplacement(r)
 	}
 	reservedAt := clock.Now()
-	in, perr := x.runStages(ctx, reservedAt)
+	in, perr := x.runStages(ctx, x.runAfter(reservedAt, reservedAt, at.lastEvent))
 	if perr != nil {
 		x.releaseReplica(r)
 		return nil, denialOrCancelled(ctx, deniedInputs)
--- a/stages/messages.go
+++ b/stages/messages.go
@@ -19,7 +19,8 @@
 func jobToWire(j stage.Job, now time.Time) *wire.StageJob {
 	out := &wire.StageJob{
 		Id: j.ID, Key: j.Key, Priority: uint32(max(0, j.Rank.Customer)), RoutePriority: uint32(max(0, j.Rank.Route)),
-		DueMs: j.Due.Sub(now).Milliseconds(), LatestMs: j.Latest.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
+		ContinuesStream: j.ContinuesStream,
+		DueMs:           j.Due.Sub(now).Milliseconds(), LatestMs: j.Latest.Sub(now).Milliseconds(), DeadlineMs: max(0, j.Deadline.Sub(now).Milliseconds()),
 		FailureDomain: j.Domain, Customer: j.Customer,
 	}
 	out.Made = completedToWire(j.Completed)
@@ -38,11 +39,12 @@
 func jobFromWire(m *wire.StageJob, now time.Time) stage.Job {
 	j := stage.Job{
 		ID: m.GetId(), Key: m.GetKey(), Rank: catalog.Rank{Customer: int(m.GetPriority()), Route: int(m.GetRoutePriority())},
-		Due:      now.Add(time.Duration(m.GetDueMs()) * time.Millisecond),
-		Latest:   now.Add(time.Duration(m.GetLatestMs()) * time.Millisecond),
-		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
-		Domain:   m.GetFailureDomain(),
-		Customer: m.GetCustomer(),
+		Due:             now.Add(time.Duration(m.GetDueMs()) * time.Millisecond),
+		Latest:          now.Add(time.Duration(m.GetLatestMs()) * time.Millisecond),
+		Deadline:        now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
+		ContinuesStream: m.GetContinuesStream(),
+		Domain:          m.GetFailureDomain(),
+		Customer:        m.GetCustomer(),
 	}
 	for i, w := range m.GetStages() {
 		s := stage.Stage{Service: w.GetService(), Pieces: int(w.GetPieces()), ResultBytes: w.GetResultBytes()}
@@ -97,16 +99,21 @@
 			Job: id, Reason: string(r.Reason),
 			RetryAfterMs: r.RetryAfter.Milliseconds(), PredictedMs: r.Predicted.Milliseconds(),
 			Service:      r.Service,
+			Preferred:    r.Preferred,
 			SharePercent: uint32(min(maxSharePercent, math.Round(100*r.Share))),
 		}
 	}
-	return &wire.StageEnd{Job: id, Handles: outcome.Ready.Handles, FailureDomain: outcome.Ready.Domain, DomainBytes: outcome.Ready.DomainBytes}
+	return &wire.StageEnd{
+		Job: id, Handles: outcome.Ready.Handles, FailureDomain: outcome.Ready.Domain, DomainBytes: outcome.Ready.DomainBytes,
+		Preferred: outcome.Ready.Preferred,
+	}
 }
 
 func outcomeFromWire(m *wire.StageEnd) *JobOutcome {
 	if m.GetReason() == "" {
 		return &JobOutcome{Ready: stage.Ready{
 			Job: m.GetJob(), Handles: m.GetHandles(), Domain: m.GetFailureDomain(), DomainBytes: m.GetDomainBytes(),
+			Preferred: m.GetPreferred(),
 		}}
 	}
 	return &JobOutcome{Refused: &stage.Refused{
@@ -115,5 +122,6 @@
 		Predicted:  time.Duration(m.GetPredictedMs()) * time.Millisecond,
 		Share:      float64(m.GetSharePercent()) / 100,
 		Service:    m.GetService(),
+		Preferred:  m.GetPreferred(),
 	}}
 }
--- a/stages/service.go
+++ b/stages/service.go
@@ -261,6 +261,9 @@
 	// Shares has, by service, the fair shares as this daemon plans them; empty if they are
 	// not enabled or nothing was planned here.
 	Shares map[string]fairshare.State `json:"shares"`
+	// Continuations has, by service, the work of jobs that continue streams and go ahead of new
+	// work; empty if there was none here.
+	Continuations map[string]fairshare.State `json:"continuations"`
 }
 
 // maxDumpedAccounts bounds the customers of each service in a Dump.
@@ -277,6 +280,7 @@
 	s.planner.mu.Lock()
 	d.Planned = len(s.planner.jobs)
 	d.Shares = s.planner.machine.Shares(clock.Now(), maxDumpedAccounts)
+	d.Continuations = s.planner.machine.Continuations(clock.Now(), maxDumpedAccounts)
 	s.planner.mu.Unlock()
 	return d
 }
