core/origin: attempts at several versions prove nothing

Callers could get a stream joined from two versions: an attempt that failed before the first event had a replica of v2 read the prompt, v1 wrote the stream and left, the record was lost, and v2 alone kept the prompt. Readers left all attempts of the stream itself out as the caller's own.

Where a stream's attempts are known to have had several versions read the prompt, these versions now count like those of other requests. A version that was announced is taken back before another one is if no attempt has run.

Seen to fail first: TestPromptReadForAttemptsAtSeveralVersionsProvesNothing without the line that adds the stream's own readers: prompt_kept in place of shared_prompt. The taking back has no test of its own at the gateway.

The random schedules can now try requests again, as the host or as the caller, at any time.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -32,8 +32,8 @@
 	// Moved is how long ago a route was led to the service from another one; 0 if the host knows
 	// of none.
 	Moved time.Duration
-	// Readers are the requests of other streams that are known to have had the last part of the
-	// prompt read. HoldsReaders says that all hosts tell this one of them; ReadersFor is for how
+	// Readers are the versions that are known to have read the last part of the prompt for other
+	// streams, or for attempts of this one at several versions (Readers.NotBeginning). HoldsReaders says that all hosts tell this one of them; ReadersFor is for how
 	// long before now it has missed none.
 	Readers      []ServiceVersion
 	HoldsReaders bool
@@ -82,7 +82,7 @@
 	// SeveralServices: there is no record, and the route is split between services.
 	SeveralServices Reason = "several_services"
 	// SharedPrompt: the only version whose replicas keep the prompt has read its last part for
-	// another request, and UnknownReaders: it may have, since requests share parts, and the service
+	// another request, or several have for the stream's own attempts, and UnknownReaders: it may have, since requests share parts, and the service
 	// has had other versions.
 	SharedPrompt   Reason = "shared_prompt"
 	UnknownReaders Reason = "unknown_readers"
@@ -104,8 +104,8 @@
 	Answered, Unanswered int
 	// Memory is what replicas keep of the prompt; nil if they were not asked.
 	Memory *Memory
-	// Readers are the versions that have read the last part of the prompt for other requests,
-	// sorted, and ReadersFor is for how long before now none is missing.
+	// Readers are the versions that have read the last part of the prompt for other requests, or for
+	// attempts at several versions, sorted, and ReadersFor is for how long before now none is missing.
 	Readers    []ServiceVersion
 	ReadersFor time.Duration
 	// PartsShared says that requests of different content are known to have shared last parts, and
--- a/core/origin/readers.go
+++ b/core/origin/readers.go
@@ -179,6 +179,23 @@
 	return out
 }
 
+// NotBeginning returns the readers of a part at whose versions it may be kept though the stream did
+// not begin there: those of other streams, and the stream's own if its attempts have had several
+// versions read the part.
+func (s *Readers) NotBeginning(now time.Time, part, stream Key) []Reader {
+	var own []Reader
+	for _, r := range s.byPart[part] {
+		if r.Stream == stream && r.Expires.After(now) {
+			own = append(own, r)
+		}
+	}
+	out := s.Others(now, part, stream)
+	if slices.ContainsFunc(own, func(r Reader) bool { return !r.sameVersion(own[0]) }) {
+		out = append(out, own...)
+	}
+	return out
+}
+
 // LatestReader returns the reader that expires last, which was announced last.
 func LatestReader(readers []Reader) Reader {
 	return slices.MaxFunc(readers, func(a, b Reader) int { return a.Expires.Compare(b.Expires) })
--- a/core/origin/readers_test.go
+++ b/core/origin/readers_test.go
@@ -74,6 +74,28 @@
 	g.Expect(s.PartsShared(now.Add(origin.MaxLifetime + 1))).To(BeFalse())
 }
 
+// Guards against streams that are joined from two versions, since an attempt that failed before the first
+// event had another version read the prompt, the only one that keeps it when the hosts have lost the
+// record.
+func TestPromptReadForAttemptsAtSeveralVersionsProvesNothing(t *testing.T) {
+	g, now := NewWithT(t), time.Unix(1000, 0)
+	s := origin.NewReaders(now.Add(-time.Hour))
+	decide := func() origin.Verdict {
+		a := origin.Answer{Versions: []string{"v1", "v2"}, History: time.Hour, HoldsReaders: true, ReadersFor: s.CompleteFor(now)}
+		for _, r := range s.NotBeginning(now, origin.PartKey("own"), origin.NewKey("c", "a")) {
+			a.Readers = append(a.Readers, r.ServiceVersion)
+		}
+		memory := origin.NewMemory([]string{"v2"}, nil)
+		return origin.Decide(origin.Stream{Service: "llm", Lifetime: lifetime}, []origin.Answer{a}, 0, &memory)
+	}
+	s.Put(now, reader("own", "a", "v2", now.Add(time.Minute)))
+	g.Expect(decide().Reason).To(Equal(origin.PromptKept))
+	s.Put(now, reader("own", "a", "v1", now.Add(time.Minute)))
+	g.Expect(decide().Reason).To(Equal(origin.SharedPrompt), "the attempt at v2 may have failed before v1 wrote the stream")
+	s.Retract(origin.PartKey("own"), origin.NewKey("c", "a"), origin.ServiceVersion{Service: "llm", Version: "v1"})
+	g.Expect(decide().Reason).To(Equal(origin.PromptKept), "v1 has not read it after all")
+}
+
 // Guards against readers that are dropped for want of room and count as known, and against a busy host
 // that knows of no reader since it drops new ones.
 func TestReadersThatAreDroppedAreMissed(t *testing.T) {
--- a/core/origin/schedule_test.go
+++ b/core/origin/schedule_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,6 +35,9 @@
 	maxGivers = 64
 	// silentShare is the share of replicas that do not answer.
 	silentShare = 0.02
+	// fullShare is the share of requests for which no replica of a certain version can be picked, of
+	// those whose prompt was read at that version before.
+	fullShare = 0.1
 )
 
 // modelReplica is a replica that is listed from one time to another, and what it keeps of prompts.
@@ -74,8 +78,28 @@
 	version       string
 	began, endsAt time.Time
 	breaks        bool
-	// host is the name of the host that began it.
-	host string
+	// host is the name of the host that began it, and content that of its request.
+	host    string
+	content uint64
+	// tried says that its prompt was read at another version before it began.
+	tried bool
+}
+
+// modelRequest is a request of a caller. A repeat has a key of its own, and the part and content of the
+// attempt before.
+type modelRequest struct {
+	key, part origin.Key
+	content   uint64
+	// triedAt are the versions that have read the prompt for earlier attempts, and repeats says that
+	// the caller has sent the request before.
+	triedAt []string
+	repeats bool
+	// due is when the caller sends it.
+	due time.Time
+}
+
+func (q modelRequest) reader(h *modelHost, v origin.ServiceVersion) origin.Reader {
+	return origin.Reader{Part: q.part, Stream: q.key, Host: h.Name, ServiceVersion: v, Content: q.content}
 }
 
 // complete reports whether the stream has ended and cannot be taken up.
@@ -98,6 +122,10 @@
 	// one began.
 	faultInterval time.Duration
 	faultAt       time.Time
+	// tries is the probability that an attempt of a request has its prompt read and fails before the
+	// first event. The host or the caller then sends it again.
+	tries   float64
+	waiting []modelRequest
 	// replaced is how many hosts a rolling replacement has reached.
 	replaced int
 	// lostAt is when hosts were last lost, and lostShare the share of them.
@@ -110,10 +138,14 @@
 	taken, able, wentOn, joined int
 	reasons                     map[origin.Reason]int
 	firstJoin                   string
+	// ableTried and wentOnTried count the streams of able and wentOn whose prompts were read at another
+	// version before, and joinedBy the joined ones by evidence.
+	ableTried, wentOnTried int
+	joinedBy               map[string]int
 }
 
 func newSchedule(seed uint64, hosts int) *schedule {
-	s := &schedule{rng: rand.New(rand.NewPCG(seed, uint64(hosts))), now: time.Unix(10000, 0), reasons: map[origin.Reason]int{}, byKey: map[origin.Key]*openStream{}}
+	s := &schedule{rng: rand.New(rand.NewPCG(seed, uint64(hosts))), now: time.Unix(10000, 0), reasons: map[origin.Reason]int{}, joinedBy: map[string]int{}, byKey: map[origin.Key]*openStream{}}
 	for i := range hosts {
 		s.hosts = append(s.hosts, &modelHost{
 			Host:    origin.Host{Name: fmt.Sprint("h", i), FailureDomain: fmt.Sprint("d", i%3)},
@@ -340,7 +372,7 @@
 		Known: known, Version: r.Version, History: s.now.Sub(h.completeSince), ViewAge: s.now.Sub(h.viewAt),
 		HoldsReaders: s.holdsReaders(h, st.part), ReadersFor: h.readers.CompleteFor(s.now), PartsShared: h.readers.PartsShared(s.now),
 	}
-	for _, o := range h.readers.Others(s.now, st.part, st.key) {
+	for _, o := range h.readers.NotBeginning(s.now, st.part, st.key) {
 		a.Readers = append(a.Readers, o.ServiceVersion)
 	}
 	if h.viewAt.IsZero() {
@@ -365,58 +397,89 @@
 	return out
 }
 
-// begin has a host begin a stream at a replica of its view.
+// begin has a host begin a stream at a replica of its view, and callers send requests again.
 func (s *schedule) begin() {
-	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	key := origin.Key{}
+	h := s.anyHost()
+	if usable := s.usable(h); len(usable) > 0 {
+		key = origin.NewKey("customer", fmt.Sprint(s.rng.Uint64()))
+		q := modelRequest{key: key, part: key, content: contentOf(key)}
+		if s.sessions > 0 {
+			q.part = origin.PartKey(fmt.Sprint(s.rng.IntN(s.sessions)))
+		}
+		s.send(h, usable, q)
+	}
+	for i := 0; i < len(s.waiting); {
+		q := s.waiting[i]
+		if s.now.Before(q.due) {
+			i++
+			continue
+		}
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+		if h := s.anyHost(); len(s.usable(h)) > 0 {
+			s.send(h, s.usable(h), q)
+		}
+	}
+}
+
+// usable returns the replicas of a host's view that serve.
+func (s *schedule) usable(h *modelHost) (usable []*modelReplica) {
 	if !s.up(h) || h.viewAt.IsZero() {
-		return
+		return nil
 	}
-	var usable []*modelReplica
 	for _, r := range s.replicas {
 		if r.listed(h.viewAt) && r.serves(s.now) {
 			usable = append(usable, r)
 		}
 	}
-	if len(usable) == 0 {
-		return
+	return usable
+}
+
+// ofVersion returns a replica of a version, nil if there is none.
+func ofVersion(replicas []*modelReplica, version string) *modelReplica {
+	if i := slices.IndexFunc(replicas, func(r *modelReplica) bool { return r.version == version }); i >= 0 {
+		return replicas[i]
 	}
-	s.send(h, usable)
+	return nil
 }
 
 // send has one of the replicas write the first event, which the host records. If the caller's
 // former host was lost, a replica may have read the prompt before; the host then has a replica of
 // that version write it, if it finds out.
-func (s *schedule) send(h *modelHost, usable []*modelReplica) {
-	key := origin.NewKey("customer", fmt.Sprint(s.rng.Uint64()))
-	part := key
-	if s.sessions > 0 {
-		part = origin.PartKey(fmt.Sprint(s.rng.IntN(s.sessions)))
-	}
+func (s *schedule) send(h *modelHost, usable []*modelReplica, q modelRequest) {
+	key, part := q.key, q.part
 	first := usable[s.rng.IntN(len(usable))]
-	if h.readers.PartsShared(s.now) && h.readers.CompleteFor(s.now) < origin.MaxLifetime && len(s.versionsOf(h)) > 1 {
+	unsettled := h.readers.PartsShared(s.now) && h.readers.CompleteFor(s.now) < origin.MaxLifetime
+	if (unsettled || q.repeats) && len(s.versionsOf(h)) > 1 {
 		if m := s.memory(h, part); len(m.Holding) == 1 {
-			if i := slices.IndexFunc(usable, func(r *modelReplica) bool { return r.version == m.Holding[0] }); i >= 0 {
-				first = usable[i]
+			if r := ofVersion(usable, m.Holding[0]); r != nil && !(q.repeats && s.chance(fullShare)) {
+				first = r
 			}
 		}
 	}
 	if s.chance(s.readBefore()) {
 		first.keeps[part] = true
-		s.announce(h, origin.Reader{Part: part, Stream: origin.NewKey("customer", "former"), Host: "lost", ServiceVersion: first.serviceVersion(), Content: contentOf(key)})
+		s.announce(h, origin.Reader{Part: part, Stream: origin.NewKey("customer", "former"), Host: "lost", ServiceVersion: first.serviceVersion(), Content: q.content})
 		if found := !s.chance(silentShare); !found {
 			first = usable[s.rng.IntN(len(usable))]
 		}
 	}
-	if first = s.replicaForSession(h, usable, first, part, key); first == nil {
+	if first = s.replicaForSession(h, usable, first, q); first == nil {
 		s.refused++
 		return
 	}
+	if s.tries > 0 && s.chance(s.tries) {
+		if first = s.tryFirst(h, usable, first, &q); first == nil {
+			return
+		}
+	}
 	s.begun++
 	first.keeps[part] = true
 	if s.sessions > 0 && s.chance(othersShare) {
 		return
 	}
-	st := &openStream{key: key, part: part, version: first.version, began: s.now, host: h.Name}
+	st := &openStream{key: key, part: part, version: first.version, began: s.now, host: h.Name, content: q.content}
+	st.tried = slices.ContainsFunc(q.triedAt, func(v string) bool { return v != first.version })
 	if s.sessions > 0 {
 		st.endsAt, st.breaks = s.now.Add(s.seconds(streamTime.Seconds())), s.chance(brokenShare)
 	}
@@ -428,6 +491,29 @@
 	}
 }
 
+// tryFirst has a replica read the prompt for an attempt that fails before the first event. It returns
+// the replica that the host sends the request to next, one of the same version if it can; nil if the
+// caller sends the request again.
+func (s *schedule) tryFirst(h *modelHost, usable []*modelReplica, first *modelReplica, q *modelRequest) *modelReplica {
+	first.keeps[q.part] = true
+	q.triedAt = append(slices.Clone(q.triedAt), first.version)
+	if s.chance(0.5) {
+		again := *q
+		again.key, again.repeats = origin.NewKey("customer", fmt.Sprint(s.rng.Uint64())), true
+		again.due = s.now.Add(s.seconds(2))
+		s.waiting = append(s.waiting, again)
+		return nil
+	}
+	next := first
+	if s.chance(fullShare) {
+		next = usable[s.rng.IntN(len(usable))]
+	}
+	if next.version != first.version {
+		next = s.replicaForSession(h, usable, next, *q)
+	}
+	return next
+}
+
 // contentOf is the content of a stream's request.
 func contentOf(key origin.Key) uint64 { return binary.LittleEndian.Uint64(key[:]) }
 
@@ -443,12 +529,13 @@
 
 // replicaForSession announces that a replica reads a part, and returns it, or one of the version at
 // which the stream has to begin; nil if there is none.
-func (s *schedule) replicaForSession(h *modelHost, usable []*modelReplica, first *modelReplica, part, key origin.Key) *modelReplica {
+func (s *schedule) replicaForSession(h *modelHost, usable []*modelReplica, first *modelReplica, q modelRequest) *modelReplica {
+	reader := q.reader(h, first.serviceVersion())
 	if !s.mayHaveSeveralVersions(h) {
-		h.readers.Put(s.now, origin.Reader{Part: part, Stream: key, Host: h.Name, ServiceVersion: first.serviceVersion(), Content: contentOf(key), Expires: s.now.Add(origin.MaxLifetime)})
+		reader.Expires = s.now.Add(origin.MaxLifetime)
+		h.readers.Put(s.now, reader)
 		return first
 	}
-	reader := origin.Reader{Part: part, Stream: key, Host: h.Name, ServiceVersion: first.serviceVersion(), Content: contentOf(key)}
 	others := s.announce(h, reader)
 	same := func(v origin.ServiceVersion) func(*modelReplica) bool {
 		return func(r *modelReplica) bool { return r.serviceVersion() == v }
@@ -458,7 +545,7 @@
 	}
 	version, required := origin.LatestReader(others).ServiceVersion, false
 	for _, o := range others {
-		if s.isOpen(h, o) {
+		if o.Content != q.content && s.isOpen(h, o) {
 			version, required = o.ServiceVersion, true
 		}
 	}
@@ -599,12 +686,19 @@
 	}
 	if serving >= 2 {
 		s.able++
+		if st.tried {
+			s.ableTried++
+		}
 		if v.Known {
 			s.wentOn++
+			if st.tried {
+				s.wentOnTried++
+			}
 		}
 	}
 	if v.Known && v.Version != st.version {
 		s.joined++
+		s.joinedBy[fmt.Sprintf("%s, tried %t", v.Reason, st.tried)]++
 		if s.firstJoin == "" {
 			s.firstJoin = fmt.Sprintf("at %s: began at %s %s ago, %s %s; %s", s.now.Sub(time.Unix(10000, 0)), st.version, age, v.Reason, v.Version, v.Evidence)
 		}
@@ -612,7 +706,7 @@
 	if v.Known && v.Version == st.version && serving > 0 {
 		h.records.Put(s.now, origin.Record{Key: st.key, Service: "llm", Version: v.Version, Expires: s.now.Add(lifetime), Own: true})
 		if s.mayHaveSeveralVersions(h) {
-			s.announce(h, origin.Reader{Part: st.part, Stream: st.key, Host: h.Name, ServiceVersion: origin.ServiceVersion{Service: "llm", Version: v.Version}, Content: contentOf(st.key)})
+			s.announce(h, origin.Reader{Part: st.part, Stream: st.key, Host: h.Name, ServiceVersion: origin.ServiceVersion{Service: "llm", Version: v.Version}, Content: st.content})
 		}
 	}
 }
@@ -681,11 +775,11 @@
 
 // Guards against streams that are joined from two versions, whatever is lost, cut, suspended or
 // replaced, at once or in turn, and against resumes that are refused though their version serves.
-var _ = DescribeTable("streams that are taken up in random schedules", func(hosts, sessions int, faultInterval time.Duration, seeds, steps int) {
+var _ = DescribeTable("streams that are taken up in random schedules", func(hosts, sessions int, tries float64, faultInterval time.Duration, seeds, steps int) {
 	begun, refused, taken, able, wentOn, reasons := 0, 0, 0, 0, 0, map[origin.Reason]int{}
 	for seed := range uint64(seeds) {
 		s := newSchedule(seed, hosts)
-		s.sessions, s.faultInterval = sessions, faultInterval
+		s.sessions, s.tries, s.faultInterval = sessions, tries, faultInterval
 		s.run(steps)
 		Expect(s.joined).To(BeZero(), "seed %d, %d of %d resumes, the first %s", seed, s.joined, s.taken, s.firstJoin)
 		begun, refused, taken, able, wentOn = begun+s.begun, refused+s.refused, taken+s.taken, able+s.able, wentOn+s.wentOn
@@ -696,6 +790,29 @@
 	AddReportEntry("resumes", fmt.Sprintf("%d resumes; %d of %d whose version has two replicas go on; %v; %d requests begun, %d refused", taken, wentOn, able, reasons, begun, refused))
 	Expect(wentOn).To(BeNumerically(">", able/2))
 },
-	Entry("6 hosts", 6, 0, time.Duration(0), 20, 1200), Entry("60 hosts", 60, 0, time.Duration(0), 5, 1200), Entry("985 hosts", 985, 0, time.Duration(0), 2, 300),
-	Entry("6 hosts, 40 sessions", 6, 40, 25*time.Second, 10, 1200), Entry("60 hosts, 40 sessions", 60, 40, 25*time.Second, 1, 600),
+	Entry("6 hosts", 6, 0, 0.0, time.Duration(0), 20, 1200), Entry("60 hosts", 60, 0, 0.0, time.Duration(0), 5, 1200), Entry("985 hosts", 985, 0, 0.0, time.Duration(0), 2, 300),
+	Entry("6 hosts, requests tried at several versions", 6, 0, 0.1, 25*time.Second, 10, 1200),
+	Entry("6 hosts, 40 sessions", 6, 40, 0.0, 25*time.Second, 10, 1200), Entry("60 hosts, 40 sessions", 60, 40, 0.0, 25*time.Second, 1, 600),
 )
+
+// Guards against streams that are joined from two versions after a loss of all hosts, since an attempt
+// that failed before the first event had the other one read the prompt.
+func TestStreamsOfRequestsTriedAtSeveralVersions(t *testing.T) {
+	joined, taken, able, wentOn, by := 0, 0, 0, 0, map[string]int{}
+	for seed := range uint64(30) {
+		s := newSchedule(seed, 6)
+		s.tries = 0.1
+		s.run(1200)
+		joined, taken, able, wentOn = joined+s.joined, taken+s.taken, able+s.ableTried, wentOn+s.wentOnTried
+		for reason, n := range s.joinedBy {
+			by[reason] += n
+		}
+		if s.joined > 0 {
+			t.Logf("seed %d: %d joined, the first %s", seed, s.joined, s.firstJoin)
+		}
+	}
+	t.Logf("of streams tried at another version, %d of %d whose version has two replicas go on", wentOn, able)
+	if joined > 0 {
+		t.Errorf("%d of %d resumes joined: %v", joined, taken, by)
+	}
+}
--- a/gateway/readbefore.go
+++ b/gateway/readbefore.go
@@ -88,7 +88,7 @@
 // unless it turns out that it has not run the request.
 func (x *exchange) attemptNotingRead(choice request.Choice, held heldCapacity) (attemptEnd, *problem.Error) {
 	if choice.Version != x.announcedVersion && x.announcesReaders() {
-		x.announceReader(choice.Version, false) // replacements are picked without
+		x.announceReader(choice.Version, x.runs == 0) // replacements are picked without
 	}
 	before, runs := x.readVersion.Load(), x.runs
 	if x.route.Resumable && before == nil {
--- a/gateway/readers.go
+++ b/gateway/readers.go
@@ -92,11 +92,11 @@
 	return out
 }
 
-// otherVersions returns the versions that have read the last part of a stream's prompt for other
-// streams, and for how long before now none is missing. The caller holds mu.
+// otherVersions returns the versions that may keep the last part of a stream's prompt though the stream
+// did not begin there (origin.Readers.NotBeginning), and for how long before now none is missing. The caller holds mu.
 func (s *streamOrigins) otherVersions(now time.Time, q originQuery) (versions []origin.ServiceVersion, completeFor time.Duration) {
 	s.noteSuspension(now)
-	for _, r := range s.readers.Others(now, q.part, q.key) {
+	for _, r := range s.readers.NotBeginning(now, q.part, q.key) {
 		if !slices.Contains(versions, r.ServiceVersion) {
 			versions = append(versions, r.ServiceVersion)
 		}
@@ -170,7 +170,7 @@
 }
 
 // announceReader tells the hosts that hold the readers of the prompt's last part which version
-// reads it next, and returns the others that they know of. The version that was announced before is
+// reads it next, and returns the others that they know of. Another version that was announced before is
 // retracted if retracts is set.
 func (x *exchange) announceReader(version string, retracts bool) []origin.Reader {
 	g, now := x.g, clock.Now()
@@ -178,7 +178,7 @@
 	m := &wire.PromptReaders{Readers: []*wire.PromptReader{encodeReader(now, r)}}
 	s := &g.origins
 	s.mu.Lock()
-	if retracts {
+	if retracts && former.Version != "" && former.Version != version {
 		m.Retracted = []*wire.PromptReader{encodeReader(now, former)}
 		s.readers.Retract(former.Part, former.Stream, former.ServiceVersion)
 	}
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -38,7 +38,7 @@
 		x.noteReader(c.Version)
 		return c, nil
 	}
-	others := slices.DeleteFunc(x.announceReader(c.Version, false), func(r origin.Reader) bool { return !x.sharesRoute(r.Service) })
+	others := slices.DeleteFunc(x.announceReader(c.Version, x.runs == 0), func(r origin.Reader) bool { return !x.sharesRoute(r.Service) })
 	picked := origin.ServiceVersion{Service: x.service, Version: c.Version}
 	elsewhere := func(r origin.Reader) bool { return r.ServiceVersion != picked }
 	if x.origin.Load() != nil || !slices.ContainsFunc(others, elsewhere) {
