gateway: stages run while the version of a stream may become known

Callers whose host could not tell within half a second which version began their stream were refused, though a silent replica, a silent host or a newer view told it a moment later, and the stages took as long anyway.

A first lookup is made as before. If the version is known, can't become known, or has left, nothing changes. Otherwise the stages run beside further lookups (gateway/originwait.go): after 0.25, 0.5, then 1 s, 12 at most; until the stages are done and a little longer. A verdict that nothing can tell cancels the stages. One request of each stream and 128 streams wait at a host; others are refused at once. Lookups only read the exchange; its own goroutine takes the verdict, and the service that it names.

core/origin: a silent replica may tell later, as a silent host may, unless two versions keep the prompt or replicas are not asked at all. Such refusals now have a Retry-After.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -16,6 +16,8 @@
 	Lifetime time.Duration
 	// Waited is for how long the decision has waited for a newer view.
 	Waited time.Duration
+	// Asks says that replicas are asked whether they keep the prompt: silent ones may answer later.
+	Asks bool
 }
 
 // Answer is what one host knows about a stream and its service.
@@ -50,8 +52,8 @@
 type Verdict struct {
 	Known            bool
 	Service, Version string
-	// MayCome says that it may become known: a host that did not answer may know it, or a
-	// newer view or a longer history may tell. After is the time until the history is long
+	// MayCome says that it may become known: a host that did not answer may know it, a replica that
+	// did not may tell which version keeps the prompt or be listed no longer, or a newer view or a longer history may tell. After is the time until the history is long
 	// enough; 0 if it is not known.
 	MayCome  bool
 	After    time.Duration
@@ -162,7 +164,7 @@
 	case kept.Known || ok && (len(e.Versions) > 1 || e.History < s.Lifetime):
 		return kept
 	case len(e.Versions) > 1:
-		return Verdict{MayCome: e.Unanswered > 0, Reason: SeveralVersions}
+		return Verdict{MayCome: e.Unanswered > 0 || s.Asks && mayTell(map[string]Memory{s.Service: memoryOf(e)}), Reason: SeveralVersions}
 	case e.ViewAge > s.Waited:
 		return Verdict{MayCome: true, Reason: OldView}
 	case e.History < s.Lifetime:
@@ -178,7 +180,7 @@
 func DecideAmong(s Stream, e Evidence, memories map[string]Memory) Verdict {
 	v, ok := decideKept(s, e, memories)
 	if !ok {
-		v = Verdict{MayCome: e.Unanswered > 0, Reason: SeveralServices}
+		v = Verdict{MayCome: e.Unanswered > 0 || s.Asks && mayTell(memories), Reason: SeveralServices}
 	}
 	v.Evidence = e
 	if v.Known {
--- a/core/origin/memory.go
+++ b/core/origin/memory.go
@@ -17,6 +17,17 @@
 	return Memory{Holding: unique(holding), Silent: unique(silent)}
 }
 
+// mayTell reports whether replicas that are silent may tell which version keeps the prompt: the others
+// of no two versions keep it.
+func mayTell(memories map[string]Memory) bool {
+	holding, silent := 0, false
+	for _, m := range memories {
+		holding += len(m.Holding)
+		silent = silent || len(m.Silent) > 0
+	}
+	return silent && holding <= 1
+}
+
 // keptAmong returns the only service and version whose replicas keep the prompt, if no listed
 // replica of another version or service may keep it.
 func keptAmong(memories map[string]Memory) (service, version string, ok bool) {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -105,6 +105,21 @@
 	Entry("none", "false", origin.Memory{}, origin.Memory{}),
 )
 
+// Guards against streams that are refused though a silent replica may tell their version later, and
+// against callers that wait in vain.
+var _ = DescribeTable("whether silent replicas may tell which version began a stream", func(want string, asks bool, holding, silent []string) {
+	s := origin.Stream{Lifetime: lifetime, Waited: waited, Asks: asks}
+	m := origin.Memory{Holding: holding, Silent: silent}
+	Expect(describe(origin.Decide(s, []origin.Answer{known("v1", "v2")}, 0, &m))).To(Equal(want))
+	Expect(origin.DecideAmong(s, origin.Evidence{}, map[string]origin.Memory{"a": m, "b": {}}).MayCome).To(Equal(want != "several_versions"))
+},
+	Entry("of another version than the one that keeps it", "several_versions, may come", true, []string{"v1"}, []string{"v2"}),
+	Entry("none keeps it yet", "several_versions, may come", true, nil, []string{"v2"}),
+	Entry("two versions keep it", "several_versions", true, []string{"v1", "v2"}, []string{"v1"}),
+	Entry("none is silent", "several_versions", true, nil, nil),
+	Entry("they are not asked", "several_versions", false, []string{"v1"}, []string{"v2"}),
+)
+
 // Guards against joins by what replicas keep, where a replica of another version may have kept it,
 // too, and against refusals where none can have.
 var _ = DescribeTable("which version began a stream, by what replicas keep of its prompt", func(want string, holding, silent []string, a origin.Answer) {
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -66,6 +67,8 @@
 	readers   origin.Readers
 	suspended time.Duration
 	attempts  map[origin.Key]int
+	// awaited are the streams whose versions are looked up again while their stages run.
+	awaited map[origin.Key]bool
 	// unsent holds the records for each host that are sent with the next message.
 	unsent map[string][]*wire.StreamOrigin
 }
@@ -335,15 +338,39 @@
 	return err == nil
 }
 
-// resolveOrigin finds out which version began the stream that the caller takes up, and refuses
-// the request at once if that is not known or no replica of the version is left.
+// resolveOrigin finds out which version began the stream that the caller takes up. It refuses the
+// request if that can't become known before its deadline, or no replica of the version is left. If it
+// may become known, undecided is set.
 func (x *exchange) resolveOrigin() *problem.Error {
 	if !x.takesUpStream() {
 		x.preferReadVersion()
 		return nil
 	}
-	v := x.lookUpOrigin()
+	v := x.lookUpOrigin(x.r.Context())
+	if x.mayAwaitOrigin(v) {
+		x.undecided = &v
+		return nil
+	}
+	return x.settleOrigin(v)
+}
+
+// settleOrigin has the request run at the version that began its stream, or refuses it.
+func (x *exchange) settleOrigin(v origin.Verdict) *problem.Error {
 	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_streams_taken_up_total{evidence=%q}", v.Reason)).Inc()
+	if perr := x.originRefusal(v); perr != nil {
+		return perr
+	}
+	if v.Service != "" {
+		x.service = v.Service
+	}
+	x.origin.Store(&v.Version)
+	x.g.log.Info("stream taken up", logging.Request(x.req.ID), zap.String("resumes", x.req.ResumedID), zap.String("software", v.Version), zap.String("evidence", string(v.Reason)), zap.Stringer("known", v.Evidence))
+	return nil
+}
+
+// originRefusal says why a stream can't go on by a verdict; nil if it can. It changes nothing of the
+// exchange.
+func (x *exchange) originRefusal(v origin.Verdict) *problem.Error {
 	if !v.Known {
 		e := problem.New(problem.VersionUnknown, "which software version began the stream is not known: %s (%s)", v.Reason, v.Evidence)
 		if v.MayCome && v.After < clock.Until(x.deadline) {
@@ -354,32 +381,27 @@
 	if v.Service != "" && !slices.Contains(x.route.Services(), v.Service) {
 		return problem.New(problem.VersionGone, "the route no longer leads to service %q, which began the stream", v.Service)
 	}
-	if v.Service != "" {
-		x.service = v.Service
-	}
-	if x.g.router.HasOnlyOtherVersions(x.service, v.Version) {
+	if x.g.router.HasOnlyOtherVersions(cmp.Or(v.Service, x.service), v.Version) {
 		return problem.New(problem.VersionGone, "no replica of version %q, which began the stream", v.Version)
 	}
-	x.origin.Store(&v.Version)
-	x.g.log.Info("stream taken up", logging.Request(x.req.ID), zap.String("resumes", x.req.ResumedID), zap.String("software", v.Version), zap.String("evidence", string(v.Reason)), zap.Stringer("known", v.Evidence))
 	return nil
 }
 
 // lookUpOrigin decides which version began the stream that the caller takes up. What is not known
 // at once is looked up again: the caller may have been faster than the record, a newer view may
 // show that there is no newer version, and the replicas may keep the stream's prompt.
-func (x *exchange) lookUpOrigin() origin.Verdict {
+func (x *exchange) lookUpOrigin(ctx context.Context) origin.Verdict {
 	if services := x.route.Services(); len(services) > 1 {
-		return x.lookUpOriginAmong(services)
+		return x.lookUpOriginAmong(ctx, services)
 	}
-	v := x.lookUpOriginOnce(nil)
+	v := x.lookUpOriginOnce(ctx, nil)
 	if v.Known || v.Reason == origin.Conflict || v.Reason == origin.NoEvidence {
 		return v
 	}
-	ctx, cancel := clock.WithTimeout(x.r.Context(), originViewTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, originViewTimeout)
 	defer cancel()
 	if !x.refreshReplicas(ctx) {
-		return x.lookUpOriginByOldView()
+		return x.lookUpOriginByOldView(ctx)
 	}
 	retried := clock.Now().Add(originRetryDelay)
 	for range maxMemoryRounds {
@@ -388,8 +410,8 @@
 		if !periodic.Sleep(ctx, clock.Until(retried)) {
 			return v
 		}
-		if v = x.lookUpOriginOnce(&memory); v.Reason == origin.OldView && x.g.discovery.AwaitReplicas(ctx, x.arrived) {
-			v = x.lookUpOriginOnce(&memory)
+		if v = x.lookUpOriginOnce(ctx, &memory); v.Reason == origin.OldView && x.g.discovery.AwaitReplicas(ctx, x.arrived) {
+			v = x.lookUpOriginOnce(ctx, &memory)
 		}
 		if v.Reason != origin.PromptKept || sameReplicas(replicas, x.g.memoryReplicas(x.service)) {
 			return v
@@ -416,32 +438,32 @@
 // lookUpOriginAmong decides which version of which service began a stream of a route that is split
 // between services. The versions that a service has had say nothing here: the stream may have
 // begun at another one.
-func (x *exchange) lookUpOriginAmong(services []string) origin.Verdict {
-	v := x.lookUpOriginOnce(nil)
-	if v.Reason != origin.Recorded && v.Reason != origin.Conflict && periodic.Sleep(x.r.Context(), originRetryDelay) {
-		v = x.lookUpOriginOnce(nil)
+func (x *exchange) lookUpOriginAmong(ctx context.Context, services []string) origin.Verdict {
+	v := x.lookUpOriginOnce(ctx, nil)
+	if v.Reason != origin.Recorded && v.Reason != origin.Conflict && periodic.Sleep(ctx, originRetryDelay) {
+		v = x.lookUpOriginOnce(ctx, nil)
 	}
 	if v.Reason == origin.Recorded || v.Reason == origin.Conflict {
 		return v
 	}
-	if !x.refreshReplicas(x.r.Context()) {
+	if !x.refreshReplicas(ctx) {
 		return origin.Verdict{MayCome: true, Reason: origin.OldView, Evidence: v.Evidence}
 	}
-	memories := x.partHoldersAmong(services)
+	memories := x.partHoldersAmong(ctx, services)
 	// Asked once more: the prompt may have been read for another request before the replicas answered.
-	if v = x.lookUpOriginOnce(nil); v.Reason == origin.Recorded || v.Reason == origin.Conflict {
+	if v = x.lookUpOriginOnce(ctx, nil); v.Reason == origin.Recorded || v.Reason == origin.Conflict {
 		return v
 	}
-	stream := origin.Stream{Lifetime: x.decisionLifetime()}
+	stream := origin.Stream{Lifetime: x.decisionLifetime(), Asks: x.asksReplicas(services...)}
 	return origin.DecideAmong(stream, v.Evidence, memories)
 }
 
 // partHoldersAmong asks the replicas of several services at the same time.
-func (x *exchange) partHoldersAmong(services []string) map[string]origin.Memory {
+func (x *exchange) partHoldersAmong(ctx context.Context, services []string) map[string]origin.Memory {
 	found := make([]origin.Memory, len(services))
 	var group sync.WaitGroup
 	for i, service := range services {
-		group.Go(func() { found[i] = x.g.partHolders(x.r.Context(), x.req.ID, service, x.lastPart()) })
+		group.Go(func() { found[i] = x.g.partHolders(ctx, x.req.ID, service, x.lastPart()) })
 	}
 	group.Wait()
 	memories := map[string]origin.Memory{}
@@ -453,15 +475,15 @@
 
 // lookUpOriginOnce decides from what this host knows, and what the hosts know that may hold the
 // record. memory is what replicas keep of the prompt; nil while they have not been asked.
-func (x *exchange) lookUpOriginOnce(memory *origin.Memory) origin.Verdict {
+func (x *exchange) lookUpOriginOnce(ctx context.Context, memory *origin.Memory) origin.Verdict {
 	q := x.originQuery()
-	stream := origin.Stream{Service: x.service, Lifetime: x.decisionLifetime()}
+	stream := origin.Stream{Service: x.service, Lifetime: x.decisionLifetime(), Asks: x.asksReplicas(x.service)}
 	began := clock.Now()
 	answers, unanswered := []origin.Answer{x.g.knownOrigin(q)}, 0
 	answers[0].HoldsReaders = slices.Contains(x.g.readerHolders(q.part), x.g.self().Name)
 	if !answers[0].Known {
 		var received []origin.Answer
-		received, unanswered = x.g.askOrigins(x.r.Context(), q)
+		received, unanswered = x.g.askOrigins(ctx, q)
 		answers[0].ViewAge += clock.Since(began)
 		answers = append(answers, received...)
 	}
--- a/gateway/originview.go
+++ b/gateway/originview.go
@@ -24,8 +24,8 @@
 
 // lookUpOriginByOldView decides about a stream without the memory of replicas, since the view is
 // older than the resume: by a record that has come meanwhile, or else the stream is refused.
-func (x *exchange) lookUpOriginByOldView() origin.Verdict {
-	v := x.lookUpOriginOnce(nil)
+func (x *exchange) lookUpOriginByOldView(ctx context.Context) origin.Verdict {
+	v := x.lookUpOriginOnce(ctx, nil)
 	if v.Known || v.Reason == origin.Conflict || v.Reason == origin.ShortHistory {
 		return v
 	}
--- /dev/null
+++ b/gateway/originwait.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/core/origin"
+	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/periodic"
+	"github.com/wheatseam/wheatseam/logging"
+	"github.com/wheatseam/wheatseam/problem"
+)
+
+// The version of a stream that is taken up need not be known before its stages are done. While it may
+// become known, the stages run, and it is looked up again beside them.
+
+const (
+	// originWaitInterval is the time between the first lookups, and maxOriginWaitInterval that between
+	// later ones. A request has maxOriginLookups of them at most.
+	originWaitInterval    = 250 * time.Millisecond
+	maxOriginWaitInterval = time.Second
+	maxOriginLookups      = 12
+	// originWait is for how long the version is awaited though the stages are done, from the first
+	// lookup, and originWaitAfterStages from their end.
+	originWait            = 2 * time.Second
+	originWaitAfterStages = 300 * time.Millisecond
+	// originWaitFraction is the most of the time left to the deadline for which the version is awaited
+	// though the stages are done: the rest of the answer takes time, too.
+	originWaitFraction = 0.5
+	// maxAwaitedOrigins limits the streams of a host that are looked up again.
+	maxAwaitedOrigins = 128
+)
+
+// mayAwaitOrigin reports whether the version of a stream may become known while the request waits.
+func (x *exchange) mayAwaitOrigin(v origin.Verdict) bool {
+	left := clock.Until(x.deadline)
+	return !v.Known && v.MayCome && v.After <= min(originWait, time.Duration(originWaitFraction*float64(left)))
+}
+
+// asksReplicas reports whether replicas are asked whether they keep the request's prompt.
+func (x *exchange) asksReplicas(services ...string) bool {
+	return x.lastPart().ID != "" && !slices.ContainsFunc(services, func(s string) bool {
+		return len(x.g.memoryReplicas(s)) > origin.MaxLookupReplicas
+	})
+}
+
+// prepare runs the stages of the request, and finds out meanwhile which version began the stream that
+// it takes up, unless that is known.
+func (x *exchange) prepare() *problem.Error {
+	if x.undecided == nil {
+		return x.prepareInputs()
+	}
+	first := *x.undecided
+	x.undecided = nil
+	end, begun := x.g.origins.await(x.originKey())
+	if !begun {
+		x.countOriginWait(first, "too_many")
+		return x.settleOrigin(first)
+	}
+	defer end()
+	return x.prepareAwaiting(first)
+}
+
+// await records that a stream's version is looked up again, until end is called. It returns false if
+// it is already, or too many are.
+func (s *streamOrigins) await(stream origin.Key) (end func(), begun bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.awaited[stream] || len(s.awaited) >= maxAwaitedOrigins {
+		return nil, false
+	}
+	s.awaited[stream] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.awaited, stream)
+	}, true
+}
+
+// prepareAwaiting runs the stages beside the lookups. A verdict that refuses the request cancels the
+// stages.
+func (x *exchange) prepareAwaiting(first origin.Verdict) *problem.Error {
+	began := clock.Now()
+	left := clock.Until(x.deadline)
+	lookups, stop := context.WithCancel(x.ctx)
+	defer stop()
+	whole := x.ctx
+	staged, cancelStages := context.WithCancel(whole)
+	defer cancelStages()
+	decided := make(chan origin.Verdict, 1)
+	go func() {
+		v := x.awaitOrigin(lookups, first)
+		if lookups.Err() == nil && x.originRefusal(v) != nil {
+			cancelStages()
+		}
+		decided <- v
+	}()
+	x.ctx = staged
+	perr := x.prepareInputs()
+	x.ctx = whole
+	refused := staged.Err() != nil && whole.Err() == nil
+	if perr == nil {
+		until := min(max(originWait-clock.Since(began), originWaitAfterStages), time.Duration(originWaitFraction*float64(left))-clock.Since(began))
+		defer clock.AfterFunc(until, stop).Stop()
+	} else {
+		stop()
+	}
+	v := <-decided
+	if perr != nil && !refused {
+		x.logOriginWait(first, v, "stages_refused", began)
+		return perr
+	}
+	perr = x.settleOrigin(v)
+	result := "known"
+	if perr != nil {
+		result = string(perr.Kind)
+	}
+	x.logOriginWait(first, v, result, began)
+	return perr
+}
+
+// awaitOrigin looks the version of a stream up again, less and less often, until it is known, can't
+// become known, or ctx ends. It changes nothing of the exchange.
+func (x *exchange) awaitOrigin(ctx context.Context, v origin.Verdict) origin.Verdict {
+	interval := originWaitInterval
+	for range maxOriginLookups {
+		if !x.mayAwaitOrigin(v) || !periodic.Sleep(ctx, max(interval, v.After)) {
+			return v
+		}
+		again := x.lookUpOrigin(ctx)
+		if ctx.Err() != nil {
+			return v // replicas and hosts were not awaited
+		}
+		v, interval = again, min(2*interval, maxOriginWaitInterval)
+	}
+	return v
+}
+
+// logOriginWait writes what became of the wait for the version of a stream.
+func (x *exchange) logOriginWait(first, last origin.Verdict, result string, began time.Time) {
+	x.countOriginWait(first, result)
+	x.g.log.Info("version of a stream awaited", logging.Request(x.req.ID), zap.String("resumes", x.req.ResumedID), zap.String("cause", string(first.Reason)),
+		zap.String("evidence", string(last.Reason)), zap.String("result", result), zap.Duration("waited", clock.Since(began)))
+}
+
+// countOriginWait counts a wait by why the version was not known at first, and what became of it.
+func (x *exchange) countOriginWait(first origin.Verdict, result string) {
+	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_stream_origin_waits_total{cause=%q,result=%q}", first.Reason, result)).Inc()
+}
--- a/gateway/readers.go
+++ b/gateway/readers.go
@@ -31,7 +31,7 @@
 )
 
 func newStreamOrigins() streamOrigins {
-	return streamOrigins{readers: origin.NewReaders(clock.Now()), suspended: clock.SuspendedTime(), attempts: map[origin.Key]int{}}
+	return streamOrigins{readers: origin.NewReaders(clock.Now()), suspended: clock.SuspendedTime(), attempts: map[origin.Key]int{}, awaited: map[origin.Key]bool{}}
 }
 
 // partKey is the key of the last part of the request's prompt; zero if it names none.
