--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -16,6 +16,8 @@
 	Lifetime time.Duration
 	// Waited is for how long the decision has waited for a newer view.
 	Waited time.Duration
+	// Asks says that replicas are asked whether they keep the prompt: silent ones may answer later.
+	Asks bool
 }
 
 // Answer is what one host knows about a stream and its service.
@@ -32,8 +34,8 @@
 	// Moved is how long ago a route was led to the service from another one; 0 if the host knows
 	// of none.
 	Moved time.Duration
-	// Readers are the requests of other streams that are known to have had the last part of the
-	// prompt read. HoldsReaders says that all hosts tell this one of them; ReadersFor is for how
+	// Readers are the versions that are known to have read the last part of the prompt for other
+	// streams, or for attempts of this one at several versions (Readers.NotBeginning). HoldsReaders says that all hosts tell this one of them; ReadersFor is for how
 	// long before now it has missed none.
 	Readers      []ServiceVersion
 	HoldsReaders bool
@@ -50,8 +52,8 @@
 type Verdict struct {
 	Known            bool
 	Service, Version string
-	// MayCome says that it may become known: a host that did not answer may know it, or a
-	// newer view or a longer history may tell. After is the time until the history is long
+	// MayCome says that it may become known: a host that did not answer may know it, a replica that
+	// did not may tell which version keeps the prompt or be listed no longer, or a newer view or a longer history may tell. After is the time until the history is long
 	// enough; 0 if it is not known.
 	MayCome  bool
 	After    time.Duration
@@ -82,7 +84,7 @@
 	// SeveralServices: there is no record, and the route is split between services.
 	SeveralServices Reason = "several_services"
 	// SharedPrompt: the only version whose replicas keep the prompt has read its last part for
-	// another request, and UnknownReaders: it may have, since requests share parts, and the service
+	// another request, or several have for the stream's own attempts, and UnknownReaders: it may have, since requests share parts, and the service
 	// has had other versions.
 	SharedPrompt   Reason = "shared_prompt"
 	UnknownReaders Reason = "unknown_readers"
@@ -104,8 +106,8 @@
 	Answered, Unanswered int
 	// Memory is what replicas keep of the prompt; nil if they were not asked.
 	Memory *Memory
-	// Readers are the versions that have read the last part of the prompt for other requests,
-	// sorted, and ReadersFor is for how long before now none is missing.
+	// Readers are the versions that have read the last part of the prompt for other requests, or for
+	// attempts at several versions, sorted, and ReadersFor is for how long before now none is missing.
 	Readers    []ServiceVersion
 	ReadersFor time.Duration
 	// PartsShared says that requests of different content are known to have shared last parts, and
@@ -162,7 +164,7 @@
 	case kept.Known || ok && (len(e.Versions) > 1 || e.History < s.Lifetime):
 		return kept
 	case len(e.Versions) > 1:
-		return Verdict{MayCome: e.Unanswered > 0, Reason: SeveralVersions}
+		return Verdict{MayCome: e.Unanswered > 0 || s.Asks && mayTell(map[string]Memory{s.Service: memoryOf(e)}), Reason: SeveralVersions}
 	case e.ViewAge > s.Waited:
 		return Verdict{MayCome: true, Reason: OldView}
 	case e.History < s.Lifetime:
@@ -178,7 +180,7 @@
 func DecideAmong(s Stream, e Evidence, memories map[string]Memory) Verdict {
 	v, ok := decideKept(s, e, memories)
 	if !ok {
-		v = Verdict{MayCome: e.Unanswered > 0, Reason: SeveralServices}
+		v = Verdict{MayCome: e.Unanswered > 0 || s.Asks && mayTell(memories), Reason: SeveralServices}
 	}
 	v.Evidence = e
 	if v.Known {
