core/stage: a refused continuation doesn't show that a service is short

A job that goes ahead of new work is refused as overload where the rest of its stream can't come before the caller's deadline. It marked the service as short of capacity, so that new jobs of customers above their share were refused though the queue was empty. Only jobs that are admitted, ordered and charged like new ones mark it now.

--- a/core/stage/shares.go
+++ b/core/stage/shares.go
@@ -127,7 +127,8 @@
 }
 
 // noteOverload records that a job is refused for overload, and names the service that is
-// short of capacity.
+// short of capacity. One that goes ahead of new work is refused for want of time: that doesn't show
+// that the service is short for new work.
 func (m *Machine) noteOverload(now time.Time, j *job, refusal *Refused) *Refused {
 	if !m.charged(j) {
 		return refusal
@@ -135,7 +136,7 @@
 	s := m.bottleneck(j)
 	if s != nil {
 		refusal.Service = s.name
-		if m.cfg.FairShares {
+		if !j.preferred {
 			s.shareTable().NoteOverload(now)
 		}
 	}
