New work keeps its share when the capacity of a stage service falls

Callers got over_share with a share of 0 and a Retry-After of 2 s though the replicas were idle: jobs that continue streams were admitted against the capacity of ten replicas, eight of them left, and the work of the window exceeded all that two can do. Nothing was left for new work until the window had passed. Found by review.

Change: at least the part that such jobs may not take is left for new work.

--- a/core/stage/continuation.go
+++ b/core/stage/continuation.go
@@ -73,12 +73,14 @@
 // charged reports whether the job is charged to tables of shares.
 func (m *Machine) charged(j *job) bool { return m.cfg.FairShares || j.preferred }
 
-// newWorkCapacity returns the part of windowCapacity that jobs which go ahead of new work leave.
+// newWorkCapacity returns the part of windowCapacity that jobs which go ahead of new work leave. They
+// may have been admitted when there was more capacity.
 func (s *service) newWorkCapacity(now time.Time) float64 {
 	if s.continuations == nil {
 		return s.windowCapacity()
 	}
-	return max(0, s.windowCapacity()-s.continuations.Admitted(now))
+	capacity := s.windowCapacity()
+	return max((1-continuationShare)*capacity, capacity-s.continuations.Admitted(now))
 }
 
 // Continuations returns, by service, the work of jobs that continue streams and go ahead of new
--- a/core/stage/continuation_test.go
+++ b/core/stage/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,6 +89,31 @@
 	Expect(h.m.Shares(h.now, 1)).To(BeEmpty())
 }
 
+// Guards against new work that is refused for its share of nothing though its replicas are idle, since
+// others left after continuations had been admitted.
+func TestNewWorkKeepsItsShareWhenCapacityFalls(t *testing.T) {
+	RegisterTestingT(t)
+	h := newConfiguredHarness(Config{FairShares: true}, pieceParams(4, 0), slices.Repeat([]string{"x"}, 10)...)
+	for i := range 25 {
+		h.submit(h.resume(fmt.Sprint("resumed-", i), "c"))
+	}
+	for len(h.ready) < 25 {
+		h.now = h.now.Add(300 * time.Millisecond)
+		for _, r := range slices.Clone(h.running) {
+			h.answer(r.Call)
+		}
+	}
+	s := h.m.services["a"]
+	for _, r := range s.replicas[2:] {
+		r.suspectUntil = h.now.Add(time.Hour)
+	}
+	s.capacityAt = time.Time{}
+	s.shareTable().NoteOverload(h.now)
+	h.submit(h.jobOf("new", "d"))
+	Expect(s.continuations.Admitted(h.now)).To(BeNumerically(">", s.windowCapacity()))
+	Expect(h.refused).NotTo(HaveKey("new"))
+}
+
 // Callers take streams up as often as they like. One customer's flood of them leaves new work about
 // half of the capacity, and the other customers' continuations theirs.
 func TestFloodOfContinuationsIsBounded(t *testing.T) {
