Readers of prompts: holders answer with those that decide, hosts are asked once

What callers saw: nothing. Between hosts, each request of a session cost 29.5 kB once another version had read its prompt, and 5.7 kB at one version.

Cause: both holders answered with all readers of the part, up to 128 of some 100 bytes, and the host that served the request asked about the stream of each in a message of its own.

Now holders answer with the readers that decide (origin.DecidingReaders): of the eight versions that have read the part last, the last reader, and at most eight whose streams may be open, of as many hosts as possible. A reader says whether its stream can be taken up. Each host of a reader is asked once, for all its requests of the session, and answers with the last open one of each version. Where a host does not know, those that may hold the records are asked, each once for all streams.

Mixed fleets: hosts of an earlier build don't ask for the deciding readers only and get all of them; they ignore the new fields and answer about the key of a message, the last reader of the host. Their readers count as open for as long as they are held.

Not asked about: streams whose hosts are not among the eight that have sent requests of a part at a version last (before: not among 64 readers).

--- a/core/origin/readers.go
+++ b/core/origin/readers.go
@@ -13,6 +13,10 @@
 	// maxReadersPerPart those of one part.
 	maxReadersPerVersion = 64
 	maxReadersPerPart    = 128
+	// maxDecidingVersions limits the versions of DecidingReaders, and maxDecidingReaders the readers of
+	// each whose streams may be open.
+	maxDecidingVersions = 8
+	maxDecidingReaders  = 8
 )
 
 // PartKey returns the key by which the readers of a part of prompts are held. Readers of all
@@ -34,10 +38,14 @@
 	ServiceVersion
 	// Content is a hash of the request's content, the same for all attempts of its caller.
 	Content uint64
-	// Expires is until when the reader is remembered.
-	Expires time.Time
+	// Expires is until when the reader is remembered, and OpenUntil until when its stream may be in
+	// progress or be taken up; zero for one that can't be taken up.
+	Expires, OpenUntil time.Time
 }
 
+// MayBeOpen reports whether the reader's stream may be in progress or be taken up.
+func (r Reader) MayBeOpen(now time.Time) bool { return r.OpenUntil.After(now) }
+
 // Readers holds readers of the last parts of prompts, for all hosts. A part that a session's requests
 // share may have been read for any of them: that a replica keeps it shows which version began a
 // stream only if no other request is known to have been read there.
@@ -184,6 +192,63 @@
 	return slices.MaxFunc(readers, func(a, b Reader) int { return a.Expires.Compare(b.Expires) })
 }
 
+// DecidingReaders returns those readers of a part that decide where a request of its session runs: of
+// the versions that have read it last, each one's last reader, and the last ones whose streams may be
+// open, of as many hosts as possible.
+func DecidingReaders(now time.Time, readers []Reader) []Reader {
+	var out []Reader
+	for _, of := range byVersion(readers) {
+		last := of[0]
+		if !last.MayBeOpen(now) {
+			out = append(out, last)
+		}
+		open := slices.DeleteFunc(of, func(r Reader) bool { return !r.MayBeOpen(now) })
+		out = append(out, firstOfHosts(open)[:min(maxDecidingReaders, len(open))]...)
+	}
+	return out
+}
+
+// LastReaders returns the last reader of each version, at most maxDecidingVersions.
+func LastReaders(readers []Reader) []Reader {
+	var out []Reader
+	for _, of := range byVersion(readers) {
+		out = append(out, of[0])
+	}
+	return out
+}
+
+// byVersion returns the readers of each of the maxDecidingVersions versions that have read the part
+// last, the newest reader first.
+func byVersion(readers []Reader) [][]Reader {
+	newest := slices.SortedStableFunc(slices.Values(readers), func(a, b Reader) int { return b.Expires.Compare(a.Expires) })
+	var out [][]Reader
+	for _, r := range newest {
+		i := slices.IndexFunc(out, func(of []Reader) bool { return of[0].sameVersion(r) })
+		switch {
+		case i >= 0:
+			out[i] = append(out[i], r)
+		case len(out) < maxDecidingVersions:
+			out = append(out, []Reader{r})
+		}
+	}
+	return out
+}
+
+// firstOfHosts returns the first reader of each host before the others.
+func firstOfHosts(readers []Reader) []Reader {
+	seen := map[string]bool{}
+	var first, further []Reader
+	for _, r := range readers {
+		if seen[r.Host] {
+			further = append(further, r)
+			continue
+		}
+		seen[r.Host] = true
+		first = append(first, r)
+	}
+	return append(first, further...)
+}
+
 // DistinctReaders returns each request once, as it was announced last, where several hosts have told
 // of it.
 func DistinctReaders(readers []Reader) []Reader {
--- a/core/origin/readers_test.go
+++ b/core/origin/readers_test.go
@@ -118,6 +118,39 @@
 	g.Expect(others[0].Expires).To(Equal(newer.Expires))
 }
 
+// Guards against answers that grow with the readers of a part, and leave out the hosts and versions
+// whose streams may be open.
+func TestDecidingReadersAreFew(t *testing.T) {
+	g, now := NewWithT(t), time.Unix(1000, 0)
+	var readers []origin.Reader
+	add := func(host, version string, open bool) {
+		r := reader("session", fmt.Sprint(len(readers)), version, now.Add(time.Minute+time.Duration(len(readers))))
+		if r.Host = host; open {
+			r.OpenUntil = r.Expires
+		}
+		readers = append(readers, r)
+	}
+	add("lost", "v1", true)
+	for range 60 {
+		add("busy", "v1", true)
+	}
+	add("last", "v1", false)
+	for range 60 {
+		add("busy", "v2", false)
+	}
+	deciding := origin.DecidingReaders(now, readers)
+	g.Expect(versionsOf(deciding)).To(Equal(strings.Fields("v2 v1 v1 v1 v1 v1 v1 v1 v1 v1")))
+	hosts := map[string]int{}
+	for _, r := range deciding {
+		hosts[r.Host]++
+	}
+	g.Expect(hosts).To(Equal(map[string]int{"busy": 8, "lost": 1, "last": 1}))
+	g.Expect(origin.LatestReader(deciding)).To(Equal(readers[len(readers)-1]))
+	g.Expect(origin.DecidingReaders(now, deciding)).To(Equal(deciding))
+	g.Expect(versionsOf(origin.DecidingReaders(now.Add(time.Hour), readers))).To(Equal([]string{"v2", "v1"}), "none may be open")
+	g.Expect(versionsOf(origin.LastReaders(readers))).To(Equal([]string{"v2", "v1"}))
+}
+
 // Guards against hosts that are asked about a stream once for each host that has told of it.
 func TestReadersOfWhichSeveralHostsTellAreDistinct(t *testing.T) {
 	g, now := NewWithT(t), time.Unix(1000, 0)
--- a/core/origin/schedule_test.go
+++ b/core/origin/schedule_test.go
@@ -461,6 +461,9 @@
 		if s.isOpen(h, o) {
 			version, required = o.ServiceVersion, true
 		}
+		for _, r := range s.openAt(h, o.Host, part, key) {
+			version, required = r.ServiceVersion, true
+		}
 	}
 	if version == reader.ServiceVersion {
 		return first
@@ -488,9 +491,11 @@
 	}
 }
 
-// announce announces a reader to its holders, or their spares, and returns the other readers.
+// announce announces a reader to its holders, or their spares, and returns the other readers that
+// decide.
 func (s *schedule) announce(h *modelHost, r origin.Reader) []origin.Reader {
 	r.Expires = s.now.Add(origin.MaxLifetime)
+	r.OpenUntil = r.Expires
 	others := h.readers.Others(s.now, r.Part, r.Stream)
 	h.readers.Put(s.now, r)
 	if !s.reached(h) {
@@ -503,13 +508,29 @@
 		for _, rank := range []int{i, i + holders} {
 			if rank < len(asked) && s.reached(byName[asked[rank].Name]) {
 				o := byName[asked[rank].Name]
-				others = append(others, o.readers.Others(s.now, r.Part, r.Stream)...)
+				others = append(others, origin.DecidingReaders(s.now, o.readers.Others(s.now, r.Part, r.Stream))...)
 				o.readers.Put(s.now, r)
 				break
 			}
 		}
 	}
-	return others
+	return origin.DecidingReaders(s.now, origin.DistinctReaders(others))
+}
+
+// openAt returns the readers of a part that a host has sent and whose streams may be taken up; none if
+// it does not answer.
+func (s *schedule) openAt(h *modelHost, host string, part, stream origin.Key) []origin.Reader {
+	_, byName := s.others(h)
+	byName[h.Name] = h
+	o := byName[host]
+	if o == nil || o != h && !(s.reached(o) && s.reached(h)) {
+		return nil
+	}
+	return slices.DeleteFunc(o.readers.Others(s.now, part, stream), func(r origin.Reader) bool {
+		_, recorded := o.records.Get(s.now, r.Stream)
+		st := s.byKey[r.Stream]
+		return r.Host != host || !recorded || st == nil || st.complete(s.now)
+	})
 }
 
 // isOpen reports whether a host finds out that the stream of a reader may be taken up.
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -79,7 +79,7 @@
 	peer.Handle(mux, methodOriginLookup, func(_ context.Context, _ peer.Sender, m *wire.StreamOriginRequest) (*wire.StreamOriginReply, error) {
 		key, _ := parseOriginKey(m.GetKey())
 		part, _ := parseOriginKey(m.GetPart())
-		a := g.knownOrigin(originQuery{key, part, m.GetService()})
+		a := g.knownOrigin(originQuery{key: key, part: part, service: m.GetService()})
 		reply := &wire.StreamOriginReply{
 			Known: a.Known, Service: a.Service, Version: a.Version, Versions: a.Versions,
 			HistoryMs: uint32(a.History.Milliseconds()), ViewAgeMs: roundedUpMS(a.ViewAge), MovedMs: roundedUpMS(a.Moved),
@@ -88,6 +88,7 @@
 		for _, r := range a.Readers {
 			reply.Readers = append(reply.Readers, &wire.ServiceVersion{Service: r.Service, Version: r.Version})
 		}
+		g.addOpenStreams(reply, m.GetSession())
 		return reply, nil
 	})
 	g.registerInheritHandler(mux)
@@ -126,11 +127,13 @@
 type originQuery struct {
 	key, part origin.Key
 	service   string
+	// session asks which streams of a session are open, too; nil if that is not asked.
+	session *wire.SessionStreams
 }
 
 // originQuery is the query for the stream that the request begins or takes up.
 func (x *exchange) originQuery() originQuery {
-	return originQuery{x.originKey(), x.partKey(), x.service}
+	return originQuery{key: x.originKey(), part: x.partKey(), service: x.service}
 }
 
 // knownOrigin is what this host knows about a stream and its service.
@@ -519,9 +522,11 @@
 type originReply struct {
 	origin.Answer
 	// inProgress says that an attempt of the stream is in progress there, and uptime is for how long
-	// the host has been running.
-	inProgress bool
-	uptime     time.Duration
+	// the host has been running. openStreams and openReaders are what it knows of the session.
+	inProgress  bool
+	uptime      time.Duration
+	openStreams [][]byte
+	openReaders []*wire.PromptReader
 }
 
 // askOrigin asks a host what it knows; nil if it does not answer in time. Its view has aged by the
@@ -529,7 +534,7 @@
 func (g *Gateway) askOrigin(ctx context.Context, host string, q originQuery) *originReply {
 	asked := clock.Now()
 	reply := &wire.StreamOriginReply{}
-	req := &wire.StreamOriginRequest{Key: q.key[:], Service: q.service, LifetimeMs: uint32(origin.MaxHistory.Milliseconds())}
+	req := &wire.StreamOriginRequest{Key: q.key[:], Service: q.service, LifetimeMs: uint32(origin.MaxHistory.Milliseconds()), Session: q.session}
 	if q.part != (origin.Key{}) {
 		req.Part = q.part[:]
 	}
@@ -544,7 +549,7 @@
 	for _, r := range reply.GetReaders() {
 		a.Readers = append(a.Readers, origin.ServiceVersion{Service: r.GetService(), Version: r.GetVersion()})
 	}
-	return &originReply{a, reply.GetInProgress(), milliseconds(reply.GetUptimeMs())}
+	return &originReply{a, reply.GetInProgress(), milliseconds(reply.GetUptimeMs()), reply.GetOpenStreams(), reply.GetOpenReaders()}
 }
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/gateway/readers.go
+++ b/gateway/readers.go
@@ -67,7 +67,7 @@
 }
 
 // holdReaders stores the readers that a host announces, and returns the others of the first one's
-// part.
+// part, or those that decide.
 func (s *streamOrigins) holdReaders(now time.Time, m *wire.PromptReaders) *wire.OtherReaders {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,7 +83,11 @@
 			continue
 		}
 		if i == 0 {
-			for _, o := range s.readers.Others(now, r.Part, r.Stream) {
+			others := s.readers.Others(now, r.Part, r.Stream)
+			if m.GetDecidingOnly() {
+				others = origin.DecidingReaders(now, others)
+			}
+			for _, o := range others {
 				out.Readers = append(out.Readers, encodeReader(now, o))
 			}
 		}
@@ -116,7 +120,8 @@
 func encodeReader(now time.Time, r origin.Reader) *wire.PromptReader {
 	return &wire.PromptReader{
 		Part: r.Part[:], Stream: r.Stream[:], Host: r.Host, Service: r.Service, Version: r.Version, Content: r.Content,
-		LeftMs: uint32(max(0, r.Expires.Sub(now).Milliseconds())),
+		LeftMs:   uint32(max(0, r.Expires.Sub(now).Milliseconds())),
+		ClosedMs: uint32(max(0, min(origin.MaxLifetime, r.Expires.Sub(r.OpenUntil)).Milliseconds())),
 	}
 }
 
@@ -124,9 +129,10 @@
 func decodeReader(now time.Time, m *wire.PromptReader) (origin.Reader, bool) {
 	part, partOK := parseOriginKey(m.GetPart())
 	stream, streamOK := parseOriginKey(m.GetStream())
+	expires := now.Add(milliseconds(m.GetLeftMs()))
 	return origin.Reader{
 		Part: part, Stream: stream, Host: m.GetHost(), ServiceVersion: origin.ServiceVersion{Service: m.GetService(), Version: m.GetVersion()},
-		Content: m.GetContent(), Expires: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond),
+		Content: m.GetContent(), Expires: expires, OpenUntil: expires.Add(-milliseconds(m.GetClosedMs())),
 	}, partOK && streamOK
 }
 
@@ -163,19 +169,23 @@
 
 // reader is the request as a reader of its prompt at a version.
 func (x *exchange) reader(version string) origin.Reader {
-	return origin.Reader{
+	r := origin.Reader{
 		Part: x.partKey(), Stream: x.originKey(), Host: x.g.self().Name, ServiceVersion: origin.ServiceVersion{Service: x.service, Version: version},
 		Content: x.contentHash(), Expires: clock.Now().Add(origin.MaxLifetime),
 	}
+	if x.route.Resumable {
+		r.OpenUntil = r.Expires
+	}
+	return r
 }
 
 // announceReader tells the hosts that hold the readers of the prompt's last part which version
-// reads it next, and returns the others that they know of. The version that was announced before is
+// reads it next, and returns those of the others that decide, as far as they know. The version that was announced before is
 // retracted if retracts is set.
 func (x *exchange) announceReader(version string, retracts bool) []origin.Reader {
 	g, now := x.g, clock.Now()
 	r, former := x.reader(version), x.reader(x.announcedVersion)
-	m := &wire.PromptReaders{Readers: []*wire.PromptReader{encodeReader(now, r)}}
+	m := &wire.PromptReaders{Readers: []*wire.PromptReader{encodeReader(now, r)}, DecidingOnly: true}
 	s := &g.origins
 	s.mu.Lock()
 	if retracts {
@@ -192,7 +202,8 @@
 	for i, h := range holders {
 		go func() { received <- g.announceTo(h.Name, asked[len(holders):], i, m) }()
 	}
-	return append(others, collectReaders(received, len(holders))...)
+	others = append(others, collectReaders(received, len(holders))...)
+	return origin.DecidingReaders(now, origin.DistinctReaders(others))
 }
 
 // announcement is the outcome of an announcement to a holder: the others that it holds, if it answered.
--- a/gateway/readers_internal_test.go
+++ b/gateway/readers_internal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/wheatseam/wheatseam/core/origin"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/wire"
 )
 
 // Guards against requests that run although a stream of their session is open elsewhere, since one
@@ -43,3 +45,30 @@
 	g.Expect(announced).To(ConsistOf(recent, running, broken))
 	g.Expect(announced).NotTo(ContainElement(ended))
 }
+
+// Guards against daemons of an earlier build that lack the other readers, and against their readers
+// that count as closed.
+func TestReadersAreExchangedWithEarlierDaemons(t *testing.T) {
+	g, now := NewWithT(t), time.Unix(1000, 0)
+	s := streamOrigins{readers: origin.NewReaders(now)}
+	announcement := func(i int, decidingOnly bool) *wire.PromptReaders {
+		r := origin.Reader{Part: origin.PartKey("p"), Stream: origin.NewKey("c", fmt.Sprint(i)), Host: "h", Expires: now.Add(time.Minute)}
+		return &wire.PromptReaders{Readers: []*wire.PromptReader{encodeReader(now, r)}, DecidingOnly: decidingOnly}
+	}
+	const earlier = 20
+	for i := range earlier {
+		s.holdReaders(now, announcement(i, false))
+	}
+	g.Expect(s.holdReaders(now, announcement(earlier, false)).GetReaders()).To(HaveLen(earlier))
+	g.Expect(s.holdReaders(now, announcement(earlier, true)).GetReaders()).To(HaveLen(1), "none may be open")
+
+	sent := announcement(0, false).GetReaders()[0]
+	closed, _ := decodeReader(now, sent)
+	g.Expect(closed.MayBeOpen(now)).To(BeFalse())
+	sent.ClosedMs = 0 // as earlier daemons send it
+	open, _ := decodeReader(now, sent)
+	g.Expect(open.OpenUntil).To(Equal(now.Add(time.Minute)))
+	first := &originReply{Answer: origin.Answer{Known: true}}
+	g.Expect(first.isOpen(open, true, false)).To(BeTrue())
+	g.Expect(first.isOpen(open, false, false)).To(BeFalse(), "an earlier daemon says nothing of further streams")
+}
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,7 +42,7 @@
 	if x.origin.Load() != nil || !slices.ContainsFunc(others, elsewhere) {
 		return c, nil
 	}
-	read, open := origin.LatestReader(others).ServiceVersion, x.openReaders(origin.DistinctReaders(others))
+	read, open := origin.LatestReader(others).ServiceVersion, x.openReaders(others)
 	if len(open) > 0 {
 		read = origin.LatestReader(open).ServiceVersion
 	}
@@ -120,56 +118,3 @@
 	x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_session_versions_total{open=\"%t\",picked=\"%t\"}", open, picked)).Inc()
 	x.g.log.Info("prompt was read for another request", logging.Request(x.req.ID), zap.String("service", v.Service), zap.String("software", v.Version), zap.Bool("open", open), zap.Bool("picked", picked))
 }
-
-// openReaders returns the readers whose streams are in progress or may be taken up. One with the
-// content of this request is a former attempt of the caller, which does not take its stream up but
-// sends the request anew, unless it is in progress.
-func (x *exchange) openReaders(readers []origin.Reader) []origin.Reader {
-	open := make([]bool, len(readers))
-	var group sync.WaitGroup
-	for i, r := range readers {
-		if content := x.contentHash(); content != 0 && r.Content == content {
-			group.Go(func() {
-				reply := x.g.askReaderHost(x.ctx, r, originQuery{key: r.Stream, service: r.Service})
-				open[i] = reply != nil && reply.inProgress
-			})
-			continue
-		}
-		group.Go(func() { open[i] = x.g.isOpen(x.ctx, r) })
-	}
-	group.Wait()
-	var out []origin.Reader
-	for i, r := range readers {
-		if open[i] {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// isOpen reports whether the stream of a reader is in progress or may be taken up. Its host knows,
-// unless it has restarted since; the hosts that hold the stream's record do otherwise.
-func (g *Gateway) isOpen(ctx context.Context, r origin.Reader) bool {
-	q := originQuery{key: r.Stream, service: r.Service}
-	reply := g.askReaderHost(ctx, r, q)
-	age := origin.MaxLifetime - clock.Until(r.Expires)
-	switch {
-	case reply != nil && (reply.Known || reply.inProgress):
-		return true
-	case reply != nil && reply.uptime >= age:
-		return false
-	}
-	answers, _ := g.askOrigins(ctx, q)
-	return slices.ContainsFunc(answers, func(a origin.Answer) bool { return a.Known })
-}
-
-// askReaderHost returns what the host that sent a reader's request knows of its stream; nil if it does
-// not answer in time.
-func (g *Gateway) askReaderHost(ctx context.Context, r origin.Reader, q originQuery) *originReply {
-	if r.Host == g.self().Name {
-		return &originReply{g.knownOrigin(q), g.origins.inProgress(r.Stream), clock.Since(g.started)}
-	}
-	ctx, cancel := clock.WithTimeout(ctx, readerCallTimeout)
-	defer cancel()
-	return g.askOrigin(ctx, r.Host, q)
-}
--- a/gateway/sessionscalls_test.go
+++ b/gateway/sessionscalls_test.go
@@ -22,6 +22,16 @@
 // one of them has run at another version.
 func TestTrafficOfHostsDoesNotGrowWithTheReadersOfAPrompt(t *testing.T) {
 	t.Parallel()
+	checkTrafficOfReaders(t, streamPath)
+}
+
+// Guards against the same for streams that can be taken up, about which hosts are asked.
+func TestTrafficOfHostsDoesNotGrowWithTheStreamsOfASession(t *testing.T) {
+	t.Parallel()
+	checkTrafficOfReaders(t, resumePath)
+}
+
+func checkTrafficOfReaders(t *testing.T, path string) {
 	f := newFixtureOf(t)
 	f.registerVersions("v1")
 	fleet := f.startRelayedFleet(holderFleet)
@@ -29,7 +39,7 @@
 	perRequest := func(prompt func(int) string) float64 {
 		before := bytesBetween(fleet)
 		for i := range requests {
-			a, _ := fleet[i%holderFleet].send(http.MethodPost, streamPath, fmt.Sprint("turn ", i), withSessionPrompt(prompt(i)))
+			a, _ := fleet[i%holderFleet].send(http.MethodPost, path, fmt.Sprint("turn ", i), withSessionPrompt(prompt(i)))
 			f.Expect(a.err).NotTo(HaveOccurred())
 		}
 		return float64(bytesBetween(fleet)-before) / requests
