Sessions: requests wait for hosts that are silent once

Cause: the waits followed each other: 150 ms for a holder and 150 ms for its spare, then 150 ms for the host of a reader and 150 ms for those that may hold its stream's record; and once more for the holders if another version was picked.

Now the hosts of the readers that this host knows of are asked while the holders are awaited. A host that did not answer the request is not asked by it again, and holders of which none answered are not awaited for the announcement of the version that is picked instead. Readers of which only holders tell are still asked about afterwards.

--- a/core/origin/readers.go
+++ b/core/origin/readers.go
@@ -92,11 +92,11 @@
 		r.Expires = latest
 	}
 	readers := s.byPart[r.Part]
-	if slices.ContainsFunc(readers, func(o Reader) bool { return o.sameReader(r) && o.Expires.After(r.Expires) }) {
+	if slices.ContainsFunc(readers, func(o Reader) bool { return o.SameReader(r) && o.Expires.After(r.Expires) }) {
 		return
 	}
 	s.count -= len(readers)
-	readers = slices.DeleteFunc(readers, r.sameReader)
+	readers = slices.DeleteFunc(readers, r.SameReader)
 	if slices.ContainsFunc(readers, func(o Reader) bool { return o.Content != r.Content }) {
 		s.sharedAt = now
 	}
@@ -112,8 +112,8 @@
 	}
 }
 
-// sameReader reports whether two readers are requests of one stream at one version.
-func (r Reader) sameReader(o Reader) bool { return r.Stream == o.Stream && r.sameVersion(o) }
+// SameReader reports whether two readers are requests of one stream at one version.
+func (r Reader) SameReader(o Reader) bool { return r.Stream == o.Stream && r.sameVersion(o) }
 
 func (r Reader) sameVersion(o Reader) bool { return r.ServiceVersion == o.ServiceVersion }
 
--- a/gateway/opensessions.go
+++ b/gateway/opensessions.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -12,93 +11,131 @@
 	"github.com/wheatseam/wheatseam/wire"
 )
 
-// openReaders returns the readers whose streams are in progress or may be taken up: those of the given
-// ones, and others of the hosts that sent them. A reader's host knows, unless it has restarted since;
-// the hosts that hold the records of streams do otherwise. Each host is asked once.
-func (x *exchange) openReaders(readers []origin.Reader) []origin.Reader {
+// openLookup finds out which streams of a request's session are open. It asks each host once, and waits
+// for no host again that did not answer the request before.
+type openLookup struct {
+	x *exchange
+	// replies are what hosts answered about the readers that they sent; nil of one that did not.
+	replies map[string]*originReply
+	// sought are the readers that were asked about, and open those that are open.
+	sought, open []origin.Reader
+}
+
+func (x *exchange) newOpenLookup() *openLookup {
+	return &openLookup{x: x, replies: map[string]*originReply{}}
+}
+
+// seek asks about the streams of readers that it was not asked about before: whether they are in
+// progress or may be taken up. A reader's host knows, and answers for others that it has sent, unless
+// it has restarted since; the hosts that hold the records of streams do otherwise.
+func (l *openLookup) seek(readers []origin.Reader) {
 	byHost := map[string][]origin.Reader{}
 	for _, r := range readers {
-		if r.MayBeOpen(clock.Now()) {
+		if r.MayBeOpen(clock.Now()) && !slices.ContainsFunc(l.sought, r.SameReader) {
+			l.sought = append(l.sought, r)
 			byHost[r.Host] = append(byHost[r.Host], r)
 		}
 	}
-	open, untold := x.askHosts(byHost, func(host string, of []origin.Reader) (open, untold []origin.Reader) {
-		return x.openAt(x.ctx, host, of)
-	})
-	return append(open, x.recordedReaders(untold)...)
+	l.askReaderHosts(byHost)
+	var untold []origin.Reader
+	for host, of := range byHost {
+		open, unknown := l.judge(l.replies[host], of)
+		l.open, untold = append(l.open, open...), append(untold, unknown...)
+	}
+	l.open = append(l.open, l.recorded(untold)...)
 }
 
-// askHosts asks hosts about readers at the same time, and joins what they answer.
-func (x *exchange) askHosts(byHost map[string][]origin.Reader, ask func(host string, of []origin.Reader) (open, untold []origin.Reader)) (open, untold []origin.Reader) {
-	var mu sync.Mutex
-	var group sync.WaitGroup
+// askReaderHosts asks the hosts that have not been asked yet, at the same time.
+func (l *openLookup) askReaderHosts(byHost map[string][]origin.Reader) {
+	part, asker := l.x.partKey(), l.x.originKey()
+	asked := map[string][]origin.Reader{}
 	for host, of := range byHost {
-		group.Go(func() {
-			o, u := ask(host, of)
-			mu.Lock()
-			defer mu.Unlock()
-			open, untold = append(open, o...), append(untold, u...)
-		})
+		if _, known := l.replies[host]; !known {
+			asked[host] = of
+		}
+	}
+	replies := l.x.askHosts(asked, func() *wire.SessionStreams {
+		return &wire.SessionStreams{Part: part[:], Asker: asker[:], Content: l.x.contentHash()}
+	})
+	for host, reply := range replies {
+		if l.replies[host] = reply; reply == nil {
+			continue
+		}
+		for _, m := range reply.openReaders {
+			if r, ok := decodeReader(clock.Now(), m); ok && l.x.sharesRoute(r.Service) {
+				l.open = append(l.open, r)
+			}
+		}
 	}
-	group.Wait()
-	return open, untold
 }
 
-// openAt asks the host that sent readers which requests of the session are open there. untold are the
-// readers of which it does not know.
-func (x *exchange) openAt(ctx context.Context, host string, readers []origin.Reader) (open, untold []origin.Reader) {
-	part, asker := x.partKey(), x.originKey()
-	reply := x.askOpen(ctx, host, readers, &wire.SessionStreams{Part: part[:], Asker: asker[:], Content: x.contentHash()})
+// judge returns those of a host's readers that are open by its answer, and those of which it does not
+// know.
+func (l *openLookup) judge(reply *originReply, readers []origin.Reader) (open, untold []origin.Reader) {
 	for _, r := range readers {
-		age := origin.MaxLifetime - clock.Until(r.Expires)
+		age, own := origin.MaxLifetime-clock.Until(r.Expires), l.x.isOwnAttempt(r)
 		switch {
-		case reply != nil && reply.isOpen(r, r.Stream == readers[0].Stream, x.isOwnAttempt(r)):
+		case reply != nil && reply.isOpen(r, own):
 			open = append(open, r)
-		case (reply == nil || reply.uptime < age) && !x.isOwnAttempt(r):
+		case (reply == nil || reply.uptime < age) && !own:
 			untold = append(untold, r)
 		}
 	}
-	if reply == nil {
-		return open, untold
-	}
-	for _, m := range reply.openReaders {
-		if r, ok := decodeReader(clock.Now(), m); ok && x.sharesRoute(r.Service) {
-			open = append(open, r)
-		}
-	}
 	return open, untold
 }
 
-// isOwnAttempt reports whether a reader has the content of this request: it is a former attempt of
-// the caller, which does not take its stream up but sends the request anew. It is open only while it
-// is in progress.
-func (x *exchange) isOwnAttempt(r origin.Reader) bool {
-	return x.contentHash() != 0 && r.Content == x.contentHash()
-}
-
-// recordedReaders returns the readers of whose streams some host holds a record.
-func (x *exchange) recordedReaders(readers []origin.Reader) []origin.Reader {
+// recorded returns the readers of whose streams some host holds a record.
+func (l *openLookup) recorded(readers []origin.Reader) (open []origin.Reader) {
 	byHost := map[string][]origin.Reader{}
 	for _, r := range readers {
-		for _, h := range append(x.g.askedHosts(originQuery{key: r.Stream}), x.g.self()) {
-			byHost[h.Name] = append(byHost[h.Name], r)
+		for _, h := range append(l.x.g.askedHosts(originQuery{key: r.Stream}), l.x.g.self()) {
+			if reply, asked := l.replies[h.Name]; reply != nil || !asked {
+				byHost[h.Name] = append(byHost[h.Name], r)
+			}
 		}
 	}
-	open, _ := x.askHosts(byHost, func(host string, of []origin.Reader) (open, untold []origin.Reader) {
-		reply := x.askOpen(x.ctx, host, of, &wire.SessionStreams{})
-		for _, r := range of {
-			if reply != nil && reply.isOpen(r, r.Stream == of[0].Stream, false) {
+	replies := l.x.askHosts(byHost, func() *wire.SessionStreams { return &wire.SessionStreams{} })
+	for host, reply := range replies {
+		if reply == nil {
+			l.replies[host] = nil
+			continue
+		}
+		for _, r := range byHost[host] {
+			if reply.isOpen(r, false) {
 				open = append(open, r)
 			}
 		}
-		return open, nil
-	})
+	}
 	return open
 }
 
+// askHosts asks hosts about readers, all at the same time.
+func (x *exchange) askHosts(byHost map[string][]origin.Reader, query func() *wire.SessionStreams) map[string]*originReply {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	replies := map[string]*originReply{}
+	for host, of := range byHost {
+		group.Go(func() {
+			reply := x.askOpen(host, of, query())
+			mu.Lock()
+			defer mu.Unlock()
+			replies[host] = reply
+		})
+	}
+	group.Wait()
+	return replies
+}
+
+// isOwnAttempt reports whether a reader has the content of this request: it is a former attempt of
+// the caller, which does not take its stream up but sends the request anew. It is open only while it
+// is in progress.
+func (x *exchange) isOwnAttempt(r origin.Reader) bool {
+	return x.contentHash() != 0 && r.Content == x.contentHash()
+}
+
 // askOpen asks a host in one message which streams of readers are open; nil if it does not answer in
 // time. The answer is about the first one as a whole.
-func (x *exchange) askOpen(ctx context.Context, host string, readers []origin.Reader, session *wire.SessionStreams) *originReply {
+func (x *exchange) askOpen(host string, readers []origin.Reader, session *wire.SessionStreams) *originReply {
 	for _, r := range readers {
 		if !x.isOwnAttempt(r) {
 			session.Streams = append(session.Streams, r.Stream[:])
@@ -108,18 +145,18 @@
 	if host == x.g.self().Name {
 		m := &wire.StreamOriginReply{}
 		x.g.addOpenStreams(m, session)
-		return &originReply{x.g.knownOrigin(q), x.g.origins.inProgress(q.key), clock.Since(x.g.started), m.GetOpenStreams(), m.GetOpenReaders()}
+		return &originReply{x.g.knownOrigin(q), x.g.origins.inProgress(q.key), clock.Since(x.g.started), q.key, m.GetOpenStreams(), m.GetOpenReaders()}
 	}
-	ctx, cancel := clock.WithTimeout(ctx, readerCallTimeout)
+	ctx, cancel := clock.WithTimeout(x.ctx, readerCallTimeout)
 	defer cancel()
 	return x.g.askOrigin(ctx, host, q)
 }
 
-// isOpen reports whether a reader's stream is open. first says that the host was asked about it as a
-// whole, which is all that earlier daemons answer; one of the caller's own attempts is open only while
-// it is in progress.
-func (r *originReply) isOpen(reader origin.Reader, first, own bool) bool {
-	if first && (r.inProgress || r.Known && !own) {
+// isOpen reports whether a reader's stream is open. Earlier daemons answer only about the stream of
+// which the host was asked as a whole. One of the caller's own attempts is open only while it is in
+// progress.
+func (r *originReply) isOpen(reader origin.Reader, own bool) bool {
+	if reader.Stream == r.key && (r.inProgress || r.Known && !own) {
 		return true
 	}
 	return !own && slices.ContainsFunc(r.openStreams, func(key []byte) bool { return bytes.Equal(key, reader.Stream[:]) })
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -521,10 +521,11 @@
 // originReply is the answer of a host that was asked.
 type originReply struct {
 	origin.Answer
-	// inProgress says that an attempt of the stream is in progress there, and uptime is for how long
+	// inProgress says that an attempt of the stream, key, is in progress there, and uptime is for how long
 	// the host has been running. openStreams and openReaders are what it knows of the session.
 	inProgress  bool
 	uptime      time.Duration
+	key         origin.Key
 	openStreams [][]byte
 	openReaders []*wire.PromptReader
 }
@@ -549,7 +550,7 @@
 	for _, r := range reply.GetReaders() {
 		a.Readers = append(a.Readers, origin.ServiceVersion{Service: r.GetService(), Version: r.GetVersion()})
 	}
-	return &originReply{a, reply.GetInProgress(), milliseconds(reply.GetUptimeMs()), reply.GetOpenStreams(), reply.GetOpenReaders()}
+	return &originReply{a, reply.GetInProgress(), milliseconds(reply.GetUptimeMs()), q.key, reply.GetOpenStreams(), reply.GetOpenReaders()}
 }
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/gateway/readbefore.go
+++ b/gateway/readbefore.go
@@ -88,7 +88,8 @@
 // unless it turns out that it has not run the request.
 func (x *exchange) attemptNotingRead(choice request.Choice, held heldCapacity) (attemptEnd, *problem.Error) {
 	if choice.Version != x.announcedVersion && x.announcesReaders() {
-		x.announceReader(choice.Version, false) // replacements are picked without
+		_, await := x.announceReader(choice.Version, false) // replacements are picked without
+		await()
 	}
 	before, runs := x.readVersion.Load(), x.runs
 	if x.route.Resumable && before == nil {
--- a/gateway/readers.go
+++ b/gateway/readers.go
@@ -180,9 +180,9 @@
 }
 
 // announceReader tells the hosts that hold the readers of the prompt's last part which version
-// reads it next, and returns those of the others that decide, as far as they know. The version that was announced before is
-// retracted if retracts is set.
-func (x *exchange) announceReader(version string, retracts bool) []origin.Reader {
+// reads it next, and returns the others that this host knows of, and a function that waits for those
+// of the holders. The version that was announced before is retracted if retracts is set.
+func (x *exchange) announceReader(version string, retracts bool) (known []origin.Reader, await func() announcement) {
 	g, now := x.g, clock.Now()
 	r, former := x.reader(version), x.reader(x.announcedVersion)
 	m := &wire.PromptReaders{Readers: []*wire.PromptReader{encodeReader(now, r)}, DecidingOnly: true}
@@ -192,7 +192,7 @@
 		m.Retracted = []*wire.PromptReader{encodeReader(now, former)}
 		s.readers.Retract(former.Part, former.Stream, former.ServiceVersion)
 	}
-	others := s.readers.Others(now, r.Part, r.Stream)
+	known = origin.DecidingReaders(now, s.readers.Others(now, r.Part, r.Stream))
 	s.readers.Put(now, r)
 	s.mu.Unlock()
 	x.announcedVersion = version
@@ -202,27 +202,27 @@
 	for i, h := range holders {
 		go func() { received <- g.announceTo(h.Name, asked[len(holders):], i, m) }()
 	}
-	others = append(others, collectReaders(received, len(holders))...)
-	return origin.DecidingReaders(now, origin.DistinctReaders(others))
+	return known, func() announcement { return collectReaders(received, len(holders)) }
 }
 
-// announcement is the outcome of an announcement to a holder: the others that it holds, if it answered.
+// announcement is the outcome of announcements to holders: the others that they hold, whether one
+// answered, and the hosts that did not.
 type announcement struct {
 	others   []origin.Reader
 	answered bool
+	silent   []string
 }
 
-// collectReaders returns the readers of n announcements, of those that are answered within
-// readerAnswerSpread after the first answer. Any holder knows them; the announcement to a slow one
-// goes on.
-func collectReaders(received <-chan announcement, n int) []origin.Reader {
-	var out []origin.Reader
+// collectReaders joins n announcements, of those that are answered within readerAnswerSpread after the
+// first answer. Any holder knows the readers; the announcement to a slow one goes on.
+func collectReaders(received <-chan announcement, n int) (out announcement) {
 	var spread <-chan time.Time
 	for range n {
 		select {
 		case a := <-received:
-			out = append(out, a.others...)
+			out.others, out.silent = append(out.others, a.others...), append(out.silent, a.silent...)
 			if a.answered && spread == nil {
+				out.answered = true
 				timer := time.NewTimer(readerAnswerSpread)
 				defer timer.Stop()
 				spread = timer.C
@@ -248,17 +248,20 @@
 // announceTo announces readers to a holder, or to the spare of the same rank if it does not answer,
 // and returns the other readers that it holds.
 func (g *Gateway) announceTo(holder string, spares []origin.Host, rank int, m *wire.PromptReaders) announcement {
+	var silent []string
 	others, err := g.callAnnounce(holder, m)
 	if err != nil && rank < len(spares) {
-		others, err = g.callAnnounce(spares[rank].Name, m)
+		silent = append(silent, holder)
+		holder = spares[rank].Name
+		others, err = g.callAnnounce(holder, m)
 	}
 	result := "held"
 	if err != nil {
-		result = "failed"
+		result, silent = "failed", append(silent, holder)
 		g.log.Info("announcing the readers of prompts failed", zap.String("peer", holder), zap.Int("readers", len(m.GetReaders())), zap.Error(err))
 	}
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_prompt_readers_sent_total{result=%q}", result)).Add(len(m.GetReaders()))
-	return announcement{others, err == nil}
+	return announcement{others, err == nil, silent}
 }
 
 func (g *Gateway) callAnnounce(host string, m *wire.PromptReaders) ([]origin.Reader, error) {
--- a/gateway/readers_internal_test.go
+++ b/gateway/readers_internal_test.go
@@ -21,7 +21,7 @@
 	time.AfterFunc(2*readerAnswerSpread, func() {
 		received <- announcement{others: []origin.Reader{{Host: "slow"}}, answered: true}
 	})
-	g.Expect(collectReaders(received, 2)).To(HaveLen(1))
+	g.Expect(collectReaders(received, 2).others).To(HaveLen(1))
 }
 
 // Guards against requests that run at a version that has just appeared although a stream of their
@@ -68,7 +68,7 @@
 	sent.ClosedMs = 0 // as earlier daemons send it
 	open, _ := decodeReader(now, sent)
 	g.Expect(open.OpenUntil).To(Equal(now.Add(time.Minute)))
-	first := &originReply{Answer: origin.Answer{Known: true}}
-	g.Expect(first.isOpen(open, true, false)).To(BeTrue())
-	g.Expect(first.isOpen(open, false, false)).To(BeFalse(), "an earlier daemon says nothing of further streams")
+	earlierReply := &originReply{Answer: origin.Answer{Known: true}, key: open.Stream}
+	g.Expect(earlierReply.isOpen(open, false)).To(BeTrue())
+	g.Expect(earlierReply.isOpen(origin.Reader{Stream: origin.NewKey("c", "further")}, false)).To(BeFalse(), "an earlier daemon says nothing of it")
 }
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -36,20 +36,64 @@
 		x.noteReader(c.Version)
 		return c, nil
 	}
-	others := slices.DeleteFunc(x.announceReader(c.Version, false), func(r origin.Reader) bool { return !x.sharesRoute(r.Service) })
-	picked := origin.ServiceVersion{Service: x.service, Version: c.Version}
-	elsewhere := func(r origin.Reader) bool { return r.ServiceVersion != picked }
-	if x.origin.Load() != nil || !slices.ContainsFunc(others, elsewhere) {
+	others, open, answered := x.sessionReaders(c.Version)
+	if len(others) == 0 {
 		return c, nil
 	}
-	read, open := origin.LatestReader(others).ServiceVersion, x.openReaders(others)
+	read := origin.LatestReader(others).ServiceVersion
 	if len(open) > 0 {
 		read = origin.LatestReader(open).ServiceVersion
 	}
-	if read == picked {
+	if read == x.serviceVersion(c.Version) {
 		return c, nil
 	}
-	return x.pickVersion(c, read, len(open) > 0)
+	return x.pickVersion(c, read, len(open) > 0, answered)
+}
+
+// serviceVersion is a version of the request's service.
+func (x *exchange) serviceVersion(version string) origin.ServiceVersion {
+	return origin.ServiceVersion{Service: x.service, Version: version}
+}
+
+// sessionReaders announces that a version reads the prompt. It returns the readers that decide where
+// the request runs, and those whose streams are open; none if no other version has read it, or the
+// request takes up a stream. Hosts are asked about the readers that this host knows of while the
+// holders are awaited. answered is false if no holder answered.
+func (x *exchange) sessionReaders(version string) (others, open []origin.Reader, answered bool) {
+	known, await := x.announceReader(version, false)
+	l, sought := x.newOpenLookup(), make(chan struct{})
+	go func() {
+		defer close(sought)
+		if known = x.readersOfSession(known); x.readElsewhere(known, version) {
+			l.seek(known)
+		}
+	}()
+	told := await()
+	<-sought
+	others = x.readersOfSession(append(known, told.others...))
+	if !x.readElsewhere(others, version) {
+		return nil, nil, told.answered
+	}
+	for _, host := range told.silent {
+		if l.replies[host] == nil {
+			l.replies[host] = nil // not asked again
+		}
+	}
+	l.seek(others)
+	return others, l.open, told.answered
+}
+
+// readersOfSession returns those of some readers that decide where the request runs.
+func (x *exchange) readersOfSession(readers []origin.Reader) []origin.Reader {
+	ofRoute := slices.DeleteFunc(origin.DistinctReaders(readers), func(r origin.Reader) bool { return !x.sharesRoute(r.Service) })
+	return origin.DecidingReaders(clock.Now(), ofRoute)
+}
+
+// readElsewhere reports whether another version than the picked one has read the prompt, and that
+// matters: the version of a stream that is taken up is given.
+func (x *exchange) readElsewhere(readers []origin.Reader, picked string) bool {
+	elsewhere := func(r origin.Reader) bool { return r.ServiceVersion != x.serviceVersion(picked) }
+	return x.origin.Load() == nil && slices.ContainsFunc(readers, elsewhere)
 }
 
 // sharesRoute reports whether streams that begin at a service may be taken up at the request's: a route
@@ -70,8 +114,9 @@
 }
 
 // pickVersion picks a replica of the version that has read the prompt, in place of one that was
-// picked before. Without any, it refuses the request if a stream of its session is open there.
-func (x *exchange) pickVersion(before request.Choice, read origin.ServiceVersion, open bool) (request.Choice, *problem.Error) {
+// picked before. Without any, it refuses the request if a stream of its session is open there. awaits
+// says that the holders of the readers are awaited once more, since they answered before.
+func (x *exchange) pickVersion(before request.Choice, read origin.ServiceVersion, open, awaits bool) (request.Choice, *problem.Error) {
 	c, picked := request.Choice{}, false
 	if read.Service == x.service {
 		q := x.routerQuery()
@@ -85,7 +130,9 @@
 	case picked:
 		x.g.router.CancelPick(clock.Now(), before)
 		x.readVersion.Store(&read.Version)
-		x.announceReader(c.Version, x.runs == 0)
+		if _, await := x.announceReader(c.Version, x.runs == 0); awaits {
+			await()
+		}
 		return c, nil
 	case !open:
 		return before, nil
