--- a/core/origin/schedule_test.go
+++ b/core/origin/schedule_test.go
@@ -484,7 +484,7 @@
 		st.endsAt, st.breaks = s.now.Add(s.seconds(streamTime.Seconds())), s.chance(brokenShare)
 	}
 	s.streams, s.byKey[key] = append(s.streams, st), st
-	r := origin.Record{Key: key, Service: "llm", Version: first.version, Expires: s.now.Add(lifetime), Own: true}
+	r := origin.Record{Key: key, Service: "llm", Version: first.version, Expires: s.now.Add(lifetime), OpenUntil: s.now.Add(callerDeadline), Own: true}
 	h.records.Put(s.now, r)
 	if s.mayHaveSeveralVersions(h) {
 		s.sendRecord(h, r)
@@ -548,6 +548,11 @@
 		if o.Content != q.content && s.isOpen(h, o) {
 			version, required = o.ServiceVersion, true
 		}
+		for _, r := range s.openAt(h, o.Host, q.part, q.key) {
+			if r.Content != q.content {
+				version, required = r.ServiceVersion, true
+			}
+		}
 	}
 	if version == reader.ServiceVersion {
 		return first
@@ -575,9 +580,13 @@
 	}
 }
 
-// announce announces a reader to its holders, or their spares, and returns the other readers.
+// announce announces a reader to its holders, or their spares, and returns the other readers that
+// decide.
 func (s *schedule) announce(h *modelHost, r origin.Reader) []origin.Reader {
 	r.Expires = s.now.Add(origin.MaxLifetime)
+	if r.OpenUntil.IsZero() {
+		r.OpenUntil = s.now.Add(callerDeadline)
+	}
 	others := h.readers.Others(s.now, r.Part, r.Stream)
 	h.readers.Put(s.now, r)
 	if !s.reached(h) {
@@ -590,13 +599,29 @@
 		for _, rank := range []int{i, i + holders} {
 			if rank < len(asked) && s.reached(byName[asked[rank].Name]) {
 				o := byName[asked[rank].Name]
-				others = append(others, o.readers.Others(s.now, r.Part, r.Stream)...)
+				others = append(others, origin.DecidingReaders(s.now, o.readers.Others(s.now, r.Part, r.Stream))...)
 				o.readers.Put(s.now, r)
 				break
 			}
 		}
 	}
-	return others
+	return origin.DecidingReaders(s.now, origin.DistinctReaders(others))
+}
+
+// openAt returns the readers of a part that a host has sent and whose streams may be taken up; none if
+// it does not answer.
+func (s *schedule) openAt(h *modelHost, host string, part, stream origin.Key) []origin.Reader {
+	_, byName := s.others(h)
+	byName[h.Name] = h
+	o := byName[host]
+	if o == nil || o != h && !(s.reached(o) && s.reached(h)) {
+		return nil
+	}
+	return slices.DeleteFunc(o.readers.Others(s.now, part, stream), func(r origin.Reader) bool {
+		recorded := o.records.Open(s.now, r.Stream)
+		st := s.byKey[r.Stream]
+		return r.Host != host || !recorded || st == nil || st.complete(s.now)
+	})
 }
 
 // isOpen reports whether a host finds out that the stream of a reader may be taken up.
@@ -604,8 +629,11 @@
 	hosts, byName := s.others(h)
 	byName[h.Name] = h
 	st := s.byKey[r.Stream]
+	if !r.MayBeOpen(s.now) {
+		return false
+	}
 	if o := byName[r.Host]; o != nil && (o == h || s.reached(o) && s.reached(h)) {
-		if _, known := o.records.Get(s.now, r.Stream); known {
+		if o.records.Open(s.now, r.Stream) {
 			return st != nil && !st.complete(s.now)
 		}
 		if age := origin.MaxLifetime - r.Expires.Sub(s.now); s.now.Sub(o.started) >= age {
@@ -614,7 +642,7 @@
 	}
 	for _, asked := range origin.Asked(r.Stream, hosts) {
 		if o := byName[asked.Name]; s.reached(o) && s.reached(h) {
-			if _, known := o.records.Get(s.now, r.Stream); known {
+			if o.records.Open(s.now, r.Stream) {
 				return true
 			}
 		}
@@ -704,9 +732,9 @@
 		}
 	}
 	if v.Known && v.Version == st.version && serving > 0 {
-		h.records.Put(s.now, origin.Record{Key: st.key, Service: "llm", Version: v.Version, Expires: s.now.Add(lifetime), Own: true})
+		h.records.Put(s.now, origin.Record{Key: st.key, Service: "llm", Version: v.Version, Expires: s.now.Add(lifetime), OpenUntil: st.began.Add(callerDeadline), Own: true})
 		if s.mayHaveSeveralVersions(h) {
-			s.announce(h, origin.Reader{Part: st.part, Stream: st.key, Host: h.Name, ServiceVersion: origin.ServiceVersion{Service: "llm", Version: v.Version}, Content: st.content})
+			s.announce(h, origin.Reader{Part: st.part, Stream: st.key, Host: h.Name, ServiceVersion: origin.ServiceVersion{Service: "llm", Version: v.Version}, Content: st.content, OpenUntil: st.began.Add(callerDeadline)})
 		}
 	}
 }
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -82,7 +82,7 @@
 	peer.Handle(mux, methodOriginLookup, func(_ context.Context, _ peer.Sender, m *wire.StreamOriginRequest) (*wire.StreamOriginReply, error) {
 		key, _ := parseOriginKey(m.GetKey())
 		part, _ := parseOriginKey(m.GetPart())
-		a := g.knownOrigin(originQuery{key, part, m.GetService()})
+		a := g.knownOrigin(originQuery{key: key, part: part, service: m.GetService()})
 		reply := &wire.StreamOriginReply{
 			Known: a.Known, Service: a.Service, Version: a.Version, Versions: a.Versions,
 			HistoryMs: uint32(a.History.Milliseconds()), ViewAgeMs: roundedUpMS(a.ViewAge), MovedMs: roundedUpMS(a.Moved),
@@ -91,6 +91,7 @@
 		for _, r := range a.Readers {
 			reply.Readers = append(reply.Readers, &wire.ServiceVersion{Service: r.Service, Version: r.Version})
 		}
+		g.addOpenStreams(reply, key, m.GetSession())
 		return reply, nil
 	})
 	g.registerInheritHandler(mux)
@@ -119,7 +120,9 @@
 	for _, r := range received {
 		if key, ok := parseOriginKey(r.GetKey()); ok {
 			expires := now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond)
-			s.records.Put(now, origin.Record{Key: key, Service: r.GetService(), Version: r.GetVersion(), Expires: expires})
+			s.records.Put(now, origin.Record{
+				Key: key, Service: r.GetService(), Version: r.GetVersion(), Expires: expires, OpenUntil: expires.Add(-milliseconds(r.GetClosedMs())),
+			})
 		}
 	}
 }
@@ -129,11 +132,13 @@
 type originQuery struct {
 	key, part origin.Key
 	service   string
+	// session asks which streams of a session are open, too; nil if that is not asked.
+	session *wire.SessionStreams
 }
 
 // originQuery is the query for the stream that the request begins or takes up.
 func (x *exchange) originQuery() originQuery {
-	return originQuery{x.originKey(), x.partKey(), x.service}
+	return originQuery{key: x.originKey(), part: x.partKey(), service: x.service}
 }
 
 // knownOrigin is what this host knows about a stream and its service.
@@ -184,6 +189,15 @@
 	return min(max(minStreamLifetime, x.route.Timeout+streamLifetimeMargin, x.req.Timeout+streamLifetimeMargin), origin.MaxLifetime)
 }
 
+// openLifetime is the time for which the caller may take up a stream that this attempt begins or takes
+// up: until its own deadline, if it sends one.
+func (x *exchange) openLifetime() time.Duration {
+	if x.req.Timeout <= 0 {
+		return x.streamLifetime()
+	}
+	return min(x.req.Timeout+streamLifetimeMargin, x.streamLifetime())
+}
+
 // decisionLifetime is the longest time for which a stream of the route may be taken up, as far as
 // callers have said. It may exceed the time for which records are kept.
 func (x *exchange) decisionLifetime() time.Duration {
@@ -210,7 +224,9 @@
 		return
 	}
 	lifetime := x.streamLifetime()
-	r := origin.Record{Key: x.originKey(), Service: x.service, Version: version, Expires: x.arrived.Add(lifetime), Own: true}
+	r := origin.Record{
+		Key: x.originKey(), Service: x.service, Version: version, Expires: x.arrived.Add(lifetime), OpenUntil: x.arrived.Add(x.openLifetime()), Own: true,
+	}
 	s := &x.g.origins
 	s.mu.Lock()
 	// Asked under the lock, so that a version which appears just now is either seen here, or
@@ -288,7 +304,7 @@
 }
 
 func encodeOrigin(now time.Time, r origin.Record) *wire.StreamOrigin {
-	return &wire.StreamOrigin{Key: r.Key[:], Service: r.Service, Version: r.Version, LeftMs: uint32(max(0, r.Expires.Sub(now).Milliseconds()))}
+	return &wire.StreamOrigin{Key: r.Key[:], Service: r.Service, Version: r.Version, LeftMs: uint32(max(0, r.Expires.Sub(now).Milliseconds())), ClosedMs: closedMS(r.Expires, r.OpenUntil)}
 }
 
 // flushOrigins sends a host the records that are queued for it.
@@ -540,10 +556,16 @@
 // originReply is the answer of a host that was asked.
 type originReply struct {
 	origin.Answer
-	// inProgress says that an attempt of the stream is in progress there, and uptime is for how long
-	// the host has been running.
-	inProgress bool
-	uptime     time.Duration
+	// inProgress says that an attempt of the stream, key, is in progress there, and uptime is for how long
+	// the host has been running. closed says that the stream
+	// may not be taken up any more, as far as its caller has said.
+	// openStreams and openReaders are what the host knows of the session.
+	inProgress  bool
+	uptime      time.Duration
+	key         origin.Key
+	closed      bool
+	openStreams [][]byte
+	openReaders []*wire.PromptReader
 }
 
 // askOrigin asks a host what it knows; nil if it does not answer in time. Its view has aged by the
@@ -551,7 +573,7 @@
 func (g *Gateway) askOrigin(ctx context.Context, host string, q originQuery) *originReply {
 	asked := clock.Now()
 	reply := &wire.StreamOriginReply{}
-	req := &wire.StreamOriginRequest{Key: q.key[:], Service: q.service, LifetimeMs: uint32(origin.MaxHistory.Milliseconds())}
+	req := &wire.StreamOriginRequest{Key: q.key[:], Service: q.service, LifetimeMs: uint32(origin.MaxHistory.Milliseconds()), Session: q.session}
 	if q.part != (origin.Key{}) {
 		req.Part = q.part[:]
 	}
@@ -566,7 +588,7 @@
 	for _, r := range reply.GetReaders() {
 		a.Readers = append(a.Readers, origin.ServiceVersion{Service: r.GetService(), Version: r.GetVersion()})
 	}
-	return &originReply{a, reply.GetInProgress(), milliseconds(reply.GetUptimeMs())}
+	return &originReply{a, reply.GetInProgress(), milliseconds(reply.GetUptimeMs()), q.key, reply.GetClosed(), reply.GetOpenStreams(), reply.GetOpenReaders()}
 }
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/gateway/readers.go
+++ b/gateway/readers.go
@@ -67,7 +67,7 @@
 }
 
 // holdReaders stores the readers that a host announces, and returns the others of the first one's
-// part.
+// part, or those that decide.
 func (s *streamOrigins) holdReaders(now time.Time, m *wire.PromptReaders) *wire.OtherReaders {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,7 +83,11 @@
 			continue
 		}
 		if i == 0 {
-			for _, o := range s.readers.Others(now, r.Part, r.Stream) {
+			others := s.readers.Others(now, r.Part, r.Stream)
+			if m.GetDecidingOnly() {
+				others = origin.DecidingReaders(now, others)
+			}
+			for _, o := range others {
 				out.Readers = append(out.Readers, encodeReader(now, o))
 			}
 		}
@@ -116,17 +120,25 @@
 func encodeReader(now time.Time, r origin.Reader) *wire.PromptReader {
 	return &wire.PromptReader{
 		Part: r.Part[:], Stream: r.Stream[:], Host: r.Host, Service: r.Service, Version: r.Version, Content: r.Content,
-		LeftMs: uint32(max(0, r.Expires.Sub(now).Milliseconds())),
+		LeftMs:   uint32(max(0, r.Expires.Sub(now).Milliseconds())),
+		ClosedMs: closedMS(r.Expires, r.OpenUntil),
 	}
 }
 
+// closedMS is the time, in milliseconds, for which a record or reader is kept after its stream can be
+// open.
+func closedMS(expires, openUntil time.Time) uint32 {
+	return uint32(max(0, min(origin.MaxLifetime, expires.Sub(openUntil)).Milliseconds()))
+}
+
 // decodeReader decodes a reader; it returns false if a key is malformed.
 func decodeReader(now time.Time, m *wire.PromptReader) (origin.Reader, bool) {
 	part, partOK := parseOriginKey(m.GetPart())
 	stream, streamOK := parseOriginKey(m.GetStream())
+	expires := now.Add(milliseconds(m.GetLeftMs()))
 	return origin.Reader{
 		Part: part, Stream: stream, Host: m.GetHost(), ServiceVersion: origin.ServiceVersion{Service: m.GetService(), Version: m.GetVersion()},
-		Content: m.GetContent(), Expires: now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond),
+		Content: m.GetContent(), Expires: expires, OpenUntil: expires.Add(-milliseconds(m.GetClosedMs())),
 	}, partOK && streamOK
 }
 
@@ -163,26 +175,30 @@
 
 // reader is the request as a reader of its prompt at a version.
 func (x *exchange) reader(version string) origin.Reader {
-	return origin.Reader{
+	r := origin.Reader{
 		Part: x.partKey(), Stream: x.originKey(), Host: x.g.self().Name, ServiceVersion: origin.ServiceVersion{Service: x.service, Version: version},
 		Content: x.contentHash(), Expires: clock.Now().Add(origin.MaxLifetime),
 	}
+	if x.route.Resumable {
+		r.OpenUntil = x.arrived.Add(x.openLifetime())
+	}
+	return r
 }
 
 // announceReader tells the hosts that hold the readers of the prompt's last part which version
-// reads it next, and returns the others that they know of. Another version that was announced before is
-// retracted if retracts is set.
-func (x *exchange) announceReader(version string, retracts bool) []origin.Reader {
+// reads it next, and returns the others that this host knows of, and a function that waits for those
+// of the holders. Another version that was announced before is retracted if retracts is set.
+func (x *exchange) announceReader(version string, retracts bool) (known []origin.Reader, await func() announcement) {
 	g, now := x.g, clock.Now()
 	r, former := x.reader(version), x.reader(x.announcedVersion)
-	m := &wire.PromptReaders{Readers: []*wire.PromptReader{encodeReader(now, r)}}
+	m := &wire.PromptReaders{Readers: []*wire.PromptReader{encodeReader(now, r)}, DecidingOnly: true}
 	s := &g.origins
 	s.mu.Lock()
 	if retracts && former.Version != "" && former.Version != version {
 		m.Retracted = []*wire.PromptReader{encodeReader(now, former)}
 		s.readers.Retract(former.Part, former.Stream, former.ServiceVersion)
 	}
-	others := s.readers.Others(now, r.Part, r.Stream)
+	known = origin.DecidingReaders(now, s.readers.Others(now, r.Part, r.Stream))
 	s.readers.Put(now, r)
 	s.mu.Unlock()
 	x.announcedVersion = version
@@ -192,26 +208,27 @@
 	for i, h := range holders {
 		go func() { received <- g.announceTo(h.Name, asked[len(holders):], i, m) }()
 	}
-	return append(others, collectReaders(received, len(holders))...)
+	return known, func() announcement { return collectReaders(received, len(holders)) }
 }
 
-// announcement is the outcome of an announcement to a holder: the others that it holds, if it answered.
+// announcement is the outcome of announcements to holders: the others that they hold, whether one
+// answered, and the hosts that did not.
 type announcement struct {
 	others   []origin.Reader
 	answered bool
+	silent   []string
 }
 
-// collectReaders returns the readers of n announcements, of those that are answered within
-// readerAnswerSpread after the first answer. Any holder knows them; the announcement to a slow one
-// goes on.
-func collectReaders(received <-chan announcement, n int) []origin.Reader {
-	var out []origin.Reader
+// collectReaders joins n announcements, of those that are answered within readerAnswerSpread after the
+// first answer. Any holder knows the readers; the announcement to a slow one goes on.
+func collectReaders(received <-chan announcement, n int) (out announcement) {
 	var spread <-chan time.Time
 	for range n {
 		select {
 		case a := <-received:
-			out = append(out, a.others...)
+			out.others, out.silent = append(out.others, a.others...), append(out.silent, a.silent...)
 			if a.answered && spread == nil {
+				out.answered = true
 				timer := time.NewTimer(readerAnswerSpread)
 				defer timer.Stop()
 				spread = timer.C
@@ -237,17 +254,20 @@
 // announceTo announces readers to a holder, or to the spare of the same rank if it does not answer,
 // and returns the other readers that it holds.
 func (g *Gateway) announceTo(holder string, spares []origin.Host, rank int, m *wire.PromptReaders) announcement {
+	var silent []string
 	others, err := g.callAnnounce(holder, m)
 	if err != nil && rank < len(spares) {
-		others, err = g.callAnnounce(spares[rank].Name, m)
+		silent = append(silent, holder)
+		holder = spares[rank].Name
+		others, err = g.callAnnounce(holder, m)
 	}
 	result := "held"
 	if err != nil {
-		result = "failed"
+		result, silent = "failed", append(silent, holder)
 		g.log.Info("announcing the readers of prompts failed", zap.String("peer", holder), zap.Int("readers", len(m.GetReaders())), zap.Error(err))
 	}
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_prompt_readers_sent_total{result=%q}", result)).Add(len(m.GetReaders()))
-	return announcement{others, err == nil}
+	return announcement{others, err == nil, silent}
 }
 
 func (g *Gateway) callAnnounce(host string, m *wire.PromptReaders) ([]origin.Reader, error) {
