soak: seeds that checked no streams taken up do not count as passed, and a total over all seeds

The verdict is now Passed, CheckedNone or Violated; CheckedNone has a line of its own for each guarantee that was not checked (lost, order) and exit status 3. Violations are recorded as before: no seed that was red passes.

--- a/cmd/wheatseam/main.go
+++ b/cmd/wheatseam/main.go
@@ -18,12 +18,18 @@
 	exitNegative = 1
 	// exitError means that the command failed.
 	exitError = 2
+	// exitInconclusive means that the command ran, but could not check what it was to check.
+	exitInconclusive = 3
 )
 
 // errNegativeResult makes the command exit with exitNegative. The result (a
 // rejection, problems, unmet outcomes) has already been printed.
 var errNegativeResult = errors.New("negative result")
 
+// errInconclusive makes the command exit with exitInconclusive. What it could not check has
+// already been printed.
+var errInconclusive = errors.New("inconclusive")
+
 func main() { os.Exit(run(newRootCommand(), os.Stderr)) }
 
 // run executes the command and returns its exit code.
@@ -34,6 +40,8 @@
 		return exitOK
 	case errors.Is(err, errNegativeResult):
 		return exitNegative
+	case errors.Is(err, errInconclusive):
+		return exitInconclusive
 	default:
 		fmt.Fprintln(stderr, "wheatseam:", err)
 		return exitError
@@ -52,7 +60,7 @@
 	root := &cobra.Command{
 		Use:           "wheatseam",
 		Short:         "Command-line tool for operators of wheatseam",
-		Long:          "Command-line tool for operators of wheatseam.\n\nExit codes: 0 success; 1 negative result (rejected, problems found); 2 failure.",
+		Long:          "Command-line tool for operators of wheatseam.\n\nExit codes: 0 success; 1 negative result (rejected, problems found); 2 failure; 3 inconclusive.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- a/cmd/wheatseam/soak.go
+++ b/cmd/wheatseam/soak.go
@@ -40,8 +40,13 @@
 		Short: "Run gateway daemons on this machine under random faults and check their guarantees",
 		Long: "Run gateway daemons as processes on the loopback network, with stand-ins for the\n" +
 			"store and the replicas, inject faults by a seeded schedule, and check the\n" +
-			"guarantees as observed by callers and replicas. If one is violated, the exit code\n" +
-			"is 1 and the logs are not deleted.",
+			"guarantees as observed by callers and replicas. A total over all seeds comes last.\n" +
+			"With --losses, a seed in which too few streams were taken up after losses of all\n" +
+			"daemons to check the guarantees for them (lost, order) has \"checked none\" and does\n" +
+			"not count as passed.\n\n" +
+			"Exit codes: 0 all seeds passed; 1 a guarantee was violated, and the logs of that\n" +
+			"seed are not deleted; 2 failure; 3 inconclusive: none was violated, but a seed\n" +
+			"checked none.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return o.run(cmd) },
 	}
@@ -70,29 +75,34 @@
 			return err
 		}
 	}
-	failed := 0
+	total := soak.NewTotal()
 	for i := range o.seeds {
 		seed := o.seed + uint64(i)
-		ok, err := o.runSeed(cmd.Context(), cmd, seed, filepath.Join(dir, fmt.Sprint(seed)))
+		report, err := o.runSeed(cmd.Context(), cmd, seed, filepath.Join(dir, fmt.Sprint(seed)))
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
-		if !ok {
-			failed++
-		}
+		total.Add(report)
 	}
-	fmt.Fprintf(cmd.OutOrStdout(), "%d of %d seeds without violations\n", o.seeds-failed, o.seeds)
-	if failed > 0 {
+	total.Print(cmd.OutOrStdout())
+	return verdictError(total.Verdict())
+}
+
+// verdictError returns the error by which the command exits with the code of a verdict.
+func verdictError(v soak.Verdict) error {
+	switch v {
+	case soak.Violated:
 		return errNegativeResult
+	case soak.CheckedNone:
+		return errInconclusive
 	}
 	return nil
 }
 
-// runSeed runs one seed and reports whether there were no violations. Without
-// violations it deletes dir.
-func (o soakOptions) runSeed(ctx context.Context, cmd *cobra.Command, seed uint64, dir string) (bool, error) {
+// runSeed runs one seed and prints its report. Without violations it deletes dir.
+func (o soakOptions) runSeed(ctx context.Context, cmd *cobra.Command, seed uint64, dir string) (soak.Report, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return false, err
+		return soak.Report{}, err
 	}
 	sessions := o.sessions
 	if sessions == sessionsOfSeed {
@@ -102,11 +112,11 @@
 		Binary: o.binary, Dir: dir, Seed: seed, Duration: o.duration, Daemons: o.daemons, Callers: o.callers, Sessions: sessions, Losses: o.losses, LossInterval: o.lossInterval, MaxMemoryMB: soak.MaxMemoryMB,
 	})
 	if err != nil {
-		return false, err
+		return report, err
 	}
 	report.Print(cmd.OutOrStdout())
-	if len(report.Violations) > 0 {
-		return false, nil
+	if report.Verdict() == soak.Violated {
+		return report, nil
 	}
-	return true, os.RemoveAll(dir)
+	return report, os.RemoveAll(dir)
 }
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -55,7 +55,10 @@
 // The report of each run says how many streams were taken up in how many attempts, and how many of
 // these brought events that were checked, by evidence and by loss. That of a run with losses also
 // says how many of the streams that were taken up after a loss of all daemons went on, of those for
-// which two sound engines of their version had been listed since they began.
+// which two sound engines of their version had been listed since they began. A run with losses in
+// which too few were taken up to check the guarantees for them has the verdict CheckedNone, which is
+// no pass. The command prints the total over all seeds, and exits with 1 after a violation and with 3
+// if none was found but a seed checked none.
 //
 // The guarantees:
 //   - A request that may not be repeated runs at most once.
--- a/soak/report.go
+++ b/soak/report.go
@@ -14,7 +14,9 @@
 	Duration time.Duration
 	// Sessions is the number of sessions of the callers; 0 for none.
 	Sessions int
-	Requests int
+	// WithLosses says that the run was to check streams that are taken up after losses.
+	WithLosses bool
+	Requests   int
 	// Served, Refused (answered as not run), Failed, Incomplete (no complete answer) and
 	// Abandoned (by the caller) add up to Requests.
 	Served, Refused, Failed, Incomplete, Abandoned int
@@ -41,13 +43,59 @@
 	Violations []string
 }
 
+// Verdict is the outcome of a run.
+type Verdict int
+
+// The verdicts. CheckedNone means that no guarantee was seen violated, but that one of those that
+// the run was to check could not be.
+const (
+	Passed Verdict = iota
+	CheckedNone
+	Violated
+)
+
+// Verdict returns the outcome of the run.
+func (r Report) Verdict() Verdict {
+	switch {
+	case len(r.Violations) > 0:
+		return Violated
+	case len(r.Unchecked()) > 0:
+		return CheckedNone
+	}
+	return Passed
+}
+
+// Unchecked describes the guarantees that the run was to check, but for which too few streams were
+// taken up after losses.
+func (r Report) Unchecked() []string {
+	if !r.WithLosses {
+		return nil
+	}
+	var out []string
+	tally := shareTally{r.SentAfterLoss, r.BegunAfterLoss, r.TakenUpAfterLoss, r.ContinuedAfterLoss}
+	if _, _, enough := tally.shares(); !enough {
+		out = append(out, fmt.Sprintf("lost: %d attempts took streams up after losses of all daemons, %d are needed", r.TakenUpAfterLoss, minTakenUp))
+	}
+	if r.Streams.checkedAfterLosses() == 0 {
+		out = append(out, "order: no attempt to take a stream up after a loss brought an event")
+	}
+	return out
+}
+
+// summary says the verdict in words.
+func (r Report) summary() string {
+	switch r.Verdict() {
+	case Violated:
+		return fmt.Sprintf("%d VIOLATIONS", len(r.Violations))
+	case CheckedNone:
+		return "CHECKED NONE (inconclusive)"
+	}
+	return "no violations"
+}
+
 // Print writes the report as text. It includes the faults only if there are violations.
 func (r Report) Print(w io.Writer) {
-	verdict := "no violations"
-	if len(r.Violations) > 0 {
-		verdict = fmt.Sprintf("%d VIOLATIONS", len(r.Violations))
-	}
-	fmt.Fprintf(w, "seed %d: %d daemons for %s, %d sessions, under %d faults: %s\n", r.Seed, r.Daemons, r.Duration, r.Sessions, len(r.Faults), verdict)
+	fmt.Fprintf(w, "seed %d: %d daemons for %s, %d sessions, under %d faults: %s\n", r.Seed, r.Daemons, r.Duration, r.Sessions, len(r.Faults), r.summary())
 	fmt.Fprintf(w, "  %d requests: %d served, %d refused, %d failed, %d incomplete, %d abandoned by their callers; %d streams paused; %d of %d went on; peak memory %d MB\n",
 		r.Requests, r.Served, r.Refused, r.Failed, r.Incomplete, r.Abandoned, r.PausedStreams, r.Continued, r.TakenUp, r.PeakMemory>>20)
 	if r.Losses > 0 {
@@ -55,6 +103,9 @@
 			r.Losses, r.ContinuedAfterLoss, r.TakenUpAfterLoss, r.BegunAfterLoss, r.SentAfterLoss)
 	}
 	r.Streams.print(w)
+	for _, u := range r.Unchecked() {
+		fmt.Fprintf(w, "  checked none of %s\n", u)
+	}
 	const shown = 20
 	for i, v := range r.Violations {
 		if i == shown {
--- a/soak/run.go
+++ b/soak/run.go
@@ -146,7 +146,7 @@
 		drainingSince: map[string]time.Time{}, crashTimes: map[string][]time.Time{}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, addedAt: map[string]time.Time{},
 		versions: slices.Clone(softwareVersions[:]), apiKeys: []string{"key-0", "key-1"},
 	}
-	r.report = Report{Seed: cfg.Seed, Dir: cfg.Dir, Daemons: cfg.Daemons, Duration: cfg.Duration, Sessions: cfg.Sessions, Streams: newStreamCounts()}
+	r.report = Report{Seed: cfg.Seed, Dir: cfg.Dir, Daemons: cfg.Daemons, Duration: cfg.Duration, Sessions: cfg.Sessions, WithLosses: cfg.Losses, Streams: newStreamCounts()}
 	return r
 }
 
--- a/soak/takeups.go
+++ b/soak/takeups.go
@@ -20,18 +20,28 @@
 	// kind of fault.
 	Streams   int
 	WithFault map[string]int
-	// TakenUp is the number of streams that their callers took up after they had brought an event,
-	// in Attempts attempts, of which Checked brought at least one more event.
-	TakenUp, Attempts, Checked int
-	// ByEvidence counts the attempts that daemons let go on, by the evidence in their logs, and
-	// ByLoss all attempts, by the last loss of daemons since the beginning of the stream.
-	ByEvidence, ByLoss map[string]CheckedShare
+	// TakenUp is the number of streams that their callers took up after they had brought an event.
+	TakenUp int
+	TakeUpCounts
+	// AfterLoss counts the attempts after a loss of all daemons to which the guarantee for streams
+	// that are taken up applies: see countsAfterLoss and soundEngines.
+	AfterLoss TakeUpCounts
+	// ByLoss counts all attempts by the last loss of daemons since the beginning of the stream.
+	ByLoss map[string]CheckedShare
+	// JoinedBy counts the joined streams by the evidence of the attempt that joined them.
+	JoinedBy map[string]int
+}
+
+// TakeUpCounts counts attempts to take streams up.
+type TakeUpCounts struct {
+	// Attempts is their number, of which Checked brought at least one more event.
+	Attempts, Checked int
+	// ByEvidence counts the attempts that daemons let go on, by the evidence in their logs.
+	ByEvidence map[string]CheckedShare
 	// Refused counts the attempts that daemons refused, by reason, and Unanswered those that no
 	// daemon logged: it was killed meanwhile. Connections that failed are not counted.
 	Refused    map[string]int
 	Unanswered int
-	// JoinedBy counts the joined streams by the evidence of the attempt that joined them.
-	JoinedBy map[string]int
 }
 
 // CheckedShare is the number of attempts to take a stream up, and of those that brought an event.
@@ -40,11 +50,16 @@
 // newStreamCounts returns counts of zero.
 func newStreamCounts() StreamCounts {
 	return StreamCounts{
-		WithFault: map[string]int{}, ByEvidence: map[string]CheckedShare{}, ByLoss: map[string]CheckedShare{},
-		Refused: map[string]int{}, JoinedBy: map[string]int{},
+		WithFault: map[string]int{}, TakeUpCounts: newTakeUpCounts(), AfterLoss: newTakeUpCounts(),
+		ByLoss: map[string]CheckedShare{}, JoinedBy: map[string]int{},
 	}
 }
 
+// newTakeUpCounts returns counts of zero.
+func newTakeUpCounts() TakeUpCounts {
+	return TakeUpCounts{ByEvidence: map[string]CheckedShare{}, Refused: map[string]int{}}
+}
+
 // lossKind is a kind of loss of daemons.
 type lossKind string
 
@@ -189,8 +204,11 @@
 		if len(s) > 1 {
 			c.TakenUp++
 		}
-		for _, att := range s[1:] {
+		for i, att := range s[1:] {
 			c.addTakeUp(att, logged, r.lossBetween(s[0].startedAt, att.startedAt))
+			if r.mustGoOnAfterLoss(s, i+1) {
+				c.AfterLoss.add(att, logged)
+			}
 		}
 	}
 }
@@ -226,13 +244,23 @@
 	if !att.connected() {
 		return
 	}
-	share := CheckedShare{Attempts: 1}
+	c.ByLoss[string(kind)] = c.ByLoss[string(kind)].plus(shareOf(att))
+	c.add(att, logged)
+}
+
+// shareOf counts one attempt.
+func shareOf(att attempt) CheckedShare {
 	if att.lastEvent() > 0 {
-		share.Checked = 1
+		return CheckedShare{Attempts: 1, Checked: 1}
 	}
+	return CheckedShare{Attempts: 1}
+}
+
+// add counts an attempt to take a stream up.
+func (c *TakeUpCounts) add(att attempt, logged takeUpLog) {
+	share := shareOf(att)
 	c.Attempts += share.Attempts
 	c.Checked += share.Checked
-	c.ByLoss[string(kind)] = c.ByLoss[string(kind)].plus(share)
 	evidence, accepted := logged.evidence[att.call.ID]
 	refusal, refused := logged.refusal[att.call.ID]
 	switch {
@@ -263,9 +291,14 @@
 	if c.Attempts == 0 {
 		return
 	}
+	c.TakeUpCounts.print(w)
+	fmt.Fprintf(w, "    by loss: %s\n", shares(c.ByLoss))
+}
+
+// print writes the counts by evidence and reason as text.
+func (c TakeUpCounts) print(w io.Writer) {
 	fmt.Fprintf(w, "    by evidence: %s\n", shares(c.ByEvidence))
 	fmt.Fprintf(w, "    refused or failed: %s; not answered %d\n", counted(c.Refused), c.Unanswered)
-	fmt.Fprintf(w, "    by loss: %s\n", shares(c.ByLoss))
 }
 
 // counted writes counts as text, in the order of their names.
@@ -292,3 +325,14 @@
 	}
 	return strings.Join(parts, ", ")
 }
+
+// checkedAfterLosses returns the number of attempts that brought events after a loss of daemons.
+func (c StreamCounts) checkedAfterLosses() int {
+	n := 0
+	for kind, share := range c.ByLoss {
+		if kind != string(noLoss) {
+			n += share.Checked
+		}
+	}
+	return n
+}
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -214,7 +214,7 @@
 			if r.counts(att) && (i == 0 || r.healthyEngines(versions, att) >= minEngines) {
 				all.add(att)
 			}
-			if r.countsAfterLoss(s[0], att) && (i == 0 || r.soundEngines(versions, s[0].startedAt, att.endedAt) >= minEngines) {
+			if i == 0 && r.countsAfterLoss(s[0], att) || i > 0 && r.mustGoOnAfterLoss(s, i) {
 				afterLoss.add(att)
 			}
 		}
@@ -248,6 +248,13 @@
 	})
 }
 
+// mustGoOnAfterLoss reports whether the guarantee for streams that are taken up after a loss of all
+// daemons applies to the attempt of a stream with an index of at least 1.
+func (r *runner) mustGoOnAfterLoss(s callerStream, i int) bool {
+	versions := site.EventVersions(s.eventsOf(i))
+	return r.countsAfterLoss(s[0], s[i]) && r.soundEngines(versions, s[0].startedAt, s[i].endedAt) >= minEngines
+}
+
 // checkRefusedResume checks that a resume that was answered as not run has not run.
 func (r *runner) checkRefusedResume(att attempt) {
 	if runs := r.ledger.Runs(att.call.ID); att.response.NotExecuted() && len(runs) > 0 {
