gateway: a check that answers to another request are refused

The planted fault mixed-foreign-answer (attempt.relay without its comparison of request ids) was not seen by any spec of gateway that names such answers: no stand-in sent one. The whole package was not run with the fault.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -138,6 +138,7 @@
 		Entry("cut before the answer", site.Behaviour{AbortBeforeResponse: true}, http.StatusBadGateway),
 		Entry("cut inside the answer", site.Behaviour{Truncate: true}, http.StatusBadGateway),
 		Entry("503 without Not-Executed", site.Behaviour{UnavailableAfterRun: true}, http.StatusBadGateway),
+		Entry("an answer to another request", site.Behaviour{OtherRequest: true}, http.StatusBadGateway),
 		Entry("no signature", site.Behaviour{Unsigned: true}, http.StatusBadGateway),
 	)
 
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -681,6 +681,9 @@
 		return
 	}
 	w.Header().Set("Attempt-Id", id)
+	if b.OtherRequest {
+		w.Header().Set("Attempt-Id", id+"-other")
+	}
 	w.Header().Set("Replica-Load", r.loadReport(usualLoad))
 	if !b.Unsigned {
 		w.Header().Set("Response-Signature", "signed."+r.ID+"."+id)
