Planted faults as files, and a script that checks that each is seen

19 patches over MIXED, UNASKED, TWICE, REFUSED, BUDGET, GONE, LOST, ROUTE, DRAIN, CONFIG and ORDER, each with the line that it takes out and the go test command that must fail. scripts/planted.sh (make planted) plants each in a scratch copy of the last commit, expects its check to pass without it and to fail with it; faults that no longer apply, do not compile, or whose check does not end count as not seen.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 STATICCHECK_VERSION := v0.8.2
 
-.PHONY: build test demo demo-up demo-down lint generate bench
+.PHONY: build test planted demo demo-up demo-down lint generate bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -20,6 +20,10 @@
 test: lint build
 	WHEATSEAM_RACE=1 $(GO) test -race -count=1 -timeout 480s $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# planted checks that each fault of proofs/planted is seen; of the last commit.
+planted:
+	./scripts/planted.sh
+
 demo: build
 	./scripts/demo.sh run
 
