gateway: waits for a stream's version end at half of the time left

While stages ran until the deadline, the version was awaited as long, and the refusal left its caller no time to return. The last lookup now begins before half of the time left is over; then the request is refused and its stages are cancelled.

Seen to fail first: TestStreamsWhoseVersionStaysUnknownLeaveTheirCallersTime got "overloaded" (stages) in place of "version_unknown" with a Retry-After.

--- a/gateway/originwait.go
+++ b/gateway/originwait.go
@@ -28,8 +28,8 @@
 	// lookup, and originWaitAfterStages from their end.
 	originWait            = 2 * time.Second
 	originWaitAfterStages = 300 * time.Millisecond
-	// originWaitFraction is the most of the time left to the deadline for which the version is awaited
-	// though the stages are done: the rest of the answer takes time, too.
+	// originWaitFraction is the most of the time left to the deadline for which the version is awaited:
+	// the rest of the answer takes time, too, or the caller's next attempt.
 	originWaitFraction = 0.5
 	// maxAwaitedOrigins limits the streams of a host that are looked up again.
 	maxAwaitedOrigins = 128
@@ -85,7 +85,7 @@
 // stages.
 func (x *exchange) prepareAwaiting(first origin.Verdict) *problem.Error {
 	began := clock.Now()
-	left := clock.Until(x.deadline)
+	longest := time.Duration(originWaitFraction * float64(clock.Until(x.deadline)))
 	lookups, stop := context.WithCancel(x.ctx)
 	defer stop()
 	whole := x.ctx
@@ -93,7 +93,7 @@
 	defer cancelStages()
 	decided := make(chan origin.Verdict, 1)
 	go func() {
-		v := x.awaitOrigin(lookups, first)
+		v := x.awaitOrigin(lookups, first, began.Add(longest))
 		if lookups.Err() == nil && x.originRefusal(v) != nil {
 			cancelStages()
 		}
@@ -104,7 +104,7 @@
 	x.ctx = whole
 	refused := staged.Err() != nil && whole.Err() == nil
 	if perr == nil {
-		until := min(max(originWait-clock.Since(began), originWaitAfterStages), time.Duration(originWaitFraction*float64(left))-clock.Since(began))
+		until := min(max(originWait-clock.Since(began), originWaitAfterStages), longest-clock.Since(began))
 		defer clock.AfterFunc(until, stop).Stop()
 	} else {
 		stop()
@@ -124,11 +124,12 @@
 }
 
 // awaitOrigin looks the version of a stream up again, less and less often, until it is known, can't
-// become known, or ctx ends. It changes nothing of the exchange.
-func (x *exchange) awaitOrigin(ctx context.Context, v origin.Verdict) origin.Verdict {
+// become known, the next lookup would begin after until, or ctx ends. It changes nothing of the exchange.
+func (x *exchange) awaitOrigin(ctx context.Context, v origin.Verdict, until time.Time) origin.Verdict {
 	interval := originWaitInterval
 	for range maxOriginLookups {
-		if !x.mayAwaitOrigin(v) || !periodic.Sleep(ctx, max(interval, v.After)) {
+		wait := max(interval, v.After)
+		if !x.mayAwaitOrigin(v) || clock.Until(until) < wait || !periodic.Sleep(ctx, wait) {
 			return v
 		}
 		again := x.lookUpOrigin(ctx)
--- a/gateway/originwait_test.go
+++ b/gateway/originwait_test.go
@@ -73,6 +73,21 @@
 	f.Expect(f.ledger.Runs(id)).To(BeEmpty())
 }
 
+// Guards against refusals that come when their callers have no time left to return, since the stages run
+// that long.
+func TestStreamsWhoseVersionStaysUnknownLeaveTheirCallersTime(t *testing.T) {
+	t.Parallel()
+	f := newFixtureOf(t)
+	fleet, streams := f.silentAfterLoss("v1")
+	f.behave("encode", site.Behaviour{ServiceTime: 10 * time.Second})
+	a, id := f.resume(fleet[0], streams[0])
+	f.Expect(a.err).NotTo(HaveOccurred())
+	f.Expect(a.status).To(Equal(http.StatusServiceUnavailable), a.body)
+	f.Expect(a.body).To(ContainSubstring("version_unknown"))
+	f.Expect(strconv.ParseFloat(a.header.Get("Retry-After"), 64)).To(BeNumerically(">", 0.3))
+	f.Expect(f.ledger.Runs(id)).To(BeEmpty())
+}
+
 // Guards against callers who multiply the lookups of a stream by repeating a request while its version
 // is awaited, and against waits that leave no time for the answer.
 func TestRepeatedRequestsShareTheWaitForAVersion(t *testing.T) {
