gateway: replicas that leave while a version is awaited prove nothing

What callers saw: a stream of v1 went on at v2. A request that waits for the version of its stream found the only replica of v1 silent at its first lookup and no longer listed at the next one, which then decided by prompt_kept for v2, where another request of the session had been read.

Cause: absence of evidence decided once more: each lookup judged the list of its own moment, so that a replica which could not be asked counted as one that keeps nothing as soon as it had left.

Now a request remembers the replicas that were silent when it began to wait and have left since; a kept prompt decides only if all of them had the version that it decides for.

--- a/gateway/originwait.go
+++ b/gateway/originwait.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -127,7 +128,9 @@
 // become known, the next lookup would begin after until, or ctx ends. It changes nothing of the exchange.
 func (x *exchange) awaitOrigin(ctx context.Context, v origin.Verdict, until time.Time) origin.Verdict {
 	interval := originWaitInterval
+	var left []serviceReplica
 	for range maxOriginLookups {
+		silent := x.silentReplicas(v)
 		wait := max(interval, v.After)
 		if !x.mayAwaitOrigin(v) || clock.Until(until) < wait || !periodic.Sleep(ctx, wait) {
 			return v
@@ -136,11 +139,46 @@
 		if ctx.Err() != nil {
 			return v // replicas and hosts were not awaited
 		}
+		left = append(left, x.unlisted(silent)...)
+		if again.Reason == origin.PromptKept && x.hasOtherVersion(left, again) {
+			return origin.Verdict{Reason: origin.SeveralVersions, Evidence: again.Evidence}
+		}
 		v, interval = again, min(2*interval, maxOriginWaitInterval)
 	}
 	return v
 }
 
+// serviceReplica is a listed replica of a service.
+type serviceReplica struct {
+	service string
+	memoryReplica
+}
+
+// silentReplicas returns the listed replicas of which it was not known, when a verdict was reached,
+// whether they keep the prompt.
+func (x *exchange) silentReplicas(v origin.Verdict) []serviceReplica {
+	var silent []serviceReplica
+	for _, service := range x.route.Services() {
+		for _, r := range x.g.memoryReplicas(service) {
+			if v.Evidence.Memory == nil || slices.Contains(v.Evidence.Memory.Silent, r.version) {
+				silent = append(silent, serviceReplica{service, r})
+			}
+		}
+	}
+	return silent
+}
+
+// unlisted returns those of some replicas that are no longer listed: they can't be asked any more.
+func (x *exchange) unlisted(replicas []serviceReplica) []serviceReplica {
+	return slices.DeleteFunc(replicas, func(r serviceReplica) bool { return x.g.isListed(r.memoryReplica) })
+}
+
+// hasOtherVersion reports whether one of some replicas has another version than the one decided for.
+func (x *exchange) hasOtherVersion(replicas []serviceReplica, decided origin.Verdict) bool {
+	service := cmp.Or(decided.Service, x.service)
+	return slices.ContainsFunc(replicas, func(r serviceReplica) bool { return r.service != service || r.version != decided.Version })
+}
+
 // logOriginWait writes what became of the wait for the version of a stream.
 func (x *exchange) logOriginWait(first, last origin.Verdict, result string, began time.Time) {
 	x.countOriginWait(first, result)
