A request whose stages were cancelled is not sent without their results

A verdict that refuses a stream cancels its stages, and is checked once more when they have ended. If a replica of the version was listed again in between, the request was sent to it without inputs. Found by review, by reading.

Change: a request whose stages did not end with results is refused in any case.

No test lands: the two checks are a moment apart.

--- a/gateway/originwait.go
+++ b/gateway/originwait.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -114,13 +115,13 @@
 		x.logOriginWait(first, v, "stages_refused", began)
 		return perr
 	}
-	perr = x.settleOrigin(v)
+	settled := x.settleOrigin(v)
 	result := "known"
-	if perr != nil {
-		result = string(perr.Kind)
+	if settled != nil {
+		result = string(settled.Kind)
 	}
 	x.logOriginWait(first, v, result, began)
-	return perr
+	return cmp.Or(settled, perr) // a replica may have come back since the stages were cancelled
 }
 
 // awaitOrigin looks the version of a stream up again, less and less often, until it is known, can't
