gateway: waits know the replicas listed when a lookup began; review's wording

Findings of the independent review, by reading: a silent replica that left between the first lookup and the start of the wait was missed; a caller's Last-Event-Id of 0 counted as the beginning of an answer, so that a new request could go ahead of new work; a replacement's patience counted from its reservation, not from the last event. Names and comments as the review proposed.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -16,8 +16,8 @@
 	Lifetime time.Duration
 	// Waited is for how long the decision has waited for a newer view.
 	Waited time.Duration
-	// Asks says that replicas are asked whether they keep the prompt: silent ones may answer later.
-	Asks bool
+	// ReplicasAsked says that replicas are asked whether they keep the prompt: silent ones may answer later.
+	ReplicasAsked bool
 }
 
 // Answer is what one host knows about a stream and its service.
@@ -35,8 +35,9 @@
 	// of none.
 	Moved time.Duration
 	// Readers are the versions that are known to have read the last part of the prompt for other
-	// streams, or for attempts of this one at several versions (Readers.NotBeginning). HoldsReaders says that all hosts tell this one of them; ReadersFor is for how
-	// long before now it has missed none.
+	// streams, or for attempts of this one at several versions (Readers.AmbiguousReaders).
+	// HoldsReaders says that all hosts tell this one of them; ReadersFor is for how long before now
+	// it has missed none.
 	Readers      []ServiceVersion
 	HoldsReaders bool
 	ReadersFor   time.Duration
@@ -52,9 +53,9 @@
 type Verdict struct {
 	Known            bool
 	Service, Version string
-	// MayCome says that it may become known: a host that did not answer may know it, a replica that
-	// did not may tell which version keeps the prompt or be listed no longer, or a newer view or a longer history may tell. After is the time until the history is long
-	// enough; 0 if it is not known.
+	// MayCome says that it may become known: a host that did not answer may know it, a replica
+	// that did not may tell which version keeps the prompt, or a newer view or a longer history may
+	// tell. After is the time until the history is long enough; 0 if it is not known.
 	MayCome  bool
 	After    time.Duration
 	Reason   Reason
@@ -84,8 +85,8 @@
 	// SeveralServices: there is no record, and the route is split between services.
 	SeveralServices Reason = "several_services"
 	// SharedPrompt: the only version whose replicas keep the prompt has read its last part for
-	// another request, or several have for the stream's own attempts, and UnknownReaders: it may have, since requests share parts, and the service
-	// has had other versions.
+	// another request, or several have for the stream's own attempts. UnknownReaders: it may have,
+	// since requests share parts, and the service has had other versions.
 	SharedPrompt   Reason = "shared_prompt"
 	UnknownReaders Reason = "unknown_readers"
 	// NoEvidence: the service has no replicas that are known.
@@ -164,7 +165,7 @@
 	case kept.Known || ok && (len(e.Versions) > 1 || e.History < s.Lifetime):
 		return kept
 	case len(e.Versions) > 1:
-		return Verdict{MayCome: e.Unanswered > 0 || s.Asks && mayTell(map[string]Memory{s.Service: memoryOf(e)}), Reason: SeveralVersions}
+		return Verdict{MayCome: e.Unanswered > 0 || s.ReplicasAsked && silentMayDecide(map[string]Memory{s.Service: memoryOf(e)}), Reason: SeveralVersions}
 	case e.ViewAge > s.Waited:
 		return Verdict{MayCome: true, Reason: OldView}
 	case e.History < s.Lifetime:
@@ -180,7 +181,7 @@
 func DecideAmong(s Stream, e Evidence, memories map[string]Memory) Verdict {
 	v, ok := decideKept(s, e, memories)
 	if !ok {
-		v = Verdict{MayCome: e.Unanswered > 0 || s.Asks && mayTell(memories), Reason: SeveralServices}
+		v = Verdict{MayCome: e.Unanswered > 0 || s.ReplicasAsked && silentMayDecide(memories), Reason: SeveralServices}
 	}
 	v.Evidence = e
 	if v.Known {
--- a/core/origin/memory.go
+++ b/core/origin/memory.go
@@ -17,9 +17,9 @@
 	return Memory{Holding: unique(holding), Silent: unique(silent)}
 }
 
-// mayTell reports whether replicas that are silent may tell which version keeps the prompt: the others
+// silentMayDecide reports whether replicas that are silent may tell which version keeps the prompt: the others
 // of no two versions keep it.
-func mayTell(memories map[string]Memory) bool {
+func silentMayDecide(memories map[string]Memory) bool {
 	holding, silent := 0, false
 	for _, m := range memories {
 		holding += len(m.Holding)
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -108,7 +108,7 @@
 // Guards against streams that are refused though a silent replica may tell their version later, and
 // against callers that wait in vain.
 var _ = DescribeTable("whether silent replicas may tell which version began a stream", func(want string, asks bool, holding, silent []string) {
-	s := origin.Stream{Lifetime: lifetime, Waited: waited, Asks: asks}
+	s := origin.Stream{Lifetime: lifetime, Waited: waited, ReplicasAsked: asks}
 	m := origin.Memory{Holding: holding, Silent: silent}
 	Expect(describe(origin.Decide(s, []origin.Answer{known("v1", "v2")}, 0, &m))).To(Equal(want))
 	Expect(origin.DecideAmong(s, origin.Evidence{}, map[string]origin.Memory{"a": m, "b": {}}).MayCome).To(Equal(want != "several_versions"))
--- a/core/origin/readers.go
+++ b/core/origin/readers.go
@@ -187,10 +187,10 @@
 	return out
 }
 
-// NotBeginning returns the readers of a part at whose versions it may be kept though the stream did
+// AmbiguousReaders returns the readers of a part at whose versions it may be kept though the stream did
 // not begin there: those of other streams, and the stream's own if its attempts have had several
 // versions read the part.
-func (s *Readers) NotBeginning(now time.Time, part, stream Key) []Reader {
+func (s *Readers) AmbiguousReaders(now time.Time, part, stream Key) []Reader {
 	var own []Reader
 	for _, r := range s.byPart[part] {
 		if r.Stream == stream && r.Expires.After(now) {
--- a/core/origin/readers_test.go
+++ b/core/origin/readers_test.go
@@ -82,7 +82,7 @@
 	s := origin.NewReaders(now.Add(-time.Hour))
 	decide := func() origin.Verdict {
 		a := origin.Answer{Versions: []string{"v1", "v2"}, History: time.Hour, HoldsReaders: true, ReadersFor: s.CompleteFor(now)}
-		for _, r := range s.NotBeginning(now, origin.PartKey("own"), origin.NewKey("c", "a")) {
+		for _, r := range s.AmbiguousReaders(now, origin.PartKey("own"), origin.NewKey("c", "a")) {
 			a.Readers = append(a.Readers, r.ServiceVersion)
 		}
 		memory := origin.NewMemory([]string{"v2"}, nil)
--- a/core/origin/schedule_test.go
+++ b/core/origin/schedule_test.go
@@ -372,7 +372,7 @@
 		Known: known, Version: r.Version, History: s.now.Sub(h.completeSince), ViewAge: s.now.Sub(h.viewAt),
 		HoldsReaders: s.holdsReaders(h, st.part), ReadersFor: h.readers.CompleteFor(s.now), PartsShared: h.readers.PartsShared(s.now),
 	}
-	for _, o := range h.readers.NotBeginning(s.now, st.part, st.key) {
+	for _, o := range h.readers.AmbiguousReaders(s.now, st.part, st.key) {
 		a.Readers = append(a.Readers, o.ServiceVersion)
 	}
 	if h.viewAt.IsZero() {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/wheatseam/wheatseam/core/catalog"
-	"github.com/wheatseam/wheatseam/core/origin"
 	"github.com/wheatseam/wheatseam/core/poison"
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/core/sequence"
@@ -90,9 +89,9 @@
 	// origin is the software version that wrote the first event which the caller has; nil
 	// before there is one. Only replicas of this version can continue the stream.
 	origin atomic.Pointer[string]
-	// undecided is the verdict on the stream that the caller takes up while its version may yet become
-	// known; nil otherwise.
-	undecided *origin.Verdict
+	// undecided is the first lookup of the stream that the caller takes up while its version may yet
+	// become known; nil otherwise.
+	undecided *originLookup
 	// readVersion is the version whose replicas may have read the prompt before the stream began;
 	// nil if none has.
 	readVersion atomic.Pointer[string]
--- a/gateway/inputs.go
+++ b/gateway/inputs.go
@@ -62,7 +62,7 @@
 	if !x.committed {
 		return x.prepareInputs()
 	}
-	return x.prepareInputsFor(x.runAfter(clock.Now(), x.lastSentAt, x.lastEvent))
+	return x.prepareInputsFor(x.runAfter(clock.Now(), x.waitsSince(), x.lastEvent))
 }
 
 // releaseInputs releases the stage results, if they are still held. It may be called by any
--- a/gateway/margin.go
+++ b/gateway/margin.go
@@ -134,8 +134,9 @@
 	lastEvent string
 }
 
-// continuesStream reports whether the caller has the beginning of the answer.
-func (r runStart) continuesStream() bool { return r.lastEvent != "" }
+// continuesStream reports whether the caller has the beginning of the answer. An ID that is no number,
+// or zero, names no event that it has.
+func (r runStart) continuesStream() bool { return eventNumber(r.lastEvent) > 0 }
 
 // firstRun is the start of the request's first run, or of another one before the answer has begun.
 func (x *exchange) firstRun() runStart { return x.runAfter(x.arrived, x.arrived, "") }
@@ -148,6 +149,14 @@
 	return runStart{began, waitsSince, lastEvent}
 }
 
+// waitsSince is when the caller got the last event, or sent the request.
+func (x *exchange) waitsSince() time.Time {
+	if x.lastSentAt.IsZero() {
+		return x.arrived
+	}
+	return x.lastSentAt
+}
+
 // stageDeadlines returns when the stage results must be ready for an answer that is most
 // likely on time, and the latest time for an answer that may be of use: on time or, if the caller
 // has the beginning of the answer, complete before its deadline.
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -362,12 +362,12 @@
 		x.preferReadVersion()
 		return nil
 	}
-	v := x.lookUpOrigin(x.r.Context())
-	if x.mayAwaitOrigin(v) {
-		x.undecided = &v
+	lookup := x.lookUpOriginOfListed(x.r.Context())
+	if x.mayAwaitOrigin(lookup.verdict) {
+		x.undecided = &lookup
 		return nil
 	}
-	return x.settleOrigin(v)
+	return x.settleOrigin(lookup.verdict)
 }
 
 // settleOrigin has the request run at the version that began its stream, or refuses it.
@@ -470,7 +470,7 @@
 	if v = x.lookUpOriginOnce(ctx, nil); v.Reason == origin.Recorded || v.Reason == origin.Conflict {
 		return v
 	}
-	stream := origin.Stream{Lifetime: x.decisionLifetime(), Asks: x.asksReplicas(services...)}
+	stream := origin.Stream{Lifetime: x.decisionLifetime(), ReplicasAsked: x.asksReplicas(services...)}
 	return origin.DecideAmong(stream, v.Evidence, memories)
 }
 
@@ -493,7 +493,7 @@
 // record. memory is what replicas keep of the prompt; nil while they have not been asked.
 func (x *exchange) lookUpOriginOnce(ctx context.Context, memory *origin.Memory) origin.Verdict {
 	q := x.originQuery()
-	stream := origin.Stream{Service: x.service, Lifetime: x.decisionLifetime(), Asks: x.asksReplicas(x.service)}
+	stream := origin.Stream{Service: x.service, Lifetime: x.decisionLifetime(), ReplicasAsked: x.asksReplicas(x.service)}
 	began := clock.Now()
 	answers, unanswered := []origin.Answer{x.g.knownOrigin(q)}, 0
 	answers[0].HoldsReaders = slices.Contains(x.g.readerHolders(q.part), x.g.self().Name)
--- a/gateway/originwait.go
+++ b/gateway/originwait.go
@@ -16,9 +16,6 @@
 	"github.com/wheatseam/wheatseam/problem"
 )
 
-// The version of a stream that is taken up need not be known before its stages are done. While it may
-// become known, the stages run, and it is looked up again beside them.
-
 const (
 	// originWaitInterval is the time between the first lookups, and maxOriginWaitInterval that between
 	// later ones. A request has maxOriginLookups of them at most.
@@ -49,8 +46,8 @@
 	})
 }
 
-// prepare runs the stages of the request, and finds out meanwhile which version began the stream that
-// it takes up, unless that is known.
+// prepare runs the stages of the request. The version of a stream that is taken up need not be known
+// before they are done: while it may become known, it is looked up again beside them.
 func (x *exchange) prepare() *problem.Error {
 	if x.undecided == nil {
 		return x.prepareInputs()
@@ -59,8 +56,8 @@
 	x.undecided = nil
 	end, begun := x.g.origins.await(x.originKey())
 	if !begun {
-		x.countOriginWait(first, "too_many")
-		return x.settleOrigin(first)
+		x.countOriginWait(first.verdict, "too_many")
+		return x.settleOrigin(first.verdict)
 	}
 	defer end()
 	return x.prepareAwaiting(first)
@@ -84,7 +81,7 @@
 
 // prepareAwaiting runs the stages beside the lookups. A verdict that refuses the request cancels the
 // stages.
-func (x *exchange) prepareAwaiting(first origin.Verdict) *problem.Error {
+func (x *exchange) prepareAwaiting(first originLookup) *problem.Error {
 	began := clock.Now()
 	longest := time.Duration(originWaitFraction * float64(clock.Until(x.deadline)))
 	lookups, stop := context.WithCancel(x.ctx)
@@ -112,7 +109,7 @@
 	}
 	v := <-decided
 	if perr != nil && !refused {
-		x.logOriginWait(first, v, "stages_refused", began)
+		x.logOriginWait(first.verdict, v, "stages_refused", began)
 		return perr
 	}
 	settled := x.settleOrigin(v)
@@ -120,32 +117,38 @@
 	if settled != nil {
 		result = string(settled.Kind)
 	}
-	x.logOriginWait(first, v, result, began)
+	x.logOriginWait(first.verdict, v, result, began)
 	return cmp.Or(settled, perr) // a replica may have come back since the stages were cancelled
 }
 
 // awaitOrigin looks the version of a stream up again, less and less often, until it is known, can't
 // become known, the next lookup would begin after until, or ctx ends. It changes nothing of the exchange.
-func (x *exchange) awaitOrigin(ctx context.Context, v origin.Verdict, until time.Time) origin.Verdict {
+func (x *exchange) awaitOrigin(ctx context.Context, last originLookup, until time.Time) origin.Verdict {
 	interval := originWaitInterval
 	var left []serviceReplica
 	for range maxOriginLookups {
-		silent := x.silentReplicas(v)
-		wait := max(interval, v.After)
-		if !x.mayAwaitOrigin(v) || clock.Until(until) < wait || !periodic.Sleep(ctx, wait) {
-			return v
+		wait := max(interval, last.verdict.After)
+		if !x.mayAwaitOrigin(last.verdict) || clock.Until(until) < wait || !periodic.Sleep(ctx, wait) {
+			break
 		}
-		again := x.lookUpOrigin(ctx)
+		next := x.lookUpOriginOfListed(ctx)
 		if ctx.Err() != nil {
-			return v // replicas and hosts were not awaited
+			break // replicas and hosts were not awaited
 		}
-		left = append(left, x.unlisted(silent)...)
-		if again.Reason == origin.PromptKept && x.hasOtherVersion(left, again) {
-			return origin.Verdict{Reason: origin.SeveralVersions, Evidence: again.Evidence}
+		left = append(left, x.unlisted(last.silent())...)
+		if next.verdict.Reason == origin.PromptKept && x.hasOtherVersion(left, next.verdict) {
+			return origin.Verdict{Reason: origin.SeveralVersions, Evidence: next.verdict.Evidence}
 		}
-		v, interval = again, min(2*interval, maxOriginWaitInterval)
+		last, interval = next, min(2*interval, maxOriginWaitInterval)
 	}
-	return v
+	return last.verdict
+}
+
+// originLookup is one lookup of the version that began a stream, and the replicas that were listed when
+// it began or ended.
+type originLookup struct {
+	verdict origin.Verdict
+	listed  []serviceReplica
 }
 
 // serviceReplica is a listed replica of a service.
@@ -154,18 +157,29 @@
 	memoryReplica
 }
 
-// silentReplicas returns the listed replicas of which it was not known, when a verdict was reached,
-// whether they keep the prompt.
-func (x *exchange) silentReplicas(v origin.Verdict) []serviceReplica {
-	var silent []serviceReplica
+// lookUpOriginOfListed is lookUpOrigin with the replicas that were listed.
+func (x *exchange) lookUpOriginOfListed(ctx context.Context) originLookup {
+	listed := x.listedReplicas()
+	v := x.lookUpOrigin(ctx)
+	return originLookup{v, append(listed, x.listedReplicas()...)}
+}
+
+func (x *exchange) listedReplicas() []serviceReplica {
+	var listed []serviceReplica
 	for _, service := range x.route.Services() {
 		for _, r := range x.g.memoryReplicas(service) {
-			if v.Evidence.Memory == nil || slices.Contains(v.Evidence.Memory.Silent, r.version) {
-				silent = append(silent, serviceReplica{service, r})
-			}
+			listed = append(listed, serviceReplica{service, r})
 		}
 	}
-	return silent
+	return listed
+}
+
+// silent returns the replicas of which the lookup did not tell whether they keep the prompt.
+func (l originLookup) silent() []serviceReplica {
+	memory := l.verdict.Evidence.Memory
+	return slices.DeleteFunc(slices.Clone(l.listed), func(r serviceReplica) bool {
+		return memory != nil && !slices.Contains(memory.Silent, r.version)
+	})
 }
 
 // unlisted returns those of some replicas that are no longer listed: they can't be asked any more.
--- a/gateway/readers.go
+++ b/gateway/readers.go
@@ -96,11 +96,12 @@
 	return out
 }
 
-// otherVersions returns the versions that may keep the last part of a stream's prompt though the stream
-// did not begin there (origin.Readers.NotBeginning), and for how long before now none is missing. The caller holds mu.
+// otherVersions returns the versions that may keep the last part of a stream's prompt though the
+// stream did not begin there (origin.Readers.AmbiguousReaders), and for how long before now none is
+// missing. The caller holds mu.
 func (s *streamOrigins) otherVersions(now time.Time, q originQuery) (versions []origin.ServiceVersion, completeFor time.Duration) {
 	s.noteSuspension(now)
-	for _, r := range s.readers.NotBeginning(now, q.part, q.key) {
+	for _, r := range s.readers.AmbiguousReaders(now, q.part, q.key) {
 		if !slices.Contains(versions, r.ServiceVersion) {
 			versions = append(versions, r.ServiceVersion)
 		}
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -97,7 +97,7 @@
 		return x.confirmReplacement(r)
 	}
 	reservedAt := clock.Now()
-	in, perr := x.runStages(ctx, x.runAfter(reservedAt, reservedAt, at.lastEvent))
+	in, perr := x.runStages(ctx, x.runAfter(reservedAt, at.waitsSince, at.lastEvent))
 	if perr != nil {
 		x.releaseReplica(r)
 		return nil, denialOrCancelled(ctx, deniedInputs)
--- a/gateway/stallwatch.go
+++ b/gateway/stallwatch.go
@@ -50,6 +50,8 @@
 	lastEvent string
 	// events is the number of events that the replica must have produced.
 	events int
+	// waitsSince is when the caller got the last event, or sent the request.
+	waitsSince time.Time
 	// started says that the replica has started its answer.
 	started bool
 }
@@ -101,7 +103,7 @@
 	x := t.x
 	objective := float64(x.route.Objective)
 	suspectAfter := max(minSuspectedSilence, time.Duration(suspectedFactor*objective))
-	w := &stallWatch{attempt: t, run: t.newRun(), progress: progress{committed: x.committed, lastEvent: x.resumableEvent(), events: t.totalEvents()}, monitor: stall.New(clock.Now(), stall.Config{
+	w := &stallWatch{attempt: t, run: t.newRun(), progress: progress{committed: x.committed, lastEvent: x.resumableEvent(), events: t.totalEvents(), waitsSince: x.waitsSince()}, monitor: stall.New(clock.Now(), stall.Config{
 		QueryAfter: suspectAfter - runQueryTimeout, QueryInterval: 2 * runQueryTimeout, SuspectTimeout: suspectAfter,
 		MaxSilence: max(minMaxSilence, time.Duration(maxSilenceFactor*objective)), ReserveRetryInterval: replacementRetryInterval,
 	})}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,7 +108,7 @@
 			return t.relayFailed(err)
 		}
 		t.pauses.relayed()
-		w.eventRelayed(progress{committed: x.committed, lastEvent: x.resumableEvent(), events: t.totalEvents(), started: true})
+		w.eventRelayed(progress{committed: x.committed, lastEvent: x.resumableEvent(), events: t.totalEvents(), started: true, waitsSince: x.waitsSince()})
 	}
 }
 
