--- a/core/stage/continuation_test.go
+++ b/core/stage/continuation_test.go
@@ -136,6 +136,7 @@
 			fresh := answered(s.kinds[digest]) + answered(s.kinds[chat])
 			t.Logf("part of the capacity: new work %.3f, flood %.3f; others answered %.3f", fresh/burstCapacity, answered(flood)/burstCapacity, others.answeredShare())
 			Expect(fresh / burstCapacity).To(BeNumerically(">", 0.45))
+			Expect(answered(flood) / burstCapacity).To(BeNumerically("<=", continuationShare))
 			Expect(others.answeredShare()).To(BeNumerically(">", 0.9))
 		})
 	}
