--- a/core/stage/continuation.go
+++ b/core/stage/continuation.go
@@ -9,10 +9,10 @@
 
 // Jobs that continue streams go ahead of new work of the same priority, since their callers hold a
 // part of the answer and have less time left than new callers. They are not charged to their
-// customers' shares, which the streams were charged to when they began. Callers may take streams up
-// as often as they like, so that this holds for a bounded part of each service's capacity, divided
-// among customers whether or not Config.FairShares is set. Beyond it such jobs are ordered and
-// charged like new ones, and leave a part of the queue to these.
+// customers' shares, which the streams were charged to when they began. Callers may resume without
+// limit, so the priority is bounded to a part of each service's capacity, divided among customers
+// whether or not Config.FairShares is set. Beyond it such jobs are ordered and charged like new
+// ones, and leave a part of the queue to these.
 
 const (
 	// continuationShare is the part of a service's capacity that jobs which continue streams may
--- a/core/stage/job.go
+++ b/core/stage/job.go
@@ -88,10 +88,9 @@
 	// effectiveDue is the key by which jobs are ordered: Due, plus delays for customers and
 	// routes of lower priority.
 	effectiveDue time.Time
-	// refuseAt is LateGrace after Latest, or Latest for a job that continues a stream, or Deadline
-	// if that is earlier. From then on a job
-	// that is not ready is refused, unless all its remaining pieces are in calls and its
-	// deadline has not passed.
+	// refuseAt is when a job that is not ready is refused: Latest, plus LateGrace unless the job
+	// continues a stream, but no later than Deadline. A job whose remaining pieces are all in calls
+	// is refused at its deadline only.
 	refuseAt time.Time
 	// recomputations counts how often lost inputs were computed again.
 	recomputations int
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -269,9 +269,9 @@
 }
 
 // runStages runs the stages of the request, if it has any, and holds their results; nil
-// without stages. They are due for the given run: once an answer has
-// started, the rest of its own objective does not determine when the next run needs the results.
-// runStages changes nothing else of the exchange.
+// without stages. They are due for the given run: once an answer has started, the rest of its own
+// objective does not determine when the next run needs the results. runStages changes nothing else
+// of the exchange.
 func (x *exchange) runStages(ctx context.Context, run runStart) (*stageInputs, *problem.Error) {
 	j, ok := x.stageJob(run)
 	if !ok {
