Sessions: a stream that was taken up at another host is judged there

Cause: since the hosts of readers that a host knows itself are asked while the holders are awaited, the former host's own record counted, though the holders know the later reader of the same stream. Only that one's host knows whether the stream is complete.

Now the later reader's host is asked, too, and an open reader that a later one of the same stream at another host supersedes is dropped.

--- a/gateway/opensessions.go
+++ b/gateway/opensessions.go
@@ -31,7 +31,8 @@
 func (l *openLookup) seek(readers []origin.Reader) {
 	byHost := map[string][]origin.Reader{}
 	for _, r := range readers {
-		if r.MayBeOpen(clock.Now()) && !slices.ContainsFunc(l.sought, r.SameReader) {
+		asked := func(o origin.Reader) bool { return o.SameReader(r) && o.Host == r.Host }
+		if r.MayBeOpen(clock.Now()) && !slices.ContainsFunc(l.sought, asked) {
 			l.sought = append(l.sought, r)
 			byHost[r.Host] = append(byHost[r.Host], r)
 		}
@@ -45,6 +46,16 @@
 	l.open = append(l.open, l.recorded(untold)...)
 }
 
+// withoutSuperseded returns those of some open readers whose streams have not been taken up at another
+// host since: that host knows whether the stream is complete, the former one does not.
+func withoutSuperseded(open, all []origin.Reader) []origin.Reader {
+	return slices.DeleteFunc(open, func(r origin.Reader) bool {
+		return slices.ContainsFunc(all, func(o origin.Reader) bool {
+			return o.SameReader(r) && o.Host != r.Host && o.Expires.After(r.Expires)
+		})
+	})
+}
+
 // askReaderHosts asks the hosts that have not been asked yet, at the same time.
 func (l *openLookup) askReaderHosts(byHost map[string][]origin.Reader) {
 	part, asker := l.x.partKey(), l.x.originKey()
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -70,7 +70,8 @@
 	}()
 	told := await()
 	<-sought
-	others = x.readersOfSession(append(known, told.others...))
+	all := slices.Concat(known, told.others)
+	others = x.readersOfSession(slices.Clone(all))
 	if !x.readElsewhere(others, version) {
 		return nil, nil, told.answered
 	}
@@ -80,7 +81,7 @@
 		}
 	}
 	l.seek(others)
-	return others, l.open, told.answered
+	return others, withoutSuperseded(l.open, all), told.answered
 }
 
 // readersOfSession returns those of some readers that decide where the request runs.
