gateway: bound connections and heads at the metrics listener

What callers saw: as at the readiness listener; beside short headers no ordinary request was answered in a minute.

Cause: the metrics server has no limits of its own either.

Change: the server is built by internal/httpserver with the limits of readiness.

--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpserver"
 	"github.com/wheatseam/wheatseam/quarantine"
 	"github.com/wheatseam/wheatseam/stages"
 )
@@ -30,19 +30,20 @@
 	if address == "" {
 		return
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		g.log.Warn("listening for metrics failed; metrics are not served", zap.Error(err))
-		return
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET /state", g.serveState)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	server, err := httpserver.Listen(httpserver.Config{
+		Name: "metrics", Address: address, Handler: mux, Limits: httpserver.SmallLimits, Logger: g.log, Metrics: g.metrics,
+	})
+	if err != nil {
+		g.log.Warn("listening for metrics failed; metrics are not served", zap.Error(err))
+		return
+	}
+	group.Go(server.Serve)
 	context.AfterFunc(ctx, func() { _ = server.Close() }) // the listener ends with the process
 }
 
