gateway: bound connections of callers, so that descriptors are left

What callers saw: none was answered while 600 others held a connection and sent nothing, or nothing after one request: for as long as they stayed, up to five minutes (idleTimeout).

Cause: nothing bounds how many connections are open. A crowd takes all descriptors; accepting fails, and so do dials to replicas, peers and the store.

Change: the callers' listener is built by internal/httpserver. It has half of the descriptors less 200, or a fifth of memory_mb at 52 KiB a connection, if that is fewer; settings limits.descriptors and limits.connections. A new connection replaces an idle one, or one that has sent no complete request, never one with a request in work. Clients may rely on an idle connection for idle_timeout_ms of the configuration: the ones past it go first.

A listener that stops accepting at the bound would leave the crowd its places.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -44,6 +44,9 @@
 	// MaxBodyBytes is the maximum size of a request body; 0 leaves the limit to the
 	// gateway.
 	MaxBodyBytes int64
+	// IdleTimeout is the time after which idle connections may be closed; 0 leaves it to the
+	// gateway.
+	IdleTimeout time.Duration
 }
 
 // Route configures the requests under a path prefix of a host.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +22,7 @@
 	"github.com/wheatseam/wheatseam/discovery"
 	"github.com/wheatseam/wheatseam/fleet"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpserver"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/platform"
@@ -98,11 +95,15 @@
 	limiters *intake.Limiters
 	// quarantine keeps requests that crash replicas away from them.
 	quarantine *quarantine.Service
+	// maxConnections is the largest number of connections of callers.
+	maxConnections int
+	// callers is the server of the callers' listener; nil before Run.
+	callers atomic.Pointer[httpserver.Server]
 }
 
 // New returns a gateway that listens for its peers but has not started.
 func New(s *Settings, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{started: clock.Now(), initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), eventSteps: newEventSteps(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, promptMemory: newPromptMemory(), origins: newStreamOrigins()}
+	g := &Gateway{started: clock.Now(), initialized: make(chan struct{}), log: log, metrics: metrics.NewSet(), streamTimes: newStreamTimeEstimator(), eventCounts: newEventCountEstimator(), eventSteps: newEventSteps(), refusals: newRefusalMonitor(), coldTracker: newColdReplicaTracker(), notices: notices{loans: intake.NewAnnouncedLoans()}, promptMemory: newPromptMemory(), origins: newStreamOrigins(), maxConnections: s.Limits.maxConnections()}
 	g.prepareCtx, g.cancelPrepare = context.WithCancel(context.Background())
 	g.settings.Store(s)
 	g.limiters = intake.NewLimiters(g.recordedSince())
@@ -174,19 +175,15 @@
 // Run serves until ctx ends and then drains within the grace period of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
 	s := g.settings.Load()
-	callers, err := net.Listen("tcp", s.Listen.Callers)
+	callers, readiness, err := g.openListeners()
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	readiness, err := g.listenReadiness()
-	if err != nil {
-		return errors.Join(err, callers.Close())
+		return err
 	}
+	g.callers.Store(callers)
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	server := g.callerServer()
 	var group errgroup.Group
-	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
+	group.Go(callers.Serve)
 	group.Go(readiness.Serve)
 	group.Go(func() error { g.discovery.Run(runCtx); return nil })
 	group.Go(func() error { g.stages.Run(runCtx); return nil })
@@ -199,10 +196,10 @@
 	if !clock.DetectsSuspension() {
 		g.log.Warn("the time that this host spent suspended cannot be read; suspensions are not accounted for")
 	}
-	g.log.Info("started", zap.String("callers", s.Listen.Callers), zap.String("store", s.Store.Address),
+	g.log.Info("started", zap.String("callers", s.Listen.Callers), zap.Int("max_connections", g.maxConnections), zap.String("store", s.Store.Address),
 		zap.String("failure_domain", s.FailureDomain), zap.Strings("seeds", s.Seeds))
 	<-ctx.Done()
-	g.drain(server)
+	g.drain(callers)
 	stop()
 	_ = readiness.Close() // the process ends; only readiness probes are lost
 	err = group.Wait()
@@ -210,33 +207,6 @@
 	return err
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// Limits of net/http on the callers' side.
-const (
-	// readHeaderTimeout limits the time for reading the headers of a request. The
-	// operator's limit is 3 s; a caller that is slower than this timeout is not served.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout limits how long idle connections stay open. It is above any limit of the
-	// configuration, of which callers use at most four fifths.
-	idleTimeout = 5 * time.Minute
-	// maxHeaderBytes is above the limit of the configuration, 16 KiB.
-	maxHeaderBytes = 64 << 10
-)
-
-func (g *Gateway) callerServer() *http.Server {
-	return &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(g.log.Named("http")),
-	}
-}
-
 // The phases of a shutdown, as fractions of the grace period.
 const (
 	// acceptFraction is how long connections are still accepted: the platform stops sending
@@ -251,7 +221,7 @@
 
 // drain keeps serving until the platform sends no more connections, then waits for the
 // requests in flight.
-func (g *Gateway) drain(server *http.Server) {
+func (g *Gateway) drain(server *httpserver.Server) {
 	began := clock.Now()
 	grace := g.settings.Load().Drain.Grace
 	g.draining.Store(true)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -30,7 +30,7 @@
 
 // heldBytes is the number of bytes that a host of the settings holds for others at most.
 func heldBytes(s *Settings) int64 {
-	return int64(heldMemoryRatio * float64(int64(s.Limits.MemoryMB)<<20))
+	return int64(heldMemoryRatio * float64(s.Limits.memoryBytes()))
 }
 
 // maxPieces is the number of pieces that a host of the settings plans at most.
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wheatseam/wheatseam/core/connections"
 	"github.com/wheatseam/wheatseam/core/crash"
 	"github.com/wheatseam/wheatseam/core/holdings"
 	"github.com/wheatseam/wheatseam/core/retry"
@@ -204,6 +205,8 @@
 	Paths PathsState `json:"paths"`
 	// Memory is the account of the bytes held for others.
 	Memory holdings.State `json:"memory"`
+	// Connections are those of the callers' listener.
+	Connections connections.State `json:"connections"`
 	// RefusalLimits are the numbers of calls that replicas can refuse in a second.
 	RefusalLimits []LimitState `json:"refusal_limits"`
 }
@@ -216,6 +219,9 @@
 		Quarantine: g.quarantine.Dump(), Limits: g.notices.limitStates(clock.Now()), Cold: g.coldTracker.states(clock.Now()), Leaving: g.notices.leavingStates(clock.Now()), Backoffs: g.notices.backoffStates(clock.Now()),
 		Slowdowns: g.slowdowns.states(clock.Now()), Unreachable: g.reachability.states(clock.Now()), Origins: g.origins.state(), Paths: g.pathsState(), Memory: g.memory.state(), RefusalLimits: g.notices.refusalLimitStates(clock.Now()),
 	}
+	if callers := g.callers.Load(); callers != nil {
+		s.Connections = callers.State()
+	}
 	g.retryBudgets.Range(func(service, b any) bool {
 		s.Budgets[service.(string)] = b.(*retry.SharedBudget).Stats()
 		return true
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -116,8 +116,17 @@
 	// MemoryMB is the memory in units of 2^20 bytes above which the process is killed.
 	// Default 256.
 	MemoryMB int `yaml:"memory_mb"`
+	// Descriptors is how many descriptors the machine grants to the process. Default 0: the limit
+	// of the process.
+	Descriptors int `yaml:"descriptors"`
+	// Connections is the largest number of connections of callers. Default 0: what memory and
+	// descriptors allow.
+	Connections int `yaml:"connections"`
 }
 
+// memoryBytes is MemoryMB in bytes.
+func (l Limits) memoryBytes() int64 { return int64(l.MemoryMB) << 20 }
+
 // Log configures the log.
 type Log struct {
 	// Level is "debug", "info", "warn" or "error". Default "info".
@@ -215,4 +224,10 @@
 	if s.Limits.MemoryMB < 1 {
 		r.AddProblem("limits.memory_mb", "want 1 or more")
 	}
+	if s.Limits.Descriptors < 0 {
+		r.AddProblem("limits.descriptors", "want 1 or more, or 0 for the limit of the process")
+	}
+	if s.Limits.Connections < 0 {
+		r.AddProblem("limits.connections", "want 1 or more, or 0 for what memory and descriptors allow")
+	}
 }
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -32,7 +32,7 @@
 		"node_name": "edge-1", "zone": "x", "ip": "10.1.0.41", "seed_nodes|json": `["10.1.0.41:8628","10.2.0.25:8628"]`,
 		"platform.address": "10.200.1.7:8624", "bounds.drain_ms": "2000", "bounds.config_ms": "2000", "bounds.grace_s": "8",
 		"bounds.retry_ratio": "0.2", "bounds.retry_slack": "54", "bounds.retry_window_s": "10",
-		"limits.cpus": "1", "limits.cpu_quota": "0.4", "limits.memory_mb": "284",
+		"limits.cpus": "1", "limits.cpu_quota": "0.4", "limits.memory_mb": "284", "limits.max_fds": "4100",
 		"bootstrap|json": "false",
 	}
 	maps.Copy(values, more)
@@ -113,6 +113,8 @@
 		Entry("no failure domain", "failure_domain: \"x\"\nlisten", "failure_domain: \"\"\nlisten", "failure_domain"),
 		Entry("no switch", "fair_shares: true", "fair_shares: maybe", "fair_shares"),
 		Entry("no processor", "processors: 1", "processors: 0", "limits.processors"),
+		Entry("negative descriptors", "descriptors: 4100", "descriptors: -1", "limits.descriptors"),
+		Entry("negative connections", "descriptors: 4100", "connections: -1", "limits.connections"),
 		Entry("negative budget", "ratio: 0.2", "ratio: -1", "budget"),
 	)
 
