httpserver: bound what the kernel holds of each connection

What callers saw: the platform ends the process, since it counts bytes that were received and not yet read as the process's memory.

Cause: receive buffers have the kernel's default size, and connections that wait to be accepted have them as well.

Change: the listener's socket asks for a receive buffer of 16 KiB, which accepted connections inherit and of which the kernel makes 32, and its backlog is as long as there may be connections.

--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -14,10 +14,8 @@
 
 const (
 	// connectionMemoryRatio is the part of limits.memory_mb for connections of callers, beside
-	// heldMemoryRatio.
+	// heldMemoryRatio. What the kernel holds of them counts toward the machine's limit.
 	connectionMemoryRatio = 0.2
-	// unreadBytes is what the kernel is expected to hold of a connection.
-	unreadBytes = 32 << 10
 	// minConnections are allowed however little memory there is.
 	minConnections = 16
 )
@@ -56,7 +54,7 @@
 	if l.Connections > 0 {
 		return l.Connections
 	}
-	const each = httpserver.ConnectionBytes + unreadBytes
+	const each = httpserver.ConnectionBytes + httpserver.UnreadBytes
 	byMemory := int(connectionMemoryRatio * float64(l.memoryBytes()) / each)
 	return min(max(minConnections, byMemory), httpserver.MaxConnections(l.Descriptors))
 }
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -45,6 +45,11 @@
 const (
 	// ConnectionBytes is the memory of a connection: its goroutine's stack and net/http's buffers.
 	ConnectionBytes = 20 << 10
+	// receiveBufferBytes is the size that the kernel is asked for; it takes twice as much, for its
+	// own overhead, and may fill all of it with data.
+	receiveBufferBytes = 16 << 10
+	// UnreadBytes is what the kernel holds of a connection at most that the process has not read.
+	UnreadBytes = 2 * receiveBufferBytes
 	// headerLineBytes is what a line of a head costs beside its bytes: an entry of a map of the
 	// parsed header, and of the one that is passed on.
 	headerLineBytes = 200
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,11 +58,15 @@
 	s := &Server{cfg: c, set: connections.New(limits.forSet()), conns: map[connections.ID]*conn{}}
 	s.closed = sync.NewCond(&s.mu)
 	s.closings.init(c)
-	l, err := net.Listen("tcp", c.Address)
+	lc := net.ListenConfig{Control: setReceiveBuffer}
+	l, err := lc.Listen(context.Background(), "tcp", c.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", c.Name, err)
 	}
 	s.listener = l.(*net.TCPListener)
+	if err := setBacklog(s.listener, limits.Connections); err != nil {
+		return nil, errors.Join(fmt.Errorf("listen for %s: set the backlog: %w", c.Name, err), l.Close())
+	}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serve), ErrorLog: c.ErrorLog,
 		ReadHeaderTimeout: unlimited, IdleTimeout: unlimited, ReadTimeout: limits.ReadTimeout,
@@ -86,6 +91,28 @@
 	return connections.Limits{Connections: l.Connections, HeadBytes: l.HeadMemory, IdleTimeout: l.KeepIdle}
 }
 
+// setReceiveBuffer bounds what the kernel holds of each connection, also of those that have not been
+// accepted: they inherit the size from the listener.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+	return errors.Join(err, optErr)
+}
+
+// setBacklog bounds how many connections wait to be accepted: the kernel holds received bytes for
+// them, too.
+func setBacklog(l *net.TCPListener, n int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), n) })
+	return errors.Join(err, listenErr)
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
