gateway: bound the memory of heads, follow the configured limits

What callers saw: the platform ends the process; beside unfinished heads and short headers no ordinary request was answered in a minute.

Cause: the callers' listener read heads of 68 KiB, four times the configured max_header_bytes, on any number of connections, and the parsed form of a line of 6 bytes takes some 100 (http.ReadRequest). core/holdings accounts for bodies, pieces and tunnels, not for heads. All heads were parsed at once, so that each step of an ordinary request waited for a round of them.

Change: heads have 0.05 of memory_mb, a head counts 200 bytes for each line beside its own from its first byte to the end of the answer, and the largest incomplete one is given up when they don't fit. A head may have max_header_bytes of the configuration, then it gets 431; a longer header_timeout_ms or idle_timeout_ms of the configuration holds, too. Few heads are parsed at a time, the first 4 KiB of each apart from the rest. Trailers are dropped, which nothing passes on.

Why it works: what was read but not parsed is small, and what is parsed is charged before; connections that were given up count until they are closed.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -39,13 +39,16 @@
 	Priority *int
 }
 
-// Limits bound the size of callers' requests.
+// Limits are what callers may rely on: requests and connections within them are served. A limit of
+// 0 is left to the gateway.
 type Limits struct {
-	// MaxBodyBytes is the maximum size of a request body; 0 leaves the limit to the
-	// gateway.
+	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
-	// IdleTimeout is the time after which idle connections may be closed; 0 leaves it to the
-	// gateway.
+	// MaxHeaderBytes is the maximum size of a request's head.
+	MaxHeaderBytes int
+	// HeaderTimeout is the longest time to send a head.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the time after which an idle connection may be closed.
 	IdleTimeout time.Duration
 }
 
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -75,6 +75,7 @@
 	_ = rc.SetReadDeadline(clock.ToMonotonic(x.deadline))
 	body, _, err := httpbody.ReadHeld(io.TeeReader(http.MaxBytesReader(x.w, x.r.Body, limit), hasher), x.r.ContentLength, limit, x.bodyMemory)
 	_ = rc.SetReadDeadline(time.Time{})
+	x.r.Trailer = nil // not passed on, and not accounted for
 	x.logMemory(x.bodyMemory, max(x.r.ContentLength, x.bodyMemory.held), err)
 	var tooLarge *http.MaxBytesError
 	var refusal *memoryRefusal
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -60,6 +60,8 @@
 	coldRate, coldCallRate int
 	// maxBodyBytes is the limit of the configuration for bodies.
 	maxBodyBytes int
+	// maxHeaderBytes is its limit for heads, 0 for none.
+	maxHeaderBytes int
 	// otherKey is the key of a second customer; "" for none.
 	otherKey string
 	// largeRoute adds a route for requests that take long to read.
@@ -148,7 +150,7 @@
 			encode["warmup_s"], encode["warmup_per_s"] = 20, f.coldCallRate
 		}
 	}
-	c["limits"] = map[string]any{"max_body_bytes": f.maxBodyBytes}
+	c["limits"] = map[string]any{"max_body_bytes": f.maxBodyBytes, "max_header_bytes": f.maxHeaderBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000}
 	f.store.Put("op/config", c)
 }
 
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -12,40 +12,39 @@
 	"github.com/wheatseam/wheatseam/platform"
 )
 
+// The parts of limits.memory_mb for clients of the callers' listener, beside heldMemoryRatio. The
+// memory of connections and heads belongs to the process; what the kernel holds of a connection
+// counts toward the machine's limit.
 const (
-	// connectionMemoryRatio is the part of limits.memory_mb for connections of callers, beside
-	// heldMemoryRatio. What the kernel holds of them counts toward the machine's limit.
 	connectionMemoryRatio = 0.2
+	headMemoryRatio       = 0.05
 	// minConnections are allowed however little memory there is.
 	minConnections = 16
 )
 
-// Limits on callers.
+// Limits on callers that the configuration may raise.
 const (
-	// headerTimeout limits the time for reading a head. The operator's limit is 3 s.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is above any limit of the configuration.
-	idleTimeout = 5 * time.Minute
-	// maxHeadBytes is above the limit of the configuration, 16 KiB.
-	maxHeadBytes = 64 << 10
-	// maxHeadMemory does not bind.
-	maxHeadMemory = 1 << 40
+	minHeaderTimeout = 10 * time.Second
+	minIdleTimeout   = 5 * time.Minute
+	// unknownMaxHeadBytes is the size of heads while no configuration is known.
+	unknownMaxHeadBytes = 64 << 10
 )
 
-// callerLimits returns the limits on clients of the callers' listener.
+// callerLimits returns the limits in force on clients of the callers' listener.
 func (g *Gateway) callerLimits() httpserver.Limits {
-	return httpserver.Limits{
-		Connections: g.maxConnections, HeadMemory: maxHeadMemory, MaxHeadBytes: maxHeadBytes,
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, KeepIdle: g.keepIdle(),
+	settings := g.settings.Load().Limits
+	l := httpserver.Limits{
+		Connections: g.maxConnections, HeadMemory: int64(headMemoryRatio * float64(settings.memoryBytes())), MaxHeadBytes: unknownMaxHeadBytes,
+		HeaderTimeout: minHeaderTimeout, IdleTimeout: minIdleTimeout, KeepIdle: minIdleTimeout,
 	}
-}
-
-// keepIdle returns for how long callers may rely on an idle connection.
-func (g *Gateway) keepIdle() time.Duration {
 	if c := configOf(g.discovery.View()); c != nil {
-		return cmp.Or(c.Limits.IdleTimeout, idleTimeout)
+		l.MaxHeadBytes = cmp.Or(c.Limits.MaxHeaderBytes, l.MaxHeadBytes)
+		l.KeepIdle = cmp.Or(c.Limits.IdleTimeout, l.KeepIdle)
+		l.HeaderTimeout = max(l.HeaderTimeout, c.Limits.HeaderTimeout)
+		l.IdleTimeout = max(l.IdleTimeout, c.Limits.IdleTimeout)
 	}
-	return idleTimeout
+	l.HeadMemory = max(l.HeadMemory, httpserver.MinHeadMemory(l.MaxHeadBytes))
+	return l
 }
 
 // maxConnections returns the number of connections of callers: what the settings say, or what
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -35,6 +35,10 @@
 	server *Server
 	id     connections.ID
 	phase  atomic.Int32
+	// givenUp is closed when the server closes the connection to make room.
+	givenUp chan struct{}
+	// parsePermit is the pool of the permit that the connection holds to parse a head; nil for none.
+	parsePermit atomic.Pointer[chan struct{}]
 
 	// The following are used by the goroutine that reads. since is when the phase began.
 	since     time.Time
@@ -46,11 +50,12 @@
 }
 
 func newConn(s *Server, raw net.Conn, id connections.ID) *conn {
-	return &conn{Conn: raw, server: s, id: id, since: time.Now()}
+	return &conn{Conn: raw, server: s, id: id, since: time.Now(), givenUp: make(chan struct{})}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	c.parsed()
 	phase := c.phase.Load()
 	switch phase {
 	case readsHead:
@@ -73,9 +78,38 @@
 	if !c.headReceived(n, cost) {
 		return 0, c.rejectHead()
 	}
+	if err := c.awaitParsing(); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
+// awaitParsing waits until net/http may parse what was read of a head, and returns an error if the
+// connection has been given up. Few heads are parsed at a time, so that requests in work don't
+// share the processor with all clients that send heads.
+func (c *conn) awaitParsing() error {
+	pool := &c.server.firstParsing
+	if c.headBytes > bufferBytes {
+		pool = &c.server.furtherParsing
+	}
+	select {
+	case *pool <- struct{}{}:
+		c.parsePermit.Store(pool)
+		c.server.awaitClosed(c.id)
+		return nil
+	case <-c.givenUp:
+		return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
+	}
+}
+
+// parsed releases the permit of awaitParsing, if the connection holds one. It is called by whatever
+// net/http does next.
+func (c *conn) parsed() {
+	if pool := c.parsePermit.Swap(nil); pool != nil {
+		<-*pool
+	}
+}
+
 // cost returns the memory that bytes take once they are parsed as part of a head.
 func (c *conn) cost(p []byte) int64 {
 	if c.server.cfg.TLS != nil {
@@ -116,6 +150,7 @@
 
 // requestBegins notes that the head is complete, and reports whether the request may run.
 func (c *conn) requestBegins() bool {
+	c.parsed()
 	c.phase.Store(readsBody)
 	return c.server.begin(c.id)
 }
@@ -158,16 +193,19 @@
 // CloseWrite ends the connection for writing. net/http does so before it closes a connection whose
 // client may still be sending.
 func (c *conn) CloseWrite() error {
+	c.parsed()
 	return c.Conn.(*net.TCPConn).CloseWrite()
 }
 
 // giveUp closes the connection to make room.
 func (c *conn) giveUp() {
+	close(c.givenUp)
 	_ = c.Conn.Close() // net/http closes it, too
 }
 
 // Close implements net.Conn. net/http has released what it held for the connection.
 func (c *conn) Close() error {
+	c.parsed()
 	err := c.Conn.Close()
 	c.server.forget(c.id)
 	return err
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -42,8 +43,12 @@
 	listener *net.TCPListener
 	http     *http.Server
 	closings closings
-	mu       sync.Mutex
-	// closed is signalled when a connection has been closed.
+	// firstParsing and furtherParsing have permits that are held while net/http parses the first
+	// bufferBytes of a head, and more of it: ordinary heads don't wait for large ones.
+	firstParsing, furtherParsing chan struct{}
+
+	mu sync.Mutex
+	// closed is signalled when a connection was given up or has been closed.
 	closed *sync.Cond
 	set    *connections.Set
 	conns  map[connections.ID]*conn
@@ -56,6 +61,7 @@
 func Listen(c Config) (*Server, error) {
 	limits := c.Limits()
 	s := &Server{cfg: c, set: connections.New(limits.forSet()), conns: map[connections.ID]*conn{}}
+	s.firstParsing, s.furtherParsing = make(chan struct{}, runtime.GOMAXPROCS(0)), make(chan struct{}, runtime.GOMAXPROCS(0))
 	s.closed = sync.NewCond(&s.mu)
 	s.closings.init(c)
 	lc := net.ListenConfig{Control: setReceiveBuffer}
@@ -199,6 +205,9 @@
 		c = newConn(s, raw, o.ID)
 		s.conns[o.ID] = c
 	}
+	if replaced != nil {
+		s.closed.Broadcast() // it may be waiting itself
+	}
 	s.mu.Unlock()
 	if replaced != nil {
 		s.closings.note(reason, replaced.RemoteAddr())
@@ -210,6 +219,16 @@
 	return c
 }
 
+// awaitClosed waits while many connections that were given up have not been closed: they have their
+// memory until then. It doesn't wait for a connection that has itself been given up.
+func (s *Server) awaitClosed(id connections.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.set.Closing() >= connections.MaxClosing && !s.set.IsClosing(id) {
+		s.closed.Wait()
+	}
+}
+
 // headRead notes that more of a head was read, and closes connections whose heads don't fit.
 func (s *Server) headRead(c *conn, bytes int64) {
 	limits := s.cfg.Limits().forSet()
@@ -219,6 +238,9 @@
 	for _, id := range s.set.HeadRead(clock.Now(), c.id, bytes) {
 		givenUp = append(givenUp, s.conns[id])
 	}
+	if len(givenUp) > 0 {
+		s.closed.Broadcast() // one of them may be waiting itself
+	}
 	s.mu.Unlock()
 	for _, other := range givenUp {
 		s.closings.note(closedHeadMemory, other.RemoteAddr())
