httpserver: end writes to clients that don't read

Cause: besides the connections, which are bounded by now, nothing ends a connection whose client leaves an answer unread, unless its request was passed on and has a deadline: refusals, metrics and probes have none. It counts as a request in work and is never closed for room.

Change: a write of up to 64 KiB ends after limits.write_timeout, 30 s, or at the deadline that the handler has set, if that is earlier. If all connections are in work, the one whose answer has been unread for longest, over 5 s, is closed for a new one.

--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -35,7 +35,7 @@
 	settings := g.settings.Load().Limits
 	l := httpserver.Limits{
 		Connections: g.maxConnections, HeadMemory: int64(headMemoryRatio * float64(settings.memoryBytes())), MaxHeadBytes: unknownMaxHeadBytes,
-		HeaderTimeout: minHeaderTimeout, IdleTimeout: minIdleTimeout, KeepIdle: minIdleTimeout,
+		HeaderTimeout: minHeaderTimeout, IdleTimeout: minIdleTimeout, KeepIdle: minIdleTimeout, WriteTimeout: cmp.Or(settings.WriteTimeout, httpserver.DefaultWriteTimeout),
 	}
 	if c := configOf(g.discovery.View()); c != nil {
 		l.MaxHeadBytes = cmp.Or(c.Limits.MaxHeaderBytes, l.MaxHeadBytes)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -122,6 +122,9 @@
 	// Connections is the largest number of connections of callers. Default 0: what memory and
 	// descriptors allow.
 	Connections int `yaml:"connections"`
+	// WriteTimeout is how long a write to a caller that doesn't read its answer may wait. Default 0:
+	// 30s.
+	WriteTimeout time.Duration `yaml:"write_timeout"`
 }
 
 // memoryBytes is MemoryMB in bytes.
@@ -230,4 +233,7 @@
 	if s.Limits.Connections < 0 {
 		r.AddProblem("limits.connections", "want 1 or more, or 0 for what memory and descriptors allow")
 	}
+	if s.Limits.WriteTimeout < 0 {
+		r.AddProblem("limits.write_timeout", "want a time over 0, or 0 for the default")
+	}
 }
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -115,6 +115,7 @@
 		Entry("no processor", "processors: 1", "processors: 0", "limits.processors"),
 		Entry("negative descriptors", "descriptors: 4100", "descriptors: -1", "limits.descriptors"),
 		Entry("negative connections", "descriptors: 4100", "connections: -1", "limits.connections"),
+		Entry("negative write timeout", "descriptors: 4100", `write_timeout: "-1s"`, "limits.write_timeout"),
 		Entry("negative budget", "ratio: 0.2", "ratio: -1", "budget"),
 	)
 
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -74,8 +74,10 @@
 // OneRequest sends one request and then nothing.
 func OneRequest() Kind { return Kind{Name: "one request each", Start: requestLine + "\r\n"} }
 
-// UnreadAnswers sends requests one after the other and reads no answer.
-func UnreadAnswers() Kind { return endless("answers not read", "", requestLine+"\r\n") }
+// UnreadAnswers sends requests for a path one after the other and reads no answer.
+func UnreadAnswers(path string) Kind {
+	return endless("answers not read", "", "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+}
 
 // PipelinedBodies sends a request whose body never ends, in chunks that are larger than any limit.
 func PipelinedBodies() Kind {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,10 @@
 	// parsePermit is the pool of the permit that the connection holds to parse a head; nil for none.
 	parsePermit atomic.Pointer[chan struct{}]
 
+	mu sync.Mutex
+	// writeDeadline is the deadline that the handler has set; zero for none.
+	writeDeadline time.Time
+
 	// The following are used by the goroutine that reads. since is when the phase began.
 	since     time.Time
 	headBytes int
@@ -47,8 +52,15 @@
 	buffered int64
 	// idleDeadlineSet is set once net/http has set the deadline of the idle connection.
 	idleDeadlineSet bool
+
+	// writing is when the write in progress began, in nanoseconds since the server's epoch; 0 for
+	// none.
+	writing atomic.Int64
 }
 
+// epoch is the origin of conn.writing. Deadlines of connections are in the time of package time.
+var epoch = time.Now().Add(-time.Second)
+
 func newConn(s *Server, raw net.Conn, id connections.ID) *conn {
 	return &conn{Conn: raw, server: s, id: id, since: time.Now(), givenUp: make(chan struct{})}
 }
@@ -190,6 +202,57 @@
 	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeadTooLarge}
 }
 
+// writeChunkBytes is the size of the writes for which WriteTimeout holds.
+const writeChunkBytes = 64 << 10
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (written int, err error) {
+	c.parsed()
+	defer c.writing.Store(0)
+	for {
+		now := time.Now()
+		c.writing.Store(int64(now.Sub(epoch)))
+		_ = c.Conn.SetWriteDeadline(c.writeLimit(now)) // a closed connection fails the write
+		n, err := c.Conn.Write(p[:min(len(p), writeChunkBytes)])
+		written += n
+		if p = p[n:]; err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
+}
+
+// writeLimit returns the deadline of a write that begins now.
+func (c *conn) writeLimit(now time.Time) time.Time {
+	limit := now.Add(c.server.cfg.Limits().WriteTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(limit) {
+		return c.writeDeadline
+	}
+	return limit
+}
+
+// writeBegan returns when the write in progress began; zero if there is none.
+func (c *conn) writeBegan() time.Time {
+	if at := c.writing.Load(); at != 0 {
+		return epoch.Add(time.Duration(at))
+	}
+	return time.Time{}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.writeDeadline = t
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // CloseWrite ends the connection for writing. net/http does so before it closes a connection whose
 // client may still be sending.
 func (c *conn) CloseWrite() error {
--- a/internal/httpserver/doc.go
+++ b/internal/httpserver/doc.go
@@ -2,8 +2,9 @@
 // their processes run out of memory or descriptors.
 //
 // A Server bounds, with the rules of core/connections, how many connections are open and what the
-// heads of requests cost; how long a head is and takes; how long a connection is idle; and how many bytes
-// the kernel holds that the process has not read. net/http has limits for a single connection only, and fixed ones; Limits may change while
+// heads of requests cost; how long a head is and takes; how long a connection is idle; how long a
+// client may leave an answer unread; and how many bytes the kernel holds that the process has not
+// read. net/http has limits for a single connection only, and fixed ones; Limits may change while
 // a Server runs.
 //
 // # How it follows net/http
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -24,12 +24,15 @@
 	// ReadTimeout is how long a client may take to send a request; 0 for no limit. It is fixed when
 	// the server starts.
 	ReadTimeout time.Duration
+	// WriteTimeout is how long a write may wait for a client that doesn't read.
+	WriteTimeout time.Duration
 }
 
 // Defaults for listeners whose clients are few.
 const (
 	DefaultHeaderTimeout = 10 * time.Second
 	DefaultIdleTimeout   = 2 * time.Minute
+	DefaultWriteTimeout  = 30 * time.Second
 	DefaultMaxHeadBytes  = 16 << 10
 )
 
@@ -37,7 +40,7 @@
 func SmallLimits() Limits {
 	return Limits{
 		Connections: 32, HeadMemory: MinHeadMemory(DefaultMaxHeadBytes), MaxHeadBytes: DefaultMaxHeadBytes,
-		HeaderTimeout: DefaultHeaderTimeout, IdleTimeout: DefaultIdleTimeout, KeepIdle: DefaultIdleTimeout,
+		HeaderTimeout: DefaultHeaderTimeout, IdleTimeout: DefaultIdleTimeout, KeepIdle: DefaultIdleTimeout, WriteTimeout: DefaultWriteTimeout,
 	}
 }
 
--- a/internal/httpserver/observe.go
+++ b/internal/httpserver/observe.go
@@ -20,6 +20,7 @@
 const (
 	closedHeadMemory   closeReason = "head_memory"
 	closedHeadTooLarge closeReason = "head_too_large"
+	closedUnreadAnswer closeReason = "room_unread_answer"
 	closedAllBusy      closeReason = "refused_all_busy"
 )
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -200,6 +200,14 @@
 	o := s.set.Open(now)
 	reason := closedForRoom(o.ReplacedPhase)
 	replaced := s.conns[o.Replaces]
+	if o.ID == 0 {
+		if replaced = s.longestUnread(); replaced != nil {
+			// Its handler may take a while to end, and has an account of its own for what it holds.
+			s.set.Close(replaced.id)
+			delete(s.conns, replaced.id)
+			o, reason = s.set.Open(now), closedUnreadAnswer
+		}
+	}
 	var c *conn
 	if o.ID != 0 {
 		c = newConn(s, raw, o.ID)
@@ -229,6 +237,23 @@
 	}
 }
 
+// unreadGrace is for how long a client may leave an answer unread before its connection is closed
+// for a new one.
+const unreadGrace = 5 * time.Second
+
+// longestUnread returns the connection whose answer has gone unread for the longest time, over
+// unreadGrace; nil for none. mu must be held.
+func (s *Server) longestUnread() *conn {
+	var longest *conn
+	since := time.Now().Add(-unreadGrace)
+	for _, c := range s.conns {
+		if began := c.writeBegan(); !began.IsZero() && began.Before(since) {
+			longest, since = c, began
+		}
+	}
+	return longest
+}
+
 // headRead notes that more of a head was read, and closes connections whose heads don't fit.
 func (s *Server) headRead(c *conn, bytes int64) {
 	limits := s.cfg.Limits().forSet()
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -23,6 +23,12 @@
 	"github.com/wheatseam/wheatseam/internal/httpserver"
 )
 
+// largePath has an answer that is larger than all buffers between server and client.
+const (
+	largePath  = "/large"
+	largeBytes = 64 << 20
+)
+
 // fixture is a server whose handler answers the path of a request, at /wait once release is closed.
 type fixture struct {
 	*WithT
@@ -59,6 +65,10 @@
 	if r.URL.Path == "/wait" {
 		<-f.release
 	}
+	if r.URL.Path == largePath {
+		_, _ = w.Write(make([]byte, largeBytes)) // fails once the connection is closed
+		return
+	}
 	_, _ = io.WriteString(w, r.URL.Path) // the client may have gone
 }
 
@@ -260,6 +270,26 @@
 	}
 }
 
+func TestUnreadAnswersTimeOut(t *testing.T) {
+	f := start(t, nil, func(l *httpserver.Limits) { l.WriteTimeout = 100 * time.Millisecond })
+	f.dial().send(request(largePath, ""))
+	f.count(connections.Busy, 1)
+	f.Eventually(func() int { return f.server.State().ByPhase[connections.Busy] }, 10*time.Second).Should(BeZero())
+}
+
+func TestUnreadAnswersAreClosedForNewConnections(t *testing.T) {
+	f := start(t, nil, func(l *httpserver.Limits) { l.Connections, l.WriteTimeout = 1, time.Hour })
+	f.dial().send(request(largePath, ""))
+	f.count(connections.Busy, 1)
+	f.dial().expectClosed()
+	f.Eventually(func() bool {
+		c := f.dial()
+		_, _ = io.WriteString(c, request("/", "")) // fails if the server has closed it
+		resp, err := http.ReadResponse(c.r, nil)
+		return err == nil && resp.StatusCode == http.StatusOK
+	}, 30*time.Second, 100*time.Millisecond).Should(BeTrue())
+}
+
 func TestTLS(t *testing.T) {
 	certificate := httptest.NewUnstartedServer(nil)
 	certificate.StartTLS()
