daemon: bound connections and heads of callers

What callers saw: the process grows with each connection; nothing refuses one.

Cause: the callers' server of the daemon with its own interface bounds one head, not all of them, and no number of connections.

Change: the server is built by internal/httpserver; settings limits.max_connections (500), limits.max_header_memory (16 MiB, and at least what one head inside max_header_bytes takes) and limits.write_timeout (30 s). TestDrainWaitsForCallers asks the handler that counts requests directly, which is what the server's handler was.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -27,6 +25,7 @@
 	"github.com/wheatseam/wheatseam/core/retry"
 	"github.com/wheatseam/wheatseam/core/route"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpserver"
 	"github.com/wheatseam/wheatseam/internal/periodic"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/operator"
@@ -111,17 +110,16 @@
 func (d *Daemon) Run(ctx, abort context.Context) error {
 	ctx, d.startDrain = context.WithCancel(ctx)
 	defer d.startDrain()
-	listener, err := d.openListeners()
+	server, err := d.openListeners()
 	if err != nil {
 		return err
 	}
-	server := d.newCallerServer(caller.NewServer(caller.Config{Backend: d, MaxBodyBytes: d.settings.Limits.MaxBodyBytes}))
-	d.log.Info("listening", zap.String("callers", listener.Addr().String()),
+	d.log.Info("listening", zap.String("callers", server.Addr()),
 		zap.String("peers", d.peerTransport.Addr()), zap.String("operators", d.operatorServer.Addr()))
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	var group errgroup.Group
-	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	group.Go(server.Serve)
 	group.Go(d.operatorServer.Serve)
 	group.Go(func() error { return d.cluster.Run(backgroundCtx, d.peerTransport) })
 	group.Go(func() error { d.shares.Run(backgroundCtx, d.peerTransport); return nil })
@@ -145,19 +143,18 @@
 }
 
 // openListeners opens the listeners for peers, operators and callers, all or none.
-func (d *Daemon) openListeners() (net.Listener, error) {
+func (d *Daemon) openListeners() (*httpserver.Server, error) {
 	if err := d.openPeers(); err != nil {
 		return nil, err
 	}
 	if err := d.openOperators(); err != nil {
 		return nil, errors.Join(err, d.peerTransport.Close())
 	}
-	listener, err := net.Listen("tcp", d.settings.Listen.Callers)
+	server, err := d.listenCallers(caller.NewServer(caller.Config{Backend: d, MaxBodyBytes: d.settings.Limits.MaxBodyBytes}))
 	if err != nil {
-		err = fmt.Errorf("listen for callers: %w", err)
 		return nil, errors.Join(err, d.operatorServer.Shutdown(context.Background()), d.peerTransport.Close())
 	}
-	return listener, nil
+	return server, nil
 }
 
 // closeListeners closes the sessions with peer daemons first and the operators'
@@ -171,23 +168,21 @@
 	}
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+// listenCallers opens the callers' listener, whose server counts the requests that handler is
+// serving.
+func (d *Daemon) listenCallers(handler http.Handler) (*httpserver.Server, error) {
+	limits := callerLimits(d.settings.Limits)
+	return httpserver.Listen(httpserver.Config{
+		Name: "callers", Address: d.settings.Listen.Callers, Handler: d.countActive(handler),
+		Limits: func() httpserver.Limits { return limits }, Logger: d.log, Metrics: d.metrics,
+	})
 }
 
-// newCallerServer returns the HTTP server for callers, which counts the requests
-// that its handler is serving.
-func (d *Daemon) newCallerServer(handler http.Handler) *http.Server {
-	limits := d.settings.Limits
-	return &http.Server{
-		Handler:           d.countActive(handler),
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ReadHeaderTimeout: limits.ReadHeaderTimeout,
-		ReadTimeout:       limits.ReadTimeout,
-		IdleTimeout:       limits.IdleTimeout,
+func callerLimits(l settings.Limits) httpserver.Limits {
+	return httpserver.Limits{
+		Connections: min(l.MaxConnections, httpserver.MaxConnections(0)), HeadMemory: l.MaxHeaderMemory, MaxHeadBytes: l.MaxHeaderBytes,
+		HeaderTimeout: l.ReadHeaderTimeout, IdleTimeout: l.IdleTimeout, KeepIdle: l.IdleTimeout,
+		ReadTimeout: l.ReadTimeout, WriteTimeout: l.WriteTimeout,
 	}
 }
 
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -18,7 +18,7 @@
 	g := NewWithT(t)
 	d := &Daemon{settings: &settings.Settings{}, requestTable: request.NewTable()}
 	serving, write := make(chan struct{}), make(chan struct{})
-	server := d.newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	handler := d.countActive(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		close(serving)
 		<-write
 	}))
@@ -27,7 +27,7 @@
 	g.Expect(d.idle()).To(BeTrue())
 	go func() {
 		defer close(answered)
-		server.Handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/", nil))
+		handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/", nil))
 	}()
 	g.Eventually(serving).Should(BeClosed())
 	busy := !d.idle()
--- a/internal/proctest/call.go
+++ b/internal/proctest/call.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return Outcome{Err: err}
 	}
-	target := "http://" + f.callerAddress(i) + "/v1/pipelines/" + pipeline
+	target := "http://" + f.CallerAddress(i) + "/v1/pipelines/" + pipeline
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
 		return Outcome{Err: err}
@@ -93,7 +93,7 @@
 func (f *Fleet) callOperatorAPI(i int, method, path string) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.operatorAddress(i)+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.OperatorAddress(i)+path, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -291,13 +291,15 @@
 	return fmt.Errorf("%s does not listen; its log: %s", hostName(i), f.Daemons[i].Log())
 }
 
-func (f *Fleet) callerAddress(i int) string {
+// CallerAddress returns the address of the callers' listener of daemon i.
+func (f *Fleet) CallerAddress(i int) string {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	return f.callerAddresses[i]
 }
 
-func (f *Fleet) operatorAddress(i int) string {
+// OperatorAddress returns the address of the operators' listener of daemon i.
+func (f *Fleet) OperatorAddress(i int) string {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	return f.operatorAddresses[i]
--- a/replay/fleetfiles/fleetfiles.go
+++ b/replay/fleetfiles/fleetfiles.go
@@ -228,7 +228,8 @@
 			Limits: settings.Limits{
 				MaxBodyBytes: settings.DefaultMaxBodyBytes, MaxHeaderBytes: settings.DefaultMaxHeaderBytes,
 				ReadHeaderTimeout: settings.DefaultReadHeaderTimeout, ReadTimeout: settings.DefaultReadTimeout,
-				IdleTimeout: settings.DefaultIdleTimeout,
+				IdleTimeout:    settings.DefaultIdleTimeout,
+				MaxConnections: settings.DefaultMaxConnections, MaxHeaderMemory: settings.DefaultMaxHeaderMemory, WriteTimeout: settings.DefaultWriteTimeout,
 			},
 			Drain: settings.Drain{Bound: settings.DefaultDrainBound},
 			Log:   settings.Log{Level: "warn"},
--- a/settings/check.go
+++ b/settings/check.go
@@ -13,14 +13,16 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/wheatseam/wheatseam/bundle"
+	"github.com/wheatseam/wheatseam/internal/httpserver"
 )
 
 // The allowed ranges of size limits.
 const (
-	minBodyBytes   = 1 << 10
-	maxBodyBytes   = 64 << 20
-	minHeaderBytes = 1 << 10
-	maxHeaderBytes = 1 << 20
+	minBodyBytes    = 1 << 10
+	maxBodyBytes    = 64 << 20
+	minHeaderBytes  = 1 << 10
+	maxHeaderBytes  = 1 << 20
+	maxHeaderMemory = 1 << 30
 )
 
 // Check returns all problems of the settings as one joined error. It accesses no
@@ -152,6 +154,9 @@
 	checkPositive("limits.read_header_timeout", int64(s.Limits.ReadHeaderTimeout))
 	checkPositive("limits.read_timeout", int64(s.Limits.ReadTimeout))
 	checkPositive("limits.idle_timeout", int64(s.Limits.IdleTimeout))
+	checkPositive("limits.max_connections", int64(s.Limits.MaxConnections))
+	checkRange("limits.max_header_memory", s.Limits.MaxHeaderMemory, httpserver.MinHeadMemory(s.Limits.MaxHeaderBytes), maxHeaderMemory)
+	checkPositive("limits.write_timeout", int64(s.Limits.WriteTimeout))
 	checkPositive("drain.bound", int64(s.Drain.Bound))
 	return errs
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,6 +89,14 @@
 	ReadTimeout time.Duration `yaml:"read_timeout"`
 	// IdleTimeout is the maximum time that a connection may be idle. Default 2m.
 	IdleTimeout time.Duration `yaml:"idle_timeout"`
+	// MaxConnections is the maximum number of connections of callers. Default 500.
+	MaxConnections int `yaml:"max_connections"`
+	// MaxHeaderMemory is the memory in bytes that the headers of all requests may
+	// take. Default 16 MiB.
+	MaxHeaderMemory int64 `yaml:"max_header_memory"`
+	// WriteTimeout is the maximum time that a write to a caller that does not read
+	// its response may wait. Default 30s.
+	WriteTimeout time.Duration `yaml:"write_timeout"`
 }
 
 // Drain configures a graceful shutdown.
@@ -112,6 +120,9 @@
 	DefaultReadHeaderTimeout = 5 * time.Second
 	DefaultReadTimeout       = 15 * time.Second
 	DefaultIdleTimeout       = 2 * time.Minute
+	DefaultMaxConnections    = 500
+	DefaultMaxHeaderMemory   = 16 << 20
+	DefaultWriteTimeout      = 30 * time.Second
 	DefaultDrainBound        = 30 * time.Second
 	DefaultLogLevel          = "info"
 )
@@ -171,6 +182,9 @@
 			ReadHeaderTimeout: DefaultReadHeaderTimeout,
 			ReadTimeout:       DefaultReadTimeout,
 			IdleTimeout:       DefaultIdleTimeout,
+			MaxConnections:    DefaultMaxConnections,
+			MaxHeaderMemory:   DefaultMaxHeaderMemory,
+			WriteTimeout:      DefaultWriteTimeout,
 		},
 		Drain: Drain{Bound: DefaultDrainBound},
 		Log:   Log{Level: DefaultLogLevel},
