operator: bound connections and heads at the operators' listener

What callers saw: the process grows with each connection to the operators' listener, before any credentials are checked.

Cause: as at the callers' listener of this daemon.

Change: the server is built by internal/httpserver, with 64 connections.

--- a/operator/server.go
+++ b/operator/server.go
@@ -2,21 +2,24 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"github.com/wheatseam/wheatseam/internal/httpserver"
 )
 
 // Limits of the operators' listener.
 const (
+	maxConnections    = 64
+	maxHeaderMemory   = 8 << 20
 	maxHeaderBytes    = 16 << 10
 	readTimeout       = 5 * time.Second
 	writeTimeout      = 30 * time.Second
@@ -44,8 +47,7 @@
 type Server struct {
 	cfg           Config
 	authenticator *authenticator
-	listener      net.Listener
-	http          *http.Server
+	http          *httpserver.Server
 }
 
 // NewServer reads the credentials and opens the listener. Serve handles the
@@ -55,34 +57,31 @@
 	if err != nil {
 		return nil, err
 	}
+	set := metrics.NewSet()
+	cfg.Metrics = append(slices.Clone(cfg.Metrics), set)
 	s := &Server{cfg: cfg, authenticator: auth}
-	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
-		return nil, fmt.Errorf("listen for operators: %w", err)
-	}
-	if auth.tls != nil {
-		s.listener = tls.NewListener(s.listener, auth.tls)
-	}
-	s.http = &http.Server{
-		Handler:           s.routes(),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: readTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
+	s.http, err = httpserver.Listen(httpserver.Config{
+		Name: "operators", Address: cfg.Listen, Handler: s.routes(), Limits: limits, TLS: auth.tls,
+		Logger: cfg.Logger, Metrics: set,
+	})
+	if err != nil {
+		return nil, err
 	}
 	return s, nil
 }
 
+func limits() httpserver.Limits {
+	return httpserver.Limits{
+		Connections: maxConnections, HeadMemory: maxHeaderMemory, MaxHeadBytes: maxHeaderBytes,
+		HeaderTimeout: readTimeout, IdleTimeout: idleTimeout, KeepIdle: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+	}
+}
+
 // Addr returns the address that the server listens on.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.http.Addr() }
 
 // Serve handles requests until Shutdown is called.
-func (s *Server) Serve() error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve operators: %w", err)
-	}
-	return nil
-}
+func (s *Server) Serve() error { return s.http.Serve() }
 
 // Shutdown stops the listener and waits for the requests in progress. If ctx ends
 // first, it closes their connections and returns an error.
