httpserver: charge a request in work with its own head only

Cause: up to 4 KiB of a body are read with its head, and each line of it was charged 200 bytes for as long as the request was in work. A printed JSON body counted as a large head, so that some 200 of them at 144 MB would have used up the memory for heads, and clients inside the limits lost their connections.

Change: when the head is complete, its cost is computed from the parsed headers. Readiness, metrics and operators have a backlog of 128: a probe whose connection doesn't fit would try again after a second.

Measured: TestBodiesDoNotCountAsHeads is red without the change (some 402,000 bytes charged for a head of 60), green with it.

--- a/core/connections/set.go
+++ b/core/connections/set.go
@@ -178,13 +178,17 @@
 	return largest
 }
 
-// Begin notes that the head of a request is complete. It reports false if the connection has been
-// given up: the request must not run.
-func (s *Set) Begin(now time.Time, id ID) bool {
+// Begin notes that the head of a request is complete, and costs no more than headBytes by now. It
+// reports false if the connection has been given up: the request must not run.
+func (s *Set) Begin(now time.Time, id ID, headBytes int64) bool {
 	c := s.byID[id]
 	if c == nil || c.phase == Closing {
 		return false
 	}
+	if headBytes < c.headBytes {
+		s.headBytes -= c.headBytes - headBytes
+		c.headBytes = headBytes
+	}
 	s.leave(c)
 	s.enter(c, Busy, now)
 	return true
--- a/core/connections/set_test.go
+++ b/core/connections/set_test.go
@@ -31,7 +31,7 @@
 		if c.phase == connections.Fresh {
 			continue
 		}
-		s.Begin(at, id)
+		s.Begin(at, id, 0)
 		if c.phase == connections.Busy {
 			continue
 		}
@@ -68,7 +68,7 @@
 			g.Expect(o.ID != 0).To(Equal(test.want != 0))
 			if test.want != 0 {
 				g.Expect(o.ReplacedPhase).To(Equal(test.states[test.want-1].phase))
-				g.Expect(s.Begin(now, test.want)).To(BeFalse(), "a request of a connection that was given up must not run")
+				g.Expect(s.Begin(now, test.want, 0)).To(BeFalse(), "a request of a connection that was given up must not run")
 				g.Expect(s.Closing()).To(Equal(1))
 				s.Close(test.want)
 				g.Expect(s.Closing()).To(BeZero())
@@ -83,14 +83,18 @@
 	s := connections.New(connections.Limits{Connections: 10, HeadBytes: 100 << 10, IdleTimeout: idleTimeout})
 	inWork, large, larger, small := s.Open(now).ID, s.Open(now).ID, s.Open(now).ID, s.Open(now).ID
 	g.Expect(s.HeadRead(now, inWork, 40<<10)).To(BeEmpty())
-	g.Expect(s.Begin(now, inWork)).To(BeTrue())
+	g.Expect(s.Begin(now, inWork, 50<<10)).To(BeTrue())
 	g.Expect(s.HeadRead(now, large, 10<<10)).To(BeEmpty())
 	g.Expect(s.HeadRead(now, larger, 20<<10)).To(BeEmpty())
 	g.Expect(s.HeadRead(now, large, 9<<10)).To(Equal([]connections.ID{larger}), "large heads leave a quarter to small ones")
 	g.Expect(s.HeadRead(now, small, 16<<10)).To(BeEmpty())
 	g.Expect(s.HeadRead(now, large, 17<<10)).To(Equal([]connections.ID{large}), "the head itself, if it is the largest incomplete one")
-	g.Expect(s.Begin(now, large)).To(BeFalse())
+	g.Expect(s.Begin(now, large, 0)).To(BeFalse())
 	s.End(now, inWork)
+	g.Expect(s.Begin(now, small, 1<<10)).To(BeTrue())
+	g.Expect(s.State().HeadBytes).To(BeEquivalentTo(1<<10), "what was read with the head is not part of it")
+	s.End(now, small)
+	g.Expect(s.HeadRead(now, small, 16<<10)).To(BeEmpty())
 	g.Expect(s.State().HeadBytes).To(BeEquivalentTo(16 << 10))
 }
 
@@ -106,7 +110,7 @@
 		var closing []connections.ID
 		closed := func(id connections.ID) {
 			g.Expect(busy[id]).To(BeFalse(), "seed %d", seed)
-			g.Expect(s.Begin(now, id)).To(BeFalse(), "seed %d", seed)
+			g.Expect(s.Begin(now, id, 0)).To(BeFalse(), "seed %d", seed)
 			delete(open, id)
 			if rng.IntN(2) == 0 {
 				s.Close(id)
@@ -132,7 +136,7 @@
 					delete(busy, id)
 				case busy[id]:
 				case rng.IntN(4) == 0:
-					g.Expect(s.Begin(now, id)).To(BeTrue())
+					g.Expect(s.Begin(now, id, int64(rng.IntN(20<<10)))).To(BeTrue())
 					busy[id] = true
 				case rng.IntN(8) == 0:
 					s.Close(id)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -161,10 +161,10 @@
 }
 
 // requestBegins notes that the head is complete, and reports whether the request may run.
-func (c *conn) requestBegins() bool {
+func (c *conn) requestBegins(headBytes int64) bool {
 	c.parsed()
 	c.phase.Store(readsBody)
-	return c.server.begin(c.id)
+	return c.server.begin(c.id, headBytes)
 }
 
 // requestEnded notes that the request has been answered.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -54,6 +54,10 @@
 	conns  map[connections.ID]*conn
 }
 
+// minBacklog is the number of connections that may wait to be accepted, however few may be open: a
+// client whose connection doesn't fit tries again after a second at the earliest.
+const minBacklog = 128
+
 // unlimited is longer than any timeout in force: the timeouts of net/http can't change.
 const unlimited = 24 * time.Hour
 
@@ -70,7 +74,7 @@
 		return nil, fmt.Errorf("listen for %s: %w", c.Name, err)
 	}
 	s.listener = l.(*net.TCPListener)
-	if err := setBacklog(s.listener, limits.Connections); err != nil {
+	if err := setBacklog(s.listener, max(minBacklog, limits.Connections)); err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for %s: set the backlog: %w", c.Name, err), l.Close())
 	}
 	s.http = &http.Server{
@@ -154,16 +158,27 @@
 	return err
 }
 
-// serve calls the handler, unless the connection was given up while the head was being read: the
-// client was told that the request did not run.
+// serve calls the handler, unless the connection was given up while the head was being read: its
+// client may have sent the request elsewhere by now.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(connKey{}).(*conn)
-	if !c.requestBegins() {
+	if !c.requestBegins(headCost(r)) {
 		panic(http.ErrAbortHandler)
 	}
 	s.cfg.Handler.ServeHTTP(w, r)
 }
 
+// headCost returns the memory of the parsed head of a request.
+func headCost(r *http.Request) int64 {
+	cost := headerLineBytes + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			cost += headerLineBytes + len(name) + len(value)
+		}
+	}
+	return int64(cost)
+}
+
 // limitedListener accepts connections for which there is room.
 type limitedListener struct{ s *Server }
 
@@ -274,10 +289,10 @@
 }
 
 // begin notes that the head of a request is complete, and reports whether the request may run.
-func (s *Server) begin(id connections.ID) bool {
+func (s *Server) begin(id connections.ID, headBytes int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.set.Begin(clock.Now(), id)
+	return s.set.Begin(clock.Now(), id, headBytes)
 }
 
 // end notes that a request has been answered.
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -240,6 +240,18 @@
 	f.Eventually(func() int64 { return f.server.State().HeadBytes }).Should(BeZero())
 }
 
+// What was read of a body with its head doesn't cost as much as a head for the time of the request.
+func TestBodiesDoNotCountAsHeads(t *testing.T) {
+	f := start(t, nil, func(*httpserver.Limits) {})
+	c := f.dial()
+	body := strings.Repeat("\n", 2000)
+	c.send(fmt.Sprintf("POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	f.count(connections.Busy, 1)
+	f.Expect(f.server.State().HeadBytes).To(BeNumerically("<", 1000))
+	close(f.release)
+	c.expect(http.StatusOK)
+}
+
 // A head whose start came with the request before it counts, too.
 func TestHeadsSentAheadCount(t *testing.T) {
 	f := start(t, nil, func(*httpserver.Limits) {})
