soak: plant faults until there was a stream to plant one in

Cause: TestSoakFindsPlantedFaults ran for 3 s with one loss of all daemons and then expected a planted fault. Beside load, callers had too few streams by then, and none was planted ("Expected 0 to be > 0").

Change: the losses go on, each interval longer than the one before, until a fault was planted, for 8 losses at most. What is expected of the planted faults is as before; without a planted fault the test still fails. A run in which one is planted in the first interval is as long as before.

--- a/soak/planted_internal_test.go
+++ b/soak/planted_internal_test.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// plantedCount returns the number of streams in which a fault was planted.
+func (p *plantedStreams) plantedCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.planted)
+}
+
 // choose reports whether the answer of a stream is to be changed.
 func (p *plantedStreams) choose(stream string, resumed bool) bool {
 	p.mu.Lock()
@@ -152,8 +159,8 @@
 }
 
 // Guards against a soak that does not see the faults of streams which it is to find: each is
-// planted between daemons and callers, while all daemons are lost once, so that streams break off
-// and are taken up.
+// planted between daemons and callers, while all daemons are lost, so that streams break off and are
+// taken up.
 func TestSoakFindsPlantedFaults(t *testing.T) {
 	binary := buildDaemon(t)
 	otherVersion := strings.NewReplacer("version: v1", "version: v2", "version: v2", "version: v1")
@@ -190,7 +197,7 @@
 			return append([]string{strings.Replace(e[0], " of ", " of x", 1)}, e[1:]...), false
 		}},
 	}
-	// run runs callers while all daemons are lost once.
+	// run runs callers while all daemons are lost, until a fault has been planted.
 	run := func(t *testing.T, callers int, f plantedFault) (*runner, int) {
 		f.seen = newPlantedStreams()
 		r := newRunner(Config{Binary: binary, Dir: t.TempDir(), Seed: 1, Daemons: 2, Callers: callers, Losses: true})
@@ -201,11 +208,12 @@
 		}
 		t.Cleanup(r.close)
 		NewWithT(t).Expect(r.start()).To(Succeed())
-		r.runWithOneLoss(3 * time.Second)
+		wanted := f.plant != nil || f.otherStream
+		r.runWithLosses(3*time.Second, func() bool { return !wanted || f.seen.plantedCount() > 0 })
 		r.checkEvents()
 		r.countStreams()
 		r.report.Print(t.Output())
-		return r, len(f.seen.planted)
+		return r, f.seen.plantedCount()
 	}
 	// expectFound expects that the soak has found the planted faults, and no other.
 	expectFound := func(g *WithT, r *runner, fault streamFault, planted int) {
@@ -247,16 +255,30 @@
 	})
 }
 
-// runWithOneLoss runs the callers for a duration, and loses all daemons after half of it.
-func (r *runner) runWithOneLoss(duration time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), duration)
+// maxLosses bounds how often all daemons are lost in runWithLosses.
+const maxLosses = 8
+
+// runWithLosses runs the callers, and loses all daemons in the middle of an interval, until done
+// reports true at its end. Each interval is longer than the one before: on a machine that has other
+// work, callers may have no stream yet at the time of a loss.
+func (r *runner) runWithLosses(interval time.Duration, done func() bool) {
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.slowStreams(minEventInterval)
 	var wg sync.WaitGroup
 	for i := range r.cfg.Callers {
 		wg.Go(func() { r.runCaller(ctx, i) })
 	}
-	sleep(ctx, duration/2)
-	r.loseAll(ctx, rand.New(rand.NewPCG(r.cfg.Seed, 1)), lossOfAll, func() {})
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, 1))
+	for n := range maxLosses {
+		half := time.Duration(n+1) * interval / 2
+		sleep(ctx, half)
+		r.loseAll(ctx, rng, lossOfAll, func() {})
+		sleep(ctx, half)
+		if done() {
+			break
+		}
+	}
+	cancel()
 	wg.Wait()
 }
