httpserver: yield between requests that a client sent ahead

Cause: a client that sends requests without waiting keeps its goroutine running for 10 ms at a time, and all others wait for their turn.

Change: the goroutine yields when the next head is in its buffer already.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -154,6 +155,8 @@
 		if c.idleDeadlineSet {
 			c.headBegins()
 			c.headReceived(0, c.buffered)
+			// A client that sends many requests ahead lets others go first after each.
+			runtime.Gosched()
 		}
 		c.idleDeadlineSet = true
 	}
