httpbody, tunnel: tell a reset during an upload from the end of an answer

Callers saw a part of an answer as the whole one: 200, when a replica sent an answer without a length, a part of its body, and reset the connection (or closed it with bytes unread) while the upload was being written. Direct, through a peer, plain answers, streams, and calls for pieces.

Cause: the kernel reports a reset once. The write of the upload takes ECONNRESET, the next read returns 0 bytes, which Go calls io.EOF, and a body without a length is complete at io.EOF. tunnel.copyChunks passes the same on as "closed by the replica".

A write that failed with ECONNRESET is followed by a read that returns io.EOF; after an end in order (FIN) and then a reset, the write fails with EPIPE and the read returns io.EOF: the two differ in the error of the write only. Ruled out: the process of the replica (it lives, and is found alive), the chunk protocol of the tunnel (a reset without an upload arrives as ErrBroken).

Change: DetectResets wraps a connection. When a read reaches the end, writes are ended and the one in progress is awaited; if any failed with ECONNRESET, the read returns an error that wraps it. net/http closes a connection whose input has ended in any case, and so does the tunnel: no upload is cut short that was not before. Used by the clients of replicas, by hosts that connect for peers, by the clients of upstreams and of the store. Resets are counted in wheatseam_replica_resets_total.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -329,6 +331,9 @@
 		t.reportSilence(crash.Stalled)
 		return stalled, problem.New(problem.UpstreamFailed, "this host cancelled the attempt: %v", t.stallError)
 	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		t.x.g.metrics.GetOrCreateCounter(fmt.Sprintf("wheatseam_replica_resets_total{service=%q}", t.x.service)).Inc()
+	}
 	if httpbody.IsConnectionBroken(err) {
 		t.reportInterruption(crash.Broken)
 	}
--- a/internal/httpbody/upstream.go
+++ b/internal/httpbody/upstream.go
@@ -39,14 +39,15 @@
 }
 
 // NewDialFunc returns a DialContext function for an http.Transport. Its errors are
-// *DialError, so that a failure to connect can be distinguished from a later one.
+// *DialError, so that a failure to connect can be distinguished from a later one. Its
+// connections are those of DetectResets.
 func NewDialFunc(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, &DialError{Err: err}
 		}
-		return conn, nil
+		return DetectResets(conn), nil
 	}
 }
 
--- a/internal/standin/site/behaviour.go
+++ b/internal/standin/site/behaviour.go
@@ -43,6 +43,8 @@
 	Endless Endless
 	// EndlessInterval is the pause between two writes of endless bytes; 0 for none.
 	EndlessInterval time.Duration
+	// Raw replaces the responses to requests and calls for pieces; nil for none. They don't run.
+	Raw *RawResponse
 	// OtherRequest names another request in responses to requests.
 	OtherRequest bool
 	// Unsigned omits the response signature.
--- a/internal/standin/site/replica.go
+++ b/internal/standin/site/replica.go
@@ -574,6 +574,10 @@
 		return
 	}
 	defer r.leave(req)
+	if b.Raw != nil && limited(req) {
+		r.sendRaw(w, req, b.Raw)
+		return
+	}
 	if b.ShedWithFreeSlots && !reserved {
 		w.Header().Set("Replica-Load", r.loadReport(usualLoad))
 		refuse(w, http.StatusServiceUnavailable)
--- a/replica/client.go
+++ b/replica/client.go
@@ -66,7 +66,13 @@
 
 func newTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return httpbody.DetectResets(conn), nil
+		},
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
 		ReadBufferSize:     4 << 10,
--- a/replica/dial.go
+++ b/replica/dial.go
@@ -22,10 +22,16 @@
 
 // Via returns the name of the host through which a connection goes; "" for a direct one.
 func Via(conn net.Conn) string {
-	if v, ok := conn.(interface{ Via() string }); ok {
-		return v.Via()
+	for {
+		switch c := conn.(type) {
+		case interface{ Via() string }:
+			return c.Via()
+		case interface{ NetConn() net.Conn }:
+			conn = c.NetConn()
+		default:
+			return ""
+		}
 	}
-	return ""
 }
 
 // DirectDialer opens connections from this host. The zero value is ready to use. It is safe
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wheatseam/wheatseam/core/detour"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/peer"
 	"github.com/wheatseam/wheatseam/replica"
 	"github.com/wheatseam/wheatseam/wire"
@@ -132,6 +133,7 @@
 // when either ends. A stream that ends without the last chunk tells the peer that the
 // connection broke.
 func copyBoth(stream, conn net.Conn) {
+	conn = httpbody.DetectResets(conn)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -194,6 +194,41 @@
 	}
 }
 
+// Guards against a reset that looks like the end of an answer, since the write of the request takes the
+// error, and against an answer that ends in order before the request does and looks broken.
+func TestEndsDuringUploadsDifferFromResets(t *testing.T) {
+	for name, c := range map[string]struct {
+		end    func(*net.TCPConn)
+		broken bool
+	}{
+		"reset":                    {func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }, true},
+		"closed with bytes unread": {func(c *net.TCPConn) { _, _ = c.Read(make([]byte, 1)); _ = c.Close() }, true},
+		"ended in order":           {func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, "a", "b")
+			address := f.replica(func(conn *net.TCPConn) {
+				_, _ = conn.Write([]byte("part"))
+				time.Sleep(5 * time.Millisecond)
+				c.end(conn)
+			})
+			for range 12 {
+				conn := f.dial(f.hosts["a"], address)
+				go func() { _, _ = conn.Write(make([]byte, 8<<20)) }() // fails once the connection has ended
+				body, err := io.ReadAll(conn)
+				f.Expect(string(body)).To(Equal("part"))
+				if c.broken {
+					f.Expect(err).To(MatchError(tunnel.ErrBroken))
+				} else {
+					f.Expect(err).NotTo(HaveOccurred())
+				}
+				f.Expect(conn.Close()).To(Succeed())
+			}
+		})
+	}
+}
+
 // Guards against replicas that work on for callers that have left.
 func TestClosingEndsTheReplicasConnection(t *testing.T) {
 	f := newFleet(t, "a", "b")
