gateway: give the slot of a replica back after a panic

Callers saw 503 no_upstream for every request to a service after 32 requests whose relaying had panicked (an answer with the status 000 makes http.ResponseWriter.WriteHeader panic), for good, with sound replicas. Their own connections were closed without an answer; no attempt was logged and the retry that the route allows was not tried.

Cause: attempt() reported its end to the router, to the metrics and to the log after run(), not when it panicked; net/http recovered the panic. Whatever panics from the pick of a replica to the end of the attempt has the same effect, the status is one case.

Evidence: a writer that panics as the head or the body of an answer is written, 40 requests, four routes; the router then counts the calls in its state dump. Between pick and attempt: a log that panics at a message of that part.

Change: a panic of an attempt ends it as `panicked`, which is like `failed`, with the stack in the log: its end is reported, and another run follows where the route, the budget and the answer's beginning allow it; else the caller gets 502, or a closed connection if the answer had begun. The answer counts as begun before its head is written, for plain answers too. It is not held against the replica. The pick that the exchange holds is kept with it, and cancelled when the exchange ends without an attempt.

--- a/gateway/attemptend.go
+++ b/gateway/attemptend.go
@@ -18,6 +18,8 @@
 	oversized
 	// noMemory: as failed, since this host had no memory left for the answer.
 	noMemory
+	// panicked: as failed, since this host's code panicked.
+	panicked
 	// failedRetrying: as failed, and the retry is already allowed.
 	failedRetrying
 	// stalled: this host cancelled the attempt in favour of a reserved replacement.
@@ -41,6 +43,8 @@
 		return "oversized"
 	case noMemory:
 		return "no_memory"
+	case panicked:
+		return "panicked"
 	case stalled:
 		return "left"
 	case abandoned:
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -78,6 +78,9 @@
 	triedReplicas []string
 	runs          int
 	freeRetries   int
+	// picked is the replica that was picked for the next attempt, or that of the attempt in progress;
+	// nil for none. The router counts it until the attempt ends or the pick is cancelled.
+	picked *request.Choice
 	// replacement is the next attempt, if one has been reserved.
 	replacement *replacement
 	// cancelledRun says that this host cancelled a stalled run in favour of another one.
@@ -131,6 +134,7 @@
 	defer x.logRequest()
 	defer x.releaseUnusedTrial()
 	defer x.releaseUnusedReplacement()
+	defer x.cancelPicked()
 	defer x.releaseBody()
 	if err := x.admit(); err != nil {
 		x.respondError(err)
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -67,3 +67,6 @@
 func LastPart(h http.Header) string {
 	return (&exchange{req: platform.DecodeRequest(h)}).lastPart().ID
 }
+
+// Serve serves one request of a caller, for tests whose callers fail in ways that no connection does.
+func (g *Gateway) Serve(w http.ResponseWriter, r *http.Request) { g.serve(w, r) }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -86,8 +87,9 @@
 	}
 }
 
-// nextReplica returns the replica of the next attempt and what it holds there. A replacement that was reserved when the last attempt was cancelled needs no
-// further check of paths and inputs.
+// nextReplica returns the replica of the next attempt, which is x.picked too, and what it holds there.
+// A replacement that was reserved when the last attempt was cancelled needs no further check of paths
+// and inputs.
 func (x *exchange) nextReplica() (c request.Choice, held heldCapacity, perr *problem.Error) {
 	if perr = x.checkQuarantine(); perr != nil {
 		return c, held, perr
@@ -181,6 +183,19 @@
 	return end, err
 }
 
+// recoverAttempt ends an attempt whose code panicked as one that may have run. It must be deferred
+// directly.
+func (t *attempt) recoverAttempt(end *attemptEnd, err **problem.Error) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	x := t.x
+	x.runs = max(x.runs, t.runNumber)
+	x.g.log.Error("attempt panicked", logging.Request(x.req.ID), zap.String("replica", t.choice.Upstream), zap.Any("panic", r), zap.ByteString("stack", debug.Stack()))
+	*end, *err = panicked, problem.New(problem.UpstreamFailed, "the attempt panicked: %v", r)
+}
+
 // attempt is one attempt in progress.
 type attempt struct {
 	x *exchange
@@ -230,10 +245,10 @@
 func (t *attempt) run() (attemptEnd, *problem.Error) {
 	defer t.inputRelease.cancel()
 	if !t.x.route.Streaming {
-		return t.call()
+		return t.callRecovering()
 	}
 	t.watch = t.startStallWatch()
-	end, perr := t.call()
+	end, perr := t.callRecovering()
 	t.x.replacement = t.watch.stop(end.needsRetry() && !t.x.unresumable)
 	if t.stallError != nil {
 		t.x.cancelledRun, t.x.givenUp = true, t
@@ -241,6 +256,12 @@
 	return end, perr
 }
 
+// callRecovering is call, and ends the attempt if call panics.
+func (t *attempt) callRecovering() (end attemptEnd, perr *problem.Error) {
+	defer t.recoverAttempt(&end, &perr)
+	return t.call()
+}
+
 // call makes the call and relays the answer.
 func (t *attempt) call() (attemptEnd, *problem.Error) {
 	x := t.x
@@ -422,6 +443,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	// Limits the time for which a caller that does not read takes memory.
 	_ = http.NewResponseController(x.w).SetWriteDeadline(clock.ToMonotonic(x.deadline))
+	x.committed = true
 	x.w.WriteHeader(resp.StatusCode)
 	_, _ = x.w.Write(body) // a caller that has disconnected needs no answer
 	x.status, x.outcome = resp.StatusCode, "answered"
@@ -557,8 +579,10 @@
 		if t.stallError != nil && t.stallError.replicaAtFault() {
 			o.Result = request.CallFailed
 		}
-	case abandoned, noMemory:
+	case abandoned, noMemory, panicked:
+		// The replica is not at fault, or need not be.
 		o.Result = request.CallCancelled
 	}
+	t.x.picked = nil
 	t.x.g.router.Done(now, o)
 }
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -263,6 +263,7 @@
 	}
 	version := x.origin.Load()
 	if !r.released && (version == nil || *version == r.choice.Version) && x.g.takesNewWork(r.choice) && !x.g.limiters.Get(r.choice.Upstream).RefusedByReplica(clock.Now()) {
+		x.picked = &r.choice
 		if r.copyHandle == "" {
 			return r.choice, heldCapacity{reservation: r.reservation}, nil
 		}
@@ -273,10 +274,20 @@
 		return r.choice, heldCapacity{runCopy: platform.CopySource(r.copySource.Address, r.copyHandle)}, nil
 	}
 	x.releaseReplica(r)
-	c, perr = x.g.router.Pick(clock.Now(), x.routerQuery(), nil)
+	if c, perr = x.g.router.Pick(clock.Now(), x.routerQuery(), nil); perr == nil {
+		x.picked = &c
+	}
 	return c, held, perr
 }
 
+// cancelPicked cancels the pick of the exchange, if there is one.
+func (x *exchange) cancelPicked() {
+	if x.picked != nil {
+		x.g.router.CancelPick(clock.Now(), *x.picked)
+		x.picked = nil
+	}
+}
+
 // takesNewWork reports whether the newest view lists a replica as one that takes new work.
 func (g *Gateway) takesNewWork(c request.Choice) bool {
 	v := g.discovery.View()
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -32,6 +32,7 @@
 		x.g.shortages.record(clock.Now(), x.service)
 		return c, perr
 	}
+	x.picked = &c
 	if !x.announcesReaders() {
 		x.noteReader(c.Version)
 		return c, nil
@@ -124,12 +125,14 @@
 		q.Version, q.FixedVersion = read.Version, true
 		var perr *problem.Error
 		c, perr = x.g.router.Pick(clock.Now(), q, nil)
-		picked = perr == nil
+		if picked = perr == nil; picked {
+			x.cancelPicked()
+			x.picked = &c
+		}
 	}
 	x.logSession(read, open, picked)
 	switch {
 	case picked:
-		x.g.router.CancelPick(clock.Now(), before)
 		x.readVersion.Store(&read.Version)
 		if _, await := x.announceReader(c.Version, x.runs == 0); awaits {
 			await()
@@ -138,7 +141,7 @@
 	case !open:
 		return before, nil
 	}
-	x.g.router.CancelPick(clock.Now(), before)
+	x.cancelPicked()
 	x.retractReader()
 	perr := problem.New(problem.Overloaded, "a stream of the same session may be taken up at version %q of service %q, none of which takes the request", read.Version, read.Service)
 	return request.Choice{}, withRetryAfter(perr, x.retryDelay(sessionRetryAfter))
