httpbody: refuse responses whose status is none

Callers saw a closed connection after `000`, `099`, `+20` and `-00` (WriteHeader panics), and the answer itself after `600` and `999`, with that status; streams and plain answers alike. `150` is an interim response that nothing follows, and was 502 before.

Cause: net/http takes any three characters that strconv.Atoi parses to a number of 0 or more for a status, and nothing checked it after that.

Change: clients that read answers share NewCheckedTransport, whose connections check the heads of responses as they are received, interim ones and later ones of the same connection included. A status is three digits from 100 to 599. Used for replicas, the store, upstreams and engines of the own interface, and by the commands that call a daemon; for TLS above the encryption. Such an attempt ends as `malformed`, a failure of the replica, and is tried again where the route allows a second run. A release that was answered so is not sent again, a reservation counts against the engine, a report as not supported.

Weighed: a check of StatusCode in each client. It would be in nine places, and the names of fields need the bytes in any case.

--- a/cmd/wheatseam/call.go
+++ b/cmd/wheatseam/call.go
@@ -15,6 +15,8 @@
 
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
+
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 )
 
 // callOptions are the flags of `wheatseam call`.
@@ -67,7 +69,9 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: httpbody.NewCheckedTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("call %s: %w", o.address, err)
 	}
--- a/cmd/wheatseam/operatorclient.go
+++ b/cmd/wheatseam/operatorclient.go
@@ -14,6 +14,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/operator"
 )
 
@@ -110,9 +111,8 @@
 // client returns an HTTP client and the URL scheme.
 func (c *operatorClient) client() (*http.Client, string, error) {
 	transport := &http.Transport{}
-	client := &http.Client{Transport: transport, Timeout: c.timeout}
 	if c.caFile == "" {
-		return client, "http", nil
+		return &http.Client{Transport: httpbody.NewCheckedTransport(transport), Timeout: c.timeout}, "http", nil
 	}
 	pem, err := os.ReadFile(c.caFile)
 	if err != nil {
@@ -130,5 +130,5 @@
 		}
 		transport.TLSClientConfig.Certificates = []tls.Certificate{pair}
 	}
-	return client, "https", nil
+	return &http.Client{Transport: httpbody.NewCheckedTransport(transport), Timeout: c.timeout}, "https", nil
 }
--- a/gateway/attemptend.go
+++ b/gateway/attemptend.go
@@ -16,6 +16,8 @@
 	failed
 	// oversized: as failed, and the replica sent more bytes than any answer may have.
 	oversized
+	// malformed: as failed, and the head of the replica's answer is not valid.
+	malformed
 	// noMemory: as failed, since this host had no memory left for the answer.
 	noMemory
 	// panicked: as failed, since this host's code panicked.
@@ -41,6 +43,8 @@
 		return "inputs_gone"
 	case oversized:
 		return "oversized"
+	case malformed:
+		return "malformed"
 	case noMemory:
 		return "no_memory"
 	case panicked:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -337,6 +337,9 @@
 	if isOversized(err) {
 		return oversized, problem.New(problem.UpstreamFailed, "the replica sent more than an answer may have: %v", err)
 	}
+	if errors.Is(err, httpbody.ErrMalformedHead) {
+		return malformed, problem.New(problem.UpstreamFailed, "the replica sent no valid answer: %v", err)
+	}
 	if errors.Is(err, httpbody.ErrNoMemory) {
 		return noMemory, problem.New(problem.UpstreamFailed, "the answer was not read: %v", err)
 	}
@@ -572,7 +575,7 @@
 		t.countEvents()
 	case notExecuted, inputsGone:
 		o.Result = request.CallRefused
-	case notSent, failed, oversized, failedRetrying:
+	case notSent, failed, oversized, malformed, failedRetrying:
 		o.Result = request.CallFailed
 	case stalled:
 		o.Result = request.CallCancelled
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -10,6 +10,7 @@
 
 	"github.com/wheatseam/wheatseam/core/request"
 	"github.com/wheatseam/wheatseam/internal/clock"
+	"github.com/wheatseam/wheatseam/internal/httpbody"
 	"github.com/wheatseam/wheatseam/logging"
 	"github.com/wheatseam/wheatseam/platform"
 	"github.com/wheatseam/wheatseam/problem"
@@ -173,13 +174,13 @@
 }
 
 // releasePick releases the pick of a replica that reserved no capacity. The router avoids a
-// replica that refused for a moment, and counts an oversized response as a failure.
+// replica that refused for a moment, and counts an oversized or malformed response as a failure.
 func (x *exchange) releasePick(c request.Choice, err error) {
 	o := request.Outcome{Choice: c, Stage: x.route.Name}
 	switch {
 	case errors.Is(err, replica.ErrNoCapacity):
 		o.Result = request.CallRefused
-	case isOversized(err):
+	case isOversized(err), errors.Is(err, httpbody.ErrMalformedHead):
 		o.Result = request.CallFailed
 	default:
 		x.g.router.CancelPick(clock.Now(), c)
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -51,7 +51,7 @@
 		return x.freeRetryDenied(end)
 	case failedRetrying:
 		return ""
-	case failed, oversized, noMemory, panicked:
+	case failed, oversized, malformed, noMemory, panicked:
 		return x.rerunDenied()
 	}
 	return deniedFinal
--- /dev/null
+++ b/internal/httpbody/head.go
@@ -0,0 +1,115 @@
+package httpbody
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// ErrMalformedHead is returned for a response whose head is not valid, although net/http reads it.
+var ErrMalformedHead = errors.New("malformed head")
+
+// headPart is the part of a head that the next byte belongs to.
+type headPart uint8
+
+const (
+	statusLine headPart = iota
+	lineStart
+	field
+	// headEnd follows the carriage return of an empty line.
+	headEnd
+	// afterHead follows the last head of a response.
+	afterHead
+)
+
+// maxStatusLine is how many bytes of a status line are checked: it ends with a reason of any length.
+const maxStatusLine = 32
+
+// headChecker checks the heads of one response, interim ones included, as they are received. The zero
+// value expects a response.
+type headChecker struct {
+	part headPart
+	// line is the beginning of the status line.
+	line []byte
+	// interim says that the head is that of an interim response, which another head follows.
+	interim bool
+}
+
+// check checks the next bytes of a connection. Those after the last head are not looked at.
+func (h *headChecker) check(b []byte) error {
+	for len(b) > 0 && h.part != afterHead {
+		rest, err := h.next(b)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrMalformedHead, err)
+		}
+		b = rest
+	}
+	return nil
+}
+
+// next checks what b has of one part and returns the rest.
+func (h *headChecker) next(b []byte) (rest []byte, err error) {
+	switch h.part {
+	case statusLine:
+		line, rest, ended := bytes.Cut(b, []byte("\n"))
+		h.line = append(h.line, line[:min(len(line), maxStatusLine-len(h.line))]...)
+		if ended {
+			err = h.endStatusLine()
+		}
+		return rest, err
+	case lineStart:
+		return h.beginLine(b), nil
+	case field:
+		_, rest, ended := bytes.Cut(b, []byte("\n"))
+		if ended {
+			h.part = lineStart
+		}
+		return rest, nil
+	}
+	if b[0] != '\n' {
+		return nil, errors.New("carriage return in a name")
+	}
+	h.endHead()
+	return b[1:], nil
+}
+
+// endStatusLine checks a status line.
+func (h *headChecker) endStatusLine() error {
+	_, status, _ := bytes.Cut(bytes.TrimSuffix(h.line, []byte("\r")), []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
+	if !isStatus(code) {
+		return fmt.Errorf("status %q", code)
+	}
+	h.interim = code[0] == '1' && string(code) != "101" // no further response follows the latter
+	h.part, h.line = lineStart, h.line[:0]
+	return nil
+}
+
+// isStatus reports whether code is a status of RFC 9110, section 15.
+func isStatus(code []byte) bool {
+	return len(code) == 3 && code[0] >= '1' && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// beginLine finds out what the line is that begins with b.
+func (h *headChecker) beginLine(b []byte) (rest []byte) {
+	switch b[0] {
+	case '\n':
+		h.endHead()
+	case '\r':
+		h.part = headEnd
+	default:
+		h.part = field
+		return b
+	}
+	return b[1:]
+}
+
+// endHead ends a head.
+func (h *headChecker) endHead() {
+	h.part = afterHead
+	if h.interim {
+		h.part = statusLine
+	}
+}
--- a/internal/httpbody/upstream.go
+++ b/internal/httpbody/upstream.go
@@ -26,8 +26,8 @@
 
 // NewTransport returns an HTTP transport that opens at most maxConns connections to
 // each upstream; 0 means no limit.
-func NewTransport(maxConns int) *http.Transport {
-	return &http.Transport{
+func NewTransport(maxConns int) *Transport {
+	return NewCheckedTransport(&http.Transport{
 		DialContext:         NewDialFunc(&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}),
 		MaxIdleConnsPerHost: max(maxConns, 64),
 		MaxConnsPerHost:     maxConns,
@@ -35,19 +35,18 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: MaxHeadBytes,
-	}
+	})
 }
 
 // NewDialFunc returns a DialContext function for an http.Transport. Its errors are
-// *DialError, so that a failure to connect can be distinguished from a later one. Its
-// connections are those of DetectResets.
+// *DialError, so that a failure to connect can be distinguished from a later one.
 func NewDialFunc(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, &DialError{Err: err}
 		}
-		return DetectResets(conn), nil
+		return conn, nil
 	}
 }
 
--- a/replica/client.go
+++ b/replica/client.go
@@ -35,7 +35,7 @@
 // depends on the contents of their responses; free-memory queries use it too.
 // A Client is safe for concurrent use.
 type Client struct {
-	singleUse, pooled *http.Transport
+	singleUse, pooled *httpbody.Transport
 	dial              DialFunc
 	onResponse        func(Observation)
 }
@@ -64,21 +64,15 @@
 	return c
 }
 
-func newTransport(dial DialFunc) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			conn, err := dial(ctx, address)
-			if err != nil {
-				return nil, err
-			}
-			return httpbody.DetectResets(conn), nil
-		},
+func newTransport(dial DialFunc) *httpbody.Transport {
+	return httpbody.NewCheckedTransport(&http.Transport{
+		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
 		ReadBufferSize:     4 << 10,
 
 		MaxResponseHeaderBytes: httpbody.MaxHeadBytes,
-	}
+	})
 }
 
 // RefusesConnections reports whether connections to a replica's address are refused, which
@@ -181,7 +175,7 @@
 	return c.do(ctx, c.singleUse, call)
 }
 
-func (c *Client) do(ctx context.Context, t *http.Transport, call Call) (*Response, error) {
+func (c *Client) do(ctx context.Context, t *httpbody.Transport, call Call) (*Response, error) {
 	target, err := requestURL(call.Address, call.Target)
 	if err != nil {
 		return nil, err
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -31,10 +31,11 @@
 
 // EngineReport fetches an engine's report of its runs. It opens a new connection, since an
 // existing one may itself be what has failed. It returns ErrUnsupportedCall when the
-// engine answers with another status than 200 or resets the connection, with ErrUnknownCall if
-// the status says that it does not know the call, and platform.ErrMalformed when the report can't be parsed. It returns ErrMisdirected when
-// another replica has the address, and an error of package httpbody when the report exceeds
-// maxReportBytes. Any other error means that the engine did not respond.
+// engine answers with another status than 200, sends a malformed head or resets the connection, with
+// ErrUnknownCall if the status says that it does not know the call, and platform.ErrMalformed when the
+// report can't be parsed. It returns ErrMisdirected when another replica has the address, and an error
+// of package httpbody when the report exceeds maxReportBytes. Any other error means that the engine did
+// not respond.
 func (c *Client) EngineReport(ctx context.Context, replica, address string) (platform.EngineReport, error) {
 	body, err := c.getFromEngine(ctx, platform.ReportPath, replica, address, maxReportBytes)
 	if err != nil {
@@ -60,7 +61,7 @@
 func (c *Client) getFromEngine(ctx context.Context, path, replica, address string, maxBytes int64) ([]byte, error) {
 	status, body, err := c.doSingleUse(ctx, newEngineCall(http.MethodGet, path, replica, address, nil), maxBytes)
 	switch {
-	case err != nil && httpbody.IsConnectionBroken(err):
+	case err != nil && (httpbody.IsConnectionBroken(err) || errors.Is(err, httpbody.ErrMalformedHead)):
 		return nil, fmt.Errorf("%w: %w", ErrUnsupportedCall, err)
 	case err != nil:
 		return nil, err
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -100,7 +100,7 @@
 	})()
 	// A replica that responded, in whatever way, has received the first attempt.
 	responded := func(err error) bool {
-		return httpbody.IsOversized(err) || errors.Is(err, ErrProtocolSwitched) || errors.Is(err, errBodyUnusable)
+		return httpbody.IsOversized(err) || errors.Is(err, httpbody.ErrMalformedHead) || errors.Is(err, ErrProtocolSwitched) || errors.Is(err, errBodyUnusable)
 	}
 	if err = c.release(firstCtx, call); err != nil && !responded(err) && !viaPeer.Load() && ctx.Err() == nil {
 		err = c.release(ctx, call)
