httpbody: refuse responses with a coding before HTTP/1.1

Callers got the chunk lines as the body of an answer whose status line said HTTP/1.0 and that had a Transfer-Encoding, also beside a Content-Length; plain answers and streams.

Cause: net/http ignores the field in responses before HTTP/1.1, and drops it, so that the body is taken as it is sent. RFC 9112, section 6.1, calls the framing of such a message faulty. The map of fields does not show the case.

Change: the check of heads refuses it by the version and the name of the field.

Weighed and kept, with a test: HTTP/9.9, which net/http reads like HTTP/1.1, and a Content-Length beside chunks (RFC 9112, section 6.3: the coding wins; the length is not passed on). Their bodies are the replica's.

--- a/gateway/invalidanswers_test.go
+++ b/gateway/invalidanswers_test.go
@@ -24,6 +24,9 @@
 	"status 600": {StatusLine: "HTTP/1.1 600 Trouble"},
 	"status 999": {StatusLine: "HTTP/1.1 999 Trouble"},
 
+	"coding of HTTP/1.0":                 {StatusLine: "HTTP/1.0 200 OK", Fields: []string{"Transfer-Encoding: chunked"}},
+	"coding of HTTP/1.0 beside a length": {StatusLine: "HTTP/1.0 200 OK", Fields: []string{"Transfer-Encoding: chunked", partialLength}},
+
 	"blank in a name":                    {Fields: []string{"X Y: 1", partialLength}},
 	"blank before the colon of a length": {Fields: []string{"Content-Length : 2"}},
 	"blank before the colon of a coding": {Fields: []string{"Transfer-Encoding : chunked"}},
--- a/internal/httpbody/head.go
+++ b/internal/httpbody/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 )
 
@@ -26,6 +27,9 @@
 	afterHead
 )
 
+// codingField names the coding of a body.
+const codingField = "transfer-encoding"
+
 // maxStatusLine is how many bytes of a status line are checked: it ends with a reason of any length.
 const maxStatusLine = 32
 
@@ -33,8 +37,10 @@
 // value expects a response.
 type headChecker struct {
 	part headPart
-	// line is the beginning of the status line.
+	// line is the beginning of the status line, or of a name.
 	line []byte
+	// withoutCodings says that the version of the response has no codings of the body.
+	withoutCodings bool
 	// interim says that the head is that of an interim response, which another head follows.
 	interim bool
 }
@@ -81,12 +87,17 @@
 
 // endStatusLine checks a status line.
 func (h *headChecker) endStatusLine() error {
-	_, status, _ := bytes.Cut(bytes.TrimSuffix(h.line, []byte("\r")), []byte(" "))
+	version, status, _ := bytes.Cut(bytes.TrimSuffix(h.line, []byte("\r")), []byte(" "))
+	major, minor, ok := http.ParseHTTPVersion(string(version))
+	if !ok {
+		return fmt.Errorf("version %q", version)
+	}
 	code, _, _ := bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
 	if !isStatus(code) {
 		return fmt.Errorf("status %q", code)
 	}
 	h.interim = code[0] == '1' && string(code) != "101" // no further response follows the latter
+	h.withoutCodings = major < 1 || major == 1 && minor < 1
 	h.part, h.line = lineStart, h.line[:0]
 	return nil
 }
@@ -121,15 +132,26 @@
 	for i, c := range b {
 		switch {
 		case c == ':':
-			h.part = restOfLine
-			return b[i+1:], nil
+			return b[i+1:], h.endName()
 		case !isTokenByte(c):
 			return nil, fmt.Errorf("byte %q in the name of a field", c)
+		case len(h.line) <= len(codingField):
+			h.line = append(h.line, c)
 		}
 	}
 	return nil, nil
 }
 
+// endName checks a field by its name. The framing of an HTTP/1.0 response with a coding is faulty: RFC
+// 9112, section 6.1. net/http drops the field and takes the coded bytes for the body.
+func (h *headChecker) endName() error {
+	if h.withoutCodings && strings.EqualFold(string(h.line), codingField) {
+		return errors.New("coding of a body before HTTP/1.1")
+	}
+	h.part, h.line = restOfLine, h.line[:0]
+	return nil
+}
+
 // isTokenByte reports whether c may be part of the name of a field: RFC 9110, section 5.6.2.
 func isTokenByte(c byte) bool {
 	return isDigit(c) || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
--- a/internal/httpbody/transport_test.go
+++ b/internal/httpbody/transport_test.go
@@ -86,6 +86,12 @@
 	"status 000 with line feeds":   "HTTP/1.1 000 x\n\nbody",
 	"status 000 after many blanks": "HTTP/1.1 " + strings.Repeat(" ", 100) + "000 x\r\n\r\nbody",
 
+	"coding of HTTP/1.0":                  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"coding of HTTP/1.0 beside a length":  "HTTP/1.0 200 OK\r\nContent-Length: 4\r\ntransfer-ENCODING: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"coding of HTTP/1.0 after an interim": "HTTP/1.1 103 x\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding:chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"coding of HTTP/0.9":                  "HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"another coding of HTTP/1.0":          "HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody",
+
 	"blank in a name":                          okHead + "X Y: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"blank before the colon":                   okHead + "Content-Length : 2\r\n\r\nbody",
 	"blank before the colon of a coding":       okHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
@@ -126,12 +132,16 @@
 		answer, body string
 		status       int
 	}{
-		"length":                     {okHead + "Content-Length: 4\r\n\r\nbody", "body", 200},
-		"no length":                  {okHead + "\r\nbody", "body", 200},
-		"no length, no field":        {"HTTP/1.1 200\r\n\r\nbody", "body", 200},
-		"chunks":                     {okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", 200},
-		"HTTP/1.0":                   {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", "body", 200},
-		"HTTP/1.0, no length":        {"HTTP/1.0 200 OK\r\n\r\nbody", "body", 200},
+		"length":                  {okHead + "Content-Length: 4\r\n\r\nbody", "body", 200},
+		"no length":               {okHead + "\r\nbody", "body", 200},
+		"no length, no field":     {"HTTP/1.1 200\r\n\r\nbody", "body", 200},
+		"chunks":                  {okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", 200},
+		"HTTP/1.0":                {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", "body", 200},
+		"HTTP/1.0, no length":     {"HTTP/1.0 200 OK\r\n\r\nbody", "body", 200},
+		"HTTP/1.0, similar names": {"HTTP/1.0 200 OK\r\nTransfer-Encodin: x\r\nTransfer-Encodings: x\r\nX-Transfer-Encoding: x\r\nContent-Length: 4\r\n\r\nbody", "body", 200},
+		"HTTP/1.1 after an interim response of HTTP/1.0": {"HTTP/1.0 103 x\r\n\r\n" + okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", 200},
+		"HTTP/9.9":                   {"HTTP/9.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", 200},
+		"chunks beside a length":     {okHead + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", 200},
 		"line feeds":                 {"HTTP/1.1 200 OK\nContent-Length: 4\n\nbody", "body", 200},
 		"interim responses":          {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 \r\n\r\n" + okHead + "Content-Length: 4\r\n\r\nbody", "body", 200},
 		"no content":                 {"HTTP/1.1 204 No Content\r\n\r\n", "", 204},
@@ -172,11 +182,12 @@
 				g.Expect(body).To(Equal("body"))
 			}
 			// net/http repeats a call whose first byte could not be read on an idle connection.
-			status, _, err := get(transport, address)
+			status, body, err := get(transport, address)
 			if err != nil {
 				g.Expect(err).To(MatchError(httpbody.ErrMalformedHead))
 			} else {
 				g.Expect(status).To(Equal(http.StatusOK))
+				g.Expect(body).To(Equal("body"))
 			}
 		})
 	}
