httpbody: end writes after the end of the input as the kernel does

Found on reading the change again, before any caller saw it: a write that is ended since a read has reached the end failed with a timeout. net/http may report that error in place of the io.EOF of the read, and a timeout is no evidence that the replica's process ended (IsConnectionBroken); the tunnel's copy loop repeats writes that time out until the connection is closed. And a read on a connection through a peer waited for a write of the session, which no deadline of the stream ends while the session is stuck.

Change: the write fails with EPIPE, as it would a moment later. Connections other than TCP are returned as they are: TLS and the tunnel mark the end themselves.

Red before: TestDetectResets (end in order during a write), TestNothingIsWrittenAfterTheEnd, TestOnlyTCPConnectionsAreChanged.

--- a/internal/httpbody/reset.go
+++ b/internal/httpbody/reset.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -14,11 +15,19 @@
 // reported the reset.
 var ErrResetDuringWrite = fmt.Errorf("connection reset during a write: %w", syscall.ECONNRESET)
 
+// errInputEnded is returned by writes to a connection whose input has ended.
+var errInputEnded = fmt.Errorf("write after the end of the input: %w", syscall.EPIPE)
+
 // DetectResets returns conn with reads that return io.EOF only if the peer ended the connection in
 // order. The kernel reports a reset once: after a write has failed with it, reads of a TCP
 // connection return io.EOF, as if the peer had closed it. When a read reaches the end, no more can
-// be written.
-func DetectResets(conn net.Conn) net.Conn { return &resetConn{Conn: conn} }
+// be written. Connections of other kinds are returned as they are.
+func DetectResets(conn net.Conn) net.Conn {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return &resetConn{Conn: tcp}
+	}
+	return conn
+}
 
 // resetConn is a connection of DetectResets.
 type resetConn struct {
@@ -26,10 +35,9 @@
 	// writeMu is held during writes. reset says that one failed with a reset.
 	writeMu sync.Mutex
 	reset   bool
-	// deadlineMu is held while the deadline of writes is set. ended says that a read has reached
-	// the end.
-	deadlineMu sync.Mutex
-	ended      bool
+	// endMu is held while the deadline of writes is set. ended says that a read has reached the end.
+	endMu sync.Mutex
+	ended bool
 }
 
 // NetConn returns the connection that was passed to DetectResets.
@@ -55,8 +63,8 @@
 
 // endWrites makes writes fail, also those in progress.
 func (c *resetConn) endWrites() {
-	c.deadlineMu.Lock()
-	defer c.deadlineMu.Unlock()
+	c.endMu.Lock()
+	defer c.endMu.Unlock()
 	c.ended = true
 	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
@@ -66,15 +74,26 @@
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	n, err := c.Conn.Write(b)
-	// After an end in order, writes to a closed socket fail with EPIPE.
-	c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
+	switch {
+	case errors.Is(err, syscall.ECONNRESET):
+		// After an end in order, it is EPIPE.
+		c.reset = true
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.inputEnded():
+		err = errInputEnded
+	}
 	return n, err
 }
 
+func (c *resetConn) inputEnded() bool {
+	c.endMu.Lock()
+	defer c.endMu.Unlock()
+	return c.ended
+}
+
 // SetWriteDeadline implements net.Conn.
 func (c *resetConn) SetWriteDeadline(t time.Time) error {
-	c.deadlineMu.Lock()
-	defer c.deadlineMu.Unlock()
+	c.endMu.Lock()
+	defer c.endMu.Unlock()
 	if c.ended {
 		return nil
 	}
--- a/internal/httpbody/reset_test.go
+++ b/internal/httpbody/reset_test.go
@@ -73,7 +73,8 @@
 					g.Expect(httpbody.IsConnectionBroken(err)).To(BeTrue())
 				}
 				if !c.written {
-					g.Eventually(written, "2s").Should(Receive(HaveOccurred()), "the write ends")
+					g.Eventually(written, "2s").Should(Receive(&err), "the write ends")
+					g.Expect(httpbody.IsConnectionBroken(err)).To(BeTrue(), "%v", err)
 				}
 			}
 		})
@@ -91,5 +92,14 @@
 	g.Expect(conn.SetWriteDeadline(time.Now().Add(time.Minute))).To(Succeed())
 	g.Expect(conn.SetDeadline(time.Now().Add(time.Minute))).To(Succeed())
 	_, err = conn.Write(make([]byte, 32<<20))
-	g.Expect(err).To(HaveOccurred())
+	g.Expect(httpbody.IsConnectionBroken(err)).To(BeTrue(), "%v", err)
+}
+
+// Guards against reads that wait for a write which no deadline ends: other connections than those of
+// TCP tell an end from a reset themselves.
+func TestOnlyTCPConnectionsAreChanged(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	NewWithT(t).Expect(httpbody.DetectResets(client)).To(BeIdenticalTo(client))
 }
