--- a/gateway/invalidanswers_test.go
+++ b/gateway/invalidanswers_test.go
@@ -60,6 +60,7 @@
 // Guards against answers of replicas in trouble that reach callers, and against slots that are never
 // given back after them.
 func TestInvalidAnswersAreNotRelayed(t *testing.T) {
+	t.Parallel()
 	for name := range invalidAnswers {
 		for _, path := range []string{sealPath, safePath, streamPath, resumePath} {
 			t.Run(name+path, func(t *testing.T) {
@@ -114,6 +115,7 @@
 
 // Guards against requests that may run again and fail although another replica answers.
 func TestInvalidAnswersAreRetriedElsewhere(t *testing.T) {
+	t.Parallel()
 	for name := range invalidAnswers {
 		for way, throughPeer := range ways {
 			t.Run(name+", "+way, func(t *testing.T) {
@@ -136,6 +138,7 @@
 
 // Guards against stages that fail since one of their replicas sends such answers.
 func TestInvalidAnswersToCallsForPieces(t *testing.T) {
+	t.Parallel()
 	for name := range invalidAnswers {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/gateway/panics_test.go
+++ b/gateway/panics_test.go
@@ -66,6 +66,7 @@
 // Guards against slots of replicas that are never given back, and attempts that are not logged, since
 // the attempt panicked; and against an answer that begins twice.
 func TestAttemptsThatPanicGiveTheirSlotsBack(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{sealPath, safePath, streamPath, resumePath} {
 		for where, inBody := range map[string]bool{"head": false, "body": true} {
 			t.Run(path+where, func(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -183,19 +183,6 @@
 	return end, err
 }
 
-// recoverAttempt ends an attempt whose code panicked as one that may have run. It must be deferred
-// directly.
-func (t *attempt) recoverAttempt(end *attemptEnd, err **problem.Error) {
-	r := recover()
-	if r == nil {
-		return
-	}
-	x := t.x
-	x.runs = max(x.runs, t.runNumber)
-	x.g.log.Error("attempt panicked", logging.Request(x.req.ID), zap.String("replica", t.choice.Upstream), zap.Any("panic", r), zap.ByteString("stack", debug.Stack()))
-	*end, *err = panicked, problem.New(problem.UpstreamFailed, "the attempt panicked: %v", r)
-}
-
 // attempt is one attempt in progress.
 type attempt struct {
 	x *exchange
@@ -256,9 +243,16 @@
 	return end, perr
 }
 
-// callRecovering is call, and ends the attempt if call panics.
+// callRecovering is call, and turns a panic into the end of an attempt that may have run the request.
 func (t *attempt) callRecovering() (end attemptEnd, perr *problem.Error) {
-	defer t.recoverAttempt(&end, &perr)
+	defer func() {
+		if r := recover(); r != nil {
+			x := t.x
+			x.runs = max(x.runs, t.runNumber)
+			x.g.log.Error("attempt panicked", logging.Request(x.req.ID), zap.String("replica", t.choice.Upstream), zap.Any("panic", r), zap.ByteString("stack", debug.Stack()))
+			end, perr = panicked, problem.New(problem.UpstreamFailed, "the attempt panicked: %v", r)
+		}
+	}()
 	return t.call()
 }
 
