--- a/internal/httpbody/head.go
+++ b/internal/httpbody/head.go
@@ -134,7 +134,7 @@
 		case c == ':':
 			return b[i+1:], h.endName()
 		case !isTokenByte(c):
-			return nil, fmt.Errorf("byte %q in the name of a field", c)
+			return nil, fmt.Errorf("byte %q in the name of a field that begins with %q", c, h.line)
 		case len(h.line) <= len(codingField):
 			h.line = append(h.line, c)
 		}
