--- a/gateway/invalidanswers_test.go
+++ b/gateway/invalidanswers_test.go
@@ -14,7 +14,7 @@
 	"github.com/wheatseam/wheatseam/internal/standin/site"
 )
 
-// invalidAnswers are answers that are no HTTP answers, and in part look like some.
+// invalidAnswers are invalid HTTP responses, most of which net/http accepts.
 var invalidAnswers = map[string]site.RawResponse{
 	"status 000": {StatusLine: "HTTP/1.1 000 Trouble"},
 	"status 099": {StatusLine: "HTTP/1.1 099 Trouble"},
@@ -57,8 +57,8 @@
 // service.
 const invalidRounds = 40
 
-// Guards against answers of replicas in trouble that reach callers, and against slots that are never
-// given back after them.
+// Guards against invalid responses that reach callers, and against slots that are never given back
+// after them.
 func TestInvalidAnswersAreNotRelayed(t *testing.T) {
 	t.Parallel()
 	for name := range invalidAnswers {
--- a/internal/httpbody/head.go
+++ b/internal/httpbody/head.go
@@ -109,7 +109,7 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// beginLine finds out what the line is that begins with b.
+// beginLine determines by its first byte whether a line is a field, folded, or the end of the head.
 func (h *headChecker) beginLine(b []byte) (rest []byte, err error) {
 	switch b[0] {
 	case '\n':
--- a/internal/httpbody/transport_test.go
+++ b/internal/httpbody/transport_test.go
@@ -111,7 +111,7 @@
 	"blank in a name after thousands of bytes": okHead + "X: " + strings.Repeat("x", 5000) + "\r\n" + strings.Repeat("Y", 5000) + " : 1\r\nContent-Length: 4\r\n\r\nbody",
 }
 
-// Guards against answers that are no HTTP answers and reach callers.
+// Guards against invalid responses that net/http accepts.
 func TestInvalidAnswersAreRefused(t *testing.T) {
 	for name, answer := range invalidAnswers {
 		for speed, slow := range map[string]bool{"at once": false, "byte by byte": true} {
